--- /dev/null
+++ b/core/dispatch/dump.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// Stats counts what this process did since its start.
+type Stats struct {
+	Starts         uint64 `json:"starts"`
+	NotStarted     uint64 `json:"not_started"`
+	Settles        uint64 `json:"settles"`
+	Stops          uint64 `json:"stops"`
+	LateResults    uint64 `json:"late_results"`
+	Resubmissions  uint64 `json:"resubmissions"`
+	Conflicts      uint64 `json:"conflicts"`
+	Cancels        uint64 `json:"cancels"`
+	Forwards       uint64 `json:"forwards"`
+	ForeignAnswers uint64 `json:"foreign_answers"`
+	PeerMessages   uint64 `json:"peer_messages"`
+	ClaimWrites    uint64 `json:"claim_writes"`
+}
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats {
+	return c.stats
+}
+
+// Dump is the state of the process for operators; times are in milliseconds
+// since the process started.
+type Dump struct {
+	Incarnation     string           `json:"incarnation"`
+	FailureDomain   string           `json:"failure_domain"`
+	NowMs           int64            `json:"now_ms"`
+	Ready           bool             `json:"ready"`
+	Draining        bool             `json:"draining"`
+	SettingsVersion uint64           `json:"settings_version"`
+	OwnedSlots      int              `json:"owned_slots"`
+	IDBlocks        int              `json:"id_blocks"`
+	KeptAnswers     int              `json:"kept_answers"`
+	KeptBytes       int              `json:"kept_bytes"`
+	ClaimsWaiting   int              `json:"claims_waiting"`
+	Forwards        int              `json:"forwards"`
+	Submissions     []DumpSubmission `json:"submissions"`
+	Starts          []DumpStart      `json:"starts"`
+	Peers           []DumpPeer       `json:"peers"`
+	Stats           Stats            `json:"stats"`
+}
+
+// DumpSubmission is a submission in progress and what it waits for.
+type DumpSubmission struct {
+	ID         string `json:"id"`
+	Phase      string `json:"phase"`
+	Askers     int    `json:"askers"`
+	ArrivedMs  int64  `json:"arrived_ms"`
+	DeadlineMs int64  `json:"deadline_ms"`
+	Waiting    int    `json:"waiting_tasks"`
+	Running    int    `json:"running_tasks"`
+	WaitsFor   string `json:"waits_for"`
+}
+
+// DumpStart is a task start that isn't settled.
+type DumpStart struct {
+	Name     string `json:"name"`
+	Upstream string `json:"upstream"`
+	SentMs   int64  `json:"sent_ms"`
+	Settles  int    `json:"settles"`
+}
+
+// DumpPeer is a connected peer.
+type DumpPeer struct {
+	Incarnation     string `json:"incarnation"`
+	FailureDomain   string `json:"failure_domain"`
+	SettingsVersion uint64 `json:"settings_version"`
+	HeardMs         int64  `json:"heard_ms"`
+	Stopping        bool   `json:"stopping"`
+}
+
+// Dump describes the present state.
+func (c *Core) Dump() Dump {
+	return Dump{
+		Incarnation:     c.cfg.Self.String(),
+		FailureDomain:   c.cfg.FailureDomain,
+		NowMs:           c.now.Milliseconds(),
+		Ready:           c.Ready(),
+		Draining:        c.draining,
+		SettingsVersion: c.settings.Version(),
+		OwnedSlots:      c.pool.Owned(),
+		IDBlocks:        c.issuer.Blocks(),
+		KeptAnswers:     len(c.kept),
+		KeptBytes:       c.keptBytes,
+		ClaimsWaiting:   len(c.claims.waiting) + len(c.claims.inFlight),
+		Forwards:        len(c.forwards),
+		Submissions:     c.dumpSubmissions(),
+		Starts:          c.dumpStarts(),
+		Peers:           c.dumpPeers(),
+		Stats:           c.stats,
+	}
+}
+
+func (c *Core) dumpSubmissions() []DumpSubmission {
+	var list []DumpSubmission
+	for _, id := range sortedIDs(c.submissions) {
+		sub := c.submissions[id]
+		if sub.phase == ended {
+			continue
+		}
+		d := DumpSubmission{
+			ID:         id.String(),
+			Phase:      "claiming",
+			Askers:     len(sub.askers),
+			ArrivedMs:  sub.arrived.Milliseconds(),
+			DeadlineMs: sub.deadline.Milliseconds(),
+			WaitsFor:   "its claim in the table service",
+		}
+		if sub.phase == held {
+			d.Phase = "held"
+			d.Waiting = sub.assembly.Waiting()
+			d.Running = sub.assembly.Running()
+			d.WaitsFor = c.waitsFor(sub)
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
+func (c *Core) waitsFor(sub *submission) string {
+	switch {
+	case sub.assembly.Waiting() == 0:
+		return "its running tasks"
+	case len(sub.askers) == 0 && !sub.assembly.MayHaveRun():
+		return "a caller: nobody asks for it at present"
+	case c.pool.Idle(sub.id.Institution) == 0:
+		return "an idle slot"
+	default:
+		return "the back-off of a refused start"
+	}
+}
+
+func (c *Core) dumpStarts() []DumpStart {
+	var list []DumpStart
+	for _, s := range c.starts {
+		list = append(list, DumpStart{s.name, s.slot.Upstream, s.sent.Milliseconds(), s.settles})
+	}
+	slices.SortFunc(list, func(a, b DumpStart) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (c *Core) dumpPeers() []DumpPeer {
+	var list []DumpPeer
+	for _, p := range c.sortedPeers() {
+		st := c.peers[p]
+		list = append(list, DumpPeer{p.String(), st.failureDomain, st.status.GetSettingsVersion(), st.heard.Milliseconds(), st.status.GetStopping()})
+	}
+	return list
+}
+
+// NodeVersions lists the settings version of this process and its peers.
+func (c *Core) NodeVersions() []*pb.NodeVersion {
+	list := []*pb.NodeVersion{{
+		Incarnation:   c.cfg.Self.Proto(),
+		FailureDomain: c.cfg.FailureDomain,
+		Version:       c.settings.Version(),
+		Connected:     true,
+	}}
+	for _, p := range c.sortedPeers() {
+		st := c.peers[p]
+		list = append(list, &pb.NodeVersion{
+			Incarnation:   p.Proto(),
+			FailureDomain: st.failureDomain,
+			Version:       st.status.GetSettingsVersion(),
+			AgeMs:         uint64((c.now - st.heard).Milliseconds()),
+			Connected:     true,
+		})
+	}
+	return list
+}
+
+// Settings returns the settings in force, nil if none.
+func (c *Core) Settings() *pb.Settings {
+	return c.settings.Current()
+}
--- /dev/null
+++ b/core/dispatch/peers.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// peer is a connected entry process.
+type peer struct {
+	failureDomain string
+	status        *pb.PeerStatus
+	heard         task.Time
+	sent          task.Time
+}
+
+func compareIncarnations(a, b task.Incarnation) int {
+	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Run, b.Run))
+}
+
+func (c *Core) sortedPeers() []task.Incarnation {
+	list := make([]task.Incarnation, 0, len(c.peers))
+	for p := range c.peers {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, compareIncarnations)
+	return list
+}
+
+func sortedIDs(m map[task.ID]*submission) []task.ID {
+	list := make([]task.ID, 0, len(m))
+	for id := range m {
+		list = append(list, id)
+	}
+	slices.SortFunc(list, func(a, b task.ID) int {
+		return cmp.Or(
+			cmp.Compare(a.Institution, b.Institution),
+			cmp.Compare(a.OwnKey, b.OwnKey),
+			compareIncarnations(a.Holder, b.Holder),
+			cmp.Compare(a.Number, b.Number),
+		)
+	})
+	return list
+}
+
+func (c *Core) peerUp(e PeerUp) {
+	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
+	c.runs[e.Peer.Node] = e.Peer.Run
+	c.send(e.Peer, &pb.PeerMessage{})
+}
+
+// peerDown answers what waited for the peer: at once, because its state can't
+// be known before it is reached again.
+func (c *Core) peerDown(p task.Incarnation) {
+	delete(c.peers, p)
+	for _, id := range c.sortedForwards() {
+		f := c.forwards[id]
+		if f.holder != p {
+			continue
+		}
+		delete(c.forwards, id)
+		c.holderOut(f.from, f.holder, f.submission.GetId(), f.digest)
+	}
+}
+
+func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
+	p := c.peers[from]
+	if p == nil {
+		return
+	}
+	p.heard = c.now
+	c.peerStatus(from, p, m.GetStatus())
+	switch b := m.GetBody().(type) {
+	case *pb.PeerMessage_Forward:
+		c.forwarded(from, b.Forward)
+	case *pb.PeerMessage_ForwardAnswer:
+		c.forwardAnswer(from, b.ForwardAnswer)
+	case *pb.PeerMessage_ForwardCancel:
+		c.forwardedCancel(from, b.ForwardCancel)
+	case *pb.PeerMessage_SettingsPull:
+		if s := c.settings.Current(); s != nil {
+			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
+		}
+	case *pb.PeerMessage_Settings:
+		c.offerSettings(b.Settings)
+	}
+}
+
+func (c *Core) peerStatus(from task.Incarnation, p *peer, st *pb.PeerStatus) {
+	if st == nil || st.GetSequence() <= p.status.GetSequence() {
+		return
+	}
+	p.status = st
+	if st.GetSettingsVersion() > c.settings.Version() {
+		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
+	}
+}
+
+// send sends a message with this process's status riding on it.
+func (c *Core) send(to task.Incarnation, m *pb.PeerMessage) {
+	p := c.peers[to]
+	if p == nil {
+		return
+	}
+	p.sent = c.now
+	m.Status = c.status()
+	c.stats.PeerMessages++
+	c.emit(Send{to, m})
+}
+
+func (c *Core) status() *pb.PeerStatus {
+	c.statusSeq++
+	return &pb.PeerStatus{
+		Sequence:        c.statusSeq,
+		SettingsVersion: c.settings.Version(),
+		Stopping:        c.draining,
+	}
+}
+
+// sendStatus tells peers that have heard nothing for an interval.
+func (c *Core) sendStatus() {
+	for _, p := range c.sortedPeers() {
+		if c.now-c.peers[p].sent >= c.cfg.StatusInterval {
+			c.send(p, &pb.PeerMessage{})
+		}
+	}
+}
--- /dev/null
+++ b/core/task/task.go
@@ -0,0 +1,204 @@
+// Package task holds the types that all core packages share: names of
+// processes and submissions, digests, attempts and what upstreams say of them.
+package task
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// Time is a reading of one process's monotonic clock, as the span since that
+// process started. Readings of different processes are never compared.
+type Time = time.Duration
+
+// Incarnation names one run of one entry process. A process that is started
+// again under the same node name is another incarnation.
+type Incarnation struct {
+	Node string
+	Run  uint64
+}
+
+// IncarnationOf converts the wire form; nil gives the zero value.
+func IncarnationOf(m *pb.Incarnation) Incarnation {
+	return Incarnation{Node: m.GetNode(), Run: m.GetRun()}
+}
+
+// Proto converts to the wire form.
+func (i Incarnation) Proto() *pb.Incarnation {
+	return &pb.Incarnation{Node: i.Node, Run: i.Run}
+}
+
+// String is the form used in logs and claim rows.
+func (i Incarnation) String() string {
+	return fmt.Sprintf("%s/%016x", i.Node, i.Run)
+}
+
+// ID is a submission id in comparable form. Exactly one kind is set: an issued
+// id has a Holder, an own key has none.
+type ID struct {
+	Institution string
+	Holder      Incarnation
+	Number      uint64
+	OwnKey      string
+}
+
+// IDOf converts the wire form within the institution that presented it, so
+// that two institutions never share a submission.
+func IDOf(institution string, m *pb.SubmissionId) ID {
+	id := ID{Institution: institution}
+	switch k := m.GetKind().(type) {
+	case *pb.SubmissionId_Issued:
+		id.Holder = IncarnationOf(k.Issued.GetHolder())
+		id.Number = k.Issued.GetNumber()
+	case *pb.SubmissionId_OwnKey:
+		id.OwnKey = k.OwnKey
+	}
+	return id
+}
+
+// Proto converts to the wire form.
+func (id ID) Proto() *pb.SubmissionId {
+	if id.Issued() {
+		issued := &pb.IssuedId{Holder: id.Holder.Proto(), Number: id.Number}
+		return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: issued}}
+	}
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_OwnKey{OwnKey: id.OwnKey}}
+}
+
+// Issued says whether an entry process issued the id.
+func (id ID) Issued() bool {
+	return id.Holder != Incarnation{}
+}
+
+// Valid says whether the id names a submission at all.
+func (id ID) Valid() bool {
+	if id.Issued() {
+		return id.OwnKey == "" && id.Holder.Node != "" && id.Number > 0
+	}
+	return id.OwnKey != ""
+}
+
+// String is the form used in logs, task names and claim rows.
+func (id ID) String() string {
+	if id.Issued() {
+		return fmt.Sprintf("%s/i/%s/%d", id.Institution, id.Holder, id.Number)
+	}
+	return id.Institution + "/o/" + id.OwnKey
+}
+
+// Digest is the SHA-256 of what a submission asks for.
+type Digest [sha256.Size]byte
+
+// DigestOf hashes service, team and tasks, each with its length, so that no
+// two different submissions give the same input to the hash. The timeout is
+// left out: a caller may resubmit with less time left.
+func DigestOf(s *pb.Submission) Digest {
+	h := sha256.New()
+	var n [8]byte
+	part := func(b []byte) {
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		h.Write(n[:])
+		h.Write(b)
+	}
+	part([]byte(s.GetService()))
+	part([]byte(s.GetTeam()))
+	for _, t := range s.GetTasks() {
+		part(t.GetPayload())
+		binary.BigEndian.PutUint64(n[:], uint64(t.GetRunTimeMs()))
+		h.Write(n[:])
+	}
+	var d Digest
+	h.Sum(d[:0])
+	return d
+}
+
+// StartID numbers the task starts of one incarnation.
+type StartID uint64
+
+// Verdict is what is known of one start of a task.
+type Verdict int
+
+// The verdicts. Only NotStarted permits another start of the same task.
+const (
+	// Finished: the task ran and gave its output.
+	Finished Verdict = iota + 1
+	// Failed: the task ran and reported an error; it isn't run again.
+	Failed
+	// NotStarted: it is certain that the task never ran and never will.
+	NotStarted
+	// Running: the upstream runs the task at present.
+	Running
+	// Lost: the connection failed after the request may have been sent.
+	Lost
+	// Unknown: the upstream can't tell, and never will.
+	Unknown
+)
+
+// String names the verdict for logs.
+func (v Verdict) String() string {
+	switch v {
+	case Finished:
+		return "finished"
+	case Failed:
+		return "failed"
+	case NotStarted:
+		return "not-started"
+	case Running:
+		return "running"
+	case Lost:
+		return "lost"
+	case Unknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
+// Result is a verdict with what came along.
+type Result struct {
+	Verdict Verdict
+	Output  []byte
+	// Detail is the error text of Failed, or the cause of NotStarted and Lost.
+	Detail string
+	// UpstreamRun names the run of the upstream process that answered; empty
+	// if it isn't known.
+	UpstreamRun string
+	// Refused is set when an upstream in service turned the start away.
+	Refused bool
+}
+
+// Slot names one execution slot of an upstream.
+type Slot struct {
+	Upstream string
+	Index    uint32
+}
+
+// Upstream is one entry of the platform's list.
+type Upstream struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Worker        string
+	Rack          string
+	Institution   string
+	Slots         uint32
+	Leaving       bool
+}
+
+// Node is an entry process on the platform's list.
+type Node struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Leaving       bool
+}
+
+// Members is the platform's list of VMs, in name order.
+type Members struct {
+	Version   uint64
+	Nodes     []Node
+	Upstreams []Upstream
+}
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,261 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/client"
+	"sapphirepoint.example/sapphirepoint/gen/platformv1"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/keys"
+	"sapphirepoint.example/sapphirepoint/standin"
+	"sapphirepoint.example/sapphirepoint/standin/runner"
+)
+
+const (
+	patience      = 30 * time.Second
+	poll          = 50 * time.Millisecond
+	operatorToken = "e2e-operator"
+)
+
+var bin string
+
+var _ = BeforeSuite(func() {
+	var err error
+	bin, err = os.MkdirTemp("", "sapphirepoint-e2e")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, bin)
+	out, err := exec.Command("go", "build", "-o", bin, "sapphirepoint.example/sapphirepoint/cmd/...").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+})
+
+// process is a program under test.
+type process struct {
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	done chan struct{}
+}
+
+func launch(program string, args ...string) *process {
+	p := &process{cmd: exec.Command(filepath.Join(bin, program), args...), log: &bytes.Buffer{}, done: make(chan struct{})}
+	p.cmd.Stdout = p.log
+	p.cmd.Stderr = p.log
+	Expect(p.cmd.Start()).To(Succeed())
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+	}()
+	DeferCleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		if CurrentSpecReport().Failed() {
+			AddReportEntry(program, p.log.String())
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// entry is an entry process with its addresses.
+type entry struct {
+	*process
+	name, domain              string
+	callers, operators, peers string
+	settings                  string
+}
+
+func (e *entry) client() *client.Client {
+	return client.New(client.Config{URL: "http://" + e.callers, Token: standin.Token})
+}
+
+func (e *entry) start() {
+	e.process = launch("sapphirepointd", "--settings", e.settings)
+}
+
+func (e *entry) ready() bool {
+	res, err := http.Get("http://" + e.callers + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// dump fetches the state of the process.
+func (e *entry) dump() map[string]any {
+	req, err := http.NewRequest(http.MethodGet, "http://"+e.operators+"/dump", nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer res.Body.Close()
+	state := map[string]any{}
+	_ = json.NewDecoder(res.Body).Decode(&state)
+	return state
+}
+
+func (e *entry) peerCount() int {
+	list, _ := e.dump()["peers"].([]any)
+	return len(list)
+}
+
+// deployment is a set of processes: a platform, runners and entries.
+type deployment struct {
+	dir      string
+	ca       keys.Pair
+	platform string
+	runners  []string
+	entries  []*entry
+	members  []*platformv1.Member
+}
+
+// deploy starts entries and runners in each failure domain and waits until
+// all are ready and connected.
+func deploy(domains []string, entriesEach, runnersEach int) *deployment {
+	d := &deployment{dir: GinkgoT().TempDir(), platform: freeAddress()}
+	var err error
+	d.ca, err = keys.NewCA("e2e")
+	Expect(err).NotTo(HaveOccurred())
+	write(d.path("ca.pem"), d.ca.Cert)
+	write(d.path("operator.token"), []byte(operatorToken))
+	launch("standin", "platform", "--listen", d.platform)
+	for _, domain := range domains {
+		for i := range entriesEach {
+			d.addEntry(fmt.Sprintf("%s-%d", domain, i), domain)
+		}
+		for i := range runnersEach {
+			d.addRunner(domain, i)
+		}
+	}
+	args := []string{"runner"}
+	for _, address := range d.runners {
+		args = append(args, "--listen", address)
+	}
+	launch("standin", args...)
+	Eventually(d.publishMembers, patience, poll).Should(Succeed())
+	for _, e := range d.entries {
+		e.start()
+	}
+	d.applySettings()
+	for _, e := range d.entries {
+		Eventually(e.ready, patience, poll).Should(BeTrue(), e.name)
+		Eventually(e.peerCount, patience, poll).Should(Equal(len(d.entries)-1), e.name)
+	}
+	return d
+}
+
+func (d *deployment) path(name string) string { return filepath.Join(d.dir, name) }
+
+func (d *deployment) addEntry(name, domain string) {
+	e := &entry{name: name, domain: domain, callers: freeAddress(), operators: freeAddress(), peers: freeAddress(), settings: d.path(name + ".yaml")}
+	pair, err := keys.NewProcess(d.ca, name)
+	Expect(err).NotTo(HaveOccurred())
+	write(d.path(name+".pem"), pair.Cert)
+	write(d.path(name+".key"), pair.Key)
+	write(e.settings, fmt.Appendf(nil, `node: %s
+failure_domain: %s
+listen: {callers: "%s", operators: "%s", peers: "%s"}
+platform: {url: "http://%s"}
+peer_tls: {ca: %s, cert: %s, key: %s}
+operators: {token_file: %s}
+`, name, domain, e.callers, e.operators, e.peers, d.platform, d.path("ca.pem"), d.path(name+".pem"), d.path(name+".key"), d.path("operator.token")))
+	d.entries = append(d.entries, e)
+	d.members = append(d.members, &platformv1.Member{Name: name, Role: platformv1.Role_ROLE_ENTRY, Address: e.peers, FailureDomain: domain})
+}
+
+func (d *deployment) addRunner(domain string, i int) {
+	address := freeAddress()
+	name := fmt.Sprintf("%s-runner-%d", domain, i)
+	d.runners = append(d.runners, address)
+	d.members = append(d.members, &platformv1.Member{
+		Name: name, Role: platformv1.Role_ROLE_UPSTREAM, Address: address, FailureDomain: domain,
+		Worker: name, Rack: domain, Institution: "hollowell", Slots: runner.DefaultSlots,
+	})
+}
+
+func (d *deployment) publishMembers() error {
+	return post("http://"+d.platform+"/control/members", d.members)
+}
+
+// applySettings applies the first settings through the first entry that takes
+// them.
+func (d *deployment) applySettings() {
+	Eventually(func() error {
+		return apply(d.entries[0], 0, standin.Settings())
+	}, patience, poll).Should(Succeed())
+}
+
+// ledgers adds up what all runners started, by task name.
+func (d *deployment) ledgers() map[string]int {
+	total := map[string]int{}
+	for _, address := range d.runners {
+		res, err := http.Get("http://" + address + "/ledger")
+		Expect(err).NotTo(HaveOccurred())
+		var l runner.Ledger
+		Expect(json.NewDecoder(res.Body).Decode(&l)).To(Succeed())
+		res.Body.Close()
+		for name, n := range l.Starts {
+			total[name] += n
+		}
+	}
+	return total
+}
+
+// expectNoSecondStart checks the promise that matters most against what the
+// runners saw.
+func (d *deployment) expectNoSecondStart() {
+	for name, n := range d.ledgers() {
+		Expect(n).To(Equal(1), name)
+	}
+}
+
+func post(url string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	res, err := http.Post(url, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", res.Status)
+	}
+	return nil
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func write(path string, data []byte) {
+	Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+}
+
+// labels is a job of n label tasks that run for the given milliseconds.
+func labels(n, runMs int) *pb.Submission {
+	s := &pb.Submission{Service: "labels", Team: "kitchens"}
+	for i := range n {
+		s.Tasks = append(s.Tasks, &pb.Task{Payload: fmt.Appendf(nil, `{"run_ms": %d, "output": "label %d"}`, runMs, i)})
+	}
+	return s
+}
--- /dev/null
+++ b/keys/keys.go
@@ -0,0 +1,125 @@
+// Package keys makes the certificate authority and the process certificates
+// of the peer link, and the TLS configurations that use them.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// PeerProtocol is the protocol name negotiated on the peer link.
+	PeerProtocol = "sapphirepoint-peer/1"
+	// CAValidity is how long a new authority is valid.
+	CAValidity = 10 * 365 * 24 * time.Hour
+	// CertificateValidity is how long a new process certificate is valid.
+	CertificateValidity = 365 * 24 * time.Hour
+	// backdate allows for clocks that differ.
+	backdate   = time.Hour
+	serialBits = 127
+)
+
+// Pair is a certificate with its private key, each in PEM.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// NewCA makes a certificate authority.
+func NewCA(name string) (Pair, error) {
+	t, err := template(name, CAValidity)
+	if err != nil {
+		return Pair{}, err
+	}
+	t.IsCA = true
+	t.BasicConstraintsValid = true
+	t.KeyUsage = x509.KeyUsageCertSign
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "generate key")
+	}
+	return encode(t, t, key, key)
+}
+
+// NewProcess makes the certificate of an entry process, named after its node.
+func NewProcess(ca Pair, node string) (Pair, error) {
+	parent, err := tls.X509KeyPair(ca.Cert, ca.Key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "read authority")
+	}
+	t, err := template(node, CertificateValidity)
+	if err != nil {
+		return Pair{}, err
+	}
+	t.DNSNames = []string{node}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "generate key")
+	}
+	signer, ok := parent.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return Pair{}, errors.New("the authority's key isn't an ECDSA key")
+	}
+	return encode(t, parent.Leaf, key, signer)
+}
+
+func template(name string, validity time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "draw serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+func encode(t, parent *x509.Certificate, key, signer *ecdsa.PrivateKey) (Pair, error) {
+	der, err := x509.CreateCertificate(rand.Reader, t, parent, &key.PublicKey, signer)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "sign certificate")
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "encode key")
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw}),
+	}, nil
+}
+
+// PeerTLS is the configuration of both ends of the peer link: each shows its
+// certificate and accepts only those that the authority signed.
+func PeerTLS(caCert []byte, process Pair) (*tls.Config, error) {
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(caCert) {
+		return nil, errors.New("no certificate in the authority's file")
+	}
+	cert, err := tls.X509KeyPair(process.Cert, process.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "read process certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{PeerProtocol},
+	}, nil
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,29 @@
+// Package logging writes one line of key=value pairs for each event.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes to w from the given level up.
+func New(w io.Writer, level zerolog.Level) zerolog.Logger {
+	out := zerolog.ConsoleWriter{
+		Out:             w,
+		NoColor:         true,
+		TimeFormat:      time.RFC3339Nano,
+		FormatTimestamp: pair("time"),
+		FormatLevel:     pair("level"),
+		FormatMessage:   pair("event"),
+	}
+	return zerolog.New(out).Level(level).With().Timestamp().Logger()
+}
+
+func pair(key string) zerolog.Formatter {
+	return func(v any) string {
+		return fmt.Sprintf("%s=%v", key, v)
+	}
+}
--- /dev/null
+++ b/node/callers.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/gen/sapphirepointv1/sapphirepointv1connect"
+)
+
+// bearer is the scheme of the Authorization header.
+const bearer = "Bearer "
+
+// callers serves CallerService and matches replies to requests.
+type callers struct {
+	node *Node
+
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan *pb.Answer
+}
+
+func newCallers(n *Node) *callers {
+	return &callers{node: n, waiting: make(map[uint64]chan *pb.Answer)}
+}
+
+func (n *Node) callerHandler() http.Handler {
+	e := echo.New()
+	n.healthRoutes(e)
+	path, h := sapphirepointv1connect.NewCallerServiceHandler(n.callers, connect.WithReadMaxBytes(DefaultMaxRequestBytes))
+	e.Any(path+"*", echo.WrapHandler(h))
+	return e
+}
+
+func (n *Node) healthRoutes(e *echo.Echo) {
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c echo.Context) error {
+		if !n.ready.Load() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+}
+
+// institution authenticates a request.
+func (cs *callers) institution(h http.Header) (string, error) {
+	token, ok := strings.CutPrefix(h.Get("Authorization"), bearer)
+	if !ok {
+		return "", connect.NewError(connect.CodeUnauthenticated, errors.New("a bearer token is needed"))
+	}
+	sum := sha256.Sum256([]byte(token))
+	name, ok := cs.node.inForce.Load().InstitutionOfToken(hex.EncodeToString(sum[:]))
+	if !ok {
+		return "", connect.NewError(connect.CodeUnauthenticated, errors.New("the token isn't known"))
+	}
+	return name, nil
+}
+
+// IssueIds hands out a block of ids.
+func (cs *callers) IssueIds(_ context.Context, req *connect.Request[pb.IssueIdsRequest]) (*connect.Response[pb.IssueIdsResponse], error) {
+	if _, err := cs.institution(req.Header()); err != nil {
+		return nil, err
+	}
+	count := req.Msg.GetCount()
+	if count == 0 || count > maxIDsPerBlock {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("count: must be 1 to %d", maxIDsPerBlock))
+	}
+	var block *pb.IdBlock
+	cs.node.call(func(c *dispatch.Core) { block = c.IssueIDs(cs.node.now(), count) })
+	if block == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the process is stopping or has no settings yet"))
+	}
+	return connect.NewResponse(&pb.IssueIdsResponse{Block: block}), nil
+}
+
+// Submit runs a job.
+func (cs *callers) Submit(ctx context.Context, req *connect.Request[pb.Submission]) (*connect.Response[pb.Answer], error) {
+	name, err := cs.institution(req.Header())
+	if err != nil {
+		return nil, err
+	}
+	if !task.IDOf(name, req.Msg.GetId()).Valid() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id: an issued id or an own key is needed"))
+	}
+	a, err := cs.await(ctx, func(request uint64) dispatch.Event {
+		return dispatch.Submit{Request: request, Institution: name, Submission: req.Msg}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(a), nil
+}
+
+// Cancel ends a submission.
+func (cs *callers) Cancel(ctx context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
+	name, err := cs.institution(req.Header())
+	if err != nil {
+		return nil, err
+	}
+	if !task.IDOf(name, req.Msg.GetId()).Valid() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id: an issued id or an own key is needed"))
+	}
+	a, err := cs.await(ctx, func(request uint64) dispatch.Event {
+		return dispatch.Cancel{Request: request, Institution: name, ID: req.Msg.GetId()}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.CancelResponse{Answer: a}), nil
+}
+
+// await posts a request and waits for its answer.
+func (cs *callers) await(ctx context.Context, event func(uint64) dispatch.Event) (*pb.Answer, error) {
+	began := time.Now()
+	request, replies := cs.open()
+	cs.node.post(event(request))
+	select {
+	case a := <-replies:
+		cs.node.metrics.answered(a, time.Since(began))
+		return a, asError(a)
+	case <-ctx.Done():
+		cs.close(request)
+		cs.node.post(dispatch.CallerGone{Request: request})
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	case <-cs.node.stopped:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the process has stopped; the outcome is unknown"))
+	}
+}
+
+// asError turns answers about the request itself into errors of the call.
+func asError(a *pb.Answer) error {
+	switch a.GetReason() {
+	case pb.Reason_REASON_INVALID:
+		return connect.NewError(connect.CodeInvalidArgument, errors.New(a.GetDetail()))
+	case pb.Reason_REASON_CONFLICT:
+		return connect.NewError(connect.CodeAlreadyExists, errors.New(a.GetDetail()))
+	}
+	return nil
+}
+
+func (cs *callers) open() (uint64, chan *pb.Answer) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.last++
+	replies := make(chan *pb.Answer, 1)
+	cs.waiting[cs.last] = replies
+	return cs.last, replies
+}
+
+func (cs *callers) close(request uint64) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	delete(cs.waiting, request)
+}
+
+// reply passes an answer to the request that waits for it.
+func (cs *callers) reply(r dispatch.Reply) {
+	cs.mu.Lock()
+	replies := cs.waiting[r.Request]
+	delete(cs.waiting, r.Request)
+	cs.mu.Unlock()
+	if replies != nil {
+		replies <- r.Answer
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,301 @@
+// Package node runs a dispatch core: it owns the sockets and timers of an
+// entry process, turns what arrives into events and carries out commands.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/settings"
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+const (
+	eventBuffer = 8192
+	// maxBatch bounds the events handled before commands are carried out.
+	maxBatch        = 256
+	shutdownTimeout = 10 * time.Second
+)
+
+// input is an event for the core, or a call that needs its state.
+type input struct {
+	event dispatch.Event
+	call  func(*dispatch.Core)
+}
+
+// Node is one entry process.
+type Node struct {
+	cfg     Config
+	log     zerolog.Logger
+	self    task.Incarnation
+	started time.Time
+	core    *dispatch.Core
+	inputs  chan input
+	stopped chan struct{}
+	drained chan struct{}
+
+	// inForce is replaced as a whole; readers never see it change.
+	inForce atomic.Pointer[settings.State]
+	ready   atomic.Bool
+
+	callers   *callers
+	platform  *platformClient
+	upstreams *upstreamClient
+	mesh      *mesh
+	metrics   *metrics
+
+	callerListener   net.Listener
+	operatorListener net.Listener
+}
+
+// New prepares a node and binds its sockets.
+func New(cfg Config) (*Node, error) {
+	if cfg.PollInterval == 0 {
+		cfg.PollInterval = defaultPollInterval
+	}
+	self := task.Incarnation{Node: cfg.Name, Run: rand.Uint64()}
+	n := &Node{
+		cfg:     cfg,
+		self:    self,
+		started: time.Now(),
+		core:    dispatch.New(dispatch.DefaultConfig(self, cfg.FailureDomain)),
+		inputs:  make(chan input, eventBuffer),
+		stopped: make(chan struct{}),
+		drained: make(chan struct{}),
+	}
+	n.log = cfg.Log.With().Stringer("incarnation", self).Str("failure_domain", cfg.FailureDomain).Logger()
+	n.inForce.Store(settings.NewState())
+	n.metrics = newMetrics(n)
+	n.callers = newCallers(n)
+	n.platform = newPlatformClient(n)
+	n.upstreams = newUpstreamClient(n)
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	var err error
+	n.callerListener, err = net.Listen("tcp", n.cfg.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	n.operatorListener, err = net.Listen("tcp", n.cfg.OperatorAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	n.mesh, err = newMesh(n)
+	return err
+}
+
+// CallerAddress is the address that callers reach.
+func (n *Node) CallerAddress() string { return n.callerListener.Addr().String() }
+
+// OperatorAddress is the address that operators reach.
+func (n *Node) OperatorAddress() string { return n.operatorListener.Addr().String() }
+
+// PeerAddress is the address that peers reach.
+func (n *Node) PeerAddress() string { return n.mesh.address() }
+
+// Incarnation names this run of the process.
+func (n *Node) Incarnation() task.Incarnation { return n.self }
+
+// Run serves until the context ends or a planned stop is complete. When it
+// returns, the sockets are closed.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.log.Info().Str("callers", n.CallerAddress()).Str("operators", n.OperatorAddress()).Str("peers", n.PeerAddress()).Msg("started")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.loop(ctx) })
+	group.Go(func() error { return n.platform.poll(ctx) })
+	group.Go(func() error { return n.mesh.run(ctx) })
+	callerServer := newServer(n.callerHandler())
+	operatorServer := newServer(n.operatorHandler())
+	group.Go(func() error { return serve(callerServer, n.callerListener) })
+	group.Go(func() error { return serve(operatorServer, n.operatorListener) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-n.drained:
+		}
+		n.shutdown(callerServer, operatorServer)
+		cancel()
+		return nil
+	})
+	err := group.Wait()
+	n.log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// shutdown lets the answers that are being written reach their callers.
+func (n *Node) shutdown(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// Drain starts the planned stop: Run returns when nothing is in progress.
+func (n *Node) Drain() {
+	n.post(dispatch.Drain{})
+}
+
+func newServer(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: 1000,
+			SendPingTimeout:      5 * time.Second,
+			PingTimeout:          5 * time.Second,
+		},
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// now reads the monotonic clock.
+func (n *Node) now() task.Time {
+	return time.Since(n.started)
+}
+
+// post hands an event to the loop; it is dropped once the loop has ended.
+func (n *Node) post(e dispatch.Event) {
+	select {
+	case n.inputs <- input{event: e}:
+	case <-n.stopped:
+	}
+}
+
+// call runs f with the core on the loop and waits for it. It reports false if
+// the loop has ended.
+func (n *Node) call(f func(*dispatch.Core)) bool {
+	done := make(chan struct{})
+	run := func(c *dispatch.Core) {
+		f(c)
+		close(done)
+	}
+	select {
+	case n.inputs <- input{call: run}:
+	case <-n.stopped:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-n.stopped:
+		return false
+	}
+}
+
+// loop owns the core.
+func (n *Node) loop(ctx context.Context) error {
+	defer close(n.stopped)
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case in := <-n.inputs:
+			n.handle(in)
+			n.handleWaiting()
+		case <-wake.C:
+			n.core.Tick(n.now())
+		}
+		n.carryOut(ctx, n.core.Take())
+		n.ready.Store(n.core.Ready())
+		if at, ok := n.core.NextTimer(); ok {
+			wake.Reset(at - n.now())
+		}
+	}
+}
+
+func (n *Node) handle(in input) {
+	if in.call != nil {
+		in.call(n.core)
+		return
+	}
+	n.core.Step(n.now(), in.event)
+}
+
+func (n *Node) handleWaiting() {
+	for range maxBatch {
+		select {
+		case in := <-n.inputs:
+			n.handle(in)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) carryOut(ctx context.Context, commands []dispatch.Command) {
+	for _, cmd := range commands {
+		switch cmd := cmd.(type) {
+		case dispatch.Reply:
+			n.callers.reply(cmd)
+		case dispatch.StartTask:
+			n.upstreams.start(ctx, cmd)
+		case dispatch.Settle:
+			n.upstreams.settle(ctx, cmd)
+		case dispatch.StopTask:
+			n.upstreams.stop(ctx, cmd)
+		case dispatch.ClaimWrite:
+			n.platform.writeClaims(ctx, cmd)
+		case dispatch.Send:
+			n.mesh.send(cmd)
+		case dispatch.Ended:
+			n.ended(cmd)
+		case dispatch.SettingsInForce:
+			n.settingsInForce(cmd)
+		case dispatch.Drained:
+			close(n.drained)
+		}
+	}
+}
+
+func (n *Node) ended(e dispatch.Ended) {
+	n.metrics.ended(e)
+	n.log.Debug().
+		Stringer("submission", e.ID).
+		Stringer("outcome", e.Outcome).
+		Stringer("reason", e.Reason).
+		Int("tasks", e.Tasks).
+		Dur("response_ms", e.Response).
+		Msg("job-ended")
+}
+
+func (n *Node) settingsInForce(s dispatch.SettingsInForce) {
+	state := settings.NewState()
+	state.Offer(s.Settings)
+	n.inForce.Store(state)
+	n.log.Info().Uint64("version", s.Settings.GetVersion()).Msg("settings-in-force")
+}
+
+// Ready says whether the node takes new work and has at least the given number
+// of connected peers.
+func (n *Node) Ready(peers int) bool {
+	return n.ready.Load() && n.mesh.connected() >= peers
+}
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	"sapphirepoint.example/sapphirepoint/gen/platformv1"
+	"sapphirepoint.example/sapphirepoint/gen/platformv1/platformv1connect"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+const (
+	// settingsKey is the row of the declared settings.
+	settingsKey = "settings"
+	claimPrefix = "claim/"
+	// platformTimeout bounds each call to the platform.
+	platformTimeout = 2 * time.Second
+	// applyAttempts bounds the settling of a write whose reply was lost.
+	applyAttempts = 5
+)
+
+// platformClient reads and writes the platform's services.
+type platformClient struct {
+	node    *Node
+	table   platformv1connect.TableServiceClient
+	members platformv1connect.MembershipServiceClient
+}
+
+func newPlatformClient(n *Node) *platformClient {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{
+		Protocols: &p,
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
+	}}
+	return &platformClient{
+		node:    n,
+		table:   platformv1connect.NewTableServiceClient(client, n.cfg.PlatformURL),
+		members: platformv1connect.NewMembershipServiceClient(client, n.cfg.PlatformURL),
+	}
+}
+
+// poll reads members and settings at each interval.
+func (p *platformClient) poll(ctx context.Context) error {
+	ticker := time.NewTicker(p.node.cfg.PollInterval)
+	defer ticker.Stop()
+	var listed uint64
+	for {
+		listed = p.readMembers(ctx, listed)
+		p.readSettings(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *platformClient) readMembers(ctx context.Context, known uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	res, err := p.members.List(ctx, connect.NewRequest(&platformv1.ListRequest{}))
+	if err != nil {
+		p.node.log.Warn().Err(err).Msg("members-unavailable")
+		return known
+	}
+	if res.Msg.GetVersion() == known {
+		return known
+	}
+	m := membersOf(res.Msg)
+	p.node.upstreams.setMembers(m)
+	p.node.mesh.setMembers(m)
+	p.node.post(dispatch.MembersChanged{Members: m})
+	return m.Version
+}
+
+func membersOf(res *platformv1.ListResponse) task.Members {
+	m := task.Members{Version: res.GetVersion()}
+	for _, e := range res.GetMembers() {
+		switch e.GetRole() {
+		case platformv1.Role_ROLE_ENTRY:
+			m.Nodes = append(m.Nodes, task.Node{
+				Name:          e.GetName(),
+				Address:       e.GetAddress(),
+				FailureDomain: e.GetFailureDomain(),
+				Leaving:       e.GetLeaving(),
+			})
+		case platformv1.Role_ROLE_UPSTREAM:
+			m.Upstreams = append(m.Upstreams, task.Upstream{
+				Name:          e.GetName(),
+				Address:       e.GetAddress(),
+				FailureDomain: e.GetFailureDomain(),
+				Worker:        e.GetWorker(),
+				Rack:          e.GetRack(),
+				Institution:   e.GetInstitution(),
+				Slots:         e.GetSlots(),
+				Leaving:       e.GetLeaving(),
+			})
+		}
+	}
+	return m
+}
+
+// settingsRow reads the settings and the version of their row; both are zero
+// if nothing was ever applied.
+func (p *platformClient) settingsRow(ctx context.Context) (*pb.Settings, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	res, err := p.table.Read(ctx, connect.NewRequest(&platformv1.ReadRequest{Keys: []string{settingsKey}}))
+	if err != nil {
+		return nil, 0, err
+	}
+	s := &pb.Settings{}
+	if len(res.Msg.GetRows()) == 0 {
+		return s, 0, nil
+	}
+	row := res.Msg.GetRows()[0]
+	if err := proto.Unmarshal(row.GetValue(), s); err != nil {
+		return nil, 0, errors.Wrap(err, "decode settings row")
+	}
+	return s, row.GetVersion(), nil
+}
+
+func (p *platformClient) readSettings(ctx context.Context) {
+	s, _, err := p.settingsRow(ctx)
+	if err != nil {
+		p.node.log.Warn().Err(err).Msg("settings-unavailable")
+		return
+	}
+	p.node.post(dispatch.SettingsRead{Settings: s})
+}
+
+// applySettings replaces the settings row if the expected version is the
+// present one. A lost reply is settled by reading back.
+func (p *platformClient) applySettings(ctx context.Context, expected uint64, s *pb.Settings) (*pb.Settings, error) {
+	next := proto.Clone(s).(*pb.Settings)
+	next.Version = expected + 1
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, errors.Wrap(err, "encode settings"))
+	}
+	uncertain := false
+	for range applyAttempts {
+		present, row, err := p.settingsRow(ctx)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "read settings; ask for the version in force before applying again"))
+		}
+		if uncertain && proto.Equal(present, next) {
+			return next, nil
+		}
+		if present.GetVersion() != expected {
+			return nil, connect.NewError(connect.CodeAborted, errors.Errorf("expected version %d, but %d is current", expected, present.GetVersion()))
+		}
+		committed, err := p.commit(ctx, &platformv1.Write{Key: settingsKey, Value: value, ExpectedVersion: row})
+		if err == nil && committed {
+			return next, nil
+		}
+		uncertain = uncertain || err != nil
+	}
+	return nil, connect.NewError(connect.CodeUnavailable, errors.New("the write isn't settled; ask for the version in force before applying again"))
+}
+
+func (p *platformClient) commit(ctx context.Context, w *platformv1.Write) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	res, err := p.table.Commit(ctx, connect.NewRequest(&platformv1.CommitRequest{Writes: []*platformv1.Write{w}}))
+	if err != nil {
+		return false, err
+	}
+	return res.Msg.GetCommitted(), nil
+}
+
+// writeClaims inserts claim rows in one transaction.
+func (p *platformClient) writeClaims(ctx context.Context, cmd dispatch.ClaimWrite) {
+	go func() {
+		p.node.post(p.insertClaims(ctx, cmd))
+	}()
+}
+
+func (p *platformClient) insertClaims(ctx context.Context, cmd dispatch.ClaimWrite) dispatch.ClaimResult {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	result := dispatch.ClaimResult{Batch: cmd.Batch}
+	ids := make(map[string]task.ID, len(cmd.Claims))
+	req := &platformv1.CommitRequest{}
+	for _, c := range cmd.Claims {
+		value, err := proto.Marshal(&pb.ClaimRow{Holder: p.node.self.Proto(), Digest: c.Digest[:]})
+		if err != nil {
+			return result
+		}
+		key := claimPrefix + c.ID.String()
+		ids[key] = c.ID
+		req.Writes = append(req.Writes, &platformv1.Write{Key: key, Value: value, TtlS: c.TTLSeconds})
+	}
+	res, err := p.table.Commit(ctx, connect.NewRequest(req))
+	if err != nil {
+		p.node.log.Warn().Err(err).Int("claims", len(cmd.Claims)).Msg("claim-write-failed")
+		return result
+	}
+	for _, row := range res.Msg.GetConflicts() {
+		cf, err := conflictOf(ids, row)
+		if err != nil {
+			p.node.log.Error().Err(err).Str("key", row.GetKey()).Msg("claim-row-unreadable")
+			return result
+		}
+		result.Conflicts = append(result.Conflicts, cf)
+	}
+	result.OK = res.Msg.GetCommitted() || len(result.Conflicts) > 0
+	return result
+}
+
+func conflictOf(ids map[string]task.ID, row *platformv1.Row) (dispatch.ClaimConflict, error) {
+	id, ok := ids[row.GetKey()]
+	if !ok || !strings.HasPrefix(row.GetKey(), claimPrefix) {
+		return dispatch.ClaimConflict{}, errors.New("a row that wasn't asked for")
+	}
+	claimed := &pb.ClaimRow{}
+	if err := proto.Unmarshal(row.GetValue(), claimed); err != nil {
+		return dispatch.ClaimConflict{}, errors.Wrap(err, "decode claim row")
+	}
+	cf := dispatch.ClaimConflict{ID: id, Holder: task.IncarnationOf(claimed.GetHolder())}
+	copy(cf.Digest[:], claimed.GetDigest())
+	return cf, nil
+}
--- /dev/null
+++ b/node/upstreams.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	"sapphirepoint.example/sapphirepoint/upstream"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// pingAfter is the silence after which a connection is probed, and
+	// pingTimeout the time it has to answer.
+	pingAfter     = time.Second
+	pingTimeout   = time.Second
+	settleTimeout = 2 * time.Second
+	stopTimeout   = 2 * time.Second
+	// maxOutputBytes is the largest output of one task.
+	maxOutputBytes = 4 << 20
+)
+
+// upstreamClient sends tasks to upstreams over HTTP.
+//
+// Each upstream has one HTTP/2 connection. A middlebox may forget the
+// connection while new ones work; then nothing arrives on it and nothing
+// fails. The pings on the connection itself notice within two seconds, and
+// the starts on it are settled over another connection.
+type upstreamClient struct {
+	node *Node
+
+	mu    sync.Mutex
+	conns map[string]*upstreamConn
+}
+
+type upstreamConn struct {
+	address string
+	client  *http.Client
+}
+
+func newUpstreamClient(n *Node) *upstreamClient {
+	return &upstreamClient{node: n, conns: make(map[string]*upstreamConn)}
+}
+
+func newTransport() *http.Transport {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:   &p,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+}
+
+func (u *upstreamClient) setMembers(m task.Members) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	listed := make(map[string]bool, len(m.Upstreams))
+	for _, up := range m.Upstreams {
+		listed[up.Name] = true
+		if c := u.conns[up.Name]; c != nil && c.address == up.Address {
+			continue
+		}
+		u.conns[up.Name] = &upstreamConn{up.Address, &http.Client{Transport: newTransport()}}
+	}
+	for name, c := range u.conns {
+		if !listed[name] {
+			c.client.CloseIdleConnections()
+			delete(u.conns, name)
+		}
+	}
+}
+
+func (u *upstreamClient) conn(name string) *upstreamConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conns[name]
+}
+
+// start sends a task once.
+func (u *upstreamClient) start(ctx context.Context, cmd dispatch.StartTask) {
+	go func() {
+		u.node.post(dispatch.StartResult{Start: cmd.Start, Result: u.send(ctx, cmd)})
+	}()
+}
+
+func (u *upstreamClient) send(ctx context.Context, cmd dispatch.StartTask) task.Result {
+	c := u.conn(cmd.Upstream)
+	if c == nil {
+		return task.Result{Verdict: task.NotStarted, Detail: "the upstream isn't listed"}
+	}
+	left := cmd.Deadline - u.node.now()
+	if left <= 0 {
+		return task.Result{Verdict: task.NotStarted, Detail: "the deadline passed before the task was sent"}
+	}
+	query := url.Values{}
+	query.Set(upstream.ParamTask, cmd.Name)
+	query.Set(upstream.ParamService, cmd.Service)
+	query.Set(upstream.ParamTimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
+	ctx, cancel := context.WithTimeout(ctx, left+stopTimeout)
+	defer cancel()
+	req, err := newRequest(ctx, c.address, upstream.PathStart, query, cmd.Payload)
+	if err != nil {
+		return task.Result{Verdict: task.NotStarted, Detail: err.Error()}
+	}
+	return do(c.client, req)
+}
+
+func newRequest(ctx context.Context, address, path string, query url.Values, body []byte) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport can't send the body a second time: a task
+	// that it sent twice by itself would be a second start nobody counted.
+	req.GetBody = nil
+	return req, nil
+}
+
+// do sends a request and reads the verdict.
+func do(client *http.Client, req *http.Request) task.Result {
+	res, err := client.Do(req)
+	if err != nil {
+		return errorResult(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxOutputBytes+1))
+	if err != nil {
+		return task.Result{Verdict: task.Lost, Detail: err.Error()}
+	}
+	if len(body) > maxOutputBytes {
+		return task.Result{Verdict: task.Failed, Detail: "the output is too large"}
+	}
+	return verdict(res, body)
+}
+
+// errorResult says what a failed request proves. Only a connection that was
+// never made proves that nothing was sent.
+func errorResult(err error) task.Result {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return task.Result{Verdict: task.NotStarted, Detail: err.Error()}
+	}
+	return task.Result{Verdict: task.Lost, Detail: err.Error()}
+}
+
+func verdict(res *http.Response, body []byte) task.Result {
+	r := task.Result{UpstreamRun: res.Header.Get(upstream.HeaderRun)}
+	switch res.Header.Get(upstream.HeaderVerdict) {
+	case upstream.VerdictFinished:
+		r.Verdict = task.Finished
+		r.Output = body
+	case upstream.VerdictFailed:
+		r.Verdict = task.Failed
+		r.Detail = string(body)
+	case upstream.VerdictNotStarted:
+		r.Verdict = task.NotStarted
+		r.Refused = true
+		r.Detail = string(body)
+	case upstream.VerdictRunning:
+		r.Verdict = task.Running
+	default:
+		r.Verdict = task.Lost
+		r.Detail = "an answer without a verdict: " + res.Status
+	}
+	return r
+}
+
+// settle asks on a new connection what became of a start.
+func (u *upstreamClient) settle(ctx context.Context, cmd dispatch.Settle) {
+	go func() {
+		r := u.ask(ctx, cmd.Upstream, cmd.Name, upstream.PathSettle, settleTimeout)
+		if r.Verdict == task.NotStarted && !r.Refused {
+			// The question couldn't be sent, which proves nothing of the task.
+			r.Verdict = task.Lost
+		}
+		if r.Verdict == task.NotStarted && (cmd.UpstreamRun == "" || r.UpstreamRun != cmd.UpstreamRun) {
+			r.Verdict = task.Unknown
+			r.Detail = "another run of the upstream answered"
+		}
+		u.node.post(dispatch.StartResult{Start: cmd.Start, Result: r})
+	}()
+}
+
+// stop tells an upstream that a result isn't wanted.
+func (u *upstreamClient) stop(ctx context.Context, cmd dispatch.StopTask) {
+	go u.ask(ctx, cmd.Upstream, cmd.Name, upstream.PathStop, stopTimeout)
+}
+
+func (u *upstreamClient) ask(ctx context.Context, name, taskName, path string, timeout time.Duration) task.Result {
+	c := u.conn(name)
+	if c == nil {
+		return task.Result{Verdict: task.Unknown, Detail: "the upstream isn't listed"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := newRequest(ctx, c.address, path, url.Values{upstream.ParamTask: {taskName}}, nil)
+	if err != nil {
+		return task.Result{Verdict: task.Lost, Detail: err.Error()}
+	}
+	transport := newTransport()
+	defer transport.CloseIdleConnections()
+	return do(&http.Client{Transport: transport}, req)
+}
--- /dev/null
+++ b/standin/faults/listener.go
@@ -0,0 +1,94 @@
+// Package faults makes connections that fail in the ways that stand-ins need.
+package faults
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener wraps a listener so that its open connections can go silent while
+// new ones work, as when something between the two ends loses track of them.
+type Listener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewListener wraps a listener.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, conns: make(map[*conn]struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	w := &conn{Conn: c, listener: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	l.conns[w] = struct{}{}
+	l.mu.Unlock()
+	return w, nil
+}
+
+// Silence makes all open connections silent for good and returns their number.
+func (l *Listener) Silence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silence()
+	}
+	return len(l.conns)
+}
+
+type conn struct {
+	net.Conn
+	listener *Listener
+	mu       sync.Mutex
+	silent   bool
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *conn) silence() {
+	c.mu.Lock()
+	c.silent = true
+	c.mu.Unlock()
+}
+
+func (c *conn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+// Read implements net.Conn; what a silent connection receives is lost.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !c.isSilent() {
+		return n, err
+	}
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+// Write implements net.Conn; what is written to a silent connection is lost.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.isSilent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.listener.mu.Lock()
+		delete(c.listener.conns, c)
+		c.listener.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,289 @@
+// Package platform is a small stand-in for the platform: a transactional
+// table service, an object store and a lagging list of VMs, each of which can
+// be made to fail.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/gen/platformv1"
+	"sapphirepoint.example/sapphirepoint/gen/platformv1/platformv1connect"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// Costs of the table service: about 330 transactions and 2,000 reads a second.
+const (
+	DefaultWriteCost = 3 * time.Millisecond
+	DefaultReadCost  = 500 * time.Microsecond
+	DefaultListLag   = 500 * time.Millisecond
+)
+
+// Faults are the failures switched on at present.
+type Faults struct {
+	// Outage refuses every call.
+	Outage bool `json:"outage"`
+	// Hang accepts calls and answers none.
+	Hang bool `json:"hang"`
+	// Delay is added to every call, in milliseconds.
+	DelayMs int `json:"delay_ms"`
+	// LoseReplies is the number of coming commits that take effect and whose
+	// reply is lost.
+	LoseReplies int `json:"lose_replies"`
+}
+
+// Counts is the number of calls served.
+type Counts struct {
+	Reads   int `json:"reads"`
+	Commits int `json:"commits"`
+	Rows    int `json:"rows"`
+}
+
+type listEntry struct {
+	at      time.Time
+	members []*platformv1.Member
+}
+
+// Platform is the stand-in.
+type Platform struct {
+	writeCost time.Duration
+	readCost  time.Duration
+	lag       time.Duration
+
+	writing sync.Mutex
+	reading sync.Mutex
+
+	mu      sync.Mutex
+	faults  Faults
+	rows    map[string]*platformv1.Row
+	objects map[string][]byte
+	lists   []listEntry
+	counts  Counts
+}
+
+// New returns a platform with the default costs.
+func New() *Platform {
+	return &Platform{
+		writeCost: DefaultWriteCost,
+		readCost:  DefaultReadCost,
+		lag:       DefaultListLag,
+		rows:      make(map[string]*platformv1.Row),
+		objects:   make(map[string][]byte),
+	}
+}
+
+// Serve answers on a listener until it is closed.
+func (p *Platform) Serve(l net.Listener) error {
+	var proto http.Protocols
+	proto.SetHTTP1(true)
+	proto.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: p.Handler(), Protocols: &proto, ReadHeaderTimeout: 5 * time.Second}
+	return s.Serve(l)
+}
+
+// Handler serves the calls and the controls.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(platformv1connect.NewTableServiceHandler(tableService{p}))
+	mux.Handle(platformv1connect.NewObjectServiceHandler(objectService{p}))
+	mux.Handle(platformv1connect.NewMembershipServiceHandler(membershipService{p}))
+	mux.HandleFunc("POST /control/faults", p.controlFaults)
+	mux.HandleFunc("POST /control/members", p.controlMembers)
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(p.Counts()) })
+	return mux
+}
+
+func (p *Platform) controlFaults(w http.ResponseWriter, q *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+}
+
+func (p *Platform) controlMembers(w http.ResponseWriter, q *http.Request) {
+	var list []*platformv1.Member
+	if err := json.NewDecoder(q.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetMembers(list)
+}
+
+// SetFaults replaces the failures switched on.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// SetMembers changes the list; readers see it after the lag.
+func (p *Platform) SetMembers(list []*platformv1.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lists = append(p.lists, listEntry{time.Now(), list})
+}
+
+// Counts returns the number of calls served.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.counts
+	c.Rows = len(p.rows)
+	return c
+}
+
+// fault applies outage, hanging and slowness to a call.
+func (p *Platform) fault(ctx context.Context) error {
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	if f.Outage {
+		return connect.NewError(connect.CodeUnavailable, errors.New("outage"))
+	}
+	if f.Hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(time.Duration(f.DelayMs) * time.Millisecond):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func cost(m *sync.Mutex, d time.Duration) {
+	m.Lock()
+	defer m.Unlock()
+	time.Sleep(d)
+}
+
+type tableService struct{ p *Platform }
+
+// Read implements TableService.
+func (t tableService) Read(ctx context.Context, req *connect.Request[platformv1.ReadRequest]) (*connect.Response[platformv1.ReadResponse], error) {
+	if err := t.p.fault(ctx); err != nil {
+		return nil, err
+	}
+	cost(&t.p.reading, t.p.readCost)
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	t.p.counts.Reads++
+	res := &platformv1.ReadResponse{}
+	for _, key := range req.Msg.GetKeys() {
+		if row := t.p.rows[key]; row != nil {
+			res.Rows = append(res.Rows, proto.Clone(row).(*platformv1.Row))
+		}
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Commit implements TableService.
+func (t tableService) Commit(ctx context.Context, req *connect.Request[platformv1.CommitRequest]) (*connect.Response[platformv1.CommitResponse], error) {
+	if err := t.p.fault(ctx); err != nil {
+		return nil, err
+	}
+	cost(&t.p.writing, t.p.writeCost)
+	res, lost := t.p.commit(req.Msg.GetWrites())
+	if lost {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the reply is lost"))
+	}
+	return connect.NewResponse(res), nil
+}
+
+func (p *Platform) commit(writes []*platformv1.Write) (*platformv1.CommitResponse, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Commits++
+	lost := p.faults.LoseReplies > 0
+	if lost {
+		p.faults.LoseReplies--
+	}
+	res := &platformv1.CommitResponse{}
+	for _, w := range writes {
+		row := p.rows[w.GetKey()]
+		if row.GetVersion() != w.GetExpectedVersion() {
+			present := &platformv1.Row{Key: w.GetKey()}
+			if row != nil {
+				present = proto.Clone(row).(*platformv1.Row)
+			}
+			res.Conflicts = append(res.Conflicts, present)
+		}
+	}
+	if len(res.Conflicts) > 0 {
+		return res, lost
+	}
+	for _, w := range writes {
+		p.rows[w.GetKey()] = &platformv1.Row{Key: w.GetKey(), Value: w.GetValue(), Version: w.GetExpectedVersion() + 1}
+	}
+	res.Committed = true
+	return res, lost
+}
+
+type objectService struct{ p *Platform }
+
+// Put implements ObjectService.
+func (o objectService) Put(ctx context.Context, req *connect.Request[platformv1.PutRequest]) (*connect.Response[platformv1.PutResponse], error) {
+	if err := o.p.fault(ctx); err != nil {
+		return nil, err
+	}
+	cost(&o.p.writing, o.p.writeCost)
+	o.p.mu.Lock()
+	defer o.p.mu.Unlock()
+	o.p.objects[req.Msg.GetName()] = req.Msg.GetData()
+	return connect.NewResponse(&platformv1.PutResponse{}), nil
+}
+
+// Get implements ObjectService.
+func (o objectService) Get(ctx context.Context, req *connect.Request[platformv1.GetRequest]) (*connect.Response[platformv1.GetResponse], error) {
+	if err := o.p.fault(ctx); err != nil {
+		return nil, err
+	}
+	cost(&o.p.reading, o.p.readCost)
+	o.p.mu.Lock()
+	defer o.p.mu.Unlock()
+	data, found := o.p.objects[req.Msg.GetName()]
+	return connect.NewResponse(&platformv1.GetResponse{Found: found, Data: data}), nil
+}
+
+type membershipService struct{ p *Platform }
+
+// List implements MembershipService: the list as it was before the lag.
+func (m membershipService) List(ctx context.Context, _ *connect.Request[platformv1.ListRequest]) (*connect.Response[platformv1.ListResponse], error) {
+	if err := m.p.fault(ctx); err != nil {
+		return nil, err
+	}
+	m.p.mu.Lock()
+	defer m.p.mu.Unlock()
+	res := &platformv1.ListResponse{}
+	for i, l := range m.p.lists {
+		if i > 0 && time.Since(l.at) < m.p.lag {
+			break
+		}
+		res.Version = uint64(i + 1)
+		res.Members = l.members
+	}
+	return connect.NewResponse(res), nil
+}
+
+// PutSettings writes a first settings row, as an operator's apply would.
+func (p *Platform) PutSettings(s *pb.Settings) error {
+	first := proto.Clone(s).(*pb.Settings)
+	first.Version = 1
+	value, err := proto.Marshal(first)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	p.commit([]*platformv1.Write{{Key: "settings", Value: value}})
+	return nil
+}
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,242 @@
+// Package runner is a small stand-in for an upstream: it runs tasks in slots,
+// keeps a ledger of what it started, and fails on request.
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"sapphirepoint.example/sapphirepoint/standin/faults"
+	"sapphirepoint.example/sapphirepoint/upstream"
+)
+
+const (
+	// DefaultSlots and DefaultConnections are the sizes of today's runners.
+	DefaultSlots       = 8
+	DefaultConnections = 64
+	defaultRun         = 20 * time.Millisecond
+	settleWait         = 500 * time.Millisecond
+)
+
+// Mode is the way in which a runner behaves.
+type Mode string
+
+// The modes of a runner.
+const (
+	Normal  Mode = "normal"
+	Hang    Mode = "hang"
+	FailAll Mode = "fail"
+	Refuse  Mode = "refuse"
+)
+
+// Payload tells the runner what to do; any other payload is echoed.
+type Payload struct {
+	RunMs  int    `json:"run_ms"`
+	Output string `json:"output"`
+	Fail   string `json:"fail"`
+}
+
+type record struct {
+	started  bool
+	starts   int
+	done     chan struct{}
+	stop     context.CancelFunc
+	verdict  string
+	body     []byte
+	finished bool
+}
+
+// Runner is one upstream.
+type Runner struct {
+	run      string
+	slots    int
+	listener *faults.Listener
+
+	mu      sync.Mutex
+	mode    Mode
+	busy    int
+	refused int
+	tasks   map[string]*record
+}
+
+// New returns a runner with the given slots.
+func New(slots int) *Runner {
+	return &Runner{
+		run:   strconv.FormatUint(rand.Uint64(), 16),
+		slots: slots,
+		mode:  Normal,
+		tasks: make(map[string]*record),
+	}
+}
+
+// Serve answers on a listener until it is closed.
+func (r *Runner) Serve(l net.Listener) error {
+	r.listener = faults.NewListener(netutil.LimitListener(l, DefaultConnections))
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: r.Handler(), Protocols: &p, ReadHeaderTimeout: 5 * time.Second}
+	return s.Serve(r.listener)
+}
+
+// Handler serves the upstream calls and the controls.
+func (r *Runner) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+upstream.PathStart, r.start)
+	mux.HandleFunc("POST "+upstream.PathSettle, func(w http.ResponseWriter, q *http.Request) { r.settle(w, q, false) })
+	mux.HandleFunc("POST "+upstream.PathStop, func(w http.ResponseWriter, q *http.Request) { r.settle(w, q, true) })
+	mux.HandleFunc("POST /control/mode", func(w http.ResponseWriter, q *http.Request) { r.SetMode(Mode(q.FormValue("mode"))) })
+	mux.HandleFunc("POST /control/silence", func(w http.ResponseWriter, _ *http.Request) { r.Silence() })
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(r.Ledger()) })
+	return mux
+}
+
+// SetMode changes the behaviour from now on.
+func (r *Runner) SetMode(m Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mode = m
+}
+
+// Silence makes all open connections silent for good.
+func (r *Runner) Silence() int {
+	return r.listener.Silence()
+}
+
+// Ledger is what a runner did.
+type Ledger struct {
+	// Starts counts for each task name how often it was started.
+	Starts  map[string]int `json:"starts"`
+	Refused int            `json:"refused"`
+}
+
+// Ledger returns what the runner did.
+func (r *Runner) Ledger() Ledger {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := Ledger{Starts: make(map[string]int), Refused: r.refused}
+	for name, t := range r.tasks {
+		if t.starts > 0 {
+			l.Starts[name] = t.starts
+		}
+	}
+	return l
+}
+
+func (r *Runner) answer(w http.ResponseWriter, verdict string, body []byte) {
+	w.Header().Set(upstream.HeaderRun, r.run)
+	w.Header().Set(upstream.HeaderVerdict, verdict)
+	_, _ = w.Write(body)
+}
+
+func (r *Runner) start(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		r.answer(w, upstream.VerdictNotStarted, []byte("the request is cut off"))
+		return
+	}
+	name := q.URL.Query().Get(upstream.ParamTask)
+	t, ctx, mode, refusal := r.begin(name)
+	if refusal != "" {
+		r.answer(w, upstream.VerdictNotStarted, []byte(refusal))
+		return
+	}
+	verdict, out := execute(ctx, mode, body)
+	r.finish(t, verdict, out)
+	r.answer(w, verdict, out)
+}
+
+// begin takes a slot for a task, or says why it isn't started.
+func (r *Runner) begin(name string) (*record, context.Context, Mode, string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tasks[name]
+	if t != nil && !t.started {
+		r.refused++
+		return nil, nil, "", "settled before it began"
+	}
+	if r.mode == Refuse || r.busy >= r.slots {
+		r.refused++
+		return nil, nil, "", "no slot"
+	}
+	if t == nil {
+		t = &record{}
+		r.tasks[name] = t
+	}
+	// A second start is counted, not refused: the ledger is there to show it.
+	ctx, stop := context.WithCancel(context.Background())
+	t.started = true
+	t.starts++
+	t.done = make(chan struct{})
+	t.stop = stop
+	r.busy++
+	return t, ctx, r.mode, ""
+}
+
+func (r *Runner) finish(t *record, verdict string, out []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy--
+	t.finished = true
+	t.verdict = verdict
+	t.body = out
+	t.stop()
+	close(t.done)
+}
+
+func execute(ctx context.Context, mode Mode, body []byte) (string, []byte) {
+	var p Payload
+	if json.Unmarshal(body, &p) != nil {
+		p = Payload{RunMs: int(defaultRun.Milliseconds()), Output: string(body)}
+	}
+	switch mode {
+	case FailAll:
+		return upstream.VerdictFailed, []byte("this runner fails everything")
+	case Hang:
+		<-ctx.Done()
+		return upstream.VerdictFailed, []byte("stopped")
+	}
+	select {
+	case <-time.After(time.Duration(p.RunMs) * time.Millisecond):
+	case <-ctx.Done():
+		return upstream.VerdictFailed, []byte("stopped")
+	}
+	if p.Fail != "" {
+		return upstream.VerdictFailed, []byte(p.Fail)
+	}
+	return upstream.VerdictFinished, []byte(p.Output)
+}
+
+func (r *Runner) settle(w http.ResponseWriter, q *http.Request, stop bool) {
+	name := q.URL.Query().Get(upstream.ParamTask)
+	r.mu.Lock()
+	t := r.tasks[name]
+	if t == nil {
+		t = &record{}
+		r.tasks[name] = t
+	}
+	started, done := t.started, t.done
+	if started && stop {
+		t.stop()
+	}
+	r.mu.Unlock()
+	if !started {
+		r.answer(w, upstream.VerdictNotStarted, []byte("never begun"))
+		return
+	}
+	select {
+	case <-done:
+		r.answer(w, t.verdict, t.body)
+	case <-time.After(settleWait):
+		r.answer(w, upstream.VerdictRunning, nil)
+	}
+}
