--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -12,14 +13,19 @@
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"sapphirepoint.example/sapphirepoint/client"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1"
+	"sapphirepoint.example/sapphirepoint/gen/platformv1/platformv1connect"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/gen/sapphirepointv1/sapphirepointv1connect"
 	"sapphirepoint.example/sapphirepoint/keys"
 	"sapphirepoint.example/sapphirepoint/standin"
+	"sapphirepoint.example/sapphirepoint/standin/platform"
 	"sapphirepoint.example/sapphirepoint/standin/runner"
 )
 
@@ -86,7 +92,7 @@
 }
 
 func (e *entry) ready() bool {
-	res, err := http.Get("http://" + e.callers + "/readyz")
+	res, err := controls.Get("http://" + e.callers + "/readyz")
 	if err != nil {
 		return false
 	}
@@ -99,7 +105,7 @@
 	req, err := http.NewRequest(http.MethodGet, "http://"+e.operators+"/dump", nil)
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+operatorToken)
-	res, err := http.DefaultClient.Do(req)
+	res, err := controls.Do(req)
 	if err != nil {
 		return nil
 	}
@@ -109,6 +115,16 @@
 	return state
 }
 
+// quota is that of the first team in the settings in force.
+func (e *entry) quota() uint32 {
+	rpc := sapphirepointv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+e.operators)
+	req := connect.NewRequest(&pb.GetSettingsRequest{})
+	req.Header().Set("Authorization", "Bearer "+operatorToken)
+	res, err := rpc.GetSettings(context.Background(), req)
+	Expect(err).NotTo(HaveOccurred())
+	return res.Msg.GetSettings().GetInstitutions()[0].GetTeams()[0].GetQuotaSlots()
+}
+
 func (e *entry) peerCount() int {
 	list, _ := e.dump()["peers"].([]any)
 	return len(list)
@@ -148,10 +164,10 @@
 	}
 	launch("standin", args...)
 	Eventually(d.publishMembers, patience, poll).Should(Succeed())
+	d.writeSettings(standin.Settings())
 	for _, e := range d.entries {
 		e.start()
 	}
-	d.applySettings()
 	for _, e := range d.entries {
 		Eventually(e.ready, patience, poll).Should(BeTrue(), e.name)
 		Eventually(e.peerCount, patience, poll).Should(Equal(len(d.entries)-1), e.name)
@@ -192,24 +208,60 @@
 	return post("http://"+d.platform+"/control/members", d.members)
 }
 
-// applySettings applies the first settings through the first entry that takes
-// them.
-func (d *deployment) applySettings() {
-	Eventually(func() error {
-		return apply(d.entries[0], 0, standin.Settings())
-	}, patience, poll).Should(Succeed())
+// leave announces that a runner's VM leaves.
+func (d *deployment) leave(i int) {
+	for _, m := range d.members {
+		if m.GetAddress() == d.runners[i] {
+			m.Leaving = true
+		}
+	}
+	Expect(d.publishMembers()).To(Succeed())
+}
+
+// writeSettings writes the first settings row, so that entries find it at
+// their start.
+func (d *deployment) writeSettings(s *pb.Settings) {
+	s.Version = 1
+	value, err := proto.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	table := platformv1connect.NewTableServiceClient(http.DefaultClient, "http://"+d.platform)
+	row := &platformv1.Write{Key: "settings", Value: value}
+	_, err = table.Commit(context.Background(), connect.NewRequest(&platformv1.CommitRequest{Writes: []*platformv1.Write{row}}))
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// faults replaces the failures switched on at the platform.
+func (d *deployment) faults(f platform.Faults) {
+	Expect(post("http://"+d.platform+"/control/faults", f)).To(Succeed())
+}
+
+// commits is the number of transactions that the platform has served.
+func (d *deployment) commits() int {
+	var c platform.Counts
+	fetch("http://"+d.platform+"/counts", &c)
+	return c.Commits
+}
+
+// control switches a runner's behaviour.
+func (d *deployment) control(i int, command string) {
+	res, err := controls.Post("http://"+d.runners[i]+"/control/"+command, "", nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Body.Close()).To(Succeed())
+	Expect(res.StatusCode).To(Equal(http.StatusOK))
+}
+
+// ledger is what one runner started.
+func (d *deployment) ledger(i int) runner.Ledger {
+	var l runner.Ledger
+	fetch("http://"+d.runners[i]+"/ledger", &l)
+	return l
 }
 
 // ledgers adds up what all runners started, by task name.
 func (d *deployment) ledgers() map[string]int {
 	total := map[string]int{}
-	for _, address := range d.runners {
-		res, err := http.Get("http://" + address + "/ledger")
-		Expect(err).NotTo(HaveOccurred())
-		var l runner.Ledger
-		Expect(json.NewDecoder(res.Body).Decode(&l)).To(Succeed())
-		res.Body.Close()
-		for name, n := range l.Starts {
+	for i := range d.runners {
+		for name, n := range d.ledger(i).Starts {
 			total[name] += n
 		}
 	}
@@ -229,7 +281,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := http.Post(url, "application/json", bytes.NewReader(raw))
+	res, err := controls.Post(url, "application/json", bytes.NewReader(raw))
 	if err != nil {
 		return err
 	}
@@ -240,6 +292,17 @@
 	return nil
 }
 
+// controls reaches a stand-in on a connection of its own: one that is kept
+// could have gone silent.
+var controls = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func fetch(url string, into any) {
+	res, err := controls.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	Expect(json.NewDecoder(res.Body).Decode(into)).To(Succeed())
+}
+
 func freeAddress() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/e2e/holders_test.go
@@ -0,0 +1,140 @@
+package e2e
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/client"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// askTimeout bounds one request through one entry; the entry behind may be
+// paused or gone.
+const askTimeout = 4 * time.Second
+
+// settlement is a job of n tasks that must run at most once, under an own key.
+func settlement(key string, n, runMs int) *pb.Submission {
+	s := labels(n, runMs)
+	s.Service = "settle"
+	s.Id = client.OwnKey(key)
+	return s
+}
+
+// ask submits once and returns the word, or nil if no word came back.
+func (e *entry) ask(s *pb.Submission) *pb.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	a, err := e.client().SubmitOnce(ctx, s)
+	if err != nil {
+		return nil
+	}
+	return a
+}
+
+// askUntilFinal resubmits until the word is final.
+func (e *entry) askUntilFinal(s *pb.Submission) *pb.Answer {
+	var word *pb.Answer
+	Eventually(func() pb.Outcome {
+		word = e.ask(s)
+		return word.GetOutcome()
+	}, patience, poll).Should(BeElementOf(pb.Outcome_OUTCOME_COMPLETE, pb.Outcome_OUTCOME_FAILED, pb.Outcome_OUTCOME_NOT_RUN))
+	return word
+}
+
+// running waits until the runners have started n tasks in all.
+func (d *deployment) running(n int) {
+	Eventually(func() int { return len(d.ledgers()) }, patience, poll).Should(BeNumerically(">=", n))
+}
+
+// expectTruth checks words on a submission whose tasks were started.
+func (d *deployment) expectTruth(words ...*pb.Answer) {
+	for _, w := range words {
+		Expect(w.GetOutcome()).NotTo(Equal(pb.Outcome_OUTCOME_NOT_RUN), w.String())
+		if w.GetOutcome() == pb.Outcome_OUTCOME_FAILED {
+			Expect(w.GetMayHaveRun()).To(BeTrue(), w.String())
+		}
+	}
+	d.expectNoSecondStart()
+}
+
+var _ = Describe("the holder of a claim", func() {
+	var d *deployment
+	BeforeEach(func() { d = deploy([]string{"hinckley", "melton"}, 2, 2) })
+
+	// The process that took a settlement is killed while the settlement runs.
+	// The caller sees its connection break and sends the settlement again
+	// through every other entry and through the dead one's successor. A family
+	// would wait weeks for its money if it ran twice, and "not run" would make
+	// the caller pay it by hand as well.
+	It("is killed between resubmissions", func() {
+		for kind, s := range map[string]*pb.Submission{"own key": settlement("lot-1", 4, 600), "issued id": labels(4, 600)} {
+			before := len(d.ledgers())
+			if s.GetId() == nil {
+				id, err := d.entries[0].client().NewID(context.Background())
+				Expect(err).NotTo(HaveOccurred())
+				s.Id = id
+			}
+			go d.entries[0].ask(s)
+			d.running(before + 4)
+			d.entries[0].signal(syscall.SIGKILL)
+			<-d.entries[0].done
+			words := []*pb.Answer{d.entries[1].ask(s), d.entries[2].ask(s), d.entries[3].ask(s)}
+			d.entries[0].start()
+			Eventually(d.entries[0].ready, patience, poll).Should(BeTrue())
+			words = append(words, d.entries[0].askUntilFinal(s), d.entries[3].askUntilFinal(s))
+			d.expectTruth(words...)
+			Expect(d.ledgers()).To(HaveLen(before+4), kind)
+		}
+	})
+
+	// An entry process is frozen, by its hypervisor say, until every lease and
+	// timeout has passed, and wakes with its timers due at once. Callers that
+	// resubmit meanwhile and afterwards must neither get a second run nor the
+	// word that nothing ran.
+	It("is paused past every timeout and woken, between resubmissions", func() {
+		own, issued := settlement("lot-2", 3, 800), labels(3, 800)
+		id, err := d.entries[0].client().NewID(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		issued.Id = id
+		go d.entries[0].ask(own)
+		go d.entries[0].ask(issued)
+		d.running(6)
+		d.entries[0].signal(syscall.SIGSTOP)
+		Eventually(d.entries[1].peerCount, patience, poll).Should(Equal(2))
+		Eventually(d.entries[3].peerCount, patience, poll).Should(Equal(2))
+		for _, s := range []*pb.Submission{own, issued} {
+			d.expectTruth(d.entries[1].ask(s), d.entries[2].ask(s), d.entries[3].ask(s))
+		}
+		d.entries[0].signal(syscall.SIGCONT)
+		for _, s := range []*pb.Submission{own, issued} {
+			d.expectTruth(d.entries[3].askUntilFinal(s), d.entries[0].askUntilFinal(s))
+		}
+		Expect(d.ledgers()).To(HaveLen(6))
+	})
+
+	// A VM is replaced and its successor gets the same name and address. An id
+	// that the old process issued and never used reaches the new one, which
+	// can't know whether it was used: a start could print a label twice.
+	It("is replaced under the same address and is another incarnation", func() {
+		s := labels(2, 10)
+		id, err := d.entries[0].client().NewID(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		s.Id = id
+		old := d.entries[0].dump()["incarnation"]
+		d.entries[0].signal(syscall.SIGKILL)
+		<-d.entries[0].done
+		d.entries[0].start()
+		Eventually(d.entries[0].ready, patience, poll).Should(BeTrue())
+		Expect(d.entries[0].dump()["incarnation"]).NotTo(Equal(old))
+		for _, e := range d.entries {
+			w := e.askUntilFinal(s)
+			Expect(w.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_FAILED))
+			Expect(w.GetMayHaveRun()).To(BeTrue())
+		}
+		Expect(d.ledgers()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,125 @@
+package e2e
+
+import (
+	"syscall"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/standin"
+	"sapphirepoint.example/sapphirepoint/standin/platform"
+)
+
+// version is the settings version in force at the process.
+func (e *entry) version() uint64 {
+	v, _ := e.dump()["settings_version"].(float64)
+	return uint64(v)
+}
+
+var _ = Describe("the platform", func() {
+	var d *deployment
+	BeforeEach(func() { d = deploy([]string{"hinckley", "melton"}, 1, 2) })
+
+	// The table service takes a claim and goes down before it says so. The
+	// caller's time runs out without a final word; when it sends the same key
+	// again after the outage, the settlement runs, once.
+	It("fails in the middle of a claim", func() {
+		s := settlement("lot-3", 3, 20)
+		s.TimeoutMs = 1500
+		before := d.commits()
+		d.faults(platform.Faults{LoseReplies: 1000, DelayMs: 50})
+		words := make(chan *pb.Answer, 1)
+		go func() { words <- d.entries[0].ask(s) }()
+		Eventually(d.commits, patience, poll).Should(BeNumerically(">", before))
+		d.faults(platform.Faults{Outage: true})
+		var word *pb.Answer
+		Eventually(words, patience).Should(Receive(&word))
+		Expect(word.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_UNKNOWN), word.String())
+		Expect(word.GetRetryAfterMs()).NotTo(BeZero())
+		Expect(d.ledgers()).To(BeEmpty())
+		d.faults(platform.Faults{})
+		for _, e := range d.entries {
+			Expect(e.askUntilFinal(s).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+		}
+		Expect(d.ledgers()).To(HaveLen(3))
+		d.expectNoSecondStart()
+	})
+
+	// A claim is written and its reply is lost. The entry would see its own row
+	// as somebody else's claim and never run the settlement, or run it without
+	// a claim.
+	It("loses the reply to a claim that took effect", func() {
+		d.faults(platform.Faults{LoseReplies: 2})
+		s := settlement("lot-4", 3, 20)
+		Expect(d.entries[0].ask(s).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+		Expect(d.entries[1].askUntilFinal(s).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+		Expect(d.ledgers()).To(HaveLen(3))
+		d.expectNoSecondStart()
+	})
+
+	// Calls to the platform are taken and never answered. Jobs under issued ids
+	// go on as if nothing were wrong.
+	It("hangs, and issued ids go on", func() {
+		d.faults(platform.Faults{Hang: true})
+		for _, e := range d.entries {
+			a, err := e.client().Submit(GinkgoT().Context(), labels(10, 5))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+		}
+	})
+
+	// Two operators change the settings at the same moment through different
+	// entries. If both were told that theirs is in force, one would be wrong.
+	It("takes one of two operators' settings, also when the reply is lost", func() {
+		type attempt struct {
+			quota uint32
+			err   error
+		}
+		d.faults(platform.Faults{LoseReplies: 1, DelayMs: 50})
+		attempts := make(chan attempt, 2)
+		for i, e := range d.entries {
+			changed := standin.Settings()
+			changed.Institutions[0].Teams[0].QuotaSlots = uint32(100 + i)
+			go func() { attempts <- attempt{uint32(100 + i), apply(e, 1, changed)} }()
+		}
+		var won []uint32
+		for range 2 {
+			var a attempt
+			Eventually(attempts, patience).Should(Receive(&a))
+			if a.err == nil {
+				won = append(won, a.quota)
+				continue
+			}
+			Expect(connect.CodeOf(a.err)).To(Equal(connect.CodeAborted), a.err.Error())
+		}
+		Expect(won).To(HaveLen(1))
+		for _, e := range d.entries {
+			Eventually(e.version, patience, poll).Should(BeEquivalentTo(2))
+			Expect(e.quota()).To(Equal(won[0]))
+		}
+	})
+
+	// An entry VM is replaced while the platform is down, so the new process
+	// can read neither settings nor the list. Alone it must not serve, for it
+	// knows no limits; with a peer it takes the peer's.
+	It("is down while a process starts", func() {
+		changed := standin.Settings()
+		changed.Institutions[0].Teams[0].QuotaSlots = 77
+		Expect(apply(d.entries[0], 1, changed)).To(Succeed())
+		Eventually(d.entries[1].version, patience, poll).Should(BeEquivalentTo(2))
+		d.faults(platform.Faults{Outage: true})
+		d.entries[1].signal(syscall.SIGSTOP)
+		d.entries[0].signal(syscall.SIGKILL)
+		<-d.entries[0].done
+		d.entries[0].start()
+		Eventually(d.entries[0].dump, patience, poll).Should(HaveKeyWithValue("settings_version", BeEquivalentTo(0)))
+		Expect(d.entries[0].ready()).To(BeFalse())
+		d.entries[1].signal(syscall.SIGCONT)
+		Eventually(d.entries[0].ready, patience, poll).Should(BeTrue())
+		Expect(d.entries[0].version()).To(BeEquivalentTo(2))
+		Expect(d.entries[0].quota()).To(BeEquivalentTo(77))
+		Expect(d.entries[0].askUntilFinal(d.entries[0].job(5, 5)).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+	})
+})
--- /dev/null
+++ b/e2e/upstreams_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"sync"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// job is a job of labels under an id of the entry's own.
+func (e *entry) job(n, runMs int) *pb.Submission {
+	s := labels(n, runMs)
+	id, err := e.client().NewID(GinkgoT().Context())
+	Expect(err).NotTo(HaveOccurred())
+	s.Id = id
+	return s
+}
+
+// ownedSlots is the number of slots that the process owns.
+func (e *entry) ownedSlots() int {
+	n, _ := e.dump()["owned_slots"].(float64)
+	return int(n)
+}
+
+var _ = Describe("upstreams", func() {
+	// Something between an entry and a runner forgets their connection while
+	// tasks run over it: nothing arrives any more, nothing fails, and new
+	// connections work. The caller would wait until its deadline for results
+	// that are there, or get its labels printed twice.
+	It("has connections go silent while new ones work", func() {
+		d := deploy([]string{"hinckley"}, 1, 2)
+		s := d.entries[0].job(16, 1000)
+		words := make(chan *pb.Answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			words <- d.entries[0].askUntilFinal(s)
+		}()
+		d.running(16)
+		d.control(0, "silence")
+		var word *pb.Answer
+		Eventually(words, patience).Should(Receive(&word))
+		Expect(word.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE), word.String())
+		Expect(d.entries[0].askUntilFinal(d.entries[0].job(16, 5)).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+		d.expectNoSecondStart()
+	})
+
+	// A worker with a broken disk fails each task at once and so always looks
+	// idle. Callers get "failed, may have run", never a part of an answer, and
+	// no task that ran is run again elsewhere.
+	It("has a runner that fails everything", func() {
+		d := deploy([]string{"hinckley"}, 1, 3)
+		d.control(0, "mode?mode=fail")
+		for range 20 {
+			word := d.entries[0].askUntilFinal(d.entries[0].job(4, 5))
+			if word.GetOutcome() == pb.Outcome_OUTCOME_COMPLETE {
+				Expect(word.GetResults()).To(HaveLen(4))
+				continue
+			}
+			Expect(word.GetReason()).To(Equal(pb.Reason_REASON_TASK_FAILED))
+			Expect(word.GetResults()).To(BeEmpty())
+			d.expectTruth(word)
+		}
+		d.control(0, "mode?mode=normal")
+	})
+
+	// The platform announces that a VM leaves. What it runs is finished and
+	// its callers get their whole answer; work sent to it afterwards would be
+	// cut off when the VM goes.
+	It("has a leaving VM, which finishes and gets nothing new", func() {
+		d := deploy([]string{"hinckley"}, 1, 2)
+		s := d.entries[0].job(16, 1500)
+		words := make(chan *pb.Answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			words <- d.entries[0].askUntilFinal(s)
+		}()
+		d.running(16)
+		d.leave(0)
+		Eventually(d.entries[0].ownedSlots, patience, poll).Should(Equal(8))
+		before := len(d.ledger(0).Starts)
+		Expect(before).To(Equal(8))
+		for range 3 {
+			Expect(d.entries[0].askUntilFinal(d.entries[0].job(8, 5)).GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE))
+		}
+		var word *pb.Answer
+		Eventually(words, patience).Should(Receive(&word))
+		Expect(word.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE), word.String())
+		Expect(d.ledger(0).Starts).To(HaveLen(before))
+		d.expectNoSecondStart()
+	})
+
+	// An entry VM is stopped as planned in the rush before service. A caller
+	// whose request is in progress must get its whole answer.
+	It("are given up by an entry that stops under load", func() {
+		d := deploy([]string{"hinckley"}, 2, 2)
+		const callers = 20
+		var all sync.WaitGroup
+		words := make([]*pb.Answer, callers)
+		for i := range callers {
+			s := d.entries[0].job(10, 100)
+			all.Go(func() {
+				ctx := GinkgoT().Context()
+				words[i], _ = d.entries[0].client().SubmitOnce(ctx, s)
+			})
+		}
+		Eventually(func() int {
+			list, _ := d.entries[0].dump()["submissions"].([]any)
+			return len(list)
+		}, patience, poll).Should(Equal(callers))
+		d.entries[0].signal(syscall.SIGTERM)
+		all.Wait()
+		for _, w := range words {
+			Expect(w.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_COMPLETE), w.String())
+			Expect(w.GetResults()).To(HaveLen(10))
+		}
+		Eventually(d.entries[0].done, patience).Should(BeClosed())
+		Expect(d.entries[0].cmd.ProcessState.ExitCode()).To(Equal(0))
+		d.expectNoSecondStart()
+	})
+})
