Order of service in logarithmic time; slots lent between entry processes

Cause: the queue scanned all jobs, the pool took slots in list order, and a process whose own slots were busy waited while peers' stood idle.

Change: the queue keeps a heap of jobs for each team and one of teams for each institution; Next passes over teams that its caller doesn't allow. The pool keeps a heap of upstreams by load for weight (SetWeight, 0 = closed) and closes released slots until a time (ReleaseAt). Idle slots are lent by BorrowRequest and LendGrant; returns ride on any message to the lender.

Ruled out: one heap entry a task; jobs have few tasks and their order within the job is fixed when it is added.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -37,6 +37,10 @@
 	MaxClaimBatch int
 	// StatusInterval is how often peers get a status if nothing else is sent.
 	StatusInterval time.Duration
+	// Lending sets how slots are lent between processes.
+	Lending Lending
+	// Order sets the order of service.
+	Order queue.Order
 }
 
 // DefaultConfig returns a configuration for an incarnation with usual limits.
@@ -50,6 +54,8 @@
 		MaxAnswerBytes: 64 << 20,
 		MaxClaimBatch:  100,
 		StatusInterval: 500 * time.Millisecond,
+		Lending:        DefaultLending,
+		Order:          queue.DefaultOrder,
 	}
 }
 
@@ -85,6 +91,7 @@
 	forwards    map[uint64]*forward
 	lastForward uint64
 	statusSeq   uint64
+	lending     lending
 
 	draining bool
 	drained  bool
@@ -98,7 +105,7 @@
 		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:    settings.NewState(),
 		issuer:      claim.NewIssuer(cfg.IDValidity),
-		queue:       queue.New(),
+		queue:       queue.NewOrdered(cfg.Order),
 		pool:        slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
 		submissions: make(map[task.ID]*submission),
 		jobs:        make(map[queue.JobID]*submission),
@@ -108,6 +115,7 @@
 		peers:       make(map[task.Incarnation]*peer),
 		runs:        make(map[string]uint64),
 		forwards:    make(map[uint64]*forward),
+		lending:     newLending(),
 	}
 	c.every(cfg.StatusInterval, c.sendStatus)
 	c.every(time.Second, c.expire)
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -21,6 +21,8 @@
 	ForeignAnswers uint64 `json:"foreign_answers"`
 	PeerMessages   uint64 `json:"peer_messages"`
 	ClaimWrites    uint64 `json:"claim_writes"`
+	Borrowed       uint64 `json:"borrowed_slots"`
+	Reclaims       uint64 `json:"reclaimed_slots"`
 }
 
 // Stats returns the counters.
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -55,6 +55,7 @@
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
 	delete(c.peers, p)
+	c.lendingPeerDown(p)
 	for _, id := range c.sortedForwards() {
 		f := c.forwards[id]
 		if f.holder != p {
@@ -72,6 +73,7 @@
 	}
 	p.heard = c.now
 	c.peerStatus(from, p, m.GetStatus())
+	c.returned(m.GetReturns())
 	switch b := m.GetBody().(type) {
 	case *pb.PeerMessage_Forward:
 		c.forwarded(from, b.Forward)
@@ -79,6 +81,10 @@
 		c.forwardAnswer(from, b.ForwardAnswer)
 	case *pb.PeerMessage_ForwardCancel:
 		c.forwardedCancel(from, b.ForwardCancel)
+	case *pb.PeerMessage_BorrowRequest:
+		c.lend(from, b.BorrowRequest)
+	case *pb.PeerMessage_LendGrant:
+		c.granted(from, b.LendGrant)
 	case *pb.PeerMessage_SettingsPull:
 		if s := c.settings.Current(); s != nil {
 			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
@@ -93,6 +99,7 @@
 		return
 	}
 	p.status = st
+	c.seeIdle(from, st)
 	if st.GetSettingsVersion() > c.settings.Version() {
 		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
 	}
@@ -105,6 +112,7 @@
 		return
 	}
 	p.sent = c.now
+	c.addReturns(to, m)
 	m.Status = c.status()
 	c.stats.PeerMessages++
 	c.emit(Send{to, m})
@@ -112,11 +120,13 @@
 
 func (c *Core) status() *pb.PeerStatus {
 	c.statusSeq++
-	return &pb.PeerStatus{
+	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
 		SettingsVersion: c.settings.Version(),
 		Stopping:        c.draining,
 	}
+	c.addIdle(st)
+	return st
 }
 
 // sendStatus tells peers that have heard nothing for an interval.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,10 +1,20 @@
 package dispatch
 
 import (
-	"fmt"
+	"strconv"
+	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+const (
+	// refusedHold is how long a slot rests after an upstream in service refused
+	// a start on it: another process is using it.
+	refusedHold = 100 * time.Millisecond
+	// unknownHold is how long a slot rests whose task may still be running.
+	unknownHold = 2 * time.Second
 )
 
 // start is one start of one task.
@@ -19,6 +29,8 @@
 	settles int
 	// run is the upstream's run known when the task was sent.
 	run string
+	// hold is how long the slot rests when the start is settled.
+	hold time.Duration
 }
 
 // upstream is what this process knows of one upstream.
@@ -26,22 +38,40 @@
 	run string
 }
 
-// place starts waiting tasks while there are idle slots.
+// place starts waiting tasks while there are idle slots, and borrows slots for
+// those that would wait too long.
 func (c *Core) place() {
+	c.pool.Open(c.now)
 	for _, inst := range c.settings.Current().GetInstitutions() {
-		for c.pool.Idle(inst.GetName()) > 0 {
-			ref, ok := c.queue.Next(c.now, inst.GetName())
-			if !ok {
-				break
-			}
-			slot, _ := c.pool.Acquire(inst.GetName())
-			c.startTask(ref, slot)
+		c.placeFor(inst)
+	}
+}
+
+func (c *Core) placeFor(inst *pb.Institution) {
+	name := inst.GetName()
+	for c.pool.Idle(name) > 0 {
+		ref, ok := c.queue.Next(c.now, name, nil)
+		if !ok {
+			return
 		}
+		slot, _ := c.pool.Acquire(name)
+		c.startTask(ref, slot)
+	}
+	c.borrow(inst)
+}
+
+// release frees the slot of a settled start, at once or after its rest.
+func (c *Core) release(s *start) {
+	if s.hold == 0 {
+		c.pool.Release(s.slot)
+		return
 	}
+	c.pool.ReleaseAt(s.slot, c.now+s.hold)
+	c.after(s.hold, func() { c.pool.Open(c.now) })
 }
 
 func taskName(id task.ID, index int) string {
-	return fmt.Sprintf("%s/%d", id, index)
+	return id.String() + "/" + strconv.Itoa(index)
 }
 
 func (c *Core) startTask(ref queue.Ref, slot task.Slot) {
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -38,6 +38,7 @@
 	case task.Running, task.Lost:
 		c.settleLater(s)
 	case task.Unknown:
+		s.hold = unknownHold
 		c.settled(s)
 		c.taskFailed(s, pb.Reason_REASON_TASK_UNKNOWN, r.Detail)
 	}
@@ -47,12 +48,13 @@
 func (c *Core) settled(s *start) {
 	delete(c.starts, s.id)
 	delete(s.sub.running, s.id)
-	c.pool.Release(s.slot)
+	c.release(s)
 	c.checkDrained()
 }
 
 func (c *Core) finished(s *start, r task.Result) {
 	c.settled(s)
+	c.observe(s.sub.id.Institution, c.now-s.sent)
 	sub := s.sub
 	if sub.phase != held {
 		c.stats.LateResults++
@@ -78,6 +80,9 @@
 
 // notStarted makes a task startable again, after a back-off.
 func (c *Core) notStarted(s *start, r task.Result) {
+	if r.Refused {
+		s.hold = refusedHold
+	}
 	c.settled(s)
 	c.stats.NotStarted++
 	sub := s.sub
@@ -103,6 +108,7 @@
 	s.settles++
 	c.stats.Settles++
 	if s.settles > maxSettles {
+		s.hold = unknownHold
 		c.settled(s)
 		c.taskFailed(s, pb.Reason_REASON_TASK_UNKNOWN, "the upstream can't be asked")
 		return
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -1,10 +1,27 @@
 // Package queue orders the tasks that wait for a slot.
+//
+// Priority goes first. Within a priority each task has a rank, the time by
+// which it has to start: for the longest task of a job that is the arrival of
+// the job, for a shorter one as much later as it is shorter, because it can
+// wait without holding up the answer. Longer jobs are ranked later by a part of
+// their length, since the same wait is a smaller part of their response. A
+// rank never passes the last moment that leaves time before the deadline.
+//
+// Ranks are fixed when a job is added, so a job is overtaken only by jobs that
+// arrive within a span in proportion to its own length: none starves.
 package queue
 
 import (
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/heap"
 	"sapphirepoint.example/sapphirepoint/core/task"
 )
 
+// DefaultWork is the expected run time of a task of which nothing is known.
+const DefaultWork = 200 * time.Millisecond
+
 // JobID numbers the jobs of one incarnation.
 type JobID uint64
 
@@ -27,59 +44,180 @@
 	Index int
 }
 
+// Order sets how ranks are worked out.
+type Order struct {
+	// LengthPercent is the part of a job's longest task by which its rank is
+	// put back, in percent.
+	LengthPercent int
+	// FirstCome ranks all tasks of a job by its arrival alone.
+	FirstCome bool
+}
+
+// DefaultOrder is the order that measured best; see docs/design-placement.md.
+var DefaultOrder = Order{LengthPercent: 100}
+
+// entry is a job that has waiting tasks, or may have some again.
 type entry struct {
 	job     Job
-	waiting []int
+	longest task.Time
+	// waiting are the indexes of waiting tasks, the longest last.
+	waiting []int32
 	held    bool
+	team    *team
+	// at is the position in the team's heap, -1 if it isn't there.
+	at int
+	// rank is that of the next waiting task.
+	rank task.Time
 }
 
-// Queue holds waiting tasks for each institution.
+// team holds the jobs of one team of an institution.
+type team struct {
+	name string
+	// members counts the team's jobs, those without waiting tasks included.
+	members int
+	jobs    []*entry
+	// at is the position in the institution's heap, -1 if it isn't there.
+	at int
+}
+
+// institution holds the teams of one institution.
+type institution struct {
+	teams map[string]*team
+	heap  []*team
+	tasks int
+	work  task.Time
+}
+
+// Queue holds waiting tasks for each institution. Adding, taking and dropping
+// cost the logarithm of the jobs and teams that wait.
 type Queue struct {
-	jobs  map[JobID]*entry
-	lists map[string][]JobID
-	tasks map[string]int
+	order        Order
+	jobs         map[JobID]*entry
+	institutions map[string]*institution
 }
 
-// New returns an empty queue.
+// New returns an empty queue with the default order.
 func New() *Queue {
+	return NewOrdered(DefaultOrder)
+}
+
+// NewOrdered returns an empty queue with an order.
+func NewOrdered(o Order) *Queue {
 	return &Queue{
-		jobs:  make(map[JobID]*entry),
-		lists: make(map[string][]JobID),
-		tasks: make(map[string]int),
+		order:        o,
+		jobs:         make(map[JobID]*entry),
+		institutions: make(map[string]*institution),
 	}
 }
 
 // Add queues all tasks of a job.
 func (q *Queue) Add(j Job) {
-	e := &entry{job: j, waiting: make([]int, len(j.Work))}
-	for i := range e.waiting {
-		e.waiting[i] = i
+	e := &entry{job: j, waiting: make([]int32, len(j.Work)), at: heap.Absent}
+	for i, w := range j.Work {
+		e.waiting[i] = int32(len(j.Work) - 1 - i)
+		e.longest = max(e.longest, w)
 	}
+	if !q.order.FirstCome {
+		slices.SortStableFunc(e.waiting, e.byWork)
+	}
+	inst := q.institution(j.Institution)
+	e.team = inst.team(j.Team)
+	e.team.members++
 	q.jobs[j.ID] = e
-	q.lists[j.Institution] = append(q.lists[j.Institution], j.ID)
-	q.tasks[j.Institution] += len(j.Work)
+	inst.tasks += len(j.Work)
+	for _, w := range j.Work {
+		inst.work += w
+	}
+	q.file(inst, e)
+}
+
+func (q *Queue) institution(name string) *institution {
+	inst := q.institutions[name]
+	if inst == nil {
+		inst = &institution{teams: make(map[string]*team)}
+		q.institutions[name] = inst
+	}
+	return inst
+}
+
+func (inst *institution) team(name string) *team {
+	t := inst.teams[name]
+	if t == nil {
+		t = &team{name: name, at: heap.Absent}
+		inst.teams[name] = t
+	}
+	return t
+}
+
+func (e *entry) byWork(a, b int32) int {
+	wa, wb := e.job.Work[a], e.job.Work[b]
+	switch {
+	case wa < wb:
+		return -1
+	case wa > wb:
+		return 1
+	}
+	return int(b) - int(a)
+}
+
+// next is the waiting task to be served first.
+func (e *entry) next() int {
+	return int(e.waiting[len(e.waiting)-1])
+}
+
+// due is the latest start of a task that doesn't hold up its job's answer.
+func (e *entry) due(index int) task.Time {
+	return e.job.Arrived + e.longest - e.job.Work[index]
+}
+
+func (q *Queue) rankOf(e *entry) task.Time {
+	if q.order.FirstCome {
+		return e.job.Arrived
+	}
+	r := e.due(e.next()) + e.longest*time.Duration(q.order.LengthPercent)/100
+	return min(r, e.job.Deadline-e.longest)
+}
+
+// file puts a job where it belongs after a change.
+func (q *Queue) file(inst *institution, e *entry) {
+	t := e.team
+	if e.held || len(e.waiting) == 0 {
+		t.jobs = heap.Drop(t.jobs, e)
+	} else {
+		e.rank = q.rankOf(e)
+		t.jobs = heap.Put(t.jobs, e)
+	}
+	inst.place(t)
 }
 
 // Hold keeps a job's tasks from being served until it is released.
 func (q *Queue) Hold(id JobID, held bool) {
-	if e := q.jobs[id]; e != nil {
-		e.held = held
+	e := q.jobs[id]
+	if e == nil || e.held == held {
+		return
 	}
+	e.held = held
+	q.file(q.institutions[e.job.Institution], e)
 }
 
-// Next takes the task to be served next for an institution.
-func (q *Queue) Next(now task.Time, institution string) (Ref, bool) {
-	for _, id := range q.lists[institution] {
-		e := q.jobs[id]
-		if e.held || len(e.waiting) == 0 {
-			continue
-		}
-		index := e.waiting[0]
-		e.waiting = e.waiting[1:]
-		q.tasks[institution]--
-		return Ref{id, index}, true
+// Next takes the task to be served next for an institution, from the teams
+// that allow accepts; nil accepts all.
+func (q *Queue) Next(_ task.Time, institution string, allow func(team string) bool) (Ref, bool) {
+	inst := q.institutions[institution]
+	if inst == nil {
+		return Ref{}, false
 	}
-	return Ref{}, false
+	t := inst.firstFrom(0, allow)
+	if t == nil {
+		return Ref{}, false
+	}
+	e := t.jobs[0]
+	index := e.next()
+	e.waiting = e.waiting[:len(e.waiting)-1]
+	inst.tasks--
+	inst.work -= e.job.Work[index]
+	q.file(inst, e)
+	return Ref{e.job.ID, index}, true
 }
 
 // Requeue puts back a task that never ran.
@@ -88,8 +226,15 @@
 	if e == nil {
 		return
 	}
-	e.waiting = append([]int{r.Index}, e.waiting...)
-	q.tasks[e.job.Institution]++
+	i, _ := slices.BinarySearchFunc(e.waiting, int32(r.Index), e.byWork)
+	if q.order.FirstCome {
+		i = len(e.waiting)
+	}
+	e.waiting = slices.Insert(e.waiting, i, int32(r.Index))
+	inst := q.institutions[e.job.Institution]
+	inst.tasks++
+	inst.work += e.job.Work[r.Index]
+	q.file(inst, e)
 }
 
 // Remove drops a job with all its waiting tasks.
@@ -98,21 +243,36 @@
 	if e == nil {
 		return
 	}
-	name := e.job.Institution
-	q.tasks[name] -= len(e.waiting)
+	inst := q.institutions[e.job.Institution]
+	inst.tasks -= len(e.waiting)
+	for _, i := range e.waiting {
+		inst.work -= e.job.Work[i]
+	}
+	e.waiting = nil
+	q.file(inst, e)
 	delete(q.jobs, id)
-	list := q.lists[name]
-	for i, other := range list {
-		if other == id {
-			q.lists[name] = append(list[:i:i], list[i+1:]...)
-			break
-		}
+	e.team.members--
+	if e.team.members == 0 {
+		delete(inst.teams, e.team.name)
 	}
 }
 
 // Tasks is the number of waiting tasks of an institution.
 func (q *Queue) Tasks(institution string) int {
-	return q.tasks[institution]
+	inst := q.institutions[institution]
+	if inst == nil {
+		return 0
+	}
+	return inst.tasks
+}
+
+// Work is the expected run time of all waiting tasks of an institution.
+func (q *Queue) Work(institution string) task.Time {
+	inst := q.institutions[institution]
+	if inst == nil {
+		return 0
+	}
+	return inst.work
 }
 
 // Jobs is the number of jobs held.
--- /dev/null
+++ b/core/slots/loans.go
@@ -0,0 +1,192 @@
+package slots
+
+import (
+	"math"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/heap"
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+// All asks for everything.
+const All = math.MaxInt
+
+// Return is slots that go back to their lender.
+type Return struct {
+	Loan  uint64
+	Slots []task.Slot
+}
+
+// debts are the slots borrowed from one peer, and those to be given back.
+type debts struct {
+	slots   []*record
+	returns []Return
+}
+
+func (p *Pool) debts(lender task.Incarnation) *debts {
+	d := p.borrowed[lender]
+	if d == nil {
+		d = &debts{}
+		p.borrowed[lender] = d
+	}
+	return d
+}
+
+func (d *debts) remove(r *record) {
+	last := len(d.slots) - 1
+	d.slots[r.debt] = d.slots[last]
+	d.slots[r.debt].debt = r.debt
+	d.slots = d.slots[:last]
+}
+
+func (d *debts) giveBack(loan uint64, s task.Slot) {
+	for i := range d.returns {
+		if d.returns[i].Loan == loan {
+			d.returns[i].Slots = append(d.returns[i].Slots, s)
+			return
+		}
+	}
+	d.returns = append(d.returns, Return{loan, []task.Slot{s}})
+}
+
+// Lend gives a peer the use of up to n idle own slots under a loan.
+func (p *Pool) Lend(institution string, n int, to task.Incarnation, loan uint64) []task.Slot {
+	l := p.ledgers[institution]
+	if l == nil {
+		return nil
+	}
+	n = min(n, l.usableOwn)
+	var list []task.Slot
+	for range n {
+		g := l.groups[0]
+		r := g.pop()
+		g.total--
+		l.held--
+		r.use, r.peer, r.loan = lent, to, loan
+		g.refile()
+		list = append(list, r.name())
+	}
+	return list
+}
+
+// TakeBack ends the loan of a slot, at its return or when the lender reclaims
+// it. It reports false if the slot isn't lent under that loan: returned twice,
+// reclaimed before, or not owned any more.
+func (p *Pool) TakeBack(s task.Slot, loan uint64) bool {
+	r := p.find(s)
+	if r == nil || r.use != lent || r.loan != loan {
+		return false
+	}
+	r.use = idle
+	r.enter(own)
+	return true
+}
+
+// Borrow takes over slots from a lender. Those that can't be used here go
+// straight back.
+func (p *Pool) Borrow(lender task.Incarnation, loan uint64, list []task.Slot) {
+	d := p.debts(lender)
+	for _, s := range list {
+		r := p.find(s)
+		if r == nil || !r.upstream.listed || r.right != none || r.use != idle {
+			d.giveBack(loan, s)
+			continue
+		}
+		r.peer, r.loan, r.stale = lender, loan, false
+		r.debt = len(d.slots)
+		d.slots = append(d.slots, r)
+		r.enter(loaned)
+	}
+}
+
+// settle gives a borrowed slot back.
+func (p *Pool) settle(r *record) {
+	d := p.debts(r.peer)
+	p.forget(r)
+	d.giveBack(r.loan, r.name())
+}
+
+// forget ends the use of a borrowed slot without a word to the lender.
+func (p *Pool) forget(r *record) {
+	p.debts(r.peer).remove(r)
+	r.leave()
+	r.stale = false
+	if r.use == closed {
+		p.closed = heap.Drop(p.closed, r)
+		r.use = idle
+	}
+}
+
+// GiveBackIdle ends the use of up to n idle slots borrowed from a lender.
+func (p *Pool) GiveBackIdle(lender task.Incarnation, n int) {
+	d := p.borrowed[lender]
+	if d == nil {
+		return
+	}
+	for _, r := range slices.Clone(d.slots) {
+		if n == 0 {
+			return
+		}
+		if r.use == idle {
+			p.settle(r)
+			n--
+		}
+	}
+}
+
+// EndLoan ends the use of a loan's slots: idle ones are given back now, busy
+// ones when their tasks end.
+func (p *Pool) EndLoan(lender task.Incarnation, loan uint64) {
+	d := p.borrowed[lender]
+	if d == nil {
+		return
+	}
+	for _, r := range slices.Clone(d.slots) {
+		if r.loan == loan {
+			p.recall(r)
+		}
+	}
+}
+
+// recall gives a slot back as soon as it is idle. On a closed slot a task may
+// still run: given back early, the lender would start another beside it, which
+// shows as a refusal, so it stays here until it opens.
+func (p *Pool) recall(r *record) {
+	if r.use == idle {
+		p.settle(r)
+		return
+	}
+	r.stale = true
+}
+
+// LenderGone ends the use of all slots borrowed from a peer that can't be
+// reached. Tasks that run on them are left alone.
+func (p *Pool) LenderGone(lender task.Incarnation) {
+	d := p.borrowed[lender]
+	if d == nil {
+		return
+	}
+	for _, r := range slices.Clone(d.slots) {
+		p.forget(r)
+	}
+	delete(p.borrowed, lender)
+}
+
+// Returns takes the slots that go back to a lender now.
+func (p *Pool) Returns(lender task.Incarnation) []Return {
+	d := p.borrowed[lender]
+	if d == nil {
+		return nil
+	}
+	list := d.returns
+	d.returns = nil
+	return list
+}
+
+// Borrowed is the number of slots held from a lender.
+func (p *Pool) Borrowed(lender task.Incarnation) int {
+	if d := p.borrowed[lender]; d != nil {
+		return len(d.slots)
+	}
+	return 0
+}
--- /dev/null
+++ b/core/slots/property_test.go
@@ -0,0 +1,285 @@
+package slots
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+// given is a loan on its way or in use.
+type given struct {
+	from, to string
+	loan     uint64
+	slots    []task.Slot
+}
+
+// letter is a message between two nodes: a grant or returns.
+type letter struct {
+	given
+	returns []Return
+}
+
+// world is three nodes, what runs on their slots, and the messages between
+// them. It keeps by itself which loans each owner has given.
+type world struct {
+	t       *rapid.T
+	pools   map[string]*Pool
+	running map[string][]task.Slot
+	loans   []given
+	mail    []letter
+	now     task.Time
+	last    uint64
+	list    task.Members
+}
+
+var nodeNames = []string{"a", "b", "c"}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, pools: make(map[string]*Pool), running: make(map[string][]task.Slot), list: members()}
+	for _, n := range nodeNames {
+		w.restart(n)
+	}
+	return w
+}
+
+func (w *world) restart(node string) {
+	domain := "melton"
+	if node == "c" {
+		domain = "hinckley"
+	}
+	w.pools[node] = NewPool(node, domain)
+	w.pools[node].SetMembers(w.list)
+	w.running[node] = nil
+	w.loans = slices.DeleteFunc(w.loans, func(l given) bool { return l.from == node })
+	w.mail = slices.DeleteFunc(w.mail, func(l letter) bool { return l.from == node || l.to == node })
+	for _, p := range w.pools {
+		p.LenderGone(run(node))
+	}
+}
+
+func (w *world) node() string { return rapid.SampledFrom(nodeNames).Draw(w.t, "node") }
+
+// pick draws the position of an element.
+func (w *world) pick(n int) int {
+	if n == 0 {
+		w.t.Skip("nothing to pick")
+	}
+	return rapid.IntRange(0, n-1).Draw(w.t, "index")
+}
+
+func (w *world) acquire(*rapid.T) {
+	n := w.node()
+	s, ok := w.pools[n].Acquire(hollowell)
+	if !ok {
+		w.t.Skip("no idle slot")
+	}
+	if slices.Contains(w.running[n], s) {
+		w.t.Fatalf("%s started on %v twice", n, s)
+	}
+	for _, l := range w.loans {
+		if l.from == n && slices.Contains(l.slots, s) {
+			w.t.Fatalf("%s started on %v, which it has lent", n, s)
+		}
+	}
+	w.running[n] = append(w.running[n], s)
+}
+
+func (w *world) release(*rapid.T) {
+	n := w.node()
+	i := w.pick(len(w.running[n]))
+	s := w.running[n][i]
+	w.running[n] = slices.Delete(w.running[n], i, i+1)
+	until := task.Time(0)
+	if rapid.Bool().Draw(w.t, "later") {
+		until = w.now + task.Time(rapid.IntRange(1, 5).Draw(w.t, "rest"))
+	}
+	w.pools[n].ReleaseAt(s, until)
+}
+
+func (w *world) lend(*rapid.T) {
+	from, to := w.node(), w.node()
+	if from == to {
+		w.t.Skip("no loan to oneself")
+	}
+	w.last++
+	l := given{from, to, w.last, w.pools[from].Lend(hollowell, rapid.IntRange(1, 4).Draw(w.t, "count"), run(to), w.last)}
+	for _, s := range l.slots {
+		w.mustBeFree(from, s)
+	}
+	w.loans = append(w.loans, l)
+	w.mail = append(w.mail, letter{given: l})
+}
+
+func (w *world) mustBeFree(owner string, s task.Slot) {
+	for _, l := range w.loans {
+		if l.from == owner && slices.Contains(l.slots, s) {
+			w.t.Fatalf("%s lent %v twice", owner, s)
+		}
+	}
+	if slices.Contains(w.running[owner], s) {
+		w.t.Fatalf("%s lent %v, on which it runs a task", owner, s)
+	}
+}
+
+func (w *world) sendReturns(*rapid.T) {
+	from, to := w.node(), w.node()
+	w.pools[from].GiveBackIdle(run(to), rapid.IntRange(0, 3).Draw(w.t, "count"))
+	if list := w.pools[from].Returns(run(to)); len(list) > 0 {
+		w.mail = append(w.mail, letter{given{from: from, to: to}, list})
+	}
+}
+
+func (w *world) deliver(*rapid.T) {
+	w.deliverAt(w.pick(len(w.mail)))
+}
+
+func (w *world) deliverAt(i int) {
+	m := w.mail[i]
+	w.mail = slices.Delete(w.mail, i, i+1)
+	if m.returns == nil {
+		w.pools[m.to].Borrow(run(m.from), m.loan, m.slots)
+		return
+	}
+	for _, r := range m.returns {
+		for _, s := range r.Slots {
+			w.takeBack(m.to, r.Loan, s)
+		}
+	}
+}
+
+func (w *world) takeBack(owner string, loan uint64, s task.Slot) {
+	w.pools[owner].TakeBack(s, loan)
+	for i, l := range w.loans {
+		if l.from == owner && l.loan == loan {
+			w.loans[i].slots = slices.DeleteFunc(slices.Clone(l.slots), func(o task.Slot) bool { return o == s })
+		}
+	}
+}
+
+// expire ends a loan on the lender's clock, whatever the borrower does.
+func (w *world) expire(*rapid.T) {
+	l := w.loans[w.pick(len(w.loans))]
+	for _, s := range slices.Clone(l.slots) {
+		w.takeBack(l.from, l.loan, s)
+	}
+}
+
+func (w *world) endLoan(*rapid.T) {
+	l := w.loans[w.pick(len(w.loans))]
+	w.pools[l.to].EndLoan(run(l.from), l.loan)
+}
+
+func (w *world) cut(*rapid.T) {
+	w.pools[w.node()].LenderGone(run(w.node()))
+}
+
+func (w *world) die(*rapid.T) { w.restart(w.node()) }
+
+func (w *world) weight(*rapid.T) {
+	u := w.list.Upstreams[w.pick(len(w.list.Upstreams))].Name
+	w.pools[w.node()].SetWeight(u, rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(w.t, "weight"))
+}
+
+// change brings one node a new list; the others lag.
+func (w *world) change(*rapid.T) {
+	m := members()
+	m.Upstreams[w.pick(len(m.Upstreams))].Leaving = rapid.Bool().Draw(w.t, "leaving")
+	m.Nodes[w.pick(len(m.Nodes))].Leaving = rapid.Bool().Draw(w.t, "stopping")
+	w.setMembers(w.node(), m)
+}
+
+func (w *world) setMembers(n string, m task.Members) {
+	w.pools[n].SetMembers(m)
+	for i, l := range w.loans {
+		if l.from != n {
+			continue
+		}
+		w.loans[i].slots = slices.DeleteFunc(slices.Clone(l.slots), func(s task.Slot) bool {
+			r := w.pools[n].find(s)
+			return r == nil || r.use != lent
+		})
+	}
+}
+
+func (w *world) time(*rapid.T) {
+	w.now++
+	for _, n := range nodeNames {
+		w.pools[n].Open(w.now)
+	}
+}
+
+// check compares each account with a count of its records.
+func (w *world) check(*rapid.T) {
+	for _, n := range nodeNames {
+		p := w.pools[n]
+		owned, usable, held := 0, 0, 0
+		for _, name := range slices.Sorted(maps.Keys(p.upstreams)) {
+			u := p.upstreams[name]
+			for _, r := range u.slots {
+				if r.right == own {
+					owned++
+				}
+				if r.right == loaned || r.right == own && r.use != lent {
+					held++
+				}
+			}
+			usable += u.own.usable + u.loaned.usable
+		}
+		if owned != p.owned || usable != p.Idle(hollowell) || held != p.Held(hollowell) {
+			w.t.Fatalf("%s: owned %d, usable %d, held %d; accounts say %d, %d, %d", n, owned, usable, held, p.owned, p.Idle(hollowell), p.Held(hollowell))
+		}
+	}
+}
+
+// settle lets all tasks and loans end, after which each owner must have all
+// its slots again.
+func (w *world) settle() {
+	for _, n := range nodeNames {
+		w.setMembers(n, members())
+		for _, s := range w.running[n] {
+			w.pools[n].Release(s)
+		}
+		for _, u := range w.list.Upstreams {
+			w.pools[n].SetWeight(u.Name, 1)
+		}
+	}
+	w.now += 100
+	w.time(w.t)
+	for len(w.mail) > 0 {
+		w.deliverAt(0)
+	}
+	for _, l := range w.loans {
+		w.pools[l.to].EndLoan(run(l.from), l.loan)
+		for _, s := range slices.Clone(l.slots) {
+			w.takeBack(l.from, l.loan, s)
+		}
+	}
+	total := 0
+	for _, n := range nodeNames {
+		total += w.pools[n].IdleOwn(hollowell)
+		if w.pools[n].IdleOwn(hollowell) != w.pools[n].Owned() {
+			w.t.Fatalf("%s lost slots: %d of %d idle", n, w.pools[n].IdleOwn(hollowell), w.pools[n].Owned())
+		}
+	}
+	if total != 16 {
+		w.t.Fatalf("%d of 16 slots are left", total)
+	}
+}
+
+// Over any order of starts, loans, returns, deaths, cuts, expiries and lagging
+// lists, no owner gives a slot to two at a time and none is lost.
+func TestSlotsAreNeitherLostNorGivenTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": w.acquire, "release": w.release, "lend": w.lend, "returns": w.sendReturns,
+			"deliver": w.deliver, "expire": w.expire, "end loan": w.endLoan, "cut": w.cut, "die": w.die,
+			"weight": w.weight, "change": w.change, "time": w.time, "": w.check,
+		})
+		w.settle()
+	})
+}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -1,11 +1,9 @@
 // Package slots divides the execution slots of a failure domain's upstreams
-// among its entry processes and keeps account of those that one process owns.
+// among its entry processes, and keeps account of those that one process may
+// use: its own, less those lent to peers, and those borrowed from peers.
 package slots
 
 import (
-	"slices"
-	"strings"
-
 	"github.com/cespare/xxhash/v2"
 
 	"sapphirepoint.example/sapphirepoint/core/task"
@@ -29,135 +27,135 @@
 	return best
 }
 
-type slotState struct {
-	institution string
-	busy        bool
-	owned       bool
-}
-
-// Pool is the account of the slots that this process may use.
+// Pool is the account of the slots that this process may use. Taking and
+// releasing one costs the logarithm of the upstreams and allocates nothing.
 type Pool struct {
-	self   string
-	domain string
-	slots  map[task.Slot]*slotState
-	idle   map[string][]task.Slot
+	self      string
+	domain    string
+	upstreams map[string]*upstream
+	ledgers   map[string]*ledger
+	// nodes are those among which the slots were last divided.
+	nodes []string
+	owned int
+	// closed are slots that open again at a time, the earliest first.
+	closed []*record
+	// borrowed are the slots borrowed from each peer.
+	borrowed map[task.Incarnation]*debts
 }
 
 // NewPool returns an empty pool for a node in a failure domain.
 func NewPool(self, domain string) *Pool {
 	return &Pool{
-		self:   self,
-		domain: domain,
-		slots:  make(map[task.Slot]*slotState),
-		idle:   make(map[string][]task.Slot),
+		self:      self,
+		domain:    domain,
+		upstreams: make(map[string]*upstream),
+		ledgers:   make(map[string]*ledger),
+		borrowed:  make(map[task.Incarnation]*debts),
 	}
 }
 
-// SetMembers divides the slots anew. A busy slot that another node owns from
-// now on is given up when its task ends; until then the upstream's own limit
-// refuses a second use.
-func (p *Pool) SetMembers(m task.Members) {
-	nodes := p.domainNodes(m)
-	owned := make(map[task.Slot]string)
-	for _, u := range m.Upstreams {
-		if u.Leaving || u.FailureDomain != p.domain {
-			continue
-		}
-		for i := uint32(0); i < u.Slots; i++ {
-			s := task.Slot{Upstream: u.Name, Index: i}
-			if Owner(s, nodes) == p.self {
-				owned[s] = u.Institution
-			}
-		}
+// Acquire takes an idle slot of an institution's upstreams: an own one before
+// a borrowed one, and of those one of the upstream with the least load for its
+// weight.
+func (p *Pool) Acquire(institution string) (task.Slot, bool) {
+	l := p.ledgers[institution]
+	if l == nil || len(l.groups) == 0 {
+		return task.Slot{}, false
 	}
-	p.apply(owned)
+	g := l.groups[0]
+	r := g.pop()
+	r.use = busy
+	g.busy++
+	g.refile()
+	return r.name(), true
 }
 
-func (p *Pool) domainNodes(m task.Members) []string {
-	nodes := []string{p.self}
-	for _, n := range m.Nodes {
-		if n.FailureDomain == p.domain && n.Name != p.self && !n.Leaving {
-			nodes = append(nodes, n.Name)
-		}
-	}
-	slices.Sort(nodes)
-	return nodes
+// Release gives a slot back after its task ended.
+func (p *Pool) Release(s task.Slot) {
+	p.ReleaseAt(s, 0)
 }
 
-func (p *Pool) apply(owned map[task.Slot]string) {
-	for s, st := range p.slots {
-		_, still := owned[s]
-		st.owned = still
-		if !still && !st.busy {
-			delete(p.slots, s)
-		}
+// ReleaseAt gives a slot back that must not be used before a time: after a
+// refusal, or when a task may still run on it. Open makes it usable again.
+func (p *Pool) ReleaseAt(s task.Slot, until task.Time) {
+	r := p.find(s)
+	if r == nil || r.use != busy {
+		return
 	}
-	for s, institution := range owned {
-		if p.slots[s] == nil {
-			p.slots[s] = &slotState{institution: institution}
-		}
-		p.slots[s].owned = true
+	r.use = idle
+	g := r.group()
+	if g == nil {
+		return
 	}
-	p.rebuildIdle()
-}
-
-func (p *Pool) rebuildIdle() {
-	clear(p.idle)
-	for s, st := range p.slots {
-		if !st.busy {
-			p.idle[st.institution] = append(p.idle[st.institution], s)
-		}
+	g.busy--
+	if until > 0 {
+		p.closeSlot(r, until)
+		g.refile()
+		return
 	}
-	for _, list := range p.idle {
-		slices.SortFunc(list, compareSlots)
+	g.push(r)
+	g.refile()
+	if r.stale {
+		p.settle(r)
 	}
 }
 
-func compareSlots(a, b task.Slot) int {
-	if a.Index != b.Index {
-		return int(b.Index) - int(a.Index)
+// SetWeight says how much of its load an upstream should get, from 0 (closed:
+// nothing is started on it) to 1. In between it is preferred less, and at most
+// that part of the slots held is used at once, but one at least.
+func (p *Pool) SetWeight(name string, weight float64) {
+	u := p.upstreams[name]
+	if u == nil || u.weight == weight {
+		return
 	}
-	return strings.Compare(a.Upstream, b.Upstream)
+	u.weight = weight
+	u.own.refile()
+	u.loaned.refile()
 }
 
-// Acquire takes an idle slot of an institution's upstreams.
-func (p *Pool) Acquire(institution string) (task.Slot, bool) {
-	list := p.idle[institution]
-	if len(list) == 0 {
-		return task.Slot{}, false
+// Idle is the number of slots of an institution that may be taken now.
+func (p *Pool) Idle(institution string) int {
+	if l := p.ledgers[institution]; l != nil {
+		return l.usableOwn + l.usableLoaned
 	}
-	s := list[len(list)-1]
-	p.idle[institution] = list[:len(list)-1]
-	p.slots[s].busy = true
-	return s, true
+	return 0
 }
 
-// Release gives a slot back.
-func (p *Pool) Release(s task.Slot) {
-	st := p.slots[s]
-	if st == nil || !st.busy {
-		return
-	}
-	st.busy = false
-	if !st.owned {
-		delete(p.slots, s)
-		return
+// IdleOwn is the number of own slots among them.
+func (p *Pool) IdleOwn(institution string) int {
+	if l := p.ledgers[institution]; l != nil {
+		return l.usableOwn
 	}
-	p.idle[st.institution] = append(p.idle[st.institution], s)
+	return 0
 }
 
-// Idle is the number of idle slots of an institution.
-func (p *Pool) Idle(institution string) int {
-	return len(p.idle[institution])
+// Held is the number of slots of an institution that this process has the use
+// of: its own that aren't lent, and borrowed ones.
+func (p *Pool) Held(institution string) int {
+	if l := p.ledgers[institution]; l != nil {
+		return l.held
+	}
+	return 0
 }
 
-// Owned is the number of slots owned over all institutions.
+// Owned is the number of slots owned over all institutions, lent ones included.
 func (p *Pool) Owned() int {
-	n := 0
-	for _, st := range p.slots {
-		if st.owned {
-			n++
-		}
+	return p.owned
+}
+
+func (p *Pool) find(s task.Slot) *record {
+	u := p.upstreams[s.Upstream]
+	if u == nil || int(s.Index) >= len(u.slots) {
+		return nil
+	}
+	return u.slots[s.Index]
+}
+
+func (p *Pool) ledger(institution string) *ledger {
+	l := p.ledgers[institution]
+	if l == nil {
+		l = &ledger{}
+		p.ledgers[institution] = l
 	}
-	return n
+	return l
 }
