Measure slopes of core and idle control traffic

Cause: the capacity page must be worked out from measured slopes, and there was nothing to measure them with.

Change: bench/slopes runs the real core and small idle deployments at several sizes and fits lines (weighted by relative error); PeerTraffic reads QUIC's own counters; deployments in one process can poll at the daemon's interval.

Ruled out: unweighted fits (small sizes off by up to 700%); watching links in their first second (QUIC's packet size search adds up to 1.2 KB/s a peer).

--- /dev/null
+++ b/bench/slopes/control.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sapphirepoint.example/sapphirepoint/standin"
+)
+
+const (
+	// controlSpan is how long each idle deployment is watched.
+	controlSpan = 8 * time.Second
+	// controlSettle lets the handshakes and QUIC's search for the path's
+	// packet size end first.
+	controlSettle = 5 * time.Second
+	udpIPHeader   = 28
+)
+
+// control is the cost of one idle node among others.
+type control struct {
+	nodes int
+	// core is the share of a processor core, bytes the UDP and IP bytes sent
+	// and received a second.
+	core, bytes float64
+}
+
+// measureControl watches an idle deployment of the given size in this process:
+// two failure domains, two runners each. The platform's stand-in is included.
+func measureControl(nodes int) (control, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cluster, err := standin.Start(ctx, standin.Layout{
+		FailureDomains: []string{"loughborough", "melton"}, NodesPerDomain: nodes / 2, RunnersPerDomain: 2, PollInterval: time.Second, Log: zerolog.Nop(),
+	})
+	if err != nil {
+		return control{}, errors.Wrapf(err, "start %d nodes", nodes)
+	}
+	defer cluster.Close()
+	time.Sleep(controlSettle)
+	processor, bytes := processorTime(), traffic(cluster)
+	time.Sleep(controlSpan)
+	seconds := controlSpan.Seconds() * float64(nodes)
+	return control{
+		nodes: nodes,
+		core:  (processorTime() - processor).Seconds() / seconds,
+		bytes: (traffic(cluster) - bytes) / seconds,
+	}, nil
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// traffic is the bytes of all nodes, sent and received, with headers.
+func traffic(c *standin.Cluster) float64 {
+	total := 0.0
+	for _, e := range c.Entries {
+		t := e.PeerTraffic()
+		total += float64(t.BytesSent + t.BytesReceived + udpIPHeader*(t.PacketsSent+t.PacketsReceived))
+	}
+	return total
+}
+
+// controlSlopes measures idle deployments of growing size.
+func controlSlopes() ([]series, error) {
+	core := series{what: "idle node among peers, real sockets", per: "peer", unit: "% of a core"}
+	bytes := series{what: "idle peer links, UDP and IP bytes both ways", per: "peer", unit: "B/s"}
+	for _, nodes := range []int{2, 4, 8, 16, 24} {
+		c, err := measureControl(nodes)
+		if err != nil {
+			return nil, err
+		}
+		peers := float64(nodes - 1)
+		core.points = append(core.points, point{peers, 100 * c.core})
+		bytes.points = append(bytes.points, point{peers, c.bytes})
+	}
+	return []series{core, bytes}, nil
+}
+
+func printControl() error {
+	list, err := controlSlopes()
+	if err != nil {
+		return err
+	}
+	for _, s := range list {
+		s.print()
+	}
+	fmt.Println()
+	return nil
+}
--- /dev/null
+++ b/bench/slopes/main.go
@@ -0,0 +1,99 @@
+// Command slopes measures how the cost of an entry process grows with what it
+// handles, and prints the fitted lines as a Markdown table. The lines carry
+// docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// point is one measurement: a size and its cost.
+type point struct {
+	x, y float64
+}
+
+// series is a measurement over several sizes.
+type series struct {
+	what, per, unit string
+	points          []point
+}
+
+// line is a fitted straight line with its error.
+type line struct {
+	intercept, slope, r2 float64
+	// worst is the largest deviation from the line over the measured value.
+	worst float64
+}
+
+func (s series) fit() line {
+	xs := make([]float64, len(s.points))
+	ys := make([]float64, len(s.points))
+	for i, p := range s.points {
+		xs[i], ys[i] = p.x, p.y
+	}
+	l := line{}
+	// Weighting by the inverse square makes the relative errors comparable, so
+	// that the small sizes count as much as the large ones.
+	weights := make([]float64, len(ys))
+	for i, y := range ys {
+		weights[i] = 1 / (y * y)
+	}
+	l.intercept, l.slope = stat.LinearRegression(xs, ys, weights, false)
+	l.r2 = stat.RSquared(xs, ys, weights, l.intercept, l.slope)
+	for _, p := range s.points {
+		off := math.Abs(l.intercept+l.slope*p.x-p.y) / p.y
+		l.worst = math.Max(l.worst, off)
+	}
+	return l
+}
+
+func (s series) print() {
+	l := s.fit()
+	var points string
+	for _, p := range s.points {
+		points += fmt.Sprintf("%g: %.4g; ", p.x, p.y)
+	}
+	fmt.Printf("| %s | %s | %.4g %s | %.4g %s | %.4f | %.0f%% | %s |\n",
+		s.what, s.per, l.slope, s.unit, l.intercept, s.unit, l.r2, 100*l.worst, points)
+}
+
+// best is the least of several runs: noise on a shared machine only adds.
+func best(runs int, f func() time.Duration) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for range runs {
+		runtime.GC()
+		least = min(least, f())
+	}
+	return least
+}
+
+// heap is the live heap in bytes.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func main() {
+	fmt.Printf("%s, GOMAXPROCS %d\n\n", runtime.Version(), runtime.GOMAXPROCS(0))
+	fmt.Println("| cost | for each | slope | intercept | R² | worst deviation | points |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, measure := range []func() series{
+		taskTime, keptAnswers, membersTime, membersMemory, membersBytes, placementTime,
+		peersTime, peersBytes, teamsTime, teamsBytes, institutionsTime, claimBytes,
+	} {
+		measure().print()
+	}
+	if err := printControl(); err != nil {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/node/traffic.go
@@ -0,0 +1,25 @@
+package node
+
+// PeerTraffic is what this process exchanged on its present peer connections,
+// as UDP payload.
+type PeerTraffic struct {
+	BytesSent       uint64
+	BytesReceived   uint64
+	PacketsSent     uint64
+	PacketsReceived uint64
+}
+
+// PeerTraffic adds up the present peer connections.
+func (n *Node) PeerTraffic() PeerTraffic {
+	n.mesh.mu.Lock()
+	defer n.mesh.mu.Unlock()
+	var t PeerTraffic
+	for _, l := range n.mesh.links {
+		s := l.conn.ConnectionStats()
+		t.BytesSent += s.BytesSent
+		t.BytesReceived += s.BytesReceived
+		t.PacketsSent += s.PacketsSent
+		t.PacketsReceived += s.PacketsReceived
+	}
+	return t
+}
--- a/standin/cluster.go
+++ b/standin/cluster.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -28,6 +29,8 @@
 	loopback      = "127.0.0.1:0"
 	readyTimeout  = 20 * time.Second
 	readyPoll     = 20 * time.Millisecond
+	// fastPoll lets a deployment in one process come up quickly.
+	fastPoll = 100 * time.Millisecond
 )
 
 // Layout is the shape of a deployment.
@@ -36,7 +39,9 @@
 	// NodesPerDomain and RunnersPerDomain are counts.
 	NodesPerDomain   int
 	RunnersPerDomain int
-	Log              zerolog.Logger
+	// PollInterval is how often nodes read the platform; 0 means 100 ms.
+	PollInterval time.Duration
+	Log          zerolog.Logger
 }
 
 // Entry is a running entry node.
@@ -163,7 +168,7 @@
 	n, err := node.New(node.Config{
 		Name: name, FailureDomain: domain, CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: peerAddress,
 		PlatformURL: c.platformURL, OperatorToken: OperatorToken, PeerTLS: tlsConfig,
-		PollInterval: 100 * time.Millisecond, Log: c.layout.Log,
+		PollInterval: cmp.Or(c.layout.PollInterval, fastPoll), Log: c.layout.Log,
 	})
 	if err != nil {
 		return nil, err
