Upstream health from the outcomes of tasks

An upstream that fails everything looks idle and fast, so it was given the next task as soon as it had spoilt the last one; nothing kept account of outcomes.

core/health closes an upstream by a likelihood ratio of its recent outcomes against those of the others: two failures in a row are enough while the others hardly fail, none are if they fail as often. Before three others have done well since it began to fail it is only suspect and paused, because a new release of the service fails on all of them in the same moment. Two closed upstreams of a worker or rack close the rest of it. At most half of a failure domain is closed for failures. The way back is one slot after a wait that doubles from 2 s to 5 min, then an eighth, a quarter, a half, all. Unreachable ones wait from 50 ms to 2 s. Slow ones get a share by their run times.

Not wired into dispatch yet: that needs slot weights.

--- /dev/null
+++ b/core/health/health.go
@@ -0,0 +1,392 @@
+// Package health decides how much work each upstream attracts, from what its
+// own tasks came to. No probe messages are sent: the tasks are the probes.
+//
+// An upstream that fails everything looks idle and fast. It is closed after a
+// couple of failures that the other upstreams don't share, alone or with its
+// whole worker or rack, and comes back through a single slot after a wait that
+// doubles. One that can't be reached or refuses is closed for a short wait.
+// One that is slow gets fewer slots. How many may be closed for failures at
+// once is limited.
+package health
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+// Outcome is what a task start says of the upstream.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Succeeded: the task ran to its end.
+	Succeeded Outcome = iota
+	// TaskFailed: it ran and failed, or nobody can tell what became of it.
+	TaskFailed
+	// Refused: the upstream answered that it won't run it.
+	Refused
+	// Unreachable: no connection, or it fell silent.
+	Unreachable
+)
+
+// Config is the limits; times as durations.
+type Config struct {
+	// FirstClosed is how long an upstream stays closed after its first
+	// ejection; each further one in a row doubles it up to MaxClosed.
+	FirstClosed, MaxClosed time.Duration
+	// FirstAway and MaxAway are the same for one that can't be reached.
+	FirstAway, MaxAway time.Duration
+	// MaxEjectedPercent limits the upstreams of an institution in a failure
+	// domain that are closed for failures at once.
+	MaxEjectedPercent int
+}
+
+// DefaultConfig returns the usual limits.
+func DefaultConfig() Config {
+	return Config{
+		FirstClosed:       2 * time.Second,
+		MaxClosed:         5 * time.Minute,
+		FirstAway:         50 * time.Millisecond,
+		MaxAway:           2 * time.Second,
+		MaxEjectedPercent: 50,
+	}
+}
+
+type state uint8
+
+const (
+	open state = iota
+	// away: unreachable, refusing, or suspect of failing everything.
+	away
+	// ejected: closed for failures.
+	ejected
+	// probing: one slot is open until the first outcome.
+	probing
+	// returning: the share doubles with each success.
+	returning
+)
+
+var stateNames = [...]string{"open", "away", "ejected", "probing", "returning"}
+
+func (s state) String() string { return stateNames[s] }
+
+const (
+	// refusals in a row that close an upstream for a while; one refusal alone
+	// is a matter of the slot.
+	refusals = 3
+	// slowFrom is how much longer than expected tasks must run, in the mean,
+	// before an upstream gets less.
+	slowFrom = 1.75
+	// slowGain is the weight of the newest run time in that mean.
+	slowGain = 1.0 / 16
+	// ratioLimit keeps a single run time from deciding.
+	ratioLimit = 8
+	// returnFrom is the first share of one that comes back.
+	returnFrom = 1.0 / 8
+	// calm is after how many times its last wait a closed upstream counts as
+	// cured, so that the next ejection begins with the first wait again.
+	calm = 10
+	// MinWeight is the weight that leaves one slot open.
+	MinWeight = 1e-9
+)
+
+type upstream struct {
+	name        string
+	state       state
+	until       task.Time
+	level       int
+	awayFor     int
+	closedAt    task.Time
+	wait        task.Time
+	refused     int
+	suspect     bool
+	share       float64
+	slowness    float64
+	weight      float64
+	services    []history
+	lastSuccess task.Time
+	pool        *pool
+	at          int
+	ceiling     *pool
+	groups      [2]*group
+	spec        task.Upstream
+}
+
+func (u *upstream) history(service int) *history {
+	if service >= len(u.services) {
+		return nil
+	}
+	return &u.services[service]
+}
+
+// Change is a new weight of an upstream: 0 closes it, else it is the share of
+// its slots that may be used, one slot at least.
+type Change struct {
+	Upstream string
+	Weight   float64
+	// Until is when a closed one is due for a trial; 0 if it isn't closed.
+	Until task.Time
+}
+
+// Stats counts decisions.
+type Stats struct {
+	Ejections      uint64 `json:"ejections"`
+	GroupEjections uint64 `json:"group_ejections"`
+	CeilingHits    uint64 `json:"ceiling_hits"`
+	Away           uint64 `json:"away"`
+	Probes         uint64 `json:"probes"`
+	Returns        uint64 `json:"returns"`
+}
+
+// Tracker is the health of the upstreams as one process sees it.
+type Tracker struct {
+	cfg       Config
+	rng       *rand.Rand
+	upstreams map[string]*upstream
+	services  map[string]int
+	order     []*upstream
+	changes   []Change
+	stats     Stats
+}
+
+// New returns an empty tracker. The random source jitters waits.
+func New(cfg Config, rng *rand.Rand) *Tracker {
+	return &Tracker{
+		cfg:       cfg,
+		rng:       rng,
+		upstreams: make(map[string]*upstream),
+		services:  make(map[string]int),
+	}
+}
+
+// Stats returns the counters.
+func (t *Tracker) Stats() Stats { return t.stats }
+
+// Observe takes the outcome of one task start. Slowness is the task's run time
+// over what was expected of it; 0 if it isn't known.
+func (t *Tracker) Observe(now task.Time, name, service string, o Outcome, slowness float64) {
+	u := t.upstreams[name]
+	if u == nil {
+		return
+	}
+	switch o {
+	case Succeeded:
+		t.succeeded(now, u, t.serviceOf(u, service), slowness)
+	case TaskFailed:
+		t.failed(now, u, t.serviceOf(u, service))
+	case Refused:
+		u.refused++
+		if u.refused >= refusals || u.state != open {
+			t.goAway(now, u)
+		}
+	case Unreachable:
+		t.goAway(now, u)
+	}
+}
+
+func (t *Tracker) serviceOf(u *upstream, name string) *history {
+	i, ok := t.services[name]
+	if !ok {
+		i = len(t.services)
+		t.services[name] = i
+	}
+	for len(u.services) <= i {
+		u.services = append(u.services, history{})
+	}
+	return &u.services[i]
+}
+
+func (t *Tracker) succeeded(now task.Time, u *upstream, h *history, slowness float64) {
+	h.add(now, false)
+	u.refused = 0
+	u.lastSuccess = now
+	if slowness > 0 {
+		x := math.Log(min(max(slowness, 1.0/ratioLimit), ratioLimit))
+		u.slowness += slowGain * (x - u.slowness)
+	}
+	switch u.state {
+	case ejected:
+		// A task sent before the ejection: it says nothing of the present.
+		return
+	case probing:
+		t.comeBack(u)
+		t.wakeGroups(now, u)
+	case returning:
+		u.share = min(2*u.share, 1)
+		if u.share == 1 {
+			u.state = open
+		}
+	case away:
+		u.state = open
+		u.suspect = false
+	}
+	t.reweigh(u)
+}
+
+// comeBack opens an upstream step by step.
+func (t *Tracker) comeBack(u *upstream) {
+	t.stats.Returns++
+	u.ceiling.ejected--
+	u.state = returning
+	u.share = returnFrom
+	clear(u.services)
+}
+
+func (t *Tracker) failed(now task.Time, u *upstream, h *history) {
+	h.add(now, true)
+	u.refused = 0
+	switch u.state {
+	case ejected:
+		return
+	case probing:
+		u.ceiling.ejected--
+		t.eject(now, u)
+		t.postponeGroups(now, u)
+		return
+	}
+	switch t.judge(u, t.limit(u)) {
+	case suspect:
+		u.suspect = true
+		t.goAway(now, u)
+	case broken:
+		t.eject(now, u)
+		t.ejectGroups(now, u)
+	}
+}
+
+// limit is the evidence that closes an upstream.
+func (t *Tracker) limit(u *upstream) float64 {
+	if u.state == returning || t.beside(u) {
+		return enoughBeside
+	}
+	return enough
+}
+
+// eject closes an upstream for failures, within the ceiling; beyond it, it
+// keeps one slot.
+func (t *Tracker) eject(now task.Time, u *upstream) {
+	if (u.ceiling.ejected+1)*100 > t.cfg.MaxEjectedPercent*len(u.ceiling.members) {
+		t.stats.CeilingHits++
+		u.state = returning
+		u.share = MinWeight
+		t.reweigh(u)
+		return
+	}
+	t.stats.Ejections++
+	u.ceiling.ejected++
+	u.level++
+	if u.closedAt > 0 && now-u.closedAt > calm*u.wait {
+		u.level = 1
+	}
+	u.state = ejected
+	u.closedAt = now
+	u.wait = backOff(t.rng, t.cfg.FirstClosed, t.cfg.MaxClosed, u.level-1)
+	u.until = now + u.wait
+	t.reweigh(u)
+}
+
+// goAway closes an upstream that can't be reached or refuses.
+func (t *Tracker) goAway(now task.Time, u *upstream) {
+	if u.state == ejected || u.state == away && now < u.until {
+		return
+	}
+	t.stats.Away++
+	switch u.state {
+	case probing:
+		u.ceiling.ejected--
+		t.eject(now, u)
+		return
+	case away:
+		u.awayFor++
+	default:
+		u.awayFor = 0
+	}
+	u.state = away
+	u.until = now + backOff(t.rng, t.cfg.FirstAway, t.cfg.MaxAway, u.awayFor)
+	u.refused = 0
+	t.reweigh(u)
+}
+
+// Close makes an upstream go away for a while at somebody else's wish, such
+// as a retry budget that is spent.
+func (t *Tracker) Close(now task.Time, name string) {
+	if u := t.upstreams[name]; u != nil {
+		t.goAway(now, u)
+	}
+}
+
+// backOff is a jittered wait that doubles with the level, counted from 0.
+func backOff(rng *rand.Rand, first, limit time.Duration, level int) task.Time {
+	d := limit
+	if level < 20 {
+		d = min(first<<level, limit)
+	}
+	return d - time.Duration(rng.Int64N(int64(d)/4+1))
+}
+
+// Tick opens what is due.
+func (t *Tracker) Tick(now task.Time) {
+	for _, u := range t.order {
+		if now < u.until || u.until == 0 {
+			continue
+		}
+		switch u.state {
+		case ejected:
+			t.stats.Probes++
+			u.state = probing
+			u.until = 0
+			t.reweigh(u)
+		case away:
+			t.endAway(now, u)
+		}
+	}
+}
+
+// endAway lets one task try an upstream that was away, or closes one for good
+// that was suspect if others have done well meanwhile. The state stays away,
+// so that a second failure waits longer.
+func (t *Tracker) endAway(now task.Time, u *upstream) {
+	u.until = 0
+	wasSuspect := u.suspect
+	u.suspect = false
+	if wasSuspect && t.judge(u, t.limit(u)) == broken {
+		t.eject(now, u)
+		t.ejectGroups(now, u)
+		return
+	}
+	t.reweigh(u)
+}
+
+// reweigh records the weight that follows from the state if it has changed.
+func (t *Tracker) reweigh(u *upstream) {
+	w := 1.0
+	until := task.Time(0)
+	switch {
+	case u.state == ejected, u.state == away && u.until > 0:
+		w = 0
+		until = u.until
+	case u.state == probing, u.state == away:
+		w = MinWeight
+	default:
+		w = u.share * speed(u.slowness)
+	}
+	if w == u.weight && until == 0 {
+		return
+	}
+	u.weight = w
+	t.changes = append(t.changes, Change{u.name, w, until})
+}
+
+// speed is the share for an upstream whose tasks run longer than expected, in
+// steps of an eighth so that noise doesn't make the weight flap.
+func speed(slowness float64) float64 {
+	factor := math.Exp(slowness)
+	if factor < slowFrom {
+		return 1
+	}
+	const steps = 8
+	return max(math.Ceil(steps/factor), 1) / steps
+}
--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,275 @@
+package health_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"sapphirepoint.example/sapphirepoint/core/health"
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+const label = "label"
+
+// upstreams lists two racks of eight in one failure domain.
+func upstreams() []task.Upstream {
+	var list []task.Upstream
+	for i := range 16 {
+		list = append(list, task.Upstream{
+			Name:          fmt.Sprintf("u%02d", i),
+			FailureDomain: "loughborough",
+			Institution:   "hollowell",
+			Worker:        fmt.Sprintf("w%02d", i),
+			Rack:          fmt.Sprintf("r%d", i/8),
+			Slots:         8,
+		})
+	}
+	return list
+}
+
+// seasoned returns a tracker all of whose upstreams have been doing well.
+func seasoned() *health.Tracker {
+	t := health.New(health.DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	t.SetMembers(upstreams())
+	for range 10 {
+		for _, u := range upstreams() {
+			t.Observe(0, u.Name, label, health.Succeeded, 1)
+		}
+	}
+	t.TakeChanges()
+	return t
+}
+
+func fail(t *health.Tracker, now task.Time, names ...string) {
+	for _, n := range names {
+		t.Observe(now, n, label, health.TaskFailed, 0)
+	}
+}
+
+func succeed(t *health.Tracker, now task.Time, names ...string) {
+	for _, n := range names {
+		t.Observe(now, n, label, health.Succeeded, 1)
+	}
+}
+
+// breakRack makes two upstreams of the first rack fail while the second rack
+// does well.
+func breakRack(t *health.Tracker) {
+	fail(t, time.Second, "u00")
+	succeed(t, time.Second, "u08", "u09", "u10")
+	fail(t, time.Second, "u00", "u01")
+}
+
+func closed(t *health.Tracker) int {
+	n := 0
+	for _, u := range upstreams() {
+		if t.Weight(u.Name) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// A runner's disk fills up and every label it is given fails within a
+// millisecond. It looks idle and fast, so it would be given work as quickly as
+// it spoils it, and kitchens would see one job after another fail.
+func TestUpstreamThatFailsEverythingIsClosedAfterTwoTasks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	fail(h, time.Second, "u03")
+	g.Expect(h.Weight("u03")).To(gomega.Equal(1.0))
+	fail(h, time.Second, "u03")
+	g.Expect(h.Weight("u03")).To(gomega.BeZero())
+	g.Expect(h.Ejected()).To(gomega.BeZero(), "nobody has done better yet")
+	succeed(h, time.Second+time.Millisecond, "u00", "u08", "u09")
+	h.Tick(time.Second + 60*time.Millisecond)
+	g.Expect(h.Ejected()).To(gomega.Equal(1))
+	g.Expect(closed(h)).To(gomega.Equal(1))
+}
+
+// One kitchen sends recipe sheets that can't be composed. They fail wherever
+// they run; closing the upstreams for it would take the service from the
+// other kitchens.
+func TestBadPayloadsCloseNoUpstream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 4000 {
+		name := upstreams()[rng.IntN(16)].Name
+		o := health.Succeeded
+		if rng.IntN(10) < 4 {
+			o = health.TaskFailed
+		}
+		h.Observe(time.Second, name, label, o, 1)
+	}
+	g.Expect(h.Stats().Ejections).To(gomega.BeZero())
+}
+
+// A new release of the service fails every task on every upstream. No upstream
+// is to blame, and with half of them closed the rest would only be asked more.
+func TestServiceThatFailsEverywhereClosesNoUpstream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	rng := rand.New(rand.NewPCG(5, 6))
+	for i := range 2000 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		h.Tick(now)
+		if name := upstreams()[rng.IntN(16)].Name; h.Weight(name) > 0 {
+			fail(h, now, name)
+		}
+	}
+	g.Expect(h.Stats().Ejections).To(gomega.BeZero())
+}
+
+// A rack loses the share that all its runners read their recipes from. Learnt
+// upstream by upstream, that costs jobs sixteen times; as a rack, three.
+func TestRackThatFailsEverythingIsClosedAsOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	breakRack(h)
+	g.Expect(closed(h)).To(gomega.Equal(8))
+	g.Expect(h.Weight("u07")).To(gomega.BeZero())
+	g.Expect(h.Weight("u08")).To(gomega.Equal(1.0))
+}
+
+// A whole rack stays broken for long. Each trial costs a caller's job, so
+// there must be one a wait for the rack, and the waits must grow.
+func TestBrokenRackIsTriedOnceAWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	breakRack(h)
+	tried := 0
+	for now := time.Second; now < 61*time.Second; now += 10 * time.Millisecond {
+		h.Tick(now)
+		for i := range 8 {
+			if name := fmt.Sprintf("u%02d", i); h.Weight(name) > 0 {
+				tried++
+				fail(h, now, name)
+			}
+		}
+	}
+	g.Expect(tried).To(gomega.BeNumerically("<=", 12))
+	g.Expect(tried).To(gomega.BeNumerically(">=", 3))
+}
+
+// The runner's disk was cleaned. It must come back, but not with all slots at
+// once, since nobody knows yet whether it is cured.
+func TestCuredUpstreamComesBackStepByStep(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	fail(h, time.Second, "u03")
+	succeed(h, time.Second, "u00", "u08", "u09")
+	fail(h, time.Second, "u03")
+	h.Tick(3 * time.Second)
+	g.Expect(h.Weight("u03")).To(gomega.Equal(health.MinWeight))
+	var weights []float64
+	for range 4 {
+		h.Observe(3*time.Second, "u03", label, health.Succeeded, 1)
+		weights = append(weights, h.Weight("u03"))
+	}
+	g.Expect(weights).To(gomega.Equal([]float64{0.125, 0.25, 0.5, 1}))
+}
+
+// A runner's process is gone and connections are refused: nothing is lost by
+// trying, but each try is a wasted message. It is tried at growing intervals
+// and at once in full use when it answers.
+func TestUnreachableUpstreamIsLeftAloneForGrowingWaits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	tries := 0
+	for now := task.Time(0); now < 30*time.Second; now += time.Millisecond {
+		h.Tick(now)
+		if h.Weight("u05") > 0 {
+			tries++
+			h.Observe(now, "u05", label, health.Unreachable, 0)
+		}
+	}
+	g.Expect(tries).To(gomega.BeNumerically("<=", 25))
+	h.Tick(40 * time.Second)
+	h.Observe(40*time.Second, "u05", label, health.Succeeded, 1)
+	g.Expect(h.Weight("u05")).To(gomega.Equal(1.0))
+}
+
+// A worker is overfilled, because the declared sizes are far off, and its tasks
+// take three times as long as elsewhere. Fewer at once must go there.
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	rng := rand.New(rand.NewPCG(7, 8))
+	for range 200 {
+		spread := 0.3 + 1.4*rng.Float64()
+		h.Observe(time.Second, "u02", label, health.Succeeded, 3*spread)
+		h.Observe(time.Second, "u09", label, health.Succeeded, spread)
+	}
+	g.Expect(h.Weight("u02")).To(gomega.BeNumerically("<=", 0.5))
+	g.Expect(h.Weight("u02")).To(gomega.BeNumerically(">=", 0.25))
+	g.Expect(h.Weight("u09")).To(gomega.Equal(1.0))
+}
+
+// Whatever the upstreams do, at most half of a failure domain's upstreams are
+// closed for failures, each closed one is due for a trial, and weights stay
+// between 0 and 1.
+func TestCeilingOnEjections(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := seasoned()
+		now := task.Time(0)
+		steps := rapid.IntRange(50, 400).Draw(rt, "steps")
+		broken := rapid.Uint16().Draw(rt, "broken")
+		for range steps {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond
+			h.Tick(now)
+			i := rapid.IntRange(0, 15).Draw(rt, "upstream")
+			o := health.Succeeded
+			if broken>>i&1 == 1 {
+				o = health.Outcome(rapid.SampledFrom([]int{1, 1, 1, 2, 3}).Draw(rt, "outcome"))
+			}
+			h.Observe(now, fmt.Sprintf("u%02d", i), label, o, 1)
+			for _, c := range h.TakeChanges() {
+				if c.Weight < 0 || c.Weight > 1 || (c.Weight == 0) != (c.Until > 0) || c.Weight == 0 && c.Until < now {
+					rt.Fatalf("change %+v at %v", c, now)
+				}
+			}
+			if n := h.Ejected(); n > 8 {
+				rt.Fatalf("%d upstreams are closed for failures", n)
+			}
+		}
+	})
+}
+
+func BenchmarkObserveSuccess(b *testing.B) {
+	h := seasoned()
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Observe(time.Second, "u03", label, health.Succeeded, 1)
+	}
+}
+
+func BenchmarkObserveFailure(b *testing.B) {
+	h := health.New(health.DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	var list []task.Upstream
+	for i := range 6700 {
+		list = append(list, task.Upstream{Name: fmt.Sprint(i), Institution: "hollowell", FailureDomain: "d", Rack: fmt.Sprint(i / 8)})
+	}
+	h.SetMembers(list)
+	for range 6 {
+		for _, u := range list {
+			h.Observe(0, u.Name, label, health.Succeeded, 1)
+			h.Observe(0, u.Name, label, health.TaskFailed, 1)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Observe(time.Second, "3000", label, health.TaskFailed, 0)
+		h.Observe(time.Second, "3000", label, health.Succeeded, 1)
+	}
+}
--- /dev/null
+++ b/core/health/members.go
@@ -0,0 +1,82 @@
+package health
+
+import (
+	"cmp"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+// group is the upstreams of one worker or one rack.
+type group struct {
+	members []*upstream
+}
+
+// pool is the upstreams of one institution in one failure domain, or of one
+// institution, depending on its use.
+type pool struct {
+	members []*upstream
+	ejected int
+}
+
+// SetMembers takes the platform's list. What is known of an upstream outlives
+// a change of the list; one that is listed anew starts open.
+func (t *Tracker) SetMembers(list []task.Upstream) {
+	known := t.upstreams
+	t.upstreams = make(map[string]*upstream, len(list))
+	t.order = t.order[:0]
+	for _, spec := range list {
+		u := known[spec.Name]
+		if u == nil || u.spec.Address != spec.Address {
+			u = &upstream{name: spec.Name, weight: 1, share: 1}
+		}
+		u.spec = spec
+		t.upstreams[spec.Name] = u
+		t.order = append(t.order, u)
+	}
+	slices.SortFunc(t.order, func(a, b *upstream) int { return cmp.Compare(a.name, b.name) })
+	t.regroup()
+}
+
+func (t *Tracker) regroup() {
+	pools := make(map[string]*pool)
+	ceilings := make(map[[2]string]*pool)
+	groups := make(map[[3]string]*group)
+	for _, u := range t.order {
+		s := u.spec
+		u.pool = join(pools, s.Institution, u)
+		u.at = len(u.pool.members) - 1
+		u.ceiling = join(ceilings, [2]string{s.Institution, s.FailureDomain}, u)
+		if u.state == ejected || u.state == probing {
+			u.ceiling.ejected++
+		}
+		u.groups = [2]*group{
+			joinGroup(groups, [3]string{"worker", s.FailureDomain, s.Worker}, u),
+			joinGroup(groups, [3]string{"rack", s.FailureDomain, s.Rack}, u),
+		}
+	}
+}
+
+func join[K comparable](pools map[K]*pool, key K, u *upstream) *pool {
+	p := pools[key]
+	if p == nil {
+		p = &pool{}
+		pools[key] = p
+	}
+	p.members = append(p.members, u)
+	return p
+}
+
+// joinGroup returns nil for an upstream whose worker or rack isn't known.
+func joinGroup(groups map[[3]string]*group, key [3]string, u *upstream) *group {
+	if key[2] == "" {
+		return nil
+	}
+	g := groups[key]
+	if g == nil {
+		g = &group{}
+		groups[key] = g
+	}
+	g.members = append(g.members, u)
+	return g
+}
--- /dev/null
+++ b/core/health/report.go
@@ -0,0 +1,52 @@
+package health
+
+import "math"
+
+// TakeChanges returns the weights that have changed since the last call.
+func (t *Tracker) TakeChanges() []Change {
+	out := t.changes
+	t.changes = nil
+	return out
+}
+
+// Weight is the present weight of an upstream; 1 if it isn't known.
+func (t *Tracker) Weight(name string) float64 {
+	if u := t.upstreams[name]; u != nil {
+		return u.weight
+	}
+	return 1
+}
+
+// Ejected is the number of upstreams closed for failures.
+func (t *Tracker) Ejected() int {
+	n := 0
+	for _, u := range t.order {
+		if u.state == ejected || u.state == probing {
+			n++
+		}
+	}
+	return n
+}
+
+// Status is the health of one upstream that isn't in full use.
+type Status struct {
+	Upstream string  `json:"upstream"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"weight"`
+	// UntilMs is when a closed one is tried again.
+	UntilMs int64 `json:"until_ms,omitempty"`
+	// Slowness is its tasks' run time over the expected one.
+	Slowness float64 `json:"slowness"`
+}
+
+// Dump lists the upstreams that aren't in full use, by name.
+func (t *Tracker) Dump() []Status {
+	var list []Status
+	for _, u := range t.order {
+		if u.state == open && u.weight == 1 {
+			continue
+		}
+		list = append(list, Status{u.name, u.state.String(), u.weight, u.until.Milliseconds(), math.Exp(u.slowness)})
+	}
+	return list
+}
