--- a/core/dispatch/command.go
+++ b/core/dispatch/command.go
@@ -82,6 +82,9 @@
 // SettingsInForce reports that a newer version is in force.
 type SettingsInForce struct{ Settings *pb.Settings }
 
+// MembersInForce reports that a newer list of VMs is in force.
+type MembersInForce struct{ Members task.Members }
+
 // Drained reports that a planned stop has nothing left to do.
 type Drained struct{}
 
@@ -93,4 +96,5 @@
 func (Send) command()            {}
 func (Ended) command()           {}
 func (SettingsInForce) command() {}
+func (MembersInForce) command()  {}
 func (Drained) command()         {}
--- /dev/null
+++ b/core/dispatch/members.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/membership"
+	"sapphirepoint.example/sapphirepoint/core/retry"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+const (
+	// membersInterval is how often absences are looked at.
+	membersInterval = 500 * time.Millisecond
+	// pullInterval bounds how often one peer is asked for settings or the list.
+	// The version rides on every message; without the bound each message that
+	// arrives before the answer would ask for the whole again.
+	pullInterval = 500 * time.Millisecond
+)
+
+// pull remembers when a peer was asked for something whole.
+type pull struct {
+	asked bool
+	at    task.Time
+}
+
+// due says whether to ask now, and notes it.
+func (p *pull) due(now task.Time) bool {
+	if p.asked && now-p.at < pullInterval {
+		return false
+	}
+	p.asked = true
+	p.at = now
+	return true
+}
+
+// offerSettings puts settings in force if they are newer.
+func (c *Core) offerSettings(s *pb.Settings) {
+	if !c.settings.Offer(s) {
+		return
+	}
+	for _, inst := range s.GetInstitutions() {
+		b := c.budgets[inst.GetName()]
+		if b == nil {
+			c.budgets[inst.GetName()] = retry.NewBudget(inst.GetRetryPercent())
+			continue
+		}
+		b.SetPercent(inst.GetRetryPercent())
+	}
+	c.emit(SettingsInForce{s})
+}
+
+// membersChanged takes a list from the platform or a peer if it is newer.
+func (c *Core) membersChanged(m task.Members) {
+	if !c.view.Offer(c.now, m) {
+		return
+	}
+	c.emit(MembersInForce{m})
+	c.refreshMembers()
+}
+
+// refreshMembers divides the slots anew if the members to be reckoned with
+// have changed.
+func (c *Core) refreshMembers() {
+	live, changed := c.view.Live(c.now)
+	if !changed || !c.view.Listed() {
+		return
+	}
+	c.pool.SetMembers(live)
+	for _, u := range live.Upstreams {
+		if c.upstreams[u.Name] == nil {
+			c.upstreams[u.Name] = &upstream{}
+		}
+	}
+}
+
+// upstreamLeaving stops new work to an upstream that said itself that it
+// leaves; the list may say so only seconds later.
+func (c *Core) upstreamLeaving(name string) {
+	c.view.UpstreamLeaving(c.now, name)
+	c.refreshMembers()
+}
+
+// pullNewer asks a peer for what it has in a newer version.
+func (c *Core) pullNewer(from task.Incarnation, p *peer, st *pb.PeerStatus) {
+	if st.GetSettingsVersion() > c.settings.Version() && p.settingsPull.due(c.now) {
+		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
+	}
+	if st.GetMembersVersion() > c.view.Version() && p.membersPull.due(c.now) {
+		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_MembersPull{MembersPull: &pb.MembersPull{}}})
+	}
+}
+
+func (c *Core) sendSettings(to task.Incarnation) {
+	if s := c.settings.Current(); s != nil {
+		c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
+	}
+}
+
+func (c *Core) sendMembers(to task.Incarnation) {
+	if c.view.Listed() {
+		c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_Members{Members: membership.ToProto(c.view.List())}})
+	}
+}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"sapphirepoint.example/sapphirepoint/core/membership"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -14,6 +15,8 @@
 	status        *pb.PeerStatus
 	heard         task.Time
 	sent          task.Time
+	settingsPull  pull
+	membersPull   pull
 }
 
 func compareIncarnations(a, b task.Incarnation) int {
@@ -48,6 +51,8 @@
 func (c *Core) peerUp(e PeerUp) {
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
 	c.runs[e.Peer.Node] = e.Peer.Run
+	c.view.PeerUp(c.now, e.Peer)
+	c.refreshMembers()
 	c.send(e.Peer, &pb.PeerMessage{})
 }
 
@@ -55,6 +60,8 @@
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
 	delete(c.peers, p)
+	c.view.PeerDown(c.now, p)
+	c.refreshMembers()
 	c.lendingPeerDown(p)
 	for _, id := range c.sortedForwards() {
 		f := c.forwards[id]
@@ -86,11 +93,13 @@
 	case *pb.PeerMessage_LendGrant:
 		c.granted(from, b.LendGrant)
 	case *pb.PeerMessage_SettingsPull:
-		if s := c.settings.Current(); s != nil {
-			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
-		}
+		c.sendSettings(from)
 	case *pb.PeerMessage_Settings:
 		c.offerSettings(b.Settings)
+	case *pb.PeerMessage_MembersPull:
+		c.sendMembers(from)
+	case *pb.PeerMessage_Members:
+		c.membersChanged(membership.FromProto(b.Members))
 	}
 }
 
@@ -100,9 +109,9 @@
 	}
 	p.status = st
 	c.seeIdle(from, st)
-	if st.GetSettingsVersion() > c.settings.Version() {
-		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
-	}
+	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
+	c.refreshMembers()
+	c.pullNewer(from, p, st)
 }
 
 // send sends a message with this process's status riding on it.
@@ -123,6 +132,7 @@
 	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
 		SettingsVersion: c.settings.Version(),
+		MembersVersion:  c.view.Version(),
 		Stopping:        c.draining,
 	}
 	c.addIdle(st)
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -27,6 +27,9 @@
 	if u := c.upstreams[s.slot.Upstream]; u != nil && r.UpstreamRun != "" {
 		u.run = r.UpstreamRun
 	}
+	if r.Leaving {
+		c.upstreamLeaving(s.slot.Upstream)
+	}
 	switch r.Verdict {
 	case task.Finished:
 		c.finished(s, r)
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -168,6 +168,8 @@
 	UpstreamRun string
 	// Refused is set when an upstream in service turned the start away.
 	Refused bool
+	// Leaving is set when the upstream said that it is about to leave.
+	Leaving bool
 }
 
 // Slot names one execution slot of an upstream.
--- /dev/null
+++ b/node/links.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"bufio"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// link is one connection with one incarnation of a peer.
+type link struct {
+	conn   *quic.Conn
+	stream *quic.Stream
+	out    chan *pb.PeerMessage
+	since  time.Time
+	// usual is set if the node whose name sorts first has dialed.
+	usual bool
+}
+
+// greet exchanges Hello and starts the link.
+func (m *mesh) greet(conn *quic.Conn, stream *quic.Stream, dialed bool) {
+	hello := &pb.Hello{Incarnation: m.node.self.Proto(), FailureDomain: m.node.cfg.FailureDomain}
+	if _, err := protodelim.MarshalTo(stream, hello); err != nil {
+		_ = conn.CloseWithError(closeProtocol, "hello")
+		return
+	}
+	reader := bufio.NewReader(stream)
+	theirs := &pb.Hello{}
+	_ = stream.SetReadDeadline(time.Now().Add(peerHandshake))
+	if err := readMessage(reader, theirs); err != nil {
+		_ = conn.CloseWithError(closeProtocol, "hello")
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	peer := task.IncarnationOf(theirs.GetIncarnation())
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 || certs[0].VerifyHostname(peer.Node) != nil {
+		m.node.log.Warn().Str("peer", peer.Node).Msg("peer-name-mismatch")
+		_ = conn.CloseWithError(closeProtocol, "name differs from certificate")
+		return
+	}
+	l := &link{
+		conn:   conn,
+		stream: stream,
+		out:    make(chan *pb.PeerMessage, peerQueue),
+		since:  time.Now(),
+		usual:  dialed == m.dialsUsually(peer.Node),
+	}
+	if !m.add(peer, l, theirs.GetFailureDomain()) {
+		_ = conn.CloseWithError(closeReplaced, "connected already")
+		return
+	}
+	go m.write(l)
+	go m.read(peer, l, reader)
+}
+
+// add registers a link and reports whether it is to be used. An earlier one
+// with the same incarnation is closed; the core is told that it is down, since
+// what was sent on it may be lost and a forward would wait for its answer until
+// its deadline.
+//
+// Two nodes that dial each other at the same moment would each close the
+// other's connection, and again at the next try. So a young connection from
+// the node that usually dials stays.
+func (m *mesh) add(peer task.Incarnation, l *link, failureDomain string) bool {
+	m.order.Lock()
+	defer m.order.Unlock()
+	m.mu.Lock()
+	old := m.links[peer]
+	if old != nil && old.usual && !l.usual && time.Since(old.since) < peerIdleTimeout {
+		m.mu.Unlock()
+		return false
+	}
+	m.links[peer] = l
+	m.mu.Unlock()
+	if old != nil {
+		_ = old.conn.CloseWithError(closeReplaced, "replaced")
+		m.node.post(dispatch.PeerDown{Peer: peer})
+	}
+	m.node.log.Info().Stringer("peer", peer).Msg("peer-up")
+	m.node.post(dispatch.PeerUp{Peer: peer, FailureDomain: failureDomain})
+	return true
+}
+
+func (m *mesh) write(l *link) {
+	w := bufio.NewWriter(l.stream)
+	for {
+		select {
+		case <-l.conn.Context().Done():
+			return
+		case msg := <-l.out:
+			if _, err := protodelim.MarshalTo(w, msg); err != nil {
+				_ = l.conn.CloseWithError(closeProtocol, "write")
+				return
+			}
+			if len(l.out) > 0 {
+				continue
+			}
+			if err := w.Flush(); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (m *mesh) read(peer task.Incarnation, l *link, r *bufio.Reader) {
+	for {
+		msg := &pb.PeerMessage{}
+		if err := readMessage(r, msg); err != nil {
+			m.down(peer, l, err)
+			return
+		}
+		m.node.post(dispatch.PeerMessage{Peer: peer, Message: msg})
+	}
+}
+
+func readMessage(r *bufio.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxPeerMessageBytes}.UnmarshalFrom(r, m)
+}
+
+func (m *mesh) down(peer task.Incarnation, l *link, err error) {
+	_ = l.conn.CloseWithError(closeNormal, "down")
+	m.order.Lock()
+	defer m.order.Unlock()
+	m.mu.Lock()
+	current := m.links[peer] == l
+	if current {
+		delete(m.links, peer)
+		if _, listed := m.nodes[peer.Node]; listed {
+			m.lostAt[peer.Node] = time.Now()
+		}
+	}
+	m.mu.Unlock()
+	if !current {
+		return
+	}
+	m.node.log.Info().Err(err).Stringer("peer", peer).Msg("peer-down")
+	m.node.post(dispatch.PeerDown{Peer: peer})
+}
--- a/node/mesh.go
+++ b/node/mesh.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"crypto/sha256"
 	"crypto/tls"
@@ -12,12 +11,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
 	"sapphirepoint.example/sapphirepoint/core/task"
-	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
 const (
@@ -27,6 +23,9 @@
 	peerIdleTimeout = 2 * time.Second
 	peerHandshake   = 2 * time.Second
 	redialInterval  = 300 * time.Millisecond
+	// reverseDialAfter is how long the node that is usually dialed waits
+	// before it dials itself.
+	reverseDialAfter = time.Second
 	// peerQueue bounds the messages that wait to be written to one peer.
 	peerQueue = 4096
 	// Codes with which connections are closed.
@@ -36,23 +35,26 @@
 )
 
 // mesh keeps one connection with each listed entry process. Of a pair, the
-// one whose name sorts first dials.
+// one whose name sorts first dials. The other one dials after a while without
+// a connection: a process that starts while the platform is down has no list,
+// so it can't dial, and would never be found by those whose names sort after
+// its own.
 type mesh struct {
 	node      *Node
 	transport *quic.Transport
 	listener  *quic.Listener
 	quicCfg   *quic.Config
 
+	// order is held while a link is added or removed and its events are
+	// posted, so that the core sees them in the order in which they happened.
+	// The loop never takes it.
+	order sync.Mutex
+
 	mu    sync.Mutex
 	nodes map[string]task.Node
 	links map[task.Incarnation]*link
-}
-
-// link is one connection with one incarnation of a peer.
-type link struct {
-	conn   *quic.Conn
-	stream *quic.Stream
-	out    chan *pb.PeerMessage
+	// lostAt is when the connection with a listed node was last lost.
+	lostAt map[string]time.Time
 }
 
 func newMesh(n *Node) (*mesh, error) {
@@ -72,8 +74,9 @@
 			MaxIdleTimeout:       peerIdleTimeout,
 			HandshakeIdleTimeout: peerHandshake,
 		},
-		nodes: make(map[string]task.Node),
-		links: make(map[task.Incarnation]*link),
+		nodes:  make(map[string]task.Node),
+		links:  make(map[task.Incarnation]*link),
+		lostAt: make(map[string]time.Time),
 	}
 	m.listener, err = m.transport.Listen(n.cfg.PeerTLS, m.quicCfg)
 	return m, errors.Wrap(err, "listen for peers")
@@ -98,6 +101,14 @@
 	clear(m.nodes)
 	for _, n := range list.Nodes {
 		m.nodes[n.Name] = n
+		if m.lostAt[n.Name].IsZero() {
+			m.lostAt[n.Name] = time.Now()
+		}
+	}
+	for name := range m.lostAt {
+		if _, listed := m.nodes[name]; !listed {
+			delete(m.lostAt, name)
+		}
 	}
 }
 
@@ -156,13 +167,20 @@
 	}
 	var list []task.Node
 	for _, n := range m.nodes {
-		if n.Name > m.node.cfg.Name && !connected[n.Name] {
+		if n.Name == m.node.cfg.Name || connected[n.Name] {
+			continue
+		}
+		if m.dialsUsually(n.Name) || time.Since(m.lostAt[n.Name]) > reverseDialAfter {
 			list = append(list, n)
 		}
 	}
 	return list
 }
 
+func (m *mesh) dialsUsually(peer string) bool {
+	return m.node.cfg.Name < peer
+}
+
 func (m *mesh) dial(ctx context.Context, n task.Node) {
 	addr, err := net.ResolveUDPAddr("udp", n.Address)
 	if err != nil {
@@ -183,7 +201,7 @@
 		_ = conn.CloseWithError(closeProtocol, "no stream")
 		return
 	}
-	m.greet(conn, stream)
+	m.greet(conn, stream, true)
 }
 
 func (m *mesh) accept(ctx context.Context) {
@@ -193,6 +211,8 @@
 			return
 		}
 		go func() {
+			// Each connection is greeted on its own: a peer that says nothing
+			// holds up nobody else.
 			streamCtx, cancel := context.WithTimeout(ctx, peerHandshake)
 			defer cancel()
 			stream, err := conn.AcceptStream(streamCtx)
@@ -200,103 +220,11 @@
 				_ = conn.CloseWithError(closeProtocol, "no stream")
 				return
 			}
-			m.greet(conn, stream)
+			m.greet(conn, stream, false)
 		}()
 	}
 }
 
-// greet exchanges Hello and starts the link.
-func (m *mesh) greet(conn *quic.Conn, stream *quic.Stream) {
-	hello := &pb.Hello{Incarnation: m.node.self.Proto(), FailureDomain: m.node.cfg.FailureDomain}
-	if _, err := protodelim.MarshalTo(stream, hello); err != nil {
-		_ = conn.CloseWithError(closeProtocol, "hello")
-		return
-	}
-	reader := bufio.NewReader(stream)
-	theirs := &pb.Hello{}
-	_ = stream.SetReadDeadline(time.Now().Add(peerHandshake))
-	if err := readMessage(reader, theirs); err != nil {
-		_ = conn.CloseWithError(closeProtocol, "hello")
-		return
-	}
-	_ = stream.SetReadDeadline(time.Time{})
-	peer := task.IncarnationOf(theirs.GetIncarnation())
-	certs := conn.ConnectionState().TLS.PeerCertificates
-	if len(certs) == 0 || certs[0].VerifyHostname(peer.Node) != nil {
-		m.node.log.Warn().Str("peer", peer.Node).Msg("peer-name-mismatch")
-		_ = conn.CloseWithError(closeProtocol, "name differs from certificate")
-		return
-	}
-	l := &link{conn: conn, stream: stream, out: make(chan *pb.PeerMessage, peerQueue)}
-	m.add(peer, l)
-	m.node.log.Info().Stringer("peer", peer).Msg("peer-up")
-	m.node.post(dispatch.PeerUp{Peer: peer, FailureDomain: theirs.GetFailureDomain()})
-	go m.write(l)
-	go m.read(peer, l, reader)
-}
-
-// add registers a link; an earlier one with the same incarnation is closed.
-func (m *mesh) add(peer task.Incarnation, l *link) {
-	m.mu.Lock()
-	old := m.links[peer]
-	m.links[peer] = l
-	m.mu.Unlock()
-	if old != nil {
-		_ = old.conn.CloseWithError(closeReplaced, "replaced")
-	}
-}
-
-func (m *mesh) write(l *link) {
-	w := bufio.NewWriter(l.stream)
-	for {
-		select {
-		case <-l.conn.Context().Done():
-			return
-		case msg := <-l.out:
-			if _, err := protodelim.MarshalTo(w, msg); err != nil {
-				_ = l.conn.CloseWithError(closeProtocol, "write")
-				return
-			}
-			if len(l.out) > 0 {
-				continue
-			}
-			if err := w.Flush(); err != nil {
-				return
-			}
-		}
-	}
-}
-
-func (m *mesh) read(peer task.Incarnation, l *link, r *bufio.Reader) {
-	for {
-		msg := &pb.PeerMessage{}
-		if err := readMessage(r, msg); err != nil {
-			m.down(peer, l, err)
-			return
-		}
-		m.node.post(dispatch.PeerMessage{Peer: peer, Message: msg})
-	}
-}
-
-func readMessage(r *bufio.Reader, m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxPeerMessageBytes}.UnmarshalFrom(r, m)
-}
-
-func (m *mesh) down(peer task.Incarnation, l *link, err error) {
-	_ = l.conn.CloseWithError(closeNormal, "down")
-	m.mu.Lock()
-	current := m.links[peer] == l
-	if current {
-		delete(m.links, peer)
-	}
-	m.mu.Unlock()
-	if !current {
-		return
-	}
-	m.node.log.Info().Err(err).Stringer("peer", peer).Msg("peer-down")
-	m.node.post(dispatch.PeerDown{Peer: peer})
-}
-
 // send queues a message. A peer that doesn't keep up loses its connection, so
 // that what waits for it is answered; the loop never waits for a peer.
 func (m *mesh) send(cmd dispatch.Send) {
--- a/node/node.go
+++ b/node/node.go
@@ -22,8 +22,10 @@
 const (
 	eventBuffer = 8192
 	// maxBatch bounds the events handled before commands are carried out.
-	maxBatch        = 256
-	shutdownTimeout = 10 * time.Second
+	maxBatch = 256
+	// minShutdownTimeout is how long answers that are being written may take at
+	// a planned stop if nothing longer is contracted.
+	minShutdownTimeout = 10 * time.Second
 )
 
 // input is an event for the core, or a call that needs its state.
@@ -135,9 +137,15 @@
 	return err
 }
 
-// shutdown lets the answers that are being written reach their callers.
+// shutdown lets the answers that are being written reach their callers. The
+// longest contracted response time bounds the wait: by then a caller has given
+// up, and one that doesn't read must not keep the process for ever.
 func (n *Node) shutdown(servers ...*http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	timeout := minShutdownTimeout
+	for _, inst := range n.inForce.Load().Current().GetInstitutions() {
+		timeout = max(timeout, time.Duration(inst.GetResponseTimeMs())*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
@@ -270,6 +278,8 @@
 			n.ended(cmd)
 		case dispatch.SettingsInForce:
 			n.settingsInForce(cmd)
+		case dispatch.MembersInForce:
+			n.membersInForce(cmd)
 		case dispatch.Drained:
 			close(n.drained)
 		}
@@ -294,6 +304,16 @@
 	n.log.Info().Uint64("version", s.Settings.GetVersion()).Msg("settings-in-force")
 }
 
+func (n *Node) membersInForce(m dispatch.MembersInForce) {
+	n.upstreams.setMembers(m.Members)
+	n.mesh.setMembers(m.Members)
+	n.log.Info().
+		Uint64("version", m.Members.Version).
+		Int("nodes", len(m.Members.Nodes)).
+		Int("upstreams", len(m.Members.Upstreams)).
+		Msg("members-in-force")
+}
+
 // Ready says whether the node takes new work and has at least the given number
 // of connected peers.
 func (n *Node) Ready(peers int) bool {
--- a/node/platform.go
+++ b/node/platform.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/membership"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1/platformv1connect"
@@ -48,65 +49,46 @@
 	}
 }
 
-// poll reads members and settings at each interval.
+// poll reads members and settings at each interval, and less often while the
+// platform is out.
 func (p *platformClient) poll(ctx context.Context) error {
-	ticker := time.NewTicker(p.node.cfg.PollInterval)
-	defer ticker.Stop()
 	var listed uint64
+	var out outage
 	for {
-		listed = p.readMembers(ctx, listed)
-		p.readSettings(ctx)
+		version, membersErr := p.readMembers(ctx, listed)
+		listed = version
+		settingsErr := p.readSettings(ctx)
+		p.logOutage(out.seen(membersErr, settingsErr), membersErr, settingsErr)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-time.After(out.wait(p.node.cfg.PollInterval)):
 		}
 	}
 }
 
-func (p *platformClient) readMembers(ctx context.Context, known uint64) uint64 {
+func (p *platformClient) logOutage(change outageChange, membersErr, settingsErr error) {
+	switch change {
+	case outageBegan:
+		p.node.log.Warn().AnErr("members", membersErr).AnErr("settings", settingsErr).Msg("platform-unavailable")
+	case outageEnded:
+		p.node.log.Info().Msg("platform-available")
+	}
+}
+
+// readMembers reads the list and returns the highest version read so far.
+func (p *platformClient) readMembers(ctx context.Context, known uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	res, err := p.members.List(ctx, connect.NewRequest(&platformv1.ListRequest{}))
 	if err != nil {
-		p.node.log.Warn().Err(err).Msg("members-unavailable")
-		return known
-	}
-	if res.Msg.GetVersion() == known {
-		return known
+		return known, err
 	}
-	m := membersOf(res.Msg)
-	p.node.upstreams.setMembers(m)
-	p.node.mesh.setMembers(m)
-	p.node.post(dispatch.MembersChanged{Members: m})
-	return m.Version
-}
-
-func membersOf(res *platformv1.ListResponse) task.Members {
-	m := task.Members{Version: res.GetVersion()}
-	for _, e := range res.GetMembers() {
-		switch e.GetRole() {
-		case platformv1.Role_ROLE_ENTRY:
-			m.Nodes = append(m.Nodes, task.Node{
-				Name:          e.GetName(),
-				Address:       e.GetAddress(),
-				FailureDomain: e.GetFailureDomain(),
-				Leaving:       e.GetLeaving(),
-			})
-		case platformv1.Role_ROLE_UPSTREAM:
-			m.Upstreams = append(m.Upstreams, task.Upstream{
-				Name:          e.GetName(),
-				Address:       e.GetAddress(),
-				FailureDomain: e.GetFailureDomain(),
-				Worker:        e.GetWorker(),
-				Rack:          e.GetRack(),
-				Institution:   e.GetInstitution(),
-				Slots:         e.GetSlots(),
-				Leaving:       e.GetLeaving(),
-			})
-		}
+	if res.Msg.GetVersion() <= known {
+		return known, nil
 	}
-	return m
+	p.node.post(dispatch.MembersChanged{Members: membership.FromProto(res.Msg)})
+	return res.Msg.GetVersion(), nil
 }
 
 // settingsRow reads the settings and the version of their row; both are zero
@@ -129,13 +111,13 @@
 	return s, row.GetVersion(), nil
 }
 
-func (p *platformClient) readSettings(ctx context.Context) {
+func (p *platformClient) readSettings(ctx context.Context) error {
 	s, _, err := p.settingsRow(ctx)
 	if err != nil {
-		p.node.log.Warn().Err(err).Msg("settings-unavailable")
-		return
+		return err
 	}
 	p.node.post(dispatch.SettingsRead{Settings: s})
+	return nil
 }
 
 // applySettings replaces the settings row if the expected version is the
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -26,6 +26,8 @@
 	pingTimeout   = time.Second
 	settleTimeout = 2 * time.Second
 	stopTimeout   = 2 * time.Second
+	// unlistedKept is how long an upstream that left the list can be asked.
+	unlistedKept = 10 * time.Minute
 	// maxOutputBytes is the largest output of one task.
 	maxOutputBytes = 4 << 20
 )
@@ -46,6 +48,8 @@
 type upstreamConn struct {
 	address string
 	client  *http.Client
+	// unlisted is when the upstream left the list; zero while it is listed.
+	unlisted time.Time
 }
 
 func newUpstreamClient(n *Node) *upstreamClient {
@@ -62,6 +66,10 @@
 	}
 }
 
+// setMembers takes the list of upstreams. One that has left the list gets no
+// new tasks, but can be asked for a while about those that it was sent: a
+// connection that falls silent just then would otherwise turn a finished job
+// into an unknown one.
 func (u *upstreamClient) setMembers(m task.Members) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -69,22 +77,32 @@
 	for _, up := range m.Upstreams {
 		listed[up.Name] = true
 		if c := u.conns[up.Name]; c != nil && c.address == up.Address {
+			c.unlisted = time.Time{}
 			continue
 		}
-		u.conns[up.Name] = &upstreamConn{up.Address, &http.Client{Transport: newTransport()}}
+		u.conns[up.Name] = &upstreamConn{address: up.Address, client: &http.Client{Transport: newTransport()}}
 	}
 	for name, c := range u.conns {
-		if !listed[name] {
+		switch {
+		case listed[name]:
+		case c.unlisted.IsZero():
+			c.unlisted = time.Now()
+		case time.Since(c.unlisted) > unlistedKept:
 			c.client.CloseIdleConnections()
 			delete(u.conns, name)
 		}
 	}
 }
 
-func (u *upstreamClient) conn(name string) *upstreamConn {
+// conn returns a copy, because the list may change meanwhile.
+func (u *upstreamClient) conn(name string) (upstreamConn, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.conns[name]
+	c := u.conns[name]
+	if c == nil {
+		return upstreamConn{}, false
+	}
+	return *c, true
 }
 
 // start sends a task once.
@@ -95,8 +113,8 @@
 }
 
 func (u *upstreamClient) send(ctx context.Context, cmd dispatch.StartTask) task.Result {
-	c := u.conn(cmd.Upstream)
-	if c == nil {
+	c, known := u.conn(cmd.Upstream)
+	if !known || !c.unlisted.IsZero() {
 		return task.Result{Verdict: task.NotStarted, Detail: "the upstream isn't listed"}
 	}
 	left := cmd.Deadline - u.node.now()
@@ -156,7 +174,10 @@
 }
 
 func verdict(res *http.Response, body []byte) task.Result {
-	r := task.Result{UpstreamRun: res.Header.Get(upstream.HeaderRun)}
+	r := task.Result{
+		UpstreamRun: res.Header.Get(upstream.HeaderRun),
+		Leaving:     res.Header.Get(upstream.HeaderLeaving) != "",
+	}
 	switch res.Header.Get(upstream.HeaderVerdict) {
 	case upstream.VerdictFinished:
 		r.Verdict = task.Finished
@@ -180,7 +201,7 @@
 // settle asks on a new connection what became of a start.
 func (u *upstreamClient) settle(ctx context.Context, cmd dispatch.Settle) {
 	go func() {
-		r := u.ask(ctx, cmd.Upstream, cmd.Name, upstream.PathSettle, settleTimeout)
+		r := u.askAnew(ctx, cmd.Upstream, cmd.Name, upstream.PathSettle, settleTimeout)
 		if r.Verdict == task.NotStarted && !r.Refused {
 			// The question couldn't be sent, which proves nothing of the task.
 			r.Verdict = task.Lost
@@ -193,23 +214,34 @@
 	}()
 }
 
-// stop tells an upstream that a result isn't wanted.
+// stop tells an upstream that a result isn't wanted. It uses the connection
+// that is there: in a wave of cancellations a new one for each task would use
+// up what the upstream accepts, and a stop that is lost only wastes a slot.
 func (u *upstreamClient) stop(ctx context.Context, cmd dispatch.StopTask) {
-	go u.ask(ctx, cmd.Upstream, cmd.Name, upstream.PathStop, stopTimeout)
+	c, known := u.conn(cmd.Upstream)
+	if !known {
+		return
+	}
+	go ask(ctx, c.client, c.address, cmd.Name, upstream.PathStop, stopTimeout)
 }
 
-func (u *upstreamClient) ask(ctx context.Context, name, taskName, path string, timeout time.Duration) task.Result {
-	c := u.conn(name)
-	if c == nil {
+// askAnew asks on a connection of its own.
+func (u *upstreamClient) askAnew(ctx context.Context, name, taskName, path string, timeout time.Duration) task.Result {
+	c, known := u.conn(name)
+	if !known {
 		return task.Result{Verdict: task.Unknown, Detail: "the upstream isn't listed"}
 	}
+	transport := newTransport()
+	defer transport.CloseIdleConnections()
+	return ask(ctx, &http.Client{Transport: transport}, c.address, taskName, path, timeout)
+}
+
+func ask(ctx context.Context, client *http.Client, address, taskName, path string, timeout time.Duration) task.Result {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := newRequest(ctx, c.address, path, url.Values{upstream.ParamTask: {taskName}}, nil)
+	req, err := newRequest(ctx, address, path, url.Values{upstream.ParamTask: {taskName}}, nil)
 	if err != nil {
 		return task.Result{Verdict: task.Lost, Detail: err.Error()}
 	}
-	transport := newTransport()
-	defer transport.CloseIdleConnections()
-	return do(&http.Client{Transport: transport}, req)
+	return do(client, req)
 }
--- a/standin/faults/listener.go
+++ b/standin/faults/listener.go
@@ -33,14 +33,20 @@
 	return w, nil
 }
 
-// Silence makes all open connections silent for good and returns their number.
-func (l *Listener) Silence() int {
+// Silence makes all open connections but one silent for good and returns their
+// number. The one left out, which may be nil, is that of whoever asks.
+func (l *Listener) Silence(except net.Conn) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n := 0
 	for c := range l.conns {
+		if net.Conn(c) == except {
+			continue
+		}
 		c.silence()
+		n++
 	}
-	return len(l.conns)
+	return n
 }
 
 type conn struct {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -38,6 +38,8 @@
 	// LoseReplies is the number of coming commits that take effect and whose
 	// reply is lost.
 	LoseReplies int `json:"lose_replies"`
+	// ThenOutage begins an outage with the last of the lost replies.
+	ThenOutage bool `json:"then_outage"`
 }
 
 // Counts is the number of calls served.
@@ -208,6 +210,7 @@
 	lost := p.faults.LoseReplies > 0
 	if lost {
 		p.faults.LoseReplies--
+		p.faults.Outage = p.faults.Outage || (p.faults.ThenOutage && p.faults.LoseReplies == 0)
 	}
 	res := &platformv1.CommitResponse{}
 	for _, w := range writes {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -45,6 +45,9 @@
 	Fail   string `json:"fail"`
 }
 
+// connKey finds the connection of a request in its context.
+type connKey struct{}
+
 type record struct {
 	started  bool
 	starts   int
@@ -84,7 +87,14 @@
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: r.Handler(), Protocols: &p, ReadHeaderTimeout: 5 * time.Second}
+	s := &http.Server{
+		Handler:           r.Handler(),
+		Protocols:         &p,
+		ReadHeaderTimeout: 5 * time.Second,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
 	return s.Serve(r.listener)
 }
 
@@ -95,7 +105,10 @@
 	mux.HandleFunc("POST "+upstream.PathSettle, func(w http.ResponseWriter, q *http.Request) { r.settle(w, q, false) })
 	mux.HandleFunc("POST "+upstream.PathStop, func(w http.ResponseWriter, q *http.Request) { r.settle(w, q, true) })
 	mux.HandleFunc("POST /control/mode", func(w http.ResponseWriter, q *http.Request) { r.SetMode(Mode(q.FormValue("mode"))) })
-	mux.HandleFunc("POST /control/silence", func(w http.ResponseWriter, _ *http.Request) { r.Silence() })
+	mux.HandleFunc("POST /control/silence", func(_ http.ResponseWriter, q *http.Request) {
+		asker, _ := q.Context().Value(connKey{}).(net.Conn)
+		r.listener.Silence(asker)
+	})
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(r.Ledger()) })
 	return mux
 }
@@ -109,7 +122,7 @@
 
 // Silence makes all open connections silent for good.
 func (r *Runner) Silence() int {
-	return r.listener.Silence()
+	return r.listener.Silence(nil)
 }
 
 // Ledger is what a runner did.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -31,6 +31,9 @@
 const (
 	HeaderVerdict = "Sapphirepoint-Verdict"
 	HeaderRun     = "Sapphirepoint-Run"
+	// HeaderLeaving is set, to any value, by an upstream that is about to leave
+	// and shouldn't be sent new tasks.
+	HeaderLeaving = "Sapphirepoint-Leaving"
 )
 
 // Values of HeaderVerdict.
