--- /dev/null
+++ b/core/claim/answers.go
@@ -0,0 +1,137 @@
+package claim
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// keptOverhead is what a kept answer costs beside its encoded size, in bytes:
+// map entry, queue entry and headers, as measured by BenchmarkAnswers.
+const keptOverhead = 1000
+
+// Kept is the final answer to one submission.
+type Kept struct {
+	ID     task.ID
+	Answer *pb.Answer
+	// Until is when it may be forgotten.
+	Until task.Time
+	size  int
+}
+
+// Answers keeps final answers for resubmissions, within a limit for each
+// institution, so that one with large answers doesn't push out another's.
+//
+// Nothing depends on an answer being kept but the answer itself: a forgotten
+// submission is never taken for a new one, because the Issuer still knows the
+// number and the claim row still names its holder.
+type Answers struct {
+	limit int
+	byID  map[task.ID]*Kept
+	lists map[string]*answerList
+	bytes int
+}
+
+// answerList holds one institution's answers, oldest first, apart by kind of
+// id: the ids of a kind are kept equally long, so that the oldest is the first
+// to be forgotten.
+type answerList struct {
+	kinds [2][]*Kept
+	bytes int
+}
+
+// NewAnswers returns a store that keeps up to limit bytes an institution.
+func NewAnswers(limit int) *Answers {
+	return &Answers{limit: limit, byID: make(map[task.ID]*Kept), lists: make(map[string]*answerList)}
+}
+
+// Put keeps an answer and forgets the oldest of the institution beyond the
+// limit. An answer that is kept already isn't replaced.
+func (a *Answers) Put(id task.ID, answer *pb.Answer, until task.Time) {
+	if a.byID[id] != nil {
+		return
+	}
+	k := &Kept{ID: id, Answer: answer, Until: until, size: proto.Size(answer) + keptOverhead}
+	list := a.lists[id.Institution]
+	if list == nil {
+		list = &answerList{}
+		a.lists[id.Institution] = list
+	}
+	kind := kindOf(id)
+	list.kinds[kind] = append(list.kinds[kind], k)
+	a.byID[id] = k
+	a.grow(list, k.size)
+	for list.bytes > a.limit {
+		a.dropOldest(list)
+	}
+}
+
+func kindOf(id task.ID) int {
+	if id.Issued() {
+		return 0
+	}
+	return 1
+}
+
+func (a *Answers) grow(list *answerList, n int) {
+	list.bytes += n
+	a.bytes += n
+}
+
+// dropOldest forgets the answer that would be forgotten first.
+func (a *Answers) dropOldest(list *answerList) {
+	issued, own := list.kinds[0], list.kinds[1]
+	if len(own) == 0 || len(issued) > 0 && issued[0].Until <= own[0].Until {
+		a.dropFirst(list, 0)
+		return
+	}
+	a.dropFirst(list, 1)
+}
+
+func (a *Answers) dropFirst(list *answerList, kind int) {
+	k := list.kinds[kind][0]
+	list.kinds[kind][0] = nil
+	list.kinds[kind] = list.kinds[kind][1:]
+	delete(a.byID, k.ID)
+	a.grow(list, -k.size)
+}
+
+// Get finds the answer of a submission; nil if it isn't kept.
+func (a *Answers) Get(id task.ID) *pb.Answer {
+	if k := a.byID[id]; k != nil {
+		return k.Answer
+	}
+	return nil
+}
+
+// Expire forgets what is past its time.
+func (a *Answers) Expire(now task.Time) {
+	for name, list := range a.lists {
+		for kind := range list.kinds {
+			for len(list.kinds[kind]) > 0 && list.kinds[kind][0].Until <= now {
+				a.dropFirst(list, kind)
+			}
+		}
+		if len(list.kinds[0])+len(list.kinds[1]) == 0 {
+			delete(a.lists, name)
+		}
+	}
+}
+
+// Len is the number of answers kept.
+func (a *Answers) Len() int { return len(a.byID) }
+
+// Bytes is what they cost, in bytes.
+func (a *Answers) Bytes() int { return a.bytes }
+
+// Kept lists what is kept, institutions in name order, oldest first.
+func (a *Answers) Kept() []*Kept {
+	list := make([]*Kept, 0, len(a.byID))
+	for _, name := range sortedKeys(a.lists) {
+		for _, kept := range a.lists[name].kinds {
+			list = append(list, kept...)
+		}
+	}
+	return list
+}
--- a/core/claim/issuer.go
+++ b/core/claim/issuer.go
@@ -118,3 +118,37 @@
 	}
 	return nil
 }
+
+// Block is a block of issued numbers with one bit for each used one.
+type Block struct {
+	First uint64
+	Count uint32
+	Used  []uint64
+}
+
+// Handed lists the blocks that are still valid, for a process that is to
+// answer for this one after its planned stop.
+func (is *Issuer) Handed(now task.Time) []Block {
+	var list []Block
+	for _, b := range is.blocks {
+		if now < b.expires {
+			list = append(list, Block{b.first, b.count, b.used})
+		}
+	}
+	return list
+}
+
+// Restore returns an issuer that knows the numbers of another process until
+// the given time, and issues none itself.
+func Restore(blocks []Block, until task.Time) *Issuer {
+	is := &Issuer{}
+	for _, b := range blocks {
+		words := (b.Count + wordBits - 1) / wordBits
+		if b.Count == 0 || int(words) != len(b.Used) || b.First < is.next {
+			continue
+		}
+		is.blocks = append(is.blocks, block{b.First, b.Count, until, b.Used})
+		is.next = b.First + uint64(b.Count)
+	}
+	return is
+}
--- /dev/null
+++ b/core/dispatch/adopt.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/claim"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// maxSuccession bounds how many planned stops in a row a request is led past.
+const maxSuccession = 16
+
+// adopted is an ended incarnation that this process answers for.
+type adopted struct {
+	// issuer knows which of its ids were used.
+	issuer *claim.Issuer
+	until  task.Time
+}
+
+// successor is the peer that answers for an ended incarnation.
+type successor struct {
+	by    task.Incarnation
+	until task.Time
+}
+
+// adopt takes over the answers of a peer that stops as planned. Each message
+// is complete in itself and may come twice; only the last one makes this
+// process answer for what isn't among the answers.
+func (c *Core) adopt(from task.Incarnation, h *pb.Handover) {
+	if c.draining || task.IncarnationOf(h.GetFrom()) != from {
+		return
+	}
+	for _, k := range h.GetClaims() {
+		id := task.IDOf(k.GetInstitution(), k.GetAnswer().GetId())
+		c.answers.Put(id, k.GetAnswer(), c.now+msDuration(k.GetKeepMs()))
+	}
+	for _, holder := range h.GetHolders() {
+		c.adoptHolder(holder)
+	}
+	c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_HandoverAck{HandoverAck: &pb.HandoverAck{Sequence: h.GetSequence()}}})
+	if !h.GetLast() {
+		return
+	}
+	for _, p := range c.sortedPeers() {
+		if p != from {
+			c.announceAdopted(p)
+		}
+	}
+}
+
+func (c *Core) adoptHolder(h *pb.HandedHolder) {
+	holder := task.IncarnationOf(h.GetHolder())
+	if holder == c.cfg.Self || c.adopted[holder] != nil {
+		return
+	}
+	until := c.now + msDuration(h.GetKeepMs())
+	var blocks []claim.Block
+	for _, b := range h.GetBlocks() {
+		blocks = append(blocks, claim.Block{First: b.GetFirst(), Count: b.GetCount(), Used: b.GetUsed()})
+	}
+	c.adopted[holder] = &adopted{claim.Restore(blocks, until), until}
+}
+
+// answerAdopted answers for an ended incarnation whose answer to the request
+// isn't kept. A number that it never used will never be used: its process
+// closed admission before it handed over.
+func (c *Core) answerAdopted(r *request, holder task.Incarnation) {
+	a := c.adopted[holder]
+	if r.id.Issued() && a.issuer.State(c.now, r.id.Number) == claim.Fresh {
+		word := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_NOT_RUN, pb.Reason_REASON_HOLDER_GONE, "the process that issued the id stopped before it was used")
+		c.reply(r, word)
+		return
+	}
+	c.reply(r, failed(r, pb.Reason_REASON_HOLDER_GONE, "the process that held the claim has stopped and the answer isn't kept"))
+}
+
+// successorOf finds who answers for an incarnation: itself, unless it has
+// handed over.
+func (c *Core) successorOf(holder task.Incarnation) task.Incarnation {
+	for range maxSuccession {
+		if c.adopted[holder] != nil {
+			return c.cfg.Self
+		}
+		s, ended := c.successors[holder]
+		if !ended {
+			return holder
+		}
+		holder = s.by
+	}
+	return holder
+}
+
+// announceAdopted tells a peer which incarnations this process answers for. It
+// is said again on each new connection, so that a peer that was cut off learns
+// of it as well.
+func (c *Core) announceAdopted(to task.Incarnation) {
+	if len(c.adopted) == 0 {
+		return
+	}
+	notice := &pb.HandoverNotice{}
+	for _, holder := range c.adoptedHolders() {
+		notice.Holders = append(notice.Holders, handedHolder(holder, nil, c.keepMs(c.adopted[holder].until)))
+	}
+	c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_HandoverNotice{HandoverNotice: notice}})
+}
+
+func (c *Core) noticeSuccessor(from task.Incarnation, n *pb.HandoverNotice) {
+	for _, h := range n.GetHolders() {
+		holder := task.IncarnationOf(h.GetHolder())
+		if holder != c.cfg.Self && holder != from {
+			c.successors[holder] = successor{from, c.now + msDuration(h.GetKeepMs())}
+		}
+	}
+}
+
+// handedAdopted lists the incarnations that this process answers for.
+func (c *Core) handedAdopted() []*pb.HandedHolder {
+	var list []*pb.HandedHolder
+	for _, holder := range c.adoptedHolders() {
+		a := c.adopted[holder]
+		list = append(list, handedHolder(holder, a.issuer.Handed(c.now), c.keepMs(a.until)))
+	}
+	return list
+}
+
+func (c *Core) adoptedHolders() []task.Incarnation {
+	return slices.SortedFunc(maps.Keys(c.adopted), compareIncarnations)
+}
+
+func (c *Core) adoptedNames() []string {
+	var names []string
+	for _, holder := range c.adoptedHolders() {
+		names = append(names, holder.String())
+	}
+	return names
+}
+
+func (c *Core) expireAdopted() {
+	maps.DeleteFunc(c.adopted, func(_ task.Incarnation, a *adopted) bool { return a.until <= c.now })
+	maps.DeleteFunc(c.successors, func(_ task.Incarnation, s successor) bool { return s.until <= c.now })
+}
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -12,10 +12,23 @@
 	return defaultRetryAfterMs + uint32(c.rng.IntN(defaultRetryAfterMs))
 }
 
+// digestBytes is the wire form of a digest; a zero digest, of a submission
+// whose payload was never seen, is empty.
+func digestBytes(d task.Digest) []byte {
+	if d == (task.Digest{}) {
+		return nil
+	}
+	return d[:]
+}
+
 func answer(sub *submission, outcome pb.Outcome, reason pb.Reason, detail string) *pb.Answer {
+	return answerFor(sub.id, sub.digest, outcome, reason, detail)
+}
+
+func answerFor(id task.ID, digest task.Digest, outcome pb.Outcome, reason pb.Reason, detail string) *pb.Answer {
 	return &pb.Answer{
-		Id:      sub.id.Proto(),
-		Digest:  sub.digest[:],
+		Id:      id.Proto(),
+		Digest:  digestBytes(digest),
 		Outcome: outcome,
 		Reason:  reason,
 		Detail:  detail,
@@ -29,40 +42,31 @@
 	return a
 }
 
-// unknown is the answer when this request couldn't settle the outcome.
-func unknown(sub *submission, reason pb.Reason, detail string, retryAfterMs uint32) *pb.Answer {
-	a := answer(sub, pb.Outcome_OUTCOME_UNKNOWN, reason, detail)
+// failed is the final word on a submission that may have run and whose answer
+// can't be had any more.
+func failed(r *request, reason pb.Reason, detail string) *pb.Answer {
+	a := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_FAILED, reason, detail)
 	a.MayHaveRun = true
-	a.RetryAfterMs = retryAfterMs
 	return a
 }
 
-// reject turns a request away without a word on the submission.
-func reject(id *pb.SubmissionId, digest task.Digest, reason pb.Reason, detail string, retryAfterMs uint32) *pb.Answer {
-	return &pb.Answer{
-		Id:           id,
-		Digest:       digest[:],
-		Outcome:      pb.Outcome_OUTCOME_UNKNOWN,
-		Reason:       reason,
-		Detail:       detail,
-		MayHaveRun:   true,
-		RetryAfterMs: retryAfterMs,
-	}
+// unsettled is the answer when this request couldn't settle the outcome and
+// asking again is worthwhile.
+func (c *Core) unsettled(r *request, reason pb.Reason, detail string) *pb.Answer {
+	a := rejected(r, reason, detail)
+	a.RetryAfterMs = c.retryAfter()
+	return a
 }
 
-func (c *Core) replyAll(sub *submission, a *pb.Answer) {
-	for _, from := range sub.askers {
-		c.reply(from, a)
-	}
-	sub.askers = nil
+// rejected turns a request away without a word on the submission.
+func rejected(r *request, reason pb.Reason, detail string) *pb.Answer {
+	a := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_UNKNOWN, reason, detail)
+	a.MayHaveRun = true
+	return a
 }
 
-func (c *Core) reply(to asker, a *pb.Answer) {
-	if to.local() {
-		c.emit(Reply{to.request, a})
-		return
+func (c *Core) replyAll(sub *submission, a *pb.Answer) {
+	for len(sub.waiting) > 0 {
+		c.reply(sub.waiting[0], a)
 	}
-	c.send(to.peer, &pb.PeerMessage{Body: &pb.PeerMessage_ForwardAnswer{
-		ForwardAnswer: &pb.ForwardAnswer{Request: to.request, Answer: a},
-	}})
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -31,10 +31,19 @@
 	IDValidity time.Duration
 	// MaxQueuedTasks bounds the tasks that wait, over all institutions.
 	MaxQueuedTasks int
-	// MaxAnswerBytes bounds the results kept for resubmissions.
+	// MaxAnswerBytes bounds the answers kept for resubmissions, for each
+	// institution.
 	MaxAnswerBytes int
+	// MaxJobBytes bounds the results of one job.
+	MaxJobBytes int
 	// MaxClaimBatch bounds the claims of one transaction.
 	MaxClaimBatch int
+	// ClaimInterval is the least time between the beginnings of two writes of
+	// claims.
+	ClaimInterval time.Duration
+	// MaxHolders bounds the claim rows of others, and the unsettled claims,
+	// that are remembered.
+	MaxHolders int
 	// StatusInterval is how often peers get a status if nothing else is sent.
 	StatusInterval time.Duration
 }
@@ -48,7 +57,10 @@
 		IDValidity:     10 * time.Minute,
 		MaxQueuedTasks: 50_000,
 		MaxAnswerBytes: 64 << 20,
+		MaxJobBytes:    16 << 20,
 		MaxClaimBatch:  100,
+		ClaimInterval:  20 * time.Millisecond,
+		MaxHolders:     20_000,
 		StatusInterval: 500 * time.Millisecond,
 	}
 }
@@ -76,38 +88,59 @@
 	lastStart   task.StartID
 	upstreams   map[string]*upstream
 	budgets     map[string]*retry.Budget
-	kept        []*submission
-	keptBytes   int
+	requests    map[asker]*request
+	answers     *claim.Answers
 
-	claims      claimQueue
-	peers       map[task.Incarnation]*peer
-	runs        map[string]uint64
-	forwards    map[uint64]*forward
-	lastForward uint64
-	statusSeq   uint64
+	claims          claimQueue
+	holders         *claim.Holders
+	unsettledClaims *claim.UnsettledSet
+	adopted         map[task.Incarnation]*adopted
+	successors      map[task.Incarnation]successor
+	handover        *handover
+
+	peers        map[task.Incarnation]*peer
+	runs         map[string]uint64
+	forwardsSeen map[string]forwardSeen
+	forwards     map[uint64]*request
+	lastForward  uint64
+	statusSeq    uint64
+
+	// woke is when the process last woke from a pause, slept how long it was.
+	woke  task.Time
+	slept time.Duration
 
 	draining bool
 	drained  bool
-	stats    Stats
+	// closed is set when the handover begins: from then on nothing starts.
+	closed bool
+	stats  Stats
 }
 
 // New returns the core of a process that has just started.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg:         cfg,
-		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
-		settings:    settings.NewState(),
-		issuer:      claim.NewIssuer(cfg.IDValidity),
-		queue:       queue.New(),
-		pool:        slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
-		submissions: make(map[task.ID]*submission),
-		jobs:        make(map[queue.JobID]*submission),
-		starts:      make(map[task.StartID]*start),
-		upstreams:   make(map[string]*upstream),
-		budgets:     make(map[string]*retry.Budget),
-		peers:       make(map[task.Incarnation]*peer),
-		runs:        make(map[string]uint64),
-		forwards:    make(map[uint64]*forward),
+		cfg:          cfg,
+		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
+		settings:     settings.NewState(),
+		issuer:       claim.NewIssuer(cfg.IDValidity),
+		queue:        queue.New(),
+		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
+		submissions:  make(map[task.ID]*submission),
+		jobs:         make(map[queue.JobID]*submission),
+		starts:       make(map[task.StartID]*start),
+		upstreams:    make(map[string]*upstream),
+		budgets:      make(map[string]*retry.Budget),
+		peers:        make(map[task.Incarnation]*peer),
+		runs:         make(map[string]uint64),
+		forwardsSeen: make(map[string]forwardSeen),
+		forwards:     make(map[uint64]*request),
+		requests:     make(map[asker]*request),
+		answers:      claim.NewAnswers(cfg.MaxAnswerBytes),
+		holders:      claim.NewHolders(cfg.MaxHolders),
+		adopted:      make(map[task.Incarnation]*adopted),
+		successors:   make(map[task.Incarnation]successor),
+
+		unsettledClaims: claim.NewUnsettledSet(cfg.MaxHolders),
 	}
 	c.every(cfg.StatusInterval, c.sendStatus)
 	c.every(time.Second, c.expire)
@@ -123,23 +156,27 @@
 
 // Tick runs what is due at a time. Time never goes back.
 func (c *Core) Tick(now task.Time) {
+	c.noticePause(now)
 	c.now = max(c.now, now)
 	c.runTimers()
 	c.place()
+	c.checkDrained()
 }
 
 // Step handles one event.
 func (c *Core) Step(now task.Time, e Event) {
+	c.noticePause(now)
 	c.now = max(c.now, now)
 	c.runTimers()
 	c.handle(e)
 	c.place()
+	c.checkDrained()
 }
 
 func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Submit:
-		c.submit(asker{request: e.Request}, e.Institution, e.Submission)
+		c.submit(asker{request: e.Request}, e.Institution, e.Submission, c.allowance(e.Institution, e.Submission))
 	case Cancel:
 		c.cancel(asker{request: e.Request}, e.Institution, e.ID)
 	case CallerGone:
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -9,18 +9,19 @@
 
 // Stats counts what this process did since its start.
 type Stats struct {
-	Starts         uint64 `json:"starts"`
-	NotStarted     uint64 `json:"not_started"`
-	Settles        uint64 `json:"settles"`
-	Stops          uint64 `json:"stops"`
-	LateResults    uint64 `json:"late_results"`
-	Resubmissions  uint64 `json:"resubmissions"`
-	Conflicts      uint64 `json:"conflicts"`
-	Cancels        uint64 `json:"cancels"`
-	Forwards       uint64 `json:"forwards"`
-	ForeignAnswers uint64 `json:"foreign_answers"`
-	PeerMessages   uint64 `json:"peer_messages"`
-	ClaimWrites    uint64 `json:"claim_writes"`
+	Starts          uint64 `json:"starts"`
+	NotStarted      uint64 `json:"not_started"`
+	Settles         uint64 `json:"settles"`
+	Stops           uint64 `json:"stops"`
+	LateResults     uint64 `json:"late_results"`
+	Resubmissions   uint64 `json:"resubmissions"`
+	DoubledRequests uint64 `json:"doubled_requests"`
+	Conflicts       uint64 `json:"conflicts"`
+	Cancels         uint64 `json:"cancels"`
+	Forwards        uint64 `json:"forwards"`
+	ForeignAnswers  uint64 `json:"foreign_answers"`
+	PeerMessages    uint64 `json:"peer_messages"`
+	ClaimWrites     uint64 `json:"claim_writes"`
 }
 
 // Stats returns the counters.
@@ -41,6 +42,10 @@
 	IDBlocks        int              `json:"id_blocks"`
 	KeptAnswers     int              `json:"kept_answers"`
 	KeptBytes       int              `json:"kept_bytes"`
+	OpenRequests    int              `json:"open_requests"`
+	HoldersKnown    int              `json:"holders_known"`
+	UnsettledClaims int              `json:"unsettled_claims"`
+	AnswersFor      []string         `json:"answers_for"`
 	ClaimsWaiting   int              `json:"claims_waiting"`
 	Forwards        int              `json:"forwards"`
 	Submissions     []DumpSubmission `json:"submissions"`
@@ -89,8 +94,12 @@
 		SettingsVersion: c.settings.Version(),
 		OwnedSlots:      c.pool.Owned(),
 		IDBlocks:        c.issuer.Blocks(),
-		KeptAnswers:     len(c.kept),
-		KeptBytes:       c.keptBytes,
+		KeptAnswers:     c.answers.Len(),
+		KeptBytes:       c.answers.Bytes(),
+		OpenRequests:    len(c.requests),
+		HoldersKnown:    c.holders.Len(),
+		UnsettledClaims: c.unsettledClaims.Len(),
+		AnswersFor:      c.adoptedNames(),
 		ClaimsWaiting:   len(c.claims.waiting) + len(c.claims.inFlight),
 		Forwards:        len(c.forwards),
 		Submissions:     c.dumpSubmissions(),
@@ -104,13 +113,10 @@
 	var list []DumpSubmission
 	for _, id := range sortedIDs(c.submissions) {
 		sub := c.submissions[id]
-		if sub.phase == ended {
-			continue
-		}
 		d := DumpSubmission{
 			ID:         id.String(),
 			Phase:      "claiming",
-			Askers:     len(sub.askers),
+			Askers:     len(sub.waiting),
 			ArrivedMs:  sub.arrived.Milliseconds(),
 			DeadlineMs: sub.deadline.Milliseconds(),
 			WaitsFor:   "its claim in the table service",
@@ -130,7 +136,7 @@
 	switch {
 	case sub.assembly.Waiting() == 0:
 		return "its running tasks"
-	case len(sub.askers) == 0 && !sub.assembly.MayHaveRun():
+	case len(sub.waiting) == 0 && !sub.assembly.MayHaveRun():
 		return "a caller: nobody asks for it at present"
 	case c.pool.Idle(sub.id.Institution) == 0:
 		return "an idle slot"
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -1,120 +1,155 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
 	"slices"
-	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
-// forward is a request passed on to the holder of its claim.
-type forward struct {
-	from       asker
-	holder     task.Incarnation
-	id         task.ID
-	digest     task.Digest
-	submission *pb.Submission
-	// cancel marks a passed-on cancellation, which carries no digest.
-	cancel bool
-}
-
-func (c *Core) sortedForwards() []uint64 {
-	list := make([]uint64, 0, len(c.forwards))
-	for id := range c.forwards {
-		list = append(list, id)
+// toHolder passes a request on to the incarnation that holds its claim, or to
+// the one that answers for it since its planned stop. A request that a peer
+// passed on goes no further: two processes that each take the other for the
+// holder would pass it back and forth.
+func (c *Core) toHolder(r *request, holder task.Incarnation) {
+	to := c.successorOf(holder)
+	switch {
+	case to == c.cfg.Self:
+		c.answerAdopted(r, holder)
+	case c.peers[to] == nil || !r.from.local():
+		c.holderOut(r, to)
+	default:
+		c.forward(r, holder, to)
 	}
-	slices.Sort(list)
-	return list
 }
 
-// holderOut answers for a holder that isn't connected.
-func (c *Core) holderOut(from asker, holder task.Incarnation, id *pb.SubmissionId, digest task.Digest) {
+// holderOut answers at once for a holder that isn't connected; the caller is
+// told when to come back. Only another run of the same entry VM proves that
+// the holder has ended: one that is cut off or paused may yet finish the job.
+func (c *Core) holderOut(r *request, holder task.Incarnation) {
 	if run, known := c.runs[holder.Node]; known && run != holder.Run {
-		a := reject(id, digest, pb.Reason_REASON_HOLDER_GONE, "the process that held the claim has ended", 0)
-		a.Outcome = pb.Outcome_OUTCOME_FAILED
-		c.reply(from, a)
+		c.reply(r, failed(r, pb.Reason_REASON_HOLDER_GONE, "the process that held the claim has ended"))
 		return
 	}
-	c.reply(from, reject(id, digest, pb.Reason_REASON_HOLDER_UNREACHABLE, "the process that holds the claim can't be reached", c.retryAfter()))
+	c.reply(r, c.unsettled(r, pb.Reason_REASON_HOLDER_UNREACHABLE, "the process that holds the claim can't be reached"))
 }
 
-// forwardTo passes a request on to the holder of its claim.
-func (c *Core) forwardTo(from asker, holder task.Incarnation, s *pb.Submission, institution string) {
-	digest := task.DigestOf(s)
-	if c.peers[holder] == nil || !from.local() {
-		c.holderOut(from, holder, s.GetId(), digest)
-		return
-	}
+// forward sends a request to a connected peer. What is left of the caller's
+// time goes along, so that the deadline isn't extended on the way.
+func (c *Core) forward(r *request, holder, to task.Incarnation) {
 	c.lastForward++
-	request := c.lastForward
-	id := task.IDOf(institution, s.GetId())
-	c.forwards[request] = &forward{from: from, holder: holder, id: id, digest: digest, submission: s}
+	r.forward = c.lastForward
+	r.holder = to
+	c.forwards[r.forward] = r
 	c.stats.Forwards++
-	wait := c.forwardWait(institution, s)
-	c.send(holder, &pb.PeerMessage{Body: &pb.PeerMessage_Forward{Forward: &pb.Forward{
-		Request:     request,
-		Institution: institution,
-		Submission:  s,
-		RemainingMs: uint32(wait.Milliseconds()),
+	left := max(uint32((r.deadline - c.now).Milliseconds()), 1)
+	if r.cancels() {
+		c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_ForwardCancel{ForwardCancel: &pb.ForwardCancel{
+			Request:     r.forward,
+			Institution: r.id.Institution,
+			Id:          r.id.Proto(),
+		}}})
+		return
+	}
+	c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_Forward{Forward: &pb.Forward{
+		Request:     r.forward,
+		Institution: r.id.Institution,
+		Submission:  r.submission,
+		RemainingMs: left,
 		Holder:      holder.Proto(),
 	}}})
-	c.after(wait, func() {
-		f := c.forwards[request]
-		if f == nil {
-			return
-		}
-		delete(c.forwards, request)
-		c.reply(f.from, reject(s.GetId(), digest, pb.Reason_REASON_DEADLINE, "the holder didn't answer in time", c.retryAfter()))
-	})
-}
-
-func (c *Core) forwardWait(institution string, s *pb.Submission) time.Duration {
-	if inst := c.settings.Institution(institution); inst != nil {
-		return allowed(inst, s)
-	}
-	return time.Duration(s.GetTimeoutMs()) * time.Millisecond
 }
 
 // forwarded handles a request that a peer passed on.
 func (c *Core) forwarded(from task.Incarnation, f *pb.Forward) {
-	a := asker{from, f.GetRequest()}
+	if c.forwardStale(from, f.GetRequest()) {
+		return
+	}
 	s := f.GetSubmission()
-	if task.IncarnationOf(f.GetHolder()) != c.cfg.Self {
-		c.holderOut(a, task.IncarnationOf(f.GetHolder()), s.GetId(), task.DigestOf(s))
+	wait := msDuration(max(f.GetRemainingMs(), 1))
+	a := asker{from, f.GetRequest()}
+	holder := task.IncarnationOf(f.GetHolder())
+	if holder == c.cfg.Self {
+		c.submit(a, f.GetInstitution(), s, wait)
 		return
 	}
+	// The row names another incarnation. This one may answer for it since its
+	// planned stop, but never takes its submission for a new one.
 	id := task.IDOf(f.GetInstitution(), s.GetId())
-	if !id.Issued() && c.submissions[id] == nil {
-		// The row names this incarnation, so the claim was held here and its
-		// answer is no longer kept: starting it now would be a second run.
-		d := task.DigestOf(s)
-		gone := reject(s.GetId(), d, pb.Reason_REASON_ID_EXPIRED, "the answer isn't kept any more", 0)
-		gone.Outcome = pb.Outcome_OUTCOME_FAILED
-		c.reply(a, gone)
+	r := c.open(a, id, s, task.DigestOf(s), wait)
+	if r == nil || c.answerKnown(r) {
+		return
+	}
+	if c.closed {
+		c.reply(r, c.unsettled(r, pb.Reason_REASON_NOT_SERVING, "the process is stopping"))
 		return
 	}
-	// The message is shared with nobody, so its timeout may be shortened to
-	// what is left of the caller's.
-	s.TimeoutMs = max(f.GetRemainingMs(), 1)
-	c.submit(a, f.GetInstitution(), s)
+	c.toHolder(r, holder)
+}
+
+// forwardSeen is the last request that a run of a peer passed on.
+type forwardSeen struct {
+	run  uint64
+	last uint64
+}
+
+// forwardStale tells a request passed on twice, or late over a connection that
+// was replaced. A peer numbers its requests upwards, so what isn't above the
+// last one is old: its deadline, sent as the time left, would begin anew.
+func (c *Core) forwardStale(from task.Incarnation, request uint64) bool {
+	seen := c.forwardsSeen[from.Node]
+	if seen.run == from.Run && request <= seen.last {
+		c.stats.DoubledRequests++
+		return true
+	}
+	c.forwardsSeen[from.Node] = forwardSeen{from.Run, request}
+	return false
+}
+
+func (c *Core) forwardedCancel(from task.Incarnation, f *pb.ForwardCancel) {
+	if c.forwardStale(from, f.GetRequest()) {
+		return
+	}
+	c.cancel(asker{from, f.GetRequest()}, f.GetInstitution(), f.GetId())
 }
 
 // forwardAnswer passes a holder's answer on. One that isn't for the request it
 // names is dropped: it would hand one kitchen another kitchen's label.
 func (c *Core) forwardAnswer(from task.Incarnation, fa *pb.ForwardAnswer) {
-	f := c.forwards[fa.GetRequest()]
-	if f == nil || f.holder != from || !c.matches(f, fa.GetAnswer()) {
+	r := c.forwards[fa.GetRequest()]
+	if r == nil || r.holder != from || !matches(r, fa.GetAnswer()) {
 		c.stats.ForeignAnswers++
 		return
 	}
-	delete(c.forwards, fa.GetRequest())
-	c.reply(f.from, fa.GetAnswer())
+	c.reply(r, fa.GetAnswer())
 }
 
-func (c *Core) matches(f *forward, a *pb.Answer) bool {
-	if task.IDOf(f.id.Institution, a.GetId()) != f.id {
+func matches(r *request, a *pb.Answer) bool {
+	if task.IDOf(r.id.Institution, a.GetId()) != r.id {
 		return false
 	}
-	return f.cancel || string(a.GetDigest()) == string(f.digest[:])
+	return r.cancels() || string(a.GetDigest()) == string(r.digest[:])
+}
+
+// forwardsLost answers what waited for a peer whose connection is lost: at
+// once, because its state can't be known before it is reached again, and the
+// caller, told when to come back, reaches it by then or learns that it is gone.
+// Sent again over a later connection instead, a request would hold its caller
+// for as long as the cut lasts.
+func (c *Core) forwardsLost(p task.Incarnation) {
+	for _, n := range slices.Sorted(maps.Keys(c.forwards)) {
+		if r := c.forwards[n]; r.holder == p {
+			c.holderOut(r, p)
+		}
+	}
+}
+
+func (c *Core) sortedRequests() []*request {
+	list := slices.Collect(maps.Values(c.requests))
+	slices.SortFunc(list, func(a, b *request) int {
+		return cmp.Or(compareIncarnations(a.from.peer, b.from.peer), cmp.Compare(a.from.request, b.from.request))
+	})
+	return list
 }
--- /dev/null
+++ b/core/dispatch/handover.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/core/claim"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+const (
+	// handoverAckTimeout bounds the wait for one acknowledgement.
+	handoverAckTimeout = 2 * time.Second
+	// handoverLimit bounds the whole handover.
+	handoverLimit = 6 * time.Second
+	// handoverChunkBytes is about the size of one message.
+	handoverChunkBytes = 256 << 10
+)
+
+// handover passes the finished answers of a process that stops as planned, and
+// the knowledge of which of its ids were never used, to one peer. It begins
+// when nothing is in progress any more and admission is closed for good, so
+// what is handed over is final: the peer answers from it, and starts nothing.
+type handover struct {
+	to       task.Incarnation
+	messages []*pb.Handover
+	next     int
+	tried    map[task.Incarnation]bool
+	until    task.Time
+	timer    *timer
+	done     bool
+}
+
+// beginHandover closes admission for good and begins with the first peer.
+func (c *Core) beginHandover() {
+	c.closed = true
+	h := &handover{
+		messages: c.handoverMessages(),
+		tried:    make(map[task.Incarnation]bool),
+		until:    c.now + handoverLimit,
+	}
+	c.handover = h
+	c.handToNext()
+}
+
+// handToNext begins anew with another peer; without one the stop goes on, and
+// the answers are lost to their callers, though nothing runs twice.
+func (c *Core) handToNext() {
+	h := c.handover
+	c.cancelTimer(h.timer)
+	to, ok := c.handoverPeer()
+	if !ok || c.now >= h.until {
+		h.done = true
+		return
+	}
+	h.to = to
+	h.tried[to] = true
+	h.next = 0
+	c.sendHandover()
+}
+
+// handoverPeer picks a peer that isn't stopping, of the same failure domain if
+// there is one.
+func (c *Core) handoverPeer() (task.Incarnation, bool) {
+	var best task.Incarnation
+	found := false
+	for _, name := range c.sortedPeers() {
+		p := c.peers[name]
+		if c.handover.tried[name] || p.status.GetStopping() {
+			continue
+		}
+		if !found || p.failureDomain == c.cfg.FailureDomain && c.peers[best].failureDomain != c.cfg.FailureDomain {
+			best, found = name, true
+		}
+	}
+	return best, found
+}
+
+func (c *Core) sendHandover() {
+	h := c.handover
+	m := h.messages[h.next]
+	c.send(h.to, &pb.PeerMessage{Body: &pb.PeerMessage_Handover{Handover: m}})
+	h.timer = c.after(handoverAckTimeout, c.handToNext)
+}
+
+func (c *Core) handoverAcked(from task.Incarnation, ack *pb.HandoverAck) {
+	h := c.handover
+	if h == nil || h.done || h.to != from || ack.GetSequence() != h.messages[h.next].GetSequence() {
+		return
+	}
+	c.cancelTimer(h.timer)
+	h.next++
+	if h.next == len(h.messages) {
+		h.done = true
+		return
+	}
+	c.sendHandover()
+}
+
+func (c *Core) handoverPeerDown(p task.Incarnation) {
+	if h := c.handover; h != nil && !h.done && h.to == p {
+		c.handToNext()
+	}
+}
+
+// handoverMessages packs what is handed over; the last message names the
+// incarnations that the receiver is to answer for.
+func (c *Core) handoverMessages() []*pb.Handover {
+	current := &pb.Handover{Sequence: 1, From: c.cfg.Self.Proto()}
+	messages := []*pb.Handover{current}
+	bytes := 0
+	keep := c.now + c.cfg.IDValidity
+	for _, k := range c.answers.Kept() {
+		if bytes > handoverChunkBytes {
+			current = &pb.Handover{Sequence: current.GetSequence() + 1, From: c.cfg.Self.Proto()}
+			messages = append(messages, current)
+			bytes = 0
+		}
+		handed := &pb.HandedClaim{Institution: k.ID.Institution, Answer: k.Answer, KeepMs: c.keepMs(k.Until)}
+		current.Claims = append(current.Claims, handed)
+		bytes += proto.Size(handed)
+		keep = max(keep, k.Until)
+	}
+	current.Last = true
+	current.Holders = append(c.handedAdopted(), handedHolder(c.cfg.Self, c.issuer.Handed(c.now), c.keepMs(keep)))
+	return messages
+}
+
+func (c *Core) keepMs(until task.Time) uint32 {
+	return uint32(max(until-c.now, 0).Milliseconds())
+}
+
+func handedHolder(holder task.Incarnation, blocks []claim.Block, keepMs uint32) *pb.HandedHolder {
+	h := &pb.HandedHolder{Holder: holder.Proto(), KeepMs: keepMs}
+	for _, b := range blocks {
+		h.Blocks = append(h.Blocks, &pb.HandedBlock{First: b.First, Count: b.Count, Used: b.Used})
+	}
+	return h
+}
--- a/core/dispatch/ownkey.go
+++ b/core/dispatch/ownkey.go
@@ -1,96 +1,77 @@
 package dispatch
 
 import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/claim"
 	"sapphirepoint.example/sapphirepoint/core/retry"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
-// claimQueue is the group commit of durable claims: one transaction is in
-// flight, the claims that arrive meanwhile share the next.
-type claimQueue struct {
-	waiting  []*submission
-	inFlight map[task.ID]*submission
-	batch    uint64
-}
-
 // takeOwnKey takes a submission under the caller's own key: nothing starts
 // before its claim stands in the table service in this incarnation's name.
-func (c *Core) takeOwnKey(sub *submission) {
-	if c.draining {
-		c.replyAll(sub, reject(sub.id.Proto(), sub.digest, pb.Reason_REASON_NOT_SERVING, "the process is stopping", c.retryAfter()))
-		return
+func (c *Core) takeOwnKey(r *request) {
+	if !r.from.local() {
+		// The peer that passed it on has read a row that names this
+		// incarnation, so the claim was held here and its answer is no longer
+		// kept: starting it now would be a second run.
+		if !c.unsettledHere(r) {
+			c.reply(r, failed(r, pb.Reason_REASON_ID_EXPIRED, "the answer isn't kept any more"))
+			return
+		}
 	}
-	sub.phase = claiming
-	c.submissions[sub.id] = sub
-	c.claims.waiting = append(c.claims.waiting, sub)
-	c.after(sub.deadline-c.now, func() { c.claimTimedOut(sub) })
-	c.writeClaims()
-}
-
-func (c *Core) writeClaims() {
-	if c.claims.inFlight != nil || len(c.claims.waiting) == 0 {
+	if h, known := c.holders.Get(r.id); known {
+		c.rowStands(r, h)
 		return
 	}
-	n := min(len(c.claims.waiting), c.cfg.MaxClaimBatch)
-	batch := c.claims.waiting[:n]
-	c.claims.waiting = append([]*submission(nil), c.claims.waiting[n:]...)
-	c.claims.inFlight = make(map[task.ID]*submission, n)
-	c.claims.batch++
-	w := ClaimWrite{Batch: c.claims.batch}
-	for _, sub := range batch {
-		c.claims.inFlight[sub.id] = sub
-		w.Claims = append(w.Claims, Claim{sub.id, sub.digest, uint32(sub.ttl.Seconds())})
-	}
-	c.stats.ClaimWrites++
-	c.emit(w)
-}
-
-// claimResult settles a group of claims. A write whose reply was lost may have
-// taken effect; it is written again, and then the rows that stand in the way
-// are this incarnation's own.
-func (c *Core) claimResult(e ClaimResult) {
-	if e.Batch != c.claims.batch || c.claims.inFlight == nil {
+	if c.draining {
+		c.reply(r, c.unsettled(r, pb.Reason_REASON_NOT_SERVING, "the process is stopping"))
 		return
 	}
-	flight := c.claims.inFlight
-	c.claims.inFlight = nil
-	if !e.OK {
-		c.claimFailed(flight)
+	if u, known := c.unsettledClaims.Get(r.id); known && c.conflicts(r, u.Digest) {
 		return
 	}
-	conflicts := make(map[task.ID]ClaimConflict, len(e.Conflicts))
-	for _, cf := range e.Conflicts {
-		conflicts[cf.ID] = cf
+	if sub := c.newSubmission(r); sub != nil {
+		c.beginClaim(sub, r)
 	}
-	for _, id := range sortedIDs(flight) {
-		sub := flight[id]
-		cf, stood := conflicts[id]
-		switch {
-		case stood:
-			c.claimStood(sub, cf)
-		case len(conflicts) > 0:
-			c.claims.waiting = append(c.claims.waiting, sub)
-		default:
-			c.claimed(sub)
-		}
+}
+
+func (c *Core) unsettledHere(r *request) bool {
+	_, known := c.unsettledClaims.Get(r.id)
+	return known
+}
+
+// beginClaim queues the claim of a submission for the next write.
+func (c *Core) beginClaim(sub *submission, r *request) {
+	if u, known := c.unsettledClaims.Take(sub.id); known {
+		sub.uncertain = true
+		sub.cancelled = sub.cancelled || u.Cancelled
 	}
+	sub.phase = claiming
+	c.submissions[sub.id] = sub
+	c.attach(r, sub)
+	sub.timer = c.after(sub.deadline-c.now, func() { c.abandonClaim(sub) })
+	c.claims.add(sub)
 	c.writeClaims()
 }
 
-// claimFailed tries a group again after a back-off.
-func (c *Core) claimFailed(flight map[task.ID]*submission) {
-	try := 0
-	for _, id := range sortedIDs(flight) {
-		sub := flight[id]
-		sub.claimTry++
-		try = max(try, sub.claimTry)
-		sub.unresolved = true
-		if sub.phase == claiming {
-			c.claims.waiting = append(c.claims.waiting, sub)
-		}
+// abandonClaim gives a claim up at the deadline of its submission. A write may
+// yet take effect, so the word can't be "not run", and the key is remembered,
+// so that the claim can be settled when the caller comes back.
+func (c *Core) abandonClaim(sub *submission) {
+	if sub.phase != claiming {
+		return
+	}
+	sub.phase = ended
+	delete(c.submissions, sub.id)
+	if sub.written || sub.uncertain || sub.cancelled {
+		c.unsettledClaims.Put(sub.id, claim.Unsettled{Digest: sub.digest, Cancelled: sub.cancelled}, c.now+sub.ttl)
+	}
+	for len(sub.waiting) > 0 {
+		r := sub.waiting[0]
+		c.reply(r, c.unsettled(r, pb.Reason_REASON_STORE_UNAVAILABLE, "the claim couldn't be settled in time"))
 	}
-	c.after(retry.Delay(c.rng, try+1), c.writeClaims)
 }
 
 // claimed begins the job of a submission whose claim stands.
@@ -98,75 +79,166 @@
 	if sub.phase != claiming {
 		return
 	}
-	sub.unresolved = false
+	c.cancelTimer(sub.timer)
+	if sub.cancelled {
+		c.end(sub, c.notRun(sub, pb.Reason_REASON_CANCELLED, "cancelled"))
+		return
+	}
 	c.hold(sub)
 }
 
 // claimStood handles a claim row that was there before this write.
-func (c *Core) claimStood(sub *submission, cf ClaimConflict) {
+func (c *Core) claimStood(sub *submission, h claim.Holder) {
 	if sub.phase != claiming {
 		return
 	}
-	if cf.Holder == c.cfg.Self && sub.unresolved {
+	if h.Incarnation == c.cfg.Self && sub.uncertain && sub.wrote(h.Digest) {
 		// An earlier write of this record took effect and its reply was lost.
 		// The record has been here throughout, so nothing was started.
 		c.claimed(sub)
 		return
 	}
+	sub.phase = ended
+	c.cancelTimer(sub.timer)
 	delete(c.submissions, sub.id)
-	askers := sub.askers
-	sub.askers = nil
-	for _, from := range askers {
-		c.toHolder(from, sub, cf)
+	if h.Incarnation != c.cfg.Self {
+		c.holders.Put(sub.id, h, c.now+sub.ttl)
+	}
+	for len(sub.waiting) > 0 {
+		r := sub.waiting[0]
+		c.detach(r)
+		c.rowStands(r, h)
+	}
+}
+
+// wrote says whether a row with a digest can be an earlier write of this
+// record; the row of a cancellation carries none.
+func (s *submission) wrote(digest task.Digest) bool {
+	return digest == s.digest || s.cancelled && digest == (task.Digest{})
+}
+
+// rowStands passes a request on to the holder named by a claim row.
+func (c *Core) rowStands(r *request, h claim.Holder) {
+	switch {
+	case c.conflicts(r, h.Digest):
+	case h.Incarnation == c.cfg.Self:
+		c.reply(r, failed(r, pb.Reason_REASON_ID_EXPIRED, "the answer isn't kept any more"))
+	default:
+		c.toHolder(r, h.Incarnation)
+	}
+}
+
+// claimQueue is the group commit of durable claims: one transaction is in
+// flight, the claims that arrive meanwhile share the next.
+type claimQueue struct {
+	waiting  []*submission
+	inFlight []*submission
+	batch    uint64
+	// failures counts the writes without a reply since the last with one.
+	failures int
+	// notBefore is when the next write may begin.
+	notBefore task.Time
+	// timer is set while a write waits for notBefore.
+	timer *timer
+}
+
+func (q *claimQueue) add(sub *submission) {
+	q.waiting = append(q.waiting, sub)
+}
+
+// take removes the next claims to write; those given up on are dropped.
+func (q *claimQueue) take(limit int) []*submission {
+	var batch []*submission
+	n := 0
+	for n < len(q.waiting) && len(batch) < limit {
+		if sub := q.waiting[n]; sub.phase == claiming {
+			batch = append(batch, sub)
+		}
+		n++
 	}
+	q.waiting = append([]*submission(nil), q.waiting[n:]...)
+	return batch
 }
 
-// toHolder passes a request on to the holder named by a claim row.
-func (c *Core) toHolder(from asker, sub *submission, cf ClaimConflict) {
-	if cf.Digest != sub.digest {
-		c.stats.Conflicts++
-		c.reply(from, reject(sub.id.Proto(), sub.digest, pb.Reason_REASON_CONFLICT, "the key was used with another payload", 0))
+// writeClaims begins the next write. Writes are spaced by an interval, which
+// keeps all entry processes together within the table service's rate, and by a
+// back-off while it doesn't answer, so that an outage isn't met by a storm.
+func (c *Core) writeClaims() {
+	if c.claims.inFlight != nil || c.claims.timer != nil || len(c.claims.waiting) == 0 {
 		return
 	}
-	if cf.Holder == c.cfg.Self || !from.local() {
-		// This incarnation has forgotten the submission, or a peer's forward
-		// met a row that names somebody else.
-		a := answer(sub, pb.Outcome_OUTCOME_FAILED, pb.Reason_REASON_ID_EXPIRED, "the answer isn't kept any more")
-		a.MayHaveRun = true
-		c.reply(from, a)
+	if c.now < c.claims.notBefore {
+		c.claims.timer = c.after(c.claims.notBefore-c.now, func() {
+			c.claims.timer = nil
+			c.writeClaims()
+		})
 		return
 	}
-	c.forwardTo(from, cf.Holder, sub.request, sub.id.Institution)
+	batch := c.claims.take(c.cfg.MaxClaimBatch)
+	if len(batch) == 0 {
+		return
+	}
+	c.claims.inFlight = batch
+	c.claims.notBefore = c.now + c.cfg.ClaimInterval
+	c.claims.batch++
+	w := ClaimWrite{Batch: c.claims.batch}
+	for _, sub := range batch {
+		sub.written = true
+		w.Claims = append(w.Claims, Claim{sub.id, sub.digest, uint32(sub.ttl / time.Second)})
+	}
+	c.stats.ClaimWrites++
+	c.emit(w)
 }
 
-// claimTimedOut answers at the deadline of a claim that isn't settled. The
-// write may yet take effect, so the word can't be "not run"; the record stays,
-// so that the same key can be settled when the caller comes back.
-func (c *Core) claimTimedOut(sub *submission) {
-	if sub.phase != claiming {
+// claimResult settles a group of claims. A write whose reply was lost may have
+// taken effect; it is written again, and then the rows that stand in the way
+// are this incarnation's own. A result for another write than the one in
+// flight is late or doubled, and dropped: it says nothing of these claims.
+func (c *Core) claimResult(e ClaimResult) {
+	if e.Batch != c.claims.batch || c.claims.inFlight == nil {
+		c.stats.LateResults++
 		return
 	}
-	sub.unresolved = true
-	c.end(sub, unknown(sub, pb.Reason_REASON_STORE_UNAVAILABLE, "the claim couldn't be settled in time", c.retryAfter()))
+	batch := c.claims.inFlight
+	c.claims.inFlight = nil
+	if e.OK {
+		c.claims.failures = 0
+		c.settleBatch(batch, e.Conflicts)
+	} else {
+		c.claimsUncertain(batch)
+	}
+	c.writeClaims()
 }
 
-// reclaim takes up a submission again whose claim was never settled.
-func (c *Core) reclaim(from asker, old *submission, s *pb.Submission) {
-	inst, service, problem := c.check(old.id.Institution, s)
-	if problem != "" {
-		c.reply(from, reject(s.GetId(), old.digest, pb.Reason_REASON_INVALID, problem, 0))
-		return
+// settleBatch gives the claims of a write their outcome. If rows stood in the
+// way nothing was written: the other claims go first into the next write.
+func (c *Core) settleBatch(batch []*submission, conflicts []ClaimConflict) {
+	rows := make(map[task.ID]claim.Holder, len(conflicts))
+	for _, cf := range conflicts {
+		rows[cf.ID] = claim.Holder{Incarnation: cf.Holder, Digest: cf.Digest}
+	}
+	var again []*submission
+	for _, sub := range batch {
+		h, stood := rows[sub.id]
+		switch {
+		case stood:
+			c.claimStood(sub, h)
+		case len(rows) > 0:
+			again = append(again, sub)
+		default:
+			c.claimed(sub)
+		}
+	}
+	c.claims.waiting = append(again, c.claims.waiting...)
+}
+
+// claimsUncertain puts the claims of a write without a reply first in line,
+// after a back-off.
+func (c *Core) claimsUncertain(batch []*submission) {
+	c.claims.failures++
+	for _, sub := range batch {
+		sub.uncertain = true
 	}
-	sub := &submission{
-		id:         old.id,
-		digest:     old.digest,
-		request:    s,
-		service:    service,
-		askers:     []asker{from},
-		arrived:    c.now,
-		deadline:   c.now + allowed(inst, s),
-		ttl:        old.ttl,
-		unresolved: true,
-	}
-	c.takeOwnKey(sub)
+	c.claims.waiting = append(batch, c.claims.waiting...)
+	c.claims.notBefore = c.now + retry.Delay(c.rng, c.claims.failures+1)
 }
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -49,20 +49,16 @@
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
 	c.runs[e.Peer.Node] = e.Peer.Run
 	c.send(e.Peer, &pb.PeerMessage{})
+	c.announceAdopted(e.Peer)
 }
 
 // peerDown answers what waited for the peer: at once, because its state can't
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
 	delete(c.peers, p)
-	for _, id := range c.sortedForwards() {
-		f := c.forwards[id]
-		if f.holder != p {
-			continue
-		}
-		delete(c.forwards, id)
-		c.holderOut(f.from, f.holder, f.submission.GetId(), f.digest)
-	}
+	c.forwardsLost(p)
+	c.askerPeerDown(p)
+	c.handoverPeerDown(p)
 }
 
 func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
@@ -79,6 +75,12 @@
 		c.forwardAnswer(from, b.ForwardAnswer)
 	case *pb.PeerMessage_ForwardCancel:
 		c.forwardedCancel(from, b.ForwardCancel)
+	case *pb.PeerMessage_Handover:
+		c.adopt(from, b.Handover)
+	case *pb.PeerMessage_HandoverAck:
+		c.handoverAcked(from, b.HandoverAck)
+	case *pb.PeerMessage_HandoverNotice:
+		c.noticeSuccessor(from, b.HandoverNotice)
 	case *pb.PeerMessage_SettingsPull:
 		if s := c.settings.Current(); s != nil {
 			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -46,6 +46,7 @@
 
 func (c *Core) startTask(ref queue.Ref, slot task.Slot) {
 	sub := c.jobs[ref.Job]
+	c.mustHold(sub)
 	c.lastStart++
 	s := &start{
 		id:      c.lastStart,
--- /dev/null
+++ b/core/dispatch/random_test.go
@@ -0,0 +1,413 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// The long run: go test ./core/dispatch -run TestRandomLong -random.for=10m
+// -random.steps=20000 -timeout 0. One run is played again by -random.seed with
+// the seed that it printed and -random.for=0.
+var (
+	longFor   = flag.Duration("random.for", 0, "how long TestRandomLong runs")
+	longSteps = flag.Int("random.steps", 2000, "steps of each run of TestRandomLong")
+	longSeed  = flag.Int("random.seed", 0, "first seed of TestRandomLong")
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "60", "rapid.shrinktime": "10s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// play runs a world through commands and faults in any order.
+type play struct {
+	*world
+	t       *rapid.T
+	all     []*fakeEntry
+	steps   int
+	version uint64
+}
+
+func newPlay(t *rapid.T, fail func(string, ...any)) *play {
+	seed := rapid.Uint64().Draw(t, "seed")
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), links: make(map[[2]int]*fakeLink), faults: make(map[string]int), entries: make([]*fakeEntry, 3)}
+	w.store = &fakeStore{w: w, rows: make(map[task.ID]ClaimConflict)}
+	w.truth = newTruth(w, fail)
+	for i := range 4 {
+		r := &fakeRunner{w: w, name: fmt.Sprintf("runner-%d", i), domain: fmt.Sprintf("domain-%d", i%2), up: true}
+		r.restart()
+		w.runners = append(w.runners, r)
+	}
+	p := &play{world: w, t: t, version: 1}
+	for i := range w.entries {
+		w.boot(i)
+	}
+	w.advance(time.Second)
+	return p
+}
+
+func (p *play) index(n int, label string) int { return rapid.IntRange(0, n-1).Draw(p.t, label) }
+
+func (p *play) entry() *fakeEntry { return p.entries[p.index(len(p.entries), "entry")] }
+
+func (p *play) job() *fakeJob {
+	jobs := p.truth.jobs
+	for _, back := range []int{p.index(6, "back"), 0} {
+		if n := len(jobs) - 1 - back; n >= 0 && p.now-jobs[n].first < (windowS-10)*time.Second {
+			return jobs[n]
+		}
+	}
+	return nil
+}
+
+// action is one step; it reports false if it didn't apply.
+type action struct {
+	name   string
+	weight int
+	run    func(p *play) bool
+}
+
+var actions = []action{
+	{"submit-issued", 6, (*play).submitIssued},
+	{"submit-own-key", 6, (*play).submitOwnKey},
+	{"resubmit", 8, func(p *play) bool { return p.resubmit(p.entry()) }},
+	{"resubmit-everywhere", 2, func(p *play) bool {
+		ok := false
+		for _, e := range p.entries {
+			ok = p.resubmit(e) || ok
+		}
+		return ok
+	}},
+	{"resubmit-other-payload", 2, (*play).submitConflict},
+	{"cancel", 3, (*play).cancel},
+	{"caller-gone", 2, (*play).callerGone},
+	{"crash", 1, (*play).crashOne},
+	{"pause", 2, (*play).pauseOne},
+	{"resume", 4, (*play).resumeOne},
+	{"replace-paused", 1, (*play).replacePaused},
+	{"drain", 1, (*play).drainOne},
+	{"cut", 2, (*play).cut},
+	{"heal", 4, (*play).heal},
+	{"reconnect", 2, func(p *play) bool {
+		p.disconnect(p.index(3, "a"), p.index(3, "b"), p.jitter(100*ms))
+		return true
+	}},
+	{"store-mode", 3, (*play).storeMode},
+	{"runner-mode", 4, (*play).runnerMode},
+	{"runner-restart", 1, func(p *play) bool { p.runners[p.index(4, "runner")].restart(); return true }},
+	{"stale-peer-message", 3, (*play).stalePeerMessage},
+	{"stale-result", 3, (*play).staleResult},
+	{"settings", 1, (*play).changeSettings},
+	{"wait", 6, func(p *play) bool { p.advance(p.jitter(2 * time.Second)); return true }},
+}
+
+func names() []string {
+	var list []string
+	for _, a := range actions {
+		for range a.weight {
+			list = append(list, a.name)
+		}
+	}
+	return list
+}
+
+var weighted = names()
+
+func (p *play) step() {
+	name := rapid.SampledFrom(weighted).Draw(p.t, "action")
+	i := slices.IndexFunc(actions, func(a action) bool { return a.name == name })
+	if actions[i].run(p) {
+		p.faults[name]++
+	}
+	p.steps++
+	p.advance(time.Duration(p.index(60, "pass")) * ms)
+	p.truth.overdue()
+}
+
+func (p *play) submitIssued() bool {
+	e := p.entry()
+	if !e.alive || e.paused {
+		return false
+	}
+	block := e.core.IssueIDs(e.clock(), 1)
+	if block == nil {
+		return false
+	}
+	wire := &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: &pb.IssuedId{Holder: block.GetHolder(), Number: block.GetFirst()}}}
+	j := p.truth.newJob(wire, "labels", 1+p.index(5, "tasks"))
+	if p.chance(60) {
+		p.truth.submit(e, j, j.request)
+		return true
+	}
+	return p.resubmit(p.entry())
+}
+
+func (p *play) submitOwnKey() bool {
+	wire := &pb.SubmissionId{Kind: &pb.SubmissionId_OwnKey{OwnKey: fmt.Sprintf("key-%d", len(p.truth.jobs))}}
+	service := rapid.SampledFrom([]string{"labels", "settle"}).Draw(p.t, "service")
+	p.truth.newJob(wire, service, 1+p.index(5, "tasks"))
+	return p.resubmit(p.entry())
+}
+
+func (p *play) resubmit(e *fakeEntry) bool {
+	j := p.job()
+	if j == nil || !e.alive || e.drained {
+		return false
+	}
+	s := proto.CloneOf(j.request)
+	s.TimeoutMs = uint32(p.index(4, "timeout")) * 1500
+	p.truth.submit(e, j, s)
+	return true
+}
+
+func (p *play) submitConflict() bool {
+	e, j := p.entry(), p.job()
+	if j == nil || !e.alive || e.drained {
+		return false
+	}
+	s := proto.CloneOf(j.request)
+	s.Tasks[0].Payload = []byte("revision")
+	p.truth.submit(e, j, s)
+	return true
+}
+
+func (p *play) cancel() bool {
+	e, j := p.entry(), p.job()
+	if j == nil || !e.alive || e.drained {
+		return false
+	}
+	p.truth.cancel(e, j)
+	return true
+}
+
+func (p *play) callerGone() bool {
+	open := slices.Sorted(maps.Keys(p.truth.open))
+	if len(open) == 0 {
+		return false
+	}
+	p.truth.callerGone(p.truth.open[open[p.index(len(open), "request")]])
+	return true
+}
+
+func (p *play) crashOne() bool {
+	e := p.entry()
+	if !e.alive {
+		return false
+	}
+	p.replace(e)
+	return true
+}
+
+func (p *play) pauseOne() bool {
+	e := p.entry()
+	if !e.alive || e.paused || e.drained {
+		return false
+	}
+	p.pause(e)
+	p.all = append(p.all, e)
+	return true
+}
+
+func (p *play) resumeOne() bool {
+	for i, e := range p.all {
+		if e.alive && e.paused {
+			p.all = slices.Delete(p.all, i, i+1)
+			p.resume(e)
+			return true
+		}
+	}
+	return false
+}
+
+// replacePaused starts a new run under the name of one that is only paused.
+func (p *play) replacePaused() bool {
+	for _, e := range p.all {
+		if e.alive && e.paused && p.entries[e.index] == e && p.now-e.pausedAt > 2*idleTimeout {
+			p.boot(e.index)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *play) drainOne() bool {
+	e := p.entry()
+	if !e.alive {
+		return false
+	}
+	e.post(0, Drain{})
+	return true
+}
+
+func (p *play) cut() bool {
+	a := p.index(3, "a")
+	b := (a + 1) % 3
+	l, _ := p.link(a, b)
+	l.cut = true
+	p.disconnect(a, b, idleTimeout)
+	return true
+}
+
+func (p *play) heal() bool {
+	for _, l := range p.links {
+		l.cut = false
+	}
+	return true
+}
+
+func (p *play) storeMode() bool {
+	p.store.mode = rapid.SampledFrom([]string{"", "", "down", "slow"}).Draw(p.t, "mode")
+	p.store.loses = rapid.Bool().Draw(p.t, "loses")
+	return true
+}
+
+func (p *play) runnerMode() bool {
+	r := p.runners[p.index(4, "runner")]
+	r.mode = rapid.SampledFrom([]string{"", "", "lossy", "lossy", "refuse", "hang", "fail"}).Draw(p.t, "mode")
+	r.up = p.index(5, "up") > 0
+	return true
+}
+
+func (p *play) stalePeerMessage() bool {
+	e := p.entry()
+	if len(e.inbox) == 0 {
+		return false
+	}
+	e.post(p.jitter(100*ms), e.inbox[p.index(len(e.inbox), "message")])
+	return true
+}
+
+func (p *play) staleResult() bool {
+	e := p.entry()
+	if len(e.claims) > 0 {
+		e.post(p.jitter(100*ms), e.claims[p.index(len(e.claims), "claim")])
+	}
+	if len(e.results) > 0 {
+		e.post(p.jitter(100*ms), e.results[p.index(len(e.results), "result")])
+	}
+	return len(e.claims)+len(e.results) > 0
+}
+
+// changeSettings declares a service anew or drops it at one entry.
+func (p *play) changeSettings() bool {
+	p.version++
+	s := declared()
+	s.Version = p.version
+	if rapid.Bool().Draw(p.t, "drop") {
+		s.Institutions[0].Services = s.Institutions[0].Services[:1]
+	}
+	e := p.entry()
+	e.post(0, SettingsRead{s})
+	return true
+}
+
+// finish ends all faults and checks that nothing is left behind.
+func (p *play) finish() {
+	p.heal()
+	p.store.mode, p.store.loses = "", false
+	for _, r := range p.runners {
+		r.mode, r.up = "", true
+	}
+	for p.resumeOne() {
+	}
+	p.advance(time.Duration(responseMs)*ms + time.Second)
+	p.truth.overdue()
+	p.advance((windowS + 60) * time.Second)
+	for _, e := range p.entries {
+		if e.alive {
+			p.checkEmpty(e)
+		}
+	}
+}
+
+func (p *play) checkEmpty(e *fakeEntry) {
+	for what, n := range e.core.sizes() {
+		if n > 0 {
+			p.truth.fail("%s still keeps %d %s", e.self(), n, what)
+		}
+	}
+}
+
+func TestRandom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newPlay(rt, rt.Fatalf)
+		for range 200 {
+			p.step()
+		}
+		p.finish()
+	})
+}
+
+// TestRandomLong plays runs on all cores for a given time.
+func TestRandomLong(t *testing.T) {
+	if *longFor == 0 && *longSeed == 0 {
+		t.Skip("the long run is asked for by -random.for or -random.seed")
+	}
+	var next atomic.Int64
+	next.Store(int64(*longSeed))
+	var mu sync.Mutex
+	var runs, steps int
+	faults := make(map[string]int)
+	end := time.Now().Add(*longFor)
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for {
+				seed := int(next.Add(1) - 1)
+				p, broken := playSeed(seed, *longSteps)
+				mu.Lock()
+				runs++
+				steps += p.steps
+				for name, n := range p.faults {
+					faults[name] += n
+				}
+				for name, n := range p.truth.outcomes {
+					faults["answer "+name] += n
+				}
+				mu.Unlock()
+				if broken != nil {
+					t.Errorf("seed %d: %v", seed, broken)
+				}
+				if !time.Now().Before(end) {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("first seed %d, runs %d, steps %d", *longSeed, runs, steps)
+	for _, name := range slices.Sorted(maps.Keys(faults)) {
+		t.Logf("%8d %s", faults[name], name)
+	}
+}
+
+// playSeed plays one run; broken is the promise or invariant that failed.
+func playSeed(seed, steps int) (p *play, broken any) {
+	rapid.Custom(func(rt *rapid.T) (done bool) {
+		defer func() { broken = recover() }()
+		p = newPlay(rt, func(format string, args ...any) { panic(fmt.Sprintf(format, args...)) })
+		for range steps {
+			p.step()
+		}
+		p.finish()
+		return true
+	}).Example(seed)
+	return p, broken
+}
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -48,7 +48,6 @@
 	delete(c.starts, s.id)
 	delete(s.sub.running, s.id)
 	c.pool.Release(s.slot)
-	c.checkDrained()
 }
 
 func (c *Core) finished(s *start, r task.Result) {
@@ -60,6 +59,10 @@
 	}
 	sub.assembly.Finish(s.index, s.id, r.Output)
 	sub.longest = max(sub.longest, c.now-s.sent)
+	if sub.assembly.Bytes() > c.cfg.MaxJobBytes {
+		c.giveUp(sub, pb.Reason_REASON_TOO_LARGE, fmt.Sprintf("the results are larger than %d bytes", c.cfg.MaxJobBytes))
+		return
+	}
 	if !sub.assembly.Complete() {
 		return
 	}
--- /dev/null
+++ b/core/dispatch/sizes_test.go
@@ -0,0 +1,21 @@
+package dispatch
+
+func (c *Core) sizes() map[string]int {
+	return map[string]int{
+		"submissions": len(c.submissions),
+		"jobs":        len(c.jobs),
+		"starts":      len(c.starts),
+		"forwards":    len(c.forwards),
+		"kept":        c.answers.Len(),
+		"kept bytes":  c.answers.Bytes(),
+		"requests":    len(c.requests),
+		"holders":     c.holders.Len(),
+		"unsettled":   c.unsettledClaims.Len(),
+		"adopted":     len(c.adopted),
+		"successors":  len(c.successors),
+		"claims":      len(c.claims.waiting) + len(c.claims.inFlight),
+		"queued jobs": c.queue.Jobs(),
+		"id blocks":   c.issuer.Blocks(),
+		"timers":      len(c.timers) / 10,
+	}
+}
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -11,18 +11,26 @@
 		c.peers[p].sent = 0
 	}
 	c.sendStatus()
-	c.checkDrained()
 }
 
-// checkDrained reports once that nothing is in progress any more.
+// checkDrained goes on with a planned stop as soon as nothing is in progress:
+// the answers are handed over, then the stop is reported, once.
 func (c *Core) checkDrained() {
-	if !c.draining || c.drained || len(c.jobs) > 0 || len(c.starts) > 0 || c.claiming() {
+	if !c.draining || c.drained || c.busy() {
+		return
+	}
+	if c.handover == nil {
+		c.beginHandover()
+	}
+	if !c.handover.done {
 		return
 	}
 	c.drained = true
 	c.emit(Drained{})
 }
 
-func (c *Core) claiming() bool {
-	return len(c.claims.waiting) > 0 || c.claims.inFlight != nil || len(c.forwards) > 0
+// busy says whether anybody waits for an answer, anything runs or any write is
+// under way.
+func (c *Core) busy() bool {
+	return len(c.requests)+len(c.jobs)+len(c.submissions)+len(c.starts) > 0 || c.claims.inFlight != nil
 }
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -25,134 +25,128 @@
 	ended
 )
 
-// asker is who waits for an answer: a caller of this process, or a peer that
-// forwarded.
-type asker struct {
-	peer    task.Incarnation
-	request uint64
-}
-
-func (a asker) local() bool {
-	return a.peer == task.Incarnation{}
-}
-
-// submission is what this process knows of one id.
+// submission is a job that isn't ended: its claim is being settled, or it is
+// held here.
 type submission struct {
 	id      task.ID
 	digest  task.Digest
 	phase   phase
 	request *pb.Submission
 	service *pb.Service
-	askers  []asker
+	// waiting are the requests that its end will answer.
+	waiting []*request
 	arrived task.Time
 	// deadline is set once, from the first request, and never extended.
 	deadline task.Time
+	timer    *timer
 	job      queue.JobID
 	assembly *job.Assembly
-	answer   *pb.Answer
-	// keepUntil is when an ended submission may be forgotten.
-	keepUntil task.Time
-	ttl       time.Duration
-	longest   task.Time
-	claimTry  int
-	// unresolved is set when the claim was given up on while a write of it may
-	// yet take effect.
-	unresolved bool
+	// ttl is how long the answer is kept.
+	ttl     time.Duration
+	longest task.Time
+	// written is set once a write of the claim was begun.
+	written bool
+	// uncertain is set when a write of the claim may have taken effect without
+	// a reply.
+	uncertain bool
+	// cancelled is set when a caller cancelled before the claim was settled.
+	cancelled bool
+	// claimed is set when the claim stands in this incarnation's name.
+	claimed bool
 	// running are the starts that aren't settled.
 	running map[task.StartID]*start
 	// attempts counts for each task the starts known never to have run.
 	attempts []int
 }
 
-// submit takes a submission from a caller or a peer.
-func (c *Core) submit(from asker, institution string, s *pb.Submission) {
+// submit takes a submission from a caller, or one that a peer passed on.
+func (c *Core) submit(from asker, institution string, s *pb.Submission, wait time.Duration) {
 	id := task.IDOf(institution, s.GetId())
 	digest := task.DigestOf(s)
-	if known := c.submissions[id]; known != nil {
-		c.resubmit(from, known, digest, s)
+	r := c.open(from, id, s, digest, wait)
+	if r == nil || c.answerKnown(r) {
 		return
 	}
-	if id.Issued() && id.Holder != c.cfg.Self {
-		c.forwardTo(from, id.Holder, s, institution)
-		return
+	here := !id.Issued() || id.Holder == c.cfg.Self
+	switch {
+	case c.closed || c.draining && !here:
+		c.reply(r, c.unsettled(r, pb.Reason_REASON_NOT_SERVING, "the process is stopping"))
+	case !here:
+		c.toHolder(r, id.Holder)
+	case id.Issued():
+		c.takeIssued(r)
+	default:
+		c.takeOwnKey(r)
 	}
-	inst, service, problem := c.check(institution, s)
-	if problem != "" {
-		c.reply(from, reject(s.GetId(), digest, pb.Reason_REASON_INVALID, problem, 0))
-		return
-	}
-	sub := &submission{
-		id:       id,
-		digest:   digest,
-		request:  s,
-		service:  service,
-		askers:   []asker{from},
-		arrived:  c.now,
-		deadline: c.now + allowed(inst, s),
-		ttl:      time.Duration(inst.GetResubmitWindowS()) * time.Second,
-	}
-	if id.Issued() {
-		c.takeIssued(sub)
-		return
-	}
-	c.takeOwnKey(sub)
 }
 
-// resubmit joins a request to a submission known here.
-func (c *Core) resubmit(from asker, sub *submission, digest task.Digest, s *pb.Submission) {
-	if digest != sub.digest {
-		// A recipe sheet's new revision under the old id: joined, its caller
-		// would print the label of the old one.
-		c.stats.Conflicts++
-		c.reply(from, reject(s.GetId(), digest, pb.Reason_REASON_CONFLICT, "the id was used with another payload", 0))
-		return
+// answerKnown answers a request for a submission that ended here, or joins it
+// to one in progress.
+func (c *Core) answerKnown(r *request) bool {
+	if a := c.answers.Get(r.id); a != nil {
+		c.stats.Resubmissions++
+		c.replyKept(r, a)
+		return true
 	}
-	c.stats.Resubmissions++
-	if sub.unresolved && sub.phase == ended {
-		c.reclaim(from, sub, s)
-		return
+	sub := c.submissions[r.id]
+	if sub == nil {
+		return false
 	}
-	if sub.phase == ended {
-		c.reply(from, sub.answer)
-		return
+	c.stats.Resubmissions++
+	if c.conflicts(r, sub.digest) {
+		return true
 	}
-	sub.askers = append(sub.askers, from)
-	c.queue.Hold(sub.job, false)
-	c.askerDeadline(from, sub, s)
+	c.attach(r, sub)
+	c.holdBack(sub)
+	return true
 }
 
-// askerDeadline answers a joined request at its own deadline if that comes
-// before the job's.
-func (c *Core) askerDeadline(from asker, sub *submission, s *pb.Submission) {
-	wait := time.Duration(s.GetTimeoutMs()) * time.Millisecond
-	if wait == 0 || c.now+wait >= sub.deadline {
-		return
+func (c *Core) replyKept(r *request, a *pb.Answer) {
+	var digest task.Digest
+	copy(digest[:], a.GetDigest())
+	if !c.conflicts(r, digest) {
+		c.reply(r, a)
 	}
-	c.after(wait, func() {
-		if sub.phase == ended || !sub.removeAsker(from) {
-			return
-		}
-		c.reply(from, unknown(sub, pb.Reason_REASON_DEADLINE, "still in progress", c.retryAfter()))
-	})
 }
 
-func (s *submission) removeAsker(a asker) bool {
-	i := slices.Index(s.askers, a)
-	if i < 0 {
+// conflicts rejects a request whose payload differs from that of the id's
+// first use: a recipe sheet's new revision under the old id. Joined, its caller
+// would print the label of the old one. A submission that was cancelled before
+// its payload was seen conflicts with none.
+func (c *Core) conflicts(r *request, digest task.Digest) bool {
+	if r.cancels() || digest == (task.Digest{}) || r.digest == digest {
 		return false
 	}
-	s.askers = slices.Delete(s.askers, i, i+1)
+	c.stats.Conflicts++
+	c.reply(r, rejected(r, pb.Reason_REASON_CONFLICT, "the id was used with another payload"))
 	return true
 }
 
-// allowed is the time a job has: what the caller asks for, capped by the
-// contracted response time.
+func (s *submission) removeWaiting(r *request) {
+	if i := slices.Index(s.waiting, r); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
+// allowance is the time that a request may take.
+func (c *Core) allowance(institution string, s *pb.Submission) time.Duration {
+	inst := c.settings.Institution(institution)
+	if inst == nil {
+		return undeclaredWait
+	}
+	return allowed(inst, s)
+}
+
+func msDuration(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
 func allowed(inst *pb.Institution, s *pb.Submission) time.Duration {
 	limit := inst.GetResponseTimeMs()
 	if t := s.GetTimeoutMs(); t > 0 {
 		limit = min(limit, t)
 	}
-	return time.Duration(limit) * time.Millisecond
+	return msDuration(limit)
 }
 
 // check finds the declarations a submission refers to, or says what is wrong.
@@ -182,27 +176,58 @@
 	return inst, service, ""
 }
 
+// newSubmission checks a request and makes its submission; nil if it was
+// rejected.
+func (c *Core) newSubmission(r *request) *submission {
+	inst, service, problem := c.check(r.id.Institution, r.submission)
+	if problem != "" {
+		c.reply(r, rejected(r, pb.Reason_REASON_INVALID, problem))
+		return nil
+	}
+	return &submission{
+		id:       r.id,
+		digest:   r.digest,
+		request:  r.submission,
+		service:  service,
+		arrived:  c.now,
+		deadline: r.deadline,
+		ttl:      time.Duration(inst.GetResubmitWindowS()) * time.Second,
+	}
+}
+
 // takeIssued takes a submission under an id that this incarnation issued.
-func (c *Core) takeIssued(sub *submission) {
-	switch c.issuer.State(c.now, sub.id.Number) {
-	case claim.Unissued:
-		c.replyAll(sub, reject(sub.id.Proto(), sub.digest, pb.Reason_REASON_INVALID, "the id was never issued", 0))
+func (c *Core) takeIssued(r *request) {
+	if !c.idFresh(r) {
 		return
-	case claim.Used, claim.Expired:
-		a := answer(sub, pb.Outcome_OUTCOME_FAILED, pb.Reason_REASON_ID_EXPIRED, "the id is used or expired and its answer isn't kept")
-		a.MayHaveRun = true
-		c.replyAll(sub, a)
+	}
+	sub := c.newSubmission(r)
+	if sub == nil {
 		return
 	}
-	c.issuer.Use(c.now, sub.id.Number)
+	c.issuer.Use(c.now, r.id.Number)
 	sub.ttl = c.cfg.IDValidity
 	c.submissions[sub.id] = sub
+	c.attach(r, sub)
 	c.hold(sub)
 }
 
+// idFresh answers a request whose number can't be used any more.
+func (c *Core) idFresh(r *request) bool {
+	switch c.issuer.State(c.now, r.id.Number) {
+	case claim.Fresh:
+		return true
+	case claim.Unissued:
+		c.reply(r, rejected(r, pb.Reason_REASON_INVALID, "the id was never issued"))
+	default:
+		c.reply(r, failed(r, pb.Reason_REASON_ID_EXPIRED, "the id is used or expired and its answer isn't kept"))
+	}
+	return false
+}
+
 // hold begins the job of a submission whose claim this incarnation holds.
 func (c *Core) hold(sub *submission) {
 	sub.phase = held
+	sub.claimed = true
 	n := len(sub.request.GetTasks())
 	sub.assembly = job.New(n)
 	sub.attempts = make([]int, n)
@@ -215,7 +240,8 @@
 	sub.job = c.lastJob
 	c.jobs[sub.job] = sub
 	c.queue.Add(c.queueJob(sub))
-	c.after(sub.deadline-c.now, func() { c.deadlinePassed(sub) })
+	sub.timer = c.after(sub.deadline-c.now, func() { c.deadlinePassed(sub) })
+	c.holdBack(sub)
 }
 
 func (c *Core) queueJob(sub *submission) queue.Job {
@@ -284,78 +310,42 @@
 		}
 	}
 	sub.phase = ended
-	sub.answer = a
-	sub.keepUntil = c.now + sub.ttl
 	tasks := len(sub.request.GetTasks())
 	if sub.job != 0 {
 		c.queue.Remove(sub.job)
 		delete(c.jobs, sub.job)
 		c.stopRunning(sub)
 	}
+	c.cancelTimer(sub.timer)
+	delete(c.submissions, sub.id)
+	c.answers.Put(sub.id, a, c.now+sub.ttl)
 	c.emit(Ended{sub.id, a.GetOutcome(), a.GetReason(), tasks, c.now - sub.arrived, sub.longest})
 	c.replyAll(sub, a)
 	sub.request = nil
 	sub.assembly = nil
-	c.keep(sub)
-	c.checkDrained()
-}
-
-// keep stores an ended submission and sheds the oldest results beyond the
-// limit; the outcome itself is kept, so that no resubmission runs again.
-func (c *Core) keep(sub *submission) {
-	c.kept = append(c.kept, sub)
-	c.keptBytes += resultBytes(sub.answer)
-	for i := 0; i < len(c.kept) && c.keptBytes > c.cfg.MaxAnswerBytes; i++ {
-		old := c.kept[i]
-		n := resultBytes(old.answer)
-		if n == 0 {
-			continue
-		}
-		c.keptBytes -= n
-		old.answer = answer(old, pb.Outcome_OUTCOME_FAILED, pb.Reason_REASON_ID_EXPIRED, "the job completed; its answer isn't kept any more")
-		old.answer.MayHaveRun = true
-	}
-}
-
-func resultBytes(a *pb.Answer) int {
-	n := 0
-	for _, r := range a.GetResults() {
-		n += len(r.GetOutput())
-	}
-	return n
 }
 
-// expire forgets ended submissions and id blocks that are past their time.
+// expire forgets what is past its time.
 func (c *Core) expire() {
 	c.issuer.Expire(c.now)
-	c.kept = slices.DeleteFunc(c.kept, func(sub *submission) bool {
-		if c.now < sub.keepUntil {
-			return false
-		}
-		c.keptBytes -= resultBytes(sub.answer)
-		if c.submissions[sub.id] == sub {
-			delete(c.submissions, sub.id)
-		}
-		return true
-	})
+	c.answers.Expire(c.now)
+	c.holders.Expire(c.now)
+	c.unsettledClaims.Expire(c.now)
+	c.expireAdopted()
 }
 
-// callerGone drops an asker. A job of which nothing has started, and for which
-// nobody waits, is held back until somebody asks again.
-func (c *Core) callerGone(from asker) {
-	for id, f := range c.forwards {
-		if f.from == from {
-			delete(c.forwards, id)
-			return
-		}
-	}
-	for _, sub := range c.submissions {
-		if sub.phase == ended || !sub.removeAsker(from) {
-			continue
-		}
-		if len(sub.askers) == 0 && sub.phase == held && !sub.assembly.MayHaveRun() {
-			c.queue.Hold(sub.job, true)
-		}
-		return
+// mustHold is checked at each start of a task. A start without the claim would
+// be the second start that claims exist to prevent, and one past the deadline
+// works for a caller who was told that the job is over.
+func (c *Core) mustHold(sub *submission) {
+	switch {
+	case sub.phase != held || !sub.claimed:
+		panic("dispatch: start without a claim for " + sub.id.String())
+	case sub.id.Issued() && sub.id.Holder != c.cfg.Self:
+		panic("dispatch: start under another's id " + sub.id.String())
+	case c.now >= sub.deadline:
+		panic("dispatch: start past the deadline of " + sub.id.String())
+	case c.closed:
+		panic("dispatch: start after the handover of " + sub.id.String())
 	}
 }
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -6,15 +6,16 @@
 	"sapphirepoint.example/sapphirepoint/core/task"
 )
 
-// timer runs an action at a time. Actions check for themselves whether what
-// they were set for still stands.
+// timer runs an action at a time.
 type timer struct {
 	at  task.Time
 	seq uint64
 	run func()
+	// index is the place in the heap, -1 when it isn't there.
+	index int
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int { return len(h) }
 func (h timerHeap) Less(i, j int) bool {
@@ -23,25 +24,44 @@
 	}
 	return h[i].seq < h[j].seq
 }
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
 func (h *timerHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
+	last.index = -1
 	return last
 }
 
 // after sets a timer.
-func (c *Core) after(delay task.Time, run func()) {
+func (c *Core) after(delay task.Time, run func()) *timer {
 	c.timerSeq++
-	heap.Push(&c.timers, timer{c.now + delay, c.timerSeq, run})
+	t := &timer{at: c.now + delay, seq: c.timerSeq, run: run}
+	heap.Push(&c.timers, t)
+	return t
+}
+
+// cancelTimer removes a timer that hasn't run. Without it the timers of
+// answered requests would hold their memory until the deadline.
+func (c *Core) cancelTimer(t *timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&c.timers, t.index)
+	}
 }
 
 func (c *Core) runTimers() {
 	for len(c.timers) > 0 && c.timers[0].at <= c.now {
-		t := heap.Pop(&c.timers).(timer)
+		t := heap.Pop(&c.timers).(*timer)
 		t.run()
 	}
 }
