--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -44,7 +44,7 @@
 
 // failed is the final word on a submission that may have run and whose answer
 // can't be had any more.
-func failed(r *request, reason pb.Reason, detail string) *pb.Answer {
+func failed(r *waiter, reason pb.Reason, detail string) *pb.Answer {
 	a := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_FAILED, reason, detail)
 	a.MayHaveRun = true
 	return a
@@ -52,21 +52,21 @@
 
 // unsettled is the answer when this request couldn't settle the outcome and
 // asking again is worthwhile.
-func (c *Core) unsettled(r *request, reason pb.Reason, detail string) *pb.Answer {
+func (c *Core) unsettled(r *waiter, reason pb.Reason, detail string) *pb.Answer {
 	a := rejected(r, reason, detail)
 	a.RetryAfterMs = c.retryAfter()
 	return a
 }
 
 // rejected turns a request away without a word on the submission.
-func rejected(r *request, reason pb.Reason, detail string) *pb.Answer {
+func rejected(r *waiter, reason pb.Reason, detail string) *pb.Answer {
 	a := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_UNKNOWN, reason, detail)
 	a.MayHaveRun = true
 	return a
 }
 
 func (c *Core) replyAll(sub *submission, a *pb.Answer) {
-	for len(sub.waiting) > 0 {
-		c.reply(sub.waiting[0], a)
+	for len(sub.waiters) > 0 {
+		c.reply(sub.waiters[0], a)
 	}
 }
--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -31,7 +31,7 @@
 // cancelHere ends a job in progress. While its claim isn't settled another
 // process may yet turn out to hold it, so it is only marked: once the claim
 // stands here the job is sealed, and never runs, however often it is asked for.
-func (c *Core) cancelHere(r *request, sub *submission) {
+func (c *Core) cancelHere(r *waiter, sub *submission) {
 	c.attach(r, sub)
 	if sub.phase == claiming {
 		sub.cancelled = true
@@ -40,7 +40,7 @@
 	c.giveUp(sub, pb.Reason_REASON_CANCELLED, "cancelled")
 }
 
-func (c *Core) cancelUnknown(r *request) {
+func (c *Core) cancelUnknown(r *waiter) {
 	here := !r.id.Issued() || r.id.Holder == c.cfg.Self
 	switch {
 	case c.closed || c.draining && !here:
@@ -55,7 +55,7 @@
 }
 
 // sealIssued uses a fresh number up.
-func (c *Core) sealIssued(r *request) {
+func (c *Core) sealIssued(r *waiter) {
 	if !c.idFresh(r) {
 		return
 	}
@@ -66,7 +66,7 @@
 }
 
 // cancelOwnKey claims a key in order to seal it, or finds its holder.
-func (c *Core) cancelOwnKey(r *request) {
+func (c *Core) cancelOwnKey(r *waiter) {
 	inst := c.settings.Institution(r.id.Institution)
 	h, known := c.holders.Get(r.id)
 	switch {
@@ -86,7 +86,7 @@
 // cancelledSubmission carries the claim of a cancellation. Its digest is that
 // of an unsettled claim of the same key, so that a row of that claim is known
 // again, and zero if there is none.
-func (c *Core) cancelledSubmission(r *request, inst *pb.Institution) *submission {
+func (c *Core) cancelledSubmission(r *waiter, inst *pb.Institution) *submission {
 	u, _ := c.unsettledClaims.Get(r.id)
 	return &submission{
 		id:        r.id,
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -46,6 +46,10 @@
 	MaxHolders int
 	// StatusInterval is how often peers get a status if nothing else is sent.
 	StatusInterval time.Duration
+	// Lending sets how slots are lent between processes.
+	Lending Lending
+	// Order sets the order of service.
+	Order queue.Order
 }
 
 // DefaultConfig returns a configuration for an incarnation with usual limits.
@@ -62,6 +66,8 @@
 		ClaimInterval:  20 * time.Millisecond,
 		MaxHolders:     20_000,
 		StatusInterval: 500 * time.Millisecond,
+		Lending:        DefaultLending,
+		Order:          queue.DefaultOrder,
 	}
 }
 
@@ -88,7 +94,7 @@
 	lastStart   task.StartID
 	upstreams   map[string]*upstream
 	budgets     map[string]*retry.Budget
-	requests    map[asker]*request
+	requests    map[asker]*waiter
 	answers     *claim.Answers
 
 	claims          claimQueue
@@ -101,9 +107,10 @@
 	peers        map[task.Incarnation]*peer
 	runs         map[string]uint64
 	forwardsSeen map[string]forwardSeen
-	forwards     map[uint64]*request
+	forwards     map[uint64]*waiter
 	lastForward  uint64
 	statusSeq    uint64
+	lending      lending
 
 	// woke is when the process last woke from a pause, slept how long it was.
 	woke  task.Time
@@ -123,7 +130,7 @@
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:     settings.NewState(),
 		issuer:       claim.NewIssuer(cfg.IDValidity),
-		queue:        queue.New(),
+		queue:        queue.NewOrdered(cfg.Order),
 		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
 		submissions:  make(map[task.ID]*submission),
 		jobs:         make(map[queue.JobID]*submission),
@@ -133,13 +140,14 @@
 		peers:        make(map[task.Incarnation]*peer),
 		runs:         make(map[string]uint64),
 		forwardsSeen: make(map[string]forwardSeen),
-		forwards:     make(map[uint64]*request),
-		requests:     make(map[asker]*request),
+		forwards:     make(map[uint64]*waiter),
+		requests:     make(map[asker]*waiter),
 		answers:      claim.NewAnswers(cfg.MaxAnswerBytes),
 		holders:      claim.NewHolders(cfg.MaxHolders),
 		adopted:      make(map[task.Incarnation]*adopted),
 		successors:   make(map[task.Incarnation]successor),
 
+		lending:         newLending(),
 		unsettledClaims: claim.NewUnsettledSet(cfg.MaxHolders),
 	}
 	c.every(cfg.StatusInterval, c.sendStatus)
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -22,6 +22,8 @@
 	ForeignAnswers  uint64 `json:"foreign_answers"`
 	PeerMessages    uint64 `json:"peer_messages"`
 	ClaimWrites     uint64 `json:"claim_writes"`
+	Borrowed        uint64 `json:"borrowed_slots"`
+	Reclaims        uint64 `json:"reclaimed_slots"`
 }
 
 // Stats returns the counters.
@@ -116,7 +118,7 @@
 		d := DumpSubmission{
 			ID:         id.String(),
 			Phase:      "claiming",
-			Askers:     len(sub.waiting),
+			Askers:     len(sub.waiters),
 			ArrivedMs:  sub.arrived.Milliseconds(),
 			DeadlineMs: sub.deadline.Milliseconds(),
 			WaitsFor:   "its claim in the table service",
@@ -136,7 +138,7 @@
 	switch {
 	case sub.assembly.Waiting() == 0:
 		return "its running tasks"
-	case len(sub.waiting) == 0 && !sub.assembly.MayHaveRun():
+	case len(sub.waiters) == 0 && !sub.assembly.MayHaveRun():
 		return "a caller: nobody asks for it at present"
 	case c.pool.Idle(sub.id.Institution) == 0:
 		return "an idle slot"
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -13,7 +13,7 @@
 // the one that answers for it since its planned stop. A request that a peer
 // passed on goes no further: two processes that each take the other for the
 // holder would pass it back and forth.
-func (c *Core) toHolder(r *request, holder task.Incarnation) {
+func (c *Core) toHolder(r *waiter, holder task.Incarnation) {
 	to := c.successorOf(holder)
 	switch {
 	case to == c.cfg.Self:
@@ -28,7 +28,7 @@
 // holderOut answers at once for a holder that isn't connected; the caller is
 // told when to come back. Only another run of the same entry VM proves that
 // the holder has ended: one that is cut off or paused may yet finish the job.
-func (c *Core) holderOut(r *request, holder task.Incarnation) {
+func (c *Core) holderOut(r *waiter, holder task.Incarnation) {
 	if run, known := c.runs[holder.Node]; known && run != holder.Run {
 		c.reply(r, failed(r, pb.Reason_REASON_HOLDER_GONE, "the process that held the claim has ended"))
 		return
@@ -38,7 +38,7 @@
 
 // forward sends a request to a connected peer. What is left of the caller's
 // time goes along, so that the deadline isn't extended on the way.
-func (c *Core) forward(r *request, holder, to task.Incarnation) {
+func (c *Core) forward(r *waiter, holder, to task.Incarnation) {
 	c.lastForward++
 	r.forward = c.lastForward
 	r.holder = to
@@ -126,7 +126,7 @@
 	c.reply(r, fa.GetAnswer())
 }
 
-func matches(r *request, a *pb.Answer) bool {
+func matches(r *waiter, a *pb.Answer) bool {
 	if task.IDOf(r.id.Institution, a.GetId()) != r.id {
 		return false
 	}
@@ -146,9 +146,9 @@
 	}
 }
 
-func (c *Core) sortedRequests() []*request {
+func (c *Core) sortedRequests() []*waiter {
 	list := slices.Collect(maps.Values(c.requests))
-	slices.SortFunc(list, func(a, b *request) int {
+	slices.SortFunc(list, func(a, b *waiter) int {
 		return cmp.Or(compareIncarnations(a.from.peer, b.from.peer), cmp.Compare(a.from.request, b.from.request))
 	})
 	return list
--- a/core/dispatch/ownkey.go
+++ b/core/dispatch/ownkey.go
@@ -11,7 +11,7 @@
 
 // takeOwnKey takes a submission under the caller's own key: nothing starts
 // before its claim stands in the table service in this incarnation's name.
-func (c *Core) takeOwnKey(r *request) {
+func (c *Core) takeOwnKey(r *waiter) {
 	if !r.from.local() {
 		// The peer that passed it on has read a row that names this
 		// incarnation, so the claim was held here and its answer is no longer
@@ -37,13 +37,13 @@
 	}
 }
 
-func (c *Core) unsettledHere(r *request) bool {
+func (c *Core) unsettledHere(r *waiter) bool {
 	_, known := c.unsettledClaims.Get(r.id)
 	return known
 }
 
 // beginClaim queues the claim of a submission for the next write.
-func (c *Core) beginClaim(sub *submission, r *request) {
+func (c *Core) beginClaim(sub *submission, r *waiter) {
 	if u, known := c.unsettledClaims.Take(sub.id); known {
 		sub.uncertain = true
 		sub.cancelled = sub.cancelled || u.Cancelled
@@ -68,8 +68,8 @@
 	if sub.written || sub.uncertain || sub.cancelled {
 		c.unsettledClaims.Put(sub.id, claim.Unsettled{Digest: sub.digest, Cancelled: sub.cancelled}, c.now+sub.ttl)
 	}
-	for len(sub.waiting) > 0 {
-		r := sub.waiting[0]
+	for len(sub.waiters) > 0 {
+		r := sub.waiters[0]
 		c.reply(r, c.unsettled(r, pb.Reason_REASON_STORE_UNAVAILABLE, "the claim couldn't be settled in time"))
 	}
 }
@@ -104,8 +104,8 @@
 	if h.Incarnation != c.cfg.Self {
 		c.holders.Put(sub.id, h, c.now+sub.ttl)
 	}
-	for len(sub.waiting) > 0 {
-		r := sub.waiting[0]
+	for len(sub.waiters) > 0 {
+		r := sub.waiters[0]
 		c.detach(r)
 		c.rowStands(r, h)
 	}
@@ -118,7 +118,7 @@
 }
 
 // rowStands passes a request on to the holder named by a claim row.
-func (c *Core) rowStands(r *request, h claim.Holder) {
+func (c *Core) rowStands(r *waiter, h claim.Holder) {
 	switch {
 	case c.conflicts(r, h.Digest):
 	case h.Incarnation == c.cfg.Self:
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -59,6 +59,7 @@
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
+	c.lendingPeerDown(p)
 }
 
 func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
@@ -68,6 +69,7 @@
 	}
 	p.heard = c.now
 	c.peerStatus(from, p, m.GetStatus())
+	c.returned(m.GetReturns())
 	switch b := m.GetBody().(type) {
 	case *pb.PeerMessage_Forward:
 		c.forwarded(from, b.Forward)
@@ -81,6 +83,10 @@
 		c.handoverAcked(from, b.HandoverAck)
 	case *pb.PeerMessage_HandoverNotice:
 		c.noticeSuccessor(from, b.HandoverNotice)
+	case *pb.PeerMessage_BorrowRequest:
+		c.lend(from, b.BorrowRequest)
+	case *pb.PeerMessage_LendGrant:
+		c.granted(from, b.LendGrant)
 	case *pb.PeerMessage_SettingsPull:
 		if s := c.settings.Current(); s != nil {
 			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
@@ -95,6 +101,7 @@
 		return
 	}
 	p.status = st
+	c.seeIdle(from, st)
 	if st.GetSettingsVersion() > c.settings.Version() {
 		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
 	}
@@ -107,6 +114,7 @@
 		return
 	}
 	p.sent = c.now
+	c.addReturns(to, m)
 	m.Status = c.status()
 	c.stats.PeerMessages++
 	c.emit(Send{to, m})
@@ -114,11 +122,13 @@
 
 func (c *Core) status() *pb.PeerStatus {
 	c.statusSeq++
-	return &pb.PeerStatus{
+	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
 		SettingsVersion: c.settings.Version(),
 		Stopping:        c.draining,
 	}
+	c.addIdle(st)
+	return st
 }
 
 // sendStatus tells peers that have heard nothing for an interval.
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -25,9 +25,9 @@
 	return a.peer == task.Incarnation{}
 }
 
-// request is one request that waits for its reply. It gets exactly one, by its
+// waiter is one request that waits for its reply. It gets exactly one, by its
 // deadline at the latest.
-type request struct {
+type waiter struct {
 	from asker
 	id   task.ID
 	// digest is zero for a cancellation, which carries no payload.
@@ -43,16 +43,16 @@
 	holder  task.Incarnation
 }
 
-func (r *request) cancels() bool { return r.submission == nil }
+func (r *waiter) cancels() bool { return r.submission == nil }
 
 // open enters a request; nil if it is open already, because the message that
 // brought it was doubled, or if its time is over.
-func (c *Core) open(from asker, id task.ID, s *pb.Submission, digest task.Digest, wait time.Duration) *request {
+func (c *Core) open(from asker, id task.ID, s *pb.Submission, digest task.Digest, wait time.Duration) *waiter {
 	if c.requests[from] != nil {
 		c.stats.DoubledRequests++
 		return nil
 	}
-	r := &request{from: from, id: id, submission: s, digest: digest}
+	r := &waiter{from: from, id: id, submission: s, digest: digest}
 	c.requests[from] = r
 	wait -= c.lateBy()
 	if wait <= 0 {
@@ -66,7 +66,7 @@
 
 // requestDue answers a request at its deadline. Everything that a request can
 // wait for ends here, so nothing waits without a timeout.
-func (c *Core) requestDue(r *request) {
+func (c *Core) requestDue(r *waiter) {
 	switch {
 	case r.sub == nil:
 		c.reply(r, c.unsettled(r, pb.Reason_REASON_DEADLINE, "the holder didn't answer in time"))
@@ -81,7 +81,7 @@
 
 // reply gives a request its answer. A second reply would reach whoever asks
 // next under the same number, with another job's labels.
-func (c *Core) reply(r *request, a *pb.Answer) {
+func (c *Core) reply(r *waiter, a *pb.Answer) {
 	if c.requests[r.from] != r {
 		panic(fmt.Sprintf("dispatch: second reply to request %d for %s", r.from.request, r.id))
 	}
@@ -98,7 +98,7 @@
 
 // forDigest fits the answer of a submission that was cancelled before its
 // payload was known to the payload of a later request.
-func forDigest(a *pb.Answer, r *request) *pb.Answer {
+func forDigest(a *pb.Answer, r *waiter) *pb.Answer {
 	if r.cancels() || len(a.GetDigest()) > 0 {
 		return a
 	}
@@ -108,14 +108,14 @@
 }
 
 // closeRequest ends the account of a request.
-func (c *Core) closeRequest(r *request) {
+func (c *Core) closeRequest(r *waiter) {
 	c.detach(r)
 	delete(c.requests, r.from)
 	c.cancelTimer(r.timer)
 }
 
 // detach takes a request from what it waits for.
-func (c *Core) detach(r *request) {
+func (c *Core) detach(r *waiter) {
 	if r.forward != 0 {
 		delete(c.forwards, r.forward)
 		r.forward = 0
@@ -126,15 +126,15 @@
 	}
 }
 
-func (c *Core) attach(r *request, sub *submission) {
+func (c *Core) attach(r *waiter, sub *submission) {
 	r.sub = sub
-	sub.waiting = append(sub.waiting, r)
+	sub.waiters = append(sub.waiters, r)
 }
 
 // gone drops a request whose asker doesn't wait any more. A job of which
 // nothing has started, and for which nobody waits, is held back until somebody
 // asks again.
-func (c *Core) gone(r *request) {
+func (c *Core) gone(r *waiter) {
 	sub := r.sub
 	c.closeRequest(r)
 	if sub != nil {
@@ -147,7 +147,7 @@
 	if sub.phase != held {
 		return
 	}
-	c.queue.Hold(sub.job, len(sub.waiting) == 0 && !sub.assembly.MayHaveRun())
+	c.queue.Hold(sub.job, len(sub.waiters) == 0 && !sub.assembly.MayHaveRun())
 }
 
 func (c *Core) callerGone(from asker) {
--- a/core/dispatch/sizes_test.go
+++ b/core/dispatch/sizes_test.go
@@ -16,6 +16,8 @@
 		"claims":      len(c.claims.waiting) + len(c.claims.inFlight),
 		"queued jobs": c.queue.Jobs(),
 		"id blocks":   c.issuer.Blocks(),
+		"loans":       len(c.lending.given),
+		"loans asked": len(c.lending.asked),
 		"timers":      len(c.timers) / 10,
 	}
 }
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -34,7 +34,7 @@
 	request *pb.Submission
 	service *pb.Service
 	// waiting are the requests that its end will answer.
-	waiting []*request
+	waiters []*waiter
 	arrived task.Time
 	// deadline is set once, from the first request, and never extended.
 	deadline task.Time
@@ -82,7 +82,7 @@
 
 // answerKnown answers a request for a submission that ended here, or joins it
 // to one in progress.
-func (c *Core) answerKnown(r *request) bool {
+func (c *Core) answerKnown(r *waiter) bool {
 	if a := c.answers.Get(r.id); a != nil {
 		c.stats.Resubmissions++
 		c.replyKept(r, a)
@@ -101,7 +101,7 @@
 	return true
 }
 
-func (c *Core) replyKept(r *request, a *pb.Answer) {
+func (c *Core) replyKept(r *waiter, a *pb.Answer) {
 	var digest task.Digest
 	copy(digest[:], a.GetDigest())
 	if !c.conflicts(r, digest) {
@@ -113,7 +113,7 @@
 // first use: a recipe sheet's new revision under the old id. Joined, its caller
 // would print the label of the old one. A submission that was cancelled before
 // its payload was seen conflicts with none.
-func (c *Core) conflicts(r *request, digest task.Digest) bool {
+func (c *Core) conflicts(r *waiter, digest task.Digest) bool {
 	if r.cancels() || digest == (task.Digest{}) || r.digest == digest {
 		return false
 	}
@@ -122,9 +122,9 @@
 	return true
 }
 
-func (s *submission) removeWaiting(r *request) {
-	if i := slices.Index(s.waiting, r); i >= 0 {
-		s.waiting = slices.Delete(s.waiting, i, i+1)
+func (s *submission) removeWaiting(r *waiter) {
+	if i := slices.Index(s.waiters, r); i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
 	}
 }
 
@@ -178,7 +178,7 @@
 
 // newSubmission checks a request and makes its submission; nil if it was
 // rejected.
-func (c *Core) newSubmission(r *request) *submission {
+func (c *Core) newSubmission(r *waiter) *submission {
 	inst, service, problem := c.check(r.id.Institution, r.submission)
 	if problem != "" {
 		c.reply(r, rejected(r, pb.Reason_REASON_INVALID, problem))
@@ -196,7 +196,7 @@
 }
 
 // takeIssued takes a submission under an id that this incarnation issued.
-func (c *Core) takeIssued(r *request) {
+func (c *Core) takeIssued(r *waiter) {
 	if !c.idFresh(r) {
 		return
 	}
@@ -212,7 +212,7 @@
 }
 
 // idFresh answers a request whose number can't be used any more.
-func (c *Core) idFresh(r *request) bool {
+func (c *Core) idFresh(r *waiter) bool {
 	switch c.issuer.State(c.now, r.id.Number) {
 	case claim.Fresh:
 		return true
@@ -297,7 +297,7 @@
 	c.end(sub, a)
 }
 
-// end gives the final answer: the job is sealed, its waiting tasks are
+// end gives the final answer: the job is sealed, its.waiters tasks are
 // dropped, its running ones are told to stop and everybody who waits is told.
 func (c *Core) end(sub *submission, a *pb.Answer) {
 	if sub.phase == ended {
