Settings files: human units, every mistake with file, line and field

Cause: the process file reported one mistake at a time without its line, and the declared settings could be applied only as a message.

Ruled out: structs that repeat the Settings message (a field added to the schema would be missing from the files until somebody noticed) and decoding straight into them (go-yaml stops at the first mistake).

Change: config.ParseSettings puts a YAML document into the Settings message by its descriptor; a field whose name ends in a unit takes a value with its unit. settings.Validate also rejects names that can't stand in row keys, windows under the response time, and services that name an undeclared team (Service.teams, new, checked on submission). The longest response time goes down from an hour to ten minutes, the validity of issued ids. Process settings are checked by section; named files must exist. TLS for the caller and operator listeners, limits on requests and open connections.

Conclusion: go-yaml's own strict decoding is used only for the process file, after unknown fields were collected.

--- /dev/null
+++ b/config/node.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"crypto/tls"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sapphirepoint.example/sapphirepoint/keys"
+	"sapphirepoint.example/sapphirepoint/node"
+)
+
+// NodeConfig reads the files that the settings name.
+func (p *Process) NodeConfig(log zerolog.Logger) (node.Config, error) {
+	peerTLS, err := p.PeerTLS.load()
+	if err != nil {
+		return node.Config{}, errors.Wrap(err, "peer_tls")
+	}
+	callerTLS, err := p.CallerTLS.load()
+	if err != nil {
+		return node.Config{}, errors.Wrap(err, "caller_tls")
+	}
+	operatorTLS, err := p.OperatorTLS.load()
+	if err != nil {
+		return node.Config{}, errors.Wrap(err, "operator_tls")
+	}
+	token, err := p.Operators.operatorToken()
+	if err != nil {
+		return node.Config{}, err
+	}
+	return node.Config{
+		Name:                p.Node,
+		FailureDomain:       p.FailureDomain,
+		CallerAddress:       p.Listen.Callers,
+		OperatorAddress:     p.Listen.Operators,
+		PeerAddress:         p.Listen.Peers,
+		PlatformURL:         p.Platform.URL,
+		OperatorToken:       token,
+		PeerTLS:             peerTLS,
+		CallerTLS:           callerTLS,
+		OperatorTLS:         operatorTLS,
+		MaxRequestBytes:     p.Limits.maxRequestBytes(),
+		CallerConnections:   p.Limits.CallerConnections,
+		OperatorConnections: p.Limits.OperatorConnections,
+		Log:                 log,
+	}, nil
+}
+
+func (t PeerTLS) load() (*tls.Config, error) {
+	ca, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "ca")
+	}
+	cert, err := os.ReadFile(t.Cert)
+	if err != nil {
+		return nil, errors.Wrap(err, "cert")
+	}
+	key, err := os.ReadFile(t.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "key")
+	}
+	return keys.PeerTLS(ca, keys.Pair{Cert: cert, Key: key})
+}
+
+// load returns nil if the section is left out.
+func (t ServerTLS) load() (*tls.Config, error) {
+	if t.Cert == "" {
+		return nil, nil
+	}
+	cert, err := os.ReadFile(t.Cert)
+	if err != nil {
+		return nil, errors.Wrap(err, "cert")
+	}
+	key, err := os.ReadFile(t.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "key")
+	}
+	return keys.ServerTLS(keys.Pair{Cert: cert, Key: key})
+}
--- a/config/process.go
+++ b/config/process.go
@@ -1,28 +1,37 @@
 // Package config reads the settings files: what a process needs to start, and
-// what operators declare.
+// what operators declare. A file with mistakes is rejected as a whole, with
+// file, line, field and problem for each of them.
 package config
 
 import (
 	"net/netip"
+	"net/url"
 	"os"
+	"path/filepath"
+	"reflect"
 	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"sapphirepoint.example/sapphirepoint/keys"
 	"sapphirepoint.example/sapphirepoint/node"
 )
 
-// Process is what an entry process needs to start.
+// Process is what an entry process needs to start. Paths of files are taken
+// from the directory of the settings file.
 type Process struct {
+	// Node is the name of the VM, unique within the system.
 	Node          string      `yaml:"node"`
 	FailureDomain string      `yaml:"failure_domain"`
 	Listen        Listen      `yaml:"listen"`
 	Platform      Platform    `yaml:"platform"`
 	PeerTLS       PeerTLS     `yaml:"peer_tls"`
+	CallerTLS     ServerTLS   `yaml:"caller_tls"`
+	OperatorTLS   ServerTLS   `yaml:"operator_tls"`
 	Operators     Credentials `yaml:"operators"`
+	Limits        Limits      `yaml:"limits"`
 	LogLevel      string      `yaml:"log_level"`
 }
 
@@ -45,83 +54,215 @@
 	Key  string `yaml:"key"`
 }
 
+// ServerTLS names the PEM files of a listener; without them it takes plain
+// connections.
+type ServerTLS struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+}
+
 // Credentials names the file that holds a bearer token.
 type Credentials struct {
 	TokenFile string `yaml:"token_file"`
 }
 
-// LoadProcess reads and checks a process settings file.
+// Limits bounds what the process accepts from outside.
+type Limits struct {
+	// MaxRequest is the largest request of a caller or operator, such as 32MiB.
+	MaxRequest string `yaml:"max_request"`
+	// CallerConnections and OperatorConnections are the most open connections;
+	// further ones wait to be accepted.
+	CallerConnections   int `yaml:"caller_connections"`
+	OperatorConnections int `yaml:"operator_connections"`
+}
+
+func defaults() *Process {
+	return &Process{
+		LogLevel: zerolog.InfoLevel.String(),
+		Limits: Limits{
+			MaxRequest:          "32MiB",
+			CallerConnections:   node.DefaultCallerConnections,
+			OperatorConnections: node.DefaultOperatorConnections,
+		},
+	}
+}
+
+// LoadProcess reads and checks a process settings file and that the files
+// named in it exist. An error about its content is of type Problems.
 func LoadProcess(path string) (*Process, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
-	p := &Process{LogLevel: "info"}
-	if err := yaml.UnmarshalWithOptions(raw, p, yaml.Strict()); err != nil {
-		return nil, errors.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
+	d, err := parse(path, raw)
+	if err != nil {
+		return nil, err
+	}
+	p := defaults()
+	d.known("", d.root, reflect.TypeFor[Process]())
+	if d.problems == nil {
+		if err := yaml.UnmarshalWithOptions(raw, p, yaml.Strict()); err != nil {
+			problem := syntaxProblem(path, err)
+			problem.Field = d.fieldAt(problem.Line)
+			return nil, Problems{problem}
+		}
 	}
-	if err := p.check(); err != nil {
-		return nil, errors.Wrap(err, path)
+	p.resolve(filepath.Dir(path))
+	p.check(d)
+	if err := d.problems.err(); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
 
-func (p *Process) check() error {
+// known rejects fields that a section doesn't have.
+func (d *document) known(at string, n ast.Node, section reflect.Type) {
+	fields := make(map[string]reflect.Type)
+	for i := range section.NumField() {
+		f := section.Field(i)
+		fields[f.Tag.Get("yaml")] = f.Type
+	}
+	d.fields(at, n, func(path, name string, value ast.Node) {
+		t, ok := fields[name]
+		switch {
+		case !ok:
+			d.reject(path, "unknown field")
+		case t.Kind() == reflect.Struct:
+			d.known(path, value, t)
+		default:
+			d.text(path, value)
+		}
+	})
+}
+
+// resolve makes the paths of files independent of the working directory.
+func (p *Process) resolve(dir string) {
+	for _, f := range p.files() {
+		if *f.path != "" && !filepath.IsAbs(*f.path) {
+			*f.path = filepath.Join(dir, *f.path)
+		}
+	}
+}
+
+type fileField struct {
+	name string
+	path *string
+	need bool
+}
+
+func (p *Process) files() []fileField {
+	return []fileField{
+		{"peer_tls.ca", &p.PeerTLS.CA, true},
+		{"peer_tls.cert", &p.PeerTLS.Cert, true},
+		{"peer_tls.key", &p.PeerTLS.Key, true},
+		{"caller_tls.cert", &p.CallerTLS.Cert, p.CallerTLS.Key != ""},
+		{"caller_tls.key", &p.CallerTLS.Key, p.CallerTLS.Cert != ""},
+		{"operator_tls.cert", &p.OperatorTLS.Cert, p.OperatorTLS.Key != ""},
+		{"operator_tls.key", &p.OperatorTLS.Key, p.OperatorTLS.Cert != ""},
+		{"operators.token_file", &p.Operators.TokenFile, true},
+	}
+}
+
+// check looks at each section unless the file as a whole couldn't be read.
+func (p *Process) check(d *document) {
+	if d.problems != nil {
+		return
+	}
 	if p.Node == "" {
-		return errors.New("node: must not be empty")
+		d.reject("node", "must not be empty")
 	}
 	if p.FailureDomain == "" {
-		return errors.New("failure_domain: must not be empty")
+		d.reject("failure_domain", "must not be empty")
+	}
+	p.Listen.check(d)
+	p.Platform.check(d)
+	p.Limits.check(d)
+	for _, f := range p.files() {
+		checkFile(d, f)
 	}
-	for field, address := range map[string]string{
-		"listen.callers":   p.Listen.Callers,
-		"listen.operators": p.Listen.Operators,
-		"listen.peers":     p.Listen.Peers,
+	if _, err := zerolog.ParseLevel(p.LogLevel); err != nil {
+		d.reject("log_level", "%q is none of trace, debug, info, warn, error", p.LogLevel)
+	}
+}
+
+func (l Listen) check(d *document) {
+	taken := make(map[string]string)
+	for _, f := range []struct{ name, address string }{
+		{"listen.callers", l.Callers},
+		{"listen.operators", l.Operators},
+		{"listen.peers", l.Peers},
 	} {
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			return errors.Errorf("%s: %q isn't an IP address with a port", field, address)
+		address, err := netip.ParseAddrPort(f.address)
+		if err != nil {
+			d.reject(f.name, "%q isn't an IP address with a port, such as 10.0.0.7:7100", f.address)
+			continue
+		}
+		if other, ok := taken[f.address]; ok && address.Port() != 0 {
+			d.reject(f.name, "%s is the address of %s too", f.address, other)
 		}
+		taken[f.address] = f.name
 	}
-	if !strings.HasPrefix(p.Platform.URL, "http://") && !strings.HasPrefix(p.Platform.URL, "https://") {
-		return errors.Errorf("platform.url: %q isn't an http or https URL", p.Platform.URL)
+}
+
+func (p Platform) check(d *document) {
+	u, err := url.Parse(p.URL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		d.reject("platform.url", "%q isn't an http or https URL", p.URL)
 	}
-	if _, err := zerolog.ParseLevel(p.LogLevel); err != nil {
-		return errors.Errorf("log_level: %q isn't a level", p.LogLevel)
+}
+
+// check also holds requests to what fits into a message between peers, since
+// any request may have to be forwarded.
+func (l Limits) check(d *document) {
+	n, err := parseSize(l.MaxRequest, 1)
+	switch {
+	case err != nil:
+		d.reject("limits.max_request", "%s", err)
+	case n == 0 || n > node.DefaultMaxRequestBytes:
+		d.reject("limits.max_request", "%s must be above 0 and at most %d MiB", l.MaxRequest, node.DefaultMaxRequestBytes>>20)
+	}
+	if l.CallerConnections <= 0 {
+		d.reject("limits.caller_connections", "must be above 0")
+	}
+	if l.OperatorConnections <= 0 {
+		d.reject("limits.operator_connections", "must be above 0")
 	}
-	return nil
 }
 
-// NodeConfig reads the files that the settings name.
-func (p *Process) NodeConfig(log zerolog.Logger) (node.Config, error) {
-	ca, err := os.ReadFile(p.PeerTLS.CA)
-	if err != nil {
-		return node.Config{}, errors.Wrap(err, "peer_tls.ca")
+func checkFile(d *document, f fileField) {
+	if *f.path == "" {
+		if f.need {
+			d.reject(f.name, "must name a file")
+		}
+		return
 	}
-	cert, err := os.ReadFile(p.PeerTLS.Cert)
-	if err != nil {
-		return node.Config{}, errors.Wrap(err, "peer_tls.cert")
+	info, err := os.Stat(*f.path)
+	switch {
+	case err != nil:
+		d.reject(f.name, "%s", err)
+	case info.IsDir():
+		d.reject(f.name, "%s is a directory", *f.path)
 	}
-	key, err := os.ReadFile(p.PeerTLS.Key)
+}
+
+// maxRequestBytes is the checked limit.
+func (l Limits) maxRequestBytes() int {
+	n, err := parseSize(l.MaxRequest, 1)
 	if err != nil {
-		return node.Config{}, errors.Wrap(err, "peer_tls.key")
+		panic("config: a checked limit can't be read: " + err.Error())
 	}
-	tlsConfig, err := keys.PeerTLS(ca, keys.Pair{Cert: cert, Key: key})
+	return int(n)
+}
+
+// operatorToken reads the operators' token.
+func (c Credentials) operatorToken() (string, error) {
+	raw, err := os.ReadFile(c.TokenFile)
 	if err != nil {
-		return node.Config{}, errors.Wrap(err, "peer_tls")
+		return "", errors.Wrap(err, "operators.token_file")
 	}
-	token, err := os.ReadFile(p.Operators.TokenFile)
-	if err != nil {
-		return node.Config{}, errors.Wrap(err, "operators.token_file")
-	}
-	return node.Config{
-		Name:            p.Node,
-		FailureDomain:   p.FailureDomain,
-		CallerAddress:   p.Listen.Callers,
-		OperatorAddress: p.Listen.Operators,
-		PeerAddress:     p.Listen.Peers,
-		PlatformURL:     p.Platform.URL,
-		OperatorToken:   strings.TrimSpace(string(token)),
-		PeerTLS:         tlsConfig,
-		Log:             log,
-	}, nil
+	token := strings.TrimSpace(string(raw))
+	if token == "" {
+		return "", errors.Errorf("operators.token_file: %s is empty", c.TokenFile)
+	}
+	return token, nil
 }
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -168,6 +168,9 @@
 	if s.GetTeam() != "" && settings.Team(inst, s.GetTeam()) == nil {
 		return nil, nil, fmt.Sprintf("team %q isn't declared", s.GetTeam())
 	}
+	if allowed := service.GetTeams(); len(allowed) > 0 && !slices.Contains(allowed, s.GetTeam()) {
+		return nil, nil, fmt.Sprintf("team %q may not submit to %q", s.GetTeam(), service.GetName())
+	}
 	if n := len(s.GetTasks()); n == 0 || n > int(service.GetMaxTasks()) {
 		return nil, nil, fmt.Sprintf("%d tasks; %q takes 1 to %d", n, service.GetName(), service.GetMaxTasks())
 	}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"strings"
+	"time"
 
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -17,8 +18,12 @@
 	// MaxPayloadBytes is the largest payload a service may allow for a task.
 	MaxPayloadBytes = 1 << 20
 	// MaxResponseTimeMs is the longest response time that can be contracted.
-	MaxResponseTimeMs = 3_600_000
+	// Issued ids are valid for as long; a job that outlived its id couldn't be
+	// resubmitted safely.
+	MaxResponseTimeMs = 600_000
+	maxNameBytes      = 64
 	maxPercent        = 100
+	msPerSecond       = 1000
 	tokenDigestBytes  = 32
 )
 
@@ -56,23 +61,31 @@
 	}
 }
 
+// name checks a name: names become parts of row keys, task names and log
+// lines, where a slash or a space would make two different names look alike.
+func (c *checker) name(at, name string, seen map[string]bool) {
+	plain := name != "" && len(name) <= maxNameBytes && !strings.ContainsFunc(name, func(r rune) bool {
+		return !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.", r)
+	})
+	c.require(plain, at+".name", "%q must be 1 to %d letters, digits, dashes, dots or underscores", name, maxNameBytes)
+	c.require(!seen[name], at+".name", "%q is declared twice", name)
+	seen[name] = true
+}
+
 // Validate checks declared settings and returns nil or Errors.
 func Validate(s *pb.Settings) error {
 	c := &checker{}
 	c.require(len(s.GetInstitutions()) > 0, "institutions", "at least one is needed")
 	names := make(map[string]bool)
 	tokens := make(map[string]string)
-	var share uint32
+	var share uint64
 	for i, inst := range s.GetInstitutions() {
 		at := fmt.Sprintf("institutions[%d]", i)
-		c.require(inst.GetName() != "", at+".name", "must not be empty")
-		c.require(!strings.ContainsAny(inst.GetName(), "/ \n"), at+".name", "must not contain spaces or slashes")
-		c.require(!names[inst.GetName()], at+".name", "%q is declared twice", inst.GetName())
-		names[inst.GetName()] = true
-		share += inst.GetCapacityPercent()
+		c.name(at, inst.GetName(), names)
+		share += uint64(inst.GetCapacityPercent())
 		c.institution(at, inst, tokens)
 	}
-	c.require(share <= maxPercent, "institutions", "capacity_percent adds up to %d, more than 100", share)
+	c.require(share <= maxPercent, "institutions", "the capacities add up to %d%%, more than 100%%", share)
 	if len(c.errs) > 0 {
 		return c.errs
 	}
@@ -81,48 +94,64 @@
 
 func (c *checker) institution(at string, inst *pb.Institution, tokens map[string]string) {
 	response := inst.GetResponseTimeMs()
-	c.require(response > 0 && response <= MaxResponseTimeMs, at+".response_time_ms", "must be 1 to %d", MaxResponseTimeMs)
-	c.require(inst.GetBorrowToleranceMs() <= response, at+".borrow_tolerance_ms", "must not exceed response_time_ms")
-	c.require(inst.GetRetryPercent() <= maxPercent, at+".retry_percent", "must be 0 to 100")
-	c.require(inst.GetResubmitWindowS() > 0, at+".resubmit_window_s", "must be positive")
+	c.require(response > 0 && response <= MaxResponseTimeMs, at+".response_time_ms", "%s must be above 0 and at most %s", ms(response), ms(MaxResponseTimeMs))
+	tolerance := inst.GetBorrowToleranceMs()
+	c.require(response == 0 || tolerance <= response, at+".borrow_tolerance_ms", "%s exceeds the response time %s", ms(tolerance), ms(response))
+	c.require(inst.GetRetryPercent() <= maxPercent, at+".retry_percent", "%d%% is more than 100%%", inst.GetRetryPercent())
+	window := inst.GetResubmitWindowS()
+	c.require(window > 0, at+".resubmit_window_s", "must be above 0")
+	c.require(window == 0 || uint64(window)*msPerSecond >= uint64(response), at+".resubmit_window_s",
+		"%s is shorter than the response time %s", time.Duration(window)*time.Second, ms(response))
+	c.tokens(at, inst, tokens)
+	teams := c.teams(at, inst)
+	c.services(at, inst, teams)
+}
+
+func ms(n uint32) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// tokens checks the digests of tokens. One declared for two institutions would
+// show either the other's jobs.
+func (c *checker) tokens(at string, inst *pb.Institution, tokens map[string]string) {
 	c.require(len(inst.GetTokenSha256()) > 0, at+".token_sha256", "at least one is needed")
 	for i, t := range inst.GetTokenSha256() {
+		t = strings.ToLower(t)
 		field := fmt.Sprintf("%s.token_sha256[%d]", at, i)
 		raw, err := hex.DecodeString(t)
-		c.require(err == nil && len(raw) == tokenDigestBytes, field, "must be 64 hex digits")
+		c.require(err == nil && len(raw) == tokenDigestBytes, field, "must be 64 hex digits, the SHA-256 of a token")
 		other, taken := tokens[t]
 		c.require(!taken, field, "is also declared for %q", other)
 		tokens[t] = inst.GetName()
 	}
-	c.teams(at, inst)
-	c.services(at, inst)
 }
 
-func (c *checker) teams(at string, inst *pb.Institution) {
+func (c *checker) teams(at string, inst *pb.Institution) map[string]bool {
 	seen := make(map[string]bool)
+	ceiling := inst.GetCeilingSlots()
 	for i, t := range inst.GetTeams() {
 		field := fmt.Sprintf("%s.teams[%d]", at, i)
-		c.require(t.GetName() != "", field+".name", "must not be empty")
-		c.require(!seen[t.GetName()], field+".name", "%q is declared twice", t.GetName())
-		seen[t.GetName()] = true
-		ceiling := inst.GetCeilingSlots()
-		c.require(t.GetQuotaSlots() > 0, field+".quota_slots", "must be positive")
-		c.require(ceiling == 0 || t.GetQuotaSlots() <= ceiling, field+".quota_slots", "exceeds the institution's ceiling_slots %d", ceiling)
+		c.name(field, t.GetName(), seen)
+		c.require(t.GetQuotaSlots() > 0, field+".quota_slots", "must be above 0")
+		c.require(ceiling == 0 || t.GetQuotaSlots() <= ceiling, field+".quota_slots", "%d exceeds the institution's ceiling of %d slots", t.GetQuotaSlots(), ceiling)
 	}
+	return seen
 }
 
-func (c *checker) services(at string, inst *pb.Institution) {
+func (c *checker) services(at string, inst *pb.Institution, teams map[string]bool) {
 	seen := make(map[string]bool)
+	response := inst.GetResponseTimeMs()
 	c.require(len(inst.GetServices()) > 0, at+".services", "at least one is needed")
 	for i, s := range inst.GetServices() {
 		field := fmt.Sprintf("%s.services[%d]", at, i)
-		c.require(s.GetName() != "", field+".name", "must not be empty")
-		c.require(!seen[s.GetName()], field+".name", "%q is declared twice", s.GetName())
-		seen[s.GetName()] = true
-		c.require(s.GetRunTimeMs() > 0, field+".run_time_ms", "must be positive")
-		c.require(s.GetRunTimeMs() <= inst.GetResponseTimeMs(), field+".run_time_ms", "exceeds the institution's response_time_ms")
-		c.require(s.GetMaxTasks() > 0 && s.GetMaxTasks() <= MaxTasks, field+".max_tasks", "must be 1 to %d", MaxTasks)
-		c.require(s.GetMaxPayloadBytes() > 0 && s.GetMaxPayloadBytes() <= MaxPayloadBytes, field+".max_payload_bytes", "must be 1 to %d", MaxPayloadBytes)
+		c.name(field, s.GetName(), seen)
+		c.require(s.GetRunTimeMs() > 0, field+".run_time_ms", "must be above 0")
+		c.require(response == 0 || s.GetRunTimeMs() <= response, field+".run_time_ms", "%s exceeds the response time %s", ms(s.GetRunTimeMs()), ms(response))
+		c.require(s.GetMaxTasks() > 0 && s.GetMaxTasks() <= MaxTasks, field+".max_tasks", "%d must be 1 to %d", s.GetMaxTasks(), MaxTasks)
+		c.require(s.GetMaxPayloadBytes() > 0 && s.GetMaxPayloadBytes() <= MaxPayloadBytes, field+".max_payload_bytes", "%d bytes must be 1 to %d", s.GetMaxPayloadBytes(), MaxPayloadBytes)
+		for j, team := range s.GetTeams() {
+			c.require(teams[team], fmt.Sprintf("%s.teams[%d]", field, j), "team %q isn't declared", team)
+		}
 	}
 }
 
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -123,3 +123,17 @@
 		NextProtos:   []string{PeerProtocol},
 	}, nil
 }
+
+// ServerTLS is the configuration of a listener for callers or operators, who
+// authenticate by token.
+func ServerTLS(server Pair) (*tls.Config, error) {
+	cert, err := tls.X509KeyPair(server.Cert, server.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "read server certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+		NextProtos:   []string{"h2", "http/1.1"},
+	}, nil
+}
--- a/node/callers.go
+++ b/node/callers.go
@@ -38,7 +38,7 @@
 func (n *Node) callerHandler() http.Handler {
 	e := echo.New()
 	n.healthRoutes(e)
-	path, h := sapphirepointv1connect.NewCallerServiceHandler(n.callers, connect.WithReadMaxBytes(DefaultMaxRequestBytes))
+	path, h := sapphirepointv1connect.NewCallerServiceHandler(n.callers, connect.WithReadMaxBytes(n.cfg.MaxRequestBytes))
 	e.Any(path+"*", echo.WrapHandler(h))
 	return e
 }
--- a/node/config.go
+++ b/node/config.go
@@ -14,6 +14,10 @@
 	// maxPeerMessageBytes leaves room for a forwarded request's envelope.
 	maxPeerMessageBytes = DefaultMaxRequestBytes + 1<<16
 	maxIDsPerBlock      = 4096
+	// DefaultCallerConnections and DefaultOperatorConnections are the most open
+	// connections of each listener.
+	DefaultCallerConnections   = 4096
+	DefaultOperatorConnections = 64
 )
 
 // Config is what a node needs to start. Files are read by the daemon; the
@@ -30,9 +34,36 @@
 	// OperatorToken is the bearer token of operators; never logged.
 	OperatorToken string
 	PeerTLS       *tls.Config
+	// CallerTLS and OperatorTLS may be nil for plain connections.
+	CallerTLS   *tls.Config
+	OperatorTLS *tls.Config
+	// MaxRequestBytes is the largest request of a caller or operator; 0 means
+	// DefaultMaxRequestBytes, which is also the most.
+	MaxRequestBytes int
+	// CallerConnections and OperatorConnections bound the open connections of
+	// each listener; 0 means the default.
+	CallerConnections   int
+	OperatorConnections int
 	// PollInterval is how often settings and members are read.
 	PollInterval time.Duration
 	Log          zerolog.Logger
 }
 
 const defaultPollInterval = time.Second
+
+// withDefaults fills in what is left out.
+func (c Config) withDefaults() Config {
+	if c.PollInterval == 0 {
+		c.PollInterval = defaultPollInterval
+	}
+	if c.MaxRequestBytes == 0 {
+		c.MaxRequestBytes = DefaultMaxRequestBytes
+	}
+	if c.CallerConnections == 0 {
+		c.CallerConnections = DefaultCallerConnections
+	}
+	if c.OperatorConnections == 0 {
+		c.OperatorConnections = DefaultOperatorConnections
+	}
+	return c
+}
--- a/node/node.go
+++ b/node/node.go
@@ -59,9 +59,7 @@
 
 // New prepares a node and binds its sockets.
 func New(cfg Config) (*Node, error) {
-	if cfg.PollInterval == 0 {
-		cfg.PollInterval = defaultPollInterval
-	}
+	cfg = cfg.withDefaults()
 	self := task.Incarnation{Node: cfg.Name, Run: rand.Uint64()}
 	n := &Node{
 		cfg:     cfg,
@@ -83,11 +81,11 @@
 
 func (n *Node) listen() error {
 	var err error
-	n.callerListener, err = net.Listen("tcp", n.cfg.CallerAddress)
+	n.callerListener, err = listenTCP(n.cfg.CallerAddress, n.cfg.CallerConnections, n.cfg.CallerTLS)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	n.operatorListener, err = net.Listen("tcp", n.cfg.OperatorAddress)
+	n.operatorListener, err = listenTCP(n.cfg.OperatorAddress, n.cfg.OperatorConnections, n.cfg.OperatorTLS)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
@@ -154,6 +152,7 @@
 func newServer(h http.Handler) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
+	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           h,
--- a/node/operators.go
+++ b/node/operators.go
@@ -28,7 +28,7 @@
 	protected.GET("/dump", func(c echo.Context) error {
 		return c.JSONPretty(http.StatusOK, n.dump(), "  ")
 	})
-	path, h := sapphirepointv1connect.NewOperatorServiceHandler(operators{n}, connect.WithReadMaxBytes(DefaultMaxRequestBytes))
+	path, h := sapphirepointv1connect.NewOperatorServiceHandler(operators{n}, connect.WithReadMaxBytes(n.cfg.MaxRequestBytes))
 	protected.Any(path+"*", echo.WrapHandler(h))
 	return e
 }
