Client: several entries, ids bound to their connection, truthful ends

Cause: the client knew one entry, took a new connection's holder for the old one's, looped without a pause on an answer that gave no time to come back, and called a rejection final although an earlier sending might have started tasks.

Ruled out: telling a dead holder's first submission apart by its answer; an entry that forwarded before its peer died gives the same answer.

Change: entries are used in turn, the one that gave the id first; the block of ids is dropped when the connection that gave it ends; a lost reply goes under the same id through another entry; waits are jittered and never shorter than told; results are counted and their indices checked; foreign answers are dropped, counted and asked for again three times at most; timeouts shrink with each sending; UnsettledError carries the id. A process without settings says unavailable instead of calling every token unknown.

--- a/client/client.go
+++ b/client/client.go
@@ -1,99 +1,113 @@
 // Package client is the library of callers: it obtains ids, submits jobs
 // safely, checks that an answer is the caller's own, and comes back when told.
+//
+// A submission keeps its id until it has a final word, however often it is
+// sent and through whichever entry process, so that none of its tasks starts
+// twice. Three words are final: complete, with every task's result; not run,
+// under this id never to be; and failed, which says whether tasks may have run.
 package client
 
 import (
-	"bytes"
 	"context"
+	"crypto/tls"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
-	"sapphirepoint.example/sapphirepoint/gen/sapphirepointv1/sapphirepointv1connect"
 )
 
 const (
-	// idsPerBlock is the number of ids asked for at once.
-	idsPerBlock = 64
-	// idMargin is kept from the end of a block's validity.
-	idMargin = 5 * time.Second
-	// resubmitDelay is the wait after a call that failed without an answer.
-	resubmitDelay = 50 * time.Millisecond
-	bearer        = "Bearer "
+	// DefaultMaxAnswerBytes is the largest answer taken, in bytes.
+	DefaultMaxAnswerBytes = 64 << 20
+	bearer                = "Bearer "
 )
 
-// ErrForeignAnswer reports an answer to another submission.
-var ErrForeignAnswer = errors.New("the answer isn't for this submission")
+var errNoURL = connect.NewError(connect.CodeInvalidArgument, errors.New("no URL is configured"))
 
 // Config says whom to call and how.
 type Config struct {
 	// URL is the base URL of an entry process or of the balancer before them.
-	URL   string
+	URL string
+	// URLs are further entry processes. New submissions take them in turn; one
+	// that fails is left out for a moment, and another is used.
+	URLs []string
+	// Token authenticates the institution. It is sent with each call, so use
+	// https URLs wherever others can listen.
 	Token string
-	// HTTPClient is used for all calls; nil means one of its own.
+	// TLS is used for https URLs; nil means the system's authorities.
+	TLS *tls.Config
+	// HTTPClient is used for all calls; nil means one for each URL, with pings
+	// that notice a silent connection within about two seconds. With a client
+	// of one's own, ids aren't dropped when the connection that gave them ends.
 	HTTPClient *http.Client
+	// MaxAnswerBytes bounds an answer; 0 means DefaultMaxAnswerBytes.
+	MaxAnswerBytes int
+	// NewIDs is how often Submit may submit a job again under a new id after
+	// "not run" with a time to come back. It concerns only ids that Submit
+	// obtained itself; 0 returns the answer to the caller.
+	NewIDs int
 }
 
 // Client submits jobs. It is safe for concurrent use.
 type Client struct {
-	rpc   sapphirepointv1connect.CallerServiceClient
-	token string
+	cfg     Config
+	entries []*entry
+	turn    atomic.Uint64
+	stats   counters
+}
+
+type counters struct {
+	calls, blocks, resubmissions, foreign atomic.Uint64
+}
 
-	mu      sync.Mutex
-	block   *pb.IdBlock
-	next    uint32
-	expires time.Time
+// Stats counts what a client did.
+type Stats struct {
+	// Calls is every request sent.
+	Calls uint64
+	// IDBlocks is the calls that obtained ids.
+	IDBlocks uint64
+	// Resubmissions is the calls that sent a submission again.
+	Resubmissions uint64
+	// ForeignAnswers is the answers dropped because they weren't for the
+	// submission or weren't whole.
+	ForeignAnswers uint64
 }
 
 // New returns a client.
 func New(cfg Config) *Client {
-	hc := cfg.HTTPClient
-	if hc == nil {
-		var p http.Protocols
-		p.SetUnencryptedHTTP2(true)
-		hc = &http.Client{Transport: &http.Transport{
-			Protocols: &p,
-			HTTP2:     &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: 2 * time.Second},
-		}}
+	if cfg.MaxAnswerBytes == 0 {
+		cfg.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
-	return &Client{rpc: sapphirepointv1connect.NewCallerServiceClient(hc, cfg.URL), token: cfg.Token}
-}
-
-func authorized[T any](c *Client, m *T) *connect.Request[T] {
-	r := connect.NewRequest(m)
-	r.Header().Set("Authorization", bearer+c.token)
-	return r
+	c := &Client{cfg: cfg}
+	urls := cfg.URLs
+	if cfg.URL != "" {
+		urls = append([]string{cfg.URL}, urls...)
+	}
+	for _, u := range urls {
+		c.entries = append(c.entries, newEntry(u, cfg, &c.stats))
+	}
+	return c
 }
 
-// NewID returns an unused id, with a new block if the present one is used up.
-func (c *Client) NewID(ctx context.Context) (*pb.SubmissionId, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.block == nil || c.next >= c.block.GetCount() || time.Now().After(c.expires) {
-		if err := c.fetchBlock(ctx); err != nil {
-			return nil, err
-		}
+// Close closes idle connections.
+func (c *Client) Close() {
+	for _, e := range c.entries {
+		e.close()
 	}
-	id := &pb.IssuedId{Holder: c.block.GetHolder(), Number: c.block.GetFirst() + uint64(c.next)}
-	c.next++
-	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: id}}, nil
 }
 
-func (c *Client) fetchBlock(ctx context.Context) error {
-	asked := time.Now()
-	res, err := c.rpc.IssueIds(ctx, authorized(c, &pb.IssueIdsRequest{Count: idsPerBlock}))
-	if err != nil {
-		return errors.Wrap(err, "obtain ids")
+// Stats returns the counters.
+func (c *Client) Stats() Stats {
+	return Stats{
+		Calls:          c.stats.calls.Load(),
+		IDBlocks:       c.stats.blocks.Load(),
+		Resubmissions:  c.stats.resubmissions.Load(),
+		ForeignAnswers: c.stats.foreign.Load(),
 	}
-	c.block = res.Msg.GetBlock()
-	c.next = 0
-	c.expires = asked.Add(time.Duration(c.block.GetValidMs())*time.Millisecond - idMargin)
-	return nil
 }
 
 // OwnKey makes an id from the caller's own key.
@@ -101,64 +115,63 @@
 	return &pb.SubmissionId{Kind: &pb.SubmissionId_OwnKey{OwnKey: key}}
 }
 
-// Submit sends a submission until it has a final word or the context ends. It
-// sends the same id each time, so no task starts twice. An id is filled in if
-// there is none.
-func (c *Client) Submit(ctx context.Context, s *pb.Submission) (*pb.Answer, error) {
-	if s.GetId() == nil {
-		id, err := c.NewID(ctx)
-		if err != nil {
-			return nil, err
-		}
-		s.Id = id
-	}
-	for {
-		a, err := c.SubmitOnce(ctx, s)
-		wait := resubmitDelay
-		if err == nil {
-			if a.GetOutcome() != pb.Outcome_OUTCOME_UNKNOWN {
-				return a, nil
-			}
-			wait = time.Duration(a.GetRetryAfterMs()) * time.Millisecond
-		} else if final(err) {
-			return nil, err
+// NewID returns an unused id from the first entry that gives one.
+func (c *Client) NewID(ctx context.Context) (*pb.SubmissionId, error) {
+	var err error = errNoURL
+	for _, e := range c.order(nil) {
+		var id *pb.SubmissionId
+		if id, err = e.newID(ctx); err == nil {
+			return id, nil
 		}
-		select {
-		case <-ctx.Done():
-			return a, errors.Wrap(ctx.Err(), "the outcome is unknown")
-		case <-time.After(wait):
+		if ctx.Err() != nil || final(err) {
+			break
 		}
 	}
+	return nil, errors.Wrap(err, "obtain an id")
 }
 
-// final says whether asking again can't help.
-func final(err error) bool {
-	switch connect.CodeOf(err) {
-	case connect.CodeInvalidArgument, connect.CodeAlreadyExists, connect.CodeUnauthenticated, connect.CodeResourceExhausted, connect.CodeUnimplemented:
-		return true
+// Cancel ends a submission and returns the word on it.
+func (c *Client) Cancel(ctx context.Context, id *pb.SubmissionId) (*pb.Answer, error) {
+	var err error = errNoURL
+	for _, e := range c.order(id) {
+		var a *pb.Answer
+		if a, err = e.cancel(ctx, id); err == nil {
+			return a, nil
+		}
+		if ctx.Err() != nil || final(err) {
+			break
+		}
+		e.setDown(time.Now())
 	}
-	return errors.Is(err, ErrForeignAnswer)
+	return nil, errors.Wrap(err, "cancel")
 }
 
-// SubmitOnce sends a submission once.
-func (c *Client) SubmitOnce(ctx context.Context, s *pb.Submission) (*pb.Answer, error) {
-	res, err := c.rpc.Submit(ctx, authorized(c, s))
-	if err != nil {
-		return nil, err
+// order lists the entries to try: first the one that gave the id, since it
+// holds the claim and needn't forward, then the others in turn, those that
+// failed a moment ago last.
+func (c *Client) order(id *pb.SubmissionId) []*entry {
+	n := len(c.entries)
+	if n == 0 {
+		return nil
 	}
-	a := res.Msg
-	digest := task.DigestOf(s)
-	if task.IDOf("", a.GetId()) != task.IDOf("", s.GetId()) || !bytes.Equal(a.GetDigest(), digest[:]) {
-		return nil, ErrForeignAnswer
+	// An issued id took its turn when it was obtained.
+	turn := c.turn.Load()
+	if id.GetIssued() == nil {
+		turn = c.turn.Add(1)
 	}
-	return a, nil
-}
-
-// Cancel ends a submission and returns the word on it.
-func (c *Client) Cancel(ctx context.Context, id *pb.SubmissionId) (*pb.Answer, error) {
-	res, err := c.rpc.Cancel(ctx, authorized(c, &pb.CancelRequest{Id: id}))
-	if err != nil {
-		return nil, err
+	first := int(turn % uint64(n))
+	now := time.Now()
+	var home, up, down []*entry
+	for i := range n {
+		e := c.entries[(first+i)%n]
+		switch {
+		case e.isDown(now):
+			down = append(down, e)
+		case e.gave(id):
+			home = append(home, e)
+		default:
+			up = append(up, e)
+		}
 	}
-	return res.Msg.GetAnswer(), nil
+	return append(append(home, up...), down...)
 }
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,342 @@
+package client_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/client"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/gen/sapphirepointv1/sapphirepointv1connect"
+	"sapphirepoint.example/sapphirepoint/standin/faults"
+)
+
+const patience = 20 * time.Second
+
+// entry is a small entry process for tests: it issues ids and answers each
+// submission by its script, the last step of which is repeated.
+type entry struct {
+	node    string
+	validMs uint32
+	script  []func(*pb.Submission) (*pb.Answer, error)
+
+	mu     sync.Mutex
+	issued uint64
+	got    []*pb.Submission
+	server *httptest.Server
+	faults *faults.Listener
+}
+
+func (e *entry) IssueIds(_ context.Context, req *connect.Request[pb.IssueIdsRequest]) (*connect.Response[pb.IssueIdsResponse], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	first := e.issued + 1
+	e.issued += uint64(req.Msg.GetCount())
+	return connect.NewResponse(&pb.IssueIdsResponse{Block: &pb.IdBlock{
+		Holder: &pb.Incarnation{Node: e.node, Run: 1}, First: first, Count: req.Msg.GetCount(), ValidMs: e.validMs,
+	}}), nil
+}
+
+func (e *entry) Submit(_ context.Context, req *connect.Request[pb.Submission]) (*connect.Response[pb.Answer], error) {
+	e.mu.Lock()
+	step := e.script[min(len(e.got), len(e.script)-1)]
+	e.got = append(e.got, req.Msg)
+	e.mu.Unlock()
+	a, err := step(req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(a), nil
+}
+
+func (e *entry) Cancel(_ context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
+	return connect.NewResponse(&pb.CancelResponse{Answer: &pb.Answer{Id: req.Msg.GetId(), Outcome: pb.Outcome_OUTCOME_NOT_RUN}}), nil
+}
+
+func (e *entry) submissions() []*pb.Submission {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.got
+}
+
+func serve(t *testing.T, node string, script ...func(*pb.Submission) (*pb.Answer, error)) *entry {
+	t.Helper()
+	e := &entry{node: node, validMs: 600_000, script: script}
+	mux := http.NewServeMux()
+	mux.Handle(sapphirepointv1connect.NewCallerServiceHandler(e))
+	e.server = httptest.NewUnstartedServer(mux)
+	e.server.Config.Protocols = new(http.Protocols)
+	e.server.Config.Protocols.SetUnencryptedHTTP2(true)
+	e.server.Config.Protocols.SetHTTP1(true)
+	e.faults = faults.NewListener(e.server.Listener)
+	e.server.Listener = e.faults
+	e.server.Start()
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func job() *pb.Submission {
+	return &pb.Submission{Service: "labels", Tasks: []*pb.Task{{Payload: []byte("milk")}, {Payload: []byte("sesame")}}}
+}
+
+func word(s *pb.Submission, o pb.Outcome, retryAfterMs uint32) *pb.Answer {
+	d := task.DigestOf(s)
+	return &pb.Answer{Id: s.GetId(), Digest: d[:], Outcome: o, RetryAfterMs: retryAfterMs}
+}
+
+func complete(s *pb.Submission) (*pb.Answer, error) {
+	a := word(s, pb.Outcome_OUTCOME_COMPLETE, 0)
+	for i, t := range s.GetTasks() {
+		a.Results = append(a.Results, &pb.TaskResult{Index: uint32(i), Output: t.GetPayload()})
+	}
+	return a, nil
+}
+
+func comeBack(s *pb.Submission) (*pb.Answer, error) {
+	return word(s, pb.Outcome_OUTCOME_UNKNOWN, 20), nil
+}
+
+func notRun(s *pb.Submission) (*pb.Answer, error) {
+	return word(s, pb.Outcome_OUTCOME_NOT_RUN, 20), nil
+}
+
+func breakOff(*pb.Submission) (*pb.Answer, error) { panic(http.ErrAbortHandler) }
+
+func foreign(s *pb.Submission) (*pb.Answer, error) {
+	other := job()
+	other.Id = client.OwnKey("another caller's")
+	return complete(other)
+}
+
+func short(s *pb.Submission) (*pb.Answer, error) {
+	a, _ := complete(s)
+	a.Results = a.Results[:1]
+	return a, nil
+}
+
+func setup(t *testing.T, entries ...*entry) (*gomega.WithT, context.Context, client.Config) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	cfg := client.Config{Token: "t"}
+	for _, e := range entries {
+		cfg.URLs = append(cfg.URLs, e.server.URL)
+	}
+	return gomega.NewWithT(t), ctx, cfg
+}
+
+func expectSameID(g *gomega.WithT, sent ...*pb.Submission) {
+	for _, s := range sent {
+		g.Expect(task.IDOf("", s.GetId())).To(gomega.Equal(task.IDOf("", sent[0].GetId())))
+	}
+}
+
+// The entry VM takes a job and its connection breaks before the answer. The
+// kitchen's till sends the job again; under a new id its labels would be
+// printed twice.
+func TestALostReplyIsAskedForAgainUnderTheSameIDElsewhere(t *testing.T) {
+	first, second := serve(t, "a", breakOff), serve(t, "b", complete)
+	g, ctx, cfg := setup(t, first, second)
+	c := client.New(cfg)
+	defer c.Close()
+	s := job()
+	var err error
+	for len(first.submissions()) == 0 {
+		s.Id = nil
+		_, err = c.Submit(ctx, s)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	last := second.submissions()[len(second.submissions())-1]
+	expectSameID(g, first.submissions()[0], last)
+	g.Expect(last.GetId().GetIssued().GetHolder().GetNode()).To(gomega.Equal("a"))
+	g.Expect(c.Stats().Resubmissions).To(gomega.BeEquivalentTo(1))
+}
+
+// Two answers cross on the way. Taken for its own, the other's would put
+// another kitchen's allergens on the label; it is dropped, counted and the job
+// asked for again.
+func TestForeignAndShortAnswersAreDroppedAndCounted(t *testing.T) {
+	e := serve(t, "a", foreign, short, complete)
+	g, ctx, cfg := setup(t, e)
+	c := client.New(cfg)
+	a, err := c.Submit(ctx, job())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.GetResults()).To(gomega.HaveLen(2))
+	g.Expect(c.Stats().ForeignAnswers).To(gomega.BeEquivalentTo(2))
+	expectSameID(g, e.submissions()...)
+}
+
+// An entry VM mixes up all its answers. The caller must get an error in the
+// end, not somebody's label.
+func TestNothingButForeignAnswersIsAnError(t *testing.T) {
+	g, ctx, cfg := setup(t, serve(t, "a", foreign))
+	a, err := client.New(cfg).Submit(ctx, job())
+	g.Expect(a).To(gomega.BeNil())
+	g.Expect(errors.Is(err, client.ErrForeignAnswer)).To(gomega.BeTrue())
+}
+
+// The holder can't be reached for a while, and the answer says when to come
+// back. A caller that gave up or took a new id would print twice.
+func TestAnUnknownOutcomeIsAskedForAgainWhenTold(t *testing.T) {
+	e := serve(t, "a", comeBack, comeBack, complete)
+	g, ctx, cfg := setup(t, e)
+	began := time.Now()
+	a, err := client.New(cfg).Submit(ctx, job())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_COMPLETE))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", 40*time.Millisecond))
+	expectSameID(g, e.submissions()...)
+}
+
+// No entry VM knows the outcome before the caller's time ends. The error keeps
+// the id, so that the caller can ask again later.
+func TestAnUnsettledSubmissionKeepsItsID(t *testing.T) {
+	g, _, cfg := setup(t, serve(t, "a", comeBack))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := client.New(cfg).Submit(ctx, job())
+	var unsettled *client.UnsettledError
+	g.Expect(errors.As(err, &unsettled)).To(gomega.BeTrue())
+	g.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeTrue())
+	g.Expect(unsettled.ID.GetIssued().GetHolder().GetNode()).To(gomega.Equal("a"))
+	g.Expect(unsettled.Last.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_UNKNOWN))
+}
+
+// A job is refused in a rush, truthfully. It may run later, but only under
+// another id, and only if the caller asked for that.
+func TestNotRunIsSubmittedUnderANewIDOnlyIfAsked(t *testing.T) {
+	e := serve(t, "a", notRun, notRun, complete)
+	g, ctx, cfg := setup(t, e)
+	a, err := client.New(cfg).Submit(ctx, job())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_NOT_RUN))
+	cfg.NewIDs = 3
+	a, err = client.New(cfg).Submit(ctx, job())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_COMPLETE))
+	sent := e.submissions()
+	g.Expect(sent[1].GetId().GetIssued().GetNumber()).NotTo(gomega.Equal(sent[2].GetId().GetIssued().GetNumber()))
+}
+
+// One entry VM is down. Its callers' jobs go through another, without a second
+// of silence each time.
+func TestAnEntryThatIsDownIsLeftOut(t *testing.T) {
+	down, up := serve(t, "a", complete), serve(t, "b", complete)
+	g, ctx, cfg := setup(t, down, up)
+	down.server.Close()
+	c := client.New(cfg)
+	for range 10 {
+		_, err := c.Submit(ctx, job())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(up.submissions()).To(gomega.HaveLen(10))
+	g.Expect(c.Stats().IDBlocks).To(gomega.BeNumerically("<=", 4))
+}
+
+// A caller held on to ids for longer than they are valid. Sent, they would be
+// answered "failed, may have run"; a new block is obtained instead.
+func TestExpiredIDsAreNotUsed(t *testing.T) {
+	e := serve(t, "a", complete)
+	e.validMs = 1
+	g, ctx, cfg := setup(t, e)
+	c := client.New(cfg)
+	for range 3 {
+		_, err := c.NewID(ctx)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(2 * time.Millisecond)
+	}
+	g.Expect(c.Stats().IDBlocks).To(gomega.BeEquivalentTo(3))
+}
+
+// The connection to the entry VM ends, as at its restart, and a balancer may
+// lead the next one elsewhere. The old ids' holder is gone: the first job under
+// one would fail as "may have run" though it never ran.
+func TestIDsEndWithTheirConnection(t *testing.T) {
+	e := serve(t, "a", complete)
+	g, ctx, cfg := setup(t, e)
+	c := client.New(cfg)
+	_, err := c.Submit(ctx, job())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	e.server.CloseClientConnections()
+	g.Eventually(func() uint64 {
+		_, err := c.NewID(ctx)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return c.Stats().IDBlocks
+	}, 4*time.Second, 50*time.Millisecond).Should(gomega.BeEquivalentTo(2), "80 of the block's 256 ids were taken")
+}
+
+// Something between caller and entry VM loses track of the open connection:
+// what is sent on it disappears for good, while new connections work. Without
+// pings the label would never come.
+func TestASilentConnectionIsNoticed(t *testing.T) {
+	release := make(chan struct{})
+	e := serve(t, "a", func(s *pb.Submission) (*pb.Answer, error) {
+		<-release
+		return complete(s)
+	}, complete)
+	defer close(release)
+	g, ctx, cfg := setup(t, e)
+	go func() {
+		for len(e.submissions()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		e.faults.Silence()
+	}()
+	a, err := client.New(cfg).Submit(ctx, job())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_COMPLETE))
+	expectSameID(g, e.submissions()...)
+}
+
+// An answer is far larger than the caller can hold. It gets an error instead
+// of running out of memory.
+func TestAnAnswerOverTheLimitIsAnError(t *testing.T) {
+	g, ctx, cfg := setup(t, serve(t, "a", func(s *pb.Submission) (*pb.Answer, error) {
+		a, err := complete(s)
+		a.Results[0].Output = make([]byte, 1<<16)
+		return a, err
+	}))
+	cfg.MaxAnswerBytes = 1 << 12
+	_, err := client.New(cfg).Submit(ctx, job())
+	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeResourceExhausted))
+}
+
+// A first sending failed and the second is rejected. The first may have
+// started the job, so the error must not say that nothing ran.
+func TestARejectionAfterALostReplyIsUnsettled(t *testing.T) {
+	g, ctx, cfg := setup(t, serve(t, "a", breakOff, func(*pb.Submission) (*pb.Answer, error) {
+		return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("the token isn't known"))
+	}))
+	_, err := client.New(cfg).Submit(ctx, job())
+	var unsettled *client.UnsettledError
+	g.Expect(errors.As(err, &unsettled)).To(gomega.BeTrue())
+}
+
+// The context's deadline becomes the submission's timeout, and a caller's own
+// timeout isn't stretched by sending again.
+func TestDeadlinesAreCarriedAlong(t *testing.T) {
+	e := serve(t, "a", comeBack, complete)
+	g, ctx, cfg := setup(t, e)
+	s := job()
+	s.TimeoutMs = 5000
+	_, err := client.New(cfg).Submit(ctx, s)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(e.submissions()[1].GetTimeoutMs()).To(gomega.BeNumerically("<=", 4980))
+	s = job()
+	_, err = client.New(cfg).Submit(ctx, s)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(e.submissions()[2].GetTimeoutMs()).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<", patience.Milliseconds())))
+}
+
+func TestNoURLIsAnError(t *testing.T) {
+	g, ctx, cfg := setup(t)
+	_, err := client.New(cfg).Submit(ctx, job())
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("no URL")))
+}
--- /dev/null
+++ b/client/entry.go
@@ -0,0 +1,224 @@
+package client
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/gen/sapphirepointv1/sapphirepointv1connect"
+)
+
+const (
+	// idsPerBlock is the number of ids asked for at once.
+	idsPerBlock = 256
+	// idMargin is kept from the end of a block's validity, for the way of the
+	// submission; never more than a tenth of the validity.
+	idMargin       = 5 * time.Second
+	idMarginDivide = 10
+	// downTime is how long an entry that failed is tried last.
+	downTime    = time.Second
+	dialTimeout = 2 * time.Second
+	// pingAfter and pingTimeout bound how long a silent connection goes
+	// unnoticed.
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+)
+
+// entry is one URL with the ids it gave.
+type entry struct {
+	rpc       sapphirepointv1connect.CallerServiceClient
+	token     string
+	stats     *counters
+	transport *http.Transport
+	// fetching is held by the one call that obtains a block.
+	fetching chan struct{}
+
+	mu        sync.Mutex
+	block     *pb.IdBlock
+	next      uint32
+	expires   time.Time
+	holder    task.Incarnation
+	downUntil time.Time
+}
+
+func newEntry(url string, cfg Config, stats *counters) *entry {
+	e := &entry{token: cfg.Token, stats: stats, fetching: make(chan struct{}, 1)}
+	hc := cfg.HTTPClient
+	if hc == nil {
+		e.transport = e.newTransport(cfg)
+		hc = &http.Client{Transport: e.transport}
+	}
+	e.rpc = sapphirepointv1connect.NewCallerServiceClient(hc, url, connect.WithReadMaxBytes(cfg.MaxAnswerBytes))
+	return e
+}
+
+func (e *entry) newTransport(cfg Config) *http.Transport {
+	var p http.Protocols
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		Protocols:       &p,
+		TLSClientConfig: cfg.TLS,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &watchedConn{Conn: conn, closed: e.dropBlock}, nil
+		},
+	}
+}
+
+// watchedConn drops the ids of a connection that ends. Behind a balancer the
+// next connection may lead to another process, and after a restart the ids'
+// holder is gone: a first submission under such an id would be answered
+// "failed, may have run", though it never ran.
+type watchedConn struct {
+	net.Conn
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *watchedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+func (e *entry) close() {
+	if e.transport != nil {
+		e.transport.CloseIdleConnections()
+	}
+}
+
+func (e *entry) dropBlock() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.block = nil
+}
+
+func (e *entry) isDown(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.downUntil)
+}
+
+func (e *entry) setDown(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.downUntil = now.Add(downTime)
+	e.block = nil
+}
+
+// gave says whether the entry's latest block came from the id's holder.
+func (e *entry) gave(id *pb.SubmissionId) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return id.GetIssued() != nil && task.IncarnationOf(id.GetIssued().GetHolder()) == e.holder
+}
+
+// newID takes an id from the entry's block, with a new block if need be.
+func (e *entry) newID(ctx context.Context) (*pb.SubmissionId, error) {
+	if id := e.takeID(time.Now()); id != nil {
+		return id, nil
+	}
+	select {
+	case e.fetching <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-e.fetching }()
+	if id := e.takeID(time.Now()); id != nil {
+		return id, nil
+	}
+	asked := time.Now()
+	block, err := e.issue(ctx)
+	if err != nil {
+		if !final(err) && ctx.Err() == nil {
+			e.setDown(asked)
+		}
+		return nil, err
+	}
+	e.setBlock(block, asked)
+	if id := e.takeID(asked); id != nil {
+		return id, nil
+	}
+	return nil, errors.New("the connection ended as it gave ids")
+}
+
+func (e *entry) issue(ctx context.Context) (*pb.IdBlock, error) {
+	e.stats.calls.Add(1)
+	e.stats.blocks.Add(1)
+	res, err := e.rpc.IssueIds(ctx, authorized(e, &pb.IssueIdsRequest{Count: idsPerBlock}))
+	if err != nil {
+		return nil, err
+	}
+	b := res.Msg.GetBlock()
+	if b.GetHolder().GetNode() == "" || b.GetFirst() == 0 || b.GetCount() == 0 {
+		return nil, errors.New("the block of ids is empty")
+	}
+	return b, nil
+}
+
+func (e *entry) setBlock(b *pb.IdBlock, asked time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	valid := time.Duration(b.GetValidMs()) * time.Millisecond
+	e.block = b
+	e.next = 0
+	e.expires = asked.Add(valid - min(idMargin, valid/idMarginDivide))
+	e.holder = task.IncarnationOf(b.GetHolder())
+}
+
+func (e *entry) takeID(now time.Time) *pb.SubmissionId {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.block == nil || e.next >= e.block.GetCount() || now.After(e.expires) {
+		return nil
+	}
+	id := &pb.IssuedId{Holder: e.block.GetHolder(), Number: e.block.GetFirst() + uint64(e.next)}
+	e.next++
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: id}}
+}
+
+func authorized[T any](e *entry, m *T) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", bearer+e.token)
+	return r
+}
+
+// submit sends a submission once and checks the answer.
+func (e *entry) submit(ctx context.Context, s *pb.Submission) (*pb.Answer, error) {
+	e.stats.calls.Add(1)
+	res, err := e.rpc.Submit(ctx, authorized(e, s))
+	if err != nil {
+		return nil, err
+	}
+	if err := check(s, res.Msg); err != nil {
+		e.stats.foreign.Add(1)
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+func (e *entry) cancel(ctx context.Context, id *pb.SubmissionId) (*pb.Answer, error) {
+	e.stats.calls.Add(1)
+	res, err := e.rpc.Cancel(ctx, authorized(e, &pb.CancelRequest{Id: id}))
+	if err != nil {
+		return nil, err
+	}
+	a := res.Msg.GetAnswer()
+	if !sameID(a.GetId(), id) {
+		e.stats.foreign.Add(1)
+		return nil, ErrForeignAnswer
+	}
+	return a, nil
+}
--- a/node/callers.go
+++ b/node/callers.go
@@ -59,8 +59,13 @@
 	if !ok {
 		return "", connect.NewError(connect.CodeUnauthenticated, errors.New("a bearer token is needed"))
 	}
+	inForce := cs.node.inForce.Load()
+	if inForce.Version() == 0 {
+		// Called unknown, the token of a good caller would be given up on.
+		return "", connect.NewError(connect.CodeUnavailable, errors.New("the process has no settings yet"))
+	}
 	sum := sha256.Sum256([]byte(token))
-	name, ok := cs.node.inForce.Load().InstitutionOfToken(hex.EncodeToString(sum[:]))
+	name, ok := inForce.InstitutionOfToken(hex.EncodeToString(sum[:]))
 	if !ok {
 		return "", connect.NewError(connect.CodeUnauthenticated, errors.New("the token isn't known"))
 	}
