Draw test ports below the range of outgoing connections

Cause: a load run came back with every task refused. The runner's stand-in had ended with 'bind: address already in use': its 48 ports had been chosen by listening on port 0 and closing again, and one had become the local port of an outgoing connection meanwhile. Seen twice in four runs beside other load.

Ruled out: the dispatcher (it reported refused starts truthfully).

Change: ports come from 15000 to 32000, are tried for TCP and UDP, and are never given twice by one process.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -240,11 +241,41 @@
 	return nil
 }
 
+// Ports are drawn below the range from which the kernel takes the local ports
+// of outgoing connections: one taken from within it and released again may be
+// in use by the time that the program under test listens on it.
+const (
+	firstPort = 15_000
+	lastPort  = 32_000
+)
+
+var givenPorts = map[int]bool{}
+
+// freeAddress finds a loopback port that is free for TCP and UDP and that no
+// earlier call has returned.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if givenPorts[port] || !bindable(address) {
+			continue
+		}
+		givenPorts[port] = true
+		return address
+	}
+}
+
+func bindable(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
 }
 
 func write(path string, data []byte) {
