--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -55,6 +55,7 @@
 	if !c.view.Offer(c.now, m) {
 		return
 	}
+	c.members = m
 	c.emit(MembersInForce{m})
 	c.refreshMembers()
 }
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -54,6 +54,7 @@
 	c.view.PeerUp(c.now, e.Peer)
 	c.refreshMembers()
 	c.send(e.Peer, &pb.PeerMessage{})
+	c.announceAdopted(e.Peer)
 }
 
 // peerDown answers what waited for the peer: at once, because its state can't
@@ -62,15 +63,10 @@
 	delete(c.peers, p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
+	c.forwardsLost(p)
+	c.askerPeerDown(p)
+	c.handoverPeerDown(p)
 	c.lendingPeerDown(p)
-	for _, id := range c.sortedForwards() {
-		f := c.forwards[id]
-		if f.holder != p {
-			continue
-		}
-		delete(c.forwards, id)
-		c.holderOut(f.from, f.holder, f.submission.GetId(), f.digest)
-	}
 }
 
 func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
@@ -88,6 +84,12 @@
 		c.forwardAnswer(from, b.ForwardAnswer)
 	case *pb.PeerMessage_ForwardCancel:
 		c.forwardedCancel(from, b.ForwardCancel)
+	case *pb.PeerMessage_Handover:
+		c.adopt(from, b.Handover)
+	case *pb.PeerMessage_HandoverAck:
+		c.handoverAcked(from, b.HandoverAck)
+	case *pb.PeerMessage_HandoverNotice:
+		c.noticeSuccessor(from, b.HandoverNotice)
 	case *pb.PeerMessage_BorrowRequest:
 		c.lend(from, b.BorrowRequest)
 	case *pb.PeerMessage_LendGrant:
--- a/standin/faults/listener.go
+++ b/standin/faults/listener.go
@@ -33,9 +33,12 @@
 	return w, nil
 }
 
-// Silence makes all open connections but one silent for good and returns their
+// Silence makes all open connections silent for good and returns their number.
+func (l *Listener) Silence() int { return l.SilenceBut(nil) }
+
+// SilenceBut makes all open connections but one silent for good and returns their
 // number. The one left out, which may be nil, is that of whoever asks.
-func (l *Listener) Silence(except net.Conn) int {
+func (l *Listener) SilenceBut(except net.Conn) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -107,7 +107,7 @@
 	mux.HandleFunc("POST /control/mode", func(w http.ResponseWriter, q *http.Request) { r.SetMode(Mode(q.FormValue("mode"))) })
 	mux.HandleFunc("POST /control/silence", func(_ http.ResponseWriter, q *http.Request) {
 		asker, _ := q.Context().Value(connKey{}).(net.Conn)
-		r.listener.Silence(asker)
+		r.listener.SilenceBut(asker)
 	})
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(r.Ledger()) })
 	return mux
@@ -122,7 +122,7 @@
 
 // Silence makes all open connections silent for good.
 func (r *Runner) Silence() int {
-	return r.listener.Silence(nil)
+	return r.listener.Silence()
 }
 
 // Ledger is what a runner did.
