Keep task paths out of the header table of upstream connections

Cause: of the processor time of an entry process under load, 8% went into evicting entries of HPACK's dynamic table: every task has a path of its own.

Ruled out: putting the task's name elsewhere (a protocol of our own).

Change: the encoder's table of upstream connections is of size 1.

--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -58,7 +58,13 @@
 	return &http.Transport{
 		Protocols:   &p,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+			// Each task's path is another, so entering it into the table of
+			// headers only drives the others out again.
+			MaxEncoderHeaderTableSize: 1,
+		},
 	}
 }
 
