Command line for callers and operators; wasted messages by cause

Cause: settings could be applied and jobs submitted only by writing a program, and no metric said which messages were wasted.

Ruled out: counting waste in the command line from dumps; the entries' metrics hold it for every caller. Taking a whole dump for each scrape, as before, cost a pass over all submissions on the loop; core.Counters doesn't.

Exit codes by outcome. Tokens come from files or the environment only. Metrics: task_starts_total, wasted_messages_total by cause, peer messages by kind, sizes with units in their names.

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,125 @@
+// Package cli is the command line for operators and callers: thin commands
+// over the client library and the generated calls.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// Streams are the input and output of a command.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// The forms of output.
+const (
+	textOutput = "text"
+	jsonOutput = "json"
+)
+
+// app is what all commands share.
+type app struct {
+	Streams
+	output  string
+	running bool
+	callers callerFlags
+	ops     operatorFlags
+}
+
+// Run executes a command and returns its exit code.
+func Run(ctx context.Context, args []string, s Streams) int {
+	a := &app{Streams: s}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetIn(s.In)
+	root.SetOut(s.Out)
+	root.SetErr(s.Err)
+	err := root.ExecuteContext(ctx)
+	if !a.running {
+		err = usage(err)
+	}
+	var word outcomeError
+	if err != nil && !errors.As(err, &word) {
+		fmt.Fprintln(s.Err, "sapphirepoint:", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "sapphirepoint",
+		Short: "Submit jobs to sapphirepoint and operate it",
+		Long: `Submit jobs to sapphirepoint and operate it.
+
+Callers' commands take --entry and a token from --token-file,
+SAPPHIREPOINT_TOKEN_FILE or SAPPHIREPOINT_TOKEN. Operators' commands take
+--operator and a token from --operator-token-file,
+SAPPHIREPOINT_OPERATOR_TOKEN_FILE or SAPPHIREPOINT_OPERATOR_TOKEN. A token is
+never given as an argument, since other users of the machine see arguments.
+
+Exit codes:
+   0  done; of a job: complete
+   1  the command failed, for instance because nothing could be reached
+   2  usage: wrong arguments, or a file with mistakes
+  10  the job failed; the answer says whether tasks may have run
+  11  the job did not run and never will under its id
+  12  the outcome is unknown; ask again under the same id
+  13  rejected: the request or the settings weren't accepted`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if a.output != textOutput && a.output != jsonOutput {
+				return errors.Errorf("--output: %q is neither text nor json", a.output)
+			}
+			return nil
+		},
+	}
+	cmd.PersistentFlags().StringVarP(&a.output, "output", "o", textOutput, "form of output: text or json")
+	cmd.AddCommand(a.settingsCommand(), a.submitCommand(), a.cancelCommand(), a.dumpCommand(), a.drainCommand(), a.keysCommand(), a.tokenCommand())
+	a.track(cmd)
+	return cmd
+}
+
+// track notes when a command's own work begins; what fails before that is a
+// mistake in the arguments.
+func (a *app) track(cmd *cobra.Command) {
+	if run := cmd.RunE; run != nil {
+		cmd.RunE = func(cmd *cobra.Command, given []string) error {
+			a.running = true
+			return run(cmd, given)
+		}
+	}
+	for _, sub := range cmd.Commands() {
+		a.track(sub)
+	}
+}
+
+// printJSON writes a value as indented JSON.
+func (a *app) printJSON(v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	_, err = fmt.Fprintf(a.Out, "%s\n", raw)
+	return errors.Wrap(err, "write output")
+}
+
+// printProto writes a message as JSON, in the schema's own names.
+func (a *app) printProto(m proto.Message) error {
+	raw, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	// protojson varies its spaces on purpose; indented again, output is stable.
+	return a.printJSON(json.RawMessage(raw))
+}
--- /dev/null
+++ b/cli/keys.go
@@ -0,0 +1,143 @@
+package cli
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sapphirepoint.example/sapphirepoint/keys"
+)
+
+const (
+	certMode   = 0o644
+	secretMode = 0o600
+	tokenBytes = 32
+)
+
+func (a *app) keysCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "keys", Short: "Make the keys of the peer link"}
+	cmd.AddCommand(a.keysCA(), a.keysProcess())
+	return cmd
+}
+
+func (a *app) keysCA() *cobra.Command {
+	var cert, key string
+	cmd := &cobra.Command{
+		Use:     "ca",
+		Short:   "Make the authority of the peer link",
+		Long:    "Make the authority of the peer link. Its certificate goes to every entry VM; its key signs their certificates and stays with the operators.",
+		Example: "  sapphirepoint keys ca --cert ca.pem --key ca.key",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			pair, err := keys.NewCA("sapphirepoint")
+			if err != nil {
+				return err
+			}
+			return a.writePair(pair, cert, key)
+		},
+	}
+	cmd.Flags().StringVar(&cert, "cert", "ca.pem", "file for the certificate")
+	cmd.Flags().StringVar(&key, "key", "ca.key", "file for the private key")
+	return cmd
+}
+
+func (a *app) keysProcess() *cobra.Command {
+	var node, caCert, caKey, cert, key string
+	cmd := &cobra.Command{
+		Use:     "process --node NAME",
+		Short:   "Make the certificate of one entry VM",
+		Example: "  sapphirepoint keys process --node loughborough-1",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ca, err := readPair(caCert, caKey)
+			if err != nil {
+				return usage(err)
+			}
+			pair, err := keys.NewProcess(ca, node)
+			if err != nil {
+				return err
+			}
+			if cert == "" {
+				cert = node + ".pem"
+			}
+			if key == "" {
+				key = node + ".key"
+			}
+			return a.writePair(pair, cert, key)
+		},
+	}
+	cmd.Flags().StringVar(&node, "node", "", "name of the entry VM, as in its settings")
+	cmd.Flags().StringVar(&caCert, "ca", "ca.pem", "the authority's certificate")
+	cmd.Flags().StringVar(&caKey, "ca-key", "ca.key", "the authority's private key")
+	cmd.Flags().StringVar(&cert, "cert", "", "file for the certificate (NAME.pem)")
+	cmd.Flags().StringVar(&key, "key", "", "file for the private key (NAME.key)")
+	_ = cmd.MarkFlagRequired("node")
+	return cmd
+}
+
+func readPair(cert, key string) (keys.Pair, error) {
+	c, err := os.ReadFile(cert)
+	if err != nil {
+		return keys.Pair{}, errors.Wrap(err, "read certificate")
+	}
+	k, err := os.ReadFile(key)
+	return keys.Pair{Cert: c, Key: k}, errors.Wrap(err, "read key")
+}
+
+// writePair writes a new pair. Files that exist stay: overwriting an
+// authority's key would cut off every VM that it signed for.
+func (a *app) writePair(p keys.Pair, cert, key string) error {
+	if err := writeNew(key, p.Key, secretMode); err != nil {
+		return err
+	}
+	if err := writeNew(cert, p.Cert, certMode); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "wrote %s and %s\n", cert, key)
+	return nil
+}
+
+func writeNew(path string, data []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return usage(err)
+	}
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "write "+path)
+	}
+	return errors.Wrap(f.Close(), "write "+path)
+}
+
+func (a *app) tokenCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "token --file FILE",
+		Short:   "Make a token and print its SHA-256 for the settings",
+		Long:    "Make a token, write it to a new file that only its owner can read, and print its SHA-256, which goes into token_sha256 of the institution's settings.",
+		Example: "  sapphirepoint token --file hollowell.token",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			raw := make([]byte, tokenBytes)
+			if _, err := rand.Read(raw); err != nil {
+				return errors.Wrap(err, "draw token")
+			}
+			token := base64.RawURLEncoding.EncodeToString(raw)
+			if err := writeNew(file, []byte(token+"\n"), secretMode); err != nil {
+				return err
+			}
+			sum := sha256.Sum256([]byte(token))
+			fmt.Fprintln(a.Out, hex.EncodeToString(sum[:]))
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&file, "file", "", "new file for the token")
+	_ = cmd.MarkFlagRequired("file")
+	return cmd
+}
--- /dev/null
+++ b/cli/scrape.go
@@ -0,0 +1,139 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// The metrics that a load's summary reads.
+const (
+	startsMetric = "sapphirepoint_task_starts_total"
+	wastedMetric = "sapphirepoint_wasted_messages_total"
+	ratioMetric  = "sapphirepoint_response_over_ideal_ratio"
+	causeLabel   = "cause"
+)
+
+// entriesDelta is what the entries counted during a load, by all their
+// callers.
+type entriesDelta struct {
+	TaskStarts    float64            `json:"task_starts"`
+	Wasted        map[string]float64 `json:"wasted_messages"`
+	WastedPerTask float64            `json:"wasted_messages_per_task"`
+	// OverIdealMean is the mean response over ideal as the entries saw it: over
+	// the slowest task's measured run time.
+	OverIdealMean float64 `json:"response_over_ideal_mean"`
+
+	ratioSum, ratioCount float64
+}
+
+// scraper reads metrics of entries before and after a load.
+type scraper struct {
+	operators []*operator
+	before    []entriesDelta
+}
+
+// entriesMetrics reads the entries' metrics; nil without --operator.
+func (a *app) entriesMetrics(ctx context.Context) (*scraper, error) {
+	if len(a.ops.operators) == 0 && os.Getenv(envOperator) == "" {
+		return nil, nil
+	}
+	operators, err := a.ops.connectWithoutToken()
+	if err != nil {
+		return nil, err
+	}
+	s := &scraper{operators: operators}
+	s.before, err = s.read(ctx)
+	return s, err
+}
+
+func (s *scraper) read(ctx context.Context) ([]entriesDelta, error) {
+	list := make([]entriesDelta, len(s.operators))
+	for i, o := range s.operators {
+		families, err := o.metrics(ctx)
+		if err != nil {
+			return nil, errors.Wrap(err, o.url)
+		}
+		list[i] = countsOf(families)
+	}
+	return list, nil
+}
+
+// since adds up what the entries counted since the first reading.
+func (s *scraper) since(ctx context.Context) (*entriesDelta, error) {
+	after, err := s.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d := &entriesDelta{Wasted: make(map[string]float64)}
+	for i := range after {
+		d.TaskStarts += after[i].TaskStarts - s.before[i].TaskStarts
+		d.ratioSum += after[i].ratioSum - s.before[i].ratioSum
+		d.ratioCount += after[i].ratioCount - s.before[i].ratioCount
+		for cause, n := range after[i].Wasted {
+			d.Wasted[cause] += n - s.before[i].Wasted[cause]
+		}
+	}
+	if d.ratioCount > 0 {
+		d.OverIdealMean = d.ratioSum / d.ratioCount
+	}
+	if d.TaskStarts > 0 {
+		for _, n := range d.Wasted {
+			d.WastedPerTask += n / d.TaskStarts
+		}
+	}
+	return d, nil
+}
+
+func countsOf(families map[string]*dto.MetricFamily) entriesDelta {
+	d := entriesDelta{Wasted: make(map[string]float64)}
+	for _, m := range families[startsMetric].GetMetric() {
+		d.TaskStarts += m.GetCounter().GetValue()
+	}
+	for _, m := range families[wastedMetric].GetMetric() {
+		for _, l := range m.GetLabel() {
+			if l.GetName() == causeLabel {
+				d.Wasted[l.GetValue()] += m.GetCounter().GetValue()
+			}
+		}
+	}
+	for _, m := range families[ratioMetric].GetMetric() {
+		d.ratioSum += m.GetHistogram().GetSampleSum()
+		d.ratioCount += float64(m.GetHistogram().GetSampleCount())
+	}
+	return d
+}
+
+func (o *operator) metrics(ctx context.Context) (map[string]*dto.MetricFamily, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, o.url+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	res, err := o.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("metrics: status %s", res.Status)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(res.Body)
+	return families, errors.Wrap(err, "metrics")
+}
+
+func (d *entriesDelta) print(w io.Writer) {
+	fmt.Fprintf(w, "entries: %.0f task starts, %.4f wasted messages a task, mean response over ideal %.4f\n", d.TaskStarts, d.WastedPerTask, d.OverIdealMean)
+	for _, cause := range byCount(d.Wasted) {
+		if n := d.Wasted[cause]; n > 0 {
+			fmt.Fprintf(w, "  %s: %.0f (%.4f a task)\n", cause, n, n/max(d.TaskStarts, 1))
+		}
+	}
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -96,6 +96,8 @@
 	draining bool
 	drained  bool
 	stats    Stats
+	// sentKinds counts the messages sent to peers by kind.
+	sentKinds map[string]uint64
 }
 
 // New returns the core of a process that has just started.
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -82,6 +82,15 @@
 
 // Dump describes the present state.
 func (c *Core) Dump() Dump {
+	d := c.summary()
+	d.Submissions = c.dumpSubmissions()
+	d.Starts = c.dumpStarts()
+	d.Peers = c.dumpPeers()
+	return d
+}
+
+// summary is a dump without its lists.
+func (c *Core) summary() Dump {
 	return Dump{
 		Incarnation:     c.cfg.Self.String(),
 		FailureDomain:   c.cfg.FailureDomain,
@@ -95,9 +104,6 @@
 		KeptBytes:       c.keptBytes,
 		ClaimsWaiting:   len(c.claims.waiting) + len(c.claims.inFlight),
 		Forwards:        len(c.forwards),
-		Submissions:     c.dumpSubmissions(),
-		Starts:          c.dumpStarts(),
-		Peers:           c.dumpPeers(),
 		Stats:           c.stats,
 	}
 }
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -115,6 +115,7 @@
 	c.addReturns(to, m)
 	m.Status = c.status()
 	c.stats.PeerMessages++
+	c.countPeerMessage(m)
 	c.emit(Send{to, m})
 }
 
--- a/node/callers.go
+++ b/node/callers.go
@@ -81,6 +81,7 @@
 	if count == 0 || count > maxIDsPerBlock {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("count: must be 1 to %d", maxIDsPerBlock))
 	}
+	cs.node.metrics.idBlocks.Inc()
 	var block *pb.IdBlock
 	cs.node.call(func(c *dispatch.Core) { block = c.IssueIDs(cs.node.now(), count) })
 	if block == nil {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"net/http"
+	"path"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,7 +13,11 @@
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
-const namespace = "sapphirepoint"
+const (
+	namespace = "sapphirepoint"
+	// exchange is the messages of a request with its answer.
+	exchange = 2
+)
 
 // metrics are the Prometheus metrics of a node.
 type metrics struct {
@@ -18,6 +25,8 @@
 	answers  *prometheus.CounterVec
 	response *prometheus.HistogramVec
 	ratio    prometheus.Histogram
+	platform *prometheus.CounterVec
+	idBlocks prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -34,15 +43,27 @@
 			Namespace: namespace, Name: "response_over_ideal_ratio", Help: "Response time of complete jobs over the run time of their slowest task.",
 			Buckets: []float64{1.01, 1.02, 1.05, 1.1, 1.2, 1.5, 2, 3, 5, 10},
 		}),
+		platform: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "platform_calls_total", Help: "Calls of the platform's services.",
+		}, []string{"call"}),
+		idBlocks: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "id_block_calls_total", Help: "Calls of callers for blocks of ids.",
+		}),
 	}
-	m.registry.MustRegister(m.answers, m.response, m.ratio, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.answers, m.response, m.ratio, m.platform, m.idBlocks, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &coreCollector{n})
 	return m
 }
 
 func (m *metrics) answered(a *pb.Answer, took time.Duration) {
-	m.answers.WithLabelValues(a.GetOutcome().String(), a.GetReason().String()).Inc()
-	m.response.WithLabelValues(a.GetOutcome().String()).Observe(took.Seconds())
+	outcome := word(a.GetOutcome().String(), "OUTCOME_")
+	m.answers.WithLabelValues(outcome, word(a.GetReason().String(), "REASON_")).Inc()
+	m.response.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
+// word turns the name of an enum's value into a label's value.
+func word(name, prefix string) string {
+	return strings.ToLower(strings.TrimPrefix(name, prefix))
 }
 
 func (m *metrics) ended(e dispatch.Ended) {
@@ -51,37 +72,96 @@
 	}
 }
 
+// countCalls counts each call that a transport carries by the last part of its
+// path, which is the name of the call.
+func (m *metrics) countCalls(next http.RoundTripper) http.RoundTripper {
+	return countingTransport{next, m.platform}
+}
+
+type countingTransport struct {
+	next  http.RoundTripper
+	calls *prometheus.CounterVec
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.calls.WithLabelValues(strings.ToLower(path.Base(r.URL.Path))).Inc()
+	return t.next.RoundTrip(r)
+}
+
 // coreCollector reads the core's counters when metrics are scraped.
 type coreCollector struct{ node *Node }
 
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(namespace+"_"+name, help, labels, nil)
+}
+
 var (
-	eventsDesc = prometheus.NewDesc(namespace+"_events_total", "Events counted by the dispatch core.", []string{"kind"}, nil)
-	stateDesc  = prometheus.NewDesc(namespace+"_state", "Present sizes in the dispatch core.", []string{"of"}, nil)
+	startsDesc  = describe("task_starts_total", "Tasks sent to upstreams to be started.")
+	wastedDesc  = describe("wasted_messages_total", "Messages beyond one request and one answer for each task and job.", "cause")
+	peerDesc    = describe("peer_messages_total", "Messages sent to peers.", "kind")
+	eventsDesc  = describe("events_total", "Events counted by the dispatch core.", "kind")
+	queuedDesc  = describe("queued_tasks", "Tasks that wait for a slot.", "institution")
+	jobsDesc    = describe("jobs", "Jobs in progress under this process's claims.")
+	runningDesc = describe("running_tasks", "Task starts that aren't settled.")
+	ownedDesc   = describe("owned_slots", "Upstream slots that this process owns.")
+	claimsDesc  = describe("waiting_claims", "Claims that wait for the table service.")
+	forwardDesc = describe("waiting_forwards", "Requests passed on to their holder and not answered.")
+	keptDesc    = describe("kept_answers", "Final answers kept for resubmissions.")
+	bytesDesc   = describe("kept_answer_bytes", "Size of the answers kept for resubmissions.")
+	blocksDesc  = describe("id_blocks", "Blocks of issued ids that are still valid.")
+	peersDesc   = describe("peers", "Connected peers.")
+	versionDesc = describe("settings_version", "Version of the settings in force.")
+	readyDesc   = describe("ready", "1 if the process takes new work.")
 )
 
 // Describe implements prometheus.Collector.
 func (cc *coreCollector) Describe(ch chan<- *prometheus.Desc) {
-	ch <- eventsDesc
-	ch <- stateDesc
+	for _, d := range []*prometheus.Desc{startsDesc, wastedDesc, peerDesc, eventsDesc, queuedDesc, jobsDesc, runningDesc, ownedDesc,
+		claimsDesc, forwardDesc, keptDesc, bytesDesc, blocksDesc, peersDesc, versionDesc, readyDesc} {
+		ch <- d
+	}
 }
 
 // Collect implements prometheus.Collector.
 func (cc *coreCollector) Collect(ch chan<- prometheus.Metric) {
-	d := cc.node.dump()
-	counters := map[string]uint64{
-		"start": d.Stats.Starts, "not_started": d.Stats.NotStarted, "settle": d.Stats.Settles,
-		"stop": d.Stats.Stops, "late_result": d.Stats.LateResults, "resubmission": d.Stats.Resubmissions,
-		"conflict": d.Stats.Conflicts, "cancel": d.Stats.Cancels, "forward": d.Stats.Forwards,
-		"foreign_answer": d.Stats.ForeignAnswers, "peer_message": d.Stats.PeerMessages, "claim_write": d.Stats.ClaimWrites,
+	var c dispatch.Counters
+	if !cc.node.call(func(core *dispatch.Core) { c = core.Counters() }) {
+		return
+	}
+	count := func(d *prometheus.Desc, v uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	gauge := func(d *prometheus.Desc, v int, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v), labels...)
+	}
+	s := c.Summary
+	count(startsDesc, s.Stats.Starts)
+	for cause, n := range cc.node.metrics.wasted(c) {
+		count(wastedDesc, n, cause)
+	}
+	for kind, n := range c.PeerMessages {
+		count(peerDesc, n, kind)
 	}
-	for kind, v := range counters {
-		ch <- prometheus.MustNewConstMetric(eventsDesc, prometheus.CounterValue, float64(v), kind)
+	for kind, n := range events(s.Stats) {
+		count(eventsDesc, n, kind)
 	}
-	gauges := map[string]int{
-		"owned_slots": d.OwnedSlots, "submissions": len(d.Submissions), "running_starts": len(d.Starts),
-		"kept_answers": d.KeptAnswers, "kept_bytes": d.KeptBytes, "peers": len(d.Peers),
+	for institution, n := range c.QueuedTasks {
+		gauge(queuedDesc, n, institution)
 	}
-	for of, v := range gauges {
-		ch <- prometheus.MustNewConstMetric(stateDesc, prometheus.GaugeValue, float64(v), of)
+	gauge(jobsDesc, c.Submissions)
+	gauge(runningDesc, c.RunningStarts)
+	gauge(ownedDesc, s.OwnedSlots)
+	gauge(claimsDesc, s.ClaimsWaiting)
+	gauge(forwardDesc, s.Forwards)
+	gauge(keptDesc, s.KeptAnswers)
+	gauge(bytesDesc, s.KeptBytes)
+	gauge(blocksDesc, s.IDBlocks)
+	gauge(peersDesc, c.Peers)
+	gauge(versionDesc, int(s.SettingsVersion))
+	ready := 0
+	if s.Ready {
+		ready = 1
 	}
+	gauge(readyDesc, ready)
 }
--- a/node/platform.go
+++ b/node/platform.go
@@ -37,10 +37,10 @@
 func newPlatformClient(n *Node) *platformClient {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: n.metrics.countCalls(&http.Transport{
 		Protocols: &p,
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
-	}}
+	})}
 	return &platformClient{
 		node:    n,
 		table:   platformv1connect.NewTableServiceClient(client, n.cfg.PlatformURL),
--- /dev/null
+++ b/node/wasted.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"encoding/json"
+
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+)
+
+// wasted counts by cause the messages beyond one request and one answer for
+// each task and job. A request counts together with its answer; a message to a
+// peer counts alone, at its sender, so that the sum over all processes holds
+// each message once.
+func (m *metrics) wasted(c dispatch.Counters) map[string]uint64 {
+	s := c.Summary.Stats
+	causes := map[string]uint64{
+		"refused_start": exchange * s.NotStarted,
+		"settle":        exchange * s.Settles,
+		"stop":          exchange * s.Stops,
+		"resubmission":  exchange * s.Resubmissions,
+		"conflict":      exchange * s.Conflicts,
+		"cancel":        exchange * s.Cancels,
+		"id_block":      exchange * counted(m.idBlocks),
+	}
+	for kind, n := range c.PeerMessages {
+		causes["peer_"+kind] = n
+	}
+	calls := make(chan prometheus.Metric)
+	go func() {
+		m.platform.Collect(calls)
+		close(calls)
+	}()
+	for call := range calls {
+		var d dto.Metric
+		if call.Write(&d) == nil {
+			causes["platform_"+d.GetLabel()[0].GetValue()] = exchange * uint64(d.GetCounter().GetValue())
+		}
+	}
+	return causes
+}
+
+func counted(c prometheus.Counter) uint64 {
+	var d dto.Metric
+	if c.Write(&d) != nil {
+		return 0
+	}
+	return uint64(d.GetCounter().GetValue())
+}
+
+// events gives the core's counters by their names in the dump, so that a
+// counter that is added there shows in the metrics too.
+func events(s dispatch.Stats) map[string]uint64 {
+	named := make(map[string]uint64)
+	raw, err := json.Marshal(s)
+	if err == nil {
+		err = json.Unmarshal(raw, &named)
+	}
+	if err != nil {
+		panic("node: the core's counters aren't plain numbers: " + err.Error())
+	}
+	return named
+}
