--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -126,6 +126,8 @@
 	// closed is set when the handover begins: from then on nothing starts.
 	closed bool
 	stats  Stats
+	// sentKinds counts the messages sent to peers by kind.
+	sentKinds map[string]uint64
 }
 
 // New returns the core of a process that has just started.
