--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -50,11 +50,11 @@
 
 func (c *Core) peerUp(e PeerUp) {
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
-	c.runs[e.Peer.Node] = e.Peer.Run
+	c.noteRun(e.Peer)
 	c.view.PeerUp(c.now, e.Peer)
 	c.refreshMembers()
-	c.send(e.Peer, &pb.PeerMessage{})
 	c.announceAdopted(e.Peer)
+	c.send(e.Peer, &pb.PeerMessage{})
 }
 
 // peerDown answers what waited for the peer: at once, because its state can't
@@ -126,6 +126,7 @@
 	c.addReturns(to, m)
 	m.Status = c.status()
 	c.stats.PeerMessages++
+	c.countPeerMessage(m)
 	c.emit(Send{to, m})
 }
 
--- a/e2e/holders_test.go
+++ b/e2e/holders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 
@@ -45,6 +46,21 @@
 	return word
 }
 
+// askAll resubmits through several entries at once until each has the final
+// word.
+func askAll(s *pb.Submission, entries ...*entry) []*pb.Answer {
+	words := make([]*pb.Answer, len(entries))
+	var all sync.WaitGroup
+	for i, e := range entries {
+		all.Go(func() {
+			defer GinkgoRecover()
+			words[i] = e.askUntilFinal(s)
+		})
+	}
+	all.Wait()
+	return words
+}
+
 // running waits until the runners have started n tasks in all.
 func (d *deployment) running(n int) {
 	Eventually(func() int { return len(d.ledgers()) }, patience, poll).Should(BeNumerically(">=", n))
@@ -71,24 +87,24 @@
 	// would wait weeks for its money if it ran twice, and "not run" would make
 	// the caller pay it by hand as well.
 	It("is killed between resubmissions", func() {
-		for _, s := range []*pb.Submission{settlement("lot-1", 4, 600), labels(4, 600)} {
-			before := len(d.ledgers())
-			if s.GetId() == nil {
-				id, err := d.entries[0].client().NewID(context.Background())
-				Expect(err).NotTo(HaveOccurred())
-				s.Id = id
-			}
-			go d.entries[0].ask(s)
-			d.running(before + 4)
-			d.entries[0].signal(syscall.SIGKILL)
-			<-d.entries[0].done
-			words := []*pb.Answer{d.entries[1].ask(s), d.entries[2].ask(s), d.entries[3].ask(s)}
-			d.entries[0].start()
-			Eventually(d.entries[0].ready, patience, poll).Should(BeTrue())
-			words = append(words, d.entries[0].askUntilFinal(s), d.entries[3].askUntilFinal(s))
-			d.expectTruth(words...)
-			Expect(d.ledgers()).To(HaveLen(before + 4))
+		own, issued := settlement("lot-1", 4, 800), labels(4, 800)
+		id, err := d.entries[0].client().NewID(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		issued.Id = id
+		go d.entries[0].ask(own)
+		go d.entries[0].ask(issued)
+		d.running(8)
+		d.entries[0].signal(syscall.SIGKILL)
+		<-d.entries[0].done
+		for _, s := range []*pb.Submission{own, issued} {
+			d.expectTruth(d.entries[1].ask(s), d.entries[2].ask(s), d.entries[3].ask(s))
+		}
+		d.entries[0].start()
+		Eventually(d.entries[0].ready, patience, poll).Should(BeTrue())
+		for _, s := range []*pb.Submission{own, issued} {
+			d.expectTruth(askAll(s, d.entries[0], d.entries[3])...)
 		}
+		Expect(d.ledgers()).To(HaveLen(8))
 	})
 
 	// An entry process is frozen, by its hypervisor say, until every lease and
@@ -111,7 +127,7 @@
 		}
 		d.entries[0].signal(syscall.SIGCONT)
 		for _, s := range []*pb.Submission{own, issued} {
-			d.expectTruth(d.entries[3].askUntilFinal(s), d.entries[0].askUntilFinal(s))
+			d.expectTruth(askAll(s, d.entries[3], d.entries[0])...)
 		}
 		Expect(d.ledgers()).To(HaveLen(6))
 	})
@@ -130,8 +146,7 @@
 		d.entries[0].start()
 		Eventually(d.entries[0].ready, patience, poll).Should(BeTrue())
 		Expect(d.entries[0].dump()["incarnation"]).NotTo(Equal(old))
-		for _, e := range d.entries {
-			w := e.askUntilFinal(s)
+		for _, w := range askAll(s, d.entries...) {
 			Expect(w.GetOutcome()).To(Equal(pb.Outcome_OUTCOME_FAILED))
 			Expect(w.GetMayHaveRun()).To(BeTrue())
 		}
