Settings: the change of an operator as a pure state machine

Cause: applySettings settled a lost reply by comparing contents, so two operators who applied the same content could both be told that theirs is the version, and an operator whose change had been superseded was told of a conflict although it had taken effect.

Change: core/settings.Apply does the compare-and-set step by step without input or output; a change carries a random number. The node only carries out its steps. GetSettings lists nodes on the list that aren't connected too, with the version and age last known of them.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 	pool     *slots.Pool
 	members  task.Members
 	view     *membership.View
+	absent   map[string]absence
 
 	submissions map[task.ID]*submission
 	jobs        map[queue.JobID]*submission
@@ -138,6 +139,7 @@
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:     settings.NewState(),
 		view:         membership.New(cfg.Self.Node),
+		absent:       make(map[string]absence),
 		issuer:       claim.NewIssuer(cfg.IDValidity),
 		queue:        queue.NewOrdered(cfg.Order),
 		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -171,7 +171,8 @@
 	return list
 }
 
-// NodeVersions lists the settings version of this process and its peers.
+// NodeVersions lists the settings version of this process, its peers and the
+// listed nodes that aren't connected.
 func (c *Core) NodeVersions() []*pb.NodeVersion {
 	list := []*pb.NodeVersion{{
 		Incarnation:   c.cfg.Self.Proto(),
@@ -189,7 +190,7 @@
 			Connected:     true,
 		})
 	}
-	return list
+	return append(list, c.absentVersions()...)
 }
 
 // Settings returns the settings in force, nil if none.
--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/membership"
@@ -56,6 +57,7 @@
 		return
 	}
 	c.members = m
+	c.forgetAbsent(m)
 	c.emit(MembersInForce{m})
 	c.refreshMembers()
 }
@@ -92,6 +94,53 @@
 	}
 }
 
+// absence is what was last known of a node that isn't connected.
+type absence struct {
+	incarnation task.Incarnation
+	version     uint64
+	heard       task.Time
+}
+
+// noteAbsence keeps what an operator wants to know of a node that is cut off:
+// which settings it had, and when.
+func (c *Core) noteAbsence(p task.Incarnation) {
+	if last := c.peers[p]; last != nil {
+		c.absent[p.Node] = absence{p, last.status.GetSettingsVersion(), last.heard}
+	}
+}
+
+// absentVersions lists the nodes on the list that aren't connected, with the
+// settings version that they had when they were last heard; 0 if never.
+func (c *Core) absentVersions() []*pb.NodeVersion {
+	connected := make(map[string]bool, len(c.peers))
+	for p := range c.peers {
+		connected[p.Node] = true
+	}
+	var list []*pb.NodeVersion
+	for _, n := range c.members.Nodes {
+		if n.Name == c.cfg.Self.Node || connected[n.Name] {
+			continue
+		}
+		v := &pb.NodeVersion{Incarnation: &pb.Incarnation{Node: n.Name}, FailureDomain: n.FailureDomain}
+		if last, known := c.absent[n.Name]; known {
+			v.Incarnation = last.incarnation.Proto()
+			v.Version = last.version
+			v.AgeMs = uint64((c.now - last.heard).Milliseconds())
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
+// forgetAbsent drops what is known of nodes that aren't listed any more.
+func (c *Core) forgetAbsent(m task.Members) {
+	listed := make(map[string]bool, len(m.Nodes))
+	for _, n := range m.Nodes {
+		listed[n.Name] = true
+	}
+	maps.DeleteFunc(c.absent, func(name string, _ absence) bool { return !listed[name] })
+}
+
 func (c *Core) sendSettings(to task.Incarnation) {
 	if s := c.settings.Current(); s != nil {
 		c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -60,6 +60,7 @@
 // peerDown answers what waited for the peer: at once, because its state can't
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
+	c.noteAbsence(p)
 	delete(c.peers, p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -116,14 +116,30 @@
 	return state
 }
 
-// quota is that of the first team in the settings in force.
-func (e *entry) quota() uint32 {
+// inForce is what an operator is told of the settings in force.
+func (e *entry) inForce() *pb.GetSettingsResponse {
 	rpc := sapphirepointv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+e.operators)
 	req := connect.NewRequest(&pb.GetSettingsRequest{})
 	req.Header().Set("Authorization", "Bearer "+operatorToken)
 	res, err := rpc.GetSettings(context.Background(), req)
 	Expect(err).NotTo(HaveOccurred())
-	return res.Msg.GetSettings().GetInstitutions()[0].GetTeams()[0].GetQuotaSlots()
+	return res.Msg
+}
+
+// quota is that of the first team in the settings in force.
+func (e *entry) quota() uint32 {
+	return e.inForce().GetSettings().GetInstitutions()[0].GetTeams()[0].GetQuotaSlots()
+}
+
+// versions says for each node with version 1 in force whether it is connected.
+func (e *entry) versions() map[string]bool {
+	connected := map[string]bool{}
+	for _, n := range e.inForce().GetNodes() {
+		if n.GetVersion() == 1 {
+			connected[n.GetIncarnation().GetNode()] = n.GetConnected()
+		}
+	}
+	return connected
 }
 
 func (e *entry) peerCount() int {
--- a/e2e/holders_test.go
+++ b/e2e/holders_test.go
@@ -125,6 +125,7 @@
 		for _, s := range []*pb.Submission{own, issued} {
 			d.expectTruth(d.entries[1].ask(s), d.entries[2].ask(s), d.entries[3].ask(s))
 		}
+		Expect(d.entries[1].versions()).To(HaveKeyWithValue(d.entries[0].name, false))
 		d.entries[0].signal(syscall.SIGCONT)
 		for _, s := range []*pb.Submission{own, issued} {
 			d.expectTruth(askAll(s, d.entries[3], d.entries[0])...)
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
 	"sapphirepoint.example/sapphirepoint/core/membership"
+	"sapphirepoint.example/sapphirepoint/core/settings"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1/platformv1connect"
@@ -24,8 +26,8 @@
 	claimPrefix = "claim/"
 	// platformTimeout bounds each call to the platform.
 	platformTimeout = 2 * time.Second
-	// applyAttempts bounds the settling of a write whose reply was lost.
-	applyAttempts = 5
+	// applyPause is the wait between two looks at the settings row.
+	applyPause = 100 * time.Millisecond
 )
 
 // platformClient reads and writes the platform's services.
@@ -120,36 +122,48 @@
 	return nil
 }
 
-// applySettings replaces the settings row if the expected version is the
-// present one. A lost reply is settled by reading back.
+// applySettings carries out an operator's change of the settings.
 func (p *platformClient) applySettings(ctx context.Context, expected uint64, s *pb.Settings) (*pb.Settings, error) {
-	next := proto.Clone(s).(*pb.Settings)
-	next.Version = expected + 1
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, errors.Wrap(err, "encode settings"))
-	}
-	uncertain := false
-	for range applyAttempts {
-		present, row, err := p.settingsRow(ctx)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "read settings; ask for the version in force before applying again"))
-		}
-		if uncertain && proto.Equal(present, next) {
-			return next, nil
+	change := settings.NewApply(expected, s, rand.Uint64()|1)
+	for first := true; change.Step() != settings.ApplyEnded; first = false {
+		if !first {
+			pause(ctx, applyPause)
 		}
-		if present.GetVersion() != expected {
-			return nil, connect.NewError(connect.CodeAborted, errors.Errorf("expected version %d, but %d is current", expected, present.GetVersion()))
-		}
-		committed, err := p.commit(ctx, &platformv1.Write{Key: settingsKey, Value: value, ExpectedVersion: row})
-		if err == nil && committed {
-			return next, nil
-		}
-		uncertain = uncertain || err != nil
+		p.applyStep(ctx, change)
+	}
+	switch change.Outcome() {
+	case settings.Applied:
+		return change.Next(), nil
+	case settings.Conflicted:
+		return nil, connect.NewError(connect.CodeAborted, errors.Errorf("expected version %d, but %d is current", expected, change.Current()))
+	case settings.NotWritten:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the settings row can't be read; nothing was applied"))
 	}
 	return nil, connect.NewError(connect.CodeUnavailable, errors.New("the write isn't settled; ask for the version in force before applying again"))
 }
 
+// applyStep reads the row and, if that leads to a write, writes it.
+func (p *platformClient) applyStep(ctx context.Context, change *settings.Apply) {
+	present, row, err := p.settingsRow(ctx)
+	change.Read(present, row, err == nil)
+	if change.Step() != settings.ApplyWrite {
+		return
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(change.Next())
+	if err != nil {
+		panic(errors.Wrap(err, "encode settings that were decoded before"))
+	}
+	committed, err := p.commit(ctx, &platformv1.Write{Key: settingsKey, Value: value, ExpectedVersion: change.RowVersion()})
+	change.Written(committed, err == nil)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (p *platformClient) commit(ctx context.Context, w *platformv1.Write) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
