Quotas and ceilings shared by entry processes without a message per job

The declared ceiling_slots and quota_slots limited nothing.

core/admission divides each limit by the declared number of entry VMs (Settings.entry_vms, new); that floor is a process's own whatever is cut off. Units left over go by rendezvous hashing over the platform's list and are used only while the list is fresh. Unused units are lent; demand, loans and returns ride on status messages, at most once in 500 ms a peer. A loan ends by the borrower's clock, as echoed by the lender, before it ends by the lender's.

Ruled out: a division by the listed nodes (a cut-off process keeps the old share while others divide it), and, found by the property: agreement by hash of the list alone (an earlier statement on the same nodes, with other nodes in between), agreement of the listed processes when fewer are listed than may run (one that lives unlisted holds units), leftover units before a former run's loans are over.

TestCeilingHoldsOverAllProcesses drives four processes with a lagging list, cuts, delistings of live processes, restarts and messages up to 20 s late.

Also new, for never-runnable sizes and fresh lists: the worker's size on the platform's list, and an event when the list was read unchanged.

--- /dev/null
+++ b/core/admission/lending.go
@@ -0,0 +1,245 @@
+package admission
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// PeerUp says that a process is connected. A former run of it that was
+// connected is gone; what it sent may still arrive and is not listened to.
+func (q *Quotas) PeerUp(p task.Incarnation) {
+	for old := range q.peers {
+		if old.Node == p.Node {
+			delete(q.peers, old)
+		}
+	}
+	q.peers[p] = &quotaPeer{told: -Interval}
+}
+
+// PeerDown says that the connection with a process is lost. Loans go on until
+// their time.
+func (q *Quotas) PeerDown(p task.Incarnation) {
+	delete(q.peers, p)
+}
+
+// Tick is to be called once an interval: it works out what is asked of others
+// and given back to them, and takes back loans that have ended with the tasks
+// that may run on them.
+func (q *Quotas) Tick(now task.Time) {
+	q.demand = nil
+	for _, l := range q.order {
+		q.takeBack(l, now)
+		q.ask(l)
+		q.giveBack(l, now)
+		l.peak = l.held
+		l.blocked = false
+		if l.asked > 0 {
+			q.demand = append(q.demand, &pb.HeldSlots{
+				Institution: l.key.Institution,
+				Team:        l.key.Team,
+				Slots:       uint32(l.held),
+				Wanted:      uint32(l.asked),
+			})
+		}
+	}
+}
+
+func (q *Quotas) takeBack(l *limit, now task.Time) {
+	for p, out := range l.lentTo {
+		if now >= out.until+q.overhang {
+			l.lent -= out.units
+			delete(l.lentTo, p)
+		}
+	}
+}
+
+// ask doubles what is asked for while demand isn't met.
+func (q *Quotas) ask(l *limit) {
+	if !l.blocked {
+		l.asked = 0
+		return
+	}
+	l.asked = min(max(2*l.asked, 1+l.held/4), l.total)
+}
+
+// giveBack hands units back that weren't used since the last status.
+func (q *Quotas) giveBack(l *limit, now task.Time) {
+	if l.asked > 0 {
+		return
+	}
+	surplus := l.base(q, now) - l.lent + l.usable(now) - l.peak
+	for _, p := range sortedLoans(l.borrowed) {
+		b := l.borrowed[p]
+		n := min(surplus, b.units)
+		if n > 0 {
+			b.units -= n
+			surplus -= n
+		}
+		if now >= b.until+q.overhang {
+			delete(l.borrowed, p)
+		}
+	}
+}
+
+// Status is what is told to one peer; it rides on any message, once an
+// interval. Nil means that there is nothing to tell.
+func (q *Quotas) Status(now task.Time, to task.Incarnation) *pb.QuotaStatus {
+	p := q.peers[to]
+	if p == nil || len(q.order) == 0 || now-p.told < Interval {
+		return nil
+	}
+	p.told = now
+	st := &pb.QuotaStatus{
+		ClockMs:        uint64(now.Milliseconds()),
+		MembersVersion: q.list.version,
+		NodesHash:      q.list.hash,
+		Settled:        q.settledHere(now),
+		Demand:         q.demand,
+	}
+	for _, l := range q.order {
+		if out := l.lentTo[to]; out != nil && p.heard {
+			st.Loans = append(st.Loans, q.extend(l, out, now, p.clock))
+		}
+		for _, lender := range sortedLoans(l.borrowed) {
+			if lender.Node == to.Node {
+				st.Borrowed = append(st.Borrowed, l.report(lender))
+			}
+		}
+	}
+	return st
+}
+
+// nextSerial is never used twice, so that a loan that was ended and forgotten
+// isn't taken for a later one.
+func (q *Quotas) nextSerial() uint64 {
+	q.serial++
+	return q.serial
+}
+
+// extend tells of a loan and, unless the units are needed here or aren't this
+// process's any more, lets it run on.
+func (q *Quotas) extend(l *limit, out *loan, now task.Time, clock uint64) *pb.QuotaLoan {
+	w := &pb.QuotaLoan{
+		Institution: l.key.Institution,
+		Team:        l.key.Team,
+		Units:       uint32(out.units),
+		Serial:      out.serial,
+		ClockMs:     clock,
+	}
+	if l.asked == 0 && l.lent <= l.base(q, now) {
+		w.ValidMs = uint32(LoanValid.Milliseconds())
+		out.until = max(out.until, now+LoanValid+LoanValid/drift)
+	}
+	return w
+}
+
+func (l *limit) report(lender task.Incarnation) *pb.QuotaLoan {
+	b := l.borrowed[lender]
+	return &pb.QuotaLoan{
+		Institution: l.key.Institution,
+		Team:        l.key.Team,
+		Units:       uint32(b.units),
+		Serial:      b.serial,
+		LenderRun:   lender.Run,
+	}
+}
+
+// Receive takes what a peer tells.
+func (q *Quotas) Receive(now task.Time, from task.Incarnation, st *pb.QuotaStatus) {
+	p := q.peers[from]
+	if p == nil || st == nil {
+		return
+	}
+	p.heard = true
+	p.clock = max(p.clock, st.GetClockMs())
+	p.version = st.GetMembersVersion()
+	p.nodes = st.GetNodesHash()
+	p.settled = st.GetSettled()
+	q.reports(from, p, st.GetBorrowed())
+	for _, w := range st.GetLoans() {
+		q.borrow(from, w)
+	}
+	q.settle(now)
+	q.lend(now, from, st.GetDemand())
+}
+
+// reports takes back what a borrower says it doesn't use any more.
+func (q *Quotas) reports(from task.Incarnation, p *quotaPeer, list []*pb.QuotaLoan) {
+	p.owesPredecessor = false
+	for _, r := range list {
+		if r.GetLenderRun() != q.self.Run {
+			p.owesPredecessor = true
+			continue
+		}
+		l := q.limits[keyOf(r)]
+		if l == nil || l.lentTo[from] == nil {
+			continue
+		}
+		out := l.lentTo[from]
+		// Only an answer to the loan as it stands: one to an earlier state
+		// would take back units that are on their way to the borrower.
+		if r.GetSerial() == out.serial && int(r.GetUnits()) < out.units {
+			l.lent -= out.units - int(r.GetUnits())
+			out.units = int(r.GetUnits())
+			out.serial = q.nextSerial()
+		}
+	}
+}
+
+func keyOf(w *pb.QuotaLoan) Key {
+	return Key{w.GetInstitution(), w.GetTeam()}
+}
+
+// borrow takes a loan. Its time counts from this process's own clock reading
+// that the lender echoes: a message that was long on its way brings a loan
+// that has ended, and not a fresh one that the lender counts as over.
+func (q *Quotas) borrow(from task.Incarnation, w *pb.QuotaLoan) {
+	l := q.limits[keyOf(w)]
+	if l == nil {
+		return
+	}
+	b := l.borrowed[from]
+	if b == nil {
+		b = &loan{}
+		l.borrowed[from] = b
+	}
+	if w.GetSerial() < b.serial {
+		return
+	}
+	if w.GetSerial() > b.serial {
+		b.serial = w.GetSerial()
+		b.units = int(w.GetUnits())
+	}
+	until := time.Duration(w.GetClockMs()+uint64(w.GetValidMs())) * time.Millisecond
+	if w.GetValidMs() > 0 {
+		b.until = max(b.until, until)
+	}
+}
+
+// lend gives units that aren't needed here to a process that wants some: its
+// part of what it wants, as the others are asked too.
+func (q *Quotas) lend(now task.Time, to task.Incarnation, wanted []*pb.HeldSlots) {
+	for _, w := range wanted {
+		l := q.limits[Key{w.GetInstitution(), w.GetTeam()}]
+		if l == nil || l.blocked || l.asked > 0 {
+			continue
+		}
+		spare := l.base(q, now) - l.lent - max(l.peak, l.held) - l.held/4
+		part := (int(w.GetWanted()) + len(q.peers) - 1) / len(q.peers)
+		n := min(spare, part)
+		if n <= 0 {
+			continue
+		}
+		out := l.lentTo[to]
+		if out == nil {
+			out = &loan{}
+			l.lentTo[to] = out
+		}
+		out.units += n
+		out.serial = q.nextSerial()
+		out.until = now + LoanValid + LoanValid/drift
+		l.lent += n
+	}
+}
--- /dev/null
+++ b/core/admission/quota.go
@@ -0,0 +1,286 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+const (
+	// LoanValid is how long units of a quota may be used after the borrower's
+	// clock reading that the lender echoes.
+	LoanValid = 3 * time.Second
+	// ListFresh is how long after its last reading of the platform's list a
+	// process may use the units that the list gives it.
+	ListFresh = 5 * time.Second
+	// seatWait is how long such units wait for a former owner that can't be
+	// asked: the time that the list may lag at it, ListFresh, and its loans.
+	seatWait = 2*ListFresh + 2*LoanValid
+	// Interval is how often a peer is told of quotas.
+	Interval = 500 * time.Millisecond
+	// drift is the part by which clocks may run at different speeds.
+	drift = 64
+)
+
+// Key names one limit: a team's quota, or an institution's ceiling if there is
+// no team.
+type Key struct {
+	Institution string
+	Team        string
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Institution, b.Institution), cmp.Compare(a.Team, b.Team))
+}
+
+// loan is units lent to or borrowed from one process.
+type loan struct {
+	units  int
+	serial uint64
+	// until is when the borrower stops to use them; at the lender, when that
+	// is certain.
+	until task.Time
+}
+
+// limit is one quota or ceiling as this process sees it.
+type limit struct {
+	key   Key
+	total int
+	// floor is the part that is this process's whatever happens, seats the
+	// remaining units that the platform's list gives it.
+	floor, seats int
+	held, peak   int
+	lent         int
+	blocked      bool
+	asked        int
+	// slots is how many the institution's listed upstreams have: a limit that
+	// they can't exceed needs no sharing.
+	slots    int
+	lentTo   map[task.Incarnation]*loan
+	borrowed map[task.Incarnation]*loan
+}
+
+// Quotas keeps quotas and ceilings that hold over all entry processes, with no
+// message per job.
+//
+// Each limit is divided by the declared number of entry VMs; that part is a
+// process's own even if it is cut off from everybody. The units that are left
+// over go to processes by rendezvous hashing over the platform's list, and are
+// used only while the list is fresh. What a process doesn't use it lends, and a
+// loan ends by the borrower's clock before it ends by the lender's.
+//
+// It isn't safe for concurrent use.
+type Quotas struct {
+	self     task.Incarnation
+	limits   map[Key]*limit
+	order    []*limit
+	entryVMs int
+	// overhang is how long a task may hold a unit after the right to it ended:
+	// the longest response time of all institutions.
+	overhang time.Duration
+	peers    map[task.Incarnation]*quotaPeer
+	list     list
+	demand   []*pb.HeldSlots
+	serial   uint64
+	// floorFrom is when units lent by a former run of this node are certainly
+	// back.
+	floorFrom task.Time
+	cleared   bool
+}
+
+// quotaPeer is what a connected process last said.
+type quotaPeer struct {
+	clock           uint64
+	version         uint64
+	nodes           uint64
+	settled         bool
+	heard           bool
+	owesPredecessor bool
+	// told is when it was last told of quotas.
+	told task.Time
+}
+
+// NewQuotas returns the state of a process that has just started.
+func NewQuotas(self task.Incarnation) *Quotas {
+	return &Quotas{
+		self:      self,
+		limits:    make(map[Key]*limit),
+		peers:     make(map[task.Incarnation]*quotaPeer),
+		floorFrom: LoanValid,
+	}
+}
+
+// SetTerms takes the declared limits. A lowered one is in force at once for
+// new starts.
+func (q *Quotas) SetTerms(s *pb.Settings) {
+	q.entryVMs = int(s.GetEntryVms())
+	q.overhang = 0
+	declared := make(map[Key]int)
+	for _, inst := range s.GetInstitutions() {
+		q.overhang = max(q.overhang, time.Duration(inst.GetResponseTimeMs())*time.Millisecond)
+		if n := inst.GetCeilingSlots(); n > 0 {
+			declared[Key{Institution: inst.GetName()}] = int(n)
+		}
+		for _, t := range inst.GetTeams() {
+			declared[Key{inst.GetName(), t.GetName()}] = int(t.GetQuotaSlots())
+		}
+	}
+	if !q.cleared {
+		q.floorFrom = LoanValid + q.overhang
+	}
+	q.adopt(declared)
+	q.divide()
+}
+
+func (q *Quotas) adopt(declared map[Key]int) {
+	for key, l := range q.limits {
+		if _, still := declared[key]; !still && l.held == 0 {
+			delete(q.limits, key)
+		}
+	}
+	for key, total := range declared {
+		l := q.limits[key]
+		if l == nil {
+			l = &limit{
+				key:      key,
+				lentTo:   make(map[task.Incarnation]*loan),
+				borrowed: make(map[task.Incarnation]*loan),
+			}
+			q.limits[key] = l
+		}
+		l.total = total
+	}
+	q.order = q.order[:0]
+	for _, l := range q.limits {
+		q.order = append(q.order, l)
+	}
+	slices.SortFunc(q.order, func(a, b *limit) int { return compareKeys(a.key, b.key) })
+}
+
+// divide works out which units are this process's own.
+func (q *Quotas) divide() {
+	n := q.entryVMs
+	if n == 0 {
+		n = max(len(q.list.nodes), 1)
+	}
+	for _, l := range q.order {
+		l.floor = l.total / n
+		l.seats = 0
+		for i := l.floor * n; i < l.total; i++ {
+			if seatOwner(l.key, i, q.list.nodes) == q.self.Node {
+				l.seats++
+			}
+		}
+		l.slots = q.list.slots[l.key.Institution]
+	}
+}
+
+// seatOwner picks the node of one unit by rendezvous hashing.
+func seatOwner(k Key, unit int, nodes []string) string {
+	var best string
+	var top uint64
+	var buf [128]byte
+	for _, n := range nodes {
+		b := append(buf[:0], n...)
+		b = append(b, 0)
+		b = append(b, k.Institution...)
+		b = append(b, 0)
+		b = append(b, k.Team...)
+		b = append(b, 0, byte(unit), byte(unit>>8))
+		if h := xxhash.Sum64(b); best == "" || h > top {
+			best, top = n, h
+		}
+	}
+	return best
+}
+
+// Allow says whether one more task of a team may start; an empty team asks for
+// the institution's ceiling only. A refusal is remembered as demand.
+func (q *Quotas) Allow(now task.Time, institution, team string) bool {
+	if team != "" && !q.room(now, Key{institution, team}) {
+		return false
+	}
+	return q.room(now, Key{Institution: institution})
+}
+
+func (q *Quotas) room(now task.Time, k Key) bool {
+	l := q.limits[k]
+	if l == nil || l.free(q, now) > 0 {
+		return true
+	}
+	l.blocked = true
+	return false
+}
+
+// free is how many more tasks the limit lets start here.
+func (l *limit) free(q *Quotas, now task.Time) int {
+	if l.slack() {
+		return l.total
+	}
+	return l.base(q, now) - l.lent + l.usable(now) - l.held
+}
+
+// slack says that the limit can't be exceeded, since the upstreams don't have
+// more slots.
+func (l *limit) slack() bool {
+	return l.slots > 0 && l.slots <= l.total
+}
+
+// base is the units that are this process's, the lent ones included.
+func (l *limit) base(q *Quotas, now task.Time) int {
+	n := 0
+	if now >= q.floorFrom {
+		n += l.floor
+	}
+	if q.seatsUsable(now) {
+		n += l.seats
+	}
+	return n
+}
+
+// usable is the borrowed units whose time hasn't passed.
+func (l *limit) usable(now task.Time) int {
+	n := 0
+	for _, b := range l.borrowed {
+		if now < b.until {
+			n += b.units
+		}
+	}
+	return n
+}
+
+// Started takes account of a task start.
+func (q *Quotas) Started(institution, team string) { q.count(institution, team, 1) }
+
+// Ended takes account of the end of a task that was started.
+func (q *Quotas) Ended(institution, team string) { q.count(institution, team, -1) }
+
+func (q *Quotas) count(institution, team string, n int) {
+	if l := q.limits[Key{Institution: institution}]; l != nil {
+		l.add(n)
+	}
+	if team == "" {
+		return
+	}
+	if l := q.limits[Key{institution, team}]; l != nil {
+		l.add(n)
+	}
+}
+
+func (l *limit) add(n int) {
+	l.held = max(l.held+n, 0)
+	l.peak = max(l.peak, l.held)
+}
+
+// Held is how many slots a team's or an institution's tasks hold here.
+func (q *Quotas) Held(k Key) int {
+	if l := q.limits[k]; l != nil {
+		return l.held
+	}
+	return 0
+}
--- /dev/null
+++ b/core/admission/quota_test.go
@@ -0,0 +1,322 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"sapphirepoint.example/sapphirepoint/core/admission"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "40")
+}
+
+const (
+	institution = "hollowell"
+	team        = "kitchens"
+	nodeCount   = 4
+	ceiling     = 10
+	quota       = 3
+	longestTask = 2 * time.Second
+	step        = 100 * time.Millisecond
+)
+
+var keys = map[admission.Key]int{
+	{Institution: institution}:             ceiling,
+	{Institution: institution, Team: team}: quota,
+}
+
+func terms() *pb.Settings {
+	return &pb.Settings{Version: 1, EntryVms: nodeCount, Institutions: []*pb.Institution{{
+		Name:           institution,
+		CeilingSlots:   ceiling,
+		ResponseTimeMs: uint32(longestTask.Milliseconds()),
+		Teams:          []*pb.Team{{Name: team, QuotaSlots: quota}},
+	}}}
+}
+
+// process is one entry process of the world.
+type process struct {
+	self task.Incarnation
+	q    *admission.Quotas
+	// started is on the world's clock, which the process never reads.
+	started  task.Time
+	demand   int
+	isolated bool
+	seen     int
+	heard    map[task.Incarnation]uint64
+}
+
+type listing struct {
+	at    task.Time
+	nodes []task.Node
+}
+
+// world is entry processes with a lagging list, cuts and late messages.
+type world struct {
+	rng     *rand.Rand
+	now     task.Time
+	runs    uint64
+	seq     uint64
+	nodes   [nodeCount]*process
+	lists   []listing
+	cut     [nodeCount][nodeCount]bool
+	due     map[task.Time][]func()
+	maxLate time.Duration
+}
+
+func newWorld(seed uint64, maxLate time.Duration) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), due: make(map[task.Time][]func()), maxLate: maxLate}
+	w.publish(nil)
+	for i := range w.nodes {
+		w.start(i)
+	}
+	return w
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
+func (w *world) publish(without []int) {
+	out := make(map[int]bool)
+	for _, i := range without {
+		out[i] = true
+	}
+	l := listing{at: w.now}
+	for i := range nodeCount {
+		if !out[i] {
+			l.nodes = append(l.nodes, task.Node{Name: nodeName(i)})
+		}
+	}
+	w.lists = append(w.lists, l)
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	at := (w.now + max(d, step)).Truncate(step)
+	w.due[at] = append(w.due[at], f)
+}
+
+func (w *world) start(i int) {
+	w.runs++
+	p := &process{self: task.Incarnation{Node: nodeName(i), Run: w.runs}, started: w.now, seen: -1, heard: make(map[task.Incarnation]uint64)}
+	p.q = admission.NewQuotas(p.self)
+	p.q.SetTerms(terms())
+	w.nodes[i] = p
+	for j, other := range w.nodes {
+		if other != nil && j != i && !w.cut[i][j] {
+			w.connect(i, j)
+		}
+	}
+}
+
+func (w *world) connect(i, j int) {
+	a, b := w.nodes[i], w.nodes[j]
+	a.q.PeerUp(b.self)
+	b.q.PeerUp(a.self)
+}
+
+func (w *world) setCut(i, j int, cut bool) {
+	if w.cut[i][j] == cut {
+		return
+	}
+	w.cut[i][j], w.cut[j][i] = cut, cut
+	a, b := w.nodes[i], w.nodes[j]
+	if cut {
+		a.q.PeerDown(b.self)
+		b.q.PeerDown(a.self)
+		return
+	}
+	w.connect(i, j)
+}
+
+func (w *world) clock(p *process) task.Time { return w.now - p.started }
+
+// step advances the world and runs every process once.
+func (w *world) step() {
+	w.now += step
+	for _, f := range w.due[w.now] {
+		f()
+	}
+	delete(w.due, w.now)
+	for i, p := range w.nodes {
+		w.readList(p)
+		for range p.demand {
+			w.tryStart(p)
+		}
+		if w.now%admission.Interval == 0 {
+			p.q.Tick(w.clock(p))
+		}
+		for j, other := range w.nodes {
+			if i != j && !w.cut[i][j] {
+				w.tell(p, other)
+			}
+		}
+	}
+}
+
+func (w *world) readList(p *process) {
+	if p.isolated {
+		return
+	}
+	newest := len(w.lists) - 1
+	for newest > max(p.seen, 0) && w.now-w.lists[newest].at < admission.ListFresh && w.rng.IntN(20) > 0 {
+		newest--
+	}
+	if newest <= p.seen {
+		p.q.MembersRead(w.clock(p))
+		return
+	}
+	p.seen = newest
+	p.q.SetMembers(w.clock(p), task.Members{Version: uint64(newest + 1), Nodes: w.lists[newest].nodes})
+}
+
+func (w *world) tryStart(p *process) {
+	name := []string{"", team}[w.rng.IntN(2)]
+	if !p.q.Allow(w.clock(p), institution, name) {
+		return
+	}
+	p.q.Started(institution, name)
+	w.after(time.Duration(w.rng.Int64N(int64(longestTask-step))), func() { p.q.Ended(institution, name) })
+}
+
+func (w *world) tell(from, to *process) {
+	st := from.q.Status(w.clock(from), to.self)
+	if st == nil {
+		return
+	}
+	w.seq++
+	seq := w.seq
+	w.after(time.Duration(w.rng.Int64N(int64(w.maxLate)+1)), func() {
+		if to.heard[from.self] < seq {
+			to.heard[from.self] = seq
+			to.q.Receive(w.clock(to), from.self, st)
+		}
+	})
+}
+
+func (w *world) held(k admission.Key) int {
+	n := 0
+	for _, p := range w.nodes {
+		n += p.q.Held(k)
+	}
+	return n
+}
+
+// fault does one random thing to the world.
+func (w *world) fault() {
+	i, j := w.rng.IntN(nodeCount), w.rng.IntN(nodeCount)
+	p := w.nodes[i]
+	switch w.rng.IntN(6) {
+	case 0:
+		p.demand = w.rng.IntN(4)
+	case 1:
+		if i != j {
+			w.setCut(i, j, !w.cut[i][j])
+		}
+	case 2:
+		p.isolated = !p.isolated
+	case 3:
+		w.publish([]int{i})
+	case 4:
+		w.publish(nil)
+	case 5:
+		w.start(i)
+	}
+}
+
+// Entry processes are cut off from each other and from the platform, taken off
+// the list while they live, killed and started again, and messages come up to
+// 20 s late. If each then took its idea of the quota for true, a team would
+// hold more slots than the contract allows and the other teams would wait.
+func TestCeilingHoldsOverAllProcesses(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"), time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "late"))*time.Millisecond)
+		rarity := rapid.IntRange(2, 200).Draw(rt, "rarity")
+		for _, p := range w.nodes {
+			p.demand = 3
+		}
+		for range 3000 {
+			if w.rng.IntN(rarity) == 0 {
+				w.fault()
+			}
+			w.step()
+			for k, limit := range keys {
+				if n := w.held(k); n > limit {
+					rt.Fatalf("%+v: %d of %d slots are held at %v", k, n, limit, w.now)
+				}
+			}
+		}
+	})
+}
+
+// All callers of a team reach the same entry VM. With a fixed share it could
+// use a quarter of the quota while the rest stood idle.
+func TestIdleSharesAreLent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(1, 0)
+	w.nodes[0].demand = 20
+	most := 0
+	for range 100 {
+		w.step()
+		most = max(most, w.held(admission.Key{Institution: institution}))
+	}
+	g.Expect(most).To(gomega.BeNumerically(">=", ceiling-2))
+}
+
+// A failure domain is cut off from the platform and from all peers for longer
+// than any loan. Its part of the ceiling must go on being served there.
+func TestCutOffProcessKeepsItsOwnPart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(2, 0)
+	for range 50 {
+		w.step()
+	}
+	w.nodes[3].isolated = true
+	for i := range 3 {
+		w.setCut(i, 3, true)
+	}
+	w.nodes[3].demand = 40
+	least := ceiling
+	for i := range 600 {
+		w.step()
+		if i > 100 {
+			least = min(least, w.nodes[3].q.Held(admission.Key{Institution: institution}))
+		}
+	}
+	g.Expect(least).To(gomega.BeNumerically(">=", ceiling/nodeCount-1))
+}
+
+// An operator starts all entry VMs at once. Nothing can be lent out yet, and
+// callers mustn't wait for loans that nobody has.
+func TestNewProcessesServeOnceTheyHaveHeardEachOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(3, 0)
+	w.nodes[1].demand = 5
+	for range 10 {
+		w.step()
+	}
+	g.Expect(w.nodes[1].q.Held(admission.Key{Institution: institution})).To(gomega.BeNumerically(">=", ceiling/nodeCount))
+}
+
+func BenchmarkAllow(b *testing.B) {
+	w := newWorld(4, 0)
+	for range 20 {
+		w.step()
+	}
+	q := w.nodes[0].q
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Allow(time.Minute, institution, team)
+		q.Started(institution, team)
+		q.Ended(institution, team)
+	}
+}
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -53,6 +53,9 @@
 // MembersChanged brings the platform's list.
 type MembersChanged struct{ Members task.Members }
 
+// MembersRead says that the platform's list was read and hasn't changed.
+type MembersRead struct{}
+
 // SettingsRead brings the settings row as read from the table service.
 type SettingsRead struct{ Settings *pb.Settings }
 
@@ -80,6 +83,7 @@
 func (StartResult) event()    {}
 func (ClaimResult) event()    {}
 func (MembersChanged) event() {}
+func (MembersRead) event()    {}
 func (SettingsRead) event()   {}
 func (PeerUp) event()         {}
 func (PeerDown) event()       {}
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -186,6 +186,10 @@
 	Institution   string
 	Slots         uint32
 	Leaving       bool
+	// CPUMillis, in thousandths of a core, and MemoryMiB are the size of the
+	// worker; 0 if it isn't known.
+	CPUMillis uint32
+	MemoryMiB uint32
 }
 
 // Node is an entry process on the platform's list.
--- a/node/platform.go
+++ b/node/platform.go
@@ -73,6 +73,7 @@
 		return known
 	}
 	if res.Msg.GetVersion() == known {
+		p.node.post(dispatch.MembersRead{})
 		return known
 	}
 	m := membersOf(res.Msg)
@@ -103,6 +104,8 @@
 				Institution:   e.GetInstitution(),
 				Slots:         e.GetSlots(),
 				Leaving:       e.GetLeaving(),
+				CPUMillis:     e.GetCpuMillis(),
+				MemoryMiB:     e.GetMemoryMib(),
 			})
 		}
 	}
