--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -49,20 +49,17 @@
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
 	c.runs[e.Peer.Node] = e.Peer.Run
 	c.send(e.Peer, &pb.PeerMessage{})
+	c.announceAdopted(e.Peer)
 }
 
 // peerDown answers what waited for the peer: at once, because its state can't
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
 	delete(c.peers, p)
-	for _, id := range c.sortedForwards() {
-		f := c.forwards[id]
-		if f.holder != p {
-			continue
-		}
-		delete(c.forwards, id)
-		c.holderOut(f.from, f.holder, f.submission.GetId(), f.digest)
-	}
+	c.forwardsLost(p)
+	c.askerPeerDown(p)
+	c.handoverPeerDown(p)
+	c.lendingPeerDown(p)
 }
 
 func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
@@ -72,6 +69,7 @@
 	}
 	p.heard = c.now
 	c.peerStatus(from, p, m.GetStatus())
+	c.returned(m.GetReturns())
 	switch b := m.GetBody().(type) {
 	case *pb.PeerMessage_Forward:
 		c.forwarded(from, b.Forward)
@@ -79,6 +77,16 @@
 		c.forwardAnswer(from, b.ForwardAnswer)
 	case *pb.PeerMessage_ForwardCancel:
 		c.forwardedCancel(from, b.ForwardCancel)
+	case *pb.PeerMessage_Handover:
+		c.adopt(from, b.Handover)
+	case *pb.PeerMessage_HandoverAck:
+		c.handoverAcked(from, b.HandoverAck)
+	case *pb.PeerMessage_HandoverNotice:
+		c.noticeSuccessor(from, b.HandoverNotice)
+	case *pb.PeerMessage_BorrowRequest:
+		c.lend(from, b.BorrowRequest)
+	case *pb.PeerMessage_LendGrant:
+		c.granted(from, b.LendGrant)
 	case *pb.PeerMessage_SettingsPull:
 		if s := c.settings.Current(); s != nil {
 			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
@@ -93,6 +101,7 @@
 		return
 	}
 	p.status = st
+	c.seeIdle(from, st)
 	if st.GetSettingsVersion() > c.settings.Version() {
 		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
 	}
@@ -105,6 +114,7 @@
 		return
 	}
 	p.sent = c.now
+	c.addReturns(to, m)
 	m.Status = c.status()
 	c.stats.PeerMessages++
 	c.emit(Send{to, m})
@@ -112,11 +122,13 @@
 
 func (c *Core) status() *pb.PeerStatus {
 	c.statusSeq++
-	return &pb.PeerStatus{
+	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
 		SettingsVersion: c.settings.Version(),
 		Stopping:        c.draining,
 	}
+	c.addIdle(st)
+	return st
 }
 
 // sendStatus tells peers that have heard nothing for an interval.
