Listeners: TLS, limits and credentials tested; own keys bounded

Cause: own keys of any length and content became row keys, task names and log lines; certificates couldn't name the IP addresses that callers use; the client went on asking an entry whose certificate it doesn't trust.

Ruled out: escaping keys where they are printed; each new place would have to remember it.

--- a/cli/keys.go
+++ b/cli/keys.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"os"
 
 	"github.com/pkg/errors"
@@ -49,17 +50,19 @@
 
 func (a *app) keysProcess() *cobra.Command {
 	var node, caCert, caKey, cert, key string
+	var addresses []net.IP
 	cmd := &cobra.Command{
 		Use:     "process --node NAME",
 		Short:   "Make the certificate of one entry VM",
-		Example: "  sapphirepoint keys process --node loughborough-1",
+		Long:    "Make the certificate of one entry VM for the peer link. With --ip it can serve the TLS of its caller and operator listeners too.",
+		Example: "  sapphirepoint keys process --node loughborough-1 --ip 10.0.0.7",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			ca, err := readPair(caCert, caKey)
 			if err != nil {
 				return usage(err)
 			}
-			pair, err := keys.NewProcess(ca, node)
+			pair, err := keys.NewProcess(ca, node, addresses...)
 			if err != nil {
 				return err
 			}
@@ -73,6 +76,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&node, "node", "", "name of the entry VM, as in its settings")
+	cmd.Flags().IPSliceVar(&addresses, "ip", nil, "addresses at which callers and operators reach it, separated by commas")
 	cmd.Flags().StringVar(&caCert, "ca", "ca.pem", "the authority's certificate")
 	cmd.Flags().StringVar(&caKey, "ca-key", "ca.key", "the authority's private key")
 	cmd.Flags().StringVar(&cert, "cert", "", "file for the certificate (NAME.pem)")
--- a/client/submit.go
+++ b/client/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -230,6 +231,10 @@
 
 // final says whether asking again can't help.
 func final(err error) bool {
+	var untrusted *tls.CertificateVerificationError
+	if errors.As(err, &untrusted) {
+		return true
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument, connect.CodeAlreadyExists, connect.CodeUnauthenticated,
 		connect.CodePermissionDenied, connect.CodeResourceExhausted, connect.CodeUnimplemented:
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -11,6 +11,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,7 +52,9 @@
 }
 
 // NewProcess makes the certificate of an entry process, named after its node.
-func NewProcess(ca Pair, node string) (Pair, error) {
+// With the addresses that callers and operators use, it serves their listeners
+// too.
+func NewProcess(ca Pair, node string, addresses ...net.IP) (Pair, error) {
 	parent, err := tls.X509KeyPair(ca.Cert, ca.Key)
 	if err != nil {
 		return Pair{}, errors.Wrap(err, "read authority")
@@ -61,6 +64,7 @@
 		return Pair{}, err
 	}
 	t.DNSNames = []string{node}
+	t.IPAddresses = addresses
 	t.KeyUsage = x509.KeyUsageDigitalSignature
 	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/node/callers.go
+++ b/node/callers.go
@@ -90,14 +90,28 @@
 	return connect.NewResponse(&pb.IssueIdsResponse{Block: block}), nil
 }
 
+// checkID rejects ids that name nothing, and own keys that can't stand in the
+// keys of rows, task names and log lines.
+func checkID(institution string, id *pb.SubmissionId) error {
+	if !task.IDOf(institution, id).Valid() {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("id: an issued id or an own key is needed"))
+	}
+	key := id.GetOwnKey()
+	unprintable := strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' })
+	if len(key) > maxOwnKeyBytes || unprintable {
+		return connect.NewError(connect.CodeInvalidArgument, errors.Errorf("id.own_key: must be 1 to %d printable ASCII characters without spaces", maxOwnKeyBytes))
+	}
+	return nil
+}
+
 // Submit runs a job.
 func (cs *callers) Submit(ctx context.Context, req *connect.Request[pb.Submission]) (*connect.Response[pb.Answer], error) {
 	name, err := cs.institution(req.Header())
 	if err != nil {
 		return nil, err
 	}
-	if !task.IDOf(name, req.Msg.GetId()).Valid() {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id: an issued id or an own key is needed"))
+	if err := checkID(name, req.Msg.GetId()); err != nil {
+		return nil, err
 	}
 	a, err := cs.await(ctx, func(request uint64) dispatch.Event {
 		return dispatch.Submit{Request: request, Institution: name, Submission: req.Msg}
@@ -114,8 +128,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if !task.IDOf(name, req.Msg.GetId()).Valid() {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id: an issued id or an own key is needed"))
+	if err := checkID(name, req.Msg.GetId()); err != nil {
+		return nil, err
 	}
 	a, err := cs.await(ctx, func(request uint64) dispatch.Event {
 		return dispatch.Cancel{Request: request, Institution: name, ID: req.Msg.GetId()}
--- a/node/config.go
+++ b/node/config.go
@@ -14,6 +14,7 @@
 	// maxPeerMessageBytes leaves room for a forwarded request's envelope.
 	maxPeerMessageBytes = DefaultMaxRequestBytes + 1<<16
 	maxIDsPerBlock      = 4096
+	maxOwnKeyBytes      = 256
 	// DefaultCallerConnections and DefaultOperatorConnections are the most open
 	// connections of each listener.
 	DefaultCallerConnections   = 4096
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,224 @@
+package node_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/client"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/keys"
+	"sapphirepoint.example/sapphirepoint/node"
+	"sapphirepoint.example/sapphirepoint/standin"
+	"sapphirepoint.example/sapphirepoint/standin/platform"
+)
+
+const (
+	patience      = 20 * time.Second
+	poll          = 20 * time.Millisecond
+	loopback      = "127.0.0.1:0"
+	kandyToken    = "kandy-caller"
+	operatorToken = "node-test-operator"
+)
+
+// settings declares two institutions with the same names of services.
+func settings() *pb.Settings {
+	s := standin.Settings()
+	kandy := proto.Clone(s.GetInstitutions()[0]).(*pb.Institution)
+	sum := sha256.Sum256([]byte(kandyToken))
+	kandy.Name = "kandy"
+	kandy.TokenSha256 = []string{hex.EncodeToString(sum[:])}
+	kandy.CapacityPercent = 0
+	s.Institutions = append(s.Institutions, kandy)
+	return s
+}
+
+// start runs a node over a platform stand-in until the test ends.
+func start(t *testing.T, change func(*node.Config)) (*gomega.WithT, context.Context, *node.Node, keys.Pair) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	p := platform.New()
+	p.SetMembers(nil)
+	g.Expect(p.PutSettings(settings())).To(gomega.Succeed())
+	l, err := net.Listen("tcp", loopback)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _ = p.Serve(l) }()
+	ca, err := keys.NewCA("test")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	pair, err := keys.NewProcess(ca, "n", net.IPv4(127, 0, 0, 1))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	peerTLS, err := keys.PeerTLS(ca.Cert, pair)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	cfg := node.Config{
+		Name: "n", FailureDomain: "d", CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
+		PlatformURL: "http://" + l.Addr().String(), OperatorToken: operatorToken, PeerTLS: peerTLS, PollInterval: poll,
+	}
+	cfg.CallerTLS, err = keys.ServerTLS(pair)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	change(&cfg)
+	n, err := node.New(cfg)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = l.Close()
+	})
+	g.Eventually(func() bool { return n.Ready(0) }, patience, poll).Should(gomega.BeTrue())
+	return g, ctx, n, ca
+}
+
+func trust(ca keys.Pair) *tls.Config {
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca.Cert)
+	return &tls.Config{RootCAs: pool}
+}
+
+func job(payload string) *pb.Submission {
+	return &pb.Submission{Service: "labels", Team: "kitchens", TimeoutMs: 100, Tasks: []*pb.Task{{Payload: []byte(payload)}}}
+}
+
+// Somebody listens between a kitchen and the entry VM and picks up the token
+// of a plain connection. With the listener's certificate set, callers speak
+// TLS and plain connections are turned away.
+func TestCallersSpeakTLSWhenACertificateIsSet(t *testing.T) {
+	g, ctx, n, ca := start(t, func(*node.Config) {})
+	c := client.New(client.Config{URL: "https://" + n.CallerAddress(), Token: standin.Token, TLS: trust(ca)})
+	defer c.Close()
+	_, err := c.NewID(ctx)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	res, err := http.Get("http://" + n.CallerAddress() + "/healthz")
+	if err == nil {
+		defer res.Body.Close()
+		g.Expect(res.StatusCode).To(gomega.Equal(http.StatusBadRequest))
+	}
+	stranger := client.New(client.Config{URL: "https://" + n.CallerAddress(), Token: standin.Token})
+	defer stranger.Close()
+	_, err = stranger.Submit(ctx, job("a"))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("certificate")))
+}
+
+// A caller makes its keys from free text. A line break in one would forge a
+// log line, and a very long one would fill the table service with its row.
+func TestOwnKeysThatCannotBeNamesAreRejected(t *testing.T) {
+	g, ctx, n, _ := start(t, plain)
+	c := client.New(client.Config{URL: "http://" + n.CallerAddress(), Token: standin.Token})
+	defer c.Close()
+	for _, key := range []string{"tray 4", "tray\nlevel=error", "tray-\u00e9", strings.Repeat("k", 257)} {
+		s := job("a")
+		s.Id = client.OwnKey(key)
+		_, err := c.Submit(ctx, s)
+		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("id.own_key: must be 1 to 256 printable")))
+	}
+	_, err := c.Cancel(ctx, client.OwnKey("tray 4"))
+	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeInvalidArgument))
+	_, err = c.Submit(ctx, &pb.Submission{Id: &pb.SubmissionId{}, Service: "labels"})
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("an issued id or an own key is needed")))
+}
+
+func plain(cfg *node.Config) { cfg.CallerTLS = nil }
+
+// A buyer of the auction learns or guesses the id of a kitchen's job. Under
+// another institution's token it must name nothing: no answer, no cancellation.
+func TestAnInstitutionSeesOnlyItsOwnJobs(t *testing.T) {
+	g, ctx, n, _ := start(t, plain)
+	url := "http://" + n.CallerAddress()
+	hollowell := client.New(client.Config{URL: url, Token: standin.Token})
+	kandy := client.New(client.Config{URL: url, Token: kandyToken})
+	defer hollowell.Close()
+	defer kandy.Close()
+	s := job("a")
+	s.Id = client.OwnKey("tray-4")
+	word, err := hollowell.Submit(ctx, s)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(word.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_NOT_RUN), "there are no upstreams")
+	other := job("b")
+	other.Id = client.OwnKey("tray-4")
+	_, err = kandy.Submit(ctx, other)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "another payload would conflict within one institution")
+	_, err = client.New(client.Config{URL: url, Token: "nobody's"}).NewID(ctx)
+	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeUnauthenticated))
+}
+
+// Operators' calls are served on their own listener, to their own token: a
+// caller who could drain a process or replace the settings would stop both
+// institutions.
+func TestOperatorsCallsNeedTheirOwnListenerAndToken(t *testing.T) {
+	g, _, n, _ := start(t, plain)
+	status := func(address, path, token string) int {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		if token != "" {
+			req.Header.Set("Authorization", "Bearer "+token)
+		}
+		res, err := http.DefaultClient.Do(req)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+	g.Expect(status(n.OperatorAddress(), "/dump", operatorToken)).To(gomega.Equal(http.StatusOK))
+	g.Expect(status(n.OperatorAddress(), "/dump", "")).To(gomega.Equal(http.StatusUnauthorized))
+	g.Expect(status(n.OperatorAddress(), "/dump", standin.Token)).To(gomega.Equal(http.StatusUnauthorized))
+	g.Expect(status(n.CallerAddress(), "/dump", operatorToken)).To(gomega.Equal(http.StatusNotFound))
+	g.Expect(status(n.CallerAddress(), "/metrics", "")).To(gomega.Equal(http.StatusNotFound))
+}
+
+// One caller sends a request far beyond what the process is set to take. It
+// gets a final error, and the process doesn't hold the request in memory.
+func TestARequestOverTheLimitIsRejected(t *testing.T) {
+	g, ctx, n, _ := start(t, func(cfg *node.Config) {
+		plain(cfg)
+		cfg.MaxRequestBytes = 1 << 12
+	})
+	c := client.New(client.Config{URL: "http://" + n.CallerAddress(), Token: standin.Token})
+	defer c.Close()
+	_, err := c.Submit(ctx, job(string(make([]byte, 1<<13))))
+	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeResourceExhausted))
+}
+
+// A caller leaks connections. Past the limit the next one isn't served until
+// another is closed; without the limit the process would run out of file
+// descriptors and lose its peers and upstreams too.
+func TestOpenConnectionsAreBounded(t *testing.T) {
+	g, _, n, _ := start(t, func(cfg *node.Config) {
+		plain(cfg)
+		cfg.CallerConnections = 2
+	})
+	get := func(conn net.Conn, wait time.Duration) error {
+		_ = conn.SetDeadline(time.Now().Add(wait))
+		if _, err := io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n"); err != nil {
+			return err
+		}
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	}
+	var conns []net.Conn
+	for range 3 {
+		conn, err := net.Dial("tcp", n.CallerAddress())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	g.Expect(get(conns[0], patience)).To(gomega.Succeed())
+	g.Expect(get(conns[1], patience)).To(gomega.Succeed())
+	g.Expect(get(conns[2], 100*time.Millisecond)).NotTo(gomega.Succeed())
+	g.Expect(conns[0].Close()).To(gomega.Succeed())
+	g.Expect(get(conns[2], patience)).To(gomega.Succeed())
+}
