--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/membership"
-	"sapphirepoint.example/sapphirepoint/core/retry"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -40,26 +39,29 @@
 	if !c.settings.Offer(s) {
 		return
 	}
-	for _, inst := range s.GetInstitutions() {
-		b := c.budgets[inst.GetName()]
-		if b == nil {
-			c.budgets[inst.GetName()] = retry.NewBudget(inst.GetRetryPercent())
-			continue
-		}
-		b.SetPercent(inst.GetRetryPercent())
-	}
+	c.budgets.SetTerms(s)
+	c.quotas.SetTerms(s)
 	c.emit(SettingsInForce{s})
 }
 
+// membersRead takes a list as read from the platform.
+func (c *Core) membersRead(m task.Members) {
+	if !c.membersChanged(m) && m.Version == c.view.Version() {
+		c.quotas.MembersRead(c.now)
+	}
+}
+
 // membersChanged takes a list from the platform or a peer if it is newer.
-func (c *Core) membersChanged(m task.Members) {
+func (c *Core) membersChanged(m task.Members) bool {
 	if !c.view.Offer(c.now, m) {
-		return
+		return false
 	}
 	c.members = m
 	c.forgetAbsent(m)
 	c.emit(MembersInForce{m})
 	c.refreshMembers()
+	c.upstreamsListed(m)
+	return true
 }
 
 // refreshMembers divides the slots anew if the members to be reckoned with
@@ -70,11 +72,7 @@
 		return
 	}
 	c.pool.SetMembers(live)
-	for _, u := range live.Upstreams {
-		if c.upstreams[u.Name] == nil {
-			c.upstreams[u.Name] = &upstream{}
-		}
-	}
+	c.reweigh()
 }
 
 // upstreamLeaving stops new work to an upstream that said itself that it
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -53,6 +53,7 @@
 	c.noteRun(e.Peer)
 	c.view.PeerUp(c.now, e.Peer)
 	c.refreshMembers()
+	c.quotas.PeerUp(e.Peer)
 	c.announceAdopted(e.Peer)
 	c.send(e.Peer, &pb.PeerMessage{})
 }
@@ -64,6 +65,7 @@
 	delete(c.peers, p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
+	c.quotas.PeerDown(p)
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
@@ -115,6 +117,7 @@
 	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
 	c.refreshMembers()
 	c.pullNewer(from, p, st)
+	c.quotas.Receive(c.now, from, st.GetQuotas())
 }
 
 // send sends a message with this process's status riding on it.
@@ -126,6 +129,7 @@
 	p.sent = c.now
 	c.addReturns(to, m)
 	m.Status = c.status()
+	m.Status.Quotas = c.quotas.Status(c.now, to)
 	c.stats.PeerMessages++
 	c.countPeerMessage(m)
 	c.emit(Send{to, m})
--- a/core/membership/wire.go
+++ b/core/membership/wire.go
@@ -28,6 +28,8 @@
 				Institution:   e.GetInstitution(),
 				Slots:         e.GetSlots(),
 				Leaving:       e.GetLeaving(),
+				CPUMillis:     e.GetCpuMillis(),
+				MemoryMiB:     e.GetMemoryMib(),
 			})
 		}
 	}
@@ -57,6 +59,8 @@
 			Institution:   u.Institution,
 			Slots:         u.Slots,
 			Leaving:       u.Leaving,
+			CpuMillis:     u.CPUMillis,
+			MemoryMib:     u.MemoryMiB,
 		})
 	}
 	return res
