--- a/core/membership/wire.go
+++ b/core/membership/wire.go
@@ -5,6 +5,11 @@
 	"sapphirepoint.example/sapphirepoint/gen/platformv1"
 )
 
+// MaxSlots is the most slots that one upstream is taken to have. A number that
+// went wrong on the way would otherwise make every process reserve memory until
+// it dies, all of them on the same list.
+const MaxSlots = 10_000
+
 // FromProto converts the platform's list. Members of an unknown role are left
 // out: a newer platform may list what this version has no use for.
 func FromProto(res *platformv1.ListResponse) task.Members {
@@ -26,7 +31,7 @@
 				Worker:        e.GetWorker(),
 				Rack:          e.GetRack(),
 				Institution:   e.GetInstitution(),
-				Slots:         e.GetSlots(),
+				Slots:         min(e.GetSlots(), MaxSlots),
 				Leaving:       e.GetLeaving(),
 				CPUMillis:     e.GetCpuMillis(),
 				MemoryMiB:     e.GetMemoryMib(),
--- a/node/platform.go
+++ b/node/platform.go
@@ -106,11 +106,15 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	return settingsOf(res.Msg.GetRows())
+}
+
+func settingsOf(rows []*platformv1.Row) (*pb.Settings, uint64, error) {
 	s := &pb.Settings{}
-	if len(res.Msg.GetRows()) == 0 {
+	if len(rows) == 0 {
 		return s, 0, nil
 	}
-	row := res.Msg.GetRows()[0]
+	row := rows[0]
 	if err := proto.Unmarshal(row.GetValue(), s); err != nil {
 		return nil, 0, errors.Wrap(err, "decode settings row")
 	}
@@ -227,6 +231,9 @@
 		return dispatch.ClaimConflict{}, errors.Wrap(err, "decode claim row")
 	}
 	cf := dispatch.ClaimConflict{ID: id, Holder: task.IncarnationOf(claimed.GetHolder())}
+	if cf.Holder.Node == "" || len(claimed.GetDigest()) != len(cf.Digest) {
+		return dispatch.ClaimConflict{}, errors.New("a claim row without holder or digest")
+	}
 	copy(cf.Digest[:], claimed.GetDigest())
 	return cf, nil
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -63,9 +63,11 @@
 	writing sync.Mutex
 	reading sync.Mutex
 
-	mu      sync.Mutex
-	faults  Faults
-	rows    map[string]*platformv1.Row
+	mu     sync.Mutex
+	faults Faults
+	rows   map[string]*platformv1.Row
+	// expires holds when rows may be dropped; rows that are kept have no entry.
+	expires map[string]time.Time
 	objects map[string][]byte
 	lists   []listEntry
 	counts  Counts
@@ -78,6 +80,7 @@
 		readCost:  DefaultReadCost,
 		lag:       DefaultListLag,
 		rows:      make(map[string]*platformv1.Row),
+		expires:   make(map[string]time.Time),
 		objects:   make(map[string][]byte),
 	}
 }
@@ -183,7 +186,7 @@
 	t.p.counts.Reads++
 	res := &platformv1.ReadResponse{}
 	for _, key := range req.Msg.GetKeys() {
-		if row := t.p.rows[key]; row != nil {
+		if row := t.p.row(key); row != nil {
 			res.Rows = append(res.Rows, proto.Clone(row).(*platformv1.Row))
 		}
 	}
@@ -203,6 +206,15 @@
 	return connect.NewResponse(res), nil
 }
 
+// row finds a row that hasn't expired.
+func (p *Platform) row(key string) *platformv1.Row {
+	if at, limited := p.expires[key]; limited && time.Now().After(at) {
+		delete(p.rows, key)
+		delete(p.expires, key)
+	}
+	return p.rows[key]
+}
+
 func (p *Platform) commit(writes []*platformv1.Write) (*platformv1.CommitResponse, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -214,7 +226,7 @@
 	}
 	res := &platformv1.CommitResponse{}
 	for _, w := range writes {
-		row := p.rows[w.GetKey()]
+		row := p.row(w.GetKey())
 		if row.GetVersion() != w.GetExpectedVersion() {
 			present := &platformv1.Row{Key: w.GetKey()}
 			if row != nil {
@@ -228,6 +240,10 @@
 	}
 	for _, w := range writes {
 		p.rows[w.GetKey()] = &platformv1.Row{Key: w.GetKey(), Value: w.GetValue(), Version: w.GetExpectedVersion() + 1}
+		delete(p.expires, w.GetKey())
+		if ttl := w.GetTtlS(); ttl > 0 {
+			p.expires[w.GetKey()] = time.Now().Add(time.Duration(ttl) * time.Second)
+		}
 	}
 	res.Committed = true
 	return res, lost
