--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"sapphirepoint.example/sapphirepoint/core/admission"
 	"sapphirepoint.example/sapphirepoint/core/claim"
 	"sapphirepoint.example/sapphirepoint/core/health"
+	"sapphirepoint.example/sapphirepoint/core/membership"
 	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/retry"
 	"sapphirepoint.example/sapphirepoint/core/settings"
@@ -95,7 +96,7 @@
 	queue    *queue.Queue
 	pool     *slots.Pool
 	members  task.Members
-	listed   bool
+	view     *membership.View
 
 	submissions map[task.ID]*submission
 	jobs        map[queue.JobID]*submission
@@ -154,6 +155,7 @@
 		cfg:          cfg,
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:     settings.NewState(),
+		view:         membership.New(cfg.Self.Node),
 		issuer:       claim.NewIssuer(cfg.IDValidity),
 		queue:        queue.NewOrdered(cfg.Order),
 		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
@@ -186,6 +188,7 @@
 	c.every(cfg.StatusInterval, c.shareQuotas)
 	c.every(cfg.StatusInterval, c.sendStatus)
 	c.every(time.Second, c.expire)
+	c.every(membersInterval, c.refreshMembers)
 	return c
 }
 
@@ -228,7 +231,7 @@
 	case ClaimResult:
 		c.claimResult(e)
 	case MembersChanged:
-		c.membersChanged(e.Members)
+		c.membersRead(e.Members)
 	case MembersRead:
 		c.quotas.MembersRead(c.now)
 	case SettingsRead:
@@ -258,7 +261,7 @@
 // Ready says whether the process may be given new work: it has settings and
 // the list of VMs, and isn't stopping.
 func (c *Core) Ready() bool {
-	return c.settings.Version() > 0 && c.listed && !c.draining
+	return c.settings.Version() > 0 && c.view.Listed() && !c.draining
 }
 
 // IssueIDs hands out a block of ids held by this incarnation; nil while it
@@ -282,19 +285,3 @@
 func (c *Core) Authenticate(tokenDigest string) (string, bool) {
 	return c.settings.InstitutionOfToken(tokenDigest)
 }
-
-func (c *Core) offerSettings(s *pb.Settings) {
-	if !c.settings.Offer(s) {
-		return
-	}
-	c.budgets.SetTerms(s)
-	c.quotas.SetTerms(s)
-	c.emit(SettingsInForce{s})
-}
-
-func (c *Core) membersChanged(m task.Members) {
-	c.members = m
-	c.listed = true
-	c.pool.SetMembers(m)
-	c.upstreamsListed(m)
-}
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -27,6 +27,9 @@
 		u.run = r.UpstreamRun
 	}
 	c.noteResult(s, r)
+	if r.Leaving {
+		c.upstreamLeaving(s.slot.Upstream)
+	}
 	switch r.Verdict {
 	case task.Finished:
 		c.finished(s, r)
