--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -44,24 +44,23 @@
 	c.emit(SettingsInForce{s})
 }
 
-// membersRead takes a list as read from the platform.
+// membersRead takes the list as this process read it from the platform. Only
+// that counts for quotas: a list that a peer passes on says nothing of how old
+// the peer's own reading is.
 func (c *Core) membersRead(m task.Members) {
-	if !c.membersChanged(m) && m.Version == c.view.Version() {
-		c.quotas.MembersRead(c.now)
-	}
+	c.quotas.SetMembers(c.now, m)
+	c.membersChanged(m)
 }
 
 // membersChanged takes a list from the platform or a peer if it is newer.
-func (c *Core) membersChanged(m task.Members) bool {
+func (c *Core) membersChanged(m task.Members) {
 	if !c.view.Offer(c.now, m) {
-		return false
+		return
 	}
 	c.members = m
 	c.forgetAbsent(m)
 	c.emit(MembersInForce{m})
 	c.refreshMembers()
-	c.upstreamsListed(m)
-	return true
 }
 
 // refreshMembers divides the slots anew if the members to be reckoned with
@@ -72,7 +71,7 @@
 		return
 	}
 	c.pool.SetMembers(live)
-	c.reweigh()
+	c.upstreamsListed(live)
 }
 
 // upstreamLeaving stops new work to an upstream that said itself that it
--- a/core/dispatch/upstreams.go
+++ b/core/dispatch/upstreams.go
@@ -120,7 +120,7 @@
 	c.after(r.Delay, func() { c.queue.Requeue(ref) })
 }
 
-// upstreamsListed takes the platform's list of upstreams.
+// upstreamsListed takes the upstreams to be reckoned with.
 func (c *Core) upstreamsListed(m task.Members) {
 	for _, u := range m.Upstreams {
 		if c.upstreams[u.Name] == nil {
@@ -129,7 +129,6 @@
 	}
 	c.health.SetMembers(m.Upstreams)
 	c.budgets.SetMembers(m.Upstreams)
-	c.quotas.SetMembers(c.now, m)
 	c.workers = sizesOf(m.Upstreams)
 	c.reweigh()
 }
--- a/node/platform.go
+++ b/node/platform.go
@@ -88,9 +88,8 @@
 	}
 	if res.Msg.GetVersion() == known {
 		p.node.post(dispatch.MembersRead{})
-		return known, nil
 	}
-	if res.Msg.GetVersion() < known {
+	if res.Msg.GetVersion() <= known {
 		return known, nil
 	}
 	p.node.post(dispatch.MembersChanged{Members: membership.FromProto(res.Msg)})
