A load over seven entries, the platform and 48 runners as processes

go test ./e2e -count=1 -v -ginkgo.focus='load is' -load=60s -load-kill=8s

sends jobs of 1 to 980 tasks through any entry, kills entries in turn, and prints outcomes, response over ideal, wasted messages by cause, processor time and memory, and what the runners' ledgers saw started twice.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -160,6 +161,11 @@
 // deploy starts entries and runners in each failure domain and waits until
 // all are ready and connected.
 func deploy(domains []string, entriesEach, runnersEach int) *deployment {
+	return deployUneven(domains, slices.Repeat([]int{entriesEach}, len(domains)), runnersEach)
+}
+
+// deployUneven takes the number of entries for each failure domain.
+func deployUneven(domains []string, entries []int, runnersEach int) *deployment {
 	d := &deployment{dir: GinkgoT().TempDir(), platform: freeAddress()}
 	var err error
 	d.ca, err = keys.NewCA("e2e")
@@ -167,19 +173,16 @@
 	write(d.path("ca.pem"), d.ca.Cert)
 	write(d.path("operator.token"), []byte(operatorToken))
 	launch("standin", "platform", "--listen", d.platform)
-	for _, domain := range domains {
-		for i := range entriesEach {
+	for at, domain := range domains {
+		for i := range entries[at] {
 			d.addEntry(fmt.Sprintf("%s-%d", domain, i), domain)
 		}
+		args := []string{"runner"}
 		for i := range runnersEach {
-			d.addRunner(domain, i)
+			args = append(args, "--listen", d.addRunner(domain, i))
 		}
+		launch("standin", args...)
 	}
-	args := []string{"runner"}
-	for _, address := range d.runners {
-		args = append(args, "--listen", address)
-	}
-	launch("standin", args...)
 	Eventually(d.publishMembers, patience, poll).Should(Succeed())
 	d.writeSettings(standin.Settings())
 	for _, e := range d.entries {
@@ -211,7 +214,7 @@
 	d.members = append(d.members, &platformv1.Member{Name: name, Role: platformv1.Role_ROLE_ENTRY, Address: e.peers, FailureDomain: domain})
 }
 
-func (d *deployment) addRunner(domain string, i int) {
+func (d *deployment) addRunner(domain string, i int) string {
 	address := freeAddress()
 	name := fmt.Sprintf("%s-runner-%d", domain, i)
 	d.runners = append(d.runners, address)
@@ -219,6 +222,7 @@
 		Name: name, Role: platformv1.Role_ROLE_UPSTREAM, Address: address, FailureDomain: domain,
 		Worker: name, Rack: domain, Institution: "hollowell", Slots: runner.DefaultSlots,
 	})
+	return address
 }
 
 func (d *deployment) publishMembers() error {
--- /dev/null
+++ b/e2e/load_test.go
@@ -0,0 +1,270 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/client"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/standin"
+	"sapphirepoint.example/sapphirepoint/standin/runner"
+)
+
+// The load runs only when a duration is given, see docs/MEASUREMENTS.md.
+var (
+	loadFor   = flag.Duration("load", 0, "run a load for this long, with no other spec wanted")
+	loadShare = flag.Float64("load-share", 0.5, "part of all slots that the load keeps busy")
+	loadKill  = flag.Duration("load-kill", 0, "kill one entry process in turn at this interval, and start it again")
+	loadSeed  = flag.Uint64("load-seed", fixedSeed, "seed of arrivals and sizes")
+)
+
+const (
+	loadRunners = 16
+	// medianRunMs and runSpread make run times lognormal, cut to 50 ms and 5 s.
+	medianRunMs = 170
+	runSpread   = 0.6
+	// One job in each largeEvery has 100 to 980 tasks, the others 1 to 19.
+	largeEvery = 200
+	maxTasks   = 980
+	downTime   = 2 * time.Second
+	ratioScale = 1000
+)
+
+// loadJob is a job with the best response that the slots allow: that of its
+// slowest task, or of all its tasks on all slots.
+type loadJob struct {
+	submission *pb.Submission
+	ideal      time.Duration
+}
+
+func drawJob(rng *rand.Rand, slots int) loadJob {
+	n := 1 + rng.IntN(19)
+	if rng.IntN(largeEvery) == 0 {
+		n = 100 + rng.IntN(maxTasks-99)
+	}
+	s := &pb.Submission{Service: "labels", Team: "kitchens"}
+	longest, sum := 0, 0
+	for i := range n {
+		ms := int(medianRunMs * math.Exp(runSpread*rng.NormFloat64()))
+		ms = min(max(ms, 50), 5000)
+		longest = max(longest, ms)
+		sum += ms
+		s.Tasks = append(s.Tasks, &pb.Task{Payload: fmt.Appendf(nil, `{"run_ms": %d, "output": "label %d"}`, ms, i), RunTimeMs: uint32(ms)})
+	}
+	return loadJob{s, time.Duration(max(longest, sum/slots)) * time.Millisecond}
+}
+
+// tally adds up what callers got.
+type tally struct {
+	mu       sync.Mutex
+	outcomes map[string]int
+	jobs     int
+	tasks    int
+	ratios   *hdrhistogram.Histogram
+	slowest  time.Duration
+}
+
+func (t *tally) add(j loadJob, a *pb.Answer, err error, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.jobs++
+	t.tasks += len(j.submission.GetTasks())
+	if err != nil {
+		t.outcomes["error: "+err.Error()]++
+		return
+	}
+	t.outcomes[a.GetOutcome().String()+" "+a.GetReason().String()]++
+	if a.GetOutcome() != pb.Outcome_OUTCOME_COMPLETE {
+		return
+	}
+	if len(a.GetResults()) != len(j.submission.GetTasks()) {
+		t.outcomes["PARTIAL"]++
+	}
+	t.slowest = max(t.slowest, took)
+	_ = t.ratios.RecordValue(int64(float64(took) / float64(j.ideal) * ratioScale))
+}
+
+// counters reads an entry's metrics that the report adds up.
+func (e *entry) counters() map[string]float64 {
+	res, err := controls.Get("http://" + e.operators + "/metrics")
+	if err != nil {
+		return nil
+	}
+	defer res.Body.Close()
+	values := map[string]float64{}
+	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if !strings.HasPrefix(name, "sapphirepoint_wasted") && name != "process_cpu_seconds_total" {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err == nil {
+			values[name] = v
+		}
+	}
+	return values
+}
+
+// peakMemory is the most memory that the process had resident, in MiB.
+func (e *entry) peakMemory() float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	kib, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+	Expect(err).NotTo(HaveOccurred())
+	return kib / 1024
+}
+
+// loadRun is one run of the load.
+type loadRun struct {
+	d      *deployment
+	tally  *tally
+	totals map[string]float64
+	peak   float64
+	kills  int
+}
+
+// collect adds the counters of an entry whose process ends.
+func (r *loadRun) collect(e *entry) {
+	for name, v := range e.counters() {
+		r.totals[name] += v
+	}
+	r.peak = max(r.peak, e.peakMemory())
+}
+
+// killInTurn kills entries one after the other and starts them again.
+func (r *loadRun) killInTurn(ctx context.Context) {
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(*loadKill):
+		}
+		e := r.d.entries[i%len(r.d.entries)]
+		r.collect(e)
+		e.signal(syscall.SIGKILL)
+		<-e.done
+		r.kills++
+		time.Sleep(downTime)
+		e.start()
+	}
+}
+
+// submit sends the load: jobs arrive at random, whatever the answers.
+func (r *loadRun) submit(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(*loadSeed, 0))
+	slots := 3 * loadRunners * runner.DefaultSlots
+	var urls []string
+	for _, e := range r.d.entries {
+		urls = append(urls, "http://"+e.callers)
+	}
+	callers := client.New(client.Config{URLs: urls, Token: standin.Token, NewIDs: 3})
+	defer callers.Close()
+	var all sync.WaitGroup
+	next := time.Now()
+	for ctx.Err() == nil {
+		j := drawJob(rng, slots)
+		work := 0
+		for _, t := range j.submission.GetTasks() {
+			work += int(t.GetRunTimeMs())
+		}
+		// The time that the job's work takes from the share of the slots.
+		gap := time.Duration(float64(work) / (float64(slots) * *loadShare) * float64(time.Millisecond))
+		next = next.Add(time.Duration(float64(gap) * rng.ExpFloat64()))
+		time.Sleep(time.Until(next))
+		all.Go(func() {
+			answerBy, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			began := time.Now()
+			a, err := callers.Submit(answerBy, j.submission)
+			r.tally.add(j, a, err, time.Since(began))
+		})
+	}
+	all.Wait()
+}
+
+func (r *loadRun) report(seconds float64) {
+	t := r.tally
+	second := 0
+	for _, n := range r.d.ledgers() {
+		if n > 1 {
+			second++
+		}
+	}
+	ratio := func(q float64) float64 { return float64(t.ratios.ValueAtQuantile(q)) / ratioScale }
+	fmt.Printf("\nseed %d, share %.2f of %d slots, %.0f s, %d entries killed\n", *loadSeed, *loadShare, 3*loadRunners*runner.DefaultSlots, seconds, r.kills)
+	fmt.Printf("jobs %d, tasks %d (%.0f/s), started twice %d\n", t.jobs, t.tasks, float64(t.tasks)/seconds, second)
+	for _, o := range sortedKeys(t.outcomes) {
+		fmt.Printf("  %6d %s\n", t.outcomes[o], o)
+	}
+	fmt.Printf("response over ideal: mean %.3f p50 %.3f p99 %.3f, slowest answer %v\n", t.ratios.Mean()/ratioScale, ratio(50), ratio(99), t.slowest.Round(time.Millisecond))
+	wasted := 0.0
+	for _, name := range sortedKeys(r.totals) {
+		if strings.HasPrefix(name, "sapphirepoint_wasted") && r.totals[name] > 0 {
+			wasted += r.totals[name]
+			fmt.Printf("  %9.4f a task %s\n", r.totals[name]/float64(t.tasks), name)
+		}
+	}
+	fmt.Printf("wasted messages a task %.3f\n", wasted/float64(t.tasks))
+	cpu := r.totals["process_cpu_seconds_total"]
+	fmt.Printf("entry processes: %.0f µs of processor time a task, %.1f%% of a core each, at most %.0f MiB resident\n",
+		cpu/float64(t.tasks)*1e6, cpu/seconds/float64(len(r.d.entries))*100, r.peak)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+var _ = Describe("load", func() {
+	It("is carried by seven entries in three failure domains", func() {
+		if *loadFor == 0 {
+			Skip("a measurement: see docs/MEASUREMENTS.md")
+		}
+		Expect(os.Setenv("GOMAXPROCS", "2")).To(Succeed())
+		d := deployUneven([]string{"hinckley", "loughborough", "melton"}, []int{2, 3, 2}, loadRunners)
+		r := &loadRun{d: d, totals: map[string]float64{}, tally: &tally{outcomes: map[string]int{}, ratios: hdrhistogram.New(1, 10_000_000, 3)}}
+		ctx, cancel := context.WithTimeout(context.Background(), *loadFor)
+		defer cancel()
+		var killer sync.WaitGroup
+		if *loadKill > 0 {
+			killer.Go(func() {
+				defer GinkgoRecover()
+				r.killInTurn(ctx)
+			})
+		}
+		began := time.Now()
+		r.submit(ctx)
+		seconds := time.Since(began).Seconds()
+		killer.Wait()
+		for _, e := range d.entries {
+			Eventually(func() error {
+				_, err := http.Get("http://" + e.operators + "/healthz")
+				return err
+			}, patience, poll).Should(Succeed())
+			r.collect(e)
+		}
+		r.report(seconds)
+		d.expectNoSecondStart()
+	})
+})
