Slope of a received status by listed upstreams

Cause: each status from a peer looks at the members to be reckoned with; were that a walk over the list, 6,700 workers would make it costly.

Measured (GOMAXPROCS=3 go run ./bench/slopes): 0.5 µs at 48 upstreams, 0.4 µs at 6,700.

Conclusion: it doesn't grow with the list.

--- a/bench/slopes/main.go
+++ b/bench/slopes/main.go
@@ -88,7 +88,7 @@
 	fmt.Println("|---|---|---|---|---|---|---|")
 	for _, measure := range []func() series{
 		taskTime, keptAnswers, membersTime, membersMemory, membersBytes, placementTime,
-		peersTime, peersBytes, teamsTime, teamsBytes, institutionsTime, claimBytes,
+		statusTime, peersTime, peersBytes, teamsTime, teamsBytes, institutionsTime, claimBytes,
 	} {
 		measure().print()
 	}
--- a/bench/slopes/measure.go
+++ b/bench/slopes/measure.go
@@ -257,6 +257,28 @@
 	return took / rounds, bytes / rounds
 }
 
+// statusTime: receiving one status, by listed upstreams.
+func statusTime() series {
+	s := series{what: "one status received", per: "upstream", unit: "µs"}
+	const statuses = 2_000
+	peer := task.Incarnation{Node: "entry-1", Run: 1}
+	for _, n := range upstreamCounts {
+		took := best(runs, func() time.Duration {
+			c := newCore(n)
+			c.Step(0, dispatch.PeerUp{Peer: peer, FailureDomain: domain})
+			return timed(func() {
+				for i := range statuses {
+					m := &pb.PeerMessage{Status: &pb.PeerStatus{Sequence: uint64(i + 1), SettingsVersion: 1, IdleSlots: 10}}
+					c.Step(0, dispatch.PeerMessage{Peer: peer, Message: m})
+					c.Take()
+				}
+			})
+		})
+		s.points = append(s.points, point{float64(n), micros(took, statuses)})
+	}
+	return s
+}
+
 // peersTime: sending and receiving one round of statuses.
 func peersTime() series {
 	s := series{what: "one round of statuses, core", per: "peer", unit: "µs"}
