Tell a claim's own row from that of a forgotten submission

Cause: a claim whose first write had no reply took any row in this incarnation's name for its own. If the answer to an earlier submission of the key had been pushed out by newer ones, its row was taken for the new claim's, and the job ran again.

Change: each claim has a number of its holder's, written in its row; only a row with the claim's own number settles it. Also, answers are pushed out in the order in which they were kept: chosen by the time until which they may be kept, a new answer under an issued id went before old ones under own keys.

Ruled out: reading the row before each write (a read for each submission, and no proof, since the write can be delayed past the read).

Without the mark on a claim that is cancelled while it is written, TestCancelledWhileClaimingNeverRuns fails with a StartTask.

--- a/core/claim/answers.go
+++ b/core/claim/answers.go
@@ -17,7 +17,9 @@
 	Answer *pb.Answer
 	// Until is when it may be forgotten.
 	Until task.Time
-	size  int
+	// seq grows with each answer put.
+	seq  uint64
+	size int
 }
 
 // Answers keeps final answers for resubmissions, within a limit for each
@@ -31,6 +33,7 @@
 	byID  map[task.ID]*Kept
 	lists map[string]*answerList
 	bytes int
+	seq   uint64
 }
 
 // answerList holds one institution's answers, oldest first, apart by kind of
@@ -52,7 +55,8 @@
 	if a.byID[id] != nil {
 		return
 	}
-	k := &Kept{ID: id, Answer: answer, Until: until, size: proto.Size(answer) + keptOverhead}
+	a.seq++
+	k := &Kept{ID: id, Answer: answer, Until: until, seq: a.seq, size: proto.Size(answer) + keptOverhead}
 	list := a.lists[id.Institution]
 	if list == nil {
 		list = &answerList{}
@@ -79,10 +83,12 @@
 	a.bytes += n
 }
 
-// dropOldest forgets the answer that would be forgotten first.
+// dropOldest forgets the answer that was put first. Chosen by the time until
+// which they may be kept, a new answer under an issued id would go before old
+// ones under own keys, and its caller, asking again at once, wouldn't find it.
 func (a *Answers) dropOldest(list *answerList) {
 	issued, own := list.kinds[0], list.kinds[1]
-	if len(own) == 0 || len(issued) > 0 && issued[0].Until <= own[0].Until {
+	if len(own) == 0 || len(issued) > 0 && issued[0].seq < own[0].seq {
 		a.dropFirst(list, 0)
 		return
 	}
--- a/core/claim/holders.go
+++ b/core/claim/holders.go
@@ -11,6 +11,8 @@
 type Holder struct {
 	Incarnation task.Incarnation
 	Digest      task.Digest
+	// Number is the holder's own number of the claim.
+	Number uint64
 }
 
 // Holders remembers claim rows that name other incarnations, so that further
--- a/core/claim/unsettled.go
+++ b/core/claim/unsettled.go
@@ -9,6 +9,8 @@
 // up again if the row turns out to be its own.
 type Unsettled struct {
 	Digest task.Digest
+	// Number is that of the claim's row, if it was written.
+	Number uint64
 	// Cancelled: it must not run any more, whoever asks.
 	Cancelled bool
 }
--- a/core/dispatch/command.go
+++ b/core/dispatch/command.go
@@ -57,6 +57,8 @@
 type Claim struct {
 	ID     task.ID
 	Digest task.Digest
+	// Number tells the claims of this incarnation apart.
+	Number uint64
 	// TTLSeconds is how long the row must be kept.
 	TTLSeconds uint32
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -101,6 +101,7 @@
 	answers     *claim.Answers
 
 	claims          claimQueue
+	lastClaim       uint64
 	holders         *claim.Holders
 	unsettledClaims *claim.UnsettledSet
 	adopted         map[task.Incarnation]*adopted
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -48,6 +48,8 @@
 	ID     task.ID
 	Holder task.Incarnation
 	Digest task.Digest
+	// Number is the Claim.Number under which the holder wrote it.
+	Number uint64
 }
 
 // MembersChanged brings the platform's list.
--- a/core/dispatch/ownkey.go
+++ b/core/dispatch/ownkey.go
@@ -49,8 +49,12 @@
 // beginClaim queues the claim of a submission for the next write.
 func (c *Core) beginClaim(sub *submission, r *waiter) {
 	if u, known := c.unsettledClaims.Take(sub.id); known {
-		sub.uncertain = true
+		sub.number = u.Number
+		sub.written = true
 		sub.cancelled = sub.cancelled || u.Cancelled
+	} else {
+		c.lastClaim++
+		sub.number = c.lastClaim
 	}
 	sub.phase = claiming
 	c.submissions[sub.id] = sub
@@ -69,8 +73,9 @@
 	}
 	sub.phase = ended
 	delete(c.submissions, sub.id)
-	if sub.written || sub.uncertain || sub.cancelled {
-		c.unsettledClaims.Put(sub.id, claim.Unsettled{Digest: sub.digest, Cancelled: sub.cancelled}, c.now+sub.ttl)
+	if sub.written || sub.cancelled {
+		u := claim.Unsettled{Digest: sub.digest, Number: sub.number, Cancelled: sub.cancelled}
+		c.unsettledClaims.Put(sub.id, u, c.now+sub.ttl)
 	}
 	for len(sub.waiters) > 0 {
 		r := sub.waiters[0]
@@ -96,9 +101,11 @@
 	if sub.phase != claiming {
 		return
 	}
-	if h.Incarnation == c.cfg.Self && sub.uncertain && sub.wrote(h.Digest) {
-		// An earlier write of this record took effect and its reply was lost.
-		// The record has been here throughout, so nothing was started.
+	if h.Incarnation == c.cfg.Self && h.Number == sub.number {
+		// An earlier write of this claim took effect and its reply was lost.
+		// The claim has been known here throughout, so nothing was started. A
+		// row with another number is that of a submission that was answered
+		// and forgotten: taken for this one, a settlement would be paid twice.
 		c.claimed(sub)
 		return
 	}
@@ -115,12 +122,6 @@
 	}
 }
 
-// wrote says whether a row with a digest can be an earlier write of this
-// record; the row of a cancellation carries none.
-func (s *submission) wrote(digest task.Digest) bool {
-	return digest == s.digest || s.cancelled && digest == (task.Digest{})
-}
-
 // rowStands passes a request on to the holder named by a claim row.
 func (c *Core) rowStands(r *waiter, h claim.Holder) {
 	switch {
@@ -188,7 +189,7 @@
 	w := ClaimWrite{Batch: c.claims.batch}
 	for _, sub := range batch {
 		sub.written = true
-		w.Claims = append(w.Claims, Claim{sub.id, sub.digest, uint32(sub.ttl / time.Second)})
+		w.Claims = append(w.Claims, Claim{sub.id, sub.digest, sub.number, uint32(sub.ttl / time.Second)})
 	}
 	c.stats.ClaimWrites++
 	c.emit(w)
@@ -209,7 +210,7 @@
 		c.claims.failures = 0
 		c.settleBatch(batch, e.Conflicts)
 	} else {
-		c.claimsUncertain(batch)
+		c.claimsUnanswered(batch)
 	}
 	c.writeClaims()
 }
@@ -219,7 +220,7 @@
 func (c *Core) settleBatch(batch []*submission, conflicts []ClaimConflict) {
 	rows := make(map[task.ID]claim.Holder, len(conflicts))
 	for _, cf := range conflicts {
-		rows[cf.ID] = claim.Holder{Incarnation: cf.Holder, Digest: cf.Digest}
+		rows[cf.ID] = claim.Holder{Incarnation: cf.Holder, Digest: cf.Digest, Number: cf.Number}
 	}
 	var again []*submission
 	for _, sub := range batch {
@@ -236,13 +237,10 @@
 	c.claims.waiting = append(again, c.claims.waiting...)
 }
 
-// claimsUncertain puts the claims of a write without a reply first in line,
+// claimsUnanswered puts the claims of a write without a reply first in line,
 // after a back-off.
-func (c *Core) claimsUncertain(batch []*submission) {
+func (c *Core) claimsUnanswered(batch []*submission) {
 	c.claims.failures++
-	for _, sub := range batch {
-		sub.uncertain = true
-	}
 	c.claims.waiting = append(batch, c.claims.waiting...)
 	c.claims.notBefore = c.now + retry.Delay(c.rng, c.claims.failures+1)
 }
--- /dev/null
+++ b/core/dispatch/ownkey_test.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+var self = task.Incarnation{Node: "entry-0", Run: 1}
+
+// readyCore returns a core that owns the slots of one runner.
+func readyCore(change func(*Config)) *Core {
+	cfg := DefaultConfig(self, "domain-0")
+	change(&cfg)
+	c := New(cfg)
+	c.Step(0, SettingsRead{declared()})
+	runner := task.Upstream{Name: "runner-0", FailureDomain: "domain-0", Institution: inst, Slots: 3}
+	c.Step(0, MembersChanged{task.Members{Version: 1, Upstreams: []task.Upstream{runner}}})
+	c.Take()
+	return c
+}
+
+func ownKey(key string) *pb.SubmissionId {
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_OwnKey{OwnKey: key}}
+}
+
+func settlement(key string) *pb.Submission {
+	return &pb.Submission{Id: ownKey(key), Service: "settle", Tasks: []*pb.Task{{Payload: []byte("pay")}}}
+}
+
+func commands[C Command](c *Core) []C {
+	var list []C
+	for _, cmd := range c.Take() {
+		if cmd, ok := cmd.(C); ok {
+			list = append(list, cmd)
+		}
+	}
+	return list
+}
+
+// A settlement was paid and answered, and the answer has been pushed out by
+// newer ones. The caller, who lost the answer, asks again; the reply of the
+// table service to the new claim is lost, and the second attempt finds the row
+// of the first claim. Taken for the claim's own, the settlement is paid twice.
+func TestRowOfForgottenClaimStartsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(cfg *Config) { cfg.MaxAnswerBytes = 1 })
+	c.Step(1*ms, Submit{1, inst, settlement("k")})
+	w := commands[ClaimWrite](c)[0]
+	row := ClaimConflict{w.Claims[0].ID, self, w.Claims[0].Digest, w.Claims[0].Number}
+	c.Step(2*ms, ClaimResult{Batch: w.Batch, OK: true})
+	c.Step(3*ms, StartResult{commands[StartTask](c)[0].Start, task.Result{Verdict: task.Finished}})
+	g.Expect(commands[Reply](c)[0].Answer.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_COMPLETE))
+
+	c.Step(time.Second, Submit{2, inst, settlement("k")})
+	c.Step(time.Second, ClaimResult{Batch: commands[ClaimWrite](c)[0].Batch})
+	c.Tick(1100 * ms)
+	c.Step(1100*ms, ClaimResult{Batch: commands[ClaimWrite](c)[0].Batch, OK: true, Conflicts: []ClaimConflict{row}})
+
+	all := c.Take()
+	g.Expect(all).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(StartTask{})))
+	g.Expect(all).To(gomega.HaveLen(1))
+	g.Expect(all[0].(Reply).Answer.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_FAILED))
+}
+
+// A buyer cancels a bid while its claim is being written, and the store is so
+// slow that the answer is "unknown". When the client asks again by itself, the
+// bid must not be placed after all.
+func TestCancelledWhileClaimingNeverRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(*Config) {})
+	c.Step(1*ms, Submit{1, inst, settlement("k")})
+	w := commands[ClaimWrite](c)[0]
+	c.Step(2*ms, Cancel{2, inst, ownKey("k")})
+	c.Tick(5 * time.Second)
+	g.Expect(commands[Reply](c)).To(gomega.HaveLen(2))
+
+	c.Step(6*time.Second, Submit{3, inst, settlement("k")})
+	c.Step(6*time.Second, ClaimResult{Batch: w.Batch})
+	c.Tick(7 * time.Second)
+	c.Step(7*time.Second, ClaimResult{Batch: commands[ClaimWrite](c)[0].Batch, OK: true})
+	all := c.Take()
+	g.Expect(all).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(StartTask{})))
+	g.Expect(all[len(all)-1].(Reply).Answer.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_NOT_RUN))
+}
+
+// The table service is down for ten seconds while buyers keep pressing. Each
+// press that began a write at once would meet the service, as it comes back,
+// with a storm that brings it down again.
+func TestOutageIsNotMetByAStormOfWrites(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(*Config) {})
+	writes := 0
+	for i := range 10_000 {
+		now := time.Duration(i+1) * ms
+		c.Step(now, Submit{uint64(i), inst, settlement(fmt.Sprint("k", i))})
+		for _, w := range commands[ClaimWrite](c) {
+			writes++
+			c.Step(now, ClaimResult{Batch: w.Batch})
+		}
+	}
+	// The back-off ends at half a second, less its jitter.
+	g.Expect(writes).To(gomega.BeNumerically("<", 60))
+	c.Tick(20 * time.Second)
+	g.Expect(c.sizes()["requests"]).To(gomega.BeZero())
+}
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -44,11 +44,11 @@
 	// ttl is how long the answer is kept.
 	ttl     time.Duration
 	longest task.Time
-	// written is set once a write of the claim was begun.
+	// written is set once a write of the claim was begun, here or before it was
+	// given up on.
 	written bool
-	// uncertain is set when a write of the claim may have taken effect without
-	// a reply.
-	uncertain bool
+	// number is that of the claim's row.
+	number uint64
 	// cancelled is set when a caller cancelled before the claim was settled.
 	cancelled bool
 	// claimed is set when the claim stands in this incarnation's name.
--- a/node/platform.go
+++ b/node/platform.go
@@ -192,7 +192,7 @@
 	ids := make(map[string]task.ID, len(cmd.Claims))
 	req := &platformv1.CommitRequest{}
 	for _, c := range cmd.Claims {
-		value, err := proto.Marshal(&pb.ClaimRow{Holder: p.node.self.Proto(), Digest: c.Digest[:]})
+		value, err := proto.Marshal(&pb.ClaimRow{Holder: p.node.self.Proto(), Digest: c.Digest[:], Claim: c.Number})
 		if err != nil {
 			return result
 		}
@@ -226,7 +226,7 @@
 	if err := proto.Unmarshal(row.GetValue(), claimed); err != nil {
 		return dispatch.ClaimConflict{}, errors.Wrap(err, "decode claim row")
 	}
-	cf := dispatch.ClaimConflict{ID: id, Holder: task.IncarnationOf(claimed.GetHolder())}
+	cf := dispatch.ClaimConflict{ID: id, Holder: task.IncarnationOf(claimed.GetHolder()), Number: claimed.GetClaim()}
 	copy(cf.Digest[:], claimed.GetDigest())
 	return cf, nil
 }
