--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -53,6 +53,7 @@
 	Submissions     []DumpSubmission `json:"submissions"`
 	Starts          []DumpStart      `json:"starts"`
 	Peers           []DumpPeer       `json:"peers"`
+	Terms           DumpTerms        `json:"terms"`
 	Stats           Stats            `json:"stats"`
 }
 
@@ -87,6 +88,16 @@
 
 // Dump describes the present state.
 func (c *Core) Dump() Dump {
+	d := c.summary()
+	d.Submissions = c.dumpSubmissions()
+	d.Starts = c.dumpStarts()
+	d.Peers = c.dumpPeers()
+	d.Terms = c.dumpTerms()
+	return d
+}
+
+// summary is a dump without its lists.
+func (c *Core) summary() Dump {
 	return Dump{
 		Incarnation:     c.cfg.Self.String(),
 		FailureDomain:   c.cfg.FailureDomain,
@@ -104,9 +115,6 @@
 		AnswersFor:      c.adoptedNames(),
 		ClaimsWaiting:   len(c.claims.waiting) + len(c.claims.inFlight),
 		Forwards:        len(c.forwards),
-		Submissions:     c.dumpSubmissions(),
-		Starts:          c.dumpStarts(),
-		Peers:           c.dumpPeers(),
 		Stats:           c.stats,
 	}
 }
@@ -140,6 +148,8 @@
 		return "its running tasks"
 	case len(sub.waiters) == 0 && !sub.assembly.MayHaveRun():
 		return "a caller: nobody asks for it at present"
+	case c.blockedBy(sub) != "":
+		return c.blockedBy(sub)
 	case c.pool.Idle(sub.id.Institution) == 0:
 		return "an idle slot"
 	default:
--- a/node/platform.go
+++ b/node/platform.go
@@ -37,10 +37,10 @@
 func newPlatformClient(n *Node) *platformClient {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: n.metrics.countCalls(&http.Transport{
 		Protocols: &p,
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
-	}}
+	})}
 	return &platformClient{
 		node:    n,
 		table:   platformv1connect.NewTableServiceClient(client, n.cfg.PlatformURL),
@@ -73,6 +73,7 @@
 		return known
 	}
 	if res.Msg.GetVersion() == known {
+		p.node.post(dispatch.MembersRead{})
 		return known
 	}
 	m := membersOf(res.Msg)
@@ -103,6 +104,8 @@
 				Institution:   e.GetInstitution(),
 				Slots:         e.GetSlots(),
 				Leaving:       e.GetLeaving(),
+				CPUMillis:     e.GetCpuMillis(),
+				MemoryMiB:     e.GetMemoryMib(),
 			})
 		}
 	}
