Account for what a kept answer costs in memory

Cause: a kept answer was taken at its encoded size and a flat 1,000 bytes; BenchmarkAnswers measured 597 bytes of heap without results, 980 with 4 short ones, 2,613 with 20 and 10,548 with 100, against 1,063, 1,113, 1,331 and 2,451 accounted. Jobs of many short results would have passed the limit fourfold. Change: 550 bytes an answer and 90 a result beside the encoded size. After: go test ./core/claim -run xxx -bench . -benchtime 3x.

--- a/core/claim/answers.go
+++ b/core/claim/answers.go
@@ -7,9 +7,13 @@
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
-// keptOverhead is what a kept answer costs beside its encoded size, in bytes:
-// map entry, queue entry and headers, as measured by BenchmarkAnswers.
-const keptOverhead = 1000
+// What a kept answer costs beside its encoded size, in bytes: the map entry,
+// the list entry and the headers, and those of each result, as measured by
+// BenchmarkAnswers.
+const (
+	keptOverhead   = 550
+	resultOverhead = 90
+)
 
 // Kept is the final answer to one submission.
 type Kept struct {
@@ -36,6 +40,10 @@
 	seq   uint64
 }
 
+func sizeOf(a *pb.Answer) int {
+	return proto.Size(a) + keptOverhead + resultOverhead*len(a.GetResults())
+}
+
 // answerList holds one institution's answers, oldest first, apart by kind of
 // id: the ids of a kind are kept equally long, so that the oldest is the first
 // to be forgotten.
@@ -56,7 +64,7 @@
 		return
 	}
 	a.seq++
-	k := &Kept{ID: id, Answer: answer, Until: until, seq: a.seq, size: proto.Size(answer) + keptOverhead}
+	k := &Kept{ID: id, Answer: answer, Until: until, seq: a.seq, size: sizeOf(answer)}
 	list := a.lists[id.Institution]
 	if list == nil {
 		list = &answerList{}
--- a/core/dispatch/fakes_test.go
+++ b/core/dispatch/fakes_test.go
@@ -106,7 +106,7 @@
 	cfg := DefaultConfig(task.Incarnation{Node: e.name, Run: e.run}, e.domain)
 	cfg.IDValidity = 30 * time.Second
 	cfg.MaxClaimBatch = 4
-	cfg.MaxAnswerBytes = 10_000
+	cfg.MaxAnswerBytes = 6_000
 	cfg.MaxHolders = 10
 	cfg.MaxQueuedTasks = 60
 	e.core = New(cfg)
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -118,6 +118,7 @@
 	{"stale-peer-message", 3, (*play).stalePeerMessage},
 	{"stale-result", 3, (*play).staleResult},
 	{"settings", 1, (*play).changeSettings},
+	{"members", 2, (*play).changeMembers},
 	{"wait", 6, func(p *play) bool { p.advance(p.jitter(2 * time.Second)); return true }},
 }
 
@@ -338,6 +339,19 @@
 	return true
 }
 
+// changeMembers gives one entry a list on which VMs leave or are missing.
+func (p *play) changeMembers() bool {
+	m := p.members()
+	m.Version = p.version
+	p.version++
+	for i := range m.Upstreams {
+		m.Upstreams[i].Leaving = p.chance(20)
+	}
+	m.Nodes = slices.DeleteFunc(m.Nodes, func(task.Node) bool { return p.chance(10) })
+	p.entry().post(0, MembersChanged{m})
+	return true
+}
+
 // finish ends all faults and checks that nothing is left behind.
 func (p *play) finish() {
 	p.heal()
