Tests: planned stops in a row; five resubmissions while the holder is paused and killed

A planned stop hands on what earlier ones handed to it; every entry answers for the finished jobs and says of the unused ids that they were not run.

--- a/core/dispatch/fakes_test.go
+++ b/core/dispatch/fakes_test.go
@@ -44,6 +44,28 @@
 	recording bool
 }
 
+// newWorld starts three entries in two failure domains and four runners.
+func newWorld(seed uint64, fail func(string, ...any)) *world {
+	w := &world{
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		links:   make(map[[2]int]*fakeLink),
+		faults:  make(map[string]int),
+		entries: make([]*fakeEntry, 3),
+	}
+	w.store = &fakeStore{w: w, rows: make(map[task.ID]ClaimConflict)}
+	w.truth = newTruth(w, fail)
+	for i := range 4 {
+		r := &fakeRunner{w: w, name: fmt.Sprintf("runner-%d", i), domain: fmt.Sprintf("domain-%d", i%2), up: true}
+		r.restart()
+		w.runners = append(w.runners, r)
+	}
+	for i := range w.entries {
+		w.boot(i)
+	}
+	w.advance(time.Second)
+	return w
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.seq++
 	heap.Push(&w.agenda, &timer{at: w.now + d, seq: w.seq, run: f})
--- /dev/null
+++ b/core/dispatch/handover_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+func (w *world) issue(e *fakeEntry) *pb.SubmissionId {
+	e.note(logged{at: e.clock(), issued: 1})
+	b := e.core.IssueIDs(e.clock(), 1)
+	if b == nil {
+		return nil
+	}
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: &pb.IssuedId{Holder: b.GetHolder(), Number: b.GetFirst()}}}
+}
+
+// count asks for every job at an entry and counts the answers by outcome.
+func (w *world) count(e *fakeEntry, jobs []*fakeJob) map[pb.Outcome]int {
+	before := len(w.truth.words)
+	for _, j := range jobs {
+		w.truth.submit(e, j, proto.CloneOf(j.request))
+		w.advance(10 * ms)
+	}
+	w.advance(2 * time.Second)
+	outcomes := make(map[pb.Outcome]int)
+	for _, o := range w.truth.words[before:] {
+		outcomes[o]++
+	}
+	return outcomes
+}
+
+// An entry VM is replaced in a rolling restart. Kitchens that lost the answer
+// to a finished label, or hold ids that they haven't used yet, ask through
+// other entry VMs. Without the handover they hear "failed, may have run" and
+// somebody has to look at the printer.
+func TestPlannedStopHandsItsAnswersOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(1, t.Fatalf)
+	var done, unused []*fakeJob
+	for range 3 {
+		done = append(done, w.truth.newJob(w.issue(w.entries[0]), "labels", 2), w.truth.newJob(ownKey(string(rune('a'+len(done)))), "settle", 1))
+		unused = append(unused, w.truth.newJob(w.issue(w.entries[0]), "labels", 1))
+	}
+	g.Expect(w.count(w.entries[0], done)).To(gomega.Equal(map[pb.Outcome]int{pb.Outcome_OUTCOME_COMPLETE: 6}))
+	// Two planned stops in a row: the second hands on what the first handed to
+	// it, and the third entry learns of both.
+	for i := range 2 {
+		w.entries[i].post(0, Drain{})
+		w.advance(8 * time.Second)
+	}
+	for _, e := range w.entries {
+		g.Expect(w.count(e, done)).To(gomega.Equal(map[pb.Outcome]int{pb.Outcome_OUTCOME_COMPLETE: 6}))
+		g.Expect(w.count(e, unused)).To(gomega.Equal(map[pb.Outcome]int{pb.Outcome_OUTCOME_NOT_RUN: 3}))
+	}
+}
+
+// A buyer's client loses its answer and asks five times, through every entry
+// VM in turn, while the one that holds the claim is paused past every timeout,
+// woken, and at last killed. The settlement must be paid once, and no entry may
+// say that it was not.
+func TestFiveResubmissionsWhileTheHolderIsPausedAndKilled(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, id := range []func(w *world) *pb.SubmissionId{
+		func(w *world) *pb.SubmissionId { return w.issue(w.entries[0]) },
+		func(w *world) *pb.SubmissionId { return ownKey("bid") },
+	} {
+		w := newWorld(2, t.Fatalf)
+		j := w.truth.newJob(id(w), "labels", 3)
+		holder := w.entries[0]
+		w.truth.submit(holder, j, j.request)
+		w.advance(30 * ms)
+		w.pause(holder)
+		for i := range 5 {
+			w.advance(3 * time.Second)
+			if i == 2 {
+				w.resume(holder)
+			}
+			if i == 3 {
+				w.replace(holder)
+			}
+			w.truth.submit(w.entries[(i+1)%3], j, proto.CloneOf(j.request))
+		}
+		w.advance(10 * time.Second)
+		g.Expect(len(j.starts)).To(gomega.BeNumerically(">", 0))
+		g.Expect(w.truth.words).NotTo(gomega.ContainElement(pb.Outcome_OUTCOME_NOT_RUN))
+		g.Expect(len(w.truth.words)).To(gomega.BeNumerically(">=", 5))
+	}
+}
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"runtime"
 	"slices"
 	"strings"
@@ -48,21 +47,9 @@
 }
 
 func newPlay(t *rapid.T, recording bool, fail func(string, ...any)) *play {
-	seed := rapid.Uint64().Draw(t, "seed")
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), links: make(map[[2]int]*fakeLink), faults: make(map[string]int), entries: make([]*fakeEntry, 3), recording: recording}
-	w.store = &fakeStore{w: w, rows: make(map[task.ID]ClaimConflict)}
-	w.truth = newTruth(w, fail)
-	for i := range 4 {
-		r := &fakeRunner{w: w, name: fmt.Sprintf("runner-%d", i), domain: fmt.Sprintf("domain-%d", i%2), up: true}
-		r.restart()
-		w.runners = append(w.runners, r)
-	}
-	p := &play{world: w, t: t, version: 1}
-	for i := range w.entries {
-		w.boot(i)
-	}
-	w.advance(time.Second)
-	return p
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), fail)
+	w.recording = recording
+	return &play{world: w, t: t, version: 1}
 }
 
 func (p *play) index(n int, label string) int { return rapid.IntRange(0, n-1).Draw(p.t, label) }
@@ -150,12 +137,10 @@
 	if !e.alive || e.paused {
 		return false
 	}
-	e.note(logged{at: e.clock(), issued: 1})
-	block := e.core.IssueIDs(e.clock(), 1)
-	if block == nil {
+	wire := p.issue(e)
+	if wire == nil {
 		return false
 	}
-	wire := &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: &pb.IssuedId{Holder: block.GetHolder(), Number: block.GetFirst()}}}
 	j := p.truth.newJob(wire, "labels", 1+p.index(5, "tasks"))
 	if p.chance(60) {
 		p.truth.submit(e, j, j.request)
--- a/core/dispatch/truth_test.go
+++ b/core/dispatch/truth_test.go
@@ -24,6 +24,8 @@
 	open     map[uint64]*fakeRequest
 	last     uint64
 	outcomes map[string]int
+	// words are the outcomes given, in order.
+	words []pb.Outcome
 }
 
 // fakeJob is one submission id.
@@ -157,6 +159,7 @@
 		tr.fail("request %d for %s was answered %s late", r.Request, req.job.id, tr.w.now-req.due)
 	}
 	tr.outcomes[r.Answer.GetOutcome().String()+" "+r.Answer.GetReason().String()]++
+	tr.words = append(tr.words, r.Answer.GetOutcome())
 	tr.judge(req, r.Answer)
 }
 
