--- a/core/dispatch/gone.go
+++ b/core/dispatch/gone.go
@@ -50,6 +50,11 @@
 	if !before && len(c.asked) < maxAsked {
 		c.asked[holder] = c.now
 	}
+	if holder.Node == c.cfg.Self.Node {
+		// This process is the other run. Left out, a caller that reaches only
+		// the successor of a holder would never get a final word.
+		return before && c.now >= asked+goneAfter
+	}
 	known, ok := c.runs[holder.Node]
 	if !before || !ok || known.run == holder.Run || c.now < known.since+goneAfter {
 		return false
