Record the inputs of a world from its boot

TestSameEventsGiveSameCommands failed after the worlds of tests got one constructor: it recorded only after the boot, so the second run lacked its inputs. The core was not at fault.

--- a/core/dispatch/fakes_test.go
+++ b/core/dispatch/fakes_test.go
@@ -45,12 +45,13 @@
 }
 
 // newWorld starts three entries in two failure domains and four runners.
-func newWorld(seed uint64, fail func(string, ...any)) *world {
+func newWorld(seed uint64, recording bool, fail func(string, ...any)) *world {
 	w := &world{
-		rng:     rand.New(rand.NewPCG(seed, 1)),
-		links:   make(map[[2]int]*fakeLink),
-		faults:  make(map[string]int),
-		entries: make([]*fakeEntry, 3),
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		links:     make(map[[2]int]*fakeLink),
+		faults:    make(map[string]int),
+		entries:   make([]*fakeEntry, 3),
+		recording: recording,
 	}
 	w.store = &fakeStore{w: w, rows: make(map[task.ID]ClaimConflict)}
 	w.truth = newTruth(w, fail)
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -47,8 +47,7 @@
 }
 
 func newPlay(t *rapid.T, recording bool, fail func(string, ...any)) *play {
-	w := newWorld(rapid.Uint64().Draw(t, "seed"), fail)
-	w.recording = recording
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), recording, fail)
 	return &play{world: w, t: t, version: 1}
 }
 
