--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,24 @@
+package logging
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// An error's text or a caller's key holds a line break. Written as it is, it
+// would forge a second event in the log of whoever searches it by line.
+func TestEachEventIsOneLineOfPairs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	log := New(&out, zerolog.InfoLevel).With().Str("incarnation", "n/01").Logger()
+	log.Info().Str("submission", "hollowell/o/a\nlevel=error").Err(errors.New("two\nlines")).Int("tasks", 3).Msg("job-ended")
+	log.Debug().Msg("below-the-level")
+	g.Expect(out.String()).To(gomega.MatchRegexp(`^time=\S+ level=info event=job-ended [^\n]*\n$`))
+	for _, pair := range []string{"incarnation=n/01", `submission="hollowell/o/a\nlevel=error"`, `error="two\nlines"`, "tasks=3"} {
+		g.Expect(out.String()).To(gomega.ContainSubstring(pair))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
 	"sapphirepoint.example/sapphirepoint/core/settings"
 	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
 const (
@@ -277,7 +278,11 @@
 
 func (n *Node) ended(e dispatch.Ended) {
 	n.metrics.ended(e)
-	n.log.Debug().
+	level := zerolog.DebugLevel
+	if e.Outcome == pb.Outcome_OUTCOME_FAILED {
+		level = zerolog.InfoLevel
+	}
+	n.log.WithLevel(level).
 		Stringer("submission", e.ID).
 		Stringer("outcome", e.Outcome).
 		Stringer("reason", e.Reason).
--- a/node/operators.go
+++ b/node/operators.go
@@ -86,6 +86,7 @@
 
 // Drain starts the planned stop.
 func (o operators) Drain(context.Context, *connect.Request[pb.DrainRequest]) (*connect.Response[pb.DrainResponse], error) {
+	o.node.log.Info().Msg("drain-requested")
 	o.node.Drain()
 	return connect.NewResponse(&pb.DrainResponse{}), nil
 }
