--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,7 +12,10 @@
 	"math/rand/v2"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/admission"
 	"sapphirepoint.example/sapphirepoint/core/claim"
+	"sapphirepoint.example/sapphirepoint/core/health"
+	"sapphirepoint.example/sapphirepoint/core/membership"
 	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/retry"
 	"sapphirepoint.example/sapphirepoint/core/settings"
@@ -50,6 +53,10 @@
 	StatusInterval time.Duration
 	// Lending sets how slots are lent between processes.
 	Lending Lending
+
+	// Health is the limits of upstream health, Control what admission is told.
+	Health  health.Config
+	Control Control
 	// Order sets the order of service.
 	Order queue.Order
 }
@@ -70,6 +77,7 @@
 		MaxHolders:       20_000,
 		StatusInterval:   500 * time.Millisecond,
 		Lending:          DefaultLending,
+		Health:           health.DefaultConfig(),
 		Order:            queue.DefaultOrder,
 	}
 }
@@ -88,7 +96,7 @@
 	queue    *queue.Queue
 	pool     *slots.Pool
 	members  task.Members
-	listed   bool
+	view     *membership.View
 
 	submissions map[task.ID]*submission
 	jobs        map[queue.JobID]*submission
@@ -96,9 +104,20 @@
 	starts      map[task.StartID]*start
 	lastStart   task.StartID
 	upstreams   map[string]*upstream
-	budgets     map[string]*retry.Budget
-	requests    map[asker]*waiter
-	answers     *claim.Answers
+	budgets     *retry.Budgets
+	health      *health.Tracker
+	estimate    *admission.Estimator
+	quotas      *admission.Quotas
+	comeBacks   map[string]*admission.ComeBack
+	refusals    map[pb.Reason]uint64
+	workers     map[string]size
+	// inUse is the number of starts that aren't settled, by institution.
+	inUse map[string]int
+	// placing is the institution that allowTeam asks for.
+	placing   string
+	allowTeam func(team string) bool
+	requests  map[asker]*waiter
+	answers   *claim.Answers
 
 	claims          claimQueue
 	holders         *claim.Holders
@@ -136,6 +155,7 @@
 		cfg:          cfg,
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:     settings.NewState(),
+		view:         membership.New(cfg.Self.Node),
 		issuer:       claim.NewIssuer(cfg.IDValidity),
 		queue:        queue.NewOrdered(cfg.Order),
 		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
@@ -143,7 +163,11 @@
 		jobs:         make(map[queue.JobID]*submission),
 		starts:       make(map[task.StartID]*start),
 		upstreams:    make(map[string]*upstream),
-		budgets:      make(map[string]*retry.Budget),
+		estimate:     admission.NewEstimator(),
+		quotas:       admission.NewQuotas(cfg.Self),
+		comeBacks:    make(map[string]*admission.ComeBack),
+		refusals:     make(map[pb.Reason]uint64),
+		inUse:        make(map[string]int),
 		peers:        make(map[task.Incarnation]*peer),
 		runs:         make(map[string]knownRun),
 		forwardsSeen: make(map[string]forwardSeen),
@@ -158,8 +182,13 @@
 		asked:           make(map[task.Incarnation]task.Time),
 		unsettledClaims: claim.NewUnsettledSet(cfg.MaxHolders),
 	}
+	c.budgets = retry.NewBudgets(c.rng)
+	c.health = health.New(cfg.Health, c.rng)
+	c.allowTeam = func(team string) bool { return c.quotas.Allow(c.now, c.placing, team) }
+	c.every(cfg.StatusInterval, c.shareQuotas)
 	c.every(cfg.StatusInterval, c.sendStatus)
 	c.every(time.Second, c.expire)
+	c.every(membersInterval, c.refreshMembers)
 	return c
 }
 
@@ -202,7 +231,9 @@
 	case ClaimResult:
 		c.claimResult(e)
 	case MembersChanged:
-		c.membersChanged(e.Members)
+		c.membersRead(e.Members)
+	case MembersRead:
+		c.quotas.MembersRead(c.now)
 	case SettingsRead:
 		c.offerSettings(e.Settings)
 	case PeerUp:
@@ -230,7 +261,7 @@
 // Ready says whether the process may be given new work: it has settings and
 // the list of VMs, and isn't stopping.
 func (c *Core) Ready() bool {
-	return c.settings.Version() > 0 && c.listed && !c.draining
+	return c.settings.Version() > 0 && c.view.Listed() && !c.draining
 }
 
 // IssueIDs hands out a block of ids held by this incarnation; nil while it
@@ -254,29 +285,3 @@
 func (c *Core) Authenticate(tokenDigest string) (string, bool) {
 	return c.settings.InstitutionOfToken(tokenDigest)
 }
-
-func (c *Core) offerSettings(s *pb.Settings) {
-	if !c.settings.Offer(s) {
-		return
-	}
-	for _, inst := range s.GetInstitutions() {
-		b := c.budgets[inst.GetName()]
-		if b == nil {
-			c.budgets[inst.GetName()] = retry.NewBudget(inst.GetRetryPercent())
-			continue
-		}
-		b.SetPercent(inst.GetRetryPercent())
-	}
-	c.emit(SettingsInForce{s})
-}
-
-func (c *Core) membersChanged(m task.Members) {
-	c.members = m
-	c.listed = true
-	c.pool.SetMembers(m)
-	for _, u := range m.Upstreams {
-		if c.upstreams[u.Name] == nil {
-			c.upstreams[u.Name] = &upstream{}
-		}
-	}
-}
