Isolation of institutions tested without a race against a deadline

TestAnInstitutionSeesOnlyItsOwnJobs asserted the outcome of a job with 100 ms left: once admission compared that with the declared run time, a slow start of the test gave another outcome (failed once, with all packages under -race). The test now holds both institutions' jobs open at the same time, looks for both in the dump, and cancels one: stricter, and without a deadline.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -135,6 +135,19 @@
 
 func plain(cfg *node.Config) { cfg.CallerTLS = nil }
 
+// dump is the text of a node's dump.
+func dump(g *gomega.WithT, n *node.Node) string {
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.OperatorAddress()+"/dump", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	res, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(raw)
+}
+
 // A buyer of the auction learns or guesses the id of a kitchen's job. Under
 // another institution's token it must name nothing: no answer, no cancellation.
 func TestAnInstitutionSeesOnlyItsOwnJobs(t *testing.T) {
@@ -144,15 +157,31 @@
 	kandy := client.New(client.Config{URL: url, Token: kandyToken})
 	defer hollowell.Close()
 	defer kandy.Close()
-	s := job("a")
-	s.Id = client.OwnKey("tray-4")
-	word, err := hollowell.Submit(ctx, s)
+	key := client.OwnKey("tray-4")
+	submit := func(c *client.Client, payload string) chan *pb.Answer {
+		answers := make(chan *pb.Answer, 1)
+		s := job(payload)
+		s.Id = key
+		s.TimeoutMs = uint32(patience.Milliseconds())
+		go func() {
+			a, _ := c.Submit(ctx, s)
+			answers <- a
+		}()
+		return answers
+	}
+	inProgress := func() string { return dump(g, n) }
+	first := submit(hollowell, "a")
+	g.Eventually(inProgress, patience, poll).Should(gomega.ContainSubstring("hollowell/o/tray-4"))
+	second := submit(kandy, "b")
+	g.Eventually(inProgress, patience, poll).Should(gomega.ContainSubstring("kandy/o/tray-4"), "another payload would conflict within one institution")
+	word, err := kandy.Cancel(ctx, key)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(word.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_NOT_RUN))
+	g.Eventually(second, patience).Should(gomega.Receive())
+	g.Expect(inProgress()).To(gomega.And(gomega.ContainSubstring("hollowell/o/tray-4"), gomega.Not(gomega.ContainSubstring("kandy/o/tray-4"))))
+	_, err = hollowell.Cancel(ctx, key)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(word.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_NOT_RUN), "there are no upstreams")
-	other := job("b")
-	other.Id = client.OwnKey("tray-4")
-	_, err = kandy.Submit(ctx, other)
-	g.Expect(err).NotTo(gomega.HaveOccurred(), "another payload would conflict within one institution")
+	g.Eventually(first, patience).Should(gomega.Receive())
 	_, err = client.New(client.Config{URL: url, Token: "nobody's"}).NewID(ctx)
 	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeUnauthenticated))
 }
