--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -78,6 +78,7 @@
 		StatusInterval:   500 * time.Millisecond,
 		Lending:          DefaultLending,
 		Health:           health.DefaultConfig(),
+		Control:          DefaultControl,
 		Order:            queue.DefaultOrder,
 	}
 }
@@ -113,6 +114,8 @@
 	workers     map[string]size
 	// inUse is the number of starts that aren't settled, by institution.
 	inUse map[string]int
+	// lastIdle is when an institution last had no task waiting.
+	lastIdle map[string]task.Time
 	// placing is the institution that allowTeam asks for.
 	placing   string
 	allowTeam func(team string) bool
@@ -120,6 +123,7 @@
 	answers   *claim.Answers
 
 	claims          claimQueue
+	lastClaim       uint64
 	holders         *claim.Holders
 	unsettledClaims *claim.UnsettledSet
 	adopted         map[task.Incarnation]*adopted
@@ -165,6 +169,7 @@
 		upstreams:    make(map[string]*upstream),
 		estimate:     admission.NewEstimator(),
 		quotas:       admission.NewQuotas(cfg.Self),
+		lastIdle:     make(map[string]task.Time),
 		comeBacks:    make(map[string]*admission.ComeBack),
 		refusals:     make(map[pb.Reason]uint64),
 		inUse:        make(map[string]int),
