--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -61,6 +61,7 @@
 	c.forgetAbsent(m)
 	c.emit(MembersInForce{m})
 	c.refreshMembers()
+	c.upstreamsListed(m)
 }
 
 // refreshMembers divides the slots anew if the members to be reckoned with
@@ -71,7 +72,7 @@
 		return
 	}
 	c.pool.SetMembers(live)
-	c.upstreamsListed(live)
+	c.reweigh()
 }
 
 // upstreamLeaving stops new work to an upstream that said itself that it
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -51,9 +51,9 @@
 func (c *Core) peerUp(e PeerUp) {
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
 	c.noteRun(e.Peer)
-	c.quotas.PeerUp(e.Peer)
 	c.view.PeerUp(c.now, e.Peer)
 	c.refreshMembers()
+	c.quotas.PeerUp(e.Peer)
 	c.announceAdopted(e.Peer)
 	c.send(e.Peer, &pb.PeerMessage{})
 }
@@ -63,9 +63,9 @@
 func (c *Core) peerDown(p task.Incarnation) {
 	c.noteAbsence(p)
 	delete(c.peers, p)
-	c.quotas.PeerDown(p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
+	c.quotas.PeerDown(p)
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
@@ -114,10 +114,10 @@
 	}
 	p.status = st
 	c.seeIdle(from, st)
-	c.quotas.Receive(c.now, from, st.GetQuotas())
 	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
 	c.refreshMembers()
 	c.pullNewer(from, p, st)
+	c.quotas.Receive(c.now, from, st.GetQuotas())
 }
 
 // send sends a message with this process's status riding on it.
