--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -31,6 +31,7 @@
 	loadFor   = flag.Duration("load", 0, "run a load for this long, with no other spec wanted")
 	loadShare = flag.Float64("load-share", 0.5, "part of all slots that the load keeps busy")
 	loadKill  = flag.Duration("load-kill", 0, "kill one entry process in turn at this interval, and start it again")
+	loadStop  = flag.Bool("load-stop", false, "with -load-kill: stop entries as planned, by SIGTERM")
 	loadSeed  = flag.Uint64("load-seed", fixedSeed, "seed of arrivals and sizes")
 )
 
@@ -148,7 +149,7 @@
 	r.peak = max(r.peak, e.peakMemory())
 }
 
-// killInTurn kills entries one after the other and starts them again.
+// killInTurn kills or stops entries one after the other and starts them again.
 func (r *loadRun) killInTurn(ctx context.Context) {
 	for i := 0; ; i++ {
 		select {
@@ -158,7 +159,11 @@
 		}
 		e := r.d.entries[i%len(r.d.entries)]
 		r.collect(e)
-		e.signal(syscall.SIGKILL)
+		if *loadStop {
+			e.signal(syscall.SIGTERM)
+		} else {
+			e.signal(syscall.SIGKILL)
+		}
 		<-e.done
 		r.kills++
 		time.Sleep(downTime)
@@ -199,6 +204,26 @@
 	all.Wait()
 }
 
+// applyOnce changes the settings amid the load and reports how long it takes
+// until every entry has the change in force.
+func (r *loadRun) applyOnce(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(*loadFor / 2):
+	}
+	changed := standin.Settings()
+	changed.Institutions[0].Teams[0].QuotaSlots--
+	began := time.Now()
+	Expect(apply(r.d.entries[0], 1, changed)).To(Succeed())
+	accepted := time.Since(began)
+	for _, e := range r.d.entries {
+		Eventually(e.version, patience, 5*time.Millisecond).Should(BeEquivalentTo(2))
+	}
+	fmt.Printf("\na change of settings was accepted after %v and in force at all entries after %v\n",
+		accepted.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
+}
+
 func (r *loadRun) report(seconds float64) {
 	t := r.tally
 	second := 0
@@ -208,7 +233,7 @@
 		}
 	}
 	ratio := func(q float64) float64 { return float64(t.ratios.ValueAtQuantile(q)) / ratioScale }
-	fmt.Printf("\nseed %d, share %.2f of %d slots, %.0f s, %d entries killed\n", *loadSeed, *loadShare, 3*loadRunners*runner.DefaultSlots, seconds, r.kills)
+	fmt.Printf("\nseed %d, share %.2f of %d slots, %.0f s, %d entries killed or stopped\n", *loadSeed, *loadShare, 3*loadRunners*runner.DefaultSlots, seconds, r.kills)
 	fmt.Printf("jobs %d, tasks %d (%.0f/s), started twice %d\n", t.jobs, t.tasks, float64(t.tasks)/seconds, second)
 	for _, o := range sortedKeys(t.outcomes) {
 		fmt.Printf("  %6d %s\n", t.outcomes[o], o)
@@ -246,17 +271,19 @@
 		r := &loadRun{d: d, totals: map[string]float64{}, tally: &tally{outcomes: map[string]int{}, ratios: hdrhistogram.New(1, 10_000_000, 3)}}
 		ctx, cancel := context.WithTimeout(context.Background(), *loadFor)
 		defer cancel()
-		var killer sync.WaitGroup
-		if *loadKill > 0 {
-			killer.Go(func() {
-				defer GinkgoRecover()
+		var others sync.WaitGroup
+		others.Go(func() {
+			defer GinkgoRecover()
+			if *loadKill > 0 {
 				r.killInTurn(ctx)
-			})
-		}
+				return
+			}
+			r.applyOnce(ctx)
+		})
 		began := time.Now()
 		r.submit(ctx)
 		seconds := time.Since(began).Seconds()
-		killer.Wait()
+		others.Wait()
 		for _, e := range d.entries {
 			Eventually(func() error {
 				_, err := http.Get("http://" + e.operators + "/healthz")
