--- /dev/null
+++ b/bench/cmd/placement/main.go
@@ -0,0 +1,39 @@
+// Command placement compares placement policies in virtual time and prints a
+// Markdown table for each load.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"sapphirepoint.example/sapphirepoint/bench"
+)
+
+func main() {
+	var seed uint64
+	var length time.Duration
+	var loads []float64
+	cmd := &cobra.Command{
+		Use:   "placement",
+		Short: "Compare placement policies in virtual time",
+		RunE: func(*cobra.Command, []string) error {
+			for _, load := range loads {
+				shape := bench.Shape{Load: load, Stragglers: bench.Stragglers, Length: length, Warm: length / 10, Seed: seed}
+				fmt.Printf("\n%s, load %.0f%%, seed %d, %v of arrivals\n\n%s", bench.Hollowell.Name, load*100, seed, length, bench.Header)
+				for _, r := range bench.Compare(bench.Hollowell, shape, 30*time.Second, bench.Tolerances()) {
+					fmt.Print(r.Row())
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the stream")
+	cmd.Flags().DurationVar(&length, "length", 200*time.Second, "virtual time in which jobs arrive")
+	cmd.Flags().Float64SliceVar(&loads, "load", []float64{0.5, 0.8, 0.95}, "offered load, as parts of capacity")
+	if err := cmd.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/bench/compare.go
@@ -0,0 +1,46 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+)
+
+// parallel bounds the policies that run at the same time.
+const parallel = 4
+
+// Compare runs the references and policies over the same stream.
+func Compare(site Site, shape Shape, limit time.Duration, policies []Policy) []*Result {
+	jobs := shape.Stream(site.Entries, site.totalSlots())
+	runs := []func() *Result{
+		func() *Result { return IdealQueue(site, shape, limit, jobs) },
+		func() *Result { return RandomChoice(site, shape, limit, jobs) },
+		func() *Result { return LeastOfTwo(site, shape, limit, jobs) },
+	}
+	for _, p := range policies {
+		runs = append(runs, func() *Result { return Cores(p, site, shape, limit, jobs) })
+	}
+	results := make([]*Result, len(runs))
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for i, run := range runs {
+		group.Go(func() error {
+			results[i] = run()
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return results
+}
+
+// Tolerances is the curve that the institution's terms move along.
+func Tolerances() []Policy {
+	list := []Policy{{Name: "slots divided, never lent", Change: func(c *dispatch.Config) { c.Lending.Off = true }}}
+	for _, ms := range []int{0, 20, 50, 100, 200, 400} {
+		list = append(list, Policy{Name: fmt.Sprintf("lent, tolerance %d ms", ms), Tolerance: time.Duration(ms) * time.Millisecond})
+	}
+	return list
+}
--- /dev/null
+++ b/bench/cores.go
@@ -0,0 +1,253 @@
+package bench
+
+import (
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// drainTime is how long a run goes on after the last arrival.
+const drainTime = 60 * time.Second
+
+// Policy is a setting of the real decision code.
+type Policy struct {
+	Name string
+	// Tolerance is borrow_tolerance_ms of the institution's terms.
+	Tolerance time.Duration
+	// Change alters the configuration of each process.
+	Change func(*dispatch.Config)
+}
+
+// fleet is the entry processes and upstreams of one site in virtual time.
+type fleet struct {
+	clock
+	site    Site
+	limit   time.Duration
+	jobs    []Job
+	result  *Result
+	warm    time.Duration
+	entries []*entry
+	byName  map[string]*entry
+	runners map[string]*runner
+}
+
+// entry is one entry process.
+type entry struct {
+	fleet  *fleet
+	core   *dispatch.Core
+	self   task.Incarnation
+	domain string
+	ids    *pb.IdBlock
+	used   uint32
+	ticked time.Duration
+}
+
+// runner is one upstream.
+type runner struct {
+	domain string
+	slots  int
+	busy   int
+}
+
+// Cores runs a stream through the real decision code.
+func Cores(p Policy, site Site, shape Shape, limit time.Duration, jobs []Job) *Result {
+	f := newFleet(p, site, shape, limit, jobs)
+	for i, j := range jobs {
+		if j.At >= f.warm {
+			f.result.Jobs++
+			f.result.Tasks += len(j.Tasks)
+		}
+		f.at(j.At+site.ToClients, func() { f.submit(i) })
+	}
+	f.run(shape.Length + drainTime)
+	return f.result
+}
+
+func newFleet(p Policy, site Site, shape Shape, limit time.Duration, jobs []Job) *fleet {
+	f := &fleet{
+		site: site, limit: limit, jobs: jobs, warm: shape.Warm, result: newResult(p.Name),
+		byName: make(map[string]*entry), runners: make(map[string]*runner),
+	}
+	for i := range site.Upstreams {
+		f.runners[upstreamName(i)] = &runner{domain: site.upstreamDomain(i), slots: site.Slots}
+	}
+	for i := range site.Entries {
+		e := &entry{fleet: f, self: task.Incarnation{Node: entryName(i), Run: 1}, domain: site.entryDomain(i)}
+		cfg := dispatch.DefaultConfig(e.self, e.domain)
+		cfg.Seed = shape.Seed
+		if p.Change != nil {
+			p.Change(&cfg)
+		}
+		e.core = dispatch.New(cfg)
+		f.entries = append(f.entries, e)
+		f.byName[e.self.Node] = e
+	}
+	for _, e := range f.entries {
+		e.step(dispatch.SettingsRead{Settings: settingsOf(site, p, limit)})
+		e.step(dispatch.MembersChanged{Members: site.members()})
+		for _, o := range f.entries {
+			if o != e {
+				e.step(dispatch.PeerUp{Peer: o.self, FailureDomain: o.domain})
+			}
+		}
+	}
+	for _, e := range f.entries {
+		if !e.core.Ready() {
+			panic("bench: an entry process doesn't take the settings")
+		}
+	}
+	return f
+}
+
+func settingsOf(site Site, p Policy, limit time.Duration) *pb.Settings {
+	return &pb.Settings{Version: 1, Institutions: []*pb.Institution{{
+		Name:              site.Name,
+		TokenSha256:       []string{strings.Repeat("a", 64)},
+		CapacityPercent:   100,
+		Priority:          1,
+		ResponseTimeMs:    uint32(limit.Milliseconds()),
+		BorrowToleranceMs: uint32(p.Tolerance.Milliseconds()),
+		RetryPercent:      20,
+		ResubmitWindowS:   600,
+		Services: []*pb.Service{{
+			Name: "labels", Idempotent: true, RunTimeMs: 200, CpuMillis: 1000, MemoryMib: 256,
+			MaxTasks: maxTasks, MaxPayloadBytes: 64,
+		}},
+	}}}
+}
+
+// payload names a task to the fake upstreams.
+func payload(job, index int) []byte {
+	return binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, uint32(job)), uint32(index))
+}
+
+func (f *fleet) taskOf(b []byte) Task {
+	return f.jobs[binary.LittleEndian.Uint32(b)].Tasks[binary.LittleEndian.Uint32(b[4:])]
+}
+
+func (f *fleet) submit(job int) {
+	j := f.jobs[job]
+	s := &pb.Submission{Id: f.entries[j.Entry].nextID(), Service: "labels"}
+	for i, t := range j.Tasks {
+		s.Tasks = append(s.Tasks, &pb.Task{Payload: payload(job, i), RunTimeMs: uint32(max(1, t.Declared.Milliseconds()))})
+	}
+	f.entries[j.Entry].step(dispatch.Submit{Request: uint64(job) + 1, Institution: f.site.Name, Submission: s})
+}
+
+const idBlock = 1000
+
+func (e *entry) nextID() *pb.SubmissionId {
+	if e.ids == nil || e.used == e.ids.GetCount() {
+		e.ids = e.core.IssueIDs(e.fleet.now, idBlock)
+		e.used = 0
+	}
+	id := &pb.IssuedId{Holder: e.ids.GetHolder(), Number: e.ids.GetFirst() + uint64(e.used)}
+	e.used++
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: id}}
+}
+
+func (e *entry) step(ev dispatch.Event) {
+	e.core.Step(e.fleet.now, ev)
+	e.carryOut()
+}
+
+func (e *entry) carryOut() {
+	for _, cmd := range e.core.Take() {
+		switch cmd := cmd.(type) {
+		case dispatch.StartTask:
+			e.start(cmd)
+		case dispatch.Send:
+			e.send(cmd)
+		case dispatch.Reply:
+			e.fleet.reply(int(cmd.Request)-1, cmd.Answer)
+		case dispatch.Settle:
+			e.fleet.waste().Other += 2
+		case dispatch.StopTask:
+			e.fleet.waste().Other++
+		}
+	}
+	e.schedule()
+}
+
+// schedule sets the tick for the core's next timer unless one stands already.
+func (e *entry) schedule() {
+	at, ok := e.core.NextTimer()
+	if !ok || e.ticked > e.fleet.now && e.ticked <= at {
+		return
+	}
+	at = max(at, e.fleet.now)
+	e.ticked = at
+	e.fleet.at(at, func() {
+		if e.ticked != at {
+			return
+		}
+		e.ticked = 0
+		e.core.Tick(e.fleet.now)
+		e.carryOut()
+	})
+}
+
+func (e *entry) start(cmd dispatch.StartTask) {
+	f := e.fleet
+	r := f.runners[cmd.Upstream]
+	delay := f.site.delay(e.domain, r.domain)
+	back := func(res task.Result) {
+		f.after(delay, func() { e.step(dispatch.StartResult{Start: cmd.Start, Result: res}) })
+	}
+	f.after(delay, func() {
+		if r.busy >= r.slots {
+			f.waste().Refusals += 2
+			back(task.Result{Verdict: task.NotStarted, Refused: true})
+			return
+		}
+		r.busy++
+		f.after(f.taskOf(cmd.Payload).Run, func() {
+			r.busy--
+			back(task.Result{Verdict: task.Finished})
+		})
+	})
+}
+
+func (e *entry) send(cmd dispatch.Send) {
+	f := e.fleet
+	switch cmd.Message.GetBody().(type) {
+	case nil:
+		f.waste().Control++
+	case *pb.PeerMessage_BorrowRequest, *pb.PeerMessage_LendGrant, *pb.PeerMessage_LendReturn:
+		f.waste().Lending++
+	default:
+		f.waste().Other++
+	}
+	to := f.byName[cmd.Peer.Node]
+	f.after(f.site.delay(e.domain, to.domain), func() {
+		to.step(dispatch.PeerMessage{Peer: e.self, Message: cmd.Message})
+	})
+}
+
+// waste is where a message is counted: nowhere while the run warms up or when
+// no more jobs arrive.
+func (f *fleet) waste() *Waste {
+	if f.now < f.warm || f.now > f.jobs[len(f.jobs)-1].At {
+		return &Waste{}
+	}
+	return &f.result.Waste
+}
+
+func (f *fleet) reply(job int, a *pb.Answer) {
+	j := f.jobs[job]
+	if j.At < f.warm {
+		return
+	}
+	switch a.GetOutcome() {
+	case pb.Outcome_OUTCOME_COMPLETE:
+		f.result.complete(f.now+f.site.ToClients-j.At, f.site.ideal(j))
+	case pb.Outcome_OUTCOME_NOT_RUN:
+		f.result.NotRun++
+	default:
+		f.result.Failed++
+	}
+}
--- /dev/null
+++ b/bench/reference.go
@@ -0,0 +1,207 @@
+package bench
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// waiting is a task in the ideal queue.
+type waiting struct {
+	rank time.Duration
+	seq  int
+	job  int
+	task int
+}
+
+type waitingHeap []waiting
+
+func (h waitingHeap) Len() int { return len(h) }
+func (h waitingHeap) Less(i, j int) bool {
+	if h[i].rank != h[j].rank {
+		return h[i].rank < h[j].rank
+	}
+	return h[i].seq < h[j].seq
+}
+func (h waitingHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *waitingHeap) Push(x any)   { *h = append(*h, x.(waiting)) }
+func (h *waitingHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// reference is the state that the reference policies share.
+type reference struct {
+	clock
+	site   Site
+	limit  time.Duration
+	jobs   []Job
+	left   []int
+	missed []bool
+	result *Result
+	warm   time.Duration
+}
+
+func newReference(name string, site Site, shape Shape, limit time.Duration, jobs []Job) *reference {
+	r := &reference{site: site, limit: limit, jobs: jobs, left: make([]int, len(jobs)), missed: make([]bool, len(jobs)), result: newResult(name), warm: shape.Warm}
+	for i, j := range jobs {
+		r.left[i] = len(j.Tasks)
+		if j.At >= shape.Warm {
+			r.result.Jobs++
+			r.result.Tasks += len(j.Tasks)
+		}
+	}
+	return r
+}
+
+// late says whether a job's time has passed.
+func (r *reference) late(job int) bool {
+	return r.now > r.jobs[job].At+r.limit
+}
+
+// done records the end of a task at its upstream.
+func (r *reference) done(job int, back time.Duration) {
+	r.left[job]--
+	j := r.jobs[job]
+	response := r.now + back + r.site.ToClients - j.At
+	if r.left[job] > 0 || j.At < r.warm || response > r.limit+2*r.site.ToClients {
+		return
+	}
+	r.result.complete(response, r.site.ideal(j))
+}
+
+// IdealQueue is the lower limit: one first-come queue over all slots that
+// knows at once of every arrival and every end, and sends no message for it.
+func IdealQueue(site Site, shape Shape, limit time.Duration, jobs []Job) *Result {
+	r := newReference("one ideal first-come queue", site, shape, limit, jobs)
+	var queue waitingHeap
+	idle := site.totalSlots()
+	var serve func()
+	serve = func() {
+		for idle > 0 && len(queue) > 0 {
+			w := heap.Pop(&queue).(waiting)
+			if r.late(w.job) {
+				continue
+			}
+			idle--
+			r.after(site.WithinDomain+r.jobs[w.job].Tasks[w.task].Run, func() {
+				idle++
+				r.done(w.job, site.WithinDomain)
+				serve()
+			})
+		}
+	}
+	seq := 0
+	for i, j := range jobs {
+		r.at(j.At+site.ToClients, func() {
+			for t := range j.Tasks {
+				seq++
+				heap.Push(&queue, waiting{j.At, seq, i, t})
+			}
+			serve()
+		})
+	}
+	r.run(shape.Length + drainTime)
+	return r.result
+}
+
+// choice is the state of the policies that pick an upstream without owning a
+// slot.
+type choice struct {
+	*reference
+	rng  *rand.Rand
+	busy []int
+	// known is what each entry last heard of each upstream's load.
+	known [][]int
+	pick  func(entry int) int
+}
+
+const (
+	retryBase = 2 * time.Millisecond
+	retryMax  = 500 * time.Millisecond
+)
+
+// RandomChoice sends each task to a random upstream, and again to another
+// after a back-off when it is refused.
+func RandomChoice(site Site, shape Shape, limit time.Duration, jobs []Job) *Result {
+	c := newChoice("random, refused and retried", site, shape, limit, jobs)
+	c.pick = func(int) int { return c.rng.IntN(site.Upstreams) }
+	return c.measure(shape)
+}
+
+// LeastOfTwo sends each task to the less loaded of two random upstreams, by
+// the load that came with the last answer.
+func LeastOfTwo(site Site, shape Shape, limit time.Duration, jobs []Job) *Result {
+	c := newChoice("least loaded of two", site, shape, limit, jobs)
+	c.pick = func(entry int) int {
+		a, b := c.rng.IntN(site.Upstreams), c.rng.IntN(site.Upstreams)
+		if c.known[entry][b] < c.known[entry][a] {
+			return b
+		}
+		return a
+	}
+	return c.measure(shape)
+}
+
+func newChoice(name string, site Site, shape Shape, limit time.Duration, jobs []Job) *choice {
+	c := &choice{
+		reference: newReference(name, site, shape, limit, jobs),
+		rng:       rand.New(rand.NewPCG(shape.Seed, 2)),
+		busy:      make([]int, site.Upstreams),
+		known:     make([][]int, site.Entries),
+	}
+	for i := range c.known {
+		c.known[i] = make([]int, site.Upstreams)
+	}
+	return c
+}
+
+func (c *choice) measure(shape Shape) *Result {
+	for i, j := range c.jobs {
+		c.at(j.At+c.site.ToClients, func() {
+			for t := range j.Tasks {
+				c.send(i, t, 0)
+			}
+		})
+	}
+	c.run(shape.Length + drainTime)
+	return c.result
+}
+
+func (c *choice) send(job, index, attempt int) {
+	if c.late(job) {
+		return
+	}
+	j := c.jobs[job]
+	u := c.pick(j.Entry)
+	c.known[j.Entry][u]++
+	delay := c.site.delay(c.site.entryDomain(j.Entry), c.site.upstreamDomain(u))
+	c.after(delay, func() {
+		if c.busy[u] >= c.site.Slots {
+			c.refuse(job, index, attempt, u, delay)
+			return
+		}
+		c.busy[u]++
+		c.after(j.Tasks[index].Run, func() {
+			c.busy[u]--
+			load := c.busy[u]
+			c.after(delay, func() {
+				c.known[j.Entry][u] = load
+				c.done(job, 0)
+			})
+		})
+	})
+}
+
+func (c *choice) refuse(job, index, attempt, u int, delay time.Duration) {
+	if c.jobs[job].At >= c.warm {
+		c.result.Waste.Refusals += 2
+	}
+	load := c.busy[u]
+	backOff := min(retryBase<<min(attempt, 8), retryMax)
+	backOff = backOff/2 + time.Duration(c.rng.Int64N(int64(backOff)))/2
+	c.after(delay, func() { c.known[c.jobs[job].Entry][u] = load })
+	c.after(delay+backOff, func() { c.send(job, index, attempt+1) })
+}
--- /dev/null
+++ b/bench/stream.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Shape is what a stream of jobs looks like.
+type Shape struct {
+	// Load is the offered part of all slots' time; 1 is capacity.
+	Load float64
+	// Bursts makes jobs arrive at three times the mean rate for a second in
+	// every ten, and less in between.
+	Bursts bool
+	// Stragglers is the part of tasks that take several seconds.
+	Stragglers float64
+	// Length is the span in which jobs arrive; the first Warm of it isn't
+	// measured.
+	Length, Warm time.Duration
+	// Seed gives the stream.
+	Seed uint64
+}
+
+// Task is one task with its real and its declared run time.
+type Task struct {
+	Run, Declared time.Duration
+}
+
+// Job is one job of a stream.
+type Job struct {
+	At    time.Duration
+	Entry int
+	Tasks []Task
+}
+
+const (
+	maxTasks    = 19
+	medianRun   = 170 * time.Millisecond
+	runSigma    = 0.6
+	minRun      = 20 * time.Millisecond
+	minLong     = 2 * time.Second
+	maxLong     = 5 * time.Second
+	declSigma   = 0.7
+	burstFactor = 3
+	burstEvery  = 10 * time.Second
+	burstLength = time.Second
+	// Stragglers is the usual part of tasks that take several seconds.
+	Stragglers = 0.03
+)
+
+// meanRun is the mean run time of a task.
+func (s Shape) meanRun() float64 {
+	usual := medianRun.Seconds() * math.Exp(runSigma*runSigma/2)
+	long := (minLong + maxLong).Seconds() / 2
+	return (1-s.Stragglers)*usual + s.Stragglers*long
+}
+
+// rate is the mean number of jobs a second.
+func (s Shape) rate(slots int) float64 {
+	meanTasks := float64(1+maxTasks) / 2
+	return s.Load * float64(slots) / (meanTasks * s.meanRun())
+}
+
+// rateAt is the rate relative to the mean at a time.
+func (s Shape) rateAt(at time.Duration) float64 {
+	if !s.Bursts {
+		return 1
+	}
+	part := burstLength.Seconds() / burstEvery.Seconds()
+	if at%burstEvery < burstLength {
+		return burstFactor
+	}
+	return (1 - burstFactor*part) / (1 - part)
+}
+
+// Stream draws the jobs that arrive at a number of entry processes.
+func (s Shape) Stream(entries, slots int) []Job {
+	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	peak := s.rate(slots)
+	if s.Bursts {
+		peak *= burstFactor
+	}
+	var jobs []Job
+	at := time.Duration(0)
+	for {
+		at += time.Duration(rng.ExpFloat64() / peak * float64(time.Second))
+		if at >= s.Length {
+			return jobs
+		}
+		if s.Bursts && rng.Float64()*burstFactor > s.rateAt(at) {
+			continue
+		}
+		jobs = append(jobs, s.draw(rng, at, entries))
+	}
+}
+
+func (s Shape) draw(rng *rand.Rand, at time.Duration, entries int) Job {
+	j := Job{At: at, Entry: rng.IntN(entries), Tasks: make([]Task, 1+rng.IntN(maxTasks))}
+	for i := range j.Tasks {
+		j.Tasks[i] = s.drawTask(rng)
+	}
+	return j
+}
+
+// drawTask draws a task. Half of the long ones are declared as if they were
+// usual ones, and all declarations are off by a factor of two and more.
+func (s Shape) drawTask(rng *rand.Rand) Task {
+	usual := max(minRun, lognormal(rng, medianRun, runSigma))
+	run, declared := usual, usual
+	if rng.Float64() < s.Stragglers {
+		run = minLong + time.Duration(rng.Int64N(int64(maxLong-minLong)))
+		if rng.IntN(2) == 0 {
+			declared = run
+		}
+	}
+	return Task{run, max(time.Millisecond, lognormal(rng, declared, declSigma))}
+}
+
+func lognormal(rng *rand.Rand, median time.Duration, sigma float64) time.Duration {
+	return time.Duration(float64(median) * math.Exp(sigma*rng.NormFloat64()))
+}
+
+// longest is the run time of the slowest task.
+func (j Job) longest() time.Duration {
+	var d time.Duration
+	for _, t := range j.Tasks {
+		d = max(d, t.Run)
+	}
+	return d
+}
