--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -353,12 +353,7 @@
 	back := c.pool.GiveBackIdle(k.peer, r.count)
 	c.lending.lastLoan++
 	id := c.lending.lastLoan
-	list, ends := c.pool.Lend(k.institution, r.count-back, id)
-	l := &loan{to: k.peer, slots: list}
-	valid := c.cfg.Lending.Valid
-	if ends > 0 {
-		valid = max(0, ends-c.now)
-	}
+	l := &loan{to: k.peer, slots: c.pool.Lend(k.institution, r.count-back, k.peer, id)}
 	given := back + len(l.slots)
 	if given == 0 {
 		return false
@@ -367,14 +362,14 @@
 	if r.count == 0 {
 		delete(c.lending.standing, k)
 	}
-	grant := &pb.LendGrant{Request: r.id, Loan: id, ValidMs: uint32(valid.Milliseconds())}
+	grant := &pb.LendGrant{Request: r.id, Loan: id, ValidMs: uint32(c.cfg.Lending.Valid.Milliseconds())}
 	for _, s := range l.slots {
 		grant.Slots = append(grant.Slots, &pb.Slot{Upstream: s.Upstream, Index: s.Index})
 	}
 	c.send(k.peer, &pb.PeerMessage{Body: &pb.PeerMessage_LendGrant{LendGrant: grant}})
 	if len(l.slots) > 0 {
 		c.lending.given[id] = l
-		c.after(valid, func() { c.endLoan(id) })
+		c.after(c.cfg.Lending.Valid, func() { c.endLoan(id) })
 	}
 	return true
 }
@@ -413,9 +408,9 @@
 	for _, s := range g.GetSlots() {
 		list = append(list, task.Slot{Upstream: s.GetUpstream(), Index: s.GetIndex()})
 	}
-	use := time.Duration(g.GetValidMs()) * time.Millisecond / 2
-	c.pool.Borrow(from, g.GetLoan(), list, c.now+use)
+	c.pool.Borrow(from, g.GetLoan(), list)
 	c.stats.Borrowed += uint64(len(list))
+	use := time.Duration(g.GetValidMs()) * time.Millisecond / 2
 	c.after(use, func() { c.pool.EndLoan(from, g.GetLoan()) })
 }
 
@@ -477,7 +472,7 @@
 	}
 	for _, inst := range c.settings.Current().GetInstitutions() {
 		name := inst.GetName()
-		n := c.pool.Idle(name)
+		n := c.pool.IdleOwn(name)
 		st.QueuedTasks += uint32(c.queue.Tasks(name))
 		if n == 0 || c.queue.Tasks(name) > 0 {
 			continue
--- a/core/slots/loans.go
+++ b/core/slots/loans.go
@@ -49,36 +49,24 @@
 	d.returns = append(d.returns, Return{loan, []task.Slot{s}})
 }
 
-// Lend gives a peer the use of up to n idle slots under a loan: own ones, then
-// borrowed ones. It returns them and when the use of a borrowed one ends; 0 if
-// there is none among them. The borrower of a borrowed slot deals with this
-// process alone; its own loan ends first.
-func (p *Pool) Lend(institution string, n int, loan uint64) (list []task.Slot, ends task.Time) {
+// Lend gives a peer the use of up to n idle own slots under a loan.
+func (p *Pool) Lend(institution string, n int, to task.Incarnation, loan uint64) []task.Slot {
 	l := p.ledgers[institution]
 	if l == nil {
-		return nil, 0
+		return nil
 	}
-	for len(list) < n && l.own.usable+l.loaned.usable > 0 {
-		groups := l.own.groups
-		if len(groups) == 0 {
-			groups = l.loaned.groups
-		}
-		r := p.lendFrom(groups[0], loan)
-		if r.right == loaned && (ends == 0 || r.ends < ends) {
-			ends = r.ends
-		}
+	n = min(n, l.own.usable)
+	var list []task.Slot
+	for range n {
+		g := l.own.groups[0]
+		r := g.pop()
+		g.total--
+		l.held--
+		r.use, r.peer, r.loan = lent, to, loan
+		g.refile()
 		list = append(list, r.name())
 	}
-	return list, ends
-}
-
-func (p *Pool) lendFrom(g *group, loan uint64) *record {
-	r := g.pop()
-	g.total--
-	g.ledger.held--
-	r.use, r.given = lent, loan
-	g.refile()
-	return r
+	return list
 }
 
 // TakeBack ends the loan of a slot, at its return or when the lender reclaims
@@ -86,20 +74,17 @@
 // reclaimed before, or not owned any more.
 func (p *Pool) TakeBack(s task.Slot, loan uint64) bool {
 	r := p.find(s)
-	if r == nil || r.use != lent || r.given != loan {
+	if r == nil || r.use != lent || r.loan != loan {
 		return false
 	}
 	r.use = idle
-	r.enter(r.right)
-	if r.stale {
-		p.settle(r)
-	}
+	r.enter(own)
 	return true
 }
 
-// Borrow takes over slots from a lender until a time. Those that can't be used
-// here go straight back.
-func (p *Pool) Borrow(lender task.Incarnation, loan uint64, list []task.Slot, ends task.Time) {
+// Borrow takes over slots from a lender. Those that can't be used here go
+// straight back.
+func (p *Pool) Borrow(lender task.Incarnation, loan uint64, list []task.Slot) {
 	d := p.debts(lender)
 	for _, s := range list {
 		r := p.find(s)
@@ -107,7 +92,7 @@
 			d.giveBack(loan, s)
 			continue
 		}
-		r.peer, r.loan, r.ends, r.stale = lender, loan, ends, false
+		r.peer, r.loan, r.stale = lender, loan, false
 		r.debt = len(d.slots)
 		d.slots = append(d.slots, r)
 		r.enter(loaned)
@@ -124,17 +109,11 @@
 // forget ends the use of a borrowed slot without a word to the lender.
 func (p *Pool) forget(r *record) {
 	p.debts(r.peer).remove(r)
+	r.leave()
 	r.stale = false
-	switch r.use {
-	case lent:
-		r.right = none
-		r.use = idle
-	case closed:
+	if r.use == closed {
 		p.closed = heap.Drop(p.closed, r)
-		r.leave()
 		r.use = idle
-	default:
-		r.leave()
 	}
 }
 
--- a/core/slots/property_test.go
+++ b/core/slots/property_test.go
@@ -36,9 +36,6 @@
 	list    task.Members
 }
 
-// far is the end of all loans: they end by other events here.
-const far = task.Time(1 << 40)
-
 var nodeNames = []string{"a", "b", "c"}
 
 func newWorld(t *rapid.T) *world {
@@ -59,32 +56,8 @@
 	w.running[node] = nil
 	w.loans = slices.DeleteFunc(w.loans, func(l given) bool { return l.from == node })
 	w.mail = slices.DeleteFunc(w.mail, func(l letter) bool { return l.from == node || l.to == node })
-	for _, n := range nodeNames {
-		w.lenderGone(n, node)
-	}
-}
-
-// lenderGone ends what a node borrowed from another. Slots that it had lent on
-// are its own no more, so their loans are void.
-func (w *world) lenderGone(n, lender string) {
-	p := w.pools[n]
-	if p == nil {
-		return
-	}
-	p.LenderGone(run(lender))
-	w.prune(n, func(r *record) bool { return r.right != own && r.use != lent })
-}
-
-// prune drops slots from the loans that a node has given.
-func (w *world) prune(n string, void func(*record) bool) {
-	for i, l := range w.loans {
-		if l.from != n {
-			continue
-		}
-		w.loans[i].slots = slices.DeleteFunc(slices.Clone(l.slots), func(s task.Slot) bool {
-			r := w.pools[n].find(s)
-			return r == nil || void(r)
-		})
+	for _, p := range w.pools {
+		p.LenderGone(run(node))
 	}
 }
 
@@ -133,8 +106,7 @@
 		w.t.Skip("no loan to oneself")
 	}
 	w.last++
-	slots, _ := w.pools[from].Lend(hollowell, rapid.IntRange(1, 4).Draw(w.t, "count"), w.last)
-	l := given{from, to, w.last, slots}
+	l := given{from, to, w.last, w.pools[from].Lend(hollowell, rapid.IntRange(1, 4).Draw(w.t, "count"), run(to), w.last)}
 	for _, s := range l.slots {
 		w.mustBeFree(from, s)
 	}
@@ -169,7 +141,7 @@
 	m := w.mail[i]
 	w.mail = slices.Delete(w.mail, i, i+1)
 	if m.returns == nil {
-		w.pools[m.to].Borrow(run(m.from), m.loan, m.slots, far)
+		w.pools[m.to].Borrow(run(m.from), m.loan, m.slots)
 		return
 	}
 	for _, r := range m.returns {
@@ -202,7 +174,7 @@
 }
 
 func (w *world) cut(*rapid.T) {
-	w.lenderGone(w.node(), w.node())
+	w.pools[w.node()].LenderGone(run(w.node()))
 }
 
 func (w *world) die(*rapid.T) { w.restart(w.node()) }
@@ -222,7 +194,15 @@
 
 func (w *world) setMembers(n string, m task.Members) {
 	w.pools[n].SetMembers(m)
-	w.prune(n, func(r *record) bool { return r.use != lent })
+	for i, l := range w.loans {
+		if l.from != n {
+			continue
+		}
+		w.loans[i].slots = slices.DeleteFunc(slices.Clone(l.slots), func(s task.Slot) bool {
+			r := w.pools[n].find(s)
+			return r == nil || r.use != lent
+		})
+	}
 }
 
 func (w *world) time(*rapid.T) {
@@ -243,7 +223,7 @@
 				if r.right == own {
 					owned++
 				}
-				if r.right != none && r.use != lent {
+				if r.right == loaned || r.right == own && r.use != lent {
 					held++
 				}
 			}
--- a/core/slots/record.go
+++ b/core/slots/record.go
@@ -23,7 +23,7 @@
 const (
 	idle use = iota
 	busy
-	// lent: a peer has the use of this slot, own or borrowed.
+	// lent: a peer has the use of this own slot.
 	lent
 	// closed: not to be used before a time.
 	closed
@@ -42,13 +42,9 @@
 	until task.Time
 	// at is the position among the closed slots.
 	at int
-	// given is the loan under which a slot is lent.
-	given uint64
-	// peer and loan are the lender and loan of a borrowed slot, which isn't to
-	// be used or lent on after ends.
+	// peer and loan are those of a lent or borrowed slot.
 	peer task.Incarnation
 	loan uint64
-	ends task.Time
 	// debt is the position among the slots borrowed from the peer.
 	debt int
 }
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -115,8 +115,7 @@
 	lender.SetMembers(members())
 	borrower.SetMembers(members())
 	acquireAll(borrower)
-	lent, _ := lender.Lend(hollowell, 1, 7)
-	borrower.Borrow(run("a"), 7, lent, far)
+	borrower.Borrow(run("a"), 7, lender.Lend(hollowell, 1, run("c"), 7))
 	s, ok := borrower.Acquire(hollowell)
 	g.Expect(ok).To(BeTrue())
 	borrower.ReleaseAt(s, time.Second)
@@ -133,11 +132,11 @@
 	g := NewWithT(t)
 	lender := NewPool("a", "melton")
 	lender.SetMembers(members())
-	first, _ := lender.Lend(hollowell, All, 1)
+	first := lender.Lend(hollowell, All, run("b"), 1)
 	for _, s := range first {
 		g.Expect(lender.TakeBack(s, 1)).To(BeTrue())
 	}
-	second, _ := lender.Lend(hollowell, All, 2)
+	second := lender.Lend(hollowell, All, run("c"), 2)
 	g.Expect(lender.TakeBack(second[0], 1)).To(BeFalse())
 	g.Expect(lender.Idle(hollowell)).To(BeZero())
 }
@@ -150,8 +149,8 @@
 	lender, borrower := NewPool("a", "melton"), NewPool("c", "hinckley")
 	lender.SetMembers(members())
 	borrower.SetMembers(members())
-	lent, _ := lender.Lend(hollowell, All, 7)
-	borrower.Borrow(run("a"), 7, lent, far)
+	lent := lender.Lend(hollowell, slotsOf(lender), run("c"), 7)
+	borrower.Borrow(run("a"), 7, lent)
 	without := members()
 	without.Nodes = slices.DeleteFunc(without.Nodes, func(n task.Node) bool { return n.Name == "a" })
 	borrower.SetMembers(without)
@@ -164,3 +163,5 @@
 	}
 	g.Expect(lender.IdleOwn(hollowell)).To(Equal(len(lent)))
 }
+
+func slotsOf(p *Pool) int { return p.IdleOwn(hollowell) }
