--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -30,6 +30,10 @@
 	// ReturnShort sends idle borrowed slots home by a message of their own only
 	// if the lender is short of slots.
 	ReturnShort bool
+	// Reserve is how many idle slots a lender keeps.
+	Reserve int
+	// MinReturn is the fewest slots for which a message of their own is sent.
+	MinReturn int
 	// NearPercent is by how much a peer of the same domain is preferred.
 	NearPercent int
 	// EvenPercent is the part of the difference in idle slots that is asked
@@ -88,6 +92,8 @@
 	// seen is what peers last said of their idle slots, less what was asked
 	// for since.
 	seen map[task.Incarnation]*sight
+	// spare is the number of borrowed slots, by institution, that may go home.
+	spare map[string]int
 	// mean is the running mean of the run times of an institution's tasks.
 	mean map[string]time.Duration
 	// looking is set while a timer stands to look at the waiting tasks again.
@@ -133,6 +139,7 @@
 		standing: make(map[counterpart]*request),
 		seen:     make(map[task.Incarnation]*sight),
 		mean:     make(map[string]time.Duration),
+		spare:    make(map[string]int),
 	}
 }
 
@@ -353,7 +360,7 @@
 	back := c.pool.GiveBackIdle(k.peer, r.count)
 	c.lending.lastLoan++
 	id := c.lending.lastLoan
-	l := &loan{to: k.peer, slots: c.pool.Lend(k.institution, r.count-back, k.peer, id)}
+	l := &loan{to: k.peer, slots: c.pool.Lend(k.institution, min(r.count-back, max(0, c.pool.IdleOwn(k.institution)-c.cfg.Lending.Reserve)), k.peer, id)}
 	given := back + len(l.slots)
 	if given == 0 {
 		return false
@@ -429,7 +436,7 @@
 
 // addReturns lets idle borrowed slots ride home on a message to their lender.
 func (c *Core) addReturns(to task.Incarnation, m *pb.PeerMessage) {
-	c.pool.GiveBackIdle(to, c.surplus())
+	c.rideHome(to)
 	for _, r := range c.pool.Returns(to) {
 		back := &pb.LendReturn{Loan: r.Loan}
 		for _, s := range r.Slots {
@@ -439,40 +446,54 @@
 	}
 }
 
-// surplus is the number of idle slots that aren't kept.
-func (c *Core) surplus() int {
-	n := 0
+// rideHome gives back what was spare for a while.
+func (c *Core) rideHome(to task.Incarnation) {
 	for _, inst := range c.settings.Current().GetInstitutions() {
-		n += max(0, c.pool.Idle(inst.GetName())-c.cfg.Lending.KeepIdle)
+		name := inst.GetName()
+		spare := min(c.lending.spare[name], c.pool.SpareBorrowed(name, false))
+		c.lending.spare[name] -= c.pool.GiveBackIdle(to, max(0, spare-c.cfg.Lending.KeepIdle))
 	}
-	return n
 }
 
-// returnLater sends idle borrowed slots home if nothing else is sent to their
-// lenders.
+// returnLater sends borrowed slots home that stay idle for a while.
 func (c *Core) returnLater(institution string) {
-	if c.lending.returning || c.cfg.Lending.ReturnDelay == 0 || c.surplus() == 0 || c.pool.Idle(institution) == c.pool.IdleOwn(institution) {
+	if c.lending.returning || c.cfg.Lending.ReturnDelay == 0 || c.pool.Idle(institution) == c.pool.IdleOwn(institution) {
 		return
 	}
 	c.lending.returning = true
+	c.pool.SpareBorrowed(institution, true)
 	c.after(c.cfg.Lending.ReturnDelay, func() {
 		c.lending.returning = false
-		for _, p := range c.sortedPeers() {
-			if s := c.lending.seen[p]; (!c.cfg.Lending.ReturnShort || s == nil || s.short) && c.surplus() > 0 && c.pool.IdleBorrowed(p) > 0 {
-				c.send(p, &pb.PeerMessage{Body: &pb.PeerMessage_LendReturn{LendReturn: &pb.LendReturn{}}})
-			}
-		}
+		c.sendHome(institution)
+	})
+}
+
+// sendHome returns spare borrowed slots, most of them in few messages.
+func (c *Core) sendHome(institution string) {
+	spare := c.pool.SpareBorrowed(institution, false)
+	c.lending.spare[institution] = spare
+	list := c.sortedPeers()
+	slices.SortStableFunc(list, func(a, b task.Incarnation) int {
+		return cmp.Compare(c.pool.IdleBorrowed(b), c.pool.IdleBorrowed(a))
 	})
+	for _, p := range list {
+		n := min(c.lending.spare[institution]-c.cfg.Lending.KeepIdle, c.pool.IdleBorrowed(p))
+		if n < max(1, c.cfg.Lending.MinReturn) {
+			return
+		}
+		c.send(p, &pb.PeerMessage{Body: &pb.PeerMessage_LendReturn{LendReturn: &pb.LendReturn{}}})
+	}
 }
 
-// addIdle tells peers of this process's idle slots.
-func (c *Core) addIdle(st *pb.PeerStatus) {
+// addIdle tells a peer of the idle slots that it could have: own ones and those
+// borrowed from it.
+func (c *Core) addIdle(to task.Incarnation, st *pb.PeerStatus) {
 	if c.draining {
 		return
 	}
 	for _, inst := range c.settings.Current().GetInstitutions() {
 		name := inst.GetName()
-		n := c.pool.IdleOwn(name)
+		n := max(0, c.pool.IdleOwn(name)+c.pool.IdleBorrowed(to)-c.cfg.Lending.Reserve)
 		st.QueuedTasks += uint32(c.queue.Tasks(name))
 		if n == 0 || c.queue.Tasks(name) > 0 {
 			continue
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -113,19 +113,19 @@
 	}
 	p.sent = c.now
 	c.addReturns(to, m)
-	m.Status = c.status()
+	m.Status = c.status(to)
 	c.stats.PeerMessages++
 	c.emit(Send{to, m})
 }
 
-func (c *Core) status() *pb.PeerStatus {
+func (c *Core) status(to task.Incarnation) *pb.PeerStatus {
 	c.statusSeq++
 	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
 		SettingsVersion: c.settings.Version(),
 		Stopping:        c.draining,
 	}
-	c.addIdle(st)
+	c.addIdle(to, st)
 	return st
 }
 
--- a/core/slots/loans.go
+++ b/core/slots/loans.go
@@ -206,3 +206,17 @@
 	}
 	return 0
 }
+
+// SpareBorrowed is the number of borrowed slots of an institution that were
+// idle all the time since the last call with reset set.
+func (p *Pool) SpareBorrowed(institution string, reset bool) int {
+	l := p.ledgers[institution]
+	if l == nil {
+		return 0
+	}
+	low := l.loaned.low
+	if reset {
+		l.loaned.low = l.loaned.usable
+	}
+	return low
+}
--- a/core/slots/record.go
+++ b/core/slots/record.go
@@ -168,6 +168,7 @@
 		a = &l.loaned
 	}
 	a.usable += usable - g.usable
+	a.low = min(a.low, a.usable)
 	g.usable = usable
 	if usable == 0 {
 		a.groups = heap.Drop(a.groups, g)
@@ -200,6 +201,8 @@
 	// groups have usable slots; the best is first.
 	groups []*group
 	usable int
+	// low is the least number of usable slots since it was last read.
+	low int
 }
 
 // enter gives an idle slot a right.
