--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -53,7 +53,7 @@
 		MaxQueuedTasks: 50_000,
 		MaxAnswerBytes: 64 << 20,
 		MaxClaimBatch:  100,
-		StatusInterval: 500 * time.Millisecond,
+		StatusInterval: 2 * time.Second,
 		Lending:        DefaultLending,
 		Order:          queue.DefaultOrder,
 	}
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -22,6 +22,7 @@
 	PeerMessages   uint64 `json:"peer_messages"`
 	ClaimWrites    uint64 `json:"claim_writes"`
 	Borrowed       uint64 `json:"borrowed_slots"`
+	Lent           uint64 `json:"lent_slots"`
 	Reclaims       uint64 `json:"reclaimed_slots"`
 }
 
--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -18,60 +17,49 @@
 	// Valid is how long a loan stands on the lender's clock. The borrower
 	// starts tasks on it for half of that, so that they have ended by then.
 	Valid time.Duration
-	// Standing is how long a request is served by a lender as slots come free.
-	Standing time.Duration
-	// StandPercent shortens that to a part of the borrower's expected wait.
-	StandPercent int
-	// MinStanding is the shortest time for which a request is served.
-	MinStanding time.Duration
+	// Terms works out the limits from an institution's tolerance.
+	Terms func(tolerance time.Duration) LendingTerms
+}
+
+// LendingTerms are the limits that trade response time for messages.
+type LendingTerms struct {
+	// Tolerance is how long a task of a typical job may wait for an own slot.
+	// That of a longer job may wait longer in proportion.
+	Tolerance time.Duration
+	// Slack bounds how much longer a task may wait because it is declared
+	// shorter than the longest of its job.
+	Slack time.Duration
+	// EvenPercent is the part of a lender's other idle slots that is asked for
+	// beyond the need.
+	EvenPercent int
 	// BlindWait is the least expected wait for which peers are asked that
 	// aren't known to have idle slots.
 	BlindWait time.Duration
-	// ReturnShort sends idle borrowed slots home by a message of their own only
-	// if the lender is short of slots.
-	ReturnShort bool
-	// Reserve is how many idle slots a lender keeps.
-	Reserve int
-	// MinReturn is the fewest slots for which a message of their own is sent.
-	MinReturn int
-	// NearPercent is by how much a peer of the same domain is preferred.
-	NearPercent int
-	// EvenPercent is the part of the difference in idle slots that is asked
-	// for beyond the need.
-	EvenPercent int
-	// Patience is how long an answer is awaited before another peer is asked.
-	Patience time.Duration
-	// ReturnDelay is how long idle borrowed slots wait for a message to ride on
-	// before they go back in one of their own; 0 means for ever.
+	// ReturnDelay is how long a borrowed slot has to be spare to go home.
 	ReturnDelay time.Duration
-	// KeepIdle is how many slots stay idle here before borrowed ones go back.
-	KeepIdle int
-	// SlackLimit bounds the slack that a task is let wait; 0 means no bound.
-	SlackLimit time.Duration
-	// SlackPercent is the part of its slack that a task is let wait before a
-	// slot is borrowed for it, in percent.
-	SlackPercent int
-	// Relative makes the tolerance grow with the length of a job.
-	Relative bool
-	// SparePercent is what is asked for beyond the need, in percent of it.
-	SparePercent int
-	// YieldPercent is the part of a borrower's expected wait that a lender's
-	// own may be for the lender to give up slots that it could use; 0 means
-	// that it gives up none.
-	YieldPercent int
-	// YieldWait is the least expected wait of a borrower for that.
-	YieldWait time.Duration
+	// MinReturn is the least number of slots that go home in a message of their
+	// own. Fewer wait for a message that is sent anyway.
+	MinReturn int
 }
 
 // DefaultLending is what measured best; see docs/design-placement.md.
-var DefaultLending = Lending{
-	Valid:       60 * time.Second,
-	Standing:    time.Second,
-	Patience:    5 * time.Millisecond,
-	ReturnDelay: 100 * time.Millisecond,
-}
+var DefaultLending = Lending{Valid: 60 * time.Second, Terms: TermsOf}
 
 const (
+	leastBlindWait   = 120 * time.Millisecond
+	leastReturnDelay = 15 * time.Millisecond
+	leastReturn      = 2
+	mostReturn       = 8
+	mostEvenPercent  = 60
+	// patience is how long an answer is awaited before another peer is asked.
+	patience = 20 * time.Millisecond
+	// leastStanding and mostStanding bound how long a request is served as
+	// slots come free; between them it is standPart of the borrower's wait.
+	leastStanding = 2 * time.Millisecond
+	mostStanding  = time.Second
+	standPart     = 6
+	// queueTrust is how long a peer that said that tasks wait isn't asked.
+	queueTrust = 200 * time.Millisecond
 	// lenderGrace is how long slots stay lent after the connection with their
 	// borrower is lost. Lent out again at once, they would meet tasks that the
 	// borrower started; kept for good, they would be lost.
@@ -82,6 +70,20 @@
 	meanWeight = 32
 )
 
+// TermsOf works out the limits from an institution's tolerance: none puts
+// response time first, 20 ms and more puts few messages first.
+func TermsOf(tolerance time.Duration) LendingTerms {
+	ms := int(tolerance.Milliseconds())
+	return LendingTerms{
+		Tolerance:   tolerance,
+		Slack:       3 * tolerance,
+		EvenPercent: min(3*ms, mostEvenPercent),
+		BlindWait:   leastBlindWait + 4*tolerance,
+		ReturnDelay: leastReturnDelay + tolerance,
+		MinReturn:   min(leastReturn+ms/4, mostReturn),
+	}
+}
+
 // lending is the account of loans given, and of requests for more.
 type lending struct {
 	lastLoan    uint64
@@ -89,16 +91,16 @@
 	given       map[uint64]*loan
 	asked       map[counterpart]*request
 	standing    map[counterpart]*request
-	// seen is what peers last said of their idle slots, less what was asked
-	// for since.
-	seen map[task.Incarnation]*sight
-	// spare is the number of borrowed slots, by institution, that may go home.
-	spare map[string]int
+	seen        map[task.Incarnation]*sight
 	// mean is the running mean of the run times of an institution's tasks.
 	mean map[string]time.Duration
+	// spare is the number of borrowed slots, by institution, that may go home.
+	spare map[string]int
+	// quiet is until when asking is known to be of no use.
+	quiet task.Time
 	// looking is set while a timer stands to look at the waiting tasks again.
 	looking bool
-	// returning is set while a timer stands to send idle borrowed slots home.
+	// returning is set while a timer stands to send spare slots home.
 	returning bool
 }
 
@@ -124,12 +126,19 @@
 	wait time.Duration
 }
 
-// sight is what is known of a peer's idle slots.
+// stands is how long a request is served. A short queue is soon gone, and slots
+// granted after that would go home unused.
+func (r *request) stands() time.Duration {
+	return min(max(r.wait/standPart, leastStanding), mostStanding)
+}
+
+// sight is what a peer last said of its slots.
 type sight struct {
+	// idle are its idle slots, by institution, less what was asked for since.
 	idle map[string]int
-	at   task.Time
-	// short says that the peer had tasks waiting, or no idle slot.
-	short bool
+	// queued says that it had tasks waiting.
+	queued bool
+	at     task.Time
 }
 
 func newLending() lending {
@@ -152,14 +161,17 @@
 	c.lending.mean[institution] = old + (took-old)/meanWeight
 }
 
+func (c *Core) meanRun(institution string) time.Duration {
+	if mean := c.lending.mean[institution]; mean > 0 {
+		return mean
+	}
+	return queue.DefaultWork
+}
+
 // pace is the expected time between two slots of an institution coming free.
 func (c *Core) pace(institution string) time.Duration {
-	mean := c.lending.mean[institution]
-	if mean == 0 {
-		mean = queue.DefaultWork
-	}
 	held := max(1, c.pool.Held(institution))
-	return max(mean/time.Duration(held), minPace)
+	return max(c.meanRun(institution)/time.Duration(held), minPace)
 }
 
 // expectedWait is that of a task that joins the end of the queue.
@@ -167,126 +179,6 @@
 	return time.Duration(c.queue.Tasks(institution)) * c.pace(institution)
 }
 
-// borrow asks peers for slots if tasks would wait longer than tolerated.
-func (c *Core) borrow(inst *pb.Institution) {
-	name := inst.GetName()
-	if c.cfg.Lending.Off || c.queue.Tasks(name) == 0 || len(c.lending.seen) == 0 {
-		return
-	}
-	need := c.queue.Late(c.now, name, c.demand(inst))
-	need += need * c.cfg.Lending.SparePercent / 100
-	need -= c.pending(name)
-	if need > 0 {
-		need = c.askIdle(name, need)
-	}
-	if need > 0 && c.expectedWait(name) >= c.cfg.Lending.BlindWait {
-		c.askBlind(name, need)
-	}
-	c.lookAgain(inst)
-}
-
-func (c *Core) demand(inst *pb.Institution) queue.Demand {
-	d := queue.Demand{
-		Pace:         c.pace(inst.GetName()),
-		Tolerance:    time.Duration(inst.GetBorrowToleranceMs()) * time.Millisecond,
-		SlackPercent: c.cfg.Lending.SlackPercent,
-		SlackLimit:   c.cfg.Lending.SlackLimit,
-	}
-	if c.cfg.Lending.Relative {
-		d.Typical = c.lending.mean[inst.GetName()]
-	}
-	return d
-}
-
-// lookAgain sets a timer, because tasks become late and requests go without an
-// answer when nothing happens, too.
-func (c *Core) lookAgain(inst *pb.Institution) {
-	if c.lending.looking {
-		return
-	}
-	c.lending.looking = true
-	wait := max(time.Duration(inst.GetBorrowToleranceMs())*time.Millisecond/4, c.cfg.Lending.Patience)
-	c.after(wait, func() { c.lending.looking = false })
-}
-
-// pending is the number of slots asked for that may be granted any moment.
-func (c *Core) pending(institution string) int {
-	n := 0
-	for k, r := range c.lending.asked {
-		if k.institution == institution && c.now-r.at < c.cfg.Lending.Patience {
-			n += r.count
-		}
-	}
-	return n
-}
-
-// askIdle asks the peers that are thought to have idle slots, the best first,
-// and returns the need that is left.
-func (c *Core) askIdle(institution string, need int) int {
-	var list []task.Incarnation
-	for p, s := range c.lending.seen {
-		if s.idle[institution] > 0 {
-			list = append(list, p)
-		}
-	}
-	slices.SortFunc(list, func(a, b task.Incarnation) int {
-		seen := c.lending.seen
-		return cmp.Or(cmp.Compare(c.worth(b, seen[b].idle[institution]), c.worth(a, seen[a].idle[institution])), compareIncarnations(a, b))
-	})
-	for _, p := range list {
-		if need <= 0 {
-			break
-		}
-		idle := c.lending.seen[p].idle[institution]
-		n := min(need, idle)
-		c.ask(counterpart{p, institution}, n+(idle-n)*c.cfg.Lending.EvenPercent/100)
-		need -= n
-	}
-	return need
-}
-
-// worth is the worth of a peer's idle slots: more in the same domain.
-func (c *Core) worth(p task.Incarnation, idle int) int {
-	w := idle * 100
-	if q := c.peers[p]; q != nil && q.failureDomain == c.cfg.FailureDomain {
-		w += idle * c.cfg.Lending.NearPercent
-	}
-	return w
-}
-
-// askBlind asks one peer that isn't known to have idle slots, the one last
-// heard of longest ago, unless a request to it stands already.
-func (c *Core) askBlind(institution string, need int) {
-	var best counterpart
-	var bestAt task.Time
-	for p, s := range c.lending.seen {
-		k := counterpart{p, institution}
-		if r := c.lending.asked[k]; r != nil && c.now-r.at < c.stands(r) {
-			continue
-		}
-		if best.peer.Node == "" || s.at < bestAt || s.at == bestAt && compareIncarnations(p, best.peer) < 0 {
-			best, bestAt = k, s.at
-		}
-	}
-	if best.peer.Node != "" {
-		c.ask(best, need)
-	}
-}
-
-func (c *Core) ask(k counterpart, count int) {
-	c.lending.lastRequest++
-	c.lending.asked[k] = &request{id: c.lending.lastRequest, count: count, at: c.now, wait: c.expectedWait(k.institution)}
-	s := c.lending.seen[k.peer]
-	s.idle[k.institution] = max(0, s.idle[k.institution]-count)
-	c.send(k.peer, &pb.PeerMessage{Body: &pb.PeerMessage_BorrowRequest{BorrowRequest: &pb.BorrowRequest{
-		Request:     c.lending.lastRequest,
-		Institution: k.institution,
-		Count:       uint32(count),
-		QueuedTasks: uint32(c.queue.Tasks(k.institution)),
-		WaitMs:      uint32(c.expectedWait(k.institution).Milliseconds()),
-	}}})
-}
-
 // borrowRequested notes a request, to be served as slots are idle.
 func (c *Core) borrowRequested(from task.Incarnation, r *pb.BorrowRequest) {
 	c.lending.standing[counterpart{from, r.GetInstitution()}] = &request{
@@ -297,14 +189,6 @@
 	}
 }
 
-// stands is how long a request is served.
-func (c *Core) stands(r *request) time.Duration {
-	if c.cfg.Lending.StandPercent == 0 {
-		return c.cfg.Lending.Standing
-	}
-	return min(max(r.wait*time.Duration(c.cfg.Lending.StandPercent)/100, c.cfg.Lending.MinStanding), c.cfg.Lending.Standing)
-}
-
 // lendIdle grants idle slots to the peers that asked, the one with the longest
 // wait first.
 func (c *Core) lendIdle(institution string) {
@@ -316,30 +200,12 @@
 	}
 }
 
-// yield gives idle slots that waiting tasks could use to a peer whose tasks
-// wait much longer.
-func (c *Core) yield(institution string) {
-	l := &c.cfg.Lending
-	if l.YieldPercent == 0 || len(c.lending.standing) == 0 || c.draining {
-		return
-	}
-	k, ok := c.neediest(institution)
-	if !ok {
-		return
-	}
-	wait := c.lending.standing[k].wait
-	if wait < l.YieldWait || c.expectedWait(institution) >= wait*time.Duration(l.YieldPercent)/100 {
-		return
-	}
-	c.grant(k)
-}
-
 // neediest finds the standing request with the longest expected wait.
 func (c *Core) neediest(institution string) (counterpart, bool) {
 	var best counterpart
 	var top *request
 	for k, r := range c.lending.standing {
-		if c.now-r.at >= c.stands(r) {
+		if c.now-r.at >= r.stands() {
 			delete(c.lending.standing, k)
 			continue
 		}
@@ -360,7 +226,7 @@
 	back := c.pool.GiveBackIdle(k.peer, r.count)
 	c.lending.lastLoan++
 	id := c.lending.lastLoan
-	l := &loan{to: k.peer, slots: c.pool.Lend(k.institution, min(r.count-back, max(0, c.pool.IdleOwn(k.institution)-c.cfg.Lending.Reserve)), k.peer, id)}
+	l := &loan{to: k.peer, slots: c.pool.Lend(k.institution, r.count-back, k.peer, id)}
 	given := back + len(l.slots)
 	if given == 0 {
 		return false
@@ -375,6 +241,7 @@
 	}
 	c.send(k.peer, &pb.PeerMessage{Body: &pb.PeerMessage_LendGrant{LendGrant: grant}})
 	if len(l.slots) > 0 {
+		c.stats.Lent += uint64(len(l.slots))
 		c.lending.given[id] = l
 		c.after(c.cfg.Lending.Valid, func() { c.endLoan(id) })
 	}
@@ -396,31 +263,6 @@
 	}
 }
 
-// granted takes over the slots of a grant. The time for which they may be used
-// is half of the lender's, so that tasks started on them have ended by then.
-func (c *Core) granted(from task.Incarnation, g *pb.LendGrant, returned int) {
-	for k, r := range c.lending.asked {
-		if k.peer != from || r.id != g.GetRequest() {
-			continue
-		}
-		r.count -= len(g.GetSlots()) + returned
-		if r.count <= 0 {
-			delete(c.lending.asked, k)
-		}
-	}
-	if len(g.GetSlots()) == 0 {
-		return
-	}
-	list := make([]task.Slot, 0, len(g.GetSlots()))
-	for _, s := range g.GetSlots() {
-		list = append(list, task.Slot{Upstream: s.GetUpstream(), Index: s.GetIndex()})
-	}
-	c.pool.Borrow(from, g.GetLoan(), list)
-	c.stats.Borrowed += uint64(len(list))
-	use := time.Duration(g.GetValidMs()) * time.Millisecond / 2
-	c.after(use, func() { c.pool.EndLoan(from, g.GetLoan()) })
-}
-
 // returned takes slots back that rode on a message, and counts them.
 func (c *Core) returned(list []*pb.LendReturn) int {
 	n := 0
@@ -434,57 +276,6 @@
 	return n
 }
 
-// addReturns lets idle borrowed slots ride home on a message to their lender.
-func (c *Core) addReturns(to task.Incarnation, m *pb.PeerMessage) {
-	c.rideHome(to)
-	for _, r := range c.pool.Returns(to) {
-		back := &pb.LendReturn{Loan: r.Loan}
-		for _, s := range r.Slots {
-			back.Slots = append(back.Slots, &pb.Slot{Upstream: s.Upstream, Index: s.Index})
-		}
-		m.Returns = append(m.Returns, back)
-	}
-}
-
-// rideHome gives back what was spare for a while.
-func (c *Core) rideHome(to task.Incarnation) {
-	for _, inst := range c.settings.Current().GetInstitutions() {
-		name := inst.GetName()
-		spare := min(c.lending.spare[name], c.pool.SpareBorrowed(name, false))
-		c.lending.spare[name] -= c.pool.GiveBackIdle(to, max(0, spare-c.cfg.Lending.KeepIdle))
-	}
-}
-
-// returnLater sends borrowed slots home that stay idle for a while.
-func (c *Core) returnLater(institution string) {
-	if c.lending.returning || c.cfg.Lending.ReturnDelay == 0 || c.pool.Idle(institution) == c.pool.IdleOwn(institution) {
-		return
-	}
-	c.lending.returning = true
-	c.pool.SpareBorrowed(institution, true)
-	c.after(c.cfg.Lending.ReturnDelay, func() {
-		c.lending.returning = false
-		c.sendHome(institution)
-	})
-}
-
-// sendHome returns spare borrowed slots, most of them in few messages.
-func (c *Core) sendHome(institution string) {
-	spare := c.pool.SpareBorrowed(institution, false)
-	c.lending.spare[institution] = spare
-	list := c.sortedPeers()
-	slices.SortStableFunc(list, func(a, b task.Incarnation) int {
-		return cmp.Compare(c.pool.IdleBorrowed(b), c.pool.IdleBorrowed(a))
-	})
-	for _, p := range list {
-		n := min(c.lending.spare[institution]-c.cfg.Lending.KeepIdle, c.pool.IdleBorrowed(p))
-		if n < max(1, c.cfg.Lending.MinReturn) {
-			return
-		}
-		c.send(p, &pb.PeerMessage{Body: &pb.PeerMessage_LendReturn{LendReturn: &pb.LendReturn{}}})
-	}
-}
-
 // addIdle tells a peer of the idle slots that it could have: own ones and those
 // borrowed from it.
 func (c *Core) addIdle(to task.Incarnation, st *pb.PeerStatus) {
@@ -493,9 +284,10 @@
 	}
 	for _, inst := range c.settings.Current().GetInstitutions() {
 		name := inst.GetName()
-		n := max(0, c.pool.IdleOwn(name)+c.pool.IdleBorrowed(to)-c.cfg.Lending.Reserve)
-		st.QueuedTasks += uint32(c.queue.Tasks(name))
-		if n == 0 || c.queue.Tasks(name) > 0 {
+		waiting := c.queue.Tasks(name)
+		n := c.pool.IdleOwn(name) + c.pool.IdleBorrowed(to)
+		st.QueuedTasks += uint32(waiting)
+		if n == 0 || waiting > 0 {
 			continue
 		}
 		st.IdleSlots += uint32(n)
@@ -503,19 +295,6 @@
 	}
 }
 
-// seeIdle notes what a peer says of its idle slots.
-func (c *Core) seeIdle(from task.Incarnation, st *pb.PeerStatus) {
-	if st.GetStopping() {
-		delete(c.lending.seen, from)
-		return
-	}
-	idle := make(map[string]int, len(st.GetIdle()))
-	for _, i := range st.GetIdle() {
-		idle[i.GetInstitution()] = int(i.GetSlots())
-	}
-	c.lending.seen[from] = &sight{idle: idle, at: c.now, short: st.GetQueuedTasks() > 0 || len(idle) == 0}
-}
-
 // lendingPeerDown ends the dealings with a peer that can't be reached.
 func (c *Core) lendingPeerDown(p task.Incarnation) {
 	delete(c.lending.seen, p)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -49,14 +49,11 @@
 
 func (c *Core) placeFor(inst *pb.Institution) {
 	name := inst.GetName()
-	if c.pool.Idle(name) > 0 && c.queue.Tasks(name) > 0 {
-		c.yield(name)
-	}
 	for c.pool.Idle(name) > 0 {
 		ref, ok := c.queue.Next(c.now, name, nil)
 		if !ok {
 			c.lendIdle(name)
-			c.returnLater(name)
+			c.returnLater(inst)
 			return
 		}
 		slot, _ := c.pool.Acquire(name)
--- a/core/queue/late.go
+++ b/core/queue/late.go
@@ -13,18 +13,14 @@
 type Demand struct {
 	// Pace is the expected time between two starts.
 	Pace time.Duration
-	// Tolerance is how long a task may hold up its job's answer.
+	// Tolerance is how long a task may hold up the answer of a job whose
+	// longest task takes Typical, and longer for a longer job in proportion.
 	Tolerance time.Duration
-	// Typical is the run time for which the tolerance is meant; that of a job
-	// whose longest task takes longer is longer in proportion. 0 means the
-	// same tolerance for all.
-	Typical time.Duration
-	// SlackPercent is the part of a task's slack that it is let wait, in
-	// percent. Declared times are often wrong, and a task that waits because it
-	// is declared short may turn out to be the longest.
-	SlackPercent int
-	// SlackLimit bounds that wait; 0 means no bound.
-	SlackLimit time.Duration
+	Typical   time.Duration
+	// Slack bounds how much longer a task may wait because it is declared
+	// shorter than the longest of its job. Declared times are often wrong: a
+	// task that waits because it is declared short may prove the longest.
+	Slack time.Duration
 }
 
 // Late counts the waiting tasks of an institution that are expected to start
@@ -47,6 +43,7 @@
 	return s.late
 }
 
+// scan is one count of late tasks.
 type scan struct {
 	now    task.Time
 	demand Demand
@@ -55,17 +52,11 @@
 }
 
 func (s *scan) job(e *entry) {
-	tolerance := s.demand.Tolerance
-	if s.demand.Typical > 0 {
-		tolerance = time.Duration(float64(tolerance) * float64(e.longest) / float64(s.demand.Typical))
-	}
+	tolerance := time.Duration(float64(s.demand.Tolerance) * float64(e.longest) / float64(s.demand.Typical))
 	for i := len(e.waiting) - 1; i >= 0 && s.seen < lateScan; i-- {
 		s.seen++
 		start := s.now + time.Duration(s.seen)*s.demand.Pace
-		slack := (e.longest - e.job.Work[e.waiting[i]]) * time.Duration(s.demand.SlackPercent) / 100
-		if s.demand.SlackLimit > 0 {
-			slack = min(slack, s.demand.SlackLimit)
-		}
+		slack := min(e.longest-e.job.Work[e.waiting[i]], s.demand.Slack)
 		if start <= e.job.Arrived+slack+tolerance {
 			return
 		}
