--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -46,7 +46,7 @@
 var DefaultLending = Lending{Valid: 60 * time.Second, Terms: TermsOf}
 
 const (
-	leastBlindWait   = 120 * time.Millisecond
+	leastBlindWait   = 150 * time.Millisecond
 	leastReturnDelay = 15 * time.Millisecond
 	leastReturn      = 2
 	mostReturn       = 8
@@ -57,9 +57,9 @@
 	// slots come free; between them it is standPart of the borrower's wait.
 	leastStanding = 2 * time.Millisecond
 	mostStanding  = time.Second
-	standPart     = 6
+	standPart     = 4
 	// queueTrust is how long a peer that said that tasks wait isn't asked.
-	queueTrust = 200 * time.Millisecond
+	queueTrust = 400 * time.Millisecond
 	// lenderGrace is how long slots stay lent after the connection with their
 	// borrower is lost. Lent out again at once, they would meet tasks that the
 	// borrower started; kept for good, they would be lost.
