--- a/core/dispatch/borrowing.go
+++ b/core/dispatch/borrowing.go
@@ -112,6 +112,7 @@
 	c.lending.lastRequest++
 	r := &request{id: c.lending.lastRequest, count: count, at: c.now, wait: c.expectedWait(k.institution)}
 	c.lending.asked[k] = r
+	c.after(max(r.stands(), patience), func() { forgetRequest(c.lending.asked, k, r) })
 	s := c.lending.seen[k.peer]
 	s.idle[k.institution] = max(0, s.idle[k.institution]-count)
 	c.send(k.peer, &pb.PeerMessage{Body: &pb.PeerMessage_BorrowRequest{BorrowRequest: &pb.BorrowRequest{
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,7 +12,10 @@
 	"math/rand/v2"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/admission"
 	"sapphirepoint.example/sapphirepoint/core/claim"
+	"sapphirepoint.example/sapphirepoint/core/health"
+	"sapphirepoint.example/sapphirepoint/core/membership"
 	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/retry"
 	"sapphirepoint.example/sapphirepoint/core/settings"
@@ -31,14 +34,31 @@
 	IDValidity time.Duration
 	// MaxQueuedTasks bounds the tasks that wait, over all institutions.
 	MaxQueuedTasks int
-	// MaxAnswerBytes bounds the results kept for resubmissions.
+	// MaxAnswerBytes bounds the answers kept for resubmissions, for each
+	// institution.
 	MaxAnswerBytes int
+	// MaxJobBytes bounds the results of one job.
+	MaxJobBytes int
 	// MaxClaimBatch bounds the claims of one transaction.
 	MaxClaimBatch int
-	// StatusInterval is how often peers get a status if nothing else is sent.
+	// ClaimInterval is the least time between the beginnings of two writes of
+	// claims.
+	ClaimInterval time.Duration
+	// MaxWaitingClaims bounds the claims that wait to be written.
+	MaxWaitingClaims int
+	// MaxHolders bounds the claim rows of others, and the unsettled claims,
+	// that are remembered.
+	MaxHolders int
+	// StatusInterval is how often a peer gets a status that says something new,
+	// QuietInterval one that doesn't, if nothing else is sent to it.
 	StatusInterval time.Duration
+	QuietInterval  time.Duration
 	// Lending sets how slots are lent between processes.
 	Lending Lending
+
+	// Health is the limits of upstream health, Control what admission is told.
+	Health  health.Config
+	Control Control
 	// Order sets the order of service.
 	Order queue.Order
 }
@@ -46,16 +66,22 @@
 // DefaultConfig returns a configuration for an incarnation with usual limits.
 func DefaultConfig(self task.Incarnation, failureDomain string) Config {
 	return Config{
-		Self:           self,
-		FailureDomain:  failureDomain,
-		Seed:           self.Run,
-		IDValidity:     10 * time.Minute,
-		MaxQueuedTasks: 50_000,
-		MaxAnswerBytes: 64 << 20,
-		MaxClaimBatch:  100,
-		StatusInterval: 2 * time.Second,
-		Lending:        DefaultLending,
-		Order:          queue.DefaultOrder,
+		Self:             self,
+		FailureDomain:    failureDomain,
+		Seed:             self.Run,
+		IDValidity:       10 * time.Minute,
+		MaxQueuedTasks:   50_000,
+		MaxAnswerBytes:   32 << 20,
+		MaxJobBytes:      16 << 20,
+		MaxClaimBatch:    100,
+		ClaimInterval:    20 * time.Millisecond,
+		MaxWaitingClaims: 5_000,
+		MaxHolders:       20_000,
+		StatusInterval:   500 * time.Millisecond,
+		QuietInterval:    2 * time.Second,
+		Lending:          DefaultLending,
+		Health:           health.DefaultConfig(),
+		Order:            queue.DefaultOrder,
 	}
 }
 
@@ -73,7 +99,7 @@
 	queue    *queue.Queue
 	pool     *slots.Pool
 	members  task.Members
-	listed   bool
+	view     *membership.View
 
 	submissions map[task.ID]*submission
 	jobs        map[queue.JobID]*submission
@@ -81,44 +107,91 @@
 	starts      map[task.StartID]*start
 	lastStart   task.StartID
 	upstreams   map[string]*upstream
-	budgets     map[string]*retry.Budget
-	kept        []*submission
-	keptBytes   int
-
-	claims      claimQueue
-	peers       map[task.Incarnation]*peer
-	runs        map[string]uint64
-	forwards    map[uint64]*forward
-	lastForward uint64
-	statusSeq   uint64
-	lending     lending
+	budgets     *retry.Budgets
+	health      *health.Tracker
+	estimate    *admission.Estimator
+	quotas      *admission.Quotas
+	comeBacks   map[string]*admission.ComeBack
+	refusals    map[pb.Reason]uint64
+	workers     map[string]size
+	// inUse is the number of starts that aren't settled, by institution.
+	inUse map[string]int
+	// placing is the institution that allowTeam asks for.
+	placing   string
+	allowTeam func(team string) bool
+	requests  map[asker]*waiter
+	answers   *claim.Answers
+
+	claims          claimQueue
+	holders         *claim.Holders
+	unsettledClaims *claim.UnsettledSet
+	adopted         map[task.Incarnation]*adopted
+	successors      map[task.Incarnation]successor
+	handover        *handover
+	// asked is when a holder that wasn't connected was first asked for.
+	asked map[task.Incarnation]task.Time
+
+	peers        map[task.Incarnation]*peer
+	runs         map[string]knownRun
+	forwardsSeen map[string]forwardSeen
+	forwards     map[uint64]*waiter
+	lastForward  uint64
+	statusSeq    uint64
+	lending      lending
+
+	// woke is when the process last woke from a pause, slept how long it was.
+	woke  task.Time
+	slept time.Duration
 
 	draining bool
 	drained  bool
-	stats    Stats
+	// closed is set when the handover begins: from then on nothing starts.
+	closed bool
+	stats  Stats
+	// sentKinds counts the messages sent to peers by kind.
+	sentKinds map[string]uint64
 }
 
 // New returns the core of a process that has just started.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg:         cfg,
-		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
-		settings:    settings.NewState(),
-		issuer:      claim.NewIssuer(cfg.IDValidity),
-		queue:       queue.NewOrdered(cfg.Order),
-		pool:        slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
-		submissions: make(map[task.ID]*submission),
-		jobs:        make(map[queue.JobID]*submission),
-		starts:      make(map[task.StartID]*start),
-		upstreams:   make(map[string]*upstream),
-		budgets:     make(map[string]*retry.Budget),
-		peers:       make(map[task.Incarnation]*peer),
-		runs:        make(map[string]uint64),
-		forwards:    make(map[uint64]*forward),
-		lending:     newLending(),
+		cfg:          cfg,
+		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
+		settings:     settings.NewState(),
+		view:         membership.New(cfg.Self.Node),
+		issuer:       claim.NewIssuer(cfg.IDValidity),
+		queue:        queue.NewOrdered(cfg.Order),
+		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
+		submissions:  make(map[task.ID]*submission),
+		jobs:         make(map[queue.JobID]*submission),
+		starts:       make(map[task.StartID]*start),
+		upstreams:    make(map[string]*upstream),
+		estimate:     admission.NewEstimator(),
+		quotas:       admission.NewQuotas(cfg.Self),
+		comeBacks:    make(map[string]*admission.ComeBack),
+		refusals:     make(map[pb.Reason]uint64),
+		inUse:        make(map[string]int),
+		peers:        make(map[task.Incarnation]*peer),
+		runs:         make(map[string]knownRun),
+		forwardsSeen: make(map[string]forwardSeen),
+		forwards:     make(map[uint64]*waiter),
+		requests:     make(map[asker]*waiter),
+		answers:      claim.NewAnswers(cfg.MaxAnswerBytes),
+		holders:      claim.NewHolders(cfg.MaxHolders),
+		adopted:      make(map[task.Incarnation]*adopted),
+		successors:   make(map[task.Incarnation]successor),
+
+		lending:         newLending(),
+		asked:           make(map[task.Incarnation]task.Time),
+		unsettledClaims: claim.NewUnsettledSet(cfg.MaxHolders),
 	}
+	c.budgets = retry.NewBudgets(c.rng)
+	c.health = health.New(cfg.Health, c.rng)
+	c.allowTeam = func(team string) bool { return c.quotas.Allow(c.now, c.placing, team) }
+	c.every(cfg.StatusInterval, c.shareQuotas)
 	c.every(cfg.StatusInterval, c.sendStatus)
 	c.every(time.Second, c.expire)
+	c.every(membersInterval, c.refreshMembers)
 	return c
 }
 
@@ -131,23 +204,27 @@
 
 // Tick runs what is due at a time. Time never goes back.
 func (c *Core) Tick(now task.Time) {
+	c.noticePause(now)
 	c.now = max(c.now, now)
 	c.runTimers()
 	c.place()
+	c.checkDrained()
 }
 
 // Step handles one event.
 func (c *Core) Step(now task.Time, e Event) {
+	c.noticePause(now)
 	c.now = max(c.now, now)
 	c.runTimers()
 	c.handle(e)
 	c.place()
+	c.checkDrained()
 }
 
 func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Submit:
-		c.submit(asker{request: e.Request}, e.Institution, e.Submission)
+		c.submit(asker{request: e.Request}, e.Institution, e.Submission, c.allowance(e.Institution, e.Submission))
 	case Cancel:
 		c.cancel(asker{request: e.Request}, e.Institution, e.ID)
 	case CallerGone:
@@ -157,7 +234,9 @@
 	case ClaimResult:
 		c.claimResult(e)
 	case MembersChanged:
-		c.membersChanged(e.Members)
+		c.membersRead(e.Members)
+	case MembersRead:
+		c.quotas.MembersRead(c.now)
 	case SettingsRead:
 		c.offerSettings(e.Settings)
 	case PeerUp:
@@ -185,12 +264,13 @@
 // Ready says whether the process may be given new work: it has settings and
 // the list of VMs, and isn't stopping.
 func (c *Core) Ready() bool {
-	return c.settings.Version() > 0 && c.listed && !c.draining
+	return c.settings.Version() > 0 && c.view.Listed() && !c.draining
 }
 
 // IssueIDs hands out a block of ids held by this incarnation; nil while it
 // isn't ready.
 func (c *Core) IssueIDs(now task.Time, count uint32) *pb.IdBlock {
+	c.noticePause(now)
 	c.now = max(c.now, now)
 	if !c.Ready() {
 		return nil
@@ -208,29 +288,3 @@
 func (c *Core) Authenticate(tokenDigest string) (string, bool) {
 	return c.settings.InstitutionOfToken(tokenDigest)
 }
-
-func (c *Core) offerSettings(s *pb.Settings) {
-	if !c.settings.Offer(s) {
-		return
-	}
-	for _, inst := range s.GetInstitutions() {
-		b := c.budgets[inst.GetName()]
-		if b == nil {
-			c.budgets[inst.GetName()] = retry.NewBudget(inst.GetRetryPercent())
-			continue
-		}
-		b.SetPercent(inst.GetRetryPercent())
-	}
-	c.emit(SettingsInForce{s})
-}
-
-func (c *Core) membersChanged(m task.Members) {
-	c.members = m
-	c.listed = true
-	c.pool.SetMembers(m)
-	for _, u := range m.Upstreams {
-		if c.upstreams[u.Name] == nil {
-			c.upstreams[u.Name] = &upstream{}
-		}
-	}
-}
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -9,21 +9,22 @@
 
 // Stats counts what this process did since its start.
 type Stats struct {
-	Starts         uint64 `json:"starts"`
-	NotStarted     uint64 `json:"not_started"`
-	Settles        uint64 `json:"settles"`
-	Stops          uint64 `json:"stops"`
-	LateResults    uint64 `json:"late_results"`
-	Resubmissions  uint64 `json:"resubmissions"`
-	Conflicts      uint64 `json:"conflicts"`
-	Cancels        uint64 `json:"cancels"`
-	Forwards       uint64 `json:"forwards"`
-	ForeignAnswers uint64 `json:"foreign_answers"`
-	PeerMessages   uint64 `json:"peer_messages"`
-	ClaimWrites    uint64 `json:"claim_writes"`
-	Borrowed       uint64 `json:"borrowed_slots"`
-	Lent           uint64 `json:"lent_slots"`
-	Reclaims       uint64 `json:"reclaimed_slots"`
+	Starts          uint64 `json:"starts"`
+	NotStarted      uint64 `json:"not_started"`
+	Settles         uint64 `json:"settles"`
+	Stops           uint64 `json:"stops"`
+	LateResults     uint64 `json:"late_results"`
+	Resubmissions   uint64 `json:"resubmissions"`
+	DoubledRequests uint64 `json:"doubled_requests"`
+	Conflicts       uint64 `json:"conflicts"`
+	Cancels         uint64 `json:"cancels"`
+	Forwards        uint64 `json:"forwards"`
+	ForeignAnswers  uint64 `json:"foreign_answers"`
+	PeerMessages    uint64 `json:"peer_messages"`
+	ClaimWrites     uint64 `json:"claim_writes"`
+	Borrowed        uint64 `json:"borrowed_slots"`
+	Lent            uint64 `json:"lent_slots"`
+	Reclaims        uint64 `json:"reclaimed_slots"`
 }
 
 // Stats returns the counters.
@@ -44,11 +45,16 @@
 	IDBlocks        int              `json:"id_blocks"`
 	KeptAnswers     int              `json:"kept_answers"`
 	KeptBytes       int              `json:"kept_bytes"`
+	OpenRequests    int              `json:"open_requests"`
+	HoldersKnown    int              `json:"holders_known"`
+	UnsettledClaims int              `json:"unsettled_claims"`
+	AnswersFor      []string         `json:"answers_for"`
 	ClaimsWaiting   int              `json:"claims_waiting"`
 	Forwards        int              `json:"forwards"`
 	Submissions     []DumpSubmission `json:"submissions"`
 	Starts          []DumpStart      `json:"starts"`
 	Peers           []DumpPeer       `json:"peers"`
+	Terms           DumpTerms        `json:"terms"`
 	Stats           Stats            `json:"stats"`
 }
 
@@ -83,6 +89,16 @@
 
 // Dump describes the present state.
 func (c *Core) Dump() Dump {
+	d := c.summary()
+	d.Submissions = c.dumpSubmissions()
+	d.Starts = c.dumpStarts()
+	d.Peers = c.dumpPeers()
+	d.Terms = c.dumpTerms()
+	return d
+}
+
+// summary is a dump without its lists.
+func (c *Core) summary() Dump {
 	return Dump{
 		Incarnation:     c.cfg.Self.String(),
 		FailureDomain:   c.cfg.FailureDomain,
@@ -92,13 +108,14 @@
 		SettingsVersion: c.settings.Version(),
 		OwnedSlots:      c.pool.Owned(),
 		IDBlocks:        c.issuer.Blocks(),
-		KeptAnswers:     len(c.kept),
-		KeptBytes:       c.keptBytes,
+		KeptAnswers:     c.answers.Len(),
+		KeptBytes:       c.answers.Bytes(),
+		OpenRequests:    len(c.requests),
+		HoldersKnown:    c.holders.Len(),
+		UnsettledClaims: c.unsettledClaims.Len(),
+		AnswersFor:      c.adoptedNames(),
 		ClaimsWaiting:   len(c.claims.waiting) + len(c.claims.inFlight),
 		Forwards:        len(c.forwards),
-		Submissions:     c.dumpSubmissions(),
-		Starts:          c.dumpStarts(),
-		Peers:           c.dumpPeers(),
 		Stats:           c.stats,
 	}
 }
@@ -107,13 +124,10 @@
 	var list []DumpSubmission
 	for _, id := range sortedIDs(c.submissions) {
 		sub := c.submissions[id]
-		if sub.phase == ended {
-			continue
-		}
 		d := DumpSubmission{
 			ID:         id.String(),
 			Phase:      "claiming",
-			Askers:     len(sub.askers),
+			Askers:     len(sub.waiters),
 			ArrivedMs:  sub.arrived.Milliseconds(),
 			DeadlineMs: sub.deadline.Milliseconds(),
 			WaitsFor:   "its claim in the table service",
@@ -133,8 +147,10 @@
 	switch {
 	case sub.assembly.Waiting() == 0:
 		return "its running tasks"
-	case len(sub.askers) == 0 && !sub.assembly.MayHaveRun():
+	case len(sub.waiters) == 0 && !sub.assembly.MayHaveRun():
 		return "a caller: nobody asks for it at present"
+	case c.blockedBy(sub) != "":
+		return c.blockedBy(sub)
 	case c.pool.Idle(sub.id.Institution) == 0:
 		return "an idle slot"
 	default:
--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -181,12 +181,22 @@
 
 // borrowRequested notes a request, to be served as slots are idle.
 func (c *Core) borrowRequested(from task.Incarnation, r *pb.BorrowRequest) {
-	c.lending.standing[counterpart{from, r.GetInstitution()}] = &request{
+	k := counterpart{from, r.GetInstitution()}
+	s := &request{
 		id:    r.GetRequest(),
 		count: int(r.GetCount()),
 		at:    c.now,
 		wait:  time.Duration(r.GetWaitMs()) * time.Millisecond,
 	}
+	c.lending.standing[k] = s
+	c.after(s.stands(), func() { forgetRequest(c.lending.standing, k, s) })
+}
+
+// forgetRequest drops a request unless a newer one has taken its place.
+func forgetRequest(m map[counterpart]*request, k counterpart, r *request) {
+	if m[k] == r {
+		delete(m, k)
+	}
 }
 
 // lendIdle grants idle slots to the peers that asked, the one with the longest
@@ -205,10 +215,6 @@
 	var best counterpart
 	var top *request
 	for k, r := range c.lending.standing {
-		if c.now-r.at >= r.stands() {
-			delete(c.lending.standing, k)
-			continue
-		}
 		if k.institution != institution {
 			continue
 		}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"sapphirepoint.example/sapphirepoint/core/membership"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -14,6 +15,9 @@
 	status        *pb.PeerStatus
 	heard         task.Time
 	sent          task.Time
+	settingsPull  pull
+	membersPull   pull
+	told          told
 }
 
 func compareIncarnations(a, b task.Incarnation) int {
@@ -47,7 +51,11 @@
 
 func (c *Core) peerUp(e PeerUp) {
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
-	c.runs[e.Peer.Node] = e.Peer.Run
+	c.noteRun(e.Peer)
+	c.quotas.PeerUp(e.Peer)
+	c.view.PeerUp(c.now, e.Peer)
+	c.refreshMembers()
+	c.announceAdopted(e.Peer)
 	c.send(e.Peer, &pb.PeerMessage{})
 }
 
@@ -55,15 +63,13 @@
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
 	delete(c.peers, p)
+	c.quotas.PeerDown(p)
+	c.view.PeerDown(c.now, p)
+	c.refreshMembers()
+	c.forwardsLost(p)
+	c.askerPeerDown(p)
+	c.handoverPeerDown(p)
 	c.lendingPeerDown(p)
-	for _, id := range c.sortedForwards() {
-		f := c.forwards[id]
-		if f.holder != p {
-			continue
-		}
-		delete(c.forwards, id)
-		c.holderOut(f.from, f.holder, f.submission.GetId(), f.digest)
-	}
 }
 
 func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
@@ -81,16 +87,24 @@
 		c.forwardAnswer(from, b.ForwardAnswer)
 	case *pb.PeerMessage_ForwardCancel:
 		c.forwardedCancel(from, b.ForwardCancel)
+	case *pb.PeerMessage_Handover:
+		c.adopt(from, b.Handover)
+	case *pb.PeerMessage_HandoverAck:
+		c.handoverAcked(from, b.HandoverAck)
+	case *pb.PeerMessage_HandoverNotice:
+		c.noticeSuccessor(from, b.HandoverNotice)
 	case *pb.PeerMessage_BorrowRequest:
 		c.borrowRequested(from, b.BorrowRequest)
 	case *pb.PeerMessage_LendGrant:
 		c.granted(from, b.LendGrant, back)
 	case *pb.PeerMessage_SettingsPull:
-		if s := c.settings.Current(); s != nil {
-			c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Settings{Settings: s}})
-		}
+		c.sendSettings(from)
 	case *pb.PeerMessage_Settings:
 		c.offerSettings(b.Settings)
+	case *pb.PeerMessage_MembersPull:
+		c.sendMembers(from)
+	case *pb.PeerMessage_Members:
+		c.membersChanged(membership.FromProto(b.Members))
 	}
 }
 
@@ -100,9 +114,10 @@
 	}
 	p.status = st
 	c.seeIdle(from, st)
-	if st.GetSettingsVersion() > c.settings.Version() {
-		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
-	}
+	c.quotas.Receive(c.now, from, st.GetQuotas())
+	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
+	c.refreshMembers()
+	c.pullNewer(from, p, st)
 }
 
 // send sends a message with this process's status riding on it.
@@ -114,7 +129,10 @@
 	p.sent = c.now
 	c.addReturns(to, m)
 	m.Status = c.status(to)
+	m.Status.Quotas = c.quotas.Status(c.now, to)
+	p.told = toldBy(m.Status)
 	c.stats.PeerMessages++
+	c.countPeerMessage(m)
 	c.emit(Send{to, m})
 }
 
@@ -123,6 +141,7 @@
 	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
 		SettingsVersion: c.settings.Version(),
+		MembersVersion:  c.view.Version(),
 		Stopping:        c.draining,
 	}
 	c.addIdle(to, st)
@@ -132,7 +151,7 @@
 // sendStatus tells peers that have heard nothing for an interval.
 func (c *Core) sendStatus() {
 	for _, p := range c.sortedPeers() {
-		if c.now-c.peers[p].sent >= c.cfg.StatusInterval {
+		if c.now-c.peers[p].sent >= c.statusDue(p) {
 			c.send(p, &pb.PeerMessage{})
 		}
 	}
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/retry"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
@@ -27,6 +26,10 @@
 	if u := c.upstreams[s.slot.Upstream]; u != nil && r.UpstreamRun != "" {
 		u.run = r.UpstreamRun
 	}
+	c.noteResult(s, r)
+	if r.Leaving {
+		c.upstreamLeaving(s.slot.Upstream)
+	}
 	switch r.Verdict {
 	case task.Finished:
 		c.finished(s, r)
@@ -48,8 +51,8 @@
 func (c *Core) settled(s *start) {
 	delete(c.starts, s.id)
 	delete(s.sub.running, s.id)
+	c.noteEnd(s)
 	c.release(s)
-	c.checkDrained()
 }
 
 func (c *Core) finished(s *start, r task.Result) {
@@ -62,6 +65,10 @@
 	}
 	sub.assembly.Finish(s.index, s.id, r.Output)
 	sub.longest = max(sub.longest, c.now-s.sent)
+	if sub.assembly.Bytes() > c.cfg.MaxJobBytes {
+		c.giveUp(sub, pb.Reason_REASON_TOO_LARGE, fmt.Sprintf("the results are larger than %d bytes", c.cfg.MaxJobBytes))
+		return
+	}
 	if !sub.assembly.Complete() {
 		return
 	}
@@ -93,12 +100,7 @@
 		panic("dispatch: not-started verdict on a task that isn't started: " + s.name)
 	}
 	sub.attempts[s.index]++
-	delay := retry.Delay(c.rng, s.attempt)
-	if !c.budgets[sub.id.Institution].Take() {
-		delay = retry.MaxDelay
-	}
-	ref := queue.Ref{Job: sub.job, Index: s.index}
-	c.after(delay, func() { c.queue.Requeue(ref) })
+	c.retryLater(s)
 }
 
 // settleLater asks the upstream what became of a start whose connection fell
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -168,6 +168,8 @@
 	UpstreamRun string
 	// Refused is set when an upstream in service turned the start away.
 	Refused bool
+	// Leaving is set when the upstream said that it is about to leave.
+	Leaving bool
 }
 
 // Slot names one execution slot of an upstream.
@@ -186,6 +188,10 @@
 	Institution   string
 	Slots         uint32
 	Leaving       bool
+	// CPUMillis, in thousandths of a core, and MemoryMiB are the size of the
+	// worker; 0 if it isn't known.
+	CPUMillis uint32
+	MemoryMiB uint32
 }
 
 // Node is an entry process on the platform's list.
