--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -160,8 +160,8 @@
 		most = limit
 	}
 	slots := c.inUse[name] + c.pool.Idle(name)
-	for _, idle := range c.lending.seen {
-		slots += idle[name]
+	for _, s := range c.lending.seen {
+		slots += s.idle[name]
 	}
 	return admission.Capacity{
 		Slots:       slots,
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -49,8 +49,10 @@
 	// MaxHolders bounds the claim rows of others, and the unsettled claims,
 	// that are remembered.
 	MaxHolders int
-	// StatusInterval is how often peers get a status if nothing else is sent.
+	// StatusInterval is how often a peer gets a status that says something new,
+	// QuietInterval one that doesn't, if nothing else is sent to it.
 	StatusInterval time.Duration
+	QuietInterval  time.Duration
 	// Lending sets how slots are lent between processes.
 	Lending Lending
 
@@ -76,6 +78,7 @@
 		MaxWaitingClaims: 5_000,
 		MaxHolders:       20_000,
 		StatusInterval:   500 * time.Millisecond,
+		QuietInterval:    2 * time.Second,
 		Lending:          DefaultLending,
 		Health:           health.DefaultConfig(),
 		Control:          DefaultControl,
--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -1,13 +1,11 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/queue"
-	"sapphirepoint.example/sapphirepoint/core/slots"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -19,46 +17,97 @@
 	// Valid is how long a loan stands on the lender's clock. The borrower
 	// starts tasks on it for half of that, so that they have ended by then.
 	Valid time.Duration
-	// Relative makes the tolerance grow with the length of a job.
-	Relative bool
-	// SparePercent is what is asked for beyond the need, in percent of it.
-	SparePercent int
-	// MaxLenders bounds the peers asked at once for one institution.
-	MaxLenders int
-	// KeepIdle is the part of idle borrowed slots that is kept when others are
-	// given back, in percent.
-	KeepIdle int
+	// Terms works out the limits from an institution's tolerance.
+	Terms func(tolerance time.Duration) LendingTerms
 }
 
-// DefaultLending is what measured best; see docs/design-placement.md.
-var DefaultLending = Lending{
-	Valid:      10 * time.Second,
-	MaxLenders: 2,
+// LendingTerms are the limits that trade response time for messages.
+type LendingTerms struct {
+	// Tolerance is how long a task of a typical job may wait for an own slot.
+	// That of a longer job may wait longer in proportion.
+	Tolerance time.Duration
+	// Slack bounds how much longer a task may wait because it is declared
+	// shorter than the longest of its job.
+	Slack time.Duration
+	// EvenPercent is the part of a lender's other idle slots that is asked for
+	// beyond the need.
+	EvenPercent int
+	// BlindWait is the least expected wait for which peers are asked that
+	// aren't known to have idle slots.
+	BlindWait time.Duration
+	// ReturnDelay is how long a borrowed slot has to be spare to go home.
+	ReturnDelay time.Duration
+	// MinReturn is the least number of slots that go home in a message of their
+	// own. Fewer wait for a message that is sent anyway.
+	MinReturn int
 }
 
+// DefaultLending is what measured best; see docs/design-placement.md.
+var DefaultLending = Lending{Valid: 60 * time.Second, Terms: TermsOf}
+
 const (
+	leastBlindWait   = 150 * time.Millisecond
+	leastReturnDelay = 15 * time.Millisecond
+	leastReturn      = 2
+	mostReturn       = 8
+	mostEvenPercent  = 60
+	// patience is how long an answer is awaited before another peer is asked.
+	patience = 20 * time.Millisecond
+	// leastStanding and mostStanding bound how long a request is served as
+	// slots come free; between them it is standPart of the borrower's wait.
+	leastStanding = 2 * time.Millisecond
+	mostStanding  = time.Second
+	standPart     = 4
+	// queueTrust is how long a peer that said that tasks wait isn't asked.
+	queueTrust = 400 * time.Millisecond
 	// lenderGrace is how long slots stay lent after the connection with their
 	// borrower is lost. Lent out again at once, they would meet tasks that the
 	// borrower started; kept for good, they would be lost.
 	lenderGrace = time.Second
-	// lenderTimeout is when a request for slots is taken to be lost.
-	lenderTimeout = time.Second
 	// minPace keeps an empty account from dividing by zero.
 	minPace = time.Microsecond
+	// meanWeight is the part of the newest run time in the running mean: 1/32.
+	meanWeight = 32
 )
 
+// TermsOf works out the limits from an institution's tolerance: none puts
+// response time first, 20 ms and more puts few messages first.
+func TermsOf(tolerance time.Duration) LendingTerms {
+	ms := int(tolerance.Milliseconds())
+	return LendingTerms{
+		Tolerance:   tolerance,
+		Slack:       3 * tolerance,
+		EvenPercent: min(3*ms, mostEvenPercent),
+		BlindWait:   leastBlindWait + 4*tolerance,
+		ReturnDelay: leastReturnDelay + tolerance,
+		MinReturn:   min(leastReturn+ms/4, mostReturn),
+	}
+}
+
 // lending is the account of loans given, and of requests for more.
 type lending struct {
 	lastLoan    uint64
 	lastRequest uint64
 	given       map[uint64]*loan
-	asked       map[uint64]*request
-	// seen is what peers last said of their idle slots, less what was asked
-	// for since.
-	seen map[task.Incarnation]map[string]int
-	// look is set while a timer stands to look at the waiting tasks again.
-	look bool
+	asked       map[counterpart]*request
+	standing    map[counterpart]*request
+	seen        map[task.Incarnation]*sight
+	// mean is the running mean of the run times of an institution's tasks.
 	mean map[string]time.Duration
+	// spare is the number of borrowed slots, by institution, that may go home.
+	spare map[string]int
+	// quiet is until when asking is known to be of no use.
+	quiet task.Time
+	// looking is set while a timer stands to look at the waiting tasks again.
+	looking bool
+	// returning is set while a timer stands to send spare slots home.
+	returning bool
+}
+
+// counterpart is a peer in the matter of one institution.
+type counterpart struct {
+	peer        task.Incarnation
+	institution string
 }
 
 // loan is slots that a peer has the use of.
@@ -67,147 +116,142 @@
 	slots []task.Slot
 }
 
-// request is a request for slots that isn't answered.
+// request is a request for slots, as the borrower or the lender keeps it.
 type request struct {
-	lender      task.Incarnation
-	institution string
-	count       int
-	sent        task.Time
+	id    uint64
+	count int
+	// at is when it was sent or came.
+	at task.Time
+	// wait is the borrower's expected wait.
+	wait time.Duration
+}
+
+// stands is how long a request is served. A short queue is soon gone, and slots
+// granted after that would go home unused.
+func (r *request) stands() time.Duration {
+	return min(max(r.wait/standPart, leastStanding), mostStanding)
+}
+
+// sight is what a peer last said of its slots.
+type sight struct {
+	// idle are its idle slots, by institution, less what was asked for since.
+	idle map[string]int
+	// queued says that it had tasks waiting.
+	queued bool
+	at     task.Time
 }
 
 func newLending() lending {
 	return lending{
-		given: make(map[uint64]*loan),
-		asked: make(map[uint64]*request),
-		seen:  make(map[task.Incarnation]map[string]int),
-		mean:  make(map[string]time.Duration),
+		given:    make(map[uint64]*loan),
+		asked:    make(map[counterpart]*request),
+		standing: make(map[counterpart]*request),
+		seen:     make(map[task.Incarnation]*sight),
+		mean:     make(map[string]time.Duration),
+		spare:    make(map[string]int),
 	}
 }
 
-// meanWeight is the part of the newest run time in the running mean: 1/32.
-const meanWeight = 32
-
 // observe takes the run time of a task into the institution's mean.
 func (c *Core) observe(institution string, took time.Duration) {
 	old := c.lending.mean[institution]
 	if old == 0 {
-		c.lending.mean[institution] = took
-		return
+		old = took
 	}
 	c.lending.mean[institution] = old + (took-old)/meanWeight
 }
 
-// borrow asks peers for slots if tasks would wait longer than tolerated.
-func (c *Core) borrow(inst *pb.Institution) {
-	name := inst.GetName()
-	if c.cfg.Lending.Off || c.queue.Tasks(name) == 0 {
-		return
-	}
-	c.lookAgain(inst)
-	lenders := c.lenders(name)
-	if len(lenders) == 0 {
-		return
-	}
-	need := c.queue.Late(c.now, name, c.demand(inst)) - c.pending(name)
-	need += need * c.cfg.Lending.SparePercent / 100
-	for _, p := range lenders {
-		if need <= 0 {
-			return
-		}
-		n := min(need, c.lending.seen[p][name])
-		c.ask(p, name, n)
-		need -= n
+func (c *Core) meanRun(institution string) time.Duration {
+	if mean := c.lending.mean[institution]; mean > 0 {
+		return mean
 	}
+	return queue.DefaultWork
 }
 
-func (c *Core) demand(inst *pb.Institution) queue.Demand {
-	name := inst.GetName()
-	mean := c.lending.mean[name]
-	if mean == 0 {
-		mean = queue.DefaultWork
-	}
-	held := max(1, c.pool.Held(name))
-	d := queue.Demand{
-		Pace:      max(mean/time.Duration(held), minPace),
-		Tolerance: time.Duration(inst.GetBorrowToleranceMs()) * time.Millisecond,
-	}
-	if c.cfg.Lending.Relative {
-		d.Typical = mean
-	}
-	return d
+// pace is the expected time between two slots of an institution coming free.
+func (c *Core) pace(institution string) time.Duration {
+	held := max(1, c.pool.Held(institution))
+	return max(c.meanRun(institution)/time.Duration(held), minPace)
 }
 
-// lookAgain sets a timer, because tasks become late when nothing happens, too.
-func (c *Core) lookAgain(inst *pb.Institution) {
-	if c.lending.look {
-		return
-	}
-	c.lending.look = true
-	wait := max(time.Duration(inst.GetBorrowToleranceMs())*time.Millisecond, minLook)
-	c.after(wait, func() { c.lending.look = false })
+// expectedWait is that of a task that joins the end of the queue.
+func (c *Core) expectedWait(institution string) time.Duration {
+	return time.Duration(c.queue.Tasks(institution)) * c.pace(institution)
 }
 
-// minLook bounds how often waiting tasks are looked at when nothing happens.
-const minLook = 20 * time.Millisecond
+// borrowRequested notes a request, to be served as slots are idle.
+func (c *Core) borrowRequested(from task.Incarnation, r *pb.BorrowRequest) {
+	k := counterpart{from, r.GetInstitution()}
+	s := &request{
+		id:    r.GetRequest(),
+		count: int(r.GetCount()),
+		at:    c.now,
+		wait:  time.Duration(r.GetWaitMs()) * time.Millisecond,
+	}
+	c.lending.standing[k] = s
+	c.after(s.stands(), func() { forgetRequest(c.lending.standing, k, s) })
+}
 
-// pending is the number of slots asked for and not answered.
-func (c *Core) pending(institution string) int {
-	n := 0
-	for _, r := range c.lending.asked {
-		if r.institution == institution {
-			n += r.count
-		}
+// forgetRequest drops a request unless a newer one has taken its place.
+func forgetRequest(m map[counterpart]*request, k counterpart, r *request) {
+	if m[k] == r {
+		delete(m, k)
 	}
-	return n
 }
 
-// lenders lists peers that are thought to have idle slots, the best first.
-func (c *Core) lenders(institution string) []task.Incarnation {
-	var list []task.Incarnation
-	for p, idle := range c.lending.seen {
-		if idle[institution] > 0 {
-			list = append(list, p)
+// lendIdle grants idle slots to the peers that asked, the one with the longest
+// wait first.
+func (c *Core) lendIdle(institution string) {
+	for len(c.lending.standing) > 0 && c.pool.Idle(institution) > 0 && !c.draining {
+		k, ok := c.neediest(institution)
+		if !ok || !c.grant(k) {
+			return
 		}
 	}
-	slices.SortFunc(list, func(a, b task.Incarnation) int {
-		seen := c.lending.seen
-		return cmp.Or(cmp.Compare(seen[b][institution], seen[a][institution]), compareIncarnations(a, b))
-	})
-	return list[:min(len(list), c.cfg.Lending.MaxLenders)]
 }
 
-func (c *Core) ask(p task.Incarnation, institution string, count int) {
-	c.lending.lastRequest++
-	id := c.lending.lastRequest
-	c.lending.asked[id] = &request{p, institution, count, c.now}
-	c.lending.seen[p][institution] -= count
-	c.send(p, &pb.PeerMessage{Body: &pb.PeerMessage_BorrowRequest{BorrowRequest: &pb.BorrowRequest{
-		Request:     id,
-		Institution: institution,
-		Count:       uint32(count),
-		QueuedTasks: uint32(c.queue.Tasks(institution)),
-	}}})
-	c.after(lenderTimeout, func() { delete(c.lending.asked, id) })
+// neediest finds the standing request with the longest expected wait.
+func (c *Core) neediest(institution string) (counterpart, bool) {
+	var best counterpart
+	var top *request
+	for k, r := range c.lending.standing {
+		if k.institution != institution {
+			continue
+		}
+		if top == nil || r.wait > top.wait || r.wait == top.wait && compareIncarnations(k.peer, best.peer) < 0 {
+			best, top = k, r
+		}
+	}
+	return best, top != nil
 }
 
-// lend answers a request for slots, with none if there are none.
-func (c *Core) lend(to task.Incarnation, r *pb.BorrowRequest) {
+// grant gives slots on a standing request: those borrowed from the peer before
+// own ones. It reports false if there were none to give.
+func (c *Core) grant(k counterpart) bool {
+	r := c.lending.standing[k]
+	back := c.pool.GiveBackIdle(k.peer, r.count)
 	c.lending.lastLoan++
 	id := c.lending.lastLoan
-	l := &loan{to: to}
-	if !c.draining && c.queue.Tasks(r.GetInstitution()) == 0 {
-		l.slots = c.pool.Lend(r.GetInstitution(), int(r.GetCount()), to, id)
+	l := &loan{to: k.peer, slots: c.pool.Lend(k.institution, r.count-back, k.peer, id)}
+	given := back + len(l.slots)
+	if given == 0 {
+		return false
 	}
-	grant := &pb.LendGrant{Request: r.GetRequest(), Loan: id, ValidMs: uint32(c.cfg.Lending.Valid.Milliseconds())}
+	r.count -= given
+	if r.count == 0 {
+		delete(c.lending.standing, k)
+	}
+	grant := &pb.LendGrant{Request: r.id, Loan: id, ValidMs: uint32(c.cfg.Lending.Valid.Milliseconds())}
 	for _, s := range l.slots {
 		grant.Slots = append(grant.Slots, &pb.Slot{Upstream: s.Upstream, Index: s.Index})
 	}
-	c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_LendGrant{LendGrant: grant}})
-	if len(l.slots) == 0 {
-		return
+	c.send(k.peer, &pb.PeerMessage{Body: &pb.PeerMessage_LendGrant{LendGrant: grant}})
+	if len(l.slots) > 0 {
+		c.stats.Lent += uint64(len(l.slots))
+		c.lending.given[id] = l
+		c.after(c.cfg.Lending.Valid, func() { c.endLoan(id) })
 	}
-	c.lending.given[id] = l
-	c.after(c.cfg.Lending.Valid, func() { c.endLoan(id) })
+	return true
 }
 
 // endLoan takes back what is left of a loan. Without it the slots of a
@@ -225,55 +269,31 @@
 	}
 }
 
-// granted takes over the slots of an answered request. The time for which they
-// may be used counts from the request, so that it ends before the lender's.
-func (c *Core) granted(from task.Incarnation, g *pb.LendGrant) {
-	r := c.lending.asked[g.GetRequest()]
-	delete(c.lending.asked, g.GetRequest())
-	list := make([]task.Slot, 0, len(g.GetSlots()))
-	for _, s := range g.GetSlots() {
-		list = append(list, task.Slot{Upstream: s.GetUpstream(), Index: s.GetIndex()})
-	}
-	c.pool.Borrow(from, g.GetLoan(), list)
-	c.stats.Borrowed += uint64(len(list))
-	use := time.Duration(g.GetValidMs()) * time.Millisecond / 2
-	if r != nil {
-		use -= c.now - r.sent
-	}
-	c.after(max(use, 0), func() { c.pool.EndLoan(from, g.GetLoan()) })
-}
-
-// returned takes slots back that rode on a message.
-func (c *Core) returned(list []*pb.LendReturn) {
+// returned takes slots back that rode on a message, and counts them.
+func (c *Core) returned(list []*pb.LendReturn) int {
+	n := 0
 	for _, r := range list {
 		for _, s := range r.GetSlots() {
-			c.pool.TakeBack(task.Slot{Upstream: s.GetUpstream(), Index: s.GetIndex()}, r.GetLoan())
+			if c.pool.TakeBack(task.Slot{Upstream: s.GetUpstream(), Index: s.GetIndex()}, r.GetLoan()) {
+				n++
+			}
 		}
 	}
+	return n
 }
 
-// addReturns lets idle borrowed slots ride home on a message to their lender.
-func (c *Core) addReturns(to task.Incarnation, m *pb.PeerMessage) {
-	c.pool.GiveBackIdle(to, slots.All)
-	for _, r := range c.pool.Returns(to) {
-		back := &pb.LendReturn{Loan: r.Loan}
-		for _, s := range r.Slots {
-			back.Slots = append(back.Slots, &pb.Slot{Upstream: s.Upstream, Index: s.Index})
-		}
-		m.Returns = append(m.Returns, back)
-	}
-}
-
-// addIdle tells peers of this process's idle slots.
-func (c *Core) addIdle(st *pb.PeerStatus) {
+// addIdle tells a peer of the idle slots that it could have: own ones and those
+// borrowed from it.
+func (c *Core) addIdle(to task.Incarnation, st *pb.PeerStatus) {
 	if c.draining {
 		return
 	}
 	for _, inst := range c.settings.Current().GetInstitutions() {
 		name := inst.GetName()
-		n := c.pool.IdleOwn(name)
-		st.QueuedTasks += uint32(c.queue.Tasks(name))
-		if n == 0 || c.queue.Tasks(name) > 0 {
+		waiting := c.queue.Tasks(name)
+		n := c.pool.IdleOwn(name) + c.pool.IdleBorrowed(to)
+		st.QueuedTasks += uint32(waiting)
+		if n == 0 || waiting > 0 {
 			continue
 		}
 		st.IdleSlots += uint32(n)
@@ -281,25 +301,12 @@
 	}
 }
 
-// seeIdle notes what a peer says of its idle slots.
-func (c *Core) seeIdle(from task.Incarnation, st *pb.PeerStatus) {
-	idle := make(map[string]int, len(st.GetIdle()))
-	if !st.GetStopping() {
-		for _, i := range st.GetIdle() {
-			idle[i.GetInstitution()] = int(i.GetSlots())
-		}
-	}
-	c.lending.seen[from] = idle
-}
-
 // lendingPeerDown ends the dealings with a peer that can't be reached.
 func (c *Core) lendingPeerDown(p task.Incarnation) {
 	delete(c.lending.seen, p)
-	for id, r := range c.lending.asked {
-		if r.lender == p {
-			delete(c.lending.asked, id)
-		}
-	}
+	other := func(k counterpart, _ *request) bool { return k.peer == p }
+	maps.DeleteFunc(c.lending.asked, other)
+	maps.DeleteFunc(c.lending.standing, other)
 	c.pool.LenderGone(p)
 	for _, id := range slices.Sorted(maps.Keys(c.lending.given)) {
 		if c.lending.given[id].to == p {
