--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -45,6 +45,12 @@
 	maxTasks   = 980
 	downTime   = 2 * time.Second
 	ratioScale = 1000
+	// Metrics that the report adds up.
+	wastedMetric  = "sapphirepoint_wasted_messages_total"
+	answersMetric = "sapphirepoint_answers_total"
+	cpuMetric     = "process_cpu_seconds_total"
+	// oldJobMs is the age at which a job's wait is told.
+	oldJobMs = 8000
 )
 
 // loadJob is a job with the best response that the slots allow: that of its
@@ -98,6 +104,9 @@
 		t.outcomes["PARTIAL"]++
 	}
 	t.slowest = max(t.slowest, took)
+	if took > j.ideal+oldJobMs*time.Millisecond {
+		fmt.Printf("%v for %d tasks, ideal %v\n", took, len(j.submission.GetTasks()), j.ideal)
+	}
 	_ = t.ratios.RecordValue(int64(float64(took) / float64(j.ideal) * ratioScale))
 }
 
@@ -111,7 +120,7 @@
 	values := map[string]float64{}
 	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
 		name, value, _ := strings.Cut(lines.Text(), " ")
-		if !strings.HasPrefix(name, "sapphirepoint_wasted") && name != "process_cpu_seconds_total" {
+		if !strings.HasPrefix(name, wastedMetric) && !strings.HasPrefix(name, answersMetric) && name != cpuMetric {
 			continue
 		}
 		v, err := strconv.ParseFloat(value, 64)
@@ -224,6 +233,33 @@
 		accepted.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
 }
 
+// watch prints what jobs wait for that are older than any task runs.
+func (r *loadRun) watch(ctx context.Context) {
+	told := map[string]bool{}
+	for ctx.Err() == nil {
+		time.Sleep(time.Second)
+		for _, e := range r.d.entries {
+			state := e.dump()
+			list, _ := state["submissions"].([]any)
+			for _, each := range list {
+				s, _ := each.(map[string]any)
+				age := number(state["now_ms"]) - number(s["arrived_ms"])
+				id, _ := s["id"].(string)
+				if age < oldJobMs || told[id] {
+					continue
+				}
+				told[id] = true
+				fmt.Printf("%s: %s waits for %.0f ms: %v\n", e.name, id, age, s)
+			}
+		}
+	}
+}
+
+func number(v any) float64 {
+	n, _ := v.(float64)
+	return n
+}
+
 func (r *loadRun) report(seconds float64) {
 	t := r.tally
 	second := 0
@@ -241,13 +277,16 @@
 	fmt.Printf("response over ideal: mean %.3f p50 %.3f p99 %.3f, slowest answer %v\n", t.ratios.Mean()/ratioScale, ratio(50), ratio(99), t.slowest.Round(time.Millisecond))
 	wasted := 0.0
 	for _, name := range sortedKeys(r.totals) {
-		if strings.HasPrefix(name, "sapphirepoint_wasted") && r.totals[name] > 0 {
+		if strings.HasPrefix(name, answersMetric) {
+			fmt.Printf("  %6.0f %s\n", r.totals[name], name)
+		}
+		if strings.HasPrefix(name, wastedMetric) && r.totals[name] > 0 {
 			wasted += r.totals[name]
 			fmt.Printf("  %9.4f a task %s\n", r.totals[name]/float64(t.tasks), name)
 		}
 	}
 	fmt.Printf("wasted messages a task %.3f\n", wasted/float64(t.tasks))
-	cpu := r.totals["process_cpu_seconds_total"]
+	cpu := r.totals[cpuMetric]
 	fmt.Printf("entry processes: %.0f µs of processor time a task, %.1f%% of a core each, at most %.0f MiB resident\n",
 		cpu/float64(t.tasks)*1e6, cpu/seconds/float64(len(r.d.entries))*100, r.peak)
 }
@@ -280,6 +319,12 @@
 			}
 			r.applyOnce(ctx)
 		})
+		if *loadKill == 0 {
+			others.Go(func() {
+				defer GinkgoRecover()
+				r.watch(ctx)
+			})
+		}
 		began := time.Now()
 		r.submit(ctx)
 		seconds := time.Since(began).Seconds()
