--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -78,6 +78,7 @@
 		StatusInterval:   500 * time.Millisecond,
 		Lending:          DefaultLending,
 		Health:           health.DefaultConfig(),
+		Control:          DefaultControl,
 		Order:            queue.DefaultOrder,
 	}
 }
@@ -97,6 +98,7 @@
 	pool     *slots.Pool
 	members  task.Members
 	view     *membership.View
+	absent   map[string]absence
 
 	submissions map[task.ID]*submission
 	jobs        map[queue.JobID]*submission
@@ -113,6 +115,8 @@
 	workers     map[string]size
 	// inUse is the number of starts that aren't settled, by institution.
 	inUse map[string]int
+	// lastIdle is when an institution last had no task waiting.
+	lastIdle map[string]task.Time
 	// placing is the institution that allowTeam asks for.
 	placing   string
 	allowTeam func(team string) bool
@@ -157,6 +161,7 @@
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:     settings.NewState(),
 		view:         membership.New(cfg.Self.Node),
+		absent:       make(map[string]absence),
 		issuer:       claim.NewIssuer(cfg.IDValidity),
 		queue:        queue.NewOrdered(cfg.Order),
 		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
@@ -166,6 +171,7 @@
 		upstreams:    make(map[string]*upstream),
 		estimate:     admission.NewEstimator(),
 		quotas:       admission.NewQuotas(cfg.Self),
+		lastIdle:     make(map[string]task.Time),
 		comeBacks:    make(map[string]*admission.ComeBack),
 		refusals:     make(map[pb.Reason]uint64),
 		inUse:        make(map[string]int),
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -51,9 +51,9 @@
 func (c *Core) peerUp(e PeerUp) {
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
 	c.noteRun(e.Peer)
-	c.quotas.PeerUp(e.Peer)
 	c.view.PeerUp(c.now, e.Peer)
 	c.refreshMembers()
+	c.quotas.PeerUp(e.Peer)
 	c.announceAdopted(e.Peer)
 	c.send(e.Peer, &pb.PeerMessage{})
 }
@@ -61,10 +61,11 @@
 // peerDown answers what waited for the peer: at once, because its state can't
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
+	c.noteAbsence(p)
 	delete(c.peers, p)
-	c.quotas.PeerDown(p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
+	c.quotas.PeerDown(p)
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
@@ -113,10 +114,10 @@
 	}
 	p.status = st
 	c.seeIdle(from, st)
-	c.quotas.Receive(c.now, from, st.GetQuotas())
 	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
 	c.refreshMembers()
 	c.pullNewer(from, p, st)
+	c.quotas.Receive(c.now, from, st.GetQuotas())
 }
 
 // send sends a message with this process's status riding on it.
