Give a handed-over answer to a claim that was under way

An entry wrote the claim of a key while a peer that stopped handed it the answer; the row then named the peer, and the answer was looked for before the claim but not after it. Change: whoever answers for an ended process looks at the kept answers first.

--- a/core/dispatch/adopt.go
+++ b/core/dispatch/adopt.go
@@ -63,10 +63,15 @@
 	c.adopted[holder] = &adopted{claim.Restore(blocks, until), until}
 }
 
-// answerAdopted answers for an ended incarnation whose answer to the request
-// isn't kept. A number that it never used will never be used: its process
-// closed admission before it handed over.
+// answerAdopted answers for an ended incarnation. Its answer may have been
+// handed over while the claim of the same key was being written here. A number
+// that it never used will never be used: its process closed admission before it
+// handed over.
 func (c *Core) answerAdopted(r *waiter, holder task.Incarnation) {
+	if kept := c.answers.Get(r.id); kept != nil {
+		c.replyKept(r, kept)
+		return
+	}
 	a := c.adopted[holder]
 	if r.id.Issued() && a.issuer.State(c.now, r.id.Number) == claim.Fresh {
 		word := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_NOT_RUN, pb.Reason_REASON_HOLDER_GONE, "the process that issued the id stopped before it was used")
--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -140,3 +140,23 @@
 	b.ReportMetric(float64(bytes)/n, "bytes/answer")
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/n, "ns/answer")
 }
+
+// A caller asks again through the entry VM to which its answer is just being
+// handed over. The key's row names the stopped process, and the answer arrived
+// while the claim was being written: the caller must get it, not "failed".
+func TestAnswerHandedOverDuringAClaim(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(*Config) {})
+	stopped := task.Incarnation{Node: "entry-2", Run: 2}
+	c.Step(ms, PeerUp{stopped, "domain-0"})
+	c.Step(ms, Submit{1, inst, settlement("k")})
+	w := commands[ClaimWrite](c)[0]
+	done := answerFor(w.Claims[0].ID, w.Claims[0].Digest, pb.Outcome_OUTCOME_COMPLETE, 0, "")
+	c.Step(2*ms, PeerMessage{stopped, &pb.PeerMessage{Body: &pb.PeerMessage_Handover{Handover: &pb.Handover{
+		Sequence: 1, From: stopped.Proto(), Last: true,
+		Claims:  []*pb.HandedClaim{{Institution: inst, Answer: done, KeepMs: 60_000}},
+		Holders: []*pb.HandedHolder{{Holder: stopped.Proto(), KeepMs: 60_000}},
+	}}}})
+	c.Step(3*ms, ClaimResult{Batch: w.Batch, OK: true, Conflicts: []ClaimConflict{{w.Claims[0].ID, stopped, w.Claims[0].Digest, 7}}})
+	g.Expect(commands[Reply](c)[0].Answer).To(gomega.BeIdenticalTo(done))
+}
