--- a/e2e/upstreams_test.go
+++ b/e2e/upstreams_test.go
@@ -99,8 +99,11 @@
 		const callers = 20
 		var all sync.WaitGroup
 		words := make([]*pb.Answer, callers)
-		for i := range callers {
-			s := d.entries[0].job(10, 100)
+		jobs := make([]*pb.Submission, callers)
+		for i := range jobs {
+			jobs[i] = d.entries[0].job(10, 400)
+		}
+		for i, s := range jobs {
 			all.Go(func() {
 				ctx := GinkgoT().Context()
 				words[i], _ = d.entries[0].client().SubmitOnce(ctx, s)
