Share which upstreams are closed for failures, on status messages

Each entry process learnt of a failing upstream by its own lost jobs and tried it again by its own trials. The names of closed upstreams now ride on status messages. A report closes nothing (the peer may be at fault); it makes one failure here enough, and leaves trials to the first by name of those who have closed the upstream.

TestOneProcessTriesForAll fails when a report counts for nothing and when everybody tries; both seen.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -185,6 +185,7 @@
 		unsettledClaims: claim.NewUnsettledSet(cfg.MaxHolders),
 	}
 	c.budgets = retry.NewBudgets(c.rng)
+	cfg.Health.Self = cfg.Self.Node
 	c.health = health.New(cfg.Health, c.rng)
 	c.allowTeam = func(team string) bool { return c.quotas.Allow(c.now, c.placing, team) }
 	c.every(cfg.StatusInterval, c.shareQuotas)
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -57,7 +57,7 @@
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
 	delete(c.peers, p)
-	c.quotas.PeerDown(p)
+	c.termsPeerDown(p)
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
@@ -104,7 +104,7 @@
 	}
 	p.status = st
 	c.seeIdle(from, st)
-	c.quotas.Receive(c.now, from, st.GetQuotas())
+	c.seeTerms(from, st)
 	if st.GetSettingsVersion() > c.settings.Version() {
 		c.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_SettingsPull{SettingsPull: &pb.SettingsPull{}}})
 	}
@@ -119,7 +119,7 @@
 	p.sent = c.now
 	c.addReturns(to, m)
 	m.Status = c.status()
-	m.Status.Quotas = c.quotas.Status(c.now, to)
+	c.addTerms(to, m.Status)
 	c.stats.PeerMessages++
 	c.countPeerMessage(m)
 	c.emit(Send{to, m})
--- a/core/dispatch/upstreams.go
+++ b/core/dispatch/upstreams.go
@@ -133,3 +133,23 @@
 	c.workers = sizesOf(m.Upstreams)
 	c.reweigh()
 }
+
+// addTerms lets what peers need to know of quotas and upstreams ride on a
+// status.
+func (c *Core) addTerms(to task.Incarnation, st *pb.PeerStatus) {
+	st.Quotas = c.quotas.Status(c.now, to)
+	st.Ejected = c.health.Ejected()
+}
+
+// seeTerms takes what a peer's status says of quotas and upstreams.
+func (c *Core) seeTerms(from task.Incarnation, st *pb.PeerStatus) {
+	c.quotas.Receive(c.now, from, st.GetQuotas())
+	if !c.cfg.Health.Alone {
+		c.health.Reported(from.Node, st.GetEjected())
+	}
+}
+
+func (c *Core) termsPeerDown(p task.Incarnation) {
+	c.quotas.PeerDown(p)
+	c.health.Reported(p.Node, nil)
+}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -42,6 +42,10 @@
 	// MaxEjectedPercent limits the upstreams of an institution in a failure
 	// domain that are closed for failures at once.
 	MaxEjectedPercent int
+	// Self is the name by which peers list this process.
+	Self string
+	// Alone ignores what peers report.
+	Alone bool
 	// Off gives every upstream its full weight, to compare with.
 	Off bool
 }
@@ -114,7 +118,9 @@
 	at          int
 	ceiling     *pool
 	groups      [2]*group
-	spec        task.Upstream
+	// reporters are the peers that have closed it for failures.
+	reporters []string
+	spec      task.Upstream
 }
 
 func (u *upstream) history(service int) *history {
@@ -151,7 +157,10 @@
 	services  map[string]int
 	order     []*upstream
 	changes   []Change
-	stats     Stats
+	reports   map[string][]string
+	// ejected counts upstreams closed for failures or on trial.
+	ejected int
+	stats   Stats
 }
 
 // New returns an empty tracker. The random source jitters waits.
@@ -161,6 +170,7 @@
 		rng:       rng,
 		upstreams: make(map[string]*upstream),
 		services:  make(map[string]int),
+		reports:   make(map[string][]string),
 	}
 }
 
@@ -231,7 +241,7 @@
 // comeBack opens an upstream step by step.
 func (t *Tracker) comeBack(u *upstream) {
 	t.stats.Returns++
-	u.ceiling.ejected--
+	t.count(u, -1)
 	u.state = returning
 	u.share = returnFrom
 	clear(u.services)
@@ -244,7 +254,7 @@
 	case ejected:
 		return
 	case probing:
-		u.ceiling.ejected--
+		t.count(u, -1)
 		t.eject(now, u)
 		t.postponeGroups(now, u)
 		return
@@ -261,7 +271,7 @@
 
 // limit is the evidence that closes an upstream.
 func (t *Tracker) limit(u *upstream) float64 {
-	if u.state == returning || t.beside(u) {
+	if u.state == returning || len(u.reporters) > 0 || t.beside(u) {
 		return enoughBeside
 	}
 	return enough
@@ -278,7 +288,7 @@
 		return
 	}
 	t.stats.Ejections++
-	u.ceiling.ejected++
+	t.count(u, 1)
 	u.level++
 	if u.closedAt > 0 && now-u.closedAt > calm*u.wait {
 		u.level = 1
@@ -290,6 +300,12 @@
 	t.reweigh(u)
 }
 
+// count takes account of an upstream closed for failures, or no longer so.
+func (t *Tracker) count(u *upstream, n int) {
+	u.ceiling.ejected += n
+	t.ejected += n
+}
+
 // goAway closes an upstream that can't be reached or refuses.
 func (t *Tracker) goAway(now task.Time, u *upstream) {
 	if u.state == ejected || u.state == away && now < u.until {
@@ -298,7 +314,7 @@
 	t.stats.Away++
 	switch u.state {
 	case probing:
-		u.ceiling.ejected--
+		t.count(u, -1)
 		t.eject(now, u)
 		return
 	case away:
@@ -337,6 +353,9 @@
 		}
 		switch u.state {
 		case ejected:
+			if t.triedElsewhere(now, u) {
+				continue
+			}
 			t.stats.Probes++
 			u.state = probing
 			u.until = 0
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -38,8 +38,10 @@
 }
 
 // seasoned returns a tracker all of whose upstreams have been doing well.
-func seasoned() *health.Tracker {
-	t := health.New(health.DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+func seasoned() *health.Tracker { return seasonedWith(health.DefaultConfig()) }
+
+func seasonedWith(cfg health.Config) *health.Tracker {
+	t := health.New(cfg, rand.New(rand.NewPCG(1, 2)))
 	t.SetMembers(upstreams())
 	for range 10 {
 		for _, u := range upstreams() {
@@ -90,10 +92,10 @@
 	g.Expect(h.Weight("u03")).To(gomega.Equal(1.0))
 	fail(h, time.Second, "u03")
 	g.Expect(h.Weight("u03")).To(gomega.BeZero())
-	g.Expect(h.Ejected()).To(gomega.BeZero(), "nobody has done better yet")
+	g.Expect(h.Ejected()).To(gomega.BeEmpty(), "nobody has done better yet")
 	succeed(h, time.Second+time.Millisecond, "u00", "u08", "u09")
 	h.Tick(time.Second + 60*time.Millisecond)
-	g.Expect(h.Ejected()).To(gomega.Equal(1))
+	g.Expect(h.Ejected()).To(gomega.Equal([]string{"u03"}))
 	g.Expect(closed(h)).To(gomega.Equal(1))
 }
 
@@ -216,6 +218,27 @@
 	g.Expect(h.Weight("u09")).To(gomega.Equal(1.0))
 }
 
+// Seven entry VMs each find that a runner fails everything. If each tried it
+// again by itself, the runner would cost seven jobs where one is enough.
+func TestOneProcessTriesForAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cfg := health.DefaultConfig()
+	cfg.Self = "entry-2"
+	h := seasonedWith(cfg)
+	h.Reported("entry-1", []string{"u03"})
+	fail(h, time.Second, "u03")
+	succeed(h, time.Second, "u00", "u08", "u09")
+	h.Tick(2 * time.Second)
+	g.Expect(h.Ejected()).To(gomega.Equal([]string{"u03"}), "one failure is enough")
+	for now := 2 * time.Second; now < 30*time.Second; now += 100 * time.Millisecond {
+		h.Tick(now)
+		g.Expect(h.Weight("u03")).To(gomega.BeZero())
+	}
+	h.Reported("entry-1", nil)
+	h.Tick(31 * time.Second)
+	g.Expect(h.Weight("u03")).To(gomega.Equal(health.MinWeight))
+}
+
 // Whatever the upstreams do, at most half of a failure domain's upstreams are
 // closed for failures, each closed one is due for a trial, and weights stay
 // between 0 and 1.
@@ -239,7 +262,7 @@
 					rt.Fatalf("change %+v at %v", c, now)
 				}
 			}
-			if n := h.Ejected(); n > 8 {
+			if n := len(h.Ejected()); n > 8 {
 				rt.Fatalf("%d upstreams are closed for failures", n)
 			}
 		}
--- a/core/health/members.go
+++ b/core/health/members.go
@@ -42,13 +42,14 @@
 	pools := make(map[string]*pool)
 	ceilings := make(map[[2]string]*pool)
 	groups := make(map[[3]string]*group)
+	t.ejected = 0
 	for _, u := range t.order {
 		s := u.spec
 		u.pool = join(pools, s.Institution, u)
 		u.at = len(u.pool.members) - 1
 		u.ceiling = join(ceilings, [2]string{s.Institution, s.FailureDomain}, u)
 		if u.state == ejected || u.state == probing {
-			u.ceiling.ejected++
+			t.count(u, 1)
 		}
 		u.groups = [2]*group{
 			joinGroup(groups, [3]string{"worker", s.FailureDomain, s.Worker}, u),
--- a/core/health/report.go
+++ b/core/health/report.go
@@ -17,17 +17,6 @@
 	return 1
 }
 
-// Ejected is the number of upstreams closed for failures.
-func (t *Tracker) Ejected() int {
-	n := 0
-	for _, u := range t.order {
-		if u.state == ejected || u.state == probing {
-			n++
-		}
-	}
-	return n
-}
-
 // Status is the health of one upstream that isn't in full use.
 type Status struct {
 	Upstream string  `json:"upstream"`
--- /dev/null
+++ b/core/health/share.go
@@ -0,0 +1,62 @@
+package health
+
+import (
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+// shareWait is how long a trial is put off at a time while another process
+// makes it.
+const shareWait = time.Second
+
+// Ejected lists the upstreams that this process has closed for failures, for
+// its peers.
+func (t *Tracker) Ejected() []string {
+	if t.ejected == 0 {
+		return nil
+	}
+	var list []string
+	for _, u := range t.order {
+		if u.state == ejected || u.state == probing {
+			list = append(list, u.name)
+		}
+	}
+	return list
+}
+
+// Reported takes what a peer lists, in place of what it listed before; nothing
+// if it is gone.
+//
+// A report closes no upstream: the peer may be at fault itself, and its
+// mistake would be everybody's. It makes one failure here enough to close it,
+// and leaves the trials, each of which may cost a caller's job, to the process
+// that is first by name of those which have closed it.
+func (t *Tracker) Reported(peer string, names []string) {
+	for _, name := range t.reports[peer] {
+		if u := t.upstreams[name]; u != nil {
+			u.reporters = slices.DeleteFunc(u.reporters, func(p string) bool { return p == peer })
+		}
+	}
+	delete(t.reports, peer)
+	if len(names) == 0 {
+		return
+	}
+	t.reports[peer] = names
+	for _, name := range names {
+		if u := t.upstreams[name]; u != nil {
+			u.reporters = append(u.reporters, peer)
+		}
+	}
+}
+
+// triedElsewhere puts off the trial of an upstream that another process makes.
+func (t *Tracker) triedElsewhere(now task.Time, u *upstream) bool {
+	if !slices.ContainsFunc(u.reporters, func(p string) bool { return p < t.cfg.Self }) {
+		return false
+	}
+	u.until = now + shareWait
+	t.reweigh(u)
+	return true
+}
