--- a/core/admission/lending.go
+++ b/core/admission/lending.go
@@ -114,6 +114,20 @@
 	return st
 }
 
+// Sharing says whether units are lent between this process and a peer, or are
+// wanted, so that the peer should hear soon.
+func (q *Quotas) Sharing(with task.Incarnation) bool {
+	if len(q.demand) > 0 {
+		return true
+	}
+	for _, l := range q.order {
+		if l.lentTo[with] != nil || l.borrowed[with] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // nextSerial is never used twice, so that a loan that was ended and forgotten
 // isn't taken for a later one.
 func (q *Quotas) nextSerial() uint64 {
--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -160,8 +160,8 @@
 		most = limit
 	}
 	slots := c.inUse[name] + c.pool.Idle(name)
-	for _, idle := range c.lending.seen {
-		slots += idle[name]
+	for _, s := range c.lending.seen {
+		slots += s.idle[name]
 	}
 	return admission.Capacity{
 		Slots:       slots,
@@ -209,13 +209,18 @@
 
 // nextTask takes the task to be served next, within quotas and ceiling.
 func (c *Core) nextTask(institution string) (queue.Ref, bool) {
-	if !c.quotas.Room(c.now, admission.Key{Institution: institution}) {
+	if !c.belowCeiling(institution) {
 		return queue.Ref{}, false
 	}
 	c.placing = institution
 	return c.queue.Next(c.now, institution, c.allowTeam)
 }
 
+// belowCeiling says whether the institution may hold one more slot.
+func (c *Core) belowCeiling(institution string) bool {
+	return c.quotas.Room(c.now, admission.Key{Institution: institution})
+}
+
 // giveUpHopeless ends a job if a task of it that is about to be started can't
 // end in its time; it reports whether it did. Started, it would hold a slot
 // for an answer that nobody gets.
