--- /dev/null
+++ b/bench/overload_test.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+)
+
+// small is a quarter of a site, so that these runs stay short.
+func small() Stresses {
+	s := Stresses{Site: Hollowell, Seed: 1, Length: 20 * time.Second}
+	s.Site.Upstreams = 12
+	s.Site.Entries = 3
+	return s
+}
+
+// Three times as many jobs arrive as can be done. If slots go to jobs that
+// miss their time, fewer kitchens get their labels than at full load.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	g := gomega.NewWithT(t)
+	runs := all([]Stress{small().stress("", 1, nil), small().stress("", 1.3, nil), small().stress("", 3, nil)})
+	for _, r := range runs[1:] {
+		g.Expect(r.Goodput()).To(gomega.BeNumerically(">=", 0.95*runs[0].Goodput()))
+	}
+}
+
+// One runner fails everything at once. It may cost its first few tasks and the
+// trials, but not a part of all jobs.
+func TestFailingUpstreamCostsFewJobs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := small().stress("", 0.8, nil)
+	s.Events = map[time.Duration]func(*Run){5 * time.Second: func(r *Run) {
+		r.Break(FailsAll, func(i int, _ task.Upstream) bool { return i == 5 })
+	}}
+	r := NewRun(s).Do()
+	g.Expect(r.Total.Broken).To(gomega.BeNumerically("<=", 12))
+	g.Expect(r.Total.Jobs).To(gomega.BeNumerically(">", 400))
+}
+
+// A power cut ends the rush and every caller cancels at once. One message for
+// each running task must do, and none for those that wait.
+func TestCancellationWaveCostsOneMessageATask(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := small().stress("", 1.3, nil)
+	var running, cancelled, before, after int
+	s.Events = map[time.Duration]func(*Run){
+		10 * time.Second:                     func(r *Run) { running, before, cancelled = r.Running(), r.Stops, r.CancelAll() },
+		10*time.Second + 20*time.Millisecond: func(r *Run) { after = r.Stops },
+	}
+	NewRun(s).Do()
+	g.Expect(cancelled).To(gomega.BeNumerically(">", 50))
+	g.Expect(after-before).To(gomega.BeNumerically("<=", running+5), "a few start and end within the 20 ms")
+}
--- a/core/dispatch/upstreams.go
+++ b/core/dispatch/upstreams.go
@@ -64,7 +64,13 @@
 		c.estimate.Observe(s.sub.id.Institution, s.terms.service, s.terms.declared, took)
 		slowness = float64(took) / float64(max(s.terms.expected, time.Millisecond))
 	}
-	c.health.Observe(c.now, s.slot.Upstream, s.terms.service, o, slowness)
+	c.health.Observe(c.now, health.Result{
+		Upstream: s.slot.Upstream,
+		Service:  s.terms.service,
+		Outcome:  o,
+		Sent:     s.sent,
+		Slowness: slowness,
+	})
 	c.reweigh()
 }
 
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -177,18 +177,28 @@
 // Stats returns the counters.
 func (t *Tracker) Stats() Stats { return t.stats }
 
-// Observe takes the outcome of one task start. Slowness is the task's run time
-// over what was expected of it; 0 if it isn't known.
-func (t *Tracker) Observe(now task.Time, name, service string, o Outcome, slowness float64) {
-	u := t.upstreams[name]
+// Result is what became of one task start.
+type Result struct {
+	Upstream, Service string
+	Outcome           Outcome
+	// Sent is when the task was sent.
+	Sent task.Time
+	// Slowness is the task's run time over what was expected of it; 0 if it
+	// isn't known.
+	Slowness float64
+}
+
+// Observe takes a result.
+func (t *Tracker) Observe(now task.Time, r Result) {
+	u := t.upstreams[r.Upstream]
 	if u == nil || t.cfg.Off {
 		return
 	}
-	switch o {
+	switch r.Outcome {
 	case Succeeded:
-		t.succeeded(now, u, t.serviceOf(u, service), slowness)
+		t.succeeded(now, u, r)
 	case TaskFailed:
-		t.failed(now, u, t.serviceOf(u, service))
+		t.failed(now, u, t.serviceOf(u, r.Service))
 	case Refused:
 		u.refused++
 		if u.refused >= refusals || u.state != open {
@@ -211,14 +221,20 @@
 	return &u.services[i]
 }
 
-func (t *Tracker) succeeded(now task.Time, u *upstream, h *history, slowness float64) {
-	h.add(now, false)
-	u.refused = 0
-	u.lastSuccess = now
-	if slowness > 0 {
-		x := math.Log(min(max(slowness, 1.0/ratioLimit), ratioLimit))
+func (t *Tracker) succeeded(now task.Time, u *upstream, r Result) {
+	if r.Slowness > 0 {
+		x := math.Log(min(max(r.Slowness, 1.0/ratioLimit), ratioLimit))
 		u.slowness += slowGain * (x - u.slowness)
 	}
+	h := t.serviceOf(u, r.Service)
+	if h.failed&1 == 1 && r.Sent < h.failingSince {
+		// It began before the upstream began to fail. Counted, the tasks that
+		// were running then would hide for seconds that all later ones fail.
+		return
+	}
+	h.add(now, false)
+	u.refused = 0
+	u.lastSuccess = r.Sent
 	switch u.state {
 	case ejected:
 		// A task sent before the ejection: it says nothing of the present.
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -45,22 +45,26 @@
 	t.SetMembers(upstreams())
 	for range 10 {
 		for _, u := range upstreams() {
-			t.Observe(0, u.Name, label, health.Succeeded, 1)
+			observe(t, 0, u.Name, health.Succeeded, 1)
 		}
 	}
 	t.TakeChanges()
 	return t
 }
 
+func observe(t *health.Tracker, now task.Time, name string, o health.Outcome, slowness float64) {
+	t.Observe(now, health.Result{Upstream: name, Service: label, Outcome: o, Sent: now, Slowness: slowness})
+}
+
 func fail(t *health.Tracker, now task.Time, names ...string) {
 	for _, n := range names {
-		t.Observe(now, n, label, health.TaskFailed, 0)
+		observe(t, now, n, health.TaskFailed, 0)
 	}
 }
 
 func succeed(t *health.Tracker, now task.Time, names ...string) {
 	for _, n := range names {
-		t.Observe(now, n, label, health.Succeeded, 1)
+		observe(t, now, n, health.Succeeded, 1)
 	}
 }
 
@@ -112,7 +116,7 @@
 		if rng.IntN(10) < 4 {
 			o = health.TaskFailed
 		}
-		h.Observe(time.Second, name, label, o, 1)
+		observe(h, time.Second, name, o, 1)
 	}
 	g.Expect(h.Stats().Ejections).To(gomega.BeZero())
 }
@@ -164,6 +168,24 @@
 	g.Expect(tried).To(gomega.BeNumerically(">=", 3))
 }
 
+// Long tasks were running on the runner when its disk filled up, and they end
+// well while every new one fails. They must not pass for a sign of health.
+func TestTasksBegunBeforeTheFaultProveNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := seasoned()
+	succeed(h, 2*time.Second, "u00", "u08", "u09")
+	for i := range 2 {
+		now := 2*time.Second + time.Duration(i)*time.Millisecond
+		fail(h, now, "u03")
+		succeed(h, now, "u00", "u08", "u09")
+		for range 5 {
+			h.Observe(now, health.Result{Upstream: "u03", Service: label, Outcome: health.Succeeded, Sent: time.Second})
+		}
+	}
+	h.Tick(3 * time.Second)
+	g.Expect(h.Ejected()).To(gomega.Equal([]string{"u03"}))
+}
+
 // The runner's disk was cleaned. It must come back, but not with all slots at
 // once, since nobody knows yet whether it is cured.
 func TestCuredUpstreamComesBackStepByStep(t *testing.T) {
@@ -176,7 +198,7 @@
 	g.Expect(h.Weight("u03")).To(gomega.Equal(health.MinWeight))
 	var weights []float64
 	for range 4 {
-		h.Observe(3*time.Second, "u03", label, health.Succeeded, 1)
+		observe(h, 3*time.Second, "u03", health.Succeeded, 1)
 		weights = append(weights, h.Weight("u03"))
 	}
 	g.Expect(weights).To(gomega.Equal([]float64{0.125, 0.25, 0.5, 1}))
@@ -193,12 +215,12 @@
 		h.Tick(now)
 		if h.Weight("u05") > 0 {
 			tries++
-			h.Observe(now, "u05", label, health.Unreachable, 0)
+			observe(h, now, "u05", health.Unreachable, 0)
 		}
 	}
 	g.Expect(tries).To(gomega.BeNumerically("<=", 25))
 	h.Tick(40 * time.Second)
-	h.Observe(40*time.Second, "u05", label, health.Succeeded, 1)
+	observe(h, 40*time.Second, "u05", health.Succeeded, 1)
 	g.Expect(h.Weight("u05")).To(gomega.Equal(1.0))
 }
 
@@ -210,8 +232,8 @@
 	rng := rand.New(rand.NewPCG(7, 8))
 	for range 200 {
 		spread := 0.3 + 1.4*rng.Float64()
-		h.Observe(time.Second, "u02", label, health.Succeeded, 3*spread)
-		h.Observe(time.Second, "u09", label, health.Succeeded, spread)
+		observe(h, time.Second, "u02", health.Succeeded, 3*spread)
+		observe(h, time.Second, "u09", health.Succeeded, spread)
 	}
 	g.Expect(h.Weight("u02")).To(gomega.BeNumerically("<=", 0.5))
 	g.Expect(h.Weight("u02")).To(gomega.BeNumerically(">=", 0.25))
@@ -256,7 +278,7 @@
 			if broken>>i&1 == 1 {
 				o = health.Outcome(rapid.SampledFrom([]int{1, 1, 1, 2, 3}).Draw(rt, "outcome"))
 			}
-			h.Observe(now, fmt.Sprintf("u%02d", i), label, o, 1)
+			observe(h, now, fmt.Sprintf("u%02d", i), o, 1)
 			for _, c := range h.TakeChanges() {
 				if c.Weight < 0 || c.Weight > 1 || (c.Weight == 0) != (c.Until > 0) || c.Weight == 0 && c.Until < now {
 					rt.Fatalf("change %+v at %v", c, now)
@@ -273,7 +295,7 @@
 	h := seasoned()
 	b.ReportAllocs()
 	for b.Loop() {
-		h.Observe(time.Second, "u03", label, health.Succeeded, 1)
+		observe(h, time.Second, "u03", health.Succeeded, 1)
 	}
 }
 
@@ -286,13 +308,13 @@
 	h.SetMembers(list)
 	for range 6 {
 		for _, u := range list {
-			h.Observe(0, u.Name, label, health.Succeeded, 1)
-			h.Observe(0, u.Name, label, health.TaskFailed, 1)
+			observe(h, 0, u.Name, health.Succeeded, 1)
+			observe(h, 0, u.Name, health.TaskFailed, 1)
 		}
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		h.Observe(time.Second, "3000", label, health.TaskFailed, 0)
-		h.Observe(time.Second, "3000", label, health.Succeeded, 1)
+		observe(h, time.Second, "3000", health.TaskFailed, 0)
+		observe(h, time.Second, "3000", health.Succeeded, 1)
 	}
 }
