--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -52,9 +52,9 @@
 func (c *Core) peerUp(e PeerUp) {
 	c.peers[e.Peer] = &peer{failureDomain: e.FailureDomain, heard: c.now}
 	c.noteRun(e.Peer)
-	c.quotas.PeerUp(e.Peer)
 	c.view.PeerUp(c.now, e.Peer)
 	c.refreshMembers()
+	c.quotas.PeerUp(e.Peer)
 	c.announceAdopted(e.Peer)
 	c.send(e.Peer, &pb.PeerMessage{})
 }
@@ -62,10 +62,11 @@
 // peerDown answers what waited for the peer: at once, because its state can't
 // be known before it is reached again.
 func (c *Core) peerDown(p task.Incarnation) {
+	c.noteAbsence(p)
 	delete(c.peers, p)
-	c.termsPeerDown(p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
+	c.termsPeerDown(p)
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
@@ -114,10 +115,10 @@
 	}
 	p.status = st
 	c.seeIdle(from, st)
-	c.seeTerms(from, st)
 	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
 	c.refreshMembers()
 	c.pullNewer(from, p, st)
+	c.seeTerms(from, st)
 }
 
 // send sends a message with this process's status riding on it.
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -26,10 +26,10 @@
 	if u := c.upstreams[s.slot.Upstream]; u != nil && r.UpstreamRun != "" {
 		u.run = r.UpstreamRun
 	}
-	c.noteResult(s, r)
 	if r.Leaving {
 		c.upstreamLeaving(s.slot.Upstream)
 	}
+	c.noteResult(s, r)
 	switch r.Verdict {
 	case task.Finished:
 		c.finished(s, r)
--- a/core/dispatch/status.go
+++ b/core/dispatch/status.go
@@ -12,17 +12,18 @@
 	settings uint64
 	members  uint64
 	stopping bool
+	ejected  int
 }
 
 func toldBy(st *pb.PeerStatus) told {
-	return told{st.GetSettingsVersion(), st.GetMembersVersion(), st.GetStopping()}
+	return told{st.GetSettingsVersion(), st.GetMembersVersion(), st.GetStopping(), len(st.GetEjected())}
 }
 
 // statusDue is how long a peer may go without a message. Statuses that say
 // nothing new were most of the idle traffic, and grow with the square of the
 // number of processes; a lost connection is noticed below, by its keep-alives.
 func (c *Core) statusDue(to task.Incarnation) time.Duration {
-	now := told{c.settings.Version(), c.view.Version(), c.draining}
+	now := told{c.settings.Version(), c.view.Version(), c.draining, len(c.health.Ejected())}
 	if c.peers[to].told != now || c.quotas.Sharing(to) {
 		return c.cfg.StatusInterval
 	}
