--- a/core/dispatch/counters.go
+++ b/core/dispatch/counters.go
@@ -19,6 +19,10 @@
 	Peers         int
 	// QueuedTasks counts the waiting tasks of each institution.
 	QueuedTasks map[string]int
+	// Refusals counts jobs not taken on, by reason.
+	Refusals map[string]uint64
+	// UpstreamsLimited is the number of upstreams not in full use.
+	UpstreamsLimited int
 	// PeerMessages counts the messages sent to peers by kind.
 	PeerMessages map[string]uint64
 }
@@ -29,13 +33,19 @@
 	for _, inst := range c.settings.Current().GetInstitutions() {
 		queued[inst.GetName()] = c.queue.Tasks(inst.GetName())
 	}
+	refusals := make(map[string]uint64, len(c.refusals))
+	for reason, n := range c.refusals {
+		refusals[reason.String()] = n
+	}
 	return Counters{
-		Summary:       c.summary(),
-		Submissions:   len(c.jobs),
-		RunningStarts: len(c.starts),
-		Peers:         len(c.peers),
-		QueuedTasks:   queued,
-		PeerMessages:  maps.Clone(c.sentKinds),
+		Refusals:         refusals,
+		UpstreamsLimited: len(c.health.Dump()),
+		Summary:          c.summary(),
+		Submissions:      len(c.jobs),
+		RunningStarts:    len(c.starts),
+		Peers:            len(c.peers),
+		QueuedTasks:      queued,
+		PeerMessages:     maps.Clone(c.sentKinds),
 	}
 }
 
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"sapphirepoint.example/sapphirepoint/core/slots"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
@@ -41,6 +42,7 @@
 	Draining        bool             `json:"draining"`
 	SettingsVersion uint64           `json:"settings_version"`
 	OwnedSlots      int              `json:"owned_slots"`
+	Slots           slots.Counts     `json:"slots"`
 	IDBlocks        int              `json:"id_blocks"`
 	KeptAnswers     int              `json:"kept_answers"`
 	KeptBytes       int              `json:"kept_bytes"`
@@ -84,6 +86,7 @@
 	SettingsVersion uint64 `json:"settings_version"`
 	HeardMs         int64  `json:"heard_ms"`
 	Stopping        bool   `json:"stopping"`
+	BorrowedSlots   int    `json:"borrowed_slots"`
 }
 
 // Dump describes the present state.
@@ -106,6 +109,7 @@
 		Draining:        c.draining,
 		SettingsVersion: c.settings.Version(),
 		OwnedSlots:      c.pool.Owned(),
+		Slots:           c.pool.Counts(),
 		IDBlocks:        c.issuer.Blocks(),
 		KeptAnswers:     c.answers.Len(),
 		KeptBytes:       c.answers.Bytes(),
@@ -170,7 +174,7 @@
 	var list []DumpPeer
 	for _, p := range c.sortedPeers() {
 		st := c.peers[p]
-		list = append(list, DumpPeer{p.String(), st.failureDomain, st.status.GetSettingsVersion(), st.heard.Milliseconds(), st.status.GetStopping()})
+		list = append(list, DumpPeer{p.String(), st.failureDomain, st.status.GetSettingsVersion(), st.heard.Milliseconds(), st.status.GetStopping(), c.pool.Borrowed(p)})
 	}
 	return list
 }
--- /dev/null
+++ b/core/slots/counts.go
@@ -0,0 +1,42 @@
+package slots
+
+// Counts is the number of slots by their use, over all institutions: own ones,
+// and apart from them those borrowed.
+type Counts struct {
+	Busy     int `json:"busy"`
+	Idle     int `json:"idle"`
+	Resting  int `json:"resting"`
+	Lent     int `json:"lent"`
+	Borrowed int `json:"borrowed"`
+}
+
+// Counts goes through all slots, for dumps and metrics.
+func (p *Pool) Counts() Counts {
+	var c Counts
+	for _, u := range p.upstreams {
+		for _, r := range u.slots {
+			c.add(r)
+		}
+	}
+	return c
+}
+
+func (c *Counts) add(r *record) {
+	switch r.right {
+	case none:
+		return
+	case loaned:
+		c.Borrowed++
+		return
+	}
+	switch r.use {
+	case busy:
+		c.Busy++
+	case idle:
+		c.Idle++
+	case closed:
+		c.Resting++
+	case lent:
+		c.Lent++
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -104,7 +104,9 @@
 	queuedDesc  = describe("queued_tasks", "Tasks that wait for a slot.", "institution")
 	jobsDesc    = describe("jobs", "Jobs in progress under this process's claims.")
 	runningDesc = describe("running_tasks", "Task starts that aren't settled.")
-	ownedDesc   = describe("owned_slots", "Upstream slots that this process owns.")
+	slotsDesc   = describe("slots", "Upstream slots of this process by use; borrowed ones aren't its own.", "use")
+	refusedDesc = describe("refused_jobs_total", "Jobs not taken on, by reason.", "reason")
+	healthDesc  = describe("upstreams_not_in_full_use", "Upstreams that get less work or none because of their health.")
 	claimsDesc  = describe("waiting_claims", "Claims that wait for the table service.")
 	forwardDesc = describe("waiting_forwards", "Requests passed on to their holder and not answered.")
 	keptDesc    = describe("kept_answers", "Final answers kept for resubmissions.")
@@ -117,7 +119,7 @@
 
 // Describe implements prometheus.Collector.
 func (cc *coreCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{startsDesc, wastedDesc, peerDesc, eventsDesc, queuedDesc, jobsDesc, runningDesc, ownedDesc,
+	for _, d := range []*prometheus.Desc{startsDesc, wastedDesc, peerDesc, eventsDesc, queuedDesc, jobsDesc, runningDesc, slotsDesc, refusedDesc, healthDesc,
 		claimsDesc, forwardDesc, keptDesc, bytesDesc, blocksDesc, peersDesc, versionDesc, readyDesc} {
 		ch <- d
 	}
@@ -151,7 +153,15 @@
 	}
 	gauge(jobsDesc, c.Submissions)
 	gauge(runningDesc, c.RunningStarts)
-	gauge(ownedDesc, s.OwnedSlots)
+	for use, n := range map[string]int{
+		"busy": s.Slots.Busy, "idle": s.Slots.Idle, "resting": s.Slots.Resting, "lent": s.Slots.Lent, "borrowed": s.Slots.Borrowed,
+	} {
+		gauge(slotsDesc, n, use)
+	}
+	for reason, n := range c.Refusals {
+		count(refusedDesc, n, word(reason, "REASON_"))
+	}
+	gauge(healthDesc, c.UpstreamsLimited)
 	gauge(claimsDesc, s.ClaimsWaiting)
 	gauge(forwardDesc, s.Forwards)
 	gauge(keptDesc, s.KeptAnswers)
