--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -17,6 +17,7 @@
 	sent          task.Time
 	settingsPull  pull
 	membersPull   pull
+	told          told
 }
 
 func compareIncarnations(a, b task.Incarnation) int {
@@ -79,7 +80,7 @@
 	}
 	p.heard = c.now
 	c.peerStatus(from, p, m.GetStatus())
-	c.returned(m.GetReturns())
+	back := c.returned(m.GetReturns())
 	switch b := m.GetBody().(type) {
 	case *pb.PeerMessage_Forward:
 		c.forwarded(from, b.Forward)
@@ -94,9 +95,9 @@
 	case *pb.PeerMessage_HandoverNotice:
 		c.noticeSuccessor(from, b.HandoverNotice)
 	case *pb.PeerMessage_BorrowRequest:
-		c.lend(from, b.BorrowRequest)
+		c.borrowRequested(from, b.BorrowRequest)
 	case *pb.PeerMessage_LendGrant:
-		c.granted(from, b.LendGrant)
+		c.granted(from, b.LendGrant, back)
 	case *pb.PeerMessage_SettingsPull:
 		c.sendSettings(from)
 	case *pb.PeerMessage_Settings:
@@ -128,14 +129,15 @@
 	}
 	p.sent = c.now
 	c.addReturns(to, m)
-	m.Status = c.status()
+	m.Status = c.status(to)
 	m.Status.Quotas = c.quotas.Status(c.now, to)
+	p.told = toldBy(m.Status)
 	c.stats.PeerMessages++
 	c.countPeerMessage(m)
 	c.emit(Send{to, m})
 }
 
-func (c *Core) status() *pb.PeerStatus {
+func (c *Core) status(to task.Incarnation) *pb.PeerStatus {
 	c.statusSeq++
 	st := &pb.PeerStatus{
 		Sequence:        c.statusSeq,
@@ -143,14 +145,14 @@
 		MembersVersion:  c.view.Version(),
 		Stopping:        c.draining,
 	}
-	c.addIdle(st)
+	c.addIdle(to, st)
 	return st
 }
 
 // sendStatus tells peers that have heard nothing for an interval.
 func (c *Core) sendStatus() {
 	for _, p := range c.sortedPeers() {
-		if c.now-c.peers[p].sent >= c.cfg.StatusInterval {
+		if c.now-c.peers[p].sent >= c.statusDue(p) {
 			c.send(p, &pb.PeerMessage{})
 		}
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -49,6 +49,8 @@
 	for c.pool.Idle(name) > 0 {
 		ref, ok := c.nextTask(name)
 		if !ok {
+			c.lendIdle(name)
+			c.returnLater(inst)
 			return
 		}
 		if c.giveUpHopeless(ref) {
