Callers may authenticate by a client certificate

Cause: institutions could show a token only.

Ruled out: the peer link's authority for callers too; its certificates make an entry process of whoever holds one. A process with the same authority for both doesn't start.

With the comparison of authorities taken out, 'callers trusted as peers' fails.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -253,13 +253,16 @@
 func TestKeysAndTokensAreWrittenOnceAndForTheirOwnerOnly(t *testing.T) {
 	g := gomega.NewWithT(t)
 	t.Chdir(t.TempDir())
-	for _, args := range [][]string{{"keys", "ca"}, {"keys", "process", "--node", "n1"}, {"token", "--file", "t.token"}} {
+	for _, args := range [][]string{
+		{"keys", "ca"}, {"keys", "process", "--node", "n1"}, {"token", "--file", "t.token"},
+		{"keys", "ca", "--cert", "callers-ca.pem", "--key", "callers-ca.key"}, {"keys", "caller", "--name", "tills"},
+	} {
 		code, _, errs := run(t, "", args...)
 		g.Expect(code).To(gomega.Equal(ExitDone), errs)
 		code, _, _ = run(t, "", args...)
 		g.Expect(code).To(gomega.Equal(ExitUsage), "a second time")
 	}
-	for _, secret := range []string{"ca.key", "n1.key", "t.token"} {
+	for _, secret := range []string{"ca.key", "n1.key", "t.token", "tills.key"} {
 		info, err := os.Stat(secret)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(info.Mode().Perm()).To(gomega.Equal(os.FileMode(0o600)), secret)
--- a/cli/connect.go
+++ b/cli/connect.go
@@ -34,12 +34,16 @@
 	entries   []string
 	tokenFile string
 	ca        string
+	cert      string
+	key       string
 }
 
 func (f *callerFlags) add(cmd *cobra.Command) {
 	cmd.Flags().StringSliceVar(&f.entries, "entry", nil, "entry processes or their balancer, as IP:port or URL, separated by commas; used in turn (env "+envEntry+")")
 	cmd.Flags().StringVar(&f.tokenFile, "token-file", "", "file with the caller's token (env "+envToken+fileSuffix+" or "+envToken+")")
 	cmd.Flags().StringVar(&f.ca, "ca", "", "PEM file with the authority of https entries (env "+envCA+")")
+	cmd.Flags().StringVar(&f.cert, "cert", "", "client certificate instead of a token (PEM file)")
+	cmd.Flags().StringVar(&f.key, "cert-key", "", "private key of --cert (PEM file)")
 }
 
 // client makes a client of the entries.
@@ -48,11 +52,16 @@
 	if err != nil {
 		return nil, err
 	}
-	token, err := readToken(f.tokenFile, envToken, "--token-file")
+	tlsConfig, err := authority(f.ca)
 	if err != nil {
 		return nil, err
 	}
-	tlsConfig, err := authority(f.ca)
+	token := ""
+	if f.cert == "" {
+		token, err = readToken(f.tokenFile, envToken, "--token-file")
+	} else {
+		tlsConfig, err = withCertificate(tlsConfig, f.cert, f.key)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -193,3 +202,16 @@
 	}
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
 }
+
+// withCertificate adds a client certificate.
+func withCertificate(cfg *tls.Config, cert, key string) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, usage(errors.Wrap(err, "--cert"))
+	}
+	if cfg == nil {
+		cfg = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	cfg.Certificates = []tls.Certificate{pair}
+	return cfg, nil
+}
--- a/cli/keys.go
+++ b/cli/keys.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
@@ -22,8 +23,8 @@
 )
 
 func (a *app) keysCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "keys", Short: "Make the keys of the peer link"}
-	cmd.AddCommand(a.keysCA(), a.keysProcess())
+	cmd := &cobra.Command{Use: "keys", Short: "Make the keys of the peer link and of callers"}
+	cmd.AddCommand(a.keysCA(), a.keysProcess(), a.keysCaller())
 	return cmd
 }
 
@@ -31,9 +32,9 @@
 	var cert, key string
 	cmd := &cobra.Command{
 		Use:     "ca",
-		Short:   "Make the authority of the peer link",
-		Long:    "Make the authority of the peer link. Its certificate goes to every entry VM; its key signs their certificates and stays with the operators.",
-		Example: "  sapphirepoint keys ca --cert ca.pem --key ca.key",
+		Short:   "Make an authority, of the peer link or of callers",
+		Long:    "Make an authority. Its certificate goes to every entry VM; its key signs certificates and stays with the operators. The peer link and callers need authorities of their own: a caller whose certificate the peer link trusts could pose as an entry VM.",
+		Example: "  sapphirepoint keys ca\n  sapphirepoint keys ca --cert callers-ca.pem --key callers-ca.key",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			pair, err := keys.NewCA("sapphirepoint")
@@ -66,13 +67,7 @@
 			if err != nil {
 				return err
 			}
-			if cert == "" {
-				cert = node + ".pem"
-			}
-			if key == "" {
-				key = node + ".key"
-			}
-			return a.writePair(pair, cert, key)
+			return a.writePair(pair, cmp.Or(cert, node+".pem"), cmp.Or(key, node+".key"))
 		},
 	}
 	cmd.Flags().StringVar(&node, "node", "", "name of the entry VM, as in its settings")
@@ -85,6 +80,35 @@
 	return cmd
 }
 
+func (a *app) keysCaller() *cobra.Command {
+	var name, caCert, caKey, cert, key string
+	cmd := &cobra.Command{
+		Use:     "caller --name NAME",
+		Short:   "Make the client certificate of an institution's callers",
+		Long:    "Make the client certificate of an institution's callers. Its name stands under certificate_names in the settings.",
+		Example: "  sapphirepoint keys caller --name hollowell-kitchens",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ca, err := readPair(caCert, caKey)
+			if err != nil {
+				return usage(err)
+			}
+			pair, err := keys.NewCaller(ca, name)
+			if err != nil {
+				return err
+			}
+			return a.writePair(pair, cmp.Or(cert, name+".pem"), cmp.Or(key, name+".key"))
+		},
+	}
+	cmd.Flags().StringVar(&name, "name", "", "common name of the certificate")
+	cmd.Flags().StringVar(&caCert, "ca", "callers-ca.pem", "the callers' authority's certificate")
+	cmd.Flags().StringVar(&caKey, "ca-key", "callers-ca.key", "the callers' authority's private key")
+	cmd.Flags().StringVar(&cert, "cert", "", "file for the certificate (NAME.pem)")
+	cmd.Flags().StringVar(&key, "key", "", "file for the private key (NAME.key)")
+	_ = cmd.MarkFlagRequired("name")
+	return cmd
+}
+
 func readPair(cert, key string) (keys.Pair, error) {
 	c, err := os.ReadFile(cert)
 	if err != nil {
--- a/client/client.go
+++ b/client/client.go
@@ -36,7 +36,8 @@
 	// that fails is left out for a moment, and another is used.
 	URLs []string
 	// Token authenticates the institution. It is sent with each call, so use
-	// https URLs wherever others can listen.
+	// https URLs wherever others can listen. Empty means that the certificate
+	// in TLS authenticates it.
 	Token string
 	// TLS is used for https URLs; nil means the system's authorities.
 	TLS *tls.Config
--- a/client/entry.go
+++ b/client/entry.go
@@ -191,7 +191,9 @@
 
 func authorized[T any](e *entry, m *T) *connect.Request[T] {
 	r := connect.NewRequest(m)
-	r.Header().Set("Authorization", bearer+e.token)
+	if e.token != "" {
+		r.Header().Set("Authorization", bearer+e.token)
+	}
 	return r
 }
 
--- a/config/node.go
+++ b/config/node.go
@@ -63,8 +63,23 @@
 	return keys.PeerTLS(ca, keys.Pair{Cert: cert, Key: key})
 }
 
-// load returns nil if the section is left out.
+func (t CallerTLS) load() (*tls.Config, error) {
+	var clientCA []byte
+	if t.ClientCA != "" {
+		var err error
+		if clientCA, err = os.ReadFile(t.ClientCA); err != nil {
+			return nil, errors.Wrap(err, "client_ca")
+		}
+	}
+	return ServerTLS{t.Cert, t.Key}.loadWith(clientCA)
+}
+
 func (t ServerTLS) load() (*tls.Config, error) {
+	return t.loadWith(nil)
+}
+
+// loadWith returns nil if the section is left out.
+func (t ServerTLS) loadWith(clientCA []byte) (*tls.Config, error) {
 	if t.Cert == "" {
 		return nil, nil
 	}
@@ -76,5 +91,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "key")
 	}
-	return keys.ServerTLS(keys.Pair{Cert: cert, Key: key})
+	return keys.ServerTLS(keys.Pair{Cert: cert, Key: key}, clientCA)
 }
--- a/config/process.go
+++ b/config/process.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"bytes"
 	"net/netip"
 	"net/url"
 	"os"
@@ -28,7 +29,7 @@
 	Listen        Listen      `yaml:"listen"`
 	Platform      Platform    `yaml:"platform"`
 	PeerTLS       PeerTLS     `yaml:"peer_tls"`
-	CallerTLS     ServerTLS   `yaml:"caller_tls"`
+	CallerTLS     CallerTLS   `yaml:"caller_tls"`
 	OperatorTLS   ServerTLS   `yaml:"operator_tls"`
 	Operators     Credentials `yaml:"operators"`
 	Limits        Limits      `yaml:"limits"`
@@ -61,6 +62,15 @@
 	Key  string `yaml:"key"`
 }
 
+// CallerTLS is the TLS of the callers' listener.
+type CallerTLS struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	// ClientCA is the authority of the certificates that callers may show
+	// instead of a token; empty means tokens only.
+	ClientCA string `yaml:"client_ca"`
+}
+
 // Credentials names the file that holds a bearer token.
 type Credentials struct {
 	TokenFile string `yaml:"token_file"`
@@ -157,6 +167,7 @@
 		{"peer_tls.key", &p.PeerTLS.Key, true},
 		{"caller_tls.cert", &p.CallerTLS.Cert, p.CallerTLS.Key != ""},
 		{"caller_tls.key", &p.CallerTLS.Key, p.CallerTLS.Cert != ""},
+		{"caller_tls.client_ca", &p.CallerTLS.ClientCA, false},
 		{"operator_tls.cert", &p.OperatorTLS.Cert, p.OperatorTLS.Key != ""},
 		{"operator_tls.key", &p.OperatorTLS.Key, p.OperatorTLS.Cert != ""},
 		{"operators.token_file", &p.Operators.TokenFile, true},
@@ -180,11 +191,28 @@
 	for _, f := range p.files() {
 		checkFile(d, f)
 	}
+	p.checkClientCA(d)
 	if _, err := zerolog.ParseLevel(p.LogLevel); err != nil {
 		d.reject("log_level", "%q is none of trace, debug, info, warn, error", p.LogLevel)
 	}
 }
 
+// checkClientCA keeps the authorities apart: a certificate that the peer link
+// trusts would let its holder pose as an entry process and read every job.
+func (p *Process) checkClientCA(d *document) {
+	if p.CallerTLS.ClientCA == "" {
+		return
+	}
+	if p.CallerTLS.Cert == "" {
+		d.reject("caller_tls.client_ca", "needs caller_tls.cert and caller_tls.key")
+	}
+	clients, err := os.ReadFile(p.CallerTLS.ClientCA)
+	peers, peerErr := os.ReadFile(p.PeerTLS.CA)
+	if err == nil && peerErr == nil && bytes.Equal(clients, peers) {
+		d.reject("caller_tls.client_ca", "must not be the authority of the peer link")
+	}
+}
+
 func (l Listen) check(d *document) {
 	taken := make(map[string]string)
 	for _, f := range []struct{ name, address string }{
--- a/config/process_test.go
+++ b/config/process_test.go
@@ -22,11 +22,13 @@
 	dir := t.TempDir()
 	ca, err := keys.NewCA("test")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
+	callers, err := keys.NewCA("callers")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	pair, err := keys.NewProcess(ca, "loughborough-1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	for name, data := range map[string][]byte{
 		"ca.pem": ca.Cert, "loughborough-1.pem": pair.Cert, "loughborough-1.key": pair.Key,
-		"callers.pem": pair.Cert, "callers.key": pair.Key, "operators.pem": pair.Cert, "operators.key": pair.Key,
+		"callers-ca.pem": callers.Cert, "callers.pem": pair.Cert, "callers.key": pair.Key, "operators.pem": pair.Cert, "operators.key": pair.Key,
 		"operator.token": []byte("operators-secret\n"), "p.yaml": []byte(text),
 	} {
 		g.Expect(os.WriteFile(filepath.Join(dir, name), data, 0o600)).To(gomega.Succeed())
@@ -64,6 +66,7 @@
 		{"no URL", "http://127.0.0.1:7000", "127.0.0.1:7000", `platform.url: "127.0.0.1:7000" isn't an http or https URL`},
 		{"file that isn't there", "ca: ca.pem", "ca: nowhere.pem", "nowhere.pem: no such file or directory"},
 		{"key without certificate", "  cert: callers.pem\n", "", "caller_tls.cert: must name a file"},
+		{"callers trusted as peers", "client_ca: callers-ca.pem", "client_ca: ca.pem", "caller_tls.client_ca: must not be the authority of the peer link"},
 		{"size without unit", "32MiB", "32", `limits.max_request: "32" isn't a size with its unit`},
 		{"request over the peer link", "32MiB", "64MiB", "limits.max_request: 64MiB must be above 0 and at most 32 MiB"},
 		{"no connections", "caller_connections: 4096", "caller_connections: 0", "limits.caller_connections: must be above 0"},
@@ -85,7 +88,7 @@
 
 func TestProcessMistakesAreReportedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	text := strings.NewReplacer("ca.pem", "gone.pem", "log_level: info", "log_level: loud", "127.0.0.1:7400", "x").Replace(exampleText(t))
+	text := strings.NewReplacer(": ca.pem", ": gone.pem", "log_level: info", "log_level: loud", "127.0.0.1:7400", "x").Replace(exampleText(t))
 	_, err := LoadProcess(processDir(t, text))
 	g.Expect(strings.Split(err.Error(), "\n")).To(gomega.HaveLen(3))
 }
--- a/config/settings_test.go
+++ b/config/settings_test.go
@@ -36,10 +36,10 @@
 	raw, err := os.ReadFile(exampleSettings)
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	cases := []struct{ name, old, new, want string }{
-		{"unknown field", "priority: 1", "prioritty: 1", "s.yaml:19: institutions[0].prioritty: unknown field"},
+		{"unknown field", "priority: 1", "prioritty: 1", "s.yaml:22: institutions[0].prioritty: unknown field"},
 		{"version in a file", "institutions:\n", "version: 3\ninstitutions:\n", "s.yaml:6: version: unknown field"},
-		{"time without unit", "response_time: 5s", "response_time: 5", `s.yaml:21: institutions[0].response_time: "5" isn't a time with its unit, such as 250ms, 30s or 1h`},
-		{"minutes for milliseconds", "response_time: 5s", "response_time: 30m", "s.yaml:21: institutions[0].response_time: 30m0s must be above 0 and at most 10m0s"},
+		{"time without unit", "response_time: 5s", "response_time: 5", `s.yaml:24: institutions[0].response_time: "5" isn't a time with its unit, such as 250ms, 30s or 1h`},
+		{"minutes for milliseconds", "response_time: 5s", "response_time: 30m", "s.yaml:24: institutions[0].response_time: 30m0s must be above 0 and at most 10m0s"},
 		{"part of a millisecond", "run_time: 200ms", "run_time: 200us", `institutions[0].services[0].run_time: "200us" isn't a whole number of 1ms`},
 		{"negative time", "response_time: 5s", "response_time: -5s", `institutions[0].response_time: "-5s" is negative`},
 		{"decimal size", "max_payload: 64KiB", "max_payload: 64KB", `institutions[0].services[0].max_payload: "64KB" isn't a size with its unit, such as 512B, 64KiB or 256MiB`},
@@ -53,15 +53,16 @@
 		{"tolerance over response time", "borrow_tolerance: 200ms", "borrow_tolerance: 6s", "institutions[0].borrow_tolerance: 6s exceeds the response time 5s"},
 		{"window under response time", "resubmit_window: 1h", "resubmit_window: 2s", "institutions[0].resubmit_window: 2s is shorter than the response time 5s"},
 		{"capacity over all", "capacity: 50%", "capacity: 60%", "s.yaml:6: institutions: the capacities add up to 110%, more than 100%"},
-		{"dangling team", "teams: [settlement-office]", "teams: [settlement-offce]", `s.yaml:78: institutions[1].services[1].teams[0]: team "settlement-offce" isn't declared`},
+		{"dangling team", "teams: [settlement-office]", "teams: [settlement-offce]", `s.yaml:81: institutions[1].services[1].teams[0]: team "settlement-offce" isn't declared`},
 		{"name twice", "name: care-homes", "name: school-kitchens", `institutions[0].teams[1].name: "school-kitchens" is declared twice`},
 		{"unusable name", "name: care-homes", "name: care/homes", `institutions[0].teams[1].name: "care/homes" must be 1 to 64 letters`},
 		{"bad digest", "1f6c2d8e4b", "1f6c", "institutions[1].token_sha256[0]: must be 64 hex digits"},
+		{"certificate of two", "[hollowell-kitchens]", "[x, x]", `institutions[0].certificate_names[1]: is also declared for "hollowell"`},
 		{"no value", "response_time: 5s", "response_time:", "institutions[0].response_time: has no value"},
 		{"field left out", "    response_time: 5s\n", "", "s.yaml:9: institutions[0].response_time: 0s must be above 0"},
 		{"list for a value", "priority: 1", "priority: [1]", "institutions[0].priority: must be a single value"},
 		{"value for a list", "teams: [settlement-office]", "teams: settlement-office", "institutions[1].services[1].teams: must be a list"},
-		{"field twice", "priority: 1", "priority: 1\n    priority: 2", `s.yaml:20: mapping key "priority" already defined`},
+		{"field twice", "priority: 1", "priority: 1\n    priority: 2", `s.yaml:23: mapping key "priority" already defined`},
 		{"not YAML", "institutions:\n", "institutions: [\n", "s.yaml:"},
 	}
 	for _, c := range cases {
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -25,6 +25,8 @@
 	maxPercent        = 100
 	msPerSecond       = 1000
 	tokenDigestBytes  = 32
+	// certificatePrefix keeps names of certificates apart from digests.
+	certificatePrefix = "certificate/"
 )
 
 // FieldError names a field and what is wrong with it.
@@ -77,13 +79,13 @@
 	c := &checker{}
 	c.require(len(s.GetInstitutions()) > 0, "institutions", "at least one is needed")
 	names := make(map[string]bool)
-	tokens := make(map[string]string)
+	credentials := make(map[string]string)
 	var share uint64
 	for i, inst := range s.GetInstitutions() {
 		at := fmt.Sprintf("institutions[%d]", i)
 		c.name(at, inst.GetName(), names)
 		share += uint64(inst.GetCapacityPercent())
-		c.institution(at, inst, tokens)
+		c.institution(at, inst, credentials)
 	}
 	c.require(share <= maxPercent, "institutions", "the capacities add up to %d%%, more than 100%%", share)
 	if len(c.errs) > 0 {
@@ -92,7 +94,7 @@
 	return nil
 }
 
-func (c *checker) institution(at string, inst *pb.Institution, tokens map[string]string) {
+func (c *checker) institution(at string, inst *pb.Institution, credentials map[string]string) {
 	response := inst.GetResponseTimeMs()
 	c.require(response > 0 && response <= MaxResponseTimeMs, at+".response_time_ms", "%s must be above 0 and at most %s", ms(response), ms(MaxResponseTimeMs))
 	tolerance := inst.GetBorrowToleranceMs()
@@ -102,7 +104,7 @@
 	c.require(window > 0, at+".resubmit_window_s", "must be above 0")
 	c.require(window == 0 || uint64(window)*msPerSecond >= uint64(response), at+".resubmit_window_s",
 		"%s is shorter than the response time %s", time.Duration(window)*time.Second, ms(response))
-	c.tokens(at, inst, tokens)
+	c.credentials(at, inst, credentials)
 	teams := c.teams(at, inst)
 	c.services(at, inst, teams)
 }
@@ -111,18 +113,26 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-// tokens checks the digests of tokens. One declared for two institutions would
-// show either the other's jobs.
-func (c *checker) tokens(at string, inst *pb.Institution, tokens map[string]string) {
-	c.require(len(inst.GetTokenSha256()) > 0, at+".token_sha256", "at least one is needed")
+// credentials checks the digests of tokens and the names of certificates. One
+// declared for two institutions would show either the other's jobs.
+func (c *checker) credentials(at string, inst *pb.Institution, seen map[string]string) {
+	once := func(field, credential string) {
+		other, taken := seen[credential]
+		c.require(!taken, field, "is also declared for %q", other)
+		seen[credential] = inst.GetName()
+	}
+	c.require(len(inst.GetTokenSha256())+len(inst.GetCertificateNames()) > 0, at+".token_sha256", "at least one, or one of certificate_names, is needed")
+	for i, name := range inst.GetCertificateNames() {
+		field := fmt.Sprintf("%s.certificate_names[%d]", at, i)
+		c.require(name != "", field, "must not be empty")
+		once(field, certificatePrefix+name)
+	}
 	for i, t := range inst.GetTokenSha256() {
 		t = strings.ToLower(t)
 		field := fmt.Sprintf("%s.token_sha256[%d]", at, i)
 		raw, err := hex.DecodeString(t)
 		c.require(err == nil && len(raw) == tokenDigestBytes, field, "must be 64 hex digits, the SHA-256 of a token")
-		other, taken := tokens[t]
-		c.require(!taken, field, "is also declared for %q", other)
-		tokens[t] = inst.GetName()
+		once(field, t)
 	}
 }
 
@@ -160,6 +170,7 @@
 	current      *pb.Settings
 	institutions map[string]*pb.Institution
 	tokens       map[string]string
+	certificates map[string]string
 }
 
 // NewState returns a state with nothing in force.
@@ -180,11 +191,15 @@
 	s.current = offered
 	s.institutions = make(map[string]*pb.Institution)
 	s.tokens = make(map[string]string)
+	s.certificates = make(map[string]string)
 	for _, inst := range offered.GetInstitutions() {
 		s.institutions[inst.GetName()] = inst
 		for _, t := range inst.GetTokenSha256() {
 			s.tokens[strings.ToLower(t)] = inst.GetName()
 		}
+		for _, name := range inst.GetCertificateNames() {
+			s.certificates[name] = inst.GetName()
+		}
 	}
 	return true
 }
@@ -210,6 +225,13 @@
 	return name, ok
 }
 
+// InstitutionOfCertificate finds the institution of a client certificate's
+// common name.
+func (s *State) InstitutionOfCertificate(name string) (string, bool) {
+	institution, ok := s.certificates[name]
+	return institution, ok
+}
+
 // Service finds a service of an institution; nil if there is none.
 func Service(inst *pb.Institution, name string) *pb.Service {
 	for _, s := range inst.GetServices() {
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -55,26 +55,33 @@
 // With the addresses that callers and operators use, it serves their listeners
 // too.
 func NewProcess(ca Pair, node string, addresses ...net.IP) (Pair, error) {
+	return issue(ca, node, func(t *x509.Certificate) {
+		t.DNSNames = []string{node}
+		t.IPAddresses = addresses
+		t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	})
+}
+
+// issue makes a certificate that the authority signs.
+func issue(ca Pair, name string, fill func(*x509.Certificate)) (Pair, error) {
 	parent, err := tls.X509KeyPair(ca.Cert, ca.Key)
 	if err != nil {
 		return Pair{}, errors.Wrap(err, "read authority")
 	}
-	t, err := template(node, CertificateValidity)
+	signer, ok := parent.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return Pair{}, errors.New("the authority's key isn't an ECDSA key")
+	}
+	t, err := template(name, CertificateValidity)
 	if err != nil {
 		return Pair{}, err
 	}
-	t.DNSNames = []string{node}
-	t.IPAddresses = addresses
 	t.KeyUsage = x509.KeyUsageDigitalSignature
-	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	fill(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return Pair{}, errors.Wrap(err, "generate key")
 	}
-	signer, ok := parent.PrivateKey.(*ecdsa.PrivateKey)
-	if !ok {
-		return Pair{}, errors.New("the authority's key isn't an ECDSA key")
-	}
 	return encode(t, parent.Leaf, key, signer)
 }
 
@@ -128,16 +135,34 @@
 	}, nil
 }
 
-// ServerTLS is the configuration of a listener for callers or operators, who
-// authenticate by token.
-func ServerTLS(server Pair) (*tls.Config, error) {
+// NewCaller makes the certificate by which the callers of an institution
+// authenticate. It opens no peer link, nor must its authority.
+func NewCaller(ca Pair, name string) (Pair, error) {
+	return issue(ca, name, func(t *x509.Certificate) {
+		t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	})
+}
+
+// ServerTLS is the configuration of a listener for callers or operators. With
+// the certificate of an authority, clients may show a certificate of it; one
+// that doesn't verify is turned away.
+func ServerTLS(server Pair, clientCA []byte) (*tls.Config, error) {
 	cert, err := tls.X509KeyPair(server.Cert, server.Key)
 	if err != nil {
 		return nil, errors.Wrap(err, "read server certificate")
 	}
-	return &tls.Config{
+	cfg := &tls.Config{
 		Certificates: []tls.Certificate{cert},
 		MinVersion:   tls.VersionTLS12,
 		NextProtos:   []string{"h2", "http/1.1"},
-	}, nil
+	}
+	if clientCA == nil {
+		return cfg, nil
+	}
+	cfg.ClientAuth = tls.VerifyClientCertIfGiven
+	cfg.ClientCAs = x509.NewCertPool()
+	if !cfg.ClientCAs.AppendCertsFromPEM(clientCA) {
+		return nil, errors.New("no certificate in the clients' authority's file")
+	}
+	return cfg, nil
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -39,7 +39,7 @@
 	e := echo.New()
 	n.healthRoutes(e)
 	path, h := sapphirepointv1connect.NewCallerServiceHandler(n.callers, connect.WithReadMaxBytes(n.cfg.MaxRequestBytes))
-	e.Any(path+"*", echo.WrapHandler(h))
+	e.Any(path+"*", echo.WrapHandler(withCertificate(h)))
 	return e
 }
 
@@ -53,17 +53,25 @@
 	})
 }
 
-// institution authenticates a request.
-func (cs *callers) institution(h http.Header) (string, error) {
-	token, ok := strings.CutPrefix(h.Get("Authorization"), bearer)
-	if !ok {
-		return "", connect.NewError(connect.CodeUnauthenticated, errors.New("a bearer token is needed"))
+// institution authenticates a request, by token or else by certificate.
+func (cs *callers) institution(ctx context.Context, h http.Header) (string, error) {
+	token, hasToken := strings.CutPrefix(h.Get("Authorization"), bearer)
+	certificate, hasCertificate := certificateName(ctx)
+	if !hasToken && !hasCertificate {
+		return "", connect.NewError(connect.CodeUnauthenticated, errors.New("a bearer token or a client certificate is needed"))
 	}
 	inForce := cs.node.inForce.Load()
 	if inForce.Version() == 0 {
 		// Called unknown, the token of a good caller would be given up on.
 		return "", connect.NewError(connect.CodeUnavailable, errors.New("the process has no settings yet"))
 	}
+	if !hasToken {
+		name, ok := inForce.InstitutionOfCertificate(certificate)
+		if !ok {
+			return "", connect.NewError(connect.CodeUnauthenticated, errors.New("the certificate's name isn't known"))
+		}
+		return name, nil
+	}
 	sum := sha256.Sum256([]byte(token))
 	name, ok := inForce.InstitutionOfToken(hex.EncodeToString(sum[:]))
 	if !ok {
@@ -73,8 +81,8 @@
 }
 
 // IssueIds hands out a block of ids.
-func (cs *callers) IssueIds(_ context.Context, req *connect.Request[pb.IssueIdsRequest]) (*connect.Response[pb.IssueIdsResponse], error) {
-	if _, err := cs.institution(req.Header()); err != nil {
+func (cs *callers) IssueIds(ctx context.Context, req *connect.Request[pb.IssueIdsRequest]) (*connect.Response[pb.IssueIdsResponse], error) {
+	if _, err := cs.institution(ctx, req.Header()); err != nil {
 		return nil, err
 	}
 	count := req.Msg.GetCount()
@@ -106,7 +114,7 @@
 
 // Submit runs a job.
 func (cs *callers) Submit(ctx context.Context, req *connect.Request[pb.Submission]) (*connect.Response[pb.Answer], error) {
-	name, err := cs.institution(req.Header())
+	name, err := cs.institution(ctx, req.Header())
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +132,7 @@
 
 // Cancel ends a submission.
 func (cs *callers) Cancel(ctx context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
-	name, err := cs.institution(req.Header())
+	name, err := cs.institution(ctx, req.Header())
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/node/certificate.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"context"
+	"net/http"
+)
+
+// certificateKey is the context key of the name in a client certificate.
+type certificateKey struct{}
+
+// withCertificate passes on the common name of a client certificate that was
+// verified.
+func withCertificate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
+			name := r.TLS.VerifiedChains[0][0].Subject.CommonName
+			r = r.WithContext(context.WithValue(r.Context(), certificateKey{}, name))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func certificateName(ctx context.Context) (string, bool) {
+	name, ok := ctx.Value(certificateKey{}).(string)
+	return name, ok && name != ""
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -40,6 +40,7 @@
 	sum := sha256.Sum256([]byte(kandyToken))
 	kandy.Name = "kandy"
 	kandy.TokenSha256 = []string{hex.EncodeToString(sum[:])}
+	kandy.CertificateNames = []string{"kandy-buyers"}
 	kandy.CapacityPercent = 0
 	s.Institutions = append(s.Institutions, kandy)
 	return s
@@ -65,7 +66,7 @@
 		Name: "n", FailureDomain: "d", CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
 		PlatformURL: "http://" + l.Addr().String(), OperatorToken: operatorToken, PeerTLS: peerTLS, PollInterval: poll,
 	}
-	cfg.CallerTLS, err = keys.ServerTLS(pair)
+	cfg.CallerTLS, err = keys.ServerTLS(pair, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	change(&cfg)
 	n, err := node.New(cfg)
@@ -133,6 +134,36 @@
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("an issued id or an own key is needed")))
 }
 
+// A caterer's tills hold certificates instead of a token. A certificate of the
+// callers' authority with a declared name is enough; one of the peer link's
+// authority, which every entry VM holds, must open nothing here.
+func TestCallersMayShowACertificateInsteadOfAToken(t *testing.T) {
+	callers, err := keys.NewCA("callers")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	server, err := keys.NewProcess(callers, "n", net.IPv4(127, 0, 0, 1))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	g, ctx, n, ca := start(t, func(cfg *node.Config) {
+		cfg.CallerTLS, err = keys.ServerTLS(server, callers.Cert)
+	})
+	obtain := func(authority keys.Pair, name string) error {
+		pair, err := keys.NewCaller(authority, name)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		cfg := trust(callers)
+		// Shown even if the server names other authorities.
+		cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &cert, nil }
+		c := client.New(client.Config{URL: "https://" + n.CallerAddress(), TLS: cfg})
+		defer c.Close()
+		_, err = c.NewID(ctx)
+		return err
+	}
+	g.Expect(obtain(callers, "kandy-buyers")).To(gomega.Succeed())
+	g.Expect(obtain(callers, "n")).To(gomega.MatchError(gomega.ContainSubstring("the certificate's name isn't known")))
+	g.Expect(obtain(ca, "kandy-buyers")).NotTo(gomega.Succeed())
+	g.Expect(client.New(client.Config{URL: "https://" + n.CallerAddress(), TLS: trust(callers)}).NewID(ctx)).Error().To(gomega.MatchError(gomega.ContainSubstring("a bearer token or a client certificate is needed")))
+}
+
 func plain(cfg *node.Config) { cfg.CallerTLS = nil }
 
 // dump is the text of a node's dump.
