--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -66,7 +66,7 @@
 	delete(c.peers, p)
 	c.view.PeerDown(c.now, p)
 	c.refreshMembers()
-	c.quotas.PeerDown(p)
+	c.termsPeerDown(p)
 	c.forwardsLost(p)
 	c.askerPeerDown(p)
 	c.handoverPeerDown(p)
@@ -118,7 +118,7 @@
 	c.view.PeerStopping(from, st.GetStopping() && st.GetQueuedTasks() == 0)
 	c.refreshMembers()
 	c.pullNewer(from, p, st)
-	c.quotas.Receive(c.now, from, st.GetQuotas())
+	c.seeTerms(from, st)
 }
 
 // send sends a message with this process's status riding on it.
@@ -130,7 +130,7 @@
 	p.sent = c.now
 	c.addReturns(to, m)
 	m.Status = c.status(to)
-	m.Status.Quotas = c.quotas.Status(c.now, to)
+	c.addTerms(to, m.Status)
 	p.told = toldBy(m.Status)
 	c.stats.PeerMessages++
 	c.countPeerMessage(m)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -59,7 +59,9 @@
 		slot, _ := c.pool.Acquire(name)
 		c.startTask(ref, slot)
 	}
-	c.borrow(inst)
+	if c.belowCeiling(name) {
+		c.borrow(inst)
+	}
 }
 
 // release frees the slot of a settled start, at once or after its rest.
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -42,6 +42,10 @@
 	// MaxEjectedPercent limits the upstreams of an institution in a failure
 	// domain that are closed for failures at once.
 	MaxEjectedPercent int
+	// Self is the name by which peers list this process.
+	Self string
+	// Alone ignores what peers report.
+	Alone bool
 	// Off gives every upstream its full weight, to compare with.
 	Off bool
 }
@@ -114,7 +118,9 @@
 	at          int
 	ceiling     *pool
 	groups      [2]*group
-	spec        task.Upstream
+	// reporters are the peers that have closed it for failures.
+	reporters []string
+	spec      task.Upstream
 }
 
 func (u *upstream) history(service int) *history {
@@ -151,7 +157,10 @@
 	services  map[string]int
 	order     []*upstream
 	changes   []Change
-	stats     Stats
+	reports   map[string][]string
+	// ejected counts upstreams closed for failures or on trial.
+	ejected int
+	stats   Stats
 }
 
 // New returns an empty tracker. The random source jitters waits.
@@ -161,24 +170,35 @@
 		rng:       rng,
 		upstreams: make(map[string]*upstream),
 		services:  make(map[string]int),
+		reports:   make(map[string][]string),
 	}
 }
 
 // Stats returns the counters.
 func (t *Tracker) Stats() Stats { return t.stats }
 
-// Observe takes the outcome of one task start. Slowness is the task's run time
-// over what was expected of it; 0 if it isn't known.
-func (t *Tracker) Observe(now task.Time, name, service string, o Outcome, slowness float64) {
-	u := t.upstreams[name]
+// Result is what became of one task start.
+type Result struct {
+	Upstream, Service string
+	Outcome           Outcome
+	// Sent is when the task was sent.
+	Sent task.Time
+	// Slowness is the task's run time over what was expected of it; 0 if it
+	// isn't known.
+	Slowness float64
+}
+
+// Observe takes a result.
+func (t *Tracker) Observe(now task.Time, r Result) {
+	u := t.upstreams[r.Upstream]
 	if u == nil || t.cfg.Off {
 		return
 	}
-	switch o {
+	switch r.Outcome {
 	case Succeeded:
-		t.succeeded(now, u, t.serviceOf(u, service), slowness)
+		t.succeeded(now, u, r)
 	case TaskFailed:
-		t.failed(now, u, t.serviceOf(u, service))
+		t.failed(now, u, t.serviceOf(u, r.Service))
 	case Refused:
 		u.refused++
 		if u.refused >= refusals || u.state != open {
@@ -201,14 +221,20 @@
 	return &u.services[i]
 }
 
-func (t *Tracker) succeeded(now task.Time, u *upstream, h *history, slowness float64) {
-	h.add(now, false)
-	u.refused = 0
-	u.lastSuccess = now
-	if slowness > 0 {
-		x := math.Log(min(max(slowness, 1.0/ratioLimit), ratioLimit))
+func (t *Tracker) succeeded(now task.Time, u *upstream, r Result) {
+	if r.Slowness > 0 {
+		x := math.Log(min(max(r.Slowness, 1.0/ratioLimit), ratioLimit))
 		u.slowness += slowGain * (x - u.slowness)
 	}
+	h := t.serviceOf(u, r.Service)
+	if h.failed&1 == 1 && r.Sent < h.failingSince {
+		// It began before the upstream began to fail. Counted, the tasks that
+		// were running then would hide for seconds that all later ones fail.
+		return
+	}
+	h.add(now, false)
+	u.refused = 0
+	u.lastSuccess = r.Sent
 	switch u.state {
 	case ejected:
 		// A task sent before the ejection: it says nothing of the present.
@@ -231,7 +257,7 @@
 // comeBack opens an upstream step by step.
 func (t *Tracker) comeBack(u *upstream) {
 	t.stats.Returns++
-	u.ceiling.ejected--
+	t.count(u, -1)
 	u.state = returning
 	u.share = returnFrom
 	clear(u.services)
@@ -244,7 +270,7 @@
 	case ejected:
 		return
 	case probing:
-		u.ceiling.ejected--
+		t.count(u, -1)
 		t.eject(now, u)
 		t.postponeGroups(now, u)
 		return
@@ -261,7 +287,7 @@
 
 // limit is the evidence that closes an upstream.
 func (t *Tracker) limit(u *upstream) float64 {
-	if u.state == returning || t.beside(u) {
+	if u.state == returning || len(u.reporters) > 0 || t.beside(u) {
 		return enoughBeside
 	}
 	return enough
@@ -278,7 +304,7 @@
 		return
 	}
 	t.stats.Ejections++
-	u.ceiling.ejected++
+	t.count(u, 1)
 	u.level++
 	if u.closedAt > 0 && now-u.closedAt > calm*u.wait {
 		u.level = 1
@@ -290,6 +316,12 @@
 	t.reweigh(u)
 }
 
+// count takes account of an upstream closed for failures, or no longer so.
+func (t *Tracker) count(u *upstream, n int) {
+	u.ceiling.ejected += n
+	t.ejected += n
+}
+
 // goAway closes an upstream that can't be reached or refuses.
 func (t *Tracker) goAway(now task.Time, u *upstream) {
 	if u.state == ejected || u.state == away && now < u.until {
@@ -298,7 +330,7 @@
 	t.stats.Away++
 	switch u.state {
 	case probing:
-		u.ceiling.ejected--
+		t.count(u, -1)
 		t.eject(now, u)
 		return
 	case away:
@@ -337,6 +369,9 @@
 		}
 		switch u.state {
 		case ejected:
+			if t.triedElsewhere(now, u) {
+				continue
+			}
 			t.stats.Probes++
 			u.state = probing
 			u.until = 0
