Ceilings and quotas under load: forecasts within them, loans only for waiting work

Forecasts go by what the ceiling lets run; a team's jobs are also judged by its quota and its own waiting tasks, and tasks that wait for a quota don't count as waiting for a slot, or one team's backlog would have all refused. Borrowing stops at the ceiling.

--- a/bench/cmd/overload/main.go
+++ b/bench/cmd/overload/main.go
@@ -26,6 +26,7 @@
 				{"overload", "Goodput under overload", s.Overload},
 				{"burst", "After a burst of 300% for 10 s, else 70%", s.Burst},
 				{"faults", "Upstreams that go wrong, at 80%", s.Faults},
+				{"ceiling", "A ceiling of half of the slots, at 100%", s.Ceiling},
 				{"waves", "Waves of requests", s.Waves},
 			} {
 				if only != "" && only != part.name {
@@ -38,7 +39,7 @@
 	}
 	cmd.Flags().Uint64Var(&s.Seed, "seed", 1, "seed of the stream")
 	cmd.Flags().DurationVar(&s.Length, "length", 60*time.Second, "virtual time in which jobs arrive")
-	cmd.Flags().StringVar(&only, "only", "", "overload, burst, faults or waves")
+	cmd.Flags().StringVar(&only, "only", "", "overload, burst, faults, ceiling or waves")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/bench/overload.go
+++ b/bench/overload.go
@@ -44,9 +44,13 @@
 	LoadAt func(at time.Duration) float64
 	// Limit is the contracted response time.
 	Limit time.Duration
+	// OneEntry sends all jobs to one entry process.
+	OneEntry bool
 	// Leave makes refused callers go away instead of coming back.
 	Leave  bool
 	Change func(*dispatch.Config)
+	// Terms alters the declared settings.
+	Terms func(*pb.Settings)
 	// Events happen at their times.
 	Events map[time.Duration]func(*Run)
 }
@@ -69,6 +73,11 @@
 	// Stops, Forwards and Control count messages since the start.
 	Stops, Forwards, Control, Refusals, Starts int
 	ratios                                     *Result
+	// held is the slots of running tasks, most the most there were, and area
+	// its integral over time since Shape.Warm.
+	held, most int
+	area       time.Duration
+	changed    time.Duration
 	// doubled counts tasks that an upstream began twice.
 	doubled int
 	began   map[string]bool
@@ -135,7 +144,11 @@
 		r.entries = append(r.entries, e)
 	}
 	for _, e := range r.entries {
-		e.step(dispatch.SettingsRead{Settings: settingsOf(s.Site, Policy{}, s.Limit)})
+		declared := settingsOf(s.Site, Policy{}, s.Limit)
+		if s.Terms != nil {
+			s.Terms(declared)
+		}
+		e.step(dispatch.SettingsRead{Settings: declared})
 		e.step(dispatch.MembersChanged{Members: r.members()})
 		for _, o := range r.entries {
 			if o != e {
@@ -165,6 +178,9 @@
 		if r.LoadAt != nil && r.rng.Float64()*r.Shape.Load > r.LoadAt(j.At) {
 			continue
 		}
+		if r.OneEntry {
+			j.Entry = 0
+		}
 		c := &call{job: j, index: i}
 		r.jobs = append(r.jobs, c)
 		r.at(j.At, func() { r.arrive(c) })
@@ -416,6 +432,7 @@
 		took *= slowFactor
 	}
 	u.busy++
+	r.hold(1)
 	if r.began[cmd.Name] {
 		r.doubled++
 	}
@@ -428,6 +445,7 @@
 		}
 		delete(u.running, cmd.Name)
 		u.busy--
+		r.hold(-1)
 		for _, n := range r.counts(r.now) {
 			n.Spent += r.now - began
 		}
@@ -438,6 +456,21 @@
 	r.after(took, func() { end(verdict) })
 }
 
+// hold counts a slot taken or given back.
+func (r *Run) hold(n int) {
+	if r.now > r.Shape.Warm && r.now <= r.Shape.Length {
+		r.area += time.Duration(r.held) * (r.now - max(r.changed, r.Shape.Warm))
+	}
+	r.changed = r.now
+	r.held += n
+	r.most = max(r.most, r.held)
+}
+
+// MeanHeld is the mean number of slots held from Shape.Warm on.
+func (r *Run) MeanHeld() float64 {
+	return r.area.Seconds() / (r.Shape.Length - r.Shape.Warm).Seconds()
+}
+
 func (e *stressEntry) stop(cmd dispatch.StopTask) {
 	r := e.run
 	u := r.runners[cmd.Upstream]
--- a/bench/overload_test.go
+++ b/bench/overload_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
 // small is a quarter of a site, so that these runs stay short.
@@ -40,6 +41,24 @@
 	g.Expect(r.Total.Jobs).To(gomega.BeNumerically(">", 400))
 }
 
+// An institution may hold half of the slots and asks for all of them, through
+// three entry processes and then through one. It must never hold more, and the
+// unused shares of the others must reach the one.
+func TestCeilingIsKeptAndUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, one := range []bool{false, true} {
+		s := small().stress("", 1, nil)
+		s.OneEntry = one
+		s.Terms = func(d *pb.Settings) {
+			d.EntryVms = 3
+			d.Institutions[0].CeilingSlots = 48
+		}
+		r := NewRun(s).Do()
+		g.Expect(r.most).To(gomega.BeNumerically("<=", 48))
+		g.Expect(r.MeanHeld()).To(gomega.BeNumerically(">=", 40))
+	}
+}
+
 // A power cut ends the rush and every caller cancels at once. One message for
 // each running task must do, and none for those that wait.
 func TestCancellationWaveCostsOneMessageATask(t *testing.T) {
--- a/bench/scenarios.go
+++ b/bench/scenarios.go
@@ -9,6 +9,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
 	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
 // Stresses prints the tables of overload and upstream faults.
@@ -149,6 +150,29 @@
 	}
 }
 
+// Ceiling is what a ceiling of half of the slots lets run, with the callers at
+// all entry processes alike and at one of them.
+func (s Stresses) Ceiling() {
+	ceiling := s.Site.totalSlots() / 2
+	var list []Stress
+	for _, skewed := range []bool{false, true} {
+		p := s.stress("jobs at all entry processes alike", 1, nil)
+		p.Terms = func(d *pb.Settings) {
+			d.EntryVms = uint32(s.Site.Entries)
+			d.Institutions[0].CeilingSlots = uint32(ceiling)
+		}
+		if skewed {
+			p.Policy, p.OneEntry = "all jobs at one", true
+		}
+		list = append(list, p)
+	}
+	fmt.Fprint(s.Out, "| jobs | ceiling | most slots held at once | mean | of the ceiling | control messages a second a process |\n|---|---|---|---|---|---|\n")
+	for _, r := range all(list) {
+		fmt.Fprintf(s.Out, "| %s | %d | %d | %.1f | %.1f%% | %.1f |\n", r.Policy, ceiling, r.most, r.MeanHeld(),
+			100*r.MeanHeld()/float64(ceiling), float64(r.Control)/(s.Length+drainTime).Seconds()/float64(s.Site.Entries))
+	}
+}
+
 // Waves is the messages that mass cancellations and resubmissions cost.
 func (s Stresses) Waves() {
 	at := s.Length / 2
--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -199,23 +199,38 @@
 	return best
 }
 
-// Allow says whether one more task of a team may start; an empty team asks for
-// the institution's ceiling only. A refusal is remembered as demand.
+// Allow says whether one more task of a team, of which one waits, may start; an
+// empty team asks for the institution's ceiling only. A refusal is remembered
+// as demand, which keeps units from being lent and asks others for theirs.
 func (q *Quotas) Allow(now task.Time, institution, team string) bool {
-	if team != "" && !q.Room(now, Key{institution, team}) {
+	if team != "" && !q.allow(now, Key{institution, team}) {
 		return false
 	}
-	return q.Room(now, Key{Institution: institution})
+	return q.allow(now, Key{Institution: institution})
+}
+
+func (q *Quotas) allow(now task.Time, k Key) bool {
+	if q.Room(now, k) {
+		return true
+	}
+	q.limits[k].blocked = true
+	return false
 }
 
 // Room says whether a limit lets one more task start.
 func (q *Quotas) Room(now task.Time, k Key) bool {
 	l := q.limits[k]
-	if l == nil || l.free(q, now) > 0 {
-		return true
+	return l == nil || l.free(q, now) > 0
+}
+
+// Free is how many more tasks a limit lets start here, and whether it is one
+// that can be exceeded.
+func (q *Quotas) Free(now task.Time, k Key) (free int, binding bool) {
+	l := q.limits[k]
+	if l == nil || l.slack() {
+		return 0, false
 	}
-	l.blocked = true
-	return false
+	return max(l.free(q, now), 0), true
 }
 
 // free is how many more tasks the limit lets start here.
--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -110,6 +110,12 @@
 		capacity.Queued = 0
 	}
 	refusal = admission.Decide(j, capacity)
+	line := admission.Key{Institution: inst.GetName()}
+	if team, binding := c.teamCapacity(sub, j, capacity); refusal == nil && binding {
+		refusal = admission.Decide(j, team)
+		capacity = team
+		line.Team = sub.request.GetTeam()
+	}
 	if refusal == nil && c.queue.Tasks(inst.GetName())+len(sub.request.GetTasks()) > c.queueLimit(inst) {
 		refusal = &admission.Refusal{
 			Reason: pb.Reason_REASON_OVERLOADED,
@@ -121,14 +127,71 @@
 		return nil, 0
 	}
 	c.refusals[refusal.Reason]++
-	back := c.comeBacks[inst.GetName()]
+	back := c.comeBacks[line]
 	if back == nil {
 		back = &admission.ComeBack{}
-		c.comeBacks[inst.GetName()] = back
+		c.comeBacks[line] = back
 	}
 	return refusal, back.After(c.now, refusal, j, capacity)
 }
 
+// teamQueue is the waiting tasks of a team, without a break since a time.
+type teamQueue struct {
+	tasks int
+	since task.Time
+}
+
+// noteWaiting counts the waiting tasks of a submission's team.
+func (c *Core) noteWaiting(sub *submission, n int) {
+	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
+	q, known := c.teams[key]
+	if !known {
+		q.since = c.now
+	}
+	q.tasks += n
+	if q.tasks == 0 {
+		delete(c.teams, key)
+		return
+	}
+	c.teams[key] = q
+}
+
+// teamCapacity is what there is for a team within its quota; false if no quota
+// limits it.
+func (c *Core) teamCapacity(sub *submission, j admission.Job, all admission.Capacity) (admission.Capacity, bool) {
+	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
+	free, binding := c.quotas.Free(c.now, key)
+	if key.Team == "" || !binding || c.cfg.Control.AdmitAll {
+		return all, false
+	}
+	q, waits := c.teams[key]
+	all.Slots = min(all.Slots, c.quotas.Held(key)+free)
+	all.Queued = time.Duration(q.tasks) * j.Work / time.Duration(len(sub.request.GetTasks()))
+	all.WaitPercent = c.cfg.Control.WaitPercent
+	if waits && c.now-q.since > c.cfg.Control.Standing {
+		all.WaitPercent = c.cfg.Control.StandingPercent
+	}
+	return all, true
+}
+
+// queuedWork is the expected run time of the tasks that wait for a slot. Those
+// that wait for their team's quota keep no slot from the others; counted, one
+// team's backlog would have all teams refused.
+func (c *Core) queuedWork(institution string) time.Duration {
+	tasks := c.queue.Tasks(institution)
+	if tasks == 0 {
+		return 0
+	}
+	blocked := 0
+	for key, q := range c.teams {
+		if key.Institution == institution && key.Team != "" && !c.quotas.Room(c.now, key) {
+			blocked += q.tasks
+		}
+	}
+	rest := max(tasks-blocked, 0)
+	return c.queue.Work(institution) / time.Duration(tasks) * time.Duration(rest)
+}
+
 // queueLimit is an institution's part of the tasks that may wait.
 func (c *Core) queueLimit(inst *pb.Institution) int {
 	p := int(inst.GetCapacityPercent())
@@ -159,14 +222,17 @@
 	if limit := c.quotas.Most(name, sub.request.GetTeam()); limit > 0 && (most == 0 || limit < most) {
 		most = limit
 	}
-	slots := c.inUse[name] + c.pool.Idle(name)
+	idle := c.pool.Idle(name)
 	for _, s := range c.lending.seen {
-		slots += s.idle[name]
+		idle += s.idle[name]
+	}
+	if free, binding := c.quotas.Free(c.now, admission.Key{Institution: name}); binding {
+		idle = min(idle, free)
 	}
 	return admission.Capacity{
-		Slots:       slots,
+		Slots:       c.inUse[name] + idle,
 		Most:        most,
-		Queued:      c.queue.Work(name),
+		Queued:      c.queuedWork(name),
 		WaitPercent: c.waitPercent(name),
 		CPUMillis:   s.cpuMillis,
 		MemoryMiB:   s.memoryMiB,
@@ -209,11 +275,16 @@
 
 // nextTask takes the task to be served next, within quotas and ceiling.
 func (c *Core) nextTask(institution string) (queue.Ref, bool) {
-	if !c.belowCeiling(institution) {
+	if c.queue.Tasks(institution) == 0 || !c.quotas.Allow(c.now, institution, "") {
 		return queue.Ref{}, false
 	}
 	c.placing = institution
-	return c.queue.Next(c.now, institution, c.allowTeam)
+	ref, ok := c.queue.Next(c.now, institution, c.allowTeam)
+	if !ok {
+		// Only tasks that wait for their team's quota are left.
+		c.lastIdle[institution] = c.now
+	}
+	return ref, ok
 }
 
 // belowCeiling says whether the institution may hold one more slot.
--- a/core/dispatch/admission_test.go
+++ b/core/dispatch/admission_test.go
@@ -180,6 +180,29 @@
 	c.g.Expect(c.Dump().Terms.Limits[0].Held).To(gomega.Equal(1))
 }
 
+// One team has piled up seconds of work beyond its quota. It must be told so,
+// and the other's jobs, for which slots are idle, must not be refused for it.
+func TestBacklogOfOneTeamTurnsOnlyItAway(t *testing.T) {
+	c := newTermsCore(t, nil)
+	var kitchens, others uint64
+	for range 30 {
+		kitchens = c.submit("", "kitchens", 1, 200)
+		others = c.submit("", "", 1, 200)
+		answers, starts, _ := c.taken()
+		c.g.Expect(answers).NotTo(gomega.HaveKey(others))
+		for _, s := range starts {
+			if s.Start%2 == 0 {
+				c.Step(c.clock, StartResult{s.Start, task.Result{Verdict: task.Finished}})
+			}
+		}
+		if a := answers[kitchens]; a != nil {
+			c.g.Expect(a.GetReason()).To(gomega.Equal(pb.Reason_REASON_OVERLOADED))
+			return
+		}
+	}
+	t.Fatal("the team's jobs were all taken on")
+}
+
 // An upstream begins to fail all its tasks while the other does well. After a
 // few of them the next must go elsewhere, though its slots are idle.
 func TestFailingUpstreamGetsNoMoreTasks(t *testing.T) {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -113,11 +113,12 @@
 	health      *health.Tracker
 	estimate    *admission.Estimator
 	quotas      *admission.Quotas
-	comeBacks   map[string]*admission.ComeBack
+	comeBacks   map[admission.Key]*admission.ComeBack
 	refusals    map[pb.Reason]uint64
 	workers     map[string]size
 	// inUse is the number of starts that aren't settled, by institution.
 	inUse map[string]int
+	teams map[admission.Key]teamQueue
 	// lastIdle is when an institution last had no task waiting.
 	lastIdle map[string]task.Time
 	// placing is the institution that allowTeam asks for.
@@ -174,8 +175,9 @@
 		upstreams:    make(map[string]*upstream),
 		estimate:     admission.NewEstimator(),
 		quotas:       admission.NewQuotas(cfg.Self),
+		teams:        make(map[admission.Key]teamQueue),
 		lastIdle:     make(map[string]task.Time),
-		comeBacks:    make(map[string]*admission.ComeBack),
+		comeBacks:    make(map[admission.Key]*admission.ComeBack),
 		refusals:     make(map[pb.Reason]uint64),
 		inUse:        make(map[string]int),
 		peers:        make(map[task.Incarnation]*peer),
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -247,6 +247,7 @@
 	sub.job = c.lastJob
 	c.jobs[sub.job] = sub
 	c.queue.Add(c.queueJob(sub))
+	c.noteWaiting(sub, n)
 	sub.timer = c.after(sub.deadline-c.now, func() { c.deadlinePassed(sub) })
 	c.holdBack(sub)
 }
@@ -302,6 +303,7 @@
 	tasks := len(sub.request.GetTasks())
 	if sub.job != 0 {
 		c.queue.Remove(sub.job)
+		c.noteWaiting(sub, -sub.assembly.Waiting())
 		delete(c.jobs, sub.job)
 		c.stopRunning(sub)
 	}
--- a/core/dispatch/upstreams.go
+++ b/core/dispatch/upstreams.go
@@ -38,6 +38,7 @@
 		expected: c.estimate.Expect(institution, request.GetService(), declared),
 	}
 	c.inUse[institution]++
+	c.noteWaiting(s.sub, -1)
 	c.quotas.Started(institution, s.terms.team)
 	if s.attempt == 0 {
 		c.budgets.Started(institution, s.slot.Upstream)
@@ -113,6 +114,7 @@
 // within the budgets. A retry that would come too late isn't waited for.
 func (c *Core) retryLater(s *start) {
 	sub := s.sub
+	c.noteWaiting(sub, 1)
 	r := c.budgets.Next(c.now, sub.deadline, sub.id.Institution, s.slot.Upstream, s.attempt)
 	if r.UpstreamSpent {
 		c.health.Close(c.now, s.slot.Upstream)
