--- a/node/platform.go
+++ b/node/platform.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -57,9 +58,13 @@
 	var listed uint64
 	var out outage
 	for {
-		version, membersErr := p.readMembers(ctx, listed)
-		listed = version
-		settingsErr := p.readSettings(ctx)
+		var membersErr, settingsErr error
+		// Side by side: a platform that takes calls and answers none would
+		// otherwise cost two timeouts in a row, and settings would come late.
+		var reads sync.WaitGroup
+		reads.Go(func() { listed, membersErr = p.readMembers(ctx, listed) })
+		reads.Go(func() { settingsErr = p.readSettings(ctx) })
+		reads.Wait()
 		p.logOutage(out.seen(membersErr, settingsErr), membersErr, settingsErr)
 		select {
 		case <-ctx.Done():
