--- a/bench/cmd/overload/main.go
+++ b/bench/cmd/overload/main.go
@@ -15,10 +15,14 @@
 func main() {
 	s := bench.Stresses{Site: bench.Hollowell, Out: os.Stdout}
 	only := ""
+	kandy := false
 	cmd := &cobra.Command{
 		Use:   "overload",
 		Short: "Measure overload, upstream faults and waves of requests in virtual time",
 		Run: func(*cobra.Command, []string) {
+			if kandy {
+				s.Site = bench.Kandy
+			}
 			for _, part := range []struct {
 				name, title string
 				print       func()
@@ -39,6 +43,7 @@
 	}
 	cmd.Flags().Uint64Var(&s.Seed, "seed", 1, "seed of the stream")
 	cmd.Flags().DurationVar(&s.Length, "length", 60*time.Second, "virtual time in which jobs arrive")
+	cmd.Flags().BoolVar(&kandy, "kandy", false, "the second deployment instead of the first")
 	cmd.Flags().StringVar(&only, "only", "", "overload, burst, faults, ceiling or waves")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
