--- a/core/dispatch/admission_test.go
+++ b/core/dispatch/admission_test.go
@@ -180,6 +180,19 @@
 	c.g.Expect(c.Dump().Terms.Limits[0].Held).To(gomega.Equal(1))
 }
 
+// One team has piled up seconds of work beyond its quota. It must be told so,
+// and the other's jobs, for which slots are idle, must not be refused for it.
+func TestBacklogOfOneTeamTurnsOnlyItAway(t *testing.T) {
+	c := newTermsCore(t, nil)
+	c.submit("", "kitchens", 25, 200)
+	others := c.submit("", "", 1, 200)
+	kitchens := c.submit("", "kitchens", 1, 200)
+	answers, starts, _ := c.taken()
+	c.g.Expect(starts).To(gomega.HaveLen(2))
+	c.g.Expect(answers).NotTo(gomega.HaveKey(others))
+	c.g.Expect(answers[kitchens].GetReason()).To(gomega.Equal(pb.Reason_REASON_OVERLOADED))
+}
+
 // An upstream begins to fail all its tasks while the other does well. After a
 // few of them the next must go elsewhere, though its slots are idle.
 func TestFailingUpstreamGetsNoMoreTasks(t *testing.T) {
