--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -222,17 +222,16 @@
 	if limit := c.quotas.Most(name, sub.request.GetTeam()); limit > 0 && (most == 0 || limit < most) {
 		most = limit
 	}
-	idle := c.pool.Idle(name)
+	// Lent slots come home as soon as they are spare there. Left out, a process
+	// that has lent most of its slots takes a short queue for one that lasts
+	// half a minute, and sends callers away for as long.
+	idle := c.pool.Idle(name) + c.pool.Lent(name)
 	for _, s := range c.lending.seen {
 		idle += s.idle[name]
 	}
 	if free, binding := c.quotas.Free(c.now, admission.Key{Institution: name}); binding {
 		idle = min(idle, free)
 	}
-	// Lent slots come home as soon as they are spare there. Left out, a process
-	// that has lent most of its slots takes a short queue for one that lasts
-	// half a minute, and sends callers away for as long.
-	slots += c.pool.Lent(name)
 	return admission.Capacity{
 		Slots:       c.inUse[name] + idle,
 		Most:        most,
