--- a/bench/slopes/control.go
+++ b/bench/slopes/control.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/gen/sapphirepointv1/sapphirepointv1connect"
 	"sapphirepoint.example/sapphirepoint/standin"
 )
 
@@ -19,6 +23,7 @@
 	// packet size end first.
 	controlSettle = 5 * time.Second
 	udpIPHeader   = 28
+	changes       = 20
 )
 
 // control is the cost of one idle node among others.
@@ -27,6 +32,9 @@
 	// core is the share of a processor core, bytes the UDP and IP bytes sent
 	// and received a second.
 	core, bytes float64
+	// inForce is the longest of several times from an operator's accepted call
+	// until the change was in force at every node.
+	inForce time.Duration
 }
 
 // measureControl watches an idle deployment of the given size in this process:
@@ -45,11 +53,37 @@
 	processor, bytes := processorTime(), traffic(cluster)
 	time.Sleep(controlSpan)
 	seconds := controlSpan.Seconds() * float64(nodes)
-	return control{
+	c := control{
 		nodes: nodes,
 		core:  (processorTime() - processor).Seconds() / seconds,
 		bytes: (traffic(cluster) - bytes) / seconds,
-	}, nil
+	}
+	c.inForce, err = slowestChange(ctx, cluster)
+	return c, err
+}
+
+// slowestChange applies settings at one node after another and watches the
+// others.
+func slowestChange(ctx context.Context, cluster *standin.Cluster) (time.Duration, error) {
+	var slowest time.Duration
+	for i := range changes {
+		entry := cluster.Entries[i%len(cluster.Entries)]
+		expected := entry.SettingsVersion()
+		rpc := sapphirepointv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+entry.OperatorAddress())
+		req := connect.NewRequest(&pb.ApplySettingsRequest{ExpectedVersion: expected, Settings: standin.Settings()})
+		req.Header().Set("Authorization", "Bearer "+standin.OperatorToken)
+		if _, err := rpc.ApplySettings(ctx, req); err != nil {
+			return 0, errors.Wrap(err, "apply settings")
+		}
+		began := time.Now()
+		for _, e := range cluster.Entries {
+			for e.SettingsVersion() <= expected {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	return slowest, nil
 }
 
 func processorTime() time.Duration {
@@ -72,6 +106,7 @@
 
 // controlSlopes measures idle deployments of growing size.
 func controlSlopes() ([]series, error) {
+	inForce := series{what: "slowest of 20 settings changes, in force everywhere", per: "peer", unit: "ms"}
 	core := series{what: "idle node among peers, real sockets", per: "peer", unit: "% of a core"}
 	bytes := series{what: "idle peer links, UDP and IP bytes both ways", per: "peer", unit: "B/s"}
 	for _, nodes := range []int{2, 4, 8, 16, 24} {
@@ -82,8 +117,9 @@
 		peers := float64(nodes - 1)
 		core.points = append(core.points, point{peers, 100 * c.core})
 		bytes.points = append(bytes.points, point{peers, c.bytes})
+		inForce.points = append(inForce.points, point{peers, float64(c.inForce.Milliseconds())})
 	}
-	return []series{core, bytes}, nil
+	return []series{core, bytes, inForce}, nil
 }
 
 func printControl() error {
--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,9 @@
 // PeerAddress is the address that peers reach.
 func (n *Node) PeerAddress() string { return n.mesh.address() }
 
+// SettingsVersion is the version of the settings in force, 0 if there are none.
+func (n *Node) SettingsVersion() uint64 { return n.inForce.Load().Version() }
+
 // Incarnation names this run of the process.
 func (n *Node) Incarnation() task.Incarnation { return n.self }
 
