A planned stop serves the claims that are under way

Cause: read, not seen: a submission under the caller's own key whose claim was being written when the stop began was refused as "not run" once the claim stood; it was in progress. And jobs held back because nobody waits kept the stop waiting for their deadlines. Change: only issued ids are refused while stopping (new own keys are refused before their claim); jobs held back end at once. With the old condition TestPlannedStopServesAClaimUnderWay finds no StartTask (index out of range); with the change it passes.

--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -63,9 +63,10 @@
 }
 
 // admit decides whether a claimed job is taken on; nil means yes. A caller's
-// own key was let through before its claim: refused now it would be spent.
+// own key was let through before its claim: refused now it would be spent, and
+// while the process stops no new ones are let through.
 func (c *Core) admit(sub *submission) *pb.Answer {
-	if c.draining {
+	if c.draining && sub.id.Issued() {
 		return c.notRun(sub, pb.Reason_REASON_NOT_SERVING, "the process is stopping")
 	}
 	if c.now >= sub.deadline {
--- a/core/dispatch/ownkey_test.go
+++ b/core/dispatch/ownkey_test.go
@@ -109,3 +109,18 @@
 	c.Tick(20 * time.Second)
 	g.Expect(c.sizes()["requests"]).To(gomega.BeZero())
 }
+
+// An entry VM begins its planned stop while the claim of a buyer's bid is being
+// written. The bid was accepted, so it is placed and answered before the stop.
+func TestPlannedStopServesAClaimUnderWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(*Config) {})
+	c.Step(1*ms, Submit{1, inst, settlement("k")})
+	w := commands[ClaimWrite](c)[0]
+	c.Step(2*ms, Drain{})
+	c.Step(3*ms, ClaimResult{Batch: w.Batch, OK: true})
+	c.Step(4*ms, StartResult{commands[StartTask](c)[0].Start, task.Result{Verdict: task.Finished}})
+	all := c.Take()
+	g.Expect(all[len(all)-2].(Reply).Answer.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_COMPLETE))
+	g.Expect(all[len(all)-1]).To(gomega.Equal(Drained{}))
+}
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -1,5 +1,12 @@
 package dispatch
 
+import (
+	"maps"
+	"slices"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
 // drain begins the planned stop: no new work is taken, peers are told, and
 // what is in progress is finished.
 func (c *Core) drain() {
@@ -11,6 +18,17 @@
 		c.peers[p].sent = 0
 	}
 	c.sendStatus()
+	c.endHeldBack()
+}
+
+// endHeldBack ends the jobs that nobody waits for and of which nothing has
+// started; otherwise the stop would wait for their deadlines.
+func (c *Core) endHeldBack() {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if sub := c.jobs[id]; len(sub.waiters) == 0 && !sub.assembly.MayHaveRun() {
+			c.giveUp(sub, pb.Reason_REASON_NOT_SERVING, "the process is stopping")
+		}
+	}
 }
 
 // checkDrained goes on with a planned stop as soon as nothing is in progress:
