Fill the limit in the test of the oldest answer

With the old order of dropping the test as it stood passed; 30 answers under own keys fill the limit, and it fails on the first answer put after them.

--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -69,12 +69,12 @@
 	return id, a
 }
 
-// A rush of answers under issued ids follows a few under own keys. The newest
-// answer must be there when its caller asks again a moment later.
+// Answers under own keys fill the limit when others under issued ids follow.
+// The newest answer must be there when its caller asks again a moment later.
 func TestAnswersForgetTheOldestFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a := NewAnswers(20 * keptOverhead)
-	for i := range 5 {
+	for i := range 30 {
 		a.Put(task.ID{Institution: "hollowell", OwnKey: fmt.Sprint(i)}, &pb.Answer{}, time.Hour)
 	}
 	for i := range 100 {
