--- /dev/null
+++ b/bench/cmd/overload/main.go
@@ -0,0 +1,45 @@
+// Command overload measures overload, upstream faults and waves of requests in
+// virtual time and prints Markdown tables.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"sapphirepoint.example/sapphirepoint/bench"
+)
+
+func main() {
+	s := bench.Stresses{Site: bench.Hollowell, Out: os.Stdout}
+	only := ""
+	cmd := &cobra.Command{
+		Use:   "overload",
+		Short: "Measure overload, upstream faults and waves of requests in virtual time",
+		Run: func(*cobra.Command, []string) {
+			for _, part := range []struct {
+				name, title string
+				print       func()
+			}{
+				{"overload", "Goodput under overload", s.Overload},
+				{"burst", "After a burst of 300% for 10 s, else 70%", s.Burst},
+				{"faults", "Upstreams that go wrong, at 80%", s.Faults},
+				{"waves", "Waves of requests", s.Waves},
+			} {
+				if only != "" && only != part.name {
+					continue
+				}
+				fmt.Printf("\n### %s\n\n", part.title)
+				part.print()
+			}
+		},
+	}
+	cmd.Flags().Uint64Var(&s.Seed, "seed", 1, "seed of the stream")
+	cmd.Flags().DurationVar(&s.Length, "length", 60*time.Second, "virtual time in which jobs arrive")
+	cmd.Flags().StringVar(&only, "only", "", "overload, burst, faults or waves")
+	if err := cmd.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -36,6 +36,8 @@
 	Hang    Mode = "hang"
 	FailAll Mode = "fail"
 	Refuse  Mode = "refuse"
+	// Leave refuses new tasks and says that the runner is about to leave.
+	Leave Mode = "leave"
 )
 
 // Payload tells the runner what to do; any other payload is echoed.
@@ -148,9 +150,18 @@
 func (r *Runner) answer(w http.ResponseWriter, verdict string, body []byte) {
 	w.Header().Set(upstream.HeaderRun, r.run)
 	w.Header().Set(upstream.HeaderVerdict, verdict)
+	if r.leaving() {
+		w.Header().Set(upstream.HeaderLeaving, "yes")
+	}
 	_, _ = w.Write(body)
 }
 
+func (r *Runner) leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mode == Leave
+}
+
 func (r *Runner) start(w http.ResponseWriter, q *http.Request) {
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
@@ -177,7 +188,7 @@
 		r.refused++
 		return nil, nil, "", "settled before it began"
 	}
-	if r.mode == Refuse || r.busy >= r.slots {
+	if r.mode == Refuse || r.mode == Leave || r.busy >= r.slots {
 		r.refused++
 		return nil, nil, "", "no slot"
 	}
