--- a/core/dispatch/adopt.go
+++ b/core/dispatch/adopt.go
@@ -78,7 +78,7 @@
 		c.reply(r, word)
 		return
 	}
-	c.reply(r, failed(r, pb.Reason_REASON_HOLDER_GONE, "the process that held the claim has stopped and the answer isn't kept"))
+	c.reply(r, failed(r, pb.Reason_REASON_ID_EXPIRED, "the process that held the claim has stopped and the answer isn't kept"))
 }
 
 // successorOf finds who answers for an incarnation: itself, unless it has
