--- a/bench/slopes/control.go
+++ b/bench/slopes/control.go
@@ -32,6 +32,8 @@
 	// core is the share of a processor core, bytes the UDP and IP bytes sent
 	// and received a second.
 	core, bytes float64
+	// platform is the TCP payload exchanged with the platform a second.
+	platform float64
 	// inForce is the longest of several times from an operator's accepted call
 	// until the change was in force at every node.
 	inForce time.Duration
@@ -50,13 +52,15 @@
 	}
 	defer cluster.Close()
 	time.Sleep(controlSettle)
-	processor, bytes := processorTime(), traffic(cluster)
+	processor, bytes, platform := processorTime(), traffic(cluster), cluster.PlatformBytes()
 	time.Sleep(controlSpan)
 	seconds := controlSpan.Seconds() * float64(nodes)
 	c := control{
 		nodes: nodes,
 		core:  (processorTime() - processor).Seconds() / seconds,
 		bytes: (traffic(cluster) - bytes) / seconds,
+
+		platform: float64(cluster.PlatformBytes()-platform) / seconds,
 	}
 	c.inForce, err = slowestChange(ctx, cluster)
 	return c, err
@@ -108,6 +112,7 @@
 func controlSlopes() ([]series, error) {
 	inForce := series{what: "slowest of 20 settings changes, in force everywhere", per: "peer", unit: "ms"}
 	core := series{what: "idle node among peers, real sockets", per: "peer", unit: "% of a core"}
+	platform := series{what: "reading list and settings once a second, TCP payload both ways", per: "peer", unit: "B/s"}
 	bytes := series{what: "idle peer links, UDP and IP bytes both ways", per: "peer", unit: "B/s"}
 	for _, nodes := range []int{2, 4, 8, 16, 24} {
 		c, err := measureControl(nodes)
@@ -117,9 +122,10 @@
 		peers := float64(nodes - 1)
 		core.points = append(core.points, point{peers, 100 * c.core})
 		bytes.points = append(bytes.points, point{peers, c.bytes})
+		platform.points = append(platform.points, point{peers, c.platform})
 		inForce.points = append(inForce.points, point{peers, float64(c.inForce.Milliseconds())})
 	}
-	return []series{core, bytes, inForce}, nil
+	return []series{core, bytes, platform, inForce}, nil
 }
 
 func printControl() error {
--- a/standin/cluster.go
+++ b/standin/cluster.go
@@ -18,6 +18,7 @@
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 	"sapphirepoint.example/sapphirepoint/keys"
 	"sapphirepoint.example/sapphirepoint/node"
+	"sapphirepoint.example/sapphirepoint/standin/faults"
 	"sapphirepoint.example/sapphirepoint/standin/platform"
 	"sapphirepoint.example/sapphirepoint/standin/runner"
 )
@@ -58,11 +59,12 @@
 	Runners  []*runner.Runner
 	Entries  []*Entry
 
-	layout      Layout
-	ca          keys.Pair
-	platformURL string
-	members     []*platformv1.Member
-	listeners   []net.Listener
+	layout       Layout
+	ca           keys.Pair
+	platformURL  string
+	platformLink *faults.Listener
+	members      []*platformv1.Member
+	listeners    []net.Listener
 }
 
 // Settings is a small declaration for the examples: one institution with a
@@ -115,10 +117,14 @@
 	}
 	c.listeners = append(c.listeners, l)
 	c.platformURL = "http://" + l.Addr().String()
-	go func() { _ = c.Platform.Serve(l) }()
+	c.platformLink = faults.NewListener(l)
+	go func() { _ = c.Platform.Serve(c.platformLink) }()
 	return nil
 }
 
+// PlatformBytes is what all nodes have exchanged with the platform.
+func (c *Cluster) PlatformBytes() int64 { return c.platformLink.Bytes() }
+
 func (c *Cluster) addDomain(ctx context.Context, domain string) error {
 	for i := range c.layout.NodesPerDomain {
 		e, err := c.StartEntry(ctx, fmt.Sprintf("%s-%d", domain, i), domain, loopback)
--- a/standin/faults/listener.go
+++ b/standin/faults/listener.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Listener wraps a listener so that its open connections can go silent while
@@ -13,6 +14,7 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	bytes atomic.Int64
 }
 
 // NewListener wraps a listener.
@@ -33,6 +35,9 @@
 	return w, nil
 }
 
+// Bytes is what all connections have carried, both ways.
+func (l *Listener) Bytes() int64 { return l.bytes.Load() }
+
 // Silence makes all open connections silent for good and returns their number.
 func (l *Listener) Silence() int { return l.SilenceBut(nil) }
 
@@ -76,6 +81,7 @@
 // Read implements net.Conn; what a silent connection receives is lost.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.listener.bytes.Add(int64(n))
 	if !c.isSilent() {
 		return n, err
 	}
@@ -88,7 +94,9 @@
 	if c.isSilent() {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.listener.bytes.Add(int64(n))
+	return n, err
 }
 
 // Close implements net.Conn.
