--- /dev/null
+++ b/bench/cmd/live/main.go
@@ -0,0 +1,142 @@
+// Command live measures goodput under overload over real sockets: two entry
+// processes' nodes and four runners with the platform's stand-in, all in this
+// process, and callers that come back when they are told to.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"sapphirepoint.example/sapphirepoint/client"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/standin"
+)
+
+const (
+	slots    = 4 * 8
+	tasks    = 5
+	runMs    = 100
+	limitMs  = 2000
+	patience = 8 * time.Second
+	// capacity is the jobs a second that all slots can do.
+	capacity = slots * 1000.0 / (tasks * runMs)
+)
+
+func main() {
+	var length time.Duration
+	var loads []float64
+	cmd := &cobra.Command{
+		Use:          "live",
+		Short:        "Measure goodput under overload over real sockets",
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return measure(cmd.Context(), loads, length)
+		},
+	}
+	cmd.Flags().DurationVar(&length, "length", 10*time.Second, "time in which jobs arrive, for each load")
+	cmd.Flags().Float64SliceVar(&loads, "load", []float64{0.8, 1, 1.3, 3}, "offered load, as parts of capacity")
+	if err := cmd.ExecuteContext(context.Background()); err != nil {
+		os.Exit(1)
+	}
+}
+
+func measure(ctx context.Context, loads []float64, length time.Duration) error {
+	cluster, err := standin.Start(ctx, standin.Layout{
+		FailureDomains:   []string{"loughborough", "melton"},
+		NodesPerDomain:   1,
+		RunnersPerDomain: 2,
+		Log:              zerolog.Nop(),
+	})
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	var clients []*client.Client
+	for _, e := range cluster.Entries {
+		clients = append(clients, client.New(client.Config{URL: "http://" + e.CallerAddress(), Token: standin.Token}))
+	}
+	fmt.Print("| load | jobs | goodput | whole answers | refused for good | other ends | refusals a job |\n|---|---|---|---|---|---|---|\n")
+	for _, load := range loads {
+		r := &run{begin: time.Now(), length: length}
+		r.offer(ctx, clients, load)
+		fmt.Printf("| %.0f%% | %d | %.1f%% | %d | %d | %d | %.2f |\n", load*100, r.jobs,
+			100*float64(r.inTime)/length.Seconds()/capacity, r.complete, r.gone, r.other, float64(r.refusals)/float64(r.jobs))
+	}
+	return nil
+}
+
+// run is one load with what became of its jobs.
+type run struct {
+	begin  time.Time
+	length time.Duration
+	jobs   int
+
+	mu sync.Mutex
+	// inTime are the whole answers that came while jobs still arrived.
+	complete, inTime, gone, other, refusals int
+}
+
+func (r *run) offer(ctx context.Context, clients []*client.Client, load float64) {
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / capacity / load))
+	defer ticker.Stop()
+	var all sync.WaitGroup
+	for time.Since(r.begin) < r.length {
+		<-ticker.C
+		c := clients[r.jobs%len(clients)]
+		r.jobs++
+		all.Go(func() { r.call(ctx, c) })
+	}
+	all.Wait()
+}
+
+// call submits a job and comes back with it, under a new id, while it is told
+// when.
+func (r *run) call(ctx context.Context, c *client.Client) {
+	arrived := time.Now()
+	for {
+		a, err := submit(ctx, c)
+		wait := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
+		again := a.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN && wait > 0 && time.Since(arrived)+wait < patience
+		r.count(a, err, again)
+		if !again {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (r *run) count(a *pb.Answer, err error, again bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case again:
+		r.refusals++
+	case err == nil && a.GetOutcome() == pb.Outcome_OUTCOME_COMPLETE:
+		r.complete++
+		if time.Since(r.begin) < r.length {
+			r.inTime++
+		}
+	case a.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN:
+		r.gone++
+	default:
+		r.other++
+	}
+}
+
+func submit(ctx context.Context, c *client.Client) (*pb.Answer, error) {
+	id, err := c.NewID(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s := &pb.Submission{Id: id, Service: "labels", TimeoutMs: limitMs}
+	for range tasks {
+		s.Tasks = append(s.Tasks, &pb.Task{Payload: fmt.Appendf(nil, `{"run_ms": %d}`, runMs), RunTimeMs: runMs})
+	}
+	return c.SubmitOnce(ctx, s)
+}
--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/admission"
-	"sapphirepoint.example/sapphirepoint/core/health"
 	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
@@ -308,67 +307,3 @@
 func (c *Core) shareQuotas() {
 	c.quotas.Tick(c.now)
 }
-
-// DumpTerms says which terms and upstreams keep tasks waiting.
-type DumpTerms struct {
-	// Limits are the quotas and ceilings.
-	Limits []admission.Share `json:"limits"`
-	// Upstreams are those not in full use.
-	Upstreams []health.Status `json:"upstreams_not_in_full_use"`
-	Health    health.Stats    `json:"health"`
-	// Refusals counts jobs not taken on, by reason.
-	Refusals     map[string]uint64          `json:"refusals"`
-	Institutions map[string]DumpInstitution `json:"institutions"`
-}
-
-// DumpInstitution is the state of one institution at this process.
-type DumpInstitution struct {
-	WaitingTasks  int     `json:"waiting_tasks"`
-	WaitingWorkMs int64   `json:"waiting_work_ms"`
-	BusySlots     int     `json:"busy_slots"`
-	IdleSlots     int     `json:"idle_slots"`
-	RetriesLeft   float64 `json:"retries_left"`
-	// RunTimeFactors are, by service, run times observed over declared ones.
-	RunTimeFactors map[string]float64 `json:"run_time_factors"`
-}
-
-func (c *Core) dumpTerms() DumpTerms {
-	d := DumpTerms{
-		Limits:       c.quotas.Dump(c.now),
-		Upstreams:    c.health.Dump(),
-		Health:       c.health.Stats(),
-		Refusals:     make(map[string]uint64),
-		Institutions: make(map[string]DumpInstitution),
-	}
-	for reason, n := range c.refusals {
-		d.Refusals[reason.String()] = n
-	}
-	for _, inst := range c.settings.Current().GetInstitutions() {
-		name := inst.GetName()
-		di := DumpInstitution{
-			WaitingTasks:   c.queue.Tasks(name),
-			WaitingWorkMs:  c.queue.Work(name).Milliseconds(),
-			BusySlots:      c.inUse[name],
-			IdleSlots:      c.pool.Idle(name),
-			RetriesLeft:    c.budgets.Left(name),
-			RunTimeFactors: make(map[string]float64),
-		}
-		for _, s := range inst.GetServices() {
-			di.RunTimeFactors[s.GetName()] = c.estimate.Factor(name, s.GetName())
-		}
-		d.Institutions[name] = di
-	}
-	return d
-}
-
-// blockedBy says which limit keeps a submission's tasks waiting, if any.
-func (c *Core) blockedBy(sub *submission) string {
-	name, team := sub.id.Institution, sub.request.GetTeam()
-	switch {
-	case !c.quotas.Room(c.now, admission.Key{Institution: name}):
-		return "the ceiling of its institution"
-	case team != "" && !c.quotas.Room(c.now, admission.Key{Institution: name, Team: team}):
-		return "the quota of its team"
-	}
-	return ""
-}
