Log when an upstream gets less work, and when it is back

An operator saw closed upstreams only in a dump. One line when the state changes, not at each trial: upstream-health with upstream, state and weight.

--- a/core/dispatch/command.go
+++ b/core/dispatch/command.go
@@ -87,6 +87,15 @@
 // MembersInForce reports that a newer list of VMs is in force.
 type MembersInForce struct{ Members task.Members }
 
+// UpstreamHealth reports that an upstream gets less or more work than before
+// because of what its tasks came to, for logs.
+type UpstreamHealth struct {
+	Upstream string
+	// State is open, away, ejected, probing or returning.
+	State  string
+	Weight float64
+}
+
 // Drained reports that a planned stop has nothing left to do.
 type Drained struct{}
 
@@ -99,4 +108,5 @@
 func (Ended) command()           {}
 func (SettingsInForce) command() {}
 func (MembersInForce) command()  {}
+func (UpstreamHealth) command()  {}
 func (Drained) command()         {}
--- a/core/dispatch/upstreams.go
+++ b/core/dispatch/upstreams.go
@@ -99,6 +99,9 @@
 func (c *Core) reweigh() {
 	for _, change := range c.health.TakeChanges() {
 		c.pool.SetWeight(change.Upstream, change.Weight)
+		if change.NewState {
+			c.emit(UpstreamHealth{change.Upstream, change.State, change.Weight})
+		}
 		if change.Weight == 0 {
 			c.after(change.Until-c.now, c.healthDue)
 		}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -100,8 +100,10 @@
 )
 
 type upstream struct {
-	name        string
-	state       state
+	name  string
+	state state
+	// told is the state at the last change of weight.
+	told        state
 	until       task.Time
 	level       int
 	awayFor     int
@@ -137,6 +139,10 @@
 	Weight   float64
 	// Until is when a closed one is due for a trial; 0 if it isn't closed.
 	Until task.Time
+	// State is the name of its state; NewState says that the last change had
+	// another.
+	State    string
+	NewState bool
 }
 
 // Stats counts decisions.
@@ -414,7 +420,8 @@
 		return
 	}
 	u.weight = w
-	t.changes = append(t.changes, Change{u.name, w, until})
+	t.changes = append(t.changes, Change{u.name, w, until, u.state.String(), u.state != u.told})
+	u.told = u.state
 }
 
 // speed is the share for an upstream whose tasks run longer than expected, in
--- a/node/node.go
+++ b/node/node.go
@@ -280,6 +280,8 @@
 			n.settingsInForce(cmd)
 		case dispatch.MembersInForce:
 			n.membersInForce(cmd)
+		case dispatch.UpstreamHealth:
+			n.log.Info().Str("upstream", cmd.Upstream).Str("state", cmd.State).Float64("weight", cmd.Weight).Msg("upstream-health")
 		case dispatch.Drained:
 			close(n.drained)
 		}
