--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,9 @@
 // PeerAddress is the address that peers reach.
 func (n *Node) PeerAddress() string { return n.mesh.address() }
 
+// SettingsVersion is the version of the settings in force, 0 if there are none.
+func (n *Node) SettingsVersion() uint64 { return n.inForce.Load().Version() }
+
 // Incarnation names this run of the process.
 func (n *Node) Incarnation() task.Incarnation { return n.self }
 
@@ -280,6 +283,8 @@
 			n.settingsInForce(cmd)
 		case dispatch.MembersInForce:
 			n.membersInForce(cmd)
+		case dispatch.UpstreamHealth:
+			n.log.Info().Str("upstream", cmd.Upstream).Str("state", cmd.State).Float64("weight", cmd.Weight).Msg("upstream-health")
 		case dispatch.Drained:
 			close(n.drained)
 		}
