--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -33,7 +33,7 @@
 	phase   phase
 	request *pb.Submission
 	service *pb.Service
-	// waiting are the requests that its end will answer.
+	// waiters are the requests that its end will answer.
 	waiters []*waiter
 	arrived task.Time
 	// deadline is set once, from the first request, and never extended.
