--- a/core/dispatch/fakes_test.go
+++ b/core/dispatch/fakes_test.go
@@ -44,13 +44,13 @@
 	recording bool
 }
 
-// newWorld starts three entries in two failure domains and four runners.
-func newWorld(seed uint64, recording bool, fail func(string, ...any)) *world {
+// newWorld starts entries in two failure domains and four runners.
+func newWorld(seed uint64, entries int, recording bool, fail func(string, ...any)) *world {
 	w := &world{
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		links:     make(map[[2]int]*fakeLink),
 		faults:    make(map[string]int),
-		entries:   make([]*fakeEntry, 3),
+		entries:   make([]*fakeEntry, entries),
 		recording: recording,
 	}
 	w.store = &fakeStore{w: w, rows: make(map[task.ID]ClaimConflict)}
--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -41,7 +41,7 @@
 // somebody has to look at the printer.
 func TestPlannedStopHandsItsAnswersOver(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w := newWorld(1, false, t.Fatalf)
+	w := newWorld(1, 3, false, t.Fatalf)
 	var done, unused []*fakeJob
 	for range 3 {
 		done = append(done, w.truth.newJob(w.issue(w.entries[0]), "labels", 2), w.truth.newJob(ownKey(string(rune('a'+len(done)))), "settle", 1))
@@ -65,7 +65,7 @@
 // mustn't take the old one for lost: its caller would order the labels anew.
 func TestHolderIsNotGoneWhileItsSuccessorMayBeCutOff(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w := newWorld(3, false, t.Fatalf)
+	w := newWorld(3, 3, false, t.Fatalf)
 	j := w.truth.newJob(w.issue(w.entries[0]), "labels", 1)
 	jobs := []*fakeJob{j}
 	g.Expect(w.count(w.entries[0], jobs)).To(gomega.HaveKey(pb.Outcome_OUTCOME_COMPLETE))
@@ -92,7 +92,7 @@
 		func(w *world) *pb.SubmissionId { return w.issue(w.entries[0]) },
 		func(w *world) *pb.SubmissionId { return ownKey("bid") },
 	} {
-		w := newWorld(2, false, t.Fatalf)
+		w := newWorld(2, 3, false, t.Fatalf)
 		j := w.truth.newJob(id(w), "labels", 3)
 		holder := w.entries[0]
 		w.truth.submit(holder, j, j.request)
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -47,7 +47,8 @@
 }
 
 func newPlay(t *rapid.T, recording bool, fail func(string, ...any)) *play {
-	w := newWorld(rapid.Uint64().Draw(t, "seed"), recording, fail)
+	entries := rapid.IntRange(3, 5).Draw(t, "entries")
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), entries, recording, fail)
 	return &play{world: w, t: t, version: 1}
 }
 
@@ -95,7 +96,7 @@
 	{"cut", 2, (*play).cut},
 	{"heal", 4, (*play).heal},
 	{"reconnect", 2, func(p *play) bool {
-		p.disconnect(p.index(3, "a"), p.index(3, "b"), p.jitter(100*ms))
+		p.disconnect(p.index(len(p.entries), "a"), p.index(len(p.entries), "b"), p.jitter(100*ms))
 		return true
 	}},
 	{"store-mode", 3, (*play).storeMode},
@@ -247,8 +248,8 @@
 }
 
 func (p *play) cut() bool {
-	a := p.index(3, "a")
-	b := (a + 1) % 3
+	a := p.index(len(p.entries), "a")
+	b := (a + 1 + p.index(len(p.entries)-1, "b")) % len(p.entries)
 	l, _ := p.link(a, b)
 	l.cut = true
 	p.disconnect(a, b, idleTimeout)
