--- a/bench/cmd/overload/main.go
+++ b/bench/cmd/overload/main.go
@@ -15,10 +15,14 @@
 func main() {
 	s := bench.Stresses{Site: bench.Hollowell, Out: os.Stdout}
 	only := ""
+	kandy := false
 	cmd := &cobra.Command{
 		Use:   "overload",
 		Short: "Measure overload, upstream faults and waves of requests in virtual time",
 		Run: func(*cobra.Command, []string) {
+			if kandy {
+				s.Site = bench.Kandy
+			}
 			for _, part := range []struct {
 				name, title string
 				print       func()
@@ -26,6 +30,7 @@
 				{"overload", "Goodput under overload", s.Overload},
 				{"burst", "After a burst of 300% for 10 s, else 70%", s.Burst},
 				{"faults", "Upstreams that go wrong, at 80%", s.Faults},
+				{"ceiling", "A ceiling of half of the slots, at 100%", s.Ceiling},
 				{"waves", "Waves of requests", s.Waves},
 			} {
 				if only != "" && only != part.name {
@@ -38,7 +43,8 @@
 	}
 	cmd.Flags().Uint64Var(&s.Seed, "seed", 1, "seed of the stream")
 	cmd.Flags().DurationVar(&s.Length, "length", 60*time.Second, "virtual time in which jobs arrive")
-	cmd.Flags().StringVar(&only, "only", "", "overload, burst, faults or waves")
+	cmd.Flags().BoolVar(&kandy, "kandy", false, "the second deployment instead of the first")
+	cmd.Flags().StringVar(&only, "only", "", "overload, burst, faults, ceiling or waves")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -44,6 +44,10 @@
 	// ClaimInterval is the least time between the beginnings of two writes of
 	// claims.
 	ClaimInterval time.Duration
+	// ClaimSpacing is the least mean time between the writes of all listed
+	// processes together, which keeps their sum within what the table service
+	// carries, however many they are.
+	ClaimSpacing time.Duration
 	// MaxWaitingClaims bounds the claims that wait to be written.
 	MaxWaitingClaims int
 	// MaxHolders bounds the claim rows of others, and the unsettled claims,
@@ -75,6 +79,7 @@
 		MaxJobBytes:      16 << 20,
 		MaxClaimBatch:    100,
 		ClaimInterval:    20 * time.Millisecond,
+		ClaimSpacing:     4 * time.Millisecond,
 		MaxWaitingClaims: 5_000,
 		MaxHolders:       20_000,
 		StatusInterval:   500 * time.Millisecond,
@@ -113,11 +118,12 @@
 	health      *health.Tracker
 	estimate    *admission.Estimator
 	quotas      *admission.Quotas
-	comeBacks   map[string]*admission.ComeBack
+	comeBacks   map[admission.Key]*admission.ComeBack
 	refusals    map[pb.Reason]uint64
 	workers     map[string]size
 	// inUse is the number of starts that aren't settled, by institution.
 	inUse map[string]int
+	teams map[admission.Key]teamQueue
 	// lastIdle is when an institution last had no task waiting.
 	lastIdle map[string]task.Time
 	// placing is the institution that allowTeam asks for.
@@ -174,8 +180,9 @@
 		upstreams:    make(map[string]*upstream),
 		estimate:     admission.NewEstimator(),
 		quotas:       admission.NewQuotas(cfg.Self),
+		teams:        make(map[admission.Key]teamQueue),
 		lastIdle:     make(map[string]task.Time),
-		comeBacks:    make(map[string]*admission.ComeBack),
+		comeBacks:    make(map[admission.Key]*admission.ComeBack),
 		refusals:     make(map[pb.Reason]uint64),
 		inUse:        make(map[string]int),
 		peers:        make(map[task.Incarnation]*peer),
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -76,6 +76,7 @@
 func (c *Core) peerMessage(from task.Incarnation, m *pb.PeerMessage) {
 	p := c.peers[from]
 	if p == nil {
+		c.noteDropped(from, m)
 		return
 	}
 	p.heard = c.now
