--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -49,6 +49,11 @@
 
 func newPlay(t *rapid.T, recording bool, fail func(string, ...any)) *play {
 	seed := rapid.Uint64().Draw(t, "seed")
+	return &play{world: newWorld(seed, recording, fail), t: t, version: 1}
+}
+
+// newWorld is a deployment of three entries and four runners in two domains.
+func newWorld(seed uint64, recording bool, fail func(string, ...any)) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), links: make(map[[2]int]*fakeLink), faults: make(map[string]int), entries: make([]*fakeEntry, 3), recording: recording}
 	w.store = &fakeStore{w: w, rows: make(map[task.ID]ClaimConflict)}
 	w.truth = newTruth(w, fail)
@@ -57,12 +62,11 @@
 		r.restart()
 		w.runners = append(w.runners, r)
 	}
-	p := &play{world: w, t: t, version: 1}
 	for i := range w.entries {
 		w.boot(i)
 	}
 	w.advance(time.Second)
-	return p
+	return w
 }
 
 func (p *play) index(n int, label string) int { return rapid.IntRange(0, n-1).Draw(p.t, label) }
