--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -72,19 +72,26 @@
 }
 
 func taskName(id task.ID, index int) string {
-	return id.String() + "/" + strconv.Itoa(index)
+	return taskPrefix(id) + strconv.Itoa(index)
+}
+
+func taskPrefix(id task.ID) string {
+	return id.String() + "/"
 }
 
 func (c *Core) startTask(ref queue.Ref, slot task.Slot) {
 	sub := c.jobs[ref.Job]
 	c.mustHold(sub)
+	if sub.taskPrefix == "" {
+		sub.taskPrefix = taskPrefix(sub.id)
+	}
 	c.lastStart++
 	s := &start{
 		id:      c.lastStart,
 		sub:     sub,
 		index:   ref.Index,
 		slot:    slot,
-		name:    taskName(sub.id, ref.Index),
+		name:    sub.taskPrefix + strconv.Itoa(ref.Index),
 		sent:    c.now,
 		attempt: sub.attempts[ref.Index],
 	}
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -28,11 +28,13 @@
 // submission is a job that isn't ended: its claim is being settled, or it is
 // held here.
 type submission struct {
-	id      task.ID
-	digest  task.Digest
-	phase   phase
-	request *pb.Submission
-	service *pb.Service
+	// taskPrefix begins the names of its tasks; empty until one starts.
+	taskPrefix string
+	id         task.ID
+	digest     task.Digest
+	phase      phase
+	request    *pb.Submission
+	service    *pb.Service
 	// waiting are the requests that its end will answer.
 	waiters []*waiter
 	arrived task.Time
