--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -13,19 +13,28 @@
 const (
 	// hopeless is how far an expected run time may be off before a task that
 	// would end past its job's deadline isn't started.
-	hopeless = 2
+	hopeless = 4
 	// percent is the unit of an institution's capacity.
 	percent = 100
 )
 
 // Control is what admission may be told, to compare policies.
 type Control struct {
+	// WaitPercent is the part of its time that a job may be expected to wait.
+	WaitPercent int
+	// Standing is how long tasks may have waited without a break before the
+	// wait counts as one that won't pass by itself; then StandingPercent holds.
+	Standing        time.Duration
+	StandingPercent int
 	// AdmitAll takes every job on that fits into the queue.
 	AdmitAll bool
 	// StartHopeless starts tasks that can't end in time.
 	StartHopeless bool
 }
 
+// DefaultControl is what measured best; see docs/design-admission.md.
+var DefaultControl = Control{WaitPercent: 50, Standing: time.Second, StandingPercent: 3}
+
 // size is the largest worker and the number of slots of an institution's
 // listed upstreams.
 type size struct {
@@ -94,12 +103,19 @@
 // should come back if not.
 func (c *Core) decide(sub *submission) (*admission.Refusal, time.Duration) {
 	inst := c.settings.Institution(sub.id.Institution)
+	c.noteQueue(inst.GetName())
 	j, capacity := c.jobOf(sub), c.capacity(sub)
 	var refusal *admission.Refusal
 	if c.cfg.Control.AdmitAll {
 		capacity.Queued = 0
 	}
 	refusal = admission.Decide(j, capacity)
+	line := admission.Key{Institution: inst.GetName()}
+	if team, binding := c.teamCapacity(sub, j, capacity); refusal == nil && binding {
+		refusal = admission.Decide(j, team)
+		capacity = team
+		line.Team = sub.request.GetTeam()
+	}
 	if refusal == nil && c.queue.Tasks(inst.GetName())+len(sub.request.GetTasks()) > c.queueLimit(inst) {
 		refusal = &admission.Refusal{
 			Reason: pb.Reason_REASON_OVERLOADED,
@@ -111,14 +127,71 @@
 		return nil, 0
 	}
 	c.refusals[refusal.Reason]++
-	back := c.comeBacks[inst.GetName()]
+	back := c.comeBacks[line]
 	if back == nil {
 		back = &admission.ComeBack{}
-		c.comeBacks[inst.GetName()] = back
+		c.comeBacks[line] = back
 	}
 	return refusal, back.After(c.now, refusal, j, capacity)
 }
 
+// teamQueue is the waiting tasks of a team, without a break since a time.
+type teamQueue struct {
+	tasks int
+	since task.Time
+}
+
+// noteWaiting counts the waiting tasks of a submission's team.
+func (c *Core) noteWaiting(sub *submission, n int) {
+	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
+	q, known := c.teams[key]
+	if !known {
+		q.since = c.now
+	}
+	q.tasks += n
+	if q.tasks == 0 {
+		delete(c.teams, key)
+		return
+	}
+	c.teams[key] = q
+}
+
+// teamCapacity is what there is for a team within its quota; false if no quota
+// limits it.
+func (c *Core) teamCapacity(sub *submission, j admission.Job, all admission.Capacity) (admission.Capacity, bool) {
+	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
+	free, binding := c.quotas.Free(c.now, key)
+	if key.Team == "" || !binding || c.cfg.Control.AdmitAll {
+		return all, false
+	}
+	q, waits := c.teams[key]
+	all.Slots = min(all.Slots, c.quotas.Held(key)+free)
+	all.Queued = time.Duration(q.tasks) * j.Work / time.Duration(len(sub.request.GetTasks()))
+	all.WaitPercent = c.cfg.Control.WaitPercent
+	if waits && c.now-q.since > c.cfg.Control.Standing {
+		all.WaitPercent = c.cfg.Control.StandingPercent
+	}
+	return all, true
+}
+
+// queuedWork is the expected run time of the tasks that wait for a slot. Those
+// that wait for their team's quota keep no slot from the others; counted, one
+// team's backlog would have all teams refused.
+func (c *Core) queuedWork(institution string) time.Duration {
+	tasks := c.queue.Tasks(institution)
+	if tasks == 0 {
+		return 0
+	}
+	blocked := 0
+	for key, q := range c.teams {
+		if key.Institution == institution && key.Team != "" && !c.quotas.Room(c.now, key) {
+			blocked += q.tasks
+		}
+	}
+	rest := max(tasks-blocked, 0)
+	return c.queue.Work(institution) / time.Duration(tasks) * time.Duration(rest)
+}
+
 // queueLimit is an institution's part of the tasks that may wait.
 func (c *Core) queueLimit(inst *pb.Institution) int {
 	p := int(inst.GetCapacityPercent())
@@ -149,16 +222,40 @@
 	if limit := c.quotas.Most(name, sub.request.GetTeam()); limit > 0 && (most == 0 || limit < most) {
 		most = limit
 	}
-	slots := c.inUse[name] + c.pool.Idle(name)
+	idle := c.pool.Idle(name)
 	for _, s := range c.lending.seen {
-		slots += s.idle[name]
+		idle += s.idle[name]
+	}
+	if free, binding := c.quotas.Free(c.now, admission.Key{Institution: name}); binding {
+		idle = min(idle, free)
 	}
 	return admission.Capacity{
-		Slots:     slots,
-		Most:      most,
-		Queued:    c.queue.Work(name),
-		CPUMillis: s.cpuMillis,
-		MemoryMiB: s.memoryMiB,
+		Slots:       c.inUse[name] + idle,
+		Most:        most,
+		Queued:      c.queuedWork(name),
+		WaitPercent: c.waitPercent(name),
+		CPUMillis:   s.cpuMillis,
+		MemoryMiB:   s.memoryMiB,
+	}
+}
+
+// waitPercent is the part of its time that a job may be expected to wait.
+//
+// A burst passes, and its jobs are done in time. Under lasting overload the
+// queue would stay as long as the longest wait permitted; then every job that
+// turns out longer than declared misses its time after it has used slots, and
+// less is completed than could be. So the wait is kept short from then on.
+func (c *Core) waitPercent(institution string) int {
+	if c.now-c.lastIdle[institution] > c.cfg.Control.Standing {
+		return c.cfg.Control.StandingPercent
+	}
+	return c.cfg.Control.WaitPercent
+}
+
+// noteQueue notes when nothing waits.
+func (c *Core) noteQueue(institution string) {
+	if c.queue.Tasks(institution) == 0 {
+		c.lastIdle[institution] = c.now
 	}
 }
 
@@ -178,11 +275,21 @@
 
 // nextTask takes the task to be served next, within quotas and ceiling.
 func (c *Core) nextTask(institution string) (queue.Ref, bool) {
-	if !c.quotas.Room(c.now, admission.Key{Institution: institution}) {
+	if c.queue.Tasks(institution) == 0 || !c.quotas.Allow(c.now, institution, "") {
 		return queue.Ref{}, false
 	}
 	c.placing = institution
-	return c.queue.Next(c.now, institution, c.allowTeam)
+	ref, ok := c.queue.Next(c.now, institution, c.allowTeam)
+	if !ok {
+		// Only tasks that wait for their team's quota are left.
+		c.lastIdle[institution] = c.now
+	}
+	return ref, ok
+}
+
+// belowCeiling says whether the institution may hold one more slot.
+func (c *Core) belowCeiling(institution string) bool {
+	return c.quotas.Room(c.now, admission.Key{Institution: institution})
 }
 
 // giveUpHopeless ends a job if a task of it that is about to be started can't
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -44,6 +44,10 @@
 	// ClaimInterval is the least time between the beginnings of two writes of
 	// claims.
 	ClaimInterval time.Duration
+	// ClaimSpacing is the least mean time between the writes of all listed
+	// processes together, which keeps their sum within what the table service
+	// carries, however many they are.
+	ClaimSpacing time.Duration
 	// MaxWaitingClaims bounds the claims that wait to be written.
 	MaxWaitingClaims int
 	// MaxHolders bounds the claim rows of others, and the unsettled claims,
@@ -75,12 +79,14 @@
 		MaxJobBytes:      16 << 20,
 		MaxClaimBatch:    100,
 		ClaimInterval:    20 * time.Millisecond,
+		ClaimSpacing:     4 * time.Millisecond,
 		MaxWaitingClaims: 5_000,
 		MaxHolders:       20_000,
 		StatusInterval:   500 * time.Millisecond,
 		QuietInterval:    2 * time.Second,
 		Lending:          DefaultLending,
 		Health:           health.DefaultConfig(),
+		Control:          DefaultControl,
 		Order:            queue.DefaultOrder,
 	}
 }
@@ -100,6 +106,7 @@
 	pool     *slots.Pool
 	members  task.Members
 	view     *membership.View
+	absent   map[string]absence
 
 	submissions map[task.ID]*submission
 	jobs        map[queue.JobID]*submission
@@ -111,11 +118,14 @@
 	health      *health.Tracker
 	estimate    *admission.Estimator
 	quotas      *admission.Quotas
-	comeBacks   map[string]*admission.ComeBack
+	comeBacks   map[admission.Key]*admission.ComeBack
 	refusals    map[pb.Reason]uint64
 	workers     map[string]size
 	// inUse is the number of starts that aren't settled, by institution.
 	inUse map[string]int
+	teams map[admission.Key]teamQueue
+	// lastIdle is when an institution last had no task waiting.
+	lastIdle map[string]task.Time
 	// placing is the institution that allowTeam asks for.
 	placing   string
 	allowTeam func(team string) bool
@@ -123,6 +133,7 @@
 	answers   *claim.Answers
 
 	claims          claimQueue
+	lastClaim       uint64
 	holders         *claim.Holders
 	unsettledClaims *claim.UnsettledSet
 	adopted         map[task.Incarnation]*adopted
@@ -159,6 +170,7 @@
 		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Run)),
 		settings:     settings.NewState(),
 		view:         membership.New(cfg.Self.Node),
+		absent:       make(map[string]absence),
 		issuer:       claim.NewIssuer(cfg.IDValidity),
 		queue:        queue.NewOrdered(cfg.Order),
 		pool:         slots.NewPool(cfg.Self.Node, cfg.FailureDomain),
@@ -168,7 +180,9 @@
 		upstreams:    make(map[string]*upstream),
 		estimate:     admission.NewEstimator(),
 		quotas:       admission.NewQuotas(cfg.Self),
-		comeBacks:    make(map[string]*admission.ComeBack),
+		teams:        make(map[admission.Key]teamQueue),
+		lastIdle:     make(map[string]task.Time),
+		comeBacks:    make(map[admission.Key]*admission.ComeBack),
 		refusals:     make(map[pb.Reason]uint64),
 		inUse:        make(map[string]int),
 		peers:        make(map[task.Incarnation]*peer),
@@ -186,6 +200,7 @@
 		unsettledClaims: claim.NewUnsettledSet(cfg.MaxHolders),
 	}
 	c.budgets = retry.NewBudgets(c.rng)
+	cfg.Health.Self = cfg.Self.Node
 	c.health = health.New(cfg.Health, c.rng)
 	c.allowTeam = func(team string) bool { return c.quotas.Allow(c.now, c.placing, team) }
 	c.every(cfg.StatusInterval, c.shareQuotas)
--- /dev/null
+++ b/core/dispatch/handover_test.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+func (w *world) issue(e *fakeEntry) *pb.SubmissionId {
+	e.note(logged{at: e.clock(), issued: 1})
+	b := e.core.IssueIDs(e.clock(), 1)
+	if b == nil {
+		return nil
+	}
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: &pb.IssuedId{Holder: b.GetHolder(), Number: b.GetFirst()}}}
+}
+
+// count asks for every job at an entry and counts the answers by outcome.
+func (w *world) count(e *fakeEntry, jobs []*fakeJob) map[pb.Outcome]int {
+	before := len(w.truth.words)
+	for _, j := range jobs {
+		w.truth.submit(e, j, proto.CloneOf(j.request))
+		w.advance(10 * ms)
+	}
+	w.advance(2 * time.Second)
+	outcomes := make(map[pb.Outcome]int)
+	for _, o := range w.truth.words[before:] {
+		outcomes[o]++
+	}
+	return outcomes
+}
+
+// An entry VM is replaced in a rolling restart. Kitchens that lost the answer
+// to a finished label, or hold ids that they haven't used yet, ask through
+// other entry VMs. Without the handover they hear "failed, may have run" and
+// somebody has to look at the printer.
+func TestPlannedStopHandsItsAnswersOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(1, false, t.Fatalf)
+	var done, unused []*fakeJob
+	for range 3 {
+		done = append(done, w.truth.newJob(w.issue(w.entries[0]), "labels", 2), w.truth.newJob(ownKey(string(rune('a'+len(done)))), "settle", 1))
+		unused = append(unused, w.truth.newJob(w.issue(w.entries[0]), "labels", 1))
+	}
+	g.Expect(w.count(w.entries[0], done)).To(gomega.Equal(map[pb.Outcome]int{pb.Outcome_OUTCOME_COMPLETE: 6}))
+	// Two planned stops in a row: the second hands on what the first handed to
+	// it, and the third entry learns of both.
+	for i := range 2 {
+		w.entries[i].post(0, Drain{})
+		w.advance(8 * time.Second)
+	}
+	for _, e := range w.entries {
+		g.Expect(w.count(e, done)).To(gomega.Equal(map[pb.Outcome]int{pb.Outcome_OUTCOME_COMPLETE: 6}))
+		g.Expect(w.count(e, unused)).To(gomega.Equal(map[pb.Outcome]int{pb.Outcome_OUTCOME_NOT_RUN: 3}))
+	}
+}
+
+// An entry VM is replaced while two others can't reach each other; the one that
+// took over its answers is on the far side. The near one knows the new run, and
+// mustn't take the old one for lost: its caller would order the labels anew.
+func TestHolderIsNotGoneWhileItsSuccessorMayBeCutOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(3, false, t.Fatalf)
+	j := w.truth.newJob(w.issue(w.entries[0]), "labels", 1)
+	jobs := []*fakeJob{j}
+	g.Expect(w.count(w.entries[0], jobs)).To(gomega.HaveKey(pb.Outcome_OUTCOME_COMPLETE))
+	l, _ := w.link(1, 2)
+	l.cut = true
+	w.disconnect(1, 2, idleTimeout)
+	w.entries[0].post(0, Drain{})
+	w.advance(8 * time.Second)
+	for range 5 {
+		g.Expect(w.count(w.entries[1], jobs)).To(gomega.HaveKey(pb.Outcome_OUTCOME_UNKNOWN))
+	}
+	l.cut = false
+	w.advance(time.Second)
+	g.Expect(w.count(w.entries[1], jobs)).To(gomega.HaveKey(pb.Outcome_OUTCOME_COMPLETE))
+}
+
+// A buyer's client loses its answer and asks five times, through every entry
+// VM in turn, while the one that holds the claim is paused past every timeout,
+// woken, and at last killed. The settlement must be paid once, and no entry may
+// say that it was not.
+func TestFiveResubmissionsWhileTheHolderIsPausedAndKilled(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, id := range []func(w *world) *pb.SubmissionId{
+		func(w *world) *pb.SubmissionId { return w.issue(w.entries[0]) },
+		func(w *world) *pb.SubmissionId { return ownKey("bid") },
+	} {
+		w := newWorld(2, false, t.Fatalf)
+		j := w.truth.newJob(id(w), "labels", 3)
+		holder := w.entries[0]
+		w.truth.submit(holder, j, j.request)
+		w.advance(30 * ms)
+		w.pause(holder)
+		for i := range 5 {
+			w.advance(3 * time.Second)
+			if i == 2 {
+				w.resume(holder)
+			}
+			if i == 3 {
+				w.replace(holder)
+			}
+			w.truth.submit(w.entries[(i+1)%3], j, proto.CloneOf(j.request))
+		}
+		w.advance(10 * time.Second)
+		g.Expect(len(j.starts)).To(gomega.BeNumerically(">", 0))
+		g.Expect(w.truth.words).NotTo(gomega.ContainElement(pb.Outcome_OUTCOME_NOT_RUN))
+		g.Expect(len(w.truth.words)).To(gomega.BeNumerically(">=", 5))
+	}
+}
+
+// BenchmarkHandover packs the answers of a process that stops; each message is
+// acknowledged before the next is sent.
+func BenchmarkHandover(b *testing.B) {
+	const n = 20_000
+	c := readyCore(func(*Config) {})
+	for i := range n {
+		id := task.ID{Institution: inst, Holder: self, Number: uint64(i + 1)}
+		a := answerFor(id, task.Digest{1}, pb.Outcome_OUTCOME_COMPLETE, 0, "")
+		for k := range 4 {
+			a.Results = append(a.Results, &pb.TaskResult{Index: uint32(k), Output: make([]byte, 64)})
+		}
+		c.answers.Put(id, a, time.Hour)
+	}
+	var messages, bytes int
+	for b.Loop() {
+		messages, bytes = 0, 0
+		for _, m := range c.handoverMessages() {
+			messages++
+			bytes += proto.Size(m)
+		}
+	}
+	b.ReportMetric(float64(messages)/n*1000, "messages/1000-answers")
+	b.ReportMetric(float64(bytes)/n, "bytes/answer")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/n, "ns/answer")
+}
+
+// A caller asks again through the entry VM to which its answer is just being
+// handed over. The key's row names the stopped process, and the answer arrived
+// while the claim was being written: the caller must get it, not "failed".
+func TestAnswerHandedOverDuringAClaim(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(*Config) {})
+	stopped := task.Incarnation{Node: "entry-2", Run: 2}
+	c.Step(ms, PeerUp{stopped, "domain-0"})
+	c.Step(ms, Submit{1, inst, settlement("k")})
+	w := commands[ClaimWrite](c)[0]
+	done := answerFor(w.Claims[0].ID, w.Claims[0].Digest, pb.Outcome_OUTCOME_COMPLETE, 0, "")
+	c.Step(2*ms, PeerMessage{stopped, &pb.PeerMessage{Body: &pb.PeerMessage_Handover{Handover: &pb.Handover{
+		Sequence: 1, From: stopped.Proto(), Last: true,
+		Claims:  []*pb.HandedClaim{{Institution: inst, Answer: done, KeepMs: 60_000}},
+		Holders: []*pb.HandedHolder{{Holder: stopped.Proto(), KeepMs: 60_000}},
+	}}}})
+	c.Step(3*ms, ClaimResult{Batch: w.Batch, OK: true, Conflicts: []ClaimConflict{{w.Claims[0].ID, stopped, w.Claims[0].Digest, 7}}})
+	g.Expect(commands[Reply](c)[0].Answer).To(gomega.BeIdenticalTo(done))
+}
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -46,11 +46,11 @@
 	// ttl is how long the answer is kept.
 	ttl     time.Duration
 	longest task.Time
-	// written is set once a write of the claim was begun.
+	// written is set once a write of the claim was begun, here or before it was
+	// given up on.
 	written bool
-	// uncertain is set when a write of the claim may have taken effect without
-	// a reply.
-	uncertain bool
+	// number is that of the claim's row.
+	number uint64
 	// cancelled is set when a caller cancelled before the claim was settled.
 	cancelled bool
 	// claimed is set when the claim stands in this incarnation's name.
@@ -249,6 +249,7 @@
 	sub.job = c.lastJob
 	c.jobs[sub.job] = sub
 	c.queue.Add(c.queueJob(sub))
+	c.noteWaiting(sub, n)
 	sub.timer = c.after(sub.deadline-c.now, func() { c.deadlinePassed(sub) })
 	c.holdBack(sub)
 }
@@ -304,6 +305,7 @@
 	tasks := len(sub.request.GetTasks())
 	if sub.job != 0 {
 		c.queue.Remove(sub.job)
+		c.noteWaiting(sub, -sub.assembly.Waiting())
 		delete(c.jobs, sub.job)
 		c.stopRunning(sub)
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,6 +14,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
 	"sapphirepoint.example/sapphirepoint/core/membership"
+	"sapphirepoint.example/sapphirepoint/core/settings"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1"
 	"sapphirepoint.example/sapphirepoint/gen/platformv1/platformv1connect"
@@ -24,8 +27,8 @@
 	claimPrefix = "claim/"
 	// platformTimeout bounds each call to the platform.
 	platformTimeout = 2 * time.Second
-	// applyAttempts bounds the settling of a write whose reply was lost.
-	applyAttempts = 5
+	// applyPause is the wait between two looks at the settings row.
+	applyPause = 100 * time.Millisecond
 )
 
 // platformClient reads and writes the platform's services.
@@ -33,6 +36,8 @@
 	node    *Node
 	table   platformv1connect.TableServiceClient
 	members platformv1connect.MembershipServiceClient
+	// settingsRead is the version of the settings row read last by the poll.
+	settingsRead uint64
 }
 
 func newPlatformClient(n *Node) *platformClient {
@@ -55,9 +60,13 @@
 	var listed uint64
 	var out outage
 	for {
-		version, membersErr := p.readMembers(ctx, listed)
-		listed = version
-		settingsErr := p.readSettings(ctx)
+		var membersErr, settingsErr error
+		// Side by side: a platform that takes calls and answers none would
+		// otherwise cost two timeouts in a row, and settings would come late.
+		var reads sync.WaitGroup
+		reads.Go(func() { listed, membersErr = p.readMembers(ctx, listed) })
+		reads.Go(func() { settingsErr = p.readSettings(ctx) })
+		reads.Wait()
 		p.logOutage(out.seen(membersErr, settingsErr), membersErr, settingsErr)
 		select {
 		case <-ctx.Done():
@@ -80,14 +89,15 @@
 func (p *platformClient) readMembers(ctx context.Context, known uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	res, err := p.members.List(ctx, connect.NewRequest(&platformv1.ListRequest{}))
+	res, err := p.members.List(ctx, connect.NewRequest(&platformv1.ListRequest{KnownVersion: known}))
 	if err != nil {
 		return known, err
 	}
 	if res.Msg.GetVersion() == known {
 		p.node.post(dispatch.MembersRead{})
+		return known, nil
 	}
-	if res.Msg.GetVersion() <= known {
+	if res.Msg.GetVersion() < known {
 		return known, nil
 	}
 	p.node.post(dispatch.MembersChanged{Members: membership.FromProto(res.Msg)})
@@ -97,17 +107,33 @@
 // settingsRow reads the settings and the version of their row; both are zero
 // if nothing was ever applied.
 func (p *platformClient) settingsRow(ctx context.Context) (*pb.Settings, uint64, error) {
+	rows, err := p.readSettingsRow(ctx, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	return settingsOf(rows)
+}
+
+// readSettingsRow reads the row; without its value if its version is known.
+func (p *platformClient) readSettingsRow(ctx context.Context, known uint64) ([]*platformv1.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	res, err := p.table.Read(ctx, connect.NewRequest(&platformv1.ReadRequest{Keys: []string{settingsKey}}))
+	res, err := p.table.Read(ctx, connect.NewRequest(&platformv1.ReadRequest{
+		Keys:          []string{settingsKey},
+		KnownVersions: []uint64{known},
+	}))
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
+	return res.Msg.GetRows(), nil
+}
+
+func settingsOf(rows []*platformv1.Row) (*pb.Settings, uint64, error) {
 	s := &pb.Settings{}
-	if len(res.Msg.GetRows()) == 0 {
+	if len(rows) == 0 {
 		return s, 0, nil
 	}
-	row := res.Msg.GetRows()[0]
+	row := rows[0]
 	if err := proto.Unmarshal(row.GetValue(), s); err != nil {
 		return nil, 0, errors.Wrap(err, "decode settings row")
 	}
@@ -115,44 +141,64 @@
 }
 
 func (p *platformClient) readSettings(ctx context.Context) error {
-	s, _, err := p.settingsRow(ctx)
+	rows, err := p.readSettingsRow(ctx, p.settingsRead)
 	if err != nil {
 		return err
 	}
+	if len(rows) > 0 && rows[0].GetVersion() == p.settingsRead {
+		return nil
+	}
+	s, version, err := settingsOf(rows)
+	if err != nil {
+		return err
+	}
+	p.settingsRead = version
 	p.node.post(dispatch.SettingsRead{Settings: s})
 	return nil
 }
 
-// applySettings replaces the settings row if the expected version is the
-// present one. A lost reply is settled by reading back.
+// applySettings carries out an operator's change of the settings.
 func (p *platformClient) applySettings(ctx context.Context, expected uint64, s *pb.Settings) (*pb.Settings, error) {
-	next := proto.Clone(s).(*pb.Settings)
-	next.Version = expected + 1
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, errors.Wrap(err, "encode settings"))
-	}
-	uncertain := false
-	for range applyAttempts {
-		present, row, err := p.settingsRow(ctx)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "read settings; ask for the version in force before applying again"))
-		}
-		if uncertain && proto.Equal(present, next) {
-			return next, nil
-		}
-		if present.GetVersion() != expected {
-			return nil, connect.NewError(connect.CodeAborted, errors.Errorf("expected version %d, but %d is current", expected, present.GetVersion()))
-		}
-		committed, err := p.commit(ctx, &platformv1.Write{Key: settingsKey, Value: value, ExpectedVersion: row})
-		if err == nil && committed {
-			return next, nil
+	change := settings.NewApply(expected, s, rand.Uint64()|1)
+	for first := true; change.Step() != settings.ApplyEnded; first = false {
+		if !first {
+			pause(ctx, applyPause)
 		}
-		uncertain = uncertain || err != nil
+		p.applyStep(ctx, change)
+	}
+	switch change.Outcome() {
+	case settings.Applied:
+		return change.Next(), nil
+	case settings.Conflicted:
+		return nil, connect.NewError(connect.CodeAborted, errors.Errorf("expected version %d, but %d is current", expected, change.Current()))
+	case settings.NotWritten:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the settings row can't be read; nothing was applied"))
 	}
 	return nil, connect.NewError(connect.CodeUnavailable, errors.New("the write isn't settled; ask for the version in force before applying again"))
 }
 
+// applyStep reads the row and, if that leads to a write, writes it.
+func (p *platformClient) applyStep(ctx context.Context, change *settings.Apply) {
+	present, row, err := p.settingsRow(ctx)
+	change.Read(present, row, err == nil)
+	if change.Step() != settings.ApplyWrite {
+		return
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(change.Next())
+	if err != nil {
+		panic(errors.Wrap(err, "encode settings that were decoded before"))
+	}
+	committed, err := p.commit(ctx, &platformv1.Write{Key: settingsKey, Value: value, ExpectedVersion: change.RowVersion()})
+	change.Written(committed, err == nil)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (p *platformClient) commit(ctx context.Context, w *platformv1.Write) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
@@ -177,7 +223,7 @@
 	ids := make(map[string]task.ID, len(cmd.Claims))
 	req := &platformv1.CommitRequest{}
 	for _, c := range cmd.Claims {
-		value, err := proto.Marshal(&pb.ClaimRow{Holder: p.node.self.Proto(), Digest: c.Digest[:]})
+		value, err := proto.Marshal(&pb.ClaimRow{Holder: p.node.self.Proto(), Digest: c.Digest[:], Claim: c.Number})
 		if err != nil {
 			return result
 		}
@@ -211,7 +257,10 @@
 	if err := proto.Unmarshal(row.GetValue(), claimed); err != nil {
 		return dispatch.ClaimConflict{}, errors.Wrap(err, "decode claim row")
 	}
-	cf := dispatch.ClaimConflict{ID: id, Holder: task.IncarnationOf(claimed.GetHolder())}
+	cf := dispatch.ClaimConflict{ID: id, Holder: task.IncarnationOf(claimed.GetHolder()), Number: claimed.GetClaim()}
+	if cf.Holder.Node == "" || len(claimed.GetDigest()) != len(cf.Digest) {
+		return dispatch.ClaimConflict{}, errors.New("a claim row without holder or digest")
+	}
 	copy(cf.Digest[:], claimed.GetDigest())
 	return cf, nil
 }
