--- a/core/dispatch/borrowing.go
+++ b/core/dispatch/borrowing.go
@@ -68,13 +68,8 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b task.Incarnation) int {
-		ia, ib := c.lending.seen[a].idle[institution], c.lending.seen[b].idle[institution]
-		return cmp.Or(
-			cmp.Compare(min(ib, need), min(ia, need)),
-			cmp.Compare(c.pool.Borrowed(b), c.pool.Borrowed(a)),
-			cmp.Compare(ib, ia),
-			compareIncarnations(a, b),
-		)
+		seen := c.lending.seen
+		return cmp.Or(cmp.Compare(seen[b].idle[institution], seen[a].idle[institution]), compareIncarnations(a, b))
 	})
 	for _, p := range list {
 		if need <= 0 {
