--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -26,11 +26,12 @@
 	"sapphirepoint.example/sapphirepoint/standin/runner"
 )
 
-// The load runs only when a duration is given, see docs/MEASUREMENTS.md.
+// The load runs only when a duration is given, see docs/MEASUREMENTS-processes.md.
 var (
 	loadFor   = flag.Duration("load", 0, "run a load for this long, with no other spec wanted")
 	loadShare = flag.Float64("load-share", 0.5, "part of all slots that the load keeps busy")
 	loadKill  = flag.Duration("load-kill", 0, "kill one entry process in turn at this interval, and start it again")
+	loadStop  = flag.Bool("load-stop", false, "with -load-kill: stop entries as planned, by SIGTERM")
 	loadSeed  = flag.Uint64("load-seed", fixedSeed, "seed of arrivals and sizes")
 )
 
@@ -44,6 +45,12 @@
 	maxTasks   = 980
 	downTime   = 2 * time.Second
 	ratioScale = 1000
+	// Metrics that the report adds up.
+	wastedMetric  = "sapphirepoint_wasted_messages_total"
+	answersMetric = "sapphirepoint_answers_total"
+	cpuMetric     = "process_cpu_seconds_total"
+	// oldJobMs is the age at which a job's wait is told.
+	oldJobMs = 8000
 )
 
 // loadJob is a job with the best response that the slots allow: that of its
@@ -97,6 +104,9 @@
 		t.outcomes["PARTIAL"]++
 	}
 	t.slowest = max(t.slowest, took)
+	if took > j.ideal+oldJobMs*time.Millisecond {
+		fmt.Printf("%v for %d tasks, ideal %v\n", took, len(j.submission.GetTasks()), j.ideal)
+	}
 	_ = t.ratios.RecordValue(int64(float64(took) / float64(j.ideal) * ratioScale))
 }
 
@@ -110,7 +120,7 @@
 	values := map[string]float64{}
 	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
 		name, value, _ := strings.Cut(lines.Text(), " ")
-		if !strings.HasPrefix(name, "sapphirepoint_wasted") && name != "process_cpu_seconds_total" {
+		if !strings.HasPrefix(name, wastedMetric) && !strings.HasPrefix(name, answersMetric) && name != cpuMetric {
 			continue
 		}
 		v, err := strconv.ParseFloat(value, 64)
@@ -148,7 +158,7 @@
 	r.peak = max(r.peak, e.peakMemory())
 }
 
-// killInTurn kills entries one after the other and starts them again.
+// killInTurn kills or stops entries one after the other and starts them again.
 func (r *loadRun) killInTurn(ctx context.Context) {
 	for i := 0; ; i++ {
 		select {
@@ -158,7 +168,11 @@
 		}
 		e := r.d.entries[i%len(r.d.entries)]
 		r.collect(e)
-		e.signal(syscall.SIGKILL)
+		if *loadStop {
+			e.signal(syscall.SIGTERM)
+		} else {
+			e.signal(syscall.SIGKILL)
+		}
 		<-e.done
 		r.kills++
 		time.Sleep(downTime)
@@ -199,6 +213,53 @@
 	all.Wait()
 }
 
+// applyOnce changes the settings amid the load and reports how long it takes
+// until every entry has the change in force.
+func (r *loadRun) applyOnce(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(*loadFor / 2):
+	}
+	changed := standin.Settings()
+	changed.Institutions[0].RetryPercent++
+	began := time.Now()
+	Expect(apply(r.d.entries[0], 1, changed)).To(Succeed())
+	accepted := time.Since(began)
+	for _, e := range r.d.entries {
+		Eventually(e.version, patience, 5*time.Millisecond).Should(BeEquivalentTo(2))
+	}
+	fmt.Printf("\na change of settings was accepted after %v and in force at all entries after %v\n",
+		accepted.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
+}
+
+// watch prints what jobs wait for that are older than any task runs.
+func (r *loadRun) watch(ctx context.Context) {
+	told := map[string]bool{}
+	for ctx.Err() == nil {
+		time.Sleep(time.Second)
+		for _, e := range r.d.entries {
+			state := e.dump()
+			list, _ := state["submissions"].([]any)
+			for _, each := range list {
+				s, _ := each.(map[string]any)
+				age := number(state["now_ms"]) - number(s["arrived_ms"])
+				id, _ := s["id"].(string)
+				if age < oldJobMs || told[id] {
+					continue
+				}
+				told[id] = true
+				fmt.Printf("%s: %s waits for %.0f ms: %v\n", e.name, id, age, s)
+			}
+		}
+	}
+}
+
+func number(v any) float64 {
+	n, _ := v.(float64)
+	return n
+}
+
 func (r *loadRun) report(seconds float64) {
 	t := r.tally
 	second := 0
@@ -208,7 +269,7 @@
 		}
 	}
 	ratio := func(q float64) float64 { return float64(t.ratios.ValueAtQuantile(q)) / ratioScale }
-	fmt.Printf("\nseed %d, share %.2f of %d slots, %.0f s, %d entries killed\n", *loadSeed, *loadShare, 3*loadRunners*runner.DefaultSlots, seconds, r.kills)
+	fmt.Printf("\nseed %d, share %.2f of %d slots, %.0f s, %d entries killed or stopped\n", *loadSeed, *loadShare, 3*loadRunners*runner.DefaultSlots, seconds, r.kills)
 	fmt.Printf("jobs %d, tasks %d (%.0f/s), started twice %d\n", t.jobs, t.tasks, float64(t.tasks)/seconds, second)
 	for _, o := range sortedKeys(t.outcomes) {
 		fmt.Printf("  %6d %s\n", t.outcomes[o], o)
@@ -216,13 +277,16 @@
 	fmt.Printf("response over ideal: mean %.3f p50 %.3f p99 %.3f, slowest answer %v\n", t.ratios.Mean()/ratioScale, ratio(50), ratio(99), t.slowest.Round(time.Millisecond))
 	wasted := 0.0
 	for _, name := range sortedKeys(r.totals) {
-		if strings.HasPrefix(name, "sapphirepoint_wasted") && r.totals[name] > 0 {
+		if strings.HasPrefix(name, answersMetric) {
+			fmt.Printf("  %6.0f %s\n", r.totals[name], name)
+		}
+		if strings.HasPrefix(name, wastedMetric) && r.totals[name] > 0 {
 			wasted += r.totals[name]
 			fmt.Printf("  %9.4f a task %s\n", r.totals[name]/float64(t.tasks), name)
 		}
 	}
 	fmt.Printf("wasted messages a task %.3f\n", wasted/float64(t.tasks))
-	cpu := r.totals["process_cpu_seconds_total"]
+	cpu := r.totals[cpuMetric]
 	fmt.Printf("entry processes: %.0f µs of processor time a task, %.1f%% of a core each, at most %.0f MiB resident\n",
 		cpu/float64(t.tasks)*1e6, cpu/seconds/float64(len(r.d.entries))*100, r.peak)
 }
@@ -239,24 +303,32 @@
 var _ = Describe("load", func() {
 	It("is carried by seven entries in three failure domains", func() {
 		if *loadFor == 0 {
-			Skip("a measurement: see docs/MEASUREMENTS.md")
+			Skip("a measurement: see docs/MEASUREMENTS-processes.md")
 		}
 		Expect(os.Setenv("GOMAXPROCS", "2")).To(Succeed())
 		d := deployUneven([]string{"hinckley", "loughborough", "melton"}, []int{2, 3, 2}, loadRunners)
 		r := &loadRun{d: d, totals: map[string]float64{}, tally: &tally{outcomes: map[string]int{}, ratios: hdrhistogram.New(1, 10_000_000, 3)}}
 		ctx, cancel := context.WithTimeout(context.Background(), *loadFor)
 		defer cancel()
-		var killer sync.WaitGroup
-		if *loadKill > 0 {
-			killer.Go(func() {
-				defer GinkgoRecover()
+		var others sync.WaitGroup
+		others.Go(func() {
+			defer GinkgoRecover()
+			if *loadKill > 0 {
 				r.killInTurn(ctx)
+				return
+			}
+			r.applyOnce(ctx)
+		})
+		if *loadKill == 0 {
+			others.Go(func() {
+				defer GinkgoRecover()
+				r.watch(ctx)
 			})
 		}
 		began := time.Now()
 		r.submit(ctx)
 		seconds := time.Since(began).Seconds()
-		killer.Wait()
+		others.Wait()
 		for _, e := range d.entries {
 			Eventually(func() error {
 				_, err := http.Get("http://" + e.operators + "/healthz")
