Refuse a job that is too large for the slots there are, also when nobody waits

A job found an empty queue and was taken on whatever its size; with four times its time needed on the slots at hand it ended as failed, after running in part. TestJobTooLargeForTheSlotsAtPresentIsToldToComeBack fails without the check.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -62,7 +62,7 @@
 	}
 	slots := time.Duration(max(c.Slots, 1))
 	if c.Queued == 0 {
-		return nil
+		return tooLarge(j, slots)
 	}
 	wait := c.Queued / slots
 	most := min(j.Allowed*time.Duration(c.WaitPercent)/100, j.Allowed-max(j.Longest, j.Work/slots))
@@ -76,6 +76,19 @@
 	}
 }
 
+// tooLarge finds a job that can't be done in its time on the slots there are
+// though nobody waits; others may be lent or come back.
+func tooLarge(j Job, slots time.Duration) *Refusal {
+	if j.Work/slots/doubt <= j.Allowed {
+		return nil
+	}
+	return &Refusal{
+		Reason: pb.Reason_REASON_OVERLOADED,
+		Detail: fmt.Sprintf("%d ms of work can't be done in %d ms on the %d slots there are at present", j.Work.Milliseconds(), j.Allowed.Milliseconds(), slots),
+		Excess: j.Work/slots - j.Allowed,
+	}
+}
+
 // neverRunnable finds what no waiting can mend. Run times are believed only
 // within doubt; sizes as declared.
 func neverRunnable(j Job, c Capacity) *Refusal {
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"sapphirepoint.example/sapphirepoint/core/admission"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
 // Kitchens declare 100 ms for labels that take 300 ms. Believed, the forecast
@@ -23,6 +24,19 @@
 	g.Expect(e.Factor("hollowell", "other")).To(gomega.Equal(1.0))
 }
 
+// A job of hundreds of labels comes to an entry VM that can use two slots while
+// its peers have none idle. Nobody waits, yet it can't be done in its time here;
+// taken on, half of its labels would be printed for a job that fails.
+func TestJobTooLargeForTheSlotsAtPresentIsToldToComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	j := admission.Job{Work: time.Minute, Longest: 200 * time.Millisecond, Allowed: 5 * time.Second}
+	r := admission.Decide(j, admission.Capacity{Slots: 2, Most: 100, WaitPercent: 50})
+	g.Expect(r).NotTo(gomega.BeNil())
+	g.Expect(r.Reason).To(gomega.Equal(pb.Reason_REASON_OVERLOADED))
+	g.Expect(r.Excess).To(gomega.Equal(25 * time.Second))
+	g.Expect(admission.Decide(j, admission.Capacity{Slots: 20, Most: 100, WaitPercent: 50})).To(gomega.BeNil())
+}
+
 // A hundred callers are refused in the same moment. Their times to come back
 // must spread over the time that their work takes, and start anew when it is
 // past.
