--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -28,12 +28,14 @@
 // submission is a job that isn't ended: its claim is being settled, or it is
 // held here.
 type submission struct {
-	id      task.ID
-	digest  task.Digest
-	phase   phase
-	request *pb.Submission
-	service *pb.Service
-	// waiting are the requests that its end will answer.
+	// taskPrefix begins the names of its tasks; empty until one starts.
+	taskPrefix string
+	id         task.ID
+	digest     task.Digest
+	phase      phase
+	request    *pb.Submission
+	service    *pb.Service
+	// waiters are the requests that its end will answer.
 	waiters []*waiter
 	arrived task.Time
 	// deadline is set once, from the first request, and never extended.
