--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -21,6 +21,7 @@
 	. "github.com/onsi/gomega"
 
 	"sapphirepoint.example/sapphirepoint/client"
+	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 	"sapphirepoint.example/sapphirepoint/standin"
 	"sapphirepoint.example/sapphirepoint/standin/runner"
@@ -84,7 +85,9 @@
 	jobs     int
 	tasks    int
 	ratios   *hdrhistogram.Histogram
-	slowest  time.Duration
+	// notRun holds the submissions of which no task may be in a ledger.
+	notRun  []string
+	slowest time.Duration
 }
 
 func (t *tally) add(j loadJob, a *pb.Answer, err error, took time.Duration) {
@@ -97,6 +100,9 @@
 		return
 	}
 	t.outcomes[a.GetOutcome().String()+" "+a.GetReason().String()]++
+	if a.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN {
+		t.notRun = append(t.notRun, task.IDOf("hollowell", a.GetId()).String()+"/")
+	}
 	if a.GetOutcome() != pb.Outcome_OUTCOME_COMPLETE {
 		return
 	}
@@ -260,17 +266,22 @@
 	return n
 }
 
-func (r *loadRun) report(seconds float64) {
+// report prints the figures and returns the number of tasks that the runners
+// started although their callers were told that they weren't run.
+func (r *loadRun) report(seconds float64) int {
 	t := r.tally
-	second := 0
-	for _, n := range r.d.ledgers() {
+	second, falseWords := 0, 0
+	for name, n := range r.d.ledgers() {
 		if n > 1 {
 			second++
 		}
+		if slices.ContainsFunc(t.notRun, func(id string) bool { return strings.HasPrefix(name, id) }) {
+			falseWords++
+		}
 	}
 	ratio := func(q float64) float64 { return float64(t.ratios.ValueAtQuantile(q)) / ratioScale }
 	fmt.Printf("\nseed %d, share %.2f of %d slots, %.0f s, %d entries killed or stopped\n", *loadSeed, *loadShare, 3*loadRunners*runner.DefaultSlots, seconds, r.kills)
-	fmt.Printf("jobs %d, tasks %d (%.0f/s), started twice %d\n", t.jobs, t.tasks, float64(t.tasks)/seconds, second)
+	fmt.Printf("jobs %d, tasks %d (%.0f/s), started twice %d, started after \"not run\" %d\n", t.jobs, t.tasks, float64(t.tasks)/seconds, second, falseWords)
 	for _, o := range sortedKeys(t.outcomes) {
 		fmt.Printf("  %6d %s\n", t.outcomes[o], o)
 	}
@@ -289,6 +300,7 @@
 	cpu := r.totals[cpuMetric]
 	fmt.Printf("entry processes: %.0f µs of processor time a task, %.1f%% of a core each, at most %.0f MiB resident\n",
 		cpu/float64(t.tasks)*1e6, cpu/seconds/float64(len(r.d.entries))*100, r.peak)
+	return falseWords
 }
 
 func sortedKeys[V any](m map[string]V) []string {
@@ -336,7 +348,7 @@
 			}, patience, poll).Should(Succeed())
 			r.collect(e)
 		}
-		r.report(seconds)
+		Expect(r.report(seconds)).To(BeZero())
 		d.expectNoSecondStart()
 	})
 })
