Answer for a holder whose knowledge has expired

A process would have stopped. Change: the caller is told that the answer isn't kept. Without it TestHolderWhoseKnowledgeHasExpired stops with the same nil pointer. The random run prints the stack of a runtime error.

--- a/core/dispatch/adopt.go
+++ b/core/dispatch/adopt.go
@@ -72,8 +72,10 @@
 		c.replyKept(r, kept)
 		return
 	}
+	// What was known of a holder may have expired here before the notice of its
+	// successor did, which led back to this process.
 	a := c.adopted[holder]
-	if r.id.Issued() && a.issuer.State(c.now, r.id.Number) == claim.Fresh {
+	if a != nil && r.id.Issued() && a.issuer.State(c.now, r.id.Number) == claim.Fresh {
 		word := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_NOT_RUN, pb.Reason_REASON_HOLDER_GONE, "the process that issued the id stopped before it was used")
 		c.reply(r, word)
 		return
--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// An entry VM stopped long ago, and the peer that answered for it has handed
+// over here since, when nothing of the first was worth keeping. A caller who
+// still asks for it must get an answer; the process stopped instead.
+func TestHolderWhoseKnowledgeHasExpired(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := readyCore(func(*Config) {})
+	first, second := task.Incarnation{Node: "entry-1", Run: 1}, task.Incarnation{Node: "entry-2", Run: 2}
+	handed := func(holder task.Incarnation) []*pb.HandedHolder {
+		return []*pb.HandedHolder{{Holder: holder.Proto(), KeepMs: 60_000}}
+	}
+	c.Step(ms, PeerUp{second, "domain-0"})
+	c.Step(ms, PeerMessage{second, &pb.PeerMessage{Body: &pb.PeerMessage_HandoverNotice{HandoverNotice: &pb.HandoverNotice{Holders: handed(first)}}}})
+	c.Step(ms, PeerMessage{second, &pb.PeerMessage{Body: &pb.PeerMessage_Handover{Handover: &pb.Handover{Sequence: 1, From: second.Proto(), Last: true, Holders: handed(second)}}}})
+	id := task.ID{Institution: inst, Holder: first, Number: 1}
+	c.Step(2*ms, Submit{1, inst, &pb.Submission{Id: id.Proto(), Service: "labels", Tasks: []*pb.Task{{}}}})
+	g.Expect(commands[Reply](c)[0].Answer.GetOutcome()).To(gomega.Equal(pb.Outcome_OUTCOME_FAILED))
+}
+
 // BenchmarkHandover packs the answers of a process that stops; each message is
 // acknowledged before the next is sent.
 func BenchmarkHandover(b *testing.B) {
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -454,7 +455,12 @@
 // playSeed plays one run; broken is the promise or invariant that failed.
 func playSeed(seed, steps int, recording bool) (p *play, broken any) {
 	rapid.Custom(func(rt *rapid.T) (done bool) {
-		defer func() { broken = recover() }()
+		defer func() {
+			broken = recover()
+			if err, ok := broken.(runtime.Error); ok {
+				broken = fmt.Sprintf("%v\n%s", err, debug.Stack())
+			}
+		}()
 		p = newPlay(rt, recording, func(format string, args ...any) { panic(fmt.Sprintf(format, args...)) })
 		for range steps {
 			p.step()
