--- a/bench/cmd/placement/main.go
+++ b/bench/cmd/placement/main.go
@@ -18,7 +18,8 @@
 	var loads []float64
 	site := bench.Hollowell
 	limit := 30 * time.Second
-	kandy, byDomain := false, false
+	kandy, byDomain, bursts := false, false, false
+	var cut time.Duration
 	cmd := &cobra.Command{
 		Use:   "placement",
 		Short: "Compare placement policies in virtual time",
@@ -29,6 +30,10 @@
 			site.ByDomain = byDomain
 			for _, load := range loads {
 				shape := bench.Shape{Load: load, Stragglers: bench.Stragglers, Length: length, Warm: length / 10, Seed: seed}
+				shape.Bursts = bursts
+				if cut > 0 {
+					shape.CutFrom, shape.CutUntil = length/2, length/2+cut
+				}
 				fmt.Printf("\nLoad %.0f%%, seed %d, %v of arrivals:\n\n%s", load*100, seed, length, bench.Header)
 				for _, r := range bench.Compare(site, shape, limit, bench.Tolerances()) {
 					fmt.Print(r.Row())
@@ -42,6 +47,8 @@
 	cmd.Flags().DurationVar(&limit, "limit", limit, "contracted response time")
 	cmd.Flags().BoolVar(&kandy, "kandy", false, "the second deployment instead of the first")
 	cmd.Flags().BoolVar(&byDomain, "by-domain", false, "jobs arrive at each domain in proportion to its slots, not evenly at the VMs")
+	cmd.Flags().BoolVar(&bursts, "bursts", false, "three times the mean rate for a second in every ten")
+	cmd.Flags().DurationVar(&cut, "cut", 0, "time for which the first domain's VMs reach no others, from the middle on")
 	cmd.Flags().Float64SliceVar(&loads, "load", []float64{0.5, 0.8, 0.95}, "offered load, as parts of capacity")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
--- a/bench/cores.go
+++ b/bench/cores.go
@@ -33,6 +33,8 @@
 	entries []*entry
 	byName  map[string]*entry
 	runners map[string]*runner
+	// apart says that the first domain is cut off from the others.
+	apart bool
 }
 
 // entry is one entry process.
@@ -63,10 +65,35 @@
 		}
 		f.at(j.At+site.ToClients, func() { f.submit(i) })
 	}
+	if shape.CutUntil > shape.CutFrom {
+		f.at(shape.CutFrom, func() { f.cut(true) })
+		f.at(shape.CutUntil, func() { f.cut(false) })
+	}
 	f.run(shape.Length + drainTime)
 	return f.result
 }
 
+// cut parts the first domain from the others, or joins them again.
+func (f *fleet) cut(apart bool) {
+	f.apart = apart
+	for _, e := range f.entries {
+		for _, o := range f.entries {
+			switch {
+			case !f.across(e, o):
+			case apart:
+				e.step(dispatch.PeerDown{Peer: o.self})
+			default:
+				e.step(dispatch.PeerUp{Peer: o.self, FailureDomain: o.domain})
+			}
+		}
+	}
+}
+
+func (f *fleet) across(a, b *entry) bool {
+	first := f.site.Domains[0]
+	return (a.domain == first) != (b.domain == first)
+}
+
 func newFleet(p Policy, site Site, shape Shape, limit time.Duration, jobs []Job) *fleet {
 	f := &fleet{
 		site: site, limit: limit, jobs: jobs, warm: shape.Warm, result: newResult(p.Name),
@@ -228,6 +255,9 @@
 	}
 	to := f.byName[cmd.Peer.Node]
 	f.after(f.site.delay(e.domain, to.domain), func() {
+		if f.apart && f.across(e, to) {
+			return
+		}
 		to.step(dispatch.PeerMessage{Peer: e.self, Message: cmd.Message})
 	})
 }
--- a/bench/stream.go
+++ b/bench/stream.go
@@ -18,6 +18,9 @@
 	// Length is the span in which jobs arrive; the first Warm of it isn't
 	// measured.
 	Length, Warm time.Duration
+	// CutFrom and CutUntil bound a time in which the first domain's entry
+	// processes reach no others. Jobs go on arriving everywhere.
+	CutFrom, CutUntil time.Duration
 	// Seed gives the stream.
 	Seed uint64
 }
