--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -107,6 +107,17 @@
 	return false
 }
 
+// noteDropped remembers a request that came after its connection was lost. Its
+// peer has answered it, so if it comes again it is old.
+func (c *Core) noteDropped(from task.Incarnation, m *pb.PeerMessage) {
+	if f := m.GetForward(); f != nil {
+		c.forwardStale(from, f.GetRequest())
+	}
+	if f := m.GetForwardCancel(); f != nil {
+		c.forwardStale(from, f.GetRequest())
+	}
+}
+
 func (c *Core) forwardedCancel(from task.Incarnation, f *pb.ForwardCancel) {
 	if c.forwardStale(from, f.GetRequest()) {
 		return
