--- a/core/dispatch/lending_test.go
+++ b/core/dispatch/lending_test.go
@@ -12,7 +12,7 @@
 // lendingWorld has entries 0 and 2 in one domain and 1 in the other, each
 // domain with two upstreams of three slots.
 func lendingWorld(t *testing.T) *world {
-	return newWorld(7, false, func(format string, args ...any) {
+	return newWorld(7, 3, false, func(format string, args ...any) {
 		t.Helper()
 		t.Fatalf(format, args...)
 	})
