--- a/cli/dumptext.go
+++ b/cli/dumptext.go
@@ -24,7 +24,7 @@
 	return errors.Wrap(tw.Flush(), "write dump")
 }
 
-func renderFields(w io.Writer, prefix string, fields yaml.MapSlice) {
+func renderFields(w *tabwriter.Writer, prefix string, fields yaml.MapSlice) {
 	for _, f := range fields {
 		name := prefix + label(fmt.Sprint(f.Key))
 		switch v := f.Value.(type) {
@@ -40,8 +40,11 @@
 	}
 }
 
-func renderList(w io.Writer, name string, items []any) {
-	fmt.Fprintf(w, "%s\t%d\n", name, len(items))
+func renderList(w *tabwriter.Writer, name string, items []any) {
+	// Flushed, a table's columns don't widen those round it.
+	_ = w.Flush()
+	defer func() { _ = w.Flush() }()
+	fmt.Fprintf(w, "%s: %d\n", name, len(items))
 	head, ok := columns(items)
 	if !ok {
 		for _, item := range items {
--- a/config/settings_test.go
+++ b/config/settings_test.go
@@ -48,7 +48,7 @@
 		{"cores without unit", "cpu: 2000m", "cpu: 2", `institutions[0].services[0].cpu: "2" isn't a number of thousandths of a core`},
 		{"count with unit", "ceiling_slots: 384", "ceiling_slots: 384ms", `institutions[0].ceiling_slots: "384ms" isn't a whole number`},
 		{"not a boolean", "idempotent: true", "idempotent: yes", `institutions[0].services[0].idempotent: "yes" is neither true nor false`},
-		{"quota over ceiling", "quota_slots: 200", "quota_slots: 400", "institutions[0].teams[0].quota_slots: 400 exceeds the institution's ceiling of 384 slots"},
+		{"quota over ceiling", "quota_slots: 200", "quota_slots: 400", "institutions[0].teams[1].quota_slots: 400 exceeds the institution's ceiling of 384 slots"},
 		{"run time over response time", "run_time: 200ms", "run_time: 6s", "institutions[0].services[0].run_time: 6s exceeds the response time 5s"},
 		{"tolerance over response time", "borrow_tolerance: 200ms", "borrow_tolerance: 6s", "institutions[0].borrow_tolerance: 6s exceeds the response time 5s"},
 		{"window under response time", "resubmit_window: 1h", "resubmit_window: 2s", "institutions[0].resubmit_window: 2s is shorter than the response time 5s"},
