--- /dev/null
+++ b/bench/overload.go
@@ -0,0 +1,488 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+// Fault is what an upstream does instead of running its tasks.
+type Fault uint8
+
+// The faults.
+const (
+	Sound Fault = iota
+	// FailsAll fails every task within failTime.
+	FailsAll
+	// Slow takes slowFactor times as long.
+	Slow
+	// Gone can't be reached.
+	Gone
+	// Refuses turns every start away.
+	Refuses
+)
+
+const (
+	failTime   = time.Millisecond
+	slowFactor = 5
+	// patience is how long a caller goes on coming back.
+	patience = 30 * time.Second
+)
+
+// Stress is a run of the real decision code under load and faults, with
+// callers that come back when they are told to.
+type Stress struct {
+	Policy string
+	Site   Site
+	Shape  Shape
+	// LoadAt is the offered load at a time, at most Shape.Load; nil means that.
+	LoadAt func(at time.Duration) float64
+	// Limit is the contracted response time.
+	Limit time.Duration
+	// OneEntry sends all jobs to one entry process.
+	OneEntry bool
+	// Leave makes refused callers go away instead of coming back.
+	Leave  bool
+	Change func(*dispatch.Config)
+	// Terms alters the declared settings.
+	Terms func(*pb.Settings)
+	// Events happen at their times.
+	Events map[time.Duration]func(*Run)
+}
+
+// Run is the state and result of one stress run.
+type Run struct {
+	clock
+	Stress
+	rng     *rand.Rand
+	entries []*stressEntry
+	runners map[string]*stressRunner
+	calls   map[uint64]*call
+	jobs    []*call
+	last    uint64
+
+	// Total counts from Shape.Warm to the end of arrivals; Seconds the jobs
+	// that arrived in each second.
+	Total   Count
+	Seconds []Count
+	// Stops, Forwards and Control count messages since the start.
+	Stops, Forwards, Control, Refusals, Starts int
+	ratios                                     *Result
+	// held is the slots of running tasks, most the most there were, and area
+	// its integral over time since Shape.Warm.
+	held, most int
+	area       time.Duration
+	changed    time.Duration
+	// doubled counts tasks that an upstream began twice.
+	doubled int
+	began   map[string]bool
+}
+
+// Count is what became of jobs.
+type Count struct {
+	Jobs, Complete, Failed, Gone int
+	// Broken are those of the failed jobs that a failing task ended.
+	Broken int
+	// Tries is the requests that were refused.
+	Tries int
+	// Work and Done are the slot time of all and of completed jobs, Spent that
+	// of all tasks run.
+	Work, Done, Spent time.Duration
+}
+
+// call is one job of a caller with its requests.
+type call struct {
+	job   Job
+	index int
+	id    *pb.SubmissionId
+	ended bool
+}
+
+type stressEntry struct {
+	run    *Run
+	core   *dispatch.Core
+	self   task.Incarnation
+	domain string
+	ticked time.Duration
+	ids    *pb.IdBlock
+	used   uint32
+}
+
+type stressRunner struct {
+	domain  string
+	slots   int
+	busy    int
+	fault   Fault
+	running map[string]*stressTask
+}
+
+type stressTask struct{ stop func() }
+
+// NewRun prepares a run.
+func NewRun(s Stress) *Run {
+	r := &Run{
+		Stress: s, rng: rand.New(rand.NewPCG(s.Shape.Seed, 3)), runners: make(map[string]*stressRunner),
+		calls: make(map[uint64]*call), began: make(map[string]bool), ratios: newResult(s.Policy),
+		Seconds: make([]Count, int(s.Shape.Length/time.Second)+1),
+	}
+	for _, u := range r.members().Upstreams {
+		r.runners[u.Name] = &stressRunner{domain: u.FailureDomain, slots: int(u.Slots), running: make(map[string]*stressTask)}
+	}
+	for i := range s.Site.Entries {
+		e := &stressEntry{run: r, self: task.Incarnation{Node: entryName(i), Run: 1}, domain: s.Site.entryDomain(i)}
+		cfg := dispatch.DefaultConfig(e.self, e.domain)
+		cfg.Seed = s.Shape.Seed
+		if s.Change != nil {
+			s.Change(&cfg)
+		}
+		e.core = dispatch.New(cfg)
+		r.entries = append(r.entries, e)
+	}
+	for _, e := range r.entries {
+		declared := settingsOf(s.Site, Policy{}, s.Limit)
+		if s.Terms != nil {
+			s.Terms(declared)
+		}
+		e.step(dispatch.SettingsRead{Settings: declared})
+		e.step(dispatch.MembersChanged{Members: r.members()})
+		for _, o := range r.entries {
+			if o != e {
+				e.step(dispatch.PeerUp{Peer: o.self, FailureDomain: o.domain})
+			}
+		}
+	}
+	return r
+}
+
+// members puts each rack's eight upstreams into one failure domain.
+func (r *Run) members() task.Members {
+	m := r.Site.members()
+	for i := range m.Upstreams {
+		u := &m.Upstreams[i]
+		u.Rack = u.FailureDomain + strconv.Itoa(i/len(r.Site.Domains)/8)
+	}
+	return m
+}
+
+// Do runs to the end.
+func (r *Run) Do() *Run {
+	for at, event := range r.Events {
+		r.at(at, func() { event(r) })
+	}
+	for i, j := range r.Shape.Stream(r.Site) {
+		if r.LoadAt != nil && r.rng.Float64()*r.Shape.Load > r.LoadAt(j.At) {
+			continue
+		}
+		if r.OneEntry {
+			j.Entry = 0
+		}
+		c := &call{job: j, index: i}
+		r.jobs = append(r.jobs, c)
+		r.at(j.At, func() { r.arrive(c) })
+	}
+	r.run(r.Shape.Length + drainTime)
+	return r
+}
+
+// counts are those that a job or a moment belongs to.
+func (r *Run) counts(at time.Duration) []*Count {
+	list := []*Count{}
+	if s := int(at / time.Second); s < len(r.Seconds) {
+		list = append(list, &r.Seconds[s])
+	}
+	if at >= r.Shape.Warm && at < r.Shape.Length {
+		list = append(list, &r.Total)
+	}
+	return list
+}
+
+func (j Job) work() time.Duration {
+	var d time.Duration
+	for _, t := range j.Tasks {
+		d += t.Run
+	}
+	return d
+}
+
+func (r *Run) arrive(c *call) {
+	for _, n := range r.counts(c.job.At) {
+		n.Jobs++
+		n.Work += c.job.work()
+	}
+	r.try(c, c.job.Entry)
+}
+
+// try submits a job under a new id.
+func (r *Run) try(c *call, entry int) {
+	e := r.entries[entry]
+	c.id = e.nextID()
+	r.request(c, e)
+}
+
+func (r *Run) request(c *call, e *stressEntry) {
+	r.last++
+	n := r.last
+	r.calls[n] = c
+	s := &pb.Submission{Id: c.id, Service: "labels"}
+	for i, t := range c.job.Tasks {
+		s.Tasks = append(s.Tasks, &pb.Task{
+			Payload:   []byte(strconv.Itoa(int(t.Run)) + " " + strconv.Itoa(c.index) + "." + strconv.Itoa(i)),
+			RunTimeMs: uint32(max(1, t.Declared.Milliseconds())),
+		})
+	}
+	r.after(r.Site.ToClients, func() {
+		e.step(dispatch.Submit{Request: n, Institution: r.Site.Name, Submission: s})
+	})
+}
+
+// Resubmit sends every open job again, through a random entry process.
+func (r *Run) Resubmit() int {
+	n := 0
+	for _, c := range r.jobs {
+		if c.id != nil && !c.ended {
+			n++
+			r.request(c, r.entries[r.rng.IntN(len(r.entries))])
+		}
+	}
+	return n
+}
+
+// CancelAll cancels every open job where it was submitted.
+func (r *Run) CancelAll() int {
+	n := 0
+	for _, c := range r.jobs {
+		if c.id == nil || c.ended {
+			continue
+		}
+		n++
+		c.ended = true
+		r.last++
+		request := r.last
+		e := r.entries[c.job.Entry]
+		r.after(r.Site.ToClients, func() {
+			e.step(dispatch.Cancel{Request: request, Institution: r.Site.Name, ID: c.id})
+		})
+	}
+	return n
+}
+
+// Running is the number of tasks that run at present.
+func (r *Run) Running() int {
+	n := 0
+	for _, u := range r.runners {
+		n += len(u.running)
+	}
+	return n
+}
+
+// Break gives upstreams a fault, picked by their place on the list.
+func (r *Run) Break(f Fault, pick func(i int, u task.Upstream) bool) {
+	for i, u := range r.members().Upstreams {
+		if pick(i, u) {
+			r.runners[u.Name].fault = f
+		}
+	}
+}
+
+func (r *Run) answered(n uint64, a *pb.Answer) {
+	c := r.calls[n]
+	delete(r.calls, n)
+	if c == nil || c.ended {
+		return
+	}
+	again := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
+	gaveUp := r.Leave || again == 0 || r.now+again > c.job.At+patience
+	refused := a.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN
+	if refused {
+		for _, n := range r.counts(r.now) {
+			n.Tries++
+		}
+	}
+	if refused && !gaveUp {
+		r.after(r.Site.ToClients+again, func() { r.try(c, c.job.Entry) })
+		return
+	}
+	c.ended = true
+	for _, n := range r.counts(c.job.At) {
+		switch {
+		case a.GetOutcome() == pb.Outcome_OUTCOME_COMPLETE:
+			n.Complete++
+		case refused:
+			n.Gone++
+		default:
+			n.Failed++
+			if a.GetReason() == pb.Reason_REASON_TASK_FAILED {
+				n.Broken++
+			}
+		}
+	}
+	if a.GetOutcome() != pb.Outcome_OUTCOME_COMPLETE {
+		return
+	}
+	// Work done counts when it is done, for goodput.
+	for _, n := range r.counts(r.now) {
+		n.Done += c.job.work()
+	}
+	if c.job.At >= r.Shape.Warm {
+		r.ratios.complete(r.now+r.Site.ToClients-c.job.At, r.Site.ideal(c.job))
+	}
+}
+
+func (e *stressEntry) nextID() *pb.SubmissionId {
+	if e.ids == nil || e.used == e.ids.GetCount() || e.run.now%(5*time.Minute) == 0 {
+		e.ids = e.core.IssueIDs(e.run.now, idBlock)
+		e.used = 0
+	}
+	id := &pb.IssuedId{Holder: e.ids.GetHolder(), Number: e.ids.GetFirst() + uint64(e.used)}
+	e.used++
+	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: id}}
+}
+
+func (e *stressEntry) step(ev dispatch.Event) {
+	e.core.Step(e.run.now, ev)
+	e.carryOut()
+}
+
+func (e *stressEntry) carryOut() {
+	r := e.run
+	for _, cmd := range e.core.Take() {
+		switch cmd := cmd.(type) {
+		case dispatch.StartTask:
+			r.Starts++
+			e.start(cmd)
+		case dispatch.StopTask:
+			r.Stops++
+			e.stop(cmd)
+		case dispatch.Send:
+			e.send(cmd)
+		case dispatch.Reply:
+			r.answered(cmd.Request, cmd.Answer)
+		}
+	}
+	e.schedule()
+}
+
+func (e *stressEntry) schedule() {
+	at, ok := e.core.NextTimer()
+	if !ok || e.ticked > e.run.now && e.ticked <= at {
+		return
+	}
+	at = max(at, e.run.now)
+	e.ticked = at
+	e.run.at(at, func() {
+		if e.ticked != at {
+			return
+		}
+		e.ticked = 0
+		e.core.Tick(e.run.now)
+		e.carryOut()
+	})
+}
+
+func (e *stressEntry) send(cmd dispatch.Send) {
+	r := e.run
+	switch cmd.Message.GetBody().(type) {
+	case *pb.PeerMessage_Forward, *pb.PeerMessage_ForwardAnswer:
+		r.Forwards++
+	default:
+		r.Control++
+	}
+	for _, to := range r.entries {
+		if to.self == cmd.Peer {
+			r.after(r.Site.delay(e.domain, to.domain), func() {
+				to.step(dispatch.PeerMessage{Peer: e.self, Message: cmd.Message})
+			})
+		}
+	}
+}
+
+func (e *stressEntry) start(cmd dispatch.StartTask) {
+	r := e.run
+	u := r.runners[cmd.Upstream]
+	delay := r.Site.delay(e.domain, u.domain)
+	back := func(res task.Result) {
+		r.after(delay, func() { e.step(dispatch.StartResult{Start: cmd.Start, Result: res}) })
+	}
+	r.after(delay, func() { u.begin(r, cmd, back) })
+}
+
+func (u *stressRunner) begin(r *Run, cmd dispatch.StartTask, back func(task.Result)) {
+	switch {
+	case u.fault == Gone:
+		r.Refusals++
+		back(task.Result{Verdict: task.NotStarted})
+		return
+	case u.fault == Refuses || u.busy >= u.slots:
+		r.Refusals++
+		back(task.Result{Verdict: task.NotStarted, Refused: true})
+		return
+	}
+	field, _, _ := strings.Cut(string(cmd.Payload), " ")
+	ns, _ := strconv.Atoi(field)
+	took, verdict := time.Duration(ns), task.Finished
+	switch u.fault {
+	case FailsAll:
+		took, verdict = failTime, task.Failed
+	case Slow:
+		took *= slowFactor
+	}
+	u.busy++
+	r.hold(1)
+	if r.began[cmd.Name] {
+		r.doubled++
+	}
+	r.began[cmd.Name] = true
+	began := r.now
+	t := &stressTask{}
+	end := func(v task.Verdict) {
+		if u.running[cmd.Name] != t {
+			return
+		}
+		delete(u.running, cmd.Name)
+		u.busy--
+		r.hold(-1)
+		for _, n := range r.counts(r.now) {
+			n.Spent += r.now - began
+		}
+		back(task.Result{Verdict: v})
+	}
+	t.stop = func() { end(task.Failed) }
+	u.running[cmd.Name] = t
+	r.after(took, func() { end(verdict) })
+}
+
+// hold counts a slot taken or given back.
+func (r *Run) hold(n int) {
+	if r.now > r.Shape.Warm && r.now <= r.Shape.Length {
+		r.area += time.Duration(r.held) * (r.now - max(r.changed, r.Shape.Warm))
+	}
+	r.changed = r.now
+	r.held += n
+	r.most = max(r.most, r.held)
+}
+
+// MeanHeld is the mean number of slots held from Shape.Warm on.
+func (r *Run) MeanHeld() float64 {
+	return r.area.Seconds() / (r.Shape.Length - r.Shape.Warm).Seconds()
+}
+
+func (e *stressEntry) stop(cmd dispatch.StopTask) {
+	r := e.run
+	u := r.runners[cmd.Upstream]
+	r.after(r.Site.delay(e.domain, u.domain), func() {
+		if t := u.running[cmd.Name]; t != nil {
+			t.stop()
+		}
+	})
+}
+
+// Goodput is the slot time of completed jobs over that of all slots.
+func (r *Run) Goodput() float64 {
+	span := (r.Shape.Length - r.Shape.Warm).Seconds()
+	return r.Total.Done.Seconds() / span / float64(r.Site.totalSlots())
+}
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -69,12 +69,12 @@
 	return id, a
 }
 
-// A rush of answers under issued ids follows a few under own keys. The newest
-// answer must be there when its caller asks again a moment later.
+// Answers under own keys fill the limit when others under issued ids follow.
+// The newest answer must be there when its caller asks again a moment later.
 func TestAnswersForgetTheOldestFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a := NewAnswers(20 * keptOverhead)
-	for i := range 5 {
+	for i := range 30 {
 		a.Put(task.ID{Institution: "hollowell", OwnKey: fmt.Sprint(i)}, &pb.Answer{}, time.Hour)
 	}
 	for i := range 100 {
@@ -114,9 +114,16 @@
 	}
 }
 
-// BenchmarkIssuer measures the memory of the used numbers of a million ids.
+// BenchmarkIssuer measures the memory of issued ids, by the size of the blocks
+// in which they are handed out.
 func BenchmarkIssuer(b *testing.B) {
-	const n, block = 1 << 20, 256
+	for _, block := range []uint32{1, 16, 256} {
+		b.Run(fmt.Sprintf("block=%d", block), func(b *testing.B) { benchmarkIssuer(b, block) })
+	}
+}
+
+func benchmarkIssuer(b *testing.B, block uint32) {
+	const n = 1 << 18
 	for b.Loop() {
 		var before, after runtime.MemStats
 		runtime.GC()
--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/admission"
-	"sapphirepoint.example/sapphirepoint/core/health"
 	"sapphirepoint.example/sapphirepoint/core/queue"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
@@ -63,9 +62,10 @@
 }
 
 // admit decides whether a claimed job is taken on; nil means yes. A caller's
-// own key was let through before its claim: refused now it would be spent.
+// own key was let through before its claim: refused now it would be spent, and
+// while the process stops no new ones are let through.
 func (c *Core) admit(sub *submission) *pb.Answer {
-	if c.draining {
+	if c.draining && sub.id.Issued() {
 		return c.notRun(sub, pb.Reason_REASON_NOT_SERVING, "the process is stopping")
 	}
 	if c.now >= sub.deadline {
@@ -110,6 +110,12 @@
 		capacity.Queued = 0
 	}
 	refusal = admission.Decide(j, capacity)
+	line := admission.Key{Institution: inst.GetName()}
+	if team, binding := c.teamCapacity(sub, j, capacity); refusal == nil && binding {
+		refusal = admission.Decide(j, team)
+		capacity = team
+		line.Team = sub.request.GetTeam()
+	}
 	if refusal == nil && c.queue.Tasks(inst.GetName())+len(sub.request.GetTasks()) > c.queueLimit(inst) {
 		refusal = &admission.Refusal{
 			Reason: pb.Reason_REASON_OVERLOADED,
@@ -121,14 +127,71 @@
 		return nil, 0
 	}
 	c.refusals[refusal.Reason]++
-	back := c.comeBacks[inst.GetName()]
+	back := c.comeBacks[line]
 	if back == nil {
 		back = &admission.ComeBack{}
-		c.comeBacks[inst.GetName()] = back
+		c.comeBacks[line] = back
 	}
 	return refusal, back.After(c.now, refusal, j, capacity)
 }
 
+// teamQueue is the waiting tasks of a team, without a break since a time.
+type teamQueue struct {
+	tasks int
+	since task.Time
+}
+
+// noteWaiting counts the waiting tasks of a submission's team.
+func (c *Core) noteWaiting(sub *submission, n int) {
+	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
+	q, known := c.teams[key]
+	if !known {
+		q.since = c.now
+	}
+	q.tasks += n
+	if q.tasks == 0 {
+		delete(c.teams, key)
+		return
+	}
+	c.teams[key] = q
+}
+
+// teamCapacity is what there is for a team within its quota; false if no quota
+// limits it.
+func (c *Core) teamCapacity(sub *submission, j admission.Job, all admission.Capacity) (admission.Capacity, bool) {
+	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
+	free, binding := c.quotas.Free(c.now, key)
+	if key.Team == "" || !binding || c.cfg.Control.AdmitAll {
+		return all, false
+	}
+	q, waits := c.teams[key]
+	all.Slots = min(all.Slots, c.quotas.Held(key)+free)
+	all.Queued = time.Duration(q.tasks) * j.Work / time.Duration(len(sub.request.GetTasks()))
+	all.WaitPercent = c.cfg.Control.WaitPercent
+	if waits && c.now-q.since > c.cfg.Control.Standing {
+		all.WaitPercent = c.cfg.Control.StandingPercent
+	}
+	return all, true
+}
+
+// queuedWork is the expected run time of the tasks that wait for a slot. Those
+// that wait for their team's quota keep no slot from the others; counted, one
+// team's backlog would have all teams refused.
+func (c *Core) queuedWork(institution string) time.Duration {
+	tasks := c.queue.Tasks(institution)
+	if tasks == 0 {
+		return 0
+	}
+	blocked := 0
+	for key, q := range c.teams {
+		if key.Institution == institution && key.Team != "" && !c.quotas.Room(c.now, key) {
+			blocked += q.tasks
+		}
+	}
+	rest := max(tasks-blocked, 0)
+	return c.queue.Work(institution) / time.Duration(tasks) * time.Duration(rest)
+}
+
 // queueLimit is an institution's part of the tasks that may wait.
 func (c *Core) queueLimit(inst *pb.Institution) int {
 	p := int(inst.GetCapacityPercent())
@@ -159,14 +222,20 @@
 	if limit := c.quotas.Most(name, sub.request.GetTeam()); limit > 0 && (most == 0 || limit < most) {
 		most = limit
 	}
-	slots := c.inUse[name] + c.pool.Idle(name)
+	// Lent slots come home as soon as they are spare there. Left out, a process
+	// that has lent most of its slots takes a short queue for one that lasts
+	// half a minute, and sends callers away for as long.
+	idle := c.pool.Idle(name) + c.pool.Lent(name)
 	for _, s := range c.lending.seen {
-		slots += s.idle[name]
+		idle += s.idle[name]
+	}
+	if free, binding := c.quotas.Free(c.now, admission.Key{Institution: name}); binding {
+		idle = min(idle, free)
 	}
 	return admission.Capacity{
-		Slots:       slots,
+		Slots:       c.inUse[name] + idle,
 		Most:        most,
-		Queued:      c.queue.Work(name),
+		Queued:      c.queuedWork(name),
 		WaitPercent: c.waitPercent(name),
 		CPUMillis:   s.cpuMillis,
 		MemoryMiB:   s.memoryMiB,
@@ -209,11 +278,21 @@
 
 // nextTask takes the task to be served next, within quotas and ceiling.
 func (c *Core) nextTask(institution string) (queue.Ref, bool) {
-	if !c.quotas.Room(c.now, admission.Key{Institution: institution}) {
+	if c.queue.Tasks(institution) == 0 || !c.quotas.Allow(c.now, institution, "") {
 		return queue.Ref{}, false
 	}
 	c.placing = institution
-	return c.queue.Next(c.now, institution, c.allowTeam)
+	ref, ok := c.queue.Next(c.now, institution, c.allowTeam)
+	if !ok {
+		// Only tasks that wait for their team's quota are left.
+		c.lastIdle[institution] = c.now
+	}
+	return ref, ok
+}
+
+// belowCeiling says whether the institution may hold one more slot.
+func (c *Core) belowCeiling(institution string) bool {
+	return c.quotas.Room(c.now, admission.Key{Institution: institution})
 }
 
 // giveUpHopeless ends a job if a task of it that is about to be started can't
@@ -232,67 +311,3 @@
 func (c *Core) shareQuotas() {
 	c.quotas.Tick(c.now)
 }
-
-// DumpTerms says which terms and upstreams keep tasks waiting.
-type DumpTerms struct {
-	// Limits are the quotas and ceilings.
-	Limits []admission.Share `json:"limits"`
-	// Upstreams are those not in full use.
-	Upstreams []health.Status `json:"upstreams_not_in_full_use"`
-	Health    health.Stats    `json:"health"`
-	// Refusals counts jobs not taken on, by reason.
-	Refusals     map[string]uint64          `json:"refusals"`
-	Institutions map[string]DumpInstitution `json:"institutions"`
-}
-
-// DumpInstitution is the state of one institution at this process.
-type DumpInstitution struct {
-	WaitingTasks  int     `json:"waiting_tasks"`
-	WaitingWorkMs int64   `json:"waiting_work_ms"`
-	BusySlots     int     `json:"busy_slots"`
-	IdleSlots     int     `json:"idle_slots"`
-	RetriesLeft   float64 `json:"retries_left"`
-	// RunTimeFactors are, by service, run times observed over declared ones.
-	RunTimeFactors map[string]float64 `json:"run_time_factors"`
-}
-
-func (c *Core) dumpTerms() DumpTerms {
-	d := DumpTerms{
-		Limits:       c.quotas.Dump(c.now),
-		Upstreams:    c.health.Dump(),
-		Health:       c.health.Stats(),
-		Refusals:     make(map[string]uint64),
-		Institutions: make(map[string]DumpInstitution),
-	}
-	for reason, n := range c.refusals {
-		d.Refusals[reason.String()] = n
-	}
-	for _, inst := range c.settings.Current().GetInstitutions() {
-		name := inst.GetName()
-		di := DumpInstitution{
-			WaitingTasks:   c.queue.Tasks(name),
-			WaitingWorkMs:  c.queue.Work(name).Milliseconds(),
-			BusySlots:      c.inUse[name],
-			IdleSlots:      c.pool.Idle(name),
-			RetriesLeft:    c.budgets.Left(name),
-			RunTimeFactors: make(map[string]float64),
-		}
-		for _, s := range inst.GetServices() {
-			di.RunTimeFactors[s.GetName()] = c.estimate.Factor(name, s.GetName())
-		}
-		d.Institutions[name] = di
-	}
-	return d
-}
-
-// blockedBy says which limit keeps a submission's tasks waiting, if any.
-func (c *Core) blockedBy(sub *submission) string {
-	name, team := sub.id.Institution, sub.request.GetTeam()
-	switch {
-	case !c.quotas.Room(c.now, admission.Key{Institution: name}):
-		return "the ceiling of its institution"
-	case team != "" && !c.quotas.Room(c.now, admission.Key{Institution: name, Team: team}):
-		return "the quota of its team"
-	}
-	return ""
-}
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -28,12 +28,14 @@
 // submission is a job that isn't ended: its claim is being settled, or it is
 // held here.
 type submission struct {
-	id      task.ID
-	digest  task.Digest
-	phase   phase
-	request *pb.Submission
-	service *pb.Service
-	// waiting are the requests that its end will answer.
+	// taskPrefix begins the names of its tasks; empty until one starts.
+	taskPrefix string
+	id         task.ID
+	digest     task.Digest
+	phase      phase
+	request    *pb.Submission
+	service    *pb.Service
+	// waiters are the requests that its end will answer.
 	waiters []*waiter
 	arrived task.Time
 	// deadline is set once, from the first request, and never extended.
@@ -247,6 +249,7 @@
 	sub.job = c.lastJob
 	c.jobs[sub.job] = sub
 	c.queue.Add(c.queueJob(sub))
+	c.noteWaiting(sub, n)
 	sub.timer = c.after(sub.deadline-c.now, func() { c.deadlinePassed(sub) })
 	c.holdBack(sub)
 }
@@ -302,6 +305,7 @@
 	tasks := len(sub.request.GetTasks())
 	if sub.job != 0 {
 		c.queue.Remove(sub.job)
+		c.noteWaiting(sub, -sub.assembly.Waiting())
 		delete(c.jobs, sub.job)
 		c.stopRunning(sub)
 	}
--- a/core/dispatch/upstreams.go
+++ b/core/dispatch/upstreams.go
@@ -38,6 +38,7 @@
 		expected: c.estimate.Expect(institution, request.GetService(), declared),
 	}
 	c.inUse[institution]++
+	c.noteWaiting(s.sub, -1)
 	c.quotas.Started(institution, s.terms.team)
 	if s.attempt == 0 {
 		c.budgets.Started(institution, s.slot.Upstream)
@@ -64,7 +65,13 @@
 		c.estimate.Observe(s.sub.id.Institution, s.terms.service, s.terms.declared, took)
 		slowness = float64(took) / float64(max(s.terms.expected, time.Millisecond))
 	}
-	c.health.Observe(c.now, s.slot.Upstream, s.terms.service, o, slowness)
+	c.health.Observe(c.now, health.Result{
+		Upstream: s.slot.Upstream,
+		Service:  s.terms.service,
+		Outcome:  o,
+		Sent:     s.sent,
+		Slowness: slowness,
+	})
 	c.reweigh()
 }
 
@@ -92,6 +99,9 @@
 func (c *Core) reweigh() {
 	for _, change := range c.health.TakeChanges() {
 		c.pool.SetWeight(change.Upstream, change.Weight)
+		if change.NewState {
+			c.emit(UpstreamHealth{change.Upstream, change.State, change.Weight})
+		}
 		if change.Weight == 0 {
 			c.after(change.Until-c.now, c.healthDue)
 		}
@@ -107,6 +117,7 @@
 // within the budgets. A retry that would come too late isn't waited for.
 func (c *Core) retryLater(s *start) {
 	sub := s.sub
+	c.noteWaiting(sub, 1)
 	r := c.budgets.Next(c.now, sub.deadline, sub.id.Institution, s.slot.Upstream, s.attempt)
 	if r.UpstreamSpent {
 		c.health.Close(c.now, s.slot.Upstream)
@@ -132,3 +143,23 @@
 	c.workers = sizesOf(m.Upstreams)
 	c.reweigh()
 }
+
+// addTerms lets what peers need to know of quotas and upstreams ride on a
+// status.
+func (c *Core) addTerms(to task.Incarnation, st *pb.PeerStatus) {
+	st.Quotas = c.quotas.Status(c.now, to)
+	st.Ejected = c.health.Ejected()
+}
+
+// seeTerms takes what a peer's status says of quotas and upstreams.
+func (c *Core) seeTerms(from task.Incarnation, st *pb.PeerStatus) {
+	c.quotas.Receive(c.now, from, st.GetQuotas())
+	if !c.cfg.Health.Alone {
+		c.health.Reported(from.Node, st.GetEjected())
+	}
+}
+
+func (c *Core) termsPeerDown(p task.Incarnation) {
+	c.quotas.PeerDown(p)
+	c.health.Reported(p.Node, nil)
+}
