--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -62,17 +62,17 @@
 	q.list.read = now
 }
 
-// seatsUsable says whether the units that the list gives may be used.
+// remainderUsable says whether the units that the list gives may be used.
 //
 // A process that is cut off from the platform doesn't learn that it was taken
 // off the list and its units were given to others. It stops to use them when
 // its reading is old; the others wait that long, unless they have heard from
 // every process there can be that it goes by the same list.
-func (q *Quotas) seatsUsable(now task.Time) bool {
+func (q *Quotas) remainderUsable(now task.Time) bool {
 	if !q.list.known || now < q.floorFrom || now-q.list.read >= ListFresh {
 		return false
 	}
-	return q.list.agreed || now >= q.list.changed+seatWait+q.overhang
+	return q.list.agreed || now >= q.list.changed+remainderWait+q.overhang
 }
 
 // settle looks whether waits can end early, because every process there can be
--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -18,9 +18,9 @@
 	// ListFresh is how long after its last reading of the platform's list a
 	// process may use the units that the list gives it.
 	ListFresh = 5 * time.Second
-	// seatWait is how long such units wait for a former owner that can't be
+	// remainderWait is how long such units wait for a former owner that can't be
 	// asked: the time that the list may lag at it, ListFresh, and its loans.
-	seatWait = 2*ListFresh + 2*LoanValid
+	remainderWait = 2*ListFresh + 2*LoanValid
 	// Interval is how often a peer is told of quotas.
 	Interval = 500 * time.Millisecond
 	// drift is the part by which clocks may run at different speeds.
@@ -51,13 +51,13 @@
 type limit struct {
 	key   Key
 	total int
-	// floor is the part that is this process's whatever happens, seats the
+	// floor is the part that is this process's whatever happens, remainder the
 	// remaining units that the platform's list gives it.
-	floor, seats int
-	held, peak   int
-	lent         int
-	blocked      bool
-	asked        int
+	floor, remainder int
+	held, peak       int
+	lent             int
+	blocked          bool
+	asked            int
 	// slots is how many the institution's listed upstreams have: a limit that
 	// they can't exceed needs no sharing.
 	slots    int
@@ -170,18 +170,18 @@
 	}
 	for _, l := range q.order {
 		l.floor = l.total / n
-		l.seats = 0
+		l.remainder = 0
 		for i := l.floor * n; i < l.total; i++ {
-			if seatOwner(l.key, i, q.list.nodes) == q.self.Node {
-				l.seats++
+			if unitOwner(l.key, i, q.list.nodes) == q.self.Node {
+				l.remainder++
 			}
 		}
 		l.slots = q.list.slots[l.key.Institution]
 	}
 }
 
-// seatOwner picks the node of one unit by rendezvous hashing.
-func seatOwner(k Key, unit int, nodes []string) string {
+// unitOwner picks the node of one unit by rendezvous hashing.
+func unitOwner(k Key, unit int, nodes []string) string {
 	var best string
 	var top uint64
 	var buf [128]byte
@@ -253,8 +253,8 @@
 	if now >= q.floorFrom {
 		n += l.floor
 	}
-	if q.seatsUsable(now) {
-		n += l.seats
+	if q.remainderUsable(now) {
+		n += l.remainder
 	}
 	return n
 }
