--- a/core/dispatch/adopt.go
+++ b/core/dispatch/adopt.go
@@ -75,6 +75,8 @@
 	a := c.adopted[holder]
 	if r.id.Issued() && a.issuer.State(c.now, r.id.Number) == claim.Fresh {
 		word := answerFor(r.id, r.digest, pb.Outcome_OUTCOME_NOT_RUN, pb.Reason_REASON_HOLDER_GONE, "the process that issued the id stopped before it was used")
+		// Another id works at once; 0 would tell the caller not to try.
+		word.RetryAfterMs = atOnceMs
 		c.reply(r, word)
 		return
 	}
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -8,6 +8,9 @@
 // defaultRetryAfterMs is when to come back if nothing better is known.
 const defaultRetryAfterMs = 200
 
+// atOnceMs is the least that still says that coming back is worthwhile.
+const atOnceMs = 1
+
 func (c *Core) retryAfter() uint32 {
 	return defaultRetryAfterMs + uint32(c.rng.IntN(defaultRetryAfterMs))
 }
