--- a/core/dispatch/fakes_test.go
+++ b/core/dispatch/fakes_test.go
@@ -38,8 +38,8 @@
 	truth   *truth
 	faults  map[string]int
 	pauses  []fakePause
-	// zombies is set once a paused entry was replaced by another run.
-	zombies bool
+	// replacedPaused is set once a paused entry was replaced by another run.
+	replacedPaused bool
 	// recording keeps all inputs of the cores.
 	recording bool
 }
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -231,7 +231,7 @@
 func (p *play) replacePaused() bool {
 	for _, e := range p.all {
 		if e.alive && e.paused && p.entries[e.index] == e && p.now-e.pausedAt > 2*idleTimeout {
-			p.zombies = true
+			p.replacedPaused = true
 			p.boot(e.index)
 			return true
 		}
--- a/core/dispatch/truth_test.go
+++ b/core/dispatch/truth_test.go
@@ -183,7 +183,7 @@
 		if len(j.starts) > 0 || j.complete != nil {
 			tr.fail("false not-run for %s", j.id)
 		}
-		if j.failed && !tr.w.zombies {
+		if j.failed && !tr.w.replacedPaused {
 			tr.fail("not-run after failed for %s", j.id)
 		}
 		j.notRun = true
@@ -207,7 +207,7 @@
 	if j.complete != nil && !proto.Equal(j.complete, a) {
 		tr.fail("two complete answers for %s", j.id)
 	}
-	if j.failed && j.complete == nil && !tr.w.zombies {
+	if j.failed && j.complete == nil && !tr.w.replacedPaused {
 		tr.fail("complete after failed for %s", j.id)
 	}
 	j.complete = a
