--- a/bench/slopes/measure.go
+++ b/bench/slopes/measure.go
@@ -24,6 +24,8 @@
 	runs         = 5
 	payloadBytes = 200
 	day          = 24 * time.Hour
+	// teamQuota is below the slots of the upstreams, so that it binds.
+	teamQuota = 100
 )
 
 var self = task.Incarnation{Node: "entry-0", Run: 1}
@@ -224,9 +226,15 @@
 
 // statusRound connects peers and runs one status interval, with every peer's
 // status arriving once; it returns the time taken and the bytes sent.
-func statusRound(peers int) (time.Duration, int) {
+func statusRound(peers, teams int) (time.Duration, int) {
 	cfg := dispatch.DefaultConfig(self, domain)
 	c := newCore(48)
+	quotas := declared(1, teams)
+	quotas.Version = 2
+	for _, t := range quotas.Institutions[0].Teams {
+		t.QuotaSlots = teamQuota
+	}
+	c.Step(0, dispatch.SettingsRead{Settings: quotas})
 	for i := 1; i <= peers; i++ {
 		inc := task.Incarnation{Node: fmt.Sprintf("entry-%d", i), Run: uint64(i)}
 		c.Step(0, dispatch.PeerUp{Peer: inc, FailureDomain: domain})
@@ -284,7 +292,7 @@
 	s := series{what: "one round of statuses, core", per: "peer", unit: "µs"}
 	for _, n := range peerCounts {
 		took := best(runs, func() time.Duration {
-			d, _ := statusRound(n)
+			d, _ := statusRound(n, 1)
 			return d
 		})
 		s.points = append(s.points, point{float64(n), micros(took, 1)})
@@ -296,7 +304,30 @@
 func peersBytes() series {
 	s := series{what: "one round of statuses, payload sent", per: "peer", unit: "B"}
 	for _, n := range peerCounts {
-		_, b := statusRound(n)
+		_, b := statusRound(n, 1)
+		s.points = append(s.points, point{float64(n), float64(b)})
+	}
+	return s
+}
+
+// quotasTime: one status interval among six peers, by teams with a quota.
+func quotasTime() series {
+	s := series{what: "one status interval among 6 peers, core", per: "team with a quota", unit: "µs"}
+	for _, n := range teamCounts {
+		took := best(runs, func() time.Duration {
+			d, _ := statusRound(6, n)
+			return d
+		})
+		s.points = append(s.points, point{float64(n), micros(took, 1)})
+	}
+	return s
+}
+
+// quotasBytes: the statuses of one interval to six peers, by teams.
+func quotasBytes() series {
+	s := series{what: "statuses of one interval to 6 peers, payload sent", per: "team with a quota", unit: "B"}
+	for _, n := range teamCounts {
+		_, b := statusRound(6, n)
 		s.points = append(s.points, point{float64(n), float64(b)})
 	}
 	return s
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -13,6 +13,9 @@
 func benchCore(upstreams int) *Core {
 	cfg := DefaultConfig(task.Incarnation{Node: "entry-0", Run: 1}, "melton")
 	cfg.MaxQueuedTasks = 1 << 30
+	// The longest queue measured is longer than admission would let it grow.
+	cfg.Control.WaitPercent = percent
+	cfg.Control.StandingPercent = percent
 	c := New(cfg)
 	m := task.Members{Nodes: []task.Node{{Name: "entry-0", FailureDomain: "melton"}}}
 	for i := range upstreams {
