--- a/bench/clock.go
+++ b/bench/clock.go
@@ -7,6 +7,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/dispatch"
 )
 
 // clock runs actions in order of virtual time.
@@ -58,3 +60,27 @@
 		e.run()
 	}
 }
+
+// wakeUp ticks a core when its next timer is due.
+type wakeUp struct {
+	// at is the tick that stands; 0 if none does.
+	at time.Duration
+}
+
+// schedule sets the tick for the core's next timer unless one stands already.
+func (w *wakeUp) schedule(c *clock, core *dispatch.Core, carryOut func()) {
+	at, ok := core.NextTimer()
+	if !ok || w.at > c.now && w.at <= at {
+		return
+	}
+	at = max(at, c.now)
+	w.at = at
+	c.at(at, func() {
+		if w.at != at {
+			return
+		}
+		w.at = 0
+		core.Tick(c.now)
+		carryOut()
+	})
+}
--- a/bench/cores.go
+++ b/bench/cores.go
@@ -45,7 +45,7 @@
 	domain string
 	ids    *pb.IdBlock
 	used   uint32
-	ticked time.Duration
+	wakeUp wakeUp
 }
 
 // runner is one upstream.
@@ -197,25 +197,7 @@
 			e.fleet.waste().Other++
 		}
 	}
-	e.schedule()
-}
-
-// schedule sets the tick for the core's next timer unless one stands already.
-func (e *entry) schedule() {
-	at, ok := e.core.NextTimer()
-	if !ok || e.ticked > e.fleet.now && e.ticked <= at {
-		return
-	}
-	at = max(at, e.fleet.now)
-	e.ticked = at
-	e.fleet.at(at, func() {
-		if e.ticked != at {
-			return
-		}
-		e.ticked = 0
-		e.core.Tick(e.fleet.now)
-		e.carryOut()
-	})
+	e.wakeUp.schedule(&e.fleet.clock, e.core, e.carryOut)
 }
 
 func (e *entry) start(cmd dispatch.StartTask) {
--- a/bench/overload.go
+++ b/bench/overload.go
@@ -108,7 +108,7 @@
 	core   *dispatch.Core
 	self   task.Incarnation
 	domain string
-	ticked time.Duration
+	wakeUp wakeUp
 	ids    *pb.IdBlock
 	used   uint32
 }
@@ -364,24 +364,7 @@
 			r.answered(cmd.Request, cmd.Answer)
 		}
 	}
-	e.schedule()
-}
-
-func (e *stressEntry) schedule() {
-	at, ok := e.core.NextTimer()
-	if !ok || e.ticked > e.run.now && e.ticked <= at {
-		return
-	}
-	at = max(at, e.run.now)
-	e.ticked = at
-	e.run.at(at, func() {
-		if e.ticked != at {
-			return
-		}
-		e.ticked = 0
-		e.core.Tick(e.run.now)
-		e.carryOut()
-	})
+	e.wakeUp.schedule(&e.run.clock, e.core, e.carryOut)
 }
 
 func (e *stressEntry) send(cmd dispatch.Send) {
--- a/config/node.go
+++ b/config/node.go
@@ -52,15 +52,21 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ca")
 	}
-	cert, err := os.ReadFile(t.Cert)
+	pair, err := readPair(t.Cert, t.Key)
 	if err != nil {
-		return nil, errors.Wrap(err, "cert")
+		return nil, err
 	}
-	key, err := os.ReadFile(t.Key)
+	return keys.PeerTLS(ca, pair)
+}
+
+// readPair reads the PEM files of a certificate and its key.
+func readPair(certFile, keyFile string) (keys.Pair, error) {
+	cert, err := os.ReadFile(certFile)
 	if err != nil {
-		return nil, errors.Wrap(err, "key")
+		return keys.Pair{}, errors.Wrap(err, "cert")
 	}
-	return keys.PeerTLS(ca, keys.Pair{Cert: cert, Key: key})
+	key, err := os.ReadFile(keyFile)
+	return keys.Pair{Cert: cert, Key: key}, errors.Wrap(err, "key")
 }
 
 func (t CallerTLS) load() (*tls.Config, error) {
@@ -83,13 +89,9 @@
 	if t.Cert == "" {
 		return nil, nil
 	}
-	cert, err := os.ReadFile(t.Cert)
-	if err != nil {
-		return nil, errors.Wrap(err, "cert")
-	}
-	key, err := os.ReadFile(t.Key)
+	pair, err := readPair(t.Cert, t.Key)
 	if err != nil {
-		return nil, errors.Wrap(err, "key")
+		return nil, err
 	}
-	return keys.ServerTLS(keys.Pair{Cert: cert, Key: key}, clientCA)
+	return keys.ServerTLS(pair, clientCA)
 }
--- a/core/admission/quota.go
+++ b/core/admission/quota.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"sapphirepoint.example/sapphirepoint/core/rendezvous"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -171,8 +170,9 @@
 	for _, l := range q.order {
 		l.floor = l.total / n
 		l.remainder = 0
+		name := l.key.Institution + "\x00" + l.key.Team
 		for i := l.floor * n; i < l.total; i++ {
-			if unitOwner(l.key, i, q.list.nodes) == q.self.Node {
+			if rendezvous.Owner(q.list.nodes, name, uint32(i)) == q.self.Node {
 				l.remainder++
 			}
 		}
@@ -180,25 +180,6 @@
 	}
 }
 
-// unitOwner picks the node of one unit by rendezvous hashing.
-func unitOwner(k Key, unit int, nodes []string) string {
-	var best string
-	var top uint64
-	var buf [128]byte
-	for _, n := range nodes {
-		b := append(buf[:0], n...)
-		b = append(b, 0)
-		b = append(b, k.Institution...)
-		b = append(b, 0)
-		b = append(b, k.Team...)
-		b = append(b, 0, byte(unit), byte(unit>>8))
-		if h := xxhash.Sum64(b); best == "" || h > top {
-			best, top = n, h
-		}
-	}
-	return best
-}
-
 // Allow says whether one more task of a team, of which one waits, may start; an
 // empty team asks for the institution's ceiling only. A refusal is remembered
 // as demand, which keeps units from being lent and asks others for theirs.
--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -34,33 +34,6 @@
 // DefaultControl is what measured best; see docs/design-admission.md.
 var DefaultControl = Control{WaitPercent: 50, Standing: time.Second, StandingPercent: 3}
 
-// size is the largest worker and the number of slots of an institution's
-// listed upstreams.
-type size struct {
-	slots                int
-	cpuMillis, memoryMiB uint32
-}
-
-// sizesOf sums up the list. A worker of unknown size may be the largest.
-func sizesOf(list []task.Upstream) map[string]size {
-	sizes := make(map[string]size)
-	unknown := make(map[string]bool)
-	for _, u := range list {
-		s := sizes[u.Institution]
-		s.slots += int(u.Slots)
-		s.cpuMillis = max(s.cpuMillis, u.CPUMillis)
-		s.memoryMiB = max(s.memoryMiB, u.MemoryMiB)
-		sizes[u.Institution] = s
-		unknown[u.Institution] = unknown[u.Institution] || u.CPUMillis == 0 || u.MemoryMiB == 0
-	}
-	for name := range unknown {
-		if unknown[name] {
-			sizes[name] = size{slots: sizes[name].slots}
-		}
-	}
-	return sizes
-}
-
 // admissionState is the state of admission by the institutions' terms.
 type admissionState struct {
 	estimate  *admission.Estimator
@@ -165,80 +138,6 @@
 	return refusal, back.After(c.now, refusal, j, capacity)
 }
 
-// teamQueue is the waiting tasks of a team, without a break since a time.
-type teamQueue struct {
-	tasks int
-	since task.Time
-}
-
-// noteWaiting counts the waiting tasks of a submission's team.
-func (c *Core) noteWaiting(sub *submission, n int) {
-	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
-	q, known := c.admission.teams[key]
-	if !known {
-		q.since = c.now
-	}
-	q.tasks += n
-	if q.tasks == 0 {
-		delete(c.admission.teams, key)
-		return
-	}
-	c.admission.teams[key] = q
-}
-
-// teamCapacity is what there is for a team within its quota; false if no quota
-// limits it.
-func (c *Core) teamCapacity(sub *submission, j admission.Job, all admission.Capacity) (admission.Capacity, bool) {
-	key := admission.Key{Institution: sub.id.Institution, Team: sub.request.GetTeam()}
-	q, waits := c.admission.teams[key]
-	stands := waits && c.now-q.since > c.cfg.Control.Standing
-	units, binding := c.limitUnits(key, stands)
-	if key.Team == "" || !binding || c.cfg.Control.AdmitAll {
-		return all, false
-	}
-	all.Slots = min(all.Slots, units)
-	all.Queued = time.Duration(q.tasks) * j.Work / time.Duration(len(sub.request.GetTasks()))
-	all.WaitPercent = c.cfg.Control.WaitPercent
-	if stands {
-		all.WaitPercent = c.cfg.Control.StandingPercent
-	}
-	return all, true
-}
-
-// limitUnits is how many tasks a quota or ceiling will let run here, and
-// whether it binds.
-//
-// Units that aren't used here go to processes that ask for them and come back
-// when they are wanted, all within a second or two. Counting only those here at
-// the moment, an idle process took itself for exhausted and sent callers away
-// from slots that stood idle. What can't be had shows by tasks that wait for
-// longer than that; until then the whole limit counts.
-func (c *Core) limitUnits(key admission.Key, stands bool) (int, bool) {
-	units, binding := c.admission.quotas.Usable(c.now, key)
-	if binding && !stands {
-		units = max(units, c.admission.quotas.Most(key.Institution, key.Team))
-	}
-	return units, binding
-}
-
-// queuedWork is the expected run time of the tasks that wait for a slot. Those
-// that wait for their team's quota keep no slot from the others; counted, one
-// team's backlog would have all teams refused.
-func (c *Core) queuedWork(institution string) time.Duration {
-	tasks := c.queue.Tasks(institution)
-	if tasks == 0 {
-		return 0
-	}
-	blocked := 0
-	for key, q := range c.admission.teams {
-		if key.Institution == institution && key.Team != "" && !c.admission.quotas.Room(c.now, key) {
-			blocked += q.tasks
-		}
-	}
-	rest := max(tasks-blocked, 0)
-	return c.queue.Work(institution) / time.Duration(tasks) * time.Duration(rest)
-}
-
 // queueLimit is an institution's part of the tasks that may wait.
 func (c *Core) queueLimit(inst *pb.Institution) int {
 	p := int(inst.GetCapacityPercent())
@@ -262,55 +161,6 @@
 	return j
 }
 
-func (c *Core) capacity(sub *submission) admission.Capacity {
-	name := sub.id.Institution
-	s := c.admission.workers[name]
-	most := s.slots
-	if limit := c.admission.quotas.Most(name, sub.request.GetTeam()); limit > 0 && (most == 0 || limit < most) {
-		most = limit
-	}
-	// Lent slots come home as soon as they are spare there. Left out, a process
-	// that has lent most of its slots takes a short queue for one that lasts
-	// half a minute, and sends callers away for as long.
-	idle := c.pool.Idle(name) + c.pool.Lent(name)
-	for _, s := range c.lending.seen {
-		idle += s.idle[name]
-	}
-	usable := c.admission.inUse[name] + idle
-	stands := c.now-c.admission.lastIdle[name] > c.cfg.Control.Standing
-	if units, binding := c.limitUnits(admission.Key{Institution: name}, stands); binding {
-		usable = min(usable, units)
-	}
-	return admission.Capacity{
-		Slots:       usable,
-		Most:        most,
-		Queued:      c.queuedWork(name),
-		WaitPercent: c.waitPercent(name),
-		CPUMillis:   s.cpuMillis,
-		MemoryMiB:   s.memoryMiB,
-	}
-}
-
-// waitPercent is the part of its time that a job may be expected to wait.
-//
-// A burst passes, and its jobs are done in time. Under lasting overload the
-// queue would stay as long as the longest wait permitted; then every job that
-// turns out longer than declared misses its time after it has used slots, and
-// less is completed than could be. So the wait is kept short from then on.
-func (c *Core) waitPercent(institution string) int {
-	if c.now-c.admission.lastIdle[institution] > c.cfg.Control.Standing {
-		return c.cfg.Control.StandingPercent
-	}
-	return c.cfg.Control.WaitPercent
-}
-
-// noteQueue notes when nothing waits.
-func (c *Core) noteQueue(institution string) {
-	if c.queue.Tasks(institution) == 0 {
-		c.admission.lastIdle[institution] = c.now
-	}
-}
-
 // declaredRun is the declared run time of a task.
 func declaredRun(sub *submission, index int) time.Duration {
 	ms := sub.request.GetTasks()[index].GetRunTimeMs()
--- /dev/null
+++ b/core/rendezvous/rendezvous.go
@@ -0,0 +1,30 @@
+// Package rendezvous divides things among nodes by rendezvous (highest random
+// weight) hashing: every node that knows the same nodes comes to the same
+// owners, and a node that joins or leaves moves only its own share.
+package rendezvous
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// nameBytes is room for the names hashed without an allocation.
+const nameBytes = 128
+
+// Owner picks the node that owns one of the things of a name, told apart by an
+// index; "" if there are no nodes. Things whose indices are 65,536 apart share
+// their owner.
+func Owner(nodes []string, name string, index uint32) string {
+	var best string
+	var top uint64
+	var buf [nameBytes]byte
+	for _, n := range nodes {
+		b := append(buf[:0], n...)
+		b = append(b, 0)
+		b = append(b, name...)
+		b = append(b, 0, byte(index), byte(index>>8))
+		if h := xxhash.Sum64(b); best == "" || h > top {
+			best, top = n, h
+		}
+	}
+	return best
+}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -4,27 +4,13 @@
 package slots
 
 import (
-	"github.com/cespare/xxhash/v2"
-
+	"sapphirepoint.example/sapphirepoint/core/rendezvous"
 	"sapphirepoint.example/sapphirepoint/core/task"
 )
 
-// Owner picks the owner of a slot among the nodes by rendezvous hashing, so
-// that a node that joins or leaves moves only its own share.
+// Owner picks the owner of a slot among the nodes of its failure domain.
 func Owner(slot task.Slot, nodes []string) string {
-	var best string
-	var top uint64
-	var buf [128]byte
-	for _, n := range nodes {
-		b := append(buf[:0], n...)
-		b = append(b, 0)
-		b = append(b, slot.Upstream...)
-		b = append(b, 0, byte(slot.Index), byte(slot.Index>>8))
-		if h := xxhash.Sum64(b); best == "" || h > top {
-			best, top = n, h
-		}
-	}
-	return best
+	return rendezvous.Owner(nodes, slot.Upstream, slot.Index)
 }
 
 // Pool is the account of the slots that this process may use. Taking and
--- a/node/callers.go
+++ b/node/callers.go
@@ -112,15 +112,21 @@
 	return nil
 }
 
+// named authenticates a request that names a submission.
+func (cs *callers) named(ctx context.Context, h http.Header, id *pb.SubmissionId) (string, error) {
+	name, err := cs.institution(ctx, h)
+	if err != nil {
+		return "", err
+	}
+	return name, checkID(name, id)
+}
+
 // Submit runs a job.
 func (cs *callers) Submit(ctx context.Context, req *connect.Request[pb.Submission]) (*connect.Response[pb.Answer], error) {
-	name, err := cs.institution(ctx, req.Header())
+	name, err := cs.named(ctx, req.Header(), req.Msg.GetId())
 	if err != nil {
 		return nil, err
 	}
-	if err := checkID(name, req.Msg.GetId()); err != nil {
-		return nil, err
-	}
 	a, err := cs.await(ctx, func(request uint64) dispatch.Event {
 		return dispatch.Submit{Request: request, Institution: name, Submission: req.Msg}
 	})
@@ -132,13 +138,10 @@
 
 // Cancel ends a submission.
 func (cs *callers) Cancel(ctx context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
-	name, err := cs.institution(ctx, req.Header())
+	name, err := cs.named(ctx, req.Header(), req.Msg.GetId())
 	if err != nil {
 		return nil, err
 	}
-	if err := checkID(name, req.Msg.GetId()); err != nil {
-		return nil, err
-	}
 	a, err := cs.await(ctx, func(request uint64) dispatch.Event {
 		return dispatch.Cancel{Request: request, Institution: name, ID: req.Msg.GetId()}
 	})
