--- a/e2e/upstreams_test.go
+++ b/e2e/upstreams_test.go
@@ -63,6 +63,7 @@
 			Expect(word.GetResults()).To(BeEmpty())
 			d.expectTruth(word)
 		}
+		d.expectNoSecondStart()
 		d.control(0, "mode?mode=normal")
 	})
 
