The list of VMs stands once in the core; one source of ids in the benchmarks

Cause: read again as a whole, the change kept the list in force twice, in membership.View and in a field of Core that was set beside it, and the two benchmarks each drew ids from blocks by the same lines.

Change: Core asks its view for the list; bench/ids.go hands out ids for both.

Left: claim.Holders and claim.UnsettledSet are near twins, but a claim put again takes a new place in one and keeps its old one in the other, so one type for both would change what is forgotten first.

--- a/bench/cores.go
+++ b/bench/cores.go
@@ -43,8 +43,7 @@
 	core   *dispatch.Core
 	self   task.Incarnation
 	domain string
-	ids    *pb.IdBlock
-	used   uint32
+	ids    idSource
 	wakeUp wakeUp
 }
 
@@ -158,25 +157,13 @@
 
 func (f *fleet) submit(job int) {
 	j := f.jobs[job]
-	s := &pb.Submission{Id: f.entries[j.Entry].nextID(), Service: "labels"}
+	s := &pb.Submission{Id: f.entries[j.Entry].ids.next(f.entries[j.Entry].core, f.now), Service: "labels"}
 	for i, t := range j.Tasks {
 		s.Tasks = append(s.Tasks, &pb.Task{Payload: payload(job, i), RunTimeMs: uint32(max(1, t.Declared.Milliseconds()))})
 	}
 	f.entries[j.Entry].step(dispatch.Submit{Request: uint64(job) + 1, Institution: f.site.Name, Submission: s})
 }
 
-const idBlock = 1000
-
-func (e *entry) nextID() *pb.SubmissionId {
-	if e.ids == nil || e.used == e.ids.GetCount() {
-		e.ids = e.core.IssueIDs(e.fleet.now, idBlock)
-		e.used = 0
-	}
-	id := &pb.IssuedId{Holder: e.ids.GetHolder(), Number: e.ids.GetFirst() + uint64(e.used)}
-	e.used++
-	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: id}}
-}
-
 func (e *entry) step(ev dispatch.Event) {
 	e.core.Step(e.fleet.now, ev)
 	e.carryOut()
--- a/bench/overload.go
+++ b/bench/overload.go
@@ -109,8 +109,7 @@
 	self   task.Incarnation
 	domain string
 	wakeUp wakeUp
-	ids    *pb.IdBlock
-	used   uint32
+	ids    idSource
 }
 
 type stressRunner struct {
@@ -334,13 +333,10 @@
 }
 
 func (e *stressEntry) nextID() *pb.SubmissionId {
-	if e.ids == nil || e.used == e.ids.GetCount() || e.run.now%(5*time.Minute) == 0 {
-		e.ids = e.core.IssueIDs(e.run.now, idBlock)
-		e.used = 0
+	if e.run.now%(5*time.Minute) == 0 {
+		e.ids = idSource{}
 	}
-	id := &pb.IssuedId{Holder: e.ids.GetHolder(), Number: e.ids.GetFirst() + uint64(e.used)}
-	e.used++
-	return &pb.SubmissionId{Kind: &pb.SubmissionId_Issued{Issued: id}}
+	return e.ids.next(e.core, e.run.now)
 }
 
 func (e *stressEntry) step(ev dispatch.Event) {
--- a/core/dispatch/admission_test.go
+++ b/core/dispatch/admission_test.go
@@ -199,7 +199,7 @@
 func TestQuotaThatIsLentTurnsNobodyAway(t *testing.T) {
 	c := newTermsCore(t, func(i *pb.Institution) { i.Teams[0].QuotaSlots = 3 })
 	other := task.Incarnation{Node: "m", Run: 2}
-	list := c.members
+	list := c.view.List()
 	list.Version++
 	list.Nodes = append(list.Nodes, task.Node{Name: other.Node, FailureDomain: "e"})
 	c.Step(0, MembersChanged{list})
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -103,7 +103,6 @@
 	issuer   *claim.Issuer
 	queue    *queue.Queue
 	pool     *slots.Pool
-	members  task.Members
 	view     *membership.View
 	absent   map[string]absence
 
--- a/core/dispatch/gone.go
+++ b/core/dispatch/gone.go
@@ -98,7 +98,7 @@
 			heard[p.Node] = true
 		}
 	}
-	for _, n := range c.members.Nodes {
+	for _, n := range c.view.List().Nodes {
 		if n.Name != c.cfg.Self.Node && !heard[n.Name] {
 			return false
 		}
--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -57,7 +57,6 @@
 	if !c.view.Offer(c.now, m) {
 		return
 	}
-	c.members = m
 	c.forgetAbsent(m)
 	c.emit(MembersInForce{m})
 	c.refreshMembers()
@@ -115,7 +114,7 @@
 		connected[p.Node] = true
 	}
 	var list []*pb.NodeVersion
-	for _, n := range c.members.Nodes {
+	for _, n := range c.view.List().Nodes {
 		if n.Name == c.cfg.Self.Node || connected[n.Name] {
 			continue
 		}
