--- /dev/null
+++ b/core/schedule/dump.go
@@ -0,0 +1,69 @@
+package schedule
+
+// Dump is the scheduler's state, for operators.
+type Dump struct {
+	Leading  bool         `json:"leading"`
+	Term     uint64       `json:"term"`
+	Jobs     int          `json:"jobs"`
+	Waiting  []string     `json:"waiting"`
+	Runners  []RunnerDump `json:"runners"`
+	Counters Counters     `json:"counters"`
+}
+
+// RunnerDump is one runner; times are from now, in milliseconds.
+type RunnerDump struct {
+	ID         string   `json:"id"`
+	Owned      bool     `json:"owned"`
+	Token      uint64   `json:"token"`
+	InDoubt    bool     `json:"in_doubt"`
+	Draining   bool     `json:"draining"`
+	Unlisted   bool     `json:"unlisted"`
+	Gone       bool     `json:"gone"`
+	ClosedFor  int64    `json:"closed_for_ms"`
+	AliveFor   int64    `json:"alive_for_ms"`
+	ClockAge   int64    `json:"clock_age_ms"`
+	Pace       float64  `json:"pace"`
+	Strikes    int      `json:"strikes"`
+	FreeCPU    int      `json:"free_millicpu"`
+	Runs       []string `json:"runs"`
+	LastAcked  uint64   `json:"acknowledged"`
+	HoldOnWay  bool     `json:"renewal_on_way"`
+	AddressStr string   `json:"address"`
+}
+
+// Dump returns the state.
+func (s *Scheduler) Dump(now Time) Dump {
+	d := Dump{Leading: s.leading, Term: s.term, Jobs: len(s.jobs), Counters: s.ctr}
+	for _, id := range s.waitingIDs() {
+		d.Waiting = append(d.Waiting, string(id))
+	}
+	for _, r := range s.list {
+		d.Runners = append(d.Runners, r.dump(now))
+	}
+	return d
+}
+
+func (r *runner) dump(now Time) RunnerDump {
+	d := RunnerDump{
+		ID:         string(r.info.ID),
+		Owned:      r.owned,
+		Token:      r.token,
+		InDoubt:    r.inDoubt,
+		Draining:   r.info.Draining,
+		Unlisted:   r.unlisted,
+		Gone:       r.gone,
+		ClosedFor:  max(0, r.health.closedUntil-now).Milliseconds(),
+		AliveFor:   max(0, r.aliveUntil-now).Milliseconds(),
+		ClockAge:   (now - r.clockAt).Milliseconds(),
+		Pace:       r.health.pace,
+		Strikes:    r.health.strikes,
+		FreeCPU:    r.free().MilliCPU,
+		LastAcked:  r.acknowledged,
+		HoldOnWay:  r.holding,
+		AddressStr: r.info.Address,
+	}
+	for _, u := range r.inOrder() {
+		d.Runs = append(d.Runs, u.key.String())
+	}
+	return d
+}
--- /dev/null
+++ b/core/schedule/health.go
@@ -0,0 +1,64 @@
+package schedule
+
+import "time"
+
+const (
+	// closedFirst and closedMost are how long a runner that fails what it is
+	// given gets nothing: long enough that few tasks are wasted on it, short
+	// enough that a sound one is back soon.
+	closedFirst = time.Second
+	closedMost  = 8 * time.Second
+	// strikesToClose failures in a row, of different tasks, close a runner: one
+	// may be the task's own fault.
+	strikesToClose = 2
+	// paceWeight is the weight of the latest run in a runner's pace. Estimates
+	// are off by a factor of 1.5 either way, so some ten runs are averaged.
+	paceWeight = 0.1
+	// paceMost bounds one sample; a stuck run must not hide ten sound ones.
+	paceMost = 8.0
+)
+
+// health is how a runner's own work has gone. Tasks are the probes.
+type health struct {
+	strikes     int
+	closures    int
+	closedUntil Time
+	// pace is run time over estimate, averaged; 1 at first.
+	pace float64
+}
+
+func newHealth() health { return health{pace: 1} }
+
+func (h *health) closed(now Time) bool { return now < h.closedUntil }
+
+// suspect reports whether the last run failed, or the runner has just been
+// opened again.
+func (h *health) suspect() bool { return h.strikes > 0 }
+
+func (h *health) succeeded(elapsed, estimate time.Duration) {
+	h.strikes = 0
+	h.closures = 0
+	if estimate > 0 {
+		sample := min(float64(elapsed)/float64(estimate), paceMost)
+		h.pace += paceWeight * (sample - h.pace)
+	}
+}
+
+// failed counts strikes and closes the runner at the limit. After it opens
+// again the first failure closes it for twice as long.
+func (h *health) failed(now Time, strikes int) {
+	h.strikes += strikes
+	if h.strikes < strikesToClose {
+		return
+	}
+	h.closedUntil = now + min(closedFirst<<min(h.closures, 8), closedMost)
+	h.closures++
+	h.strikes = strikesToClose - 1
+}
+
+// pardon takes a strike back: the task has failed elsewhere too, so its
+// failure says nothing about this runner.
+func (h *health) pardon() {
+	h.strikes = max(0, h.strikes-1)
+	h.closedUntil = 0
+}
--- /dev/null
+++ b/core/schedule/job.go
@@ -0,0 +1,134 @@
+package schedule
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// taskPhase is where a task stands.
+type taskPhase uint8
+
+const (
+	// waiting for a runner, or for the tasks that it depends on.
+	waiting taskPhase = iota
+	// running: a run is on a runner, or may be.
+	running
+	// done: a run has ended well.
+	done
+)
+
+type taskState struct {
+	job   *job
+	name  workload.TaskName
+	phase taskPhase
+	// lastNumber is the number of the latest run.
+	lastNumber int
+	run        *run
+	// failedOn are the runners on which a run has failed.
+	failedOn []*runner
+	failures int
+	// overstays counts runs stopped for taking too long.
+	overstays int
+	// notBefore holds the task back while an earlier run may be alive.
+	notBefore Time
+}
+
+// job is a job in hand.
+type job struct {
+	work    *workload.Job
+	entry   EntryID
+	arrived Time
+	// due is the end of the latency objective, deadline that of the caller's
+	// patience.
+	due      Time
+	deadline Time
+	steps    [][]*taskState
+	// open is the number of tasks of each step that aren't done.
+	open []int
+	// waiting is the number of tasks that wait.
+	waiting int
+	queued  bool
+	// started: a start of one of its tasks was ordered, by this scheduler or
+	// an earlier one.
+	started   bool
+	firstRun  Time
+	runs      int
+	remaining time.Duration
+	// knownFrom is when what an earlier scheduler may have started can't be
+	// alive any more, on runners that didn't answer.
+	knownFrom Time
+	// abandonedAt is when the job's runs are stopped since its entry process
+	// has ended; 0 if it lives.
+	abandonedAt Time
+	ended       bool
+}
+
+func newJob(w *workload.Job, now Time) *job {
+	j := &job{work: w, arrived: now, open: make([]int, len(w.Steps))}
+	j.steps = make([][]*taskState, len(w.Steps))
+	for i, step := range w.Steps {
+		j.open[i] = step.Tasks
+		j.steps[i] = make([]*taskState, step.Tasks)
+		for n := range j.steps[i] {
+			name := workload.TaskName{Job: w.ID, Step: i, Index: n}
+			j.steps[i][n] = &taskState{job: j, name: name}
+		}
+	}
+	j.waiting = w.Tasks()
+	j.remaining = w.Chain()
+	return j
+}
+
+// task finds a task by its name; nil if the job has none such.
+func (j *job) task(n workload.TaskName) *taskState {
+	if n.Step < 0 || n.Step >= len(j.steps) || n.Index < 0 || n.Index >= len(j.steps[n.Step]) {
+		return nil
+	}
+	return j.steps[n.Step][n.Index]
+}
+
+// ready reports whether all steps that a step depends on are done.
+func (j *job) ready(step int) bool {
+	for _, d := range j.work.Steps[step].DependsOn {
+		if j.open[d] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) complete() bool {
+	for _, n := range j.open {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) each(f func(*taskState)) {
+	for _, step := range j.steps {
+		for _, t := range step {
+			f(t)
+		}
+	}
+}
+
+func (t *taskState) step() *workload.Step { return &t.job.work.Steps[t.name.Step] }
+
+func (t *taskState) setPhase(p taskPhase) {
+	if t.phase == p {
+		return
+	}
+	if t.phase == waiting {
+		t.job.waiting--
+	}
+	if p == waiting {
+		t.job.waiting++
+	}
+	if p == done {
+		t.job.open[t.name.Step]--
+	}
+	t.phase = p
+}
--- /dev/null
+++ b/core/schedule/placement.go
@@ -0,0 +1,142 @@
+package schedule
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+const (
+	// paceWeightInCost weighs a runner's pace against how well a task fits.
+	paceWeightInCost = 0.5
+	// overdueFactor and overdueSlack say when a run is taken for stuck. Run
+	// times spread by a factor of 1.5 about their estimates and these are off
+	// by as much, so three times the estimate is rare for a sound run.
+	overdueFactor = 3
+	overdueSlack  = 200 * time.Millisecond
+)
+
+// placer chooses runners during one round of starts.
+type placer struct {
+	s *Scheduler
+	// tooBig is the least need that found no room, by service. It spares the
+	// search for tasks that need as much or more.
+	tooBig map[string]workload.Resources
+}
+
+func newPlacer(s *Scheduler) *placer {
+	return &placer{s: s, tooBig: make(map[string]workload.Resources)}
+}
+
+// place chooses a runner for a task; nil if there is no room.
+//
+// Best fit: a task of two fifths of a runner leaves room for another one only
+// if both are put on the same runner; spread out, each would leave a hole that
+// is too small for a third. Among runners that fit alike the faster one wins.
+func (p *placer) place(t *taskState) *runner {
+	step := t.step()
+	plain := step.Requires == "" && step.MaxPerRunner == 0 && len(t.failedOn) == 0
+	service := t.job.work.Service
+	if big, ok := p.tooBig[service]; ok && plain && big.Fits(step.Need) {
+		return nil
+	}
+	var best *runner
+	var least float64
+	for _, r := range p.s.list {
+		if r.info.Service != service || !r.usable(p.s.now) || !step.Need.Fits(r.free()) {
+			continue
+		}
+		if !r.info.HasLabel(step.Requires) || !p.spread(t, r) {
+			continue
+		}
+		if c := p.cost(t, r); best == nil || c < least {
+			best, least = r, c
+		}
+	}
+	if best == nil && plain {
+		p.tooBig[service] = step.Need
+	}
+	return best
+}
+
+// spread reports whether the runner may take one more task of the step.
+func (p *placer) spread(t *taskState, r *runner) bool {
+	limit := t.step().MaxPerRunner
+	if limit == 0 {
+		return true
+	}
+	n := 0
+	for k := range r.runs {
+		if k.Task.Job == t.name.Job && k.Task.Step == t.name.Step {
+			n++
+		}
+	}
+	return n < limit
+}
+
+const (
+	// Costs that put a runner behind all sound ones.
+	costSuspect  = 10.0
+	costFailedOn = 100.0
+)
+
+func (p *placer) cost(t *taskState, r *runner) float64 {
+	left := r.free().Minus(t.step().Need).MilliCPU
+	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
+	c += paceWeightInCost * r.health.pace * p.s.distance(t, r)
+	if r.health.suspect() {
+		c += costSuspect * float64(1+len(r.runs))
+	}
+	for _, f := range t.failedOn {
+		if f == r {
+			c += costFailedOn
+		}
+	}
+	return c
+}
+
+// distance is how many times as long the task takes there for want of its data.
+func (s *Scheduler) distance(t *taskState, r *runner) float64 {
+	if rack := t.step().PreferredRack; rack != "" && rack != r.info.Rack {
+		return s.cfg.RemoteFactor
+	}
+	return 1
+}
+
+func (s *Scheduler) overdueAt(t *taskState, r *runner) Time {
+	estimate := float64(t.step().Estimate) * max(1, r.health.pace) * s.distance(t, r)
+	limit := time.Duration(estimate)*overdueFactor + overdueSlack
+	return s.now + limit*time.Duration(1+t.overstays)
+}
+
+func (s *Scheduler) start(t *taskState, r *runner) {
+	t.lastNumber++
+	u := &run{
+		key:     workload.RunKey{Task: t.name, Number: t.lastNumber},
+		runner:  r,
+		task:    t,
+		need:    t.step().Need,
+		started: s.now,
+	}
+	u.overdueAt = s.overdueAt(t, r)
+	t.run = u
+	t.setPhase(running)
+	j := t.job
+	j.started = true
+	if j.runs == 0 {
+		j.firstRun = s.now
+	}
+	j.runs++
+	s.ctr.Starts++
+	r.add(u)
+	r.grant(s.now, s.cfg.Lease)
+	s.emit(Start{
+		Runner:   r.info.ID,
+		Address:  r.info.Address,
+		Token:    r.token,
+		Run:      u.key,
+		Spec:     j.work.Spec,
+		LeaseEnd: r.leaseEnd(s.now, s.cfg.Lease),
+	})
+	s.hold(r)
+}
--- /dev/null
+++ b/core/schedule/results.go
@@ -0,0 +1,356 @@
+package schedule
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+const (
+	// probeWait is how long after an unanswered renewal the next one is sent.
+	probeWait = 100 * time.Millisecond
+	// probeMost bounds the wait, which grows with the time since an answer.
+	probeMost = 500 * time.Millisecond
+	// stopSlack is added to the longest time that a stop takes.
+	stopSlack = 20 * time.Millisecond
+	// leaseLimit is the longest lease that a runner grants to anybody; runs
+	// found under another scheduler's lease live no longer than that.
+	leaseLimit = 1000 * time.Millisecond
+)
+
+// acquire asks a runner to obey this scheduler's token from now on.
+func (s *Scheduler) acquire(r *runner) {
+	r.release()
+	r.token = s.token()
+	r.reacquireAt = 0
+	r.holdNext = 0
+	s.hold(r)
+}
+
+// hold sends a renewal unless one is on its way.
+func (s *Scheduler) hold(r *runner) {
+	if r.holding || r.gone || r.token == 0 {
+		return
+	}
+	r.holding = true
+	r.heldAt = s.now
+	h := Hold{
+		Runner:       r.info.ID,
+		Address:      r.info.Address,
+		Token:        r.token,
+		Acknowledged: r.acknowledged,
+	}
+	// A renewal that stays unanswered may still be carried out. So while in
+	// doubt none is given: then the time at which the runs are surely over
+	// doesn't move, and they can be started elsewhere.
+	if len(r.runs) > 0 && r.owned && !r.inDoubt {
+		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
+		h.Wait = s.cfg.HoldWait
+		r.grant(s.now, s.cfg.Lease)
+	}
+	s.emit(h)
+}
+
+// Held takes what came of a Hold.
+func (s *Scheduler) Held(now Time, res HoldResult) {
+	s.now = now
+	r := s.runners[res.Runner]
+	if r == nil || r.gone || res.Token != r.token || !s.leading {
+		return
+	}
+	r.holding = false
+	r.sawClock(res.Clock)
+	switch res.Outcome {
+	case Accepted:
+		r.answered(res.Clock.SentAt)
+		s.listed(r, res)
+		s.dispatch()
+		s.nextHold(r)
+	case Fenced:
+		s.lose(r)
+	case Replaced:
+		s.replaced(r)
+	default:
+		s.unanswered(r)
+		silence := now - r.clockAt
+		r.holdNext = now + min(max(probeWait, silence/4), probeMost)
+	}
+}
+
+func (s *Scheduler) nextHold(r *runner) {
+	if len(r.runs) > 0 {
+		s.hold(r)
+		return
+	}
+	r.holdNext = s.now + idleCheck
+}
+
+// listed reads a runner's lists of what ended and what runs.
+func (s *Scheduler) listed(r *runner, res HoldResult) {
+	first := !r.owned
+	r.owned = true
+	if first {
+		r.aliveUntil = max(r.aliveUntil, s.now+longestLife(leaseLimit))
+		s.emit(Decision{Event: "runner-acquired", Runner: r.info.ID, Token: r.token, Age: s.now - r.heldAt})
+	}
+	for _, e := range res.Ends {
+		if e.Sequence <= r.acknowledged {
+			continue
+		}
+		r.acknowledged = e.Sequence
+		s.ended(r, e)
+	}
+	for _, k := range res.Running {
+		s.seen(r, k)
+	}
+}
+
+// seen notes a run that a runner lists.
+func (s *Scheduler) seen(r *runner, k workload.RunKey) {
+	if u := r.runs[k]; u != nil {
+		u.confirmed = true
+		return
+	}
+	u := &run{key: k, runner: r, started: s.now, confirmed: true, stopAt: s.now + orphanGrace}
+	r.add(u)
+	if j := s.jobs[k.Task.Job]; j != nil {
+		s.adopt(j, u)
+	}
+}
+
+// ended notes an end that a runner lists.
+func (s *Scheduler) ended(r *runner, e workload.End) {
+	u := r.runs[e.Run]
+	if u != nil {
+		r.drop(u)
+	}
+	t := s.taskOf(u, e.Run)
+	if t == nil || t.phase == done {
+		if t == nil && e.Kind == workload.Done {
+			s.found[e.Run.Task] = s.now
+		}
+		return
+	}
+	if e.Kind == workload.Done {
+		s.taskDone(t, r, u)
+		return
+	}
+	if u == nil || t.run != u {
+		return
+	}
+	switch e.Kind {
+	case workload.Failed:
+		s.runFailed(t, r)
+	case workload.Lapsed:
+		s.ctr.Lapsed++
+	}
+	if t.job.ended {
+		return
+	}
+	s.emit(Decision{Event: "run-ended", Job: t.name.Job, Run: e.Run, Runner: r.info.ID, Reason: e.Kind.String(), Age: s.now - u.started})
+	s.requeue(t)
+}
+
+// taskOf finds the task of a run, which may be one that this scheduler hasn't
+// started.
+func (s *Scheduler) taskOf(u *run, k workload.RunKey) *taskState {
+	if u != nil && u.task != nil {
+		return u.task
+	}
+	if j := s.jobs[k.Task.Job]; j != nil {
+		return j.task(k.Task)
+	}
+	return nil
+}
+
+func (s *Scheduler) taskDone(t *taskState, r *runner, u *run) {
+	s.ctr.Done++
+	if u != nil && u.task == t && !u.stopping {
+		r.health.succeeded(s.now-u.started, t.step().Estimate)
+	}
+	if t.run != nil && t.run != u {
+		other := t.run
+		other.task = nil
+		other.stopAt = s.now
+		s.stopRun(other)
+	}
+	t.run = nil
+	t.setPhase(done)
+	if t.job.waiting == 0 {
+		s.dequeue(t.job)
+	}
+	if t.job.complete() {
+		s.finish(t.job, workload.Completed, "")
+	}
+}
+
+// runFailed counts a failure against the task and the runner. A task that has
+// failed on two runners is taken to be at fault itself.
+func (s *Scheduler) runFailed(t *taskState, r *runner) {
+	s.ctr.FailedRuns++
+	t.failures++
+	if len(t.failedOn) == 0 {
+		r.health.failed(s.now, 1)
+	} else {
+		for _, f := range t.failedOn {
+			if f != r {
+				f.health.pardon()
+			}
+		}
+	}
+	t.failedOn = append(t.failedOn, r)
+	if t.failures >= max(1, t.job.work.MaxAttempts) {
+		s.finish(t.job, workload.JobFailed, "a task failed as often as its queue allows")
+	}
+}
+
+// Started takes what came of a Start.
+func (s *Scheduler) Started(now Time, res StartResult) {
+	s.now = now
+	r := s.runners[res.Runner]
+	if r == nil || r.gone || !s.leading {
+		return
+	}
+	r.sawClock(res.Clock)
+	if res.Outcome != Unanswered {
+		r.answered(res.Clock.SentAt)
+	}
+	u := r.runs[res.Run]
+	if u == nil {
+		return
+	}
+	switch res.Outcome {
+	case Accepted:
+		u.confirmed = true
+		return
+	case Fenced:
+		s.lose(r)
+	case Replaced:
+		s.replaced(r)
+	case Unanswered:
+		s.unanswered(r)
+		if !u.confirmed {
+			s.emit(Decision{Event: "start-unanswered", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: now - u.started})
+			s.stopRun(u)
+		}
+	default:
+		s.startRejected(r, u, res.Outcome)
+	}
+	s.dispatch()
+}
+
+// startRejected handles a start that surely hasn't happened.
+func (s *Scheduler) startRejected(r *runner, u *run, o CallOutcome) {
+	r.drop(u)
+	t := u.task
+	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: o.String(), Age: s.now - u.started})
+	switch o {
+	case Unhealthy:
+		r.health.failed(s.now, strikesToClose)
+	case NoRoom:
+		// Something runs there that isn't known here. A look tells what.
+		r.doubt(s.now)
+		r.holdNext = s.now
+	case Outdated:
+		if t != nil {
+			t.lastNumber += runsPerHand
+		}
+	case Invalid:
+		if t != nil {
+			s.finish(t.job, workload.JobFailed, "runners don't understand the task")
+			return
+		}
+	}
+	if t != nil {
+		s.requeue(t)
+	}
+}
+
+// stopRun orders a run to be stopped, once.
+func (s *Scheduler) stopRun(u *run) {
+	if u.stopping || u.runner.gone || !s.leading {
+		return
+	}
+	u.stopping = true
+	s.emit(Stop{Runner: u.runner.info.ID, Address: u.runner.info.Address, Token: u.runner.token, Run: u.key})
+}
+
+// Stopped takes what came of a Stop.
+func (s *Scheduler) Stopped(now Time, res StopResult) {
+	s.now = now
+	r := s.runners[res.Runner]
+	if r == nil || r.gone || !s.leading {
+		return
+	}
+	r.sawClock(res.Clock)
+	u := r.runs[res.Run]
+	if res.Outcome != Unanswered {
+		r.answered(res.Clock.SentAt)
+	}
+	switch res.Outcome {
+	case Accepted:
+		if u != nil {
+			u.stopped = true
+			u.goneAt = now + s.cfg.StopTimeout + stopSlack
+		}
+	case Fenced:
+		s.lose(r)
+	case Replaced:
+		s.replaced(r)
+	default:
+		s.unanswered(r)
+		if u != nil {
+			u.stopping = false
+			u.stopAt = now
+		}
+	}
+	s.dispatch()
+}
+
+func (s *Scheduler) unanswered(r *runner) {
+	s.ctr.Unanswered++
+	r.doubt(s.now)
+}
+
+// lose handles a runner that obeys a higher token. What ran there is the other
+// scheduler's now; it is started again only when it must be over.
+func (s *Scheduler) lose(r *runner) {
+	s.ctr.Fenced++
+	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "fenced"})
+	tasks := r.tasks()
+	r.release()
+	for _, t := range tasks {
+		t.notBefore = s.now + s.cfg.Resend
+		s.requeue(t)
+	}
+	r.token = 0
+	if s.now-s.since < settleTime {
+		s.term += termStep
+		r.reacquireAt = s.now
+		s.acquire(r)
+		return
+	}
+	r.reacquireAt = s.now + reacquireWait
+}
+
+// replaced handles a lifetime of a runner that is over, with all that ran.
+func (s *Scheduler) replaced(r *runner) {
+	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "replaced"})
+	r.gone = true
+	tasks := r.tasks()
+	r.release()
+	for _, t := range tasks {
+		s.requeue(t)
+	}
+}
+
+// tasks lists the tasks whose runs are on the runner.
+func (r *runner) tasks() []*taskState {
+	var list []*taskState
+	for _, u := range r.inOrder() {
+		if u.task != nil {
+			list = append(list, u.task)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/core/schedule/runner.go
@@ -0,0 +1,143 @@
+package schedule
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// runner is what the scheduler knows of one lifetime of a runner.
+type runner struct {
+	info workload.Runner
+	// unlisted runners have left the platform's list.
+	unlisted bool
+	gone     bool
+	// token is the fencing token under which the runner was asked for, and
+	// owned whether it has answered to it.
+	token uint64
+	owned bool
+	// reacquireAt is when a runner that was lost to another scheduler is
+	// asked for again.
+	reacquireAt Time
+
+	// clock is the runner's clock in milliseconds as read at clockAt; 0 if it
+	// isn't known yet.
+	clock   int64
+	clockAt Time
+	// aliveUntil is the latest time at which something may still run there if
+	// the runner hears nothing more from us.
+	aliveUntil Time
+	// doubtSince is when an order stayed unanswered; an answer to a later
+	// order clears it. Nothing is started on a runner in doubt.
+	doubtSince Time
+	inDoubt    bool
+	// holding is set while a Hold is on its way.
+	holding  bool
+	heldAt   Time
+	holdNext Time
+
+	acknowledged uint64
+	runs         map[workload.RunKey]*run
+	used         workload.Resources
+	health       health
+}
+
+// run is one run that is, or may be, on a runner.
+type run struct {
+	key    workload.RunKey
+	runner *runner
+	// task is nil for a run whose job isn't known.
+	task    *taskState
+	need    workload.Resources
+	started Time
+	// confirmed runs were accepted or listed by the runner.
+	confirmed bool
+	// stopAt is when a run without a job is stopped.
+	stopAt Time
+	// stopping: an order to stop it has been sent; stopped: it was answered,
+	// and the run is over at goneAt even if no end is listed.
+	stopping bool
+	stopped  bool
+	goneAt   Time
+	// overdueAt is when a run has taken so long that it is taken for stuck.
+	overdueAt Time
+}
+
+func newRunner(info workload.Runner, now Time) *runner {
+	return &runner{info: info, runs: make(map[workload.RunKey]*run), health: newHealth(), heldAt: now}
+}
+
+// release forgets the ownership and all runs.
+func (r *runner) release() {
+	r.owned = false
+	r.holding = false
+	r.inDoubt = false
+	r.acknowledged = 0
+	r.used = workload.Resources{}
+	clear(r.runs)
+}
+
+// sawClock takes a reading. A reading is never ahead of the runner's clock:
+// the answer was written before it came. So lease ends computed from it are
+// never later than meant.
+func (r *runner) sawClock(c Reading) {
+	if c.Milliseconds == 0 || c.At < r.clockAt {
+		return
+	}
+	r.clock = c.Milliseconds
+	r.clockAt = c.At
+}
+
+// leaseEnd is the end of a lease from now on, on the runner's clock; 0 if that
+// clock isn't known.
+func (r *runner) leaseEnd(now Time, lease time.Duration) int64 {
+	if r.clock == 0 {
+		return 0
+	}
+	return r.clock + (now - r.clockAt + lease).Milliseconds()
+}
+
+// grant notes that an order with a lease is sent.
+func (r *runner) grant(now Time, lease time.Duration) {
+	r.aliveUntil = max(r.aliveUntil, now+longestLife(lease))
+}
+
+// longestLife is how long a run may live after a lease was sent, by our clock,
+// if the runner's clock is slow.
+func longestLife(lease time.Duration) time.Duration {
+	return lease*(100+clockDriftPercent)/100 + leaseMargin
+}
+
+// usable reports whether tasks may be started there now.
+func (r *runner) usable(now Time) bool {
+	return r.owned && !r.gone && !r.unlisted && !r.info.Draining && !r.inDoubt && r.clock != 0 && !r.health.closed(now)
+}
+
+func (r *runner) free() workload.Resources { return r.info.Capacity.Minus(r.used) }
+
+func (r *runner) add(u *run) {
+	r.runs[u.key] = u
+	r.used = r.used.Plus(u.need)
+}
+
+func (r *runner) drop(u *run) {
+	if r.runs[u.key] != u {
+		return
+	}
+	delete(r.runs, u.key)
+	r.used = r.used.Minus(u.need)
+}
+
+func (r *runner) doubt(now Time) {
+	if !r.inDoubt {
+		r.inDoubt = true
+	}
+	r.doubtSince = now
+}
+
+// answered clears a doubt if the answer is to an order sent after it arose.
+func (r *runner) answered(sentAt Time) {
+	if sentAt >= r.doubtSince {
+		r.inDoubt = false
+	}
+}
--- /dev/null
+++ b/core/schedule/schedule.go
@@ -0,0 +1,264 @@
+// Package schedule decides which task runs where and when. A Scheduler owns
+// runners by fencing tokens and leases, takes whole jobs from entry VMs, starts
+// their tasks, restarts what was lost, and gives the final word on each job.
+//
+// It does no input or output and reads no clock: events and the time go in by
+// its methods, commands come out of Ready, in the order in which they are to be
+// carried out.
+//
+// What it knows is soft. The runners list what runs and what ended, and entry
+// VMs keep the jobs that they answer for. A scheduler that takes over raises
+// the fencing token of each runner, reads the lists, and is handed the jobs
+// again; it goes on with what runs.
+//
+// Safety rests on leases measured on the runners' own clocks. A task is started
+// again only if its last run is listed as ended, was stopped by an order that
+// the runner answered, or can't be alive any more since its lease has lapsed.
+package schedule
+
+import (
+	"sort"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Time is a reading of the process's monotonic clock.
+type Time = task.Time
+
+// EntryID names one lifetime of an entry process.
+type EntryID string
+
+// Config is the limits of a scheduler.
+type Config struct {
+	// Number tells this process's fencing tokens from those of all others.
+	Number uint64
+	// Lease is how long a run lives without a renewal. It is also the longest
+	// time until the work of a runner that fell silent is started elsewhere.
+	Lease time.Duration
+	// HoldWait is the longest that a runner may keep a renewal unanswered
+	// while nothing ends. Lease must span two renewals and a timeout.
+	HoldWait time.Duration
+	// StopTimeout is the longest that a runner takes to stop a run.
+	StopTimeout time.Duration
+	// Resend is the earliest that a caller whose entry VM died sends its job
+	// again.
+	Resend time.Duration
+	// RemoteFactor is how many times as long a task takes away from its rack.
+	RemoteFactor float64
+}
+
+// DefaultConfig returns the usual limits.
+func DefaultConfig() Config {
+	return Config{
+		Lease:        600 * time.Millisecond,
+		HoldWait:     200 * time.Millisecond,
+		StopTimeout:  50 * time.Millisecond,
+		Resend:       1300 * time.Millisecond,
+		RemoteFactor: 3,
+	}
+}
+
+const (
+	// CallTimeout is how long an order may stay unanswered. Runners answer
+	// within a few milliseconds; a longer wait delays the restart elsewhere.
+	CallTimeout = 150 * time.Millisecond
+	// clockDriftPercent is how much slower than ours a runner's clock may be.
+	clockDriftPercent = 2
+	// leaseMargin covers the delay between reading our clock and sending.
+	leaseMargin = 50 * time.Millisecond
+	// idleCheck is how often an idle runner is looked at, so that a job
+	// doesn't find out first that it is dead.
+	idleCheck = time.Second
+	// reacquireWait is how long a runner that another scheduler took is left
+	// to it before it is taken back. Within it the two learn of each other.
+	reacquireWait = 1500 * time.Millisecond
+	// settleTime is how long after taking over a higher token on a runner is
+	// put down to the scheduler before, whose term wasn't known.
+	settleTime = time.Second
+	// termStep raises the term after a runner has refused a token. The runner
+	// doesn't say which token it has seen.
+	termStep = 16
+	// orphanGrace is how long a run without a job is kept for the entry VM
+	// that hands its job in again.
+	orphanGrace = 400 * time.Millisecond
+	// abandonedGrace is how long the runs of a job go on whose entry process
+	// has ended. It must end before the caller sends the job again, perhaps
+	// to a scheduler that can't see these runs.
+	abandonedGrace = 900 * time.Millisecond
+	// limboWait is how long a job may wait for this scheduler to lead.
+	limboWait = 700 * time.Millisecond
+	// resultRetention is how long outcomes are kept for jobs sent again.
+	resultRetention = 60 * time.Second
+	// numberBits is the part of a fencing token that names its holder. Two
+	// live processes would need start numbers 2^20 apart to share it.
+	numberBits = 20
+)
+
+// Scheduler is the state machine. It isn't safe for concurrent use.
+type Scheduler struct {
+	cfg     Config
+	now     Time
+	term    uint64
+	leading bool
+	since   Time
+
+	runners map[workload.RunnerID]*runner
+	// list is the runners in the order of their ids.
+	list []*runner
+
+	jobs  map[workload.JobID]*job
+	queue []*job
+	// results are the outcomes of jobs that have ended, oldest first.
+	results     map[workload.JobID]result
+	resultOrder []workload.JobID
+	// cancelled are ids that were cancelled before their jobs came.
+	cancelled map[workload.JobID]Time
+	// found are ends of tasks whose jobs aren't known, by the runners' lists.
+	found map[workload.TaskName]Time
+
+	out []Command
+	ctr Counters
+}
+
+// Counters are totals since the start.
+type Counters struct {
+	Submitted, Completed, Failed, Cancelled, Refused, GaveUp uint64
+	Starts, Done, FailedRuns, Lapsed, Adopted, Overstayed    uint64
+	Fenced, Unanswered                                       uint64
+}
+
+type result struct {
+	outcome workload.Outcome
+	at      Time
+}
+
+// New returns a scheduler that leads nothing yet.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg:       cfg,
+		term:      cfg.Number,
+		runners:   make(map[workload.RunnerID]*runner),
+		jobs:      make(map[workload.JobID]*job),
+		results:   make(map[workload.JobID]result),
+		cancelled: make(map[workload.JobID]Time),
+		found:     make(map[workload.TaskName]Time),
+	}
+}
+
+// Term is the highest term seen; tokens of a higher term win.
+func (s *Scheduler) Term() uint64 { return s.term }
+
+// SeeTerm notes the term of another scheduler.
+func (s *Scheduler) SeeTerm(term uint64) { s.term = max(s.term, term) }
+
+// SetNumber sets the number that a process learns when it registers.
+func (s *Scheduler) SetNumber(n uint64) {
+	s.cfg.Number = n
+	s.term = max(s.term, n)
+}
+
+// Leading reports whether the scheduler owns runners.
+func (s *Scheduler) Leading() bool { return s.leading }
+
+// Counters returns the totals.
+func (s *Scheduler) Counters() Counters { return s.ctr }
+
+func (s *Scheduler) token() uint64 {
+	return s.term<<numberBits | s.cfg.Number&(1<<numberBits-1)
+}
+
+// Ready returns the commands since the last call.
+func (s *Scheduler) Ready() []Command {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *Scheduler) emit(c Command) { s.out = append(s.out, c) }
+
+// Lead makes the scheduler take all runners that it knows.
+func (s *Scheduler) Lead(now Time) {
+	s.now = now
+	if s.leading {
+		return
+	}
+	s.leading = true
+	s.since = now
+	s.term++
+	for _, r := range s.list {
+		s.acquire(r)
+	}
+	s.dispatch()
+}
+
+// Retire gives up all runners and jobs without a word to them: another
+// scheduler takes the runners with what runs there, and entry VMs hand their
+// jobs in to it. Stopping the runs would throw away work that it goes on with.
+func (s *Scheduler) Retire(now Time) {
+	s.now = now
+	if !s.leading {
+		return
+	}
+	s.leading = false
+	for _, r := range s.list {
+		r.release()
+	}
+	clear(s.jobs)
+	s.queue = nil
+	clear(s.found)
+}
+
+// SetRunners replaces the list of runners.
+func (s *Scheduler) SetRunners(now Time, list []workload.Runner) {
+	s.now = now
+	listed := make(map[workload.RunnerID]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		r := s.runners[info.ID]
+		if r == nil {
+			r = newRunner(info, now)
+			s.runners[info.ID] = r
+			s.list = append(s.list, r)
+			if s.leading {
+				s.acquire(r)
+			}
+			continue
+		}
+		r.unlisted = false
+		r.info = info
+	}
+	for _, r := range s.list {
+		if !listed[r.info.ID] {
+			r.unlisted = true
+		}
+	}
+	s.forgetRunners()
+	sort.Slice(s.list, func(i, j int) bool { return s.list[i].info.ID < s.list[j].info.ID })
+	s.dispatch()
+}
+
+// forgetRunners drops runners that aren't listed and have nothing running.
+func (s *Scheduler) forgetRunners() {
+	kept := s.list[:0]
+	for _, r := range s.list {
+		if r.unlisted && len(r.runs) == 0 {
+			delete(s.runners, r.info.ID)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	s.list = kept
+}
+
+// Pending is the number of jobs of each queue of which no task has started.
+func (s *Scheduler) Pending() map[string]int {
+	n := make(map[string]int)
+	for _, j := range s.queue {
+		if !j.started {
+			n[j.work.Queue]++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/schedule/submit.go
@@ -0,0 +1,240 @@
+package schedule
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Submission hands a job in.
+type Submission struct {
+	Job   *workload.Job
+	Entry EntryID
+	// Due and Patience are the rest of the latency objective and of the time
+	// that the caller waits.
+	Due      time.Duration
+	Patience time.Duration
+	// Handed counts how often the entry VM handed the job in before, to this
+	// scheduler or others.
+	Handed int
+	// Unknown is how much longer runs may be alive that an earlier scheduler
+	// has started.
+	Unknown time.Duration
+}
+
+// runsPerHand is the distance between the run numbers of successive
+// schedulers: each starts above all that the one before may have used.
+const runsPerHand = 100
+
+// Submit takes a job, or another copy of one that is known.
+func (s *Scheduler) Submit(now Time, sub Submission) {
+	s.now = now
+	id := sub.Job.ID
+	if r, ok := s.results[id]; ok {
+		s.answer(sub.Entry, id, r.outcome, "known")
+		return
+	}
+	if _, ok := s.cancelled[id]; ok {
+		s.answer(sub.Entry, id, workload.Cancelled, "cancelled before it came")
+		return
+	}
+	if j := s.jobs[id]; j != nil {
+		j.entry = sub.Entry
+		j.abandonedAt = 0
+		j.deadline = max(j.deadline, now+sub.Patience)
+		return
+	}
+	s.ctr.Submitted++
+	j := newJob(sub.Job, now)
+	j.entry = sub.Entry
+	j.due = now + sub.Due
+	j.deadline = now + sub.Patience
+	if sub.Handed > 0 {
+		j.started = true
+		j.knownFrom = now + sub.Unknown
+		j.each(func(t *taskState) { t.lastNumber = sub.Handed * runsPerHand })
+	}
+	s.jobs[id] = j
+	s.attach(j)
+	if j.complete() {
+		s.finish(j, workload.Completed, "all tasks had ended")
+		return
+	}
+	if reason := s.refusal(j); reason != "" {
+		s.finish(j, workload.NotRun, reason)
+		return
+	}
+	s.enqueue(j)
+	s.dispatch()
+}
+
+// attach joins a job with runs and ends that runners list for it.
+func (s *Scheduler) attach(j *job) {
+	for _, r := range s.list {
+		for _, u := range r.runs {
+			if u.task != nil || u.key.Task.Job != j.work.ID {
+				continue
+			}
+			s.adopt(j, u)
+		}
+	}
+	j.each(func(t *taskState) {
+		if _, ok := s.found[t.name]; ok {
+			delete(s.found, t.name)
+			j.started = true
+			t.setPhase(done)
+		}
+	})
+}
+
+// adopt makes a run without a job the current run of its task, or stops it if
+// the task has another.
+func (s *Scheduler) adopt(j *job, u *run) {
+	t := j.task(u.key.Task)
+	if t == nil || t.phase != waiting {
+		u.stopAt = s.now
+		return
+	}
+	s.ctr.Adopted++
+	j.started = true
+	u.task = t
+	u.stopAt = 0
+	t.run = u
+	t.lastNumber = max(t.lastNumber, u.key.Number)
+	t.setPhase(running)
+	u.runner.reserve(u, t.step().Need)
+	u.overdueAt = s.overdueAt(t, u.runner)
+	s.emit(Decision{Event: "run-adopted", Job: j.work.ID, Run: u.key, Runner: u.runner.info.ID, Token: u.runner.token})
+}
+
+// reserve corrects the room that a run takes.
+func (r *runner) reserve(u *run, need workload.Resources) {
+	r.used = r.used.Minus(u.need).Plus(need)
+	u.need = need
+}
+
+func (s *Scheduler) answer(to EntryID, id workload.JobID, o workload.Outcome, reason string) {
+	s.emit(Answer{Entry: to, Job: id, Outcome: o, Reason: reason})
+}
+
+// finish gives the final word on a job and stops what still runs of it.
+func (s *Scheduler) finish(j *job, o workload.Outcome, reason string) {
+	if j.ended {
+		return
+	}
+	if o == workload.NotRun && j.started {
+		o = workload.GaveUp
+	}
+	a := Answer{Entry: j.entry, Job: j.work.ID, Outcome: o, Reason: reason, Runs: j.runs}
+	if j.runs > 0 {
+		a.Waited = j.firstRun - j.arrived
+	}
+	if o == workload.NotRun {
+		a.RetryAfter = s.retryAfter(j)
+	}
+	s.count(o)
+	s.forget(j)
+	if o != workload.GaveUp {
+		s.keepResult(j.work.ID, o)
+	}
+	s.emit(a)
+}
+
+// forget drops a job and stops its runs. They stay known as runs without a job
+// until they have ended.
+func (s *Scheduler) forget(j *job) {
+	j.ended = true
+	delete(s.jobs, j.work.ID)
+	s.dequeue(j)
+	j.each(func(t *taskState) {
+		if t.run == nil {
+			return
+		}
+		t.run.task = nil
+		t.run.stopAt = s.now
+		s.stopRun(t.run)
+		t.run = nil
+	})
+}
+
+func (s *Scheduler) count(o workload.Outcome) {
+	switch o {
+	case workload.Completed:
+		s.ctr.Completed++
+	case workload.JobFailed:
+		s.ctr.Failed++
+	case workload.Cancelled:
+		s.ctr.Cancelled++
+	case workload.NotRun:
+		s.ctr.Refused++
+	case workload.GaveUp:
+		s.ctr.GaveUp++
+	}
+}
+
+func (s *Scheduler) keepResult(id workload.JobID, o workload.Outcome) {
+	if _, ok := s.results[id]; !ok {
+		s.resultOrder = append(s.resultOrder, id)
+	}
+	s.results[id] = result{outcome: o, at: s.now}
+}
+
+// Cancel ends a job for its caller, and reports whether it was known. A job
+// that comes later under the id doesn't run.
+func (s *Scheduler) Cancel(now Time, id workload.JobID) bool {
+	s.now = now
+	if j := s.jobs[id]; j != nil {
+		s.finish(j, workload.Cancelled, "cancelled")
+		s.dispatch()
+		return true
+	}
+	if _, ok := s.results[id]; ok {
+		return true
+	}
+	s.cancelled[id] = now
+	return false
+}
+
+// Abandon ends a job whose caller has left. It may come again.
+func (s *Scheduler) Abandon(now Time, entry EntryID, id workload.JobID) {
+	s.now = now
+	j := s.jobs[id]
+	if j == nil || j.entry != entry {
+		return
+	}
+	s.ctr.Cancelled++
+	s.emit(Decision{Event: "job-dropped", Job: id, Reason: "caller left"})
+	s.forget(j)
+	s.dispatch()
+}
+
+// EntryLost drops the jobs of an entry VM.
+//
+// If its process has ended, their callers send them again after a while, so
+// what runs goes on for as long as that is safe. If it only fell silent, it may
+// be alive and hand them to another scheduler, which doesn't see what runs
+// here; so they are stopped at once.
+func (s *Scheduler) EntryLost(now Time, entry EntryID, ended bool) {
+	s.now = now
+	for _, j := range s.jobsInOrder() {
+		if j.entry != entry {
+			continue
+		}
+		if ended && j.started {
+			j.abandonedAt = now + abandonedGrace
+			continue
+		}
+		s.emit(Decision{Event: "job-dropped", Job: j.work.ID, Reason: "entry VM lost"})
+		s.forget(j)
+	}
+	s.dispatch()
+}
+
+// State tells how far a job is, for its caller.
+func (s *Scheduler) State(id workload.JobID) (o workload.Outcome, ended, known bool) {
+	if r, ok := s.results[id]; ok {
+		return r.outcome, true, true
+	}
+	_, ok := s.jobs[id]
+	return 0, false, ok
+}
--- /dev/null
+++ b/core/schedule/tick.go
@@ -0,0 +1,161 @@
+package schedule
+
+import (
+	"sort"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Tick does what is due. It is called every few tens of milliseconds.
+func (s *Scheduler) Tick(now Time) {
+	s.now = now
+	s.expire()
+	if !s.leading {
+		s.tickLimbo()
+		return
+	}
+	for _, r := range s.list {
+		s.tickRunner(r)
+	}
+	for _, j := range s.jobsInOrder() {
+		s.tickJob(j)
+	}
+	s.forgetRunners()
+	s.dispatch()
+}
+
+// tickLimbo refuses jobs that were handed in to a process that doesn't come to
+// lead.
+func (s *Scheduler) tickLimbo() {
+	for _, j := range s.jobsInOrder() {
+		if s.now-j.arrived > limboWait {
+			s.finish(j, workload.NotRun, "this process doesn't lead")
+		}
+	}
+}
+
+func (s *Scheduler) tickJob(j *job) {
+	switch {
+	case j.abandonedAt > 0 && s.now >= j.abandonedAt:
+		s.emit(Decision{Event: "job-dropped", Job: j.work.ID, Reason: "entry process ended"})
+		s.forget(j)
+	case s.now >= j.deadline:
+		s.finish(j, workload.NotRun, "time is up")
+	case !j.started && s.now+j.remaining/2 > j.deadline:
+		s.finish(j, workload.NotRun, "too little time is left")
+	}
+}
+
+func (s *Scheduler) tickRunner(r *runner) {
+	if r.gone {
+		return
+	}
+	if r.token == 0 {
+		if r.reacquireAt > 0 && s.now >= r.reacquireAt {
+			s.term += termStep
+			s.acquire(r)
+		}
+		return
+	}
+	if !r.holding && s.now >= r.holdNext {
+		s.hold(r)
+	}
+	if r.inDoubt && s.now > r.aliveUntil && len(r.runs) > 0 {
+		s.lapse(r)
+		return
+	}
+	for _, u := range r.inOrder() {
+		s.tickRun(r, u)
+	}
+}
+
+// lapse gives up the runs of a runner that has been silent for longer than
+// their leases can last.
+func (s *Scheduler) lapse(r *runner) {
+	for _, u := range r.inOrder() {
+		r.drop(u)
+		if u.task == nil {
+			continue
+		}
+		s.ctr.Lapsed++
+		s.emit(Decision{Event: "run-lapsed", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "runner is silent", Age: s.now - r.clockAt})
+		s.requeue(u.task)
+	}
+}
+
+func (s *Scheduler) tickRun(r *runner, u *run) {
+	switch {
+	case u.stopped && s.now >= u.goneAt:
+		r.drop(u)
+		if u.task != nil {
+			s.requeue(u.task)
+		}
+	case u.task == nil && u.stopAt > 0 && s.now >= u.stopAt:
+		s.stopRun(u)
+	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0:
+		s.stopRun(u)
+	case u.task != nil && !u.stopping && u.overdueAt > 0 && s.now >= u.overdueAt:
+		s.overstay(r, u)
+	}
+}
+
+// overstay stops a run that takes far longer than estimated, so that it is
+// started on another runner: tasks stand still on some runners that are
+// otherwise healthy.
+func (s *Scheduler) overstay(r *runner, u *run) {
+	t := u.task
+	if s.now+t.step().Estimate > t.job.deadline {
+		return
+	}
+	s.ctr.Overstayed++
+	t.overstays++
+	t.failedOn = append(t.failedOn, r)
+	r.health.failed(s.now, strikesToClose)
+	s.emit(Decision{Event: "run-overdue", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
+	s.stopRun(u)
+}
+
+// expire forgets old outcomes.
+func (s *Scheduler) expire() {
+	for len(s.resultOrder) > 0 {
+		id := s.resultOrder[0]
+		if s.now-s.results[id].at < resultRetention {
+			break
+		}
+		delete(s.results, id)
+		s.resultOrder = s.resultOrder[1:]
+	}
+	for id, at := range s.cancelled {
+		if s.now-at > resultRetention {
+			delete(s.cancelled, id)
+		}
+	}
+	for name, at := range s.found {
+		if s.now-at > s.cfg.Resend+limboWait {
+			delete(s.found, name)
+		}
+	}
+}
+
+// inOrder lists the runs by their keys.
+func (r *runner) inOrder() []*run {
+	list := make([]*run, 0, len(r.runs))
+	for _, u := range r.runs {
+		list = append(list, u)
+	}
+	sort.Slice(list, func(a, b int) bool { return less(list[a].key, list[b].key) })
+	return list
+}
+
+func less(a, b workload.RunKey) bool {
+	if a.Task.Job != b.Task.Job {
+		return a.Task.Job < b.Task.Job
+	}
+	if a.Task.Step != b.Task.Step {
+		return a.Task.Step < b.Task.Step
+	}
+	if a.Task.Index != b.Task.Index {
+		return a.Task.Index < b.Task.Index
+	}
+	return a.Number < b.Number
+}
--- /dev/null
+++ b/core/workload/workload.go
@@ -0,0 +1,248 @@
+// Package workload holds the types that describe what callers ask for and
+// where it may run: jobs of tasks, and the runners that carry them out.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// JobID is chosen by the caller and stays the same when it sends a job again.
+type JobID string
+
+// Resources is what a task needs or a runner has.
+type Resources struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int
+	MemoryMB int
+	GPU      int
+}
+
+// Fits reports whether r is within what is free.
+func (r Resources) Fits(free Resources) bool {
+	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.GPU + o.GPU}
+}
+
+// Minus returns the difference.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
+}
+
+// Step is a set of like tasks of a job.
+type Step struct {
+	Tasks int
+	Need  Resources
+	// Estimate is the caller's guess of a task's run time; it is often far off.
+	Estimate time.Duration
+	// DependsOn lists earlier steps that must be done first.
+	DependsOn []int
+	// Requires is a label that the runner must have, if any.
+	Requires string
+	// PreferredRack is where the data lies; elsewhere a task takes longer.
+	PreferredRack string
+	// MaxPerRunner limits the tasks of the step on one runner; 0 is no limit.
+	MaxPerRunner int
+}
+
+// Job is what a caller submits, with the terms of its queue at arrival.
+type Job struct {
+	ID JobID
+	// Queue and Service are the route that the request took, under the
+	// configuration Version in force at its entry VM.
+	Queue   string
+	Service string
+	Version uint64
+	// Priority 0 comes first.
+	Priority int
+	// MaxAttempts is how often a task may end as failed before its job has.
+	MaxAttempts int
+	// Objective is the latency objective, from the caller's first send.
+	Objective time.Duration
+	Spec      string
+	Steps     []Step
+}
+
+// Tasks is the number of tasks in all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Tasks
+	}
+	return n
+}
+
+// Chain is the estimated run time of the longest chain of dependent steps.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i, s := range j.Steps {
+		begin := time.Duration(0)
+		for _, d := range s.DependsOn {
+			begin = max(begin, ends[d])
+		}
+		ends[i] = begin + s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// maxTasks bounds a job. The largest jobs planned for have 980 tasks.
+const maxTasks = 4096
+
+// Check reports what makes a job impossible to run.
+func (j *Job) Check() error {
+	if len(j.Steps) == 0 {
+		return errors.New("the job has no steps")
+	}
+	total := 0
+	for i, s := range j.Steps {
+		if s.Tasks < 1 || s.Tasks > maxTasks {
+			return errors.Errorf("step %d: %d tasks, not 1 to %d", i, s.Tasks, maxTasks)
+		}
+		total += s.Tasks
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= i {
+				return errors.Errorf("step %d depends on step %d, which isn't an earlier one", i, d)
+			}
+		}
+		if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPU < 0 || s.Estimate < 0 || s.MaxPerRunner < 0 {
+			return errors.Errorf("step %d has a negative requirement", i)
+		}
+	}
+	if total > maxTasks {
+		return errors.Errorf("%d tasks, more than %d", total, maxTasks)
+	}
+	return nil
+}
+
+// TaskName names a task for runners. Occurrences of timed jobs aren't served,
+// so the occurrence is always 0.
+type TaskName struct {
+	Job   JobID
+	Step  int
+	Index int
+}
+
+// String is the form that runners know: job.occurrence.step.index.
+func (t TaskName) String() string {
+	return string(t.Job) + ".0." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskName reads the form of String.
+func ParseTaskName(s string) (TaskName, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskName{}, errors.Errorf("task name %q hasn't four parts", s)
+	}
+	step, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return TaskName{}, errors.Errorf("task name %q: step", s)
+	}
+	index, err := strconv.Atoi(parts[3])
+	if err != nil {
+		return TaskName{}, errors.Errorf("task name %q: index", s)
+	}
+	return TaskName{Job: JobID(parts[0]), Step: step, Index: index}, nil
+}
+
+// RunKey names one start of a task.
+type RunKey struct {
+	Task TaskName
+	// Number grows with each start of the task.
+	Number int
+}
+
+// String is for logs.
+func (k RunKey) String() string { return fmt.Sprintf("%s#%d", k.Task, k.Number) }
+
+// RunnerID is one lifetime of a runner; after a crash it has another.
+type RunnerID string
+
+// Runner is what the platform's list says of a runner.
+type Runner struct {
+	ID       RunnerID
+	Service  string
+	Address  string
+	Domain   string
+	Rack     string
+	Labels   []string
+	Capacity Resources
+	// Draining runners finish what they have and get nothing new.
+	Draining bool
+	// Revision grows with each change of the entry.
+	Revision uint64
+}
+
+// HasLabel reports whether the runner has a label; all have the empty one.
+func (r *Runner) HasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range r.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// EndKind is how a run ended.
+type EndKind uint8
+
+// The kinds of ends.
+const (
+	// Done: the task succeeded.
+	Done EndKind = iota
+	// Failed: by the task's fault or the runner's.
+	Failed
+	// Stopped: on an order.
+	Stopped
+	// Lapsed: its lease ran out.
+	Lapsed
+	// Aborted: another task that it works with ended or didn't come.
+	Aborted
+)
+
+var endNames = [...]string{"done", "failed", "stopped", "lapsed", "aborted"}
+
+// String is for logs.
+func (k EndKind) String() string { return endNames[k] }
+
+// End is one end that a runner lists until it is acknowledged.
+type End struct {
+	// Sequence counts the ends of a lifetime of the runner, from 1.
+	Sequence uint64
+	Run      RunKey
+	Kind     EndKind
+}
+
+// Outcome is the final word on a job.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Completed: all tasks are done.
+	Completed Outcome = iota
+	// JobFailed: a task failed as often as the queue allows.
+	JobFailed
+	// Cancelled: the caller took the job back.
+	Cancelled
+	// NotRun: nothing was started and nothing will be.
+	NotRun
+	// GaveUp: its time was up; some of it may have run.
+	GaveUp
+)
+
+var outcomeNames = [...]string{"completed", "failed", "cancelled", "not-run", "gave-up"}
+
+// String is for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
--- /dev/null
+++ b/entry/calls.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+)
+
+// Orders to runners. Each is carried out by a goroutine of its own; results go
+// back to the loop as events.
+
+// holdSlack is how much longer than asked a runner may take over a renewal
+// until it counts as unanswered.
+const holdSlack = schedule.CallTimeout
+
+func (p *Process) startTask(ctx context.Context, c schedule.Start) {
+	ctx, cancel := context.WithTimeout(ctx, schedule.CallTimeout)
+	defer cancel()
+	sent := time.Now()
+	a := p.runners.Start(ctx, c)
+	p.callDone("start", sent, a)
+	clock := p.reading(sent, a)
+	p.post(func() {
+		p.schedule.Started(p.clock.now(), schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: a.Outcome, Clock: clock})
+	})
+}
+
+func (p *Process) stopTask(ctx context.Context, c schedule.Stop) {
+	ctx, cancel := context.WithTimeout(ctx, schedule.CallTimeout)
+	defer cancel()
+	sent := time.Now()
+	a := p.runners.Stop(ctx, c)
+	p.callDone("stop", sent, a)
+	clock := p.reading(sent, a)
+	p.post(func() {
+		p.schedule.Stopped(p.clock.now(), schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: a.Outcome, Clock: clock})
+	})
+}
+
+func (p *Process) holdRunner(ctx context.Context, c schedule.Hold) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+holdSlack)
+	defer cancel()
+	sent := time.Now()
+	a := p.runners.Hold(ctx, c)
+	p.callDone("hold", sent, a.CallAnswer)
+	clock := p.reading(sent, a.CallAnswer)
+	p.post(func() {
+		p.schedule.Held(p.clock.now(), schedule.HoldResult{
+			Runner:  c.Runner,
+			Token:   c.Token,
+			Outcome: a.Outcome,
+			Running: a.Running,
+			Ends:    a.Ends,
+			Clock:   clock,
+		})
+	})
+}
+
+func (p *Process) reading(sent time.Time, a CallAnswer) schedule.Reading {
+	return schedule.Reading{Milliseconds: a.Clock, At: p.clock.now(), SentAt: p.clock.at(sent)}
+}
+
+func (p *Process) callDone(kind string, sent time.Time, a CallAnswer) {
+	p.metrics.calls.WithLabelValues(kind, a.Outcome.String()).Inc()
+	if kind != "hold" {
+		p.metrics.callSeconds.WithLabelValues(kind).Observe(time.Since(sent).Seconds())
+	}
+	if a.Cause != nil {
+		p.log.Debug().Str("order", kind).Err(a.Cause).Msg("order-failed")
+	}
+}
+
+func (p *Process) logDecision(d schedule.Decision) {
+	e := p.log.Info()
+	if d.Job != "" {
+		e = e.Str("job", string(d.Job)).Stringer("run", d.Run)
+	}
+	if d.Runner != "" {
+		e = e.Str("runner", string(d.Runner))
+	}
+	if d.Token != 0 {
+		e = e.Uint64("token", d.Token)
+	}
+	if d.Reason != "" {
+		e = e.Str("reason", d.Reason)
+	}
+	e.Dur("age", d.Age).Msg(d.Event)
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+)
+
+// metrics are the counters and histograms of a process.
+type metrics struct {
+	registry        *prometheus.Registry
+	requests        *prometheus.CounterVec
+	requestSeconds  *prometheus.HistogramVec
+	calls           *prometheus.CounterVec
+	callSeconds     *prometheus.HistogramVec
+	storeFailures   *prometheus.CounterVec
+	droppedMessages prometheus.Counter
+	leading         prometheus.Gauge
+	inHand          prometheus.Gauge
+	scheduled       *prometheus.GaugeVec
+}
+
+// latencyBuckets span answers from a few milliseconds to a caller's patience.
+var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .3, .5, .75, 1, 1.5, 2.5}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphirepoint_requests_total", Help: "Requests answered, by queue and outcome.",
+		}, []string{"queue", "outcome"}),
+		requestSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sapphirepoint_request_seconds", Help: "Time from arrival to answer.", Buckets: latencyBuckets,
+		}, []string{"outcome"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphirepoint_runner_orders_total", Help: "Orders to runners, by kind and outcome.",
+		}, []string{"order", "outcome"}),
+		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sapphirepoint_runner_order_seconds", Help: "Time until a runner has answered an order.", Buckets: latencyBuckets,
+		}, []string{"order"}),
+		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphirepoint_store_failures_total", Help: "Failed calls to the platform's store.",
+		}, []string{"call"}),
+		droppedMessages: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sapphirepoint_peer_messages_dropped_total", Help: "Messages to processes without a connection.",
+		}),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sapphirepoint_leading", Help: "1 while this process schedules.",
+		}),
+		inHand: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sapphirepoint_jobs_in_hand", Help: "Jobs whose callers wait here.",
+		}),
+		scheduled: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sapphirepoint_scheduled", Help: "What the scheduler has done since the start, by event.",
+		}, []string{"event"}),
+	}
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.storeFailures,
+		m.droppedMessages, m.leading, m.inHand, m.scheduled)
+	return m
+}
+
+// Metrics is the registry of the process's metrics.
+func (p *Process) Metrics() *prometheus.Registry { return p.metrics.registry }
+
+func (m *metrics) update(p *Process) {
+	m.leading.Set(0)
+	if p.schedule.Leading() {
+		m.leading.Set(1)
+	}
+	m.inHand.Set(float64(p.gateway.InHand()))
+	m.count(p.schedule.Counters())
+}
+
+func (m *metrics) count(c schedule.Counters) {
+	set := func(event string, n uint64) { m.scheduled.WithLabelValues(event).Set(float64(n)) }
+	set("starts", c.Starts)
+	set("done", c.Done)
+	set("failed", c.FailedRuns)
+	set("lapsed", c.Lapsed)
+	set("adopted", c.Adopted)
+	set("overdue", c.Overstayed)
+	set("fenced", c.Fenced)
+	set("unanswered", c.Unanswered)
+}
--- /dev/null
+++ b/peer/identity.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"math/big"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// certificateLife is longer than a process lives; the certificate goes with it.
+const certificateLife = 10 * 365 * 24 * time.Hour
+
+// Identity is the key of one lifetime of a process. It is made at start and
+// kept nowhere; the process publishes the fingerprint in the platform's store.
+type Identity struct {
+	cert        tls.Certificate
+	fingerprint string
+}
+
+// NewIdentity makes a key and a certificate that it signs itself.
+func NewIdentity() (*Identity, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make key")
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		// A day back, since clocks of VMs differ.
+		NotBefore: now.Add(-24 * time.Hour),
+		NotAfter:  now.Add(certificateLife),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "make certificate")
+	}
+	return &Identity{
+		cert:        tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
+		fingerprint: fingerprintOf(der),
+	}, nil
+}
+
+// Fingerprint names the key: the SHA-256 of the certificate, in hexadecimal.
+func (i *Identity) Fingerprint() string { return i.fingerprint }
+
+func fingerprintOf(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:])
+}
+
+// tlsConfig accepts whoever allowed accepts by its fingerprint.
+func (i *Identity) tlsConfig(allowed func(fingerprint string) bool) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{i.cert},
+		NextProtos:   []string{protocolName},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// There is no authority and there are no host names: the fingerprint in
+		// the platform's store, which only the system's processes can write,
+		// says who a process is. VerifyConnection checks it on both sides.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			if len(s.PeerCertificates) == 0 || !allowed(fingerprintOf(s.PeerCertificates[0].Raw)) {
+				return errors.New("the process isn't registered")
+			}
+			return nil
+		},
+	}
+}
