--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -13,6 +13,9 @@
 	// packing is the share of all processors that can be in use: tasks take
 	// two fifths of a runner or more, so a part of each stays empty.
 	packing = 0.8
+	// leastOfEstimate is the share of its estimate, in percent, that a task may
+	// take: estimates spread by a factor of 1.5, so one in forty is below.
+	leastOfEstimate = 40
 	// retryLeast and retryMost bound when a refused caller may come back.
 	retryLeast = time.Second
 	retryMost  = 10 * time.Second
@@ -124,7 +127,7 @@
 	if j.started {
 		return ""
 	}
-	if s.now+j.remaining/2 > j.deadline {
+	if s.hopeless(j) {
 		return "too little time is left"
 	}
 	if !s.leading || s.now-s.since < settleTime {
@@ -138,12 +141,18 @@
 		return "no runner has what a task needs"
 	}
 	wait := s.backlog(j) / time.Duration(capacity)
-	if s.now+wait+j.remaining > j.deadline {
+	if wait > 0 && s.now+wait+j.remaining > j.deadline {
 		return fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond))
 	}
 	return ""
 }
 
+// hopeless reports whether a job can't end in time even if it takes the least
+// that its estimate allows.
+func (s *Scheduler) hopeless(j *job) bool {
+	return s.now+j.remaining*leastOfEstimate/100 > j.deadline
+}
+
 // capacity is the processors of a service that can be in use, in thousandths.
 func (s *Scheduler) capacity(service string) int {
 	n := 0
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -41,7 +41,7 @@
 		s.forget(j)
 	case s.now >= j.deadline:
 		s.finish(j, workload.NotRun, "time is up")
-	case !j.started && s.now+j.remaining/2 > j.deadline:
+	case !j.started && s.hopeless(j):
 		s.finish(j, workload.NotRun, "too little time is left")
 	}
 }
