Takeovers without a second run of a task

Change: no lease where an unknown run is, jobs that were handed over wait for lists read since, runners that left the list are named at a handover, a leader goes on until the next one says that it leads, a lease outlasts the detection. LOST in planned stops: requests late in the grace are refused, those in hand get an answer at the end.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -242,6 +242,17 @@
 	}
 }
 
+// GiveUp answers all callers, since the process ends.
+func (g *Gateway) GiveUp(now Time, reason string) {
+	g.now = now
+	for _, h := range g.inOrder() {
+		if h.scheduler != "" {
+			g.out = append(g.out, Drop{To: h.scheduler, Job: h.job.ID})
+		}
+		g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, Reason: reason})
+	}
+}
+
 // Tick answers what nobody else will.
 func (g *Gateway) Tick(now Time) {
 	g.now = now
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -33,6 +33,9 @@
 	// settle is how long a new process listens before it may lead: the older
 	// ones connect in this time.
 	settle = 400 * time.Millisecond
+	// yieldWait is how long a leader goes on while the one that should lead
+	// hasn't said that it does.
+	yieldWait = 300 * time.Millisecond
 	// StallLimit is the pause in a process's own work after which it counts
 	// itself as having been frozen. The others have missed it by then.
 	StallLimit = 400 * time.Millisecond
@@ -62,7 +65,9 @@
 	self  ID
 	own   Report
 	begin Time
-	peers map[ID]*peer
+	// yieldSince is when this process, leading, began to wait for another.
+	yieldSince Time
+	peers      map[ID]*peer
 }
 
 // NewView returns the view of a process that has just started.
@@ -146,8 +151,50 @@
 	Reachable bool
 }
 
-// Choose returns whom this process follows.
-func (v *View) Choose(now Time) Choice {
+// Choose returns whom this process follows; leading says that it leads now.
+//
+// The first in rank among those that are heard should lead. Until it says that
+// it does, whoever leads goes on, for a short while: at a planned stop, and as
+// a cut heals and connections come back one by one, there would else be moments
+// with no leader or the wrong one.
+func (v *View) Choose(now Time, leading bool) Choice {
+	first, leader := v.first(now), v.firstLeading(now)
+	if first == "" {
+		return Choice{Leader: leader, Reachable: leader != ""}
+	}
+	if first == v.self {
+		if other := v.followedElsewhere(now); other != "" {
+			return v.yield(now, leading, Choice{Leader: other})
+		}
+		v.yieldSince = 0
+		return Choice{Leader: v.self, Reachable: true}
+	}
+	if leading && (leader == "" || before(v.own, v.peers[leader].report)) {
+		return v.yield(now, true, Choice{Leader: first, Reachable: true})
+	}
+	v.yieldSince = 0
+	if leader != "" {
+		return Choice{Leader: leader, Reachable: true}
+	}
+	return Choice{Leader: first, Reachable: true}
+}
+
+// yield makes a process that leads go on for a while before it follows another.
+func (v *View) yield(now Time, leading bool, other Choice) Choice {
+	if !leading {
+		return other
+	}
+	if v.yieldSince == 0 {
+		v.yieldSince = now
+	}
+	if now-v.yieldSince > yieldWait {
+		return other
+	}
+	return Choice{Leader: v.self, Reachable: true}
+}
+
+// first is the process that should lead; "" if none can.
+func (v *View) first(now Time) ID {
 	best, rank := ID(""), Report{}
 	if v.own.Able && now-v.begin >= settle {
 		best, rank = v.self, v.own
@@ -157,13 +204,18 @@
 			best, rank = id, p.report
 		}
 	}
-	if best != v.self {
-		return Choice{Leader: best, Reachable: best != ""}
-	}
-	if other := v.followedElsewhere(now); other != "" {
-		return Choice{Leader: other}
+	return best
+}
+
+// firstLeading is the first in rank of the other processes that say they lead.
+func (v *View) firstLeading(now Time) ID {
+	best, rank := ID(""), Report{}
+	for id, p := range v.peers {
+		if p.report.Leader == id && now-p.heard <= LostAfter && (best == "" || before(p.report, rank)) {
+			best, rank = id, p.report
+		}
 	}
-	return Choice{Leader: best, Reachable: true}
+	return best
 }
 
 // followedElsewhere finds a leader that isn't heard here but that a process
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -42,6 +42,8 @@
 	LeaseEnd int64
 	// Wait is how long the runner may wait for an end.
 	Wait time.Duration
+	// Look marks one that is sent beside another.
+	Look bool
 }
 
 // Answer is the final word on a job, to the entry VM that handed it in.
@@ -137,6 +139,7 @@
 type HoldResult struct {
 	Runner  workload.RunnerID
 	Token   uint64
+	Look    bool
 	Outcome CallOutcome
 	Running []workload.RunKey
 	Ends    []workload.End
--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -11,11 +11,18 @@
 	// strikesToClose failures in a row, of different tasks, close a runner: one
 	// may be the task's own fault.
 	strikesToClose = 2
-	// paceWeight is the weight of the latest run in a runner's pace. Estimates
-	// are off by a factor of 1.5 either way, so some ten runs are averaged.
-	paceWeight = 0.1
+	// paceFirst and paceRuns are the runs over which a runner's pace is
+	// averaged, at first and in the long run. Estimates are off by a factor of
+	// 1.5 either way: the mean of 30 is within 7% of the true pace, and a pace
+	// differs by a quarter between runners.
+	paceFirst = 4
+	paceRuns  = 30
 	// paceMost bounds one sample; a stuck run must not hide ten sound ones.
 	paceMost = 8.0
+	// slowFactor and slowSlack say when a run counts against its runner: one
+	// in three hundred takes three times its estimate.
+	slowFactor = 3
+	slowSlack  = 50 * time.Millisecond
 )
 
 // health is how a runner's own work has gone. Tasks are the probes.
@@ -25,9 +32,10 @@
 	closedUntil Time
 	// pace is run time over estimate, averaged; 1 at first.
 	pace float64
+	runs int
 }
 
-func newHealth() health { return health{pace: 1} }
+func newHealth() health { return health{pace: 1, runs: paceFirst} }
 
 func (h *health) closed(now Time) bool { return now < h.closedUntil }
 
@@ -35,13 +43,18 @@
 // opened again.
 func (h *health) suspect() bool { return h.strikes > 0 }
 
-func (h *health) succeeded(elapsed, estimate time.Duration) {
-	h.strikes = 0
-	h.closures = 0
+func (h *health) succeeded(now Time, elapsed, estimate time.Duration) {
 	if estimate > 0 {
+		h.runs = min(h.runs+1, paceRuns)
 		sample := min(float64(elapsed)/float64(estimate), paceMost)
-		h.pace += paceWeight * (sample - h.pace)
+		h.pace += (sample - h.pace) / float64(h.runs)
+	}
+	if elapsed > slowFactor*estimate+slowSlack {
+		h.failed(now, 1)
+		return
 	}
+	h.strikes = 0
+	h.closures = 0
 }
 
 // failed counts strikes and closes the runner at the limit. After it opens
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -90,7 +90,7 @@
 }
 
 func (s *Scheduler) startTasks(p *placer, j *job) {
-	if j.knownFrom > s.now && !s.allAnswered(j.work.Service) {
+	if j.knownFrom > s.now && !s.allListed(j.work.Service, j.arrived) {
 		return
 	}
 	for i := range j.work.Steps {
@@ -111,11 +111,13 @@
 	}
 }
 
-// allAnswered reports whether each runner of a service has answered to this
-// scheduler's token, so that all that an earlier one started is known.
-func (s *Scheduler) allAnswered(service string) bool {
+// allListed reports whether each runner of a service has listed what it runs
+// since a time. Whoever had a job before then can't start anything of it on
+// these runners any more without this scheduler being told that it has lost
+// them; and what it had started there is known.
+func (s *Scheduler) allListed(service string, since Time) bool {
 	for _, r := range s.list {
-		if r.info.Service == service && !r.owned && !r.gone {
+		if r.info.Service == service && !r.gone && (!r.owned || r.listedAt < since) {
 			return false
 		}
 	}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// paceWeightInCost weighs a runner's pace against how well a task fits.
-	paceWeightInCost = 0.5
+	// paceWeight weighs a runner's pace against how well a task fits, for a
+	// task that has little time to spare; with more time, how well it fits
+	// matters more.
+	paceWeight = 2.0
 	// overdueFactor and overdueSlack say when a run is taken for stuck. Run
 	// times spread by a factor of 1.5 about their estimates and these are off
 	// by as much, so three times the estimate is rare for a sound run.
@@ -83,7 +85,7 @@
 func (p *placer) cost(t *taskState, r *runner) float64 {
 	left := r.free().Minus(t.step().Need).MilliCPU
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
-	c += paceWeightInCost * r.health.pace * p.s.distance(t, r)
+	c += paceWeight * p.urgency(t) * r.health.pace * p.s.distance(t, r)
 	if r.health.suspect() {
 		c += costSuspect * float64(1+len(r.runs))
 	}
@@ -95,6 +97,15 @@
 	return c
 }
 
+// urgency is the estimated share of the time left that a task takes, at most 1.
+func (p *placer) urgency(t *taskState) float64 {
+	left := t.job.due - p.s.now
+	if left <= 0 {
+		return 1
+	}
+	return min(1, float64(t.step().Estimate)/float64(left))
+}
+
 // distance is how many times as long the task takes there for want of its data.
 func (s *Scheduler) distance(t *taskState, r *runner) float64 {
 	if rack := t.step().PreferredRack; rack != "" && rack != r.info.Rack {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -11,6 +11,9 @@
 	probeWait = 100 * time.Millisecond
 	// probeMost bounds the wait, which grows with the time since an answer.
 	probeMost = 500 * time.Millisecond
+	// strangeCheck is how often a runner with runs of unknown jobs is looked
+	// at.
+	strangeCheck = 30 * time.Millisecond
 	// stopSlack is added to the longest time that a stop takes.
 	stopSlack = 20 * time.Millisecond
 	// leaseLimit is the longest lease that a runner grants to anybody; runs
@@ -43,7 +46,7 @@
 	// A renewal that stays unanswered may still be carried out. So while in
 	// doubt none is given: then the time at which the runs are surely over
 	// doesn't move, and they can be started elsewhere.
-	if len(r.runs) > 0 && r.owned && !r.inDoubt {
+	if len(r.runs) > 0 && r.owned && !r.inDoubt && !r.strange() {
 		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
 		h.Wait = s.cfg.HoldWait
 		r.grant(s.now, s.cfg.Lease)
@@ -58,14 +61,20 @@
 	if r == nil || r.gone || res.Token != r.token || !s.leading {
 		return
 	}
-	r.holding = false
+	if res.Look {
+		r.looking = false
+	} else {
+		r.holding = false
+	}
 	r.sawClock(res.Clock)
 	switch res.Outcome {
 	case Accepted:
 		r.answered(res.Clock.SentAt)
 		s.listed(r, res)
 		s.dispatch()
-		s.nextHold(r)
+		if !r.holding {
+			s.nextHold(r)
+		}
 	case Fenced:
 		s.lose(r)
 	case Replaced:
@@ -77,18 +86,44 @@
 	}
 }
 
+// lookAtAll reads the lists of all runners of a service at once, and takes back
+// those that another scheduler had: it has just handed over a job.
+func (s *Scheduler) lookAtAll(service string) {
+	raised := false
+	for _, r := range s.list {
+		if r.info.Service != service || r.gone || r.looking || !s.leading {
+			continue
+		}
+		if r.token == 0 {
+			if !raised {
+				s.term += termStep
+				raised = true
+			}
+			s.acquire(r)
+			continue
+		}
+		r.looking = true
+		s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.acknowledged, Look: true})
+	}
+}
+
 func (s *Scheduler) nextHold(r *runner) {
-	if len(r.runs) > 0 {
+	switch {
+	case r.strange():
+		// Nothing can be started before what runs there is over.
+		r.holdNext = s.now + strangeCheck
+	case len(r.runs) > 0:
 		s.hold(r)
-		return
+	default:
+		r.holdNext = s.now + idleCheck
 	}
-	r.holdNext = s.now + idleCheck
 }
 
 // listed reads a runner's lists of what ended and what runs.
 func (s *Scheduler) listed(r *runner, res HoldResult) {
 	first := !r.owned
 	r.owned = true
+	r.listedAt = max(r.listedAt, res.Clock.SentAt)
 	if first {
 		r.aliveUntil = max(r.aliveUntil, s.now+longestLife(leaseLimit))
 		s.emit(Decision{Event: "runner-acquired", Runner: r.info.ID, Token: r.token, Age: s.now - r.heldAt})
@@ -111,7 +146,7 @@
 		u.confirmed = true
 		return
 	}
-	u := &run{key: k, runner: r, started: s.now, confirmed: true, stopAt: s.now + orphanGrace}
+	u := &run{key: k, runner: r, started: s.now, confirmed: true, found: true, stopAt: s.now + orphanGrace}
 	r.add(u)
 	if j := s.jobs[k.Task.Job]; j != nil {
 		s.adopt(j, u)
@@ -166,7 +201,7 @@
 func (s *Scheduler) taskDone(t *taskState, r *runner, u *run) {
 	s.ctr.Done++
 	if u != nil && u.task == t && !u.stopping {
-		r.health.succeeded(s.now-u.started, t.step().Estimate)
+		r.health.succeeded(s.now, s.now-u.started, t.step().Estimate)
 	}
 	if t.run != nil && t.run != u {
 		other := t.run
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -11,7 +11,10 @@
 	info workload.Runner
 	// unlisted runners have left the platform's list.
 	unlisted bool
-	gone     bool
+	// suspectUntil keeps an unlisted runner that another scheduler may have
+	// used.
+	suspectUntil Time
+	gone         bool
 	// token is the fencing token under which the runner was asked for, and
 	// owned whether it has answered to it.
 	token uint64
@@ -32,8 +35,12 @@
 	doubtSince Time
 	inDoubt    bool
 	// holding is set while a Hold is on its way.
-	holding  bool
-	heldAt   Time
+	holding bool
+	heldAt  Time
+	// looking is set while a Hold that doesn't wait is on its way beside it.
+	looking bool
+	// listedAt is when the Hold was sent whose answer was the last list.
+	listedAt Time
 	holdNext Time
 
 	acknowledged uint64
@@ -52,6 +59,8 @@
 	started Time
 	// confirmed runs were accepted or listed by the runner.
 	confirmed bool
+	// found runs were started by another scheduler.
+	found bool
 	// stopAt is when a run without a job is stopped.
 	stopAt Time
 	// stopping: an order to stop it has been sent; stopped: it was answered,
@@ -71,6 +80,8 @@
 func (r *runner) release() {
 	r.owned = false
 	r.holding = false
+	r.looking = false
+	r.listedAt = 0
 	r.inDoubt = false
 	r.acknowledged = 0
 	r.used = workload.Resources{}
@@ -110,7 +121,23 @@
 
 // usable reports whether tasks may be started there now.
 func (r *runner) usable(now Time) bool {
-	return r.owned && !r.gone && !r.unlisted && !r.info.Draining && !r.inDoubt && r.clock != 0 && !r.health.closed(now)
+	return r.owned && !r.gone && !r.unlisted && !r.info.Draining && !r.inDoubt && r.clock != 0 &&
+		!r.health.closed(now) && !r.strange()
+}
+
+// strange reports whether something runs there whose job isn't known.
+//
+// Another scheduler, cut off from this runner, may wait for the run's lease to
+// end before it starts the task again. A lease holds for all that runs on a
+// runner; so until the run is over, or its job comes, no lease is given there,
+// with a renewal or a start.
+func (r *runner) strange() bool {
+	for _, u := range r.runs {
+		if u.task == nil && u.found {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *runner) free() workload.Resources { return r.info.Capacity.Minus(r.used) }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -34,8 +34,14 @@
 type Config struct {
 	// Number tells this process's fencing tokens from those of all others.
 	Number uint64
-	// Lease is how long a run lives without a renewal. It is also the longest
-	// time until the work of a runner that fell silent is started elsewhere.
+	// Lease is how long a run lives without a renewal, and so the time until
+	// the work of a runner that fell silent is started elsewhere.
+	//
+	// It must be longer than the time after which this process misses an entry
+	// VM, plus HoldWait. Otherwise, when a failure domain is cut off, this
+	// scheduler would start a task of a job from there again shortly before it
+	// drops that job, while the scheduler on the other side goes on with the
+	// run that it found.
 	Lease time.Duration
 	// HoldWait is the longest that a runner may keep a renewal unanswered
 	// while nothing ends. Lease must span two renewals and a timeout.
@@ -52,7 +58,7 @@
 // DefaultConfig returns the usual limits.
 func DefaultConfig() Config {
 	return Config{
-		Lease:        600 * time.Millisecond,
+		Lease:        700 * time.Millisecond,
 		HoldWait:     200 * time.Millisecond,
 		StopTimeout:  50 * time.Millisecond,
 		Resend:       1300 * time.Millisecond,
@@ -81,8 +87,8 @@
 	// doesn't say which token it has seen.
 	termStep = 16
 	// orphanGrace is how long a run without a job is kept for the entry VM
-	// that hands its job in again.
-	orphanGrace = 400 * time.Millisecond
+	// that hands its job in again, within some milliseconds of a takeover.
+	orphanGrace = 150 * time.Millisecond
 	// abandonedGrace is how long the runs of a job go on whose entry process
 	// has ended. It must end before the caller sends the job again, perhaps
 	// to a scheduler that can't see these runs.
@@ -239,11 +245,36 @@
 	s.dispatch()
 }
 
+// Suspect adds runners on which another scheduler may have started jobs that
+// are about to be handed in here.
+//
+// While a failure domain is cut off from the store its runners vanish from the
+// platform's list, yet the scheduler on that side uses them. When the cut heals
+// its jobs come here before the runners are listed again; without a look at
+// these the tasks would be started a second time.
+func (s *Scheduler) Suspect(now Time, list []workload.Runner) {
+	s.now = now
+	for _, info := range list {
+		if s.runners[info.ID] != nil {
+			continue
+		}
+		r := newRunner(info, now)
+		r.unlisted = true
+		r.suspectUntil = now + s.cfg.Resend
+		s.runners[info.ID] = r
+		s.list = append(s.list, r)
+		if s.leading {
+			s.acquire(r)
+		}
+	}
+	sort.Slice(s.list, func(i, j int) bool { return s.list[i].info.ID < s.list[j].info.ID })
+}
+
 // forgetRunners drops runners that aren't listed and have nothing running.
 func (s *Scheduler) forgetRunners() {
 	kept := s.list[:0]
 	for _, r := range s.list {
-		if r.unlisted && len(r.runs) == 0 {
+		if r.unlisted && len(r.runs) == 0 && s.now >= r.suspectUntil {
 			delete(s.runners, r.info.ID)
 			continue
 		}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -47,8 +47,10 @@
 	s.ctr.Submitted++
 	j := newJob(sub.Job, now)
 	j.entry = sub.Entry
-	j.due = now + sub.Due
 	j.deadline = now + sub.Patience
+	// What isn't done when its caller has left is worth nothing, however long
+	// its objective.
+	j.due = min(now+sub.Due, j.deadline)
 	if sub.Handed > 0 {
 		j.started = true
 		j.knownFrom = now + sub.Unknown
@@ -65,6 +67,9 @@
 		return
 	}
 	s.enqueue(j)
+	if j.knownFrom > now {
+		s.lookAtAll(j.work.Service)
+	}
 	s.dispatch()
 }
 
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -49,6 +49,7 @@
 		p.schedule.Held(p.clock.now(), schedule.HoldResult{
 			Runner:  c.Runner,
 			Token:   c.Token,
+			Look:    c.Look,
 			Outcome: a.Outcome,
 			Running: a.Running,
 			Ends:    a.Ends,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -15,6 +15,9 @@
 		p.linked[peer] = true
 		p.view.Heard(now, peer, nil)
 		p.sendHeartbeat(now, peer)
+		if p.schedule.Leading() {
+			p.send(peer, runnersMessage(p.runnerList, false))
+		}
 		p.gateway.Reconnected(now, peer)
 	})
 }
@@ -77,7 +80,12 @@
 	case *pb.FleetMessage_Declaration:
 		p.declare(declarationOf(body.Declaration), string(from))
 	case *pb.FleetMessage_Runners:
-		p.takeRunners(now, runnersOf(body.Runners), string(from))
+		list := runnersOf(body.Runners)
+		if body.Runners.GetHandover() {
+			p.schedule.Suspect(now, list.Runners)
+			return
+		}
+		p.takeRunners(now, list, string(from))
 	case nil:
 		// The greeting of a new connection.
 	default:
@@ -96,7 +104,7 @@
 		p.peerStale = h.GetRunnersStale()
 		p.readFast.Store(p.schedule.Leading() || p.peerStale)
 		if h.GetRunnersStale() && h.GetRunnersRevision() < p.runnerList.Revision {
-			p.send(from, runnersMessage(p.runnerList))
+			p.send(from, runnersMessage(p.runnerList, false))
 		}
 	}
 	p.follow(now)
--- a/entry/process.go
+++ b/entry/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/task"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 	"sapphirepoint.example/sapphirepoint/peer"
 )
 
@@ -43,19 +45,21 @@
 	metrics  *metrics
 
 	// What follows belongs to the loop.
-	self         peer.Member
-	table        routing.Table
-	view         *leader.View
-	choice       leader.Choice
-	gateway      *gateway.Gateway
-	schedule     *schedule.Scheduler
-	sent         map[leader.ID]Time
-	linked       map[leader.ID]bool
-	replies      map[uint64]chan Reply
-	queries      map[uint64]chan JobState
-	nextID       uint64
-	lastTick     Time
-	runnerList   RunnerList
+	self       peer.Member
+	table      routing.Table
+	view       *leader.View
+	choice     leader.Choice
+	gateway    *gateway.Gateway
+	schedule   *schedule.Scheduler
+	sent       map[leader.ID]Time
+	linked     map[leader.ID]bool
+	replies    map[uint64]chan Reply
+	queries    map[uint64]chan JobState
+	nextID     uint64
+	lastTick   Time
+	runnerList RunnerList
+	// dropped are runners that have left the list of late.
+	dropped      []droppedRunner
 	runnersAt    Time
 	runnersStale bool
 	peerStale    bool
@@ -137,6 +141,8 @@
 		case <-ticker.C:
 			p.tick(ctx)
 			if p.stopped() {
+				p.gateway.GiveUp(p.clock.now(), "the process ends")
+				p.drive(ctx)
 				return nil
 			}
 		}
@@ -149,7 +155,7 @@
 	now := p.clock.now()
 	if pause := now - p.lastTick; pause > leader.StallLimit {
 		p.log.Warn().Dur("pause", pause).Bool("leading", p.schedule.Leading()).Msg("process-stalled")
-		p.view.Stalled(now, p.schedule.Leading())
+		p.stalled(now)
 	}
 	p.lastTick = now
 	for _, id := range p.view.Silent(now) {
@@ -163,9 +169,18 @@
 	p.heartbeats(now)
 }
 
+// stalled gives up the lead: another process has taken the runners meanwhile,
+// and what this one believes to have lapsed may have been taken over.
+func (p *Process) stalled(now Time) {
+	p.view.Stalled(now, p.schedule.Leading())
+	p.schedule.Retire(now)
+	p.choice = leader.Choice{}
+	p.gateway.Follow(now, p.choice)
+}
+
 // follow acts on a change of the process that leads.
 func (p *Process) follow(now Time) {
-	c := p.view.Choose(now)
+	c := p.view.Choose(now, p.schedule.Leading())
 	if c == p.choice {
 		return
 	}
@@ -180,10 +195,27 @@
 		p.askForRunners()
 		p.schedule.Lead(now)
 	}
+	if c.Reachable && p.gateway.InHand() > 0 {
+		p.handOver(now, c.Leader)
+	}
 	p.gateway.Follow(now, c)
 	p.sendHeartbeats(now)
 }
 
+// handOver tells the next scheduler where the one before may have started the
+// jobs that this process is about to hand in again.
+func (p *Process) handOver(now Time, to leader.ID) {
+	list := RunnerList{Revision: p.runnerList.Revision, Runners: slices.Clone(p.runnerList.Runners)}
+	for _, d := range p.dropped {
+		list.Runners = append(list.Runners, d.info)
+	}
+	if to == p.view.Self() {
+		p.schedule.Suspect(now, list.Runners)
+		return
+	}
+	p.send(to, runnersMessage(list, true))
+}
+
 // drive carries out what the cores command, until they command nothing more.
 func (p *Process) drive(ctx context.Context) {
 	for {
@@ -286,6 +318,11 @@
 	stopLeast = 2500 * time.Millisecond
 	// stopQuiet is how long no request must have come before it ends early.
 	stopQuiet = 700 * time.Millisecond
+	// stopEstimates and stopMargin are what a job that comes during a planned
+	// stop must have left: twice its estimate, which one job in twenty exceeds,
+	// and the time to find a runner.
+	stopEstimates = 2
+	stopMargin    = 200 * time.Millisecond
 	// stopReserve is how long before the platform kills it the process ends.
 	stopReserve = 300 * time.Millisecond
 )
@@ -302,6 +339,16 @@
 	return now-p.stopAt > stopLeast && p.gateway.InHand() == 0 && now-p.lastArrival > stopQuiet
 }
 
+// timeToServe reports whether a job that comes now will probably be done before
+// the process has to end.
+func (p *Process) timeToServe(now Time, job *workload.Job) bool {
+	if p.stopAt == 0 {
+		return true
+	}
+	left := p.stopAt + p.cfg.Grace - stopReserve - now
+	return left > stopEstimates*job.Chain()+stopMargin
+}
+
 // Ready reports whether new callers should come here.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -30,6 +30,9 @@
 // ErrNoScheduler: nobody can be asked about the job at present.
 var ErrNoScheduler = errors.New("no scheduler can be reached")
 
+// retryStopping is when to come back to another entry VM.
+const retryStopping = time.Second
+
 // Submit hands a job in and waits for its end. If the caller leaves, the job is
 // dropped.
 func (p *Process) Submit(ctx context.Context, job *workload.Job, patience time.Duration) (Reply, error) {
@@ -40,6 +43,10 @@
 		id = p.nextID
 		now := p.clock.now()
 		p.lastArrival = now
+		if !p.timeToServe(now, job) {
+			done <- Reply{Outcome: workload.NotRun, RetryAfter: retryStopping}
+			return
+		}
 		p.replies[id] = done
 		p.gateway.Arrive(now, id, job, patience)
 	})
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 	"sapphirepoint.example/sapphirepoint/peer"
 )
 
@@ -18,7 +20,7 @@
 	// that drains must get nothing new 2 s after the list says so. runnersSlow
 	// is for the others, which need the list when they come to lead.
 	runnersFast = 600 * time.Millisecond
-	runnersSlow = 4 * time.Second
+	runnersSlow = 6 * time.Second
 	// runnersStaleAfter is the age at which the leader asks the others for
 	// their list: two failed reads.
 	runnersStaleAfter = 1500 * time.Millisecond
@@ -182,7 +184,7 @@
 	p.runnersAt = now
 	p.takeRunners(now, list, "store")
 	if p.peerStale && p.choice.Leader != p.view.Self() {
-		p.send(p.choice.Leader, runnersMessage(p.runnerList))
+		p.send(p.choice.Leader, runnersMessage(p.runnerList, false))
 	}
 }
 
@@ -191,12 +193,58 @@
 	if list.Revision <= p.runnerList.Revision {
 		return
 	}
-	if len(list.Runners) != len(p.runnerList.Runners) {
+	changed := !sameRunners(list.Runners, p.runnerList.Runners)
+	if changed {
 		p.log.Info().Int("runners", len(list.Runners)).Int("before", len(p.runnerList.Runners)).
 			Uint64("revision", list.Revision).Str("source", source).Msg("runners-listed")
 	}
+	p.keepDropped(now, list)
 	p.runnerList = list
 	p.schedule.SetRunners(now, list.Runners)
+	if changed && p.schedule.Leading() {
+		// The others need it when they come to lead, and when they hand jobs
+		// to another scheduler.
+		for id := range p.linked {
+			p.send(id, runnersMessage(list, false))
+		}
+	}
+}
+
+// droppedRunner is a runner that has left the list.
+type droppedRunner struct {
+	info workload.Runner
+	at   Time
+}
+
+// droppedKeep is how long runners are remembered that have left the list: as
+// long as runs may be alive on them that another scheduler has to know of.
+const droppedKeep = 3 * time.Second
+
+func (p *Process) keepDropped(now Time, list RunnerList) {
+	listed := make(map[workload.RunnerID]bool, len(list.Runners))
+	for _, r := range list.Runners {
+		listed[r.ID] = true
+	}
+	kept := p.dropped[:0]
+	for _, d := range p.dropped {
+		if now-d.at < droppedKeep && !listed[d.info.ID] {
+			kept = append(kept, d)
+		}
+	}
+	for _, r := range p.runnerList.Runners {
+		if !listed[r.ID] {
+			kept = append(kept, droppedRunner{info: r, at: now})
+		}
+	}
+	p.dropped = kept
+}
+
+// sameRunners reports whether two lists, both in the order of ids, have the
+// same runners in the same states.
+func sameRunners(a, b []workload.Runner) bool {
+	return slices.EqualFunc(a, b, func(x, y workload.Runner) bool {
+		return x.ID == y.ID && x.Draining == y.Draining && x.Service == y.Service
+	})
 }
 
 // checkRunners notes whether the list can't be read at present.
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -226,8 +226,8 @@
 	return d
 }
 
-func runnersMessage(l RunnerList) *pb.FleetMessage {
-	m := &pb.RunnerList{Revision: l.Revision}
+func runnersMessage(l RunnerList, handover bool) *pb.FleetMessage {
+	m := &pb.RunnerList{Revision: l.Revision, Handover: handover}
 	for _, r := range l.Runners {
 		m.Runners = append(m.Runners, &pb.FleetRunner{
 			Id:       string(r.ID),
