Long tasks on fast runners, by their chance of being done in time

Cause: the largest tenth of menu-batch was served half as often as the whole. Run times are 0.48 (log) about their estimates and runners differ by 0.8 to 1.25 in pace. Change: the chance of being done before the caller leaves weighs in placement; tasks with time to spare go to slower runners; jobs below one in five are refused; a job with a long estimate isn't late as it arrives.

--- /dev/null
+++ b/core/schedule/chance.go
@@ -0,0 +1,29 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// estimateSpread is the standard deviation of the logarithm of run time
+	// over estimate. Measured on ten thousand tasks of a calm day: 0.48 over
+	// all runners, 0.43 on one kind of them.
+	estimateSpread = 0.45
+	// leastPace keeps a runner that has done little from looking infinitely
+	// fast.
+	leastPace = 0.1
+)
+
+// chance is the probability that a task with an estimate is done within a time
+// on a runner of a pace.
+func chance(estimate time.Duration, pace float64, within time.Duration) float64 {
+	if within <= 0 {
+		return 0
+	}
+	if estimate <= 0 {
+		return 1
+	}
+	z := math.Log(float64(within)/(float64(estimate)*max(pace, leastPace))) / estimateSpread
+	return 0.5 * math.Erfc(-z/math.Sqrt2)
+}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"sort"
 	"time"
 
@@ -13,17 +14,30 @@
 	// packing is the share of all processors that can be in use: tasks take
 	// two fifths of a runner or more, so a part of each stays empty.
 	packing = 0.8
-	// leastOfEstimate is the share of its estimate, in percent, that a task may
-	// take: estimates spread by a factor of 1.5, so one in forty is below.
-	leastOfEstimate = 40
+	// waitTolerance is the share of its objective, in percent, that any job may
+	// wait: estimates are off by a factor of 1.5.
+	waitTolerance = 15
+	// leastChance is the chance of being done in time below which a job is
+	// refused: four callers in five would wait for nothing, and the work would
+	// be in the way of others.
+	leastChance = 0.2
 	// retryLeast and retryMost bound when a refused caller may come back.
 	retryLeast = time.Second
 	retryMost  = 10 * time.Second
 )
 
-// latestStart is when a job must begin to end within its objective.
+// latestStart is when a job must begin to end within its objective, if its
+// estimate is right. It can be before its arrival.
 func (j *job) latestStart() Time { return j.due - j.remaining }
 
+// late reports whether a job has waited too long to end within its objective.
+// One whose estimate leaves it no time to wait isn't late as it arrives: it
+// needs to begin at once, and estimates are often too long.
+func (j *job) late(now Time) bool {
+	tolerance := (j.due - j.arrived) * waitTolerance / 100
+	return now > max(j.latestStart(), j.arrived+tolerance)
+}
+
 // enqueue puts a job into the queue, which is in the order of latest starts.
 func (s *Scheduler) enqueue(j *job) {
 	if j.queued || j.ended {
@@ -78,7 +92,7 @@
 	late := make([]*job, 0, len(s.queue))
 	queue := append(make([]*job, 0, len(s.queue)), s.queue...)
 	for _, j := range queue {
-		if s.now > j.latestStart() {
+		if j.late(s.now) {
 			late = append(late, j)
 			continue
 		}
@@ -149,10 +163,23 @@
 	return ""
 }
 
-// hopeless reports whether a job can't end in time even if it takes the least
-// that its estimate allows.
+// hopeless reports whether a job will hardly be done before its caller leaves,
+// even on the fastest runners.
 func (s *Scheduler) hopeless(j *job) bool {
-	return s.now+j.remaining*leastOfEstimate/100 > j.deadline
+	return chance(j.remaining, s.fastestPace(j.work.Service), j.deadline-s.now) < leastChance
+}
+
+func (s *Scheduler) fastestPace(service string) float64 {
+	fastest := math.Inf(1)
+	for _, r := range s.list {
+		if r.info.Service == service && r.usable(s.now) {
+			fastest = min(fastest, r.health.pace)
+		}
+	}
+	if math.IsInf(fastest, 1) {
+		return 1
+	}
+	return fastest
 }
 
 // capacity is the processors of a service that can be in use, in thousandths.
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -1,16 +1,23 @@
 package schedule
 
 import (
+	"sort"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 const (
-	// paceWeight weighs a runner's pace against how well a task fits, for a
-	// task that has little time to spare; with more time, how well it fits
-	// matters more.
-	paceWeight = 2.0
+	// missWeight weighs the chance that a task isn't done in time on a runner
+	// against how well it fits there: one in ten counts like a runner left
+	// empty.
+	missWeight = 10.0
+	// sparePace is the gain of putting a task that has time on a slower runner,
+	// which leaves the faster ones to those that haven't. Runners slower than
+	// slowPace times the usual aren't sought, and cost slowWeight.
+	sparePace  = 0.3
+	slowPace   = 1.5
+	slowWeight = 5.0
 	// overdueFactor and overdueSlack say when a run is taken for stuck. Run
 	// times spread by a factor of 1.5 about their estimates and these are off
 	// by as much, so three times the estimate is rare for a sound run.
@@ -24,10 +31,11 @@
 	// tooBig is the least need that found no room, by service. It spares the
 	// search for tasks that need as much or more.
 	tooBig map[string]workload.Resources
+	median map[string]float64
 }
 
 func newPlacer(s *Scheduler) *placer {
-	return &placer{s: s, tooBig: make(map[string]workload.Resources)}
+	return &placer{s: s, tooBig: make(map[string]workload.Resources), median: make(map[string]float64)}
 }
 
 // place chooses a runner for a task; nil if there is no room.
@@ -85,7 +93,11 @@
 func (p *placer) cost(t *taskState, r *runner) float64 {
 	left := r.free().Minus(t.step().Need).MilliCPU
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
-	c += paceWeight * p.urgency(t) * r.health.pace * p.s.distance(t, r)
+	pace := r.health.pace * p.s.distance(t, r)
+	c += missWeight * (1 - chance(t.step().Estimate, pace, t.job.deadline-p.s.now))
+	relative := pace / p.usualPace(r.info.Service)
+	c -= sparePace * min(relative, slowPace)
+	c += slowWeight * max(0, relative-slowPace)
 	if r.health.suspect() {
 		c += costSuspect * float64(1+len(r.runs))
 	}
@@ -97,13 +109,28 @@
 	return c
 }
 
-// urgency is the estimated share of the time left that a task takes, at most 1.
-func (p *placer) urgency(t *taskState) float64 {
-	left := t.job.due - p.s.now
-	if left <= 0 {
+// usualPace is the median pace of a service's runners.
+func (p *placer) usualPace(service string) float64 {
+	if m, ok := p.median[service]; ok {
+		return m
+	}
+	m := p.s.medianPace(service)
+	p.median[service] = m
+	return m
+}
+
+func (s *Scheduler) medianPace(service string) float64 {
+	var paces []float64
+	for _, r := range s.list {
+		if r.info.Service == service && r.owned {
+			paces = append(paces, r.health.pace)
+		}
+	}
+	if len(paces) == 0 {
 		return 1
 	}
-	return min(1, float64(t.step().Estimate)/float64(left))
+	sort.Float64s(paces)
+	return max(paces[len(paces)/2], leastPace)
 }
 
 // distance is how many times as long the task takes there for want of its data.
