Handovers without a wait; healed runners are taken back at once

Cause: at planned handovers and heals 150 requests were late or given up. Jobs that were handed over waited for lists read after their arrival (up to 150 ms), healed runners were left for 1.5 s, and jobs went to processes that did not know yet that they should lead. Change: a list counts if the runner obeys a later term than the schedulers before have used; a runner lost after a long hold is taken back at once; only a process that says it leads gets jobs. Lease 600 ms.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Patience time.Duration
 	Handed   int
 	Unknown  time.Duration
+	// Term is the highest term of the schedulers before.
+	Term uint64
 }
 
 // Drop tells a scheduler that a job's caller has left.
@@ -88,6 +90,7 @@
 	handed    int
 	// unknownUntil is when runs of earlier schedulers are surely over.
 	unknownUntil Time
+	term         uint64
 }
 
 // Gateway is the state. It isn't safe for concurrent use.
@@ -159,8 +162,8 @@
 }
 
 // Follow takes the choice of a leader. The one before has heard this process
-// until now at most.
-func (g *Gateway) Follow(now Time, c leader.Choice) {
+// until now at most; term is the highest that it is known to have used.
+func (g *Gateway) Follow(now Time, c leader.Choice, term uint64) {
 	g.now = now
 	if c == g.choice {
 		return
@@ -168,7 +171,7 @@
 	g.choice = c
 	for _, h := range g.inOrder() {
 		if h.scheduler != "" && h.scheduler != c.Leader {
-			g.takeBack(h)
+			g.takeBack(h, term)
 		}
 		if h.scheduler == "" {
 			g.handIn(h)
@@ -178,18 +181,19 @@
 
 // Reconnected hands in again what a scheduler may have dropped while it wasn't
 // heard.
-func (g *Gateway) Reconnected(now Time, id leader.ID) {
+func (g *Gateway) Reconnected(now Time, id leader.ID, term uint64) {
 	g.now = now
 	for _, h := range g.inOrder() {
 		if h.scheduler == id {
-			g.takeBack(h)
+			g.takeBack(h, term)
 			g.handIn(h)
 		}
 	}
 }
 
 // takeBack marks a job as being with no scheduler.
-func (g *Gateway) takeBack(h *inHand) {
+func (g *Gateway) takeBack(h *inHand, term uint64) {
+	h.term = max(h.term, term)
 	h.scheduler = ""
 	h.handed++
 	h.unknownUntil = g.now + unknownLife
@@ -207,6 +211,7 @@
 		Patience: h.deadline - g.now,
 		Handed:   h.handed,
 		Unknown:  max(0, h.unknownUntil-g.now),
+		Term:     h.term,
 	})
 }
 
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -32,7 +32,7 @@
 	LostAfter = 450 * time.Millisecond
 	// settle is how long a new process listens before it may lead: the older
 	// ones connect in this time.
-	settle = 400 * time.Millisecond
+	settle = 200 * time.Millisecond
 	// yieldWait is how long a leader goes on while the one that should lead
 	// hasn't said that it does.
 	yieldWait = 300 * time.Millisecond
@@ -50,6 +50,8 @@
 	Stopping bool
 	// Demotions counts the times that the process was frozen while it led.
 	Demotions uint32
+	// Term is the highest term of a scheduler that it knows.
+	Term uint64
 	// Leader is whom it follows, heard LeaderAge before.
 	Leader    ID
 	LeaderAge time.Duration
@@ -131,6 +133,14 @@
 	return 0
 }
 
+// Report is what a process has last said of itself.
+func (v *View) Report(id ID) Report {
+	if p := v.peers[id]; p != nil {
+		return p.report
+	}
+	return Report{}
+}
+
 // Silent lists the processes that have become silent, and forgets them.
 func (v *View) Silent(now Time) []ID {
 	var lost []ID
@@ -173,10 +183,9 @@
 		return v.yield(now, true, Choice{Leader: first, Reachable: true})
 	}
 	v.yieldSince = 0
-	if leader != "" {
-		return Choice{Leader: leader, Reachable: true}
-	}
-	return Choice{Leader: first, Reachable: true}
+	// A process that should lead and doesn't say so may not know it yet; a job
+	// handed to it would only wait there.
+	return Choice{Leader: leader, Reachable: leader != ""}
 }
 
 // yield makes a process that leads go on for a while before it follows another.
--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -55,7 +55,7 @@
 		ClosedFor:  max(0, r.health.closedUntil-now).Milliseconds(),
 		AliveFor:   max(0, r.aliveUntil-now).Milliseconds(),
 		ClockAge:   (now - r.clockAt).Milliseconds(),
-		Pace:       r.health.pace,
+		Pace:       r.health.pace(),
 		Strikes:    r.health.strikes,
 		FreeCPU:    r.free().MilliCPU,
 		LastAcked:  r.acknowledged,
--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -17,6 +17,10 @@
 	// differs by a quarter between runners.
 	paceFirst = 4
 	paceRuns  = 30
+	// paceRecent is the number of runs in the recent average, and turnedSlow
+	// how far that must be above the usual one to count.
+	paceRecent = 4
+	turnedSlow = 2
 	// paceMost bounds one sample; a stuck run must not hide ten sound ones.
 	paceMost = 8.0
 	// slowFactor and slowSlack say when a run counts against its runner: one
@@ -30,12 +34,23 @@
 	strikes     int
 	closures    int
 	closedUntil Time
-	// pace is run time over estimate, averaged; 1 at first.
-	pace float64
-	runs int
+	// usual is run time over estimate, averaged; 1 at first. recent is the same
+	// over a few runs.
+	usual, recent float64
+	runs          int
 }
 
-func newHealth() health { return health{pace: 1, runs: paceFirst} }
+func newHealth() health { return health{usual: 1, recent: 1, runs: paceFirst} }
+
+// pace is how many times its estimate a task takes there. A runner that has
+// turned slow shows in a few runs; four at random are seldom twice as slow as
+// usual.
+func (h *health) pace() float64 {
+	if h.recent > turnedSlow*h.usual {
+		return h.recent
+	}
+	return h.usual
+}
 
 func (h *health) closed(now Time) bool { return now < h.closedUntil }
 
@@ -47,7 +62,8 @@
 	if estimate > 0 {
 		h.runs = min(h.runs+1, paceRuns)
 		sample := min(float64(elapsed)/float64(estimate), paceMost)
-		h.pace += (sample - h.pace) / float64(h.runs)
+		h.usual += (sample - h.usual) / float64(h.runs)
+		h.recent += (sample - h.recent) / paceRecent
 	}
 	if elapsed > slowFactor*estimate+slowSlack {
 		h.failed(now, 1)
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -43,7 +43,9 @@
 	// patience.
 	due      Time
 	deadline Time
-	steps    [][]*taskState
+	// useless is when the answer is worth nothing any more.
+	useless Time
+	steps   [][]*taskState
 	// open is the number of tasks of each step that aren't done.
 	open []int
 	// waiting is the number of tasks that wait.
@@ -58,6 +60,8 @@
 	// knownFrom is when what an earlier scheduler may have started can't be
 	// alive any more, on runners that didn't answer.
 	knownFrom Time
+	// term is the highest that an earlier scheduler has used.
+	term uint64
 	// abandonedAt is when the job's runs are stopped since its entry process
 	// has ended; 0 if it lives.
 	abandonedAt Time
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -34,10 +34,12 @@
 // One whose estimate leaves it no time to wait isn't late as it arrives: it
 // needs to begin at once, and estimates are often too long.
 func (j *job) late(now Time) bool {
-	tolerance := (j.due - j.arrived) * waitTolerance / 100
-	return now > max(j.latestStart(), j.arrived+tolerance)
+	return now > max(j.latestStart(), j.arrived+j.tolerance())
 }
 
+// tolerance is how long any job may wait.
+func (j *job) tolerance() time.Duration { return (j.due - j.arrived) * waitTolerance / 100 }
+
 // enqueue puts a job into the queue, which is in the order of latest starts.
 func (s *Scheduler) enqueue(j *job) {
 	if j.queued || j.ended {
@@ -104,7 +106,7 @@
 }
 
 func (s *Scheduler) startTasks(p *placer, j *job) {
-	if j.knownFrom > s.now && !s.allListed(j.work.Service, j.arrived) {
+	if j.knownFrom > s.now && !s.allListed(j) {
 		return
 	}
 	for i := range j.work.Steps {
@@ -125,13 +127,17 @@
 	}
 }
 
-// allListed reports whether each runner of a service has listed what it runs
-// since a time. Whoever had a job before then can't start anything of it on
-// these runners any more without this scheduler being told that it has lost
-// them; and what it had started there is known.
-func (s *Scheduler) allListed(service string, since Time) bool {
+// allListed reports whether all is known that earlier schedulers have started of
+// a job. A runner has listed it if it obeys a token of a later term than theirs:
+// they can't start anything there any more. So it has if it has listed what it
+// runs since the job came, under whatever token: had they used a higher one, it
+// would have refused.
+func (s *Scheduler) allListed(j *job) bool {
 	for _, r := range s.list {
-		if r.info.Service == service && !r.gone && (!r.owned || r.listedAt < since) {
+		if r.info.Service != j.work.Service || r.gone {
+			continue
+		}
+		if !r.owned || r.token>>numberBits <= j.term && r.listedAt < j.arrived {
 			return false
 		}
 	}
@@ -157,7 +163,7 @@
 		return "no runner has what a task needs"
 	}
 	wait := s.backlog(j) / time.Duration(capacity)
-	if wait > 0 && s.now+wait+j.remaining > j.deadline {
+	if wait > 0 && s.now+wait+j.remaining > j.useless {
 		return fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond))
 	}
 	return ""
@@ -173,7 +179,7 @@
 	fastest := math.Inf(1)
 	for _, r := range s.list {
 		if r.info.Service == service && r.usable(s.now) {
-			fastest = min(fastest, r.health.pace)
+			fastest = min(fastest, r.health.pace())
 		}
 	}
 	if math.IsInf(fastest, 1) {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -93,7 +93,7 @@
 func (p *placer) cost(t *taskState, r *runner) float64 {
 	left := r.free().Minus(t.step().Need).MilliCPU
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
-	pace := r.health.pace * p.s.distance(t, r)
+	pace := r.health.pace() * p.s.distance(t, r)
 	c += missWeight * (1 - chance(t.step().Estimate, pace, t.job.deadline-p.s.now))
 	relative := pace / p.usualPace(r.info.Service)
 	c -= sparePace * min(relative, slowPace)
@@ -123,7 +123,7 @@
 	var paces []float64
 	for _, r := range s.list {
 		if r.info.Service == service && r.owned {
-			paces = append(paces, r.health.pace)
+			paces = append(paces, r.health.pace())
 		}
 	}
 	if len(paces) == 0 {
@@ -142,7 +142,7 @@
 }
 
 func (s *Scheduler) overdueAt(t *taskState, r *runner) Time {
-	estimate := float64(t.step().Estimate) * max(1, r.health.pace) * s.distance(t, r)
+	estimate := float64(t.step().Estimate) * max(1, r.health.pace()) * s.distance(t, r)
 	limit := time.Duration(estimate)*overdueFactor + overdueSlack
 	return s.now + limit*time.Duration(1+t.overstays)
 }
@@ -167,14 +167,20 @@
 	j.runs++
 	s.ctr.Starts++
 	r.add(u)
+	s.sendStart(u)
+	s.hold(r)
+}
+
+func (s *Scheduler) sendStart(u *run) {
+	r := u.runner
+	u.tries++
 	r.grant(s.now, s.cfg.Lease)
 	s.emit(Start{
 		Runner:   r.info.ID,
 		Address:  r.info.Address,
 		Token:    r.token,
 		Run:      u.key,
-		Spec:     j.work.Spec,
+		Spec:     u.task.job.work.Spec,
 		LeaseEnd: r.leaseEnd(s.now, s.cfg.Lease),
 	})
-	s.hold(r)
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	// probeWait is how long after an unanswered renewal the next one is sent.
-	probeWait = 100 * time.Millisecond
-	// probeMost bounds the wait, which grows with the time since an answer.
+	// probeMost bounds the pause between looks at a silent runner. It grows
+	// with the silence: the first follows at once, since a single order may be
+	// left unanswered while the next is answered in milliseconds.
 	probeMost = 500 * time.Millisecond
+	// probeAtOnce is the silence up to which there is no pause.
+	probeAtOnce = 400 * time.Millisecond
 	// strangeCheck is how often a runner with runs of unknown jobs is looked
 	// at.
 	strangeCheck = 30 * time.Millisecond
@@ -81,30 +83,38 @@
 		s.replaced(r)
 	default:
 		s.unanswered(r)
-		silence := now - r.clockAt
-		r.holdNext = now + min(max(probeWait, silence/4), probeMost)
+		r.holdNext = now
+		if silence := now - r.clockAt; silence > probeAtOnce {
+			r.holdNext = now + min(silence/4, probeMost)
+		} else if !r.holding {
+			s.hold(r)
+		}
 	}
 }
 
 // lookAtAll reads the lists of all runners of a service at once, and takes back
 // those that another scheduler had: it has just handed over a job.
 func (s *Scheduler) lookAtAll(service string) {
-	raised := false
 	for _, r := range s.list {
-		if r.info.Service != service || r.gone || r.looking || !s.leading {
+		if r.info.Service != service || r.gone {
 			continue
 		}
 		if r.token == 0 {
-			if !raised {
-				s.term += termStep
-				raised = true
-			}
+			s.raiseTerm()
 			s.acquire(r)
 			continue
 		}
-		r.looking = true
-		s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.acknowledged, Look: true})
+		s.look(r)
+	}
+}
+
+// look reads a runner's lists now, beside a renewal that may wait there.
+func (s *Scheduler) look(r *runner) {
+	if r.looking || r.gone || !s.leading {
+		return
 	}
+	r.looking = true
+	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.acknowledged, Look: true})
 }
 
 func (s *Scheduler) nextHold(r *runner) {
@@ -125,6 +135,7 @@
 	r.owned = true
 	r.listedAt = max(r.listedAt, res.Clock.SentAt)
 	if first {
+		r.acquiredAt = s.now
 		r.aliveUntil = max(r.aliveUntil, s.now+longestLife(leaseLimit))
 		s.emit(Decision{Event: "runner-acquired", Runner: r.info.ID, Token: r.token, Age: s.now - r.heldAt})
 	}
@@ -135,9 +146,26 @@
 		r.acknowledged = e.Sequence
 		s.ended(r, e)
 	}
+	listed := make(map[workload.RunKey]bool, len(res.Running))
 	for _, k := range res.Running {
+		listed[k] = true
 		s.seen(r, k)
 	}
+	s.dropStopped(r, listed, res.Clock.SentAt)
+}
+
+// dropStopped gives up runs that the runner had promised to stop before it was
+// asked for the list, and that aren't on it: they had never come there.
+func (s *Scheduler) dropStopped(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
+	for _, u := range r.inOrder() {
+		if !u.stopped || u.stoppedAt > sentAt || listed[u.key] {
+			continue
+		}
+		r.drop(u)
+		if u.task != nil {
+			s.requeue(u.task)
+		}
+	}
 }
 
 // seen notes a run that a runner lists.
@@ -263,17 +291,29 @@
 	case Replaced:
 		s.replaced(r)
 	case Unanswered:
-		s.unanswered(r)
-		if !u.confirmed {
-			s.emit(Decision{Event: "start-unanswered", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: now - u.started})
-			s.stopRun(u)
-		}
+		s.startUnanswered(r, u)
 	default:
 		s.startRejected(r, u, res.Outcome)
 	}
 	s.dispatch()
 }
 
+// startUnanswered sends a start again, and if that isn't answered either has the
+// run stopped, so that the task can be started on another runner.
+func (s *Scheduler) startUnanswered(r *runner, u *run) {
+	if u.confirmed {
+		return
+	}
+	s.ctr.Unanswered++
+	s.emit(Decision{Event: "start-unanswered", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
+	if u.task != nil && !u.stopping && u.tries < startTries && !r.inDoubt && !r.strange() {
+		s.sendStart(u)
+		return
+	}
+	r.doubt(s.now)
+	s.stopRun(u)
+}
+
 // startRejected handles a start that surely hasn't happened.
 func (s *Scheduler) startRejected(r *runner, u *run, o CallOutcome) {
 	r.drop(u)
@@ -326,7 +366,9 @@
 	case Accepted:
 		if u != nil {
 			u.stopped = true
+			u.stoppedAt = res.Clock.At
 			u.goneAt = now + s.cfg.StopTimeout + stopSlack
+			s.look(r)
 		}
 	case Fenced:
 		s.lose(r)
@@ -359,13 +401,34 @@
 		s.requeue(t)
 	}
 	r.token = 0
-	if s.now-s.since < settleTime {
-		s.term += termStep
-		r.reacquireAt = s.now
+	r.reacquireAt = s.now + reacquireWait
+	if s.now-r.acquiredAt > reacquireWait || s.now-s.since < settleTime {
+		s.raiseTerm()
 		s.acquire(r)
+	}
+}
+
+// raiseTerm goes above the term of whoever has taken a runner. The runner
+// doesn't say which that is.
+func (s *Scheduler) raiseTerm() {
+	if s.raisedAt == s.now {
 		return
 	}
-	r.reacquireAt = s.now + reacquireWait
+	s.raisedAt = s.now
+	s.term += termStep
+}
+
+// Reclaim takes the runners back from a scheduler that has yielded to this one.
+func (s *Scheduler) Reclaim(now Time) {
+	s.now = now
+	for _, r := range s.list {
+		if r.token == 0 {
+			s.raiseTerm()
+			s.acquire(r)
+			continue
+		}
+		s.look(r)
+	}
 }
 
 // replaced handles a lifetime of a runner that is over, with all that ran.
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -22,6 +22,7 @@
 	// reacquireAt is when a runner that was lost to another scheduler is
 	// asked for again.
 	reacquireAt Time
+	acquiredAt  Time
 
 	// clock is the runner's clock in milliseconds as read at clockAt; 0 if it
 	// isn't known yet.
@@ -57,6 +58,8 @@
 	task    *taskState
 	need    workload.Resources
 	started Time
+	// tries counts how often its start was sent.
+	tries int
 	// confirmed runs were accepted or listed by the runner.
 	confirmed bool
 	// found runs were started by another scheduler.
@@ -65,9 +68,10 @@
 	stopAt Time
 	// stopping: an order to stop it has been sent; stopped: it was answered,
 	// and the run is over at goneAt even if no end is listed.
-	stopping bool
-	stopped  bool
-	goneAt   Time
+	stopping  bool
+	stopped   bool
+	stoppedAt Time
+	goneAt    Time
 	// overdueAt is when a run has taken so long that it is taken for stuck.
 	overdueAt Time
 }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -58,8 +58,8 @@
 // DefaultConfig returns the usual limits.
 func DefaultConfig() Config {
 	return Config{
-		Lease:        700 * time.Millisecond,
-		HoldWait:     200 * time.Millisecond,
+		Lease:        600 * time.Millisecond,
+		HoldWait:     150 * time.Millisecond,
 		StopTimeout:  50 * time.Millisecond,
 		Resend:       1300 * time.Millisecond,
 		RemoteFactor: 3,
@@ -68,8 +68,11 @@
 
 const (
 	// CallTimeout is how long an order may stay unanswered. Runners answer
-	// within a few milliseconds; a longer wait delays the restart elsewhere.
-	CallTimeout = 150 * time.Millisecond
+	// within three milliseconds; each more that is waited is lost to the task.
+	CallTimeout = 50 * time.Millisecond
+	// startTries is how often a start is sent to the same runner under the same
+	// run number, which starts it once at most.
+	startTries = 2
 	// clockDriftPercent is how much slower than ours a runner's clock may be.
 	clockDriftPercent = 2
 	// leaseMargin covers the delay between reading our clock and sending.
@@ -77,8 +80,9 @@
 	// idleCheck is how often an idle runner is looked at, so that a job
 	// doesn't find out first that it is dead.
 	idleCheck = time.Second
-	// reacquireWait is how long a runner that another scheduler took is left
-	// to it before it is taken back. Within it the two learn of each other.
+	// reacquireWait is how long a runner is left to another scheduler that has
+	// taken it soon after this one had; the first time it is taken back at
+	// once. Two that can't hear each other so change it seldom.
 	reacquireWait = 1500 * time.Millisecond
 	// settleTime is how long after taking over a higher token on a runner is
 	// put down to the scheduler before, whose term wasn't known.
@@ -109,6 +113,8 @@
 	term    uint64
 	leading bool
 	since   Time
+	// raisedAt is when the term was last raised above that of a stranger.
+	raisedAt Time
 
 	runners map[workload.RunnerID]*runner
 	// list is the runners in the order of their ids.
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -20,8 +20,14 @@
 	// Unknown is how much longer runs may be alive that an earlier scheduler
 	// has started.
 	Unknown time.Duration
+	// Term is the highest term that they have used.
+	Term uint64
 }
 
+// lateFactor times its objective is when a job's answer is worth nothing any
+// more, by the users' terms.
+const lateFactor = 3
+
 // runsPerHand is the distance between the run numbers of successive
 // schedulers: each starts above all that the one before may have used.
 const runsPerHand = 100
@@ -51,9 +57,11 @@
 	// What isn't done when its caller has left is worth nothing, however long
 	// its objective.
 	j.due = min(now+sub.Due, j.deadline)
+	j.useless = min(now+lateFactor*sub.Due, j.deadline)
 	if sub.Handed > 0 {
 		j.started = true
 		j.knownFrom = now + sub.Unknown
+		j.term = sub.Term
 		j.each(func(t *taskState) { t.lastNumber = sub.Handed * runsPerHand })
 	}
 	s.jobs[id] = j
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -41,7 +41,7 @@
 		s.forget(j)
 	case s.now >= j.deadline:
 		s.finish(j, workload.NotRun, "time is up")
-	case !j.started && s.hopeless(j):
+	case !j.started && (s.hopeless(j) || s.now+j.remaining > j.useless && j.late(s.now)):
 		s.finish(j, workload.NotRun, "too little time is left")
 	}
 }
@@ -52,7 +52,7 @@
 	}
 	if r.token == 0 {
 		if r.reacquireAt > 0 && s.now >= r.reacquireAt {
-			s.term += termStep
+			s.raiseTerm()
 			s.acquire(r)
 		}
 		return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -18,7 +18,7 @@
 		if p.schedule.Leading() {
 			p.send(peer, runnersMessage(p.runnerList, false))
 		}
-		p.gateway.Reconnected(now, peer)
+		p.gateway.Reconnected(now, peer, p.schedule.Term())
 	})
 }
 
@@ -94,7 +94,9 @@
 }
 
 func (p *Process) heartbeat(now Time, from leader.ID, h *pb.Heartbeat) {
-	p.view.Heard(now, from, reportOf(h))
+	before := p.view.Report(from)
+	report := reportOf(h)
+	p.view.Heard(now, from, report)
 	p.schedule.SeeTerm(h.GetTerm())
 	if d := p.table.Current(); d != nil && h.GetDeclarationVersion() < d.Version {
 		p.send(from, declarationMessage(d))
@@ -108,6 +110,10 @@
 		}
 	}
 	p.follow(now)
+	if before.Leader == from && report.Leader == p.view.Self() {
+		// It led on the other side of a cut, and has yielded.
+		p.schedule.Reclaim(now)
+	}
 }
 
 func (p *Process) takePending(pending map[string]uint32) {
--- a/entry/process.go
+++ b/entry/process.go
@@ -42,7 +42,9 @@
 	mesh     *peer.Mesh
 	clock    *clock
 	events   chan func()
-	metrics  *metrics
+	// ended is closed when a planned stop is over.
+	ended   chan struct{}
+	metrics *metrics
 
 	// What follows belongs to the loop.
 	self       peer.Member
@@ -92,6 +94,7 @@
 		identity: identity,
 		clock:    c,
 		events:   make(chan func(), eventQueue),
+		ended:    make(chan struct{}),
 		metrics:  newMetrics(),
 		view:     leader.NewView("", c.now()),
 		gateway:  gateway.New(),
@@ -143,6 +146,7 @@
 			if p.stopped() {
 				p.gateway.GiveUp(p.clock.now(), "the process ends")
 				p.drive(ctx)
+				close(p.ended)
 				return nil
 			}
 		}
@@ -175,7 +179,7 @@
 	p.view.Stalled(now, p.schedule.Leading())
 	p.schedule.Retire(now)
 	p.choice = leader.Choice{}
-	p.gateway.Follow(now, p.choice)
+	p.gateway.Follow(now, p.choice, p.schedule.Term())
 }
 
 // follow acts on a change of the process that leads.
@@ -186,6 +190,10 @@
 	}
 	p.log.Info().Str("leader", string(c.Leader)).Str("before", string(p.choice.Leader)).
 		Bool("reachable", c.Reachable).Uint64("term", p.schedule.Term()).Msg("leader-changed")
+	term := p.schedule.Term()
+	if p.choice.Leader != p.view.Self() {
+		term = p.view.Report(p.choice.Leader).Term
+	}
 	p.choice = c
 	leads := c.Reachable && c.Leader == p.view.Self()
 	if !leads {
@@ -198,7 +206,7 @@
 	if c.Reachable && p.gateway.InHand() > 0 {
 		p.handOver(now, c.Leader)
 	}
-	p.gateway.Follow(now, c)
+	p.gateway.Follow(now, c, term)
 	p.sendHeartbeats(now)
 }
 
@@ -263,6 +271,7 @@
 		Patience: c.Patience,
 		Handed:   c.Handed,
 		Unknown:  c.Unknown,
+		Term:     c.Term,
 	})
 }
 
@@ -324,7 +333,7 @@
 	stopEstimates = 2
 	stopMargin    = 200 * time.Millisecond
 	// stopReserve is how long before the platform kills it the process ends.
-	stopReserve = 300 * time.Millisecond
+	stopReserve = 500 * time.Millisecond
 )
 
 // stopped reports whether a planned stop is over.
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -53,6 +53,8 @@
 	select {
 	case r := <-done:
 		return r, nil
+	case <-p.ended:
+		return p.lastWord(done), nil
 	case <-ctx.Done():
 		p.post(func() {
 			delete(p.replies, id)
@@ -63,6 +65,17 @@
 	}
 }
 
+// lastWord is the reply to a request that was waiting as the process ended: the
+// one it was given, or if it came too late to be looked at, that it didn't run.
+func (p *Process) lastWord(done <-chan Reply) Reply {
+	select {
+	case r := <-done:
+		return r
+	default:
+		return Reply{Outcome: workload.NotRun, RetryAfter: retryStopping}
+	}
+}
+
 func (p *Process) reply(c gateway.Reply) {
 	p.metrics.requests.WithLabelValues(c.Job.Queue, c.Outcome.String()).Inc()
 	p.metrics.requestSeconds.WithLabelValues(c.Outcome.String()).Observe(c.Took.Seconds())
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -19,6 +19,7 @@
 		DueMs:      c.Due.Milliseconds(),
 		PatienceMs: c.Patience.Milliseconds(),
 		Handed:     uint32(c.Handed),
+		Term:       c.Term,
 		UnknownMs:  c.Unknown.Milliseconds(),
 	}}}
 }
@@ -29,6 +30,7 @@
 		Due:      milliseconds(m.GetDueMs()),
 		Patience: milliseconds(m.GetPatienceMs()),
 		Handed:   int(m.GetHanded()),
+		Term:     m.GetTerm(),
 		Unknown:  milliseconds(m.GetUnknownMs()),
 	}
 }
@@ -165,6 +167,7 @@
 		Able:      h.GetAble(),
 		Stopping:  h.GetStopping(),
 		Demotions: h.GetDemotions(),
+		Term:      h.GetTerm(),
 		Leader:    leader.ID(h.GetLeader()),
 		LeaderAge: milliseconds(int64(h.GetLeaderAgeMs())),
 	}
