--- /dev/null
+++ b/core/fleet/message.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/gateway"
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Message is what one process sends to another.
+type Message interface{ message() }
+
+// Heartbeat is what a process says of itself.
+type Heartbeat struct {
+	Report             leader.Report
+	DeclarationVersion uint64
+	// RunnersRevision is that of the newest list of runners that the sender
+	// has; RunnersStale says that it leads and can't read the list at present.
+	RunnersRevision uint64
+	RunnersStale    bool
+	// Pending is, from the leader, the jobs of each queue of which no task has
+	// started.
+	Pending map[string]int
+}
+
+// HandIn hands a job to the scheduler.
+type HandIn struct{ gateway.HandIn }
+
+// Verdict is the scheduler's word on a job.
+type Verdict struct{ gateway.Verdict }
+
+// DropJob tells the scheduler that a job's caller has left.
+type DropJob struct{ Job workload.JobID }
+
+// JobQuery asks the scheduler for a job's state, or to cancel it.
+type JobQuery struct {
+	Request uint64
+	Job     workload.JobID
+	Cancel  bool
+}
+
+// JobAnswer answers a JobQuery.
+type JobAnswer struct {
+	Request uint64
+	State   JobState
+}
+
+// Declaration passes on a configuration.
+type Declaration struct{ *routing.Declaration }
+
+// RunnerList is the platform's list of runners at a revision.
+type RunnerList struct {
+	Revision uint64
+	// Runners are in the order of their ids.
+	Runners []workload.Runner
+	// Handover: the sender is about to hand in jobs that another scheduler
+	// had, and these are the runners where that may have started them.
+	Handover bool
+}
+
+func (Heartbeat) message()   {}
+func (HandIn) message()      {}
+func (Verdict) message()     {}
+func (DropJob) message()     {}
+func (JobQuery) message()    {}
+func (JobAnswer) message()   {}
+func (Declaration) message() {}
+func (RunnerList) message()  {}
+
+// JobState is how far a job is.
+type JobState struct {
+	Known bool
+	Ended bool
+	// Outcome is set if the job has ended.
+	Outcome workload.Outcome
+}
+
+// Command is what the process is to do.
+type Command interface{ command() }
+
+// Send passes a message to a process. Without a connection it is dropped: the
+// node is told when a process is lost, or connected again.
+type Send struct {
+	To      leader.ID
+	Message Message
+}
+
+// Disconnect closes the connection with a process.
+type Disconnect struct{ Peer leader.ID }
+
+// Order is a scheduler's order to a runner: schedule.Start, Stop or Hold.
+type Order struct{ Order any }
+
+// Answer is the final word on a caller's request.
+type Answer struct{ gateway.Reply }
+
+// StateAnswer answers a question about a job. Unreachable: nobody could be
+// asked.
+type StateAnswer struct {
+	Request     uint64
+	State       JobState
+	Unreachable bool
+}
+
+// ReadRunners asks for the list of runners now.
+type ReadRunners struct{}
+
+// Notice is a line for the log.
+type Notice struct {
+	Event string
+	// Warning marks what an operator should look at.
+	Warning bool
+	Fields  []Field
+}
+
+// Field is a part of a Notice.
+type Field struct {
+	Key   string
+	Value any
+}
+
+func (Send) command()        {}
+func (Disconnect) command()  {}
+func (Order) command()       {}
+func (Answer) command()      {}
+func (StateAnswer) command() {}
+func (ReadRunners) command() {}
+func (Notice) command()      {}
+
+// durations in notices are in milliseconds.
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/core/fleet/node.go
@@ -0,0 +1,305 @@
+// Package fleet joins the cores of an entry process into one state machine: the
+// gateway that answers for callers' jobs, the scheduler, the choice of who
+// schedules, and the configuration in force.
+//
+// It does no input or output and reads no clock. Events and the time go in by
+// its methods; Ready gives what is to be done, in order.
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/gateway"
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/task"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Time is a reading of the process's monotonic clock.
+type Time = task.Time
+
+// TickInterval is how often Tick is to be called. It bounds how late a timeout
+// is noticed; the shortest is that of a stop, 70 ms.
+const TickInterval = 20 * time.Millisecond
+
+// Node is the state of one entry process. It isn't safe for concurrent use.
+type Node struct {
+	grace    time.Duration
+	table    routing.Table
+	view     *leader.View
+	choice   leader.Choice
+	gateway  *gateway.Gateway
+	schedule *schedule.Scheduler
+	// linked are the connected processes, and sent when each was last sent a
+	// heartbeat.
+	linked map[leader.ID]bool
+	sent   map[leader.ID]Time
+
+	lastTick    Time
+	lastArrival Time
+	stopAt      Time
+	pending     map[string]int
+
+	runners   RunnerList
+	readAt    Time
+	stale     bool
+	askedFor  bool
+	dropped   []droppedRunner
+	lastQuery uint64
+	// queries are questions of this process's callers that the leader was
+	// asked.
+	queries map[uint64]bool
+
+	out []Command
+}
+
+// New returns a node that isn't registered. grace is the time from the start of
+// a planned stop until the platform ends the process.
+func New(cfg schedule.Config, grace time.Duration, now Time) *Node {
+	return &Node{
+		grace:    grace,
+		view:     leader.NewView("", now),
+		gateway:  gateway.New(),
+		schedule: schedule.New(cfg),
+		linked:   make(map[leader.ID]bool),
+		sent:     make(map[leader.ID]Time),
+		queries:  make(map[uint64]bool),
+		lastTick: now,
+	}
+}
+
+// Ready returns the commands since the last call.
+func (n *Node) Ready() []Command {
+	n.collect()
+	out := n.out
+	n.out = nil
+	return out
+}
+
+func (n *Node) emit(c Command) { n.out = append(n.out, c) }
+
+func (n *Node) notice(event string, fields ...Field) {
+	n.emit(Notice{Event: event, Fields: fields})
+}
+
+func (n *Node) warn(event string, fields ...Field) {
+	n.emit(Notice{Event: event, Warning: true, Fields: fields})
+}
+
+// collect passes commands between the cores, until none is left.
+func (n *Node) collect() {
+	for {
+		commands, orders := n.gateway.Ready(), n.schedule.Ready()
+		if len(commands) == 0 && len(orders) == 0 {
+			return
+		}
+		for _, c := range commands {
+			n.fromGateway(c)
+		}
+		for _, c := range orders {
+			n.fromScheduler(c)
+		}
+	}
+}
+
+func (n *Node) fromGateway(c gateway.Command) {
+	switch c := c.(type) {
+	case gateway.HandIn:
+		if c.To == n.Self() {
+			n.submit(c.At, c.To, c)
+			return
+		}
+		n.emit(Send{To: c.To, Message: HandIn{c}})
+	case gateway.Drop:
+		if c.To == n.Self() {
+			n.schedule.Abandon(c.At, schedule.EntryID(c.To), c.Job)
+			return
+		}
+		n.emit(Send{To: c.To, Message: DropJob{Job: c.Job}})
+	case gateway.Reply:
+		n.emit(Answer{c})
+	default:
+		panic(fmt.Sprintf("unknown command %T", c))
+	}
+}
+
+func (n *Node) fromScheduler(c schedule.Command) {
+	switch c := c.(type) {
+	case schedule.Answer:
+		n.verdict(c)
+	case schedule.Decision:
+		n.notice(c.Event, decisionFields(c)...)
+	default:
+		n.emit(Order{c})
+	}
+}
+
+// verdict passes the scheduler's word to the process that has the caller.
+func (n *Node) verdict(a schedule.Answer) {
+	n.notice("job-ended", Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
+		Field{"waited", ms(a.Waited)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
+	v := gateway.Verdict{From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Reason: a.Reason}
+	if leader.ID(a.Entry) == n.Self() {
+		n.gateway.Decide(a.At, v)
+		return
+	}
+	n.emit(Send{To: leader.ID(a.Entry), Message: Verdict{v}})
+}
+
+func decisionFields(d schedule.Decision) []Field {
+	var f []Field
+	if d.Job != "" {
+		f = append(f, Field{"job", string(d.Job)}, Field{"run", d.Run.String()})
+	}
+	if d.Runner != "" {
+		f = append(f, Field{"runner", string(d.Runner)})
+	}
+	if d.Token != 0 {
+		f = append(f, Field{"token", d.Token})
+	}
+	if d.Reason != "" {
+		f = append(f, Field{"reason", d.Reason})
+	}
+	return append(f, Field{"age", ms(d.Age)})
+}
+
+func (n *Node) submit(now Time, from leader.ID, c gateway.HandIn) {
+	n.schedule.Submit(now, schedule.Submission{
+		Job:      c.Job,
+		Entry:    schedule.EntryID(from),
+		Due:      c.Due,
+		Patience: c.Patience,
+		Handed:   c.Handed,
+		Unknown:  c.Unknown,
+		Term:     c.Term,
+	})
+}
+
+// Registered gives the process its identity.
+func (n *Node) Registered(now Time, id leader.ID, number uint64) {
+	n.notice("process-registered", Field{"id", string(id)}, Field{"number", number})
+	n.view.Register(now, id, number)
+	n.view.SetAble(n.table.Current() != nil)
+	n.schedule.SetNumber(number)
+}
+
+// Declared takes a configuration into force if it is newer.
+func (n *Node) Declared(now Time, d *routing.Declaration, source string) {
+	if !n.table.Apply(d) {
+		return
+	}
+	n.view.SetAble(true)
+	n.notice("configuration-in-force", Field{"version", d.Version}, Field{"source", source}, Field{"routes", len(d.Routes)})
+	n.heartbeatAll(now)
+}
+
+// Tick does what is due.
+func (n *Node) Tick(now Time) {
+	if pause := now - n.lastTick; pause > leader.StallLimit {
+		n.stalled(now, pause)
+	}
+	n.lastTick = now
+	for _, id := range n.view.Silent(now) {
+		n.peerLost(now, id, false)
+	}
+	n.follow(now)
+	n.gateway.Tick(now)
+	n.schedule.Tick(now)
+	n.checkRunners(now)
+	if n.schedule.Leading() {
+		n.pending = n.schedule.Pending()
+	}
+	n.heartbeats(now)
+}
+
+// stalled gives up the lead after a pause: another process has taken the
+// runners meanwhile, and what this one believes to have lapsed may have been
+// taken over.
+func (n *Node) stalled(now Time, pause time.Duration) {
+	n.warn("process-stalled", Field{"pause", ms(pause)}, Field{"leading", n.schedule.Leading()})
+	n.view.Stalled(now, n.schedule.Leading())
+	n.schedule.Retire(now)
+	n.choice = leader.Choice{}
+	n.gateway.Follow(now, n.choice, n.schedule.Term())
+}
+
+// follow acts on a change of the process that leads.
+func (n *Node) follow(now Time) {
+	c := n.view.Choose(now, n.schedule.Leading())
+	if c == n.choice {
+		return
+	}
+	term := n.schedule.Term()
+	if n.choice.Leader != n.Self() {
+		term = n.view.Report(n.choice.Leader).Term
+	}
+	n.notice("leader-changed", Field{"leader", string(c.Leader)}, Field{"before", string(n.choice.Leader)},
+		Field{"reachable", c.Reachable}, Field{"term", n.schedule.Term()})
+	n.choice = c
+	if c.Reachable && c.Leader == n.Self() {
+		n.askForRunners()
+		n.schedule.Lead(now)
+	} else {
+		n.schedule.Retire(now)
+	}
+	if c.Reachable && n.gateway.InHand() > 0 {
+		n.handOver(now, c.Leader)
+	}
+	n.gateway.Follow(now, c, term)
+	n.heartbeatAll(now)
+}
+
+// Self is the process's identity; "" before it is registered.
+func (n *Node) Self() leader.ID { return n.view.Self() }
+
+// Table is the configuration in force.
+func (n *Node) Table() routing.Table { return n.table }
+
+// Version is that of the configuration in force; 0 before the first.
+func (n *Node) Version() uint64 { return n.table.Version() }
+
+// RunnersRevision is that of the list of runners that is known.
+func (n *Node) RunnersRevision() uint64 { return n.runners.Revision }
+
+// Choice is whom the process follows.
+func (n *Node) Choice() leader.Choice { return n.choice }
+
+// Scheduler is the process's scheduler, for dumps and counters.
+func (n *Node) Scheduler() *schedule.Scheduler { return n.schedule }
+
+// InHand is the number of jobs whose callers wait here.
+func (n *Node) InHand() int { return n.gateway.InHand() }
+
+// Pending is the number of jobs of each queue of which no task has started, as
+// the leader has last said.
+func (n *Node) Pending() map[string]int { return n.pending }
+
+// Serves reports whether new callers should come here.
+func (n *Node) Serves() bool {
+	return n.stopAt == 0 && n.table.Current() != nil && n.choice.Leader != "" && n.choice.Reachable
+}
+
+// Submit takes a caller's request.
+func (n *Node) Submit(now Time, request uint64, job *workload.Job, patience time.Duration) {
+	n.lastArrival = now
+	if !n.timeToServe(now, job) {
+		n.emit(Answer{gateway.Reply{Request: request, Job: job, Outcome: workload.NotRun, RetryAfter: retryStopping, Reason: "this process is about to end"}})
+		return
+	}
+	n.gateway.Arrive(now, request, job, patience)
+}
+
+// Left notes that a caller has gone.
+func (n *Node) Left(now Time, request uint64) { n.gateway.Left(now, request) }
+
+// Started, Stopped and Held take what came of orders.
+func (n *Node) Started(now Time, r schedule.StartResult) { n.schedule.Started(now, r) }
+
+// Stopped takes what came of a schedule.Stop.
+func (n *Node) Stopped(now Time, r schedule.StopResult) { n.schedule.Stopped(now, r) }
+
+// Held takes what came of a schedule.Hold.
+func (n *Node) Held(now Time, r schedule.HoldResult) { n.schedule.Held(now, r) }
--- /dev/null
+++ b/core/fleet/peers.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+)
+
+// PeerUp notes a connection with a process.
+func (n *Node) PeerUp(now Time, id leader.ID) {
+	n.linked[id] = true
+	n.view.Heard(now, id, nil)
+	n.heartbeat(now, id)
+	if n.schedule.Leading() {
+		n.emit(Send{To: id, Message: n.runners})
+	}
+	n.gateway.Reconnected(now, id, n.schedule.Term())
+}
+
+// PeerDown notes the end of a connection; ended says that the other process
+// said so itself. Else it may live, and silence decides.
+func (n *Node) PeerDown(now Time, id leader.ID, ended bool) {
+	delete(n.linked, id)
+	if !ended {
+		return
+	}
+	n.view.Ended(id)
+	n.peerLost(now, id, true)
+	n.follow(now)
+}
+
+// peerLost drops what was in hand for a process, and the connection with it. On
+// one that is cut in one direction only, the other process would go on hearing
+// this one, and run its jobs on while they are handed to somebody else.
+func (n *Node) peerLost(now Time, id leader.ID, ended bool) {
+	n.warn("peer-lost", Field{"peer", string(id)}, Field{"ended", ended})
+	n.emit(Disconnect{Peer: id})
+	delete(n.linked, id)
+	delete(n.sent, id)
+	if n.schedule.Leading() {
+		n.schedule.EntryLost(now, schedule.EntryID(id), ended)
+	}
+}
+
+// Receive takes a message. nil is a sign of life and nothing more.
+func (n *Node) Receive(now Time, from leader.ID, m Message) {
+	if h, ok := m.(Heartbeat); ok {
+		n.heard(now, from, h)
+		return
+	}
+	n.view.Heard(now, from, nil)
+	switch m := m.(type) {
+	case HandIn:
+		n.submit(now, from, m.HandIn)
+	case Verdict:
+		m.From = from
+		n.gateway.Decide(now, m.Verdict)
+	case DropJob:
+		n.schedule.Abandon(now, schedule.EntryID(from), m.Job)
+	case JobQuery:
+		n.emit(Send{To: from, Message: JobAnswer{Request: m.Request, State: n.jobState(now, m.Job, m.Cancel)}})
+	case JobAnswer:
+		n.answerQuery(m)
+	case Declaration:
+		n.Declared(now, m.Declaration, string(from))
+	case RunnerList:
+		if m.Handover {
+			n.schedule.Suspect(now, m.Runners)
+			return
+		}
+		n.takeRunners(now, m, string(from))
+	}
+}
+
+func (n *Node) heard(now Time, from leader.ID, h Heartbeat) {
+	before := n.view.Report(from)
+	n.view.Heard(now, from, &h.Report)
+	n.schedule.SeeTerm(h.Report.Term)
+	if d := n.table.Current(); d != nil && h.DeclarationVersion < d.Version {
+		n.emit(Send{To: from, Message: Declaration{d}})
+	}
+	if from == n.choice.Leader {
+		n.pending = h.Pending
+		n.askedFor = h.RunnersStale
+		if h.RunnersStale && h.RunnersRevision < n.runners.Revision {
+			n.emit(Send{To: from, Message: n.runners})
+		}
+	}
+	n.follow(now)
+	if before.Leader == from && h.Report.Leader == n.Self() {
+		// It led on the other side of a cut, and has yielded.
+		n.schedule.Reclaim(now)
+	}
+}
+
+// peers lists the connected processes in the order of their ids.
+func (n *Node) peers() []leader.ID { return slices.Sorted(maps.Keys(n.linked)) }
+
+// heartbeats are due at equal distances; a tick may be a little early.
+func (n *Node) heartbeats(now Time) {
+	for _, id := range n.peers() {
+		if now-n.sent[id] >= leader.HeartbeatInterval-TickInterval/2 {
+			n.heartbeat(now, id)
+		}
+	}
+}
+
+// heartbeatAll tells all processes of a change at once.
+func (n *Node) heartbeatAll(now Time) {
+	for _, id := range n.peers() {
+		n.heartbeat(now, id)
+	}
+}
+
+func (n *Node) heartbeat(now Time, to leader.ID) {
+	n.sent[to] = now
+	h := Heartbeat{
+		Report:             n.view.Own(now, n.choice),
+		DeclarationVersion: n.table.Version(),
+		RunnersRevision:    n.runners.Revision,
+		RunnersStale:       n.stale,
+	}
+	h.Report.Term = n.schedule.Term()
+	if n.schedule.Leading() {
+		h.Pending = n.pending
+	}
+	n.emit(Send{To: to, Message: h})
+}
--- /dev/null
+++ b/core/fleet/runners.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+const (
+	// staleAfter is the age of the list at which the leader asks the others for
+	// theirs: two failed reads.
+	staleAfter = 1500 * time.Millisecond
+	// droppedKeep is how long runners are remembered that have left the list:
+	// as long as runs may be alive on them that another scheduler has to know.
+	droppedKeep = 3 * time.Second
+)
+
+// droppedRunner is a runner that has left the list.
+type droppedRunner struct {
+	info workload.Runner
+	at   Time
+}
+
+// RunnersRead takes the list as this process has read it.
+func (n *Node) RunnersRead(now Time, list RunnerList) {
+	n.readAt = now
+	n.takeRunners(now, list, "store")
+	if n.askedFor && n.choice.Leader != n.Self() {
+		n.emit(Send{To: n.choice.Leader, Message: n.runners})
+	}
+}
+
+// ReadOften reports whether the list should be read often here: this process
+// leads, or the leader can't read it.
+func (n *Node) ReadOften() bool { return n.schedule.Leading() || n.askedFor }
+
+func (n *Node) askForRunners() { n.emit(ReadRunners{}) }
+
+// checkRunners notes whether the list can't be read at present.
+func (n *Node) checkRunners(now Time) {
+	n.stale = n.schedule.Leading() && now-n.readAt > staleAfter
+}
+
+// takeRunners takes a list if it is newer than the one known.
+func (n *Node) takeRunners(now Time, list RunnerList, source string) {
+	if list.Revision <= n.runners.Revision {
+		return
+	}
+	changed := !sameRunners(list.Runners, n.runners.Runners)
+	if changed {
+		n.notice("runners-listed", Field{"runners", len(list.Runners)}, Field{"before", len(n.runners.Runners)},
+			Field{"revision", list.Revision}, Field{"source", source})
+	}
+	n.keepDropped(now, list)
+	n.runners = list
+	n.schedule.SetRunners(now, list.Runners)
+	if changed && n.schedule.Leading() {
+		n.shareRunners()
+	}
+}
+
+// shareRunners tells the others the list: they need it when they come to lead,
+// and when they hand jobs to another scheduler.
+func (n *Node) shareRunners() {
+	for _, id := range n.peers() {
+		n.emit(Send{To: id, Message: n.runners})
+	}
+}
+
+// sameRunners reports whether two lists have the same runners in the same
+// states.
+func sameRunners(a, b []workload.Runner) bool {
+	return slices.EqualFunc(a, b, func(x, y workload.Runner) bool {
+		return x.ID == y.ID && x.Draining == y.Draining && x.Service == y.Service
+	})
+}
+
+func (n *Node) keepDropped(now Time, list RunnerList) {
+	listed := make(map[workload.RunnerID]bool, len(list.Runners))
+	for _, r := range list.Runners {
+		listed[r.ID] = true
+	}
+	n.dropped = slices.DeleteFunc(n.dropped, func(d droppedRunner) bool {
+		return now-d.at >= droppedKeep || listed[d.info.ID]
+	})
+	for _, r := range n.runners.Runners {
+		if !listed[r.ID] {
+			n.dropped = append(n.dropped, droppedRunner{info: r, at: now})
+		}
+	}
+}
+
+// handOver tells the next scheduler where the one before may have started the
+// jobs that this process is about to hand in again.
+func (n *Node) handOver(now Time, to leader.ID) {
+	list := RunnerList{Revision: n.runners.Revision, Runners: slices.Clone(n.runners.Runners), Handover: true}
+	for _, d := range n.dropped {
+		list.Runners = append(list.Runners, d.info)
+	}
+	if to == n.Self() {
+		n.schedule.Suspect(now, list.Runners)
+		return
+	}
+	n.emit(Send{To: to, Message: list})
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -36,6 +36,7 @@
 
 // HandIn hands a job to a scheduler.
 type HandIn struct {
+	At       Time
 	To       leader.ID
 	Job      *workload.Job
 	Due      time.Duration
@@ -48,6 +49,7 @@
 
 // Drop tells a scheduler that a job's caller has left.
 type Drop struct {
+	At  Time
 	To  leader.ID
 	Job workload.JobID
 }
@@ -157,7 +159,7 @@
 	}
 	delete(g.jobs, id)
 	if h.scheduler != "" {
-		g.out = append(g.out, Drop{To: h.scheduler, Job: id})
+		g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: id})
 	}
 }
 
@@ -205,6 +207,7 @@
 	}
 	h.scheduler = g.choice.Leader
 	g.out = append(g.out, HandIn{
+		At:       g.now,
 		To:       h.scheduler,
 		Job:      h.job,
 		Due:      h.due - g.now,
@@ -252,7 +255,7 @@
 	g.now = now
 	for _, h := range g.inOrder() {
 		if h.scheduler != "" {
-			g.out = append(g.out, Drop{To: h.scheduler, Job: h.job.ID})
+			g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
 		}
 		g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, Reason: reason})
 	}
@@ -265,7 +268,7 @@
 		switch {
 		case now > h.deadline+answerSlack:
 			if h.scheduler != "" {
-				g.out = append(g.out, Drop{To: h.scheduler, Job: h.job.ID})
+				g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
 			}
 			g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, Reason: "no answer from the scheduler in time"})
 		case h.scheduler == "" && now > h.arrived+leaderWait:
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -12,6 +12,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/task"
@@ -150,6 +151,7 @@
 			delete(v.peers, id)
 		}
 	}
+	slices.Sort(lost)
 	return lost
 }
 
@@ -231,16 +233,17 @@
 // heard here follows. If this process led beside it, the two would take the
 // runners from each other by turns.
 func (v *View) followedElsewhere(now Time) ID {
+	found := ID("")
 	for id, p := range v.peers {
 		l := p.report.Leader
 		if l == "" || l == v.self || l == id || v.peers[l] != nil {
 			continue
 		}
-		if now-p.heard+p.report.LeaderAge <= LostAfter {
-			return l
+		if now-p.heard+p.report.LeaderAge <= LostAfter && (found == "" || l < found) {
+			found = l
 		}
 	}
-	return ""
+	return found
 }
 
 // before ranks processes: those that aren't about to end, then those that were
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -48,6 +48,7 @@
 
 // Answer is the final word on a job, to the entry VM that handed it in.
 type Answer struct {
+	At      Time
 	Entry   EntryID
 	Job     workload.JobID
 	Outcome workload.Outcome
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -128,7 +128,7 @@
 }
 
 func (s *Scheduler) answer(to EntryID, id workload.JobID, o workload.Outcome, reason string) {
-	s.emit(Answer{Entry: to, Job: id, Outcome: o, Reason: reason})
+	s.emit(Answer{At: s.now, Entry: to, Job: id, Outcome: o, Reason: reason})
 }
 
 // finish gives the final word on a job and stops what still runs of it.
@@ -139,7 +139,7 @@
 	if o == workload.NotRun && j.started {
 		o = workload.GaveUp
 	}
-	a := Answer{Entry: j.entry, Job: j.work.ID, Outcome: o, Reason: reason, Runs: j.runs}
+	a := Answer{At: s.now, Entry: j.entry, Job: j.work.ID, Outcome: o, Reason: reason, Runs: j.runs}
 	if j.runs > 0 {
 		a.Waited = j.firstRun - j.arrived
 	}
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -21,8 +21,8 @@
 	a := p.runners.Start(ctx, c)
 	p.callDone("start", sent, a)
 	clock := p.reading(sent, a)
-	p.post(func() {
-		p.schedule.Started(p.clock.now(), schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: a.Outcome, Clock: clock})
+	p.post(func(now Time) {
+		p.node.Started(now, schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: a.Outcome, Clock: clock})
 	})
 }
 
@@ -33,8 +33,8 @@
 	a := p.runners.Stop(ctx, c)
 	p.callDone("stop", sent, a)
 	clock := p.reading(sent, a)
-	p.post(func() {
-		p.schedule.Stopped(p.clock.now(), schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: a.Outcome, Clock: clock})
+	p.post(func(now Time) {
+		p.node.Stopped(now, schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: a.Outcome, Clock: clock})
 	})
 }
 
@@ -45,8 +45,8 @@
 	a := p.runners.Hold(ctx, c)
 	p.callDone("hold", sent, a.CallAnswer)
 	clock := p.reading(sent, a.CallAnswer)
-	p.post(func() {
-		p.schedule.Held(p.clock.now(), schedule.HoldResult{
+	p.post(func(now Time) {
+		p.node.Held(now, schedule.HoldResult{
 			Runner:  c.Runner,
 			Token:   c.Token,
 			Look:    c.Look,
@@ -71,20 +71,3 @@
 		p.log.Debug().Str("order", kind).Err(a.Cause).Msg("order-failed")
 	}
 }
-
-func (p *Process) logDecision(d schedule.Decision) {
-	e := p.log.Info()
-	if d.Job != "" {
-		e = e.Str("job", string(d.Job)).Stringer("run", d.Run)
-	}
-	if d.Runner != "" {
-		e = e.Str("runner", string(d.Runner))
-	}
-	if d.Token != 0 {
-		e = e.Uint64("token", d.Token)
-	}
-	if d.Reason != "" {
-		e = e.Str("reason", d.Reason)
-	}
-	e.Dur("age", d.Age).Msg(d.Event)
-}
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -23,7 +23,7 @@
 // Dump returns the state; it is empty if the process has ended.
 func (p *Process) Dump(ctx context.Context) Dump {
 	done := make(chan Dump, 1)
-	p.post(func() { done <- p.dump() })
+	p.post(func(now Time) { done <- p.dump(now) })
 	select {
 	case d := <-done:
 		return d
@@ -32,17 +32,18 @@
 	}
 }
 
-func (p *Process) dump() Dump {
+func (p *Process) dump(now Time) Dump {
+	choice, table := p.node.Choice(), p.node.Table()
 	return Dump{
-		ID:              p.self.ID,
+		ID:              string(p.node.Self()),
 		Ready:           p.Ready(),
 		Stopping:        p.Stopping(),
-		Leader:          string(p.choice.Leader),
-		LeaderReachable: p.choice.Reachable,
-		Configuration:   p.table.Version(),
+		Leader:          string(choice.Leader),
+		LeaderReachable: choice.Reachable,
+		Configuration:   table.Version(),
 		Peers:           p.mesh.Connected(),
-		JobsInHand:      p.gateway.InHand(),
-		RunnersRevision: p.runnerList.Revision,
-		Scheduler:       p.schedule.Dump(p.clock.now()),
+		JobsInHand:      p.node.InHand(),
+		RunnersRevision: p.node.RunnersRevision(),
+		Scheduler:       p.node.Scheduler().Dump(now),
 	}
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 )
 
@@ -62,13 +63,13 @@
 // Metrics is the registry of the process's metrics.
 func (p *Process) Metrics() *prometheus.Registry { return p.metrics.registry }
 
-func (m *metrics) update(p *Process) {
+func (m *metrics) update(n *fleet.Node) {
 	m.leading.Set(0)
-	if p.schedule.Leading() {
+	if n.Scheduler().Leading() {
 		m.leading.Set(1)
 	}
-	m.inHand.Set(float64(p.gateway.InHand()))
-	m.count(p.schedule.Counters())
+	m.inHand.Set(float64(n.InHand()))
+	m.count(n.Scheduler().Counters())
 }
 
 func (m *metrics) count(c schedule.Counters) {
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -1,13 +1,14 @@
-// Package entry is the process on an entry VM: one loop round the cores that
-// take jobs (gateway), schedule them (schedule), choose who schedules (leader)
-// and route requests (routing). Sockets, timers and the platform are reached
-// through ports; the loop itself never waits for them.
+// Package entry is the process on an entry VM: one loop round fleet.Node. It
+// owns the timers and carries out what the node commands; sockets and the
+// platform are reached through ports. The loop never waits for them.
 package entry
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -50,13 +51,7 @@
 	// call returns at once. nil means that what is there can't be used.
 	Declaration(context.Context) (*routing.Declaration, error)
 	// Runners reads the list of runners as it is now.
-	Runners(context.Context) (RunnerList, error)
-}
-
-// RunnerList is the platform's list of runners at a revision.
-type RunnerList struct {
-	Revision uint64
-	Runners  []workload.Runner
+	Runners(context.Context) (fleet.RunnerList, error)
 }
 
 // Config is what a process needs.
@@ -70,3 +65,8 @@
 	// process.
 	Grace time.Duration
 }
+
+// MemberID names one lifetime of a process on a VM.
+func MemberID(node string, number uint64) string {
+	return node + "#" + strconv.FormatUint(number, 10)
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/routing"
-	"sapphirepoint.example/sapphirepoint/core/workload"
 	"sapphirepoint.example/sapphirepoint/peer"
 )
 
@@ -21,9 +19,6 @@
 	// is for the others, which need the list when they come to lead.
 	runnersFast = 600 * time.Millisecond
 	runnersSlow = 6 * time.Second
-	// runnersStaleAfter is the age at which the leader asks the others for
-	// their list: two failed reads.
-	runnersStaleAfter = 1500 * time.Millisecond
 )
 
 // register publishes this process in the store until that has succeeded.
@@ -44,16 +39,8 @@
 func (p *Process) registered(m peer.Member, number uint64) {
 	m.Number = number
 	m.ID = MemberID(m.Node, number)
-	done := make(chan struct{})
-	p.post(func() {
-		p.self = m
-		p.log.Info().Str("id", m.ID).Uint64("number", number).Msg("process-registered")
-		p.view.Register(p.clock.now(), leader.ID(m.ID), number)
-		p.view.SetAble(p.table.Current() != nil)
-		p.schedule.SetNumber(number)
-		close(done)
-	})
-	<-done
+	p.self = m
+	p.post(func(now Time) { p.node.Registered(now, leader.ID(m.ID), number) })
 }
 
 // retry calls f until it succeeds or the context ends, and logs when the store
@@ -136,7 +123,7 @@
 		p.log.Warn().Msg("configuration-unreadable")
 		return
 	}
-	p.post(func() { p.declare(d, "store") })
+	p.post(func(now Time) { p.node.Declared(now, d, "store") })
 }
 
 // watchRunners reads the list of runners, often while this process leads.
@@ -147,7 +134,7 @@
 			if err != nil {
 				return err
 			}
-			p.post(func() { p.readRunners(list) })
+			p.post(func(now Time) { p.node.RunnersRead(now, list) })
 			return nil
 		})
 		p.awaitRead(ctx)
@@ -163,96 +150,18 @@
 		case <-p.readNow:
 			return
 		case <-time.After(runnersFast):
-			if p.readFast.Load() {
+			if p.readOften.Load() {
 				return
 			}
 		}
 	}
 }
 
-// askForRunners has the list read now.
-func (p *Process) askForRunners() {
-	p.readFast.Store(true)
+// readRunnersNow has the list read now.
+func (p *Process) readRunnersNow() {
+	p.readOften.Store(true)
 	select {
 	case p.readNow <- struct{}{}:
 	default:
 	}
 }
-
-func (p *Process) readRunners(list RunnerList) {
-	now := p.clock.now()
-	p.runnersAt = now
-	p.takeRunners(now, list, "store")
-	if p.peerStale && p.choice.Leader != p.view.Self() {
-		p.send(p.choice.Leader, runnersMessage(p.runnerList, false))
-	}
-}
-
-// takeRunners takes a list if it is newer than the one known.
-func (p *Process) takeRunners(now Time, list RunnerList, source string) {
-	if list.Revision <= p.runnerList.Revision {
-		return
-	}
-	changed := !sameRunners(list.Runners, p.runnerList.Runners)
-	if changed {
-		p.log.Info().Int("runners", len(list.Runners)).Int("before", len(p.runnerList.Runners)).
-			Uint64("revision", list.Revision).Str("source", source).Msg("runners-listed")
-	}
-	p.keepDropped(now, list)
-	p.runnerList = list
-	p.schedule.SetRunners(now, list.Runners)
-	if changed && p.schedule.Leading() {
-		// The others need it when they come to lead, and when they hand jobs
-		// to another scheduler.
-		for id := range p.linked {
-			p.send(id, runnersMessage(list, false))
-		}
-	}
-}
-
-// droppedRunner is a runner that has left the list.
-type droppedRunner struct {
-	info workload.Runner
-	at   Time
-}
-
-// droppedKeep is how long runners are remembered that have left the list: as
-// long as runs may be alive on them that another scheduler has to know of.
-const droppedKeep = 3 * time.Second
-
-func (p *Process) keepDropped(now Time, list RunnerList) {
-	listed := make(map[workload.RunnerID]bool, len(list.Runners))
-	for _, r := range list.Runners {
-		listed[r.ID] = true
-	}
-	kept := p.dropped[:0]
-	for _, d := range p.dropped {
-		if now-d.at < droppedKeep && !listed[d.info.ID] {
-			kept = append(kept, d)
-		}
-	}
-	for _, r := range p.runnerList.Runners {
-		if !listed[r.ID] {
-			kept = append(kept, droppedRunner{info: r, at: now})
-		}
-	}
-	p.dropped = kept
-}
-
-// sameRunners reports whether two lists, both in the order of ids, have the
-// same runners in the same states.
-func sameRunners(a, b []workload.Runner) bool {
-	return slices.EqualFunc(a, b, func(x, y workload.Runner) bool {
-		return x.ID == y.ID && x.Draining == y.Draining && x.Service == y.Service
-	})
-}
-
-// checkRunners notes whether the list can't be read at present.
-func (p *Process) checkRunners(now Time) {
-	p.runnersStale = p.schedule.Leading() && now-p.runnersAt > runnersStaleAfter
-	if p.schedule.Leading() {
-		p.readFast.Store(true)
-	} else {
-		p.readFast.Store(p.peerStale)
-	}
-}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -1,19 +1,69 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/gateway"
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/routing"
-	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
-// Translation between the messages of fleet.proto and the types of the cores.
+// Translation between the messages of fleet.proto and those of the core.
 
-func handInMessage(c gateway.HandIn) *pb.FleetMessage {
+func encode(m fleet.Message) *pb.FleetMessage {
+	switch m := m.(type) {
+	case fleet.Heartbeat:
+		return heartbeatMessage(m)
+	case fleet.HandIn:
+		return handInMessage(m)
+	case fleet.Verdict:
+		return verdictMessage(m)
+	case fleet.DropJob:
+		return &pb.FleetMessage{Body: &pb.FleetMessage_DropJob{DropJob: &pb.DropJob{Job: string(m.Job)}}}
+	case fleet.JobQuery:
+		return &pb.FleetMessage{Body: &pb.FleetMessage_JobQuery{
+			JobQuery: &pb.JobQuery{Request: m.Request, Job: string(m.Job), Cancel: m.Cancel},
+		}}
+	case fleet.JobAnswer:
+		return stateMessage(m)
+	case fleet.Declaration:
+		return declarationMessage(m.Declaration)
+	case fleet.RunnerList:
+		return runnersMessage(m)
+	}
+	panic(fmt.Sprintf("unknown message %T", m))
+}
+
+// decode returns nil for a message without a body, and for one of a kind that
+// this version doesn't know: both are signs of life.
+func decode(m *pb.FleetMessage) fleet.Message {
+	switch body := m.GetBody().(type) {
+	case *pb.FleetMessage_Heartbeat:
+		return heartbeatOf(body.Heartbeat)
+	case *pb.FleetMessage_HandIn:
+		return handInOf(body.HandIn)
+	case *pb.FleetMessage_Verdict:
+		return verdictOf(body.Verdict)
+	case *pb.FleetMessage_DropJob:
+		return fleet.DropJob{Job: workload.JobID(body.DropJob.GetJob())}
+	case *pb.FleetMessage_JobQuery:
+		q := body.JobQuery
+		return fleet.JobQuery{Request: q.GetRequest(), Job: workload.JobID(q.GetJob()), Cancel: q.GetCancel()}
+	case *pb.FleetMessage_JobState:
+		return stateOf(body.JobState)
+	case *pb.FleetMessage_Declaration:
+		return fleet.Declaration{Declaration: declarationOf(body.Declaration)}
+	case *pb.FleetMessage_Runners:
+		return runnersOf(body.Runners)
+	}
+	return nil
+}
+
+func handInMessage(c fleet.HandIn) *pb.FleetMessage {
 	return &pb.FleetMessage{Body: &pb.FleetMessage_HandIn{HandIn: &pb.HandIn{
 		Job:        jobMessage(c.Job),
 		DueMs:      c.Due.Milliseconds(),
@@ -24,15 +74,15 @@
 	}}}
 }
 
-func handInOf(m *pb.HandIn) gateway.HandIn {
-	return gateway.HandIn{
+func handInOf(m *pb.HandIn) fleet.HandIn {
+	return fleet.HandIn{HandIn: gateway.HandIn{
 		Job:      jobOf(m.GetJob()),
 		Due:      milliseconds(m.GetDueMs()),
 		Patience: milliseconds(m.GetPatienceMs()),
 		Handed:   int(m.GetHanded()),
 		Term:     m.GetTerm(),
 		Unknown:  milliseconds(m.GetUnknownMs()),
-	}
+	}}
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -107,27 +157,22 @@
 	return s
 }
 
-func dropMessage(c gateway.Drop) *pb.FleetMessage {
-	return &pb.FleetMessage{Body: &pb.FleetMessage_DropJob{DropJob: &pb.DropJob{Job: string(c.Job)}}}
-}
-
-func verdictMessage(a schedule.Answer) *pb.FleetMessage {
+func verdictMessage(v fleet.Verdict) *pb.FleetMessage {
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Verdict{Verdict: &pb.Verdict{
-		Job:          string(a.Job),
-		Outcome:      uint32(a.Outcome),
-		RetryAfterMs: a.RetryAfter.Milliseconds(),
-		Reason:       a.Reason,
+		Job:          string(v.Job),
+		Outcome:      uint32(v.Outcome),
+		RetryAfterMs: v.RetryAfter.Milliseconds(),
+		Reason:       v.Reason,
 	}}}
 }
 
-func verdictOf(from leader.ID, m *pb.Verdict) gateway.Verdict {
-	return gateway.Verdict{
-		From:       from,
+func verdictOf(m *pb.Verdict) fleet.Verdict {
+	return fleet.Verdict{Verdict: gateway.Verdict{
 		Job:        workload.JobID(m.GetJob()),
 		Outcome:    outcomeOf(m.GetOutcome()),
 		RetryAfter: milliseconds(m.GetRetryAfterMs()),
 		Reason:     m.GetReason(),
-	}
+	}}
 }
 
 // outcomeOf takes an outcome that this version doesn't know for one after
@@ -139,38 +184,65 @@
 	return workload.Outcome(n)
 }
 
-func heartbeatMessage(r leader.Report, p *Process) *pb.FleetMessage {
-	h := &pb.Heartbeat{
-		Number:             r.Number,
-		Able:               r.Able,
-		Stopping:           r.Stopping,
-		Demotions:          r.Demotions,
-		Leader:             string(r.Leader),
-		LeaderAgeMs:        uint32(r.LeaderAge.Milliseconds()),
-		Term:               p.schedule.Term(),
-		DeclarationVersion: p.table.Version(),
-		RunnersRevision:    p.runnerList.Revision,
-		RunnersStale:       p.runnersStale,
+func heartbeatMessage(h fleet.Heartbeat) *pb.FleetMessage {
+	m := &pb.Heartbeat{
+		Number:             h.Report.Number,
+		Able:               h.Report.Able,
+		Stopping:           h.Report.Stopping,
+		Demotions:          h.Report.Demotions,
+		Leader:             string(h.Report.Leader),
+		LeaderAgeMs:        uint32(h.Report.LeaderAge.Milliseconds()),
+		Term:               h.Report.Term,
+		DeclarationVersion: h.DeclarationVersion,
+		RunnersRevision:    h.RunnersRevision,
+		RunnersStale:       h.RunnersStale,
+	}
+	if len(h.Pending) > 0 {
+		m.Pending = make(map[string]uint32, len(h.Pending))
 	}
-	if p.schedule.Leading() && len(p.pending) > 0 {
-		h.Pending = make(map[string]uint32, len(p.pending))
-		for queue, n := range p.pending {
-			h.Pending[queue] = uint32(n)
-		}
+	for queue, n := range h.Pending {
+		m.Pending[queue] = uint32(n)
 	}
-	return &pb.FleetMessage{Body: &pb.FleetMessage_Heartbeat{Heartbeat: h}}
+	return &pb.FleetMessage{Body: &pb.FleetMessage_Heartbeat{Heartbeat: m}}
 }
 
-func reportOf(h *pb.Heartbeat) *leader.Report {
-	return &leader.Report{
-		Number:    h.GetNumber(),
-		Able:      h.GetAble(),
-		Stopping:  h.GetStopping(),
-		Demotions: h.GetDemotions(),
-		Term:      h.GetTerm(),
-		Leader:    leader.ID(h.GetLeader()),
-		LeaderAge: milliseconds(int64(h.GetLeaderAgeMs())),
+func heartbeatOf(m *pb.Heartbeat) fleet.Heartbeat {
+	h := fleet.Heartbeat{
+		Report: leader.Report{
+			Number:    m.GetNumber(),
+			Able:      m.GetAble(),
+			Stopping:  m.GetStopping(),
+			Demotions: m.GetDemotions(),
+			Term:      m.GetTerm(),
+			Leader:    leader.ID(m.GetLeader()),
+			LeaderAge: milliseconds(int64(m.GetLeaderAgeMs())),
+		},
+		DeclarationVersion: m.GetDeclarationVersion(),
+		RunnersRevision:    m.GetRunnersRevision(),
+		RunnersStale:       m.GetRunnersStale(),
+		Pending:            make(map[string]int, len(m.GetPending())),
 	}
+	for queue, n := range m.GetPending() {
+		h.Pending[queue] = int(n)
+	}
+	return h
+}
+
+func stateMessage(a fleet.JobAnswer) *pb.FleetMessage {
+	return &pb.FleetMessage{Body: &pb.FleetMessage_JobState{JobState: &pb.JobState{
+		Request: a.Request,
+		Known:   a.State.Known,
+		Ended:   a.State.Ended,
+		Outcome: uint32(a.State.Outcome),
+	}}}
+}
+
+func stateOf(m *pb.JobState) fleet.JobAnswer {
+	return fleet.JobAnswer{Request: m.GetRequest(), State: fleet.JobState{
+		Known:   m.GetKnown(),
+		Ended:   m.GetEnded(),
+		Outcome: outcomeOf(m.GetOutcome()),
+	}}
 }
 
 func declarationMessage(d *routing.Declaration) *pb.FleetMessage {
@@ -229,8 +301,8 @@
 	return d
 }
 
-func runnersMessage(l RunnerList, handover bool) *pb.FleetMessage {
-	m := &pb.RunnerList{Revision: l.Revision, Handover: handover}
+func runnersMessage(l fleet.RunnerList) *pb.FleetMessage {
+	m := &pb.RunnerList{Revision: l.Revision, Handover: l.Handover}
 	for _, r := range l.Runners {
 		m.Runners = append(m.Runners, &pb.FleetRunner{
 			Id:       string(r.ID),
@@ -249,8 +321,8 @@
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Runners{Runners: m}}
 }
 
-func runnersOf(m *pb.RunnerList) RunnerList {
-	l := RunnerList{Revision: m.GetRevision()}
+func runnersOf(m *pb.RunnerList) fleet.RunnerList {
+	l := fleet.RunnerList{Revision: m.GetRevision(), Handover: m.GetHandover()}
 	for _, r := range m.GetRunners() {
 		l.Runners = append(l.Runners, workload.Runner{
 			ID:      workload.RunnerID(r.GetId()),
