--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -31,8 +31,12 @@
 // Verdict is the scheduler's word on a job.
 type Verdict struct{ gateway.Verdict }
 
-// DropJob tells the scheduler that a job's caller has left.
-type DropJob struct{ Job workload.JobID }
+// DropJob tells a scheduler that a job isn't its own any more: its caller has
+// left, or another scheduler gets it.
+type DropJob struct {
+	Job        workload.JobID
+	HandedOver bool
+}
 
 // JobQuery asks the scheduler for a job's state, or to cancel it.
 type JobQuery struct {
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -115,10 +115,10 @@
 		n.emit(Send{To: c.To, Message: HandIn{c}})
 	case gateway.Drop:
 		if c.To == n.Self() {
-			n.schedule.Abandon(c.At, schedule.EntryID(c.To), c.Job)
+			n.dropJob(c.At, c.To, c.Job, c.HandedOver)
 			return
 		}
-		n.emit(Send{To: c.To, Message: DropJob{Job: c.Job}})
+		n.emit(Send{To: c.To, Message: DropJob{Job: c.Job, HandedOver: c.HandedOver}})
 	case gateway.Reply:
 		n.emit(Answer{c})
 	default:
@@ -166,6 +166,14 @@
 	return append(f, Field{"age", ms(d.Age)})
 }
 
+func (n *Node) dropJob(now Time, from leader.ID, job workload.JobID, handedOver bool) {
+	if handedOver {
+		n.schedule.Withdraw(now, schedule.EntryID(from), job)
+		return
+	}
+	n.schedule.Abandon(now, schedule.EntryID(from), job)
+}
+
 func (n *Node) submit(now Time, from leader.ID, c gateway.HandIn) {
 	n.schedule.Submit(now, schedule.Submission{
 		Job:      c.Job,
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -13,6 +13,7 @@
 	n.linked[id] = true
 	n.view.Heard(now, id, nil)
 	n.heartbeat(now, id)
+	n.schedule.EntryBack(now, schedule.EntryID(id))
 	if n.schedule.Leading() {
 		n.emit(Send{To: id, Message: n.runners})
 	}
@@ -39,9 +40,7 @@
 	n.emit(Disconnect{Peer: id})
 	delete(n.linked, id)
 	delete(n.sent, id)
-	if n.schedule.Leading() {
-		n.schedule.EntryLost(now, schedule.EntryID(id), ended)
-	}
+	n.schedule.EntryLost(now, schedule.EntryID(id), ended)
 }
 
 // Receive takes a message. nil is a sign of life and nothing more.
@@ -58,7 +57,7 @@
 		m.From = from
 		n.gateway.Decide(now, m.Verdict)
 	case DropJob:
-		n.schedule.Abandon(now, schedule.EntryID(from), m.Job)
+		n.dropJob(now, from, m.Job, m.HandedOver)
 	case JobQuery:
 		n.emit(Send{To: from, Message: JobAnswer{Request: m.Request, State: n.jobState(now, m.Job, m.Cancel)}})
 	case JobAnswer:
--- /dev/null
+++ b/core/fleet/random_test.go
@@ -0,0 +1,143 @@
+package fleet_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+var (
+	seeds     = flag.Int("fleet.seeds", 40, "number of random runs")
+	firstSeed = flag.Uint64("fleet.first", 1, "seed of the first random run")
+)
+
+// trouble is one kind of fault.
+type trouble func(w *world)
+
+func anyNode(w *world) *fakeNode     { return w.nodes[w.rng.IntN(len(w.nodes))] }
+func anyRunner(w *world) *fakeRunner { return w.runners[w.rng.IntN(len(w.runners))] }
+
+func (w *world) span(least, most int) time.Duration {
+	return time.Duration(least+w.rng.IntN(most-least)) * time.Millisecond
+}
+
+var troubles = map[string]trouble{
+	"kill": func(w *world) { w.kill(anyNode(w), w.span(300, 3000)) },
+	"kill leader": func(w *world) {
+		if n := w.leader(); n != nil {
+			w.kill(n, w.span(300, 3000))
+		}
+	},
+	"kill all": func(w *world) {
+		for _, n := range w.nodes {
+			w.kill(n, w.span(700, 1500))
+		}
+	},
+	"freeze": func(w *world) { w.freeze(anyNode(w), w.span(300, 4000)) },
+	"freeze leader": func(w *world) {
+		if n := w.leader(); n != nil {
+			w.freeze(n, w.span(300, 4000))
+		}
+	},
+	"stop": func(w *world) { w.stop(anyNode(w)) },
+	"cut":  func(w *world) { w.cutOff([]string{"a", "b", "c"}[w.rng.IntN(3)], w.span(200, 6000)) },
+	"store": func(w *world) {
+		w.storeDown = true
+		w.after(w.span(1000, 6000), func() { w.storeDown = false })
+	},
+	"late orders": func(w *world) {
+		for _, r := range w.runners {
+			r.lateShare = 0.05 + w.rng.Float64()*0.3
+		}
+		w.after(w.span(1000, 5000), func() {
+			for _, r := range w.runners {
+				r.lateShare = 0
+			}
+		})
+	},
+	"crash": func(w *world) {
+		r := anyRunner(w)
+		if r.down {
+			return
+		}
+		r.crash()
+		delete(w.listed, r.info.ID)
+		w.after(w.span(500, 4000), func() { w.addRunner(string(r.info.ID)+"x", r.info.Domain) })
+	},
+	"hang": func(w *world) {
+		r := anyRunner(w)
+		r.hangs = true
+		w.after(w.span(1000, 5000), func() { r.hangs = false })
+	},
+	"fail": func(w *world) {
+		r := anyRunner(w)
+		r.fails = true
+		w.after(w.span(1000, 5000), func() { r.fails = false })
+	},
+	"slow": func(w *world) {
+		r := anyRunner(w)
+		r.pace = 5
+		w.after(w.span(1000, 5000), func() { r.pace = 1 })
+	},
+}
+
+func troubleNames() []string {
+	return []string{"kill", "kill leader", "kill all", "freeze", "freeze leader", "stop", "cut", "store", "late orders", "crash", "hang", "fail", "slow"}
+}
+
+// randomRun plays twelve seconds of traffic with a fault about every 700 ms.
+func randomRun(seed uint64) (*world, []string) {
+	w := deployment(seed)
+	w.load(60, 12*time.Second)
+	var played []string
+	for w.now < 12*time.Second {
+		w.run(w.span(100, 1300))
+		name := troubleNames()[w.rng.IntN(len(troubles))]
+		played = append(played, w.now.String()+" "+name)
+		troubles[name](w)
+	}
+	w.run(8 * time.Second)
+	return w, played
+}
+
+// All kinds of faults strike at once and by turns, at any moment, while callers
+// of three failure domains send jobs. Whatever happens, no task runs twice at
+// the same time, a caller who is told that nothing has run finds that true for
+// ever, and a complete answer is complete.
+func TestRandomFaults(t *testing.T) {
+	g := NewWithT(t)
+	served, asked := 0, 0
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		w, played := randomRun(seed)
+		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d: %v", seed, played)
+		for _, j := range w.jobs {
+			asked++
+			if j.answered && j.outcome == workload.Completed {
+				served++
+			}
+		}
+	}
+	t.Logf("%d of %d jobs complete", served, asked)
+	g.Expect(served).To(BeNumerically(">", asked/2))
+}
+
+// Runs that once broke a promise, with the cause.
+var regressions = map[uint64]string{
+	1:    "a caller whose entry VM had died was told that nothing had run, by a scheduler that had dropped the job or never known it",
+	5:    "every process was killed, and the first refusals of the new scheduler weren't true",
+	1252: "the leader of a domain that was cut off refused a job that had run on the other side",
+	1389: "an entry VM gave a job to an older process that had just woken, and the scheduler before it started the job too",
+	1586: "runners of a domain that was cut off were forgotten, so that nobody looked at them when its jobs were handed over",
+}
+
+func TestRegressions(t *testing.T) {
+	for seed, cause := range regressions {
+		w, played := randomRun(seed)
+		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
+	}
+}
--- /dev/null
+++ b/core/fleet/world_test.go
@@ -0,0 +1,579 @@
+package fleet_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+const (
+	service = "labels"
+	queue   = "spot"
+	// delay is the time that a message takes between processes or to a runner.
+	delay = time.Millisecond
+	// resend is when a caller without an answer sends its job again.
+	resend = 1300 * time.Millisecond
+	grace  = 6 * time.Second
+)
+
+// world is a deployment in virtual time: entry processes, runners and callers
+// in failure domains, with a platform that can be away. One seed gives the same
+// run every time.
+type world struct {
+	now     time.Duration
+	events  eventHeap
+	seq     int
+	rng     *rand.Rand
+	nodes   []*fakeNode
+	runners []*fakeRunner
+	jobs    map[workload.JobID]*fakeJob
+	truth   *truth
+	// cut are failure domains that reach nothing outside.
+	cut       map[string]bool
+	storeDown bool
+	// awake is when the last frozen process wakes.
+	awake    time.Duration
+	numbers  uint64
+	revision uint64
+	// listed are the runners on the platform's list.
+	listed map[workload.RunnerID]bool
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// fakeNode is an entry VM; node is nil while its process is down.
+type fakeNode struct {
+	name    string
+	domain  string
+	node    *fleet.Node
+	id      leader.ID
+	life    int
+	frozen  time.Duration
+	links   map[leader.ID]bool
+	pending []func()
+	// requests are the jobs that wait for an answer here.
+	requests map[uint64]*fakeJob
+	lastID   uint64
+}
+
+type fakeJob struct {
+	work     *workload.Job
+	duration time.Duration
+	domain   string
+	sent     time.Duration
+	patience time.Duration
+	starts   int
+	answered bool
+	refused  bool
+	outcome  workload.Outcome
+	took     time.Duration
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		jobs:   make(map[workload.JobID]*fakeJob),
+		cut:    make(map[string]bool),
+		listed: make(map[workload.RunnerID]bool),
+	}
+	w.truth = newTruth(w)
+	return w
+}
+
+// deployment builds domains a, b and c with two entry VMs and six runners each.
+func deployment(seed uint64) *world {
+	w := newWorld(seed)
+	for _, d := range []string{"a", "b", "c"} {
+		for i := range 2 {
+			w.nodes = append(w.nodes, &fakeNode{name: fmt.Sprintf("%s%d", d, i+1), domain: d})
+		}
+		for i := range 6 {
+			w.addRunner(fmt.Sprintf("r%s%d", d, i+1), d)
+		}
+	}
+	for _, n := range w.nodes {
+		w.boot(n)
+	}
+	w.run(time.Second)
+	return w
+}
+
+func (w *world) addRunner(id, domain string) *fakeRunner {
+	r := &fakeRunner{
+		w: w,
+		info: workload.Runner{
+			ID: workload.RunnerID(id), Service: service, Address: id, Domain: domain,
+			Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 1000},
+		},
+		rate:   0.98 + w.rng.Float64()*0.04,
+		offset: int64(w.rng.IntN(1 << 20)),
+		pace:   1,
+		runs:   make(map[workload.RunKey]*fakeRun),
+		sealed: make(map[workload.TaskName]int),
+	}
+	w.runners = append(w.runners, r)
+	w.listed[r.info.ID] = true
+	w.revision++
+	return r
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: w.now + max(0, d), seq: w.seq, f: f})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = end
+}
+
+func (w *world) sortedRuns(r *fakeRunner) []workload.RunKey {
+	list := make([]workload.RunKey, 0, len(r.runs))
+	for k := range r.runs {
+		list = append(list, k)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].String() < list[j].String() })
+	return list
+}
+
+// reach reports whether two domains can talk.
+func (w *world) reach(a, b string) bool { return a == b || !w.cut[a] && !w.cut[b] }
+
+func (w *world) storeReached(n *fakeNode) bool { return !w.storeDown && !w.cut[n.domain] }
+
+// boot starts a process.
+func (w *world) boot(n *fakeNode) {
+	n.life++
+	life := n.life
+	n.node = fleet.New(schedule.DefaultConfig(), grace, w.now)
+	n.id, n.frozen = "", 0
+	n.links = make(map[leader.ID]bool)
+	n.requests = make(map[uint64]*fakeJob)
+	n.pending = nil
+	w.register(n, life)
+	w.tickLoop(n, life)
+	w.storeLoop(n, life)
+}
+
+func (w *world) register(n *fakeNode, life int) {
+	w.after(5*time.Millisecond, func() {
+		if n.life != life {
+			return
+		}
+		if !w.storeReached(n) {
+			w.register(n, life)
+			return
+		}
+		w.numbers++
+		n.id = leader.ID(fmt.Sprintf("%s#%d", n.name, w.numbers))
+		number := w.numbers
+		w.do(n, func() { n.node.Registered(w.now, n.id, number) })
+	})
+}
+
+// do gives an event to a process, at once or when it wakes.
+func (w *world) do(n *fakeNode, f func()) {
+	if n.node == nil {
+		return
+	}
+	if w.now < n.frozen {
+		n.pending = append(n.pending, f)
+		return
+	}
+	f()
+	w.carryOut(n)
+}
+
+func (w *world) tickLoop(n *fakeNode, life int) {
+	w.after(fleet.TickInterval, func() {
+		if n.life != life || n.node == nil {
+			return
+		}
+		if w.now < n.frozen {
+			w.after(n.frozen-w.now, func() { w.wake(n, life) })
+			return
+		}
+		w.link(n)
+		w.do(n, func() { n.node.Tick(w.now) })
+		if n.node.Done(w.now) {
+			w.do(n, func() { n.node.GiveUp(w.now) })
+			w.endProcess(n, true)
+			return
+		}
+		w.tickLoop(n, life)
+	})
+}
+
+// wake lets a frozen process do what came meanwhile, before or after its own
+// timers.
+func (w *world) wake(n *fakeNode, life int) {
+	if n.life != life || n.node == nil {
+		return
+	}
+	tick := func() { w.do(n, func() { n.node.Tick(w.now) }) }
+	if w.rng.IntN(2) == 0 {
+		tick()
+	}
+	queued := n.pending
+	n.pending = nil
+	for _, f := range queued {
+		w.do(n, f)
+	}
+	tick()
+	w.tickLoop(n, life)
+}
+
+// link connects a process with those that it can reach.
+func (w *world) link(n *fakeNode) {
+	for _, o := range w.nodes {
+		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.reach(n.domain, o.domain) || w.now < o.frozen {
+			continue
+		}
+		n.links[o.id], o.links[n.id] = true, true
+		w.do(n, func() { n.node.PeerUp(w.now, o.id) })
+		w.do(o, func() { o.node.PeerUp(w.now, n.id) })
+	}
+}
+
+func (w *world) byID(id leader.ID) *fakeNode {
+	for _, n := range w.nodes {
+		if n.id == id && n.node != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// storeLoop reads the configuration and the list of runners.
+func (w *world) storeLoop(n *fakeNode, life int) {
+	if n.life != life || n.node == nil {
+		return
+	}
+	if w.storeReached(n) {
+		w.do(n, func() {
+			n.node.Declared(w.now, &routing.Declaration{Version: 1}, "store")
+			n.node.RunnersRead(w.now, w.list())
+		})
+	}
+	w.after(400*time.Millisecond, func() { w.storeLoop(n, life) })
+}
+
+// list is the platform's list; the entries of a domain that is cut off lapse.
+func (w *world) list() fleet.RunnerList {
+	w.revision++
+	l := fleet.RunnerList{Revision: w.revision}
+	for _, r := range w.runners {
+		if w.listed[r.info.ID] && !w.cut[r.info.Domain] {
+			l.Runners = append(l.Runners, r.info)
+		}
+	}
+	sort.Slice(l.Runners, func(i, j int) bool { return l.Runners[i].ID < l.Runners[j].ID })
+	return l
+}
+
+func (w *world) carryOut(n *fakeNode) {
+	for _, c := range n.node.Ready() {
+		switch c := c.(type) {
+		case fleet.Send:
+			w.send(n, c)
+		case fleet.Disconnect:
+			w.disconnect(n, c.Peer)
+		case fleet.Order:
+			w.order(n, c.Order)
+		case fleet.Answer:
+			w.reply(n, c)
+		}
+	}
+}
+
+func (w *world) send(n *fakeNode, c fleet.Send) {
+	if !n.links[c.To] {
+		return
+	}
+	from := n.id
+	w.after(delay, func() {
+		o := w.byID(c.To)
+		if o == nil || !o.links[from] || !w.reach(n.domain, o.domain) {
+			return
+		}
+		w.do(o, func() { o.node.Receive(w.now, from, c.Message) })
+	})
+}
+
+func (w *world) disconnect(n *fakeNode, id leader.ID) {
+	delete(n.links, id)
+	from := n.id
+	w.after(delay, func() {
+		if o := w.byID(id); o != nil && w.reach(n.domain, o.domain) && o.links[from] {
+			delete(o.links, from)
+			w.do(o, func() { o.node.PeerDown(w.now, from, false) })
+		}
+	})
+}
+
+// call carries an order to a runner and its answer back; lost says that the
+// caller hears nothing.
+func (w *world) call(n *fakeNode, id workload.RunnerID, timeout time.Duration, order func(*fakeRunner, func(schedule.CallOutcome, *schedule.HoldResult)), done func(schedule.CallOutcome, schedule.Reading, *schedule.HoldResult)) {
+	sent, life := w.now, n.life
+	var finished bool
+	finish := func(o schedule.CallOutcome, clock int64, h *schedule.HoldResult) {
+		if finished || n.life != life {
+			return
+		}
+		finished = true
+		reading := schedule.Reading{Milliseconds: clock, At: w.now, SentAt: sent}
+		w.do(n, func() { done(o, reading, h) })
+	}
+	w.after(timeout, func() { finish(schedule.Unanswered, 0, nil) })
+	r := w.runner(id)
+	if r == nil {
+		return
+	}
+	late := w.rng.Float64() < r.lateShare
+	travel := delay
+	if late {
+		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
+	}
+	w.after(travel, func() {
+		if r.down || !w.reach(n.domain, r.info.Domain) {
+			return
+		}
+		order(r, func(o schedule.CallOutcome, h *schedule.HoldResult) {
+			clock := r.clock()
+			if late {
+				return
+			}
+			w.after(delay, func() {
+				if w.reach(n.domain, r.info.Domain) {
+					finish(o, clock, h)
+				}
+			})
+		})
+	})
+}
+
+func (w *world) runner(id workload.RunnerID) *fakeRunner {
+	for _, r := range w.runners {
+		if r.info.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (w *world) order(n *fakeNode, order any) {
+	switch c := order.(type) {
+	case schedule.Start:
+		w.call(n, c.Runner, schedule.CallTimeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			answer(r.start(c), nil)
+		}, func(o schedule.CallOutcome, clock schedule.Reading, _ *schedule.HoldResult) {
+			n.node.Started(w.now, schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
+		})
+	case schedule.Stop:
+		w.call(n, c.Runner, schedule.CallTimeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			answer(r.stop(c), nil)
+		}, func(o schedule.CallOutcome, clock schedule.Reading, _ *schedule.HoldResult) {
+			n.node.Stopped(w.now, schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
+		})
+	case schedule.Hold:
+		w.call(n, c.Runner, c.Wait+schedule.CallTimeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			r.hold(c, func(h schedule.HoldResult) { answer(h.Outcome, &h) })
+		}, func(o schedule.CallOutcome, clock schedule.Reading, h *schedule.HoldResult) {
+			res := schedule.HoldResult{}
+			if h != nil {
+				res = *h
+			}
+			res.Runner, res.Token, res.Look, res.Outcome, res.Clock = c.Runner, c.Token, c.Look, o, clock
+			n.node.Held(w.now, res)
+		})
+	}
+}
+
+func (w *world) reply(n *fakeNode, a fleet.Answer) {
+	j := n.requests[a.Request]
+	delete(n.requests, a.Request)
+	if j == nil || j.answered {
+		return
+	}
+	if a.Outcome == workload.GaveUp {
+		w.again(j)
+		return
+	}
+	w.truth.answered(j, a.Outcome)
+}
+
+// submit sends a new job from a domain.
+func (w *world) submit(domain string, tasks int, work, patience time.Duration) *fakeJob {
+	id := workload.JobID(fmt.Sprintf("%016x", len(w.jobs)+1))
+	estimate := time.Duration(float64(work) * (0.7 + w.rng.Float64()*0.6))
+	j := &fakeJob{
+		work: &workload.Job{
+			ID: id, Queue: queue, Service: service, MaxAttempts: 3, Objective: estimate*8/5 + 60*time.Millisecond,
+			Steps: []workload.Step{{Tasks: tasks, Need: workload.Resources{MilliCPU: 27000, MemoryMB: 64}, Estimate: estimate}},
+		},
+		duration: work, domain: domain, sent: w.now, patience: patience,
+	}
+	w.jobs[id] = j
+	w.try(j)
+	return j
+}
+
+// try sends a job to a process of its domain that serves, or to any.
+func (w *world) try(j *fakeJob) {
+	if j.answered || w.now >= j.sent+j.patience {
+		return
+	}
+	var near, all []*fakeNode
+	for _, n := range w.nodes {
+		if n.node == nil || n.id == "" || w.now < n.frozen || !n.node.Serves() {
+			continue
+		}
+		all = append(all, n)
+		if n.domain == j.domain {
+			near = append(near, n)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		w.again(j)
+		return
+	}
+	n := near[w.rng.IntN(len(near))]
+	n.lastID++
+	request := n.lastID
+	n.requests[request] = j
+	w.do(n, func() { n.node.Submit(w.now, request, j.work, j.sent+j.patience-w.now) })
+}
+
+func (w *world) again(j *fakeJob) { w.after(resend, func() { w.try(j) }) }
+
+// endProcess ends a process; clean says that it closes its connections.
+func (w *world) endProcess(n *fakeNode, clean bool) {
+	id := n.id
+	waiting := make([]uint64, 0, len(n.requests))
+	for r := range n.requests {
+		waiting = append(waiting, r)
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i] < waiting[j] })
+	for _, r := range waiting {
+		w.again(n.requests[r])
+	}
+	for _, o := range w.nodes {
+		if o == n || o.node == nil || !o.links[id] {
+			continue
+		}
+		if clean && w.reach(n.domain, o.domain) {
+			delete(o.links, id)
+			w.do(o, func() { o.node.PeerDown(w.now, id, true) })
+		}
+	}
+	n.node = nil
+	n.life++
+	n.id = ""
+}
+
+// kill ends a process without a word and starts it again after a while.
+func (w *world) kill(n *fakeNode, down time.Duration) {
+	if n.node == nil {
+		return
+	}
+	w.endProcess(n, false)
+	w.after(down, func() {
+		if n.node == nil {
+			w.boot(n)
+		}
+	})
+}
+
+// stop sends SIGTERM, and starts the process again after it has ended.
+func (w *world) stop(n *fakeNode) {
+	if n.node == nil {
+		return
+	}
+	w.do(n, func() { n.node.Stop(w.now) })
+	w.after(grace+time.Second, func() {
+		if n.node == nil {
+			w.boot(n)
+		}
+	})
+}
+
+func (w *world) freeze(n *fakeNode, d time.Duration) {
+	n.frozen = w.now + d
+	w.awake = max(w.awake, n.frozen)
+}
+
+func (w *world) leader() *fakeNode {
+	for _, n := range w.nodes {
+		if n.node != nil && n.node.Scheduler().Leading() {
+			return n
+		}
+	}
+	return nil
+}
+
+// cutOff cuts a domain from all others and the store, for a while.
+func (w *world) cutOff(domain string, d time.Duration) {
+	w.cut[domain] = true
+	w.after(d, func() { delete(w.cut, domain) })
+}
+
+// load submits jobs at a rate, in all domains, for a while.
+func (w *world) load(perSecond float64, d time.Duration) {
+	end := w.now + d
+	var next func()
+	next = func() {
+		if w.now >= end {
+			return
+		}
+		domain := []string{"a", "b", "c"}[w.rng.IntN(3)]
+		switch w.rng.IntN(8) {
+		case 0:
+			w.submit(domain, 1+w.rng.IntN(4), time.Duration(400+w.rng.IntN(800))*time.Millisecond, 2200*time.Millisecond)
+		case 1, 2:
+			w.submit(domain, 2+w.rng.IntN(8), time.Duration(30+w.rng.IntN(80))*time.Millisecond, 1900*time.Millisecond)
+		default:
+			w.submit(domain, 1+w.rng.IntN(3), time.Duration(100+w.rng.IntN(200))*time.Millisecond, 1900*time.Millisecond)
+		}
+		w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -47,11 +47,13 @@
 	Term uint64
 }
 
-// Drop tells a scheduler that a job's caller has left.
+// Drop tells a scheduler that a job isn't its own any more: its caller has
+// left, or another scheduler gets it.
 type Drop struct {
-	At  Time
-	To  leader.ID
-	Job workload.JobID
+	At         Time
+	To         leader.ID
+	Job        workload.JobID
+	HandedOver bool
 }
 
 // Reply answers one request.
@@ -133,7 +135,7 @@
 	g.jobs[job.ID] = h
 	g.byReq[request] = job.ID
 	if g.choice.Leader != "" && !g.choice.Reachable {
-		g.reply(h, Verdict{Job: job.ID, Outcome: workload.NotRun, RetryAfter: retryNoLeader, Reason: "the scheduler can't be reached"})
+		g.reply(h, Verdict{Job: job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: "the scheduler can't be reached"})
 		return
 	}
 	g.handIn(h)
@@ -173,6 +175,7 @@
 	g.choice = c
 	for _, h := range g.inOrder() {
 		if h.scheduler != "" && h.scheduler != c.Leader {
+			g.out = append(g.out, Drop{At: now, To: h.scheduler, Job: h.job.ID, HandedOver: true})
 			g.takeBack(h, term)
 		}
 		if h.scheduler == "" {
@@ -272,14 +275,12 @@
 			}
 			g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, Reason: "no answer from the scheduler in time"})
 		case h.scheduler == "" && now > h.arrived+leaderWait:
-			o := workload.NotRun
-			if h.handed > 0 {
-				o = workload.GaveUp
-				if now < h.deadline {
-					continue
-				}
+			if h.handed > 0 && now < h.deadline {
+				continue
 			}
-			g.reply(h, Verdict{Job: h.job.ID, Outcome: o, RetryAfter: retryNoLeader, Reason: "no scheduler"})
+			// Who scheduled before may have had the job by another entry VM, so
+			// this is no promise that nothing of it has run.
+			g.reply(h, Verdict{Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: "no scheduler"})
 		}
 	}
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -60,6 +60,12 @@
 	// knownFrom is when what an earlier scheduler may have started can't be
 	// alive any more, on runners that didn't answer.
 	knownFrom Time
+	// handed counts the schedulers before, listsSince is when the job came from
+	// the last of them.
+	handed     int
+	listsSince Time
+	// withdrawn jobs are another scheduler's now.
+	withdrawn bool
 	// term is the highest that an earlier scheduler has used.
 	term uint64
 	// abandonedAt is when the job's runs are stopped since its entry process
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -42,7 +42,7 @@
 
 // enqueue puts a job into the queue, which is in the order of latest starts.
 func (s *Scheduler) enqueue(j *job) {
-	if j.queued || j.ended {
+	if j.queued || j.ended || j.withdrawn {
 		return
 	}
 	j.queued = true
@@ -137,7 +137,7 @@
 		if r.info.Service != j.work.Service || r.gone {
 			continue
 		}
-		if !r.owned || r.token>>numberBits <= j.term && r.listedAt < j.arrived {
+		if !r.owned || r.token>>numberBits <= j.term && r.listedAt < j.listsSince {
 			return false
 		}
 	}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -176,6 +176,7 @@
 	}
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, found: true, stopAt: s.now + orphanGrace}
 	r.add(u)
+	s.ran[k.Task.Job] = s.now
 	if j := s.jobs[k.Task.Job]; j != nil {
 		s.adopt(j, u)
 	}
@@ -189,6 +190,9 @@
 	}
 	t := s.taskOf(u, e.Run)
 	if t == nil || t.phase == done {
+		if t == nil {
+			s.ran[e.Run.Task.Job] = s.now
+		}
 		if t == nil && e.Kind == workload.Done {
 			s.found[e.Run.Task] = s.now
 		}
@@ -421,6 +425,7 @@
 // Reclaim takes the runners back from a scheduler that has yielded to this one.
 func (s *Scheduler) Reclaim(now Time) {
 	s.now = now
+	s.unsureUntil = now + unsureWindow
 	for _, r := range s.list {
 		if r.token == 0 {
 			s.raiseTerm()
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -18,6 +18,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/task"
@@ -27,9 +28,16 @@
 // Time is a reading of the process's monotonic clock.
 type Time = task.Time
 
-// EntryID names one lifetime of an entry process.
+// EntryID names one lifetime of an entry process: its VM and its number, with a
+// '#' between.
 type EntryID string
 
+// VM is the VM of the process.
+func (e EntryID) VM() string {
+	vm, _, _ := strings.Cut(string(e), "#")
+	return vm
+}
+
 // Config is the limits of a scheduler.
 type Config struct {
 	// Number tells this process's fencing tokens from those of all others.
@@ -101,6 +109,15 @@
 	limboWait = 700 * time.Millisecond
 	// resultRetention is how long outcomes are kept for jobs sent again.
 	resultRetention = 60 * time.Second
+	// unsureWindow is how long after another scheduler was in charge a job may
+	// come that it had: callers wait up to 2.7 s.
+	unsureWindow = 4 * time.Second
+	// missingMost is how long a silent process is thought to be alive behind a
+	// cut; VMs that are lost for good don't come back.
+	missingMost = 30 * time.Second
+	// ranRetention is how long it is remembered that something of a job has run:
+	// longer than any caller sends it again.
+	ranRetention = 15 * time.Second
 	// numberBits is the part of a fencing token that names its holder. Two
 	// live processes would need start numbers 2^20 apart to share it.
 	numberBits = 20
@@ -127,6 +144,14 @@
 	resultOrder []workload.JobID
 	// cancelled are ids that were cancelled before their jobs came.
 	cancelled map[workload.JobID]Time
+	// unsureUntil is when this scheduler knows again of all jobs that may come
+	// a second time.
+	unsureUntil Time
+	// missing are VMs whose processes fell silent, by when, and that haven't
+	// come back. They may lead on the other side of a cut.
+	missing map[string]Time
+	// ran are jobs without an outcome of which something is known to have run.
+	ran map[workload.JobID]Time
 	// found are ends of tasks whose jobs aren't known, by the runners' lists.
 	found map[workload.TaskName]Time
 
@@ -155,6 +180,8 @@
 		jobs:      make(map[workload.JobID]*job),
 		results:   make(map[workload.JobID]result),
 		cancelled: make(map[workload.JobID]Time),
+		missing:   make(map[string]Time),
+		ran:       make(map[workload.JobID]Time),
 		found:     make(map[workload.TaskName]Time),
 	}
 }
@@ -198,6 +225,7 @@
 	}
 	s.leading = true
 	s.since = now
+	s.unsureUntil = now + unsureWindow
 	s.term++
 	for _, r := range s.list {
 		s.acquire(r)
@@ -217,6 +245,9 @@
 	for _, r := range s.list {
 		r.release()
 	}
+	for _, j := range s.jobs {
+		s.noteRan(j)
+	}
 	clear(s.jobs)
 	s.queue = nil
 	clear(s.found)
@@ -242,8 +273,9 @@
 		r.info = info
 	}
 	for _, r := range s.list {
-		if !listed[r.info.ID] {
+		if !listed[r.info.ID] && !r.unlisted {
 			r.unlisted = true
+			r.suspectUntil = now + s.cfg.Resend
 		}
 	}
 	s.forgetRunners()
@@ -261,7 +293,8 @@
 func (s *Scheduler) Suspect(now Time, list []workload.Runner) {
 	s.now = now
 	for _, info := range list {
-		if s.runners[info.ID] != nil {
+		if r := s.runners[info.ID]; r != nil {
+			r.suspectUntil = now + s.cfg.Resend
 			continue
 		}
 		r := newRunner(info, now)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -48,7 +48,10 @@
 	if j := s.jobs[id]; j != nil {
 		j.entry = sub.Entry
 		j.abandonedAt = 0
+		j.withdrawn = false
 		j.deadline = max(j.deadline, now+sub.Patience)
+		s.handedBefore(j, sub)
+		s.dispatch()
 		return
 	}
 	s.ctr.Submitted++
@@ -59,11 +62,9 @@
 	// its objective.
 	j.due = min(now+sub.Due, j.deadline)
 	j.useless = min(now+lateFactor*sub.Due, j.deadline)
-	if sub.Handed > 0 {
+	s.handedBefore(j, sub)
+	if _, ok := s.ran[id]; ok {
 		j.started = true
-		j.knownFrom = now + sub.Unknown
-		j.term = sub.Term
-		j.each(func(t *taskState) { t.lastNumber = sub.Handed * runsPerHand })
 	}
 	s.jobs[id] = j
 	s.attach(j)
@@ -76,12 +77,23 @@
 		return
 	}
 	s.enqueue(j)
-	if j.knownFrom > now {
-		s.lookAtAll(j.work.Service)
-	}
 	s.dispatch()
 }
 
+// handedBefore notes what other schedulers may have started of a job.
+func (s *Scheduler) handedBefore(j *job, sub Submission) {
+	if sub.Handed <= j.handed {
+		return
+	}
+	j.handed = sub.Handed
+	j.started = true
+	j.knownFrom = s.now + sub.Unknown
+	j.listsSince = s.now
+	j.term = max(j.term, sub.Term)
+	j.each(func(t *taskState) { t.lastNumber = max(t.lastNumber, sub.Handed*runsPerHand) })
+	s.lookAtAll(j.work.Service)
+}
+
 // attach joins a job with runs and ends that runners list for it.
 func (s *Scheduler) attach(j *job) {
 	for _, r := range s.list {
@@ -136,7 +148,7 @@
 	if j.ended {
 		return
 	}
-	if o == workload.NotRun && j.started {
+	if o == workload.NotRun && s.mayHaveRun(j) {
 		o = workload.GaveUp
 	}
 	a := Answer{At: s.now, Entry: j.entry, Job: j.work.ID, Outcome: o, Reason: reason, Runs: j.runs}
@@ -154,10 +166,23 @@
 	s.emit(a)
 }
 
+// mayHaveRun reports whether something of a job has run, or nobody can tell.
+//
+// A caller whose entry VM has died sends its job again. If the scheduler that
+// had it is gone too, nothing may be left of it: the ends that it acknowledged
+// aren't listed any more. Or that scheduler is cut off, and the caller isn't. So
+// for a while after a takeover, and while another process is missing, such a job
+// can't be told from a new one, and its caller must not be told that nothing was
+// run.
+func (s *Scheduler) mayHaveRun(j *job) bool {
+	return j.started || s.now < s.unsureUntil || len(s.missing) > 0
+}
+
 // forget drops a job and stops its runs. They stay known as runs without a job
 // until they have ended.
 func (s *Scheduler) forget(j *job) {
 	j.ended = true
+	s.noteRan(j)
 	delete(s.jobs, j.work.ID)
 	s.dequeue(j)
 	j.each(func(t *taskState) {
@@ -172,6 +197,14 @@
 	})
 }
 
+// noteRan remembers that something of a job has run. Its caller may send it
+// again, and must not be told then that nothing was run.
+func (s *Scheduler) noteRan(j *job) {
+	if j.started {
+		s.ran[j.work.ID] = s.now
+	}
+}
+
 func (s *Scheduler) count(o workload.Outcome) {
 	switch o {
 	case workload.Completed:
@@ -223,6 +256,19 @@
 	s.dispatch()
 }
 
+// Withdraw takes a job back for another scheduler. What runs goes on, so that
+// that one finds it, for as long as that is safe.
+func (s *Scheduler) Withdraw(now Time, entry EntryID, id workload.JobID) {
+	s.now = now
+	j := s.jobs[id]
+	if j == nil || j.entry != entry {
+		return
+	}
+	j.withdrawn = true
+	j.abandonedAt = now + abandonedGrace
+	s.dequeue(j)
+}
+
 // EntryLost drops the jobs of an entry VM.
 //
 // If its process has ended, their callers send them again after a while, so
@@ -231,6 +277,9 @@
 // here; so they are stopped at once.
 func (s *Scheduler) EntryLost(now Time, entry EntryID, ended bool) {
 	s.now = now
+	if !ended {
+		s.missing[entry.VM()] = now
+	}
 	for _, j := range s.jobsInOrder() {
 		if j.entry != entry {
 			continue
@@ -245,6 +294,15 @@
 	s.dispatch()
 }
 
+// EntryBack notes that an entry VM is heard again, perhaps by a new process.
+func (s *Scheduler) EntryBack(now Time, entry EntryID) {
+	s.now = now
+	if _, ok := s.missing[entry.VM()]; ok {
+		delete(s.missing, entry.VM())
+		s.unsureUntil = max(s.unsureUntil, now+unsureWindow)
+	}
+}
+
 // State tells how far a job is, for its caller.
 func (s *Scheduler) State(id workload.JobID) (o workload.Outcome, ended, known bool) {
 	if r, ok := s.results[id]; ok {
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -29,7 +29,7 @@
 func (s *Scheduler) tickLimbo() {
 	for _, j := range s.jobsInOrder() {
 		if s.now-j.arrived > limboWait {
-			s.finish(j, workload.NotRun, "this process doesn't lead")
+			s.finish(j, workload.GaveUp, "this process doesn't lead")
 		}
 	}
 }
@@ -130,6 +130,16 @@
 			delete(s.cancelled, id)
 		}
 	}
+	for id, at := range s.missing {
+		if s.now-at > missingMost {
+			delete(s.missing, id)
+		}
+	}
+	for id, at := range s.ran {
+		if s.now-at > ranRetention {
+			delete(s.ran, id)
+		}
+	}
 	for name, at := range s.found {
 		if s.now-at > s.cfg.Resend+limboWait {
 			delete(s.found, name)
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -23,7 +23,7 @@
 	case fleet.Verdict:
 		return verdictMessage(m)
 	case fleet.DropJob:
-		return &pb.FleetMessage{Body: &pb.FleetMessage_DropJob{DropJob: &pb.DropJob{Job: string(m.Job)}}}
+		return &pb.FleetMessage{Body: &pb.FleetMessage_DropJob{DropJob: &pb.DropJob{Job: string(m.Job), HandedOver: m.HandedOver}}}
 	case fleet.JobQuery:
 		return &pb.FleetMessage{Body: &pb.FleetMessage_JobQuery{
 			JobQuery: &pb.JobQuery{Request: m.Request, Job: string(m.Job), Cancel: m.Cancel},
@@ -49,7 +49,7 @@
 	case *pb.FleetMessage_Verdict:
 		return verdictOf(body.Verdict)
 	case *pb.FleetMessage_DropJob:
-		return fleet.DropJob{Job: workload.JobID(body.DropJob.GetJob())}
+		return fleet.DropJob{Job: workload.JobID(body.DropJob.GetJob()), HandedOver: body.DropJob.GetHandedOver()}
 	case *pb.FleetMessage_JobQuery:
 		q := body.JobQuery
 		return fleet.JobQuery{Request: q.GetRequest(), Job: workload.JobID(q.GetJob()), Cancel: q.GetCancel()}
