A leader that is fenced waits; more time for orders just after a takeover

Change: 150 ms before a runner is taken back, none at a planned stop; 250 ms for orders in the first second.

--- a/core/fleet/stop.go
+++ b/core/fleet/stop.go
@@ -32,6 +32,7 @@
 	n.notice("process-stopping", Field{"jobs", n.gateway.InHand()})
 	n.stopAt = now
 	n.view.Stop()
+	n.schedule.Yield()
 	n.heartbeatAll(now)
 	n.follow(now)
 }
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -19,6 +19,8 @@
 	// LeaseEnd is on the runner's clock, in milliseconds. It also makes the
 	// order useless if it is carried out late.
 	LeaseEnd int64
+	// Timeout is how long to wait for the answer.
+	Timeout time.Duration
 }
 
 // Stop orders a runner to stop a run, and never to start it if it hasn't come
@@ -28,6 +30,7 @@
 	Address string
 	Token   uint64
 	Run     workload.RunKey
+	Timeout time.Duration
 }
 
 // Hold renews the lease of all that runs on a runner, acknowledges ends, and
@@ -44,6 +47,8 @@
 	Wait time.Duration
 	// Look marks one that is sent beside another.
 	Look bool
+	// Timeout is how long to wait for the answer, Wait included.
+	Timeout time.Duration
 }
 
 // Answer is the final word on a job, to the entry VM that handed it in.
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -182,5 +182,6 @@
 		Run:      u.key,
 		Spec:     u.task.job.work.Spec,
 		LeaseEnd: r.leaseEnd(s.now, s.cfg.Lease),
+		Timeout:  s.callTimeout(),
 	})
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -44,6 +44,7 @@
 		Address:      r.info.Address,
 		Token:        r.token,
 		Acknowledged: r.acknowledged,
+		Timeout:      s.callTimeout(),
 	}
 	// A renewal that stays unanswered may still be carried out. So while in
 	// doubt none is given: then the time at which the runs are surely over
@@ -51,6 +52,7 @@
 	if len(r.runs) > 0 && r.owned && !r.inDoubt && !r.strange() {
 		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
 		h.Wait = s.cfg.HoldWait
+		h.Timeout += h.Wait
 		r.grant(s.now, s.cfg.Lease)
 	}
 	s.emit(h)
@@ -114,7 +116,7 @@
 		return
 	}
 	r.looking = true
-	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.acknowledged, Look: true})
+	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.acknowledged, Look: true, Timeout: s.callTimeout()})
 }
 
 func (s *Scheduler) nextHold(r *runner) {
@@ -351,7 +353,7 @@
 		return
 	}
 	u.stopping = true
-	s.emit(Stop{Runner: u.runner.info.ID, Address: u.runner.info.Address, Token: u.runner.token, Run: u.key})
+	s.emit(Stop{Runner: u.runner.info.ID, Address: u.runner.info.Address, Token: u.runner.token, Run: u.key, Timeout: s.callTimeout()})
 }
 
 // Stopped takes what came of a Stop.
@@ -398,17 +400,23 @@
 func (s *Scheduler) lose(r *runner) {
 	s.ctr.Fenced++
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "fenced"})
-	tasks := r.tasks()
+	tasks, owned := r.tasks(), r.owned
 	r.release()
 	for _, t := range tasks {
 		t.notBefore = s.now + s.cfg.Resend
 		s.requeue(t)
 	}
 	r.token = 0
-	r.reacquireAt = s.now + reacquireWait
-	if s.now-r.acquiredAt > reacquireWait || s.now-s.since < settleTime {
+	switch {
+	case s.yielding:
+	case !owned:
+		// It has obeyed the scheduler before, whose term wasn't known.
 		s.raiseTerm()
 		s.acquire(r)
+	case s.now-r.acquiredAt > reacquireWait:
+		r.reacquireAt = s.now + fencedWait
+	default:
+		r.reacquireAt = s.now + reacquireWait
 	}
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -88,13 +88,19 @@
 	// idleCheck is how often an idle runner is looked at, so that a job
 	// doesn't find out first that it is dead.
 	idleCheck = time.Second
-	// reacquireWait is how long a runner is left to another scheduler that has
-	// taken it soon after this one had; the first time it is taken back at
-	// once. Two that can't hear each other so change it seldom.
+	// fencedWait is how long a runner is left to another scheduler that has
+	// taken it. Mostly that one takes over, and says so in its next heartbeat;
+	// taking the runner back at once would only hold it up.
+	fencedWait = 150 * time.Millisecond
+	// reacquireWait is the same for a runner that this scheduler itself took
+	// only a while ago. Two that can't hear each other so change it seldom.
 	reacquireWait = 1500 * time.Millisecond
-	// settleTime is how long after taking over a higher token on a runner is
-	// put down to the scheduler before, whose term wasn't known.
+	// settleTime is how long after taking over it isn't known yet what the
+	// runners can take, and their connections aren't open.
 	settleTime = time.Second
+	// settleTimeout is CallTimeout for that time: some hundred calls and new
+	// connections at once keep a small VM busy for a tenth of a second.
+	settleTimeout = 250 * time.Millisecond
 	// termStep raises the term after a runner has refused a token. The runner
 	// doesn't say which token it has seen.
 	termStep = 16
@@ -129,7 +135,9 @@
 	now     Time
 	term    uint64
 	leading bool
-	since   Time
+	// yielding: another process is about to take over.
+	yielding bool
+	since    Time
 	// raisedAt is when the term was last raised above that of a stranger.
 	raisedAt Time
 
@@ -224,6 +232,7 @@
 		return
 	}
 	s.leading = true
+	s.yielding = false
 	s.since = now
 	s.unsureUntil = now + unsureWindow
 	s.term++
@@ -233,6 +242,18 @@
 	s.dispatch()
 }
 
+// Yield keeps the scheduler from taking back runners that another one takes,
+// since that is to take over.
+func (s *Scheduler) Yield() { s.yielding = true }
+
+// callTimeout is how long an order may stay unanswered now.
+func (s *Scheduler) callTimeout() time.Duration {
+	if s.now-s.since < settleTime {
+		return settleTimeout
+	}
+	return CallTimeout
+}
+
 // Retire gives up all runners and jobs without a word to them: another
 // scheduler takes the runners with what runs there, and entry VMs hand their
 // jobs in to it. Stopping the runs would throw away work that it goes on with.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -10,12 +10,8 @@
 // Orders to runners. Each is carried out by a goroutine of its own; results go
 // back to the loop as events.
 
-// holdSlack is how much longer than asked a runner may take over a renewal
-// until it counts as unanswered.
-const holdSlack = schedule.CallTimeout
-
 func (p *Process) startTask(ctx context.Context, c schedule.Start) {
-	ctx, cancel := context.WithTimeout(ctx, schedule.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	sent := time.Now()
 	a := p.runners.Start(ctx, c)
@@ -27,7 +23,7 @@
 }
 
 func (p *Process) stopTask(ctx context.Context, c schedule.Stop) {
-	ctx, cancel := context.WithTimeout(ctx, schedule.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	sent := time.Now()
 	a := p.runners.Stop(ctx, c)
@@ -39,7 +35,7 @@
 }
 
 func (p *Process) holdRunner(ctx context.Context, c schedule.Hold) {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+holdSlack)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	sent := time.Now()
 	a := p.runners.Hold(ctx, c)
