--- a/cli/cli.go
+++ b/cli/cli.go
@@ -85,7 +85,7 @@
 		},
 	}
 	cmd.PersistentFlags().StringVarP(&a.output, "output", "o", textOutput, "form of output: text or json")
-	cmd.AddCommand(a.settingsCommand(), a.submitCommand(), a.cancelCommand(), a.dumpCommand(), a.drainCommand(), a.keysCommand(), a.tokenCommand())
+	cmd.AddCommand(a.settingsCommand(), a.submitCommand(), a.cancelCommand(), a.dumpCommand(), a.drainCommand(), a.keysCommand(), a.tokenCommand(), a.entryCommand())
 	a.track(cmd)
 	return cmd
 }
--- a/cmd/sapphirepoint-entry/main.go
+++ b/cmd/sapphirepoint-entry/main.go
@@ -41,7 +41,7 @@
 	}
 	out := logging.NewQueue(os.Stdout)
 	defer out.Close()
-	log := logging.New(out, zerolog.InfoLevel)
+	log := logging.New(out, zerolog.InfoLevel).With().Str("node", settings.Node).Logger()
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -260,7 +260,7 @@
 		if h.scheduler != "" {
 			g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
 		}
-		g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, Reason: reason})
+		g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: reason})
 	}
 }
 
@@ -273,7 +273,7 @@
 			if h.scheduler != "" {
 				g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
 			}
-			g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, Reason: "no answer from the scheduler in time"})
+			g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: "no answer from the scheduler in time"})
 		case h.scheduler == "" && now > h.arrived+leaderWait:
 			if h.handed > 0 && now < h.deadline {
 				continue
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -155,7 +155,7 @@
 	if j.runs > 0 {
 		a.Waited = j.firstRun - j.arrived
 	}
-	if o == workload.NotRun {
+	if o == workload.NotRun || o == workload.GaveUp {
 		a.RetryAfter = s.retryAfter(j)
 	}
 	s.count(o)
--- a/entry/process.go
+++ b/entry/process.go
@@ -91,7 +91,7 @@
 
 // Run works until the context ends or a planned stop is over.
 func (p *Process) Run(ctx context.Context) error {
-	p.log.Info().Str("node", p.cfg.Node).Str("peers", p.mesh.Address()).Msg("process-started")
+	p.log.Info().Str("peers", p.mesh.Address()).Msg("process-started")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -101,7 +101,7 @@
 	group.Go(func() error { p.register(ctx); p.watchMembers(ctx); return nil })
 	group.Go(func() error { defer cancel(); p.loop(ctx); return nil })
 	err := group.Wait()
-	p.log.Info().Str("node", p.cfg.Node).Msg("process-ended")
+	p.log.Info().Msg("process-ended")
 	return err
 }
 
--- /dev/null
+++ b/standin/deployment/runner.go
@@ -0,0 +1,271 @@
+package deployment
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// RunnerInfo is what a runner says of itself in the store.
+type RunnerInfo struct {
+	Service  string         `json:"service"`
+	Address  string         `json:"address"`
+	Zone     string         `json:"zone"`
+	Version  string         `json:"version"`
+	Slots    int            `json:"slots"`
+	State    string         `json:"state"`
+	Capacity map[string]int `json:"capacity"`
+	Labels   []string       `json:"labels"`
+	Seq      int            `json:"seq"`
+}
+
+// Started is a run that a runner has begun.
+type Started struct {
+	Task string
+	Run  int
+}
+
+// Runner is the stand-in for a runner. A task's spec is how long it takes, as
+// in "50ms", or "fail".
+type Runner struct {
+	ID       string
+	Info     RunnerInfo
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	token    uint64
+	leaseEnd time.Time
+	running  map[Started]*time.Timer
+	sealed   map[string]int
+	ends     [][]any
+	lastEnd  int
+	changed  chan struct{}
+	starts   []Started
+	silent   bool
+}
+
+// clockZero is where a runner's clock begins.
+var clockZero = time.Now().Add(-time.Hour)
+
+// holdMax is the longest lease that a runner grants.
+const holdMax = time.Second
+
+// NewRunner starts a runner on a free port and registers it in the store.
+func NewRunner(s *Store, id, service, domain string) (*Runner, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	r := &Runner{
+		ID: id,
+		Info: RunnerInfo{
+			Service: service, Address: l.Addr().String(), Zone: domain, Version: "v1", Slots: 8, State: "ready",
+			Capacity: map[string]int{"cpu": 64000, "memMb": 131072, "gpu": 0}, Labels: []string{"a", "r1-1"}, Seq: 1,
+		},
+		listener: l,
+		running:  make(map[Started]*time.Timer),
+		sealed:   make(map[string]int),
+		changed:  make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", r.start)
+	mux.HandleFunc("POST /run-stop", r.stop)
+	mux.HandleFunc("POST /hold", r.hold)
+	r.server = &http.Server{Handler: r.guard(mux), ReadHeaderTimeout: time.Second}
+	go func() { _ = r.server.Serve(l) }()
+	return r, s.Put("servers", id, r.Info)
+}
+
+// Close crashes the runner.
+func (r *Runner) Close() { _ = r.server.Close() }
+
+// Silence leaves all orders unanswered and undone.
+func (r *Runner) Silence(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = on
+}
+
+// Starts are the runs begun so far.
+func (r *Runner) Starts() []Started {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Started(nil), r.starts...)
+}
+
+// Token is the highest fencing token seen.
+func (r *Runner) Token() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.token
+}
+
+func clock() int64 { return time.Since(clockZero).Milliseconds() }
+
+func (r *Runner) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.mu.Lock()
+		silent := r.silent
+		r.mu.Unlock()
+		if silent {
+			<-q.Context().Done()
+			return
+		}
+		if id := q.Header.Get("Expect-Instance"); id != "" && id != r.ID {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+type order struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	DeadlineMs int64  `json:"deadlineMs"`
+	FenceToken uint64 `json:"fenceToken"`
+	AckCursor  int    `json:"ackCursor"`
+	WaitMs     int    `json:"waitMs"`
+}
+
+func (r *Runner) read(w http.ResponseWriter, q *http.Request) (order, bool) {
+	var o order
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return o, false
+	}
+	r.mu.Lock()
+	if o.FenceToken < r.token {
+		r.mu.Unlock()
+		refuse(w, "fence")
+		return o, false
+	}
+	r.token = o.FenceToken
+	return o, true
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	answer(w, http.StatusConflict, map[string]any{"clockMs": clock(), "reason": reason})
+}
+
+func accept(w http.ResponseWriter) { answer(w, http.StatusOK, map[string]any{"clockMs": clock()}) }
+
+// grant moves the end of the lease; it never comes nearer.
+func (r *Runner) grant(ms int64) {
+	end := clockZero.Add(time.Duration(ms) * time.Millisecond)
+	if most := time.Now().Add(holdMax); end.After(most) {
+		end = most
+	}
+	if !end.After(r.leaseEnd) {
+		return
+	}
+	r.leaseEnd = end
+	time.AfterFunc(time.Until(end), r.lapse)
+}
+
+func (r *Runner) lapse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.leaseEnd) {
+		return
+	}
+	for s := range r.running {
+		r.end(s, "lapsed")
+	}
+}
+
+func (r *Runner) start(w http.ResponseWriter, q *http.Request) {
+	o, ok := r.read(w, q)
+	if !ok {
+		return
+	}
+	defer r.mu.Unlock()
+	s := Started{o.Task, o.Run}
+	switch {
+	case r.running[s] != nil:
+		accept(w)
+		return
+	case o.Run <= r.sealed[o.Task]:
+		refuse(w, "old")
+		return
+	case o.DeadlineMs <= clock():
+		refuse(w, "late")
+		return
+	}
+	r.grant(o.DeadlineMs)
+	how, work := "done", time.Millisecond
+	if strings.HasPrefix(o.Spec, "fail") {
+		how = "failed"
+	} else if d, err := time.ParseDuration(o.Spec); err == nil {
+		work = d
+	}
+	r.starts = append(r.starts, s)
+	r.running[s] = time.AfterFunc(work, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.end(s, how)
+	})
+	accept(w)
+}
+
+// end is called with the lock held.
+func (r *Runner) end(s Started, how string) {
+	timer := r.running[s]
+	if timer == nil {
+		return
+	}
+	timer.Stop()
+	delete(r.running, s)
+	r.sealed[s.Task] = max(r.sealed[s.Task], s.Run)
+	r.lastEnd++
+	r.ends = append(r.ends, []any{r.lastEnd, s.Task, s.Run, how, ""})
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Runner) stop(w http.ResponseWriter, q *http.Request) {
+	o, ok := r.read(w, q)
+	if !ok {
+		return
+	}
+	defer r.mu.Unlock()
+	r.sealed[o.Task] = max(r.sealed[o.Task], o.Run)
+	r.end(Started{o.Task, o.Run}, "stopped")
+	accept(w)
+}
+
+func (r *Runner) hold(w http.ResponseWriter, q *http.Request) {
+	o, ok := r.read(w, q)
+	if !ok {
+		return
+	}
+	if o.DeadlineMs > 0 {
+		r.grant(o.DeadlineMs)
+	}
+	for len(r.ends) > 0 && r.ends[0][0].(int) <= o.AckCursor {
+		r.ends = r.ends[1:]
+	}
+	if len(r.ends) == 0 && o.WaitMs > 0 {
+		changed := r.changed
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
+		case <-q.Context().Done():
+		}
+		r.mu.Lock()
+	}
+	defer r.mu.Unlock()
+	running := make([][]any, 0, len(r.running))
+	for s := range r.running {
+		running = append(running, []any{s.Task, s.Run, "", 100, 0})
+	}
+	answer(w, http.StatusOK, map[string]any{"clockMs": clock(), "running": running, "endedRuns": r.ends})
+}
--- /dev/null
+++ b/standin/deployment/settings.go
@@ -0,0 +1,82 @@
+package deployment
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/pkg/errors"
+)
+
+// Node is an entry VM as its settings file describes it.
+type Node struct {
+	Name    string
+	Domain  string
+	Callers string
+	Health  string
+	PeerUDP int
+}
+
+// NewNode picks free ports on the loopback address.
+func NewNode(name, domain string) (Node, error) {
+	callers, err := freeTCP()
+	if err != nil {
+		return Node{}, err
+	}
+	health, err := freeTCP()
+	if err != nil {
+		return Node{}, err
+	}
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return Node{}, errors.Wrap(err, "free port")
+	}
+	defer c.Close()
+	return Node{Name: name, Domain: domain, Callers: callers, Health: health, PeerUDP: c.LocalAddr().(*net.UDPAddr).Port}, nil
+}
+
+func freeTCP() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Settings is the text of the node's settings file.
+func (n Node) Settings(store string, graceS float64) string {
+	return fmt.Sprintf(`nodeName = %q
+role = "entry"
+zone = %q
+ip = "127.0.0.1"
+portRange = [%d,%d]
+unknown = "ignored"
+
+[listen]
+front = %q
+ready = %q
+
+[bounds]
+graceS = %g
+holdMaxMs = 1000
+stopTimeoutMs = 50
+retransmitMs = 1300
+remoteFactor = 3
+
+[platform]
+address = %q
+`, n.Name, n.Domain, n.PeerUDP, n.PeerUDP, n.Callers, n.Health, graceS, store)
+}
+
+// Declaration is an operator's configuration with one queue.
+func Declaration(version int, host, prefix, queue, service string) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": queue, "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60,
+			"priority": 0, "service": service, "maxAttempts": 2, "stretch": 1.6,
+		}},
+		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "rejectsOverload": true}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
--- /dev/null
+++ b/standin/deployment/store.go
@@ -0,0 +1,267 @@
+// Package deployment is a small stand-in for the users' platform, which speaks
+// its published protocol: a store of rows with a feed of changes, and runners
+// that register there. Tests and examples run the whole program against it.
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Row is a row of a table; Value is base64 on the wire.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"tableVersion"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// StoreFaults are the failures switched on at present.
+type StoreFaults struct {
+	// Busy answers 503 to every call.
+	Busy bool
+	// Silent answers no call.
+	Silent bool
+	// LoseWrites does the coming writes and answers none of them.
+	LoseWrites int
+}
+
+// Store is the stand-in for the platform's store.
+type Store struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu      sync.Mutex
+	version uint64
+	rows    map[rowKey]Row
+	// history are the changes that the feed can tell, from the version after
+	// forgotten on.
+	history   []Row
+	forgotten uint64
+	changed   chan struct{}
+	faults    StoreFaults
+	writes    int
+}
+
+type rowKey struct{ table, part, key string }
+
+// NewStore starts a store on a free port of the loopback address.
+func NewStore() (*Store, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &Store{listener: l, rows: make(map[rowKey]Row), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /rows-tx", s.transact)
+	mux.HandleFunc("GET /rows-get", s.get)
+	mux.HandleFunc("GET /rows-feed", s.feed)
+	s.server = &http.Server{Handler: s.faulty(mux), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Address is where the store listens.
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// Close ends the store at once.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// SetFaults changes the failures.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.forgotten = s.version
+}
+
+// Writes is the number of transactions applied.
+func (s *Store) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+// Put writes a row as the platform or its operator does.
+func (s *Store) Put(table, key string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode row")
+	}
+	s.PutRaw(table, key, raw)
+	return nil
+}
+
+// PutRaw writes bytes, which need not make sense.
+func (s *Store) PutRaw(table, key string, raw []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.apply(Row{Table: table, Key: key, Value: raw})
+	s.wake()
+}
+
+// Remove drops a row.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.apply(Row{Table: table, Key: key, Deleted: true})
+	s.wake()
+}
+
+func (s *Store) apply(r Row) {
+	r.Version = s.version
+	k := rowKey{r.Table, r.Part, r.Key}
+	if r.Deleted {
+		delete(s.rows, k)
+	} else {
+		s.rows[k] = r
+	}
+	s.history = append(s.history, r)
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.mu.Unlock()
+		switch {
+		case f.Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case f.Silent:
+			<-r.Context().Done()
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Conditions []Row `json:"expectedRev"`
+		Set        []Row `json:"setKeys"`
+		Remove     []Row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	for _, c := range t.Conditions {
+		if s.rows[rowKey{c.Table, c.Part, c.Key}].Version != c.Version {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.version++
+	s.writes++
+	for _, row := range t.Set {
+		s.apply(row)
+	}
+	for _, row := range t.Remove {
+		row.Deleted = true
+		s.apply(row)
+	}
+	s.wake()
+	version, lose := s.version, s.faults.LoseWrites > 0
+	if lose {
+		s.faults.LoseWrites--
+	}
+	s.mu.Unlock()
+	if lose {
+		<-r.Context().Done()
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{"tableVersion": version, "nowMs": time.Now().UnixMilli()})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 {
+		limit = 500
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []Row
+	for k, row := range s.rows {
+		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	more := len(rows) > limit
+	rows = rows[:min(len(rows), limit)]
+	answer(w, http.StatusOK, map[string]any{"rows": rows, "hasMore": more, "tableVersion": s.version, "nowMs": time.Now().UnixMilli()})
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, _ := strconv.ParseUint(q.Get("dependsOn"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		if since < s.forgotten {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		rows, version, changed := s.since(q.Get("table"), since), s.version, s.changed
+		s.mu.Unlock()
+		if len(rows) > 0 || ctx.Err() != nil {
+			answer(w, http.StatusOK, map[string]any{"rows": rows, "tableVersion": version, "nowMs": time.Now().UnixMilli()})
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Store) since(table string, version uint64) []Row {
+	var rows []Row
+	for _, r := range s.history {
+		if r.Table == table && r.Version > version {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
