--- /dev/null
+++ b/core/leader/leader_test.go
@@ -0,0 +1,108 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const ms = time.Millisecond
+
+// view returns that of process b, number 2, after it has settled.
+func view() (*View, Time) {
+	v := NewView("", 0)
+	v.Register(0, "b", 2)
+	v.SetAble(true)
+	return v, time.Second
+}
+
+func able(number uint64, leader ID) *Report {
+	return &Report{Number: number, Able: true, Leader: leader}
+}
+
+func TestOldestLeads(t *testing.T) {
+	g := NewWithT(t)
+	v, now := view()
+	g.Expect(v.Choose(now, false)).To(Equal(Choice{Leader: "b", Reachable: true}))
+	v.Heard(now, "c", able(3, "c"))
+	g.Expect(v.Choose(now, true)).To(Equal(Choice{Leader: "b", Reachable: true}))
+	v.Heard(now, "a", able(1, "a"))
+	g.Expect(v.Choose(now, false)).To(Equal(Choice{Leader: "a", Reachable: true}))
+	v.Heard(now, "d", &Report{Number: 0, Able: false})
+	g.Expect(v.Choose(now, false).Leader).To(Equal(ID("a")))
+}
+
+// A process has just started. The older ones connect within moments; if it led
+// until then, every restart would change the leader twice.
+func TestNewProcessListensFirst(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView("", 0)
+	v.Register(0, "b", 2)
+	v.SetAble(true)
+	g.Expect(v.Choose(settle-ms, false)).To(Equal(Choice{}))
+	g.Expect(v.Choose(settle, false).Leader).To(Equal(ID("b")))
+}
+
+// The oldest process has connected but doesn't know yet that it should lead. A
+// job handed to it would wait; and a leader that stopped now would leave a gap.
+func TestNobodyFollowsAProcessThatDoesntLeadYet(t *testing.T) {
+	g := NewWithT(t)
+	v, now := view()
+	v.Heard(now, "a", able(1, ""))
+	g.Expect(v.Choose(now, false)).To(Equal(Choice{}))
+	g.Expect(v.Choose(now, true).Leader).To(Equal(ID("b")), "it leads on until a does")
+	v.Heard(now, "a", able(1, "a"))
+	g.Expect(v.Choose(now, true).Leader).To(Equal(ID("a")))
+}
+
+// Only the link between this process and the leader is cut; the others follow
+// it. If this one led beside it, they would take the runners from each other by
+// turns.
+func TestLeaderThatOthersHear(t *testing.T) {
+	g := NewWithT(t)
+	v, now := view()
+	v.Heard(now, "c", &Report{Number: 3, Able: true, Leader: "a", LeaderAge: 50 * ms})
+	g.Expect(v.Choose(now, false)).To(Equal(Choice{Leader: "a"}))
+	later := now + LostAfter
+	v.Heard(later, "c", &Report{Number: 3, Able: true, Leader: "a", LeaderAge: 50*ms + LostAfter})
+	g.Expect(v.Choose(later, false)).To(Equal(Choice{Leader: "b", Reachable: true}))
+}
+
+// The leader was frozen and wakes. What it knows of the others is old, and it
+// would come back as the oldest just to be slow again.
+func TestFrozenLeader(t *testing.T) {
+	g := NewWithT(t)
+	v, now := view()
+	v.Heard(now, "c", able(3, "b"))
+	g.Expect(v.Choose(now, true).Leader).To(Equal(ID("b")))
+	now += 3 * time.Second
+	v.Stalled(now, true)
+	g.Expect(v.Silent(now)).To(BeEmpty())
+	g.Expect(v.Choose(now, false).Leader).NotTo(Equal(ID("b")))
+	v.Heard(now, "c", able(3, "c"))
+	g.Expect(v.Choose(now+settle, false)).To(Equal(Choice{Leader: "c", Reachable: true}))
+}
+
+// The leader is about to be stopped as planned. It hands over while it still
+// works, and takes the lead back only if nobody else is there.
+func TestStoppingLeader(t *testing.T) {
+	g := NewWithT(t)
+	v, now := view()
+	v.Heard(now, "c", able(3, "b"))
+	v.Stop()
+	g.Expect(v.Choose(now, true).Leader).To(Equal(ID("b")))
+	v.Heard(now, "c", able(3, "c"))
+	g.Expect(v.Choose(now, true).Leader).To(Equal(ID("c")))
+	v.Ended("c")
+	g.Expect(v.Choose(now, false).Leader).To(Equal(ID("b")))
+}
+
+func TestSilentProcesses(t *testing.T) {
+	g := NewWithT(t)
+	v, now := view()
+	v.Heard(now, "a", able(1, "a"))
+	g.Expect(v.Silent(now + LostAfter)).To(BeEmpty())
+	g.Expect(v.Silent(now + LostAfter + ms)).To(Equal([]ID{"a"}))
+	g.Expect(v.Choose(now+LostAfter+ms, false).Leader).To(Equal(ID("b")))
+}
--- /dev/null
+++ b/core/schedule/load_test.go
@@ -0,0 +1,206 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Short jobs and long ones wait for the same room. Each is served by when it
+// must begin to end in time, so that a long job that came first isn't overtaken
+// until it is late, and a short one isn't held up by its length.
+func TestOrderOfService(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.submit(testJob(2, 400*ms), 3*time.Second)
+	for _, c := range take[Start](b) {
+		b.started(c, Accepted)
+	}
+	long, short := testJob(1, 900*ms), testJob(1, 60*ms)
+	b.submit(long, 3*time.Second)
+	b.submit(short, 3*time.Second)
+	b.g.Expect(b.s.waitingIDs()).To(Equal([]workload.JobID{short.ID, long.ID}))
+}
+
+// A burst fills the queue. Jobs whose turn would come when their answer is
+// worth nothing any more are refused as they arrive, with a time to come back
+// that grows with the queue and differs from caller to caller.
+func TestBurst(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	var refused []Answer
+	for range 60 {
+		b.submit(testJob(4, 200*ms), 2*time.Second)
+		refused = append(refused, take[Answer](b)...)
+	}
+	b.g.Expect(len(refused)).To(BeNumerically(">", 20))
+	b.g.Expect(len(refused)).To(BeNumerically("<", 58))
+	waits := make(map[time.Duration]bool)
+	for _, a := range refused {
+		b.g.Expect(a.Outcome).To(Equal(workload.NotRun))
+		b.g.Expect(a.RetryAfter).To(BeNumerically(">=", time.Second))
+		waits[a.RetryAfter] = true
+	}
+	b.g.Expect(len(waits)).To(BeNumerically(">", len(refused)/2))
+}
+
+// Tasks of two fifths of a runner come one by one. Spread out, each would leave
+// a hole that nothing fits into, and wide jobs would wait for a whole runner.
+func TestBestFit(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"), testRunner("r3"))
+	used := make(map[workload.RunnerID]int)
+	for range 4 {
+		b.submit(testJob(1, 200*ms), 3*time.Second)
+		c := one[Start](b)
+		b.started(c, Accepted)
+		used[c.Runner]++
+	}
+	b.g.Expect(used).To(HaveLen(2))
+}
+
+// Runners differ in speed. A long task whose caller leaves soon goes to a fast
+// one, and short ones leave those free.
+func TestLongTasksOnFastRunners(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"), testRunner("r3"))
+	for id, pace := range map[workload.RunnerID]float64{"r1": 1.25, "r2": 0.8, "r3": 1} {
+		b.s.runners[id].health.usual = pace
+		b.s.runners[id].health.recent = pace
+	}
+	b.submit(testJob(1, 60*ms), 2*time.Second)
+	b.g.Expect(one[Start](b).Runner).NotTo(BeEquivalentTo("r2"))
+	b.submit(testJob(1, 1200*ms), 1500*ms)
+	b.g.Expect(one[Start](b).Runner).To(BeEquivalentTo("r2"))
+}
+
+// Tasks stand still on a runner that answers all orders. A run that takes far
+// longer than estimated is stopped and started on another runner, and the first
+// one gets nothing new for a while.
+func TestStuckRun(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 60*ms), 2*time.Second)
+	start := one[Start](b)
+	b.started(start, Accepted)
+	b.tick(60*ms*overdueFactor + overdueSlack + 40*ms)
+	stop := one[Stop](b)
+	b.g.Expect(stop.Run).To(Equal(start.Run))
+	b.stopped(stop, Accepted)
+	take[Hold](b)
+	b.end(start.Runner, 1, start.Run, workload.Stopped)
+	again := one[Start](b)
+	b.g.Expect(again.Runner).NotTo(Equal(start.Runner))
+	b.submit(testJob(1, 60*ms), 2*time.Second)
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(start.Runner))
+}
+
+// A runner fails whatever it is given, at once, and so looks idle and fast. It
+// is closed after two failures, while a job that fails everywhere doesn't close
+// the runners that it meets.
+func TestFailingRunner(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	seq := map[workload.RunnerID]uint64{}
+	fails := map[workload.RunnerID]int{}
+	for range 6 {
+		b.submit(testJob(1, 60*ms), 2*time.Second)
+		for starts := take[Start](b); len(starts) > 0; starts = take[Start](b) {
+			for _, c := range starts {
+				b.started(c, Accepted)
+				seq[c.Runner]++
+				kind := workload.Done
+				if c.Runner == "r1" {
+					kind = workload.Failed
+					fails["r1"]++
+				}
+				b.now += 60 * ms
+				b.end(c.Runner, seq[c.Runner], c.Run, kind)
+			}
+		}
+	}
+	b.g.Expect(fails["r1"]).To(BeNumerically("<=", strikesToClose))
+}
+
+func TestPoison(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	seq := map[workload.RunnerID]uint64{}
+	for range 4 {
+		b.submit(testJob(1, 60*ms), 2*time.Second)
+		for range 2 {
+			c := one[Start](b)
+			b.started(c, Accepted)
+			seq[c.Runner]++
+			b.now += 5 * ms
+			b.end(c.Runner, seq[c.Runner], c.Run, workload.Failed)
+		}
+		answers := take[Answer](b)
+		b.g.Expect(answers).To(HaveLen(1))
+		b.g.Expect(answers[0].Outcome).To(Equal(workload.JobFailed))
+	}
+	for _, id := range []workload.RunnerID{"r1", "r2"} {
+		b.g.Expect(b.s.runners[id].usable(b.now)).To(BeTrue(), string(id))
+	}
+}
+
+// A runner says that it drains, or leaves the list. It gets nothing new.
+func TestLeavingRunner(t *testing.T) {
+	for name, leave := range map[string]func(*bench){
+		"draining": func(b *bench) {
+			r := testRunner("r1")
+			r.Draining = true
+			b.s.SetRunners(b.now, []workload.Runner{r, testRunner("r2")})
+		},
+		"unlisted": func(b *bench) { b.s.SetRunners(b.now, []workload.Runner{testRunner("r2")}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := leading(t, testRunner("r1"), testRunner("r2"))
+			leave(b)
+			for range 2 {
+				b.submit(testJob(1, 60*ms), 2*time.Second)
+				b.g.Expect(one[Start](b).Runner).To(BeEquivalentTo("r2"))
+			}
+		})
+	}
+}
+
+// Steps wait for those that they depend on, and tasks for the label, the rack
+// and the spread that they ask for.
+func TestTermsOfSteps(t *testing.T) {
+	gpu := testRunner("r2")
+	gpu.Labels = []string{"b", "r2"}
+	gpu.Rack = "r2"
+	b := leading(t, testRunner("r1"), gpu)
+	j := testJob(1, 50*ms)
+	need := workload.Resources{MilliCPU: 10000}
+	j.Steps = []workload.Step{
+		{Tasks: 1, Need: need, Estimate: 50 * ms, Requires: "b"},
+		{Tasks: 2, Need: need, Estimate: 50 * ms, DependsOn: []int{0}, MaxPerRunner: 1},
+		{Tasks: 1, Need: need, Estimate: 50 * ms, DependsOn: []int{0}, PreferredRack: "r1"},
+	}
+	b.submit(j, 3*time.Second)
+	first := one[Start](b)
+	b.g.Expect(first.Runner).To(BeEquivalentTo("r2"))
+	b.started(first, Accepted)
+	b.end("r2", 1, first.Run, workload.Done)
+	rest := take[Start](b)
+	b.g.Expect(rest).To(HaveLen(3))
+	b.g.Expect(rest[0].Runner).NotTo(Equal(rest[1].Runner))
+	b.g.Expect(rest[2].Runner).To(BeEquivalentTo("r1"))
+}
+
+// A cancelled job's tasks are stopped, its caller is answered, and a copy that
+// comes later doesn't run; nor does one whose cancelling came first.
+func TestCancelledJobs(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j, later := testJob(1, 200*ms), testJob(1, 200*ms)
+	b.submit(j, 2*time.Second)
+	b.started(one[Start](b), Accepted)
+	b.g.Expect(b.s.Cancel(b.now, j.ID)).To(BeTrue())
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Cancelled))
+	b.g.Expect(take[Stop](b)).To(HaveLen(1))
+	b.g.Expect(b.s.Cancel(b.now, later.ID)).To(BeFalse())
+	b.submit(j, 2*time.Second)
+	b.submit(later, 2*time.Second)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	for _, a := range take[Answer](b) {
+		b.g.Expect(a.Outcome).To(Equal(workload.Cancelled))
+	}
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -83,6 +83,7 @@
 		s.lose(r)
 	case Replaced:
 		s.replaced(r)
+		s.dispatch()
 	default:
 		s.unanswered(r)
 		r.holdNext = now
--- /dev/null
+++ b/core/schedule/safety_test.go
@@ -0,0 +1,234 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// When a failure domain is cut off, the scheduler there goes on with the runs
+// that it finds, and this one drops the domain's jobs as it misses the entry
+// VMs. If a lease could end before that, this scheduler would start a task of
+// such a job a second time in between.
+func TestLeaseOutlastsDetection(t *testing.T) {
+	g := NewWithT(t)
+	cfg := DefaultConfig()
+	const tick, network = 20 * ms, 10 * ms
+	dropped := leader.LostAfter + 2*tick
+	lapsed := longestLife(cfg.Lease) - cfg.HoldWait - network
+	g.Expect(lapsed).To(BeNumerically(">", dropped))
+	g.Expect(cfg.Lease).To(BeNumerically(">", cfg.HoldWait+CallTimeout+network), "a renewal fits before the lease ends")
+	g.Expect(abandonedGrace + tick + cfg.StopTimeout + network).To(BeNumerically("<", cfg.Resend))
+	g.Expect(dropped+longestLife(cfg.Lease)).To(BeNumerically("<", cfg.Resend), "runs of a silent entry VM are over before its callers come again")
+}
+
+// A start is left unanswered: nobody knows whether the task runs. It is sent
+// again under the same number, which starts it once at most, then stopped; only
+// after the runner's word does it start elsewhere.
+func TestUnansweredStart(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 100*ms), 2*time.Second)
+	first := one[Start](b)
+	b.started(first, Unanswered)
+	again := one[Start](b)
+	b.g.Expect(again.Run).To(Equal(first.Run))
+	b.g.Expect(again.Runner).To(Equal(first.Runner))
+	b.started(again, Unanswered)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	stop := one[Stop](b)
+	b.g.Expect(stop.Run).To(Equal(first.Run))
+	take[Hold](b)
+	b.now += 2 * ms
+	b.stopped(stop, Accepted)
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "what is stopped may still run for a moment")
+	look := one[Hold](b)
+	b.g.Expect(look.Look).To(BeTrue())
+	b.now += 2 * ms
+	b.held(look)
+	elsewhere := one[Start](b)
+	b.g.Expect(elsewhere.Run.Number).To(BeNumerically(">", first.Run.Number))
+}
+
+// A runner falls silent with a run on it. The task starts on another runner no
+// sooner than the lease must have ended on the slowest clock, and the looks at
+// the silent runner in the meantime renew nothing.
+func TestSilentRunner(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := testJob(1, 300*ms)
+	b.submit(j, 3*time.Second)
+	start := one[Start](b)
+	b.started(start, Accepted)
+	last := b.now
+	for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += 20 * ms {
+		for _, h := range take[Hold](b) {
+			if h.Runner != start.Runner {
+				b.held(h)
+				continue
+			}
+			if h.LeaseEnd > 0 {
+				last = b.now
+			}
+			b.answerHold(h, Unanswered)
+		}
+		b.tick(20 * ms)
+		if again := take[Start](b); len(again) > 0 {
+			b.g.Expect(again[0].Runner).NotTo(Equal(start.Runner))
+			b.g.Expect(b.now - last).To(BeNumerically(">=", longestLife(b.s.cfg.Lease)))
+			return
+		}
+	}
+	t.Fatal("the task was never started again")
+}
+
+// A runner has crashed and answers under another lifetime. Whatever ran there
+// is over, so its tasks start elsewhere at once.
+func TestReplacedRunner(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 300*ms), 3*time.Second)
+	start := one[Start](b)
+	b.started(start, Accepted)
+	for _, h := range take[Hold](b) {
+		if h.Runner == start.Runner {
+			b.answerHold(h, Replaced)
+		}
+	}
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(start.Runner))
+}
+
+// A new scheduler finds a run that it hasn't started. Its job is handed in a
+// moment later and goes on with the run; until then no lease is given there,
+// since somebody on the other side of a cut may count on the run's end.
+func TestAdoption(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	j := testJob(1, 500*ms)
+	key := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 3}
+	b.s.Lead(b.now)
+	b.answerHold(one[Hold](b), Accepted, key)
+	for _, h := range take[Hold](b) {
+		b.g.Expect(h.LeaseEnd).To(BeZero())
+	}
+	b.submit(testJob(1, 50*ms), 2*time.Second)
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "a start would renew the lease of all that runs there")
+	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, Due: time.Second, Patience: 2 * time.Second, Handed: 1, Unknown: time.Second})
+	b.g.Expect(take[Stop](b)).To(BeEmpty())
+	for _, c := range take[Start](b) {
+		b.g.Expect(c.Run.Task.Job).NotTo(Equal(j.ID))
+	}
+	b.end("r1", 1, key, workload.Done)
+	answers := take[Answer](b)
+	b.g.Expect(answers).To(HaveLen(1))
+	b.g.Expect(answers[0].Outcome).To(Equal(workload.Completed))
+}
+
+// Nobody hands in the job of a run that a new scheduler has found: its entry VM
+// is gone too. It is stopped, well before its caller sends the job again.
+func TestStrangeRun(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	key := workload.RunKey{Task: workload.TaskName{Job: "00000000000000aa"}, Number: 1}
+	b.s.Lead(b.now)
+	b.answerHold(one[Hold](b), Accepted, key)
+	take[Hold](b)
+	b.tick(orphanGrace + 40*ms)
+	b.g.Expect(one[Stop](b).Run).To(Equal(key))
+}
+
+// A job comes from another scheduler while one runner can't be reached. It may
+// run there, so it isn't started before that must be over.
+func TestJobFromAnotherScheduler(t *testing.T) {
+	b := newBench(t, testRunner("r1"), testRunner("r2"))
+	b.s.Lead(b.now)
+	for _, h := range take[Hold](b) {
+		if h.Runner == "r1" {
+			b.held(h)
+		}
+	}
+	handed := b.now
+	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, Due: time.Second, Patience: 3 * time.Second, Handed: 1, Unknown: 1300 * ms, Term: 5})
+	for range 100 {
+		b.tick(20 * ms)
+		for _, h := range take[Hold](b) {
+			if h.Runner == "r1" {
+				b.held(h)
+			} else {
+				b.answerHold(h, Unanswered)
+			}
+		}
+		if len(take[Start](b)) > 0 {
+			b.g.Expect(b.now - handed).To(BeNumerically(">=", 1300*ms))
+			return
+		}
+	}
+	t.Fatal("the job was never started")
+}
+
+// Two schedulers think that they lead. The runner obeys the higher token; the
+// other one must not start what it had there before that is surely over.
+func TestFenced(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 300*ms), 3*time.Second)
+	start := one[Start](b)
+	b.started(start, Accepted)
+	for _, h := range take[Hold](b) {
+		if h.Runner == start.Runner {
+			b.answerHold(h, Fenced)
+		}
+	}
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	before := b.s.Term()
+	b.tick(fencedWait + 40*ms)
+	var taken Hold
+	for _, h := range take[Hold](b) {
+		if h.Runner == start.Runner {
+			taken = h
+		}
+	}
+	b.g.Expect(taken.Token>>numberBits).To(BeNumerically(">", before), "it is taken back under a higher term")
+}
+
+// The entry VM of a job has fallen silent: it may be cut off and hand the job
+// to a scheduler on its side. What runs here is stopped at once. If the process
+// has said that it ends, its caller comes again and the runs go on for a while.
+func TestLostEntryVM(t *testing.T) {
+	for name, ended := range map[string]bool{"silent": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			b := leading(t, testRunner("r1"))
+			b.submit(testJob(1, 3*time.Second), 5*time.Second)
+			b.started(one[Start](b), Accepted)
+			b.s.EntryLost(b.now, entryA, ended)
+			b.g.Expect(len(take[Stop](b)) == 0).To(Equal(ended))
+			b.wait(abandonedGrace + 40*ms)
+			b.g.Expect(len(take[Stop](b)) == 1).To(Equal(ended))
+		})
+	}
+}
+
+// A caller sends its job again after its entry VM has died. Its tasks ran under
+// a scheduler that has died too, so nothing is known of them. A refusal that
+// said that nothing was run would be a lie.
+func TestRefusalSoonAfterATakeover(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	b.s.Lead(b.now)
+	b.held(one[Hold](b))
+	b.submit(testJob(1, 10*time.Second), 500*ms)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
+	b.wait(unsureWindow)
+	b.submit(testJob(1, 10*time.Second), 500*ms)
+	refusal := one[Answer](b)
+	b.g.Expect(refusal.Outcome).To(Equal(workload.NotRun))
+	b.g.Expect(refusal.RetryAfter).To(BeNumerically(">=", time.Second))
+}
+
+// The VM was suspended, and the process's clock has missed that. The first
+// orders that it sends as it wakes name a lease that has ended on the runner's
+// clock, so that a task that another scheduler has taken over doesn't start.
+func TestOrdersAfterASuspension(t *testing.T) {
+	const missed = 3500 * ms
+	b := leading(t, testRunner("r1"))
+	b.submit(testJob(1, 100*ms), 5*time.Second)
+	runnersClock := clockAtZero + (b.now + missed).Milliseconds()
+	b.g.Expect(one[Start](b).LeaseEnd).To(BeNumerically("<", runnersClock))
+}
