--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -43,12 +43,11 @@
 	stopAt      Time
 	pending     map[string]int
 
-	runners   RunnerList
-	readAt    Time
-	stale     bool
-	askedFor  bool
-	dropped   []droppedRunner
-	lastQuery uint64
+	runners  RunnerList
+	readAt   Time
+	stale    bool
+	askedFor bool
+	dropped  []droppedRunner
 	// queries are questions of this process's callers that the leader was
 	// asked.
 	queries map[uint64]bool
