--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -151,7 +151,10 @@
 func decisionFields(d schedule.Decision) []Field {
 	var f []Field
 	if d.Job != "" {
-		f = append(f, Field{"job", string(d.Job)}, Field{"run", d.Run.String()})
+		f = append(f, Field{"job", string(d.Job)})
+	}
+	if d.Run.Number > 0 {
+		f = append(f, Field{"run", d.Run.String()})
 	}
 	if d.Runner != "" {
 		f = append(f, Field{"runner", string(d.Runner)})
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"fmt"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -189,7 +188,6 @@
 		if t.run == nil {
 			return
 		}
-		s.emit(Decision{Event: "DBGSTOP", Job: j.work.ID, Run: t.run.key, Runner: t.run.runner.info.ID, Age: s.now - t.run.started, Reason: t.step().Estimate.String() + fmt.Sprintf("_%d_after_%d", t.step().Tasks, (t.run.started-j.arrived).Milliseconds())})
 		t.run.task = nil
 		t.run.stopAt = s.now
 		s.stopRun(t.run)
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -9,6 +9,11 @@
 	"github.com/rs/zerolog"
 )
 
+func init() {
+	// What happens within a second must be told apart.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
 // New returns a logger that writes to w from the given level up.
 func New(w io.Writer, level zerolog.Level) zerolog.Logger {
 	out := zerolog.ConsoleWriter{
