--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -173,15 +173,20 @@
 
 func (s *Scheduler) sendStart(u *run) {
 	r := u.runner
+	if u.tries == 0 {
+		// A second order names the same end, so that the moment at which the
+		// run is surely over doesn't move.
+		u.leaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
+		r.grant(s.now, s.cfg.Lease)
+	}
 	u.tries++
-	r.grant(s.now, s.cfg.Lease)
 	s.emit(Start{
 		Runner:   r.info.ID,
 		Address:  r.info.Address,
 		Token:    r.token,
 		Run:      u.key,
 		Spec:     u.task.job.work.Spec,
-		LeaseEnd: r.leaseEnd(s.now, s.cfg.Lease),
+		LeaseEnd: u.leaseEnd,
 		Timeout:  s.callTimeout(),
 	})
 }
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -60,6 +60,8 @@
 	started Time
 	// tries counts how often its start was sent.
 	tries int
+	// leaseEnd is the end of the lease in its start.
+	leaseEnd int64
 	// confirmed runs were accepted or listed by the runner.
 	confirmed bool
 	// found runs were started by another scheduler.
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -37,6 +37,7 @@
 	again := one[Start](b)
 	b.g.Expect(again.Run).To(Equal(first.Run))
 	b.g.Expect(again.Runner).To(Equal(first.Runner))
+	b.g.Expect(again.LeaseEnd).To(Equal(first.LeaseEnd))
 	b.started(again, Unanswered)
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	stop := one[Stop](b)
