--- a/entry/process.go
+++ b/entry/process.go
@@ -42,6 +42,12 @@
 	// ended is closed when a planned stop is over.
 	ended chan struct{}
 
+	// mostRunners is the longest list of runners read before the number of
+	// shards was known, and mostSince when; they belong to the goroutine that
+	// reads it.
+	mostRunners int
+	mostSince   time.Time
+
 	// self belongs to the goroutine that watches the members.
 	self peer.Member
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -142,14 +142,22 @@
 	}
 }
 
+// listSettled is how long no runner must have come to the list until it counts
+// as whole: when a deployment first starts, its runners register one by one.
+const listSettled = 2 * time.Second
+
 // readShards reads the number of shards, until it is known. The first process
 // of a deployment proposes one that suits the runners on the list.
 func (p *Process) readShards(ctx context.Context, runners int) error {
 	if p.laidOut.Load() {
 		return nil
 	}
+	if runners > p.mostRunners {
+		p.mostRunners = runners
+		p.mostSince = time.Now()
+	}
 	propose := 0
-	if runners > 0 {
+	if runners > 0 && time.Since(p.mostSince) >= listSettled {
 		propose = fleet.ShardsFor(runners)
 	}
 	n, err := p.store.Shards(ctx, propose)
