Fault soak of real processes

Three entry processes, six runners and the store behind proxies; seventeen kinds of faults by signals, proxies and the store overlap.

--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,148 @@
+// Package soak runs the entry program as separate processes on one machine and
+// harms them from outside: by signals, and by proxies before the runners and
+// the platform's store. What runners and callers see is checked while it runs.
+//
+//	go test ./soak -soak.seeds 50 -soak.first 100 -soak.seconds 30
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var (
+	seeds   = flag.Int("soak.seeds", 1, "number of runs")
+	first   = flag.Uint64("soak.first", 1, "seed of the first run")
+	seconds = flag.Int("soak.seconds", 8, "length of a run")
+	keep    = flag.String("soak.logs", "", "directory for the logs of runs that broke a promise")
+)
+
+// regressions are seeds that once broke a promise, with the cause.
+var regressions = map[uint64]string{}
+
+func TestSoak(t *testing.T) {
+	g := NewWithT(t)
+	program := filepath.Join(t.TempDir(), "sapphirepoint-entry")
+	out, err := exec.Command("go", "build", "-o", program, "sapphirepoint.example/sapphirepoint/cmd/sapphirepoint-entry").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	list := make([]uint64, 0, *seeds+len(regressions))
+	for i := range *seeds {
+		list = append(list, *first+uint64(i))
+	}
+	for seed := range regressions {
+		list = append(list, seed)
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, program, seed) })
+	}
+}
+
+func soak(t *testing.T, program string, seed uint64) {
+	g := NewWithT(t)
+	w, err := newWorld(program, t.TempDir(), seed)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer w.close()
+	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process came up")
+	callers := w.callers(12)
+	played := w.harm(time.Duration(*seconds) * time.Second)
+	w.heal()
+	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "the system didn't recover: %v", played)
+	before := w.truth.count("200")
+	g.Eventually(func() int { return w.truth.count("200") }, time.Minute, 50*time.Millisecond).Should(BeNumerically(">", before+20), "nothing is served after: %v", played)
+	callers.end()
+	broken := w.truth.broken()
+	if len(broken) > 0 && *keep != "" {
+		w.saveLogs(filepath.Join(*keep, fmt.Sprint(seed)))
+	}
+	g.Expect(broken).To(BeEmpty(), "seed %d: %v", seed, played)
+	t.Logf("answers %v, faults %d", w.truth.statuses(), len(played))
+}
+
+// harm plays faults, one about every 400 ms, which overlap.
+func (w *world) harm(d time.Duration) []string {
+	var played []string
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		f := harms[w.rng.IntN(len(harms))]
+		played = append(played, f.name)
+		f.play(w)
+		time.Sleep(w.span(100, 700))
+	}
+	return played
+}
+
+func (w *world) span(least, most int) time.Duration {
+	return time.Duration(least+w.rng.IntN(most-least)) * time.Millisecond
+}
+
+type fault struct {
+	name string
+	play func(*world)
+}
+
+func (w *world) anyNode() *node     { return w.nodes[w.rng.IntN(len(w.nodes))] }
+func (w *world) anyRunner() *worker { return w.workers[w.rng.IntN(len(w.workers))] }
+
+// harms are in a fixed order, so that a seed plays the same ones again.
+var harms = []fault{
+	{"kill", func(w *world) { w.anyNode().signal(syscall.SIGKILL) }},
+	{"stop", func(w *world) { w.anyNode().signal(syscall.SIGTERM) }},
+	{"hangup", func(w *world) { w.anyNode().signal(syscall.SIGHUP) }},
+	{"pause", func(w *world) {
+		n := w.anyNode()
+		n.signal(syscall.SIGSTOP)
+		w.later(w.span(200, 3000), func() { n.signal(syscall.SIGCONT) })
+	}},
+	{"kill all", func(w *world) {
+		if w.rng.IntN(3) > 0 {
+			return
+		}
+		for _, n := range w.nodes {
+			n.signal(syscall.SIGKILL)
+		}
+	}},
+	{"runner cut", func(w *world) {
+		r := w.anyRunner()
+		r.proxy.Cut(w.rng.IntN(2) == 0, w.rng.IntN(2) == 0)
+		w.later(w.span(300, 2500), func() { r.proxy.Cut(false, false) })
+	}},
+	{"runner silenced", func(w *world) { w.anyRunner().proxy.Silence() }},
+	{"runner reset", func(w *world) { w.anyRunner().proxy.Reset() }},
+	{"runner delayed", func(w *world) {
+		r := w.anyRunner()
+		r.proxy.Delay(w.span(5, 120))
+		w.later(w.span(300, 2500), func() { r.proxy.Delay(0) })
+	}},
+	{"runner crashed", func(w *world) { w.replaceRunner(w.rng.IntN(len(w.workers))) }},
+	{"store busy", func(w *world) { w.storeFault(true, false, w.span(300, 2500)) }},
+	{"store silent", func(w *world) { w.storeFault(false, true, w.span(300, 2500)) }},
+	{"store silenced", func(w *world) { w.storeProxy.Silence() }},
+	{"store cut", func(w *world) {
+		w.storeProxy.Cut(true, w.rng.IntN(2) == 0)
+		w.later(w.span(300, 2500), func() { w.storeProxy.Cut(false, false) })
+	}},
+	{"history forgotten", func(w *world) { w.store.Forget() }},
+	{"configuration", func(w *world) { w.declare() }},
+	{"garbage", func(w *world) {
+		w.store.PutRaw("op", "config", []byte("{"))
+		w.store.PutRaw("servers", "i-garbage", []byte{0xff})
+		w.later(w.span(50, 500), w.declare)
+	}},
+}
+
+func (w *world) saveLogs(dir string) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return
+	}
+	for _, n := range w.nodes {
+		_ = os.WriteFile(filepath.Join(dir, n.name+".log"), n.log.bytes(), 0o600)
+	}
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,261 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/standin/deployment"
+	"sapphirepoint.example/sapphirepoint/standin/faults"
+)
+
+const (
+	nodeCount   = 3
+	runnerCount = 6
+	service     = "labelworks"
+	host        = "labels.example"
+	prefix      = "/spot/"
+	// graceS is the time between SIGTERM and SIGKILL, in seconds.
+	graceS = 4
+	// restartWait is how long the platform takes to start a process again.
+	restartWait = 200 * time.Millisecond
+)
+
+// world is a deployment of real processes on the loopback address.
+type world struct {
+	rng        *rand.Rand
+	program    string
+	store      *deployment.Store
+	storeProxy *faults.Proxy
+	workers    []*worker
+	nodes      []*node
+	truth      *truth
+	http       *http.Client
+
+	mu      sync.Mutex
+	version int
+	lives   int
+	closed  chan struct{}
+	timers  sync.WaitGroup
+}
+
+// worker is a runner behind a proxy.
+type worker struct {
+	runner *deployment.Runner
+	proxy  *faults.Proxy
+}
+
+// node is an entry VM, whose process is started again whenever it ends.
+type node struct {
+	deployment.Node
+	name string
+	log  *logBuffer
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// logBuffer keeps a process's output.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *logBuffer) bytes() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Clone(l.buf.Bytes())
+}
+
+func newWorld(program, dir string, seed uint64) (*world, error) {
+	store, err := deployment.NewStore()
+	if err != nil {
+		return nil, err
+	}
+	proxy, err := faults.NewProxy(store.Address())
+	if err != nil {
+		return nil, err
+	}
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store, storeProxy: proxy,
+		truth: newTruth(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
+	}
+	for range runnerCount {
+		r, err := w.newWorker()
+		if err != nil {
+			return nil, err
+		}
+		w.workers = append(w.workers, r)
+	}
+	w.declare()
+	for i := range nodeCount {
+		if err := w.addNode(dir, fmt.Sprintf("front-%d", i+1)); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) newWorker() (*worker, error) {
+	w.lives++
+	id := fmt.Sprintf("i-%d", w.lives)
+	r, err := deployment.NewRunner(w.store, id, service, "a")
+	if err != nil {
+		return nil, err
+	}
+	r.Observe(w.truth)
+	p, err := faults.NewProxy(r.Info.Address)
+	if err != nil {
+		return nil, err
+	}
+	info := r.Info
+	info.Address = p.Address()
+	return &worker{runner: r, proxy: p}, w.store.Put("servers", id, info)
+}
+
+// replaceRunner crashes a runner; another lifetime comes after a while.
+func (w *world) replaceRunner(i int) {
+	old := w.workers[i]
+	old.runner.Close()
+	w.store.Remove("servers", old.runner.ID)
+	r, err := w.newWorker()
+	if err != nil {
+		w.truth.fail("the soak itself: %v", err)
+		return
+	}
+	w.workers[i] = r
+}
+
+func (w *world) declare() {
+	w.mu.Lock()
+	w.version += 3
+	d := deployment.Declaration(w.version, host, prefix, "spot", service)
+	w.mu.Unlock()
+	if err := w.store.Put("op", "config", d); err != nil {
+		w.truth.fail("the soak itself: %v", err)
+	}
+}
+
+func (w *world) storeFault(busy, silent bool, d time.Duration) {
+	w.store.SetFaults(deployment.StoreFaults{Busy: busy, Silent: silent})
+	w.later(d, func() { w.store.SetFaults(deployment.StoreFaults{}) })
+}
+
+// later does something after a while, unless the run is over.
+func (w *world) later(d time.Duration, f func()) {
+	w.timers.Add(1)
+	go func() {
+		defer w.timers.Done()
+		select {
+		case <-time.After(d):
+		case <-w.closed:
+		}
+		f()
+	}()
+}
+
+// heal waits until all faults are over.
+func (w *world) heal() {
+	w.timers.Wait()
+	w.declare()
+}
+
+func (w *world) addNode(dir, name string) error {
+	d, err := deployment.NewNode(name, "a")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(dir, name+".toml")
+	if err := os.WriteFile(path, []byte(d.Settings(w.storeProxy.Address(), graceS)), 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	n := &node{Node: d, name: name, log: &logBuffer{}, done: make(chan struct{})}
+	w.nodes = append(w.nodes, n)
+	go w.supervise(n, path)
+	return nil
+}
+
+// supervise starts a process again and again, as the platform does.
+func (w *world) supervise(n *node, settings string) {
+	defer close(n.done)
+	for {
+		cmd := exec.Command(w.program, "--settings", settings)
+		cmd.Stdout, cmd.Stderr = n.log, n.log
+		n.mu.Lock()
+		err := cmd.Start()
+		n.cmd = cmd
+		n.mu.Unlock()
+		if err != nil {
+			w.truth.fail("the soak itself: %v", err)
+			return
+		}
+		_ = cmd.Wait()
+		select {
+		case <-w.closed:
+			return
+		case <-time.After(restartWait):
+		}
+	}
+}
+
+// signal sends a signal to the process, and for SIGTERM a SIGKILL when the
+// grace is over.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil || n.cmd.Process == nil {
+		return
+	}
+	p := n.cmd.Process
+	_ = p.Signal(s)
+	if s == syscall.SIGTERM {
+		time.AfterFunc(graceS*time.Second, func() { _ = p.Signal(syscall.SIGKILL) })
+	}
+}
+
+// ready reports whether any entry process serves.
+func (w *world) ready() bool {
+	for _, n := range w.nodes {
+		res, err := w.http.Get("http://" + n.Health + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) close() {
+	close(w.closed)
+	w.timers.Wait()
+	for _, n := range w.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		<-n.done
+	}
+	for _, r := range w.workers {
+		r.runner.Close()
+		r.proxy.Close()
+	}
+	w.storeProxy.Close()
+	w.store.Close()
+}
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -30,6 +30,13 @@
 	Run  int
 }
 
+// Observer is told what runs on a runner. It is called with the runner's lock
+// held.
+type Observer interface {
+	RunStarted(r *Runner, s Started)
+	RunEnded(r *Runner, s Started, how string)
+}
+
 // Runner is the stand-in for a runner. A task's spec is how long it takes, as
 // in "50ms", or "fail".
 type Runner struct {
@@ -48,6 +55,7 @@
 	changed  chan struct{}
 	starts   []Started
 	silent   bool
+	observer Observer
 }
 
 // clockZero is where a runner's clock begins.
@@ -82,8 +90,22 @@
 	return r, s.Put("servers", id, r.Info)
 }
 
-// Close crashes the runner.
-func (r *Runner) Close() { _ = r.server.Close() }
+// Close crashes the runner with all that runs.
+func (r *Runner) Close() {
+	_ = r.server.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range r.running {
+		r.end(s, "crashed")
+	}
+}
+
+// Observe has an observer told from now on.
+func (r *Runner) Observe(o Observer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observer = o
+}
 
 // Silence leaves all orders unanswered and undone.
 func (r *Runner) Silence(on bool) {
@@ -207,6 +229,9 @@
 		work = d
 	}
 	r.starts = append(r.starts, s)
+	if r.observer != nil {
+		r.observer.RunStarted(r, s)
+	}
 	r.running[s] = time.AfterFunc(work, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -223,6 +248,9 @@
 	}
 	timer.Stop()
 	delete(r.running, s)
+	if r.observer != nil {
+		r.observer.RunEnded(r, s, how)
+	}
 	r.sealed[s.Task] = max(r.sealed[s.Task], s.Run)
 	r.lastEnd++
 	r.ends = append(r.ends, []any{r.lastEnd, s.Task, s.Run, how, ""})
--- /dev/null
+++ b/standin/faults/proxy.go
@@ -0,0 +1,139 @@
+package faults
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Proxy passes TCP connections on the loopback address on to a target, and
+// harms them as it is told.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	conns map[*proxied]bool
+	// delay holds up each piece of data; dropTo and dropFrom lose what goes to
+	// the target and what comes from it, on all connections.
+	delay            time.Duration
+	dropTo, dropFrom bool
+}
+
+type proxied struct {
+	a, b net.Conn
+	// silent connections carry nothing any more, for good.
+	silent bool
+}
+
+// NewProxy listens on a free port.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	p := &Proxy{listener: l, target: target, conns: make(map[*proxied]bool)}
+	go p.accept()
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Close ends the proxy with all connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Reset()
+}
+
+// Delay holds up each piece of data from now on.
+func (p *Proxy) Delay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// Cut loses what goes to the target, and what comes from it, until it is told
+// otherwise.
+func (p *Proxy) Cut(to, from bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropTo, p.dropFrom = to, from
+}
+
+// Silence makes the open connections carry nothing any more. New ones work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.silent = true
+	}
+}
+
+// Reset closes the open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.close()
+	}
+}
+
+func (c *proxied) close() {
+	_ = c.a.Close()
+	_ = c.b.Close()
+}
+
+func (p *Proxy) accept() {
+	for {
+		a, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(a)
+	}
+}
+
+func (p *Proxy) serve(a net.Conn) {
+	b, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = a.Close()
+		return
+	}
+	c := &proxied{a: a, b: b}
+	p.mu.Lock()
+	p.conns[c] = true
+	p.mu.Unlock()
+	var done sync.WaitGroup
+	done.Add(2)
+	go func() { defer done.Done(); p.copy(c, b, a, true) }()
+	go func() { defer done.Done(); p.copy(c, a, b, false) }()
+	done.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+}
+
+func (p *Proxy) copy(c *proxied, to io.Writer, from io.Reader, toTarget bool) {
+	defer c.close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		delay, lost := p.delay, c.silent || toTarget && p.dropTo || !toTarget && p.dropFrom
+		p.mu.Unlock()
+		if lost {
+			continue
+		}
+		time.Sleep(delay)
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
