--- /dev/null
+++ b/core/fleet/processes_test.go
@@ -0,0 +1,254 @@
+package fleet_test
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+)
+
+// boot starts a process.
+func (w *world) boot(n *fakeNode) {
+	n.life++
+	life := n.life
+	n.node = fleet.New(schedule.DefaultConfig(), grace, 400, w.now)
+	n.id, n.frozen = "", 0
+	n.links = make(map[leader.ID]bool)
+	n.requests = make(map[uint64]*fakeJob)
+	n.pending = nil
+	w.register(n, life)
+	w.tickLoop(n, life)
+	w.storeLoop(n, life)
+}
+
+func (w *world) register(n *fakeNode, life int) {
+	w.after(5*time.Millisecond, func() {
+		if n.life != life {
+			return
+		}
+		if !w.storeReached(n) {
+			w.register(n, life)
+			return
+		}
+		w.numbers++
+		n.id = leader.ID(fmt.Sprintf("%s#%d", n.name, w.numbers))
+		number := w.numbers
+		w.do(n, func() { n.node.Registered(w.now, n.id, number) })
+	})
+}
+
+// do gives an event to a process, at once or when it wakes.
+func (w *world) do(n *fakeNode, f func()) {
+	if n.node == nil {
+		return
+	}
+	if w.now < n.frozen {
+		n.pending = append(n.pending, f)
+		return
+	}
+	f()
+	w.carryOut(n)
+}
+
+func (w *world) tickLoop(n *fakeNode, life int) {
+	w.after(fleet.TickInterval, func() {
+		if n.life != life || n.node == nil {
+			return
+		}
+		if w.now < n.frozen {
+			w.after(n.frozen-w.now, func() { w.wake(n, life) })
+			return
+		}
+		w.link(n)
+		w.do(n, func() { n.node.Tick(w.now) })
+		if n.node.Done(w.now) {
+			w.do(n, func() { n.node.GiveUp(w.now) })
+			w.endProcess(n, true)
+			return
+		}
+		w.tickLoop(n, life)
+	})
+}
+
+// wake lets a frozen process do what came meanwhile, before or after its own
+// timers.
+func (w *world) wake(n *fakeNode, life int) {
+	if n.life != life || n.node == nil {
+		return
+	}
+	tick := func() { w.do(n, func() { n.node.Tick(w.now) }) }
+	if w.rng.IntN(2) == 0 {
+		tick()
+	}
+	queued := n.pending
+	n.pending = nil
+	for _, f := range queued {
+		w.do(n, f)
+	}
+	tick()
+	w.tickLoop(n, life)
+}
+
+// link connects a process with those that it can reach.
+func (w *world) link(n *fakeNode) {
+	for _, o := range w.nodes {
+		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.reach(n.domain, o.domain) || w.now < o.frozen {
+			continue
+		}
+		n.links[o.id], o.links[n.id] = true, true
+		w.do(n, func() { n.node.PeerUp(w.now, o.id) })
+		w.do(o, func() { o.node.PeerUp(w.now, n.id) })
+	}
+}
+
+func (w *world) byID(id leader.ID) *fakeNode {
+	for _, n := range w.nodes {
+		if n.id == id && n.node != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// storeLoop reads the configuration and the list of runners.
+func (w *world) storeLoop(n *fakeNode, life int) {
+	if n.life != life || n.node == nil {
+		return
+	}
+	if w.storeReached(n) {
+		w.do(n, func() {
+			n.node.Layout(w.now, w.shards)
+			n.node.Declared(w.now, &routing.Declaration{Version: 1}, "store")
+			n.node.RunnersRead(w.now, w.list())
+		})
+	}
+	w.after(400*time.Millisecond, func() { w.storeLoop(n, life) })
+}
+
+// list is the platform's list; the entries of a domain that is cut off lapse.
+func (w *world) list() fleet.RunnerList {
+	w.revision++
+	l := fleet.RunnerList{Revision: w.revision}
+	for _, r := range w.runners {
+		if w.listed[r.info.ID] && !w.cut[r.info.Domain] {
+			l.Runners = append(l.Runners, r.info)
+		}
+	}
+	sort.Slice(l.Runners, func(i, j int) bool { return l.Runners[i].ID < l.Runners[j].ID })
+	return l
+}
+
+func (w *world) carryOut(n *fakeNode) {
+	for _, c := range n.node.Ready() {
+		switch c := c.(type) {
+		case fleet.Send:
+			w.send(n, c)
+		case fleet.Disconnect:
+			w.disconnect(n, c.Peer)
+		case fleet.Order:
+			w.order(n, c.Order)
+		case fleet.Answer:
+			w.reply(n, c)
+		}
+	}
+}
+
+func (w *world) send(n *fakeNode, c fleet.Send) {
+	if !n.links[c.To] {
+		return
+	}
+	from := n.id
+	w.after(delay, func() {
+		o := w.byID(c.To)
+		if o == nil || !o.links[from] || !w.reach(n.domain, o.domain) {
+			return
+		}
+		w.do(o, func() { o.node.Receive(w.now, from, c.Message) })
+	})
+}
+
+func (w *world) disconnect(n *fakeNode, id leader.ID) {
+	delete(n.links, id)
+	from := n.id
+	w.after(delay, func() {
+		if o := w.byID(id); o != nil && w.reach(n.domain, o.domain) && o.links[from] {
+			delete(o.links, from)
+			w.do(o, func() { o.node.PeerDown(w.now, from, false) })
+		}
+	})
+}
+
+// endProcess ends a process; clean says that it closes its connections.
+func (w *world) endProcess(n *fakeNode, clean bool) {
+	id := n.id
+	waiting := make([]uint64, 0, len(n.requests))
+	for r := range n.requests {
+		waiting = append(waiting, r)
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i] < waiting[j] })
+	for _, r := range waiting {
+		w.again(n.requests[r])
+	}
+	for _, o := range w.nodes {
+		if o == n || o.node == nil || !o.links[id] {
+			continue
+		}
+		if clean && w.reach(n.domain, o.domain) {
+			delete(o.links, id)
+			w.do(o, func() { o.node.PeerDown(w.now, id, true) })
+		}
+	}
+	n.node = nil
+	n.life++
+	n.id = ""
+}
+
+// kill ends a process without a word and starts it again after a while.
+func (w *world) kill(n *fakeNode, down time.Duration) {
+	if n.node == nil {
+		return
+	}
+	w.endProcess(n, false)
+	w.after(down, func() {
+		if n.node == nil {
+			w.boot(n)
+		}
+	})
+}
+
+// stop sends SIGTERM, and starts the process again after it has ended.
+func (w *world) stop(n *fakeNode) {
+	if n.node == nil {
+		return
+	}
+	w.do(n, func() { n.node.Stop(w.now) })
+	w.after(grace+time.Second, func() {
+		if n.node == nil {
+			w.boot(n)
+		}
+	})
+}
+
+func (w *world) freeze(n *fakeNode, d time.Duration) {
+	n.frozen = w.now + d
+	w.awake = max(w.awake, n.frozen)
+}
+
+func (w *world) leader() *fakeNode {
+	for _, n := range w.nodes {
+		if n.node != nil && n.node.Leads() {
+			return n
+		}
+	}
+	return nil
+}
+
+// cutOff cuts a domain from all others and the store, for a while.
+func (w *world) cutOff(domain string, d time.Duration) {
+	w.cut[domain] = true
+	w.after(d, func() { delete(w.cut, domain) })
+}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -126,9 +126,6 @@
 // Stop says that the process is about to end.
 func (v *View) Stop() { v.own.Stopping = true }
 
-// Stopping reports whether the process is about to end.
-func (v *View) Stopping() bool { return v.own.Stopping }
-
 // Stalled tells that the process itself stood still for a while. What it knows
 // of the others is as old as the pause, so it counts none of them as lost and
 // listens again before it may lead. If it led, it is demoted.
@@ -322,6 +319,3 @@
 	}
 	return r
 }
-
-// Heads is the number of processes heard, this one included.
-func (v *View) Heads() int { return len(v.peers) + 1 }
--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -12,23 +12,23 @@
 
 // RunnerDump is one runner; times are from now, in milliseconds.
 type RunnerDump struct {
-	ID         string   `json:"id"`
-	Owned      bool     `json:"owned"`
-	Token      uint64   `json:"token"`
-	InDoubt    bool     `json:"in_doubt"`
-	Draining   bool     `json:"draining"`
-	Unlisted   bool     `json:"unlisted"`
-	Gone       bool     `json:"gone"`
-	ClosedFor  int64    `json:"closed_for_ms"`
-	AliveFor   int64    `json:"alive_for_ms"`
-	ClockAge   int64    `json:"clock_age_ms"`
-	Pace       float64  `json:"pace"`
-	Strikes    int      `json:"strikes"`
-	FreeCPU    int      `json:"free_millicpu"`
-	Runs       []string `json:"runs"`
-	LastAcked  uint64   `json:"acknowledged"`
-	HoldOnWay  bool     `json:"renewal_on_way"`
-	AddressStr string   `json:"address"`
+	ID        string   `json:"id"`
+	Owned     bool     `json:"owned"`
+	Token     uint64   `json:"token"`
+	InDoubt   bool     `json:"in_doubt"`
+	Draining  bool     `json:"draining"`
+	Unlisted  bool     `json:"unlisted"`
+	Gone      bool     `json:"gone"`
+	ClosedFor int64    `json:"closed_for_ms"`
+	AliveFor  int64    `json:"alive_for_ms"`
+	ClockAge  int64    `json:"clock_age_ms"`
+	Pace      float64  `json:"pace"`
+	Strikes   int      `json:"strikes"`
+	FreeCPU   int      `json:"free_millicpu"`
+	Runs      []string `json:"runs"`
+	Acked     uint64   `json:"acknowledged"`
+	Holding   bool     `json:"renewal_on_way"`
+	Address   string   `json:"address"`
 }
 
 // Dump returns the state.
@@ -45,22 +45,22 @@
 
 func (r *runner) dump(now Time) RunnerDump {
 	d := RunnerDump{
-		ID:         string(r.info.ID),
-		Owned:      r.owned,
-		Token:      r.token,
-		InDoubt:    r.inDoubt,
-		Draining:   r.info.Draining,
-		Unlisted:   r.unlisted,
-		Gone:       r.gone,
-		ClosedFor:  max(0, r.health.closedUntil-now).Milliseconds(),
-		AliveFor:   max(0, r.aliveUntil-now).Milliseconds(),
-		ClockAge:   (now - r.clockAt).Milliseconds(),
-		Pace:       r.health.pace(),
-		Strikes:    r.health.strikes,
-		FreeCPU:    r.free().MilliCPU,
-		LastAcked:  r.acknowledged,
-		HoldOnWay:  r.holding,
-		AddressStr: r.info.Address,
+		ID:        string(r.info.ID),
+		Owned:     r.owned,
+		Token:     r.token,
+		InDoubt:   r.inDoubt,
+		Draining:  r.info.Draining,
+		Unlisted:  r.unlisted,
+		Gone:      r.gone,
+		ClosedFor: max(0, r.health.closedUntil-now).Milliseconds(),
+		AliveFor:  max(0, r.aliveUntil-now).Milliseconds(),
+		ClockAge:  (now - r.clockAt).Milliseconds(),
+		Pace:      r.health.pace(),
+		Strikes:   r.health.strikes,
+		FreeCPU:   r.free().MilliCPU,
+		Acked:     r.acknowledged,
+		Holding:   r.holding,
+		Address:   r.info.Address,
 	}
 	for _, u := range r.inOrder() {
 		d.Runs = append(d.Runs, u.key.String())
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -1,30 +1,20 @@
 package schedule
 
 import (
-	"fmt"
-	"hash/fnv"
-	"math"
 	"sort"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-const (
-	// packing is the share of all processors that can be in use: tasks take
-	// two fifths of a runner or more, so a part of each stays empty.
-	packing = 0.8
-	// waitTolerance is the share of its objective, in percent, that any job may
-	// wait: estimates are off by a factor of 1.5.
-	waitTolerance = 15
-	// leastChance is the chance of being done in time below which a job is
-	// refused: four callers in five would wait for nothing, and the work would
-	// be in the way of others.
-	leastChance = 0.2
-	// retryLeast and retryMost bound when a refused caller may come back.
-	retryLeast = time.Second
-	retryMost  = 10 * time.Second
-)
+// The order of service answers bursts of short jobs beside long ones: what must
+// begin first to end within its objective comes first, so that a long job that
+// came first isn't overtaken without end, and a short one isn't held up by its
+// length.
+
+// waitTolerance is the share of its objective, in percent, that any job may
+// wait: estimates are off by a factor of 1.5.
+const waitTolerance = 15
 
 // latestStart is when a job must begin to end within its objective, if its
 // estimate is right. It can be before its arrival.
@@ -144,118 +134,6 @@
 	return true
 }
 
-// refusal is the reason why a job can't be served in time; "" if it can.
-func (s *Scheduler) refusal(j *job) string {
-	if j.started {
-		return ""
-	}
-	if s.hopeless(j) {
-		return "too little time is left"
-	}
-	if !s.leading || s.now-s.since < settleTime {
-		return ""
-	}
-	capacity := s.capacity(j.work.Service)
-	if capacity == 0 {
-		return "no runner can be reached"
-	}
-	if !s.fitsSomewhere(j) {
-		return "no runner has what a task needs"
-	}
-	wait := s.backlog(j) / time.Duration(capacity)
-	if wait > 0 && s.now+wait+j.remaining > j.useless {
-		return fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond))
-	}
-	return ""
-}
-
-// hopeless reports whether a job will hardly be done before its caller leaves,
-// even on the fastest runners.
-func (s *Scheduler) hopeless(j *job) bool {
-	return chance(j.remaining, s.fastestPace(j.work.Service), j.deadline-s.now) < leastChance
-}
-
-func (s *Scheduler) fastestPace(service string) float64 {
-	fastest := math.Inf(1)
-	for _, r := range s.list {
-		if r.info.Service == service && r.usable(s.now) {
-			fastest = min(fastest, r.health.pace())
-		}
-	}
-	if math.IsInf(fastest, 1) {
-		return 1
-	}
-	return fastest
-}
-
-// capacity is the processors of a service that can be in use, in thousandths.
-func (s *Scheduler) capacity(service string) int {
-	n := 0
-	for _, r := range s.list {
-		if r.info.Service == service && r.usable(s.now) {
-			n += r.info.Capacity.MilliCPU
-		}
-	}
-	return int(float64(n) * packing)
-}
-
-// backlog is the work that waits ahead of a job, in time x thousandths of a
-// core.
-func (s *Scheduler) backlog(j *job) time.Duration {
-	var sum time.Duration
-	for _, q := range s.queue {
-		if q.work.Service != j.work.Service || !q.before(j) {
-			continue
-		}
-		sum += q.waitingWork()
-	}
-	return sum
-}
-
-// waitingWork is the work of the tasks of a job that wait.
-func (j *job) waitingWork() time.Duration {
-	var sum time.Duration
-	for i, step := range j.work.Steps {
-		n := 0
-		for _, t := range j.steps[i] {
-			if t.phase == waiting {
-				n++
-			}
-		}
-		sum += step.Estimate * time.Duration(n*step.Need.MilliCPU)
-	}
-	return sum
-}
-
-func (s *Scheduler) fitsSomewhere(j *job) bool {
-	for _, step := range j.work.Steps {
-		fits := false
-		for _, r := range s.list {
-			if r.info.Service == j.work.Service && r.info.HasLabel(step.Requires) && step.Need.Fits(r.info.Capacity) {
-				fits = true
-				break
-			}
-		}
-		if !fits {
-			return false
-		}
-	}
-	return true
-}
-
-// retryAfter spreads refused callers over the time that the backlog takes: if
-// all came back at the same moment they would be refused again.
-func (s *Scheduler) retryAfter(j *job) time.Duration {
-	wait := retryLeast
-	if capacity := s.capacity(j.work.Service); capacity > 0 {
-		wait += s.backlog(j) / time.Duration(capacity)
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(j.work.ID))
-	spread := time.Duration(h.Sum32()%1000) * time.Millisecond
-	return min(wait+spread*wait/time.Second, retryMost)
-}
-
 func (s *Scheduler) requeue(t *taskState) {
 	t.run = nil
 	if t.job.ended {
--- /dev/null
+++ b/core/schedule/ownership.go
@@ -0,0 +1,185 @@
+package schedule
+
+import "time"
+
+// Ownership of runners: fencing tokens, and the orders that renew leases and
+// read what a runner lists.
+
+const (
+	// probeMost bounds the pause between looks at a silent runner. It grows
+	// with the silence: the first follows at once, since a single order may be
+	// left unanswered while the next is answered in milliseconds.
+	probeMost = 500 * time.Millisecond
+	// probeAtOnce is the silence up to which there is no pause.
+	probeAtOnce = 400 * time.Millisecond
+	// strangeCheck is how often a runner with runs of unknown jobs is looked
+	// at.
+	strangeCheck = 30 * time.Millisecond
+)
+
+// acquire asks a runner to obey this scheduler's token from now on.
+func (s *Scheduler) acquire(r *runner) {
+	r.release()
+	r.token = s.token()
+	r.reacquireAt = 0
+	r.holdNext = 0
+	s.hold(r)
+}
+
+// hold sends a renewal unless one is on its way.
+func (s *Scheduler) hold(r *runner) {
+	if r.holding || r.gone || r.token == 0 {
+		return
+	}
+	r.holding = true
+	r.heldAt = s.now
+	h := Hold{
+		Runner:       r.info.ID,
+		Address:      r.info.Address,
+		Token:        r.token,
+		Acknowledged: r.acknowledged,
+		Timeout:      s.callTimeout(),
+	}
+	// A renewal that stays unanswered may still be carried out. So while in
+	// doubt none is given: then the time at which the runs are surely over
+	// doesn't move, and they can be started elsewhere.
+	if len(r.runs) > 0 && r.owned && !r.inDoubt && !r.strange() {
+		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
+		h.Wait = s.cfg.HoldWait
+		h.Timeout += h.Wait
+		r.grant(s.now, s.cfg.Lease)
+	}
+	s.emit(h)
+}
+
+// lookAtAll reads the lists of all runners of a service at once, and takes back
+// those that another scheduler had: it has just handed over a job.
+func (s *Scheduler) lookAtAll(service string) {
+	for _, r := range s.list {
+		if r.info.Service != service || r.gone {
+			continue
+		}
+		if r.token == 0 {
+			s.raiseTerm()
+			s.acquire(r)
+			continue
+		}
+		s.look(r)
+	}
+}
+
+// look reads a runner's lists now, beside a renewal that may wait there.
+func (s *Scheduler) look(r *runner) {
+	if r.looking || r.gone || !s.leading || r.token == 0 {
+		return
+	}
+	r.looking = true
+	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.acknowledged, Look: true, Timeout: s.callTimeout()})
+}
+
+func (s *Scheduler) nextHold(r *runner) {
+	switch {
+	case r.strange():
+		// Nothing can be started before what runs there is over.
+		r.holdNext = s.now + strangeCheck
+	case len(r.runs) > 0:
+		s.hold(r)
+	default:
+		r.holdNext = s.now + idleCheck
+	}
+}
+
+func (s *Scheduler) unanswered(r *runner) {
+	s.ctr.Unanswered++
+	r.doubt(s.now)
+}
+
+// lose handles a runner that obeys a higher token. What ran there is the other
+// scheduler's now; it is started again only when it must be over.
+func (s *Scheduler) lose(r *runner) {
+	s.ctr.Fenced++
+	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "fenced"})
+	tasks, owned := r.tasks(), r.owned
+	r.release()
+	for _, t := range tasks {
+		t.notBefore = s.now + s.cfg.Resend
+		s.requeue(t)
+	}
+	r.token = 0
+	switch {
+	case s.yielding:
+	case !owned:
+		// It has obeyed the scheduler before, whose term wasn't known.
+		s.raiseTerm()
+		s.acquire(r)
+	case s.now-r.acquiredAt > reacquireWait:
+		r.reacquireAt = s.now + fencedWait
+	default:
+		r.reacquireAt = s.now + reacquireWait
+	}
+}
+
+// raiseTerm goes above the term of whoever has taken a runner. The runner
+// doesn't say which that is.
+func (s *Scheduler) raiseTerm() {
+	if s.raisedAt == s.now {
+		return
+	}
+	s.raisedAt = s.now
+	s.term += termStep
+}
+
+// Reclaim takes the runners back from a scheduler that has yielded to this one,
+// and looks which others it had.
+func (s *Scheduler) Reclaim(now Time) {
+	s.now = now
+	s.unsureUntil = now + unsureWindow
+	s.Retake(now)
+	for _, r := range s.list {
+		s.look(r)
+	}
+}
+
+// Retake takes back the runners that were left to another scheduler, since it
+// turns out that nobody else leads.
+func (s *Scheduler) Retake(now Time) {
+	s.now = now
+	for _, r := range s.list {
+		if r.token == 0 && s.leading && !s.yielding {
+			s.raiseTerm()
+			s.acquire(r)
+		}
+	}
+}
+
+// replaced handles a lifetime of a runner that is over, with all that ran.
+func (s *Scheduler) replaced(r *runner) {
+	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "replaced"})
+	r.gone = true
+	tasks := r.tasks()
+	r.release()
+	for _, t := range tasks {
+		s.requeue(t)
+	}
+}
+
+// tasks lists the tasks whose runs are on the runner.
+func (r *runner) tasks() []*taskState {
+	var list []*taskState
+	for _, u := range r.inOrder() {
+		if u.task != nil {
+			list = append(list, u.task)
+		}
+	}
+	return list
+}
+
+// probe looks at a silent runner again, at once or after a pause.
+func (s *Scheduler) probe(r *runner) {
+	r.holdNext = s.now
+	if silence := s.now - r.clockAt; silence > probeAtOnce {
+		r.holdNext = s.now + min(silence/4, probeMost)
+	} else if !r.holding {
+		s.hold(r)
+	}
+}
