Shards in equal shares; timeouts that grow with what orders take; no restart while the entry VM is silent

Now six shards in equal shares, and a timeout of five times the average answer. With longer timeouts a renewal may be older when a cut begins, so a task that lapses waits while its entry VM is silent; that holds whatever the timeouts are.

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -243,6 +243,7 @@
 	n.follow(now)
 	n.gateway.Tick(now)
 	for _, s := range n.shards {
+		s.schedule.Heard(now, schedule.EntryID(n.Self()))
 		s.schedule.Tick(now)
 	}
 	n.checkRunners(now)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -51,6 +51,9 @@
 
 // Receive takes a message. nil is a sign of life and nothing more.
 func (n *Node) Receive(now Time, from leader.ID, m Message) {
+	for _, s := range n.shards {
+		s.schedule.Heard(now, schedule.EntryID(from))
+	}
 	if h, ok := m.(Heartbeat); ok {
 		n.heard(now, from, h)
 		return
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -9,9 +9,9 @@
 )
 
 // runnersPerShard is the number of runners that one scheduler takes care of: at
-// full load 120 start some 1,000 tasks a second, a fifth of a core. Fewer would
+// full load 60 start some 700 tasks a second, a seventh of a core. Fewer would
 // leave too little room for jobs of 32 tasks.
-const runnersPerShard = 120
+const runnersPerShard = 60
 
 // ShardsFor is the number of shards for a number of runners.
 func ShardsFor(runners int) int {
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -16,6 +16,7 @@
 package leader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -211,7 +212,7 @@
 		v.yieldSince[shard] = 0
 		return Choice{Leader: v.self, Reachable: true}
 	}
-	if leading && (leader == "" || v.before(v.self, leader, shard)) {
+	if leading && leader != first && (leader == "" || v.before(v.self, leader, shard)) {
 		return v.yield(now, shard, true, Choice{Leader: first, Reachable: true})
 	}
 	v.yieldSince[shard] = 0
@@ -236,18 +237,58 @@
 
 // first is the process that should lead a shard; "" if none can.
 func (v *View) first(now Time, shard int) ID {
-	best := ID("")
+	best := v.best(now)
+	if len(best) == 0 {
+		return ""
+	}
+	if v.own.Shards <= 1 {
+		return slices.MinFunc(best, func(x, y ID) int { return cmp.Compare(v.rank(x).Number, v.rank(y).Number) })
+	}
+	return share(best, v.own.Shards)[shard]
+}
+
+// best lists the processes that could lead and that none other ranks before,
+// but for age, in the order of their ids.
+func (v *View) best(now Time) []ID {
+	var able []ID
 	if v.own.Able && now-v.begin >= settle {
-		best = v.self
+		able = append(able, v.self)
 	}
 	for id, p := range v.peers {
-		if p.report.Able && now-p.heard <= LostAfter && (best == "" || v.before(id, best, shard)) {
-			best = id
+		if p.report.Able && now-p.heard <= LostAfter {
+			able = append(able, id)
 		}
 	}
-	return best
+	slices.Sort(able)
+	return slices.DeleteFunc(slices.Clone(able), func(x ID) bool {
+		return slices.ContainsFunc(able, func(y ID) bool { return v.class(y, x) < 0 })
+	})
+}
+
+// share divides the shards among processes: each goes to the one that scores
+// highest for it of those that have no more than an equal share. Without that
+// bound one of six would often have two shards of three, and fall behind.
+func share(processes []ID, shards int) []ID {
+	most := (shards + len(processes) - 1) / len(processes)
+	counts := make(map[ID]int, len(processes))
+	owners := make([]ID, shards)
+	for s := range owners {
+		var top uint64
+		for _, id := range processes {
+			if counts[id] >= most {
+				continue
+			}
+			if h := score(id, s); owners[s] == "" || h > top {
+				owners[s], top = id, h
+			}
+		}
+		counts[owners[s]]++
+	}
+	return owners
 }
 
+func score(id ID, shard int) uint64 { return rendezvous.Score(string(id), "shard", uint32(shard)) }
+
 // firstLeading is the first in rank of the other processes that say that they
 // lead a shard.
 func (v *View) firstLeading(now Time, shard int) ID {
@@ -277,24 +318,34 @@
 	return found
 }
 
-// before ranks two processes for a shard: those that aren't about to end, then
-// those that were never frozen, then those with twice the processor or more,
-// then by age, or with several shards by rendezvous hashing.
+// before ranks two processes for a shard: by class, then by age, or with several
+// shards by score.
 func (v *View) before(x, y ID, shard int) bool {
+	if c := v.class(x, y); c != 0 {
+		return c < 0
+	}
+	if v.own.Shards > 1 {
+		return score(x, shard) > score(y, shard)
+	}
+	return v.rank(x).Number < v.rank(y).Number
+}
+
+// class compares two processes by what counts before age; less than 0 if x
+// comes first: those that aren't about to end, then those that were never
+// frozen, then those with twice the processor or more.
+func (v *View) class(x, y ID) int {
 	a, b := v.rank(x), v.rank(y)
 	switch {
-	case a.Stopping != b.Stopping:
-		return !a.Stopping
-	case a.Demotions != b.Demotions:
-		return a.Demotions < b.Demotions
+	case a.Stopping != b.Stopping && a.Stopping, a.Stopping == b.Stopping && a.Demotions > b.Demotions:
+		return 1
+	case a.Stopping != b.Stopping, a.Demotions < b.Demotions:
+		return -1
 	case a.MilliCPU >= 2*b.MilliCPU && b.MilliCPU > 0:
-		return true
+		return -1
 	case b.MilliCPU >= 2*a.MilliCPU && a.MilliCPU > 0:
-		return false
-	case v.own.Shards > 1:
-		return rendezvous.Score(string(x), "shard", uint32(shard)) > rendezvous.Score(string(y), "shard", uint32(shard))
+		return 1
 	}
-	return a.Number < b.Number
+	return 0
 }
 
 func (v *View) rank(id ID) *Report {
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -57,6 +57,7 @@
 	end := b.now + d
 	for b.now < end {
 		b.now = min(end, b.now+20*ms)
+		b.s.Heard(b.now, entryA)
 		b.s.Tick(b.now)
 		for _, h := range take[Hold](b) {
 			b.held(h)
@@ -66,6 +67,16 @@
 
 // tick lets time pass and answers nothing.
 func (b *bench) tick(d time.Duration) {
+	end := b.now + d
+	for b.now < end {
+		b.now = min(end, b.now+20*ms)
+		b.s.Heard(b.now, entryA)
+		b.s.Tick(b.now)
+	}
+}
+
+// silence lets time pass without a sign of life from the entry VM.
+func (b *bench) silence(d time.Duration) {
 	end := b.now + d
 	for b.now < end {
 		b.now = min(end, b.now+20*ms)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -196,6 +196,7 @@
 		return
 	}
 	r.sawClock(res.Clock)
+	s.took(res.Clock.SentAt)
 	if res.Outcome != Unanswered {
 		r.answered(res.Clock.SentAt)
 	}
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -85,6 +85,32 @@
 	t.Fatal("the task was never started again")
 }
 
+// A failure domain is cut off with the entry VM of a job and a runner on which it
+// runs. The scheduler on that side may go on with the run, so the task isn't
+// started again here while the entry VM is silent.
+func TestLapseWithASilentEntryVM(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 300*ms), 3*time.Second)
+	start := one[Start](b)
+	b.started(start, Accepted)
+	for range 22 {
+		for _, h := range take[Hold](b) {
+			if h.Runner == start.Runner {
+				b.answerHold(h, Unanswered)
+			} else {
+				b.held(h)
+			}
+		}
+		b.silence(20 * ms)
+	}
+	b.silence(longestLife(b.s.cfg.Lease) - 22*20*ms + 40*ms)
+	b.g.Expect(take[Decision](b)).To(ContainElement(HaveField("Event", "run-lapsed")))
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.s.EntryLost(b.now, entryA, false)
+	b.silence(entryWait + 40*ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
 // A runner has crashed and answers under another lifetime. Whatever ran there
 // is over, so its tasks start elsewhere at once.
 func TestReplacedRunner(t *testing.T) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -78,6 +78,14 @@
 	// CallTimeout is how long an order may stay unanswered. Runners answer
 	// within three milliseconds; each more that is waited is lost to the task.
 	CallTimeout = 50 * time.Millisecond
+	// timeoutFactor and timeoutMost let the timeout grow with what orders take,
+	// this process's own delays included. A scheduler that falls behind would
+	// otherwise take late answers for none, send more orders and open new
+	// connections, and fall behind for good.
+	timeoutFactor = 5
+	timeoutMost   = 400 * time.Millisecond
+	// latencyWeight is the weight of the latest order in the average.
+	latencyWeight = 0.05
 	// startTries is how often a start is sent to the same runner under the same
 	// run number, which starts it once at most.
 	startTries = 2
@@ -121,6 +129,11 @@
 	// missingMost is how long a silent process is thought to be alive behind a
 	// cut; VMs that are lost for good don't come back.
 	missingMost = 30 * time.Second
+	// entryFresh is how lately an entry VM must have been heard for its tasks to
+	// be started again after a lapse, in heartbeats two and a half. Else they
+	// wait for entryWait, in which it is heard again or counts as lost.
+	entryFresh = 250 * time.Millisecond
+	entryWait  = 300 * time.Millisecond
 	// ranRetention is how long it is remembered that something of a job has run:
 	// longer than any caller sends it again.
 	ranRetention = 15 * time.Second
@@ -138,6 +151,8 @@
 	// yielding: another process is about to take over.
 	yielding bool
 	since    Time
+	// latency is how long orders take that don't wait, averaged.
+	latency time.Duration
 	// raisedAt is when the term was last raised above that of a stranger.
 	raisedAt Time
 
@@ -158,6 +173,8 @@
 	// missing are VMs whose processes fell silent, by when, and that haven't
 	// come back. They may lead on the other side of a cut.
 	missing map[string]Time
+	// heard is when each entry process was last heard.
+	heard map[EntryID]Time
 	// ran are jobs without an outcome of which something is known to have run.
 	ran map[workload.JobID]Time
 	// found are ends of tasks whose jobs aren't known, by the runners' lists.
@@ -199,6 +216,7 @@
 		jobs:      make(map[workload.JobID]*job),
 		results:   make(map[workload.JobID]result),
 		cancelled: make(map[workload.JobID]Time),
+		heard:     make(map[EntryID]Time),
 		missing:   make(map[string]Time),
 		ran:       make(map[workload.JobID]Time),
 		found:     make(map[workload.TaskName]Time),
@@ -259,10 +277,19 @@
 
 // callTimeout is how long an order may stay unanswered now.
 func (s *Scheduler) callTimeout() time.Duration {
+	least := CallTimeout
 	if s.now-s.since < settleTime {
-		return settleTimeout
+		least = settleTimeout
+	}
+	return min(max(least, timeoutFactor*s.latency), timeoutMost)
+}
+
+// took notes how long an order took; one without an answer counts as the time
+// that it was waited for.
+func (s *Scheduler) took(sentAt Time) {
+	if d := s.now - sentAt; d >= 0 {
+		s.latency += time.Duration(latencyWeight * float64(d-s.latency))
 	}
-	return CallTimeout
 }
 
 // Retire gives up all runners and jobs without a word to them: another
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -35,6 +35,7 @@
 // Submit takes a job, or another copy of one that is known.
 func (s *Scheduler) Submit(now Time, sub Submission) {
 	s.now = now
+	s.heard[sub.Entry] = now
 	id := sub.Job.ID
 	if r, ok := s.results[id]; ok {
 		s.answer(sub.Entry, id, r.outcome, "known")
@@ -275,6 +276,7 @@
 // here; so they are stopped at once.
 func (s *Scheduler) EntryLost(now Time, entry EntryID, ended bool) {
 	s.now = now
+	delete(s.heard, entry)
 	if !ended {
 		s.missing[entry.VM()] = now
 	}
@@ -292,6 +294,9 @@
 	s.dispatch()
 }
 
+// Heard notes a sign of life of an entry process.
+func (s *Scheduler) Heard(now Time, entry EntryID) { s.heard[entry] = now }
+
 // EntryBack notes that an entry VM is heard again, perhaps by a new process.
 func (s *Scheduler) EntryBack(now Time, entry EntryID) {
 	s.now = now
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -79,6 +79,12 @@
 		}
 		s.ctr.Lapsed++
 		s.emit(Decision{Event: "run-lapsed", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "runner is silent", Age: s.now - r.clockAt})
+		if s.now-s.heard[u.task.job.entry] > entryFresh {
+			// The entry VM may be cut off together with the runner. Then the
+			// scheduler on that side may have taken the run over, and the job
+			// will be dropped here in a moment.
+			u.task.notBefore = s.now + entryWait
+		}
 		s.requeue(u.task)
 	}
 }
