--- a/core/schedule/load_test.go
+++ b/core/schedule/load_test.go
@@ -204,3 +204,22 @@
 		b.g.Expect(a.Outcome).To(Equal(workload.Cancelled))
 	}
 }
+
+// The process has more to do than its processor allows, so that answers which
+// came in time are looked at late. If its timeouts stayed as they are, it would
+// send starts again that were carried out, and fall behind for good.
+func TestTimeoutsGrowWithDelays(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.g.Expect(b.s.callTimeout()).To(Equal(CallTimeout))
+	for seq := range uint64(60) {
+		b.submit(testJob(1, 60*ms), 2*time.Second)
+		c := one[Start](b)
+		sent := b.clock()
+		b.now += 45 * ms
+		sent.At = b.now
+		b.s.Started(b.now, StartResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: sent})
+		b.end(c.Runner, seq+1, c.Run, workload.Done)
+	}
+	b.g.Expect(b.s.callTimeout()).To(BeNumerically(">", 150*ms))
+	b.g.Expect(b.s.callTimeout()).To(BeNumerically("<=", timeoutMost))
+}
