A process that doesn't lead takes no runner

Found by reading: a job that another scheduler had, handed in to a process that did not lead, made it take the runners that it had never owned.

--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -55,6 +55,9 @@
 // lookAtAll reads the lists of all runners of a service at once, and takes back
 // those that another scheduler had: it has just handed over a job.
 func (s *Scheduler) lookAtAll(service string) {
+	if !s.leading {
+		return
+	}
 	for _, r := range s.list {
 		if r.info.Service != service || r.gone {
 			continue
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -232,6 +232,16 @@
 	b.g.Expect(one[Hold](b).Token).To(BeNumerically(">", 0))
 }
 
+// A job that another scheduler had is handed in to a process that doesn't lead,
+// by an entry VM whose view is behind. If this one took runners for it, it would
+// take them from the leader, and all callers would wait.
+func TestHandInWithoutTheLead(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, Due: time.Second, Patience: 3 * time.Second, Handed: 1, Unknown: 1300 * ms})
+	b.tick(200 * ms)
+	b.g.Expect(take[Hold](b)).To(BeEmpty())
+}
+
 // The entry VM of a job has fallen silent: it may be cut off and hand the job
 // to a scheduler on its side. What runs here is stopped at once. If the process
 // has said that it ends, its caller comes again and the runs go on for a while.
