A leader that retires tells the next one what has ended

Cause of the red test of planned stops: an end is listed only until it is acknowledged, so a task that had ended under the old leader, or a whole job whose answer was on its way, started again under the new one, one after the other. Ruled out: an unanswered start, a lapse, a run that overstays (none in the trace). Change: the old leader passes on done tasks and outcomes; the new one holds back jobs handed over for up to 60 ms until it has them.

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -6,6 +6,7 @@
 	"sapphirepoint.example/sapphirepoint/core/gateway"
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -64,6 +65,12 @@
 	Handover bool
 }
 
+// Progress is what a leader that retires tells the next one of a shard.
+type Progress struct {
+	Shard int
+	schedule.Progress
+}
+
 func (Heartbeat) message()   {}
 func (HandIn) message()      {}
 func (Verdict) message()     {}
@@ -72,6 +79,7 @@
 func (JobAnswer) message()   {}
 func (Declaration) message() {}
 func (RunnerList) message()  {}
+func (Progress) message()    {}
 
 // JobState is how far a job is.
 type JobState struct {
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -73,6 +73,10 @@
 		n.answerQuery(m)
 	case Declaration:
 		n.Declared(now, m.Declaration, string(from))
+	case Progress:
+		if m.Shard < len(n.shards) {
+			n.shards[m.Shard].schedule.Learn(now, m.Progress)
+		}
 	case RunnerList:
 		if m.Handover {
 			n.suspect(now, m.Runners)
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -123,12 +123,16 @@
 	}
 	n.notice("leader-changed", Field{"shard", s.index}, Field{"leader", string(c.Leader)}, Field{"before", string(s.choice.Leader)},
 		Field{"reachable", c.Reachable}, Field{"term", s.schedule.Term()})
+	before := s.choice.Leader
 	s.choice = c
 	if c.Reachable && c.Leader == n.Self() {
 		n.askForRunners()
+		if n.linked[before] {
+			s.schedule.Await(now)
+		}
 		s.schedule.Lead(now)
 	} else {
-		s.schedule.Retire(now)
+		n.retire(now, s)
 	}
 	if c.Reachable && n.gateway.InHand() > 0 {
 		n.handOver(now, s)
@@ -137,6 +141,14 @@
 	return true
 }
 
+// retire gives up a shard, and tells the next leader what has been done.
+func (n *Node) retire(now Time, s *shard) {
+	if s.schedule.Leading() && s.choice.Reachable {
+		n.emit(Send{To: s.choice.Leader, Message: Progress{Shard: s.index, Progress: s.schedule.Progress(now)}})
+	}
+	s.schedule.Retire(now)
+}
+
 func (n *Node) choices() []leader.Choice {
 	list := make([]leader.Choice, len(n.shards))
 	for i, s := range n.shards {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -99,6 +99,9 @@
 	if j.knownFrom > s.now && !s.allListed(j) {
 		return
 	}
+	if j.handed > 0 && s.now < s.awaitUntil {
+		return
+	}
 	for i := range j.work.Steps {
 		if !j.ready(i) {
 			continue
--- /dev/null
+++ b/core/schedule/progress.go
@@ -0,0 +1,88 @@
+package schedule
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Progress is what a scheduler that retires tells the next one. Runners list an
+// end only until it is acknowledged, so what had ended before would be run again.
+type Progress struct {
+	// Done are the tasks that have ended well of jobs that haven't ended.
+	Done []workload.TaskName
+	// Ended are jobs that have ended of late.
+	Ended []EndedJob
+}
+
+// EndedJob is the outcome of a job.
+type EndedJob struct {
+	Job     workload.JobID
+	Outcome workload.Outcome
+}
+
+const (
+	// progressWait is how long a new leader holds back jobs that another one
+	// had for that one's word on them: some messages between VMs, which take a
+	// millisecond or two, and a pause of a busy process.
+	progressWait = 60 * time.Millisecond
+	// progressAge is how long ago a job may have ended of which the next
+	// scheduler is told: callers wait up to 2.7 s.
+	progressAge = 4 * time.Second
+)
+
+// Progress returns what the next scheduler should know.
+func (s *Scheduler) Progress(now Time) Progress {
+	var p Progress
+	for _, j := range s.jobsInOrder() {
+		j.each(func(t *taskState) {
+			if t.phase == done {
+				p.Done = append(p.Done, t.name)
+			}
+		})
+	}
+	for i := len(s.resultOrder) - 1; i >= 0; i-- {
+		id := s.resultOrder[i]
+		r := s.results[id]
+		if now-r.at > progressAge {
+			break
+		}
+		p.Ended = append(p.Ended, EndedJob{Job: id, Outcome: r.outcome})
+	}
+	return p
+}
+
+// Await holds back jobs that another scheduler had until its Progress comes.
+func (s *Scheduler) Await(now Time) { s.awaitUntil = now + progressWait }
+
+// Learn takes the Progress of the scheduler before.
+func (s *Scheduler) Learn(now Time, p Progress) {
+	s.now = now
+	s.awaitUntil = 0
+	for _, e := range p.Ended {
+		if j := s.jobs[e.Job]; j != nil {
+			s.finish(j, e.Outcome, "ended under another scheduler")
+			continue
+		}
+		if _, known := s.results[e.Job]; !known {
+			s.keepResult(e.Job, e.Outcome)
+		}
+	}
+	for _, name := range p.Done {
+		s.learnDone(name)
+	}
+	s.dispatch()
+}
+
+func (s *Scheduler) learnDone(name workload.TaskName) {
+	s.ran[name.Job] = s.now
+	j := s.jobs[name.Job]
+	if j == nil {
+		s.found[name] = s.now
+		return
+	}
+	if t := j.task(name); t != nil && t.phase != done {
+		j.started = true
+		s.taskDone(t, nil, nil)
+	}
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -170,6 +170,8 @@
 	// unsureUntil is when this scheduler knows again of all jobs that may come
 	// a second time.
 	unsureUntil Time
+	// awaitUntil is how long jobs that another scheduler had wait for its word.
+	awaitUntil Time
 	// missing are VMs whose processes fell silent, by when, and that haven't
 	// come back. They may lead on the other side of a cut.
 	missing map[string]Time
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -8,6 +8,7 @@
 	"sapphirepoint.example/sapphirepoint/core/gateway"
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -34,6 +35,8 @@
 		return declarationMessage(m.Declaration)
 	case fleet.RunnerList:
 		return runnersMessage(m)
+	case fleet.Progress:
+		return progressMessage(m)
 	}
 	panic(fmt.Sprintf("unknown message %T", m))
 }
@@ -59,6 +62,8 @@
 		return fleet.Declaration{Declaration: declarationOf(body.Declaration)}
 	case *pb.FleetMessage_Runners:
 		return runnersOf(body.Runners)
+	case *pb.FleetMessage_Progress:
+		return progressOf(body.Progress)
 	}
 	return nil
 }
@@ -348,3 +353,28 @@
 	}
 	return l
 }
+
+func progressMessage(p fleet.Progress) *pb.FleetMessage {
+	m := &pb.Progress{Shard: uint32(p.Shard)}
+	for _, t := range p.Done {
+		m.Done = append(m.Done, t.String())
+	}
+	for _, e := range p.Ended {
+		m.Ended = append(m.Ended, &pb.EndedJob{Job: string(e.Job), Outcome: uint32(e.Outcome)})
+	}
+	return &pb.FleetMessage{Body: &pb.FleetMessage_Progress{Progress: m}}
+}
+
+// progressOf leaves out names that can't be read: their tasks may run again.
+func progressOf(m *pb.Progress) fleet.Progress {
+	p := fleet.Progress{Shard: int(m.GetShard())}
+	for _, name := range m.GetDone() {
+		if t, err := workload.ParseTaskName(name); err == nil {
+			p.Done = append(p.Done, t)
+		}
+	}
+	for _, e := range m.GetEnded() {
+		p.Ended = append(p.Ended, schedule.EndedJob{Job: workload.JobID(e.GetJob()), Outcome: outcomeOf(e.GetOutcome())})
+	}
+	return p
+}
