--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -103,7 +103,7 @@
 type Disconnect struct{ Peer leader.ID }
 
 // Order is a scheduler's order to a runner: schedule.Start, Stop or Hold.
-type Order struct{ Order any }
+type Order struct{ Order schedule.Command }
 
 // Answer is the final word on a caller's request.
 type Answer struct{ gateway.Reply }
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -228,7 +228,7 @@
 	return nil
 }
 
-func (w *world) order(n *fakeNode, order any) {
+func (w *world) order(n *fakeNode, order schedule.Command) {
 	switch c := order.(type) {
 	case schedule.Start:
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
--- a/entry/process.go
+++ b/entry/process.go
@@ -175,7 +175,7 @@
 	}
 }
 
-func (p *Process) order(ctx context.Context, o any) {
+func (p *Process) order(ctx context.Context, o schedule.Command) {
 	switch o := o.(type) {
 	case schedule.Start:
 		go p.startTask(ctx, o)
