--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -96,7 +96,7 @@
 // link connects a process with those that it can reach.
 func (w *world) link(n *fakeNode) {
 	for _, o := range w.nodes {
-		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.reach(n.domain, o.domain) || w.now < o.frozen {
+		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.joined(n, o) || w.now < o.frozen {
 			continue
 		}
 		n.links[o.id], o.links[n.id] = true, true
@@ -164,7 +164,7 @@
 	from := n.id
 	w.after(delay, func() {
 		o := w.byID(c.To)
-		if o == nil || !o.links[from] || !w.reach(n.domain, o.domain) {
+		if o == nil || !o.links[from] || !w.joined(n, o) {
 			return
 		}
 		w.do(o, func() { o.node.Receive(w.now, from, c.Message) })
@@ -175,7 +175,7 @@
 	delete(n.links, id)
 	from := n.id
 	w.after(delay, func() {
-		if o := w.byID(id); o != nil && w.reach(n.domain, o.domain) && o.links[from] {
+		if o := w.byID(id); o != nil && w.joined(n, o) && o.links[from] {
 			delete(o.links, from)
 			w.do(o, func() { o.node.PeerDown(w.now, from, false) })
 		}
@@ -197,7 +197,7 @@
 		if o == n || o.node == nil || !o.links[id] {
 			continue
 		}
-		if clean && w.reach(n.domain, o.domain) {
+		if clean && w.joined(n, o) {
 			delete(o.links, id)
 			w.do(o, func() { o.node.PeerDown(w.now, id, true) })
 		}
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -78,6 +78,30 @@
 		r.fails = true
 		w.after(w.span(1000, 5000), func() { r.fails = false })
 	},
+	"store for some": func(w *world) {
+		n := anyNode(w)
+		w.storeAway[n.name] = true
+		w.after(w.span(1000, 6000), func() { delete(w.storeAway, n.name) })
+	},
+	"part": func(w *world) {
+		pair := [2]string{anyNode(w).name, anyNode(w).name}
+		w.parted[pair] = true
+		w.after(w.span(300, 4000), func() { delete(w.parted, pair) })
+	},
+	"replace": func(w *world) {
+		n := anyNode(w)
+		if n.node == nil {
+			return
+		}
+		w.endProcess(n, false)
+		fresh := &fakeNode{name: n.name + "x", domain: n.domain}
+		for i := range w.nodes {
+			if w.nodes[i] == n {
+				w.nodes[i] = fresh
+			}
+		}
+		w.after(w.span(500, 3000), func() { w.boot(fresh) })
+	},
 	"slow": func(w *world) {
 		r := anyRunner(w)
 		r.pace = 5
@@ -90,13 +114,13 @@
 }
 
 // randomRun plays twelve seconds of traffic with a fault about every 700 ms.
-func randomRun(seed uint64, shards int) (*world, []string) {
+func randomRun(seed uint64, shards int, names []string) (*world, []string) {
 	w := deployment(seed, shards)
 	w.load(60, 12*time.Second)
 	var played []string
 	for w.now < 12*time.Second {
 		w.run(w.span(100, 1300))
-		name := troubleNames()[w.rng.IntN(len(troubles))]
+		name := names[w.rng.IntN(len(names))]
 		played = append(played, w.now.String()+" "+name)
 		troubles[name](w)
 	}
@@ -113,7 +137,7 @@
 	served, asked := 0, 0
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		w, played := randomRun(seed, 1+i%2)
+		w, played := randomRun(seed, 1+i%2, troubleNames())
 		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d, %d shards: %v", seed, w.shards, played)
 		for _, j := range w.jobs {
 			asked++
@@ -126,6 +150,18 @@
 	g.Expect(served).To(BeNumerically(">", asked/2))
 }
 
+// Links between single VMs are cut, some VMs can't reach the store, and VMs are
+// replaced for good by others, beside the faults above. The promises hold.
+func TestRandomFaultsOfLinks(t *testing.T) {
+	g := NewWithT(t)
+	names := append(troubleNames(), "store for some", "part", "part", "replace")
+	for i := range *seeds / 2 {
+		seed := *firstSeed + uint64(i)
+		w, played := randomRun(seed, 1+i%2, names)
+		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d, %d shards: %v", seed, w.shards, played)
+	}
+}
+
 // Runs that once broke a promise, with the cause.
 var regressions = map[uint64]string{
 	1:    "a caller whose entry VM had died was told that nothing had run, by a scheduler that had dropped the job or never known it",
@@ -137,7 +173,7 @@
 
 func TestRegressions(t *testing.T) {
 	for seed, cause := range regressions {
-		w, played := randomRun(seed, 1)
+		w, played := randomRun(seed, 1, troubleNames())
 		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
 	}
 }
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -38,6 +38,10 @@
 	// cut are failure domains that reach nothing outside.
 	cut       map[string]bool
 	storeDown bool
+	// storeAway are VMs that can't reach the store, and parted are pairs of VMs
+	// that can't reach each other.
+	storeAway map[string]bool
+	parted    map[[2]string]bool
 	shards    int
 	// awake is when the last frozen process wakes.
 	awake    time.Duration
@@ -101,10 +105,12 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
-		rng:    rand.New(rand.NewPCG(seed, 1)),
-		jobs:   make(map[workload.JobID]*fakeJob),
-		cut:    make(map[string]bool),
-		listed: make(map[workload.RunnerID]bool),
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		jobs:      make(map[workload.JobID]*fakeJob),
+		cut:       make(map[string]bool),
+		storeAway: make(map[string]bool),
+		parted:    make(map[[2]string]bool),
+		listed:    make(map[workload.RunnerID]bool),
 	}
 	w.truth = newTruth(w)
 	return w
@@ -176,7 +182,14 @@
 // reach reports whether two domains can talk.
 func (w *world) reach(a, b string) bool { return a == b || !w.cut[a] && !w.cut[b] }
 
-func (w *world) storeReached(n *fakeNode) bool { return !w.storeDown && !w.cut[n.domain] }
+func (w *world) storeReached(n *fakeNode) bool {
+	return !w.storeDown && !w.cut[n.domain] && !w.storeAway[n.name]
+}
+
+// joined reports whether two VMs can talk.
+func (w *world) joined(a, b *fakeNode) bool {
+	return w.reach(a.domain, b.domain) && !w.parted[[2]string{a.name, b.name}] && !w.parted[[2]string{b.name, a.name}]
+}
 
 // call carries an order to a runner and its answer back; lost says that the
 // caller hears nothing.
