Jobs handed over wait for lists read since, whatever the terms

A job went to the leader of one side, which counted a runner as known since it obeyed its later term; the leader of the other side had raised its own term meanwhile, taken the runner back, and started the job 3 ms later. Ruled out: a lapse, an unanswered start. Change: only a list read since the job came counts; a runner is looked at again if a job has come since. Test fails without it.

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -206,7 +206,6 @@
 		Patience: c.Patience,
 		Handed:   c.Handed,
 		Unknown:  c.Unknown,
-		Term:     c.Term,
 	})
 }
 
@@ -259,7 +258,7 @@
 	for _, s := range n.shards {
 		s.schedule.Retire(now)
 		s.choice = leader.Choice{}
-		n.gateway.Follow(now, s.index, s.choice, s.schedule.Term())
+		n.gateway.Follow(now, s.index, s.choice)
 	}
 }
 
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -19,7 +19,7 @@
 	if n.leads() {
 		n.emit(Send{To: id, Message: n.runners})
 	}
-	n.gateway.Reconnected(now, id, n.term())
+	n.gateway.Reconnected(now, id)
 }
 
 // PeerDown notes the end of a connection; ended says that the other process
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -117,10 +117,6 @@
 	if c == s.choice {
 		return false
 	}
-	term := s.schedule.Term()
-	if s.choice.Leader != n.Self() {
-		term = n.view.Report(s.choice.Leader).Term
-	}
 	n.notice("leader-changed", Field{"shard", s.index}, Field{"leader", string(c.Leader)}, Field{"before", string(s.choice.Leader)},
 		Field{"reachable", c.Reachable}, Field{"term", s.schedule.Term()})
 	before := s.choice.Leader
@@ -137,7 +133,7 @@
 	if c.Reachable && n.gateway.InHand() > 0 {
 		n.handOver(now, s)
 	}
-	n.gateway.Follow(now, s.index, c, term)
+	n.gateway.Follow(now, s.index, c)
 	return true
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -43,8 +43,6 @@
 	Patience time.Duration
 	Handed   int
 	Unknown  time.Duration
-	// Term is the highest term of the schedulers before.
-	Term uint64
 }
 
 // Drop tells a scheduler that a job isn't its own any more: its caller has
@@ -96,7 +94,6 @@
 	handed    int
 	// unknownUntil is when runs of earlier schedulers are surely over.
 	unknownUntil Time
-	term         uint64
 }
 
 // Gateway is the state. It isn't safe for concurrent use.
@@ -168,8 +165,8 @@
 }
 
 // Follow takes the choice of a shard's leader. The one before has heard this process
-// until now at most; term is the highest that it is known to have used.
-func (g *Gateway) Follow(now Time, shard int, c leader.Choice, term uint64) {
+// until now at most.
+func (g *Gateway) Follow(now Time, shard int, c leader.Choice) {
 	g.now = now
 	if c == g.choices[shard] {
 		return
@@ -181,7 +178,7 @@
 		}
 		if h.scheduler != "" && h.scheduler != c.Leader {
 			g.out = append(g.out, Drop{At: now, To: h.scheduler, Job: h.job.ID, HandedOver: true})
-			g.takeBack(h, term)
+			g.takeBack(h)
 		}
 		if h.scheduler == "" {
 			g.handIn(h)
@@ -191,19 +188,18 @@
 
 // Reconnected hands in again what a scheduler may have dropped while it wasn't
 // heard.
-func (g *Gateway) Reconnected(now Time, id leader.ID, term uint64) {
+func (g *Gateway) Reconnected(now Time, id leader.ID) {
 	g.now = now
 	for _, h := range g.inOrder() {
 		if h.scheduler == id {
-			g.takeBack(h, term)
+			g.takeBack(h)
 			g.handIn(h)
 		}
 	}
 }
 
 // takeBack marks a job as being with no scheduler.
-func (g *Gateway) takeBack(h *inHand, term uint64) {
-	h.term = max(h.term, term)
+func (g *Gateway) takeBack(h *inHand) {
 	h.scheduler = ""
 	h.handed++
 	h.unknownUntil = g.now + unknownLife
@@ -223,7 +219,6 @@
 		Patience: h.deadline - g.now,
 		Handed:   h.handed,
 		Unknown:  max(0, h.unknownUntil-g.now),
-		Term:     h.term,
 	})
 }
 
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -42,7 +42,7 @@
 func TestOneAnswerForCopies(t *testing.T) {
 	g := NewWithT(t)
 	w := New()
-	w.Follow(0, 0, toA, 0)
+	w.Follow(0, 0, toA)
 	w.Arrive(0, 1, 0, testJob("j"), time.Second)
 	w.Arrive(10*ms, 2, 0, testJob("j"), time.Second)
 	g.Expect(handIns(w.Ready())).To(HaveLen(1))
@@ -56,17 +56,16 @@
 func TestNextScheduler(t *testing.T) {
 	g := NewWithT(t)
 	w := New()
-	w.Follow(0, 0, toA, 0)
+	w.Follow(0, 0, toA)
 	w.Arrive(0, 1, 0, testJob("j"), 2*time.Second)
 	w.Ready()
-	w.Follow(100*ms, 0, toB, 9)
+	w.Follow(100*ms, 0, toB)
 	out := w.Ready()
 	g.Expect(out).To(ContainElement(Drop{At: 100 * ms, To: "a", Job: "j", HandedOver: true}))
 	again := handIns(out)
 	g.Expect(again).To(HaveLen(1))
 	g.Expect(again[0].To).To(Equal(leader.ID("b")))
 	g.Expect(again[0].Handed).To(Equal(1))
-	g.Expect(again[0].Term).To(BeEquivalentTo(9))
 	g.Expect(again[0].Unknown).To(Equal(unknownLife))
 	g.Expect(again[0].Patience).To(Equal(1900 * ms))
 
@@ -81,9 +80,9 @@
 func TestRefusalAfterAHandover(t *testing.T) {
 	g := NewWithT(t)
 	w := New()
-	w.Follow(0, 0, toA, 0)
+	w.Follow(0, 0, toA)
 	w.Arrive(0, 1, 0, testJob("j"), 2*time.Second)
-	w.Follow(100*ms, 0, toB, 0)
+	w.Follow(100*ms, 0, toB)
 	w.Ready()
 	w.Decide(200*ms, Verdict{From: "b", Job: "j", Outcome: workload.NotRun})
 	r := replies(w.Ready())
@@ -103,7 +102,7 @@
 	r := replies(w.Ready())
 	g.Expect(r).To(HaveLen(1))
 	g.Expect(r[0].RetryAfter).To(Equal(retryNoLeader))
-	w.Follow(time.Second, 0, leader.Choice{Leader: "a"}, 0)
+	w.Follow(time.Second, 0, leader.Choice{Leader: "a"})
 	w.Arrive(time.Second, 2, 0, testJob("k"), 2*time.Second)
 	g.Expect(replies(w.Ready())).To(HaveLen(1))
 }
@@ -111,7 +110,7 @@
 func TestCallerLeaves(t *testing.T) {
 	g := NewWithT(t)
 	w := New()
-	w.Follow(0, 0, toA, 0)
+	w.Follow(0, 0, toA)
 	w.Arrive(0, 1, 0, testJob("j"), time.Second)
 	w.Arrive(0, 2, 0, testJob("j"), time.Second)
 	w.Ready()
@@ -125,7 +124,7 @@
 func TestNoWord(t *testing.T) {
 	g := NewWithT(t)
 	w := New()
-	w.Follow(0, 0, toA, 0)
+	w.Follow(0, 0, toA)
 	w.Arrive(0, 1, 0, testJob("j"), time.Second)
 	w.Ready()
 	w.Tick(time.Second + answerSlack + ms)
@@ -137,7 +136,7 @@
 func TestEndOfTheProcess(t *testing.T) {
 	g := NewWithT(t)
 	w := New()
-	w.Follow(0, 0, toA, 0)
+	w.Follow(0, 0, toA)
 	w.Arrive(0, 1, 0, testJob("j"), time.Second)
 	w.Ready()
 	w.GiveUp(10*ms, "the process ends")
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -66,8 +66,6 @@
 	listsSince Time
 	// withdrawn jobs are another scheduler's now.
 	withdrawn bool
-	// term is the highest that an earlier scheduler has used.
-	term uint64
 	// abandonedAt is when the job's runs are stopped since its entry process
 	// has ended; 0 if it lives.
 	abandonedAt Time
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -121,16 +121,18 @@
 }
 
 // allListed reports whether all is known that earlier schedulers have started of
-// a job. A runner has listed it if it obeys a token of a later term than theirs:
-// they can't start anything there any more. So it has if it has listed what it
-// runs since the job came, under whatever token: had they used a higher one, it
-// would have refused.
+// a job: each runner has listed what it runs since the job came. Had they used a
+// higher token there, it would have refused; and what they haven't started by
+// then they won't, since the job was withdrawn from them before.
+//
+// That a runner obeys a later term than theirs isn't enough: as a cut heals they
+// may have raised their own and taken the runner back, unknown to this one.
 func (s *Scheduler) allListed(j *job) bool {
 	for _, r := range s.list {
 		if r.info.Service != j.work.Service || r.gone {
 			continue
 		}
-		if !r.owned || r.token>>numberBits <= j.term && r.listedAt < j.listsSince {
+		if !r.owned || r.listedAt < j.listsSince {
 			return false
 		}
 	}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -32,6 +32,9 @@
 		r.answered(res.Clock.SentAt)
 		s.listed(r, res)
 		s.dispatch()
+		if r.listedAt < s.listsWanted {
+			s.look(r)
+		}
 		if !r.holding {
 			s.nextHold(r)
 		}
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -174,7 +174,7 @@
 		}
 	}
 	handed := b.now
-	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, Due: time.Second, Patience: 3 * time.Second, Handed: 1, Unknown: 1300 * ms, Term: 5})
+	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, Due: time.Second, Patience: 3 * time.Second, Handed: 1, Unknown: 1300 * ms})
 	for range 100 {
 		b.tick(20 * ms)
 		for _, h := range take[Hold](b) {
@@ -192,6 +192,23 @@
 	t.Fatal("the job was never started")
 }
 
+// A cut heals, and a job comes from the scheduler of the other side. That one has
+// just taken a runner back under a term that this one hasn't heard of, and runs
+// the job there. What was listed before the job came doesn't tell.
+func TestListsFromBeforeTheJob(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.now += ms
+	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, Due: time.Second, Patience: 3 * time.Second, Handed: 1, Unknown: 1300 * ms})
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	looks := take[Hold](b)
+	b.g.Expect(looks).To(HaveLen(2))
+	b.now += 2 * ms
+	b.held(looks[0])
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.held(looks[1])
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
+
 // Two schedulers think that they lead. The runner obeys the higher token; the
 // other one must not start what it had there before that is surely over.
 func TestFenced(t *testing.T) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -172,6 +172,9 @@
 	unsureUntil Time
 	// awaitUntil is how long jobs that another scheduler had wait for its word.
 	awaitUntil Time
+	// listsWanted is when the latest job came that another scheduler had.
+	// Runners that haven't listed their runs since are looked at.
+	listsWanted Time
 	// missing are VMs whose processes fell silent, by when, and that haven't
 	// come back. They may lead on the other side of a cut.
 	missing map[string]Time
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -20,8 +20,6 @@
 	// Unknown is how much longer runs may be alive that an earlier scheduler
 	// has started.
 	Unknown time.Duration
-	// Term is the highest term that they have used.
-	Term uint64
 }
 
 // lateFactor times its objective is when a job's answer is worth nothing any
@@ -89,7 +87,7 @@
 	j.started = true
 	j.knownFrom = s.now + sub.Unknown
 	j.listsSince = s.now
-	j.term = max(j.term, sub.Term)
+	s.listsWanted = s.now
 	j.each(func(t *taskState) { t.lastNumber = max(t.lastNumber, sub.Handed*runsPerHand) })
 	s.lookAtAll(j.work.Service)
 }
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -74,7 +74,6 @@
 		DueMs:      c.Due.Milliseconds(),
 		PatienceMs: c.Patience.Milliseconds(),
 		Handed:     uint32(c.Handed),
-		Term:       c.Term,
 		UnknownMs:  c.Unknown.Milliseconds(),
 	}}}
 }
@@ -85,7 +84,6 @@
 		Due:      milliseconds(m.GetDueMs()),
 		Patience: milliseconds(m.GetPatienceMs()),
 		Handed:   int(m.GetHanded()),
-		Term:     m.GetTerm(),
 		Unknown:  milliseconds(m.GetUnknownMs()),
 	}}
 }
