One way to give a job up, to list in order, and to ask who leads

Found by reading the change again: the gateway told the scheduler and answered the caller in two places alike, three lists were collected and sorted by hand, Node had leads beside Leads, and doubt a needless branch.

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -253,8 +253,8 @@
 // runners meanwhile, and what this one believes to have lapsed may have been
 // taken over.
 func (n *Node) stalled(now Time, pause time.Duration) {
-	n.warn("process-stalled", Field{"pause", ms(pause)}, Field{"leading", n.leads()})
-	n.view.Stalled(now, n.leads())
+	n.warn("process-stalled", Field{"pause", ms(pause)}, Field{"leading", n.Leads()})
+	n.view.Stalled(now, n.Leads())
 	for _, s := range n.shards {
 		s.schedule.Retire(now)
 		s.choice = leader.Choice{}
@@ -274,9 +274,6 @@
 // RunnersRevision is that of the list of runners that is known.
 func (n *Node) RunnersRevision() uint64 { return n.runners.Revision }
 
-// Leads reports whether the process leads a shard.
-func (n *Node) Leads() bool { return n.leads() }
-
 // InHand is the number of jobs whose callers wait here.
 func (n *Node) InHand() int { return n.gateway.InHand() }
 
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -16,7 +16,7 @@
 	for _, s := range n.shards {
 		s.schedule.EntryBack(now, schedule.EntryID(id))
 	}
-	if n.leads() {
+	if n.Leads() {
 		n.emit(Send{To: id, Message: n.runners})
 	}
 	n.gateway.Reconnected(now, id)
@@ -148,7 +148,7 @@
 		RunnersStale:       n.stale,
 	}
 	h.Report.Term = n.term()
-	if n.leads() {
+	if n.Leads() {
 		h.Pending = n.ownPending()
 	}
 	n.emit(Send{To: to, Message: h})
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -35,13 +35,13 @@
 
 // ReadOften reports whether the list should be read often here: this process
 // leads, or one that does can't read it.
-func (n *Node) ReadOften() bool { return n.leads() || len(n.askedFor) > 0 }
+func (n *Node) ReadOften() bool { return n.Leads() || len(n.askedFor) > 0 }
 
 func (n *Node) askForRunners() { n.emit(ReadRunners{}) }
 
 // checkRunners notes whether the list can't be read at present.
 func (n *Node) checkRunners(now Time) {
-	n.stale = n.leads() && now-n.readAt > staleAfter
+	n.stale = n.Leads() && now-n.readAt > staleAfter
 }
 
 // takeRunners takes a list if it is newer than the one known.
@@ -57,7 +57,7 @@
 	n.keepDropped(now, list)
 	n.runners = list
 	n.setRunners(now)
-	if changed && n.leads() {
+	if changed && n.Leads() {
 		n.shareRunners()
 	}
 }
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// leads reports whether this process leads a shard.
-func (n *Node) leads() bool {
+// Leads reports whether this process leads a shard.
+func (n *Node) Leads() bool {
 	for _, s := range n.shards {
 		if s.schedule.Leading() {
 			return true
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -4,7 +4,9 @@
 package gateway
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
@@ -134,7 +136,7 @@
 	g.jobs[job.ID] = h
 	g.byReq[request] = job.ID
 	if c := g.choices[shard]; c.Leader != "" && !c.Reachable {
-		g.reply(h, Verdict{Job: job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: "the scheduler can't be reached"})
+		g.giveUp(h, "the scheduler can't be reached")
 		return
 	}
 	g.handIn(h)
@@ -258,39 +260,37 @@
 func (g *Gateway) GiveUp(now Time, reason string) {
 	g.now = now
 	for _, h := range g.inOrder() {
-		if h.scheduler != "" {
-			g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
-		}
-		g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: reason})
+		g.giveUp(h, reason)
 	}
 }
 
+// giveUp answers the callers of a job that something may have run of, and tells
+// its scheduler, if it has one.
+func (g *Gateway) giveUp(h *inHand, reason string) {
+	if h.scheduler != "" {
+		g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
+	}
+	g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: reason})
+}
+
 // Tick answers what nobody else will.
 func (g *Gateway) Tick(now Time) {
 	g.now = now
 	for _, h := range g.inOrder() {
 		switch {
 		case now > h.deadline+answerSlack:
-			if h.scheduler != "" {
-				g.out = append(g.out, Drop{At: g.now, To: h.scheduler, Job: h.job.ID})
-			}
-			g.reply(h, Verdict{From: h.scheduler, Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: "no answer from the scheduler in time"})
+			g.giveUp(h, "no answer from the scheduler in time")
 		case h.scheduler == "" && now > h.arrived+leaderWait:
 			if h.handed > 0 && now < h.deadline {
 				continue
 			}
 			// Who scheduled before may have had the job by another entry VM, so
 			// this is no promise that nothing of it has run.
-			g.reply(h, Verdict{Job: h.job.ID, Outcome: workload.GaveUp, RetryAfter: retryNoLeader, Reason: "no scheduler"})
+			g.giveUp(h, "no scheduler")
 		}
 	}
 }
 
 func (g *Gateway) inOrder() []*inHand {
-	list := make([]*inHand, 0, len(g.jobs))
-	for _, h := range g.jobs {
-		list = append(list, h)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].job.ID < list[b].job.ID })
-	return list
+	return slices.SortedFunc(maps.Values(g.jobs), func(a, b *inHand) int { return cmp.Compare(a.job.ID, b.job.ID) })
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -1,6 +1,9 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -66,12 +69,7 @@
 // jobsInOrder lists the jobs by id, so that what is done to each comes in the
 // same order every time.
 func (s *Scheduler) jobsInOrder() []*job {
-	list := make([]*job, 0, len(s.jobs))
-	for _, j := range s.jobs {
-		list = append(list, j)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].work.ID < list[b].work.ID })
-	return list
+	return slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int { return cmp.Compare(a.work.ID, b.work.ID) })
 }
 
 // dispatch starts what can start. Jobs that can still meet their objective come
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -162,9 +162,7 @@
 }
 
 func (r *runner) doubt(now Time) {
-	if !r.inDoubt {
-		r.inDoubt = true
-	}
+	r.inDoubt = true
 	r.doubtSince = now
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -155,23 +157,14 @@
 
 // inOrder lists the runs by their keys.
 func (r *runner) inOrder() []*run {
-	list := make([]*run, 0, len(r.runs))
-	for _, u := range r.runs {
-		list = append(list, u)
-	}
-	sort.Slice(list, func(a, b int) bool { return less(list[a].key, list[b].key) })
-	return list
+	return slices.SortedFunc(maps.Values(r.runs), func(a, b *run) int { return compareKeys(a.key, b.key) })
 }
 
-func less(a, b workload.RunKey) bool {
-	if a.Task.Job != b.Task.Job {
-		return a.Task.Job < b.Task.Job
-	}
-	if a.Task.Step != b.Task.Step {
-		return a.Task.Step < b.Task.Step
-	}
-	if a.Task.Index != b.Task.Index {
-		return a.Task.Index < b.Task.Index
-	}
-	return a.Number < b.Number
+func compareKeys(a, b workload.RunKey) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Job, b.Task.Job),
+		cmp.Compare(a.Task.Step, b.Task.Step),
+		cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Number, b.Number),
+	)
 }
