--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -5,6 +5,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/gateway"
 	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -49,7 +50,7 @@
 // JobAnswer answers a JobQuery.
 type JobAnswer struct {
 	Request uint64
-	State   JobState
+	State   schedule.JobState
 }
 
 // Declaration passes on a configuration.
@@ -81,14 +82,6 @@
 func (RunnerList) message()  {}
 func (Progress) message()    {}
 
-// JobState is how far a job is.
-type JobState struct {
-	Known bool
-	Ended bool
-	// Outcome is set if the job has ended.
-	Outcome workload.Outcome
-}
-
 // Command is what the process is to do.
 type Command interface{ command() }
 
@@ -105,6 +98,13 @@
 // Order is a scheduler's order to a runner: schedule.Start, Stop or Hold.
 type Order struct{ Order schedule.Command }
 
+// StoreCall is a ledger's call to the store: ledger.Claim, Read, Check or Write.
+// Its result is given to Node.StoreAnswered.
+type StoreCall struct {
+	Shard int
+	Call  ledger.Command
+}
+
 // Answer is the final word on a caller's request.
 type Answer struct{ gateway.Reply }
 
@@ -112,7 +112,7 @@
 // asked.
 type StateAnswer struct {
 	Request     uint64
-	State       JobState
+	State       schedule.JobState
 	Unreachable bool
 }
 
@@ -136,6 +136,7 @@
 func (Send) command()        {}
 func (Disconnect) command()  {}
 func (Order) command()       {}
+func (StoreCall) command()   {}
 func (Answer) command()      {}
 func (StateAnswer) command() {}
 func (ReadRunners) command() {}
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -12,6 +12,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/gateway"
 	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/task"
@@ -108,9 +109,13 @@
 		for _, s := range n.shards {
 			orders := s.schedule.Ready()
 			for _, c := range orders {
-				n.fromScheduler(c)
+				n.fromScheduler(s, c)
 			}
-			count += len(orders)
+			calls := s.ledger.Ready()
+			for _, c := range calls {
+				n.fromLedger(s, c)
+			}
+			count += len(orders) + len(calls)
 		}
 		if count == 0 {
 			return
@@ -139,8 +144,12 @@
 	}
 }
 
-func (n *Node) fromScheduler(c schedule.Command) {
+func (n *Node) fromScheduler(s *shard, c schedule.Command) {
 	switch c := c.(type) {
+	case schedule.Save:
+		s.ledger.Save(c.At, c.Sequence, c.Record)
+	case schedule.Settled:
+		n.settled(s, c)
 	case schedule.Answer:
 		n.verdict(c)
 	case schedule.Decision:
@@ -150,6 +159,28 @@
 	}
 }
 
+func (n *Node) fromLedger(s *shard, c ledger.Command) {
+	switch c := c.(type) {
+	case ledger.Loaded:
+		s.schedule.Loaded(c.At, c)
+	case ledger.Saved:
+		s.schedule.Saved(c.At, c.Records)
+	case ledger.Verified:
+		s.schedule.Verified(c.At, c.OwnedAt)
+	case ledger.Lost:
+		s.schedule.CustodyLost(c.At)
+		clear(s.questions)
+	default:
+		n.emit(StoreCall{Shard: s.index, Call: c})
+	}
+}
+
+// StoreAnswered takes what came of a StoreCall.
+func (n *Node) StoreAnswered(now Time, shard int, r ledger.Result) {
+	n.checkPause(now)
+	n.shards[shard].ledger.Take(now, r)
+}
+
 // verdict passes the scheduler's word to the process that has the caller.
 func (n *Node) verdict(a schedule.Answer) {
 	n.notice("job-ended", Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
@@ -232,9 +263,7 @@
 
 // Tick does what is due.
 func (n *Node) Tick(now Time) {
-	if pause := now - n.lastTick; pause > leader.StallLimit {
-		n.stalled(now, pause)
-	}
+	n.checkPause(now)
 	n.lastTick = now
 	for _, id := range n.view.Silent(now) {
 		n.peerLost(now, id, false)
@@ -243,12 +272,24 @@
 	n.gateway.Tick(now)
 	for _, s := range n.shards {
 		s.schedule.Heard(now, schedule.EntryID(n.Self()))
+		s.ledger.Tick(now, s.schedule.Keeps())
+		s.schedule.SetStoreTrouble(s.ledger.FailingFor(now))
 		s.schedule.Tick(now)
+		n.tickQuestions(now, s)
 	}
 	n.checkRunners(now)
 	n.heartbeats(now)
 }
 
+// checkPause notes that the process stood still. It comes before all else: what
+// arrived meanwhile would be answered from a state of long ago.
+func (n *Node) checkPause(now Time) {
+	if pause := now - n.lastTick; pause > leader.StallLimit {
+		n.lastTick = now
+		n.stalled(now, pause)
+	}
+}
+
 // stalled gives up the lead after a pause: another process has taken the
 // runners meanwhile, and what this one believes to have lapsed may have been
 // taken over.
@@ -256,7 +297,7 @@
 	n.warn("process-stalled", Field{"pause", ms(pause)}, Field{"leading", n.Leads()})
 	n.view.Stalled(now, n.Leads())
 	for _, s := range n.shards {
-		s.schedule.Retire(now)
+		s.retire(now)
 		s.choice = leader.Choice{}
 		n.gateway.Follow(now, s.index, s.choice)
 	}
@@ -324,8 +365,9 @@
 
 // Submit takes a caller's request.
 func (n *Node) Submit(now Time, request uint64, job *workload.Job, patience time.Duration) {
+	n.checkPause(now)
 	n.lastArrival = now
-	if !n.timeToServe(now, job) {
+	if !job.Stored && !n.timeToServe(now, job) {
 		n.emit(Answer{gateway.Reply{Request: request, Job: job, Outcome: workload.NotRun, RetryAfter: retryStopping, Reason: "this process is about to end"}})
 		return
 	}
@@ -341,13 +383,18 @@
 
 // Started, Stopped and Held take what came of orders.
 func (n *Node) Started(now Time, r schedule.StartResult) {
+	n.checkPause(now)
 	n.ofRunner(r.Runner).schedule.Started(now, r)
 }
 
 // Stopped takes what came of a schedule.Stop.
 func (n *Node) Stopped(now Time, r schedule.StopResult) {
+	n.checkPause(now)
 	n.ofRunner(r.Runner).schedule.Stopped(now, r)
 }
 
 // Held takes what came of a schedule.Hold.
-func (n *Node) Held(now Time, r schedule.HoldResult) { n.ofRunner(r.Runner).schedule.Held(now, r) }
+func (n *Node) Held(now Time, r schedule.HoldResult) {
+	n.checkPause(now)
+	n.ofRunner(r.Runner).schedule.Held(now, r)
+}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -10,6 +10,7 @@
 
 // PeerUp notes a connection with a process.
 func (n *Node) PeerUp(now Time, id leader.ID) {
+	n.checkPause(now)
 	n.linked[id] = true
 	n.view.Heard(now, id, nil)
 	n.heartbeat(now, id)
@@ -25,6 +26,7 @@
 // PeerDown notes the end of a connection; ended says that the other process
 // said so itself. Else it may live, and silence decides.
 func (n *Node) PeerDown(now Time, id leader.ID, ended bool) {
+	n.checkPause(now)
 	delete(n.linked, id)
 	if !ended {
 		return
@@ -51,6 +53,7 @@
 
 // Receive takes a message. nil is a sign of life and nothing more.
 func (n *Node) Receive(now Time, from leader.ID, m Message) {
+	n.checkPause(now)
 	for _, s := range n.shards {
 		s.schedule.Heard(now, schedule.EntryID(from))
 	}
@@ -68,7 +71,7 @@
 	case DropJob:
 		n.dropJob(now, from, m.Job, m.HandedOver)
 	case JobQuery:
-		n.emit(Send{To: from, Message: JobAnswer{Request: m.Request, State: n.jobState(now, m.Job, m.Cancel)}})
+		n.ask(now, question{from: from, request: m.Request, cancel: m.Cancel}, m.Job)
 	case JobAnswer:
 		n.answerQuery(m)
 	case Declaration:
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -13,12 +13,16 @@
 
 // boot starts a process.
 func (w *world) boot(n *fakeNode) {
+	if n.removed {
+		return
+	}
 	n.life++
 	life := n.life
 	n.node = fleet.New(schedule.DefaultConfig(), grace, 400, w.now)
 	n.id, n.frozen = "", 0
 	n.links = make(map[leader.ID]bool)
 	n.requests = make(map[uint64]*fakeJob)
+	n.questions = make(map[uint64]*askedJob)
 	n.pending = nil
 	w.register(n, life)
 	w.tickLoop(n, life)
@@ -153,6 +157,14 @@
 			w.order(n, c.Order)
 		case fleet.Answer:
 			w.reply(n, c)
+		case fleet.StoreCall:
+			w.storeCall(n, c)
+		case fleet.StateAnswer:
+			w.stateAnswered(n, c)
+		case fleet.Notice:
+			if *trace {
+				fmt.Println(w.now, n.id, c.Event, c.Fields)
+			}
 		}
 	}
 }
--- a/core/fleet/queries.go
+++ b/core/fleet/queries.go
@@ -1,10 +1,19 @@
 package fleet
 
-import "sapphirepoint.example/sapphirepoint/core/workload"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
 
 // Query asks for a job's state, or with cancel to end it. A StateAnswer with
 // the request's number follows.
 func (n *Node) Query(now Time, request uint64, id workload.JobID, cancel bool) {
+	n.checkPause(now)
 	if len(n.shards) == 0 {
 		n.emit(StateAnswer{Request: request, Unreachable: true})
 		return
@@ -13,7 +22,7 @@
 	case c.Leader == "" || !c.Reachable:
 		n.emit(StateAnswer{Request: request, Unreachable: true})
 	case c.Leader == n.Self():
-		n.emit(StateAnswer{Request: request, State: n.jobState(now, id, cancel)})
+		n.ask(now, question{from: n.Self(), request: request, cancel: cancel}, id)
 	default:
 		n.queries[request] = true
 		n.emit(Send{To: c.Leader, Message: JobQuery{Request: request, Job: id, Cancel: cancel}})
@@ -31,16 +40,102 @@
 	n.emit(StateAnswer{Request: m.Request, State: m.State})
 }
 
-func (n *Node) jobState(now Time, id workload.JobID, cancel bool) JobState {
+const (
+	// endWait is how long a question waits for a job whose tasks all run. A
+	// caller who sees that the work is done asks at once, some milliseconds
+	// before the runner's word is here; without an answer it would ask again
+	// much later.
+	endWait = 40 * time.Millisecond
+	// saveWait is how long a question waits for an end that is being written to
+	// the store: some milliseconds, a quarter of a second if the store is slow.
+	saveWait = 400 * time.Millisecond
+)
+
+// question is one that a caller's entry process has asked.
+type question struct {
+	from    leader.ID
+	request uint64
+	// until is how long it waits for the job's end. A cancelling waits until its
+	// caller gives up.
+	until  Time
+	cancel bool
+	// extended: it waits for an end that is being written.
+	extended bool
+}
+
+// ask answers a question about a job, or has it answered later.
+func (n *Node) ask(now Time, q question, id workload.JobID) {
 	if len(n.shards) == 0 {
-		return JobState{}
+		n.tell(q, schedule.JobState{Unsure: true})
+		return
+	}
+	s := n.ofJob(id)
+	if !q.cancel {
+		n.askState(now, s, q, id)
+		return
+	}
+	state, done := s.schedule.Cancel(now, id)
+	if !done {
+		s.questions[id] = append(s.questions[id], q)
+		return
 	}
-	s := n.ofJob(id).schedule
-	if cancel {
-		known := s.Cancel(now, id)
-		n.notice("job-cancelled", Field{"job", string(id)}, Field{"known", known})
-		return JobState{Known: known, Ended: known, Outcome: workload.Cancelled}
+	n.notice("job-cancelled", Field{"job", string(id)}, Field{"known", state.Known}, Field{"unsure", state.Unsure})
+	n.tell(q, state)
+}
+
+func (n *Node) askState(now Time, s *shard, q question, id workload.JobID) {
+	state := s.schedule.State(id)
+	switch {
+	case state.Ending:
+		q.until, q.extended = now+saveWait, true
+	case state.Running:
+		q.until = now + endWait
+	default:
+		n.tell(q, state)
+		return
+	}
+	s.questions[id] = append(s.questions[id], q)
+}
+
+// tickQuestions answers questions that have waited long enough.
+func (n *Node) tickQuestions(now Time, s *shard) {
+	for _, id := range slices.Sorted(maps.Keys(s.questions)) {
+		var rest []question
+		state := s.schedule.State(id)
+		for _, q := range s.questions[id] {
+			switch {
+			case q.cancel || now < q.until && !state.Ended:
+				rest = append(rest, q)
+			case state.Ending && !q.extended:
+				// It ended while the question waited.
+				q.until, q.extended = now+saveWait, true
+				rest = append(rest, q)
+			default:
+				n.tell(q, state)
+			}
+		}
+		if s.questions[id] = rest; len(rest) == 0 {
+			delete(s.questions, id)
+		}
+	}
+}
+
+// settled answers those who wait for a job's end to be in the store.
+func (n *Node) settled(s *shard, c schedule.Settled) {
+	waiting := s.questions[c.Job]
+	delete(s.questions, c.Job)
+	for _, q := range waiting {
+		if q.cancel {
+			n.notice("job-cancelled", Field{"job", string(c.Job)}, Field{"known", c.State.Known}, Field{"outcome", c.State.Outcome.String()})
+		}
+		n.tell(q, c.State)
+	}
+}
+
+func (n *Node) tell(q question, state schedule.JobState) {
+	if q.from == n.Self() {
+		n.emit(StateAnswer{Request: q.request, State: state})
+		return
 	}
-	outcome, ended, known := s.State(id)
-	return JobState{Known: known, Ended: ended, Outcome: outcome}
+	n.emit(Send{To: q.from, Message: JobAnswer{Request: q.request, State: state}})
 }
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -25,6 +26,10 @@
 	index    int
 	choice   leader.Choice
 	schedule *schedule.Scheduler
+	// ledger keeps the shard's stored jobs.
+	ledger *ledger.Ledger
+	// questions wait until the store has a job's end.
+	questions map[workload.JobID][]question
 }
 
 // Layout sets the number of shards, once: it is kept in the platform's store
@@ -34,7 +39,7 @@
 		return
 	}
 	for i := range shards {
-		s := &shard{index: i, schedule: schedule.New(n.cfg)}
+		s := &shard{index: i, schedule: schedule.New(n.cfg), ledger: ledger.New(), questions: make(map[workload.JobID][]question)}
 		s.schedule.SetNumber(n.number)
 		n.shards = append(n.shards, s)
 	}
@@ -127,6 +132,7 @@
 			s.schedule.Await(now)
 		}
 		s.schedule.Lead(now)
+		s.ledger.Lead(now)
 	} else {
 		n.retire(now, s)
 	}
@@ -142,7 +148,14 @@
 	if s.schedule.Leading() && s.choice.Reachable {
 		n.emit(Send{To: s.choice.Leader, Message: Progress{Shard: s.index, Progress: s.schedule.Progress(now)}})
 	}
+	s.retire(now)
+}
+
+// retire drops all that the process knows as the shard's leader.
+func (s *shard) retire(now Time) {
 	s.schedule.Retire(now)
+	s.ledger.Retire()
+	clear(s.questions)
 }
 
 func (n *Node) choices() []leader.Choice {
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -225,12 +225,12 @@
 }
 
 // Decide takes a scheduler's word. The word of one that no longer has the job
-// counts only if the job is complete: a ready answer is delivered, but another
-// scheduler may yet complete what this one gave up.
+// counts only if the job is complete, or in the store: a ready answer is
+// delivered, but another scheduler may yet complete what this one gave up.
 func (g *Gateway) Decide(now Time, v Verdict) {
 	g.now = now
 	h := g.jobs[v.Job]
-	if h == nil || h.scheduler != v.From && v.Outcome != workload.Completed {
+	if h == nil || h.scheduler != v.From && v.Outcome != workload.Completed && v.Outcome != workload.Accepted {
 		return
 	}
 	if v.Outcome == workload.NotRun && h.handed > 0 {
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,560 @@
+// Package ledger keeps what must last of a shard's jobs in the platform's store.
+//
+// One process owns a shard's rows at a time. It takes them by changing the
+// ownership row, and each of its writes is conditional on the version that this
+// change gave. So a write of a former owner, or one that the store carries out
+// seconds after its answer was given up, changes nothing once the shard has been
+// taken again.
+//
+// A write without an answer is settled by taking the shard again, which makes it
+// void if it hasn't been carried out yet, and by writing the same rows again.
+//
+// A Ledger does no input or output and reads no clock.
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/task"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Time is a reading of the process's monotonic clock.
+type Time = task.Time
+
+const (
+	// mostRows is the number of rows in one write: the store takes 100 with the
+	// condition.
+	mostRows = 96
+	// mostBytes is the size of one write: the store takes 1 MB, and base64 adds
+	// a third.
+	mostBytes = 600 << 10
+	// mostWrites is the number of writes on their way. One at a time is enough
+	// while the store answers in some milliseconds; a slow one gets more, since
+	// each carries 48 jobs at most.
+	mostWrites = 4
+	// linger is how long a record waits for the write before to be answered
+	// until it is sent beside it.
+	linger = 15 * time.Millisecond
+	// retryPause is the pause after a call that failed.
+	retryPause = 100 * time.Millisecond
+	// checkInterval is how often the ownership is checked if no write does it.
+	// With a store that answers in a quarter of a second it is then known to
+	// within 350 ms, less than the time after which a scheduler doubts it.
+	checkInterval = 100 * time.Millisecond
+	// mostChecks bounds the checks on their way.
+	mostChecks = 4
+	// reclaimPause is how long a shard is left to another process that took it
+	// while this one thinks that it leads: they can't hear each other.
+	reclaimPause = 2 * time.Second
+)
+
+// Ownership is one process's hold on a shard's rows.
+type Ownership struct {
+	// Epoch counts the times that the shard was taken.
+	Epoch uint64
+	// Version is that of the ownership row, on which writes are conditional.
+	Version uint64
+}
+
+// Outcome is what came of a call to the store.
+type Outcome uint8
+
+// The outcomes of calls.
+const (
+	// Applied: done.
+	Applied Outcome = iota
+	// Superseded: another process owns the shard; nothing was done.
+	Superseded
+	// Turned: the store has refused the call and done nothing.
+	Turned
+	// Unanswered: nobody knows; it may still be carried out.
+	Unanswered
+)
+
+var outcomeNames = [...]string{"applied", "superseded", "turned-away", "unanswered"}
+
+// String is for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Command is an output of the ledger.
+type Command interface{ command() }
+
+// Claim takes the shard's rows, or renews the ownership of an epoch, which makes
+// earlier writes void. A ClaimResult follows.
+type Claim struct {
+	Call uint64
+	// Renew is the epoch to be renewed; it is Superseded if this process doesn't
+	// own the shard under that epoch any more. 0 takes the shard from whoever
+	// has it, and begins an epoch.
+	Renew uint64
+}
+
+// Read reads all records. A ReadResult follows.
+type Read struct{ Call uint64 }
+
+// Check reads the version of the ownership row. A CheckResult follows.
+type Check struct{ Call uint64 }
+
+// Write saves records if the ownership row has the version. A WriteResult
+// follows.
+type Write struct {
+	Call    uint64
+	Version uint64
+	Records []Record
+}
+
+// Loaded gives all records to the scheduler.
+type Loaded struct {
+	At    Time
+	Epoch uint64
+	// ClaimedAt is when the call was answered that took the shard.
+	ClaimedAt Time
+	Records   []Record
+}
+
+// Saved says which records are in the store.
+type Saved struct {
+	At      Time
+	Records []SavedRecord
+}
+
+// SavedRecord is the newest record of a job that is in the store.
+type SavedRecord struct {
+	Job      workload.JobID
+	Sequence uint64
+}
+
+// Verified says that this process owned the shard at the time OwnedAt.
+type Verified struct{ At, OwnedAt Time }
+
+// Lost says that another process has taken the shard.
+type Lost struct{ At Time }
+
+func (Claim) command()    {}
+func (Read) command()     {}
+func (Check) command()    {}
+func (Write) command()    {}
+func (Loaded) command()   {}
+func (Saved) command()    {}
+func (Verified) command() {}
+func (Lost) command()     {}
+
+// Result is what came of a call to the store.
+type Result interface{ result() }
+
+func (ClaimResult) result() {}
+func (ReadResult) result()  {}
+func (CheckResult) result() {}
+func (WriteResult) result() {}
+
+// ClaimResult reports on a Claim.
+type ClaimResult struct {
+	Call      uint64
+	Outcome   Outcome
+	Ownership Ownership
+	// SentAt is when the call was sent.
+	SentAt Time
+}
+
+// ReadResult reports on a Read.
+type ReadResult struct {
+	Call    uint64
+	Outcome Outcome
+	Records []Record
+}
+
+// CheckResult reports on a Check.
+type CheckResult struct {
+	Call    uint64
+	Outcome Outcome
+	Version uint64
+	// SentAt is when the call was sent.
+	SentAt Time
+}
+
+// WriteResult reports on a Write.
+type WriteResult struct {
+	Call    uint64
+	Outcome Outcome
+	// SentAt is when the call was sent.
+	SentAt Time
+}
+
+// phase is what the ledger is at.
+type phase uint8
+
+const (
+	// idle: the process doesn't lead the shard.
+	idle phase = iota
+	// claiming: a Claim is on its way, or due.
+	claiming
+	// reading: a Read is on its way, or due.
+	reading
+	// open: records are written.
+	open
+	// settling: a write stays unanswered; the shard is taken again when all
+	// others are back.
+	settling
+	// lost: another process has the shard.
+	lost
+)
+
+// entry is a record that is to be saved.
+type entry struct {
+	record   Record
+	sequence uint64
+	since    Time
+}
+
+// Ledger is the state. It isn't safe for concurrent use.
+type Ledger struct {
+	now   Time
+	phase phase
+	// loaded: the records have been read under an ownership that no other
+	// process has interrupted.
+	loaded    bool
+	ownership Ownership
+	claimedAt Time
+	lastCall  uint64
+	// call is the Claim or Read on its way, due when the next may be sent.
+	call uint64
+	due  Time
+
+	// waiting are records to be sent, in order.
+	order   []workload.JobID
+	waiting map[workload.JobID]*entry
+	// writes are on their way, and busy the jobs in them.
+	writes map[uint64][]*entry
+	busy   map[workload.JobID]bool
+	checks map[uint64]bool
+
+	verifiedAt   Time
+	checkedAt    Time
+	failingSince Time
+	out          []Command
+}
+
+// New returns a ledger of a shard that the process doesn't lead.
+func New() *Ledger {
+	l := &Ledger{}
+	l.clear()
+	return l
+}
+
+func (l *Ledger) clear() {
+	l.loaded = false
+	l.call, l.due = 0, 0
+	l.order = nil
+	l.waiting = make(map[workload.JobID]*entry)
+	l.writes = make(map[uint64][]*entry)
+	l.busy = make(map[workload.JobID]bool)
+	l.checks = make(map[uint64]bool)
+}
+
+// Ready returns the commands since the last call.
+func (l *Ledger) Ready() []Command {
+	out := l.out
+	l.out = nil
+	return out
+}
+
+func (l *Ledger) emit(c Command) { l.out = append(l.out, c) }
+
+func (l *Ledger) nextCall() uint64 {
+	l.lastCall++
+	return l.lastCall
+}
+
+// Lead takes the shard.
+func (l *Ledger) Lead(now Time) {
+	l.now = now
+	if l.phase != idle {
+		return
+	}
+	l.clear()
+	l.phase = claiming
+	l.failingSince = 0
+	l.step()
+}
+
+// Retire leaves the shard to another process. What isn't in the store yet isn't
+// saved.
+func (l *Ledger) Retire() {
+	l.clear()
+	l.phase = idle
+	l.failingSince = 0
+}
+
+// FailingFor is how long all calls to the store have failed; 0 if the last one
+// hasn't.
+func (l *Ledger) FailingFor(now Time) time.Duration {
+	if l.failingSince == 0 {
+		return 0
+	}
+	return now - l.failingSince
+}
+
+// Save has a record written. A later record of the same job replaces one that
+// hasn't been sent.
+func (l *Ledger) Save(now Time, sequence uint64, r Record) {
+	l.now = now
+	if l.phase == idle || l.phase == lost {
+		return
+	}
+	e := l.waiting[r.Job]
+	if e == nil {
+		l.waiting[r.Job] = &entry{record: r, sequence: sequence, since: now}
+		l.order = append(l.order, r.Job)
+		l.step()
+		return
+	}
+	e.replace(r, sequence)
+	l.step()
+}
+
+// replace keeps the job's work of a record that wasn't sent.
+func (e *entry) replace(r Record, sequence uint64) {
+	if r.Work == nil {
+		r.Work = e.record.Work
+	}
+	e.record, e.sequence = r, sequence
+}
+
+// Tick does what is due. keeps says that jobs depend on the ownership, so that
+// it is to be checked.
+func (l *Ledger) Tick(now Time, keeps bool) {
+	l.now = now
+	if l.phase == lost && now >= l.due {
+		l.phase = claiming
+	}
+	l.step()
+	if keeps && l.phase == open && now-l.checkedAt >= checkInterval && len(l.checks) < mostChecks {
+		l.checkedAt = now
+		call := l.nextCall()
+		l.checks[call] = true
+		l.emit(Check{Call: call})
+	}
+}
+
+// step sends what can be sent now.
+func (l *Ledger) step() {
+	switch {
+	case l.call != 0 || l.now < l.due:
+	case l.phase == claiming:
+		l.call = l.nextCall()
+		c := Claim{Call: l.call}
+		if l.loaded {
+			c.Renew = l.ownership.Epoch
+		}
+		l.emit(c)
+	case l.phase == reading:
+		l.call = l.nextCall()
+		l.emit(Read{Call: l.call})
+	case l.phase == open:
+		for l.mayWrite() {
+			l.write()
+		}
+	case l.phase == settling && len(l.writes) == 0:
+		l.phase = claiming
+		l.step()
+	}
+}
+
+// mayWrite reports whether a write is to be sent now.
+func (l *Ledger) mayWrite() bool {
+	id, ok := l.nextFree()
+	if !ok || len(l.writes) >= mostWrites {
+		return false
+	}
+	return len(l.writes) == 0 || l.now-l.waiting[id].since >= linger
+}
+
+// nextFree is the first job with a record to be sent. Records of one job are
+// sent one after the other, since two writes may be carried out in any order.
+func (l *Ledger) nextFree() (workload.JobID, bool) {
+	for _, id := range l.order {
+		if !l.busy[id] {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (l *Ledger) write() {
+	w := Write{Call: l.nextCall(), Version: l.ownership.Version}
+	var entries []*entry
+	var rest []workload.JobID
+	rows, size := 0, 0
+	for _, id := range l.order {
+		e := l.waiting[id]
+		rows += e.record.weight()
+		size += e.record.size()
+		if l.busy[id] || rows > mostRows || size > mostBytes && len(entries) > 0 {
+			rows -= e.record.weight()
+			size -= e.record.size()
+			rest = append(rest, id)
+			continue
+		}
+		entries = append(entries, e)
+		w.Records = append(w.Records, e.record)
+		delete(l.waiting, id)
+		l.busy[id] = true
+	}
+	l.order = rest
+	l.writes[w.Call] = entries
+	l.emit(w)
+}
+
+// Take takes what came of a call to the store.
+func (l *Ledger) Take(now Time, r Result) {
+	l.now = now
+	switch r := r.(type) {
+	case ClaimResult:
+		l.claimed(now, r)
+	case ReadResult:
+		l.read(now, r)
+	case CheckResult:
+		l.checked(r)
+	case WriteResult:
+		l.written(now, r)
+	default:
+		panic(fmt.Sprintf("unknown result %T", r))
+	}
+}
+
+func (l *Ledger) claimed(now Time, r ClaimResult) {
+	if r.Call != l.call || l.phase != claiming {
+		return
+	}
+	l.call = 0
+	if r.Outcome == Superseded && l.loaded {
+		l.supersede()
+		return
+	}
+	if r.Outcome != Applied {
+		l.failed()
+		l.due = now + retryPause
+		return
+	}
+	l.ownership = r.Ownership
+	l.claimedAt = now
+	l.succeeded(r.SentAt)
+	l.phase = reading
+	if l.loaded {
+		l.phase = open
+	}
+	l.step()
+}
+
+func (l *Ledger) read(now Time, r ReadResult) {
+	if r.Call != l.call || l.phase != reading {
+		return
+	}
+	l.call = 0
+	if r.Outcome != Applied {
+		l.failed()
+		l.due = now + retryPause
+		return
+	}
+	l.failingSince = 0
+	l.loaded = true
+	l.phase = open
+	l.emit(Loaded{At: now, Epoch: l.ownership.Epoch, ClaimedAt: l.claimedAt, Records: r.Records})
+	l.step()
+}
+
+func (l *Ledger) checked(r CheckResult) {
+	if !l.checks[r.Call] {
+		return
+	}
+	delete(l.checks, r.Call)
+	switch {
+	case r.Outcome != Applied:
+		l.failed()
+	case l.phase == open && r.Version != l.ownership.Version && r.SentAt > l.claimedAt:
+		l.supersede()
+	case r.Version == l.ownership.Version:
+		l.succeeded(r.SentAt)
+	}
+	l.step()
+}
+
+func (l *Ledger) written(now Time, r WriteResult) {
+	entries, ok := l.writes[r.Call]
+	if !ok {
+		return
+	}
+	delete(l.writes, r.Call)
+	for _, e := range entries {
+		delete(l.busy, e.record.Job)
+	}
+	switch r.Outcome {
+	case Applied:
+		l.succeeded(r.SentAt)
+		l.saved(entries)
+	case Superseded:
+		l.supersede()
+		return
+	case Turned:
+		l.failed()
+		l.putBack(entries)
+		l.due = now + retryPause
+	default:
+		l.failed()
+		l.putBack(entries)
+		l.phase = settling
+	}
+	l.step()
+}
+
+func (l *Ledger) saved(entries []*entry) {
+	s := Saved{At: l.now, Records: make([]SavedRecord, len(entries))}
+	for i, e := range entries {
+		s.Records[i] = SavedRecord{Job: e.record.Job, Sequence: e.sequence}
+	}
+	l.emit(s)
+}
+
+// putBack has records sent again, before the others.
+func (l *Ledger) putBack(entries []*entry) {
+	ids := make([]workload.JobID, 0, len(entries)+len(l.order))
+	for _, e := range entries {
+		id := e.record.Job
+		if newer := l.waiting[id]; newer != nil {
+			if newer.record.Work == nil {
+				newer.record.Work = e.record.Work
+			}
+			continue
+		}
+		l.waiting[id] = e
+		ids = append(ids, id)
+	}
+	l.order = append(ids, l.order...)
+}
+
+// supersede gives up the shard: what this process knows of it is old.
+func (l *Ledger) supersede() {
+	l.clear()
+	l.phase = lost
+	l.due = l.now + reclaimPause
+	l.emit(Lost{At: l.now})
+}
+
+func (l *Ledger) failed() {
+	if l.failingSince == 0 {
+		l.failingSince = l.now
+	}
+}
+
+// succeeded notes that this process owned the shard when a call was sent.
+func (l *Ledger) succeeded(sentAt Time) {
+	l.failingSince = 0
+	if sentAt <= l.verifiedAt {
+		return
+	}
+	l.verifiedAt = sentAt
+	l.checkedAt = max(l.checkedAt, sentAt)
+	l.emit(Verified{At: l.now, OwnedAt: sentAt})
+}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -79,11 +80,27 @@
 	Token uint64
 }
 
+// Save has a record kept in the store; Saved follows with its sequence.
+type Save struct {
+	At       Time
+	Sequence uint64
+	Record   ledger.Record
+}
+
+// Settled says that what has come of a stored job is in the store. An id that
+// was cancelled before its job came isn't known.
+type Settled struct {
+	Job   workload.JobID
+	State JobState
+}
+
 func (Start) command()    {}
 func (Stop) command()     {}
 func (Hold) command()     {}
 func (Answer) command()   {}
 func (Decision) command() {}
+func (Save) command()     {}
+func (Settled) command()  {}
 
 // CallOutcome is what came of an order to a runner.
 type CallOutcome uint8
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -38,6 +39,7 @@
 func leading(t *testing.T, runners ...workload.Runner) *bench {
 	b := newBench(t, runners...)
 	b.s.Lead(b.now)
+	b.s.Loaded(b.now, ledger.Loaded{Epoch: 1, ClaimedAt: b.now})
 	for _, h := range take[Hold](b) {
 		b.held(h)
 	}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -22,8 +22,10 @@
 	job   *job
 	name  workload.TaskName
 	phase taskPhase
-	// lastNumber is the number of the latest run.
+	// lastNumber is the number of the latest run, and startedAs that of the
+	// latest one that is known to have been started.
 	lastNumber int
+	startedAs  int
 	run        *run
 	// failedOn are the runners on which a run has failed.
 	failedOn []*runner
@@ -70,6 +72,12 @@
 	// has ended; 0 if it lives.
 	abandonedAt Time
 	ended       bool
+	// begun: a start of one of its tasks is known of.
+	begun bool
+	// restarted: a task was started more than once.
+	restarted bool
+	// stored is nil for jobs that aren't kept in the store.
+	stored *stored
 }
 
 func newJob(w *workload.Job, now Time) *job {
@@ -106,6 +114,9 @@
 	return true
 }
 
+// attempts is how often a task may fail.
+func (j *job) attempts() int { return max(1, j.work.MaxAttempts) }
+
 func (j *job) complete() bool {
 	for _, n := range j.open {
 		if n > 0 {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -35,7 +35,7 @@
 
 // enqueue puts a job into the queue, which is in the order of latest starts.
 func (s *Scheduler) enqueue(j *job) {
-	if j.queued || j.ended || j.withdrawn {
+	if j.queued || j.ended || j.withdrawn || j.stored != nil && !j.stored.accepted {
 		return
 	}
 	j.queued = true
@@ -100,6 +100,9 @@
 	if j.handed > 0 && s.now < s.awaitUntil {
 		return
 	}
+	if j.stored != nil && !s.sure() {
+		return
+	}
 	for i := range j.work.Steps {
 		if !j.ready(i) {
 			continue
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -43,11 +43,13 @@
 	// A renewal that stays unanswered may still be carried out. So while in
 	// doubt none is given: then the time at which the runs are surely over
 	// doesn't move, and they can be started elsewhere.
-	if len(r.runs) > 0 && r.owned && !r.inDoubt && !r.strange() {
+	if len(r.runs) > 0 && r.owned && !r.inDoubt && !r.strange() && s.now > r.withheldUntil {
 		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
-		h.Wait = s.cfg.HoldWait
-		h.Timeout += h.Wait
 		r.grant(s.now, s.cfg.Lease)
+		if len(r.ends) == 0 {
+			h.Wait = s.cfg.HoldWait
+			h.Timeout += h.Wait
+		}
 	}
 	s.emit(h)
 }
@@ -85,6 +87,10 @@
 	case r.strange():
 		// Nothing can be started before what runs there is over.
 		r.holdNext = s.now + strangeCheck
+	case len(r.ends) > 0 && !s.custody.loaded:
+		r.holdNext = s.now + unloadedCheck
+	case len(r.ends) > 0 || s.now <= r.withheldUntil:
+		r.holdNext = s.now + unsavedCheck
 	case len(r.runs) > 0:
 		s.hold(r)
 	default:
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -148,7 +148,11 @@
 }
 
 func (s *Scheduler) start(t *taskState, r *runner) {
+	if t.lastNumber > 0 {
+		t.job.restarted = true
+	}
 	t.lastNumber++
+	t.startedAs = t.lastNumber
 	u := &run{
 		key:     workload.RunKey{Task: t.name, Number: t.lastNumber},
 		runner:  r,
@@ -160,7 +164,7 @@
 	t.run = u
 	t.setPhase(running)
 	j := t.job
-	j.started = true
+	j.started, j.begun = true, true
 	if j.runs == 0 {
 		j.firstRun = s.now
 	}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -60,12 +60,11 @@
 		s.emit(Decision{Event: "runner-acquired", Runner: r.info.ID, Token: r.token, Age: s.now - r.heldAt})
 	}
 	for _, e := range res.Ends {
-		if e.Sequence <= r.acknowledged {
-			continue
+		if !r.noted(e.Sequence) {
+			s.note(r, e)
 		}
-		r.acknowledged = e.Sequence
-		s.ended(r, e)
 	}
+	s.acknowledge(r)
 	listed := make(map[workload.RunKey]bool, len(res.Running))
 	for _, k := range res.Running {
 		listed[k] = true
@@ -102,39 +101,49 @@
 	}
 }
 
-// ended notes an end that a runner lists.
-func (s *Scheduler) ended(r *runner, e workload.End) {
+// ended acts on an end that a runner lists, and returns the job if it is known.
+func (s *Scheduler) ended(r *runner, e workload.End) *job {
 	u := r.runs[e.Run]
 	if u != nil {
 		r.drop(u)
 	}
 	t := s.taskOf(u, e.Run)
-	if t == nil || t.phase == done {
-		if t == nil {
-			s.ran[e.Run.Task.Job] = s.now
-		}
-		if t == nil && e.Kind == workload.Done {
-			s.found[e.Run.Task] = s.now
-		}
-		return
+	if t == nil {
+		s.endedUnknown(e)
+		return nil
 	}
-	if e.Kind == workload.Done {
+	switch {
+	case t.phase == done:
+	case e.Kind == workload.Done:
 		s.taskDone(t, r, u)
-		return
+	case u != nil && t.run == u:
+		s.runEnded(t, u, e)
+	case e.Kind == workload.Failed && t.job.stored != nil:
+		// A scheduler before this one has started it.
+		s.runFailed(t, r, e.Run)
 	}
-	if u == nil || t.run != u {
-		return
+	return t.job
+}
+
+func (s *Scheduler) endedUnknown(e workload.End) {
+	s.ran[e.Run.Task.Job] = s.now
+	if e.Kind == workload.Done {
+		s.found[e.Run.Task] = s.now
 	}
+}
+
+// runEnded handles the end of a task's run that hasn't done it.
+func (s *Scheduler) runEnded(t *taskState, u *run, e workload.End) {
 	switch e.Kind {
 	case workload.Failed:
-		s.runFailed(t, r)
+		s.runFailed(t, u.runner, e.Run)
 	case workload.Lapsed:
 		s.ctr.Lapsed++
 	}
 	if t.job.ended {
 		return
 	}
-	s.emit(Decision{Event: "run-ended", Job: t.name.Job, Run: e.Run, Runner: r.info.ID, Reason: e.Kind.String(), Age: s.now - u.started})
+	s.emit(Decision{Event: "run-ended", Job: t.name.Job, Run: e.Run, Runner: u.runner.info.ID, Reason: e.Kind.String(), Age: s.now - u.started})
 	s.requeue(t)
 }
 
@@ -166,15 +175,22 @@
 	if t.job.waiting == 0 {
 		s.dequeue(t.job)
 	}
-	if t.job.complete() {
+	switch {
+	case t.job.complete():
 		s.finish(t.job, workload.Completed, "")
+	case t.job.stored != nil && !t.job.ended:
+		s.save(t.job)
 	}
 }
 
 // runFailed counts a failure against the task and the runner. A task that has
 // failed on two runners is taken to be at fault itself.
-func (s *Scheduler) runFailed(t *taskState, r *runner) {
+func (s *Scheduler) runFailed(t *taskState, r *runner, k workload.RunKey) {
+	if t.job.stored != nil && (t.job.ended || !t.job.storedFailure(k)) {
+		return
+	}
 	s.ctr.FailedRuns++
+	t.job.begun = true
 	t.failures++
 	if len(t.failedOn) == 0 {
 		r.health.failed(s.now, 1)
@@ -186,8 +202,11 @@
 		}
 	}
 	t.failedOn = append(t.failedOn, r)
-	if t.failures >= max(1, t.job.work.MaxAttempts) {
+	switch {
+	case t.failures >= t.job.attempts():
 		s.finish(t.job, workload.JobFailed, "a task failed as often as its queue allows")
+	case t.job.stored != nil:
+		s.save(t.job)
 	}
 }
 
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -44,10 +44,15 @@
 	listedAt Time
 	holdNext Time
 
+	// acknowledged is the sequence up to which the runner may forget ends, and
+	// ends are those noted since.
 	acknowledged uint64
-	runs         map[workload.RunKey]*run
-	used         workload.Resources
-	health       health
+	ends         []listedEnd
+	// withheldUntil is when the lease has surely lapsed that isn't renewed.
+	withheldUntil Time
+	runs          map[workload.RunKey]*run
+	used          workload.Resources
+	health        health
 }
 
 // run is one run that is, or may be, on a runner.
@@ -90,6 +95,7 @@
 	r.listedAt = 0
 	r.inDoubt = false
 	r.acknowledged = 0
+	r.ends = nil
 	r.used = workload.Resources{}
 	clear(r.runs)
 }
@@ -128,7 +134,7 @@
 // usable reports whether tasks may be started there now.
 func (r *runner) usable(now Time) bool {
 	return r.owned && !r.gone && !r.unlisted && !r.info.Draining && !r.inDoubt && r.clock != 0 &&
-		!r.health.closed(now) && !r.strange()
+		!r.health.closed(now) && !r.strange() && now > r.withheldUntil
 }
 
 // strange reports whether something runs there whose job isn't known.
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -159,10 +160,26 @@
 	b.s.Lead(b.now)
 	b.answerHold(one[Hold](b), Accepted, key)
 	take[Hold](b)
+	b.s.Loaded(b.now, ledger.Loaded{Epoch: 1, ClaimedAt: b.now})
 	b.tick(orphanGrace + 40*ms)
 	b.g.Expect(one[Stop](b).Run).To(Equal(key))
 }
 
+// The store can't be read as a scheduler takes over, and it finds a run whose job
+// isn't known. That may be a stored one, so it isn't stopped; and no lease is
+// given, so that it ends by itself before anybody starts it elsewhere.
+func TestStrangeRunWithoutTheStore(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	key := workload.RunKey{Task: workload.TaskName{Job: "00000000000000aa"}, Number: 1}
+	b.s.Lead(b.now)
+	b.answerHold(one[Hold](b), Accepted, key)
+	b.tick(time.Second)
+	b.g.Expect(take[Stop](b)).To(BeEmpty())
+	for _, h := range take[Hold](b) {
+		b.g.Expect(h.LeaseEnd).To(BeZero())
+	}
+}
+
 // A job comes from another scheduler while one runner can't be reached. It may
 // run there, so it isn't started before that must be over.
 func TestJobFromAnotherScheduler(t *testing.T) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -17,6 +17,9 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -59,6 +62,8 @@
 	// Resend is the earliest that a caller whose entry VM died sends its job
 	// again.
 	Resend time.Duration
+	// Retention is how long callers may ask for the outcome of a stored job.
+	Retention time.Duration
 	// RemoteFactor is how many times as long a task takes away from its rack.
 	RemoteFactor float64
 }
@@ -70,6 +75,7 @@
 		HoldWait:     150 * time.Millisecond,
 		StopTimeout:  50 * time.Millisecond,
 		Resend:       1300 * time.Millisecond,
+		Retention:    120 * time.Second,
 		RemoteFactor: 3,
 	}
 }
@@ -178,13 +184,20 @@
 	// missing are VMs whose processes fell silent, by when, and that haven't
 	// come back. They may lead on the other side of a cut.
 	missing map[string]Time
+	// backAt is when one of them has last come back, or been given up.
+	backAt Time
 	// heard is when each entry process was last heard.
 	heard map[EntryID]Time
 	// ran are jobs without an outcome of which something is known to have run.
 	ran map[workload.JobID]Time
+	// unstored are jobs that are known not to be stored ones, for a while after
+	// they have ended.
+	unstored map[workload.JobID]Time
 	// found are ends of tasks whose jobs aren't known, by the runners' lists.
 	found map[workload.TaskName]Time
 
+	custody custody
+
 	out []Command
 	ctr Counters
 }
@@ -224,7 +237,9 @@
 		heard:     make(map[EntryID]Time),
 		missing:   make(map[string]Time),
 		ran:       make(map[workload.JobID]Time),
+		unstored:  make(map[workload.JobID]Time),
 		found:     make(map[workload.TaskName]Time),
+		custody:   newCustody(),
 	}
 }
 
@@ -315,6 +330,7 @@
 	clear(s.jobs)
 	s.queue = nil
 	clear(s.found)
+	s.dropCustody()
 }
 
 // SetRunners replaces the list of runners.
@@ -390,9 +406,11 @@
 func (s *Scheduler) Pending() map[string]int {
 	n := make(map[string]int)
 	for _, j := range s.queue {
-		if !j.started {
+		if !j.begun {
 			n[j.work.Queue]++
 		}
 	}
 	return n
 }
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -34,6 +34,10 @@
 func (s *Scheduler) Submit(now Time, sub Submission) {
 	s.now = now
 	s.heard[sub.Entry] = now
+	if sub.Job.Stored {
+		s.submitStored(sub)
+		return
+	}
 	id := sub.Job.ID
 	if r, ok := s.results[id]; ok {
 		s.answer(sub.Entry, id, r.outcome, "known")
@@ -92,8 +96,10 @@
 	s.lookAtAll(j.work.Service)
 }
 
-// attach joins a job with runs and ends that runners list for it.
-func (s *Scheduler) attach(j *job) {
+// attach joins a job with runs and ends that runners list for it, and reports
+// whether it found ends.
+func (s *Scheduler) attach(j *job) bool {
+	found := false
 	for _, r := range s.list {
 		for _, u := range r.runs {
 			if u.task != nil || u.key.Task.Job != j.work.ID {
@@ -105,22 +111,25 @@
 	j.each(func(t *taskState) {
 		if _, ok := s.found[t.name]; ok {
 			delete(s.found, t.name)
-			j.started = true
+			j.started, j.begun = true, true
 			t.setPhase(done)
+			found = true
 		}
 	})
+	return found
 }
 
 // adopt makes a run without a job the current run of its task, or stops it if
 // the task has another.
 func (s *Scheduler) adopt(j *job, u *run) {
 	t := j.task(u.key.Task)
-	if t == nil || t.phase != waiting {
+	if t == nil || t.phase != waiting || j.ended {
 		u.stopAt = s.now
 		return
 	}
 	s.ctr.Adopted++
-	j.started = true
+	j.started, j.begun = true, true
+	t.startedAs = max(t.startedAs, u.key.Number)
 	u.task = t
 	u.stopAt = 0
 	t.run = u
@@ -146,6 +155,10 @@
 	if j.ended {
 		return
 	}
+	if j.stored != nil {
+		s.finishStored(j, o, reason)
+		return
+	}
 	if o == workload.NotRun && s.mayHaveRun(j) {
 		o = workload.GaveUp
 	}
@@ -183,6 +196,10 @@
 	s.noteRan(j)
 	delete(s.jobs, j.work.ID)
 	s.dequeue(j)
+	s.stopAll(j)
+}
+
+func (s *Scheduler) stopAll(j *job) {
 	j.each(func(t *taskState) {
 		if t.run == nil {
 			return
@@ -200,6 +217,9 @@
 	if j.started {
 		s.ran[j.work.ID] = s.now
 	}
+	if j.stored == nil {
+		s.unstored[j.work.ID] = s.now
+	}
 }
 
 func (s *Scheduler) count(o workload.Outcome) {
@@ -224,27 +244,27 @@
 	s.results[id] = result{outcome: o, at: s.now}
 }
 
-// Cancel ends a job for its caller, and reports whether it was known. A job
-// that comes later under the id doesn't run.
-func (s *Scheduler) Cancel(now Time, id workload.JobID) bool {
+// Cancel ends a job for its caller, and tells what has come of it. A job
+// that comes later under the id doesn't run. done is false if that is yet to be
+// written to the store; a Settled follows then.
+func (s *Scheduler) Cancel(now Time, id workload.JobID) (state JobState, done bool) {
 	s.now = now
-	if j := s.jobs[id]; j != nil {
+	if j := s.jobs[id]; j != nil && j.stored == nil {
 		s.finish(j, workload.Cancelled, "cancelled")
 		s.dispatch()
-		return true
 	}
-	if _, ok := s.results[id]; ok {
-		return true
+	if r, ok := s.results[id]; ok {
+		return JobState{Known: true, Ended: true, Outcome: r.outcome}, true
 	}
 	s.cancelled[id] = now
-	return false
+	return s.cancelStored(id)
 }
 
 // Abandon ends a job whose caller has left. It may come again.
 func (s *Scheduler) Abandon(now Time, entry EntryID, id workload.JobID) {
 	s.now = now
 	j := s.jobs[id]
-	if j == nil || j.entry != entry {
+	if j == nil || j.entry != entry || j.stored != nil {
 		return
 	}
 	s.ctr.Cancelled++
@@ -258,7 +278,7 @@
 func (s *Scheduler) Withdraw(now Time, entry EntryID, id workload.JobID) {
 	s.now = now
 	j := s.jobs[id]
-	if j == nil || j.entry != entry {
+	if j == nil || j.entry != entry || j.stored != nil {
 		return
 	}
 	j.withdrawn = true
@@ -279,7 +299,7 @@
 		s.missing[entry.VM()] = now
 	}
 	for _, j := range s.jobsInOrder() {
-		if j.entry != entry {
+		if j.entry != entry || j.stored != nil {
 			continue
 		}
 		if ended && j.started {
@@ -300,15 +320,41 @@
 	s.now = now
 	if _, ok := s.missing[entry.VM()]; ok {
 		delete(s.missing, entry.VM())
+		s.backAt = now
 		s.unsureUntil = max(s.unsureUntil, now+unsureWindow)
 	}
 }
 
+// JobState is how far a job is.
+type JobState struct {
+	// Unsure: it can't be told at present whether there is such a job.
+	Unsure bool
+	Known  bool
+	// Begun: a start of one of its tasks is known of.
+	Begun bool
+	// Ending: it has ended, and that is being written to the store.
+	Ending bool
+	// Running: none of its tasks waits for a runner.
+	Running bool
+	Ended   bool
+	// Outcome is set if the job has ended.
+	Outcome workload.Outcome
+}
+
 // State tells how far a job is, for its caller.
-func (s *Scheduler) State(id workload.JobID) (o workload.Outcome, ended, known bool) {
+func (s *Scheduler) State(id workload.JobID) JobState {
 	if r, ok := s.results[id]; ok {
-		return r.outcome, true, true
+		return JobState{Known: true, Ended: true, Outcome: r.outcome}
+	}
+	if k, ok := s.custody.kept[id]; ok {
+		return k.jobState()
+	}
+	j := s.jobs[id]
+	if j == nil {
+		return JobState{Unsure: !s.sure()}
+	}
+	if j.stored != nil && !j.stored.accepted {
+		return JobState{Unsure: true}
 	}
-	_, ok := s.jobs[id]
-	return 0, false, ok
+	return JobState{Known: true, Begun: j.begun, Ending: j.ended, Running: j.waiting == 0}
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -12,6 +12,7 @@
 func (s *Scheduler) Tick(now Time) {
 	s.now = now
 	s.expire()
+	s.tickStored()
 	if !s.leading {
 		s.tickLimbo()
 		return
@@ -30,13 +31,17 @@
 // lead.
 func (s *Scheduler) tickLimbo() {
 	for _, j := range s.jobsInOrder() {
-		if s.now-j.arrived > limboWait {
+		if j.stored == nil && s.now-j.arrived > limboWait {
 			s.finish(j, workload.GaveUp, "this process doesn't lead")
 		}
 	}
 }
 
 func (s *Scheduler) tickJob(j *job) {
+	if j.stored != nil {
+		s.tickStoredJob(j)
+		return
+	}
 	switch {
 	case j.abandonedAt > 0 && s.now >= j.abandonedAt:
 		s.emit(Decision{Event: "job-dropped", Job: j.work.ID, Reason: "entry process ended"})
@@ -98,6 +103,9 @@
 		if u.task != nil {
 			s.requeue(u.task)
 		}
+	case u.found && u.task == nil && !s.custody.loaded:
+		// It may be that of a stored job, which will be known in a moment. No
+		// lease is given meanwhile.
 	case u.task == nil && u.stopAt > 0 && s.now >= u.stopAt:
 		s.stopRun(u)
 	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0:
@@ -141,6 +149,7 @@
 	for id, at := range s.missing {
 		if s.now-at > missingMost {
 			delete(s.missing, id)
+			s.backAt = s.now
 		}
 	}
 	for id, at := range s.ran {
@@ -148,6 +157,11 @@
 			delete(s.ran, id)
 		}
 	}
+	for id, at := range s.unstored {
+		if s.now-at > ranRetention {
+			delete(s.unstored, id)
+		}
+	}
 	for name, at := range s.found {
 		if s.now-at > s.cfg.Resend+limboWait {
 			delete(s.found, name)
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -63,6 +63,9 @@
 	Version uint64
 	// Priority 0 comes first.
 	Priority int
+	// Stored jobs are kept in the platform's store from their acceptance on.
+	// The others are answered when they have ended, and kept nowhere.
+	Stored bool
 	// MaxAttempts is how often a task may end as failed before its job has.
 	MaxAttempts int
 	// Objective is the latency objective, from the caller's first send.
@@ -240,9 +243,11 @@
 	NotRun
 	// GaveUp: its time was up; some of it may have run.
 	GaveUp
+	// Accepted: the job is in the store and will be done.
+	Accepted
 )
 
-var outcomeNames = [...]string{"completed", "failed", "cancelled", "not-run", "gave-up"}
+var outcomeNames = [...]string{"completed", "failed", "cancelled", "not-run", "gave-up", "accepted"}
 
 // String is for logs.
 func (o Outcome) String() string { return outcomeNames[o] }
--- /dev/null
+++ b/entry/ledgers.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/ledger"
+)
+
+// storeCall carries out a call of a shard's ledger, and gives the result back to
+// the loop as an event.
+func (p *Process) storeCall(ctx context.Context, c fleet.StoreCall, owner string) {
+	sent := time.Now()
+	sentAt := p.clock.at(sent)
+	var result ledger.Result
+	var err error
+	kind := ""
+	switch call := c.Call.(type) {
+	case ledger.Claim:
+		kind = "claim"
+		var o ledger.Ownership
+		o, err = p.store.Claim(ctx, c.Shard, owner, call.Renew)
+		result = ledger.ClaimResult{Call: call.Call, Outcome: storeOutcome(err), Ownership: o, SentAt: sentAt}
+	case ledger.Read:
+		kind = "read"
+		var records []ledger.Record
+		records, err = p.store.Records(ctx, c.Shard)
+		result = ledger.ReadResult{Call: call.Call, Outcome: storeOutcome(err), Records: records}
+	case ledger.Check:
+		kind = "check"
+		var version uint64
+		version, err = p.store.Ownership(ctx, c.Shard)
+		result = ledger.CheckResult{Call: call.Call, Outcome: storeOutcome(err), Version: version, SentAt: sentAt}
+	case ledger.Write:
+		kind = "write"
+		err = p.store.Write(ctx, c.Shard, call.Version, call.Records)
+		result = ledger.WriteResult{Call: call.Call, Outcome: storeOutcome(err), SentAt: sentAt}
+	default:
+		panic(fmt.Sprintf("unknown store call %T", c.Call))
+	}
+	p.metrics.ledgerSeconds.WithLabelValues(kind, storeOutcome(err).String()).Observe(time.Since(sent).Seconds())
+	if err != nil && ctx.Err() == nil {
+		p.log.Warn().Str("call", kind).Int("shard", c.Shard).Stringer("outcome", storeOutcome(err)).Err(err).Msg("ledger-call-failed")
+	}
+	p.post(func(now Time) { p.node.StoreAnswered(now, c.Shard, result) })
+}
+
+func storeOutcome(err error) ledger.Outcome {
+	switch {
+	case err == nil:
+		return ledger.Applied
+	case errors.Is(err, ErrSuperseded):
+		return ledger.Superseded
+	case errors.Is(err, ErrTurnedAway):
+		return ledger.Turned
+	}
+	return ledger.Unanswered
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -14,6 +14,7 @@
 	requestSeconds  *prometheus.HistogramVec
 	calls           *prometheus.CounterVec
 	callSeconds     *prometheus.HistogramVec
+	ledgerSeconds   *prometheus.HistogramVec
 	storeFailures   *prometheus.CounterVec
 	droppedMessages prometheus.Counter
 	leading         prometheus.Gauge
@@ -39,6 +40,9 @@
 		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sapphirepoint_runner_order_seconds", Help: "Time until a runner has answered an order.", Buckets: latencyBuckets,
 		}, []string{"order"}),
+		ledgerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sapphirepoint_ledger_call_seconds", Help: "Time of a call that keeps stored jobs, by kind and outcome.", Buckets: latencyBuckets,
+		}, []string{"call", "outcome"}),
 		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sapphirepoint_store_failures_total", Help: "Failed calls to the platform's store.",
 		}, []string{"call"}),
@@ -55,7 +59,7 @@
 			Name: "sapphirepoint_scheduled", Help: "What the scheduler has done since the start, by event.",
 		}, []string{"event"}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.storeFailures,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
 		m.droppedMessages, m.leading, m.inHand, m.scheduled)
 	return m
 }
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -55,8 +58,30 @@
 	// Shards reads the number of shards, and sets it if nobody has yet; 0 only
 	// reads. It never changes.
 	Shards(ctx context.Context, propose int) (int, error)
+	Ledgers
+}
+
+// Ledgers keeps the records of the shards' jobs.
+type Ledgers interface {
+	// Claim takes a shard's rows for an owner; with renew it only renews that
+	// owner's hold of this epoch. ErrSuperseded: another owner has them.
+	Claim(ctx context.Context, shard int, owner string, renew uint64) (ledger.Ownership, error)
+	// Ownership is the version of the ownership row.
+	Ownership(ctx context.Context, shard int) (uint64, error)
+	// Records reads all records of a shard.
+	Records(ctx context.Context, shard int) ([]ledger.Record, error)
+	// Write saves records if the ownership row has the version; else it is
+	// ErrSuperseded.
+	Write(ctx context.Context, shard int, version uint64, records []ledger.Record) error
 }
 
+var (
+	// ErrSuperseded: another process owns the shard.
+	ErrSuperseded = errors.New("another process owns the shard")
+	// ErrTurnedAway: the store has refused a call and done nothing.
+	ErrTurnedAway = errors.New("the store turned the call away")
+)
+
 // Config is what a process needs.
 type Config struct {
 	// Node is the VM's name.
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -8,6 +8,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/gateway"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -76,7 +77,7 @@
 }
 
 // State asks the scheduler how far a job is, and with cancel to end it.
-func (p *Process) State(ctx context.Context, job workload.JobID, cancel bool) (fleet.JobState, error) {
+func (p *Process) State(ctx context.Context, job workload.JobID, cancel bool) (schedule.JobState, error) {
 	done := make(chan fleet.StateAnswer, 1)
 	var id uint64
 	p.post(func(now Time) {
@@ -88,17 +89,17 @@
 	select {
 	case a := <-done:
 		if a.Unreachable {
-			return fleet.JobState{}, ErrNoScheduler
+			return schedule.JobState{}, ErrNoScheduler
 		}
 		return a.State, nil
 	case <-p.ended:
-		return fleet.JobState{}, ErrNoScheduler
+		return schedule.JobState{}, ErrNoScheduler
 	case <-ctx.Done():
 		p.post(func(Time) {
 			delete(p.queries, id)
 			p.node.Forget(id)
 		})
-		return fleet.JobState{}, errors.Wrap(ctx.Err(), "ask the scheduler")
+		return schedule.JobState{}, errors.Wrap(ctx.Err(), "ask the scheduler")
 	}
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -100,6 +100,7 @@
 		MaxAttempts: int32(j.MaxAttempts),
 		ObjectiveMs: j.Objective.Milliseconds(),
 		Spec:        j.Spec,
+		Stored:      j.Stored,
 	}
 	for _, s := range j.Steps {
 		m.Steps = append(m.Steps, stepMessage(s))
@@ -134,6 +135,7 @@
 		MaxAttempts: int(m.GetMaxAttempts()),
 		Objective:   milliseconds(m.GetObjectiveMs()),
 		Spec:        m.GetSpec(),
+		Stored:      m.GetStored(),
 	}
 	for _, s := range m.GetSteps() {
 		j.Steps = append(j.Steps, stepOf(s))
@@ -181,7 +183,7 @@
 // outcomeOf takes an outcome that this version doesn't know for one after
 // which the job may have run.
 func outcomeOf(n uint32) workload.Outcome {
-	if n > uint32(workload.GaveUp) {
+	if n > uint32(workload.Accepted) {
 		return workload.GaveUp
 	}
 	return workload.Outcome(n)
@@ -240,15 +242,19 @@
 func stateMessage(a fleet.JobAnswer) *pb.FleetMessage {
 	return &pb.FleetMessage{Body: &pb.FleetMessage_JobState{JobState: &pb.JobState{
 		Request: a.Request,
+		Unsure:  a.State.Unsure,
 		Known:   a.State.Known,
+		Begun:   a.State.Begun,
 		Ended:   a.State.Ended,
 		Outcome: uint32(a.State.Outcome),
 	}}}
 }
 
 func stateOf(m *pb.JobState) fleet.JobAnswer {
-	return fleet.JobAnswer{Request: m.GetRequest(), State: fleet.JobState{
+	return fleet.JobAnswer{Request: m.GetRequest(), State: schedule.JobState{
+		Unsure:  m.GetUnsure(),
 		Known:   m.GetKnown(),
+		Begun:   m.GetBegun(),
 		Ended:   m.GetEnded(),
 		Outcome: outcomeOf(m.GetOutcome()),
 	}}
