Stored jobs: lead where the store answers, admission without what is late, questions until the end is written

Cause: with 7 s of a store that turns the leader away nothing could be accepted; jobs that are late already kept new ones out; callers were told 'running' while the end was being written, and asked again a quarter of a second later.

Ruled out: a flag by each process's own feeds (they notice an outage after up to 3.5 s); moving the lead whenever the store fails (when it is down for all, the next leader couldn't read the jobs).

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -56,6 +56,10 @@
 	// queries are questions of this process's callers that the leader was
 	// asked.
 	queries map[uint64]bool
+	// vms are the VMs of the deployment, this one included; nil if they aren't
+	// known.
+	vms   []string
+	store storeWatch
 
 	out []Command
 }
@@ -268,10 +272,13 @@
 	for _, id := range n.view.Silent(now) {
 		n.peerLost(now, id, false)
 	}
+	n.watchStore(now)
 	n.follow(now)
 	n.gateway.Tick(now)
+	all := n.hearsAll()
 	for _, s := range n.shards {
 		s.schedule.Heard(now, schedule.EntryID(n.Self()))
+		s.schedule.SetAllHeard(now, all)
 		s.ledger.Tick(now, s.schedule.Keeps())
 		s.schedule.SetStoreTrouble(s.ledger.FailingFor(now))
 		s.schedule.Tick(now)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -156,3 +156,23 @@
 	}
 	n.emit(Send{To: to, Message: h})
 }
+
+// SetVMs says which VMs have entry processes, this one included. Some may be
+// gone for good.
+func (n *Node) SetVMs(vms []string) { n.vms = vms }
+
+// hearsAll reports whether a process of every other VM is connected. One that
+// isn't may live behind a cut, and lead there.
+func (n *Node) hearsAll() bool {
+	heard := make(map[string]bool, len(n.linked))
+	for id := range n.linked {
+		heard[schedule.EntryID(id).VM()] = true
+	}
+	own := schedule.EntryID(n.Self()).VM()
+	for _, vm := range n.vms {
+		if vm != own && !heard[vm] {
+			return false
+		}
+	}
+	return n.vms != nil
+}
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,6 +40,9 @@
 			return
 		}
 		w.numbers++
+		if !slices.Contains(w.vms, n.name) {
+			w.vms = append(w.vms, n.name)
+		}
 		n.id = leader.ID(fmt.Sprintf("%s#%d", n.name, w.numbers))
 		number := w.numbers
 		w.do(n, func() { n.node.Registered(w.now, n.id, number) })
@@ -126,6 +130,7 @@
 	if w.storeReached(n) {
 		w.do(n, func() {
 			n.node.Layout(w.now, w.shards)
+			n.node.SetVMs(slices.Clone(w.vms))
 			n.node.Declared(w.now, &routing.Declaration{Version: 1}, "store")
 			n.node.RunnersRead(w.now, w.list())
 		})
@@ -157,6 +162,11 @@
 			w.order(n, c.Order)
 		case fleet.Answer:
 			w.reply(n, c)
+		case fleet.ProbeStore:
+			w.after(storeDelay, func() {
+				reached := w.storeReached(n)
+				w.do(n, func() { n.node.StoreProbed(w.now, reached) })
+			})
 		case fleet.StoreCall:
 			w.storeCall(n, c)
 		case fleet.StateAnswer:
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -96,16 +96,25 @@
 // handOver tells the next scheduler of a shard where the one before may have
 // started the jobs that this process is about to hand in again.
 func (n *Node) handOver(now Time, s *shard) {
+	if s.choice.Leader == n.Self() {
+		s.schedule.Suspect(now, n.lately(s))
+		return
+	}
+	n.tellRunners(s)
+}
+
+// tellRunners tells a shard's leader on which runners something may run.
+func (n *Node) tellRunners(s *shard) {
+	n.emit(Send{To: s.choice.Leader, Message: RunnerList{Revision: n.runners.Revision, Runners: n.lately(s), Handover: true}})
+}
+
+// lately lists a shard's runners, and those that have left the list of late.
+func (n *Node) lately(s *shard) []workload.Runner {
 	all := slices.Clone(n.runners.Runners)
 	for _, d := range n.dropped {
 		all = append(all, d.info)
 	}
-	list := n.runnersOf(s, all)
-	if s.choice.Leader == n.Self() {
-		s.schedule.Suspect(now, list)
-		return
-	}
-	n.emit(Send{To: s.choice.Leader, Message: RunnerList{Revision: n.runners.Revision, Runners: list, Handover: true}})
+	return n.runnersOf(s, all)
 }
 
 // suspect passes runners that are handed over to their schedulers.
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -146,6 +146,7 @@
 // retire gives up a shard, and tells the next leader what has been done.
 func (n *Node) retire(now Time, s *shard) {
 	if s.schedule.Leading() && s.choice.Reachable {
+		n.tellRunners(s)
 		n.emit(Send{To: s.choice.Leader, Message: Progress{Shard: s.index, Progress: s.schedule.Progress(now)}})
 	}
 	s.retire(now)
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -47,8 +47,10 @@
 	parted    map[[2]string]bool
 	shards    int
 	// awake is when the last frozen process wakes.
-	awake    time.Duration
-	numbers  uint64
+	awake   time.Duration
+	numbers uint64
+	// vms are the VMs that have ever registered.
+	vms      []string
 	revision uint64
 	// listed are the runners on the platform's list.
 	listed map[workload.RunnerID]bool
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -57,6 +57,12 @@
 	Stopping bool
 	// Demotions counts the times that the process was frozen while it led.
 	Demotions uint32
+	// StoreTrouble: it leads, and needs the store and can't reach it.
+	StoreTrouble bool
+	// StoreReached: it was asked whether it reaches the store, and does.
+	StoreReached bool
+	// StoreLost: it was asked, and doesn't.
+	StoreLost bool
 	// Term is the highest term of a scheduler that it knows.
 	Term uint64
 	// MilliCPU is the processor that it has, in thousandths of a core.
@@ -124,6 +130,19 @@
 // SetAble says whether the process could schedule.
 func (v *View) SetAble(able bool) { v.own.Able = able && v.own.Number > 0 }
 
+// SetStore says whether the process leads in need of the store, and whether it
+// reaches it.
+func (v *View) SetStore(trouble, reached bool) {
+	v.own.StoreTrouble, v.own.StoreReached = trouble, reached
+}
+
+// SetStoreLost says whether another process should lead that reaches the store.
+func (v *View) SetStoreLost(lost bool) { v.own.StoreLost = lost }
+
+// Demote ranks the process behind those that weren't demoted as often, so that
+// it doesn't take the lead back.
+func (v *View) Demote() { v.own.Demotions++ }
+
 // Stop says that the process is about to end.
 func (v *View) Stop() { v.own.Stopping = true }
 
@@ -331,15 +350,17 @@
 }
 
 // class compares two processes by what counts before age; less than 0 if x
-// comes first: those that aren't about to end, then those that were never
-// frozen, then those with twice the processor or more.
+// comes first: those that aren't about to end, then those that reach the store,
+// then those that were never frozen, then those with twice the processor or more.
 func (v *View) class(x, y ID) int {
 	a, b := v.rank(x), v.rank(y)
 	switch {
-	case a.Stopping != b.Stopping && a.Stopping, a.Stopping == b.Stopping && a.Demotions > b.Demotions:
-		return 1
-	case a.Stopping != b.Stopping, a.Demotions < b.Demotions:
-		return -1
+	case a.Stopping != b.Stopping:
+		return first(b.Stopping)
+	case a.StoreLost != b.StoreLost:
+		return first(b.StoreLost)
+	case a.Demotions != b.Demotions:
+		return first(a.Demotions < b.Demotions)
 	case a.MilliCPU >= 2*b.MilliCPU && b.MilliCPU > 0:
 		return -1
 	case b.MilliCPU >= 2*a.MilliCPU && a.MilliCPU > 0:
@@ -348,6 +369,14 @@
 	return 0
 }
 
+// first is -1 if it is true that x comes first, else 1.
+func first(x bool) int {
+	if x {
+		return -1
+	}
+	return 1
+}
+
 func (v *View) rank(id ID) *Report {
 	if id == v.self {
 		return &v.own
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -85,7 +85,8 @@
 func (s *Scheduler) backlog(j *job) time.Duration {
 	var sum time.Duration
 	for _, q := range s.queue {
-		if q.work.Service != j.work.Service || !q.before(j) {
+		if q.work.Service != j.work.Service || !q.before(j) || q.stored != nil && q.late(s.now) {
+			// A stored job that is late waits until nothing else does.
 			continue
 		}
 		sum += q.waitingWork()
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -39,7 +39,7 @@
 func leading(t *testing.T, runners ...workload.Runner) *bench {
 	b := newBench(t, runners...)
 	b.s.Lead(b.now)
-	b.s.Loaded(b.now, ledger.Loaded{Epoch: 1, ClaimedAt: b.now})
+	b.own(1)
 	for _, h := range take[Hold](b) {
 		b.held(h)
 	}
@@ -47,6 +47,13 @@
 	return b
 }
 
+// own gives the scheduler the shard's rows, with records in them.
+func (b *bench) own(epoch uint64, records ...ledger.Record) {
+	b.s.SetAllHeard(b.now, true)
+	b.s.Loaded(b.now, ledger.Loaded{Epoch: epoch, ClaimedAt: b.now, Records: records})
+	b.s.Verified(b.now, b.now)
+}
+
 func testRunner(id string) workload.Runner {
 	return workload.Runner{
 		ID: workload.RunnerID(id), Service: service, Address: id, Rack: "r1", Labels: []string{"a", "r1"},
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -114,6 +114,13 @@
 	return true
 }
 
+// noteRun notes a run that is known of.
+func (j *job) noteRun(k workload.RunKey) {
+	if k.Number > 1 {
+		j.restarted = true
+	}
+}
+
 // attempts is how often a task may fail.
 func (j *job) attempts() int { return max(1, j.work.MaxAttempts) }
 
@@ -140,6 +147,9 @@
 	if t.phase == p {
 		return
 	}
+	if t.phase == done {
+		panic("a task that is done is to be done again: " + t.name.String())
+	}
 	if t.phase == waiting {
 		t.job.waiting--
 	}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -94,7 +94,10 @@
 }
 
 func (s *Scheduler) startTasks(p *placer, j *job) {
-	if j.knownFrom > s.now && !s.allListed(j) {
+	if j.knownFrom > s.now && (j.stored != nil || !s.allListed(j)) {
+		return
+	}
+	if j.handed > 0 && j.stored != nil && s.now < s.custody.knownFrom+storedUnknown && !s.allListed(j) {
 		return
 	}
 	if j.handed > 0 && s.now < s.awaitUntil {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -148,9 +148,6 @@
 }
 
 func (s *Scheduler) start(t *taskState, r *runner) {
-	if t.lastNumber > 0 {
-		t.job.restarted = true
-	}
 	t.lastNumber++
 	t.startedAs = t.lastNumber
 	u := &run{
@@ -161,6 +158,7 @@
 		started: s.now,
 	}
 	u.overdueAt = s.overdueAt(t, r)
+	t.job.noteRun(u.key)
 	t.run = u
 	t.setPhase(running)
 	j := t.job
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -9,6 +9,11 @@
 // Progress is what a scheduler that retires tells the next one. Runners list an
 // end only until it is acknowledged, so what had ended before would be run again.
 type Progress struct {
+	// Epoch is the ownership of the shard's rows, 0 if the scheduler had none;
+	// and Unknown how much longer runs may be alive that owners before it have
+	// started and that it didn't see.
+	Epoch   uint64
+	Unknown time.Duration
 	// Done are the tasks that have ended well of jobs that haven't ended.
 	Done []workload.TaskName
 	// Ended are jobs that have ended of late.
@@ -33,7 +38,7 @@
 
 // Progress returns what the next scheduler should know.
 func (s *Scheduler) Progress(now Time) Progress {
-	var p Progress
+	p := Progress{Epoch: s.custody.epoch, Unknown: max(0, s.custody.knownFrom-now)}
 	for _, j := range s.jobsInOrder() {
 		j.each(func(t *taskState) {
 			if t.phase == done {
@@ -59,6 +64,7 @@
 func (s *Scheduler) Learn(now Time, p Progress) {
 	s.now = now
 	s.awaitUntil = 0
+	s.handedOver(p)
 	for _, e := range p.Ended {
 		if j := s.jobs[e.Job]; j != nil {
 			s.finish(j, e.Outcome, "ended under another scheduler")
@@ -74,6 +80,21 @@
 	s.dispatch()
 }
 
+// handedOver notes that the owner before has retired: it starts nothing more, and
+// has told where it may have started something.
+func (s *Scheduler) handedOver(p Progress) {
+	s.custody.before = &p
+	if !s.custody.loaded || p.Epoch == 0 || p.Epoch+1 != s.custody.epoch {
+		return
+	}
+	s.custody.knownFrom = min(s.custody.knownFrom, s.now+p.Unknown)
+	for _, j := range s.jobs {
+		if j.stored != nil {
+			j.knownFrom = min(j.knownFrom, s.custody.knownFrom)
+		}
+	}
+}
+
 func (s *Scheduler) learnDone(name workload.TaskName) {
 	s.ran[name.Job] = s.now
 	j := s.jobs[name.Job]
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -112,6 +112,7 @@
 		s.endedUnknown(e)
 		return nil
 	}
+	t.job.noteRun(e.Run)
 	switch {
 	case t.phase == done:
 	case e.Kind == workload.Done:
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/gomega"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
-	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -160,7 +159,7 @@
 	b.s.Lead(b.now)
 	b.answerHold(one[Hold](b), Accepted, key)
 	take[Hold](b)
-	b.s.Loaded(b.now, ledger.Loaded{Epoch: 1, ClaimedAt: b.now})
+	b.own(1)
 	b.tick(orphanGrace + 40*ms)
 	b.g.Expect(one[Stop](b).Run).To(Equal(key))
 }
@@ -319,3 +318,30 @@
 	runnersClock := clockAtZero + (b.now + missed).Milliseconds()
 	b.g.Expect(one[Start](b).LeaseEnd).To(BeNumerically("<", runnersClock))
 }
+
+// A task has ended well under one scheduler and was started again under the next,
+// which didn't know. A third one finds the end on one runner and the run on
+// another, and is handed the job. The task is done: when the second run's runner
+// is lost the job must not wait for it, nor count the task as done twice and be
+// answered while another task still runs.
+func TestDoneAndRunningElsewhere(t *testing.T) {
+	b := newBench(t, testRunner("r1"), testRunner("r2"))
+	j := testJob(2, 500*ms)
+	done := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 1}
+	again := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 101}
+	other := workload.RunKey{Task: workload.TaskName{Job: j.ID, Index: 1}, Number: 1}
+	b.s.Lead(b.now)
+	b.own(1)
+	for _, h := range take[Hold](b) {
+		if h.Runner == "r1" {
+			b.held(h, workload.End{Sequence: 1, Run: done, Kind: workload.Done})
+			continue
+		}
+		b.answerHold(h, Accepted, again, other)
+	}
+	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, Due: time.Second, Patience: 2 * time.Second, Handed: 2, Unknown: time.Second})
+	b.s.lose(b.s.runners["r2"])
+	b.g.Expect(b.s.jobs[j.ID].open).To(Equal([]int{1}))
+	b.g.Expect(b.s.jobs[j.ID].waiting).To(Equal(1))
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -184,8 +184,10 @@
 	// missing are VMs whose processes fell silent, by when, and that haven't
 	// come back. They may lead on the other side of a cut.
 	missing map[string]Time
-	// backAt is when one of them has last come back, or been given up.
-	backAt Time
+	// allHeard: all processes of the deployment are heard, without a break since
+	// allHeardSince.
+	allHeard      bool
+	allHeardSince Time
 	// heard is when each entry process was last heard.
 	heard map[EntryID]Time
 	// ran are jobs without an outcome of which something is known to have run.
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -37,6 +37,8 @@
 	// unloadedCheck is the same while the jobs aren't known to which its ends
 	// belong.
 	unloadedCheck = 150 * time.Millisecond
+	// needStore is how long after the last stored job more are expected.
+	needStore = 5 * time.Second
 	// keptExtra is how much longer outcomes are kept than callers may ask.
 	keptExtra = 30 * time.Second
 )
@@ -85,6 +87,12 @@
 	early map[workload.JobID][]earlySubmission
 	// open is the number of stored jobs that haven't ended.
 	open int
+	// askedAt is when a stored job last came.
+	askedAt Time
+	// before is what the last leader has said as it retired; nil if it hasn't.
+	before *Progress
+	// knownFrom is when runs are surely over that other owners have started.
+	knownFrom Time
 }
 
 type earlySubmission struct {
@@ -105,6 +113,11 @@
 	return s.custody.open > 0 || !s.sure() || slices.ContainsFunc(s.list, func(r *runner) bool { return len(r.ends) > 0 })
 }
 
+// NeedsStore reports whether callers wait for what the store doesn't have yet.
+func (s *Scheduler) NeedsStore() bool {
+	return s.custody.open > 0 || len(s.custody.early) > 0 || s.custody.askedAt > 0 && s.now-s.custody.askedAt < needStore
+}
+
 // Verified notes that this process owned the shard's rows at a time.
 func (s *Scheduler) Verified(now, at Time) {
 	s.now = now
@@ -114,17 +127,26 @@
 
 // sure reports whether no other process can have taken the shard's rows. That is
 // known for a while after a call to the store has shown it. It is also known
-// while all processes that could are heard, since they follow this one; one that
-// comes back after it was missing may have taken them meanwhile.
+// while all processes that could are heard, since they follow this one; those
+// that weren't heard before may have taken them meanwhile.
 func (s *Scheduler) sure() bool {
 	c := &s.custody
 	proved := s.now-c.verifiedAt <= custodyAge
-	return c.loaded && (proved || len(s.missing) == 0 && c.verifiedAt >= s.backAt)
+	return c.loaded && (proved || s.allHeard && c.verifiedAt >= s.allHeardSince)
+}
+
+// SetAllHeard says whether this process hears all others of the deployment.
+func (s *Scheduler) SetAllHeard(now Time, all bool) {
+	if all && !s.allHeard {
+		s.allHeardSince = now
+	}
+	s.allHeard = all
 }
 
 // submitStored takes a stored job, or another copy of one.
 func (s *Scheduler) submitStored(sub Submission) {
 	id := sub.Job.ID
+	s.custody.askedAt = s.now
 	if !s.custody.loaded {
 		s.submitEarly(sub)
 		return
@@ -342,6 +364,7 @@
 	s.now = now
 	s.custody.loaded = true
 	s.custody.epoch = l.Epoch
+	s.custody.knownFrom = s.knownFrom(l.ClaimedAt)
 	s.listsWanted = now
 	open := 0
 	for _, r := range l.Records {
@@ -350,7 +373,7 @@
 			continue
 		}
 		open++
-		s.restore(r, l.ClaimedAt)
+		s.restore(r)
 	}
 	s.emit(Decision{Event: "stored-jobs-loaded", Token: l.Epoch, Reason: openJobs(open), Age: now - l.ClaimedAt})
 	s.settleEnds()
@@ -384,15 +407,15 @@
 }
 
 // restore takes up a job that another scheduler had.
-func (s *Scheduler) restore(r ledger.Record, claimedAt Time) {
+func (s *Scheduler) restore(r ledger.Record) {
 	if r.Work == nil || s.jobs[r.Job] != nil {
 		return
 	}
 	j := newJob(r.Work, s.now)
 	j.stored = &stored{epoch: r.Epoch, accepted: true, failures: r.Failures}
-	j.started = true
+	j.started, j.restarted = true, r.Restarted
 	j.handed = int(s.custody.epoch - r.Epoch)
-	j.knownFrom = claimedAt + storedUnknown
+	j.knownFrom = s.custody.knownFrom
 	j.listsSince = s.now
 	j.due, j.useless, j.deadline = s.now+r.Work.Objective, s.now+lateFactor*r.Work.Objective, never
 	s.jobs[r.Job] = j
@@ -416,6 +439,16 @@
 	s.checkRestored(j)
 }
 
+// knownFrom is when nothing can be alive any more that schedulers before have
+// started and that this one can't see. It sees all on the runners that it knows;
+// there may be others, in a failure domain that is cut off from the store.
+func (s *Scheduler) knownFrom(claimedAt Time) Time {
+	if p := s.custody.before; p != nil && p.Epoch > 0 && p.Epoch+1 == s.custody.epoch {
+		return s.now + p.Unknown
+	}
+	return claimedAt + storedUnknown
+}
+
 // checkRestored ends a job whose last record the scheduler before had no time to
 // write.
 func (s *Scheduler) checkRestored(j *job) {
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -100,14 +100,6 @@
 // whether it found ends.
 func (s *Scheduler) attach(j *job) bool {
 	found := false
-	for _, r := range s.list {
-		for _, u := range r.runs {
-			if u.task != nil || u.key.Task.Job != j.work.ID {
-				continue
-			}
-			s.adopt(j, u)
-		}
-	}
 	j.each(func(t *taskState) {
 		if _, ok := s.found[t.name]; ok {
 			delete(s.found, t.name)
@@ -116,6 +108,14 @@
 			found = true
 		}
 	})
+	for _, r := range s.list {
+		for _, u := range r.inOrder() {
+			if u.task != nil || u.key.Task.Job != j.work.ID {
+				continue
+			}
+			s.adopt(j, u)
+		}
+	}
 	return found
 }
 
@@ -130,6 +130,7 @@
 	s.ctr.Adopted++
 	j.started, j.begun = true, true
 	t.startedAs = max(t.startedAs, u.key.Number)
+	j.noteRun(u.key)
 	u.task = t
 	u.stopAt = 0
 	t.run = u
@@ -320,7 +321,6 @@
 	s.now = now
 	if _, ok := s.missing[entry.VM()]; ok {
 		delete(s.missing, entry.VM())
-		s.backAt = now
 		s.unsureUntil = max(s.unsureUntil, now+unsureWindow)
 	}
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -149,7 +149,6 @@
 	for id, at := range s.missing {
 		if s.now-at > missingMost {
 			delete(s.missing, id)
-			s.backAt = s.now
 		}
 	}
 	for id, at := range s.ran {
--- a/entry/ledgers.go
+++ b/entry/ledgers.go
@@ -60,3 +60,15 @@
 	}
 	return ledger.Unanswered
 }
+
+// probeTimeout bounds a probe: other processes wait for its result.
+const probeTimeout = 500 * time.Millisecond
+
+// probeStore tries whether the store answers this process.
+func (p *Process) probeStore(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := p.store.Ownership(ctx, 0)
+	p.log.Info().Bool("reached", err == nil).AnErr("cause", err).Msg("store-probed")
+	p.post(func(now Time) { p.node.StoreProbed(now, err == nil) })
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -161,6 +161,8 @@
 			p.mesh.Drop(string(c.Peer))
 		case fleet.Order:
 			p.order(ctx, c.Order)
+		case fleet.ProbeStore:
+			go p.probeStore(ctx)
 		case fleet.StoreCall:
 			go p.storeCall(ctx, c, string(p.node.Self()))
 		case fleet.Answer:
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -81,11 +81,20 @@
 			}
 			p.checkOwnRow(ctx, list)
 			p.mesh.SetMembers(p.self, list)
+			p.setVMs(list)
 			return nil
 		})
 	}
 }
 
+func (p *Process) setVMs(list []peer.Member) {
+	vms := make([]string, len(list))
+	for i, m := range list {
+		vms[i] = m.Node
+	}
+	p.post(func(Time) { p.node.SetVMs(vms) })
+}
+
 // checkOwnRow compares this process's row with what it knows of itself.
 //
 // A write whose answer was lost may have been repeated, and then be carried out
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -195,6 +195,9 @@
 		Able:               h.Report.Able,
 		Stopping:           h.Report.Stopping,
 		Demotions:          h.Report.Demotions,
+		StoreTrouble:       h.Report.StoreTrouble,
+		StoreReached:       h.Report.StoreReached,
+		StoreLost:          h.Report.StoreLost,
 		Shards:             uint32(h.Report.Shards),
 		MilliCpu:           uint32(h.Report.MilliCPU),
 		Term:               h.Report.Term,
@@ -221,9 +224,14 @@
 			Able:      m.GetAble(),
 			Stopping:  m.GetStopping(),
 			Demotions: m.GetDemotions(),
-			Term:      m.GetTerm(),
-			Shards:    int(m.GetShards()),
-			MilliCPU:  int(m.GetMilliCpu()),
+
+			StoreTrouble: m.GetStoreTrouble(),
+			StoreReached: m.GetStoreReached(),
+			StoreLost:    m.GetStoreLost(),
+
+			Term:     m.GetTerm(),
+			Shards:   int(m.GetShards()),
+			MilliCPU: int(m.GetMilliCpu()),
 		},
 		DeclarationVersion: m.GetDeclarationVersion(),
 		RunnersRevision:    m.GetRunnersRevision(),
@@ -359,7 +367,7 @@
 }
 
 func progressMessage(p fleet.Progress) *pb.FleetMessage {
-	m := &pb.Progress{Shard: uint32(p.Shard)}
+	m := &pb.Progress{Shard: uint32(p.Shard), Epoch: p.Epoch, UnknownMs: p.Unknown.Milliseconds()}
 	for _, t := range p.Done {
 		m.Done = append(m.Done, t.String())
 	}
@@ -372,6 +380,7 @@
 // progressOf leaves out names that can't be read: their tasks may run again.
 func progressOf(m *pb.Progress) fleet.Progress {
 	p := fleet.Progress{Shard: int(m.GetShard())}
+	p.Epoch, p.Unknown = m.GetEpoch(), milliseconds(m.GetUnknownMs())
 	for _, name := range m.GetDone() {
 		if t, err := workload.ParseTaskName(name); err == nil {
 			p.Done = append(p.Done, t)
