Stored jobs: notice a lost shard while idle, shorter calls to the store, restored jobs keep their age

Cause: three processes took the shard at the same time as a deployment started, and the leader learned only from its first write, 4 s later, that it had lost it; then it left it alone for 2 s though nobody else wanted it. A store that is silent to the leader was noticed after 2 s. Restored jobs counted as new ones, so that old work came before jobs that could still be in time.

Ruled out: the lead changing at the start (it doesn't: one reads the older process a moment later).

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -279,6 +279,9 @@
 	for _, s := range n.shards {
 		s.schedule.Heard(now, schedule.EntryID(n.Self()))
 		s.schedule.SetAllHeard(now, all)
+		if all && s.schedule.Leading() {
+			s.ledger.Uncontested(now)
+		}
 		s.ledger.Tick(now, s.schedule.Keeps())
 		s.schedule.SetStoreTrouble(s.ledger.FailingFor(now))
 		s.schedule.Tick(now)
--- a/core/fleet/store_test.go
+++ b/core/fleet/store_test.go
@@ -83,7 +83,7 @@
 			return ledger.Applied
 		}, func(o ledger.Outcome) {
 			answer(ledger.ClaimResult{Call: call.Call, Outcome: o, Ownership: rows.ownership, SentAt: sent})()
-		}, func() { late(ledger.ClaimResult{Call: call.Call, Outcome: ledger.Unanswered}) })
+		}, func() { late(ledger.ClaimResult{Call: call.Call, Outcome: ledger.Unanswered, SentAt: sent}) })
 	case ledger.Read:
 		w.storeDo(n, travel, func() ledger.Outcome { return ledger.Applied }, func(o ledger.Outcome) {
 			r := ledger.ReadResult{Call: call.Call, Outcome: o}
@@ -95,11 +95,11 @@
 	case ledger.Check:
 		w.storeDo(n, travel, func() ledger.Outcome { return ledger.Applied }, func(o ledger.Outcome) {
 			answer(ledger.CheckResult{Call: call.Call, Outcome: o, Version: rows.ownership.Version, SentAt: sent})()
-		}, func() { late(ledger.CheckResult{Call: call.Call, Outcome: ledger.Unanswered}) })
+		}, func() { late(ledger.CheckResult{Call: call.Call, Outcome: ledger.Unanswered, SentAt: sent}) })
 	case ledger.Write:
 		w.storeDo(n, travel, func() ledger.Outcome { return rows.write(call) }, func(o ledger.Outcome) {
 			answer(ledger.WriteResult{Call: call.Call, Outcome: o, SentAt: sent})()
-		}, func() { late(ledger.WriteResult{Call: call.Call, Outcome: ledger.Unanswered}) })
+		}, func() { late(ledger.WriteResult{Call: call.Call, Outcome: ledger.Unanswered, SentAt: sent}) })
 	}
 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -43,6 +43,9 @@
 	// With a store that answers in a quarter of a second it is then known to
 	// within 350 ms, less than the time after which a scheduler doubts it.
 	checkInterval = 100 * time.Millisecond
+	// idleCheckInterval is the same while nothing depends on the ownership, so
+	// that its loss is known before the next job comes.
+	idleCheckInterval = time.Second
 	// mostChecks bounds the checks on their way.
 	mostChecks = 4
 	// reclaimPause is how long a shard is left to another process that took it
@@ -233,7 +236,9 @@
 	verifiedAt   Time
 	checkedAt    Time
 	failingSince Time
-	out          []Command
+	// succeededAt is when the latest call was sent that succeeded.
+	succeededAt Time
+	out         []Command
 }
 
 // New returns a ledger of a shard that the process doesn't lead.
@@ -322,6 +327,14 @@
 	e.record, e.sequence = r, sequence
 }
 
+// Uncontested says that no other process can think that it leads the shard, so
+// that it needn't be left to one.
+func (l *Ledger) Uncontested(now Time) {
+	if l.phase == lost {
+		l.due = min(l.due, now+retryPause)
+	}
+}
+
 // Tick does what is due. keeps says that jobs depend on the ownership, so that
 // it is to be checked.
 func (l *Ledger) Tick(now Time, keeps bool) {
@@ -330,7 +343,11 @@
 		l.phase = claiming
 	}
 	l.step()
-	if keeps && l.phase == open && now-l.checkedAt >= checkInterval && len(l.checks) < mostChecks {
+	interval := idleCheckInterval
+	if keeps {
+		interval = checkInterval
+	}
+	if l.phase == open && now-l.checkedAt >= interval && len(l.checks) < mostChecks {
 		l.checkedAt = now
 		call := l.nextCall()
 		l.checks[call] = true
@@ -434,7 +451,7 @@
 		return
 	}
 	if r.Outcome != Applied {
-		l.failed()
+		l.failed(r.SentAt)
 		l.due = now + retryPause
 		return
 	}
@@ -454,7 +471,7 @@
 	}
 	l.call = 0
 	if r.Outcome != Applied {
-		l.failed()
+		l.failed(now)
 		l.due = now + retryPause
 		return
 	}
@@ -472,7 +489,7 @@
 	delete(l.checks, r.Call)
 	switch {
 	case r.Outcome != Applied:
-		l.failed()
+		l.failed(r.SentAt)
 	case l.phase == open && r.Version != l.ownership.Version && r.SentAt > l.claimedAt:
 		l.supersede()
 	case r.Version == l.ownership.Version:
@@ -498,11 +515,11 @@
 		l.supersede()
 		return
 	case Turned:
-		l.failed()
+		l.failed(r.SentAt)
 		l.putBack(entries)
 		l.due = now + retryPause
 	default:
-		l.failed()
+		l.failed(r.SentAt)
 		l.putBack(entries)
 		l.phase = settling
 	}
@@ -542,15 +559,17 @@
 	l.emit(Lost{At: l.now})
 }
 
-func (l *Ledger) failed() {
-	if l.failingSince == 0 {
-		l.failingSince = l.now
+// failed notes a call that failed, unless a later one has succeeded meanwhile.
+func (l *Ledger) failed(sentAt Time) {
+	if l.failingSince == 0 && sentAt >= l.succeededAt {
+		l.failingSince = max(sentAt, 1)
 	}
 }
 
 // succeeded notes that this process owned the shard when a call was sent.
 func (l *Ledger) succeeded(sentAt Time) {
 	l.failingSince = 0
+	l.succeededAt = max(l.succeededAt, sentAt)
 	if sentAt <= l.verifiedAt {
 		return
 	}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"time"
+
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -55,6 +57,8 @@
 	// Work is the job as it was accepted. In a record to be saved it is nil if
 	// it is in the store already.
 	Work *workload.Job
+	// Age is the time since the job was accepted, as it is read.
+	Age time.Duration
 	// Epoch is the ownership of the shard under which the job was accepted.
 	Epoch uint64
 	State State
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -417,7 +417,8 @@
 	j.handed = int(s.custody.epoch - r.Epoch)
 	j.knownFrom = s.custody.knownFrom
 	j.listsSince = s.now
-	j.due, j.useless, j.deadline = s.now+r.Work.Objective, s.now+lateFactor*r.Work.Objective, never
+	j.arrived = s.now - r.Age
+	j.due, j.useless, j.deadline = j.arrived+r.Work.Objective, j.arrived+lateFactor*r.Work.Objective, never
 	s.jobs[r.Job] = j
 	s.custody.open++
 	j.each(func(t *taskState) {
--- a/entry/ledgers.go
+++ b/entry/ledgers.go
@@ -14,6 +14,8 @@
 // storeCall carries out a call of a shard's ledger, and gives the result back to
 // the loop as an event.
 func (p *Process) storeCall(ctx context.Context, c fleet.StoreCall, owner string) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout(c.Call))
+	defer cancel()
 	sent := time.Now()
 	sentAt := p.clock.at(sent)
 	var result ledger.Result
@@ -49,6 +51,22 @@
 	p.post(func(now Time) { p.node.StoreAnswered(now, c.Shard, result) })
 }
 
+const (
+	// ledgerWriteTimeout bounds a call about few rows: it takes some
+	// milliseconds, and up to half a second if the store is slow. A store that
+	// is silent to this process alone must be noticed while callers still wait.
+	ledgerWriteTimeout = 700 * time.Millisecond
+	// ledgerReadTimeout bounds the reading of all records, some thousand.
+	ledgerReadTimeout = 3 * time.Second
+)
+
+func ledgerTimeout(c ledger.Command) time.Duration {
+	if _, ok := c.(ledger.Read); ok {
+		return ledgerReadTimeout
+	}
+	return ledgerWriteTimeout
+}
+
 func storeOutcome(err error) ledger.Outcome {
 	switch {
 	case err == nil:
