Stored jobs: a list after each stop, a bound on what is accepted; tests of ledger and stored jobs

A run whose start stayed unanswered was stopped, had ended well before that, and was started again before the runner's list came.

Ruled out: leases (the runs were stopped, not lapsed); the store (no call failed before the backlog).

Change: what is accepted and waits is bounded to a second of the runners' work; a stopped run of a stored job is given up only by a list read after the stop; a step for which there is no room is passed over without a look at its tasks.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -44,12 +44,39 @@
 		return "no runner has what a task needs"
 	}
 	wait := s.backlog(j) / time.Duration(capacity)
+	if reason := s.overcommitted(j, capacity); reason != "" {
+		return reason
+	}
 	if wait > 0 && s.now+wait+j.remaining > j.useless {
 		return fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond))
 	}
 	return ""
 }
 
+// mostBacklog is the longest that all stored jobs of a service that wait may take
+// together, those that are late already included. They can't be dropped, so
+// without a bound a burst would pile up work that nobody waits for any more. A
+// second of it is made up for in the lulls of ten seconds at nine tenths of the
+// full load.
+const mostBacklog = time.Second
+
+// overcommitted is the reason why no more can be accepted; "" if it can.
+func (s *Scheduler) overcommitted(j *job, capacity int) string {
+	if !j.work.Stored {
+		return ""
+	}
+	var sum time.Duration
+	for _, q := range s.queue {
+		if q.stored != nil && q.work.Service == j.work.Service {
+			sum += q.waitingWork()
+		}
+	}
+	if backlog := sum / time.Duration(capacity); backlog > mostBacklog {
+		return fmt.Sprintf("accepted work for %v waits", backlog.Round(time.Millisecond))
+	}
+	return ""
+}
+
 // hopeless reports whether a job will hardly be done before its caller leaves,
 // even on the fastest runners.
 func (s *Scheduler) hopeless(j *job) bool {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -107,7 +107,7 @@
 		return
 	}
 	for i := range j.work.Steps {
-		if !j.ready(i) {
+		if !j.ready(i) || p.full(&j.work.Steps[i], j.work.Service) {
 			continue
 		}
 		for _, t := range j.steps[i] {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -38,6 +38,13 @@
 	return &placer{s: s, tooBig: make(map[string]workload.Resources), median: make(map[string]float64)}
 }
 
+// full reports whether tasks that need no more than those of a step have found no
+// room.
+func (p *placer) full(step *workload.Step, service string) bool {
+	big, ok := p.tooBig[service]
+	return ok && big.Fits(step.Need)
+}
+
 // place chooses a runner for a task; nil if there is no room.
 //
 // Best fit: a task of two fifths of a runner leaves room for another one only
@@ -47,7 +54,7 @@
 	step := t.step()
 	plain := step.Requires == "" && step.MaxPerRunner == 0 && len(t.failedOn) == 0
 	service := t.job.work.Service
-	if big, ok := p.tooBig[service]; ok && plain && big.Fits(step.Need) {
+	if plain && p.full(step, service) {
 		return nil
 	}
 	var best *runner
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// endsPerList is how many ends a runner lists at most. There may be more
+	// behind a list of that length.
+	endsPerList = 500
 	// stopSlack is added to the longest time that a stop takes.
 	stopSlack = 20 * time.Millisecond
 	// leaseLimit is the longest lease that a runner grants to anybody; runs
@@ -53,7 +56,9 @@
 func (s *Scheduler) listed(r *runner, res HoldResult) {
 	first := !r.owned
 	r.owned = true
-	r.listedAt = max(r.listedAt, res.Clock.SentAt)
+	if len(res.Ends) < endsPerList {
+		r.listedAt = max(r.listedAt, res.Clock.SentAt)
+	}
 	if first {
 		r.acquiredAt = s.now
 		r.aliveUntil = max(r.aliveUntil, s.now+longestLife(leaseLimit))
@@ -70,7 +75,9 @@
 		listed[k] = true
 		s.seen(r, k)
 	}
-	s.dropStopped(r, listed, res.Clock.SentAt)
+	if len(res.Ends) < endsPerList {
+		s.dropStopped(r, listed, res.Clock.SentAt)
+	}
 }
 
 // dropStopped gives up runs that the runner had promised to stop before it was
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -83,6 +83,10 @@
 	overdueAt Time
 }
 
+// ofStoredJob reports whether the run is one of a stored job. If it was stopped it
+// may have ended well just before, and only the runner's list tells.
+func (u *run) ofStoredJob() bool { return u.task != nil && u.task.job.stored != nil }
+
 func newRunner(info workload.Runner, now Time) *runner {
 	return &runner{info: info, runs: make(map[workload.RunKey]*run), health: newHealth(), heldAt: now}
 }
--- /dev/null
+++ b/core/schedule/stored_test.go
@@ -0,0 +1,383 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/ledger"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+func storedJob(tasks int, estimate time.Duration) *workload.Job {
+	j := testJob(tasks, estimate)
+	j.Stored = true
+	return j
+}
+
+// saved tells the scheduler that a record is in the store.
+func (b *bench) saved(list ...Save) {
+	for _, c := range list {
+		b.s.Saved(b.now, []ledger.SavedRecord{{Job: c.Record.Job, Sequence: c.Sequence}})
+	}
+}
+
+// accepted submits a stored job and has it saved.
+func (b *bench) accepted(j *workload.Job) {
+	b.submit(j, 2*time.Second)
+	b.saved(one[Save](b))
+	b.g.ExpectWithOffset(1, one[Answer](b).Outcome).To(Equal(workload.Accepted))
+}
+
+// openRecord is what the store has of a job that another scheduler had accepted.
+func openRecord(j *workload.Job, epoch uint64, done ...int) ledger.Record {
+	bits := ledger.NewBits(j.Steps[0].Tasks)
+	for _, n := range done {
+		bits.Set(n)
+	}
+	return ledger.Record{Job: j.ID, Work: j, Epoch: epoch, Done: []ledger.Bits{bits}}
+}
+
+func runOf(j *workload.Job, index, number int) workload.RunKey {
+	return workload.RunKey{Task: workload.TaskName{Job: j.ID, Index: index}, Number: number}
+}
+
+// A caller is told that its job is accepted, and all processes lose power at that
+// moment. So the job must be in the store before the answer, and before anything
+// of it is started: a refusal must stay possible until then.
+func TestAcceptedMeansSaved(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 100*ms)
+	b.submit(j, 2*time.Second)
+	save := one[Save](b)
+	b.g.Expect(save.Record.Work).To(Equal(j))
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.g.Expect(b.s.State(j.ID).Unsure).To(BeTrue())
+	b.saved(save)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted))
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+	b.submit(j, 2*time.Second)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted), "a copy")
+	b.g.Expect(take[Save](b)).To(BeEmpty())
+}
+
+// A runner forgets an end that is acknowledged. If the store doesn't have it and
+// the scheduler is lost, the next one starts the task a second time.
+func TestEndIsSavedBeforeItIsAcknowledged(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(2, 100*ms)
+	b.accepted(j)
+	for _, c := range take[Start](b) {
+		b.started(c, Accepted)
+	}
+	take[Hold](b)
+	b.end("r1", 1, runOf(j, 0, 1), workload.Done)
+	save := one[Save](b)
+	b.g.Expect(save.Record.Done[0].Has(0)).To(BeTrue())
+	b.g.Expect(save.Record.Work).To(BeNil(), "it is in the store already")
+	b.tick(60 * ms)
+	for _, h := range take[Hold](b) {
+		b.g.Expect(h.Acknowledged).To(BeZero())
+		b.g.Expect(h.LeaseEnd).NotTo(BeZero(), "the other task runs on")
+		b.g.Expect(h.Wait).To(BeZero(), "the runner lists the end again, and answers at once")
+		b.end("r1", 1, runOf(j, 0, 1), workload.Done)
+	}
+	b.g.Expect(take[Save](b)).To(BeEmpty(), "listed again, it is no news")
+	b.saved(save)
+	b.tick(unsavedCheck + 20*ms)
+	held := take[Hold](b)
+	b.g.Expect(held).NotTo(BeEmpty())
+	b.g.Expect(held[len(held)-1].Acknowledged).To(BeEquivalentTo(1))
+}
+
+// The last task ends. The job is shown as completed only when the store has that:
+// after a power loss it would else be run once more.
+func TestCompletedMeansSaved(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 100*ms)
+	b.accepted(j)
+	b.started(one[Start](b), Accepted)
+	b.end("r1", 1, runOf(j, 0, 1), workload.Done)
+	save := one[Save](b)
+	b.g.Expect(save.Record.State).To(Equal(ledger.Completed))
+	b.g.Expect(b.s.State(j.ID)).To(Equal(JobState{Known: true, Begun: true, Ending: true, Running: true}))
+	b.g.Expect(take[Settled](b)).To(BeEmpty())
+	b.saved(save)
+	b.g.Expect(one[Settled](b).State.Outcome).To(Equal(workload.Completed))
+	b.g.Expect(b.s.State(j.ID)).To(Equal(JobState{Known: true, Ended: true, Outcome: workload.Completed}))
+}
+
+// A scheduler is killed. The next one reads its jobs, finds one task done and one
+// running, and starts only the third, when nothing can run any more on runners
+// that it doesn't know of.
+func TestRestoredJob(t *testing.T) {
+	b := newBench(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(3, 500*ms)
+	b.s.Lead(b.now)
+	for _, h := range take[Hold](b) {
+		if h.Runner == "r1" {
+			b.answerHold(h, Accepted, runOf(j, 1, 1))
+			continue
+		}
+		b.held(h)
+	}
+	b.own(3, openRecord(j, 2, 0))
+	claimed := b.now
+	for b.now < claimed+storedUnknown-40*ms {
+		b.wait(20 * ms)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+	}
+	b.wait(80 * ms)
+	start := one[Start](b)
+	b.g.Expect(start.Run).To(Equal(runOf(j, 2, 101)), "above all that the owner before may have used")
+	b.g.Expect(b.s.State(j.ID).Known).To(BeTrue())
+}
+
+// A scheduler retires in a planned stop and says so. Its jobs go on at once.
+func TestRestoredJobOfARetiredScheduler(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	j := storedJob(1, 500*ms)
+	b.s.Lead(b.now)
+	b.held(one[Hold](b))
+	b.own(3, openRecord(j, 2))
+	b.s.Learn(b.now, Progress{Epoch: 2})
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
+
+// The same, but the owner after it isn't the one that has retired: a third one
+// had the shard between the two, and may live on.
+func TestRestoredJobWithAnOwnerBetween(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	j := storedJob(1, 500*ms)
+	b.s.Lead(b.now)
+	b.held(one[Hold](b))
+	b.own(4, openRecord(j, 2))
+	b.s.Learn(b.now, Progress{Epoch: 2})
+	b.wait(storedUnknown / 2)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
+// The store can't be reached and a process isn't heard any more: it may have taken
+// the jobs. What runs is stopped before that one starts it again, nothing new is
+// started, and no caller is told that its job is unknown or refused.
+func TestUnsureOfTheJobs(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 2*time.Second)
+	b.accepted(j)
+	b.started(one[Start](b), Accepted)
+	b.s.SetAllHeard(b.now, false)
+	b.tick(custodyAge + 40*ms)
+	b.g.Expect(one[Stop](b).Run).To(Equal(runOf(j, 0, 1)))
+	b.g.Expect(b.s.State("00000000000000ff").Unsure).To(BeTrue())
+	other := storedJob(1, 100*ms)
+	b.submit(other, 2*time.Second)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
+	_, done := b.s.Cancel(b.now, other.ID)
+	b.g.Expect(done).To(BeTrue())
+	b.g.Expect(take[Save](b)).To(BeEmpty())
+	b.s.SetAllHeard(b.now, true)
+	b.g.Expect(b.s.sure()).To(BeFalse(), "those that are heard again may have taken the jobs meanwhile")
+	b.s.Verified(b.now, b.now)
+	b.g.Expect(b.s.sure()).To(BeTrue())
+}
+
+// Another process has taken the jobs. Their ends are its to acknowledge, and
+// callers whose jobs weren't saved yet are told nothing definite.
+func TestJobsTakenByAnotherProcess(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j, waits := storedJob(1, 2*time.Second), storedJob(1, 100*ms)
+	b.accepted(j)
+	b.started(one[Start](b), Accepted)
+	b.end("r1", 1, runOf(j, 0, 1), workload.Done)
+	b.submit(waits, 2*time.Second)
+	take[Save](b)
+	b.s.CustodyLost(b.now)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
+	b.tick(300 * ms)
+	for _, h := range take[Hold](b) {
+		b.g.Expect(h.Acknowledged).To(BeZero())
+		b.held(h, workload.End{Sequence: 1, Run: runOf(j, 0, 1), Kind: workload.Done})
+	}
+	b.g.Expect(b.s.State(j.ID).Unsure).To(BeTrue())
+	b.own(2, openRecord(j, 1))
+	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Completed), "the runner still lists the end")
+}
+
+// A runner was behind a cut while a task that it had done was started elsewhere.
+// If its end were acknowledged as it is, the task would have been run again after
+// an end that counts. The runner's lease is let lapse first: then it doesn't.
+func TestEndOfATaskThatWasStartedAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(1, 2*time.Second)
+	b.accepted(j)
+	first := one[Start](b)
+	b.started(first, Accepted)
+	b.s.lose(b.s.runners[first.Runner])
+	b.s.runners[first.Runner].info.Draining = true
+	b.wait(b.s.cfg.Resend + 100*ms)
+	second := one[Start](b)
+	b.g.Expect(second.Runner).NotTo(Equal(first.Runner))
+	b.started(second, Accepted)
+	r := b.s.runners[first.Runner]
+	r.grant(b.now, b.s.cfg.Lease) // for something else that runs there
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	lapse := r.aliveUntil
+	b.g.Expect(r.withheldUntil).To(Equal(lapse))
+	b.saved(take[Save](b)...)
+	b.g.Expect(r.acknowledged).To(BeZero())
+	b.wait(lapse - b.now + 60*ms)
+	b.g.Expect(r.aliveUntil).To(Equal(lapse), "no lease meanwhile")
+	b.g.Expect(r.acknowledged).To(BeEquivalentTo(1))
+}
+
+// A task fails under two schedulers. The attempts of both count, each once, also
+// if the second finds the first one's end still listed.
+func TestFailuresUnderTwoSchedulers(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	j := storedJob(1, 100*ms)
+	j.MaxAttempts = 3
+	record := openRecord(j, 1)
+	record.Failures = []ledger.Failure{{Run: 1}}
+	b.s.Lead(b.now)
+	b.held(one[Hold](b),
+		workload.End{Sequence: 1, Run: runOf(j, 0, 1), Kind: workload.Failed},
+		workload.End{Sequence: 2, Run: runOf(j, 0, 2), Kind: workload.Failed})
+	b.own(2, record)
+	b.g.Expect(b.s.jobs[j.ID].steps[0][0].failures).To(Equal(2))
+	b.wait(storedUnknown + 100*ms)
+	start := one[Start](b)
+	b.started(start, Accepted)
+	b.end("r1", 3, start.Run, workload.Failed)
+	saves := take[Save](b)
+	b.g.Expect(saves[len(saves)-1].Record.State).To(Equal(ledger.Failed))
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
+// A job is cancelled. That is in the store before its caller is told, and what
+// runs is stopped.
+func TestCancelledStoredJob(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 2*time.Second)
+	b.accepted(j)
+	b.started(one[Start](b), Accepted)
+	_, done := b.s.Cancel(b.now, j.ID)
+	b.g.Expect(done).To(BeFalse())
+	b.g.Expect(take[Stop](b)).To(HaveLen(1))
+	save := one[Save](b)
+	b.g.Expect(save.Record.State).To(Equal(ledger.Cancelled))
+	b.saved(save)
+	b.g.Expect(one[Settled](b).State.Outcome).To(Equal(workload.Cancelled))
+	state, done := b.s.Cancel(b.now, j.ID)
+	b.g.Expect(done).To(BeTrue())
+	b.g.Expect(state.Known).To(BeTrue())
+}
+
+// A job is cancelled before it comes, which its caller is told. The late copy is
+// taken and never runs; until it comes nobody finds such a job.
+func TestCancelledBeforeItComes(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 100*ms)
+	b.s.Cancel(b.now, j.ID)
+	b.saved(one[Save](b))
+	b.g.Expect(one[Settled](b).State.Known).To(BeFalse())
+	b.g.Expect(b.s.State(j.ID).Known).To(BeFalse())
+	b.submit(j, 2*time.Second)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted))
+	b.saved(one[Save](b))
+	b.g.Expect(b.s.State(j.ID)).To(Equal(JobState{Known: true, Ended: true, Outcome: workload.Cancelled}))
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
+// The store has been away for a while. A new job is refused as it arrives, which
+// is true; one that waits for its record is not, since that may be written yet.
+func TestStoreAway(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	waits, late := storedJob(1, 100*ms), storedJob(1, 100*ms)
+	b.submit(waits, 500*ms)
+	save := one[Save](b)
+	b.s.SetStoreTrouble(storeTrouble + ms)
+	b.submit(late, 2*time.Second)
+	refused := one[Answer](b)
+	b.g.Expect(refused.Outcome).To(Equal(workload.NotRun))
+	b.g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+	b.tick(540 * ms)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
+	b.saved(save)
+	b.g.Expect(take[Start](b)).To(HaveLen(1), "it is in the store, so it runs")
+	b.g.Expect(b.s.State(waits.ID).Known).To(BeTrue())
+}
+
+// A burst has left stored jobs behind that are late already. They run when nothing
+// else waits, so they are no reason to refuse a new job that can be in time.
+func TestLateStoredJobsKeepNobodyOut(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	for range 4 {
+		b.submit(storedJob(2, 200*ms), 2*time.Second)
+		b.saved(take[Save](b)...)
+	}
+	b.g.Expect(b.s.queue).NotTo(BeEmpty())
+	take[Answer](b)
+	b.tick(3 * time.Second)
+	for _, c := range take[Start](b) {
+		b.started(c, Accepted)
+	}
+	fresh := storedJob(2, 100*ms)
+	b.submit(fresh, 2*time.Second)
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+	b.g.Expect(take[Save](b)).NotTo(BeEmpty())
+}
+
+// Nobody may ask for an outcome any more. It is dropped here and in the store.
+func TestOutcomesAreForgotten(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 100*ms)
+	b.accepted(j)
+	b.s.Cancel(b.now, j.ID)
+	b.saved(take[Save](b)...)
+	b.now += b.s.cfg.Retention + keptExtra
+	b.s.Verified(b.now, b.now)
+	b.s.Tick(b.now)
+	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Forgotten))
+	b.g.Expect(b.s.State(j.ID).Known).To(BeFalse())
+}
+
+// A start stays unanswered, so the run is stopped to be started elsewhere. It had
+// begun and ended well before the stop came; the runner answers both and lists
+// the end. The task is started again only after a look at that list.
+func TestStoppedRunThatHadEnded(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(1, 20*ms)
+	b.accepted(j)
+	first := one[Start](b)
+	b.started(first, Unanswered)
+	b.started(one[Start](b), Unanswered)
+	b.stopped(one[Stop](b), Accepted)
+	b.tick(b.s.cfg.StopTimeout + stopSlack + 200*ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Completed))
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
+// Jobs come at three times what the runners can do, for ten seconds. What is
+// accepted beyond that would pile up for good, since it can't be dropped.
+func TestAcceptedWorkIsBounded(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	accepted := 0
+	for range 100 {
+		b.submit(storedJob(2, 300*ms), 2*time.Second)
+		list := take[Save](b)
+		accepted += len(list)
+		b.saved(list...)
+		b.now += 100 * ms
+		b.s.Tick(b.now)
+	}
+	b.g.Expect(accepted).To(BeNumerically(">", 2))
+	b.g.Expect(b.s.queue).To(HaveLen(accepted - 1))
+	b.g.Expect(len(b.s.queue)).To(BeNumerically("<", 8))
+}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -98,7 +98,7 @@
 
 func (s *Scheduler) tickRun(r *runner, u *run) {
 	switch {
-	case u.stopped && s.now >= u.goneAt:
+	case u.stopped && s.now >= u.goneAt && !u.ofStoredJob():
 		r.drop(u)
 		if u.task != nil {
 			s.requeue(u.task)
