Processes know whether there are stored jobs at all

Ruled out: a mark in run numbers (they begin at 1 for all jobs); reading the store later (it is away when it matters).

Change: heartbeats carry what is known; the first stored job is told to all before it is accepted.

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -22,6 +22,8 @@
 	// has; RunnersStale says that it leads and can't read the list at present.
 	RunnersRevision uint64
 	RunnersStale    bool
+	// StoredJobs is what the sender knows about stored jobs.
+	StoredJobs StoredJobs
 	// Pending is, from the leader, the jobs of each queue of which no task has
 	// started.
 	Pending map[string]int
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -58,8 +58,9 @@
 	queries map[uint64]bool
 	// vms are the VMs of the deployment, this one included; nil if they aren't
 	// known.
-	vms   []string
-	store storeWatch
+	vms    []string
+	store  storeWatch
+	stored StoredJobs
 
 	out []Command
 }
@@ -166,6 +167,9 @@
 func (n *Node) fromLedger(s *shard, c ledger.Command) {
 	switch c := c.(type) {
 	case ledger.Loaded:
+		if len(c.Records) > 0 {
+			n.seeStored(c.At)
+		}
 		s.schedule.Loaded(c.At, c)
 	case ledger.Saved:
 		s.schedule.Saved(c.At, c.Records)
@@ -234,6 +238,9 @@
 		// The sender hears from the heartbeats that this process doesn't lead.
 		return
 	}
+	if c.Job.Stored {
+		n.seeStored(now)
+	}
 	n.ofJob(c.Job.ID).schedule.Submit(now, schedule.Submission{
 		Job:      c.Job,
 		Entry:    schedule.EntryID(from),
@@ -377,6 +384,9 @@
 func (n *Node) Submit(now Time, request uint64, job *workload.Job, patience time.Duration) {
 	n.checkPause(now)
 	n.lastArrival = now
+	if job.Stored {
+		n.seeStored(now)
+	}
 	if !job.Stored && !n.timeToServe(now, job) {
 		n.emit(Answer{gateway.Reply{Request: request, Job: job, Outcome: workload.NotRun, RetryAfter: retryStopping, Reason: "this process is about to end"}})
 		return
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -93,6 +93,7 @@
 	before := n.view.Report(from)
 	n.view.Heard(now, from, &h.Report)
 	n.Layout(now, h.Report.Shards)
+	n.learnStored(h.StoredJobs)
 	for _, s := range n.shards {
 		s.schedule.SeeTerm(h.Report.Term)
 	}
@@ -149,6 +150,7 @@
 		DeclarationVersion: n.table.Version(),
 		RunnersRevision:    n.runners.Revision,
 		RunnersStale:       n.stale,
+		StoredJobs:         n.stored,
 	}
 	h.Report.Term = n.term()
 	if n.Leads() {
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -41,6 +41,7 @@
 	for i := range shards {
 		s := &shard{index: i, schedule: schedule.New(n.cfg), ledger: ledger.New(), questions: make(map[workload.JobID][]question)}
 		s.schedule.SetNumber(n.number)
+		s.schedule.SetNoStored(n.stored == NoStoredJobs)
 		n.shards = append(n.shards, s)
 	}
 	n.view.SetShards(shards)
--- a/core/fleet/store_test.go
+++ b/core/fleet/store_test.go
@@ -43,6 +43,16 @@
 	return s.shards[shard]
 }
 
+// any reports whether there are records.
+func (s *fakeStore) any() bool {
+	for _, r := range s.shards {
+		if len(r.records) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *fakeRows) write(w ledger.Write) ledger.Outcome {
 	if w.Version != r.ownership.Version {
 		return ledger.Superseded
--- /dev/null
+++ b/core/fleet/storedjobs.go
@@ -0,0 +1,49 @@
+package fleet
+
+// A scheduler that takes over must read the stored jobs before it may forget what
+// runners list of jobs that it doesn't know. In a deployment without stored jobs
+// that would hold it up for nothing whenever the store is away. So the processes
+// tell each other whether there are any.
+
+// StoredJobs is what a process knows about stored jobs in the deployment.
+type StoredJobs uint8
+
+// What is known about stored jobs.
+const (
+	// StoredJobsUnknown: there may be some.
+	StoredJobsUnknown StoredJobs = iota
+	// NoStoredJobs: the store had none, and none has been handed in since.
+	NoStoredJobs
+	// HasStoredJobs: there are, or were, some.
+	HasStoredJobs
+)
+
+// StoreRead tells whether the store has any stored jobs, as it was read.
+func (n *Node) StoreRead(any bool) {
+	if any {
+		n.learnStored(HasStoredJobs)
+		return
+	}
+	n.learnStored(NoStoredJobs)
+}
+
+// learnStored takes another process's knowledge, or what has been read.
+func (n *Node) learnStored(known StoredJobs) {
+	if known <= n.stored {
+		return
+	}
+	n.stored = known
+	for _, s := range n.shards {
+		s.schedule.SetNoStored(known == NoStoredJobs)
+	}
+}
+
+// seeStored notes a stored job. All others are told before it is accepted, which
+// takes a call to the store.
+func (n *Node) seeStored(now Time) {
+	if n.stored == HasStoredJobs {
+		return
+	}
+	n.learnStored(HasStoredJobs)
+	n.heartbeatAll(now)
+}
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -55,7 +55,7 @@
 // unknown reports whether a job may be a stored one that another process has
 // accepted.
 func (s *Scheduler) unknown(id workload.JobID) bool {
-	if s.jobs[id] != nil {
+	if s.custody.none || s.jobs[id] != nil {
 		return false
 	}
 	if _, ok := s.custody.kept[id]; ok {
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -87,7 +87,7 @@
 	case r.strange():
 		// Nothing can be started before what runs there is over.
 		r.holdNext = s.now + strangeCheck
-	case len(r.ends) > 0 && !s.custody.loaded:
+	case len(r.ends) > 0 && !s.custody.loaded && !s.custody.none:
 		r.holdNext = s.now + unloadedCheck
 	case len(r.ends) > 0 || s.now <= r.withheldUntil:
 		r.holdNext = s.now + unsavedCheck
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -74,6 +74,8 @@
 
 // custody is the scheduler's hold on the shard's rows in the store.
 type custody struct {
+	// none: the deployment has no stored jobs.
+	none   bool
 	loaded bool
 	epoch  uint64
 	// verifiedAt is when the ownership was last proved.
@@ -104,12 +106,18 @@
 	return custody{kept: make(map[workload.JobID]kept), early: make(map[workload.JobID][]earlySubmission)}
 }
 
+// SetNoStored says whether the deployment surely has no stored jobs.
+func (s *Scheduler) SetNoStored(none bool) { s.custody.none = none }
+
 // SetStoreTrouble says how long all calls to the store have failed.
 func (s *Scheduler) SetStoreTrouble(d time.Duration) { s.custody.failingFor = d }
 
 // Keeps reports whether something depends on the ownership of the shard's rows:
 // open jobs, ends that wait to be acknowledged, or what callers are told.
 func (s *Scheduler) Keeps() bool {
+	if s.custody.none {
+		return false
+	}
 	return s.custody.open > 0 || !s.sure() || slices.ContainsFunc(s.list, func(r *runner) bool { return len(r.ends) > 0 })
 }
 
@@ -489,9 +497,9 @@
 
 // dropCustody forgets all that is known of the store's rows.
 func (s *Scheduler) dropCustody() {
-	sequence := s.custody.sequence
+	sequence, none := s.custody.sequence, s.custody.none
 	s.custody = newCustody()
-	s.custody.sequence = sequence
+	s.custody.sequence, s.custody.none = sequence, none
 }
 
 // tickStored does what is due for stored jobs.
@@ -533,6 +541,9 @@
 // cancelStored ends a stored job for its caller. done is false if a Settled
 // follows when the store has it.
 func (s *Scheduler) cancelStored(id workload.JobID) (state JobState, done bool) {
+	if s.custody.none {
+		return JobState{}, true
+	}
 	if !s.sure() {
 		return JobState{Unsure: true}, true
 	}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -351,7 +351,7 @@
 	}
 	j := s.jobs[id]
 	if j == nil {
-		return JobState{Unsure: !s.sure()}
+		return JobState{Unsure: !s.custody.none && !s.sure()}
 	}
 	if j.stored != nil && !j.stored.accepted {
 		return JobState{Unsure: true}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -103,7 +103,7 @@
 		if u.task != nil {
 			s.requeue(u.task)
 		}
-	case u.found && u.task == nil && !s.custody.loaded:
+	case u.found && u.task == nil && !s.custody.loaded && !s.custody.none:
 		// It may be that of a stored job, which will be known in a moment. No
 		// lease is given meanwhile.
 	case u.task == nil && u.stopAt > 0 && s.now >= u.stopAt:
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -66,6 +66,8 @@
 	// Claim takes a shard's rows for an owner; with renew it only renews that
 	// owner's hold of this epoch. ErrSuperseded: another owner has them.
 	Claim(ctx context.Context, shard int, owner string, renew uint64) (ledger.Ownership, error)
+	// AnyRecords reports whether any shard has records.
+	AnyRecords(ctx context.Context, shards int) (bool, error)
 	// Ownership is the version of the ownership row.
 	Ownership(ctx context.Context, shard int) (uint64, error)
 	// Records reads all records of a shard.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -173,7 +173,14 @@
 	if err != nil || n == 0 {
 		return err
 	}
-	p.post(func(now Time) { p.node.Layout(now, n) })
+	any, err := p.store.AnyRecords(ctx, n)
+	if err != nil {
+		return err
+	}
+	p.post(func(now Time) {
+		p.node.StoreRead(any)
+		p.node.Layout(now, n)
+	})
 	return nil
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -204,6 +204,7 @@
 		DeclarationVersion: h.DeclarationVersion,
 		RunnersRevision:    h.RunnersRevision,
 		RunnersStale:       h.RunnersStale,
+		StoredJobs:         uint32(h.StoredJobs),
 	}
 	for _, f := range h.Report.Follows {
 		m.Follows = append(m.Follows, &pb.ShardFollow{Leader: string(f.Leader), AgeMs: uint32(f.Age.Milliseconds())})
@@ -236,6 +237,7 @@
 		DeclarationVersion: m.GetDeclarationVersion(),
 		RunnersRevision:    m.GetRunnersRevision(),
 		RunnersStale:       m.GetRunnersStale(),
+		StoredJobs:         fleet.StoredJobs(min(m.GetStoredJobs(), uint32(fleet.HasStoredJobs))),
 		Pending:            make(map[string]int, len(m.GetPending())),
 	}
 	for _, f := range m.GetFollows() {
