--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -93,7 +93,7 @@
 	before := n.view.Report(from)
 	n.view.Heard(now, from, &h.Report)
 	n.Layout(now, h.Report.Shards)
-	n.learnStored(h.StoredJobs)
+	n.learnStored(now, h.StoredJobs)
 	for _, s := range n.shards {
 		s.schedule.SeeTerm(h.Report.Term)
 	}
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -129,7 +129,7 @@
 	}
 	if w.storeReached(n) {
 		w.do(n, func() {
-			n.node.StoreRead(w.store.any())
+			n.node.StoreRead(w.now, w.store.any())
 			n.node.Layout(w.now, w.shards)
 			n.node.SetVMs(slices.Clone(w.vms))
 			n.node.Declared(w.now, &routing.Declaration{Version: 1}, "store")
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -133,7 +133,7 @@
 			s.schedule.Await(now)
 		}
 		s.schedule.Lead(now)
-		s.ledger.Lead(now)
+		n.ownRows(now, s)
 	} else {
 		n.retire(now, s)
 	}
--- a/core/fleet/storedjobs.go
+++ b/core/fleet/storedjobs.go
@@ -1,9 +1,10 @@
 package fleet
 
-// A scheduler that takes over must read the stored jobs before it may forget what
-// runners list of jobs that it doesn't know. In a deployment without stored jobs
-// that would hold it up for nothing whenever the store is away. So the processes
-// tell each other whether there are any.
+// A scheduler that takes over must own and read the stored jobs before it may
+// forget what runners list of jobs that it doesn't know. In a deployment without
+// stored jobs that would cost calls to the store, and hold it up for nothing
+// whenever the store is away. So the processes tell each other whether there are
+// any.
 
 // StoredJobs is what a process knows about stored jobs in the deployment.
 type StoredJobs uint8
@@ -19,22 +20,30 @@
 )
 
 // StoreRead tells whether the store has any stored jobs, as it was read.
-func (n *Node) StoreRead(any bool) {
+func (n *Node) StoreRead(now Time, any bool) {
 	if any {
-		n.learnStored(HasStoredJobs)
+		n.learnStored(now, HasStoredJobs)
 		return
 	}
-	n.learnStored(NoStoredJobs)
+	n.learnStored(now, NoStoredJobs)
 }
 
 // learnStored takes another process's knowledge, or what has been read.
-func (n *Node) learnStored(known StoredJobs) {
+func (n *Node) learnStored(now Time, known StoredJobs) {
 	if known <= n.stored {
 		return
 	}
 	n.stored = known
 	for _, s := range n.shards {
 		s.schedule.SetNoStored(known == NoStoredJobs)
+		n.ownRows(now, s)
+	}
+}
+
+// ownRows takes the rows of a shard that this process leads, if it may have some.
+func (n *Node) ownRows(now Time, s *shard) {
+	if s.schedule.Leading() && n.stored != NoStoredJobs {
+		s.ledger.Lead(now)
 	}
 }
 
@@ -44,6 +53,6 @@
 	if n.stored == HasStoredJobs {
 		return
 	}
-	n.learnStored(HasStoredJobs)
+	n.learnStored(now, HasStoredJobs)
 	n.heartbeatAll(now)
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -178,7 +178,7 @@
 		return err
 	}
 	p.post(func(now Time) {
-		p.node.StoreRead(any)
+		p.node.StoreRead(now, any)
 		p.node.Layout(now, n)
 	})
 	return nil
