A second order that is refused is no start that never happened

Ruled out: a late order (the first was carried out at once).

Change: a refusal after an unanswered order leads to a stop, and the runner's list decides. Two tests that failed first; random runs now have runners that carry orders out and don't answer (they didn't find this one).

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -60,6 +60,16 @@
 			}
 		})
 	},
+	"mute runners": func(w *world) {
+		for _, r := range w.runners {
+			r.muteShare = 0.05 + w.rng.Float64()*0.3
+		}
+		w.after(w.span(1000, 5000), func() {
+			for _, r := range w.runners {
+				r.muteShare = 0
+			}
+		})
+	},
 	"crash": func(w *world) {
 		r := anyRunner(w)
 		if r.down {
@@ -146,7 +156,7 @@
 // queue allows, whoever is killed; and it is never said to be unknown.
 func TestRandomFaultsWithStoredJobs(t *testing.T) {
 	g := NewWithT(t)
-	names := append(troubleNames(), "store for some", "part", "replace", "lost answers", "slow store", "kill all")
+	names := append(troubleNames(), "store for some", "part", "replace", "lost answers", "slow store", "kill all", "mute runners", "mute runners")
 	accepted, completed := 0, 0
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
@@ -200,7 +210,7 @@
 // replaced for good by others, beside the faults above. The promises hold.
 func TestRandomFaultsOfLinks(t *testing.T) {
 	g := NewWithT(t)
-	names := append(troubleNames(), "store for some", "part", "part", "replace")
+	names := append(troubleNames(), "store for some", "part", "part", "replace", "mute runners")
 	for i := range *seeds / 2 {
 		seed := *firstSeed + uint64(i)
 		w, played := randomRun(seed, 1+i%2, names)
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -23,6 +23,8 @@
 	// lateShare of the orders stay unanswered and are carried out seconds
 	// later.
 	lateShare float64
+	// muteShare of the orders are carried out and not answered.
+	muteShare float64
 	down      bool
 
 	token    uint64
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -236,7 +236,7 @@
 		}
 		order(r, func(o schedule.CallOutcome, h *schedule.HoldResult) {
 			clock := r.clock()
-			if late {
+			if late || w.rng.Float64() < r.muteShare {
 				return
 			}
 			w.after(delay, func() {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -266,8 +266,34 @@
 	s.stopRun(u)
 }
 
+// secondStartRejected handles a start that was refused after an earlier order for
+// the same run had stayed unanswered. That one may have been carried out, and the
+// run have ended; or it may come late.
+func (s *Scheduler) secondStartRejected(r *runner, u *run, o CallOutcome) {
+	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "second order: " + o.String(), Age: s.now - u.started})
+	if o != Outdated {
+		s.stopRun(u)
+		return
+	}
+	u.stopping = true
+	s.noteStopped(u, s.now)
+}
+
+// noteStopped notes that a run can't begin any more and has ended, or will in a
+// moment. The runner's list tells how.
+func (s *Scheduler) noteStopped(u *run, at Time) {
+	u.stopped = true
+	u.stoppedAt = at
+	u.goneAt = s.now + s.cfg.StopTimeout + stopSlack
+	s.look(u.runner)
+}
+
 // startRejected handles a start that surely hasn't happened.
 func (s *Scheduler) startRejected(r *runner, u *run, o CallOutcome) {
+	if u.tries > 1 && u.ofStoredJob() {
+		s.secondStartRejected(r, u, o)
+		return
+	}
 	r.drop(u)
 	t := u.task
 	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: o.String(), Age: s.now - u.started})
@@ -317,10 +343,7 @@
 	switch res.Outcome {
 	case Accepted:
 		if u != nil {
-			u.stopped = true
-			u.stoppedAt = res.Clock.At
-			u.goneAt = now + s.cfg.StopTimeout + stopSlack
-			s.look(r)
+			s.noteStopped(u, res.Clock.At)
 		}
 	case Fenced:
 		s.lose(r)
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -381,3 +381,34 @@
 	b.g.Expect(b.s.queue).To(HaveLen(accepted - 1))
 	b.g.Expect(len(b.s.queue)).To(BeNumerically("<", 8))
 }
+
+// The answer to a start is lost, and the start is sent again. Meanwhile the run
+// has ended well, so the runner refuses the second order as outdated. That isn't
+// a start that never happened; the runner's list tells how the run has ended.
+func TestSecondOrderForARunThatHasEnded(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(1, 20*ms)
+	b.accepted(j)
+	first := one[Start](b)
+	b.started(first, Unanswered)
+	b.started(one[Start](b), Outdated)
+	b.tick(200 * ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Completed))
+}
+
+// The same, and the runner has no room for the second order: the first may be
+// what takes it, or may come late. It is stopped for good before the task is
+// started elsewhere.
+func TestSecondOrderThatIsRefused(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(1, 20*ms)
+	b.accepted(j)
+	b.started(one[Start](b), Unanswered)
+	b.started(one[Start](b), NoRoom)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.stopped(one[Stop](b), Accepted)
+	b.wait(100 * ms)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
