--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -58,9 +58,11 @@
 	queries map[uint64]bool
 	// vms are the VMs of the deployment, this one included; nil if they aren't
 	// known.
-	vms    []string
-	store  storeWatch
-	stored StoredJobs
+	vms []string
+	// unheard are those of which no process is connected, by when it was.
+	unheard map[string]Time
+	store   storeWatch
+	stored  StoredJobs
 
 	out []Command
 }
@@ -78,6 +80,7 @@
 		sent:     make(map[leader.ID]Time),
 		queries:  make(map[uint64]bool),
 		askedFor: make(map[leader.ID]bool),
+		unheard:  make(map[string]Time),
 		pending:  make(map[leader.ID]map[string]int),
 		lastTick: now,
 	}
@@ -282,10 +285,12 @@
 	n.watchStore(now)
 	n.follow(now)
 	n.gateway.Tick(now)
-	all := n.hearsAll()
+	n.noteUnheard(now)
+	all, misses := n.hearsAll(), n.missesSome(now)
 	for _, s := range n.shards {
 		s.schedule.Heard(now, schedule.EntryID(n.Self()))
 		s.schedule.SetAllHeard(now, all)
+		s.schedule.SetMissing(misses)
 		if all && s.schedule.Leading() {
 			s.ledger.Uncontested(now)
 		}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -161,20 +161,40 @@
 
 // SetVMs says which VMs have entry processes, this one included. Some may be
 // gone for good.
-func (n *Node) SetVMs(vms []string) { n.vms = vms }
+func (n *Node) SetVMs(vms []string) {
+	n.vms = vms
+	for vm := range n.unheard {
+		if !slices.Contains(vms, vm) {
+			delete(n.unheard, vm)
+		}
+	}
+}
 
-// hearsAll reports whether a process of every other VM is connected. One that
-// isn't may live behind a cut, and lead there.
-func (n *Node) hearsAll() bool {
-	heard := make(map[string]bool, len(n.linked))
+// noteUnheard notes since when no process of a VM is connected. One that isn't
+// may live behind a cut, and lead there, also if this process has never heard it.
+func (n *Node) noteUnheard(now Time) {
+	heard := map[string]bool{schedule.EntryID(n.Self()).VM(): true}
 	for id := range n.linked {
 		heard[schedule.EntryID(id).VM()] = true
 	}
-	own := schedule.EntryID(n.Self()).VM()
 	for _, vm := range n.vms {
-		if vm != own && !heard[vm] {
-			return false
+		if heard[vm] {
+			delete(n.unheard, vm)
+		} else if _, known := n.unheard[vm]; !known {
+			n.unheard[vm] = now
+		}
+	}
+}
+
+// hearsAll reports whether a process of every other VM is connected.
+func (n *Node) hearsAll() bool { return n.vms != nil && len(n.unheard) == 0 }
+
+// missesSome reports whether a VM isn't heard that may be alive.
+func (n *Node) missesSome(now Time) bool {
+	for _, since := range n.unheard {
+		if now-since < schedule.MissingMost {
+			return true
 		}
 	}
-	return n.vms != nil
+	return false
 }
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -133,6 +133,10 @@
 	return []string{"kill", "kill leader", "kill all", "freeze", "freeze leader", "stop", "cut", "store", "late orders", "crash", "hang", "fail", "slow"}
 }
 
+func storedTroubles() []string {
+	return append(troubleNames(), "store for some", "part", "replace", "lost answers", "slow store", "kill all", "mute runners", "mute runners")
+}
+
 // randomRun plays twelve seconds of traffic with a fault about every 700 ms.
 func randomRun(seed uint64, shards int, names []string) (*world, []string) {
 	return randomRunOf(deployment(seed, shards), names)
@@ -156,7 +160,7 @@
 // queue allows, whoever is killed; and it is never said to be unknown.
 func TestRandomFaultsWithStoredJobs(t *testing.T) {
 	g := NewWithT(t)
-	names := append(troubleNames(), "store for some", "part", "replace", "lost answers", "slow store", "kill all", "mute runners", "mute runners")
+	names := storedTroubles()
 	accepted, completed := 0, 0
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
@@ -227,6 +231,21 @@
 	1586: "runners of a domain that was cut off were forgotten, so that nobody looked at them when its jobs were handed over",
 }
 
+// The same with stored jobs.
+var storedRegressions = map[uint64]string{
+	1011:  "the leader of a domain that was cut off refused a job as the cut healed, which another leader was about to accept",
+	1073:  "a process that came back to its jobs told callers that one was unknown which another had accepted",
+	2128:  "a process that had never been heard took the jobs of a leader behind a cut, which went on with them",
+	20383: "a new process refused a job that had run in a domain from which it had never heard",
+}
+
+func TestStoredRegressions(t *testing.T) {
+	for seed, cause := range storedRegressions {
+		w, played := storedRun(seed, storedTroubles())
+		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
+	}
+}
+
 func TestRegressions(t *testing.T) {
 	for seed, cause := range regressions {
 		w, played := randomRun(seed, 1, troubleNames())
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -132,9 +132,9 @@
 	// unsureWindow is how long after another scheduler was in charge a job may
 	// come that it had: callers wait up to 2.7 s.
 	unsureWindow = 4 * time.Second
-	// missingMost is how long a silent process is thought to be alive behind a
+	// MissingMost is how long a silent process is thought to be alive behind a
 	// cut; VMs that are lost for good don't come back.
-	missingMost = 30 * time.Second
+	MissingMost = 30 * time.Second
 	// entryFresh is how lately an entry VM must have been heard for its tasks to
 	// be started again after a lapse, in heartbeats two and a half. Else they
 	// wait for entryWait, in which it is heard again or counts as lost.
@@ -184,6 +184,8 @@
 	// missing are VMs whose processes fell silent, by when, and that haven't
 	// come back. They may lead on the other side of a cut.
 	missing map[string]Time
+	// misses: a VM that may be alive isn't heard, perhaps never was.
+	misses bool
 	// allHeard: all processes of the deployment are heard, without a break since
 	// allHeardSince.
 	allHeard      bool
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -187,7 +187,7 @@
 // can't be told from a new one, and its caller must not be told that nothing was
 // run.
 func (s *Scheduler) mayHaveRun(j *job) bool {
-	return j.started || s.now < s.unsureUntil || len(s.missing) > 0
+	return j.started || s.now < s.unsureUntil || len(s.missing) > 0 || s.misses
 }
 
 // forget drops a job and stops its runs. They stay known as runs without a job
@@ -313,6 +313,9 @@
 	s.dispatch()
 }
 
+// SetMissing says whether a VM isn't heard that may be alive.
+func (s *Scheduler) SetMissing(some bool) { s.misses = some }
+
 // Heard notes a sign of life of an entry process.
 func (s *Scheduler) Heard(now Time, entry EntryID) { s.heard[entry] = now }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -147,7 +147,7 @@
 		}
 	}
 	for id, at := range s.missing {
-		if s.now-at > missingMost {
+		if s.now-at > MissingMost {
 			delete(s.missing, id)
 		}
 	}
