--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -254,6 +254,13 @@
 	})
 }
 
+// SetTimeOfDay says what the time of day is, in milliseconds since 1970.
+func (n *Node) SetTimeOfDay(now Time, ms int64) {
+	for _, s := range n.shards {
+		s.schedule.SetTimeOfDay(now, ms)
+	}
+}
+
 // Registered gives the process its identity.
 func (n *Node) Registered(now Time, id leader.ID, number uint64) {
 	n.notice("process-registered", Field{"id", string(id)}, Field{"number", number})
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -43,7 +43,8 @@
 // NewBits returns an empty set with room for the numbers below n.
 func NewBits(n int) Bits { return make(Bits, (n+7)/8) }
 
-// Failure is a run that ended as failed. Runs are named by their number, so
+// Failure is a run that ended as failed. Step counts the steps of all occurrences
+// of a timed job, one occurrence after the other, as do the Done of a Record. Runs are named by their number, so
 // that one that two schedulers hear of counts once.
 type Failure struct {
 	Step  int
@@ -62,7 +63,7 @@
 	// Epoch is the ownership of the shard under which the job was accepted.
 	Epoch uint64
 	State State
-	// Done are the tasks of each step that have ended well.
+	// Done are the tasks of each step of each occurrence that have ended well.
 	Done []Bits
 	// Failures are the runs that have failed.
 	Failures []Failure
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -23,6 +23,9 @@
 	// Timeout is the longest that a request of the route is worked on; 0 is
 	// no limit.
 	Timeout time.Duration
+	// Advised: only another service knows which runners may run its tasks. Such
+	// queues aren't served yet.
+	Advised bool
 }
 
 // Service is a pool of runners.
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -68,7 +68,7 @@
 	var sum time.Duration
 	for _, q := range s.queue {
 		if q.stored != nil && q.work.Service == j.work.Service {
-			sum += q.waitingWork()
+			sum += s.waitingWork(q)
 		}
 	}
 	if backlog := sum / time.Duration(capacity); backlog > mostBacklog {
@@ -116,16 +116,19 @@
 			// A stored job that is late waits until nothing else does.
 			continue
 		}
-		sum += q.waitingWork()
+		sum += s.waitingWork(q)
 	}
 	return sum
 }
 
-// waitingWork is the work of the tasks of a job that wait.
-func (j *job) waitingWork() time.Duration {
+// waitingWork is the work of the tasks of a job that are due and wait.
+func (s *Scheduler) waitingWork(j *job) time.Duration {
 	var sum time.Duration
-	for i, step := range j.work.Steps {
-		n := 0
+	for i := range j.steps {
+		if !s.begun(j, i) {
+			break
+		}
+		step, n := j.stepAt(i), 0
 		for _, t := range j.steps[i] {
 			if t.phase == waiting {
 				n++
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -47,7 +47,8 @@
 	deadline Time
 	// useless is when the answer is worth nothing any more.
 	useless Time
-	steps   [][]*taskState
+	// steps are the tasks of each step of each occurrence, see stepIndex.
+	steps [][]*taskState
 	// open is the number of tasks of each step that aren't done.
 	open []int
 	// waiting is the number of tasks that wait.
@@ -81,13 +82,15 @@
 }
 
 func newJob(w *workload.Job, now Time) *job {
-	j := &job{work: w, arrived: now, open: make([]int, len(w.Steps))}
-	j.steps = make([][]*taskState, len(w.Steps))
-	for i, step := range w.Steps {
-		j.open[i] = step.Tasks
-		j.steps[i] = make([]*taskState, step.Tasks)
+	steps := len(w.Steps) * w.Occurrences()
+	j := &job{work: w, arrived: now, open: make([]int, steps)}
+	j.steps = make([][]*taskState, steps)
+	for i := range j.steps {
+		tasks := j.stepAt(i).Tasks
+		j.open[i] = tasks
+		j.steps[i] = make([]*taskState, tasks)
 		for n := range j.steps[i] {
-			name := workload.TaskName{Job: w.ID, Step: i, Index: n}
+			name := workload.TaskName{Job: w.ID, Occurrence: j.occurrence(i), Step: i % len(w.Steps), Index: n}
 			j.steps[i][n] = &taskState{job: j, name: name}
 		}
 	}
@@ -96,18 +99,33 @@
 	return j
 }
 
+// stepAt describes a step of an occurrence.
+func (j *job) stepAt(i int) *workload.Step { return &j.work.Steps[i%len(j.work.Steps)] }
+
+// occurrence is that of a step.
+func (j *job) occurrence(i int) int { return i / len(j.work.Steps) }
+
+// stepIndex is the place of a task's step in steps: the steps of the first
+// occurrence, then those of the second, and so on.
+func (j *job) stepIndex(n workload.TaskName) int { return n.Occurrence*len(j.work.Steps) + n.Step }
+
 // task finds a task by its name; nil if the job has none such.
 func (j *job) task(n workload.TaskName) *taskState {
-	if n.Step < 0 || n.Step >= len(j.steps) || n.Index < 0 || n.Index >= len(j.steps[n.Step]) {
+	if n.Step < 0 || n.Step >= len(j.work.Steps) || n.Occurrence < 0 || n.Occurrence >= j.work.Occurrences() {
+		return nil
+	}
+	i := j.stepIndex(n)
+	if n.Index < 0 || n.Index >= len(j.steps[i]) {
 		return nil
 	}
-	return j.steps[n.Step][n.Index]
+	return j.steps[i][n.Index]
 }
 
 // ready reports whether all steps that a step depends on are done.
-func (j *job) ready(step int) bool {
-	for _, d := range j.work.Steps[step].DependsOn {
-		if j.open[d] > 0 {
+func (j *job) ready(i int) bool {
+	first := j.occurrence(i) * len(j.work.Steps)
+	for _, d := range j.stepAt(i).DependsOn {
+		if j.open[first+d] > 0 {
 			return false
 		}
 	}
@@ -157,7 +175,7 @@
 		t.job.waiting++
 	}
 	if p == done {
-		t.job.open[t.name.Step]--
+		t.job.open[t.job.stepIndex(t.name)]--
 	}
 	t.phase = p
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -106,8 +106,11 @@
 	if j.stored != nil && !s.sure() {
 		return
 	}
-	for i := range j.work.Steps {
-		if !j.ready(i) || p.full(&j.work.Steps[i], j.work.Service) {
+	for i := range j.steps {
+		if !s.begun(j, i) {
+			break
+		}
+		if !j.ready(i) || p.full(j.stepAt(i), j.work.Service) {
 			continue
 		}
 		for _, t := range j.steps[i] {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -84,7 +84,7 @@
 	}
 	n := 0
 	for k := range r.runs {
-		if k.Task.Job == t.name.Job && k.Task.Step == t.name.Step {
+		if k.Task.Job == t.name.Job && k.Task.Occurrence == t.name.Occurrence && k.Task.Step == t.name.Step {
 			n++
 		}
 	}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -201,6 +201,8 @@
 	found map[workload.TaskName]Time
 
 	custody custody
+	// epochMs is the time of day, in milliseconds since 1970, at time 0.
+	epochMs int64
 
 	out []Command
 	ctr Counters
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -181,6 +181,7 @@
 	j.deadline = never
 	j.due = s.now + sub.Due
 	j.useless = s.now + lateFactor*sub.Due
+	s.timed(j)
 	if !s.sure() {
 		s.answer(sub.Entry, id, workload.GaveUp, "another process may schedule")
 		return
@@ -427,18 +428,19 @@
 	j.listsSince = s.now
 	j.arrived = s.now - r.Age
 	j.due, j.useless, j.deadline = j.arrived+r.Work.Objective, j.arrived+lateFactor*r.Work.Objective, never
+	s.timed(j)
 	s.jobs[r.Job] = j
 	s.custody.open++
 	j.each(func(t *taskState) {
 		t.lastNumber = j.handed * runsPerHand
-		if t.name.Step < len(r.Done) && r.Done[t.name.Step].Has(t.name.Index) {
+		if i := j.stepIndex(t.name); i < len(r.Done) && r.Done[i].Has(t.name.Index) {
 			t.setPhase(done)
 			j.begun = true
 		}
 	})
 	for _, f := range r.Failures {
-		if t := j.task(workload.TaskName{Job: r.Job, Step: f.Step, Index: f.Index}); t != nil {
-			t.failures++
+		if f.Step < len(j.steps) && f.Index < len(j.steps[f.Step]) {
+			j.steps[f.Step][f.Index].failures++
 			j.begun = true
 		}
 	}
@@ -530,6 +532,7 @@
 // tickStoredJob answers callers whose patience has ended before the store has
 // answered. The job may be in the store, or come there.
 func (s *Scheduler) tickStoredJob(j *job) {
+	s.timed(j)
 	for _, e := range sortedKeys(j.stored.waiters) {
 		if s.now >= j.stored.waiters[e] {
 			delete(j.stored.waiters, e)
@@ -577,7 +580,7 @@
 // storedFailure counts a failed run of a stored job once, whoever has started
 // it, and reports whether it is new.
 func (j *job) storedFailure(k workload.RunKey) bool {
-	f := ledger.Failure{Step: k.Task.Step, Index: k.Task.Index, Run: k.Number}
+	f := ledger.Failure{Step: j.stepIndex(k.Task), Index: k.Task.Index, Run: k.Number}
 	for _, known := range j.stored.failures {
 		if known == f {
 			return false
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -176,6 +176,7 @@
 func compareKeys(a, b workload.RunKey) int {
 	return cmp.Or(
 		cmp.Compare(a.Task.Job, b.Task.Job),
+		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
 		cmp.Compare(a.Task.Step, b.Task.Step),
 		cmp.Compare(a.Task.Index, b.Task.Index),
 		cmp.Compare(a.Number, b.Number),
--- /dev/null
+++ b/core/schedule/timed.go
@@ -0,0 +1,50 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// Timed jobs. Their steps run several times, each time when it is due by the
+// process's time of day. Occurrences may overlap; each has its own steps, and the
+// job has ended when all have.
+
+// clockStep is the least change of a due time that changes the order of service:
+// the time of day and the steady clock drift apart by less within a second.
+const clockStep = 10 * time.Millisecond
+
+// SetTimeOfDay says what the time of day is, in milliseconds since 1970.
+func (s *Scheduler) SetTimeOfDay(now Time, ms int64) { s.epochMs = ms - now.Milliseconds() }
+
+// dueAt is when an occurrence of a timed job is due.
+func (s *Scheduler) dueAt(j *job, occurrence int) Time {
+	return time.Duration(j.work.DueMs(occurrence)-s.epochMs) * time.Millisecond
+}
+
+// begun reports whether the occurrence of a step is due. Those after one that
+// isn't are due later.
+func (s *Scheduler) begun(j *job, step int) bool {
+	return j.work.Times == 0 || s.now >= s.dueAt(j, j.occurrence(step))
+}
+
+// timed gives a timed job its place in the order of service, by the first
+// occurrence that hasn't ended.
+func (s *Scheduler) timed(j *job) {
+	if j.work.Times == 0 {
+		return
+	}
+	next := slices.IndexFunc(j.open, func(open int) bool { return open > 0 })
+	if next < 0 {
+		return
+	}
+	due := s.dueAt(j, j.occurrence(next))
+	if d := due - j.arrived; d > -clockStep && d < clockStep {
+		return
+	}
+	queued := j.queued
+	s.dequeue(j)
+	j.arrived, j.due, j.useless = due, due+j.work.Objective, never
+	if queued {
+		s.enqueue(j)
+	}
+}
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -72,15 +72,29 @@
 	Objective time.Duration
 	Spec      string
 	Steps     []Step
+	// Timed jobs run their steps Times times; 0 is once, at once. The first time
+	// is due at StartMs, in milliseconds since 1970, the others Interval apart.
+	// They may overlap.
+	Times    int
+	StartMs  int64
+	Interval time.Duration
 }
 
-// Tasks is the number of tasks in all steps.
+// Occurrences is how often the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Times) }
+
+// DueMs is when an occurrence is due, in milliseconds since 1970.
+func (j *Job) DueMs(occurrence int) int64 {
+	return j.StartMs + int64(occurrence)*j.Interval.Milliseconds()
+}
+
+// Tasks is the number of tasks in all steps of all occurrences.
 func (j *Job) Tasks() int {
 	n := 0
 	for _, s := range j.Steps {
 		n += s.Tasks
 	}
-	return n
+	return n * j.Occurrences()
 }
 
 // Chain is the estimated run time of the longest chain of dependent steps.
@@ -98,20 +112,21 @@
 	return longest
 }
 
-// maxTasks bounds a job. The largest jobs planned for have 980 tasks.
-const maxTasks = 4096
+// MaxTasks bounds a job. The largest jobs planned for have 980 tasks.
+const MaxTasks = 4096
 
 // Check reports what makes a job impossible to run.
 func (j *Job) Check() error {
 	if len(j.Steps) == 0 {
 		return errors.New("the job has no steps")
 	}
-	total := 0
+	if j.Times < 0 || j.Interval < 0 || j.StartMs < 0 {
+		return errors.New("the job has a negative time")
+	}
 	for i, s := range j.Steps {
-		if s.Tasks < 1 || s.Tasks > maxTasks {
-			return errors.Errorf("step %d: %d tasks, not 1 to %d", i, s.Tasks, maxTasks)
+		if s.Tasks < 1 || s.Tasks > MaxTasks {
+			return errors.Errorf("step %d: %d tasks, not 1 to %d", i, s.Tasks, MaxTasks)
 		}
-		total += s.Tasks
 		for _, d := range s.DependsOn {
 			if d < 0 || d >= i {
 				return errors.Errorf("step %d depends on step %d, which isn't an earlier one", i, d)
@@ -121,23 +136,24 @@
 			return errors.Errorf("step %d has a negative requirement", i)
 		}
 	}
-	if total > maxTasks {
-		return errors.Errorf("%d tasks, more than %d", total, maxTasks)
+	if j.Times > MaxTasks || j.Tasks() > MaxTasks {
+		return errors.Errorf("more than %d tasks", MaxTasks)
 	}
 	return nil
 }
 
-// TaskName names a task for runners. Occurrences of timed jobs aren't served,
-// so the occurrence is always 0.
+// TaskName names a task.
 type TaskName struct {
-	Job   JobID
-	Step  int
-	Index int
+	Job JobID
+	// Occurrence counts the times of a timed job from 0.
+	Occurrence int
+	Step       int
+	Index      int
 }
 
 // String is the form that runners know: job.occurrence.step.index.
 func (t TaskName) String() string {
-	return string(t.Job) + ".0." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
 // ParseTaskName reads the form of String.
@@ -146,6 +162,10 @@
 	if len(parts) != 4 {
 		return TaskName{}, errors.Errorf("task name %q hasn't four parts", s)
 	}
+	occurrence, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return TaskName{}, errors.Errorf("task name %q: occurrence", s)
+	}
 	step, err := strconv.Atoi(parts[2])
 	if err != nil {
 		return TaskName{}, errors.Errorf("task name %q: step", s)
@@ -154,7 +174,7 @@
 	if err != nil {
 		return TaskName{}, errors.Errorf("task name %q: index", s)
 	}
-	return TaskName{Job: JobID(parts[0]), Step: step, Index: index}, nil
+	return TaskName{Job: JobID(parts[0]), Occurrence: occurrence, Step: step, Index: index}, nil
 }
 
 // RunKey names one start of a task.
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -33,7 +33,7 @@
 	cases := map[string]Job{
 		"no steps":        {},
 		"no tasks":        {Steps: []Step{{}}},
-		"too many tasks":  {Steps: []Step{{Tasks: maxTasks}, {Tasks: 1}}},
+		"too many tasks":  {Steps: []Step{{Tasks: MaxTasks}, {Tasks: 1}}},
 		"depends on next": {Steps: []Step{{Tasks: 1, DependsOn: []int{1}}, {Tasks: 1}}},
 		"negative need":   {Steps: []Step{{Tasks: 1, Need: Resources{GPU: -1}}}},
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -139,6 +139,7 @@
 			f()
 		case <-ticker.C:
 			p.clock.adjust()
+			p.node.SetTimeOfDay(p.clock.now(), time.Now().UnixMilli())
 			p.node.Tick(p.clock.now())
 			p.publish()
 		}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -101,6 +101,9 @@
 		ObjectiveMs: j.Objective.Milliseconds(),
 		Spec:        j.Spec,
 		Stored:      j.Stored,
+		Times:       uint32(j.Times),
+		StartMs:     j.StartMs,
+		IntervalMs:  j.Interval.Milliseconds(),
 	}
 	for _, s := range j.Steps {
 		m.Steps = append(m.Steps, stepMessage(s))
@@ -136,6 +139,9 @@
 		Objective:   milliseconds(m.GetObjectiveMs()),
 		Spec:        m.GetSpec(),
 		Stored:      m.GetStored(),
+		Times:       int(m.GetTimes()),
+		StartMs:     m.GetStartMs(),
+		Interval:    milliseconds(m.GetIntervalMs()),
 	}
 	for _, s := range m.GetSteps() {
 		j.Steps = append(j.Steps, stepOf(s))
@@ -289,6 +295,7 @@
 			Stretch:     r.Stretch,
 			TargetMs:    r.Target.Milliseconds(),
 			TimeoutMs:   r.Timeout.Milliseconds(),
+			Advised:     r.Advised,
 		})
 	}
 	for _, s := range d.Services {
@@ -318,6 +325,7 @@
 			Stretch:     r.GetStretch(),
 			Target:      milliseconds(r.GetTargetMs()),
 			Timeout:     milliseconds(r.GetTimeoutMs()),
+			Advised:     r.GetAdvised(),
 		})
 	}
 	for _, s := range m.GetServices() {
