Tasks go on from their last checkpoint

Cause: a task that was started again began anew, also where a runner had told a checkpoint of it. Change: the newest one from runners' lists goes into the next start. Checkpoints aren't kept in the store: after the loss of a scheduler they are known again of what runs or is listed as ended.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -17,6 +17,8 @@
 	Token   uint64
 	Run     workload.RunKey
 	Spec    string
+	// Checkpoint is where the task is to be resumed; "" begins anew.
+	Checkpoint string
 	// LeaseEnd is on the runner's clock, in milliseconds. It also makes the
 	// order useless if it is carried out late.
 	LeaseEnd int64
@@ -165,6 +167,8 @@
 	Look    bool
 	Outcome CallOutcome
 	Running []workload.RunKey
-	Ends    []workload.End
-	Clock   Reading
+	// Checkpoints are the newest ones of what runs, where there are any.
+	Checkpoints map[workload.RunKey]string
+	Ends        []workload.End
+	Clock       Reading
 }
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -190,12 +190,13 @@
 	}
 	u.tries++
 	s.emit(Start{
-		Runner:   r.info.ID,
-		Address:  r.info.Address,
-		Token:    r.token,
-		Run:      u.key,
-		Spec:     u.task.job.work.Spec,
-		LeaseEnd: u.leaseEnd,
-		Timeout:  s.callTimeout(),
+		Runner:     r.info.ID,
+		Address:    r.info.Address,
+		Token:      r.token,
+		Run:        u.key,
+		Spec:       u.task.job.work.Spec,
+		Checkpoint: u.task.checkpoint,
+		LeaseEnd:   u.leaseEnd,
+		Timeout:    s.callTimeout(),
 	})
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -74,6 +74,7 @@
 	for _, k := range res.Running {
 		listed[k] = true
 		s.seen(r, k)
+		r.runs[k].noteCheckpoint(res.Checkpoints[k])
 	}
 	if len(res.Ends) < endsPerList {
 		s.dropStopped(r, listed, res.Clock.SentAt)
@@ -108,6 +109,18 @@
 	}
 }
 
+// noteCheckpoint takes the newest checkpoint of a run. A task that is started
+// again goes on from there.
+func (u *run) noteCheckpoint(checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	u.checkpoint = checkpoint
+	if u.task != nil {
+		u.task.checkpoint = checkpoint
+	}
+}
+
 // ended acts on an end that a runner lists, and returns the job if it is known.
 func (s *Scheduler) ended(r *runner, e workload.End) *job {
 	u := r.runs[e.Run]
@@ -120,6 +133,9 @@
 		return nil
 	}
 	t.job.noteRun(e.Run)
+	if e.Checkpoint != "" && (t.run == nil || t.run == u) {
+		t.checkpoint = e.Checkpoint
+	}
 	switch {
 	case t.phase == done:
 	case e.Kind == workload.Done:
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -67,6 +67,8 @@
 	tries int
 	// leaseEnd is the end of the lease in its start.
 	leaseEnd int64
+	// checkpoint is that of a run without a job, for the job that may come.
+	checkpoint string
 	// confirmed runs were accepted or listed by the runner.
 	confirmed bool
 	// found runs were started by another scheduler.
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -412,3 +412,28 @@
 	b.wait(100 * ms)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
+
+// A runner drains or falls silent with a long task on it. The task goes on
+// elsewhere from its last checkpoint instead of beginning anew.
+func TestTaskGoesOnFromItsCheckpoint(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 2*time.Second)
+	b.accepted(j)
+	first := one[Start](b)
+	b.g.Expect(first.Checkpoint).To(BeEmpty())
+	b.started(first, Accepted)
+	h := take[Hold](b)[0]
+	b.s.Held(b.now, HoldResult{
+		Runner: h.Runner, Token: h.Token, Outcome: Accepted, Clock: b.clock(),
+		Running: []workload.RunKey{first.Run}, Checkpoints: map[workload.RunKey]string{first.Run: "half"},
+	})
+	b.end("r1", 1, first.Run, workload.Lapsed)
+	second := one[Start](b)
+	b.g.Expect(second.Checkpoint).To(Equal("half"))
+	b.started(second, Accepted)
+	b.s.Held(b.now, HoldResult{
+		Runner: "r1", Token: b.s.runners["r1"].token, Outcome: Accepted, Clock: b.clock(),
+		Ends: []workload.End{{Sequence: 2, Run: second.Run, Kind: workload.Stopped, Checkpoint: "more"}},
+	})
+	b.g.Expect(one[Start](b).Checkpoint).To(Equal("more"))
+}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -131,6 +131,7 @@
 	j.started, j.begun = true, true
 	t.startedAs = max(t.startedAs, u.key.Number)
 	j.noteRun(u.key)
+	t.checkpoint = u.checkpoint
 	u.task = t
 	u.stopAt = 0
 	t.run = u
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -246,6 +246,8 @@
 	Sequence uint64
 	Run      RunKey
 	Kind     EndKind
+	// Checkpoint is where the task can be resumed; "" if nowhere.
+	Checkpoint string
 }
 
 // Outcome is the final word on a job.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -43,13 +43,14 @@
 	clock := p.reading(sent, a.CallAnswer)
 	p.post(func(now Time) {
 		p.node.Held(now, schedule.HoldResult{
-			Runner:  c.Runner,
-			Token:   c.Token,
-			Look:    c.Look,
-			Outcome: a.Outcome,
-			Running: a.Running,
-			Ends:    a.Ends,
-			Clock:   clock,
+			Runner:      c.Runner,
+			Token:       c.Token,
+			Look:        c.Look,
+			Outcome:     a.Outcome,
+			Running:     a.Running,
+			Checkpoints: a.Checkpoints,
+			Ends:        a.Ends,
+			Clock:       clock,
 		})
 	})
 }
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -38,8 +38,9 @@
 // HoldAnswer is a runner's answer to a Hold.
 type HoldAnswer struct {
 	CallAnswer
-	Running []workload.RunKey
-	Ends    []workload.End
+	Running     []workload.RunKey
+	Checkpoints map[workload.RunKey]string
+	Ends        []workload.End
 }
 
 // Store is the platform's store.
