The soak sends stored jobs; a job is unknown or refused only when that is certain

Cause, found by the soak with real processes: a process that had started a moment before told callers that a job was unknown which another one had accepted. It had owned the shard's rows within the last 450 ms, which is enough to go on with runs (another owner waits longer) but not to deny a job; or it believed that there were no stored jobs at all, from before the first.

Ruled out: the store (linearizable in the stand-in; rows were there).

Change: such answers, and refusals, need a proof of the ownership after the question, or all processes in hearing. The stand-in's runners tell an observer which ends were acknowledged.

--- a/core/fleet/queries.go
+++ b/core/fleet/queries.go
@@ -55,8 +55,9 @@
 type question struct {
 	from    leader.ID
 	request uint64
-	// until is how long it waits for the job's end. A cancelling waits until its
-	// caller gives up.
+	// asked is when it came, and until how long it waits for the job's end, or
+	// for certainty. A cancelling waits until its caller gives up.
+	asked  Time
 	until  Time
 	cancel bool
 	// extended: it waits for an end that is being written.
@@ -84,9 +85,10 @@
 }
 
 func (n *Node) askState(now Time, s *shard, q question, id workload.JobID) {
-	state := s.schedule.State(id)
+	q.asked = now
+	state := s.schedule.State(id, now)
 	switch {
-	case state.Ending:
+	case state.Ending, state.Unsure:
 		q.until, q.extended = now+saveWait, true
 	case state.Running:
 		q.until = now + endWait
@@ -101,10 +103,10 @@
 func (n *Node) tickQuestions(now Time, s *shard) {
 	for _, id := range slices.Sorted(maps.Keys(s.questions)) {
 		var rest []question
-		state := s.schedule.State(id)
 		for _, q := range s.questions[id] {
+			state := s.schedule.State(id, q.asked)
 			switch {
-			case q.cancel || now < q.until && !state.Ended:
+			case q.cancel || now < q.until && state.Open():
 				rest = append(rest, q)
 			case state.Ending && !q.extended:
 				// It ended while the question waited.
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -37,6 +37,9 @@
 	// unloadedCheck is the same while the jobs aren't known to which its ends
 	// belong.
 	unloadedCheck = 150 * time.Millisecond
+	// refusalWait is how long a refusal waits for a proof of the ownership, which
+	// takes a check every tenth of a second and its answer.
+	refusalWait = 400 * time.Millisecond
 	// needStore is how long after the last stored job more are expected.
 	needStore = 5 * time.Second
 	// keptExtra is how much longer outcomes are kept than callers may ask.
@@ -89,6 +92,8 @@
 	early map[workload.JobID][]earlySubmission
 	// open is the number of stored jobs that haven't ended.
 	open int
+	// refusals wait until they are certain.
+	refusals []refusal
 	// askedAt is when a stored job last came.
 	askedAt Time
 	// before is what the last leader has said as it retired; nil if it hasn't.
@@ -109,6 +114,10 @@
 // SetNoStored says whether the deployment surely has no stored jobs.
 func (s *Scheduler) SetNoStored(none bool) { s.custody.none = none }
 
+// surelyNone reports whether no stored job can be anywhere. One that isn't heard
+// may just have accepted the first.
+func (s *Scheduler) surelyNone() bool { return s.custody.none && s.allHeard }
+
 // SetStoreTrouble says how long all calls to the store have failed.
 func (s *Scheduler) SetStoreTrouble(d time.Duration) { s.custody.failingFor = d }
 
@@ -118,7 +127,7 @@
 	if s.custody.none {
 		return false
 	}
-	return s.custody.open > 0 || !s.sure() || slices.ContainsFunc(s.list, func(r *runner) bool { return len(r.ends) > 0 })
+	return s.custody.open > 0 || !s.certain(s.now) || slices.ContainsFunc(s.list, func(r *runner) bool { return len(r.ends) > 0 })
 }
 
 // NeedsStore reports whether callers wait for what the store doesn't have yet.
@@ -130,6 +139,7 @@
 func (s *Scheduler) Verified(now, at Time) {
 	s.now = now
 	s.custody.verifiedAt = max(s.custody.verifiedAt, at)
+	s.settleRefusals()
 	s.acknowledgeAll()
 }
 
@@ -143,6 +153,14 @@
 	return c.loaded && (proved || s.allHeard && c.verifiedAt >= s.allHeardSince)
 }
 
+// certain reports whether no other process can have accepted a job before a
+// given time that isn't known here. While all processes are heard this one knows
+// all; else it must be seen to own the shard's rows after that time.
+func (s *Scheduler) certain(at Time) bool {
+	c := &s.custody
+	return c.loaded && (s.allHeard && c.verifiedAt >= s.allHeardSince || c.verifiedAt >= at)
+}
+
 // SetAllHeard says whether this process hears all others of the deployment.
 func (s *Scheduler) SetAllHeard(now Time, all bool) {
 	if all && !s.allHeard {
@@ -187,8 +205,7 @@
 		return
 	}
 	if reason := s.storedRefusal(j); reason != "" {
-		s.count(workload.NotRun)
-		s.emit(Answer{At: s.now, Entry: sub.Entry, Job: id, Outcome: workload.NotRun, Reason: reason, RetryAfter: s.retryAfter(j)})
+		s.refuse(Answer{Entry: sub.Entry, Job: id, Outcome: workload.NotRun, Reason: reason, RetryAfter: s.retryAfter(j)})
 		return
 	}
 	j.stored = &stored{epoch: s.custody.epoch, waiters: map[EntryID]Time{sub.Entry: s.now + sub.Patience}}
@@ -197,6 +214,37 @@
 	s.save(j)
 }
 
+// refusal is one that waits until it is certain that it is true.
+type refusal struct {
+	answer Answer
+	since  Time
+}
+
+// refuse tells a caller that its job isn't accepted. If another process may have
+// accepted a copy of it, the ownership is proved first.
+func (s *Scheduler) refuse(a Answer) {
+	s.custody.refusals = append(s.custody.refusals, refusal{answer: a, since: s.now})
+	s.settleRefusals()
+}
+
+// settleRefusals gives the refusals that are certain, and those that can't be.
+func (s *Scheduler) settleRefusals() {
+	s.custody.refusals = slices.DeleteFunc(s.custody.refusals, func(r refusal) bool {
+		r.answer.At = s.now
+		switch {
+		case s.certain(r.since):
+			s.count(workload.NotRun)
+		case s.now-r.since > refusalWait:
+			r.answer.Outcome = workload.GaveUp
+			s.count(workload.GaveUp)
+		default:
+			return false
+		}
+		s.emit(r.answer)
+		return true
+	})
+}
+
 func (s *Scheduler) submitAgain(j *job, sub Submission) {
 	if j.stored == nil || j.stored.accepted {
 		s.answer(sub.Entry, j.work.ID, workload.Accepted, "known")
@@ -491,6 +539,9 @@
 		}
 		s.forget(j)
 	}
+	for _, r := range s.custody.refusals {
+		s.answer(r.answer.Entry, r.answer.Job, workload.GaveUp, "another process schedules")
+	}
 	for _, r := range s.list {
 		r.unsettleEnds()
 	}
@@ -507,6 +558,7 @@
 // tickStored does what is due for stored jobs.
 func (s *Scheduler) tickStored() {
 	s.expireEarly()
+	s.settleRefusals()
 	if !s.leading {
 		return
 	}
@@ -544,7 +596,7 @@
 // cancelStored ends a stored job for its caller. done is false if a Settled
 // follows when the store has it.
 func (s *Scheduler) cancelStored(id workload.JobID) (state JobState, done bool) {
-	if s.custody.none {
+	if s.surelyNone() {
 		return JobState{}, true
 	}
 	if !s.sure() {
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -54,7 +54,7 @@
 	b.g.Expect(save.Record.Work).To(Equal(j))
 	b.g.Expect(take[Answer](b)).To(BeEmpty())
 	b.g.Expect(take[Start](b)).To(BeEmpty())
-	b.g.Expect(b.s.State(j.ID).Unsure).To(BeTrue())
+	b.g.Expect(b.s.State(j.ID, b.now).Unsure).To(BeTrue())
 	b.saved(save)
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted))
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
@@ -102,11 +102,11 @@
 	b.end("r1", 1, runOf(j, 0, 1), workload.Done)
 	save := one[Save](b)
 	b.g.Expect(save.Record.State).To(Equal(ledger.Completed))
-	b.g.Expect(b.s.State(j.ID)).To(Equal(JobState{Known: true, Begun: true, Ending: true, Running: true}))
+	b.g.Expect(b.s.State(j.ID, b.now)).To(Equal(JobState{Known: true, Begun: true, Ending: true, Running: true}))
 	b.g.Expect(take[Settled](b)).To(BeEmpty())
 	b.saved(save)
 	b.g.Expect(one[Settled](b).State.Outcome).To(Equal(workload.Completed))
-	b.g.Expect(b.s.State(j.ID)).To(Equal(JobState{Known: true, Ended: true, Outcome: workload.Completed}))
+	b.g.Expect(b.s.State(j.ID, b.now)).To(Equal(JobState{Known: true, Ended: true, Outcome: workload.Completed}))
 }
 
 // A scheduler is killed. The next one reads its jobs, finds one task done and one
@@ -132,7 +132,7 @@
 	b.wait(80 * ms)
 	start := one[Start](b)
 	b.g.Expect(start.Run).To(Equal(runOf(j, 2, 101)), "above all that the owner before may have used")
-	b.g.Expect(b.s.State(j.ID).Known).To(BeTrue())
+	b.g.Expect(b.s.State(j.ID, b.now).Known).To(BeTrue())
 }
 
 // A scheduler retires in a planned stop and says so. Its jobs go on at once.
@@ -173,7 +173,7 @@
 	b.s.SetAllHeard(b.now, false)
 	b.tick(custodyAge + 40*ms)
 	b.g.Expect(one[Stop](b).Run).To(Equal(runOf(j, 0, 1)))
-	b.g.Expect(b.s.State("00000000000000ff").Unsure).To(BeTrue())
+	b.g.Expect(b.s.State("00000000000000ff", b.now).Unsure).To(BeTrue())
 	other := storedJob(1, 100*ms)
 	b.submit(other, 2*time.Second)
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
@@ -203,7 +203,7 @@
 		b.g.Expect(h.Acknowledged).To(BeZero())
 		b.held(h, workload.End{Sequence: 1, Run: runOf(j, 0, 1), Kind: workload.Done})
 	}
-	b.g.Expect(b.s.State(j.ID).Unsure).To(BeTrue())
+	b.g.Expect(b.s.State(j.ID, b.now).Unsure).To(BeTrue())
 	b.own(2, openRecord(j, 1))
 	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Completed), "the runner still lists the end")
 }
@@ -285,11 +285,11 @@
 	b.s.Cancel(b.now, j.ID)
 	b.saved(one[Save](b))
 	b.g.Expect(one[Settled](b).State.Known).To(BeFalse())
-	b.g.Expect(b.s.State(j.ID).Known).To(BeFalse())
+	b.g.Expect(b.s.State(j.ID, b.now).Known).To(BeFalse())
 	b.submit(j, 2*time.Second)
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted))
 	b.saved(one[Save](b))
-	b.g.Expect(b.s.State(j.ID)).To(Equal(JobState{Known: true, Ended: true, Outcome: workload.Cancelled}))
+	b.g.Expect(b.s.State(j.ID, b.now)).To(Equal(JobState{Known: true, Ended: true, Outcome: workload.Cancelled}))
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 }
 
@@ -309,7 +309,7 @@
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
 	b.saved(save)
 	b.g.Expect(take[Start](b)).To(HaveLen(1), "it is in the store, so it runs")
-	b.g.Expect(b.s.State(waits.ID).Known).To(BeTrue())
+	b.g.Expect(b.s.State(waits.ID, b.now).Known).To(BeTrue())
 }
 
 // A burst has left stored jobs behind that are late already. They run when nothing
@@ -343,7 +343,7 @@
 	b.s.Verified(b.now, b.now)
 	b.s.Tick(b.now)
 	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Forgotten))
-	b.g.Expect(b.s.State(j.ID).Known).To(BeFalse())
+	b.g.Expect(b.s.State(j.ID, b.now).Known).To(BeFalse())
 }
 
 // A start stays unanswered, so the run is stopped to be started elsewhere. It had
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -345,8 +345,12 @@
 	Outcome workload.Outcome
 }
 
-// State tells how far a job is, for its caller.
-func (s *Scheduler) State(id workload.JobID) JobState {
+// Open reports whether the state may change in a moment: the job hasn't ended, or
+// nothing is certain yet.
+func (s JobState) Open() bool { return s.Unsure || s.Known && !s.Ended }
+
+// State tells how far a job is, for a caller who has asked at a time.
+func (s *Scheduler) State(id workload.JobID, asked Time) JobState {
 	if r, ok := s.results[id]; ok {
 		return JobState{Known: true, Ended: true, Outcome: r.outcome}
 	}
@@ -355,7 +359,7 @@
 	}
 	j := s.jobs[id]
 	if j == nil {
-		return JobState{Unsure: !s.custody.none && !s.sure()}
+		return JobState{Unsure: !s.surelyNone() && !s.certain(asked)}
 	}
 	if j.stored != nil && !j.stored.accepted {
 		return JobState{Unsure: true}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +17,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/standin/deployment"
 )
 
 var (
@@ -50,6 +53,11 @@
 	w, err := newWorld(program, t.TempDir(), seed)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer w.close()
+	defer func() {
+		if t.Failed() && *keep != "" {
+			w.saveLogs(filepath.Join(*keep, fmt.Sprint(seed)))
+		}
+	}()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process came up")
 	callers := w.callers(12)
 	played := w.harm(time.Duration(*seconds) * time.Second)
@@ -58,14 +66,22 @@
 	before := w.truth.count("200")
 	g.Eventually(func() int { return w.truth.count("200") }, time.Minute, 50*time.Millisecond).Should(BeNumerically(">", before+20), "nothing is served after: %v", played)
 	callers.end()
+	g.Eventually(w.unfinished, time.Minute, 100*time.Millisecond).Should(BeEmpty(), "accepted jobs don't end: %v", played)
 	broken := w.truth.broken()
-	if len(broken) > 0 && *keep != "" {
-		w.saveLogs(filepath.Join(*keep, fmt.Sprint(seed)))
-	}
 	g.Expect(broken).To(BeEmpty(), "seed %d: %v", seed, played)
 	t.Logf("answers %v, faults %d", w.truth.statuses(), len(played))
 }
 
+// unfinished asks for the accepted jobs that haven't ended, and lists those that
+// still haven't.
+func (w *world) unfinished() []string {
+	for i, job := range w.truth.unfinished() {
+		status, body := w.ask(w.nodes[i%len(w.nodes)], http.MethodGet, job, "", time.Second)
+		w.truth.shown(job, 0, status, body)
+	}
+	return w.truth.unfinished()
+}
+
 // harm plays faults, one about every 400 ms, which overlap.
 func (w *world) harm(d time.Duration) []string {
 	var played []string
@@ -124,6 +140,7 @@
 	{"runner crashed", func(w *world) { w.replaceRunner(w.rng.IntN(len(w.workers))) }},
 	{"store busy", func(w *world) { w.storeFault(true, false, w.span(300, 2500)) }},
 	{"store silent", func(w *world) { w.storeFault(false, true, w.span(300, 2500)) }},
+	{"store answers lost", func(w *world) { w.store.SetFaults(deployment.StoreFaults{LoseWrites: 1 + w.rng.IntN(3)}) }},
 	{"store silenced", func(w *world) { w.storeProxy.Silence() }},
 	{"store cut", func(w *world) {
 		w.storeProxy.Cut(true, w.rng.IntN(2) == 0)
--- a/soak/truth_test.go
+++ b/soak/truth_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +25,13 @@
 	done    map[string]bool
 	refused map[string]bool
 	answers map[string]int
+	// Of stored jobs: those accepted and not shown as completed yet, those shown,
+	// when each task was last started, and when it ended well by an end that was
+	// acknowledged and counts.
+	accepted  map[string]bool
+	completed map[string]bool
+	lastStart map[string]time.Time
+	noted     map[string]time.Time
 }
 
 func newTruth() *truth {
@@ -31,6 +41,11 @@
 		done:    make(map[string]bool),
 		refused: make(map[string]bool),
 		answers: make(map[string]int),
+
+		accepted:  make(map[string]bool),
+		completed: make(map[string]bool),
+		lastStart: make(map[string]time.Time),
+		noted:     make(map[string]time.Time),
 	}
 }
 
@@ -82,6 +97,13 @@
 	live[s] = r.ID
 	job := jobOf(s.Task)
 	t.starts[job]++
+	if stored(job) {
+		t.lastStart[s.Task] = time.Now()
+		t.checkNoted(s.Task)
+	}
+	if t.completed[job] {
+		t.note("%s run %d starts though its job is shown as completed", s.Task, s.Run)
+	}
 	if t.refused[job] {
 		t.note("%s starts though its caller was told that it hasn't run", s.Task)
 	}
@@ -97,6 +119,77 @@
 	}
 }
 
+// stored reports whether a job is one that is to be kept: every third caller
+// sends such jobs.
+func stored(job string) bool {
+	caller, err := strconv.ParseUint(job[:8], 16, 64)
+	return err == nil && caller%3 == 0
+}
+
+// checkNoted is called with the lock held, when a task of a stored job was started
+// or its end acknowledged.
+func (t *truth) checkNoted(task string) {
+	if at, ok := t.noted[task]; ok && t.lastStart[task].After(at) {
+		t.note("%s starts after it had ended at %v, which was acknowledged", task, at.UTC())
+	}
+}
+
+// RunForgotten implements deployment.Observer.
+func (t *truth) RunForgotten(_ *deployment.Runner, e deployment.End) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e.How != "done" || e.Lapsed || !stored(jobOf(e.Task)) {
+		return
+	}
+	if at, ok := t.noted[e.Task]; !ok || e.At.Before(at) {
+		t.noted[e.Task] = e.At
+	}
+	t.checkNoted(e.Task)
+}
+
+// shown checks what the caller of an accepted job is told, and reports whether
+// the job has ended.
+func (t *truth) shown(job string, tasks, status int, body string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case status == http.StatusGone:
+		t.note("%s was accepted and isn't known", job)
+	case status == http.StatusOK && strings.Contains(body, "failed"), status == http.StatusOK && strings.Contains(body, "cancelled"):
+		t.note("%s is shown as %s", job, body)
+	case status == http.StatusOK && strings.Contains(body, "completed"):
+		t.allDone(job, tasks)
+		t.completed[job] = true
+		delete(t.accepted, job)
+	default:
+		return false
+	}
+	return true
+}
+
+// unfinished lists the accepted jobs that haven't been shown as completed.
+func (t *truth) unfinished() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.accepted))
+}
+
+func (t *truth) accept(job string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers["accepted"]++
+	t.accepted[job] = true
+}
+
+// allDone is called with the lock held.
+func (t *truth) allDone(job string, tasks int) {
+	for i := range tasks {
+		if task := fmt.Sprintf("%s.0.0.%d", job, i); !t.done[task] {
+			t.note("%s is complete without %s", job, task)
+		}
+	}
+}
+
 // answered checks a caller's answer. tries counts how often the job was sent.
 func (t *truth) answered(job string, tasks, status, tries int, body string) {
 	t.mu.Lock()
@@ -109,11 +202,7 @@
 			t.note("%s: its caller is told that it hasn't run; %d runs were started", job, t.starts[job])
 		}
 	case status == http.StatusOK && strings.Contains(body, "completed"):
-		for i := range tasks {
-			if task := fmt.Sprintf("%s.0.0.%d", job, i); !t.done[task] {
-				t.note("%s is complete without %s", job, task)
-			}
-		}
+		t.allDone(job, tasks)
 	}
 }
 
@@ -168,6 +257,9 @@
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
 			if status != http.StatusOK {
 				time.Sleep(20 * time.Millisecond)
+			} else if stored(job) {
+				w.truth.accept(job)
+				w.follow(caller, job, tasks)
 			}
 			return
 		}
@@ -175,11 +267,30 @@
 	}
 }
 
+// followTime is how long a caller asks for its job before it sends the next one.
+const followTime = 3 * time.Second
+
+// follow asks for a job by one entry VM after the other until it has ended, or for
+// a while.
+func (w *world) follow(caller int, job string, tasks int) {
+	for begin, k := time.Now(), 0; time.Since(begin) < followTime; k++ {
+		status, body := w.ask(w.nodes[(caller+k)%len(w.nodes)], http.MethodGet, job, "", time.Second)
+		if w.truth.shown(job, tasks, status, body) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func (w *world) send(n *node, job, spec string, tasks int, patience time.Duration) (int, string) {
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":9000,"memMb":64,"estimateMs":100}],"bestEffort":%v}`, spec, tasks, !stored(job))
+	return w.ask(n, http.MethodPost, job, body, patience)
+}
+
+func (w *world) ask(n *node, method, job, body string, patience time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":9000,"memMb":64,"estimateMs":100}],"bestEffort":true}`, spec, tasks)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Callers+prefix+job, bytes.NewBufferString(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.Callers+prefix+job, bytes.NewBufferString(body))
 	if err != nil {
 		return 0, ""
 	}
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -35,6 +35,20 @@
 type Observer interface {
 	RunStarted(r *Runner, s Started)
 	RunEnded(r *Runner, s Started, how string)
+	// RunForgotten: the end of a run was acknowledged.
+	RunForgotten(r *Runner, e End)
+}
+
+// End is how a run has ended.
+type End struct {
+	Started
+	How string
+	At  time.Time
+	// Lapsed: the runner's lease has ended since, so that the end shows nothing
+	// about what was started elsewhere.
+	Lapsed bool
+
+	sequence int
 }
 
 // Runner is the stand-in for a runner. A task's spec is how long it takes, as
@@ -50,7 +64,7 @@
 	leaseEnd time.Time
 	running  map[Started]*time.Timer
 	sealed   map[string]int
-	ends     [][]any
+	ends     []End
 	lastEnd  int
 	changed  chan struct{}
 	starts   []Started
@@ -198,6 +212,9 @@
 	if time.Now().Before(r.leaseEnd) {
 		return
 	}
+	for i := range r.ends {
+		r.ends[i].Lapsed = true
+	}
 	for s := range r.running {
 		r.end(s, "lapsed")
 	}
@@ -253,7 +270,7 @@
 	}
 	r.sealed[s.Task] = max(r.sealed[s.Task], s.Run)
 	r.lastEnd++
-	r.ends = append(r.ends, []any{r.lastEnd, s.Task, s.Run, how, ""})
+	r.ends = append(r.ends, End{Started: s, How: how, At: time.Now(), sequence: r.lastEnd})
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -277,7 +294,10 @@
 	if o.DeadlineMs > 0 {
 		r.grant(o.DeadlineMs)
 	}
-	for len(r.ends) > 0 && r.ends[0][0].(int) <= o.AckCursor {
+	for len(r.ends) > 0 && r.ends[0].sequence <= o.AckCursor {
+		if r.observer != nil {
+			r.observer.RunForgotten(r, r.ends[0])
+		}
 		r.ends = r.ends[1:]
 	}
 	if len(r.ends) == 0 && o.WaitMs > 0 {
@@ -295,5 +315,9 @@
 	for s := range r.running {
 		running = append(running, []any{s.Task, s.Run, "", 100, 0})
 	}
-	answer(w, http.StatusOK, map[string]any{"clockMs": clock(), "running": running, "endedRuns": r.ends})
+	ended := make([][]any, 0, len(r.ends))
+	for _, e := range r.ends {
+		ended = append(ended, []any{e.sequence, e.Task, e.Run, e.How, ""})
+	}
+	answer(w, http.StatusOK, map[string]any{"clockMs": clock(), "running": running, "endedRuns": ended})
 }
