--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -194,7 +194,11 @@
 
 // verdict passes the scheduler's word to the process that has the caller.
 func (n *Node) verdict(a schedule.Answer) {
-	n.notice("job-ended", Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
+	event := "job-ended"
+	if a.Outcome == workload.Accepted {
+		event = "job-accepted"
+	}
+	n.notice(event, Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
 		Field{"waited", ms(a.Waited)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
 	v := gateway.Verdict{From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Reason: a.Reason}
 	if leader.ID(a.Entry) == n.Self() {
--- a/core/fleet/queries.go
+++ b/core/fleet/queries.go
@@ -67,7 +67,7 @@
 // ask answers a question about a job, or has it answered later.
 func (n *Node) ask(now Time, q question, id workload.JobID) {
 	if len(n.shards) == 0 {
-		n.tell(q, schedule.JobState{Unsure: true})
+		n.tell(q, id, schedule.JobState{Unsure: true})
 		return
 	}
 	s := n.ofJob(id)
@@ -81,7 +81,7 @@
 		return
 	}
 	n.notice("job-cancelled", Field{"job", string(id)}, Field{"known", state.Known}, Field{"unsure", state.Unsure})
-	n.tell(q, state)
+	n.tell(q, id, state)
 }
 
 func (n *Node) askState(now Time, s *shard, q question, id workload.JobID) {
@@ -93,7 +93,7 @@
 	case state.Running:
 		q.until = now + endWait
 	default:
-		n.tell(q, state)
+		n.tell(q, id, state)
 		return
 	}
 	s.questions[id] = append(s.questions[id], q)
@@ -113,7 +113,7 @@
 				q.until, q.extended = now+saveWait, true
 				rest = append(rest, q)
 			default:
-				n.tell(q, state)
+				n.tell(q, id, state)
 			}
 		}
 		if s.questions[id] = rest; len(rest) == 0 {
@@ -130,11 +130,16 @@
 		if q.cancel {
 			n.notice("job-cancelled", Field{"job", string(c.Job)}, Field{"known", c.State.Known}, Field{"outcome", c.State.Outcome.String()})
 		}
-		n.tell(q, c.State)
+		n.tell(q, c.Job, c.State)
 	}
 }
 
-func (n *Node) tell(q question, state schedule.JobState) {
+// tell answers a question. That a job isn't known is a decision; how far it is,
+// other lines say.
+func (n *Node) tell(q question, id workload.JobID, state schedule.JobState) {
+	if !state.Known && !state.Unsure {
+		n.notice("job-unknown", Field{"job", string(id)}, Field{"entry", string(q.from)}, Field{"stored-jobs", n.stored.String()})
+	}
 	if q.from == n.Self() {
 		n.emit(StateAnswer{Request: q.request, State: state})
 		return
--- a/core/fleet/storedjobs.go
+++ b/core/fleet/storedjobs.go
@@ -19,6 +19,11 @@
 	HasStoredJobs
 )
 
+var storedJobsNames = [...]string{"unknown", "none", "some"}
+
+// String is for logs.
+func (k StoredJobs) String() string { return storedJobsNames[k] }
+
 // StoreRead tells whether the store has any stored jobs, as it was read.
 func (n *Node) StoreRead(now Time, any bool) {
 	if any {
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -339,7 +339,6 @@
 	j.stored.saved = max(j.stored.saved, sequence)
 	if !j.stored.accepted {
 		j.stored.accepted = true
-		s.emit(Decision{Event: "job-accepted", Job: j.work.ID, Age: s.now - j.arrived})
 		for _, e := range sortedKeys(j.stored.waiters) {
 			s.answer(e, j.work.ID, workload.Accepted, "")
 		}
