Processes that don't know their processor connect with each other

After a restart each led by itself and never connected again: three took the stored jobs from each other, and one job didn't end within a minute.

Ruled out: the store's feed (the members were known), the dialling.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -155,7 +155,9 @@
 	for _, o := range m.members {
 		most = max(most, o.MilliCPU)
 	}
-	return m.alone || 2*m.self.MilliCPU > most || 2*p.MilliCPU > most
+	// Processes that don't know their VM's processor count as equal. If they
+	// didn't connect, each would lead by itself and never be alone.
+	return most == 0 || m.alone || 2*m.self.MilliCPU > most || 2*p.MilliCPU > most
 }
 
 // Run accepts and dials until the context ends.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -179,3 +179,14 @@
 	other.mesh.SetAlone(true)
 	g.Eventually(func() int { return small.rec.ups("c") }, patience, 10*time.Millisecond).Should(BeNumerically(">", 0))
 }
+
+// No settings tell the VMs' processor. Each process has come to lead by itself, so
+// that none thinks it is alone; they must find each other all the same.
+func TestUnknownProcessorsConnect(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newProcess(t, 1, 0), newProcess(t, 2, 0)
+	list := []Member{a.self, b.self}
+	a.mesh.SetMembers(a.self, list)
+	b.mesh.SetMembers(b.self, list)
+	g.Eventually(func() int { return a.rec.ups("b") }, patience, 10*time.Millisecond).Should(Equal(1))
+}
