--- /dev/null
+++ b/core/schedule/records.go
@@ -0,0 +1,113 @@
+package schedule
+
+import (
+	"sapphirepoint.example/sapphirepoint/core/ledger"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// What the store has of stored jobs, and what is kept of those that have ended.
+
+// kept is the outcome of a stored job.
+type kept struct {
+	state ledger.State
+	at    Time
+	// restarted: a task was started more than once.
+	restarted bool
+	// saving is the sequence of a record that isn't in the store yet; 0 if it is.
+	saving uint64
+}
+
+func (k kept) jobState() JobState {
+	if k.saving > 0 {
+		return JobState{Unsure: true}
+	}
+	return JobState{Known: k.state != ledger.Refused, Ended: true, Outcome: outcomeOf(k.state)}
+}
+
+// save has the store keep how far a job is, and returns the record's sequence.
+func (s *Scheduler) save(j *job) uint64 {
+	j.stored.saving = s.saveRecord(j.record())
+	return j.stored.saving
+}
+
+func (s *Scheduler) saveRecord(r ledger.Record) uint64 {
+	s.custody.sequence++
+	s.emit(Save{At: s.now, Sequence: s.custody.sequence, Record: r})
+	return s.custody.sequence
+}
+
+func (j *job) record() ledger.Record {
+	r := ledger.Record{Job: j.work.ID, Epoch: j.stored.epoch, State: j.stored.state, Restarted: j.restarted}
+	if !j.stored.accepted {
+		r.Work = j.work
+	}
+	if r.State != ledger.Open {
+		return r
+	}
+	r.Failures = append(r.Failures, j.stored.failures...)
+	r.Done = make([]ledger.Bits, len(j.steps))
+	for i, tasks := range j.steps {
+		r.Done[i] = ledger.NewBits(len(tasks))
+		for n, t := range tasks {
+			if t.phase == done {
+				r.Done[i].Set(n)
+			}
+		}
+	}
+	return r
+}
+
+// Saved notes what is in the store.
+func (s *Scheduler) Saved(now Time, list []ledger.SavedRecord) {
+	s.now = now
+	for _, rec := range list {
+		if j := s.jobs[rec.Job]; j != nil && j.stored != nil {
+			s.savedJob(j, rec.Sequence)
+			continue
+		}
+		if k, ok := s.custody.kept[rec.Job]; ok && rec.Sequence >= k.saving {
+			k.saving = 0
+			s.custody.kept[rec.Job] = k
+			s.emit(Settled{Job: rec.Job, State: k.jobState()})
+		}
+	}
+	s.acknowledgeAll()
+	s.dispatch()
+}
+
+func (s *Scheduler) savedJob(j *job, sequence uint64) {
+	j.stored.saved = max(j.stored.saved, sequence)
+	if !j.stored.accepted {
+		j.stored.accepted = true
+		for _, e := range sortedKeys(j.stored.waiters) {
+			s.answer(e, j.work.ID, workload.Accepted, "")
+		}
+		j.stored.waiters = nil
+		s.enqueue(j)
+	}
+	if j.ended && j.stored.saved == j.stored.saving {
+		s.keep(j.work.ID, j.stored.state, j.restarted)
+		delete(s.jobs, j.work.ID)
+		s.emit(Settled{Job: j.work.ID, State: s.custody.kept[j.work.ID].jobState()})
+	}
+}
+
+func (s *Scheduler) keep(id workload.JobID, state ledger.State, restarted bool) {
+	if _, ok := s.custody.kept[id]; !ok {
+		s.custody.keptOrder = append(s.custody.keptOrder, id)
+	}
+	s.custody.kept[id] = kept{state: state, restarted: restarted, at: s.now}
+}
+
+// forgetKept drops outcomes that nobody may ask for any more.
+func (s *Scheduler) forgetKept() {
+	for len(s.custody.keptOrder) > 0 {
+		id := s.custody.keptOrder[0]
+		if s.now-s.custody.kept[id].at < s.cfg.Retention+keptExtra {
+			return
+		}
+		s.custody.keptOrder = s.custody.keptOrder[1:]
+		delete(s.custody.kept, id)
+		s.saveRecord(ledger.Record{Job: id, State: ledger.Forgotten})
+	}
+}
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -437,3 +437,12 @@
 	})
 	b.g.Expect(one[Start](b).Checkpoint).To(Equal("more"))
 }
+
+// A scheduler that can't prove its ownership any more must have ended its runs of
+// stored jobs before the next owner starts them again: its doubt, a tick, an order
+// to stop that isn't answered, and a lease on a slow clock.
+func TestCustodyEndsBeforeTheNextOwnerStarts(t *testing.T) {
+	const tick = 20 * ms
+	g := NewWithT(t)
+	g.Expect(custodyAge + tick + longestLife(DefaultConfig().Lease)).To(BeNumerically("<", storedUnknown))
+}
