--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -19,14 +19,14 @@
 	Failed
 	// Cancelled: its caller took it back.
 	Cancelled
-	// Refused: its caller took it back before it came. If it comes, it doesn't
-	// run.
-	Refused
+	// CancelledEarly: its caller took it back before it came. If it comes, it
+	// doesn't run.
+	CancelledEarly
 	// Forgotten: nothing is kept of it any more.
 	Forgotten
 )
 
-var stateNames = [...]string{"open", "completed", "failed", "cancelled", "refused", "forgotten"}
+var stateNames = [...]string{"open", "completed", "failed", "cancelled", "cancelled-early", "forgotten"}
 
 // String is for logs.
 func (s State) String() string { return stateNames[s] }
--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -23,7 +23,7 @@
 	}
 	if k, ok := s.custody.kept[id]; ok {
 		s.answer(sub.Entry, id, workload.Accepted, "known")
-		if k.state == ledger.Refused {
+		if k.state == ledger.CancelledEarly {
 			// From now on its caller may ask for it.
 			s.keepAndSave(id, ledger.Cancelled)
 		}
@@ -102,6 +102,7 @@
 	})
 }
 
+// earlySubmission is one that came before the stored jobs were known.
 type earlySubmission struct {
 	Submission
 	at Time
@@ -120,11 +121,15 @@
 // expireEarly answers callers to whom nothing can be said.
 func (s *Scheduler) expireEarly() {
 	for _, id := range sortedKeys(s.custody.early) {
-		for _, e := range s.custody.early[id] {
-			if s.now-e.at > min(limboWait, e.Patience) {
+		rest := slices.DeleteFunc(s.custody.early[id], func(e earlySubmission) bool {
+			expired := s.now-e.at > min(limboWait, e.Patience)
+			if expired {
 				s.answer(e.Entry, id, workload.GaveUp, "the stored jobs couldn't be read")
-				delete(s.custody.early, id)
 			}
+			return expired
+		})
+		if s.custody.early[id] = rest; len(rest) == 0 {
+			delete(s.custody.early, id)
 		}
 	}
 }
@@ -141,6 +146,6 @@
 			s.submitStored(e.Submission)
 			continue
 		}
-		s.emit(Answer{At: s.now, Entry: e.Entry, Job: id, Outcome: workload.NotRun, Reason: "a copy was refused", RetryAfter: retryLeast})
+		s.refuse(Answer{Entry: e.Entry, Job: id, Outcome: workload.NotRun, Reason: "a copy was refused", RetryAfter: retryLeast})
 	}
 }
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -21,7 +21,7 @@
 	if k.saving > 0 {
 		return JobState{Unsure: true}
 	}
-	return JobState{Known: k.state != ledger.Refused, Ended: true, Outcome: outcomeOf(k.state)}
+	return JobState{Known: k.state != ledger.CancelledEarly, Ended: true, Outcome: outcomeOf(k.state)}
 }
 
 // save has the store keep how far a job is, and returns the record's sequence.
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -106,7 +106,7 @@
 		s.dispatch()
 		return JobState{}, false
 	}
-	s.keepAndSave(id, ledger.Refused)
+	s.keepAndSave(id, ledger.CancelledEarly)
 	return JobState{}, false
 }
 
