One place for what stored jobs did twice

- attach sorted all runs of all runners for each job that comes; it now sorts the runs of that job without a task, of which there are hardly ever any.
- The proof of ownership, the work that waits, the times of a stored job, the loops that forget old entries, and the reasons to hold a job back stand once each.
- The soak checks all tasks of a stored job that is asked for at the end; it knew only the job, and checked none.

--- a/core/fleet/storewatch.go
+++ b/core/fleet/storewatch.go
@@ -48,7 +48,7 @@
 	trouble := n.storeTrouble(now)
 	asked := trouble
 	helper := false
-	for _, id := range n.peers() {
+	for id := range n.linked {
 		r := n.view.Report(id)
 		asked = asked || r.StoreTrouble
 		helper = helper || r.StoreReached && r.Able && !r.Stopping
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -297,19 +297,19 @@
 	l.now = now
 	switch r := r.(type) {
 	case ClaimResult:
-		l.claimed(now, r)
+		l.claimed(r)
 	case ReadResult:
-		l.read(now, r)
+		l.read(r)
 	case CheckResult:
 		l.checked(r)
 	case WriteResult:
-		l.written(now, r)
+		l.written(r)
 	default:
 		panic(fmt.Sprintf("unknown result %T", r))
 	}
 }
 
-func (l *Ledger) claimed(now Time, r ClaimResult) {
+func (l *Ledger) claimed(r ClaimResult) {
 	if r.Call != l.call || l.phase != claiming {
 		return
 	}
@@ -320,11 +320,11 @@
 	}
 	if r.Outcome != Applied {
 		l.failed(r.SentAt)
-		l.due = now + retryPause
+		l.due = l.now + retryPause
 		return
 	}
 	l.ownership = r.Ownership
-	l.claimedAt = now
+	l.claimedAt = l.now
 	l.succeeded(r.SentAt)
 	l.phase = reading
 	if l.loaded {
@@ -333,20 +333,20 @@
 	l.step()
 }
 
-func (l *Ledger) read(now Time, r ReadResult) {
+func (l *Ledger) read(r ReadResult) {
 	if r.Call != l.call || l.phase != reading {
 		return
 	}
 	l.call = 0
 	if r.Outcome != Applied {
-		l.failed(now)
-		l.due = now + retryPause
+		l.failed(l.now)
+		l.due = l.now + retryPause
 		return
 	}
 	l.failingSince = 0
 	l.loaded = true
 	l.phase = open
-	l.emit(Loaded{At: now, Epoch: l.ownership.Epoch, ClaimedAt: l.claimedAt, Records: r.Records})
+	l.emit(Loaded{At: l.now, Epoch: l.ownership.Epoch, ClaimedAt: l.claimedAt, Records: r.Records})
 	l.step()
 }
 
@@ -366,7 +366,7 @@
 	l.step()
 }
 
-func (l *Ledger) written(now Time, r WriteResult) {
+func (l *Ledger) written(r WriteResult) {
 	entries, ok := l.writes[r.Call]
 	if !ok {
 		return
@@ -385,7 +385,7 @@
 	case Turned:
 		l.failed(r.SentAt)
 		l.putBack(entries)
-		l.due = now + retryPause
+		l.due = l.now + retryPause
 	default:
 		l.failed(r.SentAt)
 		l.putBack(entries)
--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -17,16 +17,8 @@
 		s.submitEarly(sub)
 		return
 	}
-	if k, ok := s.custody.kept[id]; ok && (k.saving > 0 || !s.sure()) {
-		s.answer(sub.Entry, id, workload.GaveUp, "the job's end is being written")
-		return
-	}
 	if k, ok := s.custody.kept[id]; ok {
-		s.answer(sub.Entry, id, workload.Accepted, "known")
-		if k.state == ledger.CancelledEarly {
-			// From now on its caller may ask for it.
-			s.keepAndSave(id, ledger.Cancelled)
-		}
+		s.submitEnded(sub, k)
 		return
 	}
 	if j := s.jobs[id]; j != nil {
@@ -36,9 +28,7 @@
 	s.ctr.Submitted++
 	j := newJob(sub.Job, s.now)
 	j.entry = sub.Entry
-	j.deadline = never
-	j.due = s.now + sub.Due
-	j.useless = s.now + lateFactor*sub.Due
+	j.setDue(s.now, sub.Due)
 	s.timed(j)
 	if !s.sure() {
 		s.answer(sub.Entry, id, workload.GaveUp, "another process may schedule")
@@ -54,6 +44,21 @@
 	s.save(j)
 }
 
+// submitEnded takes another copy of a job that has ended.
+func (s *Scheduler) submitEnded(sub Submission, k kept) {
+	id := sub.Job.ID
+	if k.saving > 0 || !s.sure() {
+		s.answer(sub.Entry, id, workload.GaveUp, "the job's end is being written")
+		return
+	}
+	s.answer(sub.Entry, id, workload.Accepted, "known")
+	if k.state == ledger.CancelledEarly {
+		// From now on its caller may ask for it.
+		s.keepAndSave(id, ledger.Cancelled)
+	}
+}
+
+// submitAgain takes another copy of a job in hand.
 func (s *Scheduler) submitAgain(j *job, sub Submission) {
 	if j.stored == nil || j.stored.accepted {
 		s.answer(sub.Entry, j.work.ID, workload.Accepted, "known")
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -65,13 +65,8 @@
 	if !j.work.Stored {
 		return ""
 	}
-	var sum time.Duration
-	for _, q := range s.queue {
-		if q.stored != nil && q.work.Service == j.work.Service {
-			sum += s.waitingWork(q)
-		}
-	}
-	if backlog := sum / time.Duration(capacity); backlog > mostBacklog {
+	work := s.queuedWork(j.work.Service, func(q *job) bool { return q.stored != nil })
+	if backlog := work / time.Duration(capacity); backlog > mostBacklog {
 		return fmt.Sprintf("accepted work for %v waits", backlog.Round(time.Millisecond))
 	}
 	return ""
@@ -110,13 +105,19 @@
 // backlog is the work that waits ahead of a job, in time x thousandths of a
 // core.
 func (s *Scheduler) backlog(j *job) time.Duration {
+	return s.queuedWork(j.work.Service, func(q *job) bool {
+		// A stored job that is late waits until nothing else does.
+		return q.before(j) && (q.stored == nil || !q.late(s.now))
+	})
+}
+
+// queuedWork is the work that waits of some jobs of a service.
+func (s *Scheduler) queuedWork(service string, some func(*job) bool) time.Duration {
 	var sum time.Duration
 	for _, q := range s.queue {
-		if q.work.Service != j.work.Service || !q.before(j) || q.stored != nil && q.late(s.now) {
-			// A stored job that is late waits until nothing else does.
-			continue
+		if q.work.Service == service && some(q) {
+			sum += s.waitingWork(q)
 		}
-		sum += s.waitingWork(q)
 	}
 	return sum
 }
--- a/core/schedule/custody.go
+++ b/core/schedule/custody.go
@@ -77,19 +77,20 @@
 // known for a while after a call to the store has shown it. It is also known
 // while all processes that could are heard, since they follow this one; those
 // that weren't heard before may have taken them meanwhile.
-func (s *Scheduler) sure() bool {
+func (s *Scheduler) sure() bool { return s.owns(s.now - custodyAge) }
+
+// owns reports whether the ownership was proved at a time or later, or nobody can
+// have taken the rows since it was.
+func (s *Scheduler) owns(since Time) bool {
 	c := &s.custody
-	proved := s.now-c.verifiedAt <= custodyAge
-	return c.loaded && (proved || s.allHeard && c.verifiedAt >= s.allHeardSince)
+	unopposed := s.allHeard && c.verifiedAt >= s.allHeardSince
+	return c.loaded && (unopposed || c.verifiedAt >= since)
 }
 
 // certain reports whether no other process can have accepted a job before a
 // given time that isn't known here. While all processes are heard this one knows
 // all; else it must be seen to own the shard's rows after that time.
-func (s *Scheduler) certain(at Time) bool {
-	c := &s.custody
-	return c.loaded && (s.allHeard && c.verifiedAt >= s.allHeardSince || c.verifiedAt >= at)
-}
+func (s *Scheduler) certain(at Time) bool { return s.owns(at) }
 
 // SetAllHeard says whether this process hears all others of the deployment.
 func (s *Scheduler) SetAllHeard(now Time, all bool) {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -94,16 +94,7 @@
 }
 
 func (s *Scheduler) startTasks(p *placer, j *job) {
-	if j.knownFrom > s.now && (j.stored != nil || !s.allListed(j)) {
-		return
-	}
-	if j.handed > 0 && j.stored != nil && s.now < s.custody.knownFrom+storedUnknown && !s.allListed(j) {
-		return
-	}
-	if j.handed > 0 && s.now < s.awaitUntil {
-		return
-	}
-	if j.stored != nil && !s.sure() {
+	if s.heldBack(j) {
 		return
 	}
 	for i := range j.steps {
@@ -127,6 +118,20 @@
 	}
 }
 
+// heldBack reports whether nothing of a job is to be started yet, since schedulers
+// before may have started it or another one may have it.
+func (s *Scheduler) heldBack(j *job) bool {
+	switch {
+	case j.handed > 0 && s.now < s.awaitUntil:
+		return true
+	case j.stored == nil:
+		return s.now < j.knownFrom && !s.allListed(j)
+	case s.now < j.knownFrom || !s.sure():
+		return true
+	}
+	return j.handed > 0 && s.now < s.custody.knownFrom+storedUnknown && !s.allListed(j)
+}
+
 // allListed reports whether all is known that earlier schedulers have started of
 // a job: each runner has listed what it runs since the job came. Had they used a
 // higher token there, it would have refused; and what they haven't started by
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -24,12 +24,10 @@
 	return JobState{Known: k.state != ledger.CancelledEarly, Ended: true, Outcome: outcomeOf(k.state)}
 }
 
-// save has the store keep how far a job is, and returns the record's sequence.
-func (s *Scheduler) save(j *job) uint64 {
-	j.stored.saving = s.saveRecord(j.record())
-	return j.stored.saving
-}
+// save has the store keep how far a job is.
+func (s *Scheduler) save(j *job) { j.stored.saving = s.saveRecord(j.record()) }
 
+// saveRecord has the store keep a record, and returns its sequence.
 func (s *Scheduler) saveRecord(r ledger.Record) uint64 {
 	s.custody.sequence++
 	s.emit(Save{At: s.now, Sequence: s.custody.sequence, Record: r})
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -49,8 +49,7 @@
 	j.handed = int(s.custody.epoch - r.Epoch)
 	j.knownFrom = s.custody.knownFrom
 	j.listsSince = s.now
-	j.arrived = s.now - r.Age
-	j.due, j.useless, j.deadline = j.arrived+r.Work.Objective, j.arrived+lateFactor*r.Work.Objective, never
+	j.setDue(s.now-r.Age, r.Work.Objective)
 	s.timed(j)
 	s.jobs[r.Job] = j
 	s.custody.open++
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -56,7 +56,8 @@
 func (s *Scheduler) listed(r *runner, res HoldResult) {
 	first := !r.owned
 	r.owned = true
-	if len(res.Ends) < endsPerList {
+	whole := len(res.Ends) < endsPerList
+	if whole {
 		r.listedAt = max(r.listedAt, res.Clock.SentAt)
 	}
 	if first {
@@ -76,7 +77,7 @@
 		s.seen(r, k)
 		r.runs[k].noteCheckpoint(res.Checkpoints[k])
 	}
-	if len(res.Ends) < endsPerList {
+	if whole {
 		s.dropStopped(r, listed, res.Clock.SentAt)
 	}
 }
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -158,6 +159,19 @@
 	return false
 }
 
+// withoutTask lists the runs of a job that aren't joined with a task, by their
+// keys. There are hardly ever any, and each job that comes asks for them.
+func (r *runner) withoutTask(id workload.JobID) []*run {
+	var list []*run
+	for _, u := range r.runs {
+		if u.task == nil && u.key.Task.Job == id {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, compareRuns)
+	return list
+}
+
 func (r *runner) free() workload.Resources { return r.info.Capacity.Minus(r.used) }
 
 func (r *runner) add(u *run) {
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -64,6 +64,14 @@
 	waiters map[EntryID]Time
 }
 
+// setDue gives a stored job its times. However late it is, it must be done.
+func (j *job) setDue(arrived Time, objective time.Duration) {
+	j.arrived = arrived
+	j.due = arrived + objective
+	j.useless = arrived + lateFactor*objective
+	j.deadline = never
+}
+
 // tickStored does what is due for stored jobs.
 func (s *Scheduler) tickStored() {
 	s.expireEarly()
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -109,10 +109,7 @@
 		}
 	})
 	for _, r := range s.list {
-		for _, u := range r.inOrder() {
-			if u.task != nil || u.key.Task.Job != j.work.ID {
-				continue
-			}
+		for _, u := range r.withoutTask(j.work.ID) {
 			s.adopt(j, u)
 		}
 	}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -141,38 +141,24 @@
 		delete(s.results, id)
 		s.resultOrder = s.resultOrder[1:]
 	}
-	for id, at := range s.cancelled {
-		if s.now-at > resultRetention {
-			delete(s.cancelled, id)
-		}
-	}
-	for id, at := range s.missing {
-		if s.now-at > MissingMost {
-			delete(s.missing, id)
-		}
-	}
-	for id, at := range s.ran {
-		if s.now-at > ranRetention {
-			delete(s.ran, id)
-		}
-	}
-	for id, at := range s.unstored {
-		if s.now-at > ranRetention {
-			delete(s.unstored, id)
-		}
-	}
-	for name, at := range s.found {
-		if s.now-at > s.cfg.Resend+limboWait {
-			delete(s.found, name)
-		}
-	}
+	dropBefore(s.cancelled, s.now-resultRetention)
+	dropBefore(s.missing, s.now-MissingMost)
+	dropBefore(s.ran, s.now-ranRetention)
+	dropBefore(s.unstored, s.now-ranRetention)
+	dropBefore(s.found, s.now-s.cfg.Resend-limboWait)
+}
+
+func dropBefore[K comparable](m map[K]Time, oldest Time) {
+	maps.DeleteFunc(m, func(_ K, at Time) bool { return at < oldest })
 }
 
 // inOrder lists the runs by their keys.
 func (r *runner) inOrder() []*run {
-	return slices.SortedFunc(maps.Values(r.runs), func(a, b *run) int { return compareKeys(a.key, b.key) })
+	return slices.SortedFunc(maps.Values(r.runs), compareRuns)
 }
 
+func compareRuns(a, b *run) int { return compareKeys(a.key, b.key) }
+
 func compareKeys(a, b workload.RunKey) int {
 	return cmp.Or(
 		cmp.Compare(a.Task.Job, b.Task.Job),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,7 +85,7 @@
 func (w *world) unfinished() []string {
 	for i, job := range w.truth.unfinished() {
 		status, body := w.ask(w.nodes[i%len(w.nodes)], http.MethodGet, job, "", time.Second)
-		w.truth.shown(job, 0, status, body)
+		w.truth.shown(job, status, body)
 	}
 	return w.truth.unfinished()
 }
--- a/soak/truth_test.go
+++ b/soak/truth_test.go
@@ -25,10 +25,11 @@
 	done    map[string]bool
 	refused map[string]bool
 	answers map[string]int
-	// Of stored jobs: those accepted and not shown as completed yet, those shown,
+	// Of stored jobs: those accepted and not shown as completed yet, by their
+	// number of tasks, those shown,
 	// when each task was last started, and when it ended well by an end that was
 	// acknowledged and counts.
-	accepted  map[string]bool
+	accepted  map[string]int
 	completed map[string]bool
 	lastStart map[string]time.Time
 	noted     map[string]time.Time
@@ -42,7 +43,7 @@
 		refused: make(map[string]bool),
 		answers: make(map[string]int),
 
-		accepted:  make(map[string]bool),
+		accepted:  make(map[string]int),
 		completed: make(map[string]bool),
 		lastStart: make(map[string]time.Time),
 		noted:     make(map[string]time.Time),
@@ -149,7 +150,7 @@
 
 // shown checks what the caller of an accepted job is told, and reports whether
 // the job has ended.
-func (t *truth) shown(job string, tasks, status int, body string) bool {
+func (t *truth) shown(job string, status int, body string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
@@ -158,7 +159,7 @@
 	case status == http.StatusOK && strings.Contains(body, "failed"), status == http.StatusOK && strings.Contains(body, "cancelled"):
 		t.note("%s is shown as %s", job, body)
 	case status == http.StatusOK && strings.Contains(body, "completed"):
-		t.allDone(job, tasks)
+		t.allDone(job, t.accepted[job])
 		t.completed[job] = true
 		delete(t.accepted, job)
 	default:
@@ -174,11 +175,11 @@
 	return slices.Sorted(maps.Keys(t.accepted))
 }
 
-func (t *truth) accept(job string) {
+func (t *truth) accept(job string, tasks int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.answers["accepted"]++
-	t.accepted[job] = true
+	t.accepted[job] = tasks
 }
 
 // allDone is called with the lock held.
@@ -258,8 +259,8 @@
 			if status != http.StatusOK {
 				time.Sleep(20 * time.Millisecond)
 			} else if stored(job) {
-				w.truth.accept(job)
-				w.follow(caller, job, tasks)
+				w.truth.accept(job, tasks)
+				w.follow(caller, job)
 			}
 			return
 		}
@@ -272,10 +273,10 @@
 
 // follow asks for a job by one entry VM after the other until it has ended, or for
 // a while.
-func (w *world) follow(caller int, job string, tasks int) {
+func (w *world) follow(caller int, job string) {
 	for begin, k := time.Now(), 0; time.Since(begin) < followTime; k++ {
 		status, body := w.ask(w.nodes[(caller+k)%len(w.nodes)], http.MethodGet, job, "", time.Second)
-		if w.truth.shown(job, tasks, status, body) {
+		if w.truth.shown(job, status, body) {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
