--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -199,7 +199,8 @@
 		event = "job-accepted"
 	}
 	n.notice(event, Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
-		Field{"waited", ms(a.Waited)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
+		Field{"waited", ms(a.Waited)}, Field{"work", ms(a.Work)},
+		Field{"estimate", ms(a.Estimate)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
 	v := gateway.Verdict{From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Reason: a.Reason}
 	if leader.ID(a.Entry) == n.Self() {
 		n.gateway.Decide(a.At, v)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -47,6 +47,10 @@
 	delete(n.pending, id)
 	delete(n.askedFor, id)
 	for _, s := range n.shards {
+		if s.awaited == id {
+			s.awaited = ""
+			s.schedule.AwaitNoLonger(now)
+		}
 		s.schedule.EntryLost(now, schedule.EntryID(id), ended)
 	}
 }
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -185,7 +185,7 @@
 		return
 	}
 	from := n.id
-	w.after(delay, func() {
+	w.after(delay+w.lag[n.name], func() {
 		o := w.byID(c.To)
 		if o == nil || !o.links[from] || !w.joined(n, o) {
 			return
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -46,6 +46,8 @@
 	storeAway map[string]bool
 	parted    map[[2]string]bool
 	shards    int
+	// lag is how much longer what a VM sends to others takes.
+	lag map[string]time.Duration
 	// awake is when the last frozen process wakes.
 	awake   time.Duration
 	numbers uint64
@@ -125,6 +127,7 @@
 		cut:       make(map[string]bool),
 		storeAway: make(map[string]bool),
 		parted:    make(map[[2]string]bool),
+		lag:       make(map[string]time.Duration),
 		listed:    make(map[workload.RunnerID]bool),
 	}
 	w.truth = newTruth(w)
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -65,8 +65,11 @@
 	// Waited is the time from the job's arrival to its first start, and Runs
 	// the number of starts; for logs.
 	Waited time.Duration
-	Runs   int
-	Reason string
+	// Work is how long the runs took, as far as their ends are known: the
+	// longest of each step, summed. Estimate is what that was taken for.
+	Work, Estimate time.Duration
+	Runs           int
+	Reason         string
 }
 
 // Decision is a line for the log.
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -53,6 +53,8 @@
 	steps [][]*taskState
 	// open is the number of tasks of each step that aren't done.
 	open []int
+	// longest is the longest run of each step of those that have ended well.
+	longest []time.Duration
 	// waiting is the number of tasks that wait.
 	waiting int
 	queued  bool
@@ -85,7 +87,7 @@
 
 func newJob(w *workload.Job, now Time) *job {
 	steps := len(w.Steps) * w.Occurrences()
-	j := &job{work: w, arrived: now, open: make([]int, steps)}
+	j := &job{work: w, arrived: now, open: make([]int, steps), longest: make([]time.Duration, steps)}
 	j.steps = make([][]*taskState, steps)
 	for i := range j.steps {
 		tasks := j.stepAt(i).Tasks
@@ -141,6 +143,21 @@
 	}
 }
 
+// ran notes how long the run took that did a task.
+func (j *job) ran(n workload.TaskName, elapsed time.Duration) {
+	i := j.stepIndex(n)
+	j.longest[i] = max(j.longest[i], elapsed)
+}
+
+// longestWork is the time that the longest run of each step took, summed.
+func (j *job) longestWork() time.Duration {
+	var sum time.Duration
+	for _, d := range j.longest {
+		sum += d
+	}
+	return sum
+}
+
 // attempts is how often a task may fail.
 func (j *job) attempts() int { return max(1, j.work.MaxAttempts) }
 
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -27,10 +27,13 @@
 }
 
 const (
-	// progressWait is how long a new leader holds back jobs that another one
-	// had for that one's word on them: some messages between VMs, which take a
-	// millisecond or two, and a pause of a busy process.
-	progressWait = 60 * time.Millisecond
+	// progressWait bounds how long a new leader holds back jobs that another one
+	// had for that one's word on them. The word mostly takes a millisecond or
+	// two, but a busy process may need some hundred, and what the new leader
+	// then starts may have ended already. A process that is about to stop lives
+	// for two and a half seconds more; one that is lost is noticed, and nobody
+	// waits for it. Callers of the shortest jobs wait for a second and a half.
+	progressWait = time.Second
 	// progressAge is how long ago a job may have ended of which the next
 	// scheduler is told: callers wait up to 2.7 s.
 	progressAge = 4 * time.Second
@@ -60,6 +63,13 @@
 // Await holds back jobs that another scheduler had until its Progress comes.
 func (s *Scheduler) Await(now Time) { s.awaitUntil = now + progressWait }
 
+// AwaitNoLonger lets those jobs go: the process that had them is lost.
+func (s *Scheduler) AwaitNoLonger(now Time) {
+	s.now = now
+	s.awaitUntil = 0
+	s.dispatch()
+}
+
 // Learn takes the Progress of the scheduler before.
 func (s *Scheduler) Learn(now Time, p Progress) {
 	s.now = now
