Late and lost answers by their cause, from logs

The scheduler's last line on a job says how long its runs took and what that was taken for: an answer is late by more than the objective leaves beside the estimate, as callers count from the work as it was.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -24,7 +24,7 @@
 		Use:   "entry",
 		Short: "Look at entry processes that run on the platform",
 	}
-	cmd.AddCommand(a.entrySettingsCommand(), a.entryDumpCommand(), a.entryExplainCommand())
+	cmd.AddCommand(a.entrySettingsCommand(), a.entryDumpCommand(), a.entryExplainCommand(), a.entryLossesCommand())
 	return cmd
 }
 
@@ -98,6 +98,29 @@
 	}
 }
 
+func (a *app) entryLossesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "losses [LOG...]",
+		Short: "Count late and lost answers by their causes, from the logs of the entry processes",
+		Long:  "Reads log files, or standard input, finds one cause for each answer that was late or not given, and prints how many fall to each cause and kind of request, and in which seconds since the first line. Jobs whose entry process ended before it answered aren't in the logs.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			lines, err := a.readLogs(args)
+			if err != nil {
+				return err
+			}
+			table := explain.LossTable{Losses: explain.Attribute(lines)}
+			if len(lines) > 0 {
+				table.Begin = lines[0].Time
+			}
+			if a.output == jsonOutput {
+				return a.printJSON(table)
+			}
+			_, err = io.WriteString(a.Out, table.String())
+			return errors.Wrap(err, "write output")
+		},
+	}
+}
+
 func (a *app) readLogs(paths []string) ([]explain.Line, error) {
 	if len(paths) == 0 {
 		return explain.Read(a.In)
