As a cut heals, nobody takes runners before it could hear who leads them

Hypothesis: at a heal the leader of the cut domain takes the other side's runners by its higher token and loses them again; both sides' jobs are held up for a tenth of a second or two, and runs are adopted to and fro. Cause, by random worlds: it asks silent runners again and again with its token, and they answer before the other processes are connected; and a connection alone was taken for hearing a VM. Change: a runner that was silent for 450 ms while a VM isn't heard is only asked whether it is there (an order that it refuses), and left alone for 600 ms from its answer, unless each VM has told whom it follows. Lost processes are dialed every 250 ms (a second before).

--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -10,6 +10,7 @@
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // The leader is stopped as planned, in the middle of jobs of which some tasks
@@ -101,3 +102,35 @@
 		g.Expect(min(pair, next)).To(BeNumerically("<=", 2*delay))
 	}
 }
+
+// A failure domain is cut off for some seconds, and each side has a leader. As the
+// cut heals, that of the domain takes no runner of the others: they are led, and
+// their jobs would be held up.
+func TestNoRunnerIsTakenAsACutHeals(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(10) {
+		w := deployment(seed, 1)
+		old := w.leader()
+		w.load(60, 8*time.Second)
+		w.run(500 * time.Millisecond)
+		domain := "a"
+		if old.domain == "a" {
+			domain = "b"
+		}
+		w.cutOff(domain, 3*time.Second)
+		w.linkDelay = 300 * time.Millisecond
+		w.run(2900 * time.Millisecond)
+		taken := make(map[workload.RunnerID]uint64)
+		for _, r := range w.runners {
+			taken[r.info.ID] = r.token
+		}
+		w.run(3 * time.Second)
+		for _, r := range w.runners {
+			if r.info.Domain != domain {
+				g.Expect(r.token).To(Equal(taken[r.info.ID]), "seed %d: runner %s", seed, r.info.ID)
+			}
+		}
+		g.Expect(w.leader()).To(Equal(old))
+		g.Expect(w.truth.broken).To(BeEmpty())
+	}
+}
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -77,7 +77,7 @@
 	// vms are the VMs of the deployment, this one included; nil if they aren't
 	// known.
 	vms []string
-	// unheard are those of which no process is connected, by when it was.
+	// unheard are those of which no process has told of itself, by since when.
 	unheard map[string]Time
 	store   storeWatch
 	stored  StoredJobs
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -181,12 +181,15 @@
 	}
 }
 
-// noteUnheard notes since when no process of a VM is connected. One that isn't
-// may live behind a cut, and lead there, also if this process has never heard it.
+// noteUnheard notes since when no process of a VM is heard. One that isn't may
+// live behind a cut, and lead there, also if this process has never heard it.
 func (n *Node) noteUnheard(now Time) {
 	heard := map[string]bool{schedule.EntryID(n.Self()).VM(): true}
 	for id := range n.linked {
-		heard[schedule.EntryID(id).VM()] = true
+		// With the connection alone it isn't known whom the process follows.
+		if n.view.Report(id).Number > 0 {
+			heard[schedule.EntryID(id).VM()] = true
+		}
 	}
 	for _, vm := range n.vms {
 		if heard[vm] {
@@ -198,7 +201,7 @@
 	n.view.SetComplete(n.hearsAll())
 }
 
-// hearsAll reports whether a process of every other VM is connected.
+// hearsAll reports whether a process of every other VM is heard.
 func (n *Node) hearsAll() bool { return n.vms != nil && len(n.unheard) == 0 }
 
 // missesSome reports whether a VM isn't heard that may be alive.
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -104,7 +104,7 @@
 // link connects a process with those that it can reach.
 func (w *world) link(n *fakeNode) {
 	for _, o := range w.nodes {
-		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.joined(n, o) || w.now < o.frozen {
+		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.connects(n, o) || w.now < o.frozen {
 			continue
 		}
 		n.links[o.id], o.links[n.id] = true, true
@@ -113,6 +113,16 @@
 	}
 }
 
+// connects reports whether two VMs have been able to talk for long enough.
+func (w *world) connects(n, o *fakeNode) bool {
+	pair := [2]string{n.name, o.name}
+	if !w.joined(n, o) {
+		w.joinedAt[pair] = w.now + w.linkDelay
+		return false
+	}
+	return w.now >= w.joinedAt[pair]
+}
+
 func (w *world) byID(id leader.ID) *fakeNode {
 	for _, n := range w.nodes {
 		if n.id == id && n.node != nil {
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -46,6 +46,9 @@
 	storeAway map[string]bool
 	parted    map[[2]string]bool
 	shards    int
+	// linkDelay is how long after they can reach each other two processes connect.
+	linkDelay time.Duration
+	joinedAt  map[[2]string]time.Duration
 	// lag is how much longer what a VM sends to others takes.
 	lag map[string]time.Duration
 	// onSend sees each message as it is sent, if set.
@@ -130,6 +133,7 @@
 		storeAway: make(map[string]bool),
 		parted:    make(map[[2]string]bool),
 		lag:       make(map[string]time.Duration),
+		joinedAt:  make(map[[2]string]time.Duration),
 		listed:    make(map[workload.RunnerID]bool),
 	}
 	w.truth = newTruth(w)
@@ -284,7 +288,7 @@
 			if h != nil {
 				res = *h
 			}
-			res.Runner, res.Token, res.Look, res.Outcome, res.Clock = c.Runner, c.Token, c.Look, o, clock
+			res.Runner, res.Token, res.Look, res.Presence, res.Outcome, res.Clock = c.Runner, c.Token, c.Look, c.Presence, o, clock
 			n.node.Held(w.now, res)
 		})
 	}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -48,8 +48,9 @@
 	LeaseEnd int64
 	// Wait is how long the runner may wait for an end.
 	Wait time.Duration
-	// Look marks one that is sent beside another.
-	Look bool
+	// Look marks one that is sent beside another, and Presence one that only asks
+	// whether the runner is there.
+	Look, Presence bool
 	// Timeout is how long to wait for the answer, Wait included.
 	Timeout time.Duration
 }
@@ -165,11 +166,12 @@
 
 // HoldResult reports on a Hold.
 type HoldResult struct {
-	Runner  workload.RunnerID
-	Token   uint64
-	Look    bool
-	Outcome CallOutcome
-	Running []workload.RunKey
+	Runner   workload.RunnerID
+	Token    uint64
+	Look     bool
+	Presence bool
+	Outcome  CallOutcome
+	Running  []workload.RunKey
 	// Checkpoints are the newest ones of what runs, where there are any.
 	Checkpoints map[workload.RunKey]string
 	Ends        []workload.End
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -116,11 +116,15 @@
 }
 
 func (b *bench) held(h Hold, ends ...workload.End) {
-	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, Look: h.Look, Outcome: Accepted, Ends: ends, Clock: b.clock()})
+	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, Look: h.Look, Presence: h.Presence, Outcome: Accepted, Ends: ends, Clock: b.clock()})
 }
 
 func (b *bench) answerHold(h Hold, o CallOutcome, running ...workload.RunKey) {
-	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, Look: h.Look, Outcome: o, Running: running, Clock: b.clock()})
+	clock := b.clock()
+	if o == Unanswered {
+		clock.Milliseconds = 0
+	}
+	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, Look: h.Look, Presence: h.Presence, Outcome: o, Running: running, Clock: clock})
 }
 
 func (b *bench) started(c Start, o CallOutcome) {
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -23,6 +23,7 @@
 	r.token = s.token()
 	r.reacquireAt = 0
 	r.holdNext = 0
+	r.apart, r.presentAt, r.askedFrom = false, 0, s.now
 	s.hold(r)
 }
 
@@ -31,6 +32,10 @@
 	if r.holding || r.gone || r.token == 0 {
 		return
 	}
+	if s.apart(r) {
+		s.askPresence(r)
+		return
+	}
 	r.holding = true
 	r.heldAt = s.now
 	h := Hold{
@@ -75,7 +80,7 @@
 
 // look reads a runner's lists now, beside a renewal that may wait there.
 func (s *Scheduler) look(r *runner) {
-	if r.looking || r.gone || !s.leading || r.token == 0 {
+	if r.looking || r.gone || !s.leading || r.token == 0 || s.apart(r) {
 		return
 	}
 	r.looking = true
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -21,7 +21,14 @@
 func (s *Scheduler) Held(now Time, res HoldResult) {
 	s.now = now
 	r := s.runners[res.Runner]
-	if r == nil || r.gone || res.Token != r.token || !s.leading {
+	if r == nil || r.gone || !s.leading {
+		return
+	}
+	if res.Presence {
+		s.present(r, res)
+		return
+	}
+	if res.Token != r.token {
 		return
 	}
 	if res.Look {
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -50,6 +50,11 @@
 	// listedAt is when the Hold was sent whose answer was the last list.
 	listedAt Time
 	holdNext Time
+	// apart runners are out of reach, and perhaps led by another process;
+	// presentAt is when one has answered again, and askedFrom when it was asked
+	// for or left alone last. See Scheduler.apart.
+	apart                bool
+	presentAt, askedFrom Time
 
 	// acknowledged is the sequence up to which the runner may forget ends, and
 	// ends are those noted since.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -46,6 +46,7 @@
 			Runner:      c.Runner,
 			Token:       c.Token,
 			Look:        c.Look,
+			Presence:    c.Presence,
 			Outcome:     a.Outcome,
 			Running:     a.Running,
 			Checkpoints: a.Checkpoints,
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -24,7 +24,9 @@
 	idleTimeout      = 600 * time.Millisecond
 	handshakeTimeout = 500 * time.Millisecond
 	redialFirst      = 100 * time.Millisecond
-	redialMost       = time.Second
+	// redialMost bounds the pause between two tries. As a cut heals, both sides
+	// have a scheduler until they hear each other.
+	redialMost = 250 * time.Millisecond
 	// queueLength bounds the messages that wait for one peer.
 	queueLength = 4096
 	// maxMessage bounds a message: a job of 4,000 bytes and 4,096 tasks, or a
