Refusals don't count what is held back; a new process finds the others before it leads

Change: the wait that is expected counts neither what is held back nor what is late (both come after); a process listens for 150 ms (200 before) from when it knows which others there are, 2 s if it doesn't learn it.

--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -172,8 +172,9 @@
 
 // SetVMs says which VMs have entry processes, this one included. Some may be
 // gone for good.
-func (n *Node) SetVMs(vms []string) {
+func (n *Node) SetVMs(now Time, vms []string) {
 	n.vms = vms
+	n.view.Found(now)
 	for vm := range n.unheard {
 		if !slices.Contains(vms, vm) {
 			delete(n.unheard, vm)
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -141,7 +141,7 @@
 		w.do(n, func() {
 			n.node.StoreRead(w.now, w.store.any())
 			n.node.Layout(w.now, w.shards)
-			n.node.SetVMs(slices.Clone(w.vms))
+			n.node.SetVMs(w.now, slices.Clone(w.vms))
 			n.node.Declared(w.now, &routing.Declaration{Version: 1}, "store")
 			n.node.RunnersRead(w.now, w.list())
 		})
--- a/core/fleet/start_test.go
+++ b/core/fleet/start_test.go
@@ -57,6 +57,7 @@
 	n.Registered(0, "a#1", 1)
 	n.Layout(0, 1)
 	n.Declared(0, &routing.Declaration{Version: 1}, "store")
+	n.SetVMs(0, []string{"a", "b"})
 	n.Tick(300 * time.Millisecond)
 	n.Tick(310 * time.Millisecond)
 	g.Expect(n.Leads()).To(BeFalse())
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -39,10 +39,15 @@
 	// lost: three heartbeats. A lost datagram is sent again within some tens of
 	// milliseconds, so what this bears is a pause of a process for two.
 	LostAfter = 450 * time.Millisecond
-	// settle is how long a new process listens before it may lead: the older
-	// ones connect in this time. It needn't wait for anybody once all have told
-	// it that they could lead too.
-	settle = 200 * time.Millisecond
+	// settle is how long a new process listens before it may lead, from when it
+	// knows which others there are: it connects with them in some 50 ms, or 80 if
+	// all start at once. It needn't wait for anybody once all have told it that
+	// they could lead too.
+	settle = 150 * time.Millisecond
+	// settleMost is how long it waits to learn which others there are. Beside a
+	// store in trouble one led by itself with the few runners that it had read
+	// of, and held up jobs and runners of the scheduler that it hadn't found yet.
+	settleMost = 2 * time.Second
 	// yieldWait is how long a leader goes on while the one that should lead
 	// hasn't said that it does.
 	yieldWait = 300 * time.Millisecond
@@ -100,6 +105,8 @@
 	self  ID
 	own   Report
 	begin Time
+	// found: it knows which other processes there are; begin is from then on.
+	found bool
 	// complete: a process of each VM of the deployment is heard.
 	complete bool
 	// yieldSince is when this process, leading a shard, began to wait for
@@ -138,6 +145,22 @@
 // Able reports whether this process could schedule.
 func (v *View) Able() bool { return v.own.Able }
 
+// Found notes that the process knows which others there are.
+func (v *View) Found(now Time) {
+	if !v.found {
+		v.found, v.begin = true, now
+	}
+}
+
+// settled reports whether the process has listened for long enough to lead.
+func (v *View) settled(now Time) bool {
+	wait := settle
+	if !v.found {
+		wait = settleMost
+	}
+	return now-v.begin >= wait || v.allAble()
+}
+
 // SetComplete says whether a process of each VM is heard.
 func (v *View) SetComplete(complete bool) { v.complete = complete }
 
@@ -281,7 +304,7 @@
 // but for age, in the order of their ids.
 func (v *View) best(now Time) []ID {
 	var able []ID
-	if v.own.Able && (now-v.begin >= settle || v.allAble()) {
+	if v.own.Able && v.settled(now) {
 		able = append(able, v.self)
 	}
 	for id, p := range v.peers {
@@ -296,13 +319,17 @@
 }
 
 // allAble reports whether each VM of the deployment has a process that has said
-// that it could lead. Then who should is known: nobody older is still to come.
+// that it could lead, since this one began to listen. Then who should is known:
+// nobody older is still to come.
+//
+// What was said before a pause of this process doesn't count. It would lead again
+// as it wakes, with jobs in its queue that have long been handed to another one.
 func (v *View) allAble() bool {
 	if !v.complete {
 		return false
 	}
 	for _, p := range v.peers {
-		if !p.report.Able {
+		if !p.report.Able || p.heard <= v.begin {
 			return false
 		}
 	}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -13,6 +13,7 @@
 func view() (*View, Time) {
 	v := NewView("", 0)
 	v.Register(0, "b", 2)
+	v.Found(0)
 	v.SetShards(1)
 	v.SetAble(true)
 	return v, time.Second
@@ -42,18 +43,40 @@
 	g := NewWithT(t)
 	v := NewView("", 0)
 	v.Register(0, "b", 2)
+	v.Found(0)
 	v.SetShards(1)
 	v.SetAble(true)
 	g.Expect(choose(v, settle-ms, false)).To(Equal(Choice{}))
 	g.Expect(choose(v, settle, false).Leader).To(Equal(ID("b")))
 }
 
+// A process has just started beside a store in trouble, and doesn't know yet which
+// others there are. It leads nothing for as long: one of them may.
+func TestNewProcessFindsTheOthersFirst(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView("", 0)
+	v.Register(0, "b", 2)
+	v.SetShards(1)
+	v.SetAble(true)
+	g.Expect(choose(v, settle, false)).To(Equal(Choice{}))
+	v.Found(settle)
+	g.Expect(choose(v, 2*settle-ms, false)).To(Equal(Choice{}))
+	g.Expect(choose(v, 2*settle, false).Leader).To(Equal(ID("b")))
+
+	v = NewView("", 0)
+	v.Register(0, "b", 2)
+	v.SetShards(1)
+	v.SetAble(true)
+	g.Expect(choose(v, settleMost, false).Leader).To(Equal(ID("b")), "somebody must")
+}
+
 // All processes of a deployment start at once, after a loss of power. As soon as
 // each has said that it could lead, the oldest does: callers wait for it.
 func TestLeadsAtOnceWhenAllAreHeard(t *testing.T) {
 	g := NewWithT(t)
 	v := NewView("", 0)
 	v.Register(0, "b", 2)
+	v.Found(0)
 	v.SetShards(1)
 	v.SetAble(true)
 	v.Heard(ms, "c", able(3, ""))
@@ -66,6 +89,24 @@
 	g.Expect(choose(v, 6*ms, false).Leader).To(Equal(ID("a")))
 }
 
+// The leader was frozen, and wakes. It has heard all others, but before the pause:
+// another one leads by now.
+func TestAWokenProcessListensAgain(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView("", 0)
+	v.Register(0, "b", 2)
+	v.Found(0)
+	v.SetShards(1)
+	v.SetAble(true)
+	v.Heard(ms, "c", able(3, "b"))
+	v.SetComplete(true)
+	g.Expect(choose(v, 2*ms, false).Leader).To(Equal(ID("b")))
+	v.Stalled(1000*ms, true)
+	g.Expect(choose(v, 1000*ms, false)).To(Equal(Choice{}))
+	v.Heard(1001*ms, "c", able(3, "c"))
+	g.Expect(choose(v, 1001*ms, false).Leader).To(Equal(ID("c")))
+}
+
 // The oldest process has connected but doesn't know yet that it should lead. A
 // job handed to it would wait; and a leader that stopped now would leave a gap.
 func TestNobodyFollowsAProcessThatDoesntLeadYet(t *testing.T) {
@@ -149,6 +190,7 @@
 	first := func(lost ID) map[int]ID {
 		v := NewView("", 0)
 		v.Register(0, "b", 2)
+	v.Found(0)
 		v.SetShards(shards)
 		v.SetAble(true)
 		for i, id := range []ID{"a", "c", "d"} {
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -103,11 +103,13 @@
 }
 
 // backlog is the work that waits ahead of a job, in time x thousandths of a
-// core.
+// core. Jobs that are late come after all that aren't; and those that are held
+// back, as another scheduler may have started them, wait for that and not for
+// room. Counted, they had nearly all jobs of a cut off failure domain refused for
+// half a second, while its runners had room.
 func (s *Scheduler) backlog(j *job) time.Duration {
 	return s.queuedWork(j.work.Service, func(q *job) bool {
-		// A stored job that is late waits until nothing else does.
-		return q.before(j) && (q.stored == nil || !q.late(s.now))
+		return q.before(j) && !q.late(s.now) && !s.heldBack(q)
 	})
 }
 
--- a/core/schedule/load_test.go
+++ b/core/schedule/load_test.go
@@ -261,3 +261,21 @@
 	b.g.Expect(rounds).To(BeNumerically("<=", 8))
 	b.g.Expect(b.s.Term()).To(BeNumerically("<", 2*1500), "it doesn't run ahead either")
 }
+
+// A failure domain is cut off, and its new scheduler is handed the jobs that the
+// one before had. They are held back until what that one has started must be over.
+// New jobs aren't behind them: the runners have room, and no caller is turned away
+// for a wait that isn't one.
+func TestJobsHeldBackAreNotInTheWay(t *testing.T) {
+	b := leading(t, testRunner("near"))
+	b.s.SetMissing(true)
+	b.s.Suspect(b.now, []workload.Runner{testRunner("far")})
+	for range 30 {
+		b.s.Submit(b.now, Submission{Job: testJob(8, 60*ms), Entry: entryA, Due: 150 * ms, Patience: 1500 * ms, Handed: 1, Unknown: 1300 * ms})
+	}
+	b.tick(200 * ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.submit(testJob(2, 60*ms), 1500*ms)
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+	b.g.Expect(take[Start](b)).To(HaveLen(2))
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -93,7 +93,7 @@
 	for i, m := range list {
 		vms[i] = m.Node
 	}
-	p.post(func(Time) { p.node.SetVMs(vms) })
+	p.post(func(now Time) { p.node.SetVMs(now, vms) })
 }
 
 // checkOwnRow compares this process's row with what it knows of itself.
