--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -47,6 +47,8 @@
 	reachedAt   Time
 	lastArrival Time
 	stopAt      Time
+	// strained: work waited for long when that was last looked at.
+	strained bool
 	// strainedAt is when this process last gave up the lead for being slow.
 	strainedAt Time
 	// early are requests that came before the shards were known.
@@ -369,6 +371,9 @@
 	// that between an answer's coming and its being read counts as unanswered,
 	// is ordered again, and the process falls behind for good.
 	strainMost = 30 * time.Millisecond
+	// strainSure is what shows by itself that the VM is slow. Between the two it
+	// may be a burst; that is over by the next look.
+	strainSure = 2 * strainMost
 	// strainPause is how long a process keeps the lead that it has got back, or
 	// that no other takes, before it gives it up again: if all are short of
 	// processor, a change every second would make it worse.
@@ -381,7 +386,12 @@
 // is late, and as the oldest take the lead back when it is heard again, time and
 // again; its callers and those of all others would wait.
 func (n *Node) Strained(now Time, wait time.Duration) {
-	if wait < strainMost || !n.Leads() || n.strainedAt > 0 && now-n.strainedAt < strainPause {
+	twice := n.strained
+	n.strained = wait >= strainMost
+	if !n.strained || !twice && wait < strainSure {
+		return
+	}
+	if !n.Leads() || n.strainedAt > 0 && now-n.strainedAt < strainPause {
 		return
 	}
 	n.strainedAt = now
