--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -51,6 +51,8 @@
 	strained bool
 	// strainedAt is when this process last gave up the lead for being slow.
 	strainedAt Time
+	// ledAt is when it last came to lead a shard.
+	ledAt Time
 	// early are requests that came before the shards were known.
 	early []earlyRequest
 	// pending is what each process that leads has last said.
@@ -382,6 +384,9 @@
 	// that no other takes, before it gives it up again: if all are short of
 	// processor, a change every second would make it worse.
 	strainPause = 5 * time.Second
+	// strainSettle is how long after coming to lead a shard a process may be busy
+	// with that: it opens connections to all runners.
+	strainSettle = 1500 * time.Millisecond
 )
 
 // Strained takes how long work that was ready has waited for the processor, on
@@ -395,12 +400,13 @@
 	if !n.strained || !twice && wait < strainSure {
 		return
 	}
-	if !n.Leads() || n.strainedAt > 0 && now-n.strainedAt < strainPause {
+	recent := n.strainedAt > 0 && now-n.strainedAt < strainPause
+	if !n.Leads() || recent || now-n.ledAt < strainSettle || !n.view.Relief(now) {
 		return
 	}
 	n.strainedAt = now
 	n.warn("process-strained", Field{"wait", ms(wait)}, Field{"jobs", n.gateway.InHand()})
-	n.view.Demote()
+	n.view.Strain()
 	n.heartbeatAll(now)
 	n.follow(now)
 }
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -140,6 +140,7 @@
 			s.awaited = before
 			s.schedule.Await(now)
 		}
+		n.ledAt = now
 		s.schedule.Lead(now)
 		n.ownRows(now, s)
 	} else {
--- a/core/fleet/strain_test.go
+++ b/core/fleet/strain_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -60,3 +61,45 @@
 	}
 	g.Expect(changes).To(BeNumerically("<=", len(w.nodes)))
 }
+
+// A deployment of several shards, in which each process as good leads one. All are
+// short of processor in a burst. Nobody gives up a shard: whoever got it as the
+// second would fall behind for good, and after that the next.
+func TestNobodyGivesUpAShardThatNoneCanTake(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 6)
+	w.run(3 * time.Second)
+	leaders := func() (list []string) {
+		for _, n := range w.nodes {
+			if n.node.Leads() {
+				list = append(list, n.name)
+			}
+		}
+		return list
+	}
+	g.Expect(leaders()).To(HaveLen(6))
+	changed := false
+	w.onSend = func(_ *fakeNode, c fleet.Send) {
+		if h, ok := c.Message.(fleet.Heartbeat); ok && h.Report.Strains > 0 {
+			changed = true
+		}
+	}
+	for range 10 {
+		for _, n := range w.nodes {
+			w.do(n, func() { n.node.Strained(w.now, 80*time.Millisecond) })
+		}
+		w.run(200 * time.Millisecond)
+	}
+	g.Expect(changed).To(BeFalse())
+	g.Expect(leaders()).To(HaveLen(6))
+}
+
+// A process that has just come to lead is busy for a moment. That is no strain.
+func TestATakeoverIsNoStrain(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	n := w.leader()
+	w.do(n, func() { n.node.Strained(w.now, 80*time.Millisecond) })
+	w.run(100 * time.Millisecond)
+	g.Expect(w.leader()).To(Equal(n))
+}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -65,6 +65,8 @@
 	Stopping bool
 	// Demotions counts the times that the process was frozen while it led.
 	Demotions uint32
+	// Strains counts the times that it gave up the lead since its VM was slow.
+	Strains uint32
 	// StoreTrouble: it leads, and needs the store and can't reach it.
 	StoreTrouble bool
 	// StoreReached: it was asked whether it reaches the store, and does.
@@ -177,6 +179,31 @@
 // it doesn't take the lead back.
 func (v *View) Demote() { v.own.Demotions++ }
 
+// Strain ranks the process behind those of its kind that weren't slow as often.
+func (v *View) Strain() { v.own.Strains++ }
+
+// Relief reports whether another process could take over what this one leads: one
+// as good that leads nothing. Handed to one that leads as well, the load would
+// strain that one, and so on until none is left that can bear it.
+func (v *View) Relief(now Time) bool {
+	for id, p := range v.peers {
+		if !p.report.Able || now-p.heard > LostAfter || p.report.leads(id) {
+			continue
+		}
+		r := p.report
+		r.Strains = v.own.Strains
+		if compareClass(&r, &v.own) <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// leads reports whether a process says that it leads a shard.
+func (r *Report) leads(id ID) bool {
+	return slices.ContainsFunc(r.Follows, func(f Follow) bool { return f.Leader == id })
+}
+
 // Stop says that the process is about to end.
 func (v *View) Stop() { v.own.Stopping = true }
 
@@ -403,9 +430,14 @@
 
 // class compares two processes by what counts before age; less than 0 if x
 // comes first: those that aren't about to end, then those that reach the store,
-// then those that were never frozen, then those with twice the processor or more.
+// then those that were never frozen, then those with twice the processor or more,
+// then those that were never slow: a large VM that was is still better than a small
+// one.
 func (v *View) class(x, y ID) int {
-	a, b := v.rank(x), v.rank(y)
+	return compareClass(v.rank(x), v.rank(y))
+}
+
+func compareClass(a, b *Report) int {
 	switch {
 	case a.Stopping != b.Stopping:
 		return first(b.Stopping)
@@ -417,6 +449,8 @@
 		return -1
 	case b.MilliCPU >= 2*a.MilliCPU && a.MilliCPU > 0:
 		return 1
+	case a.Strains != b.Strains:
+		return first(a.Strains < b.Strains)
 	}
 	return 0
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -22,6 +22,9 @@
 type Time = task.Time
 
 const (
+	// pendingInterval is how often the counts of waiting jobs are published; they
+	// may be two seconds old, and come with heartbeats.
+	pendingInterval = 200 * time.Millisecond
 	// gaugeInterval is how often gauges are brought up to date.
 	gaugeInterval = time.Second
 	// configurationWait is how long requests wait for the first configuration. A
@@ -42,6 +45,7 @@
 	clock    *clock
 	metrics  *metrics
 	events   chan func()
+	calls    *workers
 	// ended is closed when a planned stop is over.
 	ended chan struct{}
 
@@ -60,12 +64,15 @@
 	queries  map[uint64]chan fleet.StateAnswer
 	lastID   uint64
 	gaugesAt Time
+	// pendingAt is when the counts of waiting jobs were last published.
+	pendingAt Time
 
 	// What follows is read by others.
 	ready     atomic.Bool
 	laidOut   atomic.Bool
 	stopping  atomic.Bool
 	readOften atomic.Bool
+	leads     atomic.Bool
 	readNow   chan struct{}
 	declared  atomic.Pointer[routing.Table]
 	// configured is closed with the first configuration.
@@ -89,6 +96,7 @@
 		clock:    c,
 		metrics:  newMetrics(),
 		events:   make(chan func(), eventQueue),
+		calls:    newWorkers(),
 		ended:    make(chan struct{}),
 		node:     fleet.New(cfg.Schedule, cfg.Grace, cfg.MilliCPU, c.now()),
 		replies:  make(map[uint64]chan Reply),
@@ -187,11 +195,11 @@
 func (p *Process) order(ctx context.Context, o schedule.Command) {
 	switch o := o.(type) {
 	case schedule.Start:
-		go p.startTask(ctx, o)
+		p.calls.run(func() { p.startTask(ctx, o) })
 	case schedule.Stop:
-		go p.stopTask(ctx, o)
+		p.calls.run(func() { p.stopTask(ctx, o) })
 	case schedule.Hold:
-		go p.holdRunner(ctx, o)
+		p.calls.run(func() { p.holdRunner(ctx, o) })
 	default:
 		panic(fmt.Sprintf("unknown order %T", o))
 	}
@@ -221,8 +229,12 @@
 	now := p.clock.now()
 	p.mesh.SetAlone(p.node.Alone(now))
 	p.readOften.Store(p.node.ReadOften())
-	pending := p.node.Pending()
-	p.pending.Store(&pending)
+	p.leads.Store(p.node.Leads())
+	if now-p.pendingAt >= pendingInterval {
+		p.pendingAt = now
+		pending := p.node.Pending()
+		p.pending.Store(&pending)
+	}
 	if p.declared.Load().Version() != p.node.Version() {
 		first := p.declared.Load().Current() == nil
 		table := p.node.Table()
--- a/entry/strain.go
+++ b/entry/strain.go
@@ -32,6 +32,13 @@
 			return
 		case <-ticker.C:
 		}
+		if !p.leads.Load() {
+			// Nobody else waits for this process, and a VM has fifty looks a second
+			// to spare for better things.
+			meter = newStrainMeter(time.Now())
+			pause(ctx, strainWindow)
+			continue
+		}
 		begin := time.Now()
 		runtime.Gosched()
 		end := time.Now()
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -203,6 +203,7 @@
 		Able:               h.Report.Able,
 		Stopping:           h.Report.Stopping,
 		Demotions:          h.Report.Demotions,
+		Strains:            h.Report.Strains,
 		StoreTrouble:       h.Report.StoreTrouble,
 		StoreReached:       h.Report.StoreReached,
 		StoreLost:          h.Report.StoreLost,
@@ -234,6 +235,7 @@
 			Able:      m.GetAble(),
 			Stopping:  m.GetStopping(),
 			Demotions: m.GetDemotions(),
+			Strains:   m.GetStrains(),
 
 			StoreTrouble: m.GetStoreTrouble(),
 			StoreReached: m.GetStoreReached(),
--- /dev/null
+++ b/entry/workers_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// A call that never comes back, as to a runner that has fallen silent, holds up no
+// other one, however many there are.
+func TestWorkersWaitForNobody(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorkers()
+	stuck := make(chan struct{})
+	defer close(stuck)
+	var done sync.WaitGroup
+	var mu sync.Mutex
+	count := 0
+	for i := range 3 * restMost {
+		if i%2 == 0 {
+			w.run(func() { <-stuck })
+			continue
+		}
+		done.Add(1)
+		w.run(func() {
+			defer done.Done()
+			mu.Lock()
+			defer mu.Unlock()
+			count++
+		})
+	}
+	done.Wait()
+	g.Expect(count).To(Equal(3 * restMost / 2))
+}
