--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -20,6 +20,9 @@
 	// refused: four callers in five would wait for nothing, and the work would
 	// be in the way of others.
 	leastChance = 0.2
+	// listsTime is how long runners take to list what they run, connections to them
+	// being opened first; one that hasn't by then can't be reached.
+	listsTime = 150 * time.Millisecond
 	// retryLeast and retryMost bound when a refused caller may come back.
 	retryLeast = time.Second
 	retryMost  = 10 * time.Second
@@ -73,9 +76,15 @@
 }
 
 // hopeless reports whether a job will hardly be done before its caller leaves,
-// even on the fastest runners.
+// even on the fastest runners. One that is held back, since runners can't be asked
+// what they run, doesn't begin before all that an earlier scheduler may have
+// started is over.
 func (s *Scheduler) hopeless(j *job) bool {
-	return chance(j.remaining, s.fastestPace(j.work.Service), j.deadline-s.now) < leastChance
+	begin := s.now
+	if s.now-j.listsSince > listsTime && s.heldBack(j) {
+		begin = max(begin, j.knownFrom)
+	}
+	return chance(j.remaining, s.fastestPace(j.work.Service), j.deadline-begin) < leastChance
 }
 
 func (s *Scheduler) fastestPace(service string) float64 {
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -160,6 +160,13 @@
 	return sum
 }
 
+// idle reports whether nothing of the job runs, as far as is known.
+func (j *job) idle() bool {
+	idle := true
+	j.each(func(t *taskState) { idle = idle && t.phase != running })
+	return idle
+}
+
 // attempts is how often a task may fail.
 func (j *job) attempts() int { return max(1, j.work.MaxAttempts) }
 
--- a/core/schedule/load_test.go
+++ b/core/schedule/load_test.go
@@ -315,3 +315,21 @@
 	b.end("r1", 2, running[1].Run, workload.Done)
 	b.g.Expect(one[Start](b).Run.Task.Job).To(Equal(old.ID))
 }
+
+// A failure domain is cut off, and a job is handed over that its new scheduler may
+// begin only when the caller is about to leave. The caller is told as soon as that
+// is known, and not when its time is over; another job has time enough, and waits.
+func TestHandedOverJobsWithoutHopeAreGivenUpAtOnce(t *testing.T) {
+	b := leading(t, testRunner("near"))
+	b.s.SetMissing(true)
+	b.s.Suspect(b.now, []workload.Runner{testRunner("far")})
+	hopeless, waits := testJob(1, 200*ms), testJob(1, 200*ms)
+	b.s.Submit(b.now, Submission{Job: hopeless, Entry: entryA, Due: 100 * ms, Patience: 1350 * ms, Handed: 1, Unknown: 1300 * ms})
+	b.s.Submit(b.now, Submission{Job: waits, Entry: entryA, Due: 100 * ms, Patience: 2500 * ms, Handed: 1, Unknown: 1300 * ms})
+	b.tick(100 * ms)
+	b.g.Expect(take[Answer](b)).To(BeEmpty(), "the runner may yet tell")
+	b.tick(100 * ms)
+	a := one[Answer](b)
+	b.g.Expect(a.Job).To(Equal(hopeless.ID))
+	b.g.Expect(a.Outcome).To(Equal(workload.GaveUp))
+}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -48,7 +48,10 @@
 		s.forget(j)
 	case s.now >= j.deadline:
 		s.finish(j, workload.NotRun, "time is up")
-	case !j.started && (s.hopeless(j) || s.now+j.remaining > j.useless && j.late(s.now)):
+	case !j.started && (s.hopeless(j) || j.worthless(s.now) && j.late(s.now)):
+		s.finish(j, workload.NotRun, "too little time is left")
+	case j.idle() && s.hopeless(j):
+		// Its caller waits for nothing, and learns that now.
 		s.finish(j, workload.NotRun, "too little time is left")
 	}
 }
