Jobs count as late while they have an even chance

Hypothesis: with more to do than there is room, all jobs begin at their latest start by their estimates, which spread by 1.5 either way, and half of them come late. Change: a job is late, and comes after those that aren't, when it wouldn't end in time four times in five.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -23,11 +23,20 @@
 // estimate is right. It can be before its arrival.
 func (j *job) latestStart() Time { return j.due - j.remaining }
 
+// lateSpread is the share of its estimate, in percent, that a job needs to end
+// within its objective four times in five: estimates spread by estimateSpread.
+const lateSpread = 146
+
 // late reports whether a job has waited too long to end within its objective.
 // One whose estimate leaves it no time to wait isn't late as it arrives: it
 // needs to begin at once, and estimates are often too long.
+//
+// It counts as late while it still has an even chance. With more to do than there
+// is room, all jobs would else begin at their latest start, and half of them come
+// late; others, that have just come, would have ended in time in their place.
 func (j *job) late(now Time) bool {
-	return now > max(j.latestStart(), j.arrived+j.tolerance())
+	latest := j.due - j.remaining*lateSpread/100
+	return now > max(latest, j.arrived+j.tolerance())
 }
 
 // tolerance is how long any job may wait.
