A process that is about to give up the lead proves what it denies; a pause is no strain

By reading: a process that hears all others counts itself as the owner of the stored jobs without asking the store. Since leaders give up the lead when their VM is slow, and a paused process takes its pause for that, another one may take the jobs and accept one while this one hasn't heard of it yet. Change: from when it knows that another one should lead, a process proves its ownership in the store before it denies anything; the strain is a median of three looks or more, so a pause isn't one.

--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -127,6 +127,7 @@
 
 func (n *Node) followShard(now Time, s *shard) bool {
 	c := n.view.Choose(now, s.index, s.schedule.Leading())
+	s.schedule.SetContested(n.view.Yields(s.index))
 	if c == s.choice {
 		return false
 	}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -255,6 +255,10 @@
 	return Choice{Leader: leader, Reachable: leader != ""}
 }
 
+// Yields reports whether this process, leading a shard, waits for another one to
+// do so.
+func (v *View) Yields(shard int) bool { return v.yieldSince[shard] > 0 }
+
 // yield makes a process that leads go on for a while before it follows another.
 func (v *View) yield(now Time, shard int, leading bool, other Choice) Choice {
 	if !leading {
--- a/core/schedule/custody.go
+++ b/core/schedule/custody.go
@@ -83,7 +83,7 @@
 // have taken the rows since it was.
 func (s *Scheduler) owns(since Time) bool {
 	c := &s.custody
-	unopposed := s.allHeard && c.verifiedAt >= s.allHeardSince
+	unopposed := s.allHeard && c.verifiedAt >= s.allHeardSince && !s.contested
 	return c.loaded && (unopposed || c.verifiedAt >= since)
 }
 
@@ -100,6 +100,10 @@
 	s.allHeard = all
 }
 
+// SetContested says whether another process is about to lead in place of this one.
+// It may take the shard's rows, and accept jobs, before this one hears that it does.
+func (s *Scheduler) SetContested(contested bool) { s.contested = contested }
+
 // CustodyLost drops all stored jobs: another process has taken them. It finds
 // what runs on the runners that it reaches, and starts the rest again when that
 // must be over, so what runs here is stopped.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -189,7 +189,9 @@
 	misses bool
 	// allHeard: all processes of the deployment are heard, without a break since
 	// allHeardSince.
-	allHeard      bool
+	allHeard bool
+	// contested: another process is about to lead.
+	contested     bool
 	allHeardSince Time
 	// heard is when each entry process was last heard.
 	heard map[EntryID]Time
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -446,3 +446,16 @@
 	g := NewWithT(t)
 	g.Expect(custodyAge + tick + longestLife(DefaultConfig().Lease)).To(BeNumerically("<", storedUnknown))
 }
+
+// Another process is about to lead, as this one has said that its VM is slow. It
+// may have taken the jobs and accepted one that this process is asked about before
+// it hears of that. All are heard, but that doesn't prove any more that nobody has.
+func TestAJobIsNotDeniedWhileAnotherIsAboutToLead(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	asked := b.now
+	b.g.Expect(b.s.State("00000000000000ff", asked).Unsure).To(BeFalse())
+	b.s.SetContested(true)
+	b.g.Expect(b.s.State("00000000000000ff", asked+ms).Unsure).To(BeTrue())
+	b.s.Verified(asked+10*ms, asked+5*ms)
+	b.g.Expect(b.s.State("00000000000000ff", asked+ms).Unsure).To(BeFalse(), "the store has proved it since")
+}
--- a/entry/strain.go
+++ b/entry/strain.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"time"
 )
 
 const (
 	// strainInterval is the pause between two looks at how long work that is
-	// ready waits for the processor, and strainWindow the time over which these
-	// are averaged: a takeover keeps a small VM busy for a tenth of a second.
+	// ready waits for the processor; strainWindow and strainLooks are the time and
+	// the number of looks of which the median counts: a takeover keeps a small VM
+	// busy for a tenth of a second.
 	strainInterval = 20 * time.Millisecond
 	strainWindow   = 200 * time.Millisecond
+	strainLooks    = 3
 )
 
 // watchStrain measures how long work that is ready waits for the processor, and
@@ -42,29 +45,29 @@
 		begin := time.Now()
 		runtime.Gosched()
 		end := time.Now()
-		if mean, whole := meter.add(end, end.Sub(begin)); whole {
-			p.post(func(now Time) { p.node.Strained(now, mean) })
+		if median, whole := meter.add(end, end.Sub(begin)); whole {
+			p.post(func(now Time) { p.node.Strained(now, median) })
 		}
 	}
 }
 
-// strainMeter averages waits over windows of time.
+// strainMeter takes the median of waits over windows of time: a single pause of the
+// process, however long, is no sign of a slow VM.
 type strainMeter struct {
 	begin time.Time
-	sum   time.Duration
-	count int
+	waits []time.Duration
 }
 
 func newStrainMeter(now time.Time) *strainMeter { return &strainMeter{begin: now} }
 
-// add takes a wait; with the last one of a window it returns the mean.
-func (m *strainMeter) add(now time.Time, wait time.Duration) (mean time.Duration, whole bool) {
-	m.sum += wait
-	m.count++
-	if now.Sub(m.begin) < strainWindow {
+// add takes a wait; with the last one of a window it returns the median.
+func (m *strainMeter) add(now time.Time, wait time.Duration) (median time.Duration, whole bool) {
+	m.waits = append(m.waits, wait)
+	if now.Sub(m.begin) < strainWindow || len(m.waits) < strainLooks {
 		return 0, false
 	}
-	mean = m.sum / time.Duration(m.count)
-	*m = strainMeter{begin: now}
-	return mean, true
+	slices.Sort(m.waits)
+	median = m.waits[len(m.waits)/2]
+	m.begin, m.waits = now, m.waits[:0]
+	return median, true
 }
