One place for what the last changes wrote twice

Read again as a newcomer. Behaviour stays, but for the one point marked below. - Whether a list of runners has changed was told by a comparison and by a digest of the same fields, which had to be kept alike by hand: the digest alone does it. - A runner is added in one place, and the list of runners sorted in one. - Whose word a new leader awaits is the scheduler's own state: it is told of lost processes anyway, and the copy in the shard, which stayed after the word had come, goes. Marked: jobs of the process that was lost are dropped before the others are let go, and not started in between. - Which VMs are heard was worked out again with each heartbeat, some hundred times a second on a large VM; at a process's first report and at each tick is enough. - explain: the scheduler's last word on a job is looked up once for its cause, and what counts as a long run stands once. - Tests: one set-up of a process that has just started, one check that nothing was started again; the assertions are the same. The comment on the lines of a real run says that one was changed. - Comments that stood at the wrong constant, or gave figures of the former heartbeat interval.

--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -13,6 +13,13 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
+// expectNothingAgain checks that no task was started more than once.
+func (w *world) expectNothingAgain(g *WithT, seed uint64) {
+	for id, j := range w.jobs {
+		g.Expect(j.starts).To(BeNumerically("<=", j.work.Tasks()), "seed %d: job %s", seed, id)
+	}
+}
+
 // The leader is stopped as planned, in the middle of jobs of which some tasks
 // have ended. The next one goes on with the rest: a label that was printed isn't
 // printed again.
@@ -25,9 +32,7 @@
 		w.stop(w.leader())
 		w.run(4 * time.Second)
 		g.Expect(w.truth.broken).To(BeEmpty())
-		for id, j := range w.jobs {
-			g.Expect(j.starts).To(BeNumerically("<=", j.work.Tasks()), "seed %d: job %s", seed, id)
-		}
+		w.expectNothingAgain(g, seed)
 	}
 }
 
@@ -45,9 +50,7 @@
 		w.stop(n)
 		w.run(4 * time.Second)
 		g.Expect(w.truth.broken).To(BeEmpty())
-		for id, j := range w.jobs {
-			g.Expect(j.starts).To(BeNumerically("<=", j.work.Tasks()), "seed %d: job %s", seed, id)
-		}
+		w.expectNothingAgain(g, seed)
 	}
 }
 
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -23,7 +23,8 @@
 	RunnersRevision uint64
 	RunnersStale    bool
 	// RunnersDigest tells lists with the same runners in the same states from
-	// others; revisions grow with each sign of life of a runner.
+	// others; revisions grow with each sign of life of a runner. 0 if the sender
+	// knows of none.
 	RunnersDigest uint64
 	// StoredJobs is what the sender knows about stored jobs.
 	StoredJobs StoredJobs
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -108,6 +108,7 @@
 		lastTick: now,
 
 		reachedAt: now,
+		digest:    digestOf(nil),
 	}
 	n.view.SetProcessor(milliCPU)
 	return n
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -45,10 +45,6 @@
 	delete(n.pending, id)
 	delete(n.askedFor, id)
 	for _, s := range n.shards {
-		if s.awaited == id {
-			s.awaited = ""
-			s.schedule.AwaitNoLonger(now)
-		}
 		s.schedule.EntryLost(now, schedule.EntryID(id), ended)
 	}
 }
@@ -95,7 +91,9 @@
 func (n *Node) heard(now Time, from leader.ID, h Heartbeat) {
 	before := n.view.Report(from)
 	n.view.Heard(now, from, &h.Report)
-	n.noteUnheard(now)
+	if before.Number == 0 {
+		n.noteUnheard(now)
+	}
 	n.Layout(now, h.Report.Shards)
 	n.learnStored(now, h.StoredJobs)
 	for _, s := range n.shards {
@@ -160,9 +158,11 @@
 		DeclarationVersion: n.table.Version(),
 		RunnersRevision:    n.runners.Revision,
 		RunnersStale:       n.stale,
-		RunnersDigest:      n.digest,
 		StoredJobs:         n.stored,
 	}
+	if n.listKnown {
+		h.RunnersDigest = n.digest
+	}
 	h.Report.Term = n.term()
 	if n.Leads() {
 		h.Pending = n.ownPending()
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -62,15 +62,16 @@
 		return
 	}
 	n.knowList()
-	changed := !sameRunners(list.Runners, n.runners.Runners)
+	digest := digestOf(list.Runners)
+	changed := digest != n.digest
 	if changed {
 		n.notice("runners-listed", Field{"runners", len(list.Runners)}, Field{"lapsed", len(n.lapsedSince)}, Field{"before", len(n.runners.Runners)},
 			Field{"revision", list.Revision}, Field{"source", source})
 	}
 	n.keepDropped(now, list)
 	n.runners = list
+	n.digest = digest
 	n.setRunners(now)
-	n.digest = digestOf(list.Runners)
 	if changed && n.Leads() {
 		for _, id := range n.peers() {
 			n.sendRunners(id)
@@ -110,14 +111,6 @@
 	return h.Sum64()
 }
 
-// sameRunners reports whether two lists have the same runners in the same
-// states.
-func sameRunners(a, b []workload.Runner) bool {
-	return slices.EqualFunc(a, b, func(x, y workload.Runner) bool {
-		return x.ID == y.ID && x.Draining == y.Draining && x.Lapsed == y.Lapsed && x.Service == y.Service
-	})
-}
-
 func (n *Node) keepDropped(now Time, list RunnerList) {
 	listed := make(map[workload.RunnerID]bool, len(list.Runners))
 	for _, r := range list.Runners {
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -23,11 +23,8 @@
 // takes. A job's shard follows from its id, so that a copy that another entry VM
 // takes comes to the same scheduler.
 type shard struct {
-	index  int
-	choice leader.Choice
-	// awaited is the leader before, whose word on what has ended is waited for;
-	// "" if none is.
-	awaited  leader.ID
+	index    int
+	choice   leader.Choice
 	schedule *schedule.Scheduler
 	// ledger keeps the shard's stored jobs.
 	ledger *ledger.Ledger
@@ -138,8 +135,7 @@
 	if c.Reachable && c.Leader == n.Self() {
 		n.askForRunners()
 		if n.linked[before] {
-			s.awaited = before
-			s.schedule.Await(now)
+			s.schedule.Await(now, schedule.EntryID(before))
 		}
 		n.ledAt = now
 		s.schedule.Lead(now)
--- a/core/fleet/strain.go
+++ b/core/fleet/strain.go
@@ -4,9 +4,9 @@
 
 const (
 	// strainMost is how long work that is ready may wait for the processor, by the
-	// median of some looks, in a process that leads. Orders have 50 ms; what waits longer than
-	// that between an answer's coming and its being read counts as unanswered,
-	// is ordered again, and the process falls behind for good.
+	// median of some looks, in a process that leads. Orders have 50 ms; what waits
+	// longer than that between an answer's coming and its being read counts as
+	// unanswered, is ordered again, and the process falls behind for good.
 	strainMost = 30 * time.Millisecond
 	// strainSure is what shows by itself that the VM is slow. Between the two it
 	// may be a burst; that is over by the next look.
@@ -21,10 +21,10 @@
 )
 
 // Strained takes how long work that was ready has waited for the processor in the
-// last moments. A leader whose VM has turned slow lets another
-// one lead. It isn't lost, so without this it would be taken for lost while it
-// is late, and as the oldest take the lead back when it is heard again, time and
-// again; its callers and those of all others would wait.
+// last moments. A leader whose VM has turned slow lets another one lead. It isn't
+// lost, so without this it would be taken for lost while it is late, and as the
+// oldest take the lead back when it is heard again, time and again; its callers
+// and those of all others would wait.
 func (n *Node) Strained(now Time, wait time.Duration) {
 	twice := n.strained
 	n.strained = wait >= strainMost
--- a/core/fleet/strain_test.go
+++ b/core/fleet/strain_test.go
@@ -35,8 +35,8 @@
 		w.run(6 * time.Second)
 		g.Expect(w.leader()).To(Equal(next))
 		g.Expect(w.truth.broken).To(BeEmpty())
+		w.expectNothingAgain(g, seed)
 		for id, j := range w.jobs {
-			g.Expect(j.starts).To(BeNumerically("<=", j.work.Tasks()), "seed %d: job %s", seed, id)
 			g.Expect(j.outcome).To(Equal(workload.Completed), "seed %d: job %s", seed, id)
 		}
 	}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -11,12 +11,19 @@
 
 // view returns that of process b, number 2, after it has settled.
 func view() (*View, Time) {
+	v := started()
+	v.Found(0)
+	return v, time.Second
+}
+
+// started returns the view of process b, number 2, that has just registered and
+// doesn't know yet which others there are.
+func started() *View {
 	v := NewView("", 0)
 	v.Register(0, "b", 2)
-	v.Found(0)
 	v.SetShards(1)
 	v.SetAble(true)
-	return v, time.Second
+	return v
 }
 
 func able(number uint64, leader ID) *Report {
@@ -41,11 +48,8 @@
 // until then, every restart would change the leader twice.
 func TestNewProcessListensFirst(t *testing.T) {
 	g := NewWithT(t)
-	v := NewView("", 0)
-	v.Register(0, "b", 2)
+	v := started()
 	v.Found(0)
-	v.SetShards(1)
-	v.SetAble(true)
 	g.Expect(choose(v, settle-ms, false)).To(Equal(Choice{}))
 	g.Expect(choose(v, settle, false).Leader).To(Equal(ID("b")))
 }
@@ -54,19 +58,13 @@
 // others there are. It leads nothing for as long: one of them may.
 func TestNewProcessFindsTheOthersFirst(t *testing.T) {
 	g := NewWithT(t)
-	v := NewView("", 0)
-	v.Register(0, "b", 2)
-	v.SetShards(1)
-	v.SetAble(true)
+	v := started()
 	g.Expect(choose(v, settle, false)).To(Equal(Choice{}))
 	v.Found(settle)
 	g.Expect(choose(v, 2*settle-ms, false)).To(Equal(Choice{}))
 	g.Expect(choose(v, 2*settle, false).Leader).To(Equal(ID("b")))
 
-	v = NewView("", 0)
-	v.Register(0, "b", 2)
-	v.SetShards(1)
-	v.SetAble(true)
+	v = started()
 	g.Expect(choose(v, settleMost, false).Leader).To(Equal(ID("b")), "somebody must")
 }
 
@@ -74,11 +72,8 @@
 // each has said that it could lead, the oldest does: callers wait for it.
 func TestLeadsAtOnceWhenAllAreHeard(t *testing.T) {
 	g := NewWithT(t)
-	v := NewView("", 0)
-	v.Register(0, "b", 2)
+	v := started()
 	v.Found(0)
-	v.SetShards(1)
-	v.SetAble(true)
 	v.Heard(ms, "c", able(3, ""))
 	g.Expect(choose(v, 2*ms, false)).To(Equal(Choice{}), "others may be to come")
 	v.SetComplete(true)
@@ -93,11 +88,8 @@
 // another one leads by now.
 func TestAWokenProcessListensAgain(t *testing.T) {
 	g := NewWithT(t)
-	v := NewView("", 0)
-	v.Register(0, "b", 2)
+	v := started()
 	v.Found(0)
-	v.SetShards(1)
-	v.SetAble(true)
 	v.Heard(ms, "c", able(3, "b"))
 	v.SetComplete(true)
 	g.Expect(choose(v, 2*ms, false).Leader).To(Equal(ID("b")))
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -1,7 +1,7 @@
 package schedule
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -38,12 +38,7 @@
 		listed[info.ID] = true
 		r := s.runners[info.ID]
 		if r == nil {
-			r = newRunner(info, now)
-			s.runners[info.ID] = r
-			s.list = append(s.list, r)
-			if s.leading {
-				s.acquire(r)
-			}
+			s.addRunner(newRunner(info, now))
 			continue
 		}
 		lapsed := info.Lapsed && !r.info.Lapsed
@@ -59,7 +54,7 @@
 		}
 	}
 	s.forgetRunners()
-	sort.Slice(s.list, func(i, j int) bool { return s.list[i].info.ID < s.list[j].info.ID })
+	s.sortRunners()
 	s.dispatch()
 }
 
@@ -80,13 +75,22 @@
 		r := newRunner(info, now)
 		r.unlisted = true
 		r.suspectUntil = now + s.cfg.Resend
-		s.runners[info.ID] = r
-		s.list = append(s.list, r)
-		if s.leading {
-			s.acquire(r)
-		}
+		s.addRunner(r)
+	}
+	s.sortRunners()
+}
+
+// addRunner adds one that isn't known yet, and takes it if this scheduler leads.
+func (s *Scheduler) addRunner(r *runner) {
+	s.runners[r.info.ID] = r
+	s.list = append(s.list, r)
+	if s.leading {
+		s.acquire(r)
 	}
-	sort.Slice(s.list, func(i, j int) bool { return s.list[i].info.ID < s.list[j].info.ID })
+}
+
+func (s *Scheduler) sortRunners() {
+	slices.SortFunc(s.list, func(a, b *runner) int { return workload.CompareRunners(a.info, b.info) })
 }
 
 // forgetRunners drops runners that aren't listed and have nothing running.
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -15,14 +15,14 @@
 	// sparePace is the gain of putting a task that has time on a slower runner,
 	// which leaves the faster ones to those that haven't. Runners slower than
 	// slowPace times the usual aren't sought, and cost slowWeight.
+	sparePace  = 0.3
+	slowPace   = 1.5
+	slowWeight = 5.0
 	// farCost keeps tasks in the failure domain of their caller while there is
 	// room, before all that a fit can gain. If a domain is cut off, what runs on
 	// the other side of the cut has to end before it can be started again, and
 	// callers don't wait for that.
-	farCost    = 1.0
-	sparePace  = 0.3
-	slowPace   = 1.5
-	slowWeight = 5.0
+	farCost = 1.0
 	// overdueFactor and overdueSlack say when a run is taken for stuck. Run
 	// times spread by a factor of 1.5 about their estimates and these are off
 	// by as much, so three times the estimate is rare for a sound run.
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -60,20 +60,19 @@
 	return p
 }
 
-// Await holds back jobs that another scheduler had until its Progress comes.
-func (s *Scheduler) Await(now Time) { s.awaitUntil = now + progressWait }
-
-// AwaitNoLonger lets those jobs go: the process that had them is lost.
-func (s *Scheduler) AwaitNoLonger(now Time) {
-	s.now = now
-	s.awaitUntil = 0
-	s.dispatch()
+// Await holds back jobs that another scheduler had until its Progress comes, or the
+// process is lost.
+func (s *Scheduler) Await(now Time, from EntryID) {
+	s.awaited = from
+	s.awaitUntil = now + progressWait
 }
 
+func (s *Scheduler) awaitNoLonger() { s.awaited, s.awaitUntil = "", 0 }
+
 // Learn takes the Progress of the scheduler before.
 func (s *Scheduler) Learn(now Time, p Progress) {
 	s.now = now
-	s.awaitUntil = 0
+	s.awaitNoLonger()
 	s.handedOver(p)
 	for _, e := range p.Ended {
 		if j := s.jobs[e.Job]; j != nil {
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -31,7 +31,8 @@
 	presenceToken = 0
 )
 
-// apart reports whether a runner may be led by a process that isn't heard.
+// apart brings up to date, and reports, whether a runner may be led by a process
+// that isn't heard.
 func (s *Scheduler) apart(r *runner) bool {
 	if !s.misses {
 		r.apart, r.presentAt = false, 0
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -177,8 +177,10 @@
 	// unsureUntil is when this scheduler knows again of all jobs that may come
 	// a second time.
 	unsureUntil Time
-	// awaitUntil is how long jobs that another scheduler had wait for its word.
+	// awaitUntil is how long jobs that another scheduler had wait for the word of
+	// awaited, its process.
 	awaitUntil Time
+	awaited    EntryID
 	// listsWanted is when the latest job came that another scheduler had.
 	// Runners that haven't listed their runs since are looked at.
 	listsWanted Time
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -298,6 +298,9 @@
 func (s *Scheduler) EntryLost(now Time, entry EntryID, ended bool) {
 	s.now = now
 	delete(s.heard, entry)
+	if entry == s.awaited {
+		s.awaitNoLonger()
+	}
 	if !ended {
 		s.missing[entry.VM()] = now
 	}
--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -122,9 +122,8 @@
 		took := l.number("took")
 		loss.Arrived = l.Time.Add(-time.Duration(took * float64(time.Millisecond)))
 		completed := l.Fields["outcome"] == "completed"
-		work, estimate := ended.number("work"), ended.number("estimate")
-		overhead := took-work > l.number("objective")-estimate
-		slow := took > l.number("objective") && work > slowFactor*estimate
+		overhead := took-ended.number("work") > l.number("objective")-ended.number("estimate")
+		slow := took > l.number("objective") && tookLong(ended)
 		loss.Late = completed && (overhead || slow)
 		return loss, !completed || loss.Late
 	}
@@ -152,7 +151,16 @@
 	case !loss.Late && saysWait(answer.Fields["reason"]):
 		return Admission
 	}
-	return cmp.Or(seenOnRuns(own), system, waitedLong(answer, own), tookLong(own), Unexplained)
+	if c := cmp.Or(seenOnRuns(own), system); c != "" {
+		return c
+	}
+	switch ended := ending(own); {
+	case ended.number("waited") > waitedShare*answer.number("objective"):
+		return Queued
+	case tookLong(ended):
+		return SlowRun
+	}
+	return Unexplained
 }
 
 func during(episodes []episode, from, to time.Time) Cause {
@@ -178,19 +186,9 @@
 	return ""
 }
 
-func waitedLong(answer Line, own []Line) Cause {
-	if ending(own).number("waited") > waitedShare*answer.number("objective") {
-		return Queued
-	}
-	return ""
-}
-
-func tookLong(own []Line) Cause {
-	if l := ending(own); l.number("work") > slowFactor*l.number("estimate") {
-		return SlowRun
-	}
-	return ""
-}
+// tookLong reports whether a job's runs took far longer than estimated, by the
+// scheduler's last word on it.
+func tookLong(ended Line) bool { return ended.number("work") > slowFactor*ended.number("estimate") }
 
 // findEpisodes reads the events of the system off the lines, the gravest first.
 func findEpisodes(lines []Line) []episode {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -41,9 +41,9 @@
 	closeSpare   quic.ApplicationErrorCode = 5
 
 	// spareAfter is the age at which a connection that isn't wanted any more is
-	// closed. Each costs two messages a tenth of a second, some 0.2 ms of a
-	// core, for as long as it stands; it must outlast the trouble in which
-	// small VMs looked for each other, or they would do so again.
+	// closed. Each costs each side 13 messages a second, some 2 ms of a core, for
+	// as long as it stands; it must outlast the trouble in which small VMs looked
+	// for each other, or they would do so again.
 	spareAfter = 10 * time.Second
 )
 
