The store knows of a task that is started again out of sight

Callers saw: a task of an accepted stored job done twice, the first end taken note of.

Another process, which doesn't hear the owner, had taken the runner meanwhile and kept its lease alive, so the lease never lapsed. It then took the shard, with the owner's word, found the first end and acknowledged it. That the owner had started the task again stood only in the owner's memory; run numbers tell only of owners in between.

Ruled out: two runs at a time; a late order; the new owner's wait before it acknowledges (the owner before had retired, with its word).

Weighed: withholding each inherited end until its runner's lease lapses (costs a second of most runners at each takeover), telling of restarts in the retiring owner's word (says nothing where the owner is lost). Taken: the record says so, in the store, before the start. Costs a write for each job with a run out of sight, which is rare.

Either half of the guard taken out, a unit test fails.

TestEndOfATaskThatWasStartedAgain now also asserts that nothing starts before the record is in the store; all its other assertions are as they were.

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -288,6 +288,11 @@
 	// the shard, was about to start again.
 	w, played = storedCellRun(92566)
 	g.Expect(w.truth.broken).To(BeEmpty(), "seed 92566: %v", played)
+	// A runner went out of the owner's sight with a task that had ended well there, while
+	// another process kept its lease alive. The owner started the task again, and the
+	// next owner acknowledged the first end.
+	w, played = storedCellRun(5500042)
+	g.Expect(w.truth.broken).To(BeEmpty(), "seed 5500042: %v", played)
 	// A job was refused for want of room and ran in another shard. Its entry VM died, and
 	// the copy was told that it had been refused.
 	w, played = randomRunOf(cellDeployment(81131, 2), names)
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -69,6 +69,9 @@
 	Failures []Failure
 	// Restarted: a task was started more than once.
 	Restarted bool
+	// Unseen: a task was started again by the process that had started it before,
+	// while the earlier run was out of its sight.
+	Unseen bool
 }
 
 // weight is the number of rows that saving the record writes or removes.
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -66,8 +66,8 @@
 }
 
 // startedElsewhere reports whether the task of a run that ended well may have
-// been started again since: here, as is known; or by a scheduler between the one
-// that started the run and this one.
+// been started again since: here, as is known; by the scheduler that had started the
+// run, as the store knows; or by one between that and this one.
 func (s *Scheduler) startedElsewhere(e workload.End) bool {
 	if e.Kind != workload.Done {
 		return false
@@ -80,7 +80,11 @@
 		return false
 	}
 	t := j.task(e.Run.Task)
-	return t != nil && (t.startedAs > e.Run.Number || e.Run.Number/runsPerHand < j.handed-1)
+	if t == nil {
+		return false
+	}
+	hand := e.Run.Number / runsPerHand
+	return t.startedAs > e.Run.Number || hand < j.handed-1 || hand < j.handed && j.stored.unseenBefore
 }
 
 // settleEnds looks again at ends whose jobs may be stored ones, now that these
--- a/core/schedule/custody.go
+++ b/core/schedule/custody.go
@@ -78,9 +78,12 @@
 // owns reports whether the ownership was proved at a time or later, or nobody can
 // have taken the rows since it was.
 func (s *Scheduler) owns(since Time) bool {
-	c := &s.custody
-	unopposed := s.allHeard && c.verifiedAt >= s.allHeardSince && !s.contested
-	return c.loaded && (unopposed || c.verifiedAt >= since)
+	return s.custody.loaded && (s.unopposed() || s.custody.verifiedAt >= since)
+}
+
+// unopposed reports whether all other processes follow this one.
+func (s *Scheduler) unopposed() bool {
+	return s.allHeard && s.custody.verifiedAt >= s.allHeardSince && !s.contested
 }
 
 // certain reports whether no other process can have accepted, before a given time,
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -27,6 +27,8 @@
 	lastNumber int
 	startedAs  int
 	run        *run
+	// unseen: a run of it went out of sight before its end was listed.
+	unseen bool
 	// checkpoint is the newest one that a runner has told; "" if none.
 	checkpoint string
 	// failedOn are the runners on which a run has failed.
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		for _, t := range j.steps[i] {
-			if t.phase != waiting || t.notBefore > s.now {
+			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) {
 				continue
 			}
 			if r := p.place(t); r != nil {
@@ -187,6 +187,30 @@
 	s.enqueue(t.job)
 }
 
+// requeueUnseen puts a task back whose run is out of sight. That run may have ended
+// well, and another process that takes the shard may see its end, keep the runner's
+// lease alive and acknowledge it. So the store has to know first that the task is
+// started again.
+func (s *Scheduler) requeueUnseen(t *taskState) {
+	t.unseen = true
+	if j := t.job; j.stored != nil && !j.ended && !j.stored.unseen {
+		j.stored.unseen = true
+		s.save(j)
+		j.stored.unseenSaved = j.stored.saving
+	}
+	s.requeue(t)
+}
+
+// unseenUnsaved reports whether a task waits for the store to know that it is started
+// again. While the store is away for all nobody takes the shard.
+func (s *Scheduler) unseenUnsaved(t *taskState) bool {
+	st := t.job.stored
+	if st == nil || !t.unseen || st.saved >= st.unseenSaved {
+		return false
+	}
+	return s.custody.failingFor <= storeTrouble || !s.unopposed()
+}
+
 // waitingIDs is for the dump.
 func (s *Scheduler) waitingIDs() []workload.JobID {
 	ids := make([]workload.JobID, len(s.queue))
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -119,7 +119,7 @@
 	r.release()
 	for _, t := range tasks {
 		t.notBefore = s.now + s.cfg.Resend
-		s.requeue(t)
+		s.requeueUnseen(t)
 	}
 	r.refused = r.token
 	r.token = 0
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -35,7 +35,7 @@
 }
 
 func (j *job) record() ledger.Record {
-	r := ledger.Record{Job: j.work.ID, Epoch: j.stored.epoch, State: j.stored.state, Restarted: j.restarted}
+	r := ledger.Record{Job: j.work.ID, Epoch: j.stored.epoch, State: j.stored.state, Restarted: j.restarted, Unseen: j.stored.unseen}
 	if !j.stored.accepted {
 		r.Work = j.work
 	}
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -44,7 +44,7 @@
 		return
 	}
 	j := newJob(r.Work, s.now)
-	j.stored = &stored{epoch: r.Epoch, accepted: true, failures: r.Failures}
+	j.stored = &stored{epoch: r.Epoch, accepted: true, failures: r.Failures, unseen: r.Unseen, unseenBefore: r.Unseen}
 	j.started, j.restarted = true, r.Restarted
 	j.handed = int(s.custody.epoch - r.Epoch)
 	j.knownFrom = s.custody.knownFrom
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -61,6 +61,12 @@
 	// in the store.
 	saving, saved uint64
 	failures      []ledger.Failure
+	// unseen: a run went out of sight and may have ended well, and its task is to be
+	// started again. unseenSaved is the sequence of the record that says so.
+	unseen      bool
+	unseenSaved uint64
+	// unseenBefore: so did the owner before.
+	unseenBefore bool
 	// state is what the job has come to.
 	state ledger.State
 	// waiters are to be told of the acceptance, until the times given.
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -220,6 +220,8 @@
 	b.s.lose(b.s.runners[first.Runner])
 	b.s.runners[first.Runner].info.Draining = true
 	b.wait(b.s.cfg.Resend + 100*ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "the store doesn't know yet")
+	b.saved(one[Save](b))
 	second := one[Start](b)
 	b.g.Expect(second.Runner).NotTo(Equal(first.Runner))
 	b.started(second, Accepted)
@@ -235,6 +237,65 @@
 	b.g.Expect(r.acknowledged).To(BeEquivalentTo(1))
 }
 
+// Guards against an owner that starts a task again unknown to the next one, which then
+// acknowledges the good end of the first run.
+func TestTaskOutOfSightIsStartedAgainWhenTheStoreKnows(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(1, 2*time.Second)
+	b.accepted(j)
+	first := one[Start](b)
+	b.started(first, Accepted)
+	b.s.SetContested(true)
+	b.s.runners[first.Runner].doubt(b.now)
+	for range 50 {
+		b.s.Verified(b.now, b.now)
+		b.tick(20 * ms)
+	}
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	save := one[Save](b)
+	b.g.Expect(save.Record.Unseen).To(BeTrue())
+	b.saved(save)
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(first.Runner))
+}
+
+// Guards against jobs that stand still for as long as the store is away for all, in
+// which time nobody can take the shard.
+func TestTaskOutOfSightIsStartedAgainWithoutTheStore(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := storedJob(1, 2*time.Second)
+	b.accepted(j)
+	first := one[Start](b)
+	b.started(first, Accepted)
+	b.s.runners[first.Runner].doubt(b.now)
+	b.tick(time.Second)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.s.SetStoreTrouble(storeTrouble + ms)
+	b.tick(20 * ms)
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(first.Runner))
+}
+
+// Guards against a new owner that acknowledges the good end of a run whose task the
+// owner before has started again: the runner lists it, with a lease that the new owner
+// has renewed.
+func TestEndOfATaskThatTheOwnerBeforeStartedAgain(t *testing.T) {
+	for _, unseen := range []bool{false, true} {
+		b := newBench(t, testRunner("r1"))
+		j := storedJob(2, 2*time.Second)
+		record := openRecord(j, 1)
+		record.Unseen = unseen
+		b.s.Lead(b.now)
+		b.held(one[Hold](b), workload.End{Sequence: 1, Run: runOf(j, 0, 1), Kind: workload.Done})
+		b.own(2, record)
+		b.saved(take[Save](b)...)
+		r := b.s.runners["r1"]
+		b.wait(storedUnknown)
+		b.g.Expect(r.withheldUntil > 0).To(Equal(unseen))
+		b.saved(take[Save](b)...)
+		b.wait(longestLife(leaseLimit))
+		b.g.Expect(r.acknowledged).To(BeEquivalentTo(1))
+	}
+}
+
 // A task fails under two schedulers. The attempts of both count, each once, also
 // if the second finds the first one's end still listed.
 func TestFailuresUnderTwoSchedulers(t *testing.T) {
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -95,7 +95,7 @@
 			// will be dropped here in a moment.
 			u.task.notBefore = s.now + entryWait
 		}
-		s.requeue(u.task)
+		s.requeueUnseen(u.task)
 	}
 }
 
