--- a/core/fleet/denial_test.go
+++ b/core/fleet/denial_test.go
@@ -55,3 +55,27 @@
 	j.cancelAt = 0
 	return j
 }
+
+// Guards against any process that denies a job which another one has just accepted: all
+// are asked, at once and again, while processes are killed and come back at all moments,
+// some of them unknown to the others for a while.
+func TestNobodyDeniesAnAcceptedJob(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		w, played := deniedRun(seed)
+		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d: %v", seed, played)
+	}
+}
+
+// deniedRun plays a pooled deployment or one of cells, of one or two shards.
+func deniedRun(seed uint64) (*world, []string) {
+	shards := 1 + int(seed%2)
+	w := deployment(seed, shards)
+	if seed%4 >= 2 {
+		w = cellDeployment(seed, shards)
+	}
+	w.storedShare, w.askAll = 0.7, true
+	names := append(storedTroubles(), "restart", "restart", "unknown restart", "unknown restart")
+	_, played := randomRunOf(w, names)
+	return w, played
+}
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -114,6 +114,18 @@
 		}
 		w.after(w.span(500, 3000), func() { w.boot(fresh) })
 	},
+	"restart": func(w *world) { w.kill(anyNode(w), w.span(10, 300)) },
+	// The others don't know the new process for a while, since their feed from the
+	// store is stuck.
+	"unknown restart": func(w *world) {
+		n := anyNode(w)
+		w.kill(n, w.span(10, 300))
+		for _, o := range w.nodes {
+			pair := [2]string{n.name, o.name}
+			w.parted[pair] = true
+			w.after(w.span(200, 3000), func() { delete(w.parted, pair) })
+		}
+	},
 	"lost answers": func(w *world) {
 		w.store.lostShare = 0.35
 		w.after(w.span(1000, 5000), func() { w.store.lostShare = 0 })
--- a/core/fleet/store_test.go
+++ b/core/fleet/store_test.go
@@ -183,6 +183,28 @@
 	job      *fakeJob
 	cancel   bool
 	answered bool
+	// beside: its answer changes nothing of what the caller does.
+	beside bool
+}
+
+// askTimes are when all processes are asked for a job, after it was accepted.
+var askTimes = []time.Duration{0, time.Millisecond, 20 * time.Millisecond, 150 * time.Millisecond, 440 * time.Millisecond, 1200 * time.Millisecond, 5 * time.Second}
+
+// askEverywhere asks all processes for a job, also those that are frozen or cut off.
+func (w *world) askEverywhere(j *fakeJob) {
+	for _, d := range askTimes {
+		w.after(d, func() {
+			for _, n := range w.nodes {
+				if n.node == nil || n.id == "" {
+					continue
+				}
+				n.lastID++
+				request := n.lastID
+				n.questions[request] = &askedJob{job: j, beside: true}
+				w.do(n, func() { n.node.Query(w.now, request, j.work.ID, false) })
+			}
+		})
+	}
 }
 
 func (w *world) stateAnswered(n *fakeNode, a fleet.StateAnswer) {
@@ -192,6 +214,10 @@
 		return
 	}
 	q.answered = true
+	if q.beside {
+		w.truth.known(q.job, n, a)
+		return
+	}
 	w.truth.shown(q.job, q.cancel, a)
 	w.poll(q.job)
 }
--- a/core/fleet/truth_test.go
+++ b/core/fleet/truth_test.go
@@ -163,6 +163,14 @@
 	}
 }
 
+// known checks that a process doesn't deny a job that was accepted and that its caller
+// hasn't cancelled, ended or not.
+func (t *truth) known(j *fakeJob, n *fakeNode, a fleet.StateAnswer) {
+	if !a.Unreachable && !a.State.Unsure && !a.State.Known && j.cancelSent == 0 {
+		t.fail("job %s was accepted at %v and isn't known to %s", j.work.ID, j.accepted, n.id)
+	}
+}
+
 func (t *truth) failedJob(j *fakeJob) {
 	for task, n := range t.failed {
 		if task.Job == j.work.ID && n >= j.work.MaxAttempts {
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -61,6 +61,8 @@
 	joinedAt  map[[2]string]time.Duration
 	// lag is how much longer what a VM sends to others takes.
 	lag map[string]time.Duration
+	// askAll: all processes are asked for each job that is accepted.
+	askAll bool
 	// onSend sees each message as it is sent, if set.
 	onSend func(*fakeNode, fleet.Send)
 	// awake is when the last frozen process wakes.
@@ -350,6 +352,9 @@
 	}
 	if a.Outcome == workload.Accepted {
 		j.answered, j.accepted = true, w.now
+		if w.askAll {
+			w.askEverywhere(j)
+		}
 		w.poll(j)
 		return
 	}
