--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -223,7 +223,7 @@
 func TestRandomFaultsOfLinks(t *testing.T) {
 	g := NewWithT(t)
 	names := append(troubleNames(), "store for some", "part", "part", "replace", "mute runners")
-	for i := range *seeds / 2 {
+	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
 		w, played := randomRun(seed, 1+i%2, names)
 		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d, %d shards: %v", seed, w.shards, played)
@@ -263,7 +263,7 @@
 // runners of two could all be those of the other one, after some have crashed.
 func TestRandomFaultsInCellsWithStoredJobs(t *testing.T) {
 	g := NewWithT(t)
-	for i := range *seeds / 2 {
+	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
 		w, played := storedCellRun(seed)
 		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d: %v", seed, played)
