A stored job that stands still moves to a shard with room

Callers saw: accepted jobs wait for as long as their shard has no runners, or too few, while others idle.

Reproduced: TestRandomFaultsInCellsWithStoredJobs gave a cell one shard, which kept the case out.

Cause: a job's shard follows from its id, a runner's from its own; a stored job's record lies in the rows of its shard, so only that one may do it.

Ruled out: runners kept back (closed, in doubt, withheld); a shard without an owner.

Weighed: runners lent to the shard, tasks delegated to another scheduler (both leave acknowledgements to a process that doesn't own the record, across takeovers of both sides). Taken: the record moves, in three steps, each in the store before the next.

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -62,6 +62,9 @@
 	Request uint64
 	Job     workload.JobID
 	Cancel  bool
+	// Hops counts the shards that the job has left, and Shard is the one that it went
+	// to; a job that has left none is asked for in its own.
+	Hops, Shard int
 }
 
 // JobAnswer answers a JobQuery.
@@ -70,6 +73,18 @@
 	State   schedule.JobState
 }
 
+// JobMove gives a stored job to the owner of another shard.
+type JobMove struct {
+	Shard int
+	schedule.MovedJob
+}
+
+// JobTaken says that a job that a shard gave away is in the rows of another one.
+type JobTaken struct {
+	Shard int
+	Job   workload.JobID
+}
+
 // Declaration passes on a configuration.
 type Declaration struct{ *routing.Declaration }
 
@@ -97,6 +112,8 @@
 func (DropJob) message()     {}
 func (JobQuery) message()    {}
 func (JobAnswer) message()   {}
+func (JobMove) message()     {}
+func (JobTaken) message()    {}
 func (Declaration) message() {}
 func (RunnerList) message()  {}
 func (Progress) message()    {}
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -98,6 +98,10 @@
 	// queries are questions of this process's callers that the leader was
 	// asked.
 	queries map[uint64]bool
+	// relays are questions that were passed on, by the numbers that this process gave
+	// them, the latest of which is lastRelay.
+	relays    map[uint64]relay
+	lastRelay uint64
 	// vms are the VMs of the cell, this one included; nil if they aren't known.
 	vms []string
 	// unheard are those of which no process has told of itself, by since when.
@@ -125,6 +129,7 @@
 		sent:     make(map[leader.ID]Time),
 		listSent: make(map[leader.ID]uint64),
 		queries:  make(map[uint64]bool),
+		relays:   make(map[uint64]relay),
 		askedFor: make(map[leader.ID]bool),
 		unheard:  make(map[string]Time),
 		lost:     make(map[string]Time),
@@ -135,6 +140,7 @@
 
 		reachedAt: now,
 		digest:    digestOf(nil),
+		lastRelay: firstRelay,
 	}
 	n.view.SetProcessor(milliCPU)
 	n.member.MilliCPU = milliCPU
@@ -223,6 +229,10 @@
 		n.settled(s, c)
 	case schedule.Answer:
 		n.verdict(c)
+	case schedule.HandOn:
+		n.handOn(c.At, s, c)
+	case schedule.Taken:
+		n.tellTaken(c.At, c)
 	case schedule.Decision:
 		n.notice(c.Event, decisionFields(c)...)
 	default:
@@ -296,6 +306,7 @@
 	n.follow(now)
 	n.lookFurther(now)
 	n.expireEarly(now)
+	n.expireRelays(now)
 	n.gateway.Tick(now)
 	n.noteUnheard(now)
 	all, misses := n.hearsAll(), n.missesSome(now)
@@ -306,6 +317,7 @@
 		s.schedule.SetAllHeard(now, all)
 		s.schedule.SetMissing(misses)
 		s.schedule.SetDoubt(doubt)
+		s.schedule.SetRefuge(n.refuge(s))
 		if all && s.schedule.Leading() {
 			s.ledger.Uncontested(now)
 		}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -77,9 +77,13 @@
 	case DropJob:
 		n.dropJob(now, from, m)
 	case JobQuery:
-		n.ask(now, question{from: from, request: m.Request, cancel: m.Cancel}, m.Job)
+		n.queried(now, from, m)
 	case JobAnswer:
 		n.answerQuery(m)
+	case JobMove:
+		n.take(now, from, m)
+	case JobTaken:
+		n.taken(now, m)
 	case Declaration:
 		n.Declared(now, m.Declaration, string(from))
 	case Progress:
--- a/core/fleet/queries.go
+++ b/core/fleet/queries.go
@@ -18,11 +18,12 @@
 		n.emit(StateAnswer{Request: request, Unreachable: true})
 		return
 	}
-	switch c := n.shards[n.layout.OfStoredJob(id)].choice; {
+	home := n.layout.OfStoredJob(id)
+	switch c := n.shards[home].choice; {
 	case c.Leader == "" || !c.Reachable:
 		n.emit(StateAnswer{Request: request, Unreachable: true})
 	case c.Leader == n.Self():
-		n.ask(now, question{from: n.Self(), request: request, cancel: cancel}, id)
+		n.ask(now, question{from: n.Self(), request: request, cancel: cancel, shard: home}, id)
 	default:
 		n.queries[request] = true
 		n.emit(Send{To: c.Leader, Message: JobQuery{Request: request, Job: id, Cancel: cancel}})
@@ -33,6 +34,11 @@
 func (n *Node) Forget(request uint64) { delete(n.queries, request) }
 
 func (n *Node) answerQuery(m JobAnswer) {
+	if r, ok := n.relays[m.Request]; ok {
+		delete(n.relays, m.Request)
+		n.tell(r.question, r.job, m.State)
+		return
+	}
 	if !n.queries[m.Request] {
 		return
 	}
@@ -55,6 +61,8 @@
 type question struct {
 	from    leader.ID
 	request uint64
+	// shard is where the job is looked for, after it has left hops others.
+	shard, hops int
 	// asked is when it came, and until how long it waits for the job's end, or
 	// for certainty. A cancelling that is being written has no such bound.
 	asked  Time
@@ -69,14 +77,15 @@
 	// Callers ask only for stored jobs, and the process that has accepted the
 	// first one may not be heard here.
 	n.seeStored(now)
-	var s *shard
-	if n.LaidOut() {
-		s = n.ownShard(n.layout.OfStoredJob(id))
-	}
+	s := n.ownShard(q.shard)
 	if s == nil {
 		n.tell(q, id, schedule.JobState{Unsure: true})
 		return
 	}
+	if to, arrived, moved := s.schedule.MovedTo(id); moved {
+		n.askMoved(now, q, id, to, arrived)
+		return
+	}
 	if !q.cancel {
 		n.askState(now, s, q, id)
 		return
@@ -157,6 +166,11 @@
 	waiting := s.questions[c.Job]
 	delete(s.questions, c.Job)
 	for _, q := range waiting {
+		if q.cancel && !c.State.Ended {
+			// It goes to another shard, whose owner is to cancel it.
+			n.tell(q, c.Job, schedule.JobState{Unsure: true})
+			continue
+		}
 		if q.cancel {
 			n.notice("job-cancelled", Field{"job", string(c.Job)}, Field{"known", c.State.Known}, Field{"outcome", c.State.Outcome.String()})
 		}
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -259,19 +259,19 @@
 	g.Expect(served).To(BeNumerically(">", asked/2))
 }
 
-// The same with stored jobs, which belong to one shard of all. A cell has one: the few
-// runners of two could all be those of the other one, after some have crashed.
+// The same with stored jobs, which belong to one shard of all, and with one or two shards
+// in a cell.
 func TestRandomFaultsInCellsWithStoredJobs(t *testing.T) {
 	g := NewWithT(t)
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		w, played := storedCellRun(seed)
+		w, played := storedCellRun(seed, 1+int(seed%2))
 		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d: %v", seed, played)
 	}
 }
 
-func storedCellRun(seed uint64) (*world, []string) {
-	w := cellDeployment(seed, 1)
+func storedCellRun(seed uint64, shards int) (*world, []string) {
+	w := cellDeployment(seed, shards)
 	w.storedShare = 0.7
 	_, played := randomRunOf(w, storedTroubles())
 	w.run(4 * time.Second)
@@ -289,21 +289,21 @@
 	g.Expect(w.truth.broken).To(BeEmpty(), "seed 70012: %v", played)
 	// A process that woke accepted a job that it found in its buffers, whose caller had
 	// been told by another one that it wasn't run.
-	w, played = storedCellRun(70099)
+	w, played = storedCellRun(70099, 1)
 	g.Expect(w.truth.broken).To(BeEmpty(), "seed 70099: %v", played)
 	// The link between two VMs was cut. The one that led started a job that the other
 	// one had missed it with, and had begun to schedule itself.
-	w, played = storedCellRun(71109)
+	w, played = storedCellRun(71109, 1)
 	g.Expect(w.truth.broken).To(BeEmpty(), "seed 71109: %v", played)
 	// Two VMs that couldn't hear each other owned a shard by turns. The new owner
 	// acknowledged the end of a task that the old one, not knowing yet that it had lost
 	// the shard, was about to start again.
-	w, played = storedCellRun(92566)
+	w, played = storedCellRun(92566, 1)
 	g.Expect(w.truth.broken).To(BeEmpty(), "seed 92566: %v", played)
 	// A runner went out of the owner's sight with a task that had ended well there, while
 	// another process kept its lease alive. The owner started the task again, and the
 	// next owner acknowledged the first end.
-	w, played = storedCellRun(5500042)
+	w, played = storedCellRun(5500042, 1)
 	g.Expect(w.truth.broken).To(BeEmpty(), "seed 5500042: %v", played)
 	// A job was refused for want of room and ran in another shard. Its entry VM died, and
 	// the copy was told that it had been refused.
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -153,6 +153,10 @@
 // SetWait notes how long a new job would wait in a shard.
 func (g *Gateway) SetWait(shard int, d time.Duration) { g.waits[shard] = d }
 
+// Wait is how long a new job would wait in a shard, by the last word; 0 if there was
+// none.
+func (g *Gateway) Wait(shard int) time.Duration { return g.waits[shard] }
+
 // Reaches reports whether a new job finds a scheduler: that of its home, or any
 // that takes jobs of other shards.
 func (g *Gateway) Reaches() bool {
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -24,13 +24,20 @@
 	CancelledEarly
 	// Forgotten: nothing is kept of it any more.
 	Forgotten
+	// Moving: the job is handed to another shard, and isn't done here any more.
+	Moving
+	// Moved: it is in the rows of that shard.
+	Moved
 )
 
-var stateNames = [...]string{"open", "completed", "failed", "cancelled", "cancelled-early", "forgotten"}
+var stateNames = [...]string{"open", "completed", "failed", "cancelled", "cancelled-early", "forgotten", "moving", "moved"}
 
 // String is for logs.
 func (s State) String() string { return stateNames[s] }
 
+// KeepsWork reports whether the job itself is still needed, beside how far it is.
+func (s State) KeepsWork() bool { return s == Open || s == Moving }
+
 // Bits is a set of small numbers, those of the tasks of a step.
 type Bits []byte
 
@@ -69,6 +76,9 @@
 	Failures []Failure
 	// Restarted: a task was started more than once.
 	Restarted bool
+	// To is the shard to which the job moves, or has moved. Hand counts the owners that
+	// it has had, all shards taken together.
+	To, Hand int
 	// Unseen: a task was started again by the process that had started it before,
 	// while the earlier run was out of its sight.
 	Unseen bool
@@ -76,7 +86,7 @@
 
 // weight is the number of rows that saving the record writes or removes.
 func (r *Record) weight() int {
-	if r.Work != nil || r.State != Open {
+	if r.Work != nil || !r.State.KeepsWork() {
 		return 2
 	}
 	return 1
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -69,10 +69,15 @@
 // been started again since: here, as is known; by the scheduler that had started the
 // run, as the store knows; or by one between that and this one.
 func (s *Scheduler) startedElsewhere(e workload.End) bool {
+	k, ended := s.custody.kept[e.Run.Task.Job]
+	if ended && k.move != nil {
+		// What it says doesn't come to the shard that has the job.
+		return e.Kind <= workload.Failed
+	}
 	if e.Kind != workload.Done {
 		return false
 	}
-	if k, ok := s.custody.kept[e.Run.Task.Job]; ok {
+	if ended {
 		return k.restarted
 	}
 	j := s.jobs[e.Run.Task.Job]
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -57,8 +57,8 @@
 	return "", false
 }
 
-// noRunners is the wait that a scheduler tells of which reaches no runner.
-const noRunners = time.Minute
+// NoRunners is the wait that a scheduler tells of which reaches no runner.
+const NoRunners = time.Minute
 
 // Wait is how long all that waits here would take the runners. Other entry VMs go
 // by it when their own scheduler has no room.
@@ -70,7 +70,7 @@
 		}
 	}
 	if capacity == 0 {
-		return noRunners
+		return NoRunners
 	}
 	for _, j := range s.queue {
 		work += s.waitingWork(j)
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -103,6 +103,23 @@
 	State JobState
 }
 
+// HandOn gives a stored job to the owner of another shard. Arrived follows, or it is
+// given again.
+type HandOn struct {
+	At Time
+	To int
+	MovedJob
+}
+
+// Taken says that a job of another shard is in the store here. It goes to the process
+// that gave it.
+type Taken struct {
+	At    Time
+	To    EntryID
+	Shard int
+	Job   workload.JobID
+}
+
 func (Start) command()    {}
 func (Stop) command()     {}
 func (Hold) command()     {}
@@ -110,6 +127,8 @@
 func (Decision) command() {}
 func (Save) command()     {}
 func (Settled) command()  {}
+func (HandOn) command()   {}
+func (Taken) command()    {}
 
 // CallOutcome is what came of an order to a runner.
 type CallOutcome uint8
--- a/core/schedule/custody.go
+++ b/core/schedule/custody.go
@@ -25,6 +25,8 @@
 	keptOrder  []workload.JobID
 	// early are submissions that came before the shard's records were read.
 	early map[workload.JobID][]earlySubmission
+	// moving are jobs that haven't arrived yet in the shard that they go to.
+	moving map[workload.JobID]*move
 	// open is the number of stored jobs that haven't ended.
 	open int
 	// refusals wait until they are certain.
@@ -38,7 +40,11 @@
 }
 
 func newCustody() custody {
-	return custody{kept: make(map[workload.JobID]kept), early: make(map[workload.JobID][]earlySubmission)}
+	return custody{
+		kept:   make(map[workload.JobID]kept),
+		early:  make(map[workload.JobID][]earlySubmission),
+		moving: make(map[workload.JobID]*move),
+	}
 }
 
 // SetNoStored says whether the deployment surely has no stored jobs.
@@ -48,17 +54,17 @@
 func (s *Scheduler) SetStoreTrouble(d time.Duration) { s.custody.failingFor = d }
 
 // Keeps reports whether something depends on the ownership of the shard's rows:
-// open jobs, ends that wait to be acknowledged, or what callers are told.
+// open jobs and those that go to another shard, ends that wait to be acknowledged, or what callers are told.
 func (s *Scheduler) Keeps() bool {
 	if s.custody.none {
 		return false
 	}
-	return s.custody.open > 0 || !s.certain(s.now) || slices.ContainsFunc(s.list, func(r *runner) bool { return len(r.ends) > 0 })
+	return s.custody.open+len(s.custody.moving) > 0 || !s.certain(s.now) || slices.ContainsFunc(s.list, func(r *runner) bool { return len(r.ends) > 0 })
 }
 
 // NeedsStore reports whether callers wait for what the store doesn't have yet.
 func (s *Scheduler) NeedsStore() bool {
-	return s.custody.open > 0 || len(s.custody.early) > 0 || s.custody.askedAt > 0 && s.now-s.custody.askedAt < needStore
+	return s.custody.open+len(s.custody.moving) > 0 || len(s.custody.early) > 0 || s.custody.askedAt > 0 && s.now-s.custody.askedAt < needStore
 }
 
 // Verified notes that this process owned the shard's rows at a time.
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -77,6 +77,9 @@
 	// the last of them.
 	handed     int
 	listsSince Time
+	// stillSince is since when nothing of a stored job runs though something is due; 0
+	// if something does.
+	stillSince Time
 	// withdrawn jobs are another scheduler's now.
 	withdrawn bool
 	// abandonedAt is when the job's runs are stopped since its entry process
--- /dev/null
+++ b/core/schedule/move_test.go
@@ -0,0 +1,186 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/ledger"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// stranded returns a bench whose only runner has left with a job half done, and the
+// record that the job moves to shard 3.
+func stranded(t *testing.T) (*bench, *workload.Job, Save) {
+	b := leading(t, testRunner("r1"))
+	b.s.SetRefuge(3, time.Second)
+	j := storedJob(2, 200*ms)
+	b.accepted(j)
+	for _, c := range take[Start](b) {
+		b.started(c, Accepted)
+	}
+	b.end("r1", 1, runOf(j, 0, 1), workload.Done)
+	b.saved(take[Save](b)...)
+	b.s.SetRunners(b.now, nil)
+	b.s.runners["r1"].doubt(b.now)
+	b.tick(longestLife(b.s.cfg.Lease) + moveAfter)
+	b.saved(take[Save](b)...)
+	b.tick(100 * ms)
+	saves := take[Save](b)
+	b.g.ExpectWithOffset(1, saves).To(HaveLen(1))
+	return b, j, saves[0]
+}
+
+// Guards against accepted jobs that stand still for as long as their shard has no
+// runners, while others have room.
+func TestStrandedJobMovesToAnotherShard(t *testing.T) {
+	b, j, save := stranded(t)
+	b.g.Expect(save.Record.State).To(Equal(ledger.Moving))
+	b.g.Expect(save.Record.To).To(Equal(3))
+	b.g.Expect(take[HandOn](b)).To(BeEmpty(), "the store doesn't know yet that nobody starts it here")
+	b.saved(save)
+	b.tick(20 * ms)
+	given := one[HandOn](b)
+	b.g.Expect(given.To).To(Equal(3))
+	b.g.Expect(given.Job).To(Equal(j))
+	b.g.Expect(given.Done[0].Has(0)).To(BeTrue())
+	b.g.Expect(given.Done[0].Has(1)).To(BeFalse())
+	b.g.Expect(given.Unseen).To(BeTrue())
+	b.g.Expect(b.s.State(j.ID, b.now).Known).To(BeTrue())
+	b.tick(moveRetry)
+	b.g.Expect(take[HandOn](b)).To(HaveLen(1), "again, until it has arrived")
+	b.s.Arrived(b.now, j.ID)
+	b.tick(2 * moveRetry)
+	b.g.Expect(take[HandOn](b)).To(BeEmpty())
+	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Moved))
+	to, arrived, moved := b.s.MovedTo(j.ID)
+	b.g.Expect([]any{to, arrived, moved}).To(Equal([]any{3, true, true}))
+}
+
+// Guards against a job that is done twice, by its shard when the runners are back and by
+// the one that it was given to.
+func TestMovingJobIsntStartedWhenRunnersAreBack(t *testing.T) {
+	b, _, save := stranded(t)
+	b.saved(save)
+	b.s.SetRunners(b.now, []workload.Runner{testRunner("r2")})
+	b.wait(5 * time.Second)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
+// Guards against a move that ends with the owner that began it: the next one goes on.
+func TestMoveOutlivesItsOwner(t *testing.T) {
+	b := newBench(t, testRunner("r1"))
+	j := storedJob(2, 200*ms)
+	record := openRecord(j, 1, 0)
+	record.State, record.To, record.Hand = ledger.Moving, 3, 2
+	b.s.Lead(b.now)
+	b.held(one[Hold](b))
+	b.own(2, record)
+	b.tick(20 * ms)
+	given := one[HandOn](b)
+	b.g.Expect(given.To).To(Equal(3))
+	b.g.Expect(given.Hand).To(Equal(2))
+	b.g.Expect(given.Job).To(Equal(j))
+	b.wait(storedUnknown)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
+
+// Guards against jobs that are moved though they would wait elsewhere too.
+func TestJobsStayWhereTheyAreServedAsSoon(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := storedJob(1, 200*ms)
+	b.accepted(j)
+	b.started(one[Start](b), Accepted)
+	b.s.SetRefuge(3, time.Second)
+	waits := storedJob(8, 200*ms)
+	b.accepted(waits)
+	b.s.runners["r1"].health.failed(b.now, strikesToClose)
+	b.wait(2 * moveAfter)
+	for _, save := range take[Save](b) {
+		b.g.Expect(save.Record.State).NotTo(Equal(ledger.Moving))
+	}
+}
+
+// moved is a job of shard 2, one of whose two tasks is done.
+func moved(hand int) MovedJob {
+	j := storedJob(2, 200*ms)
+	return MovedJob{From: 2, Job: j, Hand: hand, Age: time.Second, Done: openRecord(j, 1, 0).Done}
+}
+
+// Guards against a job that gets lost or is done twice when its owners tell each other
+// more than once that it goes to another shard.
+func TestMovedJobIsTakenOnce(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	m := moved(2)
+	b.s.Take(b.now, entryA, m)
+	save := one[Save](b)
+	b.g.Expect(save.Record.Work).To(Equal(m.Job))
+	b.g.Expect(take[Taken](b)).To(BeEmpty(), "it isn't in the store")
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.saved(save)
+	b.g.Expect(one[Taken](b)).To(Equal(Taken{At: b.now, To: entryA, Shard: 2, Job: m.Job.ID}))
+	start := one[Start](b)
+	b.g.Expect(start.Run).To(Equal(runOf(m.Job, 1, 201)), "the task that isn't done, above all numbers of its owners")
+	b.s.Take(b.now, entryA, m)
+	b.g.Expect(one[Taken](b).Job).To(Equal(m.Job.ID))
+	b.started(start, Accepted)
+	b.end("r1", 1, start.Run, workload.Done)
+	b.saved(take[Save](b)...)
+	b.s.Take(b.now, entryA, m)
+	b.g.Expect(one[Taken](b).Job).To(Equal(m.Job.ID), "it has ended")
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.g.Expect(b.s.State(m.Job.ID, b.now).Outcome).To(Equal(workload.Completed))
+}
+
+// Guards against a job that comes back to a shard that it had left, by way of others,
+// and is taken for the same move once more.
+func TestMovedJobComesBack(t *testing.T) {
+	b, j, save := stranded(t)
+	b.saved(save)
+	b.s.Arrived(b.now, j.ID)
+	b.saved(take[Save](b)...)
+	m := MovedJob{From: 5, Job: j, Hand: save.Record.Hand, Done: save.Record.Done}
+	b.s.Take(b.now, entryA, m)
+	b.g.Expect(one[Taken](b).Job).To(Equal(j.ID), "a move of before")
+	b.g.Expect(take[Save](b)).To(BeEmpty())
+	m.Hand += 2
+	b.s.Take(b.now, entryA, m)
+	b.saved(one[Save](b))
+	_, _, gone := b.s.MovedTo(j.ID)
+	b.g.Expect(gone).To(BeFalse())
+	b.s.SetRunners(b.now, []workload.Runner{testRunner("r2")})
+	b.wait(100 * ms)
+	b.g.Expect(one[Start](b).Run.Task.Index).To(Equal(1))
+}
+
+// Guards against a caller who is told that a job is cancelled which another shard is
+// about to do.
+func TestMovingJobIsntCancelledHere(t *testing.T) {
+	b, j, save := stranded(t)
+	state, done := b.s.Cancel(b.now, j.ID)
+	b.g.Expect([]any{state.Unsure, done}).To(Equal([]any{true, true}))
+	b.saved(save)
+	state, done = b.s.Cancel(b.now, j.ID)
+	b.g.Expect([]any{state.Unsure, done}).To(Equal([]any{true, true}))
+}
+
+// Guards against an end on a runner that was out of sight, which counts for good though
+// the job moved and the task is done again.
+func TestEndOfAMovedJobBindsNobody(t *testing.T) {
+	for _, kind := range []workload.EndKind{workload.Done, workload.Failed} {
+		b, j, save := stranded(t)
+		b.saved(save)
+		b.s.SetRunners(b.now, []workload.Runner{testRunner("r1")})
+		b.wait(100 * ms)
+		r := b.s.runners["r1"]
+		r.grant(b.now, b.s.cfg.Lease)
+		b.end("r1", 2, runOf(j, 1, 1), kind)
+		lapse := r.aliveUntil
+		b.g.Expect(r.withheldUntil).To(Equal(lapse))
+		b.wait(lapse - b.now - 40*ms)
+		b.g.Expect(r.acknowledged).To(BeZero())
+		b.wait(200 * ms)
+		b.g.Expect(r.acknowledged).To(BeEquivalentTo(2))
+	}
+}
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -15,9 +15,14 @@
 	restarted bool
 	// saving is the sequence of a record that isn't in the store yet; 0 if it is.
 	saving uint64
+	// move is set for a job that has gone to another shard.
+	move *move
 }
 
 func (k kept) jobState() JobState {
+	if k.move != nil {
+		return JobState{Known: true, Begun: true}
+	}
 	if k.saving > 0 {
 		return JobState{Unsure: true}
 	}
@@ -35,11 +40,11 @@
 }
 
 func (j *job) record() ledger.Record {
-	r := ledger.Record{Job: j.work.ID, Epoch: j.stored.epoch, State: j.stored.state, Restarted: j.restarted, Unseen: j.stored.unseen}
+	r := ledger.Record{Job: j.work.ID, Epoch: j.stored.epoch, State: j.stored.state, Restarted: j.restarted, Unseen: j.stored.unseen, To: j.stored.to, Hand: j.stored.hand}
 	if !j.stored.accepted {
 		r.Work = j.work
 	}
-	if r.State != ledger.Open {
+	if !r.State.KeepsWork() {
 		return r
 	}
 	r.Failures = append(r.Failures, j.stored.failures...)
@@ -77,14 +82,18 @@
 	j.stored.saved = max(j.stored.saved, sequence)
 	if !j.stored.accepted {
 		j.stored.accepted = true
+		s.tellTaken(j)
 		for _, e := range sortedKeys(j.stored.waiters) {
 			s.answer(e, j.work.ID, workload.Accepted, "")
 		}
 		j.stored.waiters = nil
-		s.enqueue(j)
+		s.resume(j)
 	}
 	if j.ended && j.stored.saved == j.stored.saving {
 		s.keep(j.work.ID, j.stored.state, j.restarted)
+		if j.stored.state == ledger.Moving {
+			s.keepMove(j.movingRecord(), s.now-j.arrived)
+		}
 		delete(s.jobs, j.work.ID)
 		s.emit(Settled{Job: j.work.ID, State: s.custody.kept[j.work.ID].jobState()})
 	}
@@ -104,6 +113,10 @@
 		if s.now-s.custody.kept[id].at < s.cfg.Retention+keptExtra {
 			return
 		}
+		if s.keepsMove(id) {
+			s.custody.keptOrder = append(s.custody.keptOrder[1:], id)
+			continue
+		}
 		s.custody.keptOrder = s.custody.keptOrder[1:]
 		delete(s.custody.kept, id)
 		s.saveRecord(ledger.Record{Job: id, State: ledger.Forgotten})
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -18,6 +18,9 @@
 	for _, r := range l.Records {
 		if r.State != ledger.Open {
 			s.keep(r.Job, r.State, r.Restarted)
+			if r.State == ledger.Moving || r.State == ledger.Moved {
+				s.keepMove(r, r.Age)
+			}
 			continue
 		}
 		open++
@@ -43,6 +46,15 @@
 	if r.Work == nil || s.jobs[r.Job] != nil {
 		return
 	}
+	j := s.restored(r)
+	if s.attach(j) {
+		s.save(j)
+	}
+	s.resume(j)
+}
+
+// restored is a job as its record says.
+func (s *Scheduler) restored(r ledger.Record) *job {
 	j := newJob(r.Work, s.now)
 	j.stored = &stored{epoch: r.Epoch, accepted: true, failures: r.Failures, unseen: r.Unseen, unseenBefore: r.Unseen}
 	j.started, j.restarted = true, r.Restarted
@@ -66,10 +78,7 @@
 			j.begun = true
 		}
 	}
-	if s.attach(j) {
-		s.save(j)
-	}
-	s.checkRestored(j)
+	return j
 }
 
 // knownFrom is when nothing can be alive any more that schedulers before have
@@ -82,9 +91,9 @@
 	return claimedAt + storedUnknown
 }
 
-// checkRestored ends a job whose last record the scheduler before had no time to
-// write.
-func (s *Scheduler) checkRestored(j *job) {
+// resume goes on with a job that is in the store, or ends it if a scheduler before had
+// no time to write its last record.
+func (s *Scheduler) resume(j *job) {
 	if j.complete() {
 		s.finish(j, workload.Completed, "all tasks had ended")
 		return
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -67,10 +67,14 @@
 	unseenSaved uint64
 	// unseenBefore: so did the owner before.
 	unseenBefore bool
-	// state is what the job has come to.
-	state ledger.State
+	// state is what the job has come to; to and hand are set for one that moves, as in
+	// ledger.Record.
+	state    ledger.State
+	to, hand int
 	// waiters are to be told of the acceptance, until the times given.
 	waiters map[EntryID]Time
+	// givers are to be told that a job of their shard has arrived here.
+	givers []giver
 }
 
 // setDue gives a stored job its times. However late it is, it must be done.
@@ -88,6 +92,7 @@
 	if !s.leading {
 		return
 	}
+	s.tickMoves()
 	s.forgetKept()
 	if !s.sure() {
 		s.stopUnsure()
@@ -113,9 +118,16 @@
 		return JobState{Unsure: true}, true
 	}
 	if k, ok := s.custody.kept[id]; ok {
+		if k.move != nil {
+			// The other shard's owner decides, once it has the job.
+			return JobState{Unsure: true}, true
+		}
 		return k.jobState(), k.saving == 0
 	}
 	if j := s.jobs[id]; j != nil {
+		if j.stored.state == ledger.Moving {
+			return JobState{Unsure: true}, true
+		}
 		s.finish(j, workload.Cancelled, "cancelled")
 		s.dispatch()
 		return JobState{}, false
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -27,8 +27,12 @@
 		return &pb.FleetMessage{Body: &pb.FleetMessage_DropJob{DropJob: &pb.DropJob{Job: string(m.Job), HandedOver: m.HandedOver, Shard: uint32(m.Shard)}}}
 	case fleet.JobQuery:
 		return &pb.FleetMessage{Body: &pb.FleetMessage_JobQuery{
-			JobQuery: &pb.JobQuery{Request: m.Request, Job: string(m.Job), Cancel: m.Cancel},
+			JobQuery: &pb.JobQuery{Request: m.Request, Job: string(m.Job), Cancel: m.Cancel, Hops: uint32(m.Hops), Shard: uint32(m.Shard)},
 		}}
+	case fleet.JobMove:
+		return jobMoveMessage(m)
+	case fleet.JobTaken:
+		return &pb.FleetMessage{Body: &pb.FleetMessage_JobTaken{JobTaken: &pb.JobTaken{Shard: uint32(m.Shard), Job: string(m.Job)}}}
 	case fleet.JobAnswer:
 		return stateMessage(m)
 	case fleet.Declaration:
@@ -48,7 +52,7 @@
 	switch m.GetBody().(type) {
 	case *pb.FleetMessage_Heartbeat:
 		return "heartbeat"
-	case *pb.FleetMessage_HandIn, *pb.FleetMessage_Verdict, *pb.FleetMessage_DropJob:
+	case *pb.FleetMessage_HandIn, *pb.FleetMessage_Verdict, *pb.FleetMessage_DropJob, *pb.FleetMessage_JobMove, *pb.FleetMessage_JobTaken:
 		return "job"
 	case *pb.FleetMessage_JobQuery, *pb.FleetMessage_JobState:
 		return "query"
@@ -76,7 +80,14 @@
 		return fleet.DropJob{Shard: int(body.DropJob.GetShard()), Job: workload.JobID(body.DropJob.GetJob()), HandedOver: body.DropJob.GetHandedOver()}
 	case *pb.FleetMessage_JobQuery:
 		q := body.JobQuery
-		return fleet.JobQuery{Request: q.GetRequest(), Job: workload.JobID(q.GetJob()), Cancel: q.GetCancel()}
+		return fleet.JobQuery{
+			Request: q.GetRequest(), Job: workload.JobID(q.GetJob()), Cancel: q.GetCancel(),
+			Hops: int(q.GetHops()), Shard: int(q.GetShard()),
+		}
+	case *pb.FleetMessage_JobMove:
+		return jobMoveOf(body.JobMove)
+	case *pb.FleetMessage_JobTaken:
+		return fleet.JobTaken{Shard: int(body.JobTaken.GetShard()), Job: workload.JobID(body.JobTaken.GetJob())}
 	case *pb.FleetMessage_JobState:
 		return stateOf(body.JobState)
 	case *pb.FleetMessage_Declaration:
