Hand-ins are taken only on connections made since a pause

Callers saw: told that a stored job isn't accepted and never runs; it ran four seconds later.

Cause: a process that had stood still for 3.6 s read the hand-in of one that had died meanwhile, led again within 160 ms, and accepted it; a dead process can't end its connection, and is missed only after 450 ms.

Ruled out: the refusal (proved by the store after the copy came); a late write.

Why this works: others give up a connection after 450 ms of silence, a process notices pauses of 400 ms; so no live process loses by it, and each hands in again on the new connection what its callers still wait for. What a silent process handed in and wasn't decided goes with it, for a process that leads only later.

Before: both new tests fail (started; in the rows). After: pass; with either part of the guard taken out the second one fails.

--- a/core/fleet/denial_test.go
+++ b/core/fleet/denial_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/leader"
 )
 
 // A VM's process is killed and runs again before its silence is noticed. The others
@@ -67,6 +69,18 @@
 	}
 }
 
+// Runs that once broke a promise, with the cause.
+var deniedRegressions = map[uint64]string{
+	8101338: "a process that woke accepted a job of a dead one out of its buffers, whose caller had been refused",
+}
+
+func TestDeniedRegressions(t *testing.T) {
+	for seed, cause := range deniedRegressions {
+		w, played := deniedRun(seed)
+		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
+	}
+}
+
 // deniedRun plays a pooled deployment or one of cells, of one or two shards.
 func deniedRun(seed uint64) (*world, []string) {
 	shards := 1 + int(seed%2)
@@ -79,3 +93,58 @@
 	_, played := randomRunOf(w, names)
 	return w, played
 }
+
+// Guards against a process that wakes and takes a job out of its buffers whose entry
+// process died meanwhile: its caller may have been told by another one that it isn't run.
+func TestHandInOfADeadProcessIsntTaken(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	w.try(w.storedJob())
+	w.run(3 * time.Second)
+	old, entry := w.leader(), w.nodes[5]
+	g.Expect(entry).NotTo(Equal(old))
+	job := w.storedJob()
+	w.freeze(old, 2*time.Second)
+	w.do(entry, func() { entry.node.Submit(w.now, 1000, job.work, 2*time.Second) })
+	w.run(20 * time.Millisecond)
+	w.kill(entry, time.Minute)
+	for _, o := range w.nodes {
+		w.parted[[2]string{old.name, o.name}] = true
+	}
+	w.run(3 * time.Second)
+	g.Expect(old.node.Leads()).To(BeTrue())
+	g.Expect(job.starts).To(BeZero())
+	g.Expect(w.store.rows(0).records).NotTo(HaveKey(job.work.ID))
+}
+
+// The same where the process that wakes leads before it can notice that the other one is
+// dead: the only other VM of its cell, which it hadn't heard before either, died too.
+func TestHandInOfADeadProcessIsntTakenByANewLeader(t *testing.T) {
+	g := NewWithT(t)
+	w := cellDeployment(1, 1)
+	w.try(w.storedJob())
+	w.run(3 * time.Second)
+	old, other, entry := w.nodes[0], w.nodes[1], w.nodes[2]
+	if !old.node.Leads() {
+		old, other = other, old
+	}
+	job := w.storedJob()
+	for w.divided.OfStoredJob(job.work.ID) != 0 {
+		job = w.storedJob()
+	}
+	w.parted[[2]string{old.name, other.name}] = true
+	w.run(time.Second)
+	w.freeze(old, 2*time.Second)
+	w.do(entry, func() { entry.node.Submit(w.now, 1000, job.work, 2*time.Second) })
+	w.run(20 * time.Millisecond)
+	job.answered = true
+	w.kill(entry, time.Minute)
+	w.run(1300 * time.Millisecond)
+	w.kill(other, time.Minute)
+	for w.now < old.frozen || !old.node.Leads() {
+		w.run(time.Millisecond)
+	}
+	g.Expect(w.now - old.frozen).To(BeNumerically("<", leader.LostAfter))
+	w.run(time.Second)
+	g.Expect(w.store.rows(0).records).NotTo(HaveKey(job.work.ID))
+}
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -348,6 +348,7 @@
 func (n *Node) stalled(now Time, pause time.Duration) {
 	n.warn("process-stalled", Field{"pause", ms(pause)}, Field{"leading", n.Leads()})
 	n.view.Stalled(now, n.Leads())
+	n.disconnectAll(now)
 	for _, s := range n.shards {
 		if s.schedule != nil {
 			s.retire(now)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"sapphirepoint.example/sapphirepoint/core/gateway"
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 )
@@ -57,6 +58,28 @@
 	}
 }
 
+// disconnectAll gives up all connections after a pause. Others have done so, or are about
+// to; those that have ended meanwhile can't say so. What is still read from such a
+// connection may be of long ago, and jobs in it given to somebody else.
+func (n *Node) disconnectAll(now Time) {
+	for _, id := range n.peers() {
+		delete(n.linked, id)
+		n.emit(Disconnect{Peer: id})
+		for _, s := range n.own {
+			s.schedule.EntryReset(now, schedule.EntryID(id))
+		}
+	}
+}
+
+// handedIn takes jobs of a process that is connected.
+func (n *Node) handedIn(now Time, from leader.ID, c gateway.HandIn) {
+	if !n.linked[from] {
+		n.notice("hand-in-dropped", Field{"job", string(c.Job.ID)}, Field{"entry", string(from)}, Field{"reason", "its connection has ended"})
+		return
+	}
+	n.submit(now, from, c)
+}
+
 // Receive takes a message. nil is a sign of life and nothing more.
 func (n *Node) Receive(now Time, from leader.ID, m Message) {
 	n.checkPause(now)
@@ -70,7 +93,7 @@
 	n.view.Heard(now, from, nil)
 	switch m := m.(type) {
 	case HandIn:
-		n.submit(now, from, m.HandIn)
+		n.handedIn(now, from, m.HandIn)
 	case Verdict:
 		m.From = from
 		n.gateway.Decide(now, m.Verdict)
--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -124,6 +124,16 @@
 	s.custody.early[id] = append(s.custody.early[id], earlySubmission{Submission: sub, at: s.now})
 }
 
+// dropEarly forgets the submissions of an entry process that has ended or is silent.
+func (s *Scheduler) dropEarly(entry EntryID) {
+	for _, id := range sortedKeys(s.custody.early) {
+		s.custody.early[id] = slices.DeleteFunc(s.custody.early[id], func(e earlySubmission) bool { return e.Entry == entry })
+		if len(s.custody.early[id]) == 0 {
+			delete(s.custody.early, id)
+		}
+	}
+}
+
 // expireEarly answers callers to whom nothing can be said.
 func (s *Scheduler) expireEarly() {
 	for _, id := range sortedKeys(s.custody.early) {
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -330,6 +329,7 @@
 	if !ended {
 		s.missing[entry.VM()] = now
 	}
+	s.dropEarly(entry)
 	for _, j := range s.jobsInOrder() {
 		if j.entry != entry || j.stored != nil {
 			continue
@@ -357,12 +357,7 @@
 // long been given to another scheduler, or its caller told that it wasn't run.
 func (s *Scheduler) EntryReset(now Time, entry EntryID) {
 	s.now = now
-	for _, id := range sortedKeys(s.custody.early) {
-		s.custody.early[id] = slices.DeleteFunc(s.custody.early[id], func(e earlySubmission) bool { return e.Entry == entry })
-		if len(s.custody.early[id]) == 0 {
-			delete(s.custody.early, id)
-		}
-	}
+	s.dropEarly(entry)
 	for _, j := range s.jobsInOrder() {
 		if j.entry == entry && j.stored == nil && !j.started {
 			s.emit(Decision{Event: "job-dropped", Job: j.work.ID, Reason: "connection lost"})
