An ended job's record says that a task was started again out of sight

Callers saw: a task done twice, as before, an owner later.

Cause: the next owner, which withheld the first end rightly, completed the job by it. The record of the completed job had "restarted" unset, since no run with a higher number had been noted there; the owner after that acknowledged the first end at once. Evidence: the orders of the run and what each owner noted of the end (withheld by process 9, not by process 11).

Ruled out: the lapse (the runner's lease was renewed throughout); a lost write.

Change: a job whose task is to be started again out of sight counts as restarted.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -194,7 +194,7 @@
 func (s *Scheduler) requeueUnseen(t *taskState) {
 	t.unseen = true
 	if j := t.job; j.stored != nil && !j.ended && !j.stored.unseen {
-		j.stored.unseen = true
+		j.stored.unseen, j.restarted = true, true
 		s.save(j)
 		j.stored.unseenSaved = j.stored.saving
 	}
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -254,6 +254,7 @@
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	save := one[Save](b)
 	b.g.Expect(save.Record.Unseen).To(BeTrue())
+	b.g.Expect(save.Record.Restarted).To(BeTrue(), "also when the job has ended")
 	b.saved(save)
 	b.g.Expect(one[Start](b).Runner).NotTo(Equal(first.Runner))
 }
