A process doesn't lead while older ones refuse it

Cause: a process reads the list of members again after 2 ms a member, 0.3 s in a fleet of 147, and refuses a new process until then. The new one listens for 150 ms, hears nobody, leads, and takes the cell's runners.

Ruled out: a lost leader, a slow VM, the cut itself.

Weighed: reading the list at once when a stranger dials (more calls to the store at each start; doesn't help while the store is stuck); waiting for all that refuse (a start of all would take 0.3 s longer). Taken: wait for older ones with a seat only.

Before: TestAProcessThatOthersDontKnowDoesntLead fails (leads). After: passes, core/fleet whole too.

--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/topology"
 )
@@ -137,6 +138,23 @@
 	n.view.SetComplete(n.hearsAll())
 }
 
+// meetsStrangers reports whether an older process that could lead this one's cell is
+// there, as connections with it show, and hasn't told anything of itself. It refuses this
+// process until it has read of it.
+func (n *Node) meetsStrangers(now Time) bool {
+	if n.fleet == nil {
+		return false
+	}
+	for _, m := range n.fleet.Seats(n.cell, n.widened) {
+		id := leader.ID(m.ID)
+		heard := n.view.LastHeard(id)
+		if m.Number < n.number && heard > 0 && now-heard <= leader.LostAfter && n.view.Report(id).Number == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // hearsAll reports whether a process of every other VM of the cell is heard.
 func (n *Node) hearsAll() bool { return n.vms != nil && len(n.unheard) == 0 }
 
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -303,6 +303,7 @@
 		n.peerLost(now, id, false)
 	}
 	n.watchStore(now)
+	n.view.SetStrangers(n.meetsStrangers(now))
 	n.follow(now)
 	n.lookFurther(now)
 	n.expireEarly(now)
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -24,6 +24,7 @@
 	n.node.SetDomain(n.domain)
 	n.id, n.frozen = "", 0
 	n.links = make(map[leader.ID]bool)
+	n.redialAt = make(map[leader.ID]time.Duration)
 	n.requests = make(map[uint64]*fakeJob)
 	n.questions = make(map[uint64]*askedJob)
 	n.pending, n.wanted, n.met = nil, nil, 0
@@ -119,12 +120,32 @@
 		if o == n || o.node == nil || o.id == "" || n.id == "" || n.links[o.id] || !w.connects(n, o) || w.now < o.frozen {
 			continue
 		}
+		if w.refused(n, o) {
+			continue
+		}
 		n.links[o.id], o.links[n.id] = true, true
 		w.do(n, func() { n.node.PeerUp(w.now, o.id) })
 		w.do(o, func() { o.node.PeerUp(w.now, n.id) })
 	}
 }
 
+// redial is the pause after a connection that was refused.
+const redial = 100 * time.Millisecond
+
+// refused plays a connection that one side refuses, as it doesn't know the other one:
+// that one learns only that somebody is there.
+func (w *world) refused(n, o *fakeNode) bool {
+	if w.now >= w.strangers[n.name] && w.now >= w.strangers[o.name] {
+		return false
+	}
+	if w.now < w.strangers[n.name] && w.now >= n.redialAt[o.id] {
+		n.redialAt[o.id] = w.now + redial
+		w.do(n, func() { n.node.PeerUp(w.now, o.id) })
+		w.do(n, func() { n.node.PeerDown(w.now, o.id, false) })
+	}
+	return true
+}
+
 // linkWanted makes the connections that a process is to make.
 func (w *world) linkWanted(n *fakeNode) {
 	for _, l := range n.wanted {
@@ -133,7 +154,7 @@
 			continue
 		}
 		o := w.byID(id)
-		if o == nil || w.now < o.frozen || !w.connects(n, o) {
+		if o == nil || w.now < o.frozen || !w.connects(n, o) || w.refused(n, o) {
 			continue
 		}
 		n.links[id], o.links[n.id] = true, true
--- a/core/fleet/start_test.go
+++ b/core/fleet/start_test.go
@@ -69,3 +69,38 @@
 	n.Tick(330 * time.Millisecond)
 	g.Expect(n.Leads()).To(BeTrue())
 }
+
+// Guards against a restarted process that leads beside the others: they don't know it yet
+// and refuse its connections, so it hears nobody, though it sees that they are there. It
+// took their runners, and what ran stood still for half a second.
+func TestAProcessThatOthersDontKnowDoesntLead(t *testing.T) {
+	for name, w := range map[string]*world{"pooled": deployment(1, 1), "cells": cellDeployment(1, 1)} {
+		g := NewWithT(t)
+		w.run(2 * time.Second)
+		fresh := w.nodes[1]
+		if fresh.node.Leads() {
+			fresh = w.nodes[0]
+		}
+		w.kill(fresh, 300*time.Millisecond)
+		w.strangers[fresh.name] = w.now + 1300*time.Millisecond
+		for w.now < w.strangers[fresh.name] {
+			w.run(10 * time.Millisecond)
+			g.Expect(fresh.node != nil && fresh.node.Leads()).To(BeFalse(), name)
+		}
+		w.run(time.Second)
+		g.Expect(fresh.node.ReachesAll()).To(BeTrue(), name)
+	}
+}
+
+// Guards against a deployment that nobody leads, since those who refuse a process never
+// come to know it.
+func TestAProcessThatStaysUnknownLeadsInTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	w.run(2 * time.Second)
+	fresh := w.nodes[5]
+	w.kill(fresh, 300*time.Millisecond)
+	w.strangers[fresh.name] = w.now + time.Minute
+	w.run(4 * time.Second)
+	g.Expect(fresh.node.Leads()).To(BeTrue())
+}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -56,6 +56,9 @@
 	divided layout.Layout
 	// layoutAt is when the layout becomes known.
 	layoutAt time.Duration
+	// strangers are VMs whose new process the others don't know before the time given:
+	// they refuse its connections.
+	strangers map[string]time.Duration
 	// linkDelay is how long after they can reach each other two processes connect.
 	linkDelay time.Duration
 	joinedAt  map[[2]string]time.Duration
@@ -112,6 +115,8 @@
 	removed bool
 	frozen  time.Duration
 	links   map[leader.ID]bool
+	// redialAt is when a process that has refused a connection is tried again.
+	redialAt map[leader.ID]time.Duration
 	// wanted are the connections that the process asks for.
 	wanted []topology.Link
 	// met is the number of members that the process was last told of.
@@ -154,6 +159,7 @@
 		parted:    make(map[[2]string]bool),
 		lag:       make(map[string]time.Duration),
 		joinedAt:  make(map[[2]string]time.Duration),
+		strangers: make(map[string]time.Duration),
 		listed:    make(map[workload.RunnerID]bool),
 		byName:    make(map[leader.ID]*fakeNode),
 		byRunner:  make(map[workload.RunnerID]*fakeRunner),
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -45,9 +45,10 @@
 	// all start at once. It needn't wait for anybody once all have told it that
 	// they could lead too.
 	settle = 150 * time.Millisecond
-	// settleMost is how long it waits to learn which others there are. Beside a
-	// store in trouble one led by itself with the few runners that it had read
-	// of, and held up jobs and runners of the scheduler that it hadn't found yet.
+	// settleMost is how long it waits to learn which others there are, and for older
+	// ones that refuse its connections, as they haven't read of it yet. Leading
+	// meanwhile, it would take the runners of a scheduler that it doesn't hear, and
+	// hold up its jobs.
 	settleMost = 2 * time.Second
 	// yieldWait is how long a leader goes on while the one that should lead
 	// hasn't said that it does.
@@ -69,6 +70,8 @@
 	found bool
 	// complete: a process of each VM of the deployment is heard.
 	complete bool
+	// strangers: an older process is there that could lead and hasn't told of itself.
+	strangers bool
 	// yieldSince is when this process, leading a shard, began to wait for
 	// another.
 	yieldSince []Time
@@ -129,12 +132,16 @@
 // settled reports whether the process has listened for long enough to lead.
 func (v *View) settled(now Time) bool {
 	wait := settle
-	if !v.found {
+	if !v.found || v.strangers {
 		wait = settleMost
 	}
 	return now-v.begin >= wait || v.allAble()
 }
 
+// SetStrangers says whether an older process that could lead is there and hasn't told
+// anything of itself yet.
+func (v *View) SetStrangers(some bool) { v.strangers = some }
+
 // SetComplete says whether a process of each VM is heard.
 func (v *View) SetComplete(complete bool) { v.complete = complete }
 
