A new owner shows what it completes when the one before is quiet

Callers saw: a job shown as completed, and a task of it started again 25 ms later.

Cause: ends of an owner before are acknowledged only when that one must doubt its ownership (0.5 s after the shard was taken), but a job completed by them was shown at once.

Ruled out: the record of the second start, written under the old ownership; a late order.

Change: the end of a job that was handed over is shown after the same time, or at once after the word of the owner before. Costs up to half a second for jobs that end just after a lost owner.

Before: the new test fails. After: passes.

--- a/core/fleet/denial_test.go
+++ b/core/fleet/denial_test.go
@@ -72,6 +72,7 @@
 // Runs that once broke a promise, with the cause.
 var deniedRegressions = map[uint64]string{
 	8101338: "a process that woke accepted a job of a dead one out of its buffers, whose caller had been refused",
+	8200462: "a new owner showed a job as completed, and the one before started a task of it again, not knowing yet that it wasn't the owner",
 	8200245: "a job was completed by the end of a run whose task had been started again, which the owner after the next didn't know",
 }
 
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -89,14 +89,21 @@
 		j.stored.waiters = nil
 		s.resume(j)
 	}
-	if j.ended && j.stored.saved == j.stored.saving {
-		s.keep(j.work.ID, j.stored.state, j.restarted)
-		if j.stored.state == ledger.Moving {
-			s.keepMove(j.movingRecord(), s.now-j.arrived)
-		}
-		delete(s.jobs, j.work.ID)
-		s.emit(Settled{Job: j.work.ID, State: s.custody.kept[j.work.ID].jobState()})
+	s.settle(j)
+}
+
+// settle shows what has come of a job that has ended, when the store has it and an owner
+// before, that may not know yet that it isn't the owner any more, starts nothing of it.
+func (s *Scheduler) settle(j *job) {
+	if !j.ended || j.stored.saved < j.stored.saving || j.handed > 0 && s.now < s.ownersQuietFrom() {
+		return
+	}
+	s.keep(j.work.ID, j.stored.state, j.restarted)
+	if j.stored.state == ledger.Moving {
+		s.keepMove(j.movingRecord(), s.now-j.arrived)
 	}
+	delete(s.jobs, j.work.ID)
+	s.emit(Settled{Job: j.work.ID, State: s.custody.kept[j.work.ID].jobState()})
 }
 
 func (s *Scheduler) keep(id workload.JobID, state ledger.State, restarted bool) {
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -102,6 +102,7 @@
 // tickStoredJob answers callers whose patience has ended before the store has
 // answered. The job may be in the store, or come there.
 func (s *Scheduler) tickStoredJob(j *job) {
+	s.settle(j)
 	s.timed(j)
 	for _, e := range sortedKeys(j.stored.waiters) {
 		if s.now >= j.stored.waiters[e] {
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -297,6 +297,35 @@
 	}
 }
 
+// Guards against a task that the owner before starts after the new one has shown its job
+// as completed: it may believe for a moment more that it owns the shard.
+func TestCompletedIsShownWhenTheOwnerBeforeIsQuiet(t *testing.T) {
+	for _, retired := range []bool{false, true} {
+		b := newBench(t, testRunner("r1"))
+		j := storedJob(1, 100*ms)
+		b.s.Lead(b.now)
+		b.held(one[Hold](b), workload.End{Sequence: 1, Run: runOf(j, 0, 1), Kind: workload.Done})
+		if retired {
+			b.s.Learn(b.now, Progress{Epoch: 1})
+		}
+		claimed := b.now
+		b.own(2, openRecord(j, 1))
+		saves := take[Save](b)
+		b.saved(saves[len(saves)-1])
+		if retired {
+			b.g.Expect(one[Settled](b).State.Outcome).To(Equal(workload.Completed))
+			continue
+		}
+		for b.now < claimed+custodyAge {
+			b.g.Expect(take[Settled](b)).To(BeEmpty())
+			b.g.Expect(b.s.State(j.ID, b.now).Ended).To(BeFalse())
+			b.wait(20 * ms)
+		}
+		b.wait(ownerSlack + 20*ms)
+		b.g.Expect(one[Settled](b).State.Outcome).To(Equal(workload.Completed))
+	}
+}
+
 // A task fails under two schedulers. The attempts of both count, each once, also
 // if the second finds the first one's end still listed.
 func TestFailuresUnderTwoSchedulers(t *testing.T) {
