--- a/core/fleet/moved.go
+++ b/core/fleet/moved.go
@@ -35,7 +35,7 @@
 func (n *Node) refuge(s *shard) (int, time.Duration) {
 	best, least := -1, schedule.NoRunners
 	for _, o := range n.shards {
-		if o == s || o.choice.Leader == "" || !o.choice.Reachable {
+		if o == s || n.leaderOf(o.index) == "" {
 			continue
 		}
 		wait := n.gateway.Wait(o.index)
@@ -53,16 +53,24 @@
 func (n *Node) handOn(now Time, s *shard, c schedule.HandOn) {
 	c.From = s.index
 	m := JobMove{Shard: c.To, MovedJob: c.MovedJob}
-	switch to := n.shards[c.To].choice; {
-	case to.Leader == "" || !to.Reachable:
+	switch to := n.leaderOf(c.To); to {
+	case "":
 		// It is given again.
-	case to.Leader == n.Self():
-		n.take(now, n.Self(), m)
+	case n.Self():
+		n.take(now, to, m)
 	default:
-		n.emit(Send{To: to.Leader, Message: m})
+		n.emit(Send{To: to, Message: m})
 	}
 }
 
+// leaderOf is the process in reach that leads a shard; "" if there is none.
+func (n *Node) leaderOf(shard int) leader.ID {
+	if shard < 0 || shard >= len(n.shards) || !n.shards[shard].choice.Reachable {
+		return ""
+	}
+	return n.shards[shard].choice.Leader
+}
+
 func (n *Node) take(now Time, from leader.ID, m JobMove) {
 	if s := n.ownShard(m.Shard); s != nil {
 		n.seeStored(now)
@@ -98,18 +106,18 @@
 // askMoved answers a question about a job that another shard has, or passes it on.
 func (n *Node) askMoved(now Time, q question, id workload.JobID, to int, arrived bool) {
 	q.shard, q.hops = to, q.hops+1
-	c := n.shards[to].choice
+	owner := n.leaderOf(to)
 	switch {
 	case !arrived && !q.cancel:
 		n.tell(q, id, schedule.JobState{Known: true, Begun: true})
-	case !arrived || q.hops > mostHops || c.Leader == "" || !c.Reachable:
+	case !arrived || q.hops > mostHops || owner == "":
 		n.tell(q, id, schedule.JobState{Unsure: true})
-	case c.Leader == n.Self():
+	case owner == n.Self():
 		n.ask(now, q, id)
 	default:
 		n.lastRelay++
 		n.relays[n.lastRelay] = relay{question: q, job: id, at: now}
-		n.emit(Send{To: c.Leader, Message: JobQuery{Request: n.lastRelay, Job: id, Cancel: q.cancel, Hops: q.hops, Shard: to}})
+		n.emit(Send{To: owner, Message: JobQuery{Request: n.lastRelay, Job: id, Cancel: q.cancel, Hops: q.hops, Shard: to}})
 	}
 }
 
