--- a/core/fleet/denial_test.go
+++ b/core/fleet/denial_test.go
@@ -62,6 +62,7 @@
 // are asked, at once and again, while processes are killed and come back at all moments,
 // some of them unknown to the others for a while.
 func TestNobodyDeniesAnAcceptedJob(t *testing.T) {
+	t.Parallel()
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
 		w, played := deniedRun(seed)
@@ -77,6 +78,7 @@
 }
 
 func TestDeniedRegressions(t *testing.T) {
+	t.Parallel()
 	for seed, cause := range deniedRegressions {
 		w, played := deniedRun(seed)
 		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -171,6 +171,7 @@
 // for them and cancel some. What was accepted is done once, or as often as its
 // queue allows, whoever is killed; and it is never said to be unknown.
 func TestRandomFaultsWithStoredJobs(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	names := storedTroubles()
 	accepted, completed := 0, 0
@@ -205,6 +206,7 @@
 // the same time, a caller who is told that nothing has run finds that true for
 // ever, and a complete answer is complete.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	served, asked := 0, 0
 	for i := range *seeds {
@@ -221,6 +223,7 @@
 // Links between single VMs are cut, some VMs can't reach the store, and VMs are
 // replaced for good by others, beside the faults above. The promises hold.
 func TestRandomFaultsOfLinks(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	names := append(troubleNames(), "store for some", "part", "part", "replace", "mute runners")
 	for i := range *seeds {
@@ -245,6 +248,7 @@
 // Callers whose entry VM dies come again by another domain, whose schedulers know
 // nothing of the first try. The promises hold.
 func TestRandomFaultsInCells(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	names := append(troubleNames(), "store for some", "part", "part", "replace", "mute runners")
 	served, asked := 0, 0
@@ -262,6 +266,7 @@
 // The same with stored jobs, which belong to one shard of all, and with one or two shards
 // in a cell.
 func TestRandomFaultsInCellsWithStoredJobs(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
@@ -281,6 +286,7 @@
 
 // Runs in cells that once broke a promise, with the cause.
 func TestCellRegressions(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	// A caller whose entry VM had died came again by another cell, and was told that
 	// nothing had run.
@@ -329,6 +335,7 @@
 }
 
 func TestStoredRegressions(t *testing.T) {
+	t.Parallel()
 	for seed, cause := range storedRegressions {
 		w, played := storedRun(seed, storedTroubles())
 		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
@@ -336,6 +343,7 @@
 }
 
 func TestRegressions(t *testing.T) {
+	t.Parallel()
 	for seed, cause := range regressions {
 		w, played := randomRun(seed, 1, troubleNames())
 		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
