--- a/core/fleet/moved.go
+++ b/core/fleet/moved.go
@@ -30,9 +30,9 @@
 	at  Time
 }
 
-// refuge is the other shard in reach in which a stored job would wait least, and for how
+// alternate is the other shard in reach in which a stored job would wait least, and for how
 // long; -1 if there is none.
-func (n *Node) refuge(s *shard) (int, time.Duration) {
+func (n *Node) alternate(s *shard) (int, time.Duration) {
 	best, least := -1, schedule.NoRunners
 	for _, o := range n.shards {
 		if o == s || n.leaderOf(o.index) == "" {
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -318,7 +318,7 @@
 		s.schedule.SetAllHeard(now, all)
 		s.schedule.SetMissing(misses)
 		s.schedule.SetDoubt(doubt)
-		s.schedule.SetRefuge(n.refuge(s))
+		s.schedule.SetAlternate(n.alternate(s))
 		if all && s.schedule.Leading() {
 			s.ledger.Uncontested(now)
 		}
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -58,15 +58,17 @@
 	Unseen   bool
 }
 
-// giver is a process that has given a job of a shard.
-type giver struct {
+// sender is a process that has given a job of a shard.
+type sender struct {
 	entry EntryID
 	shard int
 }
 
-// SetRefuge says in which other shard a job would wait least, and for how long; -1 if no
+// SetAlternate says in which other shard a job would wait least, and for how long; -1 if no
 // other one is in reach.
-func (s *Scheduler) SetRefuge(shard int, wait time.Duration) { s.refuge, s.refugeWait = shard, wait }
+func (s *Scheduler) SetAlternate(shard int, wait time.Duration) {
+	s.alternate, s.alternateWait = shard, wait
+}
 
 // tickMoves gives away what can't be done here.
 func (s *Scheduler) tickMoves() {
@@ -116,23 +118,23 @@
 // roomElsewhere reports whether a job would begin sooner in another shard: nothing
 // waits there, or there are no runners for it here.
 func (s *Scheduler) roomElsewhere(j *job) bool {
-	if s.refuge < 0 {
+	if s.alternate < 0 {
 		return false
 	}
-	return s.refugeWait == 0 || s.refugeWait < NoRunners && s.capacity(j.work.Service) == 0
+	return s.alternateWait == 0 || s.alternateWait < NoRunners && s.capacity(j.work.Service) == 0
 }
 
 // moveAway ends a job here, for another shard to do it.
 func (s *Scheduler) moveAway(j *job) {
 	j.ended, j.restarted = true, true
-	j.stored.state, j.stored.to = ledger.Moving, s.refuge
+	j.stored.state, j.stored.to = ledger.Moving, s.alternate
 	j.stored.hand = int(s.custody.epoch-j.stored.epoch) + 1
 	s.custody.open--
 	s.dequeue(j)
 	s.save(j)
 	s.emit(Decision{
 		Event: "stored-job-moving", Job: j.work.ID, Age: s.now - j.stillSince,
-		Reason: fmt.Sprintf("to shard %d, where it waits %v; %d thousandths of a core here", s.refuge, s.refugeWait, s.capacity(j.work.Service)),
+		Reason: fmt.Sprintf("to shard %d, where it waits %v; %d thousandths of a core here", s.alternate, s.alternateWait, s.capacity(j.work.Service)),
 	})
 }
 
@@ -222,7 +224,7 @@
 		if j.stored == nil {
 			return
 		}
-		j.stored.givers = append(j.stored.givers, giver{entry: from, shard: m.From})
+		j.stored.senders = append(j.stored.senders, sender{entry: from, shard: m.From})
 		if j.stored.accepted {
 			s.tellTaken(j)
 		}
@@ -246,7 +248,7 @@
 	})
 	j.knownFrom = s.now
 	j.stored.accepted = false
-	j.stored.givers = []giver{{entry: from, shard: m.From}}
+	j.stored.senders = []sender{{entry: from, shard: m.From}}
 	s.attach(j)
 	s.save(j)
 	s.emit(Decision{Event: "stored-job-taken", Job: id, Reason: fmt.Sprintf("from shard %d", m.From), Age: m.Age})
@@ -254,8 +256,8 @@
 
 // tellTaken tells those that have given a job that it is in the store here.
 func (s *Scheduler) tellTaken(j *job) {
-	for _, g := range j.stored.givers {
+	for _, g := range j.stored.senders {
 		s.emit(Taken{At: s.now, To: g.entry, Shard: g.shard, Job: j.work.ID})
 	}
-	j.stored.givers = nil
+	j.stored.senders = nil
 }
--- a/core/schedule/move_test.go
+++ b/core/schedule/move_test.go
@@ -14,7 +14,7 @@
 // record that the job moves to shard 3.
 func stranded(t *testing.T) (*bench, *workload.Job, Save) {
 	b := leading(t, testRunner("r1"))
-	b.s.SetRefuge(3, time.Second)
+	b.s.SetAlternate(3, time.Second)
 	j := storedJob(2, 200*ms)
 	b.accepted(j)
 	for _, c := range take[Start](b) {
@@ -92,7 +92,7 @@
 	j := storedJob(1, 200*ms)
 	b.accepted(j)
 	b.started(one[Start](b), Accepted)
-	b.s.SetRefuge(3, time.Second)
+	b.s.SetAlternate(3, time.Second)
 	waits := storedJob(8, 200*ms)
 	b.accepted(waits)
 	b.s.runners["r1"].health.failed(b.now, strikesToClose)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -208,10 +208,10 @@
 	found map[workload.TaskName]Time
 
 	custody custody
-	// refuge is the other shard in which a job would wait least, -1 if none, and
-	// refugeWait for how long.
-	refuge     int
-	refugeWait time.Duration
+	// alternate is the other shard in which a job would wait least, -1 if none, and
+	// alternateWait for how long.
+	alternate     int
+	alternateWait time.Duration
 	// epochMs is the time of day, in milliseconds since 1970, at time 0.
 	epochMs int64
 
@@ -257,7 +257,7 @@
 		unstored:  make(map[workload.JobID]Time),
 		found:     make(map[workload.TaskName]Time),
 		custody:   newCustody(),
-		refuge:    -1,
+		alternate: -1,
 	}
 }
 
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -73,8 +73,8 @@
 	to, hand int
 	// waiters are to be told of the acceptance, until the times given.
 	waiters map[EntryID]Time
-	// givers are to be told that a job of their shard has arrived here.
-	givers []giver
+	// senders are to be told that a job of their shard has arrived here.
+	senders []sender
 }
 
 // setDue gives a stored job its times. However late it is, it must be done.
