A job that came back to its shard isn't forgotten

Callers would see: an accepted job that came back to a shard which it had left is lost when its owner changes.

Cause: taking the job in again dropped where it had gone, but not its place in the order in which outcomes are forgotten. With nothing kept under the id its age counts from the process's start, so once that is 150 s old the store is told to forget the open job's record.

Before: the new test fails (a record of state forgotten). After: passes, core/schedule whole, and the moves and stored sets of core/fleet.

--- a/core/schedule/custody.go
+++ b/core/schedule/custody.go
@@ -54,7 +54,8 @@
 func (s *Scheduler) SetStoreTrouble(d time.Duration) { s.custody.failingFor = d }
 
 // Keeps reports whether something depends on the ownership of the shard's rows:
-// open jobs and those that go to another shard, ends that wait to be acknowledged, or what callers are told.
+// open jobs and those that go to another shard, ends that wait to be acknowledged, or what
+// callers are told.
 func (s *Scheduler) Keeps() bool {
 	if s.custody.none {
 		return false
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -240,8 +240,7 @@
 // takeIn goes on with a job of another shard, and has it saved first.
 func (s *Scheduler) takeIn(from EntryID, m MovedJob) {
 	id := m.Job.ID
-	delete(s.custody.kept, id)
-	delete(s.custody.moving, id)
+	s.dropKept(id)
 	j := s.restored(ledger.Record{
 		Job: id, Work: m.Job, Age: m.Age, Epoch: s.custody.epoch - uint64(m.Hand),
 		Done: m.Done, Failures: m.Failures, Unseen: m.Unseen, Restarted: true,
@@ -254,6 +253,16 @@
 	s.emit(Decision{Event: "stored-job-taken", Job: id, Reason: fmt.Sprintf("from shard %d", m.From), Age: m.Age})
 }
 
+// dropKept forgets that a job has gone, since it is back.
+func (s *Scheduler) dropKept(id workload.JobID) {
+	if _, ok := s.custody.kept[id]; !ok {
+		return
+	}
+	delete(s.custody.kept, id)
+	delete(s.custody.moving, id)
+	s.custody.keptOrder = slices.DeleteFunc(s.custody.keptOrder, func(o workload.JobID) bool { return o == id })
+}
+
 // tellTaken tells those that have given a job that it is in the store here.
 func (s *Scheduler) tellTaken(j *job) {
 	for _, g := range j.stored.senders {
--- a/core/schedule/move_test.go
+++ b/core/schedule/move_test.go
@@ -184,3 +184,21 @@
 		b.g.Expect(r.acknowledged).To(BeEquivalentTo(2))
 	}
 }
+
+// Guards against a job that came back and is forgotten while it is open, as where it had
+// gone isn't kept any more.
+func TestMovedJobThatCameBackIsntForgotten(t *testing.T) {
+	b, j, save := stranded(t)
+	b.saved(save)
+	b.s.Arrived(b.now, j.ID)
+	b.saved(take[Save](b)...)
+	b.s.Take(b.now, entryA, MovedJob{From: 5, Job: j, Hand: save.Record.Hand + 2, Done: save.Record.Done})
+	b.saved(one[Save](b))
+	b.s.SetAlternate(-1, 0)
+	b.now += b.s.cfg.Retention + keptExtra + time.Second
+	b.s.Verified(b.now, b.now)
+	b.tick(100 * ms)
+	for _, s := range take[Save](b) {
+		b.g.Expect(s.Record.State).NotTo(Equal(ledger.Forgotten))
+	}
+}
