Stored jobs go on without the store though a VM is gone for good

Once a VM was removed for good, stored jobs stopped 0.45 s after the store went away.

Cause: an owner without the store goes on only while it hears all VMs that ever registered, since any of them may take the shard. A VM that is gone is never heard again.

Change: an owner that hasn't heard a VM for 30 s writes its name into the ownership row with a time 30 s ahead, renews that every 10 s, and Claim refuses such a VM until then. The owner counts on it for 29 s from when it sent the call, and for VMs that a call leaves out no longer than until that is sent. The claim itself proves the ownership, so the time since which all are heard isn't that of the next tick but of the call (the test's store goes away 0.1 s after the first claim).

Ruled out: dropping the member's row (a VM that only the others can't hear registers again and takes the shard; the tasks then run twice); a condition on that row in each claim (the same, one write later).

TestAVMThatWasTakenForGoneDoesNotTakeTheShard fails if the store doesn't refuse (tried).

--- a/core/fleet/gone_test.go
+++ b/core/fleet/gone_test.go
@@ -31,3 +31,48 @@
 	w.run(3 * time.Second)
 	g.Expect(w.truth.broken).To(BeEmpty())
 }
+
+// Guards against tasks that run twice since a process that was taken for gone wakes behind
+// a cut, and takes the shard while its owner is away from the store.
+func TestAVMThatWasTakenForGoneDoesNotTakeTheShard(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	back := w.nodes[5]
+	for _, n := range w.nodes[:5] {
+		w.parted[[2]string{n.name, back.name}] = true
+	}
+	w.freeze(back, 50*time.Second)
+	w.run(45 * time.Second)
+	jobs := w.storedJobs(4)
+	g.Expect(jobs).To(HaveLen(4))
+	owner := w.store.rows(0).owner
+	for _, n := range w.nodes[:5] {
+		w.storeAway[n.name] = true
+	}
+	w.run(12 * time.Second)
+	g.Expect(w.store.rows(0).owner).To(Equal(owner), "the other one has taken the shard")
+	clear(w.storeAway)
+	clear(w.parted)
+	w.run(5 * time.Second)
+	g.Expect(w.truth.broken).To(BeEmpty())
+}
+
+// Guards against a VM that stays shut out of its shard after it is heard again: the last
+// one left must be able to schedule.
+func TestAVMThatIsHeardAgainMayTakeTheShard(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	back := w.nodes[5]
+	w.kill(back, 40*time.Second)
+	w.run(35 * time.Second)
+	g.Expect(w.storedJobs(2)).To(HaveLen(2))
+	w.run(15 * time.Second)
+	for _, n := range w.nodes[:5] {
+		w.endProcess(n, false)
+		n.removed = true
+	}
+	w.nodes = w.nodes[5:]
+	w.run(5 * time.Second)
+	g.Expect(w.store.rows(0).owner).To(Equal(back.id))
+	g.Expect(w.truth.broken).To(BeEmpty())
+}
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -106,8 +106,10 @@
 	vms []string
 	// unheard are those of which no process has told of itself, by since when.
 	unheard map[string]Time
-	store   storeWatch
-	stored  StoredJobs
+	// othersHeardSince is since when all of vms are heard but those that are gone.
+	othersHeardSince Time
+	store            storeWatch
+	stored           StoredJobs
 	// lost are VMs whose processes fell silent, by when, and that aren't back, and
 	// doubtUntil is how long it is doubted that all VMs are heard by somebody.
 	lost       map[string]Time
@@ -138,6 +140,8 @@
 		// A process that doesn't know the others can't leave the lead to them.
 		seated: true,
 
+		othersHeardSince: never,
+
 		reachedAt: now,
 		digest:    digestOf(nil),
 		lastRelay: firstRelay,
@@ -310,12 +314,15 @@
 	n.expireRelays(now)
 	n.gateway.Tick(now)
 	n.noteUnheard(now)
-	all, misses := n.hearsAll(), n.missesSome(now)
+	gone, misses := n.longUnheard(now), n.missesSome(now)
+	n.noteOthersHeard(now, gone)
 	n.wait = 0
 	doubt := n.doubts(now, misses)
 	for _, s := range n.own {
 		s.schedule.Heard(now, schedule.EntryID(n.Self()))
-		s.schedule.SetAllHeard(now, all)
+		s.ledger.Exclude(gone)
+		since, all := n.rivalsHeardSince(now, s, gone)
+		s.schedule.SetAllHeard(all, since)
 		s.schedule.SetMissing(misses)
 		s.schedule.SetDoubt(doubt)
 		s.schedule.SetAlternate(n.alternate(s))
--- a/core/fleet/store_test.go
+++ b/core/fleet/store_test.go
@@ -31,7 +31,10 @@
 type fakeRows struct {
 	ownership ledger.Ownership
 	owner     leader.ID
-	records   map[workload.JobID]ledger.Record
+	// excluded VMs may not take the rows until a time.
+	excluded      []string
+	excludedUntil time.Duration
+	records       map[workload.JobID]ledger.Record
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{shards: make(map[int]*fakeRows), slow: 1} }
@@ -85,6 +88,10 @@
 			if rows.ownership != before || call.Renew > 0 && (rows.owner != id || before.Epoch != call.Renew) {
 				return ledger.Superseded
 			}
+			if call.Renew == 0 && w.now < rows.excludedUntil && slices.Contains(rows.excluded, n.name) {
+				return ledger.Turned
+			}
+			rows.excluded, rows.excludedUntil = call.Excluded, w.now+ledger.ExclusionTime
 			rows.ownership.Version++
 			if call.Renew == 0 {
 				rows.ownership.Epoch++
--- a/core/ledger/call.go
+++ b/core/ledger/call.go
@@ -43,6 +43,8 @@
 	// own the shard under that epoch any more. 0 takes the shard from whoever
 	// has it, and begins an epoch.
 	Renew uint64
+	// Excluded are VMs to which the store is to refuse the shard for ExclusionTime.
+	Excluded []string
 }
 
 // Read reads all records. A ReadResult follows.
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -65,8 +65,8 @@
 	reading
 	// open: records are written.
 	open
-	// settling: a write stays unanswered; the shard is taken again when all
-	// others are back.
+	// settling: a write stays unanswered, or VMs are to be excluded; the shard is
+	// taken again when all writes are back.
 	settling
 	// lost: another process has the shard.
 	lost
@@ -101,6 +101,8 @@
 	busy   map[workload.JobID]bool
 	checks map[uint64]bool
 
+	exclusion exclusion
+
 	verifiedAt   Time
 	checkedAt    Time
 	failingSince Time
@@ -118,6 +120,7 @@
 
 func (l *Ledger) clear() {
 	l.loaded = false
+	l.exclusion = exclusion{wanted: l.exclusion.wanted}
 	l.call, l.due = 0, 0
 	l.order = nil
 	l.waiting = make(map[workload.JobID]*entry)
@@ -210,6 +213,9 @@
 	if l.phase == lost && now >= l.due {
 		l.phase = claiming
 	}
+	if l.phase == open && l.exclusion.due(now) {
+		l.phase = settling
+	}
 	l.step()
 	interval := idleCheckInterval
 	if keeps {
@@ -229,7 +235,8 @@
 	case l.call != 0 || l.now < l.due:
 	case l.phase == claiming:
 		l.call = l.nextCall()
-		c := Claim{Call: l.call}
+		l.exclusion.ask()
+		c := Claim{Call: l.call, Excluded: l.exclusion.asked}
 		if l.loaded {
 			c.Renew = l.ownership.Epoch
 		}
@@ -325,6 +332,7 @@
 	}
 	l.ownership = r.Ownership
 	l.claimedAt = l.now
+	l.exclusion.granted(r.SentAt)
 	l.succeeded(r.SentAt)
 	l.phase = reading
 	if l.loaded {
--- a/core/schedule/custody.go
+++ b/core/schedule/custody.go
@@ -106,13 +106,9 @@
 // caller asks for it here at once.
 func (s *Scheduler) proved(at Time) bool { return s.custody.loaded && s.custody.verifiedAt >= at }
 
-// SetAllHeard says whether this process hears all others of the deployment.
-func (s *Scheduler) SetAllHeard(now Time, all bool) {
-	if all && !s.allHeard {
-		s.allHeardSince = now
-	}
-	s.allHeard = all
-}
+// SetAllHeard says whether this process hears all others of the deployment that could
+// take the shard's rows, and since when.
+func (s *Scheduler) SetAllHeard(all bool, since Time) { s.allHeard, s.allHeardSince = all, since }
 
 // SetContested says whether another process is about to lead in place of this one.
 // It may take the shard's rows, and accept jobs, before this one hears that it does.
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -49,7 +49,7 @@
 
 // own gives the scheduler the shard's rows, with records in them.
 func (b *bench) own(epoch uint64, records ...ledger.Record) {
-	b.s.SetAllHeard(b.now, true)
+	b.s.SetAllHeard(true, b.now)
 	b.s.Loaded(b.now, ledger.Loaded{Epoch: epoch, ClaimedAt: b.now, Records: records})
 	b.s.Verified(b.now, b.now)
 }
--- a/entry/ledgers.go
+++ b/entry/ledgers.go
@@ -25,7 +25,7 @@
 	case ledger.Claim:
 		kind = "claim"
 		var o ledger.Ownership
-		o, err = p.store.Claim(ctx, c.Shard, owner, call.Renew)
+		o, err = p.store.Claim(ctx, c.Shard, owner, call)
 		result = ledger.ClaimResult{Call: call.Call, Outcome: storeOutcome(err), Ownership: o, SentAt: sentAt}
 	case ledger.Read:
 		kind = "read"
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -65,9 +65,9 @@
 
 // Ledgers keeps the records of the shards' jobs.
 type Ledgers interface {
-	// Claim takes a shard's rows for an owner; with renew it only renews that
-	// owner's hold of this epoch. ErrSuperseded: another owner has them.
-	Claim(ctx context.Context, shard int, owner string, renew uint64) (ledger.Ownership, error)
+	// Claim takes a shard's rows for an owner, or renews its hold. ErrSuperseded:
+	// another owner has them; ErrTurnedAway: also, the owner has excluded the VM.
+	Claim(ctx context.Context, shard int, owner string, c ledger.Claim) (ledger.Ownership, error)
 	// AnyRecords reports whether any shard has records.
 	AnyRecords(ctx context.Context) (bool, error)
 	// Ownership is the version of the ownership row.
