Evacuated failure domains get no new tasks

Cause: nothing read the operator's evacuate rows.

The set of evacuated domains is read with the configuration from the operator's table, under that table's version, and goes with each heartbeat; the later version wins, so that an old word that comes late undoes nothing. A process that doesn't know it doesn't lead. The scheduler starts nothing there, nor sends a start again; what runs ends. Jobs of which nothing runs are refused at once when all runners of their service are evacuated, and offered to another shard first.

Weighed: a message of its own, answered by version, as for configurations (two more messages, and a window between them); a set without a version, by row (a removal that comes late would need a tombstone).

Tests in the model fleet: evacuated, taken back, evacuated again; a leader that the store turns away; leaders lost and all processes started anew with the store away; all domains; cells. The model checks each start against the operator's word after 2 s.

--- /dev/null
+++ b/core/fleet/evacuation_test.go
@@ -0,0 +1,190 @@
+package fleet_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/routing"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// evacuateTime is how long after the operator's word starts in a domain must have ceased.
+const evacuateTime = 2 * time.Second
+
+// operatorRows are the failure domains that the operator has evacuated, by since when.
+type operatorRows struct {
+	version uint64
+	since   map[string]time.Duration
+}
+
+func (o *operatorRows) newest() routing.Evacuations {
+	e := routing.Evacuations{Version: o.version + 1}
+	for d := range o.since {
+		e.Domains = append(e.Domains, d)
+	}
+	slices.Sort(e.Domains)
+	return e
+}
+
+func (w *world) evacuate(domain string) {
+	w.evacuations.version++
+	if w.evacuations.since == nil {
+		w.evacuations.since = make(map[string]time.Duration)
+	}
+	w.evacuations.since[domain] = w.now
+}
+
+func (w *world) takeBack(domain string) {
+	w.evacuations.version++
+	delete(w.evacuations.since, domain)
+}
+
+// startedIn counts the runs in a domain, from now on.
+func (w *world) startedIn(domain string) func() int {
+	count := func() int {
+		n := 0
+		for _, r := range w.runners {
+			if r.info.Domain == domain {
+				n += r.started
+			}
+		}
+		return n
+	}
+	before := count()
+	return func() int { return count() - before }
+}
+
+// Guards against tasks that go to a domain which the operator has evacuated, and against
+// one that gets none after it was taken back.
+func TestAnEvacuatedDomainGetsNothingUntilItIsTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 2)
+	w.load(15, 12*time.Second)
+	w.run(time.Second)
+	w.evacuate("b")
+	w.run(time.Second)
+	evacuated := w.startedIn("b")
+	w.run(4 * time.Second)
+	g.Expect(evacuated()).To(BeZero())
+	w.takeBack("b")
+	w.run(time.Second)
+	back := w.startedIn("b")
+	w.run(2 * time.Second)
+	g.Expect(back()).To(BeNumerically(">", 10))
+	w.evacuate("b")
+	w.run(time.Second)
+	again := w.startedIn("b")
+	w.run(2 * time.Second)
+	g.Expect(again()).To(BeZero())
+	w.run(10 * time.Second)
+	g.Expect(w.truth.broken).To(BeEmpty())
+	g.Expect(w.unanswered()).To(BeZero())
+}
+
+// unanswered counts the jobs without a final word.
+func (w *world) unanswered() int {
+	n := 0
+	for _, j := range w.jobs {
+		if !j.answered && w.now > j.sent+j.patience+resend {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a leader that the store turns away, and that goes on using a domain
+// though the others know that it is evacuated.
+func TestALeaderWithoutTheStoreHearsOfAnEvacuation(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	w.load(40, 8*time.Second)
+	w.storeAway[w.leader().name] = true
+	w.run(time.Second)
+	w.evacuate("b")
+	w.run(time.Second)
+	started := w.startedIn("b")
+	w.run(3 * time.Second)
+	g.Expect(started()).To(BeZero())
+	g.Expect(w.truth.broken).To(BeEmpty())
+}
+
+// Guards against a leader that takes over while the store is away, and doesn't know what
+// the one before knew; and against a process that starts then.
+func TestAnEvacuationOutlivesItsLeaders(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	w.load(40, 12*time.Second)
+	w.evacuate("b")
+	w.run(500 * time.Millisecond)
+	w.storeDown = true
+	started := w.startedIn("b")
+	for range 3 {
+		w.kill(w.leader(), 300*time.Millisecond)
+		w.run(2 * time.Second)
+	}
+	g.Expect(started()).To(BeZero())
+	w.storeDown = false
+	w.run(2 * time.Second)
+	for _, n := range slices.Clone(w.nodes) {
+		w.kill(n, 100*time.Millisecond)
+	}
+	w.run(4 * time.Second)
+	g.Expect(started()).To(BeZero())
+	g.Expect(w.truth.broken).To(BeEmpty())
+}
+
+// Guards against callers who wait in vain: with all domains evacuated nothing can be
+// started, and they are told at once, truly, and when to come back.
+func TestJobsAreRefusedAtOnceWhileAllDomainsAreEvacuated(t *testing.T) {
+	for _, cells := range []bool{false, true} {
+		g := NewWithT(t)
+		w := deployment(1, 2)
+		if cells {
+			w = cellDeployment(1, 2)
+		}
+		// Until then copies of jobs may come that an earlier scheduler had.
+		w.run(5 * time.Second)
+		early := w.submit("a", 2, 3*time.Second, 6*time.Second)
+		w.run(50 * time.Millisecond)
+		for _, d := range []string{"a", "b", "c"} {
+			w.evacuate(d)
+		}
+		w.run(time.Second)
+		j := w.submit("a", 4, 100*time.Millisecond, 3*time.Second)
+		w.run(50 * time.Millisecond)
+		g.Expect(j.answered).To(BeTrue())
+		g.Expect(j.outcome).To(Equal(workload.NotRun))
+		w.run(4 * time.Second)
+		g.Expect(early.outcome).To(Equal(workload.Completed), "what runs goes on to its end")
+		for _, d := range []string{"a", "b", "c"} {
+			w.takeBack(d)
+		}
+		w.run(time.Second)
+		j = w.submit("a", 4, 100*time.Millisecond, 3*time.Second)
+		w.run(time.Second)
+		g.Expect(j.outcome).To(Equal(workload.Completed))
+		g.Expect(w.truth.broken).To(BeEmpty())
+	}
+}
+
+// Guards against an evacuated cell whose jobs wait there, though others have room.
+func TestJobsOfAnEvacuatedCellGoToAnother(t *testing.T) {
+	g := NewWithT(t)
+	w := cellDeployment(1, 1)
+	w.run(time.Second)
+	w.evacuate("a")
+	w.run(time.Second)
+	var jobs []*fakeJob
+	for range 10 {
+		jobs = append(jobs, w.submit("a", 2, 100*time.Millisecond, 3*time.Second))
+		w.run(50 * time.Millisecond)
+	}
+	w.run(time.Second)
+	for _, j := range jobs {
+		g.Expect(j.outcome).To(Equal(workload.Completed))
+	}
+	g.Expect(w.truth.broken).To(BeEmpty())
+}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -38,6 +38,8 @@
 	Wait time.Duration
 	// Doubt is how much longer the sender doubts that all VMs are heard by somebody.
 	Doubt time.Duration
+	// Evacuations are the failure domains that get no new tasks, as the sender knows.
+	Evacuations routing.Evacuations
 }
 
 // Layout tells how the runners are divided, to a process that doesn't know.
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/gateway"
@@ -30,13 +31,15 @@
 
 // Node is the state of one entry process. It isn't safe for concurrent use.
 type Node struct {
-	cfg     schedule.Config
-	grace   time.Duration
-	number  uint64
-	table   routing.Table
-	view    *leader.View
-	gateway *gateway.Gateway
-	domain  string
+	cfg    schedule.Config
+	grace  time.Duration
+	number uint64
+	table  routing.Table
+	// evacuations are the failure domains that get no new tasks.
+	evacuations routing.Evacuations
+	view        *leader.View
+	gateway     *gateway.Gateway
+	domain      string
 	// layout is unknown, and so shards are empty, at first. cell is the part of the
 	// deployment to which this process belongs, and own are the shards of the cell.
 	layout layout.Layout
@@ -299,6 +302,42 @@
 	n.heartbeatAll(now)
 }
 
+// Evacuated takes the operator's word on which failure domains get no new tasks, if it
+// is later than what is known.
+func (n *Node) Evacuated(now Time, e routing.Evacuations, source string) {
+	first := n.evacuations.Version == 0 && e.Version > 0
+	changed := n.evacuations.Apply(e)
+	if first {
+		n.setAble()
+	}
+	if !changed {
+		return
+	}
+	n.notice("domains-evacuated", Field{"domains", e.Domains}, Field{"version", e.Version}, Field{"source", source})
+	for _, domain := range e.Domains {
+		if !n.knowsDomain(domain) {
+			n.warn("evacuated-domain-unknown", Field{"domain", domain}, Field{"version", e.Version})
+		}
+	}
+	for _, s := range n.own {
+		s.schedule.SetEvacuated(now, e.Domains)
+	}
+	n.heartbeatAll(now)
+}
+
+// knowsDomain reports whether a failure domain has a runner or an entry VM, as far as
+// these are known yet.
+func (n *Node) knowsDomain(domain string) bool {
+	if !n.listKnown || n.members == nil {
+		return true
+	}
+	return slices.ContainsFunc(n.runners.Runners, func(r workload.Runner) bool { return r.Domain == domain }) ||
+		slices.ContainsFunc(n.members, func(m topology.Member) bool { return m.Domain == domain })
+}
+
+// Evacuations are the failure domains that get no new tasks.
+func (n *Node) Evacuations() routing.Evacuations { return n.evacuations }
+
 // Tick does what is due.
 func (n *Node) Tick(now Time) {
 	n.checkPause(now)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -146,6 +146,7 @@
 	}
 	n.updateRunners(from, h)
 	n.hearDoubt(now, h.Doubt)
+	n.Evacuated(now, h.Evacuations, string(from))
 	n.pending[from] = h.Pending
 	for _, s := range n.shards {
 		if h.Report.Leader(s.index) == from {
@@ -210,6 +211,7 @@
 		RunnersRevision:    n.runners.Revision,
 		RunnersStale:       n.stale,
 		StoredJobs:         n.stored,
+		Evacuations:        n.evacuations,
 	}
 	if n.listKnown {
 		h.RunnersDigest = n.digest
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -197,6 +197,7 @@
 				n.met = w.numbers
 				n.node.SetMembers(w.now, slices.Clone(w.members))
 			}
+			n.node.Evacuated(w.now, w.evacuations.newest(), "store")
 			n.node.Declared(w.now, &routing.Declaration{Version: 1}, "store")
 			if !n.node.ToldRunners() {
 				n.node.RunnersRead(w.now, w.list())
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -26,6 +26,8 @@
 	// muteShare of the orders are carried out and not answered.
 	muteShare float64
 	down      bool
+	// started counts its runs.
+	started int
 
 	token    uint64
 	leaseEnd int64
@@ -119,6 +121,7 @@
 		return schedule.NoRoom
 	}
 	r.runs[c.Run] = &fakeRun{need: need}
+	r.started++
 	r.w.truth.started(r, c.Run)
 	if r.hangs {
 		return schedule.Accepted
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -52,6 +52,7 @@
 	s.questions = make(map[workload.JobID][]question)
 	s.schedule.SetNumber(n.number)
 	s.schedule.SetNoStored(n.stored == NoStoredJobs)
+	s.schedule.SetEvacuated(0, n.evacuations.Domains)
 	n.own = append(n.own, s)
 }
 
@@ -72,12 +73,12 @@
 func (n *Node) LaidOut() bool { return len(n.shards) > 0 }
 
 // setAble says whether this process could schedule: it knows the shards, the
-// configuration, and a list of runners. One that has just started beside a slow
+// configuration, which failure domains are evacuated, and a list of runners. One that has just started beside a slow
 // store may have to be told the list by another process; without it, it would
 // refuse all jobs. A VM without a seat leaves scheduling to those that have one,
 // until none of them has been in reach for a while.
 func (n *Node) setAble() {
-	able := n.LaidOut() && n.table.Current() != nil && n.listKnown
+	able := n.LaidOut() && n.table.Current() != nil && n.evacuations.Version > 0 && n.listKnown
 	n.view.SetAble(able, !n.seated && !n.Leads())
 }
 
--- a/core/fleet/truth_test.go
+++ b/core/fleet/truth_test.go
@@ -52,6 +52,9 @@
 		t.fail("%v starts on %s while %v runs on %s", k, r.info.ID, other, at.info.ID)
 	}
 	live[k] = r
+	if at, ok := t.w.evacuations.since[r.info.Domain]; ok && t.w.now > at+evacuateTime {
+		t.fail("%v starts on %s, in a domain that was evacuated at %v", k, r.info.ID, at)
+	}
 	j := t.w.jobs[k.Task.Job]
 	j.starts++
 	if j.work.Stored {
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -45,6 +45,8 @@
 	// cut are failure domains that reach nothing outside.
 	cut       map[string]bool
 	storeDown bool
+	// evacuations are what the operator has written, oldest first.
+	evacuations operatorRows
 	// storeAway are VMs that can't reach the store, and parted are pairs of VMs
 	// that can't reach each other.
 	storeAway map[string]bool
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -37,7 +37,13 @@
 	if s.hopeless(j) {
 		return "too little time is left", true
 	}
-	if !s.leading || s.now-s.since < settleTime {
+	if !s.leading {
+		return "", false
+	}
+	if s.closed(j.work.Service) {
+		return evacuatedReason, false
+	}
+	if s.now-s.since < settleTime {
 		return "", false
 	}
 	capacity := s.capacity(j.work.Service)
--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -17,6 +17,7 @@
 	Token     uint64   `json:"token"`
 	InDoubt   bool     `json:"in_doubt"`
 	Draining  bool     `json:"draining"`
+	Evacuated bool     `json:"evacuated"`
 	Unlisted  bool     `json:"unlisted"`
 	Gone      bool     `json:"gone"`
 	ClosedFor int64    `json:"closed_for_ms"`
@@ -50,6 +51,7 @@
 		Token:     r.token,
 		InDoubt:   r.inDoubt,
 		Draining:  r.info.Draining,
+		Evacuated: r.evacuated,
 		Unlisted:  r.unlisted,
 		Gone:      r.gone,
 		ClosedFor: max(0, r.health.closedUntil-now).Milliseconds(),
--- /dev/null
+++ b/core/schedule/evacuation.go
@@ -0,0 +1,61 @@
+package schedule
+
+import (
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Evacuated failure domains get no new tasks. What runs there goes on to its end: its
+// runners serve as before, and a run that is stopped would only come later.
+
+// SetEvacuated says which failure domains are evacuated.
+func (s *Scheduler) SetEvacuated(now Time, domains []string) {
+	s.now = now
+	s.evacuated = domains
+	for _, r := range s.list {
+		r.evacuated = s.evacuates(r.info.Domain)
+	}
+	s.refuseEvacuated()
+	s.dispatch()
+}
+
+func (s *Scheduler) evacuates(domain string) bool { return slices.Contains(s.evacuated, domain) }
+
+// closed reports whether all runners of a service are in evacuated domains.
+func (s *Scheduler) closed(service string) bool {
+	if len(s.evacuated) == 0 {
+		return false
+	}
+	some := false
+	for _, r := range s.list {
+		if r.info.Service != service || r.gone {
+			continue
+		}
+		if !r.evacuated {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
+const evacuatedReason = "all runners are in evacuated failure domains"
+
+// refuseEvacuated ends the jobs of which nothing runs and nothing can be started any
+// more: their callers learn that at once.
+func (s *Scheduler) refuseEvacuated() {
+	if len(s.evacuated) == 0 {
+		return
+	}
+	closed := make(map[string]bool)
+	for _, j := range s.queue {
+		closed[j.work.Service] = s.closed(j.work.Service)
+	}
+	for _, j := range s.jobsInOrder() {
+		if j.stored == nil && closed[j.work.Service] && j.idle() {
+			j.noRoom = !j.started
+			s.finish(j, workload.NotRun, evacuatedReason)
+		}
+	}
+}
--- /dev/null
+++ b/core/schedule/evacuation_test.go
@@ -0,0 +1,67 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+func runnerIn(id, domain string) workload.Runner {
+	r := testRunner(id)
+	r.Domain = domain
+	return r
+}
+
+// Guards against a start that is sent again to an evacuated runner, since the first order
+// stayed unanswered.
+func TestNoSecondOrderToAnEvacuatedRunner(t *testing.T) {
+	b := leading(t, runnerIn("r1", "a"), runnerIn("r2", "b"))
+	b.s.SetEvacuated(b.now, []string{"b"})
+	b.submit(testJob(1, 60*ms), 3*time.Second)
+	first := one[Start](b)
+	b.g.Expect(first.Runner).To(BeEquivalentTo("r1"))
+	b.s.SetEvacuated(b.now, []string{"a"})
+	b.started(first, Unanswered)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.stopped(one[Stop](b), Accepted)
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.wait(200 * ms)
+	b.g.Expect(one[Start](b).Runner).To(BeEquivalentTo("r2"))
+}
+
+// Guards against a new runner of an evacuated domain that gets tasks.
+func TestANewRunnerOfAnEvacuatedDomain(t *testing.T) {
+	b := leading(t, runnerIn("r1", "a"))
+	b.s.SetEvacuated(b.now, []string{"b"})
+	b.s.SetRunners(b.now, []workload.Runner{runnerIn("r1", "a"), runnerIn("r2", "b")})
+	b.wait(100 * ms)
+	b.submit(testJob(4, 60*ms), 3*time.Second)
+	for _, c := range take[Start](b) {
+		b.g.Expect(c.Runner).To(BeEquivalentTo("r1"))
+	}
+}
+
+// Guards against callers who wait to no purpose as the last domain is evacuated: those
+// whose jobs haven't begun are told at once that they weren't run, and what runs ends.
+func TestWaitingJobsAreRefusedAsTheLastDomainIsEvacuated(t *testing.T) {
+	b := leading(t, runnerIn("r1", "a"))
+	runs, waits := testJob(2, 400*ms), testJob(2, 400*ms)
+	b.submit(runs, 3*time.Second)
+	for _, c := range take[Start](b) {
+		b.started(c, Accepted)
+	}
+	b.submit(waits, 3*time.Second)
+	b.s.SetEvacuated(b.now, []string{"a"})
+	refused := one[Answer](b)
+	b.g.Expect(refused.Job).To(Equal(waits.ID))
+	b.g.Expect(refused.Outcome).To(Equal(workload.NotRun))
+	b.g.Expect(refused.RetryAfter).To(BeNumerically(">=", time.Second))
+	b.g.Expect(take[Stop](b)).To(BeEmpty())
+	b.submit(testJob(1, 60*ms), 3*time.Second)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.NotRun))
+}
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -82,6 +82,7 @@
 
 // addRunner adds one that isn't known yet, and takes it if this scheduler leads.
 func (s *Scheduler) addRunner(r *runner) {
+	r.evacuated = s.evacuates(r.info.Domain)
 	s.runners[r.info.ID] = r
 	s.list = append(s.list, r)
 	if s.leading {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -288,7 +288,7 @@
 	}
 	s.ctr.Unanswered++
 	s.emit(Decision{Event: "start-unanswered", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
-	if u.task != nil && !u.stopping && u.tries < startTries && !r.inDoubt && !r.strange() {
+	if u.task != nil && !u.stopping && u.tries < startTries && !r.inDoubt && !r.strange() && !r.evacuated {
 		s.sendStart(u)
 		return
 	}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -18,6 +18,8 @@
 	// believedUntil is until when an unlisted runner that answers is used.
 	believedUntil Time
 	gone          bool
+	// evacuated: its failure domain gets no new tasks.
+	evacuated bool
 	// token is the fencing token under which the runner was asked for, and
 	// owned whether it has answered to it.
 	token uint64
@@ -151,7 +153,7 @@
 
 // usable reports whether tasks may be started there now.
 func (r *runner) usable(now Time) bool {
-	return r.owned && !r.gone && r.known(now) && !r.info.Draining && !r.inDoubt && r.clock != 0 &&
+	return r.owned && !r.gone && r.known(now) && !r.info.Draining && !r.evacuated && !r.inDoubt && r.clock != 0 &&
 		!r.health.closed(now) && !r.strange() && now > r.withheldUntil
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -166,6 +166,8 @@
 	runners map[workload.RunnerID]*runner
 	// list is the runners in the order of their ids.
 	list []*runner
+	// evacuated are the failure domains that get no new tasks.
+	evacuated []string
 
 	jobs  map[workload.JobID]*job
 	queue []*job
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -24,6 +24,7 @@
 		s.tickJob(j)
 	}
 	s.forgetRunners()
+	s.refuseEvacuated()
 	s.dispatch()
 }
 
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -12,6 +12,7 @@
 	Ready           bool              `json:"ready"`
 	Stopping        bool              `json:"stopping"`
 	Configuration   uint64            `json:"configuration"`
+	Evacuated       []string          `json:"evacuated"`
 	Peers           []string          `json:"peers"`
 	Place           fleet.Place       `json:"place"`
 	JobsInHand      int               `json:"jobs_in_hand"`
@@ -38,6 +39,7 @@
 		Ready:           p.Ready(),
 		Stopping:        p.Stopping(),
 		Configuration:   table.Version(),
+		Evacuated:       p.node.Evacuations().Domains,
 		Peers:           p.mesh.Connected(),
 		Place:           p.node.Place(),
 		JobsInHand:      p.node.InHand(),
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -23,6 +23,7 @@
 	messages        *prometheus.CounterVec
 	connections     *prometheus.GaugeVec
 	widened         prometheus.Gauge
+	evacuated       prometheus.Gauge
 	events          *prometheus.CounterVec
 }
 
@@ -75,7 +76,10 @@
 	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sapphirepoint_events_total", Help: "Decisions and changes of belief, by the event of their log line.",
 	}, []string{"event"})
-	m.registry.MustRegister(m.messages, m.connections, m.widened, m.events)
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "sapphirepoint_evacuated_domains", Help: "Failure domains that get no new tasks, by the operator's word.",
+	})
+	m.registry.MustRegister(m.messages, m.connections, m.widened, m.evacuated, m.events)
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
 		m.droppedMessages, m.leading, m.inHand, m.scheduled)
 	return m
@@ -92,6 +96,7 @@
 	m.inHand.Set(float64(n.InHand()))
 	place := n.Place()
 	m.widened.Set(float64(place.Widened))
+	m.evacuated.Set(float64(len(n.Evacuations().Domains)))
 	m.connections.WithLabelValues("wanted").Set(float64(place.Wanted))
 	m.connections.WithLabelValues("standing").Set(float64(n.Connections()))
 	m.count(n.Counters())
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -52,9 +52,9 @@
 	// Members waits for a change of the registered processes and returns all;
 	// the first call returns at once.
 	Members(context.Context) ([]peer.Member, error)
-	// Declaration waits for a change of the declared configuration; the first
-	// call returns at once. nil means that what is there can't be used.
-	Declaration(context.Context) (*routing.Declaration, error)
+	// Operator waits for a change of what the operator has written; the first call
+	// returns at once.
+	Operator(context.Context) (Operator, error)
 	// Runners reads the list of runners as it is now.
 	Runners(context.Context) (fleet.RunnerList, error)
 	// Layout reads how the runners are divided, and sets it if nobody has yet; an
@@ -63,6 +63,13 @@
 	Ledgers
 }
 
+// Operator is what the operator has written.
+type Operator struct {
+	// Declaration is the configuration; nil means that what is there can't be used.
+	Declaration *routing.Declaration
+	Evacuations routing.Evacuations
+}
+
 // Ledgers keeps the records of the shards' jobs.
 type Ledgers interface {
 	// Claim takes a shard's rows for an owner, or renews its hold. ErrSuperseded:
--- a/entry/process.go
+++ b/entry/process.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { p.mesh.Run(ctx); return nil })
-	group.Go(func() error { p.watchDeclarations(ctx); return nil })
+	group.Go(func() error { p.watchOperator(ctx); return nil })
 	group.Go(func() error { p.watchLayout(ctx); return nil })
 	group.Go(func() error { p.watchRunners(ctx); return nil })
 	group.Go(func() error { p.watchStrain(ctx); return nil })
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -6,7 +6,6 @@
 
 	"sapphirepoint.example/sapphirepoint/core/layout"
 	"sapphirepoint.example/sapphirepoint/core/leader"
-	"sapphirepoint.example/sapphirepoint/core/routing"
 	"sapphirepoint.example/sapphirepoint/core/topology"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 	"sapphirepoint.example/sapphirepoint/peer"
@@ -130,25 +129,29 @@
 	}
 }
 
-func (p *Process) watchDeclarations(ctx context.Context) {
+func (p *Process) watchOperator(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.retry(ctx, "configuration", func() error {
-			d, err := p.store.Declaration(ctx)
+			o, err := p.store.Operator(ctx)
 			if err != nil {
 				return err
 			}
-			p.declareRead(d)
+			p.operatorRead(o)
 			return nil
 		})
 	}
 }
 
-func (p *Process) declareRead(d *routing.Declaration) {
-	if d == nil {
+func (p *Process) operatorRead(o Operator) {
+	if o.Declaration == nil {
 		p.log.Warn().Msg("configuration-unreadable")
-		return
 	}
-	p.post(func(now Time) { p.node.Declared(now, d, "store") })
+	p.post(func(now Time) {
+		p.node.Evacuated(now, o.Evacuations, "store")
+		if o.Declaration != nil {
+			p.node.Declared(now, o.Declaration, "store")
+		}
+	})
 }
 
 // watchLayout reads how the runners are divided, until that is known. Nobody connects
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -259,6 +259,8 @@
 		Cell:               h.Report.Cell,
 		WaitMs:             uint32(h.Wait.Milliseconds()),
 		DoubtMs:            uint32(h.Doubt.Milliseconds()),
+		EvacuationsVersion: h.Evacuations.Version,
+		Evacuated:          h.Evacuations.Domains,
 	}
 	for i, f := range h.Report.Follows {
 		if f.Leader != "" {
@@ -301,6 +303,7 @@
 		Pending:            make(map[string]int, len(m.GetPending())),
 		Wait:               milliseconds(int64(m.GetWaitMs())),
 		Doubt:              milliseconds(int64(m.GetDoubtMs())),
+		Evacuations:        routing.Evacuations{Version: m.GetEvacuationsVersion(), Domains: m.GetEvacuated()},
 	}
 	h.Report.Follows = followsOf(m)
 	for queue, n := range m.GetPending() {
