--- /dev/null
+++ b/core/schedule/simulation_test.go
@@ -0,0 +1,300 @@
+package schedule
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// A simulation plays a load against schedulers in virtual time, without faults: jobs come
+// at random, runners carry out what they are given, and callers count what they get.
+
+// jobKind is a kind of job, with the means of what its jobs ask for. Work, width and need
+// of a job spread about them as sampled from logarithmic normal distributions.
+type jobKind struct {
+	name      string
+	perSecond float64
+	tasks     float64
+	work      time.Duration
+	milliCPU  float64
+	value     float64
+	priority  int
+}
+
+// Spreads are standard deviations of logarithms: of work and width from job to job, of
+// needs, of a caller's estimate about the work, and of tasks about their job's work.
+const (
+	workSpread     = 0.4
+	widthSpread    = 0.4
+	needSpread     = 0.2
+	estimateOff    = 0.4
+	taskSpread     = 0.15
+	simStep        = 2 * time.Millisecond
+	orderTime      = 2 * time.Millisecond
+	objectiveBase  = 100 * time.Millisecond
+	objectiveTimes = 1.6
+	patienceBase   = 1500 * time.Millisecond
+)
+
+// unequalWork is a load whose tasks need half a runner, where the longest kind works
+// fifteen times as long as the shortest.
+func unequalWork() []jobKind {
+	return []jobKind{
+		{name: "short", perSecond: 154, tasks: 8, work: 60 * ms, milliCPU: 32000, value: 4.85, priority: 0},
+		{name: "long", perSecond: 48.8, tasks: 4, work: 900 * ms, milliCPU: 32000, value: 26.7, priority: 2},
+		{name: "usual", perSecond: 450, tasks: 2, work: 200 * ms, milliCPU: 32000, value: 1.67, priority: 1},
+	}
+}
+
+type simulation struct {
+	rng     *rand.Rand
+	kinds   []jobKind
+	shards  []*Scheduler
+	speed   map[workload.RunnerID]float64
+	number  map[workload.RunnerID]uint64
+	domains []string
+	now     Time
+	events  []simEvent
+	jobs    map[workload.JobID]*simJob
+	// load is the present rate over the usual one, by kind.
+	load func(at time.Duration, kind string) float64
+	// route picks a job's shard.
+	route func(w *workload.Job) int
+	last  int
+}
+
+type simEvent struct {
+	at Time
+	f  func()
+}
+
+type simJob struct {
+	kind     int
+	value    float64
+	work     *workload.Job
+	tasks    []time.Duration
+	arrived  Time
+	answered bool
+	outcome  workload.Outcome
+	took     time.Duration
+	ran      bool
+}
+
+// tally is what the callers of a kind have got.
+type tally struct {
+	asked, inTime, late, refusedAtOnce, refused, gaveUp, tooLate int
+	owed, earned                                                 float64
+}
+
+func newSimulation(seed uint64, kinds []jobKind, shards, runners int) *simulation {
+	s := &simulation{
+		rng: rand.New(rand.NewPCG(seed, 7)), kinds: kinds, domains: []string{"a", "b", "c"}, now: time.Second,
+		speed: make(map[workload.RunnerID]float64), number: make(map[workload.RunnerID]uint64), jobs: make(map[workload.JobID]*simJob),
+		load: func(time.Duration, string) float64 { return 1 },
+	}
+	lists := make([][]workload.Runner, shards)
+	for i := range runners {
+		r := workload.Runner{
+			ID: workload.RunnerID(fmt.Sprintf("r%03d", i)), Service: service, Domain: s.domains[i*len(s.domains)/runners],
+			Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 131072},
+		}
+		s.speed[r.ID] = 1
+		if i%3 == 2 {
+			r.Capacity.MilliCPU, s.speed[r.ID] = 96000, 1.3
+		}
+		n := s.rng.IntN(shards)
+		lists[n] = append(lists[n], r)
+	}
+	for _, list := range lists {
+		sch := New(DefaultConfig())
+		sch.SetNumber(7)
+		sch.SetNoStored(true)
+		sch.SetRunners(s.now, list)
+		sch.Lead(s.now)
+		s.shards = append(s.shards, sch)
+	}
+	s.route = func(*workload.Job) int { return s.rng.IntN(shards) }
+	return s
+}
+
+func (s *simulation) after(d time.Duration, f func()) {
+	e := simEvent{at: s.now + d, f: f}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b simEvent) int { return cmp.Or(cmp.Compare(b.at, a.at), 1) })
+	s.events = slices.Insert(s.events, i, e)
+}
+
+// idle lets time pass without jobs, so that runners are owned and settled.
+func (s *simulation) idle(d time.Duration) { s.play(d, false) }
+
+func (s *simulation) play(d time.Duration, arrivals bool) {
+	begin := s.now
+	due := make([]float64, len(s.kinds))
+	nextTick := s.now
+	for end := s.now + d; s.now < end; s.now += simStep {
+		for len(s.events) > 0 && s.events[len(s.events)-1].at <= s.now {
+			e := s.events[len(s.events)-1]
+			s.events = s.events[:len(s.events)-1]
+			e.f()
+		}
+		if arrivals {
+			for i, k := range s.kinds {
+				due[i] += k.perSecond * s.load(s.now-begin, k.name) * simStep.Seconds()
+				for due[i] > 0 {
+					s.submit(i)
+					due[i] -= s.rng.ExpFloat64()
+				}
+			}
+		}
+		if s.now >= nextTick {
+			nextTick += 20 * ms
+			for _, sch := range s.shards {
+				sch.Heard(s.now, entryA)
+				sch.Tick(s.now)
+			}
+		}
+		for _, sch := range s.shards {
+			s.carryOut(sch)
+		}
+	}
+}
+
+func (s *simulation) spread(sigma float64) float64 {
+	return math.Exp(s.rng.NormFloat64()*sigma - sigma*sigma/2)
+}
+
+func (s *simulation) submit(kind int) {
+	k := s.kinds[kind]
+	s.last++
+	work := min(time.Duration(float64(k.work)*s.spread(workSpread)), 4*k.work)
+	width := max(1, min(int(math.Round(k.tasks*s.spread(widthSpread))), int(4*k.tasks)))
+	need := min(int(k.milliCPU*s.spread(needSpread)), 48000)
+	estimate := time.Duration(float64(work) * s.spread(estimateOff))
+	w := &workload.Job{
+		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, MaxAttempts: 3, Priority: k.priority,
+		Objective: time.Duration(objectiveTimes*float64(work)) + objectiveBase,
+		Steps:     []workload.Step{{Tasks: width, Need: workload.Resources{MilliCPU: need, MemoryMB: 64}, Estimate: estimate}},
+	}
+	j := &simJob{kind: kind, work: w, arrived: s.now}
+	j.value = k.value * min(4, 0.3+0.7*float64(width)*work.Seconds()*float64(need)/(k.tasks*k.work.Seconds()*k.milliCPU))
+	for range width {
+		j.tasks = append(j.tasks, time.Duration(float64(work)*s.spread(taskSpread)))
+	}
+	s.jobs[w.ID] = j
+	sub := Submission{Job: w, Entry: entryA, Due: w.Objective, Patience: patienceBase + lateFactor*w.Objective, Domain: s.domains[s.rng.IntN(len(s.domains))]}
+	s.shards[s.route(w)].Submit(s.now, sub)
+}
+
+func (s *simulation) clock() Reading {
+	return Reading{Milliseconds: clockAtZero + s.now.Milliseconds(), At: s.now, SentAt: s.now}
+}
+
+func (s *simulation) carryOut(sch *Scheduler) {
+	for orders := sch.Ready(); len(orders) > 0; orders = sch.Ready() {
+		for _, c := range orders {
+			switch c := c.(type) {
+			case Start:
+				s.start(sch, c)
+			case Stop:
+				s.after(orderTime, func() {
+					sch.Stopped(s.now, StopResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
+					s.end(sch, c.Runner, c.Run, workload.Stopped)
+				})
+			case Hold:
+				if c.Wait == 0 {
+					sch.Held(s.now, HoldResult{Runner: c.Runner, Token: c.Token, Look: c.Look, Presence: c.Presence, Outcome: Accepted, Clock: s.clock(), Running: s.running(sch, c.Runner)})
+				}
+			case Answer:
+				s.answer(c)
+			}
+		}
+	}
+}
+
+// running lists what a runner runs, as the scheduler believes.
+func (s *simulation) running(sch *Scheduler, id workload.RunnerID) []workload.RunKey {
+	var keys []workload.RunKey
+	for _, u := range sch.runners[id].inOrder() {
+		keys = append(keys, u.key)
+	}
+	return keys
+}
+
+func (s *simulation) start(sch *Scheduler, c Start) {
+	j := s.jobs[c.Run.Task.Job]
+	j.ran = true
+	took := time.Duration(float64(j.tasks[c.Run.Task.Index]) / s.speed[c.Runner])
+	s.after(orderTime, func() {
+		sch.Started(s.now, StartResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
+		s.after(took, func() { s.end(sch, c.Runner, c.Run, workload.Done) })
+	})
+}
+
+// end has a runner list the end of a run, unless it has ended already.
+func (s *simulation) end(sch *Scheduler, id workload.RunnerID, k workload.RunKey, kind workload.EndKind) {
+	r := sch.runners[id]
+	if r == nil || r.runs[k] == nil {
+		return
+	}
+	s.number[id]++
+	sch.Held(s.now, HoldResult{
+		Runner: id, Token: r.token, Outcome: Accepted, Clock: s.clock(),
+		Ends: []workload.End{{Sequence: s.number[id], Run: k, Kind: kind}},
+	})
+}
+
+func (s *simulation) answer(a Answer) {
+	j := s.jobs[a.Job]
+	if j == nil || j.answered {
+		return
+	}
+	j.answered, j.outcome, j.took = true, a.Outcome, s.now-j.arrived
+}
+
+// tallies counts what callers got, by kind and in all.
+func (s *simulation) tallies() map[string]*tally {
+	sums := map[string]*tally{"all": {}}
+	for _, k := range s.kinds {
+		sums[k.name] = &tally{}
+	}
+	for _, j := range s.jobs {
+		for _, t := range []*tally{sums["all"], sums[s.kinds[j.kind].name]} {
+			t.count(j)
+		}
+	}
+	return sums
+}
+
+func (t *tally) count(j *simJob) {
+	t.asked++
+	t.owed += j.value
+	switch {
+	case !j.answered || j.outcome == workload.GaveUp:
+		t.gaveUp++
+	case j.outcome == workload.NotRun && j.took <= j.work.Objective/4:
+		t.refusedAtOnce++
+	case j.outcome == workload.NotRun:
+		t.refused++
+	case j.took <= j.work.Objective:
+		t.inTime++
+		t.earned += j.value
+	case j.took <= lateFactor*j.work.Objective:
+		t.late++
+		t.earned += j.value / 5
+	default:
+		t.tooLate++
+	}
+}
+
+func (t *tally) share(n int) float64 { return float64(n) / float64(max(1, t.asked)) }
+
+func (t *tally) served() float64 { return t.share(t.inTime + t.late) }
+
+func (t *tally) String() string {
+	return fmt.Sprintf("asked %5d worth %.3f served %.3f in time %.3f late %.3f refused at once %.3f later %.3f gave up %.3f too late %.3f",
+		t.asked, t.earned/t.owed, t.served(), t.share(t.inTime), t.share(t.late), t.share(t.refusedAtOnce), t.share(t.refused), t.share(t.gaveUp), t.share(t.tooLate))
+}
