--- a/core/schedule/load_test.go
+++ b/core/schedule/load_test.go
@@ -333,3 +333,21 @@
 	b.g.Expect(a.Job).To(Equal(hopeless.ID))
 	b.g.Expect(a.Outcome).To(Equal(workload.GaveUp))
 }
+
+// Guards against a wide job that is left halfway through as it turns late, while new jobs
+// take each place that gets free.
+func TestALateJobThatHasBegunKeepsItsPlace(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	wide := testJob(3, 200*ms)
+	b.submit(wide, 3*time.Second)
+	starts := take[Start](b)
+	b.g.Expect(starts).To(HaveLen(2))
+	for _, c := range starts {
+		b.started(c, Accepted)
+	}
+	b.tick(wide.Objective - 200*ms)
+	b.submit(testJob(1, 250*ms), 3*time.Second)
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "there is no room")
+	b.end("r1", 1, starts[0].Run, workload.Done)
+	b.g.Expect(one[Start](b).Run.Task.Job).To(Equal(wide.ID))
+}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -85,9 +85,17 @@
 // answer is worth nothing any more.
 func (j *job) worthless(now Time) bool { return now+j.remaining > j.useless }
 
-// dispatch starts what can start. Jobs that can still meet their objective come
-// first, by their latest start; then those that are late already; then those whose
-// answers will be worth nothing, with what room is left.
+// halfway reports whether some tasks of a job have been started, so that what they have
+// done would be for nothing if the others came too late.
+func (j *job) halfway() bool { return j.stored == nil && j.begun }
+
+// dispatch starts what can start. Jobs that can still meet their objective, and those
+// of which a part has been done, come first, by their latest start; then those that are
+// late already; then those whose answers will be worth nothing, with what room is left.
+//
+// Where tasks need half a runner a wide job gets its places one by one. Put behind all
+// others when it turns late, it would keep the places that it has, and end after its
+// caller has left, who can't be told that nothing was run.
 //
 // After half a second without a scheduler, at full load, some hundred jobs that
 // were handed over wait beside the new ones, and the room is made up for only in
@@ -105,7 +113,7 @@
 		switch {
 		case j.stored == nil && j.worthless(s.now) && j.late(s.now):
 			worthless = append(worthless, j)
-		case j.late(s.now):
+		case j.late(s.now) && !j.halfway():
 			late = append(late, j)
 		default:
 			s.startTasks(p, j)
