Late jobs are refused as soon as it is known that their turn won't come

Hypothesis: in a burst a job that has turned late waits behind all that isn't, and for what comes meanwhile. If more comes than the runners can do it is refused after a second or two; it could be refused as it turns late.

The scheduler measures the work that arrives, averaged over half a second. A late job that hasn't begun is refused when the work before it, done with the room that arriving work leaves (a fifth of all at the least), takes longer than its answer is worth something. It may be tried in another shard where nothing waits.

--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -70,6 +70,7 @@
 	}
 	n.Layout(5*time.Second, layout.Pooled(1))
 	n.Declared(5*time.Second, &routing.Declaration{Version: 1}, "store")
+	n.Evacuated(5*time.Second, routing.Evacuations{Version: 1}, "store")
 	n.RunnersRead(5*time.Second, fleet.RunnerList{Revision: 1})
 	follows := leader.Report{Number: 2, Able: true, Shards: 1, Follows: []leader.Follow{{Leader: "c#3"}}}
 	for now := 5 * time.Second; now < 7*time.Second; now += fleet.TickInterval {
--- a/core/fleet/lapsed_test.go
+++ b/core/fleet/lapsed_test.go
@@ -46,6 +46,7 @@
 	n.Registered(0, "a#1", 1)
 	n.Layout(0, layout.Pooled(1))
 	n.Declared(0, &routing.Declaration{Version: 1}, "store")
+	n.Evacuated(0, routing.Evacuations{Version: 1}, "store")
 	l := listOf(1, "a", "b", "c")
 	l.Runners[2].Draining = true
 	n.RunnersRead(0, l)
--- a/core/fleet/start_test.go
+++ b/core/fleet/start_test.go
@@ -59,6 +59,7 @@
 	n.Registered(0, "a#1", 1)
 	n.Layout(0, layout.Pooled(1))
 	n.Declared(0, &routing.Declaration{Version: 1}, "store")
+	n.Evacuated(0, routing.Evacuations{Version: 1}, "store")
 	n.SetMembers(0, []topology.Member{{ID: "a#1", VM: "a", Number: 1}, {ID: "b#2", VM: "b", Number: 2}})
 	n.Tick(300 * time.Millisecond)
 	n.Tick(310 * time.Millisecond)
@@ -104,3 +105,21 @@
 	w.run(4 * time.Second)
 	g.Expect(fresh.node.Leads()).To(BeTrue())
 }
+
+// Guards against a process that leads before it knows which failure domains are evacuated:
+// it would start tasks there.
+func TestNobodyLeadsWithoutTheOperatorsWordOnDomains(t *testing.T) {
+	g := NewWithT(t)
+	n := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
+	n.Registered(0, "a#1", 1)
+	n.Layout(0, layout.Pooled(1))
+	n.Declared(0, &routing.Declaration{Version: 1}, "b#2")
+	n.RunnersRead(0, fleet.RunnerList{Revision: 1, Runners: []workload.Runner{{ID: "r", Service: service}}})
+	n.SetMembers(0, []topology.Member{{ID: "a#1", VM: "a", Number: 1}})
+	n.Tick(300 * time.Millisecond)
+	n.Tick(310 * time.Millisecond)
+	g.Expect(n.Leads()).To(BeFalse())
+	n.Evacuated(320*time.Millisecond, routing.Evacuations{Version: 1}, "b#2")
+	n.Tick(330 * time.Millisecond)
+	g.Expect(n.Leads()).To(BeTrue())
+}
--- /dev/null
+++ b/core/schedule/offered.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// A job that has turned late waits for all that hasn't, and for what comes meanwhile. In a
+// burst more comes than the runners can do, so its turn doesn't come while its answer is
+// worth anything. Its caller learns that as soon as it is known, not when the time is up.
+
+const (
+	// offeredTime is the time over which arriving work is averaged.
+	offeredTime = 500 * time.Millisecond
+	// leastSpare is the share of the runners that late jobs are thought to get, however
+	// much arrives: load comes and goes, and late answers are better than none.
+	leastSpare = 0.2
+)
+
+// offeredLoad is the work of a service that arrives, in thousandths of a core, averaged
+// with weights that fall exponentially.
+type offeredLoad struct {
+	average float64
+	at      Time
+}
+
+// add notes work that arrives, in time x thousandths of a core.
+func (o *offeredLoad) add(now Time, work time.Duration) {
+	o.average = o.now(now) + float64(work)/float64(offeredTime)
+	o.at = now
+}
+
+func (o *offeredLoad) now(now Time) float64 {
+	return o.average * math.Exp(-float64(now-o.at)/float64(offeredTime))
+}
+
+// noteOffered counts a job that has come.
+func (s *Scheduler) noteOffered(j *job) {
+	o := s.offered[j.work.Service]
+	if o == nil {
+		o = &offeredLoad{}
+		s.offered[j.work.Service] = o
+	}
+	o.add(s.now, s.waitingWork(j))
+}
+
+// refuseLate refuses the late jobs whose turn won't come in time. For a while after
+// taking over it isn't known what the runners can take.
+func (s *Scheduler) refuseLate() {
+	if len(s.queue) == 0 || s.now-s.since < settleTime {
+		return
+	}
+	services := make(map[string]bool)
+	for _, j := range s.queue {
+		services[j.work.Service] = true
+	}
+	for _, service := range slices.Sorted(maps.Keys(services)) {
+		s.refuseLateOf(service)
+	}
+}
+
+func (s *Scheduler) refuseLateOf(service string) {
+	capacity := float64(s.capacity(service))
+	spare := capacity
+	if o := s.offered[service]; o != nil {
+		spare = max(capacity-o.now(s.now), leastSpare*capacity)
+	}
+	var late []*job
+	ahead := time.Duration(0)
+	for _, j := range s.queue {
+		switch {
+		case j.work.Service != service || s.heldBack(j):
+		case j.stored == nil && !j.started && j.late(s.now):
+			late = append(late, j)
+		default:
+			ahead += s.waitingWork(j)
+		}
+	}
+	for _, j := range late {
+		if s.comesInTime(j, ahead, spare) {
+			ahead += s.waitingWork(j)
+			continue
+		}
+		j.noRoom = true
+		s.finish(j, workload.NotRun, "more comes than can be done before its turn")
+	}
+}
+
+// comesInTime reports whether a late job may be done while its answer is worth something,
+// with an amount of work before it and some processors to spare for that.
+func (s *Scheduler) comesInTime(j *job, ahead time.Duration, spare float64) bool {
+	if ahead == 0 {
+		return true
+	}
+	left := j.useless - j.remaining - s.now
+	return spare > 0 && float64(ahead)/spare <= float64(left)
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -171,6 +171,8 @@
 
 	jobs  map[workload.JobID]*job
 	queue []*job
+	// offered is the work that arrives, by service.
+	offered map[string]*offeredLoad
 	// results are the outcomes of jobs that have ended, oldest first.
 	results     map[workload.JobID]result
 	resultOrder []workload.JobID
@@ -251,6 +253,7 @@
 		term:      cfg.Number,
 		runners:   make(map[workload.RunnerID]*runner),
 		jobs:      make(map[workload.JobID]*job),
+		offered:   make(map[string]*offeredLoad),
 		results:   make(map[workload.JobID]result),
 		cancelled: make(map[workload.JobID]Time),
 		heard:     make(map[EntryID]Time),
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -79,6 +79,7 @@
 		s.finish(j, workload.Completed, "all tasks had ended")
 		return
 	}
+	s.noteOffered(j)
 	if reason, hopeless := s.refusal(j); reason != "" {
 		j.noRoom = !hopeless
 		s.finish(j, workload.NotRun, reason)
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -25,6 +25,7 @@
 	}
 	s.forgetRunners()
 	s.refuseEvacuated()
+	s.refuseLate()
 	s.dispatch()
 }
 
--- a/core/schedule/unequal_test.go
+++ b/core/schedule/unequal_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // shardRunners is the size of a shard, and shardShare its part of the load of unequalWork.
@@ -66,3 +68,52 @@
 	g.Expect(all.share(all.tooLate)).To(BeNumerically("<", 0.002))
 	g.Expect(all.served()).To(BeNumerically(">", 0.9))
 }
+
+// Guards against callers who wait for most of their time in a burst, and are refused then:
+// it is known as a job turns late that more comes than the runners can do.
+func TestBurstIsRefusedEarlyOrServed(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, c := range fill(b, 4, 300*ms) {
+		b.started(c, Accepted)
+	}
+	late := testJob(1, 200*ms)
+	b.submit(late, 3*time.Second)
+	for range 20 {
+		b.submit(testJob(1, 250*ms), 3*time.Second)
+		b.tick(20 * ms)
+	}
+	waited := time.Duration(-1)
+	for _, a := range take[Answer](b) {
+		if a.Job == late.ID {
+			b.g.Expect(a.Outcome).To(Equal(workload.NotRun))
+			b.g.Expect(a.NoRoom).To(BeTrue(), "another shard may have room")
+			waited = a.At - (b.now - 400*ms)
+		}
+	}
+	b.g.Expect(waited).To(BeNumerically(">", 0), "it was refused")
+	b.g.Expect(waited).To(BeNumerically("<", late.Objective))
+}
+
+// fill gives the runners as many tasks as they have places for.
+func fill(b *bench, tasks int, estimate time.Duration) []Start {
+	b.submit(testJob(tasks, estimate), 5*time.Second)
+	starts := take[Start](b)
+	b.g.ExpectWithOffset(1, starts).To(HaveLen(tasks))
+	return starts
+}
+
+// Guards against late jobs that are refused in a lull: nothing waits before them that
+// would keep the runners busy, and a late answer is better than none.
+func TestALateJobIsServedInALull(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	starts := fill(b, 2, 300*ms)
+	for _, c := range starts {
+		b.started(c, Accepted)
+	}
+	late := testJob(1, 200*ms)
+	b.submit(late, 3*time.Second)
+	b.tick(300 * ms)
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+	b.end("r1", 1, starts[0].Run, workload.Done)
+	b.g.Expect(one[Start](b).Run.Task.Job).To(Equal(late.ID))
+}
