--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -136,6 +137,10 @@
 	s.stopRun(u)
 }
 
+// expireInterval is how often old entries are looked for among some thousand; nothing is
+// harmed if they are kept for that much longer.
+const expireInterval = time.Second
+
 // expire forgets old outcomes.
 func (s *Scheduler) expire() {
 	for len(s.resultOrder) > 0 {
@@ -146,6 +151,10 @@
 		delete(s.results, id)
 		s.resultOrder = s.resultOrder[1:]
 	}
+	if s.now-s.expiredAt < expireInterval {
+		return
+	}
+	s.expiredAt = s.now
 	dropBefore(s.cancelled, s.now-resultRetention)
 	dropBefore(s.missing, s.now-MissingMost)
 	dropBefore(s.ran, s.now-ranRetention)
