--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -31,7 +31,7 @@
 	StartHopeless bool
 }
 
-// DefaultControl is what measured best; see docs/design-admission.md.
+// DefaultControl is what measured best; see docs/design/admission.md.
 var DefaultControl = Control{WaitPercent: 50, Standing: time.Second, StandingPercent: 3}
 
 // admissionState is the state of admission by the institutions' terms.
--- a/core/dispatch/lending.go
+++ b/core/dispatch/lending.go
@@ -42,7 +42,7 @@
 	MinReturn int
 }
 
-// DefaultLending is what measured best; see docs/design-placement.md.
+// DefaultLending is what measured best; see docs/design/placement.md.
 var DefaultLending = Lending{Valid: 60 * time.Second, Terms: TermsOf}
 
 const (
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -56,7 +56,7 @@
 	FirstCome bool
 }
 
-// DefaultOrder is the order that measured best; see docs/design-placement.md.
+// DefaultOrder is the order that measured best; see docs/design/placement.md.
 var DefaultOrder = Order{LengthPercent: 100, SlackPercent: 100}
 
 // entry is a job that has waiting tasks, or may have some again.
