In the simulation the scheduler goes by the caller's estimate, the caller by the work

The objective that a scheduler knows follows from the caller's estimate, which is off by two fifths here; callers count from what the work really takes. The simulation gave the scheduler the true one.

--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -74,15 +74,17 @@
 }
 
 type simJob struct {
-	kind     int
-	value    float64
-	work     *workload.Job
-	tasks    []time.Duration
-	arrived  Time
-	answered bool
-	outcome  workload.Outcome
-	took     time.Duration
-	ran      bool
+	kind    int
+	value   float64
+	work    *workload.Job
+	tasks   []time.Duration
+	arrived Time
+	// objective is the caller's own, by the work and not by the estimate.
+	objective time.Duration
+	answered  bool
+	outcome   workload.Outcome
+	took      time.Duration
+	ran       bool
 }
 
 // tally is what the callers of a kind have got.
@@ -176,16 +178,16 @@
 	estimate := time.Duration(float64(work) * s.spread(estimateOff))
 	w := &workload.Job{
 		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, MaxAttempts: 3, Priority: k.priority,
-		Objective: time.Duration(objectiveTimes*float64(work)) + objectiveBase,
+		Objective: time.Duration(objectiveTimes*float64(estimate)) + objectiveBase,
 		Steps:     []workload.Step{{Tasks: width, Need: workload.Resources{MilliCPU: need, MemoryMB: 64}, Estimate: estimate}},
 	}
-	j := &simJob{kind: kind, work: w, arrived: s.now}
+	j := &simJob{kind: kind, work: w, arrived: s.now, objective: time.Duration(objectiveTimes*float64(work)) + objectiveBase}
 	j.value = k.value * min(4, 0.3+0.7*float64(width)*work.Seconds()*float64(need)/(k.tasks*k.work.Seconds()*k.milliCPU))
 	for range width {
 		j.tasks = append(j.tasks, time.Duration(float64(work)*s.spread(taskSpread)))
 	}
 	s.jobs[w.ID] = j
-	sub := Submission{Job: w, Entry: entryA, Due: w.Objective, Patience: patienceBase + lateFactor*w.Objective, Domain: s.domains[s.rng.IntN(len(s.domains))]}
+	sub := Submission{Job: w, Entry: entryA, Due: w.Objective, Patience: patienceBase + lateFactor*j.objective, Domain: s.domains[s.rng.IntN(len(s.domains))]}
 	s.shards[s.route(w)].Submit(s.now, sub)
 }
 
@@ -275,14 +277,14 @@
 	switch {
 	case !j.answered || j.outcome == workload.GaveUp:
 		t.gaveUp++
-	case j.outcome == workload.NotRun && j.took <= j.work.Objective/4:
+	case j.outcome == workload.NotRun && j.took <= j.objective/4:
 		t.refusedAtOnce++
 	case j.outcome == workload.NotRun:
 		t.refused++
-	case j.took <= j.work.Objective:
+	case j.took <= j.objective:
 		t.inTime++
 		t.earned += j.value
-	case j.took <= lateFactor*j.work.Objective:
+	case j.took <= lateFactor*j.objective:
 		t.late++
 		t.earned += j.value / 5
 	default:
