A job counts as late later: at 1.25 times its estimate before its end

Hypothesis: with unequal work most jobs that count as late, at 1.46 times their estimate before the end of their objective, would still end in time; behind all others they fail.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -24,8 +24,8 @@
 func (j *job) latestStart() Time { return j.due - j.remaining }
 
 // lateSpread is the share of its estimate, in percent, that a job needs to end
-// within its objective four times in five: estimates spread by estimateSpread.
-const lateSpread = 146
+// within its objective two times in three: estimates spread by estimateSpread.
+const lateSpread = 125
 
 // late reports whether a job has waited too long to end within its objective.
 // One whose estimate leaves it no time to wait isn't late as it arrives: it
