A job that is handed over isn't given up for an evacuation before its runs are listed

Read in the review of the change: with all domains evacuated, a new leader ended jobs of which it hadn't found the runs yet, and their work with them. Jobs that are held back are left alone until the runners have said what runs. The test fails on the code before.

Late jobs are left alone while no runner can be used at all, as at a change of leader.

--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -73,10 +73,10 @@
 func (n *Node) LaidOut() bool { return len(n.shards) > 0 }
 
 // setAble says whether this process could schedule: it knows the shards, the
-// configuration, which failure domains are evacuated, and a list of runners. One that has just started beside a slow
-// store may have to be told the list by another process; without it, it would
-// refuse all jobs. A VM without a seat leaves scheduling to those that have one,
-// until none of them has been in reach for a while.
+// configuration, which failure domains are evacuated, and a list of runners. One that
+// has just started beside a slow store may have to be told the list by another process;
+// without it, it would refuse all jobs. A VM without a seat leaves scheduling to those
+// that have one, until none of them has been in reach for a while.
 func (n *Node) setAble() {
 	able := n.LaidOut() && n.table.Current() != nil && n.evacuations.Version > 0 && n.listKnown
 	n.view.SetAble(able, !n.seated && !n.Leads())
--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -43,9 +43,10 @@
 const evacuatedReason = "all runners are in evacuated failure domains"
 
 // refuseEvacuated ends the jobs of which nothing runs and nothing can be started any
-// more: their callers learn that at once.
+// more: their callers learn that at once. Of those that are held back it isn't known yet
+// what runs.
 func (s *Scheduler) refuseEvacuated() {
-	if len(s.evacuated) == 0 {
+	if len(s.evacuated) == 0 || !s.leading {
 		return
 	}
 	closed := make(map[string]bool)
@@ -53,7 +54,7 @@
 		closed[j.work.Service] = s.closed(j.work.Service)
 	}
 	for _, j := range s.jobsInOrder() {
-		if j.stored == nil && closed[j.work.Service] && j.idle() {
+		if j.stored == nil && closed[j.work.Service] && j.idle() && !s.heldBack(j) {
 			j.noRoom = !j.started
 			s.finish(j, workload.NotRun, evacuatedReason)
 		}
--- a/core/schedule/evacuation_test.go
+++ b/core/schedule/evacuation_test.go
@@ -65,3 +65,23 @@
 	b.submit(testJob(1, 60*ms), 3*time.Second)
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.NotRun))
 }
+
+// Guards against a job that goes on under a new leader being given up, since the runs that
+// it finds aren't listed yet and all domains are evacuated.
+func TestAJobThatWasHandedOverOutlivesTheEvacuation(t *testing.T) {
+	b := leading(t, runnerIn("r1", "a"))
+	b.s.SetEvacuated(b.now, []string{"a"})
+	b.now += ms
+	job := testJob(1, 400*ms)
+	b.s.Submit(b.now, Submission{Job: job, Entry: entryA, Due: job.Objective, Patience: 3 * time.Second, Handed: 1, Unknown: 1300 * ms})
+	b.tick(40 * ms)
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+	run := workload.RunKey{Task: workload.TaskName{Job: job.ID}, Number: 1}
+	for _, h := range take[Hold](b) {
+		b.answerHold(h, Accepted, run)
+	}
+	b.tick(40 * ms)
+	b.g.Expect(take[Answer](b)).To(BeEmpty())
+	b.end("r1", 1, run, workload.Done)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Completed))
+}
--- a/core/schedule/offered.go
+++ b/core/schedule/offered.go
@@ -65,6 +65,9 @@
 
 func (s *Scheduler) refuseLateOf(service string) {
 	capacity := float64(s.capacity(service))
+	if capacity == 0 {
+		return
+	}
 	spare := capacity
 	if o := s.offered[service]; o != nil {
 		spare = max(capacity-o.now(s.now), leastSpare*capacity)
@@ -97,5 +100,5 @@
 		return true
 	}
 	left := j.useless - j.remaining - s.now
-	return spare > 0 && float64(ahead)/spare <= float64(left)
+	return float64(ahead)/spare <= float64(left)
 }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -207,7 +207,7 @@
 	ran map[workload.JobID]Time
 	// unstored are jobs that are known not to be stored ones, for a while after
 	// they have ended.
-	unstored map[workload.JobID]Time
+	unstored  map[workload.JobID]Time
 	expiredAt Time
 	// found are ends of tasks whose jobs aren't known, by the runners' lists.
 	found map[workload.TaskName]Time
