--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -18,8 +17,6 @@
 	aloneAfter = time.Second
 	// aloneServed is the same while schedulers of other cells take its jobs.
 	aloneServed = 3 * time.Second
-	// never is the time of what hasn't happened.
-	never = Time(math.MaxInt64)
 )
 
 // SetMembers says which processes are registered. Some may be gone for good.
@@ -161,39 +158,6 @@
 // hearsAll reports whether a process of every other VM of the cell is heard.
 func (n *Node) hearsAll() bool { return n.vms != nil && len(n.unheard) == 0 }
 
-// longUnheard lists the VMs of the cell that haven't been heard for so long that they
-// are taken to be gone for good, in order.
-func (n *Node) longUnheard(now Time) []string {
-	var list []string
-	for vm, since := range n.unheard {
-		if now-since >= schedule.MissingMost {
-			list = append(list, vm)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
-// noteOthersHeard notes since when all VMs are heard but those that are gone.
-func (n *Node) noteOthersHeard(now Time, gone []string) {
-	switch all := n.vms != nil && len(n.unheard) == len(gone); {
-	case !all:
-		n.othersHeardSince = never
-	case n.othersHeardSince == never:
-		n.othersHeardSince = now
-	}
-}
-
-// rivalsHeardSince is since when a process of every VM is heard that could take a
-// shard's rows: the store refuses them to those of gone that the owner has excluded.
-func (n *Node) rivalsHeardSince(now Time, s *shard, gone []string) (since Time, all bool) {
-	if n.othersHeardSince == never || len(gone) == 0 {
-		return n.othersHeardSince, n.othersHeardSince != never
-	}
-	since, all = s.ledger.Excludes(now, gone)
-	return max(since, n.othersHeardSince), all
-}
-
 // missesSome reports whether a VM of the cell isn't heard that may be alive.
 func (n *Node) missesSome(now Time) bool {
 	for _, since := range n.unheard {
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -8,7 +8,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/gateway"
@@ -302,42 +301,6 @@
 	n.heartbeatAll(now)
 }
 
-// Evacuated takes the operator's word on which failure domains get no new tasks, if it
-// is later than what is known.
-func (n *Node) Evacuated(now Time, e routing.Evacuations, source string) {
-	first := n.evacuations.Version == 0 && e.Version > 0
-	changed := n.evacuations.Apply(e)
-	if first {
-		n.setAble()
-	}
-	if !changed {
-		return
-	}
-	n.notice("domains-evacuated", Field{"domains", e.Domains}, Field{"version", e.Version}, Field{"source", source})
-	for _, domain := range e.Domains {
-		if !n.knowsDomain(domain) {
-			n.warn("evacuated-domain-unknown", Field{"domain", domain}, Field{"version", e.Version})
-		}
-	}
-	for _, s := range n.own {
-		s.schedule.SetEvacuated(now, e.Domains)
-	}
-	n.heartbeatAll(now)
-}
-
-// knowsDomain reports whether a failure domain has a runner or an entry VM, as far as
-// these are known yet.
-func (n *Node) knowsDomain(domain string) bool {
-	if !n.listKnown || n.members == nil {
-		return true
-	}
-	return slices.ContainsFunc(n.runners.Runners, func(r workload.Runner) bool { return r.Domain == domain }) ||
-		slices.ContainsFunc(n.members, func(m topology.Member) bool { return m.Domain == domain })
-}
-
-// Evacuations are the failure domains that get no new tasks.
-func (n *Node) Evacuations() routing.Evacuations { return n.evacuations }
-
 // Tick does what is due.
 func (n *Node) Tick(now Time) {
 	n.checkPause(now)
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -13,8 +13,8 @@
 // and its work isn't in the way of those that can be served.
 
 const (
-	// packing is the share of all processors that can be in use: tasks take
-	// two fifths of a runner or more, so a part of each stays empty.
+	// packing is the share of all processors that is counted with: tasks are large
+	// against a runner, so a part of each stays empty.
 	packing = 0.8
 	// leastChance is the chance of being done in time below which a job is
 	// refused: four callers in five would wait for nothing, and the work would
