A runner that starts again under its id is taken anew

`born` in what it says tells when its lifetime began. Nothing read it: a new lifetime's ends, numbered from one, were taken for old ones, leases were counted on the old clock, and its tasks waited until they were overdue.

The start of the lifetime comes with each answer and with the list. A later one: what was confirmed there is started again at once, the rest waits for the new list, the runner is taken with a higher term. An earlier one changes nothing.

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -134,6 +134,7 @@
 		w.store.slow = 60
 		w.after(w.span(1000, 5000), func() { w.store.slow = 1 })
 	},
+	"runner restart": func(w *world) { anyRunner(w).restart() },
 	"slow": func(w *world) {
 		r := anyRunner(w)
 		r.pace = 5
@@ -349,3 +350,24 @@
 		NewWithT(t).Expect(w.truth.broken).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
 	}
 }
+
+// Guards against tasks that run twice, or are lost, as runners start again under their ids
+// while starts and ends are on their way, beside all other faults.
+func TestRandomRestartsOfRunners(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	names := append(storedTroubles(), "late orders")
+	for range len(names) {
+		names = append(names, "runner restart")
+	}
+	served, asked := 0, 0
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		w, played := storedRun(seed, names)
+		g.Expect(w.truth.broken).To(BeEmpty(), "seed %d, %d shards: %v", seed, w.shards, played)
+		served += w.completed()
+		asked += len(w.jobs)
+	}
+	t.Logf("%d of %d jobs complete", served, asked)
+	g.Expect(served).To(BeNumerically(">", asked/2))
+}
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -26,6 +26,8 @@
 	// muteShare of the orders are carried out and not answered.
 	muteShare float64
 	down      bool
+	// born is the start of its lifetime.
+	born int64
 	// started counts its runs.
 	started int
 
@@ -83,8 +85,9 @@
 		return
 	}
 	r.leaseEnd = leaseEnd
+	born := r.born
 	r.w.after(r.until(leaseEnd), func() {
-		if r.clock() < r.leaseEnd {
+		if r.clock() < r.leaseEnd || r.born != born {
 			return
 		}
 		for i := range r.ends {
@@ -131,7 +134,12 @@
 	if r.fails {
 		work, kind = 5*time.Millisecond, workload.Failed
 	}
-	r.w.after(work, func() { r.end(c.Run, kind) })
+	u := r.runs[c.Run]
+	r.w.after(work, func() {
+		if r.runs[c.Run] == u {
+			r.end(c.Run, kind)
+		}
+	})
 	return schedule.Accepted
 }
 
@@ -201,6 +209,19 @@
 	h.answer(res)
 }
 
+// restart ends the lifetime, and begins another one under the same id.
+func (r *fakeRunner) restart() {
+	r.crash()
+	r.down = false
+	r.born = int64(firstBirth + r.w.now/time.Millisecond)
+	r.offset = 1 - int64(float64(r.w.now.Milliseconds())*r.rate)
+	r.token, r.leaseEnd, r.lastEnd, r.ends, r.waiting = 0, 0, 0, nil, nil
+	r.runs, r.sealed = make(map[workload.RunKey]*fakeRun), make(map[workload.TaskName]int)
+}
+
+// firstBirth is the time of day at which the world begins, in milliseconds.
+const firstBirth = 1_760_000_000_000
+
 // crash ends the lifetime with all that runs.
 func (r *fakeRunner) crash() {
 	r.down = true
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -139,7 +139,7 @@
 	h := xxhash.New()
 	for _, r := range list {
 		// A hash takes all writes.
-		_, _ = fmt.Fprintf(h, "%s %s %t %t\n", r.ID, r.Service, r.Draining, r.Lapsed)
+		_, _ = fmt.Fprintf(h, "%s %s %t %t %d\n", r.ID, r.Service, r.Draining, r.Lapsed, r.Born)
 	}
 	return h.Sum64()
 }
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -227,6 +227,7 @@
 		rate:   0.98 + w.rng.Float64()*0.04,
 		offset: int64(w.rng.IntN(1 << 20)),
 		pace:   1,
+		born:   firstBirth,
 		runs:   make(map[workload.RunKey]*fakeRun),
 		sealed: make(map[workload.TaskName]int),
 	}
@@ -279,15 +280,15 @@
 func (w *world) call(n *fakeNode, id workload.RunnerID, timeout time.Duration, order func(*fakeRunner, func(schedule.CallOutcome, *schedule.HoldResult)), done func(schedule.CallOutcome, schedule.Reading, *schedule.HoldResult)) {
 	sent, life := w.now, n.life
 	var finished bool
-	finish := func(o schedule.CallOutcome, clock int64, h *schedule.HoldResult) {
+	finish := func(o schedule.CallOutcome, clock, born int64, h *schedule.HoldResult) {
 		if finished || n.life != life {
 			return
 		}
 		finished = true
-		reading := schedule.Reading{Milliseconds: clock, At: w.now, SentAt: sent}
+		reading := schedule.Reading{Milliseconds: clock, At: w.now, SentAt: sent, Born: born}
 		w.do(n, func() { done(o, reading, h) })
 	}
-	w.after(timeout, func() { finish(schedule.Unanswered, 0, nil) })
+	w.after(timeout, func() { finish(schedule.Unanswered, 0, 0, nil) })
 	r := w.runner(id)
 	if r == nil {
 		return
@@ -297,18 +298,20 @@
 	if late {
 		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
 	}
+	// What is on its way to a lifetime is lost with its connections.
+	sentTo := r.born
 	w.after(travel, func() {
-		if r.down || !w.reach(n.domain, r.info.Domain) {
+		if r.down || r.born != sentTo || !w.reach(n.domain, r.info.Domain) {
 			return
 		}
 		order(r, func(o schedule.CallOutcome, h *schedule.HoldResult) {
-			clock := r.clock()
+			clock, born := r.clock(), r.born
 			if late || w.rng.Float64() < r.muteShare {
 				return
 			}
 			w.after(delay, func() {
 				if w.reach(n.domain, r.info.Domain) {
-					finish(o, clock, h)
+					finish(o, clock, born, h)
 				}
 			})
 		})
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -168,6 +168,9 @@
 	At Time
 	// SentAt is when the order was sent.
 	SentAt Time
+	// Born is when the runner's lifetime began, in milliseconds since 1970; 0 if the
+	// answer didn't tell.
+	Born int64
 }
 
 // StartResult reports on a Start.
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -46,6 +46,7 @@
 		if lapsed {
 			s.look(r)
 		}
+		s.sameLife(r, info.Born)
 	}
 	for _, r := range s.list {
 		if !listed[r.info.ID] && !r.unlisted {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -31,6 +31,10 @@
 	if res.Token != r.token {
 		return
 	}
+	if !s.sameLife(r, res.Clock.Born) {
+		s.dispatch()
+		return
+	}
 	if res.Look {
 		r.looking = false
 	} else {
@@ -255,6 +259,10 @@
 	if r == nil || r.gone || !s.leading {
 		return
 	}
+	if !s.sameLife(r, res.Clock.Born) {
+		s.dispatch()
+		return
+	}
 	r.sawClock(res.Clock)
 	s.took(res.Clock.SentAt)
 	if res.Outcome != Unanswered {
@@ -365,6 +373,10 @@
 	if r == nil || r.gone || !s.leading {
 		return
 	}
+	if !s.sameLife(r, res.Clock.Born) {
+		s.dispatch()
+		return
+	}
 	r.sawClock(res.Clock)
 	u := r.runs[res.Run]
 	if res.Outcome != Unanswered {
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -18,6 +18,8 @@
 	// believedUntil is until when an unlisted runner that answers is used.
 	believedUntil Time
 	gone          bool
+	// born is when its lifetime began, in milliseconds since 1970; 0 if that isn't known.
+	born int64
 	// evacuated: its failure domain gets no new tasks.
 	evacuated bool
 	// token is the fencing token under which the runner was asked for, and
@@ -107,7 +109,7 @@
 func (u *run) ofStoredJob() bool { return u.task != nil && u.task.job.stored != nil }
 
 func newRunner(info workload.Runner, now Time) *runner {
-	return &runner{info: info, runs: make(map[workload.RunKey]*run), health: newHealth(), heldAt: now}
+	return &runner{info: info, born: info.Born, runs: make(map[workload.RunKey]*run), health: newHealth(), heldAt: now}
 }
 
 // release forgets the ownership and all runs.
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -207,6 +207,9 @@
 	Lapsed bool
 	// Revision grows with each change of the entry.
 	Revision uint64
+	// Born is when its lifetime began, in milliseconds since 1970; 0 if that isn't
+	// known. A runner may start again under its id.
+	Born int64
 }
 
 // CompareRunners orders runners by their ids.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -57,7 +57,7 @@
 }
 
 func (p *Process) reading(sent time.Time, a CallAnswer) schedule.Reading {
-	return schedule.Reading{Milliseconds: a.Clock, At: p.clock.now(), SentAt: p.clock.at(sent)}
+	return schedule.Reading{Milliseconds: a.Clock, At: p.clock.now(), SentAt: p.clock.at(sent), Born: a.Born}
 }
 
 func (p *Process) callDone(kind string, sent time.Time, a CallAnswer) {
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -32,6 +32,9 @@
 	Outcome schedule.CallOutcome
 	// Clock is the runner's clock in milliseconds; 0 if it wasn't told.
 	Clock int64
+	// Born is when the runner's lifetime began, in milliseconds since 1970; 0 if it
+	// wasn't told.
+	Born int64
 	// Cause is set where there is no usable answer.
 	Cause error
 }
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -419,6 +419,7 @@
 			Draining: r.Draining,
 			Lapsed:   r.Lapsed,
 			Revision: r.Revision,
+			Born:     r.Born,
 		})
 	}
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Runners{Runners: m}}
@@ -442,6 +443,7 @@
 			Draining: r.GetDraining(),
 			Lapsed:   r.GetLapsed(),
 			Revision: r.GetRevision(),
+			Born:     r.GetBorn(),
 		})
 	}
 	return l
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -22,6 +22,7 @@
 	Capacity map[string]int `json:"capacity"`
 	Labels   []string       `json:"labels"`
 	Seq      int            `json:"seq"`
+	Born     int64          `json:"born"`
 }
 
 // Started is a run that a runner has begun.
@@ -70,11 +71,10 @@
 	starts   []Started
 	silent   bool
 	observer Observer
+	// clockZero is where the clock of this lifetime begins.
+	clockZero time.Time
 }
 
-// clockZero is where a runner's clock begins.
-var clockZero = time.Now().Add(-time.Hour)
-
 // holdMax is the longest lease that a runner grants.
 const holdMax = time.Second
 
@@ -89,11 +89,14 @@
 		Info: RunnerInfo{
 			Service: service, Address: l.Addr().String(), Zone: domain, Version: "v1", Slots: 8, State: "ready",
 			Capacity: map[string]int{"cpu": 64000, "memMb": 131072, "gpu": 0}, Labels: []string{"a", "r1-1"}, Seq: 1,
+			Born: time.Now().UnixMilli(),
 		},
 		listener: l,
 		running:  make(map[Started]*time.Timer),
 		sealed:   make(map[string]int),
 		changed:  make(chan struct{}),
+
+		clockZero: time.Now().Add(-time.Hour),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", r.start)
@@ -114,6 +117,22 @@
 	}
 }
 
+// Restart ends the runner's lifetime with all that runs, and begins another one under its
+// id, which knows nothing of before.
+func (r *Runner) Restart(s *Store) error {
+	r.mu.Lock()
+	for run := range r.running {
+		r.end(run, "crashed")
+	}
+	r.Info.Born = max(r.Info.Born+1, time.Now().UnixMilli())
+	r.clockZero = time.Now()
+	r.token, r.leaseEnd, r.lastEnd, r.ends = 0, time.Time{}, 0, nil
+	r.sealed = make(map[string]int)
+	info := r.Info
+	r.mu.Unlock()
+	return s.Put("servers", r.ID, info)
+}
+
 // Observe has an observer told from now on.
 func (r *Runner) Observe(o Observer) {
 	r.mu.Lock()
@@ -142,7 +161,8 @@
 	return r.token
 }
 
-func clock() int64 { return time.Since(clockZero).Milliseconds() }
+// clock is called with the lock held.
+func (r *Runner) clock() int64 { return time.Since(r.clockZero).Milliseconds() }
 
 func (r *Runner) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -179,23 +199,25 @@
 	}
 	r.mu.Lock()
 	if o.FenceToken < r.token {
+		r.refuse(w, "fence")
 		r.mu.Unlock()
-		refuse(w, "fence")
 		return o, false
 	}
 	r.token = o.FenceToken
 	return o, true
 }
 
-func refuse(w http.ResponseWriter, reason string) {
-	answer(w, http.StatusConflict, map[string]any{"clockMs": clock(), "reason": reason})
+func (r *Runner) refuse(w http.ResponseWriter, reason string) {
+	answer(w, http.StatusConflict, map[string]any{"clockMs": r.clock(), "born": r.Info.Born, "reason": reason})
 }
 
-func accept(w http.ResponseWriter) { answer(w, http.StatusOK, map[string]any{"clockMs": clock()}) }
+func (r *Runner) accept(w http.ResponseWriter) {
+	answer(w, http.StatusOK, map[string]any{"clockMs": r.clock(), "born": r.Info.Born})
+}
 
 // grant moves the end of the lease; it never comes nearer.
 func (r *Runner) grant(ms int64) {
-	end := clockZero.Add(time.Duration(ms) * time.Millisecond)
+	end := r.clockZero.Add(time.Duration(ms) * time.Millisecond)
 	if most := time.Now().Add(holdMax); end.After(most) {
 		end = most
 	}
@@ -229,13 +251,13 @@
 	s := Started{o.Task, o.Run}
 	switch {
 	case r.running[s] != nil:
-		accept(w)
+		r.accept(w)
 		return
 	case o.Run <= r.sealed[o.Task]:
-		refuse(w, "old")
+		r.refuse(w, "old")
 		return
-	case o.DeadlineMs <= clock():
-		refuse(w, "late")
+	case o.DeadlineMs <= r.clock():
+		r.refuse(w, "late")
 		return
 	}
 	r.grant(o.DeadlineMs)
@@ -254,7 +276,7 @@
 		defer r.mu.Unlock()
 		r.end(s, how)
 	})
-	accept(w)
+	r.accept(w)
 }
 
 // end is called with the lock held.
@@ -283,7 +305,7 @@
 	defer r.mu.Unlock()
 	r.sealed[o.Task] = max(r.sealed[o.Task], o.Run)
 	r.end(Started{o.Task, o.Run}, "stopped")
-	accept(w)
+	r.accept(w)
 }
 
 func (r *Runner) hold(w http.ResponseWriter, q *http.Request) {
@@ -319,5 +341,5 @@
 	for _, e := range r.ends {
 		ended = append(ended, []any{e.sequence, e.Task, e.Run, e.How, ""})
 	}
-	answer(w, http.StatusOK, map[string]any{"clockMs": clock(), "running": running, "endedRuns": ended})
+	answer(w, http.StatusOK, map[string]any{"clockMs": r.clock(), "born": r.Info.Born, "running": running, "endedRuns": ended})
 }
