The cursor is withheld only from a start that stays unconfirmed for 5 ms

A renewal goes out with each start. Without the cursor a runner whose last end wasn't acknowledged yet answers it at once with the same list, and is asked again: a second renewal for nearly each task.

--- a/core/schedule/lifetime.go
+++ b/core/schedule/lifetime.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "time"
+
 // A runner may start again under the id that it had. It knows nothing of before then: what
 // ran there has ended unseen, and its clock, its ends and the tokens that it obeys start
 // anew. Its answers tell when its lifetime began.
@@ -20,12 +22,15 @@
 	return false
 }
 
+// confirmTime is how long runners mostly take to confirm a start; a run lasts longer.
+const confirmTime = 5 * time.Millisecond
+
 // cursor is the sequence up to which the runner is told to forget ends. While a start
-// stays unconfirmed it is told to forget none: it may have started again, carried the
-// start out, and numbered the end of that run like one that was noted before.
-func (r *runner) cursor() uint64 {
+// stays unconfirmed for long it is told to forget none: it may have started again, carried
+// the start out, and numbered the end of that run like one that was noted before.
+func (r *runner) cursor(now Time) uint64 {
 	for _, u := range r.runs {
-		if !u.confirmed {
+		if !u.confirmed && now-u.started >= confirmTime {
 			return 0
 		}
 	}
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -42,7 +42,7 @@
 		Runner:       r.info.ID,
 		Address:      r.info.Address,
 		Token:        r.token,
-		Acknowledged: r.cursor(),
+		Acknowledged: r.cursor(s.now),
 		Timeout:      s.callTimeout(),
 	}
 	// A renewal that stays unanswered may still be carried out. So while in
@@ -84,7 +84,7 @@
 		return
 	}
 	r.looking = true
-	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.cursor(), Look: true, Timeout: s.callTimeout()})
+	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.cursor(s.now), Look: true, Timeout: s.callTimeout()})
 }
 
 func (s *Scheduler) nextHold(r *runner) {
