--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -23,21 +23,26 @@
 	work      time.Duration
 	milliCPU  float64
 	value     float64
-	priority  int
 }
 
-// Spreads are standard deviations of logarithms: of work and width from job to job, of
-// needs, of a caller's estimate about the work, and of tasks about their job's work.
+// Standard deviations of logarithms: of work and width from job to job, of needs, of a
+// caller's estimate about the work, and of tasks about their job's work.
 const (
-	workSpread     = 0.4
-	widthSpread    = 0.4
-	needSpread     = 0.2
-	estimateOff    = 0.4
-	taskSpread     = 0.15
-	simStep        = 2 * time.Millisecond
-	orderTime      = 2 * time.Millisecond
-	objectiveBase  = 100 * time.Millisecond
+	workSpread  = 0.4
+	widthSpread = 0.4
+	needSpread  = 0.2
+	estimateOff = 0.4
+	taskSpread  = 0.15
+)
+
+const (
+	simStep = 2 * time.Millisecond
+	// orderTime is the time of an order to a runner and of its answer.
+	orderTime = 2 * time.Millisecond
+	// A job's objective is objectiveTimes its work and objectiveBase more; its caller
+	// waits for three times that and patienceBase more.
 	objectiveTimes = 1.6
+	objectiveBase  = 100 * time.Millisecond
 	patienceBase   = 1500 * time.Millisecond
 )
 
@@ -45,9 +50,9 @@
 // fifteen times as long as the shortest.
 func unequalWork() []jobKind {
 	return []jobKind{
-		{name: "short", perSecond: 154, tasks: 8, work: 60 * ms, milliCPU: 32000, value: 4.85, priority: 0},
-		{name: "long", perSecond: 48.8, tasks: 4, work: 900 * ms, milliCPU: 32000, value: 26.7, priority: 2},
-		{name: "usual", perSecond: 450, tasks: 2, work: 200 * ms, milliCPU: 32000, value: 1.67, priority: 1},
+		{name: "short", perSecond: 154, tasks: 8, work: 60 * ms, milliCPU: 32000, value: 4.85},
+		{name: "long", perSecond: 48.8, tasks: 4, work: 900 * ms, milliCPU: 32000, value: 26.7},
+		{name: "usual", perSecond: 450, tasks: 2, work: 200 * ms, milliCPU: 32000, value: 1.67},
 	}
 }
 
@@ -84,13 +89,16 @@
 	answered  bool
 	outcome   workload.Outcome
 	took      time.Duration
-	ran       bool
+	// ran: a start of one of its tasks was ordered.
+	ran bool
 }
 
 // tally is what the callers of a kind have got.
 type tally struct {
 	asked, inTime, late, refusedAtOnce, refused, gaveUp, tooLate int
-	owed, earned                                                 float64
+	// untrue refusals are of jobs of which something was run.
+	untrue       int
+	owed, earned float64
 }
 
 func newSimulation(seed uint64, kinds []jobKind, shards, runners int) *simulation {
@@ -177,7 +185,7 @@
 	need := min(int(k.milliCPU*s.spread(needSpread)), 48000)
 	estimate := time.Duration(float64(work) * s.spread(estimateOff))
 	w := &workload.Job{
-		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, MaxAttempts: 3, Priority: k.priority,
+		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, MaxAttempts: 3,
 		Objective: time.Duration(objectiveTimes*float64(estimate)) + objectiveBase,
 		Steps:     []workload.Step{{Tasks: width, Need: workload.Resources{MilliCPU: need, MemoryMB: 64}, Estimate: estimate}},
 	}
@@ -274,6 +282,9 @@
 func (t *tally) count(j *simJob) {
 	t.asked++
 	t.owed += j.value
+	if j.outcome == workload.NotRun && j.ran {
+		t.untrue++
+	}
 	switch {
 	case !j.answered || j.outcome == workload.GaveUp:
 		t.gaveUp++
--- a/core/schedule/unequal_test.go
+++ b/core/schedule/unequal_test.go
@@ -53,6 +53,7 @@
 	t.refused += o.refused
 	t.gaveUp += o.gaveUp
 	t.tooLate += o.tooLate
+	t.untrue += o.untrue
 	t.owed += o.owed
 	t.earned += o.earned
 }
@@ -67,6 +68,7 @@
 	g.Expect(all.share(all.gaveUp)).To(BeNumerically("<", 0.002))
 	g.Expect(all.share(all.tooLate)).To(BeNumerically("<", 0.002))
 	g.Expect(all.served()).To(BeNumerically(">", 0.9))
+	g.Expect(all.untrue).To(BeZero())
 }
 
 // Guards against callers who wait for most of their time in a burst, and are refused then:
