Other leaders are told of a runner's room when it changes

One process of a cell reads the list and tells the others when it says something else; the digest by which it notices left the room out, so leaders of other shards went on with the old one and started tasks over it. The test fails on the code before.

--- a/core/fleet/lapsed_test.go
+++ b/core/fleet/lapsed_test.go
@@ -127,3 +127,28 @@
 	n.at(7*s).RunnersRead(7*s, listOf(3, "a"))
 	g.Expect(n.told()).To(Equal(map[workload.RunnerID]bool{"a": false, "b": true}))
 }
+
+// Guards against leaders of other shards that go on starting tasks on a runner whose room
+// has shrunk: only the process that reads the list for all would know.
+func TestOthersAreToldOfARunnersRoom(t *testing.T) {
+	g := NewWithT(t)
+	n := newLister()
+	n.at(5*s).told()
+	room := func() int {
+		for _, c := range n.Ready() {
+			send, ok := c.(fleet.Send)
+			if !ok {
+				continue
+			}
+			if l, ok := send.Message.(fleet.RunnerList); ok {
+				return l.Runners[0].Capacity.MilliCPU
+			}
+		}
+		return 0
+	}
+	l := listOf(2, "a", "b", "c")
+	l.Runners[2].Draining = true
+	l.Runners[0].Capacity.MilliCPU = 32000
+	n.RunnersRead(5*s, l)
+	g.Expect(room()).To(Equal(32000))
+}
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -134,12 +134,13 @@
 	n.emit(Send{To: id, Message: n.runners})
 }
 
-// digestOf is the same for lists with the same runners in the same states.
+// digestOf is the same for lists with the same runners in the same states and with the
+// same room.
 func digestOf(list []workload.Runner) uint64 {
 	h := xxhash.New()
 	for _, r := range list {
 		// A hash takes all writes.
-		_, _ = fmt.Fprintf(h, "%s %s %t %t %d\n", r.ID, r.Service, r.Draining, r.Lapsed, r.Born)
+		_, _ = fmt.Fprintf(h, "%s %s %t %t %d %v\n", r.ID, r.Service, r.Draining, r.Lapsed, r.Born, r.Capacity)
 	}
 	return h.Sum64()
 }
