--- a/core/fleet/lapsed_test.go
+++ b/core/fleet/lapsed_test.go
@@ -133,7 +133,7 @@
 func TestOthersAreToldOfARunnersRoom(t *testing.T) {
 	g := NewWithT(t)
 	n := newLister()
-	n.at(5*s).told()
+	n.at(5 * s).told()
 	room := func() int {
 		for _, c := range n.Ready() {
 			send, ok := c.(fleet.Send)
