The services that wait are listed in one place, and looked at once each

While a domain is evacuated, each tick asked for every waiting job whether all runners of its service are evacuated, which goes through the runners; now once for each service. The list of services that wait stood twice. Behaviour is the same.

--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -50,8 +50,8 @@
 		return
 	}
 	closed := make(map[string]bool)
-	for _, j := range s.queue {
-		closed[j.work.Service] = s.closed(j.work.Service)
+	for _, service := range s.queuedServices() {
+		closed[service] = s.closed(service)
 	}
 	for _, j := range s.jobsInOrder() {
 		if j.stored == nil && closed[j.work.Service] && j.idle() && !s.heldBack(j) {
--- a/core/schedule/offered.go
+++ b/core/schedule/offered.go
@@ -1,9 +1,7 @@
 package schedule
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -54,11 +52,7 @@
 	if len(s.queue) == 0 || s.now-s.since < settleTime {
 		return
 	}
-	services := make(map[string]bool)
-	for _, j := range s.queue {
-		services[j.work.Service] = true
-	}
-	for _, service := range slices.Sorted(maps.Keys(services)) {
+	for _, service := range s.queuedServices() {
 		s.refuseLateOf(service)
 	}
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// queuedServices lists the services of the jobs that wait, in order.
+func (s *Scheduler) queuedServices() []string {
+	services := make(map[string]bool)
+	for _, j := range s.queue {
+		services[j.work.Service] = true
+	}
+	return sortedKeys(services)
+}
+
 // jobsInOrder lists the jobs by id, so that what is done to each comes in the
 // same order every time.
 func (s *Scheduler) jobsInOrder() []*job {
