--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -231,16 +231,21 @@
 
 // parts lists the parts of a table that have rows.
 func (s *Store) parts(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]any{"parts": s.Parts(r.URL.Query().Get("table"))})
+}
+
+// Parts lists the parts of a table that have rows, in order.
+func (s *Store) Parts(table string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	parts := []string{}
 	for k := range s.rows {
-		if k.table == r.URL.Query().Get("table") && !slices.Contains(parts, k.part) {
+		if k.table == table && !slices.Contains(parts, k.part) {
 			parts = append(parts, k.part)
 		}
 	}
 	slices.Sort(parts)
-	writeJSON(w, http.StatusOK, map[string]any{"parts": parts})
+	return parts
 }
 
 // maxFeedRows bounds the changes in one answer of the feed.
