A process reads the members again when an unknown one tries to connect

Cause: between two readings of the members pass 2 ms for each member, so that a start costs the store no more than 500 calls a second: 0.47 s at 236 VMs, 2 s at 1,000. For that long a process refuses those that have registered meanwhile, and each refusal costs both sides a handshake. After a loss of power the median VM had its first connection 80 ms after its registration, the last one of 4,137 came 1.05 s after the first process had started.

Change: a refused handshake ends the pause, after 50 ms or 0.25 ms for each member. All processes together then begin at most 4,000 readings a second, at any number of VMs, and only while some VM is unknown to them. A counter shows such attempts.

Tests: the mesh reports an unknown process; entry, peer and platform pass.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,7 @@
 	ledgerSeconds   *prometheus.HistogramVec
 	storeFailures   *prometheus.CounterVec
 	droppedMessages prometheus.Counter
+	unknownPeers    prometheus.Counter
 	leading         prometheus.Gauge
 	jobsInFlight    prometheus.Gauge
 	scheduled       *prometheus.GaugeVec
@@ -54,6 +55,9 @@
 		droppedMessages: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sapphirepoint_peer_messages_dropped_total", Help: "Messages to processes without a connection.",
 		}),
+		unknownPeers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sapphirepoint_peers_unknown_total", Help: "Attempts of processes to connect that weren't among the members read.",
+		}),
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sapphirepoint_leading", Help: "1 while this process schedules.",
 		}),
@@ -81,7 +85,7 @@
 	})
 	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.events)
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
-		m.droppedMessages, m.leading, m.jobsInFlight, m.scheduled)
+		m.droppedMessages, m.unknownPeers, m.leading, m.jobsInFlight, m.scheduled)
 	return m
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -80,8 +80,10 @@
 	// since another one sends it, see fleet.Node.ReceivesRunnerList.
 	receivesRunnerList atomic.Bool
 	leads              atomic.Bool
-	// readNow makes watchRunners read the list of runners at once.
+	// readNow makes watchRunners read the list of runners at once, and unknownPeer makes
+	// watchMembers read the members soon.
 	readNow       chan struct{}
+	unknownPeer   chan struct{}
 	configuration atomic.Pointer[routing.Table]
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
@@ -111,9 +113,12 @@
 		queries:  make(map[uint64]chan fleet.StateAnswer),
 		readNow:  make(chan struct{}, 1),
 
+		unknownPeer: make(chan struct{}, 1),
+
 		configured: make(chan struct{}),
 	}
 	p.node.SetDomain(cfg.Domain)
+	p.receivesRunnerList.Store(p.node.ReceivesRunnerList())
 	p.configuration.Store(&routing.Table{})
 	p.pending.Store(&map[string]int{})
 	p.mesh, err = peer.Listen(cfg.PeerAddress, identity, p, log)
@@ -315,6 +320,16 @@
 	p.post(func(now Time) { p.node.PeerDown(now, leader.ID(id), stopping) })
 }
 
+// UnknownPeer implements peer.Handler.
+func (p *Process) UnknownPeer() {
+	p.metrics.unknownPeers.Inc()
+	select {
+	case p.unknownPeer <- struct{}{}:
+	default:
+		// A signal is already pending and covers this one.
+	}
+}
+
 // PeerMessage implements peer.Handler.
 func (p *Process) PeerMessage(id string, m *pb.FleetMessage) {
 	p.metrics.messages.WithLabelValues("received", kindOf(m)).Inc()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -34,6 +34,11 @@
 	// one read per pausePerMember, so a large fleet makes as many calls a second as a
 	// small one.
 	pausePerMember = 2 * time.Millisecond
+	// minMembersPause and urgentPausePerMember give the shorter pause of a process to which one
+	// that it doesn't know tries to connect, such as one that has restarted: until it has read the
+	// members again, it refuses the other, which may be the scheduler of its jobs.
+	minMembersPause      = 50 * time.Millisecond
+	urgentPausePerMember = 250 * time.Microsecond
 )
 
 // register publishes this process in the store and retries until that succeeds. The store
@@ -108,12 +113,24 @@
 			p.checkOwnRow(ctx, list)
 			p.mesh.SetMembers(p.self, list)
 			p.setMembers(list)
-			pause(ctx, time.Duration(len(list))*pausePerMember)
+			p.pauseMembers(ctx, len(list))
 			return nil
 		})
 	}
 }
 
+// pauseMembers pauses between two reads of the members.
+func (p *Process) pauseMembers(ctx context.Context, members int) {
+	usual := time.Duration(members) * pausePerMember
+	urgent := max(minMembersPause, time.Duration(members)*urgentPausePerMember)
+	pause(ctx, min(usual, urgent))
+	select {
+	case <-ctx.Done():
+	case <-p.unknownPeer:
+	case <-time.After(usual - urgent):
+	}
+}
+
 // setMembers passes the members to the node, without their addresses and fingerprints.
 func (p *Process) setMembers(list []peer.Member) {
 	members := make([]topology.Member, len(list))
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -67,6 +67,9 @@
 	// PeerDown reports a lost connection; stopping is set if the peer closed it because
 	// it is stopping.
 	PeerDown(id string, stopping bool, cause error)
+	// UnknownPeer reports that a process that isn't listed has tried to connect. It may have
+	// registered since the list was read.
+	UnknownPeer()
 	// PeerMessage passes a received message.
 	PeerMessage(id string, m *pb.FleetMessage)
 }
@@ -132,11 +135,15 @@
 // Address is the address that the mesh listens on.
 func (m *Mesh) Address() string { return m.listener.Addr().String() }
 
-// allowed reports whether a fingerprint is that of a registered process.
+// allowed reports whether a fingerprint is that of a registered process. If not, it also reports
+// that to the handler.
 func (m *Mesh) allowed(fingerprint string) bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	_, ok := m.byFingerprint(fingerprint)
+	m.mu.Unlock()
+	if !ok {
+		m.handler.UnknownPeer()
+	}
 	return ok
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -25,6 +25,8 @@
 	down        map[string]int
 	stopped     map[string]bool
 	droppedJobs []string
+	// unknown counts the attempts to connect of processes that aren't listed.
+	unknown int
 }
 
 func newRecorder() *recorder {
@@ -44,6 +46,12 @@
 	r.stopped[id] = stopping
 }
 
+func (r *recorder) UnknownPeer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unknown++
+}
+
 func (r *recorder) PeerMessage(_ string, m *pb.FleetMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -158,6 +166,10 @@
 	a.setMembers([]Member{a.self}, 0)
 	stranger.setMembers([]Member{a.self, stranger.self}, 0)
 	g.Consistently(func() int { return a.recorder.ups("b") }, time.Second, 50*time.Millisecond).Should(BeZero())
+	// The process may have registered since the members were read, so they must be read again.
+	a.recorder.mu.Lock()
+	defer a.recorder.mu.Unlock()
+	g.Expect(a.recorder.unknown).NotTo(BeZero())
 }
 
 // A connection is closed, or times out, while both processes run. They must connect
