Only VMs with seats read the list of runners when a fleet starts

Cause: a process that had just started read the whole list from the store before it knew whether its VM has a seat, and one without a seat read it again while no leader was reachable. When power returned to 236 VMs, each read 2,500 rows of some 350 bytes: 0.2 GB from the store, over links of 25 Mbit/s and with processors of 0.19 cores, at the moment at which connections are made. The median VM had its list 0.6 s after its start. It grows with VMs times runners.

Change: until the members are known the list isn't read, for a second at most; then only by VMs with a seat, at once, and until the layout is known by all that are large enough for one. A VM without a seat receives it from its leader, and reads it if it gets a seat because no leader is reachable. It therefore counts towards widening without a list.

Tests: TestOnlySeatsReadTheListAsAFleetRestarts (235 and 470 VMs) fails on the earlier code; the model fleet now carries out requests to read the list. core/fleet passes, random sets included.

--- a/core/fleet/large_test.go
+++ b/core/fleet/large_test.go
@@ -52,7 +52,7 @@
 // resetCounters resets the counters of all VMs.
 func (w *world) resetCounters() {
 	for _, n := range w.nodes {
-		n.messagesSent, n.connectionsMade, n.timesLed = 0, 0, 0
+		n.messagesSent, n.connectionsMade, n.timesLed, n.listsRead = 0, 0, 0, 0
 	}
 }
 
@@ -156,6 +156,28 @@
 	w.expectMessageBudget(g, 2500*time.Millisecond, 29)
 }
 
+// Power returns in a fleet of hundreds of VMs. Guards against a list of all runners that goes to
+// each VM at once, from the store, while connections are made: only VMs with seats read it.
+func TestOnlySeatsReadTheListAsAFleetRestarts(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{47, 94} {
+		g := NewWithT(t)
+		w := largeFleet(5, vms)
+		w.run(4 * time.Second)
+		w.resetCounters()
+		for _, n := range w.nodes {
+			w.kill(n, w.randomDuration(1400, 1500))
+		}
+		w.run(3500 * time.Millisecond)
+		w.expectSettled(g)
+		for _, n := range w.nodes {
+			if !n.large() {
+				g.Expect(n.listsRead).To(BeZero(), n.name)
+			}
+		}
+	}
+}
+
 // A failure domain is partitioned from the others and from the store for a while. It must
 // keep its own schedulers, and no runner may change its leader.
 func TestACutBetweenCellsChangesNoLeader(t *testing.T) {
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -72,10 +72,10 @@
 
 // widenSeats increases the number of assumed seats while the leader of some shard of the cell
 // is unreachable, and returns to the usual number when all are reachable. Before the
-// configuration and the shards are known no process can lead, so more connections would not
-// find a scheduler.
+// settings are known no process can lead, so more connections would not find a scheduler. The
+// list of runners isn't a condition: this process reads it when it gets a seat.
 func (n *Node) widenSeats(now Time) {
-	if n.ReachesAllLeaders() || !n.view.CanSchedule() {
+	if n.ReachesAllLeaders() || !n.settingsKnown() {
 		n.leadersReachedAt = now
 	}
 	step := widenInterval
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -65,7 +65,8 @@
 	connected       map[leader.ID]bool
 	heartbeatSentAt map[leader.ID]Time
 
-	lastTick Time
+	// startedAt is when the node was created, and lastTick when Tick was last called.
+	startedAt, lastTick Time
 	// leadersReachedAt is when the leaders of all shards of the cell were last reachable,
 	// or when no process could have led yet. lastArrival is when a caller's request last
 	// arrived, and stopStartedAt when a planned stop began; 0 if never.
@@ -94,6 +95,8 @@
 	// listKnown: a list of runners was read from the store or received from another
 	// process.
 	listKnown bool
+	// firstListRequested: this process has once been told to read its first list.
+	firstListRequested bool
 	// digest is the digest of runners, see digestOf, and sentDigest that of the list which
 	// was last sent to each process on its current connection: a list of equal content isn't
 	// sent again.
@@ -157,6 +160,7 @@
 		unreachableSince: make(map[string]Time),
 		lostVMs:          make(map[string]Time),
 		pending:          make(map[leader.ID]map[string]int),
+		startedAt:        now,
 		lastTick:         now,
 		// Without a list of members a process can't leave scheduling to others.
 		seated: true,
@@ -363,6 +367,7 @@
 		n.tickQueries(now, s)
 	}
 	n.checkRunners(now)
+	n.requestFirstList()
 	n.sendDueHeartbeats(now)
 }
 
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -202,6 +202,7 @@
 			n.node.ApplyEvacuations(w.now, w.evacuations.latest(), "store")
 			n.node.ApplyDeclaration(w.now, &routing.Declaration{Version: 1}, "store")
 			if !n.node.ReceivesRunnerList() {
+				n.listsRead++
 				n.node.RunnersRead(w.now, w.list())
 			}
 		})
@@ -209,6 +210,18 @@
 	w.after(400*time.Millisecond, func() { w.storeLoop(n, incarnation) })
 }
 
+// readRunners reads the list once, at a process's request.
+func (w *world) readRunners(n *fakeNode) {
+	incarnation := n.incarnation
+	w.after(storeDelay, func() {
+		if n.incarnation != incarnation || !w.storeReachable(n) {
+			return
+		}
+		n.listsRead++
+		w.do(n, func() { n.node.RunnersRead(w.now, w.list()) })
+	})
+}
+
 // list is the platform's list; the entries of an isolated domain expire.
 func (w *world) list() fleet.RunnerList {
 	w.revision++
@@ -241,6 +254,8 @@
 				reached := w.storeReachable(n)
 				w.do(n, func() { n.node.StoreProbed(w.now, reached) })
 			})
+		case fleet.ReadRunners:
+			w.readRunners(n)
 		case fleet.StoreCall:
 			w.storeCall(n, c)
 		case fleet.StateAnswer:
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -19,6 +19,9 @@
 	// long as runs may be alive on them that must be reported to another scheduler; see
 	// reportPossibleRuns.
 	removedRetention = 3 * time.Second
+	// membersTimeout is how long a process that has just started leaves the list of runners
+	// unread until it knows the members, and by them whether its VM has a seat.
+	membersTimeout = time.Second
 )
 
 // removedRunner is a runner that has left the list.
@@ -54,19 +57,38 @@
 // cell, or in place of a process that reads it for the cell and can't at present.
 func (n *Node) ShouldPollRunners() bool { return n.readsForCell() || len(n.staleLeaders) > 0 }
 
-// ReceivesRunnerList reports whether this process needn't read the list because the one that
-// reads it for the cell is reachable. Until the layout is known VMs with seats read it.
+// ReceivesRunnerList reports whether this process needn't read the list. VMs without a seat
+// don't read it: they don't schedule, and receive the list from a leader. Until the layout is known,
+// all large VMs read it, as each may get a seat. If all processes of a
+// fleet read it when power returns, the list goes over each VM's link at the moment at which
+// connections are made, and the store sends it as often as there are VMs. A VM with a seat needn't
+// read it while the process that reads it for the cell is reachable.
 func (n *Node) ReceivesRunnerList() bool {
-	if !n.LayoutKnown() {
-		return !n.seated
+	switch {
+	case n.fleet == nil:
+		return n.lastTick-n.startedAt < membersTimeout
+	case len(n.staleLeaders) > 0:
+		return false
+	case !n.LayoutKnown():
+		return !n.fleet.IsLarge(n.member)
+	case !n.seated:
+		return !n.Leads()
 	}
 	c := n.own[0].choice
-	several := len(n.own) > 1 || !n.seated
-	return several && c.Reachable && c.Leader != n.Self() && len(n.staleLeaders) == 0
+	return len(n.own) > 1 && c.Reachable && c.Leader != n.Self()
 }
 
 func (n *Node) askForRunners() { n.emit(ReadRunners{}) }
 
+// requestFirstList requests the list once if none is known and this process has to read it.
+func (n *Node) requestFirstList() {
+	if n.listKnown || n.firstListRequested || n.ReceivesRunnerList() {
+		return
+	}
+	n.firstListRequested = true
+	n.askForRunners()
+}
+
 // checkRunners updates whether the list is stale, i.e. can't be read at present.
 func (n *Node) checkRunners(now Time) {
 	n.listStale = n.readsForCell() && now-n.listReadAt > staleAfter
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -73,13 +73,18 @@
 // LayoutKnown reports whether the shards are known.
 func (n *Node) LayoutKnown() bool { return len(n.shards) > 0 }
 
-// updateAble updates whether this process is able to schedule: it knows the shards, the
-// configuration, the evacuated failure domains and a list of runners. Without a list it
-// would refuse all jobs; a process that has just started while the store is slow may have to
-// receive the list from another process. A VM without a seat leaves scheduling to those that
-// have one, until none of them has been reachable for a while.
+// settingsKnown reports whether this process is registered and knows the shards, the
+// configuration and the evacuated failure domains.
+func (n *Node) settingsKnown() bool {
+	return n.number > 0 && n.LayoutKnown() && n.table.Current() != nil && n.evacuations.Version > 0
+}
+
+// updateAble updates whether this process is able to schedule: it knows the settings and a list
+// of runners. Without a list it would refuse all jobs; a process that has just started while the
+// store is slow may have to receive the list from another process. A VM without a seat leaves
+// scheduling to those that have one, until none of them has been reachable for a while.
 func (n *Node) updateAble() {
-	able := n.LayoutKnown() && n.table.Current() != nil && n.evacuations.Version > 0 && n.listKnown
+	able := n.settingsKnown() && n.listKnown
 	n.view.SetAble(able, !n.seated && !n.Leads())
 }
 
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -123,8 +123,8 @@
 	// membersSeen is the number of registrations at the last update of the process's members.
 	membersSeen uint64
 	// Counters since the last reset.
-	messagesSent, connectionsMade, timesLed int
-	queuedEvents                            []func()
+	messagesSent, connectionsMade, timesLed, listsRead int
+	queuedEvents                                       []func()
 	// requests are the jobs whose callers wait for an answer from this process.
 	requests map[uint64]*fakeJob
 	queries  map[uint64]*jobQuery
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -117,12 +117,24 @@
 	return contains(seats(f.CellMembers(m), doublings), m)
 }
 
+// IsLarge reports whether a member has the CPU capacity for a seat in its cell. Until the layout
+// is known, all members count as one cell.
+func (f *Fleet) IsLarge(m Member) bool {
+	list := f.CellMembers(m)
+	return len(list) == 0 || isLarge(m, list[0])
+}
+
+// isLarge reports whether a member has more than half of the CPU capacity of the largest one.
+func isLarge(m, largest Member) bool {
+	return 2*m.MilliCPU > largest.MilliCPU || largest.MilliCPU == 0
+}
+
 func seats(list []Member, doublings int) []Member {
 	if len(list) == 0 {
 		return nil
 	}
 	n := 0
-	for n < min(len(list), maxSeats) && (2*list[n].MilliCPU > list[0].MilliCPU || list[0].MilliCPU == 0) {
+	for n < min(len(list), maxSeats) && isLarge(list[n], list[0]) {
 		n++
 	}
 	if doublings > 0 {
