Jobs wait while a process starts, for as long as their callers' timeouts allow

Cause: a job without a scheduler was answered after 300 ms, which a change of leader takes, also by a process that had started a moment ago; one whose leader others follow, but with which it isn't connected yet, at once. In a trace of a fleet whose power returned, 470 of the callers who reached a running process got 504 with reason 'no scheduler', 301 to 305 ms after they asked, between 1.0 and 1.75 s after the power; the last leader was chosen 0.8 s after the first process had started.

Change: for 3 s from its start, and until it has reached a scheduler once, a process lets a job wait until what is left of its caller's timeout is the estimate of its run. A job that can't be completed any more is ended at once, as before. Later the 300 ms hold: a process that loses its schedulers is probably cut off.

--- a/core/fleet/early.go
+++ b/core/fleet/early.go
@@ -8,9 +8,25 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// earlyTimeout is how long requests wait for the shards to become known. After a restart they
-// are known a tenth of a second after the first caller's connection is accepted, and callers of
-// the shortest jobs wait for 1.5 s.
+// startPeriod is how long after its start a process lets jobs wait for as long as their callers'
+// timeouts allow. It exceeds the time in which all processes of a fleet that start together have
+// registered, connected and chosen leaders. A process that reaches no scheduler for longer is
+// probably cut off, and ends jobs early.
+const startPeriod = 3 * time.Second
+
+// starting reports whether this process has started recently and hasn't reached a scheduler yet.
+func (n *Node) starting(now Time) bool {
+	return now-n.startedAt < startPeriod && !n.reachedScheduler
+}
+
+// updateStarting updates what depends on starting.
+func (n *Node) updateStarting(now Time) {
+	n.reachedScheduler = n.reachedScheduler || n.gateway.HasReachableScheduler()
+	n.gateway.SetStarting(n.starting(now))
+}
+
+// earlyTimeout is how long requests wait for the shards to become known, if that takes longer
+// than startPeriod.
 const earlyTimeout = 300 * time.Millisecond
 
 // earlyRequest is a request that arrived before the shards were known.
@@ -34,11 +50,20 @@
 	n.earlyRequests = nil
 }
 
-// expireEarly answers the requests that have reached earlyTimeout. Their callers may have
+// canWait reports whether a request can wait longer for the shards to become known.
+func (n *Node) canWait(now Time, e earlyRequest) bool {
+	limit := min(earlyTimeout, e.remainingTimeout)
+	if n.starting(now) {
+		limit = max(limit, e.remainingTimeout-e.job.TimeToAnswer())
+	}
+	return now-e.arrived < limit
+}
+
+// expireEarly answers the requests that can't wait any longer. Their callers may have
 // submitted the same jobs to another entry VM before, so the outcome isn't NotRun.
 func (n *Node) expireEarly(now Time) {
 	n.earlyRequests = slices.DeleteFunc(n.earlyRequests, func(e earlyRequest) bool {
-		if now-e.arrived < min(earlyTimeout, e.remainingTimeout) {
+		if n.canWait(now, e) {
 			return false
 		}
 		n.emit(Answer{gateway.Reply{
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -78,6 +78,8 @@
 	// starvationRecordedAt is when this process last gave up the lead because of CPU
 	// starvation; 0 if never.
 	starvationRecordedAt Time
+	// reachedScheduler: this process has reached a scheduler since its start.
+	reachedScheduler bool
 	// becameLeaderAt is when it last became the leader of a shard.
 	becameLeaderAt Time
 	// earlyRequests are callers' requests that arrived before the shards were known.
@@ -337,6 +339,7 @@
 	n.view.SetOlderPeerPending(n.hasUnreportedElder(now))
 	n.updateLeaders(now)
 	n.widenSeats(now)
+	n.updateStarting(now)
 	n.expireEarly(now)
 	n.expireRelays(now)
 	n.gateway.Tick(now)
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -43,6 +43,7 @@
 	n.notice("layout-known", Field{"shards", len(l)}, Field{"cell", n.cell}, Field{"own", len(n.own)})
 	n.leadersReachedAt = now
 	n.setRunners(now)
+	n.updateStarting(now)
 	n.admitEarly(now)
 	n.sendHeartbeats(now)
 }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -137,6 +137,8 @@
 	domain    string
 	// fallback is set if jobs may go to shards other than their home.
 	fallback FallbackShards
+	// starting: the process has just started and hasn't reached a scheduler yet.
+	starting bool
 	// expectedWaits is how long a new job would wait in a shard, as last reported.
 	expectedWaits map[int]time.Duration
 	out           []Command
@@ -158,6 +160,10 @@
 // SetExpectedWait records how long a new job would wait in a shard.
 func (g *Gateway) SetExpectedWait(shard int, d time.Duration) { g.expectedWaits[shard] = d }
 
+// SetStarting sets whether the process has just started and hasn't reached a scheduler yet. It
+// will reach one within the time that most callers have, so jobs wait for it.
+func (g *Gateway) SetStarting(starting bool) { g.starting = starting }
+
 // ExpectedWait is how long a new job would wait in a shard, as last reported; 0 if it hasn't
 // been.
 func (g *Gateway) ExpectedWait(shard int) time.Duration { return g.expectedWaits[shard] }
@@ -205,7 +211,7 @@
 	g.jobs[job.ID] = j
 	g.byRequest[request] = job.ID
 	g.handIn(j)
-	if c := g.choices[shard]; j.scheduler == "" && c.Leader != "" && !c.Reachable {
+	if c := g.choices[shard]; j.scheduler == "" && c.Leader != "" && !c.Reachable && !g.starting {
 		g.giveUp(j, "the scheduler can't be reached")
 	}
 }
@@ -412,7 +418,7 @@
 		case now > j.deadline+answerGrace:
 			g.giveUp(j, "no answer from the scheduler in time")
 		case j.scheduler == "" && now > j.arrived+noLeaderTimeout:
-			if j.priorSubmissions > 0 && now < j.deadline {
+			if j.priorSubmissions > 0 && now < j.deadline || g.starting && g.canAnswer(j) {
 				continue
 			}
 			// The former scheduler may have had the job from another entry VM, so the
@@ -422,6 +428,9 @@
 	}
 }
 
+// canAnswer reports whether a job that a scheduler gets now would be answered before its deadline.
+func (g *Gateway) canAnswer(j *inFlightJob) bool { return g.now+j.job.TimeToAnswer() < j.deadline }
+
 func (g *Gateway) sortedJobs() []*inFlightJob {
 	return slices.SortedFunc(maps.Values(g.jobs), func(a, b *inFlightJob) int { return cmp.Compare(a.job.ID, b.job.ID) })
 }
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -90,6 +90,25 @@
 	g.Expect(r[0].Outcome).To(Equal(workload.GaveUp))
 }
 
+// The process has just started, and other processes follow a leader with which it isn't connected
+// yet. Guards against a caller who is refused at once though the connection is a moment away.
+func TestJobsWaitForTheFirstConnection(t *testing.T) {
+	g := NewWithT(t)
+	gw := New()
+	gw.SetStarting(true)
+	gw.SetLeader(0, 0, leader.Choice{Leader: "a"})
+	gw.Submit(0, 1, 0, testJob("j"), time.Second)
+	gw.Tick(noLeaderTimeout + ms)
+	g.Expect(replies(gw.Ready())).To(BeEmpty())
+	gw.SetLeader(500*ms, 0, leader.Choice{Leader: "a", Reachable: true})
+	g.Expect(handIns(gw.Ready())).To(HaveLen(1))
+
+	gw = New()
+	gw.SetLeader(0, 0, leader.Choice{Leader: "a"})
+	gw.Submit(0, 1, 0, testJob("j"), time.Second)
+	g.Expect(replies(gw.Ready())).To(HaveLen(1), "a process that has been running knows that the leader is cut off")
+}
+
 // There is no scheduler: a job waits for as long as a change of leader takes. If the leader
 // is known to be unreachable from here, the caller is answered at once.
 func TestNoScheduler(t *testing.T) {
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -119,6 +119,15 @@
 	return longest
 }
 
+// TimeToAnswer is the estimated time until a job that a scheduler gets now is answered: that of its
+// run, or 0 if it is stored, since the answer then says only that it is in the store.
+func (j *Job) TimeToAnswer() time.Duration {
+	if j.Stored {
+		return 0
+	}
+	return j.CriticalPath()
+}
+
 // MaxTasks is the maximum number of tasks of a job, over all its occurrences. The largest expected
 // jobs have 980 tasks.
 const MaxTasks = 4096
