A changed list of runners goes to each process of a cell once

Cause: whoever took a changed list and led a shard sent it to all processes of its cell, and every leader of the cell takes it from the one that reads it. Each VM received the whole list, 120 bytes a runner, once from every leader, as often as runners come and go: with five leaders and a release that changes the list at each reading, 0.5 MB a second to a VM with 25 Mbit/s and 0.19 cores.

Change: only the process that has read the list from the store sends it to all. Another leader sends it to a process whose heartbeat shows that it lacks it, as before.

Sets of core/fleet that concern runners, jobs and cells pass, random ones included.

Left: the list still goes whole. Differences need a new message.

--- a/core/fleet/large_test.go
+++ b/core/fleet/large_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -178,6 +179,36 @@
 	}
 }
 
+// Runners of a failure domain leave one after the other. Guards against a list that each process
+// of the domain receives from every leader there, which kept links and processors of small VMs
+// busy during a release.
+func TestAChangeOfRunnersReachesEachProcessOnce(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const vms, changes = 47, 10
+	w := largeFleet(5, vms)
+	w.run(4 * time.Second)
+	lists := make(map[leader.ID]int)
+	w.onSend = func(_ *fakeNode, c fleet.Send) {
+		if _, ok := c.Message.(fleet.RunnerList); ok {
+			lists[c.To]++
+		}
+	}
+	for i := range changes {
+		w.runner(workload.RunnerID(fmt.Sprintf("rd1-%d", i))).info.Draining = true
+		w.run(time.Second)
+	}
+	sum := 0
+	for _, n := range w.nodes {
+		if n.domain != "d1" {
+			g.Expect(lists[n.id]).To(BeZero(), n.name)
+			continue
+		}
+		sum += lists[n.id]
+	}
+	g.Expect(sum).To(BeNumerically("~", changes*(vms-1), changes*vms/10))
+}
+
 // A failure domain is partitioned from the others and from the store for a while. It must
 // keep its own schedulers, and no runner may change its leader.
 func TestACutBetweenCellsChangesNoLeader(t *testing.T) {
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -24,6 +24,9 @@
 	membersTimeout = time.Second
 )
 
+// storeSource is the source, in log lines, of what was read from the store.
+const storeSource = "store"
+
 // removedRunner is a runner that has left the list.
 type removedRunner struct {
 	info workload.Runner
@@ -35,7 +38,7 @@
 	n.listReadAt = now
 	n.setListKnown()
 	list.Runners = n.runnersOfCell(list.Runners)
-	n.takeRunners(now, n.retainExpired(now, list), "store")
+	n.takeRunners(now, n.retainExpired(now, list), storeSource)
 	for _, id := range n.peers() {
 		if n.staleLeaders[id] {
 			n.emit(Send{To: id, Message: n.runners})
@@ -111,7 +114,9 @@
 	return slices.DeleteFunc(slices.Clone(list), func(r workload.Runner) bool { return n.layout.Cell(r.Domain) != n.cell })
 }
 
-// takeRunners applies a list if it is newer than the known one.
+// takeRunners applies a list if it is newer than the known one. The process that has read it from
+// the store sends it on. Other leaders don't, except to a process whose heartbeat shows that it
+// lacks the list (updateRunners): each process would receive the list once from every leader.
 func (n *Node) takeRunners(now Time, list RunnerList, source string) {
 	if list.Revision <= n.runners.Revision {
 		return
@@ -127,7 +132,7 @@
 	n.runners = list
 	n.digest = digest
 	n.setRunners(now)
-	if changed && n.Leads() {
+	if changed && n.Leads() && source == storeSource {
 		for _, id := range n.peers() {
 			if n.inCell(id) {
 				n.sendRunners(id)
