--- a/core/leader/assignment_test.go
+++ b/core/leader/assignment_test.go
@@ -71,44 +71,52 @@
 	}
 }
 
-// Guards against an election whose cost for each heartbeat is the number of shards times the
-// square of that of the candidates, which kept all VMs of a large domain busy at rest.
-func TestAssignmentIsComputedOncePerEvent(t *testing.T) {
-	g := NewWithT(t)
+// candidateCount and shardCount are those of a large cell.
+const (
+	candidateCount = 16
+	shardCount     = 9
+)
+
+// largeCell returns the view of a process that has heard from many candidates.
+func largeCell(now Time) *View {
 	v := NewView("", 0)
 	v.Register(0, "self", 3)
-	v.SetLayout(0, make(layout.Layout, 9), "")
+	v.SetLayout(0, make(layout.Layout, shardCount), "")
 	v.SetAble(true, false)
 	v.PeersDiscovered(0)
-	now := time.Second
-	for i := range 16 {
-		v.RecordContact(now, ID(fmt.Sprintf("p%d", i)), &Report{Number: uint64(10 + i), Able: true})
+	for i := range candidateCount {
+		hearFrom(v, now, i)
 	}
-	choose := func() {
-		for _, shard := range v.shards {
-			v.Choose(now, shard, false)
-		}
+	return v
+}
+
+// hearFrom records a heartbeat of candidate i.
+func hearFrom(v *View, now Time, i int) {
+	v.RecordContact(now, ID(fmt.Sprintf("p%d", i)), &Report{Number: uint64(10 + i), Able: true, Follows: make([]Follow, shardCount)})
+}
+
+func chooseAll(v *View, now Time) {
+	for _, shard := range v.shards {
+		v.Choose(now, shard, false)
 	}
-	choose()
-	g.Expect(testing.AllocsPerRun(20, choose)).To(BeZero(), "the second choice at the same time computes nothing")
+}
+
+// Guards against an election whose cost for each heartbeat is the number of shards times the
+// square of that of the candidates, which kept all VMs of a large domain busy at rest.
+func TestAssignmentIsComputedOncePerEvent(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	v := largeCell(now)
+	chooseAll(v, now)
+	g.Expect(testing.AllocsPerRun(20, func() { chooseAll(v, now) })).To(BeZero(), "the second choice at the same time computes nothing")
 }
 
 func BenchmarkChooseAfterHeartbeat(b *testing.B) {
-	v := NewView("", 0)
-	v.Register(0, "self", 3)
-	v.SetLayout(0, make(layout.Layout, 9), "")
-	v.SetAble(true, false)
-	v.PeersDiscovered(0)
 	now := time.Second
-	report := func(i int) *Report { return &Report{Number: uint64(10 + i), Able: true, Follows: make([]Follow, 9)} }
-	for i := range 16 {
-		v.RecordContact(now, ID(fmt.Sprintf("p%d", i)), report(i))
-	}
+	v := largeCell(now)
 	b.ReportAllocs()
 	for i := range b.N {
-		v.RecordContact(now, ID(fmt.Sprintf("p%d", i%16)), report(i%16))
-		for _, shard := range v.shards {
-			v.Choose(now, shard, false)
-		}
+		hearFrom(v, now, i%candidateCount)
+		chooseAll(v, now)
 	}
 }
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -135,9 +135,6 @@
 	v.own.Able, v.own.Standby = able && !standby, able && standby
 }
 
-// CanSchedule reports whether the process is able to schedule, as a candidate or a standby.
-func (v *View) CanSchedule() bool { return v.own.Able || v.own.Standby }
-
 // PeersDiscovered records that the set of other processes is known, and restarts the settle
 // period the first time.
 func (v *View) PeersDiscovered(now Time) {
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -240,7 +240,7 @@
 	v := unsettledView()
 	v.PeersDiscovered(0)
 	v.SetAble(true, true)
-	g.Expect(v.CanSchedule()).To(BeTrue())
+	g.Expect(v.own.Standby).To(BeTrue())
 	g.Expect(choose(v, time.Second, false)).To(Equal(Choice{}))
 	v = unsettledView()
 	v.PeersDiscovered(0)
