A process that ends without a planned stop doesn't tell its callers that nothing has run

Cause: the loop that ended with its context answered nobody, and each request that still waited then got 'not run' (503) from finalReply, though schedulers may have started its tasks. Only a planned stop gave up the waiting jobs first. Requests that waited for the shards to become known were left out there too.

Change: the loop gives up the waiting jobs, early requests included, before it ends.

--- a/core/fleet/early.go
+++ b/core/fleet/early.go
@@ -59,21 +59,34 @@
 	return now-e.arrived < limit
 }
 
-// expireEarly answers the requests that can't wait any longer. Their callers may have
-// submitted the same jobs to another entry VM before, so the outcome isn't NotRun.
+// expireEarly answers the requests that can't wait any longer.
 func (n *Node) expireEarly(now Time) {
 	n.earlyRequests = slices.DeleteFunc(n.earlyRequests, func(e earlyRequest) bool {
 		if n.canWait(now, e) {
 			return false
 		}
-		n.emit(Answer{gateway.Reply{
-			Request: e.request, Job: e.job, Outcome: workload.GaveUp, RetryAfter: stopRetryAfter,
-			Reason: "the shards aren't known yet", Elapsed: now - e.arrived,
-		}})
+		n.answerEarly(now, e, "the shards aren't known yet")
 		return true
 	})
 }
 
+// giveUpEarly answers all queued requests.
+func (n *Node) giveUpEarly(now Time, reason string) {
+	for _, e := range n.earlyRequests {
+		n.answerEarly(now, e, reason)
+	}
+	n.earlyRequests = nil
+}
+
+// answerEarly answers a queued request. Its caller may have submitted the same job to another
+// entry VM before, so the outcome isn't NotRun.
+func (n *Node) answerEarly(now Time, e earlyRequest, reason string) {
+	n.emit(Answer{gateway.Reply{
+		Request: e.request, Job: e.job, Outcome: workload.GaveUp, RetryAfter: stopRetryAfter,
+		Reason: reason, Elapsed: now - e.arrived,
+	}})
+}
+
 // dropEarly drops the queued request of a caller that has disconnected.
 func (n *Node) dropEarly(request uint64) {
 	n.earlyRequests = slices.DeleteFunc(n.earlyRequests, func(e earlyRequest) bool { return e.request == request })
--- a/core/fleet/stop.go
+++ b/core/fleet/stop.go
@@ -51,8 +51,14 @@
 	return now-n.stopStartedAt > minStopTime && n.gateway.InFlight() == 0 && now-n.lastArrival > stopQuietPeriod
 }
 
+// endReason is the reason for the answers that callers get when the process ends.
+const endReason = "the process ends"
+
 // GiveUp answers all waiting callers with the outcome GaveUp, as the process ends.
-func (n *Node) GiveUp(now Time) { n.gateway.GiveUp(now, "the process ends") }
+func (n *Node) GiveUp(now Time) {
+	n.giveUpEarly(now, endReason)
+	n.gateway.GiveUp(now, endReason)
+}
 
 // timeToServe reports whether a job that arrives now will probably complete before the
 // process has to end.
--- a/entry/process.go
+++ b/entry/process.go
@@ -162,6 +162,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			// Schedulers may have started tasks of the jobs whose callers wait here.
+			p.node.GiveUp(p.clock.now())
+			p.execute(ctx)
 			return
 		case f := <-p.events:
 			f()
