--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -30,8 +30,9 @@
 
 // StoreFaults are the faults injected at present.
 type StoreFaults struct {
-	// Busy: every call is answered with status 503.
-	Busy bool
+	// Busy: every call after the next CallsUntilBusy ones is answered with status 503.
+	Busy           bool
+	CallsUntilBusy int
 	// Silent: no call is answered.
 	Silent bool
 	// LoseReplies is the number of next transactions that are applied and not answered.
@@ -154,9 +155,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		f := s.faults
+		s.faults.CallsUntilBusy = max(0, f.CallsUntilBusy-1)
 		s.mu.Unlock()
 		switch {
-		case f.Busy:
+		case f.Busy && f.CallsUntilBusy == 0:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case f.Silent:
 			<-r.Context().Done()
