--- a/core/fleet/large_test.go
+++ b/core/fleet/large_test.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// killAll kills all processes. Each restarts after a random time, in milliseconds.
+func (w *world) killAll(minDownMs, maxDownMs int) {
+	for _, n := range w.nodes {
+		w.kill(n, w.randomDuration(minDownMs, maxDownMs))
+	}
+}
+
 // takeovers is how often processes became the leader of a shard.
 func (w *world) takeovers() int {
 	sum := 0
@@ -149,9 +156,7 @@
 	w := largeFleet(5, 29)
 	w.run(4 * time.Second)
 	w.resetCounters()
-	for _, n := range w.nodes {
-		w.kill(n, w.randomDuration(700, 1000))
-	}
+	w.killAll(700, 1000)
 	w.run(2500 * time.Millisecond)
 	w.expectSettled(g)
 	w.expectMessageBudget(g, 2500*time.Millisecond, 29)
@@ -166,9 +171,7 @@
 		w := largeFleet(5, vms)
 		w.run(4 * time.Second)
 		w.resetCounters()
-		for _, n := range w.nodes {
-			w.kill(n, w.randomDuration(1400, 1500))
-		}
+		w.killAll(1400, 1500)
 		w.run(3500 * time.Millisecond)
 		w.expectSettled(g)
 		for _, n := range w.nodes {
@@ -180,8 +183,7 @@
 }
 
 // Runners of a failure domain leave one after the other. Guards against a list that each process
-// of the domain receives from every leader there, which kept links and processors of small VMs
-// busy during a release.
+// of the domain receives from every leader there.
 func TestAChangeOfRunnersReachesEachProcessOnce(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
--- /dev/null
+++ b/core/fleet/orders_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+func (w *world) call(n *fakeNode, id workload.RunnerID, timeout time.Duration, order func(*fakeRunner, func(schedule.CallOutcome, *schedule.HoldResult)), done func(schedule.CallOutcome, schedule.ClockReading, *schedule.HoldResult)) {
+	sent, incarnation := w.now, n.incarnation
+	var finished bool
+	finish := func(o schedule.CallOutcome, clock, incarnationStart int64, h *schedule.HoldResult) {
+		if finished || n.incarnation != incarnation {
+			return
+		}
+		finished = true
+		reading := schedule.ClockReading{Milliseconds: clock, ReceivedAt: w.now, SentAt: sent, IncarnationStart: incarnationStart}
+		w.do(n, func() { done(o, reading, h) })
+	}
+	w.after(timeout, func() { finish(schedule.Unanswered, 0, 0, nil) })
+	r := w.runner(id)
+	if r == nil {
+		return
+	}
+	late := w.rng.Float64() < r.lateShare
+	travel := messageDelay
+	if late {
+		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
+	}
+	// Orders in flight are lost with the connections when the runner restarts.
+	sentTo := r.incarnationStart
+	w.after(travel, func() {
+		if r.down || r.incarnationStart != sentTo || !w.domainsConnected(n.domain, r.info.Domain) {
+			return
+		}
+		order(r, func(o schedule.CallOutcome, h *schedule.HoldResult) {
+			clock, incarnationStart := r.clock(), r.incarnationStart
+			if late || w.rng.Float64() < r.unansweredShare {
+				return
+			}
+			w.after(messageDelay, func() {
+				if w.domainsConnected(n.domain, r.info.Domain) {
+					finish(o, clock, incarnationStart, h)
+				}
+			})
+		})
+	})
+}
+
+func (w *world) order(n *fakeNode, o fleet.Order) {
+	shard := o.Shard
+	switch c := o.Order.(type) {
+	case schedule.Start:
+		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			answer(r.start(c), nil)
+		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
+			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
+		})
+	case schedule.Stop:
+		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			answer(r.stop(c), nil)
+		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
+			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
+		})
+	case schedule.Hold:
+		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			r.hold(c, func(h schedule.HoldResult) { answer(h.Outcome, &h) })
+		}, func(o schedule.CallOutcome, clock schedule.ClockReading, h *schedule.HoldResult) {
+			res := schedule.HoldResult{}
+			if h != nil {
+				res = *h
+			}
+			res.Runner, res.Token, res.ListOnly, res.ReachabilityOnly, res.Outcome, res.Clock = c.Runner, c.Token, c.ListOnly, c.ReachabilityOnly, o, clock
+			n.node.Held(w.now, shard, res)
+		})
+	}
+}
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -120,7 +120,7 @@
 
 // takeRunners applies a list if it is newer than the known one. The process that has read it from
 // the store sends it on. Other leaders don't, except to a process whose heartbeat shows that it
-// lacks the list (updateRunners): each process would receive the list once from every leader.
+// lacks the list (updateRunners). Otherwise each process would receive it once from every leader.
 func (n *Node) takeRunners(now Time, list RunnerList, source string) {
 	if list.Revision <= n.runners.Revision {
 		return
--- a/core/fleet/start_test.go
+++ b/core/fleet/start_test.go
@@ -27,7 +27,8 @@
 }
 
 // A process restarts, and a job arrives before it knows the layout. The job must wait for it,
-// since its caller won't submit twice; after earlyTimeout the job is answered.
+// since its caller won't submit twice. In a process that has run for longer the job is answered
+// after earlyTimeout.
 func TestEarlyRequestsWait(t *testing.T) {
 	g := NewWithT(t)
 	job := &workload.Job{ID: "0000000000000001", Queue: queue, Service: service, Steps: []workload.Step{{Tasks: 1}}}
@@ -43,12 +44,9 @@
 	g.Expect(n.JobsInFlight()).To(Equal(1))
 
 	late := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
-	runTo := func(end time.Duration) {
-		for now := fleet.TickInterval; now <= end; now += fleet.TickInterval {
-			late.Tick(now)
-		}
+	for now := fleet.TickInterval; now <= 4*time.Second; now += fleet.TickInterval {
+		late.Tick(now)
 	}
-	runTo(4 * time.Second)
 	late.Submit(4*time.Second, 1, job, time.Second)
 	late.Tick(4320 * time.Millisecond)
 	got := answers(late)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -160,8 +160,8 @@
 // SetExpectedWait records how long a new job would wait in a shard.
 func (g *Gateway) SetExpectedWait(shard int, d time.Duration) { g.expectedWaits[shard] = d }
 
-// SetStarting sets whether the process has just started and hasn't reached a scheduler yet. It
-// will reach one within the time that most callers have, so jobs wait for it.
+// SetStarting sets whether the process has just started and hasn't reached a scheduler yet. While
+// it is set, a job without a scheduler waits for one until it couldn't be answered in time.
 func (g *Gateway) SetStarting(starting bool) { g.starting = starting }
 
 // ExpectedWait is how long a new job would wait in a shard, as last reported; 0 if it hasn't
--- a/core/leader/assignment_test.go
+++ b/core/leader/assignment_test.go
@@ -103,7 +103,7 @@
 }
 
 // Guards against an election whose cost for each heartbeat is the number of shards times the
-// square of that of the candidates, which kept all VMs of a large domain busy at rest.
+// square of that of the candidates.
 func TestAssignmentIsComputedOncePerEvent(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Second
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -56,7 +56,7 @@
 			Name: "sapphirepoint_peer_messages_dropped_total", Help: "Messages to processes without a connection.",
 		}),
 		unknownPeers: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sapphirepoint_peers_unknown_total", Help: "Attempts of processes to connect that weren't among the members read.",
+			Name: "sapphirepoint_peers_unknown_total", Help: "Attempts to connect by processes that aren't among the members that were last read.",
 		}),
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sapphirepoint_leading", Help: "1 while this process schedules.",
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -3,7 +3,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"sync"
 	"time"
@@ -99,16 +98,6 @@
 }
 
 // link is a connection with a peer.
-type link struct {
-	id   string
-	conn *quic.Conn
-	// out queues the messages to be sent.
-	out         chan *pb.FleetMessage
-	connectedAt time.Time
-	// dialed is set if this process dialed.
-	dialed bool
-}
-
 // Listen opens the socket for peers and returns a mesh.
 func Listen(address string, identity *Identity, handler Handler, log zerolog.Logger) (*Mesh, error) {
 	m := &Mesh{
@@ -353,78 +342,10 @@
 
 // addLink registers a connection, closes an earlier one with the same process, and reads
 // messages until the connection is lost.
-func (m *Mesh) addLink(l *link, stream *quic.Stream) {
-	l.out = make(chan *pb.FleetMessage, sendQueueLength)
-	l.connectedAt = time.Now()
-	m.mu.Lock()
-	old := m.links[l.id]
-	m.links[l.id] = l
-	m.mu.Unlock()
-	if old != nil {
-		_ = old.conn.CloseWithError(closeReplaced, "replaced")
-	}
-	m.log.Info().Str("peer", l.id).Str("address", l.conn.RemoteAddr().String()).Msg("peer-connected")
-	m.handler.PeerUp(l.id)
-	go m.write(l, stream)
-	m.read(l, stream)
-}
-
 // write sends the queued messages, and flushes when the queue is empty.
-func (m *Mesh) write(l *link, stream *quic.Stream) {
-	w := bufio.NewWriter(stream)
-	for {
-		select {
-		case <-l.conn.Context().Done():
-			return
-		case msg := <-l.out:
-			if _, err := protodelim.MarshalTo(w, msg); err != nil {
-				_ = l.conn.CloseWithError(closeFailed, "write")
-				return
-			}
-			if len(l.out) > 0 {
-				continue
-			}
-			if err := w.Flush(); err != nil {
-				_ = l.conn.CloseWithError(closeFailed, "write")
-				return
-			}
-		}
-	}
-}
-
 // read passes the received messages to the handler until the connection is lost.
-func (m *Mesh) read(l *link, stream *quic.Stream) {
-	r := bufio.NewReader(stream)
-	opts := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	for {
-		msg := &pb.FleetMessage{}
-		if err := opts.UnmarshalFrom(r, msg); err != nil {
-			m.removeLink(l, err)
-			return
-		}
-		m.handler.PeerMessage(l.id, msg)
-	}
-}
-
 // removeLink removes a lost connection and reports it, unless another connection with the
 // same process has replaced it.
-func (m *Mesh) removeLink(l *link, cause error) {
-	_ = l.conn.CloseWithError(closeFailed, "read")
-	m.mu.Lock()
-	current := m.links[l.id] == l
-	if current {
-		delete(m.links, l.id)
-	}
-	m.mu.Unlock()
-	if !current {
-		return
-	}
-	var app *quic.ApplicationError
-	stopping := errors.As(cause, &app) && app.Remote && app.ErrorCode == closeStopping
-	m.log.Info().Str("peer", l.id).Bool("ended", stopping).AnErr("cause", cause).Msg("peer-disconnected")
-	m.handler.PeerDown(l.id, stopping, cause)
-}
-
 // Send queues a message for a peer and reports whether it was queued. It isn't if there is no
 // connection, or if the peer's queue is full: that connection is closed, so that Send never
 // blocks.
