--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -7,7 +7,6 @@
 package fleet
 
 import (
-	"fmt"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/gateway"
@@ -196,102 +195,6 @@
 // emit adds a command to those that Ready returns next.
 func (n *Node) emit(c Command) { n.out = append(n.out, c) }
 
-// notice logs an event, and warn one that may need an operator's attention.
-func (n *Node) notice(event string, fields ...Field) {
-	n.emit(Notice{Event: event, Fields: fields})
-}
-
-func (n *Node) warn(event string, fields ...Field) {
-	n.emit(Notice{Event: event, Warning: true, Fields: fields})
-}
-
-// collect passes commands between the components until none is left.
-func (n *Node) collect() {
-	for {
-		commands := n.gateway.Ready()
-		for _, c := range commands {
-			n.handleGatewayCommand(c)
-		}
-		count := len(commands)
-		for _, s := range n.own {
-			orders := s.schedule.Ready()
-			for _, c := range orders {
-				n.handleSchedulerCommand(s, c)
-			}
-			calls := s.ledger.Ready()
-			for _, c := range calls {
-				n.handleLedgerCommand(s, c)
-			}
-			count += len(orders) + len(calls)
-		}
-		if count == 0 {
-			return
-		}
-	}
-}
-
-func (n *Node) handleGatewayCommand(c gateway.Command) {
-	switch c := c.(type) {
-	case gateway.HandIn:
-		if c.Shard != c.Home {
-			n.notice("job-elsewhere", Field{"job", string(c.Job.ID)}, Field{"shard", c.Shard}, Field{"home", c.Home}, Field{"wait", ms(c.ExpectedWait)})
-		}
-		if c.To == n.Self() {
-			n.submit(c.At, c.To, c)
-			return
-		}
-		n.emit(Send{To: c.To, Message: HandIn{c}})
-	case gateway.Drop:
-		if c.To == n.Self() {
-			n.dropJob(c.At, c.To, DropJob{Shard: c.Shard, Job: c.Job, HandedOver: c.HandedOver})
-			return
-		}
-		n.emit(Send{To: c.To, Message: DropJob{Shard: c.Shard, Job: c.Job, HandedOver: c.HandedOver}})
-	case gateway.Reply:
-		n.emit(Answer{c})
-	default:
-		panic(fmt.Sprintf("unknown command %T", c))
-	}
-}
-
-func (n *Node) handleSchedulerCommand(s *shard, c schedule.Command) {
-	switch c := c.(type) {
-	case schedule.Save:
-		s.ledger.Save(c.At, c.Sequence, c.Record)
-	case schedule.OutcomeSaved:
-		n.answerSaved(s, c)
-	case schedule.Answer:
-		n.sendVerdict(c)
-	case schedule.MoveJob:
-		n.moveJob(c.At, s, c)
-	case schedule.MoveAck:
-		n.sendJobTaken(c.At, c)
-	case schedule.Decision:
-		n.notice(c.Event, decisionFields(c)...)
-	default:
-		n.emit(Order{Shard: s.index, Order: c})
-	}
-}
-
-func (n *Node) handleLedgerCommand(s *shard, c ledger.Command) {
-	switch c := c.(type) {
-	case ledger.Loaded:
-		if len(c.Records) > 0 {
-			n.noteStoredJob(c.At)
-		}
-		s.schedule.Loaded(c.At, c)
-	case ledger.Saved:
-		s.schedule.Saved(c.At, c.Records)
-	case ledger.Verified:
-		s.schedule.RowOwnershipVerified(c.At, c.OwnedAt)
-	case ledger.Lost:
-		s.schedule.RowOwnershipLost(c.At)
-		clear(s.pendingQueries)
-	default:
-		n.emit(StoreCall{Shard: s.index, Call: c})
-	}
-}
-
 // StoreAnswered passes on the result of a StoreCall.
 func (n *Node) StoreAnswered(now Time, shard int, r ledger.Result) {
 	n.detectStall(now)
@@ -374,32 +277,6 @@
 	n.sendDueHeartbeats(now)
 }
 
-// detectStall detects that the process was suspended. Event handlers call it first, since
-// state from before the pause is outdated, and events that arrived meanwhile must not be
-// handled with it.
-func (n *Node) detectStall(now Time) {
-	if pause := now - n.lastTick; pause > leader.StallThreshold {
-		n.lastTick = now
-		n.stalled(now, pause)
-	}
-}
-
-// stalled gives up the lead after a pause of this process. Another process has taken over the
-// runners meanwhile, and may continue jobs and runs whose timeouts have expired here.
-func (n *Node) stalled(now Time, pause time.Duration) {
-	n.warn("process-stalled", Field{"pause", ms(pause)}, Field{"leading", n.Leads()})
-	n.view.RecordStall(now, n.Leads())
-	n.disconnectAll(now)
-	for _, s := range n.shards {
-		if s.schedule != nil {
-			s.retire(now)
-		}
-		s.choice = leader.Choice{}
-		n.gateway.SetLeader(now, s.index, s.choice)
-	}
-	n.leadersReachedAt = now
-}
-
 // Self is the process's identity; empty before it is registered.
 func (n *Node) Self() leader.ID { return n.view.Self() }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -38,76 +38,6 @@
 	answerGrace = 50 * time.Millisecond
 )
 
-// Command is an output of the gateway.
-type Command interface{ command() }
-
-// HandIn submits a job to a scheduler.
-type HandIn struct {
-	At Time
-	To leader.ID
-	// Shard gets the job, Home is the shard that it belongs to, and ExpectedWait is that of a
-	// new job in Shard as last reported.
-	Shard, Home  int
-	ExpectedWait time.Duration
-	Job          *workload.Job
-	// RemainingObjective and RemainingTimeout are what is left of the job's latency objective
-	// and of the caller's timeout.
-	RemainingObjective time.Duration
-	RemainingTimeout   time.Duration
-	// PriorSubmissions counts the schedulers that had the job before, and PriorRunsTTL is how
-	// much longer runs that they started may be alive.
-	PriorSubmissions int
-	PriorRunsTTL     time.Duration
-	// Domain is the failure domain of the entry VM.
-	Domain string
-}
-
-// Drop tells a scheduler to drop a job: its caller has left or was answered, or, with
-// HandedOver, another scheduler gets it.
-type Drop struct {
-	At         Time
-	To         leader.ID
-	Shard      int
-	Job        workload.JobID
-	HandedOver bool
-}
-
-// Reply answers one request.
-type Reply struct {
-	Request    uint64
-	Job        *workload.Job
-	Outcome    workload.Outcome
-	RetryAfter time.Duration
-	Reason     string
-	// Scheduler decided the outcome, PriorSubmissions counts the schedulers before it, and
-	// Elapsed is the time from the job's arrival in this process.
-	Scheduler        leader.ID
-	PriorSubmissions int
-	Elapsed          time.Duration
-}
-
-func (HandIn) command() {}
-func (Drop) command()   {}
-func (Reply) command()  {}
-
-// Verdict is a scheduler's decision on a job.
-type Verdict struct {
-	From       leader.ID
-	Job        workload.JobID
-	Outcome    workload.Outcome
-	RetryAfter time.Duration
-	Reason     string
-	// NoRoom: the scheduler has started no task of the job for lack of room, and another
-	// scheduler may have room.
-	NoRoom bool
-}
-
-// FallbackShards are the shards that an entry process hands jobs in to, home shards included.
-type FallbackShards struct {
-	// SameCell are the shards of its own cell, OtherCells those of other cells.
-	SameCell, OtherCells []int
-}
-
 // inFlightJob is a job that waits for an answer.
 type inFlightJob struct {
 	job *workload.Job
@@ -278,38 +208,6 @@
 	j.uncertainUntil = g.now + orphanRunLifetime
 }
 
-// chooseShard is the shard that a job goes to, if one has a reachable leader. While runs that
-// an earlier scheduler started may be alive, it is the shard that the job was in, since only
-// the runners of that shard list them.
-func (g *Gateway) chooseShard(j *inFlightJob) (int, bool) {
-	if j.priorSubmissions > 0 && g.now < j.uncertainUntil || j.job.Stored {
-		return j.shard, g.hasReachableLeader(j.shard)
-	}
-	if g.hasReachableLeader(j.home) {
-		return j.home, true
-	}
-	if s, ok := g.shortestWait(j, g.fallback.SameCell); ok {
-		return s, true
-	}
-	return g.shortestWait(j, g.fallback.OtherCells)
-}
-
-// shortestWait is the shard with the shortest expected wait among those with a reachable
-// leader that haven't refused the job. With equal waits, jobs spread over the shards.
-func (g *Gateway) shortestWait(j *inFlightJob, shards []int) (int, bool) {
-	best, found := 0, false
-	for i := range shards {
-		s := shards[(j.home+i)%len(shards)]
-		if !g.hasReachableLeader(s) || slices.Contains(j.refusedBy, s) {
-			continue
-		}
-		if !found || g.expectedWaits[s] < g.expectedWaits[best] {
-			best, found = s, true
-		}
-	}
-	return best, found
-}
-
 // handIn hands a job in to the leader of the shard chosen for it. If none has a reachable leader,
 // the job stays without a scheduler.
 func (g *Gateway) handIn(j *inFlightJob) {
@@ -355,22 +253,6 @@
 	g.reply(j, v)
 }
 
-// redirect hands a job that was refused for lack of room to a shard with no expected wait. It
-// does so once per job: after a second refusal the other shards are short of room as well.
-func (g *Gateway) redirect(j *inFlightJob) bool {
-	if len(j.refusedBy) > 0 || j.priorSubmissions > 0 || j.job.Stored {
-		return false
-	}
-	j.refusedBy = append(j.refusedBy, j.shard)
-	for _, shards := range [][]int{g.fallback.SameCell, g.fallback.OtherCells} {
-		if s, ok := g.shortestWait(j, shards); ok && g.expectedWaits[s] == 0 {
-			g.handTo(j, s)
-			return true
-		}
-	}
-	return false
-}
-
 func (g *Gateway) reply(j *inFlightJob, v Verdict) {
 	delete(g.jobs, j.job.ID)
 	for _, r := range j.requests {
--- /dev/null
+++ b/core/gateway/shard.go
@@ -0,0 +1,59 @@
+package gateway
+
+import "slices"
+
+// The choice of the shard that a job is handed in to.
+
+// FallbackShards are the shards that an entry process hands jobs in to, home shards included.
+type FallbackShards struct {
+	// SameCell are the shards of its own cell, OtherCells those of other cells.
+	SameCell, OtherCells []int
+}
+
+// chooseShard is the shard that a job goes to, if one has a reachable leader. While runs that
+// an earlier scheduler started may be alive, it is the shard that the job was in, since only
+// the runners of that shard list them.
+func (g *Gateway) chooseShard(j *inFlightJob) (int, bool) {
+	if j.priorSubmissions > 0 && g.now < j.uncertainUntil || j.job.Stored {
+		return j.shard, g.hasReachableLeader(j.shard)
+	}
+	if g.hasReachableLeader(j.home) {
+		return j.home, true
+	}
+	if s, ok := g.shortestWait(j, g.fallback.SameCell); ok {
+		return s, true
+	}
+	return g.shortestWait(j, g.fallback.OtherCells)
+}
+
+// shortestWait is the shard with the shortest expected wait among those with a reachable
+// leader that haven't refused the job. With equal waits, jobs spread over the shards.
+func (g *Gateway) shortestWait(j *inFlightJob, shards []int) (int, bool) {
+	best, found := 0, false
+	for i := range shards {
+		s := shards[(j.home+i)%len(shards)]
+		if !g.hasReachableLeader(s) || slices.Contains(j.refusedBy, s) {
+			continue
+		}
+		if !found || g.expectedWaits[s] < g.expectedWaits[best] {
+			best, found = s, true
+		}
+	}
+	return best, found
+}
+
+// redirect hands a job that was refused for lack of room to a shard with no expected wait. It
+// does so once per job: after a second refusal the other shards are short of room as well.
+func (g *Gateway) redirect(j *inFlightJob) bool {
+	if len(j.refusedBy) > 0 || j.priorSubmissions > 0 || j.job.Stored {
+		return false
+	}
+	j.refusedBy = append(j.refusedBy, j.shard)
+	for _, shards := range [][]int{g.fallback.SameCell, g.fallback.OtherCells} {
+		if s, ok := g.shortestWait(j, shards); ok && g.expectedWaits[s] == 0 {
+			g.handTo(j, s)
+			return true
+		}
+	}
+	return false
+}
--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -23,6 +23,7 @@
 	work      time.Duration
 	milliCPU  float64
 	value     float64
+	priority  int
 }
 
 // Standard deviations of logarithms: of work and width between jobs, of needs, of a caller's
@@ -56,6 +57,34 @@
 	}
 }
 
+// competingWork is a load of three queues of different priorities, of which the one with the
+// lowest has the longest tasks.
+func competingWork() []jobKind {
+	return []jobKind{
+		{name: "quote", perSecond: 181, tasks: 8, work: 51 * ms, milliCPU: 32000, value: 4.85, priority: 0},
+		{name: "confirm", perSecond: 529, tasks: 2, work: 170 * ms, milliCPU: 32000, value: 1.67, priority: 1},
+		{name: "revalue", perSecond: 33, tasks: 4, work: 760 * ms, milliCPU: 32000, value: 26.7, priority: 2},
+	}
+}
+
+// simRunners describes the runners of a simulation. Runner i has the processors (in thousandths of
+// a core) and the speed at index i of the two lists, which repeat.
+type simRunners struct {
+	shards, runners int
+	milliCPU        []int
+	speeds          []float64
+}
+
+// similarRunners differ little in speed; a third of them is larger and faster.
+func similarRunners(shards, runners int) simRunners {
+	return simRunners{shards: shards, runners: runners, milliCPU: []int{64000, 64000, 96000}, speeds: []float64{1, 1, 1.3}}
+}
+
+// unevenRunners are slower than callers estimate, but for a third, which is much faster.
+func unevenRunners(shards, runners int) simRunners {
+	return simRunners{shards: shards, runners: runners, milliCPU: []int{64000, 64000, 96000}, speeds: []float64{0.7, 0.7, 1.7}}
+}
+
 type simulation struct {
 	rng     *rand.Rand
 	kinds   []jobKind
@@ -102,22 +131,23 @@
 }
 
 func newSimulation(seed uint64, kinds []jobKind, shards, runners int) *simulation {
+	return newSimulationOn(similarRunners(shards, runners), seed, kinds)
+}
+
+func newSimulationOn(fleet simRunners, seed uint64, kinds []jobKind) *simulation {
 	s := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 7)), kinds: kinds, domains: []string{"a", "b", "c"}, now: time.Second,
 		speed: make(map[workload.RunnerID]float64), number: make(map[workload.RunnerID]uint64), jobs: make(map[workload.JobID]*simJob),
 		load: func(time.Duration, string) float64 { return 1 },
 	}
-	lists := make([][]workload.Runner, shards)
-	for i := range runners {
+	lists := make([][]workload.Runner, fleet.shards)
+	for i := range fleet.runners {
 		r := workload.Runner{
-			ID: workload.RunnerID(fmt.Sprintf("r%03d", i)), Service: service, Domain: s.domains[i*len(s.domains)/runners],
-			Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 131072},
-		}
-		s.speed[r.ID] = 1
-		if i%3 == 2 {
-			r.Capacity.MilliCPU, s.speed[r.ID] = 96000, 1.3
+			ID: workload.RunnerID(fmt.Sprintf("r%03d", i)), Service: service, Domain: s.domains[i*len(s.domains)/fleet.runners],
+			Capacity: workload.Resources{MilliCPU: fleet.milliCPU[i%len(fleet.milliCPU)], MemoryMB: 131072},
 		}
-		n := s.rng.IntN(shards)
+		s.speed[r.ID] = fleet.speeds[i%len(fleet.speeds)]
+		n := s.rng.IntN(fleet.shards)
 		lists[n] = append(lists[n], r)
 	}
 	for _, list := range lists {
@@ -128,7 +158,7 @@
 		sch.Lead(s.now)
 		s.shards = append(s.shards, sch)
 	}
-	s.route = func(*workload.Job) int { return s.rng.IntN(shards) }
+	s.route = func(*workload.Job) int { return s.rng.IntN(fleet.shards) }
 	return s
 }
 
@@ -185,7 +215,7 @@
 	need := min(int(k.milliCPU*s.spread(needSpread)), 48000)
 	estimate := time.Duration(float64(work) * s.spread(estimateOff))
 	w := &workload.Job{
-		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, MaxAttempts: 3,
+		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, Priority: k.priority, MaxAttempts: 3,
 		Objective: time.Duration(objectiveTimes*float64(estimate)) + objectiveBase,
 		Steps:     []workload.Step{{Tasks: width, Need: workload.Resources{MilliCPU: need, MemoryMB: 64}, Estimate: estimate}},
 	}
