A refusal carries its cause, from where it is decided to log, counter and caller's process

Cause: why a job was refused stood only in the text of a reason. Whoever wanted to count or explain refusals had to match texts, and matched some of them only.

A request that comes as the process's loop has ended is logged; it was answered without a line.

Evidence: the harness of core/schedule checks each answer of all its tests for a cause where and only where the job was refused or given up (a stricter harness; no test was changed otherwise).

--- a/core/fleet/early.go
+++ b/core/fleet/early.go
@@ -65,7 +65,7 @@
 		if n.canWait(now, e) {
 			return false
 		}
-		n.answerEarly(now, e, "the shards aren't known yet")
+		n.answerEarly(now, e, workload.NotConfigured, "the shards aren't known yet")
 		return true
 	})
 }
@@ -73,17 +73,17 @@
 // giveUpEarly answers all queued requests.
 func (n *Node) giveUpEarly(now Time, reason string) {
 	for _, e := range n.earlyRequests {
-		n.answerEarly(now, e, reason)
+		n.answerEarly(now, e, workload.ProcessEnding, reason)
 	}
 	n.earlyRequests = nil
 }
 
 // answerEarly answers a queued request. Its caller may have submitted the same job to another
 // entry VM before, so the outcome isn't NotRun.
-func (n *Node) answerEarly(now Time, e earlyRequest, reason string) {
+func (n *Node) answerEarly(now Time, e earlyRequest, cause workload.RefusalCause, reason string) {
 	n.emit(Answer{gateway.Reply{
 		Request: e.request, Job: e.job, Outcome: workload.GaveUp, RetryAfter: stopRetryAfter,
-		Reason: reason, Elapsed: now - e.arrived,
+		Cause: cause, Reason: reason, Elapsed: now - e.arrived,
 	}})
 }
 
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/gateway"
@@ -25,7 +26,7 @@
 			// A copy of the job may have run in another cell; see uncertainty.go.
 			outcome = workload.GaveUp
 		}
-		n.emit(Answer{gateway.Reply{Request: request, Job: job, Outcome: outcome, RetryAfter: stopRetryAfter, Reason: "this process is about to end"}})
+		n.emit(Answer{gateway.Reply{Request: request, Job: job, Outcome: outcome, RetryAfter: stopRetryAfter, Cause: workload.ProcessEnding, Reason: "this process is about to end"}})
 		return
 	}
 	if len(n.shards) == 0 {
@@ -47,10 +48,14 @@
 	if a.Outcome == workload.Accepted {
 		event = "job-accepted"
 	}
-	n.notice(event, Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
-		Field{"waited", ms(a.Waited)}, Field{"work", ms(a.Work)},
-		Field{"estimate", ms(a.Estimate)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
-	v := gateway.Verdict{From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Reason: a.Reason, NoRoom: a.NoRoom}
+	fields := []Field{{"job", string(a.Job)}, {"queue", a.Queue}, {"outcome", a.Outcome.String()}, {"entry", string(a.Entry)},
+		{"waited", ms(a.Waited)}, {"work", ms(a.Work)}, {"estimate", ms(a.Estimate)}, {"runs", a.Runs},
+		{"retry-after", ms(a.RetryAfter)}, {"cause", a.Cause.String()}, {"reason", a.Reason}}
+	if a.LongestRunner != "" {
+		fields = append(fields, Field{"longest-runner", string(a.LongestRunner)}, Field{"relative-pace", math.Round(a.RelativePace*100) / 100})
+	}
+	n.notice(event, fields...)
+	v := gateway.Verdict{From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Cause: a.Cause, Reason: a.Reason, NoRoom: a.NoRoom}
 	if leader.ID(a.Entry) == n.Self() {
 		n.gateway.HandleVerdict(a.At, v)
 		return
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -142,7 +142,7 @@
 	g.byRequest[request] = job.ID
 	g.handIn(j)
 	if c := g.choices[shard]; j.scheduler == "" && c.Leader != "" && !c.Reachable && !g.starting {
-		g.giveUp(j, "the scheduler can't be reached")
+		g.giveUp(j, workload.NoScheduler, "the scheduler can't be reached")
 	}
 }
 
@@ -263,6 +263,7 @@
 			Outcome:          v.Outcome,
 			RetryAfter:       v.RetryAfter,
 			Reason:           v.Reason,
+			Cause:            v.Cause,
 			Scheduler:        v.From,
 			PriorSubmissions: j.priorSubmissions,
 			Elapsed:          g.now - j.arrived,
@@ -274,17 +275,17 @@
 func (g *Gateway) GiveUp(now Time, reason string) {
 	g.now = now
 	for _, j := range g.sortedJobs() {
-		g.giveUp(j, reason)
+		g.giveUp(j, workload.ProcessEnding, reason)
 	}
 }
 
 // giveUp answers the callers of a job that may have run in part, and tells its scheduler, if
 // it has one, to drop the job.
-func (g *Gateway) giveUp(j *inFlightJob, reason string) {
+func (g *Gateway) giveUp(j *inFlightJob, cause workload.RefusalCause, reason string) {
 	if j.scheduler != "" {
 		g.out = append(g.out, Drop{At: g.now, To: j.scheduler, Shard: j.shard, Job: j.job.ID})
 	}
-	g.reply(j, Verdict{From: j.scheduler, Job: j.job.ID, Outcome: workload.GaveUp, RetryAfter: noLeaderRetryAfter, Reason: reason})
+	g.reply(j, Verdict{From: j.scheduler, Job: j.job.ID, Outcome: workload.GaveUp, RetryAfter: noLeaderRetryAfter, Cause: cause, Reason: reason})
 }
 
 // Tick answers the jobs that no scheduler has answered in time.
@@ -298,14 +299,14 @@
 		}
 		switch {
 		case now > j.deadline+answerGrace:
-			g.giveUp(j, "no answer from the scheduler in time")
+			g.giveUp(j, workload.NoAnswer, "no answer from the scheduler in time")
 		case j.scheduler == "" && now > j.arrived+noLeaderTimeout:
 			if j.priorSubmissions > 0 && now < j.deadline || g.starting && g.canAnswer(j) {
 				continue
 			}
 			// The former scheduler may have had the job from another entry VM, so the
 			// answer doesn't promise that no task of the job has run.
-			g.giveUp(j, "no scheduler")
+			g.giveUp(j, workload.NoScheduler, "no scheduler")
 		}
 	}
 }
--- a/core/gateway/message.go
+++ b/core/gateway/message.go
@@ -48,6 +48,8 @@
 	Outcome    workload.Outcome
 	RetryAfter time.Duration
 	Reason     string
+	// Cause is set if the job was refused or given up.
+	Cause workload.RefusalCause
 	// Scheduler decided the outcome, PriorSubmissions counts the schedulers before it, and
 	// Elapsed is the time from the job's arrival in this process.
 	Scheduler        leader.ID
@@ -66,6 +68,8 @@
 	Outcome    workload.Outcome
 	RetryAfter time.Duration
 	Reason     string
+	// Cause is set if the job was refused or given up.
+	Cause workload.RefusalCause
 	// NoRoom: the scheduler has started no task of the job for lack of room, and another
 	// scheduler may have room.
 	NoRoom bool
--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -32,11 +32,11 @@
 	j.setDue(s.now, sub.RemainingObjective)
 	s.updateDue(j)
 	if !s.ownsRows() {
-		s.answer(sub.Entry, id, workload.GaveUp, "another process may schedule")
+		s.giveUp(sub.Entry, id, workload.NotLeading, "another process may schedule")
 		return
 	}
-	if reason := s.storedRefusal(j); reason != "" {
-		s.refuse(Answer{Entry: sub.Entry, Job: id, Outcome: workload.NotRun, Reason: reason, RetryAfter: s.retryAfter(j)})
+	if cause, reason := s.storedRefusal(j); cause != workload.NotRefused {
+		s.refuse(Answer{Entry: sub.Entry, Job: id, Queue: sub.Job.Queue, Outcome: workload.NotRun, Cause: cause, Reason: reason, RetryAfter: s.retryAfter(j)})
 		return
 	}
 	j.stored = &stored{epoch: s.rows.epoch, waiters: map[EntryID]Time{sub.Entry: s.now + sub.RemainingTimeout}}
@@ -49,7 +49,7 @@
 func (s *Scheduler) submitEnded(sub Submission, k retained) {
 	id := sub.Job.ID
 	if k.saving > 0 || !s.ownsRows() {
-		s.answer(sub.Entry, id, workload.GaveUp, "the job's end is being written")
+		s.giveUp(sub.Entry, id, workload.StoreUnavailable, "the job's end is being written")
 		return
 	}
 	s.answer(sub.Entry, id, workload.Accepted, "known")
@@ -69,14 +69,13 @@
 	j.stored.waiters[sub.Entry] = s.now + sub.RemainingTimeout
 }
 
-// storedRefusal returns the reason why a job isn't accepted; "" if it is. No record of the job
+// storedRefusal returns why a job isn't accepted; NotRefused and "" if it is. No record of the job
 // has been written at that point, so the job can be refused safely.
-func (s *Scheduler) storedRefusal(j *job) string {
+func (s *Scheduler) storedRefusal(j *job) (workload.RefusalCause, string) {
 	if s.rows.failingFor > storeFailureThreshold {
-		return "the store doesn't answer"
+		return workload.StoreUnavailable, "the store doesn't answer"
 	}
-	reason, _ := s.refusal(j)
-	return reason
+	return s.refusal(j)
 }
 
 // refusal is a refusal that is held back until it is certain that no other process has accepted
@@ -122,7 +121,7 @@
 func (s *Scheduler) submitEarly(sub Submission) {
 	id := sub.Job.ID
 	if s.leading && s.rows.failingFor > storeFailureThreshold {
-		s.answer(sub.Entry, id, workload.GaveUp, "the store doesn't answer")
+		s.giveUp(sub.Entry, id, workload.StoreUnavailable, "the store doesn't answer")
 		return
 	}
 	s.rows.early[id] = append(s.rows.early[id], earlySubmission{Submission: sub, at: s.now})
@@ -144,7 +143,7 @@
 		rest := slices.DeleteFunc(s.rows.early[id], func(e earlySubmission) bool {
 			expired := s.now-e.at > min(leadershipTimeout, e.RemainingTimeout)
 			if expired {
-				s.answer(e.Entry, id, workload.GaveUp, "the stored jobs couldn't be read")
+				s.giveUp(e.Entry, id, workload.StoreUnavailable, "the stored jobs couldn't be read")
 			}
 			return expired
 		})
@@ -166,6 +165,6 @@
 			s.submitStored(e.Submission)
 			continue
 		}
-		s.refuse(Answer{Entry: e.Entry, Job: id, Outcome: workload.NotRun, Reason: "a copy was refused", RetryAfter: minRetryAfter})
+		s.refuse(Answer{Entry: e.Entry, Job: id, Queue: e.Job.Queue, Outcome: workload.NotRun, Cause: workload.CopyRefused, Reason: "a copy was refused", RetryAfter: minRetryAfter})
 	}
 }
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"math"
 	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // Admission control handles overload, such as a burst at full load or a failure domain left with
@@ -27,39 +29,39 @@
 	maxRetryAfter = 10 * time.Second
 )
 
-// refusal returns the reason why a job can't be served in time; "" if it can. hopeless means
-// that no other scheduler could serve it either.
-func (s *Scheduler) refusal(j *job) (reason string, hopeless bool) {
+// refusal returns why a job can't be served in time; NotRefused and "" if it can. After
+// TooLittleTime, no other scheduler could serve it either.
+func (s *Scheduler) refusal(j *job) (cause workload.RefusalCause, reason string) {
 	if j.started {
-		return "", false
+		return workload.NotRefused, ""
 	}
 	if s.hopeless(j) {
-		return "too little time is left", true
+		return workload.TooLittleTime, "too little time is left"
 	}
 	if !s.leading {
-		return "", false
+		return workload.NotRefused, ""
 	}
 	if s.allEvacuated(j.work.Service) {
-		return evacuatedReason, false
+		return workload.RunnersEvacuated, evacuatedReason
 	}
 	if s.now-s.leadingSince < warmUpTime {
-		return "", false
+		return workload.NotRefused, ""
 	}
 	capacity := s.capacity(j.work.Service)
 	if capacity == 0 {
-		return "no runner can be reached", false
+		return workload.NoRunner, "no runner can be reached"
 	}
 	if !s.fitsSomewhere(j) {
-		return "no runner has what a task needs", false
+		return workload.NoFittingRunner, "no runner has what a task needs"
 	}
 	wait := s.backlog(j) / time.Duration(capacity)
 	if reason := s.overcommitted(j, capacity); reason != "" {
-		return reason, false
+		return workload.LackOfRoom, reason
 	}
 	if wait > 0 && s.now+wait+j.remaining > j.worthlessAt {
-		return fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond)), false
+		return workload.LackOfRoom, fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond))
 	}
-	return "", false
+	return workload.NotRefused, ""
 }
 
 // NoRunnersWait is the expected wait reported by a scheduler without reachable runners.
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -57,9 +57,11 @@
 
 // Answer reports the outcome of a job, or its acceptance, to the entry VM that handed it in.
 type Answer struct {
-	At      Time
-	Entry   EntryID
-	Job     workload.JobID
+	At    Time
+	Entry EntryID
+	Job   workload.JobID
+	// Queue is the job's; empty if the scheduler doesn't have the job.
+	Queue   string
 	Outcome workload.Outcome
 	// RetryAfter is the time after which a caller whose job did not run may send it again.
 	RetryAfter time.Duration
@@ -70,7 +72,13 @@
 	// step, summed. Estimate is the estimated value of the same.
 	Work, Estimate time.Duration
 	Runs           int
-	Reason         string
+	// LongestRunner was the runner of the longest run, and RelativePace its pace divided by that
+	// of the service's fastest runner. They are set if the runs took far longer than estimated.
+	LongestRunner workload.RunnerID
+	RelativePace  float64
+	Reason        string
+	// Cause is set if the job was refused or given up.
+	Cause workload.RefusalCause
 	// NoRoom: nothing of the job was started here, since there is no room; another scheduler
 	// may have some.
 	NoRoom bool
--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -56,7 +56,7 @@
 	for _, j := range s.sortedJobs() {
 		if j.stored == nil && allEvacuated[j.work.Service] && j.idle() && !s.heldBack(j) {
 			j.noRoom = !j.started
-			s.finish(j, workload.NotRun, evacuatedReason)
+			s.finishRefused(j, workload.NotRun, workload.RunnersEvacuated, evacuatedReason)
 		}
 	}
 }
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -93,7 +93,24 @@
 	}
 }
 
-func (b *harness) collect() { b.out = append(b.out, b.s.Ready()...) }
+func (b *harness) collect() {
+	out := b.s.Ready()
+	for _, c := range out {
+		b.checkCause(c)
+	}
+	b.out = append(b.out, out...)
+}
+
+// checkCause guards against a refusal without a cause, which operators couldn't explain, and against
+// a cause of a job that wasn't refused.
+func (b *harness) checkCause(c Command) {
+	a, ok := c.(Answer)
+	if !ok {
+		return
+	}
+	refused := a.Outcome == workload.NotRun || a.Outcome == workload.GaveUp
+	b.g.Expect(a.Cause != workload.NotRefused).To(Equal(refused), "%s: %s", a.Outcome, a.Reason)
+}
 
 // take removes the commands of one type from those not processed yet.
 func take[C Command](b *harness) []C {
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -61,6 +61,9 @@
 	open []int
 	// longestRuns is the longest successful run of each step.
 	longestRuns []time.Duration
+	// longestRun is the longest of them, and longestRunner the runner that it was on.
+	longestRun    time.Duration
+	longestRunner *runner
 	// waiting is the number of tasks in the waiting phase.
 	waiting int
 	queued  bool
@@ -91,6 +94,8 @@
 	// noRoom: the job is refused before any start of its tasks, and another scheduler may have
 	// room for it.
 	noRoom bool
+	// refusedFor is set if the job is refused or given up.
+	refusedFor workload.RefusalCause
 	// begun: a start of one of its tasks is known to have been ordered.
 	begun bool
 	// restarted: a task was started more than once.
@@ -158,10 +163,13 @@
 	}
 }
 
-// recordRunTime records the duration of the run that completed a task.
-func (j *job) recordRunTime(n workload.TaskName, elapsed time.Duration) {
+// recordRunTime records the duration of the run that completed a task on a runner.
+func (j *job) recordRunTime(n workload.TaskName, elapsed time.Duration, r *runner) {
 	i := j.stepIndex(n)
 	j.longestRuns[i] = max(j.longestRuns[i], elapsed)
+	if elapsed > j.longestRun {
+		j.longestRun, j.longestRunner = elapsed, r
+	}
 }
 
 // longestWork returns the sum over all steps of the longest run.
--- a/core/schedule/offered.go
+++ b/core/schedule/offered.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		j.noRoom = true
-		s.finish(j, workload.NotRun, "more comes than can be done before its turn")
+		s.finishRefused(j, workload.NotRun, workload.LackOfRoom, "more comes than can be done before its turn")
 	}
 }
 
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -203,7 +203,7 @@
 func (s *Scheduler) taskDone(t *taskState, r *runner, u *run) {
 	s.ctr.Done++
 	if u != nil && u.task == t {
-		t.job.recordRunTime(t.name, s.now-u.started)
+		t.job.recordRunTime(t.name, s.now-u.started, u.runner)
 	}
 	if u != nil && u.task == t && !u.stopping {
 		r.health.succeeded(s.now, s.now-u.started, t.step().Estimate)
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -134,12 +134,12 @@
 			continue
 		}
 		for _, e := range sortedKeys(j.stored.waiters) {
-			s.answer(e, j.work.ID, workload.GaveUp, "another process schedules")
+			s.giveUp(e, j.work.ID, workload.NotLeading, "another process schedules")
 		}
 		s.forget(j)
 	}
 	for _, r := range s.rows.refusals {
-		s.answer(r.answer.Entry, r.answer.Job, workload.GaveUp, "another process schedules")
+		s.giveUp(r.answer.Entry, r.answer.Job, workload.NotLeading, "another process schedules")
 	}
 	for _, r := range s.runnerList {
 		r.markEndsUnknown()
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -105,7 +105,7 @@
 	for _, e := range sortedKeys(j.stored.waiters) {
 		if s.now >= j.stored.waiters[e] {
 			delete(j.stored.waiters, e)
-			s.answer(e, j.work.ID, workload.GaveUp, "the store doesn't answer")
+			s.giveUp(e, j.work.ID, workload.StoreUnavailable, "the store doesn't answer")
 		}
 	}
 }
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -78,9 +78,9 @@
 		return
 	}
 	s.noteOffered(j)
-	if reason, hopeless := s.refusal(j); reason != "" {
-		j.noRoom = !hopeless
-		s.finish(j, workload.NotRun, reason)
+	if cause, reason := s.refusal(j); cause != workload.NotRefused {
+		j.noRoom = cause != workload.TooLittleTime
+		s.finishRefused(j, workload.NotRun, cause, reason)
 		return
 	}
 	s.enqueue(j)
@@ -148,8 +148,24 @@
 	u.need = need
 }
 
+// answer answers a copy of a job that is known, or the acceptance of a stored job.
 func (s *Scheduler) answer(to EntryID, id workload.JobID, o workload.Outcome, reason string) {
-	s.emit(Answer{At: s.now, Entry: to, Job: id, Outcome: o, Reason: reason})
+	a := Answer{At: s.now, Entry: to, Job: id, Outcome: o, Reason: reason}
+	if o == workload.NotRun || o == workload.GaveUp {
+		a.Cause = workload.CopyRefused
+	}
+	s.emit(a)
+}
+
+// finishRefused ends a job that is refused or given up.
+func (s *Scheduler) finishRefused(j *job, o workload.Outcome, cause workload.RefusalCause, reason string) {
+	j.refusedFor = cause
+	s.finish(j, o, reason)
+}
+
+// giveUp answers GaveUp for a job that this scheduler doesn't have.
+func (s *Scheduler) giveUp(to EntryID, id workload.JobID, cause workload.RefusalCause, reason string) {
+	s.emit(Answer{At: s.now, Entry: to, Job: id, Outcome: workload.GaveUp, Cause: cause, Reason: reason})
 }
 
 // finish reports the final outcome of a job and stops its remaining runs.
@@ -164,8 +180,9 @@
 	if o == workload.NotRun && s.mayHaveRun(j) {
 		o = workload.GaveUp
 	}
-	a := Answer{At: s.now, Entry: j.entry, Job: j.work.ID, Outcome: o, Reason: reason, Runs: j.runs, NoRoom: j.noRoom}
+	a := Answer{At: s.now, Entry: j.entry, Job: j.work.ID, Queue: j.work.Queue, Outcome: o, Reason: reason, Runs: j.runs, NoRoom: j.noRoom, Cause: j.refusedFor}
 	a.Work, a.Estimate = j.longestWork(), j.work.CriticalPath()
+	a.LongestRunner, a.RelativePace = s.slowestOf(j, a)
 	if j.runs > 0 {
 		a.Waited = j.firstRun - j.arrived
 	}
@@ -180,6 +197,17 @@
 	s.emit(a)
 }
 
+// slowestOf returns the runner of a job's longest run and its pace relative to the service's fastest
+// runner, if the job's runs took far longer than estimated. Other jobs are left out: their number
+// would make the comparison of the runners expensive.
+func (s *Scheduler) slowestOf(j *job, a Answer) (workload.RunnerID, float64) {
+	if j.longestRunner == nil || a.Work <= slowRunFactor*a.Estimate {
+		return "", 0
+	}
+	fastest := max(s.fastestPace(j.work.Service), minPace)
+	return j.longestRunner.info.ID, j.longestRunner.health.pace() / fastest
+}
+
 // mayHaveRun reports whether a task of a job has run, or may have.
 //
 // A caller whose entry VM has died sends its job again. If the scheduler that had the job is lost
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -35,7 +35,7 @@
 func (s *Scheduler) refuseWithoutLeader() {
 	for _, j := range s.sortedJobs() {
 		if j.stored == nil && s.now-j.arrived > leadershipTimeout {
-			s.finish(j, workload.GaveUp, "this process doesn't lead")
+			s.finishRefused(j, workload.GaveUp, workload.NotLeading, "this process doesn't lead")
 		}
 	}
 }
@@ -50,12 +50,12 @@
 		s.emit(Decision{Event: "job-dropped", Job: j.work.ID, Reason: "entry process ended"})
 		s.forget(j)
 	case s.now >= j.deadline:
-		s.finish(j, workload.NotRun, "time is up")
+		s.finishRefused(j, workload.NotRun, workload.TimeUp, "time is up")
 	case !j.started && (s.hopeless(j) || j.worthless(s.now) && j.late(s.now)):
-		s.finish(j, workload.NotRun, "too little time is left")
+		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
 	case j.idle() && s.hopeless(j):
 		// Its caller would wait in vain, and is told at once.
-		s.finish(j, workload.NotRun, "too little time is left")
+		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // metrics holds the counters, gauges and histograms of a process.
@@ -25,7 +26,7 @@
 	connections     *prometheus.GaugeVec
 	seatDoublings   prometheus.Gauge
 	evacuated       prometheus.Gauge
-	events          *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
 }
 
 // latencyBuckets range from answers within a few milliseconds to callers' timeouts.
@@ -77,18 +78,23 @@
 	m.seatDoublings = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "sapphirepoint_seats_widened", Help: "How often the number of seats was doubled, since no scheduler of the cell was in reach.",
 	})
-	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "sapphirepoint_events_total", Help: "Decisions and changes of belief, by the event of their log line.",
-	}, []string{"event"})
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sapphirepoint_refusals_total", Help: "Requests refused or given up, by queue and cause.",
+	}, []string{"queue", "cause"})
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "sapphirepoint_evacuated_domains", Help: "Failure domains that get no new tasks, by the operator's word.",
 	})
-	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.events)
+	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.refusals)
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
 		m.droppedMessages, m.unknownPeers, m.leading, m.jobsInFlight, m.scheduled)
 	return m
 }
 
+// CountRefusal counts a request that was refused or given up. The queue is empty if it isn't known.
+func (p *Process) CountRefusal(queue string, cause workload.RefusalCause) {
+	p.metrics.refusals.WithLabelValues(queue, cause.String()).Inc()
+}
+
 // Metrics returns the registry of the process's metrics.
 func (p *Process) Metrics() *prometheus.Registry { return p.metrics.registry }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -238,9 +238,8 @@
 	p.metrics.messages.WithLabelValues("sent", kindOf(m)).Inc()
 }
 
-// logNotice logs an event of the node and counts it.
+// logNotice logs an event of the node.
 func (p *Process) logNotice(n fleet.Notice) {
-	p.metrics.events.WithLabelValues(n.Event).Inc()
 	e := p.log.Info()
 	if n.Warning {
 		e = p.log.Warn()
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -41,7 +41,7 @@
 	case r := <-done:
 		return r, nil
 	case <-p.ended:
-		return finalReply(done), nil
+		return p.finalReply(job, done), nil
 	case <-ctx.Done():
 		p.post(func(now Time) {
 			delete(p.replies, id)
@@ -55,11 +55,14 @@
 // finalReply returns the reply to a request that was waiting when the process
 // ended: the one that was sent to it, or, if the request came too late for the loop to
 // handle it, that the job did not run.
-func finalReply(done <-chan Reply) Reply {
+func (p *Process) finalReply(job *workload.Job, done <-chan Reply) Reply {
 	select {
 	case r := <-done:
 		return r
 	default:
+		p.CountRefusal(job.Queue, workload.ProcessEnding)
+		p.log.Info().Str("job", string(job.ID)).Str("queue", job.Queue).Stringer("cause", workload.ProcessEnding).
+			Str("reason", "this process has ended").Dur("retry-after", retryAfterEnd).Msg("request-refused")
 		return Reply{Outcome: workload.NotRun, RetryAfter: retryAfterEnd}
 	}
 }
@@ -72,7 +75,10 @@
 	p.log.Info().Str("job", string(c.Job.ID)).Str("queue", c.Job.Queue).Uint64("configuration", c.Job.Version).
 		Stringer("outcome", c.Outcome).Dur("took", c.Elapsed).Dur("objective", c.Job.Objective).
 		Str("scheduler", string(c.Scheduler)).Int("handed", c.PriorSubmissions).Dur("retry-after", c.RetryAfter).
-		Str("reason", c.Reason).Msg("request-answered")
+		Stringer("cause", c.Cause).Str("reason", c.Reason).Msg("request-answered")
+	if c.Cause != workload.NotRefused {
+		p.CountRefusal(c.Job.Queue, c.Cause)
+	}
 	done := p.replies[c.Request]
 	delete(p.replies, c.Request)
 	if done != nil {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -214,6 +214,7 @@
 		Outcome:      uint32(v.Outcome),
 		RetryAfterMs: v.RetryAfter.Milliseconds(),
 		Reason:       v.Reason,
+		Cause:        uint32(v.Cause),
 		NoRoom:       v.NoRoom,
 	}}}
 }
@@ -224,6 +225,7 @@
 		Outcome:    outcomeOf(m.GetOutcome()),
 		RetryAfter: milliseconds(m.GetRetryAfterMs()),
 		Reason:     m.GetReason(),
+		Cause:      workload.RefusalCauseOf(m.GetCause()),
 		NoRoom:     m.GetNoRoom(),
 	}}
 }
