entry losses: a cause for each refusal, for jobs between shards, and for slow runners

Cause: refusals whose reason isn't one of three texts were reported as "nothing in the logs explains it", among them all of "more comes than can be done before its turn". Stored jobs that were accepted, and jobs that their callers cancelled, counted as unexplained losses.

Change: the cause is read from cause=, in logs of former versions from the reason. Each has its own line in the table, in place of "refused or given up for its expected wait". A refusal for lack of room is told apart by what other shards did (job-elsewhere, job-lent, room-expired), a late answer by whether it was lent or handed in elsewhere, and long runs by whether the longest was on a slow runner. A refusal as too little time is left, after a run that failed or took too long, is put down to that run. attribution.go is divided into attribution, refusal, system and losstable.

TestAttribute expects "refused as too little time was left" for one job, where it was the former, wider cause, which is gone.

--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"fmt"
-	"maps"
 	"slices"
 	"strconv"
-	"strings"
-	"text/tabwriter"
 	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // Cause is why a job's answer was late or not "completed".
@@ -25,7 +23,6 @@
 	PlannedStop       Cause = "a planned stop"
 	StoreRecovered    Cause = "the store came back"
 	LeaderChanged     Cause = "the leader changed, for none of these"
-	AdmissionRefusal  Cause = "refused or given up for its expected wait"
 	StartUnanswered   Cause = "a runner left an order unanswered"
 	RunOverdue        Cause = "a run took far too long"
 	RunFailed         Cause = "a run failed, or its runner fell silent"
@@ -33,6 +30,32 @@
 	SlowRun           Cause = "the runs took far longer than estimated"
 	Unexplained       Cause = "nothing in the logs explains it"
 	CallerLeft        Cause = "its caller left"
+
+	CancelledByCaller Cause = "its caller cancelled it"
+	JobFailed         Cause = "a task failed as often as its queue allows, or no runner understands it"
+
+	SlowRunner   Cause = "the runs took far longer than estimated, the longest on a slow runner"
+	GrantExpired Cause = "room granted by another shard expired before the job came"
+	LentLate     Cause = "lent to another shard too late"
+	MovedLate    Cause = "handed in to another shard too late"
+
+	RefusedNoRoom        Cause = "refused for lack of room"
+	RefusedTwice         Cause = "refused for lack of room, in another shard as well"
+	RefusedNoTime        Cause = "refused as too little time was left"
+	TimeUp               Cause = "not done when its caller's timeout ended"
+	RefusedPriority      Cause = "refused for jobs of a higher priority"
+	RefusedEvacuated     Cause = "refused as all runners are evacuated"
+	RefusedNoRunner      Cause = "refused as no runner could be reached"
+	RefusedNoFit         Cause = "refused as no runner has what a task needs"
+	RefusedNotLeading    Cause = "refused as the process didn't lead for certain"
+	RefusedNoScheduler   Cause = "refused as no scheduler could be reached"
+	NoVerdict            Cause = "the scheduler gave no answer in time"
+	RefusedEnding        Cause = "refused as the entry process was about to end"
+	RefusedStore         Cause = "refused as the store didn't answer"
+	RefusedCopy          Cause = "refused as a copy of it had been refused"
+	RefusedNotConfigured Cause = "refused as the process had no configuration yet"
+	RefusedNotServed     Cause = "refused as it asks for something that isn't served"
+	RefusedOther         Cause = "refused for a cause that this version doesn't know"
 )
 
 // Loss is a job that completed late, or whose outcome was not "completed", which includes that its
@@ -47,33 +70,13 @@
 	Cause Cause
 }
 
-// systemEvent is an event of the whole system, and the interval during which it can cause losses.
-type systemEvent struct {
-	from, to time.Time
-	cause    Cause
-}
-
 const (
-	// clusterGap is the time within which two successive log lines count as lines of the same
-	// system event: processes that lose power or a connection at the same moment log it within
-	// this time of each other.
-	clusterGap = 500 * time.Millisecond
-	// effectBefore is how long before its first log line an event may already cause losses: an
-	// unresponsive process is detected after 450 ms.
-	effectBefore = 500 * time.Millisecond
-	// effectAfter is how long after its last log line an event may still cause losses: a
-	// job that another scheduler had waits up to 1.3 s, and callers of the shortest jobs
-	// don't wait longer than that.
-	effectAfter = 1500 * time.Millisecond
-	// storeEffectAfter is used in place of effectAfter for StoreRecovered: the list of runners may
-	// stay incomplete for this long after the store is reachable again.
-	storeEffectAfter = 2500 * time.Millisecond
-	// minReconnects is how many connections must come back together to count as a healed
-	// partition.
-	minReconnects = 3
 	// slowRunFactor is how many times longer than estimated a job's runs take for them to count as
 	// slow. At most one healthy run in a hundred takes longer than that.
 	slowRunFactor = 3
+	// slowPace is how many times slower than the fastest runner of its service a runner is to count
+	// as slow. Runners of one kind differ by a quarter.
+	slowPace = 1.5
 	// maxWaitShare is the share of its objective that a job may wait in the queue. The loss of a
 	// job that waited longer is attributed to QueueWait, unless an event of one of its runs or of
 	// the system explains it.
@@ -116,7 +119,7 @@
 }
 
 // lossOf reads a loss from the line of an answer. It returns false if the line isn't that of an
-// answer or the job completed in time.
+// answer, the job completed in time, or it was accepted into the store.
 //
 // The objective includes the estimated run time, but callers count from the actual one. A job is
 // therefore late if its time outside of its runs exceeds the objective less the estimate. A job
@@ -129,10 +132,12 @@
 	case "request-answered":
 		took := l.number("took")
 		loss.Arrived = l.Time.Add(-time.Duration(took * float64(time.Millisecond)))
+		if l.Fields["outcome"] == "accepted" {
+			return loss, false
+		}
 		completed := l.Fields["outcome"] == "completed"
-		overhead := took-jobEnded.number("work") > l.number("objective")-jobEnded.number("estimate")
 		slow := took > l.number("objective") && ranOverEstimate(jobEnded)
-		loss.Late = completed && (overhead || slow)
+		loss.Late = completed && (outsideOfRuns(l, jobEnded) || slow)
 		return loss, !completed || loss.Late
 	}
 	return loss, false
@@ -148,194 +153,121 @@
 	return n
 }
 
-// causeOf finds the cause of a loss. Causes seen in the lines of the job come before system events
-// at the same time, unless the job was handed over to another scheduler or did not complete. Then a
-// system event comes first, as it explains the events of the job that followed.
+// causeOf finds the cause of a loss.
 func causeOf(loss Loss, answer Line, jobLines []Line, events []systemEvent) Cause {
-	system := causeDuring(events, loss.Arrived, answer.Time)
 	switch {
 	case answer.Event == "caller-left":
 		return CallerLeft
-	case answer.number("handed") > 0 || !loss.Late && system != "":
+	case answer.Fields["outcome"] == "cancelled":
+		return CancelledByCaller
+	}
+	system := causeDuring(events, loss.Arrived, answer.Time)
+	if loss.Late {
+		return lateCause(answer, jobLines, system)
+	}
+	return refusedCause(answer, jobLines, system)
+}
+
+// lateCause finds the cause of a late answer. Causes seen in the lines of the job come before system
+// events at the same time, unless the job was handed over to another scheduler. Then a system event
+// comes first, as it explains the events of the job that followed.
+func lateCause(answer Line, jobLines []Line, system Cause) Cause {
+	if answer.number("handed") > 0 {
 		return cmp.Or(system, LeaderChanged)
-	case !loss.Late && refusedForWait(answer.Fields["reason"]):
-		return AdmissionRefusal
 	}
 	if c := cmp.Or(runCause(jobLines), system); c != "" {
 		return c
 	}
-	switch ended := endedLine(jobLines); {
+	ended := endedLine(jobLines)
+	if outsideOfRuns(answer, ended) {
+		if c := shardCause(jobLines); c != "" {
+			return c
+		}
+	}
+	switch {
 	case ended.number("waited") > maxWaitShare*answer.number("objective"):
 		return QueueWait
+	case ranOverEstimate(ended) && ended.number("relative-pace") >= slowPace:
+		return SlowRunner
 	case ranOverEstimate(ended):
 		return SlowRun
 	}
 	return Unexplained
 }
 
-// causeDuring returns the cause of the first event that overlaps an interval; empty if none does.
-func causeDuring(events []systemEvent, from, to time.Time) Cause {
-	for _, e := range events {
-		if !to.Before(e.from) && !from.After(e.to) {
-			return e.cause
-		}
+// refusedCause finds why a job was not completed. A system event at the time comes before the
+// refusal that followed from it.
+func refusedCause(answer Line, jobLines []Line, system Cause) Cause {
+	refused := refusal(answer, jobLines)
+	if certainRefusals[refused] {
+		return lossCauses[refused]
 	}
-	return ""
-}
-
-// refusedForWait reports whether a reason is that of a job refused, or given up, because of
-// its expected wait.
-func refusedForWait(reason string) bool {
-	return strings.Contains(reason, "wait of") || strings.Contains(reason, "too little time") || strings.Contains(reason, "no runner")
-}
-
-// runCause returns the first cause seen in the run events of a job; empty if there is none.
-func runCause(jobLines []Line) Cause {
-	causes := map[string]Cause{"run-overdue": RunOverdue, "run-lapsed": RunFailed, "run-ended": RunFailed, "start-unanswered": StartUnanswered}
-	for _, l := range jobLines {
-		if c := causes[l.Event]; c != "" {
-			return c
-		}
-	}
-	return ""
-}
-
-// ranOverEstimate reports whether a job's runs took far longer than estimated, according to
-// its job-ended line.
-func ranOverEstimate(jobEnded Line) bool {
-	return jobEnded.number("work") > slowRunFactor*jobEnded.number("estimate")
-}
-
-// findSystemEvents finds the events of the whole system in lines sorted by time. The events of the
-// most severe kinds come first, because causeDuring returns the first event of an interval.
-// Processes that start within clusterGap of the first line count as the start of the deployment,
-// not as an event.
-func findSystemEvents(lines []Line) []systemEvent {
-	nodes := make(map[string]bool)
-	for _, l := range lines {
-		nodes[l.Fields["node"]] = true
+	if answer.number("handed") > 0 {
+		return cmp.Or(system, LeaderChanged)
 	}
-	starts, first := withEvent(lines, "process-started"), time.Time{}
-	if len(lines) > 0 {
-		first = lines[0].Time
+	if system != "" {
+		return system
 	}
-	starts = slices.DeleteFunc(starts, func(l Line) bool { return l.Time.Sub(first) < clusterGap })
-	events := clusterEvents(starts, MostProcessesLost, func(g []Line) bool { return 2*len(g) > len(nodes) })
-	lost := slices.DeleteFunc(withEvent(lines, "peer-lost"), func(l Line) bool { return l.Fields["ended"] == "true" })
-	events = append(events, clusterEvents(lost, Partition, func(g []Line) bool { return countPeers(g) > 1 })...)
-	connected := slices.DeleteFunc(withEvent(lines, "peer-connected"), func(l Line) bool { return nearStart(starts, l) })
-	events = append(events, clusterEvents(connected, PartitionHealed, func(g []Line) bool { return len(g) >= minReconnects && g[0].Time.Sub(first) > effectAfter })...)
-	events = append(events, clusterEvents(lost, ProcessLost, func([]Line) bool { return true })...)
-	events = append(events, clusterEvents(starts, ProcessLost, func([]Line) bool { return true })...)
-	events = append(events, clusterEvents(withEvent(lines, "process-stopping"), PlannedStop, func([]Line) bool { return true })...)
-	store := slices.DeleteFunc(withEvent(lines, "dependency-regained"), func(l Line) bool { return l.Fields["call"] != "runners" })
-	for _, e := range clusterEvents(store, StoreRecovered, func([]Line) bool { return true }) {
-		e.to = e.to.Add(storeEffectAfter - effectAfter)
-		events = append(events, e)
+	switch refused {
+	case workload.LackOfRoom:
+		return noRoomCause(jobLines)
+	case workload.TooLittleTime, workload.TimeUp:
+		return cmp.Or(runCause(jobLines), shardCause(jobLines), lossCauses[refused])
 	}
-	return events
-}
-
-// withEvent lists the lines of a kind of event.
-func withEvent(lines []Line, event string) []Line {
-	var list []Line
-	for _, l := range lines {
-		if l.Event == event {
-			list = append(list, l)
-		}
+	if answer.Fields["outcome"] == "failed" {
+		return cmp.Or(runCause(jobLines), JobFailed)
 	}
-	return list
+	return cmp.Or(lossCauses[refused], runCause(jobLines), Unexplained)
 }
 
-// clusterEvents returns an event with the given cause for each group of lines that follow each other
-// within clusterGap, if accept returns true for the group.
-func clusterEvents(lines []Line, cause Cause, accept func([]Line) bool) []systemEvent {
-	var list []systemEvent
-	for len(lines) > 0 {
-		n := 1
-		for n < len(lines) && lines[n].Time.Sub(lines[n-1].Time) < clusterGap {
-			n++
-		}
-		if accept(lines[:n]) {
-			list = append(list, systemEvent{from: lines[0].Time.Add(-effectBefore), to: lines[n-1].Time.Add(effectAfter), cause: cause})
-		}
-		lines = lines[n:]
+// noRoomCause distinguishes the refusals for lack of room by what other shards did.
+func noRoomCause(jobLines []Line) Cause {
+	switch {
+	case hasEvent(jobLines, "room-expired"):
+		return GrantExpired
+	case hasEvent(jobLines, "job-lent"), hasEvent(jobLines, "job-elsewhere"):
+		return RefusedTwice
 	}
-	return list
+	return RefusedNoRoom
 }
 
-// countPeers counts the different peers that lines name.
-func countPeers(lines []Line) int {
-	peers := make(map[string]bool)
-	for _, l := range lines {
-		peers[l.Fields["peer"]] = true
+// shardCause returns why a job that another shard was asked to take was late; empty if none was
+// asked.
+func shardCause(jobLines []Line) Cause {
+	switch {
+	case hasEvent(jobLines, "room-expired"):
+		return GrantExpired
+	case hasEvent(jobLines, "job-lent"):
+		return LentLate
+	case hasEvent(jobLines, "job-elsewhere"):
+		return MovedLate
 	}
-	return len(peers)
+	return ""
 }
 
-// nearStart reports whether one end of a new connection is a process that started at about
-// the same time.
-func nearStart(starts []Line, connected Line) bool {
-	vm, _, _ := strings.Cut(connected.Fields["peer"], "#")
-	return slices.ContainsFunc(starts, func(s Line) bool {
-		node := s.Fields["node"]
-		return (node == vm || node == connected.Fields["node"]) && connected.Time.Sub(s.Time).Abs() < effectAfter
-	})
+func hasEvent(lines []Line, event string) bool {
+	return slices.ContainsFunc(lines, func(l Line) bool { return l.Event == event })
 }
 
-// LossTable prints losses, counted by cause, queue and second of arrival.
-type LossTable struct {
-	Losses []Loss
-	// Begin is the time from which seconds are counted.
-	Begin time.Time
+// outsideOfRuns reports whether a job's time outside of its runs exceeds its objective less the
+// estimate.
+func outsideOfRuns(answer, jobEnded Line) bool {
+	return answer.number("took")-jobEnded.number("work") > answer.number("objective")-jobEnded.number("estimate")
 }
 
-// String formats the table: for each cause and queue the jobs lost and late, and the seconds
-// in which most of them arrived.
-func (t LossTable) String() string {
-	var b strings.Builder
-	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "cause\tqueue\tlost\tlate\tmost in seconds")
-	type key struct {
-		cause Cause
-		queue string
-	}
-	by := make(map[key][]Loss)
-	for _, l := range t.Losses {
-		k := key{l.Cause, l.Queue}
-		by[k] = append(by[k], l)
-	}
-	keys := slices.SortedFunc(maps.Keys(by), func(a, b key) int {
-		return cmp.Or(cmp.Compare(len(by[b]), len(by[a])), cmp.Compare(a.cause, b.cause), cmp.Compare(a.queue, b.queue))
-	})
-	for _, k := range keys {
-		late := 0
-		for _, l := range by[k] {
-			if l.Late {
-				late++
-			}
+// runCause returns the first cause seen in the run events of a job; empty if there is none.
+func runCause(jobLines []Line) Cause {
+	causes := map[string]Cause{"run-overdue": RunOverdue, "run-lapsed": RunFailed, "run-ended": RunFailed, "start-unanswered": StartUnanswered}
+	for _, l := range jobLines {
+		if c := causes[l.Event]; c != "" {
+			return c
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", k.cause, cmp.Or(k.queue, "-"), len(by[k])-late, late, t.topSeconds(by[k]))
 	}
-	_ = w.Flush() // writes to a strings.Builder don't fail
-	return b.String()
+	return ""
 }
 
-// maxSeconds is the maximum number of seconds that a row lists.
-const maxSeconds = 3
-
-// topSeconds lists the seconds in which most of the losses arrived, with their numbers.
-func (t LossTable) topSeconds(losses []Loss) string {
-	counts := make(map[int]int)
-	for _, l := range losses {
-		counts[int(l.Arrived.Sub(t.Begin).Seconds())]++
-	}
-	order := slices.SortedFunc(maps.Keys(counts), func(a, b int) int {
-		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
-	})
-	var words []string
-	for _, s := range order[:min(len(order), maxSeconds)] {
-		words = append(words, fmt.Sprintf("%d: %d", s, counts[s]))
-	}
-	return strings.Join(words, ", ")
+// ranOverEstimate reports whether a job's runs took far longer than estimated, according to
+// its job-ended line.
+func ranOverEstimate(jobEnded Line) bool {
+	return jobEnded.number("work") > slowRunFactor*jobEnded.number("estimate")
 }
--- a/explain/attribution_test.go
+++ b/explain/attribution_test.go
@@ -50,7 +50,7 @@
 	g.Expect(losses).To(Equal([]found{
 		{"635fde0e13e17f40", true, SlowRun},
 		{"275c95e690e9bd0c", true, QueueWait},
-		{"743fbc8d87393e46", false, AdmissionRefusal},
+		{"743fbc8d87393e46", false, RefusedNoTime},
 		{"73b8d873ce920853", true, RunOverdue},
 		{"", false, MostProcessesLost},
 		{"b6d4b82652a8ca31", true, MostProcessesLost},
