entry explain: a job's way over the shards, the schedulers' refusals, the cause of a loss

Cause: a job refused by one shard and handed in to another showed as lines without a summary, and the cause that "entry losses" finds wasn't shown with the job.

Change: the summary names each scheduler that refused the job, the shards in the order of time (job-elsewhere, job-lent; the two of one step are shown once), the notices about room lent between shards, and the cause of the loss as "entry losses" finds it.

TestJob expects one more line, the cause of its loss.

--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -87,8 +87,7 @@
 // deployment. A job whose entry process ended before it answered has no line with an outcome and is
 // not reported.
 func Attribute(lines []Line) []Loss {
-	lines = slices.Clone(lines)
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	lines = sortedByTime(lines)
 	events := findSystemEvents(lines)
 	byJob := make(map[string][]Line)
 	for _, l := range lines {
@@ -108,6 +107,11 @@
 	return losses
 }
 
+// sortedByTime returns the lines in order of time.
+func sortedByTime(lines []Line) []Line {
+	return slices.SortedStableFunc(slices.Values(lines), func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
 // endedLine returns a job's last job-ended line, or an empty line if there is none.
 func endedLine(jobLines []Line) Line {
 	for _, l := range slices.Backward(jobLines) {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // Line is one line of a log, split into keys and values.
@@ -113,7 +115,7 @@
 		}
 	}
 	sort.SliceStable(r.Lines, func(i, j int) bool { return r.Lines[i].Time.Before(r.Lines[j].Time) })
-	r.Summary = summarize(r.Lines)
+	r.Summary = append(summarize(r.Lines), lossSummary(jobLines, lines)...)
 	return r
 }
 
@@ -149,17 +151,28 @@
 	"peer-lost":        "an entry process was lost",
 	"process-stopping": "an entry process began a planned stop",
 	"process-stalled":  "an entry process stood still",
+	"job-elsewhere":    "the job was handed in to a shard other than its own",
+	"job-lent":         "the job was given to a shard that had granted room for it",
+	"room-requested":   "another shard was asked for room",
+	"room-granted":     "another shard granted room",
+	"room-refused":     "another shard had no room",
+	"room-expired":     "granted room expired before the job came",
+	"room-used":        "the job came to the shard that had granted room",
+	"hand-in-dropped":  "the job came over a connection that had ended",
 }
 
 // summarize describes the kinds of events that eventMeanings has, in order of first occurrence and
-// with their numbers, and then each answer.
+// with their numbers, then the schedulers' refusals, the job's way over the shards, and each answer.
 func summarize(lines []Line) []string {
 	counts := make(map[string]int)
-	var order, answers []string
+	var order, refusals, answers []string
 	for _, l := range lines {
-		if l.Event == "request-answered" {
+		switch {
+		case l.Event == "request-answered":
 			answers = append(answers, describeAnswer(l))
 			continue
+		case l.Event == "job-ended" && refusalOf(l) != workload.NotRefused:
+			refusals = append(refusals, describeRefusal(l))
 		}
 		if eventMeanings[l.Event] == "" {
 			continue
@@ -173,6 +186,10 @@
 	for _, event := range order {
 		out = append(out, fmt.Sprintf("%s (%d times)", eventMeanings[event], counts[event]))
 	}
+	out = append(out, refusals...)
+	if path := describePath(lines); path != "" {
+		out = append(out, path)
+	}
 	if len(answers) == 0 {
 		answers = []string{"no answer is on record: the entry process ended, or its caller left"}
 	}
@@ -188,6 +205,54 @@
 	return s
 }
 
+// describeRefusal describes a job-ended line of a refusal.
+func describeRefusal(l Line) string {
+	return fmt.Sprintf("refused by the scheduler on %s for %s: %s", l.Fields["node"], refusalOf(l), l.Fields["reason"])
+}
+
+// describePath lists the shards that a job was handed in to, if there was more than one.
+func describePath(lines []Line) string {
+	var path []string
+	for _, l := range lines {
+		from, to := l.Fields["home"], l.Fields["shard"]
+		switch l.Event {
+		case "job-lent":
+			from, to = l.Fields["shard"], l.Fields["lender"]
+		case "job-elsewhere":
+		default:
+			continue
+		}
+		if len(path) == 0 {
+			path = append(path, from)
+		}
+		// A job that was lent is then handed in elsewhere; the two lines are one step.
+		if path[len(path)-1] != to {
+			path = append(path, to)
+		}
+	}
+	if len(path) == 0 {
+		return ""
+	}
+	return "handed in to the shards " + strings.Join(path, ", then ")
+}
+
+// lossSummary returns the causes of a job's late or lost answers.
+func lossSummary(jobLines, all []Line) []string {
+	var events []systemEvent
+	var out []string
+	for _, l := range jobLines {
+		loss, ok := lossOf(l, endedLine(jobLines))
+		if !ok {
+			continue
+		}
+		if events == nil {
+			events = findSystemEvents(sortedByTime(all))
+		}
+		out = append(out, "cause of the loss: "+string(causeOf(loss, l, jobLines, events)))
+	}
+	return out
+}
+
 // String formats the report as text: the lines, then the summary.
 func (r Report) String() string {
 	var b strings.Builder
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -28,6 +28,7 @@
 		"the process that schedules changed (1 times)",
 		"a runner fell silent and the lease of a run ended (1 times)",
 		"answered gave-up by front-3 after 1900 ms (objective 380 ms): time is up",
+		"cause of the loss: one process ended",
 	}))
 }
 
@@ -35,3 +36,36 @@
 	r := Job("0000000000000000", nil)
 	NewWithT(t).Expect(r.String()).To(ContainSubstring("no line names the job"))
 }
+
+const movedJobLog = `time=2026-12-03T17:05:12.859783416Z level=info event=job-ended cause=lack-of-room entry=front-1#26 estimate=50 job=0000000000a606c2 node=front-1 outcome=not-run reason="more comes than can be done before its turn" retry-after=1389 runs=0 waited=0 work=0
+time=2026-12-03T17:05:12.860057325Z level=info event=request-answered cause=lack-of-room configuration=1 handed=0 job=0000000000a606c2 node=front-1 objective=160 outcome=not-run queue=spot reason="more comes than can be done before its turn" retry-after=1389 scheduler=front-1#26 took=204.783964
+time=2026-12-03T17:05:12.781550631Z level=info event=job-ended cause=lack-of-room entry=front-1#26 estimate=50 job=0000000000a606c2 node=front-3 outcome=not-run reason="more comes than can be done before its turn" retry-after=1389 runs=0 waited=0 work=0
+time=2026-12-03T17:05:12.782043777Z level=info event=job-elsewhere home=0 job=0000000000a606c2 node=front-1 shard=1 wait=0
+`
+
+// Guards against a job whose way over several shards, in the logs of several processes, isn't shown
+// in the order of time.
+func TestJobThatTwoShardsRefused(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(movedJobLog))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(Job("0000000000a606c2", lines).Summary).To(Equal([]string{
+		"the job was handed in to a shard other than its own (1 times)",
+		"refused by the scheduler on front-3 for lack-of-room: more comes than can be done before its turn",
+		"refused by the scheduler on front-1 for lack-of-room: more comes than can be done before its turn",
+		"handed in to the shards 0, then 1",
+		"answered not-run by front-1 after 204.783964 ms (objective 160 ms): more comes than can be done before its turn",
+		"cause of the loss: refused for lack of room, in another shard as well",
+	}))
+}
+
+// A job that is lent is then handed in to the lender. Guards against a step that is shown twice.
+func TestPathOfALentJob(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(`time=2026-12-03T17:05:12.7Z level=info event=job-lent age=40 job=a lender=1 node=front-1 shard=4
+time=2026-12-03T17:05:12.8Z level=info event=job-elsewhere home=4 job=a node=front-1 shard=1 wait=0
+time=2026-12-03T17:05:12.9Z level=info event=job-elsewhere home=4 job=a node=front-1 shard=2 wait=0
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(Job("a", lines).Summary).To(ContainElement("handed in to the shards 4, then 1, then 2"))
+}
