explain: an escaped quote doesn't end a quoted value

Cause: nextPair cut a quoted value at the first quote, also at an escaped one, and didn't resolve escapes. The rest of the value was read as further pairs: an error with a URL in quotes could add a field "job" to a line.

Change: a quoted value is read as the logger writes it, by strconv. One without an end goes to the end of the line, as before.

Evidence: TestEscapedQuotes, written by the logger and read back, failed before.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -70,11 +71,24 @@
 	if !strings.HasPrefix(value, `"`) {
 		return key, value, after
 	}
-	quoted := s[len(key)+2:]
-	value, rest, _ = strings.Cut(quoted, `"`)
+	value, rest = unquotePrefix(s[len(key)+1:])
 	return key, value, rest
 }
 
+// unquotePrefix cuts a quoted value off the front of a text and resolves its escapes. A value without
+// an end, as in a line that was cut off, goes to the end of the text.
+func unquotePrefix(s string) (value, rest string) {
+	quoted, err := strconv.QuotedPrefix(s)
+	if err != nil {
+		return s[1:], ""
+	}
+	value, err = strconv.Unquote(quoted)
+	if err != nil {
+		return quoted[1 : len(quoted)-1], s[len(quoted):]
+	}
+	return value, s[len(quoted):]
+}
+
 // Report describes what happened to a job.
 type Report struct {
 	Job string `json:"job"`
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"sapphirepoint.example/sapphirepoint/logging"
 )
 
 const sampleLog = `2026/05/14 06:42:59 failed to increase receive buffer size
@@ -69,3 +72,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(Job("a", lines).Summary).To(ContainElement("handed in to the shards 4, then 1, then 2"))
 }
+
+// Guards against a quoted value that ends at an escaped quote, after which the rest of it is read
+// as further pairs.
+func TestEscapedQuotes(t *testing.T) {
+	g := NewWithT(t)
+	var log strings.Builder
+	logger := logging.New(&log, zerolog.InfoLevel)
+	reason := `Get "http://10.0.0.7/rows?job=b": a \ and a` + "\nnew line"
+	logger.Info().Str("call", "runners").Str("reason", reason).Str("text", `"`).Str("last", "1").Msg("dependency-lost")
+	lines, err := Read(strings.NewReader(log.String()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(lines).To(HaveLen(1))
+	g.Expect(lines[0].Event).To(Equal("dependency-lost"))
+	g.Expect(lines[0].Fields).To(HaveKeyWithValue("reason", reason))
+	g.Expect(lines[0].Fields).To(HaveKeyWithValue("text", `"`))
+	g.Expect(lines[0].Fields).To(HaveKeyWithValue("last", "1"))
+	g.Expect(lines[0].Fields).NotTo(HaveKey("job"))
+}
