--- a/explain/explain.go
+++ b/explain/explain.go
@@ -236,6 +236,9 @@
 		default:
 			continue
 		}
+		if to == "" {
+			continue
+		}
 		if len(path) == 0 {
 			path = append(path, from)
 		}
