core/health: names for the newest outcome and for the mean slowness

A bit of a word and a logarithm in the middle of a decision made a reader look twice. No change of behaviour; go test core/health, core/ledger.

--- a/core/health/evidence.go
+++ b/core/health/evidence.go
@@ -55,7 +55,7 @@
 func (h *history) add(now task.Time, failed bool) {
 	if !failed {
 		h.lastSuccess = now
-	} else if h.failed&1 == 0 {
+	} else if !h.lastFailed() {
 		h.failingSince = now
 	}
 	h.failed <<= 1
@@ -65,6 +65,9 @@
 	h.count = min(h.count+1, historyLength)
 }
 
+// lastFailed reports whether the newest outcome is a failure.
+func (h *history) lastFailed() bool { return h.failed&1 == 1 }
+
 // recentFailures counts the failures among the newest n outcomes, and these outcomes, which may be
 // fewer than n.
 func (h *history) recentFailures(n uint8) (failures, total float64) {
@@ -116,7 +119,7 @@
 		known++
 		if h.lastSuccess >= since {
 			succeeding++
-		} else if h.failed&1 == 1 {
+		} else if h.lastFailed() {
 			continue
 		}
 		f, n := h.recentFailures(comparedOutcomes)
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -12,7 +12,6 @@
 package health
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -159,11 +158,10 @@
 
 func (t *Tracker) observeSuccess(now task.Time, u *upstream, r Result) {
 	if r.Slowness > 0 {
-		x := math.Log(min(max(r.Slowness, 1.0/maxSlowness), maxSlowness))
-		u.logSlowness += slownessGain * (x - u.logSlowness)
+		u.addSlowness(r.Slowness)
 	}
 	h := t.historyFor(u, r.Service)
-	if h.failed&1 == 1 && r.Sent < h.failingSince {
+	if h.lastFailed() && r.Sent < h.failingSince {
 		// The task was sent before the upstream began to fail. Tasks that were already running may
 		// still succeed for seconds. If they counted, they would hide that all later ones fail.
 		return
--- a/core/health/weight.go
+++ b/core/health/weight.go
@@ -55,6 +55,12 @@
 	u.reportedState = u.state
 }
 
+// addSlowness adds the slowness of a task to the mean.
+func (u *upstream) addSlowness(slowness float64) {
+	x := math.Log(min(max(slowness, 1.0/maxSlowness), maxSlowness))
+	u.logSlowness += slownessGain * (x - u.logSlowness)
+}
+
 // slownessShare is the share of slots for an upstream whose tasks run longer than expected, in
 // steps of an eighth so that noise doesn't make the weight fluctuate.
 func slownessShare(logSlowness float64) float64 {
--- a/core/ledger/ownership.go
+++ b/core/ledger/ownership.go
@@ -99,6 +99,7 @@
 // recordFailure records a failed call, unless a call that was sent later has succeeded.
 func (l *Ledger) recordFailure(sentAt Time) {
 	if l.failingSince == 0 && sentAt >= l.succeededAt {
+		// 0 stands for no failure.
 		l.failingSince = max(sentAt, 1)
 	}
 }
