core/health: a success during a closure clears its end

Cause: when a task that was running on an unavailable upstream succeeds, the upstream opens at once, but until kept the end of the closure. Decisions read until only while an upstream is closed, so none was wrong; a dump showed until_ms of an open, slow upstream.

Change: until is cleared. Evidence: TestSuccessEndsTheClosure failed before.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -183,6 +183,7 @@
 		}
 	case unavailable:
 		u.state = open
+		u.until = 0
 		u.suspect = false
 	}
 	t.updateWeight(u)
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -317,3 +317,19 @@
 		observe(h, time.Second, "3000", health.Succeeded, 1)
 	}
 }
+
+// An upstream is closed as unreachable, and a task that was running there succeeds. Guards against a
+// dump that shows a time until which the upstream, which is open and slow, is closed.
+func TestSuccessEndsTheClosure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := healthyTracker()
+	for range 100 {
+		observe(h, time.Second, "u02", health.Succeeded, 3)
+	}
+	observe(h, time.Second, "u02", health.Unreachable, 0)
+	g.Expect(h.Dump()[0].UntilMs).To(gomega.BeNumerically(">", 1000))
+	observe(h, time.Second, "u02", health.Succeeded, 3)
+	g.Expect(h.Dump()).To(gomega.HaveLen(1))
+	g.Expect(h.Dump()[0].State).To(gomega.Equal("open"))
+	g.Expect(h.Dump()[0].UntilMs).To(gomega.BeZero())
+}
