core/queue: Next has no time

Cause: ranks don't depend on the present time, and Next ignored the one it was given, which suggested that they do. Change: the parameter is gone, from the calls in tests too, whose checks are as they were. Evidence: go test core/queue, core/dispatch -short.

--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -189,7 +189,7 @@
 		return queue.Ref{}, false
 	}
 	c.admission.placing = institution
-	ref, ok := c.queue.Next(c.now, institution, c.admission.allowTeam)
+	ref, ok := c.queue.Next(institution, c.admission.allowTeam)
 	if !ok {
 		// All remaining tasks wait for the quota of their team. They take no slot from
 		// others and do not count as overload.
--- a/core/queue/bench_test.go
+++ b/core/queue/bench_test.go
@@ -32,7 +32,7 @@
 				if i%10 == 0 {
 					add()
 				}
-				r, _ := q.Next(0, hollowell, nil)
+				r, _ := q.Next(hollowell, nil)
 				if left[r.Job]++; left[r.Job] == 10 {
 					q.Remove(r.Job)
 					delete(left, r.Job)
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -217,7 +217,7 @@
 
 // Next takes the first waiting task of an institution, among those of the teams for which allow
 // returns true. If allow is nil, all teams are allowed.
-func (q *Queue) Next(_ task.Time, institution string, allow func(team string) bool) (Ref, bool) {
+func (q *Queue) Next(institution string, allow func(team string) bool) (Ref, bool) {
 	inst := q.institutions[institution]
 	if inst == nil {
 		return Ref{}, false
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -31,7 +31,7 @@
 func drain(q *Queue) []Ref {
 	var list []Ref
 	for {
-		r, ok := q.Next(0, hollowell, nil)
+		r, ok := q.Next(hollowell, nil)
 		if !ok {
 			return list
 		}
@@ -78,11 +78,11 @@
 		q.Add(j)
 	}
 	allow := func(team string) bool { return team != "weddings" }
-	r, _ := q.Next(0, hollowell, allow)
+	r, _ := q.Next(hollowell, allow)
 	g.Expect(r).To(Equal(Ref{2, 0}))
-	r, _ = q.Next(0, hollowell, allow)
+	r, _ = q.Next(hollowell, allow)
 	g.Expect(r).To(Equal(Ref{3, 0}))
-	_, ok := q.Next(0, hollowell, allow)
+	_, ok := q.Next(hollowell, allow)
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -96,7 +96,7 @@
 		now := task.Time(i) * 10 * time.Millisecond
 		q.Add(job(JobID(2*i+2), now, 20*time.Millisecond))
 		q.Add(job(JobID(2*i+3), now, 20*time.Millisecond))
-		if r, _ := q.Next(now, hollowell, nil); r.Job == 1 {
+		if r, _ := q.Next(hollowell, nil); r.Job == 1 {
 			g.Expect(now).To(BeNumerically("<", 10*time.Second))
 			return
 		}
@@ -125,7 +125,7 @@
 				q.Add(j)
 			},
 			"next": func(t *rapid.T) {
-				r, ok := q.Next(0, hollowell, nil)
+				r, ok := q.Next(hollowell, nil)
 				servable := 0
 				for w := range waiting {
 					if !held[w.Job] {
