--- a/bench/reference.go
+++ b/bench/reference.go
@@ -44,13 +44,12 @@
 	jobs  []Job
 	// unfinished is the number of tasks of each job that have not ended.
 	unfinished []int
-	missed     []bool
 	result     *Result
 	warmup     time.Duration
 }
 
 func newReference(name string, site Site, workload Workload, limit time.Duration, jobs []Job) *reference {
-	r := &reference{site: site, limit: limit, jobs: jobs, unfinished: make([]int, len(jobs)), missed: make([]bool, len(jobs)), result: newResult(name), warmup: workload.Warmup}
+	r := &reference{site: site, limit: limit, jobs: jobs, unfinished: make([]int, len(jobs)), result: newResult(name), warmup: workload.Warmup}
 	for i, j := range jobs {
 		r.unfinished[i] = len(j.Tasks)
 		if j.At >= workload.Warmup {
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -18,7 +18,6 @@
 	Waiting State = iota
 	Started
 	Done
-	Abandoned
 )
 
 // Assembly is the state of a job in progress.
