logging: lines that Close drops are counted and reported

Cause: Close wrote one batch of at most 32 KiB and left the rest, uncounted; lines written after it were lost likewise. The end of a process is when its last answers are logged.

Change: Close counts what it leaves, and its last write ends with log-lines-dropped and the total; a later Write counts its line.

--- a/logging/async.go
+++ b/logging/async.go
@@ -36,6 +36,12 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case <-w.closing:
+		w.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -48,7 +54,7 @@
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
 // Close writes a last batch of pending lines, see appendPending, and stops the writer. Pending
-// lines beyond that batch and lines written later are lost.
+// lines beyond that batch and lines written later are dropped and counted.
 func (w *AsyncWriter) Close() {
 	close(w.closing)
 	w.done.Wait()
@@ -57,7 +63,7 @@
 // run writes pending lines until the writer is closed.
 func (w *AsyncWriter) run() {
 	defer w.done.Done()
-	reportedDrops := uint64(0)
+	reported := uint64(0)
 	lastReport := time.Now()
 	buf := make([]byte, 0, 64<<10)
 	for {
@@ -66,19 +72,41 @@
 		case line := <-w.lines:
 			buf = append(buf, line...)
 		case <-w.closing:
+			buf = w.appendPending(buf)
+			w.dropPending()
+			if n := w.dropped.Load(); n > reported {
+				buf = appendDropReport(buf, n)
+			}
 			// An error can't be reported: the log is where it would be reported.
-			_, _ = w.out.Write(w.appendPending(buf))
+			_, _ = w.out.Write(buf)
 			return
 		}
 		buf = w.appendPending(buf)
-		if n := w.dropped.Load(); n > reportedDrops && time.Since(lastReport) > dropReportInterval {
-			buf = fmt.Appendf(buf, "time=%s level=warn event=log-lines-dropped total=%d\n", time.Now().Format(time.RFC3339Nano), n)
-			reportedDrops, lastReport = n, time.Now()
+		if n := w.dropped.Load(); n > reported && time.Since(lastReport) > dropReportInterval {
+			buf = appendDropReport(buf, n)
+			reported, lastReport = n, time.Now()
 		}
 		_, _ = w.out.Write(buf)
 	}
 }
 
+// dropPending drops and counts all pending lines.
+func (w *AsyncWriter) dropPending() {
+	for {
+		select {
+		case <-w.lines:
+			w.dropped.Add(1)
+		default:
+			return
+		}
+	}
+}
+
+// appendDropReport appends a line with the number of lines dropped so far.
+func appendDropReport(buf []byte, total uint64) []byte {
+	return fmt.Appendf(buf, "time=%s level=warn event=log-lines-dropped total=%d\n", time.Now().Format(time.RFC3339Nano), total)
+}
+
 // appendPending appends pending lines until buf holds 32 KiB, so that many are written in one call.
 func (w *AsyncWriter) appendPending(buf []byte) []byte {
 	for len(buf) < 32<<10 {
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -48,3 +49,37 @@
 	g.Expect(out.String()).To(Equal(want.String()))
 	g.Expect(w.Dropped()).To(BeZero())
 }
+
+// recordingWriter is an output whose first write blocks until it is released.
+type recordingWriter struct {
+	release chan struct{}
+	text    bytes.Buffer
+}
+
+func (s *recordingWriter) Write(p []byte) (int, error) {
+	<-s.release
+	return s.text.Write(p)
+}
+
+// The process ends while many lines wait for a slow output. Guards against lines that are lost
+// without being counted.
+func TestLinesDroppedByCloseAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	out := &recordingWriter{release: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	const lines = maxPendingLines / 2
+	for range lines {
+		_, err := fmt.Fprintln(w, strings.Repeat("x", 200))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(w.Dropped()).To(BeZero())
+	close(out.release)
+	w.Close()
+	_, err := fmt.Fprintln(w, "after the end")
+	g.Expect(err).NotTo(HaveOccurred())
+	written := strings.Count(out.text.String(), "xxx\n")
+	g.Expect(written + int(w.Dropped())).To(Equal(lines + 1))
+	if written < lines {
+		g.Expect(out.text.String()).To(ContainSubstring(fmt.Sprintf("event=log-lines-dropped total=%d\n", lines-written)))
+	}
+}
