--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -43,6 +43,15 @@
 	t.violations = append(t.violations, fmt.Sprintf("at %v: ", t.w.now)+fmt.Sprintf(format, args...))
 }
 
+// checkCause guards against a refusal without a cause, which operators couldn't explain, and against
+// a cause of a job that wasn't refused.
+func (t *checker) checkCause(a fleet.Answer) {
+	refused := a.Outcome == workload.NotRun || a.Outcome == workload.GaveUp
+	if refused != (a.Cause != workload.NotRefused) {
+		t.report("%s is answered %s for the cause %q: %s", a.Job.ID, a.Outcome, a.Cause, a.Reason)
+	}
+}
+
 func (t *checker) started(r *fakeRunner, k workload.RunKey) {
 	live := t.running[k.Task]
 	if live == nil {
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -285,6 +285,7 @@
 	if j == nil || j.answered {
 		return
 	}
+	w.checker.checkCause(a)
 	if a.Outcome == workload.GaveUp {
 		w.resubmit(j)
 		return
