entry explain: what happened to the runners that a job's lines name

Beside the loss of a runner, its restart and the turns of its pace are shown, also for the runner of the longest run. Evidence: TestTurnOfTheJobsRunner, with a second runner that isn't the job's.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -109,8 +109,13 @@
 	"process-stalled": true, "configuration-in-force": true, "dependency-lost": true, "dependency-regained": true,
 }
 
+// runnerEvents are the events of a runner that affect the jobs on it.
+var runnerEvents = map[string]bool{
+	"runner-lost": true, "runner-restarted": true, "runner-pace-turned": true, "runner-pace-recovered": true,
+}
+
 // Job collects the lines that concern a job and summarizes them: the job's own lines, those of
-// jobIndependentEvents until its last line, and those of the loss of runners that its lines name.
+// jobIndependentEvents until its last line, and runnerEvents of the runners that its lines name.
 func Job(id string, lines []Line) Report {
 	r := Report{Job: id}
 	jobLines, runners := linesOfJob(id, lines)
@@ -124,7 +129,7 @@
 		if l.Fields["job"] == id || l.Time.Before(first.Add(-systemEventsBefore)) || l.Time.After(last) {
 			continue
 		}
-		if jobIndependentEvents[l.Event] || l.Event == "runner-lost" && runners[l.Fields["runner"]] {
+		if jobIndependentEvents[l.Event] || runnerEvents[l.Event] && runners[l.Fields["runner"]] {
 			r.Lines = append(r.Lines, l)
 		}
 	}
@@ -141,8 +146,10 @@
 			continue
 		}
 		jobLines = append(jobLines, l)
-		if runner := l.Fields["runner"]; runner != "" {
-			runners[runner] = true
+		for _, field := range []string{"runner", "longest-runner"} {
+			if runner := l.Fields[field]; runner != "" {
+				runners[runner] = true
+			}
 		}
 	}
 	sort.SliceStable(jobLines, func(i, j int) bool { return jobLines[i].Time.Before(jobLines[j].Time) })
@@ -151,28 +158,31 @@
 
 // eventMeanings describes events in the summary; other events are left out of it.
 var eventMeanings = map[string]string{
-	"start-unanswered": "a runner left a start unanswered",
-	"start-rejected":   "a runner rejected a start",
-	"run-ended":        "a run ended without success",
-	"run-overdue":      "a run took far longer than estimated and was stopped",
-	"run-lapsed":       "a runner fell silent and the lease of a run ended",
-	"run-adopted":      "a run that another scheduler had started was taken over",
-	"runner-lost":      "a runner went to another scheduler, or ended",
-	"job-dropped":      "the scheduler dropped the job",
-	"job-cancelled":    "the caller cancelled the job",
-	"caller-left":      "the caller left before the answer",
-	"leader-changed":   "the process that schedules changed",
-	"peer-lost":        "an entry process was lost",
-	"process-stopping": "an entry process began a planned stop",
-	"process-stalled":  "an entry process stood still",
-	"job-elsewhere":    "the job was handed in to a shard other than its own",
-	"job-lent":         "the job was given to a shard that had granted room for it",
-	"room-requested":   "another shard was asked for room",
-	"room-granted":     "another shard granted room",
-	"room-refused":     "another shard had no room",
-	"room-expired":     "granted room expired before the job came",
-	"room-used":        "the job came to the shard that had granted room",
-	"hand-in-dropped":  "the job came over a connection that had ended",
+	"start-unanswered":      "a runner left a start unanswered",
+	"start-rejected":        "a runner rejected a start",
+	"run-ended":             "a run ended without success",
+	"run-overdue":           "a run took far longer than estimated and was stopped",
+	"run-lapsed":            "a runner fell silent and the lease of a run ended",
+	"run-adopted":           "a run that another scheduler had started was taken over",
+	"runner-lost":           "a runner went to another scheduler, or ended",
+	"runner-restarted":      "a runner has started again",
+	"runner-pace-turned":    "a runner turned slow",
+	"runner-pace-recovered": "a runner recovered its usual pace",
+	"job-dropped":           "the scheduler dropped the job",
+	"job-cancelled":         "the caller cancelled the job",
+	"caller-left":           "the caller left before the answer",
+	"leader-changed":        "the process that schedules changed",
+	"peer-lost":             "an entry process was lost",
+	"process-stopping":      "an entry process began a planned stop",
+	"process-stalled":       "an entry process stood still",
+	"job-elsewhere":         "the job was handed in to a shard other than its own",
+	"job-lent":              "the job was given to a shard that had granted room for it",
+	"room-requested":        "another shard was asked for room",
+	"room-granted":          "another shard granted room",
+	"room-refused":          "another shard had no room",
+	"room-expired":          "granted room expired before the job came",
+	"room-used":             "the job came to the shard that had granted room",
+	"hand-in-dropped":       "the job came over a connection that had ended",
 }
 
 // summarize describes the kinds of events that eventMeanings has, in order of first occurrence and
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -73,6 +73,23 @@
 	g.Expect(Job("a", lines).Summary).To(ContainElement("handed in to the shards 4, then 1, then 2"))
 }
 
+// Guards against a slow runner whose turn isn't shown with the job that it delayed, and against the
+// turn of another runner that is.
+func TestTurnOfTheJobsRunner(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(`time=2026-12-03T17:07:55.1Z level=info event=runner-pace-turned age=3 reason="recent ratio 2.31, usual ratio 0.97" runner=i-16 token=4
+time=2026-12-03T17:07:55.2Z level=info event=runner-pace-turned age=3 reason="recent ratio 2.31, usual ratio 0.97" runner=i-17 token=4
+time=2026-12-03T17:07:55.452945462Z level=info event=job-ended cause= entry=front-1#26 estimate=50 job=000000000031a9b5 longest-runner=i-16 node=front-3 outcome=completed queue=spot reason= relative-pace=2.26 retry-after=0 runs=1 waited=0 work=183.462677
+time=2026-12-03T17:07:55.453157378Z level=info event=request-answered cause= configuration=1 handed=0 job=000000000031a9b5 node=front-1 objective=160 outcome=completed queue=spot reason= retry-after=0 scheduler=front-3#27 took=183.926628
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(Job("000000000031a9b5", lines).Summary).To(Equal([]string{
+		"a runner turned slow (1 times)",
+		"answered completed by front-1 after 183.926628 ms (objective 160 ms)",
+		"cause of the loss: the runs took far longer than estimated, the longest on a slow runner",
+	}))
+}
+
 // Guards against a quoted value that ends at an escaped quote, after which the rest of it is read
 // as further pairs.
 func TestEscapedQuotes(t *testing.T) {
