entry losses: a repeated submission is explained by its own lines

Cause: a caller who was refused sends its job again under the same id. The lines of all its submissions were taken together, so a first refusal was put down to a second shard that was asked only the second time, and a late answer to a hand-in of an earlier submission.

Change: lines after the answer don't count, and what shards did counts from this submission's arrival. Runs of earlier submissions still count, since they may delay this one. A refusal for lack of room after another shard refused to lend has the cause of two shards.

--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 	"strconv"
 	"time"
 
@@ -77,6 +78,10 @@
 	// slowPace is how many times slower than the fastest runner of its service a runner is to count
 	// as slow. Runners of one kind differ by a quarter.
 	slowPace = 1.5
+	// answerSkew is how much later than its answer, or earlier than its arrival, a line of a
+	// submission may be by the clock of another VM. A caller who was refused returns after a
+	// second at the earliest.
+	answerSkew = 300 * time.Millisecond
 	// maxWaitShare is the share of its objective that a job may wait in the queue. The loss of a
 	// job that waited longer is attributed to QueueWait, unless an event of one of its runs or of
 	// the system explains it.
@@ -97,11 +102,12 @@
 	}
 	var losses []Loss
 	for _, l := range lines {
-		loss, ok := lossOf(l, endedLine(byJob[l.Fields["job"]]))
+		jobLines := linesUntil(byJob[l.Fields["job"]], l.Time.Add(answerSkew))
+		loss, ok := lossOf(l, endedLine(jobLines))
 		if !ok {
 			continue
 		}
-		loss.Cause = causeOf(loss, l, byJob[loss.Job], events)
+		loss.Cause = causeOf(loss, l, jobLines, events)
 		losses = append(losses, loss)
 	}
 	return losses
@@ -112,6 +118,17 @@
 	return slices.SortedStableFunc(slices.Values(lines), func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
 
+// linesUntil and linesSince return the lines, which are in order of time, up to a time or from it.
+func linesUntil(lines []Line, end time.Time) []Line {
+	n := sort.Search(len(lines), func(i int) bool { return lines[i].Time.After(end) })
+	return lines[:n]
+}
+
+func linesSince(lines []Line, begin time.Time) []Line {
+	n := sort.Search(len(lines), func(i int) bool { return !lines[i].Time.Before(begin) })
+	return lines[n:]
+}
+
 // endedLine returns a job's last job-ended line, or an empty line if there is none.
 func endedLine(jobLines []Line) Line {
 	for _, l := range slices.Backward(jobLines) {
@@ -157,7 +174,8 @@
 	return n
 }
 
-// causeOf finds the cause of a loss.
+// causeOf finds the cause of a loss. The lines are those of the job until the answer: also those of
+// earlier submissions, whose runs may have delayed this one.
 func causeOf(loss Loss, answer Line, jobLines []Line, events []systemEvent) Cause {
 	switch {
 	case answer.Event == "caller-left":
@@ -166,16 +184,18 @@
 		return CancelledByCaller
 	}
 	system := causeDuring(events, loss.Arrived, answer.Time)
+	own := linesSince(jobLines, loss.Arrived.Add(-answerSkew))
 	if loss.Late {
-		return lateCause(answer, jobLines, system)
+		return lateCause(answer, jobLines, own, system)
 	}
-	return refusedCause(answer, jobLines, system)
+	return refusedCause(answer, jobLines, own, system)
 }
 
 // lateCause finds the cause of a late answer. Causes seen in the lines of the job come before system
 // events at the same time, unless the job was handed over to another scheduler. Then a system event
-// comes first, as it explains the events of the job that followed.
-func lateCause(answer Line, jobLines []Line, system Cause) Cause {
+// comes first, as it explains the events of the job that followed. The lines of this submission are
+// own.
+func lateCause(answer Line, jobLines, own []Line, system Cause) Cause {
 	if answer.number("handed") > 0 {
 		return cmp.Or(system, LeaderChanged)
 	}
@@ -184,7 +204,7 @@
 	}
 	ended := endedLine(jobLines)
 	if outsideOfRuns(answer, ended) {
-		if c := shardCause(jobLines); c != "" {
+		if c := shardCause(own); c != "" {
 			return c
 		}
 	}
@@ -201,8 +221,8 @@
 
 // refusedCause finds why a job was not completed. A system event at the time comes before the
 // refusal that followed from it.
-func refusedCause(answer Line, jobLines []Line, system Cause) Cause {
-	refused := refusal(answer, jobLines)
+func refusedCause(answer Line, jobLines, own []Line, system Cause) Cause {
+	refused := refusal(answer, own)
 	if certainRefusals[refused] {
 		return lossCauses[refused]
 	}
@@ -214,9 +234,9 @@
 	}
 	switch refused {
 	case workload.LackOfRoom:
-		return noRoomCause(jobLines)
+		return noRoomCause(own)
 	case workload.TooLittleTime, workload.TimeUp:
-		return cmp.Or(runCause(jobLines), shardCause(jobLines), lossCauses[refused])
+		return cmp.Or(runCause(jobLines), shardCause(own), lossCauses[refused])
 	}
 	if answer.Fields["outcome"] == "failed" {
 		return cmp.Or(runCause(jobLines), JobFailed)
@@ -229,7 +249,7 @@
 	switch {
 	case hasEvent(jobLines, "room-expired"):
 		return GrantExpired
-	case hasEvent(jobLines, "job-lent"), hasEvent(jobLines, "job-elsewhere"):
+	case hasEvent(jobLines, "room-refused"), hasEvent(jobLines, "job-lent"), hasEvent(jobLines, "job-elsewhere"):
 		return RefusedTwice
 	}
 	return RefusedNoRoom
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -190,6 +190,7 @@
 	var events []systemEvent
 	var out []string
 	for _, l := range jobLines {
+		jobLines := linesUntil(jobLines, l.Time.Add(answerSkew))
 		loss, ok := lossOf(l, endedLine(jobLines))
 		if !ok {
 			continue
--- a/explain/refusal_test.go
+++ b/explain/refusal_test.go
@@ -82,6 +82,7 @@
 		refusedHere = `event=job-ended cause=lack-of-room entry=front-1#26 estimate=50 job=a node=front-3 outcome=not-run queue=spot reason="more comes than can be done before its turn" retry-after=1389 runs=0 waited=0 work=0`
 		moved       = `event=job-elsewhere home=0 job=a node=front-1 shard=1 wait=0`
 		lent        = `event=job-lent age=40 job=a lender=1 node=front-1 shard=0`
+		roomRefused = `event=room-refused age=40 job=a lender=1 node=front-3 shard=0`
 		expired     = `event=room-expired age=300 job=a lender=1 node=front-3 shard=0`
 		refused     = `event=request-answered cause=lack-of-room configuration=1 handed=0 job=a node=front-1 objective=160 outcome=not-run queue=spot reason="more comes than can be done before its turn" retry-after=1389 scheduler=front-1#26 took=204.783964`
 		ended       = `event=job-ended cause= entry=front-1#26 estimate=50 job=a node=front-1 outcome=completed queue=spot reason= retry-after=0 runs=1 waited=5 work=51`
@@ -89,6 +90,7 @@
 	)
 	g := NewWithT(t)
 	g.Expect(causesIn(g, refusedHere, moved, refused)).To(Equal([]Cause{RefusedTwice}))
+	g.Expect(causesIn(g, roomRefused, refused)).To(Equal([]Cause{RefusedTwice}))
 	g.Expect(causesIn(g, lent, refused)).To(Equal([]Cause{RefusedTwice}))
 	g.Expect(causesIn(g, expired, lent, refused)).To(Equal([]Cause{GrantExpired}))
 	g.Expect(causesIn(g, refusedHere, moved, ended, late)).To(Equal([]Cause{MovedLate}))
@@ -105,3 +107,27 @@
 	g.Expect(causesIn(g, strings.Replace(ended, "PACE", "2.43", 1), late)).To(Equal([]Cause{SlowRunner}))
 	g.Expect(causesIn(g, strings.Replace(ended, "PACE", "1.1", 1), late)).To(Equal([]Cause{SlowRun}))
 }
+
+// A caller whose job was refused sends it again under its id. Guards against a refusal that is put
+// down to what happened to the job only later, or a late answer to what happened before.
+func TestCausesOfRepeatedSubmissions(t *testing.T) {
+	const (
+		refused = ` level=info event=job-ended cause=lack-of-room entry=front-1#26 estimate=50 job=a node=front-3 outcome=not-run queue=spot reason="wait of 652ms expected" retry-after=1389 runs=0 waited=0 work=0`
+		moved   = ` level=info event=job-elsewhere home=0 job=a node=front-1 shard=1 wait=0`
+		answer  = ` level=info event=request-answered cause=lack-of-room configuration=1 handed=0 job=a node=front-1 objective=160 outcome=not-run queue=spot reason="wait of 652ms expected" retry-after=1389 scheduler=front-3#26 took=0.5`
+		ended   = ` level=info event=job-ended cause= entry=front-1#26 estimate=50 job=a node=front-3 outcome=completed queue=spot reason= retry-after=0 runs=1 waited=140 work=51`
+		late    = ` level=info event=request-answered cause= configuration=1 handed=0 job=a node=front-1 objective=160 outcome=completed queue=spot reason= retry-after=0 scheduler=front-3#26 took=192`
+	)
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(strings.Join([]string{
+		"time=2026-12-03T17:05:12.100Z" + refused, "time=2026-12-03T17:05:12.101Z" + answer,
+		"time=2026-12-03T17:05:14.100Z" + refused, "time=2026-12-03T17:05:14.101Z" + moved, "time=2026-12-03T17:05:14.102Z" + answer,
+		"time=2026-12-03T17:05:16.200Z" + ended, "time=2026-12-03T17:05:16.201Z" + late,
+	}, "\n")))
+	g.Expect(err).NotTo(HaveOccurred())
+	var causes []Cause
+	for _, l := range Attribute(lines) {
+		causes = append(causes, l.Cause)
+	}
+	g.Expect(causes).To(Equal([]Cause{RefusedNoRoom, RefusedTwice, QueueWait}))
+}
