--- a/explain/explain.go
+++ b/explain/explain.go
@@ -3,76 +3,14 @@
 package explain
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"sort"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Line is one line of a log, split into keys and values.
-type Line struct {
-	Time   time.Time         `json:"time"`
-	Event  string            `json:"event"`
-	Fields map[string]string `json:"fields"`
-	// Text is the whole line as it is in the log.
-	Text string `json:"text"`
-}
-
-// maxLineBytes is the maximum length of a log line.
-const maxLineBytes = 1 << 20
-
-// Read reads the lines of a log. Lines that aren't key=value pairs with a time are skipped:
-// libraries write a few such lines when a process starts.
-func Read(r io.Reader) ([]Line, error) {
-	var lines []Line
-	scan := bufio.NewScanner(r)
-	scan.Buffer(nil, maxLineBytes)
-	for scan.Scan() {
-		if l, ok := parse(scan.Text()); ok {
-			lines = append(lines, l)
-		}
-	}
-	return lines, errors.Wrap(scan.Err(), "read log")
-}
-
-// parse splits a line into its pairs; it returns false if the line has no valid time.
-func parse(text string) (Line, bool) {
-	l := Line{Fields: make(map[string]string), Text: text}
-	for rest := text; rest != ""; {
-		var key, value string
-		key, value, rest = nextPair(rest)
-		if key != "" {
-			l.Fields[key] = value
-		}
-	}
-	at, err := time.Parse(time.RFC3339Nano, l.Fields["time"])
-	if err != nil {
-		return l, false
-	}
-	l.Time, l.Event = at, l.Fields["event"]
-	return l, true
-}
-
-// nextPair cuts a key=value or key="value" pair off the front of a text.
-func nextPair(s string) (key, value, rest string) {
-	s = strings.TrimLeft(s, " ")
-	word, after, _ := strings.Cut(s, " ")
-	key, value, found := strings.Cut(word, "=")
-	if !found {
-		return "", "", after
-	}
-	if !strings.HasPrefix(value, `"`) {
-		return key, value, after
-	}
-	quoted := s[len(key)+2:]
-	value, rest, _ = strings.Cut(quoted, `"`)
-	return key, value, rest
-}
-
 // Report describes what happened to a job.
 type Report struct {
 	Job string `json:"job"`
@@ -93,8 +31,13 @@
 	"process-stalled": true, "configuration-in-force": true, "dependency-lost": true, "dependency-regained": true,
 }
 
+// runnerEvents are the events of a runner that affect the jobs on it.
+var runnerEvents = map[string]bool{
+	"runner-lost": true, "runner-restarted": true, "runner-pace-turned": true, "runner-pace-recovered": true,
+}
+
 // Job collects the lines that concern a job and summarizes them: the job's own lines, those of
-// jobIndependentEvents until its last line, and those of the loss of runners that its lines name.
+// jobIndependentEvents until its last line, and runnerEvents of the runners that its lines name.
 func Job(id string, lines []Line) Report {
 	r := Report{Job: id}
 	jobLines, runners := linesOfJob(id, lines)
@@ -108,12 +51,12 @@
 		if l.Fields["job"] == id || l.Time.Before(first.Add(-systemEventsBefore)) || l.Time.After(last) {
 			continue
 		}
-		if jobIndependentEvents[l.Event] || l.Event == "runner-lost" && runners[l.Fields["runner"]] {
+		if jobIndependentEvents[l.Event] || runnerEvents[l.Event] && runners[l.Fields["runner"]] {
 			r.Lines = append(r.Lines, l)
 		}
 	}
 	sort.SliceStable(r.Lines, func(i, j int) bool { return r.Lines[i].Time.Before(r.Lines[j].Time) })
-	r.Summary = summarize(r.Lines)
+	r.Summary = append(summarize(r.Lines), lossSummary(jobLines, lines)...)
 	return r
 }
 
@@ -125,8 +68,10 @@
 			continue
 		}
 		jobLines = append(jobLines, l)
-		if runner := l.Fields["runner"]; runner != "" {
-			runners[runner] = true
+		for _, field := range []string{"runner", "longest-runner"} {
+			if runner := l.Fields[field]; runner != "" {
+				runners[runner] = true
+			}
 		}
 	}
 	sort.SliceStable(jobLines, func(i, j int) bool { return jobLines[i].Time.Before(jobLines[j].Time) })
@@ -135,31 +80,45 @@
 
 // eventMeanings describes events in the summary; other events are left out of it.
 var eventMeanings = map[string]string{
-	"start-unanswered": "a runner left a start unanswered",
-	"start-rejected":   "a runner rejected a start",
-	"run-ended":        "a run ended without success",
-	"run-overdue":      "a run took far longer than estimated and was stopped",
-	"run-lapsed":       "a runner fell silent and the lease of a run ended",
-	"run-adopted":      "a run that another scheduler had started was taken over",
-	"runner-lost":      "a runner went to another scheduler, or ended",
-	"job-dropped":      "the scheduler dropped the job",
-	"job-cancelled":    "the caller cancelled the job",
-	"caller-left":      "the caller left before the answer",
-	"leader-changed":   "the process that schedules changed",
-	"peer-lost":        "an entry process was lost",
-	"process-stopping": "an entry process began a planned stop",
-	"process-stalled":  "an entry process stood still",
+	"start-unanswered":      "a runner left a start unanswered",
+	"start-rejected":        "a runner rejected a start",
+	"run-ended":             "a run ended without success",
+	"run-overdue":           "a run took far longer than estimated and was stopped",
+	"run-lapsed":            "a runner fell silent and the lease of a run ended",
+	"run-adopted":           "a run that another scheduler had started was taken over",
+	"runner-lost":           "a runner went to another scheduler, or ended",
+	"runner-restarted":      "a runner has started again",
+	"runner-pace-turned":    "a runner turned slow",
+	"runner-pace-recovered": "a runner recovered its usual pace",
+	"job-dropped":           "the scheduler dropped the job",
+	"job-cancelled":         "the caller cancelled the job",
+	"caller-left":           "the caller left before the answer",
+	"leader-changed":        "the process that schedules changed",
+	"peer-lost":             "an entry process was lost",
+	"process-stopping":      "an entry process began a planned stop",
+	"process-stalled":       "an entry process stood still",
+	"job-elsewhere":         "the job was handed in to a shard other than its own",
+	"job-lent":              "the job was given to a shard that had granted room for it",
+	"room-requested":        "another shard was asked for room",
+	"room-granted":          "another shard granted room",
+	"room-refused":          "another shard had no room",
+	"room-expired":          "granted room expired before the job came",
+	"room-used":             "the job came to the shard that had granted room",
+	"hand-in-dropped":       "the job came over a connection that had ended",
 }
 
 // summarize describes the kinds of events that eventMeanings has, in order of first occurrence and
-// with their numbers, and then each answer.
+// with their numbers, then the schedulers' refusals, the job's way over the shards, and each answer.
 func summarize(lines []Line) []string {
 	counts := make(map[string]int)
-	var order, answers []string
+	var order, refusals, answers []string
 	for _, l := range lines {
-		if l.Event == "request-answered" {
+		switch {
+		case l.Event == "request-answered":
 			answers = append(answers, describeAnswer(l))
 			continue
+		case l.Event == "job-ended" && refusalOf(l) != workload.NotRefused:
+			refusals = append(refusals, describeRefusal(l))
 		}
 		if eventMeanings[l.Event] == "" {
 			continue
@@ -173,6 +132,10 @@
 	for _, event := range order {
 		out = append(out, fmt.Sprintf("%s (%d times)", eventMeanings[event], counts[event]))
 	}
+	out = append(out, refusals...)
+	if path := describePath(lines); path != "" {
+		out = append(out, path)
+	}
 	if len(answers) == 0 {
 		answers = []string{"no answer is on record: the entry process ended, or its caller left"}
 	}
@@ -188,6 +151,58 @@
 	return s
 }
 
+// describeRefusal describes a job-ended line of a refusal.
+func describeRefusal(l Line) string {
+	return fmt.Sprintf("refused by the scheduler on %s for %s: %s", l.Fields["node"], refusalOf(l), l.Fields["reason"])
+}
+
+// describePath lists the shards that a job was handed in to, if there was more than one.
+func describePath(lines []Line) string {
+	var path []string
+	for _, l := range lines {
+		from, to := l.Fields["home"], l.Fields["shard"]
+		switch l.Event {
+		case "job-lent":
+			from, to = l.Fields["shard"], l.Fields["lender"]
+		case "job-elsewhere":
+		default:
+			continue
+		}
+		if to == "" {
+			continue
+		}
+		if len(path) == 0 {
+			path = append(path, from)
+		}
+		// A job that was lent is then handed in elsewhere; the two lines are one step.
+		if path[len(path)-1] != to {
+			path = append(path, to)
+		}
+	}
+	if len(path) == 0 {
+		return ""
+	}
+	return "handed in to the shards " + strings.Join(path, ", then ")
+}
+
+// lossSummary returns the causes of a job's late or lost answers.
+func lossSummary(jobLines, all []Line) []string {
+	var events []systemEvent
+	var out []string
+	for _, l := range jobLines {
+		jobLines := linesUntil(jobLines, l.Time.Add(answerSkew))
+		loss, ok := lossOf(l, endedLine(jobLines))
+		if !ok {
+			continue
+		}
+		if events == nil {
+			events = findSystemEvents(sortedByTime(all))
+		}
+		out = append(out, "cause of the loss: "+string(causeOf(loss, l, jobLines, events)))
+	}
+	return out
+}
+
 // String formats the report as text: the lines, then the summary.
 func (r Report) String() string {
 	var b strings.Builder
