--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -99,7 +99,11 @@
 	load func(at time.Duration, kind string) float64
 	// route chooses a job's shard.
 	route func(w *workload.Job) int
-	last  int
+	// tail multiplies the work of a job, for a share of the jobs; nil for none.
+	tail func(work, mean time.Duration) time.Duration
+	// slowed multiplies the run time on a runner at present; nil for none.
+	slowed func(workload.RunnerID) float64
+	last   int
 }
 
 type simEvent struct {
@@ -118,6 +122,8 @@
 	answered  bool
 	outcome   workload.Outcome
 	took      time.Duration
+	// longestRun and estimate are the scheduler's account of the run time.
+	longestRun, estimate time.Duration
 	// ran: a start of one of its tasks was ordered.
 	ran bool
 }
@@ -211,6 +217,9 @@
 	k := s.kinds[kind]
 	s.last++
 	work := min(time.Duration(float64(k.work)*s.spread(workSpread)), 4*k.work)
+	if s.tail != nil {
+		work = s.tail(work, k.work)
+	}
 	width := max(1, min(int(math.Round(k.tasks*s.spread(widthSpread))), int(4*k.tasks)))
 	need := min(int(k.milliCPU*s.spread(needSpread)), 48000)
 	estimate := time.Duration(float64(work) * s.spread(estimateOff))
@@ -268,6 +277,9 @@
 	j := s.jobs[c.Run.Task.Job]
 	j.ran = true
 	took := time.Duration(float64(j.tasks[c.Run.Task.Index]) / s.speed[c.Runner])
+	if s.slowed != nil {
+		took = time.Duration(float64(took) * s.slowed(c.Runner))
+	}
 	s.after(orderTime, func() {
 		sch.Started(s.now, StartResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
 		s.after(took, func() { s.end(sch, c.Runner, c.Run, workload.Done) })
@@ -293,6 +305,7 @@
 		return
 	}
 	j.answered, j.outcome, j.took = true, a.Outcome, s.now-j.arrived
+	j.longestRun, j.estimate = a.Work, a.Estimate
 }
 
 // tallies counts the answers to callers, by kind and in total.
