Averages of run time to estimate: by runner, kind of runner and queue

Cause: what a scheduler learned of its runners ended with its lead, and each successor began at 1 for each runner. The average was arithmetic, so one long run of a job moved it much.

Change: core/pace keeps geometric means with their number of runs and age; old runs count for less, and a kind's mean is the first guess for a runner without runs. A run's ratio is the product of its runner's and its queue's. Exports are bounded and merged entry by entry. core/schedule learns from each successful run.

--- /dev/null
+++ b/core/pace/book.go
@@ -0,0 +1,144 @@
+package pace
+
+import (
+	"math"
+	"strings"
+)
+
+const (
+	// kindRuns is the number of own runs that outweigh the guess by a runner's kind, and
+	// serviceRuns the same for a kind and the usual ratio of its service.
+	kindRuns, serviceRuns = 4, 4
+	// queueRuns is the number of runs that outweigh the assumption that a queue's estimates are
+	// as good as others.
+	queueRuns = 10
+)
+
+// Kind is a kind of runner: a service, and what makes the runners of a service similar.
+type Kind struct{ Service, Name string }
+
+// String returns the name under which the kind is exported. A Name contains no '/'.
+func (k Kind) String() string { return k.Service + "/" + k.Name }
+
+// parseKind is the inverse of Kind.String.
+func parseKind(name string) (Kind, bool) {
+	at := strings.LastIndexByte(name, '/')
+	if at < 0 {
+		return Kind{}, false
+	}
+	return Kind{name[:at], name[at+1:]}, true
+}
+
+// Book holds the averages of a scheduler. It isn't safe for concurrent use.
+//
+// A run's ratio is the product of its runner's and its queue's: each is learned from what the
+// other one doesn't explain.
+type Book struct {
+	runners map[string]*runnerAverage
+	kinds   map[Kind]*average
+	queues  map[string]*average
+	// usual are the ratios of all runs of a service.
+	usual map[string]*average
+	// revision grows with each run.
+	revision uint64
+}
+
+// runnerAverage is the average of a runner, and the kind that it was of.
+type runnerAverage struct {
+	average
+	kind Kind
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{
+		runners: make(map[string]*runnerAverage),
+		kinds:   make(map[Kind]*average),
+		queues:  make(map[string]*average),
+		usual:   make(map[string]*average),
+	}
+}
+
+// Revision grows with each run that is learned.
+func (b *Book) Revision() uint64 { return b.revision }
+
+// Observe learns the ratio of run time to estimate of a run.
+func (b *Book) Observe(now Time, runner string, kind Kind, queue string, ratio float64) {
+	b.revision++
+	log := logOf(ratio)
+	ofQueue, ofRunner := b.queueLog(now, queue), b.runnerLog(now, runner, kind)
+	b.runner(runner, kind).add(now, log-ofQueue)
+	entry(b.kinds, kind).add(now, log-ofQueue)
+	entry(b.usual, kind.Service).add(now, log-ofQueue)
+	entry(b.queues, queue).add(now, log-ofRunner)
+}
+
+// Runner returns the usual ratio of a runner. Without enough runs it is that of its kind, and
+// without that the usual one of its service.
+func (b *Book) Runner(now Time, runner string, kind Kind) float64 {
+	return math.Exp(b.runnerLog(now, runner, kind))
+}
+
+// Queue returns the factor by which a queue's runs take longer than those of other queues,
+// relative to their estimates.
+func (b *Book) Queue(now Time, queue string) float64 { return math.Exp(b.queueLog(now, queue)) }
+
+func (b *Book) runnerLog(now Time, runner string, kind Kind) float64 {
+	guess := b.kindLog(now, kind)
+	r := b.runners[runner]
+	if r == nil || r.kind != kind {
+		return guess
+	}
+	return r.blend(now, guess, kindRuns)
+}
+
+func (b *Book) kindLog(now Time, kind Kind) float64 {
+	guess := 0.0
+	if usual := b.usual[kind.Service]; usual != nil {
+		guess = usual.log
+	}
+	k := b.kinds[kind]
+	if k == nil {
+		return guess
+	}
+	return k.blend(now, guess, serviceRuns)
+}
+
+func (b *Book) queueLog(now Time, queue string) float64 {
+	q := b.queues[queue]
+	if q == nil {
+		return 0
+	}
+	return q.blend(now, 0, queueRuns)
+}
+
+// runner returns the average of a runner. One that is of another kind than before begins anew.
+func (b *Book) runner(id string, kind Kind) *average {
+	r := b.runners[id]
+	if r == nil || r.kind != kind {
+		r = &runnerAverage{kind: kind}
+		b.runners[id] = r
+	}
+	return &r.average
+}
+
+// ForgetRunner forgets a runner's own runs; its kind's remain.
+func (b *Book) ForgetRunner(runner string) { delete(b.runners, runner) }
+
+// Retain forgets the runners for which keep is false.
+func (b *Book) Retain(keep func(runner string) bool) {
+	for id := range b.runners {
+		if !keep(id) {
+			delete(b.runners, id)
+		}
+	}
+}
+
+func entry[K comparable](m map[K]*average, key K) *average {
+	a := m[key]
+	if a == nil {
+		a = &average{}
+		m[key] = a
+	}
+	return a
+}
--- /dev/null
+++ b/core/pace/learned.go
@@ -0,0 +1,165 @@
+package pace
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Learned is an export of a Book, for another process.
+type Learned struct{ Runners, Kinds, Queues []Ratio }
+
+// Ratio is an average ratio of run time to estimate.
+type Ratio struct {
+	Name  string
+	Value float64
+	// Runs is the number of runs that it rests on, and Age the time since the latest.
+	Runs uint32
+	Age  time.Duration
+}
+
+const (
+	// MaxRunners, MaxKinds and MaxQueues bound the entries of an export.
+	MaxRunners, MaxKinds, MaxQueues = 128, 16, 32
+	// maxNameLength bounds the names of entries in an export, in bytes.
+	maxNameLength = 96
+	// maxAge is the age from which a ratio is ignored: by then it counts for a hundredth.
+	maxAge = 7 * HalfLife
+	// tolerance is the factor by which a received ratio may be outside of its bounds; its
+	// encoding may round it.
+	tolerance = 1.01
+)
+
+// Count is the number of entries.
+func (l Learned) Count() int { return len(l.Runners) + len(l.Kinds) + len(l.Queues) }
+
+// Age is the least age of the entries.
+func (l Learned) Age() time.Duration {
+	age := maxAge
+	for _, list := range [][]Ratio{l.Runners, l.Kinds, l.Queues} {
+		for _, r := range list {
+			age = min(age, r.Age)
+		}
+	}
+	return age
+}
+
+// Aged returns a copy in which all entries are older.
+func (l Learned) Aged(by time.Duration) Learned {
+	return Learned{Runners: aged(l.Runners, by), Kinds: aged(l.Kinds, by), Queues: aged(l.Queues, by)}
+}
+
+func aged(list []Ratio, by time.Duration) []Ratio {
+	older := slices.Clone(list)
+	for i := range older {
+		older[i].Age += by
+	}
+	return older
+}
+
+// Export returns the averages in the order of their names; of too many, those of the latest runs.
+func (b *Book) Export(now Time) Learned {
+	var l Learned
+	for id, r := range b.runners {
+		l.Runners = append(l.Runners, r.export(now, id))
+	}
+	for kind, a := range b.kinds {
+		l.Kinds = append(l.Kinds, a.export(now, kind.String()))
+	}
+	for queue, a := range b.queues {
+		l.Queues = append(l.Queues, a.export(now, queue))
+	}
+	return Learned{Runners: bounded(l.Runners, MaxRunners), Kinds: bounded(l.Kinds, MaxKinds), Queues: bounded(l.Queues, MaxQueues)}
+}
+
+func (a *average) export(now Time, name string) Ratio {
+	return Ratio{Name: name, Value: math.Exp(a.log), Runs: uint32(math.Ceil(a.runs)), Age: max(0, now-a.at)}
+}
+
+// bounded keeps the youngest entries that have runs and may be sent, in the order of their names.
+func bounded(list []Ratio, limit int) []Ratio {
+	list = slices.DeleteFunc(list, func(r Ratio) bool { return !r.valid() })
+	if len(list) > limit {
+		slices.SortFunc(list, func(x, y Ratio) int { return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.Name, y.Name)) })
+		list = list[:limit]
+	}
+	slices.SortFunc(list, func(x, y Ratio) int { return cmp.Compare(x.Name, y.Name) })
+	return list
+}
+
+// valid reports whether an entry can be used. Others come from an unknown version of the sender.
+func (r Ratio) valid() bool {
+	return r.Name != "" && len(r.Name) <= maxNameLength && r.Runs > 0 && r.Age >= 0 && r.Age <= maxAge &&
+		r.Value >= MinRatio/tolerance && r.Value <= MaxRatio*tolerance
+}
+
+// Merged counts the entries of a merge: those that were taken over, those that weren't since later
+// runs are known here, those of unknown runners, and those that can't be used.
+type Merged struct{ Taken, Known, Unknown, Invalid int }
+
+// Merge takes over the entries of which less is known here: an average that was learned here from
+// later runs remains. kindOf returns the kind of a runner; entries of unknown runners are ignored.
+func (b *Book) Merge(now Time, l Learned, kindOf func(runner string) (Kind, bool)) Merged {
+	var m Merged
+	m.merge(now, l.Runners, MaxRunners, func(id string) *average {
+		kind, ok := kindOf(id)
+		if !ok {
+			return nil
+		}
+		return b.runner(id, kind)
+	})
+	m.merge(now, l.Kinds, MaxKinds, b.receivedKind)
+	m.merge(now, l.Queues, MaxQueues, func(name string) *average { return entry(b.queues, name) })
+	b.deriveUsual()
+	return m
+}
+
+// deriveUsual computes the usual ratios of services without runs from those of their kinds.
+func (b *Book) deriveUsual() {
+	sorted := slices.SortedFunc(maps.Keys(b.kinds), func(x, y Kind) int { return cmp.Compare(x.String(), y.String()) })
+	derived := make(map[string]*average)
+	for _, kind := range sorted {
+		if usual := b.usual[kind.Service]; usual == nil || usual.runs == 0 {
+			entry(derived, kind.Service).join(b.kinds[kind])
+		}
+	}
+	maps.Copy(b.usual, derived)
+}
+
+func (m *Merged) merge(now Time, list []Ratio, limit int, find func(name string) *average) {
+	for i, r := range list {
+		if i >= limit || !r.valid() {
+			m.Invalid++
+			continue
+		}
+		switch a := find(r.Name); {
+		case a == nil:
+			m.Unknown++
+		case a.replace(now, r):
+			m.Taken++
+		default:
+			m.Known++
+		}
+	}
+}
+
+// replace takes over a received ratio if its latest run is later than the latest one here.
+func (a *average) replace(now Time, r Ratio) bool {
+	at := now - r.Age
+	if a.runs > 0 && a.at >= at {
+		return false
+	}
+	*a = average{log: logOf(r.Value), runs: float64(min(r.Runs, maxRuns)), at: at}
+	return true
+}
+
+// receivedKind returns the average of a kind; nil if the name isn't one of a kind.
+func (b *Book) receivedKind(name string) *average {
+	kind, ok := parseKind(name)
+	if !ok {
+		return nil
+	}
+	return entry(b.kinds, kind)
+}
--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -1,6 +1,12 @@
 package schedule
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/pace"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
 
 const (
 	// initialClosure and maxClosure bound how long a failing runner gets no tasks: long enough
@@ -10,18 +16,17 @@
 	// strikesToClose consecutive failures of different tasks close a runner. A single failure
 	// may be the task's own fault.
 	strikesToClose = 2
-	// initialPaceRuns and maxPaceRuns are the number of runs over which a runner's pace is
-	// averaged, at first and in the long run. Estimates are off by a factor of 1.5 either way:
-	// the mean of 30 runs is within 7% of the true pace, and the pace differs by a quarter
-	// between runners.
-	initialPaceRuns = 4
-	maxPaceRuns     = 30
-	// recentPaceRuns is the number of runs in the recent average, and slowdownFactor the ratio
-	// to the usual pace from which the recent one is used.
-	recentPaceRuns = 4
-	slowdownFactor = 2
-	// maxPaceSample bounds one sample, so that a stuck run doesn't outweigh ten normal ones.
-	maxPaceSample = 8.0
+	// recentRuns is the number of jobs over which the recent ratio is averaged. turnFactor is its
+	// ratio to the usual one from which a runner's pace has turned, and recoverFactor that below
+	// which it has recovered.
+	recentRuns    = 4
+	turnFactor    = 2.0
+	recoverFactor = 1.5
+	// turnedRuns is the number of runs after which a turned pace becomes the usual one.
+	turnedRuns = 12
+	// trustInterval is how long a turned runner gets few tasks before half of the change, as a
+	// factor, is no longer assumed, so that it is tried again.
+	trustInterval = 500 * time.Millisecond
 	// slowRunFactor and slowRunSlack define a run that counts as a failure of its runner: one
 	// run in three hundred takes three times its estimate.
 	slowRunFactor = 3
@@ -35,21 +40,80 @@
 	strikes     int
 	closures    int
 	closedUntil Time
-	// usual is the averaged ratio of run time to estimate, initially 1; recent is the same over
-	// a few runs.
+	// usual is the usual ratio of run time to expected run time, and recent that of the last
+	// few jobs.
 	usual, recent float64
-	runs          int
+	// turned: the pace has turned, and recent is used; turnedCount is the number of runs since.
+	turned      bool
+	turnedCount int
+	// recentAt is when recent last changed, and recentJob the job of its last run.
+	recentAt  Time
+	recentJob workload.JobID
 }
 
-func newHealth() health { return health{usual: 1, recent: 1, runs: initialPaceRuns} }
+func newHealth() health { return health{usual: 1, recent: 1} }
 
-// pace returns the factor by which tasks take longer on the runner than estimated. A slowdown of
-// the runner shows after a few runs; four random runs are rarely twice as slow as usual.
+// pace returns the factor by which tasks take longer on the runner than expected.
 func (h *health) pace() float64 {
-	if h.recent > slowdownFactor*h.usual {
-		return h.recent
+	if h.turned {
+		return max(h.recent, minPace)
+	}
+	return max(h.usual, minPace)
+}
+
+// setUsual sets the usual ratio. The recent one begins with it.
+func (h *health) setUsual(usual float64) {
+	if h.recentJob == "" {
+		h.recent = usual
+	}
+	h.usual = usual
+}
+
+// noteRatio records the ratio of run time to expected run time of a run, and reports whether the
+// runner's pace has turned or recovered by it. The tasks of one job are slow together, so only the
+// first of them in a row counts.
+func (h *health) noteRatio(now Time, job workload.JobID, ratio float64) bool {
+	if h.turned {
+		h.turnedCount++
+	}
+	if job == h.recentJob {
+		return false
 	}
-	return h.usual
+	h.recentJob, h.recentAt = job, now
+	ratio = min(max(ratio, pace.MinRatio), pace.MaxRatio)
+	h.recent *= math.Pow(ratio/h.recent, 1.0/recentRuns)
+	return h.updateTurned()
+}
+
+// updateTurned reports whether the runner's pace has turned or recovered.
+func (h *health) updateTurned() bool {
+	before := h.turned
+	change := h.recent / h.usual
+	switch {
+	case change > turnFactor || change < 1/turnFactor:
+		h.turned = true
+	case change < recoverFactor && change > 1/recoverFactor:
+		h.turned = false
+	}
+	if !h.turned {
+		h.turnedCount = 0
+	}
+	return h.turned != before
+}
+
+// lasting reports whether the usual ratio may be learned from a run: its pace hasn't turned, or
+// has turned for long.
+func (h *health) lasting() bool { return !h.turned || h.turnedCount > turnedRuns }
+
+// trust lets a turned runner, if few of its runs have ended, return to its usual pace step by step.
+// It reports whether the runner's pace has recovered by that.
+func (h *health) trust(now Time) bool {
+	if !h.turned || now-h.recentAt < trustInterval {
+		return false
+	}
+	h.recentAt = now
+	h.recent = math.Sqrt(h.recent * h.usual)
+	return h.updateTurned()
 }
 
 func (h *health) closed(now Time) bool { return now < h.closedUntil }
@@ -58,15 +122,10 @@
 // completed a task.
 func (h *health) suspect() bool { return h.strikes > 0 }
 
-// succeeded records a successful run, which counts as a failure if it took far too long.
-func (h *health) succeeded(now Time, elapsed, estimate time.Duration) {
-	if estimate > 0 {
-		h.runs = min(h.runs+1, maxPaceRuns)
-		sample := min(float64(elapsed)/float64(estimate), maxPaceSample)
-		h.usual += (sample - h.usual) / float64(h.runs)
-		h.recent += (sample - h.recent) / recentPaceRuns
-	}
-	if elapsed > slowRunFactor*estimate+slowRunSlack {
+// succeeded records a successful run, which counts as a failure if it took far longer than it
+// usually does there.
+func (h *health) succeeded(now Time, elapsed, expected time.Duration) {
+	if elapsed > time.Duration(slowRunFactor*float64(expected)*max(1, h.usual))+slowRunSlack {
 		h.failed(now, 1)
 		return
 	}
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -49,6 +49,8 @@
 	r.incarnationStart = start
 	r.clock, r.clockAt, r.aliveUntil, r.noLeaseUntil = 0, 0, 0, 0
 	r.health = newHealth()
+	s.learned.ForgetRunner(string(r.info.ID))
+	s.updatePace(r)
 	for _, u := range runs {
 		if u.task == nil {
 			continue
--- /dev/null
+++ b/core/schedule/learned.go
@@ -0,0 +1,117 @@
+package schedule
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/pace"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// What is learned from finished runs: how long the runs of a queue take compared with their
+// estimates, and how fast each runner is. It outlives the scheduler as a copy in the processes that
+// would lead the shard next. Nothing of it decides whether a task may be started again.
+
+// Learned is an export of what a scheduler has learned.
+type Learned = pace.Learned
+
+// Learned returns what the scheduler has learned.
+func (s *Scheduler) Learned(now Time) Learned { return s.learned.Export(now) }
+
+// LearnedRevision grows with each run from which the scheduler has learned.
+func (s *Scheduler) LearnedRevision() uint64 { return s.learned.Revision() }
+
+// ApplyLearned takes over what another scheduler of the shard had learned, except where more recent
+// runs are known here.
+func (s *Scheduler) ApplyLearned(now Time, l Learned) pace.Merged {
+	s.now = now
+	m := s.learned.Merge(now, l, func(id string) (pace.Kind, bool) {
+		r := s.runners[workload.RunnerID(id)]
+		if r == nil {
+			return pace.Kind{}, false
+		}
+		return r.kind(), true
+	})
+	for _, r := range s.runnerList {
+		s.updatePace(r)
+	}
+	return m
+}
+
+// updatePace sets a runner's usual pace to what is learned.
+func (s *Scheduler) updatePace(r *runner) {
+	usual := s.learned.Runner(s.now, string(r.info.ID), r.kind())
+	r.health.setUsual(usual)
+}
+
+// kind returns the kind of a runner: its capacity and its labels but for the rack.
+func (r *runner) kind() pace.Kind {
+	if r.kindName == "" || r.kindRevision != r.info.Revision {
+		r.kindName, r.kindRevision = kindName(r.info), r.info.Revision
+	}
+	return pace.Kind{Service: r.info.Service, Name: r.kindName}
+}
+
+func kindName(info workload.Runner) string {
+	labels := slices.Sorted(slices.Values(info.Labels))
+	h := fnv.New32a()
+	for _, l := range labels {
+		if l != info.Rack {
+			_, _ = h.Write([]byte(l + "\n"))
+		}
+	}
+	return fmt.Sprintf("%dm-%dMB-%dgpu-%08x", info.Capacity.MilliCPU, info.Capacity.MemoryMB, info.Capacity.GPU, h.Sum32())
+}
+
+// queueRatio returns the factor by which the runs of a job's queue take longer than estimated,
+// compared with those of other queues.
+func (s *Scheduler) queueRatio(j *job) float64 { return s.learned.Queue(s.now, j.work.Queue) }
+
+// expected returns how long a task's run would take on a runner of pace 1.
+func (s *Scheduler) expected(t *taskState, r *runner) time.Duration {
+	return time.Duration(float64(t.step().Estimate) * s.queueRatio(t.job) * s.remoteFactor(t, r))
+}
+
+// learnRun learns from the successful run of a task.
+func (s *Scheduler) learnRun(t *taskState, r *runner, elapsed time.Duration) {
+	expected := s.expected(t, r)
+	r.health.succeeded(s.now, elapsed, expected)
+	if expected <= 0 || elapsed <= 0 {
+		return
+	}
+	s.noteRatio(r, t, float64(elapsed)/float64(expected))
+	if r.health.lasting() {
+		estimate := float64(t.step().Estimate) * s.remoteFactor(t, r)
+		s.learned.Observe(s.now, string(r.info.ID), r.kind(), t.job.work.Queue, float64(elapsed)/estimate)
+		s.updatePace(r)
+	}
+}
+
+// noteRatio records the ratio of a run's time to the expected one in the runner's recent pace.
+func (s *Scheduler) noteRatio(r *runner, t *taskState, ratio float64) {
+	if r.health.noteRatio(s.now, t.name.Job, ratio) {
+		s.reportTurn(r)
+	}
+}
+
+// tickPace lets a runner whose pace has turned be tried again.
+func (s *Scheduler) tickPace(r *runner) {
+	s.updatePace(r)
+	if r.health.trust(s.now) {
+		s.reportTurn(r)
+	}
+}
+
+// reportTurn reports that a runner's pace has turned or recovered.
+func (s *Scheduler) reportTurn(r *runner) {
+	event := "runner-pace-recovered"
+	if r.health.turned {
+		event = "runner-pace-turned"
+	}
+	s.emit(Decision{
+		Event: event, Runner: r.info.ID, Token: r.token, Age: s.now - r.health.recentAt,
+		Reason: fmt.Sprintf("recent ratio %.2f, usual ratio %.2f", r.health.recent, r.health.usual),
+	})
+}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -102,9 +102,9 @@
 func (p *placer) cost(t *taskState, r *runner) float64 {
 	left := r.free().Minus(t.step().Need).MilliCPU
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
-	pace := r.health.pace() * p.s.remoteFactor(t, r)
+	pace := r.health.pace() * p.s.remoteFactor(t, r) * p.s.queueRatio(t.job)
 	c += missWeight * (1 - completionProbability(t.step().Estimate, pace, t.job.deadline-p.s.now))
-	relative := pace / p.usualPace(r.info.Service)
+	relative := r.health.pace() * p.s.remoteFactor(t, r) / p.usualPace(r.info.Service)
 	c -= slowRunnerGain * min(relative, maxPreferredPace)
 	c += slowRunnerPenalty * max(0, relative-maxPreferredPace)
 	if t.job.domain != "" && r.info.Domain != t.job.domain {
@@ -154,7 +154,7 @@
 }
 
 func (s *Scheduler) overdueAt(t *taskState, r *runner) Time {
-	estimate := float64(t.step().Estimate) * max(1, r.health.pace()) * s.remoteFactor(t, r)
+	estimate := float64(t.step().Estimate) * max(1, r.health.pace()*s.queueRatio(t.job)) * s.remoteFactor(t, r)
 	limit := time.Duration(estimate)*overdueFactor + overdueSlack
 	return s.now + limit*time.Duration(1+t.overstays)
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -206,7 +206,7 @@
 		t.job.recordRunTime(t.name, s.now-u.started)
 	}
 	if u != nil && u.task == t && !u.stopping {
-		r.health.succeeded(s.now, s.now-u.started, t.step().Estimate)
+		s.learnRun(t, r, s.now-u.started)
 	}
 	if t.run != nil && t.run != u {
 		other := t.run
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -75,6 +75,9 @@
 	orphanCount, foreignOrphanCount int
 	used                            workload.Resources
 	health                          health
+	// kindName is the name of its kind, and kindRevision the revision of info that it is from.
+	kindName     string
+	kindRevision uint64
 }
 
 // run is one run that is, or may be, on a runner.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -40,6 +40,7 @@
 	"strings"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/pace"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -193,6 +194,8 @@
 	queue []*job
 	// offered is the arriving work, by service.
 	offered map[string]*offeredLoad
+	// learned holds what is learned from finished runs.
+	learned *pace.Book
 	// results are the outcomes of ended jobs that aren't stored; resultOrder has their ids,
 	// oldest first.
 	results     map[workload.JobID]result
@@ -282,6 +285,7 @@
 		runners:        make(map[workload.RunnerID]*runner),
 		jobs:           make(map[workload.JobID]*job),
 		offered:        make(map[string]*offeredLoad),
+		learned:        pace.NewBook(),
 		results:        make(map[workload.JobID]result),
 		cancelled:      make(map[workload.JobID]Time),
 		lastContact:    make(map[EntryID]Time),
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -63,6 +63,7 @@
 	if r.gone {
 		return
 	}
+	s.tickPace(r)
 	if r.token == 0 {
 		if r.reacquireAt > 0 && s.now >= r.reacquireAt {
 			s.raiseTerm(r)
@@ -131,6 +132,9 @@
 	t.overstays++
 	t.failedOn = append(t.failedOn, r)
 	r.health.failed(s.now, strikesToClose)
+	if expected := s.expected(t, r); expected > 0 {
+		s.noteRatio(r, t, float64(s.now-u.started)/float64(expected))
+	}
 	s.emit(Decision{Event: "run-overdue", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
 	s.stopRun(u)
 }
