Placement by the objective, and tasks that wait for a faster runner

Cause: a task whose caller would still wait was placed on a slow runner although it would end after its objective; and a long task took a slow runner's room though a fast one was about to be free.

--- /dev/null
+++ b/core/schedule/faster.go
@@ -0,0 +1,112 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// A task that finds room only on slow runners may wait for a faster one. The slow runner is left
+// to a task that has more time.
+
+const (
+	// waitGain is the gain in the probability that the task ends within its job's objective from
+	// which it waits. Estimates are off by a factor of 1.5, so small gains are uncertain.
+	waitGain = 0.35
+	// maxWaiting bounds the tasks that wait for faster runners in one call of dispatch, and so
+	// the time for the search.
+	maxWaiting = 16
+	// overrunShare is the share of its elapsed time that a run which has taken longer than
+	// expected is assumed to take still.
+	overrunShare = 0.25
+)
+
+// claim is the use of a runner's resources until they are free again.
+type claim struct {
+	until Time
+	need  workload.Resources
+}
+
+// waitsForFaster reports whether a task should wait for a faster runner than the best one that has
+// room, and reserves the room that it waits for.
+func (p *placer) waitsForFaster(t *taskState, best *runner) bool {
+	most := p.inTime(t, best, p.s.now) + waitGain
+	if most >= 1 || p.waiting >= maxWaiting || t.job.stored != nil {
+		return false
+	}
+	var fastest *runner
+	var from Time
+	for _, r := range p.s.runnerList {
+		if r.health.pace() >= best.health.pace() || r.health.suspect() || !p.suits(t, r) {
+			continue
+		}
+		at := p.freeAt(r, t.step().Need)
+		if probability := p.inTime(t, r, at); probability > most {
+			fastest, most, from = r, probability, at
+		}
+	}
+	if fastest == nil {
+		return false
+	}
+	p.waiting++
+	p.reserved[fastest] = append(p.reserved[fastest], claim{from + p.s.duration(t, fastest), t.step().Need})
+	return true
+}
+
+// suits reports whether a task could be started on a runner if it had room.
+func (p *placer) suits(t *taskState, r *runner) bool {
+	step := t.step()
+	return r.info.Service == t.job.work.Service && r.usable(p.s.now) && step.Need.Fits(r.info.Capacity) &&
+		r.info.HasLabel(step.Requires) && p.withinSpreadLimit(t, r)
+}
+
+// duration returns how long a task is expected to run on a runner.
+func (s *Scheduler) duration(t *taskState, r *runner) time.Duration {
+	return time.Duration(float64(s.expected(t, r)) * r.health.pace())
+}
+
+// inTime is the probability that a task which starts on a runner at a time ends within its job's
+// objective.
+func (p *placer) inTime(t *taskState, r *runner, at Time) float64 {
+	return completionProbability(p.s.duration(t, r), 1, t.job.due-at)
+}
+
+// freeAt returns when a runner is expected to have room for a need, after its runs and the tasks
+// that wait for it.
+func (p *placer) freeAt(r *runner, need workload.Resources) Time {
+	free := r.free()
+	claims := p.runClaims(r)
+	for _, c := range p.reserved[r] {
+		free = free.Minus(c.need)
+		claims = append(claims, c)
+	}
+	slices.SortFunc(claims, func(a, b claim) int {
+		return cmp.Or(cmp.Compare(a.until, b.until), cmp.Compare(a.need.MilliCPU, b.need.MilliCPU), cmp.Compare(a.need.MemoryMB, b.need.MemoryMB))
+	})
+	at := p.s.now
+	for _, c := range claims {
+		if need.Fits(free) {
+			break
+		}
+		free, at = free.Plus(c.need), max(at, c.until)
+	}
+	return at
+}
+
+// runClaims returns when the runs on a runner are expected to end.
+func (p *placer) runClaims(r *runner) []claim {
+	claims := make([]claim, 0, len(r.runs)+len(p.reserved[r]))
+	for _, u := range r.runs {
+		if u.task == nil {
+			continue
+		}
+		end := u.started + p.s.duration(u.task, r)
+		if end < p.s.now {
+			end = p.s.now + time.Duration(overrunShare*float64(p.s.now-u.started))
+		}
+		claims = append(claims, claim{end, u.need})
+	}
+	return claims
+}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -11,10 +11,12 @@
 	// missWeight weighs the probability that a task isn't done in time on a runner against the
 	// fit: a probability of one tenth costs as much as a runner that would stay entirely free.
 	missWeight = 10.0
+	// lateWeight is the same for the probability that the task ends after its job's objective.
+	lateWeight = 5.0
 	// slowRunnerGain is the gain of placing a task that has time on a slower runner, which
 	// leaves the faster ones to more urgent tasks. Runners slower than maxPreferredPace times the
 	// usual gain no more, and cost slowRunnerPenalty.
-	slowRunnerGain    = 0.3
+	slowRunnerGain    = 0.6
 	maxPreferredPace  = 1.5
 	slowRunnerPenalty = 5.0
 	// remoteDomainPenalty keeps tasks in the failure domain of their caller while there is room;
@@ -35,10 +37,16 @@
 	// much or more skip the search.
 	smallestUnplaced map[string]workload.Resources
 	median           map[string]float64
+	// waiting counts the tasks that wait for faster runners, and reserved is what they wait for.
+	waiting  int
+	reserved map[*runner][]claim
 }
 
 func newPlacer(s *Scheduler) *placer {
-	return &placer{s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64)}
+	return &placer{
+		s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64),
+		reserved: make(map[*runner][]claim),
+	}
 }
 
 // full reports whether tasks that need no more than those of a step have found no room.
@@ -47,7 +55,7 @@
 	return ok && need.Fits(step.Need)
 }
 
-// place chooses a runner for a task; nil if there is no room.
+// place chooses a runner for a task; nil if there is no room, or if it waits for a faster one.
 //
 // It uses best fit: a task of two fifths of a runner leaves room for another one only if both are
 // placed on the same runner; on two runners each would leave a gap that is too small for a third.
@@ -75,6 +83,9 @@
 	if best == nil && plain {
 		p.smallestUnplaced[service] = step.Need
 	}
+	if best != nil && p.waitsForFaster(t, best) {
+		return nil
+	}
 	return best
 }
 
@@ -104,6 +115,7 @@
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
 	pace := r.health.pace() * p.s.remoteFactor(t, r) * p.s.queueRatio(t.job)
 	c += missWeight * (1 - completionProbability(t.step().Estimate, pace, t.job.deadline-p.s.now))
+	c += lateWeight * (1 - completionProbability(t.step().Estimate, pace, t.job.due-p.s.now))
 	relative := r.health.pace() * p.s.remoteFactor(t, r) / p.usualPace(r.info.Service)
 	c -= slowRunnerGain * min(relative, maxPreferredPace)
 	c += slowRunnerPenalty * max(0, relative-maxPreferredPace)
