Expected completion and capacity by learned speeds

Cause: admission counted declared cores and estimates, whatever the runners' speeds.

Change: capacity is weighted by learned speed, and expected run times by what is learned of the queue.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -68,10 +68,10 @@
 // ExpectedWait returns how long the runners would take for all waiting work. Other entry VMs choose
 // a shard by it when their own scheduler has no room.
 func (s *Scheduler) ExpectedWait() time.Duration {
-	capacity, work := 0, time.Duration(0)
+	capacity, work := 0.0, time.Duration(0)
 	for _, r := range s.runnerList {
 		if r.usable(s.now) {
-			capacity += r.info.Capacity.MilliCPU
+			capacity += r.speed()
 		}
 	}
 	if capacity == 0 {
@@ -80,7 +80,7 @@
 	for _, j := range s.queue {
 		work += s.waitingWork(j)
 	}
-	return work / time.Duration(max(1, int(float64(capacity)*usableShare)))
+	return work / time.Duration(max(1, int(capacity*usableShare)))
 }
 
 // maxBacklog is the longest that the waiting stored jobs of one service, late ones included, may
@@ -109,7 +109,7 @@
 	if s.now-j.listsNeededSince > listTimeout && s.heldBack(j) {
 		begin = max(begin, j.priorRunsOverAt)
 	}
-	return completionProbability(j.remaining, s.fastestPace(j.work.Service), j.deadline-begin) < minCompletionProbability
+	return completionProbability(j.expected, s.fastestPace(j.work.Service), j.deadline-begin) < minCompletionProbability
 }
 
 func (s *Scheduler) fastestPace(service string) float64 {
@@ -125,15 +125,15 @@
 	return fastest
 }
 
-// capacity returns the usable processors of a service, in thousandths of a core.
+// capacity returns the usable processors of a service, weighted by speed, in thousandths of a core.
 func (s *Scheduler) capacity(service string) int {
-	n := 0
+	n := 0.0
 	for _, r := range s.runnerList {
 		if r.info.Service == service && r.usable(s.now) {
-			n += r.info.Capacity.MilliCPU
+			n += r.speed()
 		}
 	}
-	return int(float64(n) * usableShare)
+	return int(n * usableShare)
 }
 
 // backlog returns the work that waits ahead of a job, in time x thousandths of a core. Late jobs
@@ -161,6 +161,7 @@
 // waitingWork returns the work of a job's waiting tasks whose occurrences are due.
 func (s *Scheduler) waitingWork(j *job) time.Duration {
 	var sum time.Duration
+	ratio := s.queueRatio(j)
 	for i := range j.steps {
 		if !s.occurrenceDue(j, i) {
 			break
@@ -171,7 +172,7 @@
 				n++
 			}
 		}
-		sum += step.Estimate * time.Duration(n*step.Need.MilliCPU)
+		sum += time.Duration(float64(step.Estimate)*ratio) * time.Duration(n*step.Need.MilliCPU)
 	}
 	return sum
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -70,8 +70,9 @@
 	// firstRun is when the first start was ordered here, and runs the number of starts.
 	firstRun Time
 	runs     int
-	// remaining is the estimated run time of the longest chain of dependent steps.
-	remaining time.Duration
+	// remaining is the expected run time of the longest chain of dependent steps, and expected the
+	// same on a runner of pace 1.
+	remaining, expected time.Duration
 	// priorRunsOverAt is when runs that an earlier scheduler may have started can't be alive
 	// any more on runners that didn't answer.
 	priorRunsOverAt Time
@@ -113,7 +114,8 @@
 		}
 	}
 	j.waiting = w.Tasks()
-	j.remaining = w.CriticalPath()
+	j.expected = w.CriticalPath()
+	j.remaining = j.expected
 	return j
 }
 
--- a/core/schedule/learned.go
+++ b/core/schedule/learned.go
@@ -115,3 +115,29 @@
 		Reason: fmt.Sprintf("recent ratio %.2f, usual ratio %.2f", r.health.recent, r.health.usual),
 	})
 }
+
+// speed returns the runner's processors, weighted by its speed: the work of expected runs that it
+// does per unit of time, in thousandths of a core.
+func (r *runner) speed() float64 { return float64(r.info.Capacity.MilliCPU) / r.health.pace() }
+
+// setRemaining corrects a job's estimated run time by what is learned.
+func (s *Scheduler) setRemaining(j *job) {
+	estimate := float64(j.work.CriticalPath()) * s.queueRatio(j)
+	j.expected = time.Duration(estimate)
+	j.remaining = time.Duration(estimate * s.meanPace(j.work.Service))
+}
+
+// meanPace returns the mean pace of a service's runners, weighted by the work that they do.
+func (s *Scheduler) meanPace(service string) float64 {
+	capacity, speed := 0.0, 0.0
+	for _, r := range s.runnerList {
+		if r.info.Service == service && r.owned {
+			capacity += float64(r.info.Capacity.MilliCPU)
+			speed += r.speed()
+		}
+	}
+	if speed == 0 {
+		return 1
+	}
+	return capacity / speed
+}
