What is learned is sent to the next leaders; dump and notices

Cause: a successor without what was learned begins anew in the middle of a burst.

Change: LearnedPaces goes with Progress, and at most every 5 s to the process that would lead next and to one of another failure domain (or of the same, if the first is of another). The dump shows learned ratios by kind and queue; notices say when copies arrive and are applied.

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -121,18 +121,27 @@
 	schedule.Progress
 }
 
-func (Heartbeat) message()   {}
-func (HandIn) message()      {}
-func (Verdict) message()     {}
-func (DropJob) message()     {}
-func (JobQuery) message()    {}
-func (JobAnswer) message()   {}
-func (JobMove) message()     {}
-func (JobTaken) message()    {}
-func (Declaration) message() {}
-func (RunnerList) message()  {}
-func (Progress) message()    {}
-func (Layout) message()      {}
+// LearnedPaces is what the leader of a shard has learned of runners and queues. It is sent to the
+// processes that would lead the shard next, from time to time and as the leader retires. Processes
+// of earlier versions ignore it.
+type LearnedPaces struct {
+	Shard int
+	schedule.Learned
+}
+
+func (Heartbeat) message()    {}
+func (HandIn) message()       {}
+func (Verdict) message()      {}
+func (DropJob) message()      {}
+func (JobQuery) message()     {}
+func (JobAnswer) message()    {}
+func (JobMove) message()      {}
+func (JobTaken) message()     {}
+func (Declaration) message()  {}
+func (RunnerList) message()   {}
+func (Progress) message()     {}
+func (Layout) message()       {}
+func (LearnedPaces) message() {}
 
 // Command is an action for the process to carry out.
 type Command interface{ command() }
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -267,6 +267,7 @@
 		s.ledger.Tick(now, s.schedule.DependsOnRowOwnership() || len(s.pendingQueries) > 0)
 		s.schedule.SetStoreFailingFor(s.ledger.FailingFor(now))
 		s.schedule.Tick(now)
+		n.shareLearned(now, s)
 		if s.schedule.Leading() {
 			n.expectedWait = max(n.expectedWait, s.schedule.ExpectedWait())
 		}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -126,6 +126,8 @@
 		if s := n.ownShard(m.Shard); s != nil {
 			s.schedule.ApplyProgress(now, m.Progress)
 		}
+	case LearnedPaces:
+		n.receiveLearned(now, from, m)
 	case Layout:
 		n.ApplyLayout(now, m.Layout)
 	case RunnerList:
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -20,6 +20,7 @@
 	ledger *ledger.Ledger
 	// pendingQueries wait for a job's end or for its state to become certain.
 	pendingQueries map[workload.JobID][]pendingQuery
+	learned        learnedState
 }
 
 // ApplyLayout sets how the runners are divided into shards. Only the first call has an
@@ -193,6 +194,7 @@
 		}
 		n.becameLeaderAt = now
 		s.schedule.Lead(now)
+		n.reportLearned(now, s)
 		n.acquireRows(now, s)
 	} else {
 		n.retire(now, s)
@@ -209,6 +211,7 @@
 func (n *Node) retire(now Time, s *shard) {
 	if s.schedule.Leading() && s.choice.Reachable {
 		n.sendPossibleRunners(s)
+		n.sendLearned(now, s, s.choice.Leader)
 		n.emit(Send{To: s.choice.Leader, Message: Progress{Shard: s.index, Progress: s.schedule.Progress(now)}})
 	}
 	s.retire(now)
--- a/core/leader/assignment.go
+++ b/core/leader/assignment.go
@@ -38,6 +38,13 @@
 	v.assigned.valid, v.assigned.validUntil, v.assigned.candidates = true, validUntil, candidates
 }
 
+// Successor returns the process that should lead a shard of this cell if only those processes were
+// left for which remains is true; "" if none of them can.
+func (v *View) Successor(now Time, shard int, remains func(ID) bool) ID {
+	first, _ := v.candidatesAmong(now, remains)
+	return v.leadersAmong(first)[shard]
+}
+
 // leadersAmong chooses the leader of each shard of the cell.
 func (v *View) leadersAmong(candidates []ID) map[int]ID {
 	switch {
@@ -59,9 +66,14 @@
 // candidates lists the processes of the cell that are able to lead and that no other of them
 // precedes by class, ordered by ID, and until when they are the same if nothing changes.
 func (v *View) candidates(now Time) ([]ID, Time) {
+	return v.candidatesAmong(now, func(ID) bool { return true })
+}
+
+// candidatesAmong is the same for a part of the processes.
+func (v *View) candidatesAmong(now Time, includes func(ID) bool) ([]ID, Time) {
 	var able []candidate
 	validUntil := now + HeartbeatTimeout
-	if v.own.Able && v.settled(now) {
+	if v.own.Able && v.settled(now) && includes(v.self) {
 		able = append(able, candidate{v.self, &v.own})
 	}
 	if !v.settlePeriodOver(now) {
@@ -69,7 +81,7 @@
 		validUntil = now
 	}
 	for id, p := range v.peers {
-		if p.report.Able && p.report.Cell == v.own.Cell && now-p.lastContact <= HeartbeatTimeout {
+		if p.report.Able && p.report.Cell == v.own.Cell && now-p.lastContact <= HeartbeatTimeout && includes(id) {
 			able = append(able, candidate{id, &p.report})
 			validUntil = min(validUntil, p.lastContact+HeartbeatTimeout)
 		}
--- a/core/pace/average.go
+++ b/core/pace/average.go
@@ -18,9 +18,11 @@
 const (
 	// HalfLife is the age at which a run counts for half.
 	HalfLife = 60 * time.Second
-	// maxRuns bounds the number of runs in an average. Estimates are off by a factor of 1.5
-	// either way: the mean of 30 runs is within 8% of the true one.
-	maxRuns = 30
+	// maxRuns bounds the number of runs in the average of a runner, and maxGroupRuns in that of a
+	// kind or a queue. Estimates are off by a factor of 1.5 either way: the mean of 30 runs is
+	// within 8% of the true one. Tasks of one job are off together, and a queue's jobs may have
+	// many.
+	maxRuns, maxGroupRuns = 30, 300
 	// MinRatio and MaxRatio bound the ratios, so that a stuck run or a false estimate doesn't
 	// outweigh many usual ones.
 	MinRatio, MaxRatio = 0.1, 10.0
@@ -39,9 +41,9 @@
 	return a.runs * math.Exp2(-max(0, now-a.at).Seconds()/HalfLife.Seconds())
 }
 
-// add includes a run.
-func (a *average) add(now Time, log float64) {
-	a.runs = min(a.weight(now), maxRuns-1) + 1
+// add includes a run in an average over up to limit runs.
+func (a *average) add(now Time, log, limit float64) {
+	a.runs = min(a.weight(now), limit-1) + 1
 	a.log += (log - a.log) / a.runs
 	a.at = now
 }
@@ -52,7 +54,7 @@
 		return
 	}
 	a.log += (o.log - a.log) * o.runs / (a.runs + o.runs)
-	a.runs = min(a.runs+o.runs, maxRuns)
+	a.runs = min(a.runs+o.runs, maxGroupRuns)
 	a.at = max(a.at, o.at)
 }
 
--- a/core/pace/book.go
+++ b/core/pace/book.go
@@ -11,7 +11,7 @@
 	kindRuns, serviceRuns = 4, 4
 	// queueRuns is the number of runs that outweigh the assumption that a queue's estimates are
 	// as good as others.
-	queueRuns = 10
+	queueRuns = 30
 )
 
 // Kind is a kind of runner: a service, and what makes the runners of a service similar.
@@ -67,10 +67,10 @@
 	b.revision++
 	log := logOf(ratio)
 	ofQueue, ofRunner := b.queueLog(now, queue), b.runnerLog(now, runner, kind)
-	b.runner(runner, kind).add(now, log-ofQueue)
-	entry(b.kinds, kind).add(now, log-ofQueue)
-	entry(b.usual, kind.Service).add(now, log-ofQueue)
-	entry(b.queues, queue).add(now, log-ofRunner)
+	b.runner(runner, kind).add(now, log-ofQueue, maxRuns)
+	entry(b.kinds, kind, MaxKinds).add(now, log-ofQueue, maxGroupRuns)
+	entry(b.usual, kind.Service, MaxKinds).add(now, log-ofQueue, maxGroupRuns)
+	entry(b.queues, queue, MaxQueues).add(now, log-ofRunner, maxGroupRuns)
 }
 
 // Runner returns the usual ratio of a runner. Without enough runs it is that of its kind, and
@@ -115,30 +115,50 @@
 // runner returns the average of a runner. One that is of another kind than before begins anew.
 func (b *Book) runner(id string, kind Kind) *average {
 	r := b.runners[id]
-	if r == nil || r.kind != kind {
-		r = &runnerAverage{kind: kind}
-		b.runners[id] = r
+	if r != nil && r.kind == kind {
+		return &r.average
+	}
+	delete(b.runners, id)
+	if len(b.runners) >= MaxRunners {
+		b.forgetOldestRunner()
 	}
+	r = &runnerAverage{kind: kind}
+	b.runners[id] = r
 	return &r.average
 }
 
+func (b *Book) forgetOldestRunner() {
+	ages := make(map[string]*average, len(b.runners))
+	for id, r := range b.runners {
+		ages[id] = &r.average
+	}
+	delete(b.runners, oldest(ages))
+}
+
 // ForgetRunner forgets a runner's own runs; its kind's remain.
 func (b *Book) ForgetRunner(runner string) { delete(b.runners, runner) }
 
-// Retain forgets the runners for which keep is false.
-func (b *Book) Retain(keep func(runner string) bool) {
-	for id := range b.runners {
-		if !keep(id) {
-			delete(b.runners, id)
-		}
+// entry returns the average of a key. Of too many keys the one with the oldest run is forgotten.
+func entry[K comparable](m map[K]*average, key K, limit int) *average {
+	a := m[key]
+	if a != nil {
+		return a
+	}
+	if len(m) >= limit {
+		delete(m, oldest(m))
 	}
+	a = &average{}
+	m[key] = a
+	return a
 }
 
-func entry[K comparable](m map[K]*average, key K) *average {
-	a := m[key]
-	if a == nil {
-		a = &average{}
-		m[key] = a
+func oldest[K comparable](m map[K]*average) K {
+	var found K
+	first := Time(math.MaxInt64)
+	for key, a := range m {
+		if a.at < first {
+			found, first = key, a.at
+		}
 	}
-	return a
+	return found
 }
--- a/core/pace/learned.go
+++ b/core/pace/learned.go
@@ -25,7 +25,7 @@
 	MaxRunners, MaxKinds, MaxQueues = 128, 16, 32
 	// maxNameLength bounds the names of entries in an export, in bytes.
 	maxNameLength = 96
-	// maxAge is the age from which a ratio is ignored: by then it counts for a hundredth.
+	// maxAge is the age from which a ratio is ignored: by then its runs count for less than one.
 	maxAge = 7 * HalfLife
 	// tolerance is the factor by which a received ratio may be outside of its bounds; its
 	// encoding may round it.
@@ -46,19 +46,6 @@
 	return age
 }
 
-// Aged returns a copy in which all entries are older.
-func (l Learned) Aged(by time.Duration) Learned {
-	return Learned{Runners: aged(l.Runners, by), Kinds: aged(l.Kinds, by), Queues: aged(l.Queues, by)}
-}
-
-func aged(list []Ratio, by time.Duration) []Ratio {
-	older := slices.Clone(list)
-	for i := range older {
-		older[i].Age += by
-	}
-	return older
-}
-
 // Export returns the averages in the order of their names; of too many, those of the latest runs.
 func (b *Book) Export(now Time) Learned {
 	var l Learned
@@ -111,7 +98,7 @@
 		return b.runner(id, kind)
 	})
 	m.merge(now, l.Kinds, MaxKinds, b.receivedKind)
-	m.merge(now, l.Queues, MaxQueues, func(name string) *average { return entry(b.queues, name) })
+	m.merge(now, l.Queues, MaxQueues, func(name string) *average { return entry(b.queues, name, MaxQueues) })
 	b.deriveUsual()
 	return m
 }
@@ -122,7 +109,7 @@
 	derived := make(map[string]*average)
 	for _, kind := range sorted {
 		if usual := b.usual[kind.Service]; usual == nil || usual.runs == 0 {
-			entry(derived, kind.Service).join(b.kinds[kind])
+			entry(derived, kind.Service, MaxKinds).join(b.kinds[kind])
 		}
 	}
 	maps.Copy(b.usual, derived)
@@ -151,7 +138,7 @@
 	if a.runs > 0 && a.at >= at {
 		return false
 	}
-	*a = average{log: logOf(r.Value), runs: float64(min(r.Runs, maxRuns)), at: at}
+	*a = average{log: logOf(r.Value), runs: float64(min(r.Runs, maxGroupRuns)), at: at}
 	return true
 }
 
@@ -161,5 +148,5 @@
 	if !ok {
 		return nil
 	}
-	return entry(b.kinds, kind)
+	return entry(b.kinds, kind, MaxKinds)
 }
--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "sapphirepoint.example/sapphirepoint/core/pace"
+
 // Dump is the scheduler's state as shown to operators.
 type Dump struct {
 	Leading  bool         `json:"leading"`
@@ -8,6 +10,25 @@
 	Waiting  []string     `json:"waiting"`
 	Runners  []RunnerDump `json:"runners"`
 	Counters Counters     `json:"counters"`
+	// Kinds and Queues are what is learned of the kinds of runners and of the queues.
+	Kinds  []RatioDump `json:"learned_kinds"`
+	Queues []RatioDump `json:"learned_queues"`
+}
+
+// RatioDump is a learned ratio of run time to estimate. For a queue it is relative to other queues.
+type RatioDump struct {
+	Name  string  `json:"name"`
+	Ratio float64 `json:"ratio"`
+	Runs  uint32  `json:"runs"`
+	AgeMs int64   `json:"age_ms"`
+}
+
+func dumpRatios(list []pace.Ratio) []RatioDump {
+	var dump []RatioDump
+	for _, r := range list {
+		dump = append(dump, RatioDump{Name: r.Name, Ratio: r.Value, Runs: r.Runs, AgeMs: r.Age.Milliseconds()})
+	}
+	return dump
 }
 
 // RunnerDump is the state of one runner; durations are relative to now, in milliseconds.
@@ -24,6 +45,7 @@
 	AliveFor     int64    `json:"alive_for_ms"`
 	ClockAge     int64    `json:"clock_age_ms"`
 	Pace         float64  `json:"pace"`
+	PaceTurned   bool     `json:"pace_turned"`
 	Strikes      int      `json:"strikes"`
 	FreeCPU      int      `json:"free_millicpu"`
 	Runs         []string `json:"runs"`
@@ -41,6 +63,8 @@
 	for _, r := range s.runnerList {
 		d.Runners = append(d.Runners, r.dump(now))
 	}
+	learned := s.learned.Export(now)
+	d.Kinds, d.Queues = dumpRatios(learned.Kinds), dumpRatios(learned.Queues)
 	return d
 }
 
@@ -58,6 +82,7 @@
 		AliveFor:     max(0, r.aliveUntil-now).Milliseconds(),
 		ClockAge:     (now - r.clockAt).Milliseconds(),
 		Pace:         r.health.pace(),
+		PaceTurned:   r.health.turned,
 		Strikes:      r.health.strikes,
 		FreeCPU:      r.free().MilliCPU,
 		Acknowledged: r.acknowledged,
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -86,6 +86,7 @@
 	r.evacuated = s.evacuates(r.info.Domain)
 	s.runners[r.info.ID] = r
 	s.runnerList = append(s.runnerList, r)
+	s.updatePace(r)
 	if s.leading {
 		s.acquire(r)
 	}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -41,6 +41,8 @@
 		return runnersMessage(m)
 	case fleet.Progress:
 		return progressMessage(m)
+	case fleet.LearnedPaces:
+		return learnedMessage(m)
 	case fleet.Layout:
 		return &pb.FleetMessage{Body: &pb.FleetMessage_Layout{Layout: &pb.Layout{Cells: m.Layout}}}
 	}
@@ -62,6 +64,8 @@
 		return "runners"
 	case *pb.FleetMessage_Progress:
 		return "progress"
+	case *pb.FleetMessage_LearnedPaces:
+		return "learned"
 	}
 	return "other"
 }
@@ -96,6 +100,8 @@
 		return runnersOf(body.Runners)
 	case *pb.FleetMessage_Progress:
 		return progressOf(body.Progress)
+	case *pb.FleetMessage_LearnedPaces:
+		return learnedOf(body.LearnedPaces)
 	case *pb.FleetMessage_Layout:
 		return fleet.Layout{Layout: body.Layout.GetCells()}
 	}
