--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -19,7 +19,7 @@
 	// recentRuns is the number of jobs over which the recent ratio is averaged. turnFactor is its
 	// ratio to the usual one from which a runner's pace has turned, and recoverFactor that below
 	// which it has recovered.
-	recentRuns    = 4
+	recentRuns    = 3
 	turnFactor    = 2.0
 	recoverFactor = 1.5
 	// turnedRuns is the number of runs after which a turned pace becomes the usual one.
