--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -103,7 +103,9 @@
 	tail func(work, mean time.Duration) time.Duration
 	// slowed multiplies the run time on a runner at present; nil for none.
 	slowed func(workload.RunnerID) float64
-	last   int
+	// estimates multiplies the estimates of a kind; 1 for those that it lacks.
+	estimates map[string]float64
+	last      int
 }
 
 type simEvent struct {
@@ -223,6 +225,9 @@
 	width := max(1, min(int(math.Round(k.tasks*s.spread(widthSpread))), int(4*k.tasks)))
 	need := min(int(k.milliCPU*s.spread(needSpread)), 48000)
 	estimate := time.Duration(float64(work) * s.spread(estimateOff))
+	if f := s.estimates[k.name]; f > 0 {
+		estimate = time.Duration(float64(estimate) * f)
+	}
 	w := &workload.Job{
 		ID: workload.JobID(fmt.Sprintf("%016x", s.last)), Queue: k.name, Service: service, Priority: k.priority, MaxAttempts: 3,
 		Objective: time.Duration(objectiveTimes*float64(estimate)) + objectiveBase,
