--- a/core/schedule/faster.go
+++ b/core/schedule/faster.go
@@ -29,29 +29,51 @@
 	need  workload.Resources
 }
 
+// claimList is what is free on a runner, and the claims of its runs and of the tasks that wait for
+// it, ordered by their ends.
+type claimList struct {
+	free   workload.Resources
+	claims []claim
+}
+
+func compareClaims(a, b claim) int {
+	return cmp.Or(cmp.Compare(a.until, b.until), cmp.Compare(a.need.MilliCPU, b.need.MilliCPU), cmp.Compare(a.need.MemoryMB, b.need.MemoryMB))
+}
+
+// reserve adds the claim of a task that waits.
+func (l *claimList) reserve(until Time, need workload.Resources) {
+	l.free = l.free.Minus(need)
+	c := claim{until, need}
+	at, _ := slices.BinarySearchFunc(l.claims, c, compareClaims)
+	l.claims = slices.Insert(l.claims, at, c)
+}
+
 // waitsForFaster reports whether a task should wait for a faster runner than the best one that has
 // room, and reserves the room that it waits for.
 func (p *placer) waitsForFaster(t *taskState, best *runner) bool {
+	if p.waiting >= maxWaiting || t.job.stored != nil {
+		return false
+	}
 	most := p.inTime(t, best, p.s.now) + waitGain
-	if most >= 1 || p.waiting >= maxWaiting || t.job.stored != nil {
+	if most >= 1 {
 		return false
 	}
 	var fastest *runner
-	var from Time
+	var from, ends Time
 	for _, r := range p.s.runnerList {
 		if r.health.pace() >= best.health.pace() || r.health.suspect() || !p.suits(t, r) {
 			continue
 		}
 		at := p.freeAt(r, t.step().Need)
-		if probability := p.inTime(t, r, at); probability > most {
-			fastest, most, from = r, probability, at
+		if end := at + p.s.duration(t, r); fastest == nil || end < ends {
+			fastest, from, ends = r, at, end
 		}
 	}
-	if fastest == nil {
+	if fastest == nil || p.inTime(t, fastest, from) <= most {
 		return false
 	}
 	p.waiting++
-	p.reserved[fastest] = append(p.reserved[fastest], claim{from + p.s.duration(t, fastest), t.step().Need})
+	p.claims(fastest).reserve(ends, t.step().Need)
 	return true
 }
 
@@ -76,17 +98,9 @@
 // freeAt returns when a runner is expected to have room for a need, after its runs and the tasks
 // that wait for it.
 func (p *placer) freeAt(r *runner, need workload.Resources) Time {
-	free := r.free()
-	claims := p.runClaims(r)
-	for _, c := range p.reserved[r] {
-		free = free.Minus(c.need)
-		claims = append(claims, c)
-	}
-	slices.SortFunc(claims, func(a, b claim) int {
-		return cmp.Or(cmp.Compare(a.until, b.until), cmp.Compare(a.need.MilliCPU, b.need.MilliCPU), cmp.Compare(a.need.MemoryMB, b.need.MemoryMB))
-	})
-	at := p.s.now
-	for _, c := range claims {
+	list := p.claims(r)
+	free, at := list.free, p.s.now
+	for _, c := range list.claims {
 		if need.Fits(free) {
 			break
 		}
@@ -95,18 +109,28 @@
 	return at
 }
 
-// runClaims returns when the runs on a runner are expected to end.
-func (p *placer) runClaims(r *runner) []claim {
-	claims := make([]claim, 0, len(r.runs)+len(p.reserved[r]))
+// claims returns the claims on a runner.
+func (p *placer) claims(r *runner) *claimList {
+	list := p.claimed[r]
+	if list != nil {
+		return list
+	}
+	list = &claimList{free: r.free(), claims: make([]claim, 0, len(r.runs)+1)}
 	for _, u := range r.runs {
-		if u.task == nil {
-			continue
-		}
-		end := u.started + p.s.duration(u.task, r)
+		end := u.expectedEnd
 		if end < p.s.now {
 			end = p.s.now + time.Duration(overrunShare*float64(p.s.now-u.started))
 		}
-		claims = append(claims, claim{end, u.need})
+		list.claims = append(list.claims, claim{end, u.need})
+	}
+	slices.SortFunc(list.claims, compareClaims)
+	p.claimed[r] = list
+	return list
+}
+
+// noteStart adds the claim of a task that has been started.
+func (p *placer) noteStart(u *run) {
+	if list := p.claimed[u.runner]; list != nil {
+		list.reserve(u.expectedEnd, u.need)
 	}
-	return claims
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -73,6 +73,8 @@
 	// remaining is the expected run time of the longest chain of dependent steps, and expected the
 	// same on a runner of pace 1.
 	remaining, expected time.Duration
+	// queueRatio is the learned ratio of its queue; 0 if it wasn't looked up.
+	queueRatio float64
 	// priorRunsOverAt is when runs that an earlier scheduler may have started can't be alive
 	// any more on runners that didn't answer.
 	priorRunsOverAt Time
--- a/core/schedule/learned.go
+++ b/core/schedule/learned.go
@@ -66,8 +66,13 @@
 }
 
 // queueRatio returns the factor by which the runs of a job's queue take longer than estimated,
-// compared with those of other queues.
-func (s *Scheduler) queueRatio(j *job) float64 { return s.learned.Queue(s.now, j.work.Queue) }
+// compared with those of other queues, as known when the job arrived.
+func (s *Scheduler) queueRatio(j *job) float64 {
+	if j.queueRatio == 0 {
+		j.queueRatio = s.learned.Queue(s.now, j.work.Queue)
+	}
+	return j.queueRatio
+}
 
 // expected returns how long a task's run would take on a runner of pace 1.
 func (s *Scheduler) expected(t *taskState, r *runner) time.Duration {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -150,6 +150,7 @@
 			}
 			if r := p.place(t); r != nil {
 				s.start(t, r)
+				p.noteStart(t.run)
 			}
 		}
 	}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -37,15 +37,16 @@
 	// much or more skip the search.
 	smallestUnplaced map[string]workload.Resources
 	median           map[string]float64
-	// waiting counts the tasks that wait for faster runners, and reserved is what they wait for.
-	waiting  int
-	reserved map[*runner][]claim
+	// waiting counts the tasks that wait for faster runners, and claimed is what runs and those
+	// tasks use of the runners.
+	waiting int
+	claimed map[*runner]*claimList
 }
 
 func newPlacer(s *Scheduler) *placer {
 	return &placer{
 		s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64),
-		reserved: make(map[*runner][]claim),
+		claimed: make(map[*runner]*claimList),
 	}
 }
 
@@ -182,6 +183,7 @@
 		started: s.now,
 	}
 	u.overdueAt = s.overdueAt(t, r)
+	u.expectedEnd = s.now + s.duration(t, r)
 	t.job.noteRun(u.key)
 	t.run = u
 	t.setPhase(running)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -109,6 +109,8 @@
 	overAt    Time
 	// overdueAt is when the run counts as stuck.
 	overdueAt Time
+	// expectedEnd is when it is expected to end.
+	expectedEnd Time
 }
 
 // ofStoredJob reports whether the run belongs to a stored job. If it was stopped it may have
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -140,6 +140,7 @@
 	t.setPhase(running)
 	u.runner.reserve(u, t.step().Need)
 	u.overdueAt = s.overdueAt(t, u.runner)
+	u.expectedEnd = s.now + s.duration(t, u.runner)
 	s.emit(Decision{Event: "run-adopted", Job: j.work.ID, Run: u.key, Runner: u.runner.info.ID, Token: u.runner.token})
 }
 
