Order of service by estimates, refusals by expected run times

Cause: with estimates of one queue twice too long, the corrected latest start served it later than its callers' objectives allow.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -56,7 +56,7 @@
 	if reason := s.overcommitted(j, capacity); reason != "" {
 		return reason, false
 	}
-	if wait > 0 && s.now+wait+j.remaining > j.worthlessAt {
+	if wait > 0 && s.now+wait+s.expectedRun(j) > j.worthlessAt {
 		return fmt.Sprintf("wait of %v expected", wait.Round(time.Millisecond)), false
 	}
 	return "", false
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -70,8 +70,8 @@
 	// firstRun is when the first start was ordered here, and runs the number of starts.
 	firstRun Time
 	runs     int
-	// remaining is the expected run time of the longest chain of dependent steps, and expected the
-	// same on a runner of pace 1.
+	// remaining is the estimated run time of the longest chain of dependent steps, and expected the
+	// same corrected by what is learned of the job's queue, on a runner of pace 1.
 	remaining, expected time.Duration
 	// queueRatio is the learned ratio of its queue; 0 if it wasn't looked up.
 	queueRatio float64
--- a/core/schedule/learned.go
+++ b/core/schedule/learned.go
@@ -125,11 +125,15 @@
 // does per unit of time, in thousandths of a core.
 func (r *runner) speed() float64 { return float64(r.info.Capacity.MilliCPU) / r.health.pace() }
 
-// setRemaining corrects a job's estimated run time by what is learned.
-func (s *Scheduler) setRemaining(j *job) {
-	estimate := float64(j.work.CriticalPath()) * s.queueRatio(j)
-	j.expected = time.Duration(estimate)
-	j.remaining = time.Duration(estimate * s.meanPace(j.work.Service))
+// setExpected corrects a job's estimated run time by what is learned of its queue. The order of
+// service stays by the estimate, as callers' objectives follow from it.
+func (s *Scheduler) setExpected(j *job) {
+	j.expected = time.Duration(float64(j.work.CriticalPath()) * s.queueRatio(j))
+}
+
+// expectedRun returns how long a job is expected to run on the usual runners of its service.
+func (s *Scheduler) expectedRun(j *job) time.Duration {
+	return time.Duration(float64(j.expected) * s.meanPace(j.work.Service))
 }
 
 // meanPace returns the mean pace of a service's runners, weighted by the work that they do.
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -67,7 +67,7 @@
 	j.due = min(now+sub.RemainingObjective, j.deadline)
 	// The objective counts from the caller's first send, so a part of it may be over.
 	j.worthlessAt = min(now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
-	s.setRemaining(j)
+	s.setExpected(j)
 	s.handedBefore(j, sub)
 	if _, ok := s.ranJobs[id]; ok {
 		j.started = true
