Successors of a shard are looked for at most every 5 s

Cause: each tick of a leader looked for successors, though they are needed once in 5 s.

Change: the interval is checked first.

Evidence: go test ./core/fleet -run Learned.

--- a/core/fleet/learned.go
+++ b/core/fleet/learned.go
@@ -21,10 +21,11 @@
 
 // learnedState is the state of the copies of what was learned in a shard.
 type learnedState struct {
-	// sentAt is when they were last sent by this process, at which revision and to whom.
-	sentAt   Time
-	revision uint64
-	sentTo   []leader.ID
+	// checkedAt is when this process last checked whether to send them. It last did at revision to
+	// sentTo.
+	checkedAt Time
+	revision  uint64
+	sentTo    []leader.ID
 	// from is who last sent a copy here, and reportedAt when useless entries were last logged.
 	from       leader.ID
 	reportedAt Time
@@ -34,14 +35,15 @@
 // learned since or a successor hasn't received it.
 func (n *Node) shareLearned(now Time, s *shard) {
 	state := &s.learned
-	if !s.schedule.Leading() || now-state.sentAt < learnedInterval {
+	if !s.schedule.Leading() || now-state.checkedAt < learnedInterval {
 		return
 	}
+	state.checkedAt = now
 	revision, successors := s.schedule.LearnedRevision(), n.successors(now, s)
 	if revision == state.revision && slices.Equal(successors, state.sentTo) {
 		return
 	}
-	state.sentAt, state.revision, state.sentTo = now, revision, successors
+	state.revision, state.sentTo = revision, successors
 	for _, to := range successors {
 		n.sendLearned(now, s, to)
 	}
