--- a/core/schedule/faster.go
+++ b/core/schedule/faster.go
@@ -17,7 +17,7 @@
 	waitGain = 0.35
 	// maxWaiting bounds the tasks that wait for faster runners in one call of dispatch, and so
 	// the time for the search.
-	maxWaiting = 16
+	maxWaiting = 64
 	// overrunShare is the share of its elapsed time that a run which has taken longer than
 	// expected is assumed to take still.
 	overrunShare = 0.25
