--- a/core/schedule/learned.go
+++ b/core/schedule/learned.go
@@ -79,11 +79,12 @@
 	return time.Duration(float64(t.step().Estimate) * s.queueRatio(t.job) * s.remoteFactor(t, r))
 }
 
-// learnRun learns from the successful run of a task.
-func (s *Scheduler) learnRun(t *taskState, r *runner, elapsed time.Duration) {
-	expected := s.expected(t, r)
+// learnRun learns from the successful run of a task. When a run was started that another scheduler
+// started isn't known.
+func (s *Scheduler) learnRun(t *taskState, u *run) {
+	r, elapsed, expected := u.runner, s.now-u.started, s.expected(t, u.runner)
 	r.health.succeeded(s.now, elapsed, expected)
-	if expected <= 0 || elapsed <= 0 {
+	if expected <= 0 || elapsed <= 0 || u.startedElsewhere {
 		return
 	}
 	s.noteRatio(r, t, float64(elapsed)/float64(expected))
--- a/core/schedule/learned_test.go
+++ b/core/schedule/learned_test.go
@@ -116,6 +116,20 @@
 	g.Expect(d.Queues[0].Name).To(Equal("q"))
 }
 
+// Guards against a runner that seems fast after a takeover, since only the rest of a run was seen.
+func TestNothingIsLearnedFromRunsOfAnotherScheduler(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := testJob(1, 400*ms)
+	key := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 1}
+	b.s.requestList(b.s.runners["r1"])
+	b.answerHold(one[Hold](b), Accepted, key)
+	b.submit(j, 3*time.Second)
+	b.now += 10 * ms
+	b.end("r1", 1, key, workload.Done)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Completed))
+	b.g.Expect(b.s.Learned(b.now).Count()).To(BeZero())
+}
+
 // Guards against absurd numbers from another version that change where tasks run.
 func TestAbsurdLearnedPacesChangeNothing(t *testing.T) {
 	b := leading(t, testRunner("r1"))
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -206,7 +206,7 @@
 		t.job.recordRunTime(t.name, s.now-u.started)
 	}
 	if u != nil && u.task == t && !u.stopping {
-		s.learnRun(t, r, s.now-u.started)
+		s.learnRun(t, u)
 	}
 	if t.run != nil && t.run != u {
 		other := t.run
