--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -73,8 +73,11 @@
 	// firstRun is when the first start was ordered here, and runs the number of starts.
 	firstRun Time
 	runs     int
-	// remaining is the estimated run time of the longest chain of dependent steps.
-	remaining time.Duration
+	// remaining is the estimated run time of the longest chain of dependent steps, and expected the
+	// same corrected by what is learned of the job's queue, on a runner of pace 1.
+	remaining, expected time.Duration
+	// queueRatio is the learned ratio of its queue; 0 if it wasn't looked up.
+	queueRatio float64
 	// priorRunsOverAt is when runs that an earlier scheduler may have started can't be alive
 	// any more on runners that didn't answer.
 	priorRunsOverAt Time
@@ -118,7 +121,8 @@
 		}
 	}
 	j.waiting = w.Tasks()
-	j.remaining = w.CriticalPath()
+	j.expected = w.CriticalPath()
+	j.remaining = j.expected
 	return j
 }
 
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -11,10 +11,12 @@
 	// missWeight weighs the probability that a task isn't done in time on a runner against the
 	// fit: a probability of one tenth costs as much as a runner that would stay entirely free.
 	missWeight = 10.0
+	// lateWeight is the same for the probability that the task ends after its job's objective.
+	lateWeight = 5.0
 	// slowRunnerGain is the gain of placing a task that has time on a slower runner, which
 	// leaves the faster ones to more urgent tasks. Runners slower than maxPreferredPace times the
 	// usual gain no more, and cost slowRunnerPenalty.
-	slowRunnerGain    = 0.3
+	slowRunnerGain    = 0.6
 	maxPreferredPace  = 1.5
 	slowRunnerPenalty = 5.0
 	// remoteDomainPenalty keeps tasks in the failure domain of their caller while there is room;
@@ -35,10 +37,17 @@
 	// much or more skip the search.
 	smallestUnplaced map[string]workload.Resources
 	median           map[string]float64
+	// waiting counts the tasks that wait for faster runners, and claimed is what runs and those
+	// tasks use of the runners.
+	waiting int
+	claimed map[*runner]*claimList
 }
 
 func newPlacer(s *Scheduler) *placer {
-	return &placer{s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64)}
+	return &placer{
+		s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64),
+		claimed: make(map[*runner]*claimList),
+	}
 }
 
 // full reports whether tasks that need no more than those of a step have found no room.
@@ -47,7 +56,7 @@
 	return ok && need.Fits(step.Need)
 }
 
-// place chooses a runner for a task; nil if there is no room.
+// place chooses a runner for a task; nil if there is no room, or if it waits for a faster one.
 //
 // It uses best fit: a task of two fifths of a runner leaves room for another one only if both are
 // placed on the same runner; on two runners each would leave a gap that is too small for a third.
@@ -75,6 +84,9 @@
 	if best == nil && plain {
 		p.smallestUnplaced[service] = step.Need
 	}
+	if best != nil && p.waitsForFaster(t, best) {
+		return nil
+	}
 	return best
 }
 
@@ -102,9 +114,10 @@
 func (p *placer) cost(t *taskState, r *runner) float64 {
 	left := r.free().Minus(t.step().Need).MilliCPU
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
-	pace := r.health.pace() * p.s.remoteFactor(t, r)
+	pace := r.health.pace() * p.s.remoteFactor(t, r) * p.s.queueRatio(t.job)
 	c += missWeight * (1 - completionProbability(t.step().Estimate, pace, t.job.deadline-p.s.now))
-	relative := pace / p.usualPace(r.info.Service)
+	c += lateWeight * (1 - completionProbability(t.step().Estimate, pace, t.job.due-p.s.now))
+	relative := r.health.pace() * p.s.remoteFactor(t, r) / p.usualPace(r.info.Service)
 	c -= slowRunnerGain * min(relative, maxPreferredPace)
 	c += slowRunnerPenalty * max(0, relative-maxPreferredPace)
 	if t.job.domain != "" && r.info.Domain != t.job.domain {
@@ -154,7 +167,7 @@
 }
 
 func (s *Scheduler) overdueAt(t *taskState, r *runner) Time {
-	estimate := float64(t.step().Estimate) * max(1, r.health.pace()) * s.remoteFactor(t, r)
+	estimate := float64(t.step().Estimate) * max(1, r.health.pace()*s.queueRatio(t.job)) * s.remoteFactor(t, r)
 	limit := time.Duration(estimate)*overdueFactor + overdueSlack
 	return s.now + limit*time.Duration(1+t.overstays)
 }
@@ -170,6 +183,7 @@
 		started: s.now,
 	}
 	u.overdueAt = s.overdueAt(t, r)
+	u.expectedEnd = s.now + s.duration(t, r)
 	t.job.noteRun(u.key)
 	t.run = u
 	t.setPhase(running)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -75,6 +75,9 @@
 	orphanCount, foreignOrphanCount int
 	used                            workload.Resources
 	health                          health
+	// kindName is the name of its kind, and kindRevision the revision of info that it is from.
+	kindName     string
+	kindRevision uint64
 }
 
 // run is one run that is, or may be, on a runner.
@@ -106,6 +109,8 @@
 	overAt    Time
 	// overdueAt is when the run counts as stuck.
 	overdueAt Time
+	// expectedEnd is when it is expected to end.
+	expectedEnd Time
 }
 
 // ofStoredJob reports whether the run belongs to a stored job. If it was stopped it may have
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -67,6 +67,7 @@
 	j.due = min(now+sub.RemainingObjective, j.deadline)
 	// The objective counts from the caller's first send, so a part of it may be over.
 	j.worthlessAt = min(now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
+	s.setExpected(j)
 	s.handedBefore(j, sub)
 	if _, ok := s.ranJobs[id]; ok {
 		j.started = true
@@ -139,6 +140,7 @@
 	t.setPhase(running)
 	u.runner.reserve(u, t.step().Need)
 	u.overdueAt = s.overdueAt(t, u.runner)
+	u.expectedEnd = s.now + s.duration(t, u.runner)
 	s.emit(Decision{Event: "run-adopted", Job: j.work.ID, Run: u.key, Runner: u.runner.info.ID, Token: u.runner.token})
 }
 
