core/schedule: room is asked for and granted between schedulers

Cause: a job went to the shard of its id whatever waited there, and left it once, after a refusal, for a shard that had reported no wait 150 ms before.

Change: a scheduler asks another one for room for the jobs that would begin too late, and the lender counts what it grants as used until the job arrives or the grant expires. The simulation has several shards, messages that take 1 ms and reports that are 150 ms old. First state: nothing sends the messages yet.

Evidence: go test ./core/schedule.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -52,7 +52,7 @@
 	if !s.fitsSomewhere(j) {
 		return "no runner has what a task needs", false
 	}
-	wait := s.backlog(j) / time.Duration(capacity)
+	wait := (s.backlog(j) + s.promisedWork(j.work.Service)) / time.Duration(capacity)
 	if reason := s.overcommitted(j, capacity); reason != "" {
 		return reason, false
 	}
@@ -68,7 +68,7 @@
 // ExpectedWait returns how long the runners would take for all waiting work. Other entry VMs choose
 // a shard by it when their own scheduler has no room.
 func (s *Scheduler) ExpectedWait() time.Duration {
-	capacity, work := 0, time.Duration(0)
+	capacity, work := 0, s.promisedWork("")
 	for _, r := range s.runnerList {
 		if r.usable(s.now) {
 			capacity += r.info.Capacity.MilliCPU
@@ -137,13 +137,13 @@
 }
 
 // backlog returns the work that waits ahead of a job, in time x thousandths of a core. Late jobs
-// come after all others, so they aren't counted. Nor are jobs that are held back because
-// another scheduler may have started them, since they don't wait for room: counting them
+// come after all others, so they aren't counted. Nor are jobs that wait only for room in another
+// shard, or that are held back because another scheduler may have started them, since they don't wait for room: counting them
 // refused nearly all jobs of a cut off failure domain for half a second while its runners had
 // room.
 func (s *Scheduler) backlog(j *job) time.Duration {
 	return s.queuedWork(j.work.Service, func(q *job) bool {
-		return q.before(j) && !q.late(s.now) && !s.heldBack(q)
+		return q.before(j) && !q.late(s.now) && !s.heldBack(q) && !q.awaitsRoom
 	})
 }
 
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -74,6 +74,11 @@
 	// NoRoom: nothing of the job was started here, since there is no room; another scheduler
 	// may have some.
 	NoRoom bool
+	// Lent: the scheduler of the shard Lender has granted room for the job. Held is how long the
+	// job was here.
+	Lent   bool
+	Lender int
+	Held   time.Duration
 }
 
 // Decision is an entry for the log.
--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -8,6 +8,10 @@
 	Waiting  []string     `json:"waiting"`
 	Runners  []RunnerDump `json:"runners"`
 	Counters Counters     `json:"counters"`
+	// GrantsOut are the rooms promised to jobs of other shards, RoomRequested the jobs for which
+	// room is requested of another shard.
+	GrantsOut     []GrantDump `json:"grants_out"`
+	RoomRequested []GrantDump `json:"room_requested"`
 }
 
 // RunnerDump is the state of one runner; durations are relative to now, in milliseconds.
@@ -34,7 +38,7 @@
 
 // Dump returns the scheduler's state.
 func (s *Scheduler) Dump(now Time) Dump {
-	d := Dump{Leading: s.leading, Term: s.term, Jobs: len(s.jobs), Counters: s.ctr}
+	d := Dump{Leading: s.leading, Term: s.term, Jobs: len(s.jobs), Counters: s.ctr, GrantsOut: s.grantsOut(now), RoomRequested: s.roomRequested(now)}
 	for _, id := range s.waitingIDs() {
 		d.Waiting = append(d.Waiting, string(id))
 	}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -91,6 +91,8 @@
 	// noRoom: the job is refused before any start of its tasks, and another scheduler may have
 	// room for it.
 	noRoom bool
+	// awaitsRoom: the job has no room here, and another shard may lend some.
+	awaitsRoom bool
 	// begun: a start of one of its tasks is known to have been ordered.
 	begun bool
 	// restarted: a task was started more than once.
--- a/core/schedule/offered.go
+++ b/core/schedule/offered.go
@@ -86,6 +86,9 @@
 			ahead += s.waitingWork(j)
 			continue
 		}
+		if s.mayBorrow(j) {
+			continue
+		}
 		j.noRoom = true
 		s.finish(j, workload.NotRun, "more comes than can be done before its turn")
 	}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -33,9 +33,12 @@
 // A job already counts as late while it still has an even chance to end within its objective.
 // Otherwise, with more work than room, all jobs would start at their latest start and half of them
 // would end late, while jobs that have just arrived would have ended in time in their place.
-func (j *job) late(now Time) bool {
+func (j *job) late(now Time) bool { return now > j.lateAt() }
+
+// lateAt returns when a job turns late unless it has begun.
+func (j *job) lateAt() Time {
 	latest := j.due - j.remaining*latenessPercent/100
-	return now > max(latest, j.arrived+j.tolerance())
+	return max(latest, j.arrived+j.tolerance())
 }
 
 // tolerance returns how long any job may wait.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -242,6 +242,10 @@
 	// epochMs is the time of day at time 0, in milliseconds since 1970.
 	epochMs int64
 
+	borrowing borrowing
+	// grants are the rooms promised to jobs of other shards.
+	grants map[workload.JobID]grant
+
 	out []Command
 	ctr Counters
 }
@@ -255,6 +259,7 @@
 	Submitted, Completed, Failed, Cancelled, Refused, GaveUp uint64
 	Starts, Done, FailedRuns, Lapsed, Adopted, Overstayed    uint64
 	Fenced, Unanswered                                       uint64
+	Lending                                                  LendingCounters
 }
 
 // Plus returns the sum.
@@ -265,6 +270,7 @@
 		Starts: c.Starts + o.Starts, Done: c.Done + o.Done, FailedRuns: c.FailedRuns + o.FailedRuns,
 		Lapsed: c.Lapsed + o.Lapsed, Adopted: c.Adopted + o.Adopted, Overstayed: c.Overstayed + o.Overstayed,
 		Fenced: c.Fenced + o.Fenced, Unanswered: c.Unanswered + o.Unanswered,
+		Lending: c.Lending.Plus(o.Lending),
 	}
 }
 
@@ -289,6 +295,7 @@
 		ranJobs:        make(map[workload.JobID]Time),
 		unstored:       make(map[workload.JobID]Time),
 		doneWithoutJob: make(map[workload.TaskName]Time),
+		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
 		alternate:      -1,
 	}
@@ -386,6 +393,8 @@
 	}
 	clear(s.jobs)
 	s.queue = nil
+	s.borrowing.request = nil
+	clear(s.grants)
 	clear(s.doneWithoutJob)
 	s.dropRows()
 }
--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -99,7 +99,9 @@
 	load func(at time.Duration, kind string) float64
 	// route chooses a job's shard.
 	route func(w *workload.Job) int
-	last  int
+	// handle takes a scheduler's command in place of the simulation if it returns true.
+	handle func(sch *Scheduler, c Command) bool
+	last   int
 }
 
 type simEvent struct {
@@ -120,6 +122,9 @@
 	took      time.Duration
 	// ran: a start of one of its tasks was ordered.
 	ran bool
+	// submission is its first one, to the scheduler of shard.
+	submission Submission
+	shard      int
 }
 
 // tally counts the answers that the callers of a kind got.
@@ -226,7 +231,8 @@
 	}
 	s.jobs[w.ID] = j
 	sub := Submission{Job: w, Entry: entryA, RemainingObjective: w.Objective, RemainingTimeout: patienceBase + worthlessFactor*j.objective, Domain: s.domains[s.rng.IntN(len(s.domains))]}
-	s.shards[s.route(w)].Submit(s.now, sub)
+	j.submission, j.shard = sub, s.route(w)
+	s.shards[j.shard].Submit(s.now, sub)
 }
 
 func (s *simulation) clock() ClockReading {
@@ -236,6 +242,9 @@
 func (s *simulation) carryOut(sch *Scheduler) {
 	for orders := sch.Ready(); len(orders) > 0; orders = sch.Ready() {
 		for _, c := range orders {
+			if s.handle != nil && s.handle(sch, c) {
+				continue
+			}
 			switch c := c.(type) {
 			case Start:
 				s.start(sch, c)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -78,13 +78,18 @@
 		return
 	}
 	s.noteOffered(j)
-	if reason, hopeless := s.refusal(j); reason != "" {
-		j.noRoom = !hopeless
-		s.finish(j, workload.NotRun, reason)
-		return
+	granted := s.useGrant(id)
+	if reason, hopeless := s.refusal(j); reason != "" && (hopeless || !granted) {
+		j.awaitsRoom = !hopeless && s.mayBorrow(j)
+		if !j.awaitsRoom {
+			j.noRoom = !hopeless
+			s.finish(j, workload.NotRun, reason)
+			return
+		}
 	}
 	s.enqueue(j)
 	s.dispatch()
+	s.requestRoom()
 }
 
 // handedBefore records that other schedulers may have started tasks of a job.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -13,6 +13,7 @@
 func (s *Scheduler) Tick(now Time) {
 	s.now = now
 	s.expire()
+	s.expireGrants()
 	s.tickStored()
 	if !s.leading {
 		s.refuseWithoutLeader()
@@ -28,6 +29,7 @@
 	s.refuseEvacuated()
 	s.refuseLate()
 	s.dispatch()
+	s.tickBorrowing()
 }
 
 // refuseWithoutLeader answers GaveUp to jobs that were handed in to a process that doesn't become
