Room is lent between schedulers: requests, grants, messages, hand-in to the lender

A scheduler whose waiting jobs would begin too late asks a shard that reports room, and gives up the jobs that are granted. The gateway hands them in to the lender. With one shard nothing is new.

--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -76,11 +76,15 @@
 	case schedule.OutcomeSaved:
 		n.answerSaved(s, c)
 	case schedule.Answer:
-		n.sendVerdict(c)
+		n.sendVerdict(s, c)
 	case schedule.MoveJob:
 		n.moveJob(c.At, s, c)
 	case schedule.MoveAck:
 		n.sendJobTaken(c.At, c)
+	case schedule.RequestRoom:
+		n.requestRoom(s, c)
+	case schedule.GrantRoom:
+		n.grantRoom(s, c)
 	case schedule.Decision:
 		n.notice(c.Event, decisionFields(c)...)
 	default:
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -42,15 +42,20 @@
 }
 
 // sendVerdict passes a scheduler's verdict to the entry process of the job's caller.
-func (n *Node) sendVerdict(a schedule.Answer) {
-	event := "job-ended"
-	if a.Outcome == workload.Accepted {
-		event = "job-accepted"
+func (n *Node) sendVerdict(s *shard, a schedule.Answer) {
+	switch {
+	case a.Lent:
+		n.notice("job-lent", Field{"job", string(a.Job)}, Field{"shard", s.index}, Field{"lender", a.Lender},
+			Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)}, Field{"age", ms(a.Held)})
+	case a.Outcome == workload.Accepted:
+		n.noticeAnswer("job-accepted", a)
+	default:
+		n.noticeAnswer("job-ended", a)
+	}
+	v := gateway.Verdict{
+		From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Reason: a.Reason,
+		NoRoom: a.NoRoom, Lent: a.Lent, Lender: a.Lender,
 	}
-	n.notice(event, Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
-		Field{"waited", ms(a.Waited)}, Field{"work", ms(a.Work)},
-		Field{"estimate", ms(a.Estimate)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
-	v := gateway.Verdict{From: n.Self(), Job: a.Job, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Reason: a.Reason, NoRoom: a.NoRoom}
 	if leader.ID(a.Entry) == n.Self() {
 		n.gateway.HandleVerdict(a.At, v)
 		return
@@ -58,6 +63,12 @@
 	n.emit(Send{To: leader.ID(a.Entry), Message: Verdict{v}})
 }
 
+func (n *Node) noticeAnswer(event string, a schedule.Answer) {
+	n.notice(event, Field{"job", string(a.Job)}, Field{"outcome", a.Outcome.String()}, Field{"entry", string(a.Entry)},
+		Field{"waited", ms(a.Waited)}, Field{"work", ms(a.Work)},
+		Field{"estimate", ms(a.Estimate)}, Field{"runs", a.Runs}, Field{"retry-after", ms(a.RetryAfter)}, Field{"reason", a.Reason})
+}
+
 // decisionFields are the fields of the notice of a scheduler's decision.
 func decisionFields(d schedule.Decision) []Field {
 	var f []Field
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -37,6 +37,8 @@
 	// ExpectedWait is, if the sender leads, how long the runners of its shards would need
 	// for the waiting work.
 	ExpectedWait time.Duration
+	// Loads are the loads of the shards that the sender leads, if there are other shards.
+	Loads []ShardLoad
 	// UncertainFor is the remaining time in which the sender assumes that some VM may be
 	// unreachable from all other processes. Callers of that VM may send jobs again, to other
 	// cells, of which tasks have already run; see uncertainty.go.
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -89,6 +89,8 @@
 	// pending holds, by leader, the number of jobs of each queue of which no task has
 	// started, as the leader last reported it.
 	pending map[leader.ID]map[string]int
+	// loads holds the loads of the shards led by other processes.
+	loads map[int]reportedLoad
 
 	// runners is the list of runners in use: those of the cell that are registered in the
 	// store, and those that are retained on it as expired; see expired.go.
@@ -161,6 +163,7 @@
 		unreachableSince: make(map[string]Time),
 		lostVMs:          make(map[string]Time),
 		pending:          make(map[leader.ID]map[string]int),
+		loads:            make(map[int]reportedLoad),
 		startedAt:        now,
 		lastTick:         now,
 		// Without a list of members a process can't leave scheduling to others.
@@ -252,6 +255,7 @@
 	gone, missing := n.presumedGone(now), n.anyMissing(now)
 	n.updateOthersReachable(now, gone)
 	n.expectedWait = 0
+	n.setLenders(now)
 	uncertain := n.updateUncertainty(now, missing)
 	for _, s := range n.own {
 		s.schedule.EntryAlive(now, schedule.EntryID(n.Self()))
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -120,6 +120,10 @@
 		n.receiveMovedJob(now, from, m)
 	case JobTaken:
 		n.receiveJobTaken(now, m)
+	case RoomRequest:
+		n.receiveRoomRequest(now, from, m)
+	case RoomGrant:
+		n.receiveRoomGrant(now, m)
 	case Declaration:
 		n.ApplyDeclaration(now, m.Declaration, string(from))
 	case Progress:
@@ -167,6 +171,7 @@
 	n.extendUncertainty(now, h.UncertainFor)
 	n.ApplyEvacuations(now, h.Evacuations, string(from))
 	n.pending[from] = h.Pending
+	n.recordLoads(now, from, h)
 	for _, s := range n.shards {
 		if h.Report.Leader(s.index) == from {
 			n.gateway.SetExpectedWait(s.index, h.ExpectedWait)
@@ -247,7 +252,7 @@
 	h.Report.Term = n.term()
 	h.UncertainFor = max(0, n.uncertainUntil-now)
 	if n.Leads() {
-		h.Pending, h.ExpectedWait = n.ownPending(), n.expectedWait
+		h.Pending, h.ExpectedWait, h.Loads = n.ownPending(), n.expectedWait, n.ownLoads()
 	}
 	n.emit(Send{To: to, Message: h})
 }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -43,9 +43,11 @@
 	job *workload.Job
 	// shard has the job now, and home is the shard that it belongs to.
 	shard, home int
-	// refusedBy are the shards that had no room for it. mayHaveRun: one of them couldn't
-	// rule out that a run of an earlier copy was started.
+	// refusedBy are the shards that had no room for it. redirected: it was handed to another
+	// shard after a refusal. mayHaveRun: one of them couldn't rule out that a run of an earlier
+	// copy was started.
 	refusedBy  []int
+	redirected bool
 	mayHaveRun bool
 	arrived    Time
 	due        Time
@@ -243,8 +245,8 @@
 	if j == nil || j.scheduler != v.From && v.Outcome != workload.Completed && v.Outcome != workload.Accepted {
 		return
 	}
-	if v.NoRoom && g.redirect(j) {
-		j.mayHaveRun = v.Outcome != workload.NotRun
+	if v.NoRoom && (v.Lent && g.handToLender(j, v.Lender) || g.redirect(j)) {
+		j.mayHaveRun = j.mayHaveRun || v.Outcome != workload.NotRun
 		return
 	}
 	if v.Outcome == workload.NotRun && (j.priorSubmissions > 0 || j.mayHaveRun) {
--- a/core/gateway/message.go
+++ b/core/gateway/message.go
@@ -69,4 +69,7 @@
 	// NoRoom: the scheduler has started no task of the job for lack of room, and another
 	// scheduler may have room.
 	NoRoom bool
+	// Lent: the scheduler of the shard Lender has granted room for the job.
+	Lent   bool
+	Lender int
 }
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -45,9 +45,10 @@
 // redirect hands a job that was refused for lack of room to a shard with no expected wait. It
 // does so once per job: after a second refusal the other shards are short of room as well.
 func (g *Gateway) redirect(j *inFlightJob) bool {
-	if len(j.refusedBy) > 0 || j.priorSubmissions > 0 || j.job.Stored {
+	if j.redirected || j.priorSubmissions > 0 || j.job.Stored {
 		return false
 	}
+	j.redirected = true
 	j.refusedBy = append(j.refusedBy, j.shard)
 	for _, shards := range [][]int{g.fallback.SameCell, g.fallback.OtherCells} {
 		if s, ok := g.shortestWait(j, shards); ok && g.expectedWaits[s] == 0 {
@@ -57,3 +58,25 @@
 	}
 	return false
 }
+
+// handToLender hands a job to the shard that has granted room for it. If its leader isn't reachable
+// from here the job goes to a shard without a wait, or else back to its home, which treats it as
+// possibly run from now on.
+func (g *Gateway) handToLender(j *inFlightJob, lender int) bool {
+	if j.priorSubmissions > 0 || j.job.Stored {
+		return false
+	}
+	if g.hasReachableLeader(lender) {
+		j.refusedBy = append(j.refusedBy, j.shard)
+		g.handTo(j, lender)
+		return true
+	}
+	if g.redirect(j) {
+		return true
+	}
+	if !g.hasReachableLeader(j.home) {
+		return false
+	}
+	g.handTo(j, j.home)
+	return true
+}
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -41,6 +41,8 @@
 	To     int
 	Jobs   []workload.JobID
 	Denied int
+	// Load is that of the scheduler after the answer.
+	Load Load
 }
 
 func (GrantRoom) command() {}
@@ -129,6 +131,7 @@
 	}
 	s.ctr.Lending.Granted += uint64(len(answer.Jobs))
 	s.ctr.Lending.Denied += uint64(answer.Denied)
+	answer.Load = s.Load()
 	s.emit(answer)
 }
 
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -20,9 +20,12 @@
 	maxNeeds = 16
 	// requestInterval is the shortest time between two requests. Jobs that need room meanwhile
 	// are asked for together.
-	requestInterval = 40 * time.Millisecond
+	requestInterval = 20 * time.Millisecond
 	// requestTimeout is how long the scheduler waits for the answer to a request.
 	requestTimeout = 150 * time.Millisecond
+	// toleratedWaitShare divides the time until a job turns late: room is requested for a job that
+	// waits for longer than this part of it. The rest is for the lender's estimate to be wrong.
+	toleratedWaitShare = 4
 )
 
 // Lender is another shard with a reachable leader, and its load as that leader last reported it.
@@ -51,6 +54,8 @@
 	At    Time
 	To    int
 	Needs []RoomNeed
+	// ReportAge is the age of the report by which the lender was chosen.
+	ReportAge time.Duration
 }
 
 // RoomGrant is the answer of a lender: the jobs for which it has room.
@@ -72,9 +77,10 @@
 	exhausted bool
 }
 
-// hasRoom reports whether the lender may have room.
-func (l *lender) hasRoom() bool {
-	return !l.exhausted && (l.Load.IdleMilliCPU > 0 || l.Load.ExpectedWait == 0)
+// hasRoom reports whether the lender may have room: it has reported some, or the work that waited
+// there when it reported may be done by now.
+func (l *lender) hasRoom(now Time) bool {
+	return !l.exhausted && (l.Load.IdleMilliCPU > 0 || l.Load.ExpectedWait <= now-l.reportedAt)
 }
 
 // roomRequest is a request that hasn't been answered yet.
@@ -120,7 +126,7 @@
 	var near, far []*lender
 	for _, l := range s.borrowing.lenders {
 		switch {
-		case !l.hasRoom():
+		case !l.hasRoom(s.now):
 		case l.SameCell:
 			near = append(near, l)
 		default:
@@ -189,7 +195,7 @@
 	b.request = &roomRequest{to: l.Shard, at: s.now, needs: needs}
 	b.nextRequestAt = s.now + requestInterval
 	s.ctr.Lending.Requested += uint64(len(needs))
-	s.emit(RequestRoom{At: s.now, To: l.Shard, Needs: needs})
+	s.emit(RequestRoom{At: s.now, To: l.Shard, Needs: needs, ReportAge: s.now - l.reportedAt})
 }
 
 // neededRoom lists the jobs that would begin too late here, maxNeeds at most. Ahead of a job are
@@ -225,7 +231,8 @@
 	if j.awaitsRoom || capacity == 0 {
 		return true
 	}
-	return s.now+ahead/time.Duration(capacity) > j.lateAt()
+	tolerated := (j.lateAt() - j.arrived) / toleratedWaitShare
+	return s.now+ahead/time.Duration(capacity) > j.arrived+tolerated
 }
 
 func (s *Scheduler) roomNeed(j *job) RoomNeed {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -33,6 +33,10 @@
 		return jobMoveMessage(m)
 	case fleet.JobTaken:
 		return &pb.FleetMessage{Body: &pb.FleetMessage_JobTaken{JobTaken: &pb.JobTaken{Shard: uint32(m.Shard), Job: string(m.Job)}}}
+	case fleet.RoomRequest:
+		return roomRequestMessage(m)
+	case fleet.RoomGrant:
+		return roomGrantMessage(m)
 	case fleet.JobAnswer:
 		return stateMessage(m)
 	case fleet.Declaration:
@@ -54,6 +58,8 @@
 		return "heartbeat"
 	case *pb.FleetMessage_HandIn, *pb.FleetMessage_Verdict, *pb.FleetMessage_DropJob, *pb.FleetMessage_JobMove, *pb.FleetMessage_JobTaken:
 		return "job"
+	case *pb.FleetMessage_RoomRequest, *pb.FleetMessage_RoomGrant:
+		return "lending"
 	case *pb.FleetMessage_JobQuery, *pb.FleetMessage_JobState:
 		return "query"
 	case *pb.FleetMessage_Declaration, *pb.FleetMessage_Layout:
@@ -88,6 +94,10 @@
 		return jobMoveOf(body.JobMove)
 	case *pb.FleetMessage_JobTaken:
 		return fleet.JobTaken{Shard: int(body.JobTaken.GetShard()), Job: workload.JobID(body.JobTaken.GetJob())}
+	case *pb.FleetMessage_RoomRequest:
+		return roomRequestOf(body.RoomRequest)
+	case *pb.FleetMessage_RoomGrant:
+		return roomGrantOf(body.RoomGrant)
 	case *pb.FleetMessage_JobState:
 		return stateOf(body.JobState)
 	case *pb.FleetMessage_Declaration:
@@ -215,6 +225,8 @@
 		RetryAfterMs: v.RetryAfter.Milliseconds(),
 		Reason:       v.Reason,
 		NoRoom:       v.NoRoom,
+		Lent:         v.Lent,
+		Lender:       uint32(v.Lender),
 	}}}
 }
 
@@ -225,6 +237,8 @@
 		RetryAfter: milliseconds(m.GetRetryAfterMs()),
 		Reason:     m.GetReason(),
 		NoRoom:     m.GetNoRoom(),
+		Lent:       m.GetLent(),
+		Lender:     int(m.GetLender()),
 	}}
 }
 
@@ -261,6 +275,7 @@
 		DoubtMs:            uint32(h.UncertainFor.Milliseconds()),
 		EvacuationsVersion: h.Evacuations.Version,
 		Evacuated:          h.Evacuations.Domains,
+		Loads:              loadMessages(h.Loads),
 	}
 	for i, f := range h.Report.Follows {
 		if f.Leader != "" {
@@ -302,6 +317,7 @@
 		StoredJobs:         fleet.StoredJobs(min(m.GetStoredJobs(), uint32(fleet.HasStoredJobs))),
 		Pending:            make(map[string]int, len(m.GetPending())),
 		ExpectedWait:       milliseconds(int64(m.GetWaitMs())),
+		Loads:              loadsOf(m.GetLoads()),
 		UncertainFor:       milliseconds(int64(m.GetDoubtMs())),
 		Evacuations:        routing.Evacuations{Version: m.GetEvacuationsVersion(), Domains: m.GetEvacuated()},
 	}
