core/fleet: random faults while one shard borrows room from the others

Cause: grants have to survive the loss, the freezing and the cutting off of both sides.

Change: a random run with all faults in which one of the shards gets most of the jobs.

--- /dev/null
+++ b/core/fleet/lending_random_test.go
@@ -0,0 +1,138 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Random faults while one shard has more work than room and borrows from the others. Some faults
+// hit processes just as they send messages about lent room.
+
+const (
+	// lendingLoad is the rate of jobs a second, and crowdedShare the share of them that belong to
+	// the shard or come from the domain that has too much work.
+	lendingLoad  = 45
+	crowdedShare = 0.65
+	// faultsPerMessage is the share of the messages about lent room with which a fault comes.
+	faultsPerMessage = 0.01
+	// maxLeak is how long after the last fault a grant may still count as used.
+	maxLeak = 10 * time.Second
+)
+
+// crowdedID returns an unused id, for a share of the jobs one that belongs to the first shard.
+func (w *world) crowdedID() workload.JobID {
+	crowded := w.rng.Float64() < crowdedShare
+	for {
+		w.lastCrowded++
+		id := workload.JobID(fmt.Sprintf("%016x", w.lastCrowded))
+		if w.cells || (w.layout().JobShard(id, "") == 0) == crowded {
+			return id
+		}
+	}
+}
+
+// faultWith injects a fault with a message about lent room, to its sender or its receiver.
+func (w *world) faultWith(n *fakeNode, c fleet.Send) {
+	v, isVerdict := c.Message.(fleet.Verdict)
+	_, isRequest := c.Message.(fleet.RoomRequest)
+	_, isGrant := c.Message.(fleet.RoomGrant)
+	if !isRequest && !isGrant && !(isVerdict && v.Lent) || w.rng.Float64() >= faultsPerMessage {
+		return
+	}
+	target := n
+	if o := w.byID(c.To); o != nil && w.rng.IntN(2) == 0 {
+		target = o
+	}
+	kind, d := w.rng.IntN(4), w.randomDuration(300, 2500)
+	w.after(0, func() {
+		switch kind {
+		case 0:
+			w.kill(target, d)
+		case 1:
+			w.freeze(target, d)
+		case 2:
+			w.cutOff(target.domain, d)
+		case 3:
+			pair := [2]string{n.name, randomNode(w).name}
+			w.partitioned[pair] = true
+			w.after(d, func() { delete(w.partitioned, pair) })
+		}
+	})
+}
+
+// lendingRun plays faults in a deployment of three shards: pooled, or one for each domain.
+func lendingRun(seed uint64, names []string) (*world, []string) {
+	w := newWorld(seed)
+	w.shards = 3
+	if seed%2 == 0 {
+		w.cells, w.cellLayout = true, []string{"a", "b", "c"}
+	}
+	w.crowded = true
+	w.onSend = w.faultWith
+	w.build()
+	w.load(lendingLoad, 12*time.Second)
+	var played []string
+	for w.now < 12*time.Second {
+		w.run(w.randomDuration(300, 2000))
+		name := names[w.rng.IntN(len(names))]
+		played = append(played, w.now.String()+" "+name)
+		faults[name](w)
+	}
+	w.onSend = nil
+	w.run(maxLeak)
+	w.checker.checkNoGrants()
+	return w, played
+}
+
+// checkNoGrants checks that no scheduler counts room as promised any more.
+func (t *checker) checkNoGrants() {
+	for _, n := range t.w.nodes {
+		if n.node == nil {
+			continue
+		}
+		for i, s := range n.node.DumpShards(t.w.now) {
+			if s.Scheduler != nil && len(s.Scheduler.GrantsOut) > 0 {
+				t.report("%s counts room of shard %d as promised: %v", n.id, i, s.Scheduler.GrantsOut)
+			}
+		}
+	}
+}
+
+// lent sums up the counters of the processes that are alive.
+func (w *world) lent() schedule.LendingCounters {
+	var sum schedule.LendingCounters
+	for _, n := range w.nodes {
+		if n.node != nil {
+			sum = sum.Plus(n.node.Counters().Lending)
+		}
+	}
+	return sum
+}
+
+// Guards against tasks that run twice, callers who are told that nothing was run, and room that
+// stays promised, when processes are lost, suspended or cut off with grants out.
+func TestRandomFaultsWithLending(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	names := append(faultNames(), "part", "part", "replace", "mute runners")
+	served, asked := 0, 0
+	var lent schedule.LendingCounters
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		w, played := lendingRun(seed, names)
+		g.Expect(w.checker.violations).To(BeEmpty(), "seed %d: %v", seed, played)
+		served += w.completed()
+		asked += len(w.jobs)
+		lent = lent.Plus(w.lent())
+	}
+	t.Logf("%d of %d jobs complete; lending, without processes that ended: %+v", served, asked, lent)
+	g.Expect(served).To(BeNumerically(">", asked/2))
+	g.Expect(lent.Used).To(BeNumerically(">", uint64(*seeds)), "room is lent often")
+}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -50,6 +50,10 @@
 	storeUnreachable map[string]bool
 	partitioned      map[[2]string]bool
 	shards           int
+	// crowded: most jobs belong to one shard or come from one domain. lastCrowded is the number
+	// of the last id chosen for that.
+	crowded     bool
+	lastCrowded int
 	// cells: failure domains are cells, and processes make the connections that they
 	// request. Otherwise runners are pooled, and all processes connect with each other.
 	cells      bool
@@ -310,6 +314,9 @@
 // newJob returns a job that hasn't been sent yet.
 func (w *world) newJob(domain string, tasks int, work, timeout time.Duration) *fakeJob {
 	id := workload.JobID(fmt.Sprintf("%016x", len(w.jobs)+1))
+	if w.crowded {
+		id = w.crowdedID()
+	}
 	estimate := time.Duration(float64(work) * (0.7 + w.rng.Float64()*0.6))
 	j := &fakeJob{
 		work: &workload.Job{
@@ -376,6 +383,9 @@
 			return
 		}
 		domain := []string{"a", "b", "c"}[w.rng.IntN(3)]
+		if w.crowded && w.cells && w.rng.Float64() < crowdedShare {
+			domain = "a"
+		}
 		switch w.rng.IntN(8) {
 		case 0:
 			w.submit(domain, 1+w.rng.IntN(4), time.Duration(400+w.rng.IntN(800))*time.Millisecond, 2200*time.Millisecond)
