--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -117,4 +117,12 @@
 	set("overdue", c.Overstayed)
 	set("fenced", c.Fenced)
 	set("unanswered", c.Unanswered)
+	set("room-requested", c.Lending.Requested)
+	set("room-received", c.Lending.Received)
+	set("jobs-lent", c.Lending.JobsLent)
+	set("room-requests-expired", c.Lending.RequestsExpired)
+	set("room-granted", c.Lending.Granted)
+	set("room-denied", c.Lending.Denied)
+	set("room-used", c.Lending.Used)
+	set("room-expired", c.Lending.Expired)
 }
