Lending: a lender out of reach of an entry process isn't asked for its jobs again; loads are computed once a tick

In a layout with cells an entry process connects with one seat in each of two other cells, so the lender may be out of its reach. It hands the job back, and the borrower learns the pair for 10 s.

--- a/core/fleet/lending.go
+++ b/core/fleet/lending.go
@@ -85,15 +85,16 @@
 	return list
 }
 
-// setLenders passes the reports of the other shards to the schedulers of the shards led here.
+// setLenders updates the loads that heartbeats report, and passes the reports of the other shards to
+// the schedulers of the shards led here.
 func (n *Node) setLenders(now Time) {
-	own := n.ownLoads()
-	if own == nil {
+	n.reportedLoads = n.ownLoads()
+	if n.reportedLoads == nil {
 		return
 	}
 	for _, s := range n.own {
 		if s.leading() {
-			s.schedule.SetLenders(now, n.lenders(now, s, own))
+			s.schedule.SetLenders(now, n.lenders(now, s, n.reportedLoads))
 		}
 	}
 }
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -91,6 +91,8 @@
 	pending map[leader.ID]map[string]int
 	// loads holds the loads of the shards led by other processes.
 	loads map[int]reportedLoad
+	// reportedLoads are the loads of the shards led here at the last tick.
+	reportedLoads []ShardLoad
 
 	// runners is the list of runners in use: those of the cell that are registered in the
 	// store, and those that are retained on it as expired; see expired.go.
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -252,7 +252,7 @@
 	h.Report.Term = n.term()
 	h.UncertainFor = max(0, n.uncertainUntil-now)
 	if n.Leads() {
-		h.Pending, h.ExpectedWait, h.Loads = n.ownPending(), n.expectedWait, n.ownLoads()
+		h.Pending, h.ExpectedWait, h.Loads = n.ownPending(), n.expectedWait, n.reportedLoads
 	}
 	n.emit(Send{To: to, Message: h})
 }
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -61,19 +61,21 @@
 }
 
 // LendingCounters count jobs since the start of the process. As a borrower: Requested jobs, those
-// for which room was Received, and the JobsLent of these that hadn't begun meanwhile;
-// RequestsExpired counts requests. As a lender: jobs that were Granted room, and of these grants
+// for which room was Received, the JobsLent of these that hadn't begun meanwhile, and those that
+// were HandedBack since the lender was out of reach of their entry process; RequestsExpired counts
+// requests. As a lender: jobs that were Granted room, and of these grants
 // those Used by an arriving job and those Expired; Denied are the others that were asked for.
 type LendingCounters struct {
-	Requested, Received, JobsLent, RequestsExpired uint64
-	Granted, Denied, Used, Expired                 uint64
+	Requested, Received, JobsLent, HandedBack uint64
+	RequestsExpired                           uint64
+	Granted, Denied, Used, Expired            uint64
 }
 
 // Plus returns the sum.
 func (c LendingCounters) Plus(o LendingCounters) LendingCounters {
 	return LendingCounters{
 		Requested: c.Requested + o.Requested, Received: c.Received + o.Received,
-		JobsLent: c.JobsLent + o.JobsLent, RequestsExpired: c.RequestsExpired + o.RequestsExpired,
+		JobsLent: c.JobsLent + o.JobsLent, HandedBack: c.HandedBack + o.HandedBack, RequestsExpired: c.RequestsExpired + o.RequestsExpired,
 		Granted: c.Granted + o.Granted, Denied: c.Denied + o.Denied, Used: c.Used + o.Used, Expired: c.Expired + o.Expired,
 	}
 }
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -100,6 +100,14 @@
 	lenders       []*lender
 	request       *roomRequest
 	nextRequestAt Time
+	// lent are the jobs that were lent lately, and outOfReach when a lender was found to be out of
+	// reach of an entry process.
+	lent       map[workload.JobID]lentJob
+	outOfReach map[route]Time
+}
+
+func newBorrowing() borrowing {
+	return borrowing{lent: make(map[workload.JobID]lentJob), outOfReach: make(map[route]Time)}
 }
 
 // SetLenders sets which other shards may lend room.
@@ -121,27 +129,13 @@
 	slices.SortFunc(s.borrowing.lenders, func(a, b *lender) int { return a.Shard - b.Shard })
 }
 
-// lendersWithRoom lists the lenders that may have room: those of the same cell, or else all.
-func (s *Scheduler) lendersWithRoom() []*lender {
-	var near, far []*lender
-	for _, l := range s.borrowing.lenders {
-		switch {
-		case !l.hasRoom(s.now):
-		case l.SameCell:
-			near = append(near, l)
-		default:
-			far = append(far, l)
-		}
-	}
-	if len(near) > 0 {
-		return near
-	}
-	return far
-}
-
-// chooseLender chooses by the power of two choices: of two lenders, that with more idle room. The
-// two follow from the id of a job, so that borrowers with the same reports ask different lenders.
+// chooseLender chooses by the power of two choices: of two lenders, that with more idle room; nil if
+// there is none. The two follow from the id of a job, so that borrowers with the same reports ask
+// different lenders.
 func chooseLender(list []*lender, id workload.JobID) *lender {
+	if len(list) == 0 {
+		return nil
+	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
 	n := h.Sum64()
@@ -169,7 +163,7 @@
 	if !s.lendable(j) || s.allEvacuated(j.work.Service) || !s.canRequest() {
 		return false
 	}
-	return s.borrowing.request.has(j.work.ID) || len(s.lendersWithRoom()) > 0
+	return s.borrowing.request.has(j.work.ID) || len(s.lendersFor(j.entry)) > 0
 }
 
 // canRequest reports whether the scheduler knows its own runners well enough to ask others.
@@ -180,28 +174,22 @@
 // requestRoom asks a lender for room for the jobs that would begin too late here.
 func (s *Scheduler) requestRoom() {
 	b := &s.borrowing
-	if !s.canRequest() || b.request != nil || s.now < b.nextRequestAt || len(s.queue) == 0 {
-		return
-	}
-	lenders := s.lendersWithRoom()
-	if len(lenders) == 0 {
+	if !s.canRequest() || b.request != nil || s.now < b.nextRequestAt || len(s.queue) == 0 || !s.anyRoom() {
 		return
 	}
-	needs := s.neededRoom()
-	if len(needs) == 0 {
+	l, needs := s.neededRoom()
+	if l == nil {
 		return
 	}
-	l := chooseLender(lenders, needs[0].Job)
 	b.request = &roomRequest{to: l.Shard, at: s.now, needs: needs}
 	b.nextRequestAt = s.now + requestInterval
 	s.ctr.Lending.Requested += uint64(len(needs))
 	s.emit(RequestRoom{At: s.now, To: l.Shard, Needs: needs, ReportAge: s.now - l.reportedAt})
 }
 
-// neededRoom lists the jobs that would begin too late here, maxNeeds at most. Ahead of a job are
-// those of its service that are served before it.
-func (s *Scheduler) neededRoom() []RoomNeed {
-	var needs []RoomNeed
+// neededRoom lists the jobs that would begin too late here, maxNeeds at most, and chooses a lender
+// for them. Ahead of a job are those of its service that are served before it.
+func (s *Scheduler) neededRoom() (l *lender, needs []RoomNeed) {
 	ahead := make(map[string]time.Duration)
 	capacity := make(map[string]int)
 	for _, j := range s.queue {
@@ -213,7 +201,12 @@
 			continue
 		}
 		if s.lendable(j) && !j.worthless(s.now) && s.beginsTooLate(j, ahead[service], capacity[service]) {
-			needs = append(needs, s.roomNeed(j))
+			if l == nil {
+				l = chooseLender(s.lendersFor(j.entry), j.work.ID)
+			}
+			if l != nil && s.reaches(j.entry, l.Shard) {
+				needs = append(needs, s.roomNeed(j))
+			}
 			if len(needs) == maxNeeds {
 				break
 			}
@@ -223,7 +216,7 @@
 			ahead[service] += s.waitingWork(j)
 		}
 	}
-	return needs
+	return l, needs
 }
 
 // beginsTooLate reports whether a job turns late before the runners have done the work ahead of it.
@@ -304,6 +297,7 @@
 	s.ctr.Lending.JobsLent++
 	s.forget(j)
 	s.ranJobs[j.work.ID] = s.now
+	s.borrowing.lent[j.work.ID] = lentJob{entry: j.entry, to: to, at: s.now}
 	s.emit(a)
 }
 
--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -237,3 +237,22 @@
 		b.g.Expect(take[RequestRoom](b)).To(BeEmpty())
 	}
 }
+
+// An entry process can't reach the lender and hands the job back. Guards against jobs that are given
+// up for that lender again and again.
+func TestALenderOutOfReachOfAnEntryProcess(t *testing.T) {
+	b, j, _ := borrower(t)
+	b.s.RoomGranted(b.now, grantFor(j.ID))
+	b.g.Expect(lentAnswers(b)).To(HaveLen(1))
+	b.s.RoomGranted(b.now, grantFor())
+	take[RequestRoom](b)
+	b.submit(j, 3*time.Second)
+	b.g.Expect(b.s.Counters().Lending.HandedBack).To(BeEquivalentTo(1))
+	b.submit(testJob(1, 300*ms), 3*time.Second)
+	b.s.SetLenders(b.now, []Lender{idleLender(3, 0)})
+	b.tick(60 * ms)
+	b.g.Expect(take[RequestRoom](b)).To(BeEmpty())
+	b.s.SetLenders(b.now, []Lender{idleLender(3, 0), idleLender(4, 0)})
+	b.tick(60 * ms)
+	b.g.Expect(one[RequestRoom](b).To).To(Equal(4))
+}
--- /dev/null
+++ b/core/schedule/reach.go
@@ -0,0 +1,78 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// An entry process may be out of reach of a lender: in a deployment with cells it connects with few
+// processes of other cells. Such a process hands a lent job back at once, and no more room is
+// requested of that lender for its jobs for a while.
+
+// outOfReachRetention is how long a lender counts as out of reach of an entry process.
+const outOfReachRetention = 10 * time.Second
+
+// lentJob is a job for which another shard has granted room.
+type lentJob struct {
+	entry EntryID
+	to    int
+	at    Time
+}
+
+// route is the way of a job from its entry process to a lender.
+type route struct {
+	entry EntryID
+	to    int
+}
+
+// noteHandedBack records that an entry process couldn't hand a lent job in to the lender, if it
+// hands it in here within the life of a grant.
+func (s *Scheduler) noteHandedBack(id workload.JobID, entry EntryID) {
+	l, ok := s.borrowing.lent[id]
+	if !ok || l.entry != entry || s.now-l.at >= grantLifetime {
+		return
+	}
+	delete(s.borrowing.lent, id)
+	s.borrowing.outOfReach[route{entry: entry, to: l.to}] = s.now
+	s.ctr.Lending.HandedBack++
+	s.emit(Decision{Event: "lent-job-handed-back", Job: id, Reason: shardReason("out of reach:", l.to), Age: s.now - l.at})
+}
+
+// reaches reports whether an entry process may hand jobs in to a lender.
+func (s *Scheduler) reaches(entry EntryID, to int) bool {
+	_, out := s.borrowing.outOfReach[route{entry: entry, to: to}]
+	return !out
+}
+
+// expireReach drops old entries.
+func (s *Scheduler) expireReach() {
+	maps.DeleteFunc(s.borrowing.lent, func(_ workload.JobID, l lentJob) bool { return s.now-l.at >= grantLifetime })
+	expireBefore(s.borrowing.outOfReach, s.now-outOfReachRetention)
+}
+
+// lendersFor lists the lenders that may have room and that an entry process may reach: those of the
+// same cell, or else all.
+func (s *Scheduler) lendersFor(entry EntryID) []*lender {
+	var near, far []*lender
+	for _, l := range s.borrowing.lenders {
+		switch {
+		case !l.hasRoom(s.now) || !s.reaches(entry, l.Shard):
+		case l.SameCell:
+			near = append(near, l)
+		default:
+			far = append(far, l)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+// anyRoom reports whether some lender may have room.
+func (s *Scheduler) anyRoom() bool {
+	return slices.ContainsFunc(s.borrowing.lenders, func(l *lender) bool { return l.hasRoom(s.now) })
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -295,6 +295,7 @@
 		ranJobs:        make(map[workload.JobID]Time),
 		unstored:       make(map[workload.JobID]Time),
 		doneWithoutJob: make(map[workload.TaskName]Time),
+		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
 		alternate:      -1,
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -78,6 +78,7 @@
 		return
 	}
 	s.noteOffered(j)
+	s.noteHandedBack(id, sub.Entry)
 	granted := s.useGrant(id)
 	if reason, hopeless := s.refusal(j); reason != "" && (hopeless || !granted) {
 		j.awaitsRoom = !hopeless && s.mayBorrow(j)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -120,6 +120,7 @@
 	set("room-requested", c.Lending.Requested)
 	set("room-received", c.Lending.Received)
 	set("jobs-lent", c.Lending.JobsLent)
+	set("lent-jobs-handed-back", c.Lending.HandedBack)
 	set("room-requests-expired", c.Lending.RequestsExpired)
 	set("room-granted", c.Lending.Granted)
 	set("room-denied", c.Lending.Denied)
