--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/layout"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 	"sapphirepoint.example/sapphirepoint/standin/deployment"
 )
 
@@ -250,10 +252,23 @@
 	return c
 }
 
+// jobID returns the id of a caller's next job.
+func (w *world) jobID(caller, k int) string {
+	if w.shards == 0 {
+		return fmt.Sprintf("%08x%08x", caller+1, k)
+	}
+	for n := k * 64; ; n++ {
+		id := fmt.Sprintf("%08x%08x", caller+1, n)
+		if layout.Pooled(w.shards).JobShard(workload.JobID(id), "") == 0 {
+			return id
+		}
+	}
+}
+
 // callOnce submits one job, and submits it again through another entry VM if the connection breaks
 // or the outcome is unknown.
 func (w *world) callOnce(caller, k int) {
-	job := fmt.Sprintf("%08x%08x", caller+1, k)
+	job := w.jobID(caller, k)
 	tasks := 1 + (caller+k)%3
 	spec := fmt.Sprintf("%dms", 20+(caller*37+k*53)%250)
 	begin := time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,12 +6,14 @@
 package soak
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -38,10 +40,7 @@
 }
 
 func TestSoak(t *testing.T) {
-	g := NewWithT(t)
-	program := filepath.Join(t.TempDir(), "sapphirepoint-entry")
-	out, err := exec.Command("go", "build", "-o", program, "sapphirepoint.example/sapphirepoint/cmd/sapphirepoint-entry").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	program := buildEntry(t)
 	list := make([]uint64, 0, *seeds+len(regressions))
 	for i := range *seeds {
 		list = append(list, *first+uint64(i))
@@ -52,16 +51,38 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, program, seed)
+			runSoak(t, program, seed, 0, faultKinds)
+		})
+	}
+}
+
+// Guards against tasks that run twice and callers who are told that nothing was run when a process
+// is killed just as it has granted room: all jobs belong to one of two shards.
+func TestSoakWithLending(t *testing.T) {
+	program := buildEntry(t)
+	kinds := append(slices.Clone(faultKinds), lenderKilled, lenderKilled, lenderKilled)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, program, seed, 2, kinds)
 		})
 	}
 }
 
+// buildEntry builds the entry program.
+func buildEntry(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "sapphirepoint-entry")
+	out, err := exec.Command("go", "build", "-o", program, "sapphirepoint.example/sapphirepoint/cmd/sapphirepoint-entry").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
+	return program
+}
+
 // runSoak submits jobs while faults are injected, and afterwards checks that jobs are answered again, that
 // all accepted jobs end, and that no guarantee was violated.
-func runSoak(t *testing.T, program string, seed uint64) {
+func runSoak(t *testing.T, program string, seed uint64, shards int, kinds []fault) {
 	g := NewWithT(t)
-	w, err := newWorld(program, t.TempDir(), seed)
+	w, err := newWorld(program, t.TempDir(), seed, shards)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer w.close()
 	defer func() {
@@ -70,8 +91,8 @@
 		}
 	}()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready")
-	callers := w.startCallers(12)
-	injected := w.injectFaults(time.Duration(*seconds) * time.Second)
+	callers := w.startCallers(12 + 12*shards)
+	injected := w.injectFaults(kinds, time.Duration(*seconds)*time.Second)
 	w.waitForFaults()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready after: %v", injected)
 	before := w.checker.answerCount("200")
@@ -81,6 +102,11 @@
 	violations := w.checker.allViolations()
 	g.Expect(violations).To(BeEmpty(), "seed %d: %v", seed, injected)
 	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
+	if shards > 1 {
+		granted, used := w.countEvents("room-granted"), w.countEvents("room-used")
+		t.Logf("room granted %d times, used by %d jobs", granted, used)
+		g.Expect(used).To(BeNumerically(">", 0), "room is lent")
+	}
 }
 
 // unfinishedJobs queries the accepted jobs that haven't ended, and lists those that still haven't.
@@ -94,11 +120,11 @@
 
 // injectFaults injects random faults, one about every 400 ms, so that they overlap. It returns
 // their names.
-func (w *world) injectFaults(d time.Duration) []string {
+func (w *world) injectFaults(kinds []fault, d time.Duration) []string {
 	var injected []string
 	end := time.Now().Add(d)
 	for time.Now().Before(end) {
-		f := faultKinds[w.rng.IntN(len(faultKinds))]
+		f := kinds[w.rng.IntN(len(kinds))]
 		injected = append(injected, f.name)
 		f.inject(w)
 		time.Sleep(w.randomDuration(100, 700))
@@ -167,6 +193,35 @@
 	}},
 }
 
+// lenderKilled kills the process that is the next to grant room to another one.
+var lenderKilled = fault{"lender killed", func(w *world) {
+	seen := make([]int, len(w.nodes))
+	for i, n := range w.nodes {
+		_, seen[i] = n.log.since(0)
+	}
+	for begin := time.Now(); time.Since(begin) < maxGrantWait; time.Sleep(time.Millisecond) {
+		for i, n := range w.nodes {
+			var lines []byte
+			if lines, seen[i] = n.log.since(seen[i]); bytes.Contains(lines, []byte("event=room-granted")) {
+				n.signal(syscall.SIGKILL)
+				return
+			}
+		}
+	}
+}}
+
+// maxGrantWait is how long lenderKilled waits for a grant.
+const maxGrantWait = 500 * time.Millisecond
+
+// countEvents counts the log lines of an event of all processes.
+func (w *world) countEvents(event string) int {
+	sum := 0
+	for _, n := range w.nodes {
+		sum += bytes.Count(n.log.bytes(), []byte("event="+event+" "))
+	}
+	return sum
+}
+
 func (w *world) saveLogs(dir string) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -40,6 +40,9 @@
 	nodes      []*node
 	checker    *checker
 	http       *http.Client
+	// shards is the number of shards of the layout in the store, and all jobs belong to the first;
+	// 0 leaves the layout and the jobs' ids as they come.
+	shards int
 
 	mu             sync.Mutex
 	configVersion  int
@@ -84,7 +87,14 @@
 	return bytes.Clone(l.buf.Bytes())
 }
 
-func newWorld(program, dir string, seed uint64) (*world, error) {
+// since returns what was written after the first bytes, and the number of all bytes.
+func (l *logBuffer) since(first int) ([]byte, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Clone(l.buf.Bytes()[first:]), l.buf.Len()
+}
+
+func newWorld(program, dir string, seed uint64, shards int) (*world, error) {
 	store, err := deployment.NewStore()
 	if err != nil {
 		return nil, err
@@ -96,6 +106,12 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store, storeProxy: proxy,
 		checker: newChecker(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
+		shards: shards,
+	}
+	if shards > 0 {
+		if err := w.store.Put("sapphirepoint-layout", "shards", map[string]int{"shards": shards}); err != nil {
+			return nil, err
+		}
 	}
 	for range runnerCount {
 		r, err := w.newRunner()
