core/schedule: a hopeless job isn't handed on for lack of room

Cause: a job with too little time left even for idle runners was offered to another shard.

Change: it is refused where it is.

Evidence: go test ./core/schedule ./core/gateway.

--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -323,8 +323,8 @@
 			continue
 		}
 		j.awaitsRoom = false
-		if reason, _ := s.refusal(j); reason != "" {
-			j.noRoom = true
+		if reason, hopeless := s.refusal(j); reason != "" {
+			j.noRoom = !hopeless
 			s.finish(j, workload.NotRun, reason)
 		}
 	}
