--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -26,6 +26,11 @@
 	// toleratedWaitShare divides the time until a job turns late: room is requested for a job that
 	// waits for longer than this part of it. The rest is for the lender's estimate to be wrong.
 	toleratedWaitShare = 4
+	// workOffFactor is how much sooner than it expects a lender may have done the work that waits
+	// there, since estimates are off and a part of its runners isn't counted. workOffMargin is the
+	// same for a short wait.
+	workOffFactor = 2
+	workOffMargin = 50 * time.Millisecond
 )
 
 // Lender is another shard with a reachable leader, and its load as that leader last reported it.
@@ -80,7 +85,10 @@
 // hasRoom reports whether the lender may have room: it has reported some, or the work that waited
 // there when it reported may be done by now.
 func (l *lender) hasRoom(now Time) bool {
-	return !l.exhausted && (l.Load.IdleMilliCPU > 0 || l.Load.ExpectedWait <= now-l.reportedAt)
+	if l.exhausted {
+		return false
+	}
+	return l.Load.IdleMilliCPU > 0 || l.Load.ExpectedWait <= workOffFactor*(now-l.reportedAt)+workOffMargin
 }
 
 // roomRequest is a request that hasn't been answered yet.
--- a/core/schedule/simulation_lending_test.go
+++ b/core/schedule/simulation_lending_test.go
@@ -256,7 +256,7 @@
 	fleets := map[string]simRunners{"similar": similarRunners(lendingShards, lendingRunners), "uneven": unevenRunners(lendingShards, lendingRunners)}
 	for _, work := range works {
 		for _, fleet := range []string{"similar", "uneven"} {
-			loads := []sharedLoad{{"1.0", steady(1)}, {"1.3", steady(1.3)}, {"bursts", bursts(1, work.heaviest)}, {"1.3 and bursts", bursts(1.3, work.heaviest)}}
+			loads := []sharedLoad{{"1.0", steady(1)}, {"1.3", steady(1.3)}, {"bursts", bursts(1, work.heaviest)}, {"1.3 and bursts", bursts(1.3, work.heaviest)}, {"2.5", steady(2.5)}}
 			for _, load := range loads {
 				for _, way := range sharings {
 					t.Run(work.name+"/"+fleet+"/"+load.name+"/"+way.name, func(t *testing.T) {
@@ -280,7 +280,7 @@
 	t.Log(after)
 	g.Expect(before.missed).To(BeNumerically(">", 0), "without lending room is missed")
 	// Room that comes free after the last report isn't known to the shard that refuses.
-	g.Expect(after.missed).To(BeNumerically("<=", before.missed/10))
+	g.Expect(after.missed).To(BeNumerically("<=", before.missed/20))
 	g.Expect(float64(after.requests + after.grants)).To(BeNumerically("<", maxMessageShare*float64(after.handIns+after.verdicts)))
 	g.Expect(after.served()).To(BeNumerically(">=", before.served()))
 	g.Expect(after.falseRefusals).To(BeZero())
