Lending: a copy of a lent job goes to the lender

Cause: a best-effort job may arrive again seconds after its answer. Its home shard had given it up without a result, so it would have started the job once more, after it had been shown completed. A lent job that the lender refuses without a retained result isn't handed on to a third shard.

--- a/core/fleet/lending_random_test.go
+++ b/core/fleet/lending_random_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,16 +69,22 @@
 	})
 }
 
-// lendingRun plays faults in a deployment of three shards: pooled, or one for each domain.
-func lendingRun(seed uint64, names []string) (*world, []string) {
+// crowdedDeployment is one of three shards, pooled or one for each domain, of which one has too much
+// work.
+func crowdedDeployment(seed uint64, cells bool) *world {
 	w := newWorld(seed)
 	w.shards = 3
-	if seed%2 == 0 {
+	if cells {
 		w.cells, w.cellLayout = true, []string{"a", "b", "c"}
 	}
 	w.crowded = true
+	return w.build()
+}
+
+// lendingRun plays faults in a crowded deployment.
+func lendingRun(seed uint64, names []string) (*world, []string) {
+	w := crowdedDeployment(seed, seed%2 == 0)
 	w.onSend = w.faultWith
-	w.build()
 	w.load(lendingLoad, 12*time.Second)
 	var played []string
 	for w.now < 12*time.Second {
@@ -136,3 +144,48 @@
 	g.Expect(served).To(BeNumerically(">", asked/2))
 	g.Expect(lent.Used).To(BeNumerically(">", uint64(*seeds)), "room is lent often")
 }
+
+// Guards against a job that runs a second time in its home shard after it has ended in the lender's:
+// copies of lent jobs arrive by way of other processes, some seconds after the answer.
+func TestCopiesOfLentJobsThatHaveEnded(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	for i := range uint64(*seeds) / 8 {
+		seed := *firstSeed + i
+		w := crowdedDeployment(seed, false)
+		jobs := w.completedLentJobs()
+		g.Expect(len(jobs)).To(BeNumerically(">", 10), "room is lent")
+		starts := make(map[*fakeJob]int)
+		for _, j := range jobs {
+			starts[j] = j.starts
+			j.answered, j.sent = false, w.now
+			w.sendJob(j)
+		}
+		w.run(3 * time.Second)
+		for _, j := range jobs {
+			g.Expect(j.starts).To(Equal(starts[j]), "seed %d: %s", seed, j.work.ID)
+			g.Expect(j.answered).To(BeTrue(), "seed %d: %s", seed, j.work.ID)
+			g.Expect(j.outcome).To(Equal(workload.Completed), "seed %d: %s", seed, j.work.ID)
+		}
+		g.Expect(w.checker.violations).To(BeEmpty(), "seed %d", seed)
+	}
+}
+
+// completedLentJobs plays a load without faults, and returns the lent jobs that are completed.
+func (w *world) completedLentJobs() []*fakeJob {
+	var jobs []*fakeJob
+	lent := make(map[workload.JobID]bool)
+	w.onSend = func(_ *fakeNode, c fleet.Send) {
+		if v, ok := c.Message.(fleet.Verdict); ok && v.Lent {
+			lent[v.Job] = true
+		}
+	}
+	w.load(lendingLoad, 6*time.Second)
+	w.run(8 * time.Second)
+	for _, id := range slices.Sorted(maps.Keys(lent)) {
+		if j := w.jobs[id]; j.answered && j.outcome == workload.Completed {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -44,10 +44,11 @@
 	// shard has the job now, and home is the shard that it belongs to.
 	shard, home int
 	// refusedBy are the shards that had no room for it. redirected: it was handed to another
-	// shard after a refusal. mayHaveRun: one of them couldn't rule out that a run of an earlier
+	// shard after a refusal. lent: it was handed to a lender. mayHaveRun: one of them couldn't rule out that a run of an earlier
 	// copy was started.
 	refusedBy  []int
 	redirected bool
+	lent       bool
 	mayHaveRun bool
 	arrived    Time
 	due        Time
@@ -245,7 +246,7 @@
 	if j == nil || j.scheduler != v.From && v.Outcome != workload.Completed && v.Outcome != workload.Accepted {
 		return
 	}
-	if v.NoRoom && (v.Lent && g.handToLender(j, v.Lender) || g.redirect(j)) {
+	if v.Lent && g.handToLender(j, v) || v.NoRoom && g.mayRedirect(j, v) && g.redirect(j) {
 		j.mayHaveRun = j.mayHaveRun || v.Outcome != workload.NotRun
 		return
 	}
--- a/core/gateway/lending_test.go
+++ b/core/gateway/lending_test.go
@@ -78,6 +78,23 @@
 	g.Expect(list[0].Shard).To(Equal(0))
 }
 
+// The same with a copy of a job that was lent before. Guards against a run in a third shard while
+// the job runs in the lender's, or after it has ended there.
+func TestACopyOfALentJobWhoseLenderIsOutOfReach(t *testing.T) {
+	g := NewWithT(t)
+	gw := gatewayInCell()
+	gw.Submit(0, 1, 0, testJob("j"), time.Second)
+	gw.Ready()
+	v := lentBy(3, "a", "j")
+	v.Outcome = workload.GaveUp
+	gw.HandleVerdict(5*ms, v)
+	list := handIns(gw.Ready())
+	g.Expect(list).To(HaveLen(1))
+	g.Expect(list[0].Shard).To(Equal(0))
+	gw.HandleVerdict(10*ms, Verdict{From: "a", Job: "j", Outcome: workload.GaveUp})
+	g.Expect(replies(gw.Ready())).To(HaveLen(1))
+}
+
 // The borrower is replaced by the next leader of the job's shard before its verdict arrives. Guards
 // against a job that two schedulers have.
 func TestALateVerdictOfTheFormerBorrowerIsIgnored(t *testing.T) {
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "slices"
+import (
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
 
 // The choice of the shard that a job is handed in to.
 
@@ -59,19 +63,27 @@
 	return false
 }
 
+// mayRedirect reports whether a refused job may go to another shard. Copies of a lent job go to the
+// lender. If the lender doesn't remember that it has refused the job, it would start a copy after the
+// job has run in a third shard.
+func (g *Gateway) mayRedirect(j *inFlightJob, v Verdict) bool {
+	return !v.Lent && (!j.lent || v.Outcome == workload.NotRun)
+}
+
 // handToLender hands a job to the shard that has granted room for it. If its leader isn't reachable
-// from here the job goes to a shard without a wait, or else back to its home, which treats it as
-// possibly run from now on.
-func (g *Gateway) handToLender(j *inFlightJob, lender int) bool {
+// from here the job goes to a shard without a wait, unless an earlier copy may have run, or else back
+// to its home, which treats it as possibly run from now on.
+func (g *Gateway) handToLender(j *inFlightJob, v Verdict) bool {
 	if j.priorSubmissions > 0 || j.job.Stored {
 		return false
 	}
-	if g.hasReachableLeader(lender) {
+	if g.hasReachableLeader(v.Lender) {
 		j.refusedBy = append(j.refusedBy, j.shard)
-		g.handTo(j, lender)
+		j.lent = true
+		g.handTo(j, v.Lender)
 		return true
 	}
-	if g.redirect(j) {
+	if v.Outcome == workload.NotRun && g.redirect(j) {
 		return true
 	}
 	if !g.hasReachableLeader(j.home) {
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -108,8 +108,8 @@
 	lenders       []*lender
 	request       *roomRequest
 	nextRequestAt Time
-	// lent are the jobs that were lent lately, and outOfReach when a lender was found to be out of
-	// reach of an entry process.
+	// lent are the jobs that were lent, for ranRetention, and outOfReach is when a lender was found
+	// to be out of reach of an entry process.
 	lent       map[workload.JobID]lentJob
 	outOfReach map[route]Time
 }
--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -66,21 +66,60 @@
 	b.g.Expect(b.s.Counters().Refused).To(BeZero())
 }
 
-// Guards against a caller who is told that nothing was run while the lender runs the job: a copy of
-// a lent job arrives at its home shard, which has no room for it.
-func TestACopyOfALentJobIsNotToldThatNothingRan(t *testing.T) {
+// submitCopy submits a copy of a job by way of another entry process.
+func (b *harness) submitCopy(j *workload.Job, entry EntryID) {
+	b.s.Submit(b.now, Submission{Job: j, Entry: entry, RemainingObjective: j.Objective, RemainingTimeout: 2 * time.Second})
+}
+
+// Guards against a lent job that runs a second time here: a copy of it arrives, perhaps after it has
+// ended in the lender's shard. The copy goes there, and its caller isn't told that nothing was run.
+func TestACopyOfALentJobGoesToTheLender(t *testing.T) {
+	b, j, _ := borrower(t)
+	b.s.RoomGranted(b.now, grantFor(j.ID))
+	b.g.Expect(lentAnswers(b)).To(HaveLen(1))
+	b.tick(1300 * ms)
+	b.submitCopy(j, "front-b#2")
+	answers := lentAnswers(b)
+	b.g.Expect(answers).To(HaveLen(1))
+	b.g.Expect(answers[0].Lender).To(Equal(3))
+	b.g.Expect(answers[0].Outcome).To(Equal(workload.GaveUp))
+	b.g.Expect(b.s.jobs).NotTo(HaveKey(j.ID))
+
+	b.submitCopy(j, "front-b#2")
+	a := one[Answer](b)
+	b.g.Expect(a.Lent).To(BeFalse(), "the entry process can't reach the lender")
+	b.g.Expect(a.Outcome).To(Equal(workload.GaveUp))
+	b.g.Expect(b.s.jobs).NotTo(HaveKey(j.ID))
+}
+
+// The lender of a lent job was lost, and the job comes back when its runs there must be over. Guards
+// against a job that is sent to and fro.
+func TestALentJobComesBackFromALostLender(t *testing.T) {
+	b, j, _ := borrower(t)
+	b.s.RoomGranted(b.now, grantFor(j.ID))
+	b.g.Expect(lentAnswers(b)).To(HaveLen(1))
+	b.tick(1300 * ms)
+	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: 2 * time.Second, PriorSubmissions: 1})
+	b.g.Expect(lentAnswers(b)).To(BeEmpty())
+	b.g.Expect(b.s.jobs).To(HaveKey(j.ID))
+}
+
+// Guards against a caller who is told that nothing was run while the lender runs the job: the entry
+// process hands a lent job back to its home shard, which has no room for it.
+func TestALentJobThatIsHandedBackIsNotToldThatNothingRan(t *testing.T) {
 	b, j, _ := borrower(t)
 	b.s.RoomGranted(b.now, grantFor(j.ID))
 	b.g.Expect(lentAnswers(b)).To(HaveLen(1))
 	b.s.SetLenders(b.now, nil)
 	b.submit(j, 500*ms)
 	b.waitWithoutEntry(time.Second)
+	var outcomes []workload.Outcome
 	for _, a := range take[Answer](b) {
 		if a.Job == j.ID {
-			b.g.Expect(a.Outcome).To(Equal(workload.GaveUp))
+			outcomes = append(outcomes, a.Outcome)
 		}
 	}
-	b.g.Expect(b.s.jobs).NotTo(HaveKey(j.ID))
+	b.g.Expect(outcomes).To(Equal([]workload.Outcome{workload.GaveUp}))
 }
 
 // The grant is lost, or the lender is lost or of an older version and ignores the request. Guards
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -17,9 +17,12 @@
 
 // lentJob is a job for which another shard has granted room.
 type lentJob struct {
+	// entry is the process that was last told to hand the job in to the shard to, and at when.
 	entry EntryID
 	to    int
 	at    Time
+	// copied: a copy of the job has arrived here since.
+	copied bool
 }
 
 // route is the way of a job from its entry process to a lender.
@@ -28,15 +31,40 @@
 	to    int
 }
 
-// noteHandedBack records that an entry process couldn't hand a lent job in to the lender, if it
-// hands it in here within the life of a grant.
-func (s *Scheduler) noteHandedBack(id workload.JobID, entry EntryID) {
+// submitLent handles the submission of a job that was lent, and reports whether that is all. A copy
+// follows the job to the lender, which knows whether it has ended or runs: here it would run again.
+// A job that its entry process hands back stays here; nothing of it has run, unless the process
+// hands back a copy. A job that another scheduler had since comes when its runs there are over.
+func (s *Scheduler) submitLent(sub Submission) bool {
+	id := sub.Job.ID
 	l, ok := s.borrowing.lent[id]
-	if !ok || l.entry != entry || s.now-l.at >= grantLifetime {
-		return
+	switch {
+	case !ok:
+		return false
+	case sub.PriorSubmissions > 0:
+		delete(s.borrowing.lent, id)
+		return false
+	case l.entry == sub.Entry && s.now-l.at < grantLifetime:
+		s.handedBack(id, l)
+		if l.copied {
+			s.answer(sub.Entry, id, workload.GaveUp, "it is in another shard, which is out of reach")
+		}
+		return l.copied
+	}
+	s.borrowing.lent[id] = lentJob{entry: sub.Entry, to: l.to, at: s.now, copied: true}
+	s.emit(Answer{
+		At: s.now, Entry: sub.Entry, Job: id, Outcome: workload.GaveUp, Reason: "it is in another shard",
+		RetryAfter: minRetryAfter, NoRoom: true, Lent: true, Lender: l.to,
+	})
+	return true
+}
+
+// handedBack records that an entry process couldn't hand a lent job in to the lender.
+func (s *Scheduler) handedBack(id workload.JobID, l lentJob) {
+	if !l.copied {
+		delete(s.borrowing.lent, id)
 	}
-	delete(s.borrowing.lent, id)
-	s.borrowing.outOfReach[route{entry: entry, to: l.to}] = s.now
+	s.borrowing.outOfReach[route{entry: l.entry, to: l.to}] = s.now
 	s.ctr.Lending.HandedBack++
 	s.emit(Decision{Event: "lent-job-handed-back", Job: id, Reason: shardReason("out of reach:", l.to), Age: s.now - l.at})
 }
@@ -49,7 +77,7 @@
 
 // expireReach drops old entries.
 func (s *Scheduler) expireReach() {
-	maps.DeleteFunc(s.borrowing.lent, func(_ workload.JobID, l lentJob) bool { return s.now-l.at >= grantLifetime })
+	maps.DeleteFunc(s.borrowing.lent, func(_ workload.JobID, l lentJob) bool { return s.now-l.at >= ranRetention })
 	expireBefore(s.borrowing.outOfReach, s.now-outOfReachRetention)
 }
 
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -50,6 +50,9 @@
 		s.answer(sub.Entry, id, workload.Cancelled, "cancelled before it came")
 		return
 	}
+	if s.submitLent(sub) {
+		return
+	}
 	if j := s.jobs[id]; j != nil {
 		j.entry = sub.Entry
 		j.abandonedAt = 0
@@ -78,7 +81,6 @@
 		return
 	}
 	s.noteOffered(j)
-	s.noteHandedBack(id, sub.Entry)
 	granted := s.useGrant(id)
 	if reason, hopeless := s.refusal(j); reason != "" && (hopeless || !granted) {
 		j.awaitsRoom = !hopeless && s.mayBorrow(j)
