--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -99,6 +99,8 @@
 	noRoom bool
 	// refusedFor is set if the job is refused or given up.
 	refusedFor workload.RefusalCause
+	// awaitsRoom: the job has no room here, and another shard may lend some.
+	awaitsRoom bool
 	// begun: a start of one of its tasks is known to have been ordered.
 	begun bool
 	// restarted: a task was started more than once.
--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -105,7 +105,9 @@
 	slowed func(workload.RunnerID) float64
 	// estimates multiplies the estimates of a kind; 1 for those that it lacks.
 	estimates map[string]float64
-	last      int
+	// handle takes a scheduler's command in place of the simulation if it returns true.
+	handle func(sch *Scheduler, c Command) bool
+	last   int
 }
 
 type simEvent struct {
@@ -128,6 +130,9 @@
 	longestRun, estimate time.Duration
 	// ran: a start of one of its tasks was ordered.
 	ran bool
+	// submission is its first one, to the scheduler of shard.
+	submission Submission
+	shard      int
 }
 
 // tally counts the answers that the callers of a kind got.
@@ -240,7 +245,8 @@
 	}
 	s.jobs[w.ID] = j
 	sub := Submission{Job: w, Entry: entryA, RemainingObjective: w.Objective, RemainingTimeout: patienceBase + worthlessFactor*j.objective, Domain: s.domains[s.rng.IntN(len(s.domains))]}
-	s.shards[s.route(w)].Submit(s.now, sub)
+	j.submission, j.shard = sub, s.route(w)
+	s.shards[j.shard].Submit(s.now, sub)
 }
 
 func (s *simulation) clock() ClockReading {
@@ -250,6 +256,9 @@
 func (s *simulation) carryOut(sch *Scheduler) {
 	for orders := sch.Ready(); len(orders) > 0; orders = sch.Ready() {
 		for _, c := range orders {
+			if s.handle != nil && s.handle(sch, c) {
+				continue
+			}
 			switch c := c.(type) {
 			case Start:
 				s.start(sch, c)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -50,6 +50,9 @@
 		s.answer(sub.Entry, id, workload.Cancelled, "cancelled before it came")
 		return
 	}
+	if s.submitLent(sub) {
+		return
+	}
 	if j := s.jobs[id]; j != nil {
 		j.entry = sub.Entry
 		j.abandonedAt = 0
@@ -79,13 +82,19 @@
 		return
 	}
 	s.noteOffered(j)
-	if cause, reason := s.refusal(j); cause != workload.NotRefused {
-		j.noRoom = cause != workload.TooLittleTime
-		s.finishRefused(j, workload.NotRun, cause, reason)
-		return
+	granted := s.useGrant(id)
+	if cause, reason := s.refusal(j); cause != workload.NotRefused && (cause == workload.TooLittleTime || !granted) {
+		hopeless := cause == workload.TooLittleTime
+		j.awaitsRoom = !hopeless && s.mayBorrow(j)
+		if !j.awaitsRoom {
+			j.noRoom = !hopeless
+			s.finishRefused(j, workload.NotRun, cause, reason)
+			return
+		}
 	}
 	s.enqueue(j)
 	s.dispatch()
+	s.requestRoom()
 }
 
 // handedBefore records that other schedulers may have started tasks of a job.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -13,6 +13,7 @@
 func (s *Scheduler) Tick(now Time) {
 	s.now = now
 	s.expire()
+	s.expireGrants()
 	s.tickStored()
 	if !s.leading {
 		s.refuseWithoutLeader()
@@ -28,6 +29,7 @@
 	s.refuseEvacuated()
 	s.refuseLate()
 	s.dispatch()
+	s.tickBorrowing()
 }
 
 // refuseWithoutLeader answers GaveUp to jobs that were handed in to a process that doesn't become
@@ -162,6 +164,7 @@
 	expireBefore(s.ranJobs, s.now-ranRetention)
 	expireBefore(s.unstored, s.now-ranRetention)
 	expireBefore(s.doneWithoutJob, s.now-s.cfg.Resend-leadershipTimeout)
+	s.expireReach()
 }
 
 func expireBefore[K comparable](m map[K]Time, oldest Time) {
