A task doesn't wait for a runner that has room

Cause: a faster runner that had room but wasn't chosen, as the task had failed there or since it is in another domain, was waited for: the task started nowhere until its chance there had fallen. Evidence: TestATaskDoesNotWaitForARunnerWithRoom fails before.

--- a/core/schedule/faster.go
+++ b/core/schedule/faster.go
@@ -61,7 +61,7 @@
 	var fastest *runner
 	var from, ends Time
 	for _, r := range p.s.runnerList {
-		if r.health.pace() >= best.health.pace() || r.health.suspect() || !p.suits(t, r) {
+		if r.health.pace() >= best.health.pace() || !p.worthWaiting(t, r) {
 			continue
 		}
 		at := p.freeAt(r, t.step().Need)
@@ -77,11 +77,12 @@
 	return true
 }
 
-// suits reports whether a task could be started on a runner if it had room.
-func (p *placer) suits(t *taskState, r *runner) bool {
+// worthWaiting reports whether a task would be started on a runner if it had room. One that has
+// room now was not the best one.
+func (p *placer) worthWaiting(t *taskState, r *runner) bool {
 	step := t.step()
-	return r.info.Service == t.job.work.Service && r.usable(p.s.now) && step.Need.Fits(r.info.Capacity) &&
-		r.info.HasLabel(step.Requires) && p.withinSpreadLimit(t, r)
+	return r.info.Service == t.job.work.Service && r.usable(p.s.now) && !r.health.suspect() && !slices.Contains(t.failedOn, r) &&
+		step.Need.Fits(r.info.Capacity) && !step.Need.Fits(r.free()) && r.info.HasLabel(step.Requires) && p.withinSpreadLimit(t, r)
 }
 
 // duration returns how long a task is expected to run on a runner.
--- a/core/schedule/learned_test.go
+++ b/core/schedule/learned_test.go
@@ -156,3 +156,17 @@
 	b.end("fast", 1, first[0].Run, workload.Done)
 	b.g.Expect(one[Start](b).Runner).To(BeEquivalentTo("fast"))
 }
+
+// Guards against a task that waits for a fast runner which has room but isn't chosen, since the task
+// has failed there: it would never start.
+func TestATaskDoesNotWaitForARunnerWithRoom(t *testing.T) {
+	b := leading(t, testRunner("fast"), testRunner("slow"))
+	b.s.runners["fast"].health.usual, b.s.runners["slow"].health.usual = 0.5, 2
+	b.submit(testJob(1, 400*ms), 3*time.Second)
+	first := one[Start](b)
+	b.g.Expect(first.Runner).To(BeEquivalentTo("fast"))
+	b.started(first, Accepted)
+	b.s.runners["fast"].health.strikes = -1 // so that the failure leaves it unsuspected
+	b.end("fast", 1, first.Run, workload.Failed)
+	b.g.Expect(one[Start](b).Runner).To(BeEquivalentTo("slow"))
+}
