A job for which room was granted isn't refused later for lack of room

Cause: a lender that had granted room for a job, and had taken the job in, refused it 217 ms later as its own work grew. The job went on to a third shard and completed there; a copy that followed the job to the lender was told that the job may have run.

Change: a granted job keeps its place in the lender's queue. An end under another scheduler has a cause for the log as well.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -101,6 +101,8 @@
 	refusedFor workload.RefusalCause
 	// awaitsRoom: the job has no room here, and another shard may lend some.
 	awaitsRoom bool
+	// granted: room was granted for the job here, so it isn't refused later for lack of room.
+	granted bool
 	// begun: a start of one of its tasks is known to have been ordered.
 	begun bool
 	// restarted: a task was started more than once.
--- a/core/schedule/offered.go
+++ b/core/schedule/offered.go
@@ -75,7 +75,7 @@
 	for _, j := range s.queue {
 		switch {
 		case j.work.Service != service || s.heldBack(j):
-		case j.stored == nil && !j.started && j.late(s.now):
+		case j.stored == nil && !j.started && !j.granted && j.late(s.now):
 			late = append(late, j)
 		default:
 			ahead += s.waitingWork(j)
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -75,7 +75,7 @@
 	s.predecessorRetired(p)
 	for _, e := range p.Ended {
 		if j := s.jobs[e.Job]; j != nil {
-			s.finish(j, e.Outcome, "ended under another scheduler")
+			s.finishElsewhere(j, e.Outcome)
 			continue
 		}
 		if _, known := s.results[e.Job]; !known {
@@ -88,6 +88,14 @@
 	s.dispatch()
 }
 
+// finishElsewhere ends a job that has ended under another scheduler.
+func (s *Scheduler) finishElsewhere(j *job, o workload.Outcome) {
+	if o == workload.NotRun || o == workload.GaveUp {
+		j.refusedFor = workload.CopyRefused
+	}
+	s.finish(j, o, "ended under another scheduler")
+}
+
 // predecessorRetired records that the previous owner has retired: it starts no more tasks, and its
 // Progress bounds how long runs of earlier owners may live.
 func (s *Scheduler) predecessorRetired(p Progress) {
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -82,8 +82,8 @@
 		return
 	}
 	s.noteOffered(j)
-	granted := s.useGrant(id)
-	if cause, reason := s.refusal(j); cause != workload.NotRefused && (cause == workload.TooLittleTime || !granted) {
+	j.granted = s.useGrant(id)
+	if cause, reason := s.refusal(j); cause != workload.NotRefused && (cause == workload.TooLittleTime || !j.granted) {
 		hopeless := cause == workload.TooLittleTime
 		j.awaitsRoom = !hopeless && s.mayBorrow(j)
 		if !j.awaitsRoom {
