--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -18,8 +18,8 @@
 const (
 	// maxNeeds bounds the jobs in a request.
 	maxNeeds = 16
-	// requestInterval is the shortest time between two requests. Jobs that need room meanwhile
-	// are asked for together.
+	// requestInterval is the shortest time between two requests, or between two searches of the
+	// queue for jobs that need room. Jobs that need room meanwhile are asked for together.
 	requestInterval = 20 * time.Millisecond
 	// requestTimeout is how long the scheduler waits for the answer to a request.
 	requestTimeout = 150 * time.Millisecond
@@ -78,14 +78,14 @@
 	// answeredAt is when it last answered a request, or failed to. A report received before then
 	// doesn't replace what was learned by the answer.
 	answeredAt Time
-	// exhausted: it didn't grant all that was requested.
-	exhausted bool
+	// exhausted are the services for which it didn't grant all that was requested.
+	exhausted map[string]bool
 }
 
-// hasRoom reports whether the lender may have room: it has reported some, or the work that waited
-// there when it reported may be done by now.
-func (l *lender) hasRoom(now Time) bool {
-	if l.exhausted {
+// hasRoom reports whether the lender may have room for a service: it has reported some, or the work
+// that waited there when it reported may be done by now.
+func (l *lender) hasRoom(now Time, service string) bool {
+	if l.exhausted[service] {
 		return false
 	}
 	return l.Load.IdleMilliCPU > 0 || l.Load.ExpectedWait <= workOffFactor*(now-l.reportedAt)+workOffMargin
@@ -124,7 +124,7 @@
 	known := s.borrowing.lenders
 	s.borrowing.lenders = make([]*lender, 0, len(list))
 	for _, l := range list {
-		updated := &lender{Lender: l, reportedAt: now - l.Age}
+		updated := &lender{Lender: l, reportedAt: now - l.Age, exhausted: make(map[string]bool)}
 		i := slices.IndexFunc(known, func(k *lender) bool { return k.Shard == l.Shard })
 		if i >= 0 {
 			updated.answeredAt = known[i].answeredAt
@@ -171,7 +171,7 @@
 	if !s.lendable(j) || s.allEvacuated(j.work.Service) || !s.canRequest() {
 		return false
 	}
-	return s.borrowing.request.has(j.work.ID) || len(s.lendersFor(j.entry)) > 0
+	return s.borrowing.request.has(j.work.ID) || len(s.lendersFor(j)) > 0
 }
 
 // canRequest reports whether the scheduler knows its own runners well enough to ask others.
@@ -182,15 +182,15 @@
 // requestRoom asks a lender for room for the jobs that would begin too late here.
 func (s *Scheduler) requestRoom() {
 	b := &s.borrowing
-	if !s.canRequest() || b.request != nil || s.now < b.nextRequestAt || len(s.queue) == 0 || !s.anyRoom() {
+	if !s.canRequest() || b.request != nil || s.now < b.nextRequestAt || len(s.queue) == 0 {
 		return
 	}
+	b.nextRequestAt = s.now + requestInterval
 	l, needs := s.neededRoom()
 	if l == nil {
 		return
 	}
 	b.request = &roomRequest{to: l.Shard, at: s.now, needs: needs}
-	b.nextRequestAt = s.now + requestInterval
 	s.ctr.Lending.Requested += uint64(len(needs))
 	s.emit(RequestRoom{At: s.now, To: l.Shard, Needs: needs, ReportAge: s.now - l.reportedAt})
 }
@@ -210,9 +210,9 @@
 		}
 		if s.lendable(j) && !j.worthless(s.now) && s.beginsTooLate(j, ahead[service], capacity[service]) {
 			if l == nil {
-				l = chooseLender(s.lendersFor(j.entry), j.work.ID)
+				l = chooseLender(s.lendersFor(j), j.work.ID)
 			}
-			if l != nil && s.reaches(j.entry, l.Shard) {
+			if l != nil && s.mayLendTo(l, j) {
 				needs = append(needs, s.roomNeed(j))
 			}
 			if len(needs) == maxNeeds {
@@ -250,7 +250,10 @@
 	if !s.leading {
 		return
 	}
-	s.applyAnswer(g)
+	if q := s.borrowing.request; q != nil && q.to == g.Lender {
+		s.borrowing.request = nil
+		s.applyAnswer(q, g.Jobs)
+	}
 	for _, id := range g.Jobs {
 		s.ctr.Lending.Received++
 		if j := s.jobs[id]; j != nil && s.lendable(j) {
@@ -261,21 +264,16 @@
 	s.requestRoom()
 }
 
-// applyAnswer corrects the lender's report by its answer to the request that waits for one.
-func (s *Scheduler) applyAnswer(g RoomGrant) {
-	request := s.borrowing.request
-	if request == nil || request.to != g.Lender {
-		return
-	}
-	s.borrowing.request = nil
-	l := s.lender(g.Lender)
+// applyAnswer corrects a lender's report by its answer to a request.
+func (s *Scheduler) applyAnswer(q *roomRequest, granted []workload.JobID) {
+	l := s.lender(q.to)
 	if l == nil {
 		return
 	}
 	l.answeredAt = s.now
-	for _, n := range request.needs {
-		if !slices.Contains(g.Jobs, n.Job) {
-			l.exhausted = true
+	for _, n := range q.needs {
+		if !slices.Contains(granted, n.Job) {
+			l.exhausted[n.Service] = true
 			continue
 		}
 		l.Load.IdleMilliCPU = max(0, l.Load.IdleMilliCPU-n.Step.Tasks*n.Step.Need.MilliCPU)
@@ -315,9 +313,7 @@
 		s.borrowing.request = nil
 		s.ctr.Lending.RequestsExpired++
 		s.emit(Decision{Event: "room-request-expired", Reason: shardReason("to", q.to), Age: s.now - q.at})
-		if l := s.lender(q.to); l != nil {
-			l.exhausted, l.answeredAt = true, s.now
-		}
+		s.applyAnswer(q, nil)
 	}
 	s.requestRoom()
 	s.refuseAwaiting()
--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -247,6 +247,15 @@
 	b.g.Expect(b.s.Counters().Lending.Used).To(BeEquivalentTo(1))
 }
 
+// Guards against a service whose jobs aren't lent because a lender has no runner of another service.
+func TestALenderIsExhaustedByService(t *testing.T) {
+	b, j, q := borrower(t)
+	b.s.RoomGranted(b.now, grantFor())
+	l := b.s.lender(q.To)
+	b.g.Expect(l.hasRoom(b.now, j.Service)).To(BeFalse())
+	b.g.Expect(l.hasRoom(b.now, "other")).To(BeTrue())
+}
+
 // A scheduler whose runners are all in use, whose own jobs wait, or that has just become leader,
 // grants nothing.
 func TestNothingIsGrantedWithoutRoom(t *testing.T) {
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -82,13 +81,17 @@
 	expireBefore(s.borrowing.outOfReach, s.now-outOfReachRetention)
 }
 
-// lendersFor lists the lenders that may have room and that an entry process may reach: those of the
-// same cell, or else all.
-func (s *Scheduler) lendersFor(entry EntryID) []*lender {
+// mayLendTo reports whether a lender may have room for a job and be in reach of its entry process.
+func (s *Scheduler) mayLendTo(l *lender, j *job) bool {
+	return l.hasRoom(s.now, j.work.Service) && s.reaches(j.entry, l.Shard)
+}
+
+// lendersFor lists the lenders that may take a job: those of the same cell, or else all.
+func (s *Scheduler) lendersFor(j *job) []*lender {
 	var near, far []*lender
 	for _, l := range s.borrowing.lenders {
 		switch {
-		case !l.hasRoom(s.now) || !s.reaches(entry, l.Shard):
+		case !s.mayLendTo(l, j):
 		case l.SameCell:
 			near = append(near, l)
 		default:
@@ -100,8 +103,3 @@
 	}
 	return far
 }
-
-// anyRoom reports whether some lender may have room.
-func (s *Scheduler) anyRoom() bool {
-	return slices.ContainsFunc(s.borrowing.lenders, func(l *lender) bool { return l.hasRoom(s.now) })
-}
