Failure domains are cells from 80 runners on

Cause: pooled shards span failure domains, so a cut splits each of them and jobs go to and fro between domains. Cells cost pooling: a burst in one domain couldn't get at its neighbours' room, so that domains were cells from 180 runners on only. Room is lent between cells now.

Change: minCellRunners is 80, which makes two shards a domain. The layout is written to the store once: a deployment that runs keeps its layout. The test of the bound plays 79, 80 and 220 runners a domain; 117, which were pooled, are cells now.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -33,9 +33,10 @@
 	// VM is.
 	minRunnersPerShard = 12
 	// minCellRunners is the number of runners of each service that every failure domain must have
-	// for the domains to be cells. It makes three shards, so that the loss of a scheduler leaves two
-	// thirds of the domain's runners in use. It also leaves ten times the room of a job of 32 tasks.
-	minCellRunners = 3 * maxRunnersPerShard
+	// for the domains to be cells. It makes two shards, so that the loss of a scheduler leaves half
+	// of the domain's runners in use, and leaves four times the room of a job of 32 tasks that take
+	// half a runner each. Jobs beyond the room of a cell are lent to other cells.
+	minCellRunners = 80
 )
 
 // Layout has the cell of each shard, by the shard's index: the name of a failure domain, or "" if
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -17,17 +17,20 @@
 	return list
 }
 
-// Domains with few runners are pooled, because a job of 32 tasks wouldn't fit into one of them.
-// Domains with hundreds of runners have shards of their own.
+// Domains with few runners are pooled, because a shard of a few dozen runners has too little room
+// for jobs of 32 tasks. Domains with more have two shards of their own at least.
 func TestLargeDomainsAreCells(t *testing.T) {
 	g := NewWithT(t)
-	var small, large []workload.Runner
+	var small, medium, large []workload.Runner
 	for _, d := range []string{"c", "a", "b"} {
-		small = append(small, runners("labels", d, 117)...)
+		small = append(small, runners("labels", d, 79)...)
+		medium = append(medium, runners("labels", d, 80)...)
 		large = append(large, runners("labels", d, 220)...)
 	}
-	g.Expect(For(small, VM{})).To(Equal(Pooled(6)))
+	g.Expect(For(small, VM{})).To(Equal(Pooled(4)))
+	g.Expect(For(medium, VM{})).To(Equal(Layout{"a", "a", "b", "b", "c", "c"}))
 	g.Expect(For(large, VM{})).To(Equal(Layout{"a", "a", "a", "a", "b", "b", "b", "b", "c", "c", "c", "c"}))
+	g.Expect(For(append(medium, runners("labels", "d", 79)...), VM{})).To(Equal(Pooled(6)), "one domain has too few")
 	g.Expect(For(runners("labels", "a", 700), VM{})).To(Equal(Pooled(12)), "only one domain")
 	g.Expect(For(nil, VM{})).To(Equal(Pooled(1)))
 }
