--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -87,11 +87,11 @@
 	return bytes.Clone(l.buf.Bytes())
 }
 
-// since returns what was written after the first bytes, and the number of all bytes.
-func (l *logBuffer) since(first int) ([]byte, int) {
+// since returns what was written from an offset on, and the offset of what comes next.
+func (l *logBuffer) since(offset int) ([]byte, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return bytes.Clone(l.buf.Bytes()[first:]), l.buf.Len()
+	return bytes.Clone(l.buf.Bytes()[offset:]), l.buf.Len()
 }
 
 func newWorld(program, dir string, seed uint64, shards int) (*world, error) {
