explain: the search for system events is split

findSystemEvents built seven lists in one function. The events and their order are as before. No variable shadows another in lossSummary, and the comments name the parameters.

--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -174,7 +174,7 @@
 	return n
 }
 
-// causeOf finds the cause of a loss. The lines are those of the job until the answer: also those of
+// causeOf finds the cause of a loss. jobLines are the lines of the job until the answer: also those of
 // earlier submissions, whose runs may have delayed this one.
 func causeOf(loss Loss, answer Line, jobLines []Line, events []systemEvent) Cause {
 	switch {
@@ -193,8 +193,8 @@
 
 // lateCause finds the cause of a late answer. Causes seen in the lines of the job come before system
 // events at the same time, unless the job was handed over to another scheduler. Then a system event
-// comes first, as it explains the events of the job that followed. The lines of this submission are
-// own.
+// comes first, as it explains the events of the job that followed. jobLines are the lines of all
+// submissions of the job until the answer, and own those of the submission that was answered.
 func lateCause(answer Line, jobLines, own []Line, system Cause) Cause {
 	if answer.number("handed") > 0 {
 		return cmp.Or(system, LeaderChanged)
@@ -220,7 +220,7 @@
 }
 
 // refusedCause finds why a job was not completed. A system event at the time comes before the
-// refusal that followed from it.
+// refusal that followed from it. jobLines and own are as in lateCause.
 func refusedCause(answer Line, jobLines, own []Line, system Cause) Cause {
 	refused := refusal(answer, own)
 	if certainRefusals[refused] {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -185,20 +185,20 @@
 	return "handed in to the shards " + strings.Join(path, ", then ")
 }
 
-// lossSummary returns the causes of a job's late or lost answers.
+// lossSummary returns a line with the cause for each late or lost answer of a job.
 func lossSummary(jobLines, all []Line) []string {
 	var events []systemEvent
 	var out []string
 	for _, l := range jobLines {
-		jobLines := linesUntil(jobLines, l.Time.Add(answerSkew))
-		loss, ok := lossOf(l, endedLine(jobLines))
+		linesSoFar := linesUntil(jobLines, l.Time.Add(answerSkew))
+		loss, ok := lossOf(l, endedLine(linesSoFar))
 		if !ok {
 			continue
 		}
 		if events == nil {
 			events = findSystemEvents(sortedByTime(all))
 		}
-		out = append(out, "cause of the loss: "+string(causeOf(loss, l, jobLines, events)))
+		out = append(out, "cause of the loss: "+string(causeOf(loss, l, linesSoFar, events)))
 	}
 	return out
 }
--- a/explain/system.go
+++ b/explain/system.go
@@ -44,34 +44,66 @@
 
 // findSystemEvents finds the events of the whole system in lines sorted by time. The events of the
 // most severe kinds come first, because causeDuring returns the first event of an interval.
-// Processes that start within clusterGap of the first line count as the start of the deployment,
-// not as an event.
 func findSystemEvents(lines []Line) []systemEvent {
-	nodes := make(map[string]bool)
-	for _, l := range lines {
-		nodes[l.Fields["node"]] = true
+	if len(lines) == 0 {
+		return nil
 	}
-	starts, first := withEvent(lines, "process-started"), time.Time{}
-	if len(lines) > 0 {
-		first = lines[0].Time
-	}
-	starts = slices.DeleteFunc(starts, func(l Line) bool { return l.Time.Sub(first) < clusterGap })
-	events := clusterEvents(starts, MostProcessesLost, func(g []Line) bool { return 2*len(g) > len(nodes) })
+	begin := lines[0].Time
+	starts := processStarts(lines, begin)
 	lost := slices.DeleteFunc(withEvent(lines, "peer-lost"), func(l Line) bool { return l.Fields["ended"] == "true" })
-	events = append(events, clusterEvents(lost, Partition, func(g []Line) bool { return countPeers(g) > 1 })...)
+	return slices.Concat(
+		clusterEvents(starts, MostProcessesLost, majorityOf(countNodes(lines))),
+		clusterEvents(lost, Partition, func(group []Line) bool { return countPeers(group) > 1 }),
+		healedPartitions(lines, starts, begin),
+		clusterEvents(lost, ProcessLost, anyGroup),
+		clusterEvents(starts, ProcessLost, anyGroup),
+		clusterEvents(withEvent(lines, "process-stopping"), PlannedStop, anyGroup),
+		storeRecoveries(lines),
+	)
+}
+
+// processStarts lists the starts of processes. Those within clusterGap of the first line are the start
+// of the deployment and are left out.
+func processStarts(lines []Line, begin time.Time) []Line {
+	return slices.DeleteFunc(withEvent(lines, "process-started"), func(l Line) bool { return l.Time.Sub(begin) < clusterGap })
+}
+
+// healedPartitions finds the times at which many connections came back that no start of a process
+// explains. The first connections of the deployment are left out.
+func healedPartitions(lines, starts []Line, begin time.Time) []systemEvent {
 	connected := slices.DeleteFunc(withEvent(lines, "peer-connected"), func(l Line) bool { return nearStart(starts, l) })
-	events = append(events, clusterEvents(connected, PartitionHealed, func(g []Line) bool { return len(g) >= minReconnects && g[0].Time.Sub(first) > effectAfter })...)
-	events = append(events, clusterEvents(lost, ProcessLost, func([]Line) bool { return true })...)
-	events = append(events, clusterEvents(starts, ProcessLost, func([]Line) bool { return true })...)
-	events = append(events, clusterEvents(withEvent(lines, "process-stopping"), PlannedStop, func([]Line) bool { return true })...)
-	store := slices.DeleteFunc(withEvent(lines, "dependency-regained"), func(l Line) bool { return l.Fields["call"] != "runners" })
-	for _, e := range clusterEvents(store, StoreRecovered, func([]Line) bool { return true }) {
-		e.to = e.to.Add(storeEffectAfter - effectAfter)
-		events = append(events, e)
+	return clusterEvents(connected, PartitionHealed, func(group []Line) bool {
+		return len(group) >= minReconnects && group[0].Time.Sub(begin) > effectAfter
+	})
+}
+
+// storeRecoveries finds the times at which the list of runners could be read again.
+func storeRecoveries(lines []Line) []systemEvent {
+	regained := slices.DeleteFunc(withEvent(lines, "dependency-regained"), func(l Line) bool { return l.Fields["call"] != "runners" })
+	events := clusterEvents(regained, StoreRecovered, anyGroup)
+	for i := range events {
+		events[i].to = events[i].to.Add(storeEffectAfter - effectAfter)
 	}
 	return events
 }
 
+// anyGroup accepts every group of lines.
+func anyGroup([]Line) bool { return true }
+
+// majorityOf returns a function that accepts groups with a line for more than half of the nodes.
+func majorityOf(nodes int) func(group []Line) bool {
+	return func(group []Line) bool { return 2*len(group) > nodes }
+}
+
+// countNodes counts the different nodes whose lines these are.
+func countNodes(lines []Line) int {
+	nodes := make(map[string]bool)
+	for _, l := range lines {
+		nodes[l.Fields["node"]] = true
+	}
+	return len(nodes)
+}
+
 // withEvent lists the lines of a kind of event.
 func withEvent(lines []Line, event string) []Line {
 	var list []Line
