--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -8,14 +8,15 @@
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 )
 
-// The commands of the components: some are passed to other components, the others become commands
-// of the node.
+// The commands of the node's components, which are the gateway and each shard's scheduler and ledger.
+// Some commands are passed to other components, the others become commands of the node.
 
-// notice logs an event, and warn one that may need an operator's attention.
+// notice logs an event.
 func (n *Node) notice(event string, fields ...Field) {
 	n.emit(Notice{Event: event, Fields: fields})
 }
 
+// warn logs an event that may need an operator's attention.
 func (n *Node) warn(event string, fields ...Field) {
 	n.emit(Notice{Event: event, Warning: true, Fields: fields})
 }
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -64,6 +64,7 @@
 	n.emit(Send{To: leader.ID(a.Entry), Message: Verdict{v}})
 }
 
+// noticeAnswer logs a scheduler's verdict on a job.
 func (n *Node) noticeAnswer(event string, a schedule.Answer) {
 	fields := []Field{
 		{"job", string(a.Job)}, {"queue", a.Queue}, {"outcome", a.Outcome.String()}, {"entry", string(a.Entry)},
--- a/core/fleet/learned.go
+++ b/core/fleet/learned.go
@@ -12,27 +12,30 @@
 // shard next. Their schedulers keep it until they lead.
 
 const (
-	// learnedInterval is the interval at which a leader sends what it has learned. What is lost
-	// with a leader was learned in that time.
+	// learnedInterval is the interval at which a leader sends what it has learned. If the leader is
+	// lost, its successor lacks what was learned since.
 	learnedInterval = 5 * time.Second
-	// learnedReportInterval bounds how often useless entries from other processes are logged.
+	// learnedReportInterval is the shortest time between two log lines on invalid entries.
 	learnedReportInterval = 30 * time.Second
 )
 
-// learnedState is the state of the copies of what was learned in a shard.
+// learnedState is the state of the copies of what was learned in a shard, as their sender and as their
+// receiver.
 type learnedState struct {
-	// checkedAt is when this process last checked whether to send them. It last did at revision to
-	// sentTo.
+	// checkedAt is when this process last checked whether a copy is to be sent.
 	checkedAt Time
-	revision  uint64
-	sentTo    []leader.ID
-	// from is who last sent a copy here, and reportedAt when useless entries were last logged.
+	// revision and sentTo are those of the latest copy that was sent: what had been learned then, and
+	// the processes that it was sent to.
+	revision uint64
+	sentTo   []leader.ID
+	// from is the sender of the latest copy received, and reportedAt is when invalid entries were last
+	// logged.
 	from       leader.ID
 	reportedAt Time
 }
 
-// shareLearned sends what a leader has learned to its successors, if that is due and something was
-// learned since or a successor hasn't received it.
+// shareLearned sends what a leader has learned to its successors every learnedInterval, unless nothing
+// was learned since the last time and the successors are the same.
 func (n *Node) shareLearned(now Time, s *shard) {
 	state := &s.learned
 	if !s.schedule.Leading() || now-state.checkedAt < learnedInterval {
@@ -49,6 +52,7 @@
 	}
 }
 
+// sendLearned sends what a leader has learned to a process, unless that is nothing.
 func (n *Node) sendLearned(now Time, s *shard, to leader.ID) {
 	learned := s.schedule.Learned(now)
 	if learned.Count() > 0 {
@@ -56,9 +60,10 @@
 	}
 }
 
-// successors lists the connected processes that would lead a shard after this one: if only this
-// process were lost, and, so that neither a cut nor the loss of a failure domain takes all copies,
-// the first one of another domain or of the same one.
+// successors lists the connected processes that would lead a shard after this one, two at most. The
+// first would lead if only this process were lost. If it is in this process's failure domain, the second
+// is of another domain, and otherwise of the same one. So neither a network partition nor the loss of a
+// domain takes all copies.
 func (n *Node) successors(now Time, s *shard) []leader.ID {
 	others := func(id leader.ID) bool { return id != n.Self() && n.connected[id] }
 	first := n.view.Successor(now, s.index, others)
@@ -84,8 +89,8 @@
 	return n.members[i].Domain
 }
 
-// receiveLearned takes over what the leader of a shard has learned. Before this process leads the
-// shard that has no effect.
+// receiveLearned adds what the leader of a shard has learned to what this process's scheduler of the
+// shard knows. The scheduler uses it from when it leads.
 func (n *Node) receiveLearned(now Time, from leader.ID, m LearnedPaces) {
 	s := n.ownShard(m.Shard)
 	if s == nil {
@@ -107,7 +112,7 @@
 	}
 }
 
-// reportLearned logs what a new leader begins with.
+// reportLearned logs how much a new leader knows of runners and queues as it begins to lead.
 func (n *Node) reportLearned(now Time, s *shard) {
 	l := s.schedule.Learned(now)
 	n.notice("learned-paces-applied", Field{"shard", s.index}, Field{"from", string(s.learned.from)}, Field{"runners", len(l.Runners)},
--- a/core/fleet/lending.go
+++ b/core/fleet/lending.go
@@ -7,16 +7,17 @@
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 )
 
-// Room lent between the schedulers of shards. Each leader reports the load of its shards in its
-// heartbeats; a scheduler with more work than room asks one of those that report room.
+// Room lent between the schedulers of shards: the reports and messages that pass between processes;
+// core/schedule decides. Each leader reports the load of its shards in its heartbeats. A scheduler with
+// more work than room asks the scheduler of a shard that reports room.
 
-// RoomRequest asks the leader of Shard for room for jobs of another shard.
+// RoomRequest asks the leader of Shard for room for jobs of the shard Borrower.
 type RoomRequest struct {
 	Shard int
 	schedule.RoomRequest
 }
 
-// RoomGrant answers a RoomRequest. Shard is the shard that asked.
+// RoomGrant answers a RoomRequest. Shard is the shard that asked, and Lender the one that was asked.
 type RoomGrant struct {
 	Shard int
 	schedule.RoomGrant
@@ -35,10 +36,11 @@
 type reportedLoad struct {
 	schedule.Load
 	leader leader.ID
-	at     Time
+	// at is when the report arrived.
+	at Time
 }
 
-// ownLoads lists the loads of the shards led here.
+// ownLoads lists the loads of the shards led here. Without other shards there is nobody to report to.
 func (n *Node) ownLoads() []ShardLoad {
 	if len(n.shards) < 2 {
 		return nil
@@ -114,6 +116,7 @@
 	}
 }
 
+// receiveRoomRequest passes another scheduler's request to that of the shard that is asked.
 func (n *Node) receiveRoomRequest(now Time, from leader.ID, m RoomRequest) {
 	if s := n.ownShard(m.Shard); s != nil {
 		m.Entry = schedule.EntryID(from)
@@ -137,6 +140,7 @@
 	n.emit(Send{To: leader.ID(c.Entry), Message: m})
 }
 
+// receiveRoomGrant passes a lender's answer to the scheduler that asked.
 func (n *Node) receiveRoomGrant(now Time, m RoomGrant) {
 	if s := n.ownShard(m.Shard); s != nil {
 		s.schedule.RoomGranted(now, m.RoomGrant)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -43,17 +43,20 @@
 	job *workload.Job
 	// shard has the job now, and home is the shard that it belongs to.
 	shard, home int
-	// refusedBy are the shards that had no room for it. redirected: it was handed to another
-	// shard after a refusal. lent: it was handed to a lender. mayHaveRun: one of them couldn't rule out that a run of an earlier
-	// copy was started.
-	refusedBy  []int
+	// refusedBy are the shards that had no room for it.
+	refusedBy []int
+	// redirected: another shard was searched for after a refusal, which happens once.
 	redirected bool
-	lent       bool
+	// lent: it was handed to a lender.
+	lent bool
+	// mayHaveRun: a scheduler that had it couldn't rule out that a run of an earlier copy was
+	// started.
 	mayHaveRun bool
-	arrived    Time
-	due        Time
-	deadline   Time
-	requests   []uint64
+	// arrived is when it came, due when its latency objective ends, and deadline when its last
+	// caller's timeout ends.
+	arrived, due, deadline Time
+	// requests are the callers' requests that wait for its answer.
+	requests []uint64
 	// scheduler has the job; "" if none has. priorSubmissions counts the schedulers before it.
 	scheduler        leader.ID
 	priorSubmissions int
--- a/core/gateway/message.go
+++ b/core/gateway/message.go
@@ -10,7 +10,7 @@
 // Command is an output of the gateway.
 type Command interface{ command() }
 
-// HandIn submits a job to a scheduler.
+// HandIn hands a job in to a scheduler.
 type HandIn struct {
 	At Time
 	To leader.ID
@@ -73,7 +73,8 @@
 	// NoRoom: the scheduler has started no task of the job for lack of room, and another
 	// scheduler may have room.
 	NoRoom bool
-	// Lent: the scheduler of the shard Lender has granted room for the job.
+	// Lent: the scheduler of the shard Lender has granted room for the job, or has the job already
+	// and gets this copy of it too.
 	Lent   bool
 	Lender int
 }
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -46,8 +46,9 @@
 	return best, found
 }
 
-// redirect hands a job that was refused for lack of room to a shard with no expected wait. It
-// does so once per job: after a second refusal the other shards are short of room as well.
+// redirect hands a job that was refused for lack of room to a shard with no expected wait, and
+// reports whether there is one. It does so once per job: after a second refusal the other shards are
+// short of room as well.
 func (g *Gateway) redirect(j *inFlightJob) bool {
 	if j.redirected || j.priorSubmissions > 0 || j.job.Stored {
 		return false
@@ -63,16 +64,17 @@
 	return false
 }
 
-// mayRedirect reports whether a refused job may go to another shard. Copies of a lent job go to the
-// lender. If the lender doesn't remember that it has refused the job, it would start a copy after the
-// job has run in a third shard.
+// mayRedirect reports whether a refused job may go to another shard. A lent job may only if its lender
+// answered NotRun, since it retains that result. The job's home sends copies of the job to the lender:
+// without the result, the lender would start such a copy after the job has run in a third shard.
 func (g *Gateway) mayRedirect(j *inFlightJob, v Verdict) bool {
 	return !v.Lent && (!j.lent || v.Outcome == workload.NotRun)
 }
 
-// handToLender hands a job to the shard that has granted room for it. If its leader isn't reachable
-// from here the job goes to a shard without a wait, unless an earlier copy may have run, or else back
-// to its home, which treats it as possibly run from now on.
+// handToLender hands a job to the shard that has granted room for it, and reports whether the job was
+// handed to any shard. If the lender's leader isn't reachable from here, the job goes to a shard without
+// a wait, unless an earlier copy may have run. Otherwise it goes back to its home, which treats it as
+// possibly run from then on.
 func (g *Gateway) handToLender(j *inFlightJob, v Verdict) bool {
 	if j.priorSubmissions > 0 || j.job.Stored {
 		return false
--- a/core/workload/refusal.go
+++ b/core/workload/refusal.go
@@ -13,7 +13,7 @@
 	TooLittleTime
 	// TimeUp: the caller's timeout has ended.
 	TimeUp
-	// HigherPriority: the room is needed for jobs of a higher priority.
+	// HigherPriority: jobs of a higher priority need the room.
 	HigherPriority
 	// RunnersEvacuated: all runners of the service are in evacuated failure domains.
 	RunnersEvacuated
@@ -21,7 +21,8 @@
 	NoRunner
 	// NoFittingRunner: no runner has the resources or labels that a task requires.
 	NoFittingRunner
-	// NotLeading: the process that got the job doesn't lead its shard, or not for certain.
+	// NotLeading: the process that got the job doesn't lead its shard, or can't rule out that another
+	// process leads it.
 	NotLeading
 	// NoScheduler: the entry process reaches no scheduler that could get the job.
 	NoScheduler
@@ -29,13 +30,13 @@
 	NoAnswer
 	// ProcessEnding: the entry process is about to end.
 	ProcessEnding
-	// StoreUnavailable: the store doesn't answer, or has not yet.
+	// StoreUnavailable: a call to the store that the job needs failed, or isn't answered yet.
 	StoreUnavailable
 	// CopyRefused: an earlier copy of the same job was refused.
 	CopyRefused
 	// NotConfigured: the process has no configuration or no layout yet.
 	NotConfigured
-	// NotServed: the request asks for something that the system doesn't do.
+	// NotServed: the request asks for a feature that the system doesn't have.
 	NotServed
 	// OtherRefusal: a cause that this version doesn't know.
 	OtherRefusal
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -54,7 +54,8 @@
 
 // finalReply returns the reply to a request that was waiting when the process
 // ended: the one that was sent to it, or, if the request came too late for the loop to
-// handle it, that the job did not run.
+// handle it, that the job did not run. The latter is logged and counted here, since the loop
+// has ended.
 func (p *Process) finalReply(job *workload.Job, done <-chan Reply) Reply {
 	select {
 	case r := <-done:
