Lent jobs: no third shard, an explicit hand-back, grants and requests are checked

(1) An entry process that can't reach the lender, or was refused there, handed the job to a third shard, while its home sent a copy to the lender. (2) The home took a job that the same entry process sent again within 250 ms for one that was handed back. (3) A job that came back as from a lost scheduler was taken by the home though a copy had gone to the lender. Besides, a scheduler used grants that it hadn't asked for or that had expired, and the lender didn't bound what it was asked for: 40 million tasks kept it busy for half a second, an absurd estimate overflowed a sum.

Change: a lent job goes to its lender, or back home with HandIn.HandedBack, and nowhere else; if neither is in reach its caller is told that it may have run. The home keeps a job that comes back only from the process that it was lent through, and while no copy has gone to the lender. A grant counts only as the answer to the request that waits for one. The lender denies needs beyond the size of a request, a job or an hour of work.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -130,6 +130,7 @@
 		PriorRunsTTL:       c.PriorRunsTTL,
 		Domain:             c.Domain,
 		Foreign:            c.Shard != c.Home,
+		HandedBack:         c.HandedBack,
 	})
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -222,10 +222,13 @@
 	}
 }
 
-func (g *Gateway) handTo(j *inFlightJob, shard int) {
+func (g *Gateway) handTo(j *inFlightJob, shard int) { g.out = append(g.out, g.assign(j, shard)) }
+
+// assign makes a shard's leader the scheduler of a job, and returns the command that hands the job in.
+func (g *Gateway) assign(j *inFlightJob, shard int) HandIn {
 	j.shard = shard
 	j.scheduler = g.choices[shard].Leader
-	g.out = append(g.out, HandIn{
+	return HandIn{
 		At:                 g.now,
 		To:                 j.scheduler,
 		Shard:              shard,
@@ -237,7 +240,7 @@
 		PriorSubmissions:   j.priorSubmissions,
 		PriorRunsTTL:       max(0, j.uncertainUntil-g.now),
 		Domain:             g.domain,
-	})
+	}
 }
 
 // HandleVerdict takes a scheduler's verdict. The verdict of a scheduler that no longer has the
@@ -253,6 +256,8 @@
 		j.mayHaveRun = j.mayHaveRun || v.Outcome != workload.NotRun
 		return
 	}
+	// The home of a lent job sends copies of it to the lender, which may start them.
+	j.mayHaveRun = j.mayHaveRun || v.Lent
 	if v.Outcome == workload.NotRun && (j.priorSubmissions > 0 || j.mayHaveRun) {
 		v.Outcome = workload.GaveUp
 	}
--- a/core/gateway/message.go
+++ b/core/gateway/message.go
@@ -29,6 +29,8 @@
 	PriorRunsTTL     time.Duration
 	// Domain is the failure domain of the entry VM.
 	Domain string
+	// HandedBack: the job was lent, and its lender can't be reached from this process.
+	HandedBack bool
 }
 
 // Drop tells a scheduler to drop a job: its caller has left or was answered, or, with
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"slices"
-
-	"sapphirepoint.example/sapphirepoint/core/workload"
-)
+import "slices"
 
 // The choice of the shard that a job is handed in to.
 
@@ -64,33 +60,28 @@
 	return false
 }
 
-// mayRedirect reports whether a refused job may go to another shard. A lent job may only if its lender
-// answered NotRun, since it retains that result. The job's home sends copies of the job to the lender:
-// without the result, the lender would start such a copy after the job has run in a third shard.
-func (g *Gateway) mayRedirect(j *inFlightJob, v Verdict) bool {
-	return !v.Lent && (!j.lent || v.Outcome == workload.NotRun)
-}
+// mayRedirect reports whether a refused job may go to another shard. A lent job may not: its home
+// sends copies of the job to the lender, which would start them beside a run in a third shard.
+func (g *Gateway) mayRedirect(j *inFlightJob, v Verdict) bool { return !v.Lent && !j.lent }
 
 // handToLender hands a job to the shard that has granted room for it, and reports whether the job was
-// handed to any shard. If the lender's leader isn't reachable from here, the job goes to a shard without
-// a wait, unless an earlier copy may have run. Otherwise it goes back to its home, which treats it as
-// possibly run from then on.
+// handed to any shard. If the lender's leader isn't reachable from here, the job goes back to its home,
+// and nowhere else, since the home sends copies of the job to the lender.
 func (g *Gateway) handToLender(j *inFlightJob, v Verdict) bool {
 	if j.priorSubmissions > 0 || j.job.Stored {
 		return false
 	}
+	j.lent = true
 	if g.hasReachableLeader(v.Lender) {
 		j.refusedBy = append(j.refusedBy, j.shard)
-		j.lent = true
 		g.handTo(j, v.Lender)
 		return true
 	}
-	if v.Outcome == workload.NotRun && g.redirect(j) {
-		return true
-	}
 	if !g.hasReachableLeader(j.home) {
 		return false
 	}
-	g.handTo(j, j.home)
+	c := g.assign(j, j.home)
+	c.HandedBack = true
+	g.out = append(g.out, c)
 	return true
 }
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -122,9 +122,9 @@
 	}
 	s.expireGrants()
 	answer := GrantRoom{At: now, Entry: q.Entry, To: q.Borrower}
-	for _, n := range q.Needs {
+	for i, n := range q.Needs {
 		delete(s.grants, n.Job)
-		if !s.canGrant(n) {
+		if i >= maxNeeds || !n.valid() || !s.canGrant(n) {
 			answer.Denied++
 			continue
 		}
@@ -137,6 +137,16 @@
 	s.emit(answer)
 }
 
+// maxEstimate bounds the estimate of a need, so that sums of promised work don't overflow.
+const maxEstimate = time.Hour
+
+// valid reports whether a need received from another process can be checked against the runners.
+func (n RoomNeed) valid() bool {
+	step := n.Step
+	return step.Tasks > 0 && step.Tasks <= workload.MaxTasks && step.Estimate >= 0 && step.Estimate <= maxEstimate &&
+		step.Need.MilliCPU >= 0 && step.Need.MemoryMB >= 0 && step.Need.GPU >= 0
+}
+
 // canGrant reports whether a job could begin here before it turns late, after all that waits here
 // and all that is promised.
 func (s *Scheduler) canGrant(n RoomNeed) bool {
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -250,13 +250,16 @@
 	if !s.leading {
 		return
 	}
-	if q := s.borrowing.request; q != nil && q.to == g.Lender {
-		s.borrowing.request = nil
-		s.applyAnswer(q, g.Jobs)
+	q := s.borrowing.request
+	if q == nil || q.to != g.Lender {
+		// The request has expired, and what was granted expires at the lender.
+		return
 	}
+	s.borrowing.request = nil
+	s.applyAnswer(q, g.Jobs)
 	for _, id := range g.Jobs {
 		s.ctr.Lending.Received++
-		if j := s.jobs[id]; j != nil && s.lendable(j) {
+		if j := s.jobs[id]; j != nil && q.has(id) && s.lendable(j) {
 			s.lend(j, g.Lender)
 		}
 	}
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -32,18 +32,18 @@
 
 // submitLent handles the submission of a job that was lent, and reports whether that is all. A copy
 // follows the job to the lender, which knows whether it has ended or runs: here it would run again.
-// A job that its entry process hands back stays here; nothing of it has run, unless the process
-// hands back a copy. A job that another scheduler had since comes when its runs there are over.
+// A job that its entry process hands back stays here, and so does one of which the lender was lost:
+// its runs there are waited for. Neither holds once a copy may have gone to the lender.
 func (s *Scheduler) submitLent(sub Submission) bool {
 	id := sub.Job.ID
 	l, ok := s.borrowing.lent[id]
 	switch {
 	case !ok:
 		return false
-	case sub.PriorSubmissions > 0:
+	case sub.PriorSubmissions > 0 && !l.copied && l.entry == sub.Entry:
 		delete(s.borrowing.lent, id)
 		return false
-	case l.entry == sub.Entry && s.now-l.at < grantLifetime:
+	case sub.HandedBack && l.entry == sub.Entry:
 		s.handedBack(id, l)
 		if l.copied {
 			s.giveUp(sub.Entry, id, workload.NoScheduler, "it is in another shard, which is out of reach")
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -23,6 +23,8 @@
 	Domain string
 	// Foreign: the job belongs to another shard, which receives copies of it.
 	Foreign bool
+	// HandedBack: the job was lent by this scheduler, and its entry process can't reach the lender.
+	HandedBack bool
 }
 
 // worthlessFactor times its objective is the time after which a job's answer has no value, by the
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -128,6 +128,7 @@
 		Domain:     c.Domain,
 		Shard:      uint32(c.Shard),
 		Home:       uint32(c.Home),
+		HandedBack: c.HandedBack,
 	}}}
 }
 
@@ -141,6 +142,7 @@
 		Domain:             m.GetDomain(),
 		Shard:              int(m.GetShard()),
 		Home:               int(m.GetHome()),
+		HandedBack:         m.GetHandedBack(),
 	}}
 }
 
