--- /dev/null
+++ b/core/schedule/counters.go
@@ -0,0 +1,28 @@
+package schedule
+
+// Counters are totals since the start of the process. Cancelled includes jobs whose callers left.
+// Refused and GaveUp count the outcomes NotRun and GaveUp. Done counts tasks, Lapsed runs whose
+// lease expired, Adopted the adopted orphans, and Overstayed the runs that were stopped as overdue.
+// Fenced counts the runners that have accepted another scheduler's higher token, and Unanswered
+// the orders without an answer.
+type Counters struct {
+	Submitted, Completed, Failed, Cancelled, Refused, GaveUp uint64
+	Starts, Done, FailedRuns, Lapsed, Adopted, Overstayed    uint64
+	Fenced, Unanswered                                       uint64
+	Lending                                                  LendingCounters
+}
+
+// Plus returns the sum.
+func (c Counters) Plus(o Counters) Counters {
+	return Counters{
+		Submitted: c.Submitted + o.Submitted, Completed: c.Completed + o.Completed, Failed: c.Failed + o.Failed,
+		Cancelled: c.Cancelled + o.Cancelled, Refused: c.Refused + o.Refused, GaveUp: c.GaveUp + o.GaveUp,
+		Starts: c.Starts + o.Starts, Done: c.Done + o.Done, FailedRuns: c.FailedRuns + o.FailedRuns,
+		Lapsed: c.Lapsed + o.Lapsed, Adopted: c.Adopted + o.Adopted, Overstayed: c.Overstayed + o.Overstayed,
+		Fenced: c.Fenced + o.Fenced, Unanswered: c.Unanswered + o.Unanswered,
+		Lending: c.Lending.Plus(o.Lending),
+	}
+}
+
+// Counters returns the totals.
+func (s *Scheduler) Counters() Counters { return s.ctr }
