core/schedule: lending, names and comments for a reader who hasn't written it

lender and Lender, grantsOut, roomRequested and RoomRequested, hasRoom (may have room), near and far (same cell, other cells) and toleratedWaitShare (a divisor) were hard to tell apart or said something else than they do. neededRoom, canGrant, Load, take and tickBorrowing did several things and are divided. No change of behaviour: TestRoomIsSharedInABurst logs the same figures and counters before and after. Names in logs, dumps and on the wire stay.

--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -10,8 +10,8 @@
 	Waiting  []string     `json:"waiting"`
 	Runners  []RunnerDump `json:"runners"`
 	Counters Counters     `json:"counters"`
-	// GrantsOut are the rooms promised to jobs of other shards, RoomRequested the jobs for which
-	// room is requested of another shard.
+	// GrantsOut are the promises of room to jobs of other shards, and RoomRequested the jobs for
+	// which room is requested of another shard.
 	GrantsOut     []GrantDump `json:"grants_out"`
 	RoomRequested []GrantDump `json:"room_requested"`
 	// Kinds and Queues are what is learned of the kinds of runners and of the queues.
@@ -60,7 +60,10 @@
 
 // Dump returns the scheduler's state.
 func (s *Scheduler) Dump(now Time) Dump {
-	d := Dump{Leading: s.leading, Term: s.term, Jobs: len(s.jobs), Counters: s.ctr, GrantsOut: s.grantsOut(now), RoomRequested: s.roomRequested(now)}
+	d := Dump{
+		Leading: s.leading, Term: s.term, Jobs: len(s.jobs), Counters: s.ctr,
+		GrantsOut: s.dumpGrants(now), RoomRequested: s.dumpRequest(now),
+	}
 	for _, id := range s.waitingIDs() {
 		d.Waiting = append(d.Waiting, string(id))
 	}
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -9,12 +9,12 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Lending, as seen by the lender. A grant promises room for one job of another shard. It counts as
-// used until the job arrives or the grant expires, so that the promises of a scheduler never
+// Lending, as seen by the lender. A grant promises room for one job of another shard. The room counts
+// as used until the job arrives or the grant expires, so that the promises of a scheduler never
 // exceed its room.
 
-// grantLifetime is how long a grant counts as used: longer than a job takes from its former
-// scheduler by way of its entry process.
+// grantLifetime is how long room stays promised: longer than a job takes from its former scheduler
+// to the lender by way of its entry process.
 const grantLifetime = 250 * time.Millisecond
 
 // Load is what a scheduler reports of its room.
@@ -36,6 +36,7 @@
 // GrantRoom answers a RoomRequest of shard To, sent by the process Entry. Room is granted for Jobs
 // and for none of the other requested jobs, whose number is Denied.
 type GrantRoom struct {
+	// At is when the request was decided.
 	At     Time
 	Entry  EntryID
 	To     int
@@ -47,14 +48,14 @@
 
 func (GrantRoom) command() {}
 
-// grant is room promised for a job.
+// grant is room promised for a job of the shard borrower.
 type grant struct {
 	need     RoomNeed
 	borrower int
 	at       Time
 }
 
-// work returns the promised work, in time x thousandths of a core.
+// work returns the estimated work of the job's first step, in time x thousandths of a core.
 func (g grant) work() time.Duration {
 	step := g.need.Step
 	return step.Estimate * time.Duration(step.Tasks*step.Need.MilliCPU)
@@ -88,18 +89,30 @@
 			l.IdleMilliCPU += int(usableShare*float64(r.info.Capacity.MilliCPU)) - r.used.MilliCPU
 		}
 	}
+	l.IdleMilliCPU = max(0, l.IdleMilliCPU-s.neededMilliCPU()-s.promisedMilliCPU())
+	return l
+}
+
+// neededMilliCPU returns what the waiting tasks of all ready steps need, in thousandths of a core.
+func (s *Scheduler) neededMilliCPU() int {
+	sum := 0
 	for _, j := range s.queue {
 		for i := range j.steps {
 			if j.ready(i) {
-				l.IdleMilliCPU -= waitingTasks(j, i) * j.stepAt(i).Need.MilliCPU
+				sum += waitingTasks(j, i) * j.stepAt(i).Need.MilliCPU
 			}
 		}
 	}
+	return sum
+}
+
+// promisedMilliCPU returns what is promised to jobs of other shards, in thousandths of a core.
+func (s *Scheduler) promisedMilliCPU() int {
+	sum := 0
 	for _, g := range s.grants {
-		l.IdleMilliCPU -= g.need.Step.Tasks * g.need.Step.Need.MilliCPU
+		sum += g.need.Step.Tasks * g.need.Step.Need.MilliCPU
 	}
-	l.IdleMilliCPU = max(0, l.IdleMilliCPU)
-	return l
+	return sum
 }
 
 // promisedWork returns the work that is promised to jobs of a service; "" for all services.
@@ -144,8 +157,14 @@
 		return false
 	}
 	p := s.placesWithin(n.Service, n.Slack)
+	return s.takeForQueue(p, n.Service) && s.takeForGrants(p, n.Service) && p.take(&n.Step, n.Step.Tasks)
+}
+
+// takeForQueue uses the places that the waiting jobs of a service need, and reports whether there
+// are enough.
+func (s *Scheduler) takeForQueue(p places, service string) bool {
 	for _, j := range s.queue {
-		if j.work.Service != n.Service || s.heldBack(j) {
+		if j.work.Service != service || s.heldBack(j) {
 			continue
 		}
 		for i := range j.steps {
@@ -154,12 +173,17 @@
 			}
 		}
 	}
+	return true
+}
+
+// takeForGrants does the same for the promises to jobs of a service.
+func (s *Scheduler) takeForGrants(p places, service string) bool {
 	for _, id := range sortedKeys(s.grants) {
-		if g := s.grants[id]; g.need.Service == n.Service && !p.take(&g.need.Step, g.need.Step.Tasks) {
+		if g := s.grants[id]; g.need.Service == service && !p.take(&g.need.Step, g.need.Step.Tasks) {
 			return false
 		}
 	}
-	return p.take(&n.Step, n.Step.Tasks)
+	return true
 }
 
 // waitingTasks counts the waiting tasks of a step.
@@ -176,12 +200,14 @@
 // places are the free resources of a service's usable runners at some time.
 type places []place
 
+// place is what is free on one runner.
 type place struct {
 	runner *runner
 	free   workload.Resources
 }
 
-// placesWithin returns the resources that are free now or will be within a time, as runs end.
+// placesWithin returns the resources that are free now, and those of the runs that are expected to
+// end within a time.
 func (s *Scheduler) placesWithin(service string, d time.Duration) places {
 	var list places
 	for _, r := range s.runnerList {
@@ -202,29 +228,34 @@
 // take uses the places that a number of tasks need, by best fit, and reports whether there are
 // enough.
 func (p places) take(step *workload.Step, tasks int) bool {
-	onRunner := make(map[*runner]int)
+	taken := make(map[*runner]int)
 	for range tasks {
-		best := -1
-		for i := range p {
-			if !step.Need.Fits(p[i].free) || !p[i].runner.info.HasLabel(step.Requires) {
-				continue
-			}
-			if step.MaxPerRunner > 0 && onRunner[p[i].runner] >= step.MaxPerRunner {
-				continue
-			}
-			if best < 0 || p[i].free.MilliCPU < p[best].free.MilliCPU {
-				best = i
-			}
-		}
-		if best < 0 {
+		best := p.bestFit(step, taken)
+		if best == nil {
 			return false
 		}
-		p[best].free = p[best].free.Minus(step.Need)
-		onRunner[p[best].runner]++
+		best.free = best.free.Minus(step.Need)
+		taken[best.runner]++
 	}
 	return true
 }
 
+// bestFit returns the place with the least free processors that has room for one more task of a
+// step; nil if there is none. taken counts the step's tasks on each runner.
+func (p places) bestFit(step *workload.Step, taken map[*runner]int) *place {
+	var best *place
+	for i := range p {
+		at := &p[i]
+		switch {
+		case !step.Need.Fits(at.free), !at.runner.info.HasLabel(step.Requires):
+		case step.MaxPerRunner > 0 && taken[at.runner] >= step.MaxPerRunner:
+		case best == nil || at.free.MilliCPU < best.free.MilliCPU:
+			best = at
+		}
+	}
+	return best
+}
+
 // useGrant ends the grant of a job that has arrived, and reports whether there was one.
 func (s *Scheduler) useGrant(id workload.JobID) bool {
 	g, ok := s.grants[id]
@@ -250,20 +281,20 @@
 	}
 }
 
-// shardReason names a shard in a log line.
+// shardReason is the reason in a log line that names a shard.
 func shardReason(relation string, shard int) string {
 	return fmt.Sprintf("%s shard %d", relation, shard)
 }
 
-// GrantDump is a grant or a request as shown to operators.
+// GrantDump is a grant to another shard, or a request for room for a job, as shown to operators.
 type GrantDump struct {
 	Job   string `json:"job"`
 	Shard int    `json:"shard"`
 	AgeMs int64  `json:"age_ms"`
 }
 
-// grantsOut lists the grants to other shards by job.
-func (s *Scheduler) grantsOut(now Time) []GrantDump {
+// dumpGrants lists the grants to other shards by job.
+func (s *Scheduler) dumpGrants(now Time) []GrantDump {
 	var list []GrantDump
 	for id, g := range s.grants {
 		list = append(list, GrantDump{Job: string(id), Shard: g.borrower, AgeMs: (now - g.at).Milliseconds()})
@@ -272,8 +303,8 @@
 	return list
 }
 
-// roomRequested lists the jobs for which room is requested from another shard.
-func (s *Scheduler) roomRequested(now Time) []GrantDump {
+// dumpRequest lists the jobs for which room is requested of another shard.
+func (s *Scheduler) dumpRequest(now Time) []GrantDump {
 	var list []GrantDump
 	if q := s.borrowing.request; q != nil {
 		for _, n := range q.needs {
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"iter"
 	"slices"
 	"time"
 
@@ -23,30 +24,34 @@
 	requestInterval = 20 * time.Millisecond
 	// requestTimeout is how long the scheduler waits for the answer to a request.
 	requestTimeout = 150 * time.Millisecond
-	// toleratedWaitShare divides the time until a job turns late: room is requested for a job that
-	// waits for longer than this part of it. The rest is for the lender's estimate to be wrong.
-	toleratedWaitShare = 4
-	// workOffFactor is how much sooner than it expects a lender may have done the work that waits
-	// there, since estimates are off and a part of its runners isn't counted. workOffMargin is the
-	// same for a short wait.
+	// toleratedWaitDivisor divides the time from a job's arrival until it turns late: room is
+	// requested for a job that would wait for longer than the quotient. The rest of that time is a
+	// margin for the lender's estimate.
+	toleratedWaitDivisor = 4
+	// workOffFactor and workOffMargin bound the wait that a lender may have reported and be over
+	// with by now: this factor times the age of the report, plus the margin. Estimates are off, and
+	// a lender's capacity counts only a part of its runners (see usableShare).
 	workOffFactor = 2
 	workOffMargin = 50 * time.Millisecond
 )
 
 // Lender is another shard with a reachable leader, and its load as that leader last reported it.
 type Lender struct {
+	// Shard is the index of the shard.
 	Shard int
 	// SameCell: the shard belongs to this scheduler's cell. Such shards are asked first.
 	SameCell bool
-	Load     Load
+	// Load is the reported load.
+	Load Load
 	// Age is the age of the report.
 	Age time.Duration
 }
 
 // RoomNeed is a job for which room is requested.
 type RoomNeed struct {
-	Job      workload.JobID
-	Service  string
+	Job     workload.JobID
+	Service string
+	// Priority is the job's priority. Lenders don't use it.
 	Priority int
 	// Step is the job's first step, for whose tasks the room is needed.
 	Step workload.Step
@@ -56,6 +61,7 @@
 
 // RequestRoom asks the scheduler of shard To for room for jobs.
 type RequestRoom struct {
+	// At is when the request was made.
 	At    Time
 	To    int
 	Needs []RoomNeed
@@ -63,28 +69,30 @@
 	ReportAge time.Duration
 }
 
-// RoomGrant is the answer of a lender: the jobs for which it has room.
+// RoomGrant is the answer of a lender.
 type RoomGrant struct {
+	// Lender is the lender's shard, and Jobs are the jobs for which it grants room. It denies room
+	// for the other jobs of the request.
 	Lender int
 	Jobs   []workload.JobID
 }
 
 func (RequestRoom) command() {}
 
-// lender is a Lender with what this scheduler has learned since its report.
-type lender struct {
+// lenderState is a Lender, and what its answers since its report have shown.
+type lenderState struct {
 	Lender
 	reportedAt Time
-	// answeredAt is when it last answered a request, or failed to. A report received before then
-	// doesn't replace what was learned by the answer.
+	// answeredAt is when the lender last answered a request, or when a request to it expired. A
+	// report received before then doesn't replace what the answer has shown.
 	answeredAt Time
-	// exhausted are the services for which it didn't grant all that was requested.
+	// exhausted are the services for which the lender didn't grant all that was requested.
 	exhausted map[string]bool
 }
 
-// hasRoom reports whether the lender may have room for a service: it has reported some, or the work
-// that waited there when it reported may be done by now.
-func (l *lender) hasRoom(now Time, service string) bool {
+// mayHaveRoom reports whether the lender may have room for a service: it has reported some, or the
+// work that waited there when it reported may be done by now.
+func (l *lenderState) mayHaveRoom(now Time, service string) bool {
 	if l.exhausted[service] {
 		return false
 	}
@@ -98,18 +106,21 @@
 	needs []RoomNeed
 }
 
-func (q *roomRequest) has(id workload.JobID) bool {
+// includes reports whether room is requested for a job; false if there is no request.
+func (q *roomRequest) includes(id workload.JobID) bool {
 	return q != nil && slices.ContainsFunc(q.needs, func(n RoomNeed) bool { return n.Job == id })
 }
 
 // borrowing is the state of a scheduler that asks others for room.
 type borrowing struct {
 	// lenders are in the order of their shards.
-	lenders       []*lender
+	lenders []*lenderState
+	// request is the request without an answer yet; nil if there is none. No other one is made
+	// before nextRequestAt.
 	request       *roomRequest
 	nextRequestAt Time
-	// lent are the jobs that were lent, for ranRetention, and outOfReach is when a lender was found
-	// to be out of reach of an entry process.
+	// lent are the jobs that were lent during the last ranRetention, and outOfReach is when a lender
+	// was found to be out of reach of an entry process.
 	lent       map[workload.JobID]lentJob
 	outOfReach map[route]Time
 }
@@ -118,14 +129,15 @@
 	return borrowing{lent: make(map[workload.JobID]lentJob), outOfReach: make(map[route]Time)}
 }
 
-// SetLenders sets which other shards may lend room.
+// SetLenders sets which other shards may lend room. What a lender's answers have shown is kept until
+// a later report of it arrives.
 func (s *Scheduler) SetLenders(now Time, list []Lender) {
 	s.now = now
 	known := s.borrowing.lenders
-	s.borrowing.lenders = make([]*lender, 0, len(list))
+	s.borrowing.lenders = make([]*lenderState, 0, len(list))
 	for _, l := range list {
-		updated := &lender{Lender: l, reportedAt: now - l.Age, exhausted: make(map[string]bool)}
-		i := slices.IndexFunc(known, func(k *lender) bool { return k.Shard == l.Shard })
+		updated := &lenderState{Lender: l, reportedAt: now - l.Age, exhausted: make(map[string]bool)}
+		i := slices.IndexFunc(known, func(k *lenderState) bool { return k.Shard == l.Shard })
 		if i >= 0 {
 			updated.answeredAt = known[i].answeredAt
 			if updated.reportedAt <= known[i].answeredAt {
@@ -134,13 +146,13 @@
 		}
 		s.borrowing.lenders = append(s.borrowing.lenders, updated)
 	}
-	slices.SortFunc(s.borrowing.lenders, func(a, b *lender) int { return a.Shard - b.Shard })
+	slices.SortFunc(s.borrowing.lenders, func(a, b *lenderState) int { return a.Shard - b.Shard })
 }
 
-// chooseLender chooses by the power of two choices: of two lenders, that with more idle room; nil if
-// there is none. The two follow from the id of a job, so that borrowers with the same reports ask
-// different lenders.
-func chooseLender(list []*lender, id workload.JobID) *lender {
+// chooseLender chooses by the power of two choices: of two lenders, the one with more idle room; nil
+// if the list is empty. The two follow from the id of a job, so that borrowers with the same reports
+// ask different lenders.
+func chooseLender(list []*lenderState, id workload.JobID) *lenderState {
 	if len(list) == 0 {
 		return nil
 	}
@@ -171,15 +183,17 @@
 	if !s.lendable(j) || s.allEvacuated(j.work.Service) || !s.canRequest() {
 		return false
 	}
-	return s.borrowing.request.has(j.work.ID) || len(s.lendersFor(j)) > 0
+	return s.borrowing.request.includes(j.work.ID) || len(s.lendersFor(j)) > 0
 }
 
-// canRequest reports whether the scheduler knows its own runners well enough to ask others.
+// canRequest reports whether the scheduler may ask others for room: it leads and will go on to, and
+// its own capacity is known (see warmUpTime).
 func (s *Scheduler) canRequest() bool {
 	return s.leading && !s.yielding && len(s.borrowing.lenders) > 0 && s.now-s.leadingSince >= warmUpTime
 }
 
-// requestRoom asks a lender for room for the jobs that would begin too late here.
+// requestRoom asks a lender for room for the jobs that would begin too late here, if no request is
+// open and the last search of the queue is requestInterval ago.
 func (s *Scheduler) requestRoom() {
 	b := &s.borrowing
 	if !s.canRequest() || b.request != nil || s.now < b.nextRequestAt || len(s.queue) == 0 {
@@ -195,47 +209,59 @@
 	s.emit(RequestRoom{At: s.now, To: l.Shard, Needs: needs, ReportAge: s.now - l.reportedAt})
 }
 
-// neededRoom lists the jobs that would begin too late here, maxNeeds at most, and chooses a lender
-// for them. Ahead of a job are those of its service that are served before it.
-func (s *Scheduler) neededRoom() (l *lender, needs []RoomNeed) {
-	ahead := make(map[string]time.Duration)
-	capacity := make(map[string]int)
-	for _, j := range s.queue {
-		service := j.work.Service
-		if _, known := capacity[service]; !known {
-			capacity[service] = s.capacity(service)
+// neededRoom chooses a lender for the first job that would begin too late here, and lists the jobs
+// for which that lender may have room, maxNeeds at most. It returns nil if no lender may have room.
+func (s *Scheduler) neededRoom() (l *lenderState, needs []RoomNeed) {
+	for j := range s.jobsBeginningTooLate() {
+		if l == nil {
+			l = chooseLender(s.lendersFor(j), j.work.ID)
 		}
-		if s.heldBack(j) {
-			continue
+		if l != nil && s.mayBorrowFrom(l, j) {
+			needs = append(needs, s.roomNeed(j))
 		}
-		if s.lendable(j) && !j.worthless(s.now) && s.beginsTooLate(j, ahead[service], capacity[service]) {
-			if l == nil {
-				l = chooseLender(s.lendersFor(j), j.work.ID)
-			}
-			if l != nil && s.mayLendTo(l, j) {
-				needs = append(needs, s.roomNeed(j))
+		if len(needs) == maxNeeds {
+			break
+		}
+	}
+	return l, needs
+}
+
+// jobsBeginningTooLate goes through the jobs that may be lent and would begin too late here, in the
+// order of service. Ahead of a job are those of its service that are served before it, except for
+// jobs that are gone through themselves and late jobs of which nothing is done.
+func (s *Scheduler) jobsBeginningTooLate() iter.Seq[*job] {
+	return func(yield func(*job) bool) {
+		ahead := make(map[string]time.Duration)
+		capacity := make(map[string]int)
+		for _, j := range s.queue {
+			service := j.work.Service
+			if _, known := capacity[service]; !known {
+				capacity[service] = s.capacity(service)
 			}
-			if len(needs) == maxNeeds {
-				break
+			switch {
+			case s.heldBack(j):
+			case s.lendable(j) && !j.worthless(s.now) && s.beginsTooLate(j, ahead[service], capacity[service]):
+				if !yield(j) {
+					return
+				}
+			case !j.late(s.now) || j.partlyDone():
+				ahead[service] += s.waitingWork(j)
 			}
-			continue
-		}
-		if !j.late(s.now) || j.partlyDone() {
-			ahead[service] += s.waitingWork(j)
 		}
 	}
-	return l, needs
 }
 
-// beginsTooLate reports whether a job turns late before the runners have done the work ahead of it.
+// beginsTooLate reports whether a job would wait for too large a part of the time until it turns
+// late, with the work ahead of it and the usable processors (in thousandths of a core) that do it.
 func (s *Scheduler) beginsTooLate(j *job, ahead time.Duration, capacity int) bool {
 	if j.awaitsRoom || capacity == 0 {
 		return true
 	}
-	tolerated := (j.lateAt() - j.arrived) / toleratedWaitShare
+	tolerated := (j.lateAt() - j.arrived) / toleratedWaitDivisor
 	return s.now+ahead/time.Duration(capacity) > j.arrived+tolerated
 }
 
+// roomNeed describes the room that a job needs to begin before it turns late.
 func (s *Scheduler) roomNeed(j *job) RoomNeed {
 	return RoomNeed{
 		Job: j.work.ID, Service: j.work.Service, Priority: j.work.Priority,
@@ -243,8 +269,8 @@
 	}
 }
 
-// RoomGranted handles a lender's answer. Jobs that have been started here meanwhile, or aren't
-// known any more, stay as they are; what was granted for them expires at the lender.
+// RoomGranted handles a lender's answer. A grant for a job that has been started here meanwhile, or
+// isn't known any more, is ignored, and expires at the lender.
 func (s *Scheduler) RoomGranted(now Time, g RoomGrant) {
 	s.now = now
 	if !s.leading {
@@ -280,7 +306,8 @@
 	}
 }
 
-func (s *Scheduler) lender(shard int) *lender {
+// lender returns the state of a lender; nil if its shard can't lend at present.
+func (s *Scheduler) lender(shard int) *lenderState {
 	for _, l := range s.borrowing.lenders {
 		if l.Shard == shard {
 			return l
@@ -297,8 +324,10 @@
 		outcome = workload.GaveUp
 	}
 	a := Answer{
-		At: s.now, Entry: j.entry, Job: j.work.ID, Queue: j.work.Queue, Outcome: outcome, Cause: workload.LackOfRoom, Reason: "room is lent by another shard",
-		Estimate: j.work.CriticalPath(), RetryAfter: s.retryAfter(j), NoRoom: true, Lent: true, Lender: to, Held: s.now - j.arrived,
+		At: s.now, Entry: j.entry, Job: j.work.ID, Queue: j.work.Queue,
+		Outcome: outcome, Cause: workload.LackOfRoom, Reason: "room is lent by another shard",
+		Estimate: j.work.CriticalPath(), RetryAfter: s.retryAfter(j),
+		NoRoom: true, Lent: true, Lender: to, Held: s.now - j.arrived,
 	}
 	s.ctr.Lending.JobsLent++
 	s.forget(j)
@@ -307,20 +336,27 @@
 	s.emit(a)
 }
 
-// tickBorrowing ends a request without an answer, and asks for room that is needed.
+// tickBorrowing does the periodic work of borrowing.
 func (s *Scheduler) tickBorrowing() {
-	if q := s.borrowing.request; q != nil && s.now-q.at >= requestTimeout {
-		s.borrowing.request = nil
-		s.ctr.Lending.RequestsExpired++
-		s.emit(Decision{Event: "room-request-expired", Reason: shardReason("to", q.to), Age: s.now - q.at})
-		s.applyAnswer(q, nil)
-	}
+	s.expireRequest()
 	s.requestRoom()
 	s.refuseAwaiting()
 }
 
-// refuseAwaiting decides again on the jobs that were kept on arrival only because another shard
-// might have room for them, once none has.
+// expireRequest ends a request that stays without an answer, as if the lender had denied all of it.
+func (s *Scheduler) expireRequest() {
+	q := s.borrowing.request
+	if q == nil || s.now-q.at < requestTimeout {
+		return
+	}
+	s.borrowing.request = nil
+	s.ctr.Lending.RequestsExpired++
+	s.emit(Decision{Event: "room-request-expired", Reason: shardReason("to", q.to), Age: s.now - q.at})
+	s.applyAnswer(q, nil)
+}
+
+// refuseAwaiting decides again on the jobs that had no room here on arrival and were queued since
+// another shard might have some, once no shard may have any.
 func (s *Scheduler) refuseAwaiting() {
 	for _, j := range slices.Clone(s.queue) {
 		if !j.awaitsRoom || s.mayBorrow(j) {
--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -252,8 +252,8 @@
 	b, j, q := borrower(t)
 	b.s.RoomGranted(b.now, grantFor())
 	l := b.s.lender(q.To)
-	b.g.Expect(l.hasRoom(b.now, j.Service)).To(BeFalse())
-	b.g.Expect(l.hasRoom(b.now, "other")).To(BeTrue())
+	b.g.Expect(l.mayHaveRoom(b.now, j.Service)).To(BeFalse())
+	b.g.Expect(l.mayHaveRoom(b.now, "other")).To(BeTrue())
 }
 
 // A scheduler whose runners are all in use, whose own jobs wait, or that has just become leader,
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -8,32 +8,38 @@
 )
 
 // An entry process may be out of reach of a lender: in a deployment with cells it connects with few
-// processes of other cells. Such a process hands a lent job back at once, and no more room is
-// requested of that lender for its jobs for a while.
+// processes of other cells. Such a process hands a lent job back at once. For outOfReachRetention no
+// more room is requested of that lender for jobs of that process.
 
 // outOfReachRetention is how long a lender counts as out of reach of an entry process.
 const outOfReachRetention = 10 * time.Second
 
 // lentJob is a job for which another shard has granted room.
 type lentJob struct {
-	// entry is the process that was last told to hand the job in to the shard to, and at when.
+	// entry is the entry process to which the latest verdict on the job that names the lender was
+	// sent, to is the lender's shard, and at is when that verdict was sent.
 	entry EntryID
 	to    int
 	at    Time
-	// copied: a copy of the job has arrived here since.
+	// copied: that verdict was the answer to a copy of the job, which may run in the lender's shard.
 	copied bool
 }
 
-// route is the way of a job from its entry process to a lender.
+// route identifies the connection of an entry process with a lender's shard.
 type route struct {
 	entry EntryID
 	to    int
 }
 
-// submitLent handles the submission of a job that was lent, and reports whether that is all. A copy
-// follows the job to the lender, which knows whether it has ended or runs: here it would run again.
-// A job that its entry process hands back stays here; nothing of it has run, unless the process
-// hands back a copy. A job that another scheduler had since comes when its runs there are over.
+// submitLent handles the submission of a job that was lent, and reports whether it has answered it.
+// There are three cases:
+//
+//   - Another scheduler had the job since: the job stays here. Its entry process hands it in only
+//     after the runs there are over.
+//   - The entry process hands the job back, since the lender is out of its reach. Nothing of the job
+//     has run, so it stays here; but a copy is given up, since the job may run in the lender's shard.
+//   - Any other submission is a copy. It is sent to the lender, which knows whether the job runs or
+//     has ended. Here the job would run again.
 func (s *Scheduler) submitLent(sub Submission) bool {
 	id := sub.Job.ID
 	l, ok := s.borrowing.lent[id]
@@ -75,31 +81,33 @@
 	return !out
 }
 
-// expireReach drops old entries.
-func (s *Scheduler) expireReach() {
+// expireBorrowing drops the entries of lent jobs and of lenders out of reach whose retention is over.
+func (s *Scheduler) expireBorrowing() {
 	maps.DeleteFunc(s.borrowing.lent, func(_ workload.JobID, l lentJob) bool { return s.now-l.at >= ranRetention })
 	expireBefore(s.borrowing.outOfReach, s.now-outOfReachRetention)
 }
 
-// mayLendTo reports whether a lender may have room for a job and be in reach of its entry process.
-func (s *Scheduler) mayLendTo(l *lender, j *job) bool {
-	return l.hasRoom(s.now, j.work.Service) && s.reaches(j.entry, l.Shard)
+// mayBorrowFrom reports whether a lender may have room for a job and is in reach of its entry
+// process, as far as known.
+func (s *Scheduler) mayBorrowFrom(l *lenderState, j *job) bool {
+	return l.mayHaveRoom(s.now, j.work.Service) && s.reaches(j.entry, l.Shard)
 }
 
-// lendersFor lists the lenders that may take a job: those of the same cell, or else all.
-func (s *Scheduler) lendersFor(j *job) []*lender {
-	var near, far []*lender
+// lendersFor lists the lenders that may take a job: those of the same cell or, if there are none,
+// those of other cells.
+func (s *Scheduler) lendersFor(j *job) []*lenderState {
+	var sameCell, otherCells []*lenderState
 	for _, l := range s.borrowing.lenders {
 		switch {
-		case !s.mayLendTo(l, j):
+		case !s.mayBorrowFrom(l, j):
 		case l.SameCell:
-			near = append(near, l)
+			sameCell = append(sameCell, l)
 		default:
-			far = append(far, l)
+			otherCells = append(otherCells, l)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	if len(sameCell) > 0 {
+		return sameCell
 	}
-	return far
+	return otherCells
 }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -134,7 +134,7 @@
 	epochMs int64
 
 	borrowing borrowing
-	// grants are the rooms promised to jobs of other shards.
+	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
 
 	out []Command
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -164,7 +164,7 @@
 	expireBefore(s.ranJobs, s.now-ranRetention)
 	expireBefore(s.unstored, s.now-ranRetention)
 	expireBefore(s.doneWithoutJob, s.now-s.cfg.Resend-leadershipTimeout)
-	s.expireReach()
+	s.expireBorrowing()
 }
 
 func expireBefore[K comparable](m map[K]Time, oldest Time) {
