--- a/core/pace/average.go
+++ b/core/pace/average.go
@@ -1,8 +1,8 @@
 // Package pace learns how long runs take compared with their estimates: for each runner, for each
-// kind of runner and for each queue. What is old counts for less, and what is known of a kind
-// serves as the first guess for a runner without runs.
+// kind of runner and for each queue. Old runs count for less than new ones, and the ratio of its kind
+// is the first guess for a runner without runs.
 //
-// It reads no clock, and nothing of it is needed for safety: a lost or false ratio costs time only.
+// The package reads no clock, and safety doesn't rest on it: a lost or false ratio costs time only.
 package pace
 
 import (
@@ -19,9 +19,9 @@
 	// HalfLife is the age at which a run counts for half.
 	HalfLife = 60 * time.Second
 	// maxRuns bounds the number of runs in the average of a runner, and maxGroupRuns in that of a
-	// kind or a queue. Estimates are off by a factor of 1.5 either way: the mean of 30 runs is
-	// within 8% of the true one. Tasks of one job are off together, and a queue's jobs may have
-	// many.
+	// kind or a queue. Estimates are off by a factor of 1.5 either way, so the mean of 30 runs is
+	// within 8% of the true one. The estimates of one job's tasks are off by the same factor, and a
+	// job may have many tasks, so kinds and queues need more runs.
 	maxRuns, maxGroupRuns = 30, 300
 	// MinRatio and MaxRatio bound the ratios, so that a stuck run or a false estimate doesn't
 	// outweigh many usual ones.
@@ -29,11 +29,13 @@
 )
 
 // average is the geometric mean of ratios: estimates are too short as often as too long by the
-// same factor, and single long runs hardly change it.
+// same factor, and a single long run changes it little.
 type average struct {
-	// log is the logarithm of the mean, over as many runs, at the time of the latest.
+	// log is the logarithm of the mean, and runs the number of runs that it rests on, as they count
+	// at the time of the latest run.
 	log, runs float64
-	at        Time
+	// at is the time of the latest run.
+	at Time
 }
 
 // weight is the number of runs that the average still counts for.
--- a/core/pace/book.go
+++ b/core/pace/book.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	// kindRuns is the number of own runs that outweigh the guess by a runner's kind, and
-	// serviceRuns the same for a kind and the usual ratio of its service.
+	// kindRuns is the number of runs for which the ratio of its kind counts in a runner's average,
+	// and serviceRuns that for which the usual ratio of its service counts in a kind's.
 	kindRuns, serviceRuns = 4, 4
-	// queueRuns is the number of runs that outweigh the assumption that a queue's estimates are
-	// as good as others.
+	// queueRuns is the number of runs for which it counts in a queue's average that its estimates
+	// are as good as those of other queues.
 	queueRuns = 30
 )
 
-// Kind is a kind of runner: a service, and what makes the runners of a service similar.
+// Kind is a kind of runner: its service, and a name for what makes runners of a service similar.
 type Kind struct{ Service, Name string }
 
 // String returns the name under which the kind is exported. A Name contains no '/'.
@@ -37,13 +37,13 @@
 	runners map[string]*runnerAverage
 	kinds   map[Kind]*average
 	queues  map[string]*average
-	// usual are the ratios of all runs of a service.
+	// usual are the averages of all runs of a service, by service.
 	usual map[string]*average
 	// revision grows with each run.
 	revision uint64
 }
 
-// runnerAverage is the average of a runner, and the kind that it was of.
+// runnerAverage is the average of a runner, and the runner's kind at that time.
 type runnerAverage struct {
 	average
 	kind Kind
@@ -68,13 +68,13 @@
 	log := logOf(ratio)
 	ofQueue, ofRunner := b.queueLog(now, queue), b.runnerLog(now, runner, kind)
 	b.runner(runner, kind).add(now, log-ofQueue, maxRuns)
-	entry(b.kinds, kind, MaxKinds).add(now, log-ofQueue, maxGroupRuns)
-	entry(b.usual, kind.Service, MaxKinds).add(now, log-ofQueue, maxGroupRuns)
-	entry(b.queues, queue, MaxQueues).add(now, log-ofRunner, maxGroupRuns)
+	averageOf(b.kinds, kind, MaxKinds).add(now, log-ofQueue, maxGroupRuns)
+	averageOf(b.usual, kind.Service, MaxKinds).add(now, log-ofQueue, maxGroupRuns)
+	averageOf(b.queues, queue, MaxQueues).add(now, log-ofRunner, maxGroupRuns)
 }
 
-// Runner returns the usual ratio of a runner. Without enough runs it is that of its kind, and
-// without that the usual one of its service.
+// Runner returns the usual ratio of a runner. The fewer runs of it are known, the more the ratio of
+// its kind counts, and in that likewise the usual one of its service.
 func (b *Book) Runner(now Time, runner string, kind Kind) float64 {
 	return math.Exp(b.runnerLog(now, runner, kind))
 }
@@ -112,7 +112,8 @@
 	return q.blend(now, 0, queueRuns)
 }
 
-// runner returns the average of a runner. One that is of another kind than before begins anew.
+// runner returns the average of a runner, an empty one if the runner isn't known or was of another
+// kind. If there are too many runners the one with the oldest run is forgotten.
 func (b *Book) runner(id string, kind Kind) *average {
 	r := b.runners[id]
 	if r != nil && r.kind == kind {
@@ -127,6 +128,7 @@
 	return &r.average
 }
 
+// forgetOldestRunner forgets the runner with the oldest run.
 func (b *Book) forgetOldestRunner() {
 	ages := make(map[string]*average, len(b.runners))
 	for id, r := range b.runners {
@@ -138,8 +140,9 @@
 // ForgetRunner forgets a runner's own runs; its kind's remain.
 func (b *Book) ForgetRunner(runner string) { delete(b.runners, runner) }
 
-// entry returns the average of a key. Of too many keys the one with the oldest run is forgotten.
-func entry[K comparable](m map[K]*average, key K, limit int) *average {
+// averageOf returns the average of a key, an empty one if the key isn't known. If there are too many
+// keys the one with the oldest run is forgotten.
+func averageOf[K comparable](m map[K]*average, key K, limit int) *average {
 	a := m[key]
 	if a != nil {
 		return a
@@ -152,6 +155,7 @@
 	return a
 }
 
+// oldest returns the key with the oldest run.
 func oldest[K comparable](m map[K]*average) K {
 	var found K
 	first := Time(math.MaxInt64)
--- a/core/pace/learned.go
+++ b/core/pace/learned.go
@@ -13,6 +13,7 @@
 
 // Ratio is an average ratio of run time to estimate.
 type Ratio struct {
+	// Name is the id of a runner, the name of a kind (see Kind.String) or that of a queue.
 	Name  string
 	Value float64
 	// Runs is the number of runs that it rests on, and Age the time since the latest.
@@ -27,15 +28,15 @@
 	maxNameLength = 96
 	// maxAge is the age from which a ratio is ignored: by then its runs count for less than one.
 	maxAge = 7 * HalfLife
-	// tolerance is the factor by which a received ratio may be outside of its bounds; its
+	// roundingFactor is the factor by which a received ratio may be outside of its bounds, since its
 	// encoding may round it.
-	tolerance = 1.01
+	roundingFactor = 1.01
 )
 
 // Count is the number of entries.
 func (l Learned) Count() int { return len(l.Runners) + len(l.Kinds) + len(l.Queues) }
 
-// Age is the least age of the entries.
+// Age is the age of the youngest entry.
 func (l Learned) Age() time.Duration {
 	age := maxAge
 	for _, list := range [][]Ratio{l.Runners, l.Kinds, l.Queues} {
@@ -65,7 +66,8 @@
 	return Ratio{Name: name, Value: math.Exp(a.log), Runs: uint32(math.Ceil(a.runs)), Age: max(0, now-a.at)}
 }
 
-// bounded keeps the youngest entries that have runs and may be sent, in the order of their names.
+// bounded returns the valid entries, limit at most and the youngest of them, in the order of their
+// names.
 func bounded(list []Ratio, limit int) []Ratio {
 	list = slices.DeleteFunc(list, func(r Ratio) bool { return !r.valid() })
 	if len(list) > limit {
@@ -76,18 +78,18 @@
 	return list
 }
 
-// valid reports whether an entry can be used. Others come from an unknown version of the sender.
+// valid reports whether an entry can be used. An invalid one was sent by an unknown version.
 func (r Ratio) valid() bool {
 	return r.Name != "" && len(r.Name) <= maxNameLength && r.Runs > 0 && r.Age >= 0 && r.Age <= maxAge &&
-		r.Value >= MinRatio/tolerance && r.Value <= MaxRatio*tolerance
+		r.Value >= MinRatio/roundingFactor && r.Value <= MaxRatio*roundingFactor
 }
 
-// Merged counts the entries of a merge: those that were taken over, those that weren't since later
-// runs are known here, those of unknown runners, and those that can't be used.
+// Merged counts the entries of a merge: those that were Taken over, those for which runs as late or
+// later were Known here, those of Unknown runners or kinds, and Invalid ones.
 type Merged struct{ Taken, Known, Unknown, Invalid int }
 
-// Merge takes over the entries of which less is known here: an average that was learned here from
-// later runs remains. kindOf returns the kind of a runner; entries of unknown runners are ignored.
+// Merge takes over the entries whose latest run is later than the latest one known here. kindOf
+// returns the kind of a runner; entries of unknown runners are ignored.
 func (b *Book) Merge(now Time, l Learned, kindOf func(runner string) (Kind, bool)) Merged {
 	var m Merged
 	m.merge(now, l.Runners, MaxRunners, func(id string) *average {
@@ -98,23 +100,26 @@
 		return b.runner(id, kind)
 	})
 	m.merge(now, l.Kinds, MaxKinds, b.receivedKind)
-	m.merge(now, l.Queues, MaxQueues, func(name string) *average { return entry(b.queues, name, MaxQueues) })
+	m.merge(now, l.Queues, MaxQueues, func(name string) *average { return averageOf(b.queues, name, MaxQueues) })
 	b.deriveUsual()
 	return m
 }
 
 // deriveUsual computes the usual ratios of services without runs from those of their kinds.
 func (b *Book) deriveUsual() {
+	// The order of a sum of floating-point numbers changes its result.
 	sorted := slices.SortedFunc(maps.Keys(b.kinds), func(x, y Kind) int { return cmp.Compare(x.String(), y.String()) })
 	derived := make(map[string]*average)
 	for _, kind := range sorted {
 		if usual := b.usual[kind.Service]; usual == nil || usual.runs == 0 {
-			entry(derived, kind.Service, MaxKinds).join(b.kinds[kind])
+			averageOf(derived, kind.Service, MaxKinds).join(b.kinds[kind])
 		}
 	}
 	maps.Copy(b.usual, derived)
 }
 
+// merge takes over the entries of a list, limit at most. find returns the average that an entry is
+// for; nil if there can't be one.
 func (m *Merged) merge(now Time, list []Ratio, limit int, find func(name string) *average) {
 	for i, r := range list {
 		if i >= limit || !r.valid() {
@@ -148,5 +153,5 @@
 	if !ok {
 		return nil
 	}
-	return entry(b.kinds, kind, MaxKinds)
+	return averageOf(b.kinds, kind, MaxKinds)
 }
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -47,8 +47,8 @@
 	g.Expect(b.Export(0).Runners[0].Runs).To(BeEquivalentTo(1))
 }
 
-// A queue whose estimates are too short is told from a slow runner.
-func TestQueuesAndRunnersAreToldApart(t *testing.T) {
+// A queue whose estimates are too short is distinguished from a slow runner.
+func TestQueuesAndRunnersAreDistinguished(t *testing.T) {
 	g := NewWithT(t)
 	b := NewBook()
 	for range 200 {
--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -16,17 +16,18 @@
 	// strikesToClose consecutive failures of different tasks close a runner. A single failure
 	// may be the task's own fault.
 	strikesToClose = 2
-	// recentRuns is the number of jobs over which the recent ratio is averaged. turnFactor is its
-	// ratio to the usual one from which a runner's pace has turned, and recoverFactor that below
-	// which it has recovered.
-	recentRuns    = 3
+	// recentJobs is the number of jobs over which the recent ratio is averaged. A runner's pace has
+	// turned if its recent ratio is more than turnFactor times the usual one, or less than the usual
+	// one divided by it. The pace has recovered if the two differ by less than recoverFactor.
+	recentJobs    = 3
 	turnFactor    = 2.0
 	recoverFactor = 1.5
 	// turnedRuns is the number of runs after which a turned pace becomes the usual one.
 	turnedRuns = 12
-	// trustInterval is how long a turned runner gets few tasks before half of the change, as a
-	// factor, is no longer assumed, so that it is tried again.
-	trustInterval = 500 * time.Millisecond
+	// turnDecayInterval is the time without an ended run of a turned runner after which its recent
+	// ratio is replaced by the geometric mean of that and the usual one. After a few such intervals
+	// the runner gets tasks again, whose runs show whether it has recovered.
+	turnDecayInterval = 500 * time.Millisecond
 	// slowRunFactor and slowRunSlack define a run that counts as a failure of its runner: one
 	// run in three hundred takes three times its estimate.
 	slowRunFactor = 3
@@ -43,7 +44,8 @@
 	// usual is the usual ratio of run time to expected run time, and recent that of the last
 	// few jobs.
 	usual, recent float64
-	// turned: the pace has turned, and recent is used; turnedCount is the number of runs since.
+	// turned: the pace has turned, and recent is used in place of usual. turnedCount is the number of
+	// runs that have ended since.
 	turned      bool
 	turnedCount int
 	// recentAt is when recent last changed, and recentJob the job of its last run.
@@ -53,7 +55,7 @@
 
 func newHealth() health { return health{usual: 1, recent: 1} }
 
-// pace returns the factor by which tasks take longer on the runner than expected.
+// pace returns the factor by which runs take longer on the runner than expected.
 func (h *health) pace() float64 {
 	if h.turned {
 		return max(h.recent, minPace)
@@ -69,9 +71,9 @@
 	h.usual = usual
 }
 
-// noteRatio records the ratio of run time to expected run time of a run, and reports whether the
-// runner's pace has turned or recovered by it. The tasks of one job are slow together, so only the
-// first of them in a row counts.
+// noteRatio records the ratio of run time to expected run time of a run, and reports whether by that
+// the runner's pace has turned or recovered. The tasks of one job are slow together, so of successive
+// runs for one job only the first counts.
 func (h *health) noteRatio(now Time, job workload.JobID, ratio float64) bool {
 	if h.turned {
 		h.turnedCount++
@@ -81,11 +83,11 @@
 	}
 	h.recentJob, h.recentAt = job, now
 	ratio = min(max(ratio, pace.MinRatio), pace.MaxRatio)
-	h.recent *= math.Pow(ratio/h.recent, 1.0/recentRuns)
+	h.recent *= math.Pow(ratio/h.recent, 1.0/recentJobs)
 	return h.updateTurned()
 }
 
-// updateTurned reports whether the runner's pace has turned or recovered.
+// updateTurned sets whether the runner's pace has turned, and reports whether that has changed.
 func (h *health) updateTurned() bool {
 	before := h.turned
 	change := h.recent / h.usual
@@ -101,14 +103,14 @@
 	return h.turned != before
 }
 
-// lasting reports whether the usual ratio may be learned from a run: its pace hasn't turned, or
-// has turned for long.
-func (h *health) lasting() bool { return !h.turned || h.turnedCount > turnedRuns }
+// usualApplies reports whether the runner's runs show its usual ratio: its pace hasn't turned, or
+// more than turnedRuns runs ago.
+func (h *health) usualApplies() bool { return !h.turned || h.turnedCount > turnedRuns }
 
-// trust lets a turned runner, if few of its runs have ended, return to its usual pace step by step.
-// It reports whether the runner's pace has recovered by that.
-func (h *health) trust(now Time) bool {
-	if !h.turned || now-h.recentAt < trustInterval {
+// decayTurn moves the recent ratio of a turned runner towards the usual one if none of its runs has
+// ended for turnDecayInterval. It reports whether the runner's pace has recovered by that.
+func (h *health) decayTurn(now Time) bool {
+	if !h.turned || now-h.recentAt < turnDecayInterval {
 		return false
 	}
 	h.recentAt = now
@@ -116,6 +118,7 @@
 	return h.updateTurned()
 }
 
+// closed reports whether the runner gets no tasks at present.
 func (h *health) closed(now Time) bool { return now < h.closedUntil }
 
 // suspect reports whether the last run failed, or the runner was reopened and has not yet
--- a/core/schedule/learned.go
+++ b/core/schedule/learned.go
@@ -10,9 +10,9 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// What is learned from finished runs: how long the runs of a queue take compared with their
-// estimates, and how fast each runner is. It outlives the scheduler as a copy in the processes that
-// would lead the shard next. Nothing of it decides whether a task may be started again.
+// A scheduler learns from finished runs how long the runs of a queue take compared with their
+// estimates, and how fast each runner is. The processes that would lead the shard next have copies
+// of what it has learned. Nothing of that decides whether a task may be started again.
 
 // Learned is an export of what a scheduler has learned.
 type Learned = pace.Learned
@@ -40,7 +40,8 @@
 	return m
 }
 
-// updatePace sets a runner's usual pace to what is learned.
+// updatePace sets a runner's usual ratio to what is learned. That changes as runs end, and as they
+// grow old.
 func (s *Scheduler) updatePace(r *runner) {
 	usual := s.learned.Runner(s.now, string(r.info.ID), r.kind())
 	r.health.setUsual(usual)
@@ -54,6 +55,8 @@
 	return pace.Kind{Service: r.info.Service, Name: r.kindName}
 }
 
+// kindName returns a name for the capacity and the labels of a runner but for its rack. Labels are
+// given as a hash, so that the name is short.
 func kindName(info workload.Runner) string {
 	labels := slices.Sorted(slices.Values(info.Labels))
 	h := fnv.New32a()
@@ -79,8 +82,8 @@
 	return time.Duration(float64(t.step().Estimate) * s.queueRatio(t.job) * s.remoteFactor(t, r))
 }
 
-// learnRun learns from the successful run of a task. When a run was started that another scheduler
-// started isn't known.
+// learnRun learns from the successful run of a task. It learns nothing of pace from runs that another
+// scheduler has started, since the time of their start isn't known.
 func (s *Scheduler) learnRun(t *taskState, u *run) {
 	r, elapsed, expected := u.runner, s.now-u.started, s.expected(t, u.runner)
 	r.health.succeeded(s.now, elapsed, expected)
@@ -88,7 +91,7 @@
 		return
 	}
 	s.noteRatio(r, t, float64(elapsed)/float64(expected))
-	if r.health.lasting() {
+	if r.health.usualApplies() {
 		estimate := float64(t.step().Estimate) * s.remoteFactor(t, r)
 		s.learned.Observe(s.now, string(r.info.ID), r.kind(), t.job.work.Queue, float64(elapsed)/estimate)
 		s.updatePace(r)
@@ -102,10 +105,10 @@
 	}
 }
 
-// tickPace lets a runner whose pace has turned be tried again.
+// tickPace brings a runner's pace up to date with the age of its runs.
 func (s *Scheduler) tickPace(r *runner) {
 	s.updatePace(r)
-	if r.health.trust(s.now) {
+	if r.health.decayTurn(s.now) {
 		s.reportTurn(r)
 	}
 }
@@ -122,12 +125,12 @@
 	})
 }
 
-// speed returns the runner's processors, weighted by its speed: the work of expected runs that it
-// does per unit of time, in thousandths of a core.
+// speed returns the runner's processors divided by its pace, in thousandths of a core: a runner of
+// pace 2 does half of the work of one of pace 1 in the same time.
 func (r *runner) speed() float64 { return float64(r.info.Capacity.MilliCPU) / r.health.pace() }
 
 // setExpected corrects a job's estimated run time by what is learned of its queue. The order of
-// service stays by the estimate, as callers' objectives follow from it.
+// service goes by the estimate without that, as callers' objectives do.
 func (s *Scheduler) setExpected(j *job) {
 	j.expected = time.Duration(float64(j.work.CriticalPath()) * s.queueRatio(j))
 }
--- a/core/schedule/learned_test.go
+++ b/core/schedule/learned_test.go
@@ -35,8 +35,8 @@
 	return n
 }
 
-// Guards against a runner that turns slow and keeps its good reputation, and against one that is
-// still taken for slow after it has recovered.
+// Guards against a runner that turns slow and still counts as fast, and against one that counts as
+// slow after it has recovered.
 func TestARunnerTurnsSlowAndRecovers(t *testing.T) {
 	b := leading(t, testRunner("r1"))
 	var sequence uint64
@@ -130,7 +130,7 @@
 	b.g.Expect(b.s.Learned(b.now).Count()).To(BeZero())
 }
 
-// Guards against absurd numbers from another version that change where tasks run.
+// Guards against ratios out of bounds, from another version, that change where tasks run.
 func TestAbsurdLearnedPacesChangeNothing(t *testing.T) {
 	b := leading(t, testRunner("r1"))
 	bad := []pace.Ratio{{Name: "r1", Value: math.NaN(), Runs: 3}, {Name: "r1", Value: -2, Runs: 3}, {Name: "r1", Value: 1e300, Runs: 3}}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -11,7 +11,7 @@
 	// missWeight weighs the probability that a task isn't done in time on a runner against the
 	// fit: a probability of one tenth costs as much as a runner that would stay entirely free.
 	missWeight = 10.0
-	// lateWeight is the same for the probability that the task ends after its job's objective.
+	// lateWeight weighs the probability that the task ends after its job's objective.
 	lateWeight = 5.0
 	// slowRunnerGain is the gain of placing a task that has time on a slower runner, which
 	// leaves the faster ones to more urgent tasks. Runners slower than maxPreferredPace times the
@@ -36,17 +36,18 @@
 	// smallestUnplaced is the smallest need that found no room, by service. Tasks that need as
 	// much or more skip the search.
 	smallestUnplaced map[string]workload.Resources
-	median           map[string]float64
-	// waiting counts the tasks that wait for faster runners, and claimed is what runs and those
-	// tasks use of the runners.
-	waiting int
-	claimed map[*runner]*claimList
+	// median is the median pace of the runners, by service.
+	median map[string]float64
+	// waiting counts the tasks that wait for faster runners, and occupied is what runs and those
+	// tasks occupy of the runners.
+	waiting  int
+	occupied map[*runner]*runnerOccupancy
 }
 
 func newPlacer(s *Scheduler) *placer {
 	return &placer{
 		s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64),
-		claimed: make(map[*runner]*claimList),
+		occupied: make(map[*runner]*runnerOccupancy),
 	}
 }
 
@@ -69,7 +70,7 @@
 		return nil
 	}
 	var best *runner
-	var least float64
+	var lowest float64
 	for _, r := range p.s.runnerList {
 		if r.info.Service != service || !r.usable(p.s.now) || !step.Need.Fits(r.free()) {
 			continue
@@ -77,8 +78,8 @@
 		if !r.info.HasLabel(step.Requires) || !p.withinSpreadLimit(t, r) {
 			continue
 		}
-		if c := p.cost(t, r); best == nil || c < least {
-			best, least = r, c
+		if c := p.cost(t, r); best == nil || c < lowest {
+			best, lowest = r, c
 		}
 	}
 	if best == nil && plain {
@@ -111,6 +112,7 @@
 	failedOnPenalty = 100.0
 )
 
+// cost returns the cost of placing a task on a runner. The runner with the lowest cost is chosen.
 func (p *placer) cost(t *taskState, r *runner) float64 {
 	left := r.free().Minus(t.step().Need).MilliCPU
 	c := float64(left) / float64(max(1, r.info.Capacity.MilliCPU))
@@ -144,6 +146,7 @@
 	return m
 }
 
+// medianPace returns the median pace of a service's runners; 1 if there are none.
 func (s *Scheduler) medianPace(service string) float64 {
 	var paces []float64
 	for _, r := range s.runnerList {
@@ -166,12 +169,15 @@
 	return 1
 }
 
+// overdueAt returns when a run that starts now counts as stuck (see overdueFactor). Each run of the
+// task that was stopped as overdue adds as much time again.
 func (s *Scheduler) overdueAt(t *taskState, r *runner) Time {
 	estimate := float64(t.step().Estimate) * max(1, r.health.pace()*s.queueRatio(t.job)) * s.remoteFactor(t, r)
 	limit := time.Duration(estimate)*overdueFactor + overdueSlack
 	return s.now + limit*time.Duration(1+t.overstays)
 }
 
+// start starts a task on a runner.
 func (s *Scheduler) start(t *taskState, r *runner) {
 	t.lastNumber++
 	t.lastStarted = t.lastNumber
@@ -199,6 +205,7 @@
 	s.hold(r)
 }
 
+// sendStart orders the runner of a run to start it.
 func (s *Scheduler) sendStart(u *run) {
 	r := u.runner
 	if u.startAttempts == 0 {
