--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -67,8 +67,8 @@
 // NoRunnersWait is the expected wait reported by a scheduler without reachable runners.
 const NoRunnersWait = time.Minute
 
-// ExpectedWait returns how long the runners would take for all waiting work. Other entry VMs choose
-// a shard by it when their own scheduler has no room.
+// ExpectedWait returns how long the runners would take for all waiting and promised work. Other entry
+// VMs choose a shard by it when their own scheduler has no room.
 func (s *Scheduler) ExpectedWait() time.Duration {
 	capacity, work := 0.0, s.promisedWork("")
 	for _, r := range s.runnerList {
@@ -114,6 +114,7 @@
 	return completionProbability(j.expected, s.fastestPace(j.work.Service), j.deadline-begin) < minCompletionProbability
 }
 
+// fastestPace returns the lowest pace of a service's usable runners; 1 if there are none.
 func (s *Scheduler) fastestPace(service string) float64 {
 	fastest := math.Inf(1)
 	for _, r := range s.runnerList {
@@ -138,11 +139,14 @@
 	return int(n * usableShare)
 }
 
-// backlog returns the work that waits ahead of a job, in time x thousandths of a core. Late jobs
-// come after all others, so they aren't counted. Nor are jobs that wait only for room in another
-// shard, or that are held back because another scheduler may have started them, since they don't wait for room: counting them
-// refused nearly all jobs of a cut off failure domain for half a second while its runners had
-// room.
+// backlog returns the work that waits ahead of a job, in time x thousandths of a core. Three kinds of
+// jobs aren't counted:
+//
+//   - Late jobs, since they come after all others.
+//   - Jobs that had no room here on arrival and wait for room in another shard (see job.awaitsRoom).
+//   - Jobs that are held back because another scheduler may have started them, since they don't wait
+//     for room. With them nearly all jobs of a cut off failure domain would be refused for half a
+//     second while its runners have room.
 func (s *Scheduler) backlog(j *job) time.Duration {
 	return s.queuedWork(j.work.Service, func(q *job) bool {
 		return q.before(j) && !q.late(s.now) && !s.heldBack(q) && !q.awaitsRoom
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -82,8 +82,8 @@
 	// NoRoom: nothing of the job was started here, since there is no room; another scheduler
 	// may have some.
 	NoRoom bool
-	// Lent: the scheduler of the shard Lender has granted room for the job. Held is how long the
-	// job was here.
+	// Lent: the scheduler of the shard Lender has granted room for the job, or has the job. Held is
+	// how long the job was here; 0 for a copy.
 	Lent   bool
 	Lender int
 	Held   time.Duration
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -61,7 +61,7 @@
 	open []int
 	// longestRuns is the longest successful run of each step.
 	longestRuns []time.Duration
-	// longestRun is the longest of them, and longestRunner the runner that it was on.
+	// longestRun is the longest run of all steps, and longestRunner the runner that it was on.
 	longestRun    time.Duration
 	longestRunner *runner
 	// waiting is the number of tasks in the waiting phase.
@@ -76,7 +76,7 @@
 	// remaining is the estimated run time of the longest chain of dependent steps, and expected the
 	// same corrected by what is learned of the job's queue, on a runner of pace 1.
 	remaining, expected time.Duration
-	// queueRatio is the learned ratio of its queue; 0 if it wasn't looked up.
+	// queueRatio is the learned ratio of the job's queue; 0 until it is first needed.
 	queueRatio float64
 	// priorRunsOverAt is when runs that an earlier scheduler may have started can't be alive
 	// any more on runners that didn't answer.
@@ -97,11 +97,13 @@
 	// noRoom: the job is refused before any start of its tasks, and another scheduler may have
 	// room for it.
 	noRoom bool
-	// refusedFor is set if the job is refused or given up.
+	// refusedFor is why the job is refused or given up.
 	refusedFor workload.RefusalCause
-	// awaitsRoom: the job has no room here, and another shard may lend some.
+	// awaitsRoom: on arrival the job would have been refused, but another shard may lend room for it.
+	// It is in the queue, and starts here if there is room before that.
 	awaitsRoom bool
-	// granted: room was granted for the job here, so it isn't refused later for lack of room.
+	// granted: room was granted here for the job of another shard, so it isn't refused for lack of
+	// room.
 	granted bool
 	// begun: a start of one of its tasks is known to have been ordered.
 	begun bool
--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -92,8 +92,8 @@
 	b.g.Expect(b.s.jobs).NotTo(HaveKey(j.ID))
 }
 
-// The lender of a lent job was lost, and the job comes back when its runs there must be over. Guards
-// against a job that is sent to and fro.
+// The lender of a lent job was lost, and the entry process hands the job in here when its runs there
+// must be over. Guards against a job that is sent to the lost lender again.
 func TestALentJobComesBackFromALostLender(t *testing.T) {
 	b, j, _ := borrower(t)
 	b.s.RoomGranted(b.now, grantFor(j.ID))
@@ -123,7 +123,7 @@
 }
 
 // The grant is lost, or the lender is lost or of an older version and ignores the request. Guards
-// against a job that waits for an answer for ever, and against requests to a lender that doesn't
+// against a job that waits for an answer without end, and against requests to a lender that doesn't
 // answer: it isn't asked again before it has reported anew.
 func TestARequestWithoutAnAnswerExpires(t *testing.T) {
 	b, j, _ := borrower(t)
@@ -273,7 +273,7 @@
 }
 
 // With one shard, or while no other reports room, nothing is requested.
-func TestNobodyIsAskedWithoutRoomElsewhere(t *testing.T) {
+func TestNothingIsRequestedWithoutRoomElsewhere(t *testing.T) {
 	b := leading(t, testRunner("r1"))
 	full := Lender{Shard: 2, Load: Load{ExpectedWait: time.Second}}
 	for _, lenders := range [][]Lender{nil, {full}} {
--- a/core/schedule/offered.go
+++ b/core/schedule/offered.go
@@ -87,6 +87,7 @@
 			continue
 		}
 		if s.mayBorrow(j) {
+			// Another shard may still begin it in time.
 			continue
 		}
 		j.noRoom = true
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -54,49 +54,77 @@
 		return
 	}
 	if j := s.jobs[id]; j != nil {
-		j.entry = sub.Entry
-		j.abandonedAt = 0
-		j.withdrawn = false
-		j.deadline = max(j.deadline, now+sub.RemainingTimeout)
-		s.handedBefore(j, sub)
-		s.dispatch()
+		s.submitCopy(j, sub)
 		return
 	}
-	s.ctr.Submitted++
-	j := newJob(sub.Job, now)
-	j.entry, j.domain, j.foreign = sub.Entry, sub.Domain, sub.Foreign
-	j.deadline = now + sub.RemainingTimeout
-	// A job that isn't done when its caller has left has no value, however long its objective.
-	j.due = min(now+sub.RemainingObjective, j.deadline)
-	// The objective counts from the caller's first send, so a part of it may be over.
-	j.worthlessAt = min(now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
-	s.setExpected(j)
+	s.submitNew(sub)
+}
+
+// submitCopy handles the submission of a job that is known and hasn't ended.
+func (s *Scheduler) submitCopy(j *job, sub Submission) {
+	j.entry = sub.Entry
+	j.abandonedAt = 0
+	j.withdrawn = false
+	j.deadline = max(j.deadline, s.now+sub.RemainingTimeout)
 	s.handedBefore(j, sub)
-	if _, ok := s.ranJobs[id]; ok {
-		j.started = true
-	}
-	s.jobs[id] = j
+	s.dispatch()
+}
+
+// submitNew handles the submission of a job that isn't known.
+func (s *Scheduler) submitNew(sub Submission) {
+	s.ctr.Submitted++
+	j := s.newSubmitted(sub)
+	s.jobs[j.work.ID] = j
 	s.attach(j)
 	if j.complete() {
 		s.finish(j, workload.Completed, "all tasks had ended")
 		return
 	}
 	s.noteOffered(j)
-	j.granted = s.useGrant(id)
-	if cause, reason := s.refusal(j); cause != workload.NotRefused && (cause == workload.TooLittleTime || !j.granted) {
-		hopeless := cause == workload.TooLittleTime
-		j.awaitsRoom = !hopeless && s.mayBorrow(j)
-		if !j.awaitsRoom {
-			j.noRoom = !hopeless
-			s.finishRefused(j, workload.NotRun, cause, reason)
-			return
-		}
+	j.granted = s.useGrant(j.work.ID)
+	if s.refuseNew(j) {
+		return
 	}
 	s.enqueue(j)
 	s.dispatch()
 	s.requestRoom()
 }
 
+// newSubmitted returns the job of a submission.
+func (s *Scheduler) newSubmitted(sub Submission) *job {
+	j := newJob(sub.Job, s.now)
+	j.entry, j.domain, j.foreign = sub.Entry, sub.Domain, sub.Foreign
+	j.deadline = s.now + sub.RemainingTimeout
+	// A job that isn't done when its caller has left has no value, however long its objective.
+	j.due = min(s.now+sub.RemainingObjective, j.deadline)
+	// The objective counts from the caller's first send, so a part of it may be over.
+	j.worthlessAt = min(s.now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
+	s.setExpected(j)
+	s.handedBefore(j, sub)
+	if _, ok := s.ranJobs[sub.Job.ID]; ok {
+		j.started = true
+	}
+	return j
+}
+
+// refuseNew refuses a job that can't be served in time, and reports whether it did. A job for which
+// another shard may have room isn't refused yet (see job.awaitsRoom). A job for which room was
+// granted here is refused only if too little time is left.
+func (s *Scheduler) refuseNew(j *job) bool {
+	cause, reason := s.refusal(j)
+	hopeless := cause == workload.TooLittleTime
+	if cause == workload.NotRefused || j.granted && !hopeless {
+		return false
+	}
+	j.awaitsRoom = !hopeless && s.mayBorrow(j)
+	if j.awaitsRoom {
+		return false
+	}
+	j.noRoom = !hopeless
+	s.finishRefused(j, workload.NotRun, cause, reason)
+	return true
+}
+
 // handedBefore records that other schedulers may have started tasks of a job.
 func (s *Scheduler) handedBefore(j *job, sub Submission) {
 	if sub.PriorSubmissions <= j.priorSchedulers {
@@ -159,7 +187,8 @@
 	u.need = need
 }
 
-// answer answers a copy of a job that is known, or the acceptance of a stored job.
+// answer reports the outcome of a job that is known to the sender of a copy, or the acceptance of a
+// stored job.
 func (s *Scheduler) answer(to EntryID, id workload.JobID, o workload.Outcome, reason string) {
 	a := Answer{At: s.now, Entry: to, Job: id, Outcome: o, Reason: reason}
 	if o == workload.NotRun || o == workload.GaveUp {
@@ -191,7 +220,10 @@
 	if o == workload.NotRun && s.mayHaveRun(j) {
 		o = workload.GaveUp
 	}
-	a := Answer{At: s.now, Entry: j.entry, Job: j.work.ID, Queue: j.work.Queue, Outcome: o, Reason: reason, Runs: j.runs, NoRoom: j.noRoom, Cause: j.refusedFor}
+	a := Answer{
+		At: s.now, Entry: j.entry, Job: j.work.ID, Queue: j.work.Queue,
+		Outcome: o, Cause: j.refusedFor, Reason: reason, Runs: j.runs, NoRoom: j.noRoom,
+	}
 	a.Work, a.Estimate = j.longestWork(), j.work.CriticalPath()
 	a.LongestRunner, a.RelativePace = s.slowestOf(j, a)
 	if j.runs > 0 {
@@ -208,9 +240,9 @@
 	s.emit(a)
 }
 
-// slowestOf returns the runner of a job's longest run and its pace relative to the service's fastest
-// runner, if the job's runs took far longer than estimated. Other jobs are left out: their number
-// would make the comparison of the runners expensive.
+// slowestOf returns the runner of a job's longest run, and its pace divided by that of the service's
+// fastest runner, if the job's runs took far longer than estimated. For other jobs it returns nothing:
+// there are many, and each comparison goes through all runners.
 func (s *Scheduler) slowestOf(j *job, a Answer) (workload.RunnerID, float64) {
 	if j.longestRunner == nil || a.Work <= slowRunFactor*a.Estimate {
 		return "", 0
