--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -33,9 +33,9 @@
 	// VM is.
 	minRunnersPerShard = 12
 	// minCellRunners is the number of runners of each service that every failure domain must have
-	// for the domains to be cells. It makes two shards, so that the loss of a scheduler leaves half
-	// of the domain's runners in use, and leaves four times the room of a job of 32 tasks that take
-	// half a runner each. Jobs beyond the room of a cell are lent to other cells.
+	// for the domains to be cells. Each cell then has two shards, so that the loss of a scheduler
+	// leaves half of the domain's runners in use. A cell then has four times the usable room of a job
+	// of 32 tasks that take half a runner each; jobs beyond the room of a cell are lent to other cells.
 	minCellRunners = 80
 )
 
--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -36,7 +36,10 @@
 		return
 	}
 	if cause, reason := s.storedRefusal(j); cause != workload.NotRefused {
-		s.refuse(Answer{Entry: sub.Entry, Job: id, Queue: sub.Job.Queue, Outcome: workload.NotRun, Cause: cause, Reason: reason, RetryAfter: s.retryAfter(j)})
+		s.refuse(Answer{
+			Entry: sub.Entry, Job: id, Queue: sub.Job.Queue, Outcome: workload.NotRun,
+			Cause: cause, Reason: reason, RetryAfter: s.retryAfter(j),
+		})
 		return
 	}
 	j.stored = &stored{epoch: s.rows.epoch, waiters: map[EntryID]Time{sub.Entry: s.now + sub.RemainingTimeout}}
@@ -165,6 +168,9 @@
 			s.submitStored(e.Submission)
 			continue
 		}
-		s.refuse(Answer{Entry: e.Entry, Job: id, Queue: e.Job.Queue, Outcome: workload.NotRun, Cause: workload.CopyRefused, Reason: "a copy was refused", RetryAfter: minRetryAfter})
+		s.refuse(Answer{
+			Entry: e.Entry, Job: id, Queue: e.Job.Queue, Outcome: workload.NotRun,
+			Cause: workload.CopyRefused, Reason: "a copy was refused", RetryAfter: minRetryAfter,
+		})
 	}
 }
