--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -66,7 +66,7 @@
 	j.abandonedAt = 0
 	j.withdrawn = false
 	j.deadline = max(j.deadline, s.now+sub.RemainingTimeout)
-	s.handedBefore(j, sub)
+	s.notePriorSubmissions(j, sub)
 	s.dispatch()
 }
 
@@ -100,7 +100,7 @@
 	// The objective counts from the caller's first send, so a part of it may be over.
 	j.worthlessAt = min(s.now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
 	s.setExpected(j)
-	s.handedBefore(j, sub)
+	s.notePriorSubmissions(j, sub)
 	if _, ok := s.ranJobs[sub.Job.ID]; ok {
 		j.started = true
 	}
@@ -125,8 +125,9 @@
 	return true
 }
 
-// handedBefore records that other schedulers may have started tasks of a job.
-func (s *Scheduler) handedBefore(j *job, sub Submission) {
+// notePriorSubmissions records that other schedulers may have started tasks of a job, if its entry
+// process handed it in before.
+func (s *Scheduler) notePriorSubmissions(j *job, sub Submission) {
 	if sub.PriorSubmissions <= j.priorSchedulers {
 		return
 	}
