--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -97,8 +98,8 @@
 	b.g.Expect(b.s.jobs).NotTo(HaveKey(j.ID))
 }
 
-// The lender of a lent job was lost, and the job comes back when its runs there must be over. Guards
-// against a job that is sent to and fro.
+// The lender of a lent job was lost, and the entry process hands the job in here when its runs there
+// must be over. Guards against a job that is sent to the lost lender again.
 func TestALentJobComesBackFromALostLender(t *testing.T) {
 	b, j, _ := borrower(t)
 	b.s.RoomGranted(b.now, grantFor(j.ID))
@@ -177,7 +178,7 @@
 }
 
 // The grant is lost, or the lender is lost or of an older version and ignores the request. Guards
-// against a job that waits for an answer for ever, and against requests to a lender that doesn't
+// against a job that waits for an answer without end, and against requests to a lender that doesn't
 // answer: it isn't asked again before it has reported anew.
 func TestARequestWithoutAnAnswerExpires(t *testing.T) {
 	b, j, _ := borrower(t)
@@ -306,8 +307,8 @@
 	b, j, q := borrower(t)
 	b.s.RoomGranted(b.now, grantFor())
 	l := b.s.lender(q.To)
-	b.g.Expect(l.hasRoom(b.now, j.Service)).To(BeFalse())
-	b.g.Expect(l.hasRoom(b.now, "other")).To(BeTrue())
+	b.g.Expect(l.mayHaveRoom(b.now, j.Service)).To(BeFalse())
+	b.g.Expect(l.mayHaveRoom(b.now, "other")).To(BeTrue())
 }
 
 // A scheduler whose runners are all in use, whose own jobs wait, or that has just become leader,
@@ -327,7 +328,7 @@
 }
 
 // With one shard, or while no other reports room, nothing is requested.
-func TestNobodyIsAskedWithoutRoomElsewhere(t *testing.T) {
+func TestNothingIsRequestedWithoutRoomElsewhere(t *testing.T) {
 	b := leading(t, testRunner("r1"))
 	full := Lender{Shard: 2, Load: Load{ExpectedWait: time.Second}}
 	for _, lenders := range [][]Lender{nil, {full}} {
@@ -358,3 +359,41 @@
 	b.tick(60 * ms)
 	b.g.Expect(one[RequestRoom](b).To).To(Equal(4))
 }
+
+// Many shards report room that they deny when asked. Guards against a job that is held until its
+// caller's time is up, since one of them always reports room anew.
+func TestAJobThatIsDeniedRoomIsRefused(t *testing.T) {
+	b, j, q := borrower(t)
+	var lenders []Lender
+	for shard := range 24 {
+		lenders = append(lenders, idleLender(shard+10, 0))
+	}
+	denied := 0
+	for range 30 {
+		b.s.RoomGranted(b.now, RoomGrant{Lender: q.To})
+		denied++
+		b.s.SetLenders(b.now, lenders)
+		b.tick(20 * ms)
+		requests := take[RequestRoom](b)
+		if len(requests) == 0 || !slices.ContainsFunc(requests[0].Needs, func(n RoomNeed) bool { return n.Job == j.ID }) {
+			break
+		}
+		q = requests[0]
+	}
+	b.g.Expect(denied).To(Equal(maxDenials))
+	b.g.Expect(b.s.mayBorrow(b.s.jobs[j.ID])).To(BeFalse())
+}
+
+// A timed job waits whose first occurrence is due in a day. Guards against a shard that lends nothing
+// until then.
+func TestATimedJobTakesNoRoomBeforeItIsDue(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.s.SetTimeOfDay(b.now, 1_000_000)
+	timed := testJob(2, 200*ms)
+	timed.Times, timed.Interval, timed.StartMs = 20, time.Hour, 1_000_000+24*time.Hour.Milliseconds()
+	idle := b.s.Load().IdleMilliCPU
+	b.submit(timed, 5*time.Second)
+	b.g.Expect(b.s.Load().IdleMilliCPU).To(Equal(idle))
+	b.s.RoomRequested(b.now, RoomRequest{Borrower: 1, Needs: needs(1)})
+	b.g.Expect(one[GrantRoom](b).Jobs).To(HaveLen(1))
+}
