explain: causes by what processes write; a cause that nobody sets goes

The cause "higher-priority" is set by nobody, as queues under contention aren't in the code.

Evidence: go test ./explain ./core/workload ./entry ./cli ./platform.

--- a/core/workload/refusal.go
+++ b/core/workload/refusal.go
@@ -13,8 +13,6 @@
 	TooLittleTime
 	// TimeUp: the caller's timeout has ended.
 	TimeUp
-	// HigherPriority: jobs of a higher priority need the room.
-	HigherPriority
 	// RunnersEvacuated: all runners of the service are in evacuated failure domains.
 	RunnersEvacuated
 	// NoRunner: no runner of the service can be reached.
@@ -43,7 +41,7 @@
 )
 
 var refusalCauseNames = [...]string{
-	"", "lack-of-room", "too-little-time", "time-up", "higher-priority", "runners-evacuated", "no-runner",
+	"", "lack-of-room", "too-little-time", "time-up", "runners-evacuated", "no-runner",
 	"no-fitting-runner", "not-leading", "no-scheduler", "no-answer", "process-ending", "store-unavailable",
 	"copy-refused", "not-configured", "not-served", "other",
 }
--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -44,7 +44,6 @@
 	RefusedTwice         Cause = "refused for lack of room, in another shard as well"
 	RefusedNoTime        Cause = "refused as too little time was left"
 	TimeUp               Cause = "not done when its caller's timeout ended"
-	RefusedPriority      Cause = "refused for jobs of a higher priority"
 	RefusedEvacuated     Cause = "refused as all runners are evacuated"
 	RefusedNoRunner      Cause = "refused as no runner could be reached"
 	RefusedNoFit         Cause = "refused as no runner has what a task needs"
@@ -203,13 +202,14 @@
 		return c
 	}
 	ended := endedLine(jobLines)
-	if outsideOfRuns(answer, ended) {
+	waitedLong := ended.number("waited") > maxWaitShare*answer.number("objective")
+	if outsideOfRuns(answer, ended) && !waitedLong {
 		if c := shardCause(own); c != "" {
 			return c
 		}
 	}
 	switch {
-	case ended.number("waited") > maxWaitShare*answer.number("objective"):
+	case waitedLong:
 		return QueueWait
 	case ranOverEstimate(ended) && ended.number("relative-pace") >= slowPace:
 		return SlowRunner
@@ -249,7 +249,7 @@
 	switch {
 	case hasEvent(jobLines, "room-expired"):
 		return GrantExpired
-	case hasEvent(jobLines, "room-refused"), hasEvent(jobLines, "job-lent"), hasEvent(jobLines, "job-elsewhere"):
+	case hasEvent(jobLines, "job-lent"), hasEvent(jobLines, "job-elsewhere"):
 		return RefusedTwice
 	}
 	return RefusedNoRoom
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -99,11 +99,9 @@
 	"process-stalled":       "an entry process stood still",
 	"job-elsewhere":         "the job was handed in to a shard other than its own",
 	"job-lent":              "the job was given to a shard that had granted room for it",
-	"room-requested":        "another shard was asked for room",
-	"room-granted":          "another shard granted room",
-	"room-refused":          "another shard had no room",
 	"room-expired":          "granted room expired before the job came",
 	"room-used":             "the job came to the shard that had granted room",
+	"lent-job-handed-back":  "the job came back, since its lender was out of reach",
 	"hand-in-dropped":       "the job came over a connection that had ended",
 }
 
--- a/explain/refusal.go
+++ b/explain/refusal.go
@@ -45,6 +45,10 @@
 	if name := l.Fields["cause"]; name != "" {
 		return workload.ParseRefusalCause(name)
 	}
+	if o := l.Fields["outcome"]; o != "" && o != "not-run" && o != "gave-up" {
+		// A copy of a completed job is answered with a reason, too.
+		return workload.NotRefused
+	}
 	for _, r := range reasonCauses {
 		if strings.Contains(l.Fields["reason"], r.part) {
 			return r.cause
@@ -67,7 +71,6 @@
 	workload.LackOfRoom:       RefusedNoRoom,
 	workload.TooLittleTime:    RefusedNoTime,
 	workload.TimeUp:           TimeUp,
-	workload.HigherPriority:   RefusedPriority,
 	workload.RunnersEvacuated: RefusedEvacuated,
 	workload.NoRunner:         RefusedNoRunner,
 	workload.NoFittingRunner:  RefusedNoFit,
@@ -84,7 +87,6 @@
 
 // certainRefusals are the causes of refusals that no event of the system brings about.
 var certainRefusals = map[workload.RefusalCause]bool{
-	workload.HigherPriority:   true,
 	workload.RunnersEvacuated: true,
 	workload.NoFittingRunner:  true,
 	workload.NotServed:        true,
