--- a/core/pace/book.go
+++ b/core/pace/book.go
@@ -9,8 +9,8 @@
 	// kindRuns is the number of runs for which the ratio of its kind counts in a runner's average,
 	// and serviceRuns that for which the usual ratio of its service counts in a kind's.
 	kindRuns, serviceRuns = 4, 4
-	// queueRuns is the number of runs for which it counts in a queue's average that its estimates
-	// are as good as those of other queues.
+	// queueRuns weighs the assumption that a queue's estimates are as good as those of other queues:
+	// it counts like that many runs.
 	queueRuns = 30
 )
 
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -61,11 +61,12 @@
 	return step.Estimate * time.Duration(step.Tasks*step.Need.MilliCPU)
 }
 
-// LendingCounters count jobs since the start of the process. As a borrower: Requested jobs, those
-// for which room was Received, the JobsLent of these that hadn't begun meanwhile, and those that
-// were HandedBack since the lender was out of reach of their entry process; RequestsExpired counts
-// requests. As a lender: jobs that were Granted room, and of these grants
-// those Used by an arriving job and those Expired; Denied are the others that were asked for.
+// LendingCounters count jobs, and RequestsExpired requests, since the start of the process.
+//
+// As a borrower: jobs for which room was Requested; those for which it was Received; of these the
+// JobsLent, which hadn't begun meanwhile; and those HandedBack, since the lender was out of reach of
+// their entry process. As a lender: jobs that were Granted or Denied room, and of the grants those
+// Used by an arriving job and those Expired.
 type LendingCounters struct {
 	Requested, Received, JobsLent, HandedBack uint64
 	RequestsExpired                           uint64
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -54,8 +54,6 @@
 type RoomNeed struct {
 	Job     workload.JobID
 	Service string
-	// Priority is the job's priority. Lenders don't use it.
-	Priority int
 	// Step is the job's first step, for whose tasks the room is needed.
 	Step workload.Step
 	// Slack is how long the job may still wait before it begins.
@@ -267,7 +265,7 @@
 // roomNeed describes the room that a job needs to begin before it turns late.
 func (s *Scheduler) roomNeed(j *job) RoomNeed {
 	return RoomNeed{
-		Job: j.work.ID, Service: j.work.Service, Priority: j.work.Priority,
+		Job: j.work.ID, Service: j.work.Service,
 		Step: j.work.Steps[0], Slack: max(0, j.lateAt()-s.now),
 	}
 }
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -11,18 +11,29 @@
 // stopSlack is added to StopTimeout: a run that was stopped counts as over after both.
 const stopSlack = 20 * time.Millisecond
 
-// Started handles the result of a Start.
-func (s *Scheduler) Started(now Time, res StartResult) {
-	s.now = now
-	r := s.runners[res.Runner]
+// answeringRunner returns the runner that has answered an order to start or to stop a run, with its
+// clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner or
+// another incarnation of the runner has answered.
+func (s *Scheduler) answeringRunner(id workload.RunnerID, clock ClockReading) *runner {
+	r := s.runners[id]
 	if r == nil || r.gone || !s.leading {
-		return
+		return nil
 	}
-	if !s.checkIncarnation(r, res.Clock.IncarnationStart) {
+	if !s.checkIncarnation(r, clock.IncarnationStart) {
 		s.dispatch()
+		return nil
+	}
+	r.updateClock(clock)
+	return r
+}
+
+// Started handles the result of a Start.
+func (s *Scheduler) Started(now Time, res StartResult) {
+	s.now = now
+	r := s.answeringRunner(res.Runner, res.Clock)
+	if r == nil {
 		return
 	}
-	r.updateClock(res.Clock)
 	s.recordLatency(res.Clock.SentAt)
 	if res.Outcome != Unanswered {
 		r.answered(res.Clock.SentAt)
@@ -128,15 +139,10 @@
 // Stopped handles the result of a Stop.
 func (s *Scheduler) Stopped(now Time, res StopResult) {
 	s.now = now
-	r := s.runners[res.Runner]
-	if r == nil || r.gone || !s.leading {
-		return
-	}
-	if !s.checkIncarnation(r, res.Clock.IncarnationStart) {
-		s.dispatch()
+	r := s.answeringRunner(res.Runner, res.Clock)
+	if r == nil {
 		return
 	}
-	r.updateClock(res.Clock)
 	u := r.runs[res.Run]
 	if res.Outcome != Unanswered {
 		r.answered(res.Clock.SentAt)
--- a/entry/wire_room.go
+++ b/entry/wire_room.go
@@ -12,7 +12,7 @@
 	request := &pb.RoomRequest{Shard: uint32(m.Shard), Borrower: uint32(m.Borrower)}
 	for _, n := range m.Needs {
 		request.Needs = append(request.Needs, &pb.RoomNeed{
-			Job: string(n.Job), Service: n.Service, Priority: int32(n.Priority),
+			Job: string(n.Job), Service: n.Service,
 			Step: stepMessage(n.Step), SlackMs: n.Slack.Milliseconds(),
 		})
 	}
@@ -23,7 +23,7 @@
 	request := fleet.RoomRequest{Shard: int(m.GetShard()), RoomRequest: schedule.RoomRequest{Borrower: int(m.GetBorrower())}}
 	for _, n := range m.GetNeeds() {
 		request.Needs = append(request.Needs, schedule.RoomNeed{
-			Job: workload.JobID(n.GetJob()), Service: n.GetService(), Priority: int(n.GetPriority()),
+			Job: workload.JobID(n.GetJob()), Service: n.GetService(),
 			Step: stepOf(n.GetStep()), Slack: milliseconds(n.GetSlackMs()),
 		})
 	}
--- a/entry/wire_room_test.go
+++ b/entry/wire_room_test.go
@@ -21,7 +21,7 @@
 	}
 	for _, m := range []fleet.Message{
 		fleet.RoomRequest{Shard: 3, RoomRequest: schedule.RoomRequest{Borrower: 1, Needs: []schedule.RoomNeed{
-			{Job: "00000000000000a1", Service: "s", Priority: 2, Step: step, Slack: 70 * time.Millisecond},
+			{Job: "00000000000000a1", Service: "s", Step: step, Slack: 70 * time.Millisecond},
 		}}},
 		fleet.RoomGrant{Shard: 1, RoomGrant: schedule.RoomGrant{Lender: 3, Jobs: []workload.JobID{"00000000000000a1"}}},
 		fleet.Verdict{Verdict: gateway.Verdict{Job: "00000000000000a1", Outcome: workload.NotRun, NoRoom: true, Lent: true, Lender: 3}},
--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -75,7 +75,7 @@
 	// slow. At most one healthy run in a hundred takes longer than that.
 	slowRunFactor = 3
 	// slowPace is how many times slower than the fastest runner of its service a runner is to count
-	// as slow. Runners of one kind differ by a quarter.
+	// as slow. Smaller differences are usual among healthy runners.
 	slowPace = 1.5
 	// answerSkew is how much later than its answer, or earlier than its arrival, a line of a
 	// submission may be by the clock of another VM. A caller who was refused returns after a
