core/fleet: the model's trace shows what happens on the runners

-fleet.trace printed what the processes log. Whether a task ran twice shows only on the runners: starts, stops, ends and acknowledged ends, with the order's token or the end's sequence and what is left of the lease.

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -12,7 +12,7 @@
 
 var (
 	seeds     = flag.Int("fleet.seeds", 40, "number of random runs")
-	trace     = flag.Bool("fleet.trace", false, "print what the processes log")
+	trace     = flag.Bool("fleet.trace", false, "print what the processes log and what happens on the runners")
 	firstSeed = flag.Uint64("fleet.first", 1, "seed of the first random run")
 )
 
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/schedule"
@@ -130,6 +131,7 @@
 	}
 	r.runs[c.Run] = &fakeRun{need: need}
 	r.started++
+	r.trace("start", c.Run, c.Token)
 	r.w.checker.started(r, c.Run)
 	if r.hangs {
 		return schedule.Accepted
@@ -153,6 +155,7 @@
 		return schedule.Fenced
 	}
 	r.sealed[c.Run.Task] = max(r.sealed[c.Run.Task], c.Run.Number)
+	r.trace("stop", c.Run, c.Token)
 	if u := r.runs[c.Run]; u != nil && !u.stopped {
 		u.stopped = true
 		r.w.after(time.Duration(r.w.rng.IntN(50))*time.Millisecond, func() { r.end(c.Run, workload.Stopped) })
@@ -167,6 +170,7 @@
 	delete(r.runs, k)
 	r.sealed[k.Task] = max(r.sealed[k.Task], k.Number)
 	r.lastEnd++
+	r.trace(kind.String(), k, r.lastEnd)
 	r.ends = append(r.ends, fakeEnd{End: workload.End{Sequence: r.lastEnd, Run: k, Kind: kind}, at: r.w.now})
 	r.w.checker.ended(r, k, kind)
 	for _, h := range r.waitingHolds {
@@ -189,6 +193,7 @@
 			remaining = append(remaining, e)
 			continue
 		}
+		r.trace("acknowledged", e.Run, e.Sequence)
 		r.w.checker.acknowledged(e)
 	}
 	r.ends = remaining
@@ -215,9 +220,19 @@
 	h.answer(res)
 }
 
+// trace prints what happens to a run on the runner, with the order's token or the end's sequence.
+func (r *fakeRunner) trace(event string, k workload.RunKey, number uint64) {
+	if *trace {
+		fmt.Println(r.w.now, "runner", r.info.ID, event, k, number, "lease left", r.leaseEnd-r.clock())
+	}
+}
+
 // restart ends the incarnation, and begins another one under the same id.
 func (r *fakeRunner) restart() {
 	r.crash()
+	if *trace {
+		fmt.Println(r.w.now, "runner", r.info.ID, "restarts")
+	}
 	r.down = false
 	r.incarnationStart = int64(worldStartMs + r.w.now/time.Millisecond)
 	r.offset = 1 - int64(float64(r.w.now.Milliseconds())*r.rate)
