core/schedule: the record of a completed job tells of restarts by other owners

Cause: an owner that completes a job by an end of another owner's run saved a record that doesn't say that the task had been restarted. Ends listed before the jobs were loaded lost their run's number; the end of a first run didn't count as one of a restarted task although an owner between may have restarted it.

Why it works: a later owner withholds the lease of a runner that lists a successful end of a job whose record says restarted; every way to complete a job by such an end now goes through noteRun, which asks the same question as the acknowledgement (mayHaveRestarted).

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -146,6 +146,15 @@
 	return []string{"kill", "kill leader", "kill all", "freeze", "freeze leader", "stop", "cut", "store", "late orders", "crash", "hang", "fail", "slow"}
 }
 
+// restartFaultNames names the faults with stored jobs, half of which are restarts of runners.
+func restartFaultNames() []string {
+	names := append(storedFaultNames(), "late orders")
+	for range len(names) {
+		names = append(names, "runner restart")
+	}
+	return names
+}
+
 func storedFaultNames() []string {
 	return append(faultNames(), "store for some", "part", "replace", "lost answers", "slow store", "kill all", "mute runners", "mute runners")
 }
@@ -335,6 +344,20 @@
 	20383: "a new process refused a job that had run in a domain that it had never reached",
 }
 
+// Seeds with restarts of runners that once violated an invariant, with the cause.
+var restartRegressions = map[uint64]string{
+	40055:  "an owner completed a job by the end of a run of the previous owner, and its record didn't say that the task had been restarted",
+	100137: "an owner completed a job by the end of a first run, and its record didn't say that an owner between had restarted the task",
+}
+
+func TestRestartRegressions(t *testing.T) {
+	t.Parallel()
+	for seed, cause := range restartRegressions {
+		w, played := storedRun(seed, restartFaultNames())
+		NewWithT(t).Expect(w.checker.violations).To(BeEmpty(), "seed %d, %s: %v", seed, cause, played)
+	}
+}
+
 func TestStoredRegressions(t *testing.T) {
 	t.Parallel()
 	for seed, cause := range storedRegressions {
@@ -356,10 +379,7 @@
 func TestRandomRestartsOfRunners(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	names := append(storedFaultNames(), "late orders")
-	for range len(names) {
-		names = append(names, "runner restart")
-	}
+	names := restartFaultNames()
 	served, asked := 0, 0
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -81,15 +81,7 @@
 		return k.restarted
 	}
 	j := s.jobs[e.Run.Task.Job]
-	if j == nil || j.stored == nil {
-		return false
-	}
-	t := j.task(e.Run.Task)
-	if t == nil {
-		return false
-	}
-	schedulerIndex := e.Run.Number / runsPerScheduler
-	return t.lastStarted > e.Run.Number || schedulerIndex < j.priorSchedulers-1 || schedulerIndex < j.priorSchedulers && j.stored.unseenByPredecessor
+	return j != nil && j.mayHaveRestarted(e.Run)
 }
 
 // recheckEnds processes again the ends whose jobs may be stored ones, now that the stored jobs
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -167,14 +167,26 @@
 	return true
 }
 
-// noteRun marks the job as restarted if the number of a run shows that an earlier run of the task
-// may have been started.
+// noteRun marks the job as restarted if the number of a run shows that the task has, or may have,
+// other runs: earlier ones, or later ones that another scheduler has started. The job's record must
+// say so once the job has ended, since a later owner of the shard has no other means to know.
 func (j *job) noteRun(k workload.RunKey) {
-	if k.Number > 1 {
+	if k.Number > 1 || j.mayHaveRestarted(k) {
 		j.restarted = true
 	}
 }
 
+// mayHaveRestarted reports whether the task of a stored job's run may have been started again since:
+// by this scheduler, by the one that had started the run, or by one between the two.
+func (j *job) mayHaveRestarted(k workload.RunKey) bool {
+	t := j.task(k.Task)
+	if j.stored == nil || t == nil {
+		return false
+	}
+	schedulerIndex := k.Number / runsPerScheduler
+	return t.lastStarted > k.Number || schedulerIndex < j.priorSchedulers-1 || schedulerIndex < j.priorSchedulers && j.stored.unseenByPredecessor
+}
+
 // recordRunTime records the duration of the run that completed a task on a runner.
 func (j *job) recordRunTime(n workload.TaskName, elapsed time.Duration, r *runner) {
 	i := j.stepIndex(n)
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -115,7 +115,7 @@
 	s.ranJobs[name.Job] = s.now
 	j := s.jobs[name.Job]
 	if j == nil {
-		s.doneWithoutJob[name] = s.now
+		s.doneWithoutJob[name] = doneRun{at: s.now}
 		return
 	}
 	if t := j.task(name); t != nil && t.phase != done {
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -197,6 +197,42 @@
 	}
 }
 
+// Guards against a record of a completed job that doesn't say that an owner between has restarted
+// a task: the next owner would acknowledge the successful end of the first run at once.
+func TestRecordOfACompletedJobTellsOfAnotherOwnersRestart(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		number    int
+		epoch     uint64
+		listed    bool
+		restarted bool
+	}{
+		{"the second run, listed before the jobs are loaded", 101, 2, true, true},
+		{"the second run, listed after", 101, 2, false, true},
+		{"the first run, with an owner between, listed before", 1, 3, true, true},
+		{"the first run, with an owner between, listed after", 1, 3, false, true},
+		{"the first run, without one", 1, 2, true, false},
+	} {
+		b := newHarness(t, testRunner("r1"))
+		j := storedJob(1, 2*time.Second)
+		end := workload.End{Sequence: 1, Run: runOf(j, 0, c.number), Kind: workload.Done}
+		b.s.Lead(b.now)
+		hold := one[Hold](b)
+		if c.listed {
+			b.held(hold, end)
+		}
+		b.ownRows(c.epoch, openRecord(j, 1))
+		if !c.listed {
+			b.held(hold, end)
+		}
+		saves := take[Save](b)
+		b.g.Expect(saves).NotTo(BeEmpty(), c.name)
+		last := saves[len(saves)-1].Record
+		b.g.Expect(last.State).To(Equal(ledger.Completed), c.name)
+		b.g.Expect(last.Restarted).To(Equal(c.restarted), c.name)
+	}
+}
+
 // Guards against a task that the previous owner starts after the new one has published its job as
 // completed: the previous owner may not know yet that it lost the shard.
 func TestCompletionIsPublishedWhenThePreviousOwnerIsInactive(t *testing.T) {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -166,7 +166,7 @@
 func (s *Scheduler) endedUnknown(e workload.End) {
 	s.ranJobs[e.Run.Task.Job] = s.now
 	if e.Kind == workload.Done {
-		s.doneWithoutJob[e.Run.Task] = s.now
+		s.doneWithoutJob[e.Run.Task] = doneRun{number: e.Run.Number, at: s.now}
 	}
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -123,7 +123,7 @@
 	unstored  map[workload.JobID]Time
 	expiredAt Time
 	// doneWithoutJob are tasks that runners list as done and whose jobs aren't known.
-	doneWithoutJob map[workload.TaskName]Time
+	doneWithoutJob map[workload.TaskName]doneRun
 
 	rows rows
 	// alternate is the other shard in which a job would wait least, for alternateWait; -1 if
@@ -141,6 +141,14 @@
 	ctr Counters
 }
 
+// doneRun is a run that has ended successfully and whose job isn't known.
+type doneRun struct {
+	// number is the run's number; 0 if another scheduler has reported that the task is done.
+	number int
+	// at is when that was recorded.
+	at Time
+}
+
 // result is the outcome of an ended job, and since when it is retained.
 type result struct {
 	outcome workload.Outcome
@@ -162,7 +170,7 @@
 		unreachable:    make(map[string]Time),
 		ranJobs:        make(map[workload.JobID]Time),
 		unstored:       make(map[workload.JobID]Time),
-		doneWithoutJob: make(map[workload.TaskName]Time),
+		doneWithoutJob: make(map[workload.TaskName]doneRun),
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -146,9 +146,10 @@
 func (s *Scheduler) attach(j *job) bool {
 	found := false
 	j.eachTask(func(t *taskState) {
-		if _, ok := s.doneWithoutJob[t.name]; ok {
+		if d, ok := s.doneWithoutJob[t.name]; ok {
 			delete(s.doneWithoutJob, t.name)
 			j.started, j.begun = true, true
+			j.noteRun(workload.RunKey{Task: t.name, Number: d.number})
 			t.setPhase(done)
 			found = true
 		}
