A retiring owner reports which stored jobs were restarted

The same fault elsewhere: an owner that retires reports the tasks that are done. Its last records may not be in the store, so its successor completes a job by that report with an older record that doesn't tell of the restart, and a later owner acknowledges the end of the first run.

Change: Progress lists the restarted stored jobs (a new field; a process of the version before doesn't send it, and is understood as until now). The test fails without the successor's half of the change: Restarted is false.

--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -15,6 +15,9 @@
 	PriorRunsTTL time.Duration
 	// Done are the tasks that have ended successfully, of jobs that the scheduler still has.
 	Done []workload.TaskName
+	// Restarted are the stored jobs of which a task was started more than once. Their latest records
+	// may not be in the store.
+	Restarted []workload.JobID
 	// Ended are recently ended jobs.
 	Ended []EndedJob
 }
@@ -47,6 +50,9 @@
 				p.Done = append(p.Done, t.name)
 			}
 		})
+		if j.stored != nil && j.restarted {
+			p.Restarted = append(p.Restarted, j.work.ID)
+		}
 	}
 	for i := len(s.resultOrder) - 1; i >= 0; i-- {
 		id := s.resultOrder[i]
@@ -73,6 +79,11 @@
 	s.now = now
 	s.stopAwaiting()
 	s.predecessorRetired(p)
+	for _, id := range p.Restarted {
+		if j := s.jobs[id]; j != nil {
+			j.restarted = true
+		}
+	}
 	for _, e := range p.Ended {
 		if j := s.jobs[e.Job]; j != nil {
 			s.finishElsewhere(j, e.Outcome)
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -57,7 +59,8 @@
 func (s *Scheduler) restored(r ledger.Record) *job {
 	j := newJob(r.Definition, s.now)
 	j.stored = &stored{epoch: r.Epoch, accepted: true, failures: r.Failures, unseen: r.Unseen, unseenByPredecessor: r.Unseen}
-	j.started, j.restarted = true, r.Restarted
+	j.started = true
+	j.restarted = r.Restarted || s.restartedByPredecessor(r.Job)
 	j.priorSchedulers = int(s.rows.epoch - r.Epoch)
 	j.priorRunsOverAt = s.rows.priorRunsOverAt
 	j.listsNeededSince = s.now
@@ -81,6 +84,13 @@
 	return j
 }
 
+// restartedByPredecessor reports whether the previous leader has reported that a task of a job was
+// started more than once.
+func (s *Scheduler) restartedByPredecessor(id workload.JobID) bool {
+	p := s.rows.predecessor
+	return p != nil && slices.Contains(p.Restarted, id)
+}
+
 // priorRunsOverAt returns when all runs that earlier owners have started and this one can't see are
 // over. It sees all runs on the runners that it knows; there may be others in a failure domain
 // that is cut off from the store.
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -233,6 +233,37 @@
 	}
 }
 
+// Guards against the same when the previous owner has retired before its records were in the store:
+// the new owner completes the job by that owner's progress.
+func TestRecordOfACompletedJobTellsOfRestartsInTheProgress(t *testing.T) {
+	for _, loadedFirst := range []bool{false, true} {
+		former, first := runsOnOneOfTwo(t)
+		j := former.s.jobs[first.Run.Task.Job].work
+		former.s.runnerFenced(former.s.runners[first.Runner])
+		former.s.runners[first.Runner].info.Draining = true
+		former.wait(former.s.cfg.Resend + 100*ms)
+		former.saved(one[Save](former))
+		second := one[Start](former)
+		former.started(second, Accepted)
+		former.end(second.Runner, 1, second.Run, workload.Done)
+		progress := former.s.Progress(former.now)
+
+		b := newHarness(t, testRunner("r1"), testRunner("r2"))
+		b.s.Lead(b.now)
+		if loadedFirst {
+			b.ownRows(2, openRecord(j, 1))
+		}
+		b.s.ApplyProgress(b.now, progress)
+		if !loadedFirst {
+			b.ownRows(2, openRecord(j, 1))
+		}
+		saves := take[Save](b)
+		b.g.Expect(saves).NotTo(BeEmpty())
+		b.g.Expect(saves[len(saves)-1].Record.State).To(Equal(ledger.Completed))
+		b.g.Expect(saves[len(saves)-1].Record.Restarted).To(BeTrue())
+	}
+}
+
 // Guards against a task that the previous owner starts after the new one has published its job as
 // completed: the previous owner may not know yet that it lost the shard.
 func TestCompletionIsPublishedWhenThePreviousOwnerIsInactive(t *testing.T) {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -379,6 +379,9 @@
 	for _, e := range p.Ended {
 		m.Ended = append(m.Ended, &pb.EndedJob{Job: string(e.Job), Outcome: uint32(e.Outcome)})
 	}
+	for _, id := range p.Restarted {
+		m.Restarted = append(m.Restarted, string(id))
+	}
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Progress{Progress: m}}
 }
 
@@ -394,5 +397,8 @@
 	for _, e := range m.GetEnded() {
 		p.Ended = append(p.Ended, schedule.EndedJob{Job: workload.JobID(e.GetJob()), Outcome: outcomeOf(e.GetOutcome())})
 	}
+	for _, id := range m.GetRestarted() {
+		p.Restarted = append(p.Restarted, workload.JobID(id))
+	}
 	return p
 }
