Successors know the unlisted runners that a leader uses

What callers saw: a task ran on two runners at the same time (TestRandomRestartsOfRunners, seed 40565: "...1f9.0.0.1#101 starts on ra5 while ...1f9.0.0.1#1 runs on ra4"; seed 50346 likewise).

Cause: a leader uses a runner that isn't on the platform's list any more if it answers after a silence; its successor asks only runners that are listed or left the list within three seconds. Both seeds: a process that didn't lead had kept the runner for seconds and used it as it became leader.

Evidence: the runners' side of both seeds, the runner's way on and off the list.

Change: a new leader forgets runners that left the list before a hand-over's time; a leader reports its unlisted runners in use to the processes of the cell, before the first start there, every second and on each new connection. Each job's entry process thus knows of them from the leader's own messages before a task of its job can be there, and names them to the next leader before it hands the job in.

--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -86,6 +86,8 @@
 		n.requestRoom(s, c)
 	case schedule.GrantRoom:
 		n.grantRoom(s, c)
+	case schedule.UnlistedInUse:
+		n.reportUnlisted(s, c)
 	case schedule.Decision:
 		n.notice(c.Event, decisionFields(c)...)
 	default:
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -115,6 +115,9 @@
 	// on the platform's list. The receiver adds them to the runners that it knows; they
 	// don't replace its list.
 	Handover bool
+	// InUse is set with Handover: the sender leads the runners' shard and uses them though they
+	// aren't on the platform's list. The receiver remembers them, to name them in a handover.
+	InUse bool
 }
 
 // Progress is sent by a retiring leader to the next leader of a shard.
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -25,6 +25,7 @@
 	}
 	delete(n.lostVMs, schedule.EntryID(id).VM())
 	delete(n.sentDigest, id)
+	n.sendUnlisted(now, id)
 	n.gateway.Reconnected(now, id)
 }
 
@@ -135,6 +136,10 @@
 	case Layout:
 		n.ApplyLayout(now, m.Layout)
 	case RunnerList:
+		if m.InUse {
+			n.rememberUnlisted(now, m.Runners)
+			return
+		}
 		if m.Handover {
 			// This isn't the platform's list, which it doesn't replace; see RunnerList.
 			n.addUnlistedRunners(now, m.Runners)
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -347,6 +347,8 @@
 // Seeds with restarts of runners that once violated an invariant, with the cause.
 var restartRegressions = map[uint64]string{
 	40055:  "an owner completed a job by the end of a run of the previous owner, and its record didn't say that the task had been restarted",
+	40565:  "a process that became leader used a runner that had left the list seconds before, and its successor didn't ask that runner for its runs",
+	50346:  "the same, with one shard",
 	100137: "an owner completed a job by the end of a first run, and its record didn't say that an owner between had restarted the task",
 }
 
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -21,6 +21,8 @@
 	// pendingQueries wait for a job's end or for its state to become certain.
 	pendingQueries map[workload.JobID][]pendingQuery
 	learned        learnedState
+	// unlisted are the latest UnlistedInUse of the shard's scheduler.
+	unlisted schedule.UnlistedInUse
 }
 
 // ApplyLayout sets how the runners are divided into shards. Only the first call has an
@@ -222,6 +224,7 @@
 	s.schedule.Retire(now)
 	s.ledger.Release()
 	clear(s.pendingQueries)
+	s.unlisted = schedule.UnlistedInUse{}
 }
 
 // choices lists the leader that this process follows in each shard.
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -133,6 +133,14 @@
 	Job   workload.JobID
 }
 
+// UnlistedInUse names runners that this scheduler uses, or on which it has runs, though they aren't on
+// the platform's list. Other processes must know them: whoever becomes leader next has to ask them for
+// their runs. It is emitted before the first start on such a runner, then every unlistedInterval.
+type UnlistedInUse struct {
+	At      Time
+	Runners []workload.Runner
+}
+
 func (Start) command()        {}
 func (Stop) command()         {}
 func (Hold) command()         {}
@@ -143,6 +151,8 @@
 func (MoveJob) command()      {}
 func (MoveAck) command()      {}
 
+func (UnlistedInUse) command() {}
+
 // CallOutcome is the outcome of an order to a runner.
 type CallOutcome uint8
 
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -18,15 +18,43 @@
 	// expiredCheckInterval is how often an idle runner with an expired entry is checked, so that its
 	// loss is noticed before a job is placed on it.
 	expiredCheckInterval = 200 * time.Millisecond
+	// unlistedInterval is how often unlisted runners in use are reported to other processes.
+	unlistedInterval = time.Second
 )
 
 // noteAnswerAfterSilence handles an answer of a runner that was silent for some time.
 func (s *Scheduler) noteAnswerAfterSilence(r *runner, silence time.Duration) {
 	if r.unlisted && !r.info.Draining && silence > longSilence {
 		r.assumedPresentUntil = s.now + unlistedGrace
+		s.reportUnlisted()
 	}
 }
 
+// reportUnlisted reports the unlisted runners in use, if there are any.
+func (s *Scheduler) reportUnlisted() {
+	s.unlistedReportedAt = s.now
+	if list := s.unlistedInUse(); len(list) > 0 {
+		s.emit(UnlistedInUse{At: s.now, Runners: list})
+	}
+}
+
+// tickUnlisted reports the unlisted runners in use when that is due.
+func (s *Scheduler) tickUnlisted() {
+	if s.now-s.unlistedReportedAt >= unlistedInterval {
+		s.reportUnlisted()
+	}
+}
+
+func (s *Scheduler) unlistedInUse() []workload.Runner {
+	var list []workload.Runner
+	for _, r := range s.runnerList {
+		if r.unlisted && !r.gone && r.token != 0 && (len(r.runs) > 0 || r.present(s.now)) {
+			list = append(list, r.info)
+		}
+	}
+	return list
+}
+
 // present reports whether the runner counts as existing, by the list or by its answers.
 func (r *runner) present(now Time) bool { return !r.unlisted || now < r.assumedPresentUntil }
 
--- a/core/schedule/listing_test.go
+++ b/core/schedule/listing_test.go
@@ -66,6 +66,46 @@
 	b.g.Expect(b.s.runners["cut"].usable(b.now)).To(BeFalse())
 }
 
+// Guards against a new leader that uses a runner which left the list long ago: no other process knows
+// that runner any more, so a successor wouldn't ask it for its runs.
+func TestRunnerUnlistedForLongIsNotUsedByANewLeader(t *testing.T) {
+	stays, left := testRunner("stays"), testRunner("left")
+	b := newHarness(t, stays, left)
+	b.s.SetRunners(b.now, []workload.Runner{stays})
+	b.tick(b.s.cfg.Resend + 20*ms)
+	b.s.Lead(b.now)
+	b.g.Expect(one[Hold](b).Runner).To(BeEquivalentTo("stays"))
+}
+
+// Guards against starts on an unlisted runner before other processes can know of it, and against
+// processes that forget the runner while it is in use.
+func TestUnlistedRunnersInUseAreReported(t *testing.T) {
+	b := leading(t, testRunner("stays"))
+	b.g.Expect(b.wideJob()).To(Equal(2))
+	b.g.Expect(take[UnlistedInUse](b)).To(BeEmpty())
+	b.s.AddUnlistedRunners(b.now, []workload.Runner{testRunner("back")})
+	b.now += 20 * ms
+	for _, h := range take[Hold](b) {
+		if h.Runner == "back" {
+			b.held(h)
+		}
+	}
+	b.collect()
+	var order []string
+	for _, c := range b.out {
+		switch c := c.(type) {
+		case UnlistedInUse:
+			order = append(order, "reported "+string(c.Runners[0].ID))
+		case Start:
+			order = append(order, "started on "+string(c.Runner))
+		}
+	}
+	b.g.Expect(order).To(Equal([]string{"reported back", "started on back", "started on back"}))
+	take[UnlistedInUse](b)
+	b.tick(unlistedInterval + 20*ms)
+	b.g.Expect(one[UnlistedInUse](b).Runners).To(HaveLen(1))
+}
+
 // Guards against counts of orphans that differ from the runner's runs: the runner would get no
 // lease any more, or one while another scheduler relies on its expiry.
 func TestOrphansAreCounted(t *testing.T) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -75,6 +75,8 @@
 	runners map[workload.RunnerID]*runner
 	// runnerList holds the runners in the order of their ids.
 	runnerList []*runner
+	// unlistedReportedAt is when the unlisted runners in use were last reported.
+	unlistedReportedAt Time
 	// evacuated are the failure domains that get no new tasks.
 	evacuated []string
 
@@ -212,7 +214,8 @@
 
 func (s *Scheduler) emit(c Command) { s.out = append(s.out, c) }
 
-// Lead makes the scheduler leader: it acquires all runners that it knows.
+// Lead makes the scheduler leader: it acquires all runners that it knows. It forgets those that left
+// the platform's list long ago: they may answer, but other processes don't know them any more.
 func (s *Scheduler) Lead(now Time) {
 	s.now = now
 	if s.leading {
@@ -223,6 +226,7 @@
 	s.leadingSince = now
 	s.uncertainUntil = now + takeoverWindow
 	s.term++
+	s.forgetRunners()
 	for _, r := range s.runnerList {
 		s.acquire(r)
 	}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -26,6 +26,7 @@
 		s.tickJob(j)
 	}
 	s.forgetRunners()
+	s.tickUnlisted()
 	s.refuseEvacuated()
 	s.refuseLate()
 	s.dispatch()
--- a/entry/wire_settings.go
+++ b/entry/wire_settings.go
@@ -68,7 +68,7 @@
 }
 
 func runnersMessage(l fleet.RunnerList) *pb.FleetMessage {
-	m := &pb.RunnerList{Revision: l.Revision, Handover: l.Handover}
+	m := &pb.RunnerList{Revision: l.Revision, Handover: l.Handover, InUse: l.InUse}
 	for _, r := range l.Runners {
 		m.Runners = append(m.Runners, &pb.FleetRunner{
 			Id:       string(r.ID),
@@ -90,7 +90,7 @@
 }
 
 func runnersOf(m *pb.RunnerList) fleet.RunnerList {
-	l := fleet.RunnerList{Revision: m.GetRevision(), Handover: m.GetHandover()}
+	l := fleet.RunnerList{Revision: m.GetRevision(), Handover: m.GetHandover(), InUse: m.GetInUse()}
 	for _, r := range m.GetRunners() {
 		l.Runners = append(l.Runners, workload.Runner{
 			ID:      workload.RunnerID(r.GetId()),
