core/fleet: the model gives no two runners one id and one start

Trace: ra3 crashes and is replaced by ra3x; ra3 starts again under its id (8.116 s), crashes once more (12.356 s) and is replaced by a second ra3x, with the same start of its lifetime, while the first one works. The scheduler has acknowledged ends up to 41 of the first; the second one's first end has the number 1 and is forgotten with the next list. Ends of both are in the trace at the same time: 42 at 12.659 s, 1 at 12.81 s.

Two lifetimes with one id and one start exist nowhere, so the model is mended, not the check: a replacement gets an unused id, and adding a runner under an id in use panics.

--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -219,7 +219,20 @@
 	return w.cellLayout
 }
 
+// unusedID returns the id of the runner that replaces a crashed one. No two runners have the same id
+// and the same start: a process that has an incarnation's list applies it to no other.
+func (w *world) unusedID(crashed workload.RunnerID) string {
+	id := crashed + "x"
+	for w.byRunner[id] != nil {
+		id += "x"
+	}
+	return string(id)
+}
+
 func (w *world) addRunner(id, domain string) *fakeRunner {
+	if w.byRunner[workload.RunnerID(id)] != nil {
+		panic("two runners with the id " + id)
+	}
 	r := &fakeRunner{
 		w: w,
 		info: workload.Runner{
