Copies of jobs in other shards don't run in the home beside them

What callers saw: a copy of a job, sent since the first channel stayed silent, ran at the same time as the job; or was answered "not run" while it ran.

Cause: only the leader that lent a job knew where it went, and where a refused job went nobody knew; a new leader started copies, and the refusing one answered them with its refusal.

Change: the entry process that has the job reports it to each new leader of the job's home, on each new connection with it, and when another shard takes a refused job; a retiring leader passes on what it knows.

--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -63,6 +63,8 @@
 			return
 		}
 		n.emit(Send{To: c.To, Message: DropJob{Shard: c.Shard, Job: c.Job, HandedOver: c.HandedOver}})
+	case gateway.ReportElsewhere:
+		n.reportElsewhere(c)
 	case gateway.Reply:
 		n.emit(Answer{c})
 	default:
--- /dev/null
+++ b/core/fleet/lending_copies_test.go
@@ -0,0 +1,105 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+)
+
+// copyWhileElsewhere watches for a long job that is handed in to another shard than its home. When
+// the first has been seen since the last call, change is applied to the leader of its home, and later
+// a copy of the job arrives by way of another process.
+func (w *world) copyWhileElsewhere(copies *int, change func(*fakeNode)) {
+	const (
+		longJob   = 800 * time.Millisecond
+		settling  = 50 * time.Millisecond
+		copyAfter = 600 * time.Millisecond
+	)
+	busy := false
+	w.onSend = func(n *fakeNode, c fleet.Send) {
+		h, ok := c.Message.(fleet.HandIn)
+		if !ok || h.Shard == h.Home || busy || h.Job.Stored || w.jobs[h.Job.ID].duration < longJob {
+			return
+		}
+		home := w.leaderOf(h.Home)
+		other := w.otherThan(n, home, w.byID(c.To))
+		if home == nil || home == n || home == w.byID(c.To) || other == nil {
+			return
+		}
+		busy = true
+		j := w.jobs[h.Job.ID]
+		w.after(settling, func() { change(home) })
+		w.after(settling+copyAfter, func() {
+			busy = false
+			if j.answered || len(w.checker.running) == 0 || other.node == nil {
+				return
+			}
+			*copies++
+			w.submitBy(other, j)
+		})
+	}
+}
+
+// leaderOf returns the process that leads a shard; nil if there is none.
+func (w *world) leaderOf(shard int) *fakeNode {
+	for _, n := range w.nodes {
+		if n.node == nil {
+			continue
+		}
+		if s := n.node.DumpShards(w.now); shard < len(s) && s[shard].Leader != "" && s[shard].Leader == string(n.id) {
+			return n
+		}
+	}
+	return nil
+}
+
+// otherThan returns a process that is none of the given ones.
+func (w *world) otherThan(list ...*fakeNode) *fakeNode {
+	for _, n := range w.nodes {
+		used := n.node == nil
+		for _, o := range list {
+			used = used || n == o
+		}
+		if !used {
+			return n
+		}
+	}
+	return nil
+}
+
+// submitBy sends a job to a process.
+func (w *world) submitBy(n *fakeNode, j *fakeJob) {
+	n.lastID++
+	request := n.lastID
+	n.requests[request] = j
+	w.do(n, func() { n.node.Submit(w.now, request, j.work, j.sent+j.timeout-w.now) })
+}
+
+// Guards against two runs of a task at the same time: a job runs in another shard than its home, the
+// home's leader is replaced, and a copy of the job arrives there by way of another process.
+func TestCopiesOfJobsInOtherShards(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	for _, c := range []struct {
+		name   string
+		change func(w *world, n *fakeNode)
+	}{
+		{"home's leader stays", func(*world, *fakeNode) {}},
+		{"home's leader is killed", func(w *world, n *fakeNode) { w.kill(n, 2*time.Second) }},
+		{"home's leader stops", func(w *world, n *fakeNode) { w.stop(n) }},
+	} {
+		copies := 0
+		for seed := range uint64(10) {
+			w := crowdedDeployment(seed, false)
+			w.copyWhileElsewhere(&copies, func(n *fakeNode) { c.change(w, n) })
+			w.load(lendingLoad, 12*time.Second)
+			w.run(15 * time.Second)
+			g.Expect(w.checker.violations).To(BeEmpty(), "%s, seed %d", c.name, seed)
+		}
+		t.Logf("%s: %d copies", c.name, copies)
+		g.Expect(copies).To(BeNumerically(">", 5), c.name)
+	}
+}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -125,6 +125,8 @@
 		n.receiveRoomRequest(now, from, m)
 	case RoomGrant:
 		n.receiveRoomGrant(now, m)
+	case JobsElsewhere:
+		n.receiveElsewhere(now, m)
 	case Declaration:
 		n.ApplyDeclaration(now, m.Declaration, string(from))
 	case Progress:
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -193,6 +193,7 @@
 			g.handIn(j)
 		}
 	}
+	g.reportElsewhere(shard)
 }
 
 // Reconnected hands in again the jobs that a scheduler may have dropped while it had no
@@ -205,6 +206,11 @@
 			g.handIn(j)
 		}
 	}
+	for _, shard := range slices.Sorted(maps.Keys(g.choices)) {
+		if g.choices[shard].Leader == id {
+			g.reportElsewhere(shard)
+		}
+	}
 }
 
 // withdraw records that no scheduler has the job.
--- /dev/null
+++ b/core/schedule/elsewhere.go
@@ -0,0 +1,68 @@
+package schedule
+
+import (
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Jobs of this shard that are in other shards: lent ones, and those that this scheduler refused and
+// another took. A scheduler knows which jobs it has lent. Entry processes report the jobs that they
+// handed in elsewhere, to each new leader again; a retiring leader reports those that it knows of.
+
+// JobElsewhere is a job of this shard that is, or was until recently, in another shard.
+type JobElsewhere struct {
+	Job workload.JobID
+	// Shard has the job, and Entry handed it in there.
+	Shard int
+	Entry EntryID
+	// Copied: a copy of the job may have been handed in there by another process.
+	Copied bool
+}
+
+// NoteElsewhere records jobs of this shard that are in other shards. Copies of them are sent there.
+func (s *Scheduler) NoteElsewhere(now Time, list []JobElsewhere) {
+	s.now = now
+	for _, e := range list {
+		s.noteElsewhere(e)
+	}
+	s.dispatch()
+}
+
+func (s *Scheduler) noteElsewhere(e JobElsewhere) {
+	l, known := s.borrowing.lent[e.Job]
+	copied := e.Copied || known && (l.copied || l.entry != e.Entry)
+	s.borrowing.lent[e.Job] = lentJob{entry: e.Entry, to: e.Shard, at: s.now, copied: copied}
+	s.emit(Decision{Event: "job-in-other-shard", Job: e.Job, Reason: shardReason("shard", e.Shard)})
+	if j := s.jobs[e.Job]; j != nil && j.stored == nil && !j.begun && j.entry != e.Entry {
+		// A copy has come before the report.
+		s.forget(j)
+		s.sendElsewhere(j.entry, j.work, e.Shard)
+	}
+}
+
+// sendElsewhere has an entry process hand a copy of a job in to the shard that has the job.
+func (s *Scheduler) sendElsewhere(entry EntryID, job *workload.Job, to int) {
+	s.borrowing.lent[job.ID] = lentJob{entry: entry, to: to, at: s.now, copied: true}
+	s.emit(Answer{
+		At: s.now, Entry: entry, Job: job.ID, Queue: job.Queue, Outcome: workload.GaveUp,
+		Cause: workload.LackOfRoom, Reason: "it is in another shard",
+		RetryAfter: minRetryAfter, NoRoom: true, Lent: true, Lender: to,
+	})
+}
+
+// Elsewhere lists the jobs of this shard that are known to be in other shards, or were recently.
+func (s *Scheduler) Elsewhere(now Time) []JobElsewhere {
+	var list []JobElsewhere
+	for _, id := range sortedKeys(s.borrowing.lent) {
+		if l := s.borrowing.lent[id]; now-l.at <= maxEndedJobAge {
+			list = append(list, JobElsewhere{Job: id, Shard: l.to, Entry: l.entry, Copied: l.copied})
+		}
+	}
+	return list
+}
+
+// refusedHere reports whether a retained result only says that a job was refused here and went to
+// another shard.
+func (s *Scheduler) refusedHere(id workload.JobID, r result) bool {
+	_, elsewhere := s.borrowing.lent[id]
+	return elsewhere && r.outcome == workload.NotRun
+}
--- /dev/null
+++ b/core/schedule/elsewhere_test.go
@@ -0,0 +1,66 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Guards against a job that runs twice: a new leader doesn't know that the job is in another shard, and
+// a copy arrives by way of another process, before the report or after it.
+func TestCopiesGoWhereTheJobIsReported(t *testing.T) {
+	for _, copyFirst := range []bool{false, true} {
+		b := leading(t, testRunner("r1"))
+		for _, c := range fill(b, 2, 900*ms) {
+			b.started(c, Accepted)
+		}
+		j := testJob(1, 300*ms)
+		report := func() { b.s.NoteElsewhere(b.now, []JobElsewhere{{Job: j.ID, Shard: 3, Entry: "front-b#2"}}) }
+		if !copyFirst {
+			report()
+		}
+		b.submit(j, 3*time.Second)
+		if copyFirst {
+			report()
+		}
+		answers := lentAnswers(b)
+		b.g.Expect(answers).To(HaveLen(1))
+		b.g.Expect(answers[0].Entry).To(Equal(entryA))
+		b.g.Expect(answers[0].Lender).To(Equal(3))
+		b.g.Expect(answers[0].Outcome).To(Equal(workload.GaveUp))
+		b.tick(time.Second)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		b.g.Expect(b.s.Elsewhere(b.now)).To(Equal([]JobElsewhere{{Job: j.ID, Shard: 3, Entry: entryA, Copied: true}}))
+	}
+}
+
+// Guards against a copy that is told that its job hasn't run: the job was refused here, and runs in
+// another shard to which its entry process took it.
+func TestACopyOfARefusedJobThatRunsElsewhere(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.s.SetUnreachable(false)
+	j := testJob(1, 300*ms)
+	b.s.retainResult(j.ID, workload.NotRun)
+	b.s.NoteElsewhere(b.now, []JobElsewhere{{Job: j.ID, Shard: 3, Entry: entryA}})
+	b.submitCopy(j, "front-b#2")
+	b.g.Expect(one[Answer](b).Lent).To(BeTrue())
+	b.s.Submit(b.now, Submission{Job: testJob(1, 300*ms), Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: time.Second})
+	b.g.Expect(take[Start](b)).To(HaveLen(1), "other jobs are served")
+}
+
+// Guards against a job that is given up although it may run here: the shard that had it has lost its
+// leader, the runs there are over, and no copy went there.
+func TestAJobComesBackFromAnotherShard(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := testJob(1, 300*ms)
+	b.s.retainResult(j.ID, workload.NotRun)
+	b.s.NoteElsewhere(b.now, []JobElsewhere{{Job: j.ID, Shard: 3, Entry: entryA}})
+	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: 2 * time.Second, PriorSubmissions: 1})
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -127,7 +127,10 @@
 }
 
 func newBorrowing() borrowing {
-	return borrowing{lent: make(map[workload.JobID]lentJob), outOfReach: make(map[route]Time)}
+	return borrowing{
+		lent:       make(map[workload.JobID]lentJob),
+		outOfReach: make(map[route]Time),
+	}
 }
 
 // SetLenders sets which other shards may lend room. What a lender's answers have shown is kept until
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -56,12 +56,7 @@
 		}
 		return l.copied
 	}
-	s.borrowing.lent[id] = lentJob{entry: sub.Entry, to: l.to, at: s.now, copied: true}
-	s.emit(Answer{
-		At: s.now, Entry: sub.Entry, Job: id, Queue: sub.Job.Queue, Outcome: workload.GaveUp,
-		Cause: workload.LackOfRoom, Reason: "it is in another shard",
-		RetryAfter: minRetryAfter, NoRoom: true, Lent: true, Lender: l.to,
-	})
+	s.sendElsewhere(sub.Entry, sub.Job, l.to)
 	return true
 }
 
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -44,7 +44,7 @@
 		return
 	}
 	id := sub.Job.ID
-	if r, ok := s.results[id]; ok {
+	if r, ok := s.results[id]; ok && !s.refusedHere(id, r) {
 		s.answer(sub.Entry, id, s.outcomeForCopy(r), "known")
 		return
 	}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -37,6 +37,8 @@
 		return roomRequestMessage(m)
 	case fleet.RoomGrant:
 		return roomGrantMessage(m)
+	case fleet.JobsElsewhere:
+		return elsewhereMessage(m)
 	case fleet.JobAnswer:
 		return stateMessage(m)
 	case fleet.Declaration:
@@ -58,7 +60,8 @@
 	switch m.GetBody().(type) {
 	case *pb.FleetMessage_Heartbeat:
 		return "heartbeat"
-	case *pb.FleetMessage_HandIn, *pb.FleetMessage_Verdict, *pb.FleetMessage_DropJob, *pb.FleetMessage_JobMove, *pb.FleetMessage_JobTaken:
+	case *pb.FleetMessage_HandIn, *pb.FleetMessage_Verdict, *pb.FleetMessage_DropJob, *pb.FleetMessage_JobMove, *pb.FleetMessage_JobTaken,
+		*pb.FleetMessage_JobsElsewhere:
 		return "job"
 	case *pb.FleetMessage_RoomRequest, *pb.FleetMessage_RoomGrant:
 		return "lending"
@@ -102,6 +105,8 @@
 		return roomRequestOf(body.RoomRequest)
 	case *pb.FleetMessage_RoomGrant:
 		return roomGrantOf(body.RoomGrant)
+	case *pb.FleetMessage_JobsElsewhere:
+		return elsewhereOf(body.JobsElsewhere)
 	case *pb.FleetMessage_JobState:
 		return stateOf(body.JobState)
 	case *pb.FleetMessage_Declaration:
@@ -370,35 +375,3 @@
 		Outcome:   outcomeOf(m.GetOutcome()),
 	}}
 }
-
-func progressMessage(p fleet.Progress) *pb.FleetMessage {
-	m := &pb.Progress{Shard: uint32(p.Shard), Epoch: p.Epoch, UnknownMs: p.PriorRunsTTL.Milliseconds()}
-	for _, t := range p.Done {
-		m.Done = append(m.Done, t.String())
-	}
-	for _, e := range p.Ended {
-		m.Ended = append(m.Ended, &pb.EndedJob{Job: string(e.Job), Outcome: uint32(e.Outcome)})
-	}
-	for _, id := range p.Restarted {
-		m.Restarted = append(m.Restarted, string(id))
-	}
-	return &pb.FleetMessage{Body: &pb.FleetMessage_Progress{Progress: m}}
-}
-
-// progressOf skips task names that can't be parsed; those tasks may run again.
-func progressOf(m *pb.Progress) fleet.Progress {
-	p := fleet.Progress{Shard: int(m.GetShard())}
-	p.Epoch, p.PriorRunsTTL = m.GetEpoch(), milliseconds(m.GetUnknownMs())
-	for _, name := range m.GetDone() {
-		if t, err := workload.ParseTaskName(name); err == nil {
-			p.Done = append(p.Done, t)
-		}
-	}
-	for _, e := range m.GetEnded() {
-		p.Ended = append(p.Ended, schedule.EndedJob{Job: workload.JobID(e.GetJob()), Outcome: outcomeOf(e.GetOutcome())})
-	}
-	for _, id := range m.GetRestarted() {
-		p.Restarted = append(p.Restarted, workload.JobID(id))
-	}
-	return p
-}
