Room is requested only for jobs whose entry process takes them to the lender

Found by reading, open in docs/design/lending.md: during a rolling upgrade an entry process without lending takes the verdict on a lent job for a refusal, and may hand the job to a third shard, while its home sends copies to the lender. A task could run on two runners at once.

Change: a process says in its heartbeats that it takes lent jobs; for the jobs of others no room is requested. The test fails without it (room is requested).

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -46,6 +46,9 @@
 	// Evacuations are the failure domains in which no new tasks are started, as known to
 	// the sender.
 	Evacuations routing.Evacuations
+	// TakesLentJobs: the sender takes a job to the shard that lends room for it. Earlier versions
+	// didn't.
+	TakesLentJobs bool
 }
 
 // Layout sends the division of the runners into shards to a process whose heartbeat reports that
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -172,6 +172,7 @@
 	n.learnStoredJobs(now, h.StoredJobs)
 	for _, s := range n.own {
 		s.schedule.ObserveTerm(h.Report.Term)
+		s.schedule.SetTakesLent(schedule.EntryID(from), h.TakesLentJobs)
 	}
 	if d := n.table.Current(); d != nil && h.DeclarationVersion < d.Version {
 		n.emit(Send{To: from, Message: Declaration{d}})
@@ -253,6 +254,7 @@
 		RunnersStale:       n.listStale,
 		StoredJobs:         n.storedJobs,
 		Evacuations:        n.evacuations,
+		TakesLentJobs:      true,
 	}
 	if n.listKnown {
 		h.RunnersDigest = n.digest
--- a/core/schedule/elsewhere.go
+++ b/core/schedule/elsewhere.go
@@ -66,3 +66,13 @@
 	_, elsewhere := s.borrowing.lent[id]
 	return elsewhere && r.outcome == workload.NotRun
 }
+
+// SetTakesLent sets whether an entry process takes its jobs to a lender. One of an earlier version
+// takes the verdict for a refusal, and may take the job to a third shard beside a copy at the lender.
+func (s *Scheduler) SetTakesLent(entry EntryID, takes bool) {
+	if takes {
+		delete(s.borrowing.refusesLent, entry)
+		return
+	}
+	s.borrowing.refusesLent[entry] = true
+}
--- a/core/schedule/entries.go
+++ b/core/schedule/entries.go
@@ -46,6 +46,7 @@
 func (s *Scheduler) EntryLost(now Time, entry EntryID, ended bool) {
 	s.now = now
 	delete(s.lastContact, entry)
+	delete(s.borrowing.refusesLent, entry)
 	if entry == s.progressFrom {
 		s.stopAwaiting()
 	}
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -124,12 +124,15 @@
 	// was found to be out of reach of an entry process.
 	lent       map[workload.JobID]lentJob
 	outOfReach map[route]Time
+	// refusesLent are the entry processes that don't take jobs to lenders.
+	refusesLent map[EntryID]bool
 }
 
 func newBorrowing() borrowing {
 	return borrowing{
-		lent:       make(map[workload.JobID]lentJob),
-		outOfReach: make(map[route]Time),
+		lent:        make(map[workload.JobID]lentJob),
+		outOfReach:  make(map[route]Time),
+		refusesLent: make(map[EntryID]bool),
 	}
 }
 
@@ -178,7 +181,7 @@
 // lendable reports whether a job may be given to another scheduler: nothing of it can have been
 // started, here or elsewhere.
 func (s *Scheduler) lendable(j *job) bool {
-	return j.stored == nil && !j.started && !j.begun && j.priorSchedulers == 0 && !j.foreign &&
+	return j.stored == nil && !s.borrowing.refusesLent[j.entry] && !j.started && !j.begun && j.priorSchedulers == 0 && !j.foreign &&
 		!j.withdrawn && j.abandonedAt == 0 && !j.ended && j.work.Times == 0
 }
 
--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -397,3 +397,21 @@
 	b.s.RoomRequested(b.now, RoomRequest{Borrower: 1, Needs: needs(1)})
 	b.g.Expect(one[GrantRoom](b).Jobs).To(HaveLen(1))
 }
+
+// Guards against a run in a third shard beside that of a copy at the lender: an entry process of an
+// earlier version takes the verdict on a lent job for a refusal.
+func TestJobsOfEarlierVersionsAreNotLent(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.s.SetTakesLent(entryA, false)
+	for _, c := range fill(b, 2, 900*ms) {
+		b.started(c, Accepted)
+	}
+	b.s.SetLenders(b.now, []Lender{idleLender(3, 0)})
+	b.submit(testJob(2, 100*ms), 3*time.Second)
+	b.submit(testJob(1, 300*ms), 3*time.Second)
+	b.tick(40 * ms)
+	b.g.Expect(take[RequestRoom](b)).To(BeEmpty())
+	b.s.SetTakesLent(entryA, true)
+	b.tick(40 * ms)
+	b.g.Expect(take[RequestRoom](b)).NotTo(BeEmpty())
+}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -291,6 +291,7 @@
 		EvacuationsVersion: h.Evacuations.Version,
 		Evacuated:          h.Evacuations.Domains,
 		Loads:              loadMessages(h.Loads),
+		TakesLent:          h.TakesLentJobs,
 	}
 	for i, f := range h.Report.Follows {
 		if f.Leader != "" {
@@ -333,6 +334,7 @@
 		Pending:            make(map[string]int, len(m.GetPending())),
 		ExpectedWait:       milliseconds(int64(m.GetWaitMs())),
 		Loads:              loadsOf(m.GetLoads()),
+		TakesLentJobs:      m.GetTakesLent(),
 		UncertainFor:       milliseconds(int64(m.GetDoubtMs())),
 		Evacuations:        routing.Evacuations{Version: m.GetEvacuationsVersion(), Domains: m.GetEvacuated()},
 	}
