A shard is reclaimed at once from an owner that has retired

Cause: a2 owned a shard, c2 took it without contact, and retired in favour of a2 with its word (ownership 4 for a2's 3). a2 went on as the owner, learnt of the loss from the store 0.74 s after that was back, left the shard to c2 for 2 s more, and then waited 1.3 s for c2's runs, since it had forgotten the word.

Change: a word of a later ownership than the own one ends the own at once and lets the rows be claimed again; it is kept for the next ownership.

The schedule test fails before (no start), the ledger's doesn't build.

--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -131,6 +131,7 @@
 		n.ApplyDeclaration(now, m.Declaration, string(from))
 	case Progress:
 		if s := n.ownShard(m.Shard); s != nil {
+			s.ledger.OwnerRetired(now, m.Epoch)
 			s.schedule.ApplyProgress(now, m.Progress)
 		}
 	case LearnedPaces:
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -342,6 +342,7 @@
 	1073:  "a process that owned its jobs again reported a job as unknown that another process had accepted",
 	2128:  "a process that had never been reachable took the jobs of a leader behind a partition, which continued them",
 	20383: "a new process refused a job that had run in a domain that it had never reached",
+	40131: "an owner didn't notice that another one had taken its shard and retired, and accepted jobs waited for seconds",
 }
 
 // Seeds with restarts of runners that once violated an invariant, with the cause.
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -221,3 +221,26 @@
 	b.answerClaim(c, Ownership{Epoch: 4, Version: 40})
 	takeOne[Read](b)
 }
+
+// Guards against a shard that is served by nobody for seconds: another process took the rows while the
+// two had no contact, and has given up the lead to this one, which doesn't know yet that it lost them.
+func TestRowsAreReclaimedAtOnceFromAnOwnerThatHasRetired(t *testing.T) {
+	b := openHarness(t)
+	b.l.OwnerRetired(b.now, 3)
+	b.l.OwnerRetired(b.now, 2)
+	b.g.Expect(takeAll[Lost](b)).To(BeEmpty(), "an earlier owner")
+	b.l.OwnerRetired(b.now, 4)
+	takeOne[Lost](b)
+	b.tick(20 * ms)
+	b.g.Expect(takeOne[Claim](b).Renew).To(BeZero())
+
+	b = openHarness(t)
+	b.l.Save(b.now, 1, Record{Job: "a"})
+	b.answerWrite(takeOne[Write](b), Superseded)
+	takeOne[Lost](b)
+	b.tick(reclaimDelay / 2)
+	b.g.Expect(takeAll[Claim](b)).To(BeEmpty())
+	b.l.OwnerRetired(b.now, 4)
+	b.tick(20 * ms)
+	takeOne[Claim](b)
+}
--- a/core/ledger/ownership.go
+++ b/core/ledger/ownership.go
@@ -28,6 +28,22 @@
 	}
 }
 
+// OwnerRetired records that the owner of an epoch has given the shard up to this process, as leader. If
+// that owner took the shard from this process, the ownership is lost already, and nobody else acts as
+// leader: the shard is claimed again at once.
+func (l *Ledger) OwnerRetired(now Time, epoch uint64) {
+	l.now = now
+	if l.phase == idle || epoch <= l.ownership.Epoch {
+		return
+	}
+	if l.loaded {
+		l.loseOwnership()
+	}
+	if l.phase == lost {
+		l.due = now
+	}
+}
+
 func (l *Ledger) handleClaim(r ClaimResult) {
 	if r.Call != l.call || l.phase != claiming {
 		return
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -62,6 +62,23 @@
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
 
+// The same, but this scheduler owned the shard before the one that has retired, and learns of the loss
+// by that report.
+func TestRestoredJobOfARetiredSchedulerThatTookTheRows(t *testing.T) {
+	b := newHarness(t, testRunner("r1"))
+	j := storedJob(1, 500*ms)
+	b.s.Lead(b.now)
+	b.held(one[Hold](b))
+	b.ownRows(1, openRecord(j, 1))
+	b.s.ApplyProgress(b.now, Progress{Epoch: 2})
+	b.s.RowOwnershipLost(b.now)
+	b.ownRows(3, openRecord(j, 1))
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
+
 // The same, but the owner before this one isn't the one that has retired: a third process owned the
 // shard between the two, and may be alive.
 func TestRestoredJobWithAnOwnerBetween(t *testing.T) {
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -144,7 +144,12 @@
 	for _, r := range s.runnerList {
 		r.markEndsUnknown()
 	}
+	predecessor, epoch := s.rows.predecessor, s.rows.epoch
 	s.dropRows()
+	if predecessor != nil && predecessor.Epoch > epoch {
+		// The process that took the rows has retired already.
+		s.rows.predecessor = predecessor
+	}
 }
 
 // dropRows clears the state of the store's rows.
