Results that arrived during a pause of the entry process count

Provoked: the daemon is suspended (SIGSTOP) past the job's deadline; 3 of 3 plays on the code before give that picture, job-ended reason=REASON_DEADLINE as it resumes, with 16 results in its buffers.

Cause: after a pause all timers are due, and ran before what had arrived was read.

Change: a job of which all tasks were started is kept for 20 ms after a pause (the random test's bound for replies after a resumption), and the core's clock stands still for 100 ms of real time, in which the process reads its buffers. A try with 500 and 100 ms in the core alone broke that bound (oracle_test.go, "has no reply by its deadline") and was dropped. Evidence for the next time: process-paused with the pause and the processor time used in it, and the counter pauses.

--- a/core/dispatch/command.go
+++ b/core/dispatch/command.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"sapphirepoint.example/sapphirepoint/core/task"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -96,6 +98,9 @@
 	Weight float64
 }
 
+// ProcessPaused reports that the process has resumed after a pause, for logs.
+type ProcessPaused struct{ Length time.Duration }
+
 // Drained reports that a planned stop is complete.
 type Drained struct{}
 
@@ -108,5 +113,6 @@
 func (JobEnded) command()        {}
 func (SettingsInForce) command() {}
 func (MembersInForce) command()  {}
+func (ProcessPaused) command()   {}
 func (UpstreamHealth) command()  {}
 func (Drained) command()         {}
--- a/core/dispatch/dump.go
+++ b/core/dispatch/dump.go
@@ -26,6 +26,7 @@
 	Borrowed          uint64 `json:"borrowed_slots"`
 	Lent              uint64 `json:"lent_slots"`
 	Reclaims          uint64 `json:"reclaimed_slots"`
+	Pauses            uint64 `json:"pauses"`
 }
 
 // Stats returns the counters.
--- a/core/dispatch/results.go
+++ b/core/dispatch/results.go
@@ -99,6 +99,10 @@
 	if !sub.assembly.NotStarted(s.index, s.id) {
 		panic("dispatch: not-started verdict on a task that isn't started: " + s.name)
 	}
+	if c.now >= sub.deadline {
+		c.deadlinePassed(sub)
+		return
+	}
 	sub.attempts[s.index]++
 	c.scheduleRetry(s)
 }
--- a/core/dispatch/submission.go
+++ b/core/dispatch/submission.go
@@ -276,6 +276,11 @@
 	if sub.phase != held {
 		return
 	}
+	if c.awaitsResults(sub) {
+		c.cancelTimer(sub.timer)
+		sub.timer = c.after(c.resumedAt+resultWindow-c.now, func() { c.deadlinePassed(sub) })
+		return
+	}
 	c.giveUp(sub, pb.Reason_REASON_DEADLINE, "the deadline passed")
 }
 
--- a/node/callers.go
+++ b/node/callers.go
@@ -91,7 +91,7 @@
 	}
 	cs.node.metrics.idBlocks.Inc()
 	var block *pb.IdBlock
-	cs.node.call(func(c *dispatch.Core) { block = c.IssueIDs(cs.node.elapsed(), count) })
+	cs.node.call(func(c *dispatch.Core) { block = c.IssueIDs(cs.node.coreTime(), count) })
 	if block == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the process is stopping or has no settings yet"))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -49,6 +49,12 @@
 	drained chan struct{}
 
 	// currentSettings is replaced as a whole and never modified.
+	// cpuTimeAtTick is the processor time that the process had used at the last tick.
+	cpuTimeAtTick time.Duration
+	// resumedAt is when the last pause ended. clockStopped: the core's clock stands still since.
+	resumedAt    task.Time
+	clockStopped bool
+
 	currentSettings atomic.Pointer[settings.State]
 	ready           atomic.Bool
 
@@ -233,6 +239,7 @@
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
+		ticked := false
 		select {
 		case <-ctx.Done():
 			return nil
@@ -240,12 +247,16 @@
 			n.handle(in)
 			n.handleQueued()
 		case <-wake.C:
-			n.core.Tick(n.elapsed())
+			n.core.Tick(n.coreTime())
+			ticked = true
 		}
 		n.execute(ctx, n.core.TakeCommands())
+		if ticked {
+			n.cpuTimeAtTick = n.cpuTime()
+		}
 		n.ready.Store(n.core.Ready())
 		if at, ok := n.core.NextTimer(); ok {
-			wake.Reset(at - n.elapsed())
+			wake.Reset(n.untilTimer(at))
 		}
 	}
 }
@@ -255,7 +266,7 @@
 		in.call(n.core)
 		return
 	}
-	n.core.Step(n.elapsed(), in.event)
+	n.core.Step(n.coreTime(), in.event)
 }
 
 // handleQueued handles the inputs that are already queued, at most maxBatch.
@@ -294,6 +305,8 @@
 			n.membersInForce(cmd)
 		case dispatch.UpstreamHealth:
 			n.log.Info().Str("upstream", cmd.Upstream).Str("state", cmd.State).Float64("weight", cmd.Weight).Msg("upstream-health")
+		case dispatch.ProcessPaused:
+			n.processPaused(cmd)
 		case dispatch.Drained:
 			close(n.drained)
 		}
