No end is acknowledged to a runner that leaves orders unanswered

Cause, by the runners' side of the trace: the second order of a start reaches the runner's next incarnation (12.250 s), which ends it as its end 1. The leader drops the unconfirmed run as lapsed (12.600 s), so nothing keeps it any more from sending the cursor of the incarnation before (12.761 s), and end 1 is forgotten.

Change: no cursor while the runner is unresponsive; its first answer shows the new incarnation.

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -351,6 +351,7 @@
 	40565:  "a process that became leader used a runner that had left the list seconds before, and its successor didn't ask that runner for its runs",
 	50319:  "the model replaced a runner that had crashed twice by one with an id that was in use, whose ends had the same numbers",
 	50346:  "the same as 40565, with one shard",
+	141020: "a start reached a runner's next incarnation, whose first ends were acknowledged by the cursor of before once the run had lapsed",
 	100137: "an owner completed a job by the end of a first run, and its record didn't say that an owner between had restarted the task",
 }
 
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -27,8 +27,12 @@
 
 // ackCursor returns the sequence up to which ends are acknowledged to the runner. It is 0 while a
 // start has stayed unconfirmed for long: the runner may have restarted, carried the start out, and
-// given the end of that run the sequence of an end recorded before.
+// given the end of that run the sequence of an end recorded before. It is 0 as well while the runner is
+// unresponsive, since an unconfirmed run is dropped when it lapses.
 func (r *runner) ackCursor(now Time) uint64 {
+	if r.unresponsive {
+		return 0
+	}
 	for _, u := range r.runs {
 		if !u.confirmed && now-u.started >= startConfirmTime {
 			return 0
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -126,3 +126,26 @@
 	b.started(c, Accepted)
 	b.g.Expect(b.s.runners["r1"].ackCursor(b.now)).To(BeEquivalentTo(1))
 }
+
+// Guards against the same after the unconfirmed run has lapsed: the runner has stayed silent since, and
+// its first answer would show the restart.
+func TestNoEndIsAcknowledgedToASilentRunner(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.submit(testJob(1, 60*ms), 4*time.Second)
+	c := one[Start](b)
+	b.started(c, Accepted)
+	b.end("r1", 1, c.Run, workload.Done)
+	b.wait(100 * ms)
+	b.submit(testJob(1, 60*ms), 4*time.Second)
+	b.started(one[Start](b), Unanswered)
+	b.started(one[Start](b), Unanswered)
+	b.tick(maxRunLife(b.s.cfg.Lease) + 40*ms)
+	r := b.s.runners["r1"]
+	b.g.Expect(r.runs).To(BeEmpty(), "the run has lapsed")
+	take[Hold](b)
+	b.s.requestList(r)
+	h := one[Hold](b)
+	b.g.Expect(h.Acknowledged).To(BeZero())
+	b.held(h)
+	b.g.Expect(r.ackCursor(b.now)).To(BeEquivalentTo(1))
+}
