A start that the runner's next incarnation may carry out counts as over later

What callers would have seen: a task on two runners at the same time.

Cause: the lease in such an order is a time on the clock of before, which the new incarnation shortens to its longest lease of 1 s; the leader counted with the 0.6 s that it had ordered, and started the task elsewhere 0.66 s after.

Change: an unconfirmed run on a runner whose answers tell the start of its incarnation counts as over 1.07 s after its last order. Confirmed runs, and runners of deployments without such a start, are treated as before. Cost: a task whose start was sent to a runner that just then fell silent begins elsewhere 0.4 s later.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -41,6 +41,17 @@
 	return r.acknowledged
 }
 
+// startInvalidAt returns the time from which an unconfirmed run can't be alive even if its start has
+// reached a later incarnation of the runner, on whose clock the lease in the order ends far in the
+// future: that incarnation shortens the lease to maxLease. It is 0 for a run of which that can't be, as
+// it is confirmed, or as the runner's answers contain no start of an incarnation.
+func (r *runner) startInvalidAt(u *run) Time {
+	if u.confirmed || r.incarnationStart == 0 {
+		return 0
+	}
+	return u.orderedAt + maxRunLife(maxLease)
+}
+
 // beginIncarnation handles the restart of a runner. A start that was unconfirmed or sent twice may
 // still arrive at the new incarnation, so its task waits until the runner lists its runs or the
 // lease must have expired. The runner is acquired again under a higher token, so it refuses orders
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -149,3 +149,26 @@
 	b.held(h)
 	b.g.Expect(r.ackCursor(b.now)).To(BeEquivalentTo(1))
 }
+
+// Guards against two runs of a task at the same time: a start that stays unanswered may run in the next
+// incarnation of a silent runner under a longer lease than was ordered.
+func TestUnconfirmedRunOfARunnerThatMayHaveRestarted(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		b := leading(t, testRunner("r1"), testRunner("r2"))
+		if known {
+			b.s.runners["r1"].incarnationStart = firstIncarnation
+			b.s.runners["r2"].incarnationStart = firstIncarnation
+		}
+		b.submit(testJob(1, 60*ms), 4*time.Second)
+		b.started(one[Start](b), Unanswered)
+		second := one[Start](b)
+		b.started(second, Unanswered)
+		ordered := b.now
+		b.tick(maxRunLife(b.s.cfg.Lease) + 20*ms)
+		b.g.Expect(take[Start](b)).To(HaveLen(map[bool]int{false: 1, true: 0}[known]))
+		if known {
+			b.tick(ordered + maxRunLife(maxLease) + 20*ms - b.now)
+			b.g.Expect(one[Start](b).Runner).NotTo(Equal(second.Runner))
+		}
+	}
+}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -215,6 +215,7 @@
 		r.noteLease(s.now, s.cfg.Lease)
 	}
 	u.startAttempts++
+	u.orderedAt = s.now
 	s.emit(Start{
 		Runner:     r.info.ID,
 		Address:    r.info.Address,
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -88,8 +88,9 @@
 	task    *taskState
 	need    workload.Resources
 	started Time
-	// startAttempts counts how often its start was sent.
+	// startAttempts counts how often its start was sent, and orderedAt is when that was last.
 	startAttempts int
+	orderedAt     Time
 	// leaseEnd is the end of the lease in its start order.
 	leaseEnd int64
 	// checkpoint is the newest checkpoint of an orphan, used if its job arrives.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -100,6 +100,7 @@
 			// side may have adopted the run, and the job will shortly be dropped here.
 			u.task.notBefore = s.now + entryRecoveryDelay
 		}
+		u.task.notBefore = max(u.task.notBefore, r.startInvalidAt(u))
 		s.requeueUnseen(u.task)
 	}
 }
