Stored jobs move only where they can be saved

What callers saw: accepted jobs of a shard without runners waited for as long as another shard's leader couldn't reach the store, though a third one had room.

Cause: a leader without its rows, or without the store, reports no wait, and is chosen; from the first step of a move on nobody else starts the job.

Change: a leader reports whether it accepts moved jobs; one that doesn't is passed over. A process of the version before doesn't say so and is chosen as until now. TestJobsMoveWhereTheyCanBeSaved fails without the change (jobs not ended six seconds after their domain lost its runners) and passes with it.

--- a/core/fleet/moved.go
+++ b/core/fleet/moved.go
@@ -31,12 +31,12 @@
 	at  Time
 }
 
-// alternateShard is the other shard with a reachable leader in which a stored job would wait
-// least, and how long it would wait; -1 if there is none.
+// alternateShard is the other shard with a reachable leader that accepts moved jobs in which a stored
+// job would wait least, and how long it would wait; -1 if there is none.
 func (n *Node) alternateShard(s *shard) (int, time.Duration) {
 	best, least := -1, schedule.NoRunnersWait
 	for _, o := range n.shards {
-		if o == s || n.leaderOf(o.index) == "" {
+		if o == s || n.leaderOf(o.index) == "" || n.refusesMoves(o) {
 			continue
 		}
 		wait := n.gateway.ExpectedWait(o.index)
@@ -50,6 +50,15 @@
 	return best, least
 }
 
+// refusesMoves reports whether a shard's leader accepts no moved jobs, as far as it has reported it.
+func (n *Node) refusesMoves(s *shard) bool {
+	if s.leading() {
+		return s.schedule.Load().RefusesMoves
+	}
+	reported, known := n.loads[s.index]
+	return known && reported.leader == n.leaderOf(s.index) && reported.RefusesMoves
+}
+
 // moveJob transfers a job to the owner of another shard.
 func (n *Node) moveJob(now Time, s *shard, c schedule.MoveJob) {
 	c.From = s.index
--- a/core/fleet/moved_test.go
+++ b/core/fleet/moved_test.go
@@ -69,3 +69,25 @@
 		}
 	}
 }
+
+// Guards against accepted jobs that move to a shard which can't save them, and wait there for the store
+// while a third shard has room.
+func TestJobsMoveWhereTheyCanBeSaved(t *testing.T) {
+	g := NewWithT(t)
+	w := cellDeployment(1, 1)
+	w.sendJob(w.newStoredJob())
+	w.run(2 * time.Second)
+	jobs := w.submitStoredJobs(12)
+	for _, n := range w.nodes {
+		if n.domain == "b" {
+			w.storeUnreachable[n.name] = true
+		}
+	}
+	w.removeRunners("a")
+	w.run(6 * time.Second)
+	for _, j := range jobs {
+		if w.layout().StoredJobShard(j.work.ID) == 0 {
+			g.Expect(j.ended).To(BeTrue(), j.work.ID)
+		}
+	}
+}
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -24,6 +24,8 @@
 	// IdleMilliCPU is the usable capacity, in thousandths of a core, that is neither in use nor
 	// needed by waiting jobs nor promised.
 	IdleMilliCPU int
+	// RefusesMoves: the scheduler accepts no moved jobs at present, since it can't save them.
+	RefusesMoves bool
 }
 
 // RoomRequest is another scheduler's request for room. Entry is the process that sent it.
@@ -84,7 +86,7 @@
 
 // Load returns what the scheduler reports to others of its room.
 func (s *Scheduler) Load() Load {
-	l := Load{ExpectedWait: s.ExpectedWait()}
+	l := Load{ExpectedWait: s.ExpectedWait(), RefusesMoves: !s.acceptsMoves()}
 	for _, r := range s.runnerList {
 		if r.usable(s.now) {
 			l.IdleMilliCPU += int(usableShare*float64(r.info.Capacity.MilliCPU)) - r.used.MilliCPU
--- a/entry/wire_room.go
+++ b/entry/wire_room.go
@@ -51,6 +51,7 @@
 	for _, l := range list {
 		loads = append(loads, &pb.ShardLoad{
 			Shard: uint32(l.Shard), WaitMs: uint32(l.ExpectedWait.Milliseconds()), IdleMilliCpu: uint64(l.IdleMilliCPU),
+			RefusesMoves: l.RefusesMoves,
 		})
 	}
 	return loads
@@ -61,6 +62,7 @@
 	for _, l := range list {
 		loads = append(loads, fleet.ShardLoad{Shard: int(l.GetShard()), Load: schedule.Load{
 			ExpectedWait: milliseconds(int64(l.GetWaitMs())), IdleMilliCPU: int(l.GetIdleMilliCpu()),
+			RefusesMoves: l.GetRefusesMoves(),
 		}})
 	}
 	return loads
--- a/entry/wire_room_test.go
+++ b/entry/wire_room_test.go
@@ -29,6 +29,8 @@
 		g.Expect(decode(encode(m))).To(Equal(m))
 		g.Expect(kindOf(encode(m))).To(BeElementOf("lending", "job"))
 	}
-	loads := []fleet.ShardLoad{{Shard: 2, Load: schedule.Load{ExpectedWait: 20 * time.Millisecond, IdleMilliCPU: 64000}}}
-	g.Expect(decode(encode(fleet.Heartbeat{Loads: loads})).(fleet.Heartbeat).Loads).To(Equal(loads))
+	loads := []fleet.ShardLoad{{Shard: 2, Load: schedule.Load{ExpectedWait: 20 * time.Millisecond, IdleMilliCPU: 64000, RefusesMoves: true}}}
+	heartbeat := decode(encode(fleet.Heartbeat{Loads: loads, TakesLentJobs: true})).(fleet.Heartbeat)
+	g.Expect(heartbeat.Loads).To(Equal(loads))
+	g.Expect(heartbeat.TakesLentJobs).To(BeTrue())
 }
