Unlisted runners in use are reported together; a moved job's target is asked cheaply

Now at most one list every 20 ms; a runner isn't used before it was reported. And the choice of a shard for moved jobs computed a whole load report for each other shard led here, every tick.

--- a/core/fleet/moved.go
+++ b/core/fleet/moved.go
@@ -53,7 +53,7 @@
 // refusesMoves reports whether a shard's leader accepts no moved jobs, as far as it has reported it.
 func (n *Node) refusesMoves(s *shard) bool {
 	if s.leading() {
-		return s.schedule.Load().RefusesMoves
+		return !s.schedule.AcceptsMoves()
 	}
 	reported, known := n.loads[s.index]
 	return known && reported.leader == n.leaderOf(s.index) && reported.RefusesMoves
--- a/core/fleet/unlisted.go
+++ b/core/fleet/unlisted.go
@@ -16,6 +16,9 @@
 
 // reportUnlisted reports a scheduler's unlisted runners in use to the processes of the cell.
 func (n *Node) reportUnlisted(s *shard, c schedule.UnlistedInUse) {
+	if len(c.Runners) != len(s.unlisted.Runners) {
+		n.notice("unlisted-runners-used", Field{"shard", s.index}, Field{"runners", len(c.Runners)}, Field{"first", string(c.Runners[0].ID)})
+	}
 	s.unlisted = c
 	n.rememberUnlisted(c.At, c.Runners)
 	for _, id := range n.peers() {
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -86,7 +86,7 @@
 
 // Load returns what the scheduler reports to others of its room.
 func (s *Scheduler) Load() Load {
-	l := Load{ExpectedWait: s.ExpectedWait(), RefusesMoves: !s.acceptsMoves()}
+	l := Load{ExpectedWait: s.ExpectedWait(), RefusesMoves: !s.AcceptsMoves()}
 	for _, r := range s.runnerList {
 		if r.usable(s.now) {
 			l.IdleMilliCPU += int(usableShare*float64(r.info.Capacity.MilliCPU)) - r.used.MilliCPU
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -18,45 +18,60 @@
 	// expiredCheckInterval is how often an idle runner with an expired entry is checked, so that its
 	// loss is noticed before a job is placed on it.
 	expiredCheckInterval = 200 * time.Millisecond
-	// unlistedInterval is how often unlisted runners in use are reported to other processes.
-	unlistedInterval = time.Second
+	// unlistedInterval is how often unlisted runners in use are reported to other processes, and
+	// minReportInterval the shortest time between two reports: as a partition heals, the runners of a
+	// failure domain answer all at once.
+	unlistedInterval  = time.Second
+	minReportInterval = 20 * time.Millisecond
 )
 
 // noteAnswerAfterSilence handles an answer of a runner that was silent for some time.
 func (s *Scheduler) noteAnswerAfterSilence(r *runner, silence time.Duration) {
 	if r.unlisted && !r.info.Draining && silence > longSilence {
 		r.assumedPresentUntil = s.now + unlistedGrace
-		s.reportUnlisted()
-	}
-}
-
-// reportUnlisted reports the unlisted runners in use, if there are any.
-func (s *Scheduler) reportUnlisted() {
-	s.unlistedReportedAt = s.now
-	if list := s.unlistedInUse(); len(list) > 0 {
-		s.emit(UnlistedInUse{At: s.now, Runners: list})
+		s.unreported = s.unreported || !r.reported
+		s.tickUnlisted()
 	}
 }
 
-// tickUnlisted reports the unlisted runners in use when that is due.
+// tickUnlisted reports the unlisted runners in use when that is due: one that hasn't been reported isn't
+// used before.
 func (s *Scheduler) tickUnlisted() {
-	if s.now-s.unlistedReportedAt >= unlistedInterval {
+	interval := unlistedInterval
+	if s.unreported {
+		interval = minReportInterval
+	}
+	if s.now-s.unlistedReportedAt >= interval {
 		s.reportUnlisted()
 	}
 }
 
-func (s *Scheduler) unlistedInUse() []workload.Runner {
+// reportUnlisted reports the unlisted runners in use, if there are any.
+func (s *Scheduler) reportUnlisted() {
+	s.unreported = false
 	var list []workload.Runner
 	for _, r := range s.runnerList {
-		if r.unlisted && !r.gone && r.token != 0 && (len(r.runs) > 0 || r.present(s.now)) {
+		if r.unlistedInUse(s.now) {
+			r.reported = true
 			list = append(list, r.info)
 		}
 	}
-	return list
+	if len(list) > 0 {
+		s.unlistedReportedAt = s.now
+		s.emit(UnlistedInUse{At: s.now, Runners: list})
+	}
 }
 
-// present reports whether the runner counts as existing, by the list or by its answers.
-func (r *runner) present(now Time) bool { return !r.unlisted || now < r.assumedPresentUntil }
+// unlistedInUse reports whether the runner isn't listed, and has runs or may get some.
+func (r *runner) unlistedInUse(now Time) bool {
+	return r.unlisted && !r.gone && r.token != 0 && (len(r.runs) > 0 || now < r.assumedPresentUntil)
+}
+
+// present reports whether the runner counts as existing, by the list or by its answers. By its answers
+// it doesn't until it was reported to other processes.
+func (r *runner) present(now Time) bool {
+	return !r.unlisted || r.reported && now < r.assumedPresentUntil
+}
 
 // SetRunners replaces the list of runners.
 func (s *Scheduler) SetRunners(now Time, runnerList []workload.Runner) {
@@ -70,7 +85,7 @@
 			continue
 		}
 		expired := info.EntryExpired && !r.info.EntryExpired
-		r.unlisted, r.assumedPresentUntil, r.info = false, 0, info
+		r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
 		if expired {
 			s.requestList(r)
 		}
--- a/core/schedule/listing_test.go
+++ b/core/schedule/listing_test.go
@@ -106,6 +106,22 @@
 	b.g.Expect(one[UnlistedInUse](b).Runners).To(HaveLen(1))
 }
 
+// Guards against a report to each process for each runner when a partition heals, and against runners
+// that are used before they were reported.
+func TestManyUnlistedRunnersAreReportedAtOnce(t *testing.T) {
+	b := leading(t, testRunner("stays"))
+	b.s.AddUnlistedRunners(b.now, []workload.Runner{testRunner("a"), testRunner("b"), testRunner("c")})
+	b.now += 20 * ms
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.g.Expect(one[UnlistedInUse](b).Runners).To(HaveLen(1))
+	b.g.Expect(b.s.runners["c"].usable(b.now)).To(BeFalse())
+	b.tick(20 * ms)
+	b.g.Expect(one[UnlistedInUse](b).Runners).To(HaveLen(3))
+	b.g.Expect(b.s.runners["c"].usable(b.now)).To(BeTrue())
+}
+
 // Guards against counts of orphans that differ from the runner's runs: the runner would get no
 // lease any more, or one while another scheduler relies on its expiry.
 func TestOrphansAreCounted(t *testing.T) {
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -207,9 +207,9 @@
 	return k.move.record.To, k.move.arrived, true
 }
 
-// acceptsMoves reports whether jobs of other shards are accepted: this scheduler owns its rows, and the
+// AcceptsMoves reports whether jobs of other shards are accepted: this scheduler owns its rows, and the
 // store answers it. A shard whose rows aren't loaded knows of none of its own jobs, and seems idle.
-func (s *Scheduler) acceptsMoves() bool {
+func (s *Scheduler) AcceptsMoves() bool {
 	return s.leading && s.rows.loaded && s.ownsRows() && s.rows.failingFor <= storeFailureThreshold
 }
 
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -15,8 +15,10 @@
 	// retainUntil is until when an unlisted runner is kept since another scheduler may have
 	// used it.
 	retainUntil Time
-	// assumedPresentUntil is until when an unlisted runner that answers is used.
+	// assumedPresentUntil is until when an unlisted runner that answers is used, once it was reported
+	// to other processes.
 	assumedPresentUntil Time
+	reported            bool
 	// gone: another incarnation answers at the runner's address, so this one has ended.
 	gone bool
 	// incarnationStart is when its incarnation began, in milliseconds since 1970; 0 if unknown.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -75,8 +75,10 @@
 	runners map[workload.RunnerID]*runner
 	// runnerList holds the runners in the order of their ids.
 	runnerList []*runner
-	// unlistedReportedAt is when the unlisted runners in use were last reported.
+	// unlistedReportedAt is when the unlisted runners in use were last reported, and unreported is set
+	// while one of them waits for that.
 	unlistedReportedAt Time
+	unreported         bool
 	// evacuated are the failure domains that get no new tasks.
 	evacuated []string
 
