--- a/core/fleet/unlisted.go
+++ b/core/fleet/unlisted.go
@@ -9,7 +9,7 @@
 )
 
 // A leader may use a runner that left the platform's list: the runner was out of reach, answers
-// again, and hasn't renewed its entry yet; or runs of before go on there. Processes remember such a
+// again, and hasn't renewed its entry yet; or earlier runs go on there. Processes remember such a
 // runner only for removedRetention. If the leader is lost later, its successor doesn't ask the runner
 // for its runs, and starts their tasks a second time. So the leader reports these runners while it
 // uses them.
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -220,7 +220,7 @@
 }
 
 // unusedID returns the id of the runner that replaces a crashed one. No two runners have the same id
-// and the same start: a process that has an incarnation's list applies it to no other.
+// and the same start, by which the product distinguishes incarnations.
 func (w *world) unusedID(crashed workload.RunnerID) string {
 	id := crashed + "x"
 	for w.byRunner[id] != nil {
--- a/core/gateway/elsewhere.go
+++ b/core/gateway/elsewhere.go
@@ -29,26 +29,27 @@
 // elsewhere reports whether another shard than the home has the job.
 func (j *inFlightJob) elsewhere() bool { return j.scheduler != "" && j.shard != j.home }
 
-// reportElsewhere reports all jobs of a shard that are in others to the shard's leader.
-func (g *Gateway) reportElsewhere(home int) {
-	if !g.hasReachableLeader(home) {
-		return
+// reportAllElsewhere reports all jobs of a shard that are in others to the shard's leader.
+func (g *Gateway) reportAllElsewhere(home int) {
+	var jobs []*inFlightJob
+	for _, j := range g.sortedJobs() {
+		if j.home == home {
+			jobs = append(jobs, j)
+		}
 	}
+	g.reportElsewhere(home, jobs...)
+}
+
+// reportElsewhere reports those of a shard's jobs that are in others to the shard's leader, if that is
+// reachable.
+func (g *Gateway) reportElsewhere(home int, jobs ...*inFlightJob) {
 	var list []JobElsewhere
-	for _, j := range g.sortedJobs() {
-		if j.home == home && j.elsewhere() {
+	for _, j := range jobs {
+		if j.elsewhere() {
 			list = append(list, JobElsewhere{Job: j.job.ID, Shard: j.shard})
 		}
 	}
-	if len(list) > 0 {
+	if len(list) > 0 && g.hasReachableLeader(home) {
 		g.out = append(g.out, ReportElsewhere{At: g.now, To: g.choices[home].Leader, Home: home, Jobs: list})
 	}
 }
-
-// reportRedirected reports to the home of a job that it refused that the job is in another shard now.
-func (g *Gateway) reportRedirected(j *inFlightJob) {
-	if j.elsewhere() && g.hasReachableLeader(j.home) {
-		list := []JobElsewhere{{Job: j.job.ID, Shard: j.shard}}
-		g.out = append(g.out, ReportElsewhere{At: g.now, To: g.choices[j.home].Leader, Home: j.home, Jobs: list})
-	}
-}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -193,7 +193,7 @@
 			g.handIn(j)
 		}
 	}
-	g.reportElsewhere(shard)
+	g.reportAllElsewhere(shard)
 }
 
 // Reconnected hands in again the jobs that a scheduler may have dropped while it had no
@@ -208,7 +208,7 @@
 	}
 	for _, shard := range slices.Sorted(maps.Keys(g.choices)) {
 		if g.choices[shard].Leader == id {
-			g.reportElsewhere(shard)
+			g.reportAllElsewhere(shard)
 		}
 	}
 }
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -54,7 +54,7 @@
 	for _, shards := range [][]int{g.fallback.SameCell, g.fallback.OtherCells} {
 		if s, ok := g.shortestWait(j, shards); ok && g.expectedWaits[s] == 0 {
 			g.handTo(j, s)
-			g.reportRedirected(j)
+			g.reportElsewhere(j.home, j)
 			return true
 		}
 	}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -141,16 +141,15 @@
 	Runners []workload.Runner
 }
 
-func (Start) command()        {}
-func (Stop) command()         {}
-func (Hold) command()         {}
-func (Answer) command()       {}
-func (Decision) command()     {}
-func (Save) command()         {}
-func (OutcomeSaved) command() {}
-func (MoveJob) command()      {}
-func (MoveAck) command()      {}
-
+func (Start) command()         {}
+func (Stop) command()          {}
+func (Hold) command()          {}
+func (Answer) command()        {}
+func (Decision) command()      {}
+func (Save) command()          {}
+func (OutcomeSaved) command()  {}
+func (MoveJob) command()       {}
+func (MoveAck) command()       {}
 func (UnlistedInUse) command() {}
 
 // CallOutcome is the outcome of an order to a runner.
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -41,10 +41,10 @@
 	return r.acknowledged
 }
 
-// startInvalidAt returns the time from which an unconfirmed run can't be alive even if its start has
-// reached a later incarnation of the runner, on whose clock the lease in the order ends far in the
-// future: that incarnation shortens the lease to maxLease. It is 0 for a run of which that can't be, as
-// it is confirmed, or as the runner's answers contain no start of an incarnation.
+// startInvalidAt returns when an unconfirmed run must be over even if its start has reached a later
+// incarnation of the runner. On that incarnation's clock the lease in the order ends far in the future,
+// and the runner shortens it to maxLease. The result is 0 if the run is confirmed, or if the runner's
+// answers don't contain the start of its incarnation, so that it never restarts under its id.
 func (r *runner) startInvalidAt(u *run) Time {
 	if u.confirmed || r.incarnationStart == 0 {
 		return 0
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -120,7 +120,8 @@
 	// before nextRequestAt.
 	request       *roomRequest
 	nextRequestAt Time
-	// lent are the jobs that were lent during the last ranRetention, and outOfReach is when a lender
+	// lent are the jobs that other shards have, or had during the last ranRetention, whether they were
+	// lent or went there after a refusal; see NoteElsewhere. outOfReach is when a lender
 	// was found to be out of reach of an entry process.
 	lent       map[workload.JobID]lentJob
 	outOfReach map[route]Time
@@ -179,9 +180,12 @@
 }
 
 // lendable reports whether a job may be given to another scheduler: nothing of it can have been
-// started, here or elsewhere.
+// started, here or elsewhere, and its entry process takes it to the lender.
 func (s *Scheduler) lendable(j *job) bool {
-	return j.stored == nil && !s.borrowing.refusesLent[j.entry] && !j.started && !j.begun && j.priorSchedulers == 0 && !j.foreign &&
+	if s.borrowing.refusesLent[j.entry] {
+		return false
+	}
+	return j.stored == nil && !j.started && !j.begun && j.priorSchedulers == 0 && !j.foreign &&
 		!j.withdrawn && j.abandonedAt == 0 && !j.ended && j.work.Times == 0
 }
 
--- a/core/schedule/reach.go
+++ b/core/schedule/reach.go
@@ -14,7 +14,8 @@
 // outOfReachRetention is how long a lender counts as out of reach of an entry process.
 const outOfReachRetention = 10 * time.Second
 
-// lentJob is a job for which another shard has granted room.
+// lentJob is a job that another shard has: it has granted room for the job, or took it after a refusal
+// here.
 type lentJob struct {
 	// entry is the entry process to which the latest verdict on the job that names the lender was
 	// sent, to is the lender's shard, and at is when that verdict was sent.
