The stand-in runner can reject, not answer and answer late

A runner may reject calls as unhealthy before it looks at them, leave a start unanswered that it has carried out, and carry out calls and send answers late. The stand-in could only be silent altogether.

--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -79,11 +79,18 @@
 	endsChanged chan struct{}
 	starts      []RunID
 	silent      bool
+	faults      RunnerFaults
 	observer    Observer
 	// clockStart is the zero of the runner's clock in its present incarnation.
 	clockStart time.Time
 }
 
+// startPath and stopPath are the paths of the calls that start and stop runs.
+const (
+	startPath = "/run-start"
+	stopPath  = "/run-stop"
+)
+
 // maxLease is the longest lease that a runner grants.
 const maxLease = time.Second
 
@@ -108,10 +115,10 @@
 		clockStart: time.Now().Add(-time.Hour),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", r.start)
-	mux.HandleFunc("POST /run-stop", r.stop)
+	mux.HandleFunc("POST "+startPath, r.start)
+	mux.HandleFunc("POST "+stopPath, r.stop)
 	mux.HandleFunc("POST /hold", r.hold)
-	r.server = &http.Server{Handler: r.checkRequest(mux), ReadHeaderTimeout: time.Second}
+	r.server = &http.Server{Handler: r.checkRequest(r.applyFaults(mux)), ReadHeaderTimeout: time.Second}
 	go func() { _ = r.server.Serve(l) }()
 	return r, s.Put("servers", id, r.Info)
 }
