Soak: runners that reject, leave starts unanswered and answer late

Existing kinds are unchanged, so seeds of the other tests inject the same faults. Sizes are flags with the old defaults; the runners' view of all runs is saved with the logs. A crashed stand-in runner carries out no call that was delayed.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"sapphirepoint.example/sapphirepoint/core/layout"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 	"sapphirepoint.example/sapphirepoint/standin/deployment"
@@ -22,6 +26,8 @@
 type checker struct {
 	mu         sync.Mutex
 	violations []string
+	// history lists the starts and ends of runs as the runners saw them.
+	history bytes.Buffer
 	// runningByTask holds the runs in progress of each task, with the ids of their runners.
 	runningByTask map[string]map[deployment.RunID]string
 	startsByJob   map[string]int
@@ -103,6 +109,7 @@
 		c.addViolation("%s run %d starts on %s while run %d runs on %s", s.Task, s.Run, r.ID, other.Run, at)
 	}
 	runs[s] = r.ID
+	c.addHistory(s, r.ID, "started")
 	job := jobOfTask(s.Task)
 	c.startsByJob[job]++
 	if isStored(job) {
@@ -117,16 +124,47 @@
 	}
 }
 
+// addHistory records an event of a run. The caller holds the lock.
+func (c *checker) addHistory(s deployment.RunID, runner, event string) {
+	fmt.Fprintf(&c.history, "time=%s run=%s#%d runner=%s event=%s\n", time.Now().UTC().Format(time.RFC3339Nano), s.Task, s.Run, runner, event)
+}
+
+func (c *checker) saveHistory(path string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = os.WriteFile(path, c.history.Bytes(), 0o600)
+}
+
 // RunEnded implements deployment.Observer.
-func (c *checker) RunEnded(_ *deployment.Runner, s deployment.RunID, how string) {
+func (c *checker) RunEnded(r *deployment.Runner, s deployment.RunID, how string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.runningByTask[s.Task], s)
+	c.addHistory(s, r.ID, how)
 	if how == "done" {
 		c.doneTasks[s.Task] = true
 	}
 }
 
+// Guards against a checker that overlooks two runs of one task at once, whether its job is stored or
+// best-effort.
+func TestCheckerNoticesTwoRunsOfATask(t *testing.T) {
+	g := NewWithT(t)
+	one, other := &deployment.Runner{ID: "i-1"}, &deployment.Runner{ID: "i-2"}
+	for _, job := range []string{"0000000100000001", "0000000300000001"} {
+		c := newChecker()
+		first, second := deployment.RunID{Task: job + ".0.0.0", Run: 1}, deployment.RunID{Task: job + ".0.0.0", Run: 2}
+		c.RunStarted(one, first)
+		c.RunEnded(one, first, "done")
+		c.RunStarted(other, second)
+		g.Expect(c.allViolations()).To(BeEmpty())
+		c.RunStarted(one, first)
+		g.Expect(c.allViolations()).To(HaveLen(1))
+	}
+	g.Expect(isStored("0000000100000001")).To(BeFalse())
+	g.Expect(isStored("0000000300000001")).To(BeTrue())
+}
+
 // isStored reports whether a job is submitted as a stored job (bestEffort is false), as every third
 // caller's are. A stored job is answered once it is accepted; its caller then queries its state.
 func isStored(job string) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,12 +7,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"syscall"
 	"testing"
@@ -27,6 +29,10 @@
 	seeds   = flag.Int("soak.seeds", 1, "number of runs")
 	first   = flag.Uint64("soak.first", 1, "seed of the first run")
 	seconds = flag.Int("soak.seconds", 8, "length of a run")
+	nodes   = flag.Int("soak.nodes", 3, "number of entry VMs")
+	runners = flag.Int("soak.runners", 6, "number of runners")
+	domains = flag.Int("soak.domains", 1, "number of failure domains")
+	callers = flag.Int("soak.callers", 0, "number of callers; 0 for that of the test")
 	logDir  = flag.String("soak.logs", "", "directory for the logs of runs that broke a promise")
 )
 
@@ -70,6 +76,34 @@
 	}
 }
 
+// Guards against tasks that run twice when a start may have been carried out without an answer and the
+// next order to that runner is rejected.
+func TestSoakWithUnhealthyRunners(t *testing.T) {
+	program := buildEntry(t)
+	kinds := append(slices.Clone(faultKinds), answerFaults...)
+	kinds = append(kinds, answerFaults...)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, program, seed, 0, kinds)
+		})
+	}
+}
+
+// Guards against tasks that run twice when runners answer after the timeout of orders, with no other
+// fault.
+func TestSoakWithLateAnswers(t *testing.T) {
+	program := buildEntry(t)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, program, seed, 0, []fault{answersLate})
+		})
+	}
+}
+
 // buildEntry builds the entry program.
 func buildEntry(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "sapphirepoint-entry")
@@ -87,21 +121,22 @@
 	defer w.close()
 	defer func() {
 		if t.Failed() && *logDir != "" {
-			w.saveLogs(filepath.Join(*logDir, fmt.Sprint(seed)))
+			w.saveLogs(filepath.Join(*logDir, t.Name()))
 		}
 	}()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready")
-	callers := w.startCallers(12 + 12*shards)
+	group := w.startCallers(cmp.Or(*callers, 12+12*shards))
 	injected := w.injectFaults(kinds, time.Duration(*seconds)*time.Second)
 	w.waitForFaults()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready after: %v", injected)
 	before := w.checker.answerCount("200")
 	g.Eventually(func() int { return w.checker.answerCount("200") }, time.Minute, 50*time.Millisecond).Should(BeNumerically(">", before+20), "too few jobs are answered after the faults: %v", injected)
-	callers.stopAndWait()
+	group.stopAndWait()
 	g.Eventually(w.unfinishedJobs, time.Minute, 100*time.Millisecond).Should(BeEmpty(), "accepted jobs do not end after: %v", injected)
+	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
+	t.Logf("starts unanswered %d, rejected %v", w.countEvents("start-unanswered"), w.countRejections())
 	violations := w.checker.allViolations()
 	g.Expect(violations).To(BeEmpty(), "seed %d: %v", seed, injected)
-	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
 	if shards > 1 {
 		granted, used := w.countEvents("room-granted"), w.countEvents("room-used")
 		t.Logf("room granted %d times, used by %d jobs", granted, used)
@@ -193,6 +228,59 @@
 	}},
 }
 
+// answerFaults are faults of a third of the runners, which stay reachable.
+var answerFaults = []fault{
+	{"runners reject", func(w *world) {
+		share := 0.2 + w.rng.Float64()/2
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) { f.RejectedStarts = set(share, on) })
+	}},
+	{"runners reject stops and holds", func(w *world) {
+		share := w.rng.Float64() / 2
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+			f.RejectedStops, f.RejectedHolds = set(share, on), set(share, on)
+		})
+	}},
+	{"starts unanswered", func(w *world) {
+		share := 0.2 + w.rng.Float64()/2
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) { f.UnansweredStarts = set(share, on) })
+	}},
+	answersLate,
+}
+
+// answersLate lets runners take longer than the timeout of an order, both before and after they carry
+// an order out.
+var answersLate = fault{"runners late", func(w *world) {
+	share, delay := 0.1+w.rng.Float64()/2, w.randomDuration(100, 400)
+	w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+		f.Slow = set(share, on)
+		f.MaxDelay = delay
+	})
+}}
+
+// set returns the share of a fault that is injected, or 0 once it is over.
+func set(share float64, on bool) float64 {
+	if on {
+		return share
+	}
+	return 0
+}
+
+// changeFaults injects a fault into about a third of the runners, and ends it after a while.
+func (w *world) changeFaults(change func(f *deployment.RunnerFaults, on bool)) {
+	var changed []*deployment.Runner
+	for _, r := range w.runners {
+		if w.rng.IntN(3) == 0 {
+			changed = append(changed, r.runner)
+			r.runner.ChangeFaults(func(f *deployment.RunnerFaults) { change(f, true) })
+		}
+	}
+	w.runAfter(w.randomDuration(1000, 4000), func() {
+		for _, r := range changed {
+			r.ChangeFaults(func(f *deployment.RunnerFaults) { change(f, false) })
+		}
+	})
+}
+
 // lenderKilled kills the process that is the next to grant room to another one.
 var lenderKilled = fault{"lender killed", func(w *world) {
 	seen := make([]int, len(w.nodes))
@@ -222,6 +310,19 @@
 	return sum
 }
 
+var rejectionReason = regexp.MustCompile(`event=start-rejected .*?reason=("[^"]*"|\S+)`)
+
+// countRejections counts the rejected starts by reason.
+func (w *world) countRejections() map[string]int {
+	counts := make(map[string]int)
+	for _, n := range w.nodes {
+		for _, m := range rejectionReason.FindAllSubmatch(n.log.bytes(), -1) {
+			counts[string(m[1])]++
+		}
+	}
+	return counts
+}
+
 func (w *world) saveLogs(dir string) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return
@@ -229,4 +330,5 @@
 	for _, n := range w.nodes {
 		_ = os.WriteFile(filepath.Join(dir, n.name+".log"), n.log.bytes(), 0o600)
 	}
+	w.checker.saveHistory(filepath.Join(dir, "runs.log"))
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -19,11 +19,9 @@
 )
 
 const (
-	nodeCount   = 3
-	runnerCount = 6
-	service     = "labelworks"
-	host        = "labels.example"
-	prefix      = "/spot/"
+	service = "labelworks"
+	host    = "labels.example"
+	prefix  = "/spot/"
 	// graceS is the time between SIGTERM and SIGKILL, in seconds.
 	graceS = 4
 	// restartDelay is the time after which the platform restarts a process that has ended.
@@ -113,27 +111,30 @@
 			return nil, err
 		}
 	}
-	for range runnerCount {
-		r, err := w.newRunner()
+	for i := range *runners {
+		r, err := w.newRunner(domain(i))
 		if err != nil {
 			return nil, err
 		}
 		w.runners = append(w.runners, r)
 	}
 	w.putConfiguration()
-	for i := range nodeCount {
-		if err := w.addNode(dir, fmt.Sprintf("front-%d", i+1)); err != nil {
+	for i := range *nodes {
+		if err := w.addNode(dir, fmt.Sprintf("front-%d", i+1), domain(i)); err != nil {
 			return nil, err
 		}
 	}
 	return w, nil
 }
 
+// domain returns the failure domain of the runner or entry VM with an index.
+func domain(i int) string { return string(rune('a' + i%*domains)) }
+
 // newRunner starts a runner and registers its proxy's address in place of its own.
-func (w *world) newRunner() (*proxiedRunner, error) {
+func (w *world) newRunner(domain string) (*proxiedRunner, error) {
 	w.runnersStarted++
 	id := fmt.Sprintf("i-%d", w.runnersStarted)
-	r, err := deployment.NewRunner(w.store, id, service, "a")
+	r, err := deployment.NewRunner(w.store, id, service, domain)
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +153,7 @@
 	old := w.runners[i]
 	old.runner.Close()
 	w.store.Remove("servers", old.runner.ID)
-	r, err := w.newRunner()
+	r, err := w.newRunner(old.runner.Info.Zone)
 	if err != nil {
 		w.checker.reportViolation("the soak test itself failed: %v", err)
 		return
@@ -197,8 +198,8 @@
 }
 
 // addNode writes a node's settings file and starts its process.
-func (w *world) addNode(dir, name string) error {
-	d, err := deployment.NewNode(name, "a")
+func (w *world) addNode(dir, name, domain string) error {
+	d, err := deployment.NewNode(name, domain)
 	if err != nil {
 		return err
 	}
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -79,6 +79,7 @@
 	endsChanged chan struct{}
 	starts      []RunID
 	silent      bool
+	crashed     bool
 	faults      RunnerFaults
 	observer    Observer
 	// clockStart is the zero of the runner's clock in its present incarnation.
@@ -128,6 +129,7 @@
 	_ = r.server.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.crashed = true
 	for s := range r.running {
 		r.endRun(s, "crashed")
 	}
@@ -222,6 +224,10 @@
 		return o, false
 	}
 	r.mu.Lock()
+	if r.crashed {
+		r.mu.Unlock()
+		return o, false
+	}
 	if o.FenceToken < r.token {
 		r.reject(w, "fence")
 		r.mu.Unlock()
