--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -35,7 +35,9 @@
 
 // Observer is notified of the runs of a runner. Its methods are called with the runner's lock held.
 type Observer interface {
-	RunStarted(r *Runner, s RunID)
+	// RunStarted is called when a run begins. Its start arrived at the given time, which is earlier if
+	// the runner was made to carry it out late.
+	RunStarted(r *Runner, s RunID, arrived time.Time)
 	RunEnded(r *Runner, s RunID, outcome string)
 	// EndAcknowledged is called when the scheduler has acknowledged the end of a run.
 	EndAcknowledged(r *Runner, e EndedRun)
@@ -304,7 +306,7 @@
 	}
 	r.starts = append(r.starts, s)
 	if r.observer != nil {
-		r.observer.RunStarted(r, s)
+		r.observer.RunStarted(r, s, arrivalOf(q))
 	}
 	r.running[s] = time.AfterFunc(runTime, func() {
 		r.mu.Lock()
