--- a/standin/deployment/settings.go
+++ b/standin/deployment/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -18,29 +20,57 @@
 
 // NewNode returns a node with free ports on the loopback address.
 func NewNode(name, domain string) (Node, error) {
-	callers, err := freeTCPAddress()
-	if err != nil {
-		return Node{}, err
-	}
-	health, err := freeTCPAddress()
-	if err != nil {
-		return Node{}, err
+	var ports [3]int
+	for i := range ports {
+		var err error
+		if ports[i], err = freePort(); err != nil {
+			return Node{}, err
+		}
 	}
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return Node{}, errors.Wrap(err, "free port")
+	return Node{
+		Name: name, Domain: domain, PeerPort: ports[0],
+		CallerAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]), HealthAddress: fmt.Sprintf("127.0.0.1:%d", ports[2]),
+	}, nil
+}
+
+// Ports of nodes are below those that the system gives out for connections and for listeners on port
+// 0. Otherwise one of these might take a node's port before its process listens there, or while the
+// process is restarted.
+const (
+	firstNodePort   = 10000
+	nodePorts       = 20000
+	maxPortAttempts = 100
+)
+
+// The ports of a process's nodes follow each other, so that none is given out twice.
+var (
+	firstPortOffset = rand.Uint32N(nodePorts)
+	portCount       atomic.Uint32
+)
+
+// freePort returns a port that is free for TCP and UDP.
+func freePort() (int, error) {
+	var err error
+	for range maxPortAttempts {
+		port := firstNodePort + int((firstPortOffset+portCount.Add(1))%nodePorts)
+		if err = tryPort(fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, nil
+		}
 	}
-	defer c.Close()
-	return Node{Name: name, Domain: domain, CallerAddress: callers, HealthAddress: health, PeerPort: c.LocalAddr().(*net.UDPAddr).Port}, nil
+	return 0, errors.Wrap(err, "free port")
 }
 
-func freeTCPAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func tryPort(address string) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", errors.Wrap(err, "free port")
+		return err
 	}
 	defer l.Close()
-	return l.Addr().String(), nil
+	c, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
 }
 
 // Settings returns the node's settings file.
