--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -91,12 +91,21 @@
 	case schedule.UnlistedInUse:
 		n.reportUnlisted(s, c)
 	case schedule.Decision:
-		n.notice(c.Event, decisionFields(c)...)
+		n.noticeDecision(c)
 	default:
 		n.emit(Order{Shard: s.index, Order: c})
 	}
 }
 
+// noticeDecision logs a scheduler's decision.
+func (n *Node) noticeDecision(d schedule.Decision) {
+	if d.Warning {
+		n.warn(d.Event, decisionFields(d)...)
+		return
+	}
+	n.notice(d.Event, decisionFields(d)...)
+}
+
 func (n *Node) handleLedgerCommand(s *shard, c ledger.Command) {
 	switch c := c.(type) {
 	case ledger.Loaded:
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -100,6 +100,8 @@
 	Age time.Duration
 	// Token is the fencing token in force.
 	Token uint64
+	// Warning: it may need an operator's attention.
+	Warning bool
 }
 
 // Save writes a record to the store. The process calls Saved with its sequence afterwards.
--- /dev/null
+++ b/core/schedule/dropped.go
@@ -0,0 +1,240 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// A dropped run is one that the scheduler has ceased to count though its runner hasn't listed its
+// end. The scheduler remembers it for a while, and warns if the runner shows later that the run was
+// alive and the task had another run.
+
+const (
+	// dropRetention is how long a dropped run is remembered; runs take a few seconds at most.
+	dropRetention = resultRetention
+	// maxDropsRemembered bounds the memory when all runners are lost at once.
+	maxDropsRemembered = 4096
+)
+
+// DropReason is the evidence on which a run was dropped.
+type DropReason uint8
+
+// The reasons.
+const (
+	// StartRejected: the runner rejected the last order to start the run.
+	StartRejected DropReason = iota
+	// StoppedUnlisted: the runner answered an order to stop the run, and its list of a later time
+	// has neither the run nor its end.
+	StoppedUnlisted
+	// StopTimedOut: the runner answered an order to stop the run, and the longest time that it takes
+	// to do so is over. It has listed no end.
+	StopTimedOut
+	// LeaseOver: the runner was silent for longer than the run's lease can last.
+	LeaseOver
+	// RunnerFenced: the runner has accepted another scheduler's higher token.
+	RunnerFenced
+	// RunnerReplaced: another incarnation answers at the runner's address.
+	RunnerReplaced
+	// RunnerRestarted: a later incarnation answers under the runner's id.
+	RunnerRestarted
+	dropReasons
+)
+
+var dropReasonNames = [dropReasons]string{
+	"start-rejected", "stopped-unlisted", "stop-timed-out", "lease-over", "runner-fenced", "runner-replaced", "runner-restarted",
+}
+
+// String returns the reason's name in logs.
+func (d DropReason) String() string { return dropReasonNames[d] }
+
+// allowsEnd reports whether a run that was dropped for this reason may have ended by itself before
+// that, so that an end which is listed later is no sign of a fault.
+func (d DropReason) allowsEnd() bool {
+	switch d {
+	case StopTimedOut, LeaseOver, RunnerFenced:
+		return true
+	case RunnerRestarted:
+		// A start that was on its way may have reached the new incarnation.
+		return true
+	}
+	return false
+}
+
+// DropCounts are numbers of dropped runs by DropReason.
+type DropCounts [dropReasons]uint64
+
+// Plus returns the sum.
+func (c DropCounts) Plus(o DropCounts) DropCounts {
+	for i := range c {
+		c[i] += o[i]
+	}
+	return c
+}
+
+// droppedRun is a dropped run as it is remembered.
+type droppedRun struct {
+	key    workload.RunKey
+	runner workload.RunnerID
+	// evidence is what the log said when it was dropped.
+	evidence string
+	// allowsEnd: see DropReason.allowsEnd.
+	allowsEnd bool
+	at        Time
+	// next is the task's next run, started at nextStarted; its number is 0 if there is none.
+	next        workload.RunKey
+	nextRunner  workload.RunnerID
+	nextStarted Time
+	// reported: the run was found alive and logged.
+	reported bool
+}
+
+// dropMemory holds the dropped runs.
+type dropMemory struct {
+	byTask map[workload.TaskName][]*droppedRun
+	// order has the same runs, oldest first.
+	order []*droppedRun
+}
+
+func newDropMemory() dropMemory {
+	return dropMemory{byTask: make(map[workload.TaskName][]*droppedRun)}
+}
+
+func (m *dropMemory) add(d *droppedRun) {
+	if len(m.order) >= maxDropsRemembered {
+		m.removeOldest()
+	}
+	m.byTask[d.key.Task] = append(m.byTask[d.key.Task], d)
+	m.order = append(m.order, d)
+}
+
+func (m *dropMemory) removeOldest() {
+	d := m.order[0]
+	m.order = m.order[1:]
+	rest := slices.DeleteFunc(m.byTask[d.key.Task], func(o *droppedRun) bool { return o == d })
+	if len(rest) == 0 {
+		delete(m.byTask, d.key.Task)
+		return
+	}
+	m.byTask[d.key.Task] = rest
+}
+
+// expire removes the runs that were dropped before a time.
+func (m *dropMemory) expire(oldest Time) {
+	for len(m.order) > 0 && m.order[0].at < oldest {
+		m.removeOldest()
+	}
+}
+
+// find returns the latest drop of a run on a runner; nil if none is remembered.
+func (m *dropMemory) find(k workload.RunKey, r *runner) *droppedRun {
+	drops := m.byTask[k.Task]
+	for _, d := range slices.Backward(drops) {
+		if d.key == k && d.runner == r.info.ID {
+			return d
+		}
+	}
+	return nil
+}
+
+// dropRun ceases to count a run whose end its runner hasn't listed, and logs it.
+func (s *Scheduler) dropRun(u *run, why DropReason) {
+	s.dropRunAs(u, why, Decision{Event: "run-dropped", Reason: why.String(), Age: s.now - u.started})
+}
+
+// dropRunAs is dropRun with another event, reason and age in the log.
+func (s *Scheduler) dropRunAs(u *run, why DropReason, d Decision) {
+	u.runner.drop(u)
+	s.ctr.Dropped[why]++
+	d.Job, d.Run, d.Runner = u.key.Task.Job, u.key, u.runner.info.ID
+	s.emit(d)
+	dropped := &droppedRun{key: u.key, runner: d.Runner, evidence: d.Event + " " + d.Reason, allowsEnd: why.allowsEnd(), at: s.now}
+	if other := s.otherRun(u); other != nil {
+		dropped.setNext(other)
+	}
+	s.drops.add(dropped)
+}
+
+// dropRuns drops all runs of a runner and gives up its ownership.
+func (s *Scheduler) dropRuns(r *runner, why DropReason) {
+	for _, u := range r.sortedRuns() {
+		s.dropRun(u, why)
+	}
+	r.release()
+}
+
+func (d *droppedRun) setNext(u *run) {
+	d.next, d.nextRunner, d.nextStarted = u.key, u.runner.info.ID, u.started
+}
+
+// otherRun returns the present run of a run's task if it is another one, and nil otherwise.
+func (s *Scheduler) otherRun(u *run) *run {
+	t := s.taskOf(u, u.key)
+	if t == nil || t.run == u {
+		return nil
+	}
+	return t.run
+}
+
+// noteNextRun records with a task's dropped runs that it has another run now.
+func (s *Scheduler) noteNextRun(u *run) {
+	for _, d := range s.drops.byTask[u.key.Task] {
+		if d.next.Number == 0 && d.key != u.key {
+			d.setNext(u)
+		}
+	}
+}
+
+// checkListedOrphan warns if an orphan runs beside another run of its task. A list that was requested
+// before the other run's start may be older than that start, so it is no evidence.
+func (s *Scheduler) checkListedOrphan(u *run, requestedAt Time) {
+	d := s.drops.find(u.key, u.runner)
+	if d == nil {
+		d = s.uncountedRun(u)
+	}
+	if d == nil || d.reported || d.next.Number == 0 || requestedAt < d.nextStarted {
+		return
+	}
+	s.reportAlive(d, "running")
+}
+
+// uncountedRun returns a record of an orphan that was never dropped and whose task has another run; nil
+// if it has none.
+func (s *Scheduler) uncountedRun(u *run) *droppedRun {
+	other := s.otherRun(u)
+	if other == nil {
+		return nil
+	}
+	d := &droppedRun{key: u.key, runner: u.runner.info.ID, evidence: "not known when the other run was started", at: u.started}
+	d.setNext(other)
+	s.drops.add(d)
+	return d
+}
+
+// checkListedEnd warns if the end of a dropped run shows that the run was alive when it was dropped and
+// its task started again. Other ends of dropped runs are logged without a warning.
+func (s *Scheduler) checkListedEnd(r *runner, e workload.End) {
+	d := s.drops.find(e.Run, r)
+	if d == nil || d.reported || d.next.Number == 0 || e.Kind != workload.Done {
+		return
+	}
+	if !d.allowsEnd {
+		s.reportAlive(d, "done")
+		return
+	}
+	d.reported = true
+	s.emitLateSign("dropped-run-done", d, "done", false)
+}
+
+func (s *Scheduler) reportAlive(d *droppedRun, state string) {
+	d.reported = true
+	s.ctr.AliveAfterDrop++
+	s.emitLateSign("task-ran-twice", d, state, true)
+}
+
+// emitLateSign logs a sign of a dropped run; the age is the time since it was dropped.
+func (s *Scheduler) emitLateSign(event string, d *droppedRun, state string, warning bool) {
+	reason := fmt.Sprintf("%s, other run %s on %s; %s", state, d.next, d.nextRunner, d.evidence)
+	s.emit(Decision{Event: event, Job: d.key.Task.Job, Run: d.key, Runner: d.runner, Reason: reason, Age: s.now - d.at, Warning: warning})
+}
--- /dev/null
+++ b/core/schedule/dropped_test.go
@@ -0,0 +1,222 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// lists has a runner list runs as running, in answer to a request sent at a time.
+func (b *harness) lists(id workload.RunnerID, requestedAt Time, running ...workload.RunKey) {
+	clock := b.clock()
+	clock.SentAt = requestedAt
+	b.s.Held(b.now, HoldResult{Runner: id, Token: b.s.runners[id].token, ListOnly: true, Outcome: Accepted, Running: running, Clock: clock})
+}
+
+// listsFenced has a runner answer that it has accepted a higher token.
+func (b *harness) listsFenced(id workload.RunnerID) {
+	b.s.Held(b.now, HoldResult{Runner: id, Token: b.s.runners[id].token, Outcome: Fenced, Clock: b.clock()})
+}
+
+// logged matches a line of the log about a run.
+func logged(event string, k workload.RunKey, reason any) types.GomegaMatcher {
+	return And(HaveField("Event", event), HaveField("Run", k), HaveField("Reason", reason))
+}
+
+// warnings takes the lines of the log and returns those that are warnings.
+func (b *harness) warnings() []Decision {
+	var list []Decision
+	for _, d := range take[Decision](b) {
+		if d.Warning {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// runningTask starts the only task of a job, and returns its confirmed run.
+func (b *harness) runningTask() Start {
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	c := one[Start](b)
+	b.started(c, Accepted)
+	return c
+}
+
+// restartAfterRejection has the first order to start a task stay unanswered and the second rejected, and
+// returns both runs of the task.
+func restartAfterRejection(t *testing.T) (b *harness, first, second Start) {
+	b = leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	first = one[Start](b)
+	b.started(first, Unanswered)
+	b.started(one[Start](b), Unhealthy)
+	b.g.Expect(take[Decision](b)).To(ContainElement(logged("start-rejected", first.Run, "unhealthy, order 2")))
+	second = one[Start](b)
+	b.started(second, Accepted)
+	b.now += 10 * ms
+	return b, first, second
+}
+
+// Guards against a rejection of a repeated start that hides that the first order was carried out: the
+// task runs twice, and the log doesn't say so.
+func TestRejectedRunThatIsListedIsReported(t *testing.T) {
+	b, first, second := restartAfterRejection(t)
+	b.lists(first.Runner, b.now, first.Run)
+	list := b.warnings()
+	b.g.Expect(list).To(ConsistOf(logged("task-ran-twice", first.Run, And(
+		ContainSubstring("running, other run "+second.Run.String()), ContainSubstring("start-rejected unhealthy, order 2"),
+	))))
+	b.g.Expect(list[0].Age).To(Equal(10 * ms))
+	b.lists(first.Runner, b.now, first.Run)
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	b.g.Expect(b.warnings()).To(BeEmpty(), "one line a run")
+	c := b.s.Counters()
+	b.g.Expect([]uint64{c.StartsRepeated, c.RepeatsRejected, c.AliveAfterDrop, c.Dropped[StartRejected]}).To(HaveEach(uint64(1)))
+}
+
+// Guards against the same if the first sign of the run is its end, and the job has ended before.
+func TestRejectedRunThatIsListedAsDoneIsReported(t *testing.T) {
+	b, first, second := restartAfterRejection(t)
+	b.end(second.Runner, 1, second.Run, workload.Done)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Completed))
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", first.Run, ContainSubstring("done, other run "+second.Run.String()))))
+}
+
+// Guards against a runner that carries out a start that it rejects, without a line in the log.
+func TestRunOfTheFirstRejectedOrderIsReported(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	first := one[Start](b)
+	b.started(first, Unhealthy)
+	b.g.Expect(take[Decision](b)).To(ContainElement(logged("start-rejected", first.Run, "unhealthy, order 1")))
+	b.started(one[Start](b), Accepted)
+	b.now += 10 * ms
+	b.lists(first.Runner, b.now, first.Run)
+	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", first.Run, ContainSubstring("order 1"))))
+	b.g.Expect(b.s.Counters().RepeatsRejected).To(BeZero())
+}
+
+// Guards against a false warning by a list that was on its way when the other run was started.
+func TestOlderListIsNoSignOfASecondRun(t *testing.T) {
+	b, first, second := restartAfterRejection(t)
+	b.lists(first.Runner, b.s.runners[second.Runner].runs[second.Run].started-1, first.Run)
+	b.g.Expect(b.warnings()).To(BeEmpty())
+	b.lists(first.Runner, b.now, first.Run)
+	b.g.Expect(b.warnings()).To(HaveLen(1))
+}
+
+// Guards against a run that vanishes without a line when its runner is replaced, restarts or is fenced.
+func TestRunsOfALostRunnerAreLogged(t *testing.T) {
+	for reason, lose := range map[string]func(b *harness, c Start){
+		"runner-replaced": func(b *harness, c Start) { b.started(c, Replaced) },
+		"runner-fenced":   func(b *harness, c Start) { b.listsFenced(c.Runner) },
+		"runner-restarted": func(b *harness, c Start) {
+			b.s.runners[c.Runner].incarnationStart = firstIncarnation
+			b.s.Held(b.now, HoldResult{Runner: c.Runner, Token: c.Token, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, b.now)})
+		},
+	} {
+		b := leading(t, testRunner("r1"))
+		c := b.runningTask()
+		take[Decision](b)
+		lose(b, c)
+		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-dropped", c.Run, reason)))
+	}
+}
+
+// Guards against a run that goes on after its lease was counted as over, while its task runs elsewhere.
+// An end as done isn't such a sign: the run may have ended before its lease did.
+func TestRunFoundAfterItsLeaseWasOver(t *testing.T) {
+	for _, running := range []bool{true, false} {
+		b := leading(t, testRunner("r1"), testRunner("r2"))
+		c := b.runningTask()
+		for _, h := range take[Hold](b) {
+			if h.Runner == c.Runner {
+				b.answerHold(h, Unanswered)
+			}
+		}
+		b.tick(maxRunLife(b.s.cfg.Lease) + 40*ms)
+		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-lapsed", c.Run, "runner is silent")))
+		b.started(one[Start](b), Accepted)
+		if running {
+			b.lists(c.Runner, b.now, c.Run)
+			b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", c.Run, ContainSubstring("run-lapsed"))))
+			continue
+		}
+		b.end(c.Runner, 1, c.Run, workload.Done)
+		lines := take[Decision](b)
+		b.g.Expect(lines).To(ContainElement(logged("dropped-run-done", c.Run, ContainSubstring("run-lapsed"))))
+		b.g.Expect(lines).NotTo(ContainElement(HaveField("Warning", true)))
+	}
+}
+
+// Guards against a start before all runs of earlier schedulers are known, without a line in the log.
+func TestUnknownRunBesideAnotherIsReported(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	earlier := workload.RunKey{Task: c.Run.Task, Number: c.Run.Number + 1}
+	other := workload.RunnerID("r1")
+	if c.Runner == other {
+		other = "r2"
+	}
+	b.now += 10 * ms
+	b.lists(other, b.now, earlier)
+	b.lists(other, b.now, earlier)
+	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", earlier, ContainSubstring("not known when"))))
+}
+
+// Guards against a stopped run that counts as over without a line that says why: it wasn't listed, or
+// it had its time to stop. It may have become an orphan before.
+func TestStoppedRunsAreLogged(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		b := leading(t, testRunner("r1"))
+		c := b.runningTask()
+		b.s.Abandon(b.now, entryA, c.Run.Task.Job)
+		stop := one[Stop](b)
+		b.stopped(stop, Accepted)
+		take[Decision](b)
+		b.now += 2 * ms
+		reason := "stop-timed-out"
+		if listed {
+			reason = "stopped-unlisted"
+			b.lists(c.Runner, b.now)
+		} else {
+			b.tick(b.s.cfg.StopTimeout + stopSlack + 20*ms)
+		}
+		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-dropped", c.Run, reason)))
+		b.g.Expect(b.s.runners[c.Runner].runs).To(BeEmpty())
+	}
+}
+
+// Guards against a memory of dropped runs that grows without bound.
+func TestMemoryOfDroppedRunsIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := newDropMemory()
+	for n := range maxDropsRemembered + 10 {
+		k := workload.RunKey{Task: workload.TaskName{Job: "j", Index: n / 2}, Number: 1 + n%2}
+		m.add(&droppedRun{key: k, at: Time(n)})
+	}
+	g.Expect(m.order).To(HaveLen(maxDropsRemembered))
+	g.Expect(m.byTask).To(HaveLen(maxDropsRemembered / 2))
+	m.expire(maxDropsRemembered + 9)
+	g.Expect(m.order).To(HaveLen(1))
+	g.Expect(m.byTask).To(HaveLen(1))
+	m.expire(never)
+	g.Expect(m.order).To(BeEmpty())
+	g.Expect(m.byTask).To(BeEmpty())
+}
+
+// Guards against a warning about runs that were over in time: a run ends, and its task is started again.
+func TestRestartAfterAListedEndIsNotReported(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.end(c.Runner, 1, c.Run, workload.Failed)
+	b.started(one[Start](b), Accepted)
+	b.wait(100 * ms)
+	b.g.Expect(b.warnings()).To(BeEmpty())
+	b.g.Expect(b.s.Counters().Dropped).To(Equal(DropCounts{}))
+}
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -60,7 +60,7 @@
 	s.emit(Decision{Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt})
 	runs := r.sortedRuns()
 	held := r.token != 0
-	r.release()
+	s.dropRuns(r, RunnerRestarted)
 	r.incarnationStart = start
 	r.clock, r.clockAt, r.aliveUntil, r.noLeaseUntil = 0, 0, 0, 0
 	r.health = newHealth()
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -117,7 +117,7 @@
 	s.ctr.Fenced++
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "fenced"})
 	tasks, owned := r.tasks(), r.owned
-	r.release()
+	s.dropRuns(r, RunnerFenced)
 	for _, t := range tasks {
 		t.notBefore = s.now + s.cfg.Resend
 		s.requeueUnseen(t)
@@ -181,7 +181,7 @@
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "replaced"})
 	r.gone = true
 	tasks := r.tasks()
-	r.release()
+	s.dropRuns(r, RunnerReplaced)
 	for _, t := range tasks {
 		s.requeue(t)
 	}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -201,6 +201,7 @@
 	j.runs++
 	s.ctr.Starts++
 	r.add(u)
+	s.noteNextRun(u)
 	s.sendStart(u)
 	s.hold(r)
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -86,7 +86,7 @@
 	listed := make(map[workload.RunKey]bool, len(res.Running))
 	for _, k := range res.Running {
 		listed[k] = true
-		s.noteListedRun(r, k)
+		s.noteListedRun(r, k, res.Clock.SentAt)
 		r.runs[k].noteCheckpoint(res.Checkpoints[k])
 	}
 	if complete {
@@ -101,7 +101,7 @@
 		if !u.stopped || u.stoppedAt > sentAt || listed[u.key] {
 			continue
 		}
-		r.drop(u)
+		s.dropRun(u, StoppedUnlisted)
 		if u.task != nil {
 			s.requeue(u.task)
 		}
@@ -109,17 +109,26 @@
 }
 
 // noteListedRun records a run that a runner lists.
-func (s *Scheduler) noteListedRun(r *runner, k workload.RunKey) {
-	if u := r.runs[k]; u != nil {
-		u.confirmed = true
-		return
+func (s *Scheduler) noteListedRun(r *runner, k workload.RunKey, requestedAt Time) {
+	u := r.runs[k]
+	if u == nil {
+		u = s.addListedRun(r, k)
+	}
+	u.confirmed = true
+	if u.task == nil {
+		s.checkListedOrphan(u, requestedAt)
 	}
+}
+
+// addListedRun adds a run that another scheduler has started, and assigns it to its task.
+func (s *Scheduler) addListedRun(r *runner, k workload.RunKey) *run {
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, startedElsewhere: true, stopAt: s.now + orphanGrace}
 	r.add(u)
 	s.ranJobs[k.Task.Job] = s.now
 	if j := s.jobs[k.Task.Job]; j != nil {
 		s.adopt(j, u)
 	}
+	return u
 }
 
 // noteCheckpoint records the newest checkpoint of a run. A task that is started again resumes from
@@ -140,6 +149,7 @@
 	if u != nil {
 		r.drop(u)
 	}
+	s.checkListedEnd(r, e)
 	t := s.taskOf(u, e.Run)
 	if t == nil {
 		s.endedUnknown(e)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -137,6 +137,8 @@
 	// epochMs is the time of day at time 0, in milliseconds since 1970.
 	epochMs int64
 
+	// drops are the runs that were dropped in the last dropRetention.
+	drops     dropMemory
 	borrowing borrowing
 	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
@@ -175,6 +177,7 @@
 		ranJobs:        make(map[workload.JobID]Time),
 		unstored:       make(map[workload.JobID]Time),
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
+		drops:          newDropMemory(),
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -67,6 +68,7 @@
 	s.ctr.Unanswered++
 	s.emit(Decision{Event: "start-unanswered", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
 	if u.task != nil && !u.stopping && u.startAttempts < maxStartAttempts && !r.unresponsive && !r.hasForeignOrphans() && !r.evacuated {
+		s.ctr.StartsRepeated++
 		s.sendStart(u)
 		return
 	}
@@ -78,6 +80,7 @@
 // stayed unanswered. The earlier order may have been carried out, and the run may have ended; or
 // the order may still arrive.
 func (s *Scheduler) secondStartRejected(r *runner, u *run, o CallOutcome) {
+	s.ctr.RepeatsRejected++
 	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "second order: " + o.String(), Age: s.now - u.started})
 	if o != Outdated {
 		s.stopRun(u)
@@ -102,9 +105,12 @@
 		s.secondStartRejected(r, u, o)
 		return
 	}
-	r.drop(u)
 	t := u.task
-	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: o.String(), Age: s.now - u.started})
+	if u.startAttempts > 1 {
+		s.ctr.RepeatsRejected++
+	}
+	reason := fmt.Sprintf("%s, order %d", o, u.startAttempts)
+	s.dropRunAs(u, StartRejected, Decision{Event: "start-rejected", Reason: reason, Age: s.now - u.started})
 	switch o {
 	case Unhealthy:
 		r.health.failed(s.now, strikesToClose)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -182,6 +182,7 @@
 	u.runner.reserve(u, t.step().Need)
 	u.overdueAt = s.overdueAt(t, u.runner)
 	u.expectedEnd = s.now + s.duration(t, u.runner)
+	s.noteNextRun(u)
 	s.emit(Decision{Event: "run-adopted", Job: j.work.ID, Run: u.key, Runner: u.runner.info.ID, Token: u.runner.token})
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -89,12 +89,12 @@
 // lapseRuns drops the runs of a runner that has been silent for longer than their leases can last.
 func (s *Scheduler) lapseRuns(r *runner) {
 	for _, u := range r.sortedRuns() {
-		r.drop(u)
 		if u.task == nil {
+			s.dropRun(u, LeaseOver)
 			continue
 		}
 		s.ctr.Lapsed++
-		s.emit(Decision{Event: "run-lapsed", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "runner is silent", Age: s.now - r.clockAt})
+		s.dropRunAs(u, LeaseOver, Decision{Event: "run-lapsed", Reason: "runner is silent", Age: s.now - r.clockAt})
 		if s.now-s.lastContact[u.task.job.entry] > maxHeartbeatAge {
 			// The entry VM may be cut off together with the runner. Then the scheduler on that
 			// side may have adopted the run, and the job will shortly be dropped here.
@@ -110,7 +110,7 @@
 func (s *Scheduler) tickRun(r *runner, u *run) {
 	switch {
 	case u.stopped && s.now >= u.overAt && !u.ofStoredJob():
-		r.drop(u)
+		s.dropRun(u, StopTimedOut)
 		if u.task != nil {
 			s.requeue(u.task)
 		}
@@ -168,6 +168,7 @@
 	oldestDone := s.now - s.cfg.Resend - leadershipTimeout
 	maps.DeleteFunc(s.doneWithoutJob, func(_ workload.TaskName, d doneRun) bool { return d.at < oldestDone })
 	s.expireBorrowing()
+	s.drops.expire(s.now - dropRetention)
 }
 
 func expireBefore[K comparable](m map[K]Time, oldest Time) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -123,6 +123,12 @@
 	set("overdue", c.Overstayed)
 	set("fenced", c.Fenced)
 	set("unanswered", c.Unanswered)
+	set("starts-repeated", c.StartsRepeated)
+	set("repeats-rejected", c.RepeatsRejected)
+	set("ran-twice", c.AliveAfterDrop)
+	for reason, n := range c.Dropped {
+		set("dropped-"+schedule.DropReason(reason).String(), n)
+	}
 	set("room-requested", c.Lending.Requested)
 	set("room-received", c.Lending.Received)
 	set("jobs-lent", c.Lending.JobsLent)
