A rejected second order for a start says nothing of the first

What callers saw: a task ran on two runners at the same time; or, where the second order was answered 400, its job failed while the task ran.

Cause: a start stayed unanswered and was sent again; the runner rejected the second order (429, 503, or 409 for room, lateness or age). startRejected took that for the outcome of both and started the task elsewhere at once, without a stop. Only stored jobs' runs were spared, and only while their job was still known; a run whose job had been dropped, or which the runner had listed meanwhile, was forgotten as well.

Change: whatever the job, the run counts until the runner shows that it is over. Unhealthy, no room and invalid: it is stopped. Outdated: its end, or the stop's, is on the next list. Too late: no order for it is accepted any more, so the next complete list tells whether it has begun; it isn't stopped, since it may be at work. That list also ends the wait on a runner that rejects stops but answers for its list. A run that the runner has listed is kept. What a rejection shows of the runner (health, room) counts for each of them, also for stored jobs, where it was left out.

--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -28,6 +28,9 @@
 	// StoppedUnlisted: the runner answered an order to stop the run, and its list of a later time
 	// has neither the run nor its end.
 	StoppedUnlisted
+	// NeverBegun: orders to start the run stayed unanswered or were rejected, and the runner's list of a
+	// time at which it accepts none of them any more has neither the run nor its end.
+	NeverBegun
 	// StopTimedOut: the runner answered an order to stop the run, and the longest time that it takes
 	// to do so is over. It has listed no end.
 	StopTimedOut
@@ -43,7 +46,7 @@
 )
 
 var dropReasonNames = [dropReasons]string{
-	"start-rejected", "stopped-unlisted", "stop-timed-out", "lease-over", "runner-fenced", "runner-replaced", "runner-restarted",
+	"start-rejected", "stopped-unlisted", "never-begun", "stop-timed-out", "lease-over", "runner-fenced", "runner-replaced", "runner-restarted",
 }
 
 // String returns the reason's name in logs.
@@ -147,15 +150,20 @@
 func (s *Scheduler) dropRunAs(u *run, why DropReason, d Decision) {
 	u.runner.drop(u)
 	s.ctr.Dropped[why]++
-	d.Job, d.Run, d.Runner = u.key.Task.Job, u.key, u.runner.info.ID
-	s.emit(d)
-	dropped := &droppedRun{key: u.key, runner: d.Runner, evidence: d.Event + " " + d.Reason, allowsEnd: why.allowsEnd(), at: s.now}
+	s.emitForRun(u, d)
+	dropped := &droppedRun{key: u.key, runner: u.runner.info.ID, evidence: d.Event + " " + d.Reason, allowsEnd: why.allowsEnd(), at: s.now}
 	if other := s.otherRun(u); other != nil {
 		dropped.setNext(other)
 	}
 	s.drops.add(dropped)
 }
 
+// emitForRun logs a decision about a run.
+func (s *Scheduler) emitForRun(u *run, d Decision) {
+	d.Job, d.Run, d.Runner = u.key.Task.Job, u.key, u.runner.info.ID
+	s.emit(d)
+}
+
 // dropRuns drops all runs of a runner and gives up its ownership.
 func (s *Scheduler) dropRuns(r *runner, why DropReason) {
 	for _, u := range r.sortedRuns() {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -90,18 +90,27 @@
 		r.runs[k].noteCheckpoint(res.Checkpoints[k])
 	}
 	if complete {
-		s.dropStopped(r, listed, res.Clock.SentAt)
+		s.dropUnlisted(r, listed, res.Clock.SentAt)
 	}
+	r.noteExpiredStarts()
 }
 
-// dropStopped drops runs whose stop the runner confirmed before it was asked for the list, and
-// that aren't on it: their starts had never arrived.
-func (s *Scheduler) dropStopped(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
+// dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and can't
+// begin any more.
+func (s *Scheduler) dropUnlisted(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
 	for _, u := range r.sortedRuns() {
-		if !u.stopped || u.stoppedAt > sentAt || listed[u.key] {
+		if listed[u.key] {
+			continue
+		}
+		switch {
+		case u.stopped && u.stoppedAt <= sentAt:
+			s.dropRun(u, StoppedUnlisted)
+		case !u.stopped && !u.confirmed && u.startExpiredAt > 0 && u.startExpiredAt <= sentAt:
+			s.dropRun(u, NeverBegun)
+			u.delayTask(r.startInvalidAt(u))
+		default:
 			continue
 		}
-		s.dropRun(u, StoppedUnlisted)
 		if u.task != nil {
 			s.requeue(u.task)
 		}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -93,8 +93,13 @@
 	// startAttempts counts how often its start was sent, and orderedAt is when that was last.
 	startAttempts int
 	orderedAt     Time
-	// leaseEnd is the end of the lease in its start order.
+	// leaseEnd is the end of the lease in its start order. A runner that receives the order later
+	// rejects it.
 	leaseEnd int64
+	// inDoubt: no order to start it was accepted, and one stayed unanswered. startExpiredAt is when an
+	// answer has shown that the runner accepts none any more; 0 if none has yet.
+	inDoubt        bool
+	startExpiredAt Time
 	// checkpoint is the newest checkpoint of an orphan, used if its job arrives.
 	checkpoint string
 	// confirmed runs were accepted or listed by the runner.
@@ -124,6 +129,22 @@
 	return &runner{info: info, incarnationStart: info.IncarnationStart, runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now}
 }
 
+// delayTask keeps the run's task from being started again before a time.
+func (u *run) delayTask(until Time) {
+	if u.task != nil {
+		u.task.notBefore = max(u.task.notBefore, until)
+	}
+}
+
+// noteExpiredStarts records which runs in doubt can't begin any more, by the runner's clock.
+func (r *runner) noteExpiredStarts() {
+	for _, u := range r.runs {
+		if u.inDoubt && u.startExpiredAt == 0 && u.leaseEnd < r.clock {
+			u.startExpiredAt = r.clockAt
+		}
+	}
+}
+
 // release clears the ownership and all runs.
 func (r *runner) release() {
 	r.owned = false
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -73,23 +73,10 @@
 		return
 	}
 	r.markUnresponsive(s.now)
+	u.inDoubt = true
 	s.stopRun(u)
 }
 
-// secondStartRejected handles a start that was refused after an earlier order for the same run had
-// stayed unanswered. The earlier order may have been carried out, and the run may have ended; or
-// the order may still arrive.
-func (s *Scheduler) secondStartRejected(r *runner, u *run, o CallOutcome) {
-	s.ctr.RepeatsRejected++
-	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "second order: " + o.String(), Age: s.now - u.started})
-	if o != Outdated {
-		s.stopRun(u)
-		return
-	}
-	u.stopping = true
-	s.noteStopped(u, s.now)
-}
-
 // noteStopped records that a run can't start any more and has ended or is about to. The runner's
 // list shows how.
 func (s *Scheduler) noteStopped(u *run, at Time) {
@@ -99,18 +86,33 @@
 	s.requestList(u.runner)
 }
 
-// startRejected handles a start that has certainly not been carried out.
+// startRejected handles an order to start a run that was certainly not carried out. An earlier order
+// for the same run may have been.
 func (s *Scheduler) startRejected(r *runner, u *run, o CallOutcome) {
-	if u.startAttempts > 1 && u.ofStoredJob() {
-		s.secondStartRejected(r, u, o)
+	s.noteRejection(r, o)
+	rejected := Decision{Event: "start-rejected", Reason: fmt.Sprintf("%s, order %d", o, u.startAttempts), Age: s.now - u.started}
+	if u.confirmed || u.startAttempts > 1 {
+		s.emitForRun(u, rejected)
+		s.repeatRejected(u, o)
 		return
 	}
+	s.dropRunAs(u, StartRejected, rejected)
 	t := u.task
-	if u.startAttempts > 1 {
-		s.ctr.RepeatsRejected++
+	if t == nil {
+		return
+	}
+	switch o {
+	case Outdated:
+		t.lastNumber += runsPerScheduler
+	case Invalid:
+		s.finish(t.job, workload.JobFailed, "runners don't understand the task")
+		return
 	}
-	reason := fmt.Sprintf("%s, order %d", o, u.startAttempts)
-	s.dropRunAs(u, StartRejected, Decision{Event: "start-rejected", Reason: reason, Age: s.now - u.started})
+	s.requeue(t)
+}
+
+// noteRejection records what the rejection of a start shows about its runner.
+func (s *Scheduler) noteRejection(r *runner, o CallOutcome) {
 	switch o {
 	case Unhealthy:
 		r.health.failed(s.now, strikesToClose)
@@ -118,18 +120,26 @@
 		// Runs unknown to this scheduler are there. The list shows which.
 		r.markUnresponsive(s.now)
 		r.nextHoldAt = s.now
-	case Outdated:
-		if t != nil {
-			t.lastNumber += runsPerScheduler
-		}
-	case Invalid:
-		if t != nil {
-			s.finish(t.job, workload.JobFailed, "runners don't understand the task")
-			return
-		}
 	}
-	if t != nil {
-		s.requeue(t)
+}
+
+// repeatRejected handles a run whose start was rejected though an earlier order for it may have been
+// carried out, or may still arrive. The run counts until the runner shows that it is over.
+func (s *Scheduler) repeatRejected(u *run, o CallOutcome) {
+	s.ctr.RepeatsRejected++
+	switch {
+	case o == Outdated:
+		u.stopping = true
+		s.noteStopped(u, s.now)
+		// The runner lists the run's end.
+		u.overAt = never
+	case u.confirmed:
+	case o == TooLate:
+		u.inDoubt, u.startExpiredAt = true, s.now
+		s.requestList(u.runner)
+	default:
+		u.inDoubt = true
+		s.stopRun(u)
 	}
 }
 
