Answers to starts and stops count only under the token of their orders

What callers saw: a stored job's task could run twice; a runner that this scheduler had just acquired was given up with its runs, or taken back at once from its new scheduler.

Results of Start and Stop carried no token, as those of Hold do. After a runner was lost to another scheduler and acquired again, an answer to an order of before still counted: a rejection dropped the run that had been adopted from the list since (its own count of orders is 0), and a refusal of the earlier token gave up the present ownership. A second refusal, with the runner already left to the other scheduler, took it back without the delay that is meant for that.

Change: StartResult and StopResult repeat the token; an answer under another token than the present one shows only the runner's clock and incarnation. What became of the run is on the lists, which the acquisition reads.

The tests' own results got the tokens of their orders; no expectation changed.

--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -56,13 +56,13 @@
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
 			answer(r.start(c), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
-			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
+			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Stop:
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
 			answer(r.stop(c), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
-			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
+			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Hold:
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -197,17 +197,19 @@
 	IncarnationStart int64
 }
 
-// StartResult reports the outcome of a Start.
+// StartResult reports the outcome of a Start, whose token it repeats.
 type StartResult struct {
 	Runner  workload.RunnerID
+	Token   uint64
 	Run     workload.RunKey
 	Outcome CallOutcome
 	Clock   ClockReading
 }
 
-// StopResult reports the outcome of a Stop.
+// StopResult reports the outcome of a Stop, whose token it repeats.
 type StopResult struct {
 	Runner  workload.RunnerID
+	Token   uint64
 	Run     workload.RunKey
 	Outcome CallOutcome
 	Clock   ClockReading
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -145,11 +145,11 @@
 }
 
 func (b *harness) started(c Start, o CallOutcome) {
-	b.s.Started(b.now, StartResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: b.clock()})
+	b.s.Started(b.now, StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: b.clock()})
 }
 
 func (b *harness) stopped(c Stop, o CallOutcome) {
-	b.s.Stopped(b.now, StopResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: b.clock()})
+	b.s.Stopped(b.now, StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: b.clock()})
 }
 
 var lastJob int
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -57,7 +57,7 @@
 	b.g.Expect(again.Run.Task).To(Equal(c.Run.Task))
 	b.g.Expect(again.Run.Number).To(BeNumerically(">", c.Run.Number))
 	b.g.Expect(again.LeaseEnd).To(BeNumerically("<", 2000), "on the new clock")
-	b.s.Started(b.now, StartResult{Runner: "r1", Run: again.Run, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, since)})
+	b.s.Started(b.now, StartResult{Runner: "r1", Token: again.Token, Run: again.Run, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, since)})
 	b.s.Held(b.now, HoldResult{
 		Runner: "r1", Token: r.token, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, since),
 		Ends: []workload.End{{Sequence: 1, Run: again.Run, Kind: workload.Done}},
@@ -68,7 +68,7 @@
 // Guards against two runs of a task whose start arrived just after the runner had restarted.
 func TestStartAcceptedByTheNewIncarnationIsAdopted(t *testing.T) {
 	b, c, since := restartedHarness(t, false)
-	b.s.Started(b.now, StartResult{Runner: "r1", Run: c.Run, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, since)})
+	b.s.Started(b.now, StartResult{Runner: "r1", Token: c.Token, Run: c.Run, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, since)})
 	b.answerAll("r1", secondIncarnation, since, c.Run)
 	b.tick(100 * ms)
 	b.g.Expect(take[Start](b)).To(BeEmpty())
@@ -89,7 +89,7 @@
 	old := testRunner("r1")
 	old.IncarnationStart = firstIncarnation
 	b.s.SetRunners(b.now, []workload.Runner{old})
-	b.s.Started(b.now, StartResult{Runner: "r1", Run: c.Run, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
+	b.s.Started(b.now, StartResult{Runner: "r1", Token: c.Token, Run: c.Run, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
 	r := b.s.runners["r1"]
 	b.g.Expect(r.incarnationStart).To(BeEquivalentTo(secondIncarnation))
 	b.g.Expect(r.runs).To(HaveKey(again.Run))
--- a/core/schedule/load_test.go
+++ b/core/schedule/load_test.go
@@ -223,7 +223,7 @@
 		sent := b.clock()
 		b.now += 45 * ms
 		sent.ReceivedAt = b.now
-		b.s.Started(b.now, StartResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: sent})
+		b.s.Started(b.now, StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: Accepted, Clock: sent})
 		b.end(c.Runner, seq+1, c.Run, workload.Done)
 	}
 	b.g.Expect(b.s.callTimeout()).To(BeNumerically(">", 150*ms))
--- a/core/schedule/simulation_test.go
+++ b/core/schedule/simulation_test.go
@@ -264,7 +264,7 @@
 				s.start(sch, c)
 			case Stop:
 				s.after(orderTime, func() {
-					sch.Stopped(s.now, StopResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
+					sch.Stopped(s.now, StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
 					s.end(sch, c.Runner, c.Run, workload.Stopped)
 				})
 			case Hold:
@@ -295,7 +295,7 @@
 		took = time.Duration(float64(took) * s.slowed(c.Runner))
 	}
 	s.after(orderTime, func() {
-		sch.Started(s.now, StartResult{Runner: c.Runner, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
+		sch.Started(s.now, StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: Accepted, Clock: s.clock()})
 		s.after(took, func() { s.end(sch, c.Runner, c.Run, workload.Done) })
 	})
 }
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -13,9 +13,10 @@
 const stopSlack = 20 * time.Millisecond
 
 // answeringRunner returns the runner that has answered an order to start or to stop a run, with its
-// clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner or
-// another incarnation of the runner has answered.
-func (s *Scheduler) answeringRunner(id workload.RunnerID, clock ClockReading) *runner {
+// clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner,
+// another incarnation of the runner has answered, or the runner was acquired again since the order
+// was sent. In the last case the runner's lists show what has become of the run.
+func (s *Scheduler) answeringRunner(id workload.RunnerID, token uint64, clock ClockReading) *runner {
 	r := s.runners[id]
 	if r == nil || r.gone || !s.leading {
 		return nil
@@ -25,13 +26,16 @@
 		return nil
 	}
 	r.updateClock(clock)
+	if token != r.token {
+		return nil
+	}
 	return r
 }
 
 // Started handles the result of a Start.
 func (s *Scheduler) Started(now Time, res StartResult) {
 	s.now = now
-	r := s.answeringRunner(res.Runner, res.Clock)
+	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
 		return
 	}
@@ -155,7 +159,7 @@
 // Stopped handles the result of a Stop.
 func (s *Scheduler) Stopped(now Time, res StopResult) {
 	s.now = now
-	r := s.answeringRunner(res.Runner, res.Clock)
+	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
 		return
 	}
