--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -25,6 +25,9 @@
 const (
 	// StartRejected: the runner rejected the last order to start the run.
 	StartRejected DropReason = iota
+	// StartOutdated: the runner rejected it since the run, or a later run of the task, had ended there
+	// or was stopped.
+	StartOutdated
 	// StoppedUnlisted: the runner answered an order to stop the run, and its list of a later time
 	// has neither the run nor its end.
 	StoppedUnlisted
@@ -43,17 +46,25 @@
 )
 
 var dropReasonNames = [dropReasons]string{
-	"start-rejected", "stopped-unlisted", "stop-timed-out", "lease-over", "runner-fenced", "runner-replaced", "runner-restarted",
+	"start-rejected", "start-outdated", "stopped-unlisted", "stop-timed-out", "lease-over", "runner-fenced", "runner-replaced", "runner-restarted",
 }
 
 // String returns the reason's name in logs.
 func (d DropReason) String() string { return dropReasonNames[d] }
 
+// rejection returns the reason for dropping a run whose start was rejected with an outcome.
+func rejection(o CallOutcome) DropReason {
+	if o == Outdated {
+		return StartOutdated
+	}
+	return StartRejected
+}
+
 // allowsEnd reports whether a run that was dropped for this reason may have ended by itself before
 // that, so that an end which is listed later is no sign of a fault.
 func (d DropReason) allowsEnd() bool {
 	switch d {
-	case StopTimedOut, LeaseOver, RunnerFenced:
+	case StartOutdated, StopTimedOut, LeaseOver, RunnerFenced:
 		return true
 	case RunnerRestarted:
 		// A start that was on its way may have reached the new incarnation.
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -87,6 +87,22 @@
 	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", first.Run, ContainSubstring("done, other run "+second.Run.String()))))
 }
 
+// Guards against a false warning after a repeated start whose run had ended before it arrived: the task
+// is started again, but both runs don't overlap.
+func TestOutdatedStartIsNoSignOfASecondRun(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	first := one[Start](b)
+	b.started(first, Unanswered)
+	b.started(one[Start](b), Outdated)
+	b.started(one[Start](b), Accepted)
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	lines := take[Decision](b)
+	b.g.Expect(lines).To(ContainElement(logged("dropped-run-done", first.Run, ContainSubstring("start-rejected outdated, order 2"))))
+	b.g.Expect(lines).NotTo(ContainElement(HaveField("Warning", true)))
+	b.g.Expect(b.s.Counters().Dropped[StartOutdated]).To(BeEquivalentTo(1))
+}
+
 // Guards against a runner that carries out a start that it rejects, without a line in the log.
 func TestRunOfTheFirstRejectedOrderIsReported(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -110,7 +110,7 @@
 		s.ctr.RepeatsRejected++
 	}
 	reason := fmt.Sprintf("%s, order %d", o, u.startAttempts)
-	s.dropRunAs(u, StartRejected, Decision{Event: "start-rejected", Reason: reason, Age: s.now - u.started})
+	s.dropRunAs(u, rejection(o), Decision{Event: "start-rejected", Reason: reason, Age: s.now - u.started})
 	switch o {
 	case Unhealthy:
 		r.health.failed(s.now, strikesToClose)
