--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -100,7 +100,7 @@
 		s.repeatRejected(u, o)
 		return
 	}
-	s.dropRunAs(u, StartRejected, rejected)
+	s.dropRunAs(u, rejection(o), rejected)
 	t := u.task
 	if t == nil {
 		return
