An overtaken list doesn't revive a run whose end was listed

A renewal and a request for the list are under way at a time, on connections of their own. The renewal's answer with the run's end overtakes the list with the run as running; the list then brings the run back, as one that another scheduler had started.

Change: a run whose end was listed after a request was sent isn't taken from that request's answer. Ends are remembered for as long as such an answer may take.

--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -79,12 +79,16 @@
 	}
 	for _, e := range res.Ends {
 		if !r.noted(e.Sequence) {
+			r.noteRecentEnd(e.Run, s.now)
 			s.noteEnd(r, e)
 		}
 	}
 	s.acknowledge(r)
 	listed := make(map[workload.RunKey]bool, len(res.Running))
 	for _, k := range res.Running {
+		if r.endedSince(k, res.Clock.SentAt) {
+			continue
+		}
 		listed[k] = true
 		s.noteListedRun(r, k, res.Clock.SentAt)
 		r.runs[k].noteCheckpoint(res.Checkpoints[k])
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -67,6 +67,8 @@
 	// recorded since.
 	acknowledged uint64
 	ends         []listedEnd
+	// recentEnds are the runs whose ends were listed in the last listDelay, oldest first.
+	recentEnds []recentEnd
 	// noLeaseUntil is the time until which no lease is granted. The last lease has certainly
 	// expired by then, see listedEnd.afterLeaseExpiry.
 	noLeaseUntil Time
@@ -154,6 +156,7 @@
 	r.unresponsive = false
 	r.acknowledged = 0
 	r.ends = nil
+	r.recentEnds = nil
 	r.used = workload.Resources{}
 	clear(r.runs)
 	r.orphanCount, r.foreignOrphanCount = 0, 0
