A doubtful run that is adopted by its job sent again is still stopped

What callers saw: a job that was left and sent again stood still until its run was overdue (2.7 s at an estimate of 0.5 s, in an audit's probe).

Cause: neither the starts of a run nor its stop were answered. The job, sent again, adopted the run, and adoption called the repetition of the stop off, as it does for runs that the runner has listed. Nothing else shows whether a run that nobody has listed is there.

Change: adoption calls a stop off only if the runner has listed or accepted the run.

Evidence: TestADoubtfulRunIsStoppedAfterItsJobIsSentAgain fails without it.

--- a/core/schedule/doubtful_start_test.go
+++ b/core/schedule/doubtful_start_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// Guards against a job that waits until its run is overdue, since it was dropped and sent again while
+// neither its starts nor their stop were answered.
+func TestADoubtfulRunIsStoppedAfterItsJobIsSentAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	j := testJob(1, 500*ms)
+	again := b.unansweredOnce(j)
+	b.started(again, Unanswered)
+	b.s.Abandon(b.now, entryA, j.ID)
+	b.stopped(one[Stop](b), Unanswered)
+	b.submit(j, 2*time.Second)
+	b.tick(20 * ms)
+	b.g.Expect(one[Stop](b).Run).To(Equal(again.Run))
+}
+
 // Guards against a doubtful run that is stopped though it can't begin any more: its runner's list
 // shows whether it has begun.
 func TestAStartThatCameTooLateIsDecidedByTheList(t *testing.T) {
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -175,7 +175,9 @@
 	j.noteRun(u.key)
 	t.checkpoint = u.checkpoint
 	u.setTask(t)
-	u.stopAt = 0
+	if u.confirmed {
+		u.stopAt = 0
+	}
 	t.run = u
 	t.lastNumber = max(t.lastNumber, u.key.Number)
 	t.setPhase(running)
