--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -86,6 +86,21 @@
 	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", first.Run, ContainSubstring("done, other run "+second.Run.String()))))
 }
 
+// Guards against a false warning after a start of a run that had ended before: the task is started again,
+// but both runs don't overlap.
+func TestOutdatedStartIsNoSignOfASecondRun(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	first := one[Start](b)
+	b.started(first, Outdated)
+	b.started(one[Start](b), Accepted)
+	b.end(first.Runner, 1, first.Run, workload.Done)
+	lines := take[Decision](b)
+	b.g.Expect(lines).To(ContainElement(logged("dropped-run-done", first.Run, ContainSubstring("start-rejected outdated, order 1"))))
+	b.g.Expect(lines).NotTo(ContainElement(HaveField("Warning", true)))
+	b.g.Expect(b.s.Counters().Dropped[StartOutdated]).To(BeEquivalentTo(1))
+}
+
 // Guards against a start in doubt that leaves no line, and against a warning of a second run where there
 // is none.
 func TestRejectionOfARepeatedStartIsLogged(t *testing.T) {
