A verdict on a dropped hand-in sends the job to no other shard

What callers saw: nothing; but a task of their job ran twice at the same time.

Cause: a caller leaves, its job's hand-in is dropped, and the caller's copy is handed in again to the same scheduler. The scheduler's verdict on the first hand-in, lack of room, was under way. Verdicts name no hand-in, so the gateway took it for one on the second and handed the job to another shard too, while the first scheduler started it. The same if the refusal is of the second hand-in, and runs of the first are still being stopped.

Change: the gateway remembers for 4 s the jobs whose hand-ins it dropped or handed over. A job that is handed in again within that time isn't redirected. If it is refused or given up, its scheduler gets a Drop too, since it may have the second hand-in. A lent job still goes to the lender: its home starts no copy of a job that it has lent.

Evidence: TestVerdictOnADroppedHandInRedirectsNothing, on the code before: "the scheduler has the second hand-in. Expected [HandIn To b, Shard 1 ...] to be empty". It passes now. The other tests hold the cost down: a completed job is still answered, the memory is forgotten after 4 s and bounded.

Why it works: whichever hand-in the verdict is on, only this scheduler may have the job then. No wire change: the memory is needed only where the Drop was sent, and if this process dies, verdicts for it have no receiver.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -52,6 +52,8 @@
 	// mayHaveRun: a scheduler that had it couldn't rule out that a run of an earlier copy was
 	// started.
 	mayHaveRun bool
+	// droppedBefore: an earlier hand-in of it was dropped, and a verdict on that one may arrive.
+	droppedBefore bool
 	// arrived is when it came, due when its latency objective ends, and deadline when its last
 	// caller's timeout ends.
 	arrived, due, deadline Time
@@ -70,6 +72,7 @@
 	choices   map[int]leader.Choice
 	jobs      map[workload.JobID]*inFlightJob
 	byRequest map[uint64]workload.JobID
+	drops     recentDrops
 	domain    string
 	// fallback is set if jobs may go to shards other than their home.
 	fallback FallbackShards
@@ -86,6 +89,7 @@
 		choices:       make(map[int]leader.Choice),
 		jobs:          make(map[workload.JobID]*inFlightJob),
 		byRequest:     make(map[uint64]workload.JobID),
+		drops:         newRecentDrops(),
 		expectedWaits: make(map[int]time.Duration),
 	}
 }
@@ -144,6 +148,7 @@
 		return
 	}
 	j := &inFlightJob{job: job, shard: shard, home: shard, arrived: now, due: now + job.Objective, deadline: now + remainingTimeout, requests: []uint64{request}}
+	j.droppedBefore = g.drops.has(now, job.ID)
 	g.jobs[job.ID] = j
 	g.byRequest[request] = job.ID
 	g.handIn(j)
@@ -171,9 +176,16 @@
 		return
 	}
 	delete(g.jobs, id)
-	if j.scheduler != "" {
-		g.out = append(g.out, Drop{At: g.now, To: j.scheduler, Shard: j.shard, Job: id})
+	g.drop(j)
+}
+
+// drop tells a job's scheduler, if it has one, to drop the job.
+func (g *Gateway) drop(j *inFlightJob) {
+	if j.scheduler == "" {
+		return
 	}
+	g.out = append(g.out, Drop{At: g.now, To: j.scheduler, Shard: j.shard, Job: j.job.ID})
+	g.drops.add(g.now, j.job.ID)
 }
 
 // SetLeader sets the choice of a shard's leader, and hands over the jobs of the former leader.
@@ -218,6 +230,7 @@
 	j.scheduler = ""
 	j.priorSubmissions++
 	j.uncertainUntil = g.now + orphanRunLifetime
+	g.drops.add(g.now, j.job.ID)
 }
 
 // handIn hands a job in to the leader of the shard chosen for it. If none has a reachable leader,
@@ -267,9 +280,18 @@
 	if v.Outcome == workload.NotRun && (j.priorSubmissions > 0 || j.mayHaveRun) {
 		v.Outcome = workload.GaveUp
 	}
+	if j.droppedBefore && refused(v) {
+		// The verdict may be on the earlier hand-in, and the scheduler may have this one.
+		g.drop(j)
+	}
 	g.reply(j, v)
 }
 
+// refused reports whether a verdict leaves a job undone.
+func refused(v Verdict) bool {
+	return v.Outcome == workload.NotRun || v.Outcome == workload.GaveUp
+}
+
 func (g *Gateway) reply(j *inFlightJob, v Verdict) {
 	delete(g.jobs, j.job.ID)
 	for _, r := range j.requests {
@@ -299,15 +321,14 @@
 // giveUp answers the callers of a job that may have run in part, and tells its scheduler, if
 // it has one, to drop the job.
 func (g *Gateway) giveUp(j *inFlightJob, cause workload.RefusalCause, reason string) {
-	if j.scheduler != "" {
-		g.out = append(g.out, Drop{At: g.now, To: j.scheduler, Shard: j.shard, Job: j.job.ID})
-	}
+	g.drop(j)
 	g.reply(j, Verdict{From: j.scheduler, Job: j.job.ID, Outcome: workload.GaveUp, RetryAfter: noLeaderRetryAfter, Cause: cause, Reason: reason})
 }
 
 // Tick answers the jobs that no scheduler has answered in time.
 func (g *Gateway) Tick(now Time) {
 	g.now = now
+	g.drops.expire(now)
 	for _, j := range g.sortedJobs() {
 		if j.scheduler == "" && now < j.deadline {
 			// All runs of the former scheduler may have ended by now, so that the job may go to
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -62,8 +62,11 @@
 }
 
 // mayRedirect reports whether a refused job may go to another shard. A lent job may not: its home
-// sends copies of the job to the lender, which would start them beside a run in a third shard.
-func (g *Gateway) mayRedirect(j *inFlightJob, v Verdict) bool { return !v.Lent && !j.lent }
+// sends copies of the job to the lender, which would start them beside a run in a third shard. Nor may
+// one of which an earlier hand-in was dropped: the refusal may be of that one.
+func (g *Gateway) mayRedirect(j *inFlightJob, v Verdict) bool {
+	return !v.Lent && !j.lent && !j.droppedBefore
+}
 
 // handToLender hands a job to the shard that has granted room for it, and reports whether the job was
 // handed to any shard. If the lender's leader isn't reachable from here, the job goes back to its home,
