A refusal of a dropped hand-in doesn't tell the caller that its job never runs

What callers saw: 503, which promises that the job never runs, and the job ran.

Cause: a stored job's hand-in is dropped with its caller, but its refusal may still wait for a proof of the rows' ownership. The caller's copy is handed in again to the same scheduler and may be accepted there. Then the refusal of the first hand-in arrives, and the gateway answered the second request with it.

The caller sends the job again, and the scheduler answers that copy with what it knows. This holds for all jobs: a scheduler retains refusals of jobs that aren't stored, but where the dropped hand-in was in another shard, it needn't know of it. The cost is one more try for such a caller.

Evidence: TestRefusalOfADroppedHandInDoesNotProveNotRun, on the code before, for stored and other jobs: "the second hand-in may be accepted. Expected 3 [NotRun] to equal 4 [GaveUp]". It passes now.

Why it works: only a verdict that is certainly on the one hand-in left may promise anything. If this process dies instead, the copy comes through another one, to which the refusal isn't sent.

--- a/core/gateway/drops_test.go
+++ b/core/gateway/drops_test.go
@@ -38,6 +38,24 @@
 	}
 }
 
+// Guards against a caller who is told that its job never runs because the dropped hand-in of it was refused.
+func TestRefusalOfADroppedHandInDoesNotProveNotRun(t *testing.T) {
+	stored := testJob("j")
+	stored.Stored = true
+	for name, job := range map[string]*workload.Job{"best effort": testJob("j"), "stored": stored} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			gw := handedInAgain(g, job, 10*ms)
+			gw.HandleVerdict(25*ms, Verdict{From: "a", Job: "j", Outcome: workload.NotRun, Cause: workload.LackOfRoom, RetryAfter: time.Second})
+			answers := replies(gw.Ready())
+			g.Expect(answers).To(HaveLen(1))
+			g.Expect(answers[0].Outcome).To(Equal(workload.GaveUp), "the second hand-in may be accepted")
+			g.Expect(answers[0].Cause).To(Equal(workload.LackOfRoom))
+			g.Expect(answers[0].RetryAfter).To(Equal(time.Second))
+		})
+	}
+}
+
 // Guards against callers who get no answer of a completed job because an earlier hand-in was dropped.
 func TestVerdictOnADroppedHandInThatCompletedIsPassedOn(t *testing.T) {
 	g := NewWithT(t)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -277,7 +277,7 @@
 	}
 	// The home of a lent job sends copies of it to the lender, which may start them.
 	j.mayHaveRun = j.mayHaveRun || v.Lent
-	if v.Outcome == workload.NotRun && (j.priorSubmissions > 0 || j.mayHaveRun) {
+	if v.Outcome == workload.NotRun && (j.priorSubmissions > 0 || j.mayHaveRun || j.droppedBefore) {
 		v.Outcome = workload.GaveUp
 	}
 	if j.droppedBefore && refused(v) {
