A process about to end tells no caller that its job never runs

What callers saw: 503, which promises that the job never runs, while an earlier copy of the job ran, or after it had.

Cause: a process in the last part of its planned stop refuses jobs that it can't serve to the end. It answered NotRun without asking a scheduler. A copy whose first attempt came through another entry VM, killed meanwhile, got that answer too. Only with cells, and while a VM was known to be missing, was the answer GaveUp.

Change: the answer is always GaveUp (504), with the same cause and delay.

Why GaveUp, and not the scheduler's own refusal: 503 is final, so a new job that another process could have served was lost. Nobody is asked, so the answer stays cheap. Passed on as usual, a new job would take a runner's time until the process ends and answers GaveUp all the same. Passed on with the time that is left, the scheduler would refuse it for too little time, which is true but final. The price: copies come once more, and a job that nobody can serve is refused one try later.

Evidence: TestProcessAboutToEndDoesNotDenyACopy, on the code before: "at 4.7s: job: its caller is told that it hasn't run; 1 runs were started". It passes now, and the caller gets its answer from another process. core/fleet passes (234 s).

Why it works: the answer promises nothing, so it needs no knowledge of other copies.

--- a/core/fleet/callers_test.go
+++ b/core/fleet/callers_test.go
@@ -50,6 +50,11 @@
 		w.resubmit(j)
 		return
 	}
+	w.sendTo(n, j)
+}
+
+// sendTo sends a job to a process.
+func (w *world) sendTo(n *fakeNode, j *fakeJob) {
 	n.lastID++
 	request := n.lastID
 	n.requests[request] = j
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -21,12 +21,7 @@
 		n.noteStoredJob(now)
 	}
 	if !job.Stored && !n.timeToServe(now, job) {
-		outcome := workload.NotRun
-		if now < n.uncertainUntil {
-			// A copy of the job may have run in another cell; see uncertainty.go.
-			outcome = workload.GaveUp
-		}
-		n.emit(Answer{gateway.Reply{Request: request, Job: job, Outcome: outcome, RetryAfter: stopRetryAfter, Cause: workload.ProcessEnding, Reason: "this process is about to end"}})
+		n.answerEnding(request, job)
 		return
 	}
 	if len(n.shards) == 0 {
@@ -36,6 +31,16 @@
 	n.gateway.Submit(now, request, n.shardOfJob(job), job, remainingTimeout)
 }
 
+// answerEnding answers a request that comes too late for this process to serve it. No scheduler is
+// asked, and a copy of the job may have run, so the outcome isn't NotRun. After GaveUp the caller sends
+// the job again, to another process.
+func (n *Node) answerEnding(request uint64, job *workload.Job) {
+	n.emit(Answer{gateway.Reply{
+		Request: request, Job: job, Outcome: workload.GaveUp, RetryAfter: stopRetryAfter,
+		Cause: workload.ProcessEnding, Reason: "this process is about to end",
+	}})
+}
+
 // CallerLeft handles the disconnect of a caller.
 func (n *Node) CallerLeft(now Time, request uint64) {
 	n.dropEarly(request)
