A process that has ended tells no caller that its job never runs

What callers saw: 503, which promises that the job never runs, though a copy of it that had come through another entry VM ran or had run.

Cause: as with a process about to end: a request that came too late for the ended loop was answered NotRun, and nobody was asked.

Change: the answer is GaveUp (504), with the same delay; the caller sends the job again.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -54,8 +54,8 @@
 
 // finalReply returns the reply to a request that was waiting when the process
 // ended: the one that was sent to it, or, if the request came too late for the loop to
-// handle it, that the job did not run. The latter is logged and counted here, since the loop
-// has ended.
+// handle it, that the job was given up: a copy of it may have run. The latter is logged and counted
+// here, since the loop has ended.
 func (p *Process) finalReply(job *workload.Job, done <-chan Reply) Reply {
 	select {
 	case r := <-done:
@@ -64,7 +64,7 @@
 		p.CountRefusal(job.Queue, workload.ProcessEnding)
 		p.log.Info().Str("job", string(job.ID)).Str("queue", job.Queue).Stringer("cause", workload.ProcessEnding).
 			Str("reason", "this process has ended").Dur("retry-after", retryAfterEnd).Msg("request-refused")
-		return Reply{Outcome: workload.NotRun, RetryAfter: retryAfterEnd}
+		return Reply{Outcome: workload.GaveUp, RetryAfter: retryAfterEnd}
 	}
 }
 
