A copy of a job that is being moved here doesn't end the scheduler

What callers saw: the process that schedules a shard panicked; all its callers got no answer. Cause: a stored job that another shard moves here has no map of waiters. A caller's copy that came while the job's record was being written was entered in it. Change: acceptMoved makes the map. Evidence: TestCopyOfAMovedJobBeingSaved: before, "panic: assignment to entry in nil map" in submitAgain; passes now. go test ./core/schedule passes. Why it works: it was the only place that makes a job that isn't accepted yet without the map. The copy's caller is answered with the record's arrival in the store, as for any copy.

--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -254,6 +254,7 @@
 	})
 	j.priorRunsOverAt = s.now
 	j.stored.accepted = false
+	j.stored.waiters = make(map[EntryID]Time)
 	j.stored.senders = []sender{{entry: from, shard: m.From}}
 	s.attach(j)
 	s.save(j)
--- a/core/schedule/move_test.go
+++ b/core/schedule/move_test.go
@@ -201,3 +201,15 @@
 		b.g.Expect(s.Record.State).NotTo(Equal(ledger.Forgotten))
 	}
 }
+
+// Guards against a scheduler that ends when a copy of a job comes that another shard is just moving here.
+func TestCopyOfAMovedJobBeingSaved(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	m := movedJobOfShard2(2)
+	b.s.AcceptMovedJob(b.now, entryA, m)
+	save := one[Save](b)
+	b.submit(m.Job, 2*time.Second)
+	b.g.Expect(take[Answer](b)).To(BeEmpty(), "it isn't in the store")
+	b.saved(save)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted))
+}
