A refusal that is held back isn't sent once a copy of the job is accepted

What callers saw: 503, which says that the job never runs, though it was stored and ran. Cause: the refusal of a stored job waits for a proof of the ownership of the rows. A copy that was accepted meanwhile, or was being written, wasn't looked at when the proof came. Change: a refusal keeps its submission. When it is due, a submission whose job is known by then is treated as a copy that comes now: it is answered Accepted, or waits for the store until its own timeout ends. Nothing had been said to its caller yet, so this is better for callers than a refusal of the copy too: the job is done. An earlier end of a timeout no longer replaces a later one of the same entry process. Why it works: all answers to refused submissions leave through resolveRefusal, which looks at the jobs and the retained outcomes first, in the same step as it sends.

--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -18,12 +19,7 @@
 		s.submitEarly(sub)
 		return
 	}
-	if k, ok := s.rows.retained[id]; ok {
-		s.submitEnded(sub, k)
-		return
-	}
-	if j := s.jobs[id]; j != nil {
-		s.submitAgain(j, sub)
+	if s.submitKnown(sub) {
 		return
 	}
 	s.ctr.Submitted++
@@ -36,10 +32,7 @@
 		return
 	}
 	if cause, reason := s.storedRefusal(j); cause != workload.NotRefused {
-		s.refuse(Answer{
-			Entry: sub.Entry, Job: id, Queue: sub.Job.Queue, Outcome: workload.NotRun,
-			Cause: cause, Reason: reason, RetryAfter: s.retryAfter(j),
-		})
+		s.refuse(sub, cause, reason, s.retryAfter(j))
 		return
 	}
 	j.stored = &stored{epoch: s.rows.epoch, waiters: map[EntryID]Time{sub.Entry: s.now + sub.RemainingTimeout}}
@@ -48,6 +41,19 @@
 	s.save(j)
 }
 
+// submitKnown handles a copy of a job that is known, and reports whether it is.
+func (s *Scheduler) submitKnown(sub Submission) bool {
+	if k, ok := s.rows.retained[sub.Job.ID]; ok {
+		s.submitEnded(sub, k)
+		return true
+	}
+	if j := s.jobs[sub.Job.ID]; j != nil {
+		s.submitAgain(j, sub)
+		return true
+	}
+	return false
+}
+
 // submitEnded handles a copy of a job that has ended.
 func (s *Scheduler) submitEnded(sub Submission, k retained) {
 	id := sub.Job.ID
@@ -69,7 +75,7 @@
 		s.answer(sub.Entry, j.work.ID, workload.Accepted, "known")
 		return
 	}
-	j.stored.waiters[sub.Entry] = s.now + sub.RemainingTimeout
+	j.stored.waiters[sub.Entry] = max(j.stored.waiters[sub.Entry], s.now+sub.RemainingTimeout)
 }
 
 // storedRefusal returns why a job isn't accepted; NotRefused and "" if it is. No record of the job
@@ -84,34 +90,54 @@
 // refusal is a refusal that is held back until it is certain that no other process has accepted
 // a copy of the job.
 type refusal struct {
-	answer Answer
-	since  Time
+	submission Submission
+	answer     Answer
+	since      Time
 }
 
 // refuse refuses a job. If another process may have accepted a copy of it, the answer waits
 // until this process's ownership of the rows is proved.
-func (s *Scheduler) refuse(a Answer) {
-	s.rows.refusals = append(s.rows.refusals, refusal{answer: a, since: s.now})
+func (s *Scheduler) refuse(sub Submission, cause workload.RefusalCause, reason string, retryAfter time.Duration) {
+	a := Answer{
+		Entry: sub.Entry, Job: sub.Job.ID, Queue: sub.Job.Queue, Outcome: workload.NotRun,
+		Cause: cause, Reason: reason, RetryAfter: retryAfter,
+	}
+	s.rows.refusals = append(s.rows.refusals, refusal{submission: sub, answer: a, since: s.now})
 	s.resolveRefusals()
 }
 
-// resolveRefusals sends the refusals that are certain. Those that stay uncertain for
-// refusalTimeout are sent as GaveUp.
+// resolveRefusals answers the refused submissions whose outcome is certain, or that have waited for too
+// long.
 func (s *Scheduler) resolveRefusals() {
-	s.rows.refusals = slices.DeleteFunc(s.rows.refusals, func(r refusal) bool {
-		r.answer.At = s.now
-		switch {
-		case s.knowsAllAccepted(r.since):
-			s.count(workload.NotRun)
-		case s.now-r.since > refusalTimeout:
-			r.answer.Outcome = workload.GaveUp
-			s.count(workload.GaveUp)
-		default:
-			return false
-		}
-		s.emit(r.answer)
+	s.rows.refusals = slices.DeleteFunc(s.rows.refusals, s.resolveRefusal)
+}
+
+// resolveRefusal answers a refused submission if it can be answered, and reports whether it did. If a copy
+// of the job was accepted meanwhile, the submission is treated as one that comes now: its caller must
+// not be told that the job never runs. One that stays uncertain for refusalTimeout is answered GaveUp.
+func (s *Scheduler) resolveRefusal(r refusal) bool {
+	if s.submitKnown(r.submissionAt(s.now)) {
 		return true
-	})
+	}
+	r.answer.At = s.now
+	switch {
+	case s.knowsAllAccepted(r.since):
+	case s.now-r.since > refusalTimeout:
+		r.answer.Outcome = workload.GaveUp
+	default:
+		return false
+	}
+	s.count(r.answer.Outcome)
+	s.emit(r.answer)
+	return true
+}
+
+// submissionAt returns the refused submission with the times that remain at now.
+func (r refusal) submissionAt(now Time) Submission {
+	sub := r.submission
+	sub.RemainingObjective -= now - r.since
+	sub.RemainingTimeout -= now - r.since
+	return sub
 }
 
 // earlySubmission is a submission that arrived before the stored jobs were loaded.
@@ -168,9 +194,6 @@
 			s.submitStored(e.Submission)
 			continue
 		}
-		s.refuse(Answer{
-			Entry: e.Entry, Job: id, Queue: e.Job.Queue, Outcome: workload.NotRun,
-			Cause: workload.CopyRefused, Reason: "a copy was refused", RetryAfter: minRetryAfter,
-		})
+		s.refuse(e.Submission, workload.CopyRefused, "a copy was refused", minRetryAfter)
 	}
 }
