client: a rejected resubmission of an unsettled job is unsettled

What callers saw: Submit ended with an UnsettledError, which says to submit again under the same id. They did, that call was rejected (an expired token, a limit), and the error was the plain rejection, documented as "started nothing", though the earlier submission may have started the job. Cause: only calls within one Submit counted as earlier ones. The documentation says that a client doesn't know of submissions by others. Why it works: each id of a submission without a final outcome is noted before the call returns.

--- a/client/client.go
+++ b/client/client.go
@@ -61,6 +61,7 @@
 	entries   []*entry
 	nextEntry atomic.Uint64
 	stats     counters
+	unsettled unsettledIDs
 }
 
 type counters struct {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -341,3 +341,37 @@
 	_, err := client.New(cfg).Submit(ctx, job())
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("no URL")))
 }
+
+func rejected(*pb.Submission) (*pb.Answer, error) {
+	return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("the token isn't known"))
+}
+
+// Guards against a caller who submits an unsettled job again, as it was told, and takes the rejection of
+// that call for the outcome of the earlier one.
+func TestRejectedResubmissionOfAnUnsettledJobIsUnsettled(t *testing.T) {
+	for name, submit := range map[string]func(*client.Client, context.Context, *pb.Submission) (*pb.Answer, error){
+		"Submit": (*client.Client).Submit, "SubmitOnce": (*client.Client).SubmitOnce,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, ctx, cfg := setup(t, startEntry(t, "a", retryLater, rejected, rejected, complete, rejected))
+			c := client.New(cfg)
+			s := job()
+			var err error
+			s.Id, err = c.NewID(ctx)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			short, cancel := context.WithTimeout(ctx, 15*time.Millisecond)
+			defer cancel()
+			_, _ = submit(c, short, s)
+			var unsettled *client.UnsettledError
+			for range 2 {
+				_, err = c.Submit(ctx, s)
+				g.Expect(errors.As(err, &unsettled)).To(gomega.BeTrue())
+				g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeUnauthenticated))
+			}
+			_, err = c.Submit(ctx, s)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = c.Submit(ctx, s)
+			g.Expect(errors.As(err, &unsettled)).To(gomega.BeFalse(), "its outcome is known")
+		})
+	}
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -63,6 +63,8 @@
 	rejectedAnswers int
 	newIDsLeft      int
 	lastAnswer      *pb.Answer
+	// submittedBefore: an earlier call left the outcome under this id open.
+	submittedBefore bool
 }
 
 // Submit sends a submission until its outcome is final or the context ends. It
@@ -72,13 +74,22 @@
 //
 // The result is an answer with a final outcome, or one with outcome unknown and no
 // retry time. The error is an *UnsettledError if the context ended first, or if a
-// call was rejected after an earlier one brought no answer. Other errors are
-// rejections of the first call, which started nothing.
+// call was rejected after an earlier one under the same id brought no answer, even
+// in an earlier Submit of this client. Other errors are rejections of the first call
+// by this client, which started nothing. A client doesn't know what was submitted
+// under the id by others.
 func (c *Client) Submit(ctx context.Context, s *pb.Submission) (*pb.Answer, error) {
-	call := &submitCall{client: c, submission: s, deadline: callerDeadline(s)}
+	call := &submitCall{client: c, submission: s, deadline: callerDeadline(s), submittedBefore: c.unsettled.has(s.GetId())}
 	if s.GetId() == nil {
 		call.newIDsLeft = c.cfg.MaxNewIDs
 	}
+	a, err := call.untilFinal(ctx)
+	c.unsettled.note(s.GetId(), a, err)
+	return a, err
+}
+
+// untilFinal sends the submission until its outcome is final or the context ends.
+func (call *submitCall) untilFinal(ctx context.Context) (*pb.Answer, error) {
 	for {
 		a, err := call.send(ctx)
 		wait, done := call.afterCall(a, err)
@@ -95,7 +106,7 @@
 // rejection of a later call doesn't show what an earlier call without an answer has
 // started.
 func (call *submitCall) wrapError(err error) error {
-	if err != nil && call.sends > 1 {
+	if err != nil && (call.sends > 1 || call.submittedBefore) {
 		return call.unsettled(err)
 	}
 	return err
@@ -256,7 +267,9 @@
 	if len(order) == 0 {
 		return nil, errNoURL
 	}
-	return order[0].submit(ctx, withTimeout(ctx, s, callerDeadline(s)))
+	a, err := order[0].submit(ctx, withTimeout(ctx, s, callerDeadline(s)))
+	c.unsettled.note(s.GetId(), a, err)
+	return a, err
 }
 
 // callerDeadline is the deadline by the caller's own timeout; zero if it set none.
