cli: submit --id exits with 12 when the resubmission is rejected

What callers saw: a submission ended with exit 12 and "submit again with --id"; when that was rejected, for instance as the token had expired, the exit code was 13, "rejected", which a script takes for a job that never ran. Cause: --id names a submission of an earlier process; the rejection of this one was taken for its outcome. Change: with --id a rejection is an UnsettledError: exit 12, with the rejection's text. Without --id the exit code is 13 as before. Evidence: TestRejectedResubmissionIsUnknown: before, exit 13 in place of 12; passes now. go test ./cli ./client passes. Why it works: with --id an earlier submission exists by the flag's meaning, whoever made it.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -100,6 +100,21 @@
 	g.Expect(errs).To(gomega.ContainSubstring("another payload"))
 }
 
+// Guards against a script that takes the rejection of its second try for the outcome of the first.
+func TestRejectedResubmissionIsUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	startCluster(t)
+	code, _, errs := runCommand(t, labelsJob, "submit", "-", "--key", "tray-5")
+	g.Expect(code).To(gomega.Equal(ExitDone), errs)
+	t.Setenv(envToken, "an expired token")
+	code, _, _ = runCommand(t, labelsJob, "submit", "-", "--key", "tray-6")
+	g.Expect(code).To(gomega.Equal(ExitRejected), "it wasn't submitted before")
+	code, _, errs = runCommand(t, labelsJob, "submit", "-", "--id", "o/tray-5")
+	g.Expect(code).To(gomega.Equal(ExitUnknown))
+	g.Expect(errs).To(gomega.ContainSubstring("submit again with --id o/tray-5"))
+	g.Expect(errs).To(gomega.ContainSubstring("unauthenticated"))
+}
+
 func TestLoadSummaryIncludesWastedMessages(t *testing.T) {
 	g := gomega.NewWithT(t)
 	startCluster(t)
--- a/cli/submit.go
+++ b/cli/submit.go
@@ -91,6 +91,9 @@
 		fmt.Fprintln(a.Err, "id", formatID(s.GetId()))
 	}
 	answer, err := c.Submit(ctx, s)
+	if f.id != "" {
+		err = resubmissionError(s, err)
+	}
 	var unsettled *client.UnsettledError
 	if errors.As(err, &unsettled) {
 		fmt.Fprintf(a.Err, "%s; submit again with --id %s\n", err, formatID(unsettled.ID))
@@ -102,6 +105,16 @@
 	return a.printAnswer(answer)
 }
 
+// resubmissionError returns an UnsettledError for the rejection of a submission that another process has
+// submitted before under the same id: the rejection doesn't show what that one has started.
+func resubmissionError(s *pb.Submission, err error) error {
+	var unsettled *client.UnsettledError
+	if !isRejection(err) || errors.As(err, &unsettled) {
+		return err
+	}
+	return &client.UnsettledError{ID: s.GetId(), Err: err}
+}
+
 // chooseID sets the id of a submission. If new ids are allowed, it leaves the id to the client
 // library, which can then replace it.
 func chooseID(ctx context.Context, c *client.Client, s *pb.Submission, f *submitFlags) error {
