client: an answer over the limit of its size leaves the job unsettled

What callers saw: the plain error of a rejection, documented as "started nothing" and exit 13 of the command, for a job that had run: its answer was larger than MaxAnswerBytes. Cause: the library's own error for an answer over the limit has the code of a rejection. Change: that error is wrapped in an UnsettledError; its code is as before. The same code from an entry process stays a rejection. Evidence: TestAnswerOverTheLimitIsUnsettled: before, errors.As gave false; passes now. TestRejectionAsTooLargeIsFinal and TestAnswerOverTheLimitIsAnError pass before and after. go test ./client ./cli passes. Why it works: connect marks errors that came from the server, and the client sets no other limit that gives this code.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -375,3 +375,28 @@
 		})
 	}
 }
+
+// Guards against a caller who takes a job that has run for one that was rejected, as its answer was too large.
+func TestAnswerOverTheLimitIsUnsettled(t *testing.T) {
+	g, ctx, cfg := setup(t, startEntry(t, "a", func(s *pb.Submission) (*pb.Answer, error) {
+		a, err := complete(s)
+		a.Results[0].Output = make([]byte, 1<<16)
+		return a, err
+	}))
+	cfg.MaxAnswerBytes = 1 << 12
+	_, err := client.New(cfg).Submit(ctx, job())
+	var unsettled *client.UnsettledError
+	g.Expect(errors.As(err, &unsettled)).To(gomega.BeTrue())
+	g.Expect(unsettled.ID).NotTo(gomega.BeNil())
+}
+
+// Guards against a caller who is told to ask again for a job that an entry process has rejected as too large.
+func TestRejectionAsTooLargeIsFinal(t *testing.T) {
+	g, ctx, cfg := setup(t, startEntry(t, "a", func(*pb.Submission) (*pb.Answer, error) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("the submission is too large"))
+	}))
+	_, err := client.New(cfg).Submit(ctx, job())
+	var unsettled *client.UnsettledError
+	g.Expect(errors.As(err, &unsettled)).To(gomega.BeFalse())
+	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeResourceExhausted))
+}
--- a/client/submit.go
+++ b/client/submit.go
@@ -73,11 +73,11 @@
 // submit the same work as a new job.
 //
 // The result is an answer with a final outcome, or one with outcome unknown and no
-// retry time. The error is an *UnsettledError if the context ended first, or if a
-// call was rejected after an earlier one under the same id brought no answer, even
-// in an earlier Submit of this client. Other errors are rejections of the first call
-// by this client, which started nothing. A client doesn't know what was submitted
-// under the id by others.
+// retry time. The error is an *UnsettledError if the context ended first, if a call
+// was rejected after an earlier one under the same id brought no answer, even in an
+// earlier Submit of this client, or if an answer was too large to be read. Other
+// errors are rejections of the first call by this client, which started nothing. A
+// client doesn't know what was submitted under the id by others.
 func (c *Client) Submit(ctx context.Context, s *pb.Submission) (*pb.Answer, error) {
 	call := &submitCall{client: c, submission: s, deadline: callerDeadline(s), submittedBefore: c.unsettled.has(s.GetId())}
 	if s.GetId() == nil {
@@ -104,9 +104,9 @@
 
 // wrapError returns an UnsettledError if the submission was sent before: the
 // rejection of a later call doesn't show what an earlier call without an answer has
-// started.
+// started. It does so too if there is an answer that couldn't be read.
 func (call *submitCall) wrapError(err error) error {
-	if err != nil && (call.sends > 1 || call.submittedBefore) {
+	if err != nil && (call.sends > 1 || call.submittedBefore || isOverLimit(err)) {
 		return call.unsettled(err)
 	}
 	return err
@@ -261,6 +261,12 @@
 	return false
 }
 
+// isOverLimit reports whether the answer to a call was over the limit of its size. An error of the
+// same code from the server is a rejection.
+func isOverLimit(err error) bool {
+	return connect.CodeOf(err) == connect.CodeResourceExhausted && !connect.IsWireError(err)
+}
+
 // SubmitOnce sends a submission, which must have an id, once.
 func (c *Client) SubmitOnce(ctx context.Context, s *pb.Submission) (*pb.Answer, error) {
 	order := c.entryOrder(s.GetId())
--- a/client/unsettled.go
+++ b/client/unsettled.go
@@ -41,7 +41,7 @@
 // isUnsettled reports whether a submission that ended with an error may have started the job.
 func isUnsettled(err error) bool {
 	var unsettled *UnsettledError
-	return errors.As(err, &unsettled) || !isPermanent(err)
+	return errors.As(err, &unsettled) || !isPermanent(err) || isOverLimit(err)
 }
 
 func (u *unsettledIDs) remove(id task.ID) {
