A completed stored job is shown once none of its starts is under way

What callers saw: a job was shown as completed, and a task of it started after that.

A runner fell silent and a task's run counted as lapsed; its next start was ordered elsewhere and not answered yet. Then the first run's end was listed: done. The answer about the one run was taken as the last word on the task, though the order for the other was still on its way and was carried out before its stop arrived.

Change: the outcome of a completed job is published once each run of a done task that is being stopped was listed, stopped, or can't be alive (its runner lost, or its lease over). Until then the job counts as ending, as while its record is written. The wait is the stop's answer, a lease at most on a silent runner. Best-effort jobs are answered as before: their callers wait, and a start after the end isn't ruled out for them.

TestACompletedJobIsntShownWhileAStartIsUnderWay fails without the condition.

--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -95,12 +95,16 @@
 	s.publishOutcome(j)
 }
 
-// publishOutcome reports the outcome of an ended job once it is in the store, and a previous owner
-// that may not know yet that it lost the shard can't start tasks of it any more.
+// publishOutcome reports the outcome of an ended job once it is in the store, a previous owner that
+// may not know yet that it lost the shard can't start tasks of it any more, and, if the job is
+// completed, no start of it is under way.
 func (s *Scheduler) publishOutcome(j *job) {
 	if !j.ended || j.stored.saved < j.stored.saving || j.priorSchedulers > 0 && s.now < s.priorOwnerInactiveAt() {
 		return
 	}
+	if j.stored.state == ledger.Completed && j.stored.mayStillBegin() {
+		return
+	}
 	s.retain(j.work.ID, j.stored.state, j.restarted)
 	if j.stored.state == ledger.Moving {
 		s.retainMove(j.movingRecord(), s.now-j.arrived)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -230,10 +230,7 @@
 		s.learnRun(t, u)
 	}
 	if t.run != nil && t.run != u {
-		other := t.run
-		other.setTask(nil)
-		other.stopAt = s.now
-		s.stopRun(other)
+		s.stopOtherRun(t)
 	}
 	t.run = nil
 	t.setPhase(done)
@@ -248,6 +245,17 @@
 	}
 }
 
+// stopOtherRun stops the run of a task that another run has completed.
+func (s *Scheduler) stopOtherRun(t *taskState) {
+	u := t.run
+	u.setTask(nil)
+	u.stopAt = s.now
+	if st := t.job.stored; st != nil {
+		st.unsettled = append(st.unsettled, u)
+	}
+	s.stopRun(u)
+}
+
 // runFailed counts a failure against the task and the runner. After failures on two runners the
 // task itself counts as the cause, and the earlier runners' failures are undone.
 func (s *Scheduler) runFailed(t *taskState, r *runner, k workload.RunKey) {
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/ledger"
@@ -67,6 +68,8 @@
 	// ledger.Record.
 	state    ledger.State
 	to, hand int
+	// unsettled are runs of done tasks that may not have begun yet, and are being stopped.
+	unsettled []*run
 	// waiters are the entry processes that wait for the acceptance, with the ends of their
 	// callers' timeouts.
 	waiters map[EntryID]Time
@@ -75,6 +78,14 @@
 	senders []sender
 }
 
+// mayStillBegin reports whether a run of a done task may begin yet.
+func (st *stored) mayStillBegin() bool {
+	st.unsettled = slices.DeleteFunc(st.unsettled, func(u *run) bool {
+		return u.confirmed || u.stopped || u.runner.runs[u.key] != u
+	})
+	return len(st.unsettled) > 0
+}
+
 // setDue sets the times of a stored job. It has no deadline: it must be completed however late.
 func (j *job) setDue(arrived Time, objective time.Duration) {
 	j.arrived = arrived
