--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -23,6 +23,8 @@
 	// acknowledged likewise.
 	acknowledgedAt map[workload.TaskName]time.Duration
 	failures       map[workload.TaskName]int
+	// doubled are the tasks that had two runs at the same time.
+	doubled []workload.TaskName
 	// failed counts all failed runs of each task.
 	failed map[workload.TaskName]int
 }
@@ -59,6 +61,7 @@
 		t.running[k.Task] = live
 	}
 	for other, at := range live {
+		t.doubled = append(t.doubled, k.Task)
 		t.report("%v starts on %s while %v runs on %s", k, r.info.ID, other, at.info.ID)
 	}
 	live[k] = r
--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -29,6 +29,7 @@
 	if late {
 		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
 	}
+	travel += w.slowed(r)
 	// Orders in flight are lost with the connections when the runner restarts.
 	sentTo := r.incarnationStart
 	w.after(travel, func() {
@@ -40,7 +41,7 @@
 			if late || w.rng.Float64() < r.unansweredShare {
 				return
 			}
-			w.after(messageDelay, func() {
+			w.after(messageDelay+w.slowed(r), func() {
 				if w.domainsConnected(n.domain, r.info.Domain) {
 					finish(o, clock, incarnationStart, h)
 				}
@@ -53,19 +54,26 @@
 	shard := o.Shard
 	switch c := o.Order.(type) {
 	case schedule.Start:
+		w.noteRun(c.Run, string(n.id), "orders start on "+string(c.Runner))
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
-			answer(r.start(c), nil)
+			answer(r.unlessRejected(r.rejects.starts, func() schedule.CallOutcome { return r.start(c) }), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
+			w.noteRun(c.Run, string(n.id), "start is "+o.String())
 			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Stop:
+		w.noteRun(c.Run, string(n.id), "orders stop on "+string(c.Runner))
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
-			answer(r.stop(c), nil)
+			answer(r.unlessRejected(r.rejects.others, func() schedule.CallOutcome { return r.stop(c) }), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
 			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Hold:
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
+			if w.chance(r.rejects.others) {
+				answer(schedule.Unhealthy, nil)
+				return
+			}
 			r.hold(c, func(h schedule.HoldResult) { answer(h.Outcome, &h) })
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, h *schedule.HoldResult) {
 			res := schedule.HoldResult{}
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -261,6 +261,7 @@
 		case fleet.StateAnswer:
 			w.receiveState(n, c)
 		case fleet.Notice:
+			w.noteDecision(n, c)
 			if c.Event == "leader-changed" && fieldOf(c, "leader") == string(n.id) {
 				n.timesLed++
 			}
--- /dev/null
+++ b/core/fleet/rejections_test.go
@@ -0,0 +1,220 @@
+package fleet_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Runners that reject orders or are slow to carry them out and to answer. The dangerous case is a
+// start that stays unanswered but is carried out, and that is rejected when it is sent again.
+
+// rejections are the shares of its orders that a runner rejects. It hasn't looked at them, except for
+// noRoom: that is the share of the starts of new runs for which it has no room.
+type rejections struct {
+	starts, noRoom float64
+	// others is the share of the orders to stop, to renew and to list runs.
+	others float64
+}
+
+// slowness is the share of a runner's orders, and of its answers, that take longer.
+type slowness struct {
+	share       float64
+	least, most int
+}
+
+// chance draws whether something happens. It draws nothing for a share of 0, so that the random
+// sequences of worlds without it don't depend on it.
+func (w *world) chance(share float64) bool { return share > 0 && w.rng.Float64() < share }
+
+// slowed returns how much longer the next order to a runner, or its next answer, takes.
+func (w *world) slowed(r *fakeRunner) time.Duration {
+	if !w.chance(r.slow.share) {
+		return 0
+	}
+	return w.randomDuration(r.slow.least, r.slow.most)
+}
+
+// unlessRejected carries out an order unless the runner rejects it as unhealthy.
+func (r *fakeRunner) unlessRejected(share float64, order func() schedule.CallOutcome) schedule.CallOutcome {
+	if r.w.chance(share) {
+		return schedule.Unhealthy
+	}
+	return order()
+}
+
+// rejectOrders has a third of the runners reject orders for a while.
+func (w *world) rejectOrders(draw func() rejections) {
+	var chosen []*fakeRunner
+	for _, r := range w.runners {
+		if w.rng.IntN(3) == 0 {
+			r.rejects = draw()
+			chosen = append(chosen, r)
+		}
+	}
+	w.after(w.randomDuration(1000, 5000), func() {
+		for _, r := range chosen {
+			r.rejects = rejections{}
+		}
+	})
+}
+
+// slowDown slows all runners down for a while.
+func (w *world) slowDown(s slowness) {
+	for _, r := range w.runners {
+		r.slow = s
+	}
+	w.after(w.randomDuration(1000, 5000), func() {
+		for _, r := range w.runners {
+			r.slow = slowness{}
+		}
+	})
+}
+
+func (w *world) randomShare(least, most float64) float64 { return least + w.rng.Float64()*(most-least) }
+
+func init() {
+	faults["runners reject starts"] = func(w *world) {
+		w.rejectOrders(func() rejections { return rejections{starts: w.randomShare(0.2, 0.7)} })
+	}
+	faults["runners reject all orders"] = func(w *world) {
+		w.rejectOrders(func() rejections {
+			return rejections{starts: w.randomShare(0.2, 0.7), others: w.randomShare(0.1, 0.9)}
+		})
+	}
+	faults["runners without room"] = func(w *world) {
+		w.rejectOrders(func() rejections { return rejections{noRoom: w.randomShare(0.2, 0.7)} })
+	}
+	faults["some orders are slow"] = func(w *world) {
+		w.slowDown(slowness{share: w.randomShare(0.02, 0.22), least: 10, most: 800})
+	}
+	// The average latency grows, and with it the timeout of the orders.
+	faults["all orders are slow"] = func(w *world) {
+		w.slowDown(slowness{share: 1, least: 1, most: 50 + w.rng.IntN(550)})
+	}
+}
+
+func rejectionFaults() []string {
+	return []string{"mute runners", "mute runners", "runners reject starts", "runners reject starts", "runners reject all orders", "runners without room"}
+}
+
+func slownessFaults() []string {
+	return []string{"some orders are slow", "some orders are slow", "all orders are slow", "all orders are slow", "all orders are slow"}
+}
+
+// faultyRuns are the deployments and the loads in which runners reject orders or are slow, beside
+// the other faults there.
+var faultyRuns = []struct {
+	name string
+	run  func(seed uint64, faults []string) (*world, []string)
+}{
+	{"pooled", func(seed uint64, faults []string) (*world, []string) {
+		return randomRun(seed, 1+int(seed%2), append(faultNames(), faults...))
+	}},
+	{"stored jobs", func(seed uint64, faults []string) (*world, []string) {
+		return storedRun(seed, append(storedFaultNames(), faults...))
+	}},
+	{"cells", func(seed uint64, faults []string) (*world, []string) {
+		return randomRunOf(cellDeployment(seed, 1+int(seed%2)), append(linkFaultNames(), faults...))
+	}},
+	{"lending", func(seed uint64, faults []string) (*world, []string) {
+		return lendingRun(seed, append(append(faultNames(), "part", "part", "replace"), faults...))
+	}},
+	{"restarts", func(seed uint64, faults []string) (*world, []string) {
+		names := append(faultNames(), "late orders", "runner restart", "runner restart", "runner restart", "runner restart")
+		return randomRun(seed, 1+int(seed%2), append(names, faults...))
+	}},
+	{"links", func(seed uint64, faults []string) (*world, []string) {
+		return randomRun(seed, 1+int(seed%2), append(linkFaultNames(), faults...))
+	}},
+}
+
+func linkFaultNames() []string {
+	return append(faultNames(), "store for some", "part", "part", "replace")
+}
+
+// faultyRunSeeds is the number of seeds of each of faultyRuns.
+func faultyRunSeeds() int { return max(1, *seeds/8) }
+
+// playFaultyRuns plays all seeds, also after a failure, and prints what happened to the tasks that
+// had two runs.
+func playFaultyRuns(t *testing.T, faults ...string) {
+	for _, v := range faultyRuns {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			served, asked, red := 0, 0, 0
+			for i := range faultyRunSeeds() {
+				seed := *firstSeed + uint64(i)
+				w, played := v.run(seed, faults)
+				served += w.completed()
+				asked += len(w.jobs)
+				if len(w.checker.violations) > 0 {
+					red++
+					t.Errorf("seed %d: %v\n%s\n%v", seed, strings.Join(w.checker.violations, "\n"), w.describeDoubles(), played)
+				}
+			}
+			t.Logf("%d of %d seeds failed; %d of %d jobs complete", red, faultyRunSeeds(), served, asked)
+		})
+	}
+}
+
+// Guards against two runs of a task at the same time, and against lost runs, when runners leave orders
+// unanswered and reject others.
+func TestRandomRejections(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, rejectionFaults()...)
+}
+
+// Guards against the same when orders and answers take longer than the scheduler waits, and overtake
+// each other.
+func TestRandomSlowOrders(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, slownessFaults()...)
+}
+
+// Guards against the same with both.
+func TestRandomRejectionsAndSlowOrders(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(rejectionFaults(), slownessFaults()...)...)
+}
+
+// runEvent is an order of a run, its outcome, a decision on it or what happens to it on its runner.
+type runEvent struct {
+	at   time.Duration
+	key  string
+	by   string
+	what string
+}
+
+func (w *world) noteRun(k workload.RunKey, by, what string) { w.note(k.String(), by, what) }
+
+// noteDecision notes a process's decision on a run.
+func (w *world) noteDecision(n *fakeNode, c fleet.Notice) {
+	key, ok := fieldOf(c, "run").(string)
+	if !ok {
+		return
+	}
+	reason, _ := fieldOf(c, "reason").(string)
+	w.note(key, string(n.id), c.Event+" "+reason)
+}
+
+func (w *world) note(key, by, what string) {
+	task, _, _ := strings.Cut(key, "#")
+	w.history[task] = append(w.history[task], runEvent{at: w.now, key: key, by: by, what: what})
+}
+
+// describeDoubles describes what happened to the tasks that had two runs at the same time.
+func (w *world) describeDoubles() string {
+	var b strings.Builder
+	for _, task := range w.checker.doubled {
+		for _, e := range w.history[task.String()] {
+			fmt.Fprintf(&b, "  %v %s: %s: %s\n", e.at, e.by, e.key, e.what)
+		}
+	}
+	return b.String()
+}
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -25,7 +25,10 @@
 	lateShare float64
 	// unansweredShare of the orders are carried out, but not answered.
 	unansweredShare float64
-	down            bool
+	// rejects are the orders that it rejects whatever they say, and slow are those that take long.
+	rejects rejections
+	slow    slowness
+	down    bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
 	// started counts the runs started.
@@ -129,6 +132,9 @@
 	if !need.Fits(r.info.Capacity.Minus(used)) {
 		return schedule.NoRoom
 	}
+	if r.w.chance(r.rejects.noRoom) {
+		return schedule.NoRoom
+	}
 	r.runs[c.Run] = &fakeRun{need: need}
 	r.started++
 	r.trace("start", c.Run, c.Token)
@@ -222,6 +228,7 @@
 
 // trace prints what happens to a run on the runner, with the order's token or the end's sequence.
 func (r *fakeRunner) trace(event string, k workload.RunKey, number uint64) {
+	r.w.noteRun(k, string(r.info.ID), event)
 	if *trace {
 		fmt.Println(r.w.now, "runner", r.info.ID, event, k, number, "lease left", r.leaseEnd-r.clock())
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -81,6 +81,8 @@
 	revision uint64
 	// listed are the runners on the platform's list.
 	listed map[workload.RunnerID]bool
+	// history is what was ordered and done, by task.
+	history map[string][]runEvent
 }
 
 type event struct {
@@ -167,6 +169,7 @@
 		listed:           make(map[workload.RunnerID]bool),
 		byName:           make(map[leader.ID]*fakeNode),
 		byRunner:         make(map[workload.RunnerID]*fakeRunner),
+		history:          make(map[string][]runEvent),
 	}
 	w.checker = newChecker(w)
 	w.store = newFakeStore()
