--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -64,13 +64,13 @@
 	case schedule.Stop:
 		w.noteRun(c.Run, string(n.id), "orders stop on "+string(c.Runner))
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
-			answer(r.unlessRejected(r.rejects.others, func() schedule.CallOutcome { return r.stop(c) }), nil)
+			answer(r.unlessRejected(r.rejects.stops, func() schedule.CallOutcome { return r.stop(c) }), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
 			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Hold:
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
-			if w.chance(r.rejects.others) {
+			if w.chance(r.rejects.holds) {
 				answer(schedule.Unhealthy, nil)
 				return
 			}
--- a/core/fleet/rejections_test.go
+++ b/core/fleet/rejections_test.go
@@ -18,8 +18,8 @@
 // noRoom: that is the share of the starts of new runs for which it has no room.
 type rejections struct {
 	starts, noRoom float64
-	// others is the share of the orders to stop, to renew and to list runs.
-	others float64
+	// holds is the share of the orders to renew and to list runs.
+	stops, holds float64
 }
 
 // slowness is the share of a runner's orders, and of its answers, that take longer.
@@ -84,7 +84,8 @@
 	}
 	faults["runners reject all orders"] = func(w *world) {
 		w.rejectOrders(func() rejections {
-			return rejections{starts: w.randomShare(0.2, 0.7), others: w.randomShare(0.1, 0.9)}
+			starts, others := w.randomShare(0.2, 0.7), w.randomShare(0.1, 0.9)
+			return rejections{starts: starts, stops: others, holds: others}
 		})
 	}
 	faults["runners without room"] = func(w *world) {
@@ -99,6 +100,58 @@
 	}
 }
 
+// The processes and the list of runners change while starts are unanswered.
+func init() {
+	// Its VM leads again within the lease of its runs.
+	faults["leader restarts"] = func(w *world) {
+		if n := w.leader(); n != nil {
+			w.kill(n, w.randomDuration(10, 300))
+		}
+	}
+	// The leader reaches its runners, and retires when it reaches another leader again.
+	faults["part leader"] = func(w *world) {
+		if n := w.leader(); n != nil {
+			w.partFromAll(n, w.randomDuration(200, 2500))
+		}
+	}
+	faults["unlisted runners"] = func(w *world) { w.unlist(w.randomDuration(100, 3000)) }
+	faults["mute runners leave the list"] = func(w *world) {
+		faults["mute runners"](w)
+		w.unlist(w.randomDuration(100, 3000))
+	}
+}
+
+// partFromAll cuts the connections between a VM and all others for a while.
+func (w *world) partFromAll(n *fakeNode, d time.Duration) {
+	for _, o := range w.nodes {
+		if o == n {
+			continue
+		}
+		pair := [2]string{n.name, o.name}
+		w.partitioned[pair] = true
+		w.after(d, func() { delete(w.partitioned, pair) })
+	}
+}
+
+// unlist takes a third of the runners off the platform's list for a while, although they work.
+func (w *world) unlist(d time.Duration) {
+	for _, r := range w.runners {
+		if r.down || !w.listed[r.info.ID] || w.rng.IntN(3) > 0 {
+			continue
+		}
+		delete(w.listed, r.info.ID)
+		w.after(d, func() {
+			if !r.down {
+				w.listed[r.info.ID] = true
+			}
+		})
+	}
+}
+
+func changeFaults() []string {
+	return []string{"mute runners", "leader restarts", "leader restarts", "part leader", "part leader", "unlisted runners", "mute runners leave the list", "mute runners leave the list"}
+}
+
 func rejectionFaults() []string {
 	return []string{"mute runners", "mute runners", "runners reject starts", "runners reject starts", "runners reject all orders", "runners without room"}
 }
@@ -183,6 +236,19 @@
 	playFaultyRuns(t, append(rejectionFaults(), slownessFaults()...)...)
 }
 
+// Guards against the same when leaders restart on their VM or retire for a while, and when runners leave
+// the list, with starts unanswered.
+func TestRandomChangesWithUnansweredStarts(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, changeFaults()...)
+}
+
+// Guards against the same when runners reject orders as well.
+func TestRandomChangesAndRejections(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(changeFaults(), rejectionFaults()...)...)
+}
+
 // runEvent is an order of a run, its outcome, a decision on it or what happens to it on its runner.
 type runEvent struct {
 	at   time.Duration
