--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/fleet"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -23,6 +24,8 @@
 	// acknowledged likewise.
 	acknowledgedAt map[workload.TaskName]time.Duration
 	failures       map[workload.TaskName]int
+	// rejectedRuns counts the outcomes of rejected starts whose run was on the runner.
+	rejectedRuns map[schedule.CallOutcome]int
 	// doubled are the tasks that had two runs at the same time.
 	doubled []workload.TaskName
 	// failed counts all failed runs of each task.
@@ -38,6 +41,7 @@
 		acknowledgedAt: make(map[workload.TaskName]time.Duration),
 		failures:       make(map[workload.TaskName]int),
 		failed:         make(map[workload.TaskName]int),
+		rejectedRuns:   make(map[schedule.CallOutcome]int),
 	}
 }
 
@@ -78,6 +82,13 @@
 	}
 }
 
+// startOutcome notes the outcome of a start.
+func (t *checker) startOutcome(k workload.RunKey, o schedule.CallOutcome) {
+	if o != schedule.Accepted && t.running[k.Task][k] != nil {
+		t.rejectedRuns[o]++
+	}
+}
+
 func (t *checker) ended(_ *fakeRunner, k workload.RunKey, kind workload.EndKind) {
 	delete(t.running[k.Task], k)
 	if kind == workload.Done {
--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -59,6 +59,7 @@
 			answer(r.unlessRejected(r.rejects.starts, func() schedule.CallOutcome { return r.start(c) }), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
 			w.noteRun(c.Run, string(n.id), "start is "+o.String())
+			w.checker.startOutcome(c.Run, o)
 			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Stop:
--- a/core/fleet/rejections_test.go
+++ b/core/fleet/rejections_test.go
@@ -26,8 +26,12 @@
 type slowness struct {
 	share       float64
 	least, most int
+	// tail is the share of the slow ones that take up to maxTail.
+	tail float64
 }
 
+const maxTail = 900
+
 // chance draws whether something happens. It draws nothing for a share of 0, so that the random
 // sequences of worlds without it don't depend on it.
 func (w *world) chance(share float64) bool { return share > 0 && w.rng.Float64() < share }
@@ -37,6 +41,9 @@
 	if !w.chance(r.slow.share) {
 		return 0
 	}
+	if w.chance(r.slow.tail) {
+		return w.randomDuration(r.slow.most, maxTail)
+	}
 	return w.randomDuration(r.slow.least, r.slow.most)
 }
 
@@ -201,17 +208,21 @@
 		t.Run(v.name, func(t *testing.T) {
 			t.Parallel()
 			served, asked, red := 0, 0, 0
+			rejected := make(map[schedule.CallOutcome]int)
 			for i := range faultyRunSeeds() {
 				seed := *firstSeed + uint64(i)
 				w, played := v.run(seed, faults)
 				served += w.completed()
 				asked += len(w.jobs)
+				for o, n := range w.checker.rejectedRuns {
+					rejected[o] += n
+				}
 				if len(w.checker.violations) > 0 {
 					red++
 					t.Errorf("seed %d: %v\n%s\n%v", seed, strings.Join(w.checker.violations, "\n"), w.describeDoubles(), played)
 				}
 			}
-			t.Logf("%d of %d seeds failed; %d of %d jobs complete", red, faultyRunSeeds(), served, asked)
+			t.Logf("%d of %d seeds failed; %d of %d jobs complete; outcomes of starts whose run was there: %v", red, faultyRunSeeds(), served, asked, rejected)
 		})
 	}
 }
@@ -249,6 +260,66 @@
 	playFaultyRuns(t, append(changeFaults(), rejectionFaults()...)...)
 }
 
+// Guards against two runs of a task at the same time when all orders are slow and some are far slower:
+// the timeout grows, so that the second order of a start may arrive after the lease in it has ended. A
+// runner accepts an order for a run that is there before it looks at the lease.
+func TestSecondOrdersThatArriveTooLate(t *testing.T) {
+	t.Parallel()
+	rejected := make(map[schedule.CallOutcome]int)
+	for i := range faultyRunSeeds() {
+		w := deployment(*firstSeed+uint64(i), 1)
+		w.run(2 * time.Second)
+		for _, r := range w.runners {
+			r.slow = slowness{share: 1, least: 10 + w.rng.IntN(30), most: 50 + w.rng.IntN(70), tail: w.randomShare(0.05, 0.4)}
+		}
+		for w.now < 9*time.Second {
+			w.submit([]string{"a", "b", "c"}[w.rng.IntN(3)], 2, w.randomDuration(700, 1500), 2200*time.Millisecond)
+			w.run(w.randomDuration(10, 80))
+		}
+		for o, n := range w.checker.rejectedRuns {
+			rejected[o] += n
+		}
+		if len(w.checker.violations) > 0 {
+			t.Errorf("seed %d: %v\n%s", *firstSeed+uint64(i), strings.Join(w.checker.violations, "\n"), w.describeDoubles())
+		}
+	}
+	t.Logf("outcomes of starts whose run was there: %v", rejected)
+}
+
+// Guards against two runs of a task at the same time, and against lost jobs, when jobs move to another
+// shard whose runners leave starts unanswered and reject others.
+func TestMovedJobsAndRejections(t *testing.T) {
+	t.Parallel()
+	moved := 0
+	for i := range faultyRunSeeds() {
+		seed := *firstSeed + uint64(i)
+		w := cellDeployment(seed, 1)
+		w.sendJob(w.newStoredJob())
+		w.run(2 * time.Second)
+		jobs := w.submitStoredJobs(12)
+		w.removeRunners("a")
+		w.run(1200 * time.Millisecond)
+		for _, r := range w.runners {
+			r.rejects.starts, r.unansweredShare = w.randomShare(0.2, 0.6), w.randomShare(0.1, 0.5)
+		}
+		w.run(4 * time.Second)
+		for _, r := range w.runners {
+			r.rejects.starts, r.unansweredShare = 0, 0
+		}
+		w.run(10 * time.Second)
+		w.checker.checkSettled()
+		for _, j := range jobs {
+			if w.layout().StoredJobShard(j.work.ID) == 0 {
+				moved++
+			}
+		}
+		if len(w.checker.violations) > 0 {
+			t.Errorf("seed %d: %v\n%s", seed, strings.Join(w.checker.violations, "\n"), w.describeDoubles())
+		}
+	}
+	t.Logf("%d jobs of the shard without runners", moved)
+}
+
 // runEvent is an order of a run, its outcome, a decision on it or what happens to it on its runner.
 type runEvent struct {
 	at   time.Duration
