--- a/client/client_test.go
+++ b/client/client_test.go
@@ -341,3 +341,62 @@
 	_, err := client.New(cfg).Submit(ctx, job())
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("no URL")))
 }
+
+func rejected(*pb.Submission) (*pb.Answer, error) {
+	return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("the token isn't known"))
+}
+
+// Guards against a caller who submits an unsettled job again, as it was told, and takes the rejection of
+// that call for the outcome of the earlier one.
+func TestRejectedResubmissionOfAnUnsettledJobIsUnsettled(t *testing.T) {
+	for name, submit := range map[string]func(*client.Client, context.Context, *pb.Submission) (*pb.Answer, error){
+		"Submit": (*client.Client).Submit, "SubmitOnce": (*client.Client).SubmitOnce,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, ctx, cfg := setup(t, startEntry(t, "a", retryLater, rejected, rejected, complete, rejected))
+			c := client.New(cfg)
+			s := job()
+			var err error
+			s.Id, err = c.NewID(ctx)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			short, cancel := context.WithTimeout(ctx, 15*time.Millisecond)
+			defer cancel()
+			_, _ = submit(c, short, s)
+			var unsettled *client.UnsettledError
+			for range 2 {
+				_, err = c.Submit(ctx, s)
+				g.Expect(errors.As(err, &unsettled)).To(gomega.BeTrue())
+				g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeUnauthenticated))
+			}
+			_, err = c.Submit(ctx, s)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = c.Submit(ctx, s)
+			g.Expect(errors.As(err, &unsettled)).To(gomega.BeFalse(), "its outcome is known")
+		})
+	}
+}
+
+// Guards against a caller who takes a job that has run for one that was rejected, as its answer was too large.
+func TestAnswerOverTheLimitIsUnsettled(t *testing.T) {
+	g, ctx, cfg := setup(t, startEntry(t, "a", func(s *pb.Submission) (*pb.Answer, error) {
+		a, err := complete(s)
+		a.Results[0].Output = make([]byte, 1<<16)
+		return a, err
+	}))
+	cfg.MaxAnswerBytes = 1 << 12
+	_, err := client.New(cfg).Submit(ctx, job())
+	var unsettled *client.UnsettledError
+	g.Expect(errors.As(err, &unsettled)).To(gomega.BeTrue())
+	g.Expect(unsettled.ID).NotTo(gomega.BeNil())
+}
+
+// Guards against a caller who is told to ask again for a job that an entry process has rejected as too large.
+func TestRejectionAsTooLargeIsFinal(t *testing.T) {
+	g, ctx, cfg := setup(t, startEntry(t, "a", func(*pb.Submission) (*pb.Answer, error) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("the submission is too large"))
+	}))
+	_, err := client.New(cfg).Submit(ctx, job())
+	var unsettled *client.UnsettledError
+	g.Expect(errors.As(err, &unsettled)).To(gomega.BeFalse())
+	g.Expect(connect.CodeOf(err)).To(gomega.Equal(connect.CodeResourceExhausted))
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -79,29 +79,42 @@
 	}
 	for _, e := range res.Ends {
 		if !r.noted(e.Sequence) {
+			r.noteRecentEnd(e.Run, s.now)
 			s.noteEnd(r, e)
 		}
 	}
 	s.acknowledge(r)
 	listed := make(map[workload.RunKey]bool, len(res.Running))
 	for _, k := range res.Running {
+		if r.endedSince(k, res.Clock.SentAt) {
+			continue
+		}
 		listed[k] = true
-		s.noteListedRun(r, k)
+		s.noteListedRun(r, k, res.Clock.SentAt)
 		r.runs[k].noteCheckpoint(res.Checkpoints[k])
 	}
 	if complete {
-		s.dropStopped(r, listed, res.Clock.SentAt)
+		s.dropUnlisted(r, listed, res.Clock.SentAt)
 	}
+	r.noteExpiredStarts()
 }
 
-// dropStopped drops runs whose stop the runner confirmed before it was asked for the list, and
-// that aren't on it: their starts had never arrived.
-func (s *Scheduler) dropStopped(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
+// dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and can't
+// begin any more.
+func (s *Scheduler) dropUnlisted(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
 	for _, u := range r.sortedRuns() {
-		if !u.stopped || u.stoppedAt > sentAt || listed[u.key] {
+		if listed[u.key] {
+			continue
+		}
+		switch {
+		case u.stopped && u.stoppedAt <= sentAt:
+			s.dropRun(u, StoppedUnlisted)
+		case !u.stopped && !u.confirmed && u.startExpiredAt > 0 && u.startExpiredAt <= sentAt:
+			s.dropRun(u, NeverBegun)
+			u.delayTask(r.startInvalidAt(u))
+		default:
 			continue
 		}
-		r.drop(u)
 		if u.task != nil {
 			s.requeue(u.task)
 		}
@@ -109,17 +122,26 @@
 }
 
 // noteListedRun records a run that a runner lists.
-func (s *Scheduler) noteListedRun(r *runner, k workload.RunKey) {
-	if u := r.runs[k]; u != nil {
-		u.confirmed = true
-		return
+func (s *Scheduler) noteListedRun(r *runner, k workload.RunKey, requestedAt Time) {
+	u := r.runs[k]
+	if u == nil {
+		u = s.addListedRun(r, k)
 	}
+	u.confirmed = true
+	if u.task == nil {
+		s.checkListedOrphan(u, requestedAt)
+	}
+}
+
+// addListedRun adds a run that another scheduler has started, and assigns it to its task.
+func (s *Scheduler) addListedRun(r *runner, k workload.RunKey) *run {
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, startedElsewhere: true, stopAt: s.now + orphanGrace}
 	r.add(u)
 	s.ranJobs[k.Task.Job] = s.now
 	if j := s.jobs[k.Task.Job]; j != nil {
 		s.adopt(j, u)
 	}
+	return u
 }
 
 // noteCheckpoint records the newest checkpoint of a run. A task that is started again resumes from
@@ -140,6 +162,7 @@
 	if u != nil {
 		r.drop(u)
 	}
+	s.checkListedEnd(r, e)
 	t := s.taskOf(u, e.Run)
 	if t == nil {
 		s.endedUnknown(e)
@@ -207,10 +230,7 @@
 		s.learnRun(t, u)
 	}
 	if t.run != nil && t.run != u {
-		other := t.run
-		other.setTask(nil)
-		other.stopAt = s.now
-		s.stopRun(other)
+		s.stopOtherRun(t)
 	}
 	t.run = nil
 	t.setPhase(done)
@@ -225,6 +245,17 @@
 	}
 }
 
+// stopOtherRun stops the run of a task that another run has completed.
+func (s *Scheduler) stopOtherRun(t *taskState) {
+	u := t.run
+	u.setTask(nil)
+	u.stopAt = s.now
+	if st := t.job.stored; st != nil {
+		st.unsettled = append(st.unsettled, u)
+	}
+	s.stopRun(u)
+}
+
 // runFailed counts a failure against the task and the runner. After failures on two runners the
 // task itself counts as the cause, and the earlier runners' failures are undone.
 func (s *Scheduler) runFailed(t *taskState, r *runner, k workload.RunKey) {
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -67,6 +67,8 @@
 	// recorded since.
 	acknowledged uint64
 	ends         []listedEnd
+	// recentEnds are the runs whose ends were listed in the last listDelay, oldest first.
+	recentEnds []recentEnd
 	// noLeaseUntil is the time until which no lease is granted. The last lease has certainly
 	// expired by then, see listedEnd.afterLeaseExpiry.
 	noLeaseUntil Time
@@ -93,8 +95,13 @@
 	// startAttempts counts how often its start was sent, and orderedAt is when that was last.
 	startAttempts int
 	orderedAt     Time
-	// leaseEnd is the end of the lease in its start order.
+	// leaseEnd is the end of the lease in its start order. A runner that receives the order later
+	// rejects it.
 	leaseEnd int64
+	// inDoubt: no order to start it was accepted, and one stayed unanswered. startExpiredAt is when an
+	// answer has shown that the runner accepts none any more; 0 if none has yet.
+	inDoubt        bool
+	startExpiredAt Time
 	// checkpoint is the newest checkpoint of an orphan, used if its job arrives.
 	checkpoint string
 	// confirmed runs were accepted or listed by the runner.
@@ -124,6 +131,22 @@
 	return &runner{info: info, incarnationStart: info.IncarnationStart, runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now}
 }
 
+// delayTask keeps the run's task from being started again before a time.
+func (u *run) delayTask(until Time) {
+	if u.task != nil {
+		u.task.notBefore = max(u.task.notBefore, until)
+	}
+}
+
+// noteExpiredStarts records which runs in doubt can't begin any more, by the runner's clock.
+func (r *runner) noteExpiredStarts() {
+	for _, u := range r.runs {
+		if u.inDoubt && u.startExpiredAt == 0 && u.leaseEnd < r.clock {
+			u.startExpiredAt = r.clockAt
+		}
+	}
+}
+
 // release clears the ownership and all runs.
 func (r *runner) release() {
 	r.owned = false
@@ -133,6 +156,7 @@
 	r.unresponsive = false
 	r.acknowledged = 0
 	r.ends = nil
+	r.recentEnds = nil
 	r.used = workload.Resources{}
 	clear(r.runs)
 	r.orphanCount, r.foreignOrphanCount = 0, 0
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -12,9 +13,10 @@
 const stopSlack = 20 * time.Millisecond
 
 // answeringRunner returns the runner that has answered an order to start or to stop a run, with its
-// clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner or
-// another incarnation of the runner has answered.
-func (s *Scheduler) answeringRunner(id workload.RunnerID, clock ClockReading) *runner {
+// clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner,
+// another incarnation of the runner has answered, or the runner was acquired again since the order
+// was sent. In the last case the runner's lists show what has become of the run.
+func (s *Scheduler) answeringRunner(id workload.RunnerID, token uint64, clock ClockReading) *runner {
 	r := s.runners[id]
 	if r == nil || r.gone || !s.leading {
 		return nil
@@ -24,13 +26,16 @@
 		return nil
 	}
 	r.updateClock(clock)
+	if token != r.token {
+		return nil
+	}
 	return r
 }
 
 // Started handles the result of a Start.
 func (s *Scheduler) Started(now Time, res StartResult) {
 	s.now = now
-	r := s.answeringRunner(res.Runner, res.Clock)
+	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
 		return
 	}
@@ -67,26 +72,15 @@
 	s.ctr.Unanswered++
 	s.emit(Decision{Event: "start-unanswered", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
 	if u.task != nil && !u.stopping && u.startAttempts < maxStartAttempts && !r.unresponsive && !r.hasForeignOrphans() && !r.evacuated {
+		s.ctr.StartsRepeated++
 		s.sendStart(u)
 		return
 	}
 	r.markUnresponsive(s.now)
+	u.inDoubt = true
 	s.stopRun(u)
 }
 
-// secondStartRejected handles a start that was refused after an earlier order for the same run had
-// stayed unanswered. The earlier order may have been carried out, and the run may have ended; or
-// the order may still arrive.
-func (s *Scheduler) secondStartRejected(r *runner, u *run, o CallOutcome) {
-	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: "second order: " + o.String(), Age: s.now - u.started})
-	if o != Outdated {
-		s.stopRun(u)
-		return
-	}
-	u.stopping = true
-	s.noteStopped(u, s.now)
-}
-
 // noteStopped records that a run can't start any more and has ended or is about to. The runner's
 // list shows how.
 func (s *Scheduler) noteStopped(u *run, at Time) {
@@ -96,15 +90,33 @@
 	s.requestList(u.runner)
 }
 
-// startRejected handles a start that has certainly not been carried out.
+// startRejected handles an order to start a run that was certainly not carried out. An earlier order
+// for the same run may have been.
 func (s *Scheduler) startRejected(r *runner, u *run, o CallOutcome) {
-	if u.startAttempts > 1 && u.ofStoredJob() {
-		s.secondStartRejected(r, u, o)
+	s.noteRejection(r, o)
+	rejected := Decision{Event: "start-rejected", Reason: fmt.Sprintf("%s, order %d", o, u.startAttempts), Age: s.now - u.started}
+	if u.confirmed || u.startAttempts > 1 {
+		s.emitForRun(u, rejected)
+		s.repeatRejected(u, o)
 		return
 	}
-	r.drop(u)
+	s.dropRunAs(u, rejection(o), rejected)
 	t := u.task
-	s.emit(Decision{Event: "start-rejected", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Reason: o.String(), Age: s.now - u.started})
+	if t == nil {
+		return
+	}
+	switch o {
+	case Outdated:
+		t.lastNumber += runsPerScheduler
+	case Invalid:
+		s.finish(t.job, workload.JobFailed, "runners don't understand the task")
+		return
+	}
+	s.requeue(t)
+}
+
+// noteRejection records what the rejection of a start shows about its runner.
+func (s *Scheduler) noteRejection(r *runner, o CallOutcome) {
 	switch o {
 	case Unhealthy:
 		r.health.failed(s.now, strikesToClose)
@@ -112,18 +124,26 @@
 		// Runs unknown to this scheduler are there. The list shows which.
 		r.markUnresponsive(s.now)
 		r.nextHoldAt = s.now
-	case Outdated:
-		if t != nil {
-			t.lastNumber += runsPerScheduler
-		}
-	case Invalid:
-		if t != nil {
-			s.finish(t.job, workload.JobFailed, "runners don't understand the task")
-			return
-		}
 	}
-	if t != nil {
-		s.requeue(t)
+}
+
+// repeatRejected handles a run whose start was rejected though an earlier order for it may have been
+// carried out, or may still arrive. The run counts until the runner shows that it is over.
+func (s *Scheduler) repeatRejected(u *run, o CallOutcome) {
+	s.ctr.RepeatsRejected++
+	switch {
+	case o == Outdated:
+		u.stopping = true
+		s.noteStopped(u, s.now)
+		// The runner lists the run's end.
+		u.overAt = never
+	case u.confirmed:
+	case o == TooLate:
+		u.inDoubt, u.startExpiredAt = true, s.now
+		s.requestList(u.runner)
+	default:
+		u.inDoubt = true
+		s.stopRun(u)
 	}
 }
 
@@ -139,7 +159,7 @@
 // Stopped handles the result of a Stop.
 func (s *Scheduler) Stopped(now Time, res StopResult) {
 	s.now = now
-	r := s.answeringRunner(res.Runner, res.Clock)
+	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
 		return
 	}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -175,13 +175,16 @@
 	j.noteRun(u.key)
 	t.checkpoint = u.checkpoint
 	u.setTask(t)
-	u.stopAt = 0
+	if u.confirmed {
+		u.stopAt = 0
+	}
 	t.run = u
 	t.lastNumber = max(t.lastNumber, u.key.Number)
 	t.setPhase(running)
 	u.runner.reserve(u, t.step().Need)
 	u.overdueAt = s.overdueAt(t, u.runner)
 	u.expectedEnd = s.now + s.duration(t, u.runner)
+	s.noteNextRun(u)
 	s.emit(Decision{Event: "run-adopted", Job: j.work.ID, Run: u.key, Runner: u.runner.info.ID, Token: u.runner.token})
 }
 
