--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -38,12 +38,11 @@
 	// answers counts the answers by status, and the accepted jobs.
 	answers map[string]int
 	// The following concern stored jobs, see isStored. acceptedJobs holds the number of tasks of jobs
-	// that were accepted and haven't been reported as completed; completedJobs is when the others were.
-	// lastStarts is when that start of each task arrived which was carried out last. acknowledgedEnds is
-	// when a task first ended successfully by an end that was acknowledged while the runner's lease had
-	// not expired.
+	// that were accepted and haven't been reported as completed; completedJobs those that have been.
+	// lastStarts is when each task was last started. acknowledgedEnds is when a task first ended
+	// successfully by an end that was acknowledged while the runner's lease had not expired.
 	acceptedJobs     map[string]int
-	completedJobs    map[string]time.Time
+	completedJobs    map[string]bool
 	lastStarts       map[string]time.Time
 	acknowledgedEnds map[string]time.Time
 }
@@ -57,7 +56,7 @@
 		answers:       make(map[string]int),
 
 		acceptedJobs:     make(map[string]int),
-		completedJobs:    make(map[string]time.Time),
+		completedJobs:    make(map[string]bool),
 		lastStarts:       make(map[string]time.Time),
 		acknowledgedEnds: make(map[string]time.Time),
 	}
@@ -98,7 +97,7 @@
 }
 
 // RunStarted implements deployment.Observer.
-func (c *checker) RunStarted(r *deployment.Runner, s deployment.RunID, arrived time.Time) {
+func (c *checker) RunStarted(r *deployment.Runner, s deployment.RunID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	runs := c.runningByTask[s.Task]
@@ -114,10 +113,10 @@
 	job := jobOfTask(s.Task)
 	c.startsByJob[job]++
 	if isStored(job) {
-		c.lastStarts[s.Task] = arrived
+		c.lastStarts[s.Task] = time.Now()
 		c.checkRestartAfterAcknowledgement(s.Task)
 	}
-	if at, ok := c.completedJobs[job]; ok && arrived.After(at) {
+	if c.completedJobs[job] {
 		c.addViolation("%s run %d starts though its job was reported as completed", s.Task, s.Run)
 	}
 	if c.refusedJobs[job] {
@@ -155,31 +154,26 @@
 	for _, job := range []string{"0000000100000001", "0000000300000001"} {
 		c := newChecker()
 		first, second := deployment.RunID{Task: job + ".0.0.0", Run: 1}, deployment.RunID{Task: job + ".0.0.0", Run: 2}
-		c.RunStarted(one, first, time.Now())
+		c.RunStarted(one, first)
 		c.RunEnded(one, first, "done")
-		c.RunStarted(other, second, time.Now())
+		c.RunStarted(other, second)
 		g.Expect(c.allViolations()).To(BeEmpty())
-		c.RunStarted(one, first, time.Now())
+		c.RunStarted(one, first)
 		g.Expect(c.allViolations()).To(HaveLen(1))
 	}
 	g.Expect(isStored("0000000100000001")).To(BeFalse())
 	g.Expect(isStored("0000000300000001")).To(BeTrue())
 }
 
-// Guards against a checker that overlooks a start after its job was reported as completed. A start that
-// arrived before may be carried out late.
+// Guards against a checker that overlooks a start after its job was reported as completed.
 func TestCheckerNoticesAStartAfterCompletion(t *testing.T) {
 	g := NewWithT(t)
 	c := newChecker()
-	runner, before := &deployment.Runner{ID: "i-1"}, time.Now()
+	runner := &deployment.Runner{ID: "i-1"}
 	c.doneTasks["0000000300000001.0.0.0"] = true
 	c.recordAccepted("0000000300000001", 1)
 	g.Expect(c.checkJobState("0000000300000001", http.StatusOK, "completed")).To(BeTrue())
-	late, next := deployment.RunID{Task: "0000000300000001.0.0.0", Run: 2}, deployment.RunID{Task: "0000000300000001.0.0.0", Run: 3}
-	c.RunStarted(runner, late, before)
-	c.RunEnded(runner, late, "stopped")
-	g.Expect(c.allViolations()).To(BeEmpty())
-	c.RunStarted(runner, next, time.Now())
+	c.RunStarted(runner, deployment.RunID{Task: "0000000300000001.0.0.0", Run: 2})
 	g.Expect(c.allViolations()).To(HaveLen(1))
 }
 
@@ -223,7 +217,7 @@
 		c.addViolation("%s is reported as %s", job, body)
 	case status == http.StatusOK && strings.Contains(body, "completed"):
 		c.checkAllTasksDone(job, c.acceptedJobs[job])
-		c.completedJobs[job] = time.Now()
+		c.completedJobs[job] = true
 		delete(c.acceptedJobs, job)
 	default:
 		return false
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -35,9 +35,7 @@
 
 // Observer is notified of the runs of a runner. Its methods are called with the runner's lock held.
 type Observer interface {
-	// RunStarted is called when a run begins. Its start arrived at the given time, which is earlier if
-	// the runner was made to carry it out late.
-	RunStarted(r *Runner, s RunID, arrived time.Time)
+	RunStarted(r *Runner, s RunID)
 	RunEnded(r *Runner, s RunID, outcome string)
 	// EndAcknowledged is called when the scheduler has acknowledged the end of a run.
 	EndAcknowledged(r *Runner, e EndedRun)
@@ -306,7 +304,7 @@
 	}
 	r.starts = append(r.starts, s)
 	if r.observer != nil {
-		r.observer.RunStarted(r, s, arrivalOf(q))
+		r.observer.RunStarted(r, s)
 	}
 	r.running[s] = time.AfterFunc(runTime, func() {
 		r.mu.Lock()
--- a/standin/deployment/runner_faults.go
+++ b/standin/deployment/runner_faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -67,7 +66,6 @@
 			return
 		}
 		q.Body = io.NopCloser(bytes.NewReader(body))
-		q = q.WithContext(context.WithValue(q.Context(), arrivalKey{}, time.Now()))
 		time.Sleep(f.delay())
 		a := answer{header: w.Header()}
 		next.ServeHTTP(&a, q)
@@ -81,17 +79,6 @@
 	})
 }
 
-// arrivalKey is the key of the arrival time in the context of a call that may be delayed.
-type arrivalKey struct{}
-
-// arrivalOf returns when a call arrived.
-func arrivalOf(q *http.Request) time.Time {
-	if at, ok := q.Context().Value(arrivalKey{}).(time.Time); ok {
-		return at
-	}
-	return time.Now()
-}
-
 var unhealthyStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // answer is a response that isn't sent yet.
