--- a/core/fleet/rejections_test.go
+++ b/core/fleet/rejections_test.go
@@ -260,6 +260,33 @@
 	playFaultyRuns(t, append(changeFaults(), rejectionFaults()...)...)
 }
 
+// Seeds that once violated an invariant, with the cause.
+var rejectionRegressions = []struct {
+	run    string
+	seed   uint64
+	faults []string
+	cause  string
+}{
+	{"pooled", 6, rejectionFaults(), "a start was carried out without an answer, and the second order was rejected by a runner that was unhealthy"},
+	{"lending", 2, append(rejectionFaults(), slownessFaults()...), "a start was still on its way when the second order was rejected for lack of room"},
+	{"cells", 22, append(rejectionFaults(), slownessFaults()...), "a start was still on its way when the second order was rejected by a runner that was unhealthy"},
+}
+
+func TestRejectionRegressions(t *testing.T) {
+	t.Parallel()
+	for _, c := range rejectionRegressions {
+		for _, v := range faultyRuns {
+			if v.name != c.run {
+				continue
+			}
+			w, _ := v.run(c.seed, c.faults)
+			if len(w.checker.violations) > 0 {
+				t.Errorf("%s, seed %d, %s: %v\n%s", c.run, c.seed, c.cause, strings.Join(w.checker.violations, "\n"), w.describeDoubles())
+			}
+		}
+	}
+}
+
 // Guards against two runs of a task at the same time when all orders are slow and some are far slower:
 // the timeout grows, so that the second order of a start may arrive after the lease in it has ended. A
 // runner accepts an order for a run that is there before it looks at the lease.
