--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -79,11 +79,19 @@
 	endsChanged chan struct{}
 	starts      []RunID
 	silent      bool
+	crashed     bool
+	faults      RunnerFaults
 	observer    Observer
 	// clockStart is the zero of the runner's clock in its present incarnation.
 	clockStart time.Time
 }
 
+// startPath and stopPath are the paths of the calls that start and stop runs.
+const (
+	startPath = "/run-start"
+	stopPath  = "/run-stop"
+)
+
 // maxLease is the longest lease that a runner grants.
 const maxLease = time.Second
 
@@ -108,10 +116,10 @@
 		clockStart: time.Now().Add(-time.Hour),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", r.start)
-	mux.HandleFunc("POST /run-stop", r.stop)
+	mux.HandleFunc("POST "+startPath, r.start)
+	mux.HandleFunc("POST "+stopPath, r.stop)
 	mux.HandleFunc("POST /hold", r.hold)
-	r.server = &http.Server{Handler: r.checkRequest(mux), ReadHeaderTimeout: time.Second}
+	r.server = &http.Server{Handler: r.checkRequest(r.applyFaults(mux)), ReadHeaderTimeout: time.Second}
 	go func() { _ = r.server.Serve(l) }()
 	return r, s.Put("servers", id, r.Info)
 }
@@ -121,6 +129,7 @@
 	_ = r.server.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.crashed = true
 	for s := range r.running {
 		r.endRun(s, "crashed")
 	}
@@ -215,6 +224,10 @@
 		return o, false
 	}
 	r.mu.Lock()
+	if r.crashed {
+		r.mu.Unlock()
+		return o, false
+	}
 	if o.FenceToken < r.token {
 		r.reject(w, "fence")
 		r.mu.Unlock()
