A doubtful run doesn't hold its runner's ends back for ever

What callers saw: a stored job that is never completed, on a runner with 500 ends that can't be acknowledged yet, as after a minute without the store.

A run whose second order is outdated or too late has its end, if it has one, on a list; if 500 others come before it, the list is always the same one.

Change: such a run holds no ends back any more once no order for it can be carried out, in a later incarnation of the runner either.

--- a/core/gateway/drops_test.go
+++ b/core/gateway/drops_test.go
@@ -90,3 +90,22 @@
 	g.Expect(d.latest).To(HaveLen(maxDropsRemembered))
 	g.Expect(d.has(0, "0")).To(BeTrue(), "it was dropped again")
 }
+
+// Guards against a caller who is told to ask again for ever, since each refusal is followed by another
+// drop.
+func TestRefusalsOfAJobSentAgainBecomeFinal(t *testing.T) {
+	g := NewWithT(t)
+	gw := handedInAgain(g, testJob("j"), 10*ms)
+	var last workload.Outcome
+	for i := range 5 {
+		now := 25*ms + time.Duration(i)*1300*ms
+		if i > 0 {
+			gw.Submit(now, uint64(2+i), 0, testJob("j"), time.Second)
+		}
+		gw.HandleVerdict(now, Verdict{From: "a", Job: "j", Outcome: workload.NotRun, Cause: workload.LackOfRoom})
+		answers := replies(gw.Ready())
+		g.Expect(answers).To(HaveLen(1))
+		last = answers[0].Outcome
+	}
+	g.Expect(last).To(Equal(workload.NotRun))
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -181,11 +181,15 @@
 
 // drop tells a job's scheduler, if it has one, to drop the job.
 func (g *Gateway) drop(j *inFlightJob) {
-	if j.scheduler == "" {
-		return
+	if j.scheduler != "" {
+		g.sendDrop(j)
+		g.drops.add(g.now, j.job.ID)
 	}
+}
+
+// sendDrop sends a Drop to a job's scheduler.
+func (g *Gateway) sendDrop(j *inFlightJob) {
 	g.out = append(g.out, Drop{At: g.now, To: j.scheduler, Shard: j.shard, Job: j.job.ID})
-	g.drops.add(g.now, j.job.ID)
 }
 
 // SetLeader sets the choice of a shard's leader, and hands over the jobs of the former leader.
@@ -281,8 +285,9 @@
 		v.Outcome = workload.GaveUp
 	}
 	if j.droppedBefore && refused(v) {
-		// The verdict may be on the earlier hand-in, and the scheduler may have this one.
-		g.drop(j)
+		// The verdict may be on the earlier hand-in, and the scheduler may have this one. This drop isn't
+		// remembered, so that a job that is refused again and again gets a final answer in the end.
+		g.sendDrop(j)
 	}
 	g.reply(j, v)
 }
--- a/core/schedule/doubtful_start_test.go
+++ b/core/schedule/doubtful_start_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -179,3 +180,60 @@
 	}
 	t.Fatal("the task was never started elsewhere")
 }
+
+// longList answers for a runner that has more ends than one list holds: it lists those after the
+// acknowledged ones.
+func (b *harness) longList(id workload.RunnerID, ends []workload.End) {
+	for _, s := range take[Stop](b) {
+		b.stopped(s, Accepted)
+	}
+	for _, h := range take[Hold](b) {
+		if h.Runner != id {
+			b.held(h)
+			continue
+		}
+		from := int(h.Acknowledged)
+		b.held(h, ends[from:min(from+maxEndsPerList, len(ends))]...)
+	}
+}
+
+// manyEnds returns as many ends as a list holds, of jobs that nobody knows, and behind them that of a run.
+func manyEnds(last workload.RunKey) []workload.End {
+	var ends []workload.End
+	for i := range maxEndsPerList {
+		k := workload.RunKey{Task: workload.TaskName{Job: workload.JobID(fmt.Sprintf("unknown%d", i))}, Number: 1}
+		ends = append(ends, workload.End{Sequence: uint64(i + 1), Run: k, Kind: workload.Failed})
+	}
+	return append(ends, workload.End{Sequence: maxEndsPerList + 1, Run: last, Kind: workload.Done})
+}
+
+// Guards against a runner that gets no end acknowledged any more: the end of a doubtful run is behind
+// more ends than a list holds, and the run holds back their acknowledgement.
+func TestADoubtfulRunDoesntHoldEndsBackForEver(t *testing.T) {
+	for _, o := range []CallOutcome{Outdated, TooLate, Unhealthy} {
+		for name, stored := range map[string]bool{"best effort": false, "stored": true} {
+			t.Run(o.String()+" "+name, func(t *testing.T) {
+				b := leading(t, testRunner("r1"))
+				if stored {
+					b.accepted(storedJob(1, 300*ms))
+					b.started(one[Start](b), Unanswered)
+				} else {
+					b.unansweredOnce(testJob(1, 300*ms))
+				}
+				again := b.s.runners["r1"].sortedRuns()[0]
+				ends := manyEnds(again.key)
+				b.now += 10 * ms
+				b.longList("r1", ends)
+				b.s.Started(b.now, StartResult{Runner: "r1", Token: b.s.runners["r1"].token, Run: again.key, Outcome: o, Clock: b.clock()})
+				for range 200 {
+					b.tick(20 * ms)
+					b.s.RowOwnershipVerified(b.now, b.now)
+					b.saved(take[Save](b)...)
+					b.longList("r1", ends)
+				}
+				b.g.Expect(b.s.runners["r1"].acknowledged).To(BeNumerically(">=", maxEndsPerList))
+				b.g.Expect(b.s.runners["r1"].runs).NotTo(HaveKey(again.key))
+			})
+		}
+	}
+}
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -199,7 +199,7 @@
 // noteNextRun records with a task's dropped runs that it has another run now.
 func (s *Scheduler) noteNextRun(u *run) {
 	for _, d := range s.drops.byTask[u.key.Task] {
-		if d.next.Number == 0 && d.key != u.key {
+		if d.next.Number == 0 && (d.key != u.key || d.runner != u.runner.info.ID) {
 			d.setNext(u)
 		}
 	}
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -237,3 +237,25 @@
 	b.g.Expect(b.warnings()).To(BeEmpty())
 	b.g.Expect(b.s.Counters().Dropped).To(Equal(DropCounts{}))
 }
+
+// Guards against a second run without a warning: the job was handed in again, and its runs are numbered
+// from one again.
+func TestRunsOfAJobSentAgainAreReported(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := testJob(1, 300*ms)
+	b.submit(j, 2*time.Second)
+	first := one[Start](b)
+	b.started(first, Accepted)
+	b.s.Abandon(b.now, entryA, j.ID)
+	b.stopped(one[Stop](b), Accepted)
+	take[Hold](b)
+	b.tick(b.s.cfg.StopTimeout + stopSlack + 20*ms)
+	b.s.runners[first.Runner].evacuated = true
+	b.submit(j, 2*time.Second)
+	second := one[Start](b)
+	b.g.Expect(second.Run).To(Equal(first.Run))
+	b.started(second, Accepted)
+	b.now += 5 * ms
+	b.lists(first.Runner, b.now, first.Run)
+	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", first.Run, ContainSubstring(string(second.Runner)))))
+}
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -34,13 +34,20 @@
 		return 0
 	}
 	for _, u := range r.runs {
-		if !u.confirmed && now-u.started >= startConfirmTime {
+		if !u.confirmed && now-u.started >= startConfirmTime && !u.startVoid(now) {
 			return 0
 		}
 	}
 	return r.acknowledged
 }
 
+// startVoid reports whether no order to start a run can be carried out any more, by this incarnation or
+// a later one. Such a run doesn't hold ends back: its own may be on a list that follows the present one.
+func (u *run) startVoid(now Time) bool {
+	rejected := u.stopped || u.startExpiredAt > 0
+	return rejected && now >= u.orderedAt+maxRunLife(maxLease)
+}
+
 // startInvalidAt returns when an unconfirmed run must be over even if its start has reached a later
 // incarnation of the runner. On that incarnation's clock the lease in the order ends far in the future,
 // and the runner shortens it to maxLease. The result is 0 if the run is confirmed, or if the runner's
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -135,8 +135,8 @@
 	case o == Outdated:
 		u.stopping = true
 		s.noteStopped(u, s.now)
-		// The runner lists the run's end.
-		u.overAt = never
+		// The runner lists the run's end, unless it has too many ends for one list.
+		u.overAt = s.now + maxRunLife(s.cfg.Lease)
 	case u.confirmed:
 	case o == TooLate:
 		u.inDoubt, u.startExpiredAt = true, s.now
