--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -179,7 +179,7 @@
 	g.drop(j)
 }
 
-// drop tells a job's scheduler, if it has one, to drop the job.
+// drop tells a job's scheduler, if it has one, to drop the job, and remembers that.
 func (g *Gateway) drop(j *inFlightJob) {
 	if j.scheduler != "" {
 		g.sendDrop(j)
