--- a/core/gateway/drops.go
+++ b/core/gateway/drops.go
@@ -10,12 +10,11 @@
 // the verdict on the first hand-in may still be on its way, and says nothing of the second one.
 
 const (
-	// dropRetention is how long dropped hand-ins are remembered. The verdict on one of them was sent
-	// before its scheduler got the Drop. Or the job is stored, which a Drop doesn't end, and waits for
-	// the stored jobs and a proof of their ownership, 1.1 s at most. Runs that are being stopped end
-	// within orphanRunLifetime.
+	// dropRetention is how long dropped hand-ins are remembered: longer than a verdict on one of them may
+	// be on its way. A scheduler that has got the Drop sends none, unless the job is stored; it may then
+	// hold its verdict back for 1.1 s.
 	dropRetention = 4 * time.Second
-	// maxDropsRemembered bounds the memory. That many callers don't leave within dropRetention.
+	// maxDropsRemembered bounds the memory, in hand-ins.
 	maxDropsRemembered = 1 << 16
 )
 
--- a/core/schedule/counters.go
+++ b/core/schedule/counters.go
@@ -6,13 +6,13 @@
 // Fenced counts the runners that have accepted another scheduler's higher token, and Unanswered
 // the orders without an answer. StartsRepeated counts the starts that were sent again,
 // RepeatsRejected those among them that the runner rejected, Dropped the runs that ceased to count
-// though their runners hadn't listed their ends, and AliveAfterDrop the warnings that a task had two
+// though their runners hadn't listed their ends, and RanTwice the warnings that a task had two
 // runs at a time.
 type Counters struct {
 	Submitted, Completed, Failed, Cancelled, Refused, GaveUp uint64
 	Starts, Done, FailedRuns, Lapsed, Adopted, Overstayed    uint64
 	Fenced, Unanswered                                       uint64
-	StartsRepeated, RepeatsRejected, AliveAfterDrop          uint64
+	StartsRepeated, RepeatsRejected, RanTwice                uint64
 	Dropped                                                  DropCounts
 	Lending                                                  LendingCounters
 }
@@ -26,7 +26,7 @@
 		Lapsed: c.Lapsed + o.Lapsed, Adopted: c.Adopted + o.Adopted, Overstayed: c.Overstayed + o.Overstayed,
 		Fenced: c.Fenced + o.Fenced, Unanswered: c.Unanswered + o.Unanswered,
 		StartsRepeated: c.StartsRepeated + o.StartsRepeated, RepeatsRejected: c.RepeatsRejected + o.RepeatsRejected,
-		AliveAfterDrop: c.AliveAfterDrop + o.AliveAfterDrop, Dropped: c.Dropped.Plus(o.Dropped),
+		RanTwice: c.RanTwice + o.RanTwice, Dropped: c.Dropped.Plus(o.Dropped),
 		Lending: c.Lending.Plus(o.Lending),
 	}
 }
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -248,7 +248,7 @@
 
 func (s *Scheduler) reportAlive(d *droppedRun, state string) {
 	d.reported = true
-	s.ctr.AliveAfterDrop++
+	s.ctr.RanTwice++
 	s.emitLateSign("task-ran-twice", d, state, true)
 }
 
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -73,7 +73,7 @@
 	b.end(first.Runner, 1, first.Run, workload.Done)
 	b.g.Expect(b.warnings()).To(BeEmpty(), "one line a run")
 	c := b.s.Counters()
-	b.g.Expect([]uint64{c.AliveAfterDrop, c.Dropped[StartRejected]}).To(HaveEach(uint64(1)))
+	b.g.Expect([]uint64{c.RanTwice, c.Dropped[StartRejected]}).To(HaveEach(uint64(1)))
 	b.g.Expect(c.RepeatsRejected).To(BeZero())
 }
 
@@ -115,7 +115,7 @@
 	b.g.Expect(b.warnings()).To(BeEmpty())
 	c := b.s.Counters()
 	b.g.Expect([]uint64{c.StartsRepeated, c.RepeatsRejected}).To(HaveEach(uint64(1)))
-	b.g.Expect([]uint64{c.AliveAfterDrop, c.Dropped[StartRejected]}).To(HaveEach(uint64(0)))
+	b.g.Expect([]uint64{c.RanTwice, c.Dropped[StartRejected]}).To(HaveEach(uint64(0)))
 }
 
 // Guards against a false warning by a list that was on its way when the other run was started.
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -42,7 +42,8 @@
 }
 
 // startVoid reports whether no order to start a run can be carried out any more, by this incarnation or
-// a later one. Such a run doesn't hold ends back: its own may be on a list that follows the present one.
+// a later one. Such a run doesn't hold back the acknowledgement of ends: where they fill the list, its own
+// end is listed only after they are acknowledged.
 func (u *run) startVoid(now Time) bool {
 	rejected := u.stopped || u.startExpiredAt > 0
 	return rejected && now >= u.orderedAt+maxRunLife(maxLease)
--- a/core/schedule/overtaken_list.go
+++ b/core/schedule/overtaken_list.go
@@ -7,8 +7,8 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Two requests for a runner's lists may be under way at a time, and the later answer overtake the
-// earlier one. A run that the earlier answer shows as running may have ended, by the later one.
+// Two requests for a runner's lists may be under way at a time, and the newer list may arrive first. A
+// run that the older list shows as running may be on the newer one as ended.
 
 // listDelay is the longest time from a request for the lists to its answer: the longest timeout of an
 // order, and the wait for an end.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -125,7 +125,7 @@
 	set("unanswered", c.Unanswered)
 	set("starts-repeated", c.StartsRepeated)
 	set("repeats-rejected", c.RepeatsRejected)
-	set("ran-twice", c.AliveAfterDrop)
+	set("ran-twice", c.RanTwice)
 	for reason, n := range c.Dropped {
 		set("dropped-"+schedule.DropReason(reason).String(), n)
 	}
