--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -35,8 +35,6 @@
 				}
 				return r.ended
 			}
-			doneBefore := time.Time{}
-			failedEnds := 0
 			for i, r := range runs {
 				for _, o := range runs[:i] {
 					if endOf(o).After(r.begun) {
@@ -73,22 +71,13 @@
 					}
 				}
 				for _, d := range j.spec.Steps[t.step].DependsOn {
-					for _, p := range j.tasks {
-						if p.k != t.k || p.step != d {
-							continue
-						}
+					for _, p := range j.stepTasks(t.k, d) {
 						if !slices.ContainsFunc(p.runs, func(o *runRecord) bool { return o.how == "done" && o.ended.Before(r.begun) }) {
 							add("ORDER: %s run %d starts at %s before %s has ended done", t.name, r.run, at(r.begun), p.name)
 						}
 					}
 				}
 			}
-			_ = doneBefore
-			for _, r := range runs {
-				if r.how == "failed" {
-					failedEnds++
-				}
-			}
 			done := slices.ContainsFunc(runs, func(o *runRecord) bool { return o.how == "done" && (j.shownAt.IsZero() || o.ended.Before(j.shownAt)) })
 			if j.state == "completed" && !done {
 				add("MIXED: %s is shown as completed at %s, %s has not ended done", j.id, at(j.shownAt), t.name)
@@ -127,10 +116,7 @@
 			for _, t := range j.tasks {
 				for _, r := range t.runs {
 					n := 0
-					for _, p := range j.tasks {
-						if p.k != t.k || p.step != t.step || j.spec.Steps[t.step].AntiAffinity == 0 {
-							continue
-						}
+					for _, p := range j.stepTasks(t.k, t.step) {
 						for _, o := range p.runs {
 							if o.runner == r.runner && !o.begun.After(r.begun) && (o.ended.IsZero() || o.ended.After(r.begun)) {
 								n++
@@ -147,8 +133,15 @@
 	return list
 }
 
-// stuck lists the accepted jobs that have had nothing running for 3 s while a task's turn has come.
-func (w *world) stuck() []string {
+// idleLimit is how long a job may have nothing running while a task's turn has come.
+const idleLimit = 3 * time.Second
+
+// span is a span of time.
+type span struct{ from, to time.Time }
+
+// stuck lists the accepted jobs that had nothing running for idleLimit at some time from a moment on,
+// while a task's turn had come.
+func (w *world) stuck(from time.Time) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -157,44 +150,106 @@
 		if j.spec.BestEffort || j.acceptedAt.IsZero() || j.state != "" || !j.cancelSent.IsZero() {
 			continue
 		}
-		last := j.acceptedAt
-		waiting, running := "", false
-		for _, t := range j.tasks {
-			done := false
-			for _, r := range t.runs {
-				running = running || r.ended.IsZero()
-				if r.ended.After(last) {
-					last = r.ended
-				}
-				done = done || r.how == "done"
-			}
-			if done {
-				continue
+		idle := j.idleSpans(from, now)
+		if t, s := j.waitingIn(idle, now); t != nil {
+			list = append(list, fmt.Sprintf("LOST: %s (accepted at %.3f) has nothing running from %.3f to %.3f, the turn of %s has come", j.id,
+				j.acceptedAt.Sub(w.rec.begun).Seconds(), s.from.Sub(w.rec.begun).Seconds(), s.to.Sub(w.rec.begun).Seconds(), t.name))
+		}
+	}
+	return list
+}
+
+// idleSpans returns the spans between two moments in which nothing of the job runs.
+func (j *jobRecord) idleSpans(from, to time.Time) []span {
+	var busy []span
+	for _, t := range j.tasks {
+		for _, r := range t.runs {
+			end := r.ended
+			if end.IsZero() {
+				end = to
 			}
-			if j.spec.Times > 0 {
-				due := time.UnixMilli(j.spec.StartAtMs + int64(t.k)*j.spec.IntervalMs)
-				if due.After(now.Add(-3 * time.Second)) {
-					continue
-				}
-				if due.After(last) {
-					last = due
-				}
+			busy = append(busy, span{r.begun, end})
+		}
+	}
+	slices.SortFunc(busy, func(a, b span) int { return a.from.Compare(b.from) })
+	var idle []span
+	at := from
+	if j.acceptedAt.After(at) {
+		at = j.acceptedAt
+	}
+	for _, b := range busy {
+		if b.from.After(at) {
+			idle = append(idle, span{at, b.from})
+		}
+		if b.to.After(at) {
+			at = b.to
+		}
+	}
+	if to.After(at) {
+		idle = append(idle, span{at, to})
+	}
+	return idle
+}
+
+// waitingIn returns a task whose turn has come, and that isn't done, for idleLimit within one of the spans.
+func (j *jobRecord) waitingIn(idle []span, now time.Time) (*taskRecord, span) {
+	for _, t := range j.tasks {
+		ready := t.readyAt()
+		if ready.IsZero() {
+			continue
+		}
+		done := t.doneAt()
+		if done.IsZero() {
+			done = now
+		}
+		for _, s := range idle {
+			if ready.After(s.from) {
+				s.from = ready
 			}
-			ready := true
-			for _, d := range j.spec.Steps[t.step].DependsOn {
-				for _, p := range j.tasks {
-					if p.k == t.k && p.step == d && !slices.ContainsFunc(p.runs, func(o *runRecord) bool { return o.how == "done" }) {
-						ready = false
-					}
-				}
+			if done.Before(s.to) {
+				s.to = done
 			}
-			if ready && waiting == "" {
-				waiting = t.name
+			if s.to.Sub(s.from) > idleLimit {
+				return t, s
 			}
 		}
-		if waiting != "" && !running && now.Sub(last) > 3*time.Second {
-			list = append(list, fmt.Sprintf("LOST: %s (accepted at %.3f) has nothing running for %.1f s, the turn of %s has come", j.id, j.acceptedAt.Sub(w.rec.begun).Seconds(), now.Sub(last).Seconds(), waiting))
+	}
+	return nil, span{}
+}
+
+// doneAt is when a run of the task first ended done; zero if none has.
+func (t *taskRecord) doneAt() time.Time {
+	var first time.Time
+	for _, r := range t.runs {
+		if r.how == "done" && (first.IsZero() || r.ended.Before(first)) {
+			first = r.ended
+		}
+	}
+	return first
+}
+
+// readyAt is when the task's turn came; zero if it hasn't.
+func (t *taskRecord) readyAt() time.Time {
+	at := t.job.acceptedAt
+	if t.job.spec.Times > 0 {
+		due := time.UnixMilli(t.job.spec.StartAtMs + int64(t.k)*t.job.spec.IntervalMs)
+		if due.After(time.Now()) {
+			return time.Time{}
+		}
+		if due.After(at) {
+			at = due
 		}
 	}
-	return list
+	for _, d := range t.job.spec.Steps[t.step].DependsOn {
+		for _, p := range t.job.stepTasks(t.k, d) {
+			done := p.doneAt()
+			if done.IsZero() {
+				return time.Time{}
+			}
+			if done.After(at) {
+				at = done
+			}
+		}
+	}
+	return at
 }
--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -10,12 +10,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
+// lossSlack is how soon after its last byte a request may be cut around planned work.
+const lossSlack = 200 * time.Millisecond
+
 // stepSpec is a step of a job to be sent, with how the stand-ins run its tasks.
 type stepSpec struct {
 	Count        int     `json:"count"`
@@ -88,6 +93,19 @@
 	tasks                                                   []*taskRecord
 }
 
+// stepTasks returns the tasks of a step of an occurrence.
+func (j *jobRecord) stepTasks(k, step int) []*taskRecord {
+	each, before := 0, 0
+	for i, s := range j.spec.Steps {
+		if i < step {
+			before += s.Count
+		}
+		each += s.Count
+	}
+	first := k*each + before
+	return j.tasks[first : first+j.spec.Steps[step].Count]
+}
+
 func (w *world) task(name string) *taskRecord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -166,13 +184,21 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	res, err := w.http.Do(req)
+	var wrote atomic.Int64
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+		if i.Err == nil {
+			wrote.Store(time.Now().UnixNano())
+		}
+	}}
+	res, err := w.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
+		w.noteCut(n, method, id, &wrote, ctx, err)
 		return 0, ""
 	}
 	defer res.Body.Close()
 	raw, err := io.ReadAll(res.Body)
 	if err != nil {
+		w.noteCut(n, method, id, &wrote, ctx, err)
 		return 0, ""
 	}
 	return res.StatusCode, string(raw)
@@ -214,6 +240,21 @@
 	return false
 }
 
+// noteCut records that a connection ended without a whole answer, and when the request had been sent.
+func (w *world) noteCut(n *node, method, id string, wrote *atomic.Int64, ctx context.Context, err error) {
+	sent := wrote.Load()
+	if ctx.Err() != nil || sent == 0 {
+		return
+	}
+	age := time.Since(time.Unix(0, sent))
+	w.rec.line("cut %s job=%s node=%s %v after it was sent: %v", method, id, n.name, age, err)
+	if age > lossSlack {
+		w.mu.Lock()
+		w.cut = append(w.cut, fmt.Sprintf("LOST: the connection to %s ended %v after %s of %s was sent: %v", n.name, age, method, id, err))
+		w.mu.Unlock()
+	}
+}
+
 func stateOf(text string) string {
 	var b struct {
 		State string `json:"state"`
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	seed     = flag.Uint64("seed", 1, "the seed of the stand-ins")
 	duration = flag.Duration("duration", 0, "the length of the random play")
 	faults   = flag.String("faults", "", "the faults of the random play")
+	planned  = flag.Bool("planned", false, "whether the faults of the random play are planned work only")
 	logs     = flag.String("logs", "", "the directory for the logs of the processes; empty for a temporary one")
 )
 
--- a/review/standin/random.go
+++ b/review/standin/random.go
@@ -182,6 +182,9 @@
 	clients.Wait()
 	w.rec.line("traffic has ended")
 	broken := w.settle(14 * time.Second)
+	if *planned {
+		broken = append(broken, w.cut...)
+	}
 	return append(broken, w.violations()...), nil
 }
 
@@ -241,7 +244,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	broken := w.stuck()
+	broken := w.stuck(begin)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, j := range w.order {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -89,12 +89,13 @@
 			g.refused++
 			n := g.refused
 			g.mu.Unlock()
-			if n <= 20 || n%1000 == 0 {
-				g.w.rec.line("store refuses a transaction with status 400: %s (%d so far)", reason, n)
-			}
+			g.w.rec.line("store refuses a transaction of %d bytes with status 400: %s (%d so far)", len(body), reason, n)
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if len(body) > 300000 {
+			g.w.rec.line("store takes a transaction of %d bytes", len(body))
+		}
 		time.Sleep(3 * time.Millisecond)
 		q.Body = io.NopCloser(bytes.NewReader(body))
 		q.ContentLength = int64(len(body))
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -50,6 +50,8 @@
 	runs  []*runRecord
 	// seen are broken rules that clients have seen.
 	seen []string
+	// cut are the requests whose connections ended without a whole answer.
+	cut []string
 }
 
 // node is an entry VM. Its process is started again whenever it ends.
