--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -151,6 +151,7 @@
 			continue
 		}
 		idle := j.idleSpans(from, now)
+		j.addDueOccurrences()
 		if t, s := j.waitingIn(idle, now); t != nil {
 			list = append(list, fmt.Sprintf("LOST: %s (accepted at %.3f) has nothing running from %.3f to %.3f, the turn of %s has come", j.id,
 				j.acceptedAt.Sub(w.rec.begun).Seconds(), s.from.Sub(w.rec.begun).Seconds(), s.to.Sub(w.rec.begun).Seconds(), t.name))
--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -91,25 +92,7 @@
 	state                                                   string
 	answers                                                 []int
 	tasks                                                   []*taskRecord
-}
-
-// stepTasks returns the tasks of a step of an occurrence.
-func (j *jobRecord) stepTasks(k, step int) []*taskRecord {
-	each, before := 0, 0
-	for i, s := range j.spec.Steps {
-		if i < step {
-			before += s.Count
-		}
-		each += s.Count
-	}
-	first := k*each + before
-	return j.tasks[first : first+j.spec.Steps[step].Count]
-}
-
-func (w *world) task(name string) *taskRecord {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.tasks[name]
+	byName                                                  map[string]*taskRecord
 }
 
 // fails reports whether a run of a task that ends now fails by the task's own fault.
@@ -124,8 +107,8 @@
 }
 
 func (w *world) noteStart(r *runner, k runKey, o order, late bool) *runRecord {
+	t := w.task(k.task)
 	w.mu.Lock()
-	t := w.tasks[k.task]
 	ref := &runRecord{task: t, name: k.task, run: k.run, runner: r, spec: o.Spec, begun: time.Now(), late: late}
 	w.runs = append(w.runs, ref)
 	if t != nil {
@@ -153,22 +136,70 @@
 
 // newJob registers a job, so that the runners know how its tasks run.
 func (w *world) newJob(id string, s jobSpec) *jobRecord {
-	j := &jobRecord{id: id, spec: s}
+	j := &jobRecord{id: id, spec: s, byName: make(map[string]*taskRecord)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.jobs[id] = j
 	w.order = append(w.order, j)
-	for k := range max(1, s.Times) {
-		for i, step := range s.Steps {
-			for n := range step.Count {
-				name := fmt.Sprintf("%s.%d.%d.%d", id, k, i, n)
-				t := &taskRecord{job: j, name: name, k: k, step: i, cpu: step.CPU, mem: step.MemMB, work: step.work, fail: step.failures, crash: step.crash, crashDown: step.crashDown}
-				w.tasks[name] = t
-				j.tasks = append(j.tasks, t)
+	if s.Times == 0 {
+		j.addOccurrence(0)
+	}
+	return j
+}
+
+// addOccurrence adds the tasks of an occurrence, unless they are known. Those of a scheduled job are added
+// when their time has come, or when a runner gets one of them.
+func (j *jobRecord) addOccurrence(k int) {
+	if k < 0 || k >= max(1, j.spec.Times) || j.stepTasks(k, 0) != nil {
+		return
+	}
+	for i, step := range j.spec.Steps {
+		for n := range step.Count {
+			t := &taskRecord{
+				job: j, name: fmt.Sprintf("%s.%d.%d.%d", j.id, k, i, n), k: k, step: i, cpu: step.CPU, mem: step.MemMB,
+				work: step.work, fail: step.failures, crash: step.crash, crashDown: step.crashDown,
 			}
+			j.byName[t.name] = t
+			j.tasks = append(j.tasks, t)
 		}
 	}
-	return j
+}
+
+// addDueOccurrences adds the tasks of all occurrences that are due.
+func (j *jobRecord) addDueOccurrences() {
+	now := time.Now().UnixMilli()
+	for k := 0; k < j.spec.Times && j.spec.StartAtMs+int64(k)*j.spec.IntervalMs <= now; k++ {
+		j.addOccurrence(k)
+	}
+}
+
+// stepTasks returns the tasks of a step of an occurrence; nil if they haven't been added.
+func (j *jobRecord) stepTasks(k, step int) []*taskRecord {
+	first := j.byName[fmt.Sprintf("%s.%d.%d.0", j.id, k, step)]
+	if first == nil {
+		return nil
+	}
+	list := make([]*taskRecord, j.spec.Steps[step].Count)
+	for n := range list {
+		list[n] = j.byName[fmt.Sprintf("%s.%d.%d.%d", j.id, k, step, n)]
+	}
+	return list
+}
+
+// task returns a task by its name; nil if no client sent it.
+func (w *world) task(name string) *taskRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id, rest, _ := strings.Cut(name, ".")
+	j := w.jobs[id]
+	if j == nil {
+		return nil
+	}
+	occurrence, _, _ := strings.Cut(rest, ".")
+	if k, err := strconv.Atoi(occurrence); err == nil {
+		j.addOccurrence(k)
+	}
+	return j.byName[name]
 }
 
 // call sends a request to a node; the status is 0 if there is no whole answer.
--- a/review/standin/schedule.go
+++ b/review/standin/schedule.go
@@ -60,11 +60,7 @@
 		w.rec.line("the store is up")
 	}
 	time.Sleep(time.Until(begin.Add(length)))
-	for i, j := range w.accepted() {
-		if status, _ := w.ask(j, i); status == 410 {
-			w.report(j, "LOST: %s was accepted and is unknown now", j.id)
-		}
-	}
+	w.askAll()
 	broken := append(w.stuck(begin.Add(outageAt+outageTime+finishTime)), w.seen...)
 	return append(broken, w.violations()...), nil
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -46,7 +46,6 @@
 	rng   *rand.Rand
 	jobs  map[string]*jobRecord
 	order []*jobRecord
-	tasks map[string]*taskRecord
 	runs  []*runRecord
 	// seen are broken rules that clients have seen.
 	seen []string
@@ -63,6 +62,9 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
+	// peak is the most memory that its process has occupied, in kilobytes, and killed how often the platform has
+	// killed it for that.
+	peak, killed int
 	// off keeps an ended process from being started again.
 	off bool
 }
@@ -85,7 +87,7 @@
 	w := &world{
 		rec: rec, program: program, dir: dir, backend: backend, store: backend, closed: make(chan struct{}), attempts: attempts,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}},
-		rng:  rand.New(rand.NewPCG(seed, 11)), jobs: make(map[string]*jobRecord), tasks: make(map[string]*taskRecord),
+		rng:  rand.New(rand.NewPCG(seed, 11)), jobs: make(map[string]*jobRecord),
 	}
 	if w.gate, err = newStoreGate(w, backend.Address()); err != nil {
 		return nil, err
