--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -150,13 +150,13 @@
 // addOccurrence adds the tasks of an occurrence, unless they are known. Those of a scheduled job are added
 // when their time has come, or when a runner gets one of them.
 func (j *jobRecord) addOccurrence(k int) {
-	if k < 0 || k >= max(1, j.spec.Times) || j.stepTasks(k, 0) != nil {
+	if k < 0 || k >= max(1, j.spec.Times) || j.byName[taskName(j.id, k, 0, 0)] != nil {
 		return
 	}
 	for i, step := range j.spec.Steps {
 		for n := range step.Count {
 			t := &taskRecord{
-				job: j, name: fmt.Sprintf("%s.%d.%d.%d", j.id, k, i, n), k: k, step: i, cpu: step.CPU, mem: step.MemMB,
+				job: j, name: taskName(j.id, k, i, n), k: k, step: i, cpu: step.CPU, mem: step.MemMB,
 				work: step.work, fail: step.failures, crash: step.crash, crashDown: step.crashDown,
 			}
 			j.byName[t.name] = t
@@ -165,6 +165,11 @@
 	}
 }
 
+// taskName returns the name of a task on the wire.
+func taskName(id string, k, step, index int) string {
+	return id + "." + strconv.Itoa(k) + "." + strconv.Itoa(step) + "." + strconv.Itoa(index)
+}
+
 // addDueOccurrences adds the tasks of all occurrences that are due.
 func (j *jobRecord) addDueOccurrences() {
 	now := time.Now().UnixMilli()
@@ -175,13 +180,12 @@
 
 // stepTasks returns the tasks of a step of an occurrence; nil if they haven't been added.
 func (j *jobRecord) stepTasks(k, step int) []*taskRecord {
-	first := j.byName[fmt.Sprintf("%s.%d.%d.0", j.id, k, step)]
-	if first == nil {
+	if j.byName[taskName(j.id, k, step, 0)] == nil {
 		return nil
 	}
 	list := make([]*taskRecord, j.spec.Steps[step].Count)
 	for n := range list {
-		list[n] = j.byName[fmt.Sprintf("%s.%d.%d.%d", j.id, k, step, n)]
+		list[n] = j.byName[taskName(j.id, k, step, n)]
 	}
 	return list
 }
