--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -336,7 +336,7 @@
 // ownerRow is the VM of the owner of the first shard's rows.
 func (w *world) ownerRow() string {
 	q := url.Values{"table": {"sapphirepoint-ownership"}, "part": {"shard-0"}}
-	res, err := w.http.Get("http://" + w.backend.Address() + "/rows-get?" + q.Encode())
+	res, err := w.http.Get("http://" + w.store.Address() + "/rows-get?" + q.Encode())
 	if err != nil {
 		return ""
 	}
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -122,7 +122,7 @@
 		go func() {
 			defer clients.Done()
 			if status, _ := w.ask(j, i); status == 410 {
-				w.report(j, "LOST: %s was accepted and is unknown now", j.id)
+				w.report("LOST: %s was accepted and is unknown now", j.id)
 			}
 		}()
 	}
--- a/review/standin/random.go
+++ b/review/standin/random.go
@@ -114,7 +114,7 @@
 			r.mu.Unlock()
 		})
 	},
-	"history": func(w *world, _ <-chan struct{}) { w.backend.DropHistory() },
+	"history": func(w *world, _ <-chan struct{}) { w.store.DropHistory() },
 	"config":  func(w *world, _ <-chan struct{}) { w.putConfiguration() },
 }
 
@@ -205,7 +205,7 @@
 		time.Sleep(w.between(20*time.Millisecond, 500*time.Millisecond))
 		status, state := w.ask(j, node+i)
 		if status == 410 {
-			w.report(j, "LOST: %s was accepted and is unknown now", j.id)
+			w.report("LOST: %s was accepted and is unknown now", j.id)
 			return
 		}
 		if state == "completed" || state == "failed" || state == "cancelled" {
@@ -215,7 +215,7 @@
 }
 
 // report notes a broken rule that a client has seen.
-func (w *world) report(j *jobRecord, format string, args ...any) {
+func (w *world) report(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seen = append(w.seen, fmt.Sprintf(format, args...))
@@ -235,7 +235,7 @@
 				continue
 			}
 			if status, _ := w.ask(j, i+k); status == 410 && j.cancelSent.IsZero() {
-				w.report(j, "LOST: %s was accepted and is unknown now", j.id)
+				w.report("LOST: %s was accepted and is unknown now", j.id)
 			}
 			open++
 		}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -30,7 +30,6 @@
 	number int
 	key    runKey
 	how    string
-	saved  string
 	ref    *runRecord
 }
 
@@ -40,7 +39,6 @@
 	cpu   int
 	mem   int
 	ref   *runRecord
-	saved string
 }
 
 // runner is a stand-in for a runner that guards its capacity. After a crash it comes back at the same
@@ -402,7 +400,7 @@
 		if len(ended) == endsPerAnswer {
 			break
 		}
-		ended = append(ended, []any{e.number, e.key.task, e.key.run, e.how, e.saved})
+		ended = append(ended, []any{e.number, e.key.task, e.key.run, e.how, ""})
 	}
 	r.answer(rw, http.StatusOK, map[string]any{"running": running, "endedRuns": ended})
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -29,12 +29,10 @@
 	server  *http.Server
 	proxy   *httputil.ReverseProxy
 
-	mu     sync.Mutex
-	busy   bool
-	silent bool
-	lost   float64
-	// slow is how much longer each answer takes.
-	slow    time.Duration
+	mu      sync.Mutex
+	busy    bool
+	silent  bool
+	lost    float64
 	refused int
 }
 
@@ -45,32 +43,25 @@
 	}
 	u := &url.URL{Scheme: "http", Host: target}
 	g := &storeGate{w: w, address: l.Addr().String(), proxy: httputil.NewSingleHostReverseProxy(u)}
-	g.proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) {}
+	g.proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
 	g.server = &http.Server{Handler: g}
 	go func() { _ = g.server.Serve(l) }()
 	return g, nil
 }
 
+// set sets whether calls are answered 503 or not at all, and the share of transactions that are applied and
+// not answered.
 func (g *storeGate) set(busy, silent bool, lost float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy, g.silent, g.lost = busy, silent, lost
 }
 
-func (g *storeGate) setSlow(d time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.slow = d
-}
-
 // ServeHTTP implements http.Handler.
 func (g *storeGate) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
 	g.mu.Lock()
-	busy, silent, lost, slow := g.busy, g.silent, g.lost, g.slow
+	busy, silent, lost := g.busy, g.silent, g.lost
 	g.mu.Unlock()
-	if slow > 0 && q.URL.Path != "/rows-feed" {
-		time.Sleep(slow)
-	}
 	switch {
 	case silent:
 		<-q.Context().Done()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -31,7 +31,7 @@
 	rec     *recorder
 	program string
 	dir     string
-	backend *deployment.Store
+	// store is the platform's store, which the processes reach by way of gate.
 	store   *deployment.Store
 	gate    *storeGate
 	runners []*runner
@@ -65,10 +65,9 @@
 	// peak is the most memory that its process has occupied, in kilobytes, and killed how often the platform has
 	// killed it for that.
 	peak, killed int
-	// off keeps an ended process from being started again.
-	off bool
 }
 
+// layout is the size of a deployment: its zones, the entry VMs in each, and the runners with those of a rack.
 type layout struct {
 	zones   []string
 	nodes   []int
@@ -80,16 +79,16 @@
 var smallSite = layout{zones: []string{"loughborough", "melton", "hinckley"}, nodes: []int{3, 2, 1}, runners: 48, perRack: 8}
 
 func newWorld(rec *recorder, program, dir string, site layout, attempts int, seed uint64) (*world, error) {
-	backend, err := deployment.NewStore()
+	store, err := deployment.NewStore()
 	if err != nil {
 		return nil, err
 	}
 	w := &world{
-		rec: rec, program: program, dir: dir, backend: backend, store: backend, closed: make(chan struct{}), attempts: attempts,
+		rec: rec, program: program, dir: dir, store: store, closed: make(chan struct{}), attempts: attempts,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}},
 		rng:  rand.New(rand.NewPCG(seed, 11)), jobs: make(map[string]*jobRecord),
 	}
-	if w.gate, err = newStoreGate(w, backend.Address()); err != nil {
+	if w.gate, err = newStoreGate(w, store.Address()); err != nil {
 		return nil, err
 	}
 	for i := range site.runners {
@@ -103,19 +102,14 @@
 	w.putConfiguration()
 	for z, n := range site.nodes {
 		for k := range n {
-			if err := w.addNode(fmt.Sprintf("front-%s-%d", site.zones[z], k+1), site); err != nil {
+			if err := w.addNode(fmt.Sprintf("front-%s-%d", site.zones[z], k+1), site.zones[z]); err != nil {
 				return nil, err
 			}
-			w.nodes[len(w.nodes)-1].Domain = site.zones[z]
 		}
 	}
-	for i, n := range w.nodes {
-		z := 0
-		for k := i; k >= site.nodes[z]; z++ {
-			k -= site.nodes[z]
-		}
+	for _, n := range w.nodes {
 		path := filepath.Join(dir, n.name+".toml")
-		if err := os.WriteFile(path, []byte(w.settings(n, site.zones[z], site)), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(w.settings(n, site)), 0o600); err != nil {
 			return nil, err
 		}
 		go w.restartForever(n, path)
@@ -123,6 +117,7 @@
 	return w, nil
 }
 
+// putConfiguration writes the operator's configuration with a new version.
 func (w *world) putConfiguration() {
 	w.mu.Lock()
 	w.version += 3
@@ -139,8 +134,9 @@
 	})
 }
 
-func (w *world) addNode(name string, site layout) error {
-	d, err := deployment.NewNode(name, "")
+// addNode chooses the ports of an entry VM, and opens the file for the output of its processes.
+func (w *world) addNode(name, zone string) error {
+	d, err := deployment.NewNode(name, zone)
 	if err != nil {
 		return err
 	}
@@ -153,7 +149,7 @@
 }
 
 // settings is the settings file of a process, with the fields and figures of a small deployment.
-func (w *world) settings(n *node, zone string, site layout) string {
+func (w *world) settings(n *node, site layout) string {
 	zones := ""
 	for _, z := range site.zones {
 		zones += fmt.Sprintf("%s = \"east-mids\"\n", z)
@@ -235,33 +231,26 @@
 blobBytes = 8388608
 blobMs = 25.0
 blobMbS = 80.0
-`, n.name, zone, n.PeerPort, n.PeerPort, zones, n.CallerAddress, n.HealthAddress, w.gate.address)
+`, n.name, n.Domain, n.PeerPort, n.PeerPort, zones, n.CallerAddress, n.HealthAddress, w.gate.address)
 }
 
 // restartForever starts a node's process again whenever it ends, as the platform does.
 func (w *world) restartForever(n *node, settings string) {
 	defer close(n.done)
 	for {
+		cmd := exec.Command(w.program)
+		cmd.Env = append(os.Environ(), "SAPPHIREPOINT_NODE_FILE="+settings)
+		cmd.Stdout, cmd.Stderr = n.log, n.log
 		n.mu.Lock()
-		off := n.off
-		var cmd *exec.Cmd
-		var err error
-		if !off {
-			cmd = exec.Command(w.program)
-			cmd.Env = append(os.Environ(), "SAPPHIREPOINT_NODE_FILE="+settings)
-			cmd.Stdout, cmd.Stderr = n.log, n.log
-			err = cmd.Start()
-			n.cmd = cmd
-		}
+		err := cmd.Start()
+		n.cmd = cmd
 		n.mu.Unlock()
 		if err != nil {
 			w.rec.line("a process can't be started: %v", err)
 			return
 		}
-		if !off {
-			_ = cmd.Wait()
-			w.rec.line("process-ended node=%s state=%q", n.name, cmd.ProcessState.String())
-		}
+		_ = cmd.Wait()
+		w.rec.line("process-ended node=%s state=%q", n.name, cmd.ProcessState.String())
 		select {
 		case <-w.closed:
 			return
@@ -284,12 +273,6 @@
 	}
 }
 
-func (n *node) setOff(off bool) {
-	n.mu.Lock()
-	n.off = off
-	n.mu.Unlock()
-}
-
 // awaitReady waits until all processes are ready.
 func (w *world) awaitReady(limit time.Duration) bool {
 	for begin := time.Now(); time.Since(begin) < limit; time.Sleep(50 * time.Millisecond) {
@@ -327,7 +310,7 @@
 		_ = r.server.Close()
 	}
 	_ = w.gate.server.Close()
-	w.backend.Close()
+	w.store.Close()
 }
 
 func (w *world) chance(p float64) bool {
@@ -348,11 +331,11 @@
 	return w.rng.IntN(n)
 }
 
-// leader is the node whose process leads, by the log of the latest claim; nil if it can't be told.
+// leader is the node whose process owns the rows of the first shard; nil if none does.
 func (w *world) leader() *node {
-	rows := w.ownerRow()
+	owner := w.ownerRow()
 	for _, n := range w.nodes {
-		if rows == n.name {
+		if owner == n.name {
 			return n
 		}
 	}
