Logs: on what evidence a silent runner's runs count as over, and runs that outlive their lease

A request shows that the host accepts connections only if a new one was made for it; an order on an earlier connection shows nothing.

No decision changes. Tests of core/schedule, platform and entry pass.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -100,6 +100,9 @@
 	if d.Reason != "" {
 		f = append(f, Field{"reason", d.Reason})
 	}
+	if d.Detail != "" {
+		f = append(f, Field{"detail", d.Detail})
+	}
 	return append(f, Field{"age", ms(d.Age)})
 }
 
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -98,6 +98,8 @@
 	Reason string
 	// Age is the age of the input that led to the decision.
 	Age time.Duration
+	// Detail says more about the inputs; "" if there is no more to say.
+	Detail string
 	// Token is the fencing token in force.
 	Token uint64
 	// Warning: it may need an operator's attention.
@@ -184,6 +186,20 @@
 // String returns the outcome's name in logs.
 func (o CallOutcome) String() string { return outcomeNames[o] }
 
+// Connection is what an order that stayed unanswered shows of the runner's host.
+type Connection uint8
+
+// The connections.
+const (
+	// ConnectionUnknown: the order was sent on an earlier connection, or never.
+	ConnectionUnknown Connection = iota
+	// ConnectionMade: the host has accepted a new connection, so it is up and in reach, and the runner's
+	// process, which doesn't answer, may still be alive.
+	ConnectionMade
+	// ConnectionFailed: no new connection could be made.
+	ConnectionFailed
+)
+
 // ClockReading is a runner's clock as read from an answer.
 type ClockReading struct {
 	// Milliseconds is the clock; 0 if the answer had none.
@@ -222,7 +238,9 @@
 	ListOnly         bool
 	ReachabilityOnly bool
 	Outcome          CallOutcome
-	Running          []workload.RunKey
+	// Connection is set if the order stayed unanswered.
+	Connection Connection
+	Running   []workload.RunKey
 	// Checkpoints are the newest ones of the listed runs, where there are any.
 	Checkpoints map[workload.RunKey]string
 	Ends        []workload.End
--- a/core/schedule/counters.go
+++ b/core/schedule/counters.go
@@ -7,12 +7,14 @@
 // the orders without an answer. StartsRepeated counts the starts that were sent again,
 // RepeatsRejected those among them that the runner rejected, Dropped the runs that ceased to count
 // though their runners hadn't listed their ends, and RanTwice the warnings that a task had two
-// runs at a time.
+// runs at a time. DoneAfterDrop counts the dropped runs that were listed as done after their task was
+// started again, and LeaseOverruns the lists that showed a run alive after its lease.
 type Counters struct {
 	Submitted, Completed, Failed, Cancelled, Refused, GaveUp uint64
 	Starts, Done, FailedRuns, Lapsed, Adopted, Overstayed    uint64
 	Fenced, Unanswered                                       uint64
 	StartsRepeated, RepeatsRejected, RanTwice                uint64
+	DoneAfterDrop, LeaseOverruns                             uint64
 	Dropped                                                  DropCounts
 	Lending                                                  LendingCounters
 }
@@ -27,6 +29,7 @@
 		Fenced: c.Fenced + o.Fenced, Unanswered: c.Unanswered + o.Unanswered,
 		StartsRepeated: c.StartsRepeated + o.StartsRepeated, RepeatsRejected: c.RepeatsRejected + o.RepeatsRejected,
 		RanTwice: c.RanTwice + o.RanTwice, Dropped: c.Dropped.Plus(o.Dropped),
+		DoneAfterDrop: c.DoneAfterDrop + o.DoneAfterDrop, LeaseOverruns: c.LeaseOverruns + o.LeaseOverruns,
 		Lending: c.Lending.Plus(o.Lending),
 	}
 }
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -243,6 +243,7 @@
 		return
 	}
 	d.reported = true
+	s.ctr.DoneAfterDrop++
 	s.emitLateSign("dropped-run-done", d, "done", false)
 }
 
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -70,7 +70,7 @@
 	held := r.token != 0
 	s.dropRuns(r, RunnerRestarted)
 	r.incarnationStart = start
-	r.clock, r.clockAt, r.aliveUntil, r.noLeaseUntil = 0, 0, 0, 0
+	r.clock, r.clockAt, r.aliveUntil, r.noLeaseUntil, r.leaseLimit = 0, 0, 0, 0, 0
 	r.health = newHealth()
 	s.learned.ForgetRunner(string(r.info.ID))
 	s.updatePace(r)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -43,6 +43,7 @@
 	switch res.Outcome {
 	case Accepted:
 		r.answered(res.Clock.SentAt)
+		r.connected = false
 		s.noteAnswerAfterSilence(r, silence)
 		s.applyLists(r, res)
 		s.dispatch()
@@ -58,6 +59,7 @@
 		s.replaced(r)
 		s.dispatch()
 	default:
+		r.noteSilence(res)
 		s.unanswered(r)
 		s.probe(r)
 	}
@@ -74,7 +76,7 @@
 	if first {
 		r.acquiredAt = s.now
 		r.refusals = 0
-		r.aliveUntil = max(r.aliveUntil, s.now+maxRunLife(maxLease))
+		r.noteLease(s.now, maxLease)
 		s.emit(Decision{Event: "runner-acquired", Runner: r.info.ID, Token: r.token, Age: s.now - r.holdSentAt})
 	}
 	for _, e := range res.Ends {
@@ -96,6 +98,7 @@
 	if complete {
 		s.dropUnlisted(r, listed, res.Clock.SentAt)
 	}
+	s.checkOverrun(r, res)
 	r.noteExpiredStarts()
 }
 
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -45,6 +45,13 @@
 	// aliveUntil is the latest time at which a run may still be alive there if the runner
 	// receives no further order from this scheduler.
 	aliveUntil Time
+	// leaseLimit is the latest end, on the runner's clock, of a lease that the runner may have; 0 if that
+	// isn't known. overrunReported is the limit for which a run that was alive later was last reported.
+	leaseLimit, overrunReported int64
+	// unansweredAt is when the latest Hold was sent that stayed unanswered. connected: since the runner's
+	// last answer its host has accepted a connection, and none has failed later.
+	unansweredAt Time
+	connected    bool
 	// unresponsiveSince is when an order stayed unanswered. An answer to a later order clears
 	// unresponsive. Nothing is started on an unresponsive runner.
 	unresponsiveSince Time
@@ -182,9 +189,11 @@
 	return r.clock + (now - r.clockAt + lease).Milliseconds()
 }
 
-// noteLease records that an order with a lease is being sent.
+// noteLease records that an order with a lease is being sent, or that the runner may have one from
+// another scheduler.
 func (r *runner) noteLease(now Time, lease time.Duration) {
 	r.aliveUntil = max(r.aliveUntil, now+maxRunLife(lease))
+	r.leaseLimit = max(r.leaseLimit, r.leaseEnd(now, lease))
 }
 
 // maxRunLife returns how long a run may live after a lease was sent, by this process's clock,
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		s.ctr.Lapsed++
-		s.dropRunAs(u, LeaseOver, Decision{Event: "run-lapsed", Reason: "runner is silent", Age: s.now - r.clockAt})
+		s.dropRunAs(u, LeaseOver, Decision{Event: "run-lapsed", Reason: "runner is silent", Age: s.now - r.clockAt, Detail: r.describeSilence(s.now)})
 		if s.now-s.lastContact[u.task.job.entry] > maxHeartbeatAge {
 			// The entry VM may be cut off together with the runner. Then the scheduler on that
 			// side may have adopted the run, and the job will shortly be dropped here.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -48,6 +48,7 @@
 			ListOnly:         c.ListOnly,
 			ReachabilityOnly: c.ReachabilityOnly,
 			Outcome:          a.Outcome,
+			Connection:       a.Connection,
 			Running:          a.Running,
 			Checkpoints:      a.Checkpoints,
 			Ends:             a.Ends,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -126,6 +126,8 @@
 	set("starts-repeated", c.StartsRepeated)
 	set("repeats-rejected", c.RepeatsRejected)
 	set("ran-twice", c.RanTwice)
+	set("done-after-drop", c.DoneAfterDrop)
+	set("lease-overruns", c.LeaseOverruns)
 	for reason, n := range c.Dropped {
 		set("dropped-"+schedule.DropReason(reason).String(), n)
 	}
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -36,6 +36,8 @@
 	// IncarnationStart is when the runner's incarnation began, in milliseconds since 1970; 0
 	// if the answer doesn't contain it.
 	IncarnationStart int64
+	// Connection is set if there is no answer.
+	Connection schedule.Connection
 	// Cause is the error if there is no usable answer.
 	Cause error
 }
