--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -240,7 +240,7 @@
 	Outcome          CallOutcome
 	// Connection is set if the order stayed unanswered.
 	Connection Connection
-	Running   []workload.RunKey
+	Running    []workload.RunKey
 	// Checkpoints are the newest ones of the listed runs, where there are any.
 	Checkpoints map[workload.RunKey]string
 	Ends        []workload.End
