A silent runner's runs count as over only after it was asked since their lease

What callers saw: a task of which two runs are at work at once.

Cause, one of two: lapseRuns looked at the time alone. A runner was silent if any order before the end of the lease had stayed unanswered, also when that was 400 ms ago, when the leader itself had been paused, and when the next answer was on its way. If the runner, on a busy machine, ended its runs some 62 ms late, their tasks had been started elsewhere by then, though it would have answered.

Change: once the lease is over, by a slow clock, the runner is asked for its lists, and its runs count as over only if that stays unanswered too. The question is sent 50 ms before the runs counted as over until now, so tasks of a crashed runner wait no longer, or a tick; where answers are slow the wait grows with the timeout of orders, to 400 ms at most. A check of a partitioned runner's reachability counts as such an order, and marks the runner unresponsive if it stays unanswered.

TestSilentRunnerIsAskedAfterItsLease fails on the code before. Eight tests left orders without any result, which no process does: they now let each Hold of the silent runner run into its timeout (harness.silence); what they expect is unchanged.

Tests of core/schedule pass.

--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -156,7 +156,7 @@
 				b.answerHold(h, Unanswered)
 			}
 		}
-		b.tick(maxRunLife(b.s.cfg.Lease) + 40*ms)
+		b.silence(c.Runner, maxRunLife(b.s.cfg.Lease)+40*ms, b.tick)
 		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-lapsed", c.Run, "runner is silent")))
 		b.started(one[Start](b), Accepted)
 		if running {
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// silence lets time pass, by tick or waitWithoutEntry, while a runner leaves each Hold unanswered.
+func (b *harness) silence(id workload.RunnerID, d time.Duration, pass func(time.Duration)) {
+	for end := b.now + d; b.now < end; {
+		pass(min(20*ms, end-b.now))
+		var others []Command
+		for _, h := range take[Hold](b) {
+			if h.Runner == id {
+				b.answerHold(h, Unanswered)
+				continue
+			}
+			others = append(others, h)
+		}
+		b.out = append(b.out, others...)
+	}
+}
+
 func (b *harness) collect() {
 	out := b.s.Ready()
 	for _, c := range out {
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -139,7 +139,7 @@
 	b.submit(testJob(1, 60*ms), 4*time.Second)
 	b.started(one[Start](b), Unanswered)
 	b.started(one[Start](b), Unanswered)
-	b.tick(maxRunLife(b.s.cfg.Lease) + 40*ms)
+	b.silence("r1", maxRunLife(b.s.cfg.Lease)+40*ms, b.tick)
 	r := b.s.runners["r1"]
 	b.g.Expect(r.runs).To(BeEmpty(), "the run has lapsed")
 	take[Hold](b)
@@ -164,7 +164,7 @@
 		second := one[Start](b)
 		b.started(second, Unanswered)
 		ordered := b.now
-		b.tick(maxRunLife(b.s.cfg.Lease) + 20*ms)
+		b.silence(second.Runner, maxRunLife(b.s.cfg.Lease)+20*ms, b.tick)
 		b.g.Expect(take[Start](b)).To(HaveLen(map[bool]int{false: 1, true: 0}[known]))
 		if known {
 			b.tick(ordered + maxRunLife(maxLease) + 20*ms - b.now)
--- a/core/schedule/reachability.go
+++ b/core/schedule/reachability.go
@@ -65,6 +65,10 @@
 		s.replaced(r)
 		s.dispatch()
 	case Unanswered:
+		r.noteSilence(res)
+		if !r.unresponsive {
+			r.markUnresponsive(s.now)
+		}
 		s.probe(r)
 	default:
 		r.reachableAt = s.now
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -171,7 +171,7 @@
 	b.s.runners[first.Runner].markUnresponsive(b.now)
 	for range 50 {
 		b.s.RowOwnershipVerified(b.now, b.now)
-		b.tick(20 * ms)
+		b.silence(first.Runner, 20*ms, b.tick)
 	}
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	save := one[Save](b)
@@ -186,7 +186,7 @@
 func TestUnseenTaskRestartsWithoutTheStore(t *testing.T) {
 	b, first := runsOnOneOfTwo(t)
 	b.s.runners[first.Runner].markUnresponsive(b.now)
-	b.tick(time.Second)
+	b.silence(first.Runner, time.Second, b.tick)
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	b.s.SetStoreFailingFor(storeFailureThreshold + ms)
 	b.tick(20 * ms)
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -102,7 +102,7 @@
 		}
 		b.waitWithoutEntry(20 * ms)
 	}
-	b.waitWithoutEntry(maxRunLife(b.s.cfg.Lease) - 22*20*ms + 40*ms)
+	b.silence(start.Runner, maxRunLife(b.s.cfg.Lease)-22*20*ms+40*ms, b.waitWithoutEntry)
 	b.g.Expect(take[Decision](b)).To(ContainElement(HaveField("Event", "run-lapsed")))
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	b.s.EntryLost(b.now, entryA, false)
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -5,8 +5,37 @@
 	"time"
 )
 
-// What a silent runner shows: whether it was asked since its lease has ended, whether its host accepts
-// connections, and, once it answers again, whether its runs have outlived their lease.
+// A silent runner has crashed, is out of reach, or gets no processor time. In the last case it ends its
+// runs only when it gets some, later than its lease. Its runs count as over if all of these hold:
+//
+//   - Their lease has ended, also if the runner's clock is slow.
+//   - The runner has left an order unanswered that was sent after that. If it answers, its lists show
+//     what has become of the runs.
+
+// leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
+func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
+
+// askedInVain reports whether the runner left an order unanswered that was sent after its lease was over.
+func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.leaseOverAt() }
+
+// runsOver reports whether the runs of a silent runner count as over.
+func (r *runner) runsOver(now Time) bool {
+	return r.askedInVain() && now > r.aliveUntil
+}
+
+// askAfterLease asks an unresponsive runner for its lists once its lease is over.
+func (s *Scheduler) askAfterLease(r *runner) {
+	if !r.unresponsive || s.now < r.leaseOverAt() || r.askedInVain() {
+		return
+	}
+	if !r.holdInFlight {
+		s.hold(r)
+		return
+	}
+	if r.holdSentAt < r.leaseOverAt() {
+		s.requestList(r)
+	}
+}
 
 // noteSilence records a Hold that stayed unanswered or was rejected.
 func (r *runner) noteSilence(res HoldResult) {
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -52,3 +53,55 @@
 	b.g.Expect(lines).To(ContainElement(And(logged("lease-overrun", c.Run, "1 runs alive"), HaveField("Age", 100*ms))))
 	b.g.Expect(b.s.Counters().LeaseOverruns).To(BeEquivalentTo(1))
 }
+
+// silentFor returns how long after the last lease was sent a task is started elsewhere whose runner
+// leaves all orders unanswered.
+func silentFor(t *testing.T, connection Connection) Time {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	last := b.now
+	for b.now-last < 3*time.Second {
+		for _, h := range take[Hold](b) {
+			if h.Runner == c.Runner && h.LeaseEnd > 0 {
+				last = b.now
+			}
+			b.out = append(b.out, h)
+		}
+		b.leaveUnanswered(c.Runner, connection)
+		b.tick(20 * ms)
+		if len(take[Start](b)) > 0 {
+			return b.now - last
+		}
+	}
+	t.Fatal("the task was never started again")
+	return 0
+}
+
+// Guards against a task that waits for a runner that can't be reached for longer than its lease.
+func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
+	for _, c := range []Connection{ConnectionFailed, ConnectionUnknown} {
+		NewWithT(t).Expect(silentFor(t, c)).To(BeNumerically("<=", maxRunLife(DefaultConfig().Lease)+40*ms))
+	}
+}
+
+// Guards against a task that runs twice though its runner would answer: a Hold stayed unanswered before
+// the lease was over, and the next one, which the runner answers late, shows the run.
+func TestSilentRunnerIsAskedAfterItsLease(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.tick(200 * ms)
+	b.leaveUnanswered(c.Runner, ConnectionUnknown)
+	probe, probedAt := one[Hold](b), b.now
+	b.tick(maxRunLife(b.s.cfg.Lease))
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "nobody has asked since the lease is over")
+	asked := one[Hold](b)
+	b.g.Expect(asked.ListOnly).To(BeTrue())
+	b.s.Held(b.now, HoldResult{Runner: probe.Runner, Token: probe.Token, Outcome: Unanswered, Clock: ClockReading{ReceivedAt: b.now, SentAt: probedAt}})
+	b.tick(20 * ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "the answer is on its way")
+	b.answerHold(asked, Accepted, c.Run)
+	b.tick(100 * ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.end(c.Runner, 1, c.Run, workload.Done)
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Completed))
+}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -77,7 +77,10 @@
 	if !r.holdInFlight && s.now >= r.nextHoldAt {
 		s.hold(r)
 	}
-	if r.unresponsive && s.now > r.aliveUntil && len(r.runs) > 0 {
+	if len(r.runs) > 0 {
+		s.askAfterLease(r)
+	}
+	if r.runsOver(s.now) {
 		s.lapseRuns(r)
 		return
 	}
@@ -86,7 +89,7 @@
 	}
 }
 
-// lapseRuns drops the runs of a runner that has been silent for longer than their leases can last.
+// lapseRuns drops the runs of a silent runner, see runner.runsOver.
 func (s *Scheduler) lapseRuns(r *runner) {
 	for _, u := range r.sortedRuns() {
 		if u.task == nil {
