A silent runner whose host accepts connections is given longer to end its runs

What callers saw: a task of which two runs are at work at once.

Cause, the other one: a runner that gets no processor time answers nothing, its lease ends, and its runs are ended, or end by themselves, only when it gets some. 62 ms after the lease their tasks were started elsewhere. A crashed runner, or one beyond a cut, is silent as well, and waiting for it costs its callers time; but its host accepts no connection, and that of a starved process does, since the kernel does that.

Change: as long as the host accepts connections, runs count as over 400 ms later. TestTaskOfARunnerThatMayBeStarvedWaitsLonger fails on the code before; TestTaskOfAnUnreachableRunnerDoesntWaitLonger passes on both.

--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -11,6 +11,11 @@
 //   - Their lease has ended, also if the runner's clock is slow.
 //   - The runner has left an order unanswered that was sent after that. If it answers, its lists show
 //     what has become of the runs.
+//   - No connection to its host could be made, or stallAllowance is over as well.
+
+// stallAllowance is how much later a runner may end its runs whose host accepts connections: the host is
+// up and in reach, so the runner's process may be alive.
+const stallAllowance = 400 * time.Millisecond
 
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
@@ -20,6 +25,9 @@
 
 // runsOver reports whether the runs of a silent runner count as over.
 func (r *runner) runsOver(now Time) bool {
+	if r.connected {
+		now -= stallAllowance
+	}
 	return r.askedInVain() && now > r.aliveUntil
 }
 
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -77,6 +77,11 @@
 	return 0
 }
 
+// Guards against a task that runs twice since its runner, starved of processor time, ends its runs late.
+func TestTaskOfARunnerThatMayBeStarvedWaitsLonger(t *testing.T) {
+	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", maxRunLife(DefaultConfig().Lease)+stallAllowance))
+}
+
 // Guards against a task that waits for a runner that can't be reached for longer than its lease.
 func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
 	for _, c := range []Connection{ConnectionFailed, ConnectionUnknown} {
