A shorter lease: any runner may end its runs 160 ms late

What callers saw: a task of which two runs are at work at once.

Cause: a lease of 600 ms, and tasks started elsewhere 662 ms after it was granted: 50 ms, and 2% for clocks, is how late a runner could end its runs. Real runners on busy hosts are later.

Change: the lease is 450 ms, and the wait stays what it was (669 ms): the difference, 160 ms, is named (lateEndAllowance) and holds for every lease that a run may have, also those of earlier schedulers (1.23 s for 1.07 s). A lease still spans two renewals and a timeout (350 ms).

Tests of core/schedule pass.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -6,11 +6,11 @@
 type Config struct {
 	// ProcessNumber distinguishes this process's fencing tokens from those of all others.
 	ProcessNumber uint64
-	// Lease is how long a run lives without a renewal, and so the time after which the work
-	// of an unreachable runner is started elsewhere.
+	// Lease is how long a run lives without a renewal. The work of an unreachable runner is started
+	// elsewhere lateEndAllowance later, since runners on busy hosts end their runs late.
 	//
-	// It must be longer than HoldWait plus the time after which this process counts an entry
-	// VM as lost. Otherwise, when a failure domain is cut off, this scheduler would restart a
+	// Both together must be longer than HoldWait plus the time after which this process counts an
+	// entry VM as lost. Otherwise, when a failure domain is cut off, this scheduler would restart a
 	// task of a job from there shortly before it drops that job, while the scheduler on the
 	// other side continues with the run that it found.
 	Lease time.Duration
@@ -31,7 +31,7 @@
 // DefaultConfig returns the default limits.
 func DefaultConfig() Config {
 	return Config{
-		Lease:        600 * time.Millisecond,
+		Lease:        450 * time.Millisecond,
 		HoldWait:     150 * time.Millisecond,
 		StopTimeout:  50 * time.Millisecond,
 		Resend:       1300 * time.Millisecond,
@@ -59,6 +59,8 @@
 	clockDriftPercent = 2
 	// leaseMargin covers the delay between reading this process's clock and sending.
 	leaseMargin = 50 * time.Millisecond
+	// lateEndAllowance is how much later than its lease any runner may end its runs.
+	lateEndAllowance = 160 * time.Millisecond
 	// idleCheckInterval is how often an idle runner is checked, so that a failed one is
 	// noticed before a job is placed on it.
 	idleCheckInterval = time.Second
@@ -103,7 +105,7 @@
 	maxHeartbeatAge = 300 * time.Millisecond
 	// entryRecoveryDelay is how long a task waits whose run lapses when the last heartbeat of
 	// its entry VM is older than maxHeartbeatAge. In that time a message of the entry VM
-	// arrives or it counts as lost. After a partition a run lapses 502 ms after the last heartbeat
+	// arrives or it counts as lost. After a partition a run lapses 509 ms after the last heartbeat
 	// or later.
 	entryRecoveryDelay = 300 * time.Millisecond
 	// ranRetention is how long the scheduler remembers that a task of a job has run: longer
