stallAllowance: 450 ms, so that a runner starved for 950 ms is covered

The last lease may have been sent up to 150 ms before the runner stopped (it delays its answer by that), so a wait of 669 + 400 ms ends before a runner wakes that was starved for 950 ms.

--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -15,7 +15,7 @@
 
 // stallAllowance is how much later a runner may end its runs whose host accepts connections: the host is
 // up and in reach, so the runner's process may be alive.
-const stallAllowance = 400 * time.Millisecond
+const stallAllowance = 450 * time.Millisecond
 
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
