Soak: runners that get no processor time, and that end runs late

The soak's runners ended their runs on the millisecond at the end of a lease, whatever else failed, so nothing showed what happens when they don't.

The stand-in runner has three faults more: Starve (it does nothing for a time; then a run's own end or the kill comes first, at random), PauseCalls (it handles no calls, its runs go on) and RunnerFaults.KillDelay (runs end that much after the lease). It records how late its lease timers fire by themselves and how long after a lease its runs ended, and the soak logs the maximum. A run's end counts as after the lease by the lease itself and no longer by the timer, since that may be late now.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -320,11 +320,11 @@
 func (w *world) callOnce(caller, k int) {
 	job := w.jobID(caller, k)
 	tasks := 1 + (caller+k)%3
-	spec := fmt.Sprintf("%dms", 20+(caller*37+k*53)%250)
+	runTime := time.Duration(20+(caller*37+k*53)%250)*time.Millisecond + w.extraRunTime
 	begin := time.Now()
 	for tries := 1; time.Since(begin) < callerTimeout; tries++ {
 		n := w.nodes[(caller+k+tries)%len(w.nodes)]
-		status, body := w.submit(n, job, spec, tasks, callerTimeout-time.Since(begin))
+		status, body := w.submit(n, job, runTime, tasks, callerTimeout-time.Since(begin))
 		w.checker.checkAnswer(job, tasks, status, tries, body)
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
 			if status != http.StatusOK {
@@ -354,8 +354,10 @@
 	}
 }
 
-func (w *world) submit(n *node, job, spec string, tasks int, timeout time.Duration) (int, string) {
-	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":9000,"memMb":64,"estimateMs":100}],"bestEffort":%v}`, spec, tasks, !isStored(job))
+func (w *world) submit(n *node, job string, runTime time.Duration, tasks int, timeout time.Duration) (int, string) {
+	estimate := 100*time.Millisecond + w.extraRunTime
+	body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":%d,"cpu":9000,"memMb":64,"estimateMs":%d}],"bestEffort":%v}`,
+		runTime.Milliseconds(), tasks, estimate.Milliseconds(), !isStored(job))
 	return w.request(n, http.MethodPost, job, body, timeout)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,7 +57,7 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, program, seed, 0, faultKinds)
+			runSoak(t, program, seed, scenario{faults: faultKinds})
 		})
 	}
 }
@@ -71,7 +71,7 @@
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, program, seed, 2, kinds)
+			runSoak(t, program, seed, scenario{faults: kinds, shards: 2})
 		})
 	}
 }
@@ -81,19 +81,19 @@
 func TestSoakWithUnhealthyRunners(t *testing.T) {
 	// Seeds that broke the guarantee: a task was started elsewhere when its second order was rejected,
 	// while the first had been carried out.
-	soakOnly(t, answerFaults, 2, 17)
+	soakOnly(t, scenario{faults: answerFaults}, 2, 17)
 }
 
 // Guards against tasks that run twice when runners answer after the timeout of orders.
-func TestSoakWithLateAnswers(t *testing.T) { soakOnly(t, []fault{answersLate}) }
+func TestSoakWithLateAnswers(t *testing.T) { soakOnly(t, scenario{faults: []fault{answersLate}}) }
 
 // Guards against the same as TestSoakWithUnhealthyRunners while processes are killed and connections fail.
 func TestSoakWithUnhealthyRunnersAndOtherFaults(t *testing.T) {
-	soakOnly(t, slices.Concat(faultKinds, answerFaults, answerFaults))
+	soakOnly(t, scenario{faults: slices.Concat(faultKinds, answerFaults, answerFaults)})
 }
 
-// soakOnly runs all seeds, and some more, with the given kinds of faults.
-func soakOnly(t *testing.T, kinds []fault, more ...uint64) {
+// soakOnly runs all seeds, and some more, of a scenario.
+func soakOnly(t *testing.T, sc scenario, more ...uint64) {
 	t.Parallel()
 	program := buildEntry(t)
 	list := more
@@ -103,7 +103,7 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, program, seed, 0, kinds)
+			runSoak(t, program, seed, sc)
 		})
 	}
 }
@@ -118,9 +118,9 @@
 
 // runSoak submits jobs while faults are injected, and afterwards checks that jobs are answered again, that
 // all accepted jobs end, and that no guarantee was violated.
-func runSoak(t *testing.T, program string, seed uint64, shards int, kinds []fault) {
+func runSoak(t *testing.T, program string, seed uint64, sc scenario) {
 	g := NewWithT(t)
-	w, err := newWorld(program, t.TempDir(), seed, shards)
+	w, err := newWorld(program, t.TempDir(), seed, sc)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer w.close()
 	defer func() {
@@ -129,8 +129,8 @@
 		}
 	}()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready")
-	group := w.startCallers(cmp.Or(*callers, 12+12*shards))
-	injected := w.injectFaults(kinds, time.Duration(*seconds)*time.Second)
+	group := w.startCallers(cmp.Or(*callers, 12+12*w.shards))
+	injected := w.injectFaults(w.faults, time.Duration(*seconds)*time.Second)
 	w.waitForFaults()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready after: %v", injected)
 	before := w.checker.answerCount("200")
@@ -140,8 +140,11 @@
 	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
 	t.Logf("starts unanswered %d, rejected %v", w.countEvents("start-unanswered"), w.countRejections())
 	violations := w.checker.allViolations()
+	t.Logf("runs lapsed %d, dropped runs that were done beside another one %d, violations %d",
+		w.countEvents("run-lapsed"), w.countEvents("dropped-run-done"), len(violations))
+	t.Log(w.describeLeaseExpiries())
 	g.Expect(violations).To(BeEmpty(), "seed %d: %v", seed, injected)
-	if shards > 1 {
+	if w.shards > 1 {
 		granted, used := w.countEvents("room-granted"), w.countEvents("room-used")
 		t.Logf("room granted %d times, used by %d jobs", granted, used)
 		g.Expect(used).To(BeNumerically(">", 0), "room is lent")
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -38,9 +38,7 @@
 	nodes      []*node
 	checker    *checker
 	http       *http.Client
-	// shards is the number of shards of the layout in the store, and all jobs belong to the first;
-	// 0 leaves the layout and the jobs' ids as they come.
-	shards int
+	scenario
 
 	mu             sync.Mutex
 	configVersion  int
@@ -50,6 +48,19 @@
 	timers sync.WaitGroup
 }
 
+// scenario is what the runs of a test have in common.
+type scenario struct {
+	// faults are the kinds of faults that are injected.
+	faults []fault
+	// shards is the number of shards of the layout in the store, and all jobs belong to the first;
+	// 0 leaves the layout and the jobs' ids as they come.
+	shards int
+	// extraRunTime is added to the run times that callers ask for, so that runs outlive a lease.
+	extraRunTime time.Duration
+	// killDelay is how late the runners end runs after their leases.
+	killDelay time.Duration
+}
+
 // proxiedRunner is a runner behind a proxy.
 type proxiedRunner struct {
 	runner *deployment.Runner
@@ -92,7 +103,7 @@
 	return bytes.Clone(l.buf.Bytes()[offset:]), l.buf.Len()
 }
 
-func newWorld(program, dir string, seed uint64, shards int) (*world, error) {
+func newWorld(program, dir string, seed uint64, sc scenario) (*world, error) {
 	store, err := deployment.NewStore()
 	if err != nil {
 		return nil, err
@@ -104,10 +115,10 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store, storeProxy: proxy,
 		checker: newChecker(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
-		shards: shards,
+		scenario: sc,
 	}
-	if shards > 0 {
-		if err := w.store.Put("sapphirepoint-layout", "shards", map[string]int{"shards": shards}); err != nil {
+	if w.shards > 0 {
+		if err := w.store.Put("sapphirepoint-layout", "shards", map[string]int{"shards": w.shards}); err != nil {
 			return nil, err
 		}
 	}
@@ -139,6 +150,7 @@
 		return nil, err
 	}
 	r.SetObserver(w.checker)
+	r.ChangeFaults(func(f *deployment.RunnerFaults) { f.KillDelay = w.killDelay })
 	p, err := faults.NewProxy(r.Info.Address)
 	if err != nil {
 		return nil, err
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -46,8 +46,8 @@
 	RunID
 	Outcome string
 	At      time.Time
-	// LeaseExpired: the runner's lease has expired since the run ended. From then on the task may
-	// have been started elsewhere, whatever this run's outcome was.
+	// LeaseExpired: the runner's lease had expired when the run ended, or has since. From then on the
+	// task may have been started elsewhere, whatever this run's outcome was.
 	LeaseExpired bool
 
 	// sequence numbers the ended runs of a runner's incarnation from 1; the scheduler acknowledges
@@ -81,7 +81,10 @@
 	silent      bool
 	crashed     bool
 	faults      RunnerFaults
-	observer    Observer
+	// starvedUntil and callsPausedUntil are set by Starve and PauseCalls.
+	starvedUntil, callsPausedUntil time.Time
+	expiries                       LeaseExpiries
+	observer                       Observer
 	// clockStart is the zero of the runner's clock in its present incarnation.
 	clockStart time.Time
 }
@@ -145,6 +148,7 @@
 	r.Info.IncarnationStart = max(r.Info.IncarnationStart+1, time.Now().UnixMilli())
 	r.clockStart = time.Now()
 	r.token, r.leaseEnd, r.lastSequence, r.endedRuns = 0, time.Time{}, 0, nil
+	r.starvedUntil, r.callsPausedUntil = time.Time{}, time.Time{}
 	r.closedRuns = make(map[string]int)
 	info := r.Info
 	r.mu.Unlock()
@@ -215,15 +219,16 @@
 	WaitMs int `json:"waitMs"`
 }
 
-// decodeAndLock decodes a request and checks its fencing token. If it returns true, the caller holds
-// the lock and must release it; otherwise the response has been written.
+// decodeAndLock decodes a request, waits until the runner handles calls, and checks the request's fencing
+// token. If it returns true, the caller holds the lock and must release it; otherwise the response has
+// been written.
 func (r *Runner) decodeAndLock(w http.ResponseWriter, q *http.Request) (request, bool) {
 	var o request
 	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return o, false
 	}
-	r.mu.Lock()
+	r.lockForCall()
 	if r.crashed {
 		r.mu.Unlock()
 		return o, false
@@ -256,20 +261,40 @@
 	if !until.After(r.leaseEnd) {
 		return
 	}
+	r.markEndedRuns()
 	r.leaseEnd = until
-	time.AfterFunc(time.Until(until), r.expireLease)
+	wait := max(0, time.Until(until)+r.faults.KillDelay)
+	due := time.Now().Add(wait)
+	time.AfterFunc(wait, func() { r.expireLease(until, due) })
 }
 
-// expireLease ends all runs, unless the lease has been extended since the timer was set.
-func (r *Runner) expireLease() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if time.Now().Before(r.leaseEnd) {
+// leaseExpired reports whether the lease has expired. The caller holds the lock.
+func (r *Runner) leaseExpired() bool { return !time.Now().Before(r.leaseEnd) }
+
+// markEndedRuns sets LeaseExpired of the ended runs once the lease has expired. The caller holds the lock.
+func (r *Runner) markEndedRuns() {
+	if !r.leaseExpired() {
 		return
 	}
 	for i := range r.endedRuns {
 		r.endedRuns[i].LeaseExpired = true
 	}
+}
+
+// expireLease ends all runs, unless the lease has been extended since the timer was set. end is when the
+// lease expired, due when the timer was to fire.
+func (r *Runner) expireLease(end, due time.Time) {
+	timerDelay := time.Since(due)
+	r.lockAwake()
+	defer r.mu.Unlock()
+	r.expiries.MaxTimerDelay = max(r.expiries.MaxTimerDelay, timerDelay)
+	if !end.Equal(r.leaseEnd) {
+		return
+	}
+	r.markEndedRuns()
+	if len(r.running) > 0 {
+		r.expiries.KillDelays = append(r.expiries.KillDelays, time.Since(end))
+	}
 	for s := range r.running {
 		r.endRun(s, "lapsed")
 	}
@@ -307,7 +332,7 @@
 		r.observer.RunStarted(r, s)
 	}
 	r.running[s] = time.AfterFunc(runTime, func() {
-		r.mu.Lock()
+		r.lockAwake()
 		defer r.mu.Unlock()
 		r.endRun(s, outcome)
 	})
@@ -327,7 +352,9 @@
 	}
 	r.closedRuns[s.Task] = max(r.closedRuns[s.Task], s.Run)
 	r.lastSequence++
-	r.endedRuns = append(r.endedRuns, EndedRun{RunID: s, Outcome: outcome, At: time.Now(), sequence: r.lastSequence})
+	r.endedRuns = append(r.endedRuns, EndedRun{
+		RunID: s, Outcome: outcome, At: time.Now(), LeaseExpired: r.leaseExpired(), sequence: r.lastSequence,
+	})
 	close(r.endsChanged)
 	r.endsChanged = make(chan struct{})
 }
@@ -368,7 +395,7 @@
 		case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
 		case <-q.Context().Done():
 		}
-		r.mu.Lock()
+		r.lockForCall()
 	}
 	defer r.mu.Unlock()
 	running := make([][]any, 0, len(r.running))
--- a/standin/deployment/runner_faults.go
+++ b/standin/deployment/runner_faults.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// RunnerFaults are the faults injected at present into a runner's calls. Shares are between 0 and 1.
+// RunnerFaults are the faults injected at present into a runner. Shares are between 0 and 1.
 type RunnerFaults struct {
 	// RejectedStarts, RejectedStops and RejectedHolds are the shares of calls that are answered with
 	// status 429 or 503 and otherwise ignored, as by an unhealthy runner.
@@ -19,6 +19,9 @@
 	// each by a random time up to MaxDelay.
 	Slow     float64
 	MaxDelay time.Duration
+	// KillDelay is how late the runner ends its runs after the end of its lease, if the lease was
+	// granted or extended while the fault was set. Until then the runs may end by themselves.
+	KillDelay time.Duration
 }
 
 // rejected is the share of calls to a path that are rejected.
@@ -47,12 +50,82 @@
 	change(&r.faults)
 }
 
+// Starve keeps the runner from doing anything for a time, as if its process got no processor time: it
+// handles no call, takes note of no run's end, and ends no runs when its lease expires. All of that
+// happens afterwards, in random order: the end of a run may precede the expiry of the lease, or the
+// other way round. Starve has no effect on a runner that is starved already.
+func (r *Runner) Starve(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); !now.Before(r.starvedUntil) {
+		r.starvedUntil = now.Add(d)
+	}
+}
+
+// PauseCalls keeps the runner from handling calls for a time; they are handled afterwards. Its runs go on,
+// and end by themselves or when the lease expires. PauseCalls has no effect while an earlier pause lasts.
+func (r *Runner) PauseCalls(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); !now.Before(r.callsPausedUntil) {
+		r.callsPausedUntil = now.Add(d)
+	}
+}
+
+// lockAwake locks mu once the runner isn't starved.
+func (r *Runner) lockAwake() {
+	r.lockAfter(func() time.Time { return r.starvedUntil })
+}
+
+// lockForCall locks mu once the runner handles calls.
+func (r *Runner) lockForCall() {
+	r.lockAfter(func() time.Time {
+		if r.starvedUntil.After(r.callsPausedUntil) {
+			return r.starvedUntil
+		}
+		return r.callsPausedUntil
+	})
+}
+
+// wakeJitter is the time within which a starved runner does what has become due. It makes the order random.
+const wakeJitter = time.Millisecond
+
+// lockAfter locks mu once a time has come, which is read again after each wait. until is called with mu held.
+func (r *Runner) lockAfter(until func() time.Time) {
+	for {
+		r.mu.Lock()
+		wait := time.Until(until())
+		if wait <= 0 {
+			return
+		}
+		r.mu.Unlock()
+		time.Sleep(wait + rand.N(wakeJitter))
+	}
+}
+
+// LeaseExpiries says how punctual a runner was when its leases expired.
+type LeaseExpiries struct {
+	// MaxTimerDelay is the most by which a lease's timer fired late by itself, without the injected delays.
+	MaxTimerDelay time.Duration
+	// KillDelays has, for each lease that expired while runs were in progress, the time from its end until
+	// the runs were ended.
+	KillDelays []time.Duration
+}
+
+// LeaseExpiries returns how punctual the runner has been so far.
+func (r *Runner) LeaseExpiries() LeaseExpiries {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return LeaseExpiries{r.expiries.MaxTimerDelay, append([]time.Duration(nil), r.expiries.KillDelays...)}
+}
+
 // applyFaults injects the faults into calls. A late call is carried out even if its caller has left.
 func (r *Runner) applyFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
+		f.KillDelay = 0 // calls don't depend on it
 		if f == (RunnerFaults{}) {
 			next.ServeHTTP(w, q)
 			return
