Orders to an unresponsive runner use a connection of their own

Whether a silent runner's host accepts connections showed only once all connections that were left in the pool had been used up. Each order to an unresponsive runner now makes a connection; there are a few of them a silence.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -51,6 +51,9 @@
 	// ListOnly marks a Hold that only reads the lists and may be sent while another one is in
 	// flight. ReachabilityOnly marks one that only checks whether the runner answers.
 	ListOnly, ReachabilityOnly bool
+	// NewConnection: the order is to be sent on a new connection, which shows whether the runner's host
+	// accepts one.
+	NewConnection bool
 	// Timeout is how long to wait for the answer, Wait included.
 	Timeout time.Duration
 }
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -43,6 +43,8 @@
 		Token:        r.token,
 		Acknowledged: r.ackCursor(s.now),
 		Timeout:      s.callTimeout(),
+
+		NewConnection: r.unresponsive,
 	}
 	// A renewal that stays unanswered may still be carried out. So an unresponsive runner gets
 	// none: then the time at which its runs are certainly over stays fixed, and their tasks can
@@ -83,7 +85,10 @@
 		return
 	}
 	r.listInFlight = true
-	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.ackCursor(s.now), ListOnly: true, Timeout: s.callTimeout()})
+	s.emit(Hold{
+		Runner: r.info.ID, Address: r.info.Address, Token: r.token, Acknowledged: r.ackCursor(s.now), ListOnly: true,
+		NewConnection: r.unresponsive, Timeout: s.callTimeout(),
+	})
 }
 
 // scheduleHold sends a runner the next Hold, or sets when it is to be sent.
--- a/core/schedule/reachability.go
+++ b/core/schedule/reachability.go
@@ -54,7 +54,7 @@
 	}
 	r.holdInFlight = true
 	r.holdSentAt = s.now
-	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: reachabilityToken, ReachabilityOnly: true, Timeout: s.callTimeout()})
+	s.emit(Hold{Runner: r.info.ID, Address: r.info.Address, Token: reachabilityToken, ReachabilityOnly: true, NewConnection: true, Timeout: s.callTimeout()})
 }
 
 // handleReachability handles the result of checkReachability.
