An orphan on a lost runner keeps its job from starting elsewhere

What callers saw: in the model fleet, a best-effort job that was sent again ran beside its first run. Both runs were ordered by the same process.

Cause: a job was dropped (its caller left, or its entry process ended) and its run became an orphan, or was about to. The runner rejected the stops and answered everything else, so the run went on and its lease was renewed. Then the runner accepted another scheduler's token, or this scheduler retired and led again. Both dropped all runs of the runner. For runs with a task the task waits for as long as the run may live; for an orphan nothing was remembered. The copy comes by another entry process, as a new job, so nothing held it back either, and it started elsewhere while the orphan's lease lasted.

Change: the orphans of a runner that is fenced, or that this scheduler gives up as it retires, are remembered for as long as the tasks of a fenced runner wait. Their tasks are started once the runner has listed its runs again without the orphan, or that time is over. If the runner lists the orphan, its job adopts it as before. The same holds for runs of a job that was withdrawn, or whose entry process has ended.

Ruled out: a runner that leaves the list keeps its orphans (a case of the test), and one that was replaced has no runs left.

Evidence: without the change TestAnOrphanOnALostRunnerHoldsItsJob fails for a fenced runner, one that was unlisted before, and a scheduler that retired and leads again; TestARunOfAnEndedEntryProcessOnALostRunnerHoldsItsJob fails for the last; TestAListDecidesOnALostOrphan fails for a fenced runner; the model fleet's TestJobSentAgainBesideAnUnstoppableRun starts a second run. All pass with it.

--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	over := true
-	j.eachTask(func(t *taskState) { over = over && t.phase != running && t.notBefore <= s.now })
+	j.eachTask(func(t *taskState) { over = over && t.phase != running && t.notBefore <= s.now && !s.lostOrphanAlive(t) })
 	return over
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -138,8 +138,9 @@
 	epochMs int64
 
 	// drops are the runs that were dropped in the last dropRetention.
-	drops     dropMemory
-	borrowing borrowing
+	drops       dropMemory
+	lostOrphans lostOrphans
+	borrowing   borrowing
 	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
 
@@ -178,6 +179,7 @@
 		unstored:       make(map[workload.JobID]Time),
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
 		drops:          newDropMemory(),
+		lostOrphans:    make(lostOrphans),
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
@@ -269,6 +271,7 @@
 	}
 	s.leading = false
 	for _, r := range s.runnerList {
+		s.noteLostOrphans(r)
 		r.release()
 	}
 	for _, j := range s.jobs {
