A withdrawn job that comes back is started

In the harness a job that waited was handed over to another scheduler and back within 0.9 s, and was never started: its caller got no answer in time.

Cause: Withdraw takes a job out of the queue, and requeue leaves a withdrawn job out. A later hand-in made it a normal job again without putting it back. So a job that waited when it was withdrawn, or lost its runner meanwhile, waited until another of its runs ended.

Change: a hand-in that comes from another scheduler puts a job with waiting tasks into the queue. What holds back such a job acts as before, since the hand-in says how long earlier runs may live. Another entry process's copy of a withdrawn job doesn't: it comes after the job was dropped here.

--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -69,6 +69,10 @@
 	j.withdrawn = false
 	j.deadline = max(j.deadline, s.now+sub.RemainingTimeout)
 	s.notePriorSubmissions(j, sub)
+	if j.waiting > 0 && sub.PriorSubmissions > 0 {
+		// It may have been withdrawn, and comes back from the next scheduler.
+		s.enqueue(j)
+	}
 	s.dispatch()
 }
 
