--- a/core/schedule/ceases_to_count_test.go
+++ b/core/schedule/ceases_to_count_test.go
@@ -450,7 +450,7 @@
 
 // Guards against a job that waits until its caller leaves: it was withdrawn and comes back before it was
 // given up, with a task that hasn't been started.
-func TestAWithdrawnJobThatComesBackIsStarted(t *testing.T) {
+func TestAJobThatIsWithdrawnAndComesBackIsQueued(t *testing.T) {
 	b := leading(t, testRunner("r1"))
 	running := fill(b, 2, 900*ms)
 	for _, c := range running {
