A lease of 500 ms: renewals fit into it where answers are slow

A lease of 450 ms covers runners that end their runs 160 ms late, but not HoldWait and the longest timeout of an order (150 and 400 ms): where answers are slow, runs of healthy runners would lapse. A lease of 500 ms, with 110 ms for late ends, comes to the same wait (670 ms), and a runner delays the answer to a renewal for less once the timeout has grown beyond 300 ms.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -15,7 +15,8 @@
 	// other side continues with the run that it found.
 	Lease time.Duration
 	// HoldWait is the longest that a runner may delay the answer to a renewal while no run
-	// ends. Lease must span two renewals and a timeout.
+	// ends. Lease must span two renewals and a timeout; where the timeout has grown, the delay is
+	// shorter.
 	HoldWait time.Duration
 	// StopTimeout is the longest that a runner takes to stop a run.
 	StopTimeout time.Duration
@@ -31,7 +32,7 @@
 // DefaultConfig returns the default limits.
 func DefaultConfig() Config {
 	return Config{
-		Lease:        450 * time.Millisecond,
+		Lease:        500 * time.Millisecond,
 		HoldWait:     150 * time.Millisecond,
 		StopTimeout:  50 * time.Millisecond,
 		Resend:       1300 * time.Millisecond,
@@ -60,7 +61,7 @@
 	// leaseMargin covers the delay between reading this process's clock and sending.
 	leaseMargin = 50 * time.Millisecond
 	// lateEndAllowance is how much later than its lease any runner may end its runs.
-	lateEndAllowance = 160 * time.Millisecond
+	lateEndAllowance = 110 * time.Millisecond
 	// idleCheckInterval is how often an idle runner is checked, so that a failed one is
 	// noticed before a job is placed on it.
 	idleCheckInterval = time.Second
@@ -105,7 +106,7 @@
 	maxHeartbeatAge = 300 * time.Millisecond
 	// entryRecoveryDelay is how long a task waits whose run lapses when the last heartbeat of
 	// its entry VM is older than maxHeartbeatAge. In that time a message of the entry VM
-	// arrives or it counts as lost. After a partition a run lapses 509 ms after the last heartbeat
+	// arrives or it counts as lost. After a partition a run lapses 510 ms after the last heartbeat
 	// or later.
 	entryRecoveryDelay = 300 * time.Millisecond
 	// ranRetention is how long the scheduler remembers that a task of a job has run: longer
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -53,13 +53,19 @@
 		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
 		r.noteLease(s.now, s.cfg.Lease)
 		if len(r.ends) == 0 {
-			h.Wait = s.cfg.HoldWait
+			h.Wait = s.holdWait()
 			h.Timeout += h.Wait
 		}
 	}
 	s.emit(h)
 }
 
+// holdWait returns how long a runner may delay the answer to a renewal, so that the next one arrives
+// within the lease even if this one stays unanswered.
+func (s *Scheduler) holdWait() time.Duration {
+	return min(s.cfg.HoldWait, max(0, s.cfg.Lease-s.callTimeout()-leaseMargin))
+}
+
 // requestLists requests the lists of all runners of a service at once, and reacquires those that
 // another scheduler had: that scheduler has just handed over a job.
 func (s *Scheduler) requestLists(service string) {
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -110,3 +110,14 @@
 	b.end(c.Runner, 1, c.Run, workload.Done)
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Completed))
 }
+
+// Guards against runs that lapse on healthy runners where answers are slow: the timeout has grown so far
+// that a lease doesn't span a delayed answer and the next renewal.
+func TestRenewalsComeWithinTheLeaseWhereAnswersAreSlow(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	for b.s.callLatency = 0; b.s.callLatency <= 200*ms; b.s.callLatency += 10 * ms {
+		b.g.Expect(b.s.holdWait() + b.s.callTimeout()).To(BeNumerically("<", b.s.cfg.Lease))
+	}
+	b.s.callLatency = 0
+	b.g.Expect(b.s.holdWait()).To(Equal(b.s.cfg.HoldWait))
+}
