Orphans alone get no lease

What callers saw: nothing in the record; found by a probe. A run whose job was dropped, on a runner that rejects its stops and answers all else, lived on for as long as it did that, by the leases of the scheduler that wanted it stopped, and could be alive when its caller sent the job again.

Cause: a Hold renewed the lease if any run was there, wanted or not.

Change: only runs of tasks are renewed. While only orphans are there, the runner is asked for its lists every 30 ms, as with foreign orphans.

TestAnOrphanOnALostRunnerHoldsItsJob and its neighbour need an orphan that lives on: now another task's run on its runner keeps the lease.

--- a/core/schedule/orphan_test.go
+++ b/core/schedule/orphan_test.go
@@ -21,6 +21,10 @@
 	b.submit(j, 6*time.Second)
 	c = one[Start](b)
 	b.started(c, Accepted)
+	b.submit(testJob(1, 3*time.Second), 6*time.Second)
+	beside := one[Start](b)
+	b.g.Expect(beside.Runner).To(Equal(c.Runner), "its lease keeps the orphan alive")
+	b.started(beside, Accepted)
 	b.s.Abandon(b.now, entryA, j.ID)
 	left := b.now
 	for b.now-left < b.s.cfg.Resend {
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -12,7 +12,8 @@
 	maxProbeInterval = 500 * time.Millisecond
 	// immediateProbeSilence is the silence up to which probes follow at once.
 	immediateProbeSilence = 400 * time.Millisecond
-	// orphanCheckInterval is how often a runner with foreign orphans is asked for its lists.
+	// orphanCheckInterval is how often a runner with foreign orphans, or with orphans only, is asked for
+	// its lists.
 	orphanCheckInterval = 30 * time.Millisecond
 )
 
@@ -49,7 +50,7 @@
 	// A renewal that stays unanswered may still be carried out. So an unresponsive runner gets
 	// none: then the time at which its runs are certainly over stays fixed, and their tasks can
 	// be started elsewhere.
-	if len(r.runs) > 0 && r.owned && !r.unresponsive && !r.hasForeignOrphans() && s.now > r.noLeaseUntil {
+	if r.hasTaskRuns() && r.owned && !r.unresponsive && !r.hasForeignOrphans() && s.now > r.noLeaseUntil {
 		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
 		r.noteLease(s.now, s.cfg.Lease)
 		if len(r.ends) == 0 {
@@ -107,8 +108,10 @@
 		r.nextHoldAt = s.now + unloadedInterval
 	case len(r.ends) > 0 || s.now <= r.noLeaseUntil:
 		r.nextHoldAt = s.now + unsavedEndsInterval
-	case len(r.runs) > 0:
+	case r.hasTaskRuns():
 		s.hold(r)
+	case len(r.runs) > 0:
+		r.nextHoldAt = s.now + orphanCheckInterval
 	case r.info.EntryExpired || r.unlisted:
 		r.nextHoldAt = s.now + expiredCheckInterval
 	default:
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -216,6 +216,10 @@
 // over, or its job arrives, no order that grants a lease (renewal or start) is sent there.
 func (r *runner) hasForeignOrphans() bool { return r.foreignOrphanCount > 0 }
 
+// hasTaskRuns reports whether runs of tasks are on the runner. Orphans alone get no lease: one that
+// can't be stopped ends with its lease.
+func (r *runner) hasTaskRuns() bool { return len(r.runs) > r.orphanCount }
+
 // countOrphan adds a run without a task to the counts of orphans, or removes it.
 func (r *runner) countOrphan(u *run, by int) {
 	if u.task != nil {
