A scheduler that retires keeps unlisted runners on which it had runs

Found by a probe: a runner had left the platform's list, but answered, and had a run. Its scheduler retired and led again at once, on the same VM: Lead forgot the runner, since Retire had cleared its runs, and with no one left to ask, the task was started elsewhere with 590 ms of its lease left.

Such a runner is kept for as long as a caller takes to send a job again, from the moment of retiring. TestAnUnlistedRunnerWithARunIsAskedByTheNextTerm failed before.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -272,6 +272,9 @@
 	s.leading = false
 	for _, r := range s.runnerList {
 		s.noteLostOrphans(r)
+		if len(r.runs) > 0 {
+			r.retainUntil = max(r.retainUntil, now+s.cfg.Resend)
+		}
 		r.release()
 	}
 	for _, j := range s.jobs {
