A task with another known run goes on with that in place of a start

Found by a probe: two runs of a task are listed, one is adopted, the other's stop is rejected. The adopted one fails, and the task was started a third time, beside the run that was known, and under its number.

A task that returns to the queue adopts another run that is known, and a run's number counts whether it is adopted or not. TestAKnownSecondRunHoldsBackItsTask failed before.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -208,6 +208,19 @@
 	}
 	t.setPhase(waiting)
 	s.enqueue(t.job)
+	s.adoptOrphanOf(t)
+}
+
+// adoptOrphanOf assigns another run of a waiting task that is known to the task: while it may live, the
+// task isn't started again.
+func (s *Scheduler) adoptOrphanOf(t *taskState) {
+	for _, r := range s.runnerList {
+		for _, u := range r.orphansOf(t.job.work.ID) {
+			if u.key.Task == t.name && t.phase == waiting {
+				s.adopt(t.job, u)
+			}
+		}
+	}
 }
 
 // requeueUnseen returns a task to the queue after contact with its run was lost. The run may have
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -169,6 +169,9 @@
 // adopt makes an orphan the current run of its task, or stops it if the task has another run.
 func (s *Scheduler) adopt(j *job, u *run) {
 	t := j.task(u.key.Task)
+	if t != nil {
+		t.lastNumber = max(t.lastNumber, u.key.Number)
+	}
 	if t == nil || t.phase != waiting || j.ended {
 		u.stopAt = s.now
 		return
@@ -183,7 +186,6 @@
 		u.stopAt = 0
 	}
 	t.run = u
-	t.lastNumber = max(t.lastNumber, u.key.Number)
 	t.setPhase(running)
 	u.runner.reserve(u, t.step().Need)
 	u.overdueAt = s.overdueAt(t, u.runner)
