--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -28,6 +28,8 @@
 	rejectedRuns map[schedule.CallOutcome]int
 	// doubled are the tasks that had two runs at the same time.
 	doubled []workload.TaskName
+	// pairKinds counts the pairs of runs at the same time by what led to them.
+	pairKinds map[string]int
 	// failed counts all failed runs of each task.
 	failed map[workload.TaskName]int
 }
@@ -42,6 +44,7 @@
 		failures:       make(map[workload.TaskName]int),
 		failed:         make(map[workload.TaskName]int),
 		rejectedRuns:   make(map[schedule.CallOutcome]int),
+		pairKinds:      make(map[string]int),
 	}
 }
 
@@ -66,6 +69,7 @@
 	}
 	for other, at := range live {
 		t.doubled = append(t.doubled, k.Task)
+		t.pairKinds[t.w.pairKind(other, at, k)]++
 		t.report("%v starts on %s while %v runs on %s", k, r.info.ID, other, at.info.ID)
 	}
 	live[k] = r
--- /dev/null
+++ b/core/fleet/late_kills_test.go
@@ -0,0 +1,325 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Runners that end their runs after the lease: starved ones do nothing for a while, and silent ones
+// answer nothing and are slow to end their runs. A scheduler can't see how late they are. The dangerous
+// case is a task that is started elsewhere while such a runner still has its run.
+
+const (
+	// minStarved and maxStarved bound how long a runner is starved in one piece, in milliseconds.
+	minStarved, maxStarved = 550, 950
+	// minSilent and maxSilent bound how long a runner answers nothing, and maxKillDelay how late it
+	// ends its runs then, in milliseconds.
+	minSilent, maxSilent, maxKillDelay = 700, 1500, 400
+	// minPause and maxPause bound the pauses of a process in which it doesn't notice a stall, in
+	// milliseconds.
+	minPause, maxPause = 20, 390
+	// idleOneIn is the part of the runners that a fault makes idle: one in so many.
+	idleOneIn = 4
+	// cutRetryInterval is how long a cut waits while runners are idle.
+	cutRetryInterval = 50 * time.Millisecond
+)
+
+var fixedKillDelay = flag.Int("fleet.killdelay", -1, "how late silent runners end their runs, in milliseconds; drawn at random if negative")
+
+// backlog is what a runner puts off until a time.
+type backlog struct {
+	until   time.Duration
+	waiting []func()
+}
+
+// do does something now or puts it off.
+func (b *backlog) do(now time.Duration, f func()) {
+	if now < b.until {
+		b.waiting = append(b.waiting, f)
+		return
+	}
+	f()
+}
+
+// take returns what was put off until now or earlier.
+func (b *backlog) take(now time.Duration) []func() {
+	if now < b.until {
+		return nil
+	}
+	due := b.waiting
+	b.waiting = nil
+	return due
+}
+
+// whenAnswering handles an order or answers one, once the runner is neither starved nor silent.
+func (r *fakeRunner) whenAnswering(f func()) { r.orders.do(r.w.now, f) }
+
+// whenAwake does what the runner does of itself, once it isn't starved.
+func (r *fakeRunner) whenAwake(f func()) { r.work.do(r.w.now, f) }
+
+func (r *fakeRunner) silent() bool  { return r.w.now < r.orders.until }
+func (r *fakeRunner) starved() bool { return r.w.now < r.work.until }
+
+// afterKillDelay does what is due at the end of a lease, late if the runner is.
+func (r *fakeRunner) afterKillDelay(f func()) {
+	if r.killDelay == 0 {
+		r.whenAwake(f)
+		return
+	}
+	r.w.after(r.killDelay, func() { r.whenAwake(f) })
+}
+
+// starve keeps a runner from doing anything for a while.
+func (r *fakeRunner) starve(d time.Duration) {
+	r.work.until = r.w.now + d
+	r.beSilent(d)
+}
+
+// beSilent keeps a runner from handling orders and from answering for a while.
+func (r *fakeRunner) beSilent(d time.Duration) {
+	r.orders.until = r.w.now + d
+	r.idleUntil = r.orders.until + r.killDelay
+	r.noteIdle()
+	r.w.after(d, r.wake)
+}
+
+// wake does what was put off, in a random order.
+func (r *fakeRunner) wake() {
+	if r.silent() {
+		return
+	}
+	r.killDelay = 0
+	due := append(r.work.take(r.w.now), r.orders.take(r.w.now)...)
+	r.w.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, f := range due {
+		f()
+	}
+}
+
+// noteIdle adds to the history of the runner's runs that it becomes starved or silent.
+func (r *fakeRunner) noteIdle() {
+	for _, k := range r.w.sortedRuns(r) {
+		r.w.noteRun(k, string(r.info.ID), fmt.Sprintf("%s until %v, lease left %d", r.state(), r.orders.until, r.leaseEnd-r.clock()))
+	}
+}
+
+// state says whether a runner is starved, silent or awake.
+func (r *fakeRunner) state() string {
+	switch {
+	case r.starved():
+		return "starved"
+	case r.silent():
+		return "silent"
+	}
+	return "awake"
+}
+
+// idle reports whether the runner may still end runs after the lease.
+func (r *fakeRunner) idle() bool { return !r.down && r.w.now < r.idleUntil }
+
+func (w *world) anyIdle() bool { return slices.ContainsFunc(w.runners, (*fakeRunner).idle) }
+
+// accepts reports whether a runner's host accepts connections from a VM. It does while the runner is
+// starved or silent.
+func (w *world) accepts(n *fakeNode, r *fakeRunner) bool {
+	return r != nil && !r.down && w.domainsConnected(n.domain, r.info.Domain)
+}
+
+// unansweredHolds counts orders to renew and to list runs that stayed unanswered, by whether the
+// runner's host accepted the connection.
+type unansweredHolds struct{ accepted, refused int }
+
+func (w *world) noteUnanswered(accepted bool) {
+	if accepted {
+		w.silences.accepted++
+		return
+	}
+	w.silences.refused++
+}
+
+// makeIdle makes a part of the runners starved or silent. Runners aren't made idle while a failure
+// domain is cut off, nor is one cut off meanwhile: across a cut an idle runner looks like a lost one,
+// whose tasks are started elsewhere when the lease is over.
+func (w *world) makeIdle(begin func(r *fakeRunner)) {
+	if len(w.isolated) > 0 {
+		return
+	}
+	for _, r := range w.runners {
+		if !r.down && !r.idle() && w.rng.IntN(idleOneIn) == 0 {
+			begin(r)
+		}
+	}
+}
+
+// drawKillDelay draws how late silent runners end their runs.
+func (w *world) drawKillDelay() time.Duration {
+	drawn := w.randomDuration(0, maxKillDelay+1)
+	if *fixedKillDelay >= 0 {
+		return time.Duration(*fixedKillDelay) * time.Millisecond
+	}
+	return drawn
+}
+
+// pauseRepeatedly pauses a process again and again until a time, each time too short for it to notice
+// a stall.
+func (w *world) pauseRepeatedly(n *fakeNode, until time.Duration) {
+	if n.node == nil || w.now >= until {
+		return
+	}
+	d := w.randomDuration(minPause, maxPause+1)
+	if w.now >= n.frozen {
+		w.freeze(n, d)
+	}
+	w.after(d+w.randomDuration(5, 250), func() { w.pauseRepeatedly(n, until) })
+}
+
+// leaders returns the processes that lead a shard.
+func (w *world) leaders() []*fakeNode {
+	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *fakeNode) bool { return n.node == nil || !n.node.Leads() })
+}
+
+// shardsLed is the largest number of shards that one process leads.
+func (w *world) shardsLed() int {
+	most := 0
+	for _, n := range w.leaders() {
+		led := 0
+		for _, s := range n.node.DumpShards(w.now) {
+			if s.Scheduler != nil && s.Scheduler.Leading {
+				led++
+			}
+		}
+		most = max(most, led)
+	}
+	return most
+}
+
+// vmsLeft is how many VMs the fault "few VMs left" leaves.
+const vmsLeft = 2
+
+// loseVMs ends the processes of all VMs but a few for a while, so that one leads several shards.
+func (w *world) loseVMs() {
+	for _, i := range w.rng.Perm(len(w.nodes))[vmsLeft:] {
+		w.kill(w.nodes[i], w.randomDuration(2000, 5000))
+	}
+}
+
+func init() {
+	faults["runners starved"] = func(w *world) {
+		w.mostLed = max(w.mostLed, w.shardsLed())
+		w.makeIdle(func(r *fakeRunner) { r.starve(w.randomDuration(minStarved, maxStarved+1)) })
+	}
+	faults["runners silent"] = func(w *world) {
+		killDelay := w.drawKillDelay()
+		w.makeIdle(func(r *fakeRunner) {
+			r.killDelay = killDelay
+			r.beSilent(w.randomDuration(minSilent, maxSilent+1))
+		})
+	}
+	faults["leader paused"] = func(w *world) {
+		if list := w.leaders(); len(list) > 0 {
+			w.pauseRepeatedly(list[w.rng.IntN(len(list))], w.now+w.randomDuration(1000, 4000))
+		}
+	}
+	faults["few VMs left"] = func(w *world) { w.loseVMs() }
+}
+
+// repeated lists a fault several times, so that it is drawn that much more often.
+func repeated(name string, times int) []string { return slices.Repeat([]string{name}, times) }
+
+func starvedFaults() []string { return repeated("runners starved", 8) }
+
+func pauseFaults() []string {
+	return append(repeated("leader paused", 8), "mute runners", "mute runners")
+}
+
+// linkCuts are cuts between VMs, which leave the links to the runners.
+func linkCuts() []string {
+	return append(repeated("part", 3), "part leader", "part leader", "part leader", "store for some")
+}
+
+// losses leave few VMs, which lead several shards each.
+func losses() []string { return repeated("few VMs left", 4) }
+
+// Guards against a second run of a task whose runner gets no processor time, and so ends its runs
+// late.
+func TestRandomStarvedRunners(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, starvedFaults()...)
+}
+
+// Guards against the same while links between VMs are cut, so that nobody knows who leads beyond.
+func TestRandomStarvedRunnersAndLinks(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(starvedFaults(), linkCuts()...)...)
+}
+
+// Guards against the same when the leaders change, and when the runners leave the list.
+func TestRandomStarvedRunnersAndChanges(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(starvedFaults(), changeFaults()...)...)
+}
+
+// Guards against the same when a VM leads several shards and lends room between them.
+func TestRandomStarvedRunnersAndLosses(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(starvedFaults(), losses()...)...)
+}
+
+// Guards against a second run of a task whose runner answers nothing and ends its runs up to 400 ms
+// after their lease.
+func TestRandomLateKills(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, repeated("runners silent", 8)...)
+}
+
+// Guards against a second run of a task whose lease isn't renewed in time, since the leader is paused
+// again and again.
+func TestRandomShortPauses(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, pauseFaults()...)
+}
+
+// Guards against the same when runners are starved.
+func TestRandomShortPausesAndStarvedRunners(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(pauseFaults(), starvedFaults()...)...)
+}
+
+// pairKind says what led to two runs at the same time: the last decision on the older one, whether its
+// lease was over, what its runner did, and whether one process ordered both.
+func (w *world) pairKind(older workload.RunKey, r *fakeRunner, younger workload.RunKey) string {
+	lease, by := "lease over", "one process"
+	if r.clock() < r.leaseEnd {
+		lease = "lease valid"
+	}
+	if w.startedBy(older) != w.startedBy(younger) {
+		by = "two processes"
+	}
+	return fmt.Sprintf("%s; %s; %s; %s", w.lastDecision(older), lease, r.state(), by)
+}
+
+// lastDecision is the last decision on a run that a process has logged.
+func (w *world) lastDecision(k workload.RunKey) string {
+	for _, e := range slices.Backward(w.history[k.Task.String()]) {
+		if e.decision && e.key == k.String() {
+			return e.what
+		}
+	}
+	return "no decision"
+}
+
+// startedBy is the process that last ordered the start of a run.
+func (w *world) startedBy(k workload.RunKey) string {
+	for _, e := range slices.Backward(w.history[k.Task.String()]) {
+		if e.key == k.String() && strings.HasPrefix(e.what, "orders start") {
+			return e.by
+		}
+	}
+	return ""
+}
--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -36,7 +36,7 @@
 		if r.down || r.incarnationStart != sentTo || !w.domainsConnected(n.domain, r.info.Domain) {
 			return
 		}
-		order(r, func(o schedule.CallOutcome, h *schedule.HoldResult) {
+		answer := func(o schedule.CallOutcome, h *schedule.HoldResult) {
 			clock, incarnationStart := r.clock(), r.incarnationStart
 			if late || w.rng.Float64() < r.unansweredShare {
 				return
@@ -46,7 +46,8 @@
 					finish(o, clock, incarnationStart, h)
 				}
 			})
-		})
+		}
+		r.whenAnswering(func() { order(r, answer) })
 	})
 }
 
@@ -70,6 +71,7 @@
 			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Hold:
+		accepted := w.accepts(n, w.runner(c.Runner))
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
 			if w.chance(r.rejects.holds) {
 				answer(schedule.Unhealthy, nil)
@@ -81,6 +83,9 @@
 			if h != nil {
 				res = *h
 			}
+			if o == schedule.Unanswered {
+				w.noteUnanswered(accepted)
+			}
 			res.Runner, res.Token, res.ListOnly, res.ReachabilityOnly, res.Outcome, res.Clock = c.Runner, c.Token, c.ListOnly, c.ReachabilityOnly, o, clock
 			n.node.Held(w.now, shard, res)
 		})
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -379,8 +379,12 @@
 	return nil
 }
 
-// cutOff isolates a domain from all others and the store for a while.
+// cutOff isolates a domain from all others and the store for a while, as soon as no runner is idle.
 func (w *world) cutOff(domain string, d time.Duration) {
+	if w.anyIdle() {
+		w.after(cutRetryInterval, func() { w.cutOff(domain, d) })
+		return
+	}
 	w.isolated[domain] = true
 	w.after(d, func() { delete(w.isolated, domain) })
 }
--- a/core/fleet/rejections_test.go
+++ b/core/fleet/rejections_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -207,7 +209,9 @@
 	for _, v := range faultyRuns {
 		t.Run(v.name, func(t *testing.T) {
 			t.Parallel()
-			served, asked, red := 0, 0, 0
+			served, asked, red, ledTwo := 0, 0, 0, 0
+			var unanswered unansweredHolds
+			pairs := make(map[string]int)
 			rejected := make(map[schedule.CallOutcome]int)
 			for i := range faultyRunSeeds() {
 				seed := *firstSeed + uint64(i)
@@ -217,12 +221,24 @@
 				for o, n := range w.checker.rejectedRuns {
 					rejected[o] += n
 				}
+				for kind, n := range w.checker.pairKinds {
+					pairs[kind] += n
+				}
+				unanswered.accepted += w.silences.accepted
+				unanswered.refused += w.silences.refused
+				if w.mostLed > 1 {
+					ledTwo++
+				}
 				if len(w.checker.violations) > 0 {
 					red++
 					t.Errorf("seed %d: %v\n%s\n%v", seed, strings.Join(w.checker.violations, "\n"), w.describeDoubles(), played)
 				}
 			}
 			t.Logf("%d of %d seeds failed; %d of %d jobs complete; outcomes of starts whose run was there: %v", red, faultyRunSeeds(), served, asked, rejected)
+			t.Logf("unanswered holds: %+v; seeds in which runners were starved while one process led several shards: %d", unanswered, ledTwo)
+			for _, kind := range slices.Sorted(maps.Keys(pairs)) {
+				t.Logf("pairs of runs, %d: %s", pairs[kind], kind)
+			}
 		})
 	}
 }
@@ -353,9 +369,13 @@
 	key  string
 	by   string
 	what string
+	// decision: a process has logged it.
+	decision bool
 }
 
-func (w *world) noteRun(k workload.RunKey, by, what string) { w.note(k.String(), by, what) }
+func (w *world) noteRun(k workload.RunKey, by, what string) {
+	w.note(runEvent{key: k.String(), by: by, what: what})
+}
 
 // noteDecision notes a process's decision on a run.
 func (w *world) noteDecision(n *fakeNode, c fleet.Notice) {
@@ -364,12 +384,13 @@
 		return
 	}
 	reason, _ := fieldOf(c, "reason").(string)
-	w.note(key, string(n.id), c.Event+" "+reason)
+	w.note(runEvent{key: key, by: string(n.id), what: c.Event + " " + reason, decision: true})
 }
 
-func (w *world) note(key, by, what string) {
-	task, _, _ := strings.Cut(key, "#")
-	w.history[task] = append(w.history[task], runEvent{at: w.now, key: key, by: by, what: what})
+func (w *world) note(e runEvent) {
+	e.at = w.now
+	task, _, _ := strings.Cut(e.key, "#")
+	w.history[task] = append(w.history[task], e)
 }
 
 // describeDoubles describes what happened to the tasks that had two runs at the same time.
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -28,7 +28,11 @@
 	// rejects are the orders that it rejects whatever they say, and slow are those that take long.
 	rejects rejections
 	slow    slowness
-	down    bool
+	// orders and work are what the runner puts off, see backlog. killDelay is how late it ends its runs
+	// after their lease, and idleUntil is until when it may do so.
+	orders, work         backlog
+	killDelay, idleUntil time.Duration
+	down                 bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
 	// started counts the runs started.
@@ -38,7 +42,9 @@
 	// the runner's clock.
 	token    uint64
 	leaseEnd int64
-	runs     map[workload.RunKey]*fakeRun
+	// leaseOver: it has expired, though runs may still be there.
+	leaseOver bool
+	runs      map[workload.RunKey]*fakeRun
 	// sealed is, by task, the highest number of a run that was stopped or has ended. Starts
 	// with that number or a lower one are refused as outdated.
 	sealed map[workload.TaskName]int
@@ -52,7 +58,7 @@
 type fakeEnd struct {
 	workload.End
 	at time.Duration
-	// leaseExpired: the runner's lease has expired since the end.
+	// leaseExpired: the runner's lease has expired since the end, or had before.
 	leaseExpired bool
 }
 
@@ -93,19 +99,32 @@
 	if leaseEnd <= r.leaseEnd {
 		return
 	}
-	r.leaseEnd = leaseEnd
+	r.leaseEnd, r.leaseOver = leaseEnd, false
 	start := r.incarnationStart
-	r.w.after(r.timeUntil(leaseEnd), func() {
-		if r.clock() < r.leaseEnd || r.incarnationStart != start {
-			return
-		}
-		for i := range r.ends {
-			r.ends[i].leaseExpired = true
-		}
-		for _, k := range r.w.sortedRuns(r) {
-			r.end(k, workload.LeaseExpired)
-		}
-	})
+	r.w.after(r.timeUntil(leaseEnd), func() { r.expireLease(start) })
+}
+
+// expireLease ends the lease and then all runs, unless the lease was extended or the incarnation has
+// ended.
+func (r *fakeRunner) expireLease(incarnationStart int64) {
+	if r.clock() < r.leaseEnd || r.incarnationStart != incarnationStart {
+		return
+	}
+	r.leaseOver = true
+	for i := range r.ends {
+		r.ends[i].leaseExpired = true
+	}
+	r.afterKillDelay(func() { r.killRuns(incarnationStart) })
+}
+
+// killRuns ends all runs, unless the runner has another lease by now.
+func (r *fakeRunner) killRuns(incarnationStart int64) {
+	if !r.leaseOver || r.incarnationStart != incarnationStart {
+		return
+	}
+	for _, k := range r.w.sortedRuns(r) {
+		r.end(k, workload.LeaseExpired)
+	}
 }
 
 func (r *fakeRunner) start(c schedule.Start) schedule.CallOutcome {
@@ -149,9 +168,11 @@
 	}
 	u := r.runs[c.Run]
 	r.w.after(work, func() {
-		if r.runs[c.Run] == u {
-			r.end(c.Run, kind)
-		}
+		r.whenAwake(func() {
+			if r.runs[c.Run] == u {
+				r.end(c.Run, kind)
+			}
+		})
 	})
 	return schedule.Accepted
 }
@@ -164,7 +185,9 @@
 	r.trace("stop", c.Run, c.Token)
 	if u := r.runs[c.Run]; u != nil && !u.stopped {
 		u.stopped = true
-		r.w.after(time.Duration(r.w.rng.IntN(50))*time.Millisecond, func() { r.end(c.Run, workload.Stopped) })
+		r.w.after(time.Duration(r.w.rng.IntN(50))*time.Millisecond, func() {
+			r.whenAwake(func() { r.end(c.Run, workload.Stopped) })
+		})
 	}
 	return schedule.Accepted
 }
@@ -177,7 +200,7 @@
 	r.sealed[k.Task] = max(r.sealed[k.Task], k.Number)
 	r.lastEnd++
 	r.trace(kind.String(), k, r.lastEnd)
-	r.ends = append(r.ends, fakeEnd{End: workload.End{Sequence: r.lastEnd, Run: k, Kind: kind}, at: r.w.now})
+	r.ends = append(r.ends, fakeEnd{End: workload.End{Sequence: r.lastEnd, Run: k, Kind: kind}, at: r.w.now, leaseExpired: r.leaseOver})
 	r.w.checker.ended(r, k, kind)
 	for _, h := range r.waitingHolds {
 		r.answerHold(h)
@@ -217,6 +240,10 @@
 	if h.done || r.down {
 		return
 	}
+	if r.silent() {
+		r.whenAnswering(func() { r.answerHold(h) })
+		return
+	}
 	h.done = true
 	res := schedule.HoldResult{Outcome: schedule.Accepted}
 	for _, e := range r.ends {
@@ -243,7 +270,7 @@
 	r.down = false
 	r.incarnationStart = int64(worldStartMs + r.w.now/time.Millisecond)
 	r.offset = 1 - int64(float64(r.w.now.Milliseconds())*r.rate)
-	r.token, r.leaseEnd, r.lastEnd, r.ends, r.waitingHolds = 0, 0, 0, nil, nil
+	r.token, r.leaseEnd, r.leaseOver, r.lastEnd, r.ends, r.waitingHolds = 0, 0, false, 0, nil, nil
 	r.runs, r.sealed = make(map[workload.RunKey]*fakeRun), make(map[workload.TaskName]int)
 }
 
@@ -253,6 +280,7 @@
 // crash ends the incarnation and all its runs.
 func (r *fakeRunner) crash() {
 	r.down = true
+	r.orders, r.work, r.killDelay, r.idleUntil = backlog{}, backlog{}, 0, 0
 	for _, k := range r.w.sortedRuns(r) {
 		r.w.checker.ended(r, k, workload.Aborted)
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -83,6 +83,10 @@
 	listed map[workload.RunnerID]bool
 	// history is what was ordered and done, by task.
 	history map[string][]runEvent
+	// silences counts the holds that stayed unanswered, and mostLed is the largest number of shards
+	// that one process led when runners were starved.
+	silences unansweredHolds
+	mostLed  int
 }
 
 type event struct {
