A stopped run that its runner still lists counts

A best-effort run counted as over 70 ms after the order to stop it was answered, whatever the runner listed: a runner that is 20 ms late to stop it had the task started elsewhere beside it.

Change: the list decides, as it did for stored jobs. A run that the runner has listed since it was stopped counts until its end is listed; without a list it counts as over 160 ms after the stop (StopTimeout, and the same allowance for late ends as with leases).

TestAStoppedRunThatIsListedCounts failed before.

--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -202,7 +202,7 @@
 			reason = "stopped-unlisted"
 			b.lists(c.Runner, b.now)
 		} else {
-			b.tick(b.s.cfg.StopTimeout + stopSlack + 20*ms)
+			b.tick(b.s.cfg.StopTimeout + lateEndAllowance + 20*ms)
 		}
 		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-dropped", c.Run, reason)))
 		b.g.Expect(b.s.runners[c.Runner].runs).To(BeEmpty())
@@ -249,7 +249,7 @@
 	b.s.Abandon(b.now, entryA, j.ID)
 	b.stopped(one[Stop](b), Accepted)
 	take[Hold](b)
-	b.tick(b.s.cfg.StopTimeout + stopSlack + 20*ms)
+	b.tick(b.s.cfg.StopTimeout + lateEndAllowance + 20*ms)
 	b.s.runners[first.Runner].evacuated = true
 	b.submit(j, 2*time.Second)
 	second := one[Start](b)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -131,6 +131,7 @@
 		u = s.addListedRun(r, k)
 	}
 	u.confirmed = true
+	u.listedAt = max(u.listedAt, requestedAt)
 	if u.task == nil {
 		s.checkListedOrphan(u, requestedAt)
 	}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -111,15 +111,17 @@
 	startExpiredAt Time
 	// checkpoint is the newest checkpoint of an orphan, used if its job arrives.
 	checkpoint string
-	// confirmed runs were accepted or listed by the runner.
+	// confirmed runs were accepted or listed by the runner. listedAt is when the latest list was requested
+	// that shows the run.
 	confirmed bool
+	listedAt  Time
 	// startedElsewhere: another scheduler has started the run.
 	startedElsewhere bool
 	// stopAt is when an orphan is stopped, or a stop that stayed unanswered is sent again; 0 if
 	// neither is due.
 	stopAt Time
 	// stopping: an order to stop the run was sent. stopped: the order was answered, and the
-	// run is over at overAt even if no end is listed.
+	// run is over at overAt even if no end is listed, unless the runner has listed the run since.
 	stopping  bool
 	stopped   bool
 	stoppedAt Time
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -2,16 +2,12 @@
 
 import (
 	"fmt"
-	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // The results of orders to start and to stop runs.
 
-// stopSlack is added to StopTimeout: a run that was stopped counts as over after both.
-const stopSlack = 20 * time.Millisecond
-
 // answeringRunner returns the runner that has answered an order to start or to stop a run, with its
 // clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner,
 // another incarnation of the runner has answered, or the runner was acquired again since the order
@@ -86,7 +82,7 @@
 func (s *Scheduler) noteStopped(u *run, at Time) {
 	u.stopped = true
 	u.stoppedAt = at
-	u.overAt = s.now + s.cfg.StopTimeout + stopSlack
+	u.overAt = s.now + s.cfg.StopTimeout + lateEndAllowance
 	s.requestList(u.runner)
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -112,7 +112,7 @@
 // an overdue run.
 func (s *Scheduler) tickRun(r *runner, u *run) {
 	switch {
-	case u.stopped && s.now >= u.overAt && !u.ofStoredJob():
+	case u.stopped && s.now >= u.overAt && u.listedAt < u.stoppedAt && !u.ofStoredJob():
 		s.dropRun(u, StopTimedOut)
 		if u.task != nil {
 			s.requeue(u.task)
--- a/core/schedule/unstoppable_test.go
+++ b/core/schedule/unstoppable_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // renewing answers a runner's Holds with empty lists, each after its wait.
@@ -67,3 +69,20 @@
 		b.g.Expect(b.now-began).To(BeNumerically("<", time.Second), "stops are answered %v", stops)
 	}
 }
+
+// Guards against a second run beside one that its runner has agreed to stop, and is late to: the list shows
+// the run.
+func TestAStoppedRunThatIsListedCounts(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	b.started(one[Start](b), Unanswered)
+	again := one[Start](b)
+	b.started(again, Unanswered)
+	b.stopped(one[Stop](b), Accepted)
+	b.now += 2 * ms
+	b.lists(again.Runner, b.now, again.Run)
+	b.tick(400 * ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.end(again.Runner, 1, again.Run, workload.Stopped)
+	b.g.Expect(one[Start](b).Run.Number).To(BeNumerically(">", again.Run.Number))
+}
