Model fleet: seeds of late kills, and two other ways to two runs at once

All but 6 pairs are late kills: the last decision on the older run is `run-lapsed`, its lease is over, and its runner is starved or silent (in 3 it has just ceased to be silent, with its kill still due). Where two processes ordered the runs, the later one had adopted the first. No other invariant was violated.

5 pairs (starved runners, pooled/26 twice, cells/88, cells/259; with losses pooled/58): all processes are killed, a runner is starved shortly before its lease ends, and 1.3 s after the kill a caller sends its job again to a new leader, which knows of no earlier attempt. It doesn't wait for the list of the starved runner.

1 pair (short pauses, links/154), with healthy runners and a valid lease: a1 leads and is paused from 2.997 to 3.379 s, too short to notice. The link between a1 and a2 is cut at 3.292. a1 handles a2's buffered messages at 3.379 and notes contact with a2 then. a2 counts a1 as lost at 3.42, takes the lead, and starts a task of its own job at 3.452. a1 is fenced, takes the runners back at 3.605 to 3.65, and at 3.65 starts the same task on the first runner, before the list of the other one: its last contact with a2 counts as 271 ms old (maxHeartbeatAge is 300), and was 358 ms old at least. Logged as task-ran-twice by a1.

With pauses and late kills there is a test of its own.

--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -24,6 +24,9 @@
 	// minPause and maxPause bound the pauses of a process in which it doesn't notice a stall, in
 	// milliseconds.
 	minPause, maxPause = 20, 390
+	// minGap and maxGap bound the time between two such pauses, in milliseconds: too short for all
+	// orders that stayed unanswered to be sent again.
+	minGap, maxGap = 5, 80
 	// idleOneIn is the part of the runners that a fault makes idle: one in so many.
 	idleOneIn = 4
 	// cutRetryInterval is how long a cut waits while runners are idle.
@@ -176,7 +179,7 @@
 	if w.now >= n.frozen {
 		w.freeze(n, d)
 	}
-	w.after(d+w.randomDuration(5, 250), func() { w.pauseRepeatedly(n, until) })
+	w.after(d+w.randomDuration(minGap, maxGap+1), func() { w.pauseRepeatedly(n, until) })
 }
 
 // leaders returns the processes that lead a shard.
@@ -234,8 +237,10 @@
 
 func starvedFaults() []string { return repeated("runners starved", 8) }
 
+func silenceFaults() []string { return repeated("runners silent", 8) }
+
 func pauseFaults() []string {
-	return append(repeated("leader paused", 8), "mute runners", "mute runners")
+	return append(repeated("leader paused", 8), repeated("mute runners", 4)...)
 }
 
 // linkCuts are cuts between VMs, which leave the links to the runners.
@@ -275,7 +280,7 @@
 // after their lease.
 func TestRandomLateKills(t *testing.T) {
 	t.Parallel()
-	playFaultyRuns(t, repeated("runners silent", 8)...)
+	playFaultyRuns(t, silenceFaults()...)
 }
 
 // Guards against a second run of a task whose lease isn't renewed in time, since the leader is paused
@@ -291,6 +296,56 @@
 	playFaultyRuns(t, append(pauseFaults(), starvedFaults()...)...)
 }
 
+// Guards against the same when runners are silent and end their runs up to 400 ms after their lease.
+func TestRandomShortPausesAndLateKills(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, append(pauseFaults(), silenceFaults()...)...)
+}
+
+const (
+	starvedCause = "a runner was starved beyond the end of its lease, and a task of it was started elsewhere before it killed its runs"
+	silentCause  = "a silent runner killed its runs late, and a task of it was started elsewhere before"
+	resentCause  = "all processes were killed, and a caller sent its job again while a starved runner, which no new process had reached, still had a run of it"
+)
+
+var lateKillRegressions = []faultySeed{
+	{"cells", 8, starvedFaults(), starvedCause},
+	{"stored jobs", 29, starvedFaults(), starvedCause},
+	{"lending", 127, starvedFaults(), starvedCause},
+	{"pooled", 3, silenceFaults(), silentCause},
+	{"cells", 6, silenceFaults(), silentCause},
+	{"links", 5, silenceFaults(), silentCause},
+}
+
+// Guards against the same in the seeds in which it was seen first.
+func TestLateKillRegressions(t *testing.T) {
+	t.Parallel()
+	playFaultySeeds(t, lateKillRegressions)
+}
+
+var resentJobRegressions = []faultySeed{
+	{"pooled", 26, starvedFaults(), resentCause},
+	{"cells", 88, starvedFaults(), resentCause},
+}
+
+// Guards against a second run of a job that its caller sends again after all processes were lost, while
+// a starved runner still has a run of the first attempt.
+func TestResentJobsAndStarvedRunners(t *testing.T) {
+	t.Parallel()
+	playFaultySeeds(t, resentJobRegressions)
+}
+
+var pauseRegressions = []faultySeed{
+	{"links", 154, pauseFaults(), "a leader counted messages that had waited during its pause of 382 ms as contact of now, and started a task of an entry VM that had counted it as lost and had started the task itself"},
+}
+
+// Guards against a second run of a task by a leader that has been paused, while the entry VM of the job
+// has taken over.
+func TestShortPauseRegressions(t *testing.T) {
+	t.Parallel()
+	playFaultySeeds(t, pauseRegressions)
+}
+
 // pairKind says what led to two runs at the same time: the last decision on the older one, whether its
 // lease was over, what its runner did, and whether one process ordered both.
 func (w *world) pairKind(older workload.RunKey, r *fakeRunner, younger workload.RunKey) string {
--- a/core/fleet/rejections_test.go
+++ b/core/fleet/rejections_test.go
@@ -276,13 +276,15 @@
 	playFaultyRuns(t, append(changeFaults(), rejectionFaults()...)...)
 }
 
-// Seeds that once violated an invariant, with the cause.
-var rejectionRegressions = []struct {
+// faultySeed is a seed of one of faultyRuns that once violated an invariant, with the cause.
+type faultySeed struct {
 	run    string
 	seed   uint64
 	faults []string
 	cause  string
-}{
+}
+
+var rejectionRegressions = []faultySeed{
 	{"pooled", 6, rejectionFaults(), "a start was carried out without an answer, and the second order was rejected by a runner that was unhealthy"},
 	{"lending", 2, append(rejectionFaults(), slownessFaults()...), "a start was still on its way when the second order was rejected for lack of room"},
 	{"cells", 22, append(rejectionFaults(), slownessFaults()...), "a start was still on its way when the second order was rejected by a runner that was unhealthy"},
@@ -290,7 +292,11 @@
 
 func TestRejectionRegressions(t *testing.T) {
 	t.Parallel()
-	for _, c := range rejectionRegressions {
+	playFaultySeeds(t, rejectionRegressions)
+}
+
+func playFaultySeeds(t *testing.T, list []faultySeed) {
+	for _, c := range list {
 		for _, v := range faultyRuns {
 			if v.name != c.run {
 				continue
