Messages that waited during a pause of a leader are no contact of now

Cause: a leader that was paused for 382 ms, less than a stall, then handled messages of an entry VM that had waited in its buffers, and counted them as contact of that moment. The VM had counted it as lost meanwhile and had taken over; 358 ms after the VM's last message could have been sent, the old leader started a task of that VM's job. By then a job of a silent VM has to wait (maxHeartbeatAge, 300 ms).

Change: for 50 ms after a gap of three ticks, messages count as sent when the gap began.

TestShortPauseRegressions (links/154) failed before and passes.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -132,6 +132,7 @@
 	s.schedule.Submit(now, schedule.Submission{
 		Job:                c.Job,
 		Entry:              schedule.EntryID(from),
+		SentAt:             n.sentAt(now),
 		RemainingObjective: c.RemainingObjective,
 		RemainingTimeout:   c.RemainingTimeout,
 		PriorSubmissions:   c.PriorSubmissions,
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -66,6 +66,8 @@
 
 	// startedAt is when the node was created, and lastTick when Tick was last called.
 	startedAt, lastTick Time
+	// pausedAt and resumedAt are the beginning and the end of the process's last pause.
+	pausedAt, resumedAt Time
 	// leadersReachedAt is when the leaders of all shards of the cell were last reachable,
 	// or when no process could have led yet. lastArrival is when a caller's request last
 	// arrived, and stopStartedAt when a planned stop began; 0 if never.
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -96,7 +96,7 @@
 func (n *Node) Receive(now Time, from leader.ID, m Message) {
 	n.detectStall(now)
 	for _, s := range n.own {
-		s.schedule.EntryAlive(now, schedule.EntryID(from))
+		s.schedule.EntryAlive(n.sentAt(now), schedule.EntryID(from))
 	}
 	if h, ok := m.(Heartbeat); ok {
 		n.receiveHeartbeat(now, from, h)
--- a/core/fleet/stall.go
+++ b/core/fleet/stall.go
@@ -6,16 +6,35 @@
 	"sapphirepoint.example/sapphirepoint/core/leader"
 )
 
+const (
+	// shortPause is the time without a tick after which messages may have waited in buffers.
+	shortPause = 3 * TickInterval
+	// bufferTime is how long after such a pause the messages are handled that arrived during it.
+	bufferTime = 50 * time.Millisecond
+)
+
 // detectStall detects that the process was suspended. Event handlers call it first, since
 // state from before the pause is outdated, and events that arrived meanwhile must not be
 // handled with it.
 func (n *Node) detectStall(now Time) {
-	if pause := now - n.lastTick; pause > leader.StallThreshold {
+	pause := now - n.lastTick
+	if pause > shortPause {
+		n.pausedAt, n.resumedAt = n.lastTick, now
+	}
+	if pause > leader.StallThreshold {
 		n.lastTick = now
 		n.stalled(now, pause)
 	}
 }
 
+// sentAt returns the earliest time at which a message may have been sent that is handled now.
+func (n *Node) sentAt(now Time) Time {
+	if n.resumedAt > 0 && now-n.resumedAt <= bufferTime {
+		return n.pausedAt
+	}
+	return now
+}
+
 // stalled gives up the lead after a pause of this process. Another process has taken over the
 // runners meanwhile, and may continue jobs and runs whose timeouts have expired here.
 func (n *Node) stalled(now Time, pause time.Duration) {
--- a/core/schedule/entries.go
+++ b/core/schedule/entries.go
@@ -93,8 +93,10 @@
 	}
 }
 
-// EntryAlive records a message of an entry process.
-func (s *Scheduler) EntryAlive(now Time, entry EntryID) { s.lastContact[entry] = now }
+// EntryAlive records a message of an entry process, which was sent at a time or later.
+func (s *Scheduler) EntryAlive(sentAt Time, entry EntryID) {
+	s.lastContact[entry] = max(s.lastContact[entry], sentAt)
+}
 
 // EntryReachable records that an entry VM is reachable again, perhaps with a new process.
 func (s *Scheduler) EntryReachable(now Time, entry EntryID) {
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -10,6 +11,8 @@
 type Submission struct {
 	Job   *workload.Job
 	Entry EntryID
+	// SentAt is the earliest time at which it may have been sent; 0 if it was sent just now.
+	SentAt Time
 	// RemainingObjective and RemainingTimeout are what is left of the latency objective and of
 	// the time that the caller waits.
 	RemainingObjective time.Duration
@@ -38,7 +41,7 @@
 // Submit handles the submission of a job, which may be a copy of a known one.
 func (s *Scheduler) Submit(now Time, sub Submission) {
 	s.now = now
-	s.lastContact[sub.Entry] = now
+	s.EntryAlive(cmp.Or(sub.SentAt, now), sub.Entry)
 	if sub.Job.Stored {
 		s.submitStored(sub)
 		return
