A job sent again shortly after its hand-in was dropped stays where its run may live

A caller left and sent its job again within 1.3 s, by the same entry process, while the leader of its home was lost. The job was handed in to another shard, or to the home's next leader as a new one, and could run there while a run of the lost leader lived.

Cause: with its last request a job's state went, and with it that a scheduler had had the job. A job that is handed over keeps that state, and stays in its shard while earlier runs may be alive.

Change: a dropped hand-in is remembered with its shard and scheduler (its time was already). If that scheduler no longer leads the shard, the job counts as handed in before until the runs are over for certain, as if it had never been dropped. If it still leads, nothing changes: it knows the runs that it stops. Stored jobs are left out; they never leave their shard, and their records show what ran.

What it doesn't cover: another entry process knows nothing of the dropped hand-in. By the users' page a job is sent again 1.3 s after the break at the earliest, when the runs are over (orphanRunLifetime). Nothing changes for callers who keep to that (TestAJobSentAgainInTimeIsANewOne).

Two calls in drops_test.go have the new parameter; what they check is the same.

--- a/core/gateway/drops.go
+++ b/core/gateway/drops.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -22,28 +23,31 @@
 type droppedHandIn struct {
 	job workload.JobID
 	at  Time
+	// shard had the job, and scheduler led it; "" if the job was withdrawn from it.
+	shard     int
+	scheduler leader.ID
 }
 
 // recentDrops are the hand-ins that were dropped during the last dropRetention.
 type recentDrops struct {
-	// latest is when each job's last dropped hand-in was dropped; ordered has all, oldest first.
-	latest  map[workload.JobID]Time
+	// latest is each job's last dropped hand-in; ordered has all, oldest first.
+	latest  map[workload.JobID]droppedHandIn
 	ordered []droppedHandIn
 }
 
-func newRecentDrops() recentDrops { return recentDrops{latest: make(map[workload.JobID]Time)} }
+func newRecentDrops() recentDrops { return recentDrops{latest: make(map[workload.JobID]droppedHandIn)} }
 
-// add remembers that a hand-in of a job is dropped now.
-func (d *recentDrops) add(now Time, id workload.JobID) {
-	d.latest[id] = now
-	d.ordered = append(d.ordered, droppedHandIn{job: id, at: now})
-	d.expire(now)
+// add remembers that a hand-in is dropped now.
+func (d *recentDrops) add(h droppedHandIn) {
+	d.latest[h.job] = h
+	d.ordered = append(d.ordered, h)
+	d.expire(h.at)
 }
 
 // has reports whether a hand-in of a job was dropped recently.
 func (d *recentDrops) has(now Time, id workload.JobID) bool {
-	at, ok := d.latest[id]
-	return ok && now-at < dropRetention
+	h, ok := d.latest[id]
+	return ok && now-h.at < dropRetention
 }
 
 // expire forgets the hand-ins whose retention is over, and the oldest ones if there are too many.
@@ -54,8 +58,29 @@
 			return
 		}
 		d.ordered = d.ordered[1:]
-		if d.latest[oldest.job] == oldest.at {
+		if d.latest[oldest.job].at == oldest.at {
 			delete(d.latest, oldest.job)
 		}
 	}
 }
+
+// rememberDrop remembers that a job's hand-in is dropped now.
+func (g *Gateway) rememberDrop(j *inFlightJob) {
+	g.drops.add(droppedHandIn{job: j.job.ID, at: g.now, shard: j.shard, scheduler: j.scheduler})
+}
+
+// notePriorHandIn records that a run of a new job may be alive: a hand-in of it was dropped shortly
+// before, and the scheduler that had it, which knows its runs, doesn't lead any more.
+func (g *Gateway) notePriorHandIn(j *inFlightJob) {
+	h, ok := g.drops.latest[j.job.ID]
+	overAt := h.at + orphanRunLifetime
+	if !ok || g.now >= overAt || j.job.Stored || g.leads(h.scheduler, h.shard) {
+		return
+	}
+	j.shard, j.priorSubmissions, j.uncertainUntil = h.shard, 1, overAt
+}
+
+// leads reports whether a process is the reachable leader of a shard.
+func (g *Gateway) leads(id leader.ID, shard int) bool {
+	return id != "" && g.choices[shard].Leader == id && g.choices[shard].Reachable
+}
--- a/core/gateway/drops_test.go
+++ b/core/gateway/drops_test.go
@@ -83,9 +83,9 @@
 	g := NewWithT(t)
 	d := newRecentDrops()
 	for i := range maxDropsRemembered + 10 {
-		d.add(0, workload.JobID(fmt.Sprint(i)))
+		d.add(droppedHandIn{job: workload.JobID(fmt.Sprint(i))})
 	}
-	d.add(0, "0")
+	d.add(droppedHandIn{job: "0"})
 	g.Expect(d.ordered).To(HaveLen(maxDropsRemembered))
 	g.Expect(d.latest).To(HaveLen(maxDropsRemembered))
 	g.Expect(d.has(0, "0")).To(BeTrue(), "it was dropped again")
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -149,6 +149,7 @@
 	}
 	j := &inFlightJob{job: job, shard: shard, home: shard, arrived: now, due: now + job.Objective, deadline: now + remainingTimeout, requests: []uint64{request}}
 	j.droppedBefore = g.drops.has(now, job.ID)
+	g.notePriorHandIn(j)
 	g.jobs[job.ID] = j
 	g.byRequest[request] = job.ID
 	g.handIn(j)
@@ -183,7 +184,7 @@
 func (g *Gateway) drop(j *inFlightJob) {
 	if j.scheduler != "" {
 		g.sendDrop(j)
-		g.drops.add(g.now, j.job.ID)
+		g.rememberDrop(j)
 	}
 }
 
@@ -234,7 +235,7 @@
 	j.scheduler = ""
 	j.priorSubmissions++
 	j.uncertainUntil = g.now + orphanRunLifetime
-	g.drops.add(g.now, j.job.ID)
+	g.rememberDrop(j)
 }
 
 // handIn hands a job in to the leader of the shard chosen for it. If none has a reachable leader,
