Soak: short pauses on three seeds

TestSoakShortPauses was green in one of four runs of seed 1: 6 runners give few tasks that both faults concern. Seeds 1 to 6 in one run: 5 red, 2 to 12 tasks that ran twice. It plays seeds 1, 2 and 4 now.

--- a/soak/late_kills_test.go
+++ b/soak/late_kills_test.go
@@ -27,7 +27,8 @@
 // Guards against tasks that run twice when leaders are paused again and again, each time for less than it
 // takes to replace them, while runners end their runs late.
 func TestSoakShortPauses(t *testing.T) {
-	soakOnly(t, lateKills(runnersUnresponsive, leaderPaused, leaderPaused))
+	// Seeds that broke the guarantee, though not in each run.
+	soakOnly(t, lateKills(runnersUnresponsive, leaderPaused, leaderPaused), 2, 4)
 }
 
 // lateKills returns a scenario of runs that outlive a lease, and of runners that end them late.
