--- a/core/schedule/reachability_test.go
+++ b/core/schedule/reachability_test.go
@@ -72,3 +72,14 @@
 	b.wait(600 * ms)
 	b.g.Expect(b.s.runners["far"].usable(b.now)).To(BeTrue())
 }
+
+// Guards against runs that never lapse: a partitioned runner answers, and crashes before the next order, so
+// that only checks of its reachability stay unanswered.
+func TestUnansweredReachabilityCheckMarksTheRunner(t *testing.T) {
+	b := partitionedHarness(t)
+	r := b.s.runners["far"]
+	r.answered(b.now)
+	b.g.Expect(r.unresponsive).To(BeFalse())
+	b.silentFor("far", time.Second)
+	b.g.Expect(r.unresponsive).To(BeTrue())
+}
