A reading of a runner's clock after a suspension of the VM isn't dated too early

Found by the audit of clocks: Go's monotonic clock stands still while a VM is suspended, and the correction came with the next tick.

The clock is adjusted before each reading. An order is dated as it is sent; before, a suspension before its answer made it seem younger than it was.

A runner that is acquired again begins without evidence of an earlier silence.

--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -163,6 +163,7 @@
 	r.listInFlight = false
 	r.listAsOf = 0
 	r.unresponsive = false
+	r.unansweredAt, r.connected = 0, false
 	r.acknowledged = 0
 	r.ends = nil
 	r.recentEnds = nil
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -13,10 +13,10 @@
 func (p *Process) startTask(ctx context.Context, shard int, c schedule.Start) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	sent := time.Now()
+	sent, sentAt := time.Now(), p.clock.now()
 	a := p.runners.Start(ctx, c)
 	p.recordCall("start", sent, a)
-	clock := p.clockReading(sent, a)
+	clock := p.clock.reading(sentAt, a)
 	p.post(func(now Time) {
 		p.node.Started(now, shard, schedule.StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: a.Outcome, Clock: clock})
 	})
@@ -25,10 +25,10 @@
 func (p *Process) stopTask(ctx context.Context, shard int, c schedule.Stop) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	sent := time.Now()
+	sent, sentAt := time.Now(), p.clock.now()
 	a := p.runners.Stop(ctx, c)
 	p.recordCall("stop", sent, a)
-	clock := p.clockReading(sent, a)
+	clock := p.clock.reading(sentAt, a)
 	p.post(func(now Time) {
 		p.node.Stopped(now, shard, schedule.StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: a.Outcome, Clock: clock})
 	})
@@ -37,10 +37,10 @@
 func (p *Process) holdRunner(ctx context.Context, shard int, c schedule.Hold) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	sent := time.Now()
+	sent, sentAt := time.Now(), p.clock.now()
 	a := p.runners.Hold(ctx, c)
 	p.recordCall("hold", sent, a.CallAnswer)
-	clock := p.clockReading(sent, a.CallAnswer)
+	clock := p.clock.reading(sentAt, a.CallAnswer)
 	p.post(func(now Time) {
 		p.node.Held(now, shard, schedule.HoldResult{
 			Runner:           c.Runner,
@@ -57,12 +57,6 @@
 	})
 }
 
-// clockReading returns the runner's clock and, on the process's clock, the times at which
-// the order was sent and the answer was received.
-func (p *Process) clockReading(sent time.Time, a CallAnswer) schedule.ClockReading {
-	return schedule.ClockReading{Milliseconds: a.Clock, ReceivedAt: p.clock.now(), SentAt: p.clock.at(sent), IncarnationStart: a.IncarnationStart}
-}
-
 // recordCall counts an order by kind and outcome, and logs why there is no usable answer.
 // The durations of holds, which include schedule.Hold.Wait, aren't recorded.
 func (p *Process) recordCall(kind string, sent time.Time, a CallAnswer) {
--- a/entry/clock.go
+++ b/entry/clock.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 )
 
 // clock is a monotonic clock that includes the time during which the VM was
@@ -41,14 +43,9 @@
 	return time.Since(c.start) + time.Duration(c.suspended.Load())
 }
 
-// at converts a time of Go's clock to one of this clock.
-func (c *clock) at(t time.Time) Time {
-	return t.Sub(c.start) + time.Duration(c.suspended.Load())
-}
-
 // adjust detects suspensions and advances the clock by their length. Between a suspension
-// and the next call of adjust the clock is behind, which is the safe side: leases on the runners' clocks seem to have less
-// time left, and silent runners seem to be alive for longer.
+// and the next call of adjust the clock is behind. For decisions that is the safe side: silent runners seem
+// to be alive for longer. For readings of other clocks it isn't, see reading.
 func (c *clock) adjust() {
 	boot, ok := bootTime()
 	if !ok {
@@ -59,3 +56,11 @@
 		c.suspended.Store(int64(missed))
 	}
 }
+
+// reading returns the runner's clock from an answer that was received just now, to an order that was sent
+// at a time. It adjusts this clock first: a suspension that isn't noticed before the reading is would
+// make leases seem shorter than the runner takes them to be.
+func (c *clock) reading(sentAt Time, a CallAnswer) schedule.ClockReading {
+	c.adjust()
+	return schedule.ClockReading{Milliseconds: a.Clock, ReceivedAt: c.now(), SentAt: sentAt, IncarnationStart: a.IncarnationStart}
+}
--- a/entry/ledgers.go
+++ b/entry/ledgers.go
@@ -16,8 +16,7 @@
 func (p *Process) callStore(ctx context.Context, c fleet.StoreCall, owner string) {
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout(c.Call))
 	defer cancel()
-	sent := time.Now()
-	sentAt := p.clock.at(sent)
+	sent, sentAt := time.Now(), p.clock.now()
 	var result ledger.Result
 	var err error
 	kind := ""
