Only the leader of the shard that a job moves to ends the move

In the model fleet an accepted job was lost: it wasn't known any more, and never ended.

Cause: the acknowledgement of a move names the job and no hand-over. Any process's ended any move of the job. A job may move, come back and move again; a late acknowledgement of the first move then ended the second one, though the job hadn't arrived, and its records were dropped.

Change: it counts only from the leader of the shard that the job moves to, as known here. What one process sends arrives in order, and its acknowledgement of an earlier move was sent before the job came back. So a late one comes from a process that led the shard before.

A field that names the hand-over would say it outright.

--- a/core/fleet/moved.go
+++ b/core/fleet/moved.go
@@ -92,14 +92,22 @@
 func (n *Node) sendJobTaken(now Time, c schedule.MoveAck) {
 	m := JobTaken{Shard: c.Shard, Job: c.Job}
 	if leader.ID(c.To) == n.Self() {
-		n.receiveJobTaken(now, m)
+		n.receiveJobTaken(now, n.Self(), m)
 		return
 	}
 	n.emit(Send{To: leader.ID(c.To), Message: m})
 }
 
-func (n *Node) receiveJobTaken(now Time, m JobTaken) {
-	if s := n.ownShard(m.Shard); s != nil {
+// receiveJobTaken handles an acknowledgement of a moved job. It names no move, so it counts only if it
+// comes from the leader of the shard that the job moves to: another process's may be that of an earlier
+// move. What one process sends arrives in order, so that its acknowledgement of an earlier move has
+// arrived before the job came back. One that is ignored is repeated, since the job is sent again.
+func (n *Node) receiveJobTaken(now Time, from leader.ID, m JobTaken) {
+	s := n.ownShard(m.Shard)
+	if s == nil {
+		return
+	}
+	if to, _, moved := s.schedule.MovedTo(m.Job); moved && n.leaderOf(to) == from {
 		s.schedule.MoveAcknowledged(now, m.Job)
 	}
 }
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -120,7 +120,7 @@
 	case JobMove:
 		n.receiveMovedJob(now, from, m)
 	case JobTaken:
-		n.receiveJobTaken(now, m)
+		n.receiveJobTaken(now, from, m)
 	case RoomRequest:
 		n.receiveRoomRequest(now, from, m)
 	case RoomGrant:
