A Hold that an earlier incarnation answers isn't under way any more

Such a runner got no renewal and no request for its lists any more, and its tasks stood still.

Cause: answers of an earlier incarnation are late and ignored. If the start that a runner reports steps back, its answers look like that, and the Hold that was answered counted as under way for ever.

Change: a Hold under the present token that an earlier incarnation answers counts as unanswered. The runner is asked again, gets no task, and its runs lapse. A late answer proper is one under an earlier token, since each new incarnation is acquired under a higher one; it changes nothing, as before.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -22,6 +22,19 @@
 	return false
 }
 
+// noteEarlierIncarnation handles a Hold under the present token that an incarnation with an earlier start
+// has answered: the clock by which the runner reports its start has stepped back. The answer can't be
+// told from a late one, so the Hold counts as unanswered. A later incarnation was acquired again, under
+// another token.
+func (s *Scheduler) noteEarlierIncarnation(r *runner, res HoldResult) {
+	if res.Token != r.token {
+		return
+	}
+	r.noteAnsweredHold(res)
+	s.unanswered(r)
+	s.probe(r)
+}
+
 // startConfirmTime is within what time runners usually confirm a start; runs take longer.
 const startConfirmTime = 5 * time.Millisecond
 
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -172,3 +172,39 @@
 		}
 	}
 }
+
+// Guards against a runner that gets no orders any more: the start of its incarnation steps back, so its
+// answers are taken for late ones, and a renewal counts as under way for ever. Its runs lapse.
+func TestARenewalAnsweredByAnEarlierIncarnationIsRepeated(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.s.runners[c.Runner].incarnationStart = secondIncarnation
+	renewals := 0
+	for range 100 {
+		for _, h := range take[Hold](b) {
+			if h.Runner != c.Runner {
+				b.held(h)
+				continue
+			}
+			renewals++
+			b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
+		}
+		b.tick(20 * ms)
+	}
+	b.g.Expect(renewals).To(BeNumerically(">", 2))
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(c.Runner))
+}
+
+// Guards against the same for a request of the lists.
+func TestAListOfAnEarlierIncarnationIsRequestedAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	r := b.s.runners["r1"]
+	r.incarnationStart = secondIncarnation
+	for range 2 {
+		b.s.requestList(r)
+		h := one[Hold](b)
+		b.s.Held(b.now, HoldResult{Runner: "r1", Token: h.Token, ListOnly: true, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
+		b.g.Expect(r.listInFlight).To(BeFalse())
+		take[Hold](b)
+	}
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -30,14 +30,11 @@
 		return
 	}
 	if !s.checkIncarnation(r, res.Clock.IncarnationStart) {
+		s.noteEarlierIncarnation(r, res)
 		s.dispatch()
 		return
 	}
-	if res.ListOnly {
-		r.listInFlight = false
-	} else {
-		r.holdInFlight = false
-	}
+	r.noteAnsweredHold(res)
 	silence := s.now - r.clockAt
 	r.updateClock(res.Clock)
 	switch res.Outcome {
@@ -63,6 +60,15 @@
 	}
 }
 
+// noteAnsweredHold records that a Hold isn't under way any more.
+func (r *runner) noteAnsweredHold(res HoldResult) {
+	if res.ListOnly {
+		r.listInFlight = false
+		return
+	}
+	r.holdInFlight = false
+}
+
 // applyLists processes a runner's lists of ended and running runs.
 func (s *Scheduler) applyLists(r *runner, res HoldResult) {
 	first := !r.owned
