An orphan whose start may reach the next incarnation keeps its job from starting elsewhere

A job that was sent again could run beside its first run.

Cause: when a runner restarts, tasks whose starts are in doubt wait, since those starts may reach the new incarnation. An orphan has no task, and was forgotten.

Change: such an orphan counts as lost. Its job waits until the new incarnation has listed its runs under the higher token, or no lease can last any more.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -88,10 +88,14 @@
 	s.learned.ForgetRunner(string(r.info.ID))
 	s.updatePace(r)
 	for _, u := range runs {
+		mayBegin := !u.confirmed || u.startAttempts > 1
 		if u.task == nil {
+			if mayBegin {
+				s.noteLostOrphan(u)
+			}
 			continue
 		}
-		if !u.confirmed || u.startAttempts > 1 {
+		if mayBegin {
 			u.task.notBefore = s.now + maxRunLife(maxLease)
 		}
 		s.requeue(u.task)
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -208,3 +208,44 @@
 		take[Hold](b)
 	}
 }
+
+// doubtfulOrphan returns a harness whose runners report the starts of their incarnations, and a job that
+// its caller has left while the start of its run was unanswered.
+func doubtfulOrphan(t *testing.T) (*harness, *workload.Job, Start) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, r := range b.s.runnerList {
+		r.incarnationStart = firstIncarnation
+	}
+	j := testJob(1, 300*ms)
+	again := b.unansweredOnce(j)
+	b.s.Abandon(b.now, entryA, j.ID)
+	return b, j, again
+}
+
+// Guards against two runs of a job that is sent again: the first run's runner restarts, and its start, of
+// which the outcome is in doubt, may reach the new incarnation.
+func TestAnOrphanWhoseStartMayReachTheNextIncarnationHoldsItsJob(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		b, j, c := doubtfulOrphan(t)
+		restarted := testRunner(string(c.Runner))
+		other := testRunner("r1")
+		if other.ID == restarted.ID {
+			other = testRunner("r2")
+		}
+		restarted.IncarnationStart, other.IncarnationStart = secondIncarnation, firstIncarnation
+		take[Hold](b)
+		b.s.SetRunners(b.now, []workload.Runner{restarted, other})
+		since := b.now
+		b.submit(j, 3*time.Second)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		if listed {
+			b.answerAll(c.Runner, secondIncarnation, since)
+			b.g.Expect(take[Start](b)).To(HaveLen(1), "orders of before the restart are refused by now")
+			continue
+		}
+		b.tick(maxRunLife(maxLease) - 20*ms)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		b.tick(b.s.cfg.Resend)
+		b.g.Expect(take[Start](b)).To(HaveLen(1))
+	}
+}
--- a/core/schedule/lostorphan.go
+++ b/core/schedule/lostorphan.go
@@ -8,7 +8,8 @@
 )
 
 // A lost orphan is one that was dropped together with all runs of its runner, and may be alive: the
-// runner was fenced, or this scheduler has retired. A caller who sends the job again reaches another
+// runner was fenced, this scheduler has retired, or the runner has restarted and the orphan's start may
+// reach the new incarnation. A caller who sends the job again reaches another
 // entry process, which hands the job in as a new one. Its task is started only once the orphan is over:
 // the runner has listed its runs since without it, or no lease can last any more.
 
