--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -249,3 +249,19 @@
 		b.g.Expect(take[Start](b)).To(HaveLen(1))
 	}
 }
+
+// Guards against two runs of a task: a run is stopped while its start is unanswered, and the start reaches
+// the runner's next incarnation, which doesn't know of the stop.
+func TestAStoppedRunsStartMayReachTheNextIncarnation(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, r := range b.s.runnerList {
+		r.incarnationStart = firstIncarnation
+	}
+	again := b.unansweredOnce(testJob(1, 300*ms))
+	b.started(again, Unanswered)
+	take[Hold](b)
+	b.stopped(one[Stop](b), Accepted)
+	b.now += 2 * ms
+	b.held(b.listOf(again.Runner))
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "until %v the start may be carried out", maxRunLife(maxLease))
+}
