--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -172,3 +172,96 @@
 		}
 	}
 }
+
+// Guards against a runner that gets no orders any more: the start of its incarnation steps back, so its
+// answers are taken for late ones, and a renewal counts as under way for ever. Its runs lapse.
+func TestARenewalAnsweredByAnEarlierIncarnationIsRepeated(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.s.runners[c.Runner].incarnationStart = secondIncarnation
+	renewals := 0
+	for range 100 {
+		for _, h := range take[Hold](b) {
+			if h.Runner != c.Runner {
+				b.held(h)
+				continue
+			}
+			renewals++
+			b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
+		}
+		b.tick(20 * ms)
+	}
+	b.g.Expect(renewals).To(BeNumerically(">", 2))
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(c.Runner))
+}
+
+// Guards against the same for a request of the lists.
+func TestAListOfAnEarlierIncarnationIsRequestedAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	r := b.s.runners["r1"]
+	r.incarnationStart = secondIncarnation
+	for range 2 {
+		b.s.requestList(r)
+		h := one[Hold](b)
+		b.s.Held(b.now, HoldResult{Runner: "r1", Token: h.Token, ListOnly: true, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
+		b.g.Expect(r.listInFlight).To(BeFalse())
+		take[Hold](b)
+	}
+}
+
+// doubtfulOrphan returns a harness whose runners report the starts of their incarnations, and a job that
+// its caller has left while the start of its run was unanswered.
+func doubtfulOrphan(t *testing.T) (*harness, *workload.Job, Start) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, r := range b.s.runnerList {
+		r.incarnationStart = firstIncarnation
+	}
+	j := testJob(1, 300*ms)
+	again := b.unansweredOnce(j)
+	b.s.Abandon(b.now, entryA, j.ID)
+	return b, j, again
+}
+
+// Guards against two runs of a job that is sent again: the first run's runner restarts, and its start, of
+// which the outcome is in doubt, may reach the new incarnation.
+func TestAnOrphanWhoseStartMayReachTheNextIncarnationHoldsItsJob(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		b, j, c := doubtfulOrphan(t)
+		restarted := testRunner(string(c.Runner))
+		other := testRunner("r1")
+		if other.ID == restarted.ID {
+			other = testRunner("r2")
+		}
+		restarted.IncarnationStart, other.IncarnationStart = secondIncarnation, firstIncarnation
+		take[Hold](b)
+		b.s.SetRunners(b.now, []workload.Runner{restarted, other})
+		since := b.now
+		b.submit(j, 3*time.Second)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		if listed {
+			b.answerAll(c.Runner, secondIncarnation, since)
+			b.g.Expect(take[Start](b)).To(HaveLen(1), "orders of before the restart are refused by now")
+			continue
+		}
+		b.tick(maxRunLife(maxLease) - 20*ms)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		b.tick(b.s.cfg.Resend)
+		b.g.Expect(take[Start](b)).To(HaveLen(1))
+	}
+}
+
+// Guards against two runs of a task: a run is stopped while its start is unanswered, and the start reaches
+// the runner's next incarnation, which doesn't know of the stop.
+func TestAStoppedRunsStartMayReachTheNextIncarnation(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, r := range b.s.runnerList {
+		r.incarnationStart = firstIncarnation
+	}
+	again := b.unansweredOnce(testJob(1, 300*ms))
+	b.started(again, Unanswered)
+	take[Hold](b)
+	b.stopped(one[Stop](b), Accepted)
+	b.now += 2 * ms
+	b.held(b.listOf(again.Runner))
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "until %v the start may be carried out", maxRunLife(maxLease))
+}
