Runs of withdrawn jobs are over before the next scheduler starts their tasks

What callers saw: a task could run twice where a job was withdrawn from a scheduler that led on, and the next one missed the job's runner all the time: it started the task after 1,300 ms, with 180 ms of the first run's lease left.

Cause: the former scheduler renews the lease of such a run for abandonedGrace, 900 ms, and the last lease lasts for 670 ms more, in all 1,590 ms with a tick. The gateway (orphanRunLifetime) and callers (Resend) count 1,300 ms.

abandonedGrace is 550 ms now: with 10 ms for the message, a tick of 20 ms and the last lease the runs are over after 1,250 ms. TestLeaseOutlastsDetection asserts that sum, a test of the gateway that its figure isn't below Resend. Not raised: orphanRunLifetime, which all callers wait for after each loss of a leader. Not done: shorter leases late in the grace, since a lease covers all runs of a runner, and those of other jobs would lapse sooner.

Price: runs that end well between 550 and 900 ms after their entry process ended or withdrew them are lost, and start again.

Not covered: a former scheduler that is paused for up to 400 ms as the message comes, or just before the grace is over, counts from its return.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -26,7 +26,7 @@
 	// orphanRunLifetime is how long after the last contact with a scheduler a run that it
 	// started may be alive unknown to the next scheduler: the lost scheduler first has to count
 	// this entry VM as lost, then it stops the runs, and if runners don't answer their leases
-	// expire.
+	// expire. One that learns that a job is withdrawn has its runs over in that time, too.
 	orphanRunLifetime = 1300 * time.Millisecond
 	// noLeaderTimeout is how long a job waits for a scheduler at a start or a change of
 	// leader, which take less.
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -161,3 +162,9 @@
 	w.GiveUp(10*ms, "the process ends")
 	g.Expect(replies(w.Ready())).To(HaveLen(1))
 }
+
+// Guards against a run of a withdrawn job that outlives the time for which the next scheduler waits: a
+// scheduler has its runs over Resend after it lost their job.
+func TestRunsOfAWithdrawnJobAreOverInTheirLifetime(t *testing.T) {
+	NewWithT(t).Expect(orphanRunLifetime).To(BeNumerically(">=", schedule.DefaultConfig().Resend))
+}
--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -86,10 +86,11 @@
 	// orphanGrace is how long an orphan is left running. After a takeover the entry VM hands
 	// its job in again within some milliseconds.
 	orphanGrace = 150 * time.Millisecond
-	// abandonedGrace is how long the runs of a job go on after its entry process has ended.
-	// It must end before the caller sends the job again, perhaps to a scheduler that can't
-	// see these runs.
-	abandonedGrace = 900 * time.Millisecond
+	// abandonedGrace is how long the runs of a job go on after its entry process has ended or
+	// has withdrawn the job. The last lease in that time must be over too before the job is
+	// started by a scheduler that can't see these runs: Resend after its caller lost the entry
+	// process, or after the job was withdrawn.
+	abandonedGrace = 550 * time.Millisecond
 	// leadershipTimeout is how long a job may wait for this scheduler to become leader.
 	leadershipTimeout = 700 * time.Millisecond
 	// resultRetention is how long outcomes are retained for jobs that are sent again.
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -22,6 +22,7 @@
 	g.Expect(leaseExpiry).To(BeNumerically(">", dropped))
 	g.Expect(cfg.Lease).To(BeNumerically(">", cfg.HoldWait+CallTimeout+network), "a renewal fits before the lease ends")
 	g.Expect(abandonedGrace + tick + cfg.StopTimeout + network).To(BeNumerically("<", cfg.Resend))
+	g.Expect(network+abandonedGrace+tick+maxRunLife(cfg.Lease)).To(BeNumerically("<", cfg.Resend), "runs of an ended entry process, or of a withdrawn job, are over before the job is started by another scheduler")
 	g.Expect(dropped+maxRunLife(cfg.Lease)).To(BeNumerically("<", cfg.Resend), "runs of an unreachable entry VM are over before its callers send their jobs again")
 }
 
