--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -31,6 +31,7 @@
 		return
 	}
 	r.noteAnsweredHold(res)
+	r.noteSilence(res)
 	s.unanswered(r)
 	s.probe(r)
 }
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -187,7 +187,7 @@
 				continue
 			}
 			renewals++
-			b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, 0)})
+			b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Clock: b.incarnationClock(firstIncarnation, b.now)})
 		}
 		b.tick(20 * ms)
 	}
