A started copy of a job that is in another shard is stopped

What callers saw: a task could run twice, to the end of both runs: a new leader of the job's home got a copy of the job from another process, and started it, before the report that the job is in another shard.

Cause: the report dropped only copies of which nothing was started.

Now each copy is dropped as the report comes, and its runs are stopped. Its caller is told to come later: a copy isn't sent to the other shard while an orphan of the job may be alive at home, listed or lost, since the other shard doesn't know of that run, and would start the copy if the job has ended there. The same holds for later copies.

Not done: a new leader that starts nothing before it has the reports. It can't tell a copy from a new job (callers don't mark what they send again), so all callers would wait after each change of the leader, for up to a heartbeat interval, and for a process that is lost until that counts as lost. So the two runs overlap until the report comes and the stop is carried out.

TestACopyThatComesBeforeTheReportIsStopped and the new test failed before.

--- a/core/schedule/elsewhere.go
+++ b/core/schedule/elsewhere.go
@@ -1,12 +1,19 @@
 package schedule
 
 import (
+	"slices"
+
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // Jobs of this shard that are in other shards: lent ones, and those that this scheduler refused and
 // another took. A scheduler knows which jobs it has lent. Entry processes report the jobs that they
 // handed in elsewhere, to each new leader again; a retiring leader reports those that it knows of.
+//
+// A copy may come to a new leader before the report. It is started like a new job, from which it can't
+// be distinguished, and stopped when the report comes. If a new leader started nothing before it had all
+// reports, callers would wait after each change of the leader, for a heartbeat interval or until a lost
+// entry process counts as lost.
 
 // JobElsewhere is a job of this shard that is, or was until recently, in another shard.
 type JobElsewhere struct {
@@ -32,15 +39,25 @@
 	copied := e.Copied || known && (l.copied || l.entry != e.Entry)
 	s.borrowing.lent[e.Job] = lentJob{entry: e.Entry, to: e.Shard, at: s.now, copied: copied}
 	s.emit(Decision{Event: "job-in-other-shard", Job: e.Job, Reason: shardReason("shard", e.Shard)})
-	if j := s.jobs[e.Job]; j != nil && j.stored == nil && !j.begun && j.entry != e.Entry {
-		// A copy has come before the report.
+	if j := s.jobs[e.Job]; j != nil && j.stored == nil && j.entry != e.Entry {
+		// A copy has come before the report, and may have been started.
 		s.forget(j)
 		s.sendElsewhere(j.entry, j.work, e.Shard)
 	}
 }
 
-// sendElsewhere has an entry process hand a copy of a job in to the shard that has the job.
+// sendElsewhere has an entry process hand a copy of a job in to the shard that has the job. While a run
+// of the job may be alive here, the copy is given up instead: the other shard doesn't know of that run,
+// and if the job has ended there it would start the copy beside it.
 func (s *Scheduler) sendElsewhere(entry EntryID, job *workload.Job, to int) {
+	if s.orphanAlive(job.ID) {
+		s.emit(Answer{
+			At: s.now, Entry: entry, Job: job.ID, Queue: job.Queue, Outcome: workload.GaveUp,
+			Cause: workload.LackOfRoom, Reason: "it is in another shard, and a run of it may be alive here",
+			RetryAfter: minRetryAfter,
+		})
+		return
+	}
 	s.borrowing.lent[job.ID] = lentJob{entry: entry, to: to, at: s.now, copied: true}
 	s.emit(Answer{
 		At: s.now, Entry: entry, Job: job.ID, Queue: job.Queue, Outcome: workload.GaveUp,
@@ -49,6 +66,21 @@
 	})
 }
 
+// orphanAlive reports whether an orphan of a job may be alive here, or a lost one.
+func (s *Scheduler) orphanAlive(id workload.JobID) bool {
+	for _, r := range s.runnerList {
+		if len(r.orphansOf(id)) > 0 {
+			return true
+		}
+	}
+	for task, lost := range s.lostOrphans {
+		if task.Job == id && slices.ContainsFunc(lost, s.mayBeAlive) {
+			return true
+		}
+	}
+	return false
+}
+
 // Elsewhere lists the jobs of this shard that are known to be in other shards, or were recently.
 func (s *Scheduler) Elsewhere(now Time) []JobElsewhere {
 	var list []JobElsewhere
--- a/core/schedule/elsewhere_test.go
+++ b/core/schedule/elsewhere_test.go
@@ -64,3 +64,42 @@
 	}
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
+
+// Guards against two runs of a job at once, one at home and one in another shard: a copy that was started
+// before the report is stopped, and no copy is sent to the other shard while that run may be alive here,
+// since the job may have ended there.
+func TestCopiesWaitForTheRunOfAStoppedCopy(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		b := leading(t, testRunner("r1"), testRunner("r2"))
+		j := testJob(1, 300*ms)
+		b.submit(j, 3*time.Second)
+		c := one[Start](b)
+		b.started(c, Accepted)
+		b.s.NoteElsewhere(b.now, []JobElsewhere{{Job: j.ID, Shard: 3, Entry: entryB}})
+		stop := one[Stop](b)
+		b.g.Expect(stop.Run).To(Equal(c.Run))
+		verdict := one[Answer](b)
+		b.g.Expect(verdict.Entry).To(Equal(entryA))
+		b.g.Expect(verdict.Outcome).To(Equal(workload.GaveUp))
+		b.g.Expect(verdict.Lent).To(BeFalse())
+		b.g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
+
+		b.stopped(stop, Unanswered)
+		if lost {
+			b.listsFenced(c.Runner)
+		}
+		b.submitCopy(j, entryA)
+		b.g.Expect(one[Answer](b).Lent).To(BeFalse(), "lost: %t", lost)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+
+		b.now += 2 * ms
+		if lost {
+			b.now += b.s.cfg.Resend
+		} else {
+			b.end(c.Runner, 1, c.Run, workload.Stopped)
+		}
+		b.submitCopy(j, entryA)
+		b.g.Expect(one[Answer](b).Lender).To(Equal(3), "lost: %t", lost)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+	}
+}
