--- a/core/fleet/lending_copies_test.go
+++ b/core/fleet/lending_copies_test.go
@@ -10,13 +10,12 @@
 )
 
 // copyWhileElsewhere follows, one at a time, long jobs that are handed in to another shard than their
-// home: change is applied to the leader of the home, and later, if the job runs, a copy of it arrives by
-// way of another process. copies counts these.
-func (w *world) copyWhileElsewhere(copies *int, change func(*fakeNode)) {
+// home: change is applied to the leader of the home, and copyAfter later, if the job runs, a copy of it
+// arrives by way of another process. copies counts these.
+func (w *world) copyWhileElsewhere(copies *int, copyAfter time.Duration, change func(*fakeNode)) {
 	const (
-		longJob   = 800 * time.Millisecond
-		settling  = 50 * time.Millisecond
-		copyAfter = 600 * time.Millisecond
+		longJob  = 800 * time.Millisecond
+		settling = 50 * time.Millisecond
 	)
 	busy := false
 	w.onSend = func(n *fakeNode, c fleet.Send) {
@@ -93,6 +92,7 @@
 func TestCopiesOfJobsInOtherShards(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
+	const copyAfter = 600 * time.Millisecond
 	for _, c := range []struct {
 		name   string
 		change func(w *world, n *fakeNode)
@@ -104,7 +104,7 @@
 		copies := 0
 		for seed := range uint64(5) {
 			w := crowdedDeployment(seed, false)
-			w.copyWhileElsewhere(&copies, func(n *fakeNode) { c.change(w, n) })
+			w.copyWhileElsewhere(&copies, copyAfter, func(n *fakeNode) { c.change(w, n) })
 			w.load(lendingLoad, 12*time.Second)
 			w.run(15 * time.Second)
 			g.Expect(w.checker.violations).To(BeEmpty(), "%s, seed %d", c.name, seed)
@@ -113,3 +113,20 @@
 		g.Expect(copies).To(BeNumerically(">", 5), c.name)
 	}
 }
+
+// Guards against the same where the copy arrives while the home has no leader: the entry process that gets
+// it hands it to a third shard.
+func TestCopiesWhileTheHomeHasNoLeader(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const copyAfter = 440 * time.Millisecond
+	for _, seed := range []uint64{11, 23, 35, 47} {
+		copies := 0
+		w := crowdedDeployment(seed, false)
+		w.copyWhileElsewhere(&copies, copyAfter, func(n *fakeNode) { w.kill(n, 2*time.Second) })
+		w.load(lendingLoad, 12*time.Second)
+		w.run(15 * time.Second)
+		g.Expect(w.checker.violations).To(BeEmpty(), "seed %d", seed)
+		g.Expect(copies).To(BeNumerically(">", 0), "seed %d", seed)
+	}
+}
