A tick drops jobs before it renews leases

A leader whose pause ended after the grace of a withdrawn job renewed the lease of that job's run once more, since runners came first in a tick. By reading; no test shows it.

--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -19,12 +19,13 @@
 		s.refuseWithoutLeader()
 		return
 	}
-	for _, r := range s.runnerList {
-		s.tickRunner(r)
-	}
+	// Jobs come first: one that is dropped now renews no lease.
 	for _, j := range s.sortedJobs() {
 		s.tickJob(j)
 	}
+	for _, r := range s.runnerList {
+		s.tickRunner(r)
+	}
 	s.forgetRunners()
 	s.tickUnlisted()
 	s.refuseEvacuated()
