No lease is renewed for orphans alone

What callers saw: in the model fleet, a best-effort job that was sent again ran beside its first run. The first run's entry process had ended, its runner rejected stops, and the leader was lost or parted before the job came again; the next leader couldn't reach the runner, and knew of no run.

Cause: an orphan is a run that is to end, but its lease was renewed for as long as its runner answered renewals.

Change: a lease is renewed only if a run with a task is on the runner. Nothing is lost: an orphan of this scheduler is being stopped already.

What remains: an orphan beside a run with a task lives on, since a lease covers all runs of a runner.

Tests: TestNoLeaseIsRenewedForOrphansAlone. TestARunThatWasNeverStoppedHoldsItsJob has the way to such a pair without any order to stop. The orphans of the other tests have a run with a task beside them now.

--- a/core/fleet/orphan_test.go
+++ b/core/fleet/orphan_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,67 @@
 	}
 }
 
+// Seeds in which one process ordered both runs of a task: it lost its runners to another process for a
+// while, and led again.
+var orphanRegressions = []uint64{351, 507, 627}
+
+// Guards against two runs of a task at the same time: runners reject stops, an entry process ends, and the
+// leader is parted, restarts or is frozen before the callers send their jobs again.
+func TestOrphansAndChangesOfLeaders(t *testing.T) {
+	t.Parallel()
+	list := slices.Clone(orphanRegressions)
+	for i := range *seeds {
+		list = append(list, *firstSeed+uint64(i))
+	}
+	for _, seed := range list {
+		w := deployment(seed, 1+int(seed%2))
+		w.run(2 * time.Second)
+		l := w.leader()
+		n := w.otherNode(l)
+		for range 6 {
+			w.sendTo(n, w.newJob(n.domain, 1, w.randomDuration(1500, 3000), 5*time.Second))
+		}
+		w.run(100 * time.Millisecond)
+		for _, r := range w.runners {
+			r.rejects.stops = 1
+		}
+		w.kill(n, 500*time.Millisecond)
+		at := w.randomDuration(300, 1300)
+		w.loseLeader(l, at, seed%3)
+		if seed%4 > 1 {
+			w.after(at+w.randomDuration(0, 600), func() { w.muteRunners(0.5, w.randomDuration(200, 900)) })
+		}
+		w.run(6 * time.Second)
+		if len(w.checker.violations) > 0 {
+			t.Errorf("seed %d: %v\n%s", seed, w.checker.violations, w.describeDoubles())
+		}
+	}
+}
+
+// loseLeader parts a leader from the other processes, restarts or freezes it at a time.
+func (w *world) loseLeader(l *fakeNode, at time.Duration, how uint64) {
+	switch how {
+	case 0:
+		w.after(at, func() { w.partFromAll(l, w.randomDuration(100, 1500)) })
+	case 1:
+		w.after(at, func() { w.kill(l, w.randomDuration(10, 300)) })
+	default:
+		w.after(at, func() { w.freeze(l, w.randomDuration(300, 900)) })
+	}
+}
+
+// muteRunners has all runners leave a share of the orders unanswered for a while.
+func (w *world) muteRunners(share float64, d time.Duration) {
+	for _, r := range w.runners {
+		r.unansweredShare = share
+	}
+	w.after(d, func() {
+		for _, r := range w.runners {
+			r.unansweredShare = 0
+		}
+	})
+}
+
 // otherNode returns a process that isn't the given one.
 func (w *world) otherNode(not *fakeNode) *fakeNode {
 	for _, n := range w.nodes {
--- a/core/schedule/lostorphan.go
+++ b/core/schedule/lostorphan.go
@@ -63,3 +63,8 @@
 func (r *runner) listedWithout(o lostOrphan) bool {
 	return r.owned && r.listAsOf >= o.lostAt && r.runs[o.key] == nil
 }
+
+// hasRunsToKeep reports whether the runner has a run that isn't an orphan. No lease is renewed for orphans
+// alone: one that can't be stopped ends with its lease, before its job is handed in to a scheduler that
+// doesn't know it.
+func (r *runner) hasRunsToKeep() bool { return len(r.runs) > r.orphanCount }
--- a/core/schedule/orphan_test.go
+++ b/core/schedule/orphan_test.go
@@ -14,13 +14,17 @@
 // Orphans whose stops fail, and the paths on which the scheduler loses their runner.
 
 // unstoppableOrphan leaves an orphan on a runner that rejects stops and answers for its lists, until
-// the orphan's caller sends the job again.
+// the orphan's caller sends the job again. Its lease is renewed for another job's run there.
 func unstoppableOrphan(t *testing.T) (b *harness, j *workload.Job, c Start) {
 	b = leading(t, testRunner("r1"), testRunner("r2"))
+	b.s.runners["r2"].evacuated = true
+	b.submit(testJob(1, 5*time.Second), 8*time.Second)
+	b.started(one[Start](b), Accepted)
 	j = testJob(1, 3*time.Second)
 	b.submit(j, 6*time.Second)
 	c = one[Start](b)
 	b.started(c, Accepted)
+	b.s.runners["r2"].evacuated = false
 	b.s.Abandon(b.now, entryA, j.ID)
 	left := b.now
 	for b.now-left < b.s.cfg.Resend {
@@ -163,3 +167,56 @@
 		}
 	}
 }
+
+// Guards against an orphan that can't be stopped and lives on under renewed leases, until its job is sent
+// again to a scheduler that doesn't know it. Its runner isn't asked without a pause.
+func TestNoLeaseIsRenewedForOrphansAlone(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	c := b.runningTask()
+	b.s.Abandon(b.now, entryA, c.Run.Task.Job)
+	left, aliveUntil := b.now, b.s.runners[c.Runner].aliveUntil
+	holds := 0
+	for b.now-left < b.s.cfg.Resend {
+		for _, h := range take[Hold](b) {
+			holds++
+			if b.now > left {
+				b.g.Expect(h.LeaseEnd).To(BeZero())
+			}
+			b.answerHold(h, Accepted, c.Run)
+		}
+		for _, stop := range take[Stop](b) {
+			b.stopped(stop, Unhealthy)
+		}
+		b.tick(20 * ms)
+	}
+	b.g.Expect(b.s.runners[c.Runner].aliveUntil).To(Equal(aliveUntil))
+	b.g.Expect(holds).To(BeNumerically("<=", 1+int(b.s.cfg.Resend/(20*ms))))
+}
+
+// Guards against a second run beside one that was never ordered to stop: its entry process has ended, and
+// its runner was lost before the run was to be stopped. Its job is forgotten by the time it is sent again.
+func TestARunThatWasNeverStoppedHoldsItsJob(t *testing.T) {
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			b := leading(t, testRunner("r1"), testRunner("r2"))
+			j := testJob(1, 3*time.Second)
+			b.submit(j, 6*time.Second)
+			c := one[Start](b)
+			b.started(c, Accepted)
+			b.s.EntryLost(b.now, entryA, true)
+			ended := b.now
+			for b.now-ended < abandonedGrace-20*ms {
+				b.rejectStops(c)
+				b.tick(20 * ms)
+			}
+			b.rejectStops(c)
+			aliveUntil := b.s.runners[c.Runner].aliveUntil
+			b.g.Expect(aliveUntil).To(BeNumerically(">", ended+b.s.cfg.Resend))
+			lose(b, c)
+			b.g.Expect(b.startsBeside(c, ended+b.s.cfg.Resend-b.now)).To(BeZero())
+			b.g.Expect(take[Stop](b)).To(BeEmpty())
+			b.submit(j, 6*time.Second)
+			b.g.Expect(b.startsBeside(c, 3*time.Second)).To(BeNumerically(">", aliveUntil))
+		})
+	}
+}
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -47,7 +47,7 @@
 	// A renewal that stays unanswered may still be carried out. So an unresponsive runner gets
 	// none: then the time at which its runs are certainly over stays fixed, and their tasks can
 	// be started elsewhere.
-	if len(r.runs) > 0 && r.owned && !r.unresponsive && !r.hasForeignOrphans() && s.now > r.noLeaseUntil {
+	if r.hasRunsToKeep() && r.owned && !r.unresponsive && !r.hasForeignOrphans() && s.now > r.noLeaseUntil {
 		h.LeaseEnd = r.leaseEnd(s.now, s.cfg.Lease)
 		r.noteLease(s.now, s.cfg.Lease)
 		if len(r.ends) == 0 {
@@ -96,8 +96,10 @@
 		r.nextHoldAt = s.now + unloadedInterval
 	case len(r.ends) > 0 || s.now <= r.noLeaseUntil:
 		r.nextHoldAt = s.now + unsavedEndsInterval
-	case len(r.runs) > 0:
+	case r.hasRunsToKeep():
 		s.hold(r)
+	case len(r.runs) > 0:
+		r.nextHoldAt = s.now + orphanCheckInterval
 	case r.info.EntryExpired || r.unlisted:
 		r.nextHoldAt = s.now + expiredCheckInterval
 	default:
