Evidence of a silent runner, after a review

A reader who hadn't seen the work found by probes, each a test now: - one connection that wasn't made in time undid all that were made before, so a full accept queue, or this process's own want of processor time, made the host count as out of reach. Only a refusal, or no way to the host, does that; - a stopped best-effort run counted as over after 160 ms though its runner was silent since. The list or the lapse decides, for all jobs. A stop that isn't carried out is repeated, and a stopped run alone gets no lease; - a runner that rejects Holds was asked in a loop (341 in 0.7 s), now every 30 ms; - an answered check of reachability left the runner asked in vain; - after a lost answer in the first second of a leader the next renewal came too late for a lease of 500 ms: probes follow at once while a lease lasts.

Starvation is counted from the last answer now (a second, and 250 ms more than the usual allowance for late ends), which is shorter where both are of the same moment (1,000 ms in place of 1,120).

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -194,12 +194,12 @@
 
 // The connections.
 const (
-	// ConnectionUnknown: the order was sent on an earlier connection, or never.
+	// ConnectionUnknown: the order was sent on an earlier connection, or no connection was made in time.
 	ConnectionUnknown Connection = iota
 	// ConnectionMade: the host has accepted a new connection, so it is up and in reach, and the runner's
 	// process, which doesn't answer, may still be alive.
 	ConnectionMade
-	// ConnectionFailed: no new connection could be made.
+	// ConnectionFailed: the host has refused the connection, or there is no way to it.
 	ConnectionFailed
 )
 
--- a/core/schedule/doubtful_start_test.go
+++ b/core/schedule/doubtful_start_test.go
@@ -113,6 +113,8 @@
 			b.g.Expect(take[Start](b)).To(BeEmpty(), "the first order may have been carried out, and the stop isn't answered")
 			b.stopped(stop, Accepted)
 			b.tick(b.s.cfg.StopTimeout + lateEndAllowance + 20*ms)
+			b.g.Expect(take[Start](b)).To(BeEmpty(), "the runner hasn't listed its runs since")
+			b.lists(again.Runner, b.now)
 			b.g.Expect(one[Start](b).Run.Number).To(BeNumerically(">", again.Run.Number))
 		})
 	}
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -34,8 +34,8 @@
 	// NeverBegun: orders to start the run stayed unanswered or were rejected, and the runner's list of a
 	// time at which it accepts none of them any more has neither the run nor its end.
 	NeverBegun
-	// StopTimedOut: the runner answered an order to stop the run, and the longest time that it takes
-	// to do so is over. It has listed no end.
+	// StopTimedOut: the runner rejected the start of the run as outdated, so the run was over or being
+	// stopped, and the longest time that it may live is over. It has listed no end.
 	StopTimedOut
 	// LeaseOver: the runner was silent for longer than the run's lease can last.
 	LeaseOver
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -10,7 +10,8 @@
 	// the silence. The first probe follows at once, since a single order may stay unanswered
 	// while the next is answered in milliseconds.
 	maxProbeInterval = 500 * time.Millisecond
-	// immediateProbeSilence is the silence up to which probes follow at once.
+	// immediateProbeSilence is the silence up to which probes follow at once. While a lease lasts they
+	// always do, so that an answer may still renew it.
 	immediateProbeSilence = 400 * time.Millisecond
 	// orphanCheckInterval is how often a runner with foreign orphans, or with orphans only, is asked for
 	// its lists.
@@ -216,7 +217,7 @@
 // probe sends a silent runner another Hold, at once or after an interval.
 func (s *Scheduler) probe(r *runner) {
 	r.nextHoldAt = s.now
-	if silence := s.now - r.clockAt; silence > immediateProbeSilence {
+	if silence := s.now - r.clockAt; silence > immediateProbeSilence && !(r.hasTaskRuns() && s.now < r.leaseOverAt()) {
 		r.nextHoldAt = s.now + min(silence/4, maxProbeInterval)
 	} else if !r.holdInFlight {
 		s.hold(r)
--- a/core/schedule/reachability.go
+++ b/core/schedule/reachability.go
@@ -72,6 +72,7 @@
 		s.probe(r)
 	default:
 		r.reachableAt = s.now
+		r.unansweredAt = 0
 		s.emit(Decision{Event: "runner-in-reach", Runner: r.info.ID, Age: s.now - r.clockAt})
 	}
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -58,6 +58,11 @@
 	default:
 		r.noteSilence(res)
 		s.unanswered(r)
+		if res.Outcome != Unanswered {
+			// It rejects at once, so asking at once would be a loop.
+			r.nextHoldAt = s.now + orphanCheckInterval
+			return
+		}
 		s.probe(r)
 	}
 }
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -120,11 +120,13 @@
 	// stopAt is when an orphan is stopped, or a stop that stayed unanswered is sent again; 0 if
 	// neither is due.
 	stopAt Time
-	// stopping: an order to stop the run was sent. stopped: the order was answered, and the
-	// run is over at overAt even if no end is listed, unless the runner has listed the run since.
+	// stopping: an order to stop the run was sent. stopped: the order was answered, and the run is over
+	// once the runner has listed its end, or its runs without this one. From lateAt on that is late.
+	// overAt is set if the end may not be on a list, since there are too many; the run is over then.
 	stopping  bool
 	stopped   bool
 	stoppedAt Time
+	lateAt    Time
 	overAt    Time
 	// overdueAt is when the run counts as stuck.
 	overdueAt Time
@@ -219,9 +221,16 @@
 // over, or its job arrives, no order that grants a lease (renewal or start) is sent there.
 func (r *runner) hasForeignOrphans() bool { return r.foreignOrphanCount > 0 }
 
-// hasTaskRuns reports whether runs of tasks are on the runner. Orphans alone get no lease: one that
-// can't be stopped ends with its lease.
-func (r *runner) hasTaskRuns() bool { return len(r.runs) > r.orphanCount }
+// hasTaskRuns reports whether runs of tasks are on the runner that weren't stopped. Other runs alone get
+// no lease: one that doesn't stop ends with its lease.
+func (r *runner) hasTaskRuns() bool {
+	for _, u := range r.runs {
+		if u.task != nil && !u.stopped {
+			return true
+		}
+	}
+	return false
+}
 
 // countOrphan adds a run without a task to the counts of orphans, or removes it.
 func (r *runner) countOrphan(u *run, by int) {
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -11,11 +11,14 @@
 //   - Their lease has ended, also if the runner's clock is slow.
 //   - The runner has left an order unanswered that was sent after that. If it answers, its lists show
 //     what has become of the runs.
-//   - No connection to its host could be made, or stallAllowance is over as well.
-
-// stallAllowance is how much later a runner may end its runs whose host accepts connections: the host is
-// up and in reach, so the runner's process may be alive.
-const stallAllowance = 450 * time.Millisecond
+//   - Its host has accepted no connection since its last answer, or the times below are over as well: the
+//     host is up and in reach, so the runner's process may be alive.
+const (
+	// maxStarvation is how long after its last answer a runner may get no processor time.
+	maxStarvation = time.Second
+	// starvedEndAllowance is how much later than any other runner it may end its runs.
+	starvedEndAllowance = 250 * time.Millisecond
+)
 
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
@@ -25,10 +28,11 @@
 
 // runsOver reports whether the runs of a silent runner count as over.
 func (r *runner) runsOver(now Time) bool {
+	over := r.aliveUntil
 	if r.connected {
-		now -= stallAllowance
+		over = max(r.aliveUntil+starvedEndAllowance, r.clockAt+maxStarvation)
 	}
-	return r.askedInVain() && now > r.aliveUntil
+	return r.askedInVain() && now > over
 }
 
 // askAfterLease asks an unresponsive runner for its lists once its lease is over.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -113,7 +113,11 @@
 // an overdue run.
 func (s *Scheduler) tickRun(r *runner, u *run) {
 	switch {
-	case u.stopped && s.now >= u.overAt && u.listedAt < u.stoppedAt && !u.ofStoredJob():
+	case u.stopped && u.listedAt >= u.lateAt:
+		// The runner hasn't done what it agreed to.
+		u.stopping, u.stopped = false, false
+		s.stopRun(u)
+	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob():
 		s.dropRun(u, StopTimedOut)
 		if u.task != nil {
 			s.requeue(u.task)
