Starvation is counted from HoldWait after the last answer

A runner may delay an answer by HoldWait, so it may have been awake for that long after its last one. 160 seeds divided among the deployments (20 each) of eleven tests of the model fleet: with a second from the last answer itself 20 runs and more were red in two tests; with this 1 run of some 960, whose answers were lost before (KNOWN-RED).

--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -14,7 +14,8 @@
 //   - Its host has accepted no connection since its last answer, or the times below are over as well: the
 //     host is up and in reach, so the runner's process may be alive.
 const (
-	// maxStarvation is how long after its last answer a runner may get no processor time.
+	// maxStarvation is how long a runner may get no processor time, from up to HoldWait after its last
+	// answer.
 	maxStarvation = time.Second
 	// starvedEndAllowance is how much later than any other runner it may end its runs.
 	starvedEndAllowance = 250 * time.Millisecond
@@ -27,12 +28,12 @@
 func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.leaseOverAt() }
 
 // runsOver reports whether the runs of a silent runner count as over.
-func (r *runner) runsOver(now Time) bool {
+func (s *Scheduler) runsOver(r *runner) bool {
 	over := r.aliveUntil
 	if r.connected {
-		over = max(r.aliveUntil+starvedEndAllowance, r.clockAt+maxStarvation)
+		over = max(r.aliveUntil+starvedEndAllowance, r.clockAt+s.cfg.HoldWait+maxStarvation)
 	}
-	return r.askedInVain() && now > over
+	return r.askedInVain() && s.now > over
 }
 
 // askAfterLease asks an unresponsive runner for its lists once its lease is over.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -81,7 +81,7 @@
 	if len(r.runs) > 0 {
 		s.askAfterLease(r)
 	}
-	if r.runsOver(s.now) {
+	if s.runsOver(r) {
 		s.lapseRuns(r)
 		return
 	}
@@ -90,7 +90,7 @@
 	}
 }
 
-// lapseRuns drops the runs of a silent runner, see runner.runsOver.
+// lapseRuns drops the runs of a silent runner, see runsOver.
 func (s *Scheduler) lapseRuns(r *runner) {
 	for _, u := range r.sortedRuns() {
 		if u.task == nil {
