An answer of a silent runner ends the evidence of its silence

An order shows by its silence that runs are over only if it was sent after the lease and after the runner's last answer. TestAnAnswerEndsTheSilence failed before.

--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -9,8 +9,8 @@
 // runs only when it gets some, later than its lease. Its runs count as over if all of these hold:
 //
 //   - Their lease has ended, also if the runner's clock is slow.
-//   - The runner has left an order unanswered that was sent after that. If it answers, its lists show
-//     what has become of the runs.
+//   - The runner has left an order unanswered that was sent after that, and after its last answer. If it
+//     answers, its lists show what has become of the runs.
 //   - Its host has accepted no connection since its last answer, or the times below are over as well: the
 //     host is up and in reach, so the runner's process may be alive.
 const (
@@ -24,8 +24,11 @@
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
-// askedInVain reports whether the runner left an order unanswered that was sent after its lease was over.
-func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.leaseOverAt() }
+// askableAt returns from when on an order shows by its silence that the runs are over.
+func (r *runner) askableAt() Time { return max(r.leaseOverAt(), r.clockAt) }
+
+// askedInVain reports whether the runner left such an order unanswered.
+func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.askableAt() }
 
 // runsOver reports whether the runs of a silent runner count as over.
 func (s *Scheduler) runsOver(r *runner) bool {
@@ -45,7 +48,7 @@
 		s.hold(r)
 		return
 	}
-	if r.holdSentAt < r.leaseOverAt() {
+	if r.holdSentAt < r.askableAt() {
 		s.requestList(r)
 	}
 }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -243,3 +243,27 @@
 		b.tick(20 * ms)
 	}
 }
+
+// Guards against runs that count as over just after their runner has listed them: a later order has stayed
+// unanswered by then.
+func TestAnAnswerEndsTheSilence(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.silence(c.Runner, maxRunLife(b.s.cfg.Lease)-100*ms, b.tick)
+	b.s.requestList(b.s.runners[c.Runner])
+	var early Hold
+	for _, h := range take[Hold](b) {
+		if h.Runner == c.Runner && h.ListOnly {
+			early = h
+			continue
+		}
+		b.answerHold(h, Unanswered)
+	}
+	sentAt := b.now
+	b.silence(c.Runner, 80*ms, b.tick)
+	clock := b.clock()
+	clock.SentAt = sentAt
+	b.s.Held(b.now, HoldResult{Runner: early.Runner, Token: early.Token, ListOnly: true, Outcome: Accepted, Running: []workload.RunKey{c.Run}, Clock: clock})
+	b.tick(60 * ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
