--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -7,7 +7,7 @@
 	// ProcessNumber distinguishes this process's fencing tokens from those of all others.
 	ProcessNumber uint64
 	// Lease is how long a run lives without a renewal. The work of an unreachable runner is started
-	// elsewhere lateEndAllowance later, since runners on busy hosts end their runs late.
+	// elsewhere lateEndMargin later, since runners on busy hosts end their runs late.
 	//
 	// Both together must be longer than HoldWait plus the time after which this process counts an
 	// entry VM as lost. Otherwise, when a failure domain is cut off, this scheduler would restart a
@@ -60,8 +60,8 @@
 	clockDriftPercent = 2
 	// leaseMargin covers the delay between reading this process's clock and sending.
 	leaseMargin = 50 * time.Millisecond
-	// lateEndAllowance is how much later any runner may end a run than by its lease, or by StopTimeout.
-	lateEndAllowance = 110 * time.Millisecond
+	// lateEndMargin is how much later any runner may end a run than by its lease, or by StopTimeout.
+	lateEndMargin = 110 * time.Millisecond
 	// idleCheckInterval is how often an idle runner is checked, so that a failed one is
 	// noticed before a job is placed on it.
 	idleCheckInterval = time.Second
--- a/core/schedule/doubtful_start_test.go
+++ b/core/schedule/doubtful_start_test.go
@@ -112,7 +112,7 @@
 			b.submit(j, 2*time.Second)
 			b.g.Expect(take[Start](b)).To(BeEmpty(), "the first order may have been carried out, and the stop isn't answered")
 			b.stopped(stop, Accepted)
-			b.tick(b.s.cfg.StopTimeout + lateEndAllowance + 20*ms)
+			b.tick(b.s.cfg.StopTimeout + lateEndMargin + 20*ms)
 			b.g.Expect(take[Start](b)).To(BeEmpty(), "the runner hasn't listed its runs since")
 			b.lists(again.Runner, b.now)
 			b.g.Expect(one[Start](b).Run.Number).To(BeNumerically(">", again.Run.Number))
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -195,7 +195,7 @@
 	stop := one[Stop](b)
 	b.stopped(stop, Accepted)
 	take[Decision](b)
-	b.tick(b.s.cfg.StopTimeout + lateEndAllowance + 20*ms)
+	b.tick(b.s.cfg.StopTimeout + lateEndMargin + 20*ms)
 	b.g.Expect(b.s.runners[c.Runner].runs).NotTo(BeEmpty())
 	b.lists(c.Runner, b.now)
 	b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-dropped", c.Run, "stopped-unlisted")))
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -204,7 +204,7 @@
 // maxRunLife returns how long a run may live after a lease was sent, by this process's clock,
 // if the runner's clock is slow and it ends its runs late.
 func maxRunLife(lease time.Duration) time.Duration {
-	return lease*(100+clockDriftPercent)/100 + lateEndAllowance + leaseMargin
+	return lease*(100+clockDriftPercent)/100 + lateEndMargin + leaseMargin
 }
 
 // usable reports whether tasks may be started there now.
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -17,8 +17,8 @@
 	// maxStarvation is how long a runner may get no processor time, from up to HoldWait after its last
 	// answer.
 	maxStarvation = time.Second
-	// starvedEndAllowance is how much later than any other runner it may end its runs.
-	starvedEndAllowance = 250 * time.Millisecond
+	// starvedEndMargin is how much later than any other runner it may end its runs.
+	starvedEndMargin = 250 * time.Millisecond
 )
 
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
@@ -34,7 +34,7 @@
 func (s *Scheduler) runsOver(r *runner) bool {
 	over := r.aliveUntil
 	if r.connected {
-		over = max(r.aliveUntil+starvedEndAllowance, r.clockAt+s.cfg.HoldWait+maxStarvation)
+		over = max(r.aliveUntil+starvedEndMargin, r.clockAt+s.cfg.HoldWait+maxStarvation)
 	}
 	return r.askedInVain() && s.now > over
 }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -56,7 +56,7 @@
 
 // starvedLife is how long after its last answer, and a lease that was sent then, the runs of a runner count
 // whose host accepts connections.
-var starvedLife = max(maxRunLife(DefaultConfig().Lease)+starvedEndAllowance, DefaultConfig().HoldWait+maxStarvation)
+var starvedLife = max(maxRunLife(DefaultConfig().Lease)+starvedEndMargin, DefaultConfig().HoldWait+maxStarvation)
 
 // silentFor returns how long after the last lease was sent a task is started elsewhere whose runner
 // leaves all orders unanswered.
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -82,7 +82,7 @@
 func (s *Scheduler) noteStopped(u *run, at Time) {
 	u.stopped = true
 	u.stoppedAt = at
-	u.lateAt = s.now + s.cfg.StopTimeout + lateEndAllowance
+	u.lateAt = s.now + s.cfg.StopTimeout + lateEndMargin
 	s.requestList(u.runner)
 }
 
--- a/core/schedule/stored_test.go
+++ b/core/schedule/stored_test.go
@@ -208,7 +208,7 @@
 	b.started(first, Unanswered)
 	b.started(one[Start](b), Unanswered)
 	b.stopped(one[Stop](b), Accepted)
-	b.tick(b.s.cfg.StopTimeout + lateEndAllowance + 200*ms)
+	b.tick(b.s.cfg.StopTimeout + lateEndMargin + 200*ms)
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	b.end(first.Runner, 1, first.Run, workload.Done)
 	b.g.Expect(one[Save](b).Record.State).To(Equal(ledger.Completed))
