--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -346,6 +347,35 @@
 	playFaultySeeds(t, pauseRegressions)
 }
 
+// starvedStopShare is the share of the stopped runs whose runner is starved at once.
+const starvedStopShare = 0.3
+
+// Guards against a second run of a task whose run was ordered to stop, when the runner is starved after
+// it has answered the order and before it has ended the run.
+func TestStoppedRunsOfStarvedRunners(t *testing.T) {
+	t.Parallel()
+	pairs := make(map[string]int)
+	for i := range faultyRunSeeds() {
+		seed := *firstSeed + uint64(i)
+		w := deployment(seed, 1+int(seed%2))
+		w.onStop = func(r *fakeRunner) {
+			if !r.idle() && w.chance(starvedStopShare) {
+				w.after(2*messageDelay, func() { r.starve(w.randomDuration(minStarved, maxStarved+1)) })
+			}
+		}
+		_, played := randomRunOf(w, []string{"hang", "hang", "mute runners", "slow"})
+		for kind, n := range w.checker.pairKinds {
+			pairs[kind] += n
+		}
+		if len(w.checker.violations) > 0 {
+			t.Errorf("seed %d: %v\n%s\n%v", seed, strings.Join(w.checker.violations, "\n"), w.describeDoubles(), played)
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(pairs)) {
+		t.Logf("pairs of runs, %d: %s", pairs[kind], kind)
+	}
+}
+
 // pairKind says what led to two runs at the same time: the last decision on the older one, whether its
 // lease was over, what its runner did, and whether one process ordered both.
 func (w *world) pairKind(older workload.RunKey, r *fakeRunner, younger workload.RunKey) string {
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -188,6 +188,9 @@
 		r.w.after(time.Duration(r.w.rng.IntN(50))*time.Millisecond, func() {
 			r.whenAwake(func() { r.end(c.Run, workload.Stopped) })
 		})
+		if r.w.onStop != nil {
+			r.w.onStop(r)
+		}
 	}
 	return schedule.Accepted
 }
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -72,6 +72,8 @@
 	queryAll bool
 	// onSend, if set, is called with each message as it is sent.
 	onSend func(*fakeNode, fleet.Send)
+	// onStop, if set, is called as a runner carries out an order to stop a run that is there.
+	onStop func(*fakeRunner)
 	// lastWakeAt is when the last frozen process is resumed.
 	lastWakeAt time.Duration
 	numbers    uint64
