--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -69,7 +69,7 @@
 	}
 	for other, at := range live {
 		t.doubled = append(t.doubled, k.Task)
-		t.pairKinds[t.w.pairKind(other, at, k)]++
+		t.pairKinds[t.w.pairKind(other, at, k, r)]++
 		t.report("%v starts on %s while %v runs on %s", k, r.info.ID, other, at.info.ID)
 	}
 	live[k] = r
