--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -358,14 +359,43 @@
 	playFaultySeeds(t, pauseRegressions)
 }
 
+// starvedStopShare is the share of the stopped runs whose runner is starved at once.
+const starvedStopShare = 0.3
+
+// Guards against a second run of a task whose run was ordered to stop, when the runner is starved after
+// it has answered the order and before it has ended the run.
+func TestStoppedRunsOfStarvedRunners(t *testing.T) {
+	t.Parallel()
+	pairs := make(map[string]int)
+	for i := range faultyRunSeeds() {
+		seed := *firstSeed + uint64(i)
+		w := deployment(seed, 1+int(seed%2))
+		w.onStop = func(r *fakeRunner) {
+			if !r.idle() && w.chance(starvedStopShare) {
+				w.after(2*messageDelay, func() { r.starve(w.randomDuration(minStarved, maxStarved+1)) })
+			}
+		}
+		_, played := randomRunOf(w, []string{"hang", "hang", "mute runners", "slow"})
+		for kind, n := range w.checker.pairKinds {
+			pairs[kind] += n
+		}
+		if len(w.checker.violations) > 0 {
+			t.Errorf("seed %d: %v\n%s\n%v", seed, strings.Join(w.checker.violations, "\n"), w.describeDoubles(), played)
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(pairs)) {
+		t.Logf("pairs of runs, %d: %s", pairs[kind], kind)
+	}
+}
+
 // pairKind says what led to two runs at the same time: the last decision on the older one, whether its
 // lease was over, what its runner did, and whether one process ordered both.
-func (w *world) pairKind(older workload.RunKey, r *fakeRunner, younger workload.RunKey) string {
+func (w *world) pairKind(older workload.RunKey, r *fakeRunner, younger workload.RunKey, other *fakeRunner) string {
 	lease, by := "lease over", "one process"
 	if r.clock() < r.leaseEnd {
 		lease = "lease valid"
 	}
-	if w.startedBy(older) != w.startedBy(younger) {
+	if w.startedBy(older, r) != w.startedBy(younger, other) {
 		by = "two processes"
 	}
 	return fmt.Sprintf("%s; %s; %s; %s", w.lastDecision(older), lease, r.state(), by)
@@ -381,10 +411,10 @@
 	return "no decision"
 }
 
-// startedBy is the process that last ordered the start of a run.
-func (w *world) startedBy(k workload.RunKey) string {
+// startedBy is the process that last ordered the start of a run on a runner.
+func (w *world) startedBy(k workload.RunKey, r *fakeRunner) string {
 	for _, e := range slices.Backward(w.history[k.Task.String()]) {
-		if e.key == k.String() && strings.HasPrefix(e.what, "orders start") {
+		if e.key == k.String() && e.what == "orders start on "+string(r.info.ID) {
 			return e.by
 		}
 	}
