A last reading of the whole difference: comments, the detail of run-lapsed, a test's name

No decision changes; the shape of every declaration is the same. The detail of run-lapsed says "may have lived until" in place of "lives counted until".

--- a/core/fleet/stall.go
+++ b/core/fleet/stall.go
@@ -9,7 +9,7 @@
 const (
 	// shortPause is the time without a tick after which messages may have waited in buffers.
 	shortPause = 3 * TickInterval
-	// bufferTime is how long after such a pause the messages are handled that arrived during it.
+	// bufferTime is the time after such a pause in which messages that arrived during it are handled.
 	bufferTime = 50 * time.Millisecond
 )
 
@@ -27,7 +27,7 @@
 	}
 }
 
-// sentAt returns the earliest time at which a message may have been sent that is handled now.
+// sentAt returns the earliest time at which a message that is handled now may have been sent.
 func (n *Node) sentAt(now Time) Time {
 	if n.resumedAt > 0 && now-n.resumedAt <= bufferTime {
 		return n.pausedAt
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -165,6 +165,6 @@
 
 // Guards against a run of a withdrawn job that outlives the time for which the next scheduler waits: a
 // scheduler has its runs over Resend after it lost their job.
-func TestRunsOfAWithdrawnJobAreOverInTheirLifetime(t *testing.T) {
+func TestRunsOfAWithdrawnJobAreOverBeforeResend(t *testing.T) {
 	NewWithT(t).Expect(orphanRunLifetime).To(BeNumerically(">=", schedule.DefaultConfig().Resend))
 }
--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -60,7 +60,7 @@
 	clockDriftPercent = 2
 	// leaseMargin covers the delay between reading this process's clock and sending.
 	leaseMargin = 50 * time.Millisecond
-	// lateEndMargin is how much later any runner may end a run than by its lease, or by StopTimeout.
+	// lateEndMargin is how much later than its lease, or than StopTimeout, a runner may end a run.
 	lateEndMargin = 110 * time.Millisecond
 	// idleCheckInterval is how often an idle runner is checked, so that a failed one is
 	// noticed before a job is placed on it.
--- a/core/schedule/lostorphan.go
+++ b/core/schedule/lostorphan.go
@@ -9,9 +9,9 @@
 
 // A lost orphan is one that was dropped together with all runs of its runner, and may be alive: the
 // runner was fenced, this scheduler has retired, or the runner has restarted and the orphan's start may
-// reach the new incarnation. A caller who sends the job again reaches another
-// entry process, which hands the job in as a new one. Its task is started only once the orphan is over:
-// the runner has listed its runs since without it, or no lease can last any more.
+// reach the new incarnation. A caller who sends the job again reaches another entry process, which hands
+// the job in as a new one. Its task is started only once the orphan is over: the runner has listed its runs
+// since without it, or no lease can last any more.
 
 // lostOrphan is a lost orphan as it is remembered.
 type lostOrphan struct {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -211,8 +211,8 @@
 	s.adoptOrphanOf(t)
 }
 
-// adoptOrphanOf assigns another run of a waiting task that is known to the task: while it may live, the
-// task isn't started again.
+// adoptOrphanOf assigns a known orphan of a waiting task to that task, which isn't started again while the
+// run may be alive.
 func (s *Scheduler) adoptOrphanOf(t *taskState) {
 	for _, r := range s.runnerList {
 		for _, u := range r.orphansOf(t.job.work.ID) {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -59,7 +59,7 @@
 		r.noteSilence(res)
 		s.unanswered(r)
 		if res.Outcome != Unanswered {
-			// It rejects at once, so asking at once would be a loop.
+			// Another order sent at once would be rejected at once, in a loop.
 			r.nextHoldAt = s.now + orphanCheckInterval
 			return
 		}
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -11,23 +11,23 @@
 //   - Their lease has ended, also if the runner's clock is slow.
 //   - The runner has left an order unanswered that was sent after that, and after its last answer. If it
 //     answers, its lists show what has become of the runs.
-//   - Its host has accepted no connection since its last answer, or the times below are over as well: the
-//     host is up and in reach, so the runner's process may be alive.
+//   - If its host has accepted a connection since its last answer, the times below have passed as well.
+//     Such a host is up and in reach, so the runner's process may be alive.
 const (
 	// maxStarvation is how long a runner may get no processor time, from up to HoldWait after its last
 	// answer.
 	maxStarvation = time.Second
-	// starvedEndMargin is how much later than any other runner it may end its runs.
+	// starvedEndMargin is added to lateEndMargin for such a runner.
 	starvedEndMargin = 250 * time.Millisecond
 )
 
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
-// askableAt returns from when on an order shows by its silence that the runs are over.
+// askableAt returns the time from which on an order that stays unanswered is evidence that the runs are over.
 func (r *runner) askableAt() Time { return max(r.leaseOverAt(), r.clockAt) }
 
-// askedInVain reports whether the runner left such an order unanswered.
+// askedInVain reports whether an order that was sent at askableAt or later has stayed unanswered.
 func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.askableAt() }
 
 // runsOver reports whether the runs of a silent runner count as over.
@@ -67,7 +67,7 @@
 	if r.unansweredAt > 0 {
 		asked = fmt.Sprintf("asked %v ago", round(now-r.unansweredAt))
 	}
-	return fmt.Sprintf("lives counted until %v ago, %s, accepts connections: %t", round(now-r.aliveUntil), asked, r.connected)
+	return fmt.Sprintf("may have lived until %v ago, %s, accepts connections: %t", round(now-r.aliveUntil), asked, r.connected)
 }
 
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond / 10) }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -109,12 +109,12 @@
 	}
 }
 
-// tickRun drops a run that was stopped and must be over, and stops an orphan whose time is over or
-// an overdue run.
+// tickRun repeats a stop that wasn't carried out, drops a run that must be over, and stops an orphan whose
+// time is over or an overdue run.
 func (s *Scheduler) tickRun(r *runner, u *run) {
 	switch {
 	case u.stopped && u.listedAt >= u.lateAt:
-		// The runner hasn't done what it agreed to.
+		// The runner has accepted the stop, and still lists the run.
 		u.stopping, u.stopped = false, false
 		s.stopRun(u)
 	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob():
