--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -139,6 +139,7 @@
 	g.Eventually(w.unfinishedJobs, time.Minute, 100*time.Millisecond).Should(BeEmpty(), "accepted jobs do not end after: %v", injected)
 	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
 	t.Logf("starts unanswered %d, rejected %v", w.countEvents("start-unanswered"), w.countRejections())
+	w.checkConfiguration(t, pausesExcepted)
 	violations := w.checker.allViolations()
 	t.Logf("runs lapsed %d, dropped runs that were done beside another one %d, violations %d",
 		w.countEvents("run-lapsed"), w.countEvents("dropped-run-done"), len(violations))
@@ -218,20 +219,29 @@
 		w.runAfter(w.randomDuration(300, 2500), func() { r.proxy.Delay(0) })
 	}},
 	{"runner crashed", func(w *world) { w.replaceRunner(w.rng.IntN(len(w.runners))) }},
-	{"store busy", func(w *world) { w.injectStoreFault(true, false, w.randomDuration(300, 2500)) }},
-	{"store silent", func(w *world) { w.injectStoreFault(false, true, w.randomDuration(300, 2500)) }},
-	{"store answers lost", func(w *world) { w.store.SetFaults(deployment.StoreFaults{LoseReplies: 1 + w.rng.IntN(3)}) }},
-	{"store silenced", func(w *world) { w.storeProxy.Silence() }},
-	{"store cut", func(w *world) {
-		w.storeProxy.Drop(true, w.rng.IntN(2) == 0)
-		w.runAfter(w.randomDuration(300, 2500), func() { w.storeProxy.Drop(false, false) })
+	{"store busy", func(w *world) {
+		w.injectStoreFault(deployment.StoreFaults{Busy: true}, w.randomDuration(300, 2500))
 	}},
+	{"store silent", func(w *world) {
+		w.injectStoreFault(deployment.StoreFaults{Silent: true}, w.randomDuration(300, 2500))
+	}},
+	{"store answers lost", func(w *world) {
+		w.configuration.disturbances.begin(theStore)()
+		w.store.SetFaults(deployment.StoreFaults{LoseReplies: 1 + w.rng.IntN(3)})
+	}},
+	{"store silenced", func(w *world) { silenceStoreConnections(w.nodes...) }},
+	{"store cut", func(w *world) { w.cutStore(true, w.rng.IntN(2) == 0, w.randomDuration(300, 2500)) }},
 	{"history forgotten", func(w *world) { w.store.DropHistory() }},
 	{"configuration", func(w *world) { w.putConfiguration() }},
 	{"garbage", func(w *world) {
+		// A version that wasn't read before the invalid row can't be read any more.
+		end := w.configuration.disturbances.begin(theStore)
 		w.store.PutRaw("op", "config", []byte("{"))
 		w.store.PutRaw("servers", "i-garbage", []byte{0xff})
-		w.runAfter(w.randomDuration(50, 500), w.putConfiguration)
+		w.runAfter(w.randomDuration(50, 500), func() {
+			w.putConfiguration()
+			end()
+		})
 	}},
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,14 +31,14 @@
 
 // world is a deployment of real processes on the loopback address.
 type world struct {
-	rng        *rand.Rand
-	program    string
-	store      *deployment.Store
-	storeProxy *faults.Proxy
-	runners    []*proxiedRunner
-	nodes      []*node
-	checker    *checker
-	http       *http.Client
+	rng           *rand.Rand
+	program       string
+	store         *deployment.Store
+	runners       []*proxiedRunner
+	nodes         []*node
+	checker       *checker
+	configuration *configurationCheck
+	http          *http.Client
 	scenario
 
 	mu             sync.Mutex
@@ -67,15 +68,21 @@
 	proxy  *faults.Proxy
 }
 
-// node is an entry VM. Its process is restarted whenever it ends.
+// node is an entry VM. Its process is restarted whenever it ends. It reaches the store through a proxy
+// of its own; what the processes send each other can't be cut.
 type node struct {
 	deployment.Node
-	name string
-	log  *logBuffer
+	name         string
+	log          *logBuffer
+	storeProxy   *faults.Proxy
+	disturbances *disturbances
+	done         chan struct{}
+	incarnation  atomic.Int64
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// endPause and endStop end the disturbances by SIGSTOP, and by SIGKILL or SIGTERM; nil if there is none.
+	endPause, endStop func()
 }
 
 // logBuffer collects the output of a node's processes.
@@ -108,13 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
-	proxy, err := faults.NewProxy(store.Address())
-	if err != nil {
-		return nil, err
-	}
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store, storeProxy: proxy,
-		checker: newChecker(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store,
+		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
 		scenario: sc,
 	}
 	if w.shards > 0 {
@@ -135,6 +138,7 @@
 			return nil, err
 		}
 	}
+	w.configuration.start(w.nodes)
 	return w, nil
 }
 
@@ -173,21 +177,56 @@
 	w.runners[i] = r
 }
 
-// putConfiguration writes the configuration with a new version into the store.
+// putConfiguration writes the configuration with a new version into the store, which adds or drops one of
+// the second routes.
 func (w *world) putConfiguration() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.configVersion += 3
 	d := deployment.Declaration(w.configVersion, host, prefix, "spot", service, 60)
-	w.mu.Unlock()
+	change := w.configuration.begin()
+	for _, route := range change.routes.second() {
+		d["routes"] = append(d["routes"].([]map[string]any), deployment.Route(route, host, routePrefix(route), service, 60))
+	}
 	if err := w.store.Put("op", "config", d); err != nil {
 		w.checker.reportViolation("the soak test itself failed: %v", err)
 	}
+	w.configuration.acknowledge(change)
 }
 
-// injectStoreFault injects a fault at the store for the given time.
-func (w *world) injectStoreFault(busy, silent bool, d time.Duration) {
-	w.store.SetFaults(deployment.StoreFaults{Busy: busy, Silent: silent})
-	w.runAfter(d, func() { w.store.SetFaults(deployment.StoreFaults{}) })
+// injectStoreFault injects faults at the store for the given time.
+func (w *world) injectStoreFault(f deployment.StoreFaults, d time.Duration) {
+	end := w.configuration.disturbances.begin(theStore)
+	w.store.SetFaults(f)
+	w.runAfter(d, func() {
+		w.store.SetFaults(deployment.StoreFaults{})
+		end()
+	})
+}
+
+// silenceStoreConnections makes the nodes' open connections to the store silent; new ones work.
+func silenceStoreConnections(nodes ...*node) {
+	for _, n := range nodes {
+		end := n.disturbances.begin(n.name)
+		n.storeProxy.Silence()
+		end()
+	}
+}
+
+// cutStore drops what all nodes send to the store, and what it answers, for the given time.
+func (w *world) cutStore(toStore, fromStore bool, d time.Duration) {
+	end := w.configuration.disturbances.begin(theStore)
+	w.dropStoreData(toStore, fromStore)
+	w.runAfter(d, func() {
+		w.dropStoreData(false, false)
+		end()
+	})
+}
+
+func (w *world) dropStoreData(toStore, fromStore bool) {
+	for _, n := range w.nodes {
+		n.storeProxy.Drop(toStore, fromStore)
+	}
 }
 
 // runAfter calls f after a delay, or when the run ends.
@@ -215,11 +254,18 @@
 	if err != nil {
 		return err
 	}
+	proxy, err := faults.NewProxy(w.store.Address())
+	if err != nil {
+		return err
+	}
 	path := filepath.Join(dir, name+".toml")
-	if err := os.WriteFile(path, []byte(d.Settings(w.storeProxy.Address(), graceS)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(d.Settings(proxy.Address(), graceS)), 0o600); err != nil {
 		return errors.Wrap(err, "settings")
 	}
-	n := &node{Node: d, name: name, log: &logBuffer{}, done: make(chan struct{})}
+	n := &node{
+		Node: d, name: name, log: &logBuffer{}, storeProxy: proxy, disturbances: &w.configuration.disturbances,
+		done: make(chan struct{}),
+	}
 	w.nodes = append(w.nodes, n)
 	go w.restartForever(n, path)
 	return nil
@@ -232,8 +278,10 @@
 		cmd := exec.Command(w.program, "--settings", settings)
 		cmd.Stdout, cmd.Stderr = n.log, n.log
 		n.mu.Lock()
+		n.incarnation.Add(1)
 		err := cmd.Start()
 		n.cmd = cmd
+		n.endDisturbances()
 		n.mu.Unlock()
 		if err != nil {
 			w.checker.reportViolation("the soak test itself failed: %v", err)
@@ -257,12 +305,37 @@
 		return
 	}
 	p := n.cmd.Process
+	n.recordSignal(s)
 	_ = p.Signal(s)
 	if s == syscall.SIGTERM {
 		time.AfterFunc(graceS*time.Second, func() { _ = p.Signal(syscall.SIGKILL) })
 	}
 }
 
+// recordSignal records the disturbances that begin or end with a signal. The caller holds the lock.
+func (n *node) recordSignal(s syscall.Signal) {
+	switch {
+	case s == syscall.SIGSTOP && n.endPause == nil:
+		n.endPause = n.disturbances.beginPause(n.name)
+	case s == syscall.SIGCONT && n.endPause != nil:
+		n.endPause()
+		n.endPause = nil
+	case (s == syscall.SIGKILL || s == syscall.SIGTERM) && n.endStop == nil:
+		n.endStop = n.disturbances.begin(n.name)
+	}
+}
+
+// endDisturbances ends the disturbances by signals to an earlier process. The caller holds the lock.
+func (n *node) endDisturbances() {
+	if n.endPause != nil {
+		n.endPause()
+	}
+	if n.endStop != nil {
+		n.endStop()
+	}
+	n.endPause, n.endStop = nil, nil
+}
+
 // ready reports whether any entry process is ready.
 func (w *world) ready() bool {
 	for _, n := range w.nodes {
@@ -281,15 +354,16 @@
 func (w *world) close() {
 	close(w.closed)
 	w.timers.Wait()
+	w.configuration.finish()
 	for _, n := range w.nodes {
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
 		<-n.done
+		n.storeProxy.Close()
 	}
 	for _, r := range w.runners {
 		r.runner.Close()
 		r.proxy.Close()
 	}
-	w.storeProxy.Close()
 	w.store.Close()
 }
--- a/standin/deployment/settings.go
+++ b/standin/deployment/settings.go
@@ -102,12 +102,17 @@
 // 1.6 times the run time plus targetMs.
 func Declaration(version int, host, prefix, queue, service string, targetMs int) map[string]any {
 	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": queue, "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": targetMs,
-			"priority": 0, "service": service, "maxAttempts": 2, "stretch": 1.6,
-		}},
+		"version":  version,
+		"routes":   []map[string]any{Route(queue, host, prefix, service, targetMs)},
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "rejectsOverload": true}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 }
+
+// Route returns a queue of an operator's configuration.
+func Route(queue, host, prefix, service string, targetMs int) map[string]any {
+	return map[string]any{
+		"name": queue, "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": targetMs,
+		"priority": 0, "service": service, "maxAttempts": 2, "stretch": 1.6,
+	}
+}
--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -35,6 +35,8 @@
 	CallsUntilBusy int
 	// Silent: no call is answered.
 	Silent bool
+	// Delay is how late calls are answered after they were carried out.
+	Delay time.Duration
 	// LoseReplies is the number of next transactions that are applied and not answered.
 	LoseReplies int
 }
@@ -164,10 +166,25 @@
 			<-r.Context().Done()
 		default:
 			next.ServeHTTP(w, r)
+			s.delayAnswer(r.Context())
 		}
 	})
 }
 
+// delayAnswer waits for the delay of answers. An answer is sent when its handler returns, at least its end.
+func (s *Store) delayAnswer(ctx context.Context) {
+	s.mu.Lock()
+	delay := s.faults.Delay
+	s.mu.Unlock()
+	if delay == 0 {
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+}
+
 // transact applies a transaction if each row of its conditions has the expected version (0 if it
 // doesn't exist), and otherwise answers with status 412.
 func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
