--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -31,6 +31,8 @@
 	// runningByTask holds the runs in progress of each task, with the ids of their runners.
 	runningByTask map[string]map[deployment.RunID]string
 	startsByJob   map[string]int
+	// lastRunnerStarts holds when a run was last started on each runner.
+	lastRunnerStarts map[string]time.Time
 	// doneTasks are the tasks of which a run has ended successfully.
 	doneTasks map[string]bool
 	// refusedJobs are the jobs whose callers were answered that they have not run.
@@ -51,9 +53,11 @@
 	return &checker{
 		runningByTask: make(map[string]map[deployment.RunID]string),
 		startsByJob:   make(map[string]int),
-		doneTasks:     make(map[string]bool),
-		refusedJobs:   make(map[string]bool),
-		answers:       make(map[string]int),
+
+		lastRunnerStarts: make(map[string]time.Time),
+		doneTasks:        make(map[string]bool),
+		refusedJobs:      make(map[string]bool),
+		answers:          make(map[string]int),
 
 		acceptedJobs:     make(map[string]int),
 		completedJobs:    make(map[string]bool),
@@ -110,6 +114,7 @@
 	}
 	runs[s] = r.ID
 	c.addHistory(s, r.ID, "started")
+	c.lastRunnerStarts[r.ID] = time.Now()
 	job := jobOfTask(s.Task)
 	c.startsByJob[job]++
 	if isStored(job) {
@@ -129,6 +134,13 @@
 	fmt.Fprintf(&c.history, "time=%s run=%s#%d runner=%s event=%s\n", time.Now().UTC().Format(time.RFC3339Nano), s.Task, s.Run, runner, event)
 }
 
+// lastStartOn returns when a run was last started on a runner.
+func (c *checker) lastStartOn(runner string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastRunnerStarts[runner]
+}
+
 func (c *checker) saveHistory(path string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,7 @@
 	runners = flag.Int("soak.runners", 6, "number of runners")
 	domains = flag.Int("soak.domains", 1, "number of failure domains")
 	callers = flag.Int("soak.callers", 0, "number of callers; 0 for that of the test")
+	program = flag.String("soak.program", "", "entry program, as of another version; built if empty")
 	logDir  = flag.String("soak.logs", "", "directory for the logs of runs that broke a promise")
 )
 
@@ -108,12 +109,15 @@
 	}
 }
 
-// buildEntry builds the entry program.
+// buildEntry returns the path of the entry program, which it builds unless one is given.
 func buildEntry(t *testing.T) string {
-	program := filepath.Join(t.TempDir(), "sapphirepoint-entry")
-	out, err := exec.Command("go", "build", "-o", program, "sapphirepoint.example/sapphirepoint/cmd/sapphirepoint-entry").CombinedOutput()
+	if *program != "" {
+		return *program
+	}
+	path := filepath.Join(t.TempDir(), "sapphirepoint-entry")
+	out, err := exec.Command("go", "build", "-o", path, "sapphirepoint.example/sapphirepoint/cmd/sapphirepoint-entry").CombinedOutput()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
-	return program
+	return path
 }
 
 // runSoak submits jobs while faults are injected, and afterwards checks that jobs are answered again, that
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -66,6 +66,8 @@
 type proxiedRunner struct {
 	runner *deployment.Runner
 	proxy  *faults.Proxy
+	// info is the runner's row in the store.
+	info deployment.RunnerInfo
 }
 
 // node is an entry VM. Its process is restarted whenever it ends. It reaches the store through a proxy
@@ -161,7 +163,7 @@
 	}
 	info := r.Info
 	info.Address = p.Address()
-	return &proxiedRunner{runner: r, proxy: p}, w.store.Put("servers", id, info)
+	return &proxiedRunner{runner: r, proxy: p, info: info}, w.store.Put("servers", id, info)
 }
 
 // replaceRunner crashes a runner and starts another one in its place under a new id.
