--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -26,23 +26,32 @@
 // Guards against a dropped route that is still served, and an added one that is refused, when the open
 // connections to the store go silent just before the change.
 func TestSoakSilentStoreConnections(t *testing.T) {
-	changeDuring(t, storeSilenced, pausesExcepted)
+	t.Parallel()
+	changeDuring(t, buildEntry(t), storeSilenced, pausesExcepted)
 }
 
 // Guards against a process that got no processor time for some seconds and then answers by the configuration
 // from before.
 func TestSoakPausedProcess(t *testing.T) {
-	changeDuring(t, fault{"paused", func(w *world) { w.pause(w.randomNode()) }}, pausesCounted)
+	t.Parallel()
+	changeDuring(t, buildEntry(t), processPaused, pausesCounted)
 }
 
 // Guards against changes of the configuration that come into force late, or are taken back, because of a fault.
 func TestSoakChangesDuringFaults(t *testing.T) {
+	program := buildEntry(t)
 	for _, f := range changeFaults {
-		t.Run(f.name, func(t *testing.T) { changeDuring(t, f, pausesExcepted) })
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			changeDuring(t, program, f, pausesExcepted)
+		})
 	}
 }
 
-var storeSilenced = fault{"connections silent", func(w *world) { silenceStoreConnections(w.nodes...) }}
+var (
+	storeSilenced = fault{"connections silent", func(w *world) { silenceStoreConnections(w.nodes...) }}
+	processPaused = fault{"process paused", func(w *world) { w.pause(w.randomNode()) }}
+)
 
 // changeFaults are the faults just before a change of the configuration.
 var changeFaults = []fault{
@@ -72,7 +81,7 @@
 		w.configuration.disturbances.begin(theStore)()
 		w.store.SetFaults(deployment.StoreFaults{LoseReplies: 3})
 	}},
-	{"process paused", func(w *world) { w.pause(w.randomNode()) }},
+	processPaused,
 	{"process killed", func(w *world) { w.randomNode().signal(syscall.SIGKILL) }},
 	{"process stopped", func(w *world) { w.randomNode().signal(syscall.SIGTERM) }},
 	{"all processes killed", func(w *world) {
@@ -109,9 +118,7 @@
 // changeDuring changes the configuration just after a fault, and checks that the change comes into force in
 // time and for good. Another change shortly before the fault makes all processes wait for changes from the
 // same moment on.
-func changeDuring(t *testing.T, f fault, pauses pauseRule) {
-	t.Parallel()
-	program := buildEntry(t)
+func changeDuring(t *testing.T, program string, f fault, pauses pauseRule) {
 	for i := range *seeds {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
