Logs and metrics: how old the operator's settings are

None of the hypotheses for a dropped route that was served could be told from another: a process didn't know since when the store hadn't confirmed its configuration. Now the time of the last confirmation is kept, and

- a gauge has the age, a histogram that by which requests were routed.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -27,11 +27,16 @@
 	seatDoublings   prometheus.Gauge
 	evacuated       prometheus.Gauge
 	refusals        *prometheus.CounterVec
+	settingsAge     prometheus.Gauge
+	requestAge      prometheus.Histogram
 }
 
 // latencyBuckets range from answers within a few milliseconds to callers' timeouts.
 var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .3, .5, .75, 1, 1.5, 2.5}
 
+// settingsAgeBuckets range from an answer of the store to an outage.
+var settingsAgeBuckets = []float64{.5, 1, 1.25, 1.5, 1.75, 2, 2.25, 2.5, 3, 4, 8}
+
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
@@ -84,7 +89,13 @@
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "sapphirepoint_evacuated_domains", Help: "Failure domains that get no new tasks, by the operator's word.",
 	})
-	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.refusals)
+	m.settingsAge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "sapphirepoint_operator_settings_age_seconds", Help: "Time since the operator's settings in force were last confirmed by the store.",
+	})
+	m.requestAge = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "sapphirepoint_request_settings_age_seconds", Help: "Age of the operator's settings by which a request was routed.", Buckets: settingsAgeBuckets,
+	})
+	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.refusals, m.settingsAge, m.requestAge)
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
 		m.droppedMessages, m.unknownPeers, m.leading, m.jobsInFlight, m.scheduled)
 	return m
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -59,9 +59,9 @@
 	// Members waits for a change of the registered processes and returns them all;
 	// the first call returns at once.
 	Members(context.Context) ([]peer.Member, error)
-	// OperatorSettings waits for a change of what the operator has written; the first call
-	// returns at once.
-	OperatorSettings(context.Context) (OperatorSettings, error)
+	// OperatorSettings returns what the operator has written. If nothing has changed since the
+	// last call, it waits for a change for at most the given time, which the store measures.
+	OperatorSettings(ctx context.Context, wait time.Duration) (OperatorSettings, error)
 	// Runners reads the current list of runners.
 	Runners(context.Context) (fleet.RunnerList, error)
 	// Layout returns how the runners are divided into shards. If that isn't stored yet it
@@ -72,6 +72,9 @@
 
 // OperatorSettings is what the operator has written to the store.
 type OperatorSettings struct {
+	// Changed: they have changed since the last call, or this is the first one. Otherwise the fields
+	// below are empty.
+	Changed bool
 	// Declaration is the configuration; nil if the stored one is missing or invalid.
 	Declaration *routing.Declaration
 	Evacuations routing.Evacuations
--- a/entry/process.go
+++ b/entry/process.go
@@ -88,6 +88,8 @@
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pending    atomic.Pointer[map[string]int]
+	// confirmed says how current the operator's settings are.
+	confirmed confirmation
 }
 
 // New creates a process and opens its socket for peers. Run starts the rest.
@@ -274,6 +276,9 @@
 	if now-p.gaugesAt >= gaugeInterval {
 		p.gaugesAt = now
 		p.metrics.update(p.node)
+		if age, known := p.confirmed.age(now); known {
+			p.metrics.settingsAge.Set(age.Seconds())
+		}
 	}
 }
 
@@ -298,6 +303,9 @@
 // configurationTimeout for the first one.
 func (p *Process) AwaitConfiguration(ctx context.Context) *routing.Table {
 	if table := p.Configuration(); table.Current() != nil {
+		if age, known := p.confirmed.age(p.clock.now()); known {
+			p.metrics.requestAge.Observe(age.Seconds())
+		}
 		return table
 	}
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -163,37 +163,17 @@
 	}
 }
 
+// settingsWait is how long a call may wait for a change of the operator's settings.
+const settingsWait = 2 * time.Second
+
 // watchOperatorSettings applies what the operator has written to the store, once at the
-// start and after each change. Store.OperatorSettings blocks until there is a change.
+// start and after each change.
 func (p *Process) watchOperatorSettings(ctx context.Context) {
 	for ctx.Err() == nil {
-		p.retry(ctx, "configuration", func() error {
-			o, err := p.store.OperatorSettings(ctx)
-			if err != nil {
-				return err
-			}
-			p.applyOperatorSettings(o)
-			return nil
-		})
+		p.retry(ctx, "configuration", func() error { return p.readOperatorSettings(ctx, settingsWait) })
 	}
 }
 
-// applyOperatorSettings passes the operator's settings to the node. If the configuration
-// is missing or invalid, the one in force stays in force. The evacuations are in rows of
-// their own and apply in any case. The argument "store" is the source that the node logs,
-// since it may receive both from other processes too.
-func (p *Process) applyOperatorSettings(o OperatorSettings) {
-	if o.Declaration == nil {
-		p.log.Warn().Msg("configuration-unreadable")
-	}
-	p.post(func(now Time) {
-		p.node.ApplyEvacuations(now, o.Evacuations, "store")
-		if o.Declaration != nil {
-			p.node.ApplyDeclaration(now, o.Declaration, "store")
-		}
-	})
-}
-
 // watchLayout reads the layout, i.e. how the runners are divided into shards, until it is
 // known. A process connects to no others before it knows the layout; watchLayout
 // therefore waits neither for the registration nor for the list of runners.
