The operator's settings are confirmed every 1.25 s, also on silent connections

What callers saw: a dropped route was still served by VMs of two failure domains, more than 2 s after the store had acknowledged the version without it.

Cause: the call that waits for changes of the operator's table was given up 3.5 s after it began (a wait of 2 s, a timeout of 1.5 s), and repeated 0.3 s later. On a connection that has gone silent a process hears nothing for up to 3.8 s, and since each change ends the calls of all processes at the same moment, no other process is ahead. 3 s after the last silence a change has to be in force that was acknowledged a second after it. The comment counted from changes acknowledged 3 s after; the rule counts requests sent then. Class: a fixed time stands for evidence that could be had. An open connection on which nothing arrives was taken for evidence that nothing has changed.

Change: the process records up to which time its copy has all acknowledged changes. A call waits until the copy is 1.25 s old, is given up 0.3 s after its wait, and is followed at once by one without a wait, on a new connection; so the copy is never more than some 1.6 s old while the store can be reached. A new configuration is published at once, not at the next tick.

--- a/entry/process.go
+++ b/entry/process.go
@@ -88,8 +88,7 @@
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pending    atomic.Pointer[map[string]int]
-	// confirmed says how current the operator's settings are.
-	confirmed confirmation
+	settings   settingsMonitor
 }
 
 // New creates a process and opens its socket for peers. Run starts the rest.
@@ -265,23 +264,29 @@
 		pending := p.node.Pending()
 		p.pending.Store(&pending)
 	}
-	if p.configuration.Load().Version() != p.node.ConfigVersion() {
-		first := p.configuration.Load().Current() == nil
-		table := p.node.Table()
-		p.configuration.Store(&table)
-		if first {
-			close(p.configured)
-		}
-	}
+	p.publishConfiguration()
 	if now-p.gaugesAt >= gaugeInterval {
 		p.gaugesAt = now
 		p.metrics.update(p.node)
-		if age, known := p.confirmed.age(now); known {
+		if age, known := p.settings.age(now); known {
 			p.metrics.settingsAge.Set(age.Seconds())
 		}
 	}
 }
 
+// publishConfiguration copies the configuration in force for other goroutines, if it has changed.
+func (p *Process) publishConfiguration() {
+	if p.configuration.Load().Version() == p.node.ConfigVersion() {
+		return
+	}
+	first := p.configuration.Load().Current() == nil
+	table := p.node.Table()
+	p.configuration.Store(&table)
+	if first {
+		close(p.configured)
+	}
+}
+
 // Stop begins a planned stop: other processes take over the shards that this one
 // leads, and it answers its callers until the grace period is nearly over.
 func (p *Process) Stop() {
@@ -303,7 +308,7 @@
 // configurationTimeout for the first one.
 func (p *Process) AwaitConfiguration(ctx context.Context) *routing.Table {
 	if table := p.Configuration(); table.Current() != nil {
-		if age, known := p.confirmed.age(p.clock.now()); known {
+		if age, known := p.settings.age(p.clock.now()); known {
 			p.metrics.requestAge.Observe(age.Seconds())
 		}
 		return table
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,32 +4,46 @@
 	"context"
 	"sync"
 	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/routing"
 )
 
-// confirmation records how current this process's copy of the operator's settings is. It is
-// shared by the loop, which puts settings in force, and by callers' requests.
-type confirmation struct {
-	mu sync.Mutex
-	// asOf is the time up to which the settings in force include all changes that the store had
-	// acknowledged; known is false before the first.
-	asOf  Time
-	known bool
+// settingsMonitor knows how current the operator's settings in force are. The goroutine of
+// watchOperatorSettings, the loop and callers' requests share it.
+type settingsMonitor struct {
+	mu        sync.Mutex
+	freshness routing.Freshness
 }
 
-// advance records that the settings in force include all changes up to a time.
-func (c *confirmation) advance(asOf Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.known || asOf > c.asOf {
-		c.asOf, c.known = asOf, true
-	}
+// age returns how long ago the settings were last confirmed; false if they never were.
+func (m *settingsMonitor) age(now Time) (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.freshness.Age(now)
 }
 
-// age returns how long ago the settings were last confirmed; false if they never were.
-func (c *confirmation) age(now Time) (time.Duration, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now - c.asOf, c.known
+// confirm records that the settings in force have all changes up to a time.
+func (m *settingsMonitor) confirm(asOf Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.freshness.Confirm(asOf)
+}
+
+// watchOperatorSettings puts in force what the operator has written to the store: it waits for
+// changes, and asks the store for a confirmation when a wait has failed.
+func (p *Process) watchOperatorSettings(ctx context.Context) {
+	var known routing.Freshness
+	for ctx.Err() == nil {
+		wait := known.NextWait(p.clock.now())
+		if wait == 0 {
+			p.retry(ctx, "configuration", func() error { return p.readOperatorSettings(ctx, 0, &known) })
+			continue
+		}
+		if err := p.readOperatorSettings(ctx, wait, &known); err != nil && ctx.Err() == nil {
+			p.log.Info().Dur("wait", wait).Err(err).Msg("settings-wait-failed")
+			p.retry(ctx, "configuration", func() error { return p.readOperatorSettings(ctx, 0, &known) })
+		}
+	}
 }
 
 // readOperatorSettings reads what the operator has written, and waits for a change for at most
@@ -37,7 +51,7 @@
 //
 // The answer is evidence of the store's state as the call began. If it says that nothing has changed, the
 // store has waited for the whole time, so the answer is evidence of the state at the end of the wait.
-func (p *Process) readOperatorSettings(ctx context.Context, wait time.Duration) error {
+func (p *Process) readOperatorSettings(ctx context.Context, wait time.Duration, known *routing.Freshness) error {
 	asOf := p.clock.now()
 	o, err := p.store.OperatorSettings(ctx, wait)
 	if err != nil {
@@ -46,12 +60,14 @@
 	if !o.Changed {
 		asOf += wait
 	}
+	known.Confirm(asOf)
 	answeredAt := p.clock.now()
 	p.post(func(now Time) {
 		if o.Changed {
 			p.applyOperatorSettings(now, o, now-answeredAt)
 		}
-		p.confirmed.advance(asOf)
+		p.publishConfiguration()
+		p.settings.confirm(asOf)
 	})
 	return nil
 }
@@ -62,7 +78,7 @@
 // from other processes too. queued is how long the settings have waited for the loop.
 func (p *Process) applyOperatorSettings(now Time, o OperatorSettings, queued time.Duration) {
 	event := p.log.Info().Dur("queued", queued)
-	if age, known := p.confirmed.age(now); known {
+	if age, known := p.settings.age(now); known {
 		event = event.Dur("age", age)
 	}
 	if o.Declaration != nil {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -163,17 +163,6 @@
 	}
 }
 
-// settingsWait is how long a call may wait for a change of the operator's settings.
-const settingsWait = 2 * time.Second
-
-// watchOperatorSettings applies what the operator has written to the store, once at the
-// start and after each change.
-func (p *Process) watchOperatorSettings(ctx context.Context) {
-	for ctx.Err() == nil {
-		p.retry(ctx, "configuration", func() error { return p.readOperatorSettings(ctx, settingsWait) })
-	}
-}
-
 // watchLayout reads the layout, i.e. how the runners are divided into shards, until it is
 // known. A process connects to no others before it knows the layout; watchLayout
 // therefore waits neither for the registration nor for the list of runners.
