Requests await a confirmation of settings that may be outdated

What callers saw: a process that had no processor time for more than 2 s, or was paused, answered what had arrived meanwhile by the configuration of before: a dropped route was still served.

Cause: nothing in a process knew how old its configuration was. detectStall knows of the pause and gives up the lead, but the configuration was used as if it were fresh.

Change: a request that meets settings which the store hasn't confirmed for 1.9 s awaits a confirmation, for at most 350 ms from when the store is asked; one call serves all requests. If the store has rejected such a call, or left it unanswered for that time, requests don't wait: a domain that is cut off goes on serving by what it knows. In an outage the call begins at an age of 1.55 s, so its time is over when the settings count as old, and no request waits.

TestRequestsAwaitTheConfigurationAfterAPause and TestRequestsDontAwaitALostStore, in virtual time.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,6 +29,7 @@
 	refusals        *prometheus.CounterVec
 	settingsAge     prometheus.Gauge
 	requestAge      prometheus.Histogram
+	settingsWaits   *prometheus.CounterVec
 }
 
 // latencyBuckets range from answers within a few milliseconds to callers' timeouts.
@@ -95,7 +96,10 @@
 	m.requestAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "sapphirepoint_request_settings_age_seconds", Help: "Age of the operator's settings by which a request was routed.", Buckets: settingsAgeBuckets,
 	})
-	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.refusals, m.settingsAge, m.requestAge)
+	m.settingsWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sapphirepoint_settings_waits_total", Help: "Requests that awaited a confirmation of the operator's settings, by outcome.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.refusals, m.settingsAge, m.requestAge, m.settingsWaits)
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
 		m.droppedMessages, m.unknownPeers, m.leading, m.jobsInFlight, m.scheduled)
 	return m
--- a/entry/process.go
+++ b/entry/process.go
@@ -88,7 +88,7 @@
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pending    atomic.Pointer[map[string]int]
-	settings   settingsMonitor
+	settings   *settingsMonitor
 }
 
 // New creates a process and opens its socket for peers. Run starts the rest.
@@ -115,6 +115,7 @@
 		readNow:  make(chan struct{}, 1),
 
 		unknownPeer: make(chan struct{}, 1),
+		settings:    newSettingsMonitor(),
 
 		configured: make(chan struct{}),
 	}
@@ -305,13 +306,12 @@
 func (p *Process) Configuration() *routing.Table { return p.configuration.Load() }
 
 // AwaitConfiguration returns the configuration in force. It waits up to
-// configurationTimeout for the first one.
+// configurationTimeout for the first one, and awaits a confirmation by the store if the last
+// one is old.
 func (p *Process) AwaitConfiguration(ctx context.Context) *routing.Table {
-	if table := p.Configuration(); table.Current() != nil {
-		if age, known := p.settings.age(p.clock.now()); known {
-			p.metrics.requestAge.Observe(age.Seconds())
-		}
-		return table
+	if p.Configuration().Current() != nil {
+		p.awaitCurrentSettings(ctx)
+		return p.Configuration()
 	}
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
