--- a/entry/process.go
+++ b/entry/process.go
@@ -88,6 +88,7 @@
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pending    atomic.Pointer[map[string]int]
+	settings   *settingsMonitor
 }
 
 // New creates a process and opens its socket for peers. Run starts the rest.
@@ -114,6 +115,7 @@
 		readNow:  make(chan struct{}, 1),
 
 		unknownPeer: make(chan struct{}, 1),
+		settings:    newSettingsMonitor(),
 
 		configured: make(chan struct{}),
 	}
@@ -263,17 +265,26 @@
 		pending := p.node.Pending()
 		p.pending.Store(&pending)
 	}
-	if p.configuration.Load().Version() != p.node.ConfigVersion() {
-		first := p.configuration.Load().Current() == nil
-		table := p.node.Table()
-		p.configuration.Store(&table)
-		if first {
-			close(p.configured)
-		}
-	}
+	p.publishConfiguration()
 	if now-p.gaugesAt >= gaugeInterval {
 		p.gaugesAt = now
 		p.metrics.update(p.node)
+		if age, known := p.settings.age(now); known {
+			p.metrics.settingsAge.Set(age.Seconds())
+		}
+	}
+}
+
+// publishConfiguration copies the configuration in force for other goroutines, if it has changed.
+func (p *Process) publishConfiguration() {
+	if p.configuration.Load().Version() == p.node.ConfigVersion() {
+		return
+	}
+	first := p.configuration.Load().Current() == nil
+	table := p.node.Table()
+	p.configuration.Store(&table)
+	if first {
+		close(p.configured)
 	}
 }
 
@@ -295,10 +306,12 @@
 func (p *Process) Configuration() *routing.Table { return p.configuration.Load() }
 
 // AwaitConfiguration returns the configuration in force. It waits up to
-// configurationTimeout for the first one.
+// configurationTimeout for the first one, and awaits a confirmation by the store if the last
+// one is old.
 func (p *Process) AwaitConfiguration(ctx context.Context) *routing.Table {
-	if table := p.Configuration(); table.Current() != nil {
-		return table
+	if p.Configuration().Current() != nil {
+		p.awaitCurrentSettings(ctx)
+		return p.Configuration()
 	}
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
