Soak: a second change during the fault, which calls that begin meanwhile have to bring

The first change ends the calls that wait since before the fault; the next one is learned only by a call that begins during it.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -115,9 +115,9 @@
 	return list
 }
 
-// changeDuring changes the configuration just after a fault, and checks that the change comes into force in
+// changeDuring changes the configuration twice just after a fault, and checks that the changes come into force in
 // time and for good. Another change shortly before the fault makes all processes wait for changes from the
-// same moment on.
+// same moment on; the first one after it ends the calls that still wait.
 func changeDuring(t *testing.T, program string, f fault, pauses pauseRule) {
 	for i := range *seeds {
 		seed := *first + uint64(i)
@@ -131,6 +131,8 @@
 				f.inject(w)
 				time.Sleep(w.randomDuration(10, 200))
 				w.putConfiguration()
+				time.Sleep(w.randomDuration(10, 200))
+				w.putConfiguration()
 				w.timers.Wait()
 				time.Sleep(observeTime)
 			}
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -188,7 +188,7 @@
 	c.probes.Wait()
 }
 
-// probe requests the route that was changed last, and one of all routes in turn, at each interval. It
+// probe requests the two routes that were changed last, and one of all routes in turn, at each interval. It
 // doesn't wait for the answers.
 func (c *configurationCheck) probe(n *node) {
 	for k := 0; ; k++ {
@@ -197,7 +197,7 @@
 			return
 		case <-time.After(probeInterval):
 		}
-		for _, r := range []route{c.lastChanged(), route(k % len(routeNames))} {
+		for _, r := range append(c.lastChanged(), route(k%len(routeNames))) {
 			c.probes.Add(1)
 			go func() {
 				defer c.probes.Done()
@@ -207,10 +207,14 @@
 	}
 }
 
-func (c *configurationCheck) lastChanged() route {
+func (c *configurationCheck) lastChanged() []route {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.versions[len(c.versions)-1].changed
+	var list []route
+	for _, v := range c.versions[max(0, len(c.versions)-2):] {
+		list = append(list, v.changed)
+	}
+	return list
 }
 
 // request asks a node for the number of pending jobs of a route. Answers that say nothing of the route are
