--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -21,6 +21,8 @@
 	rollbackSlack = 250 * time.Millisecond
 	// probeInterval is the time between two requests for a route at a VM.
 	probeInterval = 40 * time.Millisecond
+	// minTimerDelay is the delay from which on a late timer of the test is noted.
+	minTimerDelay = 50 * time.Millisecond
 	// probeTimeout exceeds all pauses.
 	probeTimeout = 8 * time.Second
 )
@@ -141,9 +143,17 @@
 	stopOnce     sync.Once
 	probes       sync.WaitGroup
 
-	mu       sync.Mutex
-	versions []*configurationVersion
-	answers  []routeAnswer
+	mu          sync.Mutex
+	versions    []*configurationVersion
+	answers     []routeAnswer
+	timerDelays []timerDelay
+}
+
+// timerDelay is how late a timer of the test itself was, and so perhaps the store's answers, which come from the
+// same process.
+type timerDelay struct {
+	at    time.Time
+	delay time.Duration
 }
 
 func newConfigurationCheck() *configurationCheck {
@@ -192,11 +202,13 @@
 // doesn't wait for the answers.
 func (c *configurationCheck) probe(n *node) {
 	for k := 0; ; k++ {
+		due := time.Now().Add(probeInterval)
 		select {
 		case <-c.stop:
 			return
 		case <-time.After(probeInterval):
 		}
+		c.recordTimerDelay(time.Since(due))
 		for _, r := range append(c.lastChanged(), route(k%len(routeNames))) {
 			c.probes.Add(1)
 			go func() {
@@ -207,6 +219,25 @@
 	}
 }
 
+func (c *configurationCheck) recordTimerDelay(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d >= minTimerDelay {
+		c.timerDelays = append(c.timerDelays, timerDelay{time.Now(), d})
+	}
+}
+
+// maxTimerDelay returns how late timers of the test were at most between two times.
+func (c *configurationCheck) maxTimerDelay(from, to time.Time) time.Duration {
+	var most time.Duration
+	for _, t := range c.timerDelays {
+		if !t.at.Before(from) && !t.at.Add(-t.delay).After(to) {
+			most = max(most, t.delay)
+		}
+	}
+	return most
+}
+
 func (c *configurationCheck) lastChanged() []route {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -250,11 +281,13 @@
 	latest     time.Duration
 	latestVM   string
 	violations []string
+	// timerDelay is how late the test's own timers were at most.
+	timerDelay time.Duration
 }
 
 func (r *configurationReport) String() string {
-	return fmt.Sprintf("%d answers, %d overdue, the latest by an older version sent %v after an acknowledgement, by %s",
-		r.answers, r.overdue, r.latest.Round(time.Millisecond), r.latestVM)
+	return fmt.Sprintf("%d answers, %d overdue, the latest by an older version sent %v after an acknowledgement, by %s; the test's timers late by at most %v",
+		r.answers, r.overdue, r.latest.Round(time.Millisecond), r.latestVM, r.timerDelay.Round(time.Millisecond))
 }
 
 // report checks all answers.
@@ -264,6 +297,9 @@
 	answers := slices.Clone(c.answers)
 	slices.SortFunc(answers, func(a, b routeAnswer) int { return a.sent.Compare(b.sent) })
 	r := &configurationReport{answers: len(answers)}
+	if len(answers) > 0 {
+		r.timerDelay = c.maxTimerDelay(answers[0].sent, time.Now())
+	}
 	shown := make(map[process]*shownVersions)
 	for _, a := range answers {
 		if c.newestVersion(a) < 0 {
@@ -292,8 +328,9 @@
 	}
 	if late > applyTime && c.disturbances.inTouch(a.vm, a.sent, pauses) {
 		r.overdue++
-		r.violations = append(r.violations, fmt.Sprintf("%s answers at %v that %s is there: %v, as an older version allows, %v after the acknowledgement; answered after %v",
-			a.vm, a.sent.UTC().Format(time.RFC3339Nano), routeNames[a.route], a.present, late.Round(time.Millisecond), a.received.Sub(a.sent).Round(time.Millisecond)))
+		r.violations = append(r.violations, fmt.Sprintf("%s answers at %v that %s is there: %v, as an older version allows, %v after the acknowledgement; answered after %v; the test's timers late by at most %v since %v before",
+			a.vm, a.sent.UTC().Format(time.RFC3339Nano), routeNames[a.route], a.present, late.Round(time.Millisecond), a.received.Sub(a.sent).Round(time.Millisecond),
+			c.maxTimerDelay(a.sent.Add(-contactTime), a.received).Round(time.Millisecond), contactTime))
 	}
 }
 
