--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -37,6 +37,20 @@
 	changeDuring(t, buildEntry(t), processPaused, pausesCounted)
 }
 
+// Guards against processes that get little processor time, all of them, and answer by the configuration from
+// before, also while connections to the store go silent. They are paused most of the time, which leaves the
+// store its own.
+func TestSoakStarvedProcesses(t *testing.T) {
+	t.Parallel()
+	program := buildEntry(t)
+	for _, f := range []fault{processesStarved, storeSilencedAndProcessesStarved} {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			changeDuring(t, program, f, pausesCounted)
+		})
+	}
+}
+
 // Guards against changes of the configuration that come into force late, or are taken back, because of a fault.
 func TestSoakChangesDuringFaults(t *testing.T) {
 	program := buildEntry(t)
@@ -50,6 +64,19 @@
 
 var (
 	storeSilenced = fault{"connections silent", func(w *world) { silenceStoreConnections(w.nodes...) }}
+	// processesStarved lets all processes run for a tenth of the time.
+	processesStarved = fault{"processes starved", func(w *world) {
+		for _, n := range w.nodes {
+			for i := range 10 {
+				w.runAfter(time.Duration(i)*500*time.Millisecond, func() { n.signal(syscall.SIGSTOP) })
+				w.runAfter(time.Duration(i)*500*time.Millisecond+450*time.Millisecond, func() { n.signal(syscall.SIGCONT) })
+			}
+		}
+	}}
+	storeSilencedAndProcessesStarved = fault{"connections silent and processes starved", func(w *world) {
+		storeSilenced.inject(w)
+		processesStarved.inject(w)
+	}}
 	processPaused = fault{"process paused", func(w *world) { w.pause(w.randomNode()) }}
 )
 
