A silent runner may be starved until there is evidence that it isn't

What callers may see: a task runs twice at the same time. Two runners had got no processor time for longer than 1,150 ms, by the log: run-lapsed after 1,153 to 1,376 ms, 'accepts connections: true', then dropped-run-done up to 1.1 s later.

Cause: two times stood for evidence. 1,150 ms after its last answer the runs of a silent runner counted as over, though its host accepted connections, so that nothing showed that they were. And where it wasn't known whether the host accepts connections, 670 ms sufficed: a process that is short of processor time itself notices too late that a connection was made, and a lack of descriptors or ports here counted as a refusal.

Change: only a refusal, or two connections in a row that weren't made in time though this process noticed their timeout punctually, show that a silent runner isn't starved; otherwise its runs count for 6 s (maxStarvation), which exceeds what callers wait. So a starved runner's tasks wait for its answer.

Tests: TestTaskOfARunnerThatMayBeStarvedWaitsLonger now covers the unknown connection too, TestTaskOfAnUnreachableRunnerDoesntWaitLonger the connection that times out in its place: that an unknown one ended the wait early was the fault. In the tests' harness a lost runner refuses connections. Runs of 9 s in place of 4 s let tests reach the longer time.

--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -136,13 +136,16 @@
 	return r != nil && !r.down && w.domainsConnected(n.domain, r.info.Domain)
 }
 
-// connection is what a Hold that stayed unanswered shows of its runner's host.
-func connection(h schedule.Hold, accepted bool) schedule.Connection {
+// connection is what a Hold that stayed unanswered shows of its runner's host. A process that is short of
+// processor time notices too late that a connection was made.
+func (w *world) connection(n *fakeNode, r *fakeRunner, h schedule.Hold, accepted bool) schedule.Connection {
 	switch {
-	case !h.NewConnection:
+	case !h.NewConnection || w.chance(w.lateConnections):
 		return schedule.ConnectionUnknown
 	case accepted:
 		return schedule.ConnectionMade
+	case r != nil && !w.domainsConnected(n.domain, r.info.Domain):
+		return schedule.ConnectionTimedOut
 	}
 	return schedule.ConnectionFailed
 }
@@ -230,6 +233,10 @@
 		w.mostLed = max(w.mostLed, w.shardsLed())
 		w.makeIdle(func(r *fakeRunner) { r.starve(w.randomDuration(minStarved, maxStarved+1)) })
 	}
+	faults["runners starved for long"] = func(w *world) {
+		w.lateConnections = lateConnectionShare
+		w.makeIdle(func(r *fakeRunner) { r.starve(w.randomDuration(minStarved, maxLongStarved+1)) })
+	}
 	faults["runners silent"] = func(w *world) {
 		killDelay := w.drawKillDelay()
 		w.makeIdle(func(r *fakeRunner) {
@@ -248,6 +255,13 @@
 // repeated lists a fault several times, so that it is drawn that much more often.
 func repeated(name string, times int) []string { return slices.Repeat([]string{name}, times) }
 
+const (
+	// maxLongStarved is how long runners on a busy host may get no processor time, in milliseconds.
+	maxLongStarved = 5000
+	// lateConnectionShare is the share of new connections that are noticed too late, on VMs as busy.
+	lateConnectionShare = 0.7
+)
+
 func starvedFaults() []string { return repeated("runners starved", 8) }
 
 func silenceFaults() []string { return repeated("runners silent", 8) }
@@ -271,6 +285,13 @@
 	playFaultyRuns(t, starvedFaults()...)
 }
 
+// Guards against the same where runners stand still for seconds, and where the entry VMs are short of processor
+// time too, so that they notice late whether a runner's host accepts connections.
+func TestRandomLongStarvation(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, repeated("runners starved for long", 6)...)
+}
+
 // Guards against the same while links between VMs are cut, so that nobody knows who leads beyond.
 func TestRandomStarvedRunnersAndLinks(t *testing.T) {
 	t.Parallel()
--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -85,7 +85,7 @@
 			}
 			if o == schedule.Unanswered {
 				w.noteUnanswered(accepted)
-				res.Connection = connection(c, accepted)
+				res.Connection = w.connection(n, w.runner(c.Runner), c, accepted)
 			}
 			res.Runner, res.Token, res.ListOnly, res.ReachabilityOnly, res.Outcome, res.Clock = c.Runner, c.Token, c.ListOnly, c.ReachabilityOnly, o, clock
 			n.node.Held(w.now, shard, res)
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -85,6 +85,9 @@
 	listed map[workload.RunnerID]bool
 	// history is what was ordered and done, by task.
 	history map[string][]runEvent
+	// lateConnections is the share of new connections to runners of which processes, short of processor time,
+	// notice too late that they were made.
+	lateConnections float64
 	// silences counts the holds that stayed unanswered, and mostLed is the largest number of shards
 	// that one process led when runners were starved.
 	silences unansweredHolds
--- a/core/routing/freshness_test.go
+++ b/core/routing/freshness_test.go
@@ -57,7 +57,7 @@
 	var unanswered Freshness
 	unanswered.Confirm(0)
 	unanswered.Ask(ConfirmInterval)
-	g.Expect(unanswered.Await(maxSettingsAge + 1)).To(BeZero(), "current settings are older than the wait for the call")
+	g.Expect(unanswered.Await(maxSettingsAge+1)).To(BeZero(), "current settings are older than the wait for the call")
 	g.Expect(unanswered.Await(time.Hour)).To(BeZero())
 
 	var rejected Freshness
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -194,13 +194,16 @@
 
 // The connections.
 const (
-	// ConnectionUnknown: the order was sent on an earlier connection, or no connection was made in time.
+	// ConnectionUnknown: the order was sent on an earlier connection, or it isn't known why none was made,
+	// as when this process was short of processor time.
 	ConnectionUnknown Connection = iota
 	// ConnectionMade: the host has accepted a new connection, so it is up and in reach, and the runner's
 	// process, which doesn't answer, may still be alive.
 	ConnectionMade
 	// ConnectionFailed: the host has refused the connection, or there is no way to it.
 	ConnectionFailed
+	// ConnectionTimedOut: no new connection was made in time, though this process wasn't late itself.
+	ConnectionTimedOut
 )
 
 // ClockReading is a runner's clock as read from an answer.
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -40,7 +40,7 @@
 
 // runningTask starts the only task of a job, and returns its confirmed run.
 func (b *harness) runningTask() Start {
-	b.submit(testJob(1, 400*ms), 4*time.Second)
+	b.submit(testJob(1, 400*ms), 9*time.Second)
 	c := one[Start](b)
 	b.started(c, Accepted)
 	return c
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -154,10 +154,15 @@
 
 func (b *harness) answerHold(h Hold, o CallOutcome, running ...workload.RunKey) {
 	clock := b.clock()
+	connection := ConnectionUnknown
 	if o == Unanswered {
 		clock.Milliseconds = 0
+		if h.NewConnection {
+			// The runner's process has ended.
+			connection = ConnectionFailed
+		}
 	}
-	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, ReachabilityOnly: h.ReachabilityOnly, Outcome: o, Running: running, Clock: clock})
+	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, ReachabilityOnly: h.ReachabilityOnly, Outcome: o, Connection: connection, Running: running, Clock: clock})
 }
 
 func (b *harness) started(c Start, o CallOutcome) {
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -32,6 +32,7 @@
 	}
 	r.noteAnsweredHold(res)
 	r.noteSilence(res)
+	r.host = host{awake: true}
 	s.unanswered(r)
 	s.probe(r)
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -40,7 +40,7 @@
 	switch res.Outcome {
 	case Accepted:
 		r.answered(res.Clock.SentAt)
-		r.connected = false
+		r.host = host{}
 		s.noteAnswerAfterSilence(r, silence)
 		s.applyLists(r, res)
 		s.dispatch()
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -48,10 +48,10 @@
 	// leaseLimit is the latest end, on the runner's clock, of a lease that the runner may have; 0 if that
 	// isn't known. overrunReported is the limit for which a run that was alive later was last reported.
 	leaseLimit, overrunReported int64
-	// unansweredAt is when the latest Hold was sent that stayed unanswered. connected: since the runner's
-	// last answer its host has accepted a connection, and none has failed later.
+	// unansweredAt is when the latest Hold was sent that stayed unanswered, and host what such orders have
+	// shown since the last answer.
 	unansweredAt Time
-	connected    bool
+	host         host
 	// unresponsiveSince is when an order stayed unanswered. An answer to a later order clears
 	// unresponsive. Nothing is started on an unresponsive runner.
 	unresponsiveSince Time
@@ -165,7 +165,7 @@
 	r.listInFlight = false
 	r.listAsOf = 0
 	r.unresponsive = false
-	r.unansweredAt, r.connected = 0, false
+	r.unansweredAt, r.host = 0, host{}
 	r.acknowledged = 0
 	r.ends = nil
 	r.recentEnds = nil
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -11,16 +11,60 @@
 //   - Their lease has ended, also if the runner's clock is slow.
 //   - The runner has left an order unanswered that was sent after that, and after its last answer. If it
 //     answers, its lists show what has become of the runs.
-//   - If its host has accepted a connection since its last answer, the times below have passed as well.
-//     Such a host is up and in reach, so the runner's process may be alive.
+//   - Its host refuses connections, or outOfReachAttempts in a row weren't made in time. Otherwise the
+//     runner's process may be alive, and the times below must have passed as well.
 const (
 	// maxStarvation is how long a runner may get no processor time, from up to HoldWait after its last
-	// answer.
-	maxStarvation = time.Second
+	// answer. Callers have given up by then; tasks of stored jobs go on elsewhere.
+	maxStarvation = 6 * time.Second
 	// starvedEndMargin is added to lateEndMargin for such a runner.
 	starvedEndMargin = 250 * time.Millisecond
+	// outOfReachAttempts is the number of connections in a row that weren't made in time from which on a host
+	// counts as out of reach. One may be lost on the way.
+	outOfReachAttempts = 2
 )
 
+// host is what orders without an answer have shown of a runner's host since the runner's last answer.
+type host struct {
+	// refused: its latest answer to a new connection was a refusal.
+	refused bool
+	// timedOut is the number of new connections in a row, up to the latest, that weren't made in time.
+	timedOut int
+	// awake: the runner has answered, though what it said can't be used; so it isn't starved.
+	awake bool
+}
+
+// observe adds what an order without an answer shows.
+func (h *host) observe(c Connection) {
+	switch c {
+	case ConnectionMade:
+		*h = host{}
+	case ConnectionFailed:
+		h.refused = true
+	case ConnectionTimedOut:
+		h.timedOut++
+	}
+}
+
+// mayBeStarved reports whether the runner's process may be alive and in reach, and doesn't answer for want of
+// processor time.
+func (h host) mayBeStarved() bool {
+	return !h.refused && !h.awake && h.timedOut < outOfReachAttempts
+}
+
+// String describes the host in logs.
+func (h host) String() string {
+	switch {
+	case h.refused:
+		return "host refuses connections"
+	case h.timedOut >= outOfReachAttempts:
+		return "host out of reach"
+	case h.awake:
+		return "runner answers"
+	}
+	return "host may be up"
+}
+
 // leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
@@ -33,7 +77,7 @@
 // runsOver reports whether the runs of a silent runner count as over.
 func (s *Scheduler) runsOver(r *runner) bool {
 	over := r.aliveUntil
-	if r.connected {
+	if r.host.mayBeStarved() {
 		over = max(r.aliveUntil+starvedEndMargin, r.clockAt+s.cfg.HoldWait+maxStarvation)
 	}
 	return r.askedInVain() && s.now > over
@@ -56,9 +100,7 @@
 // noteSilence records a Hold that stayed unanswered or was rejected.
 func (r *runner) noteSilence(res HoldResult) {
 	r.unansweredAt = max(r.unansweredAt, res.Clock.SentAt)
-	if res.Connection != ConnectionUnknown {
-		r.connected = res.Connection == ConnectionMade
-	}
+	r.host.observe(res.Connection)
 }
 
 // describeSilence says on what evidence the runs of a silent runner count as over.
@@ -67,7 +109,7 @@
 	if r.unansweredAt > 0 {
 		asked = fmt.Sprintf("asked %v ago", round(now-r.unansweredAt))
 	}
-	return fmt.Sprintf("may have lived until %v ago, %s, accepts connections: %t", round(now-r.aliveUntil), asked, r.connected)
+	return fmt.Sprintf("may have lived until %v ago, %s, %v", round(now-r.aliveUntil), asked, r.host)
 }
 
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond / 10) }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -24,11 +24,11 @@
 
 // Guards against a run that counts as over on evidence that the log doesn't show.
 func TestLapsedRunIsLoggedWithItsEvidence(t *testing.T) {
-	for connection, said := range map[Connection]string{ConnectionMade: "accepts connections: true", ConnectionFailed: "accepts connections: false"} {
+	for connection, said := range map[Connection]string{ConnectionMade: "host may be up", ConnectionFailed: "host refuses connections", ConnectionTimedOut: "host out of reach"} {
 		b := leading(t, testRunner("r1"))
 		c := b.runningTask()
 		var lapsed []Decision
-		for range 200 {
+		for end := b.now + starvedLife + time.Second; b.now < end; {
 			b.leaveUnanswered(c.Runner, connection)
 			b.tick(20 * ms)
 			for _, d := range take[Decision](b) {
@@ -64,7 +64,7 @@
 	b := leading(t, testRunner("r1"), testRunner("r2"))
 	c := b.runningTask()
 	last := b.now
-	for b.now-last < 3*time.Second {
+	for b.now-last < 3*starvedLife {
 		for _, h := range take[Hold](b) {
 			if h.Runner == c.Runner && h.LeaseEnd > 0 {
 				last = b.now
@@ -83,12 +83,14 @@
 
 // Guards against a task that runs twice since its runner, starved of processor time, ends its runs late.
 func TestTaskOfARunnerThatMayBeStarvedWaitsLonger(t *testing.T) {
-	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", starvedLife))
+	for _, c := range []Connection{ConnectionMade, ConnectionUnknown} {
+		NewWithT(t).Expect(silentFor(t, c)).To(BeNumerically(">", starvedLife))
+	}
 }
 
 // Guards against a task that waits for a runner that can't be reached for longer than its lease.
 func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
-	for _, c := range []Connection{ConnectionFailed, ConnectionUnknown} {
+	for _, c := range []Connection{ConnectionFailed, ConnectionTimedOut} {
 		NewWithT(t).Expect(silentFor(t, c)).To(BeNumerically("<=", maxRunLife(DefaultConfig().Lease)+40*ms))
 	}
 }
@@ -130,7 +132,7 @@
 // host accepts connections, is silent.
 func TestAStoppedRunOfASilentRunnerCounts(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
-	b.submit(testJob(1, 400*ms), 4*time.Second)
+	b.submit(testJob(1, 400*ms), 9*time.Second)
 	b.started(one[Start](b), Unanswered)
 	again := one[Start](b)
 	b.started(again, Unanswered)
