A job that may have been sent before waits for runners that may be starved

Cause: a new leader took a job that it didn't know for a new one. If the entry process and the scheduler that had it are both lost, only the runners' lists show the first attempt, and a runner that is starved gives none. The time after which callers send a job again, 1.3 s, covers the end of a lease and not a runner that ends its runs late. Callers saw a task run twice at once.

Change: for a second after a takeover (maxStarvation) a best-effort job that may have been sent before waits while a runner of its service hasn't listed its runs under this leader's token and may be alive: its host accepts connections, or no order on a new connection has shown whether it does. Which jobs can't have been sent before follows from the last messages of the entry processes that were lost lately: a copy comes Resend later at the earliest. A process that doesn't know of losses before its start takes all jobs for ones that may have been sent. A runner that leaves the first order of a new leader unanswered is asked again at once; its silence was counted from the process's start, so the second order came 500 ms later.

Tried and not taken: to wait only once a connection is known to be accepted.

--- a/core/schedule/entries.go
+++ b/core/schedule/entries.go
@@ -45,6 +45,7 @@
 // runs here; so they are stopped at once.
 func (s *Scheduler) EntryLost(now Time, entry EntryID, ended bool) {
 	s.now = now
+	s.noteResent(entry)
 	delete(s.lastContact, entry)
 	delete(s.borrowing.refusesLent, entry)
 	if entry == s.progressFrom {
@@ -84,6 +85,7 @@
 // run.
 func (s *Scheduler) EntryDisconnected(now Time, entry EntryID) {
 	s.now = now
+	s.noteResent(entry)
 	s.dropEarly(entry)
 	for _, j := range s.sortedJobs() {
 		if j.entry == entry && j.stored == nil && !j.started {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -171,6 +171,8 @@
 		// that VM as lost, and may have given the job to a scheduler that sees only the runs that
 		// exist by then.
 		return true
+	case s.mayBeResent(j):
+		return true
 	case j.priorSchedulers > 0 && s.now < s.progressWaitUntil:
 		return true
 	case j.stored == nil:
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -217,7 +217,7 @@
 // probe sends a silent runner another Hold, at once or after an interval.
 func (s *Scheduler) probe(r *runner) {
 	r.nextHoldAt = s.now
-	if silence := s.now - r.clockAt; silence > immediateProbeSilence && !(r.hasTaskRuns() && s.now < r.leaseOverAt()) {
+	if silence := s.now - max(r.clockAt, r.lastAskedAt); silence > immediateProbeSilence && !(r.hasTaskRuns() && s.now < r.leaseOverAt()) {
 		r.nextHoldAt = s.now + min(silence/4, maxProbeInterval)
 	} else if !r.holdInFlight {
 		s.hold(r)
--- /dev/null
+++ b/core/schedule/resent.go
@@ -0,0 +1,71 @@
+package schedule
+
+// Jobs whose callers send them again after their entry process was lost.
+//
+// If the scheduler that had such a job is lost too, the job reaches the next one as a new job. That
+// scheduler finds the runs of the first attempt on the runners' lists. It can't see a run on a runner that
+// hasn't listed its runs since this process leads; if the runner's host accepts connections, its process may be
+// starved, and may end the run later than its lease. So jobs that may have been sent before wait until each such
+// runner has listed its runs, or must have ended those of the scheduler before.
+//
+// Callers send a job again Resend after they have lost their entry process at the earliest. Which processes were
+// lost when is known from their last messages, so most new jobs can be told from such jobs and don't wait.
+
+// resentPeriod is how long after the last message of a lost entry process a run of its jobs may be alive: the
+// scheduler notices the loss, renews the run for abandonedGrace, and the runner is starved in its last lease.
+const resentPeriod = maxSilence + abandonedGrace + maxLease + maxStarvation
+
+// resentJobs says which new jobs their callers may have sent before, to a process that was lost since.
+type resentJobs struct {
+	// from is the earliest time at which such a job may arrive. It is 0 while losses of before the start
+	// of this process matter, and never if no loss matters.
+	from Time
+	// until is when the losses known so far cease to matter; 0 before the first tick.
+	until Time
+}
+
+// noteResent records that an entry process may be lost, with the jobs of its callers.
+func (s *Scheduler) noteResent(entry EntryID) {
+	contact, ok := s.lastContact[entry]
+	if !ok {
+		return
+	}
+	s.resent.from = min(s.resent.from, contact+s.cfg.Resend)
+	s.resent.until = max(s.resent.until, contact+resentPeriod)
+}
+
+// expireResent ends the period in which the losses known so far matter.
+func (s *Scheduler) expireResent() {
+	if s.resent.until == 0 {
+		s.resent.until = s.now + resentPeriod
+	}
+	if s.now >= s.resent.until {
+		s.resent.from = never
+	}
+}
+
+// mayBeResent reports whether a job that came as a new one may have been sent before, and have a run that no
+// runner has listed.
+func (s *Scheduler) mayBeResent(j *job) bool {
+	return j.stored == nil && j.priorSchedulers == 0 && j.arrived >= s.resent.from &&
+		s.now < s.leadingSince+maxStarvation && s.anyMayHoldRuns(j.work.Service)
+}
+
+// anyMayHoldRuns reports whether a runner of a service may hold runs of an earlier scheduler that it hasn't listed.
+func (s *Scheduler) anyMayHoldRuns(service string) bool {
+	for _, r := range s.runnerList {
+		if r.info.Service == service && r.mayHoldRuns() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHoldRuns reports whether the runner, acquired and asked for its lists, has given none, and its process may
+// be alive: its host accepts connections, or no order on a new connection has shown yet whether it does.
+func (r *runner) mayHoldRuns() bool {
+	if r.owned || r.gone || r.token == 0 {
+		return false
+	}
+	return r.connected || !r.connectionTried
+}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -49,9 +49,11 @@
 	// isn't known. overrunReported is the limit for which a run that was alive later was last reported.
 	leaseLimit, overrunReported int64
 	// unansweredAt is when the latest Hold was sent that stayed unanswered. connected: since the runner's
-	// last answer its host has accepted a connection, and none has failed later.
-	unansweredAt Time
-	connected    bool
+	// last answer its host has accepted a connection, and none has failed later. connectionTried: since it
+	// was acquired an order that stayed unanswered has shown whether it does, or was sent on a new connection.
+	unansweredAt    Time
+	connected       bool
+	connectionTried bool
 	// unresponsiveSince is when an order stayed unanswered. An answer to a later order clears
 	// unresponsive. Nothing is started on an unresponsive runner.
 	unresponsiveSince Time
@@ -165,7 +167,7 @@
 	r.listInFlight = false
 	r.listAsOf = 0
 	r.unresponsive = false
-	r.unansweredAt, r.connected = 0, false
+	r.unansweredAt, r.connected, r.connectionTried = 0, false, false
 	r.acknowledged = 0
 	r.ends = nil
 	r.recentEnds = nil
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -141,6 +141,7 @@
 	drops       dropMemory
 	lostOrphans lostOrphans
 	borrowing   borrowing
+	resent      resentJobs
 	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
 
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -58,6 +58,10 @@
 	r.unansweredAt = max(r.unansweredAt, res.Clock.SentAt)
 	if res.Connection != ConnectionUnknown {
 		r.connected = res.Connection == ConnectionMade
+		r.connectionTried = true
+	}
+	if r.unresponsive && res.Clock.SentAt >= r.unresponsiveSince {
+		r.connectionTried = true
 	}
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -13,6 +13,7 @@
 func (s *Scheduler) Tick(now Time) {
 	s.now = now
 	s.expire()
+	s.expireResent()
 	s.expireGrants()
 	s.tickStored()
 	if !s.leading {
