A job whose home has lost its leader waits for the next one

What callers saw: tasks that ran twice, in two shards. Their job was in another shard than its home, or at home, its leader was lost, and a copy of it came by way of another entry process before the home had the next leader. Cause: an entry process hands a job whose home has no leader to the shard of the cell with the shortest wait. Only the home's leader knows, by its own lending and by the reports of entry processes, that another shard has the job, or that it runs at home; the entry process that gets the copy knows nothing. Ruled out: one second choice for everybody instead of the shortest wait. A lender isn't that choice, nor is the home, where the lost leader's runs are alive. Change: the job waits for the next leader of its home if that will come: a process that can lead is reachable, and none reports that it has heard from the lost leader within two heartbeat intervals. Such a job counts as one that the lost leader had, so the next leader starts it once the runners have listed their runs, its caller isn't told that nothing was run, and it goes to no third shard when it is refused. It waits for as long as its caller does. As before, jobs go to other shards at once where no process of the cell can lead, and where the leader is only out of reach of this entry process; who gets a copy then knows no more than before.

--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -167,6 +167,7 @@
 // updateLeader acts on a change of a shard's leader, and reports whether there was one.
 func (n *Node) updateLeader(now Time, s *shard) bool {
 	c := n.view.Choose(now, s.index, s.leading())
+	n.gateway.SetLeaderExpected(s.index, !c.Reachable && n.view.ExpectsLeader(now, s.index))
 	if s.schedule != nil {
 		s.schedule.SetContested(n.view.Yields(s.index))
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -68,12 +68,16 @@
 
 // Gateway holds the jobs in flight. It isn't safe for concurrent use.
 type Gateway struct {
-	now       Time
-	choices   map[int]leader.Choice
-	jobs      map[workload.JobID]*inFlightJob
-	byRequest map[uint64]workload.JobID
-	drops     recentDrops
-	domain    string
+	now     Time
+	choices map[int]leader.Choice
+	// leaderLostAt is when the shards without a reachable leader lost theirs.
+	leaderLostAt map[int]Time
+	// leaderExpected are the shards that will have a leader.
+	leaderExpected map[int]bool
+	jobs           map[workload.JobID]*inFlightJob
+	byRequest      map[uint64]workload.JobID
+	drops          recentDrops
+	domain         string
 	// fallback is set if jobs may go to shards other than their home.
 	fallback FallbackShards
 	// starting: the process has just started and hasn't reached a scheduler yet.
@@ -86,11 +90,13 @@
 // New returns a gateway without jobs.
 func New() *Gateway {
 	return &Gateway{
-		choices:       make(map[int]leader.Choice),
-		jobs:          make(map[workload.JobID]*inFlightJob),
-		byRequest:     make(map[uint64]workload.JobID),
-		drops:         newRecentDrops(),
-		expectedWaits: make(map[int]time.Duration),
+		choices:        make(map[int]leader.Choice),
+		leaderLostAt:   make(map[int]Time),
+		leaderExpected: make(map[int]bool),
+		jobs:           make(map[workload.JobID]*inFlightJob),
+		byRequest:      make(map[uint64]workload.JobID),
+		drops:          newRecentDrops(),
+		expectedWaits:  make(map[int]time.Duration),
 	}
 }
 
@@ -150,10 +156,11 @@
 	j := &inFlightJob{job: job, shard: shard, home: shard, arrived: now, due: now + job.Objective, deadline: now + remainingTimeout, requests: []uint64{request}}
 	j.droppedBefore = g.drops.has(now, job.ID)
 	g.notePriorHandIn(j)
+	g.noteLostLeader(j)
 	g.jobs[job.ID] = j
 	g.byRequest[request] = job.ID
 	g.handIn(j)
-	if c := g.choices[shard]; j.scheduler == "" && c.Leader != "" && !c.Reachable && !g.starting {
+	if c := g.choices[shard]; j.scheduler == "" && c.Leader != "" && !c.Reachable && !g.starting && !g.awaitsLeader(shard) {
 		g.giveUp(j, workload.NoScheduler, "the scheduler can't be reached")
 	}
 }
@@ -200,6 +207,7 @@
 	if c == g.choices[shard] {
 		return
 	}
+	g.recordLoss(shard, c)
 	g.choices[shard] = c
 	for _, j := range g.sortedJobs() {
 		if j.shard == shard && j.scheduler != "" && j.scheduler != c.Leader {
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "slices"
+import (
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/leader"
+)
 
 // The choice of the shard that a job is handed in to.
 
@@ -12,7 +16,9 @@
 
 // chooseShard is the shard that a job goes to, if one has a reachable leader. While runs that
 // an earlier scheduler started may be alive, it is the shard that the job was in, since only
-// the runners of that shard list them.
+// the runners of that shard list them. It is the job's home while that has lost its leader and will
+// have the next one: copies of the job may be in any other shard, and only the home's leader learns
+// where.
 func (g *Gateway) chooseShard(j *inFlightJob) (int, bool) {
 	if j.priorSubmissions > 0 && g.now < j.uncertainUntil || j.job.Stored {
 		return j.shard, g.hasReachableLeader(j.shard)
@@ -20,12 +26,43 @@
 	if g.hasReachableLeader(j.home) {
 		return j.home, true
 	}
+	if g.awaitsLeader(j.home) {
+		return j.home, false
+	}
 	if s, ok := g.shortestWait(j, g.fallback.SameCell); ok {
 		return s, true
 	}
 	return g.shortestWait(j, g.fallback.OtherCells)
 }
 
+// SetLeaderExpected sets whether a shard without a reachable leader will have one.
+func (g *Gateway) SetLeaderExpected(shard int, expected bool) { g.leaderExpected[shard] = expected }
+
+// awaitsLeader reports whether a shard has lost its leader and will have the next one.
+func (g *Gateway) awaitsLeader(shard int) bool {
+	_, lost := g.leaderLostAt[shard]
+	return lost && g.leaderExpected[shard]
+}
+
+// noteLostLeader records that a run of a new job may be alive: its home has lost its leader, which may
+// have had the job from another entry process.
+func (g *Gateway) noteLostLeader(j *inFlightJob) {
+	if j.job.Stored || j.priorSubmissions > 0 || !g.awaitsLeader(j.home) {
+		return
+	}
+	j.priorSubmissions, j.uncertainUntil = 1, g.leaderLostAt[j.home]+orphanRunLifetime
+}
+
+// recordLoss records when a shard's leader was lost, until the shard has a reachable one.
+func (g *Gateway) recordLoss(shard int, c leader.Choice) {
+	switch {
+	case c.Reachable:
+		delete(g.leaderLostAt, shard)
+	case g.choices[shard].Reachable:
+		g.leaderLostAt[shard] = g.now
+	}
+}
+
 // shortestWait is the shard with the shortest expected wait among those with a reachable
 // leader that haven't refused the job. With equal waits, jobs spread over the shards.
 func (g *Gateway) shortestWait(j *inFlightJob, shards []int) (int, bool) {
--- a/core/leader/choice.go
+++ b/core/leader/choice.go
@@ -50,6 +50,16 @@
 	return Choice{Leader: leader, Reachable: leader != ""}
 }
 
+// ExpectsLeader reports whether a shard of this cell without a reachable leader will have one as soon as
+// the lost one counts as lost everywhere: a process that can lead is reachable, and none has heard from
+// the lost leader lately. Otherwise that one is only out of reach of this process.
+func (v *View) ExpectsLeader(now Time, shard int) bool {
+	if v.layout[shard] != v.own.Cell || v.preferred(now, shard) == "" {
+		return false
+	}
+	return v.followedByPeers(now, shard, maxAliveAge) == ""
+}
+
 // Yields reports whether this process leads a shard and waits for another process to take
 // it over.
 func (v *View) Yields(shard int) bool { return v.yieldSince[shard] > 0 }
@@ -90,13 +100,18 @@
 // last in contact with this process. Of several, the one with the smallest ID is returned, so
 // that the result doesn't depend on the order of the map.
 func (v *View) leaderFollowedByPeers(now Time, shard int) ID {
+	return v.followedByPeers(now, shard, HeartbeatTimeout)
+}
+
+// followedByPeers is leaderFollowedByPeers with the greatest age of the follower's last contact.
+func (v *View) followedByPeers(now Time, shard int, maxAge Time) ID {
 	found := ID("")
 	for id, p := range v.peers {
 		l := p.report.Leader(shard)
 		if l == "" || l == v.self || l == id || v.peers[l] != nil {
 			continue
 		}
-		if now-p.lastContact+p.report.Follows[shard].Age <= HeartbeatTimeout && (found == "" || l < found) {
+		if now-p.lastContact+p.report.Follows[shard].Age <= maxAge && (found == "" || l < found) {
 			found = l
 		}
 	}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -43,6 +43,10 @@
 	// heartbeats. A lost datagram is retransmitted within some tens of milliseconds, so
 	// this tolerates a pause of two heartbeat intervals.
 	HeartbeatTimeout = 450 * time.Millisecond
+	// maxAliveAge is how long ago a process last heard from another one that is alive, as it reports:
+	// an interval until the next heartbeat, and one until the report. When a process counts as lost here,
+	// others have heard from it one interval later at most.
+	maxAliveAge = 2 * HeartbeatInterval
 	// settlePeriod is how long a new process listens before it may lead, counted from when
 	// it knows which other processes exist. Connecting with them takes about 50 ms, or 80 ms
 	// if all start at once. The wait is skipped once all have reported; see allReported.
