Logs: warnings of runs that may have overlapped have the origins of both

A run that lapsed and is listed as done later, and a runner whose runs outlive their lease, were logged without a warning. The warning of a second run named both runs, but not when they were started, for which entry process, under which token, nor whether the job was handed in again between them, so that a starved runner, a job sent again and a start in a runner's next incarnation looked alike. An end of a run that this scheduler had never heard of left no line at all, although the task had another run.

Change: task-ran-twice and dropped-run-done have entry, token and a detail with the origins of both runs. dropped-run-done is a warning where the runs may have overlapped (a lapsed run, a fenced or restarted runner, a run of an earlier scheduler), and comes for ends of unknown runs too. lease-overrun is a warning if this scheduler has started a run that is alive. No decision changes.

TestRunFoundAfterItsLeaseWasOver expected no warning for such an end; it now expects exactly one, dropped-run-done, and beside task-ran-twice exactly the lease-overrun. An end after the lease is still not reported as a second run.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -97,6 +97,9 @@
 	if d.Token != 0 {
 		f = append(f, Field{"token", d.Token})
 	}
+	if d.Entry != "" {
+		f = append(f, Field{"entry", string(d.Entry)})
+	}
 	if d.Reason != "" {
 		f = append(f, Field{"reason", d.Reason})
 	}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -105,6 +105,8 @@
 	Detail string
 	// Token is the fencing token in force.
 	Token uint64
+	// Entry is the entry process that handed the job in; "" if it has no part in the decision.
+	Entry EntryID
 	// Warning: it may need an operator's attention.
 	Warning bool
 }
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -76,6 +76,12 @@
 	return false
 }
 
+// mayOverlap reports whether a run that was dropped for this reason, and is listed as done later, may have
+// run beside the task's next run. Where the runner itself has shown that the run was over, it hasn't.
+func (d DropReason) mayOverlap() bool {
+	return d == LeaseOver || d == RunnerFenced || d == RunnerRestarted
+}
+
 // DropCounts are numbers of dropped runs by DropReason.
 type DropCounts [dropReasons]uint64
 
@@ -95,15 +101,27 @@
 	evidence string
 	// allowsEnd: see DropReason.allowsEnd.
 	allowsEnd bool
-	at        Time
-	// next is the task's next run, started at nextStarted; its number is 0 if there is none.
-	next        workload.RunKey
-	nextRunner  workload.RunnerID
-	nextStarted Time
+	// mayOverlap: see DropReason.mayOverlap.
+	mayOverlap bool
+	at         Time
+	origin     runOrigin
+	// incarnationStart is that of its runner.
+	incarnationStart int64
+	// next is the task's next run; its number is 0 if there is none.
+	next       workload.RunKey
+	nextRunner workload.RunnerID
+	nextOrigin runOrigin
 	// reported: the run was found alive and logged.
 	reported bool
 }
 
+func newDroppedRun(u *run, at Time, evidence string) *droppedRun {
+	return &droppedRun{
+		key: u.key, runner: u.runner.info.ID, evidence: evidence, at: at,
+		origin: originOf(u), incarnationStart: u.runner.incarnationStart,
+	}
+}
+
 // dropMemory holds the dropped runs.
 type dropMemory struct {
 	byTask map[workload.TaskName][]*droppedRun
@@ -162,7 +180,8 @@
 	u.runner.drop(u)
 	s.ctr.Dropped[why]++
 	s.emitForRun(u, d)
-	dropped := &droppedRun{key: u.key, runner: u.runner.info.ID, evidence: d.Event + " " + d.Reason, allowsEnd: why.allowsEnd(), at: s.now}
+	dropped := newDroppedRun(u, s.now, d.Event+" "+d.Reason)
+	dropped.allowsEnd, dropped.mayOverlap = why.allowsEnd(), why.mayOverlap()
 	if other := s.otherRun(u); other != nil {
 		dropped.setNext(other)
 	}
@@ -184,7 +203,7 @@
 }
 
 func (d *droppedRun) setNext(u *run) {
-	d.next, d.nextRunner, d.nextStarted = u.key, u.runner.info.ID, u.started
+	d.next, d.nextRunner, d.nextOrigin = u.key, u.runner.info.ID, originOf(u)
 }
 
 // otherRun returns the present run of a run's task if it is another one, and nil otherwise.
@@ -212,7 +231,7 @@
 	if d == nil {
 		d = s.uncountedRun(u)
 	}
-	if d == nil || d.reported || d.next.Number == 0 || requestedAt < d.nextStarted {
+	if d == nil || d.reported || d.next.Number == 0 || requestedAt < d.nextOrigin.startedAt {
 		return
 	}
 	s.reportAlive(d, "running")
@@ -225,16 +244,32 @@
 	if other == nil {
 		return nil
 	}
-	d := &droppedRun{key: u.key, runner: u.runner.info.ID, evidence: "not known when the other run was started", at: u.started}
+	d := newDroppedRun(u, u.started, "not known when the other run was started")
+	d.allowsEnd, d.mayOverlap = true, true
 	d.setNext(other)
 	s.drops.add(d)
 	return d
 }
 
+// uncountedEnd is uncountedRun for a run that is listed as done. u is nil if the run was never listed as running.
+func (s *Scheduler) uncountedEnd(r *runner, u *run, e workload.End) *droppedRun {
+	if e.Kind != workload.Done {
+		return nil
+	}
+	if u == nil {
+		u = &run{key: e.Run, runner: r, started: s.now, startedElsewhere: true}
+	}
+	return s.uncountedRun(u)
+}
+
 // checkListedEnd warns if the end of a dropped run shows that the run was alive when it was dropped and
-// its task started again. Other ends of dropped runs are logged without a warning.
-func (s *Scheduler) checkListedEnd(r *runner, e workload.End) {
+// its task started again, or doesn't show that it wasn't. Other ends of dropped runs are logged without a
+// warning. u is the run, if it is known.
+func (s *Scheduler) checkListedEnd(r *runner, u *run, e workload.End) {
 	d := s.drops.find(e.Run, r)
+	if d == nil && (u == nil || u.task == nil) {
+		d = s.uncountedEnd(r, u, e)
+	}
 	if d == nil || d.reported || d.next.Number == 0 || e.Kind != workload.Done {
 		return
 	}
@@ -244,7 +279,7 @@
 	}
 	d.reported = true
 	s.ctr.DoneAfterDrop++
-	s.emitLateSign("dropped-run-done", d, "done", false)
+	s.emitLateSign("dropped-run-done", d, "done", d.mayOverlap)
 }
 
 func (s *Scheduler) reportAlive(d *droppedRun, state string) {
@@ -256,5 +291,8 @@
 // emitLateSign logs a sign of a dropped run; the age is the time since it was dropped.
 func (s *Scheduler) emitLateSign(event string, d *droppedRun, state string, warning bool) {
 	reason := fmt.Sprintf("%s, other run %s on %s; %s", state, d.next, d.nextRunner, d.evidence)
-	s.emit(Decision{Event: event, Job: d.key.Task.Job, Run: d.key, Runner: d.runner, Reason: reason, Age: s.now - d.at, Warning: warning})
+	s.emit(Decision{
+		Event: event, Job: d.key.Task.Job, Run: d.key, Runner: d.runner, Entry: d.nextOrigin.entry, Token: d.nextOrigin.token,
+		Reason: reason, Detail: s.describeOrigins(d), Age: s.now - d.at, Warning: warning,
+	})
 }
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -145,8 +146,9 @@
 	}
 }
 
-// Guards against a run that goes on after its lease was counted as over, while its task runs elsewhere.
-// An end as done isn't such a sign: the run may have ended before its lease did.
+// Guards against a run that goes on after its lease was counted as over, while its task runs elsewhere,
+// without a warning. An end as done isn't reported as a second run: the run may have ended before its lease
+// did.
 func TestRunFoundAfterItsLeaseWasOver(t *testing.T) {
 	for _, running := range []bool{true, false} {
 		b := leading(t, testRunner("r1"), testRunner("r2"))
@@ -161,16 +163,56 @@
 		b.started(one[Start](b), Accepted)
 		if running {
 			b.lists(c.Runner, b.now, c.Run)
-			b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", c.Run, ContainSubstring("run-lapsed"))))
+			b.g.Expect(b.warnings()).To(ConsistOf(
+				logged("task-ran-twice", c.Run, ContainSubstring("run-lapsed")), logged("lease-overrun", c.Run, "1 runs alive"),
+			))
 			continue
 		}
 		b.end(c.Runner, 1, c.Run, workload.Done)
-		lines := take[Decision](b)
-		b.g.Expect(lines).To(ContainElement(logged("dropped-run-done", c.Run, ContainSubstring("run-lapsed"))))
-		b.g.Expect(lines).NotTo(ContainElement(HaveField("Warning", true)))
+		b.g.Expect(b.warnings()).To(ConsistOf(logged("dropped-run-done", c.Run, ContainSubstring("run-lapsed"))))
 	}
 }
 
+// Guards against a warning of a second run that doesn't say when both were started, for whom, and whether
+// the job was handed in again between them.
+func TestWarningsHaveTheOriginsOfBothRuns(t *testing.T) {
+	b, first, second := restartAfterRejection(t)
+	b.lists(first.Runner, b.now, first.Run)
+	d := b.warnings()[0]
+	b.g.Expect(d.Detail).To(Equal(fmt.Sprintf(
+		"started 10ms ago under token %d, for %s, 0 schedulers before; other run started 10ms ago under token %d, for %s, 0 schedulers before",
+		first.Token, entryA, second.Token, entryA,
+	)))
+	b.g.Expect(d.Entry).To(Equal(entryA))
+	b.g.Expect(d.Token).To(Equal(second.Token))
+}
+
+// Guards against the same where the job was sent again by way of another entry process, or the runner has
+// restarted.
+func TestWarningsSayWhatHappenedBetweenTheRuns(t *testing.T) {
+	b, first, _ := restartAfterRejection(t)
+	d := b.s.drops.find(first.Run, b.s.runners[first.Runner])
+	d.nextOrigin.arrivedAt += ms
+	b.s.runners[first.Runner].incarnationStart++
+	b.lists(first.Runner, b.now, first.Run)
+	b.g.Expect(b.warnings()[0].Detail).To(HaveSuffix("; the job was handed in again between them; the runner has restarted since"))
+}
+
+// Guards against a task that was done beside another run of it, without a line: the new leader had no list
+// of the runner, and the first list that it gets has the end of the run.
+func TestEndOfAnUnknownRunBesideAnotherIsReported(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	earlier := workload.RunKey{Task: c.Run.Task, Number: c.Run.Number + 1}
+	other := workload.RunnerID("r1")
+	if c.Runner == other {
+		other = "r2"
+	}
+	b.now += 10 * ms
+	b.end(other, 1, earlier, workload.Done)
+	b.g.Expect(b.warnings()).To(ConsistOf(logged("dropped-run-done", earlier, ContainSubstring("not known when"))))
+}
+
 // Guards against a start before all runs of earlier schedulers are known, without a line in the log.
 func TestUnknownRunBesideAnotherIsReported(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -177,7 +177,7 @@
 	if u != nil {
 		r.drop(u)
 	}
-	s.checkListedEnd(r, e)
+	s.checkListedEnd(r, u, e)
 	t := s.taskOf(u, e.Run)
 	if t == nil {
 		s.endedUnknown(e)
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // A silent runner has crashed, is out of reach, or gets no processor time. In the last case it ends its
@@ -73,7 +76,8 @@
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond / 10) }
 
 // checkOverrun logs if a runner lists runs as running though all leases that it may have had ended
-// before, by its own clock. Such a runner ends its runs late.
+// before, by its own clock. Such a runner ends its runs late. It warns if this scheduler has started one
+// of them: the leases of other schedulers aren't known.
 func (s *Scheduler) checkOverrun(r *runner, res HoldResult) {
 	if r.leaseLimit == 0 || r.overrunReported == r.leaseLimit || len(res.Running) == 0 || res.Clock.Milliseconds <= r.leaseLimit {
 		return
@@ -84,5 +88,15 @@
 	s.emit(Decision{
 		Event: "lease-overrun", Runner: r.info.ID, Run: res.Running[0], Job: res.Running[0].Task.Job, Token: r.token,
 		Reason: fmt.Sprintf("%d runs alive", len(res.Running)), Age: overrun,
+		Warning: slices.ContainsFunc(res.Running, func(k workload.RunKey) bool { return s.startedHere(r, k) }),
 	})
 }
+
+// startedHere reports whether this scheduler has started a run that a runner lists, be it dropped since.
+func (s *Scheduler) startedHere(r *runner, k workload.RunKey) bool {
+	if d := s.drops.find(k, r); d != nil {
+		return !d.origin.listed
+	}
+	u := r.runs[k]
+	return u != nil && !u.startedElsewhere
+}
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -50,7 +50,7 @@
 	b.lists(c.Runner, b.now, c.Run)
 	b.lists(c.Runner, b.now, c.Run)
 	lines := take[Decision](b)
-	b.g.Expect(lines).To(ContainElement(And(logged("lease-overrun", c.Run, "1 runs alive"), HaveField("Age", 100*ms))))
+	b.g.Expect(lines).To(ContainElement(And(logged("lease-overrun", c.Run, "1 runs alive"), HaveField("Age", 100*ms), HaveField("Warning", true))))
 	b.g.Expect(b.s.Counters().LeaseOverruns).To(BeEquivalentTo(1))
 }
 
