Logs: copies of jobs, starts without all lists, and jobs in two shards

Cause: a task that has two runs in two shards, or beside a run of an earlier scheduler, is seen by no single scheduler. Of the hypotheses for a task that ran twice on three deployments, a job sent again after its processes ended, a copy in a third shard and a starved runner left the same lines, or none: no line said that a copy came to a scheduler that knew its job, that a new leader started a task without the list of a runner, that two entry processes reported a job in different shards, or that a lapsed run had ended with its lease.

Change: job-copy-received, started-without-lists, job-in-two-shards (a warning) and dropped-run-expired; job-elsewhere says whether the home has a scheduler in reach and how many had the job before. One line a copy; the lines on missing lists are bounded by the logarithm of their number, and by the jobs that came from another scheduler. No decision changes.

--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -50,7 +50,7 @@
 	switch c := c.(type) {
 	case gateway.HandIn:
 		if c.Shard != c.Home {
-			n.notice("job-elsewhere", Field{"job", string(c.Job.ID)}, Field{"shard", c.Shard}, Field{"home", c.Home}, Field{"wait", ms(c.ExpectedWait)})
+			n.noticeElsewhere(c)
 		}
 		if c.To == n.Self() {
 			n.submit(c.At, c.To, c)
@@ -97,6 +97,12 @@
 	}
 }
 
+// noticeElsewhere logs that a job goes to a shard other than its home.
+func (n *Node) noticeElsewhere(c gateway.HandIn) {
+	n.notice("job-elsewhere", Field{"job", string(c.Job.ID)}, Field{"shard", c.Shard}, Field{"home", c.Home},
+		Field{"home-reachable", n.leaderOf(c.Home) != ""}, Field{"submissions", c.PriorSubmissions}, Field{"wait", ms(c.ExpectedWait)})
+}
+
 // noticeDecision logs a scheduler's decision.
 func (n *Node) noticeDecision(d schedule.Decision) {
 	if d.Warning {
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -253,7 +253,7 @@
 
 // uncountedEnd is uncountedRun for a run that is listed as done. u is nil if the run was never listed as running.
 func (s *Scheduler) uncountedEnd(r *runner, u *run, e workload.End) *droppedRun {
-	if e.Kind != workload.Done {
+	if !showsLife(e.Kind) {
 		return nil
 	}
 	if u == nil {
@@ -270,18 +270,26 @@
 	if d == nil && (u == nil || u.task == nil) {
 		d = s.uncountedEnd(r, u, e)
 	}
-	if d == nil || d.reported || d.next.Number == 0 || e.Kind != workload.Done {
+	if d == nil || d.reported || d.next.Number == 0 || !showsLife(e.Kind) {
 		return
 	}
-	if !d.allowsEnd {
+	switch {
+	case e.Kind == workload.LeaseExpired:
+		d.reported = true
+		s.emitLateSign("dropped-run-expired", d, e.Kind.String(), false)
+	case d.allowsEnd:
+		d.reported = true
+		s.ctr.DoneAfterDrop++
+		s.emitLateSign("dropped-run-done", d, "done", d.mayOverlap)
+	default:
 		s.reportAlive(d, "done")
-		return
 	}
-	d.reported = true
-	s.ctr.DoneAfterDrop++
-	s.emitLateSign("dropped-run-done", d, "done", d.mayOverlap)
 }
 
+// showsLife reports whether a run that ended so went on until it was done, or until its runner found that
+// its lease was over.
+func showsLife(k workload.EndKind) bool { return k == workload.Done || k == workload.LeaseExpired }
+
 func (s *Scheduler) reportAlive(d *droppedRun, state string) {
 	d.reported = true
 	s.ctr.RanTwice++
--- a/core/schedule/elsewhere.go
+++ b/core/schedule/elsewhere.go
@@ -35,6 +35,7 @@
 }
 
 func (s *Scheduler) noteElsewhere(e JobElsewhere) {
+	s.logInTwoShards(e)
 	l, known := s.borrowing.lent[e.Job]
 	copied := e.Copied || known && (l.copied || l.entry != e.Entry)
 	s.borrowing.lent[e.Job] = lentJob{entry: e.Entry, to: e.Shard, at: s.now, copied: copied}
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -202,6 +202,7 @@
 	s.ctr.Starts++
 	r.add(u)
 	s.noteNextRun(u)
+	s.logMissingLists(u)
 	s.sendStart(u)
 	s.hold(r)
 }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -101,6 +101,8 @@
 	// of the process progressFrom.
 	progressWaitUntil Time
 	progressFrom      EntryID
+	// loggedMissing are the runners of each service whose lists were missing when that was last logged.
+	loggedMissing map[string][]workload.RunnerID
 	// latestHandoverAt is when the latest job arrived that another scheduler had. Runners
 	// whose last list is older are asked for a new one.
 	latestHandoverAt Time
@@ -232,6 +234,7 @@
 	s.yielding = false
 	s.leadingSince = now
 	s.uncertainUntil = now + takeoverWindow
+	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
 	s.forgetRunners()
 	for _, r := range s.runnerList {
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -46,6 +46,7 @@
 		s.submitStored(sub)
 		return
 	}
+	s.logCopy(sub)
 	id := sub.Job.ID
 	if r, ok := s.results[id]; ok && !s.refusedHere(id, r) {
 		s.answer(sub.Entry, id, s.outcomeForCopy(r), "known")
