Logs: a run that a starved runner ended late is a warning

The run is listed as ended with its lease, which left dropped-run-expired without a warning: the one line of one process that shows this pair would be cut from a record that has warnings first.

Change: dropped-run-expired is a warning if the runner's host accepted connections while the runner was silent, or if another scheduler had started the run. Behind a cut, or after a crash, it stays a plain line. No decision changes.

--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -103,6 +103,9 @@
 	allowsEnd bool
 	// mayOverlap: see DropReason.mayOverlap.
 	mayOverlap bool
+	// mayEndLate: the run may have ended later than its lease, beside the next one. Its runner was silent
+	// while its host accepted connections, as one that gets no processor time, or its lease isn't known.
+	mayEndLate bool
 	at         Time
 	origin     runOrigin
 	// incarnationStart is that of its runner.
@@ -118,7 +121,7 @@
 func newDroppedRun(u *run, at Time, evidence string) *droppedRun {
 	return &droppedRun{
 		key: u.key, runner: u.runner.info.ID, evidence: evidence, at: at,
-		origin: originOf(u), incarnationStart: u.runner.incarnationStart,
+		origin: originOf(u), incarnationStart: u.runner.incarnationStart, mayEndLate: u.runner.connected,
 	}
 }
 
@@ -245,7 +248,7 @@
 		return nil
 	}
 	d := newDroppedRun(u, u.started, "not known when the other run was started")
-	d.allowsEnd, d.mayOverlap = true, true
+	d.allowsEnd, d.mayOverlap, d.mayEndLate = true, true, true
 	d.setNext(other)
 	s.drops.add(d)
 	return d
@@ -276,7 +279,7 @@
 	switch {
 	case e.Kind == workload.LeaseExpired:
 		d.reported = true
-		s.emitLateSign("dropped-run-expired", d, e.Kind.String(), false)
+		s.emitLateSign("dropped-run-expired", d, e.Kind.String(), d.mayEndLate)
 	case d.allowsEnd:
 		d.reported = true
 		s.ctr.DoneAfterDrop++
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// Guards against a run that its runner, which got no processor time, ended later than its lease and beside
+// another run of its task, without a warning; and against a warning for each run behind a cut.
+func TestRunThatExpiredOnAStarvedRunnerIsReported(t *testing.T) {
+	for _, connection := range []Connection{ConnectionMade, ConnectionFailed} {
+		b := leading(t, testRunner("r1"), testRunner("r2"))
+		c := b.runningTask()
+		for b.s.runners[c.Runner].runs[c.Run] != nil {
+			b.leaveUnanswered(c.Runner, connection)
+			b.tick(20 * ms)
+		}
+		b.started(one[Start](b), Accepted)
+		take[Decision](b)
+		b.end(c.Runner, 1, c.Run, workload.LeaseExpired)
+		b.g.Expect(take[Decision](b)).To(ContainElement(And(
+			logged("dropped-run-expired", c.Run, ContainSubstring("run-lapsed")), HaveField("Warning", connection == ConnectionMade),
+		)))
+	}
+}
+
 // Guards against a warning of a second run that doesn't say when both were started, for whom, and whether
 // the job was handed in again between them.
 func TestWarningsHaveTheOriginsOfBothRuns(t *testing.T) {
