--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -103,8 +103,8 @@
 	allowsEnd bool
 	// mayOverlap: see DropReason.mayOverlap.
 	mayOverlap bool
-	// mayEndLate: the run may have ended later than its lease, beside the next one. Its runner was silent
-	// while its host accepted connections, as one that gets no processor time, or its lease isn't known.
+	// mayEndLate: the run may have ended later than its lease, beside the next one: its runner may have been
+	// starved, or its lease isn't known.
 	mayEndLate bool
 	at         Time
 	origin     runOrigin
@@ -121,7 +121,7 @@
 func newDroppedRun(u *run, at Time, evidence string) *droppedRun {
 	return &droppedRun{
 		key: u.key, runner: u.runner.info.ID, evidence: evidence, at: at,
-		origin: originOf(u), incarnationStart: u.runner.incarnationStart, mayEndLate: u.runner.connected,
+		origin: originOf(u), incarnationStart: u.runner.incarnationStart, mayEndLate: u.runner.host.mayBeStarved(),
 	}
 }
 
