Only a refused connection shows that a runner's process has ended

Cause: a failed connection of any kind counted as evidence that nobody listens at a silent runner's address, also that its host can't be reached.

Change: only a refusal (ECONNREFUSED) takes back that the host accepts connections. An unreachable host shows nothing. A runner that is cut off from the start is waited for as before.

What a cut shows on the users' network isn't known; no play or soak was run for it.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -194,12 +194,13 @@
 
 // The connections.
 const (
-	// ConnectionUnknown: the order was sent on an earlier connection, or no connection was made in time.
+	// ConnectionUnknown: the order was sent on an earlier connection, no connection was made in time, or
+	// the host can't be reached.
 	ConnectionUnknown Connection = iota
 	// ConnectionMade: the host has accepted a new connection, so it is up and in reach, and the runner's
 	// process, which doesn't answer, may still be alive.
 	ConnectionMade
-	// ConnectionFailed: the host has refused the connection, or there is no way to it.
+	// ConnectionFailed: the host has refused the connection, so nobody listens there.
 	ConnectionFailed
 )
 
