Stand-in: a slow call whose handler writes no status is answered with 200

Cause: applyFaults kept a slow call's answer and sent its status, which was 0 where the handler had written none. net/http panics on status 0. What callers saw: no answer, and a stack trace on the test's output. Change: the answer begins with 200, as any http.ResponseWriter does. Evidence: TestSlowCallWithoutAStatusIsAnswered panicked before, passes now.

--- a/standin/deployment/runner_faults.go
+++ b/standin/deployment/runner_faults.go
@@ -140,7 +140,7 @@
 		}
 		q.Body = io.NopCloser(bytes.NewReader(body))
 		time.Sleep(f.delay())
-		a := answer{header: w.Header()}
+		a := answer{header: w.Header(), status: http.StatusOK}
 		next.ServeHTTP(&a, q)
 		if q.URL.Path == startPath && rand.Float64() < f.UnansweredStarts {
 			<-q.Context().Done()
@@ -157,6 +157,7 @@
 // answer is a response that isn't sent yet.
 type answer struct {
 	header http.Header
+	// status is the last one that was written, and 200 before, as for any http.ResponseWriter.
 	status int
 	body   bytes.Buffer
 }
