--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -136,9 +136,10 @@
 		return schedule.Accepted
 	}
 	if c.Run.Number <= r.sealed[c.Run.Task] {
+		r.extendLease(c.LeaseEnd)
 		return schedule.Outdated
 	}
-	if c.LeaseEnd <= r.clock() {
+	if r.tooLate(c.LeaseEnd) {
 		return schedule.TooLate
 	}
 	j := r.w.jobs[c.Run.Task.Job]
@@ -177,6 +178,15 @@
 	return schedule.Accepted
 }
 
+// tooLate reports whether a start comes too late: after the lease that it asks for or, on a lenient
+// runner, after any lease that the runner has.
+func (r *fakeRunner) tooLate(leaseEnd int64) bool {
+	if r.w.lenientStarts {
+		leaseEnd = max(leaseEnd, r.leaseEnd)
+	}
+	return leaseEnd <= r.clock()
+}
+
 func (r *fakeRunner) stop(c schedule.Stop) schedule.CallOutcome {
 	if !r.acceptToken(c.Token) {
 		return schedule.Fenced
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -68,6 +68,8 @@
 	connectableAt map[[2]string]time.Duration
 	// sendDelay is the additional latency of the messages that a VM sends.
 	sendDelay map[string]time.Duration
+	// lenientStarts: runners accept a start after its own lease while they have another one.
+	lenientStarts bool
 	// queryAll: all processes are queried for each accepted job.
 	queryAll bool
 	// onSend, if set, is called with each message as it is sent.
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -322,7 +322,12 @@
 	tasks := 1 + (caller+k)%3
 	runTime := time.Duration(20+(caller*37+k*53)%250)*time.Millisecond + w.extraRunTime
 	begin := time.Now()
-	for tries := 1; time.Since(begin) < callerTimeout; tries++ {
+	firstTry := 1
+	if answered := w.sendCopy(caller, k, job, runTime, tasks); answered != nil {
+		firstTry = 2 // a refusal of one request says nothing of the other
+		defer func() { <-answered }()
+	}
+	for tries := firstTry; time.Since(begin) < callerTimeout; tries++ {
 		n := w.nodes[(caller+k+tries)%len(w.nodes)]
 		status, body := w.submit(n, job, runTime, tasks, callerTimeout-time.Since(begin))
 		w.checker.checkAnswer(job, tasks, status, tries, body)
--- /dev/null
+++ b/soak/harsh_runners_test.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sapphirepoint.example/sapphirepoint/standin/deployment"
+	"sapphirepoint.example/sapphirepoint/standin/faults"
+)
+
+// Faults that the platform's interfaces allow beside the usual ones: runners without room, calls that are
+// carried out and not answered or seconds late, runners whose entries disappear for a while, entry VMs whose
+// views of the store differ, and jobs that arrive twice at once.
+
+// Guards against tasks that run twice when orders are carried out seconds late, after newer ones.
+func TestSoakOrdersCarriedOutLate(t *testing.T) {
+	soakOnly(t, scenario{faults: slices.Concat(orderFaults, orderFaults, processFaults)})
+}
+
+// Guards against the same on runners that carry out starts after their deadlines while they have a lease.
+func TestSoakLenientStarts(t *testing.T) {
+	soakOnly(t, scenario{faults: slices.Concat(orderFaults, orderFaults, processFaults), lenientStarts: true, extraRunTime: 500 * time.Millisecond})
+}
+
+// Guards against tasks that run twice when the entry VMs see different lists of runners as leaders change.
+func TestSoakDifferentLists(t *testing.T) {
+	soakOnly(t, scenario{faults: slices.Concat(listFaults, listFaults, processFaults), ownStoreProxies: true, extraRunTime: 500 * time.Millisecond})
+}
+
+// Guards against tasks that run twice when a job arrives again while its first request is open.
+func TestSoakCopies(t *testing.T) {
+	soakOnly(t, scenario{faults: slices.Concat(processFaults, listFaults, orderFaults), copies: 0.3, ownStoreProxies: true, extraRunTime: 300 * time.Millisecond})
+}
+
+// Guards against the same when entry processes are paused again and again for short times.
+func TestSoakPausesInSeries(t *testing.T) {
+	soakOnly(t, scenario{faults: slices.Concat(processFaults, orderFaults, []fault{pausedInSeries, pausedInSeries, pausedInSeries}), copies: 0.1, extraRunTime: 500 * time.Millisecond})
+}
+
+var orderFaults = []fault{
+	{"runners without room", func(w *world) {
+		share := 0.2 + w.rng.Float64()/2
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) { f.StartsWithoutRoom = set(share, on) })
+	}},
+	{"calls unanswered", func(w *world) {
+		starts, others := 0.3+w.rng.Float64()/2, 0.1+w.rng.Float64()/2
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+			f.UnansweredStarts, f.UnansweredOthers = set(starts, on), set(others, on)
+		})
+	}},
+	{"orders carried out late", func(w *world) {
+		share, delay := 0.2+w.rng.Float64()/2, w.randomDuration(800, 6000)
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+			f.Slow, f.MaxDelay = set(share, on), delay
+		})
+	}},
+	{"orders carried out late, stops rejected", func(w *world) {
+		share, stops, delay := 0.2+w.rng.Float64()/2, 0.5+w.rng.Float64()/2, w.randomDuration(500, 3000)
+		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+			f.Slow, f.MaxDelay, f.RejectedStops = set(share, on), delay, set(stops, on)
+		})
+	}},
+}
+
+var processFaults = []fault{leaderPaused, leaderKilled, pausedInSeries}
+
+var listFaults = []fault{
+	{"entries disappear", func(w *world) {
+		for _, r := range w.runners {
+			if w.rng.IntN(4) > 0 {
+				continue
+			}
+			w.store.Remove("servers", r.runner.ID)
+			w.runAfter(w.randomDuration(200, 3000), func() { w.register(r) })
+		}
+	}},
+	{"runner replaced", func(w *world) { w.replaceRunner(w.rng.IntN(len(w.runners))) }},
+	{"store silent for a VM", func(w *world) { w.randomStoreProxy().Silence() }},
+	{"store cut off from a VM", func(w *world) {
+		p := w.randomStoreProxy()
+		p.Drop(w.rng.IntN(2) == 0, true)
+		w.runAfter(w.randomDuration(300, 3800), func() { p.Drop(false, false) })
+	}},
+}
+
+// leaderKilled kills a leader.
+var leaderKilled = fault{"leader killed", func(w *world) {
+	if leaders := w.leaders(); len(leaders) > 0 {
+		leaders[w.rng.IntN(len(leaders))].signal(syscall.SIGKILL)
+	}
+}}
+
+// pausedInSeries pauses a process for short times with shorter times between.
+var pausedInSeries = fault{"paused in series", func(w *world) {
+	n := w.randomNode()
+	if leaders := w.leaders(); len(leaders) > 0 && w.rng.IntN(4) > 0 {
+		n = leaders[w.rng.IntN(len(leaders))]
+	}
+	var at time.Duration
+	for range 3 + w.rng.IntN(6) {
+		w.runAfter(at, func() { n.signal(syscall.SIGSTOP) })
+		at += w.randomDuration(50, 390)
+		w.runAfter(at, func() { n.signal(syscall.SIGCONT) })
+		at += w.randomDuration(2, 80)
+	}
+}}
+
+// register puts the entry of a runner back, if the runner still exists.
+func (w *world) register(r *proxiedRunner) {
+	if r.runner.Crashed() {
+		return
+	}
+	info := r.runner.Info
+	info.Address = r.proxy.Address()
+	if err := w.store.Put("servers", r.runner.ID, info); err != nil {
+		w.checker.reportViolation("the soak test itself failed: %v", err)
+	}
+}
+
+// newStoreAddress returns the address at which the next entry VM reaches the store.
+func (w *world) newStoreAddress() (string, error) {
+	if !w.ownStoreProxies {
+		return w.storeProxy.Address(), nil
+	}
+	p, err := faults.NewProxy(w.store.Address())
+	if err != nil {
+		return "", errors.Wrap(err, "proxy of the store")
+	}
+	w.nodeProxies = append(w.nodeProxies, p)
+	return p.Address(), nil
+}
+
+func (w *world) randomStoreProxy() *faults.Proxy {
+	if len(w.nodeProxies) == 0 {
+		return w.storeProxy
+	}
+	return w.nodeProxies[w.rng.IntN(len(w.nodeProxies))]
+}
+
+// copyDelay is within what time after a request a copy of it is sent.
+const copyDelay = 1600 * time.Millisecond
+
+// sendCopy sends a copy of a job to another entry VM than the first request, for a share of the jobs. It
+// returns a channel that is closed when the copy was answered; nil if there is none.
+func (w *world) sendCopy(caller, k int, job string, runTime time.Duration, tasks int) chan struct{} {
+	if rand.Float64() >= w.copies {
+		return nil
+	}
+	n, answered := w.nodes[(caller+k+2)%len(w.nodes)], make(chan struct{})
+	go func() {
+		defer close(answered)
+		time.Sleep(rand.N(copyDelay))
+		w.submit(n, job, runTime, tasks, callerTimeout)
+	}()
+	return answered
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -24,6 +24,8 @@
 	prefix  = "/spot/"
 	// graceS is the time between SIGTERM and SIGKILL, in seconds.
 	graceS = 4
+	// stopTimeout is the longest that a runner takes to stop a run.
+	stopTimeout = 50 * time.Millisecond
 	// restartDelay is the time after which the platform restarts a process that has ended.
 	restartDelay = 200 * time.Millisecond
 )
@@ -34,10 +36,12 @@
 	program    string
 	store      *deployment.Store
 	storeProxy *faults.Proxy
-	runners    []*proxiedRunner
-	nodes      []*node
-	checker    *checker
-	http       *http.Client
+	// nodeProxies are those of the entry VMs, see scenario.ownStoreProxies.
+	nodeProxies []*faults.Proxy
+	runners     []*proxiedRunner
+	nodes       []*node
+	checker     *checker
+	http        *http.Client
 	scenario
 
 	mu             sync.Mutex
@@ -59,6 +63,12 @@
 	extraRunTime time.Duration
 	// killDelay is how late the runners end runs after their leases.
 	killDelay time.Duration
+	// lenientStarts: runners carry out starts after their deadlines while they have a lease.
+	lenientStarts bool
+	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
+	copies float64
+	// ownStoreProxies: each entry VM reaches the store by a proxy of its own.
+	ownStoreProxies bool
 }
 
 // proxiedRunner is a runner behind a proxy.
@@ -150,7 +160,9 @@
 		return nil, err
 	}
 	r.SetObserver(w.checker)
-	r.ChangeFaults(func(f *deployment.RunnerFaults) { f.KillDelay = w.killDelay })
+	r.ChangeFaults(func(f *deployment.RunnerFaults) {
+		f.KillDelay, f.StopTime, f.LenientStarts = w.killDelay, stopTimeout, w.lenientStarts
+	})
 	p, err := faults.NewProxy(r.Info.Address)
 	if err != nil {
 		return nil, err
@@ -215,8 +227,12 @@
 	if err != nil {
 		return err
 	}
+	storeAddress, err := w.newStoreAddress()
+	if err != nil {
+		return err
+	}
 	path := filepath.Join(dir, name+".toml")
-	if err := os.WriteFile(path, []byte(d.Settings(w.storeProxy.Address(), graceS)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(d.Settings(storeAddress, graceS)), 0o600); err != nil {
 		return errors.Wrap(err, "settings")
 	}
 	n := &node{Node: d, name: name, log: &logBuffer{}, done: make(chan struct{})}
@@ -290,6 +306,9 @@
 		r.runner.Close()
 		r.proxy.Close()
 	}
+	for _, p := range w.nodeProxies {
+		p.Close()
+	}
 	w.storeProxy.Close()
 	w.store.Close()
 }
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -85,8 +86,12 @@
 	starvedUntil, callsPausedUntil time.Time
 	expiries                       LeaseExpiries
 	observer                       Observer
-	// clockStart is the zero of the runner's clock in its present incarnation.
+	// clockStart is the zero of the runner's clock in its present incarnation, and clockRate is the speed of
+	// that clock.
 	clockStart time.Time
+	clockRate  float64
+	// stopping holds the running runs that are being stopped.
+	stopping map[RunID]bool
 }
 
 // startPath and stopPath are the paths of the calls that start and stop runs.
@@ -95,8 +100,14 @@
 	stopPath  = "/run-stop"
 )
 
-// maxLease is the longest lease that a runner grants.
-const maxLease = time.Second
+const (
+	// maxLease is the longest lease that a runner grants, by its own clock.
+	maxLease = time.Second
+	// minClockRate is the speed of the slowest clock.
+	minClockRate = 0.98
+	// maxEndsListed is the most ends in one answer.
+	maxEndsListed = 500
+)
 
 // NewRunner starts a runner on a free port and registers it in the store.
 func NewRunner(s *Store, id, service, domain string) (*Runner, error) {
@@ -114,9 +125,11 @@
 		listener:    l,
 		running:     make(map[RunID]*time.Timer),
 		closedRuns:  make(map[string]int),
+		stopping:    make(map[RunID]bool),
 		endsChanged: make(chan struct{}),
 
 		clockStart: time.Now().Add(-time.Hour),
+		clockRate:  minClockRate + rand.Float64()*(1-minClockRate),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+startPath, r.start)
@@ -138,6 +151,13 @@
 	}
 }
 
+// Crashed reports whether the runner was closed.
+func (r *Runner) Crashed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashed
+}
+
 // Restart simulates a restart of the runner's process: all runs end, and a new incarnation begins
 // under the same id without any state of the last one.
 func (r *Runner) Restart(s *Store) error {
@@ -184,7 +204,14 @@
 }
 
 // clock returns the time on the runner's clock in milliseconds. The caller holds the lock.
-func (r *Runner) clock() int64 { return time.Since(r.clockStart).Milliseconds() }
+func (r *Runner) clock() int64 {
+	return time.Duration(float64(time.Since(r.clockStart)) * r.clockRate).Milliseconds()
+}
+
+// timeOf returns when the runner's clock reads ms.
+func (r *Runner) timeOf(ms int64) time.Time {
+	return r.clockStart.Add(time.Duration(float64(ms) * float64(time.Millisecond) / r.clockRate))
+}
 
 // checkRequest leaves requests unanswered while the runner is silent, and rejects those addressed
 // to another instance.
@@ -254,10 +281,7 @@
 // extendLease moves the lease's expiry to ms on the runner's clock, but never to an earlier time
 // and at most maxLease ahead. The caller holds the lock.
 func (r *Runner) extendLease(ms int64) {
-	until := r.clockStart.Add(time.Duration(ms) * time.Millisecond)
-	if latest := time.Now().Add(maxLease); until.After(latest) {
-		until = latest
-	}
+	until := r.timeOf(min(ms, r.clock()+maxLease.Milliseconds()))
 	if !until.After(r.leaseEnd) {
 		return
 	}
@@ -301,7 +325,7 @@
 }
 
 // start begins a run and extends the lease to its deadline. A start of a run that is running already
-// is accepted without effect.
+// is accepted without effect, unless the run is being stopped. A start that is rejected as old or for lack of room extends the lease too.
 func (r *Runner) start(w http.ResponseWriter, q *http.Request) {
 	o, ok := r.decodeAndLock(w, q)
 	if !ok {
@@ -310,17 +334,22 @@
 	defer r.mu.Unlock()
 	s := RunID{o.Task, o.Run}
 	switch {
-	case r.running[s] != nil:
+	case r.running[s] != nil && !r.stopping[s]:
 		r.accept(w)
 		return
 	case o.Run <= r.closedRuns[o.Task]:
+		r.extendLease(o.DeadlineMs)
 		r.reject(w, "old")
 		return
-	case o.DeadlineMs <= r.clock():
+	case r.late(o):
 		r.reject(w, "late")
 		return
 	}
 	r.extendLease(o.DeadlineMs)
+	if rand.Float64() < r.faults.StartsWithoutRoom {
+		r.reject(w, "room")
+		return
+	}
 	outcome, runTime := "done", time.Millisecond
 	if strings.HasPrefix(o.Spec, "fail") {
 		outcome = "failed"
@@ -339,6 +368,15 @@
 	r.accept(w)
 }
 
+// late reports whether a start has come too late: after its own deadline or, if the runner is lenient, after
+// its lease as well. The caller holds the lock.
+func (r *Runner) late(o request) bool {
+	if r.faults.LenientStarts && !r.leaseExpired() {
+		return false
+	}
+	return o.DeadlineMs <= r.clock()
+}
+
 // endRun ends a run and records its outcome. The caller holds the lock.
 func (r *Runner) endRun(s RunID, outcome string) {
 	timer := r.running[s]
@@ -347,6 +385,7 @@
 	}
 	timer.Stop()
 	delete(r.running, s)
+	delete(r.stopping, s)
 	if r.observer != nil {
 		r.observer.RunEnded(r, s, outcome)
 	}
@@ -359,7 +398,8 @@
 	r.endsChanged = make(chan struct{})
 }
 
-// stop ends a run, if it is running. Neither it nor an earlier run of the task can be started later.
+// stop ends a run, if it is running, within the fault StopTime. Until then the run is listed as running, and
+// may end by itself. Neither it nor an earlier run of the task can be started later.
 func (r *Runner) stop(w http.ResponseWriter, q *http.Request) {
 	o, ok := r.decodeAndLock(w, q)
 	if !ok {
@@ -367,10 +407,30 @@
 	}
 	defer r.mu.Unlock()
 	r.closedRuns[o.Task] = max(r.closedRuns[o.Task], o.Run)
-	r.endRun(RunID{o.Task, o.Run}, "stopped")
+	r.beginStop(RunID{o.Task, o.Run})
 	r.accept(w)
 }
 
+// beginStop ends a run at once or, with the fault StopTime, within that time unless it ends before. The
+// caller holds the lock.
+func (r *Runner) beginStop(s RunID) {
+	if r.faults.StopTime <= 0 {
+		r.endRun(s, "stopped")
+		return
+	}
+	if r.running[s] == nil || r.stopping[s] {
+		return
+	}
+	r.stopping[s] = true
+	time.AfterFunc(rand.N(r.faults.StopTime), func() {
+		r.lockAwake()
+		defer r.mu.Unlock()
+		if r.stopping[s] {
+			r.endRun(s, "stopped")
+		}
+	})
+}
+
 // hold extends the lease, removes the acknowledged ends, and answers with the runs that are running or
 // have ended. If no end is left to report, it first waits for one, at most for WaitMs.
 func (r *Runner) hold(w http.ResponseWriter, q *http.Request) {
@@ -402,8 +462,9 @@
 	for s := range r.running {
 		running = append(running, []any{s.Task, s.Run, "", 100, 0})
 	}
-	ended := make([][]any, 0, len(r.endedRuns))
-	for _, e := range r.endedRuns {
+	listed := r.endedRuns[:min(len(r.endedRuns), maxEndsListed)]
+	ended := make([][]any, 0, len(listed))
+	for _, e := range listed {
 		ended = append(ended, []any{e.sequence, e.Task, e.Run, e.Outcome, ""})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"clockMs": r.clock(), "born": r.Info.IncarnationStart, "running": running, "endedRuns": ended})
--- a/standin/deployment/runner_faults.go
+++ b/standin/deployment/runner_faults.go
@@ -13,8 +13,15 @@
 	// RejectedStarts, RejectedStops and RejectedHolds are the shares of calls that are answered with
 	// status 429 or 503 and otherwise ignored, as by an unhealthy runner.
 	RejectedStarts, RejectedStops, RejectedHolds float64
-	// UnansweredStarts is the share of starts that are carried out and not answered.
-	UnansweredStarts float64
+	// UnansweredStarts is the share of starts that are carried out and not answered, UnansweredOthers that of
+	// other calls.
+	UnansweredStarts, UnansweredOthers float64
+	// StartsWithoutRoom is the share of new runs for which the runner has no room.
+	StartsWithoutRoom float64
+	// StopTime is the longest that a stop takes; the call is answered at once.
+	StopTime time.Duration
+	// LenientStarts: a start that arrives after its deadline is carried out while the runner has a lease.
+	LenientStarts bool
 	// Slow is the share of calls that are carried out late, and that of answers that are sent late,
 	// each by a random time up to MaxDelay.
 	Slow     float64
@@ -35,6 +42,14 @@
 	return f.RejectedHolds
 }
 
+// unanswered is the share of calls to a path that are carried out and not answered.
+func (f RunnerFaults) unanswered(path string) float64 {
+	if path == startPath {
+		return f.UnansweredStarts
+	}
+	return f.UnansweredOthers
+}
+
 // delay returns a random delay.
 func (f RunnerFaults) delay() time.Duration {
 	if f.MaxDelay <= 0 || rand.Float64() >= f.Slow {
@@ -125,7 +140,7 @@
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
-		f.KillDelay = 0 // calls don't depend on it
+		f.KillDelay, f.StopTime, f.StartsWithoutRoom, f.LenientStarts = 0, 0, 0, false // calls don't depend on them
 		if f == (RunnerFaults{}) {
 			next.ServeHTTP(w, q)
 			return
@@ -142,7 +157,7 @@
 		time.Sleep(f.delay())
 		a := answer{header: w.Header(), status: http.StatusOK}
 		next.ServeHTTP(&a, q)
-		if q.URL.Path == startPath && rand.Float64() < f.UnansweredStarts {
+		if rand.Float64() < f.unanswered(q.URL.Path) {
 			<-q.Context().Done()
 			return
 		}
