A start that can't be relied on to be too late is fenced before its task starts again

Cause: a run whose start orders stayed unanswered was dropped as never begun once the runner's clock had passed the deadline in them and a later list didn't show it; and as lapsed once its runner was silent for too long. Both rest on the runner's rejecting the orders as late. What callers would see: two runs of a task, both ordered by one VM.

Change: a scheduler raises the runner's token before it drops such a run, and drops it when a list that was given under the new token doesn't show it; it raises it as well when it drops unconfirmed runs of a silent runner. The runner then refuses the earlier orders, whatever it takes for late. Other starts under way there are refused too, and decided by the same list.

TestAStartThatCameTooLateIsDecidedByTheList expected the next start after the first list. It now expects none after that list, and one after the list under a higher token; its other case is unchanged.

--- a/core/schedule/doubtful_start_test.go
+++ b/core/schedule/doubtful_start_test.go
@@ -135,7 +135,8 @@
 }
 
 // Guards against a doubtful run that is stopped though it can't begin any more: its runner's list
-// shows whether it has begun.
+// shows whether it has begun. The runner may have another lease under which it would carry the start out,
+// so the list counts once the runner refuses the start for its token.
 func TestAStartThatCameTooLateIsDecidedByTheList(t *testing.T) {
 	for name, listed := range map[string]bool{"begun": true, "not begun": false} {
 		t.Run(name, func(t *testing.T) {
@@ -154,7 +155,12 @@
 				return
 			}
 			b.answerHold(list, Accepted)
+			b.g.Expect(take[Start](b)).To(BeEmpty(), "the runner may still carry out the first order")
+			list = b.listOf(again.Runner)
+			b.g.Expect(list.Token).To(BeNumerically(">", again.Token))
+			b.answerHold(list, Accepted)
 			b.g.Expect(one[Start](b).Run.Number).To(BeNumerically(">", again.Run.Number))
+			b.g.Expect(take[Stop](b)).To(BeEmpty())
 		})
 	}
 }
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -68,6 +68,15 @@
 	return min(s.cfg.HoldWait, max(0, s.cfg.Lease-s.callTimeout()-leaseMargin))
 }
 
+// refuseEarlierOrders raises a runner's token, so that the runner refuses all orders that were sent before once
+// it has received one with the new token.
+func (s *Scheduler) refuseEarlierOrders(r *runner) {
+	s.term++
+	r.token = s.token()
+	r.holdInFlight, r.listInFlight = false, false
+	s.requestList(r)
+}
+
 // requestLists requests the lists of all runners of a service at once, and reacquires those that
 // another scheduler had: that scheduler has just handed over a job.
 func (s *Scheduler) requestLists(service string) {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -216,7 +216,7 @@
 		r.noteLease(s.now, s.cfg.Lease)
 	}
 	u.startAttempts++
-	u.orderedAt = s.now
+	u.orderedAt, u.orderToken = s.now, r.token
 	s.emit(Start{
 		Runner:     r.info.ID,
 		Address:    r.info.Address,
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -114,8 +114,10 @@
 }
 
 // dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and can't
-// begin any more.
+// begin any more. If that isn't certain, since their orders may still be carried out under another lease, it
+// makes the runner refuse these orders.
 func (s *Scheduler) dropUnlisted(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
+	refuse := false
 	for _, u := range r.sortedRuns() {
 		if listed[u.key] {
 			continue
@@ -123,16 +125,22 @@
 		switch {
 		case u.stopped && u.stoppedAt <= sentAt:
 			s.dropRun(u, StoppedUnlisted)
-		case !u.stopped && !u.confirmed && u.startExpiredAt > 0 && u.startExpiredAt <= sentAt:
+		case u.stopped || u.confirmed || u.orderToken == 0:
+			continue
+		case u.orderToken == r.token:
+			refuse = refuse || u.startExpiredAt > 0 && u.startExpiredAt <= sentAt
+			continue
+		default:
 			s.dropRun(u, NeverBegun)
 			u.delayTask(r.startInvalidAt(u))
-		default:
-			continue
 		}
 		if u.task != nil {
 			s.requeue(u.task)
 		}
 	}
+	if refuse {
+		s.refuseEarlierOrders(r)
+	}
 }
 
 // noteListedRun records a run that a runner lists.
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -102,6 +102,8 @@
 	// startAttempts counts how often its start was sent, and orderedAt is when that was last.
 	startAttempts int
 	orderedAt     Time
+	// orderToken is the token of its latest start order.
+	orderToken uint64
 	// leaseEnd is the end of the lease in its start order. A runner that receives the order later
 	// rejects it.
 	leaseEnd int64
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -90,9 +90,12 @@
 	}
 }
 
-// lapseRuns drops the runs of a silent runner, see runsOver.
+// lapseRuns drops the runs of a silent runner, see runsOver. Orders to start them that are still under way
+// must not be carried out under a later lease.
 func (s *Scheduler) lapseRuns(r *runner) {
+	unconfirmed := false
 	for _, u := range r.sortedRuns() {
+		unconfirmed = unconfirmed || !u.confirmed
 		if u.task == nil {
 			s.dropRun(u, LeaseOver)
 			continue
@@ -107,6 +110,9 @@
 		u.task.notBefore = max(u.task.notBefore, r.startInvalidAt(u))
 		s.requeueUnseen(u.task)
 	}
+	if unconfirmed {
+		s.refuseEarlierOrders(r)
+	}
 }
 
 // tickRun repeats a stop that wasn't carried out, drops a run that must be over, and stops an orphan whose
--- a/soak/harsh_runners_test.go
+++ b/soak/harsh_runners_test.go
@@ -27,6 +27,12 @@
 	soakOnly(t, scenario{faults: slices.Concat(orderFaults, orderFaults, processFaults), lenientStarts: true, extraRunTime: 500 * time.Millisecond})
 }
 
+// Guards against the same on such runners when a run is given up whose starts stay unanswered and whose stops
+// are rejected, while the runner renews its lease for others.
+func TestSoakStartsUnderALaterLease(t *testing.T) {
+	soakOnly(t, scenario{faults: []fault{ordersOutliveLeases}, lenientStarts: true, extraRunTime: 700 * time.Millisecond})
+}
+
 // Guards against tasks that run twice when the entry VMs see different lists of runners as leaders change.
 func TestSoakDifferentLists(t *testing.T) {
 	soakOnly(t, scenario{faults: slices.Concat(listFaults, listFaults, processFaults), ownStoreProxies: true, extraRunTime: 500 * time.Millisecond})
@@ -67,6 +73,15 @@
 	}},
 }
 
+// ordersOutliveLeases lets about a third of the runners carry out some orders after the leases in them, and
+// reject nearly all stops.
+var ordersOutliveLeases = fault{"orders outlive leases", func(w *world) {
+	share, delay := 0.2+w.rng.Float64()/5, w.randomDuration(1200, 2400)
+	w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+		f.Slow, f.MaxDelay, f.RejectedStops = set(share, on), delay, set(0.95, on)
+	})
+}}
+
 var processFaults = []fault{leaderPaused, leaderKilled, pausedInSeries}
 
 var listFaults = []fault{
