Requests of a starved process await the confirmation of old settings for longer

What callers may see: a dropped route is still served by a process on a busy machine.

Cause: 350 ms pass by the clock, also when the process is so short of processor time that it reads the store's answer late. The class of the incident: a fixed time stands for evidence.

Change: the wait ends after 350 ms only if the process has had its ticks since the store was asked, and else after 1.5 s, the timeout of that call.

--- a/core/routing/freshness.go
+++ b/core/routing/freshness.go
@@ -13,8 +13,12 @@
 	// maxSettingsAge is the age from which on requests await a confirmation. The platform
 	// expects a change to apply to requests that are sent 2 s after its acknowledgement.
 	maxSettingsAge = 1900 * time.Millisecond
-	// confirmTimeout is how long requests await a confirmation, from when the store was asked for it.
-	confirmTimeout = 350 * time.Millisecond
+	// confirmTimeout is how long requests await a confirmation, from when the store was asked for it, if the
+	// process has had confirmTicks ticks since. With fewer it is short of processor time, and the answer may wait
+	// to be read; requests then wait for up to maxConfirmTimeout.
+	confirmTimeout    = 350 * time.Millisecond
+	confirmTicks      = 14
+	maxConfirmTimeout = 1500 * time.Millisecond
 )
 
 // Freshness records how current a copy of the operator's settings is: up to which time it has all
@@ -26,9 +30,11 @@
 	// confirmed: the copy was confirmed as of confirmedAt.
 	confirmed   bool
 	confirmedAt task.Time
-	// asked: the store was asked at askedAt, and hasn't confirmed the copy since.
+	// asked: the store was asked at askedAt, and hasn't confirmed the copy since. ticks counts the calls of
+	// Tick since then.
 	asked   bool
 	askedAt task.Time
+	ticks   int
 	// failed: a call of this kind has failed since.
 	failed bool
 }
@@ -51,10 +57,13 @@
 	if f.asked {
 		return false
 	}
-	f.asked, f.askedAt = true, now
+	f.asked, f.askedAt, f.ticks = true, now, 0
 	return true
 }
 
+// Tick is to be called every 20 ms. Calls that come late show that the process is short of processor time.
+func (f *Freshness) Tick() { f.ticks++ }
+
 // Confirm records that the copy has all changes up to a time. It answers a call for a confirmation
 // only if that was made before.
 func (f *Freshness) Confirm(asOf task.Time) {
@@ -78,6 +87,9 @@
 	if !f.asked {
 		return confirmTimeout
 	}
+	if f.ticks < confirmTicks {
+		return max(0, f.askedAt+maxConfirmTimeout-now)
+	}
 	return max(0, f.askedAt+confirmTimeout-now)
 }
 
--- a/core/routing/freshness_test.go
+++ b/core/routing/freshness_test.go
@@ -41,6 +41,7 @@
 	g.Expect(f.Await(resumed)).To(Equal(confirmTimeout))
 	g.Expect(f.Ask(resumed)).To(BeTrue())
 	g.Expect(f.Ask(resumed+10*time.Millisecond)).To(BeFalse(), "one call serves all requests")
+	tick(&f)
 	g.Expect(f.Await(resumed + 10*time.Millisecond)).To(Equal(confirmTimeout - 10*time.Millisecond))
 
 	// An answer that had been waiting since before the pause confirms nothing later.
@@ -57,6 +58,7 @@
 	var unanswered Freshness
 	unanswered.Confirm(0)
 	unanswered.Ask(ConfirmInterval)
+	tick(&unanswered)
 	g.Expect(unanswered.Await(maxSettingsAge+1)).To(BeZero(), "current settings are older than the wait for the call")
 	g.Expect(unanswered.Await(time.Hour)).To(BeZero())
 
@@ -68,3 +70,25 @@
 	rejected.Confirm(time.Hour)
 	g.Expect(rejected.Await(2 * time.Hour)).To(Equal(confirmTimeout))
 }
+
+// Guards against requests that are routed by old settings though the store has answered: the process is so short of
+// processor time that it reads the answer late.
+func TestRequestsOfAStarvedProcessAwaitAConfirmationForLonger(t *testing.T) {
+	g := NewWithT(t)
+	var f Freshness
+	f.Confirm(0)
+	const resumed = 5 * time.Second
+	f.Ask(resumed)
+	f.Tick()
+	g.Expect(f.Await(resumed + confirmTimeout)).To(Equal(maxConfirmTimeout - confirmTimeout))
+	g.Expect(f.Await(resumed + maxConfirmTimeout)).To(BeZero())
+	tick(&f)
+	g.Expect(f.Await(resumed + confirmTimeout)).To(BeZero())
+}
+
+// tick makes as many ticks as a process that isn't short of processor time has within confirmTimeout.
+func tick(f *Freshness) {
+	for range confirmTicks {
+		f.Tick()
+	}
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -174,6 +174,7 @@
 			p.clock.adjust()
 			p.node.SetTimeOfDay(p.clock.now(), time.Now().UnixMilli())
 			p.node.Tick(p.clock.now())
+			p.settings.tick()
 			p.publish()
 		}
 		p.execute(ctx)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/routing"
 )
 
@@ -34,6 +35,13 @@
 	return m.freshness.Age(now)
 }
 
+// tick is called at each tick of the loop.
+func (m *settingsMonitor) tick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.freshness.Tick()
+}
+
 // asking records that the store is being asked for a confirmation.
 func (m *settingsMonitor) asking(now Time) {
 	m.mu.Lock()
@@ -202,7 +210,7 @@
 		}
 		select {
 		case <-changed:
-		case <-time.After(wait):
+		case <-time.After(min(wait, fleet.TickInterval)):
 		case <-ctx.Done():
 		}
 	}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -47,8 +47,12 @@
 	}
 	p.configuration.Store(&routing.Table{})
 	go func() {
+		ticker := time.NewTicker(fleet.TickInterval)
+		defer ticker.Stop()
 		for {
 			select {
+			case <-ticker.C:
+				p.settings.tick()
 			case f := <-p.events:
 				f()
 			case <-t.Context().Done():
