--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -68,6 +68,8 @@
 	connectableAt map[[2]string]time.Duration
 	// sendDelay is the additional latency of the messages that a VM sends.
 	sendDelay map[string]time.Duration
+	// lenientStarts: runners accept a start after its own lease while they have another one.
+	lenientStarts bool
 	// queryAll: all processes are queried for each accepted job.
 	queryAll bool
 	// onSend, if set, is called with each message as it is sent.
@@ -85,6 +87,9 @@
 	listed map[workload.RunnerID]bool
 	// history is what was ordered and done, by task.
 	history map[string][]runEvent
+	// lateConnections is the share of new connections to runners of which processes, short of processor time,
+	// notice too late that they were made.
+	lateConnections float64
 	// silences counts the holds that stayed unanswered, and mostLed is the largest number of shards
 	// that one process led when runners were starved.
 	silences unansweredHolds
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -202,6 +202,7 @@
 	s.ctr.Starts++
 	r.add(u)
 	s.noteNextRun(u)
+	s.logMissingLists(u)
 	s.sendStart(u)
 	s.hold(r)
 }
@@ -216,7 +217,7 @@
 		r.noteLease(s.now, s.cfg.Lease)
 	}
 	u.startAttempts++
-	u.orderedAt = s.now
+	u.orderedAt, u.orderToken = s.now, r.token
 	s.emit(Start{
 		Runner:     r.info.ID,
 		Address:    r.info.Address,
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -40,7 +40,7 @@
 	switch res.Outcome {
 	case Accepted:
 		r.answered(res.Clock.SentAt)
-		r.connected = false
+		r.host = host{}
 		s.noteAnswerAfterSilence(r, silence)
 		s.applyLists(r, res)
 		s.dispatch()
@@ -114,25 +114,36 @@
 }
 
 // dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and can't
-// begin any more.
+// begin any more in this incarnation. If that isn't certain, since their orders may still be carried out under
+// another lease, it makes the runner refuse these orders. The tasks wait until the runs can't begin in a later
+// incarnation either: that one wouldn't know of the stop, nor of the clock by which the start has expired.
 func (s *Scheduler) dropUnlisted(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
+	refuse := false
 	for _, u := range r.sortedRuns() {
 		if listed[u.key] {
 			continue
 		}
 		switch {
+		case u.task == nil && sentAt < r.startInvalidAt(u):
+			continue
 		case u.stopped && u.stoppedAt <= sentAt:
 			s.dropRun(u, StoppedUnlisted)
-		case !u.stopped && !u.confirmed && u.startExpiredAt > 0 && u.startExpiredAt <= sentAt:
-			s.dropRun(u, NeverBegun)
-			u.delayTask(r.startInvalidAt(u))
-		default:
+		case u.stopped || u.confirmed || u.orderToken == 0:
+			continue
+		case u.orderToken == r.token:
+			refuse = refuse || u.startExpiredAt > 0 && u.startExpiredAt <= sentAt
 			continue
+		default:
+			s.dropRun(u, NeverBegun)
 		}
+		u.delayTask(r.startInvalidAt(u))
 		if u.task != nil {
 			s.requeue(u.task)
 		}
 	}
+	if refuse {
+		s.refuseEarlierOrders(r)
+	}
 }
 
 // noteListedRun records a run that a runner lists.
@@ -177,7 +188,7 @@
 	if u != nil {
 		r.drop(u)
 	}
-	s.checkListedEnd(r, e)
+	s.checkListedEnd(r, u, e)
 	t := s.taskOf(u, e.Run)
 	if t == nil {
 		s.endedUnknown(e)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -101,6 +101,8 @@
 	// of the process progressFrom.
 	progressWaitUntil Time
 	progressFrom      EntryID
+	// loggedMissing are the runners of each service whose lists were missing when that was last logged.
+	loggedMissing map[string][]workload.RunnerID
 	// latestHandoverAt is when the latest job arrived that another scheduler had. Runners
 	// whose last list is older are asked for a new one.
 	latestHandoverAt Time
@@ -130,6 +132,8 @@
 	doneWithoutJob map[workload.TaskName]doneRun
 
 	rows rows
+	// refused are the stored jobs that were refused in the last resultRetention.
+	refused refusedJobs
 	// alternate is the other shard in which a job would wait least, for alternateWait; -1 if
 	// there is none.
 	alternate     int
@@ -141,6 +145,7 @@
 	drops       dropMemory
 	lostOrphans lostOrphans
 	borrowing   borrowing
+	resent      resentJobs
 	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
 
@@ -183,6 +188,7 @@
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
+		refused:        newRefusedJobs(),
 		alternate:      -1,
 	}
 }
@@ -232,6 +238,7 @@
 	s.yielding = false
 	s.leadingSince = now
 	s.uncertainUntil = now + takeoverWindow
+	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
 	s.forgetRunners()
 	for _, r := range s.runnerList {
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -13,6 +13,7 @@
 func (s *Scheduler) Tick(now Time) {
 	s.now = now
 	s.expire()
+	s.expireResent()
 	s.expireGrants()
 	s.tickStored()
 	if !s.leading {
@@ -90,9 +91,12 @@
 	}
 }
 
-// lapseRuns drops the runs of a silent runner, see runsOver.
+// lapseRuns drops the runs of a silent runner, see runsOver. Orders to start them that are still under way
+// must not be carried out under a later lease.
 func (s *Scheduler) lapseRuns(r *runner) {
+	unconfirmed := false
 	for _, u := range r.sortedRuns() {
+		unconfirmed = unconfirmed || !u.confirmed
 		if u.task == nil {
 			s.dropRun(u, LeaseOver)
 			continue
@@ -107,6 +111,9 @@
 		u.task.notBefore = max(u.task.notBefore, r.startInvalidAt(u))
 		s.requeueUnseen(u.task)
 	}
+	if unconfirmed {
+		s.refuseEarlierOrders(r)
+	}
 }
 
 // tickRun repeats a stop that wasn't carried out, drops a run that must be over, and stops an orphan whose
@@ -165,6 +172,7 @@
 		delete(s.results, id)
 		s.resultOrder = s.resultOrder[1:]
 	}
+	s.refused.expire(s.now - resultRetention)
 	if s.now-s.expiredAt < expireInterval {
 		return
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -25,6 +25,8 @@
 	prefix  = "/spot/"
 	// graceS is the time between SIGTERM and SIGKILL, in seconds.
 	graceS = 4
+	// stopTimeout is the longest that a runner takes to stop a run.
+	stopTimeout = 50 * time.Millisecond
 	// restartDelay is the time after which the platform restarts a process that has ended.
 	restartDelay = 200 * time.Millisecond
 )
@@ -60,6 +62,10 @@
 	extraRunTime time.Duration
 	// killDelay is how late the runners end runs after their leases.
 	killDelay time.Duration
+	// lenientStarts: runners carry out starts after their deadlines while they have a lease.
+	lenientStarts bool
+	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
+	copies float64
 }
 
 // proxiedRunner is a runner behind a proxy.
@@ -156,7 +162,9 @@
 		return nil, err
 	}
 	r.SetObserver(w.checker)
-	r.ChangeFaults(func(f *deployment.RunnerFaults) { f.KillDelay = w.killDelay })
+	r.ChangeFaults(func(f *deployment.RunnerFaults) {
+		f.KillDelay, f.StopTime, f.LenientStarts = w.killDelay, stopTimeout, w.lenientStarts
+	})
 	p, err := faults.NewProxy(r.Info.Address)
 	if err != nil {
 		return nil, err
