A stopped run's task waits until its start can't reach the runner's next incarnation

What callers saw: a task that runs twice, where runners start again under their id. A start stays unanswered, the run is stopped, the runner answers the stop and lists neither the run nor its end, so the task is started elsewhere at once. The runner restarts, and the late start reaches its new incarnation, which knows nothing of the stop. Cause: a run that is dropped since its start has expired delays its task until the start can't be carried out by a later incarnation either (startInvalidAt); a run that is dropped after a stop didn't. Change: both do. An orphan of this kind stays counted until then, so that its job, sent again, waits too. The wait holds only for starts that were never confirmed, on runners whose answers contain the start of their incarnation ("born"). Ruled out: shorter evidence. Neither a list nor the stop's answer tells of a later restart, the fencing token is unknown to the new incarnation, and an unanswered call may be carried out later. Evidence: TestAStoppedRunsStartMayReachTheNextIncarnation failed and passes, unchanged; TestATaskWhoseStartMayReachTheNextIncarnationWaitsForItsLease and TestAStoppedOrphansStartMayReachTheNextIncarnation failed before and pass.

--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -265,3 +265,48 @@
 	b.held(b.listOf(again.Runner))
 	b.g.Expect(take[Start](b)).To(BeEmpty(), "until %v the start may be carried out", maxRunLife(maxLease))
 }
+
+// stoppedInDoubt returns a harness with a job whose run is stopped while its start is unanswered, and
+// isn't on the list that its runner sends after the stop.
+func stoppedInDoubt(t *testing.T, incarnation int64, abandon bool) (*harness, *workload.Job) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, r := range b.s.runnerList {
+		r.incarnationStart = incarnation
+	}
+	j := testJob(1, 300*ms)
+	again := b.unansweredOnce(j)
+	b.started(again, Unanswered)
+	if abandon {
+		b.s.Abandon(b.now, entryA, j.ID)
+	}
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.now += 2 * ms
+	b.stopped(one[Stop](b), Accepted)
+	b.now += 2 * ms
+	b.held(b.listOf(again.Runner))
+	return b, j
+}
+
+// Guards against a task that waits longer than for a start that is carried out late, or that waits where
+// runners never restart under their ids.
+func TestATaskWhoseStartMayReachTheNextIncarnationWaitsForItsLease(t *testing.T) {
+	b, _ := stoppedInDoubt(t, 0, false)
+	b.g.Expect(take[Start](b)).To(HaveLen(1), "its runner doesn't restart under its id")
+
+	b, _ = stoppedInDoubt(t, firstIncarnation, false)
+	b.tick(maxRunLife(maxLease) - 20*ms)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.tick(20 * ms)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
+
+// Guards against two runs of a job that is sent again: its run was stopped while its start was unanswered.
+func TestAStoppedOrphansStartMayReachTheNextIncarnation(t *testing.T) {
+	b, j := stoppedInDoubt(t, firstIncarnation, true)
+	b.submit(j, 3*time.Second)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.wait(maxRunLife(maxLease) + b.s.cfg.Lease)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -114,21 +114,24 @@
 }
 
 // dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and can't
-// begin any more.
+// begin any more in this incarnation. Their tasks wait until they can't in a later one either: that one
+// wouldn't know of the stop, nor of the clock by which the start has expired.
 func (s *Scheduler) dropUnlisted(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
 	for _, u := range r.sortedRuns() {
 		if listed[u.key] {
 			continue
 		}
 		switch {
+		case u.task == nil && sentAt < r.startInvalidAt(u):
+			continue
 		case u.stopped && u.stoppedAt <= sentAt:
 			s.dropRun(u, StoppedUnlisted)
 		case !u.stopped && !u.confirmed && u.startExpiredAt > 0 && u.startExpiredAt <= sentAt:
 			s.dropRun(u, NeverBegun)
-			u.delayTask(r.startInvalidAt(u))
 		default:
 			continue
 		}
+		u.delayTask(r.startInvalidAt(u))
 		if u.task != nil {
 			s.requeue(u.task)
 		}
