A held-up copy of a refused stored job isn't accepted

What callers saw: 503, which says that the job never runs; then it ran. Its first request had been held up in one entry process while the second, through another, was refused. Cause: refusals of best-effort jobs are retained as results, those of stored jobs weren't, so the first request came as a new job. What an entry process hands in after it was told of the refusal has reached it since: it is a later attempt, and decided on as a new job. Not remembered are refusals that say GaveUp, and those of submissions that were handed in before, which the gateway turns into GaveUp. Price: a caller who asks again after 503 by another entry process is refused there once more. Open: the memory isn't in Progress, so a next leader doesn't know of it; that takes a new field of the protocol. Two requests that were held up in one entry process can't be told apart.

--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -11,6 +11,9 @@
 // Acceptance and refusal of stored jobs. A caller is told that its job was refused only when it
 // is certain that no copy of the job runs.
 
+// copyRefused is the reason given for workload.CopyRefused.
+const copyRefused = "a copy was refused"
+
 // submitStored handles the submission of a stored job, which may be a copy of a known one.
 func (s *Scheduler) submitStored(sub Submission) {
 	id := sub.Job.ID
@@ -81,6 +84,9 @@
 // storedRefusal returns why a job isn't accepted; NotRefused and "" if it is. No record of the job
 // has been written at that point, so the job can be refused safely.
 func (s *Scheduler) storedRefusal(j *job) (workload.RefusalCause, string) {
+	if s.refused.refusedElsewhere(j.work.ID, j.entry) {
+		return workload.CopyRefused, copyRefused
+	}
 	if s.rows.failingFor > storeFailureThreshold {
 		return workload.StoreUnavailable, "the store doesn't answer"
 	}
@@ -122,6 +128,7 @@
 	r.answer.At = s.now
 	switch {
 	case s.knowsAllAccepted(r.since):
+		s.rememberRefused(r.submission)
 	case s.now-r.since > refusalTimeout:
 		r.answer.Outcome = workload.GaveUp
 	default:
@@ -132,6 +139,14 @@
 	return true
 }
 
+// rememberRefused records that the caller of a submission is told that its job never runs. One that was
+// handed in before is told to ask again instead, see gateway.Gateway.HandleVerdict.
+func (s *Scheduler) rememberRefused(sub Submission) {
+	if sub.PriorSubmissions == 0 {
+		s.refused.add(sub.Job.ID, sub.Entry, s.now)
+	}
+}
+
 // submissionAt returns the refused submission with the times that remain at now.
 func (r refusal) submissionAt(now Time) Submission {
 	sub := r.submission
@@ -194,6 +209,6 @@
 			s.submitStored(e.Submission)
 			continue
 		}
-		s.refuse(e.Submission, workload.CopyRefused, "a copy was refused", minRetryAfter)
+		s.refuse(e.Submission, workload.CopyRefused, copyRefused, minRetryAfter)
 	}
 }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -130,6 +130,8 @@
 	doneWithoutJob map[workload.TaskName]doneRun
 
 	rows rows
+	// refused are the stored jobs that were refused in the last resultRetention.
+	refused refusedJobs
 	// alternate is the other shard in which a job would wait least, for alternateWait; -1 if
 	// there is none.
 	alternate     int
@@ -183,6 +185,7 @@
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
+		refused:        newRefusedJobs(),
 		alternate:      -1,
 	}
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -165,6 +165,7 @@
 		delete(s.results, id)
 		s.resultOrder = s.resultOrder[1:]
 	}
+	s.refused.expire(s.now - resultRetention)
 	if s.now-s.expiredAt < expireInterval {
 		return
 	}
