Model: processes paused between deciding on an order and sending it

The model sent an order at the moment of the decision, and a paused process never missed an answer that had arrived before the order's timeout. Real processes do both.

--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -19,6 +19,7 @@
 		reading := schedule.ClockReading{Milliseconds: clock, ReceivedAt: w.now, SentAt: sent, IncarnationStart: incarnationStart}
 		w.do(n, func() { done(o, reading, h) })
 	}
+	held, timeoutAt := w.pauseBeforeSending(n), w.now+timeout
 	w.after(timeout, func() { finish(schedule.Unanswered, 0, 0, nil) })
 	r := w.runner(id)
 	if r == nil {
@@ -29,7 +30,7 @@
 	if late {
 		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
 	}
-	travel += w.slowed(r)
+	travel += w.slowed(r) + held
 	// Orders in flight are lost with the connections when the runner restarts.
 	sentTo := r.incarnationStart
 	w.after(travel, func() {
@@ -42,7 +43,7 @@
 				return
 			}
 			w.after(messageDelay+w.slowed(r), func() {
-				if w.domainsConnected(n.domain, r.info.Domain) {
+				if w.domainsConnected(n.domain, r.info.Domain) && !w.answerMissed(n, timeoutAt) {
 					finish(o, clock, incarnationStart, h)
 				}
 			})
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -68,6 +68,9 @@
 	connectableAt map[[2]string]time.Duration
 	// sendDelay is the additional latency of the messages that a VM sends.
 	sendDelay map[string]time.Duration
+	// missesAnswers: an answer that arrives while its process is paused is missed at times if the order's
+	// timeout ends in the pause too.
+	missesAnswers bool
 	// lenientStarts: runners accept a start after its own lease while they have another one.
 	lenientStarts bool
 	// queryAll: all processes are queried for each accepted job.
@@ -126,9 +129,12 @@
 	id          leader.ID
 	incarnation int
 	// removed VMs never return.
-	removed     bool
-	frozen      time.Duration
-	connections map[leader.ID]bool
+	removed bool
+	frozen  time.Duration
+	// pauseAtOrder is how long the process is paused as it sends its next order, between the decision and
+	// the sending; 0 for not at all.
+	pauseAtOrder time.Duration
+	connections  map[leader.ID]bool
 	// redialAt is when a process that has refused a connection is dialled again.
 	redialAt map[leader.ID]time.Duration
 	// wanted are the connections that the process requests.
