A runner that may be starved is waited for from the end of its lease

Cause: the runs of a silent runner whose host accepts connections counted as over 1,150 ms after its last answer: a second of starvation, which was taken to begin within HoldWait of that answer. Where answers are lost before, it begins later. A runner that isn't starved when its lease ends ends its runs then, so starvation matters if it begins by the end of the lease, and no sooner limit can be had: an answer that doesn't come shows no starvation. Callers saw a task run twice at once.

Change: the second counts from the end of the latest lease, by a slow clock: 1,510 ms after the last renewal.

Evidence: TestTaskOfARunnerWhoseAnswersAreLostBeforeItIsStarvedWaits fails before (1,160 ms) and passes.

--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -14,14 +14,18 @@
 //   - If its host has accepted a connection since its last answer, the times below have passed as well.
 //     Such a host is up and in reach, so the runner's process may be alive.
 const (
-	// maxStarvation is how long a runner may get no processor time, from up to HoldWait after its last
-	// answer.
+	// maxStarvation is how long a runner may get no processor time. It matters from the end of its lease at
+	// the latest, when a runner that isn't starved ends its runs. That its answers stop shows no earlier
+	// start, since they may be lost.
 	maxStarvation = time.Second
 	// starvedEndMargin is added to lateEndMargin for such a runner.
 	starvedEndMargin = 250 * time.Millisecond
 )
 
-// leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
+// leaseEndsAt returns when the latest lease of the runner ends, by a slow clock.
+func (r *runner) leaseEndsAt() Time { return r.aliveUntil - leaseMargin - lateEndMargin }
+
+// leaseOverAt returns when a runner that isn't starved has ended its runs after that.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
 // askableAt returns the time from which on an order that stays unanswered is evidence that the runs are over.
@@ -34,7 +38,7 @@
 func (s *Scheduler) runsOver(r *runner) bool {
 	over := r.aliveUntil
 	if r.connected {
-		over = max(r.aliveUntil+starvedEndMargin, r.clockAt+s.cfg.HoldWait+maxStarvation)
+		over = max(r.aliveUntil+starvedEndMargin, r.leaseEndsAt()+maxStarvation)
 	}
 	return r.askedInVain() && s.now > over
 }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -86,6 +86,12 @@
 	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", starvedLife))
 }
 
+// Guards against the same when answers of the runner were lost before it is starved: it may carry out its orders
+// until its lease ends, and be starved from then on.
+func TestTaskOfARunnerWhoseAnswersAreLostBeforeItIsStarvedWaits(t *testing.T) {
+	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", DefaultConfig().Lease*(100+clockDriftPercent)/100+maxStarvation))
+}
+
 // Guards against a task that waits for a runner that can't be reached for longer than its lease.
 func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
 	for _, c := range []Connection{ConnectionFailed, ConnectionUnknown} {
