--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -17,8 +17,9 @@
 //   - Its host refuses connections, or outOfReachAttempts in a row weren't made in time. Otherwise the
 //     runner's process may be alive, and the times below must have passed as well.
 const (
-	// maxStarvation is how long a runner may get no processor time, from up to HoldWait after its last
-	// answer. Callers have given up by then; tasks of stored jobs go on elsewhere.
+	// maxStarvation is how long a runner may get no processor time. It matters from the end of its lease at the
+	// latest, when a runner that isn't starved ends its runs. That its answers stop shows no earlier start, since
+	// they may be lost. Callers have given up by the end of it; tasks of stored jobs go on elsewhere.
 	maxStarvation = 6 * time.Second
 	// starvedEndMargin is added to lateEndMargin for such a runner.
 	starvedEndMargin = 250 * time.Millisecond
@@ -68,7 +69,10 @@
 	return "host may be up"
 }
 
-// leaseOverAt returns when the latest lease of the runner is over, by a slow clock.
+// leaseEndsAt returns when the latest lease of the runner ends, by a slow clock.
+func (r *runner) leaseEndsAt() Time { return r.aliveUntil - leaseMargin - lateEndMargin }
+
+// leaseOverAt returns when a runner that isn't starved has ended its runs after that.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
 // askableAt returns the time from which on an order that stays unanswered is evidence that the runs are over.
@@ -81,7 +85,7 @@
 func (s *Scheduler) runsOver(r *runner) bool {
 	over := r.aliveUntil
 	if r.host.mayBeStarved() {
-		over = max(r.aliveUntil+starvedEndMargin, r.clockAt+s.cfg.HoldWait+maxStarvation)
+		over = max(r.aliveUntil+starvedEndMargin, r.leaseEndsAt()+maxStarvation)
 	}
 	return r.askedInVain() && s.now > over
 }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -56,7 +56,7 @@
 
 // starvedLife is how long after its last answer, and a lease that was sent then, the runs of a runner count
 // whose host accepts connections.
-var starvedLife = max(maxRunLife(DefaultConfig().Lease)+starvedEndMargin, DefaultConfig().HoldWait+maxStarvation)
+var starvedLife = max(maxRunLife(DefaultConfig().Lease)+starvedEndMargin, DefaultConfig().Lease*(100+clockDriftPercent)/100+maxStarvation)
 
 // silentFor returns how long after the last lease was sent a task is started elsewhere whose runner
 // leaves all orders unanswered.
@@ -88,6 +88,12 @@
 	}
 }
 
+// Guards against the same when answers of the runner were lost before it is starved: it may carry out its orders
+// until its lease ends, and be starved from then on.
+func TestTaskOfARunnerWhoseAnswersAreLostBeforeItIsStarvedWaits(t *testing.T) {
+	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", DefaultConfig().Lease*(100+clockDriftPercent)/100+maxStarvation))
+}
+
 // Guards against a task that waits for a runner that can't be reached for longer than its lease.
 func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
 	for _, c := range []Connection{ConnectionFailed, ConnectionTimedOut} {
