An answer before the end of a wait confirms nothing later than the call

Cause: an answer that nothing has changed counted as evidence of the end of the wait, also if it came before. The settings would be confirmed in the future, the next wait would be longer, and a silent connection would be noticed late. Found by a review; no store was seen to answer so.

TestAnEarlyAnswerConfirmsNothingLater failed before and passes.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -148,22 +148,25 @@
 	return p.readOperatorSettings(ctx, wait, known)
 }
 
+// waitTolerance is the part of a wait, one in so many, by which the store's clock may make it shorter.
+const waitTolerance = 20
+
 // readOperatorSettings reads what the operator has written, and waits for a change for at most
 // the given time. If there is one, it is put in force.
 //
-// The answer is evidence of the store's state as the call began. If it says that nothing has changed, the
-// store has waited for the whole time, so the answer is evidence of the state at the end of the wait.
+// The answer is evidence of the store's state as the call began. If it says that nothing has changed, and the
+// store has waited for the whole time, it is evidence of the state at the end of the wait.
 func (p *Process) readOperatorSettings(ctx context.Context, wait time.Duration, known *routing.Freshness) error {
 	asOf := p.clock.now()
 	o, err := p.store.OperatorSettings(ctx, wait)
 	if err != nil {
 		return err
 	}
-	if !o.Changed {
-		asOf += wait
+	answeredAt := p.clock.now()
+	if !o.Changed && answeredAt-asOf >= wait-wait/waitTolerance {
+		asOf = min(asOf+wait, answeredAt)
 	}
 	known.Confirm(asOf)
-	answeredAt := p.clock.now()
 	p.post(func(now Time) {
 		if o.Changed {
 			p.applyOperatorSettings(now, o, now-answeredAt)
