--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -38,7 +38,7 @@
 }
 
 // startSettingsWatch runs the parts of a process that follow the operator's settings.
-func startSettingsWatch(t *testing.T, s *settingsStore) *Process {
+func startSettingsWatch(t *testing.T, s Store) *Process {
 	c := newClock()
 	p := &Process{
 		store: s, log: zerolog.Nop(), clock: c, metrics: newMetrics(), events: make(chan func(), eventQueueSize),
