Stops that a raised token overtakes are sent again

Cause: refuseEarlierOrders raises a runner's token while runs there go on. A stop that is under way then is refused for its token, and its result is ignored, so that the run counts as being stopped for ever: a run that hangs holds its task. Found by a review.

--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -69,11 +69,16 @@
 }
 
 // refuseEarlierOrders raises a runner's token, so that the runner refuses all orders that were sent before once
-// it has received one with the new token.
+// it has received one with the new token. Stops among them are sent again.
 func (s *Scheduler) refuseEarlierOrders(r *runner) {
 	s.term++
 	r.token = s.token()
 	r.holdInFlight, r.listInFlight = false, false
+	for _, u := range r.sortedRuns() {
+		if u.stopping && !u.stopped {
+			u.stopping, u.stopAt = false, s.now
+		}
+	}
 	s.requestList(r)
 }
 
