--- a/core/routing/freshness.go
+++ b/core/routing/freshness.go
@@ -23,7 +23,7 @@
 
 // Freshness records how current a copy of the operator's settings is: up to which time it has all
 // changes that the store has acknowledged. An open connection on which nothing arrives is no
-// evidence of that, nor is a process that was paused aware of what it has missed.
+// evidence of that, and a process that was paused may have missed changes.
 //
 // The zero value is a copy that was never confirmed.
 type Freshness struct {
@@ -35,7 +35,7 @@
 	asked   bool
 	askedAt task.Time
 	ticks   int
-	// failed: a call of this kind has failed since.
+	// failed: a call that asked for a confirmation has failed since.
 	failed bool
 }
 
@@ -75,7 +75,7 @@
 	}
 }
 
-// Fail records that the store has rejected such a call or left it unanswered.
+// Fail records that the store has rejected a call that asked for a confirmation, or left it unanswered.
 func (f *Freshness) Fail() { f.failed = true }
 
 // Await returns how long a request has to await a confirmation of the copy; 0 if it doesn't: the
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -105,7 +105,7 @@
 	// orderToken is the token of its latest start order.
 	orderToken uint64
 	// leaseEnd is the end of the lease in its start order. A runner that receives the order later
-	// rejects it.
+	// rejects it, unless it has a later lease.
 	leaseEnd int64
 	// inDoubt: no order to start it was accepted, and one stayed unanswered. startExpiredAt is when an
 	// answer has shown that the runner accepts none any more; 0 if none has yet.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,8 +35,8 @@
 	return err
 }
 
-// awaitOperatorSettings waits for a change for at most the given time. It fails if a request
-// awaits a confirmation.
+// awaitOperatorSettings waits for a change for at most the given time. It returns an error at once if a
+// request awaits a confirmation, for which the store has to be asked without a wait.
 func (p *Process) awaitOperatorSettings(ctx context.Context, wait time.Duration, known *routing.Freshness) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/standin/deployment/runner_lease.go
+++ b/standin/deployment/runner_lease.go
@@ -1,8 +1,6 @@
 package deployment
 
-import (
-	"time"
-)
+import "time"
 
 // extendLease moves the lease's expiry to ms on the runner's clock, but never to an earlier time
 // and at most maxLease ahead. The caller holds the lock.
