Logs: why a run is ordered to stop, and ends of stopped runs that were dropped

Now run-stop-ordered names the reason, also as a counter, and any end of a run that was dropped since it wasn't listed is a warning (task-ran-twice) if its task has another run. No decision changes.

Evidence: TestStopsAreLogged, TestALateEndOfAStoppedRunIsReported (red before for stopped and failed ends).

--- a/core/schedule/counters.go
+++ b/core/schedule/counters.go
@@ -8,7 +8,8 @@
 // RepeatsRejected those among them that the runner rejected, Dropped the runs that ceased to count
 // though their runners hadn't listed their ends, and RanTwice the warnings that a task had two
 // runs at a time. DoneAfterDrop counts the dropped runs that were listed as done after their task was
-// started again, and LeaseOverruns the lists that showed a run alive after its lease.
+// started again, LeaseOverruns the lists that showed a run alive after its lease, and Stops
+// the orders to stop runs.
 type Counters struct {
 	Submitted, Completed, Failed, Cancelled, Refused, GaveUp uint64
 	Starts, Done, FailedRuns, Lapsed, Adopted, Overstayed    uint64
@@ -16,6 +17,7 @@
 	StartsRepeated, RepeatsRejected, RanTwice                uint64
 	DoneAfterDrop, LeaseOverruns                             uint64
 	Dropped                                                  DropCounts
+	Stops                                                    StopCounts
 	Lending                                                  LendingCounters
 }
 
@@ -28,7 +30,7 @@
 		Lapsed: c.Lapsed + o.Lapsed, Adopted: c.Adopted + o.Adopted, Overstayed: c.Overstayed + o.Overstayed,
 		Fenced: c.Fenced + o.Fenced, Unanswered: c.Unanswered + o.Unanswered,
 		StartsRepeated: c.StartsRepeated + o.StartsRepeated, RepeatsRejected: c.RepeatsRejected + o.RepeatsRejected,
-		RanTwice: c.RanTwice + o.RanTwice, Dropped: c.Dropped.Plus(o.Dropped),
+		RanTwice: c.RanTwice + o.RanTwice, Dropped: c.Dropped.Plus(o.Dropped), Stops: c.Stops.Plus(o.Stops),
 		DoneAfterDrop: c.DoneAfterDrop + o.DoneAfterDrop, LeaseOverruns: c.LeaseOverruns + o.LeaseOverruns,
 		Lending: c.Lending.Plus(o.Lending),
 	}
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -103,6 +103,8 @@
 	allowsEnd bool
 	// mayOverlap: see DropReason.mayOverlap.
 	mayOverlap bool
+	// unlisted: a list had neither the run nor its end.
+	unlisted bool
 	// mayEndLate: the run may have ended later than its lease, beside the next one: its runner may have been
 	// starved, or its lease isn't known.
 	mayEndLate bool
@@ -185,6 +187,7 @@
 	s.emitForRun(u, d)
 	dropped := newDroppedRun(u, s.now, d.Event+" "+d.Reason)
 	dropped.allowsEnd, dropped.mayOverlap = why.allowsEnd(), why.mayOverlap()
+	dropped.unlisted = why == StoppedUnlisted || why == NeverBegun
 	if other := s.otherRun(u); other != nil {
 		dropped.setNext(other)
 	}
@@ -273,10 +276,12 @@
 	if d == nil && (u == nil || u.task == nil) {
 		d = s.uncountedEnd(r, u, e)
 	}
-	if d == nil || d.reported || d.next.Number == 0 || !showsLife(e.Kind) {
+	if d == nil || d.reported || d.next.Number == 0 {
 		return
 	}
 	switch {
+	case !showsLife(e.Kind):
+		s.checkOtherEnd(d, e.Kind)
 	case e.Kind == workload.LeaseExpired:
 		d.reported = true
 		s.emitLateSign("dropped-run-expired", d, e.Kind.String(), d.mayEndLate)
@@ -289,6 +294,14 @@
 	}
 }
 
+// checkOtherEnd handles the end of a dropped run that neither was done nor had its lease expire. A run that
+// was dropped since it wasn't on a list had not ended by then.
+func (s *Scheduler) checkOtherEnd(d *droppedRun, kind workload.EndKind) {
+	if d.unlisted {
+		s.reportAlive(d, kind.String())
+	}
+}
+
 // showsLife reports whether a run that ended so went on until it was done, or until its runner found that
 // its lease was over.
 func showsLife(k workload.EndKind) bool { return k == workload.Done || k == workload.LeaseExpired }
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -325,3 +325,33 @@
 	b.lists(first.Runner, b.now, first.Run)
 	b.g.Expect(b.warnings()).To(ConsistOf(logged("task-ran-twice", first.Run, ContainSubstring(string(second.Runner)))))
 }
+
+// Guards against a run that ends after it was dropped as stopped, beside its task's next run, without a warning.
+func TestALateEndOfAStoppedRunIsReported(t *testing.T) {
+	for _, kind := range []workload.EndKind{workload.Stopped, workload.Failed, workload.Done, workload.LeaseExpired} {
+		t.Run(kind.String(), func(t *testing.T) {
+			b := leading(t, testRunner("r1"), testRunner("r2"))
+			c := b.runningTask()
+			u := b.s.runners[c.Runner].runs[c.Run]
+			b.s.stopRun(u, StopOverdue)
+			b.stopped(one[Stop](b), Accepted)
+			b.s.dropRun(u, StoppedUnlisted)
+			b.s.requeue(u.task)
+			b.s.dispatch()
+			b.started(one[Start](b), Accepted)
+			b.now += 10 * ms
+			b.end(c.Runner, 1, c.Run, kind)
+			b.g.Expect(b.warnings()).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against a stop whose reason isn't logged or counted.
+func TestStopsAreLogged(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	c := b.runningTask()
+	b.s.Abandon(b.now, entryA, c.Run.Task.Job)
+	one[Stop](b)
+	b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-stop-ordered", c.Run, "job-ended")))
+	b.g.Expect(b.s.Counters().Stops[StopJobEnded]).To(Equal(uint64(1)))
+}
--- a/core/schedule/earlier_token_test.go
+++ b/core/schedule/earlier_token_test.go
@@ -60,7 +60,7 @@
 	b := leading(t, testRunner("r1"))
 	first := b.storedStart()
 	b.started(first, Accepted)
-	b.s.stopRun(b.s.runners["r1"].runs[first.Run])
+	b.s.stopRun(b.s.runners["r1"].runs[first.Run], StopOverdue)
 	stop := one[Stop](b)
 	r := b.reacquired(first)
 	token := r.token
@@ -76,7 +76,7 @@
 	b := leading(t, testRunner("r1"))
 	first := b.storedStart()
 	b.started(first, Accepted)
-	b.s.stopRun(b.s.runners["r1"].runs[first.Run])
+	b.s.stopRun(b.s.runners["r1"].runs[first.Run], StopOverdue)
 	stop := one[Stop](b)
 	b.answerHold(take[Hold](b)[0], Fenced)
 	b.stopped(stop, Fenced)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -279,7 +279,7 @@
 	if st := t.job.stored; st != nil {
 		st.unsettled = append(st.unsettled, u)
 	}
-	s.stopRun(u)
+	s.stopRun(u, StopTaskDone)
 }
 
 // runFailed counts a failure against the task and the runner. After failures on two runners the
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -166,7 +166,7 @@
 	for _, r := range s.runnerList {
 		for _, u := range r.sortedRuns() {
 			if u.task != nil && u.task.job.stored != nil {
-				s.stopRun(u)
+				s.stopRun(u, StopNotOwner)
 			}
 		}
 	}
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -74,7 +74,7 @@
 	}
 	r.markUnresponsive(s.now)
 	u.inDoubt = true
-	s.stopRun(u)
+	s.stopRun(u, StopUnconfirmed)
 }
 
 // noteStopped records that a run can't start any more and has ended or is about to. The runner's
@@ -139,16 +139,18 @@
 		s.requestList(u.runner)
 	default:
 		u.inDoubt = true
-		s.stopRun(u)
+		s.stopRun(u, StopUnconfirmed)
 	}
 }
 
-// stopRun orders a run to be stopped, once.
-func (s *Scheduler) stopRun(u *run) {
+// stopRun orders a run to be stopped, once, and logs why.
+func (s *Scheduler) stopRun(u *run, why StopReason) {
 	if u.stopping || u.runner.gone || !s.leading {
 		return
 	}
 	u.stopping = true
+	s.ctr.Stops[why]++
+	s.emitForRun(u, Decision{Event: "run-stop-ordered", Reason: why.String(), Token: u.runner.token, Age: s.now - u.started})
 	s.emit(Stop{Runner: u.runner.info.ID, Address: u.runner.info.Address, Token: u.runner.token, Run: u.key, Timeout: s.callTimeout()})
 }
 
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -310,7 +310,7 @@
 		}
 		t.run.setTask(nil)
 		t.run.stopAt = s.now
-		s.stopRun(t.run)
+		s.stopRun(t.run, StopJobEnded)
 		t.run = nil
 	})
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -123,7 +123,7 @@
 	case u.stopped && u.listedAt >= u.lateAt:
 		// The runner has accepted the stop, and still lists the run.
 		u.stopping, u.stopped = false, false
-		s.stopRun(u)
+		s.stopRun(u, StopStillListed)
 	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob():
 		s.dropRun(u, StopTimedOut)
 		if u.task != nil {
@@ -132,9 +132,9 @@
 	case u.startedElsewhere && u.task == nil && !s.rows.loaded && !s.rows.noStoredJobs:
 		// It may belong to a stored job that isn't loaded yet. No lease is granted meanwhile.
 	case u.task == nil && u.stopAt > 0 && s.now >= u.stopAt:
-		s.stopRun(u)
+		s.stopRun(u, StopOrphan)
 	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0:
-		s.stopRun(u)
+		s.stopRun(u, StopUnconfirmed)
 	case u.task != nil && !u.stopping && u.overdueAt > 0 && s.now >= u.overdueAt:
 		s.stopOverdue(r, u)
 	}
@@ -155,7 +155,7 @@
 		s.noteRatio(r, t, float64(s.now-u.started)/float64(expected))
 	}
 	s.emit(Decision{Event: "run-overdue", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
-	s.stopRun(u)
+	s.stopRun(u, StopOverdue)
 }
 
 // expireInterval is how often some thousand entries are checked for expiry; keeping an entry for
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -146,6 +146,9 @@
 	for reason, n := range c.Dropped {
 		set("dropped-"+schedule.DropReason(reason).String(), n)
 	}
+	for reason, n := range c.Stops {
+		set("stops-"+schedule.StopReason(reason).String(), n)
+	}
 	set("room-requested", c.Lending.Requested)
 	set("room-received", c.Lending.Received)
 	set("jobs-lent", c.Lending.JobsLent)
