Test: an unknown job's id can't be that of a numbered test job

Test jobs are numbered in one sequence over all tests, and with two more tests before it the job of this one had that very number, so the grant was its own. The id is now beyond any number; what is checked is the same.

--- a/core/schedule/lending_test.go
+++ b/core/schedule/lending_test.go
@@ -221,7 +221,7 @@
 // know, or on its own after it has retired.
 func TestAGrantForAFormerIncarnationIsIgnored(t *testing.T) {
 	b, j, _ := borrower(t)
-	b.s.RoomGranted(b.now, grantFor("00000000000000ff"))
+	b.s.RoomGranted(b.now, grantFor("ffffffffffffffff"))
 	b.g.Expect(lentAnswers(b)).To(BeEmpty())
 	b.s.Retire(b.now)
 	b.s.RoomGranted(b.now, grantFor(j.ID))
