A new leader waits 6 s for a runner that may be starved

Cause: the runs of a silent runner count for maxStarvation from the end of its lease under the leader that started them. The next leader, to which stored jobs are restored or entry processes hand their jobs, waited for its lists for 2.6 and 1.3 s only, and then started the tasks. That a runner has listed nothing stood for the end of its runs.

Change: a step waits until every runner that can take its tasks has listed its runs since the job came, is shown not to be starved (its host refuses connections or is out of reach), or must have ended them by maxStarvation after the leases of earlier schedulers. Runners without the label or the capacity that the step needs aren't waited for. What goes with it: - a job that waits so isn't moved to another shard, which would start it there; - a job that is given up meanwhile and sent again to the same scheduler waits on; - a runner that leaves the list while it may have such runs isn't forgotten. No evidence that a job has no run on the runner can be had from what is there: the records don't say what was started, Progress comes only from a leader that retires, and entry processes aren't told of starts.

Changed tests: - TestJobFromAnotherScheduler: its runner is out of reach, but the first order to it got no result at all, not even a timeout, so nothing could show that it is.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -81,6 +81,9 @@
 	// priorRunsOverAt is when runs that an earlier scheduler may have started can't be alive
 	// any more on runners that didn't answer.
 	priorRunsOverAt Time
+	// starvedRunsOverAt is when they can't be alive any more on runners that were starved; 0 if no prior run
+	// can be on such a runner.
+	starvedRunsOverAt Time
 	// priorSchedulers counts the schedulers that had the job before; listsNeededSince is when
 	// it arrived from the last of them.
 	priorSchedulers  int
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -88,11 +88,12 @@
 // moveStalled moves jobs that have been stalled for moveAfter while another shard has room.
 func (s *Scheduler) moveStalled() {
 	moved := 0
+	p := newPlacer(s)
 	for _, j := range slices.Clone(s.queue) {
 		if j.stored == nil {
 			continue
 		}
-		if !s.stalled(j) {
+		if !s.stalled(p, j) {
 			j.stalledSince = 0
 			continue
 		}
@@ -107,8 +108,8 @@
 }
 
 // stalled reports whether tasks of a job are due, and no run of it can be alive.
-func (s *Scheduler) stalled(j *job) bool {
-	if s.now < j.priorRunsOverAt || s.waitingWork(j) == 0 {
+func (s *Scheduler) stalled(p *placer, j *job) bool {
+	if s.now < j.priorRunsOverAt || s.waitingWork(j) == 0 || p.anyMayRunHidden(j) {
 		return false
 	}
 	over := true
@@ -252,7 +253,8 @@
 		Job: id, Definition: m.Job, Age: m.Age, Epoch: s.rows.epoch - uint64(m.Hand),
 		Done: m.Done, Failures: m.Failures, Unseen: m.Unseen, Restarted: true,
 	})
-	j.priorRunsOverAt = s.now
+	// It was moved when no run of it could be alive.
+	j.priorRunsOverAt, j.starvedRunsOverAt = s.now, 0
 	j.stored.accepted = false
 	j.stored.waiters = make(map[EntryID]Time)
 	j.stored.senders = []sender{{entry: from, shard: m.From}}
--- /dev/null
+++ b/core/schedule/priorruns.go
@@ -0,0 +1,116 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Prior runs on runners that may be starved.
+//
+// A scheduler learns the prior runs of a job from the runners' lists. A runner that has listed nothing since the
+// job came may have such a run, and if it is starved it ends the run later than its lease. Under the scheduler
+// that started the run it counts for maxStarvation from the end of the lease (see silence.go). The next scheduler
+// doesn't know which jobs have runs there, so it waits as long with each step of which a task may be on such a
+// runner.
+//
+// A runner that can't take a step's tasks has no run of them. Nor has one whose host is out of reach or
+// refuses connections: its runs are over by priorRunsOverAt.
+
+// priorRuns are what is known of the runs that earlier schedulers may have started for a job.
+type priorRuns struct {
+	// schedulers counts the schedulers that had the job before; listsNeededSince is when it arrived from
+	// the last of them.
+	schedulers       int
+	listsNeededSince Time
+	// overAt is when the runs can't be alive any more on runners that aren't starved, and starvedOverAt when
+	// they can't on those that are.
+	overAt, starvedOverAt Time
+}
+
+// noteStarvedOver records until when prior runs of some job may be alive on runners that are starved.
+func (s *Scheduler) noteStarvedOver(at Time) { s.starvedOverAt = max(s.starvedOverAt, at) }
+
+// mayHidePriorRuns reports whether the runner has listed nothing since a time and may be starved, so that it
+// may have runs that nobody here knows.
+func (r *runner) mayHidePriorRuns(since Time) bool {
+	return !r.gone && !r.listedSince(since) && r.host.mayBeStarved()
+}
+
+// canTake reports whether the runner could take a task of a step if it ran nothing else.
+func (r *runner) canTake(step *workload.Step) bool {
+	return r.info.HasLabel(step.Requires) && step.Need.Fits(r.info.Capacity)
+}
+
+// hidingRunners lists the runners of a service that may have prior runs which they haven't listed.
+func (p *placer) hidingRunners(service string) []*runner {
+	if list, ok := p.hiding[service]; ok {
+		return list
+	}
+	var list []*runner
+	for _, r := range p.s.runnerList {
+		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandoverAt) {
+			list = append(list, r)
+		}
+	}
+	p.hiding[service] = list
+	return list
+}
+
+// mayRunHidden reports whether a task of a job's step may have a prior run on a runner that may be starved.
+func (p *placer) mayRunHidden(j *job, i int) bool {
+	if p.s.now >= j.starvedRunsOverAt {
+		return false
+	}
+	return slices.ContainsFunc(p.hidingRunners(j.work.Service), func(r *runner) bool {
+		return !r.listedSince(j.listsNeededSince) && r.canTake(j.stepAt(i))
+	})
+}
+
+// anyMayRunHidden reports whether that holds for any step of a job that isn't done.
+func (p *placer) anyMayRunHidden(j *job) bool {
+	for i, open := range j.open {
+		if open > 0 && p.mayRunHidden(j, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// hidesPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
+func (s *Scheduler) hidesPriorRuns(r *runner) bool {
+	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandoverAt)
+}
+
+// rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
+// again, as a new job.
+func (s *Scheduler) rememberPriorRuns(j *job) {
+	if j.stored != nil || s.now >= j.starvedRunsOverAt {
+		return
+	}
+	s.priorRuns[j.work.ID] = priorRuns{
+		schedulers: j.priorSchedulers, listsNeededSince: j.listsNeededSince,
+		overAt: j.priorRunsOverAt, starvedOverAt: j.starvedRunsOverAt,
+	}
+}
+
+// recallPriorRuns applies to a job that comes again what is known of its prior runs.
+func (s *Scheduler) recallPriorRuns(j *job) {
+	p, ok := s.priorRuns[j.work.ID]
+	if !ok {
+		return
+	}
+	j.started = true
+	j.priorSchedulers, j.listsNeededSince = p.schedulers, p.listsNeededSince
+	j.priorRunsOverAt, j.starvedRunsOverAt = p.overAt, p.starvedOverAt
+	j.eachTask(func(t *taskState) { t.lastNumber = p.schedulers * runsPerScheduler })
+}
+
+// expirePriorRuns forgets the prior runs that are over.
+func (s *Scheduler) expirePriorRuns() {
+	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.starvedOverAt })
+}
+
+// starvedOver returns when prior runs are over on starved runners, if they are by a time on all others.
+func starvedOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxStarvation }
--- /dev/null
+++ b/core/schedule/priorruns_test.go
@@ -0,0 +1,108 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// handOver submits a job that another scheduler had.
+func (b *harness) handOver(j *workload.Job, timeout time.Duration) {
+	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: timeout, PriorSubmissions: 1, PriorRunsTTL: maxPriorRunLife})
+}
+
+// passSilently lets time pass while a runner leaves all Holds unanswered, and collects the starts.
+func (b *harness) passSilently(d time.Duration, silent workload.RunnerID, c Connection) []Start {
+	var starts []Start
+	for end := b.now + d; b.now < end; {
+		b.tick(20 * ms)
+		b.s.RowOwnershipVerified(b.now, b.now)
+		b.leaveUnanswered(silent, c)
+		starts = append(starts, take[Start](b)...)
+	}
+	return starts
+}
+
+// restoring returns a new leader that has loaded a job, with a silent runner.
+func restoring(t *testing.T, j *workload.Job, c Connection, runners ...workload.Runner) *harness {
+	b := newHarness(t, runners...)
+	b.s.Lead(b.now)
+	b.leaveUnanswered("silent", c)
+	b.ownRows(3, openRecord(j, 2))
+	return b
+}
+
+// Guards against jobs that wait for ever for a runner that hangs.
+func TestPriorRunsOnARunnerThatMayBeStarvedAreOverInTheEnd(t *testing.T) {
+	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
+	b.g.Expect(b.passSilently(maxPriorRunLife+maxStarvation-20*ms, "silent", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionMade)).To(HaveLen(1))
+}
+
+// Guards against a job that goes on waiting when the runner has listed its runs, or is shown to be lost.
+func TestJobsStartOnceTheSilentRunnerCantHidePriorRuns(t *testing.T) {
+	for name, resolve := range map[string]func(b *harness){
+		"lists":               func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted) },
+		"refuses connections": func(b *harness) { b.passSilently(time.Second, "silent", ConnectionFailed) },
+		"is out of reach":     func(b *harness) { b.passSilently(time.Second, "silent", ConnectionTimedOut) },
+	} {
+		b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
+		b.g.Expect(b.passSilently(3*time.Second, "silent", ConnectionMade)).To(BeEmpty())
+		resolve(b)
+		b.s.Tick(b.now)
+		b.s.RowOwnershipVerified(b.now, b.now)
+		b.tick(20 * ms)
+		started := b.s.sortedJobs()[0].waiting == 0
+		b.g.Expect(started).To(BeTrue(), "the silent runner %s", name)
+	}
+}
+
+// Guards against a wait for a runner that can't have a run of the job: it lacks the label, or is too small.
+func TestJobsDontWaitForRunnersThatCantTakeThem(t *testing.T) {
+	unlabelled, small := testRunner("silent"), testRunner("silent")
+	unlabelled.Labels = nil
+	small.Capacity.MilliCPU = 1000
+	for _, silent := range []workload.Runner{unlabelled, small} {
+		j := storedJob(1, 500*ms)
+		j.Steps[0].Requires = "a"
+		b := restoring(t, j, ConnectionMade, testRunner("r1"), silent)
+		b.g.Expect(b.passSilently(3*time.Second, "silent", ConnectionMade)).To(HaveLen(1))
+	}
+}
+
+// Guards against a second run in another shard: a job whose tasks may be alive on a silent runner isn't stalled.
+func TestAJobThatMayRunOnASilentRunnerIsNotMoved(t *testing.T) {
+	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
+	b.s.SetAlternate(3, 0)
+	b.passSilently(maxPriorRunLife+maxStarvation-40*ms, "silent", ConnectionMade)
+	for _, save := range take[Save](b) {
+		b.g.Expect(save.Record.State.String()).To(Equal("open"))
+	}
+}
+
+// Guards against a second run of a job that its caller sends again after it was given up: the runner that may
+// have a run of it is still silent.
+func TestAJobThatIsSentAgainAfterItsHandoverWaits(t *testing.T) {
+	b := takingOver(t, ConnectionMade)
+	j := testJob(1, 400*ms)
+	begin := b.now
+	b.handOver(j, 2*time.Second)
+	b.g.Expect(b.passSilently(2200*ms, "r2", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
+	b.submit(j, 9*time.Second)
+	b.g.Expect(b.passSilently(begin+maxPriorRunLife+maxStarvation-20*ms-b.now, "r2", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(b.passSilently(60*ms, "r2", ConnectionMade)).To(HaveLen(1))
+}
+
+// Guards against a silent runner that is forgotten when it leaves the list, with the runs that it may have.
+func TestASilentRunnerThatLeavesTheListIsAskedFurther(t *testing.T) {
+	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
+	b.s.SetRunners(b.now, []workload.Runner{testRunner("r1")})
+	b.g.Expect(b.passSilently(maxStarvation, "silent", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(b.s.runners).To(HaveKey(workload.RunnerID("silent")))
+	b.passSilently(2*time.Second, "silent", ConnectionMade)
+	b.g.Expect(b.s.runners).NotTo(HaveKey(workload.RunnerID("silent")))
+}
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -208,6 +208,8 @@
 	for _, h := range take[Hold](b) {
 		if h.Runner == "r1" {
 			b.held(h)
+		} else {
+			b.answerHold(h, Unanswered)
 		}
 	}
 	handed := b.now
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -106,6 +106,10 @@
 	// latestHandoverAt is when the latest job arrived that another scheduler had. Runners
 	// whose last list is older are asked for a new one.
 	latestHandoverAt Time
+	// starvedOverAt is when no prior run of any job can be alive any more on a runner that was starved, and
+	// priorRuns are those of jobs that were given up.
+	starvedOverAt Time
+	priorRuns     map[workload.JobID]priorRuns
 	// unreachable holds the VMs whose processes became unreachable and haven't come back,
 	// and since when. They may lead on the other side of a network partition.
 	unreachable map[string]Time
@@ -182,6 +186,7 @@
 		unreachable:    make(map[string]Time),
 		ranJobs:        make(map[workload.JobID]Time),
 		unstored:       make(map[workload.JobID]Time),
+		priorRuns:      make(map[workload.JobID]priorRuns),
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
 		drops:          newDropMemory(),
 		lostOrphans:    make(lostOrphans),
@@ -241,6 +246,7 @@
 	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
 	s.forgetRunners()
+	s.noteStarvedOver(starvedOver(now + maxPriorRunLife))
 	for _, r := range s.runnerList {
 		s.acquire(r)
 	}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -110,6 +110,7 @@
 	// The objective counts from the caller's first send, so a part of it may be over.
 	j.worthlessAt = min(s.now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
 	s.setExpected(j)
+	s.recallPriorRuns(j)
 	s.notePriorSubmissions(j, sub)
 	if _, ok := s.ranJobs[sub.Job.ID]; ok {
 		j.started = true
@@ -144,6 +145,8 @@
 	j.priorSchedulers = sub.PriorSubmissions
 	j.started = true
 	j.priorRunsOverAt = s.now + sub.PriorRunsTTL
+	j.starvedRunsOverAt = starvedOver(j.priorRunsOverAt)
+	s.noteStarvedOver(j.starvedRunsOverAt)
 	j.listsNeededSince = s.now
 	s.latestHandoverAt = s.now
 	j.eachTask(func(t *taskState) { t.lastNumber = max(t.lastNumber, sub.PriorSubmissions*runsPerScheduler) })
@@ -324,6 +327,7 @@
 	if j.stored == nil {
 		s.unstored[j.work.ID] = s.now
 	}
+	s.rememberPriorRuns(j)
 }
 
 func (s *Scheduler) count(o workload.Outcome) {
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -185,6 +185,7 @@
 	maps.DeleteFunc(s.doneWithoutJob, func(_ workload.TaskName, d doneRun) bool { return d.at < oldestDone })
 	s.expireBorrowing()
 	s.drops.expire(s.now - dropRetention)
+	s.expirePriorRuns()
 }
 
 func expireBefore[K comparable](m map[K]Time, oldest Time) {
