Stand-ins: runners that don't list all runs in progress

The stand-in and the model listed both at once and until the end, so that no test asked what the scheduler does otherwise.

Change: the stand-in's runner has the faults UnlistedStops and MaxListDelay (off by default), the model's runner the same as gaps.

--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -165,6 +165,12 @@
 }
 
 func randomRunOf(w *world, names []string) (*world, []string) {
+	w.drawGaps()
+	return playFaults(w, names)
+}
+
+// playFaults simulates twelve seconds of traffic with random faults, on the runners as they are.
+func playFaults(w *world, names []string) (*world, []string) {
 	w.load(60, 12*time.Second)
 	var played []string
 	for w.now < 12*time.Second {
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -28,6 +28,8 @@
 	// rejects are the orders that it rejects whatever they say, and slow are those that take long.
 	rejects rejections
 	slow    slowness
+	// lists says which runs it doesn't list as running.
+	lists gaps
 	// orders and work are what the runner puts off, see backlog. killDelay is how late it ends its runs
 	// after their lease, and idleUntil is until when it may do so.
 	orders, work         backlog
@@ -65,6 +67,8 @@
 type fakeRun struct {
 	need    workload.Resources
 	stopped bool
+	// listedFrom is when it begins to be listed as running.
+	listedFrom time.Duration
 }
 
 // waitingHold is a Hold that is answered when a run ends, or when its wait is over.
@@ -155,7 +159,7 @@
 	if r.w.chance(r.rejects.noRoom) {
 		return schedule.NoRoom
 	}
-	r.runs[c.Run] = &fakeRun{need: need}
+	r.runs[c.Run] = &fakeRun{need: need, listedFrom: r.w.now + r.lists.delay()}
 	r.started++
 	r.trace("start", c.Run, c.Token)
 	r.w.checker.started(r, c.Run)
@@ -262,7 +266,7 @@
 	for _, e := range r.ends {
 		res.Ends = append(res.Ends, e.End)
 	}
-	res.Running = r.w.sortedRuns(r)
+	res.Running = r.listedRuns()
 	h.answer(res)
 }
 
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -27,10 +27,13 @@
 // world simulates a deployment in virtual time: entry processes, runners and callers in
 // failure domains, and a platform that can be unavailable. A run is determined by its seed.
 type world struct {
-	now     time.Duration
-	events  eventHeap
-	seq     int
-	rng     *rand.Rand
+	seed   uint64
+	now    time.Duration
+	events eventHeap
+	seq    int
+	rng    *rand.Rand
+	// gaps draws what is missing on the lists of runners; nil if nothing is.
+	gaps    *rand.Rand
 	nodes   []*fakeNode
 	runners []*fakeRunner
 	// byRunner are the runners by their ids.
@@ -175,6 +178,7 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
+		seed:             seed,
 		rng:              rand.New(rand.NewPCG(seed, 1)),
 		jobs:             make(map[workload.JobID]*fakeJob),
 		isolated:         make(map[string]bool),
@@ -266,6 +270,7 @@
 		runs:             make(map[workload.RunKey]*fakeRun),
 		sealed:           make(map[workload.TaskName]int),
 	}
+	w.drawGapsOf(r)
 	w.runners = append(w.runners, r)
 	w.byRunner[r.info.ID] = r
 	w.listed[r.info.ID] = true
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -371,8 +371,14 @@
 	}
 }
 
+// estimateError is how many times as long as estimated runs take where estimates are wrong.
+const estimateError = 6
+
 func (w *world) submit(n *node, job string, runTime time.Duration, tasks int, timeout time.Duration) (int, string) {
 	estimate := 100*time.Millisecond + w.extraRunTime
+	if w.wrongEstimates {
+		estimate = runTime / estimateError
+	}
 	body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":%d,"cpu":9000,"memMb":64,"estimateMs":%d}],"bestEffort":%v}`,
 		runTime.Milliseconds(), tasks, estimate.Milliseconds(), !isStored(job))
 	return w.request(n, http.MethodPost, job, body, timeout)
--- a/soak/harsh_runners_test.go
+++ b/soak/harsh_runners_test.go
@@ -45,6 +45,18 @@
 	soakOnly(t, scenario{faults: slices.Concat(processFaults, orderFaults, []fault{pausedInSeries, pausedInSeries, pausedInSeries}), copies: 0.1, extraRunTime: 500 * time.Millisecond})
 }
 
+// Guards against a second run beside one that is being stopped and that its runner doesn't list any more.
+func TestSoakUnlistedStops(t *testing.T) {
+	soakOnly(t, scenario{faults: []fault{runnersPause}, unlistedStops: true, wrongEstimates: true, extraRunTime: 900 * time.Millisecond})
+}
+
+// runnersPause lets a few runners handle no calls for a moment.
+var runnersPause = fault{"runners pause", func(w *world) {
+	for _, r := range w.randomRunners(6) {
+		r.PauseCalls(w.randomDuration(50, 200))
+	}
+}}
+
 var orderFaults = []fault{
 	{"runners without room", func(w *world) {
 		share := 0.2 + w.rng.Float64()/2
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -29,10 +29,13 @@
 	stopTimeout = 50 * time.Millisecond
 	// restartDelay is the time after which the platform restarts a process that has ended.
 	restartDelay = 200 * time.Millisecond
+	// maxListDelay is the longest time until a runner lists a run that it has accepted.
+	maxListDelay = 20 * time.Millisecond
 )
 
 // world is a deployment of real processes on the loopback address.
 type world struct {
+	seed          uint64
 	rng           *rand.Rand
 	program       string
 	store         *deployment.Store
@@ -64,6 +67,10 @@
 	killDelay time.Duration
 	// lenientStarts: runners carry out starts after their deadlines while they have a lease.
 	lenientStarts bool
+	// unlistedStops: no runner lists a run that is being stopped as running; otherwise about half of them don't.
+	unlistedStops bool
+	// wrongEstimates: callers ask for runs of several times the estimate that they give, so that runs are stopped.
+	wrongEstimates bool
 	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
 	copies float64
 }
@@ -124,7 +131,7 @@
 		return nil, err
 	}
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store,
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store,
 		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
 		scenario: sc,
 	}
@@ -150,6 +157,19 @@
 	return w, nil
 }
 
+// drawLists draws which of its runs a new runner doesn't list as running. The faults that a seed injects don't
+// depend on it.
+func (w *world) drawLists(r *deployment.Runner) {
+	rng := rand.New(rand.NewPCG(w.seed, uint64(w.runnersStarted)))
+	unlistedStops, late := rng.IntN(2) == 0, rng.IntN(2) == 0
+	r.ChangeFaults(func(f *deployment.RunnerFaults) {
+		f.UnlistedStops = w.unlistedStops || unlistedStops
+		if late {
+			f.MaxListDelay = maxListDelay
+		}
+	})
+}
+
 // domain returns the failure domain of the runner or entry VM with an index.
 func domain(i int) string { return string(rune('a' + i%*domains)) }
 
@@ -165,6 +185,7 @@
 	r.ChangeFaults(func(f *deployment.RunnerFaults) {
 		f.KillDelay, f.StopTime, f.LenientStarts = w.killDelay, stopTimeout, w.lenientStarts
 	})
+	w.drawLists(r)
 	p, err := faults.NewProxy(r.Info.Address)
 	if err != nil {
 		return nil, err
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -92,6 +92,8 @@
 	clockRate  float64
 	// stopping holds the running runs that are being stopped.
 	stopping map[RunID]bool
+	// listedFrom is when each running run begins to be listed.
+	listedFrom map[RunID]time.Time
 }
 
 // startPath and stopPath are the paths of the calls that start and stop runs.
@@ -126,6 +128,7 @@
 		running:     make(map[RunID]*time.Timer),
 		closedRuns:  make(map[string]int),
 		stopping:    make(map[RunID]bool),
+		listedFrom:  make(map[RunID]time.Time),
 		endsChanged: make(chan struct{}),
 
 		clockStart: time.Now().Add(-time.Hour),
@@ -314,6 +317,7 @@
 	if r.observer != nil {
 		r.observer.RunStarted(r, s)
 	}
+	r.listedFrom[s] = time.Now().Add(r.faults.listDelay())
 	r.running[s] = time.AfterFunc(runTime, func() {
 		r.lockAwake()
 		defer r.mu.Unlock()
@@ -340,6 +344,7 @@
 	timer.Stop()
 	delete(r.running, s)
 	delete(r.stopping, s)
+	delete(r.listedFrom, s)
 	if r.observer != nil {
 		r.observer.RunEnded(r, s, outcome)
 	}
@@ -352,8 +357,8 @@
 	r.endsChanged = make(chan struct{})
 }
 
-// stop ends a run, if it is running, within the fault StopTime. Until then the run is listed as running, and
-// may end by itself. Neither it nor an earlier run of the task can be started later.
+// stop ends a run, if it is running, within the fault StopTime. Until then the run is listed as running, unless
+// the fault UnlistedStops is set, and may end by itself. Neither it nor an earlier run of the task can be started later.
 func (r *Runner) stop(w http.ResponseWriter, q *http.Request) {
 	o, ok := r.decodeAndLock(w, q)
 	if !ok {
@@ -414,6 +419,9 @@
 	defer r.mu.Unlock()
 	running := make([][]any, 0, len(r.running))
 	for s := range r.running {
+		if !r.listed(s) {
+			continue
+		}
 		running = append(running, []any{s.Task, s.Run, "", 100, 0})
 	}
 	listed := r.endedRuns[:min(len(r.endedRuns), maxEndsListed)]
@@ -423,3 +431,11 @@
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"clockMs": r.clock(), "born": r.Info.IncarnationStart, "running": running, "endedRuns": ended})
 }
+
+// listed reports whether a run in progress is listed as running. The caller holds the lock.
+func (r *Runner) listed(s RunID) bool {
+	if r.stopping[s] && r.faults.UnlistedStops {
+		return false
+	}
+	return !time.Now().Before(r.listedFrom[s])
+}
--- a/standin/deployment/runner_faults.go
+++ b/standin/deployment/runner_faults.go
@@ -20,6 +20,10 @@
 	StartsWithoutRoom float64
 	// StopTime is the longest that a stop takes; the call is answered at once.
 	StopTime time.Duration
+	// UnlistedStops: a run that is being stopped isn't listed as running any more.
+	UnlistedStops bool
+	// MaxListDelay is the longest time until a run that has begun is listed as running.
+	MaxListDelay time.Duration
 	// LenientStarts: a start that arrives after its deadline is carried out while the runner has a lease.
 	LenientStarts bool
 	// Slow is the share of calls that are carried out late, and that of answers that are sent late,
@@ -50,6 +54,21 @@
 	return f.UnansweredOthers
 }
 
+// changesCalls reports whether a fault concerns how calls are passed on and answered.
+func (f RunnerFaults) changesCalls() bool {
+	f.KillDelay, f.StopTime, f.StartsWithoutRoom, f.LenientStarts = 0, 0, 0, false
+	f.UnlistedStops, f.MaxListDelay = false, 0
+	return f != (RunnerFaults{})
+}
+
+// listDelay returns a random time until a run that begins is listed as running.
+func (f RunnerFaults) listDelay() time.Duration {
+	if f.MaxListDelay <= 0 {
+		return 0
+	}
+	return rand.N(f.MaxListDelay)
+}
+
 // delay returns a random delay.
 func (f RunnerFaults) delay() time.Duration {
 	if f.MaxDelay <= 0 || rand.Float64() >= f.Slow {
@@ -140,8 +159,7 @@
 		r.mu.Lock()
 		f := r.faults
 		r.mu.Unlock()
-		f.KillDelay, f.StopTime, f.StartsWithoutRoom, f.LenientStarts = 0, 0, 0, false // calls don't depend on them
-		if f == (RunnerFaults{}) {
+		if !f.changesCalls() {
 			next.ServeHTTP(w, q)
 			return
 		}
