A stopped run counts until its end is listed or its stop must be over

Cause: a run whose stop was answered counted as over once a later list had neither the run nor its end. Its runner may have taken it off its list at once and take `stopTimeoutMs` to end it; its task was started elsewhere 4 ms after the stop. Four more ways took "not listed" for "over": a run whose start is refused by now (the first list under a raised token), the answer to an order of before the token was raised (ignored, also if it says that the run has begun), a start that is rejected as outdated (by a stop of the job's earlier life that may be in progress), and a lost orphan (the first list after its runner was acquired again).

Change: a stopped run counts, with its task and its room, until its end is listed or until a complete list lacks both that was requested StopTimeout + lateEndMargin after the stop's answer or later. A run whose start is refused by now counts until such a list that was requested as long after the first one that lacked it. The scheduler requests these lists when their time has come, and then each 30 ms while none has come; an unresponsive runner is asked by its probes. An accepted start confirms its run also if the token was raised since. The task of an outdated start waits as long; so does that of a lost orphan, but after a restart of its runner, which has ended the stops.

TestAStopThatIsntCarriedOutIsRepeated passes unchanged.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -11,7 +11,7 @@
 // else in either may be used.
 func (s *Scheduler) checkIncarnation(r *runner, start int64) bool {
 	switch {
-	case start == 0 || start == r.incarnationStart:
+	case r.isIncarnation(start):
 		return true
 	case r.incarnationStart == 0:
 		r.incarnationStart = start
@@ -22,6 +22,9 @@
 	return false
 }
 
+// isIncarnation reports whether an answer comes from the known incarnation, or doesn't say.
+func (r *runner) isIncarnation(start int64) bool { return start == 0 || start == r.incarnationStart }
+
 // noteEarlierIncarnation handles a Hold under the present token that an incarnation with an earlier start
 // has answered: the clock by which the runner reports its start has stepped back. The answer can't be
 // told from a late one, so the Hold counts as unanswered. A later incarnation was acquired again, under
@@ -93,7 +96,7 @@
 		mayBegin := !u.confirmed || u.startAttempts > 1
 		if u.task == nil {
 			if mayBegin {
-				s.noteLostOrphan(u)
+				s.noteLostOrphan(u, true)
 			}
 			continue
 		}
--- a/core/schedule/lostorphan.go
+++ b/core/schedule/lostorphan.go
@@ -18,6 +18,8 @@
 	key    workload.RunKey
 	runner workload.RunnerID
 	lostAt Time
+	// restarted: its runner has restarted, and with it ended the stops that were in progress.
+	restarted bool
 }
 
 // lostOrphans are the lost orphans by their tasks.
@@ -30,14 +32,15 @@
 	})
 	for _, u := range r.runs {
 		if u.abandoned() {
-			s.noteLostOrphan(u)
+			s.noteLostOrphan(u, false)
 		}
 	}
 }
 
-func (s *Scheduler) noteLostOrphan(u *run) {
+// noteLostOrphan remembers an orphan that was lost since its runner has restarted, or for another reason.
+func (s *Scheduler) noteLostOrphan(u *run, restarted bool) {
 	t := u.key.Task
-	s.lostOrphans[t] = append(s.lostOrphans[t], lostOrphan{key: u.key, runner: u.runner.info.ID, lostAt: s.now})
+	s.lostOrphans[t] = append(s.lostOrphans[t], lostOrphan{key: u.key, runner: u.runner.info.ID, lostAt: s.now, restarted: restarted})
 }
 
 // abandoned reports whether a run is an orphan or is about to become one.
@@ -55,11 +58,32 @@
 		return false
 	}
 	r := s.runners[o.runner]
-	return r == nil || !r.gone && !r.listedWithout(o)
+	return r == nil || !r.gone && !s.listedWithout(r, o)
 }
 
 // listedWithout reports whether the runner's list of a time after a lost orphan was dropped doesn't have
 // the orphan.
-func (r *runner) listedWithout(o lostOrphan) bool {
-	return r.owned && r.listAsOf >= o.lostAt && r.runs[o.key] == nil
+func (s *Scheduler) listedWithout(r *runner, o lostOrphan) bool {
+	return r.owned && r.listAsOf >= s.listNeededSince(r, o) && r.runs[o.key] == nil
+}
+
+// listNeededSince returns from when on a list of its runner shows whether a lost orphan is over. A stop that another
+// scheduler had sent may have been in progress as the runner was acquired again.
+func (s *Scheduler) listNeededSince(r *runner, o lostOrphan) Time {
+	if o.restarted {
+		return o.lostAt
+	}
+	return max(o.lostAt, r.acquiredAt) + s.longestStop()
+}
+
+// askForLostOrphans requests the lists that show whether lost orphans are over.
+func (s *Scheduler) askForLostOrphans() {
+	for _, t := range slices.SortedFunc(maps.Keys(s.lostOrphans), compareTasks) {
+		for _, o := range s.lostOrphans[t] {
+			r := s.runners[o.runner]
+			if r != nil && r.owned && !r.unresponsive && s.mayBeAlive(o) && s.now >= s.listNeededSince(r, o) {
+				s.requestList(r)
+			}
+		}
+	}
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -113,32 +113,23 @@
 	r.noteExpiredStarts()
 }
 
-// dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and can't
-// begin any more in this incarnation. If that isn't certain, since their orders may still be carried out under
-// another lease, it makes the runner refuse these orders. The tasks wait until the runs can't begin in a later
-// incarnation either: that one wouldn't know of the stop, nor of the clock by which the start has expired.
+// dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and that are over or
+// can't begin any more in this incarnation. If that isn't certain, since their orders may still be carried out
+// under another lease, it makes the runner refuse these orders.
 func (s *Scheduler) dropUnlisted(r *runner, listed map[workload.RunKey]bool, sentAt Time) {
 	refuse := false
 	for _, u := range r.sortedRuns() {
-		if listed[u.key] {
-			continue
-		}
 		switch {
+		case listed[u.key]:
 		case u.task == nil && sentAt < r.startInvalidAt(u):
-			continue
-		case u.stopped && u.stoppedAt <= sentAt:
-			s.dropRun(u, StoppedUnlisted)
-		case u.stopped || u.confirmed || u.orderToken == 0:
-			continue
+		case u.stopped:
+			s.dropAbsent(u, StoppedUnlisted, sentAt)
+		case u.confirmed || u.orderToken == 0:
 		case u.orderToken == r.token:
 			refuse = refuse || u.startExpiredAt > 0 && u.startExpiredAt <= sentAt
-			continue
 		default:
-			s.dropRun(u, NeverBegun)
-		}
-		u.delayTask(r.startInvalidAt(u))
-		if u.task != nil {
-			s.requeue(u.task)
+			s.noteRefusedStart(u)
+			s.dropAbsent(u, NeverBegun, sentAt)
 		}
 	}
 	if refuse {
@@ -146,13 +137,35 @@
 	}
 }
 
+// noteRefusedStart records that the runner refuses the orders to start an unconfirmed run by now. A run that has
+// begun before may be missing on its list for a moment.
+func (s *Scheduler) noteRefusedStart(u *run) {
+	if u.settledAt == 0 {
+		u.awaitList(s.now + s.longestStop())
+	}
+}
+
+// dropAbsent drops a run that isn't on a list which was requested at sentAt, if that is late enough to show that
+// the run is over. Its task waits until the run can't begin in a later incarnation either: that one wouldn't know
+// of the stop, nor of the clock by which the start has expired.
+func (s *Scheduler) dropAbsent(u *run, why DropReason, sentAt Time) {
+	if sentAt < u.settledAt {
+		return
+	}
+	s.dropRun(u, why)
+	u.delayTask(u.runner.startInvalidAt(u))
+	if u.task != nil {
+		s.requeue(u.task)
+	}
+}
+
 // noteListedRun records a run that a runner lists.
 func (s *Scheduler) noteListedRun(r *runner, k workload.RunKey, requestedAt Time) {
 	u := r.runs[k]
 	if u == nil {
 		u = s.addListedRun(r, k)
 	}
-	u.confirmed = true
+	u.confirm()
 	u.listedAt = max(u.listedAt, requestedAt)
 	if u.task == nil {
 		s.checkListedOrphan(u, requestedAt)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -123,13 +123,16 @@
 	// neither is due.
 	stopAt Time
 	// stopping: an order to stop the run was sent. stopped: the order was answered, and the run is over
-	// once the runner has listed its end, or its runs without this one. From lateAt on that is late.
+	// once the runner has listed its end.
 	// overAt is set if the end may not be on a list, since there are too many; the run is over then.
-	stopping  bool
-	stopped   bool
-	stoppedAt Time
-	lateAt    Time
-	overAt    Time
+	stopping bool
+	stopped  bool
+	overAt   Time
+	// settledAt is from when on a list shows whether a run that was stopped, or whose start is refused by now, is
+	// over: it has ended or never begun if a list requested then or later has neither it nor its end, and its stop
+	// wasn't carried out if that list has it. 0 if no list shows that. askAt is when a list is requested for it
+	// next; 0 for not at all.
+	settledAt, askAt Time
 	// overdueAt is when the run counts as stuck.
 	overdueAt Time
 	// expectedEnd is when it is expected to end.
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -33,6 +34,7 @@
 	s.now = now
 	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
+		s.noteEarlierAcceptance(res)
 		return
 	}
 	s.recordLatency(res.Clock.SentAt)
@@ -45,7 +47,7 @@
 	}
 	switch res.Outcome {
 	case Accepted:
-		u.confirmed = true
+		u.confirm()
 		return
 	case Fenced:
 		s.runnerFenced(r)
@@ -59,6 +61,26 @@
 	s.dispatch()
 }
 
+// noteEarlierAcceptance confirms a run whose start was accepted under a token that was raised since. The runner
+// was not acquired again in between, or the run's latest order would have another token.
+func (s *Scheduler) noteEarlierAcceptance(res StartResult) {
+	r := s.runners[res.Runner]
+	if r == nil || r.gone || res.Outcome != Accepted || !r.isIncarnation(res.Clock.IncarnationStart) {
+		return
+	}
+	if u := r.runs[res.Run]; u != nil && u.orderToken == res.Token {
+		u.confirm()
+	}
+}
+
+// confirm records that a run has begun. A list that lacks it doesn't show any more that it hasn't.
+func (u *run) confirm() {
+	u.confirmed = true
+	if !u.stopped {
+		u.awaitList(0)
+	}
+}
+
 // startUnanswered sends a start again. If that stays unanswered too it stops the run, so that the
 // task can be started on another runner.
 func (s *Scheduler) startUnanswered(r *runner, u *run) {
@@ -77,15 +99,21 @@
 	s.stopRun(u, StopUnconfirmed)
 }
 
+// longestStop is the longest time from the answer to a stop until the run has ended.
+func (s *Scheduler) longestStop() time.Duration { return s.cfg.StopTimeout + lateEndMargin }
+
 // noteStopped records that a run can't start any more and has ended or is about to. The runner's
 // list shows how.
-func (s *Scheduler) noteStopped(u *run, at Time) {
+func (s *Scheduler) noteStopped(u *run) {
 	u.stopped = true
-	u.stoppedAt = at
-	u.lateAt = s.now + s.cfg.StopTimeout + lateEndMargin
+	u.awaitList(s.now + s.longestStop())
 	s.requestList(u.runner)
 }
 
+// awaitList records from when on a list that lacks the run and its end shows that it is over. The list is
+// requested then.
+func (u *run) awaitList(at Time) { u.settledAt, u.askAt = at, at }
+
 // startRejected handles an order to start a run that was certainly not carried out. An earlier order
 // for the same run may have been.
 func (s *Scheduler) startRejected(r *runner, u *run, o CallOutcome) {
@@ -103,6 +131,8 @@
 	}
 	switch o {
 	case Outdated:
+		// The run that outdated it may be one of an earlier life of the job, and may still be stopping.
+		t.notBefore = max(t.notBefore, s.now+s.longestStop())
 		t.lastNumber += runsPerScheduler
 	case Invalid:
 		s.finish(t.job, workload.JobFailed, "runners don't understand the task")
@@ -130,7 +160,7 @@
 	switch {
 	case o == Outdated:
 		u.stopping = true
-		s.noteStopped(u, s.now)
+		s.noteStopped(u)
 		// The runner lists the run's end, unless it has too many ends for one list.
 		u.overAt = s.now + maxRunLife(s.cfg.Lease)
 	case u.confirmed:
@@ -168,7 +198,7 @@
 	switch res.Outcome {
 	case Accepted:
 		if u != nil {
-			s.noteStopped(u, res.Clock.ReceivedAt)
+			s.noteStopped(u)
 		}
 	case Fenced:
 		s.runnerFenced(r)
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -27,6 +27,7 @@
 	for _, r := range s.runnerList {
 		s.tickRunner(r)
 	}
+	s.askForLostOrphans()
 	s.forgetRunners()
 	s.tickUnlisted()
 	s.refuseEvacuated()
@@ -119,10 +120,12 @@
 // tickRun repeats a stop that wasn't carried out, drops a run that must be over, and stops an orphan whose
 // time is over or an overdue run.
 func (s *Scheduler) tickRun(r *runner, u *run) {
+	s.askAbout(r, u)
 	switch {
-	case u.stopped && u.listedAt >= u.lateAt:
+	case u.stopped && u.listedAt >= u.settledAt:
 		// The runner has accepted the stop, and still lists the run.
 		u.stopping, u.stopped = false, false
+		u.awaitList(0)
 		s.stopRun(u, StopStillListed)
 	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob():
 		s.dropRun(u, StopTimedOut)
@@ -140,6 +143,16 @@
 	}
 }
 
+// askAbout requests the list that shows whether a run is over, when it is time. An unresponsive runner is asked
+// by its probes.
+func (s *Scheduler) askAbout(r *runner, u *run) {
+	if u.askAt == 0 || s.now < u.askAt || r.unresponsive {
+		return
+	}
+	u.askAt = s.now + orphanCheckInterval
+	s.requestList(r)
+}
+
 // stopOverdue stops a run that takes far longer than estimated, so that its task is started on
 // another runner: tasks hang on some runners that are otherwise healthy.
 func (s *Scheduler) stopOverdue(r *runner, u *run) {
@@ -199,11 +212,14 @@
 func compareRuns(a, b *run) int { return compareKeys(a.key, b.key) }
 
 func compareKeys(a, b workload.RunKey) int {
+	return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+}
+
+func compareTasks(a, b workload.TaskName) int {
 	return cmp.Or(
-		cmp.Compare(a.Task.Job, b.Task.Job),
-		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
-		cmp.Compare(a.Task.Step, b.Task.Step),
-		cmp.Compare(a.Task.Index, b.Task.Index),
-		cmp.Compare(a.Number, b.Number),
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+		cmp.Compare(a.Index, b.Index),
 	)
 }
