Stand-ins: hosts that refuse connections while their runners go on

A refused connection counts as proof that the runner's process has ended, and then the runs of a silent runner count as over 160 ms after the end of their lease. But a refusal shows only that a listener is missing or that something on the way refuses. No test played that.

The soak's proxies can refuse connections: they close the listener and all open connections, and listen again at the same address later. The model fleet has the same fault: orders and answers are lost, new connections are refused, the runner lives on and ends its runs late (TestRandomRefusedConnections, TestRefusedConnectionRegressions).

--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -13,8 +13,8 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Runners that end their runs after the lease: starved ones do nothing for a while, and silent ones
-// answer nothing and are slow to end their runs. A scheduler can't see how late they are. The dangerous
+// Runners that end their runs after the lease: starved ones do nothing for a while, silent ones answer nothing
+// and are slow to end their runs, and so are those whose hosts refuse connections. A scheduler can't see how late they are. The dangerous
 // case is a task that is started elsewhere while such a runner still has its run.
 
 const (
@@ -23,6 +23,10 @@
 	// minSilent and maxSilent bound how long a runner answers nothing, and maxKillDelay how late it
 	// ends its runs then, in milliseconds.
 	minSilent, maxSilent, maxKillDelay = 700, 1500, 400
+	// minRefused and maxRefused bound how long a host refuses connections, and minRefusedKill and maxRefusedKill
+	// how late its runner ends its runs then, in milliseconds.
+	minRefused, maxRefused         = 600, 3000
+	minRefusedKill, maxRefusedKill = 200, 500
 	// minPause and maxPause bound the pauses of a process in which it doesn't notice a stall, in
 	// milliseconds.
 	minPause, maxPause = 20, 390
@@ -94,9 +98,19 @@
 	r.w.after(d, r.wake)
 }
 
+// refuse makes the runner's host refuse connections for a while. The runner goes on, and ends its runs late.
+func (r *fakeRunner) refuse(d, killDelay time.Duration) {
+	r.killDelay, r.refusesUntil = killDelay, r.w.now+d
+	r.idleUntil = r.refusesUntil + killDelay
+	r.noteIdle()
+	r.w.after(d, r.wake)
+}
+
+func (r *fakeRunner) refuses() bool { return r.w.now < r.refusesUntil }
+
 // wake does what was put off, in a random order.
 func (r *fakeRunner) wake() {
-	if r.silent() {
+	if r.silent() || r.refuses() {
 		return
 	}
 	r.killDelay = 0
@@ -110,17 +124,19 @@
 // noteIdle adds to the history of the runner's runs that it becomes starved or silent.
 func (r *fakeRunner) noteIdle() {
 	for _, k := range r.w.sortedRuns(r) {
-		r.w.noteRun(k, string(r.info.ID), fmt.Sprintf("%s until %v, lease left %d", r.state(), r.orders.until, r.leaseEnd-r.clock()))
+		r.w.noteRun(k, string(r.info.ID), fmt.Sprintf("%s until %v, lease left %d", r.state(), max(r.orders.until, r.refusesUntil), r.leaseEnd-r.clock()))
 	}
 }
 
-// state says whether a runner is starved, silent or awake.
+// state says whether a runner is starved, silent, out of reach since its host refuses connections, or awake.
 func (r *fakeRunner) state() string {
 	switch {
 	case r.starved():
 		return "starved"
 	case r.silent():
 		return "silent"
+	case r.refuses():
+		return "refused"
 	}
 	return "awake"
 }
@@ -133,7 +149,7 @@
 // accepts reports whether a runner's host accepts connections from a VM. It does while the runner is
 // starved or silent.
 func (w *world) accepts(n *fakeNode, r *fakeRunner) bool {
-	return r != nil && !r.down && w.domainsConnected(n.domain, r.info.Domain)
+	return r != nil && !r.down && !r.refuses() && w.domainsConnected(n.domain, r.info.Domain)
 }
 
 // connection is what a Hold that stayed unanswered shows of its runner's host. A process that is short of
@@ -244,6 +260,11 @@
 			r.beSilent(w.randomDuration(minSilent, maxSilent+1))
 		})
 	}
+	faults["runners refuse connections"] = func(w *world) {
+		w.makeIdle(func(r *fakeRunner) {
+			r.refuse(w.randomDuration(minRefused, maxRefused+1), w.randomDuration(minRefusedKill, maxRefusedKill+1))
+		})
+	}
 	faults["leader paused"] = func(w *world) {
 		if list := w.leaders(); len(list) > 0 {
 			w.pauseRepeatedly(list[w.rng.IntN(len(list))], w.now+w.randomDuration(1000, 4000))
@@ -266,6 +287,8 @@
 
 func silenceFaults() []string { return repeated("runners silent", 8) }
 
+func refusalFaults() []string { return repeated("runners refuse connections", 8) }
+
 func pauseFaults() []string {
 	return append(repeated("leader paused", 8), repeated("mute runners", 4)...)
 }
@@ -317,6 +340,13 @@
 	playFaultyRuns(t, silenceFaults()...)
 }
 
+// Guards against a second run of a task whose runner's host refuses connections, while the runner's process lives on
+// and ends its runs up to 500 ms after their lease.
+func TestRandomRefusedConnections(t *testing.T) {
+	t.Parallel()
+	playFaultyRuns(t, refusalFaults()...)
+}
+
 // Guards against a second run of a task whose lease isn't renewed in time, since the leader is paused
 // again and again.
 func TestRandomShortPauses(t *testing.T) {
@@ -339,6 +369,7 @@
 const (
 	starvedCause = "a runner was starved beyond the end of its lease, and a task of it was started elsewhere before it killed its runs"
 	silentCause  = "a silent runner killed its runs late, and a task of it was started elsewhere before"
+	refusedCause = "a runner's host refused connections, and a task of it was started elsewhere before the runner, which lived on, ended its runs"
 	resentCause  = "all processes were killed, and a caller sent its job again while a starved runner, which no new process had reached, still had a run of it"
 )
 
@@ -357,6 +388,19 @@
 	playFaultySeeds(t, lateKillRegressions)
 }
 
+var refusedRegressions = []faultySeed{
+	{"pooled", 1, refusalFaults(), refusedCause},
+	{"stored jobs", 7, refusalFaults(), refusedCause},
+	{"cells", 4, refusalFaults(), refusedCause},
+	{"links", 3, refusalFaults(), refusedCause},
+}
+
+// Guards against the same where hosts refuse connections while their runners live on.
+func TestRefusedConnectionRegressions(t *testing.T) {
+	t.Parallel()
+	playFaultySeeds(t, refusedRegressions)
+}
+
 var resentJobRegressions = []faultySeed{
 	{"pooled", 26, starvedFaults(), resentCause},
 	{"cells", 88, starvedFaults(), resentCause},
--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -34,16 +34,16 @@
 	// Orders in flight are lost with the connections when the runner restarts.
 	sentTo := r.incarnationStart
 	w.after(travel, func() {
-		if r.down || r.incarnationStart != sentTo || !w.domainsConnected(n.domain, r.info.Domain) {
+		if r.incarnationStart != sentTo || !w.accepts(n, r) {
 			return
 		}
 		answer := func(o schedule.CallOutcome, h *schedule.HoldResult) {
 			clock, incarnationStart := r.clock(), r.incarnationStart
-			if late || w.rng.Float64() < r.unansweredShare {
+			if late || w.rng.Float64() < r.unansweredShare || r.refuses() {
 				return
 			}
 			w.after(messageDelay+w.slowed(r), func() {
-				if w.domainsConnected(n.domain, r.info.Domain) && !w.answerMissed(n, timeoutAt) {
+				if w.domainsConnected(n.domain, r.info.Domain) && !r.refuses() && !w.answerMissed(n, timeoutAt) {
 					finish(o, clock, incarnationStart, h)
 				}
 			})
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -32,7 +32,9 @@
 	// after their lease, and idleUntil is until when it may do so.
 	orders, work         backlog
 	killDelay, idleUntil time.Duration
-	down                 bool
+	// refusesUntil is until when its host refuses connections, though the runner goes on.
+	refusesUntil time.Duration
+	down         bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
 	// started counts the runs started.
@@ -293,7 +295,7 @@
 // crash ends the incarnation and all its runs.
 func (r *fakeRunner) crash() {
 	r.down = true
-	r.orders, r.work, r.killDelay, r.idleUntil = backlog{}, backlog{}, 0, 0
+	r.orders, r.work, r.killDelay, r.idleUntil, r.refusesUntil = backlog{}, backlog{}, 0, 0, 0
 	for _, k := range r.w.sortedRuns(r) {
 		r.w.checker.ended(r, k, workload.Aborted)
 	}
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -88,6 +88,12 @@
 	}
 }
 
+// Guards against a task that runs twice since its runner's host refuses connections: a listener is missing or
+// something on the way refuses, and the runner's process may go on with its runs and end them late.
+func TestTaskOfARunnerWhoseHostRefusesConnectionsWaitsLonger(t *testing.T) {
+	NewWithT(t).Expect(silentFor(t, ConnectionFailed)).To(BeNumerically(">", starvedLife))
+}
+
 // Guards against the same when answers of the runner were lost before it is starved: it may carry out its orders
 // until its lease ends, and be starved from then on.
 func TestTaskOfARunnerWhoseAnswersAreLostBeforeItIsStarvedWaits(t *testing.T) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -60,8 +60,9 @@
 	shards int
 	// extraRunTime is added to the run times that callers ask for, so that runs outlive a lease.
 	extraRunTime time.Duration
-	// killDelay is how late the runners end runs after their leases.
-	killDelay time.Duration
+	// killDelay is how late the runners end runs after their leases, and killDelaySpread is up to how much later
+	// some of them do.
+	killDelay, killDelaySpread time.Duration
 	// lenientStarts: runners carry out starts after their deadlines while they have a lease.
 	lenientStarts bool
 	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
@@ -162,8 +163,9 @@
 		return nil, err
 	}
 	r.SetObserver(w.checker)
+	killDelay := w.drawKillDelay()
 	r.ChangeFaults(func(f *deployment.RunnerFaults) {
-		f.KillDelay, f.StopTime, f.LenientStarts = w.killDelay, stopTimeout, w.lenientStarts
+		f.KillDelay, f.StopTime, f.LenientStarts = killDelay, stopTimeout, w.lenientStarts
 	})
 	p, err := faults.NewProxy(r.Info.Address)
 	if err != nil {
@@ -174,6 +176,14 @@
 	return &proxiedRunner{runner: r, proxy: p, info: info}, w.store.Put("servers", id, info)
 }
 
+// drawKillDelay draws how late a runner ends runs after its leases.
+func (w *world) drawKillDelay() time.Duration {
+	if w.killDelaySpread == 0 {
+		return w.killDelay
+	}
+	return w.killDelay + time.Duration(w.rng.Int64N(int64(w.killDelaySpread)+1))
+}
+
 // replaceRunner crashes a runner and starts another one in its place under a new id.
 func (w *world) replaceRunner(i int) {
 	old := w.runners[i]
--- a/standin/faults/proxy.go
+++ b/standin/faults/proxy.go
@@ -12,11 +12,13 @@
 // Proxy forwards TCP connections from the loopback address to a target and injects faults into
 // them.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu    sync.Mutex
-	conns map[*proxyConn]bool
+	mu sync.Mutex
+	// listener is nil while connections are refused, and after Close.
+	listener net.Listener
+	conns    map[*proxyConn]bool
 	// delay is added to each piece of data. dropToTarget and dropFromTarget drop the data of all
 	// connections in one direction.
 	delay                        time.Duration
@@ -36,18 +38,50 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &Proxy{listener: l, target: target, conns: make(map[*proxyConn]bool)}
-	go p.accept()
+	p := &Proxy{address: l.Addr().String(), target: target, listener: l, conns: make(map[*proxyConn]bool)}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the address on which the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Close closes the proxy and all its connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.Reset()
+func (p *Proxy) Close() { p.Refuse() }
+
+// Refuse closes the listener and all connections, so that new ones are refused until Listen is called. The
+// target isn't affected.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.closeConns()
+}
+
+// Refuses reports whether connections are refused.
+func (p *Proxy) Refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener == nil
+}
+
+// Listen accepts connections again, at the same address as before.
+func (p *Proxy) Listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "listen again")
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
 }
 
 // Delay sets the delay of each piece of data.
@@ -77,6 +111,11 @@
 func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeConns()
+}
+
+// closeConns closes all open connections. The caller holds the lock.
+func (p *Proxy) closeConns() {
 	for c := range p.conns {
 		c.close()
 	}
@@ -87,9 +126,9 @@
 	_ = c.outbound.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		inbound, err := p.listener.Accept()
+		inbound, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -104,9 +143,10 @@
 		return
 	}
 	c := &proxyConn{inbound: inbound, outbound: outbound}
-	p.mu.Lock()
-	p.conns[c] = true
-	p.mu.Unlock()
+	if !p.add(c) {
+		c.close()
+		return
+	}
 	var done sync.WaitGroup
 	done.Add(2)
 	go func() { defer done.Done(); p.copy(c, outbound, inbound, true) }()
@@ -117,6 +157,17 @@
 	p.mu.Unlock()
 }
 
+// add records an open connection, and reports whether connections are still accepted.
+func (p *Proxy) add(c *proxyConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
 func (p *Proxy) copy(c *proxyConn, to io.Writer, from io.Reader, toTarget bool) {
 	defer c.close()
 	buf := make([]byte, 32<<10)
