A refused connection isn't evidence that a silent runner's runs are over

Cause: a refusal of a new connection stood for the end of the runner's process, so the runs of a silent runner counted as over 160 ms after the end of their lease. It shows only that a listener is missing or that something on the way refuses; the process may go on with its runs and end them late.

Change: a refusal counts like an accepted connection. The runs count as over 6 s after the end of the lease, or at once by the runner's own evidence: it answers and lists, another incarnation answers at its address, or it has restarted. A refusal also ends a row of connections that weren't made in time. Logs still say that the host refuses connections. That a runner's entry leaves the store isn't used: the entry goes after three intervals without a report, which a starved process doesn't send either, and the page doesn't say that its runs have ended.

--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -160,7 +160,7 @@
 		return schedule.ConnectionUnknown
 	case accepted:
 		return schedule.ConnectionMade
-	case r != nil && !w.domainsConnected(n.domain, r.info.Domain):
+	case r != nil && (r.dark || !w.domainsConnected(n.domain, r.info.Domain)):
 		return schedule.ConnectionTimedOut
 	}
 	return schedule.ConnectionFailed
--- a/core/fleet/moved_test.go
+++ b/core/fleet/moved_test.go
@@ -27,11 +27,12 @@
 	return accepted
 }
 
-// removeRunners crashes and delists all runners of a failure domain.
+// removeRunners delists all runners of a failure domain and takes their machines away, which answer nothing.
 func (w *world) removeRunners(domain string) {
 	for _, r := range w.runners {
 		if r.info.Domain == domain {
 			r.crash()
+			r.dark = true
 			delete(w.listed, r.info.ID)
 		}
 	}
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -35,6 +35,8 @@
 	// refusesUntil is until when its host refuses connections, though the runner goes on.
 	refusesUntil time.Duration
 	down         bool
+	// dark: it is down, and its machine answers nothing. Otherwise the machine refuses connections then.
+	dark bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
 	// started counts the runs started.
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -202,7 +202,8 @@
 	// ConnectionMade: the host has accepted a new connection, so it is up and in reach, and the runner's
 	// process, which doesn't answer, may still be alive.
 	ConnectionMade
-	// ConnectionFailed: the host has refused the connection, so nobody listens there.
+	// ConnectionFailed: the host, or something on the way, has refused the connection. The runner's process may
+	// still be alive.
 	ConnectionFailed
 	// ConnectionTimedOut: no new connection was made in time, though this process wasn't late itself.
 	ConnectionTimedOut
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -176,7 +176,7 @@
 // Guards against a run that its runner, which got no processor time, ended later than its lease and beside
 // another run of its task, without a warning; and against a warning for each run behind a cut.
 func TestRunThatExpiredOnAStarvedRunnerIsReported(t *testing.T) {
-	for _, connection := range []Connection{ConnectionMade, ConnectionFailed} {
+	for connection, warns := range map[Connection]bool{ConnectionMade: true, ConnectionFailed: true, ConnectionTimedOut: false} {
 		b := leading(t, testRunner("r1"), testRunner("r2"))
 		c := b.runningTask()
 		for b.s.runners[c.Runner].runs[c.Run] != nil {
@@ -187,7 +187,7 @@
 		take[Decision](b)
 		b.end(c.Runner, 1, c.Run, workload.LeaseExpired)
 		b.g.Expect(take[Decision](b)).To(ContainElement(And(
-			logged("dropped-run-expired", c.Run, ContainSubstring("run-lapsed")), HaveField("Warning", connection == ConnectionMade),
+			logged("dropped-run-expired", c.Run, ContainSubstring("run-lapsed")), HaveField("Warning", warns),
 		)))
 	}
 }
--- a/core/schedule/lapsed_start_test.go
+++ b/core/schedule/lapsed_start_test.go
@@ -13,7 +13,7 @@
 	b.submit(testJob(1, 400*ms), 9*time.Second)
 	c := one[Start](b)
 	for end := b.now + 2*time.Second; b.now < end && b.s.runners["r1"].runs[c.Run] != nil; {
-		b.leaveUnanswered("r1", ConnectionFailed)
+		b.leaveUnanswered("r1", ConnectionTimedOut)
 		b.tick(20 * ms)
 	}
 	b.g.Expect(b.s.runners["r1"].runs).To(BeEmpty())
--- a/core/schedule/resent_test.go
+++ b/core/schedule/resent_test.go
@@ -47,11 +47,13 @@
 // Guards against a second run of a job that its caller sends again after its entry process and its scheduler
 // were lost, while a starved runner, which hasn't listed its runs yet, still has a run of it.
 func TestAResentJobWaitsForARunnerThatMayBeStarved(t *testing.T) {
-	b := takingOver(t, ConnectionMade)
-	b.passUntilResent(ConnectionMade)
-	b.submit(testJob(1, 400*ms), 4*time.Second)
-	b.g.Expect(b.startedWithin(b.s.leadingSince+resentWait-b.now-20*ms, ConnectionMade)).To(BeFalse())
-	b.g.Expect(b.startedWithin(60*ms, ConnectionMade)).To(BeTrue(), "the runner must have ended its runs")
+	for _, c := range []Connection{ConnectionMade, ConnectionFailed} {
+		b := takingOver(t, c)
+		b.passUntilResent(c)
+		b.submit(testJob(1, 400*ms), 4*time.Second)
+		b.g.Expect(b.startedWithin(b.s.leadingSince+resentWait-b.now-20*ms, c)).To(BeFalse())
+		b.g.Expect(b.startedWithin(60*ms, c)).To(BeTrue(), "the runner must have ended its runs")
+	}
 }
 
 // Guards against a job that goes on waiting when the runner has answered.
@@ -73,12 +75,10 @@
 
 // Guards against a wait for a runner that is out of reach: its lease is over when callers send their jobs again.
 func TestAResentJobDoesntWaitForAnUnreachableRunner(t *testing.T) {
-	for _, c := range []Connection{ConnectionFailed, ConnectionTimedOut} {
-		b := takingOver(t, c)
-		b.passUntilResent(c)
-		b.submit(testJob(1, 400*ms), 4*time.Second)
-		b.g.Expect(take[Start](b)).To(HaveLen(1))
-	}
+	b := takingOver(t, ConnectionTimedOut)
+	b.passUntilResent(ConnectionTimedOut)
+	b.submit(testJob(1, 400*ms), 4*time.Second)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
 
 // Guards against the same second run where the scheduler's process has just started, so that it doesn't know
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -14,8 +14,13 @@
 //   - Their lease has ended, also if the runner's clock is slow.
 //   - The runner has left an order unanswered that was sent after that, and after its last answer. If it
 //     answers, its lists show what has become of the runs.
-//   - Its host refuses connections, or outOfReachAttempts in a row weren't made in time. Otherwise the
-//     runner's process may be alive, and the times below must have passed as well.
+//   - outOfReachAttempts new connections to its host in a row weren't made in time. Otherwise the runner's
+//     process may be alive, and the times below must have passed as well.
+//
+// A refused connection is no evidence, like one that is accepted: it shows that a listener is missing or that
+// something on the way refuses, and the process may go on with its runs. The runner's own evidence ends the wait at
+// once: an answer with its lists, another incarnation at its address, or a restart. That its entry has left the
+// store isn't evidence, since a starved process doesn't renew the entry.
 const (
 	// maxStarvation is how long a runner may get no processor time. It matters from the end of its lease at the
 	// latest, when a runner that isn't starved ends its runs. That its answers stop shows no earlier start, since
@@ -30,7 +35,7 @@
 
 // host is what orders without an answer have shown of a runner's host since the runner's last answer.
 type host struct {
-	// refused: its latest answer to a new connection was a refusal.
+	// refused: its latest answer to a new connection was a refusal. It is for logs only.
 	refused bool
 	// timedOut is the number of new connections in a row, up to the latest, that weren't made in time.
 	timedOut int
@@ -44,25 +49,25 @@
 	case ConnectionMade:
 		*h = host{}
 	case ConnectionFailed:
-		h.refused = true
+		*h = host{refused: true}
 	case ConnectionTimedOut:
 		h.timedOut++
 	}
 }
 
-// mayBeStarved reports whether the runner's process may be alive and in reach, and doesn't answer for want of
-// processor time.
+// mayBeStarved reports whether the runner's process may be alive and end its runs late: it doesn't answer for want
+// of processor time, or its host refuses connections.
 func (h host) mayBeStarved() bool {
-	return !h.refused && !h.awake && h.timedOut < outOfReachAttempts
+	return !h.awake && h.timedOut < outOfReachAttempts
 }
 
 // String describes the host in logs.
 func (h host) String() string {
 	switch {
-	case h.refused:
-		return "host refuses connections"
 	case h.timedOut >= outOfReachAttempts:
 		return "host out of reach"
+	case h.refused:
+		return "host refuses connections"
 	case h.awake:
 		return "runner answers"
 	}
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -16,12 +16,16 @@
 			b.held(h)
 			continue
 		}
-		clock := b.clock()
-		clock.Milliseconds = 0
-		b.s.Held(b.now, HoldResult{Runner: id, Token: h.Token, ListOnly: h.ListOnly, Outcome: Unanswered, Connection: connection, Clock: clock})
+		b.leaveHoldUnanswered(h, connection)
 	}
 }
 
+func (b *harness) leaveHoldUnanswered(h Hold, connection Connection) {
+	clock := b.clock()
+	clock.Milliseconds = 0
+	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Unanswered, Connection: connection, Clock: clock})
+}
+
 // Guards against a run that counts as over on evidence that the log doesn't show.
 func TestLapsedRunIsLoggedWithItsEvidence(t *testing.T) {
 	for connection, said := range map[Connection]string{ConnectionMade: "host may be up", ConnectionFailed: "host refuses connections", ConnectionTimedOut: "host out of reach"} {
@@ -102,9 +106,7 @@
 
 // Guards against a task that waits for a runner that can't be reached for longer than its lease.
 func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
-	for _, c := range []Connection{ConnectionFailed, ConnectionTimedOut} {
-		NewWithT(t).Expect(silentFor(t, c)).To(BeNumerically("<=", maxRunLife(DefaultConfig().Lease)+40*ms))
-	}
+	NewWithT(t).Expect(silentFor(t, ConnectionTimedOut)).To(BeNumerically("<=", maxRunLife(DefaultConfig().Lease)+40*ms))
 }
 
 // Guards against a task that runs twice though its runner would answer: a Hold stayed unanswered before
@@ -258,6 +260,75 @@
 	}
 }
 
+// Guards against a host that counts as out of reach though it has refused a connection between two that weren't
+// made in time: the process may be alive behind something that refuses at times.
+func TestARefusalBetweenConnectionsThatArentMadeInTimeShowsNothing(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	last := b.now
+	connection := ConnectionTimedOut
+	for b.now-last <= starvedLife {
+		for _, h := range take[Hold](b) {
+			if h.Runner != c.Runner {
+				b.held(h)
+				continue
+			}
+			b.leaveHoldUnanswered(h, connection)
+			connection = ConnectionTimedOut + ConnectionFailed - connection
+		}
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		b.tick(20 * ms)
+	}
+}
+
+// Guards against a task that goes on waiting for a runner whose host refused connections, once the runner itself has
+// shown that the run is over.
+func TestTheRunnersOwnEvidenceEndsTheWait(t *testing.T) {
+	for name, answer := range map[string]func(res *HoldResult){
+		"another incarnation answers at its address": func(res *HoldResult) { res.Outcome, res.Clock.Milliseconds = Replaced, 0 },
+		"it lists the end": func(res *HoldResult) {
+			res.Ends = []workload.End{{Sequence: 1, Run: res.Running[0], Kind: workload.LeaseExpired}}
+			res.Running = nil
+		},
+		"it has restarted": func(res *HoldResult) { res.Running, res.Clock.IncarnationStart = nil, 2 },
+	} {
+		b, c := refusedUntilAsked(t)
+		h := b.oneHold(c.Runner)
+		res := HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Running: []workload.RunKey{c.Run}, Clock: b.clock()}
+		answer(&res)
+		b.s.Held(b.now, res)
+		b.tick(20 * ms)
+		b.g.Expect(take[Start](b)).To(HaveLen(1), name)
+	}
+}
+
+// refusedUntilAsked returns a harness with a task whose runner's host refuses connections since longer than a lease.
+func refusedUntilAsked(t *testing.T) (*harness, Start) {
+	first := testRunner("r1")
+	first.IncarnationStart = 1
+	b := leading(t, first)
+	c := b.runningTask()
+	b.s.SetRunners(b.now, []workload.Runner{first, testRunner("r2")})
+	for end := b.now + maxRunLife(b.s.cfg.Lease) + time.Second; b.now < end; {
+		b.leaveUnanswered(c.Runner, ConnectionFailed)
+		b.tick(20 * ms)
+	}
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	return b, c
+}
+
+// oneHold returns the next Hold of a runner.
+func (b *harness) oneHold(id workload.RunnerID) Hold {
+	for {
+		for _, h := range take[Hold](b) {
+			if h.Runner == id {
+				return h
+			}
+		}
+		b.tick(20 * ms)
+	}
+}
+
 // Guards against runs that count as over just after their runner has listed them: a later order has stayed
 // unanswered by then.
 func TestAnAnswerEndsTheSilence(t *testing.T) {
