--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -34,7 +34,11 @@
 	// after their lease, and idleUntil is until when it may do so.
 	orders, work         backlog
 	killDelay, idleUntil time.Duration
-	down                 bool
+	// refusesUntil is until when its host refuses connections, though the runner goes on.
+	refusesUntil time.Duration
+	down         bool
+	// dark: it is down, and its machine answers nothing. Otherwise the machine refuses connections then.
+	dark bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
 	// started counts the runs started.
@@ -297,7 +301,7 @@
 // crash ends the incarnation and all its runs.
 func (r *fakeRunner) crash() {
 	r.down = true
-	r.orders, r.work, r.killDelay, r.idleUntil = backlog{}, backlog{}, 0, 0
+	r.orders, r.work, r.killDelay, r.idleUntil, r.refusesUntil = backlog{}, backlog{}, 0, 0, 0
 	for _, k := range r.w.sortedRuns(r) {
 		r.w.checker.ended(r, k, workload.Aborted)
 	}
