Soak: wide jobs with wrong estimates, given up and sent again

The soak's tasks ended within their estimates and its callers waited for their answers, so it played almost no stop of a run at work, and no job that arrives again after its caller had given it up.

TestSoakWideJobs and TestSoakWideJobsAndFaults have callers of best-effort jobs of 1 to 12 tasks. A quarter of the requests are given up after 50 to 650 ms. A job whose request had no response, a broken connection, 502 or 504 is sent again 1,300 ms later, until 7 s have passed. Callers' choices follow from the seed; so do copies of jobs now.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -192,8 +192,14 @@
 // isStored reports whether a job is submitted as a stored job (bestEffort is false), as every third
 // caller's are. A stored job is answered once it is accepted; its caller then queries its state.
 func isStored(job string) bool {
+	caller, ok := callerOf(job)
+	return ok && caller%3 == 0
+}
+
+// callerOf returns the number of a job's caller, with which its id begins, and whether it has one.
+func callerOf(job string) (uint64, bool) {
 	caller, err := strconv.ParseUint(job[:8], 16, 64)
-	return err == nil && caller%3 == 0
+	return caller, err == nil
 }
 
 // checkRestartAfterAcknowledgement checks that a task of a stored job wasn't started after an
@@ -261,11 +267,19 @@
 	}
 }
 
+// answerName is the name under which an answer is counted.
+func answerName(job string, status int) string {
+	if isWide(job) {
+		return fmt.Sprint("wide ", status)
+	}
+	return fmt.Sprint(status)
+}
+
 // checkAnswer checks the answer to a submission. tries is how often the job has been sent.
 func (c *checker) checkAnswer(job string, tasks, status, tries int, body string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answers[fmt.Sprint(status)]++
+	c.answers[answerName(job, status)]++
 	switch {
 	case status == http.StatusServiceUnavailable && tries == 1:
 		c.refusedJobs[job] = true
@@ -379,7 +393,12 @@
 }
 
 func (w *world) request(n *node, method, job, body string, timeout time.Duration) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	return w.requestWithin(n, method, job, body, timeout, timeout)
+}
+
+// requestWithin sends a request that gives a timeout, and breaks the connection when the caller's patience is over.
+func (w *world) requestWithin(n *node, method, job, body string, timeout, patience time.Duration) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.CallerAddress+prefix+job, bytes.NewBufferString(body))
 	if err != nil {
--- a/soak/harsh_runners_test.go
+++ b/soak/harsh_runners_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"math/rand/v2"
 	"slices"
 	"syscall"
 	"testing"
@@ -144,13 +143,15 @@
 // sendCopy sends a copy of a job to another entry VM than the first request, for a share of the jobs. It
 // returns a channel that is closed when the copy was answered; nil if there is none.
 func (w *world) sendCopy(caller, k int, job string, runTime time.Duration, tasks int) chan struct{} {
-	if rand.Float64() >= w.copies {
+	rng := w.callerRand(caller, k)
+	if rng.Float64() >= w.copies {
 		return nil
 	}
+	delay := time.Duration(rng.Int64N(int64(copyDelay)))
 	n, answered := w.nodes[(caller+k+2)%len(w.nodes)], make(chan struct{})
 	go func() {
 		defer close(answered)
-		time.Sleep(rand.N(copyDelay))
+		time.Sleep(delay)
 		w.submit(n, job, runTime, tasks, callerTimeout)
 	}()
 	return answered
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -33,6 +33,7 @@
 
 // world is a deployment of real processes on the loopback address.
 type world struct {
+	seed          uint64
 	rng           *rand.Rand
 	program       string
 	store         *deployment.Store
@@ -66,6 +67,8 @@
 	lenientStarts bool
 	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
 	copies float64
+	// wide are jobs of many tasks that are submitted beside the others.
+	wide wideJobs
 }
 
 // proxiedRunner is a runner behind a proxy.
@@ -124,7 +127,7 @@
 		return nil, err
 	}
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store,
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store,
 		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
 		scenario: sc,
 	}
