Soak: links between entry VMs fail

What entry processes send each other couldn't be cut, so the soak never had VMs that reach the store and runners but not each other.

The processes find each other by addresses in the store. The stand-in's store now has further addresses where readers see rows as a view returns them (Store.ListenWithView). Each VM of TestSoakEntryLinks reads there, in place of the others' addresses, those of relays of its own (faults.Relay, UDP), so that each link can be cut in either direction, or delayed. In place of the addresses of runners in other failure domains it sees those of proxies, so that a whole domain can be cut off. Cut are a VM, a VM in one direction, a link, a link in one direction, and a failure domain, each for 0.3 to 3.5 s, overlapping, beside wide and stored jobs; one VM's links are delayed by 5 to 120 ms. The test fails if fewer than 4 connections were lost. Nothing in the product changes.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -83,7 +83,7 @@
 // changeFaults are the faults just before a change of the configuration.
 var changeFaults = []fault{
 	{"none", func(*world) {}},
-	{"connections of a domain silent", func(w *world) { silenceStoreConnections(w.nodesOf(domain(0))...) }},
+	{"connections of a domain silent", func(w *world) { silenceStoreConnections(w.nodesOf(w.domain(0))...) }},
 	{"connections of a VM silent", func(w *world) { silenceStoreConnections(w.randomNode()) }},
 	{"connections silent again and again", func(w *world) {
 		for i := range 4 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -151,9 +151,11 @@
 		w.countEvents("run-lapsed"), w.countEvents("dropped-run-done"), len(violations))
 	t.Log(w.describeLeaseExpiries())
 	stops := w.countStops()
-	t.Log(stops)
+	linksLost := w.countEvents("peer-disconnected")
+	t.Logf("%v, links between processes lost %d", stops, linksLost)
 	g.Expect(violations).To(BeEmpty(), "seed %d: %v", seed, injected)
 	g.Expect(stops.overdue).To(BeNumerically(">=", w.wide.minOverdue), "too few overdue runs were stopped")
+	g.Expect(linksLost).To(BeNumerically(">=", w.minLinksLost), "too few links were lost")
 	if w.shards > 1 {
 		granted, used := w.countEvents("room-granted"), w.countEvents("room-used")
 		t.Logf("room granted %d times, used by %d jobs", granted, used)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -42,6 +42,8 @@
 	checker       *checker
 	configuration *configurationCheck
 	http          *http.Client
+	// links are the links between the entry VMs; nil if they can't fail.
+	links *entryLinks
 	scenario
 
 	mu             sync.Mutex
@@ -67,6 +69,11 @@
 	lenientStarts bool
 	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
 	copies float64
+	// minLinksLost is the least number of connections between entry processes that a test loses, counted at each
+	// end. If it is 0, these links, and those from one failure domain to the runners of others, can't fail.
+	minLinksLost int
+	// minDomains is the number of failure domains if the flag sets fewer.
+	minDomains int
 	// wide are jobs of many tasks that are submitted beside the others.
 	wide wideJobs
 }
@@ -80,7 +87,7 @@
 }
 
 // node is an entry VM. Its process is restarted whenever it ends. It reaches the store through a proxy
-// of its own; what the processes send each other can't be cut.
+// of its own. What the processes send each other can be cut where the scenario says so, see entryLinks.
 type node struct {
 	deployment.Node
 	name         string
@@ -131,13 +138,16 @@
 		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
 		scenario: sc,
 	}
+	if w.minLinksLost > 0 {
+		w.links = newEntryLinks()
+	}
 	if w.shards > 0 {
 		if err := w.store.Put("sapphirepoint-layout", "shards", map[string]int{"shards": w.shards}); err != nil {
 			return nil, err
 		}
 	}
 	for i := range *runners {
-		r, err := w.newRunner(domain(i))
+		r, err := w.newRunner(w.domain(i))
 		if err != nil {
 			return nil, err
 		}
@@ -145,7 +155,7 @@
 	}
 	w.putConfiguration()
 	for i := range *nodes {
-		if err := w.addNode(dir, fmt.Sprintf("front-%d", i+1), domain(i)); err != nil {
+		if err := w.addNode(dir, fmt.Sprintf("front-%d", i+1), w.domain(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -154,7 +164,7 @@
 }
 
 // domain returns the failure domain of the runner or entry VM with an index.
-func domain(i int) string { return string(rune('a' + i%*domains)) }
+func (w *world) domain(i int) string { return string(rune('a' + i%max(*domains, w.minDomains))) }
 
 // newRunner starts a runner and registers its proxy's address in place of its own.
 func (w *world) newRunner(domain string) (*proxiedRunner, error) {
@@ -267,7 +277,11 @@
 	if err != nil {
 		return err
 	}
-	proxy, err := faults.NewProxy(w.store.Address())
+	store, err := w.storeAddress(name, domain)
+	if err != nil {
+		return err
+	}
+	proxy, err := faults.NewProxy(store)
 	if err != nil {
 		return err
 	}
@@ -284,6 +298,15 @@
 	return nil
 }
 
+// storeAddress returns the address of the store for an entry VM. Where links can fail, the VM sees there the
+// addresses of its own links to others in place of theirs.
+func (w *world) storeAddress(vm, domain string) (string, error) {
+	if w.links == nil {
+		return w.store.Address(), nil
+	}
+	return w.store.ListenWithView(w.links.seenFrom(vm, domain))
+}
+
 // restartForever starts a node's process again whenever it ends, as the platform does.
 func (w *world) restartForever(n *node, settings string) {
 	defer close(n.done)
@@ -378,5 +401,8 @@
 		r.runner.Close()
 		r.proxy.Close()
 	}
+	if w.links != nil {
+		w.links.close()
+	}
 	w.store.Close()
 }
--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -73,7 +73,7 @@
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("GET /rows-parts", s.parts)
-	s.server = &http.Server{Handler: s.applyFaults(mux), ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.applyFaults(mux), ReadHeaderTimeout: time.Second, BaseContext: baseContext}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
@@ -244,7 +244,7 @@
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	more := len(rows) > limit
-	rows = rows[:min(len(rows), limit)]
+	rows = seenBy(r, rows[:min(len(rows), limit)])
 	writeJSON(w, http.StatusOK, map[string]any{"rows": rows, "hasMore": more, "tableVersion": s.version, "nowMs": time.Now().UnixMilli()})
 }
 
@@ -293,7 +293,7 @@
 		}
 		s.mu.Unlock()
 		if len(rows) > 0 || ctx.Err() != nil {
-			writeJSON(w, http.StatusOK, map[string]any{"rows": rows, "tableVersion": version, "nowMs": time.Now().UnixMilli()})
+			writeJSON(w, http.StatusOK, map[string]any{"rows": seenBy(r, rows), "tableVersion": version, "nowMs": time.Now().UnixMilli()})
 			return
 		}
 		select {
