Tests: jobs wait for prior runs on a silent runner that refuses connections

Two parts met: a new leader's wait for runners that may be starved took a refused connection for the end of the wait, and a refusal is no evidence any more. TestJobsStartOnceTheSilentRunnerCantHidePriorRuns loses its case of a refusal, which TestJobsWaitForASilentRunnerThatRefusesConnections holds to the whole wait; TestStartsWithoutListsAreLogged ends the wait by connections that aren't made in time, with the same lines expected.

--- a/core/schedule/copies_test.go
+++ b/core/schedule/copies_test.go
@@ -67,8 +67,10 @@
 	j := testJob(1, 400*ms)
 	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: time.Second, PriorSubmissions: 1})
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "r3 may be starved, and the job waits")
-	b.leaveUnanswered("r3", ConnectionFailed)
-	b.tick(20 * ms)
+	for range 2 * outOfReachAttempts {
+		b.leaveUnanswered("r3", ConnectionTimedOut)
+		b.tick(100 * ms)
+	}
 	b.g.Expect(take[Decision](b)).To(ContainElement(And(
 		loggedFor("started-without-lists", j.ID, entryA, "runs of 1 earlier schedulers count as over"),
 		HaveField("Detail", ContainSubstring("r3")),
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -15,8 +15,8 @@
 // doesn't know which jobs have runs there, so it waits as long with each step of which a task may be on such a
 // runner.
 //
-// A runner that can't take a step's tasks has no run of them. Nor has one whose host is out of reach or
-// refuses connections: its runs are over by priorRunsOverAt.
+// A runner that can't take a step's tasks has no run of them. The runs on one whose host is out of reach are
+// over by priorRunsOverAt.
 
 // priorRuns are what is known of the runs that earlier schedulers may have started for a job.
 type priorRuns struct {
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -45,9 +45,8 @@
 // Guards against a job that goes on waiting when the runner has listed its runs, or is shown to be lost.
 func TestJobsStartOnceTheSilentRunnerCantHidePriorRuns(t *testing.T) {
 	for name, resolve := range map[string]func(b *harness){
-		"lists":               func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted) },
-		"refuses connections": func(b *harness) { b.passSilently(time.Second, "silent", ConnectionFailed) },
-		"is out of reach":     func(b *harness) { b.passSilently(time.Second, "silent", ConnectionTimedOut) },
+		"lists":           func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted) },
+		"is out of reach": func(b *harness) { b.passSilently(time.Second, "silent", ConnectionTimedOut) },
 	} {
 		b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
 		b.g.Expect(b.passSilently(3*time.Second, "silent", ConnectionMade)).To(BeEmpty())
@@ -60,6 +59,13 @@
 	}
 }
 
+// Guards against a second run beside a prior one on a runner whose host refuses connections while its process goes on.
+func TestJobsWaitForASilentRunnerThatRefusesConnections(t *testing.T) {
+	b := restoring(t, storedJob(1, 500*ms), ConnectionFailed, testRunner("r1"), testRunner("silent"))
+	b.g.Expect(b.passSilently(maxPriorRunLife+maxStarvation-20*ms, "silent", ConnectionFailed)).To(BeEmpty())
+	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionFailed)).To(HaveLen(1))
+}
+
 // Guards against a wait for a runner that can't have a run of the job: it lacks the label, or is too small.
 func TestJobsDontWaitForRunnersThatCantTakeThem(t *testing.T) {
 	unlabelled, small := testRunner("silent"), testRunner("silent")
