--- a/core/schedule/copies_test.go
+++ b/core/schedule/copies_test.go
@@ -54,8 +54,9 @@
 	b.s.TakeOverRunners(b.now)
 	b.runningTask()
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")))
-	b.s.acquire(b.s.runners["r3"])
 	take[Hold](b)
+	b.s.acquire(b.s.runners["r3"])
+	silent := one[Hold](b)
 	c := b.runningTask()
 	id := c.Run.Task.Job
 	b.g.Expect(take[Decision](b)).To(ContainElement(And(
@@ -67,10 +68,9 @@
 	j := testJob(1, 400*ms)
 	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: time.Second, PriorSubmissions: 1})
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "r3 may be starved, and the job waits")
-	for range 2 * outOfReachAttempts {
-		b.leaveUnanswered("r3", ConnectionTimedOut)
-		b.tick(100 * ms)
-	}
+	b.leaveHoldUnanswered(silent, ConnectionTimedOut)
+	b.leaveUnanswered("r3", ConnectionTimedOut)
+	b.tick(20 * ms)
 	b.g.Expect(take[Decision](b)).To(ContainElement(And(
 		loggedFor("started-without-lists", j.ID, entryA, "runs of 1 earlier schedulers count as over"),
 		HaveField("Detail", ContainSubstring("r3")),
