Handed-over jobs wait for lists of a time at which stops must be over

Cause: a scheduler that follows another one takes the first lists since a job's arrival for all runs of the one before.

Change: a job that another scheduler had waits for lists that were requested StopTimeout + lateEndMargin (160 ms) after its arrival. The lists are requested when that time has come; those of its arrival are still read, so that runs which are listed are adopted at once.

What the wait costs at a planned change of leaders on real processes wasn't measured.

--- a/core/schedule/ceases_to_count_test.go
+++ b/core/schedule/ceases_to_count_test.go
@@ -361,5 +361,9 @@
 	b.now += 2 * ms
 	b.lists("r1", b.now, running[0].Run, running[1].Run)
 	b.end("r1", 1, running[0].Run, workload.Done)
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "a run that another scheduler has stopped need not be listed")
+	b.now += b.longestStop() - 2*ms
+	b.s.EntryAlive(b.now, entryA)
+	b.lists("r1", b.now, running[1].Run)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
--- /dev/null
+++ b/core/schedule/handover_lists.go
@@ -0,0 +1,26 @@
+package schedule
+
+// The lists that jobs of another scheduler wait for. That scheduler may have ordered runs to stop, or to start, just
+// before, and the runners need not list these runs at once.
+
+// awaitHandoverLists has a job that another scheduler had wait for lists that were requested once a stop which that
+// scheduler has ordered must be over.
+func (s *Scheduler) awaitHandoverLists(j *job) {
+	j.listsNeededSince = s.now + s.longestStop()
+	if n := len(s.handoverListsDue); n == 0 || s.handoverListsDue[n-1] < j.listsNeededSince {
+		s.handoverListsDue = append(s.handoverListsDue, j.listsNeededSince)
+	}
+}
+
+// askForHandoverLists requests the lists that are due from the runners that haven't given them.
+func (s *Scheduler) askForHandoverLists() {
+	for len(s.handoverListsDue) > 0 && s.handoverListsDue[0] <= s.now {
+		s.handoverListsAt = s.handoverListsDue[0]
+		s.handoverListsDue = s.handoverListsDue[1:]
+	}
+	for _, r := range s.runnerList {
+		if r.owned && !r.unresponsive && r.listAsOf < s.handoverListsAt {
+			s.requestList(r)
+		}
+	}
+}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -82,7 +82,7 @@
 	// any more on runners that didn't answer.
 	priorRunsOverAt Time
 	// priorSchedulers counts the schedulers that had the job before; listsNeededSince is when
-	// it arrived from the last of them.
+	// stops that the last of them had ordered before it arrived must be over.
 	priorSchedulers  int
 	listsNeededSince Time
 	// stalledSince is since when a stored job has been stalled, which means that tasks of it are
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -15,7 +15,7 @@
 	s.rows.loaded = true
 	s.rows.epoch = l.Epoch
 	s.rows.priorRunsOverAt = s.priorRunsOverAt(l.ClaimedAt)
-	s.latestHandoverAt = now
+	s.handoverListsAt = now
 	open := 0
 	for _, r := range l.Records {
 		if r.State != ledger.Open {
@@ -63,7 +63,7 @@
 	j.restarted = r.Restarted || s.restartedByPredecessor(r.Job)
 	j.priorSchedulers = int(s.rows.epoch - r.Epoch)
 	j.priorRunsOverAt = s.rows.priorRunsOverAt
-	j.listsNeededSince = s.now
+	s.awaitHandoverLists(j)
 	j.setDue(s.now-r.Age, r.Definition.Objective)
 	s.updateDue(j)
 	s.jobs[r.Job] = j
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -44,9 +44,6 @@
 		s.noteAnswerAfterSilence(r, silence)
 		s.applyLists(r, res)
 		s.dispatch()
-		if r.listAsOf < s.latestHandoverAt {
-			s.requestList(r)
-		}
 		if !r.holdInFlight {
 			s.scheduleHold(r)
 		}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -103,9 +103,10 @@
 	progressFrom      EntryID
 	// loggedMissing are the runners of each service whose lists were missing when that was last logged.
 	loggedMissing map[string][]workload.RunnerID
-	// latestHandoverAt is when the latest job arrived that another scheduler had. Runners
-	// whose last list is older are asked for a new one.
-	latestHandoverAt Time
+	// handoverListsAt is the time of the lists that jobs which another scheduler had wait for: runners whose
+	// last list is older are asked for a new one. handoverListsDue are such times to come.
+	handoverListsAt  Time
+	handoverListsDue []Time
 	// unreachable holds the VMs whose processes became unreachable and haven't come back,
 	// and since when. They may lead on the other side of a network partition.
 	unreachable map[string]Time
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -144,8 +144,7 @@
 	j.priorSchedulers = sub.PriorSubmissions
 	j.started = true
 	j.priorRunsOverAt = s.now + sub.PriorRunsTTL
-	j.listsNeededSince = s.now
-	s.latestHandoverAt = s.now
+	s.awaitHandoverLists(j)
 	j.eachTask(func(t *taskState) { t.lastNumber = max(t.lastNumber, sub.PriorSubmissions*runsPerScheduler) })
 	s.requestLists(j.work.Service)
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -27,6 +27,7 @@
 	for _, r := range s.runnerList {
 		s.tickRunner(r)
 	}
+	s.askForHandoverLists()
 	s.askForLostOrphans()
 	s.forgetRunners()
 	s.tickUnlisted()
