--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -85,7 +85,7 @@
 	// can be on such a runner.
 	starvedRunsOverAt Time
 	// priorSchedulers counts the schedulers that had the job before; listsNeededSince is when
-	// it arrived from the last of them.
+	// stops that the last of them had ordered before it arrived must be over.
 	priorSchedulers  int
 	listsNeededSince Time
 	// stalledSince is since when a stored job has been stalled, which means that tasks of it are
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -50,7 +50,7 @@
 	}
 	var list []*runner
 	for _, r := range p.s.runnerList {
-		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandoverAt) {
+		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandover()) {
 			list = append(list, r)
 		}
 	}
@@ -63,8 +63,9 @@
 	if p.s.now >= j.starvedRunsOverAt {
 		return false
 	}
+	arrived := j.listsNeededSince - p.s.longestStop()
 	return slices.ContainsFunc(p.hidingRunners(j.work.Service), func(r *runner) bool {
-		return !r.listedSince(j.listsNeededSince) && r.canTake(j.stepAt(i))
+		return !r.listedSince(arrived) && r.canTake(j.stepAt(i))
 	})
 }
 
@@ -80,7 +81,7 @@
 
 // hidesPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
 func (s *Scheduler) hidesPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandoverAt)
+	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandover())
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -17,7 +17,7 @@
 	s.rows.priorRunsOverAt = s.priorRunsOverAt(l.ClaimedAt)
 	s.rows.starvedRunsOverAt = starvedOver(l.ClaimedAt + maxPriorRunLife)
 	s.noteStarvedOver(s.rows.starvedRunsOverAt)
-	s.latestHandoverAt = now
+	s.handoverListsAt = now
 	open := 0
 	for _, r := range l.Records {
 		if r.State != ledger.Open {
@@ -66,7 +66,7 @@
 	j.priorSchedulers = int(s.rows.epoch - r.Epoch)
 	j.priorRunsOverAt = s.rows.priorRunsOverAt
 	j.starvedRunsOverAt = s.rows.starvedRunsOverAt
-	j.listsNeededSince = s.now
+	s.awaitHandoverLists(j)
 	j.setDue(s.now-r.Age, r.Definition.Objective)
 	s.updateDue(j)
 	s.jobs[r.Job] = j
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -147,8 +147,7 @@
 	j.priorRunsOverAt = s.now + sub.PriorRunsTTL
 	j.starvedRunsOverAt = starvedOver(j.priorRunsOverAt)
 	s.noteStarvedOver(j.starvedRunsOverAt)
-	j.listsNeededSince = s.now
-	s.latestHandoverAt = s.now
+	s.awaitHandoverLists(j)
 	j.eachTask(func(t *taskState) { t.lastNumber = max(t.lastNumber, sub.PriorSubmissions*runsPerScheduler) })
 	s.requestLists(j.work.Service)
 }
