The lists that a handed-over job waits for make the report of stopped runs needless

All handed-over jobs wait by now for lists of a time at which the stops of the leader before must be over, so the tasks that a retiring leader named in its Progress wait as long anyway.

--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		for _, t := range j.steps[i] {
-			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) || s.now < s.stoppedBefore[t.name] {
+			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) {
 				continue
 			}
 			if r := p.place(t); r != nil {
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -20,9 +20,6 @@
 	Restarted []workload.JobID
 	// Ended are recently ended jobs.
 	Ended []EndedJob
-	// Stopping are the tasks with a run that was ordered to stop and hasn't been listed as ended. A run that
-	// still ends may not be on its runner's list any more.
-	Stopping []workload.TaskName
 }
 
 // EndedJob is the outcome of a job.
@@ -57,7 +54,6 @@
 			p.Restarted = append(p.Restarted, j.work.ID)
 		}
 	}
-	p.Stopping = s.stoppingTasks()
 	for i := len(s.resultOrder) - 1; i >= 0; i-- {
 		id := s.resultOrder[i]
 		r := s.results[id]
@@ -83,7 +79,6 @@
 	s.now = now
 	s.stopAwaiting()
 	s.predecessorRetired(p)
-	s.noteStoppedBefore(p.Stopping)
 	for _, id := range p.Restarted {
 		if j := s.jobs[id]; j != nil {
 			j.restarted = true
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -149,10 +149,8 @@
 	// drops are the runs that were dropped in the last dropRetention.
 	drops       dropMemory
 	lostOrphans lostOrphans
-	// stoppedBefore are tasks with a run that a leader before has ordered to stop, and when that run is over.
-	stoppedBefore map[workload.TaskName]Time
-	borrowing     borrowing
-	resent        resentJobs
+	borrowing   borrowing
+	resent      resentJobs
 	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
 
@@ -193,7 +191,6 @@
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
 		drops:          newDropMemory(),
 		lostOrphans:    make(lostOrphans),
-		stoppedBefore:  make(map[workload.TaskName]Time),
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -195,7 +195,6 @@
 	expireBefore(s.unreachable, s.now-UnreachableTimeout)
 	expireBefore(s.ranJobs, s.now-ranRetention)
 	expireBefore(s.unstored, s.now-ranRetention)
-	expireBefore(s.stoppedBefore, s.now)
 	oldestDone := s.now - s.cfg.Resend - leadershipTimeout
 	maps.DeleteFunc(s.doneWithoutJob, func(_ workload.TaskName, d doneRun) bool { return d.at < oldestDone })
 	s.expireBorrowing()
--- a/entry/wire_progress.go
+++ b/entry/wire_progress.go
@@ -9,7 +9,9 @@
 
 func progressMessage(p fleet.Progress) *pb.FleetMessage {
 	m := &pb.Progress{Shard: uint32(p.Shard), Epoch: p.Epoch, UnknownMs: p.PriorRunsTTL.Milliseconds()}
-	m.Done, m.Stopping = namesOf(p.Done), namesOf(p.Stopping)
+	for _, t := range p.Done {
+		m.Done = append(m.Done, t.String())
+	}
 	for _, e := range p.Ended {
 		m.Ended = append(m.Ended, &pb.EndedJob{Job: string(e.Job), Outcome: uint32(e.Outcome)})
 	}
@@ -19,10 +21,15 @@
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Progress{Progress: m}}
 }
 
+// progressOf skips task names that can't be parsed; those tasks may run again.
 func progressOf(m *pb.Progress) fleet.Progress {
 	p := fleet.Progress{Shard: int(m.GetShard())}
 	p.Epoch, p.PriorRunsTTL = m.GetEpoch(), milliseconds(m.GetUnknownMs())
-	p.Done, p.Stopping = tasksOf(m.GetDone()), tasksOf(m.GetStopping())
+	for _, name := range m.GetDone() {
+		if t, err := workload.ParseTaskName(name); err == nil {
+			p.Done = append(p.Done, t)
+		}
+	}
 	for _, e := range m.GetEnded() {
 		p.Ended = append(p.Ended, schedule.EndedJob{Job: workload.JobID(e.GetJob()), Outcome: outcomeOf(e.GetOutcome())})
 	}
@@ -31,22 +38,3 @@
 	}
 	return p
 }
-
-func namesOf(tasks []workload.TaskName) []string {
-	var names []string
-	for _, t := range tasks {
-		names = append(names, t.String())
-	}
-	return names
-}
-
-// tasksOf skips names that can't be parsed; those tasks may run again.
-func tasksOf(names []string) []workload.TaskName {
-	var tasks []workload.TaskName
-	for _, name := range names {
-		if t, err := workload.ParseTaskName(name); err == nil {
-			tasks = append(tasks, t)
-		}
-	}
-	return tasks
-}
