A job that is handed over again needs new lists

Cause: a job that was given up and comes back took over what was known of its prior runs before the new handover was noted. The count of earlier schedulers was then no higher than the remembered one, so the handover passed unnoticed, and lists from before it counted. Introduced with the wait of new leaders, and found by reading.

Change: the submission's own account is noted first, and the remembered one added to it.

Evidence: TestAJobThatIsHandedOverAgainNeedsNewLists was red and is green; all tests of core/schedule are green.

--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -95,16 +95,19 @@
 	}
 }
 
-// recallPriorRuns applies to a job that comes again what is known of its prior runs.
+// recallPriorRuns adds what is known of the prior runs of a job that comes again, in which the submission's own
+// account has been noted.
 func (s *Scheduler) recallPriorRuns(j *job) {
 	p, ok := s.priorRuns[j.work.ID]
 	if !ok {
 		return
 	}
 	j.started = true
-	j.priorSchedulers, j.listsNeededSince = p.schedulers, p.listsNeededSince
-	j.priorRunsOverAt, j.starvedRunsOverAt = p.overAt, p.starvedOverAt
-	j.eachTask(func(t *taskState) { t.lastNumber = p.schedulers * runsPerScheduler })
+	j.priorSchedulers = max(j.priorSchedulers, p.schedulers)
+	j.listsNeededSince = max(j.listsNeededSince, p.listsNeededSince)
+	j.priorRunsOverAt = max(j.priorRunsOverAt, p.overAt)
+	j.starvedRunsOverAt = max(j.starvedRunsOverAt, p.starvedOverAt)
+	j.eachTask(func(t *taskState) { t.lastNumber = j.priorSchedulers * runsPerScheduler })
 }
 
 // expirePriorRuns forgets the prior runs that are over.
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -106,3 +106,18 @@
 	b.passSilently(2*time.Second, "silent", ConnectionMade)
 	b.g.Expect(b.s.runners).NotTo(HaveKey(workload.RunnerID("silent")))
 }
+
+// Guards against a job that is handed over a second time, by another entry process, and counts as the first
+// handover: a run that began between the two may be on a runner that has listed its runs after the first only.
+func TestAJobThatIsHandedOverAgainNeedsNewLists(t *testing.T) {
+	b := takingOver(t, ConnectionMade)
+	j := testJob(1, 400*ms)
+	b.handOver(j, 2*time.Second)
+	b.passSilently(2200*ms, "r2", ConnectionMade)
+	b.answerHold(Hold{Runner: "r2", Token: b.s.runners["r2"].token}, Accepted)
+	b.tick(20 * ms)
+	begin := b.now
+	b.handOver(j, 9*time.Second)
+	b.g.Expect(b.passSilently(maxPriorRunLife+maxStarvation-20*ms, "r2", ConnectionMade)).To(BeEmpty(), "%v after it was handed over again", b.now-begin)
+	b.g.Expect(b.passSilently(60*ms, "r2", ConnectionMade)).To(HaveLen(1))
+}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -110,8 +110,8 @@
 	// The objective counts from the caller's first send, so a part of it may be over.
 	j.worthlessAt = min(s.now+sub.RemainingObjective+(worthlessFactor-1)*sub.Job.Objective, j.deadline)
 	s.setExpected(j)
-	s.recallPriorRuns(j)
 	s.notePriorSubmissions(j, sub)
+	s.recallPriorRuns(j)
 	if _, ok := s.ranJobs[sub.Job.ID]; ok {
 		j.started = true
 	}
