A silent runner whose entry stays missing from the platform's list hides no prior runs

Cause: since a refused connection is no evidence any more, a new leader waits 8.6 s for a crashed runner with all stored jobs in progress that may have had a run there, also once the platform has taken the runner off its list.

Change: such a runner is waited for until its entry has been missing for unlistedGrace. Under one leader it makes no difference, since the silence of the runner itself runs out before.

A runner that is starved just as the store comes back from an outage, in which entries expire, may be missed.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -93,7 +93,7 @@
 	}
 	for _, r := range s.runnerList {
 		if !listed[r.info.ID] && !r.unlisted {
-			r.unlisted = true
+			r.unlisted, r.unlistedAt = true, now
 			r.retainUntil = now + s.cfg.Resend
 		}
 	}
@@ -117,7 +117,7 @@
 			continue
 		}
 		r := newRunner(info, now)
-		r.unlisted = true
+		r.unlisted, r.unlistedAt = true, now
 		r.retainUntil = now + s.cfg.Resend
 		s.addRunner(r)
 	}
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -33,9 +33,11 @@
 func (s *Scheduler) noteStarvedOver(at Time) { s.starvedOverAt = max(s.starvedOverAt, at) }
 
 // mayHidePriorRuns reports whether the runner has listed nothing since a time and may be starved, so that it
-// may have runs that nobody here knows.
-func (r *runner) mayHidePriorRuns(since Time) bool {
-	return !r.gone && !r.listedSince(since) && r.host.mayBeStarved()
+// may have runs that nobody here knows. A runner whose entry has left the platform's list, and isn't back within
+// unlistedGrace, counts as gone: it has written no entry for longer than maxStarvation.
+func (r *runner) mayHidePriorRuns(since, now Time) bool {
+	expired := r.unlisted && now-r.unlistedAt >= unlistedGrace
+	return !r.gone && !expired && !r.listedSince(since) && r.host.mayBeStarved()
 }
 
 // canTake reports whether the runner could take a task of a step if it ran nothing else.
@@ -50,7 +52,7 @@
 	}
 	var list []*runner
 	for _, r := range p.s.runnerList {
-		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandover()) {
+		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandover(), p.s.now) {
 			list = append(list, r)
 		}
 	}
@@ -81,7 +83,7 @@
 
 // hidesPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
 func (s *Scheduler) hidesPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandover())
+	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandover(), s.now)
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -10,8 +10,9 @@
 // runner is the state of one incarnation of a runner as the scheduler knows it.
 type runner struct {
 	info workload.Runner
-	// unlisted runners are no longer in the platform's list.
-	unlisted bool
+	// unlisted runners are no longer in the platform's list, since unlistedAt.
+	unlisted   bool
+	unlistedAt Time
 	// retainUntil is until when an unlisted runner is kept since another scheduler may have
 	// used it.
 	retainUntil Time
