Soak: logs are kept when a process found that a task ran twice

A process may find a dropped run alive beside another one of its task (task-ran-twice) while the runners have not had two at once.

Run 2 of a task was refused by a runner for lack of room, and run 3 ordered elsewhere. The caller gave up; the job arrived again under its id, so the runs were numbered from 1 again, and run 2 of its third life was started by the same process on the same runner, and done. The record of the first life's dropped run 2, 3.95 s old, matched it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,7 +34,7 @@
 	domains = flag.Int("soak.domains", 1, "number of failure domains")
 	callers = flag.Int("soak.callers", 0, "number of callers; 0 for that of the test")
 	program = flag.String("soak.program", "", "entry program, as of another version; built if empty")
-	logDir  = flag.String("soak.logs", "", "directory for the logs of runs that broke a promise")
+	logDir  = flag.String("soak.logs", "", "directory for the logs of runs that broke a promise, or in which a process found that a task ran twice")
 )
 
 // regressions are seeds that once broke a guarantee, with the cause.
@@ -128,7 +128,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer w.close()
 	defer func() {
-		if t.Failed() && *logDir != "" {
+		if *logDir != "" && (t.Failed() || w.countEvents("task-ran-twice") > 0) {
 			w.saveLogs(filepath.Join(*logDir, t.Name()))
 		}
 	}()
