No warning about a run of a job sent again under the number of one that was dropped

A job that is sent again numbers its runs from 1 again. The record of a run of its earlier life that was dropped, for instance since its start was rejected for want of room, matched the later run of that number on the same runner, whose end then was logged as task-ran-twice. The record is closed now when a run of that number starts there again.

Evidence: TestARunWithTheNumberOfADroppedOneIsNotReported, red before.

--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -224,7 +224,12 @@
 // noteNextRun records with a task's dropped runs that it has another run now.
 func (s *Scheduler) noteNextRun(u *run) {
 	for _, d := range s.drops.byTask[u.key.Task] {
-		if d.next.Number == 0 && (d.key != u.key || d.runner != u.runner.info.ID) {
+		if d.key == u.key && d.runner == u.runner.info.ID {
+			// The job was sent again: from now on the runner's lists speak of this run.
+			d.reported = true
+			continue
+		}
+		if d.next.Number == 0 {
 			d.setNext(u)
 		}
 	}
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -359,3 +359,24 @@
 	b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-stop-ordered", c.Run, "job-ended")))
 	b.g.Expect(b.s.Counters().Stops[StopJobEnded]).To(Equal(uint64(1)))
 }
+
+// Guards against a warning about a run of a job that was sent again, whose number is that of a run which was rejected
+// there before.
+func TestARunWithTheNumberOfADroppedOneIsNotReported(t *testing.T) {
+	b, first, second := restartAfterRejection(t)
+	b.s.Abandon(b.now, entryA, first.Run.Task.Job)
+	b.stopped(one[Stop](b), Accepted)
+	b.end(second.Runner, 1, second.Run, workload.Stopped)
+	b.wait(2 * time.Second)
+	j := testJob(1, 400*ms)
+	j.ID = first.Run.Task.Job
+	b.s.runners[second.Runner].evacuated = true
+	b.submit(j, 4*time.Second)
+	again := one[Start](b)
+	b.g.Expect(again.Run).To(Equal(first.Run))
+	b.g.Expect(again.Runner).To(Equal(first.Runner))
+	b.started(again, Accepted)
+	b.now += 300 * ms
+	b.end(again.Runner, 1, again.Run, workload.Done)
+	b.g.Expect(b.warnings()).To(BeEmpty())
+}
