Stand-ins: half of the runners don't report their incarnations

Change: in the soak's worlds and in the model's random runs, but those in which runners restart, half of the runners don't report it.

--- a/core/fleet/gaps_test.go
+++ b/core/fleet/gaps_test.go
@@ -36,8 +36,11 @@
 // drawGaps has about half of the runners, of those that come later too, leave runs that are being stopped off
 // their lists, and about half list runs late. It draws from a sequence of its own, so that what else a seed plays
 // doesn't depend on it.
-func (w *world) drawGaps() {
+//
+// Unless runners restart under their ids, half of them don't report their incarnations.
+func (w *world) drawGaps(faults []string) {
 	w.gaps = rand.New(rand.NewPCG(w.seed, 2))
+	w.restarts = slices.Contains(faults, "runner restart")
 	for _, r := range w.runners {
 		w.drawGapsOf(r)
 	}
@@ -52,6 +55,7 @@
 	if w.gaps.IntN(2) == 0 {
 		r.lists.maxDelay = maxListDelay
 	}
+	r.unnamed = w.gaps.IntN(2) == 0 && !w.restarts
 }
 
 // listedRuns are the runs that the runner lists as running.
--- a/core/fleet/lending_random_test.go
+++ b/core/fleet/lending_random_test.go
@@ -85,7 +85,7 @@
 func lendingRun(seed uint64, names []string) (*world, []string) {
 	w := crowdedDeployment(seed, seed%2 == 0)
 	w.onSend = w.faultWith
-	w.drawGaps()
+	w.drawGaps(names)
 	w.load(lendingLoad, 12*time.Second)
 	var played []string
 	for w.now < 12*time.Second {
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -165,7 +165,7 @@
 }
 
 func randomRunOf(w *world, names []string) (*world, []string) {
-	w.drawGaps()
+	w.drawGaps(names)
 	return playFaults(w, names)
 }
 
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -41,6 +41,8 @@
 	dark bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
+	// unnamed: its answers don't say when its incarnation began, so it never restarts under its id.
+	unnamed bool
 	// started counts the runs started.
 	started int
 
@@ -82,6 +84,14 @@
 	hold   schedule.Hold
 }
 
+// reportedIncarnation is the start of the incarnation as answers contain it; 0 if they don't.
+func (r *fakeRunner) reportedIncarnation() int64 {
+	if r.unnamed {
+		return 0
+	}
+	return r.incarnationStart
+}
+
 func (r *fakeRunner) clock() int64 {
 	return r.offset + int64(float64(r.w.now.Milliseconds())*r.rate)
 }
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -32,10 +32,12 @@
 	events eventHeap
 	seq    int
 	rng    *rand.Rand
-	// gaps draws what is missing on the lists of runners; nil if nothing is.
-	gaps    *rand.Rand
-	nodes   []*fakeNode
-	runners []*fakeRunner
+	// gaps draws what is missing on the lists and in the answers of runners; nil if nothing is. restarts: runners
+	// restart under their ids.
+	gaps     *rand.Rand
+	restarts bool
+	nodes    []*fakeNode
+	runners  []*fakeRunner
 	// byRunner are the runners by their ids.
 	byRunner map[workload.RunnerID]*fakeRunner
 	jobs     map[workload.JobID]*fakeJob
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -170,8 +170,8 @@
 	return w, nil
 }
 
-// drawLists draws which of its runs a new runner doesn't list as running. The faults that a seed injects don't
-// depend on it.
+// drawLists draws which of its runs a new runner doesn't list as running, and whether it reports its incarnation.
+// The faults that a seed injects don't depend on it.
 func (w *world) drawLists(r *deployment.Runner) {
 	rng := rand.New(rand.NewPCG(w.seed, uint64(w.runnersStarted)))
 	unlistedStops, late := rng.IntN(2) == 0, rng.IntN(2) == 0
@@ -181,6 +181,9 @@
 			f.MaxListDelay = maxListDelay
 		}
 	})
+	if rng.IntN(2) == 0 {
+		r.HideIncarnation()
+	}
 }
 
 // domain returns the failure domain of the runner or entry VM with an index.
--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -178,6 +178,13 @@
 	return s.Put("servers", r.ID, info)
 }
 
+// HideIncarnation keeps the runner from reporting when its incarnation began, as one that never restarts under its id.
+func (r *Runner) HideIncarnation() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Info.IncarnationStart = 0
+}
+
 // SetObserver sets the observer, which is notified of all later events.
 func (r *Runner) SetObserver(o Observer) {
 	r.mu.Lock()
