Connections that aren't made in time show nothing once one was made

Cause: a silent runner is asked on new connections. A process that gets no processor time accepts none of them; they fill its queue, and the next ones aren't made in time. Two such in a row counted as a host out of reach, so that the runs of a starved runner counted as over 160 ms after their lease, its tasks were started elsewhere at one tick, and the runs were stopped as orphans once it answered.

Change: a host counts as out of reach only if no connection to it was made since the runner's last answer, be it for a list, a start or a stop, and if the latest two in a row weren't made in time; an order that shows nothing ends the row.

TestJobsStartOnceTheSilentRunnerCantHidePriorRuns had connections made before the host went out of reach: they show nothing now, and the wait for that is checked by a test of its own.

--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -158,6 +158,8 @@
 	switch {
 	case !h.NewConnection || w.chance(w.lateConnections):
 		return schedule.ConnectionUnknown
+	case accepted && r.queue.full(r.orders.until):
+		return schedule.ConnectionTimedOut
 	case accepted:
 		return schedule.ConnectionMade
 	case r != nil && (r.dark || !w.domainsConnected(n.domain, r.info.Domain)):
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -30,6 +30,7 @@
 	slow    slowness
 	// lists says which runs it doesn't list as running.
 	lists gaps
+	queue connectionQueue
 	// orders and work are what the runner puts off, see backlog. killDelay is how late it ends its runs
 	// after their lease, and idleUntil is until when it may do so.
 	orders, work         backlog
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -228,7 +228,9 @@
 	Token   uint64
 	Run     workload.RunKey
 	Outcome CallOutcome
-	Clock   ClockReading
+	// Connection is set if the order stayed unanswered.
+	Connection Connection
+	Clock      ClockReading
 }
 
 // StopResult reports the outcome of a Stop, whose token it repeats.
@@ -237,7 +239,9 @@
 	Token   uint64
 	Run     workload.RunKey
 	Outcome CallOutcome
-	Clock   ClockReading
+	// Connection is set if the order stayed unanswered.
+	Connection Connection
+	Clock      ClockReading
 }
 
 // HoldResult reports the outcome of a Hold.
--- a/core/schedule/full_queue_test.go
+++ b/core/schedule/full_queue_test.go
@@ -50,3 +50,31 @@
 		b.g.Expect(started).To(BeNumerically(">=", maxStarvation), "a queue of %d", queue)
 	}
 }
+
+// Guards against a second run beside one on a starved runner, since connections that weren't made in time long ago
+// count though later orders have shown nothing.
+func TestEarlierConnectionsThatWerentMadeShowNothing(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	started := b.starvedUntilStart(c, maxStarvation, func(n int) Connection {
+		if n < outOfReachAttempts+1 {
+			return ConnectionTimedOut
+		}
+		return ConnectionUnknown
+	})
+	b.g.Expect(started).To(BeNumerically(">=", maxStarvation))
+}
+
+// Guards against the same where orders to start and to stop runs have filled the queue.
+func TestConnectionsOfStartsAndStopsFillTheQueue(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.s.stopRun(b.s.runners[c.Runner].runs[c.Run], StopOverdue)
+	stop := one[Stop](b)
+	b.s.Stopped(b.now, StopResult{
+		Runner: stop.Runner, Token: stop.Token, Run: stop.Run, Outcome: Unanswered, Connection: ConnectionMade,
+		Clock: ClockReading{ReceivedAt: b.now, SentAt: b.now},
+	})
+	started := b.starvedUntilStart(c, maxStarvation, func(int) Connection { return ConnectionTimedOut })
+	b.g.Expect(started).To(BeNumerically(">=", maxStarvation))
+}
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -48,8 +48,8 @@
 		"lists":           func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted) },
 		"is out of reach": func(b *harness) { b.passSilently(time.Second, "silent", ConnectionTimedOut) },
 	} {
-		b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
-		b.g.Expect(b.passSilently(3*time.Second, "silent", ConnectionMade)).To(BeEmpty())
+		b := restoring(t, storedJob(1, 500*ms), ConnectionUnknown, testRunner("r1"), testRunner("silent"))
+		b.g.Expect(b.passSilently(3*time.Second, "silent", ConnectionUnknown)).To(BeEmpty())
 		resolve(b)
 		b.s.Tick(b.now)
 		b.s.RowOwnershipVerified(b.now, b.now)
@@ -66,6 +66,13 @@
 	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionFailed)).To(HaveLen(1))
 }
 
+// Guards against the same where the queue of new connections of a starved process is full.
+func TestJobsWaitForASilentRunnerWhoseQueueIsFull(t *testing.T) {
+	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
+	b.g.Expect(b.passSilently(maxPriorRunLife+maxStarvation-20*ms, "silent", ConnectionTimedOut)).To(BeEmpty())
+	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionTimedOut)).To(HaveLen(1))
+}
+
 // Guards against a wait for a runner that can't have a run of the job: it lacks the label, or is too small.
 func TestJobsDontWaitForRunnersThatCantTakeThem(t *testing.T) {
 	unlabelled, small := testRunner("silent"), testRunner("silent")
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -14,8 +14,8 @@
 //   - Their lease has ended, also if the runner's clock is slow.
 //   - The runner has left an order unanswered that was sent after that, and after its last answer. If it
 //     answers, its lists show what has become of the runs.
-//   - outOfReachAttempts new connections to its host in a row weren't made in time. Otherwise the runner's
-//     process may be alive, and the times below must have passed as well.
+//   - No new connection to its host was made since its last answer, and outOfReachAttempts in a row weren't made
+//     in time. Otherwise the runner's process may be alive, and the times below must have passed as well.
 //
 // A refused connection is no evidence, like one that is accepted: it shows that a listener is missing or that
 // something on the way refuses, and the process may go on with its runs. The runner's own evidence ends the wait at
@@ -37,6 +37,9 @@
 type host struct {
 	// refused: its latest answer to a new connection was a refusal. It is for logs only.
 	refused bool
+	// made: a new connection was made. One that isn't made later shows nothing: a process that gets no processor time
+	// accepts none, and its queue fills up.
+	made bool
 	// timedOut is the number of new connections in a row, up to the latest, that weren't made in time.
 	timedOut int
 	// awake: the runner has answered, though what it said can't be used; so it isn't starved.
@@ -47,24 +50,29 @@
 func (h *host) observe(c Connection) {
 	switch c {
 	case ConnectionMade:
-		*h = host{}
+		*h = host{made: true}
 	case ConnectionFailed:
-		*h = host{refused: true}
+		*h = host{made: h.made, refused: true}
 	case ConnectionTimedOut:
 		h.timedOut++
+	case ConnectionUnknown:
+		h.timedOut = 0
 	}
 }
 
+// outOfReach reports whether nothing has reached the host since the runner's last answer.
+func (h host) outOfReach() bool { return !h.made && h.timedOut >= outOfReachAttempts }
+
 // mayBeStarved reports whether the runner's process may be alive and end its runs late: it doesn't answer for want
 // of processor time, or its host refuses connections.
 func (h host) mayBeStarved() bool {
-	return !h.awake && h.timedOut < outOfReachAttempts
+	return !h.awake && !h.outOfReach()
 }
 
 // String describes the host in logs.
 func (h host) String() string {
 	switch {
-	case h.timedOut >= outOfReachAttempts:
+	case h.outOfReach():
 		return "host out of reach"
 	case h.refused:
 		return "host refuses connections"
@@ -115,6 +123,17 @@
 	r.host.observe(res.Connection)
 }
 
+// noteOrder records that an order to start or to stop a run, which was sent at a time, was answered or not. Of the
+// connections of those that weren't, one that was made occupies a place in the queue of a runner that accepts none.
+func (r *runner) noteOrder(o CallOutcome, c Connection, sentAt Time) {
+	switch {
+	case o != Unanswered:
+		r.answered(sentAt)
+	case c == ConnectionMade:
+		r.host.observe(c)
+	}
+}
+
 // describeSilence says on what evidence the runs of a silent runner count as over.
 func (r *runner) describeSilence(now Time) string {
 	asked := "not asked"
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -38,9 +38,7 @@
 		return
 	}
 	s.recordLatency(res.Clock.SentAt)
-	if res.Outcome != Unanswered {
-		r.answered(res.Clock.SentAt)
-	}
+	r.noteOrder(res.Outcome, res.Connection, res.Clock.SentAt)
 	u := r.runs[res.Run]
 	if u == nil {
 		return
@@ -192,9 +190,7 @@
 		return
 	}
 	u := r.runs[res.Run]
-	if res.Outcome != Unanswered {
-		r.answered(res.Clock.SentAt)
-	}
+	r.noteOrder(res.Outcome, res.Connection, res.Clock.SentAt)
 	switch res.Outcome {
 	case Accepted:
 		if u != nil {
