--- a/core/schedule/copies_test.go
+++ b/core/schedule/copies_test.go
@@ -54,6 +54,9 @@
 	b.s.TakeOverRunners(b.now)
 	b.runningTask()
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")))
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
 	take[Hold](b)
 	b.s.acquire(b.s.runners["r3"])
 	silent := one[Hold](b)
@@ -69,8 +72,9 @@
 	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: time.Second, PriorSubmissions: 1})
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "r3 may be starved, and the job waits")
 	b.leaveHoldUnanswered(silent, ConnectionTimedOut)
-	b.leaveUnanswered("r3", ConnectionTimedOut)
-	b.tick(20 * ms)
+	for begin := b.now; b.now-begin < 220*ms; b.tick(20 * ms) {
+		b.leaveUnanswered("r3", ConnectionTimedOut)
+	}
 	b.g.Expect(take[Decision](b)).To(ContainElement(And(
 		loggedFor("started-without-lists", j.ID, entryA, "runs of 1 earlier schedulers count as over"),
 		HaveField("Detail", ContainSubstring("r3")),
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -221,15 +221,21 @@
 	return t.run
 }
 
+// isOf reports whether it is the record of a run, or of one of the same number on the same runner.
+func (d *droppedRun) isOf(u *run) bool { return d.key == u.key && d.runner == u.runner.info.ID }
+
+// closeDrops closes the records of dropped runs that had the number of a run which is about to be started on their
+// runner: the job was sent again, and from now on the runner's lists speak of that run.
+func (s *Scheduler) closeDrops(u *run) {
+	for _, d := range s.drops.byTask[u.key.Task] {
+		d.reported = d.reported || d.isOf(u)
+	}
+}
+
 // noteNextRun records with a task's dropped runs that it has another run now.
 func (s *Scheduler) noteNextRun(u *run) {
 	for _, d := range s.drops.byTask[u.key.Task] {
-		if d.key == u.key && d.runner == u.runner.info.ID {
-			// The job was sent again: from now on the runner's lists speak of this run.
-			d.reported = true
-			continue
-		}
-		if d.next.Number == 0 {
+		if d.next.Number == 0 && !d.isOf(u) {
 			d.setNext(u)
 		}
 	}
--- a/core/schedule/elsewhere_test.go
+++ b/core/schedule/elsewhere_test.go
@@ -62,6 +62,8 @@
 	for _, h := range take[Hold](b) {
 		b.held(h)
 	}
+	b.g.Expect(take[Start](b)).To(BeEmpty(), "a run that is being stopped may be missing on the first list")
+	b.wait(b.s.longestStop() + 40*ms)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
 
--- a/core/schedule/handover_lists.go
+++ b/core/schedule/handover_lists.go
@@ -25,11 +25,10 @@
 	}
 }
 
-// latestHandover returns when the latest such job arrived.
-func (s *Scheduler) latestHandover() Time {
-	latest := s.handoverListsAt
+// latestHandoverLists returns the latest time of lists that such a job waits for.
+func (s *Scheduler) latestHandoverLists() Time {
 	if n := len(s.handoverListsDue); n > 0 {
-		latest = s.handoverListsDue[n-1]
+		return s.handoverListsDue[n-1]
 	}
-	return latest - s.longestStop()
+	return s.handoverListsAt
 }
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -203,6 +203,7 @@
 	j.runs++
 	s.ctr.Starts++
 	r.add(u)
+	s.closeDrops(u)
 	s.noteNextRun(u)
 	s.logMissingLists(u)
 	s.sendStart(u)
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -52,7 +52,7 @@
 	}
 	var list []*runner
 	for _, r := range p.s.runnerList {
-		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandover(), p.s.now) {
+		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandoverLists(), p.s.now) {
 			list = append(list, r)
 		}
 	}
@@ -65,9 +65,8 @@
 	if p.s.now >= j.starvedRunsOverAt {
 		return false
 	}
-	arrived := j.listsNeededSince - p.s.longestStop()
 	return slices.ContainsFunc(p.hidingRunners(j.work.Service), func(r *runner) bool {
-		return !r.listedSince(arrived) && r.canTake(j.stepAt(i))
+		return !r.listedSince(j.listsNeededSince) && r.canTake(j.stepAt(i))
 	})
 }
 
@@ -83,7 +82,7 @@
 
 // hidesPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
 func (s *Scheduler) hidesPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandover(), s.now)
+	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandoverLists(), s.now)
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -135,3 +135,27 @@
 	b.g.Expect(b.passSilently(maxPriorRunLife+maxStarvation-20*ms, "r2", ConnectionMade)).To(BeEmpty(), "%v after it was handed over again", b.now-begin)
 	b.g.Expect(b.passSilently(60*ms, "r2", ConnectionMade)).To(HaveLen(1))
 }
+
+// Guards against a runner that counts as having no prior runs by a list that is too early to show all of them.
+func TestAListThatIsTooEarlyDoesntShowThatASilentRunnerHasNoPriorRuns(t *testing.T) {
+	b := newHarness(t, testRunner("r1"), testRunner("silent"))
+	b.s.Lead(b.now)
+	b.ownRows(1)
+	b.handOver(testJob(1, 400*ms), 9*time.Second)
+	b.now += 5 * ms
+	for _, h := range take[Hold](b) {
+		b.held(h)
+	}
+	b.g.Expect(b.passSilently(maxPriorRunLife+maxStarvation-60*ms, "silent", ConnectionMade)).To(BeEmpty())
+}
+
+// Guards against a silent runner that a new leader has forgotten, since it left the list shortly before.
+func TestANewLeaderDoesntForgetASilentRunnerThatLeftTheList(t *testing.T) {
+	b := newHarness(t, testRunner("r1"), testRunner("silent"))
+	b.s.SetRunners(b.now, []workload.Runner{testRunner("r1")})
+	b.now += b.s.cfg.Resend + 100*ms
+	b.s.Lead(b.now)
+	b.ownRows(1)
+	b.leaveUnanswered("silent", ConnectionMade)
+	b.g.Expect(b.s.runners).To(HaveKey(workload.RunnerID("silent")))
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -121,7 +121,7 @@
 		case u.task == nil && sentAt < r.startInvalidAt(u):
 		case u.stopped:
 			s.dropAbsent(u, StoppedUnlisted, sentAt)
-		case u.confirmed || u.orderToken == 0:
+		case u.stopping || u.confirmed || u.orderToken == 0:
 		case u.orderToken == r.token:
 			refuse = refuse || u.startExpiredAt > 0 && u.startExpiredAt <= sentAt
 		default:
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -134,8 +134,9 @@
 	// wasn't carried out if that list has it. 0 if no list shows that. askAt is when a list is requested for it
 	// next; 0 for not at all.
 	settledAt, askAt Time
-	// overdueAt is when the run counts as stuck.
+	// overdueAt is when the run counts as stuck; overdue: it does.
 	overdueAt Time
+	overdue   bool
 	// expectedEnd is when it is expected to end.
 	expectedEnd Time
 }
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -105,6 +105,7 @@
 func (s *Scheduler) noteStopped(u *run) {
 	u.stopped = true
 	u.awaitList(s.now + s.longestStop())
+	u.askAt = s.now + s.cfg.StopTimeout
 	s.requestList(u.runner)
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -128,7 +128,7 @@
 		u.stopping, u.stopped = false, false
 		u.awaitList(0)
 		s.stopRun(u, StopStillListed)
-	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob():
+	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob() && !r.unresponsive:
 		s.dropRun(u, StopTimedOut)
 		if u.task != nil {
 			s.requeue(u.task)
@@ -140,7 +140,7 @@
 	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0:
 		s.stopRun(u, StopUnconfirmed)
 	case u.task != nil && !u.stopping && u.overdueAt > 0 && s.now >= u.overdueAt:
-		s.stopOverdue(r, u)
+		s.stopOverdue(u)
 	}
 }
 
@@ -156,11 +156,22 @@
 
 // stopOverdue stops a run that takes far longer than estimated, so that its task is started on
 // another runner: tasks hang on some runners that are otherwise healthy.
-func (s *Scheduler) stopOverdue(r *runner, u *run) {
+func (s *Scheduler) stopOverdue(u *run) {
 	t := u.task
 	if s.now+t.step().Estimate > t.job.deadline {
 		return
 	}
+	s.noteOverdue(t, u)
+	s.stopRun(u, StopOverdue)
+}
+
+// noteOverdue records that a run is overdue, once however often it is ordered to stop.
+func (s *Scheduler) noteOverdue(t *taskState, u *run) {
+	if u.overdue {
+		return
+	}
+	u.overdue = true
+	r := u.runner
 	s.ctr.Overstayed++
 	t.overstays++
 	t.failedOn = append(t.failedOn, r)
@@ -169,7 +180,6 @@
 		s.noteRatio(r, t, float64(s.now-u.started)/float64(expected))
 	}
 	s.emit(Decision{Event: "run-overdue", Job: u.key.Task.Job, Run: u.key, Runner: r.info.ID, Age: s.now - u.started})
-	s.stopRun(u, StopOverdue)
 }
 
 // expireInterval is how often some thousand entries are checked for expiry; keeping an entry for
