Test: starved runners whose queues of new connections are full

Stand-in: faults.NewProxyWithQueue limits the queue of a proxy's listener, and Proxy.Pause stops accepting and forwarding for a time; connections wait in the queue and open ones are silent meanwhile. The queue of 4 holds 5 connections; the sixth isn't made in time (TestPausedProxyFillsItsQueue).

TestSoakFullQueues: one runner in four gets no processor time for 700 to 1,100 ms, again and again, and its queue is full.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -83,6 +83,8 @@
 	minRunners, minDomains int
 	// wide are jobs of many tasks that are submitted beside the others.
 	wide wideJobs
+	// backlog is the length of the queue of new connections to a runner; 0 stands for the system's.
+	backlog int
 }
 
 // proxiedRunner is a runner behind a proxy.
@@ -203,7 +205,7 @@
 		f.KillDelay, f.StopTime, f.LenientStarts = killDelay, stopTimeout, w.lenientStarts
 	})
 	w.drawLists(r)
-	p, err := faults.NewProxy(r.Info.Address)
+	p, err := faults.NewProxyWithQueue(r.Info.Address, w.backlog)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/faults/proxy.go
+++ b/standin/faults/proxy.go
@@ -5,8 +5,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Proxy forwards TCP connections from the loopback address to a target and injects faults into
@@ -14,15 +12,19 @@
 type Proxy struct {
 	address string
 	target  string
+	// backlog is the length of the listener's queue, see listen.
+	backlog int
 
 	mu sync.Mutex
 	// listener is nil while connections are refused, and after Close.
-	listener net.Listener
+	listener *net.TCPListener
 	conns    map[*proxyConn]bool
 	// delay is added to each piece of data. dropToTarget and dropFromTarget drop the data of all
 	// connections in one direction.
 	delay                        time.Duration
 	dropToTarget, dropFromTarget bool
+	// pausedUntil is when the latest pause ends, see Pause.
+	pausedUntil time.Time
 }
 
 // proxyConn is a client's connection with the proxy and the one that the proxy dialed to the target.
@@ -33,12 +35,14 @@
 }
 
 // NewProxy listens on a free port.
-func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewProxy(target string) (*Proxy, error) { return newProxy(target, 0) }
+
+func newProxy(target string, backlog int) (*Proxy, error) {
+	l, err := listen("127.0.0.1:0", backlog)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
-	p := &Proxy{address: l.Addr().String(), target: target, listener: l, conns: make(map[*proxyConn]bool)}
+	p := &Proxy{address: l.Addr().String(), target: target, backlog: backlog, listener: l, conns: make(map[*proxyConn]bool)}
 	go p.accept(l)
 	return p, nil
 }
@@ -75,9 +79,9 @@
 	if p.listener != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", p.address)
+	l, err := listen(p.address, p.backlog)
 	if err != nil {
-		return errors.Wrap(err, "listen again")
+		return err
 	}
 	p.listener = l
 	go p.accept(l)
@@ -126,9 +130,9 @@
 	_ = c.outbound.Close()
 }
 
-func (p *Proxy) accept(l net.Listener) {
+func (p *Proxy) accept(l *net.TCPListener) {
 	for {
-		inbound, err := l.Accept()
+		inbound, err := p.acceptOne(l)
 		if err != nil {
 			return
 		}
@@ -173,6 +177,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		p.waitForPause()
 		if err != nil {
 			return
 		}
@@ -183,6 +188,7 @@
 			continue
 		}
 		time.Sleep(delay)
+		p.waitForPause()
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
