--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -20,8 +20,8 @@
 
 // priorRuns are what is known of the runs that earlier schedulers may have started for a job.
 type priorRuns struct {
-	// schedulers counts the schedulers that had the job before; listsNeededSince is when it arrived from
-	// the last of them.
+	// schedulers counts the schedulers that had the job before; listsNeededSince is the time of the lists that
+	// show all runs of the last of them.
 	schedulers       int
 	listsNeededSince Time
 	// overAt is when the runs can't be alive any more on runners that aren't starved, and starvedOverAt when
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -20,7 +20,7 @@
 // A refused connection is no evidence, like one that is accepted: it shows that a listener is missing or that
 // something on the way refuses, and the process may go on with its runs. The runner's own evidence ends the wait at
 // once: an answer with its lists, another incarnation at its address, or a restart. That its entry has left the
-// store isn't evidence, since a starved process doesn't renew the entry.
+// store doesn't end the wait sooner, since a starved process doesn't renew the entry either.
 const (
 	// maxStarvation is how long a runner may get no processor time. It matters from the end of its lease at the
 	// latest, when a runner that isn't starved ends its runs. That its answers stop shows no earlier start, since
