A last reading: one type for what is known of prior runs, and names without figures

A job and the memory of given-up jobs had the same four fields under two sets of names; the job embeds the type now. Two comments said what isn't so any more (hosts that accept connections) or by a figure of speech.

--- a/core/fleet/gaps_test.go
+++ b/core/fleet/gaps_test.go
@@ -56,7 +56,7 @@
 		r.lists.maxDelay = maxListDelay
 	}
 	r.queue.length = 1 + w.gaps.IntN(maxQueueLength)
-	r.unnamed = w.gaps.IntN(2) == 0 && !w.restarts
+	r.hidesIncarnation = w.gaps.IntN(2) == 0 && !w.restarts
 }
 
 // listedRuns are the runs that the runner lists as running.
--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -8,13 +8,11 @@
 	"strings"
 	"testing"
 	"time"
-
-	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Runners that end their runs after the lease: starved ones do nothing for a while, silent ones answer nothing
-// and are slow to end their runs, and so are those whose hosts refuse connections. A scheduler can't see how late they are. The dangerous
-// case is a task that is started elsewhere while such a runner still has its run.
+// Runners that end their runs after the lease: starved ones do nothing for a while, silent ones answer nothing and
+// are slow to end their runs, and so are those whose hosts refuse connections. A scheduler can't see how late they
+// are. The dangerous case is a task that is started elsewhere while such a runner still has its run.
 
 const (
 	// minStarved and maxStarved bound how long a runner is starved in one piece, in milliseconds.
@@ -419,36 +417,3 @@
 		t.Logf("pairs of runs, %d: %s", pairs[kind], kind)
 	}
 }
-
-// pairKind says what led to two runs at the same time: the last decision on the older one, whether its
-// lease was over, what its runner did, and whether one process ordered both.
-func (w *world) pairKind(older workload.RunKey, r *fakeRunner, younger workload.RunKey, other *fakeRunner) string {
-	lease, by := "lease over", "one process"
-	if r.clock() < r.leaseEnd {
-		lease = "lease valid"
-	}
-	if w.startedBy(older, r) != w.startedBy(younger, other) {
-		by = "two processes"
-	}
-	return fmt.Sprintf("%s; %s; %s; %s", w.lastDecision(older), lease, r.state(), by)
-}
-
-// lastDecision is the last decision on a run that a process has logged.
-func (w *world) lastDecision(k workload.RunKey) string {
-	for _, e := range slices.Backward(w.history[k.Task.String()]) {
-		if e.decision && e.key == k.String() {
-			return e.what
-		}
-	}
-	return "no decision"
-}
-
-// startedBy is the process that last ordered the start of a run on a runner.
-func (w *world) startedBy(k workload.RunKey, r *fakeRunner) string {
-	for _, e := range slices.Backward(w.history[k.Task.String()]) {
-		if e.key == k.String() && e.what == "orders start on "+string(r.info.ID) {
-			return e.by
-		}
-	}
-	return ""
-}
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -42,8 +42,8 @@
 	dark bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
-	// unnamed: its answers don't say when its incarnation began, so it never restarts under its id.
-	unnamed bool
+	// hidesIncarnation: its answers don't say when its incarnation began, so it never restarts under its id.
+	hidesIncarnation bool
 	// started counts the runs started.
 	started int
 
@@ -87,7 +87,7 @@
 
 // reportedIncarnation is the start of the incarnation as answers contain it; 0 if they don't.
 func (r *fakeRunner) reportedIncarnation() int64 {
-	if r.unnamed {
+	if r.hidesIncarnation {
 		return 0
 	}
 	return r.incarnationStart
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -225,7 +225,7 @@
 func (d *droppedRun) isOf(u *run) bool { return d.key == u.key && d.runner == u.runner.info.ID }
 
 // closeDrops closes the records of dropped runs that had the number of a run which is about to be started on their
-// runner: the job was sent again, and from now on the runner's lists speak of that run.
+// runner: the job was sent again, and the runner's lists show the new run from now on.
 func (s *Scheduler) closeDrops(u *run) {
 	for _, d := range s.drops.byTask[u.key.Task] {
 		d.reported = d.reported || d.isOf(u)
--- a/core/schedule/elsewhere_test.go
+++ b/core/schedule/elsewhere_test.go
@@ -63,7 +63,7 @@
 		b.held(h)
 	}
 	b.g.Expect(take[Start](b)).To(BeEmpty(), "a run that is being stopped may be missing on the first list")
-	b.wait(b.s.longestStop() + 40*ms)
+	b.wait(b.longestStop() + 40*ms)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
 
--- a/core/schedule/handover_lists_test.go
+++ b/core/schedule/handover_lists_test.go
@@ -23,7 +23,7 @@
 	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: 9 * time.Second, PriorSubmissions: 1, PriorRunsTTL: priorRunsTTL})
 	b.s.ApplyProgress(b.now, progress)
 	begin := b.now
-	b.wait(b.s.longestStop() - 10*ms)
+	b.wait(b.longestStop() - 10*ms)
 	b.g.Expect(take[Start](b)).To(BeEmpty(), "started within %v of a stop", b.now-begin)
 	b.wait(60 * ms)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -78,16 +78,7 @@
 	remaining, expected time.Duration
 	// queueRatio is the learned ratio of the job's queue; 0 until it is first needed.
 	queueRatio float64
-	// priorRunsOverAt is when runs that an earlier scheduler may have started can't be alive
-	// any more on runners that didn't answer.
-	priorRunsOverAt Time
-	// starvedRunsOverAt is when they can't be alive any more on runners that were starved; 0 if no prior run
-	// can be on such a runner.
-	starvedRunsOverAt Time
-	// priorSchedulers counts the schedulers that had the job before; listsNeededSince is when
-	// stops that the last of them had ordered before it arrived must be over.
-	priorSchedulers  int
-	listsNeededSince Time
+	priorRuns
 	// stalledSince is since when a stored job has been stalled, which means that tasks of it are
 	// due and none can be running; 0 if it isn't stalled.
 	stalledSince Time
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -143,7 +143,7 @@
 func (s *Scheduler) forgetRunners() {
 	remaining := s.runnerList[:0]
 	for _, r := range s.runnerList {
-		if r.unlisted && len(r.runs) == 0 && s.now >= max(r.retainUntil, r.assumedPresentUntil) && !s.hidesPriorRuns(r) {
+		if r.unlisted && len(r.runs) == 0 && s.now >= max(r.retainUntil, r.assumedPresentUntil) && !s.mayHaveUnlistedPriorRuns(r) {
 			delete(s.runners, r.info.ID)
 			continue
 		}
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -109,7 +109,7 @@
 
 // stalled reports whether tasks of a job are due, and no run of it can be alive.
 func (s *Scheduler) stalled(p *placer, j *job) bool {
-	if s.now < j.priorRunsOverAt || s.waitingWork(j) == 0 || p.anyMayRunHidden(j) {
+	if s.now < j.priorRunsOverAt || s.waitingWork(j) == 0 || p.anyStepMayRun(j) {
 		return false
 	}
 	over := true
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -144,7 +144,7 @@
 		if !s.occurrenceDue(j, i) {
 			break
 		}
-		if !j.ready(i) || p.full(j.stepAt(i), j.work.Service) || p.mayRunHidden(j, i) {
+		if !j.ready(i) || p.full(j.stepAt(i), j.work.Service) || p.stepMayRun(j, i) {
 			continue
 		}
 		for _, t := range j.steps[i] {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -42,14 +42,14 @@
 	// tasks occupy of the runners.
 	waiting  int
 	occupied map[*runner]*runnerOccupancy
-	// hiding are the runners of each service that may have prior runs, see hidingRunners.
-	hiding map[string][]*runner
+	// awaitedRunners caches runnersToAwait by service.
+	awaitedRunners map[string][]*runner
 }
 
 func newPlacer(s *Scheduler) *placer {
 	return &placer{
 		s: s, smallestUnplaced: make(map[string]workload.Resources), median: make(map[string]float64),
-		occupied: make(map[*runner]*runnerOccupancy), hiding: make(map[string][]*runner),
+		occupied: make(map[*runner]*runnerOccupancy), awaitedRunners: make(map[string][]*runner),
 	}
 }
 
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -12,30 +12,30 @@
 // A scheduler learns the prior runs of a job from the runners' lists. A runner that has listed nothing since the
 // job came may have such a run, and if it is starved it ends the run later than its lease. Under the scheduler
 // that started the run it counts for maxStarvation from the end of the lease (see silence.go). The next scheduler
-// doesn't know which jobs have runs there, so it waits as long with each step of which a task may be on such a
-// runner.
+// doesn't know which jobs have runs there, so it waits as long with each step of which a task may have a run on
+// such a runner.
 //
 // A runner that can't take a step's tasks has no run of them. The runs on one whose host is out of reach are
 // over by priorRunsOverAt.
 
 // priorRuns are what is known of the runs that earlier schedulers may have started for a job.
 type priorRuns struct {
-	// schedulers counts the schedulers that had the job before; listsNeededSince is the time of the lists that
-	// show all runs of the last of them.
-	schedulers       int
+	// priorSchedulers counts the schedulers that had the job before. listsNeededSince is when stops that the last
+	// of them had ordered must be over: lists that are requested then or later show all of its runs.
+	priorSchedulers  int
 	listsNeededSince Time
-	// overAt is when the runs can't be alive any more on runners that aren't starved, and starvedOverAt when
-	// they can't on those that are.
-	overAt, starvedOverAt Time
+	// priorRunsOverAt is when the runs can't be alive any more on runners that haven't answered and aren't
+	// starved, and starvedRunsOverAt when they can't on starved ones; 0 if none can be on such a runner.
+	priorRunsOverAt, starvedRunsOverAt Time
 }
 
 // noteStarvedOver records until when prior runs of some job may be alive on runners that are starved.
 func (s *Scheduler) noteStarvedOver(at Time) { s.starvedOverAt = max(s.starvedOverAt, at) }
 
-// mayHidePriorRuns reports whether the runner has listed nothing since a time and may be starved, so that it
-// may have runs that nobody here knows. A runner whose entry has left the platform's list, and isn't back within
+// mayHaveUnlistedRuns reports whether the runner has listed nothing since a time and may be starved, so that it
+// may have runs that this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
 // unlistedGrace, counts as gone: it has written no entry for longer than maxStarvation.
-func (r *runner) mayHidePriorRuns(since, now Time) bool {
+func (r *runner) mayHaveUnlistedRuns(since, now Time) bool {
 	expired := r.unlisted && now-r.unlistedAt >= unlistedGrace
 	return !r.gone && !expired && !r.listedSince(since) && r.host.mayBeStarved()
 }
@@ -45,44 +45,44 @@
 	return r.info.HasLabel(step.Requires) && step.Need.Fits(r.info.Capacity)
 }
 
-// hidingRunners lists the runners of a service that may have prior runs which they haven't listed.
-func (p *placer) hidingRunners(service string) []*runner {
-	if list, ok := p.hiding[service]; ok {
+// runnersToAwait lists the runners of a service that may have prior runs which they haven't listed, of any job.
+func (p *placer) runnersToAwait(service string) []*runner {
+	if list, ok := p.awaitedRunners[service]; ok {
 		return list
 	}
 	var list []*runner
 	for _, r := range p.s.runnerList {
-		if r.info.Service == service && r.mayHidePriorRuns(p.s.latestHandoverLists(), p.s.now) {
+		if r.info.Service == service && r.mayHaveUnlistedRuns(p.s.latestHandoverLists(), p.s.now) {
 			list = append(list, r)
 		}
 	}
-	p.hiding[service] = list
+	p.awaitedRunners[service] = list
 	return list
 }
 
-// mayRunHidden reports whether a task of a job's step may have a prior run on a runner that may be starved.
-func (p *placer) mayRunHidden(j *job, i int) bool {
+// stepMayRun reports whether a task of a job's step may have a prior run on a runner that may be starved.
+func (p *placer) stepMayRun(j *job, i int) bool {
 	if p.s.now >= j.starvedRunsOverAt {
 		return false
 	}
-	return slices.ContainsFunc(p.hidingRunners(j.work.Service), func(r *runner) bool {
+	return slices.ContainsFunc(p.runnersToAwait(j.work.Service), func(r *runner) bool {
 		return !r.listedSince(j.listsNeededSince) && r.canTake(j.stepAt(i))
 	})
 }
 
-// anyMayRunHidden reports whether that holds for any step of a job that isn't done.
-func (p *placer) anyMayRunHidden(j *job) bool {
+// anyStepMayRun reports whether that holds for any step of a job that isn't done.
+func (p *placer) anyStepMayRun(j *job) bool {
 	for i, open := range j.open {
-		if open > 0 && p.mayRunHidden(j, i) {
+		if open > 0 && p.stepMayRun(j, i) {
 			return true
 		}
 	}
 	return false
 }
 
-// hidesPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
-func (s *Scheduler) hidesPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.starvedOverAt && r.mayHidePriorRuns(s.latestHandoverLists(), s.now)
+// mayHaveUnlistedPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
+func (s *Scheduler) mayHaveUnlistedPriorRuns(r *runner) bool {
+	return s.leading && s.now < s.starvedOverAt && r.mayHaveUnlistedRuns(s.latestHandoverLists(), s.now)
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
@@ -91,10 +91,7 @@
 	if j.stored != nil || s.now >= j.starvedRunsOverAt {
 		return
 	}
-	s.priorRuns[j.work.ID] = priorRuns{
-		schedulers: j.priorSchedulers, listsNeededSince: j.listsNeededSince,
-		overAt: j.priorRunsOverAt, starvedOverAt: j.starvedRunsOverAt,
-	}
+	s.priorRuns[j.work.ID] = j.priorRuns
 }
 
 // recallPriorRuns adds what is known of the prior runs of a job that comes again, in which the submission's own
@@ -105,16 +102,16 @@
 		return
 	}
 	j.started = true
-	j.priorSchedulers = max(j.priorSchedulers, p.schedulers)
+	j.priorSchedulers = max(j.priorSchedulers, p.priorSchedulers)
 	j.listsNeededSince = max(j.listsNeededSince, p.listsNeededSince)
-	j.priorRunsOverAt = max(j.priorRunsOverAt, p.overAt)
-	j.starvedRunsOverAt = max(j.starvedRunsOverAt, p.starvedOverAt)
+	j.priorRunsOverAt = max(j.priorRunsOverAt, p.priorRunsOverAt)
+	j.starvedRunsOverAt = max(j.starvedRunsOverAt, p.starvedRunsOverAt)
 	j.eachTask(func(t *taskState) { t.lastNumber = j.priorSchedulers * runsPerScheduler })
 }
 
 // expirePriorRuns forgets the prior runs that are over.
 func (s *Scheduler) expirePriorRuns() {
-	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.starvedOverAt })
+	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.starvedRunsOverAt })
 }
 
 // starvedOver returns when prior runs are over on starved runners, if they are by a time on all others.
--- a/core/schedule/resent.go
+++ b/core/schedule/resent.go
@@ -6,8 +6,8 @@
 //
 // If the scheduler that had such a job is lost too, the job reaches the next one as a new job. That
 // scheduler finds the runs of the first attempt on the runners' lists. It can't see a run on a runner that
-// hasn't listed its runs since this process leads; if the runner's host accepts connections, its process may be
-// starved, and may end the run later than its lease. So jobs that may have been sent before wait until each such
+// hasn't listed its runs since this process leads; unless the runner's host is out of reach, its process may
+// be starved, and may end the run later than its lease. So jobs that may have been sent before wait until each such
 // runner has listed its runs, or must have ended those of the scheduler before.
 //
 // Callers send a job again Resend after they have lost their entry process at the earliest. Which processes were
--- a/core/schedule/stopreason.go
+++ b/core/schedule/stopreason.go
@@ -27,7 +27,7 @@
 }
 
 // String returns the reason's name in logs.
-func (w StopReason) String() string { return stopReasonNames[w] }
+func (r StopReason) String() string { return stopReasonNames[r] }
 
 // StopCounts are numbers of orders to stop runs by StopReason.
 type StopCounts [stopReasons]uint64
