--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -16,6 +16,9 @@
 // cases are the cases by their names. trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) error{
 	"firststored": firstStored,
+	"pending":     pendingJobs,
+	"bigrow":      bigRow,
+	"explore":     explore,
 }
 
 func main() {
--- a/review/cases2/record.go
+++ b/review/cases2/record.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -25,6 +26,13 @@
 	// runs counts the starts, ends the ends by kind.
 	runs int
 	ends map[string]int
+	// doneEver are the tasks of which a run has ended done, cancelled the jobs whose cancelling was acknowledged, and
+	// failed the failed ends of each task that are taken note of.
+	doneEver  map[string]bool
+	cancelled map[string]time.Time
+	failed    map[string]int
+	// maxAttempts is that of the queue; 0 checks nothing.
+	maxAttempts int
 	// broken are the breaks of rules that were seen.
 	broken []string
 }
@@ -50,7 +58,7 @@
 	}
 	return &record{
 		begun: time.Now(), file: f, out: bufio.NewWriter(f), alive: make(map[string]map[runID]string),
-		noted: make(map[string]noted), starts: make(map[string][]startSeen), ends: make(map[string]int),
+		noted: make(map[string]noted), doneEver: make(map[string]bool), cancelled: make(map[string]time.Time), failed: make(map[string]int), starts: make(map[string][]startSeen), ends: make(map[string]int),
 	}, nil
 }
 
@@ -96,6 +104,20 @@
 	if n, ok := c.noted[id.task]; ok {
 		c.twice(s, n)
 	}
+	job, rest, _ := strings.Cut(id.task, ".")
+	if at, ok := c.cancelled[job]; ok && time.Since(at) > 3*time.Second {
+		c.breaksLocked("UNASKED: %s starts %.3f s after its job's cancelling was acknowledged", id.task, time.Since(at).Seconds())
+	}
+	if c.maxAttempts > 0 && r.world.isStored(id.task) && c.failed[id.task] >= c.maxAttempts {
+		c.breaksLocked("BUDGET: %s run %d starts after %d failed ends", id.task, id.run, c.failed[id.task])
+	}
+	if strings.HasPrefix(rest, "0.1.") {
+		for i := range r.world.countOf(job) {
+			if !c.doneEver[fmt.Sprintf("%s.0.0.%d", job, i)] {
+				c.breaksLocked("ORDER: %s starts before task %d of step 0 is done", id.task, i)
+			}
+		}
+	}
 	c.starts[id.task] = append(c.starts[id.task], s)
 	if c.alive[id.task] == nil {
 		c.alive[id.task] = make(map[runID]string)
@@ -114,6 +136,7 @@
 	c.ends[e.how]++
 	c.write("end   %s run %d on %s %s", e.task, e.run, r.id, e.how)
 	delete(c.alive[e.task], e.runID)
+	c.doneEver[e.task] = c.doneEver[e.task] || e.how == "done"
 }
 
 // gone records that a run ended with its runner's lifetime.
@@ -128,7 +151,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.write("noted %s run %d on %s %s token %d lapsed %t", e.task, e.run, r.id, e.how, token, e.lapsed)
-	if e.how != "done" || e.lapsed {
+	if e.how == "failed" && !e.lapsed {
+		c.failed[e.task]++
+	}
+	if e.how != "done" || e.lapsed || !r.world.isStored(e.task) {
+		// For a job that needn't be stored the rule holds only for runs at the same time.
 		return
 	}
 	n := noted{end: e.at, run: e.runID, on: r.id, token: token}
--- a/review/cases2/runner.go
+++ b/review/cases2/runner.go
@@ -3,10 +3,15 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -77,7 +82,7 @@
 	mux.HandleFunc("POST /run-start", r.start)
 	mux.HandleFunc("POST /run-stop", r.stop)
 	mux.HandleFunc("POST /hold", r.hold)
-	r.server = &http.Server{Handler: mux}
+	r.server = &http.Server{Handler: r.sometimesLate(mux)}
 	go func() { _ = r.server.Serve(l) }()
 	return r, r.register()
 }
@@ -103,6 +108,26 @@
 	return r.world.store.Put("servers", r.id, info)
 }
 
+// sometimesLate leaves a share of the orders unanswered and carries them out later.
+func (r *runner) sometimesLate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if !r.world.isLate() {
+			next.ServeHTTP(w, q)
+			return
+		}
+		raw, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		later := q.Clone(context.Background())
+		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+			later.Body = io.NopCloser(bytes.NewReader(raw))
+			next.ServeHTTP(httptest.NewRecorder(), later)
+		})
+		<-q.Context().Done()
+	})
+}
+
 func (r *runner) clock() int64 { return time.Since(r.zero).Milliseconds() }
 
 type order struct {
--- a/review/cases2/world.go
+++ b/review/cases2/world.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -49,7 +50,12 @@
 	// need is the room that each task of a job takes, by the job's id.
 	need   map[string]int
 	relays map[[2]string]*faults.Relay
+	count  map[string]int
+	// stored are the jobs that must be stored.
+	stored map[string]bool
 	lastID uint64
+	// late is the share of orders to runners that get no answer and are carried out later.
+	late float64
 }
 
 // node is an entry VM.
@@ -80,7 +86,7 @@
 		return nil, err
 	}
 	w := &world{
-		dir: dir, store: store, record: rec, stop: make(chan struct{}), need: make(map[string]int),
+		dir: dir, store: store, record: rec, stop: make(chan struct{}), need: make(map[string]int), count: make(map[string]int), stored: make(map[string]bool),
 		relays: make(map[[2]string]*faults.Relay),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50, DisableCompression: true}},
 	}
@@ -302,6 +308,11 @@
 func (w *world) cut(n *node, on bool) {
 	w.record.line("%s cut off: %t", n.Name, on)
 	n.proxy.Drop(on, on)
+	w.cutPeers(n, on)
+}
+
+// cutPeers cuts a node off from all other nodes, or ends that.
+func (w *world) cutPeers(n *node, on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for link, r := range w.relays {
@@ -319,6 +330,35 @@
 	return w.need[id]
 }
 
+// countOf returns how many tasks the first step of a job has.
+func (w *world) countOf(job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count[job]
+}
+
+// isStored reports whether a task's job must be stored.
+func (w *world) isStored(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id, _, _ := strings.Cut(task, ".")
+	return w.stored[id]
+}
+
+// lateOrders sets the share of orders that get no answer and are carried out 2 to 12 s later.
+func (w *world) lateOrders(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = share
+}
+
+// isLate draws whether an order is carried out late.
+func (w *world) isLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return rand.Float64() < w.late
+}
+
 // close ends all processes and stand-ins.
 func (w *world) close() {
 	close(w.stop)
@@ -365,7 +405,7 @@
 	defer w.mu.Unlock()
 	w.lastID++
 	id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+w.lastID*0x9e3779b97f4a7c15)
-	w.need[id] = j.Steps[0].CPU
+	w.need[id], w.count[id], w.stored[id] = j.Steps[0].CPU, j.Steps[0].Count, !j.BestEffort
 	return id
 }
 
