--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -18,7 +18,9 @@
 	"firststored": firstStored,
 	"pending":     pendingJobs,
 	"bigrow":      bigRow,
+	"closed":      closedRunners,
 	"explore":     explore,
+	"kind":        kind,
 }
 
 func main() {
--- a/review/cases2/record.go
+++ b/review/cases2/record.go
@@ -29,6 +29,7 @@
 	// doneEver are the tasks of which a run has ended done, cancelled the jobs whose cancelling was acknowledged, and
 	// failed the failed ends of each task that are taken note of.
 	doneEver  map[string]bool
+	doneAt    map[string]time.Time
 	cancelled map[string]time.Time
 	failed    map[string]int
 	// maxAttempts is that of the queue; 0 checks nothing.
@@ -58,7 +59,7 @@
 	}
 	return &record{
 		begun: time.Now(), file: f, out: bufio.NewWriter(f), alive: make(map[string]map[runID]string),
-		noted: make(map[string]noted), doneEver: make(map[string]bool), cancelled: make(map[string]time.Time), failed: make(map[string]int), starts: make(map[string][]startSeen), ends: make(map[string]int),
+		noted: make(map[string]noted), doneEver: make(map[string]bool), doneAt: make(map[string]time.Time), cancelled: make(map[string]time.Time), failed: make(map[string]int), starts: make(map[string][]startSeen), ends: make(map[string]int),
 	}, nil
 }
 
@@ -97,6 +98,7 @@
 	defer c.mu.Unlock()
 	c.runs++
 	c.write("start %s run %d on %s token %d", id.task, id.run, r.id, o.FenceToken)
+	c.checkKind(r, id)
 	s := startSeen{at: time.Now(), run: id, on: r.id, token: o.FenceToken}
 	for other, on := range c.alive[id.task] {
 		c.breaksLocked("TWICE: %s run %d starts on %s while run %d is alive on %s", id.task, id.run, r.id, other.run, on)
@@ -136,7 +138,9 @@
 	c.ends[e.how]++
 	c.write("end   %s run %d on %s %s", e.task, e.run, r.id, e.how)
 	delete(c.alive[e.task], e.runID)
-	c.doneEver[e.task] = c.doneEver[e.task] || e.how == "done"
+	if e.how == "done" && !c.doneEver[e.task] {
+		c.doneEver[e.task], c.doneAt[e.task] = true, e.at
+	}
 }
 
 // gone records that a run ended with its runner's lifetime.
--- a/review/cases2/world.go
+++ b/review/cases2/world.go
@@ -51,6 +51,8 @@
 	need   map[string]int
 	relays map[[2]string]*faults.Relay
 	count  map[string]int
+	// requires is the label that each job's first step requires.
+	requires map[string]string
 	// stored are the jobs that must be stored.
 	stored map[string]bool
 	lastID uint64
@@ -86,7 +88,7 @@
 		return nil, err
 	}
 	w := &world{
-		dir: dir, store: store, record: rec, stop: make(chan struct{}), need: make(map[string]int), count: make(map[string]int), stored: make(map[string]bool),
+		dir: dir, store: store, record: rec, stop: make(chan struct{}), need: make(map[string]int), count: make(map[string]int), stored: make(map[string]bool), requires: make(map[string]string),
 		relays: make(map[[2]string]*faults.Relay),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50, DisableCompression: true}},
 	}
@@ -337,6 +339,13 @@
 	return w.count[job]
 }
 
+// requiresOf returns the label that a job's first step requires.
+func (w *world) requiresOf(job string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.requires[job]
+}
+
 // isStored reports whether a task's job must be stored.
 func (w *world) isStored(task string) bool {
 	w.mu.Lock()
@@ -406,6 +415,7 @@
 	w.lastID++
 	id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+w.lastID*0x9e3779b97f4a7c15)
 	w.need[id], w.count[id], w.stored[id] = j.Steps[0].CPU, j.Steps[0].Count, !j.BestEffort
+	w.requires[id] = j.Steps[0].Requires
 	return id
 }
 
