--- a/review/cases2/bigrow.go
+++ b/review/cases2/bigrow.go
@@ -24,7 +24,7 @@
 
 // bigRow hands in one wide job that can never be done, while other jobs are accepted and cancelled.
 func bigRow(w *world, trouble bool) error {
-	address, err := w.limitedStore()
+	address, err := w.limitedStore(w.store.Address())
 	if err != nil {
 		return err
 	}
--- a/review/cases2/explore.go
+++ b/review/cases2/explore.go
@@ -24,6 +24,13 @@
 		length = 60
 	}
 	rng := rand.New(rand.NewPCG(seed, 5))
+	w.storeFor = func(n *node) (string, error) {
+		address, err := w.store.ListenWithView(w.viewOf(n.Name))
+		if err != nil {
+			return "", err
+		}
+		return w.limitedStore(address)
+	}
 	if err := w.begin(48, 4); err != nil {
 		return err
 	}
@@ -203,6 +210,9 @@
 		after(min(d, 4500*time.Millisecond), func() { w.store.SetFaults(deployment.StoreFaults{}) })
 	case "lost":
 		w.store.SetFaults(deployment.StoreFaults{LoseReplies: 3})
+	case "latewrites":
+		w.setLateWrites(0.35)
+		after(min(d, 4500*time.Millisecond), func() { w.setLateWrites(0) })
 	case "late":
 		w.lateOrders(0.055)
 		after(d, func() { w.lateOrders(0) })
--- a/review/cases2/limits.go
+++ b/review/cases2/limits.go
@@ -4,13 +4,17 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"time"
 )
 
 // The limits of the store, by the pages: rowBytes of a row's value, and the entries and the size of a call.
@@ -20,10 +24,11 @@
 	maxCall    = 1 << 20
 )
 
-// limitedStore returns the address of the store with its limits: a transaction that exceeds one is refused as
-// invalid, and nothing of it is done.
-func (w *world) limitedStore() (string, error) {
-	to, err := url.Parse("http://" + w.store.Address())
+// limitedStore returns the address of a proxy of the store at an address, with its limits: a transaction that exceeds
+// one is refused as invalid, and nothing of it is done. A share of the others is left unanswered and done later, if
+// lateWrites says so.
+func (w *world) limitedStore(address string) (string, error) {
+	to, err := url.Parse("http://" + address)
 	if err != nil {
 		return "", err
 	}
@@ -60,6 +65,15 @@
 				return
 			}
 		}
+		if w.isLateWrite() {
+			later := q.Clone(context.Background())
+			time.AfterFunc(time.Second+rand.N(5*time.Second), func() {
+				later.Body = io.NopCloser(bytes.NewReader(raw))
+				pass.ServeHTTP(httptest.NewRecorder(), later)
+			})
+			<-q.Context().Done()
+			return
+		}
 		q.Body = io.NopCloser(bytes.NewReader(raw))
 		pass.ServeHTTP(rw, q)
 	})
--- a/review/cases2/runner.go
+++ b/review/cases2/runner.go
@@ -119,8 +119,12 @@
 		if err != nil {
 			return
 		}
-		later := q.Clone(context.Background())
+		later, born := q.Clone(context.Background()), r.born()
 		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+			if r.born() != born {
+				// The order has ended with the lifetime that held it.
+				return
+			}
 			later.Body = io.NopCloser(bytes.NewReader(raw))
 			next.ServeHTTP(httptest.NewRecorder(), later)
 		})
@@ -128,6 +132,12 @@
 	})
 }
 
+func (r *runner) born() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bornMs
+}
+
 func (r *runner) clock() int64 { return time.Since(r.zero).Milliseconds() }
 
 type order struct {
--- a/review/cases2/world.go
+++ b/review/cases2/world.go
@@ -60,6 +60,8 @@
 	unguarded bool
 	// late is the share of orders to runners that get no answer and are carried out later.
 	late float64
+	// lateWrites is the share of the writes to the store that get no answer and are done later.
+	lateWrites float64
 }
 
 // node is an entry VM.
@@ -370,6 +372,19 @@
 	return rand.Float64() < w.late
 }
 
+func (w *world) setLateWrites(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateWrites = share
+}
+
+// isLateWrite draws whether a write is done late.
+func (w *world) isLateWrite() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return rand.Float64() < w.lateWrites
+}
+
 // close ends all processes and stand-ins.
 func (w *world) close() {
 	close(w.stop)
