--- a/review/cases2/explore.go
+++ b/review/cases2/explore.go
@@ -107,6 +107,11 @@
 			j.body.Times, j.body.IntervalMs = 2+rng.IntN(3), 300+rng.IntN(900)
 			j.body.StartAtMs = time.Now().Add(time.Duration(rng.IntN(3000)) * time.Millisecond).UnixMilli()
 		}
+		if os.Getenv("LOAD") != "" {
+			j.stored, j.poison = false, false
+			ms = 100 + rng.IntN(500)
+			j.body = jobBody{Spec: fmt.Sprintf("%dms", ms), BestEffort: true, Steps: []step{{Count: 8, CPU: 27000, MemMB: 64, EstimateMs: ms}}}
+		}
 		id := x.world.newID(j.body)
 		x.mu.Lock()
 		x.jobs[id] = j
@@ -190,6 +195,9 @@
 	case "cut":
 		w.cut(n, true)
 		after(d, func() { w.cut(n, false) })
+	case "onewayin", "onewayout":
+		w.cutOneWay(n, kind == "onewayin", true)
+		after(d, func() { w.cutOneWay(n, kind == "onewayin", false) })
 	case "cutpeers":
 		w.cutPeers(n, true)
 		after(d, func() { w.cutPeers(n, false) })
--- a/review/cases2/kind.go
+++ b/review/cases2/kind.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -79,8 +78,7 @@
 
 // checkKind checks that a runner has the label that a task requires. The caller holds the record's lock.
 func (c *record) checkKind(r *runner, id runID) {
-	job, _, _ := strings.Cut(id.task, ".")
-	if want := r.world.requiresOf(job); want != "" && want != r.labels[0] {
+	if want := r.world.stepOf(id.task).Requires; want != "" && want != r.labels[0] {
 		c.breaksLocked("ROUTE: %s, which requires %q, starts on %s of kind %q, %.3f s after that lifetime began",
 			id.task, want, r.id, r.labels[0], time.Since(time.UnixMilli(r.bornMs)).Seconds())
 	}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -21,6 +21,7 @@
 	"closed":      closedRunners,
 	"explore":     explore,
 	"kind":        kind,
+	"oneway":      oneWay,
 }
 
 func main() {
--- a/review/cases2/record.go
+++ b/review/cases2/record.go
@@ -106,18 +106,16 @@
 	if n, ok := c.noted[id.task]; ok {
 		c.twice(s, n)
 	}
-	job, rest, _ := strings.Cut(id.task, ".")
+	job, _, _ := strings.Cut(id.task, ".")
 	if at, ok := c.cancelled[job]; ok && time.Since(at) > 3*time.Second {
 		c.breaksLocked("UNASKED: %s starts %.3f s after its job's cancelling was acknowledged", id.task, time.Since(at).Seconds())
 	}
 	if c.maxAttempts > 0 && r.world.isStored(id.task) && c.failed[id.task] >= c.maxAttempts {
 		c.breaksLocked("BUDGET: %s run %d starts after %d failed ends", id.task, id.run, c.failed[id.task])
 	}
-	if occurrence, step, ok := strings.Cut(rest, "."); ok && strings.HasPrefix(step, "1.") {
-		for i := range r.world.countOf(job) {
-			if !c.doneEver[fmt.Sprintf("%s.%s.0.%d", job, occurrence, i)] {
-				c.breaksLocked("ORDER: %s starts before task %d of step 0 is done", id.task, i)
-			}
+	for _, task := range r.world.before(id.task) {
+		if !c.doneEver[task] {
+			c.breaksLocked("ORDER: %s starts before %s is done", id.task, task)
 		}
 	}
 	c.starts[id.task] = append(c.starts[id.task], s)
--- a/review/cases2/runner.go
+++ b/review/cases2/runner.go
@@ -30,6 +30,7 @@
 // they are acknowledged, and room. A task's spec is its run time, followed by "fail" if it fails at its end.
 type runner struct {
 	world   *world
+	service string
 	id      string
 	zone    string
 	address string
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{world: w, id: id, zone: zone, address: l.Addr().String()}
+	r := &runner{world: w, service: service, id: id, zone: zone, address: l.Addr().String()}
 	r.begin(labels, capacity)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", r.start)
@@ -101,7 +102,7 @@
 	r.mu.Lock()
 	r.seq++
 	info := deployment.RunnerInfo{
-		Service: service, Address: r.address, Zone: r.zone, Version: "v1", Slots: 8, State: "ready",
+		Service: r.service, Address: r.address, Zone: r.zone, Version: "v1", Slots: 8, State: "ready",
 		Capacity: map[string]int{"cpu": r.capacity, "memMb": 131072, "gpu": 0}, Labels: r.labels, Seq: r.seq, IncarnationStart: r.bornMs,
 	}
 	r.mu.Unlock()
@@ -206,7 +207,7 @@
 		r.reject(w, "old")
 		return
 	}
-	cpu := r.world.needOf(o.Task)
+	cpu := r.world.stepOf(o.Task).CPU
 	if r.used()+cpu > r.capacity {
 		if !r.world.unguarded {
 			r.reject(w, "room")
--- a/review/cases2/world.go
+++ b/review/cases2/world.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,9 +24,12 @@
 // The names of the deployment.
 const (
 	service = "dele69a"
-	host    = "nony24.example"
-	prefix  = "/lohu930/"
-	queue   = "spot"
+	// service2 has few runners, and a queue of its own.
+	service2 = "zigo56a"
+	prefix2  = "/dano800/"
+	host     = "nony24.example"
+	prefix   = "/lohu930/"
+	queue    = "spot"
 	// program is the command of the deploy file.
 	program = "target/sapphirepoint-entry"
 	// restartDelay is the time until the platform starts an ended process again.
@@ -47,15 +51,14 @@
 	storeFor func(n *node) (string, error)
 
 	mu sync.Mutex
-	// need is the room that each task of a job takes, by the job's id.
-	need   map[string]int
+	// steps are the steps of each job, by the job's id.
+	steps  map[string][]step
 	relays map[[2]string]*faults.Relay
-	count  map[string]int
-	// requires is the label that each job's first step requires.
-	requires map[string]string
 	// stored are the jobs that must be stored.
 	stored map[string]bool
 	lastID uint64
+	// small is the number of runners of the second service.
+	small int
 	// unguarded: the runners start what they are told to, also beyond their capacity.
 	unguarded bool
 	// late is the share of orders to runners that get no answer and are carried out later.
@@ -92,7 +95,7 @@
 		return nil, err
 	}
 	w := &world{
-		dir: dir, store: store, record: rec, stop: make(chan struct{}), need: make(map[string]int), count: make(map[string]int), stored: make(map[string]bool), requires: make(map[string]string),
+		dir: dir, store: store, record: rec, stop: make(chan struct{}), steps: make(map[string][]step), stored: make(map[string]bool),
 		relays: make(map[[2]string]*faults.Relay),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50, DisableCompression: true}},
 	}
@@ -109,6 +112,12 @@
 		if err != nil {
 			return err
 		}
+		if i >= n-w.small {
+			r.service = service2
+			if err := r.register(); err != nil {
+				return err
+			}
+		}
 		w.runners = append(w.runners, r)
 		go r.heartbeat(w.stop)
 	}
@@ -118,6 +127,11 @@
 // configure writes the operator's configuration.
 func (w *world) configure(version, maxAttempts int) error {
 	d := deployment.Declaration(version, host, prefix, queue, service, 60)
+	if w.small > 0 {
+		second := deployment.Declaration(version, host, prefix2, "second", service2, 60)
+		d["routes"] = append(d["routes"].([]map[string]any), second["routes"].([]map[string]any)...)
+		d["services"] = append(d["services"].([]map[string]any), second["services"].([]map[string]any)...)
+	}
 	d["routes"].([]map[string]any)[0]["maxAttempts"] = maxAttempts
 	d["limits"].(map[string]any)["maxBodyBytes"] = 262144
 	return w.store.Put("op", "config", d)
@@ -328,26 +342,43 @@
 	}
 }
 
-// needOf returns the room that a task takes.
-func (w *world) needOf(task string) int {
+// cutOneWay drops what all other nodes send to a node, or what it sends to them, or ends that.
+func (w *world) cutOneWay(n *node, toNode, on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	id, _, _ := strings.Cut(task, ".")
-	return w.need[id]
+	for link, r := range w.relays {
+		switch {
+		case link[1] == n.Name:
+			r.Drop(on && toNode, on && !toNode)
+		case link[0] == n.Name:
+			r.Drop(on && !toNode, on && toNode)
+		}
+	}
 }
 
-// countOf returns how many tasks the first step of a job has.
-func (w *world) countOf(job string) int {
+// stepOf returns the step that a task belongs to.
+func (w *world) stepOf(task string) step {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.count[job]
+	fields := strings.Split(task, ".")
+	n, _ := strconv.Atoi(fields[2])
+	return w.steps[fields[0]][n]
 }
 
-// requiresOf returns the label that a job's first step requires.
-func (w *world) requiresOf(job string) string {
+// before returns the names of the tasks that a task depends on.
+func (w *world) before(task string) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.requires[job]
+	fields := strings.Split(task, ".")
+	steps := w.steps[fields[0]]
+	n, _ := strconv.Atoi(fields[2])
+	var tasks []string
+	for _, d := range steps[n].DependsOn {
+		for i := range steps[d].Count {
+			tasks = append(tasks, fmt.Sprintf("%s.%s.%d.%d", fields[0], fields[1], d, i))
+		}
+	}
+	return tasks
 }
 
 // isStored reports whether a task's job must be stored.
@@ -428,14 +459,13 @@
 	IntervalMs int    `json:"intervalMs,omitempty"`
 }
 
-// newID returns a new id and notes how much room the job's tasks take.
+// newID returns a new id and notes the job's steps.
 func (w *world) newID(j jobBody) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastID++
 	id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+w.lastID*0x9e3779b97f4a7c15)
-	w.need[id], w.count[id], w.stored[id] = j.Steps[0].CPU, j.Steps[0].Count, !j.BestEffort
-	w.requires[id] = j.Steps[0].Requires
+	w.steps[id], w.stored[id] = j.Steps, !j.BestEffort
 	return id
 }
 
@@ -447,11 +477,16 @@
 
 // call sends one request to a node and records it.
 func (w *world) call(n *node, method, id string, body any, wait time.Duration) answer {
+	return w.callAt(n, method, prefix+id, body, wait)
+}
+
+// callAt sends one request for a path to a node and records it.
+func (w *world) callAt(n *node, method, path string, body any, wait time.Duration) answer {
 	var raw []byte
 	if body != nil {
 		raw, _ = json.Marshal(body)
 	}
-	q, err := http.NewRequest(method, "http://"+n.CallerAddress+prefix+id, bytes.NewReader(raw))
+	q, err := http.NewRequest(method, "http://"+n.CallerAddress+path, bytes.NewReader(raw))
 	if err != nil {
 		return answer{}
 	}
@@ -464,13 +499,13 @@
 	sent := time.Now()
 	res, err := client.Do(q)
 	if err != nil {
-		w.record.line("%s %s to %s: no answer after %.3f s", method, id, n.Name, time.Since(sent).Seconds())
+		w.record.line("%s %s to %s: no answer after %.3f s", method, path, n.Name, time.Since(sent).Seconds())
 		return answer{}
 	}
 	defer res.Body.Close()
 	a := answer{status: res.StatusCode}
 	_ = json.NewDecoder(res.Body).Decode(&a.body)
-	w.record.line("%s %s to %s: %d %v after %.3f s", method, id, n.Name, a.status, a.body, time.Since(sent).Seconds())
+	w.record.line("%s %s to %s: %d %v after %.3f s", method, path, n.Name, a.status, a.body, time.Since(sent).Seconds())
 	return a
 }
 
