Ends of unknown runs wait for the store where no stored jobs are known

The first stored jobs came while one machine was cut off from the others; alone it led, took the runners, and acknowledged the ends of runs that it didn't know within 50 ms. The owner of the rows never saw these ends, and started done tasks again 1.3 s later.

Cause: "there are no stored jobs" has no age. A process reads it once, as it starts, and then only hears of the contrary in heartbeats, which a cut, a pause or a slow link keeps from it. unknown() took it for present knowledge, so no proof was asked for. That the machine stops the runs is harm too, but breaks nothing: the owner waits for the stop's lease anyway.

Ruled out: a lost write, or a claim of the rows by the cut machine (it makes none; CUT=peers, where it reaches the store, shows the same). The model hid it: its processes read the store for stored jobs every 400 ms, real ones until they know the layout. The model does as they do now.

Change: an end whose job isn't known is acknowledged once the store was read after it was listed, and has no stored jobs, or once the rows prove the ownership, as before. The read is requested while such ends wait, at most ten times a second; in steady state there are none. Weighed: to claim the rows at each takeover (calls and a wait for the store in deployments without stored jobs); to ask all processes (says nothing of one that is cut off); to leave runs unstopped as well (their runners stay unused for up to half a second at each cut). With the store away too long the ends would fill the runner's list: from 100 on its lease is let expire once, after which an end binds nobody.

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -140,6 +140,7 @@
 	othersReachableSince Time
 	store                storeWatch
 	storedJobs           StoredJobs
+	storedJobsRead       storedJobsRead
 	// lostVMs are the VMs of processes from which no message arrived for HeartbeatTimeout,
 	// with the time at which that was noticed. A VM is removed when a process of it connects
 	// again, or by updateUncertainty after schedule.UnreachableTimeout. Until uncertainUntil
@@ -281,6 +282,7 @@
 		}
 		n.tickQueries(now, s)
 	}
+	n.readStoredJobs(now)
 	n.checkRunners(now)
 	n.requestFirstList()
 	n.sendDueHeartbeats(now)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -170,7 +170,7 @@
 		// The sender doesn't know the layout yet.
 		n.emit(Send{To: from, Message: Layout{n.layout}})
 	}
-	n.learnStoredJobs(now, h.StoredJobs)
+	n.learnStoredJobs(now, h.StoredJobs, string(from))
 	for _, s := range n.own {
 		s.schedule.ObserveTerm(h.Report.Term)
 		s.schedule.SetTakesLent(schedule.EntryID(from), h.TakesLentJobs)
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -191,8 +191,8 @@
 	}
 	if w.storeReachable(n) {
 		w.do(n, func() {
-			n.node.StoredJobsRead(w.now, w.store.any())
-			if w.now >= w.layoutAt {
+			if w.now >= w.layoutAt && !n.node.LayoutKnown() {
+				n.node.StoredJobsRead(w.now, &fleet.StoredJobsResult{SentAt: w.now, Any: w.store.any()})
 				n.node.ApplyLayout(w.now, w.layout())
 			}
 			if n.membersSeen != w.numbers || !w.cells {
@@ -254,6 +254,8 @@
 				reached := w.storeReachable(n)
 				w.do(n, func() { n.node.StoreProbed(w.now, reached) })
 			})
+		case fleet.ReadStoredJobs:
+			w.readStoredJobs(n)
 		case fleet.ReadRunners:
 			w.readRunners(n)
 		case fleet.StoreCall:
--- a/core/fleet/store_test.go
+++ b/core/fleet/store_test.go
@@ -55,6 +55,26 @@
 	return false
 }
 
+// readStoredJobs reads for a process whether there are records.
+func (w *world) readStoredJobs(n *fakeNode) {
+	sent, incarnation := w.now, n.incarnation
+	travel := storeDelay / 2 * time.Duration(w.store.delayFactor)
+	answer := func(r *fleet.StoredJobsResult, travel time.Duration) {
+		w.after(travel, func() {
+			if n.incarnation == incarnation {
+				w.do(n, func() { n.node.StoredJobsRead(w.now, r) })
+			}
+		})
+	}
+	w.after(travel, func() {
+		if n.incarnation != incarnation || !w.storeReachable(n) {
+			answer(nil, storeTimeout)
+			return
+		}
+		answer(&fleet.StoredJobsResult{SentAt: sent, Any: w.store.any()}, travel)
+	})
+}
+
 func (r *fakeRows) write(w ledger.Write) ledger.Outcome {
 	if w.Version != r.ownership.Version {
 		return ledger.Superseded
--- a/core/fleet/storedjobs.go
+++ b/core/fleet/storedjobs.go
@@ -1,9 +1,15 @@
 package fleet
 
+import "time"
+
 // A scheduler that takes over must own and read the stored jobs before it may discard runs
 // of unknown jobs that runners report. In a deployment without stored jobs that would cost
 // calls to the store, and delay the takeover whenever the store is unavailable. Therefore
 // heartbeats report whether there are any stored jobs.
+//
+// That there are none may have ceased to hold unnoticed: a process that was cut off or paused when
+// the first stored job was submitted isn't told. So before the end of an unknown run is acknowledged
+// the store is read again.
 
 // StoredJobs is what a process knows about the existence of stored jobs in the deployment.
 type StoredJobs uint8
@@ -23,20 +29,71 @@
 // String is used in logs.
 func (k StoredJobs) String() string { return storedJobsNames[k] }
 
-// StoredJobsRead handles the result of reading the store: any says that it has stored jobs.
-func (n *Node) StoredJobsRead(now Time, any bool) {
-	if any {
-		n.learnStoredJobs(now, HasStoredJobs)
+// storedJobsReadInterval is how often the store is read while ends of unknown runs wait for the
+// result.
+const storedJobsReadInterval = 100 * time.Millisecond
+
+// ReadStoredJobs requests a read of whether the store has stored jobs. Its result is passed to
+// StoredJobsRead.
+type ReadStoredJobs struct{}
+
+func (ReadStoredJobs) command() {}
+
+// StoredJobsResult is the result of a read of whether the store has stored jobs.
+type StoredJobsResult struct {
+	// SentAt is when the call was sent.
+	SentAt Time
+	// Any: the store has stored jobs.
+	Any bool
+}
+
+// storedJobsRead is the state of the reads of whether the store has stored jobs.
+type storedJobsRead struct {
+	inFlight bool
+	// at is when the last one was requested.
+	at Time
+}
+
+// StoredJobsRead handles a result of reading the store; nil if the call has failed.
+func (n *Node) StoredJobsRead(now Time, r *StoredJobsResult) {
+	n.detectStall(now)
+	n.storedJobsRead.inFlight = false
+	if r == nil {
+		return
+	}
+	if r.Any {
+		n.learnStoredJobs(now, HasStoredJobs, "store")
+		return
+	}
+	n.learnStoredJobs(now, NoStoredJobs, "store")
+	for _, s := range n.own {
+		s.schedule.NoStoredJobsAt(now, r.SentAt)
+	}
+}
+
+// readStoredJobs requests a read of the store while ends of unknown runs wait for it.
+func (n *Node) readStoredJobs(now Time) {
+	if n.storedJobsRead.inFlight || now-n.storedJobsRead.at < storedJobsReadInterval {
+		return
+	}
+	waiting := 0
+	for _, s := range n.own {
+		waiting += s.schedule.UnprovenEnds()
+	}
+	if waiting == 0 {
 		return
 	}
-	n.learnStoredJobs(now, NoStoredJobs)
+	n.notice("stored-jobs-requested", Field{"known", n.storedJobs.String()}, Field{"unproven-ends", waiting})
+	n.storedJobsRead = storedJobsRead{inFlight: true, at: now}
+	n.emit(ReadStoredJobs{})
 }
 
 // learnStoredJobs applies what another process reports or what has been read.
-func (n *Node) learnStoredJobs(now Time, known StoredJobs) {
+func (n *Node) learnStoredJobs(now Time, known StoredJobs, source string) {
 	if known <= n.storedJobs {
 		return
 	}
+	n.notice("stored-jobs-known", Field{"known", known.String()}, Field{"before", n.storedJobs.String()}, Field{"source", source})
 	n.storedJobs = known
 	n.membersChanged(now)
 	for _, s := range n.own {
@@ -53,12 +110,12 @@
 	}
 }
 
-// noteStoredJob records that a stored job exists, and reports it to all other processes.
-// They learn it before the job is accepted, since that takes a call to the store.
+// noteStoredJob records that a stored job exists, and reports it to all other processes in reach.
+// Usually they learn it before the job is accepted, since that takes a call to the store.
 func (n *Node) noteStoredJob(now Time) {
 	if n.storedJobs == HasStoredJobs {
 		return
 	}
-	n.learnStoredJobs(now, HasStoredJobs)
+	n.learnStoredJobs(now, HasStoredJobs, "job")
 	n.sendHeartbeats(now)
 }
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -1,6 +1,9 @@
 package schedule
 
 import (
+	"slices"
+	"time"
+
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
@@ -11,8 +14,8 @@
 type listedEnd struct {
 	end workload.End
 	// unknown: the end may be that of a stored job that this process doesn't know. If this
-	// process was suspended, another one may have accepted the job meanwhile. So the ownership
-	// of the shard must be proved again after unknownSince.
+	// process was suspended or cut off, another one may have accepted the job meanwhile. So the store
+	// must show after unknownSince that this process owns the shard, or that there are no stored jobs.
 	unknown      bool
 	unknownSince Time
 	// job and sequence are the record that must be in the store first; sequence is 0 if there
@@ -55,7 +58,7 @@
 
 // unknown reports whether a job may be a stored one that another process has accepted.
 func (s *Scheduler) unknown(id workload.JobID) bool {
-	if s.rows.noStoredJobs || s.jobs[id] != nil {
+	if s.jobs[id] != nil {
 		return false
 	}
 	if _, ok := s.rows.retained[id]; ok {
@@ -120,6 +123,7 @@
 		n++
 	}
 	r.ends = r.ends[n:]
+	s.boundUnprovenEnds(r)
 }
 
 // acknowledgeAll acknowledges the ends of all runners. A runner with no unacknowledged end left is
@@ -143,10 +147,62 @@
 	return s.rows.priorRunsOverAt - (maxPriorRunLife - maxProofAge - priorOwnerSlack)
 }
 
+// unproven reports whether an end may still be that of a stored job that this process doesn't know.
+func (s *Scheduler) unproven(l listedEnd) bool {
+	switch {
+	case !l.unknown:
+		return false
+	case s.rows.loaded:
+		return s.rows.verifiedAt < l.unknownSince
+	}
+	return s.rows.noStoredJobsAt < l.unknownSince
+}
+
+// UnprovenEnds returns the number of runners whose ends wait until the store shows that it has no
+// stored jobs. It is 0 if the shard's rows show whose ends they are.
+func (s *Scheduler) UnprovenEnds() int {
+	n := 0
+	if !s.leading || !s.rows.noStoredJobs {
+		return n
+	}
+	for _, r := range s.runnerList {
+		if slices.ContainsFunc(r.ends, s.unproven) {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// maxUnprovenEnds bounds the ends that a runner lists again and again while the store can't be read. It is
+	// well below maxEndsPerList, beyond which new ends aren't listed.
+	maxUnprovenEnds = 100
+	// unprovenEndsTimeout is how long the store has to show whose ends they are.
+	unprovenEndsTimeout = time.Second
+)
+
+// boundUnprovenEnds lets a runner's lease expire if too many ends wait there for the store: ends that were listed
+// before bind nobody then, and may be acknowledged.
+func (s *Scheduler) boundUnprovenEnds(r *runner) {
+	if !s.rows.noStoredJobs || len(r.ends) < maxUnprovenEnds || !s.unproven(r.ends[0]) {
+		return
+	}
+	if s.now-r.ends[0].unknownSince < unprovenEndsTimeout {
+		return
+	}
+	s.emit(Decision{Event: "ends-unproven", Runner: r.info.ID, Token: r.token, Reason: "the store can't be read; the lease expires", Age: s.now - r.ends[0].unknownSince})
+	for i := range r.ends {
+		if s.unproven(r.ends[i]) {
+			r.ends[i].unknown, r.ends[i].afterLeaseExpiry = false, true
+		}
+	}
+	r.noLeaseUntil = max(r.noLeaseUntil, r.aliveUntil)
+}
+
 // canAcknowledge reports whether an end meets the conditions in listedEnd. An end that has a record
 // also waits until a previous owner can't restart the task any more.
 func (s *Scheduler) canAcknowledge(r *runner, l listedEnd) bool {
-	if l.unknown && !(s.rows.loaded && s.rows.verifiedAt >= l.unknownSince) || l.afterLeaseExpiry && s.now <= r.noLeaseUntil {
+	if s.unproven(l) || l.afterLeaseExpiry && s.now <= r.noLeaseUntil {
 		return false
 	}
 	if l.sequence > 0 && s.now < s.priorOwnerInactiveAt() {
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -12,8 +12,10 @@
 
 // rows is the scheduler's state of the shard's rows in the store.
 type rows struct {
-	// noStoredJobs: the deployment has no stored jobs.
-	noStoredJobs bool
+	// noStoredJobs: the deployment has no stored jobs, as far as this process knows. noStoredJobsAt is
+	// the latest time at which the store is known to have had none.
+	noStoredJobs   bool
+	noStoredJobsAt Time
 	// loaded: the shard's records have been loaded. epoch is that of the ownership under which
 	// they were, see ledger.Ownership.
 	loaded bool
@@ -57,6 +59,13 @@
 // SetNoStoredJobs sets whether the deployment is known to have no stored jobs.
 func (s *Scheduler) SetNoStoredJobs(noStoredJobs bool) { s.rows.noStoredJobs = noStoredJobs }
 
+// NoStoredJobsAt records that the store had no stored jobs at the given time.
+func (s *Scheduler) NoStoredJobsAt(now, at Time) {
+	s.now = now
+	s.rows.noStoredJobsAt = max(s.rows.noStoredJobsAt, at)
+	s.acknowledgeAll()
+}
+
 // SetStoreFailingFor sets how long all calls to the store have failed.
 func (s *Scheduler) SetStoreFailingFor(d time.Duration) { s.rows.failingFor = d }
 
@@ -157,9 +166,10 @@
 
 // dropRows clears the state of the store's rows.
 func (s *Scheduler) dropRows() {
-	sequence, noStoredJobs := s.rows.sequence, s.rows.noStoredJobs
+	before := s.rows
 	s.rows = newRows()
-	s.rows.sequence, s.rows.noStoredJobs = sequence, noStoredJobs
+	s.rows.sequence = before.sequence
+	s.rows.noStoredJobs, s.rows.noStoredJobsAt = before.noStoredJobs, before.noStoredJobsAt
 }
 
 // stopStoredRuns stops the runs of stored jobs: another process may have taken the shard, and
--- a/entry/ledgers.go
+++ b/entry/ledgers.go
@@ -92,3 +92,25 @@
 	p.log.Info().Bool("reached", err == nil).AnErr("cause", err).Msg("store-probed")
 	p.post(func(now Time) { p.node.StoreProbed(now, err == nil) })
 }
+
+// readStoredJobs reads whether the store has stored jobs.
+func (p *Process) readStoredJobs(ctx context.Context) (*fleet.StoredJobsResult, error) {
+	sentAt := p.clock.now()
+	any, err := p.store.HasRecords(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &fleet.StoredJobsResult{SentAt: sentAt, Any: any}, nil
+}
+
+// answerStoredJobsRead reads whether the store has stored jobs, and passes the result to the node.
+func (p *Process) answerStoredJobsRead(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerWriteTimeout)
+	defer cancel()
+	result, err := p.readStoredJobs(ctx)
+	if err != nil {
+		p.metrics.storeFailures.WithLabelValues("stored-jobs").Inc()
+		p.log.Warn().Str("call", "stored-jobs").Err(err).Msg("store-call-failed")
+	}
+	p.post(func(now Time) { p.node.StoredJobsRead(now, result) })
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -200,6 +200,8 @@
 			p.executeOrder(ctx, c)
 		case fleet.ProbeStore:
 			go p.probeStore(ctx)
+		case fleet.ReadStoredJobs:
+			go p.answerStoredJobsRead(ctx)
 		case fleet.StoreCall:
 			go p.callStore(ctx, c, string(p.node.Self()))
 		case fleet.Answer:
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -221,12 +221,12 @@
 	if err != nil || len(l) == 0 {
 		return err
 	}
-	hasRecords, err := p.store.HasRecords(ctx)
+	stored, err := p.readStoredJobs(ctx)
 	if err != nil {
 		return err
 	}
 	p.post(func(now Time) {
-		p.node.StoredJobsRead(now, hasRecords)
+		p.node.StoredJobsRead(now, stored)
 		p.node.ApplyLayout(now, l)
 	})
 	return nil
