The count of waiting jobs outlives the leader that counted them

Cause: zero and "not known" were one value. Counts were kept by leader and dropped with its connection; the next leader reported that of its queue, which is empty until it has loaded the shard's rows. It is the same for a kill, a planned stop, a freeze and a cut, and for a leader that reads the rows late since the store is away. A process that had just started gave 0 too. Found beside it: a job that moves to another shard was counted by neither while its record was being written, and for up to a heartbeat after it had arrived, since two leaders' counts reach the others with different heartbeats.

Change: heartbeats have a count for each shard that the sender leads and whose jobs it has loaded; a shard without one is not counted yet, and the last count holds, for 30 s at most. A moving job counts until the other shard has had it for 0.4 s.

Evidence: TestWaitingJobsAreCountedWithoutALeader, seven ways to lose a leader, one shard and two: all fourteen fail before, and pass; with a new leader that counts before it has loaded (trial on a copy) two ways fail.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -145,33 +145,3 @@
 		HandedBack:         c.HandedBack,
 	})
 }
-
-// Pending is the number of jobs of each queue of which no task has started, as the
-// leaders last reported it.
-func (n *Node) Pending() map[string]int {
-	sum := make(map[string]int)
-	add := func(counts map[string]int) {
-		for queue, count := range counts {
-			sum[queue] += count
-		}
-	}
-	add(n.ownPending())
-	for _, id := range n.peers() {
-		add(n.pending[id])
-	}
-	return sum
-}
-
-// ownPending counts the pending jobs in this process's schedulers.
-func (n *Node) ownPending() map[string]int {
-	sum := make(map[string]int)
-	for _, s := range n.own {
-		if !s.schedule.Leading() {
-			continue
-		}
-		for queue, count := range s.schedule.Pending() {
-			sum[queue] += count
-		}
-	}
-	return sum
-}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -31,9 +31,9 @@
 	RunnersDigest uint64
 	// StoredJobs is what the sender knows about stored jobs.
 	StoredJobs StoredJobs
-	// Pending is, if the sender leads, the number of jobs of each queue of which no task
-	// has started.
-	Pending map[string]int
+	// Pending are the counts of the waiting jobs of the shards that the sender leads and whose jobs it
+	// has loaded.
+	Pending []PendingJobs
 	// ExpectedWait is, if the sender leads, how long the runners of its shards would need
 	// for the waiting work.
 	ExpectedWait time.Duration
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -88,9 +88,10 @@
 	// expectedWait is how long the runners would need for the work that waits in the
 	// shards led here; the longest if there are several.
 	expectedWait time.Duration
-	// pending holds, by leader, the number of jobs of each queue of which no task has
-	// started, as the leader last reported it.
-	pending map[leader.ID]map[string]int
+	// pending holds the latest count of waiting jobs of each shard, and ownPending those of the
+	// shards led here; see pending.go.
+	pending    map[int]pendingCount
+	ownPending []PendingJobs
 	// loads holds the loads of the shards led by other processes.
 	loads map[int]reportedLoad
 	// reportedLoads are the loads of the shards led here at the last tick.
@@ -167,7 +168,7 @@
 		staleLeaders:     make(map[leader.ID]bool),
 		unreachableSince: make(map[string]Time),
 		lostVMs:          make(map[string]Time),
-		pending:          make(map[leader.ID]map[string]int),
+		pending:          make(map[int]pendingCount),
 		loads:            make(map[int]reportedLoad),
 		startedAt:        now,
 		lastTick:         now,
@@ -283,6 +284,7 @@
 		n.tickQueries(now, s)
 	}
 	n.readStoredJobs(now)
+	n.countPending(now)
 	n.checkRunners(now)
 	n.requestFirstList()
 	n.sendDueHeartbeats(now)
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -60,7 +60,6 @@
 	}
 	delete(n.connected, id)
 	delete(n.heartbeatSentAt, id)
-	delete(n.pending, id)
 	delete(n.staleLeaders, id)
 	for _, s := range n.own {
 		s.schedule.EntryLost(now, schedule.EntryID(id), ended)
@@ -181,7 +180,6 @@
 	n.updateRunners(from, h)
 	n.extendUncertainty(now, h.UncertainFor)
 	n.ApplyEvacuations(now, h.Evacuations, string(from))
-	n.pending[from] = h.Pending
 	n.recordLoads(now, from, h)
 	for _, s := range n.shards {
 		if h.Report.Leader(s.index) == from {
@@ -202,6 +200,7 @@
 		}
 	}
 	n.updateLeaders(now)
+	n.recordPending(now, from, h.Pending)
 	for _, s := range n.own {
 		if h.Report.Leader(s.index) != n.Self() || before.Leader(s.index) == n.Self() {
 			continue
@@ -264,7 +263,7 @@
 	h.Report.Term = n.term()
 	h.UncertainFor = max(0, n.uncertainUntil-now)
 	if n.Leads() {
-		h.Pending, h.ExpectedWait, h.Loads = n.ownPending(), n.expectedWait, n.reportedLoads
+		h.Pending, h.ExpectedWait, h.Loads = n.ownPending, n.expectedWait, n.reportedLoads
 	}
 	n.emit(Send{To: to, Message: h})
 }
--- /dev/null
+++ b/core/fleet/pending_test.go
@@ -0,0 +1,114 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/fleet"
+)
+
+// withoutRoom fills all runners with long tasks, those of each shard, and lets stored jobs wait behind them for longer than a count of them
+// may be old.
+func (w *world) withoutRoom(g *WithT, waiting int) []*fakeJob {
+	for unplaced := 0; unplaced < 12; unplaced++ {
+		w.storedShare = 1
+		j := w.newJob("a", 1, time.Minute, 5*time.Second)
+		w.storedShare = 0
+		w.sendJob(j)
+		w.run(fleet.TickInterval)
+		j.cancelAt = w.now
+		if j.starts > 0 {
+			j.cancelAt, unplaced = 0, 0
+		}
+	}
+	w.run(time.Second)
+	var jobs []*fakeJob
+	for range waiting {
+		j := w.newJob("a", 1, 100*time.Millisecond, 5*time.Second)
+		j.work.Stored = true
+		w.sendJob(j)
+		jobs = append(jobs, j)
+	}
+	w.run(3 * time.Second)
+	g.Expect(notBegun(jobs)).To(BeNumerically(">=", waiting/2), "jobs wait")
+	return jobs
+}
+
+// notBegun counts the accepted jobs of which no task has started.
+func notBegun(jobs []*fakeJob) int {
+	count := 0
+	for _, j := range jobs {
+		if j.accepted > 0 && j.starts == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// watchPending compares for a while what each process but one counts as waiting with the jobs that wait.
+func (w *world) watchPending(lost *fakeNode, jobs []*fakeJob, d time.Duration) (wrong []string, unknown int) {
+	for end := w.now + d; w.now < end; {
+		w.run(fleet.TickInterval)
+		for _, n := range w.nodes {
+			if n == lost || n.node == nil {
+				continue
+			}
+			count, known := n.node.Pending(w.now)
+			if !known {
+				unknown++
+				continue
+			}
+			if waiting := notBegun(jobs); 2*count[queue] < waiting {
+				wrong = append(wrong, fmt.Sprintf("at %v %s counts %d of %d", w.now, n.id, count[queue], waiting))
+			}
+		}
+	}
+	return wrong, unknown
+}
+
+// Guards against a count of waiting jobs that drops to zero while the leader that counted them is replaced.
+func TestWaitingJobsAreCountedWithoutALeader(t *testing.T) {
+	ways := map[string]func(w *world, n *fakeNode){
+		"killed":              func(w *world, n *fakeNode) { w.kill(n, 300*time.Millisecond) },
+		"killed for long":     func(w *world, n *fakeNode) { w.kill(n, 20*time.Second) },
+		"stopped":             func(w *world, n *fakeNode) { w.stop(n) },
+		"frozen":              func(w *world, n *fakeNode) { w.freeze(n, 3*time.Second) },
+		"cut off":             func(w *world, n *fakeNode) { w.separate(n, true, 3*time.Second) },
+		"killed, store away":  func(w *world, n *fakeNode) { w.storeDown = true; w.kill(n, 300*time.Millisecond) },
+		"cut off from others": func(w *world, n *fakeNode) { w.separate(n, false, 3*time.Second) },
+	}
+	for way, lose := range ways {
+		for _, shards := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d shards", way, shards), func(t *testing.T) {
+				g := NewWithT(t)
+				w := deployment(3, shards)
+				w.run(2 * time.Second)
+				jobs := w.withoutRoom(g, 12)
+				leader := w.leader()
+				lose(w, leader)
+				wrong, unknown := w.watchPending(leader, jobs, 6*time.Second)
+				g.Expect(wrong).To(BeEmpty())
+				g.Expect(unknown).To(BeZero(), "all processes have heard a count")
+			})
+		}
+	}
+}
+
+// Guards against a process that has just started and gives zero as the number of waiting jobs before it has heard of any.
+func TestANewProcessDoesNotKnowTheCountOfWaitingJobs(t *testing.T) {
+	g := NewWithT(t)
+	w := deployment(3, 1)
+	w.run(2 * time.Second)
+	jobs := w.withoutRoom(g, 12)
+	other := w.otherThan(w.leader())
+	w.kill(other, 300*time.Millisecond)
+	wrong, unknown := w.watchPending(nil, jobs, 3*time.Second)
+	g.Expect(wrong).To(BeEmpty())
+	g.Expect(unknown).To(BeNumerically(">", 0))
+	count, known := other.node.Pending(w.now)
+	g.Expect(known).To(BeTrue())
+	g.Expect(count[queue]).To(BeNumerically(">=", notBegun(jobs)/2))
+}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -84,6 +85,12 @@
 	Unseen bool
 }
 
+// Begun reports whether the record shows that a task of the job has been started.
+func (r *Record) Begun() bool {
+	ended := func(done Bits) bool { return slices.ContainsFunc(done, func(b byte) bool { return b != 0 }) }
+	return len(r.Failures) > 0 || slices.ContainsFunc(r.Done, ended)
+}
+
 // rowCount is the number of rows that saving the record writes or deletes.
 func (r *Record) rowCount() int {
 	if r.Definition != nil || !r.State.NeedsDefinition() {
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -140,6 +140,9 @@
 	})
 }
 
+// moving reports whether the job's record, with the shard that it moves to, is being written.
+func (j *job) moving() bool { return j.stored != nil && j.stored.state == ledger.Moving }
+
 // movingRecord returns the record with all that another shard needs to continue the job.
 func (j *job) movingRecord() ledger.Record {
 	r := j.record()
@@ -190,6 +193,9 @@
 	}
 	delete(s.rows.moving, id)
 	m.arrived = true
+	if !m.record.Begun() {
+		s.rows.handedOver = append(s.rows.handedOver, handedOver{queue: m.record.Definition.Queue, until: now + handedOverTime})
+	}
 	m.record.Done, m.record.Failures, m.record.Definition = nil, nil, nil
 	m.record.State = ledger.Moved
 	k := s.rows.retained[id]
--- /dev/null
+++ b/core/schedule/pending.go
@@ -0,0 +1,43 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// The number of waiting jobs, as callers may query it.
+
+// handedOverTime is how long a job counts here after another shard has it. The two counts reach other
+// processes with different heartbeats.
+const handedOverTime = 400 * time.Millisecond
+
+// handedOver is a waiting job that another shard has.
+type handedOver struct {
+	queue string
+	until Time
+}
+
+// KnowsPending reports whether Pending counts all waiting jobs: those that earlier schedulers have
+// accepted are loaded, or there are none.
+func (s *Scheduler) KnowsPending() bool { return s.rows.loaded || s.rows.noStoredJobs }
+
+// Pending returns the number of jobs of each queue of which no task has started. A job that moves
+// counts until the other shard counts it.
+func (s *Scheduler) Pending(now Time) map[string]int {
+	n := make(map[string]int)
+	for _, j := range s.jobs {
+		if !j.begun && (j.queued || j.moving()) {
+			n[j.work.Queue]++
+		}
+	}
+	for _, m := range s.rows.moving {
+		if !m.record.Begun() {
+			n[m.record.Definition.Queue]++
+		}
+	}
+	s.rows.handedOver = slices.DeleteFunc(s.rows.handedOver, func(h handedOver) bool { return now >= h.until })
+	for _, h := range s.rows.handedOver {
+		n[h.queue]++
+	}
+	return n
+}
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -33,6 +33,8 @@
 	early map[workload.JobID][]earlySubmission
 	// moving are jobs that haven't been acknowledged yet by the shard that they move to.
 	moving map[workload.JobID]*move
+	// handedOver are jobs that were acknowledged lately.
+	handedOver []handedOver
 	// open is the number of stored jobs that haven't ended.
 	open int
 	// refusals are held back until they are certain, see refuse.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -302,15 +302,4 @@
 	s.dropRows()
 }
 
-// Pending returns the number of jobs of each queue of which no task has started.
-func (s *Scheduler) Pending() map[string]int {
-	n := make(map[string]int)
-	for _, j := range s.queue {
-		if !j.begun {
-			n[j.work.Queue]++
-		}
-	}
-	return n
-}
-
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/entry/process.go
+++ b/entry/process.go
@@ -87,7 +87,7 @@
 	configuration atomic.Pointer[routing.Table]
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
-	pending    atomic.Pointer[map[string]int]
+	pending    atomic.Pointer[pendingJobs]
 	settings   *settingsMonitor
 }
 
@@ -122,7 +122,7 @@
 	p.node.SetDomain(cfg.Domain)
 	p.receivesRunnerList.Store(p.node.ReceivesRunnerList())
 	p.configuration.Store(&routing.Table{})
-	p.pending.Store(&map[string]int{})
+	p.pending.Store(&pendingJobs{})
 	p.mesh, err = peer.Listen(cfg.PeerAddress, identity, p, log)
 	return p, err
 }
@@ -263,10 +263,10 @@
 	p.shouldPollRunners.Store(p.node.ShouldPollRunners())
 	p.receivesRunnerList.Store(p.node.ReceivesRunnerList())
 	p.leads.Store(p.node.Leads())
-	if now-p.pendingAt >= pendingInterval {
+	if now-p.pendingAt >= pendingInterval || !p.pending.Load().known {
 		p.pendingAt = now
-		pending := p.node.Pending()
-		p.pending.Store(&pending)
+		queues, known := p.node.Pending(now)
+		p.pending.Store(&pendingJobs{queues: queues, known: known})
 	}
 	p.publishConfiguration()
 	if now-p.gaugesAt >= gaugeInterval {
@@ -325,8 +325,18 @@
 	return p.Configuration()
 }
 
-// Pending returns the number of jobs of a queue of which no task has started.
-func (p *Process) Pending(queue string) int { return (*p.pending.Load())[queue] }
+// pendingJobs are the published counts of waiting jobs, see fleet.Node.Pending.
+type pendingJobs struct {
+	queues map[string]int
+	known  bool
+}
+
+// Pending returns the number of jobs of a queue of which no task has started. known is false if this
+// process hasn't heard yet how many there are.
+func (p *Process) Pending(queue string) (count int, known bool) {
+	pending := p.pending.Load()
+	return pending.queues[queue], pending.known
+}
 
 // PeerUp implements peer.Handler.
 func (p *Process) PeerUp(id string) {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -298,12 +298,7 @@
 			m.Follows = append(m.Follows, &pb.ShardFollow{Leader: string(f.Leader), AgeMs: uint32(f.Age.Milliseconds()), Shard: uint32(i)})
 		}
 	}
-	if len(h.Pending) > 0 {
-		m.Pending = make(map[string]uint32, len(h.Pending))
-	}
-	for queue, n := range h.Pending {
-		m.Pending[queue] = uint32(n)
-	}
+	addPending(m, h.Pending)
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Heartbeat{Heartbeat: m}}
 }
 
@@ -331,7 +326,7 @@
 		RunnersDigest:      m.GetRunnersDigest(),
 		RunnersStale:       m.GetRunnersStale(),
 		StoredJobs:         fleet.StoredJobs(min(m.GetStoredJobs(), uint32(fleet.HasStoredJobs))),
-		Pending:            make(map[string]int, len(m.GetPending())),
+		Pending:            pendingOf(m.GetPendingJobs()),
 		ExpectedWait:       milliseconds(int64(m.GetWaitMs())),
 		Loads:              loadsOf(m.GetLoads()),
 		TakesLentJobs:      m.GetTakesLent(),
@@ -339,12 +334,34 @@
 		Evacuations:        routing.Evacuations{Version: m.GetEvacuationsVersion(), Domains: m.GetEvacuated()},
 	}
 	h.Report.Follows = followsOf(m)
-	for queue, n := range m.GetPending() {
-		h.Pending[queue] = int(n)
-	}
 	return h
 }
 
+// addPending adds the counts of waiting jobs to a heartbeat.
+func addPending(m *pb.Heartbeat, list []fleet.PendingJobs) {
+	m.Pending = make(map[string]uint32)
+	for _, p := range list {
+		queues := make(map[string]uint32, len(p.Queues))
+		for queue, n := range p.Queues {
+			queues[queue] = uint32(n)
+			m.Pending[queue] += uint32(n)
+		}
+		m.PendingJobs = append(m.PendingJobs, &pb.PendingJobs{Shard: uint32(p.Shard), Queues: queues})
+	}
+}
+
+func pendingOf(messages []*pb.PendingJobs) []fleet.PendingJobs {
+	list := make([]fleet.PendingJobs, len(messages))
+	for i, m := range messages {
+		queues := make(map[string]int, len(m.GetQueues()))
+		for queue, n := range m.GetQueues() {
+			queues[queue] = int(n)
+		}
+		list[i] = fleet.PendingJobs{Shard: int(m.GetShard()), Queues: queues}
+	}
+	return list
+}
+
 // followsOf lists the leaders that the sender follows, by shard. Shard numbers that
 // aren't below the sender's number of shards are ignored.
 func followsOf(m *pb.Heartbeat) []leader.Follow {
