A restarted runner is used once the platform's list has its own entry

Runners came back under their ids as another kind, and got tasks by the labels of the incarnation before.

Cause: an answer with a later start begins the incarnation here, and the runner was used at once by the entry that had been read last. Answers hold the clock, the start and the runs; labels, capacity, service, address and failure domain are in the entry alone, which is read every 600 ms, or later while the store is slow or away. The entry has the start of its incarnation, which wasn't compared. So less room and another service or domain are the same fault, and that evacuation is looked up for a runner once, as it is first seen.

Ruled out: a start of before that reaches the new incarnation (the starts in the case's record have the token that the runner was acquired with after its restart), and a list that comes late by way of another process (the leader reads it itself here).

Change: nothing is started on a runner whose entry is of another incarnation than its answers. The list is read at once when that is noticed, and every 300 ms at most until it has the entry. An entry's failure domain is checked for evacuation each time. Not taken: to use it meanwhile for tasks without labels. Its room isn't certain either, nor its service.

The model's entries didn't say when their incarnation began, and changed at once, so no random run could show it. They are written 100 ms after a restart now, and the checker compares labels.

--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -77,6 +77,9 @@
 		t.report("%v starts on %s, in a domain that was evacuated at %v", k, r.info.ID, at)
 	}
 	j := t.w.jobs[k.Task.Job]
+	if required := j.work.Steps[k.Task.Step].Requires; !r.info.HasLabel(required) {
+		t.report("%v, which requires %q, starts on %s with %v", k, required, r.info.ID, r.info.Labels)
+	}
 	j.starts++
 	if j.work.Stored {
 		t.checkStoredStart(j, k)
--- a/core/fleet/commands.go
+++ b/core/fleet/commands.go
@@ -90,6 +90,8 @@
 		n.grantRoom(s, c)
 	case schedule.UnlistedInUse:
 		n.reportUnlisted(s, c)
+	case schedule.RefreshEntries:
+		n.askForRunners()
 	case schedule.Decision:
 		n.noticeDecision(c)
 	default:
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -228,7 +228,7 @@
 	l := fleet.RunnerList{Revision: w.revision}
 	for _, r := range w.runners {
 		if w.listed[r.info.ID] && !w.isolated[r.info.Domain] {
-			l.Runners = append(l.Runners, r.info)
+			l.Runners = append(l.Runners, r.entry())
 		}
 	}
 	sort.Slice(l.Runners, func(i, j int) bool { return l.Runners[i].ID < l.Runners[j].ID })
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -42,6 +42,10 @@
 	dark bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
 	incarnationStart int64
+	// entryStart is the start of the incarnation that has written the entry on the platform's list, and
+	// entryLabels are the labels in it.
+	entryStart  int64
+	entryLabels []string
 	// hidesIncarnation: its answers don't say when its incarnation began, so it never restarts under its id.
 	hidesIncarnation bool
 	// started counts the runs started.
@@ -304,6 +308,30 @@
 	r.offset = 1 - int64(float64(r.w.now.Milliseconds())*r.rate)
 	r.token, r.leaseEnd, r.leaseOver, r.lastEnd, r.ends, r.waitingHolds = 0, 0, false, 0, nil, nil
 	r.runs, r.sealed = make(map[workload.RunKey]*fakeRun), make(map[workload.TaskName]int)
+	start := r.incarnationStart
+	r.w.after(entryDelay, func() {
+		if r.incarnationStart == start {
+			r.writeEntry()
+		}
+	})
+}
+
+// entryDelay is how long after its start an incarnation writes its entry.
+const entryDelay = 100 * time.Millisecond
+
+// writeEntry writes the runner's entry on the platform's list.
+func (r *fakeRunner) writeEntry() {
+	r.entryStart, r.entryLabels = r.reportedIncarnation(), r.info.Labels
+}
+
+// entry is the runner as the platform's list has it.
+func (r *fakeRunner) entry() workload.Runner {
+	info := r.info
+	info.IncarnationStart, info.Labels = r.entryStart, r.entryLabels
+	if r.hidesIncarnation {
+		info.IncarnationStart = 0
+	}
+	return info
 }
 
 // worldStartMs is the time of day at which the simulation begins, in milliseconds.
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -43,6 +43,8 @@
 	jobs     map[workload.JobID]*fakeJob
 	checker  *checker
 	store    *fakeStore
+	// requires is the label that new jobs require; "" for none.
+	requires string
 	// storedShare is the proportion of stored jobs.
 	storedShare float64
 	// isolated are the failure domains that can't communicate with anything outside.
@@ -273,6 +275,7 @@
 		sealed:           make(map[workload.TaskName]int),
 	}
 	w.drawGapsOf(r)
+	r.writeEntry()
 	w.runners = append(w.runners, r)
 	w.byRunner[r.info.ID] = r
 	w.listed[r.info.ID] = true
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -150,16 +150,21 @@
 	Runners []workload.Runner
 }
 
-func (Start) command()         {}
-func (Stop) command()          {}
-func (Hold) command()          {}
-func (Answer) command()        {}
-func (Decision) command()      {}
-func (Save) command()          {}
-func (OutcomeSaved) command()  {}
-func (MoveJob) command()       {}
-func (MoveAck) command()       {}
-func (UnlistedInUse) command() {}
+// RefreshEntries requests an immediate read of the platform's list: a runner's entry on it is that of an
+// earlier incarnation.
+type RefreshEntries struct{}
+
+func (Start) command()          {}
+func (Stop) command()           {}
+func (Hold) command()           {}
+func (Answer) command()         {}
+func (Decision) command()       {}
+func (Save) command()           {}
+func (OutcomeSaved) command()   {}
+func (MoveJob) command()        {}
+func (MoveAck) command()        {}
+func (UnlistedInUse) command()  {}
+func (RefreshEntries) command() {}
 
 // CallOutcome is the outcome of an order to a runner.
 type CallOutcome uint8
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -1,10 +1,14 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A runner may restart under the same id. Its new incarnation has no memory of the previous one:
 // earlier runs have ended without being listed, and its clock, its sequence of ends and the
-// tokens that it has seen start anew. Its answers contain the start time of the incarnation.
+// tokens that it has seen start anew. Its answers contain the start time of the incarnation, as does its
+// entry on the platform's list: nothing is started on it by the entry of an earlier one.
 
 // checkIncarnation reports whether an answer comes from the known incarnation of a runner. An
 // answer of a later one begins that incarnation; an answer of an earlier one is late. Nothing
@@ -25,6 +29,29 @@
 // isIncarnation reports whether an answer comes from the known incarnation, or doesn't say.
 func (r *runner) isIncarnation(start int64) bool { return start == 0 || start == r.incarnationStart }
 
+// described reports whether the runner's entry is that of the known incarnation. A later incarnation may
+// have other labels, less capacity or another service, which its answers don't tell.
+func (r *runner) described() bool {
+	return r.info.IncarnationStart == 0 || r.info.IncarnationStart == r.incarnationStart
+}
+
+// refreshInterval is how often the platform's list is read for the entries of new incarnations. It is
+// read regularly too, so that a runner that writes its entry late costs no more than one more read.
+const refreshInterval = 300 * time.Millisecond
+
+// refreshEntries requests the platform's list while a runner that answers isn't described by it.
+func (s *Scheduler) refreshEntries() {
+	if s.now-s.refreshedAt < refreshInterval {
+		return
+	}
+	undescribed := slices.ContainsFunc(s.runnerList, func(r *runner) bool { return !r.gone && !r.unlisted && !r.described() })
+	if !undescribed {
+		return
+	}
+	s.refreshedAt = s.now
+	s.emit(RefreshEntries{})
+}
+
 // noteEarlierIncarnation handles a Hold under the present token that an incarnation with an earlier start
 // has answered: the clock by which the runner reports its start has stepped back. The answer can't be
 // told from a late one, so the Hold counts as unanswered. A later incarnation was acquired again, under
@@ -109,4 +136,5 @@
 		s.term++
 		s.acquire(r)
 	}
+	s.refreshEntries()
 }
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -86,6 +86,7 @@
 		}
 		expired := info.EntryExpired && !r.info.EntryExpired
 		r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
+		r.evacuated = s.evacuates(info.Domain)
 		if expired {
 			s.requestList(r)
 		}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -216,7 +216,7 @@
 
 // usable reports whether tasks may be started there now.
 func (r *runner) usable(now Time) bool {
-	return r.owned && !r.gone && r.present(now) && !r.info.Draining && !r.evacuated && !r.unresponsive && r.clock != 0 &&
+	return r.owned && !r.gone && r.described() && r.present(now) && !r.info.Draining && !r.evacuated && !r.unresponsive && r.clock != 0 &&
 		!r.health.closed(now) && !r.hasForeignOrphans() && now > r.noLeaseUntil
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -137,6 +137,8 @@
 	doneWithoutJob map[workload.TaskName]doneRun
 
 	rows rows
+	// refreshedAt is when RefreshEntries was last issued.
+	refreshedAt Time
 	// refused are the stored jobs that were refused in the last resultRetention.
 	refused refusedJobs
 	// alternate is the other shard in which a job would wait least, for alternateWait; -1 if
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -31,6 +31,7 @@
 	s.askForLostOrphans()
 	s.forgetRunners()
 	s.tickUnlisted()
+	s.refreshEntries()
 	s.refuseEvacuated()
 	s.refuseLate()
 	s.dispatch()
