A task that crashes its runners is started three times, and then its job fails

Cause: only ends that a runner lists as failed were counted. A run that ends with its runner lists none; beginIncarnation, lapseRuns and replaced put the task back into the queue, and nobody remembered that.

Change: a task remembers the runners' incarnations that were lost with its runs. A later incarnation that answers shows a crash, if the run had begun; an answer of the same one shows that there was none; silence shows neither. A task under which two were lost is started where nothing else runs, on a runner kept free for it if need be (for two seconds at most), and its job fails after the third crash. With three lost it waits for their answers first, for 6 s at most, so that it isn't started five times before the first runner is back. Five lost without a word end the job too, where runners don't say when their incarnation began. For stored jobs the record has these runners, 64 at most: from 400 ms of silence on, and from before a task is started again after a loss, so a process that is lost in between takes no count with it. A moving job takes them along. A runner that was about to leave counts for nothing.

--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -32,8 +32,19 @@
 	pairKinds map[string]int
 	// failed counts all failed runs of each task.
 	failed map[workload.TaskName]int
+	// crashed counts the runners that have crashed under each task, and startsAfterCrashes its starts after
+	// maxCrashes of them.
+	crashed, startsAfterCrashes map[workload.TaskName]int
 }
 
+const (
+	// maxCrashes is the number of crashes under a task from which on its starts are limited, and for fewer of which
+	// no job may fail.
+	maxCrashes = 3
+	// maxStartsAfterCrashes is the number of starts after that.
+	maxStartsAfterCrashes = 2
+)
+
 func newChecker(w *world) *checker {
 	return &checker{
 		w:              w,
@@ -43,8 +54,11 @@
 		acknowledgedAt: make(map[workload.TaskName]time.Duration),
 		failures:       make(map[workload.TaskName]int),
 		failed:         make(map[workload.TaskName]int),
-		rejectedRuns:   make(map[schedule.CallOutcome]int),
-		pairKinds:      make(map[string]int),
+		crashed:        make(map[workload.TaskName]int),
+
+		startsAfterCrashes: make(map[workload.TaskName]int),
+		rejectedRuns:       make(map[schedule.CallOutcome]int),
+		pairKinds:          make(map[string]int),
 	}
 }
 
@@ -81,6 +95,12 @@
 		t.report("%v, which requires %q, starts on %s with %v", k, required, r.info.ID, r.info.Labels)
 	}
 	j.starts++
+	if t.crashed[k.Task] >= maxCrashes {
+		t.startsAfterCrashes[k.Task]++
+	}
+	if n := t.startsAfterCrashes[k.Task]; n > maxStartsAfterCrashes {
+		t.report("%v starts on %s: start %d after %d runners have crashed under the task", k, r.info.ID, n, maxCrashes)
+	}
 	if j.work.Stored {
 		t.checkStoredStart(j, k)
 	}
@@ -211,6 +231,11 @@
 			return
 		}
 	}
+	for task, n := range t.crashed {
+		if task.Job == j.work.ID && n >= maxCrashes {
+			return
+		}
+	}
 	t.report("job %s is shown as failed", j.work.ID)
 }
 
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -191,6 +191,14 @@
 		work, kind = 5*time.Millisecond, workload.Failed
 	}
 	u := r.runs[c.Run]
+	if j.crashes {
+		r.w.after(crashAfter, func() {
+			if r.runs[c.Run] == u {
+				r.crashFor(crashDowntime, j.crashesDark)
+			}
+		})
+		return schedule.Accepted
+	}
 	r.w.after(work, func() {
 		r.whenAwake(func() {
 			if r.runs[c.Run] == u {
@@ -337,11 +345,31 @@
 // worldStartMs is the time of day at which the simulation begins, in milliseconds.
 const worldStartMs = 1_760_000_000_000
 
+const (
+	// crashAfter is how long after its start a task crashes its runner, and crashDowntime how long that is down.
+	crashAfter    = 200 * time.Millisecond
+	crashDowntime = 3 * time.Second
+)
+
+// crashFor crashes the runner, which restarts after a time. dark: its machine answers nothing meanwhile.
+func (r *fakeRunner) crashFor(d time.Duration, dark bool) {
+	r.crash()
+	r.dark = dark
+	start := r.incarnationStart
+	r.w.after(d, func() {
+		if r.down && r.incarnationStart == start {
+			r.dark = false
+			r.restart()
+		}
+	})
+}
+
 // crash ends the incarnation and all its runs.
 func (r *fakeRunner) crash() {
 	r.down = true
 	r.orders, r.work, r.killDelay, r.idleUntil, r.refusesUntil = backlog{}, backlog{}, 0, 0, 0
 	for _, k := range r.w.sortedRuns(r) {
+		r.w.checker.crashed[k.Task]++
 		r.w.checker.ended(r, k, workload.Aborted)
 	}
 	clear(r.runs)
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -178,6 +178,8 @@
 	cancelSent time.Duration
 	cancelled  time.Duration
 	ended      bool
+	// crashes: the job's tasks crash each runner that starts them; crashesDark: its machine answers nothing then.
+	crashes, crashesDark bool
 }
 
 func newWorld(seed uint64) *world {
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -60,6 +60,22 @@
 	Run   int
 }
 
+// MaxLosses bounds the losses in a record.
+const MaxLosses = 64
+
+// Loss is a runner's incarnation that was lost with a run of a task. Step and Index have the same meaning
+// as in Failure.
+type Loss struct {
+	Step   int
+	Index  int
+	Runner workload.RunnerID
+	// Incarnation is the start of the incarnation, in milliseconds since 1970; 0 if unknown.
+	Incarnation int64 `json:",omitempty"`
+	// Begun: the runner had confirmed the run. Restarted: a later incarnation of the runner has answered.
+	Begun     bool `json:",omitempty"`
+	Restarted bool `json:",omitempty"`
+}
+
 // Record is the stored state of a job.
 type Record struct {
 	Job workload.JobID
@@ -75,6 +91,8 @@
 	Done []Bits
 	// Failures are the failed runs.
 	Failures []Failure
+	// Losses are the runners that were lost with runs of tasks that aren't done, at most MaxLosses.
+	Losses []Loss
 	// Restarted: a task was started more than once.
 	Restarted bool
 	// To is the shard that the job moves to or has moved to. Hand counts the owners that the
@@ -88,7 +106,7 @@
 // Begun reports whether the record shows that a task of the job has been started.
 func (r *Record) Begun() bool {
 	ended := func(done Bits) bool { return slices.ContainsFunc(done, func(b byte) bool { return b != 0 }) }
-	return len(r.Failures) > 0 || slices.ContainsFunc(r.Done, ended)
+	return len(r.Failures)+len(r.Losses) > 0 || slices.ContainsFunc(r.Done, ended)
 }
 
 // rowCount is the number of rows that saving the record writes or deletes.
@@ -108,7 +126,7 @@
 	for _, d := range r.Done {
 		n += 2 * len(d)
 	}
-	return n + failureBytes*len(r.Failures)
+	return n + failureBytes*len(r.Failures) + lossBytes*len(r.Losses)
 }
 
 // Upper estimates of the sizes of a record's parts in a call, in bytes.
@@ -116,4 +134,5 @@
 	rowBytes     = 400
 	stepBytes    = 400
 	failureBytes = 40
+	lossBytes    = 300
 )
--- /dev/null
+++ b/core/schedule/crash.go
@@ -0,0 +1,306 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/ledger"
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// A task may crash each runner that starts it. Such a run lists no end: its runner falls silent, and a later
+// incarnation answers some seconds later. Only that answer shows that the runner has crashed; one that was
+// silent and answers again as the same incarnation was out of reach.
+//
+// When a failure domain loses power, hundreds of tasks lose their runners that have nothing to do with it. So a
+// task under which two were lost is started where nothing else runs, and its job fails only after the next crash.
+
+const (
+	// maxCrashes is the number of crashes under one task with which its job fails.
+	maxCrashes = 3
+	// maxLosses is the same for runners that were lost, whether they have crashed or not.
+	maxLosses = 5
+	// lossesUntilAlone is the number of lost runners from which on a task is started where nothing else runs.
+	lossesUntilAlone = 2
+	// lossSilence is the silence after which a runner counts as lost for now. The record says so then, in case
+	// this process is lost before the runner answers again.
+	lossSilence = 400 * time.Millisecond
+	// crashEvidenceTimeout is how long a task waits for the answer of a lost runner. Crashed ones are back some
+	// seconds later.
+	crashEvidenceTimeout = 6 * time.Second
+	// aloneTimeout is how long such a task waits for a runner without runs.
+	aloneTimeout = 2 * time.Second
+	// runnersPerReservation is the number of runners of which one may be kept free for such a task.
+	runnersPerReservation = 16
+)
+
+// loss is a runner's incarnation that was lost with a run of a task.
+type loss struct {
+	runner workload.RunnerID
+	// incarnation is its start; 0 if unknown.
+	incarnation int64
+	at          Time
+	// begun: the runner had confirmed the run. Otherwise it may have crashed before the run's start arrived.
+	begun bool
+	// restarted: a later incarnation has answered.
+	restarted bool
+}
+
+// crash reports whether the runner has crashed while the run was there.
+func (l loss) crash() bool { return l.begun && l.restarted }
+
+// noteLoss records that a runner is lost with a run, for now at least: a runner that answers again as the same
+// incarnation is none. A runner that was about to leave ends its runs.
+func (s *Scheduler) noteLoss(u *run, restarted bool) {
+	if u.task == nil || u.runner.leaving {
+		return
+	}
+	t := u.task
+	t.atRisk = nil
+	l := loss{runner: u.runner.info.ID, incarnation: u.runner.incarnationStart, at: s.now, begun: u.confirmed, restarted: restarted}
+	i := slices.IndexFunc(t.losses, l.sameRunner)
+	switch {
+	case i < 0:
+		t.addLoss(l)
+	case t.losses[i].restarted == restarted:
+		return
+	default:
+		t.losses[i].restarted = restarted
+	}
+	s.emitForRun(u, Decision{Event: "runner-lost-with-task", Reason: t.describeLosses(), Age: s.now - u.started})
+	if t.job.stored != nil && !t.job.ended {
+		s.save(t.job)
+	}
+}
+
+// noteSilentLosses records that a silent runner may be lost with its runs.
+func (s *Scheduler) noteSilentLosses(r *runner) {
+	if !r.unresponsive || s.now-max(r.clockAt, r.lastAskedAt) < lossSilence {
+		return
+	}
+	for _, u := range r.sortedRuns() {
+		s.noteLoss(u, false)
+	}
+}
+
+// sameRunner reports whether two losses are of the same incarnation of a runner.
+func (l loss) sameRunner(o loss) bool { return l.runner == o.runner && l.incarnation == o.incarnation }
+
+func (t *taskState) addLoss(l loss) {
+	if len(t.losses) == 0 {
+		t.job.losing = append(t.job.losing, t)
+	}
+	t.losses = append(t.losses, l)
+}
+
+// crashes returns the number of runners that have crashed under the task.
+func (t *taskState) crashes() int {
+	n := 0
+	for _, l := range t.losses {
+		if l.crash() {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *taskState) describeLosses() string {
+	return fmt.Sprintf("%d crashed of %d lost", t.crashes(), len(t.losses))
+}
+
+// judgeLosses updates what is known of the runners that were lost with a task: those that answer as the same
+// incarnation are no losses.
+func (s *Scheduler) judgeLosses(t *taskState) {
+	before := t.describeLosses()
+	t.losses = slices.DeleteFunc(t.losses, func(l loss) bool { return !l.restarted && s.survived(l) })
+	for i := range t.losses {
+		l := &t.losses[i]
+		l.restarted = l.restarted || s.restartedSince(*l)
+	}
+	if t.describeLosses() == before {
+		return
+	}
+	s.emit(Decision{Event: "lost-runners-judged", Job: t.name.Job, Run: workload.RunKey{Task: t.name, Number: t.lastNumber}, Reason: t.describeLosses(), Detail: "before: " + before})
+	if t.job.stored != nil {
+		s.save(t.job)
+	}
+}
+
+// judgeAllLosses does so for all tasks, as new incarnations of runners are known.
+func (s *Scheduler) judgeAllLosses() {
+	for _, j := range s.sortedJobs() {
+		for _, t := range j.losing {
+			if t.phase != done && !j.ended {
+				s.judgeLosses(t)
+			}
+		}
+	}
+}
+
+// survived reports whether a lost runner has answered as the same incarnation.
+func (s *Scheduler) survived(l loss) bool {
+	r := s.runners[l.runner]
+	return r != nil && !r.gone && r.incarnationStart == l.incarnation && r.clockAt > l.at
+}
+
+// restartedSince reports whether a later incarnation of a lost runner is known.
+func (s *Scheduler) restartedSince(l loss) bool {
+	r := s.runners[l.runner]
+	return r != nil && l.incarnation > 0 && r.incarnationStart > l.incarnation
+}
+
+// crashesRunners judges the runners that were lost with a job's waiting tasks, and reports whether the job
+// fails for them.
+func (s *Scheduler) crashesRunners(j *job) bool {
+	for _, t := range j.losing {
+		if t.phase != waiting {
+			continue
+		}
+		s.judgeLosses(t)
+		if t.crashes() >= maxCrashes || len(t.losses) >= maxLosses {
+			s.finish(j, workload.JobFailed, fmt.Sprintf("runners crash under task %s: %s", t.name, t.describeLosses()))
+			return true
+		}
+	}
+	j.losing = slices.DeleteFunc(j.losing, func(t *taskState) bool { return len(t.losses) == 0 })
+	return false
+}
+
+// awaitsCrashEvidence reports whether a task waits until it is known whether the runners that were lost with it
+// have crashed.
+func (s *Scheduler) awaitsCrashEvidence(t *taskState) bool {
+	if len(t.losses) < maxCrashes {
+		return false
+	}
+	return slices.ContainsFunc(t.losses, func(l loss) bool { return !l.restarted && s.now-l.at < crashEvidenceTimeout })
+}
+
+// placeSuspect chooses a runner without runs for a task with which runners were lost. It reserves one if
+// there is none, and falls back to any runner after a while.
+func (p *placer) placeSuspect(t *taskState) *runner {
+	if t.suspectSince == 0 {
+		t.suspectSince = p.s.now
+	}
+	var idle, next *runner
+	reserved := 0
+	for _, r := range p.s.runnerList {
+		owner := r.reservation()
+		if owner != nil && owner.phase == waiting {
+			reserved++
+		}
+		if owner != nil && owner != t || !p.mayRunAlone(t, r) {
+			continue
+		}
+		switch {
+		case len(r.runs) == 0:
+			if idle == nil || p.cost(t, r) < p.cost(t, idle) {
+				idle = r
+			}
+		case owner == t || next == nil || next.reservation() != t && r.idleAt() < next.idleAt():
+			next = r
+		}
+	}
+	switch {
+	case idle != nil:
+		idle.reserved = t
+		return idle
+	case p.s.now-t.suspectSince >= aloneTimeout:
+		return p.placeAmongOthers(t)
+	case next != nil && reserved < max(1, len(p.s.runnerList)/runnersPerReservation):
+		next.reserved = t
+	}
+	return nil
+}
+
+// placeAmongOthers chooses any runner for a task: the one that its record names, if it still has room.
+func (p *placer) placeAmongOthers(t *taskState) *runner {
+	if t.atRisk != nil {
+		r := p.s.runners[t.atRisk.runner]
+		if r != nil && r.usable(p.s.now) && t.step().Need.Fits(r.free()) {
+			return r
+		}
+	}
+	return p.place(t)
+}
+
+// declared reports whether the record of a task's job says on which runner the task is started next. Otherwise
+// the next owner of the shard wouldn't know which runner was lost with it. While the store is unavailable to all
+// processes none can take the shard, so the task doesn't wait.
+func (s *Scheduler) declared(t *taskState, r *runner) bool {
+	st := t.job.stored
+	if st == nil {
+		return true
+	}
+	l := loss{runner: r.info.ID, incarnation: r.incarnationStart, at: s.now, begun: true}
+	if t.atRisk == nil || !t.atRisk.sameRunner(l) {
+		t.atRisk = &l
+		s.save(t.job)
+		t.atRiskSaved = st.saving
+	}
+	return st.saved >= t.atRiskSaved || s.rows.failingFor > storeFailureThreshold && s.uncontested()
+}
+
+// mayRunAlone reports whether a task could run on a runner if nothing else did.
+func (p *placer) mayRunAlone(t *taskState, r *runner) bool {
+	step := t.step()
+	return r.info.Service == t.job.work.Service && r.usable(p.s.now) && step.Need.Fits(r.info.Capacity) && r.info.HasLabel(step.Requires)
+}
+
+// idleAt returns when the runs on a runner are expected to have ended.
+func (r *runner) idleAt() Time {
+	at := Time(0)
+	for _, u := range r.runs {
+		at = max(at, u.expectedEnd)
+	}
+	return at
+}
+
+// reservation returns the task that runs alone on the runner, or is to; nil if there is none.
+func (r *runner) reservation() *taskState {
+	t := r.reserved
+	if t == nil {
+		return nil
+	}
+	waits := t.phase == waiting && !t.job.ended
+	runsHere := t.run != nil && t.run.runner == r
+	if !waits && !runsHere {
+		r.reserved = nil
+	}
+	return r.reserved
+}
+
+// allLosses returns the losses of a task, and the one that the next owner of the shard has to assume.
+func (t *taskState) allLosses() []loss {
+	if t.atRisk == nil || slices.ContainsFunc(t.losses, t.atRisk.sameRunner) {
+		return t.losses
+	}
+	return append(slices.Clone(t.losses), *t.atRisk)
+}
+
+// recordedLosses returns the losses that the job's record has, at most ledger.MaxLosses of them: those of the
+// tasks with the most come first.
+func (j *job) recordedLosses() []ledger.Loss {
+	tasks := slices.Clone(j.losing)
+	slices.SortStableFunc(tasks, func(a, b *taskState) int { return len(b.losses) - len(a.losses) })
+	var list []ledger.Loss
+	for _, t := range tasks {
+		for _, l := range t.allLosses() {
+			if t.phase == done || len(list) == ledger.MaxLosses {
+				continue
+			}
+			list = append(list, ledger.Loss{Step: j.stepIndex(t.name), Index: t.name.Index, Runner: l.runner, Incarnation: l.incarnation, Begun: l.begun, Restarted: l.restarted})
+		}
+	}
+	return list
+}
+
+// restoreLosses adds the losses of a job's record.
+func (s *Scheduler) restoreLosses(j *job, list []ledger.Loss) {
+	for _, l := range list {
+		if l.Step < len(j.steps) && l.Index < len(j.steps[l.Step]) {
+			j.steps[l.Step][l.Index].addLoss(loss{runner: l.Runner, incarnation: l.Incarnation, at: s.now, begun: l.Begun, restarted: l.Restarted})
+			j.begun = true
+		}
+	}
+}
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -112,9 +112,12 @@
 func (s *Scheduler) beginIncarnation(r *runner, start int64) {
 	s.emit(Decision{Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt})
 	runs := r.sortedRuns()
+	for _, u := range runs {
+		s.noteLoss(u, true)
+	}
 	held := r.token != 0
 	s.dropRuns(r, RunnerRestarted)
-	r.incarnationStart = start
+	r.incarnationStart, r.leaving = start, false
 	r.clock, r.clockAt, r.aliveUntil, r.noLeaseUntil, r.leaseLimit = 0, 0, 0, 0, 0
 	r.health = newHealth()
 	s.learned.ForgetRunner(string(r.info.ID))
@@ -136,5 +139,6 @@
 		s.term++
 		s.acquire(r)
 	}
+	s.judgeAllLosses()
 	s.refreshEntries()
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -34,6 +34,13 @@
 	// failedOn are the runners on which a run has failed.
 	failedOn []*runner
 	failures int
+	// losses are the runners that were lost with a run of the task, and suspectSince is when it first
+	// waited for a runner without runs; see crash.go.
+	losses       []loss
+	suspectSince Time
+	// atRisk is the runner on which the task is started after losses, and atRiskSaved the sequence of the record that says so.
+	atRisk      *loss
+	atRiskSaved uint64
 	// overstays counts the runs that were stopped as overdue.
 	overstays int
 	// notBefore delays the next start while an earlier run may be alive.
@@ -105,6 +112,8 @@
 	begun bool
 	// restarted: a task was started more than once.
 	restarted bool
+	// losing are the tasks that have losses.
+	losing []*taskState
 	// stored is nil for jobs that aren't kept in the store.
 	stored *stored
 }
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -91,6 +91,9 @@
 			s.requestList(r)
 		}
 		s.checkIncarnation(r, info.IncarnationStart)
+		if r.described() {
+			r.leaving = info.Draining
+		}
 	}
 	for _, r := range s.runnerList {
 		if !listed[r.info.ID] && !r.unlisted {
@@ -100,6 +103,7 @@
 	}
 	s.forgetRunners()
 	s.sortRunners()
+	s.judgeAllLosses()
 	s.dispatch()
 }
 
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -53,9 +53,10 @@
 	Age time.Duration
 	// Hand counts the previous owners of all shards; run numbers begin above all of theirs.
 	Hand int
-	// Done, Failures and Unseen have the same meaning as in ledger.Record.
+	// Done, Failures, Losses and Unseen have the same meaning as in ledger.Record.
 	Done     []ledger.Bits
 	Failures []ledger.Failure
+	Losses   []ledger.Loss
 	Unseen   bool
 }
 
@@ -180,6 +181,7 @@
 		Hand:     r.Hand,
 		Done:     r.Done,
 		Failures: r.Failures,
+		Losses:   r.Losses,
 		Unseen:   r.Unseen,
 	}
 }
@@ -196,7 +198,7 @@
 	if !m.record.Begun() {
 		s.rows.handedOver = append(s.rows.handedOver, handedOver{queue: m.record.Definition.Queue, until: now + handedOverTime})
 	}
-	m.record.Done, m.record.Failures, m.record.Definition = nil, nil, nil
+	m.record.Done, m.record.Failures, m.record.Losses, m.record.Definition = nil, nil, nil, nil
 	m.record.State = ledger.Moved
 	k := s.rows.retained[id]
 	k.state = ledger.Moved
@@ -257,7 +259,7 @@
 	s.dropRetained(id)
 	j := s.restored(ledger.Record{
 		Job: id, Definition: m.Job, Age: m.Age, Epoch: s.rows.epoch - uint64(m.Hand),
-		Done: m.Done, Failures: m.Failures, Unseen: m.Unseen, Restarted: true,
+		Done: m.Done, Failures: m.Failures, Losses: m.Losses, Unseen: m.Unseen, Restarted: true,
 	})
 	// It was moved when no run of it could be alive.
 	j.priorRunsOverAt, j.starvedRunsOverAt = s.now, 0
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -137,7 +137,7 @@
 
 // startTasks starts the waiting tasks of a job that may be started now, as far as there is room.
 func (s *Scheduler) startTasks(p *placer, j *job) {
-	if s.heldBack(j) {
+	if s.heldBack(j) || s.crashesRunners(j) {
 		return
 	}
 	for i := range j.steps {
@@ -148,10 +148,10 @@
 			continue
 		}
 		for _, t := range j.steps[i] {
-			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) {
+			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) || s.awaitsCrashEvidence(t) {
 				continue
 			}
-			if r := p.place(t); r != nil {
+			if r := p.choose(t); r != nil {
 				s.start(t, r)
 				p.noteStart(t.run)
 			}
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -210,6 +210,9 @@
 func (s *Scheduler) replaced(r *runner) {
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "replaced"})
 	r.gone = true
+	for _, u := range r.sortedRuns() {
+		s.noteLoss(u, true)
+	}
 	tasks := r.tasks()
 	s.dropRuns(r, RunnerReplaced)
 	for _, t := range tasks {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -59,6 +59,24 @@
 	return ok && need.Fits(step.Need)
 }
 
+// choose chooses a runner for a task, as place does. A task with which runners were lost is started there once
+// its job's record says so, and runs alone if there were several.
+func (p *placer) choose(t *taskState) *runner {
+	var r *runner
+	switch {
+	case len(t.losses) == 0:
+		return p.place(t)
+	case len(t.losses) < lossesUntilAlone:
+		r = p.placeAmongOthers(t)
+	default:
+		r = p.placeSuspect(t)
+	}
+	if r == nil || !p.s.declared(t, r) {
+		return nil
+	}
+	return r
+}
+
 // place chooses a runner for a task; nil if there is no room, or if it waits for a faster one.
 //
 // It uses best fit: a task of two fifths of a runner leaves room for another one only if both are
@@ -80,6 +98,9 @@
 		if !r.info.HasLabel(step.Requires) || !p.withinSpreadLimit(t, r) {
 			continue
 		}
+		if owner := r.reservation(); owner != nil && owner != t {
+			continue
+		}
 		if c := p.cost(t, r); best == nil || c < lowest {
 			best, lowest = r, c
 		}
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -51,6 +51,7 @@
 		return r
 	}
 	r.Failures = append(r.Failures, j.stored.failures...)
+	r.Losses = j.recordedLosses()
 	r.Done = make([]ledger.Bits, len(j.steps))
 	for i, tasks := range j.steps {
 		r.Done[i] = ledger.NewBits(len(tasks))
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -84,6 +84,7 @@
 			j.begun = true
 		}
 	}
+	s.restoreLosses(j, r.Losses)
 	return j
 }
 
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -205,6 +205,9 @@
 		return nil
 	}
 	t.job.noteRun(e.Run)
+	if u != nil && t.run == u {
+		t.atRisk = nil
+	}
 	if e.Checkpoint != "" && (t.run == nil || t.run == u) {
 		t.checkpoint = e.Checkpoint
 	}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -24,6 +24,10 @@
 	gone bool
 	// incarnationStart is when its incarnation began, in milliseconds since 1970; 0 if unknown.
 	incarnationStart int64
+	// leaving: the entry of the known incarnation said that it drains, so that its runs end with it.
+	leaving bool
+	// reserved is the task that runs alone there, or is to; see reservation.
+	reserved *taskState
 	// evacuated: its failure domain gets no new tasks.
 	evacuated bool
 	// token is the fencing token under which the runner was acquired, 0 while it is left to
@@ -146,7 +150,7 @@
 func (u *run) ofStoredJob() bool { return u.task != nil && u.task.job.stored != nil }
 
 func newRunner(info workload.Runner, now Time) *runner {
-	return &runner{info: info, incarnationStart: info.IncarnationStart, runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now}
+	return &runner{info: info, incarnationStart: info.IncarnationStart, leaving: info.Draining, runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now}
 }
 
 // delayTask keeps the run's task from being started again before a time.
@@ -177,6 +181,7 @@
 	r.ends = nil
 	r.recentEnds = nil
 	r.used = workload.Resources{}
+	r.reserved = nil
 	clear(r.runs)
 	r.orphanCount, r.foreignOrphanCount = 0, 0
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -85,6 +85,7 @@
 	if len(r.runs) > 0 {
 		s.askAfterLease(r)
 	}
+	s.noteSilentLosses(r)
 	if s.runsOver(r) {
 		s.lapseRuns(r)
 		return
@@ -105,6 +106,7 @@
 			continue
 		}
 		s.ctr.Lapsed++
+		s.noteLoss(u, false)
 		s.dropRunAs(u, LeaseOver, Decision{Event: "run-lapsed", Reason: "runner is silent", Age: s.now - r.clockAt, Detail: r.describeSilence(s.now)})
 		if s.now-s.lastContact[u.task.job.entry] > maxHeartbeatAge {
 			// The entry VM may be cut off together with the runner. Then the scheduler on that
--- a/entry/wire_move.go
+++ b/entry/wire_move.go
@@ -4,6 +4,7 @@
 	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/ledger"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
+	"sapphirepoint.example/sapphirepoint/core/workload"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
 
@@ -23,6 +24,9 @@
 	for _, f := range m.Failures {
 		move.Failures = append(move.Failures, &pb.FailedRun{Step: uint32(f.Step), Index: uint32(f.Index), Run: uint32(f.Run)})
 	}
+	for _, l := range m.Losses {
+		move.Losses = append(move.Losses, &pb.LostRunner{Step: uint32(l.Step), Index: uint32(l.Index), Runner: string(l.Runner), Born: l.Incarnation, Begun: l.Begun, Restarted: l.Restarted})
+	}
 	return &pb.FleetMessage{Body: &pb.FleetMessage_JobMove{JobMove: move}}
 }
 
@@ -40,5 +44,8 @@
 	for _, f := range m.GetFailures() {
 		move.Failures = append(move.Failures, ledger.Failure{Step: int(f.GetStep()), Index: int(f.GetIndex()), Run: int(f.GetRun())})
 	}
+	for _, l := range m.GetLosses() {
+		move.Losses = append(move.Losses, ledger.Loss{Step: int(l.GetStep()), Index: int(l.GetIndex()), Runner: workload.RunnerID(l.GetRunner()), Incarnation: l.GetBorn(), Begun: l.GetBegun(), Restarted: l.GetRestarted()})
+	}
 	return move
 }
--- a/entry/wire_move_test.go
+++ b/entry/wire_move_test.go
@@ -22,6 +22,7 @@
 		fleet.JobMove{Shard: 3, MovedJob: schedule.MovedJob{
 			From: 1, Job: job, Age: 7 * time.Second, Hand: 4, Done: []ledger.Bits{done},
 			Failures: []ledger.Failure{{Step: 1, Index: 2, Run: 301}}, Unseen: true,
+			Losses: []ledger.Loss{{Step: 1, Index: 2, Runner: "r1", Incarnation: 1_790_000_000_000, Begun: true, Restarted: true}},
 		}},
 		fleet.JobTaken{Shard: 3, Job: job.ID},
 		fleet.JobQuery{Request: 1<<62 + 1, Job: job.ID, Cancel: true, Hops: 2, Shard: 5},
