A runner whose token was raised may have another scheduler's lease

Cause: the first answer to an acquisition counts as one after an unknown lease; the first answer to a raised token didn't, though another scheduler may have had the runner in between, under a token between the two.

--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -73,6 +73,7 @@
 func (s *Scheduler) refuseEarlierOrders(r *runner) {
 	s.term++
 	r.token = s.token()
+	r.tokenRaised = true
 	r.holdInFlight, r.listInFlight = false, false
 	for _, u := range r.sortedRuns() {
 		if u.stopping && !u.stopped {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -84,9 +84,13 @@
 	if first {
 		r.acquiredAt = s.now
 		r.refusals = 0
-		r.noteLease(s.now, maxLease)
 		s.emit(Decision{Event: "runner-acquired", Runner: r.info.ID, Token: r.token, Age: s.now - r.holdSentAt})
 	}
+	if first || r.tokenRaised {
+		// Until now another scheduler may have given it a lease.
+		r.noteLease(s.now, maxLease)
+		r.tokenRaised = false
+	}
 	for _, e := range res.Ends {
 		if !r.noted(e.Sequence) {
 			r.noteRecentEnd(e.Run, s.now)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -34,6 +34,9 @@
 	// another scheduler; owned is set once the runner has answered to that token.
 	token uint64
 	owned bool
+	// tokenRaised: no order under the present token was answered yet, though the runner is owned. Another scheduler
+	// may have had it in between, under a token that isn't higher.
+	tokenRaised bool
 	// refusedToken is the last token that the runner has refused, and refusals how often it
 	// has refused one since it was last owned.
 	refusedToken uint64
@@ -182,6 +185,7 @@
 	r.recentEnds = nil
 	r.used = workload.Resources{}
 	r.reserved = nil
+	r.tokenRaised = false
 	clear(r.runs)
 	r.orphanCount, r.foreignOrphanCount = 0, 0
 }
