A job whose starts stay unconfirmed counts as waiting

Cause: a job ceased to be counted as its first start was ordered. The order may never arrive, as with a runner that has crashed and isn't known to; the task is started again elsewhere, and the job isn't counted any more.

Change: a job has begun once a run of it was confirmed or listed, or its record or a report of the leader before says so.

--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -106,7 +106,8 @@
 // Begun reports whether the record shows that a task of the job has been started.
 func (r *Record) Begun() bool {
 	ended := func(done Bits) bool { return slices.ContainsFunc(done, func(b byte) bool { return b != 0 }) }
-	return len(r.Failures)+len(r.Losses) > 0 || slices.ContainsFunc(r.Done, ended)
+	began := func(l Loss) bool { return l.Begun }
+	return len(r.Failures) > 0 || slices.ContainsFunc(r.Losses, began) || slices.ContainsFunc(r.Done, ended)
 }
 
 // rowCount is the number of rows that saving the record writes or deletes.
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -301,6 +301,7 @@
 		if l.Step < len(j.steps) && l.Index < len(j.steps[l.Step]) {
 			j.steps[l.Step][l.Index].addLoss(loss{runner: l.Runner, incarnation: l.Incarnation, at: s.now, begun: l.Begun, restarted: l.Restarted})
 			j.begun = true
+			j.ran = j.ran || l.Begun
 		}
 	}
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -108,8 +108,8 @@
 	// granted: room was granted here for the job of another shard, so it isn't refused for lack of
 	// room.
 	granted bool
-	// begun: a start of one of its tasks is known to have been ordered.
-	begun bool
+	// begun: a start of one of its tasks is known to have been ordered. ran: a run of one is known to have begun.
+	begun, ran bool
 	// restarted: a task was started more than once.
 	restarted bool
 	// losing are the tasks that have losses.
--- a/core/schedule/pending.go
+++ b/core/schedule/pending.go
@@ -21,12 +21,13 @@
 // accepted are loaded, or there are none.
 func (s *Scheduler) KnowsPending() bool { return s.rows.loaded || s.rows.noStoredJobs }
 
-// Pending returns the number of jobs of each queue of which no task has started. A job that moves
-// counts until the other shard counts it.
+// Pending returns the number of jobs of each queue of which no task has begun. A start that isn't confirmed
+// doesn't count as one: its runner may have crashed before. A job that moves counts until the other shard
+// counts it.
 func (s *Scheduler) Pending(now Time) map[string]int {
 	n := make(map[string]int)
 	for _, j := range s.jobs {
-		if !j.begun && (j.queued || j.moving()) {
+		if !j.ran && j.accepted() && (!j.ended || j.moving()) {
 			n[j.work.Queue]++
 		}
 	}
@@ -41,3 +42,6 @@
 	}
 	return n
 }
+
+// accepted reports whether the job is in the store or needn't be.
+func (j *job) accepted() bool { return j.stored == nil || j.stored.accepted }
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -75,13 +75,13 @@
 		t.lastNumber = j.priorSchedulers * runsPerScheduler
 		if i := j.stepIndex(t.name); i < len(r.Done) && r.Done[i].Has(t.name.Index) {
 			t.setPhase(done)
-			j.begun = true
+			j.begun, j.ran = true, true
 		}
 	})
 	for _, f := range r.Failures {
 		if f.Step < len(j.steps) && f.Index < len(j.steps[f.Step]) {
 			j.steps[f.Step][f.Index].failures++
-			j.begun = true
+			j.begun, j.ran = true, true
 		}
 	}
 	s.restoreLosses(j, r.Losses)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -266,6 +266,7 @@
 // the task has another run, that run is stopped.
 func (s *Scheduler) taskDone(t *taskState, r *runner, u *run) {
 	s.ctr.Done++
+	t.job.ran = true
 	if u != nil && u.task == t {
 		t.job.recordRunTime(t.name, s.now-u.started, u.runner)
 	}
@@ -306,7 +307,7 @@
 		return
 	}
 	s.ctr.FailedRuns++
-	t.job.begun = true
+	t.job.begun, t.job.ran = true, true
 	t.failures++
 	if len(t.failedOn) == 0 {
 		r.health.failed(s.now, 1)
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -74,6 +74,9 @@
 // confirm records that a run has begun. A list that lacks it doesn't show any more that it hasn't.
 func (u *run) confirm() {
 	u.confirmed = true
+	if u.task != nil {
+		u.task.job.ran = true
+	}
 	if !u.stopped {
 		u.awaitList(0)
 	}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -184,6 +184,7 @@
 	}
 	s.ctr.Adopted++
 	j.started, j.begun = true, true
+	j.ran = j.ran || u.confirmed
 	t.lastStarted = max(t.lastStarted, u.key.Number)
 	j.noteRun(u.key)
 	t.checkpoint = u.checkpoint
