The count of waiting jobs isn't taken from an old belief in no stored jobs

What callers saw (in the model): a process that is cut off from the others, though not from the store, gives 0 as the number of waiting jobs while eight accepted ones wait.

Where no stored jobs are known a leader's count is complete without the rows, and a shard without a count counts as zero; but what was known may be older than the first stored job.

Change: 'none' counts while the leaders of the cell are in reach, which know of none, and no process is out of reach that could lead beside this one; or for two seconds after the store has shown it. A leader that misses a VM reads that each second (two calls).

Left: a whole cell that is cut off from the other cells takes 'none' for current, as long as its own VMs are in reach.

--- a/core/fleet/pending.go
+++ b/core/fleet/pending.go
@@ -8,10 +8,10 @@
 
 // The number of waiting jobs, as callers may query it. The leader of a shard counts them; the others
 // know what the shard's leader last reported. A leader that is lost takes no jobs with it, and the next
-// one counts them only once it has loaded them. Until then the last count holds.
+// one counts them only once it has loaded them. Until then the last count holds for a while.
 
-// pendingRetention is how long the last count of a shard holds while nobody leads it within reach.
-const pendingRetention = 30 * time.Second
+// pendingMaxAge is how old the count of a shard may be that callers get. After that it isn't known.
+const pendingMaxAge = 2 * time.Second
 
 // PendingJobs is the number of jobs of each queue of which no task has started, in one shard.
 type PendingJobs struct {
@@ -29,7 +29,7 @@
 func (n *Node) countPending(now Time) {
 	n.ownPending = nil
 	for _, s := range n.own {
-		if !s.leading() || !s.schedule.KnowsPending() {
+		if !s.leading() || !s.schedule.RowsLoaded() && !n.certainOfNoStoredJobs(now) {
 			continue
 		}
 		queues := s.schedule.Pending(now)
@@ -48,14 +48,14 @@
 }
 
 // Pending returns the number of jobs of each queue of which no task has started, as the leaders last
-// reported it. known is false if the deployment may have stored jobs, and there is no recent count of
-// some shard.
+// reported it. known is false if the deployment may have stored jobs, and there is no count of some shard
+// of the last pendingMaxAge.
 func (n *Node) Pending(now Time) (sum map[string]int, known bool) {
 	sum = make(map[string]int)
 	known = n.LayoutKnown()
 	for _, s := range n.shards {
 		c, counted := n.pending[s.index]
-		if !counted || now-c.at > pendingRetention {
+		if !counted || now-c.at > pendingMaxAge {
 			known = false
 			continue
 		}
@@ -63,5 +63,5 @@
 			sum[queue] += count
 		}
 	}
-	return sum, known || n.storedJobs == NoStoredJobs
+	return sum, known || n.certainOfNoStoredJobs(now)
 }
--- a/core/fleet/storedjobs.go
+++ b/core/fleet/storedjobs.go
@@ -29,9 +29,15 @@
 // String is used in logs.
 func (k StoredJobs) String() string { return storedJobsNames[k] }
 
-// storedJobsReadInterval is how often the store is read while ends of unknown runs wait for the
-// result.
-const storedJobsReadInterval = 100 * time.Millisecond
+const (
+	// storedJobsReadInterval is how often the store is read while ends of unknown runs wait for the
+	// result.
+	storedJobsReadInterval = 100 * time.Millisecond
+	// storedJobsRefreshInterval is how often a leader reads it while a VM of the cell is unreachable,
+	// which may have accepted stored jobs, and storedJobsMaxAge the age up to which a result holds then.
+	storedJobsRefreshInterval = time.Second
+	storedJobsMaxAge          = 2 * time.Second
+)
 
 // ReadStoredJobs requests a read of whether the store has stored jobs. Its result is passed to
 // StoredJobsRead.
@@ -52,6 +58,8 @@
 	inFlight bool
 	// at is when the last one was requested.
 	at Time
+	// noneAt is when a call was sent whose result was that there are no stored jobs.
+	noneAt Time
 }
 
 // StoredJobsRead handles a result of reading the store; nil if the call has failed.
@@ -66,28 +74,49 @@
 		return
 	}
 	n.learnStoredJobs(now, NoStoredJobs, "store")
+	n.storedJobsRead.noneAt = max(n.storedJobsRead.noneAt, r.SentAt)
 	for _, s := range n.own {
 		s.schedule.NoStoredJobsAt(now, r.SentAt)
 	}
 }
 
-// readStoredJobs requests a read of the store while ends of unknown runs wait for it.
+// readStoredJobs requests a read of the store while ends of unknown runs wait for it, and at intervals while
+// a process that this one can't hear may have accepted stored jobs.
 func (n *Node) readStoredJobs(now Time) {
-	if n.storedJobsRead.inFlight || now-n.storedJobsRead.at < storedJobsReadInterval {
+	age := now - n.storedJobsRead.at
+	if n.storedJobsRead.inFlight || age < storedJobsReadInterval {
 		return
 	}
 	waiting := 0
 	for _, s := range n.own {
 		waiting += s.schedule.UnprovenEnds()
 	}
-	if waiting == 0 {
+	outdated := n.storedJobs == NoStoredJobs && n.Leads() && !n.allReachable() && age >= storedJobsRefreshInterval
+	if waiting == 0 && !outdated {
 		return
 	}
-	n.notice("stored-jobs-requested", Field{"known", n.storedJobs.String()}, Field{"unproven-ends", waiting})
-	n.storedJobsRead = storedJobsRead{inFlight: true, at: now}
+	n.notice("stored-jobs-requested", Field{"known", n.storedJobs.String()}, Field{"unproven-ends", waiting}, Field{"age", ms(now - n.storedJobsRead.noneAt)})
+	n.storedJobsRead.inFlight, n.storedJobsRead.at = true, now
 	n.emit(ReadStoredJobs{})
 }
 
+// certainOfNoStoredJobs reports whether there are no stored jobs: the store has shown it lately, or the leaders of
+// the cell are in reach, which know of none, and no process that could lead beside this one is unreachable.
+func (n *Node) certainOfNoStoredJobs(now Time) bool {
+	if n.storedJobs != NoStoredJobs {
+		return false
+	}
+	if now-n.storedJobsRead.noneAt <= storedJobsMaxAge {
+		return true
+	}
+	for _, s := range n.own {
+		if s.choice.Leader == "" || !s.choice.Reachable || s.leading() && !n.allReachable() {
+			return false
+		}
+	}
+	return len(n.own) > 0
+}
+
 // learnStoredJobs applies what another process reports or what has been read.
 func (n *Node) learnStoredJobs(now Time, known StoredJobs, source string) {
 	if known <= n.storedJobs {
--- a/core/schedule/pending.go
+++ b/core/schedule/pending.go
@@ -17,9 +17,8 @@
 	until Time
 }
 
-// KnowsPending reports whether Pending counts all waiting jobs: those that earlier schedulers have
-// accepted are loaded, or there are none.
-func (s *Scheduler) KnowsPending() bool { return s.rows.loaded || s.rows.noStoredJobs }
+// RowsLoaded reports whether the jobs that earlier schedulers have accepted are loaded.
+func (s *Scheduler) RowsLoaded() bool { return s.rows.loaded }
 
 // Pending returns the number of jobs of each queue of which no task has begun. A start that isn't confirmed
 // doesn't count as one: its runner may have crashed before. A job that moves counts until the other shard
