A suspect gets a runner of its own also while there is no room

While no task of a job found room, a task under which two runners were lost wasn't looked at, so no runner was kept free for it; and a runner that its record names was used without another look at its labels. TestASuspectGetsARunnerOfItsOwnUnderLoad fails without the first change. The choice among runners without runs is stable now, so that one record is written for a start, not one for each.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -202,7 +202,7 @@
 		}
 		switch {
 		case len(r.runs) == 0:
-			if idle == nil || p.cost(t, r) < p.cost(t, idle) {
+			if idle == nil || owner == t || idle.reservation() != t && p.cost(t, r) < p.cost(t, idle) {
 				idle = r
 			}
 		case owner == t || next == nil || next.reservation() != t && r.idleAt() < next.idleAt():
@@ -225,7 +225,7 @@
 func (p *placer) placeAmongOthers(t *taskState) *runner {
 	if t.atRisk != nil {
 		r := p.s.runners[t.atRisk.runner]
-		if r != nil && r.usable(p.s.now) && t.step().Need.Fits(r.free()) {
+		if r != nil && p.mayRunOn(t, r) {
 			return r
 		}
 	}
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -293,3 +293,43 @@
 	c.restart(start.Runner)
 	c.g.Expect(task.crashes()).To(Equal(1))
 }
+
+// Guards against a suspect that crashes a runner with all that runs there, since no runner is ever without runs.
+func TestASuspectGetsARunnerOfItsOwnUnderLoad(t *testing.T) {
+	c := leadingBorn(t, "r1", "r2")
+	load := func() {
+		j := storedJob(1, 400*ms)
+		j.Objective = 20 * time.Second
+		c.submit(j, 30*time.Second)
+	}
+	for range 8 {
+		load()
+	}
+	suspect := storedJob(1, 300*ms)
+	suspect.Objective = 40 * time.Second
+	c.submit(suspect, 30*time.Second)
+	c.pass(20 * ms)
+	task := c.s.jobs[suspect.ID].steps[0][0]
+	for _, id := range []workload.RunnerID{"r3", "r4"} {
+		task.addLoss(loss{runner: id, incarnation: 1, begun: true, restarted: true})
+	}
+	sequence := map[workload.RunnerID]uint64{}
+	var running []Start
+	for range 60 {
+		for _, start := range take[Start](c.harness) {
+			c.started(start)
+			if start.Run.Task == task.name {
+				c.g.Expect(c.s.runners[start.Runner].runs).To(HaveLen(1))
+				return
+			}
+			running = append(running, start)
+		}
+		oldest := running[0]
+		running = running[1:]
+		load()
+		sequence[oldest.Runner]++
+		c.end(oldest.Runner, sequence[oldest.Runner], oldest.Run, workload.Done)
+		c.pass(40 * ms)
+	}
+	t.Fatal("the suspect wasn't started")
+}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -144,7 +144,8 @@
 		if !s.occurrenceDue(j, i) {
 			break
 		}
-		if !j.ready(i) || p.full(j.stepAt(i), j.work.Service) || p.stepMayRun(j, i) {
+		full := len(j.losing) == 0 && p.full(j.stepAt(i), j.work.Service)
+		if !j.ready(i) || full || p.stepMayRun(j, i) {
 			continue
 		}
 		for _, t := range j.steps[i] {
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -92,13 +92,7 @@
 	var best *runner
 	var lowest float64
 	for _, r := range p.s.runnerList {
-		if r.info.Service != service || !r.usable(p.s.now) || !step.Need.Fits(r.free()) {
-			continue
-		}
-		if !r.info.HasLabel(step.Requires) || !p.withinSpreadLimit(t, r) {
-			continue
-		}
-		if owner := r.reservation(); owner != nil && owner != t {
+		if !p.mayRunOn(t, r) {
 			continue
 		}
 		if c := p.cost(t, r); best == nil || c < lowest {
@@ -114,6 +108,16 @@
 	return best
 }
 
+// mayRunOn reports whether a task can be started on a runner now.
+func (p *placer) mayRunOn(t *taskState, r *runner) bool {
+	step := t.step()
+	if r.info.Service != t.job.work.Service || !r.usable(p.s.now) || !step.Need.Fits(r.free()) {
+		return false
+	}
+	owner := r.reservation()
+	return r.info.HasLabel(step.Requires) && p.withinSpreadLimit(t, r) && (owner == nil || owner == t)
+}
+
 // withinSpreadLimit reports whether the runner may take one more task of the step.
 func (p *placer) withinSpreadLimit(t *taskState, r *runner) bool {
 	limit := t.step().MaxPerRunner
