--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -29,10 +29,6 @@
 	// crashEvidenceTimeout is how long a task waits for the answer of a lost runner. Crashed ones are back some
 	// seconds later.
 	crashEvidenceTimeout = 6 * time.Second
-	// aloneTimeout is how long such a task waits for a runner without runs.
-	aloneTimeout = 2 * time.Second
-	// runnersPerReservation is the number of runners of which one may be kept free for such a task.
-	runnersPerReservation = 16
 )
 
 // loss is a runner's incarnation that was lost with a run of a task.
@@ -184,100 +180,6 @@
 	return slices.ContainsFunc(t.losses, func(l loss) bool { return !l.restarted && s.now-l.at < crashEvidenceTimeout })
 }
 
-// placeSuspect chooses a runner without runs for a task with which runners were lost. It reserves one if
-// there is none, and falls back to any runner after a while.
-func (p *placer) placeSuspect(t *taskState) *runner {
-	if t.suspectSince == 0 {
-		t.suspectSince = p.s.now
-	}
-	var idle, next *runner
-	reserved := 0
-	for _, r := range p.s.runnerList {
-		owner := r.reservation()
-		if owner != nil && owner.phase == waiting {
-			reserved++
-		}
-		if owner != nil && owner != t || !p.mayRunAlone(t, r) {
-			continue
-		}
-		switch {
-		case len(r.runs) == 0:
-			if idle == nil || owner == t || idle.reservation() != t && p.cost(t, r) < p.cost(t, idle) {
-				idle = r
-			}
-		case owner == t || next == nil || next.reservation() != t && r.idleAt() < next.idleAt():
-			next = r
-		}
-	}
-	switch {
-	case idle != nil:
-		idle.reserved = t
-		return idle
-	case p.s.now-t.suspectSince >= aloneTimeout:
-		return p.placeAmongOthers(t)
-	case next != nil && reserved < max(1, len(p.s.runnerList)/runnersPerReservation):
-		next.reserved = t
-	}
-	return nil
-}
-
-// placeAmongOthers chooses any runner for a task: the one that its record names, if it still has room.
-func (p *placer) placeAmongOthers(t *taskState) *runner {
-	if t.atRisk != nil {
-		r := p.s.runners[t.atRisk.runner]
-		if r != nil && p.mayRunOn(t, r) {
-			return r
-		}
-	}
-	return p.place(t)
-}
-
-// declared reports whether the record of a task's job says on which runner the task is started next. Otherwise
-// the next owner of the shard wouldn't know which runner was lost with it. While the store is unavailable to all
-// processes none can take the shard, so the task doesn't wait.
-func (s *Scheduler) declared(t *taskState, r *runner) bool {
-	st := t.job.stored
-	if st == nil {
-		return true
-	}
-	l := loss{runner: r.info.ID, incarnation: r.incarnationStart, at: s.now, begun: true}
-	if t.atRisk == nil || !t.atRisk.sameRunner(l) {
-		t.atRisk = &l
-		s.save(t.job)
-		t.atRiskSaved = st.saving
-	}
-	return st.saved >= t.atRiskSaved || s.rows.failingFor > storeFailureThreshold && s.uncontested()
-}
-
-// mayRunAlone reports whether a task could run on a runner if nothing else did.
-func (p *placer) mayRunAlone(t *taskState, r *runner) bool {
-	step := t.step()
-	return r.info.Service == t.job.work.Service && r.usable(p.s.now) && step.Need.Fits(r.info.Capacity) && r.info.HasLabel(step.Requires)
-}
-
-// idleAt returns when the runs on a runner are expected to have ended.
-func (r *runner) idleAt() Time {
-	at := Time(0)
-	for _, u := range r.runs {
-		at = max(at, u.expectedEnd)
-	}
-	return at
-}
-
-// reservation returns the task that runs alone on the runner, or is to; nil if there is none.
-func (r *runner) reservation() *taskState {
-	t := r.reserved
-	if t == nil {
-		return nil
-	}
-	waits := t.phase == waiting && !t.job.ended
-	runsHere := t.run != nil && t.run.runner == r
-	if !waits && !runsHere {
-		r.reserved = nil
-	}
-	return r.reserved
-}
-
 // allLosses returns the losses of a task, and the one that the next owner of the shard has to assume.
 func (t *taskState) allLosses() []loss {
 	if t.atRisk == nil || slices.ContainsFunc(t.losses, t.atRisk.sameRunner) {
