--- a/core/fleet/callers_test.go
+++ b/core/fleet/callers_test.go
@@ -26,7 +26,9 @@
 	j := &fakeJob{
 		work: &workload.Job{
 			ID: id, Queue: queue, Service: service, MaxAttempts: 3, Objective: estimate*8/5 + 60*time.Millisecond,
-			Steps: []workload.Step{{Tasks: tasks, Need: workload.Resources{MilliCPU: 27000, MemoryMB: 64}, Estimate: estimate, Requires: w.requires}},
+			Steps: []workload.Step{{
+				Tasks: tasks, Need: workload.Resources{MilliCPU: 27000, MemoryMB: 64}, Estimate: estimate, Requires: w.requires,
+			}},
 		},
 		duration: work, domain: domain, sent: w.now, timeout: timeout,
 	}
--- a/core/fleet/checker_test.go
+++ b/core/fleet/checker_test.go
@@ -38,10 +38,10 @@
 }
 
 const (
-	// maxCrashes is the number of crashes under a task from which on its starts are limited, and for fewer of which
-	// no job may fail.
+	// maxCrashes is the number of crashes under a task after which its starts are limited. With fewer its job may
+	// not fail.
 	maxCrashes = 3
-	// maxStartsAfterCrashes is the number of starts after that.
+	// maxStartsAfterCrashes is how often a task may be started after maxCrashes.
 	maxStartsAfterCrashes = 2
 )
 
--- a/core/fleet/first_stored_job_test.go
+++ b/core/fleet/first_stored_job_test.go
@@ -7,29 +7,27 @@
 	. "github.com/onsi/gomega"
 )
 
-// separate cuts a VM off from all other VMs, and from the store too if store is set. It still reaches the runners.
-func (w *world) separate(n *fakeNode, store bool, d time.Duration) {
+// separate cuts a VM off from all other VMs for a while, and also from the store if withoutStore is set. It still
+// reaches the runners.
+func (w *world) separate(n *fakeNode, withoutStore bool, d time.Duration) {
 	for _, o := range w.nodes {
 		if o != n {
 			w.partitioned[[2]string{n.name, o.name}] = true
 		}
 	}
-	w.storeUnreachable[n.name] = store
+	w.storeUnreachable[n.name] = withoutStore
 	w.after(d, func() {
 		clear(w.partitioned)
 		delete(w.storeUnreachable, n.name)
 	})
 }
 
-// submitStoredJobsFor submits a stored job at equal intervals, at processes other than one.
-func (w *world) submitStoredJobsFor(not *fakeNode, d, interval time.Duration) {
+// submitStoredJobsIn submits stored jobs in a failure domain, at equal intervals.
+func (w *world) submitStoredJobsIn(domain string, d, interval time.Duration) {
 	for at := time.Duration(0); at < d; at += interval {
 		w.after(at, func() {
 			j := w.newStoredJob()
-			j.domain = "b"
-			if not.domain == "b" {
-				j.domain = "c"
-			}
+			j.domain = domain
 			w.sendJob(j)
 		})
 	}
@@ -65,8 +63,9 @@
 				w.run(2 * time.Second)
 				untold := w.nodes[1]
 				g.Expect(w.leader()).NotTo(Equal(untold))
+				g.Expect(untold.domain).NotTo(Equal("b"), "where the jobs are submitted")
 				disturb(w, untold)
-				w.submitStoredJobsFor(untold, length, 70*time.Millisecond)
+				w.submitStoredJobsIn("b", length, 70*time.Millisecond)
 				w.run(25 * time.Second)
 				g.Expect(w.checker.violations).To(BeEmpty(), "seed %d", seed)
 			}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -31,8 +31,8 @@
 	RunnersDigest uint64
 	// StoredJobs is what the sender knows about stored jobs.
 	StoredJobs StoredJobs
-	// Pending are the counts of the waiting jobs of the shards that the sender leads and whose jobs it
-	// has loaded.
+	// Pending are the counts of waiting jobs of the shards that the sender leads. A shard whose jobs aren't
+	// loaded yet has none.
 	Pending []PendingJobs
 	// ExpectedWait is, if the sender leads, how long the runners of its shards would need
 	// for the waiting work.
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -88,7 +88,7 @@
 	// expectedWait is how long the runners would need for the work that waits in the
 	// shards led here; the longest if there are several.
 	expectedWait time.Duration
-	// pending holds the latest count of waiting jobs of each shard, and ownPending those of the
+	// pending holds the latest count of waiting jobs of each shard, and ownPending the counts of the
 	// shards led here; see pending.go.
 	pending    map[int]pendingCount
 	ownPending []PendingJobs
@@ -141,7 +141,7 @@
 	othersReachableSince Time
 	store                storeWatch
 	storedJobs           StoredJobs
-	storedJobsRead       storedJobsRead
+	storedJobsCheck      storedJobsCheck
 	// lostVMs are the VMs of processes from which no message arrived for HeartbeatTimeout,
 	// with the time at which that was noticed. A VM is removed when a process of it connects
 	// again, or by updateUncertainty after schedule.UnreachableTimeout. Until uncertainUntil
--- a/core/fleet/pending.go
+++ b/core/fleet/pending.go
@@ -6,14 +6,14 @@
 	"sapphirepoint.example/sapphirepoint/core/leader"
 )
 
-// The number of waiting jobs, as callers may query it. The leader of a shard counts them; the others
-// know what the shard's leader last reported. A leader that is lost takes no jobs with it, and the next
-// one counts them only once it has loaded them. Until then the last count holds for a while.
+// The number of waiting jobs, as callers may query it. The leader of a shard counts them, and reports the
+// count to the others. If the leader is lost, its last count holds until the next leader has loaded the jobs,
+// but no longer than pendingMaxAge.
 
-// pendingMaxAge is how old the count of a shard may be that callers get. After that it isn't known.
+// pendingMaxAge is the age up to which the count of a shard holds.
 const pendingMaxAge = 2 * time.Second
 
-// PendingJobs is the number of jobs of each queue of which no task has started, in one shard.
+// PendingJobs is the number of jobs of each queue of which no task has begun, in one shard.
 type PendingJobs struct {
 	Shard  int
 	Queues map[string]int
@@ -25,7 +25,7 @@
 	at     Time
 }
 
-// countPending counts the waiting jobs of the shards led here whose jobs are loaded.
+// countPending counts the waiting jobs of the shards led here, unless some may not be loaded yet.
 func (n *Node) countPending(now Time) {
 	n.ownPending = nil
 	for _, s := range n.own {
@@ -47,9 +47,8 @@
 	}
 }
 
-// Pending returns the number of jobs of each queue of which no task has started, as the leaders last
-// reported it. known is false if the deployment may have stored jobs, and there is no count of some shard
-// of the last pendingMaxAge.
+// Pending returns the number of jobs of each queue of which no task has begun, as the leaders last
+// reported it. known is false if a shard has no recent count, and the deployment may have stored jobs.
 func (n *Node) Pending(now Time) (sum map[string]int, known bool) {
 	sum = make(map[string]int)
 	known = n.LayoutKnown()
--- a/core/fleet/pending_test.go
+++ b/core/fleet/pending_test.go
@@ -10,10 +10,17 @@
 	"sapphirepoint.example/sapphirepoint/core/fleet"
 )
 
-// withoutRoom fills all runners with long tasks, those of each shard, and lets stored jobs wait behind them for longer than a count of them
-// may be old.
+const (
+	// unplacedJobs is how many jobs in a row must find no room until all shards count as full.
+	unplacedJobs = 12
+	// storedJobsKnownAfter is when even the oldest count in use includes all accepted jobs.
+	storedJobsKnownAfter = 4 * time.Second
+)
+
+// withoutRoom fills the runners of all shards with long tasks, and lets stored jobs wait behind them for longer than
+// counts are used.
 func (w *world) withoutRoom(g *WithT, waiting int) []*fakeJob {
-	for unplaced := 0; unplaced < 12; unplaced++ {
+	for unplaced := 0; unplaced < unplacedJobs; unplaced++ {
 		w.storedShare = 1
 		j := w.newJob("a", 1, time.Minute, 5*time.Second)
 		w.storedShare = 0
@@ -48,12 +55,13 @@
 	return count
 }
 
-// watchPending compares for a while what each process but one counts as waiting with the jobs that wait.
-func (w *world) watchPending(lost *fakeNode, jobs []*fakeJob, d time.Duration) (wrong []string, unknown int) {
+// watchPending compares the count of waiting jobs of each process but one with the jobs that wait, at each tick for a
+// while. It lists the counts below half of that, and returns how often a process knew none.
+func (w *world) watchPending(except *fakeNode, jobs []*fakeJob, d time.Duration) (wrong []string, unknown int) {
 	for end := w.now + d; w.now < end; {
 		w.run(fleet.TickInterval)
 		for _, n := range w.nodes {
-			if n == lost || n.node == nil {
+			if n == except || n.node == nil {
 				continue
 			}
 			count, known := n.node.Pending(w.now)
@@ -146,6 +154,3 @@
 		g.Expect(wrong).To(BeEmpty(), "without the store: %t", withoutStore)
 	}
 }
-
-// storedJobsKnownAfter is after what time a count that is two seconds old at most has all accepted jobs.
-const storedJobsKnownAfter = 4 * time.Second
--- a/core/fleet/storedjobs.go
+++ b/core/fleet/storedjobs.go
@@ -7,9 +7,8 @@
 // calls to the store, and delay the takeover whenever the store is unavailable. Therefore
 // heartbeats report whether there are any stored jobs.
 //
-// That there are none may have ceased to hold unnoticed: a process that was cut off or paused when
-// the first stored job was submitted isn't told. So before the end of an unknown run is acknowledged
-// the store is read again.
+// A process that was cut off or paused when the first stored job was submitted doesn't know of it. So the store is
+// read again before this process acknowledges the end of a run whose job it doesn't know.
 
 // StoredJobs is what a process knows about the existence of stored jobs in the deployment.
 type StoredJobs uint8
@@ -30,13 +29,13 @@
 func (k StoredJobs) String() string { return storedJobsNames[k] }
 
 const (
-	// storedJobsReadInterval is how often the store is read while ends of unknown runs wait for the
-	// result.
+	// storedJobsReadInterval is how often the store is read while runners have unproven ends.
 	storedJobsReadInterval = 100 * time.Millisecond
-	// storedJobsRefreshInterval is how often a leader reads it while a VM of the cell is unreachable,
-	// which may have accepted stored jobs, and storedJobsMaxAge the age up to which a result holds then.
+	// storedJobsRefreshInterval is how often a leader reads it while a VM of the cell is unreachable, which
+	// may have accepted stored jobs.
 	storedJobsRefreshInterval = time.Second
-	storedJobsMaxAge          = 2 * time.Second
+	// storedJobsMaxAge is how long a result that there are none is relied on while a VM is unreachable.
+	storedJobsMaxAge = 2 * time.Second
 )
 
 // ReadStoredJobs requests a read of whether the store has stored jobs. Its result is passed to
@@ -53,19 +52,19 @@
 	Any bool
 }
 
-// storedJobsRead is the state of the reads of whether the store has stored jobs.
-type storedJobsRead struct {
+// storedJobsCheck is the state of the reads of whether the store has stored jobs.
+type storedJobsCheck struct {
 	inFlight bool
-	// at is when the last one was requested.
-	at Time
-	// noneAt is when a call was sent whose result was that there are no stored jobs.
+	// requestedAt is when the latest read was requested.
+	requestedAt Time
+	// noneAt is when the latest call was sent that found no stored jobs.
 	noneAt Time
 }
 
 // StoredJobsRead handles a result of reading the store; nil if the call has failed.
 func (n *Node) StoredJobsRead(now Time, r *StoredJobsResult) {
 	n.detectStall(now)
-	n.storedJobsRead.inFlight = false
+	n.storedJobsCheck.inFlight = false
 	if r == nil {
 		return
 	}
@@ -74,41 +73,45 @@
 		return
 	}
 	n.learnStoredJobs(now, NoStoredJobs, "store")
-	n.storedJobsRead.noneAt = max(n.storedJobsRead.noneAt, r.SentAt)
+	n.storedJobsCheck.noneAt = max(n.storedJobsCheck.noneAt, r.SentAt)
 	for _, s := range n.own {
 		s.schedule.NoStoredJobsAt(now, r.SentAt)
 	}
 }
 
-// readStoredJobs requests a read of the store while ends of unknown runs wait for it, and at intervals while
-// a process that this one can't hear may have accepted stored jobs.
+// readStoredJobs requests a read of the store while runners have unproven ends, and at intervals while an unreachable
+// process may have accepted stored jobs.
 func (n *Node) readStoredJobs(now Time) {
-	age := now - n.storedJobsRead.at
-	if n.storedJobsRead.inFlight || age < storedJobsReadInterval {
+	check := &n.storedJobsCheck
+	age := now - check.requestedAt
+	if check.inFlight || age < storedJobsReadInterval {
 		return
 	}
-	waiting := 0
+	runners := 0
 	for _, s := range n.own {
-		waiting += s.schedule.UnprovenEnds()
+		runners += s.schedule.RunnersWithUnprovenEnds()
 	}
 	outdated := n.storedJobs == NoStoredJobs && n.Leads() && !n.allReachable() && age >= storedJobsRefreshInterval
-	if waiting == 0 && !outdated {
+	if runners == 0 && !outdated {
 		return
 	}
-	n.notice("stored-jobs-requested", Field{"known", n.storedJobs.String()}, Field{"unproven-ends", waiting}, Field{"age", ms(now - n.storedJobsRead.noneAt)})
-	n.storedJobsRead.inFlight, n.storedJobsRead.at = true, now
+	n.notice("stored-jobs-requested",
+		Field{"known", n.storedJobs.String()}, Field{"runners", runners}, Field{"age", ms(now - check.noneAt)})
+	check.inFlight, check.requestedAt = true, now
 	n.emit(ReadStoredJobs{})
 }
 
-// certainOfNoStoredJobs reports whether there are no stored jobs: the store has shown it lately, or the leaders of
-// the cell are in reach, which know of none, and no process that could lead beside this one is unreachable.
+// certainOfNoStoredJobs reports whether there are no stored jobs: the store has shown it lately, or no leader of the
+// cell can have accepted one without this process's knowledge.
 func (n *Node) certainOfNoStoredJobs(now Time) bool {
 	if n.storedJobs != NoStoredJobs {
 		return false
 	}
-	if now-n.storedJobsRead.noneAt <= storedJobsMaxAge {
-		return true
-	}
+	return now-n.storedJobsCheck.noneAt <= storedJobsMaxAge || n.hearsLeaders()
+}
+
+// hearsLeaders reports whether each leader of the cell is reachable, and none can lead beside this process unheard.
+func (n *Node) hearsLeaders() bool {
 	for _, s := range n.own {
 		if s.choice.Leader == "" || !s.choice.Reachable || s.leading() && !n.allReachable() {
 			return false
@@ -139,8 +142,7 @@
 	}
 }
 
-// noteStoredJob records that a stored job exists, and reports it to all other processes in reach.
-// Usually they learn it before the job is accepted, since that takes a call to the store.
+// noteStoredJob records that a stored job exists, and reports it to all connected processes.
 func (n *Node) noteStoredJob(now Time) {
 	if n.storedJobs == HasStoredJobs {
 		return
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -103,7 +103,7 @@
 	Unseen bool
 }
 
-// Begun reports whether the record shows that a task of the job has been started.
+// Begun reports whether the record shows that a run of the job has begun.
 func (r *Record) Begun() bool {
 	ended := func(done Bits) bool { return slices.ContainsFunc(done, func(b byte) bool { return b != 0 }) }
 	began := func(l Loss) bool { return l.Begun }
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -12,7 +12,8 @@
 	end workload.End
 	// unknown: the end may be that of a stored job that this process doesn't know. If this
 	// process was suspended or cut off, another one may have accepted the job meanwhile. So the store
-	// must show after unknownSince that this process owns the shard, or that there are no stored jobs.
+	// must show after unknownSince that this process owns the shard, or that there are no stored
+	// jobs; see unproven.go.
 	unknown      bool
 	unknownSince Time
 	// job and sequence are the record that must be in the store first; sequence is 0 if there
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -9,22 +9,22 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// A task may crash each runner that starts it. Such a run lists no end: its runner falls silent, and a later
-// incarnation answers some seconds later. Only that answer shows that the runner has crashed; one that was
-// silent and answers again as the same incarnation was out of reach.
+// Tasks that crash their runners. A run that crashes its runner lists no end: the runner falls silent, and some seconds
+// later it answers as a new incarnation. Only that answer is evidence of a crash. A runner that was silent and answers as
+// the same incarnation was out of reach.
 //
-// When a failure domain loses power, hundreds of tasks lose their runners that have nothing to do with it. So a
-// task under which two were lost is started where nothing else runs, and its job fails only after the next crash.
+// Runners also crash for other reasons, all those of a failure domain at once if it loses power. So a task with which two
+// runners were lost is a suspect, which is started where nothing else runs (suspect.go), and its job fails only after
+// the next crash.
 
 const (
-	// maxCrashes is the number of crashes under one task with which its job fails.
+	// maxCrashes is the number of runners that may crash under a task; its job fails with the last one.
 	maxCrashes = 3
-	// maxLosses is the same for runners that were lost, whether they have crashed or not.
+	// maxLosses is the same for lost runners, whether they have crashed or not.
 	maxLosses = 5
-	// lossesUntilAlone is the number of lost runners from which on a task is started where nothing else runs.
-	lossesUntilAlone = 2
-	// lossSilence is the silence after which a runner counts as lost for now. The record says so then, in case
-	// this process is lost before the runner answers again.
+	// suspectLosses is the number of lost runners that makes a task a suspect.
+	suspectLosses = 2
+	// lossSilence is how long a runner must have been silent to count as lost until it answers.
 	lossSilence = 400 * time.Millisecond
 	// crashEvidenceTimeout is how long a task waits for the answer of a lost runner. Crashed ones are back some
 	// seconds later.
@@ -34,10 +34,11 @@
 // loss is a runner's incarnation that was lost with a run of a task.
 type loss struct {
 	runner workload.RunnerID
-	// incarnation is its start; 0 if unknown.
+	// incarnation is its start, in milliseconds since 1970; 0 if unknown.
 	incarnation int64
-	at          Time
-	// begun: the runner had confirmed the run. Otherwise it may have crashed before the run's start arrived.
+	// at is when it was found lost.
+	at Time
+	// begun: the runner had confirmed the run. Otherwise it may have crashed before the order to start it arrived.
 	begun bool
 	// restarted: a later incarnation has answered.
 	restarted bool
@@ -46,15 +47,18 @@
 // crash reports whether the runner has crashed while the run was there.
 func (l loss) crash() bool { return l.begun && l.restarted }
 
-// noteLoss records that a runner is lost with a run, for now at least: a runner that answers again as the same
-// incarnation is none. A runner that was about to leave ends its runs.
+// noteLoss records that a runner is lost with a run, and saves that for the next owner of the shard. judgeLosses
+// removes the loss if the runner turns out to be alive. A runner that drained has left as planned and isn't lost.
 func (s *Scheduler) noteLoss(u *run, restarted bool) {
 	if u.task == nil || u.runner.leaving {
 		return
 	}
 	t := u.task
-	t.atRisk = nil
-	l := loss{runner: u.runner.info.ID, incarnation: u.runner.incarnationStart, at: s.now, begun: u.confirmed, restarted: restarted}
+	t.assumedLoss = nil
+	l := loss{
+		runner: u.runner.info.ID, incarnation: u.runner.incarnationStart,
+		at: s.now, begun: u.confirmed, restarted: restarted,
+	}
 	if i := slices.IndexFunc(t.losses, l.sameRunner); i < 0 {
 		t.addLoss(l)
 	} else if !t.losses[i].update(l, u.runner.clockAt) {
@@ -66,15 +70,15 @@
 	}
 }
 
-// update applies what is known now of a loss that was noted before, and reports whether that is new. answeredAt is
-// when its runner last answered: if it has since, it is lost anew.
-func (l *loss) update(now loss, answeredAt Time) bool {
+// update merges a later observation of the same loss, and reports whether it shows anything new. answeredAt is when
+// the runner last answered: if that was after the loss, the runner is lost a second time.
+func (l *loss) update(later loss, answeredAt Time) bool {
 	before := *l
 	if answeredAt > l.at {
-		l.at = now.at
+		l.at = later.at
 	}
-	l.begun = l.begun || now.begun
-	l.restarted = l.restarted || now.restarted
+	l.begun = l.begun || later.begun
+	l.restarted = l.restarted || later.restarted
 	return l.begun != before.begun || l.restarted != before.restarted
 }
 
@@ -93,7 +97,7 @@
 
 func (t *taskState) addLoss(l loss) {
 	if len(t.losses) == 0 {
-		t.job.losing = append(t.job.losing, t)
+		t.job.tasksWithLosses = append(t.job.tasksWithLosses, t)
 	}
 	t.losses = append(t.losses, l)
 }
@@ -113,8 +117,8 @@
 	return fmt.Sprintf("%d crashed of %d lost", t.crashes(), len(t.losses))
 }
 
-// judgeLosses updates what is known of the runners that were lost with a task: those that answer as the same
-// incarnation are no losses.
+// judgeLosses updates a task's losses by what its lost runners have shown since: one that has answered as the same
+// incarnation is removed, and one that has answered as a later incarnation has restarted.
 func (s *Scheduler) judgeLosses(t *taskState) {
 	before := t.describeLosses()
 	t.losses = slices.DeleteFunc(t.losses, func(l loss) bool { return !l.restarted && s.survived(l) })
@@ -125,16 +129,20 @@
 	if t.describeLosses() == before {
 		return
 	}
-	s.emit(Decision{Event: "lost-runners-judged", Job: t.name.Job, Run: workload.RunKey{Task: t.name, Number: t.lastNumber}, Reason: t.describeLosses(), Detail: "before: " + before})
+	s.emit(Decision{
+		Event: "lost-runners-judged", Job: t.name.Job, Run: workload.RunKey{Task: t.name, Number: t.lastNumber},
+		Reason: t.describeLosses(), Detail: "before: " + before,
+	})
 	if t.job.stored != nil {
 		s.save(t.job)
 	}
 }
 
-// judgeAllLosses does so for all tasks, as new incarnations of runners are known.
+// judgeAllLosses judges the losses of all open tasks. It is called when new incarnations of runners become known, whose
+// entries may be gone again before the task is to be started.
 func (s *Scheduler) judgeAllLosses() {
 	for _, j := range s.sortedJobs() {
-		for _, t := range j.losing {
+		for _, t := range j.tasksWithLosses {
 			if t.phase != done && !j.ended {
 				s.judgeLosses(t)
 			}
@@ -154,10 +162,10 @@
 	return r != nil && l.incarnation > 0 && r.incarnationStart > l.incarnation
 }
 
-// crashesRunners judges the runners that were lost with a job's waiting tasks, and reports whether the job
-// fails for them.
-func (s *Scheduler) crashesRunners(j *job) bool {
-	for _, t := range j.losing {
+// failIfCrashing judges the losses of a job's waiting tasks. If there are too many under one of them it fails the job,
+// and reports that.
+func (s *Scheduler) failIfCrashing(j *job) bool {
+	for _, t := range j.tasksWithLosses {
 		if t.phase != waiting {
 			continue
 		}
@@ -167,7 +175,7 @@
 			return true
 		}
 	}
-	j.losing = slices.DeleteFunc(j.losing, func(t *taskState) bool { return len(t.losses) == 0 })
+	j.tasksWithLosses = slices.DeleteFunc(j.tasksWithLosses, func(t *taskState) bool { return len(t.losses) == 0 })
 	return false
 }
 
@@ -177,21 +185,23 @@
 	if len(t.losses) < maxCrashes {
 		return false
 	}
-	return slices.ContainsFunc(t.losses, func(l loss) bool { return !l.restarted && s.now-l.at < crashEvidenceTimeout })
+	return slices.ContainsFunc(t.losses, func(l loss) bool {
+		return !l.restarted && s.now-l.at < crashEvidenceTimeout
+	})
 }
 
-// allLosses returns the losses of a task, and the one that the next owner of the shard has to assume.
+// allLosses returns the losses of a task, with the assumed one.
 func (t *taskState) allLosses() []loss {
-	if t.atRisk == nil || slices.ContainsFunc(t.losses, t.atRisk.sameRunner) {
+	if t.assumedLoss == nil || slices.ContainsFunc(t.losses, t.assumedLoss.sameRunner) {
 		return t.losses
 	}
-	return append(slices.Clone(t.losses), *t.atRisk)
+	return append(slices.Clone(t.losses), *t.assumedLoss)
 }
 
 // recordedLosses returns the losses that the job's record has, at most ledger.MaxLosses of them: those of the
 // tasks with the most come first.
 func (j *job) recordedLosses() []ledger.Loss {
-	tasks := slices.Clone(j.losing)
+	tasks := slices.Clone(j.tasksWithLosses)
 	slices.SortStableFunc(tasks, func(a, b *taskState) int { return len(b.losses) - len(a.losses) })
 	var list []ledger.Loss
 	for _, t := range tasks {
@@ -199,7 +209,10 @@
 			if t.phase == done || len(list) == ledger.MaxLosses {
 				continue
 			}
-			list = append(list, ledger.Loss{Step: j.stepIndex(t.name), Index: t.name.Index, Runner: l.runner, Incarnation: l.incarnation, Begun: l.begun, Restarted: l.restarted})
+			list = append(list, ledger.Loss{
+				Step: j.stepIndex(t.name), Index: t.name.Index,
+				Runner: l.runner, Incarnation: l.incarnation, Begun: l.begun, Restarted: l.restarted,
+			})
 		}
 	}
 	return list
@@ -208,10 +221,13 @@
 // restoreLosses adds the losses of a job's record.
 func (s *Scheduler) restoreLosses(j *job, list []ledger.Loss) {
 	for _, l := range list {
-		if l.Step < len(j.steps) && l.Index < len(j.steps[l.Step]) {
-			j.steps[l.Step][l.Index].addLoss(loss{runner: l.Runner, incarnation: l.Incarnation, at: s.now, begun: l.Begun, restarted: l.Restarted})
-			j.begun = true
-			j.ran = j.ran || l.Begun
+		if l.Step >= len(j.steps) || l.Index >= len(j.steps[l.Step]) {
+			continue
 		}
+		j.steps[l.Step][l.Index].addLoss(loss{
+			runner: l.Runner, incarnation: l.Incarnation, at: s.now, begun: l.Begun, restarted: l.Restarted,
+		})
+		j.begun = true
+		j.ran = j.ran || l.Begun
 	}
 }
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -246,7 +246,9 @@
 
 	next := leadingBorn(t, "r1", "r2")
 	again := openRecord(j, 1)
-	again.Losses = append(record.Losses, ledger.Loss{Runner: "r3", Incarnation: 500, Begun: true, Restarted: true}, ledger.Loss{Runner: "r4", Incarnation: 500, Begun: true})
+	again.Losses = append(record.Losses,
+		ledger.Loss{Runner: "r3", Incarnation: 500, Begun: true, Restarted: true},
+		ledger.Loss{Runner: "r4", Incarnation: 500, Begun: true})
 	next.ownRows(2, again)
 	task := next.s.jobs[j.ID].steps[0][0]
 	next.g.Expect(task.crashes()).To(Equal(2))
--- a/core/schedule/described_test.go
+++ b/core/schedule/described_test.go
@@ -64,7 +64,7 @@
 	b := restarted(t)
 	b.tick(time.Second)
 	reads := len(take[RefreshEntries](b))
-	b.g.Expect(reads).To(BeNumerically("<=", 1+int(time.Second/refreshInterval)))
+	b.g.Expect(reads).To(BeNumerically("<=", 1+int(time.Second/entryRefreshInterval)))
 	b.g.Expect(reads).To(BeNumerically(">", 1))
 }
 
--- a/core/schedule/foreign_lease_test.go
+++ b/core/schedule/foreign_lease_test.go
@@ -19,9 +19,15 @@
 	r := b.s.runners["r1"]
 	r.markUnresponsive(b.now)
 	b.s.refuseEarlierOrders(r)
-	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: 10 * time.Second, PriorSubmissions: 1, PriorRunsTTL: 20 * ms})
+	b.s.Submit(b.now, Submission{
+		Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: 10 * time.Second,
+		PriorSubmissions: 1, PriorRunsTTL: 20 * ms,
+	})
 	b.tick(20 * ms)
-	list := HoldResult{Runner: "r1", Token: r.token, Outcome: Accepted, ListOnly: true, Running: []workload.RunKey{runOf(j, 0, 1)}, Clock: b.clock()}
+	list := HoldResult{
+		Runner: "r1", Token: r.token, Outcome: Accepted, ListOnly: true,
+		Running: []workload.RunKey{runOf(j, 0, 1)}, Clock: b.clock(),
+	}
 	for _, h := range take[Hold](b) {
 		if h.Runner != "r1" {
 			b.held(h)
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -35,17 +35,18 @@
 	return r.info.IncarnationStart == 0 || r.info.IncarnationStart == r.incarnationStart
 }
 
-// refreshInterval is how often the platform's list is read for the entries of new incarnations. It is
-// read regularly too, so that a runner that writes its entry late costs no more than one more read.
-const refreshInterval = 300 * time.Millisecond
+// entryRefreshInterval is how often the platform's list is read while the entry of a new incarnation is awaited.
+const entryRefreshInterval = 300 * time.Millisecond
 
-// refreshEntries requests the platform's list while a runner that answers isn't described by it.
+// refreshEntries requests the platform's list while it has the entry of an earlier incarnation of a runner.
 func (s *Scheduler) refreshEntries() {
-	if s.now-s.refreshedAt < refreshInterval {
+	if s.now-s.refreshedAt < entryRefreshInterval {
 		return
 	}
-	undescribed := slices.ContainsFunc(s.runnerList, func(r *runner) bool { return !r.gone && !r.unlisted && !r.described() })
-	if !undescribed {
+	outdated := slices.ContainsFunc(s.runnerList, func(r *runner) bool {
+		return !r.gone && !r.unlisted && !r.described()
+	})
+	if !outdated {
 		return
 	}
 	s.refreshedAt = s.now
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -34,13 +34,15 @@
 	// failedOn are the runners on which a run has failed.
 	failedOn []*runner
 	failures int
-	// losses are the runners that were lost with a run of the task, and suspectSince is when it first
-	// waited for a runner without runs; see crash.go.
+	// losses are the runners that were lost with a run of the task, see crash.go. suspectSince is when it
+	// first waited for a runner without runs, see suspect.go.
 	losses       []loss
 	suspectSince Time
-	// atRisk is the runner on which the task is started after losses, and atRiskSaved the sequence of the record that says so.
-	atRisk      *loss
-	atRiskSaved uint64
+	// assumedLoss is the runner on which the task is started next, as the job's record names it: if this
+	// process is lost, the next owner of the shard has to assume that the runner is. It is nil unless the
+	// task has losses. assumedLossSaved is the sequence of that record.
+	assumedLoss      *loss
+	assumedLossSaved uint64
 	// overstays counts the runs that were stopped as overdue.
 	overstays int
 	// notBefore delays the next start while an earlier run may be alive.
@@ -112,8 +114,8 @@
 	begun, ran bool
 	// restarted: a task was started more than once.
 	restarted bool
-	// losing are the tasks that have losses.
-	losing []*taskState
+	// tasksWithLosses are the tasks that have losses, or had some.
+	tasksWithLosses []*taskState
 	// stored is nil for jobs that aren't kept in the store.
 	stored *stored
 }
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -196,7 +196,7 @@
 	delete(s.rows.moving, id)
 	m.arrived = true
 	if !m.record.Begun() {
-		s.rows.handedOver = append(s.rows.handedOver, handedOver{queue: m.record.Definition.Queue, until: now + handedOverTime})
+		s.rows.movedAway = append(s.rows.movedAway, movedAway{queue: m.record.Definition.Queue, until: now + movedAwayOverlap})
 	}
 	m.record.Done, m.record.Failures, m.record.Losses, m.record.Definition = nil, nil, nil, nil
 	m.record.State = ledger.Moved
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -137,19 +137,23 @@
 
 // startTasks starts the waiting tasks of a job that may be started now, as far as there is room.
 func (s *Scheduler) startTasks(p *placer, j *job) {
-	if s.heldBack(j) || s.crashesRunners(j) {
+	if s.heldBack(j) || s.failIfCrashing(j) {
 		return
 	}
 	for i := range j.steps {
 		if !s.occurrenceDue(j, i) {
 			break
 		}
-		full := len(j.losing) == 0 && p.full(j.stepAt(i), j.work.Service)
+		// A suspect gets a reservation where there is no room.
+		full := len(j.tasksWithLosses) == 0 && p.full(j.stepAt(i), j.work.Service)
 		if !j.ready(i) || full || p.stepMayRun(j, i) {
 			continue
 		}
 		for _, t := range j.steps[i] {
-			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) || s.awaitsCrashEvidence(t) {
+			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) {
+				continue
+			}
+			if s.awaitsCrashEvidence(t) {
 				continue
 			}
 			if r := p.choose(t); r != nil {
--- a/core/schedule/pending.go
+++ b/core/schedule/pending.go
@@ -7,21 +7,18 @@
 
 // The number of waiting jobs, as callers may query it.
 
-// handedOverTime is how long a job counts here after another shard has it. The two counts reach other
-// processes with different heartbeats.
-const handedOverTime = 400 * time.Millisecond
+// movedAwayOverlap is how long a job still counts here after another shard has acknowledged it. The counts of the
+// two shards reach other processes with different heartbeats.
+const movedAwayOverlap = 400 * time.Millisecond
 
-// handedOver is a waiting job that another shard has.
-type handedOver struct {
+// movedAway is a waiting job that another shard has acknowledged. It counts here until a time.
+type movedAway struct {
 	queue string
 	until Time
 }
 
-// RowsLoaded reports whether the jobs that earlier schedulers have accepted are loaded.
-func (s *Scheduler) RowsLoaded() bool { return s.rows.loaded }
-
-// Pending returns the number of jobs of each queue of which no task has begun. A start that isn't confirmed
-// doesn't count as one: its runner may have crashed before. A job that moves counts until the other shard
+// Pending returns the number of jobs of each queue of which no run has begun. A run whose start isn't confirmed
+// hasn't, since its runner may have crashed before. A job that moves to another shard counts here until that shard
 // counts it.
 func (s *Scheduler) Pending(now Time) map[string]int {
 	n := make(map[string]int)
@@ -35,8 +32,8 @@
 			n[m.record.Definition.Queue]++
 		}
 	}
-	s.rows.handedOver = slices.DeleteFunc(s.rows.handedOver, func(h handedOver) bool { return now >= h.until })
-	for _, h := range s.rows.handedOver {
+	s.rows.movedAway = slices.DeleteFunc(s.rows.movedAway, func(h movedAway) bool { return now >= h.until })
+	for _, h := range s.rows.movedAway {
 		n[h.queue]++
 	}
 	return n
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -59,24 +59,6 @@
 	return ok && need.Fits(step.Need)
 }
 
-// choose chooses a runner for a task, as place does. A task with which runners were lost is started there once
-// its job's record says so, and runs alone if there were several.
-func (p *placer) choose(t *taskState) *runner {
-	var r *runner
-	switch {
-	case len(t.losses) == 0:
-		return p.place(t)
-	case len(t.losses) < lossesUntilAlone:
-		r = p.placeAmongOthers(t)
-	default:
-		r = p.placeSuspect(t)
-	}
-	if r == nil || !p.s.declared(t, r) {
-		return nil
-	}
-	return r
-}
-
 // place chooses a runner for a task; nil if there is no room, or if it waits for a faster one.
 //
 // It uses best fit: a task of two fifths of a runner leaves room for another one only if both are
@@ -110,12 +92,16 @@
 
 // mayRunOn reports whether a task can be started on a runner now.
 func (p *placer) mayRunOn(t *taskState, r *runner) bool {
-	step := t.step()
-	if r.info.Service != t.job.work.Service || !r.usable(p.s.now) || !step.Need.Fits(r.free()) {
+	return p.admits(t, r) && t.step().Need.Fits(r.free()) && p.withinSpreadLimit(t, r)
+}
+
+// admits reports whether a runner is usable for a task, whatever else runs there.
+func (p *placer) admits(t *taskState, r *runner) bool {
+	if r.info.Service != t.job.work.Service || !r.usable(p.s.now) || !r.info.HasLabel(t.step().Requires) {
 		return false
 	}
-	owner := r.reservation()
-	return r.info.HasLabel(step.Requires) && p.withinSpreadLimit(t, r) && (owner == nil || owner == t)
+	suspect := r.reservation()
+	return suspect == nil || suspect == t
 }
 
 // withinSpreadLimit reports whether the runner may take one more task of the step.
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -187,7 +187,9 @@
 	next := one[Save](b)
 	b.g.Expect(next.Record.Losses).To(HaveLen(2), "the silent runner, and the next one")
 	b.saved(next)
-	b.g.Expect(string(one[Start](b).Runner)).To(SatisfyAll(Not(Equal(string(first.Runner))), Equal(string(next.Record.Losses[1].Runner))))
+	second := one[Start](b)
+	b.g.Expect(second.Runner).NotTo(Equal(first.Runner))
+	b.g.Expect(second.Runner).To(Equal(next.Record.Losses[1].Runner))
 }
 
 // Guards against jobs that stay stalled while the store is unavailable to all processes, in which
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -210,7 +210,7 @@
 	}
 	t.job.noteRun(e.Run)
 	if u != nil && t.run == u {
-		t.atRisk = nil
+		t.assumedLoss = nil
 	}
 	if e.Checkpoint != "" && (t.run == nil || t.run == u) {
 		t.checkpoint = e.Checkpoint
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -33,8 +33,8 @@
 	early map[workload.JobID][]earlySubmission
 	// moving are jobs that haven't been acknowledged yet by the shard that they move to.
 	moving map[workload.JobID]*move
-	// handedOver are jobs that were acknowledged lately.
-	handedOver []handedOver
+	// movedAway are waiting jobs that another shard has acknowledged lately.
+	movedAway []movedAway
 	// open is the number of stored jobs that haven't ended.
 	open int
 	// refusals are held back until they are certain, see refuse.
@@ -71,6 +71,9 @@
 // SetStoreFailingFor sets how long all calls to the store have failed.
 func (s *Scheduler) SetStoreFailingFor(d time.Duration) { s.rows.failingFor = d }
 
+// RowsLoaded reports whether the jobs that earlier schedulers have accepted are loaded.
+func (s *Scheduler) RowsLoaded() bool { return s.rows.loaded }
+
 // DependsOnRowOwnership reports whether the ownership of the shard's rows matters at present: for
 // open jobs, jobs that move to another shard, ends that wait for acknowledgement, or answers to
 // callers.
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -24,9 +24,9 @@
 	gone bool
 	// incarnationStart is when its incarnation began, in milliseconds since 1970; 0 if unknown.
 	incarnationStart int64
-	// leaving: the entry of the known incarnation said that it drains, so that its runs end with it.
+	// leaving: the entry of the known incarnation says that it drains.
 	leaving bool
-	// reserved is the task that runs alone there, or is to; see reservation.
+	// reserved is the suspect that the runner is, or was, reserved for; see reservation.
 	reserved *taskState
 	// evacuated: its failure domain gets no new tasks.
 	evacuated bool
@@ -34,8 +34,8 @@
 	// another scheduler; owned is set once the runner has answered to that token.
 	token uint64
 	owned bool
-	// tokenRaised: no order under the present token was answered yet, though the runner is owned. Another scheduler
-	// may have had it in between, under a token that isn't higher.
+	// tokenRaised: the token was raised while the runner was owned, and no list was received under it yet. Another
+	// scheduler may have acquired the runner meanwhile, under a token between the two.
 	tokenRaised bool
 	// refusedToken is the last token that the runner has refused, and refusals how often it
 	// has refused one since it was last owned.
@@ -153,7 +153,10 @@
 func (u *run) ofStoredJob() bool { return u.task != nil && u.task.job.stored != nil }
 
 func newRunner(info workload.Runner, now Time) *runner {
-	return &runner{info: info, incarnationStart: info.IncarnationStart, leaving: info.Draining, runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now}
+	return &runner{
+		info: info, incarnationStart: info.IncarnationStart, leaving: info.Draining,
+		runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now,
+	}
 }
 
 // delayTask keeps the run's task from being started again before a time.
--- a/core/schedule/suspect.go
+++ b/core/schedule/suspect.go
@@ -2,17 +2,35 @@
 
 import "time"
 
-// The placement of a task with which runners were lost: where nothing else runs, and only once its job's record says where.
+// The placement of tasks with which runners were lost. One that has lost several is a suspect: it is started on a runner
+// without other runs, so that it crashes no other task's run, and no other task can be the cause of a crash.
 
 const (
-	// aloneTimeout is how long such a task waits for a runner without runs.
-	aloneTimeout = 2 * time.Second
-	// runnersPerReservation is the number of runners of which one may be kept free for such a task.
+	// suspectTimeout is how long a suspect waits for a runner without runs.
+	suspectTimeout = 2 * time.Second
+	// runnersPerReservation is the number of runners of which one may be reserved for a suspect.
 	runnersPerReservation = 16
 )
 
-// placeSuspect chooses a runner without runs for a task with which runners were lost. It reserves one if
-// there is none, and falls back to any runner after a while.
+// choose chooses a runner for a task that may have losses; nil if the task can't be started now.
+func (p *placer) choose(t *taskState) *runner {
+	var r *runner
+	switch {
+	case len(t.losses) == 0:
+		return p.place(t)
+	case len(t.losses) < suspectLosses:
+		r = p.placeAmongOthers(t)
+	default:
+		r = p.placeSuspect(t)
+	}
+	if r == nil || !p.s.startRecorded(t, r) {
+		return nil
+	}
+	return r
+}
+
+// placeSuspect chooses a runner without runs for a suspect. If there is none it reserves a runner, and
+// after suspectTimeout it chooses any.
 func (p *placer) placeSuspect(t *taskState) *runner {
 	if t.suspectSince == 0 {
 		t.suspectSince = p.s.now
@@ -21,15 +39,15 @@
 		r.reserved = t
 		return r
 	}
-	if p.s.now-t.suspectSince >= aloneTimeout {
+	if p.s.now-t.suspectSince >= suspectTimeout {
 		return p.placeAmongOthers(t)
 	}
 	p.reserveRunner(t)
 	return nil
 }
 
-// idleRunner returns the best runner without runs for a suspect, or the one that is reserved for it; nil if there
-// is none.
+// idleRunner returns a runner without runs for a suspect: the one that is reserved for it, or the best one; nil if
+// there is none.
 func (p *placer) idleRunner(t *taskState) *runner {
 	var best *runner
 	for _, r := range p.s.runnerList {
@@ -46,8 +64,8 @@
 	return best
 }
 
-// reserveRunner keeps a runner free for a suspect, unless one is already or enough are for others: the one whose
-// runs are expected to end first.
+// reserveRunner reserves the runner for a suspect whose runs are expected to end first, unless one is reserved for it
+// already, or too many are for others. No other task is started on a reserved runner.
 func (p *placer) reserveRunner(t *taskState) {
 	var best *runner
 	reserved := 0
@@ -70,46 +88,40 @@
 	}
 }
 
-// placeAmongOthers chooses any runner for a task: the one that its record names, if it still has room.
+// placeAmongOthers chooses any runner for a task: preferably the one that the job's record names already.
 func (p *placer) placeAmongOthers(t *taskState) *runner {
-	if t.atRisk != nil {
-		r := p.s.runners[t.atRisk.runner]
-		if r != nil && p.mayRunOn(t, r) {
-			return r
-		}
+	if t.assumedLoss == nil {
+		return p.place(t)
+	}
+	if r := p.s.runners[t.assumedLoss.runner]; r != nil && p.mayRunOn(t, r) {
+		return r
 	}
 	return p.place(t)
 }
 
-// declared reports whether the record of a task's job says on which runner the task is started next. Otherwise
-// the next owner of the shard wouldn't know which runner was lost with it. While the store is unavailable to all
-// processes none can take the shard, so the task doesn't wait.
-func (s *Scheduler) declared(t *taskState, r *runner) bool {
+// startRecorded reports whether the record of a stored job names the runner on which a task is started next, and saves
+// one that does if not. Otherwise the next owner of the shard wouldn't know with which runner the run was lost. While
+// the store is unavailable to all processes none can take the shard, so the task doesn't wait.
+func (s *Scheduler) startRecorded(t *taskState, r *runner) bool {
 	st := t.job.stored
 	if st == nil {
 		return true
 	}
 	l := loss{runner: r.info.ID, incarnation: r.incarnationStart, at: s.now, begun: true}
-	if t.atRisk == nil || !t.atRisk.sameRunner(l) {
-		t.atRisk = &l
+	if t.assumedLoss == nil || !t.assumedLoss.sameRunner(l) {
+		t.assumedLoss = &l
 		s.save(t.job)
-		t.atRiskSaved = st.saving
+		t.assumedLossSaved = st.saving
 	}
-	return st.saved >= t.atRiskSaved || s.rows.failingFor > storeFailureThreshold && s.uncontested()
+	return st.saved >= t.assumedLossSaved || s.rows.failingFor > storeFailureThreshold && s.uncontested()
 }
 
-// mayRunAlone reports whether a task could run on a runner if nothing else did, and the runner isn't reserved
-// for another one.
+// mayRunAlone reports whether a task could be started on a runner if nothing else ran there.
 func (p *placer) mayRunAlone(t *taskState, r *runner) bool {
-	step := t.step()
-	if r.info.Service != t.job.work.Service || !r.usable(p.s.now) || !step.Need.Fits(r.info.Capacity) {
-		return false
-	}
-	owner := r.reservation()
-	return r.info.HasLabel(step.Requires) && (owner == nil || owner == t)
+	return p.admits(t, r) && t.step().Need.Fits(r.info.Capacity)
 }
 
-// idleAt returns when the runs on a runner are expected to have ended.
+// idleAt returns when all runs on the runner are expected to have ended.
 func (r *runner) idleAt() Time {
 	at := Time(0)
 	for _, u := range r.runs {
@@ -118,7 +130,8 @@
 	return at
 }
 
-// reservation returns the task that runs alone on the runner, or is to; nil if there is none.
+// reservation returns the suspect that the runner is reserved for: it waits for the runner, or runs there. nil if
+// there is none.
 func (r *runner) reservation() *taskState {
 	t := r.reserved
 	if t == nil {
--- a/core/schedule/unproven.go
+++ b/core/schedule/unproven.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// Ends of runs whose jobs aren't known, where no stored jobs are known either. Another process may have accepted the first
-// ones without this one's knowledge, so the store has to show whose ends they are.
+// Unproven ends. A process may know of no stored jobs, and list the end of a run whose job it doesn't know. Another process
+// may have accepted the first stored jobs without its knowledge, beyond a network partition for instance. So the end is
+// acknowledged only once the store, read after the end was listed, has no stored jobs.
 
 const (
-	// maxUnprovenEnds bounds the ends that a runner lists again and again while the store can't be read. It is
-	// well below maxEndsPerList, beyond which new ends aren't listed.
+	// maxUnprovenEnds bounds the ends that a runner lists repeatedly while the store is unavailable. It is well
+	// below maxEndsPerList, the number beyond which a runner doesn't list new ends.
 	maxUnprovenEnds = 100
-	// unprovenEndsTimeout is how long the store has to show whose ends they are.
+	// unprovenEndsTimeout is how long the store may take to answer before the bound applies.
 	unprovenEndsTimeout = time.Second
 )
 
@@ -27,9 +28,9 @@
 	return s.rows.noStoredJobsAt < l.unknownSince
 }
 
-// UnprovenEnds returns the number of runners whose ends wait until the store shows that it has no
-// stored jobs. It is 0 if the shard's rows show whose ends they are.
-func (s *Scheduler) UnprovenEnds() int {
+// RunnersWithUnprovenEnds returns the number of runners that have unproven ends, for which the store has to be read. It
+// is 0 if there may be stored jobs: then the shard's rows are claimed, and show to which jobs the ends belong.
+func (s *Scheduler) RunnersWithUnprovenEnds() int {
 	n := 0
 	if !s.leading || !s.rows.noStoredJobs {
 		return n
@@ -42,8 +43,8 @@
 	return n
 }
 
-// boundUnprovenEnds lets a runner's lease expire if too many ends wait there for the store: ends that were listed
-// before bind nobody then, and may be acknowledged.
+// boundUnprovenEnds acknowledges unproven ends after the runner's lease has expired, if there are too many. A scheduler
+// may start a task again whose end was listed under a lease that has expired since.
 func (s *Scheduler) boundUnprovenEnds(r *runner) {
 	if !s.rows.noStoredJobs || len(r.ends) < maxUnprovenEnds || !s.unproven(r.ends[0]) {
 		return
@@ -51,7 +52,10 @@
 	if s.now-r.ends[0].unknownSince < unprovenEndsTimeout {
 		return
 	}
-	s.emit(Decision{Event: "ends-unproven", Runner: r.info.ID, Token: r.token, Reason: "the store can't be read; the lease expires", Age: s.now - r.ends[0].unknownSince})
+	s.emit(Decision{
+		Event: "ends-unproven", Runner: r.info.ID, Token: r.token,
+		Reason: "the store can't be read; the lease expires", Age: s.now - r.ends[0].unknownSince,
+	})
 	for i := range r.ends {
 		if s.unproven(r.ends[i]) {
 			r.ends[i].unknown, r.ends[i].afterLeaseExpiry = false, true
--- a/core/schedule/unproven_end_test.go
+++ b/core/schedule/unproven_end_test.go
@@ -41,13 +41,13 @@
 	b := withoutStoredJobs(t, testRunner("r1"))
 	b.end("r1", 1, runOf(storedJob(1, 100*ms), 0, 1), workload.Done)
 	b.g.Expect(b.acknowledgedSoon()).To(BeZero())
-	b.g.Expect(b.s.UnprovenEnds()).To(Equal(1))
+	b.g.Expect(b.s.RunnersWithUnprovenEnds()).To(Equal(1))
 
 	b.s.NoStoredJobsAt(b.now, b.now-time.Minute)
-	b.g.Expect(b.s.UnprovenEnds()).To(Equal(1), "the store was read before the end was listed")
+	b.g.Expect(b.s.RunnersWithUnprovenEnds()).To(Equal(1), "the store was read before the end was listed")
 
 	b.s.NoStoredJobsAt(b.now, b.now)
-	b.g.Expect(b.s.UnprovenEnds()).To(BeZero())
+	b.g.Expect(b.s.RunnersWithUnprovenEnds()).To(BeZero())
 	b.g.Expect(b.acknowledgedSoon()).To(BeEquivalentTo(1))
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -331,8 +331,8 @@
 	known  bool
 }
 
-// Pending returns the number of jobs of a queue of which no task has started. known is false if this
-// process hasn't heard yet how many there are.
+// Pending returns the number of jobs of a queue of which no task has begun. known is false if this process
+// doesn't know it, see fleet.Node.Pending.
 func (p *Process) Pending(queue string) (count int, known bool) {
 	pending := p.pending.Load()
 	return pending.queues[queue], pending.known
--- a/entry/wire_move.go
+++ b/entry/wire_move.go
@@ -25,7 +25,7 @@
 		move.Failures = append(move.Failures, &pb.FailedRun{Step: uint32(f.Step), Index: uint32(f.Index), Run: uint32(f.Run)})
 	}
 	for _, l := range m.Losses {
-		move.Losses = append(move.Losses, &pb.LostRunner{Step: uint32(l.Step), Index: uint32(l.Index), Runner: string(l.Runner), Born: l.Incarnation, Begun: l.Begun, Restarted: l.Restarted})
+		move.Losses = append(move.Losses, lossMessage(l))
 	}
 	return &pb.FleetMessage{Body: &pb.FleetMessage_JobMove{JobMove: move}}
 }
@@ -45,7 +45,21 @@
 		move.Failures = append(move.Failures, ledger.Failure{Step: int(f.GetStep()), Index: int(f.GetIndex()), Run: int(f.GetRun())})
 	}
 	for _, l := range m.GetLosses() {
-		move.Losses = append(move.Losses, ledger.Loss{Step: int(l.GetStep()), Index: int(l.GetIndex()), Runner: workload.RunnerID(l.GetRunner()), Incarnation: l.GetBorn(), Begun: l.GetBegun(), Restarted: l.GetRestarted()})
+		move.Losses = append(move.Losses, lossOf(l))
 	}
 	return move
 }
+
+func lossMessage(l ledger.Loss) *pb.LostRunner {
+	return &pb.LostRunner{
+		Step: uint32(l.Step), Index: uint32(l.Index),
+		Runner: string(l.Runner), Born: l.Incarnation, Begun: l.Begun, Restarted: l.Restarted,
+	}
+}
+
+func lossOf(m *pb.LostRunner) ledger.Loss {
+	return ledger.Loss{
+		Step: int(m.GetStep()), Index: int(m.GetIndex()),
+		Runner: workload.RunnerID(m.GetRunner()), Incarnation: m.GetBorn(), Begun: m.GetBegun(), Restarted: m.GetRestarted(),
+	}
+}
