Each start of a task that isn't its first leaves a line

A second start had no line of its own: only the reason for which the first run ceased to count had one, and a process that logged none of the known reasons couldn't be told from one that did nothing. task-started-again has both runs, both runners, the evidence and its age, and how long the caller still waits; it warns if the first run's runner has listed no end. No logic changes.

--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -185,6 +185,7 @@
 	u.runner.drop(u)
 	s.ctr.Dropped[why]++
 	s.emitForRun(u, d)
+	s.noteEarlierRun(u, d.evidence(), why.mayOverlap())
 	dropped := newDroppedRun(u, s.now, d.Event+" "+d.Reason)
 	dropped.allowsEnd, dropped.mayOverlap = why.allowsEnd(), why.mayOverlap()
 	dropped.unlisted = why == StoppedUnlisted || why == NeverBegun
@@ -194,6 +195,15 @@
 	s.drops.add(dropped)
 }
 
+// evidence returns the event with its reason and detail.
+func (d Decision) evidence() string {
+	text := d.Event + " " + d.Reason
+	if d.Detail != "" {
+		text += " (" + d.Detail + ")"
+	}
+	return text
+}
+
 // emitForRun logs a decision about a run.
 func (s *Scheduler) emitForRun(u *run, d Decision) {
 	d.Job, d.Run, d.Runner = u.key.Task.Job, u.key, u.runner.info.ID
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -27,6 +27,8 @@
 	lastNumber  int
 	lastStarted int
 	run         *run
+	// earlier is the latest run that has ceased to count here; nil if none has.
+	earlier *earlierRun
 	// unseen: contact with a run of the task was lost before the run's end was listed.
 	unseen bool
 	// checkpoint is the newest one that a runner has listed for the task; "" if none.
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -217,6 +217,7 @@
 	s.closeDrops(u)
 	s.noteNextRun(u)
 	s.logMissingLists(u)
+	s.logStartedAgain(u)
 	s.sendStart(u)
 	s.hold(r)
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -86,6 +86,7 @@
 	"run-overdue":           "a run took far longer than estimated and was stopped",
 	"run-lapsed":            "a runner fell silent and the lease of a run ended",
 	"run-dropped":           "a run ceased to count though its end wasn't listed",
+	"task-started-again":    "a task was started that had, or may have had, a run before",
 	"task-ran-twice":        "a run was found alive beside another run of its task",
 	"dropped-run-done":      "a run that had ceased to count turned out to have ended well",
 	"dropped-run-expired":   "a run that had ceased to count turned out to have ended with its lease",
