A random test of runners beyond a cut that end their runs late, red

TestRandomCutRunnersThatEndLate cuts single runners, the runners of a domain, half of the runners, and whole domains, for 0.7 to 5.5 s, again and again and overlapping; the runners end their runs 0 to 1,500 ms after the lease. Orders to them and new connections time out.

The other tests of core/fleet weren't run with this change.

--- a/core/fleet/connections_test.go
+++ b/core/fleet/connections_test.go
@@ -11,7 +11,7 @@
 // accepts reports whether a runner's host accepts connections from a VM. It does while the runner is
 // starved or silent.
 func (w *world) accepts(n *fakeNode, r *fakeRunner) bool {
-	return r != nil && !r.down && !r.refuses() && w.domainsConnected(n.domain, r.info.Domain)
+	return r != nil && !r.down && !r.refuses() && w.reaches(n, r)
 }
 
 // connection is what a Hold that stayed unanswered shows of its runner's host. A process that is short of
@@ -24,7 +24,7 @@
 		return schedule.ConnectionTimedOut
 	case accepted:
 		return schedule.ConnectionMade
-	case r != nil && (r.dark || !w.domainsConnected(n.domain, r.info.Domain)):
+	case r != nil && (r.dark || !w.reaches(n, r)):
 		return schedule.ConnectionTimedOut
 	}
 	return schedule.ConnectionFailed
--- a/core/fleet/late_kills_test.go
+++ b/core/fleet/late_kills_test.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// state says whether a runner is starved, silent, out of reach since its host refuses connections, or awake.
+// state says whether a runner is starved, silent, out of reach since its host refuses connections, beyond a cut, or
+// awake.
 func (r *fakeRunner) state() string {
 	switch {
 	case r.starved():
@@ -134,6 +135,8 @@
 		return "silent"
 	case r.refuses():
 		return "refused"
+	case r.cut():
+		return "beyond a cut"
 	}
 	return "awake"
 }
--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -43,7 +43,7 @@
 				return
 			}
 			w.after(messageDelay+w.slowed(r), func() {
-				if w.domainsConnected(n.domain, r.info.Domain) && !r.refuses() && !w.answerMissed(n, timeoutAt) {
+				if w.reaches(n, r) && !r.refuses() && !w.answerMissed(n, timeoutAt) {
 					finish(o, clock, incarnationStart, h)
 				}
 			})
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -222,12 +222,12 @@
 	})
 }
 
-// list is the platform's list; the entries of an isolated domain expire.
+// list is the platform's list; the entries of an isolated domain and of runners beyond a cut expire.
 func (w *world) list() fleet.RunnerList {
 	w.revision++
 	l := fleet.RunnerList{Revision: w.revision}
 	for _, r := range w.runners {
-		if w.listed[r.info.ID] && !w.isolated[r.info.Domain] {
+		if w.listed[r.info.ID] && !w.isolated[r.info.Domain] && !r.cut() {
 			l.Runners = append(l.Runners, r.entry())
 		}
 	}
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -37,7 +37,11 @@
 	killDelay, idleUntil time.Duration
 	// refusesUntil is until when its host refuses connections, though the runner goes on.
 	refusesUntil time.Duration
-	down         bool
+	// cutUntil is until when nothing reaches it and it reaches nothing, though it goes on.
+	cutUntil time.Duration
+	// lateUntil is until when it ends its runs late for that reason.
+	lateUntil time.Duration
+	down      bool
 	// dark: it is down, and its machine answers nothing. Otherwise the machine refuses connections then.
 	dark bool
 	// incarnationStart is the start of the runner's incarnation, in milliseconds.
