--- a/core/fleet/cut_runners_test.go
+++ b/core/fleet/cut_runners_test.go
@@ -8,7 +8,8 @@
 )
 
 // Runners beyond a cut: orders to them time out, as do new connections, while the runners go on and end their runs
-// later than their leases. Other cuts and late ends wait for each other (cutOff, makeIdle); these don't.
+// later than their leases. In the faults of other files a cut waits until no runner ends its runs late, and the other way
+// round (cutOff, makeIdle); here they come together.
 
 const (
 	// minCut and maxCut bound how long runners are cut off, and maxLateEnd how late they end their runs then, in
@@ -35,7 +36,7 @@
 	return drawn
 }
 
-// endLate makes a runner end its runs late until a time. A later call counts if its time is later.
+// endLate makes a runner end its runs late until a time. It has no effect if the runner does so for longer already.
 func (r *fakeRunner) endLate(until, lateness time.Duration) {
 	if r.down || until <= r.lateUntil {
 		return
@@ -89,6 +90,7 @@
 	}
 }
 
+// runnerCuts are the faults above, those of single runners more often.
 func runnerCuts() []string {
 	list := append(repeated("runner cut off", 3), repeated("runners of a domain cut off", 2)...)
 	return append(append(list, repeated("half the runners cut off", 2)...), repeated("domain of late runners cut off", 2)...)
--- a/core/schedule/startedagain.go
+++ b/core/schedule/startedagain.go
@@ -10,7 +10,7 @@
 type earlierRun struct {
 	key    workload.RunKey
 	runner workload.RunnerID
-	// evidence is the event and the inputs for which it ceased to count, at the time at.
+	// evidence is the event of the log for which the run ceased to count, with its reason; at is when that was.
 	evidence string
 	at       Time
 	// mayOverlap: see DropReason.mayOverlap.
@@ -26,16 +26,15 @@
 }
 
 // logStartedAgain logs that a task is about to be started which has had a run, or may have had one in an earlier life
-// of its job. It warns if the earlier run's own runner hasn't shown that the run was over.
+// of its job. It warns if the earlier run is known and its runner may not have ended it yet.
 func (s *Scheduler) logStartedAgain(u *run) {
 	d := Decision{Event: "task-started-again", Entry: u.task.job.entry, Token: u.runner.token}
-	switch e := u.task.earlier; {
-	case e != nil:
+	d.Detail = s.describeJob(u.task.job)
+	if e := u.task.earlier; e != nil {
 		d.Reason, d.Age, d.Warning = e.evidence, s.now-e.at, e.mayOverlap
-		d.Detail = fmt.Sprintf("earlier run %s on %s; %s", e.key, e.runner, s.describeJob(u.task.job))
-	default:
+		d.Detail = fmt.Sprintf("earlier run %s on %s; %s", e.key, e.runner, d.Detail)
+	} else {
 		d.Reason, d.Age = s.earlierLife(u.task.job)
-		d.Detail = s.describeJob(u.task.job)
 		if d.Reason == "" {
 			return
 		}
