--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -133,7 +133,7 @@
 		}
 	}()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready")
-	group := w.startCallers(cmp.Or(*callers, 12+12*w.shards))
+	group := w.startCallers(cmp.Or(*callers, w.callers, 12+12*w.shards))
 	wide := w.startWideCallers()
 	injected := w.injectFaults(w.faults, time.Duration(*seconds)*time.Second)
 	w.waitForFaults()
--- a/soak/wide_jobs_test.go
+++ b/soak/wide_jobs_test.go
@@ -98,7 +98,7 @@
 	if w.wide.shortShare == 0 {
 		return group
 	}
-	for i := range cmp.Or(*callers, defaultWideCallers) {
+	for i := range cmp.Or(*callers, w.callers, defaultWideCallers) {
 		number := firstWideCaller + 3*i
 		c := &wideCaller{world: w, rng: w.callerRand(number, 0), number: number, stop: group.stop}
 		group.done.Go(c.run)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -81,6 +81,8 @@
 	minLinksLost int
 	// minRunners and minDomains are the numbers of runners and of failure domains if the flags set fewer.
 	minRunners, minDomains int
+	// callers is the number of callers, and of those of wide jobs, unless the flag sets it; 0 for the usual one.
+	callers int
 	// wide are jobs of many tasks that are submitted beside the others.
 	wide wideJobs
 	// backlog is the length of the queue of new connections to a runner; 0 stands for the system's.
--- a/standin/faults/queue.go
+++ b/standin/faults/queue.go
@@ -47,19 +47,54 @@
 
 // Pause stops the proxy for a time, as if its process got no processor time: it accepts no connections, which wait in
 // the queue, and forwards nothing, in either direction. It goes on with all of that afterwards. Pause has no effect
-// while an earlier pause lasts.
-func (p *Proxy) Pause(d time.Duration) {
+// while an earlier pause lasts, and reports whether it had one.
+func (p *Proxy) Pause(d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	if now.Before(p.pausedUntil) {
-		return
+		return false
 	}
 	p.pausedUntil = now.Add(d)
 	if p.listener != nil {
 		// It ends an Accept that waits.
 		_ = p.listener.SetDeadline(now)
 	}
+	return true
+}
+
+const (
+	// fillTimeout is how long a connection may take to be made while the queue isn't full.
+	fillTimeout = 50 * time.Millisecond
+	// maxFill bounds the connections that fill a queue.
+	maxFill = 64
+)
+
+// DropConnections pauses the proxy for a time and fills its queue, so that requests for new connections are dropped, as
+// beyond a cut. It needs a short queue, see NewProxyWithQueue. It has no effect while a pause lasts.
+func (p *Proxy) DropConnections(d time.Duration) {
+	if !p.Pause(d) {
+		return
+	}
+	made := fillQueue(p.address)
+	time.AfterFunc(d, func() {
+		for _, c := range made {
+			_ = c.Close()
+		}
+	})
+}
+
+// fillQueue makes connections until one isn't made in time, and returns those that were made.
+func fillQueue(address string) []net.Conn {
+	var made []net.Conn
+	for range maxFill {
+		c, err := net.DialTimeout("tcp", address, fillTimeout)
+		if err != nil {
+			break
+		}
+		made = append(made, c)
+	}
+	return made
 }
 
 // waitForPause returns once the proxy isn't paused.
--- a/standin/faults/queue_test.go
+++ b/standin/faults/queue_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// Guards against a proxy whose host seems up though it is to drop requests for connections, and that stays so afterwards.
+func TestProxyDropsConnections(t *testing.T) {
+	g := NewWithT(t)
+	p := newEchoProxy(g, t)
+	p.DropConnections(testPause)
+	g.Expect(dialUntilTimeout(g, p.Address())).To(BeEmpty())
+	g.Eventually(func() error {
+		c, err := net.DialTimeout("tcp", p.Address(), dialTimeout)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = c.Close() }()
+		return roundTrip(c)
+	}, time.Minute, dialTimeout).Should(Succeed())
+}
+
 // newEchoProxy returns a proxy with a short queue to a server that sends back what it gets.
 func newEchoProxy(g *WithT, t *testing.T) *Proxy {
 	target, err := net.Listen("tcp", "127.0.0.1:0")
