Connections that time out are no evidence that a runner's runs are over

What callers saw: a task ran twice, on hosts that drop new connections while their runners go on and end their runs late.

Cause: two connections in a row that weren't made in time counted as the end of a process, 160 ms after its lease. They show that nothing reaches the host, not that its runs are over. Class: the absence of evidence stands for evidence, here the last of three kinds of silence (answers, refusals, time-outs).

Change: no silence is evidence. The runs of a silent runner count for maxLateEnd (6 s) after their lease, whatever connections to its host show; so do prior runs after a change of schedulers, and jobs that may have been sent before wait for silent runners whose host is out of reach as well. The runner's own evidence ends the wait at once, as before. A best-effort job whose run is on such a runner is given up at once, with when to come back: when nothing reaches the host, at the moment at which its task used to be started again; else as soon as too little time would be left if the runner answered now. Cause runner-lost.

Tests that stated the shorter wait, each as strict as before: those of stored jobs and of prior runs wait for 6 s in place of 0.67 s; the harness's unanswered Holds come from a host that may be up; "out of reach" ends no wait any more, so TestTaskOfAnUnreachableRunnerDoesntWaitLonger and TestAResentJobDoesntWaitForAnUnreachableRunner state a shown fault and are replaced by TestTaskOfARunnerOutOfReachWaitsLonger, TestAJobWithARunOutOfReachIsGivenUpAtOnce and TestAResentJobWaits... with time-outs; a fourth start after three lost runners is checked against crashEvidenceTimeout as before; in TestJobsMoveWhereTheyCanBeSaved jobs end within 6 s after the runs on vanished runners are over, not after these vanish.

--- a/core/fleet/moved_test.go
+++ b/core/fleet/moved_test.go
@@ -9,6 +9,10 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
+// vanishedRunLife is how long runs on runners that vanish count, from the last answer on: the scheduler can't tell whether
+// they go on beyond a cut.
+const vanishedRunLife = 6500 * time.Millisecond
+
 // submitStoredJobs submits stored jobs of all shards, and returns those that are accepted.
 func (w *world) submitStoredJobs(count int) []*fakeJob {
 	var jobs []*fakeJob
@@ -85,10 +89,10 @@
 		}
 	}
 	w.removeRunners("a")
-	w.run(6 * time.Second)
+	w.run(vanishedRunLife + 6*time.Second)
 	for _, j := range jobs {
 		if w.layout().StoredJobShard(j.work.ID) == 0 {
-			g.Expect(j.ended).To(BeTrue(), j.work.ID)
+			g.Expect(j.ended).To(BeTrue(), "%s", j.work.ID)
 		}
 	}
 }
--- a/core/schedule/copies_test.go
+++ b/core/schedule/copies_test.go
@@ -69,11 +69,11 @@
 	b.runningTask()
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "no more lines until other lists are missing")
 	j := testJob(1, 400*ms)
-	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: time.Second, PriorSubmissions: 1})
-	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "r3 may be starved, and the job waits")
-	b.leaveHoldUnanswered(silent, ConnectionTimedOut)
-	for begin := b.now; b.now-begin < 220*ms; b.tick(20 * ms) {
-		b.leaveUnanswered("r3", ConnectionTimedOut)
+	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: 9 * time.Second, PriorSubmissions: 1})
+	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "r3 may have runs, and the job waits")
+	b.leaveHoldUnanswered(silent, ConnectionMade)
+	for begin := b.now; b.now-begin < maxLateEnd+40*ms; b.tick(20 * ms) {
+		b.leaveUnanswered("r3", ConnectionMade)
 	}
 	b.g.Expect(take[Decision](b)).To(ContainElement(And(
 		loggedFor("started-without-lists", j.ID, entryA, "runs of 1 earlier schedulers count as over"),
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -195,18 +195,21 @@
 func TestATaskWaitsForTheRunnersThatWereLostWithIt(t *testing.T) {
 	c := leadingBorn(t, "r1", "r2", "r3", "r4")
 	j := storedJob(1, 300*ms)
-	j.Objective = 10 * time.Second
-	c.submit(j, 20*time.Second)
+	j.Objective = 30 * time.Second
+	c.submit(j, 40*time.Second)
 	c.pass(20 * ms)
-	for range maxCrashes {
+	for n := range maxCrashes {
 		start := one[Start](c.harness)
 		c.started(start)
 		c.silent[start.Runner] = true
-		c.pass(1200 * ms)
+		if n < maxCrashes-1 {
+			c.pass(starvedLife + 400*ms)
+		}
 	}
+	c.pass(lossSilence + crashEvidenceTimeout)
 	c.g.Expect(take[Start](c.harness)).To(BeEmpty())
 	c.g.Expect(c.s.jobs[j.ID].ended).To(BeFalse())
-	c.pass(crashEvidenceTimeout)
+	c.pass(time.Second)
 	c.g.Expect(take[Start](c.harness)).To(HaveLen(1), "the runners are lost for good")
 }
 
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -103,13 +103,12 @@
 	allowsEnd bool
 	// mayOverlap: see DropReason.mayOverlap.
 	mayOverlap bool
+	// unreached: nothing had reached the runner's host, so an end by its lease doesn't show that the run was late.
+	unreached bool
 	// unlisted: a list had neither the run nor its end.
 	unlisted bool
-	// mayEndLate: the run may have ended later than its lease, beside the next one: its runner may have been
-	// starved, or its lease isn't known.
-	mayEndLate bool
-	at         Time
-	origin     runOrigin
+	at       Time
+	origin   runOrigin
 	// incarnationStart is that of its runner.
 	incarnationStart int64
 	// next is the task's next run; its number is 0 if there is none.
@@ -123,7 +122,7 @@
 func newDroppedRun(u *run, at Time, evidence string) *droppedRun {
 	return &droppedRun{
 		key: u.key, runner: u.runner.info.ID, evidence: evidence, at: at,
-		origin: originOf(u), incarnationStart: u.runner.incarnationStart, mayEndLate: u.runner.host.mayBeStarved(),
+		origin: originOf(u), incarnationStart: u.runner.incarnationStart, unreached: u.runner.host.outOfReach(),
 	}
 }
 
@@ -272,7 +271,7 @@
 		return nil
 	}
 	d := newDroppedRun(u, u.started, "not known when the other run was started")
-	d.allowsEnd, d.mayOverlap, d.mayEndLate = true, true, true
+	d.allowsEnd, d.mayOverlap = true, true
 	d.setNext(other)
 	s.drops.add(d)
 	return d
@@ -305,7 +304,7 @@
 		s.checkOtherEnd(d, e.Kind)
 	case e.Kind == workload.LeaseExpired:
 		d.reported = true
-		s.emitLateSign("dropped-run-expired", d, e.Kind.String(), d.mayEndLate)
+		s.emitLateSign("dropped-run-expired", d, e.Kind.String(), !d.unreached)
 	case d.allowsEnd:
 		d.reported = true
 		s.ctr.DoneAfterDrop++
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -47,6 +47,22 @@
 	return c
 }
 
+// runningStoredTask starts the only task of a stored job.
+func (b *harness) runningStoredTask() Start {
+	c := b.storedStart()
+	b.started(c, Accepted)
+	return c
+}
+
+// passAndSave lets a moment pass while a runner leaves its Holds unanswered, and saves all records.
+func (b *harness) passAndSave(silent workload.RunnerID, c Connection) {
+	b.leaveUnanswered(silent, c)
+	b.s.RowOwnershipVerified(b.now, b.now)
+	b.tick(20 * ms)
+	b.saved(take[Save](b)...)
+	b.saved(take[Save](b)...)
+}
+
 // restartAfterRejection has a runner reject the order to start a task, and returns both runs of the task.
 func restartAfterRejection(t *testing.T) (b *harness, first, second Start) {
 	b = leading(t, testRunner("r1"), testRunner("r2"))
@@ -159,7 +175,7 @@
 				b.answerHold(h, Unanswered)
 			}
 		}
-		b.silence(c.Runner, maxRunLife(b.s.cfg.Lease)+40*ms, b.tick)
+		b.silence(c.Runner, starvedLife+40*ms, b.tick)
 		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-lapsed", c.Run, "runner is silent")))
 		b.started(one[Start](b), Accepted)
 		if running {
@@ -179,11 +195,11 @@
 func TestRunThatExpiredOnAStarvedRunnerIsReported(t *testing.T) {
 	for connection, warns := range map[Connection]bool{ConnectionMade: true, ConnectionFailed: true, ConnectionTimedOut: false} {
 		b := leading(t, testRunner("r1"), testRunner("r2"))
-		c := b.runningTask()
+		c := b.runningStoredTask()
 		for b.s.runners[c.Runner].runs[c.Run] != nil {
-			b.leaveUnanswered(c.Runner, connection)
-			b.tick(20 * ms)
+			b.passAndSave(c.Runner, connection)
 		}
+		b.passAndSave(c.Runner, connection)
 		b.started(one[Start](b), Accepted)
 		take[Decision](b)
 		b.end(c.Runner, 1, c.Run, workload.LeaseExpired)
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -158,8 +158,7 @@
 	if o == Unanswered {
 		clock.Milliseconds = 0
 		if h.NewConnection {
-			// The runner's host is out of reach.
-			connection = ConnectionTimedOut
+			connection = ConnectionMade
 		}
 	}
 	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, ReachabilityOnly: h.ReachabilityOnly, Outcome: o, Connection: connection, Running: running, Clock: clock})
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -63,7 +63,7 @@
 	}
 	r.noteAnsweredHold(res)
 	r.noteSilence(res)
-	r.host = host{awake: true}
+	r.host = host{answers: true}
 	s.unanswered(r)
 	s.probe(r)
 }
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -136,10 +136,10 @@
 	b.started(c, Accepted)
 	b.end("r1", 1, c.Run, workload.Done)
 	b.wait(100 * ms)
-	b.submit(testJob(1, 60*ms), 4*time.Second)
+	b.submit(testJob(1, 60*ms), 9*time.Second)
 	b.started(one[Start](b), Unanswered)
 	b.started(one[Start](b), Unanswered)
-	b.silence("r1", maxRunLife(b.s.cfg.Lease)+40*ms, b.tick)
+	b.silence("r1", starvedLife+40*ms, b.tick)
 	r := b.s.runners["r1"]
 	b.g.Expect(r.runs).To(BeEmpty(), "the run has lapsed")
 	take[Hold](b)
@@ -159,17 +159,14 @@
 			b.s.runners["r1"].incarnationStart = firstIncarnation
 			b.s.runners["r2"].incarnationStart = firstIncarnation
 		}
-		b.submit(testJob(1, 60*ms), 4*time.Second)
+		b.submit(testJob(1, 60*ms), 9*time.Second)
 		b.started(one[Start](b), Unanswered)
 		second := one[Start](b)
 		b.started(second, Unanswered)
-		ordered := b.now
-		b.silence(second.Runner, maxRunLife(b.s.cfg.Lease)+20*ms, b.tick)
-		b.g.Expect(take[Start](b)).To(HaveLen(map[bool]int{false: 1, true: 0}[known]))
-		if known {
-			b.tick(ordered + maxRunLife(maxLease) + 20*ms - b.now)
-			b.g.Expect(one[Start](b).Runner).NotTo(Equal(second.Runner))
-		}
+		b.silence(second.Runner, starvedLife-20*ms, b.tick)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		b.silence(second.Runner, 60*ms, b.tick)
+		b.g.Expect(one[Start](b).Runner).NotTo(Equal(second.Runner))
 	}
 }
 
@@ -180,7 +177,7 @@
 	c := b.runningTask()
 	b.s.runners[c.Runner].incarnationStart = secondIncarnation
 	renewals := 0
-	for range 100 {
+	for begin := b.now; b.now-begin < starvedLife+100*ms; {
 		for _, h := range take[Hold](b) {
 			if h.Runner != c.Runner {
 				b.held(h)
--- a/core/schedule/orphan_test.go
+++ b/core/schedule/orphan_test.go
@@ -107,8 +107,8 @@
 			aliveUntil := b.s.runners[c.Runner].aliveUntil
 			b.g.Expect(aliveUntil).To(BeNumerically(">", b.now))
 			lose(b, c)
-			b.submit(j, 6*time.Second)
-			at := b.startsBeside(c, 3*time.Second)
+			b.submit(j, 12*time.Second)
+			at := b.startsBeside(c, 3*time.Second+maxLateEnd)
 			b.g.Expect(at).To(BeNumerically(">", aliveUntil), "the orphan's lease lasts until then")
 		})
 	}
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -235,9 +235,18 @@
 // probe sends a silent runner another Hold, at once or after an interval.
 func (s *Scheduler) probe(r *runner) {
 	r.nextHoldAt = s.now
-	if silence := s.now - max(r.clockAt, r.lastAskedAt); silence > immediateProbeSilence && !(r.hasTaskRuns() && s.now < r.leaseOverAt()) {
-		r.nextHoldAt = s.now + min(silence/4, maxProbeInterval)
+	if interval := r.probeInterval(s.now); interval > 0 && !(r.hasTaskRuns() && s.now < r.leaseOverAt()) {
+		r.nextHoldAt = s.now + interval
 	} else if !r.holdInFlight {
 		s.hold(r)
 	}
 }
+
+// probeInterval returns how long to wait before an order that a runner has left unanswered is sent again.
+func (r *runner) probeInterval(now Time) time.Duration {
+	silence := now - max(r.clockAt, r.lastAskedAt)
+	if silence <= immediateProbeSilence {
+		return 0
+	}
+	return min(silence/4, maxProbeInterval)
+}
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -7,16 +7,14 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Prior runs on runners that may be starved.
+// Prior runs on silent runners.
 //
 // A scheduler learns the prior runs of a job from the runners' lists. A runner that has listed nothing since the
-// job came may have such a run, and if it is starved it ends the run later than its lease. Under the scheduler
-// that started the run it counts for maxStarvation from the end of the lease (see silence.go). The next scheduler
-// doesn't know which jobs have runs there, so it waits as long with each step of which a task may have a run on
-// such a runner.
+// job came may have such a run, and may end it later than its lease. Under the scheduler that started the run it
+// counts for maxLateEnd from the end of the lease (see silence.go). The next scheduler doesn't know which jobs have
+// runs there, so it waits as long with each step of which a task may have a run on such a runner.
 //
-// A runner that can't take a step's tasks has no run of them. The runs on one whose host is out of reach are
-// over by priorRunsOverAt.
+// A runner that can't take a step's tasks has no run of them.
 
 // priorRuns are what is known of the runs that earlier schedulers may have started for a job.
 type priorRuns struct {
@@ -24,20 +22,20 @@
 	// of them had ordered must be over: lists that are requested then or later show all of its runs.
 	priorSchedulers  int
 	listsNeededSince Time
-	// priorRunsOverAt is when the runs can't be alive any more on runners that haven't answered and aren't
-	// starved, and starvedRunsOverAt when they can't on starved ones; 0 if none can be on such a runner.
+	// priorRunsOverAt is when the runs can't be alive any more on runners that end their runs in time, and
+	// starvedRunsOverAt when they can't on silent ones, which may end them late; 0 if none can be on such a runner.
 	priorRunsOverAt, starvedRunsOverAt Time
 }
 
 // noteStarvedOver records until when prior runs of some job may be alive on runners that are starved.
 func (s *Scheduler) noteStarvedOver(at Time) { s.starvedOverAt = max(s.starvedOverAt, at) }
 
-// mayHaveUnlistedRuns reports whether the runner has listed nothing since a time and may be starved, so that it
-// may have runs that this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
-// unlistedGrace, counts as gone: it has written no entry for longer than maxStarvation.
+// mayHaveUnlistedRuns reports whether the runner has listed nothing since a time, so that it may have runs that
+// this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
+// unlistedGrace, counts as gone: it has written no entry for longer than maxLateEnd.
 func (r *runner) mayHaveUnlistedRuns(since, now Time) bool {
 	expired := r.unlisted && now-r.unlistedAt >= unlistedGrace
-	return !r.gone && !expired && !r.listedSince(since) && r.host.mayBeStarved()
+	return !r.gone && !expired && !r.listedSince(since)
 }
 
 // canTake reports whether the runner could take a task of a step if it ran nothing else.
@@ -45,6 +43,20 @@
 	return r.info.HasLabel(step.Requires) && step.Need.Fits(r.info.Capacity)
 }
 
+// unlistedRunOutOfReach reports whether a best-effort job waits for a task that may have a prior run on a runner whose
+// host is out of reach.
+func (p *placer) unlistedRunOutOfReach(j *job) bool {
+	if j.stored != nil || p.s.now >= j.starvedRunsOverAt || j.waiting == 0 {
+		return false
+	}
+	for _, r := range p.runnersToAwait(j.work.Service) {
+		if r.host.outOfReach() && !r.listedSince(j.listsNeededSince) && j.anyWaiting(r.canTake) {
+			return true
+		}
+	}
+	return false
+}
+
 // runnersToAwait lists the runners of a service that may have prior runs which they haven't listed, of any job.
 func (p *placer) runnersToAwait(service string) []*runner {
 	if list, ok := p.awaitedRunners[service]; ok {
@@ -60,7 +72,7 @@
 	return list
 }
 
-// stepMayRun reports whether a task of a job's step may have a prior run on a runner that may be starved.
+// stepMayRun reports whether a task of a job's step may have a prior run on a silent runner.
 func (p *placer) stepMayRun(j *job, i int) bool {
 	if p.s.now >= j.starvedRunsOverAt {
 		return false
@@ -114,5 +126,5 @@
 	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.starvedRunsOverAt })
 }
 
-// starvedOver returns when prior runs are over on starved runners, if they are by a time on all others.
-func starvedOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxStarvation }
+// starvedOver returns when prior runs are over on silent runners, if they are by a time on all others.
+func starvedOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxLateEnd }
--- a/core/schedule/resent.go
+++ b/core/schedule/resent.go
@@ -6,16 +6,15 @@
 //
 // If the scheduler that had such a job is lost too, the job reaches the next one as a new job. That
 // scheduler finds the runs of the first attempt on the runners' lists. It can't see a run on a runner that
-// hasn't listed its runs since this process leads; unless the runner's host is out of reach, its process may
-// be starved, and may end the run later than its lease. So jobs that may have been sent before wait until each such
-// runner has listed its runs, or must have ended those of the scheduler before.
+// hasn't listed its runs since this process leads, and that may end the run later than its lease. So jobs that may
+// have been sent before wait until each such runner has listed its runs, or resentWait is over.
 //
 // Callers send a job again Resend after they have lost their entry process at the earliest. Which processes were
 // lost when is known from their last messages, so most new jobs can be told from such jobs and don't wait.
 
 const (
 	// resentWait is how long after a takeover jobs that may have been sent before wait for lists. It is shorter
-	// than maxStarvation, since all new jobs of a service may have to wait, and for one runner.
+	// than maxLateEnd, since all new jobs of a service may have to wait, and for one runner.
 	resentWait = time.Second
 	// resentPeriod is how long after the last message of a lost entry process its jobs may be sent again while
 	// a run of theirs is waited for: the scheduler notices the loss, renews the run for abandonedGrace, and the
@@ -69,10 +68,5 @@
 	return false
 }
 
-// mayHoldRuns reports whether the runner, acquired and asked for its lists, has given none, and may be starved.
-func (r *runner) mayHoldRuns() bool {
-	if r.owned || r.gone || r.token == 0 {
-		return false
-	}
-	return r.host.mayBeStarved()
-}
+// mayHoldRuns reports whether the runner, acquired and asked for its lists, has given none.
+func (r *runner) mayHoldRuns() bool { return !r.owned && !r.gone && r.token != 0 }
--- a/core/schedule/resent_test.go
+++ b/core/schedule/resent_test.go
@@ -47,7 +47,7 @@
 // Guards against a second run of a job that its caller sends again after its entry process and its scheduler
 // were lost, while a starved runner, which hasn't listed its runs yet, still has a run of it.
 func TestAResentJobWaitsForARunnerThatMayBeStarved(t *testing.T) {
-	for _, c := range []Connection{ConnectionMade, ConnectionFailed} {
+	for _, c := range []Connection{ConnectionMade, ConnectionFailed, ConnectionTimedOut} {
 		b := takingOver(t, c)
 		b.passUntilResent(c)
 		b.submit(testJob(1, 400*ms), 4*time.Second)
@@ -73,14 +73,6 @@
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
 
-// Guards against a wait for a runner that is out of reach: its lease is over when callers send their jobs again.
-func TestAResentJobDoesntWaitForAnUnreachableRunner(t *testing.T) {
-	b := takingOver(t, ConnectionTimedOut)
-	b.passUntilResent(ConnectionTimedOut)
-	b.submit(testJob(1, 400*ms), 4*time.Second)
-	b.g.Expect(take[Start](b)).To(HaveLen(1))
-}
-
 // Guards against the same second run where the scheduler's process has just started, so that it doesn't know
 // which processes were lost before.
 func TestAProcessThatHasJustStartedCountsAllJobsAsResent(t *testing.T) {
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -56,16 +56,16 @@
 }
 
 // A runner becomes unreachable with a run on it. The task starts on another runner no sooner than
-// the lease must have expired on the slowest clock, and the probes of the silent runner in the
+// the run must be over after its lease on the slowest clock, and the probes of the silent runner in the
 // meantime renew no lease.
 func TestSilentRunner(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
 	j := testJob(1, 300*ms)
-	b.submit(j, 3*time.Second)
+	b.submit(j, 9*time.Second)
 	start := one[Start](b)
 	b.started(start, Accepted)
 	last := b.now
-	for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += 20 * ms {
+	for elapsed := time.Duration(0); elapsed < 8*time.Second; elapsed += 20 * ms {
 		for _, h := range take[Hold](b) {
 			if h.Runner != start.Runner {
 				b.held(h)
@@ -79,7 +79,7 @@
 		b.tick(20 * ms)
 		if again := take[Start](b); len(again) > 0 {
 			b.g.Expect(again[0].Runner).NotTo(Equal(start.Runner))
-			b.g.Expect(b.now - last).To(BeNumerically(">=", maxRunLife(b.s.cfg.Lease)))
+			b.g.Expect(b.now - last).To(BeNumerically(">=", starvedLife))
 			return
 		}
 	}
@@ -91,7 +91,7 @@
 // VM is unreachable.
 func TestLeaseExpiryWithASilentEntryVM(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
-	b.submit(testJob(1, 300*ms), 3*time.Second)
+	b.submit(testJob(1, 300*ms), 9*time.Second)
 	start := one[Start](b)
 	b.started(start, Accepted)
 	for range 22 {
@@ -104,7 +104,7 @@
 		}
 		b.waitWithoutEntry(20 * ms)
 	}
-	b.silence(start.Runner, maxRunLife(b.s.cfg.Lease)-22*20*ms+40*ms, b.waitWithoutEntry)
+	b.silence(start.Runner, starvedLife-22*20*ms+40*ms, b.waitWithoutEntry)
 	b.g.Expect(take[Decision](b)).To(ContainElement(HaveField("Event", "run-lapsed")))
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	b.s.EntryLost(b.now, entryA, false)
@@ -214,8 +214,8 @@
 		}
 	}
 	handed := b.now
-	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: 3 * time.Second, PriorSubmissions: 1, PriorRunsTTL: 1300 * ms})
-	for range 100 {
+	b.s.Submit(b.now, Submission{Job: testJob(1, 50*ms), Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: 9 * time.Second, PriorSubmissions: 1, PriorRunsTTL: 1300 * ms})
+	for range 400 {
 		b.tick(20 * ms)
 		for _, h := range take[Hold](b) {
 			if h.Runner == "r1" {
@@ -225,7 +225,7 @@
 			}
 		}
 		if len(take[Start](b)) > 0 {
-			b.g.Expect(b.now - handed).To(BeNumerically(">=", 1300*ms))
+			b.g.Expect(b.now - handed).To(BeNumerically(">=", 1300*ms+maxLateEnd))
 			return
 		}
 	}
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -8,32 +8,31 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// A silent runner has crashed, is out of reach, or gets no processor time. In the last case it ends its
-// runs only when it gets some, later than its lease. Its runs count as over if all of these hold:
+// A silent runner has crashed, is out of reach, or gets no processor time. In the last two cases its runs may be alive:
+// beyond a cut they go on, and a runner that gets no processor time ends them only when it gets some, later than its
+// lease. Silence of no kind tells these cases apart. Its runs count as over if all of these hold:
 //
-//   - Their lease has ended, also if the runner's clock is slow.
-//   - The runner has left an order unanswered that was sent after that, and after its last answer. If it
+//   - Their lease has ended, also if the runner's clock is slow, and maxLateEnd has passed since.
+//   - The runner has left an order unanswered that was sent after the end of the lease, and after its last answer. If it
 //     answers, its lists show what has become of the runs.
-//   - No new connection to its host was made since its last answer, and outOfReachAttempts in a row weren't made
-//     in time. Otherwise the runner's process may be alive, and the times below must have passed as well.
 //
-// A refused connection is no evidence, like one that is accepted: it shows that a listener is missing or that
-// something on the way refuses, and the process may go on with its runs. The runner's own evidence ends the wait at
-// once: an answer with its lists, another incarnation at its address, or a restart. That its entry has left the
-// store doesn't end the wait sooner, since a starved process doesn't renew the entry either.
+// A connection that is accepted, refused or not made in time is no evidence. The runner's own evidence ends the wait at
+// once: an answer with its lists, another incarnation at its address, or a restart. That its entry has left the store
+// doesn't end the wait sooner, since a runner that is cut off or gets no processor time doesn't renew the entry either.
+//
+// Callers of best-effort jobs don't wait that long. They are given up as soon as waiting has little sense, see
+// Scheduler.awaitsLostRun.
 const (
-	// maxStarvation is how long a runner may get no processor time. It matters from the end of its lease at the
-	// latest, when a runner that isn't starved ends its runs. That its answers stop shows no earlier start, since
-	// they may be lost. Callers have given up by the end of it; tasks of stored jobs go on elsewhere.
-	maxStarvation = 6 * time.Second
-	// starvedEndMargin is added to lateEndMargin for such a runner.
-	starvedEndMargin = 250 * time.Millisecond
+	// maxLateEnd is how much later than its lease a runner may end a run. It is longer than callers of best-effort
+	// jobs wait; tasks of stored jobs go on elsewhere after it.
+	maxLateEnd = 6 * time.Second
 	// outOfReachAttempts is the number of connections in a row that weren't made in time from which on a host
 	// counts as out of reach. One may be lost on the way.
 	outOfReachAttempts = 2
 )
 
-// host is what orders without an answer have shown of a runner's host since the runner's last answer.
+// host is what orders without an answer have shown of a runner's host since the runner's last answer. None of it shows
+// that a run is over; it says how likely the runner is to answer soon.
 type host struct {
 	// refused: its latest answer to a new connection was a refusal. It is for logs only.
 	refused bool
@@ -42,8 +41,8 @@
 	made bool
 	// timedOut is the number of new connections in a row, up to the latest, that weren't made in time.
 	timedOut int
-	// awake: the runner has answered, though what it said can't be used; so it isn't starved.
-	awake bool
+	// answers: the runner has answered, though what it said can't be used.
+	answers bool
 }
 
 // observe adds what an order without an answer shows.
@@ -63,12 +62,6 @@
 // outOfReach reports whether nothing has reached the host since the runner's last answer.
 func (h host) outOfReach() bool { return !h.made && h.timedOut >= outOfReachAttempts }
 
-// mayBeStarved reports whether the runner's process may be alive and end its runs late: it doesn't answer for want
-// of processor time, or its host refuses connections.
-func (h host) mayBeStarved() bool {
-	return !h.awake && !h.outOfReach()
-}
-
 // String describes the host in logs.
 func (h host) String() string {
 	switch {
@@ -76,7 +69,7 @@
 		return "host out of reach"
 	case h.refused:
 		return "host refuses connections"
-	case h.awake:
+	case h.answers:
 		return "runner answers"
 	}
 	return "host may be up"
@@ -85,7 +78,7 @@
 // leaseEndsAt returns when the latest lease of the runner ends, by a slow clock.
 func (r *runner) leaseEndsAt() Time { return r.aliveUntil - leaseMargin - lateEndMargin }
 
-// leaseOverAt returns when a runner that isn't starved has ended its runs after that.
+// leaseOverAt returns when a runner that is punctual has ended its runs after that.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
 // askableAt returns the time from which on an order that stays unanswered is evidence that the runs are over.
@@ -94,13 +87,27 @@
 // askedInVain reports whether an order that was sent at askableAt or later has stayed unanswered.
 func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.askableAt() }
 
+// runsOverAt returns when the runs of a silent runner count as over.
+func (r *runner) runsOverAt() Time { return r.leaseEndsAt() + maxLateEnd }
+
 // runsOver reports whether the runs of a silent runner count as over.
-func (s *Scheduler) runsOver(r *runner) bool {
-	over := r.aliveUntil
-	if r.host.mayBeStarved() {
-		over = max(r.aliveUntil+starvedEndMargin, r.leaseEndsAt()+maxStarvation)
-	}
-	return r.askedInVain() && s.now > over
+func (s *Scheduler) runsOver(r *runner) bool { return r.askedInVain() && s.now > r.runsOverAt() }
+
+// lost reports whether a silent runner has left unanswered what it was asked after its lease, so that it has ended its
+// runs if it is punctual.
+func (r *runner) lost(now Time) bool { return r.askedInVain() && now > r.aliveUntil }
+
+// awaitsLostRun reports whether a best-effort job waits in vain for runs that can't be shown to be over before its
+// caller leaves: nothing reaches the host of their runner, or too little time would be left if the runner answered now.
+func (s *Scheduler) awaitsLostRun(p *placer, j *job) bool {
+	lost, unreachable := false, false
+	j.eachTask(func(t *taskState) {
+		if t.run != nil && t.run.runner.lost(s.now) {
+			lost = true
+			unreachable = unreachable || t.run.runner.host.outOfReach()
+		}
+	})
+	return unreachable || lost && s.hopeless(j) || p.unlistedRunOutOfReach(j)
 }
 
 // askAfterLease asks an unresponsive runner for its lists once its lease is over.
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -30,11 +30,10 @@
 func TestLapsedRunIsLoggedWithItsEvidence(t *testing.T) {
 	for connection, said := range map[Connection]string{ConnectionMade: "host may be up", ConnectionFailed: "host refuses connections", ConnectionTimedOut: "host out of reach"} {
 		b := leading(t, testRunner("r1"))
-		c := b.runningTask()
+		c := b.runningStoredTask()
 		var lapsed []Decision
 		for end := b.now + starvedLife + time.Second; b.now < end; {
-			b.leaveUnanswered(c.Runner, connection)
-			b.tick(20 * ms)
+			b.passAndSave(c.Runner, connection)
 			for _, d := range take[Decision](b) {
 				if d.Event == "run-lapsed" {
 					lapsed = append(lapsed, d)
@@ -60,13 +59,13 @@
 
 // starvedLife is how long after its last answer, and a lease that was sent then, the runs of a runner count
 // whose host accepts connections.
-var starvedLife = max(maxRunLife(DefaultConfig().Lease)+starvedEndMargin, DefaultConfig().Lease*(100+clockDriftPercent)/100+maxStarvation)
+var starvedLife = DefaultConfig().Lease*(100+clockDriftPercent)/100 + maxLateEnd
 
-// silentFor returns how long after the last lease was sent a task is started elsewhere whose runner
+// silentFor returns how long after the last lease was sent a task of a stored job is started elsewhere whose runner
 // leaves all orders unanswered.
 func silentFor(t *testing.T, connection Connection) Time {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
-	c := b.runningTask()
+	c := b.runningStoredTask()
 	last := b.now
 	for b.now-last < 3*starvedLife {
 		for _, h := range take[Hold](b) {
@@ -75,8 +74,7 @@
 			}
 			b.out = append(b.out, h)
 		}
-		b.leaveUnanswered(c.Runner, connection)
-		b.tick(20 * ms)
+		b.passAndSave(c.Runner, connection)
 		if len(take[Start](b)) > 0 {
 			return b.now - last
 		}
@@ -98,15 +96,110 @@
 	NewWithT(t).Expect(silentFor(t, ConnectionFailed)).To(BeNumerically(">", starvedLife))
 }
 
+// Guards against a task that runs twice since nothing reaches its runner: the runner may go on beyond a cut and end
+// its runs late.
+func TestTaskOfARunnerOutOfReachWaitsLonger(t *testing.T) {
+	NewWithT(t).Expect(silentFor(t, ConnectionTimedOut)).To(BeNumerically(">", starvedLife))
+}
+
 // Guards against the same when answers of the runner were lost before it is starved: it may carry out its orders
 // until its lease ends, and be starved from then on.
 func TestTaskOfARunnerWhoseAnswersAreLostBeforeItIsStarvedWaits(t *testing.T) {
-	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", DefaultConfig().Lease*(100+clockDriftPercent)/100+maxStarvation))
+	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", DefaultConfig().Lease*(100+clockDriftPercent)/100+maxLateEnd))
+}
+
+// givenUpAfter returns how long after the last lease was sent a best-effort job is given up whose only run is on a
+// runner that leaves all orders unanswered. The caller waits for a time, and the task takes as long as its estimate.
+func givenUpAfter(t *testing.T, connection Connection, timeout, estimate time.Duration) (Answer, Time) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, estimate), timeout)
+	c := one[Start](b)
+	b.started(c, Accepted)
+	last := b.now
+	for {
+		for _, h := range take[Hold](b) {
+			if h.Runner == c.Runner && h.LeaseEnd > 0 {
+				last = b.now
+			}
+			b.out = append(b.out, h)
+		}
+		b.leaveUnanswered(c.Runner, connection)
+		b.tick(20 * ms)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		if answers := take[Answer](b); len(answers) > 0 {
+			return answers[0], b.now - last
+		}
+	}
 }
 
-// Guards against a task that waits for a runner that can't be reached for longer than its lease.
-func TestTaskOfAnUnreachableRunnerDoesntWaitLonger(t *testing.T) {
-	NewWithT(t).Expect(silentFor(t, ConnectionTimedOut)).To(BeNumerically("<=", maxRunLife(DefaultConfig().Lease)+40*ms))
+// Guards against a caller who is kept waiting for a run that can't be shown to be over in time: nothing reaches its runner.
+func TestAJobWithARunOutOfReachIsGivenUpAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	answer, after := givenUpAfter(t, ConnectionTimedOut, 4*time.Second, 400*ms)
+	g.Expect(after).To(BeNumerically("~", maxRunLife(DefaultConfig().Lease), 60*ms))
+	g.Expect(answer.Outcome).To(Equal(workload.GaveUp), "the run may be alive")
+	g.Expect(answer.Cause).To(Equal(workload.RunnerLost))
+	g.Expect(answer.RetryAfter).To(BeNumerically(">=", minRetryAfter))
+}
+
+// Guards against a caller who is kept waiting though the task couldn't be done in time any more if its runner answered.
+func TestAJobWithALostRunIsGivenUpOnceTooLittleTimeIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	for _, connection := range []Connection{ConnectionMade, ConnectionFailed} {
+		answer, after := givenUpAfter(t, connection, 1500*ms, 600*ms)
+		g.Expect(after).To(BeNumerically(">=", maxRunLife(DefaultConfig().Lease)))
+		g.Expect(after).To(BeNumerically("<", 1300*ms))
+		g.Expect(answer.Cause).To(Equal(workload.RunnerLost))
+	}
+}
+
+// Guards against a job that is given up though its runner, which is starved, may answer in time.
+func TestAJobWithALostRunWaitsWhileThereIsTime(t *testing.T) {
+	g := NewWithT(t)
+	_, after := givenUpAfter(t, ConnectionMade, 4*time.Second, 300*ms)
+	g.Expect(after).To(BeNumerically(">", 3*time.Second))
+}
+
+// Guards against a second run of a job that was given up with a run out of reach and is sent again: the run counts until
+// it must be over, and the job is given up at once each time before.
+func TestAJobThatWasGivenUpWithALostRunIsSentAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j := testJob(1, 400*ms)
+	b.submit(j, 4*time.Second)
+	c := one[Start](b)
+	b.started(c, Accepted)
+	givenUp := 0
+	pass := func() {
+		b.leaveUnanswered(c.Runner, ConnectionTimedOut)
+		b.tick(20 * ms)
+		for range take[Answer](b) {
+			givenUp++
+			b.submit(j, 4*time.Second)
+		}
+	}
+	for begin := b.now; b.now-begin < starvedLife-20*ms; {
+		pass()
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+	}
+	b.g.Expect(givenUp).To(BeNumerically(">", 10))
+	for range 10 {
+		pass()
+	}
+	b.g.Expect(one[Start](b).Runner).NotTo(Equal(c.Runner))
+}
+
+// Guards against a caller who is kept waiting for a prior run of its job on a runner that nothing reaches.
+func TestAJobWithAPriorRunOutOfReachIsGivenUpAtOnce(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.s.acquire(b.s.runners["r2"])
+	b.handOver(testJob(1, 400*ms), 4*time.Second)
+	begin := b.now
+	for len(take[Answer](b)) == 0 {
+		b.leaveUnanswered("r2", ConnectionTimedOut)
+		b.tick(20 * ms)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+	}
+	b.g.Expect(b.now - begin).To(BeNumerically("<", time.Second))
 }
 
 // Guards against a task that runs twice though its runner would answer: a Hold stayed unanswered before
@@ -253,7 +346,7 @@
 	b.tick(300 * ms)
 	again := one[Start](b)
 	b.started(again, Accepted)
-	for answeredAt := b.now; b.now < answeredAt+b.s.cfg.HoldWait+maxStarvation; {
+	for answeredAt := b.now; b.now < answeredAt+b.s.cfg.HoldWait+maxLateEnd; {
 		b.leaveUnanswered(again.Runner, ConnectionMade)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
 		b.tick(20 * ms)
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -208,7 +208,7 @@
 		s.unanswered(r)
 		if u != nil {
 			u.stopping = false
-			u.stopAt = now
+			u.stopAt = now + r.probeInterval(now)
 		}
 	}
 	s.dispatch()
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -21,8 +21,9 @@
 		return
 	}
 	// Jobs come first: one that is dropped now renews no lease.
+	p := newPlacer(s)
 	for _, j := range s.sortedJobs() {
-		s.tickJob(j)
+		s.tickJob(p, j)
 	}
 	for _, r := range s.runnerList {
 		s.tickRunner(r)
@@ -48,7 +49,7 @@
 	}
 }
 
-func (s *Scheduler) tickJob(j *job) {
+func (s *Scheduler) tickJob(p *placer, j *job) {
 	if j.stored != nil {
 		s.tickStoredJob(j)
 		return
@@ -61,6 +62,8 @@
 		s.finishRefused(j, workload.NotRun, workload.TimeUp, "time is up")
 	case !j.started && (s.hopeless(j) || j.worthless(s.now) && j.late(s.now)):
 		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
+	case s.awaitsLostRun(p, j):
+		s.finishRefused(j, workload.NotRun, workload.RunnerLost, "a task may still run on a runner that doesn't answer")
 	case j.idle() && s.hopeless(j):
 		// Its caller would wait in vain, and is told at once.
 		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
@@ -140,7 +143,7 @@
 		// It may belong to a stored job that isn't loaded yet. No lease is granted meanwhile.
 	case u.task == nil && u.stopAt > 0 && s.now >= u.stopAt:
 		s.stopRun(u, StopOrphan)
-	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0:
+	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0 && s.now >= u.stopAt:
 		s.stopRun(u, StopUnconfirmed)
 	case u.task != nil && !u.stopping && u.overdueAt > 0 && s.now >= u.overdueAt:
 		s.stopOverdue(u)
--- a/core/schedule/unsettled_test.go
+++ b/core/schedule/unsettled_test.go
@@ -16,7 +16,7 @@
 	first := b.storedStart()
 	b.started(first, Accepted)
 	var again []Start
-	for from := b.now; len(again) == 0 && b.now-from < 2*time.Second; again = take[Start](b) {
+	for from := b.now; len(again) == 0 && b.now-from < starvedLife+time.Second; again = take[Start](b) {
 		for _, h := range take[Hold](b) {
 			if h.Runner == first.Runner {
 				b.answerHold(h, Unanswered)
@@ -28,6 +28,7 @@
 		b.saved(take[Save](b)...)
 	}
 	b.g.Expect(again).To(HaveLen(1))
+	take[Stop](b) // those of the silent run, which is overdue
 	b.end(first.Runner, 1, first.Run, workload.Done)
 	b.saved(take[Save](b)...)
 	return b, again[0]
@@ -63,7 +64,7 @@
 	for _, stop := range take[Stop](b) {
 		b.stopped(stop, Unanswered)
 	}
-	for from := b.now; b.now-from < maxRunLife(b.s.cfg.Lease)+100*ms; {
+	for from := b.now; b.now-from < starvedLife+100*ms; {
 		for _, h := range take[Hold](b) {
 			b.answerHold(h, Unanswered)
 		}
