A job that is known to have run waits for runners that haven't listed their runs

What callers saw: a task that runs twice. All processes are killed while a runner is starved, and the job is sent again. The next scheduler knows from another runner's lists that tasks of the job have run, and still started the others as those of a new job.

Cause: only jobs that are handed over, or whose entry process was lost, wait for runners that may hold runs. Change: a job of which a task is known to have run does too, for as long as such runs may live after the takeover. New jobs don't wait.

TestAJobThatIsKnownToHaveRunWaitsForUnlistedRuns fails without it.

--- a/core/schedule/resent_test.go
+++ b/core/schedule/resent_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // entryLost is the entry process that is lost before a scheduler takes over.
@@ -66,6 +68,19 @@
 	b.g.Expect(b.startedWithin(20*ms, ConnectionMade)).To(BeTrue())
 }
 
+// Guards against a second run of a job that is sent again: a task of it has ended on a runner that has listed that, and
+// another one may run on a runner that hasn't listed its runs.
+func TestAJobThatIsKnownToHaveRunWaitsForUnlistedRuns(t *testing.T) {
+	for _, c := range []Connection{ConnectionMade, ConnectionFailed, ConnectionUnknown} {
+		b := takingOver(t, c)
+		j := testJob(2, 400*ms)
+		b.end("r1", 1, runOf(j, 0, 1), workload.Done)
+		b.submit(j, 9*time.Second)
+		b.g.Expect(b.startedWithin(b.s.leadingSince+maxPriorRunLife+maxLateEnd-b.now-20*ms, c)).To(BeFalse())
+		b.g.Expect(b.startedWithin(60*ms, c)).To(BeTrue())
+	}
+}
+
 // Guards against a wait of new jobs for a runner that hangs, though their callers can't have sent them before.
 func TestANewJobDoesntWaitForARunnerThatMayBeStarved(t *testing.T) {
 	b := takingOver(t, ConnectionMade)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -113,7 +113,9 @@
 	s.notePriorSubmissions(j, sub)
 	s.recallPriorRuns(j)
 	if _, ok := s.ranJobs[sub.Job.ID]; ok {
+		// An earlier scheduler may have started other tasks of it, on runners that haven't listed their runs.
 		j.started = true
+		j.starvedRunsOverAt = max(j.starvedRunsOverAt, s.starvedOverAt)
 	}
 	return j
 }
