Warnings are the last log lines to be dropped

Cause: a full queue of pending lines dropped any line, and a fault fills it just when the warnings about it are written.

Change: 4096 further places of the one queue are for warnings and errors only, so these keep their order among the other lines; ordinary lines are dropped from 4096 pending lines on, as before. Writers still never wait. The last batch of Close takes ordinary lines up to 32 KiB and warnings up to 64 KiB; before, 32 KiB of any. log-lines-dropped has warnings= if any of the dropped lines were.

--- a/logging/async.go
+++ b/logging/async.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,23 +13,29 @@
 	// maxPendingLines is the maximum number of lines that wait to be written; a busy process
 	// logs as many within some seconds.
 	maxPendingLines = 4096
+	// maxPendingWarnings is the number of further places that only warnings and errors take.
+	maxPendingWarnings = 4096
+	// batchSize is the number of bytes from which on no more lines are added to those written in one call.
+	batchSize = 32 << 10
 	// dropReportInterval is the minimum time between two reports of dropped lines.
 	dropReportInterval = time.Second
 )
 
 // AsyncWriter writes lines in the background. If the output is too slow, lines are dropped and
-// counted: requests must not wait for the log.
+// counted, warnings and errors last: requests must not wait for the log.
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
 	closing chan struct{}
 	dropped atomic.Uint64
-	done    sync.WaitGroup
+	// droppedWarnings are those of the dropped lines that were warnings or errors.
+	droppedWarnings atomic.Uint64
+	done            sync.WaitGroup
 }
 
 // NewAsyncWriter returns a writer that writes to out in the background until it is closed.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, maxPendingLines), closing: make(chan struct{})}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, maxPendingLines+maxPendingWarnings), closing: make(chan struct{})}
 	w.done.Add(1)
 	go w.run()
 	return w
@@ -38,22 +45,40 @@
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	select {
 	case <-w.closing:
-		w.dropped.Add(1)
+		w.drop(line)
 		return len(line), nil
 	default:
 	}
+	if len(w.lines) >= maxPendingLines && !isWarning(line) {
+		w.drop(line)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop(line)
 	}
 	return len(line), nil
 }
 
+// isWarning reports whether a line is a warning or an error: its second pair is the level.
+func isWarning(line []byte) bool {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	return bytes.HasPrefix(rest, []byte("level=warn ")) || bytes.HasPrefix(rest, []byte("level=error "))
+}
+
+// drop counts a line that isn't written.
+func (w *AsyncWriter) drop(line []byte) {
+	w.dropped.Add(1)
+	if isWarning(line) {
+		w.droppedWarnings.Add(1)
+	}
+}
+
 // Dropped returns the number of lines dropped so far.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes a last batch of pending lines, see appendPending, and stops the writer. Pending
+// Close writes a last batch of pending lines, see appendLast, and stops the writer. Pending
 // lines beyond that batch and lines written later are dropped and counted.
 func (w *AsyncWriter) Close() {
 	close(w.closing)
@@ -72,10 +97,9 @@
 		case line := <-w.lines:
 			buf = append(buf, line...)
 		case <-w.closing:
-			buf = w.appendPending(buf)
-			w.dropPending()
-			if n := w.dropped.Load(); n > reported {
-				buf = appendDropReport(buf, n)
+			buf = w.appendLast(buf)
+			if w.dropped.Load() > reported {
+				buf = w.appendDropReport(buf)
 			}
 			// An error can't be reported: the log is where it would be reported.
 			_, _ = w.out.Write(buf)
@@ -83,33 +107,43 @@
 		}
 		buf = w.appendPending(buf)
 		if n := w.dropped.Load(); n > reported && time.Since(lastReport) > dropReportInterval {
-			buf = appendDropReport(buf, n)
+			buf = w.appendDropReport(buf)
 			reported, lastReport = n, time.Now()
 		}
 		_, _ = w.out.Write(buf)
 	}
 }
 
-// dropPending drops and counts all pending lines.
-func (w *AsyncWriter) dropPending() {
+// appendLast appends pending lines until buf holds batchSize, and warnings until it holds twice as much. It drops
+// and counts the others.
+func (w *AsyncWriter) appendLast(buf []byte) []byte {
 	for {
 		select {
-		case <-w.lines:
-			w.dropped.Add(1)
+		case line := <-w.lines:
+			if len(buf) < batchSize || len(buf) < 2*batchSize && isWarning(line) {
+				buf = append(buf, line...)
+			} else {
+				w.drop(line)
+			}
 		default:
-			return
+			return buf
 		}
 	}
 }
 
-// appendDropReport appends a line with the number of lines dropped so far.
-func appendDropReport(buf []byte, total uint64) []byte {
-	return fmt.Appendf(buf, "time=%s level=warn event=log-lines-dropped total=%d\n", time.Now().Format(time.RFC3339Nano), total)
+// appendDropReport appends a line with the number of lines dropped so far, and of the warnings among them.
+func (w *AsyncWriter) appendDropReport(buf []byte) []byte {
+	warnings := w.droppedWarnings.Load()
+	buf = fmt.Appendf(buf, "time=%s level=warn event=log-lines-dropped total=%d", time.Now().Format(time.RFC3339Nano), w.dropped.Load())
+	if warnings > 0 {
+		buf = fmt.Appendf(buf, " warnings=%d", warnings)
+	}
+	return append(buf, '\n')
 }
 
-// appendPending appends pending lines until buf holds 32 KiB, so that many are written in one call.
+// appendPending appends pending lines until buf holds batchSize, so that many are written in one call.
 func (w *AsyncWriter) appendPending(buf []byte) []byte {
-	for len(buf) < 32<<10 {
+	for len(buf) < batchSize {
 		select {
 		case line := <-w.lines:
 			buf = append(buf, line...)
