task-started-again warns wherever no runner has shown that the earlier run is over

Cause: the line was a warning only for a run that this process had counted itself, for a task that still had its job. For a job that came again, or came from another scheduler, and after a stop that was never shown to be carried out, it was a plain line whatever was known.

Which cases have no evidence, by reading: - A run that lapsed, was fenced, or whose stop timed out, also if it was an orphan by then, so that only the memory of dropped runs has it. Its runner shows that it is over by a late end, by a list without it (requested once a stop must be over), or by another incarnation at its address. Then it is no warning any more, which it was before. - A run whose runner restarted while its start was unconfirmed or sent twice. A confirmed run whose start was sent once ended with the restart: no warning any more. - A job with schedulers before: a runner that could take the task has listed nothing since the handover. - A job that is remembered as having run: the same since this process leads, unless all its runs that are known were started here since then. That is recorded now beside the time, so that a job that ran only here and is sent again isn't a warning because an unrelated runner is silent. Plain as before: an end that was listed, stopped-unlisted and never-begun (an answer with its lists), starts that were rejected, outdated ones among them: TestOutdatedStartIsNoSignOfASecondRun demands that, though such an answer shows only that a run had ended or was being stopped.

No line, as before: a job that may have been sent before of which nothing is known here.

The detail of a warning says what is missing: the dropped run with its reason, or the runners without lists.

--- a/core/schedule/copies.go
+++ b/core/schedule/copies.go
@@ -35,8 +35,8 @@
 	if j := s.jobs[id]; j != nil {
 		return fmt.Sprintf("in progress here for %s, %d runs", j.entry, j.runs), s.now - j.arrived
 	}
-	if at, ok := s.ranJobs[id]; ok {
-		return "tasks of it may have run here", s.now - at
+	if ran, ok := s.ranJobs[id]; ok {
+		return "tasks of it may have run here", s.now - ran.at
 	}
 	return "", 0
 }
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -103,6 +103,9 @@
 	allowsEnd bool
 	// mayOverlap: see DropReason.mayOverlap.
 	mayOverlap bool
+	// lacksEvidence: its runner hadn't shown that it was over, see dropLacksEvidence. endListed: its end was listed
+	// since. restarted: it was dropped since its runner had restarted.
+	lacksEvidence, endListed, restarted bool
 	// unreached: nothing had reached the runner's host, so an end by its lease doesn't show that the run was late.
 	unreached bool
 	// unlisted: a list had neither the run nor its end.
@@ -184,8 +187,9 @@
 	u.runner.drop(u)
 	s.ctr.Dropped[why]++
 	s.emitForRun(u, d)
-	s.noteEarlierRun(u, d.evidence(), why.mayOverlap())
 	dropped := newDroppedRun(u, s.now, d.Event+" "+d.Reason)
+	s.noteEarlierRun(u, d.evidence(), dropped)
+	dropped.lacksEvidence, dropped.restarted = dropLacksEvidence(u, why), why == RunnerRestarted
 	dropped.allowsEnd, dropped.mayOverlap = why.allowsEnd(), why.mayOverlap()
 	dropped.unlisted = why == StoppedUnlisted || why == NeverBegun
 	if other := s.otherRun(u); other != nil {
@@ -293,6 +297,9 @@
 // warning. u is the run, if it is known.
 func (s *Scheduler) checkListedEnd(r *runner, u *run, e workload.End) {
 	d := s.drops.find(e.Run, r)
+	if d != nil {
+		d.endListed = true
+	}
 	if d == nil && (u == nil || u.task == nil) {
 		d = s.uncountedEnd(r, u, e)
 	}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -115,6 +115,8 @@
 	granted bool
 	// begun: a start of one of its tasks is known to have been ordered. ran: a run of one is known to have begun.
 	begun, ran bool
+	// onlyHere: nothing is known of runs that other schedulers have started, or this one before it led again.
+	onlyHere bool
 	// restarted: a task was started more than once.
 	restarted bool
 	// tasksWithLosses are the tasks that have losses, or had some.
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -353,7 +353,7 @@
 	}
 	s.ctr.Lending.JobsLent++
 	s.forget(j)
-	s.ranJobs[j.work.ID] = s.now
+	s.ranJobs[j.work.ID] = ranJob{at: s.now}
 	s.borrowing.lent[j.work.ID] = lentJob{entry: j.entry, to: to, at: s.now}
 	s.emit(a)
 }
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -123,7 +123,7 @@
 }
 
 func (s *Scheduler) applyDone(name workload.TaskName) {
-	s.ranJobs[name.Job] = s.now
+	s.ranJobs[name.Job] = ranJob{at: s.now}
 	j := s.jobs[name.Job]
 	if j == nil {
 		s.doneWithoutJob[name] = doneRun{at: s.now}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -177,8 +177,9 @@
 func (s *Scheduler) addListedRun(r *runner, k workload.RunKey) *run {
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, startedElsewhere: true, stopAt: s.now + orphanGrace}
 	r.add(u)
-	s.ranJobs[k.Task.Job] = s.now
+	s.ranJobs[k.Task.Job] = ranJob{at: s.now}
 	if j := s.jobs[k.Task.Job]; j != nil {
+		j.onlyHere = false
 		s.adopt(j, u)
 	}
 	return u
@@ -230,7 +231,7 @@
 
 // endedUnknown records the end of a run whose job isn't known, or has no such task.
 func (s *Scheduler) endedUnknown(e workload.End) {
-	s.ranJobs[e.Run.Task.Job] = s.now
+	s.ranJobs[e.Run.Task.Job] = ranJob{at: s.now, onlyHere: s.ranJobs[e.Run.Task.Job].onlyHere}
 	if e.Kind == workload.Done {
 		s.doneWithoutJob[e.Run.Task] = doneRun{number: e.Run.Number, at: s.now}
 	}
@@ -248,7 +249,7 @@
 		return
 	}
 	s.emit(Decision{Event: "run-ended", Job: t.name.Job, Run: e.Run, Runner: u.runner.info.ID, Reason: e.Kind.String(), Age: s.now - u.started})
-	s.noteEarlierRun(u, "run-ended "+e.Kind.String(), false)
+	s.noteEarlierRun(u, "run-ended "+e.Kind.String(), nil)
 	s.requeue(t)
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -128,7 +128,7 @@
 	lastContact map[EntryID]Time
 	// ranJobs are jobs without an outcome of which tasks have run, or may have run under an
 	// earlier scheduler, and when that was last recorded.
-	ranJobs map[workload.JobID]Time
+	ranJobs map[workload.JobID]ranJob
 	// unstored are jobs that are known not to be stored ones, for a while after they have
 	// ended.
 	unstored  map[workload.JobID]Time
@@ -187,7 +187,7 @@
 		cancelled:      make(map[workload.JobID]Time),
 		lastContact:    make(map[EntryID]Time),
 		unreachable:    make(map[string]Time),
-		ranJobs:        make(map[workload.JobID]Time),
+		ranJobs:        make(map[workload.JobID]ranJob),
 		unstored:       make(map[workload.JobID]Time),
 		priorRuns:      make(map[workload.JobID]priorRuns),
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -112,9 +112,13 @@
 	s.setExpected(j)
 	s.notePriorSubmissions(j, sub)
 	s.recallPriorRuns(j)
-	if _, ok := s.ranJobs[sub.Job.ID]; ok {
-		// An earlier scheduler may have started other tasks of it, on runners that haven't listed their runs.
+	ran, ok := s.ranJobs[sub.Job.ID]
+	if ok {
 		j.started = true
+	}
+	j.onlyHere = !ok || s.knowsAllRuns(ran)
+	if !j.onlyHere {
+		// An earlier scheduler may have started other tasks of it, on runners that haven't listed their runs.
 		j.starvedRunsOverAt = max(j.starvedRunsOverAt, s.starvedOverAt)
 	}
 	return j
@@ -324,7 +328,7 @@
 // and must not be told then that nothing was run.
 func (s *Scheduler) noteRan(j *job) {
 	if j.started {
-		s.ranJobs[j.work.ID] = s.now
+		s.ranJobs[j.work.ID] = ranJob{at: s.now, onlyHere: s.leading && j.onlyHere && j.priorSchedulers == 0}
 	}
 	if j.stored == nil {
 		s.unstored[j.work.ID] = s.now
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -209,7 +209,7 @@
 	s.expiredAt = s.now
 	expireBefore(s.cancelled, s.now-resultRetention)
 	expireBefore(s.unreachable, s.now-UnreachableTimeout)
-	expireBefore(s.ranJobs, s.now-ranRetention)
+	maps.DeleteFunc(s.ranJobs, func(_ workload.JobID, r ranJob) bool { return r.at < s.now-ranRetention })
 	expireBefore(s.unstored, s.now-ranRetention)
 	oldestDone := s.now - s.cfg.Resend - leadershipTimeout
 	maps.DeleteFunc(s.doneWithoutJob, func(_ workload.TaskName, d doneRun) bool { return d.at < oldestDone })
