Runs of a runner that was fenced count until its lists show that they are over

Cause: the runs of a runner that has accepted a higher token counted as over 1.3 s later, and so did lost orphans, whether or not the runner was heard of again. A runner that is cut off since ends its runs late: 1,500 ms late is after that. For a job that its caller sent again even that wait was lost, since it was kept with the task.

Change: all runs of a fenced runner are remembered as lost runs, by task, until a list of their runner shows them to be over or maxLateEnd has passed since their leases. Best-effort jobs that can't be done after that are given up as soon as the runner, asked again, doesn't answer.

--- a/core/schedule/elsewhere.go
+++ b/core/schedule/elsewhere.go
@@ -67,14 +67,14 @@
 	})
 }
 
-// orphanAlive reports whether an orphan of a job may be alive here, or a lost one.
+// orphanAlive reports whether an orphan of a job may be alive here, or a lost run.
 func (s *Scheduler) orphanAlive(id workload.JobID) bool {
 	for _, r := range s.runnerList {
 		if len(r.orphansOf(id)) > 0 {
 			return true
 		}
 	}
-	for task, lost := range s.lostOrphans {
+	for task, lost := range s.lostRuns {
 		if task.Job == id && slices.ContainsFunc(lost, s.mayBeAlive) {
 			return true
 		}
--- a/core/schedule/elsewhere_test.go
+++ b/core/schedule/elsewhere_test.go
@@ -87,6 +87,7 @@
 		b.g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
 
 		b.stopped(stop, Unanswered)
+		overAt := b.s.runners[c.Runner].runsOverAt()
 		if lost {
 			b.listsFenced(c.Runner)
 		}
@@ -96,7 +97,10 @@
 
 		b.now += 2 * ms
 		if lost {
-			b.now += b.s.cfg.Resend
+			b.now = overAt - ms
+			b.submitCopy(j, entryA)
+			b.g.Expect(one[Answer](b).Lent).To(BeFalse(), "the run may end late")
+			b.now = overAt
 		} else {
 			b.end(c.Runner, 1, c.Run, workload.Stopped)
 		}
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -127,7 +127,7 @@
 		mayBegin := !u.confirmed || u.startAttempts > 1
 		if u.task == nil {
 			if mayBegin {
-				s.noteLostOrphan(u, true)
+				s.noteLostRun(u, lostRun{overAt: s.now + s.cfg.Resend, restarted: true})
 			}
 			continue
 		}
--- /dev/null
+++ b/core/schedule/late_end_test.go
@@ -0,0 +1,115 @@
+package schedule
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// Runs that end later than their lease on runners that nothing reaches, and the ways other than silence by which they cease
+// to count.
+
+// startWhileSilent returns when a task is started again while a runner leaves all Holds unanswered, or 0 if it isn't. Records
+// are saved at once.
+func (b *harness) startWhileSilent(k workload.TaskName, silent workload.RunnerID, d time.Duration) Time {
+	for end := b.now + d; b.now < end; {
+		b.passAndSave(silent, ConnectionTimedOut)
+		take[Stop](b)
+		for _, c := range take[Start](b) {
+			if c.Run.Task == k {
+				return b.now
+			}
+			b.started(c, Accepted)
+		}
+	}
+	return 0
+}
+
+// expectWait checks that a task isn't started before a time while a runner is silent, and that it is soon after it.
+func (b *harness) expectWait(k workload.TaskName, silent workload.RunnerID, until Time) {
+	b.t.Helper()
+	at := b.startWhileSilent(k, silent, until-b.now+200*ms)
+	b.g.ExpectWithOffset(1, at).To(BeNumerically(">=", until), "started %v too early", until-at)
+}
+
+// Guards against a second run beside one on a runner that another scheduler has taken: it is cut off then, and ends the run
+// late.
+func TestARunOnAFencedRunnerThatIsSilentSinceCounts(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningStoredTask()
+	over := b.s.runners[c.Runner].runsOverAt()
+	b.listsFenced(c.Runner)
+	b.expectWait(c.Run.Task, c.Runner, over)
+}
+
+// Guards against a task that waits longer than before though the runner, taken back, has shown that the run is over.
+func TestARunOnAFencedRunnerThatListsItsRunsIsOver(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	c := b.runningTask()
+	b.wait(contestedReacquireDelay)
+	for _, h := range take[Hold](b) {
+		b.answerHold(h, Accepted, c.Run)
+	}
+	b.listsFenced(c.Runner)
+	fenced := b.now
+	took, starts := b.passUnlisted(b.s.cfg.Resend + 40*ms)
+	b.g.Expect(starts).To(HaveLen(1))
+	b.g.Expect(b.now - fenced).To(Equal(took))
+	b.g.Expect(took).To(BeNumerically(">=", b.s.cfg.Resend))
+}
+
+// Guards against a second run of a job that its caller sends again: the wait for its first run was lost with the job.
+func TestTheWaitForARunOnAFencedRunnerOutlivesItsJob(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j, c := b.runningJob(400 * ms)
+	over := b.s.runners[c.Runner].runsOverAt()
+	b.listsFenced(c.Runner)
+	b.s.Abandon(b.now, entryA, j.ID)
+	for begin := b.now; b.now-begin < 4*time.Second; {
+		b.tick(20 * ms)
+		b.leaveUnanswered(c.Runner, ConnectionMade)
+	}
+	b.submit(j, 9*time.Second)
+	for b.now < over {
+		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v too early", over-b.now)
+		b.tick(20 * ms)
+		b.leaveUnanswered(c.Runner, ConnectionMade)
+	}
+	b.tick(20 * ms)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
+
+// Guards against a second run beside an orphan on a runner that was lost and is silent since.
+func TestALostOrphanOnASilentRunnerCounts(t *testing.T) {
+	for name, lose := range maps.Clone(losses) {
+		t.Run(name, func(t *testing.T) {
+			b, j, c := unstoppableOrphan(t)
+			over := b.s.runners[c.Runner].runsOverAt()
+			lose(b, c)
+			b.submit(j, 20*time.Second)
+			b.g.Expect(b.startsBeside(c, 2*maxLateEnd)).To(BeNumerically(">=", over))
+		})
+	}
+}
+
+// Guards against callers that wait in vain for a run on a fenced runner which nothing reaches.
+func TestAJobIsGivenUpWhoseRunOnAFencedRunnerCantBeShownToBeOver(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j, c := b.runningJob(400 * ms)
+	b.s.jobs[j.ID].deadline = b.now + 4*time.Second
+	b.listsFenced(c.Runner)
+	fenced := b.now
+	var answers []Answer
+	for len(answers) == 0 && b.now-fenced < 3*time.Second {
+		b.tick(20 * ms)
+		b.leaveUnanswered(c.Runner, ConnectionTimedOut)
+		answers = take[Answer](b)
+	}
+	b.g.Expect(answers).To(ConsistOf(And(HaveField("Outcome", workload.GaveUp), HaveField("Cause", workload.RunnerLost))))
+	b.g.Expect(b.now - fenced).To(BeNumerically("<", contestedReacquireDelay+longSilence))
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+}
--- /dev/null
+++ b/core/schedule/lostrun.go
@@ -0,0 +1,126 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
+)
+
+// A lost run is one that was dropped together with all runs of its runner, and may be alive: the runner was fenced,
+// this scheduler has retired, or the runner has restarted and the run's start may reach the new incarnation. Of a
+// retired scheduler only orphans count: its jobs go to the next scheduler, which waits for their prior runs. Jobs that
+// their callers send again reach another entry process, which hands them in as new ones. A task is started only once
+// its lost runs are over: their runners have listed their runs since without them, or maxLateEnd has passed since
+// their leases.
+
+// lostRun is a lost run as it is remembered.
+type lostRun struct {
+	key    workload.RunKey
+	runner workload.RunnerID
+	lostAt Time
+	// overAt is when it is over though its runner has listed nothing since.
+	overAt Time
+	// restarted: its runner has restarted, and with it ended the stops that were in progress.
+	restarted bool
+}
+
+// lostRuns are the lost runs by their tasks.
+type lostRuns map[workload.TaskName][]lostRun
+
+// noteLostRuns remembers the runs of a runner that are about to be dropped, if lost says so.
+func (s *Scheduler) noteLostRuns(r *runner, lost func(*run) bool) {
+	s.expireLostRuns()
+	overAt := max(s.now+s.cfg.Resend, r.runsOverAt())
+	for _, u := range r.runs {
+		if lost(u) {
+			s.noteLostRun(u, lostRun{overAt: overAt})
+		}
+	}
+}
+
+// expireLostRuns forgets the lost runs of tasks that have none any more which may be alive.
+func (s *Scheduler) expireLostRuns() {
+	maps.DeleteFunc(s.lostRuns, func(_ workload.TaskName, list []lostRun) bool {
+		return !slices.ContainsFunc(list, s.mayBeAlive)
+	})
+}
+
+// noteLostRun remembers a lost run.
+func (s *Scheduler) noteLostRun(u *run, l lostRun) {
+	l.key, l.runner, l.lostAt = u.key, u.runner.info.ID, s.now
+	t := u.key.Task
+	s.lostRuns[t] = append(s.lostRuns[t], l)
+}
+
+// abandoned reports whether a run is an orphan or is about to become one.
+func (u *run) abandoned() bool { return u.task == nil || u.task.job.abandonedAt > 0 }
+
+// anyRun selects all runs.
+func anyRun(*run) bool { return true }
+
+// lostRunAlive reports whether a lost run of a task may be alive.
+func (s *Scheduler) lostRunAlive(t *taskState) bool {
+	return slices.ContainsFunc(s.lostRuns[t.name], s.mayBeAlive)
+}
+
+// mayBeAlive reports whether a lost run may be alive.
+func (s *Scheduler) mayBeAlive(l lostRun) bool {
+	if s.now >= l.overAt {
+		return false
+	}
+	r := s.runners[l.runner]
+	return r == nil || !r.gone && !s.listedWithout(r, l)
+}
+
+// listedWithout reports whether the runner's list of a time after a run was lost doesn't have the run.
+func (s *Scheduler) listedWithout(r *runner, l lostRun) bool {
+	return r.owned && r.listAsOf >= s.listNeededSince(r, l) && r.runs[l.key] == nil
+}
+
+// listNeededSince returns from when on a list of its runner shows whether a lost run is over. A stop that another
+// scheduler had sent may have been in progress as the runner was acquired again.
+func (s *Scheduler) listNeededSince(r *runner, l lostRun) Time {
+	if l.restarted {
+		return l.lostAt
+	}
+	return max(l.lostAt, r.acquiredAt) + s.longestStop()
+}
+
+// awaitsLostRunInVain reports whether a best-effort job waits for a lost run that can't be shown to be over before its
+// caller leaves. The run's runner, asked again, doesn't answer; if nothing reaches its host it won't soon. Until Resend
+// after the loss no run counts, since runners that another scheduler has taken are asked again by then.
+func (s *Scheduler) awaitsLostRunInVain(j *job) bool {
+	if len(s.lostRuns) == 0 {
+		return false
+	}
+	silent, overAt := false, s.now
+	j.eachTask(func(t *taskState) {
+		if t.phase != waiting {
+			return
+		}
+		for _, l := range s.lostRuns[t.name] {
+			r := s.runners[l.runner]
+			if s.now < l.lostAt+s.cfg.Resend || !s.mayBeAlive(l) || r != nil && !r.unresponsive {
+				continue
+			}
+			silent = true
+			if r == nil || r.host.outOfReach() {
+				overAt = max(overAt, l.overAt)
+			}
+		}
+	})
+	return silent && completionProbability(j.expected, s.fastestPace(j.work.Service), j.deadline-overAt) < minCompletionProbability
+}
+
+// askForLostRuns requests the lists that show whether lost runs are over.
+func (s *Scheduler) askForLostRuns() {
+	for _, t := range slices.SortedFunc(maps.Keys(s.lostRuns), compareTasks) {
+		for _, l := range s.lostRuns[t] {
+			r := s.runners[l.runner]
+			if r != nil && r.owned && !r.unresponsive && s.mayBeAlive(l) && s.now >= s.listNeededSince(r, l) {
+				s.requestList(r)
+			}
+		}
+	}
+}
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -114,7 +114,7 @@
 		return false
 	}
 	over := true
-	j.eachTask(func(t *taskState) { over = over && t.phase != running && t.notBefore <= s.now && !s.lostOrphanAlive(t) })
+	j.eachTask(func(t *taskState) { over = over && t.phase != running && t.notBefore <= s.now && !s.lostRunAlive(t) })
 	return over
 }
 
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		for _, t := range j.steps[i] {
-			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostOrphanAlive(t) {
+			if t.phase != waiting || t.notBefore > s.now || s.unseenUnsaved(t) || s.lostRunAlive(t) {
 				continue
 			}
 			if s.awaitsCrashEvidence(t) {
--- a/core/schedule/orphan_test.go
+++ b/core/schedule/orphan_test.go
@@ -124,10 +124,10 @@
 			c := one[Start](b)
 			b.started(c, Accepted)
 			b.s.EntryLost(b.now, entryA, true)
-			aliveUntil := b.s.runners[c.Runner].aliveUntil
+			overAt := b.s.runners[c.Runner].runsOverAt()
 			lose(b, c)
 			b.submit(j, 12*time.Second)
-			b.g.Expect(b.startsBeside(c, 3*time.Second+maxLateEnd)).To(BeNumerically(">", aliveUntil))
+			b.g.Expect(b.startsBeside(c, 3*time.Second+maxLateEnd)).To(BeNumerically(">=", overAt))
 		})
 	}
 }
@@ -216,8 +216,9 @@
 			lose(b, c)
 			b.g.Expect(b.startsBeside(c, sentAgain-b.now)).To(BeZero())
 			b.g.Expect(take[Stop](b)).To(BeEmpty())
+			overAt := aliveUntil - leaseMargin - lateEndMargin + maxLateEnd
 			b.submit(j, 12*time.Second)
-			b.g.Expect(b.startsBeside(c, 3*time.Second+maxLateEnd)).To(BeNumerically(">", aliveUntil))
+			b.g.Expect(b.startsBeside(c, 3*time.Second+maxLateEnd)).To(BeNumerically(">=", overAt))
 		})
 	}
 }
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -142,12 +142,12 @@
 }
 
 // runnerFenced handles a runner that has accepted a higher token. The runs there belong to the
-// other scheduler now; their tasks are restarted only when the runs must be over.
+// other scheduler now; their tasks are restarted only when the runs must be over, see lostrun.go.
 func (s *Scheduler) runnerFenced(r *runner) {
 	s.ctr.Fenced++
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "fenced"})
 	tasks, owned := r.tasks(), r.owned
-	s.noteLostOrphans(r)
+	s.noteLostRuns(r, anyRun)
 	s.dropRuns(r, RunnerFenced)
 	for _, t := range tasks {
 		t.notBefore = s.now + s.cfg.Resend
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -149,10 +149,10 @@
 	epochMs int64
 
 	// drops are the runs that were dropped in the last dropRetention.
-	drops       dropMemory
-	lostOrphans lostOrphans
-	borrowing   borrowing
-	resent      resentJobs
+	drops     dropMemory
+	lostRuns  lostRuns
+	borrowing borrowing
+	resent    resentJobs
 	// grants are the promises of room to jobs of other shards.
 	grants map[workload.JobID]grant
 
@@ -192,7 +192,7 @@
 		priorRuns:      make(map[workload.JobID]priorRuns),
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
 		drops:          newDropMemory(),
-		lostOrphans:    make(lostOrphans),
+		lostRuns:       make(lostRuns),
 		borrowing:      newBorrowing(),
 		grants:         make(map[workload.JobID]grant),
 		rows:           newRows(),
@@ -287,7 +287,7 @@
 	}
 	s.leading = false
 	for _, r := range s.runnerList {
-		s.noteLostOrphans(r)
+		s.noteLostRuns(r, (*run).abandoned)
 		if len(r.runs) > 0 {
 			r.retainUntil = max(r.retainUntil, now+s.cfg.Resend)
 		}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -29,7 +29,7 @@
 		s.tickRunner(r)
 	}
 	s.askForHandoverLists()
-	s.askForLostOrphans()
+	s.askForLostRuns()
 	s.forgetRunners()
 	s.tickUnlisted()
 	s.refreshEntries()
@@ -62,7 +62,7 @@
 		s.finishRefused(j, workload.NotRun, workload.TimeUp, "time is up")
 	case !j.started && (s.hopeless(j) || j.worthless(s.now) && j.late(s.now)):
 		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
-	case s.awaitsLostRun(p, j):
+	case s.awaitsLostRun(p, j) || s.awaitsLostRunInVain(j):
 		s.finishRefused(j, workload.NotRun, workload.RunnerLost, "a task may still run on a runner that doesn't answer")
 	case j.idle() && s.hopeless(j):
 		// Its caller would wait in vain, and is told at once.
@@ -216,6 +216,7 @@
 	s.expireBorrowing()
 	s.drops.expire(s.now - dropRetention)
 	s.expirePriorRuns()
+	s.expireLostRuns()
 }
 
 func expireBefore[K comparable](m map[K]Time, oldest Time) {
