A start that may reach a runner's next incarnation counts until that lists its runs

Cause: as a runner restarts, a start that is unconfirmed or was sent twice may reach the new incarnation, under a lease of up to a second. It counted as over after 1.18 s for a task, and after 1.3 s for an orphan, whether or not the new incarnation was heard of. One that is cut off at once ends the run 500 ms late after 1.5 s.

Change: such runs are lost runs (lostrun.go) that count until the new incarnation lists its runs, or maxLateEnd after the longest lease. Tasks wait 1.18 s as before also if it lists them.

Test replaced: TestAnOrphanWhoseStartMayReachTheNextIncarnationHoldsItsJob stated a start after 1.3 s of silence; it now states none until maxLateEnd after the longest lease, and one within 40 ms of it.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -95,6 +95,10 @@
 	return rejected && now >= u.orderedAt+maxRunLife(maxLease)
 }
 
+// longestLateLife is how long a run may live after a runner has accepted its start under the longest lease, if the
+// runner's clock is slow and it ends its runs late.
+const longestLateLife = maxLease*(100+clockDriftPercent)/100 + maxLateEnd
+
 // startInvalidAt returns when an unconfirmed run must be over even if its start has reached a later
 // incarnation of the runner. On that incarnation's clock the lease in the order ends far in the future,
 // and the runner shortens it to maxLease. The result is 0 if the run is confirmed, or if the runner's
@@ -108,7 +112,7 @@
 
 // beginIncarnation handles the restart of a runner. A start that was unconfirmed or sent twice may
 // still arrive at the new incarnation, so its task waits until the runner lists its runs or the
-// lease must have expired. The runner is acquired again under a higher token, so it refuses orders
+// run must be over, also if it ends late. The runner is acquired again under a higher token, so it refuses orders
 // from before the restart that arrive even later.
 func (s *Scheduler) beginIncarnation(r *runner, start int64) {
 	s.emit(Decision{Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt})
@@ -125,16 +129,13 @@
 	s.updatePace(r)
 	for _, u := range runs {
 		mayBegin := !u.confirmed || u.startAttempts > 1
-		if u.task == nil {
-			if mayBegin {
-				s.noteLostRun(u, lostRun{overAt: s.now + s.cfg.Resend, restarted: true})
-			}
-			continue
-		}
 		if mayBegin {
-			u.task.notBefore = s.now + maxRunLife(maxLease)
+			s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, restarted: true})
+			u.delayTask(s.now + maxRunLife(maxLease))
+		}
+		if u.task != nil {
+			s.requeue(u.task)
 		}
-		s.requeue(u.task)
 	}
 	if held && s.leading {
 		s.term++
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -233,16 +233,16 @@
 		take[Hold](b)
 		b.s.SetRunners(b.now, []workload.Runner{restarted, other})
 		since := b.now
-		b.submit(j, 3*time.Second)
+		b.submit(j, 10*time.Second)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
 		if listed {
 			b.answerAll(c.Runner, secondIncarnation, since)
 			b.g.Expect(take[Start](b)).To(HaveLen(1), "orders of before the restart are refused by now")
 			continue
 		}
-		b.tick(maxRunLife(maxLease) - 20*ms)
+		b.tick(longestLateLife - 20*ms)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
-		b.tick(b.s.cfg.Resend)
+		b.tick(40 * ms)
 		b.g.Expect(take[Start](b)).To(HaveLen(1))
 	}
 }
--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -113,3 +113,25 @@
 	b.g.Expect(b.now - fenced).To(BeNumerically("<", contestedReacquireDelay+longSilence))
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 }
+
+// Guards against a second run beside one whose start reaches the runner's next incarnation, which is cut off then and ends it
+// late: that incarnation's clock doesn't refuse the start, and grants it the longest lease.
+func TestAStartThatMayReachTheNextIncarnationCountsWhileThatIsSilent(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		b := leading(t, testRunner("r1"), testRunner("r2"))
+		for _, r := range b.s.runnerList {
+			r.incarnationStart = firstIncarnation
+		}
+		var c Start
+		if stored {
+			c = b.storedStart()
+		} else {
+			b.submit(testJob(1, 400*ms), 20*time.Second)
+			c = one[Start](b)
+		}
+		b.now += 20 * ms
+		b.s.Held(b.now, HoldResult{Runner: c.Runner, Token: c.Token, Outcome: Accepted, Clock: b.incarnationClock(secondIncarnation, b.now)})
+		b.g.Expect(b.s.runners[c.Runner].runs).To(BeEmpty())
+		b.expectWait(c.Run.Task, c.Runner, b.now+longestLateLife)
+	}
+}
