A start that was rejected as outdated waits for a list, not for 160 ms

Cause: a runner rejects a start as outdated if a run of the job's life before has ended or is being stopped there. The task was started elsewhere 160 ms later, whether or not the runner was heard of since: a stop takes 50 ms, but a runner that is starved or cut off ends the run late.

Change: the rejected run counts as a lost run (lostrun.go), in place of the one that outdated it, until a list of 160 ms later or maxLateEnd after the lease. A run that this list shows is adopted.

--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -135,3 +135,14 @@
 		b.expectWait(c.Run.Task, c.Runner, b.now+longestLateLife)
 	}
 }
+
+// Guards against a second run beside one of the job's life before that is being stopped: its runner rejects the next start
+// as outdated, and is silent since.
+func TestAnOutdatedStartOnARunnerThatIsSilentSinceWaits(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.submit(testJob(1, 400*ms), 20*time.Second)
+	c := one[Start](b)
+	over := b.s.runners[c.Runner].runsOverAt()
+	b.started(c, Outdated)
+	b.expectWait(c.Run.Task, c.Runner, over)
+}
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -8,7 +8,8 @@
 )
 
 // A lost run is one that was dropped together with all runs of its runner, and may be alive: the runner was fenced,
-// this scheduler has retired, or the runner has restarted and the run's start may reach the new incarnation. Of a
+// this scheduler has retired, or the runner has restarted and the run's start may reach the new incarnation. A run whose
+// start was rejected as outdated counts as lost in place of the run that outdated it, whose number isn't known. Of a
 // retired scheduler only orphans count: its jobs go to the next scheduler, which waits for their prior runs. Jobs that
 // their callers send again reach another entry process, which hands them in as new ones. A task is started only once
 // its lost runs are over: their runners have listed their runs since without them, or maxLateEnd has passed since
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -127,14 +127,16 @@
 		return
 	}
 	s.dropRunAs(u, rejection(o), rejected)
+	if o == Outdated {
+		// The run that outdated it may be one of an earlier life of the job, and may still be stopping.
+		s.noteLostRun(u, lostRun{overAt: max(s.now+s.longestStop(), r.runsOverAt())})
+	}
 	t := u.task
 	if t == nil {
 		return
 	}
 	switch o {
 	case Outdated:
-		// The run that outdated it may be one of an earlier life of the job, and may still be stopping.
-		t.notBefore = max(t.notBefore, s.now+s.longestStop())
 		t.lastNumber += runsPerScheduler
 	case Invalid:
 		s.finish(t.job, workload.JobFailed, "runners don't understand the task")
