A run that was rejected as outdated counts until a list doesn't have it

Cause: a run whose repeated start was rejected as outdated counted as over 670 ms later by the time alone, if its runner wasn't known to be silent: without a list since, and also while the lists had it as running, if a stop takes longer than it may (1,500 ms late, as an end of a lease can be).

Change: a list that was requested once a stop must be over has to lack it. The list of running runs is whole also where that of the ends isn't, which is what the time is for.

Test replaced: TestOutdatedRunsAreLogged had the run dropped without any list. It now gets a list that is full of other ends; TestAnOutdatedRunIsntOverWithoutAList states that it isn't dropped without one.

--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -35,7 +35,8 @@
 	// time at which it accepts none of them any more has neither the run nor its end.
 	NeverBegun
 	// StopTimedOut: the runner rejected the start of the run as outdated, so the run was over or being
-	// stopped, and the longest time that it may live is over. It has listed no end.
+	// stopped, the longest time that it may live is over, and a list of a later time doesn't have it as running. It has
+	// listed no end.
 	StopTimedOut
 	// LeaseOver: the runner was silent for longer than the run's lease can last.
 	LeaseOver
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -285,12 +285,27 @@
 	b := leading(t, testRunner("r1"))
 	again := b.unansweredOnce(testJob(1, 400*ms))
 	b.started(again, Outdated)
+	full := func() {
+		b.s.Held(b.now, HoldResult{
+			Runner: again.Runner, Token: again.Token, ListOnly: true, Outcome: Accepted, Clock: b.clock(), Ends: manyEnds(again.Run)[:maxEndsPerList],
+		})
+	}
 	b.tick(maxRunLife(b.s.cfg.Lease) - 40*ms)
-	b.g.Expect(b.s.runners[again.Runner].runs).NotTo(BeEmpty())
+	full()
+	b.g.Expect(b.s.runners[again.Runner].runs).NotTo(BeEmpty(), "it may be alive")
 	b.tick(80 * ms)
 	b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-dropped", again.Run, "stop-timed-out")))
 }
 
+// Guards against a run that counts as over by the time that has passed alone: its runner has listed nothing since.
+func TestAnOutdatedRunIsntOverWithoutAList(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	again := b.unansweredOnce(testJob(1, 400*ms))
+	b.started(again, Outdated)
+	b.tick(2 * maxRunLife(b.s.cfg.Lease))
+	b.g.Expect(b.s.runners[again.Runner].runs).To(HaveKey(again.Run))
+}
+
 // Guards against a memory of dropped runs that grows without bound.
 func TestMemoryOfDroppedRunsIsBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -146,3 +146,25 @@
 	b.started(c, Outdated)
 	b.expectWait(c.Run.Task, c.Runner, over)
 }
+
+// Guards against a second run beside one that its runner goes on listing: a stop takes longer than it may, and the time after
+// which a run that was rejected as outdated counts as over has passed.
+func TestAnOutdatedRunThatIsListedCounts(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	again := b.unansweredOnce(testJob(1, 400*ms))
+	b.s.jobs[again.Run.Task.Job].deadline += 20 * time.Second
+	b.started(again, Outdated)
+	for begin := b.now; b.now-begin < 3*maxRunLife(b.s.cfg.Lease); b.tick(10 * ms) {
+		for _, c := range take[Stop](b) {
+			b.stopped(c, Accepted)
+		}
+		for _, h := range take[Hold](b) {
+			if h.Runner == again.Runner {
+				b.answerHold(h, Accepted, again.Run)
+				continue
+			}
+			b.held(h)
+		}
+		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v after the answer", b.now-begin)
+	}
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -77,6 +77,7 @@
 func (s *Scheduler) applyLists(r *runner, res HoldResult) {
 	first := !r.owned
 	r.owned = true
+	r.runningAsOf = max(r.runningAsOf, res.Clock.SentAt)
 	complete := len(res.Ends) < maxEndsPerList
 	if complete {
 		r.listAsOf = max(r.listAsOf, res.Clock.SentAt)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -69,9 +69,10 @@
 	holdSentAt   Time
 	// listInFlight is set while a Hold with ListOnly is unanswered.
 	listInFlight bool
-	// listAsOf is when the Hold was sent whose answer was the last complete list.
-	listAsOf   Time
-	nextHoldAt Time
+	// listAsOf is when the Hold was sent whose answer was the last complete list, and runningAsOf when the last was sent
+	// that was answered with lists: only that of ends may be incomplete.
+	listAsOf, runningAsOf Time
+	nextHoldAt            Time
 	// partitioned runners are unreachable, and perhaps led by another process. reachableAt is
 	// when such a runner has answered again. lastAskedAt is when the runner was last acquired
 	// or ceased to be treated as partitioned. See Scheduler.partitioned.
@@ -180,7 +181,7 @@
 	r.owned = false
 	r.holdInFlight = false
 	r.listInFlight = false
-	r.listAsOf = 0
+	r.listAsOf, r.runningAsOf = 0, 0
 	r.unresponsive = false
 	r.unansweredAt, r.host = 0, host{}
 	r.acknowledged = 0
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -134,7 +134,7 @@
 		u.stopping, u.stopped = false, false
 		u.awaitList(0)
 		s.stopRun(u, StopStillListed)
-	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob() && !r.unresponsive:
+	case u.stopped && u.overAt > 0 && s.now >= u.overAt && !u.ofStoredJob() && r.runningAsOf >= u.settledAt:
 		s.dropRun(u, StopTimedOut)
 		if u.task != nil {
 			s.requeue(u.task)
