A runner that left the list long before may have runs if a handover names it

Cause: a silent runner that left the platform's list counts as gone 2.5 s later, and jobs that are handed over don't wait for it. Beyond a cut from the store another scheduler may have used it all that time, and entry processes name such runners as they hand its jobs over; but for a runner that was known the 2.5 s went on counting from when it had left the list. The job started at once, beside its run.

Change: the time counts from the latest handover that names the runner, as it does already for runners that weren't known.

Evidence: TestAPriorRunOnARunnerThatLeftTheListLongBeforeCounts started within 2.5 s before; green now. The other tests of core/schedule are as before.

--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -168,3 +168,16 @@
 		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v after the answer", b.now-begin)
 	}
 }
+
+// Guards against a second run beside a prior one on a runner that left the platform's list long before: another scheduler used
+// it until now, beyond a cut, and names it as it hands the job over.
+func TestAPriorRunOnARunnerThatLeftTheListLongBeforeCounts(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("silent"))
+	b.s.SetRunners(b.now, []workload.Runner{testRunner("r1")})
+	b.s.runners["silent"].retainUntil = b.now + 10*time.Second
+	b.passSilently(2*unlistedGrace, "silent", ConnectionTimedOut)
+	b.s.AddUnlistedRunners(b.now, []workload.Runner{testRunner("silent")})
+	b.handOver(testJob(1, 400*ms), 20*time.Second)
+	b.s.runners["silent"].markUnresponsive(b.now)
+	b.g.Expect(b.passSilently(unlistedGrace-40*ms, "silent", ConnectionMade)).To(BeEmpty())
+}
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -118,7 +118,8 @@
 	s.now = now
 	for _, info := range list {
 		if r := s.runners[info.ID]; r != nil {
-			r.retainUntil = now + s.cfg.Resend
+			// If it has left the list, another scheduler may have used it since.
+			r.retainUntil, r.unlistedAt = now+s.cfg.Resend, now
 			continue
 		}
 		r := newRunner(info, now)
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -32,7 +32,7 @@
 
 // mayHaveUnlistedRuns reports whether the runner has listed nothing since a time, so that it may have runs that
 // this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
-// unlistedGrace, counts as gone: it has written no entry for longer than maxLateEnd.
+// unlistedGrace, counts as gone, unless another scheduler may have used it since.
 func (r *runner) mayHaveUnlistedRuns(since, now Time) bool {
 	expired := r.unlisted && now-r.unlistedAt >= unlistedGrace
 	return !r.gone && !expired && !r.listedSince(since)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -10,7 +10,8 @@
 // runner is the state of one incarnation of a runner as the scheduler knows it.
 type runner struct {
 	info workload.Runner
-	// unlisted runners are no longer in the platform's list, since unlistedAt.
+	// unlisted runners are no longer in the platform's list, since unlistedAt; or another scheduler, which may have used
+	// the runner beyond a cut, has named it then.
 	unlisted   bool
 	unlistedAt Time
 	// retainUntil is until when an unlisted runner is kept since another scheduler may have
