A task whose start may reach a next incarnation waits for a list of that time

Cause: a run that its runner stopped or never began, by its list, may still begin in the runner's next incarnation, if the start is under way. The task was started elsewhere 1.18 s after the start was ordered, whether or not the runner was heard of by then; a next incarnation that is cut off at once runs the task for a lease of a second and ends it late.

On a runner that answers the wait is as before, and one list longer.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -130,7 +130,8 @@
 	for _, u := range runs {
 		mayBegin := !u.confirmed || u.startAttempts > 1
 		if mayBegin {
-			s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, restarted: true})
+			// The stops that were in progress have ended with the incarnation before.
+			s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, listFrom: s.now})
 			u.delayTask(s.now + maxRunLife(maxLease))
 		}
 		if u.task != nil {
--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -181,3 +181,24 @@
 	b.s.runners["silent"].markUnresponsive(b.now)
 	b.g.Expect(b.passSilently(unlistedGrace-40*ms, "silent", ConnectionMade)).To(BeEmpty())
 }
+
+// Guards against a second run beside one whose start reaches the runner's next incarnation after the runner has answered a
+// stop and listed nothing: the next incarnation is cut off, and ends the run late.
+func TestAStoppedRunsStartMayReachASilentIncarnation(t *testing.T) {
+	b, j := stoppedInDoubt(t, firstIncarnation, false)
+	k := workload.TaskName{Job: j.ID}
+	b.s.jobs[j.ID].deadline += 20 * time.Second
+	ordered := b.now
+	var silent workload.RunnerID
+	for id, r := range b.s.runners {
+		if len(r.runs) > 0 {
+			silent = id
+		}
+	}
+	b.g.Expect(silent).NotTo(BeEmpty())
+	b.now += b.longestStop()
+	b.s.requestList(b.s.runners[silent])
+	b.held(b.listOf(silent))
+	b.g.Expect(b.s.runners[silent].runs).To(BeEmpty())
+	b.expectWait(k, silent, ordered+longestLateLife)
+}
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -22,8 +22,9 @@
 	lostAt Time
 	// overAt is when it is over though its runner has listed nothing since.
 	overAt Time
-	// restarted: its runner has restarted, and with it ended the stops that were in progress.
-	restarted bool
+	// listFrom is from when on a list of its runner shows whether it is over; 0 if that depends on when the runner is
+	// acquired again.
+	listFrom Time
 }
 
 // lostRuns are the lost runs by their tasks.
@@ -82,8 +83,8 @@
 // listNeededSince returns from when on a list of its runner shows whether a lost run is over. A stop that another
 // scheduler had sent may have been in progress as the runner was acquired again.
 func (s *Scheduler) listNeededSince(r *runner, l lostRun) Time {
-	if l.restarted {
-		return l.lostAt
+	if l.listFrom > 0 {
+		return l.listFrom
 	}
 	return max(l.lostAt, r.acquiredAt) + s.longestStop()
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -148,14 +148,18 @@
 }
 
 // dropAbsent drops a run that isn't on a list which was requested at sentAt, if that is late enough to show that
-// the run is over. Its task waits until the run can't begin in a later incarnation either: that one wouldn't know
-// of the stop, nor of the clock by which the start has expired.
+// the run is over. Its task waits until the run can't begin in a later incarnation either, which wouldn't know of
+// the stop, nor of the clock by which the start has expired; and for a list of that time, since that incarnation may be
+// silent.
 func (s *Scheduler) dropAbsent(u *run, why DropReason, sentAt Time) {
 	if sentAt < u.settledAt {
 		return
 	}
 	s.dropRun(u, why)
-	u.delayTask(u.runner.startInvalidAt(u))
+	if invalidAt := u.runner.startInvalidAt(u); s.now < invalidAt {
+		u.delayTask(invalidAt)
+		s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, listFrom: invalidAt})
+	}
 	if u.task != nil {
 		s.requeue(u.task)
 	}
