A job with a lost run is given up once it can't be done in time, not as soon as its runner is out of reach

Change: awaitsLostRun holds once the task couldn't be done in time even if its runner answered now, whatever connections show; of a job of several steps only the lost task's own estimate counts. Lost runs of fenced runners follow the same rule. What connections show is for logs only again.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -222,16 +221,6 @@
 	return idle
 }
 
-// anyWaiting reports whether the description of a step with waiting tasks has a property.
-func (j *job) anyWaiting(has func(*workload.Step) bool) bool {
-	for i, tasks := range j.steps {
-		if has(j.stepAt(i)) && slices.ContainsFunc(tasks, func(t *taskState) bool { return t.phase == waiting }) {
-			return true
-		}
-	}
-	return false
-}
-
 // attempts returns the number of failures of a task with which its job fails.
 func (j *job) attempts() int { return max(1, j.work.MaxAttempts) }
 
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -89,30 +89,13 @@
 	return max(l.lostAt, r.acquiredAt) + s.longestStop()
 }
 
-// awaitsLostRunInVain reports whether a best-effort job waits for a lost run that can't be shown to be over before its
-// caller leaves. The run's runner, asked again, doesn't answer; if nothing reaches its host it won't soon. Until Resend
+// lostRunSilent reports whether a lost run of a task may be alive on a runner that, asked again, doesn't answer. Until Resend
 // after the loss no run counts, since runners that another scheduler has taken are asked again by then.
-func (s *Scheduler) awaitsLostRunInVain(j *job) bool {
-	if len(s.lostRuns) == 0 {
-		return false
-	}
-	silent, overAt := false, s.now
-	j.eachTask(func(t *taskState) {
-		if t.phase != waiting {
-			return
-		}
-		for _, l := range s.lostRuns[t.name] {
-			r := s.runners[l.runner]
-			if s.now < l.lostAt+s.cfg.Resend || !s.mayBeAlive(l) || r != nil && !r.unresponsive {
-				continue
-			}
-			silent = true
-			if r == nil || r.host.outOfReach() {
-				overAt = max(overAt, l.overAt)
-			}
-		}
+func (s *Scheduler) lostRunSilent(t *taskState) bool {
+	return slices.ContainsFunc(s.lostRuns[t.name], func(l lostRun) bool {
+		r := s.runners[l.runner]
+		return s.now >= l.lostAt+s.cfg.Resend && s.mayBeAlive(l) && (r == nil || r.unresponsive)
 	})
-	return silent && completionProbability(j.expected, s.fastestPace(j.work.Service), j.deadline-overAt) < minCompletionProbability
 }
 
 // askForLostRuns requests the lists that show whether lost runs are over.
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -43,20 +43,6 @@
 	return r.info.HasLabel(step.Requires) && step.Need.Fits(r.info.Capacity)
 }
 
-// unlistedRunOutOfReach reports whether a best-effort job waits for a task that may have a prior run on a runner whose
-// host is out of reach.
-func (p *placer) unlistedRunOutOfReach(j *job) bool {
-	if j.stored != nil || p.s.now >= j.starvedRunsOverAt || j.waiting == 0 {
-		return false
-	}
-	for _, r := range p.runnersToAwait(j.work.Service) {
-		if r.host.outOfReach() && !r.listedSince(j.listsNeededSince) && j.anyWaiting(r.canTake) {
-			return true
-		}
-	}
-	return false
-}
-
 // runnersToAwait lists the runners of a service that may have prior runs which they haven't listed, of any job.
 func (p *placer) runnersToAwait(service string) []*runner {
 	if list, ok := p.awaitedRunners[service]; ok {
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -20,8 +20,8 @@
 // once: an answer with its lists, another incarnation at its address, or a restart. That its entry has left the store
 // doesn't end the wait sooner, since a runner that is cut off or gets no processor time doesn't renew the entry either.
 //
-// Callers of best-effort jobs don't wait that long. They are given up as soon as waiting has little sense, see
-// Scheduler.awaitsLostRun.
+// Callers of best-effort jobs don't wait that long. They are told as soon as their jobs can't be done in time any more, even if
+// the runner answered now, see Scheduler.awaitsLostRun.
 const (
 	// maxLateEnd is how much later than its lease a runner may end a run. It is longer than callers of best-effort
 	// jobs wait; tasks of stored jobs go on elsewhere after it.
@@ -32,9 +32,9 @@
 )
 
 // host is what orders without an answer have shown of a runner's host since the runner's last answer. None of it shows
-// that a run is over; it says how likely the runner is to answer soon.
+// that a run is over; it is for logs only.
 type host struct {
-	// refused: its latest answer to a new connection was a refusal. It is for logs only.
+	// refused: its latest answer to a new connection was a refusal.
 	refused bool
 	// made: a new connection was made. One that isn't made later shows nothing: a process that gets no processor time
 	// accepts none, and its queue fills up.
@@ -97,17 +97,21 @@
 // runs if it is punctual.
 func (r *runner) lost(now Time) bool { return r.askedInVain() && now > r.aliveUntil }
 
-// awaitsLostRun reports whether a best-effort job waits in vain for runs that can't be shown to be over before its
-// caller leaves: nothing reaches the host of their runner, or too little time would be left if the runner answered now.
-func (s *Scheduler) awaitsLostRun(p *placer, j *job) bool {
-	lost, unreachable := false, false
+// awaitsLostRun reports whether a best-effort job waits in vain for a run on a runner that doesn't answer: if the runner
+// answered now, too little time would be left to start the task again.
+func (s *Scheduler) awaitsLostRun(j *job) bool {
+	inVain := false
 	j.eachTask(func(t *taskState) {
-		if t.run != nil && t.run.runner.lost(s.now) {
-			lost = true
-			unreachable = unreachable || t.run.runner.host.outOfReach()
-		}
+		lost := t.run != nil && t.run.runner.lost(s.now) || t.phase == waiting && s.lostRunSilent(t)
+		inVain = inVain || lost && s.tooLateFor(t)
 	})
-	return unreachable || lost && s.hopeless(j) || p.unlistedRunOutOfReach(j)
+	return inVain
+}
+
+// tooLateFor reports whether a task that was started now is unlikely to be done before its caller leaves.
+func (s *Scheduler) tooLateFor(t *taskState) bool {
+	estimate := time.Duration(float64(t.step().Estimate) * s.queueRatio(t.job))
+	return completionProbability(estimate, s.fastestPace(t.job.work.Service), t.job.deadline-s.now) < minCompletionProbability
 }
 
 // askAfterLease asks an unresponsive runner for its lists once its lease is over.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -21,9 +21,8 @@
 		return
 	}
 	// Jobs come first: one that is dropped now renews no lease.
-	p := newPlacer(s)
 	for _, j := range s.sortedJobs() {
-		s.tickJob(p, j)
+		s.tickJob(j)
 	}
 	for _, r := range s.runnerList {
 		s.tickRunner(r)
@@ -49,7 +48,7 @@
 	}
 }
 
-func (s *Scheduler) tickJob(p *placer, j *job) {
+func (s *Scheduler) tickJob(j *job) {
 	if j.stored != nil {
 		s.tickStoredJob(j)
 		return
@@ -62,7 +61,7 @@
 		s.finishRefused(j, workload.NotRun, workload.TimeUp, "time is up")
 	case !j.started && (s.hopeless(j) || j.worthless(s.now) && j.late(s.now)):
 		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
-	case s.awaitsLostRun(p, j) || s.awaitsLostRunInVain(j):
+	case s.awaitsLostRun(j):
 		s.finishRefused(j, workload.NotRun, workload.RunnerLost, "a task may still run on a runner that doesn't answer")
 	case j.idle() && s.hopeless(j):
 		// Its caller would wait in vain, and is told at once.
