--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -39,6 +39,9 @@
 	minCellRunners = 80
 )
 
+// MaxShards is the maximum number of shards of a layout. Every process has a state for each of them.
+const MaxShards = 4096
+
 // Layout has the cell of each shard, by the shard's index: the name of a failure domain, or "" if
 // the runners are pooled. It is set once for a deployment.
 type Layout []string
