A process whose row among the members is spoiled registers again

Cause: a process compared its row with its registration only if the list had a row of its VM with a higher number. A row that another writer has removed, or made unreadable, isn't in the list at all: the other processes closed their connections with that process, refused its new ones, and it stayed alone until its restart.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/layout"
@@ -140,8 +141,13 @@
 	p.post(func(now Time) { p.node.SetMembers(now, members) })
 }
 
-// checkOwnRow compares this process's row in the store with its registration. A row with a
-// higher number has been written since, in one of two ways:
+// checkOwnRow compares this process's row in the store with its registration.
+//
+// Without a row that the list shows, all others would close their connections with this process: another
+// writer has removed the row or made it unreadable. The process registers again, after a pause since that
+// may happen again at once.
+//
+// A row with a higher number has been written since, in one of two ways:
 //
 // A write of this process whose answer was lost was repeated, and the store has applied
 // both. The row has this process's fingerprint, and the process takes over its number.
@@ -150,6 +156,12 @@
 // the fingerprint of this process is in the list any more, and the other processes would
 // close their connections to it, so it registers again.
 func (p *Process) checkOwnRow(ctx context.Context, list []peer.Member) {
+	if !slices.ContainsFunc(list, func(m peer.Member) bool { return m.VM == p.cfg.Node }) {
+		p.log.Warn().Uint64("number", p.self.Number).Int("members", len(list)).Msg("registration-lost")
+		pause(ctx, storeRetryInterval)
+		p.register(ctx)
+		return
+	}
 	for _, m := range list {
 		if m.VM != p.cfg.Node || m.Number <= p.self.Number {
 			continue
--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -126,12 +126,15 @@
 	s.notifyReaders()
 }
 
-// Remove deletes a row.
-func (s *Store) Remove(table, key string) {
+// Remove deletes a row of the part without a name.
+func (s *Store) Remove(table, key string) { s.RemoveFromPart(table, "", key) }
+
+// RemoveFromPart deletes a row.
+func (s *Store) RemoveFromPart(table, part, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.apply(Row{Table: table, Key: key, Deleted: true})
+	s.apply(Row{Table: table, Part: part, Key: key, Deleted: true})
 	s.notifyReaders()
 }
 
