--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -39,6 +40,8 @@
 	Delay time.Duration
 	// LoseReplies is the number of next transactions that are applied and not answered.
 	LoseReplies int
+	// FeedBytes bounds the encoded values in one answer of the feed; 0 is no bound.
+	FeedBytes int
 }
 
 // Store is the stand-in for the platform's store.
@@ -290,9 +293,9 @@
 			return
 		}
 		rows, version, changed := s.changesSince(q.Get("table"), since), s.version, s.changed
-		if len(rows) > maxFeedRows {
-			rows = rows[:maxFeedRows]
-			version = rows[maxFeedRows-1].Version
+		if n := s.feedLength(rows); n < len(rows) {
+			rows = rows[:n]
+			version = rows[n-1].Version
 		}
 		s.mu.Unlock()
 		if len(rows) > 0 || ctx.Err() != nil {
@@ -306,6 +309,18 @@
 	}
 }
 
+// feedLength is the number of rows that fit into one answer of the feed, at least one of several.
+func (s *Store) feedLength(rows []Row) int {
+	limit, size := min(len(rows), maxFeedRows), 0
+	for i, r := range rows[:limit] {
+		size += base64.StdEncoding.EncodedLen(len(r.Value))
+		if s.faults.FeedBytes > 0 && size > s.faults.FeedBytes {
+			return max(1, i)
+		}
+	}
+	return limit
+}
+
 func (s *Store) changesSince(table string, version uint64) []Row {
 	var rows []Row
 	for _, r := range s.history {
