An odd start in a runner's entry ends no runs

Cause: a later start of the incarnation in a runner's entry counted as a restart: all runs there were dropped, and those that the runner had confirmed were started again at once. An entry of another writer in a live runner's place, with the field `born` raised by 1 or to 2^63-1, so made tasks run twice; and since the runner's answers had an earlier start from then on, they counted as late and the runner wasn't used again, also with its entry right.

Change: a later start in an entry is no evidence alone. Nothing is started on the runner while the entry and the answers differ, as before; the runner is asked at once, and its answer shows a restart. A start that only an entry has shown is replaced by that of the next entry.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -85,12 +85,16 @@
 			continue
 		}
 		expired := info.EntryExpired && !r.info.EntryExpired
+		laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
 		r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
 		r.evacuated = s.evacuates(info.Domain)
-		if expired {
+		if laterStart {
+			r.laterStartAt = now
+		}
+		r.noteEntryStart()
+		if expired || laterStart {
 			s.requestList(r)
 		}
-		s.checkIncarnation(r, info.IncarnationStart)
 		if r.described() {
 			r.leaving = info.Draining
 		}
@@ -107,6 +111,26 @@
 	s.dispatch()
 }
 
+// noteEntryStart takes the start of the incarnation from the runner's entry, unless an answer has shown it.
+func (r *runner) noteEntryStart() {
+	unanswered := r.clock == 0 && r.incarnationStart == r.entryStart
+	if unanswered || r.incarnationStart == 0 {
+		r.incarnationStart, r.entryStart = r.info.IncarnationStart, r.info.IncarnationStart
+	}
+}
+
+// tickEntryStart begins the incarnation that a runner's entry shows, if the runner has answered nothing for as long
+// as a run lives. Alone a later start in an entry is no evidence of a restart, since another writer may have
+// changed it: the runs go on, and nothing is started there until an answer shows the same start.
+func (s *Scheduler) tickEntryStart(r *runner) {
+	start := r.info.IncarnationStart
+	if start <= r.incarnationStart || s.now-max(r.laterStartAt, r.clockAt) < maxRunLife(maxLease) {
+		return
+	}
+	r.entryStart = start
+	s.beginIncarnation(r, start)
+}
+
 // AddUnlistedRunners adds runners on which another scheduler may have started jobs that are about
 // to be handed in here.
 //
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -25,6 +25,10 @@
 	gone bool
 	// incarnationStart is when its incarnation began, in milliseconds since 1970; 0 if unknown.
 	incarnationStart int64
+	// entryStart is the start that was last taken from the runner's entry, and laterStartAt is when the entry
+	// last came to show a later one than incarnationStart.
+	entryStart   int64
+	laterStartAt Time
 	// leaving: the entry of the known incarnation says that it drains.
 	leaving bool
 	// reserved is the suspect that the runner is, or was, reserved for; see reservation.
@@ -156,7 +160,7 @@
 
 func newRunner(info workload.Runner, now Time) *runner {
 	return &runner{
-		info: info, incarnationStart: info.IncarnationStart, leaving: info.Draining,
+		info: info, incarnationStart: info.IncarnationStart, entryStart: info.IncarnationStart, leaving: info.Draining,
 		runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now,
 	}
 }
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -88,6 +88,7 @@
 		s.askAfterLease(r)
 	}
 	s.noteSilentLosses(r)
+	s.tickEntryStart(r)
 	if s.runsOver(r) {
 		s.lapseRuns(r)
 		return
