An odd address in a runner's entry ends no runs

Cause: orders go to the address in a runner's entry. If another writer replaces it by the address of another runner, that one refuses the orders, which name the first one's id, as another incarnation. This counts as the end of the incarnation that they name: its runs were dropped and started again while they went on, and the runner wasn't used any more.

Change: an entry without a later start changes the address only of a runner that hasn't answered yet. An incarnation keeps its address.

Evidence: TestAnEntryWithTheAddressOfAnotherRunnerEndsNoRun: orders went to the other address before, to the one that has answered after. Not mended: the same with a later start in the entry, which a real restart can't be told from before it answers, and a process that begins to lead while the entry is odd.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -84,6 +84,9 @@
 			s.addRunner(newRunner(info, now))
 			continue
 		}
+		if r.answersAt(info) {
+			info.Address = r.info.Address
+		}
 		expired := info.EntryExpired && !r.info.EntryExpired
 		laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
 		r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
@@ -111,6 +114,13 @@
 	s.dispatch()
 }
 
+// answersAt reports whether the incarnation that an entry names, or a later one, has answered at the address known so
+// far. An incarnation keeps its address: another one in its entry is that of another writer, and what answers
+// there would show an end of runs that go on.
+func (r *runner) answersAt(entry workload.Runner) bool {
+	return r.clock != 0 && entry.IncarnationStart <= r.incarnationStart
+}
+
 // noteEntryStart takes the start of the incarnation from the runner's entry, unless an answer has shown it.
 func (r *runner) noteEntryStart() {
 	unanswered := r.clock == 0 && r.incarnationStart == r.entryStart
--- a/core/schedule/odd_entry_test.go
+++ b/core/schedule/odd_entry_test.go
@@ -88,3 +88,24 @@
 	b.answerAs1000(time.Second, none)
 	b.g.Expect(b.s.runners["r1"].usable(b.now)).To(BeTrue())
 }
+
+// Guards against a task that runs twice, and a runner that is never used again, because another writer has replaced
+// the address in its entry by that of another runner, which refuses the orders as another incarnation.
+func TestAnEntryWithTheAddressOfAnotherRunnerEndsNoRun(t *testing.T) {
+	b, run := withRun(t)
+	other := "r1"
+	if run.Runner == "r1" {
+		other = "r2"
+	}
+	b.s.SetRunners(b.now, withOddEntry(run.Runner, func(r *workload.Runner) { r.Address = other }))
+	for end := b.now + time.Second; b.now < end; {
+		b.tick(20 * ms)
+		for _, h := range take[Hold](b) {
+			b.g.Expect(h.Address).To(BeEquivalentTo(h.Runner))
+			b.heldBy(h, 1000)
+		}
+	}
+	take[Hold](b)
+	b.s.SetRunners(b.now, withOddEntry(run.Runner, func(r *workload.Runner) { r.Address, r.IncarnationStart = "elsewhere", 2000 }))
+	b.g.Expect(one[Hold](b).Address).To(Equal("elsewhere"), "a later incarnation may have another address")
+}
