A restart that only a runner's entry shows begins once no run of before may live

An entry with a later start counted as a restart after 1.18 s of silence; a runner beyond a cut whose entry another writer has changed may end its runs later than that. Now after 7.1 s, as for other starts that may reach a next incarnation.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -130,11 +130,11 @@
 }
 
 // tickEntryStart begins the incarnation that a runner's entry shows, if the runner has answered nothing for as long
-// as a run lives. Alone a later start in an entry is no evidence of a restart, since another writer may have
+// as a run may live. Alone a later start in an entry is no evidence of a restart, since another writer may have
 // changed it: the runs go on, and nothing is started there until an answer shows the same start.
 func (s *Scheduler) tickEntryStart(r *runner) {
 	start := r.info.IncarnationStart
-	if start <= r.incarnationStart || s.now-max(r.laterStartAt, r.clockAt) < maxRunLife(maxLease) {
+	if start <= r.incarnationStart || s.now-max(r.laterStartAt, r.clockAt) < longestLateLife {
 		return
 	}
 	r.entryStart = start
