Runs of a term before count as their job is sent again

Cause: a scheduler that ceases to lead remembers orphans only, since its jobs go to the next one, which waits for their prior runs. If it leads again itself, and the job's entry process is lost meanwhile, the job comes again as a new one. It started beside its run on a runner that is silent since: only new jobs that come within a second of the takeover waited.

Change: all runs of a scheduler that ceases to lead are remembered as lost runs, like those of a fenced runner.

Evidence: TestARunOfATermBeforeCountsAsItsJobIsSentAgain started 5.11 s too early before; green now. The other tests of core/schedule are as before.

--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -202,3 +202,29 @@
 	b.g.Expect(b.s.runners[silent].runs).To(BeEmpty())
 	b.expectWait(k, silent, ordered+longestLateLife)
 }
+
+// Guards against a second run of a job that its caller sends again by another entry process: the scheduler ceased to lead
+// meanwhile and leads again, and the run's runner is silent since.
+func TestARunOfATermBeforeCountsAsItsJobIsSentAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j, c := b.runningJob(400 * ms)
+	over := b.s.runners[c.Runner].runsOverAt()
+	b.s.Retire(b.now)
+	b.tick(100 * ms)
+	b.s.EntryLost(b.now, entryA, true)
+	b.s.Lead(b.now)
+	for begin := b.now; b.now-begin < b.s.cfg.Resend; b.tick(20 * ms) {
+		b.leaveUnanswered(c.Runner, ConnectionMade)
+	}
+	b.submitCopy(j, entryB)
+	b.s.jobs[j.ID].deadline = b.now + 20*time.Second
+	for b.now < over {
+		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v too early", over-b.now)
+		b.s.EntryAlive(b.now, entryB)
+		b.tick(20 * ms)
+		b.leaveUnanswered(c.Runner, ConnectionMade)
+	}
+	b.s.EntryAlive(b.now, entryB)
+	b.tick(20 * ms)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -7,13 +7,11 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// A lost run is one that was dropped together with all runs of its runner, and may be alive: the runner was fenced,
-// this scheduler has retired, or the runner has restarted and the run's start may reach the new incarnation. A run whose
-// start was rejected as outdated counts as lost in place of the run that outdated it, whose number isn't known. Of a
-// retired scheduler only orphans count: its jobs go to the next scheduler, which waits for their prior runs. Jobs that
-// their callers send again reach another entry process, which hands them in as new ones. A task is started only once
-// its lost runs are over: their runners have listed their runs since without them, or maxLateEnd has passed since
-// their leases.
+// A lost run is one that was dropped together with all runs of its runner, and may be alive: the runner was fenced, this
+// scheduler has retired, or the runner has restarted and the run's start may reach the new incarnation. A run whose start was
+// rejected as outdated counts as lost in place of the run that outdated it, whose number isn't known. Jobs that their callers
+// send again reach another entry process, which hands them in as new ones. A task is started only once its lost runs are over:
+// their runners have listed their runs since without them, or maxLateEnd has passed since their leases.
 
 // lostRun is a lost run as it is remembered.
 type lostRun struct {
@@ -30,14 +28,11 @@
 // lostRuns are the lost runs by their tasks.
 type lostRuns map[workload.TaskName][]lostRun
 
-// noteLostRuns remembers the runs of a runner that are about to be dropped, if lost says so.
-func (s *Scheduler) noteLostRuns(r *runner, lost func(*run) bool) {
-	s.expireLostRuns()
+// noteLostRuns remembers the runs of a runner, which are about to be dropped.
+func (s *Scheduler) noteLostRuns(r *runner) {
 	overAt := max(s.now+s.cfg.Resend, r.runsOverAt())
 	for _, u := range r.runs {
-		if lost(u) {
-			s.noteLostRun(u, lostRun{overAt: overAt})
-		}
+		s.noteLostRun(u, lostRun{overAt: overAt})
 	}
 }
 
@@ -55,12 +50,6 @@
 	s.lostRuns[t] = append(s.lostRuns[t], l)
 }
 
-// abandoned reports whether a run is an orphan or is about to become one.
-func (u *run) abandoned() bool { return u.task == nil || u.task.job.abandonedAt > 0 }
-
-// anyRun selects all runs.
-func anyRun(*run) bool { return true }
-
 // lostRunAlive reports whether a lost run of a task may be alive.
 func (s *Scheduler) lostRunAlive(t *taskState) bool {
 	return slices.ContainsFunc(s.lostRuns[t.name], s.mayBeAlive)
@@ -100,12 +89,21 @@
 
 // askForLostRuns requests the lists that show whether lost runs are over.
 func (s *Scheduler) askForLostRuns() {
-	for _, t := range slices.SortedFunc(maps.Keys(s.lostRuns), compareTasks) {
-		for _, l := range s.lostRuns[t] {
+	if len(s.lostRuns) == 0 {
+		return
+	}
+	due := make(map[*runner]bool)
+	for _, list := range s.lostRuns {
+		for _, l := range list {
 			r := s.runners[l.runner]
-			if r != nil && r.owned && !r.unresponsive && s.mayBeAlive(l) && s.now >= s.listNeededSince(r, l) {
-				s.requestList(r)
+			if r != nil && !due[r] && s.mayBeAlive(l) && s.now >= s.listNeededSince(r, l) {
+				due[r] = true
 			}
 		}
 	}
+	for _, r := range s.runnerList {
+		if due[r] && r.owned && !r.unresponsive {
+			s.requestList(r)
+		}
+	}
 }
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -147,7 +147,7 @@
 	s.ctr.Fenced++
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "fenced"})
 	tasks, owned := r.tasks(), r.owned
-	s.noteLostRuns(r, anyRun)
+	s.noteLostRuns(r)
 	s.dropRuns(r, RunnerFenced)
 	for _, t := range tasks {
 		t.notBefore = s.now + s.cfg.Resend
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -287,7 +287,7 @@
 	}
 	s.leading = false
 	for _, r := range s.runnerList {
-		s.noteLostRuns(r, (*run).abandoned)
+		s.noteLostRuns(r)
 		if len(r.runs) > 0 {
 			r.retainUntil = max(r.retainUntil, now+s.cfg.Resend)
 		}
