Stops of an overdue run on a silent runner are spaced like its probes

Cause: an overdue run is ordered to stop again as soon as the last order has stayed unanswered. Runs on silent runners count for six seconds now, and each such order is a line in the log and a new connection.

Change: the interval that holds for other stops holds for these as well.

--- a/core/schedule/overdue_test.go
+++ b/core/schedule/overdue_test.go
@@ -77,3 +77,24 @@
 	b.end(c.Runner, 1, c.Run, workload.Done)
 	b.g.Expect(take[Decision](b)).To(ContainElement(logged("dropped-run-done", c.Run, ContainSubstring(string(second.Runner)))))
 }
+
+// Guards against an order to stop an overdue run on a silent runner every few tens of milliseconds, each on a new connection,
+// for as long as the run counts.
+func TestStopsOfAnOverdueRunOnASilentRunnerAreSpaced(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	c := b.runningStoredTask()
+	b.s.runners[c.Runner].runs[c.Run].overdueAt = b.now + 100*ms
+	stops := 0
+	for begin := b.now; b.now-begin < 4*time.Second; {
+		b.passAndSave(c.Runner, ConnectionTimedOut)
+		for _, stop := range take[Stop](b) {
+			stops++
+			b.s.Stopped(b.now, StopResult{
+				Runner: stop.Runner, Token: stop.Token, Run: stop.Run, Outcome: Unanswered, Connection: ConnectionTimedOut,
+				Clock: ClockReading{ReceivedAt: b.now, SentAt: b.now},
+			})
+		}
+	}
+	b.g.Expect(stops).To(BeNumerically(">", 4))
+	b.g.Expect(stops).To(BeNumerically("<=", 40))
+}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -145,7 +145,7 @@
 		s.stopRun(u, StopOrphan)
 	case u.task != nil && !u.stopping && !u.confirmed && u.stopAt > 0 && s.now >= u.stopAt:
 		s.stopRun(u, StopUnconfirmed)
-	case u.task != nil && !u.stopping && u.overdueAt > 0 && s.now >= u.overdueAt:
+	case u.task != nil && !u.stopping && u.overdueAt > 0 && s.now >= max(u.overdueAt, u.stopAt):
 		s.stopOverdue(u)
 	}
 }
