--- a/core/fleet/cpuwait_test.go
+++ b/core/fleet/cpuwait_test.go
@@ -13,6 +13,7 @@
 // The leader's VM becomes short of CPU, and the leader notices it. Another process must lead
 // at once, receive the progress and stay the leader; no job may fail.
 func TestASlowLeaderGivesUpTheLead(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for seed := range uint64(10) {
 		w := deployment(seed, 1)
@@ -45,6 +46,7 @@
 // All VMs are short of CPU. Each process may give up the lead once, and then it must stay for
 // a while: each change of leader delays all callers.
 func TestLeadershipDoesNotCycle(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	w.run(time.Second)
@@ -66,6 +68,7 @@
 // in a burst. No process may give up its shard: the process that got it as its second would
 // fall behind for good, and then the next one.
 func TestNobodyGivesUpAShardThatNoneCanTake(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 6)
 	w.run(3 * time.Second)
@@ -97,6 +100,7 @@
 // A process that has just become the leader is busy for a moment, and must not give up the
 // lead for that.
 func TestTakeoverIsNotTreatedAsCPUStarvation(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	n := w.leader()
--- a/core/fleet/evacuation_test.go
+++ b/core/fleet/evacuation_test.go
@@ -60,6 +60,7 @@
 // Guards against tasks started in an evacuated domain, and against a domain that gets none
 // after its evacuation was revoked.
 func TestAnEvacuatedDomainGetsNothingUntilItIsTakenBack(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 2)
 	w.load(15, 12*time.Second)
@@ -98,6 +99,7 @@
 // Guards against a leader that can't reach the store and goes on using a domain, though the
 // other processes know that it is evacuated.
 func TestALeaderWithoutTheStoreHearsOfAnEvacuation(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	w.load(40, 8*time.Second)
@@ -114,6 +116,7 @@
 // Guards against a leader that takes over while the store is unavailable and doesn't know the
 // evacuations that its predecessor knew, and against a process that starts at that time.
 func TestAnEvacuationSurvivesLeaderChanges(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	w.load(40, 12*time.Second)
@@ -139,6 +142,7 @@
 // Guards against callers who wait in vain. With all domains evacuated no task can be started,
 // and callers must be answered at once that nothing was run.
 func TestJobsAreRefusedAtOnceWhileAllDomainsAreEvacuated(t *testing.T) {
+	t.Parallel()
 	for _, cells := range []bool{false, true} {
 		g := NewWithT(t)
 		w := deployment(1, 2)
@@ -172,6 +176,7 @@
 
 // Guards against jobs that wait in an evacuated cell though other cells have capacity.
 func TestJobsOfAnEvacuatedCellGoToAnother(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := cellDeployment(1, 1)
 	w.run(time.Second)
--- a/core/fleet/expired_test.go
+++ b/core/fleet/expired_test.go
@@ -77,6 +77,7 @@
 // Entries expire during a store outage. Those of runners that weren't draining must be
 // retained for a while, and be sent to other processes as expired.
 func TestEntriesThatExpireDuringAStoreOutageAreRetained(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := newRunnerListNode()
 	n.advanceTo(5 * s).StoreFailed(5 * s)
@@ -90,6 +91,7 @@
 
 // An entry that reappears becomes a normal entry, which may be removed again.
 func TestAnEntryComesBack(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := newRunnerListNode()
 	n.advanceTo(5 * s).StoreFailed(5 * s)
@@ -103,6 +105,7 @@
 // An entry that is removed while the store is available, or that names no usable runner any
 // more, must not be retained.
 func TestEntriesRemovedWithoutAStoreOutageAreNotRetained(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := newRunnerListNode()
 	n.advanceTo(6*s).RunnersRead(6*s, listOf(2, "a"))
@@ -119,6 +122,7 @@
 // A process has retained an expired entry and is lost. Its successor received the entry and
 // must retain it for as long.
 func TestNextLeaderRetainsExpiredEntries(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := newRunnerListNode()
 	l := listOf(2, "a", "b")
@@ -132,6 +136,7 @@
 // Guards against leaders of other shards that go on starting tasks on a runner whose capacity
 // has shrunk, since only the process that reads the list for the cell knows it.
 func TestCapacityChangesAreSentToOtherLeaders(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := newRunnerListNode()
 	n.advanceTo(5 * s).sentList()
--- a/core/fleet/first_stored_job_test.go
+++ b/core/fleet/first_stored_job_test.go
@@ -36,6 +36,7 @@
 // Guards against tasks of the first stored jobs that run twice: a process that isn't told of them knows of none, leads
 // alone, and acknowledges the ends of their runs, which the owner of the rows never sees.
 func TestFirstStoredJobsOfWhichAProcessIsNotTold(t *testing.T) {
+	t.Parallel()
 	const length = 5 * time.Second
 	ways := map[string]func(w *world, n *fakeNode){
 		"cut off":                 func(w *world, n *fakeNode) { w.separate(n, true, length) },
@@ -57,6 +58,7 @@
 	}
 	for way, disturb := range ways {
 		t.Run(way, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(8) {
 				g := NewWithT(t)
 				w := deployment(seed, 1)
--- a/core/fleet/gone_test.go
+++ b/core/fleet/gone_test.go
@@ -13,6 +13,7 @@
 // VM stays on the list of members: that VM is never reachable, so the owner of a shard would
 // have to prove its ownership by the store.
 func TestStoredJobsGoOnWithoutTheStoreThoughAVMIsGone(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	gone := w.nodes[5]
@@ -35,6 +36,7 @@
 // Guards against tasks that run twice because a process that was presumed gone resumes behind
 // a network partition, and takes the shard while its owner can't reach the store.
 func TestAVMThatWasTakenForGoneDoesNotTakeTheShard(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	back := w.nodes[5]
@@ -60,6 +62,7 @@
 // Guards against a VM that stays excluded from its shard after it is reachable again: as the
 // last VM left it must be able to schedule.
 func TestAVMThatIsHeardAgainMayTakeTheShard(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	back := w.nodes[5]
--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -24,6 +24,7 @@
 // The leader is stopped as planned while jobs run of which some tasks have ended. The next
 // leader must continue with the remaining tasks only.
 func TestPlannedStopRunsNothingAgain(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for seed := range uint64(20) {
 		w := deployment(seed, 1+int(seed)%2)
@@ -40,6 +41,7 @@
 // them, are 120 ms late. The next leader must wait for that report, and must not run tasks
 // again that have ended.
 func TestPlannedStopOfABusyLeader(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for seed := range uint64(20) {
 		w := deployment(seed, 1+int(seed)%2)
@@ -59,6 +61,7 @@
 // would connect with each other, and their heartbeats would take CPU from callers from then
 // on. Once everything is known and no scheduler is reachable, seats are widened.
 func TestSeatsAreNotWidenedBeforeTheConfigurationIsKnown(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
 	n.Registered(0, "a#1", 1)
@@ -82,6 +85,7 @@
 // A process answers a heartbeat with its own at once, so that the heartbeats of two processes
 // go in pairs. The number of heartbeats must not grow by this.
 func TestHeartbeatsGoInPairs(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := newWorld(1)
 	w.shards = 1
@@ -110,6 +114,7 @@
 // partition heals, the domain's leader must not take runners of the other side: they have a
 // leader, and their jobs would be delayed.
 func TestNoRunnerIsTakenAsACutHeals(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for seed := range uint64(10) {
 		w := deployment(seed, 1)
--- a/core/fleet/large_test.go
+++ b/core/fleet/large_test.go
@@ -136,16 +136,19 @@
 func TestALargeFleetStarts(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ domains, vms int }{{5, 29}, {7, 143}} {
-		g := NewWithT(t)
-		w := largeFleet(size.domains, size.vms)
-		w.run(4 * time.Second)
-		w.expectSettled(g)
-		w.expectMessageBudget(g, 4*time.Second, size.vms)
-		g.Expect(w.takeovers()).To(Equal(len(w.cellLayout)), "each shard gets a leader once")
-		w.resetCounters()
-		w.run(2 * time.Second)
-		g.Expect(w.takeovers()).To(BeZero())
-		w.expectMessageBudget(g, 2*time.Second, size.vms)
+		t.Run(fmt.Sprintf("%d VMs", size.domains*size.vms), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := largeFleet(size.domains, size.vms)
+			w.run(4 * time.Second)
+			w.expectSettled(g)
+			w.expectMessageBudget(g, 4*time.Second, size.vms)
+			g.Expect(w.takeovers()).To(Equal(len(w.cellLayout)), "each shard gets a leader once")
+			w.resetCounters()
+			w.run(2 * time.Second)
+			g.Expect(w.takeovers()).To(BeZero())
+			w.expectMessageBudget(g, 2*time.Second, size.vms)
+		})
 	}
 }
 
@@ -167,18 +170,21 @@
 func TestOnlySeatsReadTheListAsAFleetRestarts(t *testing.T) {
 	t.Parallel()
 	for _, vms := range []int{47, 94} {
-		g := NewWithT(t)
-		w := largeFleet(5, vms)
-		w.run(4 * time.Second)
-		w.resetCounters()
-		w.killAll(1400, 1500)
-		w.run(3500 * time.Millisecond)
-		w.expectSettled(g)
-		for _, n := range w.nodes {
-			if !n.large() {
-				g.Expect(n.listsRead).To(BeZero(), n.name)
+		t.Run(fmt.Sprintf("%d VMs", 5*vms), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := largeFleet(5, vms)
+			w.run(4 * time.Second)
+			w.resetCounters()
+			w.killAll(1400, 1500)
+			w.run(3500 * time.Millisecond)
+			w.expectSettled(g)
+			for _, n := range w.nodes {
+				if !n.large() {
+					g.Expect(n.listsRead).To(BeZero(), n.name)
+				}
 			}
-		}
+		})
 	}
 }
 
--- a/core/fleet/late_ack_test.go
+++ b/core/fleet/late_ack_test.go
@@ -13,6 +13,7 @@
 // Guards against an accepted job that is lost: the acknowledgement of an earlier move, by a process that
 // doesn't lead the shard any more, ends a later move whose job hasn't arrived.
 func TestAnotherProcessesAcknowledgementDoesntEndAMove(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := cellDeployment(1, 1)
 	w.sendJob(w.newStoredJob())
--- a/core/fleet/learned_test.go
+++ b/core/fleet/learned_test.go
@@ -38,6 +38,7 @@
 // Guards against a leader that is lost, alone or with its failure domain, and leaves no copy of
 // what it has learned.
 func TestSuccessorsHaveWhatWasLearned(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	sent := 0
@@ -63,6 +64,7 @@
 
 // A planned change loses nothing of what was learned.
 func TestAPlannedStopHandsOverWhatWasLearned(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(2, 1)
 	w.load(60, 2*time.Second)
@@ -79,6 +81,7 @@
 // Guards against a copy that is older than the one before, that has absurd numbers, or that is of a
 // shard that doesn't exist. Logs are bounded.
 func TestUselessCopies(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
 	n.ApplyLayout(0, layout.Pooled(1))
@@ -108,6 +111,7 @@
 
 // Guards against a lost message with what was learned: the successor begins without, and learns.
 func TestALostCopy(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(3, 1)
 	w.load(60, 7*time.Second)
--- a/core/fleet/pending_test.go
+++ b/core/fleet/pending_test.go
@@ -79,6 +79,7 @@
 
 // Guards against a count of waiting jobs that drops to zero while the leader that counted them is replaced.
 func TestWaitingJobsAreCountedWithoutALeader(t *testing.T) {
+	t.Parallel()
 	// known: the next leader counts the jobs before the last count is too old. It doesn't while it can't read them, or
 	// while two processes that reach the store claim them in turn.
 	ways := []struct {
@@ -115,6 +116,7 @@
 
 // Guards against a process that has just started and gives zero as the number of waiting jobs before it has heard of any.
 func TestANewProcessDoesNotKnowTheCountOfWaitingJobs(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(3, 1)
 	w.run(2 * time.Second)
@@ -132,6 +134,7 @@
 // Guards against a process that is cut off from the others, though not from the store, and gives zero as the number of
 // waiting jobs, since it knew of no stored jobs when it last heard of the others.
 func TestWaitingJobsAreCountedBehindACut(t *testing.T) {
+	t.Parallel()
 	for _, withoutStore := range []bool{true, false} {
 		g := NewWithT(t)
 		w := deployment(3, 1)
--- a/core/fleet/start_test.go
+++ b/core/fleet/start_test.go
@@ -30,6 +30,7 @@
 // since its caller won't submit twice. In a process that has run for longer the job is answered
 // after earlyTimeout.
 func TestEarlyRequestsWait(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	job := &workload.Job{ID: "0000000000000001", Queue: queue, Service: service, Steps: []workload.Step{{Tasks: 1}}}
 	n := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
@@ -58,6 +59,7 @@
 // their leaders are reached. Guards against callers who are turned away though they have time left,
 // and against a job that waits until it can't be completed any more.
 func TestJobsWaitWhileAProcessStarts(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	job := &workload.Job{ID: "0000000000000001", Queue: queue, Service: service, Steps: []workload.Step{{Tasks: 1, Estimate: 200 * time.Millisecond}}}
 	long := &workload.Job{ID: "0000000000000002", Queue: queue, Service: service, Steps: []workload.Step{{Tasks: 1, Estimate: 900 * time.Millisecond}}}
@@ -84,6 +86,7 @@
 // configuration and the shards before the list of runners. It must not lead yet: it would
 // refuse all jobs because it has no runners.
 func TestNobodyLeadsWithoutAListOfRunners(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
 	n.Registered(0, "a#1", 1)
@@ -105,6 +108,7 @@
 // know it yet and refuse its connections, so it receives no heartbeat, though it notices that
 // they are alive. It acquired their runners, and running tasks stalled for half a second.
 func TestAProcessThatOthersDontKnowDoesntLead(t *testing.T) {
+	t.Parallel()
 	for name, w := range map[string]*world{"pooled": deployment(1, 1), "cells": cellDeployment(1, 1)} {
 		g := NewWithT(t)
 		w.run(2 * time.Second)
@@ -126,6 +130,7 @@
 // Guards against a deployment without a leader because the processes that refuse a new one
 // never learn of it.
 func TestAProcessThatStaysUnknownLeadsInTheEnd(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	w.run(2 * time.Second)
@@ -139,6 +144,7 @@
 // Guards against a process that leads before it knows which failure domains are evacuated:
 // it would start tasks there.
 func TestNobodyLeadsBeforeTheEvacuationsAreKnown(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	n := fleet.New(schedule.DefaultConfig(), grace, 400, 0)
 	n.Registered(0, "a#1", 1)
--- a/core/fleet/stop_test.go
+++ b/core/fleet/stop_test.go
@@ -9,6 +9,7 @@
 
 // Guards against a caller who is told by a process about to end that its job never runs, though an earlier copy of it runs.
 func TestProcessAboutToEndDoesNotDenyACopy(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := deployment(1, 1)
 	w.run(2 * time.Second)
--- a/core/fleet/uncertainty_test.go
+++ b/core/fleet/uncertainty_test.go
@@ -13,6 +13,7 @@
 // processes have no connection with that VM. By then all schedulers of the fleet must know
 // that tasks of such jobs may have run, and must not answer NotRun.
 func TestAllCellsAreUncertainAfterAVMLoss(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	w := largeFleet(5, 8)
 	w.run(8 * time.Second)
