A job that may have been sent before isn't refused for another shard

Cause: on arrival a job is refused if all domains are evacuated, no runner is in reach or room is lacking, and its entry process takes it to another shard. A job that may have a run on a runner that hasn't listed its runs was too; the other shard knows nothing of that run. Change: while that may be so, only the time that is left refuses a job.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -38,7 +38,8 @@
 	if s.hopeless(j) {
 		return workload.TooLittleTime, "too little time is left"
 	}
-	if !s.leading {
+	if !s.leading || s.mayBeResent(j) {
+		// A job that may have a run here isn't sent to another shard, which doesn't know of it.
 		return workload.NotRefused, ""
 	}
 	if s.allEvacuated(j.work.Service) {
