A job whose run may be done, unheard, isn't given up early

Cause: a job with a run on a silent runner was given up once the task couldn't be started again in time, also if by its estimate the run had ended within its lease, so that an answer would complete the job. Change: only a run that is expected to take longer than its lease lasts counts.

--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -97,12 +97,18 @@
 // runs if it is punctual.
 func (r *runner) lost(now Time) bool { return r.askedInVain() && now > r.aliveUntil }
 
-// awaitsLostRun reports whether a best-effort job waits in vain for a run on a runner that doesn't answer: if the runner
-// answered now, too little time would be left to start the task again.
+// lost reports whether a run is on a lost runner and can't be expected to have been done within its lease.
+func (u *run) lost(now Time) bool {
+	return u.runner.lost(now) && u.expectedEnd > u.runner.leaseEndsAt()
+}
+
+// awaitsLostRun reports whether a best-effort job waits in vain for a run on a runner that doesn't answer: the run can't
+// have been done within its lease, by its estimate, and if the runner answered now, too little time would be left to start
+// the task again.
 func (s *Scheduler) awaitsLostRun(j *job) bool {
 	inVain := false
 	j.eachTask(func(t *taskState) {
-		lost := t.run != nil && t.run.runner.lost(s.now) || t.phase == waiting && s.lostRunSilent(t)
+		lost := t.run != nil && t.run.lost(s.now) || t.phase == waiting && s.lostRunSilent(t)
 		inVain = inVain || lost && s.tooLateFor(t)
 	})
 	return inVain
