What answers at an odd address ends no runs, and a runner is used again at the right one

Cause: that another incarnation answers counted as the end of a runner's runs, also at an address at which the runner never answered and that another writer had put into its entry, together with a later start. And a runner that counted as gone by that was never used again by the same process. Change: once a runner has answered, such an answer counts only at the address at which it did; elsewhere it is silence. A runner that counts as gone is asked again when its entry has another address.

Left: a process that begins to lead while the address is odd (TestAPriorRunCountsWhoseRunnerHasTheAddressOfAnotherOneInItsEntry): to it a crashed runner whose successor answers looks the same, and to wait for each of those costs jobs.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -87,6 +87,7 @@
 		if r.answersAt(info) {
 			info.Address = r.info.Address
 		}
+		moved := info.Address != r.info.Address
 		expired := info.EntryExpired && !r.info.EntryExpired
 		laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
 		r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
@@ -95,6 +96,9 @@
 			r.laterStartAt = now
 		}
 		r.noteEntryStart()
+		if moved {
+			s.addressChanged(r)
+		}
 		if expired || laterStart {
 			s.requestList(r)
 		}
@@ -118,7 +122,20 @@
 // far. An incarnation keeps its address: another one in its entry is that of another writer, and what answers
 // there would show an end of runs that go on.
 func (r *runner) answersAt(entry workload.Runner) bool {
-	return r.clock != 0 && entry.IncarnationStart <= r.incarnationStart
+	return r.answeredAddress == r.info.Address && entry.IncarnationStart <= r.incarnationStart
+}
+
+// addressChanged handles a runner whose entry has another address. If it counted as gone, that was by what answers at the
+// address before.
+func (s *Scheduler) addressChanged(r *runner) {
+	r.addressSince = s.now
+	if !r.gone {
+		return
+	}
+	r.gone, r.answeredAddress = false, ""
+	if s.leading {
+		s.acquire(r)
+	}
 }
 
 // noteEntryStart takes the start of the incarnation from the runner's entry, unless an answer has shown it.
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -207,6 +207,15 @@
 	}
 }
 
+// evidenceOf returns the outcome of an order for what it shows. That another incarnation answers at an address at which the
+// runner never did, though it has answered at another one, shows nothing: another writer may have changed its entry.
+func (r *runner) evidenceOf(o CallOutcome) CallOutcome {
+	if o == Replaced && r.answeredAddress != "" && r.answeredAddress != r.info.Address {
+		return Unhealthy
+	}
+	return o
+}
+
 // replaced handles a runner whose incarnation has ended, and with it all its runs.
 func (s *Scheduler) replaced(r *runner) {
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "replaced"})
--- a/core/schedule/reachability.go
+++ b/core/schedule/reachability.go
@@ -60,6 +60,10 @@
 // handleReachability handles the result of checkReachability.
 func (s *Scheduler) handleReachability(r *runner, res HoldResult) {
 	r.holdInFlight = false
+	if r.evidenceOf(res.Outcome) != res.Outcome {
+		r.nextHoldAt = s.now + orphanCheckInterval
+		return
+	}
 	switch res.Outcome {
 	case Replaced:
 		s.replaced(r)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -37,8 +37,12 @@
 	r.noteAnsweredHold(res)
 	silence := s.now - r.clockAt
 	r.updateClock(res.Clock)
+	res.Outcome = r.evidenceOf(res.Outcome)
 	switch res.Outcome {
 	case Accepted:
+		if res.Clock.SentAt > r.addressSince {
+			r.answeredAddress = r.info.Address
+		}
 		r.answered(res.Clock.SentAt)
 		r.host = host{}
 		s.noteAnswerAfterSilence(r, silence)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -29,6 +29,10 @@
 	// last came to show a later one than incarnationStart.
 	entryStart   int64
 	laterStartAt Time
+	// answeredAddress is the address at which it last answered an order; "" if it hasn't yet.
+	answeredAddress string
+	// addressSince is when the address in info last changed.
+	addressSince Time
 	// leaving: the entry of the known incarnation says that it drains.
 	leaving bool
 	// reserved is the suspect that the runner is, or was, reserved for; see reservation.
