Lost runs: no questions while they are listed, and no word that nothing was run

Two faults of the memory of lost runs. A runner that lists such a run again was asked for its lists at each tick, 234 times in 4.7 s, until the time by which the run would be over. And a job whose lost run may be alive was refused as one of which nothing was run, once its memory as a job that has run was older than 15 s.

Change: only runs that aren't listed are asked about; a job with a lost run counts as started.

--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -78,6 +78,16 @@
 	return max(l.lostAt, r.acquiredAt) + s.longestStop()
 }
 
+// hasLostRun reports whether a task of a job has a lost run that may be alive.
+func (s *Scheduler) hasLostRun(j *job) bool {
+	if len(s.lostRuns) == 0 {
+		return false
+	}
+	found := false
+	j.eachTask(func(t *taskState) { found = found || s.lostRunAlive(t) })
+	return found
+}
+
 // lostRunSilent reports whether a lost run of a task may be alive on a runner that, asked again, doesn't answer. Until Resend
 // after the loss no run counts, since runners that another scheduler has taken are asked again by then.
 func (s *Scheduler) lostRunSilent(t *taskState) bool {
@@ -96,7 +106,7 @@
 	for _, list := range s.lostRuns {
 		for _, l := range list {
 			r := s.runners[l.runner]
-			if r != nil && !due[r] && s.mayBeAlive(l) && s.now >= s.listNeededSince(r, l) {
+			if r != nil && !due[r] && r.runs[l.key] == nil && s.mayBeAlive(l) && s.now >= s.listNeededSince(r, l) {
 				due[r] = true
 			}
 		}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -113,7 +113,7 @@
 	s.notePriorSubmissions(j, sub)
 	s.recallPriorRuns(j)
 	ran, ok := s.ranJobs[sub.Job.ID]
-	if ok {
+	if ok || s.hasLostRun(j) {
 		j.started = true
 	}
 	j.onlyHere = !ok || s.knowsAllRuns(ran)
