Soak: copies of jobs go to another VM than the first request, as the comment says

Cause: the first request for a copied job counts as its second try, which takes it to the VM on which sendCopy chose to send the copy. No two VMs had one job at once, but for requests that were sent again.

Change: the copy goes to the next VM. The check is stricter; nothing else changes.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -350,7 +350,7 @@
 	begin := time.Now()
 	firstTry := 1
 	if answered := w.sendCopy(caller, k, job, runTime, tasks); answered != nil {
-		firstTry = 2 // a refusal of one request says nothing of the other
+		firstTry = firstTryOfCopied
 		defer func() { <-answered }()
 	}
 	for tries := firstTry; time.Since(begin) < callerTimeout; tries++ {
--- a/soak/harsh_runners_test.go
+++ b/soak/harsh_runners_test.go
@@ -152,6 +152,10 @@
 // copyDelay is within what time after a request a copy of it is sent.
 const copyDelay = 1600 * time.Millisecond
 
+// firstTryOfCopied is the number of the first request for a job of which a copy is sent. It isn't 1, since a refusal of
+// one of the two says nothing of the other. The copy goes to the VM after that of this request.
+const firstTryOfCopied = 2
+
 // sendCopy sends a copy of a job to another entry VM than the first request, for a share of the jobs. It
 // returns a channel that is closed when the copy was answered; nil if there is none.
 func (w *world) sendCopy(caller, k int, job string, runTime time.Duration, tasks int) chan struct{} {
@@ -160,7 +164,7 @@
 		return nil
 	}
 	delay := time.Duration(rng.Int64N(int64(copyDelay)))
-	n, answered := w.nodes[(caller+k+2)%len(w.nodes)], make(chan struct{})
+	n, answered := w.nodes[(caller+k+firstTryOfCopied+1)%len(w.nodes)], make(chan struct{})
 	go func() {
 		defer close(answered)
 		time.Sleep(delay)
