Soak by hand: each fault alone or beside dropped connections, with wide jobs and late ends

Links to runners of other failure domains drop connections too, so that the fault can be played beside those of links; scenario.linksFail says that links can fail, apart from how many must be lost. The soak prints how many tasks were started again. A known red: copies of jobs at two processes that lead beyond a cut.

--- a/soak/dropped_connections_test.go
+++ b/soak/dropped_connections_test.go
@@ -29,8 +29,13 @@
 func connectionsDropped(oneIn int) fault {
 	return fault{"hosts drop connections", func(w *world) {
 		for _, r := range w.runners {
-			if w.rng.IntN(oneIn) == 0 {
-				go r.proxy.DropConnections(w.randomDuration(700, 2500))
+			if w.rng.IntN(oneIn) > 0 {
+				continue
+			}
+			d := w.randomDuration(700, 2500)
+			go r.proxy.DropConnections(d)
+			if w.links != nil {
+				w.links.dropConnections(r.runner.ID, d)
 			}
 		}
 	}}
--- a/soak/entry_links_test.go
+++ b/soak/entry_links_test.go
@@ -29,7 +29,7 @@
 // failingLinks returns a scenario of entry VMs in failure domains whose links can fail.
 func failingLinks(kinds []fault) scenario {
 	return scenario{
-		faults: kinds, minLinksLost: minLinksLost, minRunners: wideRunners, minDomains: 3,
+		faults: kinds, linksFail: true, minLinksLost: minLinksLost, minRunners: wideRunners, minDomains: 3,
 		wide: wideJobs{shortShare: 0.4, minOverdue: minOverdueWithFaults},
 	}
 }
@@ -139,11 +139,14 @@
 	cuts       map[entryLink]int
 	runners    map[runnerLink]runnerProxy
 	domainCuts map[string]int
-	closed     bool
+	// backlog is the length of the queue of new connections of a link to a runner; 0 stands for the system's.
+	backlog int
+	closed  bool
 }
 
-func newEntryLinks() *entryLinks {
+func newEntryLinks(backlog int) *entryLinks {
 	return &entryLinks{
+		backlog:    backlog,
 		relays:     make(map[entryLink]*faults.Relay),
 		cuts:       make(map[entryLink]int),
 		runners:    make(map[runnerLink]runnerProxy),
@@ -186,6 +189,17 @@
 	p.Drop(cut, cut)
 }
 
+// dropConnections lets all links to a runner drop connections for a time.
+func (l *entryLinks) dropConnections(runner string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for link, p := range l.runners {
+		if link.runner == runner {
+			go p.DropConnections(d)
+		}
+	}
+}
+
 // delay sets the delay of the links that a VM has dialed.
 func (l *entryLinks) delay(vm string, d time.Duration) {
 	l.mu.Lock()
@@ -282,7 +296,7 @@
 		return "", errLinksClosed
 	}
 	if l.runners[link].Proxy == nil {
-		p, err := faults.NewProxy(target)
+		p, err := faults.NewProxyWithQueue(target, l.backlog)
 		if err != nil {
 			return "", err
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,8 +147,8 @@
 	t.Logf("starts unanswered %d, rejected %v", w.countEvents("start-unanswered"), w.countRejections())
 	w.checkConfiguration(t, pausesExcepted)
 	violations := w.checker.allViolations()
-	t.Logf("runs lapsed %d, dropped runs that were done beside another one %d, violations %d",
-		w.countEvents("run-lapsed"), w.countEvents("dropped-run-done"), len(violations))
+	t.Logf("runs lapsed %d, tasks started again %d, dropped runs that were done beside another one %d, violations %d",
+		w.countEvents("run-lapsed"), w.countEvents("task-started-again"), w.countEvents("dropped-run-done"), len(violations))
 	t.Log(w.describeLeaseExpiries())
 	stops := w.countStops()
 	linksLost := w.countEvents("peer-disconnected")
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -76,8 +76,10 @@
 	wrongEstimates bool
 	// copies is the share of jobs that are sent to another entry VM as well while the first request is open.
 	copies float64
-	// minLinksLost is the least number of connections between entry processes that a test loses, counted at each
-	// end. If it is 0, these links, and those from one failure domain to the runners of others, can't fail.
+	// linksFail: the links between entry processes, and those from one failure domain to the runners of others, can
+	// fail. minLinksLost is the least number of connections between entry processes that a test loses, counted at
+	// each end.
+	linksFail    bool
 	minLinksLost int
 	// minRunners and minDomains are the numbers of runners and of failure domains if the flags set fewer.
 	minRunners, minDomains int
@@ -149,8 +151,8 @@
 		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
 		scenario: sc,
 	}
-	if w.minLinksLost > 0 {
-		w.links = newEntryLinks()
+	if w.linksFail {
+		w.links = newEntryLinks(w.backlog)
 	}
 	if w.shards > 0 {
 		if err := w.store.Put("sapphirepoint-layout", "shards", map[string]int{"shards": w.shards}); err != nil {
