--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -203,7 +203,7 @@
 		c.started(start)
 		c.silent[start.Runner] = true
 		if n < maxCrashes-1 {
-			c.pass(starvedLife + 400*ms)
+			c.pass(silentLife + 400*ms)
 		}
 	}
 	c.pass(lossSilence + crashEvidenceTimeout)
--- a/core/schedule/dropped_test.go
+++ b/core/schedule/dropped_test.go
@@ -175,7 +175,7 @@
 				b.answerHold(h, Unanswered)
 			}
 		}
-		b.silence(c.Runner, starvedLife+40*ms, b.tick)
+		b.silence(c.Runner, silentLife+40*ms, b.tick)
 		b.g.Expect(take[Decision](b)).To(ContainElement(logged("run-lapsed", c.Run, "runner is silent")))
 		b.started(one[Start](b), Accepted)
 		if running {
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -143,7 +143,7 @@
 	b.submit(testJob(1, 60*ms), 9*time.Second)
 	b.started(one[Start](b), Unanswered)
 	b.started(one[Start](b), Unanswered)
-	b.silence("r1", starvedLife+40*ms, b.tick)
+	b.silence("r1", silentLife+40*ms, b.tick)
 	r := b.s.runners["r1"]
 	b.g.Expect(r.runs).To(BeEmpty(), "the run has lapsed")
 	take[Hold](b)
@@ -167,7 +167,7 @@
 		b.started(one[Start](b), Unanswered)
 		second := one[Start](b)
 		b.started(second, Unanswered)
-		b.silence(second.Runner, starvedLife-20*ms, b.tick)
+		b.silence(second.Runner, silentLife-20*ms, b.tick)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
 		b.silence(second.Runner, 60*ms, b.tick)
 		b.g.Expect(one[Start](b).Runner).NotTo(Equal(second.Runner))
@@ -181,7 +181,7 @@
 	c := b.runningTask()
 	b.s.runners[c.Runner].incarnationStart = secondIncarnation
 	renewals := 0
-	for begin := b.now; b.now-begin < starvedLife+100*ms; {
+	for begin := b.now; b.now-begin < silentLife+100*ms; {
 		for _, h := range take[Hold](b) {
 			if h.Runner != c.Runner {
 				b.held(h)
--- a/core/schedule/lapsed_start_test.go
+++ b/core/schedule/lapsed_start_test.go
@@ -12,7 +12,7 @@
 	b := leading(t, testRunner("r1"))
 	b.submit(testJob(1, 400*ms), 9*time.Second)
 	c := one[Start](b)
-	for end := b.now + starvedLife + time.Second; b.now < end && b.s.runners["r1"].runs[c.Run] != nil; {
+	for end := b.now + silentLife + time.Second; b.now < end && b.s.runners["r1"].runs[c.Run] != nil; {
 		b.leaveUnanswered("r1", ConnectionTimedOut)
 		b.tick(20 * ms)
 	}
--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -219,7 +219,7 @@
 	b.submitCopy(j, entryB)
 	b.s.jobs[j.ID].deadline = b.now + 20*time.Second
 	// Another scheduler may have started tasks of the job in between.
-	over = max(over, b.s.starvedOverAt)
+	over = max(over, b.s.silentOverAt)
 	for b.now < over {
 		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v too early", over-b.now)
 		b.s.EntryAlive(b.now, entryB)
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -262,7 +262,7 @@
 		Done: m.Done, Failures: m.Failures, Losses: m.Losses, Unseen: m.Unseen, Restarted: true,
 	})
 	// It was moved when no run of it could be alive.
-	j.priorRunsOverAt, j.starvedRunsOverAt = s.now, 0
+	j.priorRunsOverAt, j.silentRunsOverAt = s.now, 0
 	j.stored.accepted = false
 	j.stored.waiters = make(map[EntryID]Time)
 	j.stored.senders = []sender{{entry: from, shard: m.From}}
--- a/core/schedule/move_test.go
+++ b/core/schedule/move_test.go
@@ -24,7 +24,7 @@
 	b.saved(take[Save](b)...)
 	b.s.SetRunners(b.now, nil)
 	b.s.runners["r1"].markUnresponsive(b.now)
-	b.silence("r1", starvedLife+moveAfter, b.tick)
+	b.silence("r1", silentLife+moveAfter, b.tick)
 	b.saved(take[Save](b)...)
 	b.tick(100 * ms)
 	saves := take[Save](b)
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -23,12 +23,12 @@
 	priorSchedulers  int
 	listsNeededSince Time
 	// priorRunsOverAt is when the runs can't be alive any more on runners that end their runs in time, and
-	// starvedRunsOverAt when they can't on silent ones, which may end them late; 0 if none can be on such a runner.
-	priorRunsOverAt, starvedRunsOverAt Time
+	// silentRunsOverAt when they can't on silent ones, which may end them late; 0 if none can be on such a runner.
+	priorRunsOverAt, silentRunsOverAt Time
 }
 
-// noteStarvedOver records until when prior runs of some job may be alive on runners that are starved.
-func (s *Scheduler) noteStarvedOver(at Time) { s.starvedOverAt = max(s.starvedOverAt, at) }
+// noteSilentOver records until when prior runs of some job may be alive on silent runners.
+func (s *Scheduler) noteSilentOver(at Time) { s.silentOverAt = max(s.silentOverAt, at) }
 
 // mayHaveUnlistedRuns reports whether the runner has listed nothing since a time, so that it may have runs that
 // this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
@@ -60,7 +60,7 @@
 
 // stepMayRun reports whether a task of a job's step may have a prior run on a silent runner.
 func (p *placer) stepMayRun(j *job, i int) bool {
-	if p.s.now >= j.starvedRunsOverAt {
+	if p.s.now >= j.silentRunsOverAt {
 		return false
 	}
 	return slices.ContainsFunc(p.runnersToAwait(j.work.Service), func(r *runner) bool {
@@ -80,13 +80,13 @@
 
 // mayHaveUnlistedPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
 func (s *Scheduler) mayHaveUnlistedPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.starvedOverAt && r.mayHaveUnlistedRuns(s.latestHandoverLists(), s.now)
+	return s.leading && s.now < s.silentOverAt && r.mayHaveUnlistedRuns(s.latestHandoverLists(), s.now)
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
 // again, as a new job.
 func (s *Scheduler) rememberPriorRuns(j *job) {
-	if j.stored != nil || s.now >= j.starvedRunsOverAt {
+	if j.stored != nil || s.now >= j.silentRunsOverAt {
 		return
 	}
 	s.priorRuns[j.work.ID] = j.priorRuns
@@ -103,14 +103,14 @@
 	j.priorSchedulers = max(j.priorSchedulers, p.priorSchedulers)
 	j.listsNeededSince = max(j.listsNeededSince, p.listsNeededSince)
 	j.priorRunsOverAt = max(j.priorRunsOverAt, p.priorRunsOverAt)
-	j.starvedRunsOverAt = max(j.starvedRunsOverAt, p.starvedRunsOverAt)
+	j.silentRunsOverAt = max(j.silentRunsOverAt, p.silentRunsOverAt)
 	j.eachTask(func(t *taskState) { t.lastNumber = j.priorSchedulers * runsPerScheduler })
 }
 
 // expirePriorRuns forgets the prior runs that are over.
 func (s *Scheduler) expirePriorRuns() {
-	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.starvedRunsOverAt })
+	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.silentRunsOverAt })
 }
 
-// starvedOver returns when prior runs are over on silent runners, if they are by a time on all others.
-func starvedOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxLateEnd }
+// silentOver returns when prior runs are over on silent runners, if they are by a time on all others.
+func silentOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxLateEnd }
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -15,8 +15,8 @@
 	s.rows.loaded = true
 	s.rows.epoch = l.Epoch
 	s.rows.priorRunsOverAt = s.priorRunsOverAt(l.ClaimedAt)
-	s.rows.starvedRunsOverAt = starvedOver(l.ClaimedAt + maxPriorRunLife)
-	s.noteStarvedOver(s.rows.starvedRunsOverAt)
+	s.rows.silentRunsOverAt = silentOver(l.ClaimedAt + maxPriorRunLife)
+	s.noteSilentOver(s.rows.silentRunsOverAt)
 	s.handoverListsAt = now
 	open := 0
 	for _, r := range l.Records {
@@ -65,7 +65,7 @@
 	j.restarted = r.Restarted || s.restartedByPredecessor(r.Job)
 	j.priorSchedulers = int(s.rows.epoch - r.Epoch)
 	j.priorRunsOverAt = s.rows.priorRunsOverAt
-	j.starvedRunsOverAt = s.rows.starvedRunsOverAt
+	j.silentRunsOverAt = s.rows.silentRunsOverAt
 	s.awaitHandoverLists(j)
 	j.setDue(s.now-r.Age, r.Definition.Objective)
 	s.updateDue(j)
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -171,7 +171,7 @@
 	b, first := runsOnOneOfTwo(t)
 	b.s.SetContested(true)
 	b.s.runners[first.Runner].markUnresponsive(b.now)
-	for end := b.now + starvedLife + 100*ms; b.now < end; {
+	for end := b.now + silentLife + 100*ms; b.now < end; {
 		b.s.RowOwnershipVerified(b.now, b.now)
 		b.silence(first.Runner, 20*ms, b.tick)
 	}
@@ -197,7 +197,7 @@
 func TestUnseenTaskRestartsWithoutTheStore(t *testing.T) {
 	b, first := runsOnOneOfTwo(t)
 	b.s.runners[first.Runner].markUnresponsive(b.now)
-	b.silence(first.Runner, starvedLife+100*ms, b.tick)
+	b.silence(first.Runner, silentLife+100*ms, b.tick)
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	b.s.SetStoreFailingFor(storeFailureThreshold + ms)
 	b.tick(20 * ms)
--- a/core/schedule/rowownership.go
+++ b/core/schedule/rowownership.go
@@ -45,9 +45,9 @@
 	predecessor *Progress
 	// priorRunsOverAt is when all runs that earlier owners started are certainly over.
 	priorRunsOverAt Time
-	// starvedRunsOverAt is when they are on runners that were starved. The leases of a previous owner that
+	// silentRunsOverAt is when they are on silent runners. The leases of a previous owner that
 	// has retired are over by then too.
-	starvedRunsOverAt Time
+	silentRunsOverAt Time
 }
 
 func newRows() rows {
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -79,7 +79,7 @@
 		b.tick(20 * ms)
 		if again := take[Start](b); len(again) > 0 {
 			b.g.Expect(again[0].Runner).NotTo(Equal(start.Runner))
-			b.g.Expect(b.now - last).To(BeNumerically(">=", starvedLife))
+			b.g.Expect(b.now - last).To(BeNumerically(">=", silentLife))
 			return
 		}
 	}
@@ -104,7 +104,7 @@
 		}
 		b.waitWithoutEntry(20 * ms)
 	}
-	b.silence(start.Runner, starvedLife-22*20*ms+40*ms, b.waitWithoutEntry)
+	b.silence(start.Runner, silentLife-22*20*ms+40*ms, b.waitWithoutEntry)
 	b.g.Expect(take[Decision](b)).To(ContainElement(HaveField("Event", "run-lapsed")))
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 	b.s.EntryLost(b.now, entryA, false)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -106,10 +106,10 @@
 	// last list is older are asked for a new one. handoverListsDue are such times to come.
 	handoverListsAt  Time
 	handoverListsDue []Time
-	// starvedOverAt is when no prior run of any job can be alive any more on a runner that was starved, and
+	// silentOverAt is when no prior run of any job can be alive any more on a silent runner, and
 	// priorRuns are those of jobs that were given up.
-	starvedOverAt Time
-	priorRuns     map[workload.JobID]priorRuns
+	silentOverAt Time
+	priorRuns    map[workload.JobID]priorRuns
 	// unreachable holds the VMs whose processes became unreachable and haven't come back,
 	// and since when. They may lead on the other side of a network partition.
 	unreachable map[string]Time
@@ -248,7 +248,7 @@
 	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
 	s.forgetRunners()
-	s.noteStarvedOver(starvedOver(now + maxPriorRunLife))
+	s.noteSilentOver(silentOver(now + maxPriorRunLife))
 	for _, r := range s.runnerList {
 		s.acquire(r)
 	}
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -32,7 +32,7 @@
 		b := leading(t, testRunner("r1"))
 		c := b.runningStoredTask()
 		var lapsed []Decision
-		for end := b.now + starvedLife + time.Second; b.now < end; {
+		for end := b.now + silentLife + time.Second; b.now < end; {
 			b.passAndSave(c.Runner, connection)
 			for _, d := range take[Decision](b) {
 				if d.Event == "run-lapsed" {
@@ -57,9 +57,9 @@
 	b.g.Expect(b.s.Counters().LeaseOverruns).To(BeEquivalentTo(1))
 }
 
-// starvedLife is how long after its last answer, and a lease that was sent then, the runs of a runner count
+// silentLife is how long after its last answer, and a lease that was sent then, the runs of a runner count
 // whose host accepts connections.
-var starvedLife = DefaultConfig().Lease*(100+clockDriftPercent)/100 + maxLateEnd
+var silentLife = DefaultConfig().Lease*(100+clockDriftPercent)/100 + maxLateEnd
 
 // silentFor returns how long after the last lease was sent a task of a stored job is started elsewhere whose runner
 // leaves all orders unanswered.
@@ -67,7 +67,7 @@
 	b := leading(t, testRunner("r1"), testRunner("r2"))
 	c := b.runningStoredTask()
 	last := b.now
-	for b.now-last < 3*starvedLife {
+	for b.now-last < 3*silentLife {
 		for _, h := range take[Hold](b) {
 			if h.Runner == c.Runner && h.LeaseEnd > 0 {
 				last = b.now
@@ -86,20 +86,20 @@
 // Guards against a task that runs twice since its runner, starved of processor time, ends its runs late.
 func TestTaskOfARunnerThatMayBeStarvedWaitsLonger(t *testing.T) {
 	for _, c := range []Connection{ConnectionMade, ConnectionUnknown} {
-		NewWithT(t).Expect(silentFor(t, c)).To(BeNumerically(">", starvedLife))
+		NewWithT(t).Expect(silentFor(t, c)).To(BeNumerically(">", silentLife))
 	}
 }
 
 // Guards against a task that runs twice since its runner's host refuses connections: a listener is missing or
 // something on the way refuses, and the runner's process may go on with its runs and end them late.
 func TestTaskOfARunnerWhoseHostRefusesConnectionsWaitsLonger(t *testing.T) {
-	NewWithT(t).Expect(silentFor(t, ConnectionFailed)).To(BeNumerically(">", starvedLife))
+	NewWithT(t).Expect(silentFor(t, ConnectionFailed)).To(BeNumerically(">", silentLife))
 }
 
 // Guards against a task that runs twice since nothing reaches its runner: the runner may go on beyond a cut and end
 // its runs late.
 func TestTaskOfARunnerOutOfReachWaitsLonger(t *testing.T) {
-	NewWithT(t).Expect(silentFor(t, ConnectionTimedOut)).To(BeNumerically(">", starvedLife))
+	NewWithT(t).Expect(silentFor(t, ConnectionTimedOut)).To(BeNumerically(">", silentLife))
 }
 
 // Guards against the same when answers of the runner were lost before it is starved: it may carry out its orders
@@ -171,7 +171,7 @@
 			b.submit(j, time.Second)
 		}
 	}
-	for begin := b.now; b.now-begin < starvedLife-20*ms; {
+	for begin := b.now; b.now-begin < silentLife-20*ms; {
 		pass()
 		b.g.Expect(take[Start](b)).To(BeEmpty())
 	}
@@ -224,7 +224,7 @@
 	again := one[Start](b)
 	b.started(again, Unanswered)
 	b.stopped(one[Stop](b), Accepted)
-	for end := b.now + starvedLife - 40*ms; b.now < end; {
+	for end := b.now + silentLife - 40*ms; b.now < end; {
 		b.leaveUnanswered(again.Runner, ConnectionMade)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
 		b.tick(20 * ms)
@@ -241,7 +241,7 @@
 	b := leading(t, testRunner("r1"), testRunner("r2"))
 	c := b.runningTask()
 	last := b.now
-	for b.now-last <= starvedLife {
+	for b.now-last <= silentLife {
 		connection := ConnectionMade
 		if b.now-last > 600*ms {
 			connection = ConnectionUnknown
@@ -340,7 +340,7 @@
 	c := b.runningTask()
 	last := b.now
 	connection := ConnectionTimedOut
-	for b.now-last <= starvedLife {
+	for b.now-last <= silentLife {
 		for _, h := range take[Hold](b) {
 			if h.Runner != c.Runner {
 				b.held(h)
--- a/core/schedule/started_again_test.go
+++ b/core/schedule/started_again_test.go
@@ -26,7 +26,7 @@
 	c := b.runningTask()
 	b.g.Expect(b.startedAgain()).To(BeEmpty(), "the first start is none again")
 	var lines []Decision
-	for end := b.now + starvedLife + time.Second; b.now < end && len(lines) == 0; {
+	for end := b.now + silentLife + time.Second; b.now < end && len(lines) == 0; {
 		b.leaveUnanswered(c.Runner, ConnectionMade)
 		b.tick(20 * ms)
 		lines = b.startedAgain()
@@ -92,7 +92,7 @@
 // Guards against a second start without a warning of a job that came again after its run was counted as over by time only.
 func TestAResentJobWhoseRunLapsedIsAWarning(t *testing.T) {
 	b, j, c := abandonedRun(t)
-	b.silence(c.Runner, starvedLife+time.Second, b.tick)
+	b.silence(c.Runner, silentLife+time.Second, b.tick)
 	b.g.Expect(b.s.runners[c.Runner].runs).To(BeEmpty())
 	b.submit(j, 2*time.Second)
 	b.expectAgain(b.startedAgain(), ranHere, true, "earlier run "+c.Run.String(), string(c.Runner), "lease-over")
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, j, c := abandonedRun(t)
-			b.silence(c.Runner, starvedLife+time.Second, b.tick)
+			b.silence(c.Runner, silentLife+time.Second, b.tick)
 			show(b, c)
 			b.submit(j, 2*time.Second)
 			b.expectAgain(b.startedAgain(), ranHere, false)
--- a/core/schedule/unsettled_test.go
+++ b/core/schedule/unsettled_test.go
@@ -16,7 +16,7 @@
 	first := b.storedStart()
 	b.started(first, Accepted)
 	var again []Start
-	for from := b.now; len(again) == 0 && b.now-from < starvedLife+time.Second; again = take[Start](b) {
+	for from := b.now; len(again) == 0 && b.now-from < silentLife+time.Second; again = take[Start](b) {
 		for _, h := range take[Hold](b) {
 			if h.Runner == first.Runner {
 				b.answerHold(h, Unanswered)
@@ -64,7 +64,7 @@
 	for _, stop := range take[Stop](b) {
 		b.stopped(stop, Unanswered)
 	}
-	for from := b.now; b.now-from < starvedLife+100*ms; {
+	for from := b.now; b.now-from < silentLife+100*ms; {
 		for _, h := range take[Hold](b) {
 			b.answerHold(h, Unanswered)
 		}
