A silent runner is asked at the address of its entry

Cause: a runner that had answered kept its address for as long as its entry showed no later start. One whose answers don't tell their incarnation shows none, and one that starts again at another address wasn't asked there any more. Change: the address is kept only while the runner answers; what another runner answers at an odd address still counts as silence. SetRunners is split.

TestASilentRunnerIsAskedAtTheAddressOfItsEntry fails without it.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -84,27 +84,7 @@
 			s.addRunner(newRunner(info, now))
 			continue
 		}
-		if r.answersAt(info) {
-			info.Address = r.info.Address
-		}
-		moved := info.Address != r.info.Address
-		expired := info.EntryExpired && !r.info.EntryExpired
-		laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
-		r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
-		r.evacuated = s.evacuates(info.Domain)
-		if laterStart {
-			r.laterStartAt = now
-		}
-		r.noteEntryStart()
-		if moved {
-			s.addressChanged(r)
-		}
-		if expired || laterStart {
-			s.requestList(r)
-		}
-		if r.described() {
-			r.leaving = info.Draining
-		}
+		s.refresh(r, info)
 	}
 	for _, r := range s.runnerList {
 		if !listed[r.info.ID] && !r.unlisted {
@@ -118,11 +98,36 @@
 	s.dispatch()
 }
 
-// answersAt reports whether the incarnation that an entry names, or a later one, has answered at the address known so
-// far. An incarnation keeps its address: another one in its entry is that of another writer, and what answers
+// refresh takes over a runner's entry.
+func (s *Scheduler) refresh(r *runner, info workload.Runner) {
+	if r.answersAt(info) {
+		info.Address = r.info.Address
+	}
+	moved := info.Address != r.info.Address
+	expired := info.EntryExpired && !r.info.EntryExpired
+	laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
+	r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
+	r.evacuated = s.evacuates(info.Domain)
+	if laterStart {
+		r.laterStartAt = s.now
+	}
+	r.noteEntryStart()
+	if moved {
+		s.addressChanged(r)
+	}
+	if expired || laterStart {
+		s.requestList(r)
+	}
+	if r.described() {
+		r.leaving = info.Draining
+	}
+}
+
+// answersAt reports whether the incarnation that an entry names, or a later one, answers at the address known so far. An
+// incarnation keeps its address: another one in its entry is that of another writer, and what answers
 // there would show an end of runs that go on.
 func (r *runner) answersAt(entry workload.Runner) bool {
-	return r.answeredAddress == r.info.Address && entry.IncarnationStart <= r.incarnationStart
+	return !r.unresponsive && r.answeredAddress == r.info.Address && entry.IncarnationStart <= r.incarnationStart
 }
 
 // addressChanged handles a runner whose entry has another address. If it counted as gone, that was by what answers at the
--- a/core/schedule/odd_entry_test.go
+++ b/core/schedule/odd_entry_test.go
@@ -109,3 +109,18 @@
 	b.s.SetRunners(b.now, withOddEntry(run.Runner, func(r *workload.Runner) { r.Address, r.IncarnationStart = "elsewhere", 2000 }))
 	b.g.Expect(one[Hold](b).Address).To(Equal("elsewhere"), "a later incarnation may have another address")
 }
+
+// Guards against a runner that isn't asked any more since it has started again at another address, and its answers don't
+// tell its incarnation.
+func TestASilentRunnerIsAskedAtTheAddressOfItsEntry(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	b.wait(2 * time.Second)
+	moved := testRunner("r1")
+	moved.Address = "elsewhere"
+	list := []workload.Runner{moved, testRunner("r2")}
+	b.s.SetRunners(b.now, list)
+	b.silence("r1", idleCheckInterval+200*ms, b.tick)
+	b.g.Expect(b.s.runners["r1"].unresponsive).To(BeTrue())
+	b.s.SetRunners(b.now, list)
+	b.g.Expect(b.oneHold("r1").Address).To(Equal("elsewhere"))
+}
