--- a/soak/dropped_connections_test.go
+++ b/soak/dropped_connections_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -8,7 +9,15 @@
 // Guards against tasks that run twice when hosts drop requests for new connections, as beyond a cut, while their runners
 // go on with their runs and end them late after their leases.
 func TestSoakDroppedConnections(t *testing.T) {
-	soakOnly(t, droppedConnections(connectionsDropped(4)))
+	// Its many runners and callers would delay the runs of other tests beside it.
+	program := buildEntry(t)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, program, seed, droppedConnections(connectionsDropped(4)))
+		})
+	}
 }
 
 const (
