--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -249,8 +249,9 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	more := len(rows) > limit
-	rows = seenBy(r, rows[:min(len(rows), limit)])
+	n := fitting(rows, limit, maxGetBytes)
+	more := len(rows) > n
+	rows = seenBy(r, rows[:n])
 	writeJSON(w, http.StatusOK, map[string]any{"rows": rows, "hasMore": more, "tableVersion": s.version, "nowMs": time.Now().UnixMilli()})
 }
 
@@ -276,6 +277,9 @@
 // maxFeedRows bounds the changes in one answer of the feed.
 const maxFeedRows = 500
 
+// maxGetBytes bounds the encoded values in one answer about rows.
+const maxGetBytes = 1 << 20
+
 // feed returns the changes of a table after a version (dependsOn). If there are none, it waits for one,
 // at most for waitMs. It answers with status 410 if the history no longer has all changes after that
 // version.
@@ -310,11 +314,15 @@
 }
 
 // feedLength is the number of rows that fit into one answer of the feed, at least one of several.
-func (s *Store) feedLength(rows []Row) int {
-	limit, size := min(len(rows), maxFeedRows), 0
+func (s *Store) feedLength(rows []Row) int { return fitting(rows, maxFeedRows, s.faults.FeedBytes) }
+
+// fitting is the number of rows that fit into one answer, at least one of several. maxBytes bounds their encoded values; 0 is
+// no bound.
+func fitting(rows []Row, maxRows, maxBytes int) int {
+	limit, size := min(len(rows), maxRows), 0
 	for i, r := range rows[:limit] {
 		size += base64.StdEncoding.EncodedLen(len(r.Value))
-		if s.faults.FeedBytes > 0 && size > s.faults.FeedBytes {
+		if maxBytes > 0 && size > maxBytes {
 			return max(1, i)
 		}
 	}
