--- a/core/fleet/cut_and_lost_runners_test.go
+++ b/core/fleet/cut_and_lost_runners_test.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// Runners that another scheduler has taken just before they are cut off and end their runs late; it is gone since. The tasks
-// take longer than a run counts on a runner that was taken, unless it counts for as long as one on a silent runner.
+// Runners that accept another scheduler's higher token, are cut off just after that, and end their runs late. The other
+// scheduler isn't heard of again. The tasks take longer than Resend, so that a run still lives when its task would be started
+// again if the runs of such runners counted for Resend only.
 
 const (
 	// takenTerms is by how many terms the token of the other scheduler is above that of the runner.
--- a/core/schedule/absent_evidence_test.go
+++ b/core/schedule/absent_evidence_test.go
@@ -9,7 +9,7 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Where what is missing or odd stands for evidence about a run, and what the waits for evidence cost.
+// Runs that may live although a runner hasn't listed them or its entry has been changed, and the cost of waiting for them.
 
 // asAnother answers the orders to a runner whose entry has the address of another one: that one refuses them as another
 // incarnation, and the other runners answer as those that began at 1000.
@@ -24,7 +24,7 @@
 }
 
 // Guards against a second run beside one on a runner in whose entry another writer has put the address of another runner and a
-// later start: that one's refusal isn't the runner's own evidence.
+// later start: what the other runner answers says nothing about the run.
 func TestAnEntryWithALaterStartAndTheAddressOfAnotherRunnerEndsNoRun(t *testing.T) {
 	b, run := withRun(t)
 	other := "r1"
--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -104,10 +104,14 @@
 	allowsEnd bool
 	// mayOverlap: see DropReason.mayOverlap.
 	mayOverlap bool
-	// lacksEvidence: its runner hadn't shown that it was over, see dropLacksEvidence. endListed: its end was listed
-	// since. restarted: it was dropped since its runner had restarted.
-	lacksEvidence, endListed, restarted bool
-	// unreached: nothing had reached the runner's host, so an end by its lease doesn't show that the run was late.
+	// lacksEvidence: see dropLacksEvidence.
+	lacksEvidence bool
+	// endListed: its runner has listed its end since it was dropped.
+	endListed bool
+	// restarted: it was dropped as its runner had restarted.
+	restarted bool
+	// unreached: its runner's host was out of reach when it was dropped, so that an end by its lease, listed later, doesn't
+	// show that it ended late.
 	unreached bool
 	// unlisted: a list had neither the run nor its end.
 	unlisted bool
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -95,8 +95,8 @@
 	return rejected && now >= u.orderedAt+maxRunLife(maxLease)
 }
 
-// longestLateLife is how long a run may live after a runner has accepted its start under the longest lease, if the
-// runner's clock is slow and it ends its runs late.
+// longestLateLife is how long a run may live after its start was accepted, under the longest lease, on a runner whose clock
+// is slow and that ends its runs late.
 const longestLateLife = maxLease*(100+clockDriftPercent)/100 + maxLateEnd
 
 // startInvalidAt returns when an unconfirmed run must be over even if its start has reached a later
@@ -130,7 +130,7 @@
 	for _, u := range runs {
 		mayBegin := !u.confirmed || u.startAttempts > 1
 		if mayBegin {
-			// The stops that were in progress have ended with the incarnation before.
+			// Any list of the new incarnation shows it: stops that were in progress have ended with the one before.
 			s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, listFrom: s.now})
 			u.delayTask(s.now + maxRunLife(maxLease))
 		}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -114,7 +114,7 @@
 	granted bool
 	// begun: a start of one of its tasks is known to have been ordered. ran: a run of one is known to have begun.
 	begun, ran bool
-	// onlyHere: nothing is known of runs that other schedulers have started, or this one before it led again.
+	// onlyHere: as far as is known, all runs of the job were started here since this scheduler leads.
 	onlyHere bool
 	// restarted: a task was started more than once.
 	restarted bool
--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -10,8 +10,8 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// Runs that end later than their lease on runners that nothing reaches, and the ways other than silence by which they cease
-// to count.
+// Runs on runners that nothing reaches and that end them later than their lease. They cease to count in other ways than by
+// silence, which silence_test.go has.
 
 // startWhileSilent returns when a task is started again while a runner leaves all Holds unanswered, or 0 if it isn't. Records
 // are saved at once.
@@ -109,7 +109,7 @@
 		b.leaveUnanswered(c.Runner, ConnectionTimedOut)
 		answers = take[Answer](b)
 	}
-	b.g.Expect(answers).To(ConsistOf(And(HaveField("Outcome", workload.GaveUp), HaveField("Cause", workload.RunnerLost))))
+	b.g.Expect(answers).To(ConsistOf(And(HaveField("Outcome", workload.GaveUp), HaveField("Cause", workload.RunnerSilent))))
 	b.g.Expect(b.now - fenced).To(BeNumerically("<", contestedReacquireDelay+longSilence))
 	b.g.Expect(take[Start](b)).To(BeEmpty())
 }
@@ -219,7 +219,7 @@
 	b.submitCopy(j, entryB)
 	b.s.jobs[j.ID].deadline = b.now + 20*time.Second
 	// Another scheduler may have started tasks of the job in between.
-	over = max(over, b.s.silentOverAt)
+	over = max(over, b.s.allSilentRunsOverAt)
 	for b.now < over {
 		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v too early", over-b.now)
 		b.s.EntryAlive(b.now, entryB)
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -124,14 +124,13 @@
 }
 
 // answersAt reports whether the incarnation that an entry names, or a later one, answers at the address known so far. An
-// incarnation keeps its address: another one in its entry is that of another writer, and what answers
-// there would show an end of runs that go on.
+// incarnation keeps its address, so that another one in its entry comes from another writer.
 func (r *runner) answersAt(entry workload.Runner) bool {
 	return !r.unresponsive && r.answeredAddress == r.info.Address && entry.IncarnationStart <= r.incarnationStart
 }
 
-// addressChanged handles a runner whose entry has another address. If it counted as gone, that was by what answers at the
-// address before.
+// addressChanged handles a runner whose entry has another address than before. One that counts as gone is asked again:
+// another incarnation has answered at the old address only.
 func (s *Scheduler) addressChanged(r *runner) {
 	r.addressSince = s.now
 	if !r.gone {
@@ -143,7 +142,7 @@
 	}
 }
 
-// noteEntryStart takes the start of the incarnation from the runner's entry, unless an answer has shown it.
+// noteEntryStart takes the start of the incarnation from the runner's entry, unless the runner's answers tell it.
 func (r *runner) noteEntryStart() {
 	unanswered := r.clock == 0 && r.incarnationStart == r.entryStart
 	if unanswered || r.incarnationStart == 0 {
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -7,21 +7,25 @@
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
-// A lost run is one that was dropped together with all runs of its runner, and may be alive: the runner was fenced, this
-// scheduler has retired, or the runner has restarted and the run's start may reach the new incarnation. A run whose start was
-// rejected as outdated counts as lost in place of the run that outdated it, whose number isn't known. Jobs that their callers
-// send again reach another entry process, which hands them in as new ones. A task is started only once its lost runs are over:
-// their runners have listed their runs since without them, or maxLateEnd has passed since their leases.
+// A lost run is one that ceased to count though its runner hasn't shown that it is over, in one of these ways:
+//
+//   - The runner was fenced, or this scheduler has retired. All runs of the runner are lost.
+//   - The runner has restarted, and an order to start the run may still reach the new incarnation.
+//   - The start of the run was rejected as outdated. The run that outdated it may still be stopping; its number isn't known,
+//     so the rejected run stands for it.
+//
+// The record outlives the job: a caller who sends the job again reaches another entry process, which hands it in as a new
+// one. A task is started only once its lost runs are over: their runners have listed their runs since without them, or
+// maxLateEnd has passed since their leases.
 
 // lostRun is a lost run as it is remembered.
 type lostRun struct {
 	key    workload.RunKey
 	runner workload.RunnerID
 	lostAt Time
-	// overAt is when it is over though its runner has listed nothing since.
+	// overAt is from when on it counts as over even if its runner has listed nothing since.
 	overAt Time
-	// listFrom is from when on a list of its runner shows whether it is over; 0 if that depends on when the runner is
-	// acquired again.
+	// listFrom is from when on a list of its runner shows whether it is over; 0 for the time of settledListSince.
 	listFrom Time
 }
 
@@ -36,7 +40,7 @@
 	}
 }
 
-// expireLostRuns forgets the lost runs of tasks that have none any more which may be alive.
+// expireLostRuns forgets the lost runs of each task of which all are over.
 func (s *Scheduler) expireLostRuns() {
 	maps.DeleteFunc(s.lostRuns, func(_ workload.TaskName, list []lostRun) bool {
 		return !slices.ContainsFunc(list, s.mayBeAlive)
@@ -69,13 +73,18 @@
 	return r.owned && r.listAsOf >= s.listNeededSince(r, l) && r.runs[l.key] == nil
 }
 
-// listNeededSince returns from when on a list of its runner shows whether a lost run is over. A stop that another
-// scheduler had sent may have been in progress as the runner was acquired again.
+// listNeededSince returns from when on a list of its runner shows whether a lost run is over.
 func (s *Scheduler) listNeededSince(r *runner, l lostRun) Time {
 	if l.listFrom > 0 {
 		return l.listFrom
 	}
-	return max(l.lostAt, r.acquiredAt) + s.longestStop()
+	return s.settledListSince(r, l.lostAt)
+}
+
+// settledListSince returns from when on a list of a runner shows whether a run is over that ceased to count at a time. When
+// the runner was acquired again, a stop that another scheduler had sent may have been in progress.
+func (s *Scheduler) settledListSince(r *runner, at Time) Time {
+	return max(at, r.acquiredAt) + s.longestStop()
 }
 
 // hasLostRun reports whether a task of a job has a lost run that may be alive.
@@ -88,9 +97,9 @@
 	return found
 }
 
-// lostRunSilent reports whether a lost run of a task may be alive on a runner that, asked again, doesn't answer. Until Resend
-// after the loss no run counts, since runners that another scheduler has taken are asked again by then.
-func (s *Scheduler) lostRunSilent(t *taskState) bool {
+// lostRunUnheard reports whether a lost run of a task may be alive on a runner that doesn't answer. A runner that another
+// scheduler has taken is asked again within Resend, so a run isn't unheard before that has passed since its loss.
+func (s *Scheduler) lostRunUnheard(t *taskState) bool {
 	return slices.ContainsFunc(s.lostRuns[t.name], func(l lostRun) bool {
 		r := s.runners[l.runner]
 		return s.now >= l.lostAt+s.cfg.Resend && s.mayBeAlive(l) && (r == nil || r.unresponsive)
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -207,9 +207,9 @@
 	}
 }
 
-// evidenceOf returns the outcome of an order for what it shows. That another incarnation answers at an address at which the
-// runner never did, though it has answered at another one, shows nothing: another writer may have changed its entry.
-func (r *runner) evidenceOf(o CallOutcome) CallOutcome {
+// checkReplaced turns Replaced into Unhealthy if it shows nothing about the runner: the runner has answered at another
+// address than the present one of its entry, which another writer may have changed.
+func (r *runner) checkReplaced(o CallOutcome) CallOutcome {
 	if o == Replaced && r.answeredAddress != "" && r.answeredAddress != r.info.Address {
 		return Unhealthy
 	}
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -27,8 +27,10 @@
 	priorRunsOverAt, silentRunsOverAt Time
 }
 
-// noteSilentOver records until when prior runs of some job may be alive on silent runners.
-func (s *Scheduler) noteSilentOver(at Time) { s.silentOverAt = max(s.silentOverAt, at) }
+// noteSilentRunsOver records until when prior runs of some job may be alive on silent runners.
+func (s *Scheduler) noteSilentRunsOver(at Time) {
+	s.allSilentRunsOverAt = max(s.allSilentRunsOverAt, at)
+}
 
 // mayHaveUnlistedRuns reports whether the runner has listed nothing since a time, so that it may have runs that
 // this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
@@ -80,7 +82,7 @@
 
 // mayHaveUnlistedPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
 func (s *Scheduler) mayHaveUnlistedPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.silentOverAt && r.mayHaveUnlistedRuns(s.latestHandoverLists(), s.now)
+	return s.leading && s.now < s.allSilentRunsOverAt && r.mayHaveUnlistedRuns(s.latestHandoverLists(), s.now)
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
@@ -112,5 +114,5 @@
 	maps.DeleteFunc(s.priorRuns, func(_ workload.JobID, p priorRuns) bool { return s.now >= p.silentRunsOverAt })
 }
 
-// silentOver returns when prior runs are over on silent runners, if they are by a time on all others.
-func silentOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxLateEnd }
+// silentRunsOver returns when prior runs are over on silent runners, if they are by a time on all others.
+func silentRunsOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxLateEnd }
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -15,8 +15,8 @@
 	s.rows.loaded = true
 	s.rows.epoch = l.Epoch
 	s.rows.priorRunsOverAt = s.priorRunsOverAt(l.ClaimedAt)
-	s.rows.silentRunsOverAt = silentOver(l.ClaimedAt + maxPriorRunLife)
-	s.noteSilentOver(s.rows.silentRunsOverAt)
+	s.rows.silentRunsOverAt = silentRunsOver(l.ClaimedAt + maxPriorRunLife)
+	s.noteSilentRunsOver(s.rows.silentRunsOverAt)
 	s.handoverListsAt = now
 	open := 0
 	for _, r := range l.Records {
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -37,7 +37,7 @@
 	r.noteAnsweredHold(res)
 	silence := s.now - r.clockAt
 	r.updateClock(res.Clock)
-	res.Outcome = r.evidenceOf(res.Outcome)
+	res.Outcome = r.checkReplaced(res.Outcome)
 	switch res.Outcome {
 	case Accepted:
 		if res.Clock.SentAt > r.addressSince {
@@ -152,9 +152,9 @@
 }
 
 // dropAbsent drops a run that isn't on a list which was requested at sentAt, if that is late enough to show that
-// the run is over. Its task waits until the run can't begin in a later incarnation either, which wouldn't know of
-// the stop, nor of the clock by which the start has expired; and for a list of that time, since that incarnation may be
-// silent.
+// the run is over in this incarnation. An order to start it may still reach a later one, which knows neither of the stop
+// nor of the clock by which the start has expired. So the run counts as lost until no such order is valid any more and
+// the runner has listed its runs then.
 func (s *Scheduler) dropAbsent(u *run, why DropReason, sentAt Time) {
 	if sentAt < u.settledAt {
 		return
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -10,8 +10,8 @@
 // runner is the state of one incarnation of a runner as the scheduler knows it.
 type runner struct {
 	info workload.Runner
-	// unlisted runners are no longer in the platform's list, since unlistedAt; or another scheduler, which may have used
-	// the runner beyond a cut, has named it then.
+	// unlisted runners aren't in the platform's list. unlistedAt is when the runner left it, or when another scheduler
+	// that may have used it beyond a cut has named it since.
 	unlisted   bool
 	unlistedAt Time
 	// retainUntil is until when an unlisted runner is kept since another scheduler may have
@@ -78,8 +78,8 @@
 	holdSentAt   Time
 	// listInFlight is set while a Hold with ListOnly is unanswered.
 	listInFlight bool
-	// listAsOf is when the Hold was sent whose answer was the last complete list, and runningAsOf when the last was sent
-	// that was answered with lists: only that of ends may be incomplete.
+	// listAsOf is when the last Hold was sent that was answered with both lists complete, and runningAsOf the same for the
+	// list of running runs, which always is.
 	listAsOf, runningAsOf Time
 	nextHoldAt            Time
 	// partitioned runners are unreachable, and perhaps led by another process. reachableAt is
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -106,10 +106,10 @@
 	// last list is older are asked for a new one. handoverListsDue are such times to come.
 	handoverListsAt  Time
 	handoverListsDue []Time
-	// silentOverAt is when no prior run of any job can be alive any more on a silent runner, and
+	// allSilentRunsOverAt is when no prior run of any job can be alive any more on a silent runner, and
 	// priorRuns are those of jobs that were given up.
-	silentOverAt Time
-	priorRuns    map[workload.JobID]priorRuns
+	allSilentRunsOverAt Time
+	priorRuns           map[workload.JobID]priorRuns
 	// unreachable holds the VMs whose processes became unreachable and haven't come back,
 	// and since when. They may lead on the other side of a network partition.
 	unreachable map[string]Time
@@ -126,7 +126,7 @@
 	// lastContact is when each entry process last sent a message.
 	lastContact map[EntryID]Time
 	// ranJobs are jobs without an outcome of which tasks have run, or may have run under an
-	// earlier scheduler, and when that was last recorded.
+	// earlier scheduler.
 	ranJobs map[workload.JobID]ranJob
 	// unstored are jobs that are known not to be stored ones, for a while after they have
 	// ended.
@@ -248,7 +248,7 @@
 	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
 	s.forgetRunners()
-	s.noteSilentOver(silentOver(now + maxPriorRunLife))
+	s.noteSilentRunsOver(silentRunsOver(now + maxPriorRunLife))
 	for _, r := range s.runnerList {
 		s.acquire(r)
 	}
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -10,7 +10,7 @@
 
 // A silent runner has crashed, is out of reach, or gets no processor time. In the last two cases its runs may be alive:
 // beyond a cut they go on, and a runner that gets no processor time ends them only when it gets some, later than its
-// lease. Silence of no kind tells these cases apart. Its runs count as over if all of these hold:
+// lease. No kind of silence tells these cases apart. Its runs count as over if all of these hold:
 //
 //   - Their lease has ended, also if the runner's clock is slow, and maxLateEnd has passed since.
 //   - The runner has left an order unanswered that was sent after the end of the lease, and after its last answer. If it
@@ -20,8 +20,8 @@
 // once: an answer with its lists, another incarnation at its address, or a restart. That its entry has left the store
 // doesn't end the wait sooner, since a runner that is cut off or gets no processor time doesn't renew the entry either.
 //
-// Callers of best-effort jobs don't wait that long. They are told as soon as their jobs can't be done in time any more, even if
-// the runner answered now, see Scheduler.awaitsLostRun.
+// Callers of best-effort jobs don't wait that long. Their jobs are given up once they couldn't be done in time even if the
+// runner answered at that moment, see Scheduler.waitsInVain.
 const (
 	// maxLateEnd is how much later than its lease a runner may end a run. It is longer than callers of best-effort
 	// jobs wait; tasks of stored jobs go on elsewhere after it.
@@ -78,7 +78,7 @@
 // leaseEndsAt returns when the latest lease of the runner ends, by a slow clock.
 func (r *runner) leaseEndsAt() Time { return r.aliveUntil - leaseMargin - lateEndMargin }
 
-// leaseOverAt returns when a runner that is punctual has ended its runs after that.
+// leaseOverAt returns when a runner that ends its runs within lateEndMargin of their lease has ended them.
 func (r *runner) leaseOverAt() Time { return r.aliveUntil - leaseMargin }
 
 // askableAt returns the time from which on an order that stays unanswered is evidence that the runs are over.
@@ -93,23 +93,23 @@
 // runsOver reports whether the runs of a silent runner count as over.
 func (s *Scheduler) runsOver(r *runner) bool { return r.askedInVain() && s.now > r.runsOverAt() }
 
-// lost reports whether a silent runner has left unanswered what it was asked after its lease, so that it has ended its
-// runs if it is punctual.
-func (r *runner) lost(now Time) bool { return r.askedInVain() && now > r.aliveUntil }
+// silentPastLease reports whether the runner has left an order unanswered that was sent after the end of its lease, and
+// lateEndMargin has passed since that end.
+func (r *runner) silentPastLease(now Time) bool { return r.askedInVain() && now > r.aliveUntil }
 
-// lost reports whether a run is on a lost runner and can't be expected to have been done within its lease.
-func (u *run) lost(now Time) bool {
-	return u.runner.lost(now) && u.expectedEnd > u.runner.leaseEndsAt()
+// cutShort reports whether a run's runner is silent past its lease, and the run was expected to take longer than that.
+// A run that was expected to end within its lease may be done, and the runner's next answer would say so.
+func (u *run) cutShort(now Time) bool {
+	return u.runner.silentPastLease(now) && u.expectedEnd > u.runner.leaseEndsAt()
 }
 
-// awaitsLostRun reports whether a best-effort job waits in vain for a run on a runner that doesn't answer: the run can't
-// have been done within its lease, by its estimate, and if the runner answered now, too little time would be left to start
-// the task again.
-func (s *Scheduler) awaitsLostRun(j *job) bool {
+// waitsInVain reports whether a best-effort job can't be done in time because of a run on a silent runner: the task would
+// have to be started again, and too little time would be left for that even if the runner answered now.
+func (s *Scheduler) waitsInVain(j *job) bool {
 	inVain := false
 	j.eachTask(func(t *taskState) {
-		lost := t.run != nil && t.run.lost(s.now) || t.phase == waiting && s.lostRunSilent(t)
-		inVain = inVain || lost && s.tooLateFor(t)
+		unheard := t.run != nil && t.run.cutShort(s.now) || t.phase == waiting && s.lostRunUnheard(t)
+		inVain = inVain || unheard && s.tooLateFor(t)
 	})
 	return inVain
 }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -140,7 +140,7 @@
 		g.Expect(after).To(BeNumerically(">=", maxRunLife(DefaultConfig().Lease)))
 		g.Expect(after).To(BeNumerically("<", 1300*ms))
 		g.Expect(answer.Outcome).To(Equal(workload.GaveUp), "the run may be alive")
-		g.Expect(answer.Cause).To(Equal(workload.RunnerLost))
+		g.Expect(answer.Cause).To(Equal(workload.RunnerSilent))
 		g.Expect(answer.RetryAfter).To(BeNumerically(">=", minRetryAfter))
 	}
 }
--- a/core/schedule/startedagain.go
+++ b/core/schedule/startedagain.go
@@ -26,8 +26,8 @@
 	u.task.earlier = &earlierRun{key: u.key, runner: u.runner.info.ID, evidence: evidence, at: s.now, dropped: d}
 }
 
-// logStartedAgain logs that a task is about to be started which has had a run, or may have had one in an earlier life
-// of its job. It warns if runners haven't shown that the earlier run is over.
+// logStartedAgain logs that a task is about to be started which has had a run, or may have had one when
+// its job was submitted before. It warns if runners haven't shown that the earlier run is over.
 func (s *Scheduler) logStartedAgain(u *run) {
 	d := Decision{Event: "task-started-again", Entry: u.task.job.entry, Token: u.runner.token}
 	d.Detail = s.describeJob(u.task.job)
@@ -35,13 +35,13 @@
 		d.Reason, d.Age, d.Warning = e.evidence, s.now-e.at, e.dropped != nil && s.mayStillBeAlive(e.dropped)
 		d.Detail = fmt.Sprintf("earlier run %s on %s; %s", e.key, e.runner, d.Detail)
 	} else {
-		life := s.earlierLife(u.task)
-		if life.reason == "" {
+		before := s.earlierSubmission(u.task)
+		if before.reason == "" {
 			return
 		}
-		d.Reason, d.Age, d.Warning = life.reason, life.age, life.missing != ""
+		d.Reason, d.Age, d.Warning = before.reason, before.age, before.missing != ""
 		if d.Warning {
-			d.Detail = life.missing + "; " + d.Detail
+			d.Detail = before.missing + "; " + d.Detail
 		}
 	}
 	s.emitForRun(u, d)
@@ -55,12 +55,12 @@
 	onlyHere bool
 }
 
-// knowsAllRuns reports whether all runs of a job that came before have ended by their runners' lists, or are on record as
-// dropped or as orphans, as far as is known.
+// knowsAllRuns reports whether this scheduler knows all runs of a job that has run, as far as it can tell: each has ended by
+// its runner's list, or is an orphan or a dropped run on record.
 func (s *Scheduler) knowsAllRuns(r ranJob) bool { return r.onlyHere && r.at >= s.leadingSince }
 
-// earlierLife is what is known of the runs that a task may have had before its job arrived here.
-type earlierLife struct {
+// earlierSubmission is what is known of the runs that a task may have had when its job was submitted before.
+type earlierSubmission struct {
 	// reason says why there may be such runs, and age for how long that is known; "" if nothing is known.
 	reason string
 	age    Time
@@ -68,23 +68,22 @@
 	missing string
 }
 
-func (s *Scheduler) earlierLife(t *taskState) earlierLife {
+func (s *Scheduler) earlierSubmission(t *taskState) earlierSubmission {
 	j := t.job
 	if j.priorSchedulers > 0 {
-		return earlierLife{
+		return earlierSubmission{
 			reason: fmt.Sprintf("its job has had %d schedulers before", j.priorSchedulers), age: s.now - j.arrived,
 			missing: s.missingEvidence(t, func(r *runner) bool { return r.listedSince(j.listsNeededSince) }),
 		}
 	}
 	if ran, ok := s.ranJobs[j.work.ID]; ok {
 		known := s.knowsAllRuns(ran)
-		return earlierLife{
+		return earlierSubmission{
 			reason: "tasks of its job have run here, or may have", age: s.now - ran.at,
-			// Runs that are known here have ended, or were dropped.
 			missing: s.missingEvidence(t, func(r *runner) bool { return known || r.acquiredAt >= s.leadingSince }),
 		}
 	}
-	return earlierLife{}
+	return earlierSubmission{}
 }
 
 // missingEvidence names a run of a task that was dropped and may be alive, or the runners that may have a run of it
@@ -129,7 +128,7 @@
 	if r == nil {
 		return true
 	}
-	since := max(d.at, r.acquiredAt) + s.longestStop()
+	since := s.settledListSince(r, d.at)
 	if d.restarted {
 		since = d.at
 	}
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -38,7 +38,7 @@
 		return
 	}
 	s.recordLatency(res.Clock.SentAt)
-	res.Outcome = r.evidenceOf(res.Outcome)
+	res.Outcome = r.checkReplaced(res.Outcome)
 	r.noteOrder(res.Outcome, res.Connection, res.Clock.SentAt)
 	u := r.runs[res.Run]
 	if u == nil {
@@ -129,7 +129,7 @@
 	}
 	s.dropRunAs(u, rejection(o), rejected)
 	if o == Outdated {
-		// The run that outdated it may be one of an earlier life of the job, and may still be stopping.
+		// The run that outdated it may be of an earlier submission of the job, and may still be stopping.
 		s.noteLostRun(u, lostRun{overAt: max(s.now+s.longestStop(), r.runsOverAt())})
 	}
 	t := u.task
@@ -197,7 +197,7 @@
 		return
 	}
 	u := r.runs[res.Run]
-	res.Outcome = r.evidenceOf(res.Outcome)
+	res.Outcome = r.checkReplaced(res.Outcome)
 	r.noteOrder(res.Outcome, res.Connection, res.Clock.SentAt)
 	switch res.Outcome {
 	case Accepted:
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -119,7 +119,7 @@
 	j.onlyHere = !ok || s.knowsAllRuns(ran)
 	if !j.onlyHere {
 		// An earlier scheduler may have started other tasks of it, on runners that haven't listed their runs.
-		j.silentRunsOverAt = max(j.silentRunsOverAt, s.silentOverAt)
+		j.silentRunsOverAt = max(j.silentRunsOverAt, s.allSilentRunsOverAt)
 	}
 	return j
 }
@@ -151,8 +151,8 @@
 	j.priorSchedulers = sub.PriorSubmissions
 	j.started = true
 	j.priorRunsOverAt = s.now + sub.PriorRunsTTL
-	j.silentRunsOverAt = silentOver(j.priorRunsOverAt)
-	s.noteSilentOver(j.silentRunsOverAt)
+	j.silentRunsOverAt = silentRunsOver(j.priorRunsOverAt)
+	s.noteSilentRunsOver(j.silentRunsOverAt)
 	s.awaitHandoverLists(j)
 	j.eachTask(func(t *taskState) { t.lastNumber = max(t.lastNumber, sub.PriorSubmissions*runsPerScheduler) })
 	s.requestLists(j.work.Service)
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -61,8 +61,8 @@
 		s.finishRefused(j, workload.NotRun, workload.TimeUp, "time is up")
 	case !j.started && (s.hopeless(j) || j.worthless(s.now) && j.late(s.now)):
 		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
-	case s.awaitsLostRun(j):
-		s.finishRefused(j, workload.NotRun, workload.RunnerLost, "a task may still run on a runner that doesn't answer")
+	case s.waitsInVain(j):
+		s.finishRefused(j, workload.NotRun, workload.RunnerSilent, "a task may still run on a runner that doesn't answer")
 	case j.idle() && s.hopeless(j):
 		// Its caller would wait in vain, and is told at once.
 		s.finishRefused(j, workload.NotRun, workload.TooLittleTime, "too little time is left")
--- a/core/workload/refusal.go
+++ b/core/workload/refusal.go
@@ -36,9 +36,9 @@
 	NotConfigured
 	// NotServed: the request asks for a feature that the system doesn't have.
 	NotServed
-	// RunnerLost: a task of the job may have a run on a runner that doesn't answer, and can't be started again before
+	// RunnerSilent: a task of the job may have a run on a runner that doesn't answer, and can't be started again before
 	// its caller leaves.
-	RunnerLost
+	RunnerSilent
 	// OtherRefusal: a cause that this version doesn't know.
 	OtherRefusal
 )
@@ -46,7 +46,7 @@
 var refusalCauseNames = [...]string{
 	"", "lack-of-room", "too-little-time", "time-up", "runners-evacuated", "no-runner",
 	"no-fitting-runner", "not-leading", "no-scheduler", "no-answer", "process-ending", "store-unavailable",
-	"copy-refused", "not-configured", "not-served", "runner-lost", "other",
+	"copy-refused", "not-configured", "not-served", "runner-silent", "other",
 }
 
 // String returns the name for logs and metrics; it is empty for NotRefused.
--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -55,7 +55,7 @@
 	RefusedCopy          Cause = "refused as a copy of it had been refused"
 	RefusedNotConfigured Cause = "refused as the process had no configuration yet"
 	RefusedNotServed     Cause = "refused as it asks for something that isn't served"
-	RefusedRunnerLost    Cause = "given up as a task may run on a runner that doesn't answer"
+	RefusedRunnerSilent  Cause = "given up as a task may run on a runner that doesn't answer"
 	RefusedOther         Cause = "refused for a cause that this version doesn't know"
 )
 
--- a/explain/refusal.go
+++ b/explain/refusal.go
@@ -82,7 +82,7 @@
 	workload.CopyRefused:      RefusedCopy,
 	workload.NotConfigured:    RefusedNotConfigured,
 	workload.NotServed:        RefusedNotServed,
-	workload.RunnerLost:       RefusedRunnerLost,
+	workload.RunnerSilent:     RefusedRunnerSilent,
 	workload.OtherRefusal:     RefusedOther,
 }
 
--- a/soak/dropped_connections_test.go
+++ b/soak/dropped_connections_test.go
@@ -36,7 +36,11 @@
 
 // connectionsDropped lets the hosts of one in so many runners drop connections for longer than a lease. The runners go on.
 func connectionsDropped(oneIn int) fault {
-	return fault{"hosts drop connections", func(w *world) {
+	name := "hosts drop connections"
+	if oneIn == 1 {
+		name = "all hosts drop connections"
+	}
+	return fault{name, func(w *world) {
 		for _, r := range w.runners {
 			if w.rng.IntN(oneIn) > 0 {
 				continue
--- a/soak/late_ends_test.go
+++ b/soak/late_ends_test.go
@@ -52,7 +52,7 @@
 func allFaults() []faultGroup {
 	return []faultGroup{
 		{slices.Concat(faultKinds, listFaults, answerFaults, orderFaults, processFaults), nil},
-		{[]fault{noFault, allPaused, runnersStarved(4), runnersStarvedWithFullQueue(4), runnersUnresponsive, runnersRefuse(3), connectionsDropped(4)}, nil},
+		{[]fault{noFault, allPaused, runnersStarved(4), runnersStarvedWithFullQueue(4), runnersUnresponsive, runnersRefuse(3), connectionsDropped(4), connectionsDropped(1)}, nil},
 		{[]fault{runnersPause}, func(sc *scenario) { sc.unlistedStops = true }},
 		{[]fault{ordersOutliveLeases}, func(sc *scenario) { sc.lenientStarts = true }},
 		{[]fault{lenderKilled}, func(sc *scenario) { sc.shards = 2 }},
