Soak: a process that stays stopped no longer keeps a run from ending

By reading, three ways lead there, all in the test itself:

- A pause in a series was two timers, each in a goroutine of its own: SIGSTOP, and SIGCONT 50 ms or more later.
Where both are late, SIGCONT may come first, and the process stays stopped.
One goroutine sends both now.
- "Is it ready" had no time limit, and a stopped process accepts connections and never answers.
- A process that was to be started again just as the run ends could be started after SIGKILL had gone to the one before.
The end of the run is checked under the lock now.

A process that stays stopped would also explain jobs that didn't end in runs with pauses in series; that isn't shown either.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -68,8 +68,7 @@
 	processesStarved = fault{"processes starved", func(w *world) {
 		for _, n := range w.nodes {
 			for i := range 10 {
-				w.runAfter(time.Duration(i)*500*time.Millisecond, func() { n.signal(syscall.SIGSTOP) })
-				w.runAfter(time.Duration(i)*500*time.Millisecond+450*time.Millisecond, func() { n.signal(syscall.SIGCONT) })
+				w.pauseAfter(time.Duration(i)*500*time.Millisecond, n, 450*time.Millisecond)
 			}
 		}
 	}}
--- a/soak/harsh_runners_test.go
+++ b/soak/harsh_runners_test.go
@@ -130,10 +130,9 @@
 	}
 	var at time.Duration
 	for range 3 + w.rng.IntN(6) {
-		w.runAfter(at, func() { n.signal(syscall.SIGSTOP) })
-		at += w.randomDuration(50, 390)
-		w.runAfter(at, func() { n.signal(syscall.SIGCONT) })
-		at += w.randomDuration(2, 80)
+		d := w.randomDuration(50, 390)
+		w.pauseAfter(at, n, d)
+		at += d + w.randomDuration(2, 80)
 	}
 }}
 
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -103,12 +103,7 @@
 
 // serves reports whether a process is ready and answers a job with success.
 func (w *world) serves(n *node) bool {
-	res, err := w.http.Get("http://" + n.HealthAddress + "/ready")
-	if err != nil {
-		return false
-	}
-	_ = res.Body.Close()
-	if res.StatusCode != http.StatusOK {
+	if !w.isReady(n) {
 		return false
 	}
 	// The number of the caller makes the job best-effort and its id one of its own.
@@ -121,7 +116,7 @@
 
 // storeCallCount returns how many calls to the store a process has made.
 func (w *world) storeCallCount(g *WithT, n *node) float64 {
-	res, err := w.http.Get("http://" + n.HealthAddress + "/metrics")
+	res, err := w.health.Get("http://" + n.HealthAddress + "/metrics")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer res.Body.Close()
 	raw, err := io.ReadAll(res.Body)
@@ -175,12 +170,7 @@
 // allReady reports whether all processes are ready.
 func (w *world) allReady() bool {
 	for _, n := range w.nodes {
-		res, err := w.http.Get("http://" + n.HealthAddress + "/ready")
-		if err != nil {
-			return false
-		}
-		_ = res.Body.Close()
-		if res.StatusCode != http.StatusOK {
+		if !w.isReady(n) {
 			return false
 		}
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,8 @@
 	restartDelay = 200 * time.Millisecond
 	// maxListDelay is the longest time until a runner lists a run that it has accepted.
 	maxListDelay = 20 * time.Millisecond
+	// healthTimeout is how long a process may take to say whether it is ready. One that doesn't run never does.
+	healthTimeout = 5 * time.Second
 )
 
 // world is a deployment of real processes on the loopback address.
@@ -44,6 +47,8 @@
 	checker       *checker
 	configuration *configurationCheck
 	http          *http.Client
+	// health asks the processes for their health and metrics.
+	health *http.Client
 	// links are the links between the entry VMs; nil if they can't fail.
 	links *entryLinks
 	scenario
@@ -148,7 +153,7 @@
 	}
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), program: program, store: store,
-		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, closed: make(chan struct{}),
+		checker: newChecker(), configuration: newConfigurationCheck(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, health: &http.Client{Timeout: healthTimeout}, closed: make(chan struct{}),
 		scenario: sc,
 	}
 	if w.linksFail {
@@ -293,15 +298,41 @@
 
 // runAfter calls f after a delay, or when the run ends.
 func (w *world) runAfter(d time.Duration, f func()) {
-	w.timers.Add(1)
-	go func() {
-		defer w.timers.Done()
-		select {
-		case <-time.After(d):
-		case <-w.closed:
-		}
+	w.timers.Go(func() {
+		w.sleep(d)
 		f()
-	}()
+	})
+}
+
+// sleep waits for a time, or until the run ends, and reports whether the run goes on.
+func (w *world) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-w.closed:
+		return false
+	}
+}
+
+func (w *world) isClosed() bool {
+	select {
+	case <-w.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// pauseAfter pauses a node's process for a time, after a delay. Both signals are sent by one goroutine: of two that
+// are late, SIGCONT could come first, and the process would stay stopped.
+func (w *world) pauseAfter(delay time.Duration, n *node, d time.Duration) {
+	w.timers.Go(func() {
+		if w.sleep(delay) {
+			n.signal(syscall.SIGSTOP)
+			w.sleep(d)
+			n.signal(syscall.SIGCONT)
+		}
+	})
 }
 
 // waitForFaults waits until all faults are over, and writes the configuration again.
@@ -353,6 +384,11 @@
 		cmd := exec.Command(w.program, "--settings", settings)
 		cmd.Stdout, cmd.Stderr = n.log, n.log
 		n.mu.Lock()
+		if w.isClosed() {
+			// close may have sent SIGKILL to the process before this one.
+			n.mu.Unlock()
+			return
+		}
 		n.incarnation.Add(1)
 		err := cmd.Start()
 		n.cmd = cmd
@@ -412,18 +448,16 @@
 }
 
 // ready reports whether any entry process is ready.
-func (w *world) ready() bool {
-	for _, n := range w.nodes {
-		res, err := w.http.Get("http://" + n.HealthAddress + "/ready")
-		if err != nil {
-			continue
-		}
-		_ = res.Body.Close()
-		if res.StatusCode == http.StatusOK {
-			return true
-		}
+func (w *world) ready() bool { return slices.ContainsFunc(w.nodes, w.isReady) }
+
+// isReady reports whether a node's process answers that it is ready.
+func (w *world) isReady(n *node) bool {
+	res, err := w.health.Get("http://" + n.HealthAddress + "/ready")
+	if err != nil {
+		return false
 	}
-	return false
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
 }
 
 func (w *world) close() {
