An end of a term before doesn't show all runs of its job

Cause: a scheduler remembers of a job that was given up whether it knows all its runs (ranJob.onlyHere, as of a time of the present term). endedUnknown renewed the time with each listed end and kept onlyHere. A process that ceases to lead and leads again lists an end of the term before, and from then on takes itself for the one that knows all runs, though a scheduler in between may have started tasks of the job, on a runner that hasn't listed its runs since. Sent again, the job was started at once.

Change: onlyHere is kept only if the scheduler knew all runs until now in this term (knowsAllRuns).

Evidence: TestAnEndOfATermBeforeDoesntShowAllRunsOfItsJob, red before (the task is started 7.12 s before runs on the silent runner count as over), green now; the other tests of core/schedule as before.

--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -240,7 +240,8 @@
 
 // endedUnknown records the end of a run whose job isn't known, or has no such task.
 func (s *Scheduler) endedUnknown(e workload.End) {
-	s.ranJobs[e.Run.Task.Job] = ranJob{at: s.now, onlyHere: s.ranJobs[e.Run.Task.Job].onlyHere}
+	id := e.Run.Task.Job
+	s.ranJobs[id] = ranJob{at: s.now, onlyHere: s.knowsAllRuns(s.ranJobs[id])}
 	if e.Kind == workload.Done {
 		s.doneWithoutJob[e.Run.Task] = doneRun{number: e.Run.Number, at: s.now}
 	}
