A late answer from another address ends no runs

Cause: Replaced counts as the end of a runner's incarnation, with all its runs, if the runner last answered at the present address of its entry (checkReplaced). Where the order had been sent wasn't compared. A silent runner is asked at the address of its entry; if another writer had put another runner's address there, and the entry is right again as the answer comes, that other runner's 421 was taken for one from the right address: the runs were dropped and their tasks started elsewhere at once, and the runner counted as gone.

Change: the results of orders say where the order was sent. Replaced shows something only if that is the present address.

Ruled out: to compare the time of sending with that of the change (addressSince): an order that was made before the change may be sent just after it.

The harnesses of core/schedule and core/fleet and three tests that answer with Replaced pass the address of the order on; what they check is as it was.

--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -62,14 +62,14 @@
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
 			w.noteRun(c.Run, string(n.id), "start is "+o.String())
 			w.checker.startOutcome(c.Run, o)
-			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
+			n.node.Started(w.now, shard, schedule.StartResult{Runner: c.Runner, Address: c.Address, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Stop:
 		w.noteRun(c.Run, string(n.id), "orders stop on "+string(c.Runner))
 		w.call(n, c.Runner, c.Timeout, func(r *fakeRunner, answer func(schedule.CallOutcome, *schedule.HoldResult)) {
 			answer(r.unlessRejected(r.rejects.stops, func() schedule.CallOutcome { return r.stop(c) }), nil)
 		}, func(o schedule.CallOutcome, clock schedule.ClockReading, _ *schedule.HoldResult) {
-			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
+			n.node.Stopped(w.now, shard, schedule.StopResult{Runner: c.Runner, Address: c.Address, Token: c.Token, Run: c.Run, Outcome: o, Clock: clock})
 		})
 	case schedule.Hold:
 		accepted := w.accepts(n, w.runner(c.Runner))
@@ -88,7 +88,7 @@
 				w.noteUnanswered(accepted)
 				res.Connection = w.connection(n, w.runner(c.Runner), c, accepted)
 			}
-			res.Runner, res.Token, res.ListOnly, res.ReachabilityOnly, res.Outcome, res.Clock = c.Runner, c.Token, c.ListOnly, c.ReachabilityOnly, o, clock
+			res.Runner, res.Address, res.Token, res.ListOnly, res.ReachabilityOnly, res.Outcome, res.Clock = c.Runner, c.Address, c.Token, c.ListOnly, c.ReachabilityOnly, o, clock
 			n.node.Held(w.now, shard, res)
 		})
 	}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -229,7 +229,9 @@
 
 // StartResult reports the outcome of a Start, whose token it repeats.
 type StartResult struct {
-	Runner  workload.RunnerID
+	Runner workload.RunnerID
+	// Address is where the order was sent.
+	Address string
 	Token   uint64
 	Run     workload.RunKey
 	Outcome CallOutcome
@@ -240,7 +242,9 @@
 
 // StopResult reports the outcome of a Stop, whose token it repeats.
 type StopResult struct {
-	Runner  workload.RunnerID
+	Runner workload.RunnerID
+	// Address is where the order was sent.
+	Address string
 	Token   uint64
 	Run     workload.RunKey
 	Outcome CallOutcome
@@ -251,7 +255,9 @@
 
 // HoldResult reports the outcome of a Hold.
 type HoldResult struct {
-	Runner           workload.RunnerID
+	Runner workload.RunnerID
+	// Address is where the order was sent.
+	Address          string
 	Token            uint64
 	ListOnly         bool
 	ReachabilityOnly bool
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -161,15 +161,15 @@
 			connection = ConnectionMade
 		}
 	}
-	b.s.Held(b.now, HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, ReachabilityOnly: h.ReachabilityOnly, Outcome: o, Connection: connection, Running: running, Clock: clock})
+	b.s.Held(b.now, HoldResult{Runner: h.Runner, Address: h.Address, Token: h.Token, ListOnly: h.ListOnly, ReachabilityOnly: h.ReachabilityOnly, Outcome: o, Connection: connection, Running: running, Clock: clock})
 }
 
 func (b *harness) started(c Start, o CallOutcome) {
-	b.s.Started(b.now, StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: b.clock()})
+	b.s.Started(b.now, StartResult{Runner: c.Runner, Address: c.Address, Token: c.Token, Run: c.Run, Outcome: o, Clock: b.clock()})
 }
 
 func (b *harness) stopped(c Stop, o CallOutcome) {
-	b.s.Stopped(b.now, StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: o, Clock: b.clock()})
+	b.s.Stopped(b.now, StopResult{Runner: c.Runner, Address: c.Address, Token: c.Token, Run: c.Run, Outcome: o, Clock: b.clock()})
 }
 
 var lastJob int
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -208,9 +208,13 @@
 }
 
 // checkReplaced turns Replaced into Unhealthy if it shows nothing about the runner: the runner has answered at another
-// address than the present one of its entry, which another writer may have changed.
-func (r *runner) checkReplaced(o CallOutcome) CallOutcome {
-	if o == Replaced && r.answeredAddress != "" && r.answeredAddress != r.info.Address {
+// address than the present one of its entry, which another writer may have changed, or the order was sent to another
+// address than the present one.
+func (r *runner) checkReplaced(o CallOutcome, address string) CallOutcome {
+	if o != Replaced {
+		return o
+	}
+	if address != r.info.Address || r.answeredAddress != "" && r.answeredAddress != address {
 		return Unhealthy
 	}
 	return o
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -52,8 +52,10 @@
 // Guards against a job that goes on waiting when the runner has listed its runs, or is shown to be lost.
 func TestJobsStartOnceTheSilentRunnerCantHidePriorRuns(t *testing.T) {
 	for name, resolve := range map[string]func(b *harness){
-		"lists":       func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted) },
-		"is replaced": func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Replaced) },
+		"lists": func(b *harness) { b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted) },
+		"is replaced": func(b *harness) {
+			b.answerHold(Hold{Runner: "silent", Address: "silent", Token: b.s.runners["silent"].token}, Replaced)
+		},
 	} {
 		b := restoring(t, storedJob(1, 500*ms), ConnectionUnknown, testRunner("r1"), testRunner("silent"))
 		b.g.Expect(b.passSilently(3*time.Second, "silent", ConnectionUnknown)).To(BeEmpty())
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -367,7 +367,7 @@
 	} {
 		b, c := refusedUntilAsked(t)
 		h := b.oneHold(c.Runner)
-		res := HoldResult{Runner: h.Runner, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Running: []workload.RunKey{c.Run}, Clock: b.clock()}
+		res := HoldResult{Runner: h.Runner, Address: h.Address, Token: h.Token, ListOnly: h.ListOnly, Outcome: Accepted, Running: []workload.RunKey{c.Run}, Clock: b.clock()}
 		answer(&res)
 		b.s.Held(b.now, res)
 		b.tick(20 * ms)
--- a/core/schedule/started_again_test.go
+++ b/core/schedule/started_again_test.go
@@ -104,7 +104,7 @@
 		"lists": func(b *harness, c Start) { b.wait(b.longestStop() + time.Second) },
 		"end":   func(b *harness, c Start) { b.end(c.Runner, 1, c.Run, workload.LeaseExpired) },
 		"replaced": func(b *harness, c Start) {
-			b.answerHold(Hold{Runner: c.Runner, Token: b.s.runners[c.Runner].token}, Replaced)
+			b.answerHold(Hold{Runner: c.Runner, Address: c.Address, Token: b.s.runners[c.Runner].token}, Replaced)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -18,7 +18,7 @@
 	p.recordCall("start", sent, a)
 	clock := p.clock.reading(sentAt, a)
 	p.post(func(now Time) {
-		p.node.Started(now, shard, schedule.StartResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: a.Outcome, Connection: a.Connection, Clock: clock})
+		p.node.Started(now, shard, schedule.StartResult{Runner: c.Runner, Address: c.Address, Token: c.Token, Run: c.Run, Outcome: a.Outcome, Connection: a.Connection, Clock: clock})
 	})
 }
 
@@ -30,7 +30,7 @@
 	p.recordCall("stop", sent, a)
 	clock := p.clock.reading(sentAt, a)
 	p.post(func(now Time) {
-		p.node.Stopped(now, shard, schedule.StopResult{Runner: c.Runner, Token: c.Token, Run: c.Run, Outcome: a.Outcome, Connection: a.Connection, Clock: clock})
+		p.node.Stopped(now, shard, schedule.StopResult{Runner: c.Runner, Address: c.Address, Token: c.Token, Run: c.Run, Outcome: a.Outcome, Connection: a.Connection, Clock: clock})
 	})
 }
 
@@ -44,6 +44,7 @@
 	p.post(func(now Time) {
 		p.node.Held(now, shard, schedule.HoldResult{
 			Runner:           c.Runner,
+			Address:          c.Address,
 			Token:            c.Token,
 			ListOnly:         c.ListOnly,
 			ReachabilityOnly: c.ReachabilityOnly,
