A list that comes late doesn't show that a start reaches no later incarnation

Cause: a run that isn't on a list counts as over in this incarnation; until startInvalidAt its start may still reach the next one, so it counts as lost until a list of that time. dropAbsent compared that time with the arrival of the list and not with its request. A list that was requested before and comes after it, up to a second later, says nothing of a start that arrived in between; the task was started elsewhere at once. The same case for orphans, in dropUnlisted, has always compared the request.

Change: the request of the list is compared.

Evidence: TestALateListDoesntShowThatAStartReachesNoLaterIncarnation, red before, green now; the other tests of core/schedule as before.

--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -160,7 +160,7 @@
 		return
 	}
 	s.dropRun(u, why)
-	if invalidAt := u.runner.startInvalidAt(u); s.now < invalidAt {
+	if invalidAt := u.runner.startInvalidAt(u); sentAt < invalidAt {
 		u.delayTask(invalidAt)
 		s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, listFrom: invalidAt})
 	}
