A start on a fenced runner counts until it can reach no later incarnation

Cause: a runner that another scheduler has taken refuses orders of before, but its next incarnation doesn't know the token. A start that was under way as the runner was fenced counted as over by a list of 160 ms after the runner was taken back, though it is valid for 1.18 s. If the runner lists, restarts, gets the start then and is cut off, the task was started elsewhere 1.3 s after the loss. The same holds for the starts that a scheduler leaves as it ceases to lead. All other ways with such a start already wait for a list of that time.

Change: a lost run has the time until which its start may be carried out (startInvalidAt), and a list of before that doesn't show that it is over.

Evidence: TestAStartOnAFencedRunnerMayReachTheNextIncarnation, red before (5.2 s too early), green now.

--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -27,6 +27,8 @@
 	overAt Time
 	// listFrom is from when on a list of its runner shows whether it is over; 0 for the time of settledListSince.
 	listFrom Time
+	// startInvalidAt is when no order to start it can be carried out by a later incarnation any more; 0 if none can.
+	startInvalidAt Time
 }
 
 // lostRuns are the lost runs by their tasks.
@@ -36,7 +38,7 @@
 func (s *Scheduler) noteLostRuns(r *runner) {
 	overAt := max(s.now+s.cfg.Resend, r.runsOverAt())
 	for _, u := range r.runs {
-		s.noteLostRun(u, lostRun{overAt: overAt})
+		s.noteLostRun(u, lostRun{overAt: overAt, startInvalidAt: r.startInvalidAt(u)})
 	}
 }
 
@@ -78,7 +80,7 @@
 	if l.listFrom > 0 {
 		return l.listFrom
 	}
-	return s.settledListSince(r, l.lostAt)
+	return max(s.settledListSince(r, l.lostAt), l.startInvalidAt)
 }
 
 // settledListSince returns from when on a list of a runner shows whether a run is over that ceased to count at a time. When
