Another scheduler's run isn't taken for one that was dropped

Cause: runs of a job that is sent again are numbered from one again, and a runner's lists name runs by task and number only. A scheduler that had dropped run 1 on a runner, and got the runner back from another scheduler which had started its own run 1 of the task there, found the record of the old run and warned of task-ran-twice. closeDrops covers only runs that the scheduler itself starts.

Change: as a run is listed for the first time, the record of a dropped run with its key is passed over if a list of the runner, requested after the drop and late enough for a stop to be over (settledListAsOf), was without the run, and the runner was acquired anew since. Without such a list, or under the same acquisition, it is reported as before; so is another scheduler's run beside one that the task has here.

Ruled out: the token or the time of the start as part of the run's identity, since the runners' lists have neither.

--- a/core/schedule/dropped.go
+++ b/core/schedule/dropped.go
@@ -125,6 +125,8 @@
 	nextOrigin runOrigin
 	// reported: the run was found alive and logged.
 	reported bool
+	// over: its runner has shown that it is over, and what has its key there now is another scheduler's run.
+	over bool
 }
 
 func newDroppedRun(u *run, at Time, evidence string) *droppedRun {
@@ -171,17 +173,31 @@
 	}
 }
 
-// find returns the latest drop of a run on a runner; nil if none is remembered.
+// find returns the latest drop of a run on a runner that may still be what the runner lists; nil if none is remembered.
 func (m *dropMemory) find(k workload.RunKey, r *runner) *droppedRun {
 	drops := m.byTask[k.Task]
 	for _, d := range slices.Backward(drops) {
-		if d.key == k && d.runner == r.info.ID {
+		if d.key == k && d.runner == r.info.ID && !d.over {
 			return d
 		}
 	}
 	return nil
 }
 
+// noteOtherStart records which dropped runs can't be the one that a runner lists for the first time: the runner's list
+// of a time after the drop was without the run, and another scheduler may have started one of that number since. Runs of
+// a job that was sent again are numbered from one again.
+func (s *Scheduler) noteOtherStart(r *runner, k workload.RunKey) {
+	for _, d := range s.drops.byTask[k.Task] {
+		if d.key != k || d.runner != r.info.ID {
+			continue
+		}
+		shownOver := r.settledListAsOf >= d.at+s.longestStop()
+		takenSince := r.acquiredAt > r.settledListAsOf
+		d.over = d.over || shownOver && takenSince
+	}
+}
+
 // dropRun ceases to count a run whose end its runner hasn't listed, and logs it.
 func (s *Scheduler) dropRun(u *run, why DropReason) {
 	s.dropRunAs(u, why, Decision{Event: "run-dropped", Reason: why.String(), Age: s.now - u.started})
@@ -301,6 +317,9 @@
 // its task started again, or doesn't show that it wasn't. Other ends of dropped runs are logged without a
 // warning. u is the run, if it is known.
 func (s *Scheduler) checkListedEnd(r *runner, u *run, e workload.End) {
+	if u == nil {
+		s.noteOtherStart(r, e.Run)
+	}
 	d := s.drops.find(e.Run, r)
 	if d != nil {
 		d.endListed = true
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -117,6 +117,9 @@
 	}
 	s.checkOverrun(r, res)
 	r.noteExpiredStarts()
+	if complete && res.Clock.SentAt >= r.acquiredAt+s.longestStop() {
+		r.settledListAsOf = max(r.settledListAsOf, res.Clock.SentAt)
+	}
 }
 
 // dropUnlisted drops runs that aren't on a complete list of the runner, requested at sentAt, and that are over or
@@ -186,6 +189,7 @@
 func (s *Scheduler) addListedRun(r *runner, k workload.RunKey) *run {
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, startedElsewhere: true, stopAt: s.now + orphanGrace}
 	r.add(u)
+	s.noteOtherStart(r, k)
 	s.ranJobs[k.Task.Job] = ranJob{at: s.now}
 	if j := s.jobs[k.Task.Job]; j != nil {
 		j.onlyHere = false
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -81,7 +81,10 @@
 	// listAsOf is when the last Hold was sent that was answered with both lists complete, and runningAsOf the same for the
 	// list of running runs, which always is.
 	listAsOf, runningAsOf Time
-	nextHoldAt            Time
+	// settledListAsOf is when the last complete list was requested, under any token, that shows each run which another
+	// scheduler has stopped before it lost the runner, or its end.
+	settledListAsOf Time
+	nextHoldAt      Time
 	// partitioned runners are unreachable, and perhaps led by another process. reachableAt is
 	// when such a runner has answered again. lastAskedAt is when the runner was last acquired
 	// or ceased to be treated as partitioned. See Scheduler.partitioned.
