Thousands of entries of runners cut no process off

Cause: processes send each other the list of runners in one message, and a receiver closes the connection at a message of more than 4 MB, again and again. An entry has at most 1,000 bytes of text, of which the rack counts twice in the message; their number had no bound.

Runners that are named at a handover go in messages of 1,000; the receiver adds them up, as before. A message over 4 MB isn't sent, with a warning. The limit of receivers stays, since processes of two versions work side by side.

--- a/core/fleet/expired.go
+++ b/core/fleet/expired.go
@@ -17,7 +17,7 @@
 //	disappears while the store is available       | no
 //	disappears around an outage of the store      | for expiredRetention, while the runner answers
 //	had marked its runner as draining             | no
-//	exists, but names no usable runner            | no
+//	exists, but isn't used                        | no
 //	reappears                                     | it becomes a normal entry again
 
 const (
--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -142,3 +143,36 @@
 		g.Expect(w.checker.violations).To(BeEmpty())
 	}
 }
+
+// Guards against a handover that is longer than a message may be, so that processes lose each other: another writer has left
+// thousands of long entries for a moment.
+func TestAHandoverOfManyRunnersIsSentInParts(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := deployment(1, 1)
+	w.load(60, 4*time.Second)
+	w.run(1500 * time.Millisecond)
+	const odd, longest = 2500, 1000
+	list := w.list()
+	for i := range odd {
+		list.Runners = append(list.Runners, workload.Runner{ID: workload.RunnerID(fmt.Sprintf("z-odd-%d", i)), Service: "another"})
+	}
+	old := w.leader()
+	w.do(old, func() { old.node.RunnersRead(w.now, list) })
+	w.run(300 * time.Millisecond)
+	sizes, named := 0, make(map[workload.RunnerID]bool)
+	w.onSend = func(_ *fakeNode, c fleet.Send) {
+		l, ok := c.Message.(fleet.RunnerList)
+		if !ok || !l.Handover {
+			return
+		}
+		sizes = max(sizes, len(l.Runners))
+		for _, r := range l.Runners {
+			named[r.ID] = true
+		}
+	}
+	w.stop(old)
+	w.run(time.Second)
+	g.Expect(len(named)).To(BeNumerically(">=", odd))
+	g.Expect(sizes).To(BeNumerically("<=", longest))
+}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -111,7 +111,7 @@
 	Revision uint64
 	// Runners are in the order of their ids.
 	Runners []workload.Runner
-	// Unreadable are entries that name no usable runner. They aren't sent to others.
+	// Unreadable are entries that name no usable runner, or for which the list has no room. They aren't sent to others.
 	Unreadable []workload.RunnerID
 	// Handover: the sender is about to pass on jobs that another scheduler had, and
 	// Runners are those on which that scheduler may have started them. Some may no longer be
--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -208,7 +208,7 @@
 
 // sendPossibleRunners sends to a shard's leader the runners on which the shard's jobs may run.
 func (n *Node) sendPossibleRunners(s *shard) {
-	n.emit(Send{To: s.choice.Leader, Message: RunnerList{Revision: n.runners.Revision, Runners: n.recentRunners(s), Handover: true}})
+	n.sendHandover(s.choice.Leader, n.recentRunners(s), false)
 }
 
 // recentRunners lists a shard's runners, including those that left the list recently.
--- a/core/fleet/unlisted.go
+++ b/core/fleet/unlisted.go
@@ -35,7 +35,18 @@
 		if len(s.unlisted.Runners) == 0 || now-s.unlisted.At >= removedRetention {
 			continue
 		}
-		n.emit(Send{To: id, Message: RunnerList{Revision: n.runners.Revision, Runners: s.unlisted.Runners, Handover: true, InUse: true}})
+		n.sendHandover(id, s.unlisted.Runners, true)
+	}
+}
+
+// maxHandoverRunners bounds the runners of a handover in one message, which is limited to 4 MB. The receiver adds up the
+// runners of several messages.
+const maxHandoverRunners = 1000
+
+// sendHandover sends a process runners that may not be on the platform's list.
+func (n *Node) sendHandover(to leader.ID, list []workload.Runner, inUse bool) {
+	for part := range slices.Chunk(list, maxHandoverRunners) {
+		n.emit(Send{To: to, Message: RunnerList{Revision: n.runners.Revision, Runners: part, Handover: true, InUse: inUse}})
 	}
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
 )
@@ -44,7 +45,7 @@
 		case <-l.conn.Context().Done():
 			return
 		case msg := <-l.out:
-			if _, err := protodelim.MarshalTo(w, msg); err != nil {
+			if err := m.writeMessage(w, l, msg); err != nil {
 				_ = l.conn.CloseWithError(closeFailed, "write")
 				return
 			}
@@ -59,6 +60,16 @@
 	}
 }
 
+// writeMessage writes a message, unless the peer would close the connection since it is too long.
+func (m *Mesh) writeMessage(w *bufio.Writer, l *link, msg *pb.FleetMessage) error {
+	if size := proto.Size(msg); size > maxMessageBytes {
+		m.log.Warn().Str("peer", l.id).Int("bytes", size).Int("limit-bytes", maxMessageBytes).Msg("message-too-long")
+		return nil
+	}
+	_, err := protodelim.MarshalTo(w, msg)
+	return errors.Wrap(err, "write message")
+}
+
 func (m *Mesh) read(l *link, stream *quic.Stream) {
 	r := bufio.NewReader(stream)
 	opts := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -31,7 +31,8 @@
 	// sendQueueLength bounds the messages queued for one peer.
 	sendQueueLength = 4096
 	// maxMessageBytes bounds a message. The largest are a job of 4,000 bytes and 4,096
-	// tasks, and a list of some thousand runners.
+	// tasks, and a list of some thousand runners. A receiver closes the connection at a longer one, so
+	// none is sent.
 	maxMessageBytes = 4 << 20
 
 	// The application error codes of closed connections. closeStopping is sent only by a
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -158,6 +159,23 @@
 	g.Expect(a.mesh.Send("c", dropJob("k"))).To(BeFalse())
 }
 
+// Guards against processes that lose each other because of one message that is longer than its receiver accepts.
+func TestAMessageThatIsTooLongClosesNoConnection(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newProcess(t, 1, 400), newProcess(t, 2, 400)
+	keepAlive(t, a, b)
+	connectAll(a, b)
+	g.Eventually(func() bool { return a.mesh.Send("b", dropJob("j")) }, testTimeout, 10*time.Millisecond).Should(BeTrue())
+	g.Expect(a.mesh.Send("b", dropJob(strings.Repeat("x", maxMessageBytes)))).To(BeTrue())
+	g.Expect(a.mesh.Send("b", dropJob("k"))).To(BeTrue())
+	received := func() []string {
+		b.recorder.mu.Lock()
+		defer b.recorder.mu.Unlock()
+		return b.recorder.droppedJobs
+	}
+	g.Eventually(received, testTimeout).Should(HaveExactElements("j", "k"))
+}
+
 // A process that isn't registered in the platform's store dials. Any host on the
 // network could do so; it must be rejected.
 func TestUnregisteredPeerIsRejected(t *testing.T) {
