Jobs wait for silent runners whose entries may have been changed

Cause: a job that another scheduler had waits for the lists of silent runners, but only of those that by their entries can take its tasks. Another writer may have changed an entry (service, capacity, labels) as a process begins to lead, or just before or after. Then the job doesn't wait for the runner that has its run, and the task starts a second time.

Change: an entry is evidence that a run can't be on its runner only once this process has known the runner for as long as prior runs may live on a silent one (7.3 s), if the entry has said the same all the time. Until then, and for good once it has changed, the runner counts as one that may have runs of any service and step, until it lists its runs or maxLateEnd has passed. A process that has followed for longer waits as before, so that a lost runner of another service holds up no jobs at an ordinary change of the leader. The same holds for jobs that may be sent again (anyMayHoldRuns), for the lists requested at a handover, and for the warning of task-started-again.

The tests of priorruns_test.go that use restoring took over at the moment at which they came to know the runners, and two of them expect that entries (TestJobsDontWaitForRunnersThatCantTakeThem) are evidence at once, which is the fault. The process now knows the entries for entryTrustDelay before it leads; all that they expect afterwards is unchanged.

Left: an entry that was changed before the process knew it counts as evidence 7.3 s later.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -103,6 +103,7 @@
 	if r.answersAt(info) {
 		info.Address = r.info.Address
 	}
+	r.noteEntryChange(info)
 	moved := info.Address != r.info.Address
 	expired := info.EntryExpired && !r.info.EntryExpired
 	laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -83,14 +83,14 @@
 	s.requestList(r)
 }
 
-// requestLists requests the lists of all runners of a service at once, and reacquires those that
+// requestLists requests the lists of all runners that may have runs of a service at once, and reacquires those that
 // another scheduler had: that scheduler has just handed over a job.
 func (s *Scheduler) requestLists(service string) {
 	if !s.leading {
 		return
 	}
 	for _, r := range s.runnerList {
-		if r.info.Service != service || r.gone {
+		if !r.mayServe(service, s.now) || r.gone {
 			continue
 		}
 		if r.token == 0 {
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -14,7 +14,7 @@
 // counts for maxLateEnd from the end of the lease (see silence.go). The next scheduler doesn't know which jobs have
 // runs there, so it waits as long with each step of which a task may have a run on such a runner.
 //
-// A runner that can't take a step's tasks has no run of them.
+// A runner that can't take a step's tasks has no run of them, if its entry is trusted (see entrytrust.go).
 
 // priorRuns are what is known of the runs that earlier schedulers may have started for a job.
 type priorRuns struct {
@@ -40,11 +40,6 @@
 	return !r.gone && !expired && !r.listedSince(since)
 }
 
-// canTake reports whether the runner could take a task of a step if it ran nothing else.
-func (r *runner) canTake(step *workload.Step) bool {
-	return r.info.HasLabel(step.Requires) && step.Need.Fits(r.info.Capacity)
-}
-
 // runnersToAwait lists the runners of a service that may have prior runs which they haven't listed, of any job.
 func (p *placer) runnersToAwait(service string) []*runner {
 	if list, ok := p.awaitedRunners[service]; ok {
@@ -52,7 +47,7 @@
 	}
 	var list []*runner
 	for _, r := range p.s.runnerList {
-		if r.info.Service == service && r.mayHaveUnlistedRuns(p.s.latestHandoverLists(), p.s.now) {
+		if r.mayServe(service, p.s.now) && r.mayHaveUnlistedRuns(p.s.latestHandoverLists(), p.s.now) {
 			list = append(list, r)
 		}
 	}
@@ -66,7 +61,7 @@
 		return false
 	}
 	return slices.ContainsFunc(p.runnersToAwait(j.work.Service), func(r *runner) bool {
-		return !r.listedSince(j.listsNeededSince) && r.canTake(j.stepAt(i))
+		return !r.listedSince(j.listsNeededSince) && r.mayTake(j.stepAt(i), p.s.now)
 	})
 }
 
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -26,9 +26,11 @@
 	return starts
 }
 
-// restoring returns a new leader that has loaded a job, with a silent runner.
+// restoring returns a new leader that has loaded a job, with a silent runner. It has known the runners' entries for so long
+// that they count as evidence.
 func restoring(t *testing.T, j *workload.Job, c Connection, runners ...workload.Runner) *harness {
 	b := newHarness(t, runners...)
+	b.tick(entryTrustDelay)
 	b.s.Lead(b.now)
 	b.leaveUnanswered("silent", c)
 	b.ownRows(3, openRecord(j, 2))
--- a/core/schedule/resent.go
+++ b/core/schedule/resent.go
@@ -61,7 +61,7 @@
 // anyMayHoldRuns reports whether a runner of a service may hold runs of an earlier scheduler that it hasn't listed.
 func (s *Scheduler) anyMayHoldRuns(service string) bool {
 	for _, r := range s.runnerList {
-		if r.info.Service == service && r.mayHoldRuns() {
+		if r.mayServe(service, s.now) && r.mayHoldRuns() {
 			return true
 		}
 	}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -33,6 +33,8 @@
 	answeredAddress string
 	// addressSince is when the address in info last changed.
 	addressSince Time
+	// entryTrustedAt is from when on its entry shows what can't be on the runner; never if it has changed.
+	entryTrustedAt Time
 	// leaving: the entry of the known incarnation says that it drains.
 	leaving bool
 	// reserved is the suspect that the runner is, or was, reserved for; see reservation.
@@ -169,6 +171,7 @@
 	return &runner{
 		info: info, incarnationStart: info.IncarnationStart, entryStart: info.IncarnationStart, leaving: info.Draining,
 		runs: make(map[workload.RunKey]*run), health: newHealth(), holdSentAt: now,
+		entryTrustedAt: now + entryTrustDelay,
 	}
 }
 
--- a/core/schedule/startedagain.go
+++ b/core/schedule/startedagain.go
@@ -96,7 +96,7 @@
 	}
 	var missing []workload.RunnerID
 	for _, r := range s.runnerList {
-		if !listed(r) && r.info.Service == t.job.work.Service && !r.gone && r.canTake(t.step()) {
+		if !listed(r) && !r.gone && r.mayServe(t.job.work.Service, s.now) && r.mayTake(t.step(), s.now) {
 			missing = append(missing, r.info.ID)
 		}
 	}
