Another runner at an address from a new or changed entry ends no run

Cause: a process that a runner has never answered asks it at the address in its entry. If another writer has put another runner's address there, that one refuses the order as meant for somebody else (421), which counted as the end of the runner and of its runs. A job that was handed over didn't wait for the real runner.

Change: the refusal counts at the address at which the runner has last answered, as before. To a process that the runner has never answered it counts only if the entry is trusted: known for 7.3 s, and never changed. A runner that was lost and whose host has another one since is noticed as before by processes that have followed for longer. Others ask it further, each 30 ms, until its entry is old enough or has left the list.

Left: an address that was changed before the process knew the entry counts 7.3 s later.

--- a/core/schedule/entrytrust_test.go
+++ b/core/schedule/entrytrust_test.go
@@ -11,11 +11,12 @@
 
 // Entries of runners that another writer may have changed, and prior runs on these runners.
 
-// oddEntries are changes by which an entry says that the runner can't take a task of a job of labelledJob.
+// oddEntries are changes by which an entry says that the runner can't take a task of a job of labelledJob, or is elsewhere.
 var oddEntries = map[string]func(*workload.Runner){
 	"service":  func(r *workload.Runner) { r.Service = "other" },
 	"capacity": func(r *workload.Runner) { r.Capacity.MilliCPU = 1000 },
 	"labels":   func(r *workload.Runner) { r.Labels = nil },
+	"address":  func(r *workload.Runner) { r.Address = "r1" },
 }
 
 // labelledJob returns a job whose tasks require a label.
@@ -25,17 +26,21 @@
 	return j
 }
 
-// passUnheard lets time pass while r2 leaves the orders unanswered, and collects the starts.
-func (b *harness) passUnheard(d time.Duration) []Start {
+// passAsOther lets time pass while r2 leaves the orders to its own address unanswered, and another runner answers those
+// that go to another address. It collects the starts.
+func (b *harness) passAsOther(d time.Duration) []Start {
 	var starts []Start
 	for end := b.now + d; b.now < end; {
 		b.tick(20 * ms)
 		for _, h := range take[Hold](b) {
-			if h.Runner == "r2" {
+			switch {
+			case h.Runner != "r2":
+				b.heldBy(h, 1000)
+			case h.Address == "r2":
 				b.leaveHoldUnanswered(h, ConnectionTimedOut)
-				continue
+			default:
+				b.answerHold(h, Replaced)
 			}
-			b.heldBy(h, 1000)
 		}
 		starts = append(starts, take[Start](b)...)
 	}
@@ -60,8 +65,8 @@
 					b.s.SetRunners(b.now, withOddEntry("r2", change))
 				}
 				b.handOver(labelledJob(), 20*time.Second)
-				b.g.Expect(b.passUnheard(maxPriorRunLife+maxLateEnd-20*ms)).To(BeEmpty(), "r2 hasn't listed its runs")
-				b.g.Expect(b.passUnheard(60 * ms)).To(HaveLen(1))
+				b.g.Expect(b.passAsOther(maxPriorRunLife+maxLateEnd-20*ms)).To(BeEmpty(), "r2 hasn't listed its runs")
+				b.g.Expect(b.passAsOther(60 * ms)).To(HaveLen(1))
 			})
 		}
 	}
@@ -78,13 +83,14 @@
 			b.ownRows(1)
 			b.handOver(labelledJob(), 20*time.Second)
 			wait := entryTrustDelay - time.Second
-			b.g.Expect(b.passUnheard(wait-20*ms)).To(BeEmpty(), "r2 hasn't listed its runs")
-			b.g.Expect(b.passUnheard(1100 * ms)).To(HaveLen(1))
+			b.g.Expect(b.passAsOther(wait-20*ms)).To(BeEmpty(), "r2 hasn't listed its runs")
+			b.g.Expect(b.passAsOther(1100 * ms)).To(HaveLen(1))
 		})
 	}
 }
 
-// Guards against jobs that wait at each change of the leader for a lost runner of another service.
+// Guards against jobs that wait at each change of the leader for a lost runner of another service, or for one that was
+// replaced at its address.
 func TestJobsDontWaitForRunnersWhoseEntriesAreKnownForLong(t *testing.T) {
 	for name, change := range oddEntries {
 		t.Run(name, func(t *testing.T) {
@@ -93,7 +99,7 @@
 			b.s.Lead(b.now)
 			b.ownRows(1)
 			b.handOver(labelledJob(), 20*time.Second)
-			b.g.Expect(b.passUnheard(maxPriorRunLife + 100*ms)).To(HaveLen(1))
+			b.g.Expect(b.passAsOther(maxPriorRunLife + 100*ms)).To(HaveLen(1))
 		})
 	}
 }
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -207,14 +207,10 @@
 	}
 }
 
-// checkReplaced turns Replaced into Unhealthy if it shows nothing about the runner: the runner has answered at another
-// address than the present one of its entry, which another writer may have changed, or the order was sent to another
-// address than the present one.
-func (r *runner) checkReplaced(o CallOutcome, address string) CallOutcome {
-	if o != Replaced {
-		return o
-	}
-	if address != r.info.Address || r.answeredAddress != "" && r.answeredAddress != address {
+// checkReplaced turns Replaced, the answer to an order that was sent to an address, into Unhealthy if it shows nothing about
+// the runner: that isn't the present address of its entry, or the runner may never have been there.
+func (r *runner) checkReplaced(o CallOutcome, address string, now Time) CallOutcome {
+	if o == Replaced && (address != r.info.Address || !r.wasAt(now)) {
 		return Unhealthy
 	}
 	return o
--- a/core/schedule/reachability.go
+++ b/core/schedule/reachability.go
@@ -60,7 +60,7 @@
 // handleReachability handles the result of checkReachability.
 func (s *Scheduler) handleReachability(r *runner, res HoldResult) {
 	r.holdInFlight = false
-	if r.checkReplaced(res.Outcome, res.Address) != res.Outcome {
+	if r.checkReplaced(res.Outcome, res.Address, s.now) != res.Outcome {
 		r.nextHoldAt = s.now + orphanCheckInterval
 		return
 	}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -37,7 +37,7 @@
 	r.noteAnsweredHold(res)
 	silence := s.now - r.clockAt
 	r.updateClock(res.Clock)
-	res.Outcome = r.checkReplaced(res.Outcome, res.Address)
+	res.Outcome = r.checkReplaced(res.Outcome, res.Address, s.now)
 	switch res.Outcome {
 	case Accepted:
 		if res.Clock.SentAt > r.addressSince {
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -38,7 +38,7 @@
 		return
 	}
 	s.recordLatency(res.Clock.SentAt)
-	res.Outcome = r.checkReplaced(res.Outcome, res.Address)
+	res.Outcome = r.checkReplaced(res.Outcome, res.Address, s.now)
 	r.noteOrder(res.Outcome, res.Connection, res.Clock.SentAt)
 	u := r.runs[res.Run]
 	if u == nil {
@@ -197,7 +197,7 @@
 		return
 	}
 	u := r.runs[res.Run]
-	res.Outcome = r.checkReplaced(res.Outcome, res.Address)
+	res.Outcome = r.checkReplaced(res.Outcome, res.Address, s.now)
 	r.noteOrder(res.Outcome, res.Connection, res.Clock.SentAt)
 	switch res.Outcome {
 	case Accepted:
