A scheduler starts no jobs of an entry process that may not hear it any more

A scheduler started the jobs of an entry process for 300 ms after that one's last message. If the connection fails from the scheduler to the entry process first, the entry process counts the scheduler as lost 450 ms after its last message, leads itself or follows another one, and hands its jobs over, while its own messages have arrived until then. It closes the connection, but the close may be late or lost. Until 300 ms later the scheduler of before started the jobs too, also on runners that it had taken back.

Heartbeats now carry the sender's clock and that of the newest heartbeat which the sender has received from the receiver. A scheduler starts jobs of an entry process only while that one has received something that was sent within 400 ms, by the scheduler's own clock. Usually the age is one and a half heartbeat intervals at most, so that one lost heartbeat holds nothing back. Processes of earlier versions send no clock, and are treated as before.

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -49,6 +49,9 @@
 	// TakesLentJobs: the sender takes a job to the shard that lends room for it. Earlier versions
 	// didn't.
 	TakesLentJobs bool
+	// SentAt is the sender's clock, and Received is SentAt of the newest heartbeat that the sender has
+	// received from the receiver. Both are 0 in heartbeats of earlier versions.
+	SentAt, Received Time
 }
 
 // Layout sends the division of the runners into shards to a process whose heartbeat reports that
--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -63,6 +63,9 @@
 	// sent a heartbeat.
 	connected       map[leader.ID]bool
 	heartbeatSentAt map[leader.ID]Time
+	// connectedAt is when each of them connected, or earlier, and latestSentAt is Heartbeat.SentAt of the newest
+	// heartbeat of each.
+	connectedAt, latestSentAt map[leader.ID]Time
 
 	// startedAt is when the node was created, and lastTick when Tick was last called.
 	startedAt, lastTick Time
@@ -162,6 +165,8 @@
 		gateway:          gateway.New(),
 		connected:        make(map[leader.ID]bool),
 		heartbeatSentAt:  make(map[leader.ID]Time),
+		connectedAt:      make(map[leader.ID]Time),
+		latestSentAt:     make(map[leader.ID]Time),
 		sentDigest:       make(map[leader.ID]uint64),
 		queries:          make(map[uint64]bool),
 		relays:           make(map[uint64]relay),
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -15,6 +15,7 @@
 func (n *Node) PeerUp(now Time, id leader.ID) {
 	n.detectStall(now)
 	n.connected[id] = true
+	n.connectedAt[id] = n.sentAt(now)
 	n.view.RecordContact(now, id, nil)
 	n.sendHeartbeat(now, id)
 	for _, s := range n.own {
@@ -57,6 +58,8 @@
 		n.lostVMs[schedule.EntryID(id).VM()] = now
 	}
 	delete(n.connected, id)
+	delete(n.connectedAt, id)
+	delete(n.latestSentAt, id)
 	delete(n.heartbeatSentAt, id)
 	delete(n.staleLeaders, id)
 	for _, s := range n.own {
@@ -167,6 +170,7 @@
 		// The sender doesn't know the layout yet.
 		n.emit(Send{To: from, Message: Layout{n.layout}})
 	}
+	n.recordEcho(from, h)
 	n.learnStoredJobs(now, h.StoredJobs, string(from))
 	for _, s := range n.own {
 		s.schedule.ObserveTerm(h.Report.Term)
@@ -219,6 +223,18 @@
 	}
 }
 
+// recordEcho passes on when this process sent what the sender of a heartbeat has received of it. A process of an
+// earlier version doesn't report that.
+func (n *Node) recordEcho(from leader.ID, h Heartbeat) {
+	if h.SentAt == 0 {
+		return
+	}
+	n.latestSentAt[from] = max(n.latestSentAt[from], h.SentAt)
+	for _, s := range n.own {
+		s.schedule.EntryHears(max(h.Received, n.connectedAt[from]), schedule.EntryID(from))
+	}
+}
+
 // Connections is the number of connected processes.
 func (n *Node) Connections() int { return len(n.connected) }
 
@@ -253,6 +269,8 @@
 		StoredJobs:         n.storedJobs,
 		Evacuations:        n.evacuations,
 		TakesLentJobs:      true,
+		SentAt:             now,
+		Received:           n.latestSentAt[to],
 	}
 	if n.listKnown {
 		h.RunnersDigest = n.digest
--- a/core/fleet/processes_test.go
+++ b/core/fleet/processes_test.go
@@ -295,19 +295,28 @@
 	from := n.id
 	w.after(messageDelay+w.sendDelay[n.name], func() {
 		o := w.byID(c.To)
-		if o == nil || !o.connections[from] || !w.canConnect(n, o) {
+		if o == nil || !o.connections[from] || !w.canSend(n, o) {
 			return
 		}
-		w.do(o, func() { o.node.Receive(w.now, from, c.Message) })
+		w.do(o, func() { o.node.Receive(w.now, from, w.asKnown(n, o, c.Message)) })
 	})
 }
 
-// disconnect closes a connection. The other process notices it if it is reachable.
+// asKnown returns a message without what the sender or the receiver doesn't know if it is of an earlier version.
+func (w *world) asKnown(from, to *fakeNode, m fleet.Message) fleet.Message {
+	if h, ok := m.(fleet.Heartbeat); ok && (w.earlierVersions[from.name] || w.earlierVersions[to.name]) {
+		h.SentAt, h.Received = 0, 0
+		return h
+	}
+	return m
+}
+
+// disconnect closes a connection. The other process notices it if messages arrive there.
 func (w *world) disconnect(n *fakeNode, id leader.ID) {
 	delete(n.connections, id)
 	from := n.id
 	w.after(messageDelay, func() {
-		if o := w.byID(id); o != nil && w.canConnect(n, o) && o.connections[from] {
+		if o := w.byID(id); o != nil && w.canSend(n, o) && o.connections[from] {
 			delete(o.connections, from)
 			w.do(o, func() { o.node.PeerDown(w.now, from, false) })
 		}
@@ -329,7 +338,7 @@
 		if o == n || o.node == nil || !o.connections[id] {
 			continue
 		}
-		if clean && w.canConnect(n, o) {
+		if clean && w.canSend(n, o) {
 			delete(o.connections, id)
 			w.do(o, func() { o.node.PeerDown(w.now, id, true) })
 		}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -56,7 +56,11 @@
 	// VMs that can't reach each other.
 	storeUnreachable map[string]bool
 	partitioned      map[[2]string]bool
-	shards           int
+	// messagesLost are pairs of VMs of which the second gets no messages of the first.
+	messagesLost map[[2]string]bool
+	// earlierVersions are VMs whose processes don't report which heartbeats they have received.
+	earlierVersions map[string]bool
+	shards          int
 	// crowded: most jobs belong to one shard or come from one domain. lastCrowded is the number
 	// of the last id chosen for that.
 	crowded     bool
@@ -190,6 +194,7 @@
 		isolated:         make(map[string]bool),
 		storeUnreachable: make(map[string]bool),
 		partitioned:      make(map[[2]string]bool),
+		messagesLost:     make(map[[2]string]bool),
 		sendDelay:        make(map[string]time.Duration),
 		connectableAt:    make(map[[2]string]time.Duration),
 		unknownUntil:     make(map[string]time.Duration),
@@ -317,9 +322,13 @@
 	return !w.storeDown && !w.isolated[n.domain] && !w.storeUnreachable[n.name]
 }
 
-// canConnect reports whether two VMs can communicate.
-func (w *world) canConnect(a, b *fakeNode) bool {
-	return w.domainsConnected(a.domain, b.domain) && !w.partitioned[[2]string{a.name, b.name}] && !w.partitioned[[2]string{b.name, a.name}]
+// canConnect reports whether two VMs can communicate in both directions.
+func (w *world) canConnect(a, b *fakeNode) bool { return w.canSend(a, b) && w.canSend(b, a) }
+
+// canSend reports whether messages of a VM arrive at another one.
+func (w *world) canSend(from, to *fakeNode) bool {
+	pair, back := [2]string{from.name, to.name}, [2]string{to.name, from.name}
+	return w.domainsConnected(from.domain, to.domain) && !w.partitioned[pair] && !w.partitioned[back] && !w.messagesLost[pair]
 }
 
 // call passes an order to a runner and its answer back. Without an answer within the timeout
--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -105,10 +105,15 @@
 	// are started. It is two heartbeat intervals: an entry VM counts a scheduler as lost after
 	// three, counted from one heartbeat earlier at most.
 	maxHeartbeatAge = 300 * time.Millisecond
+	// maxEchoAge is how long ago this process sent, at most, the newest message that an entry VM is known to have
+	// received, while tasks of its jobs are started. The VM counts this process as lost maxSilence after that message
+	// arrived; the difference is left for orders under way. Usually the age is up to one and a half heartbeat
+	// intervals, so that a lost heartbeat holds no starts back.
+	maxEchoAge = 400 * time.Millisecond
 	// entryRecoveryDelay is how long a task waits whose run lapses when the last heartbeat of
-	// its entry VM is older than maxHeartbeatAge. In that time a message of the entry VM
-	// arrives or it counts as lost. After a partition a run lapses 510 ms after the last heartbeat
-	// or later.
+	// its entry VM is older than maxHeartbeatAge, or the newest one that the VM has received is older than
+	// maxEchoAge. In that time a message of the entry VM arrives or it counts as lost. After a partition a
+	// run lapses 510 ms after the last heartbeat or later.
 	entryRecoveryDelay = 300 * time.Millisecond
 	// ranRetention is how long the scheduler remembers that a task of a job has run: longer
 	// than callers go on sending the job again.
--- a/core/schedule/entries.go
+++ b/core/schedule/entries.go
@@ -47,6 +47,7 @@
 	s.now = now
 	s.noteResent(entry)
 	delete(s.lastContact, entry)
+	delete(s.heardAt, entry)
 	delete(s.borrowing.refusesLent, entry)
 	if entry == s.progressFrom {
 		s.stopAwaiting()
@@ -100,6 +101,19 @@
 	s.lastContact[entry] = max(s.lastContact[entry], sentAt)
 }
 
+// EntryHears records that an entry process has received a message that this process sent at a time or later.
+func (s *Scheduler) EntryHears(sentAt Time, entry EntryID) {
+	s.heardAt[entry] = max(s.heardAt[entry], sentAt)
+}
+
+// mayLose reports whether an entry process may count this process as lost, and may have given its jobs to another
+// scheduler, which sees only the runs that exist by then. It does so after maxSilence, before this process counts it
+// as lost if the connection fails in one direction first. Processes of earlier versions don't report what they hear.
+func (s *Scheduler) mayLose(entry EntryID) bool {
+	heardAt, reported := s.heardAt[entry]
+	return s.now-s.lastContact[entry] > maxHeartbeatAge || reported && s.now-heardAt > maxEchoAge
+}
+
 // EntryReachable records that an entry VM is reachable again, perhaps with a new process.
 func (s *Scheduler) EntryReachable(now Time, entry EntryID) {
 	s.now = now
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -170,10 +170,7 @@
 // started it or another one may have it.
 func (s *Scheduler) heldBack(j *job) bool {
 	switch {
-	case j.stored == nil && s.now-s.lastContact[j.entry] > maxHeartbeatAge:
-		// The job's entry VM may have counted this process as lost before this process counts
-		// that VM as lost, and may have given the job to a scheduler that sees only the runs that
-		// exist by then.
+	case j.stored == nil && s.mayLose(j.entry):
 		return true
 	case s.mayBeResent(j):
 		return true
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -133,6 +133,30 @@
 	b.g.Expect(one[Start](b).Run.Task.Job).To(Equal(waits.ID))
 }
 
+// Guards against tasks that run twice when the entry VM still reaches this scheduler, but doesn't hear it any more: it
+// counts the scheduler as lost first, and gives the job to another one, which sees no run of it.
+func TestNothingStartsForAnEntryVMThatHearsNothing(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.submit(testJob(2, 600*ms), 3*time.Second)
+	running := take[Start](b)
+	b.g.Expect(running).To(HaveLen(2))
+	for _, c := range running {
+		b.started(c, Accepted)
+	}
+	b.s.EntryHears(b.now, entryA)
+	waits := testJob(2, 300*ms)
+	b.submit(waits, 3*time.Second)
+	b.wait(maxEchoAge)
+	b.end("r1", 1, running[0].Run, workload.Done)
+	b.g.Expect(one[Start](b).Run.Task.Job).To(Equal(waits.ID), "it can't count the scheduler as lost yet")
+	b.wait(20 * ms)
+	b.end("r1", 2, running[1].Run, workload.Done)
+	b.g.Expect(take[Start](b)).To(BeEmpty())
+	b.s.EntryHears(b.now, entryA)
+	b.wait(20 * ms)
+	b.g.Expect(one[Start](b).Run.Task.Job).To(Equal(waits.ID))
+}
+
 // A runner has crashed and answers under another incarnation. All its runs are over, so their tasks
 // start elsewhere at once.
 func TestReplacedRunner(t *testing.T) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -125,6 +125,9 @@
 	allReachableSince Time
 	// lastContact is when each entry process last sent a message.
 	lastContact map[EntryID]Time
+	// heardAt is when this process sent the newest message that each entry process reports to have received. It has
+	// none of processes that don't report that.
+	heardAt map[EntryID]Time
 	// ranJobs are jobs without an outcome of which tasks have run, or may have run under an
 	// earlier scheduler.
 	ranJobs map[workload.JobID]ranJob
@@ -185,6 +188,7 @@
 		results:        make(map[workload.JobID]result),
 		cancelled:      make(map[workload.JobID]Time),
 		lastContact:    make(map[EntryID]Time),
+		heardAt:        make(map[EntryID]Time),
 		unreachable:    make(map[string]Time),
 		ranJobs:        make(map[workload.JobID]ranJob),
 		unstored:       make(map[workload.JobID]Time),
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -111,7 +111,7 @@
 		s.ctr.Lapsed++
 		s.noteLoss(u, false)
 		s.dropRunAs(u, LeaseOver, Decision{Event: "run-lapsed", Reason: "runner is silent", Age: s.now - r.clockAt, Detail: r.describeSilence(s.now)})
-		if s.now-s.lastContact[u.task.job.entry] > maxHeartbeatAge {
+		if s.mayLose(u.task.job.entry) {
 			// The entry VM may be cut off together with the runner. Then the scheduler on that
 			// side may have adopted the run, and the job will shortly be dropped here.
 			u.task.notBefore = s.now + entryRecoveryDelay
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -292,6 +292,8 @@
 		Evacuated:          h.Evacuations.Domains,
 		Loads:              loadMessages(h.Loads),
 		TakesLent:          h.TakesLentJobs,
+		SentMs:             uint64(h.SentAt.Milliseconds()),
+		ReceivedMs:         uint64(h.Received.Milliseconds()),
 	}
 	for i, f := range h.Report.Follows {
 		if f.Leader != "" {
@@ -330,6 +332,8 @@
 		ExpectedWait:       milliseconds(int64(m.GetWaitMs())),
 		Loads:              loadsOf(m.GetLoads()),
 		TakesLentJobs:      m.GetTakesLent(),
+		SentAt:             milliseconds(int64(m.GetSentMs())),
+		Received:           milliseconds(int64(m.GetReceivedMs())),
 		UncertainFor:       milliseconds(int64(m.GetDoubtMs())),
 		Evacuations:        routing.Evacuations{Version: m.GetEvacuationsVersion(), Domains: m.GetEvacuated()},
 	}
