A retiring leader reports the jobs without an outcome that may still run

Cause: a best-effort job is given up as soon as it can't be done in time (waitsInVain), long before its run on a silent runner counts as over. From then on only its scheduler knows of the run, and what a scheduler reports as it retires has no word of such jobs. Sent again after a planned change of the leader, the job was a new one: it waits for nothing, since no process was lost (mayBeResent), and was started at once beside a run that may live for its lease and as long as the runner is late. Four seconds after the change its caller could also be told that nothing was run.

Change: Progress has the jobs that the scheduler doesn't have any more and of which a run may be alive: orphans, lost runs, and jobs with runs of earlier schedulers until these count as over. At the next leader they are jobs that have run, so they wait for runners that haven't listed their runs, and a refusal doesn't say that nothing was run.

Ruled out: to report them as ended with GaveUp, which the next leader would repeat to each copy for a minute.

Not covered: leaders that are killed, which report nothing.

TestProgressOnTheWire has the field.

--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -20,6 +22,8 @@
 	Restarted []workload.JobID
 	// Ended are recently ended jobs.
 	Ended []EndedJob
+	// MayRun are jobs that the scheduler doesn't have and of which a run may be alive. Their callers may send them again.
+	MayRun []workload.JobID
 }
 
 // EndedJob is the outcome of a job.
@@ -62,9 +66,38 @@
 		}
 		p.Ended = append(p.Ended, EndedJob{Job: id, Outcome: r.outcome})
 	}
+	p.MayRun = s.jobsThatMayRun()
 	return p
 }
 
+// jobsThatMayRun lists the jobs without an outcome that this scheduler doesn't have, and of which a run may be alive: an
+// orphan, a lost run, or one that no runner has listed.
+func (s *Scheduler) jobsThatMayRun() []workload.JobID {
+	ids := make(map[workload.JobID]bool)
+	for _, r := range s.runnerList {
+		for k, u := range r.runs {
+			if u.task == nil {
+				ids[k.Task.Job] = true
+			}
+		}
+	}
+	for task, lost := range s.lostRuns {
+		if slices.ContainsFunc(lost, s.mayBeAlive) {
+			ids[task.Job] = true
+		}
+	}
+	for id, ran := range s.ranJobs {
+		if s.now < s.allSilentRunsOverAt && !s.knowsAllRuns(ran) {
+			ids[id] = true
+		}
+	}
+	maps.DeleteFunc(ids, func(id workload.JobID, _ bool) bool {
+		_, ended := s.results[id]
+		return ended || s.jobs[id] != nil
+	})
+	return sortedKeys(ids)
+}
+
 // AwaitProgress holds back jobs that another scheduler had until its Progress arrives or its
 // process is lost.
 func (s *Scheduler) AwaitProgress(now Time, from EntryID) {
@@ -96,6 +129,9 @@
 	for _, name := range p.Done {
 		s.applyDone(name)
 	}
+	for _, id := range p.MayRun {
+		s.applyMayRun(id)
+	}
 	s.dispatch()
 }
 
@@ -122,6 +158,15 @@
 	}
 }
 
+// applyMayRun has a job that is sent again, or that has come already, wait for runners that haven't listed their runs.
+func (s *Scheduler) applyMayRun(id workload.JobID) {
+	s.ranJobs[id] = ranJob{at: s.now}
+	if j := s.jobs[id]; j != nil && j.stored == nil {
+		j.started = true
+		s.noteRunsElsewhere(j)
+	}
+}
+
 func (s *Scheduler) applyDone(name workload.TaskName) {
 	s.ranJobs[name.Job] = ranJob{at: s.now}
 	j := s.jobs[name.Job]
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -116,14 +116,20 @@
 	if ok || s.hasLostRun(j) {
 		j.started = true
 	}
-	j.onlyHere = !ok || s.knowsAllRuns(ran)
-	if !j.onlyHere {
-		// An earlier scheduler may have started other tasks of it, on runners that haven't listed their runs.
-		j.silentRunsOverAt = max(j.silentRunsOverAt, s.allSilentRunsOverAt)
+	j.onlyHere = true
+	if ok && !s.knowsAllRuns(ran) {
+		s.noteRunsElsewhere(j)
 	}
 	return j
 }
 
+// noteRunsElsewhere records that an earlier scheduler may have started tasks of a job, on runners that haven't listed their
+// runs.
+func (s *Scheduler) noteRunsElsewhere(j *job) {
+	j.onlyHere = false
+	j.silentRunsOverAt = max(j.silentRunsOverAt, s.allSilentRunsOverAt)
+}
+
 // refuseNew refuses a job that can't be served in time, and reports whether it did. A job for which
 // another shard may have room isn't refused yet (see job.awaitsRoom). A job for which room was
 // granted here is refused only if too little time is left.
--- a/entry/wire_progress.go
+++ b/entry/wire_progress.go
@@ -18,6 +18,9 @@
 	for _, id := range p.Restarted {
 		m.Restarted = append(m.Restarted, string(id))
 	}
+	for _, id := range p.MayRun {
+		m.MayRun = append(m.MayRun, string(id))
+	}
 	return &pb.FleetMessage{Body: &pb.FleetMessage_Progress{Progress: m}}
 }
 
@@ -36,5 +39,8 @@
 	for _, id := range m.GetRestarted() {
 		p.Restarted = append(p.Restarted, workload.JobID(id))
 	}
+	for _, id := range m.GetMayRun() {
+		p.MayRun = append(p.MayRun, workload.JobID(id))
+	}
 	return p
 }
--- a/entry/wire_progress_test.go
+++ b/entry/wire_progress_test.go
@@ -21,6 +21,7 @@
 		Done:         []workload.TaskName{{Job: "00000000000000a1", Step: 1, Index: 7}},
 		Restarted:    []workload.JobID{"00000000000000a1", "00000000000000a2"},
 		Ended:        []schedule.EndedJob{{Job: "00000000000000a3", Outcome: workload.Completed}},
+		MayRun:       []workload.JobID{"00000000000000a4"},
 	}}
 	g.Expect(decode(encode(sent))).To(Equal(sent))
 }
