Jobs of a lost scheduler stay in their shard while silent runners may have their runs

Cause: a job whose shard has no leader in reach went to another shard 1.3 s after its scheduler was lost. Its run may be on a runner that is silent and ends it late; the shard's next leader would wait for that runner, those of other shards don't know it.

Change: such a job may go to another shard 7.3 s after the loss, as the shard's next scheduler would wait for silent runners (priorRunsOverAt and 6 s). If its caller leaves before, no next leader is in sight and other shards have leaders, it is given up after 1.3 s, with the rest of the time as Retry-After. A job that is sent again to the same entry process within the 7.3 s goes to no other shard either. Deployments with one shard behave as before.

Left: jobs of which this entry process doesn't know that the lost scheduler had them, in beliefs.

--- a/core/gateway/drops.go
+++ b/core/gateway/drops.go
@@ -28,14 +28,17 @@
 	scheduler leader.ID
 }
 
-// recentDrops are the hand-ins that were dropped during the last dropRetention.
+// recentDrops are the hand-ins that were dropped during the last retention.
 type recentDrops struct {
+	retention time.Duration
 	// latest is each job's last dropped hand-in; ordered has all, oldest first.
 	latest  map[workload.JobID]droppedHandIn
 	ordered []droppedHandIn
 }
 
-func newRecentDrops() recentDrops { return recentDrops{latest: make(map[workload.JobID]droppedHandIn)} }
+func newRecentDrops() recentDrops {
+	return recentDrops{latest: make(map[workload.JobID]droppedHandIn), retention: dropRetention}
+}
 
 // add remembers that a hand-in is dropped now.
 func (d *recentDrops) add(h droppedHandIn) {
@@ -47,14 +50,14 @@
 // has reports whether a hand-in of a job was dropped recently.
 func (d *recentDrops) has(now Time, id workload.JobID) bool {
 	h, ok := d.latest[id]
-	return ok && now-h.at < dropRetention
+	return ok && now-h.at < d.retention
 }
 
 // expire forgets the hand-ins whose retention is over, and the oldest ones if there are too many.
 func (d *recentDrops) expire(now Time) {
 	for len(d.ordered) > 0 {
 		oldest := d.ordered[0]
-		if len(d.ordered) <= maxDropsRemembered && now-oldest.at < dropRetention {
+		if len(d.ordered) <= maxDropsRemembered && now-oldest.at < d.retention {
 			return
 		}
 		d.ordered = d.ordered[1:]
@@ -77,7 +80,19 @@
 	if !ok || g.now >= overAt || j.job.Stored || g.leads(h.scheduler, h.shard) {
 		return
 	}
-	j.shard, j.priorSubmissions, j.uncertainUntil = h.shard, 1, overAt
+	j.shard, j.priorSubmissions = h.shard, 1
+	j.uncertainUntil, j.staysUntil = overAt, overAt
+}
+
+// noteWithdrawal keeps a new job in the shard that had it before, if that shard has lost its leader: a run of it may be
+// alive on a runner that is silent, and other shards don't know of that runner. The shard's next leader asks it.
+func (g *Gateway) noteWithdrawal(j *inFlightJob) {
+	h, ok := g.withdrawals.latest[j.job.ID]
+	if !ok || j.job.Stored || !g.fallback.several() || !g.withdrawals.has(g.now, j.job.ID) || g.hasReachableLeader(h.shard) {
+		return
+	}
+	j.shard, j.priorSubmissions = h.shard, 1
+	j.uncertainUntil, j.staysUntil = h.at+orphanRunLifetime, h.at+silentRunLifetime
 }
 
 // leads reports whether a process is the reachable leader of a shard.
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/ordered"
+	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/task"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -29,6 +30,9 @@
 	// this entry VM as lost, then it stops the runs, and if runners don't answer their leases
 	// expire. One that learns that a job is withdrawn has its runs over in that time, too.
 	orphanRunLifetime = 1300 * time.Millisecond
+	// silentRunLifetime is how long such a run may be alive on a runner that is silent. The shard's next scheduler waits for
+	// that runner, or learns from it what became of the run; schedulers of other shards don't know of the runner.
+	silentRunLifetime = orphanRunLifetime + schedule.MaxLateEnd
 	// noLeaderTimeout is how long a job waits for a scheduler at a start or a change of
 	// leader, which take less.
 	noLeaderTimeout = 300 * time.Millisecond
@@ -63,8 +67,9 @@
 	// scheduler has the job; "" if none has. priorSubmissions counts the schedulers before it.
 	scheduler        leader.ID
 	priorSubmissions int
-	// uncertainUntil is when all runs of earlier schedulers have certainly ended.
-	uncertainUntil Time
+	// uncertainUntil is when all runs of earlier schedulers have ended on runners that end their runs in time, and
+	// staysUntil when they have on all others: until then the job stays in its shard.
+	uncertainUntil, staysUntil Time
 }
 
 // Gateway holds the jobs in flight. It isn't safe for concurrent use.
@@ -77,8 +82,10 @@
 	leaderExpected map[int]bool
 	jobs           map[workload.JobID]*inFlightJob
 	byRequest      map[uint64]workload.JobID
-	drops          recentDrops
-	domain         string
+	// drops are the hand-ins that were dropped lately, and withdrawals those whose scheduler was lost, or may have dropped
+	// them. The latter are remembered for silentRunLifetime.
+	drops, withdrawals recentDrops
+	domain             string
 	// fallback is set if jobs may go to shards other than their home.
 	fallback FallbackShards
 	// starting: the process has just started and hasn't reached a scheduler yet.
@@ -97,6 +104,7 @@
 		jobs:           make(map[workload.JobID]*inFlightJob),
 		byRequest:      make(map[uint64]workload.JobID),
 		drops:          newRecentDrops(),
+		withdrawals:    recentDrops{latest: make(map[workload.JobID]droppedHandIn), retention: silentRunLifetime},
 		expectedWaits:  make(map[int]time.Duration),
 	}
 }
@@ -157,6 +165,7 @@
 	j := &inFlightJob{job: job, shard: shard, home: shard, arrived: now, due: now + job.Objective, deadline: now + remainingTimeout, requests: []uint64{request}}
 	j.droppedBefore = g.drops.has(now, job.ID)
 	g.notePriorHandIn(j)
+	g.noteWithdrawal(j)
 	g.noteLostLeader(j)
 	g.jobs[job.ID] = j
 	g.byRequest[request] = job.ID
@@ -243,8 +252,13 @@
 func (g *Gateway) withdraw(j *inFlightJob) {
 	j.scheduler = ""
 	j.priorSubmissions++
-	j.uncertainUntil = g.now + orphanRunLifetime
+	j.uncertainUntil, j.staysUntil = g.now+orphanRunLifetime, g.now+silentRunLifetime
 	g.rememberDrop(j)
+	if j.job.Stored {
+		// It stays with its shard anyway.
+		return
+	}
+	g.withdrawals.add(droppedHandIn{job: j.job.ID, at: g.now, shard: j.shard})
 }
 
 // handIn hands a job in to the leader of the shard chosen for it. If none has a reachable leader,
@@ -336,14 +350,26 @@
 // giveUp answers the callers of a job that may have run in part, and tells its scheduler, if
 // it has one, to drop the job.
 func (g *Gateway) giveUp(j *inFlightJob, cause workload.RefusalCause, reason string) {
+	g.giveUpFor(j, noLeaderRetryAfter, cause, reason)
+}
+
+func (g *Gateway) giveUpFor(j *inFlightJob, retryAfter time.Duration, cause workload.RefusalCause, reason string) {
 	g.drop(j)
-	g.reply(j, Verdict{From: j.scheduler, Job: j.job.ID, Outcome: workload.GaveUp, RetryAfter: noLeaderRetryAfter, Cause: cause, Reason: reason})
+	g.reply(j, Verdict{From: j.scheduler, Job: j.job.ID, Outcome: workload.GaveUp, RetryAfter: retryAfter, Cause: cause, Reason: reason})
+}
+
+// waitsInVain reports whether a job without a scheduler can't be answered in time: its shard is to have none, others
+// have, and by the time at which the job may go there too little time is left.
+func (g *Gateway) waitsInVain(j *inFlightJob) bool {
+	return j.scheduler == "" && !j.job.Stored && g.mayRunInShard(j) && g.now >= j.uncertainUntil &&
+		!g.awaitsLeader(j.shard) && g.HasReachableScheduler() && j.staysUntil+j.job.TimeToAnswer() >= j.deadline
 }
 
 // Tick answers the jobs that no scheduler has answered in time.
 func (g *Gateway) Tick(now Time) {
 	g.now = now
 	g.drops.expire(now)
+	g.withdrawals.expire(now)
 	for _, j := range g.sortedJobs() {
 		if j.scheduler == "" && now < j.deadline {
 			// All runs of the former scheduler may have ended by now, so that the job may go to
@@ -353,6 +379,8 @@
 		switch {
 		case now > j.deadline+answerGrace:
 			g.giveUp(j, workload.NoAnswer, "no answer from the scheduler in time")
+		case g.waitsInVain(j):
+			g.giveUpFor(j, max(noLeaderRetryAfter, j.staysUntil-now), workload.NoScheduler, "its runs may go on in a shard without a scheduler")
 		case j.scheduler == "" && now > j.arrived+noLeaderTimeout:
 			if j.priorSubmissions > 0 && now < j.deadline || g.starting && g.canAnswer(j) {
 				continue
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -14,13 +14,16 @@
 	SameCell, OtherCells []int
 }
 
+// several reports whether there is more than one shard.
+func (f FallbackShards) several() bool { return len(f.SameCell)+len(f.OtherCells) > 1 }
+
 // chooseShard is the shard that a job goes to, if one has a reachable leader. While runs that
 // an earlier scheduler started may be alive, it is the shard that the job was in, since only
 // the runners of that shard list them. It is the job's home while that has lost its leader and will
 // have the next one: copies of the job may be in any other shard, and only the home's leader learns
 // where.
 func (g *Gateway) chooseShard(j *inFlightJob) (int, bool) {
-	if j.priorSubmissions > 0 && g.now < j.uncertainUntil || j.job.Stored {
+	if g.mayRunInShard(j) || j.job.Stored {
 		return j.shard, g.hasReachableLeader(j.shard)
 	}
 	if g.hasReachableLeader(j.home) {
@@ -35,6 +38,11 @@
 	return g.shortestWait(j, g.fallback.OtherCells)
 }
 
+// mayRunInShard reports whether runs that an earlier scheduler started may be alive on runners of the job's shard.
+func (g *Gateway) mayRunInShard(j *inFlightJob) bool {
+	return j.priorSubmissions > 0 && g.now < j.staysUntil
+}
+
 // SetLeaderExpected sets whether a shard without a reachable leader will have one.
 func (g *Gateway) SetLeaderExpected(shard int, expected bool) { g.leaderExpected[shard] = expected }
 
@@ -50,7 +58,8 @@
 	if j.job.Stored || j.priorSubmissions > 0 || !g.awaitsLeader(j.home) {
 		return
 	}
-	j.priorSubmissions, j.uncertainUntil = 1, g.leaderLostAt[j.home]+orphanRunLifetime
+	overAt := g.leaderLostAt[j.home] + orphanRunLifetime
+	j.priorSubmissions, j.uncertainUntil, j.staysUntil = 1, overAt, overAt
 }
 
 // recordLoss records when a shard's leader was lost, until the shard has a reachable one.
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -25,12 +25,15 @@
 const (
 	// maxLateEnd is how much later than its lease a runner may end a run. It is longer than callers of best-effort
 	// jobs wait; tasks of stored jobs go on elsewhere after it.
-	maxLateEnd = 6 * time.Second
+	maxLateEnd = MaxLateEnd
 	// outOfReachAttempts is the number of connections in a row that weren't made in time from which on a host
 	// counts as out of reach. One may be lost on the way.
 	outOfReachAttempts = 2
 )
 
+// MaxLateEnd is how much later than its lease a runner may end a run; see above.
+const MaxLateEnd = 6 * time.Second
+
 // host is what orders without an answer have shown of a runner's host since the runner's last answer. None of it shows
 // that a run is over; it is for logs only.
 type host struct {
