A retiring leader reports jobs in other shards for as long as it knows them

Cause: a leader knows for 15 s which of its jobs went to other shards, and sends copies of them there, but as it retired it reported only those of the last four seconds. A job of long tasks, lent before that, is reported by its entry process only while that process waits for it. Once it has been given up there (since a runner is silent, say), a copy at the next leader was a new job and was started at home, beside a run in the other shard that may live for its lease and as long as the runner is late.

Change: all of them are reported.

Price: the report grows to what is lent in 15 s; a chain of planned changes within 15 s of each other carries them on.

--- a/core/fleet/elsewhere.go
+++ b/core/fleet/elsewhere.go
@@ -36,8 +36,8 @@
 }
 
 // sendElsewhere sends the retiring scheduler's knowledge to the next leader of the shard.
-func (n *Node) sendElsewhere(now Time, s *shard) {
-	if list := s.schedule.Elsewhere(now); len(list) > 0 {
+func (n *Node) sendElsewhere(s *shard) {
+	if list := s.schedule.Elsewhere(); len(list) > 0 {
 		n.emit(Send{To: s.choice.Leader, Message: JobsElsewhere{Shard: s.index, Jobs: list}})
 	}
 }
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -214,7 +214,7 @@
 func (n *Node) retire(now Time, s *shard) {
 	if s.schedule.Leading() && s.choice.Reachable {
 		n.sendPossibleRunners(s)
-		n.sendElsewhere(now, s)
+		n.sendElsewhere(s)
 		n.sendLearned(now, s, s.choice.Leader)
 		n.emit(Send{To: s.choice.Leader, Message: Progress{Shard: s.index, Progress: s.schedule.Progress(now)}})
 	}
--- a/core/schedule/elsewhere.go
+++ b/core/schedule/elsewhere.go
@@ -82,13 +82,12 @@
 	return false
 }
 
-// Elsewhere lists the jobs of this shard that are known to be in other shards, or were recently.
-func (s *Scheduler) Elsewhere(now Time) []JobElsewhere {
+// Elsewhere lists the jobs of this shard that are known to be in other shards, or were during the last ranRetention.
+func (s *Scheduler) Elsewhere() []JobElsewhere {
 	var list []JobElsewhere
 	for _, id := range sortedKeys(s.borrowing.lent) {
-		if l := s.borrowing.lent[id]; now-l.at <= maxEndedJobAge {
-			list = append(list, JobElsewhere{Job: id, Shard: l.to, Entry: l.entry, Copied: l.copied})
-		}
+		l := s.borrowing.lent[id]
+		list = append(list, JobElsewhere{Job: id, Shard: l.to, Entry: l.entry, Copied: l.copied})
 	}
 	return list
 }
--- a/core/schedule/elsewhere_test.go
+++ b/core/schedule/elsewhere_test.go
@@ -33,7 +33,7 @@
 		b.g.Expect(answers[0].Outcome).To(Equal(workload.GaveUp))
 		b.tick(time.Second)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
-		b.g.Expect(b.s.Elsewhere(b.now)).To(Equal([]JobElsewhere{{Job: j.ID, Shard: 3, Entry: entryA, Copied: true}}))
+		b.g.Expect(b.s.Elsewhere()).To(Equal([]JobElsewhere{{Job: j.ID, Shard: 3, Entry: entryA, Copied: true}}))
 	}
 }
 
