Jobs that ask for 2^62 of something are rejected

Cause: what a task needs, its estimate, and the start and interval of a timed job had no upper bound, and a time was converted from milliseconds without a check. Sums and products over tasks overflow: the free room of a runner, waiting work, due times. An estimate beyond 292 years became the largest time on arm64, and by the language's rules anything elsewhere; a caller's timeout of 2^62 ms became 0, so that its time was up at once.

--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -158,6 +158,39 @@
 	return nil
 }
 
+// The limits of a runner's capacity, in thousandths of a core, in MB and in GPUs, and so of what a task may need.
+const (
+	MaxMilliCPU = 10_000_000
+	MaxMemoryMB = 1_000_000_000
+	MaxGPU      = 10_000
+)
+
+const (
+	// MaxEstimate is the longest estimate of a task's run time, so that those of a job's steps can be added up.
+	MaxEstimate = 24 * time.Hour
+	// maxStartMs is the latest time at which a timed job may begin, and maxInterval the longest interval: those of all
+	// occurrences can be added up.
+	maxStartMs  = 1 << 53
+	maxInterval = 366 * 24 * time.Hour
+)
+
+// CheckLimits returns an error if a job that a caller submits asks for so much that sums over jobs would overflow.
+func (j *Job) CheckLimits() error {
+	if j.StartMs > maxStartMs || j.Interval > maxInterval {
+		return errors.Errorf("the job begins after %d ms or has an interval over %v", int64(maxStartMs), maxInterval)
+	}
+	largest := Resources{MilliCPU: MaxMilliCPU, MemoryMB: MaxMemoryMB, GPU: MaxGPU}
+	for i, s := range j.Steps {
+		switch {
+		case !s.Need.Fits(largest):
+			return errors.Errorf("step %d: a task needs %+v, over %+v", i, s.Need, largest)
+		case s.Estimate > MaxEstimate:
+			return errors.Errorf("step %d: an estimate of %v, over %v", i, s.Estimate, MaxEstimate)
+		}
+	}
+	return nil
+}
+
 // TaskName identifies a task.
 type TaskName struct {
 	Job JobID
