The work of large jobs is counted, also beyond 2^63

Cause: waiting work is a number of nanoseconds times thousandths of a core in 64 bits. 4,096 tasks of 27 cores with an estimate of 100 s are 1.1e19, more than 2^63: the sum was negative, and with it the wait that decides what is refused and the bound on accepted work (maxBacklog). A job of 980 tasks of 27 cores and a second is 2.6e16, so that some 350 of them do the same.

Change: products and sums of work end at 2^62. Smaller ones are as before.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -81,7 +81,7 @@
 		return NoRunnersWait
 	}
 	for _, j := range s.queue {
-		work += s.waitingWork(j)
+		work = addWork(work, s.waitingWork(j))
 	}
 	return work / time.Duration(max(1, int(capacity*usableShare)))
 }
@@ -159,12 +159,27 @@
 	var sum time.Duration
 	for _, q := range s.queue {
 		if q.work.Service == service && filter(q) {
-			sum += s.waitingWork(q)
+			sum = addWork(sum, s.waitingWork(q))
 		}
 	}
 	return sum
 }
 
+// maxWork is the largest amount of work, in time x thousandths of a core, that is told from a larger one. Two of them can
+// be added up.
+const maxWork = time.Duration(math.MaxInt64 / 2)
+
+// addWork returns the sum of two amounts of work, at most maxWork.
+func addWork(a, b time.Duration) time.Duration { return min(a+b, maxWork) }
+
+// workOf returns the work that takes a number of thousandths of a core for a time, at most maxWork.
+func workOf(d time.Duration, milliCPU int) time.Duration {
+	if milliCPU > 0 && d > maxWork/time.Duration(milliCPU) {
+		return maxWork
+	}
+	return d * time.Duration(milliCPU)
+}
+
 // waitingWork returns the work of a job's waiting tasks whose occurrences are due.
 func (s *Scheduler) waitingWork(j *job) time.Duration {
 	var sum time.Duration
@@ -179,7 +194,7 @@
 				n++
 			}
 		}
-		sum += time.Duration(float64(step.Estimate)*ratio) * time.Duration(n*step.Need.MilliCPU)
+		sum = addWork(sum, workOf(time.Duration(float64(step.Estimate)*ratio), n*step.Need.MilliCPU))
 	}
 	return sum
 }
--- a/core/schedule/grants.go
+++ b/core/schedule/grants.go
@@ -60,7 +60,7 @@
 // work returns the estimated work of the job's first step, in time x thousandths of a core.
 func (g grant) work() time.Duration {
 	step := g.need.Step
-	return step.Estimate * time.Duration(step.Tasks*step.Need.MilliCPU)
+	return workOf(step.Estimate, step.Tasks*step.Need.MilliCPU)
 }
 
 // LendingCounters count jobs, and RequestsExpired requests, since the start of the process.
@@ -123,7 +123,7 @@
 	var sum time.Duration
 	for _, g := range s.grants {
 		if service == "" || g.need.Service == service {
-			sum += g.work()
+			sum = addWork(sum, g.work())
 		}
 	}
 	return sum
