Retry-After doesn't fall as a backlog grows beyond nine seconds

Cause: the spread of refused callers was the product of two times in nanoseconds, which exceeds 2^63 once the wait exceeds 9.2 s (for the largest spread); the delay became smaller by up to 18 s.

Change: the wait is bounded by maxRetryAfter first, and multiplied by thousandths. Waits of up to 9.2 s give the same delays.

--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -224,6 +224,6 @@
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(j.work.ID))
-	spread := time.Duration(h.Sum32()%1000) * time.Millisecond
-	return min(wait+spread*wait/time.Second, maxRetryAfter)
+	wait = min(wait, maxRetryAfter)
+	return min(wait+wait*time.Duration(h.Sum32()%1000)/1000, maxRetryAfter)
 }
--- a/core/schedule/huge_work_test.go
+++ b/core/schedule/huge_work_test.go
@@ -26,3 +26,16 @@
 		b.g.Expect(b.s.Load().ExpectedWait).To(BeNumerically(">", time.Minute), "%v", estimate)
 	}
 }
+
+// Guards against callers that return sooner than they should: how long they wait is spread by a product that exceeds what a
+// number can hold.
+func TestRetryAfterALongBacklogIsLong(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.submit(storedJob(22, time.Second), time.Hour)
+	b.saved(one[Save](b))
+	one[Answer](b)
+	for range 200 {
+		b.submit(storedJob(1, time.Second), time.Minute)
+		b.g.Expect(one[Answer](b).RetryAfter).To(Equal(maxRetryAfter))
+	}
+}
