A first layout beside an odd entry: a red test, listed

One entry of a runner with a made-up failure domain, without one, or with a made-up service makes the layout of three domains of 220 runners a pooled one; the layout is set once. Not mended: small domains and services are pooled on purpose, and the list alone doesn't tell the two apart. What could are the domains of the registered VMs and the services of the configuration, which the process that proposes the layout would have to wait for.

--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -72,3 +72,21 @@
 	g.Expect(For(list, VM{MilliCPU: 120, LinkMbps: 200})).To(HaveLen(6))
 	g.Expect(For(list, VM{MilliCPU: 10, LinkMbps: 0.1})).To(HaveLen(120 / minRunnersPerShard))
 }
+
+// Guards against a large deployment without cells for good: as it first starts, another writer has left one entry of a runner
+// with a failure domain or a service that doesn't exist.
+func TestAnOddEntryDoesntPoolALargeDeployment(t *testing.T) {
+	var list []workload.Runner
+	for _, d := range []string{"a", "b", "c"} {
+		list = append(list, runners("labels", d, 220)...)
+	}
+	for name, odd := range map[string]workload.Runner{
+		"domain":    {ID: "odd", Service: "labels", Domain: "no-such-domain"},
+		"no domain": {ID: "odd", Service: "labels"},
+		"service":   {ID: "odd", Service: "no-such-service", Domain: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(For(append(list[:len(list):len(list)], odd), VM{}).Cells()).To(Equal([]string{"a", "b", "c"}))
+		})
+	}
+}
