Jobs that were given up, or dropped in another shard, go where their runs are known

Cause, three faults of one kind: an entry process forgets too early which shard's runners may have a run of a job.

- A job that its scheduler gives up since a runner is silent has a run that may be alive, and wasn't remembered.
If the home's leader is lost before the caller sends it again, it went to another shard as a new job.
- notePriorHandIn looked only whether the scheduler that had the job still leads, and took that for the one that gets it.
A job that had gone to another shard, and was dropped or given up there, went to its home as a new one once that had a leader again.
- The home's next leader learns from entry processes which of its jobs are in other shards while a caller waits.
A job that ended there with a run that may be alive wasn't reported, so that a copy by way of another entry process was started at home.

--- a/core/gateway/drops.go
+++ b/core/gateway/drops.go
@@ -23,9 +23,9 @@
 type droppedHandIn struct {
 	job workload.JobID
 	at  Time
-	// shard had the job, and scheduler led it; "" if the job was withdrawn from it.
-	shard     int
-	scheduler leader.ID
+	// shard had the job, and scheduler led it; "" if the job was withdrawn from it. home is the shard that it belongs to.
+	shard, home int
+	scheduler   leader.ID
 }
 
 // recentDrops are the hand-ins that were dropped during the last retention.
@@ -36,8 +36,8 @@
 	ordered []droppedHandIn
 }
 
-func newRecentDrops() recentDrops {
-	return recentDrops{latest: make(map[workload.JobID]droppedHandIn), retention: dropRetention}
+func newRecentDrops(retention time.Duration) recentDrops {
+	return recentDrops{latest: make(map[workload.JobID]droppedHandIn), retention: retention}
 }
 
 // add remembers that a hand-in is dropped now.
@@ -67,32 +67,44 @@
 	}
 }
 
+// handInOf returns what is remembered of a job's hand-in that ends now.
+func (g *Gateway) handInOf(j *inFlightJob) droppedHandIn {
+	return droppedHandIn{job: j.job.ID, at: g.now, shard: j.shard, home: j.home, scheduler: j.scheduler}
+}
+
 // rememberDrop remembers that a job's hand-in is dropped now.
-func (g *Gateway) rememberDrop(j *inFlightJob) {
-	g.drops.add(droppedHandIn{job: j.job.ID, at: g.now, shard: j.shard, scheduler: j.scheduler})
+func (g *Gateway) rememberDrop(j *inFlightJob) { g.drops.add(g.handInOf(j)) }
+
+// rememberRuns remembers that a run of a job may be alive on a silent runner, whose scheduler has lost the job, or has
+// given it up.
+func (g *Gateway) rememberRuns(j *inFlightJob) {
+	if !j.job.Stored {
+		g.mayRun.add(g.handInOf(j))
+	}
 }
 
-// notePriorHandIn records that a run of a new job may be alive: a hand-in of it was dropped shortly
-// before, and the scheduler that had it, which knows its runs, doesn't lead any more.
+// notePriorHandIn records that a run of a new job may be alive: a hand-in of it was dropped, withdrawn or given up
+// shortly before.
 func (g *Gateway) notePriorHandIn(j *inFlightJob) {
-	h, ok := g.drops.latest[j.job.ID]
-	overAt := h.at + orphanRunLifetime
-	if !ok || g.now >= overAt || j.job.Stored || g.leads(h.scheduler, h.shard) {
+	if j.job.Stored {
 		return
 	}
-	j.shard, j.priorSubmissions = h.shard, 1
-	j.uncertainUntil, j.staysUntil = overAt, overAt
+	if h, ok := g.drops.latest[j.job.ID]; ok {
+		g.notePriorRuns(j, h, h.at+orphanRunLifetime)
+	}
+	if h, ok := g.mayRun.latest[j.job.ID]; ok {
+		g.notePriorRuns(j, h, h.at+silentRunLifetime)
+	}
 }
 
-// noteWithdrawal keeps a new job in the shard that had it before, if that shard has lost its leader: a run of it may be
-// alive on a runner that is silent, and other shards don't know of that runner. The shard's next leader asks it.
-func (g *Gateway) noteWithdrawal(j *inFlightJob) {
-	h, ok := g.withdrawals.latest[j.job.ID]
-	if !ok || j.job.Stored || !g.fallback.several() || !g.withdrawals.has(g.now, j.job.ID) || g.hasReachableLeader(h.shard) {
+// notePriorRuns keeps a new job in the shard whose runners may have runs of it until a time, unless the scheduler that
+// knows these runs leads the job's home. Other shards don't know of these runners.
+func (g *Gateway) notePriorRuns(j *inFlightJob, h droppedHandIn, overAt Time) {
+	if g.now >= overAt || overAt < j.staysUntil || h.shard == j.home && g.leads(h.scheduler, h.shard) {
 		return
 	}
 	j.shard, j.priorSubmissions = h.shard, 1
-	j.uncertainUntil, j.staysUntil = h.at+orphanRunLifetime, h.at+silentRunLifetime
+	j.uncertainUntil, j.staysUntil = max(j.uncertainUntil, h.at+orphanRunLifetime), overAt
 }
 
 // leads reports whether a process is the reachable leader of a shard.
--- a/core/gateway/drops_test.go
+++ b/core/gateway/drops_test.go
@@ -81,7 +81,7 @@
 // Guards against memory that grows with the callers who leave.
 func TestDroppedHandInsAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	d := newRecentDrops()
+	d := newRecentDrops(dropRetention)
 	for i := range maxDropsRemembered + 10 {
 		d.add(droppedHandIn{job: workload.JobID(fmt.Sprint(i))})
 	}
--- a/core/gateway/elsewhere.go
+++ b/core/gateway/elsewhere.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"sapphirepoint.example/sapphirepoint/core/leader"
 	"sapphirepoint.example/sapphirepoint/core/workload"
 )
@@ -29,26 +31,42 @@
 // elsewhere reports whether another shard than the home has the job.
 func (j *inFlightJob) elsewhere() bool { return j.scheduler != "" && j.shard != j.home }
 
-// reportAllElsewhere reports all jobs of a shard that are in others to the shard's leader.
+// reportAllElsewhere reports all jobs of a shard that are in others, or may have a run there, to the shard's leader.
 func (g *Gateway) reportAllElsewhere(home int) {
-	var jobs []*inFlightJob
+	var list []JobElsewhere
 	for _, j := range g.sortedJobs() {
-		if j.home == home {
-			jobs = append(jobs, j)
+		if j.home == home && j.elsewhere() {
+			list = append(list, JobElsewhere{Job: j.job.ID, Shard: j.shard})
 		}
 	}
-	g.reportElsewhere(home, jobs...)
+	g.sendReport(home, append(list, g.endedElsewhere(home)...))
 }
 
-// reportElsewhere reports those of a shard's jobs that are in others to the shard's leader, if that is
-// reachable.
-func (g *Gateway) reportElsewhere(home int, jobs ...*inFlightJob) {
+// endedElsewhere lists the jobs of a shard that aren't in flight and of which a run may be alive in another one.
+func (g *Gateway) endedElsewhere(home int) []JobElsewhere {
 	var list []JobElsewhere
-	for _, j := range jobs {
-		if j.elsewhere() {
-			list = append(list, JobElsewhere{Job: j.job.ID, Shard: j.shard})
+	add := func(past recentDrops, runsLive time.Duration) {
+		for _, h := range past.ordered {
+			recent := g.now < h.at+runsLive && past.latest[h.job] == h
+			if recent && h.home == home && h.shard != home && h.scheduler != "" && g.jobs[h.job] == nil {
+				list = append(list, JobElsewhere{Job: h.job, Shard: h.shard})
+			}
 		}
 	}
+	add(g.drops, orphanRunLifetime)
+	add(g.mayRun, silentRunLifetime)
+	return list
+}
+
+// reportElsewhere reports a job to the leader of its home if it is in another shard.
+func (g *Gateway) reportElsewhere(j *inFlightJob) {
+	if j.elsewhere() {
+		g.sendReport(j.home, []JobElsewhere{{Job: j.job.ID, Shard: j.shard}})
+	}
+}
+
+// sendReport sends a report to a shard's leader, if that is reachable.
+func (g *Gateway) sendReport(home int, list []JobElsewhere) {
 	if len(list) > 0 && g.hasReachableLeader(home) {
 		g.out = append(g.out, ReportElsewhere{At: g.now, To: g.choices[home].Leader, Home: home, Jobs: list})
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -82,10 +82,10 @@
 	leaderExpected map[int]bool
 	jobs           map[workload.JobID]*inFlightJob
 	byRequest      map[uint64]workload.JobID
-	// drops are the hand-ins that were dropped lately, and withdrawals those whose scheduler was lost, or may have dropped
-	// them. The latter are remembered for silentRunLifetime.
-	drops, withdrawals recentDrops
-	domain             string
+	// drops are the hand-ins that were dropped lately. mayRun are those that were withdrawn from their scheduler, or given up by
+	// it, while a run might be alive on a silent runner; they are remembered for silentRunLifetime.
+	drops, mayRun recentDrops
+	domain        string
 	// fallback is set if jobs may go to shards other than their home.
 	fallback FallbackShards
 	// starting: the process has just started and hasn't reached a scheduler yet.
@@ -103,8 +103,8 @@
 		leaderExpected: make(map[int]bool),
 		jobs:           make(map[workload.JobID]*inFlightJob),
 		byRequest:      make(map[uint64]workload.JobID),
-		drops:          newRecentDrops(),
-		withdrawals:    recentDrops{latest: make(map[workload.JobID]droppedHandIn), retention: silentRunLifetime},
+		drops:          newRecentDrops(dropRetention),
+		mayRun:         newRecentDrops(silentRunLifetime),
 		expectedWaits:  make(map[int]time.Duration),
 	}
 }
@@ -165,11 +165,11 @@
 	j := &inFlightJob{job: job, shard: shard, home: shard, arrived: now, due: now + job.Objective, deadline: now + remainingTimeout, requests: []uint64{request}}
 	j.droppedBefore = g.drops.has(now, job.ID)
 	g.notePriorHandIn(j)
-	g.noteWithdrawal(j)
 	g.noteLostLeader(j)
 	g.jobs[job.ID] = j
 	g.byRequest[request] = job.ID
 	g.handIn(j)
+	g.reportElsewhere(j)
 	if c := g.choices[shard]; j.scheduler == "" && c.Leader != "" && !c.Reachable && !g.starting && !g.awaitsLeader(shard) {
 		g.giveUp(j, workload.NoScheduler, "the scheduler can't be reached")
 	}
@@ -254,11 +254,7 @@
 	j.priorSubmissions++
 	j.uncertainUntil, j.staysUntil = g.now+orphanRunLifetime, g.now+silentRunLifetime
 	g.rememberDrop(j)
-	if j.job.Stored {
-		// It stays with its shard anyway.
-		return
-	}
-	g.withdrawals.add(droppedHandIn{job: j.job.ID, at: g.now, shard: j.shard})
+	g.rememberRuns(j)
 }
 
 // handIn hands a job in to the leader of the shard chosen for it. If none has a reachable leader,
@@ -313,6 +309,9 @@
 		// remembered, so that a job that is refused again and again gets a final answer in the end.
 		g.sendDrop(j)
 	}
+	if v.Cause == workload.RunnerSilent {
+		g.rememberRuns(j)
+	}
 	g.reply(j, v)
 }
 
@@ -369,7 +368,7 @@
 func (g *Gateway) Tick(now Time) {
 	g.now = now
 	g.drops.expire(now)
-	g.withdrawals.expire(now)
+	g.mayRun.expire(now)
 	for _, j := range g.sortedJobs() {
 		if j.scheduler == "" && now < j.deadline {
 			// All runs of the former scheduler may have ended by now, so that the job may go to
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -14,9 +14,6 @@
 	SameCell, OtherCells []int
 }
 
-// several reports whether there is more than one shard.
-func (f FallbackShards) several() bool { return len(f.SameCell)+len(f.OtherCells) > 1 }
-
 // chooseShard is the shard that a job goes to, if one has a reachable leader. While runs that
 // an earlier scheduler started may be alive, it is the shard that the job was in, since only
 // the runners of that shard list them. It is the job's home while that has lost its leader and will
@@ -100,7 +97,7 @@
 	for _, shards := range [][]int{g.fallback.SameCell, g.fallback.OtherCells} {
 		if s, ok := g.shortestWait(j, shards); ok && g.expectedWaits[s] == 0 {
 			g.handTo(j, s)
-			g.reportElsewhere(j.home, j)
+			g.reportElsewhere(j)
 			return true
 		}
 	}
