A new leader asks runners that left the list before for their runs

Cause: a process forgets a runner 1.3 s after it has left the platform's list. If it becomes leader then, it neither asks the runner for its runs nor waits for it, though runners off the list count as gone only after 2.5 s elsewhere, and an entry that has gone shows nothing about runs. To keep such a runner as any other one would have it used once it answers, which TestRunnerUnlistedForLongIsNotUsedByANewLeader forbids: a successor may not know it.

Change: to be remembered and to be used are two things. Forgotten runners are remembered until they count as gone. A process that begins to lead adds them as runners that are only asked for their runs, from its next tick on: jobs wait for their lists, runs that they list are adopted, and nothing else is started there unless the runner is listed again or another process names it, which has it asked at once.

Evidence: TestANewLeaderDoesntForgetASilentRunnerThatLeftTheList and the tests of askedonly_test.go fail before and pass; TestRunnerUnlistedForLongIsNotUsedByANewLeader is unchanged and passes.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -27,13 +27,21 @@
 
 // noteAnswerAfterSilence handles an answer of a runner that was silent for some time.
 func (s *Scheduler) noteAnswerAfterSilence(r *runner, silence time.Duration) {
-	if r.unlisted && !r.info.Draining && silence > longSilence {
-		r.assumedPresentUntil = s.now + unlistedGrace
-		s.unreported = s.unreported || !r.reported
-		s.tickUnlisted()
+	if r.unlisted && !r.askedOnly && silence > longSilence {
+		s.assumePresent(r)
 	}
 }
 
+// assumePresent has an unlisted runner that answers count as existing for a while.
+func (s *Scheduler) assumePresent(r *runner) {
+	if r.info.Draining {
+		return
+	}
+	r.assumedPresentUntil = s.now + unlistedGrace
+	s.unreported = s.unreported || !r.reported
+	s.tickUnlisted()
+}
+
 // tickUnlisted reports the unlisted runners in use when that is due: one that hasn't been reported isn't
 // used before.
 func (s *Scheduler) tickUnlisted() {
@@ -108,6 +116,7 @@
 	expired := info.EntryExpired && !r.info.EntryExpired
 	laterStart := info.IncarnationStart > max(r.incarnationStart, r.info.IncarnationStart)
 	r.unlisted, r.reported, r.assumedPresentUntil, r.info = false, false, 0, info
+	s.useAgain(r)
 	r.evacuated = s.evacuates(info.Domain)
 	if laterStart {
 		r.laterStartAt = s.now
@@ -174,8 +183,7 @@
 	s.now = now
 	for _, info := range list {
 		if r := s.runners[info.ID]; r != nil {
-			// If it has left the list, another scheduler may have used it since.
-			r.retainUntil, r.unlistedAt = now+s.cfg.Resend, now
+			s.noteNamed(r)
 			continue
 		}
 		r := newRunner(info, now)
@@ -186,6 +194,24 @@
 	s.sortRunners()
 }
 
+// noteNamed records that another process knows a runner. If the runner has left the list, another scheduler may have used it
+// since.
+func (s *Scheduler) noteNamed(r *runner) {
+	r.retainUntil, r.unlistedAt = s.now+s.cfg.Resend, s.now
+	if r.askedOnly && r.owned && !r.unresponsive {
+		s.assumePresent(r)
+	}
+	s.useAgain(r)
+}
+
+// useAgain has a recalled runner used like any other one, and asked at once if it hasn't been asked yet.
+func (s *Scheduler) useAgain(r *runner) {
+	if r.askedOnly && s.leading && r.token == 0 {
+		s.acquire(r)
+	}
+	r.askedOnly = false
+}
+
 // addRunner adds an unknown runner, and acquires it if this scheduler leads.
 func (s *Scheduler) addRunner(r *runner) {
 	r.evacuated = s.evacuates(r.info.Domain)
@@ -203,13 +229,33 @@
 
 // forgetRunners drops unlisted runners without runs.
 func (s *Scheduler) forgetRunners() {
+	s.forgotten = slices.DeleteFunc(s.forgotten, func(r *runner) bool { return s.now-r.unlistedAt >= unlistedGrace })
 	remaining := s.runnerList[:0]
 	for _, r := range s.runnerList {
 		if r.unlisted && len(r.runs) == 0 && s.now >= max(r.retainUntil, r.assumedPresentUntil) && !s.mayHaveUnlistedPriorRuns(r) {
 			delete(s.runners, r.info.ID)
+			s.forgotten = append(s.forgotten, r)
 			continue
 		}
 		remaining = append(remaining, r)
 	}
 	s.runnerList = remaining
 }
+
+// recallRunners adds the forgotten runners as this scheduler begins to lead, and has them asked for their runs at the next
+// tick. They left the list before, but not so long ago that they count as gone.
+func (s *Scheduler) recallRunners() {
+	for _, before := range slices.Backward(s.forgotten) {
+		if before.gone || s.runners[before.info.ID] != nil {
+			continue
+		}
+		r := newRunner(before.info, s.now)
+		r.unlisted, r.unlistedAt, r.entryTrustedAt = true, before.unlistedAt, before.entryTrustedAt
+		r.evacuated = s.evacuates(r.info.Domain)
+		r.askedOnly, r.reacquireAt = true, s.now
+		s.runners[r.info.ID] = r
+		s.runnerList = append(s.runnerList, r)
+	}
+	s.forgotten = nil
+	s.sortRunners()
+}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -21,6 +21,9 @@
 	// to other processes.
 	assumedPresentUntil Time
 	reported            bool
+	// askedOnly: it was forgotten as this scheduler began to lead, so other processes may not know it. It is asked for its
+	// runs, and isn't used unless it is listed or named again.
+	askedOnly bool
 	// gone: another incarnation answers at the runner's address, so this one has ended.
 	gone bool
 	// incarnationStart is when its incarnation began, in milliseconds since 1970; 0 if unknown.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -74,6 +74,8 @@
 	runners map[workload.RunnerID]*runner
 	// runnerList holds the runners in the order of their ids.
 	runnerList []*runner
+	// forgotten are the runners that were dropped since they had left the list, and that may still have runs.
+	forgotten []*runner
 	// unlistedReportedAt is when the unlisted runners in use were last reported, and unreported is set
 	// while one of them waits for that.
 	unlistedReportedAt Time
@@ -238,24 +240,25 @@
 
 func (s *Scheduler) emit(c Command) { s.out = append(s.out, c) }
 
-// Lead makes the scheduler leader: it acquires all runners that it knows. It forgets those that left
-// the platform's list long ago: they may answer, but other processes don't know them any more.
+// Lead makes the scheduler leader: it acquires all runners that it knows. Those that left the platform's list a while ago
+// are only asked for their runs: they may answer, but other processes don't know them any more.
 func (s *Scheduler) Lead(now Time) {
 	s.now = now
 	if s.leading {
 		return
 	}
+	s.forgetRunners()
 	s.leading = true
 	s.yielding = false
 	s.leadingSince = now
 	s.uncertainUntil = now + takeoverWindow
 	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
-	s.forgetRunners()
 	s.noteSilentRunsOver(silentRunsOver(now + maxPriorRunLife))
 	for _, r := range s.runnerList {
 		s.acquire(r)
 	}
+	s.recallRunners()
 	s.dispatch()
 }
 
