A test shows the two runs that a scheduler beyond a cut in one direction started

Where runners answer late, and a job waits for room, such orders become two runs at a time: the entry VM, which leads, starts the job, and 20 to 70 ms later its leader of before starts it on a runner that it has taken back first.

--- a/core/fleet/one_direction_test.go
+++ b/core/fleet/one_direction_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +89,63 @@
 	}
 }
 
+// Guards against the same for a job that waits for room, while runners answer late: its VM starts it once it knows all
+// runs, and the leader of before must not start it on a runner that it takes back first. In each of the seeds it
+// once did.
+func TestAWaitingJobOfAVMThatHearsNoOther(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{140, 216, 240, 367, 381, 391, 458, 586, 625, 626, 641, 678, 702, 763, 790, 851} {
+		w := deployment(seed, 1)
+		special := w.rng.Perm(len(w.runners))[:6]
+		for i, r := range w.runners {
+			r.info.Labels = []string{"plain"}
+			if slices.Contains(special, i) {
+				r.info.Labels = []string{"special"}
+			}
+			r.writeEntry()
+		}
+		w.run(2 * time.Second)
+		former := w.leader()
+		n := w.otherNode(former)
+		w.waitForRoom(former, n)
+		w.requires = "plain"
+		out, back := w.links(n)
+		w.loseMessages(2*time.Second, back...)
+		w.submitAt(n, 10*time.Millisecond, leader.HeartbeatTimeout-w.randomDuration(0, 30))
+		w.loseMessages(2*time.Second, out...)
+		for !n.node.Leads() {
+			w.run(time.Millisecond)
+		}
+		for _, r := range w.runners {
+			r.slow = slowness{share: 0.5, least: 0, most: 45}
+		}
+		w.run(3 * time.Second)
+		if len(w.checker.violations) > 0 {
+			t.Errorf("seed %d: %v\n%s", seed, w.checker.violations, w.describeDoubles())
+		}
+	}
+}
+
+// waitForRoom submits jobs that take all special runners to a leader, and a job that waits for them to another process.
+// All but two of the runners are free again when that process counts the leader as lost, or soon after.
+func (w *world) waitForRoom(leads, n *fakeNode) {
+	w.requires = "special"
+	short := w.randomDuration(540, 700)
+	for i := range 12 {
+		work := short
+		if i >= 10 {
+			work = 1500 * time.Millisecond
+		}
+		w.sendTo(leads, w.newJob("c", 1, work, 4*time.Second))
+		w.run(w.randomDuration(0, 15))
+	}
+	w.run(10 * time.Millisecond)
+	j := w.newJob(n.domain, 3, 400*time.Millisecond, 4*time.Second)
+	j.work.Objective = 4 * time.Second
+	w.sendTo(n, j)
+	w.run(10 * time.Millisecond)
+}
+
 // expectPromptStarts submits jobs to a process while there is room, and checks that the leader starts them at once.
 func (w *world) expectPromptStarts(g *WithT, n, leads *fakeNode, d time.Duration) {
 	for _, j := range w.submitAt(n, 20*time.Millisecond, d) {
