A job that has run before waits at a new leader for runs that are being stopped

Cause: jobs that another process hands over wait for lists of 160 ms later, since a run that is being stopped need not be listed. A job that is dropped just before a planned change of the leader, and sent again at once as a new one, has such a run too: the leader before has ordered it to stop. The new leader now knows that the job has run, but took the first lists, without the run, for complete.

Change: a job that is known to have run under an earlier scheduler waits for such lists as well, if it comes within the time of the first orders to the runners and of a stop after this scheduler began to lead. Later ones don't wait.

--- a/core/schedule/given_up_handover_test.go
+++ b/core/schedule/given_up_handover_test.go
@@ -86,3 +86,24 @@
 	b.end(c.Runner, 1, c.Run, workload.Stopped)
 	b.g.Expect(b.s.Progress(b.now).MayRun).To(BeEmpty())
 }
+
+// Guards against a second run beside one that is being stopped, and isn't listed: its job was dropped just before a planned change
+// of the leader, and is sent again at once as a new one.
+func TestTheNextLeaderWaitsForStoppedRunsOfAJobThatIsSentAgain(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	j, _ := b.runningJob(400 * ms)
+	b.s.Abandon(b.now, entryA, j.ID)
+	b.stopped(one[Stop](b), Accepted)
+	next := newHarness(t, testRunner("r1"), testRunner("r2"))
+	next.ownRows(1)
+	b.succeed(next)
+	for _, h := range take[Hold](next) {
+		next.held(h)
+	}
+	next.submit(j, 3*time.Second)
+	begin := next.now
+	next.wait(next.longestStop() - 10*ms)
+	next.g.Expect(take[Start](next)).To(BeEmpty(), "started within %v of a stop", next.now-begin)
+	next.wait(60 * ms)
+	next.g.Expect(take[Start](next)).To(HaveLen(1))
+}
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -124,10 +124,13 @@
 }
 
 // noteRunsElsewhere records that an earlier scheduler may have started tasks of a job, on runners that haven't listed their
-// runs.
+// runs, and may have ordered runs to stop until the runners obeyed this one.
 func (s *Scheduler) noteRunsElsewhere(j *job) {
 	j.onlyHere = false
 	j.silentRunsOverAt = max(j.silentRunsOverAt, s.allSilentRunsOverAt)
+	if s.now-s.leadingSince < warmUpTimeout+s.longestStop() {
+		s.awaitHandoverLists(j)
+	}
 }
 
 // refuseNew refuses a job that can't be served in time, and reports whether it did. A job for which
