What a task may need is bounded far above any runner

The limit is a hundred times that of an entry now: sums over 4,096 tasks of it, and over hundreds of thousands of such jobs, fit into 64 bits.

--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -158,12 +158,9 @@
 	return nil
 }
 
-// The limits of a runner's capacity, in thousandths of a core, in MB and in GPUs, and so of what a task may need.
-const (
-	MaxMilliCPU = 10_000_000
-	MaxMemoryMB = 1_000_000_000
-	MaxGPU      = 10_000
-)
+// maxNeed is far above the capacity of any runner. A task that needs less than that and fits no runner is refused by
+// schedulers; sums over tasks that need more would overflow.
+var maxNeed = Resources{MilliCPU: 1_000_000_000, MemoryMB: 100_000_000_000, GPU: 1_000_000}
 
 const (
 	// MaxEstimate is the longest estimate of a task's run time, so that those of a job's steps can be added up.
@@ -179,11 +176,10 @@
 	if j.StartMs > maxStartMs || j.Interval > maxInterval {
 		return errors.Errorf("the job begins after %d ms or has an interval over %v", int64(maxStartMs), maxInterval)
 	}
-	largest := Resources{MilliCPU: MaxMilliCPU, MemoryMB: MaxMemoryMB, GPU: MaxGPU}
 	for i, s := range j.Steps {
 		switch {
-		case !s.Need.Fits(largest):
-			return errors.Errorf("step %d: a task needs %+v, over %+v", i, s.Need, largest)
+		case !s.Need.Fits(maxNeed):
+			return errors.Errorf("step %d: a task needs %+v, over %+v", i, s.Need, maxNeed)
 		case s.Estimate > MaxEstimate:
 			return errors.Errorf("step %d: an estimate of %v, over %v", i, s.Estimate, MaxEstimate)
 		}
