While they lead, leaders name the jobs that may run on silent runners

Cause: a leader that retires reports the jobs without an outcome of which a run may be alive; one that is killed reports nothing. Such a job (given up early, an orphan, a lost run, or still in flight on a runner that has left orders unanswered), sent again by way of another entry process, is a new one at the next leader, which waits a second at most (resentWait) where the run may live for six more.

Change: a leader names these jobs, each with how much longer its run may live, to the processes that would lead its shard next (at most two, those that get what it has learned). It does so when a job is added, a run may live longer than was said, or such a process connects anew, at most once in a heartbeat's interval, 4,096 jobs at most, those first whose runs may live longest, with a log line if the list is cut. The receivers forget a job as its time is over. As they begin to lead, or at once if they do, they treat it as one of Progress.MayRun: it waits for runners that haven't listed their runs, and no refusal says that nothing was run. The message is new on the wire; processes of before ignore it.

No message while no runner is silent. 4,096 jobs take less than 24 bytes each on the wire.

Left: a leader that is killed before an order to the runner stays unanswered, or together with both receivers.

Evidence: TestTheSuccessorOfAKilledLeaderWaitsForRunsOnSilentRunners is red if the named jobs aren't applied (4.96 s too early), over one kill and two, for a job that was given up and one in flight; so is TestAListEndsTheWaitOfANamedJob. The other tests of core/schedule (but for the two that are listed), core/gateway and entry pass.

--- a/core/fleet/node.go
+++ b/core/fleet/node.go
@@ -283,6 +283,7 @@
 		s.schedule.SetStoreFailingFor(s.ledger.FailingFor(now))
 		s.schedule.Tick(now)
 		n.shareLearned(now, s)
+		n.sharePossibleRuns(now, s)
 		if s.schedule.Leading() {
 			n.expectedWait = max(n.expectedWait, s.schedule.ExpectedWait())
 		}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -25,6 +25,7 @@
 	delete(n.lostVMs, schedule.EntryID(id).VM())
 	delete(n.sentDigest, id)
 	n.sendUnlisted(now, id)
+	n.resendPossibleRuns(id)
 	n.gateway.Reconnected(now, id)
 }
 
@@ -136,6 +137,8 @@
 		}
 	case LearnedPaces:
 		n.receiveLearned(now, from, m)
+	case PossibleRuns:
+		n.receivePossibleRuns(now, m)
 	case Layout:
 		n.ApplyLayout(now, m.Layout)
 	case RunnerList:
--- a/core/fleet/shards.go
+++ b/core/fleet/shards.go
@@ -21,6 +21,7 @@
 	// pendingQueries wait for a job's end or for its state to become certain.
 	pendingQueries map[workload.JobID][]pendingQuery
 	learned        learnedState
+	possibleRuns   possibleRunsState
 	// unlisted are the latest UnlistedInUse of the shard's scheduler.
 	unlisted schedule.UnlistedInUse
 }
@@ -227,6 +228,7 @@
 	s.ledger.Release()
 	clear(s.pendingQueries)
 	s.unlisted = schedule.UnlistedInUse{}
+	s.possibleRuns = possibleRunsState{}
 }
 
 // choices lists the leader that this process follows in each shard.
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -112,6 +112,8 @@
 	// priorRuns are those of jobs that were given up.
 	allSilentRunsOverAt Time
 	priorRuns           map[workload.JobID]priorRuns
+	// possibleRuns are the jobs that the shard's leader has named, and until when a run of them may live.
+	possibleRuns map[workload.JobID]Time
 	// unreachable holds the VMs whose processes became unreachable and haven't come back,
 	// and since when. They may lead on the other side of a network partition.
 	unreachable map[string]Time
@@ -195,6 +197,7 @@
 		ranJobs:        make(map[workload.JobID]ranJob),
 		unstored:       make(map[workload.JobID]Time),
 		priorRuns:      make(map[workload.JobID]priorRuns),
+		possibleRuns:   make(map[workload.JobID]Time),
 		doneWithoutJob: make(map[workload.TaskName]doneRun),
 		drops:          newDropMemory(),
 		lostRuns:       make(lostRuns),
@@ -255,6 +258,7 @@
 	s.loggedMissing = make(map[string][]workload.RunnerID)
 	s.term++
 	s.noteSilentRunsOver(silentRunsOver(now + maxPriorRunLife))
+	s.applyPossibleRuns()
 	for _, r := range s.runnerList {
 		s.acquire(r)
 	}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -216,6 +216,7 @@
 	s.expireBorrowing()
 	s.drops.expire(s.now - dropRetention)
 	s.expirePriorRuns()
+	s.expirePossibleRuns()
 	s.expireLostRuns()
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -39,6 +39,8 @@
 		return roomGrantMessage(m)
 	case fleet.JobsElsewhere:
 		return elsewhereMessage(m)
+	case fleet.PossibleRuns:
+		return possibleRunsMessage(m)
 	case fleet.JobAnswer:
 		return stateMessage(m)
 	case fleet.Declaration:
@@ -61,7 +63,7 @@
 	case *pb.FleetMessage_Heartbeat:
 		return "heartbeat"
 	case *pb.FleetMessage_HandIn, *pb.FleetMessage_Verdict, *pb.FleetMessage_DropJob, *pb.FleetMessage_JobMove, *pb.FleetMessage_JobTaken,
-		*pb.FleetMessage_JobsElsewhere:
+		*pb.FleetMessage_JobsElsewhere, *pb.FleetMessage_PossibleRuns:
 		return "job"
 	case *pb.FleetMessage_RoomRequest, *pb.FleetMessage_RoomGrant:
 		return "lending"
@@ -107,6 +109,8 @@
 		return roomGrantOf(body.RoomGrant)
 	case *pb.FleetMessage_JobsElsewhere:
 		return elsewhereOf(body.JobsElsewhere)
+	case *pb.FleetMessage_PossibleRuns:
+		return possibleRunsOf(body.PossibleRuns)
 	case *pb.FleetMessage_JobState:
 		return stateOf(body.JobState)
 	case *pb.FleetMessage_Declaration:
