A silent runner's unconfirmed run counts for as long as a next incarnation may have it

Cause: a start that stays unanswered may reach the next incarnation of its runner, whose clock doesn't refuse it and which grants the longest lease (1 s) in place of the one ordered (500 ms). When the runner stays silent, the run lapsed 6 s after the lease that was ordered, and only the 1.18 s of startInvalidAt were kept beside it: half a second less than such a run counts after a restart or after a stop.

Change: a lapsed run that no order has confirmed, on a runner whose answers tell its incarnation, is a lost run until maxLateEnd after the longest lease, or until its runner lists its runs. So the wait outlives the job as well.

Evidence: TestAStartThatASilentRunnersNextIncarnationMayHaveCounts fails before, also for a job that its caller sends again.

It concerns only runners that end runs more than 5.5 s after their lease.

--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -230,3 +230,42 @@
 	b.tick(20 * ms)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
+
+// Guards against a second run beside one whose start reaches the next incarnation of a runner that answers nothing any more:
+// that incarnation grants it the longest lease, which ends later than the one that was ordered.
+func TestAStartThatASilentRunnersNextIncarnationMayHaveCounts(t *testing.T) {
+	for _, resent := range []bool{false, true} {
+		b := leading(t, bornRunner("r1", 1000), bornRunner("r2", 1000))
+		for _, h := range take[Hold](b) {
+			b.heldBy(h, 1000)
+		}
+		j := testJob(1, 400*ms)
+		b.submit(j, 30*time.Second)
+		c := one[Start](b)
+		ordered := b.now
+		pass := func(until Time) []Start {
+			var starts []Start
+			for b.now < until {
+				b.tick(20 * ms)
+				take[Stop](b)
+				for _, h := range take[Hold](b) {
+					if h.Runner == c.Runner {
+						b.leaveHoldUnanswered(h, ConnectionTimedOut)
+						continue
+					}
+					b.heldBy(h, 1000)
+				}
+				starts = append(starts, take[Start](b)...)
+			}
+			return starts
+		}
+		if resent {
+			b.g.Expect(pass(ordered + maxLateEnd)).To(BeEmpty())
+			b.s.Abandon(b.now, entryA, j.ID)
+			b.g.Expect(pass(ordered + silentLife + 40*ms)).To(BeEmpty())
+			b.submit(j, 30*time.Second)
+		}
+		b.g.Expect(pass(ordered+longestLateLife-20*ms)).To(BeEmpty(), "the start may have been carried out")
+		b.g.Expect(pass(ordered + longestLateLife + 400*ms)).To(HaveLen(1))
+	}
+}
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -10,7 +10,8 @@
 // A lost run is one that ceased to count though its runner hasn't shown that it is over, in one of these ways:
 //
 //   - The runner was fenced, or this scheduler has retired. All runs of the runner are lost.
-//   - The runner has restarted, and an order to start the run may still reach the new incarnation.
+//   - The runner has restarted, or is silent for longer than the run's lease, and an order to start the run may reach, or have
+//     reached, a new incarnation, which grants a longer lease.
 //   - The start of the run was rejected as outdated. The run that outdated it may still be stopping; its number isn't known,
 //     so the rejected run stands for it.
 //
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -104,6 +104,9 @@
 	unconfirmed := false
 	for _, u := range r.sortedRuns() {
 		unconfirmed = unconfirmed || !u.confirmed
+		if invalidAt := r.startInvalidAt(u); invalidAt > 0 {
+			s.noteLostRun(u, lostRun{overAt: u.orderedAt + longestLateLife, listFrom: invalidAt})
+		}
 		if u.task == nil {
 			s.dropRun(u, LeaseOver)
 			continue
@@ -116,7 +119,6 @@
 			// side may have adopted the run, and the job will shortly be dropped here.
 			u.task.notBefore = s.now + entryRecoveryDelay
 		}
-		u.task.notBefore = max(u.task.notBefore, r.startInvalidAt(u))
 		s.requeueUnseen(u.task)
 	}
 	if unconfirmed {
