All processes of a cell learn of changed labels and addresses of runners

Cause: the process that reads the list for its cell sends it to the others when its digest changes, which lacks the labels and the addresses. A process that started while an entry had odd ones keeps them for as long as it follows, and after 7.3 s takes them for evidence of where runs can't be.

Change: the digest has labels and addresses. A dump says of each runner whether its entry is trusted (entry_trusted).

Evidence: TestAllProcessesLearnOfAChangedEntry (three shards, so that followers don't read the list) fails before with labels and with addresses.

--- a/core/fleet/runners.go
+++ b/core/fleet/runners.go
@@ -168,13 +168,13 @@
 	n.emit(Send{To: id, Message: n.runners})
 }
 
-// digestOf is equal for lists with the same runners in the same states and with the same
-// capacities.
+// digestOf is equal for lists with the same runners in the same states, with the same capacities and labels and at the same
+// addresses.
 func digestOf(list []workload.Runner) uint64 {
 	h := xxhash.New()
 	for _, r := range list {
 		// Writing to a hash never fails.
-		_, _ = fmt.Fprintf(h, "%s %s %t %t %d %v\n", r.ID, r.Service, r.Draining, r.EntryExpired, r.IncarnationStart, r.Capacity)
+		_, _ = fmt.Fprintf(h, "%s %s %s %q %t %t %d %v\n", r.ID, r.Service, r.Address, r.Labels, r.Draining, r.EntryExpired, r.IncarnationStart, r.Capacity)
 	}
 	return h.Sum64()
 }
--- a/core/schedule/dump.go
+++ b/core/schedule/dump.go
@@ -56,6 +56,7 @@
 	Acknowledged uint64   `json:"acknowledged"`
 	HoldInFlight bool     `json:"renewal_on_way"`
 	Address      string   `json:"address"`
+	EntryTrusted bool     `json:"entry_trusted"`
 }
 
 // Dump returns the scheduler's state.
@@ -95,6 +96,7 @@
 		Acknowledged: r.acknowledged,
 		HoldInFlight: r.holdInFlight,
 		Address:      r.info.Address,
+		EntryTrusted: r.entryTrusted(now),
 	}
 	for _, u := range r.sortedRuns() {
 		d.Runs = append(d.Runs, u.key.String())
