Run numbers of successive schedulers don't overlap after many rejections

Cause: each owner of a stored job numbers its runs from 100 times the number of owners before it, and each rejected start uses a number. Runners that are unhealthy for some time, or have no room, reject a hundred starts of one task. The next owner's numbers then begin within those of the former one. A failed run of the second counted as the one of the first and was not counted: the task ran more often than its queue allows. And an end of the first owner's run was taken for one of the second's own, earlier range, and was acknowledged without waiting for the lease, though the task had been started again.

Change: a million numbers each. A start that is rejected at once by a runner with a list every 25 ms would need seven hours under one owner to use them.

--- a/core/schedule/move_test.go
+++ b/core/schedule/move_test.go
@@ -120,7 +120,7 @@
 	b.saved(save)
 	b.g.Expect(one[MoveAck](b)).To(Equal(MoveAck{At: b.now, To: entryA, Shard: 2, Job: m.Job.ID}))
 	start := one[Start](b)
-	b.g.Expect(start.Run).To(Equal(runOf(m.Job, 1, 201)), "the task that isn't done, above all run numbers of previous owners")
+	b.g.Expect(start.Run).To(Equal(runOf(m.Job, 1, 2*runsPerScheduler+1)), "the task that isn't done, above all run numbers of previous owners")
 	b.s.AcceptMovedJob(b.now, entryA, m)
 	b.g.Expect(one[MoveAck](b).Job).To(Equal(m.Job.ID))
 	b.started(start, Accepted)
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -44,7 +44,7 @@
 	}
 	b.wait(80 * ms)
 	start := one[Start](b)
-	b.g.Expect(start.Run).To(Equal(runOf(j, 2, 101)), "above all numbers that the previous owner may have used")
+	b.g.Expect(start.Run).To(Equal(runOf(j, 2, runsPerScheduler+1)), "above all numbers that the previous owner may have used")
 	b.g.Expect(b.s.State(j.ID, b.now).Known).To(BeTrue())
 }
 
@@ -235,8 +235,8 @@
 		listed    bool
 		restarted bool
 	}{
-		{"the second run, listed before the jobs are loaded", 101, 2, true, true},
-		{"the second run, listed after", 101, 2, false, true},
+		{"the second run, listed before the jobs are loaded", runsPerScheduler + 1, 2, true, true},
+		{"the second run, listed after", runsPerScheduler + 1, 2, false, true},
 		{"the first run, with an owner between, listed before", 1, 3, true, true},
 		{"the first run, with an owner between, listed after", 1, 3, false, true},
 		{"the first run, without one", 1, 2, true, false},
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -375,7 +375,7 @@
 	b := newHarness(t, testRunner("r1"), testRunner("r2"))
 	j := testJob(2, 500*ms)
 	done := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 1}
-	again := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 101}
+	again := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: runsPerScheduler + 1}
 	other := workload.RunKey{Task: workload.TaskName{Job: j.ID, Index: 1}, Number: 1}
 	b.s.Lead(b.now)
 	b.ownRows(1)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -36,7 +36,7 @@
 
 // runsPerScheduler is the distance between the run numbers of successive schedulers: each starts
 // above all numbers that the previous one may have used.
-const runsPerScheduler = 100
+const runsPerScheduler = 1_000_000
 
 // Submit handles the submission of a job, which may be a copy of a known one.
 func (s *Scheduler) Submit(now Time, sub Submission) {
