Ends of a job that is about to move wait for the lease

Cause: a job moves to another shard as its runs count as over, and its record is being written. A runner that another scheduler beyond a cut has kept under lease lists an end of the job then. It was acknowledged as soon as that record was saved, which doesn't have it. If this process was lost before the other shard had the job, the next owner sent it there without the end, and the task ran again after an end that counts.

Change: such an end is acknowledged only after the runner's lease has expired, as it is once the record is saved.

Evidence: TestEndOfAMovingJobIsAcknowledgedAfterLeaseExpiry, red before (no wait, for a run that was done).

--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -66,23 +66,26 @@
 	return !unstored
 }
 
-// mayHaveRestarted reports whether the task of a run that has ended successfully may have been
+// mayHaveRestarted reports whether the task of a run that was done, or has failed, may have been
 // started again since: by this scheduler, as its state shows; by the scheduler that had started
-// the run, as the store shows; or by a scheduler between the two.
+// the run, as the store shows; by a scheduler between the two; or in another shard.
 func (s *Scheduler) mayHaveRestarted(e workload.End) bool {
-	k, ended := s.rows.retained[e.Run.Task.Job]
-	if ended && k.move != nil {
-		// The job is in another shard, which isn't informed of this end.
-		return e.Kind <= workload.Failed
-	}
-	if e.Kind != workload.Done {
+	if e.Kind > workload.Failed {
 		return false
 	}
-	if ended {
-		return k.restarted
+	if k, ended := s.rows.retained[e.Run.Task.Job]; ended {
+		// A shard that has the job isn't informed of this end.
+		return k.move != nil || e.Kind == workload.Done && k.restarted
 	}
 	j := s.jobs[e.Run.Task.Job]
-	return j != nil && j.mayHaveRestarted(e.Run)
+	switch {
+	case j == nil:
+		return false
+	case j.moving():
+		// The record that is being written doesn't have this end, and may be what the other shard gets.
+		return true
+	}
+	return e.Kind == workload.Done && j.mayHaveRestarted(e.Run)
 }
 
 // recheckEnds processes again the ends whose jobs may be stored ones, now that the stored jobs
--- a/core/schedule/move_test.go
+++ b/core/schedule/move_test.go
@@ -213,3 +213,22 @@
 	b.saved(save)
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.Accepted))
 }
+
+// Guards against the same while the move is being written to the store.
+func TestEndOfAMovingJobIsAcknowledgedAfterLeaseExpiry(t *testing.T) {
+	for _, kind := range []workload.EndKind{workload.Done, workload.Failed} {
+		b, j, save := stalledHarness(t)
+		b.s.SetRunners(b.now, []workload.Runner{testRunner("r1")})
+		b.wait(100 * ms)
+		r := b.s.runners["r1"]
+		r.noteLease(b.now, b.s.cfg.Lease) // as by another scheduler
+		b.end("r1", 2, runOf(j, 1, 1), kind)
+		leaseExpiry := r.aliveUntil
+		b.g.Expect(r.noLeaseUntil).To(Equal(leaseExpiry))
+		b.saved(append(take[Save](b), save)...)
+		b.wait(leaseExpiry - b.now - 40*ms)
+		b.g.Expect(r.acknowledged).To(BeZero())
+		b.wait(200 * ms)
+		b.g.Expect(r.acknowledged).To(BeEquivalentTo(2))
+	}
+}
