A failure that is listed after its task was started again waits for the lease

Cause: a run failed on a runner that was out of reach and that another scheduler kept under lease. Its task was started again elsewhere. Once the runner was back, the failure was counted and acknowledged at once, so that the task had been started after as many failures that count as its queue allows. For runs that were done the acknowledgement waits until the lease has expired; for failed ones it didn't.

Change: it waits for them too, unless the failure was counted before.

--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -85,7 +85,7 @@
 		// The record that is being written doesn't have this end, and may be what the other shard gets.
 		return true
 	}
-	return e.Kind == workload.Done && j.mayHaveRestarted(e.Run)
+	return j.mayHaveRestarted(e.Run) && (e.Kind == workload.Done || !j.failureCounted(e.Run))
 }
 
 // recheckEnds processes again the ends whose jobs may be stored ones, now that the stored jobs
--- a/core/schedule/restore_test.go
+++ b/core/schedule/restore_test.go
@@ -352,3 +352,25 @@
 	g := NewWithT(t)
 	g.Expect(maxProofAge + tick + maxRunLife(DefaultConfig().Lease)).To(BeNumerically("<", maxPriorRunLife))
 }
+
+// Guards against a task that runs more often than its queue allows: it was started again while a failed run's runner
+// was out of reach, and the failure counts though the runner has shown it only since.
+func TestAFailureOfATaskThatWasStartedAgainIsAcknowledgedAfterLeaseExpiry(t *testing.T) {
+	b, first := runsOnOneOfTwo(t)
+	b.s.runnerFenced(b.s.runners[first.Runner])
+	b.s.runners[first.Runner].info.Draining = true
+	b.wait(b.s.cfg.Resend + 100*ms)
+	b.saved(take[Save](b)...)
+	second := one[Start](b)
+	b.g.Expect(second.Runner).NotTo(Equal(first.Runner))
+	b.started(second, Accepted)
+	r := b.s.runners[first.Runner]
+	r.noteLease(b.now, b.s.cfg.Lease) // as for another run there
+	b.end(first.Runner, 1, first.Run, workload.Failed)
+	leaseExpiry := r.aliveUntil
+	b.saved(take[Save](b)...)
+	b.g.Expect(r.noLeaseUntil).To(Equal(leaseExpiry))
+	b.g.Expect(r.acknowledged).To(BeZero())
+	b.wait(leaseExpiry - b.now + 60*ms)
+	b.g.Expect(r.acknowledged).To(BeEquivalentTo(1))
+}
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -200,12 +200,18 @@
 // storedFailure counts a failed run of a stored job once, whichever scheduler started it, and
 // reports whether it is new.
 func (j *job) storedFailure(k workload.RunKey) bool {
-	f := ledger.Failure{Step: j.stepIndex(k.Task), Index: k.Task.Index, Run: k.Number}
-	for _, known := range j.stored.failures {
-		if known == f {
-			return false
-		}
+	if j.failureCounted(k) {
+		return false
 	}
-	j.stored.failures = append(j.stored.failures, f)
+	j.stored.failures = append(j.stored.failures, j.failure(k))
 	return true
 }
+
+// failureCounted reports whether a failed run of a stored job has been counted.
+func (j *job) failureCounted(k workload.RunKey) bool {
+	return slices.Contains(j.stored.failures, j.failure(k))
+}
+
+func (j *job) failure(k workload.RunKey) ledger.Failure {
+	return ledger.Failure{Step: j.stepIndex(k.Task), Index: k.Task.Index, Run: k.Number}
+}
