Named jobs wait for silent runners that have left the list, too

Cause: a runner that is cut off can't renew its entry, leaves the platform's list, and counts as gone 2.5 s later at a process that has begun to lead (mayHaveUnlistedRuns), so that a job which a killed leader had named was started again while its run lived.

Change: jobs that a leader has named wait for each runner of their service that hasn't listed its runs, on the list or not, for as long as the leader said, and such runners aren't forgotten meanwhile. Other jobs don't wait longer than before.

Left: the jobs of Progress.MayRun, which don't wait for runners off the list beyond the 2.5 s.

--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -232,7 +232,8 @@
 	s.forgotten = slices.DeleteFunc(s.forgotten, func(r *runner) bool { return s.now-r.unlistedAt >= unlistedGrace })
 	remaining := s.runnerList[:0]
 	for _, r := range s.runnerList {
-		if r.unlisted && len(r.runs) == 0 && s.now >= max(r.retainUntil, r.assumedPresentUntil) && !s.mayHaveUnlistedPriorRuns(r) {
+		awaited := s.mayHaveUnlistedPriorRuns(r) || s.mayHavePossibleRuns(r)
+		if r.unlisted && len(r.runs) == 0 && s.now >= max(r.retainUntil, r.assumedPresentUntil) && !awaited {
 			delete(s.runners, r.info.ID)
 			s.forgotten = append(s.forgotten, r)
 			continue
--- a/core/schedule/possible_runs_test.go
+++ b/core/schedule/possible_runs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,6 +77,35 @@
 	}
 }
 
+// Guards against a second run of such a job whose runner has left the platform's list, as one does that is cut off and can't
+// renew its entry, before its scheduler is killed or after that.
+func TestANamedJobWaitsForARunnerThatLeftTheList(t *testing.T) {
+	for _, leftBefore := range []time.Duration{0, 2 * time.Second} {
+		b, j, silent := givenUpEarly(t)
+		over := b.s.runners[silent].runsOverAt()
+		next := newHarness(t, testRunner("r1"), testRunner("r2"))
+		next.ownRows(1)
+		next.tick(b.now - next.now)
+		named, _ := b.s.PossibleRuns(b.now)
+		next.s.NotePossibleRuns(next.now, named)
+		others := []workload.Runner{testRunner("r1"), testRunner("r2")}
+		others = slices.DeleteFunc(others, func(r workload.Runner) bool { return r.ID == silent })
+		next.s.SetRunners(next.now, others)
+		next.tick(leftBefore)
+		next.s.Lead(next.now)
+		next.leaveUnanswered(silent, ConnectionTimedOut)
+		next.submitByOther(j, 20*time.Second)
+		for next.now < over {
+			next.g.Expect(take[Start](next)).To(BeEmpty(), "left %v before: %v too early", leftBefore, over-next.now)
+			next.passBeside(silent)
+		}
+		for next.now < over+maxPriorRunLife+maxLateEnd {
+			next.passBeside(silent)
+		}
+		next.g.Expect(take[Start](next)).To(HaveLen(1))
+	}
+}
+
 // Guards against jobs that wait for a silent runner to the end of maxLateEnd though its list has shown that no run is there.
 func TestAListEndsTheWaitOfANamedJob(t *testing.T) {
 	b, j, silent := givenUpEarly(t)
