Stored jobs aren't named, and don't wait for runners off the list

Cause: the jobs that a leader names were found by runs, lost runs and jobs that have run, stored ones among them. A stored job's wait for silent runners is bounded by its own rule; named, it waited for runners off the list as well.

Change: stored jobs that the leader has aren't named, and a stored job doesn't wait because it was.

Evidence: TestStoredJobsAreNotNamed is red without it.

--- a/core/schedule/possible_runs_test.go
+++ b/core/schedule/possible_runs_test.go
@@ -154,6 +154,19 @@
 	next.g.Expect(take[Start](next)).To(HaveLen(1))
 }
 
+// Guards against stored jobs that wait for runners off the list since they were named: their own rule bounds their wait.
+func TestStoredJobsAreNotNamed(t *testing.T) {
+	b := leading(t, testRunner("r1"))
+	b.runningStoredTask()
+	r := b.s.runners["r1"]
+	r.unresponsive = true
+	named, _ := b.s.PossibleRuns(b.now)
+	b.g.Expect(named).To(BeEmpty())
+	b.s.noteLostRuns(r)
+	named, _ = b.s.PossibleRuns(b.now)
+	b.g.Expect(named).To(BeEmpty(), "lost runs")
+}
+
 // Guards against a list of jobs that grows without a bound, or loses the runs that live longest.
 func TestNamedJobsAreBounded(t *testing.T) {
 	b := leading(t, testRunner("r1"))
--- a/core/schedule/possibleruns.go
+++ b/core/schedule/possibleruns.go
@@ -39,7 +39,8 @@
 		}
 	}
 	for id, at := range overAt {
-		if _, ended := s.results[id]; ended || at <= now {
+		j := s.jobs[id]
+		if _, ended := s.results[id]; ended || at <= now || j != nil && j.stored != nil {
 			continue
 		}
 		list = append(list, PossibleRun{Job: id, Rest: at - now})
@@ -138,9 +139,9 @@
 	return list
 }
 
-// namedStepMayRun reports whether a task of a step may run on such a runner, if its job was named.
+// namedStepMayRun reports whether a task of a step may run on such a runner, if its job is a best-effort one and was named.
 func (p *placer) namedStepMayRun(j *job, i int) bool {
-	return p.s.now < p.s.possibleRuns[j.work.ID] && slices.ContainsFunc(p.namedRunners(j.work.Service), func(r *runner) bool {
+	return j.stored == nil && p.s.now < p.s.possibleRuns[j.work.ID] && slices.ContainsFunc(p.namedRunners(j.work.Service), func(r *runner) bool {
 		return r.mayTake(j.stepAt(i), p.s.now)
 	})
 }
