Known red: a job that was given up early, sent again after its leader was killed

A job comes sooner than 1.3 s after the last message of a lost process, and can't have been sent before, by resent.go. Since jobs are given up early that isn't so: their entry process lives, and their callers may send them again at once.

--- a/core/schedule/given_up_handover_test.go
+++ b/core/schedule/given_up_handover_test.go
@@ -107,3 +107,24 @@
 	next.wait(60 * ms)
 	next.g.Expect(take[Start](next)).To(HaveLen(1))
 }
+
+// Guards against the second run of a job that was given up early if its leader is killed just after: its entry process lives, so
+// its caller sends it again sooner than after the loss of an entry process, and the next leader takes it for a new one.
+func TestAJobThatWasGivenUpBeforeItsLeaderWasKilledWaits(t *testing.T) {
+	b, j, silent := givenUpEarly(t)
+	over := b.s.runners[silent].leaseEndsAt() + 1500*ms
+	next := newHarness(t, testRunner("r1"), testRunner("r2"))
+	next.ownRows(1)
+	next.tick(b.now - next.now)
+	next.s.EntryAlive(next.now, entryLost)
+	next.tick(maxSilence)
+	next.s.EntryLost(next.now, entryLost, false)
+	next.s.Lead(next.now)
+	next.leaveUnanswered(silent, ConnectionTimedOut)
+	next.submit(j, 4*time.Second)
+	for next.now < over {
+		next.g.Expect(take[Start](next)).To(BeEmpty(), "%v too early", over-next.now)
+		next.tick(20 * ms)
+		next.leaveUnanswered(silent, ConnectionTimedOut)
+	}
+}
