--- a/core/schedule/resent.go
+++ b/core/schedule/resent.go
@@ -10,7 +10,8 @@
 // have been sent before wait until each such runner has listed its runs, or resentWait is over.
 //
 // Callers send a job again Resend after they have lost their entry process at the earliest. Which processes were
-// lost when is known from their last messages, so most new jobs can be told from such jobs and don't wait.
+// lost when is known from their last messages, so most new jobs can be told from such jobs and don't wait. Jobs that were
+// given up may come again sooner (see possibleruns.go).
 
 const (
 	// resentWait is how long after a takeover jobs that may have been sent before wait for lists. It is shorter
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -12,7 +12,7 @@
 //
 // Safety rests on leases measured on the runners' own clocks. A task is started again only
 // if its last run is listed as ended, was stopped by an order that the runner answered, or
-// can't be alive any more because its lease has expired.
+// can't be alive any more because its lease expired long enough ago (see silence.go).
 //
 // Terms:
 //
@@ -21,8 +21,8 @@
 //   - An orphan is a run that belongs to no task here: its job isn't known or was dropped, or its
 //     task is done or has another run. It is a foreign orphan if another scheduler started it. If
 //     its job arrives, the run is adopted: it becomes the current run of its task.
-//   - A run lapses when its lease expires: the runner lists it as ended for that reason, or was
-//     silent for longer than the lease can last.
+//   - A run lapses when its lease expires: the runner lists it as ended for that reason, or has been
+//     silent until the run can't be alive any more.
 //   - Prior runs of a job are those that earlier schedulers may have started.
 //   - A copy of a job is another submission with the same id, by the caller or by an entry VM.
 //   - A stored job is saved in the platform's store before it is accepted. The owner of the
