--- a/core/fleet/cut_runners_test.go
+++ b/core/fleet/cut_runners_test.go
@@ -12,10 +12,10 @@
 // round (cutOff, makeIdle); here they come together.
 
 const (
-	// minCut and maxCut bound how long runners are cut off, and maxLateEnd how late they end their runs then, in
+	// minCut and maxCut bound how long runners are cut off, and MaxLateEnd how late they end their runs then, in
 	// milliseconds.
 	minCut, maxCut = 700, 5500
-	maxLateEnd     = 1500
+	MaxLateEnd     = 1500
 )
 
 var fixedLateness = flag.Int("fleet.lateness", -1, "how late runners beyond a cut end their runs, in milliseconds; drawn at random if negative")
@@ -29,7 +29,7 @@
 
 // drawLateness draws how late runners end their runs.
 func (w *world) drawLateness() time.Duration {
-	drawn := w.randomDuration(0, maxLateEnd+1)
+	drawn := w.randomDuration(0, MaxLateEnd+1)
 	if *fixedLateness >= 0 {
 		return time.Duration(*fixedLateness) * time.Millisecond
 	}
--- a/core/schedule/ceases_to_count_test.go
+++ b/core/schedule/ceases_to_count_test.go
@@ -203,7 +203,7 @@
 	})
 	begin := b.now
 	var starts []Start
-	for len(starts) == 0 && b.now-begin < 3*time.Second+maxLateEnd {
+	for len(starts) == 0 && b.now-begin < 3*time.Second+MaxLateEnd {
 		if b.now-begin >= abandonedGrace-10*ms {
 			o.holds, o.stops = Unanswered, Unanswered
 		}
@@ -212,7 +212,7 @@
 		starts = take[Start](next)
 	}
 	b.g.Expect(starts).To(HaveLen(1))
-	over := o.leaseEnd + maxLateEnd.Milliseconds()
+	over := o.leaseEnd + MaxLateEnd.Milliseconds()
 	b.g.Expect(b.clockOf()).To(BeNumerically(">=", over), "started elsewhere after %v; the run may live for %d ms more", b.now-begin, over-b.clockOf())
 }
 
--- a/core/schedule/copies_test.go
+++ b/core/schedule/copies_test.go
@@ -72,7 +72,7 @@
 	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: time.Second, RemainingTimeout: 9 * time.Second, PriorSubmissions: 1})
 	b.g.Expect(take[Decision](b)).NotTo(ContainElement(HaveField("Event", "started-without-lists")), "r3 may have runs, and the job waits")
 	b.leaveHoldUnanswered(silent, ConnectionMade)
-	for begin := b.now; b.now-begin < maxLateEnd+40*ms; b.tick(20 * ms) {
+	for begin := b.now; b.now-begin < MaxLateEnd+40*ms; b.tick(20 * ms) {
 		b.leaveUnanswered("r3", ConnectionMade)
 	}
 	b.g.Expect(take[Decision](b)).To(ContainElement(And(
--- a/core/schedule/entrytrust.go
+++ b/core/schedule/entrytrust.go
@@ -12,7 +12,7 @@
 // time. An entry that has changed never does.
 
 // entryTrustDelay is how long an entry must have been known: as long as prior runs may live on a silent runner.
-const entryTrustDelay = maxPriorRunLife + maxLateEnd
+const entryTrustDelay = maxPriorRunLife + MaxLateEnd
 
 // entryTrusted reports whether the runner's entry shows what can't be on the runner.
 func (r *runner) entryTrusted(now Time) bool { return now >= r.entryTrustedAt }
--- a/core/schedule/entrytrust_test.go
+++ b/core/schedule/entrytrust_test.go
@@ -65,7 +65,7 @@
 					b.s.SetRunners(b.now, withOddEntry("r2", change))
 				}
 				b.handOver(labelledJob(), 20*time.Second)
-				b.g.Expect(b.passAsOther(maxPriorRunLife+maxLateEnd-20*ms)).To(BeEmpty(), "r2 hasn't listed its runs")
+				b.g.Expect(b.passAsOther(maxPriorRunLife+MaxLateEnd-20*ms)).To(BeEmpty(), "r2 hasn't listed its runs")
 				b.g.Expect(b.passAsOther(60 * ms)).To(HaveLen(1))
 			})
 		}
--- a/core/schedule/full_queue_test.go
+++ b/core/schedule/full_queue_test.go
@@ -41,13 +41,13 @@
 	for _, queue := range []int{1, 5, 12} {
 		b := leading(t, testRunner("r1"), testRunner("r2"))
 		c := b.runningTask()
-		started := b.starvedUntilStart(c, maxLateEnd, func(n int) Connection {
+		started := b.starvedUntilStart(c, MaxLateEnd, func(n int) Connection {
 			if n < queue {
 				return ConnectionMade
 			}
 			return ConnectionTimedOut
 		})
-		b.g.Expect(started).To(BeNumerically(">=", maxLateEnd), "a queue of %d", queue)
+		b.g.Expect(started).To(BeNumerically(">=", MaxLateEnd), "a queue of %d", queue)
 	}
 }
 
@@ -56,13 +56,13 @@
 func TestEarlierConnectionsThatWerentMadeShowNothing(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
 	c := b.runningTask()
-	started := b.starvedUntilStart(c, maxLateEnd, func(n int) Connection {
+	started := b.starvedUntilStart(c, MaxLateEnd, func(n int) Connection {
 		if n < outOfReachAttempts+1 {
 			return ConnectionTimedOut
 		}
 		return ConnectionUnknown
 	})
-	b.g.Expect(started).To(BeNumerically(">=", maxLateEnd))
+	b.g.Expect(started).To(BeNumerically(">=", MaxLateEnd))
 }
 
 // Guards against the same where orders to start and to stop runs have filled the queue.
@@ -75,6 +75,6 @@
 		Runner: stop.Runner, Token: stop.Token, Run: stop.Run, Outcome: Unanswered, Connection: ConnectionMade,
 		Clock: ClockReading{ReceivedAt: b.now, SentAt: b.now},
 	})
-	started := b.starvedUntilStart(c, maxLateEnd, func(int) Connection { return ConnectionTimedOut })
-	b.g.Expect(started).To(BeNumerically(">=", maxLateEnd))
+	started := b.starvedUntilStart(c, MaxLateEnd, func(int) Connection { return ConnectionTimedOut })
+	b.g.Expect(started).To(BeNumerically(">=", MaxLateEnd))
 }
--- a/core/schedule/given_up_handover_test.go
+++ b/core/schedule/given_up_handover_test.go
@@ -54,7 +54,7 @@
 			b.tick(20 * ms)
 			b.leaveUnanswered(silent, ConnectionTimedOut)
 		}
-		b.tick(over + maxLateEnd - b.now)
+		b.tick(over + MaxLateEnd - b.now)
 		b.g.Expect(take[Start](b)).To(HaveLen(1))
 	}
 }
@@ -78,7 +78,7 @@
 // Guards against jobs of a retiring scheduler that wait at the next one though all their runs are over.
 func TestOnlyJobsWithRunsThatMayLiveAreReportedToTheNextLeader(t *testing.T) {
 	b := leading(t, testRunner("r1"), testRunner("r2"))
-	b.wait(maxPriorRunLife + maxLateEnd)
+	b.wait(maxPriorRunLife + MaxLateEnd)
 	j, c := b.runningJob(400 * ms)
 	b.g.Expect(b.s.Progress(b.now).MayRun).To(BeEmpty(), "its entry process hands it over")
 	b.s.Abandon(b.now, entryA, j.ID)
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -97,7 +97,7 @@
 
 // longestLateLife is how long a run may live after its start was accepted, under the longest lease, on a runner whose clock
 // is slow and that ends its runs late.
-const longestLateLife = maxLease*(100+clockDriftPercent)/100 + maxLateEnd
+const longestLateLife = maxLease*(100+clockDriftPercent)/100 + MaxLateEnd
 
 // startInvalidAt returns when an unconfirmed run must be over even if its start has reached a later
 // incarnation of the runner. On that incarnation's clock the lease in the order ends far in the future,
--- a/core/schedule/late_end_test.go
+++ b/core/schedule/late_end_test.go
@@ -91,7 +91,7 @@
 			over := b.s.runners[c.Runner].runsOverAt()
 			lose(b, c)
 			b.submit(j, 20*time.Second)
-			b.g.Expect(b.startsBeside(c, 2*maxLateEnd)).To(BeNumerically(">=", over))
+			b.g.Expect(b.startsBeside(c, 2*MaxLateEnd)).To(BeNumerically(">=", over))
 		})
 	}
 }
@@ -260,7 +260,7 @@
 			return starts
 		}
 		if resent {
-			b.g.Expect(pass(ordered + maxLateEnd)).To(BeEmpty())
+			b.g.Expect(pass(ordered + MaxLateEnd)).To(BeEmpty())
 			b.s.Abandon(b.now, entryA, j.ID)
 			b.g.Expect(pass(ordered + silentLife + 40*ms)).To(BeEmpty())
 			b.submit(j, 30*time.Second)
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -17,7 +17,7 @@
 //
 // The record outlives the job: a caller who sends the job again reaches another entry process, which hands it in as a new
 // one. A task is started only once its lost runs are over: their runners have listed their runs since without them, or
-// maxLateEnd has passed since their leases.
+// MaxLateEnd has passed since their leases.
 
 // lostRun is a lost run as it is remembered.
 type lostRun struct {
--- a/core/schedule/orphan_test.go
+++ b/core/schedule/orphan_test.go
@@ -108,7 +108,7 @@
 			b.g.Expect(aliveUntil).To(BeNumerically(">", b.now))
 			lose(b, c)
 			b.submit(j, 12*time.Second)
-			at := b.startsBeside(c, 3*time.Second+maxLateEnd)
+			at := b.startsBeside(c, 3*time.Second+MaxLateEnd)
 			b.g.Expect(at).To(BeNumerically(">", aliveUntil), "the orphan's lease lasts until then")
 		})
 	}
@@ -127,7 +127,7 @@
 			overAt := b.s.runners[c.Runner].runsOverAt()
 			lose(b, c)
 			b.submit(j, 12*time.Second)
-			b.g.Expect(b.startsBeside(c, 3*time.Second+maxLateEnd)).To(BeNumerically(">=", overAt))
+			b.g.Expect(b.startsBeside(c, 3*time.Second+MaxLateEnd)).To(BeNumerically(">=", overAt))
 		})
 	}
 }
@@ -216,9 +216,9 @@
 			lose(b, c)
 			b.g.Expect(b.startsBeside(c, sentAgain-b.now)).To(BeZero())
 			b.g.Expect(take[Stop](b)).To(BeEmpty())
-			overAt := aliveUntil - leaseMargin - lateEndMargin + maxLateEnd
+			overAt := aliveUntil - leaseMargin - lateEndMargin + MaxLateEnd
 			b.submit(j, 12*time.Second)
-			b.g.Expect(b.startsBeside(c, 3*time.Second+maxLateEnd)).To(BeNumerically(">=", overAt))
+			b.g.Expect(b.startsBeside(c, 3*time.Second+MaxLateEnd)).To(BeNumerically(">=", overAt))
 		})
 	}
 }
--- a/core/schedule/overdue_test.go
+++ b/core/schedule/overdue_test.go
@@ -35,7 +35,7 @@
 	again := b.unansweredOnce(testJob(1, 400*ms))
 	b.s.jobs[again.Run.Task.Job].deadline += 20 * time.Second
 	b.started(again, Outdated)
-	for begin := b.now; b.now-begin < maxLateEnd; {
+	for begin := b.now; b.now-begin < MaxLateEnd; {
 		b.leaveUnanswered(again.Runner, ConnectionMade)
 		b.g.Expect(take[Start](b)).To(BeEmpty(), "%v after the answer", b.now-begin)
 		b.tick(20 * ms)
--- a/core/schedule/possible_runs_test.go
+++ b/core/schedule/possible_runs_test.go
@@ -69,7 +69,7 @@
 				b.g.Expect(take[Start](b)).To(BeEmpty(), "%s, %d kills: %v too early", way, kills, over-b.now)
 				b.passBeside(silent)
 			}
-			for end := b.s.leadingSince + maxPriorRunLife + maxLateEnd; b.now <= end+20*ms; {
+			for end := b.s.leadingSince + maxPriorRunLife + MaxLateEnd; b.now <= end+20*ms; {
 				b.passBeside(silent)
 			}
 			b.g.Expect(take[Start](b)).To(HaveLen(1), "%s, %d kills", way, kills)
@@ -99,14 +99,14 @@
 			next.g.Expect(take[Start](next)).To(BeEmpty(), "left %v before: %v too early", leftBefore, over-next.now)
 			next.passBeside(silent)
 		}
-		for next.now < over+maxPriorRunLife+maxLateEnd {
+		for next.now < over+maxPriorRunLife+MaxLateEnd {
 			next.passBeside(silent)
 		}
 		next.g.Expect(take[Start](next)).To(HaveLen(1))
 	}
 }
 
-// Guards against jobs that wait for a silent runner to the end of maxLateEnd though its list has shown that no run is there.
+// Guards against jobs that wait for a silent runner to the end of MaxLateEnd though its list has shown that no run is there.
 func TestAListEndsTheWaitOfANamedJob(t *testing.T) {
 	b, j, silent := givenUpEarly(t)
 	next := b.replaceKilled(silent)
@@ -186,6 +186,6 @@
 	next.s.NotePossibleRuns(next.now, []PossibleRun{{Job: "late", Rest: time.Hour}})
 	next.g.Expect(next.s.possibleRuns).To(HaveKey(workload.JobID("late")))
 	next.g.Expect(len(next.s.possibleRuns)).To(BeNumerically("<=", MaxPossibleRuns))
-	next.tick(maxPriorRunLife + maxLateEnd + expireInterval + 20*ms)
+	next.tick(maxPriorRunLife + MaxLateEnd + expireInterval + 20*ms)
 	next.g.Expect(next.s.possibleRuns).To(BeEmpty())
 }
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -11,7 +11,7 @@
 //
 // A scheduler learns the prior runs of a job from the runners' lists. A runner that has listed nothing since the
 // job came may have such a run, and may end it later than its lease. Under the scheduler that started the run it
-// counts for maxLateEnd from the end of the lease (see silence.go). The next scheduler doesn't know which jobs have
+// counts for MaxLateEnd from the end of the lease (see silence.go). The next scheduler doesn't know which jobs have
 // runs there, so it waits as long with each step of which a task may have a run on such a runner.
 //
 // A runner that can't take a step's tasks has no run of them, if its entry is trusted (see entrytrust.go).
@@ -110,4 +110,4 @@
 }
 
 // silentRunsOver returns when prior runs are over on silent runners, if they are by a time on all others.
-func silentRunsOver(priorRunsOverAt Time) Time { return priorRunsOverAt + maxLateEnd }
+func silentRunsOver(priorRunsOverAt Time) Time { return priorRunsOverAt + MaxLateEnd }
--- a/core/schedule/priorruns_test.go
+++ b/core/schedule/priorruns_test.go
@@ -40,14 +40,14 @@
 // Guards against jobs that wait for ever for a runner that hangs.
 func TestPriorRunsOnARunnerThatMayBeStarvedAreOverInTheEnd(t *testing.T) {
 	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
-	b.g.Expect(b.passSilently(maxPriorRunLife+maxLateEnd-20*ms, "silent", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(b.passSilently(maxPriorRunLife+MaxLateEnd-20*ms, "silent", ConnectionMade)).To(BeEmpty())
 	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionMade)).To(HaveLen(1))
 }
 
 // Guards against a second run beside one on a runner that nothing reaches: it goes on beyond a cut, and ends its runs late.
 func TestPriorRunsOnARunnerOutOfReachCount(t *testing.T) {
 	b := restoring(t, storedJob(1, 500*ms), ConnectionTimedOut, testRunner("r1"), testRunner("silent"))
-	b.g.Expect(b.passSilently(maxPriorRunLife+maxLateEnd-20*ms, "silent", ConnectionTimedOut)).To(BeEmpty())
+	b.g.Expect(b.passSilently(maxPriorRunLife+MaxLateEnd-20*ms, "silent", ConnectionTimedOut)).To(BeEmpty())
 	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionTimedOut)).To(HaveLen(1))
 }
 
@@ -73,14 +73,14 @@
 // Guards against a second run beside a prior one on a runner whose host refuses connections while its process goes on.
 func TestJobsWaitForASilentRunnerThatRefusesConnections(t *testing.T) {
 	b := restoring(t, storedJob(1, 500*ms), ConnectionFailed, testRunner("r1"), testRunner("silent"))
-	b.g.Expect(b.passSilently(maxPriorRunLife+maxLateEnd-20*ms, "silent", ConnectionFailed)).To(BeEmpty())
+	b.g.Expect(b.passSilently(maxPriorRunLife+MaxLateEnd-20*ms, "silent", ConnectionFailed)).To(BeEmpty())
 	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionFailed)).To(HaveLen(1))
 }
 
 // Guards against the same where the queue of new connections of a starved process is full.
 func TestJobsWaitForASilentRunnerWhoseQueueIsFull(t *testing.T) {
 	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
-	b.g.Expect(b.passSilently(maxPriorRunLife+maxLateEnd-20*ms, "silent", ConnectionTimedOut)).To(BeEmpty())
+	b.g.Expect(b.passSilently(maxPriorRunLife+MaxLateEnd-20*ms, "silent", ConnectionTimedOut)).To(BeEmpty())
 	b.g.Expect(b.passSilently(60*ms, "silent", ConnectionTimedOut)).To(HaveLen(1))
 }
 
@@ -101,7 +101,7 @@
 func TestAJobThatMayRunOnASilentRunnerIsNotMoved(t *testing.T) {
 	b := restoring(t, storedJob(1, 500*ms), ConnectionMade, testRunner("r1"), testRunner("silent"))
 	b.s.SetAlternate(3, 0)
-	b.passSilently(maxPriorRunLife+maxLateEnd-40*ms, "silent", ConnectionMade)
+	b.passSilently(maxPriorRunLife+MaxLateEnd-40*ms, "silent", ConnectionMade)
 	for _, save := range take[Save](b) {
 		b.g.Expect(save.Record.State.String()).To(Equal("open"))
 	}
@@ -117,7 +117,7 @@
 	b.g.Expect(b.passSilently(2200*ms, "r2", ConnectionMade)).To(BeEmpty())
 	b.g.Expect(one[Answer](b).Outcome).To(Equal(workload.GaveUp))
 	b.submit(j, 9*time.Second)
-	b.g.Expect(b.passSilently(begin+maxPriorRunLife+maxLateEnd-20*ms-b.now, "r2", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(b.passSilently(begin+maxPriorRunLife+MaxLateEnd-20*ms-b.now, "r2", ConnectionMade)).To(BeEmpty())
 	b.g.Expect(b.passSilently(60*ms, "r2", ConnectionMade)).To(HaveLen(1))
 }
 
@@ -143,7 +143,7 @@
 	b.tick(20 * ms)
 	begin := b.now
 	b.handOver(j, 9*time.Second)
-	b.g.Expect(b.passSilently(maxPriorRunLife+maxLateEnd-20*ms, "r2", ConnectionMade)).To(BeEmpty(), "%v after it was handed over again", b.now-begin)
+	b.g.Expect(b.passSilently(maxPriorRunLife+MaxLateEnd-20*ms, "r2", ConnectionMade)).To(BeEmpty(), "%v after it was handed over again", b.now-begin)
 	b.g.Expect(b.passSilently(60*ms, "r2", ConnectionMade)).To(HaveLen(1))
 }
 
@@ -157,7 +157,7 @@
 	for _, h := range take[Hold](b) {
 		b.held(h)
 	}
-	b.g.Expect(b.passSilently(maxPriorRunLife+maxLateEnd-60*ms, "silent", ConnectionMade)).To(BeEmpty())
+	b.g.Expect(b.passSilently(maxPriorRunLife+MaxLateEnd-60*ms, "silent", ConnectionMade)).To(BeEmpty())
 }
 
 // Guards against a silent runner that a new leader has forgotten, since it left the list shortly before.
--- a/core/schedule/resent.go
+++ b/core/schedule/resent.go
@@ -15,7 +15,7 @@
 
 const (
 	// resentWait is how long after a takeover jobs that may have been sent before wait for lists. It is shorter
-	// than maxLateEnd, since all new jobs of a service may have to wait, and for one runner.
+	// than MaxLateEnd, since all new jobs of a service may have to wait, and for one runner.
 	resentWait = time.Second
 	// resentPeriod is how long after the last message of a lost entry process its jobs may be sent again while
 	// a run of theirs is waited for: the scheduler notices the loss, renews the run for abandonedGrace, and the
--- a/core/schedule/resent_test.go
+++ b/core/schedule/resent_test.go
@@ -76,7 +76,7 @@
 		j := testJob(2, 400*ms)
 		b.end("r1", 1, runOf(j, 0, 1), workload.Done)
 		b.submit(j, 9*time.Second)
-		b.g.Expect(b.startedWithin(b.s.leadingSince+maxPriorRunLife+maxLateEnd-b.now-20*ms, c)).To(BeFalse())
+		b.g.Expect(b.startedWithin(b.s.leadingSince+maxPriorRunLife+MaxLateEnd-b.now-20*ms, c)).To(BeFalse())
 		b.g.Expect(b.startedWithin(60*ms, c)).To(BeTrue())
 	}
 }
--- a/core/schedule/safety_test.go
+++ b/core/schedule/safety_test.go
@@ -249,7 +249,7 @@
 			}
 		}
 		if len(take[Start](b)) > 0 {
-			b.g.Expect(b.now - handed).To(BeNumerically(">=", 1300*ms+maxLateEnd))
+			b.g.Expect(b.now - handed).To(BeNumerically(">=", 1300*ms+MaxLateEnd))
 			return
 		}
 	}
--- a/core/schedule/silence.go
+++ b/core/schedule/silence.go
@@ -12,7 +12,7 @@
 // beyond a cut they go on, and a runner that gets no processor time ends them only when it gets some, later than its
 // lease. No kind of silence tells these cases apart. Its runs count as over if all of these hold:
 //
-//   - Their lease has ended, also if the runner's clock is slow, and maxLateEnd has passed since.
+//   - Their lease has ended, also if the runner's clock is slow, and MaxLateEnd has passed since.
 //   - The runner has left an order unanswered that was sent after the end of the lease, and after its last answer. If it
 //     answers, its lists show what has become of the runs.
 //
@@ -23,17 +23,14 @@
 // Callers of best-effort jobs don't wait that long. Their jobs are given up once they couldn't be done in time even if the
 // runner answered at that moment, see Scheduler.waitsInVain.
 const (
-	// maxLateEnd is how much later than its lease a runner may end a run. It is longer than callers of best-effort
+	// MaxLateEnd is how much later than its lease a runner may end a run. It is longer than callers of best-effort
 	// jobs wait; tasks of stored jobs go on elsewhere after it.
-	maxLateEnd = MaxLateEnd
+	MaxLateEnd = 6 * time.Second
 	// outOfReachAttempts is the number of connections in a row that weren't made in time from which on a host
 	// counts as out of reach. One may be lost on the way.
 	outOfReachAttempts = 2
 )
 
-// MaxLateEnd is how much later than its lease a runner may end a run; see above.
-const MaxLateEnd = 6 * time.Second
-
 // host is what orders without an answer have shown of a runner's host since the runner's last answer. None of it shows
 // that a run is over; it is for logs only.
 type host struct {
@@ -91,7 +88,7 @@
 func (r *runner) askedInVain() bool { return r.unresponsive && r.unansweredAt >= r.askableAt() }
 
 // runsOverAt returns when the runs of a silent runner count as over.
-func (r *runner) runsOverAt() Time { return r.leaseEndsAt() + maxLateEnd }
+func (r *runner) runsOverAt() Time { return r.leaseEndsAt() + MaxLateEnd }
 
 // runsOver reports whether the runs of a silent runner count as over.
 func (s *Scheduler) runsOver(r *runner) bool { return r.askedInVain() && s.now > r.runsOverAt() }
--- a/core/schedule/silence_test.go
+++ b/core/schedule/silence_test.go
@@ -59,7 +59,7 @@
 
 // silentLife is how long after its last answer, and a lease that was sent then, the runs of a runner count
 // whose host accepts connections.
-var silentLife = DefaultConfig().Lease*(100+clockDriftPercent)/100 + maxLateEnd
+var silentLife = DefaultConfig().Lease*(100+clockDriftPercent)/100 + MaxLateEnd
 
 // silentFor returns how long after the last lease was sent a task of a stored job is started elsewhere whose runner
 // leaves all orders unanswered.
@@ -105,7 +105,7 @@
 // Guards against the same when answers of the runner were lost before it is starved: it may carry out its orders
 // until its lease ends, and be starved from then on.
 func TestTaskOfARunnerWhoseAnswersAreLostBeforeItIsStarvedWaits(t *testing.T) {
-	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", DefaultConfig().Lease*(100+clockDriftPercent)/100+maxLateEnd))
+	NewWithT(t).Expect(silentFor(t, ConnectionMade)).To(BeNumerically(">", DefaultConfig().Lease*(100+clockDriftPercent)/100+MaxLateEnd))
 }
 
 // givenUpAfter returns how long after the last lease was sent a best-effort job is given up whose only run is on a
@@ -326,7 +326,7 @@
 	b.tick(300 * ms)
 	again := one[Start](b)
 	b.started(again, Accepted)
-	for answeredAt := b.now; b.now < answeredAt+b.s.cfg.HoldWait+maxLateEnd; {
+	for answeredAt := b.now; b.now < answeredAt+b.s.cfg.HoldWait+MaxLateEnd; {
 		b.leaveUnanswered(again.Runner, ConnectionMade)
 		b.g.Expect(take[Start](b)).To(BeEmpty())
 		b.tick(20 * ms)
--- a/core/schedule/started_again_test.go
+++ b/core/schedule/started_again_test.go
@@ -153,7 +153,7 @@
 		b.s.Lead(b.now)
 		b.ownRows(1)
 		b.handOver(testJob(1, 400*ms), 30*time.Second)
-		lines := b.passUntilAgain(maxPriorRunLife+maxLateEnd+time.Second, "silent")
+		lines := b.passUntilAgain(maxPriorRunLife+MaxLateEnd+time.Second, "silent")
 		mayHaveRun := silent.Capacity != small.Capacity
 		b.expectAgain(lines, oneScheduler, mayHaveRun)
 		if mayHaveRun {
@@ -192,7 +192,7 @@
 		b.submit(j, 9*time.Second)
 		lines := b.startedAgain()
 		if len(lines) == 0 {
-			lines = b.passUntilAgain(maxPriorRunLife+maxLateEnd+time.Second, c.Runner)
+			lines = b.passUntilAgain(maxPriorRunLife+MaxLateEnd+time.Second, c.Runner)
 		}
 		b.expectAgain(lines, ranHere, !lists)
 		b.g.Expect(lines[0].Detail).To(HavePrefix(map[bool]string{true: "job arrived", false: "no lists of " + string(c.Runner)}[lists]))
--- a/core/schedule/starved_takeover_test.go
+++ b/core/schedule/starved_takeover_test.go
@@ -15,7 +15,7 @@
 	b.leaveUnanswered("r2", ConnectionMade)
 	b.ownRows(3, openRecord(storedJob(1, 500*ms), 2))
 	claimed := b.now
-	for b.now < claimed+maxLateEnd {
+	for b.now < claimed+MaxLateEnd {
 		b.tick(20 * ms)
 		b.s.RowOwnershipVerified(b.now, b.now)
 		b.leaveUnanswered("r2", ConnectionMade)
@@ -29,5 +29,5 @@
 	j := testJob(1, 400*ms)
 	begin := b.now
 	b.s.Submit(b.now, Submission{Job: j, Entry: entryA, RemainingObjective: j.Objective, RemainingTimeout: 9 * time.Second, PriorSubmissions: 1, PriorRunsTTL: 1300 * ms})
-	b.g.Expect(b.startedWithin(maxLateEnd, ConnectionMade)).To(BeFalse(), "started %v after it was handed over", b.now-begin)
+	b.g.Expect(b.startedWithin(MaxLateEnd, ConnectionMade)).To(BeFalse(), "started %v after it was handed over", b.now-begin)
 }
