--- a/core/fleet/changed_entry_test.go
+++ b/core/fleet/changed_entry_test.go
@@ -43,7 +43,7 @@
 			w.run(2 * time.Second)
 			others := len(w.nodes)
 			if name == "address" {
-				// The leader knows better: the runner answers it.
+				// The leader goes on trusting the entry: the runner has answered it at the address of before.
 				others--
 			}
 			g.Expect(w.untrusting(id)).To(Equal(others))
--- a/core/gateway/drops.go
+++ b/core/gateway/drops.go
@@ -75,8 +75,8 @@
 // rememberDrop remembers that a job's hand-in is dropped now.
 func (g *Gateway) rememberDrop(j *inFlightJob) { g.drops.add(g.handInOf(j)) }
 
-// rememberRuns remembers that a run of a job may be alive on a silent runner, whose scheduler has lost the job, or has
-// given it up.
+// rememberRuns remembers that a run of a job may be alive on a silent runner, as the job is withdrawn from its scheduler or
+// given up by it.
 func (g *Gateway) rememberRuns(j *inFlightJob) {
 	if !j.job.Stored {
 		g.mayRun.add(g.handInOf(j))
@@ -90,10 +90,10 @@
 		return
 	}
 	if h, ok := g.drops.latest[j.job.ID]; ok {
-		g.notePriorRuns(j, h, h.at+orphanRunLifetime)
+		g.notePriorRuns(j, h, h.at+orphanRunTTL)
 	}
 	if h, ok := g.mayRun.latest[j.job.ID]; ok {
-		g.notePriorRuns(j, h, h.at+silentRunLifetime)
+		g.notePriorRuns(j, h, h.at+silentRunTTL)
 	}
 }
 
@@ -104,7 +104,7 @@
 		return
 	}
 	j.shard, j.priorSubmissions = h.shard, 1
-	j.uncertainUntil, j.staysUntil = max(j.uncertainUntil, h.at+orphanRunLifetime), overAt
+	j.uncertainUntil, j.staysUntil = max(j.uncertainUntil, h.at+orphanRunTTL), overAt
 }
 
 // leads reports whether a process is the reachable leader of a shard.
--- a/core/gateway/elsewhere.go
+++ b/core/gateway/elsewhere.go
@@ -53,8 +53,8 @@
 			}
 		}
 	}
-	add(g.drops, orphanRunLifetime)
-	add(g.mayRun, silentRunLifetime)
+	add(g.drops, orphanRunTTL)
+	add(g.mayRun, silentRunTTL)
 	return list
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -25,14 +25,14 @@
 type Time = task.Time
 
 const (
-	// orphanRunLifetime is how long after the last contact with a scheduler a run that it
+	// orphanRunTTL is how long after the last contact with a scheduler a run that it
 	// started may be alive unknown to the next scheduler: the lost scheduler first has to count
 	// this entry VM as lost, then it stops the runs, and if runners don't answer their leases
 	// expire. One that learns that a job is withdrawn has its runs over in that time, too.
-	orphanRunLifetime = 1300 * time.Millisecond
-	// silentRunLifetime is how long such a run may be alive on a runner that is silent. The shard's next scheduler waits for
+	orphanRunTTL = 1300 * time.Millisecond
+	// silentRunTTL is how long such a run may be alive on a runner that is silent. The shard's next scheduler waits for
 	// that runner, or learns from it what became of the run; schedulers of other shards don't know of the runner.
-	silentRunLifetime = orphanRunLifetime + schedule.MaxLateEnd
+	silentRunTTL = orphanRunTTL + schedule.MaxLateEnd
 	// noLeaderTimeout is how long a job waits for a scheduler at a start or a change of
 	// leader, which take less.
 	noLeaderTimeout = 300 * time.Millisecond
@@ -83,7 +83,7 @@
 	jobs           map[workload.JobID]*inFlightJob
 	byRequest      map[uint64]workload.JobID
 	// drops are the hand-ins that were dropped lately. mayRun are those that were withdrawn from their scheduler, or given up by
-	// it, while a run might be alive on a silent runner; they are remembered for silentRunLifetime.
+	// it, while a run might be alive on a silent runner; they are remembered for silentRunTTL.
 	drops, mayRun recentDrops
 	domain        string
 	// fallback is set if jobs may go to shards other than their home.
@@ -104,7 +104,7 @@
 		jobs:           make(map[workload.JobID]*inFlightJob),
 		byRequest:      make(map[uint64]workload.JobID),
 		drops:          newRecentDrops(dropRetention),
-		mayRun:         newRecentDrops(silentRunLifetime),
+		mayRun:         newRecentDrops(silentRunTTL),
 		expectedWaits:  make(map[int]time.Duration),
 	}
 }
@@ -252,7 +252,7 @@
 func (g *Gateway) withdraw(j *inFlightJob) {
 	j.scheduler = ""
 	j.priorSubmissions++
-	j.uncertainUntil, j.staysUntil = g.now+orphanRunLifetime, g.now+silentRunLifetime
+	j.uncertainUntil, j.staysUntil = g.now+orphanRunTTL, g.now+silentRunTTL
 	g.rememberDrop(j)
 	g.rememberRuns(j)
 }
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -67,7 +67,7 @@
 	g.Expect(again).To(HaveLen(1))
 	g.Expect(again[0].To).To(Equal(leader.ID("b")))
 	g.Expect(again[0].PriorSubmissions).To(Equal(1))
-	g.Expect(again[0].PriorRunsTTL).To(Equal(orphanRunLifetime))
+	g.Expect(again[0].PriorRunsTTL).To(Equal(orphanRunTTL))
 	g.Expect(again[0].RemainingTimeout).To(Equal(1900 * ms))
 
 	w.HandleVerdict(200*ms, Verdict{From: "a", Job: "j", Outcome: workload.GaveUp})
@@ -166,5 +166,5 @@
 // Guards against a run of a withdrawn job that outlives the time for which the next scheduler waits: a
 // scheduler has its runs over Resend after it lost their job.
 func TestRunsOfAWithdrawnJobAreOverBeforeResend(t *testing.T) {
-	NewWithT(t).Expect(orphanRunLifetime).To(BeNumerically(">=", schedule.DefaultConfig().Resend))
+	NewWithT(t).Expect(orphanRunTTL).To(BeNumerically(">=", schedule.DefaultConfig().Resend))
 }
--- a/core/gateway/lost_leader_test.go
+++ b/core/gateway/lost_leader_test.go
@@ -47,7 +47,7 @@
 	list := handIns(gw.Ready())
 	g.Expect(list).To(HaveLen(1))
 	g.Expect(list[0].PriorSubmissions).To(Equal(1))
-	g.Expect(list[0].PriorRunsTTL).To(Equal(orphanRunLifetime - 100*ms))
+	g.Expect(list[0].PriorRunsTTL).To(Equal(orphanRunTTL - 100*ms))
 	gw.HandleVerdict(210*ms, noRoom("d", "j", workload.NotRun))
 	answers := replies(gw.Ready())
 	g.Expect(answers).To(HaveLen(1), "it goes to no third shard")
--- a/core/gateway/redirect_test.go
+++ b/core/gateway/redirect_test.go
@@ -79,7 +79,7 @@
 	g := NewWithT(t)
 	gw := gatewayInCell()
 	gw.SetLeader(0, 1, leader.Choice{})
-	gw.Submit(0, 1, 0, testJob("had"), silentRunLifetime+3*time.Second)
+	gw.Submit(0, 1, 0, testJob("had"), silentRunTTL+3*time.Second)
 	g.Expect(handIns(gw.Ready())).To(HaveLen(1))
 	gw.SetLeader(100*ms, 0, leader.Choice{})
 	gw.Submit(100*ms, 2, 0, testJob("new"), 3*time.Second)
@@ -88,9 +88,9 @@
 	g.Expect(list).To(HaveLen(1))
 	g.Expect(list[0].Job.ID).To(BeEquivalentTo("new"))
 	g.Expect(list[0].Shard).To(Equal(2))
-	gw.Tick(100*ms + silentRunLifetime - ms)
+	gw.Tick(100*ms + silentRunTTL - ms)
 	g.Expect(handIns(gw.Ready())).To(BeEmpty())
-	gw.Tick(100*ms + silentRunLifetime)
+	gw.Tick(100*ms + silentRunTTL)
 	list = handIns(gw.Ready())
 	g.Expect(list).To(HaveLen(1))
 	g.Expect(list[0].Shard).To(Equal(2))
@@ -143,9 +143,9 @@
 func TestAJobThatCanNeitherStayNorGoElsewhereInTimeIsGivenUp(t *testing.T) {
 	g := NewWithT(t)
 	gw := jobOfALostLeader(g, 100*ms, 3*time.Second)
-	gw.Tick(100*ms + orphanRunLifetime - ms)
+	gw.Tick(100*ms + orphanRunTTL - ms)
 	g.Expect(gw.Ready()).To(BeEmpty())
-	gw.Tick(100*ms + orphanRunLifetime)
+	gw.Tick(100*ms + orphanRunTTL)
 	commands := gw.Ready()
 	g.Expect(commands).To(HaveLen(1))
 	answer := replies(commands)[0]
@@ -173,15 +173,15 @@
 func TestAJobThatWasGivenUpStaysInItsShardWhileItsRunsMayEndLate(t *testing.T) {
 	g := NewWithT(t)
 	gw := jobOfALostLeader(g, 100*ms, 3*time.Second)
-	gw.Tick(100*ms + orphanRunLifetime)
+	gw.Tick(100*ms + orphanRunTTL)
 	g.Expect(replies(gw.Ready())).To(HaveLen(1))
-	for request, now := uint64(2), 100*ms+orphanRunLifetime+time.Second; now < 100*ms+silentRunLifetime-20*ms; request, now = request+1, now+time.Second {
+	for request, now := uint64(2), 100*ms+orphanRunTTL+time.Second; now < 100*ms+silentRunTTL-20*ms; request, now = request+1, now+time.Second {
 		gw.Submit(now, request, 0, testJob("had"), 3*time.Second)
 		gw.Tick(now + 20*ms)
 		g.Expect(handIns(gw.Ready())).To(BeEmpty(), "at %v", now)
 		gw.CallerLeft(now+30*ms, request)
 	}
-	gw.Submit(100*ms+silentRunLifetime, 99, 0, testJob("had"), 3*time.Second)
+	gw.Submit(100*ms+silentRunTTL, 99, 0, testJob("had"), 3*time.Second)
 	list := handIns(gw.Ready())
 	g.Expect(list).To(HaveLen(1))
 	g.Expect(list[0].Shard).To(Equal(2))
@@ -191,7 +191,7 @@
 func TestAJobThatWasGivenUpGoesToTheNextLeaderOfItsShard(t *testing.T) {
 	g := NewWithT(t)
 	gw := jobOfALostLeader(g, 100*ms, 3*time.Second)
-	gw.Tick(100*ms + orphanRunLifetime)
+	gw.Tick(100*ms + orphanRunTTL)
 	gw.Submit(3*time.Second, 2, 0, testJob("had"), 6*time.Second)
 	gw.Ready()
 	gw.SetLeader(3100*ms, 0, leader.Choice{Leader: "d", Reachable: true})
--- a/core/gateway/sent_again_test.go
+++ b/core/gateway/sent_again_test.go
@@ -27,11 +27,11 @@
 	g := NewWithT(t)
 	gw := leftBeside(10*ms, 300*ms)
 	gw.Submit(400*ms, 2, 0, testJob("j"), 2*time.Second)
-	for now := 400 * ms; now < 10*ms+silentRunLifetime; now += 20 * ms {
+	for now := 400 * ms; now < 10*ms+silentRunTTL; now += 20 * ms {
 		gw.Tick(now)
 		g.Expect(handIns(gw.Ready())).To(BeEmpty(), "at %v", now)
 	}
-	gw.Submit(20*ms+orphanRunLifetime, 3, 0, testJob("j"), 2*time.Second)
+	gw.Submit(20*ms+orphanRunTTL, 3, 0, testJob("j"), 2*time.Second)
 	g.Expect(handIns(gw.Ready())).To(HaveLen(1))
 }
 
@@ -44,14 +44,14 @@
 	list := handIns(gw.Ready())
 	g.Expect(list).To(HaveLen(1))
 	g.Expect(list[0].PriorSubmissions).To(BeNumerically(">", 0))
-	g.Expect(list[0].PriorRunsTTL).To(Equal(10*ms + orphanRunLifetime - 700*ms))
+	g.Expect(list[0].PriorRunsTTL).To(Equal(10*ms + orphanRunTTL - 700*ms))
 }
 
 // Guards against callers who come back as late as they should, and wait for runs that are over.
 func TestAJobSentAgainInTimeIsANewOne(t *testing.T) {
 	g := NewWithT(t)
 	gw := leftBeside(10*ms, 300*ms)
-	gw.Submit(10*ms+orphanRunLifetime, 2, 0, testJob("j"), 2*time.Second)
+	gw.Submit(10*ms+orphanRunTTL, 2, 0, testJob("j"), 2*time.Second)
 	list := handIns(gw.Ready())
 	g.Expect(list).To(HaveLen(1))
 	g.Expect(list[0].Shard).NotTo(Equal(0))
@@ -75,7 +75,7 @@
 	g := NewWithT(t)
 	gw := givenUpBeside(10*ms, 300*ms)
 	gw.Submit(400*ms, 2, 0, testJob("j"), 2*time.Second)
-	for now := 400 * ms; now < 10*ms+silentRunLifetime; now += 20 * ms {
+	for now := 400 * ms; now < 10*ms+silentRunTTL; now += 20 * ms {
 		gw.Tick(now)
 		g.Expect(handIns(gw.Ready())).To(BeEmpty(), "at %v", now)
 	}
@@ -97,10 +97,10 @@
 	do       func(gw *Gateway, now Time)
 	runsLive time.Duration
 }{
-	"the caller has left": {func(gw *Gateway, now Time) { gw.CallerLeft(now, 1) }, orphanRunLifetime},
+	"the caller has left": {func(gw *Gateway, now Time) { gw.CallerLeft(now, 1) }, orphanRunTTL},
 	"given up early": {func(gw *Gateway, now Time) {
 		gw.HandleVerdict(now, Verdict{From: "b", Job: "j", Outcome: workload.GaveUp, Cause: workload.RunnerSilent})
-	}, silentRunLifetime},
+	}, silentRunTTL},
 }
 
 // Guards against two runs of a task in two shards: its job went to another shard, since its home had no leader, and was dropped or
@@ -122,11 +122,11 @@
 			g.Expect(out).To(ContainElement(BeAssignableToTypeOf(ReportElsewhere{})), "copies come to the home by way of others")
 
 			gw.CallerLeft(410*ms, 2)
-			gw.Submit(max(410*ms+orphanRunLifetime, 300*ms+end.runsLive)-ms, 3, 0, testJob("j"), 2*time.Second)
+			gw.Submit(max(410*ms+orphanRunTTL, 300*ms+end.runsLive)-ms, 3, 0, testJob("j"), 2*time.Second)
 			g.Expect(handIns(gw.Ready())).To(ConsistOf(HaveField("Shard", 1)))
 			gw.HandleVerdict(gw.now, Verdict{From: "b", Job: "j", Outcome: workload.GaveUp})
 			gw.Ready()
-			gw.Submit(max(410*ms+orphanRunLifetime, 300*ms+end.runsLive), 4, 0, testJob("j"), 2*time.Second)
+			gw.Submit(max(410*ms+orphanRunTTL, 300*ms+end.runsLive), 4, 0, testJob("j"), 2*time.Second)
 			g.Expect(handIns(gw.Ready())).To(ConsistOf(HaveField("Shard", 0)), "its runs are over by now")
 		})
 	}
--- a/core/gateway/shard.go
+++ b/core/gateway/shard.go
@@ -55,7 +55,7 @@
 	if j.job.Stored || j.priorSubmissions > 0 || !g.awaitsLeader(j.home) {
 		return
 	}
-	overAt := g.leaderLostAt[j.home] + orphanRunLifetime
+	overAt := g.leaderLostAt[j.home] + orphanRunTTL
 	j.priorSubmissions, j.uncertainUntil, j.staysUntil = 1, overAt, overAt
 }
 
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -165,8 +165,8 @@
 	return sum
 }
 
-// maxWork is the largest amount of work, in time x thousandths of a core, that is told from a larger one. Two of them can
-// be added up.
+// maxWork is the largest amount of work that is counted, in time x thousandths of a core; more counts as that. The sum of
+// two such amounts doesn't overflow.
 const maxWork = time.Duration(math.MaxInt64 / 2)
 
 // addWork returns the sum of two amounts of work, at most maxWork.
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -35,7 +35,7 @@
 const worthlessFactor = 3
 
 // runsPerScheduler is the distance between the run numbers of successive schedulers: each starts
-// above all numbers that the previous one may have used.
+// above all numbers that the previous one may have used. Rejected starts use numbers too.
 const runsPerScheduler = 1_000_000
 
 // Submit handles the submission of a job, which may be a copy of a known one.
