Log answers whose incarnation isn't known

Cause: nothing in the logs tells whether a start was accepted by the incarnation of a runner that it was meant for.

Change: runner-incarnation-doubted, for an answer without a start of the incarnation whose clock neither continues the known readings nor is larger than that of a later incarnation can be; runner-restarted says how many runs were known and confirmed. No decision changes.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -110,12 +111,23 @@
 	return u.orderedAt + maxRunLife(maxLease)
 }
 
+// describeRuns says how many runs a runner is known to have, and how many of them it has confirmed.
+func describeRuns(r *runner) string {
+	confirmed := 0
+	for _, u := range r.runs {
+		if u.confirmed {
+			confirmed++
+		}
+	}
+	return fmt.Sprintf("%d runs, %d confirmed", len(r.runs), confirmed)
+}
+
 // beginIncarnation handles the restart of a runner. A start that was unconfirmed or sent twice may
 // still arrive at the new incarnation, so its task waits until the runner lists its runs or the
 // run must be over, also if it ends late. The runner is acquired again under a higher token, so it refuses orders
 // from before the restart that arrive even later.
 func (s *Scheduler) beginIncarnation(r *runner, start int64) {
-	s.emit(Decision{Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt})
+	s.emit(Decision{Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt, Detail: describeRuns(r)})
 	runs := r.sortedRuns()
 	for _, u := range runs {
 		s.noteLoss(u, true)
@@ -123,7 +135,8 @@
 	held := r.token != 0
 	s.dropRuns(r, RunnerRestarted)
 	r.incarnationStart, r.leaving = start, false
-	r.clock, r.clockAt, r.aliveUntil, r.noLeaseUntil, r.leaseLimit = 0, 0, 0, 0, 0
+	r.clock, r.clockSentAt, r.clockAt, r.knownAt = 0, 0, 0, 0
+	r.aliveUntil, r.noLeaseUntil, r.leaseLimit = 0, 0, 0
 	r.health = newHealth()
 	s.learned.ForgetRunner(string(r.info.ID))
 	s.updatePace(r)
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -60,10 +60,12 @@
 	reacquireAt Time
 	acquiredAt  Time
 
-	// clock is the runner's clock in milliseconds as read at clockAt; 0 if it isn't known
-	// yet.
-	clock   int64
-	clockAt Time
+	// clock is the runner's clock in milliseconds; 0 if it isn't known yet. The order that it was read by was sent at
+	// clockSentAt and answered at clockAt.
+	clock                int64
+	clockSentAt, clockAt Time
+	// knownAt is when the latest order was sent that the known incarnation has answered.
+	knownAt Time
 	// aliveUntil is the latest time at which a run may still be alive there if the runner
 	// receives no further order from this scheduler.
 	aliveUntil Time
@@ -216,11 +218,15 @@
 // the answer was written before it was received. So lease ends computed from it are never
 // later than intended.
 func (r *runner) updateClock(c ClockReading) {
-	if c.Milliseconds == 0 || c.ReceivedAt < r.clockAt {
+	if c.Milliseconds == 0 {
+		return
+	}
+	r.knownAt = max(r.knownAt, c.SentAt)
+	if c.ReceivedAt < r.clockAt {
 		return
 	}
 	r.clock = c.Milliseconds
-	r.clockAt = c.ReceivedAt
+	r.clockSentAt, r.clockAt = c.SentAt, c.ReceivedAt
 }
 
 // leaseEnd returns the end of a lease that begins now, on the runner's clock; 0 if that clock
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -22,6 +22,9 @@
 		s.dispatch()
 		return nil
 	}
+	if clock.Milliseconds > 0 && r.originOfAnswer(clock) == unknownIncarnation {
+		s.logDoubtedAnswer(r, clock)
+	}
 	r.updateClock(clock)
 	if token != r.token {
 		return nil
