core/fleet's model: only lists and entries say whose they are

Cause: the simulated runners put the start of their incarnation into the answers to starts and stops and into rejections, and a clock into the rejections of unhealthy ones. Change: only holds that are answered with lists contain the start; rejections as unhealthy have no clock either.

--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -38,7 +38,7 @@
 			return
 		}
 		answer := func(o schedule.CallOutcome, h *schedule.HoldResult) {
-			clock, incarnationStart := r.clock(), r.reportedIncarnation()
+			clock, incarnationStart := r.readings(o, h)
 			if late || w.rng.Float64() < r.unansweredShare || r.refuses() {
 				return
 			}
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -50,7 +50,8 @@
 	// entryLabels are the labels in it.
 	entryStart  int64
 	entryLabels []string
-	// hidesIncarnation: its answers don't say when its incarnation began, so it never restarts under its id.
+	// hidesIncarnation: neither its entry nor its lists contain the start of its incarnation, so it never restarts under its
+	// id.
 	hidesIncarnation bool
 	// started counts the runs started.
 	started int
@@ -93,7 +94,20 @@
 	hold   schedule.Hold
 }
 
-// reportedIncarnation is the start of the incarnation as answers contain it; 0 if they don't.
+// readings are the clock and the start of the incarnation as an answer contains them; 0 for what it doesn't. Only lists
+// contain the start: answers to orders to start and to stop runs, and rejections, don't. An unhealthy runner's rejection
+// has no body.
+func (r *fakeRunner) readings(o schedule.CallOutcome, list *schedule.HoldResult) (clock, incarnationStart int64) {
+	switch {
+	case o == schedule.Unhealthy:
+		return 0, 0
+	case o == schedule.Accepted && list != nil:
+		return r.clock(), r.reportedIncarnation()
+	}
+	return r.clock(), 0
+}
+
+// reportedIncarnation is the start of the incarnation as the runner's lists and its entry contain it; 0 if they don't.
 func (r *fakeRunner) reportedIncarnation() int64 {
 	if r.hidesIncarnation {
 		return 0
