core/fleet's model: what a restart does to orders under way

Each order under way was lost; a Hold that the old incarnation held was answered by the next one when its wait was over; a stop in progress ended a run of the same number on the next incarnation; the entry followed after exactly 100 ms. Change: half of the orders under way reach the next incarnation, which answers them, but for those that the runner carries out late: it holds them, and knows nothing of before once it has restarted. Holds and stops in progress end with their incarnation. The entry follows within 600 ms. The draws are from a sequence of their own.

--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -31,10 +31,9 @@
 		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
 	}
 	travel += w.slowed(r) + held
-	// Orders in flight are lost with the connections when the runner restarts.
 	sentTo := r.incarnationStart
 	w.after(travel, func() {
-		if r.incarnationStart != sentTo || !w.accepts(n, r) {
+		if r.incarnationStart != sentTo && (late || !w.outlivesRestart()) || !w.accepts(n, r) {
 			return
 		}
 		answer := func(o schedule.CallOutcome, h *schedule.HoldResult) {
@@ -52,6 +51,10 @@
 	})
 }
 
+// outlivesRestart draws whether an order that is under way as its runner restarts is carried out by the next incarnation.
+// Otherwise it is lost with its connection. Orders that a runner carries out late are held by the runner, and end with it.
+func (w *world) outlivesRestart() bool { return w.restartDraws.IntN(2) == 0 }
+
 func (w *world) order(n *fakeNode, o fleet.Order) {
 	shard := o.Shard
 	switch c := o.Order.(type) {
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -92,6 +92,8 @@
 	done   bool
 	answer func(schedule.HoldResult)
 	hold   schedule.Hold
+	// incarnationStart is the start of the incarnation that the Hold waits at. It is dropped with it.
+	incarnationStart int64
 }
 
 // readings are the clock and the start of the incarnation as an answer contains them; 0 for what it doesn't. Only lists
@@ -245,7 +247,11 @@
 	if u := r.runs[c.Run]; u != nil && !u.stopped {
 		u.stopped = true
 		r.w.after(time.Duration(r.w.rng.IntN(50))*time.Millisecond, func() {
-			r.whenAwake(func() { r.end(c.Run, workload.Stopped) })
+			r.whenAwake(func() {
+				if r.runs[c.Run] == u {
+					r.end(c.Run, workload.Stopped)
+				}
+			})
 		})
 		if r.w.onStop != nil {
 			r.w.onStop(r)
@@ -288,7 +294,7 @@
 		r.w.checker.acknowledged(e)
 	}
 	r.ends = remaining
-	h := &waitingHold{hold: c, answer: answer}
+	h := &waitingHold{hold: c, answer: answer, incarnationStart: r.incarnationStart}
 	if len(r.ends) > 0 || c.Wait == 0 {
 		r.answerHold(h)
 		return
@@ -299,7 +305,7 @@
 
 // answerHold answers a Hold with the unacknowledged ends and the runs.
 func (r *fakeRunner) answerHold(h *waitingHold) {
-	if h.done || r.down {
+	if h.done || r.down || h.incarnationStart != r.incarnationStart {
 		return
 	}
 	if r.silent() {
@@ -335,15 +341,15 @@
 	r.token, r.leaseEnd, r.leaseOver, r.lastEnd, r.ends, r.waitingHolds = 0, 0, false, 0, nil, nil
 	r.runs, r.sealed = make(map[workload.RunKey]*fakeRun), make(map[workload.TaskName]int)
 	start := r.incarnationStart
-	r.w.after(entryDelay, func() {
+	r.w.after(time.Duration(1+r.w.restartDraws.IntN(maxEntryDelay))*time.Millisecond, func() {
 		if r.incarnationStart == start {
 			r.writeEntry()
 		}
 	})
 }
 
-// entryDelay is how long after its start an incarnation writes its entry.
-const entryDelay = 100 * time.Millisecond
+// maxEntryDelay is how long after its start an incarnation writes its entry at the latest, in milliseconds.
+const maxEntryDelay = 600
 
 // writeEntry writes the runner's entry on the platform's list.
 func (r *fakeRunner) writeEntry() {
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -36,8 +36,10 @@
 	// restart under their ids.
 	gaps     *rand.Rand
 	restarts bool
-	nodes    []*fakeNode
-	runners  []*fakeRunner
+	// restartDraws draws what happens as runners restart under their ids.
+	restartDraws *rand.Rand
+	nodes        []*fakeNode
+	runners      []*fakeRunner
 	// byRunner are the runners by their ids.
 	byRunner map[workload.RunnerID]*fakeRunner
 	jobs     map[workload.JobID]*fakeJob
@@ -190,6 +192,7 @@
 	w := &world{
 		seed:             seed,
 		rng:              rand.New(rand.NewPCG(seed, 1)),
+		restartDraws:     rand.New(rand.NewPCG(seed, 3)),
 		jobs:             make(map[workload.JobID]*fakeJob),
 		isolated:         make(map[string]bool),
 		storeUnreachable: make(map[string]bool),
