--- a/standin/deployment/runner.go
+++ b/standin/deployment/runner.go
@@ -90,6 +90,8 @@
 	// that clock.
 	clockStart time.Time
 	clockRate  float64
+	// current is the present incarnation. What an earlier one has left behind must not change the state above.
+	current *incarnation
 	// stopping holds the running runs that are being stopped.
 	stopping map[RunID]bool
 	// listedFrom is when each running run begins to be listed.
@@ -113,6 +115,15 @@
 
 // NewRunner starts a runner on a free port and registers it in the store.
 func NewRunner(s *Store, id, service, domain string) (*Runner, error) {
+	r, err := StartRunner(id, service, domain)
+	if err != nil {
+		return nil, err
+	}
+	return r, s.Put("servers", id, r.Info)
+}
+
+// StartRunner starts a runner on a free port, which isn't registered in the store.
+func StartRunner(id, service, domain string) (*Runner, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -130,6 +141,7 @@
 		stopping:    make(map[RunID]bool),
 		listedFrom:  make(map[RunID]time.Time),
 		endsChanged: make(chan struct{}),
+		current:     &incarnation{},
 
 		clockStart: time.Now().Add(-time.Hour),
 		clockRate:  minClockRate + rand.Float64()*(1-minClockRate),
@@ -138,9 +150,11 @@
 	mux.HandleFunc("POST "+startPath, r.start)
 	mux.HandleFunc("POST "+stopPath, r.stop)
 	mux.HandleFunc("POST /hold", r.hold)
-	r.server = &http.Server{Handler: r.checkRequest(r.applyFaults(mux)), ReadHeaderTimeout: time.Second}
+	r.server = &http.Server{
+		Handler: r.checkRequest(r.applyFaults(mux)), ReadHeaderTimeout: time.Second, ConnContext: r.acceptedBy,
+	}
 	go func() { _ = r.server.Serve(l) }()
-	return r, s.Put("servers", id, r.Info)
+	return r, nil
 }
 
 // Close simulates a crash: it closes all connections and ends all runs.
@@ -161,30 +175,6 @@
 	return r.crashed
 }
 
-// Restart simulates a restart of the runner's process: all runs end, and a new incarnation begins
-// under the same id without any state of the last one.
-func (r *Runner) Restart(s *Store) error {
-	r.mu.Lock()
-	for run := range r.running {
-		r.endRun(run, "crashed")
-	}
-	r.Info.IncarnationStart = max(r.Info.IncarnationStart+1, time.Now().UnixMilli())
-	r.clockStart = time.Now()
-	r.token, r.leaseEnd, r.lastSequence, r.endedRuns = 0, time.Time{}, 0, nil
-	r.starvedUntil, r.callsPausedUntil = time.Time{}, time.Time{}
-	r.closedRuns = make(map[string]int)
-	info := r.Info
-	r.mu.Unlock()
-	return s.Put("servers", r.ID, info)
-}
-
-// HideIncarnation keeps the runner from reporting when its incarnation began, as one that never restarts under its id.
-func (r *Runner) HideIncarnation() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Info.IncarnationStart = 0
-}
-
 // SetObserver sets the observer, which is notified of all later events.
 func (r *Runner) SetObserver(o Observer) {
 	r.mu.Lock()
@@ -258,7 +248,7 @@
 
 // decodeAndLock decodes a request, waits until the runner handles calls, and checks the request's fencing
 // token. If it returns true, the caller holds the lock and must release it; otherwise the response has
-// been written.
+// been written, or there is none.
 func (r *Runner) decodeAndLock(w http.ResponseWriter, q *http.Request) (request, bool) {
 	var o request
 	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
@@ -266,7 +256,7 @@
 		return o, false
 	}
 	r.lockForCall()
-	if r.crashed {
+	if r.crashed || !r.reached(q) {
 		r.mu.Unlock()
 		return o, false
 	}
@@ -279,13 +269,15 @@
 	return o, true
 }
 
-// reject answers a call with status 409 and a reason. The caller holds the lock.
+// reject answers a call with status 409 and a reason. Only lists of runs say when the incarnation began. The caller
+// holds the lock.
 func (r *Runner) reject(w http.ResponseWriter, reason string) {
-	writeJSON(w, http.StatusConflict, map[string]any{"clockMs": r.clock(), "born": r.Info.IncarnationStart, "reason": reason})
+	writeJSON(w, http.StatusConflict, map[string]any{"clockMs": r.clock(), "reason": reason})
 }
 
+// accept answers a start or a stop with status 200, without the start of the incarnation. The caller holds the lock.
 func (r *Runner) accept(w http.ResponseWriter) {
-	writeJSON(w, http.StatusOK, map[string]any{"clockMs": r.clock(), "born": r.Info.IncarnationStart})
+	writeJSON(w, http.StatusOK, map[string]any{"clockMs": r.clock()})
 }
 
 // start begins a run and extends the lease to its deadline. A start of a run that is running already
@@ -325,11 +317,7 @@
 		r.observer.RunStarted(r, s)
 	}
 	r.listedFrom[s] = time.Now().Add(r.faults.listDelay())
-	r.running[s] = time.AfterFunc(runTime, func() {
-		r.lockAwake()
-		defer r.mu.Unlock()
-		r.endRun(s, outcome)
-	})
+	r.running[s] = r.afterAwake(runTime, func() { r.endRun(s, outcome) })
 	r.accept(w)
 }
 
@@ -388,9 +376,7 @@
 		return
 	}
 	r.stopping[s] = true
-	time.AfterFunc(rand.N(r.faults.StopTime), func() {
-		r.lockAwake()
-		defer r.mu.Unlock()
+	r.afterAwake(rand.N(r.faults.StopTime), func() {
 		if r.stopping[s] {
 			r.endRun(s, "stopped")
 		}
@@ -424,6 +410,9 @@
 		r.lockForCall()
 	}
 	defer r.mu.Unlock()
+	if !r.reached(q) {
+		return
+	}
 	running := make([][]any, 0, len(r.running))
 	for s := range r.running {
 		if !r.listed(s) {
--- a/standin/deployment/runner_lease.go
+++ b/standin/deployment/runner_lease.go
@@ -13,7 +13,8 @@
 	r.leaseEnd = until
 	wait := max(0, time.Until(until)+r.faults.KillDelay)
 	due := time.Now().Add(wait)
-	time.AfterFunc(wait, func() { r.expireLease(until, due) })
+	i := r.current
+	time.AfterFunc(wait, func() { r.expireLease(i, until, due) })
 }
 
 // leaseExpired reports whether the lease has expired. The caller holds the lock.
@@ -29,11 +30,13 @@
 	}
 }
 
-// expireLease ends all runs, unless the lease has been extended since the timer was set. end is when the
-// lease expired, due when the timer was to fire.
-func (r *Runner) expireLease(end, due time.Time) {
+// expireLease ends all runs of an incarnation, unless it has ended or its lease has been extended since the timer
+// was set. end is when the lease expired, due when the timer was to fire.
+func (r *Runner) expireLease(i *incarnation, end, due time.Time) {
 	timerDelay := time.Since(due)
-	r.lockAwake()
+	if !r.lockAwakeIn(i) {
+		return
+	}
 	defer r.mu.Unlock()
 	r.expiries.MaxTimerDelay = max(r.expiries.MaxTimerDelay, timerDelay)
 	if !end.Equal(r.leaseEnd) {
