Soak: runners that restart under their ids or come back under new ones

Cause: the soak had no restart of a runner, and a replaced runner always got a new address. A run that ended by its time limit didn't print its violations.

Entries are built from the runner's present state and its proxy's address.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -180,6 +180,7 @@
 			w.saveLogs(filepath.Join(*logDir, t.Name()))
 		}
 	})
+	t.Cleanup(func() { w.report(t, nil) })
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready")
 	return w
 }
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -26,6 +26,8 @@
 type checker struct {
 	mu         sync.Mutex
 	violations []string
+	// pairs counts the starts of a task beside another run of it.
+	pairs int
 	// history lists the starts and ends of runs as the runners saw them.
 	history bytes.Buffer
 	// runningByTask holds the runs in progress of each task, with the ids of their runners.
@@ -82,6 +84,12 @@
 	return c.violations
 }
 
+func (c *checker) pairCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pairs
+}
+
 func (c *checker) answerCount(status string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,6 +118,7 @@
 		c.runningByTask[s.Task] = runs
 	}
 	for other, at := range runs {
+		c.pairs++
 		c.addViolation("%s run %d starts on %s while run %d runs on %s", s.Task, s.Run, r.ID, other.Run, at)
 	}
 	runs[s] = r.ID
@@ -172,6 +181,7 @@
 		g.Expect(c.allViolations()).To(BeEmpty())
 		c.RunStarted(one, first)
 		g.Expect(c.allViolations()).To(HaveLen(1))
+		g.Expect(c.pairCount()).To(Equal(1))
 	}
 	g.Expect(isStored("0000000100000001")).To(BeFalse())
 	g.Expect(isStored("0000000300000001")).To(BeTrue())
--- a/soak/harsh_runners_test.go
+++ b/soak/harsh_runners_test.go
@@ -67,12 +67,7 @@
 			f.UnansweredStarts, f.UnansweredOthers = set(starts, on), set(others, on)
 		})
 	}},
-	{"orders carried out late", func(w *world) {
-		share, delay := 0.2+w.rng.Float64()/2, w.randomDuration(800, 6000)
-		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
-			f.Slow, f.MaxDelay = set(share, on), delay
-		})
-	}},
+	ordersLate,
 	{"orders carried out late, stops rejected", func(w *world) {
 		share, stops, delay := 0.2+w.rng.Float64()/2, 0.5+w.rng.Float64()/2, w.randomDuration(500, 3000)
 		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
@@ -81,6 +76,13 @@
 	}},
 }
 
+var ordersLate = fault{"orders carried out late", func(w *world) {
+	share, delay := 0.2+w.rng.Float64()/2, w.randomDuration(800, 6000)
+	w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
+		f.Slow, f.MaxDelay = set(share, on), delay
+	})
+}}
+
 // ordersOutliveLeases lets about a third of the runners carry out some orders after the leases in them, and
 // reject nearly all stops.
 var ordersOutliveLeases = fault{"orders outlive leases", func(w *world) {
@@ -141,9 +143,7 @@
 	if r.runner.Crashed() {
 		return
 	}
-	info := r.runner.Info
-	info.Address = r.proxy.Address()
-	if err := w.store.Put("servers", r.runner.ID, info); err != nil {
+	if err := w.store.Put(runnerTable, r.runner.ID, r.entry()); err != nil {
 		w.checker.reportViolation("the soak test itself failed: %v", err)
 	}
 }
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -59,7 +59,7 @@
 
 // drain lists a runner as draining.
 func (w *world) drain(g *WithT, r *proxiedRunner) {
-	info := r.info
+	info := r.entry()
 	info.State = "draining"
 	g.Expect(w.store.Put("servers", r.runner.ID, info)).To(Succeed())
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -132,10 +133,12 @@
 			w.saveLogs(filepath.Join(*logDir, t.Name()))
 		}
 	}()
+	var injected []string
+	defer func() { w.report(t, injected) }()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready")
 	group := w.startCallers(cmp.Or(*callers, w.callers, 12+12*w.shards))
 	wide := w.startWideCallers()
-	injected := w.injectFaults(w.faults, time.Duration(*seconds)*time.Second)
+	injected = w.injectFaults(w.faults, time.Duration(*seconds)*time.Second)
 	w.waitForFaults()
 	g.Eventually(w.ready, time.Minute, 50*time.Millisecond).Should(BeTrue(), "no entry process became ready after: %v", injected)
 	before := w.checker.answerCount("200")
@@ -143,19 +146,10 @@
 	group.stopAndWait()
 	wide.stopAndWait()
 	g.Eventually(w.unfinishedJobs, time.Minute, 100*time.Millisecond).Should(BeEmpty(), "accepted jobs do not end after: %v", injected)
-	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
-	t.Logf("starts unanswered %d, rejected %v", w.countEvents("start-unanswered"), w.countRejections())
 	w.checkConfiguration(t, pausesExcepted)
-	violations := w.checker.allViolations()
-	t.Logf("runs lapsed %d, tasks started again %d, dropped runs that were done beside another one %d, violations %d",
-		w.countEvents("run-lapsed"), w.countEvents("task-started-again"), w.countEvents("dropped-run-done"), len(violations))
-	t.Log(w.describeLeaseExpiries())
-	stops := w.countStops()
-	linksLost := w.countEvents("peer-disconnected")
-	t.Logf("%v, links between processes lost %d", stops, linksLost)
-	g.Expect(violations).To(BeEmpty(), "seed %d: %v", seed, injected)
-	g.Expect(stops.overdue).To(BeNumerically(">=", w.wide.minOverdue), "too few overdue runs were stopped")
-	g.Expect(linksLost).To(BeNumerically(">=", w.minLinksLost), "too few links were lost")
+	g.Expect(w.countStops().overdue).To(BeNumerically(">=", w.wide.minOverdue), "too few overdue runs were stopped")
+	g.Expect(w.countEvents("peer-disconnected")).To(BeNumerically(">=", w.minLinksLost), "too few links were lost")
+	g.Expect(w.countEvents("runner-restarted")).To(BeNumerically(">=", w.minRestarted), "too few restarts of runners were noticed")
 	if w.shards > 1 {
 		granted, used := w.countEvents("room-granted"), w.countEvents("room-used")
 		t.Logf("room granted %d times, used by %d jobs", granted, used)
@@ -163,6 +157,22 @@
 	}
 }
 
+// report prints what a run has done, and fails its test if a guarantee was violated, wherever the run has ended.
+func (w *world) report(t *testing.T, injected []string) {
+	t.Helper()
+	violations := w.checker.allViolations()
+	t.Logf("answers %v, faults %d", w.checker.answerSummary(), len(injected))
+	t.Logf("starts unanswered %d, rejected %v", w.countEvents("start-unanswered"), w.countRejections())
+	t.Logf("runs lapsed %d, tasks started again %d, dropped runs that were done beside another one %d, violations %d, pairs of runs %d",
+		w.countEvents("run-lapsed"), w.countEvents("task-started-again"), w.countEvents("dropped-run-done"), len(violations), w.checker.pairCount())
+	t.Log(w.describeLeaseExpiries())
+	t.Logf("%v, links between processes lost %d", w.countStops(), w.countEvents("peer-disconnected"))
+	t.Logf("restarts of runners noticed %d, answers of a doubted incarnation %d", w.countEvents("runner-restarted"), w.countEvents("runner-incarnation-doubted"))
+	if len(violations) > 0 {
+		t.Errorf("seed %d: %d violations after %v:\n%s", w.seed, len(violations), injected, strings.Join(violations, "\n"))
+	}
+}
+
 // unfinishedJobs queries the accepted jobs that haven't ended, and lists those that still haven't.
 func (w *world) unfinishedJobs() []string {
 	for i, job := range w.checker.unfinishedJobs() {
@@ -257,23 +267,24 @@
 }
 
 // answerFaults are faults of about a third of the runners, which stay reachable.
-var answerFaults = []fault{
-	{"runners reject", func(w *world) {
+var answerFaults = []fault{runnersReject, stopsRejected, startsUnanswered, answersLate}
+
+var (
+	runnersReject = fault{"runners reject", func(w *world) {
 		share := 0.2 + w.rng.Float64()/2
 		w.changeFaults(func(f *deployment.RunnerFaults, on bool) { f.RejectedStarts = set(share, on) })
-	}},
-	{"runners reject stops and holds", func(w *world) {
+	}}
+	stopsRejected = fault{"runners reject stops and holds", func(w *world) {
 		share := w.rng.Float64() / 2
 		w.changeFaults(func(f *deployment.RunnerFaults, on bool) {
 			f.RejectedStops, f.RejectedHolds = set(share, on), set(share, on)
 		})
-	}},
-	{"starts unanswered", func(w *world) {
+	}}
+	startsUnanswered = fault{"starts unanswered", func(w *world) {
 		share := 0.5 + w.rng.Float64()/2
 		w.changeFaults(func(f *deployment.RunnerFaults, on bool) { f.UnansweredStarts = set(share, on) })
-	}},
-	answersLate,
-}
+	}}
+)
 
 // answersLate lets runners take longer than the timeout of an order, both before and after they carry
 // an order out.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -84,6 +84,8 @@
 	minLinksLost int
 	// minRunners and minDomains are the numbers of runners and of failure domains if the flags set fewer.
 	minRunners, minDomains int
+	// minRestarted is the least number of restarts of runners that the processes notice.
+	minRestarted int
 	// callers is the number of callers, and of those of wide jobs, unless the flag sets it; 0 for the usual one.
 	callers int
 	// wide are jobs of many tasks that are submitted beside the others.
@@ -96,8 +98,13 @@
 type proxiedRunner struct {
 	runner *deployment.Runner
 	proxy  *faults.Proxy
-	// info is the runner's row in the store.
-	info deployment.RunnerInfo
+}
+
+// entry is the runner's row in the store, with the proxy's address.
+func (r *proxiedRunner) entry() deployment.RunnerInfo {
+	info := r.runner.Entry()
+	info.Address = r.proxy.Address()
+	return info
 }
 
 // worlds holds an element for each world that is open.
@@ -164,11 +171,24 @@
 // domain returns the failure domain of the runner or entry VM with an index.
 func (w *world) domain(i int) string { return string(rune('a' + i%max(*domains, w.minDomains))) }
 
-// newRunner starts a runner and registers its proxy's address in place of its own.
+// newRunner starts a runner behind a new proxy and registers the proxy's address in place of its own.
 func (w *world) newRunner(domain string) (*proxiedRunner, error) {
+	r, err := w.startRunner(domain)
+	if err != nil {
+		return nil, err
+	}
+	p, err := faults.NewProxyWithQueue(r.Info.Address, w.backlog)
+	if err != nil {
+		return nil, err
+	}
+	proxied := &proxiedRunner{runner: r, proxy: p}
+	return proxied, w.store.Put(runnerTable, r.ID, proxied.entry())
+}
+
+// startRunner starts a runner under a new id, which isn't registered.
+func (w *world) startRunner(domain string) (*deployment.Runner, error) {
 	w.runnersStarted++
-	id := fmt.Sprintf("i-%d", w.runnersStarted)
-	r, err := deployment.NewRunner(w.store, id, service, domain)
+	r, err := deployment.StartRunner(fmt.Sprintf("i-%d", w.runnersStarted), service, domain)
 	if err != nil {
 		return nil, err
 	}
@@ -178,13 +198,7 @@
 		f.KillDelay, f.StopTime, f.LenientStarts = killDelay, stopTimeout, w.lenientStarts
 	})
 	w.drawLists(r)
-	p, err := faults.NewProxyWithQueue(r.Info.Address, w.backlog)
-	if err != nil {
-		return nil, err
-	}
-	info := r.Info
-	info.Address = p.Address()
-	return &proxiedRunner{runner: r, proxy: p, info: info}, w.store.Put("servers", id, info)
+	return r, nil
 }
 
 // drawKillDelay draws how late a runner ends runs after its leases.
--- a/standin/faults/proxy.go
+++ b/standin/faults/proxy.go
@@ -11,11 +11,12 @@
 // them.
 type Proxy struct {
 	address string
-	target  string
 	// backlog is the length of the listener's queue, see listen.
 	backlog int
 
 	mu sync.Mutex
+	// target is where new connections lead.
+	target string
 	// listener is nil while connections are refused, and after Close.
 	listener *net.TCPListener
 	conns    map[*proxyConn]bool
@@ -111,6 +112,20 @@
 	}
 }
 
+// SetTarget closes all open connections, and lets new ones lead to another target.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.closeConns()
+}
+
+func (p *Proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // Reset closes all open connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -141,7 +156,7 @@
 }
 
 func (p *Proxy) serve(inbound net.Conn) {
-	outbound, err := net.Dial("tcp", p.target)
+	outbound, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		_ = inbound.Close()
 		return
