An answer counts as the known incarnation's only if it proves that

The answer counted as the known incarnation's, so that the run counted as begun there. The next list showed the restart, which "had ended the run", and the task was started elsewhere beside it.

Cause: an answer that doesn't say whose it is counted as one of whom we expected. The same answer also set the runner's clock (so the next ones seemed to continue it), showed that a lost runner had survived, and counted runs that were alive as crashes.

Change: an answer without a start of the incarnation comes from the known one only if its clock is larger than the time since the latest order was sent that the known one has answered (a later incarnation's clock can't be), and continues the known readings. Any other confirms nothing and sets no clock; the list is requested at once, and until it says which incarnation answers nothing is started there and no end is acknowledged. Runs on the list that shows a restart go on. A run that is found on a later incarnation is no loss, also if it was in the record. Silent runners' unconfirmed runs, and those of fenced ones, count by the longest lease from the latest order.

--- a/core/schedule/answers.go
+++ b/core/schedule/answers.go
@@ -68,8 +68,37 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// logDoubtedAnswer logs that an order was answered by an incarnation that may be another one than the known one.
-func (s *Scheduler) logDoubtedAnswer(r *runner, c ClockReading) {
-	detail := fmt.Sprintf("clock %d, last known %d read %v ago", c.Milliseconds, r.clock, round(s.now-r.clockAt))
-	s.emit(Decision{Event: "runner-incarnation-doubted", Runner: r.info.ID, Token: r.token, Age: s.now - r.knownAt, Detail: detail})
+// doubtIncarnation handles an answer whose clock doesn't show that it comes from the known incarnation. Until a list that is
+// requested now or later says which incarnation answers, nothing is started there and no ends are acknowledged.
+func (s *Scheduler) doubtIncarnation(r *runner, c ClockReading) {
+	if r.doubtedAt == 0 {
+		detail := fmt.Sprintf("clock %d, last known %d read %v ago", c.Milliseconds, r.clock, round(s.now-r.clockAt))
+		s.emit(Decision{Event: "runner-incarnation-doubted", Runner: r.info.ID, Token: r.token, Age: s.now - r.knownAt, Detail: detail})
+	}
+	r.doubtedAt = s.now
+	s.requestList(r)
+}
+
+// settleDoubt ends the doubt about a runner's incarnation if the known one has answered a Hold that was sent since, and
+// requests another list otherwise.
+func (s *Scheduler) settleDoubt(r *runner, sentAt Time) {
+	switch {
+	case r.doubtedAt == 0:
+	case sentAt >= r.doubtedAt:
+		r.doubtedAt = 0
+	default:
+		s.requestList(r)
+	}
+}
+
+// acceptedInDoubt records that a start was accepted, perhaps by another incarnation than the known one. The run counts as
+// unconfirmed until a list has it.
+func (s *Scheduler) acceptedInDoubt(u *run) {
+	if u.confirmed {
+		return
+	}
+	u.acceptedAt = s.now
+	if u.task != nil {
+		u.task.job.ran = true
+	}
 }
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -36,6 +36,10 @@
 	runner workload.RunnerID
 	// incarnation is its start, in milliseconds since 1970; 0 if unknown.
 	incarnation int64
+	// number is that of the run; 0 if it is from the record.
+	number int
+	// assumed: it is from a record that was saved before the runner restarted, and perhaps before the run began.
+	assumed bool
 	// at is when it was found lost.
 	at Time
 	// begun: the runner had confirmed the run. Otherwise it may have crashed before the order to start it arrived.
@@ -56,7 +60,7 @@
 	t := u.task
 	t.assumedLoss = nil
 	l := loss{
-		runner: u.runner.info.ID, incarnation: u.runner.incarnationStart,
+		runner: u.runner.info.ID, incarnation: u.runner.incarnationStart, number: u.key.Number,
 		at: s.now, begun: u.confirmed, restarted: restarted,
 	}
 	if i := slices.IndexFunc(t.losses, l.sameRunner); i < 0 {
@@ -92,6 +96,22 @@
 	}
 }
 
+// forgetLoss removes the loss of a runner with a run that it shows now: an order to start the run has reached a later
+// incarnation only, so nothing of it was lost with the one before.
+func (s *Scheduler) forgetLoss(r *runner, k workload.RunKey) {
+	t := s.taskOf(r.runs[k], k)
+	if t == nil {
+		return
+	}
+	earlier := func(l loss) bool { return l.runner == r.info.ID && l.incarnation < r.incarnationStart }
+	t.losses = slices.DeleteFunc(t.losses, func(l loss) bool {
+		return earlier(l) && (l.assumed || l.number == k.Number && !l.begun)
+	})
+	if t.assumedLoss != nil && earlier(*t.assumedLoss) {
+		t.assumedLoss = nil
+	}
+}
+
 // sameRunner reports whether two losses are of the same incarnation of a runner.
 func (l loss) sameRunner(o loss) bool { return l.runner == o.runner && l.incarnation == o.incarnation }
 
@@ -162,11 +182,11 @@
 	return r != nil && l.incarnation > 0 && r.incarnationStart > l.incarnation
 }
 
-// failIfCrashing judges the losses of a job's waiting tasks. If there are too many under one of them it fails the job,
+// failIfCrashing judges the losses of a job's waiting tasks of which no run may be alive. If there are too many under one of them it fails the job,
 // and reports that.
 func (s *Scheduler) failIfCrashing(j *job) bool {
 	for _, t := range j.tasksWithLosses {
-		if t.phase != waiting {
+		if t.phase != waiting || s.lostRunAlive(t) {
 			continue
 		}
 		s.judgeLosses(t)
@@ -225,7 +245,7 @@
 			continue
 		}
 		j.steps[l.Step][l.Index].addLoss(loss{
-			runner: l.Runner, incarnation: l.Incarnation, at: s.now, begun: l.Begun, restarted: l.Restarted,
+			runner: l.Runner, incarnation: l.Incarnation, at: s.now, begun: l.Begun, restarted: l.Restarted, assumed: !l.Restarted,
 		})
 		j.begun = true
 		j.ran = j.ran || l.Begun
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // A runner may restart under the same id. Its new incarnation has no memory of the previous one:
@@ -11,25 +13,41 @@
 // tokens that it has seen start anew. Its answers contain the start time of the incarnation, as does its
 // entry on the platform's list: nothing is started on it by the entry of an earlier one.
 
-// checkIncarnation reports whether an answer comes from the known incarnation of a runner. An
-// answer of a later one begins that incarnation; an answer of an earlier one is late. Nothing
-// else in either may be used.
-func (s *Scheduler) checkIncarnation(r *runner, start int64) bool {
-	switch {
-	case r.isIncarnation(start):
+// checkIncarnation returns the incarnation that an answer comes from. An answer of a later one begins that incarnation; an
+// answer of an earlier one is late. Nothing else in either may be used.
+func (s *Scheduler) checkIncarnation(r *runner, c ClockReading) answerOrigin {
+	if r.incarnationStart == 0 {
+		r.incarnationStart = c.IncarnationStart
+	}
+	origin := r.originOfAnswer(c)
+	if origin == laterIncarnation {
+		s.beginIncarnation(r, c.IncarnationStart, nil)
+	}
+	return origin
+}
+
+// heldByOtherIncarnation reports whether a Hold was answered by another incarnation than the known one. If it was a later one
+// that incarnation begins, and the runs that it lists go on.
+func (s *Scheduler) heldByOtherIncarnation(r *runner, res HoldResult) bool {
+	if r.incarnationStart == 0 {
+		r.incarnationStart = res.Clock.IncarnationStart
+	}
+	switch origin := r.originOfAnswer(res.Clock); {
+	case origin == laterIncarnation:
+		s.beginIncarnation(r, res.Clock.IncarnationStart, &res)
 		return true
-	case r.incarnationStart == 0:
-		r.incarnationStart = start
+	case origin == unknownIncarnation && res.Outcome == Accepted && r.clock != 0:
+		// The list doesn't say whose it is, and the clock doesn't show that. Any run may be on it or not.
+		for _, u := range r.runs {
+			u.confirmed = false
+		}
+		s.beginIncarnation(r, r.incarnationStart, &res)
 		return true
-	case start > r.incarnationStart:
-		s.beginIncarnation(r, start)
+	default:
+		return origin == earlierIncarnation
 	}
-	return false
 }
 
-// isIncarnation reports whether an answer comes from the known incarnation, or doesn't say.
-func (r *runner) isIncarnation(start int64) bool { return start == 0 || start == r.incarnationStart }
-
 // described reports whether the runner's entry is that of the known incarnation. A later incarnation may
 // have other labels, less capacity or another service, which its answers don't tell.
 func (r *runner) described() bool {
@@ -75,11 +93,14 @@
 // ackCursor returns the sequence up to which ends are acknowledged to the runner. It is 0 while a
 // start has stayed unconfirmed for long: the runner may have restarted, carried the start out, and
 // given the end of that run the sequence of an end recorded before. It is 0 as well while the runner is
-// unresponsive, since an unconfirmed run is dropped when it lapses.
+// unresponsive, since an unconfirmed run is dropped when it lapses, and while it isn't known which incarnation answers.
 func (r *runner) ackCursor(now Time) uint64 {
 	if r.unresponsive {
 		return 0
 	}
+	if r.doubtedAt > 0 {
+		return 0
+	}
 	for _, u := range r.runs {
 		if !u.confirmed && now-u.started >= startConfirmTime && !u.startVoid(now) {
 			return 0
@@ -111,42 +132,42 @@
 	return u.orderedAt + maxRunLife(maxLease)
 }
 
-// describeRuns says how many runs a runner is known to have, and how many of them it has confirmed.
-func describeRuns(r *runner) string {
-	confirmed := 0
-	for _, u := range r.runs {
-		if u.confirmed {
-			confirmed++
-		}
+// mayLiveUntil returns when a run of a silent runner must be over. A later incarnation may have carried out the start, or a renewal
+// since, under the longest lease.
+func (r *runner) mayLiveUntil(u *run) Time {
+	if r.startInvalidAt(u) == 0 {
+		return r.runsOverAt()
 	}
-	return fmt.Sprintf("%d runs, %d confirmed", len(r.runs), confirmed)
+	return max(r.runsOverAt(), max(u.orderedAt, r.leaseSentAt)+longestLateLife)
 }
 
-// beginIncarnation handles the restart of a runner. A start that was unconfirmed or sent twice may
-// still arrive at the new incarnation, so its task waits until the runner lists its runs or the
-// run must be over, also if it ends late. The runner is acquired again under a higher token, so it refuses orders
-// from before the restart that arrive even later.
-func (s *Scheduler) beginIncarnation(r *runner, start int64) {
-	s.emit(Decision{Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt, Detail: describeRuns(r)})
-	runs := r.sortedRuns()
-	for _, u := range runs {
-		s.noteLoss(u, true)
-	}
+// beginIncarnation handles the restart of a runner. list is an answer of the new incarnation to a Hold, or nil. Runs that it
+// lists as running go on, and those that it lists as ended wait for the next list, which has these ends as well. A start that
+// was unconfirmed or sent twice may still arrive at the new incarnation, or its run may be over there; its task waits for a
+// list that shows this. The runner is acquired again under a higher token, so it refuses orders from before the restart that
+// arrive even later.
+func (s *Scheduler) beginIncarnation(r *runner, start int64, list *HoldResult) {
+	alive, lost := r.splitRuns(list)
+	s.emit(Decision{
+		Event: "runner-restarted", Runner: r.info.ID, Token: r.token, Age: s.now - r.clockAt,
+		Detail: fmt.Sprintf("%s, %d go on", describeRuns(r), len(alive)),
+	})
 	held := r.token != 0
-	s.dropRuns(r, RunnerRestarted)
+	for _, u := range lost {
+		if !list.ended(u.key) {
+			s.noteLoss(u, true)
+		}
+		s.dropRun(u, RunnerRestarted)
+	}
+	r.release()
 	r.incarnationStart, r.leaving = start, false
 	r.clock, r.clockSentAt, r.clockAt, r.knownAt = 0, 0, 0, 0
 	r.aliveUntil, r.noLeaseUntil, r.leaseLimit = 0, 0, 0
 	r.health = newHealth()
 	s.learned.ForgetRunner(string(r.info.ID))
 	s.updatePace(r)
-	for _, u := range runs {
-		mayBegin := !u.confirmed || u.startAttempts > 1
-		if mayBegin {
-			// Any list of the new incarnation shows it: stops that were in progress have ended with the one before.
-			s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, listFrom: s.now})
-			u.delayTask(s.now + maxRunLife(maxLease))
-		}
+	for _, u := range lost {
+		s.awaitLostStart(u)
 		if u.task != nil {
 			s.requeue(u.task)
 		}
@@ -155,6 +176,70 @@
 		s.term++
 		s.acquire(r)
 	}
+	for _, u := range alive {
+		s.continueRun(r, u)
+	}
 	s.judgeAllLosses()
 	s.refreshEntries()
 }
+
+// awaitLostStart has the task of a run wait whose runner has restarted, unless the restart has certainly ended the run. An order
+// that stayed unanswered may reach even the incarnation after the new one, which hasn't seen the raised token.
+func (s *Scheduler) awaitLostStart(u *run) {
+	if u.confirmed && u.startAttempts == 1 {
+		return
+	}
+	l := lostRun{overAt: s.now + longestLateLife}
+	if u.acceptedAt == 0 || u.startAttempts > 1 {
+		l.startInvalidAt = s.now + maxRunLife(maxLease)
+		u.delayTask(l.startInvalidAt)
+	}
+	s.noteLostRun(u, l)
+}
+
+// splitRuns divides the runs of a runner into those that a list has as running and the others.
+func (r *runner) splitRuns(list *HoldResult) (running, others []*run) {
+	for _, u := range r.sortedRuns() {
+		if list != nil && slices.Contains(list.Running, u.key) {
+			running = append(running, u)
+			continue
+		}
+		others = append(others, u)
+	}
+	return running, others
+}
+
+// ended reports whether a list has the end of a run.
+func (h *HoldResult) ended(k workload.RunKey) bool {
+	return h != nil && slices.ContainsFunc(h.Ends, func(e workload.End) bool { return e.Run == k })
+}
+
+// describeRuns says how many runs a runner is known to have, and how many of them it has confirmed.
+func describeRuns(r *runner) string {
+	confirmed := 0
+	for _, u := range r.runs {
+		if u.confirmed {
+			confirmed++
+		}
+	}
+	return fmt.Sprintf("%d runs, %d confirmed", len(r.runs), confirmed)
+}
+
+// continueRun has a run go on that a new incarnation of its runner has begun. An order to stop it may have reached the
+// incarnation before only. The lease there may be that of a start under the clock of that incarnation, which the new one
+// has shortened to the longest that it grants.
+func (s *Scheduler) continueRun(r *runner, u *run) {
+	u.confirm()
+	u.listedAt, u.acceptedAt = 0, 0
+	u.stopping, u.stopped, u.overAt = false, false, 0
+	u.inDoubt, u.startExpiredAt = false, 0
+	u.awaitList(0)
+	u.stopAt = 0
+	if u.task == nil {
+		u.stopAt = s.now
+	}
+	r.add(u)
+	s.forgetLoss(r, u.key)
+	r.noteLease(s.now, maxLease)
+	s.emitForRun(u, Decision{Event: "run-adopted", Reason: "begun by the new incarnation", Token: r.token, Age: s.now - u.started})
+}
--- a/core/schedule/listing.go
+++ b/core/schedule/listing.go
@@ -169,7 +169,7 @@
 		return
 	}
 	r.entryStart = start
-	s.beginIncarnation(r, start)
+	s.beginIncarnation(r, start, nil)
 }
 
 // AddUnlistedRunners adds runners on which another scheduler may have started jobs that are about
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -37,8 +37,8 @@
 
 // noteLostRuns remembers the runs of a runner, which are about to be dropped.
 func (s *Scheduler) noteLostRuns(r *runner) {
-	overAt := max(s.now+s.cfg.Resend, r.runsOverAt())
 	for _, u := range r.runs {
+		overAt := max(s.now+s.cfg.Resend, r.mayLiveUntil(u))
 		s.noteLostRun(u, lostRun{overAt: overAt, startInvalidAt: r.startInvalidAt(u)})
 	}
 }
--- a/core/schedule/possibleruns.go
+++ b/core/schedule/possibleruns.go
@@ -54,7 +54,7 @@
 		}
 		for k, u := range r.runs {
 			if u.task == nil || u.task.job.stored == nil {
-				f(k.Task.Job, r.runsOverAt())
+				f(k.Task.Job, r.mayLiveUntil(u))
 			}
 		}
 	}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -29,14 +29,16 @@
 	if res.Token != r.token {
 		return
 	}
-	if !s.checkIncarnation(r, res.Clock.IncarnationStart) {
+	if s.heldByOtherIncarnation(r, res) {
 		s.noteEarlierIncarnation(r, res)
 		s.dispatch()
 		return
 	}
 	r.noteAnsweredHold(res)
 	silence := s.now - r.clockAt
-	r.updateClock(res.Clock)
+	if r.originOfAnswer(res.Clock) == knownIncarnation || res.Outcome == Accepted {
+		r.updateClock(res.Clock)
+	}
 	res.Outcome = r.checkReplaced(res.Outcome, res.Address, s.now)
 	switch res.Outcome {
 	case Accepted:
@@ -46,6 +48,7 @@
 		r.answered(res.Clock.SentAt)
 		r.host = host{}
 		s.noteAnswerAfterSilence(r, silence)
+		s.settleDoubt(r, res.Clock.SentAt)
 		s.applyLists(r, res)
 		s.dispatch()
 		if !r.holdInFlight {
@@ -134,6 +137,10 @@
 		case u.stopped:
 			s.dropAbsent(u, StoppedUnlisted, sentAt)
 		case u.stopping || u.confirmed || u.orderToken == 0:
+		case u.orderToken == r.token && u.acceptedAt > 0 && sentAt >= u.acceptedAt:
+			// The known incarnation has accepted it, and may not list it yet.
+			u.acceptedAt = 0
+			s.startUnanswered(r, u)
 		case u.orderToken == r.token:
 			refuse = refuse || u.startExpiredAt > 0 && u.startExpiredAt <= sentAt
 		default:
@@ -190,6 +197,7 @@
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, startedElsewhere: true, stopAt: s.now + orphanGrace}
 	r.add(u)
 	s.noteOtherStart(r, k)
+	s.forgetLoss(r, k)
 	s.ranJobs[k.Task.Job] = ranJob{at: s.now}
 	if j := s.jobs[k.Task.Job]; j != nil {
 		j.onlyHere = false
@@ -223,6 +231,7 @@
 		return nil
 	}
 	t.job.noteRun(e.Run)
+	s.forgetLoss(r, e.Run)
 	if u != nil && t.run == u {
 		t.assumedLoss = nil
 	}
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -60,15 +60,20 @@
 	reacquireAt Time
 	acquiredAt  Time
 
-	// clock is the runner's clock in milliseconds; 0 if it isn't known yet. The order that it was read by was sent at
-	// clockSentAt and answered at clockAt.
+	// clock is the clock of the known incarnation in milliseconds; 0 if it isn't known yet. The order that it was read by
+	// was sent at clockSentAt and answered at clockAt.
 	clock                int64
 	clockSentAt, clockAt Time
 	// knownAt is when the latest order was sent that the known incarnation has answered.
 	knownAt Time
+	// doubtedAt is when the latest answer came that may be another incarnation's, and no list since says which incarnation
+	// answers; 0 if there is no such doubt.
+	doubtedAt Time
 	// aliveUntil is the latest time at which a run may still be alive there if the runner
 	// receives no further order from this scheduler.
 	aliveUntil Time
+	// leaseSentAt is when the latest order with a lease was sent.
+	leaseSentAt Time
 	// leaseLimit is the latest end, on the runner's clock, of a lease that the runner may have; 0 if that
 	// isn't known. overrunReported is the limit for which a run that was alive later was last reported.
 	leaseLimit, overrunReported int64
@@ -141,7 +146,10 @@
 	startExpiredAt Time
 	// checkpoint is the newest checkpoint of an orphan, used if its job arrives.
 	checkpoint string
-	// confirmed runs were accepted or listed by the runner. listedAt is when the latest list was requested
+	// acceptedAt is when an answer accepted its start that may be another incarnation's; 0 if none did, or a list without
+	// the run came since.
+	acceptedAt Time
+	// confirmed runs were accepted or listed by the known incarnation of the runner. listedAt is when the latest list was requested
 	// that shows the run.
 	confirmed bool
 	listedAt  Time
@@ -203,6 +211,7 @@
 	r.listInFlight = false
 	r.listAsOf, r.runningAsOf = 0, 0
 	r.unresponsive = false
+	r.doubtedAt = 0
 	r.unansweredAt, r.host = 0, host{}
 	r.acknowledged = 0
 	r.ends = nil
@@ -214,7 +223,7 @@
 	r.orphanCount, r.foreignOrphanCount = 0, 0
 }
 
-// updateClock records a clock reading. A reading is never ahead of the runner's clock, since
+// updateClock records a clock reading of the known incarnation. A reading is never ahead of the runner's clock, since
 // the answer was written before it was received. So lease ends computed from it are never
 // later than intended.
 func (r *runner) updateClock(c ClockReading) {
@@ -241,6 +250,7 @@
 // noteLease records that an order with a lease is being sent, or that the runner may have one from
 // another scheduler.
 func (r *runner) noteLease(now Time, lease time.Duration) {
+	r.leaseSentAt = now
 	r.aliveUntil = max(r.aliveUntil, now+maxRunLife(lease))
 	r.leaseLimit = max(r.leaseLimit, r.leaseEnd(now, lease))
 }
@@ -253,7 +263,7 @@
 
 // usable reports whether tasks may be started there now.
 func (r *runner) usable(now Time) bool {
-	return r.owned && !r.gone && r.described() && r.present(now) && !r.info.Draining && !r.evacuated && !r.unresponsive && r.clock != 0 &&
+	return r.owned && !r.gone && r.described() && r.present(now) && !r.info.Draining && !r.evacuated && !r.unresponsive && r.doubtedAt == 0 && r.clock != 0 &&
 		!r.health.closed(now) && !r.hasForeignOrphans() && now > r.noLeaseUntil
 }
 
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -10,34 +10,37 @@
 // The results of orders to start and to stop runs.
 
 // answeringRunner returns the runner that has answered an order to start or to stop a run, with its
-// clock updated; nil if the answer is to be ignored, since this scheduler doesn't use the runner,
-// another incarnation of the runner has answered, or the runner was acquired again since the order
-// was sent. In the last case the runner's lists show what has become of the run.
-func (s *Scheduler) answeringRunner(id workload.RunnerID, token uint64, clock ClockReading) *runner {
+// clock updated if the known incarnation has answered; nil if the answer is to be ignored, since this scheduler
+// doesn't use the runner, the answer says that it comes from another incarnation, or the runner was acquired again
+// since the order was sent. In the last case the runner's lists show what has become of the run.
+func (s *Scheduler) answeringRunner(id workload.RunnerID, token uint64, clock ClockReading) (*runner, answerOrigin) {
 	r := s.runners[id]
 	if r == nil || r.gone || !s.leading {
-		return nil
+		return nil, unknownIncarnation
 	}
-	if !s.checkIncarnation(r, clock.IncarnationStart) {
+	origin := s.checkIncarnation(r, clock)
+	switch {
+	case origin == laterIncarnation, origin == earlierIncarnation:
 		s.dispatch()
-		return nil
-	}
-	if clock.Milliseconds > 0 && r.originOfAnswer(clock) == unknownIncarnation {
-		s.logDoubtedAnswer(r, clock)
+		return nil, origin
+	case origin == knownIncarnation:
+		r.updateClock(clock)
 	}
-	r.updateClock(clock)
 	if token != r.token {
-		return nil
+		return nil, origin
 	}
-	return r
+	if origin == unknownIncarnation && clock.Milliseconds > 0 {
+		s.doubtIncarnation(r, clock)
+	}
+	return r, origin
 }
 
 // Started handles the result of a Start.
 func (s *Scheduler) Started(now Time, res StartResult) {
 	s.now = now
-	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
+	r, origin := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
-		s.noteEarlierAcceptance(res)
+		s.noteEarlierAcceptance(res, origin)
 		return
 	}
 	s.recordLatency(res.Clock.SentAt)
@@ -49,7 +52,7 @@
 	}
 	switch res.Outcome {
 	case Accepted:
-		u.confirm()
+		s.startAccepted(u, origin)
 		return
 	case Fenced:
 		s.runnerFenced(r)
@@ -65,14 +68,23 @@
 
 // noteEarlierAcceptance confirms a run whose start was accepted under a token that was raised since. The runner
 // was not acquired again in between, or the run's latest order would have another token.
-func (s *Scheduler) noteEarlierAcceptance(res StartResult) {
+func (s *Scheduler) noteEarlierAcceptance(res StartResult, origin answerOrigin) {
 	r := s.runners[res.Runner]
-	if r == nil || r.gone || res.Outcome != Accepted || !r.isIncarnation(res.Clock.IncarnationStart) {
+	if r == nil || r.gone || res.Outcome != Accepted || origin == laterIncarnation || origin == earlierIncarnation {
 		return
 	}
 	if u := r.runs[res.Run]; u != nil && u.orderToken == res.Token {
-		u.confirm()
+		s.startAccepted(u, origin)
+	}
+}
+
+// startAccepted handles an accepted order to start a run.
+func (s *Scheduler) startAccepted(u *run, origin answerOrigin) {
+	if origin != knownIncarnation {
+		s.acceptedInDoubt(u)
+		return
 	}
+	u.confirm()
 }
 
 // confirm records that a run has begun. A list that lacks it doesn't show any more that it hasn't.
@@ -195,7 +207,7 @@
 // Stopped handles the result of a Stop.
 func (s *Scheduler) Stopped(now Time, res StopResult) {
 	s.now = now
-	r := s.answeringRunner(res.Runner, res.Token, res.Clock)
+	r, _ := s.answeringRunner(res.Runner, res.Token, res.Clock)
 	if r == nil {
 		return
 	}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -105,7 +105,7 @@
 	for _, u := range r.sortedRuns() {
 		unconfirmed = unconfirmed || !u.confirmed
 		if invalidAt := r.startInvalidAt(u); invalidAt > 0 {
-			s.noteLostRun(u, lostRun{overAt: u.orderedAt + longestLateLife, listFrom: invalidAt})
+			s.noteLostRun(u, lostRun{overAt: r.mayLiveUntil(u), listFrom: invalidAt})
 		}
 		if u.task == nil {
 			s.dropRun(u, LeaseOver)
