--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -97,15 +97,16 @@
 }
 
 // forgetLoss removes the loss of a runner with a run that it shows now: an order to start the run has reached a later
-// incarnation only, so nothing of it was lost with the one before.
-func (s *Scheduler) forgetLoss(r *runner, k workload.RunKey) {
+// incarnation only, so nothing of it was lost with the one before. If another scheduler has started the run, that is the one
+// of which the record assumed a loss.
+func (s *Scheduler) forgetLoss(r *runner, k workload.RunKey, startedElsewhere bool) {
 	t := s.taskOf(r.runs[k], k)
 	if t == nil {
 		return
 	}
 	earlier := func(l loss) bool { return l.runner == r.info.ID && l.incarnation < r.incarnationStart }
 	t.losses = slices.DeleteFunc(t.losses, func(l loss) bool {
-		return earlier(l) && (l.assumed || l.number == k.Number && !l.begun)
+		return earlier(l) && (l.assumed && startedElsewhere || l.number == k.Number && !l.begun)
 	})
 	if t.assumedLoss != nil && earlier(*t.assumedLoss) {
 		t.assumedLoss = nil
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -155,7 +155,7 @@
 	held := r.token != 0
 	for _, u := range lost {
 		if !list.ended(u.key) {
-			s.noteLoss(u, true)
+			s.noteLoss(u, start > r.incarnationStart)
 		}
 		s.dropRun(u, RunnerRestarted)
 	}
@@ -186,7 +186,7 @@
 // awaitLostStart has the task of a run wait whose runner has restarted, unless the restart has certainly ended the run. An order
 // that stayed unanswered may reach even the incarnation after the new one, which hasn't seen the raised token.
 func (s *Scheduler) awaitLostStart(u *run) {
-	if u.confirmed && u.startAttempts == 1 {
+	if u.confirmed && u.startAttempts <= 1 {
 		return
 	}
 	l := lostRun{overAt: s.now + longestLateLife}
@@ -239,7 +239,10 @@
 		u.stopAt = s.now
 	}
 	r.add(u)
-	s.forgetLoss(r, u.key)
+	s.forgetLoss(r, u.key, u.startedElsewhere)
+	if u.task != nil && len(u.task.losses) >= suspectLosses {
+		r.reserved = u.task
+	}
 	r.noteLease(s.now, maxLease)
 	s.emitForRun(u, Decision{Event: "run-adopted", Reason: "begun by the new incarnation", Token: r.token, Age: s.now - u.started})
 }
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -197,7 +197,7 @@
 	u := &run{key: k, runner: r, started: s.now, confirmed: true, startedElsewhere: true, stopAt: s.now + orphanGrace}
 	r.add(u)
 	s.noteOtherStart(r, k)
-	s.forgetLoss(r, k)
+	s.forgetLoss(r, k, true)
 	s.ranJobs[k.Task.Job] = ranJob{at: s.now}
 	if j := s.jobs[k.Task.Job]; j != nil {
 		j.onlyHere = false
@@ -231,7 +231,7 @@
 		return nil
 	}
 	t.job.noteRun(e.Run)
-	s.forgetLoss(r, e.Run)
+	s.forgetLoss(r, e.Run, u == nil || u.startedElsewhere)
 	if u != nil && t.run == u {
 		t.assumedLoss = nil
 	}
--- a/core/schedule/unknown_answers_test.go
+++ b/core/schedule/unknown_answers_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -26,12 +27,18 @@
 	ended   map[workload.RunnerID][]workload.End
 }
 
-func newNamedInLists(t *testing.T, ids ...string) *namedInLists {
-	n := &namedInLists{
-		starts: make(map[workload.RunnerID]int64), since: make(map[workload.RunnerID]Time), silent: make(map[workload.RunnerID]bool),
+// newHarnessNamedInLists returns a harness without runners, whose scheduler doesn't lead yet.
+func newHarnessNamedInLists(t *testing.T) *namedInLists {
+	return &namedInLists{
+		harness: newHarness(t),
+		starts:  make(map[workload.RunnerID]int64), since: make(map[workload.RunnerID]Time), silent: make(map[workload.RunnerID]bool),
 		running: make(map[workload.RunnerID][]workload.RunKey), ended: make(map[workload.RunnerID][]workload.End),
 	}
-	n.harness = newHarness(t)
+}
+
+// newNamedInLists returns a harness whose scheduler has owned its runners for some time.
+func newNamedInLists(t *testing.T, ids ...string) *namedInLists {
+	n := newHarnessNamedInLists(t)
 	n.s.Lead(n.now)
 	n.ownRows(1)
 	for _, id := range ids {
@@ -57,6 +64,16 @@
 	delete(n.ended, id)
 }
 
+// describe has a runner's entry name its present incarnation.
+func (n *namedInLists) describe(id workload.RunnerID) {
+	for i := range n.infos {
+		if n.infos[i].ID == id {
+			n.infos[i].IncarnationStart = n.starts[id]
+		}
+	}
+	n.s.SetRunners(n.now, n.infos)
+}
+
 // unnamed is a runner's clock in an answer that doesn't name its incarnation.
 func (n *namedInLists) unnamed(id workload.RunnerID) ClockReading {
 	return ClockReading{Milliseconds: (n.now - n.since[id]).Milliseconds() + 1, ReceivedAt: n.now, SentAt: n.now}
@@ -263,3 +280,79 @@
 	n.g.Expect(n.s.State(j.ID, n.now).Outcome).NotTo(Equal(workload.JobFailed))
 	n.g.Expect(take[Start](n.harness)).To(HaveLen(1))
 }
+
+// Guards against two runs of a job that is sent again to the next leader: it is told for how long a run on a silent runner may
+// live, and the next incarnation has given the run the longest lease.
+func TestTheRestOfARunOnANextIncarnationIsThatOfTheLongestLease(t *testing.T) {
+	n := newNamedInLists(t, "r1", "r2")
+	c := n.startedOnNext(testJob(1, 300*ms), 20*time.Second)
+	carriedOut := n.now
+	n.silent[c.Runner] = true
+	n.pass(300 * ms)
+	list, _ := n.s.PossibleRuns(n.now)
+	n.g.Expect(list).To(HaveLen(1))
+	n.g.Expect(n.now + list[0].Rest).To(BeNumerically(">=", carriedOut-2*ms+longestLateLife))
+}
+
+// Guards against a job that fails without cause: a list that doesn't name its incarnation, as that of another program, would show
+// that the runner has crashed, though it lists the run again.
+func TestAListThatNamesNoIncarnationIsNoCrash(t *testing.T) {
+	n := newNamedInLists(t, "r1", "r2")
+	n.submit(testJob(1, time.Second), 8*time.Second)
+	c := one[Start](n.harness)
+	n.answerStart(c, Accepted)
+	n.running[c.Runner] = []workload.RunKey{c.Run}
+	n.pass(200 * ms)
+	n.s.requestList(n.s.runners[c.Runner])
+	var asked []Hold
+	for _, o := range take[Hold](n.harness) {
+		if o.Runner == c.Runner && o.ListOnly {
+			asked = append(asked, o)
+		}
+	}
+	n.g.Expect(asked).To(HaveLen(1))
+	other := ClockReading{Milliseconds: 1, ReceivedAt: n.now, SentAt: n.now}
+	n.s.Held(n.now, HoldResult{Runner: c.Runner, Address: asked[0].Address, Token: asked[0].Token, ListOnly: true, Outcome: Accepted, Clock: other})
+	n.pass(400 * ms)
+	n.g.Expect(take[Start](n.harness)).To(BeEmpty())
+	n.s.judgeAllLosses()
+	n.g.Expect(n.s.jobs[c.Run.Task.Job].steps[0][0].losses).To(BeEmpty())
+}
+
+// Guards against a start that counts as the known incarnation's though a later one has answered it, whatever the moments at which
+// orders are sent, carried out and answered, and against answers of the known one that don't count.
+func TestTheOriginOfAnswersByTheirClocks(t *testing.T) {
+	const maxTransit = 200 * ms
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	for range 20000 {
+		slow := func() float64 { return 1 - 0.02*random.Float64() }
+		rate, laterRate := slow(), slow()
+		born := time.Second + upTo(time.Second)
+		r := &runner{incarnationStart: firstIncarnation}
+		now := born + 3*time.Second + upTo(time.Second)
+		answer := func(since Time, rate float64) ClockReading {
+			sentAt := now + upTo(time.Second)
+			readAt := sentAt + upTo(maxTransit)
+			now = readAt
+			clock := time.Duration(float64(readAt-since)*rate).Milliseconds() + 1
+			return ClockReading{Milliseconds: clock, SentAt: sentAt, ReceivedAt: readAt + upTo(maxTransit)}
+		}
+		for n := range 5 {
+			c := answer(born, rate)
+			if n > 0 {
+				g.Expect(r.originOfAnswer(c)).To(Equal(knownIncarnation))
+			}
+			r.updateClock(c)
+		}
+		// The next incarnation begins after the known one has answered, and may answer an order that was sent before.
+		later := now + upTo(time.Second)
+		readAt := later + upTo(2*time.Second)
+		c := ClockReading{
+			Milliseconds: time.Duration(float64(readAt-later)*laterRate).Milliseconds() + 1,
+			SentAt:       max(0, readAt-upTo(3*time.Second)), ReceivedAt: readAt + upTo(maxTransit),
+		}
+		g.Expect(r.originOfAnswer(c)).To(Equal(unknownIncarnation))
+	}
+}
