Handed-over jobs wait until a runner that was silent has shown its runs

Cause: a runner that is silent at a change of the leader carries out the orders of the one before as it answers again, until the first order of the next one reaches it. It need not list such a run at once. The first list was requested long after the handover, so it counted as complete, and the task was started a second time.

Change: a list shows the runs of the schedulers before once it was requested a stop's time after the runner began to obey this scheduler, as for lost runs. That list is requested while a prior run of some job may be alive. Stored jobs are left as they were: TestJobsStartOnceTheSilentRunnerCantHidePriorRuns expects their start at the first list.

Evidence: TestTheFirstListOfARunnerThatWasSilentAtTheHandoverIsWithoutARun fails before, for both silences.

--- a/core/schedule/copies.go
+++ b/core/schedule/copies.go
@@ -82,7 +82,7 @@
 func (s *Scheduler) runnersWithoutList(j *job) []workload.RunnerID {
 	var list []workload.RunnerID
 	for _, r := range s.runnerList {
-		if r.info.Service == j.work.Service && !r.gone && !r.listedSince(j.listsNeededSince) {
+		if r.info.Service == j.work.Service && !r.gone && !s.listsPriorRuns(r, j) {
 			list = append(list, r.info.ID)
 		}
 	}
--- a/core/schedule/handover_lists.go
+++ b/core/schedule/handover_lists.go
@@ -19,12 +19,34 @@
 		s.handoverListsDue = s.handoverListsDue[1:]
 	}
 	for _, r := range s.runnerList {
-		if r.owned && !r.unresponsive && r.listAsOf < s.handoverListsAt {
+		if r.owned && !r.unresponsive && r.listAsOf < s.handoverListDue(r) {
 			s.requestList(r)
 		}
 	}
 }
 
+// handoverListDue returns the time of the latest list that is due from a runner.
+func (s *Scheduler) handoverListDue(r *runner) Time {
+	if settled := s.settledListSince(r, 0); settled <= s.now && s.now < s.allSilentRunsOverAt {
+		return max(s.handoverListsAt, settled)
+	}
+	return s.handoverListsAt
+}
+
+// handoverListSince returns from when on a list of a runner shows the prior runs of a job. A runner that was silent at the
+// handover carries out the former scheduler's orders until it obeys this one, and need not list these runs at once.
+func (s *Scheduler) handoverListSince(r *runner, j *job) Time {
+	if j.stored != nil {
+		return j.listsNeededSince
+	}
+	return max(j.listsNeededSince, s.settledListSince(r, 0))
+}
+
+// listsPriorRuns reports whether a runner has given such a list.
+func (s *Scheduler) listsPriorRuns(r *runner, j *job) bool {
+	return r.listedSince(s.handoverListSince(r, j))
+}
+
 // latestHandoverLists returns the latest time of lists that such a job waits for.
 func (s *Scheduler) latestHandoverLists() Time {
 	if n := len(s.handoverListsDue); n > 0 {
--- a/core/schedule/handover_lists_test.go
+++ b/core/schedule/handover_lists_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sapphirepoint.example/sapphirepoint/core/workload"
 )
 
 // Guards against a second run of a task after a planned change of the leader: the leader before has ordered its run
@@ -28,3 +30,36 @@
 	b.wait(60 * ms)
 	b.g.Expect(take[Start](b)).To(HaveLen(1))
 }
+
+// Guards against a second run of a handed-over job whose runner was silent at the handover: it carries out the former leader's
+// start just before it obeys the new leader, and its first list is without that run.
+func TestTheFirstListOfARunnerThatWasSilentAtTheHandoverIsWithoutARun(t *testing.T) {
+	for _, silence := range []time.Duration{200 * ms, maxPriorRunLife + 100*ms} {
+		t.Run(silence.String(), func(t *testing.T) {
+			b := newHarness(t, testRunner("r1"), testRunner("silent"))
+			b.s.Lead(b.now)
+			j := testJob(1, 400*ms)
+			b.handOver(j, 9*time.Second)
+			b.g.Expect(b.passSilently(silence, "silent", ConnectionMade)).To(BeEmpty())
+			b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted)
+			b.s.Tick(b.now)
+			b.g.Expect(take[Start](b)).To(BeEmpty(), "the run may be there")
+			b.now += 20 * ms
+			run := workload.RunKey{Task: workload.TaskName{Job: j.ID}, Number: 1}
+			b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted, run)
+			b.tick(100 * ms)
+			b.g.Expect(take[Start](b)).To(BeEmpty())
+			b.g.Expect(take[Stop](b)).To(BeEmpty(), "the run is the job's own")
+		})
+	}
+}
+
+// Guards against a handed-over job that goes on waiting once such a runner has shown all its runs.
+func TestAJobStartsOnceARunnerThatWasSilentAtTheHandoverHasShownItsRuns(t *testing.T) {
+	b := newHarness(t, testRunner("r1"), testRunner("silent"))
+	b.s.Lead(b.now)
+	b.handOver(testJob(1, 400*ms), 9*time.Second)
+	b.passSilently(200*ms, "silent", ConnectionMade)
+	b.answerHold(Hold{Runner: "silent", Token: b.s.runners["silent"].token}, Accepted)
+	b.expectStartAfter(b.longestStop())
+}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -196,7 +196,7 @@
 		if r.info.Service != j.work.Service || r.gone {
 			continue
 		}
-		if !r.owned || r.listAsOf < j.listsNeededSince {
+		if !r.owned || r.listAsOf < s.handoverListSince(r, j) {
 			return false
 		}
 	}
--- a/core/schedule/priorruns.go
+++ b/core/schedule/priorruns.go
@@ -32,12 +32,12 @@
 	s.allSilentRunsOverAt = max(s.allSilentRunsOverAt, at)
 }
 
-// mayHaveUnlistedRuns reports whether the runner has listed nothing since a time, so that it may have runs that
-// this scheduler doesn't know. A runner whose entry has left the platform's list, and isn't back within
+// mayHaveUnlistedRuns reports whether the runner may have runs of other schedulers that this one doesn't know, since it hasn't
+// given the list that shows them all. A runner whose entry has left the platform's list, and isn't back within
 // unlistedGrace, counts as gone, unless another scheduler may have used it since.
-func (r *runner) mayHaveUnlistedRuns(since, now Time) bool {
-	expired := r.unlisted && now-r.unlistedAt >= unlistedGrace
-	return !r.gone && !expired && !r.listedSince(since)
+func (s *Scheduler) mayHaveUnlistedRuns(r *runner) bool {
+	expired := r.unlisted && s.now-r.unlistedAt >= unlistedGrace
+	return !r.gone && !expired && !r.listedSince(max(s.latestHandoverLists(), s.settledListSince(r, 0)))
 }
 
 // runnersToAwait lists the runners of a service that may have prior runs which they haven't listed, of any job.
@@ -47,7 +47,7 @@
 	}
 	var list []*runner
 	for _, r := range p.s.runnerList {
-		if r.mayServe(service, p.s.now) && r.mayHaveUnlistedRuns(p.s.latestHandoverLists(), p.s.now) {
+		if r.mayServe(service, p.s.now) && p.s.mayHaveUnlistedRuns(r) {
 			list = append(list, r)
 		}
 	}
@@ -61,7 +61,7 @@
 		return false
 	}
 	return slices.ContainsFunc(p.runnersToAwait(j.work.Service), func(r *runner) bool {
-		return !r.listedSince(j.listsNeededSince) && r.mayTake(j.stepAt(i), p.s.now)
+		return !p.s.listsPriorRuns(r, j) && r.mayTake(j.stepAt(i), p.s.now)
 	})
 }
 
@@ -77,7 +77,7 @@
 
 // mayHaveUnlistedPriorRuns reports whether a runner may have prior runs of any job that it hasn't listed.
 func (s *Scheduler) mayHaveUnlistedPriorRuns(r *runner) bool {
-	return s.leading && s.now < s.allSilentRunsOverAt && r.mayHaveUnlistedRuns(s.latestHandoverLists(), s.now)
+	return s.leading && s.now < s.allSilentRunsOverAt && s.mayHaveUnlistedRuns(r)
 }
 
 // rememberPriorRuns keeps what is known of the prior runs of a job that is given up. Its caller may send it
--- a/core/schedule/startedagain.go
+++ b/core/schedule/startedagain.go
@@ -73,7 +73,7 @@
 	if j.priorSchedulers > 0 {
 		return earlierSubmission{
 			reason: fmt.Sprintf("its job has had %d schedulers before", j.priorSchedulers), age: s.now - j.arrived,
-			missing: s.missingEvidence(t, func(r *runner) bool { return r.listedSince(j.listsNeededSince) }),
+			missing: s.missingEvidence(t, func(r *runner) bool { return s.listsPriorRuns(r, j) }),
 		}
 	}
 	if ran, ok := s.ranJobs[j.work.ID]; ok {
