Jobs in other shards are reported to a leader that isn't followed yet

Cause: a new leader of a job's home learns that the job is in another shard once the job's entry process follows it. That process may count the former leader as lost some 20 ms later than the others, since they count from its last message and at their ticks. Meanwhile others hand in copies.

Change: an entry process reports such jobs as soon as a heartbeat says that its sender leads their home. It hands jobs in where it did before. Nothing waits; what is left is the time that the two messages need.

--- a/core/fleet/lending_copies_test.go
+++ b/core/fleet/lending_copies_test.go
@@ -120,7 +120,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	const copyAfter = 440 * time.Millisecond
-	for _, seed := range []uint64{11, 23, 35, 47} {
+	for _, seed := range []uint64{11, 23, 35, 47, 5025, 5112, 5133} {
 		copies := 0
 		w := crowdedDeployment(seed, false)
 		w.copyWhileElsewhere(&copies, copyAfter, func(n *fakeNode) { w.kill(n, 2*time.Second) })
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -205,6 +205,11 @@
 		}
 	}
 	n.updateLeaders(now)
+	for _, s := range n.shards {
+		if h.Report.Leader(s.index) == from && before.Leader(s.index) != from {
+			n.gateway.LeaderClaims(now, s.index, from)
+		}
+	}
 	n.recordPending(now, from, h.Pending)
 	for _, s := range n.own {
 		if h.Report.Leader(s.index) != n.Self() || before.Leader(s.index) == n.Self() {
--- a/core/gateway/elsewhere.go
+++ b/core/gateway/elsewhere.go
@@ -31,15 +31,27 @@
 // elsewhere reports whether another shard than the home has the job.
 func (j *inFlightJob) elsewhere() bool { return j.scheduler != "" && j.shard != j.home }
 
+// LeaderClaims reports to a process that begins to lead a shard which jobs of the shard are in others. This process may
+// still follow the former leader, and other entry processes hand copies in to the new one already.
+func (g *Gateway) LeaderClaims(now Time, home int, claimant leader.ID) {
+	g.now = now
+	if g.choices[home].Leader != claimant {
+		g.sendReportTo(claimant, home, g.allElsewhere(home))
+	}
+}
+
 // reportAllElsewhere reports all jobs of a shard that are in others, or may have a run there, to the shard's leader.
-func (g *Gateway) reportAllElsewhere(home int) {
+func (g *Gateway) reportAllElsewhere(home int) { g.sendReport(home, g.allElsewhere(home)) }
+
+// allElsewhere lists the jobs of a shard that are in others, or may have a run there.
+func (g *Gateway) allElsewhere(home int) []JobElsewhere {
 	var list []JobElsewhere
 	for _, j := range g.sortedJobs() {
 		if j.home == home && j.elsewhere() {
 			list = append(list, JobElsewhere{Job: j.job.ID, Shard: j.shard})
 		}
 	}
-	g.sendReport(home, append(list, g.endedElsewhere(home)...))
+	return append(list, g.endedElsewhere(home)...)
 }
 
 // endedElsewhere lists the jobs of a shard that aren't in flight and of which a run may be alive in another one.
@@ -67,7 +79,13 @@
 
 // sendReport sends a report to a shard's leader, if that is reachable.
 func (g *Gateway) sendReport(home int, list []JobElsewhere) {
-	if len(list) > 0 && g.hasReachableLeader(home) {
-		g.out = append(g.out, ReportElsewhere{At: g.now, To: g.choices[home].Leader, Home: home, Jobs: list})
+	if g.hasReachableLeader(home) {
+		g.sendReportTo(g.choices[home].Leader, home, list)
+	}
+}
+
+func (g *Gateway) sendReportTo(to leader.ID, home int, list []JobElsewhere) {
+	if len(list) > 0 {
+		g.out = append(g.out, ReportElsewhere{At: g.now, To: to, Home: home, Jobs: list})
 	}
 }
--- a/core/gateway/elsewhere_test.go
+++ b/core/gateway/elsewhere_test.go
@@ -50,3 +50,20 @@
 	g.Expect(list[0].To).To(BeEquivalentTo("a"))
 	g.Expect(list[0].Jobs[0].Shard).NotTo(Equal(0))
 }
+
+// Guards against a second run of a job that is in another shard: its home has a new leader, to which another entry process
+// hands in a copy, while this one hasn't noticed yet that the former leader is lost.
+func TestJobsInOtherShardsAreReportedToALeaderThatIsNotFollowedYet(t *testing.T) {
+	g := NewWithT(t)
+	gw := gatewayInCell()
+	gw.Submit(0, 1, 0, testJob("lent"), 3*time.Second)
+	gw.HandleVerdict(5*ms, lentBy(1, "a", "lent"))
+	gw.Ready()
+	gw.LeaderClaims(20*ms, 0, "d")
+	expected := []JobElsewhere{{Job: "lent", Shard: 1}}
+	g.Expect(reports(gw.Ready())).To(Equal([]ReportElsewhere{{At: 20 * ms, To: "d", Home: 0, Jobs: expected}}))
+	gw.LeaderClaims(30*ms, 0, "a")
+	g.Expect(gw.Ready()).To(BeEmpty(), "the leader that is followed knows")
+	gw.LeaderClaims(40*ms, 2, "d")
+	g.Expect(gw.Ready()).To(BeEmpty(), "no job of that shard is in another one")
+}
