Lists for handed-over jobs are requested only while such a job waits

Cause: the lists that a runner is asked for after its acquisition were requested after each takeover with stored rows, though only best-effort jobs of other schedulers wait for them. Each is a probe.

Change: they are requested while such a job is in the queue.

--- a/core/schedule/handover_lists.go
+++ b/core/schedule/handover_lists.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "slices"
+
 // The lists that jobs of another scheduler wait for. That scheduler may have ordered runs to stop, or to start, just
 // before, and the runners need not list these runs at once.
 
@@ -18,21 +20,18 @@
 		s.handoverListsAt = s.handoverListsDue[0]
 		s.handoverListsDue = s.handoverListsDue[1:]
 	}
+	awaited := slices.ContainsFunc(s.queue, func(j *job) bool { return j.stored == nil && s.now < j.silentRunsOverAt })
 	for _, r := range s.runnerList {
-		if r.owned && !r.unresponsive && r.listAsOf < s.handoverListDue(r) {
+		due := s.handoverListsAt
+		if settled := s.settledListSince(r, 0); awaited && settled <= s.now {
+			due = max(due, settled)
+		}
+		if r.owned && !r.unresponsive && r.listAsOf < due {
 			s.requestList(r)
 		}
 	}
 }
 
-// handoverListDue returns the time of the latest list that is due from a runner.
-func (s *Scheduler) handoverListDue(r *runner) Time {
-	if settled := s.settledListSince(r, 0); settled <= s.now && s.now < s.allSilentRunsOverAt {
-		return max(s.handoverListsAt, settled)
-	}
-	return s.handoverListsAt
-}
-
 // handoverListSince returns from when on a list of a runner shows the prior runs of a job. A runner that was silent at the
 // handover carries out the former scheduler's orders until it obeys this one, and need not list these runs at once.
 func (s *Scheduler) handoverListSince(r *runner, j *job) Time {
