--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -284,6 +284,9 @@
 		runs:             make(map[workload.RunKey]*fakeRun),
 		sealed:           make(map[workload.TaskName]int),
 	}
+	if w.restartDraws.IntN(2) == 0 {
+		r.resetClock()
+	}
 	w.drawGapsOf(r)
 	r.writeEntry()
 	w.runners = append(w.runners, r)
