core/fleet's model: crashed runners' entries, and new runners at their addresses

Cause: the entry of a crashed runner left the simulated list at once, and no other runner ever answered at its address. Change: half of the entries stay for up to 3 s, and half of the new runners come at the address of the one before, where they reject its orders (status 421).

--- a/core/fleet/orders_test.go
+++ b/core/fleet/orders_test.go
@@ -31,8 +31,15 @@
 		travel = 2*time.Second + time.Duration(w.rng.IntN(10000))*time.Millisecond
 	}
 	travel += w.slowed(r) + held
+	replaced := func() {
+		if !r.down || r.successor == nil || !w.accepts(n, r.successor) {
+			return
+		}
+		w.after(messageDelay, func() { finish(schedule.Replaced, 0, 0, nil) })
+	}
 	sentTo := r.incarnationStart
 	w.after(travel, func() {
+		replaced()
 		if r.incarnationStart != sentTo && (late || !w.outlivesRestart()) || !w.accepts(n, r) {
 			return
 		}
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -72,8 +72,8 @@
 			return
 		}
 		r.crash()
-		delete(w.listed, r.info.ID)
-		w.after(w.randomDuration(500, 4000), func() { w.addRunner(w.unusedID(r.info.ID), r.info.Domain) })
+		w.after(w.drawnEntryExpiry(), func() { delete(w.listed, r.info.ID) })
+		w.after(w.randomDuration(500, 4000), func() { w.replaceRunner(r) })
 	},
 	"hang": func(w *world) {
 		r := randomRunner(w)
--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -53,6 +53,8 @@
 	// hidesIncarnation: neither its entry nor its lists contain the start of its incarnation, so it never restarts under its
 	// id.
 	hidesIncarnation bool
+	// successor is the runner, under another id, that answers at its address once it has crashed; nil for none.
+	successor *fakeRunner
 	// started counts the runs started.
 	started int
 
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -267,6 +267,26 @@
 	return string(id)
 }
 
+// replaceRunner adds a runner under another id in place of a crashed one, half of them at its address.
+func (w *world) replaceRunner(crashed *fakeRunner) {
+	r := w.addRunner(w.unusedID(crashed.info.ID), crashed.info.Domain)
+	if w.restartDraws.IntN(2) == 0 {
+		r.info.Address = crashed.info.Address
+		crashed.successor = r
+	}
+}
+
+// maxEntryExpiry is how long the entry of a crashed runner stays on the platform's list at most, in milliseconds.
+const maxEntryExpiry = 3000
+
+// drawnEntryExpiry draws how long the entry of a crashed runner stays on the platform's list. Half of them leave it at once.
+func (w *world) drawnEntryExpiry() time.Duration {
+	if w.restartDraws.IntN(2) == 0 {
+		return 0
+	}
+	return time.Duration(w.restartDraws.IntN(maxEntryExpiry)) * time.Millisecond
+}
+
 func (w *world) addRunner(id, domain string) *fakeRunner {
 	if w.byRunner[workload.RunnerID(id)] != nil {
 		panic("two runners with the id " + id)
