--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -99,11 +99,11 @@
 }
 
 // readings are the clock and the start of the incarnation as an answer contains them; 0 for what it doesn't. Only lists
-// contain the start: answers to orders to start and to stop runs, and rejections, don't. An unhealthy runner's rejection
-// has no body.
+// contain the start: answers to orders to start and to stop runs, and rejections, don't. Half of an unhealthy runner's
+// rejections have no body.
 func (r *fakeRunner) readings(o schedule.CallOutcome, list *schedule.HoldResult) (clock, incarnationStart int64) {
 	switch {
-	case o == schedule.Unhealthy:
+	case o == schedule.Unhealthy && r.w.restartDraws.IntN(2) == 0:
 		return 0, 0
 	case o == schedule.Accepted && list != nil:
 		return r.clock(), r.reportedIncarnation()
