--- a/core/fleet/runner_test.go
+++ b/core/fleet/runner_test.go
@@ -53,6 +53,8 @@
 	// hidesIncarnation: neither its entry nor its lists contain the start of its incarnation, so it never restarts under its
 	// id.
 	hidesIncarnation bool
+	// successor is the runner, under another id, that answers at its address once it has crashed; nil for none.
+	successor *fakeRunner
 	// started counts the runs started.
 	started int
 
@@ -97,11 +99,11 @@
 }
 
 // readings are the clock and the start of the incarnation as an answer contains them; 0 for what it doesn't. Only lists
-// contain the start: answers to orders to start and to stop runs, and rejections, don't. An unhealthy runner's rejection
-// has no body.
+// contain the start: answers to orders to start and to stop runs, and rejections, don't. Half of an unhealthy runner's
+// rejections have no body.
 func (r *fakeRunner) readings(o schedule.CallOutcome, list *schedule.HoldResult) (clock, incarnationStart int64) {
 	switch {
-	case o == schedule.Unhealthy:
+	case o == schedule.Unhealthy && r.w.restartDraws.IntN(2) == 0:
 		return 0, 0
 	case o == schedule.Accepted && list != nil:
 		return r.clock(), r.reportedIncarnation()
@@ -121,6 +123,9 @@
 	return r.offset + int64(float64(r.w.now.Milliseconds())*r.rate)
 }
 
+// resetClock has the clock start anew. It begins at 1, since the product takes 0 for an answer without a clock.
+func (r *fakeRunner) resetClock() { r.offset = 1 - int64(float64(r.w.now.Milliseconds())*r.rate) }
+
 // timeUntil is the virtual time until the runner's clock reads ms.
 func (r *fakeRunner) timeUntil(ms int64) time.Duration {
 	return time.Duration(float64(ms-r.clock())/r.rate*float64(time.Millisecond)) + time.Millisecond
@@ -135,7 +140,11 @@
 	return true
 }
 
-const holdMax = 1000
+const (
+	// holdMax is the longest lease that a runner grants, in milliseconds, and maxEndsListed is the most ends in one answer.
+	holdMax       = 1000
+	maxEndsListed = 500
+)
 
 func (r *fakeRunner) extendLease(leaseEnd int64) {
 	leaseEnd = min(leaseEnd, r.clock()+holdMax)
@@ -314,7 +323,7 @@
 	}
 	h.done = true
 	res := schedule.HoldResult{Outcome: schedule.Accepted}
-	for _, e := range r.ends {
+	for _, e := range r.ends[:min(len(r.ends), maxEndsListed)] {
 		res.Ends = append(res.Ends, e.End)
 	}
 	res.Running = r.listedRuns()
@@ -337,7 +346,7 @@
 	}
 	r.down = false
 	r.incarnationStart = int64(worldStartMs + r.w.now/time.Millisecond)
-	r.offset = 1 - int64(float64(r.w.now.Milliseconds())*r.rate)
+	r.resetClock()
 	r.token, r.leaseEnd, r.leaseOver, r.lastEnd, r.ends, r.waitingHolds = 0, 0, false, 0, nil, nil
 	r.runs, r.sealed = make(map[workload.RunKey]*fakeRun), make(map[workload.TaskName]int)
 	start := r.incarnationStart
