Cursors aren't repeated; completions, failures and Progress by what they show

A cursor is sent only while the runner still lists an end that is acknowledged; before, it was repeated with each Hold. What is left: a new cursor that is under way as the runner restarts, and is carried out once a run of the next incarnation has ended. - A job was shown as completed while a start of one of its runs could reach the next incarnation: dropped by the restart, the run counted as settled. - A failure on the next incarnation wasn't counted, if the list that shows the restart has it. Runs that this list has as ended go on until the next list. - A Progress of any process ended the wait for that of the last leader (by reading; TestTheProgressOfAnotherProcessDoesntEndTheWait).

--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -133,7 +133,7 @@
 	case Progress:
 		if s := n.ownShard(m.Shard); s != nil {
 			s.ledger.OwnerRetired(now, m.Epoch)
-			s.schedule.ApplyProgress(now, m.Progress)
+			s.schedule.ApplyProgress(now, schedule.EntryID(from), m.Progress)
 		}
 	case LearnedPaces:
 		n.receiveLearned(now, from, m)
--- a/core/schedule/acknowledge.go
+++ b/core/schedule/acknowledge.go
@@ -120,7 +120,7 @@
 func (s *Scheduler) acknowledge(r *runner) {
 	n := 0
 	for n < len(r.ends) && s.canAcknowledge(r, r.ends[n]) {
-		r.acknowledged = r.ends[n].end.Sequence
+		r.acknowledged, r.cursorDue = r.ends[n].end.Sequence, true
 		n++
 	}
 	r.ends = r.ends[n:]
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -90,15 +90,13 @@
 // startConfirmTime is within what time runners usually confirm a start; runs take longer.
 const startConfirmTime = 5 * time.Millisecond
 
-// ackCursor returns the sequence up to which ends are acknowledged to the runner. It is 0 while a
+// ackCursor returns the sequence up to which ends are acknowledged to the runner; 0 if the runner has forgotten all of them,
+// so that no cursor is under way as it restarts. It is 0 while a
 // start has stayed unconfirmed for long: the runner may have restarted, carried the start out, and
 // given the end of that run the sequence of an end recorded before. It is 0 as well while the runner is
 // unresponsive, since an unconfirmed run is dropped when it lapses, and while it isn't known which incarnation answers.
 func (r *runner) ackCursor(now Time) uint64 {
-	if r.unresponsive {
-		return 0
-	}
-	if r.doubtedAt > 0 {
+	if !r.cursorDue || r.unresponsive || r.doubtedAt > 0 {
 		return 0
 	}
 	for _, u := range r.runs {
@@ -142,7 +140,7 @@
 }
 
 // beginIncarnation handles the restart of a runner. list is an answer of the new incarnation to a Hold, or nil. Runs that it
-// lists as running go on, and those that it lists as ended wait for the next list, which has these ends as well. A start that
+// lists go on, also those that have ended, since the next list has these ends as well. A start that
 // was unconfirmed or sent twice may still arrive at the new incarnation, or its run may be over there; its task waits for a
 // list that shows this. The runner is acquired again under a higher token, so it refuses orders from before the restart that
 // arrive even later.
@@ -154,9 +152,7 @@
 	})
 	held := r.token != 0
 	for _, u := range lost {
-		if !list.ended(u.key) {
-			s.noteLoss(u, start > r.incarnationStart)
-		}
+		s.noteLoss(u, start > r.incarnationStart)
 		s.dropRun(u, RunnerRestarted)
 	}
 	r.release()
@@ -197,21 +193,21 @@
 	s.noteLostRun(u, l)
 }
 
-// splitRuns divides the runs of a runner into those that a list has as running and the others.
-func (r *runner) splitRuns(list *HoldResult) (running, others []*run) {
+// splitRuns divides the runs of a runner into those that a list has as running or ended and the others.
+func (r *runner) splitRuns(list *HoldResult) (listed, others []*run) {
 	for _, u := range r.sortedRuns() {
-		if list != nil && slices.Contains(list.Running, u.key) {
-			running = append(running, u)
+		if list != nil && list.has(u.key) {
+			listed = append(listed, u)
 			continue
 		}
 		others = append(others, u)
 	}
-	return running, others
+	return listed, others
 }
 
-// ended reports whether a list has the end of a run.
-func (h *HoldResult) ended(k workload.RunKey) bool {
-	return h != nil && slices.ContainsFunc(h.Ends, func(e workload.End) bool { return e.Run == k })
+// has reports whether a list has a run as running or ended.
+func (h *HoldResult) has(k workload.RunKey) bool {
+	return slices.Contains(h.Running, k) || slices.ContainsFunc(h.Ends, func(e workload.End) bool { return e.Run == k })
 }
 
 // describeRuns says how many runs a runner is known to have, and how many of them it has confirmed.
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -107,10 +107,13 @@
 
 func (s *Scheduler) stopAwaiting() { s.progressFrom, s.progressWaitUntil = "", 0 }
 
-// ApplyProgress applies the Progress of the previous leader.
-func (s *Scheduler) ApplyProgress(now Time, p Progress) {
+// ApplyProgress applies the Progress of a previous leader. Only that of the process that is awaited ends the wait for it:
+// another one, which had led beyond a cut, knows nothing of the awaited one's runs.
+func (s *Scheduler) ApplyProgress(now Time, from EntryID, p Progress) {
 	s.now = now
-	s.stopAwaiting()
+	if from == s.progressFrom {
+		s.stopAwaiting()
+	}
 	s.predecessorRetired(p)
 	for _, id := range p.Restarted {
 		if j := s.jobs[id]; j != nil {
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -103,7 +103,7 @@
 	if !j.ended || j.stored.saved < j.stored.saving || j.priorSchedulers > 0 && s.now < s.priorOwnerInactiveAt() {
 		return
 	}
-	if j.stored.state == ledger.Completed && j.stored.mayStillBegin() {
+	if j.stored.state == ledger.Completed && s.mayStillBegin(j.stored) {
 		return
 	}
 	s.retain(j.work.ID, j.stored.state, j.restarted)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"sapphirepoint.example/sapphirepoint/core/workload"
@@ -106,6 +107,7 @@
 		}
 	}
 	s.acknowledge(r)
+	r.cursorDue = slices.ContainsFunc(res.Ends, func(e workload.End) bool { return e.Sequence <= r.acknowledged })
 	listed := make(map[workload.RunKey]bool, len(res.Running))
 	for _, k := range res.Running {
 		if r.endedSince(k, res.Clock.SentAt) {
--- a/core/schedule/runner.go
+++ b/core/schedule/runner.go
@@ -107,6 +107,8 @@
 	// recorded since.
 	acknowledged uint64
 	ends         []listedEnd
+	// cursorDue: its latest list has an end that is acknowledged, or one was acknowledged since.
+	cursorDue bool
 	// recentEnds are the runs whose ends were listed in the last listDelay, oldest first.
 	recentEnds []recentEnd
 	// noLeaseUntil is the time until which no lease is granted. The last lease has certainly
@@ -213,7 +215,7 @@
 	r.unresponsive = false
 	r.doubtedAt = 0
 	r.unansweredAt, r.host = 0, host{}
-	r.acknowledged = 0
+	r.acknowledged, r.cursorDue = 0, false
 	r.ends = nil
 	r.recentEnds = nil
 	r.used = workload.Resources{}
--- a/core/schedule/unknown_answers_test.go
+++ b/core/schedule/unknown_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,6 +102,7 @@
 }
 
 func (n *namedInLists) listFor(o Hold) {
+	n.ended[o.Runner] = slices.DeleteFunc(n.ended[o.Runner], func(e workload.End) bool { return e.Sequence <= o.Acknowledged })
 	c := n.unnamed(o.Runner)
 	c.IncarnationStart = n.starts[o.Runner]
 	n.s.Held(n.now, HoldResult{
