No cursor beside an unconfirmed start; a start that was ordered twice

Cause, found by a reviewer's random runs of core/schedule (links late by up to 150 ms, restarts): a cursor went out with each start, within a grace of 5 ms; carried out after the run's end on the next incarnation, it had that end forgotten, and the task was done again. And a run that had been ordered twice counted as over by its listed end, though the other order could still reach the next incarnation, which knows nothing of that end.

Change: no cursor while any start is unconfirmed. A run with a repeated order counts until no order for it is valid, however it ended, unless it was done. Runners that don't report the starts of their incarnations aren't concerned.

Evidence: TestATaskWhoseStartWasOrderedTwiceWaitsUntilNoOrderIsValid and TestNoEndIsAcknowledgedWhileAStartIsUnconfirmed (stricter: its Hold with the start has no cursor either) were red.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -87,20 +87,16 @@
 	s.probe(r)
 }
 
-// startConfirmTime is within what time runners usually confirm a start; runs take longer.
-const startConfirmTime = 5 * time.Millisecond
-
 // ackCursor returns the sequence up to which ends are acknowledged to the runner; 0 if the runner has forgotten all of them,
-// so that no cursor is under way as it restarts. It is 0 while a
-// start has stayed unconfirmed for long: the runner may have restarted, carried the start out, and
-// given the end of that run the sequence of an end recorded before. It is 0 as well while the runner is
+// so that no cursor is under way as it restarts. It is 0 while a start is unconfirmed: the runner may have restarted, carried
+// the start out, and given the end of that run the sequence of an end recorded before. It is 0 as well while the runner is
 // unresponsive, since an unconfirmed run is dropped when it lapses, and while it isn't known which incarnation answers.
 func (r *runner) ackCursor(now Time) uint64 {
 	if !r.cursorDue || r.unresponsive || r.doubtedAt > 0 {
 		return 0
 	}
 	for _, u := range r.runs {
-		if !u.confirmed && now-u.started >= startConfirmTime && !u.startVoid(now) {
+		if !u.confirmed && !u.startVoid(now) {
 			return 0
 		}
 	}
@@ -115,16 +111,30 @@
 	return rejected && now >= u.orderedAt+maxRunLife(maxLease)
 }
 
+// beganOnce reports whether the known incarnation has confirmed a run of which no other order can be under way.
+func (u *run) beganOnce() bool { return u.confirmed && u.startAttempts <= 1 }
+
+// awaitRepeatedOrder has the task of a run that has ended wait until no other order to start the run can be carried out by a
+// later incarnation. The known one refuses such an order.
+func (s *Scheduler) awaitRepeatedOrder(u *run) {
+	invalidAt := u.runner.startInvalidAt(u)
+	if s.now >= invalidAt {
+		return
+	}
+	u.delayTask(invalidAt)
+	s.noteLostRun(u, lostRun{overAt: s.now + longestLateLife, listFrom: invalidAt})
+}
+
 // longestLateLife is how long a run may live after its start was accepted, under the longest lease, on a runner whose clock
 // is slow and that ends its runs late.
 const longestLateLife = maxLease*(100+clockDriftPercent)/100 + MaxLateEnd
 
-// startInvalidAt returns when an unconfirmed run must be over even if its start has reached a later
+// startInvalidAt returns when a run must be over even if an order to start it has reached a later
 // incarnation of the runner. On that incarnation's clock the lease in the order ends far in the future,
-// and the runner shortens it to maxLease. The result is 0 if the run is confirmed, or if the runner's
-// answers don't contain the start of its incarnation, so that it never restarts under its id.
+// and the runner shortens it to maxLease. The result is 0 if no order can, or if the runner's lists
+// don't contain the start of its incarnation, so that it never restarts under its id.
 func (r *runner) startInvalidAt(u *run) Time {
-	if u.confirmed || r.incarnationStart == 0 {
+	if u.beganOnce() || r.incarnationStart == 0 {
 		return 0
 	}
 	return u.orderedAt + maxRunLife(maxLease)
@@ -182,7 +192,7 @@
 // awaitLostStart has the task of a run wait whose runner has restarted, unless the restart has certainly ended the run. An order
 // that stayed unanswered may reach even the incarnation after the new one, which hasn't seen the raised token.
 func (s *Scheduler) awaitLostStart(u *run) {
-	if u.confirmed && u.startAttempts <= 1 {
+	if u.beganOnce() {
 		return
 	}
 	l := lostRun{overAt: s.now + longestLateLife}
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -123,8 +123,9 @@
 	take[Hold](b)
 	b.submit(testJob(1, 60*ms), 4*time.Second)
 	c = one[Start](b)
-	b.g.Expect(b.s.runners["r1"].ackCursor(b.now)).To(BeEquivalentTo(1), "the start isn't overdue yet")
-	take[Hold](b)
+	for _, h := range take[Hold](b) {
+		b.g.Expect(h.Acknowledged).To(BeZero(), "sent with the start")
+	}
 	b.tick(20 * ms)
 	b.s.requestList(b.s.runners["r1"])
 	b.g.Expect(one[Hold](b).Acknowledged).To(BeZero())
@@ -152,6 +153,7 @@
 	h := one[Hold](b)
 	b.g.Expect(h.Acknowledged).To(BeZero())
 	b.held(h, workload.End{Sequence: 1, Run: ended, Kind: workload.Done})
+	b.started(one[Start](b), Accepted)
 	b.g.Expect(r.ackCursor(b.now)).To(BeEquivalentTo(1))
 }
 
@@ -341,3 +343,31 @@
 	one[Start](b)
 	b.g.Expect(one[Hold](b).Acknowledged).To(BeZero())
 }
+
+// Guards against two runs of a task: a run whose start was ordered twice ends, its task starts elsewhere, and the other order is
+// carried out by the runner's next incarnation.
+func TestATaskWhoseStartWasOrderedTwiceWaitsUntilNoOrderIsValid(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		b := leading(t, testRunner("r1"), testRunner("r2"))
+		for _, r := range b.s.runnerList {
+			if known {
+				r.incarnationStart = firstIncarnation
+			}
+		}
+		b.submit(testJob(1, 300*ms), 9*time.Second)
+		c := one[Start](b)
+		b.started(c, Unanswered)
+		again := one[Start](b)
+		b.started(again, Accepted)
+		b.now += 50 * ms
+		b.end(c.Runner, 1, c.Run, workload.Stopped)
+		if !known {
+			b.g.Expect(take[Start](b)).To(HaveLen(1))
+			continue
+		}
+		b.wait(maxRunLife(maxLease) - 70*ms)
+		b.g.Expect(take[Start](b)).To(BeEmpty())
+		b.wait(60 * ms)
+		b.g.Expect(take[Start](b)).To(HaveLen(1))
+	}
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -275,6 +275,7 @@
 	}
 	s.emit(Decision{Event: "run-ended", Job: t.name.Job, Run: e.Run, Runner: u.runner.info.ID, Reason: e.Kind.String(), Age: s.now - u.started})
 	s.noteEarlierRun(u, "run-ended "+e.Kind.String(), nil)
+	s.awaitRepeatedOrder(u)
 	s.requeue(t)
 }
 
