Cursors go out within 5 ms of a start again

Cause: without a cursor beside any unconfirmed start, runners with many starts answered each Hold at once, with ends that were known, and were asked again.

What it leaves is listed: a new cursor that goes out with a start, just as the runner has restarted, and that is carried out after the run's end.

--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -87,16 +87,21 @@
 	s.probe(r)
 }
 
+// startConfirmTime is within what time runners usually confirm a start; runs take longer. A Hold without a cursor that is due is
+// answered at once, so that runners with many starts would be asked all the time if none were sent meanwhile.
+const startConfirmTime = 5 * time.Millisecond
+
 // ackCursor returns the sequence up to which ends are acknowledged to the runner; 0 if the runner has forgotten all of them,
-// so that no cursor is under way as it restarts. It is 0 while a start is unconfirmed: the runner may have restarted, carried
-// the start out, and given the end of that run the sequence of an end recorded before. It is 0 as well while the runner is
-// unresponsive, since an unconfirmed run is dropped when it lapses, and while it isn't known which incarnation answers.
+// so that no cursor is under way as it restarts. It is 0 while a start has stayed unconfirmed for long: the runner may have
+// restarted, carried the start out, and given the end of that run the sequence of an end recorded before. It is 0 as well while
+// the runner is unresponsive, since an unconfirmed run is dropped when it lapses, and while it isn't known which incarnation
+// answers.
 func (r *runner) ackCursor(now Time) uint64 {
 	if !r.cursorDue || r.unresponsive || r.doubtedAt > 0 {
 		return 0
 	}
 	for _, u := range r.runs {
-		if !u.confirmed && !u.startVoid(now) {
+		if !u.confirmed && now-u.started >= startConfirmTime && !u.startVoid(now) {
 			return 0
 		}
 	}
