--- a/core/schedule/answers.go
+++ b/core/schedule/answers.go
@@ -21,11 +21,6 @@
 	earlierIncarnation
 )
 
-var originNames = [...]string{"unknown", "known", "later", "earlier"}
-
-// String returns the origin's name in logs.
-func (o answerOrigin) String() string { return originNames[o] }
-
 // originOfAnswer returns the incarnation that an answer comes from. A runner that doesn't report the starts of its
 // incarnations never restarts under its id.
 func (r *runner) originOfAnswer(c ClockReading) answerOrigin {
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -183,8 +183,8 @@
 	return r != nil && l.incarnation > 0 && r.incarnationStart > l.incarnation
 }
 
-// failIfCrashing judges the losses of a job's waiting tasks of which no run may be alive. If there are too many under one of them it fails the job,
-// and reports that.
+// failIfCrashing judges the losses of a job's waiting tasks of which no run may be alive. If there are too many under one of
+// them it fails the job, and reports that.
 func (s *Scheduler) failIfCrashing(j *job) bool {
 	for _, t := range j.tasksWithLosses {
 		if t.phase != waiting || s.lostRunAlive(t) {
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -14,38 +14,31 @@
 // entry on the platform's list: nothing is started on it by the entry of an earlier one.
 
 // checkIncarnation returns the incarnation that an answer comes from. An answer of a later one begins that incarnation; an
-// answer of an earlier one is late. Nothing else in either may be used.
-func (s *Scheduler) checkIncarnation(r *runner, c ClockReading) answerOrigin {
+// answer of an earlier one is late. Nothing else in either may be used, but for the list in an answer to a Hold; list is nil
+// for other answers.
+func (s *Scheduler) checkIncarnation(r *runner, c ClockReading, list *HoldResult) answerOrigin {
 	if r.incarnationStart == 0 {
 		r.incarnationStart = c.IncarnationStart
 	}
 	origin := r.originOfAnswer(c)
 	if origin == laterIncarnation {
-		s.beginIncarnation(r, c.IncarnationStart, nil)
+		s.beginIncarnation(r, c.IncarnationStart, list)
 	}
 	return origin
 }
 
-// heldByOtherIncarnation reports whether a Hold was answered by another incarnation than the known one. If it was a later one
-// that incarnation begins, and the runs that it lists go on.
+// heldByOtherIncarnation reports whether a Hold was answered by another incarnation than the known one, or by one of which
+// neither the start nor the clock shows that it is the known one. Of the latter any run may have begun.
 func (s *Scheduler) heldByOtherIncarnation(r *runner, res HoldResult) bool {
-	if r.incarnationStart == 0 {
-		r.incarnationStart = res.Clock.IncarnationStart
+	origin := s.checkIncarnation(r, res.Clock, &res)
+	if origin != unknownIncarnation || res.Outcome != Accepted || r.clock == 0 {
+		return origin == laterIncarnation || origin == earlierIncarnation
 	}
-	switch origin := r.originOfAnswer(res.Clock); {
-	case origin == laterIncarnation:
-		s.beginIncarnation(r, res.Clock.IncarnationStart, &res)
-		return true
-	case origin == unknownIncarnation && res.Outcome == Accepted && r.clock != 0:
-		// The list doesn't say whose it is, and the clock doesn't show that. Any run may be on it or not.
-		for _, u := range r.runs {
-			u.confirmed = false
-		}
-		s.beginIncarnation(r, r.incarnationStart, &res)
-		return true
-	default:
-		return origin == earlierIncarnation
+	for _, u := range r.runs {
+		u.confirmed = false
 	}
+	s.beginIncarnation(r, r.incarnationStart, &res)
+	return true
 }
 
 // described reports whether the runner's entry is that of the known incarnation. A later incarnation may
@@ -123,7 +116,7 @@
 // later incarnation. The known one refuses such an order.
 func (s *Scheduler) awaitRepeatedOrder(u *run) {
 	invalidAt := u.runner.startInvalidAt(u)
-	if s.now >= invalidAt {
+	if u.startAttempts <= 1 || s.now >= invalidAt {
 		return
 	}
 	u.delayTask(invalidAt)
@@ -145,8 +138,8 @@
 	return u.orderedAt + maxRunLife(maxLease)
 }
 
-// mayLiveUntil returns when a run of a silent runner must be over. A later incarnation may have carried out the start, or a renewal
-// since, under the longest lease.
+// mayLiveUntil returns when a run of a silent runner must be over. A later incarnation may have carried out the start, or a
+// renewal since, under the longest lease.
 func (r *runner) mayLiveUntil(u *run) Time {
 	if r.startInvalidAt(u) == 0 {
 		return r.runsOverAt()
@@ -155,10 +148,9 @@
 }
 
 // beginIncarnation handles the restart of a runner. list is an answer of the new incarnation to a Hold, or nil. Runs that it
-// lists go on, also those that have ended, since the next list has these ends as well. A start that
-// was unconfirmed or sent twice may still arrive at the new incarnation, or its run may be over there; its task waits for a
-// list that shows this. The runner is acquired again under a higher token, so it refuses orders from before the restart that
-// arrive even later.
+// lists go on, also those that have ended, since the next list has these ends as well. A start that was unconfirmed or sent
+// twice may still arrive at the new incarnation, or its run may be over there; its task waits for a list that shows this. The
+// runner is acquired again under a higher token, so it refuses orders from before the restart that arrive even later.
 func (s *Scheduler) beginIncarnation(r *runner, start int64, list *HoldResult) {
 	alive, lost := r.splitRuns(list)
 	s.emit(Decision{
--- a/core/schedule/incarnation_test.go
+++ b/core/schedule/incarnation_test.go
@@ -369,3 +369,16 @@
 		b.g.Expect(take[Start](b)).To(HaveLen(1))
 	}
 }
+
+// Guards against a wait for an order that was carried out: a run whose only order stayed unanswered is listed as ended.
+func TestATaskWhoseOnlyOrderWasCarriedOutStartsAtOnce(t *testing.T) {
+	b := leading(t, testRunner("r1"), testRunner("r2"))
+	for _, r := range b.s.runnerList {
+		r.incarnationStart = firstIncarnation
+	}
+	b.submit(testJob(1, 300*ms), 9*time.Second)
+	c := one[Start](b)
+	b.now += 50 * ms
+	b.end(c.Runner, 1, c.Run, workload.Stopped)
+	b.g.Expect(take[Start](b)).To(HaveLen(1))
+}
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -37,7 +37,8 @@
 	}
 	r.noteAnsweredHold(res)
 	silence := s.now - r.clockAt
-	if r.originOfAnswer(res.Clock) == knownIncarnation || res.Outcome == Accepted {
+	// A rejection doesn't say whose it is.
+	if res.Outcome == Accepted || r.originOfAnswer(res.Clock) == knownIncarnation {
 		r.updateClock(res.Clock)
 	}
 	res.Outcome = r.checkReplaced(res.Outcome, res.Address, s.now)
@@ -140,7 +141,7 @@
 			s.dropAbsent(u, StoppedUnlisted, sentAt)
 		case u.stopping || u.confirmed || u.orderToken == 0:
 		case u.orderToken == r.token && u.acceptedAt > 0 && sentAt >= u.acceptedAt:
-			// The known incarnation has accepted it, and may not list it yet.
+			// The list is of the known incarnation, so that one has accepted the start, and may not list the run yet.
 			u.acceptedAt = 0
 			s.startUnanswered(r, u)
 		case u.orderToken == r.token:
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -18,7 +18,7 @@
 	if r == nil || r.gone || !s.leading {
 		return nil, unknownIncarnation
 	}
-	origin := s.checkIncarnation(r, clock)
+	origin := s.checkIncarnation(r, clock, nil)
 	switch {
 	case origin == laterIncarnation, origin == earlierIncarnation:
 		s.dispatch()
