The record of a moving job names no runner of a next start

Cause: before a task with losses is started its record names the runner, so that the next owner knows with which runner the run was lost if this one is killed. A job that moved to another shard instead took that name along, though no start had been ordered; once that runner restarted, it counted as a crash, and an accepted job was shown as failed (TestRandomRestartsOfRunners: "3 crashed of 3 lost", two of them real).

Change: a moving job's record has the losses that happened. A job moves only while none of its runs can be alive.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -211,9 +211,9 @@
 	})
 }
 
-// allLosses returns the losses of a task, with the assumed one.
+// allLosses returns the losses of a task, with the assumed one. A job that moves has none: no start of its tasks is under way.
 func (t *taskState) allLosses() []loss {
-	if t.assumedLoss == nil || slices.ContainsFunc(t.losses, t.assumedLoss.sameRunner) {
+	if t.assumedLoss == nil || t.job.moving() || slices.ContainsFunc(t.losses, t.assumedLoss.sameRunner) {
 		return t.losses
 	}
 	return append(slices.Clone(t.losses), *t.assumedLoss)
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -345,3 +345,21 @@
 	}
 	t.Fatal("the suspect wasn't started")
 }
+
+// Guards against an accepted job that is shown as failed without cause: the record of a job that moves to another shard would name
+// the runner of a start that was never ordered, and that runner's next restart would count as a crash.
+func TestTheRecordOfAMovingJobHasNoAssumedLoss(t *testing.T) {
+	c := leadingBorn(t, "r1", "r2")
+	j := storedJob(1, 300*ms)
+	c.submit(j, 20*time.Second)
+	c.pass(20 * ms)
+	for _, start := range take[Start](c.harness) {
+		c.started(start)
+	}
+	c.pass(20 * ms)
+	c.restart(c.s.jobs[j.ID].steps[0][0].run.runner.info.ID)
+	stored := c.s.jobs[j.ID]
+	c.g.Expect(stored.record().Losses).To(HaveLen(2), "the crash, and the runner that the task is started on next")
+	stored.stored.state = ledger.Moving
+	c.g.Expect(stored.movingRecord().Losses).To(HaveLen(1))
+}
