A start that a replaced runner rejects is no loss

Cause: a runner that comes back under a new id at the same address rejects orders for the old id (421).

Change: no loss for a run whose only order the answer rejects; it has never begun.

Evidence: TestAStartThatAReplacedRunnerRejectsIsNoLoss, red before.

--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -363,3 +363,22 @@
 	stored.stored.state = ledger.Moving
 	c.g.Expect(stored.movingRecord().Losses).To(HaveLen(1))
 }
+
+// Guards against an accepted job that is shown as failed without cause: its task is ordered to runners that have been replaced
+// under other ids at their addresses, which reject the orders.
+func TestAStartThatAReplacedRunnerRejectsIsNoLoss(t *testing.T) {
+	ids := []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7"}
+	c := leadingBorn(t, ids...)
+	j := storedJob(1, 300*ms)
+	c.submit(j, 20*time.Second)
+	c.pass(20 * ms)
+	for range ids[:maxLosses] {
+		start := one[Start](c.harness)
+		c.s.Started(c.now, StartResult{Runner: start.Runner, Address: start.Address, Token: start.Token, Run: start.Run, Outcome: Replaced, Clock: ClockReading{ReceivedAt: c.now, SentAt: c.now}})
+		c.saved(take[Save](c.harness)...)
+		c.s.Tick(c.now)
+	}
+	c.g.Expect(c.s.State(j.ID, c.now).Ended).To(BeFalse())
+	c.g.Expect(c.s.jobs[j.ID].steps[0][0].losses).To(BeEmpty())
+	c.started(one[Start](c.harness))
+}
--- a/core/schedule/ownership.go
+++ b/core/schedule/ownership.go
@@ -216,11 +216,15 @@
 	return o
 }
 
-// replaced handles a runner whose incarnation has ended, and with it all its runs.
-func (s *Scheduler) replaced(r *runner) {
+// replaced handles a runner whose incarnation has ended, and with it all its runs. rejected is the run whose start was answered
+// so, or nil. If that was the only order for it, the run has never begun, and nothing of it was lost.
+func (s *Scheduler) replaced(r *runner, rejected *run) {
 	s.emit(Decision{Event: "runner-lost", Runner: r.info.ID, Token: r.token, Reason: "replaced"})
 	r.gone = true
 	for _, u := range r.sortedRuns() {
+		if u == rejected && !u.confirmed && u.startAttempts == 1 {
+			continue
+		}
 		s.noteLoss(u, true)
 	}
 	tasks := r.tasks()
--- a/core/schedule/reachability.go
+++ b/core/schedule/reachability.go
@@ -66,7 +66,7 @@
 	}
 	switch res.Outcome {
 	case Replaced:
-		s.replaced(r)
+		s.replaced(r, nil)
 		s.dispatch()
 	case Unanswered:
 		r.noteSilence(res)
--- a/core/schedule/results.go
+++ b/core/schedule/results.go
@@ -59,7 +59,7 @@
 	case Fenced:
 		s.runnerFenced(r)
 	case Replaced:
-		s.replaced(r)
+		s.replaced(r, nil)
 		s.dispatch()
 	default:
 		r.noteSilence(res)
--- a/core/schedule/starts.go
+++ b/core/schedule/starts.go
@@ -57,7 +57,7 @@
 	case Fenced:
 		s.runnerFenced(r)
 	case Replaced:
-		s.replaced(r)
+		s.replaced(r, u)
 	case Unanswered:
 		s.startUnanswered(r, u)
 	default:
@@ -222,7 +222,7 @@
 	case Fenced:
 		s.runnerFenced(r)
 	case Replaced:
-		s.replaced(r)
+		s.replaced(r, nil)
 	default:
 		s.unanswered(r)
 		if u != nil {
