Soak: a job may fail once three runners have crashed under a task

Cause: the soak's check calls each stored job that is shown as failed a violation.

It narrows nothing else.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -26,6 +26,8 @@
 type checker struct {
 	mu         sync.Mutex
 	violations []string
+	// crashes counts, for each task, the runners that crashed under it.
+	crashes map[string]int
 	// pairs counts the starts of a task beside another run of it.
 	pairs int
 	// history lists the starts and ends of runs as the runners saw them.
@@ -57,6 +59,7 @@
 		startsByJob:   make(map[string]int),
 
 		lastRunnerStarts: make(map[string]time.Time),
+		crashes:          make(map[string]int),
 		doneTasks:        make(map[string]bool),
 		refusedJobs:      make(map[string]bool),
 		answers:          make(map[string]int),
@@ -162,8 +165,11 @@
 	defer c.mu.Unlock()
 	delete(c.runningByTask[s.Task], s)
 	c.addHistory(s, r.ID, how)
-	if how == "done" {
+	switch how {
+	case "done":
 		c.doneTasks[s.Task] = true
+	case "crashed":
+		c.crashes[s.Task]++
 	}
 }
 
@@ -241,6 +247,8 @@
 	switch {
 	case status == http.StatusGone:
 		c.addViolation("%s was accepted and is unknown now", job)
+	case status == http.StatusOK && strings.Contains(body, "failed") && c.crashesRunners(job):
+		delete(c.acceptedJobs, job)
 	case status == http.StatusOK && strings.Contains(body, "failed"), status == http.StatusOK && strings.Contains(body, "cancelled"):
 		c.addViolation("%s is reported as %s", job, body)
 	case status == http.StatusOK && strings.Contains(body, "completed"):
