A newcomer's reading: comments, a name, a set-up that stood twice

Two comments say what they mean (startConfirmTime, heldByOtherIncarnation), one no longer points at the line above it, lost is lostAndAlive, the set-up of two tests of crashes is a function, and a stand-in's test has a neutral service name. No logic and no check changes.

--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -239,11 +239,9 @@
 	c.g.Expect(c.s.jobs[j.ID].steps[0][0].losses).To(BeEmpty())
 }
 
-// Guards against crashes that are forgotten with the process that has counted them: the next owner starts the task
-// as often again.
-func TestCrashesAreInTheRecord(t *testing.T) {
+// crashedOnce returns a harness with a job whose first task's runner has restarted under it.
+func crashedOnce(t *testing.T, j *workload.Job) *crashing {
 	c := leadingBorn(t, "r1", "r2")
-	j := storedJob(2, 300*ms)
 	c.submit(j, 20*time.Second)
 	c.pass(20 * ms)
 	for _, start := range take[Start](c.harness) {
@@ -251,6 +249,14 @@
 	}
 	c.pass(20 * ms)
 	c.restart(c.s.jobs[j.ID].steps[0][0].run.runner.info.ID)
+	return c
+}
+
+// Guards against crashes that are forgotten with the process that has counted them: the next owner starts the task
+// as often again.
+func TestCrashesAreInTheRecord(t *testing.T) {
+	j := storedJob(2, 300*ms)
+	c := crashedOnce(t, j)
 	record := c.s.jobs[j.ID].record()
 	c.g.Expect(record.Losses).To(HaveLen(4), "each task's crash, and the runner that it is started on next")
 
@@ -349,19 +355,12 @@
 // Guards against an accepted job that is shown as failed without cause: the record of a job that moves to another shard would name
 // the runner of a start that was never ordered, and that runner's next restart would count as a crash.
 func TestTheRecordOfAMovingJobHasNoAssumedLoss(t *testing.T) {
-	c := leadingBorn(t, "r1", "r2")
 	j := storedJob(1, 300*ms)
-	c.submit(j, 20*time.Second)
-	c.pass(20 * ms)
-	for _, start := range take[Start](c.harness) {
-		c.started(start)
-	}
-	c.pass(20 * ms)
-	c.restart(c.s.jobs[j.ID].steps[0][0].run.runner.info.ID)
-	stored := c.s.jobs[j.ID]
-	c.g.Expect(stored.record().Losses).To(HaveLen(2), "the crash, and the runner that the task is started on next")
+	stored := crashedOnce(t, j).s.jobs[j.ID]
+	g := NewWithT(t)
+	g.Expect(stored.record().Losses).To(HaveLen(2), "the crash, and the runner that the task is started on next")
 	stored.stored.state = ledger.Moving
-	c.g.Expect(stored.movingRecord().Losses).To(HaveLen(1))
+	g.Expect(stored.movingRecord().Losses).To(HaveLen(1))
 }
 
 // Guards against an accepted job that is shown as failed without cause: its task is ordered to runners that have been replaced
--- a/core/schedule/handover_lists.go
+++ b/core/schedule/handover_lists.go
@@ -41,7 +41,7 @@
 	return max(j.listsNeededSince, s.settledListSince(r, 0))
 }
 
-// listsPriorRuns reports whether a runner has given such a list.
+// listsPriorRuns reports whether a runner has given a list that shows the prior runs of a job.
 func (s *Scheduler) listsPriorRuns(r *runner, j *job) bool {
 	return r.listedSince(s.handoverListSince(r, j))
 }
--- a/core/schedule/incarnation.go
+++ b/core/schedule/incarnation.go
@@ -27,8 +27,9 @@
 	return origin
 }
 
-// heldByOtherIncarnation reports whether a Hold was answered by another incarnation than the known one, or by one of which
-// neither the start nor the clock shows that it is the known one. Of the latter any run may have begun.
+// heldByOtherIncarnation reports whether a Hold was answered by another incarnation than the known one. A list of which neither
+// the start nor the clock shows that it is the known one's counts as such: the runner is acquired again, and as any of its runs
+// may still be there, none counts as ended by a restart.
 func (s *Scheduler) heldByOtherIncarnation(r *runner, res HoldResult) bool {
 	origin := s.checkIncarnation(r, res.Clock, &res)
 	if origin != unknownIncarnation || res.Outcome != Accepted || r.clock == 0 {
@@ -80,8 +81,9 @@
 	s.probe(r)
 }
 
-// startConfirmTime is within what time runners usually confirm a start; runs take longer. A Hold without a cursor that is due is
-// answered at once, so that runners with many starts would be asked all the time if none were sent meanwhile.
+// startConfirmTime is within what time runners usually confirm a start; runs take longer. A runner answers a Hold at once, in
+// place of waiting for an end, while it has ends to list. So runners with many starts would be asked all the time if no cursor
+// were sent to them before their starts are confirmed.
 const startConfirmTime = 5 * time.Millisecond
 
 // ackCursor returns the sequence up to which ends are acknowledged to the runner; 0 if the runner has forgotten all of them,
--- a/core/schedule/lostrun.go
+++ b/core/schedule/lostrun.go
@@ -62,8 +62,8 @@
 	return slices.ContainsFunc(s.lostRuns[t.name], s.mayBeAlive)
 }
 
-// lost reports whether a run is a lost one that may be alive.
-func (s *Scheduler) lost(u *run) bool {
+// lostAndAlive reports whether a run is a lost one that may be alive.
+func (s *Scheduler) lostAndAlive(u *run) bool {
 	return slices.ContainsFunc(s.lostRuns[u.key.Task], func(l lostRun) bool {
 		return l.key == u.key && l.runner == u.runner.info.ID && s.mayBeAlive(l)
 	})
--- a/core/schedule/stored.go
+++ b/core/schedule/stored.go
@@ -81,7 +81,7 @@
 // mayStillBegin reports whether a run of a done task may begin yet, be it on a later incarnation of its runner.
 func (s *Scheduler) mayStillBegin(st *stored) bool {
 	st.unsettled = slices.DeleteFunc(st.unsettled, func(u *run) bool {
-		return u.confirmed || u.stopped || u.runner.runs[u.key] != u && !s.lost(u)
+		return u.confirmed || u.stopped || u.runner.runs[u.key] != u && !s.lostAndAlive(u)
 	})
 	return len(st.unsettled) > 0
 }
--- a/standin/deployment/runner_restart_test.go
+++ b/standin/deployment/runner_restart_test.go
@@ -16,7 +16,7 @@
 
 // startTestRunner starts a runner that ends with the test.
 func startTestRunner(t *testing.T) *Runner {
-	r, err := StartRunner("i-1", "labelworks", "a")
+	r, err := StartRunner("i-1", "service", "a")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(r.Close)
 	return r
