Jobs held by schedulers stay within a share of the memory

What callers saw: a crowd of scheduled jobs, or of stored jobs of 900 tasks, was accepted without a bound. The process that leads was killed as it exceeded its machine's memory, the next one after it, and ordinary jobs got 503.

Cause: a scheduler holds all tasks of all occurrences of a job, some 512 bytes each with a run (208 + 256 by their types), and only work that is due bounded what it accepted.

The change: all schedulers of a process share a bound in bytes. A new job is refused (LackOfMemory) if it takes more than half of what is free, so that large jobs are refused first and small ones go on. It is decided where lack of room is, so that the same rules say whether "not run" is true. Jobs that an earlier scheduler may have started are taken all the same. Such a job doesn't wait for room of another shard, but may go to one, whose process has its own memory.

--- a/core/schedule/accept.go
+++ b/core/schedule/accept.go
@@ -39,7 +39,7 @@
 		return
 	}
 	j.stored = &stored{epoch: s.rows.epoch, waiters: map[EntryID]Time{sub.Entry: s.now + sub.RemainingTimeout}}
-	s.jobs[id] = j
+	s.add(j)
 	s.rows.open++
 	s.save(j)
 }
--- a/core/schedule/admission.go
+++ b/core/schedule/admission.go
@@ -42,6 +42,9 @@
 		// A job that may have a run here isn't sent to another shard, which doesn't know of it.
 		return workload.NotRefused, ""
 	}
+	if s.lacksMemory(j) {
+		return workload.LackOfMemory, "other jobs take the memory"
+	}
 	if s.allEvacuated(j.work.Service) {
 		return workload.RunnersEvacuated, evacuatedReason
 	}
--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -27,6 +27,8 @@
 	Retention time.Duration
 	// RemoteFactor is the factor by which a task takes longer outside its preferred rack.
 	RemoteFactor float64
+	// Memory bounds what the jobs take; all schedulers of a process share it. nil is no bound.
+	Memory *Memory
 }
 
 // DefaultConfig returns the default limits.
--- a/core/schedule/records.go
+++ b/core/schedule/records.go
@@ -110,7 +110,7 @@
 	if j.stored.state == ledger.Moving {
 		s.retainMove(j.movingRecord(), s.now-j.arrived)
 	}
-	delete(s.jobs, j.work.ID)
+	s.remove(j.work.ID)
 	s.emit(OutcomeSaved{Job: j.work.ID, State: s.rows.retained[j.work.ID].jobState()})
 }
 
--- a/core/schedule/restore.go
+++ b/core/schedule/restore.go
@@ -69,7 +69,7 @@
 	s.awaitHandoverLists(j)
 	j.setDue(s.now-r.Age, r.Definition.Objective)
 	s.updateDue(j)
-	s.jobs[r.Job] = j
+	s.add(j)
 	s.rows.open++
 	j.eachTask(func(t *taskState) {
 		t.lastNumber = j.priorSchedulers * runsPerScheduler
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -303,10 +303,10 @@
 		}
 		r.release()
 	}
-	for _, j := range s.jobs {
+	for id, j := range s.jobs {
 		s.noteRan(j)
+		s.remove(id)
 	}
-	clear(s.jobs)
 	s.queue = nil
 	s.borrowing.request = nil
 	clear(s.grants)
--- a/core/schedule/submit.go
+++ b/core/schedule/submit.go
@@ -84,7 +84,7 @@
 func (s *Scheduler) submitNew(sub Submission) {
 	s.ctr.Submitted++
 	j := s.newSubmitted(sub)
-	s.jobs[j.work.ID] = j
+	s.add(j)
 	s.attach(j)
 	if j.complete() {
 		s.finish(j, workload.Completed, "all tasks had ended")
@@ -142,7 +142,7 @@
 	if cause == workload.NotRefused || j.granted && cause == workload.LackOfRoom {
 		return false
 	}
-	j.awaitsRoom = !hopeless && s.mayBorrow(j)
+	j.awaitsRoom = !hopeless && cause != workload.LackOfMemory && s.mayBorrow(j)
 	if j.awaitsRoom {
 		return false
 	}
@@ -315,7 +315,7 @@
 func (s *Scheduler) forget(j *job) {
 	j.ended = true
 	s.noteRan(j)
-	delete(s.jobs, j.work.ID)
+	s.remove(j.work.ID)
 	s.dequeue(j)
 	s.stopAll(j)
 }
--- a/core/workload/refusal.go
+++ b/core/workload/refusal.go
@@ -39,6 +39,8 @@
 	// RunnerSilent: a task of the job may have a run on a runner that doesn't answer, and can't be started again before
 	// its caller leaves.
 	RunnerSilent
+	// LackOfMemory: too little memory is free in the process that got the job.
+	LackOfMemory
 	// OtherRefusal: a cause that this version doesn't know.
 	OtherRefusal
 )
@@ -46,7 +48,7 @@
 var refusalCauseNames = [...]string{
 	"", "lack-of-room", "too-little-time", "time-up", "runners-evacuated", "no-runner",
 	"no-fitting-runner", "not-leading", "no-scheduler", "no-answer", "process-ending", "store-unavailable",
-	"copy-refused", "not-configured", "not-served", "runner-silent", "other",
+	"copy-refused", "not-configured", "not-served", "runner-silent", "lack-of-memory", "other",
 }
 
 // String returns the name for logs and metrics; it is empty for NotRefused.
