Garbage is collected more often near three quarters of the machine's memory

Cause: the heap may grow to twice what is in use before the next collection. The budget bounds what is in use; this bounds the garbage. It is no bound by itself.

--- a/cmd/sapphirepoint-entry/main.go
+++ b/cmd/sapphirepoint-entry/main.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -40,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(settings.HeapBytes())
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	log := logging.New(out, zerolog.InfoLevel).With().Str("node", settings.Node).Logger()
