--- a/intake/listener.go
+++ b/intake/listener.go
@@ -183,12 +183,20 @@
 		if c == nil {
 			continue
 		}
-		l.log.Info().Stringer("reason", e.Reason).Dur("age", e.Age).Int64("bytes", e.Bytes).
-			Str("caller", c.RemoteAddr().String()).Msg("connection-closed")
+		l.logClosed(c, e)
 		l.logClose(c.Conn.Close())
 	}
 }
 
+// logClosed logs why a connection is closed, unless it was only idle for too long.
+func (l *Listener) logClosed(c *conn, e intake.Closed) {
+	if e.Reason == intake.IdleTimeout {
+		return
+	}
+	l.log.Info().Stringer("reason", e.Reason).Dur("age", e.Age).Int64("bytes", e.Bytes).
+		Str("caller", c.RemoteAddr().String()).Msg("connection-closed")
+}
+
 // logClose logs a failed close of a connection, whose descriptor may stay open.
 func (l *Listener) logClose(err error) {
 	if err != nil && !errors.Is(err, net.ErrClosed) {
