Large messages of other processes are read once there is memory for them

Cause: a process decodes all that its peers send and queues it for its loop. The one that leads gets what all others let through: each at most its own budget, but together more than one machine has, if its loop falls behind.

Heartbeats and other small messages don't wait, except behind a large one of the same peer.

--- a/entry/ports.go
+++ b/entry/ports.go
@@ -119,6 +119,8 @@
 	LinkMbps float64
 	// PeerAddress is the address on which other processes reach this one.
 	PeerAddress string
+	// InboxBytes bounds the memory of other processes' messages that were received and not handled; 0 is a default.
+	InboxBytes int64
 	// Grace is the time from the start of a planned stop until the platform kills
 	// the process.
 	Grace time.Duration
--- a/entry/process.go
+++ b/entry/process.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	// configurationTimeout is how long requests wait for the first configuration. A
 	// process accepts connections some 20 ms before it has read the configuration.
 	configurationTimeout = 300 * time.Millisecond
+	// defaultInboxBytes is Config.InboxBytes if that is 0.
+	defaultInboxBytes = 64 << 20
 	// eventQueueSize bounds the events that wait for the loop, see post.
 	eventQueueSize = 8192
 )
@@ -123,7 +126,7 @@
 	p.receivesRunnerList.Store(p.node.ReceivesRunnerList())
 	p.configuration.Store(&routing.Table{})
 	p.pending.Store(&pendingJobs{})
-	p.mesh, err = peer.Listen(cfg.PeerAddress, identity, p, log)
+	p.mesh, err = peer.Listen(cfg.PeerAddress, identity, cmp.Or(cfg.InboxBytes, defaultInboxBytes), p, log)
 	return p, err
 }
 
@@ -359,7 +362,10 @@
 }
 
 // PeerMessage implements peer.Handler.
-func (p *Process) PeerMessage(id string, m *pb.FleetMessage) {
+func (p *Process) PeerMessage(id string, m *pb.FleetMessage, handled func()) {
 	p.metrics.messages.WithLabelValues("received", kindOf(m)).Inc()
-	p.post(func(now Time) { p.node.Receive(now, leader.ID(id), decode(m)) })
+	p.post(func(now Time) {
+		defer handled()
+		p.node.Receive(now, leader.ID(id), decode(m))
+	})
 }
--- /dev/null
+++ b/peer/inbox.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+	"google.golang.org/protobuf/proto"
+
+	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+)
+
+const (
+	// smallMessage is the size in bytes up to which messages, such as heartbeats, don't wait for memory.
+	smallMessage = 4 << 10
+	// decodeFactor times its size is what a message takes until it is handled.
+	decodeFactor = 10
+)
+
+// inbox bounds what large messages of all peers take from their receipt until they are handled. Without it, a leader
+// that is short of processor time would hold what all others let through.
+type inbox struct {
+	limit int64
+	free  *semaphore.Weighted
+}
+
+func newInbox(limit int64) *inbox {
+	return &inbox{limit: limit, free: semaphore.NewWeighted(limit)}
+}
+
+// read reads a message in the form of protodelim, once there is memory for it. handled returns that memory.
+func (i *inbox) read(ctx context.Context, r *bufio.Reader) (msg *pb.FleetMessage, handled func(), err error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "message size")
+	}
+	if size > maxMessageBytes {
+		return nil, nil, errors.Errorf("a message of %d bytes, over %d", size, maxMessageBytes)
+	}
+	handled, err = i.reserve(ctx, int64(size))
+	if err != nil {
+		return nil, nil, err
+	}
+	raw := make([]byte, size)
+	msg = &pb.FleetMessage{}
+	if _, err = io.ReadFull(r, raw); err == nil {
+		err = proto.Unmarshal(raw, msg)
+	}
+	if err != nil {
+		handled()
+		return nil, nil, errors.Wrap(err, "message")
+	}
+	return msg, handled, nil
+}
+
+// reserve waits for the memory of a message. The largest messages are read one at a time, whatever the limit.
+func (i *inbox) reserve(ctx context.Context, size int64) (release func(), err error) {
+	if size <= smallMessage {
+		return func() {}, nil
+	}
+	weight := min(size*decodeFactor, i.limit)
+	if err := i.free.Acquire(ctx, weight); err != nil {
+		return nil, errors.Wrap(err, "wait for memory")
+	}
+	return func() { i.free.Release(weight) }, nil
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -72,14 +72,13 @@
 
 func (m *Mesh) read(l *link, stream *quic.Stream) {
 	r := bufio.NewReader(stream)
-	opts := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
 	for {
-		msg := &pb.FleetMessage{}
-		if err := opts.UnmarshalFrom(r, msg); err != nil {
+		msg, handled, err := m.inbox.read(l.conn.Context(), r)
+		if err != nil {
 			m.removeLink(l, err)
 			return
 		}
-		m.handler.PeerMessage(l.id, msg)
+		m.handler.PeerMessage(l.id, msg, handled)
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -70,8 +70,8 @@
 	// UnknownPeer reports that a process that isn't listed has tried to connect. It may have
 	// registered since the list was read.
 	UnknownPeer()
-	// PeerMessage passes a received message.
-	PeerMessage(id string, m *pb.FleetMessage)
+	// PeerMessage passes a received message. handled is to be called once it has been handled.
+	PeerMessage(id string, m *pb.FleetMessage, handled func())
 }
 
 // Mesh holds the connections of one process.
@@ -81,6 +81,7 @@
 	log      zerolog.Logger
 	listener *quic.Listener
 	quic     *quic.Config
+	inbox    *inbox
 	// unneededTimeout equals the constant, except in tests.
 	unneededTimeout time.Duration
 
@@ -99,8 +100,9 @@
 }
 
 // link is a connection with a peer.
-// Listen opens the socket for peers and returns a mesh.
-func Listen(address string, identity *Identity, handler Handler, log zerolog.Logger) (*Mesh, error) {
+// Listen opens the socket for peers and returns a mesh. inboxBytes bounds the memory of messages that were received and
+// not handled.
+func Listen(address string, identity *Identity, inboxBytes int64, handler Handler, log zerolog.Logger) (*Mesh, error) {
 	m := &Mesh{
 		identity: identity,
 		handler:  handler,
@@ -110,6 +112,7 @@
 		links:    make(map[string]*link),
 		dialing:  make(map[string]bool),
 		changed:  make(chan struct{}, 1),
+		inbox:    newInbox(inboxBytes),
 		quic:     &quic.Config{MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: handshakeTimeout},
 
 		unneededTimeout: unneededTimeout,
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -53,7 +53,8 @@
 	r.unknown++
 }
 
-func (r *recorder) PeerMessage(_ string, m *pb.FleetMessage) {
+func (r *recorder) PeerMessage(_ string, m *pb.FleetMessage, handled func()) {
+	defer handled()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d := m.GetDropJob(); d != nil {
@@ -82,7 +83,7 @@
 	identity, err := NewIdentity()
 	g.Expect(err).NotTo(HaveOccurred())
 	rec := newRecorder()
-	m, err := Listen("127.0.0.1:0", identity, rec, zerolog.Nop())
+	m, err := Listen("127.0.0.1:0", identity, maxMessageBytes*decodeFactor, rec, zerolog.Nop())
 	g.Expect(err).NotTo(HaveOccurred())
 	id := string(rune('a' + number - 1))
 	ctx, cancel := context.WithCancel(context.Background())
