sapphirepointd bounds its callers' heads, bodies, tasks and connections

What callers would see, by trials with the crowds of the next lines: heads of a megabyte, bodies of callers without a token, bodies just short of their end, and bodies of empty tasks took memory without a bound; silent connections kept ordinary callers waiting.

Cause: heads had net/http's megabyte; a body was read before its caller was authenticated, with no bound in time or over all; two bytes of an empty task become some eighty before the number of tasks is checked, and a compressed body more; at the limit of connections others wait behind silent ones.

The change: heads of 16 KiB; callers are authenticated before their body is read; a body must arrive within two minutes; all requests in progress share request_memory (512 MiB by default), decided by core/intake: the one that has been sending for the longest gives way and gets "unavailable", which promises nothing; submissions with more tasks than any service may declare aren't decoded; at the limit of connections the one that has been sending its first request for the longest gives way (those between two requests are kept, as before). HTTP/2 keeps 1,000 streams, with 512 KiB of unread bytes a connection.

--- a/config/node.go
+++ b/config/node.go
@@ -42,6 +42,7 @@
 		CallerTLS:              callerTLS,
 		OperatorTLS:            operatorTLS,
 		MaxRequestBytes:        p.Limits.maxRequestBytes(),
+		RequestMemory:          p.Limits.requestMemory(),
 		MaxCallerConnections:   p.Limits.CallerConnections,
 		MaxOperatorConnections: p.Limits.OperatorConnections,
 		Log:                    log,
--- a/config/process.go
+++ b/config/process.go
@@ -79,6 +79,8 @@
 type Limits struct {
 	// MaxRequest is the largest request of a caller or operator, such as 32MiB.
 	MaxRequest string `yaml:"max_request"`
+	// RequestMemory bounds the memory of all requests of callers that are in progress, such as 512MiB.
+	RequestMemory string `yaml:"request_memory"`
 	// CallerConnections and OperatorConnections are the maximum numbers of open
 	// connections; further ones wait to be accepted.
 	CallerConnections   int `yaml:"caller_connections"`
@@ -91,6 +93,7 @@
 		LogLevel: zerolog.InfoLevel.String(),
 		Limits: Limits{
 			MaxRequest:          "32MiB",
+			RequestMemory:       "512MiB",
 			CallerConnections:   node.DefaultMaxCallerConnections,
 			OperatorConnections: node.DefaultMaxOperatorConnections,
 		},
@@ -252,6 +255,13 @@
 	case n == 0 || n > node.DefaultMaxRequestBytes:
 		d.addProblem("limits.max_request", "%s must be above 0 and at most %d MiB", l.MaxRequest, node.DefaultMaxRequestBytes>>20)
 	}
+	memory, memoryErr := parseSize(l.RequestMemory, 1)
+	switch {
+	case memoryErr != nil:
+		d.addProblem("limits.request_memory", "%s", memoryErr)
+	case err == nil && memory < node.MinRequestMemory(n):
+		d.addProblem("limits.request_memory", "%s must be at least %d bytes for a request of max_request", l.RequestMemory, node.MinRequestMemory(n))
+	}
 	if l.CallerConnections <= 0 {
 		d.addProblem("limits.caller_connections", "must be above 0")
 	}
@@ -278,12 +288,18 @@
 }
 
 // maxRequestBytes returns MaxRequest in bytes; the setting has been checked before.
-func (l Limits) maxRequestBytes() int {
-	n, err := parseSize(l.MaxRequest, 1)
+func (l Limits) maxRequestBytes() int { return int(checkedSize("max_request", l.MaxRequest)) }
+
+// requestMemory returns RequestMemory in bytes; the setting has been checked before.
+func (l Limits) requestMemory() int64 { return int64(checkedSize("request_memory", l.RequestMemory)) }
+
+// checkedSize returns a size in bytes that has been checked before.
+func checkedSize(name, size string) uint64 {
+	n, err := parseSize(size, 1)
 	if err != nil {
-		panic("config: validated limits.max_request is unreadable: " + err.Error())
+		panic("config: validated limits." + name + " is unreadable: " + err.Error())
 	}
-	return int(n)
+	return uint64(n)
 }
 
 // operatorToken reads the operators' bearer token.
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -30,6 +30,9 @@
 	// MinReceiveTime is how long a caller has for sending its request before its connection may be closed for
 	// another one.
 	MinReceiveTime time.Duration
+	// KeepIdle: connections between two requests aren't closed for others, and a caller for whom no place can be made
+	// waits.
+	KeepIdle bool
 }
 
 // Timeouts bound how long a connection may stay in a phase.
@@ -143,6 +146,9 @@
 	var closed []Closed
 	for len(i.connections) >= i.limits.Connections || i.bytes+i.limits.ConnectionBytes > i.limits.Bytes {
 		victim := i.slowest()
+		if victim == nil && i.limits.KeepIdle {
+			return Admission{Closed: closed, Wait: i.limits.MinReceiveTime}
+		}
 		if victim == nil {
 			victim = i.oldest(idle)
 		}
@@ -304,6 +310,9 @@
 	return closed, true
 }
 
+// Occupy records that a whole request is being served, for which no memory is reserved.
+func (i *Intake) Occupy(now Time, id ID) { i.enter(now, id, serving) }
+
 // Expire returns the connections whose phase has taken too long. A timeout of 0 is none.
 func (i *Intake) Expire(now Time, t Timeouts) []Closed {
 	var closed []Closed
--- a/crowds/world_test.go
+++ b/crowds/world_test.go
@@ -22,7 +22,9 @@
 
 var (
 	enabled = flag.Bool("crowds", false, "run the tests of crowds, which need the machine to themselves")
-	logDir  = flag.String("crowds.logs", "", "directory for the logs of the processes")
+	// daemonLimits is false for trials of programs that don't know the setting.
+	daemonLimits = flag.Bool("crowds.daemon-limits", true, "set request_memory in the settings of sapphirepointd")
+	logDir       = flag.String("crowds.logs", "", "directory for the logs of the processes")
 )
 
 const (
@@ -205,8 +207,15 @@
 	g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
 	n := &node{Node: d, name: name, done: make(chan struct{})}
 	n.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s --settings %s", w.machine.maxFDs, w.program, path))
+	w.run(n)
+	return n
+}
+
+// run starts a node's process, which is killed at the end of the test.
+func (w *world) run(n *node) {
+	w.t.Helper()
 	n.cmd.Stdout, n.cmd.Stderr = &n.log, &n.log
-	g.Expect(n.cmd.Start()).To(Succeed())
+	NewWithT(w.t).Expect(n.cmd.Start()).To(Succeed())
 	go func() {
 		_ = n.cmd.Wait()
 		close(n.done)
@@ -217,7 +226,6 @@
 		<-n.done
 		n.saveLog(w.t)
 	})
-	return n
 }
 
 func (n *node) saveLog(t *testing.T) {
@@ -278,6 +286,7 @@
 	if !n.stopping && n.ended() {
 		w.t.Errorf("%s has ended:\n%s", n.name, tail(n.log.String()))
 	}
+	g.Expect(n.log.String()).NotTo(ContainSubstring("panic"), "%s: a request has failed in the process", n.name)
 	if used := memory + unread; used > w.machine.memoryMB*bytesPerMB {
 		w.t.Errorf("%s: %.1f MB resident and unread, over the machine's %d MB", n.name, float64(used)/bytesPerMB, w.machine.memoryMB)
 	}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"time"
 
@@ -61,7 +62,10 @@
 // received counts n bytes. It returns an error if the connection is to be ended.
 func (c *conn) received(n int) error {
 	l := c.listener
-	limit := l.cfg.HeadBytes() + headSlack
+	limit := math.MaxInt
+	if l.cfg.HeadBytes != nil {
+		limit = l.cfg.HeadBytes() + headSlack
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.stage == afterHead {
@@ -71,6 +75,9 @@
 		c.stage, c.headRead = inHead, 0
 		l.intake.BeginRequest(l.now(), c.id)
 	}
+	if l.cfg.HeadBytes == nil {
+		return nil
+	}
 	c.headRead += n
 	if c.headRead > limit {
 		return errHeadTooLong
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -45,7 +46,7 @@
 	Name   string
 	Limits intake.Limits
 	// Timeouts and HeadBytes return the limits in force, which may change at any time. HeadBytes is the most bytes of
-	// a request's head.
+	// a request's head. If it is nil, heads aren't counted: with TLS or HTTP/2, connections carry more than heads.
 	Timeouts  func() intake.Timeouts
 	HeadBytes func() int
 	// Headers are the names of the headers that handlers read. The others are dropped.
@@ -91,9 +92,8 @@
 		MaxHeaderBytes:    maxHeadBytes,
 		ReadHeaderTimeout: backstopTimeout,
 		IdleTimeout:       backstopTimeout,
-		ConnState:         connState,
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
+	l.Follow(l.server)
 	return l, nil
 }
 
@@ -204,10 +204,19 @@
 	}
 }
 
+// Follow has a server report what the listener's connections do, before it serves on them. Listeners of crypto/tls may
+// be in between.
+func (l *Listener) Follow(s *http.Server) {
+	s.ConnState = connState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, inner(c))
+	}
+	go l.expire()
+}
+
 // Serve serves requests until the listener is closed or Shutdown is called.
 func (l *Listener) Serve(h http.Handler) error {
 	l.server.Handler = l.bound(h)
-	go l.expire()
 	err := l.server.Serve(l)
 	l.close()
 	if errors.Is(err, http.ErrServerClosed) {
@@ -242,9 +251,9 @@
 
 // connState follows a connection's requests. StateActive follows a whole head; the first bytes of one are seen by
 // conn.Read.
-func connState(inner net.Conn, s http.ConnState) {
-	c, ok := inner.(*conn)
-	if !ok {
+func connState(outer net.Conn, s http.ConnState) {
+	c := inner(outer)
+	if c == nil {
 		return
 	}
 	switch s {
@@ -257,3 +266,12 @@
 	case http.StateNew:
 	}
 }
+
+// inner returns the connection below one of crypto/tls; nil if it is of another listener.
+func inner(outer net.Conn) *conn {
+	if t, ok := outer.(*tls.Conn); ok {
+		outer = t.NetConn()
+	}
+	c, _ := outer.(*conn)
+	return c
+}
--- a/intake/request.go
+++ b/intake/request.go
@@ -58,6 +58,18 @@
 	w.WriteHeader(http.StatusGatewayTimeout)
 }
 
+// Occupy keeps a request's connection from being closed for others or as idle, until the request is answered. That of a
+// connection of HTTP/2 is kept until it ends.
+func Occupy(ctx context.Context) {
+	c := connOf(ctx)
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.intake.Occupy(c.listener.now(), c.id)
+}
+
 func connOf(ctx context.Context) *conn {
 	c, _ := ctx.Value(connKey{}).(*conn)
 	return c
--- a/node/callers.go
+++ b/node/callers.go
@@ -38,11 +38,18 @@
 func (n *Node) callerHandler() http.Handler {
 	e := echo.New()
 	n.healthRoutes(e)
-	path, h := sapphirepointv1connect.NewCallerServiceHandler(n.callers, connect.WithReadMaxBytes(n.cfg.MaxRequestBytes))
-	e.Any(path+"*", echo.WrapHandler(withCertificateName(h)))
+	path, h := sapphirepointv1connect.NewCallerServiceHandler(n.callers, connect.WithReadMaxBytes(n.cfg.MaxRequestBytes), boundedCodecs())
+	authenticated := n.requests.bounded(n.callers.authenticateRequest, h)
+	e.Any(path+"*", echo.WrapHandler(withCertificateName(authenticated)))
 	return e
 }
 
+// authenticateRequest authenticates a request before its body is read.
+func (cs *callerService) authenticateRequest(r *http.Request) error {
+	_, err := cs.institution(r.Context(), r.Header)
+	return err
+}
+
 func (n *Node) healthRoutes(e *echo.Echo) {
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c echo.Context) error {
--- a/node/config.go
+++ b/node/config.go
@@ -41,6 +41,8 @@
 	// MaxRequestBytes is the limit of the size of a request of a caller or operator.
 	// 0 means DefaultMaxRequestBytes, which must not be exceeded.
 	MaxRequestBytes int
+	// RequestMemory bounds the memory in bytes that callers' requests in progress take; 0 means DefaultRequestMemory.
+	RequestMemory int64
 	// MaxCallerConnections and MaxOperatorConnections bound the open connections of
 	// each listener; 0 means the default.
 	MaxCallerConnections   int
@@ -60,6 +62,9 @@
 	if c.MaxRequestBytes == 0 {
 		c.MaxRequestBytes = DefaultMaxRequestBytes
 	}
+	if c.RequestMemory == 0 {
+		c.RequestMemory = DefaultRequestMemory
+	}
 	if c.MaxCallerConnections == 0 {
 		c.MaxCallerConnections = DefaultMaxCallerConnections
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -11,6 +11,7 @@
 
 	"sapphirepoint.example/sapphirepoint/core/dispatch"
 	pb "sapphirepoint.example/sapphirepoint/gen/sapphirepointv1"
+	"sapphirepoint.example/sapphirepoint/intake"
 )
 
 const (
@@ -27,6 +28,8 @@
 	responseOverIdeal prometheus.Histogram
 	platform          *prometheus.CounterVec
 	idBlocks          prometheus.Counter
+	turnedAway        prometheus.Counter
+	intake            *intake.Metrics
 }
 
 func newMetrics(n *Node) *metrics {
@@ -49,7 +52,13 @@
 		idBlocks: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "id_block_calls_total", Help: "Calls of callers for blocks of ids.",
 		}),
+		turnedAway: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_turned_away_total", Help: "Requests not served since too little memory was free.",
+		}),
+		intake: intake.NewMetrics(),
 	}
+	m.registry.MustRegister(m.turnedAway)
+	m.registry.MustRegister(m.intake.Collectors()...)
 	m.registry.MustRegister(m.answers, m.response, m.responseOverIdeal, m.platform, m.idBlocks, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &coreCollector{n})
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -64,8 +64,9 @@
 	mesh      *mesh
 	metrics   *metrics
 
-	callerListener   net.Listener
-	operatorListener net.Listener
+	callerListener   *listener
+	operatorListener *listener
+	requests         *requests
 }
 
 // New creates a node and opens its sockets.
@@ -84,6 +85,7 @@
 	n.log = cfg.Log.With().Stringer("incarnation", self).Str("failure_domain", cfg.FailureDomain).Logger()
 	n.currentSettings.Store(settings.NewState())
 	n.metrics = newMetrics(n)
+	n.requests = newRequests(cfg, n.log, n.metrics)
 	n.callers = newCallerService(n)
 	n.platform = newPlatformClient(n)
 	n.upstreams = newUpstreamClient(n)
@@ -93,11 +95,11 @@
 // listen opens the sockets for callers, operators and peers.
 func (n *Node) listen() error {
 	var err error
-	n.callerListener, err = listenTCP(n.cfg.CallerAddress, n.cfg.MaxCallerConnections, n.cfg.CallerTLS)
+	n.callerListener, err = n.listenTCP("callers", n.cfg.CallerAddress, n.cfg.MaxCallerConnections, n.cfg.CallerTLS)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	n.operatorListener, err = listenTCP(n.cfg.OperatorAddress, n.cfg.MaxOperatorConnections, n.cfg.OperatorTLS)
+	n.operatorListener, err = n.listenTCP("operators", n.cfg.OperatorAddress, n.cfg.MaxOperatorConnections, n.cfg.OperatorTLS)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
@@ -130,8 +132,8 @@
 	group.Go(func() error { return n.loop(ctx) })
 	group.Go(func() error { return n.platform.poll(ctx) })
 	group.Go(func() error { return n.mesh.run(ctx) })
-	callerServer := newServer(n.callerHandler())
-	operatorServer := newServer(n.operatorHandler())
+	callerServer := n.callerListener.newServer(n.callerHandler())
+	operatorServer := n.operatorListener.newServer(n.operatorHandler())
 	group.Go(func() error { return serve(callerServer, n.callerListener) })
 	group.Go(func() error { return serve(operatorServer, n.operatorListener) })
 	group.Go(func() error {
@@ -171,26 +173,6 @@
 	n.post(dispatch.Drain{})
 }
 
-// newServer returns a server for HTTP/1 and HTTP/2, also HTTP/2 without TLS. Pings detect
-// dead HTTP/2 connections.
-func newServer(h http.Handler) *http.Server {
-	var p http.Protocols
-	p.SetHTTP1(true)
-	p.SetHTTP2(true)
-	p.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           h,
-		Protocols:         &p,
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: 1000,
-			SendPingTimeout:      5 * time.Second,
-			PingTimeout:          5 * time.Second,
-		},
-	}
-}
-
 // serve serves until the server is shut down.
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
