Each limit on callers and peers has a metric and a line for operators; what is given up is shed

The answers with 504 and the connections that are closed for others are now called shed and evicted, as in the field; turned away, which the glossary keeps for rejections, misled. New metrics: memory of the schedulers' jobs, invalid requests, messages that waited for memory, answers that weren't read. Texts of a job's steps count in a scheduler's memory (a job of one task with 250 kB of text counted as 1.7 kB; TestTextsOfStepsTakeMemory). Lines of libraries are cut at 2,000 bytes.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -1,6 +1,6 @@
 // Package intake decides which connections and requests of callers a process holds at the same time, so that it stays
 // within the memory and the descriptors of its machine: whom it admits, whose connection it closes for others, and
-// which requests it turns away. It does no input or output and reads no clock.
+// which requests it sheds. It does no input or output and reads no clock.
 //
 // A connection is closed only while no whole request of it is being served. Under pressure those go first that have
 // been sending a request for the longest, and those between two requests after them.
--- a/core/schedule/memory.go
+++ b/core/schedule/memory.go
@@ -7,6 +7,8 @@
 	jobBytes  = 1024
 	stepBytes = 160
 	taskBytes = 512
+	// dependencyBytes is what an entry of workload.Step.DependsOn takes.
+	dependencyBytes = 8
 	// freeMemoryShare is the part of the free memory, one in so many, that a new job may take. Large jobs are refused
 	// first, so that small ones are still accepted.
 	freeMemoryShare = 2
@@ -43,7 +45,12 @@
 // memoryOf returns the bytes that a job takes in a scheduler.
 func memoryOf(w *workload.Job) int64 {
 	steps := int64(len(w.Steps)) * int64(w.Occurrences())
-	return jobBytes + int64(len(w.Spec)) + steps*stepBytes + int64(w.Tasks())*taskBytes
+	bytes := jobBytes + int64(len(w.Spec)) + steps*stepBytes + int64(w.Tasks())*taskBytes
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		bytes += int64(len(s.Requires) + len(s.PreferredRack) + len(s.DependsOn)*dependencyBytes)
+	}
+	return bytes
 }
 
 // add adds a job to the scheduler's jobs.
--- a/core/schedule/memory_test.go
+++ b/core/schedule/memory_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -30,3 +31,12 @@
 	often := &workload.Job{Steps: once.Steps, Times: 100}
 	g.Expect(memoryOf(often)).To(BeNumerically(">=", 100*(memoryOf(once)-jobBytes)))
 }
+
+// Guards against jobs of one task with a long text, which would count as small ones.
+func TestTextsOfStepsTakeMemory(t *testing.T) {
+	g := NewWithT(t)
+	text := strings.Repeat("x", 100_000)
+	for _, s := range []workload.Step{{Requires: text}, {PreferredRack: text}, {DependsOn: make([]int, 100_000)}} {
+		g.Expect(memoryOf(&workload.Job{Steps: []workload.Step{s}})).To(BeNumerically(">", 100_000))
+	}
+}
--- a/crowds/crowds_test.go
+++ b/crowds/crowds_test.go
@@ -1,7 +1,10 @@
 package crowds
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -137,6 +140,28 @@
 	withstand(t, kind{clients: 200, do: exchange(func(int) string { return post(newID(), text) })})
 }
 
+// Guards against jobs of one task with a text of nearly the size of a body, which schedulers would hold.
+func TestJobsWithLongTexts(t *testing.T) {
+	text := `{"spec":"60s","bestEffort":true,"steps":[{"count":1,"cpu":1000,"memMb":64,"estimateMs":100,"affinity":"` +
+		strings.Repeat("x", 250_000) + `"}]}`
+	withstand(t, kind{clients: 300, processes: 3, do: exchange(func(int) string { return post(newID(), text) })})
+}
+
+// Guards against ids that are remembered for every cancel and every query of a job that nobody submitted.
+func TestCancelsAndQueriesOfUnknownJobs(t *testing.T) {
+	withstand(t, kind{clients: 200, processes: 3, do: func(ctx context.Context, c net.Conn, i int) {
+		method := []string{http.MethodDelete, http.MethodGet}[i%2]
+		exchange(func(int) string {
+			return strings.Replace(requestLineOf(newID()), http.MethodPost, method, 1) + "\r\n"
+		})(ctx, c, i)
+	}})
+}
+
+// Guards against outcomes that are remembered for every small job of a flood.
+func TestFloodOfSmallJobs(t *testing.T) {
+	withstand(t, kind{clients: 400, processes: 3, do: exchange(func(int) string { return post(newID(), job("1ms", 1)) })})
+}
+
 const largestJob = 4000
 
 // Guards against memory for many large jobs of legal size at once.
--- a/crowds/daemon_test.go
+++ b/crowds/daemon_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -17,7 +16,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"golang.org/x/net/http2"
 	"google.golang.org/protobuf/proto"
 
 	"sapphirepoint.example/sapphirepoint/client"
@@ -199,14 +197,13 @@
 
 // holdStreams opens as many streams as the server allows, each with a body that doesn't end.
 func holdStreams(ctx context.Context, c net.Conn, _ int) {
-	transport := &http2.Transport{
-		AllowHTTP:      true,
-		DialTLSContext: func(context.Context, string, string, *tls.Config) (net.Conn, error) { return c, nil },
-	}
-	connection, err := transport.NewClientConn(c)
-	if err != nil {
-		return
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols:   &protocols,
+		DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil },
 	}
+	defer transport.CloseIdleConnections()
 	for range 200 {
 		body, held := io.Pipe()
 		go func() {
@@ -221,7 +218,7 @@
 		req.Header.Set("Content-Type", "application/proto")
 		req.Header.Set("Authorization", "Bearer "+standin.Token)
 		go func() {
-			res, err := connection.RoundTrip(req)
+			res, err := transport.RoundTrip(req)
 			if err == nil {
 				_, _ = io.Copy(io.Discard, res.Body)
 				_ = res.Body.Close()
--- a/crowds/doc.go
+++ b/crowds/doc.go
@@ -3,5 +3,5 @@
 //
 // The tests run one at a time, apart from other load:
 //
-//	go test -count=1 -p 1 ./crowds -crowds
+//	go test -count=1 -p 1 -timeout 40m ./crowds -crowds
 package crowds
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sapphirepoint.example/sapphirepoint/core/fleet"
 	"sapphirepoint.example/sapphirepoint/core/schedule"
 	"sapphirepoint.example/sapphirepoint/core/workload"
+	"sapphirepoint.example/sapphirepoint/peer"
 )
 
 // metrics holds the counters, gauges and histograms of a process.
@@ -30,6 +33,8 @@
 	settingsAge     prometheus.Gauge
 	requestAge      prometheus.Histogram
 	settingsWaits   *prometheus.CounterVec
+	scheduledBytes  prometheus.Gauge
+	invalid         *prometheus.CounterVec
 }
 
 // latencyBuckets range from answers within a few milliseconds to callers' timeouts.
@@ -99,6 +104,13 @@
 	m.settingsWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sapphirepoint_settings_waits_total", Help: "Requests that awaited a confirmation of the operator's settings, by outcome.",
 	}, []string{"outcome"})
+	m.scheduledBytes = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "sapphirepoint_scheduled_bytes", Help: "Memory that the jobs of this process's schedulers take.",
+	})
+	m.invalid = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sapphirepoint_invalid_requests_total", Help: "Requests that can't be decoded or exceed a limit, by status.",
+	}, []string{"status"})
+	m.registry.MustRegister(m.scheduledBytes, m.invalid)
 	m.registry.MustRegister(m.messages, m.connections, m.seatDoublings, m.evacuated, m.refusals, m.settingsAge, m.requestAge, m.settingsWaits)
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.calls, m.callSeconds, m.ledgerSeconds, m.storeFailures,
 		m.droppedMessages, m.unknownPeers, m.leading, m.jobsInFlight, m.scheduled)
@@ -110,6 +122,18 @@
 	p.metrics.refusals.WithLabelValues(queue, cause.String()).Inc()
 }
 
+// CountInvalid counts a request that can't be decoded or exceeds a limit, by the status of its answer.
+func (p *Process) CountInvalid(status int) {
+	p.metrics.invalid.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
+// newInboxWaits returns the counter of messages that have waited for memory.
+func newInboxWaits(m *peer.Mesh) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sapphirepoint_peer_inbox_waits_total", Help: "Messages of other processes that have waited for memory.",
+	}, func() float64 { return float64(m.InboxWaits()) })
+}
+
 // Metrics returns the registry of the process's metrics.
 func (p *Process) Metrics() *prometheus.Registry { return p.metrics.registry }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -127,7 +127,11 @@
 	p.configuration.Store(&routing.Table{})
 	p.pending.Store(&pendingJobs{})
 	p.mesh, err = peer.Listen(cfg.PeerAddress, identity, cmp.Or(cfg.InboxBytes, defaultInboxBytes), p, log)
-	return p, err
+	if err != nil {
+		return nil, err
+	}
+	p.metrics.registry.MustRegister(newInboxWaits(p.mesh))
+	return p, nil
 }
 
 // Run runs the process until the context ends or a planned stop is complete.
@@ -275,6 +279,7 @@
 	if now-p.gaugesAt >= gaugeInterval {
 		p.gaugesAt = now
 		p.metrics.update(p.node)
+		p.metrics.scheduledBytes.Set(float64(p.cfg.Schedule.Memory.Used()))
 		if age, known := p.settings.age(now); known {
 			p.metrics.settingsAge.Set(age.Seconds())
 		}
--- a/explain/attribution.go
+++ b/explain/attribution.go
@@ -56,6 +56,7 @@
 	RefusedNotConfigured Cause = "refused as the process had no configuration yet"
 	RefusedNotServed     Cause = "refused as it asks for something that isn't served"
 	RefusedRunnerSilent  Cause = "given up as a task may run on a runner that doesn't answer"
+	RefusedNoMemory      Cause = "refused as other jobs took the memory"
 	RefusedOther         Cause = "refused for a cause that this version doesn't know"
 )
 
--- a/explain/refusal.go
+++ b/explain/refusal.go
@@ -83,6 +83,7 @@
 	workload.NotConfigured:    RefusedNotConfigured,
 	workload.NotServed:        RefusedNotServed,
 	workload.RunnerSilent:     RefusedRunnerSilent,
+	workload.LackOfMemory:     RefusedNoMemory,
 	workload.OtherRefusal:     RefusedOther,
 }
 
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -124,7 +125,12 @@
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.cfg.Metrics.unread(c.listener.cfg.Name)
+		c.listener.log.Info().Str("reason", unreadAnswer).Str("caller", c.RemoteAddr().String()).Msg("connection-closed")
+	}
+	return n, err
 }
 
 // CloseWrite ends what is written. net/http calls it before it closes a connection with unread bytes.
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -36,7 +36,7 @@
 	expiryInterval = 100 * time.Millisecond
 	// backstopTimeout is that of net/http, whose timeouts can't be changed while it serves.
 	backstopTimeout = time.Hour
-	// eventsPerSecond bounds the log lines on closed connections and turned away requests.
+	// eventsPerSecond bounds the log lines on closed connections and shed requests.
 	eventsPerSecond = 10
 )
 
--- a/intake/metrics.go
+++ b/intake/metrics.go
@@ -13,7 +13,7 @@
 	closes      *prometheus.CounterVec
 	rejections  *prometheus.CounterVec
 	longHeads   *prometheus.CounterVec
-	turnedAways *prometheus.CounterVec
+	sheds       *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics without values.
@@ -35,15 +35,15 @@
 		longHeads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sapphirepoint_intake_long_heads_total", Help: "Requests rejected since their head was over the limit.",
 		}, byListener),
-		turnedAways: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sapphirepoint_intake_turned_away_total", Help: "Requests not served since too little memory was free.",
+		sheds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphirepoint_intake_shed_total", Help: "Requests not served since too little memory was free.",
 		}, byListener),
 	}
 }
 
 // Collectors returns the metrics, to be registered.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.connections, m.bytes, m.closes, m.rejections, m.longHeads, m.turnedAways}
+	return []prometheus.Collector{m.connections, m.bytes, m.closes, m.rejections, m.longHeads, m.sheds}
 }
 
 func (m *Metrics) update(listener string, s intake.Status) {
@@ -62,6 +62,15 @@
 	}
 }
 
+// unreadAnswer is the reason of a connection that is closed since its caller doesn't read its answer.
+const unreadAnswer = "answer-unread"
+
+func (m *Metrics) unread(listener string) {
+	if m != nil {
+		m.closes.WithLabelValues(listener, unreadAnswer).Inc()
+	}
+}
+
 func (m *Metrics) rejected(listener string) {
 	if m != nil {
 		m.rejections.WithLabelValues(listener).Inc()
@@ -74,8 +83,8 @@
 	}
 }
 
-func (m *Metrics) turnedAway(listener string) {
+func (m *Metrics) shed(listener string) {
 	if m != nil {
-		m.turnedAways.WithLabelValues(listener).Inc()
+		m.sheds.WithLabelValues(listener).Inc()
 	}
 }
--- a/intake/request.go
+++ b/intake/request.go
@@ -34,7 +34,7 @@
 			l.mu.Unlock()
 		}
 		if r.ContentLength == 0 && !Serve(r.Context(), 0) {
-			l.turnAway(w)
+			l.shed(w)
 			return
 		}
 		h.ServeHTTP(w, r)
@@ -51,9 +51,9 @@
 	return kept
 }
 
-// turnAway answers a request that isn't served, with a status that promises nothing about its job.
-func (l *Listener) turnAway(w http.ResponseWriter) {
-	l.log.Warn().Msg("request-turned-away")
+// shed answers a request that isn't served, with a status that promises nothing about its job.
+func (l *Listener) shed(w http.ResponseWriter) {
+	l.log.Warn().Msg("request-shed")
 	w.Header().Set("Retry-After", "1")
 	w.WriteHeader(http.StatusGatewayTimeout)
 }
@@ -88,7 +88,7 @@
 	closed, ok := l.intake.Serve(l.now(), c.id, requestBytes+bytes)
 	l.closeAll(closed)
 	if !ok {
-		l.cfg.Metrics.turnedAway(l.cfg.Name)
+		l.cfg.Metrics.shed(l.cfg.Name)
 	}
 	return ok
 }
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -34,8 +34,12 @@
 
 type libraryWriter struct{ log zerolog.Logger }
 
+// maxLibraryText bounds the text of a library-log event in bytes: a library may write a stack, or what a caller has sent.
+const maxLibraryText = 2000
+
 func (l libraryWriter) Write(line []byte) (int, error) {
-	l.log.Warn().Str("text", strings.TrimSpace(string(line))).Msg("library-log")
+	text := strings.TrimSpace(string(line[:min(len(line), maxLibraryText)]))
+	l.log.Warn().Str("text", text).Msg("library-log")
 	return len(line), nil
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -28,7 +28,7 @@
 	responseOverIdeal prometheus.Histogram
 	platform          *prometheus.CounterVec
 	idBlocks          prometheus.Counter
-	turnedAway        prometheus.Counter
+	shed              prometheus.Counter
 	intake            *intake.Metrics
 }
 
@@ -52,12 +52,12 @@
 		idBlocks: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "id_block_calls_total", Help: "Calls of callers for blocks of ids.",
 		}),
-		turnedAway: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "requests_turned_away_total", Help: "Requests not served since too little memory was free.",
+		shed: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_shed_total", Help: "Requests not served since too little memory was free.",
 		}),
 		intake: intake.NewMetrics(),
 	}
-	m.registry.MustRegister(m.turnedAway)
+	m.registry.MustRegister(m.shed)
 	m.registry.MustRegister(m.intake.Collectors()...)
 	m.registry.MustRegister(m.answers, m.response, m.responseOverIdeal, m.platform, m.idBlocks, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &coreCollector{n})
--- a/node/requests.go
+++ b/node/requests.go
@@ -27,8 +27,8 @@
 	denseBytes  = 32 << 10
 	// requestBytes is what a request takes besides its body: goroutines, and the buffers of its stream.
 	requestBytes = 64 << 10
-	// turnedAwayLinesPerSecond bounds the log lines on requests for which too little memory is free.
-	turnedAwayLinesPerSecond = 10
+	// shedLinesPerSecond bounds the log lines on requests for which too little memory is free.
+	shedLinesPerSecond = 10
 )
 
 // errNoMemory promises nothing about the submission: an earlier request with its id may have been accepted.
@@ -75,7 +75,7 @@
 	return &requests{
 		maxRequestBytes: int64(cfg.MaxRequestBytes),
 		started:         time.Now(),
-		log:             log.Sample(&zerolog.BurstSampler{Burst: turnedAwayLinesPerSecond, Period: time.Second}),
+		log:             log.Sample(&zerolog.BurstSampler{Burst: shedLinesPerSecond, Period: time.Second}),
 		metrics:         m,
 		intake: intake.New(intake.Limits{
 			Connections: maxRequests, Bytes: cfg.RequestMemory, ConnectionBytes: requestBytes, MinReceiveTime: minReceiveTime,
@@ -115,7 +115,7 @@
 	a := q.intake.Admit(q.now())
 	q.interrupt(a.Closed)
 	if a.ID == 0 {
-		q.turnAway(0)
+		q.shed(0)
 		return nil, errNoMemory
 	}
 	b := &boundedBody{ReadCloser: r.Body, requests: q, id: a.ID, response: http.NewResponseController(w)}
@@ -153,14 +153,14 @@
 		delete(q.bodies, e.ID)
 		b.interrupted = true
 		b.setDeadline(q.started)
-		q.turnAway(e.Bytes)
+		q.shed(e.Bytes)
 	}
 }
 
-// turnAway counts and logs a request for which too little memory is free.
-func (q *requests) turnAway(bytes int64) {
-	q.metrics.turnedAway.Inc()
-	q.log.Warn().Int64("bytes", bytes).Msg("request-turned-away")
+// shed counts and logs a request for which too little memory is free.
+func (q *requests) shed(bytes int64) {
+	q.metrics.shed.Inc()
+	q.log.Warn().Int64("bytes", bytes).Msg("request-shed")
 }
 
 // boundedBody reserves memory for what is read of a body.
--- a/peer/inbox.go
+++ b/peer/inbox.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 	"google.golang.org/protobuf/proto"
 
@@ -25,10 +28,17 @@
 type inbox struct {
 	limit int64
 	free  *semaphore.Weighted
+	// waits counts the messages that have waited.
+	waits atomic.Uint64
+	log   zerolog.Logger
 }
 
-func newInbox(limit int64) *inbox {
-	return &inbox{limit: limit, free: semaphore.NewWeighted(limit)}
+func newInbox(limit int64, log zerolog.Logger) *inbox {
+	return &inbox{
+		limit: limit,
+		free:  semaphore.NewWeighted(limit),
+		log:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: time.Second}),
+	}
 }
 
 // read reads a message in the form of protodelim, once there is memory for it. handled returns that memory.
@@ -62,8 +72,12 @@
 		return func() {}, nil
 	}
 	weight := min(size*decodeFactor, i.limit)
-	if err := i.free.Acquire(ctx, weight); err != nil {
-		return nil, errors.Wrap(err, "wait for memory")
+	if !i.free.TryAcquire(weight) {
+		i.waits.Add(1)
+		i.log.Warn().Int64("bytes", size).Msg("message-waits")
+		if err := i.free.Acquire(ctx, weight); err != nil {
+			return nil, errors.Wrap(err, "wait for memory")
+		}
 	}
 	return func() { i.free.Release(weight) }, nil
 }
--- a/peer/inbox_test.go
+++ b/peer/inbox_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protodelim"
 )
 
@@ -26,7 +27,7 @@
 func TestLargeMessagesAwaitMemory(t *testing.T) {
 	g := NewWithT(t)
 	large := strings.Repeat("x", 10_000)
-	i := newInbox(3 * 10_000 * decodeFactor)
+	i := newInbox(3*10_000*decodeFactor, zerolog.Nop())
 	var handled []func()
 	for range 2 {
 		_, done, err := i.read(context.Background(), stream(t, large))
@@ -49,7 +50,7 @@
 // Guards against memory that stays reserved after a message that ends too early, and against messages over the limit.
 func TestBrokenMessages(t *testing.T) {
 	g := NewWithT(t)
-	i := newInbox(1000 * decodeFactor)
+	i := newInbox(1000*decodeFactor, zerolog.Nop())
 	raw, err := io.ReadAll(stream(t, strings.Repeat("x", 8_000)))
 	g.Expect(err).NotTo(HaveOccurred())
 	for range 3 {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -112,7 +112,7 @@
 		links:    make(map[string]*link),
 		dialing:  make(map[string]bool),
 		changed:  make(chan struct{}, 1),
-		inbox:    newInbox(inboxBytes),
+		inbox:    newInbox(inboxBytes, log),
 		quic:     &quic.Config{MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: handshakeTimeout},
 
 		unneededTimeout: unneededTimeout,
@@ -125,6 +125,9 @@
 	return m, nil
 }
 
+// InboxWaits is the number of received messages that have waited for memory.
+func (m *Mesh) InboxWaits() uint64 { return m.inbox.waits.Load() }
+
 // Address is the address that the mesh listens on.
 func (m *Mesh) Address() string { return m.listener.Addr().String() }
 
