--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -1,5 +1,5 @@
 // Package intake decides which connections and requests of callers a process holds at the same time, so that it stays
-// within the memory and the descriptors of its machine: whom it admits, whose connection it closes for others, and
+// within the memory and the descriptors of its machine: whom it admits, whose connection it evicts for others, and
 // which requests it sheds. It does no input or output and reads no clock.
 //
 // A connection is closed only while no whole request of it is being served. Under pressure those go first that have
@@ -30,7 +30,7 @@
 	// MinReceiveTime is how long a caller has for sending its request before its connection may be closed for
 	// another one.
 	MinReceiveTime time.Duration
-	// KeepIdle: connections between two requests aren't closed for others, and a caller for whom no place can be made
+	// KeepIdle: connections between two requests aren't evicted for others, and a caller for whom no place can be made
 	// waits.
 	KeepIdle bool
 }
@@ -66,15 +66,6 @@
 // String returns the name for logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
 
-// Reasons lists all reasons.
-func Reasons() []Reason {
-	list := make([]Reason, reasons)
-	for i := range list {
-		list[i] = Reason(i)
-	}
-	return list
-}
-
 // Closed is a connection to be closed. It isn't held any more.
 type Closed struct {
 	ID     ID
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -31,15 +31,15 @@
 	id       intake.ID
 
 	// The fields below are guarded by the listener's lock. headRead is the size of what was received of the present
-	// head, and headReserved what is reserved for it.
+	// head.
 	stage    stage
 	headRead int
 }
 
-// errHeadTooLong and errClosed end a connection.
+// errHeadTooLong and errEvicted end a connection.
 var (
 	errHeadTooLong = errors.New("the head is too long")
-	errClosed      = errors.New("the connection was closed for others")
+	errEvicted     = errors.New("the connection was evicted")
 )
 
 // connKey is the context key of a request's connection.
@@ -86,7 +86,7 @@
 	closed, ok := l.intake.Receive(l.now(), c.id, int64(n)*headFactor)
 	l.closeAll(closed)
 	if !ok {
-		return errClosed
+		return errEvicted
 	}
 	return nil
 }
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -94,6 +94,7 @@
 		IdleTimeout:       backstopTimeout,
 	}
 	l.Follow(l.server)
+	go l.expire()
 	return l, nil
 }
 
@@ -135,7 +136,7 @@
 
 func (l *Listener) now() intake.Time { return time.Since(l.started) }
 
-// Accept implements net.Listener. It closes connections that aren't admitted, and those that are closed for others.
+// Accept implements net.Listener. It closes connections that aren't admitted, and those that are evicted for others.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.inner.Accept()
@@ -211,7 +212,6 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, inner(c))
 	}
-	go l.expire()
 }
 
 // Serve serves requests until the listener is closed or Shutdown is called.
--- a/node/requests.go
+++ b/node/requests.go
@@ -31,8 +31,11 @@
 	shedLinesPerSecond = 10
 )
 
-// errNoMemory promises nothing about the submission: an earlier request with its id may have been accepted.
-var errNoMemory = connect.NewError(connect.CodeUnavailable, errors.New("too little memory is free; the outcome is unknown"))
+var errNoMemory = errors.New("too little memory is free; the outcome is unknown")
+
+// shedError is the answer to a request for which too little memory is free. It promises nothing about the submission: an
+// earlier request with its id may have been accepted.
+func shedError() error { return connect.NewError(connect.CodeUnavailable, errNoMemory) }
 
 // MinRequestMemory returns the least limit of the memory of requests in progress for requests of the given size.
 func MinRequestMemory(maxRequestBytes uint64) uint64 {
@@ -116,13 +119,13 @@
 	q.interrupt(a.Closed)
 	if a.ID == 0 {
 		q.shed(0)
-		return nil, errNoMemory
+		return nil, shedError()
 	}
 	b := &boundedBody{ReadCloser: r.Body, requests: q, id: a.ID, response: http.NewResponseController(w)}
 	q.bodies[a.ID] = b
 	q.intake.EndHead(q.now(), a.ID, 0)
 	if compressed(r.Header) && !q.receive(b, bodyMemory(q.maxRequestBytes)) {
-		return nil, errNoMemory
+		return nil, shedError()
 	}
 	return b, nil
 }
@@ -185,7 +188,7 @@
 	before := bodyMemory(b.received)
 	b.received += int64(n)
 	if b.interrupted || !q.receive(b, bodyMemory(b.received)-before) {
-		return 0, errNoMemory
+		return 0, shedError()
 	}
 	if err == io.EOF {
 		q.intake.Occupy(q.now(), b.id)
