--- a/crowds/crowds_test.go
+++ b/crowds/crowds_test.go
@@ -1,6 +1,7 @@
 package crowds
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -20,8 +21,9 @@
 	processes int
 	// health: the crowd calls the health address.
 	health bool
-	// maxFDs is the limit of descriptors, that of the smallest machine if it is 0.
-	maxFDs int
+	// maxFDs is the limit of descriptors, that of the smallest machine if it is 0, and runners the number of runners, the
+	// usual one if it is 0.
+	maxFDs, runners int
 }
 
 // withstand has a crowd call all processes, and checks them and ordinary callers while it stays and after it.
@@ -31,15 +33,18 @@
 	if k.maxFDs > 0 {
 		m.maxFDs = k.maxFDs
 	}
-	w := newWorld(t, m, max(1, k.processes))
+	w := newWorldWithRunners(t, m, max(1, k.processes), cmp.Or(k.runners, runnerCount))
 	c := gather(k.clients, k.do, w.addresses(k.health)...)
+	defer func() {
+		c.leave()
+		for _, n := range w.nodes {
+			w.expectWithinMachine(n)
+		}
+	}()
 	time.Sleep(holdTime)
 	w.expectOrdinaryAnswers()
 	c.leave()
 	w.expectOrdinaryAnswers()
-	for _, n := range w.nodes {
-		w.expectWithinMachine(n)
-	}
 }
 
 // addresses returns the addresses of all processes for callers, or those for health checks.
@@ -206,6 +211,15 @@
 	withstand(t, kind{clients: 40, processes: 3, do: several(50, func() string { return post(newID(), text) })})
 }
 
+// manyRunners is as many as the deployments with the smallest machines have.
+const manyRunners = 350
+
+// Guards against descriptors that connections to runners take, since wide jobs send all of them orders at the same time.
+func TestWideJobsOnManyRunners(t *testing.T) {
+	text := job("1ms", 4000)
+	withstand(t, kind{clients: 100, runners: manyRunners, do: exchange(func(int) string { return post(newID(), text) })})
+}
+
 // Guards against descriptors that connections take on which nothing comes.
 func TestSilentConnections(t *testing.T) {
 	withstand(t, kind{clients: 700, maxFDs: fewFDs, do: sendAndStay(fixed(""))})
--- a/crowds/world_test.go
+++ b/crowds/world_test.go
@@ -143,6 +143,11 @@
 
 // newWorld starts entry processes on machines of the given size, and waits until they are ready.
 func newWorld(t *testing.T, m machine, processes int) *world {
+	t.Helper()
+	return newWorldWithRunners(t, m, processes, runnerCount)
+}
+
+func newWorldWithRunners(t *testing.T, m machine, processes, runners int) *world {
 	t.Helper()
 	if !*enabled {
 		t.Skip("needs the machine to itself: run with -crowds")
@@ -154,7 +159,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(store.Close)
 	w := &world{t: t, machine: m, program: filepath.Join(dir, "sapphirepoint-entry"), store: store}
-	for i := range runnerCount {
+	for i := range runners {
 		r, err := deployment.NewRunner(store, fmt.Sprintf("i-%d", i), service, "a")
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(r.Close)
