--- a/crowds/crowd_test.go
+++ b/crowds/crowd_test.go
@@ -105,16 +105,7 @@
 	return func(ctx context.Context, c net.Conn, i int) {
 		answers := bufio.NewReader(c)
 		for ctx.Err() == nil {
-			if _, err := io.WriteString(c, text(i)); err != nil {
-				return
-			}
-			res, err := http.ReadResponse(answers, nil)
-			if err != nil {
-				return
-			}
-			_, err = io.Copy(io.Discard, res.Body)
-			_ = res.Body.Close()
-			if err != nil || res.Close {
+			if !ask(c, answers, text(i)) {
 				return
 			}
 			pause(ctx, returnDelay)
@@ -122,6 +113,20 @@
 	}
 }
 
+// ask sends a request and reads its answer. It reports whether the connection stays open.
+func ask(c net.Conn, answers *bufio.Reader, request string) bool {
+	if _, err := io.WriteString(c, request); err != nil {
+		return false
+	}
+	res, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err == nil && !res.Close
+}
+
 // pipeline sends requests without waiting for their answers, which it reads.
 func pipeline(text func(i int) string) member {
 	return func(ctx context.Context, c net.Conn, i int) {
@@ -177,16 +182,7 @@
 	return func(_ context.Context, c net.Conn, _ int) {
 		answers := bufio.NewReader(c)
 		for range count {
-			if _, err := io.WriteString(c, text()); err != nil {
-				return
-			}
-			res, err := http.ReadResponse(answers, nil)
-			if err != nil {
-				return
-			}
-			_, err = io.Copy(io.Discard, res.Body)
-			_ = res.Body.Close()
-			if err != nil || res.Close {
+			if !ask(c, answers, text()) {
 				return
 			}
 		}
--- a/crowds/crowds_test.go
+++ b/crowds/crowds_test.go
@@ -35,15 +35,22 @@
 	}
 	w := newWorldWithRunners(t, m, max(1, k.processes), cmp.Or(k.runners, runnerCount))
 	c := gather(k.clients, k.do, w.addresses(k.health)...)
+	time.Sleep(holdTime)
+	w.expectWithstood(c.leave)
+}
+
+// expectWithstood checks ordinary callers while crowds stay and after they have left, and in any case what the processes
+// have used.
+func (w *world) expectWithstood(leave func()) {
+	w.t.Helper()
 	defer func() {
-		c.leave()
+		leave()
 		for _, n := range w.nodes {
 			w.expectWithinMachine(n)
 		}
 	}()
-	time.Sleep(holdTime)
 	w.expectOrdinaryAnswers()
-	c.leave()
+	leave()
 	w.expectOrdinaryAnswers()
 }
 
--- a/crowds/mixed_test.go
+++ b/crowds/mixed_test.go
@@ -45,12 +45,7 @@
 			w := newWorld(t, smallest, processes)
 			leave := gatherAll(w.addresses(false), w.addresses(true))
 			time.Sleep(2 * holdTime)
-			w.expectOrdinaryAnswers()
-			leave()
-			w.expectOrdinaryAnswers()
-			for _, n := range w.nodes {
-				w.expectWithinMachine(n)
-			}
+			w.expectWithstood(leave)
 		})
 	}
 }
@@ -61,12 +56,7 @@
 	n := w.leader()
 	leave := gatherAll([]string{n.CallerAddress}, []string{n.HealthAddress})
 	time.Sleep(2 * holdTime)
-	w.expectOrdinaryAnswers()
-	leave()
-	w.expectOrdinaryAnswers()
-	for _, n := range w.nodes {
-		w.expectWithinMachine(n)
-	}
+	w.expectWithstood(leave)
 }
 
 // Guards against crowds that keep other processes from taking over from a leader that is killed.
@@ -80,12 +70,7 @@
 		t.Fatal(err)
 	}
 	time.Sleep(holdTime)
-	w.expectOrdinaryAnswers()
-	leave()
-	w.expectOrdinaryAnswers()
-	for _, n := range w.nodes {
-		w.expectWithinMachine(n)
-	}
+	w.expectWithstood(leave)
 }
 
 // Guards against a planned stop that a crowd holds up, or that cuts a request.
@@ -96,12 +81,7 @@
 	n := w.leader()
 	n.stop()
 	NewWithT(t).Eventually(n.ended, patience, sampleEvery).Should(BeTrue(), "%s doesn't stop", n.name)
-	w.expectOrdinaryAnswers()
-	leave()
-	w.expectOrdinaryAnswers()
-	for _, n := range w.nodes {
-		w.expectWithinMachine(n)
-	}
+	w.expectWithstood(leave)
 }
 
 // Guards against crowds that get by during a change of the operators' limits.
@@ -116,10 +96,7 @@
 		w.configure(l)
 		time.Sleep(holdTime / 4)
 	}
-	w.expectOrdinaryAnswers()
-	leave()
-	w.expectOrdinaryAnswers()
-	w.expectWithinMachine(w.nodes[0])
+	w.expectWithstood(leave)
 }
 
 // answerTo sends a text on a connection and returns the status of the answer; 0 if the connection is closed.
