A connection that ends isn't reported as a message that is too long

Cause: the new reading of messages named every error so (here a peer that had been silent, on a machine with a load of some 20), and named the one over the limit otherwise, so that the test would have missed what it guards against. Whether the silence had to do with a large message that waited for memory isn't traced.

--- a/peer/inbox.go
+++ b/peer/inbox.go
@@ -45,10 +45,10 @@
 func (i *inbox) read(ctx context.Context, r *bufio.Reader) (msg *pb.FleetMessage, handled func(), err error) {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "message size")
+		return nil, nil, errors.Wrap(err, "read")
 	}
 	if size > maxMessageBytes {
-		return nil, nil, errors.Errorf("a message of %d bytes, over %d", size, maxMessageBytes)
+		return nil, nil, errors.Errorf("message size %d exceeds %d", size, maxMessageBytes)
 	}
 	handled, err = i.reserve(ctx, int64(size))
 	if err != nil {
@@ -61,7 +61,7 @@
 	}
 	if err != nil {
 		handled()
-		return nil, nil, errors.Wrap(err, "message")
+		return nil, nil, errors.Wrap(err, "read")
 	}
 	return msg, handled, nil
 }
--- a/peer/inbox_test.go
+++ b/peer/inbox_test.go
@@ -61,5 +61,5 @@
 	g.Expect(err).NotTo(HaveOccurred(), "a message over the whole limit is read alone")
 	handled()
 	_, _, err = i.read(context.Background(), bufio.NewReader(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0x7f})))
-	g.Expect(err).To(MatchError(ContainSubstring("over")))
+	g.Expect(err).To(MatchError(ContainSubstring("message size")))
 }
