--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -2,8 +2,8 @@
 // within the memory and the descriptors of its machine: whom it admits, whose connection it evicts for others, and
 // which requests it sheds. It does no input or output and reads no clock.
 //
-// A connection is closed only while no whole request of it is being served. Under pressure those go first that have
-// been sending a request for the longest, and those between two requests after them.
+// A connection is closed only while no whole request of it is being served. Under pressure those are evicted first
+// that have been sending a request for the longest, and then those between two requests.
 package intake
 
 import (
@@ -125,7 +125,7 @@
 type Admission struct {
 	// ID is that of the connection if it is admitted, else 0.
 	ID ID
-	// Closed are the connections that are closed for it.
+	// Closed are the connections that are evicted for it.
 	Closed []Closed
 	// Wait is how long to wait before the decision is asked for again; 0 if there is a decision.
 	Wait time.Duration
@@ -276,8 +276,8 @@
 	// servingShare is the part of all places, one in so many, that is kept from requests that are being served: with
 	// all places taken no other caller could send its request.
 	servingShare = 8
-	// freeShare is the part of the free memory, one in so many, that one request may take. Large requests are turned
-	// away first, so that small ones are still served.
+	// freeShare is the part of the free memory, one in so many, that one request may take. Large requests are shed
+	// first, so that small ones are still served.
 	freeShare = 2
 )
 
--- a/crowds/caller_test.go
+++ b/crowds/caller_test.go
@@ -82,7 +82,7 @@
 				id = newID()
 			}
 			return status == http.StatusOK && answer == `{"state":"completed"}`
-		}, patience, 200*time.Millisecond).Should(BeTrue(), func() string {
+		}, testTimeout, 200*time.Millisecond).Should(BeTrue(), func() string {
 			return fmt.Sprintf("%s: an ordinary job isn't carried out; the last answer: %s", n.name, seen)
 		})
 	}
--- a/crowds/calm_test.go
+++ b/crowds/calm_test.go
@@ -20,7 +20,7 @@
 	c, err := net.Dial("tcp", w.nodes[0].CallerAddress)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
-	g.Expect(c.SetDeadline(time.Now().Add(patience))).To(Succeed())
+	g.Expect(c.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
 	go func() { _, _ = io.WriteString(c, request) }()
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/crowds/daemon_test.go
+++ b/crowds/daemon_test.go
@@ -49,22 +49,22 @@
 	ports, err := deployment.NewNode("front-1", "a")
 	g.Expect(err).NotTo(HaveOccurred())
 	p := platform.New()
-	platformURL := serveHere(t, p.Serve)
-	runnerURL := serveHere(t, runner.New(runner.DefaultSlots).Serve)
+	platformAddress := serveHere(t, p.Serve)
+	runnerAddress := serveHere(t, runner.New(runner.DefaultSlots).Serve)
 	peer := fmt.Sprintf("127.0.0.1:%d", ports.PeerPort)
 	p.SetMembers([]*platformv1.Member{
 		{Name: "front-1", Role: platformv1.Role_ROLE_ENTRY, Address: peer, FailureDomain: "a"},
-		{Name: "runner-1", Role: platformv1.Role_ROLE_UPSTREAM, Address: runnerURL, FailureDomain: "a", Worker: "runner-1", Rack: "a",
+		{Name: "runner-1", Role: platformv1.Role_ROLE_UPSTREAM, Address: runnerAddress, FailureDomain: "a", Worker: "runner-1", Rack: "a",
 			Institution: "hollowell", Slots: runner.DefaultSlots},
 	})
 	g.Expect(p.PutSettings(standin.Settings())).To(Succeed())
 	w := &world{t: t, machine: machine{memoryMB, maxFDs}}
 	n := &node{Node: ports, name: "front-1", done: make(chan struct{})}
-	path := writeDaemonSettings(t, ports, peer, platformURL)
+	path := writeDaemonSettings(t, ports, peer, platformAddress)
 	n.cmd = exec.Command(filepath.Join(dir, "sapphirepointd"), "--settings", path)
 	w.run(n)
 	w.nodes = []*node{n}
-	g.Eventually(func() int { return get(n.HealthAddress, "/readyz") }, patience, sampleEvery).Should(Equal(200), "not ready")
+	g.Eventually(func() int { return get(n.HealthAddress, "/readyz") }, testTimeout, sampleEvery).Should(Equal(200), "not ready")
 	return w
 }
 
@@ -118,7 +118,7 @@
 		a, err := c.Submit(ctx, &pb.Submission{Service: "labels", Team: "kitchens", Tasks: []*pb.Task{{Payload: []byte("1ms")}}})
 		last = cmp.Or(err, fmt.Errorf("answer %v", a))
 		return err == nil && a.GetOutcome() == pb.Outcome_OUTCOME_COMPLETE
-	}, patience, 200*time.Millisecond).Should(BeTrue(), func() string { return fmt.Sprint("an ordinary job isn't carried out: ", last) })
+	}, testTimeout, 200*time.Millisecond).Should(BeTrue(), func() string { return fmt.Sprint("an ordinary job isn't carried out: ", last) })
 }
 
 // daemonWithstands has a crowd call a sapphirepointd process.
--- a/crowds/mixed_test.go
+++ b/crowds/mixed_test.go
@@ -80,7 +80,7 @@
 	time.Sleep(holdTime)
 	n := w.leader()
 	n.stop()
-	NewWithT(t).Eventually(n.ended, patience, sampleEvery).Should(BeTrue(), "%s doesn't stop", n.name)
+	NewWithT(t).Eventually(n.ended, testTimeout, sampleEvery).Should(BeTrue(), "%s doesn't stop", n.name)
 	w.expectWithstood(leave)
 }
 
@@ -119,7 +119,7 @@
 	c, err := net.Dial("tcp", w.nodes[0].CallerAddress)
 	g.Expect(err).NotTo(HaveOccurred())
 	w.t.Cleanup(func() { _ = c.Close() })
-	g.Expect(c.SetDeadline(time.Now().Add(patience))).To(Succeed())
+	g.Expect(c.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
 	return c
 }
 
@@ -128,13 +128,13 @@
 	g := NewWithT(t)
 	w := newWorld(t, smallest, 1)
 	long := requestLine() + "Long: " + strings.Repeat("x", 12_000) + "\r\n" + content(job("1ms", 1))
-	g.Eventually(func() int { return answerTo(w.dial(), long) }, patience, sampleEvery).Should(Equal(http.StatusOK))
+	g.Eventually(func() int { return answerTo(w.dial(), long) }, testTimeout, sampleEvery).Should(Equal(http.StatusOK))
 	open := w.dial()
 	g.Expect(answerTo(open, post(newID(), job("1ms", 1)))).To(Equal(http.StatusOK))
 	g.Expect(answerTo(w.dial(), requestLine()+"Long: "+strings.Repeat("x", 100_000)+"\r\n"+content(job("1ms", 1)))).
 		To(BeElementOf(0, http.StatusRequestHeaderFieldsTooLarge))
 	w.configure(limits{headBytes: 4096, bodyBytes: 1024, headerTimeoutMs: 500, idleTimeoutMs: 1000})
-	g.Eventually(func() int { return answerTo(w.dial(), long) }, patience, sampleEvery).
+	g.Eventually(func() int { return answerTo(w.dial(), long) }, testTimeout, sampleEvery).
 		Should(BeElementOf(0, http.StatusRequestHeaderFieldsTooLarge))
 	g.Expect(answerTo(w.dial(), post(newID(), job(strings.Repeat("x", 2000), 1)))).To(Equal(http.StatusRequestEntityTooLarge))
 	_, err := open.Read(make([]byte, 1))
--- a/crowds/world_test.go
+++ b/crowds/world_test.go
@@ -30,7 +30,7 @@
 const (
 	host    = "labels.example"
 	prefix  = "/spot/"
-	service = "labelworks"
+	service = "labels"
 
 	// memoryMB and maxFDs are those of the smallest machine of the platform.
 	memoryMB = 144
@@ -46,8 +46,8 @@
 	runnerCount = 6
 	targetMs    = 20_000
 
-	// patience bounds conditions that take a moment on a busy machine.
-	patience      = 60 * time.Second
+	// testTimeout bounds conditions that take a moment on a busy machine.
+	testTimeout   = 60 * time.Second
 	sampleEvery   = 50 * time.Millisecond
 	bytesPerMB    = 1_000_000
 	bytesPerKiB   = 1024
@@ -170,7 +170,7 @@
 		w.startNode(fmt.Sprintf("front-%d", i+1))
 	}
 	for _, n := range w.nodes {
-		g.Eventually(func() int { return get(n.HealthAddress, "/ready") }, patience, sampleEvery).Should(Equal(200), "%s isn't ready", n.name)
+		g.Eventually(func() int { return get(n.HealthAddress, "/ready") }, testTimeout, sampleEvery).Should(Equal(200), "%s isn't ready", n.name)
 	}
 	return w
 }
@@ -245,7 +245,7 @@
 
 // listens waits until the process answers on its health address; it returns false if it has ended.
 func (n *node) listens() bool {
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if n.ended() {
 			return false
 		}
@@ -389,6 +389,6 @@
 			}
 		}
 		return found != nil
-	}, patience, sampleEvery).Should(BeTrue(), "no process leads")
+	}, testTimeout, sampleEvery).Should(BeTrue(), "no process leads")
 	return cmp.Or(found, w.nodes[0])
 }
--- a/intake/request.go
+++ b/intake/request.go
@@ -94,7 +94,7 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes. It returns an *http.MaxBytesError if there are more, and
-// ErrNoMemory if the request has to give way to others.
+// ErrNoMemory if the request was evicted for others.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	b := bodyReader{conn: connOf(r.Context())}
 	size := int64(minBody)
--- a/node/requests.go
+++ b/node/requests.go
@@ -31,6 +31,7 @@
 	shedLinesPerSecond = 10
 )
 
+// errNoMemory is the reason that the caller of a shed request is told.
 var errNoMemory = errors.New("too little memory is free; the outcome is unknown")
 
 // shedError is the answer to a request for which too little memory is free. It promises nothing about the submission: an
@@ -174,7 +175,7 @@
 	response *http.ResponseController
 
 	// The fields below are guarded by the lock of requests. received is the number of bytes read; interrupted: the
-	// request has given way to others.
+	// request was evicted for others.
 	received    int64
 	interrupted bool
 }
