--- a/review/standin3/long_read.go
+++ b/review/standin3/long_read.go
@@ -105,7 +105,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, 16)
-	for _, j := range append(append([]*job{}, regular...), waiting[:100]...) {
+	for _, j := range append(append([]*job{}, regular...), waiting[:min(len(waiting), 100)]...) {
 		if j.accepted.IsZero() {
 			continue
 		}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -26,6 +26,9 @@
 var cases = map[string]func(w *world, trouble bool) verdict{
 	"large-call": largeCall,
 	"far-start":  farStart,
+	"mix":        mix,
+	"grey":       grey,
+	"surrogate":  surrogate,
 	"long-read":  longRead,
 }
 
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -60,6 +62,8 @@
 	usedCPU  int
 	usedMem  int
 	gone     bool
+	// badStarts is the share of the orders to start that it answers with 400.
+	badStarts float64
 }
 
 func (w *world) newRunner(i int) (*runner, error) {
@@ -95,9 +99,11 @@
 func (r *runner) clock() int64 { return time.Since(r.start).Milliseconds() }
 
 type orderBody struct {
-	Task       string `json:"task"`
-	Run        int    `json:"run"`
-	Spec       string `json:"spec"`
+	Task string `json:"task"`
+	Run  int    `json:"run"`
+	Spec string `json:"spec"`
+	// wireSpec is the spec as it stands in the order, without the quotes.
+	wireSpec   string
 	DeadlineMs int64  `json:"deadlineMs"`
 	FenceToken uint64 `json:"fenceToken"`
 	AckCursor  int    `json:"ackCursor"`
@@ -112,10 +118,15 @@
 			return
 		}
 		var o orderBody
-		if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		raw, err := io.ReadAll(q.Body)
+		if err != nil || json.Unmarshal(raw, &o) != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		var fields map[string]json.RawMessage
+		if json.Unmarshal(raw, &fields) == nil {
+			o.wireSpec = strings.Trim(string(fields["spec"]), `"`)
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if o.FenceToken < r.token {
@@ -163,10 +174,15 @@
 func (r *runner) startRun(w http.ResponseWriter, _ *http.Request, o orderBody) {
 	id := runID{o.Task, o.Run}
 	work, known := r.w.workOf(o.Task)
-	if !known || work.spec != o.Spec {
-		r.w.rec.logf("UNASKED: %s told to start %s, known %v", r.id, o.Task, known)
+	if !known || !work.asked(o) {
+		r.w.rec.logf("UNASKED: %s told to start %s, known %v, spec on the wire %s", r.id, o.Task, known, o.wireSpec)
 		r.w.runs.noteUnasked()
 	}
+	if rand.Float64() < r.badStarts {
+		r.w.rec.logf("%s answers the order to start %s#%d with 400", r.id, o.Task, o.Run)
+		answer(w, http.StatusBadRequest, map[string]any{"clockMs": r.clock()})
+		return
+	}
 	switch a := r.running[id]; {
 	case a != nil && !a.stopping:
 		r.extendLease(o.DeadlineMs)
@@ -279,10 +295,25 @@
 	spec       string
 	cpu, memMB int
 	time       time.Duration
+	// wireSpec is the spec as the client's JSON has it, where spec can't hold it.
+	wireSpec string
 	// fails: all runs of its tasks end failed.
 	fails bool
 }
 
+// asked reports whether an order has the client's spec.
+func (k work) asked(o orderBody) bool {
+	if k.wireSpec == "" {
+		return k.spec == o.Spec
+	}
+	if strings.EqualFold(k.wireSpec, o.wireSpec) {
+		return true
+	}
+	// A whole character may be sent as it is.
+	var s string
+	return json.Unmarshal([]byte(`"`+k.wireSpec+`"`), &s) == nil && s == o.wireSpec && !strings.Contains(s, "\ufffd")
+}
+
 func (k work) outcome(string, int) string {
 	if k.fails {
 		return "failed"
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -56,6 +57,9 @@
 	// slowUntil and slowness: until then an answer takes slowness times as long.
 	slowUntil time.Time
 	slowness  int
+	// lossUntil and lossShare: until then this share of the transactions is done 1 to 6 s later and not answered.
+	lossUntil time.Time
+	lossShare float64
 	// tooLarge counts the transactions that were refused since a limit was exceeded, largest is the size of the largest.
 	tooLarge, largest int
 	// ok counts the transactions that were applied.
@@ -106,6 +110,13 @@
 	s.silentUntil = time.Now().Add(d)
 }
 
+// loseFor has a share of the transactions done 1 to 6 s later, if their conditions still hold, and not answered.
+func (s *store) loseFor(d time.Duration, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lossUntil, s.lossShare = time.Now().Add(d), share
+}
+
 // slowFor has the store's answers take x times as long for a time.
 func (s *store) slowFor(d time.Duration, x int) {
 	s.mu.Lock()
@@ -160,6 +171,9 @@
 }
 
 func answer(w http.ResponseWriter, status int, body any) {
+	if w == nil {
+		return
+	}
 	raw, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
@@ -206,19 +220,32 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	lose := time.Now().Before(s.lossUntil) && rand.Float64() < s.lossShare
+	s.mu.Unlock()
+	if lose {
+		time.AfterFunc(time.Second+rand.N(5*time.Second), func() { s.commit(nil, raw, t.Conditions, t.Set, t.Remove) })
+		<-r.Context().Done()
+		return
+	}
+	s.commit(w, raw, t.Conditions, t.Set, t.Remove)
+}
+
+// commit applies a transaction and answers it; w is nil if nobody is to be answered.
+func (s *store) commit(w http.ResponseWriter, raw []byte, conditions, set, remove []row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if why := excess(len(raw), t.Conditions, t.Set, t.Remove); why != "" {
+	if why := excess(len(raw), conditions, set, remove); why != "" {
 		s.tooLarge++
 		s.largest = max(s.largest, len(raw))
 		if s.tooLarge <= 5 || s.tooLarge%500 == 0 {
 			s.rec.logf("store refuses call %d that exceeds a limit: %s", s.tooLarge, why)
 		}
-		w.WriteHeader(http.StatusBadRequest)
+		answer(w, http.StatusBadRequest, struct{}{})
 		return
 	}
 	var conflicts []row
-	for _, c := range t.Conditions {
+	for _, c := range conditions {
 		if now := s.rows[rowKey{c.Table, c.Part, c.Key}]; now.Version != c.Version {
 			conflicts = append(conflicts, now)
 		}
@@ -229,13 +256,13 @@
 	}
 	s.version++
 	s.ok++
-	for _, r := range t.Set {
+	for _, r := range set {
 		s.apply(r)
 		if s.onCommit != nil {
 			s.onCommit(r)
 		}
 	}
-	for _, r := range t.Remove {
+	for _, r := range remove {
 		r.Deleted = true
 		s.apply(r)
 	}
