--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,11 +24,11 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) verdict{
-	"large-call": largeCall,
-	"far-start":  farStart,
-	"grey":       grey,
-	"poison":     poison,
-	"long-read":  longRead,
+	"far-start": farStart,
+	"grey":      grey,
+	"poison":    poison,
+	"surrogate": surrogate,
+	"long-read": longRead,
 }
 
 func main() { os.Exit(int(run())) }
