--- a/review/standin3/long_read.go
+++ b/review/standin3/long_read.go
@@ -19,14 +19,18 @@
 // jobs must be known, and the tasks whose turn has come must run.
 func longRead(w *world, trouble bool) verdict {
 	const (
-		waitingJobs = 6000
 		senders     = 12
 		regularJobs = 12
 		interval    = 2 * time.Second
 		// settle is the time from the loss until the check: finish_s, and more than recoveryS.
 		settle = 20 * time.Second
 	)
+	waitingJobs, spec := 6000, labelData
 	w.store.linkMbps = 1000
+	if os.Getenv("PLAIN") != "" {
+		// The links of the larger machines of the grown site, and more jobs of plain text.
+		waitingJobs, spec, w.store.linkMbps = 12000, strings.Repeat("x", 4000), 200
+	}
 	if !w.awaitReady(10 * time.Second) {
 		w.rec.logf("the processes aren't ready")
 		return failed
@@ -45,7 +49,7 @@
 	later := time.Now().Add(time.Hour).UnixMilli()
 	for range waitingJobs {
 		j := &job{id: newID(), body: jobBody{
-			Spec: labelData, Steps: []step{{Count: 1, CPU: 1000, MemMB: 64, EstimateMs: 50}},
+			Spec: spec, Steps: []step{{Count: 1, CPU: 1000, MemMB: 64, EstimateMs: 50}},
 			Times: 1, StartAtMs: later, IntervalMs: time.Hour.Milliseconds(),
 		}}
 		w.setWork(j.id, work{spec: j.body.Spec, cpu: 1000, memMB: 64, time: 50 * time.Millisecond})
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -27,7 +27,7 @@
 	"far-start": farStart,
 	"grey":      grey,
 	"poison":    poison,
-	"surrogate": surrogate,
+	"cancel":    cancel,
 	"long-read": longRead,
 }
 
@@ -62,7 +62,7 @@
 	} else {
 		fmt.Println(dir)
 	}
-	w, err := newWorld(&record{f: f, start: time.Now()}, dir, program)
+	w, err := newWorld(&record{f: f, start: time.Now()}, dir, program, runnersOf(os.Args[1]))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -99,11 +99,9 @@
 func (r *runner) clock() int64 { return time.Since(r.start).Milliseconds() }
 
 type orderBody struct {
-	Task string `json:"task"`
-	Run  int    `json:"run"`
-	Spec string `json:"spec"`
-	// wireSpec is the spec as it stands in the order, without the quotes.
-	wireSpec   string
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
 	DeadlineMs int64  `json:"deadlineMs"`
 	FenceToken uint64 `json:"fenceToken"`
 	AckCursor  int    `json:"ackCursor"`
@@ -123,10 +121,6 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		var fields map[string]json.RawMessage
-		if json.Unmarshal(raw, &fields) == nil {
-			o.wireSpec = strings.Trim(string(fields["spec"]), `"`)
-		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if o.FenceToken < r.token {
@@ -174,8 +168,8 @@
 func (r *runner) startRun(w http.ResponseWriter, _ *http.Request, o orderBody) {
 	id := runID{o.Task, o.Run}
 	work, known := r.w.workOf(o.Task)
-	if !known || !work.asked(o) {
-		r.w.rec.logf("UNASKED: %s told to start %s, known %v, spec on the wire %s", r.id, o.Task, known, o.wireSpec)
+	if !known || work.spec != o.Spec {
+		r.w.rec.logf("UNASKED: %s told to start %s, known %v", r.id, o.Task, known)
 		r.w.runs.noteUnasked()
 	}
 	if rand.Float64() < r.badStarts {
@@ -295,25 +289,10 @@
 	spec       string
 	cpu, memMB int
 	time       time.Duration
-	// wireSpec is the spec as the client's JSON has it, where spec can't hold it.
-	wireSpec string
 	// fails: all runs of its tasks end failed.
 	fails bool
 }
 
-// asked reports whether an order has the client's spec.
-func (k work) asked(o orderBody) bool {
-	if k.wireSpec == "" {
-		return k.spec == o.Spec
-	}
-	if strings.EqualFold(k.wireSpec, o.wireSpec) {
-		return true
-	}
-	// A whole character may be sent as it is.
-	var s string
-	return json.Unmarshal([]byte(`"`+k.wireSpec+`"`), &s) == nil && s == o.wireSpec && !strings.Contains(s, "\ufffd")
-}
-
 func (k work) outcome(string, int) string {
 	if k.fails {
 		return "failed"
@@ -341,12 +320,16 @@
 	listedAt             []time.Time
 	ackedDone            map[string]bool
 	unasked, overlaps    int
+	// onRun is called with the job of each run that starts or ends; nil if nobody wants to know. late counts the runs of
+	// each cancelled job that were late.
+	onRun func(job string, end bool)
+	late  map[string]int
 }
 
 func newRunLog(rec *record) *runLog {
 	return &runLog{
 		rec: rec, atWork: map[string]map[runID]string{}, starts: map[string]int{}, done: map[string]int{}, failed: map[string]int{},
-		busyAt: map[string]time.Time{}, ackedDone: map[string]bool{},
+		busyAt: map[string]time.Time{}, ackedDone: map[string]bool{}, late: map[string]int{},
 	}
 }
 
@@ -367,6 +350,9 @@
 		l.rec.logf("TWICE: %s#%d starts on %s, after an end that was taken note of", id.task, id.number, r.id)
 	}
 	l.atWork[id.task][id] = r.id
+	if l.onRun != nil {
+		l.onRun(jobOf(id.task), false)
+	}
 	if !l.quiet {
 		l.rec.logf("run %s#%d starts on %s", id.task, id.number, r.id)
 	}
@@ -376,6 +362,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.atWork[id.task], id)
+	if l.onRun != nil {
+		l.onRun(jobOf(id.task), true)
+	}
 	if len(l.atWork[id.task]) == 0 {
 		delete(l.atWork, id.task)
 	}
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -67,14 +68,14 @@
 	work sync.Map
 }
 
-func newWorld(rec *record, dir, program string) (*world, error) {
+func newWorld(rec *record, dir, program string, runners int) (*world, error) {
 	s, err := newStore(rec)
 	if err != nil {
 		return nil, err
 	}
 	w := &world{rec: rec, dir: dir, program: program, store: s, stop: make(chan struct{}), runs: newRunLog(rec)}
 	w.configure(5)
-	for i := range runnerCount {
+	for i := range runners {
 		if err := w.startRunner(i); err != nil {
 			return nil, err
 		}
@@ -203,9 +204,17 @@
 retransmitMs = 1300
 `
 
+// machine replaces the machine of the small site by a larger one of the grown site, where a case asks for it.
+func machine(settings string) string {
+	if os.Getenv("PLAIN") == "" {
+		return settings
+	}
+	return strings.NewReplacer("cpuShare = 0.4", "cpuShare = 0.8", "memoryMb = 284", "memoryMb = 536", "linkMbps = 1000.0", "linkMbps = 200.0").Replace(settings)
+}
+
 func (w *world) settings(n *node) string {
 	return fmt.Sprintf("nodeName = %q\nzone = %q\nip = \"127.0.0.1\"\nportRange = [%d,%d]\n", n.Name, n.Domain, n.PeerPort, n.PeerPort) +
-		settingsTail +
+		machine(settingsTail) +
 		fmt.Sprintf("[listen]\nfront = %q\nready = %q\n", n.CallerAddress, n.HealthAddress) +
 		fmt.Sprintf("[platform]\naddress = %q\nform = \"table\"\nwritesPerS = 600\nreadsPerS = 2000\ntxnMs = 3.0\npartitionWritesS = 300\nrowBytes = 65536\ncrossShard = true\nhistoryS = 20\nblobBytes = 8388608\nblobMs = 25.0\nblobMbS = 80.0\n", w.store.address())
 }
