--- a/review/standin3/poison.go
+++ b/review/standin3/poison.go
@@ -26,7 +26,6 @@
 		return failed
 	}
 	time.Sleep(2 * time.Second)
-	w.runs.quiet = true
 	begin := time.Now()
 	end := begin.Add(traffic)
 	var wg sync.WaitGroup
